project: add the design page, build, base and protocol libraries

Cause: the project had no code; every later part needs the design, the shared build and the message types. Change: docs/design.md, CMake build with warnings as errors, formatter and linter settings, base (results, counters, settings, traces, logs), protocol (messages, frames, signed resume tokens), and the transport headers.

--- /dev/null
+++ b/include/foxtailring/base/RandomSource.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <cstdint>
+#include <random>
+#include <string>
+
+namespace foxtailring {
+
+/// \brief Seeded pseudo-random generator, so that decisions can be repeated. Not thread-safe.
+class RandomSource
+{
+public:
+    explicit RandomSource(std::uint64_t seed);
+
+    /// \brief A generator seeded from the system's entropy source.
+    static RandomSource fromEntropy();
+
+    /// \brief Uniform in [0, bound); \a bound must be above 0.
+    std::uint64_t below(std::uint64_t bound);
+
+    /// \brief Uniform in [0, 1).
+    double unit();
+
+    /// \brief 128 random bits as 32 lower-case hexadecimal digits.
+    std::string hexId();
+
+private:
+    std::mt19937_64 m_engine;
+};
+
+} // namespace foxtailring
--- /dev/null
+++ b/include/foxtailring/base/StructuredLog.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <initializer_list>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace foxtailring {
+
+/// \brief JSON log lines through log4cplus, one for each change of state.
+class StructuredLog
+{
+public:
+    using Fields = std::initializer_list<std::pair<std::string_view, std::string>>;
+
+    /// \brief Sends all lines of this process to standard error. Call once, before the first line.
+    static void configure(std::string_view program, std::string_view nodeId);
+
+    static void info(std::string_view event, Fields fields = {});
+    static void warn(std::string_view event, Fields fields = {});
+};
+
+} // namespace foxtailring
--- /dev/null
+++ b/include/foxtailring/protocol/Attach.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "foxtailring/protocol/MessageType.h"
+
+#include <cstdint>
+#include <msgpack.hpp>
+#include <string>
+
+namespace foxtailring {
+
+/// \brief Entry to sidecar: deliver an attempt's journal again from an offset.
+struct Attach
+{
+    static constexpr MessageType type = MessageType::Attach;
+
+    std::string requestId;
+    std::uint32_t attempt = 0;
+    std::string account;
+    std::uint64_t fromOffset = 0; ///< index in the whole answer of the first token wanted
+    std::string traceparent;
+
+    MSGPACK_DEFINE_MAP(requestId, attempt, account, fromOffset, traceparent)
+};
+
+} // namespace foxtailring
--- /dev/null
+++ b/include/foxtailring/protocol/ConfigAck.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "foxtailring/protocol/MessageType.h"
+
+#include <cstdint>
+#include <msgpack.hpp>
+#include <string>
+
+namespace foxtailring {
+
+/// \brief Sidecar to entry: the revision in force.
+struct ConfigAck
+{
+    static constexpr MessageType type = MessageType::ConfigAck;
+
+    std::string nodeId;
+    std::int64_t revision = 0;
+
+    MSGPACK_DEFINE_MAP(nodeId, revision)
+};
+
+} // namespace foxtailring
--- /dev/null
+++ b/include/foxtailring/protocol/ConfigUpdate.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "foxtailring/protocol/MessageType.h"
+#include "foxtailring/protocol/ResourceDelta.h"
+
+#include <cstdint>
+#include <msgpack.hpp>
+#include <vector>
+
+namespace foxtailring {
+
+/// \brief Entry to sidecar: configuration up to a revision.
+struct ConfigUpdate
+{
+    static constexpr MessageType type = MessageType::ConfigUpdate;
+
+    std::int64_t revision = 0;
+    std::int64_t baseRevision =
+        0; ///< the revision this update applies to; 0: the update holds every resource
+    std::vector<ResourceDelta> resources;
+
+    MSGPACK_DEFINE_MAP(revision, baseRevision, resources)
+};
+
+} // namespace foxtailring
--- /dev/null
+++ b/include/foxtailring/protocol/FindGeneration.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "foxtailring/protocol/MessageType.h"
+
+#include <msgpack.hpp>
+#include <string>
+
+namespace foxtailring {
+
+/// \brief Entry to sidecar: who runs the request of this idempotency key?
+struct FindGeneration
+{
+    static constexpr MessageType type = MessageType::FindGeneration;
+
+    std::string account;
+    std::string idempotencyKey;
+
+    MSGPACK_DEFINE_MAP(account, idempotencyKey)
+};
+
+} // namespace foxtailring
--- /dev/null
+++ b/include/foxtailring/protocol/GenerationRecord.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "foxtailring/protocol/MessageType.h"
+
+#include <cstdint>
+#include <msgpack.hpp>
+#include <string>
+
+namespace foxtailring {
+
+/// \brief Where a request runs, kept by idempotency key.
+struct GenerationRecord
+{
+    static constexpr MessageType type = MessageType::GenerationRecord;
+
+    std::string account;
+    std::string idempotencyKey;
+    std::string bodyHash; ///< hash of the request body; the same key with another body is refused
+    std::string requestId;
+    std::uint32_t attempt = 0;
+    std::string serverAddress; ///< IP:PORT of the sidecar that runs the attempt
+
+    MSGPACK_DEFINE_MAP(account, idempotencyKey, bodyHash, requestId, attempt, serverAddress)
+};
+
+} // namespace foxtailring
--- /dev/null
+++ b/include/foxtailring/protocol/HttpHeader.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <msgpack.hpp>
+#include <string>
+
+namespace foxtailring {
+
+/// \brief One HTTP header.
+struct HttpHeader
+{
+    std::string name;
+    std::string value;
+
+    MSGPACK_DEFINE_MAP(name, value)
+};
+
+} // namespace foxtailring
--- /dev/null
+++ b/include/foxtailring/protocol/Phase.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <cstdint>
+#include <msgpack.hpp>
+
+namespace foxtailring {
+
+/// \brief What an attempt is doing at its engine.
+enum class Phase : std::uint8_t {
+    Queued,
+    Prefill,
+    Decode,
+};
+
+} // namespace foxtailring
+
+MSGPACK_ADD_ENUM(foxtailring::Phase)
--- /dev/null
+++ b/include/foxtailring/protocol/StartAttempt.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "foxtailring/protocol/MessageType.h"
+#include "foxtailring/protocol/Token.h"
+
+#include <cstdint>
+#include <msgpack.hpp>
+#include <string>
+#include <vector>
+
+namespace foxtailring {
+
+/// \brief Entry to sidecar: start one attempt of a generation.
+struct StartAttempt
+{
+    static constexpr MessageType type = MessageType::StartAttempt;
+
+    std::string requestId;     ///< 32 hexadecimal digits, chosen by the entry
+    std::uint32_t attempt = 0; ///< 1 for the first attempt; also the fencing number
+    std::string account;       ///< client account
+    std::string service;
+    std::string model;
+    std::string adapter;        ///< empty: none
+    std::string version;        ///< empty: the engine's current one
+    std::uint32_t priority = 0; ///< 0 is the highest, 9 the lowest
+    std::uint32_t deadlineMs =
+        0; ///< time left until the caller's deadline, in milliseconds; 0: none
+    std::string prompt;
+    std::vector<Token> prefix; ///< tokens already relayed to the caller; output goes on after them
+    std::uint32_t maxTokens = 0;     ///< tokens of the whole answer, prefix included
+    std::string samplingJson;        ///< JSON object with the caller's sampling parameters
+    std::string idempotencyKey;      ///< empty: none
+    std::int64_t configRevision = 0; ///< revision the entry routed by
+    std::string traceparent;         ///< W3C trace context
+
+    MSGPACK_DEFINE_MAP(requestId, attempt, account, service, model, adapter, version, priority,
+                       deadlineMs, prompt, prefix, maxTokens, samplingJson, idempotencyKey,
+                       configRevision, traceparent)
+};
+
+} // namespace foxtailring
--- /dev/null
+++ b/include/foxtailring/protocol/Token.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <cstdint>
+#include <msgpack.hpp>
+#include <string>
+
+namespace foxtailring {
+
+/// \brief One token of an answer.
+struct Token
+{
+    std::int64_t id = 0; ///< token id of the engine's vocabulary
+    std::string text;    ///< UTF-8 text of the token; may be part of a character
+
+    MSGPACK_DEFINE_MAP(id, text)
+};
+
+} // namespace foxtailring
--- /dev/null
+++ b/include/foxtailring/protocol/WatchReports.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "foxtailring/protocol/MessageType.h"
+
+#include <cstdint>
+#include <msgpack.hpp>
+#include <string>
+
+namespace foxtailring {
+
+/// \brief Entry to sidecar: send load reports on this stream.
+struct WatchReports
+{
+    static constexpr MessageType type = MessageType::WatchReports;
+
+    std::string entryId;
+    std::uint32_t intervalMs = 0; ///< milliseconds between reports
+
+    MSGPACK_DEFINE_MAP(entryId, intervalMs)
+};
+
+} // namespace foxtailring
--- /dev/null
+++ b/include/foxtailring/transport/Http1Server.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "foxtailring/base/Result.h"
+#include "foxtailring/transport/HttpLimits.h"
+#include "foxtailring/transport/HttpRequest.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+
+namespace foxtailring {
+
+class Http1Responder;
+class WorkerPool;
+struct Endpoint;
+
+/// \brief HTTP/1.1 server over Boost.Beast. Malformed requests are answered 400, large ones 413.
+class Http1Server
+{
+public:
+    using Handler = std::function<void(HttpRequest, std::shared_ptr<Http1Responder>)>;
+
+    Http1Server(WorkerPool &pool, const Endpoint &endpoint, HttpLimits limits, Handler handler);
+    /// \brief Calls close().
+    ~Http1Server();
+    Http1Server(const Http1Server &) = delete;
+    Http1Server &operator=(const Http1Server &) = delete;
+
+    /// \brief Binds and accepts; returns the port. Unavailable when the address is taken.
+    Result<std::uint16_t> listen();
+    /// \brief Refuses new connections; open ones finish their request and then close.
+    void stopAccepting();
+    /// \brief Closes every connection at once.
+    void close();
+    /// \brief Requests whose response is not complete.
+    std::size_t openRequests() const;
+
+private:
+    struct State;
+    std::shared_ptr<State> m_state;
+};
+
+} // namespace foxtailring
--- /dev/null
+++ b/include/foxtailring/transport/HttpLimits.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+
+namespace foxtailring {
+
+/// \brief What an HTTP server takes from outside.
+struct HttpLimits
+{
+    std::size_t headerBytes = 32 * 1024;
+    std::size_t bodyBytes = 8 * 1024 * 1024;
+    std::chrono::milliseconds idle {60'000}; ///< a kept-alive connection without a request
+};
+
+} // namespace foxtailring
--- /dev/null
+++ b/src/base/SettingsReader.cpp
@@ -0,0 +1,248 @@
+#include "foxtailring/base/SettingsReader.h"
+
+#include <algorithm>
+#include <boost/asio/ip/address.hpp>
+#include <fstream>
+#include <sstream>
+#include <yaml-cpp/yaml.h>
+
+namespace foxtailring {
+
+struct SettingsReader::Shared
+{
+    std::string file;
+    std::vector<std::string> faults;
+};
+
+namespace {
+
+std::string shown(const YAML::Node &node)
+{
+    if (node.IsScalar())
+        return node.Scalar();
+    return node.IsSequence() ? "a list" : "a mapping";
+}
+
+bool isAddress(const std::string &text)
+{
+    const auto colon = text.rfind(':');
+    if (colon == std::string::npos)
+        return false;
+    boost::system::error_code error;
+    boost::asio::ip::make_address(text.substr(0, colon), error);
+    if (error)
+        return false;
+    const std::string port = text.substr(colon + 1);
+    const bool digits = !port.empty() && port.size() <= 5
+        && std::all_of(port.begin(), port.end(), [](char c) { return c >= '0' && c <= '9'; });
+    return digits && std::stoi(port) <= 65535;
+}
+
+std::string range(double least, double most)
+{
+    std::ostringstream out;
+    out << "a number from " << least << " to " << most;
+    return out.str();
+}
+
+} // namespace
+
+SettingsReader::SettingsReader(std::shared_ptr<Shared> shared, std::shared_ptr<YAML::Node> node,
+                               std::string prefix)
+    : m_shared(std::move(shared))
+    , m_node(std::move(node))
+    , m_prefix(std::move(prefix))
+{
+}
+
+Result<SettingsReader> SettingsReader::fromFile(const std::string &path)
+{
+    std::ifstream in(path);
+    if (!in)
+        return Error {ErrorCode::NotFound, path + ": cannot be read"};
+    std::stringstream text;
+    text << in.rdbuf();
+    return fromText(text.str(), path);
+}
+
+Result<SettingsReader> SettingsReader::fromText(std::string_view text, std::string name)
+{
+    auto shared = std::make_shared<Shared>();
+    shared->file = std::move(name);
+    try {
+        auto node = std::make_shared<YAML::Node>(YAML::Load(std::string(text)));
+        if (!node->IsMap())
+            return Error {ErrorCode::InvalidArgument, shared->file + ": must be a YAML mapping"};
+        return SettingsReader(std::move(shared), std::move(node), "");
+    } catch (const YAML::Exception &exception) {
+        return Error {ErrorCode::InvalidArgument,
+                      shared->file + ':' + std::to_string(exception.mark.line + 1) + ": "
+                          + exception.msg};
+    }
+}
+
+std::shared_ptr<YAML::Node> SettingsReader::find(const std::string &key)
+{
+    m_read.push_back(key);
+    if (!m_node || !m_node->IsMap())
+        return nullptr;
+    const YAML::Node value = (*std::as_const(m_node))[key];
+    if (!value.IsDefined())
+        return nullptr;
+    return std::make_shared<YAML::Node>(value);
+}
+
+void SettingsReader::faultAt(int line, const std::string &key, std::string_view value,
+                             std::string_view allowed)
+{
+    std::ostringstream out;
+    out << m_shared->file << ':' << line << ": " << m_prefix << key << ": ";
+    if (value.empty())
+        out << "missing";
+    else
+        out << '"' << value << '"';
+    out << "; allowed: " << allowed;
+    m_shared->faults.push_back(out.str());
+}
+
+void SettingsReader::fault(const std::string &key, std::string_view allowed)
+{
+    const auto node = find(key);
+    if (!node)
+        faultAt(m_node ? m_node->Mark().line + 1 : 1, key, "", allowed);
+    else
+        faultAt(node->Mark().line + 1, key, shown(*node), allowed);
+}
+
+std::string SettingsReader::require(const std::string &key, std::string_view allowed)
+{
+    const auto node = find(key);
+    if (!node || !node->IsScalar() || node->Scalar().empty()) {
+        fault(key, allowed);
+        return {};
+    }
+    return node->Scalar();
+}
+
+std::string SettingsReader::text(const std::string &key, std::string_view allowed)
+{
+    return require(key, allowed);
+}
+
+std::string SettingsReader::textOr(const std::string &key, std::string fallback)
+{
+    return has(key) ? text(key) : (m_read.push_back(key), std::move(fallback));
+}
+
+std::int64_t SettingsReader::integer(const std::string &key, std::int64_t least, std::int64_t most)
+{
+    const std::string allowed =
+        "an integer from " + std::to_string(least) + " to " + std::to_string(most);
+    const auto node = find(key);
+    std::int64_t value = 0;
+    const bool ok = node && YAML::convert<std::int64_t>::decode(*node, value);
+    if (!ok || value < least || value > most) {
+        fault(key, allowed);
+        return least;
+    }
+    return value;
+}
+
+std::int64_t SettingsReader::integerOr(const std::string &key, std::int64_t fallback,
+                                       std::int64_t least, std::int64_t most)
+{
+    return has(key) ? integer(key, least, most) : (m_read.push_back(key), fallback);
+}
+
+double SettingsReader::numberOr(const std::string &key, double fallback, double least, double most)
+{
+    const auto node = find(key);
+    if (!node)
+        return fallback;
+    double value = 0;
+    const bool ok = YAML::convert<double>::decode(*node, value);
+    if (!ok || !(value >= least && value <= most)) {
+        fault(key, range(least, most));
+        return fallback;
+    }
+    return value;
+}
+
+bool SettingsReader::flagOr(const std::string &key, bool fallback)
+{
+    const auto node = find(key);
+    if (!node)
+        return fallback;
+    bool value = fallback;
+    if (!YAML::convert<bool>::decode(*node, value))
+        fault(key, "true or false");
+    return value;
+}
+
+std::vector<std::string> SettingsReader::textList(const std::string &key)
+{
+    const auto node = find(key);
+    if (!node)
+        return {};
+    std::vector<std::string> values;
+    if (!node->IsSequence()) {
+        fault(key, "a list of strings");
+        return values;
+    }
+    for (const auto &item : *node) {
+        if (item.IsScalar())
+            values.push_back(item.Scalar());
+        else
+            fault(key, "a list of strings");
+    }
+    return values;
+}
+
+std::string SettingsReader::address(const std::string &key)
+{
+    constexpr std::string_view allowed = "IP:PORT with an IP number and a port from 0 to 65535";
+    std::string value = require(key, allowed);
+    if (!value.empty() && !isAddress(value))
+        fault(key, allowed);
+    return value;
+}
+
+std::string SettingsReader::addressOr(const std::string &key, std::string fallback)
+{
+    return has(key) ? address(key) : (m_read.push_back(key), std::move(fallback));
+}
+
+SettingsReader SettingsReader::section(const std::string &key)
+{
+    auto node = find(key);
+    if (!node || !node->IsMap()) {
+        fault(key, "a mapping");
+        node = std::make_shared<YAML::Node>(YAML::NodeType::Map);
+    }
+    return SettingsReader(m_shared, std::move(node), m_prefix + key + '.');
+}
+
+bool SettingsReader::has(const std::string &key) const
+{
+    return m_node && m_node->IsMap() && (*std::as_const(m_node))[key].IsDefined();
+}
+
+Result<Done> SettingsReader::finish()
+{
+    if (m_node && m_node->IsMap()) {
+        for (const auto &entry : *m_node) {
+            const std::string key = entry.first.Scalar();
+            if (std::find(m_read.begin(), m_read.end(), key) == m_read.end())
+                faultAt(entry.first.Mark().line + 1, key, shown(entry.second),
+                        "this key is not known");
+        }
+    }
+    if (m_shared->faults.empty())
+        return Done {};
+    std::string all;
+    for (const auto &one : m_shared->faults)
+        all += (all.empty() ? "" : "\n") + one;
+    return Error {ErrorCode::InvalidArgument, std::move(all)};
+}
+
+} // namespace foxtailring
--- /dev/null
+++ b/src/base/TraceContext.cpp
@@ -0,0 +1,52 @@
+#include "foxtailring/base/TraceContext.h"
+
+#include <algorithm>
+
+namespace foxtailring {
+
+namespace {
+
+constexpr std::size_t traceIdDigits = 32;
+constexpr std::size_t spanIdDigits = 16;
+// version "00", trace id, span id and flags, joined by dashes
+constexpr std::size_t headerLength = 2 + 1 + traceIdDigits + 1 + spanIdDigits + 1 + 2;
+
+bool isHexId(std::string_view text)
+{
+    const bool hex = std::all_of(text.begin(), text.end(), [](char c) {
+        return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f');
+    });
+    return hex && text.find_first_not_of('0') != std::string_view::npos;
+}
+
+} // namespace
+
+std::optional<TraceContext> TraceContext::parse(std::string_view traceparent)
+{
+    if (traceparent.size() != headerLength || !traceparent.starts_with("00-"))
+        return std::nullopt;
+    if (traceparent[35] != '-' || traceparent[52] != '-')
+        return std::nullopt;
+    const auto trace = traceparent.substr(3, traceIdDigits);
+    const auto span = traceparent.substr(36, spanIdDigits);
+    if (!isHexId(trace) || !isHexId(span))
+        return std::nullopt;
+    return TraceContext {std::string(trace), std::string(span)};
+}
+
+TraceContext TraceContext::start(RandomSource &random)
+{
+    return TraceContext {random.hexId(), random.hexId().substr(0, spanIdDigits)};
+}
+
+TraceContext TraceContext::child(RandomSource &random) const
+{
+    return TraceContext {traceId, random.hexId().substr(0, spanIdDigits)};
+}
+
+std::string TraceContext::header() const
+{
+    return "00-" + traceId + '-' + spanId + "-01";
+}
+
+} // namespace foxtailring
--- /dev/null
+++ b/tests/base/BaseTest.cpp
@@ -0,0 +1,85 @@
+#include "foxtailring/base/Counters.h"
+#include "foxtailring/base/SettingsReader.h"
+#include "foxtailring/base/TraceContext.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace foxtailring;
+
+class BaseTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(BaseTest);
+    CPPUNIT_TEST(countersWritePrometheusText);
+    CPPUNIT_TEST(traceparentRoundTrips);
+    CPPUNIT_TEST(malformedTraceparentIsRejected);
+    CPPUNIT_TEST(settingsNameEveryFault);
+    CPPUNIT_TEST(settingsWithoutFaultsPass);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against label sets that a Prometheus server would refuse.
+    void countersWritePrometheusText()
+    {
+        Counters counters;
+        counters.add("requests_total{outcome=\"done\"}");
+        counters.add("requests_total{outcome=\"done\"}", 2);
+        counters.observeSeconds("wait_seconds{zone=\"a\"}", 0.003);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(3), counters.value("requests_total{outcome=\"done\"}"));
+        const std::string text = counters.prometheusText();
+        CPPUNIT_ASSERT(text.find("# TYPE requests_total counter") != std::string::npos);
+        CPPUNIT_ASSERT(text.find("wait_seconds_bucket{zone=\"a\",le=\"0.005\"} 1")
+                       != std::string::npos);
+        CPPUNIT_ASSERT(text.find("wait_seconds_count{zone=\"a\"} 1") != std::string::npos);
+    }
+
+    void traceparentRoundTrips()
+    {
+        RandomSource random(1);
+        const TraceContext trace = TraceContext::start(random);
+        const auto parsed = TraceContext::parse(trace.header());
+        CPPUNIT_ASSERT(parsed.has_value());
+        CPPUNIT_ASSERT_EQUAL(trace.traceId, parsed->traceId);
+        CPPUNIT_ASSERT(trace.child(random).spanId != trace.spanId);
+    }
+
+    // Guards against passing on ids that other tracing systems reject.
+    void malformedTraceparentIsRejected()
+    {
+        CPPUNIT_ASSERT(!TraceContext::parse(""));
+        CPPUNIT_ASSERT(!TraceContext::parse("00-abc-def-01"));
+        const std::string zeros = "00-" + std::string(32, '0') + '-' + std::string(16, '1') + "-01";
+        CPPUNIT_ASSERT(!TraceContext::parse(zeros));
+    }
+
+    // Guards against settings faults that are reported one at a time or without their place.
+    void settingsNameEveryFault()
+    {
+        auto reader =
+            SettingsReader::fromText("threads: 900\nlisten: nowhere\ntypo: 1\n", "e.yaml");
+        CPPUNIT_ASSERT(reader.isOk());
+        reader.value().integer("threads", 1, 64);
+        reader.value().address("listen");
+        reader.value().text("zone");
+        const auto done = reader.value().finish();
+        CPPUNIT_ASSERT(!done.isOk());
+        const std::string message = done.error().message;
+        CPPUNIT_ASSERT(message.find("e.yaml:1: threads: \"900\"; allowed: an integer from 1 to 64")
+                       != std::string::npos);
+        CPPUNIT_ASSERT(message.find("e.yaml:2: listen: \"nowhere\"") != std::string::npos);
+        CPPUNIT_ASSERT(message.find("zone: missing") != std::string::npos);
+        CPPUNIT_ASSERT(message.find("e.yaml:3: typo") != std::string::npos);
+    }
+
+    void settingsWithoutFaultsPass()
+    {
+        auto reader = SettingsReader::fromText("node:\n  id: a\nports: [x, y]\n", "e.yaml");
+        CPPUNIT_ASSERT(reader.isOk());
+        auto node = reader.value().section("node");
+        CPPUNIT_ASSERT_EQUAL(std::string("a"), node.text("id"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), reader.value().textList("ports").size());
+        CPPUNIT_ASSERT(node.finish().isOk());
+        CPPUNIT_ASSERT(reader.value().finish().isOk());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(BaseTest);
--- /dev/null
+++ b/tests/protocol/ProtocolTest.cpp
@@ -0,0 +1,87 @@
+#include "foxtailring/protocol/Frame.h"
+#include "foxtailring/protocol/FrameReader.h"
+#include "foxtailring/protocol/ResumeToken.h"
+#include "foxtailring/protocol/Tokens.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace foxtailring;
+
+class ProtocolTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(ProtocolTest);
+    CPPUNIT_TEST(framesSurviveAnySplit);
+    CPPUNIT_TEST(malformedFramesAreErrors);
+    CPPUNIT_TEST(resumeTokenRoundTrips);
+    CPPUNIT_TEST(forgedResumeTokenIsRefused);
+    CPPUNIT_TEST_SUITE_END();
+
+    static Tokens sample()
+    {
+        Tokens tokens;
+        tokens.requestId = "r";
+        tokens.attempt = 2;
+        tokens.offset = 7;
+        tokens.tokens = {Token {1, "a"}, Token {2, "b"}};
+        return tokens;
+    }
+
+public:
+    // Guards against lost or doubled messages when a connection delivers bytes one at a time.
+    void framesSurviveAnySplit()
+    {
+        const std::string bytes = encodeMessage(sample()) + encodeMessage(sample());
+        FrameReader reader;
+        std::vector<Frame> frames;
+        for (const char byte : bytes) {
+            auto got = reader.feed(std::string_view(&byte, 1));
+            CPPUNIT_ASSERT(got.isOk());
+            for (auto &frame : got.value())
+                frames.push_back(std::move(frame));
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), frames.size());
+        const auto tokens = decodeMessage<Tokens>(frames[1]);
+        CPPUNIT_ASSERT(tokens.isOk());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(7), tokens.value().offset);
+        CPPUNIT_ASSERT_EQUAL(std::string("b"), tokens.value().tokens[1].text);
+    }
+
+    // Guards against a bad peer stopping the process or making it allocate without bound.
+    void malformedFramesAreErrors()
+    {
+        CPPUNIT_ASSERT(!FrameReader().feed(std::string("\xff\xff\xff\xff\x01", 5)).isOk());
+        CPPUNIT_ASSERT(!FrameReader().feed(std::string("\0\0\0\0\x7f", 5)).isOk());
+        CPPUNIT_ASSERT(!decodeMessage<Tokens>(Frame {MessageType::Tokens, "\xc1"}).isOk());
+        CPPUNIT_ASSERT(!decodeMessage<Tokens>(Frame {MessageType::Tokens, "\x01"}).isOk());
+        CPPUNIT_ASSERT(!decodeMessage<Tokens>(Frame {MessageType::Failed, "\x80"}).isOk());
+    }
+
+    void resumeTokenRoundTrips()
+    {
+        const ResumeToken token {"req", "account", "service", 3, "127.0.0.1:9", 41};
+        const auto back = ResumeToken::verify(token.sign("secret"), "secret");
+        CPPUNIT_ASSERT(back.isOk());
+        CPPUNIT_ASSERT_EQUAL(std::string("127.0.0.1:9"), back.value().serverAddress);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(41), back.value().nextOffset);
+    }
+
+    // Guards against a caller who edits a token to read another client account's answer.
+    void forgedResumeTokenIsRefused()
+    {
+        const std::string text =
+            ResumeToken {"req", "account", "s", 3, "127.0.0.1:9", 41}.sign("k");
+        CPPUNIT_ASSERT(!ResumeToken::verify(text, "other").isOk());
+        for (std::size_t i = 0; i < text.size(); ++i) {
+            std::string changed = text;
+            changed[i] = changed[i] == 'A' ? 'B' : 'A';
+            const auto result = ResumeToken::verify(changed, "k");
+            // The last character of a base64 group may carry unused bits.
+            if (result.isOk())
+                CPPUNIT_ASSERT_EQUAL(std::string("account"), result.value().account);
+        }
+        CPPUNIT_ASSERT(!ResumeToken::verify("", "k").isOk());
+        CPPUNIT_ASSERT(!ResumeToken::verify("a.b", "k").isOk());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ProtocolTest);
