decisions: add typed resources and the configuration state

Cause: entries and sidecars need one checked form of the operators' resources whose revision never decreases.

--- /dev/null
+++ b/include/foxtailring/decisions/ConfigSnapshot.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "foxtailring/decisions/AdapterResource.h"
+#include "foxtailring/decisions/ClientAccountResource.h"
+#include "foxtailring/decisions/ModelResource.h"
+#include "foxtailring/decisions/ServiceResource.h"
+#include "foxtailring/decisions/StoredResource.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace foxtailring {
+
+/// \brief Every resource at one revision. Immutable once it is shared.
+struct ConfigSnapshot
+{
+    using Key = std::pair<std::string, std::string>; ///< kind and name
+
+    std::int64_t revision = 0; ///< platform revision; 0: no configuration yet
+    std::map<Key, StoredResource> resources;
+    std::map<std::string, ServiceResource, std::less<>> services;
+    std::map<std::string, ClientAccountResource, std::less<>> accounts;
+    std::map<std::string, ModelResource, std::less<>> models;
+    std::map<std::string, AdapterResource, std::less<>> adapters;
+
+    const ServiceResource *service(std::string_view name) const;
+    /// \brief The generation service that serves a model or an adapter; nullptr when none does.
+    const ServiceResource *serviceForModel(std::string_view modelOrAdapter) const;
+    /// \brief The account whose key hashes to \a keySha256; nullptr when there is none.
+    const ClientAccountResource *accountByKeyHash(std::string_view keySha256) const;
+};
+
+} // namespace foxtailring
--- /dev/null
+++ b/src/decisions/ConfigState.cpp
@@ -0,0 +1,144 @@
+#include "foxtailring/decisions/ConfigState.h"
+
+#include "foxtailring/protocol/ConfigUpdate.h"
+
+#include <nlohmann/json.hpp>
+
+namespace foxtailring {
+
+namespace {
+
+// Deltas kept for nodes that are behind: about an hour at 29,000 changes a day.
+constexpr std::size_t maxRecentDeltas = 1200;
+
+template <typename Typed, typename Map>
+void store(Map &map, const StoredResource &resource)
+{
+    // Resources are validated when they are accepted. One that cannot be read here was written
+    // past the operator interface; the last readable value stays in force.
+    const auto json = nlohmann::json::parse(resource.spec, nullptr, false);
+    auto parsed = Typed::parse(resource.name, json);
+    if (parsed)
+        map.insert_or_assign(resource.name, std::move(parsed).value());
+}
+
+void storeTyped(ConfigSnapshot &snapshot, const StoredResource &resource)
+{
+    if (resource.kind == "Service")
+        store<ServiceResource>(snapshot.services, resource);
+    else if (resource.kind == "ClientAccount")
+        store<ClientAccountResource>(snapshot.accounts, resource);
+    else if (resource.kind == "Model")
+        store<ModelResource>(snapshot.models, resource);
+    else if (resource.kind == "Adapter")
+        store<AdapterResource>(snapshot.adapters, resource);
+}
+
+void erase(ConfigSnapshot &snapshot, const ConfigSnapshot::Key &key)
+{
+    snapshot.resources.erase(key);
+    if (key.first == "Service")
+        snapshot.services.erase(key.second);
+    else if (key.first == "ClientAccount")
+        snapshot.accounts.erase(key.second);
+    else if (key.first == "Model")
+        snapshot.models.erase(key.second);
+    else if (key.first == "Adapter")
+        snapshot.adapters.erase(key.second);
+}
+
+void applyDelta(ConfigSnapshot &snapshot, const ResourceDelta &delta)
+{
+    const ConfigSnapshot::Key key {delta.kind, delta.name};
+    if (delta.deleted) {
+        erase(snapshot, key);
+        return;
+    }
+    const auto resource = StoredResource::fromJson(delta.json, delta.revision);
+    if (!resource)
+        return;
+    snapshot.resources.insert_or_assign(key, resource.value());
+    storeTyped(snapshot, resource.value());
+}
+
+ConfigUpdate fullUpdate(const ConfigSnapshot &snapshot)
+{
+    ConfigUpdate update;
+    update.revision = snapshot.revision;
+    for (const auto &[key, resource] : snapshot.resources) {
+        update.resources.push_back(
+            ResourceDelta {key.first, key.second, resource.revision, resource.toJson(), false});
+    }
+    return update;
+}
+
+} // namespace
+
+ConfigState::ConfigState()
+    : m_snapshot(std::make_shared<ConfigSnapshot>())
+{
+}
+
+Result<Done> ConfigState::apply(const ConfigUpdate &update)
+{
+    const std::lock_guard lock(m_mutex);
+    if (update.revision <= m_snapshot->revision)
+        return Done {};
+    const bool full = update.baseRevision == 0;
+    if (!full && update.baseRevision > m_snapshot->revision)
+        return Error {ErrorCode::Stale,
+                      "update starts at revision " + std::to_string(update.baseRevision)
+                          + ", this node has " + std::to_string(m_snapshot->revision)};
+    auto next =
+        full ? std::make_shared<ConfigSnapshot>() : std::make_shared<ConfigSnapshot>(*m_snapshot);
+    for (const auto &delta : update.resources)
+        applyDelta(*next, delta);
+    next->revision = update.revision;
+    rememberChanges(update);
+    m_snapshot = std::move(next);
+    return Done {};
+}
+
+void ConfigState::rememberChanges(const ConfigUpdate &update)
+{
+    if (update.baseRevision == 0) {
+        m_recent.clear();
+        return;
+    }
+    m_recent.push_back(update);
+    m_recent.back().baseRevision = m_snapshot->revision;
+    if (m_recent.size() > maxRecentDeltas)
+        m_recent.erase(m_recent.begin());
+}
+
+std::shared_ptr<const ConfigSnapshot> ConfigState::snapshot() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_snapshot;
+}
+
+std::int64_t ConfigState::revision() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_snapshot->revision;
+}
+
+ConfigUpdate ConfigState::updateFrom(std::int64_t base) const
+{
+    const std::lock_guard lock(m_mutex);
+    const bool covered = base != 0 && !m_recent.empty() && m_recent.front().baseRevision <= base;
+    if (!covered && base != m_snapshot->revision)
+        return fullUpdate(*m_snapshot);
+    ConfigUpdate update;
+    update.baseRevision = base;
+    update.revision = m_snapshot->revision;
+    for (const auto &delta : m_recent) {
+        if (delta.revision <= base)
+            continue;
+        update.resources.insert(update.resources.end(), delta.resources.begin(),
+                                delta.resources.end());
+    }
+    return update;
+}
+
+} // namespace foxtailring
