--- a/src/decisions/SpecReader.cpp
+++ b/src/decisions/SpecReader.cpp
@@ -42,7 +42,7 @@
 std::string SpecReader::textOr(const std::string &field, std::string fallback,
                                std::string_view allowed)
 {
-    return find(field) ? text(field, allowed) : fallback;
+    return find(field) ? text(field, allowed) : std::move(fallback);
 }
 
 double SpecReader::number(const std::string &field, double fallback, double least, double most)
