transport: add HTTP/1.1 client and server, worker pool, timer and endpoint

Cause: the packages above transport need something to link against. Change: Endpoint, WorkerPool, Timer, Http1Server and Http1Client over Asio and Beast; each connection has its own strand, and a responder or stream handle posts to it.

--- /dev/null
+++ b/src/transport/Endpoint.cpp
@@ -0,0 +1,56 @@
+#include "foxtailring/transport/Endpoint.h"
+
+#include "Net.h"
+
+#include <boost/asio/ip/address.hpp>
+
+#include <charconv>
+
+namespace foxtailring {
+
+namespace {
+
+Error notAnEndpoint(std::string_view text)
+{
+    return {ErrorCode::InvalidArgument, "\"" + std::string(text) + "\" is not IP:PORT"};
+}
+
+std::string_view withoutBrackets(std::string_view ip)
+{
+    if (ip.size() > 2 && ip.front() == '[' && ip.back() == ']')
+        return ip.substr(1, ip.size() - 2);
+    return ip;
+}
+
+} // namespace
+
+Result<Endpoint> Endpoint::parse(std::string_view text)
+{
+    const std::size_t colon = text.rfind(':');
+    if (colon == std::string_view::npos)
+        return notAnEndpoint(text);
+    const std::string_view host = text.substr(0, colon);
+    const std::string_view port = text.substr(colon + 1);
+    const std::string_view ip = withoutBrackets(host);
+
+    ErrorStatus status;
+    const auto address = net::ip::make_address(std::string(ip), status);
+    // An IPv6 number must be in brackets, or its last group would be taken for a port.
+    if (status || address.is_v6() != (ip.size() != host.size()))
+        return notAnEndpoint(text);
+
+    Endpoint endpoint {std::string(ip), 0};
+    const auto end = port.data() + port.size();
+    const auto parsed = std::from_chars(port.data(), end, endpoint.port);
+    if (port.empty() || parsed.ec != std::errc() || parsed.ptr != end)
+        return notAnEndpoint(text);
+    return endpoint;
+}
+
+std::string Endpoint::text() const
+{
+    const bool isV6 = ip.find(':') != std::string::npos;
+    return (isV6 ? "[" + ip + "]" : ip) + ":" + std::to_string(port);
+}
+
+} // namespace foxtailring
--- /dev/null
+++ b/src/transport/Http1Client.cpp
@@ -0,0 +1,142 @@
+#include "foxtailring/transport/Http1Client.h"
+
+#include "foxtailring/transport/Endpoint.h"
+#include "foxtailring/transport/Http1Stream.h"
+#include "foxtailring/transport/WorkerPool.h"
+#include "HookGuard.h"
+#include "Http1ClientExchange.h"
+#include "HttpWire.h"
+#include "IdleConnections.h"
+
+#include <boost/asio/post.hpp>
+
+namespace foxtailring {
+
+namespace {
+
+// Bounds what a faulty server can make this process hold.
+constexpr std::size_t maxWholeBodyBytes = 64 * 1024 * 1024;
+
+// Does not keep the exchange alive, so that a forgotten handle holds no connection.
+class StreamHandle : public Http1Stream
+{
+public:
+    explicit StreamHandle(std::weak_ptr<Http1ClientExchange> exchange)
+        : m_exchange(std::move(exchange))
+    {
+    }
+
+    void cancel() override
+    {
+        if (const auto exchange = m_exchange.lock())
+            exchange->cancel(ErrorCode::Closed, "cancelled by this side");
+    }
+
+private:
+    const std::weak_ptr<Http1ClientExchange> m_exchange;
+};
+
+// Collects a streamed response for the hook of a whole one.
+struct WholeResponse
+{
+    HttpResponse response;
+    Http1Client::ResponseHook hook;
+    std::weak_ptr<Http1ClientExchange> exchange;
+    bool isTooLarge = false;
+
+    void append(std::string_view bytes);
+    void close(const Result<Done> &result);
+};
+
+void WholeResponse::append(std::string_view bytes)
+{
+    if (isTooLarge)
+        return;
+    isTooLarge = response.body.size() + bytes.size() > maxWholeBodyBytes;
+    if (!isTooLarge)
+        response.body += bytes;
+    else if (const auto locked = exchange.lock())
+        locked->cancel(ErrorCode::Malformed, "the response is too large");
+}
+
+void WholeResponse::close(const Result<Done> &result)
+{
+    if (!result.isOk())
+        runHook(hook, Result<HttpResponse>(result.error()));
+    else if (isTooLarge)
+        runHook(hook, Result<HttpResponse>(ErrorCode::Malformed, "the response is too large"));
+    else
+        runHook(hook, Result<HttpResponse>(std::move(response)));
+}
+
+StreamHooks collect(const std::shared_ptr<WholeResponse> &whole)
+{
+    return {[whole](const HttpResponse &head) { whole->response = head; },
+            [whole](std::string_view bytes) { whole->append(bytes); },
+            [whole](const Result<Done> &result) { whole->close(result); }};
+}
+
+const Error notSendable {ErrorCode::InvalidArgument,
+                         "method or target of the request has spaces or control characters"};
+
+} // namespace
+
+struct Http1Client::State
+{
+    explicit State(net::io_context &ioContext)
+        : context(ioContext)
+    {
+    }
+
+    net::io_context &context;
+    const std::shared_ptr<IdleConnections> idle = std::make_shared<IdleConnections>();
+};
+
+Http1Client::Http1Client(WorkerPool &pool)
+    : m_state(std::make_shared<State>(pool.context()))
+{
+}
+
+Http1Client::~Http1Client()
+{
+    m_state->idle->close();
+}
+
+void Http1Client::request(const Endpoint &endpoint, HttpRequest request,
+                          std::chrono::milliseconds timeout, ResponseHook hook)
+{
+    if (!isSendable(request)) {
+        net::post(m_state->context, [hook = std::move(hook)] { runHook(hook, notSendable); });
+        return;
+    }
+    Http1ClientExchange::Options options {
+        endpoint, {}, request.method == "HEAD", timeout, m_state->idle};
+    options.requestBytes = requestBytes(std::move(request), endpoint.text(), true);
+    auto idle = m_state->idle->take(endpoint);
+    const auto whole = std::make_shared<WholeResponse>();
+    whole->hook = std::move(hook);
+    const auto exchange = std::make_shared<Http1ClientExchange>(
+        idle ? std::move(*idle) : Socket(net::make_strand(m_state->context)), std::move(options),
+        collect(whole));
+    whole->exchange = exchange;
+    exchange->start();
+}
+
+std::shared_ptr<Http1Stream> Http1Client::stream(const Endpoint &endpoint, HttpRequest request,
+                                                 StreamHooks hooks)
+{
+    if (!isSendable(request)) {
+        net::post(m_state->context,
+                  [hook = std::move(hooks.closed)] { runHook(hook, notSendable); });
+        return std::make_shared<StreamHandle>(std::weak_ptr<Http1ClientExchange>());
+    }
+    Http1ClientExchange::Options options {
+        endpoint, {}, request.method == "HEAD", std::nullopt, nullptr};
+    options.requestBytes = requestBytes(std::move(request), endpoint.text(), false);
+    const auto exchange = std::make_shared<Http1ClientExchange>(
+        Socket(net::make_strand(m_state->context)), std::move(options), std::move(hooks));
+    exchange->start();
+    return std::make_shared<StreamHandle>(exchange);
+}
+
+} // namespace foxtailring
--- /dev/null
+++ b/src/transport/Http1ClientExchange.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "foxtailring/transport/Endpoint.h"
+#include "foxtailring/transport/StreamHooks.h"
+#include "Net.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/parser.hpp>
+
+#include <array>
+#include <chrono>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace foxtailring {
+
+class IdleConnections;
+
+/// \brief One request and its response on one connection of an Http1Client.
+class Http1ClientExchange : public std::enable_shared_from_this<Http1ClientExchange>
+{
+public:
+    struct Options
+    {
+        Endpoint endpoint;
+        std::string requestBytes;
+        bool isHead = false;                              ///< the response has no body
+        std::optional<std::chrono::milliseconds> timeout; ///< of the whole exchange
+        /// Where the connection goes afterwards; null: it is closed.
+        std::shared_ptr<IdleConnections> idle;
+    };
+
+    Http1ClientExchange(Socket socket, Options options, StreamHooks hooks);
+
+    // Thread-safe.
+    void start();
+    void cancel(ErrorCode code, std::string message);
+
+private:
+    using Parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
+
+    void connect();
+    void connected(ErrorStatus status);
+    void write();
+    void read();
+    void received(ErrorStatus status, std::size_t size);
+    void ended(ErrorStatus status);
+    void resetParser();
+    void parse();
+    bool parseStep(ErrorStatus &status);
+    void deliver(std::size_t bodySize);
+    void expired();
+    void succeed();
+    void fail(ErrorCode code, const std::string &message);
+    void complete(const Result<Done> &result);
+
+    Socket m_socket;
+    Options m_options;
+    StreamHooks m_hooks;
+    net::steady_timer m_connectTimer;
+    net::steady_timer m_timer;
+    std::optional<Parser> m_parser;
+    bool m_writeStarted = false;
+    bool m_writeDone = false;
+    bool m_headPassed = false;
+    bool m_complete = false;
+    std::string m_input;
+    std::array<char, 8192> m_chunk;
+    std::array<char, 8192> m_body;
+};
+
+} // namespace foxtailring
--- /dev/null
+++ b/src/transport/Http1Connection.cpp
@@ -0,0 +1,275 @@
+#include "Http1Connection.h"
+
+#include "HookGuard.h"
+#include "Http1ResponderHandle.h"
+#include "Http1ServerExchange.h"
+#include "Http1ServerShared.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/error.hpp>
+
+namespace foxtailring {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+// A caller that still sends when its response is complete gets this long to read the response:
+// closing with unread input would make the kernel reset the connection and lose it.
+constexpr std::chrono::milliseconds drainTime {2000};
+
+// Pipelined input beyond this waits in the kernel; it also bounds chunk extensions.
+constexpr std::size_t inputSlack = 64 * 1024;
+
+HttpRequest takeRequest(http::request<http::string_body> message)
+{
+    HttpRequest request;
+    request.method = std::string(message.method_string());
+    request.target = std::string(message.target());
+    request.headers = headersOf(message);
+    request.body = std::move(message.body());
+    return request;
+}
+
+} // namespace
+
+Http1Connection::Http1Connection(Socket socket, std::shared_ptr<Http1ServerShared> shared)
+    : m_socket(std::move(socket))
+    , m_shared(std::move(shared))
+    , m_deadline(m_socket.get_executor())
+{
+}
+
+Http1Connection::~Http1Connection()
+{
+    // Reached with an open exchange only when the worker pool is torn down.
+    if (m_exchange)
+        m_exchange->dropHook();
+}
+
+void Http1Connection::start()
+{
+    net::post(m_socket.get_executor(), [self = shared_from_this()] {
+        if (self->m_phase == Phase::Closed)
+            return;
+        self->beginRequest();
+        self->read();
+    });
+}
+
+void Http1Connection::stop()
+{
+    net::post(m_socket.get_executor(), [self = shared_from_this()] {
+        const bool isIdle = self->m_phase == Phase::Request && self->m_input.empty()
+            && !(self->m_parser && self->m_parser->got_some());
+        if (isIdle)
+            self->closeNow();
+    });
+}
+
+void Http1Connection::close()
+{
+    net::post(m_socket.get_executor(), [self = shared_from_this()] { self->closeNow(); });
+}
+
+void Http1Connection::beginRequest()
+{
+    m_phase = Phase::Request;
+    m_continueSent = false;
+    m_responseComplete = false;
+    m_parser.emplace();
+    m_parser->header_limit(static_cast<std::uint32_t>(m_shared->limits.headerBytes));
+    m_parser->body_limit(m_shared->limits.bodyBytes);
+    m_parser->eager(true);
+    armDeadline(m_shared->limits.idle);
+    if (!m_input.empty())
+        parse();
+}
+
+void Http1Connection::read()
+{
+    const std::size_t inputLimit = m_shared->limits.headerBytes + inputSlack;
+    if (m_reading || m_phase == Phase::Closed || m_input.size() >= inputLimit)
+        return;
+    m_reading = true;
+    m_socket.async_read_some(net::buffer(m_chunk),
+                             [self = shared_from_this()](ErrorStatus status, std::size_t size) {
+                                 self->m_reading = false;
+                                 self->received(status, size);
+                             });
+}
+
+void Http1Connection::received(ErrorStatus status, std::size_t size)
+{
+    if (m_phase == Phase::Closed)
+        return;
+    if (status)
+        return closeNow();
+    if (m_phase != Phase::Drain)
+        m_input.append(m_chunk.data(), size);
+    if (m_phase == Phase::Request)
+        parse();
+    read();
+}
+
+void Http1Connection::parse()
+{
+    ErrorStatus status;
+    while (!status && !m_input.empty() && !m_parser->is_done())
+        m_input.erase(0, m_parser->put(net::buffer(m_input), status));
+    if (status && status != http::error::need_more)
+        return rejectRequest(status);
+    if (m_parser->is_done())
+        return handleRequest();
+    if (m_input.size() >= m_shared->limits.headerBytes + inputSlack)
+        return rejectRequest(400, "Bad Request", "a chunk header is too long");
+    if (m_parser->is_header_done())
+        continueRequest();
+}
+
+// The body is under way: the deadline moves on, and a caller that waits for 100 gets it.
+void Http1Connection::continueRequest()
+{
+    armDeadline(m_shared->limits.idle);
+    if (m_continueSent || m_parser->get()[http::field::expect].empty())
+        return;
+    m_continueSent = true;
+    send("HTTP/1.1 100 Continue\r\n\r\n", 0);
+}
+
+void Http1Connection::rejectRequest(ErrorStatus status)
+{
+    if (status == http::error::body_limit || status == http::error::buffer_overflow)
+        return rejectRequest(413, "Content Too Large",
+                             "the body is above " + std::to_string(m_shared->limits.bodyBytes)
+                                 + " bytes");
+    if (status == http::error::header_limit)
+        return rejectRequest(431, "Request Header Fields Too Large",
+                             "the head is above " + std::to_string(m_shared->limits.headerBytes)
+                                 + " bytes");
+    rejectRequest(400, "Bad Request", status.message());
+}
+
+void Http1Connection::rejectRequest(int status, std::string_view title, std::string_view detail)
+{
+    m_phase = Phase::Response;
+    m_input.clear();
+    send(responseBytes(problemResponse(status, title, detail), {11, false, false}), 0);
+    completeResponse(false);
+}
+
+void Http1Connection::handleRequest()
+{
+    http::request<http::string_body> message = m_parser->release();
+    m_phase = Phase::Response;
+    m_deadline.cancel();
+    if (m_shared->isClosed)
+        return closeNow();
+    const ResponseFraming framing {message.version() >= 11 ? 11U : 10U,
+                                   message.keep_alive() && !m_shared->isStopping,
+                                   message.method() == http::verb::head};
+    m_exchange =
+        std::make_shared<Http1ServerExchange>(weak_from_this(), m_socket.get_executor(), framing);
+    ++m_shared->openRequests;
+    // When the handler throws, destroying the handle answers 500.
+    runHook(m_shared->handler, takeRequest(std::move(message)),
+            std::make_shared<Http1ResponderHandle>(m_exchange));
+}
+
+void Http1Connection::send(std::string bytes, std::size_t payloadBytes)
+{
+    if (m_phase == Phase::Closed)
+        return;
+    m_queued += bytes;
+    m_queuedPayload += payloadBytes;
+    if (!m_writing)
+        writePending();
+}
+
+void Http1Connection::completeResponse(bool keepAlive)
+{
+    if (m_phase == Phase::Closed)
+        return;
+    m_responseComplete = true;
+    m_keepAlive = keepAlive;
+    armDeadline(m_shared->limits.idle);
+    if (!m_writing)
+        responseWritten();
+}
+
+void Http1Connection::writePending()
+{
+    m_writing = true;
+    m_inFlight.clear();
+    m_inFlight.swap(m_queued);
+    m_inFlightPayload = std::exchange(m_queuedPayload, 0);
+    net::async_write(m_socket, net::buffer(m_inFlight),
+                     [self = shared_from_this()](ErrorStatus status, std::size_t) {
+                         self->m_writing = false;
+                         self->written(status);
+                     });
+}
+
+void Http1Connection::written(ErrorStatus status)
+{
+    if (m_phase == Phase::Closed)
+        return;
+    if (status)
+        return closeNow();
+    if (m_exchange)
+        m_exchange->pendingBytes -= std::exchange(m_inFlightPayload, 0);
+    if (!m_queued.empty())
+        writePending();
+    else if (m_responseComplete && m_phase == Phase::Response)
+        responseWritten();
+}
+
+void Http1Connection::responseWritten()
+{
+    if (m_exchange) {
+        m_exchange.reset();
+        --m_shared->openRequests;
+    }
+    if (!m_keepAlive || m_shared->isStopping)
+        return drain();
+    beginRequest();
+    read();
+}
+
+void Http1Connection::drain()
+{
+    m_phase = Phase::Drain;
+    m_input.clear();
+    ErrorStatus ignored;
+    m_socket.shutdown(Tcp::socket::shutdown_send, ignored);
+    armDeadline(drainTime);
+    read();
+}
+
+void Http1Connection::armDeadline(std::chrono::milliseconds delay)
+{
+    m_deadline.expires_after(delay);
+    m_deadline.async_wait([self = shared_from_this()](ErrorStatus status) {
+        // A handler that was queued before the deadline moved finds an expiry in the future.
+        if (!status && self->m_deadline.expiry() <= std::chrono::steady_clock::now())
+            self->closeNow();
+    });
+}
+
+void Http1Connection::closeNow()
+{
+    if (m_phase == Phase::Closed)
+        return;
+    m_phase = Phase::Closed;
+    ErrorStatus ignored;
+    m_socket.close(ignored);
+    m_deadline.cancel();
+    if (const auto exchange = std::exchange(m_exchange, nullptr)) {
+        --m_shared->openRequests;
+        exchange->pendingBytes -= m_inFlightPayload + m_queuedPayload;
+        exchange->disconnected();
+    }
+}
+
+} // namespace foxtailring
--- /dev/null
+++ b/src/transport/Http1Connection.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "Net.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <array>
+#include <chrono>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace foxtailring {
+
+class Http1ServerExchange;
+struct Http1ServerShared;
+
+/// \brief One accepted HTTP/1.1 connection.
+///
+/// A read is pending nearly always, so that a caller's disconnect is seen while its response is
+/// being produced. Bytes of a pipelined next request wait in m_input.
+class Http1Connection : public std::enable_shared_from_this<Http1Connection>
+{
+public:
+    Http1Connection(Socket socket, std::shared_ptr<Http1ServerShared> shared);
+    ~Http1Connection();
+
+    // Thread-safe.
+    void start();
+    /// \brief Closes an idle connection; a busy one closes after its response.
+    void stop();
+    void close();
+
+    // On the strand, called by the exchange.
+    void send(std::string bytes, std::size_t payloadBytes);
+    void completeResponse(bool keepAlive);
+    void closeNow();
+
+private:
+    enum class Phase { Request, Response, Drain, Closed };
+    using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+
+    void beginRequest();
+    void read();
+    void received(ErrorStatus status, std::size_t size);
+    void parse();
+    void continueRequest();
+    void rejectRequest(ErrorStatus status);
+    void rejectRequest(int status, std::string_view title, std::string_view detail);
+    void handleRequest();
+    void writePending();
+    void written(ErrorStatus status);
+    void responseWritten();
+    void drain();
+    void armDeadline(std::chrono::milliseconds delay);
+
+    Socket m_socket;
+    const std::shared_ptr<Http1ServerShared> m_shared;
+    net::steady_timer m_deadline;
+    Phase m_phase = Phase::Request;
+    std::optional<Parser> m_parser;
+    std::shared_ptr<Http1ServerExchange> m_exchange;
+    bool m_continueSent = false;
+    bool m_responseComplete = false;
+    bool m_keepAlive = true;
+
+    bool m_reading = false;
+    std::string m_input;
+    std::array<char, 8192> m_chunk;
+
+    bool m_writing = false;
+    std::string m_queued;
+    std::string m_inFlight;
+    std::size_t m_queuedPayload = 0;
+    std::size_t m_inFlightPayload = 0;
+};
+
+} // namespace foxtailring
--- /dev/null
+++ b/src/transport/Http1Server.cpp
@@ -0,0 +1,76 @@
+#include "foxtailring/transport/Http1Server.h"
+
+#include "ConnectionSet.h"
+#include "foxtailring/transport/Endpoint.h"
+#include "foxtailring/transport/WorkerPool.h"
+#include "Http1Connection.h"
+#include "Http1ServerShared.h"
+#include "Listener.h"
+
+namespace foxtailring {
+
+struct Http1Server::State
+{
+    void accepted(Socket socket);
+
+    std::shared_ptr<Http1ServerShared> shared;
+    ConnectionSet<Http1Connection> connections;
+    std::shared_ptr<Listener> listener;
+};
+
+void Http1Server::State::accepted(Socket socket)
+{
+    const auto connection = std::make_shared<Http1Connection>(std::move(socket), shared);
+    connections.add(connection);
+    // Checked after add(), so that either this or close() sees the connection.
+    if (shared->isStopping)
+        connection->close();
+    else
+        connection->start();
+}
+
+Http1Server::Http1Server(WorkerPool &pool, const Endpoint &endpoint, HttpLimits limits,
+                         Handler handler)
+    : m_state(std::make_shared<State>())
+{
+    m_state->shared.reset(new Http1ServerShared {limits, std::move(handler)});
+    m_state->listener = std::make_shared<Listener>(pool.context(), endpoint,
+                                                   [state = std::weak_ptr(m_state)](Socket socket) {
+                                                       if (const auto locked = state.lock())
+                                                           locked->accepted(std::move(socket));
+                                                   });
+}
+
+Http1Server::~Http1Server()
+{
+    close();
+}
+
+Result<std::uint16_t> Http1Server::listen()
+{
+    return m_state->listener->listen();
+}
+
+void Http1Server::stopAccepting()
+{
+    m_state->shared->isStopping = true;
+    m_state->listener->close();
+    for (const auto &connection : m_state->connections.all())
+        connection->stop();
+}
+
+void Http1Server::close()
+{
+    m_state->shared->isStopping = true;
+    m_state->shared->isClosed = true;
+    m_state->listener->close();
+    for (const auto &connection : m_state->connections.all())
+        connection->close();
+}
+
+std::size_t Http1Server::openRequests() const
+{
+    return m_state->shared->openRequests;
+}
+
+} // namespace foxtailring
--- /dev/null
+++ b/src/transport/Http1ServerExchange.cpp
@@ -0,0 +1,110 @@
+#include "Http1ServerExchange.h"
+
+#include "HookGuard.h"
+#include "Http1Connection.h"
+
+namespace foxtailring {
+
+Http1ServerExchange::Http1ServerExchange(std::weak_ptr<Http1Connection> connection, Strand strand,
+                                         const ResponseFraming &framing)
+    : m_connection(std::move(connection))
+    , m_strand(std::move(strand))
+    , m_framing(framing)
+{
+}
+
+void Http1ServerExchange::respond(HttpResponse response)
+{
+    const std::size_t payload = response.body.size();
+    if (m_stage != Stage::Waiting || m_connection.expired()) {
+        pendingBytes -= payload;
+        return;
+    }
+    complete(responseBytes(std::move(response), m_framing), payload);
+}
+
+void Http1ServerExchange::startStream(int status, const std::vector<HttpHeader> &headers)
+{
+    if (m_stage != Stage::Waiting)
+        return;
+    m_stage = Stage::Streaming;
+    if (const auto connection = m_connection.lock())
+        connection->send(streamHeadBytes(status, headers, m_framing), 0);
+}
+
+void Http1ServerExchange::write(const std::string &chunk)
+{
+    const auto connection = m_connection.lock();
+    if (m_stage != Stage::Streaming || m_framing.headOnly || chunk.empty() || !connection) {
+        pendingBytes -= chunk.size();
+        return;
+    }
+    connection->send(m_framing.isChunked() ? chunkBytes(chunk) : chunk, chunk.size());
+}
+
+void Http1ServerExchange::finish()
+{
+    if (m_stage != Stage::Streaming)
+        return;
+    const bool hasLastChunk = m_framing.isChunked() && !m_framing.headOnly;
+    complete(hasLastChunk ? lastChunkBytes() : std::string(), 0);
+}
+
+void Http1ServerExchange::abort()
+{
+    if (m_stage == Stage::Complete || m_stage == Stage::Disconnected)
+        return;
+    leave(Stage::Complete);
+    if (const auto connection = m_connection.lock())
+        connection->closeNow();
+}
+
+void Http1ServerExchange::setDisconnectHook(std::function<void()> hook)
+{
+    if (m_stage == Stage::Disconnected)
+        runHook(hook);
+    else if (m_stage != Stage::Complete)
+        m_disconnectHook = std::move(hook);
+}
+
+void Http1ServerExchange::abandon()
+{
+    if (m_stage == Stage::Waiting)
+        complete(responseBytes(
+                     problemResponse(500, "Internal Server Error", "the request was not answered"),
+                     m_framing),
+                 0);
+    else
+        abort();
+}
+
+void Http1ServerExchange::disconnected()
+{
+    if (m_stage == Stage::Complete || m_stage == Stage::Disconnected)
+        return;
+    m_stage = Stage::Disconnected;
+    const auto hook = std::exchange(m_disconnectHook, nullptr);
+    runHook(hook);
+}
+
+void Http1ServerExchange::dropHook()
+{
+    const auto hook = std::exchange(m_disconnectHook, nullptr);
+}
+
+void Http1ServerExchange::complete(std::string bytes, std::size_t payloadBytes)
+{
+    leave(Stage::Complete);
+    if (const auto connection = m_connection.lock()) {
+        connection->send(std::move(bytes), payloadBytes);
+        connection->completeResponse(m_framing.keepAlive);
+    }
+}
+
+void Http1ServerExchange::leave(Stage stage)
+{
+    m_stage = stage;
+    dropHook();
+}
+
+} // namespace foxtailring
--- /dev/null
+++ b/src/transport/Http1ServerExchange.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "foxtailring/transport/HttpResponse.h"
+#include "HttpWire.h"
+#include "Net.h"
+
+#include <atomic>
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace foxtailring {
+
+class Http1Connection;
+
+/// \brief One request being answered. Used on the strand of its connection, but for the atomic.
+class Http1ServerExchange
+{
+public:
+    Http1ServerExchange(std::weak_ptr<Http1Connection> connection, Strand strand,
+                        const ResponseFraming &framing);
+
+    const Strand &strand() const { return m_strand; }
+    bool isComplete() const { return m_stage == Stage::Complete; }
+
+    void respond(HttpResponse response);
+    void startStream(int status, const std::vector<HttpHeader> &headers);
+    void write(const std::string &chunk);
+    void finish();
+    void abort();
+    void setDisconnectHook(std::function<void()> hook);
+    /// \brief Ends an exchange whose responder was destroyed before the response was complete.
+    void abandon();
+
+    /// \brief The connection is gone; runs the disconnect hook unless the response is complete.
+    void disconnected();
+    /// \brief Forgets the hook without running it.
+    void dropHook();
+
+    /// \brief Payload bytes accepted from the responder and not yet written.
+    std::atomic<std::size_t> pendingBytes = 0;
+
+private:
+    enum class Stage { Waiting, Streaming, Complete, Disconnected };
+
+    void complete(std::string bytes, std::size_t payloadBytes);
+    void leave(Stage stage);
+
+    const std::weak_ptr<Http1Connection> m_connection;
+    const Strand m_strand;
+    const ResponseFraming m_framing;
+    Stage m_stage = Stage::Waiting;
+    std::function<void()> m_disconnectHook;
+};
+
+} // namespace foxtailring
--- /dev/null
+++ b/src/transport/Listener.cpp
@@ -0,0 +1,95 @@
+#include "Listener.h"
+
+namespace foxtailring {
+
+namespace {
+
+// Without a pause, accepting with no file descriptor left would use a whole core.
+constexpr std::chrono::milliseconds acceptRetryDelay {50};
+
+} // namespace
+
+Listener::Listener(net::io_context &context, Endpoint endpoint, Hook hook)
+    : m_context(context)
+    , m_endpoint(std::move(endpoint))
+    , m_hook(std::move(hook))
+    , m_acceptor(context)
+    , m_retry(context)
+{
+}
+
+ErrorStatus Listener::bind(const Tcp::endpoint &address)
+{
+    ErrorStatus status;
+    m_acceptor.open(address.protocol(), status);
+    if (!status)
+        m_acceptor.set_option(net::socket_base::reuse_address(true), status);
+    if (!status)
+        m_acceptor.bind(address, status);
+    if (!status)
+        m_acceptor.listen(net::socket_base::max_listen_connections, status);
+    return status;
+}
+
+Result<std::uint16_t> Listener::listen()
+{
+    ErrorStatus status;
+    const auto address = net::ip::make_address(m_endpoint.ip, status);
+    if (status)
+        return Error {ErrorCode::InvalidArgument, "\"" + m_endpoint.ip + "\" is not an IP number"};
+
+    const std::lock_guard lock(m_mutex);
+    status = bind({address, m_endpoint.port});
+    if (status) {
+        ErrorStatus ignored;
+        m_acceptor.close(ignored);
+        return Error {ErrorCode::Unavailable,
+                      "cannot listen on " + m_endpoint.text() + ": " + status.message()};
+    }
+    const std::uint16_t port = m_acceptor.local_endpoint().port();
+    accept();
+    return port;
+}
+
+void Listener::close()
+{
+    const std::lock_guard lock(m_mutex);
+    ErrorStatus ignored;
+    m_acceptor.close(ignored);
+    m_retry.cancel();
+}
+
+void Listener::accept()
+{
+    m_acceptor.async_accept(net::make_strand(m_context),
+                            [self = shared_from_this()](ErrorStatus status, Socket socket) {
+                                self->accepted(status, std::move(socket));
+                            });
+}
+
+void Listener::accepted(ErrorStatus status, Socket socket)
+{
+    if (!status) {
+        tuneSocket(socket);
+        m_hook(std::move(socket));
+    }
+    const std::lock_guard lock(m_mutex);
+    if (!m_acceptor.is_open())
+        return;
+    if (status && status != net::error::connection_aborted)
+        acceptLater();
+    else
+        accept();
+}
+
+void Listener::acceptLater()
+{
+    m_retry.expires_after(acceptRetryDelay);
+    m_retry.async_wait([self = shared_from_this()](ErrorStatus) {
+        const std::lock_guard lock(self->m_mutex);
+        if (self->m_acceptor.is_open())
+            self->accept();
+    });
+}
+
+} // namespace foxtailring
--- /dev/null
+++ b/src/transport/Net.cpp
@@ -0,0 +1,29 @@
+#include "Net.h"
+
+namespace foxtailring {
+
+namespace {
+
+using KeepAliveIdle = net::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
+using KeepAliveInterval = net::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
+using KeepAliveCount = net::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
+
+// An idle connection whose other end vanished without a FIN is released after about 45 s.
+constexpr int keepAliveIdleSeconds = 30;
+constexpr int keepAliveIntervalSeconds = 5;
+constexpr int keepAliveCount = 3;
+
+} // namespace
+
+void tuneSocket(Socket &socket)
+{
+    // A connection that is already reset refuses options; its next read reports that.
+    ErrorStatus ignored;
+    socket.set_option(Tcp::no_delay(true), ignored);
+    socket.set_option(net::socket_base::keep_alive(true), ignored);
+    socket.set_option(KeepAliveIdle(keepAliveIdleSeconds), ignored);
+    socket.set_option(KeepAliveInterval(keepAliveIntervalSeconds), ignored);
+    socket.set_option(KeepAliveCount(keepAliveCount), ignored);
+}
+
+} // namespace foxtailring
--- /dev/null
+++ b/src/transport/Net.h
@@ -0,0 +1,22 @@
+#pragma once
+
+// Asio 1.74 uses std::exchange without including its header.
+#include <utility>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/strand.hpp>
+
+namespace foxtailring {
+
+namespace net = boost::asio;
+using ErrorStatus = boost::system::error_code;
+using Tcp = net::ip::tcp;
+using Strand = net::strand<net::io_context::executor_type>;
+/// \brief A socket whose handlers run on the strand of its connection.
+using Socket = net::basic_stream_socket<Tcp, Strand>;
+
+/// \brief Sets TCP_NODELAY and the keep-alive probes that every connection uses.
+void tuneSocket(Socket &socket);
+
+} // namespace foxtailring
