transport: add the HTTP/2 client and server

Cause: entry and sidecar exchange frames over HTTP/2 streams. Change: Http2Session drives one nghttp2 session for either side, with deferred data providers, large windows and one write at a time.

--- /dev/null
+++ b/src/transport/Http2Callbacks.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "Http2Session.h"
+
+#include <memory>
+
+namespace foxtailring {
+
+/// \brief Passes the callbacks of nghttp2 on to an Http2Session.
+struct Http2Callbacks
+{
+    /// \brief A new session of nghttp2 with the callbacks and options that both sides use.
+    static nghttp2_session *makeSession(Http2Session *session, bool isServer);
+    static nghttp2_data_provider dataProvider();
+
+private:
+    static int beginHeaders(nghttp2_session *, const nghttp2_frame *frame, void *user);
+    static int header(nghttp2_session *, const nghttp2_frame *frame, const std::uint8_t *name,
+                      std::size_t nameSize, const std::uint8_t *value, std::size_t valueSize,
+                      std::uint8_t flags, void *user);
+    static int frameReceived(nghttp2_session *, const nghttp2_frame *frame, void *user);
+    static int dataReceived(nghttp2_session *, std::uint8_t flags, std::int32_t id,
+                            const std::uint8_t *data, std::size_t size, void *user);
+    static int frameSent(nghttp2_session *, const nghttp2_frame *frame, void *user);
+    static int frameNotSent(nghttp2_session *, const nghttp2_frame *frame, int error, void *user);
+    static int streamClosed(nghttp2_session *, std::int32_t id, std::uint32_t errorCode,
+                            void *user);
+    static ssize_t readData(nghttp2_session *, std::int32_t id, std::uint8_t *buffer,
+                            std::size_t size, std::uint32_t *flags, nghttp2_data_source *source,
+                            void *user);
+    static void setCallbacks(nghttp2_session_callbacks *callbacks);
+};
+
+} // namespace foxtailring
--- /dev/null
+++ b/src/transport/Http2Session.cpp
@@ -0,0 +1,391 @@
+#include "Http2Session.h"
+
+#include "HookGuard.h"
+#include "Http2Callbacks.h"
+#include "Http2SessionStream.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+
+namespace foxtailring {
+
+namespace {
+
+constexpr std::chrono::milliseconds connectTime {1000};
+// A retired connection that is silent cannot take the last frames; it is closed after this time.
+constexpr std::chrono::milliseconds closeTime {1000};
+constexpr std::int32_t streamWindowBytes = 1024 * 1024;
+constexpr std::int32_t connectionWindowBytes = 16 * 1024 * 1024;
+// Several frames go into one write, but a write stays small enough to show progress.
+constexpr std::size_t writeBytes = 256 * 1024;
+
+nghttp2_nv headerField(std::string_view name, std::string_view value)
+{
+    const auto bytes = [](std::string_view text) {
+        return reinterpret_cast<std::uint8_t *>(const_cast<char *>(text.data()));
+    };
+    return {bytes(name), bytes(value), name.size(), value.size(), NGHTTP2_NV_FLAG_NONE};
+}
+
+std::vector<nghttp2_nv> requestHead(const Http2SessionStream &stream)
+{
+    std::vector<nghttp2_nv> fields {headerField(":method", "POST"), headerField(":scheme", "http"),
+                                    headerField(":path", stream.path()),
+                                    headerField(":authority", "foxtailring")};
+    for (const HttpHeader &header : stream.headers())
+        fields.push_back(headerField(header.name, header.value));
+    return fields;
+}
+
+} // namespace
+
+Http2Session::Http2Session(Socket socket, Http2Server::Handler handler)
+    : m_socket(std::move(socket))
+    , m_handler(std::move(handler))
+    , m_timer(m_socket.get_executor())
+    , m_session(Http2Callbacks::makeSession(this, isServer()))
+{
+    submitSettings();
+}
+
+Http2Session::~Http2Session()
+{
+    // Reached with open streams only when the worker pool is torn down.
+    for (const auto &[id, stream] : m_streams)
+        stream->dropHooks();
+    nghttp2_session_del(m_session);
+}
+
+void Http2Session::submitSettings()
+{
+    std::vector<nghttp2_settings_entry> settings {
+        {NGHTTP2_SETTINGS_MAX_CONCURRENT_STREAMS, maxConcurrentStreams},
+        {NGHTTP2_SETTINGS_INITIAL_WINDOW_SIZE, streamWindowBytes}};
+    if (!isServer())
+        settings.push_back({NGHTTP2_SETTINGS_ENABLE_PUSH, 0});
+    nghttp2_submit_settings(m_session, NGHTTP2_FLAG_NONE, settings.data(), settings.size());
+    nghttp2_session_set_local_window_size(m_session, NGHTTP2_FLAG_NONE, 0, connectionWindowBytes);
+}
+
+void Http2Session::start()
+{
+    net::post(m_socket.get_executor(), [self = shared_from_this()] {
+        if (!self->m_closed)
+            self->begin();
+    });
+}
+
+void Http2Session::connect(const Endpoint &endpoint)
+{
+    net::post(m_socket.get_executor(), [self = shared_from_this(), endpoint] {
+        if (self->m_closed)
+            return;
+        ErrorStatus status;
+        const auto address = net::ip::make_address(endpoint.ip, status);
+        if (status)
+            return self->shutDown("not an IP number");
+        self->m_timer.expires_after(connectTime);
+        self->m_timer.async_wait([self](ErrorStatus waited) {
+            if (!waited && !self->m_connected)
+                self->shutDown("connecting timed out");
+        });
+        self->m_socket.async_connect({address, endpoint.port}, [self](ErrorStatus connectStatus) {
+            self->connected(connectStatus);
+        });
+    });
+}
+
+void Http2Session::connected(ErrorStatus status)
+{
+    if (m_closed)
+        return;
+    if (status)
+        return shutDown(status.message());
+    m_timer.cancel();
+    tuneSocket(m_socket);
+    begin();
+}
+
+void Http2Session::begin()
+{
+    m_connected = true;
+    read();
+    flush();
+}
+
+void Http2Session::read()
+{
+    m_socket.async_read_some(net::buffer(m_input),
+                             [self = shared_from_this()](ErrorStatus status, std::size_t size) {
+                                 self->received(status, size);
+                             });
+}
+
+void Http2Session::received(ErrorStatus status, std::size_t size)
+{
+    if (m_closed)
+        return;
+    if (status)
+        return shutDown(status.message());
+    const ssize_t used = nghttp2_session_mem_recv(m_session, m_input.data(), size);
+    if (used < 0)
+        return shutDown(nghttp2_strerror(static_cast<int>(used)));
+    scheduleFlush();
+    read();
+}
+
+// Posting lets all sends that wait on the strand go into the same write.
+void Http2Session::scheduleFlush()
+{
+    if (m_flushScheduled || m_writing || !m_connected || m_closed)
+        return;
+    m_flushScheduled = true;
+    net::post(m_socket.get_executor(), [self = shared_from_this()] {
+        self->m_flushScheduled = false;
+        self->flush();
+    });
+}
+
+void Http2Session::flush()
+{
+    if (m_writing || !m_connected || m_closed)
+        return;
+    fillOutput();
+    if (m_closed)
+        return;
+    if (m_output.empty())
+        return closeIfUnused();
+    m_writing = true;
+    net::async_write(m_socket, net::buffer(m_output),
+                     [self = shared_from_this()](ErrorStatus status, std::size_t) {
+                         self->m_writing = false;
+                         self->written(status);
+                     });
+}
+
+void Http2Session::fillOutput()
+{
+    m_output.clear();
+    while (m_output.size() < writeBytes) {
+        const std::uint8_t *bytes = nullptr;
+        const ssize_t size = nghttp2_session_mem_send(m_session, &bytes);
+        if (size < 0)
+            return shutDown(nghttp2_strerror(static_cast<int>(size)));
+        if (size == 0)
+            return;
+        m_output.append(reinterpret_cast<const char *>(bytes), static_cast<std::size_t>(size));
+    }
+}
+
+void Http2Session::written(ErrorStatus status)
+{
+    if (m_closed)
+        return;
+    if (status)
+        return shutDown(status.message());
+    flush();
+}
+
+std::shared_ptr<Http2Stream> Http2Session::open(std::string path, std::vector<HttpHeader> headers)
+{
+    auto stream = std::make_shared<Http2SessionStream>(weak_from_this(), m_socket.get_executor());
+    stream->setPath(std::move(path));
+    stream->setHeaders(std::move(headers));
+    net::post(m_socket.get_executor(),
+              [self = shared_from_this(), stream] { self->submitStream(stream); });
+    return stream;
+}
+
+void Http2Session::submitStream(const std::shared_ptr<Http2SessionStream> &stream)
+{
+    if (m_closed)
+        return stream->closed({ErrorCode::Unavailable, "there is no connection"});
+    const auto head = requestHead(*stream);
+    const nghttp2_data_provider provider = Http2Callbacks::dataProvider();
+    const std::int32_t id =
+        nghttp2_submit_request(m_session, nullptr, head.data(), head.size(), &provider, nullptr);
+    if (id < 0) {
+        m_usable = false;
+        return stream->closed({ErrorCode::Unavailable, nghttp2_strerror(id)});
+    }
+    stream->setId(id);
+    m_streams.emplace(id, stream);
+    scheduleFlush();
+}
+
+void Http2Session::outputReady(Http2SessionStream &stream)
+{
+    if (m_closed || !find(stream.id()))
+        return;
+    if (isServer() && !stream.isHeadSent())
+        submitResponse(stream);
+    else
+        nghttp2_session_resume_data(m_session, stream.id());
+    scheduleFlush();
+}
+
+void Http2Session::submitResponse(Http2SessionStream &stream)
+{
+    const nghttp2_nv head = headerField(":status", "200");
+    const nghttp2_data_provider provider = Http2Callbacks::dataProvider();
+    stream.setHeadSent();
+    nghttp2_submit_response(m_session, stream.id(), &head, 1, &provider);
+}
+
+void Http2Session::resetStream(std::int32_t id)
+{
+    if (m_closed || m_streams.erase(id) == 0)
+        return;
+    nghttp2_submit_rst_stream(m_session, NGHTTP2_FLAG_NONE, id, NGHTTP2_CANCEL);
+    scheduleFlush();
+    closeIfUnused();
+}
+
+void Http2Session::consumed(std::int32_t id, std::size_t size)
+{
+    if (m_closed)
+        return;
+    nghttp2_session_consume_stream(m_session, id, size);
+    scheduleFlush();
+}
+
+Http2SessionStream *Http2Session::find(std::int32_t id)
+{
+    const auto found = m_streams.find(id);
+    return found == m_streams.end() ? nullptr : found->second.get();
+}
+
+void Http2Session::streamBegun(std::int32_t id)
+{
+    auto stream = std::make_shared<Http2SessionStream>(weak_from_this(), m_socket.get_executor());
+    stream->setId(id);
+    m_streams.emplace(id, std::move(stream));
+}
+
+int Http2Session::headerReceived(std::int32_t id, std::string_view name, std::string_view value)
+{
+    Http2SessionStream *stream = find(id);
+    const bool isTaken = stream && stream->addHeader(name, value);
+    // nghttp2 resets the stream on this error.
+    return isTaken ? 0 : NGHTTP2_ERR_TEMPORAL_CALLBACK_FAILURE;
+}
+
+void Http2Session::headReceived(std::int32_t id)
+{
+    const auto found = m_streams.find(id);
+    if (!isServer() || found == m_streams.end())
+        return;
+    if (m_usable) {
+        runHook(m_handler, found->second);
+        return;
+    }
+    // The server is stopping: the client learns that nothing was done.
+    m_streams.erase(found);
+    nghttp2_submit_rst_stream(m_session, NGHTTP2_FLAG_NONE, id, NGHTTP2_REFUSED_STREAM);
+}
+
+void Http2Session::remoteEnded(std::int32_t id)
+{
+    if (Http2SessionStream *stream = find(id))
+        stream->remoteEnded();
+}
+
+void Http2Session::dataReceived(std::int32_t id, std::string_view bytes)
+{
+    // The window of the connection never waits for a single stream.
+    nghttp2_session_consume_connection(m_session, bytes.size());
+    Http2SessionStream *stream = find(id);
+    if (stream && stream->received(bytes))
+        nghttp2_session_consume_stream(m_session, id, bytes.size());
+}
+
+void Http2Session::headSent(std::int32_t id)
+{
+    if (Http2SessionStream *stream = find(id))
+        stream->setHeadSent();
+}
+
+void Http2Session::streamClosed(std::int32_t id, std::uint32_t errorCode)
+{
+    const auto found = m_streams.find(id);
+    if (found == m_streams.end())
+        return;
+    const auto stream = std::move(found->second);
+    m_streams.erase(found);
+    if (errorCode == NGHTTP2_NO_ERROR && stream->hasEndedBothWays())
+        return stream->closed(Done());
+    const bool isUnsent = !isServer() && !stream->isHeadSent();
+    const bool wasRefused = !isServer() && errorCode == NGHTTP2_REFUSED_STREAM;
+    stream->closed({isUnsent || wasRefused ? ErrorCode::Unavailable : ErrorCode::Closed,
+                    std::string("the stream ended with ") + nghttp2_http2_strerror(errorCode)});
+}
+
+void Http2Session::goAwayReceived()
+{
+    m_usable = false;
+}
+
+void Http2Session::retire()
+{
+    m_usable = false;
+    net::post(m_socket.get_executor(), [self = shared_from_this()] { self->retireNow(); });
+}
+
+void Http2Session::retireNow()
+{
+    if (m_closed)
+        return;
+    m_retired = true;
+    if (isServer())
+        nghttp2_submit_goaway(m_session, NGHTTP2_FLAG_NONE,
+                              nghttp2_session_get_last_proc_stream_id(m_session), NGHTTP2_NO_ERROR,
+                              nullptr, 0);
+    scheduleFlush();
+    closeIfUnused();
+}
+
+void Http2Session::close()
+{
+    m_usable = false;
+    net::post(m_socket.get_executor(),
+              [self = shared_from_this()] { self->shutDown("closed by this side"); });
+}
+
+// Closes a connection that has carried its last stream.
+void Http2Session::closeIfUnused()
+{
+    if (m_closed)
+        return;
+    if (!nghttp2_session_want_read(m_session) && !nghttp2_session_want_write(m_session)
+        && !m_writing)
+        return shutDown("the connection is done");
+    if (!m_retired || m_terminated || !m_streams.empty())
+        return;
+    m_terminated = true;
+    nghttp2_session_terminate_session(m_session, NGHTTP2_NO_ERROR);
+    scheduleFlush();
+    m_timer.expires_after(closeTime);
+    m_timer.async_wait([self = shared_from_this()](ErrorStatus status) {
+        if (!status)
+            self->shutDown("the connection is done");
+    });
+}
+
+void Http2Session::shutDown(std::string_view reason)
+{
+    if (m_closed)
+        return;
+    m_closed = true;
+    m_usable = false;
+    ErrorStatus ignored;
+    m_socket.close(ignored);
+    m_timer.cancel();
+    const auto streams = std::exchange(m_streams, {});
+    for (const auto &[id, stream] : streams) {
+        const bool isUnsent = !isServer() && !stream->isHeadSent();
+        stream->closed({isUnsent ? ErrorCode::Unavailable : ErrorCode::Closed,
+                        "connection lost: " + std::string(reason)});
+    }
+}
+
+} // namespace foxtailring
--- /dev/null
+++ b/src/transport/Http2Session.h
@@ -0,0 +1,97 @@
+#pragma once
+
+#include "foxtailring/protocol/HttpHeader.h"
+#include "foxtailring/transport/Endpoint.h"
+#include "foxtailring/transport/Http2Server.h"
+#include "Net.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <nghttp2/nghttp2.h>
+
+#include <array>
+#include <atomic>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace foxtailring {
+
+class Http2SessionStream;
+
+/// \brief One HTTP/2 connection of a client or a server.
+class Http2Session : public std::enable_shared_from_this<Http2Session>
+{
+public:
+    static constexpr std::uint32_t maxConcurrentStreams = 10'000;
+
+    /// \param handler of new streams; empty on the side of the client
+    Http2Session(Socket socket, Http2Server::Handler handler);
+    ~Http2Session();
+    Http2Session(const Http2Session &) = delete;
+    Http2Session &operator=(const Http2Session &) = delete;
+
+    // Thread-safe.
+    void start();
+    void connect(const Endpoint &endpoint);
+    std::shared_ptr<Http2Stream> open(std::string path, std::vector<HttpHeader> headers);
+    /// \brief Takes no new streams, and closes when the present ones are done.
+    void retire();
+    void close();
+    /// \brief False when a new stream would be refused or lost.
+    bool isUsable() const { return m_usable; }
+    bool isConnected() const { return m_usable && m_connected; }
+
+    // On the strand, called by streams.
+    void outputReady(Http2SessionStream &stream);
+    void resetStream(std::int32_t id);
+    void consumed(std::int32_t id, std::size_t size);
+
+private:
+    friend struct Http2Callbacks;
+
+    // Callbacks of nghttp2.
+    void streamBegun(std::int32_t id);
+    int headerReceived(std::int32_t id, std::string_view name, std::string_view value);
+    void headReceived(std::int32_t id);
+    void remoteEnded(std::int32_t id);
+    void dataReceived(std::int32_t id, std::string_view bytes);
+    void headSent(std::int32_t id);
+    void streamClosed(std::int32_t id, std::uint32_t errorCode);
+    void goAwayReceived();
+    Http2SessionStream *find(std::int32_t id);
+
+    bool isServer() const { return static_cast<bool>(m_handler); }
+    void submitSettings();
+    void submitStream(const std::shared_ptr<Http2SessionStream> &stream);
+    void submitResponse(Http2SessionStream &stream);
+    void connected(ErrorStatus status);
+    void begin();
+    void read();
+    void received(ErrorStatus status, std::size_t size);
+    void scheduleFlush();
+    void flush();
+    void fillOutput();
+    void written(ErrorStatus status);
+    void retireNow();
+    void closeIfUnused();
+    void shutDown(std::string_view reason);
+
+    Socket m_socket;
+    const Http2Server::Handler m_handler;
+    net::steady_timer m_timer; ///< of connecting, and later of closing
+    nghttp2_session *m_session = nullptr;
+    std::unordered_map<std::int32_t, std::shared_ptr<Http2SessionStream>> m_streams;
+    std::atomic<bool> m_usable = true;
+    std::atomic<bool> m_connected = false;
+    bool m_retired = false;
+    bool m_terminated = false;
+    bool m_closed = false;
+
+    std::array<std::uint8_t, 16 * 1024> m_input;
+    std::string m_output; ///< being written while m_writing
+    bool m_writing = false;
+    bool m_flushScheduled = false;
+};
+
+} // namespace foxtailring
--- /dev/null
+++ b/src/transport/Http2SessionStream.cpp
@@ -0,0 +1,217 @@
+#include "Http2SessionStream.h"
+
+#include "HookGuard.h"
+#include "Http2Session.h"
+
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
+
+namespace foxtailring {
+
+namespace {
+
+constexpr std::size_t maxHeaderBytes = 64 * 1024;
+
+} // namespace
+
+Http2SessionStream::Http2SessionStream(std::weak_ptr<Http2Session> session, Strand strand)
+    : m_session(std::move(session))
+    , m_strand(std::move(strand))
+{
+}
+
+template <typename Action>
+void Http2SessionStream::post(Action action)
+{
+    net::post(m_strand,
+              [self = shared_from_this(), action = std::move(action)]() mutable { action(*self); });
+}
+
+void Http2SessionStream::onData(std::function<void(std::string_view)> hook)
+{
+    post([hook = std::move(hook)](Http2SessionStream &self) mutable {
+        self.m_dataHook = std::move(hook);
+        self.runHooks();
+    });
+}
+
+void Http2SessionStream::onEnd(std::function<void()> hook)
+{
+    post([hook = std::move(hook)](Http2SessionStream &self) mutable {
+        self.m_endHook = std::move(hook);
+        self.runHooks();
+    });
+}
+
+void Http2SessionStream::onClosed(std::function<void(Result<Done>)> hook)
+{
+    post([hook = std::move(hook)](Http2SessionStream &self) mutable {
+        self.m_closedHook = std::move(hook);
+        self.runHooks();
+    });
+}
+
+void Http2SessionStream::send(std::string bytes)
+{
+    m_pendingBytes += bytes.size();
+    post([bytes = std::move(bytes)](Http2SessionStream &self) { self.queue(bytes); });
+}
+
+void Http2SessionStream::finish()
+{
+    post([](Http2SessionStream &self) { self.finishNow(); });
+}
+
+void Http2SessionStream::reset()
+{
+    post([](Http2SessionStream &self) {
+        if (self.m_result)
+            return;
+        if (const auto session = self.m_session.lock())
+            session->resetStream(self.m_id);
+        self.closed({ErrorCode::Closed, "the stream was reset by this side"});
+    });
+}
+
+bool Http2SessionStream::addHeader(std::string_view name, std::string_view value)
+{
+    m_headerBytes += name.size() + value.size();
+    if (m_headerBytes > maxHeaderBytes)
+        return false;
+    if (name == ":path")
+        m_path = value;
+    else if (!name.starts_with(':'))
+        m_headers.push_back({std::string(name), std::string(value)});
+    return true;
+}
+
+void Http2SessionStream::queue(std::string_view bytes)
+{
+    if (m_result || m_finishing) {
+        m_pendingBytes -= bytes.size();
+        return;
+    }
+    m_output += bytes;
+    outputReady();
+}
+
+void Http2SessionStream::finishNow()
+{
+    if (m_result || m_finishing)
+        return;
+    m_finishing = true;
+    outputReady();
+}
+
+void Http2SessionStream::outputReady()
+{
+    if (const auto session = m_session.lock())
+        session->outputReady(*this);
+}
+
+std::size_t Http2SessionStream::takeOutput(std::span<std::uint8_t> buffer, bool &isLast)
+{
+    const std::size_t size = std::min(buffer.size(), m_output.size() - m_outputStart);
+    std::copy_n(m_output.data() + m_outputStart, size, buffer.data());
+    m_outputStart += size;
+    m_pendingBytes -= size;
+    if (m_outputStart == m_output.size()) {
+        m_output.clear();
+        m_outputStart = 0;
+    } else if (m_outputStart > m_output.size() / 2) {
+        // Erasing only when half is used keeps the cost per byte constant.
+        m_output.erase(0, std::exchange(m_outputStart, 0));
+    }
+    isLast = m_finishing && m_output.empty();
+    m_localEnded = isLast;
+    return size;
+}
+
+bool Http2SessionStream::received(std::string_view bytes)
+{
+    if (!m_dataHook || !m_kept.empty()) {
+        m_kept += bytes;
+        return false;
+    }
+    runHook(m_dataHook, bytes);
+    return true;
+}
+
+void Http2SessionStream::remoteEnded()
+{
+    m_remoteEnded = true;
+    runHooks();
+}
+
+void Http2SessionStream::closed(Result<Done> result)
+{
+    if (m_result)
+        return;
+    m_result = std::move(result);
+    discardOutput();
+    runHooks();
+}
+
+// Data comes before the end and the end before the closing, in whichever order the hooks are set.
+void Http2SessionStream::runHooks()
+{
+    if (!m_isOver)
+        runDataHook();
+    if (!m_isOver)
+        runEndHook();
+    if (m_result && m_closedHook)
+        runClosedHook();
+    dropUselessHooks();
+}
+
+void Http2SessionStream::runDataHook()
+{
+    if (!m_dataHook || m_kept.empty())
+        return;
+    const std::string bytes = std::exchange(m_kept, {});
+    runHook(m_dataHook, bytes);
+    if (const auto session = m_session.lock())
+        session->consumed(m_id, bytes.size());
+}
+
+void Http2SessionStream::runEndHook()
+{
+    if (m_remoteEnded && m_kept.empty() && m_endHook)
+        runHook(std::exchange(m_endHook, nullptr));
+}
+
+void Http2SessionStream::runClosedHook()
+{
+    if (!m_isOver)
+        runHook(std::exchange(m_closedHook, nullptr), *m_result);
+    m_isOver = true;
+}
+
+// Hooks may refer to the stream itself, so those that cannot run any more are released.
+void Http2SessionStream::dropUselessHooks()
+{
+    if (m_isOver)
+        return dropHooks();
+    if (m_result && m_kept.empty())
+        const auto data = std::exchange(m_dataHook, nullptr);
+    if (m_result && !m_remoteEnded)
+        const auto end = std::exchange(m_endHook, nullptr);
+}
+
+void Http2SessionStream::discardOutput()
+{
+    m_pendingBytes -= m_output.size() - m_outputStart;
+    m_output = {};
+    m_outputStart = 0;
+}
+
+void Http2SessionStream::dropHooks()
+{
+    const auto data = std::exchange(m_dataHook, nullptr);
+    const auto end = std::exchange(m_endHook, nullptr);
+    const auto closed = std::exchange(m_closedHook, nullptr);
+    m_kept = {};
+}
+
+} // namespace foxtailring
