--- a/fakes/EngineFaults.cpp
+++ b/fakes/EngineFaults.cpp
@@ -1,5 +1,7 @@
 #include "EngineFaults.h"
 
+#include "FaultMembers.h"
+
 #include <unistd.h>
 
 namespace foxtailring::fakes {
@@ -12,6 +14,7 @@
 
 void EngineFaults::apply(const nlohmann::json &faults)
 {
+    checkFaultMembers(faults, {"crashAfterTokens", "hang", "keepSendingAfterCancel"});
     if (faults.contains("hang"))
         hang.set(faults["hang"].get<bool>());
     if (faults.contains("keepSendingAfterCancel"))
--- a/fakes/FakeHttpServer.cpp
+++ b/fakes/FakeHttpServer.cpp
@@ -1,11 +1,11 @@
 #include "FakeHttpServer.h"
 
+#include "Address.h"
 #include "FakeConnection.h"
 #include "FakeExchange.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <stdexcept>
 #include <thread>
 
 namespace foxtailring::fakes {
@@ -21,22 +21,17 @@
 
 namespace {
 
-tcp::endpoint parseAddress(const std::string &address)
-{
-    const std::size_t colon = address.rfind(':');
-    if (colon == std::string::npos)
-        throw std::invalid_argument("address \"" + address + "\" is not IP:PORT");
-    const int port = std::stoi(address.substr(colon + 1));
-    return {boost::asio::ip::make_address(address.substr(0, colon)),
-            static_cast<std::uint16_t>(port)};
-}
-
 // Answers 400 when the handler meets JSON of the wrong shape.
-void handleOne(const FakeHandler &handler, FakeExchange &exchange)
+void handleOne(const FakeHandler &handler, FakeConnection &connection)
 {
+    FakeExchange exchange(connection);
     try {
         handler(exchange);
+        if (!connection.answered)
+            exchange.respond(404, {{"error", "no such path: " + exchange.target()}});
     } catch (const std::exception &fault) {
+        if (connection.answered)
+            return exchange.close();
         exchange.respond(400, {{"error", fault.what()}, {"code", 3}});
     }
 }
@@ -46,12 +41,8 @@
     boost::system::error_code ignored;
     socket.set_option(tcp::no_delay(true), ignored);
     FakeConnection connection(std::move(socket));
-    while (connection.open && connection.readRequest()) {
-        FakeExchange exchange(connection);
-        handleOne(handler, exchange);
-        if (!connection.answered)
-            exchange.respond(404, {{"error", "no such path: " + exchange.target()}});
-    }
+    while (connection.open && connection.readRequest())
+        handleOne(handler, connection);
 }
 
 } // namespace
--- a/fakes/FakeService.cpp
+++ b/fakes/FakeService.cpp
@@ -1,6 +1,7 @@
 #include "FakeService.h"
 
 #include "FakeExchange.h"
+#include "FaultMembers.h"
 #include "foxtailring/protocol/KeyHash.h"
 
 #include <thread>
@@ -46,6 +47,7 @@
 
 void FakeService::applyFaults(const nlohmann::json &faults)
 {
+    checkFaultMembers(faults, {"hang", "dropReplyNext", "failNext"});
     if (faults.contains("hang"))
         m_hang.set(faults["hang"].get<bool>());
     const std::lock_guard lock(m_mutex);
--- a/fakes/PlatformFaults.cpp
+++ b/fakes/PlatformFaults.cpp
@@ -1,5 +1,7 @@
 #include "PlatformFaults.h"
 
+#include "FaultMembers.h"
+
 #include <chrono>
 #include <stdexcept>
 #include <thread>
@@ -8,6 +10,7 @@
 
 void PlatformFaults::apply(const nlohmann::json &faults)
 {
+    checkFaultMembers(faults, {"down", "slowMs", "loseReplyNext", "freezeWatches"});
     if (faults.contains("down")) {
         const nlohmann::json &down = faults["down"];
         const bool isUp = down.is_null() || down == false;
