--- /dev/null
+++ b/include/foxtailring/decisions/AdmissionRequest.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "foxtailring/base/Clock.h"
+#include "foxtailring/decisions/AccountLimits.h"
+
+#include <cstdint>
+#include <string>
+
+namespace foxtailring {
+
+/// \brief A request that asks to start.
+struct AdmissionRequest
+{
+    std::string account;
+    std::string service;
+    AccountLimits limits;                  ///< of the account, from the configuration in force
+    std::uint32_t priority = 5;            ///< 0 is the highest, 9 the lowest
+    TimePoint deadline = TimePoint::max(); ///< of the caller; max: none
+};
+
+} // namespace foxtailring
--- /dev/null
+++ b/include/foxtailring/decisions/RetryBudget.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "foxtailring/base/Clock.h"
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <string>
+#include <string_view>
+
+namespace foxtailring {
+
+/// \brief Bounds retries of a service to a part of its recent successes plus a floor.
+///
+/// Thread-safe; its lock is a leaf: no other lock is taken while it is held.
+class RetryBudget
+{
+public:
+    struct Settings
+    {
+        double fraction = 0.1;       ///< retries per success
+        double floorPerSecond = 0.5; ///< retries per second that are always allowed
+    };
+
+    RetryBudget();
+    explicit RetryBudget(Settings settings);
+
+    void recordSuccess(std::string_view service, TimePoint now);
+    /// \brief Takes one retry from the budget; false: refuse instead of trying again.
+    bool tryRetry(std::string_view service, TimePoint now);
+    /// \brief Retries left now.
+    double left(std::string_view service, TimePoint now) const;
+
+private:
+    static constexpr std::size_t windowSeconds = 10;
+
+    struct Second
+    {
+        std::int64_t index = -1; ///< seconds since the clock's epoch
+        std::uint64_t successes = 0;
+        std::uint64_t retries = 0;
+    };
+    using Window = std::array<Second, windowSeconds>;
+
+    Window &window(std::string_view service);
+    static Second &secondAt(Window &window, TimePoint now);
+    double left(const Window &window, TimePoint now) const;
+
+    const Settings m_settings;
+    mutable std::mutex m_mutex;
+    std::map<std::string, Window, std::less<>> m_services;
+};
+
+} // namespace foxtailring
--- /dev/null
+++ b/include/foxtailring/decisions/RouteRequest.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "foxtailring/decisions/CostWeights.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace foxtailring {
+
+/// \brief Work that needs a backend server.
+struct RouteRequest
+{
+    std::string service;
+    std::string zone;                        ///< availability zone of the entry
+    std::string region;                      ///< region of the entry
+    std::optional<std::uint64_t> prefixHash; ///< keyHash of the prompt prefix
+    std::vector<std::string> excluded;       ///< server ids that must not be chosen
+    CostWeights weights;
+};
+
+} // namespace foxtailring
--- /dev/null
+++ b/include/foxtailring/decisions/Router.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "foxtailring/base/Clock.h"
+#include "foxtailring/base/Result.h"
+#include "foxtailring/decisions/ResumeRequest.h"
+#include "foxtailring/decisions/RouteChoice.h"
+#include "foxtailring/decisions/RouteRequest.h"
+#include "foxtailring/decisions/ServerState.h"
+
+#include <cstddef>
+#include <functional>
+
+namespace foxtailring {
+
+class PrefixHints;
+class RandomSource;
+class ServerTable;
+
+/// \brief Chooses the backend server for new and resumed work.
+///
+/// Has no state of its own: safe on any thread, given a RandomSource of that thread. Takes the lock
+/// of ServerTable and then, after releasing it, that of PrefixHints.
+class Router
+{
+public:
+    struct Settings
+    {
+        /// Age at which a report's load counts half; the rest is the mean of the candidates.
+        Duration reportHalfLife = std::chrono::seconds(2);
+        /// Work per unit of capacity from which a server counts as saturated.
+        double saturation = 1.0;
+        /// Score of leaving the availability zone and the region, in units of full capacity.
+        double zoneCost = 0.25;
+        double regionCost = 1.0;
+        /// Most that a prefix hint lowers the score, in units of full capacity.
+        double prefixDiscount = 0.25;
+        /// Capacity of a server that has not reported yet.
+        double assumedCapacity = 8;
+
+        /// Round trips in milliseconds: same zone, same region, other region.
+        double zoneRoundTripMs = 1;
+        double regionRoundTripMs = 3;
+        double farRoundTripMs = 25;
+        /// Prefill time in milliseconds per token, and mean time of one piece of queued work.
+        double prefillMsPerToken = 0.2;
+        double queueMsPerWork = 500;
+        /// Cost in milliseconds of latency that one prefilled token and one billed byte weigh.
+        double tokenCost = 0.2;
+        double byteCost = 0.02;
+        /// Resumes are spread over servers whose cost is within this part above the least.
+        double resumeTolerance = 0.1;
+    };
+
+    /// \brief Keeps references; both must outlive the router.
+    Router(const ServerTable &table, const PrefixHints &hints, Settings settings);
+
+    /// \brief Server for new work. Unavailable when no server may take it.
+    Result<RouteChoice> choose(const RouteRequest &request, TimePoint now,
+                               RandomSource &random) const;
+    /// \brief Server for an interrupted generation, by the cost of section 7.2, over all
+    /// candidates.
+    Result<RouteChoice> chooseResume(const ResumeRequest &request, TimePoint now,
+                                     RandomSource &random) const;
+
+private:
+    struct Options;
+
+    Options optionsFor(const RouteRequest &request, TimePoint now) const;
+    bool isSaturated(std::size_t count, const std::function<double(std::size_t)> &load) const;
+
+    const ServerTable &m_table;
+    const PrefixHints &m_hints;
+    const Settings m_settings;
+};
+
+} // namespace foxtailring
--- /dev/null
+++ b/src/decisions/AdmissionController.cpp
@@ -0,0 +1,354 @@
+#include "foxtailring/decisions/AdmissionController.h"
+
+#include "AccountShare.h"
+#include "ServiceAdmission.h"
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <utility>
+
+namespace foxtailring {
+
+namespace {
+
+double secondsOf(Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+/// Converts seconds, of which there may be more than a Duration holds.
+Duration durationOf(double seconds)
+{
+    constexpr double most = 1e6;
+    return std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double>(std::min(seconds, most)));
+}
+
+} // namespace
+
+struct AdmissionController::State
+{
+    struct Entry
+    {
+        ServiceAdmission *service = nullptr;
+        AccountShare *account = nullptr;
+        std::size_t level = 0;
+        bool running = false;
+        TimePoint startedAt;
+    };
+
+    explicit State(const Settings &owned)
+        : settings(owned)
+    {
+    }
+
+    ServiceAdmission &service(std::string_view name);
+    AccountShare &account(const AdmissionRequest &request, TimePoint now);
+    bool mayStart(const AccountShare &account) const { return account.mayStart(entries); }
+    bool mayStartNow(const ServiceAdmission &service, const AccountShare &account,
+                     std::size_t level) const;
+    double waitSeconds(const ServiceAdmission &service, const AccountShare &account,
+                       std::size_t level, std::size_t ahead, std::size_t ownAhead,
+                       TimePoint now) const;
+    double longestWaitSeconds(const ServiceAdmission &service, Duration timeLeft) const;
+    Ticket add(ServiceAdmission &service, AccountShare &account, std::size_t level);
+    void start(Entry &entry, TimePoint now);
+    AdmissionRefusal overloaded(double waitSeconds, double longestSeconds);
+    Duration spread(double seconds);
+    void startQueued(ServiceAdmission &service, TimePoint now, std::vector<Ticket> &started);
+    void expireQueued(ServiceAdmission &service, TimePoint now,
+                      std::vector<ExpiredTicket> &expired);
+
+    const Settings &settings;
+    std::uint32_t entries = 1;
+    Ticket lastTicket = 0;
+    std::uint64_t refusals = 0;
+    std::map<std::string, ServiceAdmission, std::less<>> services;
+    std::map<std::string, AccountShare, std::less<>> accounts;
+    std::unordered_map<Ticket, Entry> tickets;
+};
+
+ServiceAdmission &AdmissionController::State::service(std::string_view name)
+{
+    const auto found = services.find(name);
+    if (found != services.end())
+        return found->second;
+    return services.emplace(std::string(name), ServiceAdmission(secondsOf(settings.assumedRun)))
+        .first->second;
+}
+
+AccountShare &AdmissionController::State::account(const AdmissionRequest &request, TimePoint now)
+{
+    AccountShare &share = accounts[request.account];
+    share.limits = request.limits;
+    const double perSecond = request.limits.requestsPerSecond / entries;
+    share.requests.configure(perSecond,
+                             std::max(settings.leastBurst, perSecond * settings.burstSeconds), now);
+    return share;
+}
+
+bool AdmissionController::State::mayStartNow(const ServiceAdmission &service,
+                                             const AccountShare &account, std::size_t level) const
+{
+    if (!service.hasFreeSlot() || !mayStart(account))
+        return false;
+    for (std::size_t i = 0; i <= level; ++i) {
+        if (service.levels[i].hasEligible(
+                [&](const AccountShare &other) { return mayStart(other); }))
+            return false;
+    }
+    return true;
+}
+
+double AdmissionController::State::waitSeconds(const ServiceAdmission &service,
+                                               const AccountShare &account, std::size_t level,
+                                               std::size_t ahead, std::size_t ownAhead,
+                                               TimePoint now) const
+{
+    const double byService = service.waitSeconds(level, ahead, now);
+    if (mayStart(account))
+        return byService;
+    const double byAccount = (static_cast<double>(ownAhead) + 1) * service.meanRunSeconds()
+        / account.concurrencyShare(entries);
+    return std::max(byService, byAccount);
+}
+
+double AdmissionController::State::longestWaitSeconds(const ServiceAdmission &service,
+                                                      Duration timeLeft) const
+{
+    // A request that starts too late to finish would take capacity from those that can finish.
+    const double left = secondsOf(timeLeft);
+    const double most = left * settings.maxWaitShare;
+    const double leavesTimeToRun = left - service.meanRunSeconds();
+    return std::clamp(leavesTimeToRun, most * settings.leastWaitPart, most);
+}
+
+Ticket AdmissionController::State::add(ServiceAdmission &service, AccountShare &account,
+                                       std::size_t level)
+{
+    const Ticket ticket = ++lastTicket;
+    tickets.emplace(ticket, Entry {&service, &account, level, false, {}});
+    return ticket;
+}
+
+void AdmissionController::State::start(Entry &entry, TimePoint now)
+{
+    entry.running = true;
+    entry.startedAt = now;
+    ++entry.service->running;
+    ++entry.account->running;
+}
+
+AdmissionRefusal AdmissionController::State::overloaded(double waitSeconds, double longestSeconds)
+{
+    // Later than this the queue should be short enough.
+    const Duration retryAfter = spread(waitSeconds - longestSeconds);
+    return AdmissionRefusal {ErrorCode::Overloaded, retryAfter,
+                             "the expected wait exceeds what the deadline leaves"};
+}
+
+Duration AdmissionController::State::spread(double seconds)
+{
+    // Callers refused together must not return together: adds up to a quarter, by refusal.
+    constexpr double goldenRatio = 0.6180339887498949;
+    const double part = std::fmod(static_cast<double>(++refusals) * goldenRatio, 1.0);
+    const Duration bounded =
+        std::clamp(durationOf(seconds), settings.minRetryAfter, settings.maxRetryAfter);
+    return bounded + durationOf(secondsOf(bounded) * part / 4);
+}
+
+void AdmissionController::State::startQueued(ServiceAdmission &service, TimePoint now,
+                                             std::vector<Ticket> &started)
+{
+    for (FairQueue &level : service.levels) {
+        while (service.hasFreeSlot()) {
+            const auto ticket =
+                level.pop([&](const AccountShare &account) { return mayStart(account); });
+            if (!ticket)
+                break;
+            start(tickets.find(*ticket)->second, now);
+            started.push_back(*ticket);
+        }
+    }
+}
+
+void AdmissionController::State::expireQueued(ServiceAdmission &service, TimePoint now,
+                                              std::vector<ExpiredTicket> &expired)
+{
+    std::size_t above = 0;
+    for (std::size_t level = 0; level < ServiceAdmission::levelCount; ++level) {
+        FairQueue &queue = service.levels[level];
+        if (queue.size() == 0)
+            continue;
+        double lastWait = 0;
+        const auto late =
+            queue.removeLate([&](const FairQueue::Item &item, const AccountShare &account,
+                                 std::size_t ahead, std::size_t ownAhead) {
+                lastWait = service.limit == 0
+                    ? secondsOf(settings.maxRetryAfter)
+                    : waitSeconds(service, account, level, above + ahead, ownAhead, now);
+                return now >= item.latestStart || now + durationOf(lastWait) > item.latestStart;
+            });
+        for (const Ticket ticket : late) {
+            tickets.erase(ticket);
+            expired.push_back(ExpiredTicket {ticket, overloaded(lastWait, 0)});
+        }
+        above += queue.size();
+    }
+}
+
+AdmissionController::AdmissionController()
+    : AdmissionController(Settings {})
+{
+}
+
+AdmissionController::AdmissionController(Settings settings)
+    : m_settings(settings)
+    , m_state(std::make_unique<State>(m_settings))
+{
+}
+
+AdmissionController::~AdmissionController() = default;
+
+void AdmissionController::setLiveEntries(std::uint32_t entries)
+{
+    const std::lock_guard lock(m_mutex);
+    m_state->entries = std::max<std::uint32_t>(1, entries);
+}
+
+void AdmissionController::updateCapacity(std::string_view service,
+                                         std::span<const ServerState> candidates,
+                                         std::uint32_t sharers)
+{
+    double capacity = 0;
+    double free = 0;
+    double own = 0;
+    for (const ServerState &state : candidates) {
+        const double size = state.capacity > 0 ? state.capacity : m_settings.assumedCapacity;
+        const double reported = static_cast<double>(state.running) + state.waiting;
+        const double others = std::max(0.0, reported - state.ownAtReport);
+        capacity += size;
+        own += state.ownInFlight;
+        free += std::max(0.0, size - others - state.ownInFlight);
+    }
+    const double share = capacity * m_settings.headroom / std::max<std::uint32_t>(1, sharers);
+    const double limit = std::max(share, own + free * m_settings.borrow);
+    setConcurrencyLimit(service, static_cast<std::uint32_t>(std::ceil(limit)));
+}
+
+void AdmissionController::setConcurrencyLimit(std::string_view service, std::uint32_t limit)
+{
+    const std::lock_guard lock(m_mutex);
+    m_state->service(service).limit = limit;
+}
+
+void AdmissionController::setNewWorkShare(std::string_view service, double share)
+{
+    const std::lock_guard lock(m_mutex);
+    m_state->service(service).newWorkShare = std::clamp(share, 0.0, 1.0);
+}
+
+AdmissionDecision AdmissionController::submit(const AdmissionRequest &request, TimePoint now)
+{
+    const std::lock_guard lock(m_mutex);
+    State &state = *m_state;
+    ServiceAdmission &service = state.service(request.service);
+    AccountShare &account = state.account(request, now);
+    const std::size_t level =
+        std::min<std::size_t>(request.priority, ServiceAdmission::levelCount - 1);
+
+    if (service.limit == 0)
+        return AdmissionRefusal {
+            ErrorCode::Unavailable, state.spread(secondsOf(m_settings.minRetryAfter)),
+            "no backend server of service \"" + request.service + "\" takes new work"};
+    if (request.deadline <= now)
+        return AdmissionRefusal {ErrorCode::Timeout, Duration {}, "the deadline has passed"};
+
+    const bool startsNow = state.mayStartNow(service, account, level);
+    const FairQueue &queue = service.levels[level];
+    const Duration timeLeft =
+        request.deadline == TimePoint::max() ? m_settings.defaultDeadline : request.deadline - now;
+    const double longest = state.longestWaitSeconds(service, timeLeft);
+    double wait = 0;
+    if (!startsNow) {
+        wait = state.waitSeconds(service, account, level,
+                                 service.queuedAbove(level) + queue.aheadOf(account),
+                                 queue.lengthOf(account), now);
+        if (wait > longest || service.queued() >= m_settings.maxQueued)
+            return state.overloaded(wait, longest);
+    }
+    if (request.limits.requestsPerSecond > 0 && !account.requests.tryTake(now))
+        return AdmissionRefusal {
+            ErrorCode::LimitExceeded, state.spread(secondsOf(account.requests.timeToNext(now))),
+            "client account \"" + request.account + "\" exceeds its requests per second"};
+
+    service.recordAccepted(level, now);
+    const Ticket ticket = state.add(service, account, level);
+    if (startsNow) {
+        state.start(state.tickets.find(ticket)->second, now);
+        return Admitted {ticket};
+    }
+    service.levels[level].push(account, FairQueue::Item {ticket, now + durationOf(longest)});
+    return Queued {ticket, durationOf(wait)};
+}
+
+void AdmissionController::release(Ticket ticket, TimePoint now)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_state->tickets.find(ticket);
+    if (found == m_state->tickets.end())
+        return;
+    State::Entry &entry = found->second;
+    if (entry.running) {
+        --entry.service->running;
+        --entry.account->running;
+        entry.service->recordRun(now - entry.startedAt);
+    } else {
+        entry.service->levels[entry.level].remove(*entry.account, ticket);
+    }
+    m_state->tickets.erase(found);
+}
+
+std::vector<Ticket> AdmissionController::next(TimePoint now)
+{
+    std::vector<Ticket> started;
+    const std::lock_guard lock(m_mutex);
+    for (auto &[name, service] : m_state->services)
+        m_state->startQueued(service, now, started);
+    return started;
+}
+
+std::vector<ExpiredTicket> AdmissionController::expire(TimePoint now)
+{
+    std::vector<ExpiredTicket> expired;
+    const std::lock_guard lock(m_mutex);
+    for (auto &[name, service] : m_state->services)
+        m_state->expireQueued(service, now, expired);
+    return expired;
+}
+
+std::uint32_t AdmissionController::concurrencyLimit(std::string_view service) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_state->services.find(service);
+    return found == m_state->services.end() ? 0 : found->second.effectiveLimit();
+}
+
+std::size_t AdmissionController::running(std::string_view service) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_state->services.find(service);
+    return found == m_state->services.end() ? 0 : found->second.running;
+}
+
+std::size_t AdmissionController::queued(std::string_view service) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_state->services.find(service);
+    return found == m_state->services.end() ? 0 : found->second.queued();
+}
+
+} // namespace foxtailring
--- /dev/null
+++ b/src/decisions/RetryBudget.cpp
@@ -0,0 +1,81 @@
+#include "foxtailring/decisions/RetryBudget.h"
+
+#include <algorithm>
+
+namespace foxtailring {
+
+namespace {
+
+std::int64_t secondOf(TimePoint time)
+{
+    return std::chrono::floor<std::chrono::seconds>(time.time_since_epoch()).count();
+}
+
+} // namespace
+
+RetryBudget::RetryBudget()
+    : RetryBudget(Settings {})
+{
+}
+
+RetryBudget::RetryBudget(Settings settings)
+    : m_settings(settings)
+{
+}
+
+void RetryBudget::recordSuccess(std::string_view service, TimePoint now)
+{
+    const std::lock_guard lock(m_mutex);
+    ++secondAt(window(service), now).successes;
+}
+
+bool RetryBudget::tryRetry(std::string_view service, TimePoint now)
+{
+    const std::lock_guard lock(m_mutex);
+    Window &seconds = window(service);
+    if (left(seconds, now) < 1)
+        return false;
+    ++secondAt(seconds, now).retries;
+    return true;
+}
+
+double RetryBudget::left(std::string_view service, TimePoint now) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_services.find(service);
+    return left(found == m_services.end() ? Window {} : found->second, now);
+}
+
+RetryBudget::Window &RetryBudget::window(std::string_view service)
+{
+    const auto found = m_services.find(service);
+    if (found != m_services.end())
+        return found->second;
+    return m_services.emplace(std::string(service), Window {}).first->second;
+}
+
+RetryBudget::Second &RetryBudget::secondAt(Window &window, TimePoint now)
+{
+    const std::int64_t index = secondOf(now);
+    Second &second = window[static_cast<std::size_t>(index) % windowSeconds];
+    if (second.index != index)
+        second = Second {index, 0, 0};
+    return second;
+}
+
+double RetryBudget::left(const Window &window, TimePoint now) const
+{
+    const std::int64_t oldest = secondOf(now) - static_cast<std::int64_t>(windowSeconds) + 1;
+    double successes = 0;
+    double retries = 0;
+    for (const Second &second : window) {
+        if (second.index < oldest)
+            continue;
+        successes += static_cast<double>(second.successes);
+        retries += static_cast<double>(second.retries);
+    }
+    const double floor = m_settings.floorPerSecond * static_cast<double>(windowSeconds);
+    return std::max(0.0, successes * m_settings.fraction + floor - retries);
+}
+
+} // namespace foxtailring
--- /dev/null
+++ b/src/decisions/ServerTable.cpp
@@ -0,0 +1,263 @@
+#include "foxtailring/decisions/ServerTable.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace foxtailring {
+
+namespace {
+
+bool idLess(const ServerState &state, std::string_view id)
+{
+    return state.info->id < id;
+}
+
+} // namespace
+
+ServerTable::ServerTable()
+    : ServerTable(Settings {})
+{
+}
+
+ServerTable::ServerTable(Settings settings)
+    : m_settings(settings)
+{
+}
+
+void ServerTable::applyVmList(std::span<const ListedServer> list, TimePoint now)
+{
+    const std::lock_guard lock(m_mutex);
+    for (const ListedServer &listed : list)
+        applyListed(listed, now);
+    dropAbsent(now);
+}
+
+ReportEffect ServerTable::applyReport(const LoadReport &report, TimePoint now)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_records.find(report.serverId);
+    if (found == m_records.end())
+        return ReportEffect::UnknownServer;
+    Record &record = found->second;
+    ServerState &state = record.state;
+    // A report of an earlier incarnation was delayed on its way and says nothing about this one.
+    if (record.reported && report.incarnation == record.previousIncarnation)
+        return ReportEffect::Stale;
+
+    record.lastContact = now;
+    record.contacted = true;
+    record.reach = Reach::Normal;
+    const bool sameIncarnation = record.reported && report.incarnation == state.incarnation;
+    if (sameIncarnation && report.sequence <= record.sequence)
+        return ReportEffect::Stale;
+    if (record.reported && !sameIncarnation)
+        record.previousIncarnation = state.incarnation;
+
+    record.reported = true;
+    record.lastReport = now;
+    record.sequence = report.sequence;
+    record.reportedLeaving = report.leaving;
+    state.incarnation = report.incarnation;
+    state.running = report.running;
+    state.waiting = report.waiting;
+    state.capacity = report.capacity;
+    state.ownAtReport = state.ownInFlight;
+    state.configRevision = report.configRevision;
+    if (*state.prefixHashes != report.prefixHashes)
+        state.prefixHashes =
+            std::make_shared<const std::vector<std::uint64_t>>(report.prefixHashes);
+    return ReportEffect::Applied;
+}
+
+void ServerTable::markSuspected(std::string_view serverId, TimePoint)
+{
+    setReach(serverId, Reach::Suspected);
+}
+
+void ServerTable::markReachable(std::string_view serverId, TimePoint now)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_records.find(serverId);
+    if (found == m_records.end())
+        return;
+    found->second.reach = Reach::Normal;
+    found->second.lastContact = now;
+    found->second.contacted = true;
+}
+
+void ServerTable::markLost(std::string_view serverId, TimePoint)
+{
+    setReach(serverId, Reach::Lost);
+}
+
+void ServerTable::startWork(std::string_view serverId)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_records.find(serverId);
+    if (found != m_records.end())
+        ++found->second.state.ownInFlight;
+}
+
+void ServerTable::endWork(std::string_view serverId)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_records.find(serverId);
+    if (found != m_records.end() && found->second.state.ownInFlight > 0)
+        --found->second.state.ownInFlight;
+}
+
+void ServerTable::follow(std::string_view service, std::vector<std::string> serverIds)
+{
+    std::sort(serverIds.begin(), serverIds.end());
+    const std::lock_guard lock(m_mutex);
+    if (serverIds.empty())
+        m_followed.erase(std::string(service));
+    else
+        m_followed.insert_or_assign(std::string(service), std::move(serverIds));
+    const auto found = m_byService.find(service);
+    if (found == m_byService.end())
+        return;
+    for (Record *record : found->second)
+        record->followed = follows(*record);
+}
+
+std::vector<ServerState> ServerTable::candidates(std::string_view service, TimePoint now) const
+{
+    std::vector<ServerState> states;
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_byService.find(service);
+    if (found == m_byService.end())
+        return states;
+    states.reserve(found->second.size());
+    for (const Record *record : found->second) {
+        if (!record->followed)
+            continue;
+        ServerState state = snapshot(*record, now);
+        if (state.state == ServerStatus::Live)
+            states.push_back(std::move(state));
+    }
+    return states;
+}
+
+std::vector<ServerState> ServerTable::servers(std::string_view service, TimePoint now) const
+{
+    std::vector<ServerState> states;
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_byService.find(service);
+    if (found == m_byService.end())
+        return states;
+    states.reserve(found->second.size());
+    for (const Record *record : found->second)
+        states.push_back(snapshot(*record, now));
+    return states;
+}
+
+std::optional<ServerState> ServerTable::server(std::string_view serverId, TimePoint now) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_records.find(serverId);
+    if (found == m_records.end())
+        return std::nullopt;
+    return snapshot(found->second, now);
+}
+
+std::vector<std::string> ServerTable::services() const
+{
+    std::vector<std::string> names;
+    const std::lock_guard lock(m_mutex);
+    for (const auto &[name, records] : m_byService)
+        names.push_back(name);
+    return names;
+}
+
+std::size_t ServerTable::size() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_records.size();
+}
+
+void ServerTable::applyListed(const ListedServer &listed, TimePoint now)
+{
+    const auto [found, isNew] = m_records.try_emplace(listed.info.id);
+    Record &record = found->second;
+    if (isNew)
+        record.state.prefixHashes = std::make_shared<const std::vector<std::uint64_t>>();
+    record.lastListed = now;
+    record.listedLeaving = listed.leaving;
+    if (!isNew && *record.state.info == listed.info)
+        return;
+    if (!isNew)
+        removeFromIndex(record);
+    record.state.info = std::make_shared<const ServerInfo>(listed.info);
+    index(record);
+}
+
+void ServerTable::dropAbsent(TimePoint now)
+{
+    for (auto it = m_records.begin(); it != m_records.end();) {
+        const Record &record = it->second;
+        const bool listed = now - record.lastListed < m_settings.dropAfter;
+        const bool inContact = record.contacted && now - record.lastContact < m_settings.dropAfter;
+        if (listed || inContact || record.state.ownInFlight > 0) {
+            ++it;
+            continue;
+        }
+        removeFromIndex(record);
+        it = m_records.erase(it);
+    }
+}
+
+void ServerTable::index(Record &record)
+{
+    auto &records = m_byService[record.state.info->service];
+    const auto at = std::lower_bound(
+        records.begin(), records.end(), record.state.info->id,
+        [](const Record *other, const std::string &id) { return idLess(other->state, id); });
+    records.insert(at, &record);
+    record.followed = follows(record);
+}
+
+void ServerTable::removeFromIndex(const Record &record)
+{
+    const auto found = m_byService.find(record.state.info->service);
+    std::erase(found->second, &record);
+    if (found->second.empty())
+        m_byService.erase(found);
+}
+
+void ServerTable::setReach(std::string_view serverId, Reach reach)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_records.find(serverId);
+    if (found != m_records.end())
+        found->second.reach = reach;
+}
+
+bool ServerTable::follows(const Record &record) const
+{
+    const auto found = m_followed.find(record.state.info->service);
+    return found == m_followed.end()
+        || std::binary_search(found->second.begin(), found->second.end(), record.state.info->id);
+}
+
+bool ServerTable::isLeaving(const Record &record, TimePoint now) const
+{
+    const bool trusted = record.reported && now - record.lastReport < m_settings.reportTrustedFor;
+    return trusted ? record.reportedLeaving : record.listedLeaving;
+}
+
+ServerState ServerTable::snapshot(const Record &record, TimePoint now) const
+{
+    ServerState state = record.state;
+    if (record.reported)
+        state.reportAge = now - record.lastReport;
+    if (record.reach == Reach::Lost)
+        state.state = ServerStatus::Gone;
+    else if (record.reach == Reach::Suspected)
+        state.state = ServerStatus::Suspected;
+    else
+        state.state = isLeaving(record, now) ? ServerStatus::Leaving : ServerStatus::Live;
+    return state;
+}
+
+} // namespace foxtailring
--- /dev/null
+++ b/src/decisions/ServiceAdmission.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "DecayingRate.h"
+#include "FairQueue.h"
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+
+namespace foxtailring {
+
+/// \brief Concurrency limit and queues of one service at one entry. Not thread-safe.
+class ServiceAdmission
+{
+public:
+    static constexpr std::size_t levelCount = 10;
+
+    explicit ServiceAdmission(double assumedRunSeconds);
+
+    std::uint32_t limit = 0;
+    double newWorkShare = 1;
+    std::uint32_t running = 0;
+    std::array<FairQueue, levelCount> levels; ///< by priority
+
+    std::uint32_t effectiveLimit() const;
+    bool hasFreeSlot() const { return running < effectiveLimit(); }
+    std::size_t queued() const;
+    std::size_t queuedAbove(std::size_t level) const;
+
+    void recordAccepted(std::size_t level, TimePoint now);
+    void recordRun(Duration run);
+    double meanRunSeconds() const { return m_meanRunSeconds; }
+
+    /// \brief Seconds until a request of \a level starts that has \a ahead others before it.
+    double waitSeconds(std::size_t level, std::size_t ahead, TimePoint now) const;
+
+private:
+    std::array<DecayingRate, levelCount> m_accepted;
+    double m_meanRunSeconds;
+};
+
+} // namespace foxtailring
--- /dev/null
+++ b/src/decisions/TokenBucket.cpp
@@ -0,0 +1,48 @@
+#include "TokenBucket.h"
+
+#include <algorithm>
+
+namespace foxtailring {
+
+void TokenBucket::configure(double perSecond, double size, TimePoint now)
+{
+    if (m_isNew) {
+        m_tokens = size;
+        m_refilledAt = now;
+        m_isNew = false;
+    }
+    refill(now);
+    m_perSecond = perSecond;
+    m_size = size;
+    m_tokens = std::min(m_tokens, size);
+}
+
+bool TokenBucket::tryTake(TimePoint now)
+{
+    refill(now);
+    if (m_tokens < 1)
+        return false;
+    m_tokens -= 1;
+    return true;
+}
+
+Duration TokenBucket::timeToNext(TimePoint now)
+{
+    refill(now);
+    if (m_tokens >= 1 || m_perSecond <= 0)
+        return Duration {};
+    const std::chrono::duration<double> wait((1 - m_tokens) / m_perSecond);
+    // Rounded up, so that a caller who waits exactly this long finds the token.
+    return std::chrono::duration_cast<Duration>(wait) + Duration(1);
+}
+
+void TokenBucket::refill(TimePoint now)
+{
+    if (now <= m_refilledAt)
+        return;
+    const std::chrono::duration<double> passed = now - m_refilledAt;
+    m_tokens = std::min(m_size, m_tokens + passed.count() * m_perSecond);
+    m_refilledAt = now;
+}
+
+} // namespace foxtailring
