--- a/include/foxtailring/decisions/Router.h
+++ b/include/foxtailring/decisions/Router.h
@@ -5,16 +5,16 @@
 #include "foxtailring/decisions/ResumeRequest.h"
 #include "foxtailring/decisions/RouteChoice.h"
 #include "foxtailring/decisions/RouteRequest.h"
-#include "foxtailring/decisions/ServerState.h"
 
-#include <cstddef>
-#include <functional>
+#include <span>
+#include <vector>
 
 namespace foxtailring {
 
 class PrefixHints;
 class RandomSource;
 class ServerTable;
+struct RouteOption;
 
 /// \brief Chooses the backend server for new and resumed work.
 ///
@@ -27,7 +27,7 @@
     {
         /// Age at which a report's load counts half; the rest is the mean of the candidates.
         Duration reportHalfLife = std::chrono::seconds(2);
-        /// Work per unit of capacity from which a server counts as saturated.
+        /// Work per unit of capacity from which servers count as saturated.
         double saturation = 1.0;
         /// Score of leaving the availability zone and the region, in units of full capacity.
         double zoneCost = 0.25;
@@ -63,10 +63,11 @@
                                      RandomSource &random) const;
 
 private:
-    struct Options;
-
-    Options optionsFor(const RouteRequest &request, TimePoint now) const;
-    bool isSaturated(std::size_t count, const std::function<double(std::size_t)> &load) const;
+    std::vector<RouteOption> optionsFor(const RouteRequest &request, TimePoint now) const;
+    const RouteOption *bestOfTwo(std::span<const RouteOption *const> from,
+                                 const RouteRequest &request, RandomSource &random) const;
+    double score(const RouteOption &option, const RouteRequest &request) const;
+    double resumeCost(const RouteOption &option, const ResumeRequest &request) const;
 
     const ServerTable &m_table;
     const PrefixHints &m_hints;
--- a/include/foxtailring/decisions/ServerTable.h
+++ b/include/foxtailring/decisions/ServerTable.h
@@ -63,7 +63,6 @@
     std::size_t size() const;
 
 private:
-    struct Record;
     enum class Reach : std::uint8_t { Normal, Suspected, Lost };
 
     struct Record
@@ -73,7 +72,7 @@
         TimePoint lastReport;
         TimePoint lastListed;
         std::uint64_t sequence = 0;
-        std::uint64_t previousIncarnation = 0;
+        std::optional<std::uint64_t> previousIncarnation;
         Reach reach = Reach::Normal;
         bool contacted = false;
         bool reported = false;
--- a/src/decisions/Router.cpp
+++ b/src/decisions/Router.cpp
@@ -5,6 +5,7 @@
 #include "foxtailring/decisions/ServerTable.h"
 
 #include "LoadEstimate.h"
+#include "RouteOption.h"
 
 #include <algorithm>
 #include <cstdio>
@@ -14,75 +15,60 @@
 
 namespace {
 
-enum class Tier : std::uint8_t { SameZone, SameRegion, OtherRegion };
-constexpr std::size_t tierCount = 3;
+using Tier = std::vector<const RouteOption *>;
 
-const char *tierName(Tier tier)
+/// Extra draws when all servers drawn are saturated though their tier is not.
+constexpr int redraws = 2;
+
+bool contains(const std::vector<std::string> &names, const std::string &name)
 {
-    switch (tier) {
-    case Tier::SameZone:
-        return "same zone";
-    case Tier::SameRegion:
-        return "same region";
-    case Tier::OtherRegion:
-        break;
-    }
-    return "other region";
+    return std::find(names.begin(), names.end(), name) != names.end();
 }
 
-Tier tierOf(const ServerInfo &info, const RouteRequest &request)
+Tier optionsOf(const std::vector<RouteOption> &options, RouteTier tier)
 {
-    if (info.region != request.region)
-        return Tier::OtherRegion;
-    return info.availabilityZone == request.zone ? Tier::SameZone : Tier::SameRegion;
+    Tier found;
+    for (const RouteOption &option : options) {
+        if (option.tier == tier)
+            found.push_back(&option);
+    }
+    return found;
 }
 
-struct Option
+double meanLoad(const Tier &tier)
 {
-    const ServerState *state = nullptr;
-    Tier tier = Tier::SameZone;
-    double load = 0; ///< expected work per unit of capacity
-    bool hinted = false;
-};
+    double work = 0;
+    double capacity = 0;
+    for (const RouteOption *option : tier) {
+        work += option->load * option->capacity;
+        capacity += option->capacity;
+    }
+    return work / capacity;
+}
 
-std::string describe(const Option &option, const char *how)
+std::string reportText(const ServerState &state)
 {
-    char text[160];
-    std::snprintf(text, sizeof text, "%s, %s, load %.2f, own %u, report %s%.0f ms%s", how,
-                  tierName(option.tier), option.load, option.state->ownInFlight,
-                  option.state->reportAge == Duration::max() ? "missing " : "age ",
-                  option.state->reportAge == Duration::max()
-                      ? 0.0
-                      : std::chrono::duration<double, std::milli>(option.state->reportAge).count(),
-                  option.hinted ? ", prefix hint" : "");
-    return text;
+    if (state.reportAge == Duration::max())
+        return "no report yet";
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(state.reportAge);
+    return "report " + std::to_string(age.count()) + " ms old";
 }
 
-RouteChoice choiceOf(const Option &option, double score, const char *how)
+RouteChoice choiceOf(const RouteOption &option, double score, const char *rule)
 {
-    return RouteChoice {option.state->info->id, option.state->info->address, describe(option, how),
+    char load[32];
+    std::snprintf(load, sizeof load, "%.2f", option.load);
+    std::string reason = std::string(rule) + ", " + routeTierName(option.tier) + ", load " + load
+        + " of which own work " + std::to_string(option.state.ownInFlight) + "/"
+        + std::to_string(option.state.capacity) + ", " + reportText(option.state);
+    if (option.hinted)
+        reason += ", prefix hint";
+    return RouteChoice {option.state.info->id, option.state.info->address, std::move(reason),
                         score};
 }
 
 } // namespace
 
-/// Candidates of one request with their expected loads.
-struct Router::Options
-{
-    std::vector<ServerState> states;
-    std::vector<Option> all;
-
-    std::vector<const Option *> ofTier(Tier tier) const
-    {
-        std::vector<const Option *> found;
-        for (const Option &option : all) {
-            if (option.tier == tier)
-                found.push_back(&option);
-        }
-        return found;
-    }
-};
-
 Router::Router(const ServerTable &table, const PrefixHints &hints, Settings settings)
     : m_table(table)
     , m_hints(hints)
@@ -90,119 +76,131 @@
 {
 }
 
-Router::Options Router::optionsFor(const RouteRequest &request, TimePoint now) const
+Result<RouteChoice> Router::choose(const RouteRequest &request, TimePoint now,
+                                   RandomSource &random) const
+{
+    const auto options = optionsFor(request, now);
+    const RouteOption *best = nullptr;
+    const char *rule = "two choices";
+    for (const RouteTier tier : routeTiers) {
+        const Tier near = optionsOf(options, tier);
+        if (near.empty())
+            continue;
+        const RouteOption *pick = bestOfTwo(near, request, random);
+        if (best == nullptr || score(*pick, request) < score(*best, request))
+            best = pick;
+        // Leaving a zone or region costs latency and money, so farther servers are only looked at
+        // when the nearer ones are full, and only taken when the queue costs more than the way.
+        if (meanLoad(near) < m_settings.saturation)
+            break;
+        rule = "two choices, nearer servers saturated";
+    }
+    if (best == nullptr)
+        return Error {ErrorCode::Unavailable,
+                      "no backend server of service \"" + request.service + "\" takes new work"};
+    return choiceOf(*best, score(*best, request), rule);
+}
+
+Result<RouteChoice> Router::chooseResume(const ResumeRequest &request, TimePoint now,
+                                         RandomSource &random) const
+{
+    const auto options = optionsFor(request.route, now);
+    if (options.empty())
+        return Error {ErrorCode::Unavailable,
+                      "no backend server of service \"" + request.route.service
+                          + "\" can take over the generation"};
+    std::vector<double> costs;
+    costs.reserve(options.size());
+    for (const RouteOption &option : options)
+        costs.push_back(resumeCost(option, request));
+
+    // After a wave of losses all entries see the same costs; the near-best servers share the load.
+    const double limit =
+        *std::min_element(costs.begin(), costs.end()) * (1 + m_settings.resumeTolerance);
+    std::vector<std::size_t> nearBest;
+    for (std::size_t i = 0; i < costs.size(); ++i) {
+        if (costs[i] <= limit)
+            nearBest.push_back(i);
+    }
+    const std::size_t chosen = nearBest[random.below(nearBest.size())];
+    return choiceOf(options[chosen], costs[chosen], "least resume cost");
+}
+
+std::vector<RouteOption> Router::optionsFor(const RouteRequest &request, TimePoint now) const
 {
-    Options options;
-    options.states = m_table.candidates(request.service, now);
-    std::erase_if(options.states, [&](const ServerState &state) {
-        return std::find(request.excluded.begin(), request.excluded.end(), state.info->id)
-            != request.excluded.end();
+    auto states = m_table.candidates(request.service, now);
+    std::erase_if(states, [&](const ServerState &state) {
+        return contains(request.excluded, state.info->id);
     });
     std::vector<std::string> hinted;
     if (request.prefixHash)
         hinted = m_hints.servers(*request.prefixHash, now);
-    const LoadEstimate estimate(options.states, m_settings.reportHalfLife,
-                                m_settings.assumedCapacity);
-    options.all.reserve(options.states.size());
-    for (const ServerState &state : options.states) {
-        const bool isHinted =
-            std::find(hinted.begin(), hinted.end(), state.info->id) != hinted.end();
-        options.all.push_back(
-            Option {&state, tierOf(*state.info, request), estimate.load(state), isHinted});
+
+    const LoadEstimate estimate(states, m_settings.reportHalfLife, m_settings.assumedCapacity);
+    std::vector<RouteOption> options;
+    options.reserve(states.size());
+    for (ServerState &state : states) {
+        RouteOption option;
+        option.tier = routeTierOf(*state.info, request);
+        option.capacity = estimate.capacity(state);
+        option.load = estimate.load(state);
+        option.hinted = contains(hinted, state.info->id);
+        option.state = std::move(state);
+        options.push_back(std::move(option));
     }
     return options;
 }
 
-Result<RouteChoice> Router::choose(const RouteRequest &request, TimePoint now,
-                                   RandomSource &random) const
+const RouteOption *Router::bestOfTwo(std::span<const RouteOption *const> from,
+                                     const RouteRequest &request, RandomSource &random) const
 {
-    const Options options = optionsFor(request, now);
-    if (options.all.empty())
-        return Error {ErrorCode::Unavailable,
-                      "no backend server of service \"" + request.service + "\" takes new work"};
-    const auto score = [&](const Option &option) {
-        const double costs[tierCount] = {0, m_settings.zoneCost,
-                                         m_settings.regionCost * request.weights.resource};
-        double value = option.load + costs[static_cast<std::size_t>(option.tier)];
-        if (option.hinted && option.load < m_settings.saturation)
-            value -= m_settings.prefixDiscount;
-        return value;
-    };
-    const auto bestOfTwo = [&](const std::vector<const Option *> &from) {
-        const Option *best = from[random.below(from.size())];
-        if (from.size() > 1) {
-            const Option *second = from[random.below(from.size() - 1)];
-            if (second == best)
-                second = from.back();
-            if (score(*second) < score(*best))
-                best = second;
-        }
-        for (const Option *option : from) {
-            if (option->hinted && score(*option) < score(*best))
-                best = option;
-        }
-        return best;
+    const auto better = [&](const RouteOption *left, const RouteOption *right) {
+        return score(*right, request) < score(*left, request) ? right : left;
     };
-    for (const Tier tier : {Tier::SameZone, Tier::SameRegion, Tier::OtherRegion}) {
-        std::vector<const Option *> near = options.ofTier(tier);
-        if (near.empty() || isSaturated(near.size(), [&](std::size_t i) { return near[i]->load; }))
-            continue;
-        const Option *best = bestOfTwo(near);
-        return choiceOf(*best, score(*best), "two choices");
+    const std::size_t first = random.below(from.size());
+    const RouteOption *best = from[first];
+    for (int draw = 0; draw <= redraws && from.size() > 1; ++draw) {
+        // Drawn without the first one: in a small tier a repeated draw would leave one choice.
+        const std::size_t second = random.below(from.size() - 1);
+        best = better(best, from[second < first ? second : second + 1]);
+        if (best->load < m_settings.saturation)
+            break;
+    }
+    // A hinted server joins the draw. Its discount is bounded, so that a popular prefix, or a wrong
+    // hint, cannot pile work up on one server.
+    for (const RouteOption *option : from) {
+        if (option->hinted)
+            best = better(best, option);
     }
-    std::vector<const Option *> everything;
-    for (const Option &option : options.all)
-        everything.push_back(&option);
-    const Option *best = bestOfTwo(everything);
-    return choiceOf(*best, score(*best), "two choices, all saturated");
+    return best;
 }
 
-bool Router::isSaturated(std::size_t count, const std::function<double(std::size_t)> &load) const
+double Router::score(const RouteOption &option, const RouteRequest &request) const
 {
-    double total = 0;
-    for (std::size_t i = 0; i < count; ++i)
-        total += load(i);
-    return total >= m_settings.saturation * static_cast<double>(count);
+    double value = option.load
+        + byTier(option.tier,
+                 {0, m_settings.zoneCost, m_settings.regionCost * request.weights.resource});
+    if (option.hinted && option.load < m_settings.saturation)
+        value -= m_settings.prefixDiscount;
+    return value;
 }
 
-Result<RouteChoice> Router::chooseResume(const ResumeRequest &request, TimePoint now,
-                                         RandomSource &random) const
+double Router::resumeCost(const RouteOption &option, const ResumeRequest &request) const
 {
-    const Options options = optionsFor(request.route, now);
-    if (options.all.empty())
-        return Error {ErrorCode::Unavailable,
-                      "no backend server of service \"" + request.route.service
-                          + "\" can take over the generation"};
-    std::vector<double> costs;
-    for (const Option &option : options.all) {
-        const double capacity =
-            option.state->capacity > 0 ? option.state->capacity : m_settings.assumedCapacity;
-        const double roundTrips[tierCount] = {
-            m_settings.zoneRoundTripMs, m_settings.regionRoundTripMs, m_settings.farRoundTripMs};
-        const std::uint64_t cached =
-            option.hinted ? std::min(request.cachedTokens, request.inputTokens) : 0;
-        const auto prefillTokens = static_cast<double>(request.inputTokens - cached);
-        // Work above the capacity has to end before this one starts.
-        const double queued = std::max(0.0, (option.load - 1) * capacity + 1);
-        const double expectedResumeMs = roundTrips[static_cast<std::size_t>(option.tier)]
-            + queued / capacity * m_settings.queueMsPerWork
-            + prefillTokens * m_settings.prefillMsPerToken;
-        const double farBytes =
-            option.tier == Tier::OtherRegion ? static_cast<double>(request.transferBytes) : 0;
-        costs.push_back(
-            request.route.weights.latency * expectedResumeMs
-            + request.route.weights.resource
-                * (prefillTokens * m_settings.tokenCost + farBytes * m_settings.byteCost));
-    }
-    const double least = *std::min_element(costs.begin(), costs.end());
-    // After a wave of losses all entries see the same costs; the near-best servers share the load.
-    std::vector<std::size_t> best;
-    for (std::size_t i = 0; i < costs.size(); ++i) {
-        if (costs[i] <= least * (1 + m_settings.resumeTolerance))
-            best.push_back(i);
-    }
-    const std::size_t chosen = best[random.below(best.size())];
-    return choiceOf(options.all[chosen], costs[chosen], "least resume cost");
+    const auto cached = option.hinted ? std::min(request.cachedTokens, request.inputTokens) : 0;
+    const auto prefillTokens = static_cast<double>(request.inputTokens - cached);
+    const double queuedPerSlot = std::max(0.0, option.load + 1 / option.capacity - 1);
+    const double expectedResumeMs =
+        byTier(
+            option.tier,
+            {m_settings.zoneRoundTripMs, m_settings.regionRoundTripMs, m_settings.farRoundTripMs})
+        + queuedPerSlot * m_settings.queueMsPerWork + prefillTokens * m_settings.prefillMsPerToken;
+    const double crossRegionBytes =
+        option.tier == RouteTier::OtherRegion ? static_cast<double>(request.transferBytes) : 0;
+    const CostWeights &weights = request.route.weights;
+    return weights.latency * expectedResumeMs
+        + weights.resource
+        * (prefillTokens * m_settings.tokenCost + crossRegionBytes * m_settings.byteCost);
 }
 
 } // namespace foxtailring
--- a/src/decisions/ServerTable.cpp
+++ b/src/decisions/ServerTable.cpp
@@ -41,7 +41,7 @@
     Record &record = found->second;
     ServerState &state = record.state;
     // A report of an earlier incarnation was delayed on its way and says nothing about this one.
-    if (record.reported && report.incarnation == record.previousIncarnation)
+    if (report.incarnation == record.previousIncarnation)
         return ReportEffect::Stale;
 
     record.lastContact = now;
--- /dev/null
+++ b/tests/decisions/PrefixHintsTest.cpp
@@ -0,0 +1,64 @@
+#include "foxtailring/decisions/PrefixHints.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace foxtailring;
+using namespace std::chrono_literals;
+
+class PrefixHintsTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(PrefixHintsTest);
+    CPPUNIT_TEST(hintsExpireWithoutRepetition);
+    CPPUNIT_TEST(memoryIsBounded);
+    CPPUNIT_TEST(restartedServerIsForgotten);
+    CPPUNIT_TEST_SUITE_END();
+
+    const TimePoint m_now = TimePoint {} + 1h;
+
+    static void learn(PrefixHints &hints, const char *server, std::uint64_t hash, TimePoint at)
+    {
+        hints.learn(server, std::span(&hash, 1), at);
+    }
+
+public:
+    // Guards against hints that outlive the engine's cache because an eviction event was lost.
+    void hintsExpireWithoutRepetition()
+    {
+        PrefixHints hints;
+        learn(hints, "a", 1, m_now);
+        learn(hints, "b", 1, m_now + 20s);
+        CPPUNIT_ASSERT((hints.servers(1, m_now + 25s) == std::vector<std::string> {"b", "a"}));
+        CPPUNIT_ASSERT((hints.servers(1, m_now + 40s) == std::vector<std::string> {"b"}));
+        CPPUNIT_ASSERT(hints.servers(2, m_now).empty());
+    }
+
+    // Guards against memory that grows with the number of prompts seen.
+    void memoryIsBounded()
+    {
+        PrefixHints::Settings settings;
+        settings.maxPrefixes = 3;
+        settings.serversPerPrefix = 2;
+        PrefixHints hints(settings);
+        for (std::uint64_t hash = 0; hash < 10; ++hash)
+            learn(hints, "a", hash, m_now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), hints.size());
+        CPPUNIT_ASSERT(hints.servers(0, m_now).empty());
+        learn(hints, "b", 9, m_now);
+        learn(hints, "c", 9, m_now);
+        CPPUNIT_ASSERT((hints.servers(9, m_now) == std::vector<std::string> {"c", "b"}));
+    }
+
+    // Guards against hints for the cache of a process that is gone.
+    void restartedServerIsForgotten()
+    {
+        PrefixHints hints;
+        learn(hints, "a", 1, m_now);
+        learn(hints, "b", 1, m_now);
+        learn(hints, "a", 2, m_now);
+        hints.forget("a");
+        CPPUNIT_ASSERT((hints.servers(1, m_now) == std::vector<std::string> {"b"}));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), hints.size());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PrefixHintsTest);
--- a/tests/decisions/RendezvousHashTest.cpp
+++ b/tests/decisions/RendezvousHashTest.cpp
@@ -15,6 +15,7 @@
     static std::vector<std::string> names(int count)
     {
         std::vector<std::string> all;
+        all.reserve(static_cast<std::size_t>(count));
         for (int i = 0; i < count; ++i)
             all.push_back("server-" + std::to_string(i));
         return all;
--- /dev/null
+++ b/tests/decisions/RetryBudgetTest.cpp
@@ -0,0 +1,65 @@
+#include "foxtailring/decisions/RetryBudget.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace foxtailring;
+using namespace std::chrono_literals;
+
+class RetryBudgetTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(RetryBudgetTest);
+    CPPUNIT_TEST(retriesFollowSuccesses);
+    CPPUNIT_TEST(oldSuccessesDoNotCount);
+    CPPUNIT_TEST(floorLetsAnIdleServiceRetry);
+    CPPUNIT_TEST_SUITE_END();
+
+    const TimePoint m_now = TimePoint {} + 1h;
+
+    static int retries(RetryBudget &budget, const char *service, TimePoint at)
+    {
+        int allowed = 0;
+        while (budget.tryRetry(service, at))
+            ++allowed;
+        return allowed;
+    }
+    static RetryBudget::Settings withoutFloor()
+    {
+        RetryBudget::Settings settings;
+        settings.floorPerSecond = 0;
+        return settings;
+    }
+
+public:
+    // Guards against retries that multiply the load of a service that is failing.
+    void retriesFollowSuccesses()
+    {
+        RetryBudget budget(withoutFloor());
+        for (int i = 0; i < 1000; ++i)
+            budget.recordSuccess("a", m_now);
+        CPPUNIT_ASSERT_EQUAL(0, retries(budget, "b", m_now));
+        CPPUNIT_ASSERT_EQUAL(100, retries(budget, "a", m_now + 1s));
+        CPPUNIT_ASSERT_EQUAL(0, retries(budget, "a", m_now + 2s));
+    }
+
+    // Guards against a budget saved up in good times and spent all at once in an outage.
+    void oldSuccessesDoNotCount()
+    {
+        RetryBudget budget(withoutFloor());
+        for (int i = 0; i < 1000; ++i)
+            budget.recordSuccess("a", m_now);
+        CPPUNIT_ASSERT_EQUAL(0, retries(budget, "a", m_now + 11s));
+        budget.recordSuccess("a", m_now + 11s);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(0.1, budget.left("a", m_now + 11s), 1e-9);
+    }
+
+    // Guards against a service with little traffic that can never retry.
+    void floorLetsAnIdleServiceRetry()
+    {
+        RetryBudget budget;
+        CPPUNIT_ASSERT_EQUAL(5, retries(budget, "a", m_now));
+        CPPUNIT_ASSERT_EQUAL(0, retries(budget, "a", m_now + 5s));
+        CPPUNIT_ASSERT_EQUAL(5, retries(budget, "a", m_now + 11s));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RetryBudgetTest);
