operator: add the operator interface and foxtailringctl

Cause: operators need to create, change and watch resources, and to see where a revision is in force. Change: OperatorApi (resources with compare-and-swap, watch, inforce, status), a BackendServer resource for draining, ResourceFile with checks that name file and line, and the commands of foxtailringctl.

--- /dev/null
+++ b/apps/foxtailringctl.cpp
@@ -0,0 +1,61 @@
+#include "foxtailring/operator/ControlCommands.h"
+#include "foxtailring/operator/OperatorClient.h"
+#include "foxtailring/transport/Endpoint.h"
+
+#include <cstdlib>
+#include <gflags/gflags.h>
+#include <iostream>
+#include <string>
+#include <vector>
+
+DEFINE_string(server, "127.0.0.1:7002", "IP:PORT of any entry's admin port");
+DEFINE_string(operator, "", "name recorded with each change; default: the USER variable");
+DEFINE_string(output, "table", "table or json");
+DEFINE_string(f, "", "file with resources");
+DEFINE_bool(wait, false, "after a change, wait until it is in force on every node");
+DEFINE_bool(undo, false, "drain: give the server new work again");
+DEFINE_int64(revision, 0, "wait: the revision; 0: the present one");
+DEFINE_int64(from, 0, "watch: show changes after this revision");
+DEFINE_int32(timeout, 60, "wait: longest time in seconds");
+
+namespace {
+
+constexpr int usageExitCode = 2;
+
+std::string operatorName()
+{
+    if (!FLAGS_operator.empty())
+        return FLAGS_operator;
+    const char *user = std::getenv("USER");
+    return user ? user : "unknown";
+}
+
+foxtailring::ControlOptions options()
+{
+    foxtailring::ControlOptions out;
+    out.file = FLAGS_f;
+    out.json = FLAGS_output == "json";
+    out.wait = FLAGS_wait;
+    out.undo = FLAGS_undo;
+    out.revision = FLAGS_revision;
+    out.from = FLAGS_from;
+    out.timeout = std::chrono::seconds(FLAGS_timeout);
+    return out;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    gflags::SetUsageMessage(foxtailring::ControlCommands::usage());
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    const auto entry = foxtailring::Endpoint::parse(FLAGS_server);
+    if (!entry || (FLAGS_output != "table" && FLAGS_output != "json")) {
+        std::cerr << (entry ? "--output: allowed: table or json" : entry.error().message) << '\n';
+        return usageExitCode;
+    }
+    foxtailring::OperatorClient client(entry.value(), operatorName());
+    foxtailring::ControlCommands commands(client, options(), std::cout, std::cerr);
+    const std::vector<std::string> arguments(argv + 1, argv + argc);
+    return commands.run(arguments);
+}
--- a/include/foxtailring/decisions/ConfigSnapshot.h
+++ b/include/foxtailring/decisions/ConfigSnapshot.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "foxtailring/decisions/AdapterResource.h"
+#include "foxtailring/decisions/BackendServerResource.h"
 #include "foxtailring/decisions/ClientAccountResource.h"
 #include "foxtailring/decisions/ModelResource.h"
 #include "foxtailring/decisions/ServiceResource.h"
@@ -26,8 +27,11 @@
     std::map<std::string, ClientAccountResource, std::less<>> accounts;
     std::map<std::string, ModelResource, std::less<>> models;
     std::map<std::string, AdapterResource, std::less<>> adapters;
+    std::map<std::string, BackendServerResource, std::less<>> backendServers;
 
     const ServiceResource *service(std::string_view name) const;
+    /// \brief True when operators asked the backend server of that node id to drain.
+    bool isDraining(std::string_view nodeId) const;
     /// \brief The generation service that serves a model or an adapter; nullptr when none does.
     const ServiceResource *serviceForModel(std::string_view modelOrAdapter) const;
     /// \brief The account whose key hashes to \a keySha256; nullptr when there is none.
--- /dev/null
+++ b/include/foxtailring/operator/ControlCommands.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "foxtailring/base/Result.h"
+#include "foxtailring/operator/ControlOptions.h"
+
+#include <iosfwd>
+#include <nlohmann/json_fwd.hpp>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace foxtailring {
+
+class OperatorClient;
+struct StoredResource;
+
+/// \brief The commands of foxtailringctl.
+///
+/// Exit codes: 0 done, 1 failed, 2 usage or a resource that fails its checks, 3 conflict with
+/// another operator, 4 timeout.
+class ControlCommands
+{
+public:
+    ControlCommands(OperatorClient &client, ControlOptions options, std::ostream &out,
+                    std::ostream &err);
+
+    /// \param arguments the command and its arguments
+    int run(std::span<const std::string> arguments);
+
+    static std::string usage();
+
+private:
+    int apply();
+    int diff();
+    int check();
+    int list(std::span<const std::string> arguments);
+    int show(const std::string &kind, const std::string &name);
+    int remove(const std::string &kind, const std::string &name);
+    int watch();
+    int wait(std::int64_t revision);
+    int drain(const std::string &server);
+    int status();
+
+    Result<std::int64_t> applyOne(const StoredResource &resource);
+    int finishChange(std::int64_t revision);
+    int fail(const Error &error);
+
+    OperatorClient &m_client;
+    ControlOptions m_options;
+    std::ostream &m_out;
+    std::ostream &m_err;
+};
+
+} // namespace foxtailring
--- /dev/null
+++ b/include/foxtailring/operator/ResourceFile.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "foxtailring/base/Result.h"
+#include "foxtailring/decisions/StoredResource.h"
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace foxtailring {
+
+/// \brief Reads resources from YAML (one or more documents) or JSON.
+class ResourceFile
+{
+public:
+    /// \brief Every resource of a file, checked. The error lists all faults with file and line.
+    static Result<std::vector<StoredResource>> read(const std::string &path);
+    static Result<std::vector<StoredResource>> parse(std::string_view text,
+                                                     const std::string &name);
+};
+
+} // namespace foxtailring
--- /dev/null
+++ b/include/foxtailring/platform/ResourceList.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "foxtailring/decisions/StoredResource.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace foxtailring {
+
+/// \brief All resources as the platform's service held them at one revision.
+struct ResourceList
+{
+    std::int64_t revision = 0;
+    std::vector<StoredResource> resources;
+};
+
+} // namespace foxtailring
--- a/src/decisions/ConfigSnapshot.cpp
+++ b/src/decisions/ConfigSnapshot.cpp
@@ -10,6 +10,12 @@
     return found == services.end() ? nullptr : &found->second;
 }
 
+bool ConfigSnapshot::isDraining(std::string_view nodeId) const
+{
+    const auto found = backendServers.find(nodeId);
+    return found != backendServers.end() && found->second.drain;
+}
+
 const ServiceResource *ConfigSnapshot::serviceForModel(std::string_view modelOrAdapter) const
 {
     const auto adapter = adapters.find(modelOrAdapter);
--- a/src/decisions/ConfigState.cpp
+++ b/src/decisions/ConfigState.cpp
@@ -32,6 +32,8 @@
         store<ModelResource>(snapshot.models, resource);
     else if (resource.kind == "Adapter")
         store<AdapterResource>(snapshot.adapters, resource);
+    else if (resource.kind == "BackendServer")
+        store<BackendServerResource>(snapshot.backendServers, resource);
 }
 
 void erase(ConfigSnapshot &snapshot, const ConfigSnapshot::Key &key)
@@ -45,6 +47,8 @@
         snapshot.models.erase(key.second);
     else if (key.first == "Adapter")
         snapshot.adapters.erase(key.second);
+    else if (key.first == "BackendServer")
+        snapshot.backendServers.erase(key.second);
 }
 
 void applyDelta(ConfigSnapshot &snapshot, const ResourceDelta &delta)
--- a/src/decisions/StoredResource.cpp
+++ b/src/decisions/StoredResource.cpp
@@ -1,6 +1,7 @@
 #include "foxtailring/decisions/StoredResource.h"
 
 #include "foxtailring/decisions/AdapterResource.h"
+#include "foxtailring/decisions/BackendServerResource.h"
 #include "foxtailring/decisions/ClientAccountResource.h"
 #include "foxtailring/decisions/ModelResource.h"
 #include "foxtailring/decisions/ServiceResource.h"
@@ -74,8 +75,11 @@
         return check<ModelResource>(name, json);
     if (kind == "Adapter")
         return check<AdapterResource>(name, json);
+    if (kind == "BackendServer")
+        return check<BackendServerResource>(name, json);
     return Error {ErrorCode::InvalidArgument,
-                  "kind: \"" + kind + "\"; allowed: Service, ClientAccount, Model, Adapter"};
+                  "kind: \"" + kind
+                      + "\"; allowed: Service, ClientAccount, Model, Adapter, BackendServer"};
 }
 
 } // namespace foxtailring
--- /dev/null
+++ b/src/operator/ControlCommands.cpp
@@ -0,0 +1,299 @@
+#include "foxtailring/operator/ControlCommands.h"
+
+#include "foxtailring/operator/OperatorClient.h"
+#include "foxtailring/operator/ResourceFile.h"
+#include "TextTable.h"
+
+#include <nlohmann/json.hpp>
+#include <ostream>
+#include <thread>
+
+namespace foxtailring {
+
+namespace {
+
+enum ExitCode : std::uint8_t {
+    Success = 0,
+    Failure = 1,
+    Usage = 2,
+    ConflictFound = 3,
+    TimedOut = 4,
+};
+
+constexpr std::chrono::milliseconds pollInterval {200};
+
+std::string joined(const nlohmann::json &names)
+{
+    std::string out;
+    for (const auto &name : names)
+        out += (out.empty() ? "" : ", ") + name.get<std::string>();
+    return out;
+}
+
+// Present revision of a resource, or 0 when it does not exist.
+Result<std::int64_t> presentRevision(const Result<nlohmann::json> &found)
+{
+    if (found)
+        return found.value().value("revision", std::int64_t(0));
+    if (found.error().code == ErrorCode::NotFound)
+        return std::int64_t(0);
+    return found.error();
+}
+
+bool sameSpec(const Result<nlohmann::json> &found, const StoredResource &resource)
+{
+    return found
+        && found.value().value("spec", nlohmann::json()) == nlohmann::json::parse(resource.spec);
+}
+
+} // namespace
+
+ControlCommands::ControlCommands(OperatorClient &client, ControlOptions options, std::ostream &out,
+                                 std::ostream &err)
+    : m_client(client)
+    , m_options(std::move(options))
+    , m_out(out)
+    , m_err(err)
+{
+}
+
+std::string ControlCommands::usage()
+{
+    return "foxtailringctl [--server IP:PORT] [--operator NAME] [--output table|json] COMMAND\n"
+           "  apply -f FILE [--wait]      create or change the resources in FILE\n"
+           "  diff -f FILE                show what apply would change\n"
+           "  check -f FILE               check the resources in FILE, change nothing\n"
+           "  get KIND NAME               show one resource\n"
+           "  list [KIND]                 list resources\n"
+           "  delete KIND NAME            delete a resource\n"
+           "  watch [--from REVISION]     show changes as they come into force\n"
+           "  wait [--revision REVISION]  wait until a revision is in force on every node\n"
+           "  drain SERVER [--undo]       stop, or restart, giving new work to a backend server\n"
+           "  status                      show servers, their load and their revisions\n"
+           "exit codes: 0 done, 1 failed, 2 usage, 3 conflict, 4 timeout\n";
+}
+
+int ControlCommands::run(std::span<const std::string> arguments)
+{
+    const std::string command = arguments.empty() ? "" : arguments[0];
+    const auto rest = arguments.empty() ? arguments : arguments.subspan(1);
+    if (command == "apply" && rest.empty() && !m_options.file.empty())
+        return apply();
+    if (command == "diff" && rest.empty() && !m_options.file.empty())
+        return diff();
+    if (command == "check" && rest.empty() && !m_options.file.empty())
+        return check();
+    if (command == "get" && rest.size() == 2)
+        return show(rest[0], rest[1]);
+    if (command == "list" && rest.size() <= 1)
+        return list(rest);
+    if (command == "delete" && rest.size() == 2)
+        return remove(rest[0], rest[1]);
+    if (command == "watch" && rest.empty())
+        return watch();
+    if (command == "wait" && rest.empty())
+        return wait(m_options.revision);
+    if (command == "drain" && rest.size() == 1)
+        return drain(rest[0]);
+    if (command == "status" && rest.empty())
+        return status();
+    m_err << usage();
+    return ExitCode::Usage;
+}
+
+int ControlCommands::fail(const Error &error)
+{
+    m_err << "foxtailringctl: " << error.message << '\n';
+    switch (error.code) {
+    case ErrorCode::InvalidArgument:
+        return ExitCode::Usage;
+    case ErrorCode::Conflict:
+        return ExitCode::ConflictFound;
+    case ErrorCode::Timeout:
+        return ExitCode::TimedOut;
+    default:
+        return ExitCode::Failure;
+    }
+}
+
+Result<std::int64_t> ControlCommands::applyOne(const StoredResource &resource)
+{
+    const std::string label = resource.kind + '/' + resource.name;
+    const auto found = m_client.resource(resource.kind, resource.name);
+    const auto expected = presentRevision(found);
+    if (!expected)
+        return expected.error();
+    if (sameSpec(found, resource)) {
+        m_out << label << " unchanged at revision " << expected.value() << '\n';
+        return expected.value();
+    }
+    const auto stored = m_client.put(resource, expected.value());
+    if (!stored)
+        return stored.error();
+    const auto revision = stored.value().value("revision", std::int64_t(0));
+    m_out << label << (expected.value() == 0 ? " created" : " changed") << " at revision "
+          << revision << '\n';
+    return revision;
+}
+
+int ControlCommands::apply()
+{
+    const auto resources = ResourceFile::read(m_options.file);
+    if (!resources)
+        return fail(resources.error());
+    std::int64_t highest = 0;
+    for (const auto &resource : resources.value()) {
+        const auto revision = applyOne(resource);
+        if (!revision)
+            return fail(revision.error());
+        highest = std::max(highest, revision.value());
+    }
+    return finishChange(highest);
+}
+
+int ControlCommands::finishChange(std::int64_t revision)
+{
+    return m_options.wait ? wait(revision) : ExitCode::Success;
+}
+
+int ControlCommands::diff()
+{
+    const auto resources = ResourceFile::read(m_options.file);
+    if (!resources)
+        return fail(resources.error());
+    for (const auto &resource : resources.value()) {
+        const auto found = m_client.resource(resource.kind, resource.name);
+        const auto present = presentRevision(found);
+        if (!present)
+            return fail(present.error());
+        if (sameSpec(found, resource))
+            continue;
+        m_out << resource.kind << '/' << resource.name << '\n';
+        if (found)
+            m_out << "- " << found.value().value("spec", nlohmann::json()).dump() << '\n';
+        m_out << "+ " << nlohmann::json::parse(resource.spec).dump() << '\n';
+    }
+    return ExitCode::Success;
+}
+
+int ControlCommands::check()
+{
+    const auto resources = ResourceFile::read(m_options.file);
+    if (!resources)
+        return fail(resources.error());
+    m_out << resources.value().size() << " resources ok\n";
+    return ExitCode::Success;
+}
+
+int ControlCommands::show(const std::string &kind, const std::string &name)
+{
+    const auto found = m_client.resource(kind, name);
+    if (!found)
+        return fail(found.error());
+    m_out << found.value().dump(m_options.json ? -1 : 2) << '\n';
+    return ExitCode::Success;
+}
+
+int ControlCommands::list(std::span<const std::string> arguments)
+{
+    const auto all = m_client.list();
+    if (!all)
+        return fail(all.error());
+    if (m_options.json) {
+        m_out << all.value().dump() << '\n';
+        return ExitCode::Success;
+    }
+    TextTable table({"KIND", "NAME", "REVISION", "WRITER"});
+    for (const auto &resource : all.value().value("resources", nlohmann::json::array())) {
+        if (!arguments.empty() && resource.value("kind", "") != arguments[0])
+            continue;
+        table.add({resource.value("kind", ""), resource.value("name", ""),
+                   std::to_string(resource.value("revision", std::int64_t(0))),
+                   resource.value("writer", "")});
+    }
+    table.print(m_out);
+    return ExitCode::Success;
+}
+
+int ControlCommands::remove(const std::string &kind, const std::string &name)
+{
+    const auto expected = presentRevision(m_client.resource(kind, name));
+    if (!expected)
+        return fail(expected.error());
+    if (expected.value() == 0)
+        return fail({ErrorCode::NotFound, kind + '/' + name + " does not exist"});
+    const auto removed = m_client.remove(kind, name, expected.value());
+    if (!removed)
+        return fail(removed.error());
+    const auto revision = removed.value().value("revision", std::int64_t(0));
+    m_out << kind << '/' << name << " deleted at revision " << revision << '\n';
+    return finishChange(revision);
+}
+
+int ControlCommands::watch()
+{
+    const auto ended = m_client.watch(
+        m_options.from, [this](std::string_view line) { m_out << line << std::endl; });
+    return ended ? ExitCode::Success : fail(ended.error());
+}
+
+int ControlCommands::wait(std::int64_t revision)
+{
+    const auto deadline = std::chrono::steady_clock::now() + m_options.timeout;
+    std::string missing = "no entry answered";
+    while (true) {
+        const auto report = m_client.inForce(revision);
+        if (report && report.value().value("inForce", false)) {
+            const auto &body = report.value();
+            if (m_options.json)
+                m_out << body.dump() << '\n';
+            else
+                m_out << "revision " << body.value("revision", std::int64_t(0)) << " in force on "
+                      << body["nodes"].size() << " nodes\n";
+            return ExitCode::Success;
+        }
+        if (report)
+            missing = "missing on " + joined(report.value()["missing"]);
+        else
+            missing = report.error().message;
+        if (std::chrono::steady_clock::now() >= deadline)
+            return fail({ErrorCode::Timeout, "not in force: " + missing});
+        std::this_thread::sleep_for(pollInterval);
+    }
+}
+
+int ControlCommands::drain(const std::string &server)
+{
+    StoredResource resource;
+    resource.kind = "BackendServer";
+    resource.name = server;
+    resource.spec = m_options.undo ? R"({"drain":false})" : R"({"drain":true})";
+    const auto revision = applyOne(resource);
+    return revision ? finishChange(revision.value()) : fail(revision.error());
+}
+
+int ControlCommands::status()
+{
+    const auto status = m_client.status();
+    if (!status)
+        return fail(status.error());
+    if (m_options.json) {
+        m_out << status.value().dump() << '\n';
+        return ExitCode::Success;
+    }
+    m_out << "revision " << status.value().value("revision", std::int64_t(0)) << '\n';
+    TextTable table(
+        {"SERVER", "SERVICE", "ZONE", "STATE", "RUNNING", "WAITING", "CAPACITY", "REVISION"});
+    for (const auto &server : status.value().value("servers", nlohmann::json::array())) {
+        const auto number = [&](const char *field) {
+            return std::to_string(server.value(field, std::int64_t(0)));
+        };
+        table.add({server.value("id", ""), server.value("service", ""),
+                   server.value("availabilityZone", ""), server.value("state", ""),
+                   number("running"), number("waiting"), number("capacity"), number("revision")});
+    }
+    table.print(m_out);
+    return ExitCode::Success;
+}
+
+} // namespace foxtailring
--- /dev/null
+++ b/src/operator/OperatorClient.cpp
@@ -0,0 +1,162 @@
+#include "foxtailring/operator/OperatorClient.h"
+
+#include "foxtailring/transport/Endpoint.h"
+#include "foxtailring/transport/Http1Client.h"
+#include "foxtailring/transport/Http1Stream.h"
+#include "foxtailring/transport/HttpRequest.h"
+#include "foxtailring/transport/WorkerPool.h"
+
+#include <future>
+#include <nlohmann/json.hpp>
+
+namespace foxtailring {
+
+namespace {
+
+// Above the time an entry itself takes to try a change again and read it back.
+constexpr std::chrono::milliseconds callTimeout {15'000};
+
+std::string resourcePath(const std::string &kind, const std::string &name)
+{
+    return "/operator/v1/resources/" + kind + '/' + name;
+}
+
+HttpHeader matchHeader(std::int64_t expected)
+{
+    if (expected == 0)
+        return {"if-none-match", "*"};
+    return {"if-match", '"' + std::to_string(expected) + '"'};
+}
+
+ErrorCode codeOf(int status)
+{
+    switch (status) {
+    case 400:
+        return ErrorCode::InvalidArgument;
+    case 401:
+        return ErrorCode::Unauthorized;
+    case 404:
+        return ErrorCode::NotFound;
+    case 409:
+        return ErrorCode::Conflict;
+    case 503:
+        return ErrorCode::Unavailable;
+    case 504:
+        return ErrorCode::Timeout;
+    default:
+        return ErrorCode::Internal;
+    }
+}
+
+Result<nlohmann::json> bodyOf(const HttpResponse &response)
+{
+    auto body = nlohmann::json::parse(response.body, nullptr, false);
+    if (response.status == 200 && !body.is_discarded())
+        return body;
+    const std::string fallback = "entry answered with status " + std::to_string(response.status);
+    const std::string detail = body.is_object() ? body.value("detail", fallback) : fallback;
+    return Error {codeOf(response.status), detail};
+}
+
+// Cuts arriving bytes into lines.
+class LineSplitter
+{
+public:
+    explicit LineSplitter(const std::function<void(std::string_view)> &line)
+        : m_line(line)
+    {
+    }
+
+    void feed(std::string_view bytes)
+    {
+        m_pending += bytes;
+        std::size_t end = 0;
+        while ((end = m_pending.find('\n')) != std::string::npos) {
+            m_line(std::string_view(m_pending).substr(0, end));
+            m_pending.erase(0, end + 1);
+        }
+    }
+
+private:
+    const std::function<void(std::string_view)> &m_line;
+    std::string m_pending;
+};
+
+} // namespace
+
+OperatorClient::OperatorClient(const Endpoint &entry, std::string operatorName)
+    : m_pool(std::make_unique<WorkerPool>(1))
+    , m_http(std::make_unique<Http1Client>(*m_pool))
+    , m_entry(std::make_unique<Endpoint>(entry))
+    , m_operatorName(std::move(operatorName))
+{
+}
+
+OperatorClient::~OperatorClient() = default;
+
+Result<nlohmann::json> OperatorClient::call(HttpRequest request)
+{
+    request.headers.push_back({"x-operator", m_operatorName});
+    auto promise = std::make_shared<std::promise<Result<HttpResponse>>>();
+    auto answer = promise->get_future();
+    m_http->request(
+        *m_entry, std::move(request), callTimeout,
+        [promise](Result<HttpResponse> result) { promise->set_value(std::move(result)); });
+    const auto result = answer.get();
+    if (!result)
+        return Error {result.error().code,
+                      "entry at " + m_entry->text() + ": " + result.error().message};
+    return bodyOf(result.value());
+}
+
+Result<nlohmann::json> OperatorClient::list()
+{
+    return call({"GET", "/operator/v1/resources", {}, ""});
+}
+
+Result<nlohmann::json> OperatorClient::resource(const std::string &kind, const std::string &name)
+{
+    return call({"GET", resourcePath(kind, name), {}, ""});
+}
+
+Result<nlohmann::json> OperatorClient::put(const StoredResource &resource, std::int64_t expected)
+{
+    return call({"PUT",
+                 resourcePath(resource.kind, resource.name),
+                 {matchHeader(expected)},
+                 resource.toJson()});
+}
+
+Result<nlohmann::json> OperatorClient::remove(const std::string &kind, const std::string &name,
+                                              std::int64_t expected)
+{
+    return call({"DELETE", resourcePath(kind, name), {matchHeader(expected)}, ""});
+}
+
+Result<nlohmann::json> OperatorClient::inForce(std::int64_t revision)
+{
+    const std::string query = revision == 0 ? "" : "?revision=" + std::to_string(revision);
+    return call({"GET", "/operator/v1/inforce" + query, {}, ""});
+}
+
+Result<nlohmann::json> OperatorClient::status()
+{
+    return call({"GET", "/operator/v1/status", {}, ""});
+}
+
+Result<Done> OperatorClient::watch(std::int64_t from,
+                                   const std::function<void(std::string_view)> &line)
+{
+    auto ended = std::make_shared<std::promise<Result<Done>>>();
+    auto end = ended->get_future();
+    LineSplitter lines(line);
+    StreamHooks hooks;
+    hooks.body = [&lines](std::string_view bytes) { lines.feed(bytes); };
+    hooks.closed = [ended](Result<Done> result) { ended->set_value(std::move(result)); };
+    const auto stream = m_http->stream(
+        *m_entry, HttpRequest {"GET", "/operator/v1/watch?from=" + std::to_string(from), {}, ""},
+        std::move(hooks));
+    return end.get();
+}
+
+} // namespace foxtailring
--- /dev/null
+++ b/src/operator/TextTable.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <iosfwd>
+#include <string>
+#include <vector>
+
+namespace foxtailring {
+
+/// \brief Aligned columns of text.
+class TextTable
+{
+public:
+    explicit TextTable(std::vector<std::string> header);
+    void add(std::vector<std::string> row);
+    void print(std::ostream &out) const;
+
+private:
+    std::vector<std::vector<std::string>> m_rows;
+};
+
+} // namespace foxtailring
--- /dev/null
+++ b/src/operator/WatchStreams.cpp
@@ -0,0 +1,94 @@
+#include "WatchStreams.h"
+
+#include "foxtailring/decisions/ConfigState.h"
+#include "foxtailring/protocol/ConfigUpdate.h"
+#include "foxtailring/transport/Http1Responder.h"
+
+#include <chrono>
+#include <nlohmann/json.hpp>
+#include <vector>
+
+namespace foxtailring {
+
+namespace {
+
+constexpr std::chrono::milliseconds pollInterval {100};
+
+std::string lineOf(const ResourceDelta &delta)
+{
+    nlohmann::json line = {{"kind", delta.kind},
+                           {"name", delta.name},
+                           {"revision", delta.revision},
+                           {"deleted", delta.deleted}};
+    const auto resource = nlohmann::json::parse(delta.json, nullptr, false);
+    if (resource.is_object()) {
+        line["writer"] = resource.value("writer", "");
+        line["spec"] = resource.value("spec", nlohmann::json::object());
+    }
+    return line.dump() + '\n';
+}
+
+} // namespace
+
+struct WatchStreams::Stream
+{
+    std::int64_t revision = 0;
+    std::shared_ptr<Http1Responder> responder;
+    bool gone = false; ///< guarded by the mutex of the state
+};
+
+struct WatchStreams::State
+{
+    explicit State(ConfigState &configuration)
+        : config(configuration)
+    {
+    }
+
+    std::vector<std::shared_ptr<Stream>> open()
+    {
+        const std::lock_guard lock(mutex);
+        streams.remove_if([](const auto &stream) { return stream->gone; });
+        return {streams.begin(), streams.end()};
+    }
+
+    ConfigState &config;
+    std::mutex mutex;
+    std::list<std::shared_ptr<Stream>> streams;
+};
+
+WatchStreams::WatchStreams(WorkerPool &pool, ConfigState &config)
+    : m_state(std::make_shared<State>(config))
+    , m_timer(pool)
+{
+    // Timer hooks never run concurrently, so only this hook changes a stream's revision.
+    m_timer.every(pollInterval, [state = m_state] {
+        for (const auto &stream : state->open()) {
+            if (stream->revision >= state->config.revision())
+                continue;
+            const ConfigUpdate update = state->config.updateFrom(stream->revision);
+            for (const auto &delta : update.resources)
+                stream->responder->write(lineOf(delta));
+            stream->revision = update.revision;
+        }
+    });
+}
+
+void WatchStreams::start(std::int64_t from, std::shared_ptr<Http1Responder> responder)
+{
+    auto stream = std::make_shared<Stream>();
+    stream->revision = from;
+    stream->responder = std::move(responder);
+    stream->responder->startStream(200, {{"content-type", "application/x-ndjson"}});
+    stream->responder->onDisconnect([state = std::weak_ptr(m_state), weak = std::weak_ptr(stream)] {
+        const auto alive = state.lock();
+        const auto gone = weak.lock();
+        if (!alive || !gone)
+            return;
+        const std::lock_guard lock(alive->mutex);
+        gone->gone = true;
+    });
+    const std::lock_guard lock(m_state->mutex);
+    m_state->streams.push_back(std::move(stream));
+}
+
+} // namespace foxtailring
