--- a/include/foxtailring/transport/Endpoint.h
+++ b/include/foxtailring/transport/Endpoint.h
@@ -20,6 +20,8 @@
     /// \brief `IP:PORT`.
     std::string text() const;
 
+    // clang-tidy 14 takes the defaulted comparison for a null pointer constant.
+    // NOLINTNEXTLINE(modernize-use-nullptr)
     friend auto operator<=>(const Endpoint &, const Endpoint &) = default;
 };
 
--- a/src/operator/PeerQuery.cpp
+++ b/src/operator/PeerQuery.cpp
@@ -59,7 +59,7 @@
         }
         m_http.request(endpoint.value(),
                        HttpRequest {"GET", "/operator/v1/inforce?scope=local", {}, ""}, peerTimeout,
-                       [collection, peer](Result<HttpResponse> answer) {
+                       [collection, peer](const Result<HttpResponse> &answer) {
                            addAnswer(*collection, peer, answer);
                        });
     }
