tests: add the process test harness and a smoke test of the stand-ins

Cause: process tests have to start, stop and reach programs the same way everywhere. Change: add the library foxtailring_process (child processes, HTTP and event-stream client, temporary files, polling) and process_test, which drives fake-engine behind fault-proxy.

--- /dev/null
+++ b/tests/process/harness/ChildProcess.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "Wait.h"
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace foxtailring::harness {
+
+/// \brief A program under test. It is killed when the object goes, and by the system when the
+/// thread that created the object ends.
+class ChildProcess
+{
+public:
+    /// \brief Starts the program at \a path. Throws std::exception when it cannot be started.
+    ChildProcess(const std::string &path, const std::vector<std::string> &arguments);
+    ~ChildProcess();
+    ChildProcess(const ChildProcess &) = delete;
+    ChildProcess &operator=(const ChildProcess &) = delete;
+
+    int id() const;
+    /// \brief Port of the output line `listening PORT`, or `listening NAME PORT` when a name is
+    /// given. Throws std::runtime_error when the line does not appear before \a deadline.
+    std::uint16_t port(const std::string &name = {},
+                       std::chrono::milliseconds deadline = defaultDeadline);
+    /// \brief Lines of the standard output so far.
+    std::vector<std::string> output() const;
+
+    void pause();     ///< SIGSTOP
+    void resume();    ///< SIGCONT
+    void terminate(); ///< SIGTERM
+    void kill();      ///< SIGKILL
+
+    bool isRunning();
+    /// \brief Exit status, or the negative signal number, of the process once it has ended; nothing
+    /// when it runs past \a deadline.
+    std::optional<int> waitForExit(std::chrono::milliseconds deadline = defaultDeadline);
+
+private:
+    struct State;
+    void send(int signal);
+    std::optional<std::uint16_t> findPort(const std::string &prefix) const;
+
+    std::unique_ptr<State> m_state;
+};
+
+} // namespace foxtailring::harness
--- /dev/null
+++ b/tests/process/harness/HttpClient.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "foxtailring/base/Result.h"
+#include "foxtailring/protocol/HttpHeader.h"
+#include "Wait.h"
+
+#include <chrono>
+#include <cstdint>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+namespace foxtailring::harness {
+
+/// \brief Whole answer to a request.
+struct HttpReply
+{
+    int status = 0;
+    std::vector<HttpHeader> headers;
+    std::string body;
+
+    /// \brief Value of header \a name, whatever its case; empty when it is missing.
+    std::string header(const std::string &name) const;
+};
+
+/// \brief Request to send.
+struct HttpCall
+{
+    std::string method = "GET";
+    std::string target = "/";
+    std::vector<HttpHeader> headers;
+    std::string body;
+};
+
+/// \brief Blocking HTTP/1.1 client of one port of 127.0.0.1; opens a connection for each request.
+class HttpClient
+{
+public:
+    explicit HttpClient(std::uint16_t port);
+
+    /// \brief Unavailable: not connected; Closed: no whole answer; Timeout.
+    Result<HttpReply> send(const HttpCall &call,
+                           std::chrono::milliseconds timeout = defaultDeadline) const;
+
+    /// \brief JSON of the answer with status 200; throws std::runtime_error on any other outcome.
+    nlohmann::json get(const std::string &target) const;
+    nlohmann::json post(const std::string &target, const nlohmann::json &body) const;
+
+private:
+    nlohmann::json json(const HttpCall &call) const;
+
+    std::uint16_t m_port;
+};
+
+} // namespace foxtailring::harness
