--- a/fakes/FakeEngine.cpp
+++ b/fakes/FakeEngine.cpp
@@ -148,20 +148,24 @@
     if (m_slots.await(ticket, [&] { return isCancelled(exchange); }))
         run(exchange, generation);
     else
-        m_log.update(generation.logId, {{"state", "cancelled"}});
+        cancel(exchange, generation);
     m_slots.leave(ticket);
 }
 
 void FakeEngine::run(FakeExchange &exchange, Generation &generation)
 {
-    const bool done = prefill(exchange, generation) && decode(exchange, generation);
-    m_log.count(done ? "finished" : "cancelled", 1);
-    m_log.update(generation.logId,
-                 {{"state", done ? "finished" : "cancelled"}, {"produced", generation.produced}});
-    if (done)
-        finish(exchange, generation);
-    else
-        exchange.close();
+    if (!prefill(exchange, generation) || !decode(exchange, generation))
+        return cancel(exchange, generation);
+    m_log.count("finished", 1);
+    m_log.update(generation.logId, {{"state", "finished"}, {"produced", generation.produced}});
+    finish(exchange, generation);
+}
+
+void FakeEngine::cancel(FakeExchange &exchange, const Generation &generation)
+{
+    m_log.count("cancelled", 1);
+    m_log.update(generation.logId, {{"state", "cancelled"}, {"produced", generation.produced}});
+    exchange.close();
 }
 
 bool FakeEngine::prefill(FakeExchange &exchange, Generation &generation)
--- a/fakes/FakeEngine.h
+++ b/fakes/FakeEngine.h
@@ -33,6 +33,7 @@
     void order(FakeExchange &exchange);
     void complete(FakeExchange &exchange);
     void run(FakeExchange &exchange, Generation &generation);
+    void cancel(FakeExchange &exchange, const Generation &generation);
     bool prefill(FakeExchange &exchange, Generation &generation);
     bool decode(FakeExchange &exchange, Generation &generation);
     bool sendToken(FakeExchange &exchange, Generation &generation, std::size_t index);
--- a/tests/process/harness/HttpClient.cpp
+++ b/tests/process/harness/HttpClient.cpp
@@ -3,6 +3,7 @@
 #include "BeastRequest.h"
 
 #include <boost/beast/core/string.hpp>
+#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <optional>
 #include <stdexcept>
@@ -57,10 +58,11 @@
     if (!sent)
         return sent.error();
 
-    http::response<http::string_body> response;
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(boost::none);
     boost::system::error_code error;
     bool done = false;
-    http::async_read(connection.socket, connection.buffer, response,
+    http::async_read(connection.socket, connection.buffer, parser,
                      [&](boost::system::error_code result, std::size_t) {
                          error = result;
                          done = true;
@@ -71,7 +73,7 @@
     }
     if (error)
         return {ErrorCode::Closed, call.target + ": " + error.message()};
-    return toReply(response);
+    return toReply(parser.get());
 }
 
 nlohmann::json HttpClient::get(const std::string &target) const
