entry: serve completions over sidecar streams and go on after faults

Cause: the entry needs a first path from caller to sidecar that survives cuts and lost servers. Change: caller port with accounts, completions, models and plain calls; generation runner on top of GenerationSession; sidecar links with load reports and configuration pushes; admission, resume and retry gates; admin port; drain. ResumeToken carries a hash of the request's content. WorkerPool::stop joins its threads, so that owners can tear their parts down in order.

--- a/include/foxtailring/decisions/ConfigState.h
+++ b/include/foxtailring/decisions/ConfigState.h
@@ -2,6 +2,7 @@
 
 #include "foxtailring/base/Result.h"
 #include "foxtailring/decisions/ConfigSnapshot.h"
+#include "foxtailring/protocol/ConfigUpdate.h"
 
 #include <cstdint>
 #include <memory>
@@ -10,8 +11,6 @@
 
 namespace foxtailring {
 
-struct ConfigUpdate;
-
 /// \brief The configuration in force at one node; its revision never decreases.
 ///
 /// Thread-safe. Its lock is the first one of the lock order.
--- a/include/foxtailring/protocol/ResumeToken.h
+++ b/include/foxtailring/protocol/ResumeToken.h
@@ -20,6 +20,8 @@
     std::uint32_t attempt = 0;
     std::string serverAddress;    ///< IP:PORT of the sidecar that holds the journal
     std::uint64_t nextOffset = 0; ///< index of the first token that the caller does not have
+    /// Hash of the request's content: a position in one answer is of no use to another request.
+    std::string contentHash = {};
 
     std::string sign(std::string_view secret) const;
 
--- a/include/foxtailring/transport/WorkerPool.h
+++ b/include/foxtailring/transport/WorkerPool.h
@@ -25,6 +25,9 @@
     /// \brief Runs \a work on one of the threads.
     void post(std::function<void()> work);
 
+    /// \brief Stops and joins the threads; work that is left stays until the destructor.
+    ///
+    /// Must not be called from one of the threads.
     void stop();
 
 private:
--- /dev/null
+++ b/src/entry/ConfigPush.cpp
@@ -0,0 +1,94 @@
+#include "ConfigPush.h"
+
+#include "foxtailring/protocol/ConfigAck.h"
+#include "foxtailring/protocol/ConfigUpdate.h"
+#include "foxtailring/protocol/Frame.h"
+#include "foxtailring/transport/Http2Stream.h"
+
+#include "EntryParts.h"
+#include "FrameHooks.h"
+#include "SidecarLink.h"
+#include "SidecarPaths.h"
+
+#include <algorithm>
+
+namespace foxtailring {
+
+namespace {
+
+// An update without an answer after this time is sent again on a new stream.
+constexpr std::chrono::seconds ackTimeout {2};
+
+} // namespace
+
+ConfigPush::ConfigPush(EntryParts &parts, std::shared_ptr<SidecarLink> link)
+    : m_parts(parts)
+    , m_link(std::move(link))
+{
+}
+
+void ConfigPush::reported(std::int64_t revision, std::uint64_t incarnation)
+{
+    const bool isNew = std::exchange(m_incarnation, incarnation) != incarnation;
+    // A report may have been on its way before the latest acknowledgement.
+    m_revision = isNew ? revision : std::max(revision, m_revision.load());
+    if (isNew)
+        m_sentRevision = 0;
+}
+
+void ConfigPush::pushIfBehind(TimePoint now)
+{
+    const std::int64_t wanted = m_parts.config.revision();
+    if (m_incarnation == 0 || m_revision >= wanted)
+        return;
+    if (m_sentRevision != 0 && now - m_sentAt > ackTimeout)
+        close();
+    if (m_sentRevision >= wanted)
+        return;
+    if (!m_stream.stream)
+        open();
+    const ConfigUpdate update = m_parts.config.updateFrom(m_revision);
+    m_sentRevision = update.revision;
+    m_sentAt = now;
+    m_stream.stream->send(encodeMessage(update));
+    m_parts.counters.add("config_updates_sent_total");
+}
+
+void ConfigPush::open()
+{
+    m_stream = m_link->open(sidecar_paths::config);
+    const std::uint64_t number = ++m_streamNumber;
+    FrameHooks::set(
+        m_stream.stream,
+        {[this, post = m_post, number](Frame frame) {
+             post([this, number, frame = std::move(frame)] { frameArrived(number, frame); });
+         },
+         [this, post = m_post, number](const Error &) {
+             post([this, number] {
+                 if (number == m_streamNumber)
+                     close();
+             });
+         }});
+}
+
+void ConfigPush::frameArrived(std::uint64_t stream, const Frame &frame)
+{
+    const auto ack = decodeMessage<ConfigAck>(frame);
+    if (stream != m_streamNumber || !ack)
+        return;
+    // The sidecar decides what it has, even when that is less than was sent.
+    m_revision = ack.value().revision;
+    m_sentRevision = 0;
+    pushIfBehind(m_parts.clock());
+}
+
+void ConfigPush::close()
+{
+    if (m_stream.stream)
+        m_stream.stream->reset();
+    m_stream = {};
+    ++m_streamNumber;
+    m_sentRevision = 0;
+}
+
+} // namespace foxtailring
--- /dev/null
+++ b/src/entry/EntryNode.cpp
@@ -0,0 +1,161 @@
+#include "foxtailring/entry/EntryNode.h"
+
+#include "foxtailring/base/StructuredLog.h"
+#include "foxtailring/transport/Http1Server.h"
+
+#include "AdminPort.h"
+#include "CallerPort.h"
+#include "CallRunner.h"
+#include "EntryDrain.h"
+#include "EntryParts.h"
+#include "EntryStatus.h"
+#include "GenerationRunner.h"
+#include "Membership.h"
+
+#include <utility>
+
+#include <boost/asio/io_context.hpp>
+
+namespace foxtailring {
+
+namespace {
+
+HttpLimits callerLimits(const EntrySettings &settings)
+{
+    HttpLimits limits;
+    limits.bodyBytes = settings.requestBodyBytes;
+    return limits;
+}
+
+} // namespace
+
+struct EntryNode::State
+{
+    explicit State(EntrySettings settings)
+        : parts(std::move(settings))
+        , membership(parts)
+        , callerPort(parts)
+        , adminPort(parts, [this] { return isReady(); })
+        , callerServer(parts.pool, parts.settings.listen, callerLimits(parts.settings),
+                       [this](HttpRequest request, std::shared_ptr<Http1Responder> responder) {
+                           callerPort.handle(std::move(request), std::move(responder));
+                       })
+        , adminServer(parts.pool, parts.settings.admin, HttpLimits {},
+                      [this](HttpRequest request, std::shared_ptr<Http1Responder> responder) {
+                          adminPort.handle(std::move(request), std::move(responder));
+                      })
+        , drain(parts, callerPort, callerServer)
+    {
+    }
+
+    bool isReady() const { return drain.isServing() && parts.config.revision() > 0; }
+    void stop();
+
+    EntryParts parts;
+    Membership membership;
+    CallerPort callerPort;
+    AdminPort adminPort;
+    Http1Server callerServer;
+    Http1Server adminServer;
+    EntryDrain drain;
+};
+
+void EntryNode::State::stop()
+{
+    callerServer.close();
+    adminServer.close();
+    parts.links.close();
+    parts.pool.stop();
+    // Runs what is still queued on this thread only, so that nothing refers to parts that are
+    // destroyed before the pool.
+    parts.pool.context().restart();
+    parts.pool.context().poll();
+    parts.generations.clear();
+    parts.calls.clear();
+}
+
+EntryNode::EntryNode(EntrySettings settings)
+    : m_state(std::make_unique<State>(std::move(settings)))
+{
+}
+
+EntryNode::~EntryNode()
+{
+    m_state->stop();
+}
+
+void EntryNode::setOperatorHandler(OperatorHandler handler)
+{
+    m_state->adminPort.setOperatorHandler(std::move(handler));
+}
+
+Result<EntryPorts> EntryNode::listen()
+{
+    const auto admin = m_state->adminServer.listen();
+    if (!admin)
+        return admin.error();
+    const auto callers = m_state->callerServer.listen();
+    if (!callers)
+        return callers.error();
+    return EntryPorts {callers.value(), admin.value()};
+}
+
+void EntryNode::followPlatform()
+{
+}
+
+void EntryNode::drain(std::function<void()> done)
+{
+    m_state->drain.begin(std::move(done));
+}
+
+Result<Done> EntryNode::applyConfig(const ConfigUpdate &update)
+{
+    ConfigState &config = m_state->parts.config;
+    const std::int64_t before = config.revision();
+    const auto applied = config.apply(update);
+    const std::int64_t revision = config.revision();
+    if (revision == before)
+        return applied;
+    if (before == 0)
+        StructuredLog::info("firstConfiguration", {{"revision", std::to_string(revision)}});
+    m_state->parts.links.configChanged();
+    return applied;
+}
+
+void EntryNode::applyMembers(const MemberList &list)
+{
+    m_state->membership.apply(list);
+}
+
+WorkerPool &EntryNode::pool()
+{
+    return m_state->parts.pool;
+}
+
+ConfigState &EntryNode::config()
+{
+    return m_state->parts.config;
+}
+
+Counters &EntryNode::counters()
+{
+    return m_state->parts.counters;
+}
+
+std::vector<NodeRevision> EntryNode::nodes() const
+{
+    return EntryStatus::nodes(m_state->parts, m_state->drain.isServing());
+}
+
+std::vector<MemberList::Entry> EntryNode::otherEntries() const
+{
+    return m_state->membership.otherEntries();
+}
+
+std::string EntryNode::statusJson() const
+{
+    return EntryStatus::json(m_state->parts);
+}
+
+} // namespace foxtailring
--- /dev/null
+++ b/src/entry/EntryParts.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "foxtailring/base/Clock.h"
+#include "foxtailring/base/Counters.h"
+#include "foxtailring/decisions/AdmissionController.h"
+#include "foxtailring/decisions/ConfigState.h"
+#include "foxtailring/decisions/PrefixHints.h"
+#include "foxtailring/decisions/ResumeAdmission.h"
+#include "foxtailring/decisions/RetryBudget.h"
+#include "foxtailring/decisions/Router.h"
+#include "foxtailring/decisions/ServerTable.h"
+#include "foxtailring/entry/EntrySettings.h"
+#include "foxtailring/transport/WorkerPool.h"
+
+#include "AdmissionGate.h"
+#include "GenerationDirectory.h"
+#include "LingeringStreams.h"
+#include "ResumeGate.h"
+#include "RunnerTable.h"
+#include "SidecarLinks.h"
+
+namespace foxtailring {
+
+class CallRunner;
+class GenerationRunner;
+
+/// \brief What the parts of one entry share. Every member is thread-safe.
+struct EntryParts
+{
+    explicit EntryParts(EntrySettings entrySettings);
+    ~EntryParts();
+    EntryParts(const EntryParts &) = delete;
+    EntryParts &operator=(const EntryParts &) = delete;
+
+    const EntrySettings settings;
+    const Clock clock;
+    WorkerPool pool;
+    Counters counters;
+    ConfigState config;
+    ServerTable servers;
+    PrefixHints hints;
+    Router router;
+    RetryBudget retries;
+    ResumeAdmission resumeAdmission;
+    AdmissionController admissionController;
+    AdmissionGate admission;
+    ResumeGate resumes;
+    SidecarLinks links;
+    LingeringStreams lingering;
+    GenerationDirectory directory;
+    RunnerTable<GenerationRunner> generations;
+    RunnerTable<CallRunner> calls;
+};
+
+} // namespace foxtailring
--- /dev/null
+++ b/src/entry/SerialQueue.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+
+namespace foxtailring {
+
+class WorkerPool;
+
+/// \brief Runs work on the pool, one piece at a time and in order. Thread-safe.
+class SerialQueue
+{
+public:
+    explicit SerialQueue(WorkerPool &pool);
+    ~SerialQueue();
+    SerialQueue(const SerialQueue &) = delete;
+    SerialQueue &operator=(const SerialQueue &) = delete;
+
+    /// \brief Never runs \a work before it returns.
+    void post(std::function<void()> work);
+
+private:
+    struct State;
+    std::unique_ptr<State> m_state;
+};
+
+} // namespace foxtailring
--- /dev/null
+++ b/src/entry/ThreadRandom.h
@@ -0,0 +1,10 @@
+#pragma once
+
+namespace foxtailring {
+
+class RandomSource;
+
+/// \brief The generator of the calling thread.
+RandomSource &threadRandom();
+
+} // namespace foxtailring
--- a/src/protocol/ResumeToken.cpp
+++ b/src/protocol/ResumeToken.cpp
@@ -12,8 +12,8 @@
 
 namespace {
 
-using Fields =
-    std::tuple<std::string, std::string, std::string, std::uint32_t, std::string, std::uint64_t>;
+using Fields = std::tuple<std::string, std::string, std::string, std::uint32_t, std::string,
+                          std::uint64_t, std::string>;
 
 std::string toBase64Url(std::string_view bytes)
 {
@@ -73,7 +73,9 @@
 std::string ResumeToken::sign(std::string_view secret) const
 {
     msgpack::sbuffer buffer;
-    msgpack::pack(buffer, Fields(requestId, account, service, attempt, serverAddress, nextOffset));
+    msgpack::pack(
+        buffer,
+        Fields(requestId, account, service, attempt, serverAddress, nextOffset, contentHash));
     const std::string_view body(buffer.data(), buffer.size());
     return toBase64Url(body) + '.' + toBase64Url(hmac(body, secret));
 }
@@ -96,7 +98,8 @@
         auto fields = handle.get().as<Fields>();
         return ResumeToken {std::move(std::get<0>(fields)), std::move(std::get<1>(fields)),
                             std::move(std::get<2>(fields)), std::get<3>(fields),
-                            std::move(std::get<4>(fields)), std::get<5>(fields)};
+                            std::move(std::get<4>(fields)), std::get<5>(fields),
+                            std::move(std::get<6>(fields))};
     } catch (const std::exception &) {
         return Error {ErrorCode::Malformed, "resume token body cannot be decoded"};
     }
--- a/src/transport/WorkerPool.cpp
+++ b/src/transport/WorkerPool.cpp
@@ -48,7 +48,6 @@
 WorkerPool::~WorkerPool()
 {
     stop();
-    m_state->threads.clear();
 }
 
 net::io_context &WorkerPool::context()
@@ -64,6 +63,7 @@
 void WorkerPool::stop()
 {
     m_state->context.stop();
+    m_state->threads.clear();
 }
 
 } // namespace foxtailring
