--- a/include/foxtailring/decisions/GenerationSession.h
+++ b/include/foxtailring/decisions/GenerationSession.h
@@ -86,6 +86,8 @@
     std::uint64_t deliveredOffset() const;
     std::optional<std::string> reachedEnd() const;
     bool canResume() const;
+    bool canSkipDelivered() const;
+    void skipDelivered(GenerationActions &actions);
     bool callerCanReturn() const;
     void complete(GenerationActions &actions, std::string reason);
     void fail(GenerationActions &actions, Error error, std::chrono::milliseconds retryAfter);
--- a/src/decisions/GenerationSession.cpp
+++ b/src/decisions/GenerationSession.cpp
@@ -173,6 +173,8 @@
         startRefused(actions, error, std::chrono::milliseconds(message.retryAfterMs));
     else if (message.code == ErrorCode::Forbidden)
         fail(actions, error, {});
+    else if (message.code == ErrorCode::Incomplete && canSkipDelivered())
+        skipDelivered(actions);
     else
         loseAttempt(actions, error, now);
     return withTick(std::move(actions));
--- a/src/decisions/GenerationSessionRecovery.cpp
+++ b/src/decisions/GenerationSessionRecovery.cpp
@@ -125,7 +125,21 @@
 // A new attempt needs the exact tokens that the caller has as its prefix.
 bool GenerationSession::canResume() const
 {
-    return m_answer.nextOffset() >= m_goal.callerOffset;
+    return m_answer.firstOffset() == 0 && m_answer.nextOffset() >= m_goal.callerOffset;
+}
+
+// The whole answer is fetched first, so that it can be resumed; a journal that has dropped its
+// beginning can still deliver what the caller lacks.
+bool GenerationSession::canSkipDelivered() const
+{
+    return m_answer.nextOffset() == 0 && m_goal.callerOffset > 0;
+}
+
+void GenerationSession::skipDelivered(GenerationActions &actions)
+{
+    m_answer = AnswerAssembler(m_goal.requestId, m_goal.callerOffset);
+    m_answer.openAttempt(m_attempt);
+    attachAgain(actions, false);
 }
 
 bool GenerationSession::callerCanReturn() const
--- a/src/entry/CallerPort.cpp
+++ b/src/entry/CallerPort.cpp
@@ -39,7 +39,7 @@
 {
 }
 
-void CallerPort::handle(HttpRequest request, std::shared_ptr<Http1Responder> responder)
+void CallerPort::handle(HttpRequest request, const std::shared_ptr<Http1Responder> &responder)
 {
     m_parts.counters.add("requests_total");
     auto identified = identify(std::move(request), responder);
--- a/src/entry/CallerPort.h
+++ b/src/entry/CallerPort.h
@@ -23,7 +23,7 @@
 public:
     explicit CallerPort(EntryParts &parts);
 
-    void handle(HttpRequest request, std::shared_ptr<Http1Responder> responder);
+    void handle(HttpRequest request, const std::shared_ptr<Http1Responder> &responder);
     /// \brief From now on every request is refused with "not run".
     void refuseNew() { m_refusing = true; }
 
--- a/src/entry/EntryNode.cpp
+++ b/src/entry/EntryNode.cpp
@@ -36,10 +36,11 @@
         , membership(parts)
         , callerPort(parts)
         , adminPort(parts, [this] { return isReady(); })
-        , callerServer(parts.pool, parts.settings.listen, callerLimits(parts.settings),
-                       [this](HttpRequest request, std::shared_ptr<Http1Responder> responder) {
-                           callerPort.handle(std::move(request), std::move(responder));
-                       })
+        , callerServer(
+              parts.pool, parts.settings.listen, callerLimits(parts.settings),
+              [this](HttpRequest request, const std::shared_ptr<Http1Responder> &responder) {
+                  callerPort.handle(std::move(request), responder);
+              })
         , adminServer(parts.pool, parts.settings.admin, HttpLimits {},
                       [this](HttpRequest request, std::shared_ptr<Http1Responder> responder) {
                           adminPort.handle(std::move(request), std::move(responder));
@@ -113,7 +114,7 @@
 {
     ConfigState &config = m_state->parts.config;
     const std::int64_t before = config.revision();
-    const auto applied = config.apply(update);
+    auto applied = config.apply(update);
     const std::int64_t revision = config.revision();
     if (revision == before)
         return applied;
--- a/src/entry/EntrySettings.cpp
+++ b/src/entry/EntrySettings.cpp
@@ -42,38 +42,40 @@
         reader.fault("secret", "at least 16 characters");
 }
 
-void readGenerations(SettingsReader &reader, EntrySettings &settings)
+void readTimes(SettingsReader reader, EntrySettings &settings)
 {
-    readMs(reader, "suspectAfterMs", settings.session.liveness.suspectAfter);
-    readMs(reader, "reattachWindowMs", settings.session.liveness.reattachWindow);
+    GenerationSessionSettings &session = settings.session;
+    readMs(reader, "suspectAfterMs", session.liveness.suspectAfter);
+    readMs(reader, "reattachWindowMs", session.liveness.reattachWindow);
     // A sidecar closes a stream after 3 s without Ack.
-    readMs(reader, "ackIntervalMs", settings.session.ackInterval, 10, 2000);
-    readMs(reader, "resumePatienceMs", settings.session.resumePatience);
-    readCount(reader, "maxFruitlessAttempts", settings.session.maxFruitlessAttempts, 1000);
-    settings.resumesPerSecond =
-        reader.numberOr("resumesPerSecond", settings.resumesPerSecond, 0.1, 1'000'000);
+    readMs(reader, "ackIntervalMs", session.ackInterval, 10, 2000);
+    readMs(reader, "resumePatienceMs", session.resumePatience);
     readMs(reader, "generationDeadlineMs", settings.generationDeadline);
+    readMs(reader, "callDeadlineMs", settings.callDeadline);
     readMs(reader, "recordTimeoutMs", settings.recordTimeout);
     readMs(reader, "finalAckDelayMs", settings.finalAckDelay, 0, 2500);
-    readCount(reader, "maxTokensLimit", settings.maxTokensLimit, 100'000'000);
-    readCount(reader, "defaultMaxTokens", settings.defaultMaxTokens, settings.maxTokensLimit);
+    readMs(reader, "vmListIntervalMs", settings.vmListInterval);
+    readMs(reader, "reportIntervalMs", settings.reportInterval);
+    readMs(reader, "retryAfterMs", settings.retryAfter);
+    readMs(reader, "drainDelayMs", settings.drainDelay, 0);
+    readMs(reader, "drainLimitMs", settings.drainLimit, 0);
+    reader.finish().isOk(); // The list of faults is shared; read() reports it.
 }
 
-void readLimits(SettingsReader &reader, EntrySettings &settings)
+void readLimits(SettingsReader reader, EntrySettings &settings)
 {
     constexpr std::int64_t mostBytes = 1024 * 1024 * 1024;
     // A call travels in one frame of at most 16 MiB.
     constexpr std::int64_t mostBodyBytes = 12 * 1024 * 1024;
-    readCount(reader, "threads", settings.threads, 256);
-    readMs(reader, "callDeadlineMs", settings.callDeadline);
+    readCount(reader, "maxFruitlessAttempts", settings.session.maxFruitlessAttempts, 1000);
+    settings.resumesPerSecond =
+        reader.numberOr("resumesPerSecond", settings.resumesPerSecond, 0.1, 1'000'000);
+    readCount(reader, "maxTokensLimit", settings.maxTokensLimit, 100'000'000);
+    readCount(reader, "defaultMaxTokens", settings.defaultMaxTokens, settings.maxTokensLimit);
     readCount(reader, "requestBodyBytes", settings.requestBodyBytes, mostBodyBytes);
     readCount(reader, "callerBufferBytes", settings.callerBufferBytes, mostBytes);
-    readMs(reader, "vmListIntervalMs", settings.vmListInterval);
-    readMs(reader, "reportIntervalMs", settings.reportInterval);
     readCount(reader, "subsetSize", settings.subsetSize, 100'000);
-    readMs(reader, "retryAfterMs", settings.retryAfter);
-    readMs(reader, "drainDelayMs", settings.drainDelay, 0);
-    readMs(reader, "drainLimitMs", settings.drainLimit, 0);
+    reader.finish().isOk(); // The list of faults is shared; read() reports it.
 }
 
 } // namespace
@@ -90,8 +92,11 @@
 {
     EntrySettings settings;
     readIdentity(reader, settings);
-    readGenerations(reader, settings);
-    readLimits(reader, settings);
+    readCount(reader, "threads", settings.threads, 256);
+    if (reader.has("times"))
+        readTimes(reader.section("times"), settings);
+    if (reader.has("limits"))
+        readLimits(reader.section("limits"), settings);
     const auto done = reader.finish();
     if (!done)
         return done.error();
--- a/src/entry/GenerationPort.cpp
+++ b/src/entry/GenerationPort.cpp
@@ -138,9 +138,10 @@
         return resumeAt(request, std::move(job), position.serverAddress, position.attempt);
     // The record may name a later attempt than the one the caller saw.
     const std::string service = job.service;
+    const std::string account = job.account;
     const std::string key = job.idempotencyKey;
     m_parts.directory.find(
-        service, job.account, key,
+        service, account, key,
         [this, request, job = std::move(job), position](std::optional<GenerationRecord> record) {
             const bool isLater = record && record->requestId == position.requestId
                 && record->attempt > position.attempt;
@@ -158,9 +159,10 @@
 void GenerationPort::findByKey(const Request &request, GenerationJob job)
 {
     const std::string service = job.service;
+    const std::string account = job.account;
     const std::string key = job.idempotencyKey;
     m_parts.directory.find(
-        service, job.account, key,
+        service, account, key,
         [this, request, job = std::move(job)](std::optional<GenerationRecord> record) mutable {
             if (!record)
                 return admit(request, std::move(job));
--- a/tests/decisions/GenerationSessionTest.cpp
+++ b/tests/decisions/GenerationSessionTest.cpp
@@ -59,6 +59,7 @@
     CPPUNIT_TEST(fruitlessAttemptsAreBounded);
     CPPUNIT_TEST(returningCallerGetsOnlyWhatItLacks);
     CPPUNIT_TEST(lostJournalOfReturningCallerIsIncomplete);
+    CPPUNIT_TEST(journalWithoutItsBeginningIsReadFromTheCallersOffset);
     CPPUNIT_TEST(callerWithoutTokensIsRestarted);
     CPPUNIT_TEST(goneCallerDetachesOrCancels);
     CPPUNIT_TEST(anyFaultsGiveOneWholeAnswer);
@@ -253,6 +254,22 @@
         CPPUNIT_ASSERT(!find<Action::Fail>(end)->notRun);
     }
 
+    // Guards against giving up an answer of which the journal has all that the caller lacks.
+    void journalWithoutItsBeginningIsReadFromTheCallersOffset()
+    {
+        auto wanted = goal();
+        wanted.callerOffset = 4;
+        GenerationSession session(wanted, {});
+        session.attach("a", 3, m_now);
+        const auto again =
+            session.refused(Refused {"r", 3, ErrorCode::Incomplete, "dropped", 0}, m_now);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(4), find<Action::Attach>(again)->fromOffset);
+        CPPUNIT_ASSERT(find<Action::Emit>(session.tokens(run(3, 4, 2), m_now)));
+        // Without the beginning no other server can go on with it.
+        const auto end = session.failed(Failed {"r", 3, 6, ErrorCode::EngineFailed, ""}, m_now);
+        CPPUNIT_ASSERT(find<Action::Fail>(end)->error.code == ErrorCode::Incomplete);
+    }
+
     void callerWithoutTokensIsRestarted()
     {
         GenerationSession session(goal(), {});
--- a/tests/entry/EntryFixture.cpp
+++ b/tests/entry/EntryFixture.cpp
@@ -21,22 +21,6 @@
 constexpr const char *hashOfKeyB =
     "a30534a53b23547377ddccbd1ac85a8a84c13db43493c16e55a6abc7b0eba634";
 
-EntrySettings settings(const std::string &id)
-{
-    EntrySettings out;
-    out.nodeId = id;
-    out.region = "asturias";
-    out.availabilityZone = "oviedo-a";
-    out.listen = {"127.0.0.1", 0};
-    out.admin = {"127.0.0.1", 0};
-    out.platform = {"127.0.0.1", 1};
-    out.secret = "a secret of the tests";
-    out.threads = 2;
-    out.drainDelay = milliseconds(100);
-    out.finalAckDelay = milliseconds(50);
-    return out;
-}
-
 ResourceDelta resource(const std::string &kind, const std::string &name, const std::string &spec)
 {
     const StoredResource stored {kind, name, 1, "test", "change", spec};
@@ -67,8 +51,10 @@
 
 } // namespace
 
-EntryFixture::EntryFixture(std::size_t sidecarCount, const std::string &service)
+EntryFixture::EntryFixture(std::size_t sidecarCount, const std::string &service,
+                           milliseconds drainLimit)
     : m_service(service)
+    , m_drainLimit(drainLimit)
     , m_pool(2)
     , m_client(m_pool)
 {
@@ -78,6 +64,22 @@
     addEntry();
 }
 
+EntrySettings EntryFixture::settings(const std::string &id)
+{
+    EntrySettings out;
+    out.nodeId = id;
+    out.region = "asturias";
+    out.availabilityZone = "oviedo-a";
+    out.listen = {"127.0.0.1", 0};
+    out.admin = {"127.0.0.1", 0};
+    out.platform = {"127.0.0.1", 1};
+    out.secret = "a secret of the tests";
+    out.threads = 2;
+    out.drainDelay = milliseconds(100);
+    out.finalAckDelay = milliseconds(50);
+    return out;
+}
+
 EntryFixture::~EntryFixture()
 {
     m_entries.clear();
@@ -87,7 +89,9 @@
 
 std::uint16_t EntryFixture::addEntry()
 {
-    auto made = std::make_unique<EntryNode>(settings("entry-" + std::to_string(m_ports.size())));
+    EntrySettings own = settings("entry-" + std::to_string(m_ports.size()));
+    own.drainLimit = m_drainLimit;
+    auto made = std::make_unique<EntryNode>(std::move(own));
     const auto ports = made->listen();
     CPPUNIT_ASSERT(ports.isOk());
     CPPUNIT_ASSERT(made->applyConfig(configuration()).isOk());
@@ -137,7 +141,7 @@
 std::shared_ptr<SseReader> EntryFixture::stream(const std::string &body,
                                                 std::vector<HttpHeader> headers, std::uint16_t port)
 {
-    const auto reader = std::make_shared<SseReader>();
+    auto reader = std::make_shared<SseReader>();
     headers.push_back({"Authorization", "Bearer key-a"});
     const Endpoint endpoint {"127.0.0.1", port ? port : this->port()};
     reader->setHandle(
--- a/tests/entry/EntryFixture.h
+++ b/tests/entry/EntryFixture.h
@@ -2,11 +2,14 @@
 
 #include "foxtailring/entry/EntryNode.h"
 #include "foxtailring/transport/Http1Client.h"
+#include "foxtailring/transport/Http1Responder.h"
 #include "foxtailring/transport/WorkerPool.h"
 
 #include "FakeSidecar.h"
 #include "SseReader.h"
 
+#include <chrono>
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -17,7 +20,8 @@
 class EntryFixture
 {
 public:
-    explicit EntryFixture(std::size_t sidecarCount = 2, const std::string &service = "lector");
+    explicit EntryFixture(std::size_t sidecarCount = 2, const std::string &service = "lector",
+                          std::chrono::milliseconds drainLimit = std::chrono::milliseconds(100));
     ~EntryFixture();
 
     /// \brief Adds one more entry that serves the same sidecars; returns its port.
@@ -36,6 +40,7 @@
     std::uint16_t port() const { return m_ports.front().callers; }
     std::uint16_t adminPort() const { return m_ports.front().admin; }
 
+    static EntrySettings settings(const std::string &id);
     /// \brief Waits until \a done is true; fails the test after a generous deadline.
     static void waitUntil(const std::function<bool()> &done);
     /// \brief Text of a whole answer with that tag.
@@ -43,6 +48,7 @@
 
 private:
     std::string m_service;
+    std::chrono::milliseconds m_drainLimit;
     std::vector<std::unique_ptr<FakeSidecar>> m_sidecars;
     std::vector<std::unique_ptr<EntryNode>> m_entries;
     std::vector<EntryPorts> m_ports;
--- a/tests/entry/FakeSidecar.cpp
+++ b/tests/entry/FakeSidecar.cpp
@@ -27,7 +27,7 @@
     , m_service(std::move(service))
     , m_pool(1)
     , m_server(std::make_unique<Http2Server>(m_pool, Endpoint {"127.0.0.1", 0},
-                                             [this](Stream stream) { opened(stream); }))
+                                             [this](const Stream &stream) { opened(stream); }))
     , m_timer(m_pool)
 {
     const auto port = m_server->listen();
@@ -131,7 +131,7 @@
     return tokens;
 }
 
-void FakeSidecar::started(const Stream &stream, StartAttempt start)
+void FakeSidecar::started(const Stream &stream, const StartAttempt &start)
 {
     starts.push_back(start);
     const std::string &request = start.requestId;
@@ -178,12 +178,17 @@
     }
     const std::vector<Token> &tokens = found->second.tokens;
     const auto from = static_cast<std::ptrdiff_t>(attach.fromOffset);
-    stream->send(encodeMessage(Tokens {attach.requestId,
-                                       attach.attempt,
-                                       attach.fromOffset,
-                                       {tokens.begin() + from, tokens.end()}}));
-    stream->send(
-        encodeMessage(Finished {attach.requestId, attach.attempt, tokens.size(), "length"}));
+    const std::size_t end = m_script.failAttachAt > 0 ? m_script.failAttachAt : tokens.size();
+    stream->send(encodeMessage(
+        Tokens {attach.requestId,
+                attach.attempt,
+                attach.fromOffset,
+                {tokens.begin() + from, tokens.begin() + static_cast<std::ptrdiff_t>(end)}}));
+    if (end < tokens.size())
+        stream->send(encodeMessage(Failed {attach.requestId, attach.attempt, end,
+                                           ErrorCode::EngineFailed, "engine reset"}));
+    else
+        stream->send(encodeMessage(Finished {attach.requestId, attach.attempt, end, "length"}));
     stream->finish();
 }
 
--- a/tests/entry/FakeSidecar.h
+++ b/tests/entry/FakeSidecar.h
@@ -38,9 +38,10 @@
     struct Script
     {
         Fault fault = Fault::None;
-        std::uint64_t faultAt = 0; ///< tokens sent before the fault
-        bool journalGone = false;  ///< attaches are refused
-        bool silentAttach = false; ///< attaches get no answer
+        std::uint64_t faultAt = 0;      ///< tokens sent before the fault
+        bool journalGone = false;       ///< attaches are refused
+        bool silentAttach = false;      ///< attaches get no answer
+        std::uint64_t failAttachAt = 0; ///< the journal ends there in a failure; 0: it does not
     };
 
     FakeSidecar(std::string id, std::string service);
@@ -81,7 +82,7 @@
 
     void opened(const Stream &stream);
     void received(const Stream &stream, const Frame &frame);
-    void started(const Stream &stream, StartAttempt start);
+    void started(const Stream &stream, const StartAttempt &start);
     void attached(const Stream &stream, const Attach &attach);
     void called(const Stream &stream, const Call &call);
     void found(const Stream &stream, const Frame &frame);
