--- /dev/null
+++ b/include/foxtailring/decisions/JournalSlice.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "foxtailring/decisions/AttemptEnd.h"
+#include "foxtailring/protocol/Token.h"
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+namespace foxtailring {
+
+/// \brief A run of tokens of one attempt.
+struct JournalSlice
+{
+    std::uint64_t offset = 0; ///< index in the whole answer of the first token
+    std::vector<Token> tokens;
+    std::optional<AttemptEnd> end; ///< set when the attempt has ended after the last token here
+
+    std::uint64_t nextOffset() const { return offset + tokens.size(); }
+};
+
+} // namespace foxtailring
--- /dev/null
+++ b/src/decisions/DrainState.cpp
@@ -0,0 +1,68 @@
+#include "foxtailring/decisions/DrainState.h"
+
+#include <cassert>
+
+namespace foxtailring {
+
+DrainState::DrainState(Duration limit)
+    : m_limit(limit)
+{
+}
+
+DrainPhase DrainState::phase() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_phase;
+}
+
+bool DrainState::begin(TimePoint now)
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_phase != DrainPhase::Serving)
+        return false;
+    m_phase = DrainPhase::Draining;
+    m_deadline = now + m_limit;
+    return true;
+}
+
+// Admission and the phase share a lock, so no work is counted in after the process is drained.
+Result<Done> DrainState::admitWork()
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_phase != DrainPhase::Serving)
+        return Error {ErrorCode::Draining, "the server is leaving and takes no new work"};
+    ++m_work;
+    return Done {};
+}
+
+void DrainState::endWork()
+{
+    const std::lock_guard lock(m_mutex);
+    assert(m_work > 0);
+    --m_work;
+}
+
+std::size_t DrainState::workInProgress() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_work;
+}
+
+Result<Done> DrainState::admitAttach() const
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_phase == DrainPhase::Drained)
+        return Error {ErrorCode::Draining, "the server is about to exit"};
+    return Done {};
+}
+
+DrainPhase DrainState::update(std::size_t unacknowledged, TimePoint now)
+{
+    const std::lock_guard lock(m_mutex);
+    const bool done = (m_work == 0 && unacknowledged == 0) || now >= m_deadline;
+    if (m_phase == DrainPhase::Draining && done)
+        m_phase = DrainPhase::Drained;
+    return m_phase;
+}
+
+} // namespace foxtailring
