sidecar: serve generations, load reports, configuration and records

Cause: an answer must survive a cut stream, a dead entry and a hung engine.

Accepted::incarnation grows with each start, since backend servers compare it as a fencing token.

--- a/include/foxtailring/protocol/Accepted.h
+++ b/include/foxtailring/protocol/Accepted.h
@@ -16,7 +16,7 @@
     std::string requestId;
     std::uint32_t attempt = 0;
     std::string serverId;
-    std::uint64_t incarnation = 0; ///< chosen at random when the sidecar starts
+    std::uint64_t incarnation = 0; ///< unique to this start of the sidecar; grows with each start
 
     MSGPACK_DEFINE_MAP(requestId, attempt, serverId, incarnation)
 };
--- /dev/null
+++ b/src/sidecar/ConfigService.cpp
@@ -0,0 +1,43 @@
+#include "foxtailring/sidecar/ConfigService.h"
+
+#include "foxtailring/base/Counters.h"
+#include "foxtailring/base/StructuredLog.h"
+#include "foxtailring/decisions/ConfigState.h"
+#include "foxtailring/protocol/ConfigAck.h"
+#include "foxtailring/protocol/ConfigUpdate.h"
+#include "foxtailring/sidecar/MessageStream.h"
+#include "foxtailring/sidecar/SidecarSettings.h"
+
+namespace foxtailring {
+
+ConfigService::ConfigService(const SidecarContext &context)
+    : m_context(context)
+{
+}
+
+void ConfigService::open(const std::shared_ptr<Http2Stream> &stream)
+{
+    MessageStream::open(
+        stream,
+        [self = shared_from_this()](const std::shared_ptr<MessageStream> &opened,
+                                    const Frame &frame) { self->takeFrame(*opened, frame); });
+}
+
+// The acknowledgement carries the revision in force, so that an entry whose update started above
+// it sends a full one.
+void ConfigService::takeFrame(MessageStream &stream, const Frame &frame)
+{
+    const auto update = decodeMessage<ConfigUpdate>(frame);
+    if (!update)
+        return stream.reset();
+    const std::int64_t before = m_context.config->revision();
+    if (!m_context.config->apply(update.value()))
+        m_context.counters->add("sidecar_config_stale_total");
+    const std::int64_t revision = m_context.config->revision();
+    m_context.counters->setGauge("sidecar_config_revision", static_cast<double>(revision));
+    if (before == 0 && revision > 0)
+        StructuredLog::info("firstConfiguration", {{"revision", std::to_string(revision)}});
+    stream.send(ConfigAck {m_context.settings->nodeId, revision});
+}
+
+} // namespace foxtailring
--- /dev/null
+++ b/tests/sidecar/TestEngine.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "foxtailring/transport/Endpoint.h"
+#include "foxtailring/transport/Http1Responder.h"
+#include "foxtailring/transport/Http1Server.h"
+#include "foxtailring/transport/WorkerPool.h"
+#include "Waiting.h"
+
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <vector>
+
+/// \brief One completion request as the engine received it.
+struct TestCompletion
+{
+    foxtailring::HttpRequest request;
+    nlohmann::json body;
+    std::shared_ptr<foxtailring::Http1Responder> responder;
+
+    void sendToken(std::int64_t id, const std::string &text) const;
+    void sendFinish(const std::string &reason) const;
+};
+
+/// \brief Backend server that a test drives: engine and plain service in one.
+class TestEngine
+{
+public:
+    explicit TestEngine(foxtailring::WorkerPool &pool);
+    ~TestEngine();
+    TestEngine(const TestEngine &) = delete;
+    TestEngine &operator=(const TestEngine &) = delete;
+
+    foxtailring::Endpoint endpoint() const { return m_endpoint; }
+    /// \brief The completion with that index, once it has arrived.
+    TestCompletion completion(std::size_t index);
+    /// \brief The call with that index that is neither a completion nor a poll.
+    TestCompletion call(std::size_t index);
+    std::size_t callCount();
+    std::size_t completionCount();
+    /// \brief Waits until the sidecar has closed that many completion streams early.
+    bool waitForCancelled(std::size_t count);
+    /// \brief Without answer `/health` probes stay open.
+    void setHealthy(bool healthy);
+    void setLoad(const std::string &json);
+    void setCacheEvents(const std::string &json);
+
+private:
+    struct Shared;
+
+    const std::shared_ptr<Shared> m_shared;
+    foxtailring::Http1Server m_server;
+    foxtailring::Endpoint m_endpoint;
+};
