decisions: fit routing, subsets and resumes to measured behaviour

Cause: with a fixed half-life and two redraws Router waited longer than plain two choices on reports of 5 s; rendezvous subsets left servers without any entry; every entry took the whole resume rate; the limit of a service fell during rolling restarts because work on leaving servers counted against it. Change: report half-life follows the mean run time of the service (RouteRequest::meanRun, AdmissionController::meanRun), one redraw only, and resumes take two choices among the near-best costs. SubsetSelector bounds followers from below as well. ResumeAdmission divides its rate by the live entries. updateCapacity leaves unfollowed and leaving servers out. The retry floor is 0.2/s.

--- a/include/foxtailring/decisions/AdmissionController.h
+++ b/include/foxtailring/decisions/AdmissionController.h
@@ -57,15 +57,23 @@
 
     /// \brief Entries that share the limits of client accounts, this one included.
     void setLiveEntries(std::uint32_t entries);
-    /// \brief Derives the service's concurrency limit from its candidates.
-    /// \param sharers entries that send to the same candidates, this one included
-    void updateCapacity(std::string_view service, std::span<const ServerState> candidates,
+    /// \brief Derives the service's concurrency limit from its servers.
+    ///
+    /// Live ones that are followed count with their capacity, leaving ones with the work that this
+    /// entry still has there, others not at all.
+    /// \param servers ServerTable::servers(), or only the candidates
+    /// \param sharers entries that send to the same servers, this one included
+    void updateCapacity(std::string_view service, std::span<const ServerState> servers,
                         std::uint32_t sharers);
     /// \brief Sets the service's concurrency limit at this entry; 0 refuses all new work.
     void setConcurrencyLimit(std::string_view service, std::uint32_t limit);
     /// \brief Part of the limit left to new work, from ResumeAdmission::newWorkShare().
     void setNewWorkShare(std::string_view service, double share);
 
+    /// \brief Starts, queues or refuses a request at once.
+    ///
+    /// Call next() after release(), expire() and changes of a limit, and expire() several times a
+    /// second.
     AdmissionDecision submit(const AdmissionRequest &request, TimePoint now);
     /// \brief Ends a running request, or withdraws a queued one. Unknown tickets are ignored.
     void release(Ticket ticket, TimePoint now);
@@ -74,6 +82,8 @@
     /// \brief Queued tickets that cannot start in time any more; each must be answered at once.
     std::vector<ExpiredTicket> expire(TimePoint now);
 
+    /// \brief Mean time between start and release() of the service's recent requests.
+    Duration meanRun(std::string_view service) const;
     std::uint32_t concurrencyLimit(std::string_view service) const;
     std::size_t running(std::string_view service) const;
     std::size_t queued(std::string_view service) const;
--- a/include/foxtailring/decisions/ResumeAdmission.h
+++ b/include/foxtailring/decisions/ResumeAdmission.h
@@ -24,8 +24,12 @@
 public:
     struct Settings
     {
-        double resumesPerSecond = 50; ///< for each service, of this entry
-        double burst = 10;            ///< resumes that start at once after a quiet time
+        /// For each service, over all entries: about 10 for each live server. A rate near the
+        /// servers' prefill rate adds the wait here to the one at the engines (bench-policy,
+        /// zone-loss: at 1.5 for each server 55% instead of 70% resumed within 4 s).
+        double resumesPerSecond = 200;
+        /// Seconds' worth of resumes that start at once after a quiet time; at least one an entry.
+        double burstSeconds = 0.1;
         /// Longest random delay of a resume that finds the burst used up.
         Duration jitter = std::chrono::milliseconds(250);
         /// Share of the usual limit left to new work while resumes wait.
@@ -37,6 +41,11 @@
     ResumeAdmission();
     explicit ResumeAdmission(Settings settings);
 
+    /// \brief Entries that share each service's rate, this one included.
+    void setLiveEntries(std::uint32_t entries);
+    /// \brief Sets the rate of one service over all entries, per second.
+    void setRate(std::string_view service, double resumesPerSecond);
+
     /// \brief Adds a resume. It waits until takeReady() names it.
     void submit(std::string_view service, std::string requestId, std::uint32_t priority,
                 TimePoint now, RandomSource &random);
@@ -60,18 +69,23 @@
     };
     struct Wave
     {
+        double perSecond = 0; ///< over all entries
         double tokens = 0;
-        TimePoint refilledAt;
-        std::vector<Waiting> waiting; ///< by priority, then order of submission
+        std::optional<TimePoint> refilledAt; ///< none: the bucket was never used and is full
+        std::vector<Waiting> waiting;        ///< by priority, then order of submission
         std::optional<TimePoint> drainedAt;
     };
 
+    Wave &wave(std::string_view service);
+    double rate(const Wave &wave) const;
+    double burst(const Wave &wave) const;
     void refill(Wave &wave, TimePoint now) const;
     void takeFrom(Wave &wave, TimePoint now, std::vector<std::string> &ready) const;
     TimePoint readyAt(const Wave &wave, TimePoint now) const;
 
     const Settings m_settings;
     mutable std::mutex m_mutex;
+    std::uint32_t m_entries = 1;
     std::map<std::string, Wave, std::less<>> m_waves;
 };
 
--- a/include/foxtailring/decisions/RetryBudget.h
+++ b/include/foxtailring/decisions/RetryBudget.h
@@ -21,7 +21,7 @@
     struct Settings
     {
         double fraction = 0.1;       ///< retries per success
-        double floorPerSecond = 0.5; ///< retries per second that are always allowed
+        double floorPerSecond = 0.2; ///< retries per second that are always allowed
     };
 
     RetryBudget();
--- a/include/foxtailring/decisions/RouteRequest.h
+++ b/include/foxtailring/decisions/RouteRequest.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "foxtailring/base/Clock.h"
 #include "foxtailring/decisions/CostWeights.h"
 
 #include <cstdint>
@@ -18,6 +19,9 @@
     std::optional<std::uint64_t> prefixHash; ///< keyHash of the prompt prefix
     std::vector<std::string> excluded;       ///< server ids that must not be chosen
     CostWeights weights;
+    /// Mean run time of the service's work, as AdmissionController::meanRun() measures it. Reports
+    /// go out of date, and queues drain, at this pace.
+    Duration meanRun = std::chrono::seconds(5);
 };
 
 } // namespace foxtailring
--- a/include/foxtailring/decisions/Router.h
+++ b/include/foxtailring/decisions/Router.h
@@ -25,8 +25,10 @@
 public:
     struct Settings
     {
-        /// Age at which a report's load counts half; the rest is the mean of the candidates.
-        Duration reportHalfLife = std::chrono::seconds(2);
+        /// Age at which a report's load counts half, as a part of the mean run time; the rest is
+        /// the mean of the candidates. With runs of 1.5 s a half-life of 0.1 to 0.3 s had the least
+        /// p99 wait, with runs of 20 s one of 2 to 8 s (bench-policy, trials).
+        double halfLifePerRun = 0.2;
         /// Work per unit of capacity from which servers count as saturated.
         double saturation = 1.0;
         /// Score of leaving the availability zone and the region, in units of full capacity.
@@ -41,14 +43,13 @@
         double zoneRoundTripMs = 1;
         double regionRoundTripMs = 3;
         double farRoundTripMs = 25;
-        /// Prefill time in milliseconds per token, and mean time of one piece of queued work.
+        /// Prefill time in milliseconds per token at an idle server.
         double prefillMsPerToken = 0.2;
-        double queueMsPerWork = 500;
         /// Cost in milliseconds of latency that one prefilled token and one billed byte weigh.
         double tokenCost = 0.2;
         double byteCost = 0.02;
         /// Resumes are spread over servers whose cost is within this part above the least.
-        double resumeTolerance = 0.1;
+        double resumeTolerance = 0.25;
     };
 
     /// \brief Keeps references; both must outlive the router.
--- a/include/foxtailring/decisions/ServerState.h
+++ b/include/foxtailring/decisions/ServerState.h
@@ -22,6 +22,7 @@
     std::uint32_t ownAtReport = 0;        ///< work of this entry when the last report arrived
     Duration reportAge = Duration::max(); ///< max: no report yet
     ServerStatus state = ServerStatus::Live;
+    bool followed = true;            ///< part of this entry's subset
     std::uint64_t incarnation = 0;   ///< 0: no report yet
     std::int64_t configRevision = 0; ///< revision in force at the sidecar
 };
--- a/include/foxtailring/decisions/SubsetSelector.h
+++ b/include/foxtailring/decisions/SubsetSelector.h
@@ -22,7 +22,8 @@
         /// Each server is followed by about this many entries at least; with few entries or many
         /// servers an entry follows more than size for it.
         std::size_t leastFollowers = 3;
-        /// Most followers of a server, as a multiple of the mean.
+        /// Followers of a server lie between the mean divided and multiplied by this, rounded away.
+        /// Less slack is more even but moves more when names change (bench-policy, subsets).
         double slack = 1.1;
     };
 
@@ -41,7 +42,6 @@
 
 private:
     std::size_t subsetSize(std::size_t entryCount, std::size_t serverCount) const;
-    std::size_t mostFollowers(std::size_t entryCount, std::size_t serverCount) const;
 
     const Settings m_settings;
 };
--- a/src/decisions/AdmissionController.cpp
+++ b/src/decisions/AdmissionController.cpp
@@ -220,13 +220,18 @@
 }
 
 void AdmissionController::updateCapacity(std::string_view service,
-                                         std::span<const ServerState> candidates,
+                                         std::span<const ServerState> servers,
                                          std::uint32_t sharers)
 {
     double capacity = 0;
     double free = 0;
     double own = 0;
-    for (const ServerState &state : candidates) {
+    double leaving = 0;
+    for (const ServerState &state : servers) {
+        if (state.state == ServerStatus::Leaving)
+            leaving += state.ownInFlight;
+        if (state.state != ServerStatus::Live || !state.followed)
+            continue;
         const double size = state.capacity > 0 ? state.capacity : m_settings.assumedCapacity;
         const double reported = static_cast<double>(state.running) + state.waiting;
         const double others = std::max(0.0, reported - state.ownAtReport);
@@ -236,7 +241,9 @@
     }
     const double share = capacity * m_settings.headroom / std::max<std::uint32_t>(1, sharers);
     const double limit = std::max(share, own + free * m_settings.borrow);
-    setConcurrencyLimit(service, static_cast<std::uint32_t>(std::ceil(limit)));
+    // Work on leaving servers takes nothing from the others, so it must not hold back new work.
+    setConcurrencyLimit(service,
+                        capacity > 0 ? static_cast<std::uint32_t>(std::ceil(limit + leaving)) : 0);
 }
 
 void AdmissionController::setConcurrencyLimit(std::string_view service, std::uint32_t limit)
@@ -330,6 +337,14 @@
     return expired;
 }
 
+Duration AdmissionController::meanRun(std::string_view service) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_state->services.find(service);
+    return found == m_state->services.end() ? m_settings.assumedRun
+                                            : durationOf(found->second.meanRunSeconds());
+}
+
 std::uint32_t AdmissionController::concurrencyLimit(std::string_view service) const
 {
     const std::lock_guard lock(m_mutex);
--- a/src/decisions/LoadEstimate.cpp
+++ b/src/decisions/LoadEstimate.cpp
@@ -5,9 +5,9 @@
 
 namespace foxtailring {
 
-LoadEstimate::LoadEstimate(std::span<const ServerState> states, Duration halfLife,
+LoadEstimate::LoadEstimate(std::span<const ServerState> states, double halfLifeSeconds,
                            double assumedCapacity)
-    : m_halfLife(halfLife)
+    : m_halfLifeSeconds(std::max(1e-3, halfLifeSeconds))
     , m_assumedCapacity(assumedCapacity)
 {
     double work = 0;
@@ -28,7 +28,7 @@
     double weight = 0;
     if (state.reportAge != Duration::max()) {
         const double age = std::chrono::duration<double>(state.reportAge).count();
-        weight = std::exp2(-age / std::chrono::duration<double>(m_halfLife).count());
+        weight = std::exp2(-age / m_halfLifeSeconds);
     }
     const double others = weight * reportedByOthers(state) + (1 - weight) * m_meanOfOthers * size;
     return (others + state.ownInFlight) / size;
--- a/src/decisions/LoadEstimate.h
+++ b/src/decisions/LoadEstimate.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "foxtailring/base/Clock.h"
 #include "foxtailring/decisions/ServerState.h"
 
 #include <span>
@@ -15,7 +14,8 @@
 class LoadEstimate
 {
 public:
-    LoadEstimate(std::span<const ServerState> states, Duration halfLife, double assumedCapacity);
+    LoadEstimate(std::span<const ServerState> states, double halfLifeSeconds,
+                 double assumedCapacity);
 
     /// \brief Expected work per unit of capacity; 1: just busy.
     double load(const ServerState &state) const;
@@ -24,7 +24,7 @@
 private:
     double reportedByOthers(const ServerState &state) const;
 
-    Duration m_halfLife;
+    double m_halfLifeSeconds;
     double m_assumedCapacity;
     double m_meanOfOthers = 0; ///< per unit of capacity
 };
--- a/src/decisions/ResumeAdmission.cpp
+++ b/src/decisions/ResumeAdmission.cpp
@@ -31,18 +31,24 @@
 {
 }
 
+void ResumeAdmission::setLiveEntries(std::uint32_t entries)
+{
+    const std::lock_guard lock(m_mutex);
+    m_entries = std::max<std::uint32_t>(1, entries);
+}
+
+void ResumeAdmission::setRate(std::string_view service, double resumesPerSecond)
+{
+    const std::lock_guard lock(m_mutex);
+    wave(service).perSecond = resumesPerSecond;
+}
+
 void ResumeAdmission::submit(std::string_view service, std::string requestId,
                              std::uint32_t priority, TimePoint now, RandomSource &random)
 {
     const double part = random.unit();
     const std::lock_guard lock(m_mutex);
-    auto found = m_waves.find(service);
-    if (found == m_waves.end()) {
-        found = m_waves.emplace(std::string(service), Wave {}).first;
-        found->second.tokens = m_settings.burst;
-        found->second.refilledAt = now;
-    }
-    Wave &wave = found->second;
+    Wave &wave = this->wave(service);
     refill(wave, now);
     // The jitter keeps entries that saw the same loss from resuming in step; a single loss has
     // none.
@@ -113,13 +119,35 @@
     return std::min(1.0, m_settings.newWorkShare + recovered * (1 - m_settings.newWorkShare));
 }
 
+ResumeAdmission::Wave &ResumeAdmission::wave(std::string_view service)
+{
+    const auto found = m_waves.find(service);
+    if (found != m_waves.end())
+        return found->second;
+    Wave &added = m_waves.emplace(std::string(service), Wave {}).first->second;
+    added.perSecond = m_settings.resumesPerSecond;
+    return added;
+}
+
+double ResumeAdmission::rate(const Wave &wave) const
+{
+    return wave.perSecond / m_entries;
+}
+
+double ResumeAdmission::burst(const Wave &wave) const
+{
+    return std::max(1.0, rate(wave) * m_settings.burstSeconds);
+}
+
 void ResumeAdmission::refill(Wave &wave, TimePoint now) const
 {
-    if (now <= wave.refilledAt)
-        return;
-    const double gained = secondsOf(now - wave.refilledAt) * m_settings.resumesPerSecond;
-    wave.tokens = std::min(m_settings.burst, wave.tokens + gained);
-    wave.refilledAt = now;
+    const double most = burst(wave);
+    if (!wave.refilledAt)
+        wave.tokens = most;
+    else if (now > *wave.refilledAt)
+        wave.tokens += secondsOf(now - *wave.refilledAt) * rate(wave);
+    wave.tokens = std::min(most, wave.tokens);
+    wave.refilledAt = std::max(now, wave.refilledAt.value_or(now));
 }
 
 void ResumeAdmission::takeFrom(Wave &wave, TimePoint now, std::vector<std::string> &ready) const
@@ -145,9 +173,9 @@
         earliest = std::min(earliest, waiting.notBefore);
     const double missing = 1 - wave.tokens;
     if (missing > 0) {
-        const Duration refillTime = durationOf(missing / m_settings.resumesPerSecond);
+        const Duration refillTime = durationOf(missing / rate(wave));
         // Rounded up, so that the token is complete at the time returned.
-        earliest = std::max(earliest, wave.refilledAt + refillTime + Duration(1));
+        earliest = std::max(earliest, wave.refilledAt.value_or(now) + refillTime + Duration(1));
     }
     return std::max(earliest, now);
 }
--- a/src/decisions/Router.cpp
+++ b/src/decisions/Router.cpp
@@ -17,8 +17,11 @@
 
 using Tier = std::vector<const RouteOption *>;
 
-/// Extra draws when all servers drawn are saturated though their tier is not.
-constexpr int redraws = 2;
+/// Extra draws when all servers drawn are saturated though their tier is not. More would make
+/// entries herd on the few free servers of an old report: in a trial with reports of 5 s and a
+/// half-life of 2 s, p99 wait was 3.7 s with none, 4.7 s with 1 and 5.4 s with 2. At the present
+/// half-life 1 is no worse than none, and better for long runs.
+constexpr int redraws = 1;
 
 bool contains(const std::vector<std::string> &names, const std::string &name)
 {
@@ -114,7 +117,8 @@
     for (const RouteOption &option : options)
         costs.push_back(resumeCost(option, request));
 
-    // After a wave of losses all entries see the same costs; the near-best servers share the load.
+    // After a wave of losses all entries see the same costs, so the least one would get all
+    // resumes. Two choices among the near-best ones spread them.
     const double limit =
         *std::min_element(costs.begin(), costs.end()) * (1 + m_settings.resumeTolerance);
     std::vector<std::size_t> nearBest;
@@ -122,7 +126,9 @@
         if (costs[i] <= limit)
             nearBest.push_back(i);
     }
-    const std::size_t chosen = nearBest[random.below(nearBest.size())];
+    const std::size_t first = nearBest[random.below(nearBest.size())];
+    const std::size_t second = nearBest[random.below(nearBest.size())];
+    const std::size_t chosen = costs[second] < costs[first] ? second : first;
     return choiceOf(options[chosen], costs[chosen], "least resume cost");
 }
 
@@ -136,7 +142,9 @@
     if (request.prefixHash)
         hinted = m_hints.servers(*request.prefixHash, now);
 
-    const LoadEstimate estimate(states, m_settings.reportHalfLife, m_settings.assumedCapacity);
+    const double halfLife =
+        std::chrono::duration<double>(request.meanRun).count() * m_settings.halfLifePerRun;
+    const LoadEstimate estimate(states, halfLife, m_settings.assumedCapacity);
     std::vector<RouteOption> options;
     options.reserve(states.size());
     for (ServerState &state : states) {
@@ -190,11 +198,16 @@
     const auto cached = option.hinted ? std::min(request.cachedTokens, request.inputTokens) : 0;
     const auto prefillTokens = static_cast<double>(request.inputTokens - cached);
     const double queuedPerSlot = std::max(0.0, option.load + 1 / option.capacity - 1);
+    const double meanRunMs =
+        std::chrono::duration<double, std::milli>(request.route.meanRun).count();
+    // The prefill shares the engine with the work that runs there.
+    const double prefillMs =
+        prefillTokens * m_settings.prefillMsPerToken * (1 + std::min(1.0, option.load));
     const double expectedResumeMs =
         byTier(
             option.tier,
             {m_settings.zoneRoundTripMs, m_settings.regionRoundTripMs, m_settings.farRoundTripMs})
-        + queuedPerSlot * m_settings.queueMsPerWork + prefillTokens * m_settings.prefillMsPerToken;
+        + queuedPerSlot * meanRunMs + prefillMs;
     const double crossRegionBytes =
         option.tier == RouteTier::OtherRegion ? static_cast<double>(request.transferBytes) : 0;
     const CostWeights &weights = request.route.weights;
--- a/src/decisions/ServerTable.cpp
+++ b/src/decisions/ServerTable.cpp
@@ -249,6 +249,7 @@
 ServerState ServerTable::snapshot(const Record &record, TimePoint now) const
 {
     ServerState state = record.state;
+    state.followed = record.followed;
     if (record.reported)
         state.reportAge = now - record.lastReport;
     if (record.reach == Reach::Lost)
--- a/src/decisions/SubsetSelector.cpp
+++ b/src/decisions/SubsetSelector.cpp
@@ -45,10 +45,9 @@
 {
 public:
     Matching(std::string_view key, const std::vector<std::string> &entries,
-             const std::vector<std::string> &servers, std::size_t size, std::size_t mostFollowers)
+             const std::vector<std::string> &servers, std::size_t size)
         : m_servers(servers)
         , m_size(size)
-        , m_mostFollowers(mostFollowers)
         , m_followers(servers.size())
         , m_chosen(entries.size())
     {
@@ -56,17 +55,17 @@
             m_seeds.push_back(keyHash(entry, keyHash(key)));
     }
 
-    std::vector<std::vector<std::uint32_t>> run()
+    /// Fills the entries while no server has more than \a most followers.
+    void fill(std::size_t most)
     {
-        takeBest(m_size * rankedPerServer, true);
-        takeBest(m_servers.size(), true);
-        // Rounding and caps can leave an entry short; it then takes its best servers anyway.
-        takeBest(m_servers.size(), false);
-        return std::move(m_chosen);
+        takeBest(m_size * rankedPerServer, most);
+        takeBest(m_servers.size(), most);
     }
 
+    std::vector<std::vector<std::uint32_t>> takeChosen() { return std::move(m_chosen); }
+
 private:
-    void takeBest(std::size_t ranked, bool capped)
+    void takeBest(std::size_t ranked, std::size_t most)
     {
         std::vector<Pair> pairs;
         for (std::uint32_t entry = 0; entry < m_seeds.size(); ++entry) {
@@ -75,7 +74,7 @@
         }
         std::sort(pairs.begin(), pairs.end(), ranksBefore);
         for (const Pair &pair : pairs)
-            take(pair, capped);
+            take(pair, most);
     }
 
     void appendBest(std::uint32_t entry, std::size_t count, std::vector<Pair> &pairs) const
@@ -93,10 +92,10 @@
         pairs.insert(pairs.end(), own.begin(), own.end());
     }
 
-    void take(const Pair &pair, bool capped)
+    void take(const Pair &pair, std::size_t most)
     {
         auto &chosen = m_chosen[pair.entry];
-        if (chosen.size() >= m_size || (capped && m_followers[pair.server] >= m_mostFollowers))
+        if (chosen.size() >= m_size || m_followers[pair.server] >= most)
             return;
         if (std::find(chosen.begin(), chosen.end(), pair.server) != chosen.end())
             return;
@@ -106,7 +105,6 @@
 
     const std::vector<std::string> &m_servers;
     const std::size_t m_size;
-    const std::size_t m_mostFollowers;
     std::vector<std::uint64_t> m_seeds;
     std::vector<std::size_t> m_followers;
     std::vector<std::vector<std::uint32_t>> m_chosen;
@@ -141,9 +139,18 @@
     const auto serverNames = sorted(servers);
     const auto entryNames = sorted(entries);
     const std::string key = std::string(service) + '\n' + std::string(region);
-    Matching matching(key, entryNames, serverNames, subsetSize(entries.size(), servers.size()),
-                      mostFollowers(entries.size(), servers.size()));
-    const auto chosen = matching.run();
+    const std::size_t size = subsetSize(entries.size(), servers.size());
+    const double mean = servers.empty()
+        ? 0
+        : static_cast<double>(entries.size() * size) / static_cast<double>(servers.size());
+    Matching matching(key, entryNames, serverNames, size);
+    // The first pass gives every server its least number of followers, the second fills the
+    // entries. Rounding and the caps can leave an entry short, which then takes its best servers
+    // anyway.
+    matching.fill(static_cast<std::size_t>(std::floor(mean / m_settings.slack)));
+    matching.fill(static_cast<std::size_t>(std::ceil(mean * m_settings.slack)));
+    matching.fill(entries.size());
+    const auto chosen = matching.takeChosen();
 
     std::vector<std::vector<std::string>> subsets;
     subsets.reserve(entries.size());
@@ -165,13 +172,4 @@
     return std::min(serverCount, std::max(m_settings.size, forCoverage));
 }
 
-std::size_t SubsetSelector::mostFollowers(std::size_t entryCount, std::size_t serverCount) const
-{
-    if (serverCount == 0)
-        return 0;
-    const auto links = static_cast<double>(entryCount * subsetSize(entryCount, serverCount));
-    return static_cast<std::size_t>(
-        std::ceil(m_settings.slack * links / static_cast<double>(serverCount)));
-}
-
 } // namespace foxtailring
--- a/tests/decisions/AdmissionControllerTest.cpp
+++ b/tests/decisions/AdmissionControllerTest.cpp
@@ -2,6 +2,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <map>
+#include <thread>
 
 using namespace foxtailring;
 using namespace std::chrono_literals;
@@ -20,6 +21,8 @@
     CPPUNIT_TEST(noCapacityIsRefused);
     CPPUNIT_TEST(newWorkShareLowersTheLimit);
     CPPUNIT_TEST(limitFollowsCandidates);
+    CPPUNIT_TEST(workOnLeavingServersIsNotCounted);
+    CPPUNIT_TEST(workersMayShareIt);
     CPPUNIT_TEST_SUITE_END();
 
     AdmissionController m_admission;
@@ -206,6 +209,49 @@
         m_admission.updateCapacity("s", std::vector<ServerState>(4, state), 20);
         CPPUNIT_ASSERT_EQUAL(20U, m_admission.concurrencyLimit("s")); // a quarter of what is free
     }
+
+    // Guards against a rolling restart that holds back new work for as long as old work runs.
+    void workOnLeavingServersIsNotCounted()
+    {
+        std::vector<ServerState> servers(3);
+        for (ServerState &state : servers)
+            state.capacity = 10;
+        servers[1].state = ServerStatus::Leaving;
+        servers[1].ownInFlight = 7;
+        servers[2].followed = false;
+        m_admission.updateCapacity("s", servers, 1);
+        CPPUNIT_ASSERT_EQUAL(18U, m_admission.concurrencyLimit("s")); // 10 with headroom, and 7
+        servers[0].state = ServerStatus::Gone;
+        m_admission.updateCapacity("s", servers, 1);
+        CPPUNIT_ASSERT_EQUAL(0U, m_admission.concurrencyLimit("s"));
+    }
+
+    // Guards against unlocked state and lost slots when several workers decide at once.
+    void workersMayShareIt()
+    {
+        m_admission.setConcurrencyLimit("s", 2);
+        const auto work = [this](const std::string &account) {
+            for (int i = 0; i < 500; ++i) {
+                const AdmissionDecision decision = submit(account);
+                if (const auto *admitted = std::get_if<Admitted>(&decision))
+                    m_admission.release(admitted->ticket, m_now);
+                for (const Ticket ticket : m_admission.next(m_now))
+                    m_admission.release(ticket, m_now);
+                m_admission.expire(m_now);
+            }
+        };
+        std::vector<std::thread> workers;
+        for (const char *account : {"a", "b", "c", "d"})
+            workers.emplace_back(work, account);
+        for (std::thread &worker : workers)
+            worker.join();
+        for (std::vector<Ticket> rest; !(rest = m_admission.next(m_now)).empty();) {
+            for (const Ticket ticket : rest)
+                m_admission.release(ticket, m_now);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), m_admission.queued("s"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), m_admission.running("s"));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(AdmissionControllerTest);
--- a/tests/decisions/ServerTableTest.cpp
+++ b/tests/decisions/ServerTableTest.cpp
@@ -1,6 +1,8 @@
 #include "foxtailring/decisions/ServerTable.h"
 
+#include <atomic>
 #include <cppunit/extensions/HelperMacros.h>
+#include <thread>
 
 using namespace foxtailring;
 using namespace std::chrono_literals;
@@ -37,6 +39,7 @@
     CPPUNIT_TEST(ownWorkIsCounted);
     CPPUNIT_TEST(onlyFollowedServersAreCandidates);
     CPPUNIT_TEST(changedAddressIsTaken);
+    CPPUNIT_TEST(workersMayShareIt);
     CPPUNIT_TEST_SUITE_END();
 
     ServerTable m_table;
@@ -186,6 +189,31 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), found.size());
         CPPUNIT_ASSERT_EQUAL(std::string("127.0.0.1:2"), found.front().info->address);
     }
+
+    // Guards against unlocked state: workers read snapshots while lists and reports arrive.
+    void workersMayShareIt()
+    {
+        list({listed("a"), listed("b")}, m_start);
+        std::atomic<int> broken = 0;
+        const auto work = [&] {
+            for (int step = 0; step < 500; ++step) {
+                m_table.startWork("a");
+                for (const ServerState &state : m_table.candidates("reader", m_start))
+                    broken += state.info->address.empty() ? 1 : 0;
+                m_table.endWork("a");
+            }
+        };
+        std::thread first(work);
+        std::thread second(work);
+        for (int step = 0; step < 500; ++step) {
+            list({listed("a", step % 2 == 0), listed("b")}, m_start);
+            m_table.applyReport(report("b", 1, static_cast<std::uint64_t>(step) + 1), m_start);
+        }
+        first.join();
+        second.join();
+        CPPUNIT_ASSERT_EQUAL(0, broken.load());
+        CPPUNIT_ASSERT_EQUAL(0U, m_table.server("a", m_start)->ownInFlight);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ServerTableTest);
