platform: add the key-value client and the VM list client

Cause: entries and sidecars wait for the client of the platform's service. Change: KeyValueClient over the etcd v3 JSON gateway and VmListClient, written by the lead; tests in tests/platform are still to be written.

--- /dev/null
+++ b/include/foxtailring/platform/RangeResult.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "foxtailring/platform/KeyValue.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace foxtailring {
+
+/// \brief Keys read at one revision of the store.
+struct RangeResult
+{
+    std::int64_t revision = 0;
+    std::vector<KeyValue> values;
+};
+
+} // namespace foxtailring
--- /dev/null
+++ b/include/foxtailring/platform/SwapResult.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "foxtailring/platform/KeyValue.h"
+
+#include <cstdint>
+
+namespace foxtailring {
+
+/// \brief Outcome of a compare-and-swap that the service has answered.
+struct SwapResult
+{
+    bool swapped = false;
+    std::int64_t revision = 0; ///< revision of the store after the call
+    KeyValue present;          ///< the key as it is, when it was not swapped
+};
+
+} // namespace foxtailring
--- /dev/null
+++ b/include/foxtailring/platform/VmListClient.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "foxtailring/base/Result.h"
+#include "foxtailring/platform/Vm.h"
+
+#include <functional>
+#include <memory>
+#include <string_view>
+#include <vector>
+
+namespace foxtailring {
+
+class Http1Client;
+struct Endpoint;
+
+/// \brief The platform's list of live and leaving VMs (`GET /v1/vms`), which lags. Thread-safe.
+class VmListClient
+{
+public:
+    using ListHook = std::function<void(Result<std::vector<Vm>>)>;
+
+    /// \param http must live as long as the client
+    VmListClient(Http1Client &http, const Endpoint &platform);
+    ~VmListClient();
+
+    /// \brief Malformed when any member of the list cannot be read; a partial list is never given.
+    void list(ListHook hook);
+
+    static Result<std::vector<Vm>> parse(std::string_view json);
+
+private:
+    struct State;
+    std::unique_ptr<State> m_state;
+};
+
+} // namespace foxtailring
--- /dev/null
+++ b/include/foxtailring/platform/WatchEvent.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "foxtailring/platform/KeyValue.h"
+
+namespace foxtailring {
+
+/// \brief One change that a watch reports.
+struct WatchEvent
+{
+    bool deleted = false;
+    KeyValue value; ///< value is empty when deleted
+};
+
+} // namespace foxtailring
--- /dev/null
+++ b/src/platform/GatewayJson.cpp
@@ -0,0 +1,205 @@
+#include "GatewayJson.h"
+
+#include <charconv>
+#include <nlohmann/json.hpp>
+#include <openssl/evp.h>
+
+namespace foxtailring::gateway {
+
+namespace {
+
+Error malformed(const std::string &what)
+{
+    return {ErrorCode::Malformed, "reply of the key-value service: " + what};
+}
+
+Result<std::int64_t> headerRevision(const nlohmann::json &reply)
+{
+    const auto header = reply.find("header");
+    if (header == reply.end() || !header->is_object())
+        return malformed("no header");
+    return integer(*header, "revision");
+}
+
+Result<std::string> bytes(const nlohmann::json &object, const char *member)
+{
+    const auto found = object.find(member);
+    if (found == object.end())
+        return std::string();
+    if (!found->is_string())
+        return malformed(std::string(member) + " is not a string");
+    return fromBase64(found->get_ref<const std::string &>());
+}
+
+Result<KeyValue> keyValue(const nlohmann::json &object)
+{
+    if (!object.is_object())
+        return malformed("a key-value pair is not an object");
+    auto key = bytes(object, "key");
+    if (!key)
+        return key.error();
+    auto value = bytes(object, "value");
+    if (!value)
+        return value.error();
+    const auto revision = integer(object, "mod_revision");
+    if (!revision)
+        return revision.error();
+    return KeyValue {std::move(key).value(), std::move(value).value(), revision.value()};
+}
+
+nlohmann::json compareRevision(const std::string &key, std::int64_t expected)
+{
+    return {{"key", toBase64(key)},
+            {"target", "MOD"},
+            {"result", "EQUAL"},
+            {"mod_revision", std::to_string(expected)}};
+}
+
+nlohmann::json transaction(const std::string &key, std::int64_t expected, nlohmann::json success)
+{
+    return {{"compare", nlohmann::json::array({compareRevision(key, expected)})},
+            {"success", nlohmann::json::array({std::move(success)})},
+            {"failure", nlohmann::json::array({{{"request_range", rangeRequest(key)}}})}};
+}
+
+} // namespace
+
+std::string toBase64(std::string_view bytes)
+{
+    std::string out((bytes.size() + 2) / 3 * 4 + 1, '\0');
+    const int length = EVP_EncodeBlock(reinterpret_cast<unsigned char *>(out.data()),
+                                       reinterpret_cast<const unsigned char *>(bytes.data()),
+                                       static_cast<int>(bytes.size()));
+    out.resize(static_cast<std::size_t>(length));
+    return out;
+}
+
+Result<std::string> fromBase64(std::string_view text)
+{
+    std::string out(text.size() / 4 * 3, '\0');
+    const int length = EVP_DecodeBlock(reinterpret_cast<unsigned char *>(out.data()),
+                                       reinterpret_cast<const unsigned char *>(text.data()),
+                                       static_cast<int>(text.size()));
+    if (length < 0 || text.size() % 4 != 0)
+        return malformed("a value is not base64");
+    const std::size_t padding = text.ends_with("==") ? 2 : text.ends_with('=') ? 1 : 0;
+    out.resize(static_cast<std::size_t>(length) - padding);
+    return out;
+}
+
+std::string prefixEnd(std::string prefix)
+{
+    while (!prefix.empty() && prefix.back() == '\xff')
+        prefix.pop_back();
+    if (prefix.empty())
+        return std::string(1, '\0');
+    prefix.back() = static_cast<char>(prefix.back() + 1);
+    return prefix;
+}
+
+nlohmann::json rangeRequest(const std::string &key)
+{
+    return {{"key", toBase64(key)}};
+}
+
+nlohmann::json prefixRequest(const std::string &prefix)
+{
+    return {{"key", toBase64(prefix)}, {"range_end", toBase64(prefixEnd(prefix))}};
+}
+
+nlohmann::json swapRequest(const std::string &key, const std::string &value, std::int64_t expected,
+                           std::int64_t lease)
+{
+    nlohmann::json put = {{"key", toBase64(key)}, {"value", toBase64(value)}};
+    if (lease != 0)
+        put["lease"] = std::to_string(lease);
+    return transaction(key, expected, {{"request_put", std::move(put)}});
+}
+
+nlohmann::json removeRequest(const std::string &key, std::int64_t expected)
+{
+    return transaction(key, expected, {{"request_delete_range", rangeRequest(key)}});
+}
+
+nlohmann::json watchRequest(const std::string &prefix, std::int64_t revision)
+{
+    auto create = prefixRequest(prefix);
+    create["start_revision"] = std::to_string(revision);
+    return {{"create_request", std::move(create)}};
+}
+
+Result<std::int64_t> integer(const nlohmann::json &object, const char *member)
+{
+    const auto found = object.find(member);
+    if (found == object.end())
+        return std::int64_t(0);
+    if (found->is_number_integer())
+        return found->get<std::int64_t>();
+    if (!found->is_string())
+        return malformed(std::string(member) + " is not an integer");
+    const auto &text = found->get_ref<const std::string &>();
+    std::int64_t value = 0;
+    const auto [stop, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (error != std::errc() || stop != text.data() + text.size())
+        return malformed(std::string(member) + " is not an integer");
+    return value;
+}
+
+Result<RangeResult> rangeResult(const nlohmann::json &reply)
+{
+    const auto revision = headerRevision(reply);
+    if (!revision)
+        return revision.error();
+    RangeResult result;
+    result.revision = revision.value();
+    for (const auto &item : reply.value("kvs", nlohmann::json::array())) {
+        auto pair = keyValue(item);
+        if (!pair)
+            return pair.error();
+        result.values.push_back(std::move(pair).value());
+    }
+    return result;
+}
+
+Result<SwapResult> swapResult(const nlohmann::json &reply)
+{
+    const auto revision = headerRevision(reply);
+    if (!revision)
+        return revision.error();
+    SwapResult result;
+    result.revision = revision.value();
+    const auto succeeded = reply.find("succeeded");
+    if (succeeded != reply.end() && !succeeded->is_boolean())
+        return malformed("succeeded is not a boolean");
+    result.swapped = succeeded != reply.end() && succeeded->get<bool>();
+    if (result.swapped)
+        return result;
+    const auto responses = reply.value("responses", nlohmann::json::array());
+    if (!responses.is_array() || responses.size() != 1 || !responses[0].is_object())
+        return malformed("a failed transaction without its read");
+    auto range = responses[0].value("response_range", nlohmann::json::object());
+    range["header"] = reply["header"];
+    const auto present = rangeResult(range);
+    if (!present)
+        return present.error();
+    if (!present.value().values.empty())
+        result.present = present.value().values.front();
+    return result;
+}
+
+Result<std::vector<WatchEvent>> watchEvents(const nlohmann::json &result)
+{
+    std::vector<WatchEvent> events;
+    for (const auto &item : result.value("events", nlohmann::json::array())) {
+        if (!item.is_object() || !item.contains("kv"))
+            return malformed("an event without a key-value pair");
+        auto pair = keyValue(item["kv"]);
+        if (!pair)
+            return pair.error();
+        const bool deleted = item.value("type", nlohmann::json()) == "DELETE";
+        events.push_back(WatchEvent {deleted, std::move(pair).value()});
+    }
+    return events;
+}
+
+} // namespace foxtailring::gateway
--- /dev/null
+++ b/src/platform/GatewayJson.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "foxtailring/base/Result.h"
+#include "foxtailring/platform/RangeResult.h"
+#include "foxtailring/platform/SwapResult.h"
+#include "foxtailring/platform/WatchEvent.h"
+
+#include <cstdint>
+#include <nlohmann/json_fwd.hpp>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace foxtailring {
+
+/// \brief Requests and replies of the etcd v3 JSON gateway.
+///
+/// The gateway writes 64-bit integers as strings, bytes in base64, and leaves out members that
+/// have their default value.
+namespace gateway {
+
+std::string toBase64(std::string_view bytes);
+Result<std::string> fromBase64(std::string_view text);
+
+/// \brief The first key after all keys with \a prefix.
+std::string prefixEnd(std::string prefix);
+
+nlohmann::json rangeRequest(const std::string &key);
+nlohmann::json prefixRequest(const std::string &prefix);
+nlohmann::json swapRequest(const std::string &key, const std::string &value, std::int64_t expected,
+                           std::int64_t lease);
+nlohmann::json removeRequest(const std::string &key, std::int64_t expected);
+nlohmann::json watchRequest(const std::string &prefix, std::int64_t revision);
+
+/// \brief Integer member that may be absent, a string or a number. Malformed when it is neither.
+Result<std::int64_t> integer(const nlohmann::json &object, const char *member);
+Result<RangeResult> rangeResult(const nlohmann::json &reply);
+Result<SwapResult> swapResult(const nlohmann::json &reply);
+Result<std::vector<WatchEvent>> watchEvents(const nlohmann::json &result);
+
+} // namespace gateway
+
+} // namespace foxtailring
--- /dev/null
+++ b/src/platform/KeyValueClient.cpp
@@ -0,0 +1,160 @@
+#include "foxtailring/platform/KeyValueClient.h"
+
+#include "foxtailring/transport/Endpoint.h"
+#include "foxtailring/transport/Http1Client.h"
+#include "foxtailring/transport/Http1Stream.h"
+#include "GatewayJson.h"
+#include "WatchReader.h"
+
+#include <nlohmann/json.hpp>
+
+namespace foxtailring {
+
+namespace {
+
+using JsonHook = std::function<void(const Result<nlohmann::json> &)>;
+
+// A server error can follow a write that took effect, as when the service times out internally.
+ErrorCode codeOf(int status)
+{
+    if (status == 404)
+        return ErrorCode::NotFound;
+    return status >= 500 ? ErrorCode::Timeout : ErrorCode::InvalidArgument;
+}
+
+Result<nlohmann::json> replyBody(const Result<HttpResponse> &response)
+{
+    if (!response)
+        return response.error();
+    auto body = nlohmann::json::parse(response.value().body, nullptr, false);
+    if (!body.is_object())
+        return Error {ErrorCode::Malformed, "reply of the key-value service is not a JSON object"};
+    if (response.value().status == 200)
+        return body;
+    const auto message = body.find("message");
+    const std::string text =
+        message != body.end() && message->is_string() ? message->get<std::string>() : "no message";
+    const ErrorCode code = codeOf(response.value().status);
+    return Error {
+        code, "key-value service: status " + std::to_string(response.value().status) + ": " + text};
+}
+
+template <typename T, typename Read>
+Result<T> read(const Result<nlohmann::json> &reply, Read reader)
+try {
+    if (!reply)
+        return reply.error();
+    return reader(reply.value());
+} catch (const nlohmann::json::exception &exception) {
+    return Error {ErrorCode::Malformed,
+                  std::string("reply of the key-value service: ") + exception.what()};
+}
+
+} // namespace
+
+struct KeyValueClient::State
+{
+    void call(const char *path, const nlohmann::json &body, JsonHook hook)
+    {
+        HttpRequest request {"POST", path, {{"content-type", "application/json"}}, body.dump()};
+        http.request(service, std::move(request), timeout,
+                     [hook = std::move(hook)](const Result<HttpResponse> &response) {
+                         hook(replyBody(response));
+                     });
+    }
+
+    void range(const nlohmann::json &body, RangeHook hook)
+    {
+        call("/v3/kv/range", body, [hook = std::move(hook)](const Result<nlohmann::json> &reply) {
+            hook(read<RangeResult>(reply, gateway::rangeResult));
+        });
+    }
+
+    void transaction(const nlohmann::json &body, SwapHook hook)
+    {
+        call("/v3/kv/txn", body, [hook = std::move(hook)](const Result<nlohmann::json> &reply) {
+            hook(read<SwapResult>(reply, gateway::swapResult));
+        });
+    }
+
+    Http1Client &http;
+    Endpoint service;
+    std::chrono::milliseconds timeout;
+};
+
+KeyValueClient::KeyValueClient(Http1Client &http, const Endpoint &service,
+                               std::chrono::milliseconds timeout)
+    : m_state(new State {http, service, timeout})
+{
+}
+
+KeyValueClient::~KeyValueClient() = default;
+
+void KeyValueClient::get(const std::string &key, RangeHook hook)
+{
+    m_state->range(gateway::rangeRequest(key), std::move(hook));
+}
+
+void KeyValueClient::range(const std::string &prefix, RangeHook hook)
+{
+    m_state->range(gateway::prefixRequest(prefix), std::move(hook));
+}
+
+void KeyValueClient::swap(const std::string &key, const std::string &value, std::int64_t expected,
+                          SwapHook hook, std::int64_t lease)
+{
+    m_state->transaction(gateway::swapRequest(key, value, expected, lease), std::move(hook));
+}
+
+void KeyValueClient::remove(const std::string &key, std::int64_t expected, SwapHook hook)
+{
+    m_state->transaction(gateway::removeRequest(key, expected), std::move(hook));
+}
+
+void KeyValueClient::grantLease(std::chrono::seconds timeToLive, NumberHook hook)
+{
+    const nlohmann::json body = {{"TTL", std::to_string(timeToLive.count())}};
+    m_state->call("/v3/lease/grant", body,
+                  [hook = std::move(hook)](const Result<nlohmann::json> &reply) {
+                      hook(read<std::int64_t>(reply, [](const nlohmann::json &json) {
+                          return gateway::integer(json, "ID");
+                      }));
+                  });
+}
+
+void KeyValueClient::keepAlive(std::int64_t lease, NumberHook hook)
+{
+    const nlohmann::json body = {{"ID", std::to_string(lease)}};
+    m_state->call("/v3/lease/keepalive", body,
+                  [hook = std::move(hook)](const Result<nlohmann::json> &reply) {
+                      auto left = read<std::int64_t>(reply, [](const nlohmann::json &json) {
+                          return gateway::integer(json.at("result"), "TTL");
+                      });
+                      if (left && left.value() <= 0)
+                          left = Error {ErrorCode::NotFound, "the lease has ended"};
+                      hook(std::move(left));
+                  });
+}
+
+std::shared_ptr<Http1Stream> KeyValueClient::watch(const std::string &prefix, std::int64_t revision,
+                                                   WatchHooks hooks)
+{
+    auto reader = std::make_shared<WatchReader>(std::move(hooks));
+    StreamHooks stream;
+    stream.head = [reader](const HttpResponse &head) {
+        if (head.status != 200)
+            reader->end({ErrorCode::Unavailable,
+                         "watch refused with status " + std::to_string(head.status)});
+    };
+    stream.body = [reader](std::string_view bytes) { reader->feed(bytes); };
+    stream.closed = [reader](const Result<Done> &result) {
+        reader->end(result ? Error {ErrorCode::Closed, "the watch ended"} : result.error());
+    };
+    HttpRequest request {"POST",
+                         "/v3/watch",
+                         {{"content-type", "application/json"}},
+                         gateway::watchRequest(prefix, revision).dump()};
+    return m_state->http.stream(m_state->service, std::move(request), std::move(stream));
+}
+
+} // namespace foxtailring
--- /dev/null
+++ b/src/platform/VmListClient.cpp
@@ -0,0 +1,67 @@
+#include "foxtailring/platform/VmListClient.h"
+
+#include "foxtailring/transport/Endpoint.h"
+#include "foxtailring/transport/Http1Client.h"
+
+#include <chrono>
+#include <nlohmann/json.hpp>
+
+namespace foxtailring {
+
+namespace {
+
+constexpr std::chrono::milliseconds timeout {2000};
+
+Vm readVm(const nlohmann::json &json)
+{
+    const std::string role = json.at("role");
+    const std::string state = json.at("state");
+    return Vm {json.at("id"),
+               json.at("address"),
+               json.at("region"),
+               json.at("availabilityZone"),
+               json.value("service", ""),
+               role == "entry",
+               state == "leaving"};
+}
+
+} // namespace
+
+struct VmListClient::State
+{
+    Http1Client &http;
+    Endpoint platform;
+};
+
+VmListClient::VmListClient(Http1Client &http, const Endpoint &platform)
+    : m_state(new State {http, platform})
+{
+}
+
+VmListClient::~VmListClient() = default;
+
+void VmListClient::list(ListHook hook)
+{
+    m_state->http.request(
+        m_state->platform, HttpRequest {"GET", "/v1/vms", {}, ""}, timeout,
+        [hook = std::move(hook)](const Result<HttpResponse> &response) {
+            if (!response)
+                return hook(response.error());
+            if (response.value().status != 200)
+                return hook(Error {ErrorCode::Unavailable,
+                                   "VM list: status " + std::to_string(response.value().status)});
+            hook(parse(response.value().body));
+        });
+}
+
+Result<std::vector<Vm>> VmListClient::parse(std::string_view json)
+try {
+    std::vector<Vm> vms;
+    for (const auto &item : nlohmann::json::parse(json).at("vms"))
+        vms.push_back(readVm(item));
+    return vms;
+} catch (const nlohmann::json::exception &exception) {
+    return Error {ErrorCode::Malformed, std::string("VM list: ") + exception.what()};
+}
+
+} // namespace foxtailring
--- /dev/null
+++ b/src/platform/WatchReader.cpp
@@ -0,0 +1,77 @@
+#include "WatchReader.h"
+
+#include "GatewayJson.h"
+
+#include <nlohmann/json.hpp>
+
+namespace foxtailring {
+
+namespace {
+
+// A line holds events of values of up to a megabyte each, in base64.
+constexpr std::size_t maxLineBytes = 32 * 1024 * 1024;
+
+} // namespace
+
+WatchReader::WatchReader(WatchHooks hooks)
+    : m_hooks(std::move(hooks))
+{
+}
+
+void WatchReader::feed(std::string_view bytes)
+{
+    m_pending += bytes;
+    std::size_t end = 0;
+    while (!m_ended && (end = m_pending.find('\n')) != std::string::npos) {
+        readLine(std::string_view(m_pending).substr(0, end));
+        m_pending.erase(0, end + 1);
+    }
+    if (m_pending.size() > maxLineBytes)
+        this->end({ErrorCode::Malformed, "a watch line is above the limit"});
+}
+
+void WatchReader::end(Error error)
+{
+    if (m_ended)
+        return;
+    m_ended = true;
+    m_hooks.ended(std::move(error));
+}
+
+void WatchReader::readLine(std::string_view line)
+{
+    if (line.find_first_not_of(" \r") == std::string_view::npos)
+        return;
+    if (auto error = readResult(line))
+        end(std::move(*error));
+}
+
+std::optional<Error> WatchReader::readResult(std::string_view line)
+try {
+    const auto json = nlohmann::json::parse(line, nullptr, false);
+    if (!json.is_object() || !json.contains("result") || !json["result"].is_object())
+        return Error {ErrorCode::Malformed, "a watch line is not a result"};
+    const auto &result = json["result"];
+    const auto compacted = gateway::integer(result, "compact_revision");
+    if (!compacted)
+        return compacted.error();
+    if (compacted.value() != 0)
+        return Error {ErrorCode::Stale,
+                      "the watch starts below compacted revision "
+                          + std::to_string(compacted.value())};
+    if (result.value("canceled", false))
+        return Error {ErrorCode::Closed, "the service cancelled the watch"};
+    const auto events = gateway::watchEvents(result);
+    if (!events)
+        return events.error();
+    const auto revision = gateway::integer(result.at("header"), "revision");
+    if (!revision)
+        return revision.error();
+    if (!events.value().empty())
+        m_hooks.changed(events.value(), revision.value());
+    return std::nullopt;
+} catch (const nlohmann::json::exception &exception) {
+    return Error {ErrorCode::Malformed, std::string("a watch line: ") + exception.what()};
+}
+
+} // namespace foxtailring
