sidecar: serve plain calls and claim keyed ones

Cause: plain services run behind the same sidecars, and a keyed call must run at most once. Change: CallService forwards calls once; ClaimRunner carries out the actions of the claim table over the platform's key-value service. Refusals of keyed calls never say not run without proof.

--- /dev/null
+++ b/include/foxtailring/sidecar/CallService.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "foxtailring/sidecar/CallForwarder.h"
+#include "foxtailring/sidecar/ClaimStore.h"
+#include "foxtailring/sidecar/SidecarContext.h"
+
+#include <cstddef>
+#include <memory>
+#include <string>
+
+namespace foxtailring {
+
+class ClaimRunner;
+class Http2Stream;
+class MessageStream;
+struct Call;
+struct CallResult;
+struct Frame;
+
+/// \brief Serves `/call`. Thread-safe.
+class CallService : public std::enable_shared_from_this<CallService>
+{
+public:
+    CallService(const SidecarContext &context, ClaimStore store);
+    ~CallService();
+    CallService(const CallService &) = delete;
+    CallService &operator=(const CallService &) = delete;
+
+    void open(const std::shared_ptr<Http2Stream> &stream);
+    void stop();
+    /// \brief Keyed calls in progress, and outcomes that the platform's service does not hold yet.
+    std::size_t unsettled() const;
+
+private:
+    using Stream = std::shared_ptr<MessageStream>;
+
+    void takeCall(const Stream &stream, const Frame &frame);
+    static Result<Done> check(const Call &call);
+    void forward(const Stream &stream, const Call &call);
+    void claim(const Stream &stream, const Call &call);
+    void refuse(const Stream &stream, const Call &call, bool isKeyed,
+                const std::string &message) const;
+    void answer(const Stream &stream, const CallResult &result) const;
+
+    const SidecarContext m_context;
+    const std::shared_ptr<const CallForwarder> m_forwarder;
+    const std::shared_ptr<ClaimRunner> m_claims; ///< nullptr when no platform is configured
+};
+
+} // namespace foxtailring
--- a/include/foxtailring/sidecar/Sidecar.h
+++ b/include/foxtailring/sidecar/Sidecar.h
@@ -2,6 +2,7 @@
 
 #include "foxtailring/base/Clock.h"
 #include "foxtailring/base/Result.h"
+#include "foxtailring/sidecar/ClaimStore.h"
 #include "foxtailring/sidecar/SidecarSettings.h"
 #include "foxtailring/sidecar/Span.h"
 
@@ -20,6 +21,7 @@
 public:
     struct Hooks
     {
+        ClaimStore claimStore;           ///< not set: over the platform of the settings
         SpanExporter exportSpan;         ///< may be empty
         std::function<void()> onDrained; ///< runs once, on a worker thread; may be empty
     };
--- a/include/foxtailring/sidecar/SidecarContext.h
+++ b/include/foxtailring/sidecar/SidecarContext.h
@@ -3,6 +3,7 @@
 #include "foxtailring/base/Clock.h"
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 
 namespace foxtailring {
@@ -25,7 +26,8 @@
     std::shared_ptr<const SidecarSettings> settings;
     std::uint64_t incarnation = 0; ///< unique to this start of the process; grows with each start
     Clock clock;
-    WorkerPool &pool; ///< outlives everything that runs on it
+    std::function<std::int64_t()> unixSeconds; ///< wall clock
+    WorkerPool &pool;                          ///< outlives everything that runs on it
     std::shared_ptr<Http1Client> backend;
     std::shared_ptr<Counters> counters;
     std::shared_ptr<ConfigState> config;
--- a/src/sidecar/Sidecar.cpp
+++ b/src/sidecar/Sidecar.cpp
@@ -6,6 +6,7 @@
 #include "foxtailring/decisions/DrainState.h"
 #include "foxtailring/protocol/ConfigUpdate.h"
 #include "foxtailring/sidecar/AdminServer.h"
+#include "foxtailring/sidecar/CallService.h"
 #include "foxtailring/sidecar/ConfigService.h"
 #include "foxtailring/sidecar/GenerationService.h"
 #include "foxtailring/sidecar/LoadMonitor.h"
@@ -29,6 +30,19 @@
 
 constexpr std::chrono::milliseconds drainCheckInterval {50};
 
+std::int64_t unixSeconds()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::seconds>(now).count();
+}
+
+ClaimStore claimStore(WorkerPool &pool, const SidecarSettings &settings)
+{
+    if (!settings.platform)
+        return {};
+    return ClaimStore::overKeyValueService(std::make_shared<Http1Client>(pool), *settings.platform);
+}
+
 SidecarContext makeContext(WorkerPool &pool, const SidecarSettings &settings,
                            std::uint64_t incarnation, SpanExporter exporter)
 {
@@ -41,6 +55,7 @@
         shared,
         incarnation,
         steadyClock(),
+        unixSeconds,
         pool,
         backend,
         std::make_shared<Counters>(),
@@ -68,6 +83,7 @@
     std::shared_ptr<RecordService> records;
     std::shared_ptr<ReportService> reports;
     std::shared_ptr<ConfigService> configs;
+    std::shared_ptr<CallService> calls;
     Timer drainTimer;
     std::unique_ptr<Http2Server> server;
     std::unique_ptr<AdminServer> admin;
@@ -93,6 +109,10 @@
     , records(std::make_shared<RecordService>(context))
     , reports(std::make_shared<ReportService>(context))
     , configs(std::make_shared<ConfigService>(context))
+    , calls(std::make_shared<CallService>(context,
+                                          givenHooks.claimStore.isSet()
+                                              ? std::move(givenHooks.claimStore)
+                                              : claimStore(pool, settings)))
     , drainTimer(pool)
 {
     addRoutes();
@@ -102,8 +122,10 @@
 {
     m_routes["/node/reports"] = [this](const auto &stream) { reports->open(stream); };
     m_routes["/node/config"] = [this](const auto &stream) { configs->open(stream); };
-    if (context.settings->kind == ServiceType::Plain)
+    if (context.settings->kind == ServiceType::Plain) {
+        m_routes["/call"] = [this](const auto &stream) { calls->open(stream); };
         return;
+    }
     m_routes["/generation/start"] = [this](const auto &stream) { generations->openStart(stream); };
     m_routes["/generation/attach"] = [this](const auto &stream) {
         generations->openAttach(stream);
@@ -164,7 +186,7 @@
 
 void Sidecar::State::checkDrained()
 {
-    const std::size_t unacknowledged = generations->unacknowledged();
+    const std::size_t unacknowledged = generations->unacknowledged() + calls->unsettled();
     if (context.drain->update(unacknowledged, context.clock()) != DrainPhase::Drained
         || m_isDrained.exchange(true))
         return;
@@ -181,6 +203,7 @@
     drainTimer.cancel();
     context.load->stop();
     generations->stop();
+    calls->stop();
     reports->stop();
     if (server)
         server->close();
--- a/tests/sidecar/SidecarFixture.cpp
+++ b/tests/sidecar/SidecarFixture.cpp
@@ -18,7 +18,7 @@
     m_pool.reset();
 }
 
-void SidecarFixture::startSidecar(SidecarSettings settings)
+void SidecarFixture::startSidecar(SidecarSettings settings, ClaimStore store)
 {
     settings.nodeId = "node-1";
     settings.service = "lector";
@@ -26,6 +26,7 @@
     settings.admin = Endpoint {"127.0.0.1", 0};
     settings.backend = m_engine->endpoint();
     Sidecar::Hooks hooks;
+    hooks.claimStore = std::move(store);
     hooks.onDrained = [this] { m_waiting.change([&] { m_drained = true; }); };
     hooks.exportSpan = [this](const Span &span) {
         m_waiting.change([&] { m_spans.push_back(span); });
--- a/tests/sidecar/SidecarFixture.h
+++ b/tests/sidecar/SidecarFixture.h
@@ -34,7 +34,8 @@
     static constexpr std::uint64_t incarnation = 77;
 
     /// \brief Starts the sidecar with \a settings, whose addresses are filled in.
-    void startSidecar(foxtailring::SidecarSettings settings = {});
+    void startSidecar(foxtailring::SidecarSettings settings = {},
+                      foxtailring::ClaimStore store = {});
     foxtailring::Http2Client &client() { return *m_client; }
     std::unique_ptr<foxtailring::Http2Client> newClient();
     static foxtailring::StartAttempt startMessage(std::uint32_t attempt = 1);
--- a/tests/sidecar/TestEngine.cpp
+++ b/tests/sidecar/TestEngine.cpp
@@ -154,3 +154,8 @@
 {
     m_shared->waiting.change([&] { m_shared->cacheEvents = json; });
 }
+
+void TestEngine::close()
+{
+    m_server.close();
+}
--- a/tests/sidecar/TestEngine.h
+++ b/tests/sidecar/TestEngine.h
@@ -43,6 +43,8 @@
     void setHealthy(bool healthy);
     void setLoad(const std::string &json);
     void setCacheEvents(const std::string &json);
+    /// \brief Accepts no connection from now on.
+    void close();
 
 private:
     struct Shared;
