--- a/include/foxtailring/sidecar/CallService.h
+++ b/include/foxtailring/sidecar/CallService.h
@@ -4,6 +4,7 @@
 #include "foxtailring/sidecar/ClaimStore.h"
 #include "foxtailring/sidecar/SidecarContext.h"
 
+#include <atomic>
 #include <cstddef>
 #include <memory>
 #include <string>
@@ -28,7 +29,8 @@
 
     void open(const std::shared_ptr<Http2Stream> &stream);
     void stop();
-    /// \brief Keyed calls in progress, and outcomes that the platform's service does not hold yet.
+    /// \brief Keyed calls in progress, outcomes that the platform's service does not hold yet, and
+    /// results whose stream has not ended.
     std::size_t unsettled() const;
 
 private:
@@ -45,6 +47,7 @@
     const SidecarContext m_context;
     const std::shared_ptr<const CallForwarder> m_forwarder;
     const std::shared_ptr<ClaimRunner> m_claims; ///< nullptr when no platform is configured
+    const std::shared_ptr<std::atomic<std::size_t>> m_undelivered;
 };
 
 } // namespace foxtailring
--- a/src/sidecar/CallService.cpp
+++ b/src/sidecar/CallService.cpp
@@ -73,6 +73,7 @@
     , m_forwarder(std::make_shared<const CallForwarder>(context))
     , m_claims(store.isSet() ? std::make_shared<ClaimRunner>(context, std::move(store), m_forwarder)
                              : nullptr)
+    , m_undelivered(std::make_shared<std::atomic<std::size_t>>(0))
 {
 }
 
@@ -95,7 +96,7 @@
 
 std::size_t CallService::unsettled() const
 {
-    return m_claims ? m_claims->unsettled() : 0;
+    return (m_claims ? m_claims->unsettled() : 0) + *m_undelivered;
 }
 
 void CallService::takeCall(const Stream &stream, const Frame &frame)
@@ -174,6 +175,9 @@
 {
     const std::string outcome(nameOf(result.outcome));
     m_context.counters->add("sidecar_calls_total{outcome=\"" + outcome + "\"}");
+    // Closing the connection at exit would cut a result that is still being written.
+    ++*m_undelivered;
+    stream->onClosed([undelivered = m_undelivered] { --*undelivered; });
     if (result.body.size() <= maxBodyBytes)
         return stream->sendLast(result);
     CallResult cut = result;
