--- a/src/platform/ResourceStore.cpp
+++ b/src/platform/ResourceStore.cpp
@@ -82,7 +82,7 @@
     {
     }
 
-    void put(ResourceStore::ResourceHook hook)
+    void put(const ResourceStore::ResourceHook &hook)
     {
         m_client.swap(m_key, m_resource.toJson(), m_expected,
                       [self = shared_from_this(), hook](const Result<SwapResult> &result) {
@@ -93,7 +93,7 @@
                       });
     }
 
-    void remove(ResourceStore::RevisionHook hook)
+    void remove(const ResourceStore::RevisionHook &hook)
     {
         m_client.remove(
             m_key, m_expected, [self = shared_from_this(), hook](const Result<SwapResult> &result) {
