entry: keep one configuration update on its way to a sidecar

Cause: a change before the acknowledgement of the first update sent the second one twice. Change: the next update waits for the acknowledgement of the one on its way.

--- a/src/entry/ConfigPush.cpp
+++ b/src/entry/ConfigPush.cpp
@@ -43,7 +43,8 @@
         return;
     if (m_sentRevision != 0 && now - m_sentAt > ackTimeout)
         close();
-    if (m_sentRevision >= wanted)
+    // The acknowledgement of the one on its way tells what to send next.
+    if (m_sentRevision != 0)
         return;
     if (!m_stream.stream)
         open();
--- a/src/entry/ConfigPush.h
+++ b/src/entry/ConfigPush.h
@@ -49,7 +49,7 @@
     std::uint64_t m_streamNumber = 0;
     std::uint64_t m_incarnation = 0; ///< 0: no report yet
     std::atomic<std::int64_t> m_revision = 0;
-    std::int64_t m_sentRevision = 0; ///< 0: nothing is on its way
+    std::int64_t m_sentRevision = 0; ///< on its way; 0: nothing
     TimePoint m_sentAt;
 };
 
