entry: follow the platform's VM list and resources, and serve operators

Cause: the entry took its members and configuration from tests only. Change: VmListPoller and ConfigWatcher with jittered back-off; the program wires the operator interface. The VM list client iterated over a destroyed temporary and always gave an empty list; it now keeps the parsed document. An entry is not ready before it knows a server.

--- a/apps/foxtailring-entry.cpp
+++ b/apps/foxtailring-entry.cpp
@@ -1,5 +1,10 @@
 #include "foxtailring/base/StructuredLog.h"
 #include "foxtailring/entry/EntryNode.h"
+#include "foxtailring/operator/OperatorApi.h"
+#include "foxtailring/platform/KeyValueClient.h"
+#include "foxtailring/platform/ResourceStore.h"
+#include "foxtailring/transport/Http1Client.h"
+#include "foxtailring/transport/HttpRequest.h"
 
 #include <csignal>
 #include <future>
@@ -15,8 +20,7 @@
 constexpr int exitFailure = 1;
 constexpr int exitUsage = 2;
 
-using foxtailring::EntryNode;
-using foxtailring::EntrySettings;
+using namespace foxtailring;
 
 sigset_t shutdownSignals()
 {
@@ -34,6 +38,30 @@
     sigwait(&signals, &signal);
 }
 
+NodeStatus status(const NodeRevision &node)
+{
+    return {node.id, node.role, node.state, node.availabilityZone, node.revision};
+}
+
+OperatorHooks operatorHooks(const EntryNode &node)
+{
+    OperatorHooks hooks;
+    hooks.localNodes = [&node] {
+        std::vector<NodeStatus> out;
+        for (const NodeRevision &one : node.nodes())
+            out.push_back(status(one));
+        return out;
+    };
+    hooks.peerAdmins = [&node] {
+        std::vector<std::string> out;
+        for (const auto &entry : node.otherEntries())
+            out.push_back(entry.address);
+        return out;
+    };
+    hooks.statusJson = [&node] { return node.statusJson(); };
+    return hooks;
+}
+
 int run(const EntrySettings &settings)
 {
     // Blocked before any thread starts, so that only waitForSignal() takes them.
@@ -41,9 +69,17 @@
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     std::signal(SIGPIPE, SIG_IGN);
 
-    foxtailring::StructuredLog::configure("foxtailring-entry", settings.nodeId);
+    StructuredLog::configure("foxtailring-entry", settings.nodeId);
     std::promise<void> drained; // outlives the threads that set it
     EntryNode node(settings);
+    Http1Client http(node.pool());
+    KeyValueClient keyValues(http, settings.platform);
+    ResourceStore store(node.pool(), keyValues);
+    OperatorApi operatorApi(node.pool(), store, node.config(), http, operatorHooks(node));
+    node.setOperatorHandler(
+        [&operatorApi](const HttpRequest &request, std::shared_ptr<Http1Responder> responder) {
+            operatorApi.handle(request, std::move(responder));
+        });
     const auto ports = node.listen();
     if (!ports) {
         std::cerr << ports.error().message << '\n';
--- a/src/entry/EntryNode.cpp
+++ b/src/entry/EntryNode.cpp
@@ -1,16 +1,19 @@
 #include "foxtailring/entry/EntryNode.h"
 
 #include "foxtailring/base/StructuredLog.h"
+#include "foxtailring/transport/Http1Client.h"
 #include "foxtailring/transport/Http1Server.h"
 
 #include "AdminPort.h"
 #include "CallerPort.h"
 #include "CallRunner.h"
+#include "ConfigWatcher.h"
 #include "EntryDrain.h"
 #include "EntryParts.h"
 #include "EntryStatus.h"
 #include "GenerationRunner.h"
 #include "Membership.h"
+#include "VmListPoller.h"
 
 #include <utility>
 
@@ -46,10 +49,11 @@
                           adminPort.handle(std::move(request), std::move(responder));
                       })
         , drain(parts, callerPort, callerServer)
+        , platformHttp(parts.pool)
     {
     }
 
-    bool isReady() const { return drain.isServing() && parts.config.revision() > 0; }
+    bool isReady() const;
     void stop();
 
     EntryParts parts;
@@ -59,12 +63,25 @@
     Http1Server callerServer;
     Http1Server adminServer;
     EntryDrain drain;
+    Http1Client platformHttp;
+    std::shared_ptr<VmListPoller> poller;
+    std::shared_ptr<ConfigWatcher> watcher;
 };
 
+// Without a server in the list, another entry can do more for a caller.
+bool EntryNode::State::isReady() const
+{
+    return drain.isServing() && parts.config.revision() > 0 && parts.servers.size() > 0;
+}
+
 void EntryNode::State::stop()
 {
     callerServer.close();
     adminServer.close();
+    if (poller)
+        poller->stop();
+    if (watcher)
+        watcher->stop();
     parts.links.close();
     parts.pool.stop();
     // Runs what is still queued on this thread only, so that nothing refers to parts that are
@@ -103,6 +120,14 @@
 
 void EntryNode::followPlatform()
 {
+    State &state = *m_state;
+    state.poller = std::make_shared<VmListPoller>(
+        state.parts, state.platformHttp, [this](const MemberList &list) { applyMembers(list); });
+    state.watcher = std::make_shared<ConfigWatcher>(
+        state.parts, state.platformHttp,
+        [this](const ConfigUpdate &update) { return applyConfig(update); });
+    state.poller->start();
+    state.watcher->start();
 }
 
 void EntryNode::drain(std::function<void()> done)
--- a/src/entry/SidecarFollower.cpp
+++ b/src/entry/SidecarFollower.cpp
@@ -1,6 +1,5 @@
 #include "SidecarFollower.h"
 
-#include "foxtailring/base/RandomSource.h"
 #include "foxtailring/base/StructuredLog.h"
 #include "foxtailring/protocol/Frame.h"
 #include "foxtailring/protocol/WatchReports.h"
@@ -8,9 +7,9 @@
 
 #include "EntryParts.h"
 #include "FrameHooks.h"
+#include "Jitter.h"
 #include "SidecarLink.h"
 #include "SidecarPaths.h"
-#include "ThreadRandom.h"
 
 #include <algorithm>
 
@@ -24,12 +23,6 @@
 constexpr milliseconds leastBackOff {250};
 constexpr milliseconds mostBackOff {2000};
 
-milliseconds jittered(milliseconds most)
-{
-    const double part = 0.5 + threadRandom().unit() / 2;
-    return milliseconds(static_cast<std::int64_t>(static_cast<double>(most.count()) * part));
-}
-
 // A report has to arrive within the time to suspicion, with room for one that is late.
 LivenessSettings linkLiveness(const EntrySettings &settings)
 {
--- a/src/platform/VmListClient.cpp
+++ b/src/platform/VmListClient.cpp
@@ -57,7 +57,8 @@
 Result<std::vector<Vm>> VmListClient::parse(std::string_view json)
 try {
     std::vector<Vm> vms;
-    for (const auto &item : nlohmann::json::parse(json).at("vms"))
+    const auto list = nlohmann::json::parse(json);
+    for (const auto &item : list.at("vms"))
         vms.push_back(readVm(item));
     return vms;
 } catch (const nlohmann::json::exception &exception) {
