--- a/include/foxtailring/entry/EntrySettings.h
+++ b/include/foxtailring/entry/EntrySettings.h
@@ -41,6 +41,9 @@
     std::size_t callerBufferBytes = 4 * 1024 * 1024;
 
     std::chrono::milliseconds vmListInterval {2000};
+    /// A connection can go silent for good, and a watch without changes is silent anyway: opening a
+    /// new one bounds how late a change is seen, at one call of the platform's service each time.
+    std::chrono::milliseconds watchRenewal {4000};
     std::chrono::milliseconds reportInterval {500};
     std::size_t subsetSize = 8; ///< servers followed for each service and region
 
--- a/src/entry/ConfigWatcher.cpp
+++ b/src/entry/ConfigWatcher.cpp
@@ -18,9 +18,6 @@
 constexpr std::string_view keyPrefix = "/foxtailring/resources/";
 constexpr milliseconds leastBackOff {100};
 constexpr milliseconds mostBackOff {2000};
-// A connection can go silent for good, and a watch without changes is silent anyway. Opening a new
-// one at this interval bounds how late a change is seen, at one call of the service each time.
-constexpr milliseconds renewInterval {4000};
 
 // Kind and name from `<prefix><kind>/<name>`.
 bool splitKey(std::string_view key, ResourceDelta &delta)
@@ -143,7 +140,7 @@
         post([number, error](ConfigWatcher &self) { self.ended(number, error); });
     };
     m_stream = m_client.watch(std::string(keyPrefix), m_revision + 1, std::move(hooks));
-    schedule(jittered(renewInterval), [](ConfigWatcher &self) { self.watch(); });
+    schedule(jittered(m_parts.settings.watchRenewal), [](ConfigWatcher &self) { self.watch(); });
 }
 
 void ConfigWatcher::changed(std::uint64_t watch, const std::vector<WatchEvent> &events)
--- a/src/entry/EntrySettings.cpp
+++ b/src/entry/EntrySettings.cpp
@@ -55,6 +55,7 @@
     readMs(reader, "recordTimeoutMs", settings.recordTimeout);
     readMs(reader, "finalAckDelayMs", settings.finalAckDelay, 0, 2500);
     readMs(reader, "vmListIntervalMs", settings.vmListInterval);
+    readMs(reader, "watchRenewalMs", settings.watchRenewal);
     readMs(reader, "reportIntervalMs", settings.reportInterval);
     readMs(reader, "retryAfterMs", settings.retryAfter);
     readMs(reader, "drainDelayMs", settings.drainDelay, 0);
