decisions: move the answers of the claim table into their own file

Change: move what submitters are told to ClaimAnswers; split a test header; share the state of the test's hook.

--- a/src/decisions/ClaimBucketState.cpp
+++ b/src/decisions/ClaimBucketState.cpp
@@ -1,5 +1,7 @@
 #include "ClaimBucketState.h"
 
+#include "ClaimAnswers.h"
+
 #include <algorithm>
 
 namespace foxtailring {
@@ -8,61 +10,8 @@
 
 using State = ClaimEntry::State;
 
-constexpr std::uint32_t statusConflict = 409;
-const std::string notRunNow = "this attempt was not run; earlier attempts are unknown";
 const std::string neverRun = "the call was not run";
 
-AnswerCall conflictAnswer()
-{
-    return {0,
-            Outcome::Unknown,
-            statusConflict,
-            {},
-            "the idempotency key was used with another request; this attempt was not run",
-            false};
-}
-
-AnswerCall notRunAnswer(const std::string &message)
-{
-    return {0, Outcome::NotRun, 0, {}, message, true};
-}
-
-AnswerCall partialAnswer(const std::string &reason)
-{
-    return {0, Outcome::Unknown, 0, {}, notRunNow + ": " + reason, true};
-}
-
-AnswerCall unknownAnswer(const std::string &message)
-{
-    return {0, Outcome::Unknown, 0, {}, message, false};
-}
-
-AnswerCall recordedAnswer(const ClaimRecord &record)
-{
-    if (record.outcome != Outcome::Done)
-        return unknownAnswer("the call may have run; its outcome is unknown");
-    return {0, Outcome::Done, record.status, record.answer, {}, false};
-}
-
-AnswerCall settledAnswer(const ClaimEntry &entry)
-{
-    if (entry.outcome != Outcome::Done)
-        return unknownAnswer("the call may have run; its outcome is unknown");
-    return {0, Outcome::Done, entry.status, entry.answer, {}, false};
-}
-
-void answer(std::uint64_t ticket, AnswerCall call, ClaimActions &actions)
-{
-    call.ticket = ticket;
-    actions.emplace_back(std::move(call));
-}
-
-void answerAll(const ClaimEntry &entry, const AnswerCall &call, ClaimActions &actions)
-{
-    for (const ClaimEntry::Waiter &waiter : entry.waiters)
-        answer(waiter.ticket, call, actions);
-}
-
 void settleNotRun(ClaimEntry &entry)
 {
     entry.state = State::Settled;
@@ -96,7 +45,8 @@
     if (judgeWaiting(keyed, false, moment.now, actions))
         return;
     if (!request.mayRun)
-        return answer(request.ticket, partialAnswer("the server takes no new calls"), actions);
+        return claim_answers::send(
+            request.ticket, claim_answers::notRunNow("the server takes no new calls"), actions);
     if (moment.now < m_retryAt)
         return answerOutage(keyed, actions);
     m_entries.insert_or_assign(request.key, std::move(keyed.second));
@@ -108,13 +58,13 @@
 {
     ClaimEntry &known = entry->second;
     if (known.body != request.body) {
-        answer(request.ticket, conflictAnswer(), actions);
+        claim_answers::send(request.ticket, claim_answers::conflict(), actions);
         return true;
     }
     if (known.state == State::Settled) {
         if (known.outcome == Outcome::NotRun)
             return false;
-        answer(request.ticket, settledAnswer(known), actions);
+        claim_answers::send(request.ticket, claim_answers::settled(known), actions);
         return true;
     }
     known.waiters.push_back({request.ticket, request.deadline});
@@ -172,19 +122,19 @@
     if (!record)
         return false;
     const auto end = [&](const AnswerCall &call) {
-        answerAll(entry.second, call, actions);
+        claim_answers::sendAll(entry.second, call, actions);
         return true;
     };
     if (record->body != entry.second.body)
-        return end(conflictAnswer());
+        return end(claim_answers::conflict());
     if (!record->outcome)
         return judgeClaim(entry, *record, isFresh, now, actions);
     if (*record->outcome != Outcome::NotRun)
-        return end(recordedAnswer(*record));
+        return end(claim_answers::recorded(*record));
     if (isNotRunBefore(*record, entry.second))
         return false;
     // Not run would be untrue: an attempt made after that mark may be about to claim the key.
-    return end(partialAnswer("another process marked the key as not run just now"));
+    return end(claim_answers::notRunNow("another process marked the key as not run just now"));
 }
 
 // The record is a claim without an outcome. While this process holds the entry of every call it
@@ -201,8 +151,10 @@
         m_reread = true;
         return false;
     }
-    answerAll(entry.second,
-              unknownAnswer("another process claimed the call and recorded no outcome"), actions);
+    claim_answers::sendAll(
+        entry.second,
+        claim_answers::unknown("another process claimed the call and recorded no outcome"),
+        actions);
     return true;
 }
 
@@ -260,8 +212,9 @@
     const ClaimRecord *record = m_document.find(entry.first);
     const bool isOwn = record && !record->outcome && record->incarnation == m_incarnation;
     if (isOwn && !m_unresolved && m_phase != Phase::Swapping)
-        return answerAll(entry.second, notRunAnswer(neverRun), actions);
-    answerAll(entry.second, partialAnswer("the platform cannot be asked"), actions);
+        return claim_answers::sendAll(entry.second, claim_answers::notRun(neverRun), actions);
+    claim_answers::sendAll(entry.second, claim_answers::notRunNow("the platform cannot be asked"),
+                           actions);
 }
 
 void ClaimBucketState::callEnded(const SendCall &call, AnswerCall result, ClaimActions &actions)
@@ -271,7 +224,7 @@
         || found->second.state != State::Claimed)
         return;
     ClaimEntry &entry = found->second;
-    answerAll(entry, result, actions);
+    claim_answers::sendAll(entry, result, actions);
     entry.waiters.clear();
     entry.state = State::Settled;
     entry.outcome = result.outcome;
@@ -289,10 +242,11 @@
             entry.waiters.begin(), entry.waiters.end(),
             [now](const ClaimEntry::Waiter &waiter) { return waiter.deadline > now; });
         for (auto waiter = late; waiter != entry.waiters.end(); ++waiter)
-            answer(waiter->ticket,
-                   isSent ? unknownAnswer("the call did not end before the deadline")
-                          : partialAnswer("the claim was not stored before the deadline"),
-                   actions);
+            claim_answers::send(
+                waiter->ticket,
+                isSent ? claim_answers::unknown("the call did not end before the deadline")
+                       : claim_answers::notRunNow("the claim was not stored before the deadline"),
+                actions);
         entry.waiters.erase(late, entry.waiters.end());
         if (entry.state == State::Waiting && entry.waiters.empty())
             settleNotRun(entry);
@@ -392,7 +346,7 @@
     for (auto &[key, entry] : m_entries) {
         if (entry.state != State::Waiting)
             continue;
-        answerAll(entry, partialAnswer(message), actions);
+        claim_answers::sendAll(entry, claim_answers::notRunNow(message), actions);
         settleNotRun(entry);
     }
     dropRecorded();
--- a/tests/sidecar/NodeTest.cpp
+++ b/tests/sidecar/NodeTest.cpp
@@ -33,16 +33,21 @@
 
     HttpResponse admin(const std::string &method, const std::string &target)
     {
+        // Shared with the hook, which may still be waking this thread when the result is returned.
+        struct Reply
+        {
+            Waiting waiting; // guards response
+            std::optional<HttpResponse> response;
+        };
         Http1Client http(*m_pool);
-        Waiting waiting;
-        std::optional<HttpResponse> response;
+        const auto reply = std::make_shared<Reply>();
         http.request({"127.0.0.1", m_sidecar->adminPort()}, {method, target, {}, {}}, 20s,
-                     [&](const Result<HttpResponse> &result) {
-                         waiting.change(
-                             [&] { response = result ? result.value() : HttpResponse {}; });
+                     [reply](const Result<HttpResponse> &result) {
+                         reply->waiting.change(
+                             [&] { reply->response = result ? result.value() : HttpResponse {}; });
                      });
-        CPPUNIT_ASSERT(waiting.until([&] { return response.has_value(); }));
-        return *response;
+        CPPUNIT_ASSERT(reply->waiting.until([&] { return reply->response.has_value(); }));
+        return *reply->response;
     }
 
     bool isDrained()
--- a/tests/sidecar/TestEngine.h
+++ b/tests/sidecar/TestEngine.h
@@ -1,26 +1,15 @@
 #pragma once
 
 #include "foxtailring/transport/Endpoint.h"
-#include "foxtailring/transport/Http1Responder.h"
 #include "foxtailring/transport/Http1Server.h"
 #include "foxtailring/transport/WorkerPool.h"
+#include "TestCompletion.h"
 #include "Waiting.h"
 
 #include <memory>
-#include <nlohmann/json.hpp>
+#include <string>
 #include <vector>
 
-/// \brief One completion request as the engine received it.
-struct TestCompletion
-{
-    foxtailring::HttpRequest request;
-    nlohmann::json body;
-    std::shared_ptr<foxtailring::Http1Responder> responder;
-
-    void sendToken(std::int64_t id, const std::string &text) const;
-    void sendFinish(const std::string &reason) const;
-};
-
 /// \brief Backend server that a test drives: engine and plain service in one.
 class TestEngine
 {
