fakes, platform: mend lint findings

Cause: an unused member, a handler for std::exception that shadows CppUnit's, and hooks passed by value. Change: drop the member, name the exception that is thrown, pass hooks by reference.

--- a/fakes/ProxyRoute.cpp
+++ b/fakes/ProxyRoute.cpp
@@ -11,8 +11,7 @@
 using boost::asio::ip::tcp;
 
 ProxyRoute::ProxyRoute(boost::asio::io_context &context, const Endpoint &listenOn, Endpoint target)
-    : m_context(context)
-    , m_listen(listenOn)
+    : m_listen(listenOn)
     , m_target(std::move(target))
     , m_acceptor(context)
 {
--- a/fakes/ProxyRoute.h
+++ b/fakes/ProxyRoute.h
@@ -46,7 +46,6 @@
     void proceed();
     void cut();
 
-    boost::asio::io_context &m_context;
     Endpoint m_listen;
     Endpoint m_target;
     ProxyFaults m_faults;
--- a/include/foxtailring/platform/ResourceStore.h
+++ b/include/foxtailring/platform/ResourceStore.h
@@ -36,10 +36,10 @@
     /// \brief Stores \a resource if its present revision is \a expected (0: it must not exist).
     ///
     /// Conflict names the resource, both revisions and the writer. Timeout: the outcome is unknown.
-    void put(StoredResource resource, std::int64_t expected, ResourceHook hook);
+    void put(StoredResource resource, std::int64_t expected, const ResourceHook &hook);
     /// \brief Deletes a resource at revision \a expected; returns the revision of the deletion.
     void remove(const std::string &kind, const std::string &name, std::int64_t expected,
-                RevisionHook hook);
+                const RevisionHook &hook);
 
     /// \brief Key prefix under which resources are stored.
     static constexpr std::string_view prefix = "/foxtailring/resources/";
--- a/src/platform/ResourceStore.cpp
+++ b/src/platform/ResourceStore.cpp
@@ -200,21 +200,21 @@
         });
 }
 
-void ResourceStore::put(StoredResource resource, std::int64_t expected, ResourceHook hook)
+void ResourceStore::put(StoredResource resource, std::int64_t expected, const ResourceHook &hook)
 {
     resource.changeId = m_state->changeId();
     std::make_shared<Change>(m_state->pool, m_state->client, std::move(resource), expected)
-        ->put(std::move(hook));
+        ->put(hook);
 }
 
 void ResourceStore::remove(const std::string &kind, const std::string &name, std::int64_t expected,
-                           RevisionHook hook)
+                           const RevisionHook &hook)
 {
     StoredResource resource;
     resource.kind = kind;
     resource.name = name;
     std::make_shared<Change>(m_state->pool, m_state->client, std::move(resource), expected)
-        ->remove(std::move(hook));
+        ->remove(hook);
 }
 
 } // namespace foxtailring
--- a/tests/fakes/PlatformTest.cpp
+++ b/tests/fakes/PlatformTest.cpp
@@ -54,7 +54,7 @@
 
     void malformedBase64IsRefused()
     {
-        CPPUNIT_ASSERT_THROW(parsePut({{"key", "?"}}), std::exception);
+        CPPUNIT_ASSERT_THROW(parsePut({{"key", "?"}}), std::invalid_argument);
         CPPUNIT_ASSERT_EQUAL(std::string(), parsePut({{"key", "aw=="}, {"value", ""}}).value);
     }
 
