--- /dev/null
+++ b/tests/process/system/Answer.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <optional>
+#include <string>
+
+namespace foxtailring::harness {
+
+/// \brief What a caller has of a streamed answer, over all its connections.
+struct Answer
+{
+    enum class End {
+        Open,    ///< no end yet
+        Whole,   ///< the end of the answer arrived
+        Failed,  ///< the last word is an error, after part of the answer or in its place
+        Refused, ///< the request cannot be served, whatever the caller does
+        GaveUp,  ///< the caller's patience has ended
+    };
+
+    std::string text;
+    std::string lastEventId;
+    End end = End::Open;
+    int status = 0;                           ///< of the last connection that was answered
+    std::string problem;                      ///< problem JSON of a failure or refusal
+    std::string retryAfter;                   ///< header of the last refusal
+    std::size_t connections = 0;              ///< that were tried
+    std::size_t refusals = 0;                 ///< with the advice to come back
+    std::chrono::milliseconds longestGap {0}; ///< between two tokens
+
+    /// \brief Number of tokens so far.
+    std::size_t tokens() const;
+    /// \brief Generation that the first token belongs to; empty without a token.
+    std::string tag() const;
+    /// \brief Nothing when the tokens so far are the first ones of one generation, each once and in
+    /// order; else what is wrong.
+    std::optional<std::string> faultInTokens() const;
+    /// \brief Nothing when the answer is whole and has \a count tokens of one generation.
+    std::optional<std::string> faultUnlessWhole(std::size_t count) const;
+    /// \brief Nothing when the answer is whole, or a failure that says `answer_incomplete`.
+    std::optional<std::string> faultUnlessTruthful(std::size_t count) const;
+};
+
+} // namespace foxtailring::harness
--- /dev/null
+++ b/tests/process/system/Caller.cpp
@@ -0,0 +1,150 @@
+#include "Caller.h"
+
+#include "SseStream.h"
+#include "SystemFixture.h"
+
+#include <algorithm>
+
+namespace foxtailring::harness {
+
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+// Longest silence that a caller accepts before it comes back.
+constexpr milliseconds callerSilence {15'000};
+// Between two connections. Shorter than Retry-After, so that refusals are seen more often.
+constexpr milliseconds reconnectPause {50};
+constexpr int firstServerError = 500;
+constexpr int tooManyRequests = 429;
+
+milliseconds leftUntil(steady_clock::time_point end)
+{
+    const auto left = std::chrono::duration_cast<milliseconds>(end - steady_clock::now());
+    return std::max(left, milliseconds(1));
+}
+
+} // namespace
+
+Caller::Caller(SystemFixture &system, CallerOptions options)
+    : m_system(system)
+    , m_options(std::move(options))
+{
+}
+
+void Caller::onToken(std::function<void(std::size_t)> hook)
+{
+    m_onToken = std::move(hook);
+}
+
+const Answer &Caller::run()
+{
+    m_deadline = steady_clock::now() + m_options.patience;
+    while (m_answer.end == Answer::End::Open) {
+        const std::size_t index = m_options.firstEntry + m_answer.connections;
+        ++m_answer.connections;
+        connect(m_system.entry(index % m_system.entryCount()).port);
+        if (m_answer.end == Answer::End::Open && steady_clock::now() >= m_deadline)
+            m_answer.end = Answer::End::GaveUp;
+        waitUntil([this] { return m_answer.end != Answer::End::Open; }, reconnectPause);
+    }
+    return m_answer;
+}
+
+void Caller::connect(std::uint16_t port)
+{
+    if (m_options.dropsEventIds)
+        m_answer.text.clear();
+    try {
+        SseStream stream(port, call(), std::min(callerSilence, leftUntil(m_deadline)));
+        m_answer.status = stream.status();
+        read(stream);
+    } catch (const std::runtime_error &) {
+        // No connection, or no head of an answer: the next entry is tried.
+    }
+}
+
+HttpCall Caller::call() const
+{
+    const json body = {{"model", SystemFixture::model},
+                       {"prompt", m_options.prompt},
+                       {"max_tokens", m_options.maxTokens},
+                       {"stream", true}};
+    HttpCall call {
+        "POST",
+        "/v1/completions",
+        {{"Authorization", "Bearer " + m_options.apiKey}, {"Content-Type", "application/json"}},
+        body.dump()};
+    if (!m_options.idempotencyKey.empty())
+        call.headers.push_back({"Idempotency-Key", m_options.idempotencyKey});
+    if (!m_options.dropsEventIds && !m_answer.lastEventId.empty())
+        call.headers.push_back({"Last-Event-ID", m_answer.lastEventId});
+    return call;
+}
+
+void Caller::read(SseStream &stream)
+{
+    constexpr int ok = 200;
+    while (m_answer.end == Answer::End::Open) {
+        const auto event = stream.next(std::min(callerSilence, leftUntil(m_deadline)));
+        if (!event)
+            break;
+        take(*event);
+    }
+    if (stream.status() != ok)
+        takeRefusal(stream);
+    else if (m_answer.end == Answer::End::Open && stream.end() == SseStream::End::Finished) {
+        // A regular end of the HTTP answer without an end of the text.
+        m_answer.end = Answer::End::Failed;
+        m_answer.problem = "the stream ended without [DONE] or an error";
+    }
+}
+
+void Caller::take(const SseEvent &event)
+{
+    if (!event.id.empty())
+        m_answer.lastEventId = event.id;
+    if (event.type == "error") {
+        m_answer.end = Answer::End::Failed;
+        m_answer.problem = event.data;
+    } else if (event.data == "[DONE]") {
+        m_answer.end = Answer::End::Whole;
+    } else if (!event.data.empty()) {
+        addText(event);
+    }
+}
+
+void Caller::addText(const SseEvent &event)
+{
+    const json chunk = json::parse(event.data);
+    std::string text;
+    for (const json &choice : chunk["choices"])
+        text += choice.value("text", "");
+    if (text.empty())
+        return;
+    const auto now = steady_clock::now();
+    if (!m_answer.text.empty())
+        m_answer.longestGap = std::max(m_answer.longestGap,
+                                       std::chrono::duration_cast<milliseconds>(now - m_lastToken));
+    m_lastToken = now;
+    m_answer.text += text;
+    if (m_onToken)
+        m_onToken(m_answer.tokens());
+}
+
+void Caller::takeRefusal(SseStream &stream)
+{
+    m_answer.problem = stream.rest();
+    m_answer.retryAfter = stream.header("Retry-After");
+    const int status = stream.status();
+    const bool mayPass = status == tooManyRequests || status >= firstServerError;
+    const bool isFinal = m_answer.problem.find("incomplete") != std::string::npos;
+    if (mayPass && !isFinal)
+        ++m_answer.refusals;
+    else
+        m_answer.end = mayPass ? Answer::End::Failed : Answer::End::Refused;
+}
+
+} // namespace foxtailring::harness
--- /dev/null
+++ b/tests/process/system/Caller.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "Answer.h"
+#include "CallerOptions.h"
+
+#include <cstdint>
+#include <functional>
+
+namespace foxtailring {
+struct HttpHeader;
+}
+
+namespace foxtailring::harness {
+
+class SseStream;
+class SystemFixture;
+struct HttpCall;
+struct SseEvent;
+
+/// \brief Streams one answer and comes back through the next entry after a cut or a refusal that
+/// advises it, as a well-behaved caller does.
+class Caller
+{
+public:
+    Caller(SystemFixture &system, CallerOptions options);
+
+    /// \brief Hook that runs for each event with text, with the number of tokens so far.
+    void onToken(std::function<void(std::size_t)> hook);
+    /// \brief Streams until the answer has an end.
+    const Answer &run();
+    const Answer &answer() const { return m_answer; }
+
+private:
+    void connect(std::uint16_t port);
+    HttpCall call() const;
+    void read(SseStream &stream);
+    void take(const SseEvent &event);
+    void addText(const SseEvent &event);
+    void takeRefusal(SseStream &stream);
+
+    SystemFixture &m_system;
+    CallerOptions m_options;
+    Answer m_answer;
+    std::chrono::steady_clock::time_point m_deadline;
+    std::chrono::steady_clock::time_point m_lastToken;
+    std::function<void(std::size_t)> m_onToken;
+};
+
+} // namespace foxtailring::harness
--- /dev/null
+++ b/tests/process/system/CallerOptions.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "Wait.h"
+
+#include <cstddef>
+#include <string>
+
+namespace foxtailring::harness {
+
+/// \brief One request for a streamed answer.
+struct CallerOptions
+{
+    std::string prompt = "condition of the reach";
+    std::size_t maxTokens = 120;
+    std::string apiKey = "electricians-key";
+    std::string idempotencyKey = {};
+    /// Comes back with the Idempotency-Key only, and takes the answer from its start.
+    bool dropsEventIds = false;
+    std::size_t firstEntry = 0; ///< each further connection goes to the next entry
+    std::chrono::milliseconds patience = defaultDeadline;
+};
+
+} // namespace foxtailring::harness
