tests: read answers with a Content-Length in the stream client

Cause: Boost 1.74 takes a body limit of none for 0 when the answer has a Content-Length, so problem bodies could not be read. Change: set the largest limit; run a single test by its name.

--- a/tests/main.cpp
+++ b/tests/main.cpp
@@ -7,7 +7,8 @@
 
 #include <iostream>
 
-int main()
+// The argument is the name of a test or suite to run alone.
+int main(int argc, char **argv)
 {
     CppUnit::TestResult result;
     CppUnit::TestResultCollector collector;
@@ -17,7 +18,7 @@
 
     CppUnit::TestRunner runner;
     runner.addTest(CppUnit::TestFactoryRegistry::getRegistry().makeTest());
-    runner.run(result);
+    runner.run(result, argc > 1 ? argv[1] : "");
 
     CppUnit::CompilerOutputter outputter(&collector, std::cerr);
     outputter.write();
--- a/tests/process/answers/AnswersTest.cpp
+++ b/tests/process/answers/AnswersTest.cpp
@@ -229,6 +229,8 @@
             const Answer &answer = round.run(strikes);
             if (const auto fault = check(round, answer))
                 proof.wrong(*fault);
+            if (answer.end != Answer::End::Whole)
+                proof.unknown();
             if (const auto fault = round.system().faultInEngines())
                 proof.wrong(*fault);
         }
--- a/tests/process/harness/SseStream.cpp
+++ b/tests/process/harness/SseStream.cpp
@@ -6,6 +6,7 @@
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
+#include <limits>
 #include <sstream>
 #include <stdexcept>
 
@@ -71,7 +72,8 @@
     if (!sent)
         throw std::runtime_error(call.target + ": " + sent.error().message);
 
-    m_state->parser.body_limit(boost::none);
+    // Boost 1.74 takes boost::none for a limit of 0 when the answer has a Content-Length.
+    m_state->parser.body_limit(std::numeric_limits<std::uint64_t>::max());
     boost::system::error_code error;
     bool done = false;
     http::async_read_header(connection.socket, connection.buffer, m_state->parser,
--- a/tests/process/system/Caller.cpp
+++ b/tests/process/system/Caller.cpp
@@ -61,8 +61,9 @@
         SseStream stream(port, call(), std::min(callerSilence, leftUntil(m_deadline)));
         m_answer.status = stream.status();
         read(stream);
-    } catch (const std::runtime_error &) {
+    } catch (const std::runtime_error &error) {
         // No connection, or no head of an answer: the next entry is tried.
+        m_answer.problem = error.what();
     }
 }
 
