tests: prove that answers of many callers never cross

Change: 40 callers at once under six faults, each with a prompt that the engines' logs tell from the tags; resume tokens of another account, another request and forged ones.

--- a/tests/process/system/Caller.cpp
+++ b/tests/process/system/Caller.cpp
@@ -57,8 +57,10 @@
 {
     if (m_options.dropsEventIds)
         m_answer.text.clear();
+    const std::string resumeAt = m_options.dropsEventIds ? std::string() : m_answer.lastEventId;
     try {
-        SseStream stream(port, call(), std::min(callerSilence, leftUntil(m_deadline)));
+        SseStream stream(port, call(m_options, resumeAt),
+                         std::min(callerSilence, leftUntil(m_deadline)));
         m_answer.status = stream.status();
         read(stream);
     } catch (const std::runtime_error &error) {
@@ -67,21 +69,21 @@
     }
 }
 
-HttpCall Caller::call() const
+HttpCall Caller::call(const CallerOptions &options, const std::string &lastEventId)
 {
     const json body = {{"model", SystemFixture::model},
-                       {"prompt", m_options.prompt},
-                       {"max_tokens", m_options.maxTokens},
+                       {"prompt", options.prompt},
+                       {"max_tokens", options.maxTokens},
                        {"stream", true}};
     HttpCall call {
         "POST",
         "/v1/completions",
-        {{"Authorization", "Bearer " + m_options.apiKey}, {"Content-Type", "application/json"}},
+        {{"Authorization", "Bearer " + options.apiKey}, {"Content-Type", "application/json"}},
         body.dump()};
-    if (!m_options.idempotencyKey.empty())
-        call.headers.push_back({"Idempotency-Key", m_options.idempotencyKey});
-    if (!m_options.dropsEventIds && !m_answer.lastEventId.empty())
-        call.headers.push_back({"Last-Event-ID", m_answer.lastEventId});
+    if (!options.idempotencyKey.empty())
+        call.headers.push_back({"Idempotency-Key", options.idempotencyKey});
+    if (!lastEventId.empty())
+        call.headers.push_back({"Last-Event-ID", lastEventId});
     return call;
 }
 
--- a/tests/process/system/Caller.h
+++ b/tests/process/system/Caller.h
@@ -29,10 +29,11 @@
     /// \brief Streams until the answer has an end.
     const Answer &run();
     const Answer &answer() const { return m_answer; }
+    /// \brief The request for an answer, from the start or after the event \a lastEventId.
+    static HttpCall call(const CallerOptions &options, const std::string &lastEventId);
 
 private:
     void connect(std::uint16_t port);
-    HttpCall call() const;
     void read(SseStream &stream);
     void take(const SseEvent &event);
     void addText(const SseEvent &event);
--- /dev/null
+++ b/tests/process/system/Crowd.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "Caller.h"
+
+#include <atomic>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace foxtailring::harness {
+
+/// \brief Callers that stream at the same time, each with a prompt of its own.
+class Crowd
+{
+public:
+    /// \brief Starts \a count callers, spread over the entries. While they run, no entry may be
+    /// started anew.
+    Crowd(SystemFixture &system, std::size_t count, const std::string &name, std::size_t maxTokens);
+    ~Crowd();
+    Crowd(const Crowd &) = delete;
+    Crowd &operator=(const Crowd &) = delete;
+
+    /// \brief Waits until all callers together have so many tokens. Throws std::runtime_error when
+    /// they have all ended or the tokens do not come.
+    void waitForTokens(std::size_t count) const;
+    void join();
+
+    /// \brief Answer of a caller; to be called after join().
+    const Answer &answer(std::size_t number) const { return m_callers.at(number)->answer(); }
+    std::string prompt(std::size_t number) const;
+
+private:
+    std::string m_name;
+    std::atomic<std::size_t> m_tokens = 0;
+    std::atomic<std::size_t> m_ended = 0;
+    std::vector<std::unique_ptr<Caller>> m_callers;
+    std::vector<std::thread> m_threads;
+};
+
+} // namespace foxtailring::harness
--- a/tests/process/system/SystemFixture.cpp
+++ b/tests/process/system/SystemFixture.cpp
@@ -229,6 +229,14 @@
     return std::nullopt;
 }
 
+void SystemFixture::addPrompts(std::map<std::string, std::string> &prompts)
+{
+    for (ServerVm &server : m_engines) {
+        for (const json &record : generationsOf(server))
+            prompts[std::to_string(record["tag"].get<std::int64_t>())] = record["promptHash"];
+    }
+}
+
 std::size_t SystemFixture::generationsStarted()
 {
     std::size_t count = 0;
--- a/tests/process/system/SystemFixture.h
+++ b/tests/process/system/SystemFixture.h
@@ -6,6 +6,7 @@
 #include "SystemOptions.h"
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -55,6 +56,8 @@
     /// \brief The engine that runs the generation with \a tag, after the longest prefix when there
     /// are several, or else one that has ended it; nullptr when none knows it.
     ServerVm *engineOf(const std::string &tag);
+    /// \brief Adds what the living engines know to \a prompts: the hash of the prompt by tag.
+    void addPrompts(std::map<std::string, std::string> &prompts);
     /// \brief Generations, from the start or after a prefix, that the living engines were given.
     std::size_t generationsStarted();
     /// \brief Nothing when each generation was continued only after an exact prefix of one
