tests: prove that leaving servers get no new work and shutdowns cut no request

Cause: nothing showed invariants 6 and 7 with real processes. Change: drain during a platform outage, SIGTERM of a sidecar and of an entry under load, hand-over of long streams, and a rolling restart; every answer has to come over one connection.

--- /dev/null
+++ b/tests/process/leaving/LeavingTest.cpp
@@ -0,0 +1,172 @@
+#include "Crowd.h"
+#include "Proof.h"
+#include "SystemFixture.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace foxtailring;
+using namespace foxtailring::harness;
+
+// Invariants 6 and 7: a leaving server receives no new work, and a graceful shutdown interrupts no
+// request.
+class LeavingTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(LeavingTest);
+    CPPUNIT_TEST(drainingServerGetsNoNewWork);
+    CPPUNIT_TEST(sidecarTerminatedUnderLoad);
+    CPPUNIT_TEST(entryTerminatedUnderLoad);
+    CPPUNIT_TEST(entryHandsOverLongStreams);
+    CPPUNIT_TEST(rollingRestartUnderLoad);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // The VM list is out of date, since the platform is down: only the server's own report tells.
+    void drainingServerGetsNoNewWork()
+    {
+        repeat("sidecar drains while the platform is down", [](Proof &proof) {
+            SystemFixture system(options());
+            Crowd before(system, callers, "before", tokens);
+            before.waitForTokens(callers * 10);
+            system.platformFault({{"down", "close"}});
+            ServerVm &leaving = system.engine(0);
+            const auto drained = leaving.admin().send({"POST", "/drain", {}, {}});
+            CPPUNIT_ASSERT(drained && drained.value().status == 202);
+            const int started = startedAt(leaving);
+            CPPUNIT_ASSERT_MESSAGE("the leaving server has no work that could be cut", started > 0);
+            Crowd after(system, callers, "after", tokens);
+            expectUncut(proof, before);
+            expectUncut(proof, after);
+            if (startedAt(leaving) != started)
+                proof.wrong("the leaving server got new work");
+        });
+    }
+
+    void sidecarTerminatedUnderLoad()
+    {
+        repeat("SIGTERM of a sidecar under load", [](Proof &proof) {
+            SystemFixture system(options());
+            Crowd crowd(system, callers, "load", tokens);
+            crowd.waitForTokens(callers);
+            system.engine(0).sidecar->terminate();
+            Crowd after(system, callers, "after", tokens);
+            expectUncut(proof, crowd);
+            expectUncut(proof, after);
+            expectCleanExit(proof, *system.engine(0).sidecar);
+        });
+    }
+
+    void entryTerminatedUnderLoad()
+    {
+        repeat("SIGTERM of an entry under load", [](Proof &proof) {
+            SystemFixture system(options());
+            Crowd crowd(system, callers, "load", tokens);
+            crowd.waitForTokens(callers);
+            system.entry(0).process->terminate();
+            Crowd after(system, callers, "after", tokens);
+            expectUncut(proof, crowd);
+            expectUncut(proof, after);
+            expectCleanExit(proof, *system.entry(0).process);
+        });
+    }
+
+    // Guards against a hand-over that loses tokens, or that computes the answer again.
+    void entryHandsOverLongStreams()
+    {
+        repeat("SIGTERM of an entry whose streams outlast the drain limit", [](Proof &proof) {
+            SystemOptions settings = options();
+            settings.entrySettings = "times:\n  drainDelayMs: 100\n  drainLimitMs: 100\n";
+            SystemFixture system(settings);
+            Crowd crowd(system, callers, "load", tokens);
+            crowd.waitForTokens(callers);
+            system.entry(0).process->terminate();
+            expectEach(proof, crowd,
+                       [](const Answer &answer) { return answer.faultUnlessWhole(tokens); });
+            expectCleanExit(proof, *system.entry(0).process);
+            const std::size_t started = system.generationsStarted();
+            if (started != callers)
+                proof.wrong(std::to_string(started) + " generations for " + std::to_string(callers)
+                            + " answers");
+        });
+    }
+
+    void rollingRestartUnderLoad()
+    {
+        repeat("each sidecar and entry restarted in turn under load", [](Proof &proof) {
+            SystemFixture system(options());
+            for (std::size_t index = 0; index < system.engineCount(); ++index)
+                restart(proof, system, *system.engine(index).sidecar,
+                        [&] { system.startSidecar(system.engine(index)); });
+            for (std::size_t index = 0; index < system.entryCount(); ++index)
+                restart(proof, system, *system.entry(index).process,
+                        [&] { system.startEntry(system.entry(index)); });
+        });
+    }
+
+private:
+    static constexpr std::size_t callers = 12;
+    static constexpr std::size_t tokens = 120;
+
+    static SystemOptions options()
+    {
+        SystemOptions options;
+        options.tokenMs = 8;
+        options.engineFlags = {"--slots", "32"};
+        options.entrySettings = "times:\n  drainDelayMs: 100\n";
+        return options;
+    }
+
+    static void repeat(const std::string &faults, const std::function<void(Proof &)> &test)
+    {
+        Proof proof("leaving", faults);
+        for (std::size_t count = 0; count < Proof::rounds(); ++count) {
+            proof.round();
+            test(proof);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), proof.wrongCount());
+    }
+
+    static void restart(Proof &proof, SystemFixture &system, ChildProcess &process,
+                        const std::function<void()> &start)
+    {
+        Crowd crowd(system, callers, "load", tokens);
+        crowd.waitForTokens(callers);
+        process.terminate();
+        Crowd after(system, callers, "after", tokens);
+        expectUncut(proof, crowd);
+        expectUncut(proof, after);
+        expectCleanExit(proof, process);
+        start();
+        system.waitReady();
+    }
+
+    static void expectEach(Proof &proof, Crowd &crowd,
+                           const std::function<std::optional<std::string>(const Answer &)> &faultIn)
+    {
+        crowd.join();
+        for (std::size_t number = 0; number < crowd.size(); ++number) {
+            proof.request();
+            if (const auto fault = faultIn(crowd.answer(number)))
+                proof.wrong(crowd.prompt(number) + ": " + *fault);
+        }
+    }
+
+    static void expectUncut(Proof &proof, Crowd &crowd)
+    {
+        expectEach(proof, crowd,
+                   [](const Answer &answer) { return answer.faultUnlessUncut(tokens); });
+    }
+
+    static void expectCleanExit(Proof &proof, ChildProcess &process)
+    {
+        const auto status = process.waitForExit();
+        if (status != 0)
+            proof.wrong("exit status " + std::to_string(status.value_or(-1)) + " after SIGTERM");
+    }
+
+    static int startedAt(ServerVm &server)
+    {
+        return server.backendControl().get("/fake/stats")["generationsStarted"].get<int>();
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(LeavingTest);
--- a/tests/process/system/Answer.cpp
+++ b/tests/process/system/Answer.cpp
@@ -56,6 +56,13 @@
     return std::nullopt;
 }
 
+std::optional<std::string> Answer::faultUnlessUncut(std::size_t count) const
+{
+    if (cuts > 0)
+        return "the answer was cut " + std::to_string(cuts) + " times";
+    return faultUnlessWhole(count);
+}
+
 std::optional<std::string> Answer::faultUnlessTruthful(std::size_t count) const
 {
     const bool saysIncomplete =
--- a/tests/process/system/Answer.h
+++ b/tests/process/system/Answer.h
@@ -26,6 +26,7 @@
     std::string retryAfter;                   ///< header of the last refusal
     std::size_t connections = 0;              ///< that were tried
     std::size_t refusals = 0;                 ///< with the advice to come back
+    std::size_t cuts = 0;                     ///< connections that ended within the answer
     std::chrono::milliseconds longestGap {0}; ///< between two tokens
 
     /// \brief Number of tokens so far.
@@ -37,6 +38,8 @@
     std::optional<std::string> faultInTokens() const;
     /// \brief Nothing when the answer is whole and has \a count tokens of one generation.
     std::optional<std::string> faultUnlessWhole(std::size_t count) const;
+    /// \brief Nothing when the answer is whole and came over one connection.
+    std::optional<std::string> faultUnlessUncut(std::size_t count) const;
     /// \brief Nothing when the answer is whole, or a failure that says `answer_incomplete`.
     std::optional<std::string> faultUnlessTruthful(std::size_t count) const;
 };
--- a/tests/process/system/Caller.cpp
+++ b/tests/process/system/Caller.cpp
@@ -97,9 +97,12 @@
         take(*event);
     }
     if (stream.status() != ok)
-        takeRefusal(stream);
-    else if (m_answer.end == Answer::End::Open && stream.end() == SseStream::End::Finished) {
-        // A regular end of the HTTP answer without an end of the text.
+        return takeRefusal(stream);
+    if (m_answer.end != Answer::End::Open)
+        return;
+    ++m_answer.cuts;
+    // A regular end of the HTTP answer without an end of the text looks whole to other clients.
+    if (stream.end() == SseStream::End::Finished) {
         m_answer.end = Answer::End::Failed;
         m_answer.problem = "the stream ended without [DONE] or an error";
     }
--- a/tests/process/system/Crowd.h
+++ b/tests/process/system/Crowd.h
@@ -14,8 +14,7 @@
 class Crowd
 {
 public:
-    /// \brief Starts \a count callers, spread over the entries. While they run, no entry may be
-    /// started anew.
+    /// \brief Starts \a count callers, spread over the entries.
     Crowd(SystemFixture &system, std::size_t count, const std::string &name, std::size_t maxTokens);
     ~Crowd();
     Crowd(const Crowd &) = delete;
@@ -29,6 +28,7 @@
     /// \brief Answer of a caller; to be called after join().
     const Answer &answer(std::size_t number) const { return m_callers.at(number)->answer(); }
     std::string prompt(std::size_t number) const;
+    std::size_t size() const { return m_callers.size(); }
 
 private:
     std::string m_name;
--- a/tests/process/system/SystemFixture.cpp
+++ b/tests/process/system/SystemFixture.cpp
@@ -146,15 +146,19 @@
         std::make_unique<TemporaryFile>(yaml({{"nodeId", entry.name},
                                               {"region", entry.region},
                                               {"availabilityZone", entry.availabilityZone},
-                                              {"listen", "127.0.0.1:0"},
-                                              {"admin", "127.0.0.1:0"},
+                                              {"listen", address(entry.port)},
+                                              {"admin", address(entry.adminPort)},
                                               {"platform", address(routePort(entry.platform()))},
                                               {"secret", secret}},
                                              m_options.entrySettings));
     entry.process = std::make_unique<ChildProcess>(
         FOXTAILRING_ENTRY_PATH, std::vector<std::string> {"--config", entry.settings->path()});
+    const std::uint16_t admin = adminPort(*entry.process);
+    // Callers on other threads read the ports of an entry that is started anew.
+    if (entry.port != 0)
+        return;
     entry.port = entry.process->port();
-    entry.adminPort = adminPort(*entry.process);
+    entry.adminPort = admin;
 }
 
 void SystemFixture::publishVms()
@@ -183,12 +187,14 @@
     const auto known = static_cast<double>(m_engines.size() + m_services.size());
     const bool ready = waitUntil([&] {
         for (EntryVm &entry : m_entries) {
+            if (!entry.process->isRunning())
+                continue;
             if (!isOk(entry.admin(), "/readyz") || counter(entry.admin(), "servers_known") < known)
                 return false;
         }
         for (std::vector<ServerVm> *servers : {&m_engines, &m_services}) {
             for (ServerVm &server : *servers) {
-                if (!isOk(server.admin(), "/readyz"))
+                if (server.sidecar->isRunning() && !isOk(server.admin(), "/readyz"))
                     return false;
             }
         }
--- a/tests/process/system/SystemFixture.h
+++ b/tests/process/system/SystemFixture.h
@@ -47,10 +47,11 @@
     /// \brief Starts a new process in the place of the old one, at the same outer address.
     void startBackend(ServerVm &server);
     void startSidecar(ServerVm &server);
-    /// \brief Starts a new process; the entry's ports change.
+    /// \brief Starts a new process, at the same ports as the old one.
     void startEntry(EntryVm &entry);
     /// \brief Puts the servers and entries, with their states, into the platform's VM list.
     void publishVms();
+    /// \brief Waits until every running process is ready.
     void waitReady();
 
     /// \brief The engine that runs the generation with \a tag, after the longest prefix when there
