--- /dev/null
+++ b/tests/process/calls/CallChaos.cpp
@@ -0,0 +1,160 @@
+#include "CallChaos.h"
+
+#include <thread>
+
+namespace foxtailring::harness {
+
+namespace {
+
+constexpr std::size_t threads = 4;
+constexpr std::size_t keysPerThread = 15;
+constexpr std::size_t attemptsPerKey = 3;
+constexpr std::size_t strikes = 12;
+// Calls between two faults.
+constexpr std::size_t callsPerStrike = 4;
+// Shorter than the entry's own deadline, so that some callers give up and come back.
+constexpr std::chrono::seconds callerTimeout {4};
+
+} // namespace
+
+CallChaos::CallChaos(SystemFixture &system, Proof &proof, std::uint64_t seed)
+    : m_system(system)
+    , m_proof(proof)
+    , m_log(system)
+    , m_random(seed)
+    , m_seed(seed)
+{
+    for (std::size_t number = 0; number < threads * keysPerThread; ++number) {
+        const std::string name = "chaos-" + std::to_string(number);
+        m_keys.push_back({NoticeCall(name, name)});
+    }
+}
+
+void CallChaos::run()
+{
+    std::vector<std::thread> senders;
+    for (std::size_t thread = 0; thread < threads; ++thread)
+        senders.emplace_back([this, thread] { sendKeys(thread); });
+    strikeAll();
+    for (std::thread &sender : senders)
+        sender.join();
+    heal();
+    check();
+    retryRefused();
+    check();
+}
+
+void CallChaos::sendKeys(std::size_t thread)
+{
+    RandomSource random(m_seed + 1 + thread);
+    for (std::size_t number = 0; number < keysPerThread; ++number) {
+        Key &key = m_keys[thread * keysPerThread + number];
+        for (std::size_t attempt = 0; attempt < attemptsPerKey && !key.isDone(); ++attempt)
+            send(key, random.below(m_system.entryCount()));
+    }
+}
+
+void CallChaos::send(Key &key, std::size_t entry)
+{
+    m_proof.request();
+    key.answers.push_back(key.call.send(m_system, entry, callerTimeout));
+    if (key.answers.back().isOpen())
+        m_proof.unknown();
+    ++m_sent;
+}
+
+void CallChaos::strikeAll()
+{
+    for (std::size_t count = 1; count <= strikes; ++count) {
+        waitUntil([&] { return m_sent >= count * callsPerStrike; });
+        strike();
+    }
+}
+
+void CallChaos::strike()
+{
+    ServerVm &server = anyServer();
+    switch (m_random.below(8)) {
+    case 0:
+        return m_system.fault(server.inner(), {{"cut", true}});
+    case 1:
+        return m_system.fault(server.loopback(), {{"cut", true}});
+    case 2:
+        return m_system.platformFault({{"loseReplyNext", 2}});
+    case 3:
+        return m_system.platformFault({{"down", m_random.below(2) == 0 ? "close" : "hang"}});
+    case 4:
+        return m_system.platformFault({{"down", false}});
+    case 5:
+        return m_system.fault(server.inner(), {{"silentExisting", true}});
+    default:
+        return strikeProcess(server);
+    }
+}
+
+void CallChaos::strikeProcess(ServerVm &server)
+{
+    switch (m_random.below(5)) {
+    case 0:
+        server.backendControl().post("/fake/fault", {{"dropReplyNext", 1}});
+        return;
+    case 1:
+        return server.sidecar->pause();
+    case 2:
+        return server.sidecar->resume();
+    case 3:
+        return m_log.replace(server);
+    default:
+        m_system.entry(0).process->kill();
+        m_system.startEntry(m_system.entry(0));
+    }
+}
+
+void CallChaos::heal()
+{
+    m_system.platformFault({{"down", false}, {"loseReplyNext", 0}});
+    for (std::size_t index = 0; index < m_system.serviceCount(); ++index) {
+        m_system.service(index).sidecar->resume();
+        m_system.service(index).backendControl().post("/fake/fault", {{"dropReplyNext", 0}});
+    }
+    m_system.waitReady();
+}
+
+// A call that was not run may be sent again, and runs then.
+void CallChaos::retryRefused()
+{
+    for (Key &key : m_keys)
+        waitUntil([&] {
+            if (!key.answers.back().isNotRun())
+                return true;
+            send(key, 0);
+            return false;
+        });
+}
+
+void CallChaos::check()
+{
+    auto executions = m_log.executions();
+    for (const Key &key : m_keys)
+        checkKey(key, executions[key.call.target()]);
+}
+
+void CallChaos::checkKey(const Key &key, std::size_t executions)
+{
+    const CallAnswer &last = key.answers.back();
+    const std::string found = key.call.target() + " ran " + std::to_string(executions)
+        + " times; last answer: " + last.text();
+    if (executions > 1)
+        m_proof.wrong("more than once: " + found);
+    if (last.isDone() && executions != 1)
+        m_proof.wrong("answered, but not run: " + found);
+    if (last.isNotRun() && executions != 0)
+        m_proof.wrong("called not run, but run: " + found);
+}
+
+ServerVm &CallChaos::anyServer()
+{
+    return m_system.service(m_random.below(m_system.serviceCount()));
+}
+
+} // namespace foxtailring::harness
--- /dev/null
+++ b/tests/process/calls/CallsTest.cpp
@@ -0,0 +1,290 @@
+#include "CallChaos.h"
+#include "NoticeCall.h"
+#include "Proof.h"
+#include "ServiceLog.h"
+#include "SystemFixture.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <future>
+
+using namespace foxtailring;
+using namespace foxtailring::harness;
+
+// Invariants 4 and 5: "not-run" is true, and a non-idempotent call runs at most once. Each test
+// brings one fault about; what the caller was told is compared with the service's own log.
+class CallsTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(CallsTest);
+    CPPUNIT_TEST(replyLostByService);
+    CPPUNIT_TEST(replyLostOnTheWayToEntry);
+    CPPUNIT_TEST(connectionToServiceCut);
+    CPPUNIT_TEST(serviceRefusesConnections);
+    CPPUNIT_TEST(entryKilledBeforeReply);
+    CPPUNIT_TEST(sidecarPausedBeforeReply);
+    CPPUNIT_TEST(vmReplacedWithEmptyMemory);
+    CPPUNIT_TEST(platformDown);
+    CPPUNIT_TEST(claimRepliesLost);
+    CPPUNIT_TEST(keyReusedWithAnotherBody);
+    CPPUNIT_TEST(replyLostWithoutKey);
+    CPPUNIT_TEST(severalFaultsAtOnce);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void replyLostByService()
+    {
+        run("service drops the reply after it executed", [](Round &round) {
+            round.faultServices({{"dropReplyNext", 1}});
+            const CallAnswer first = round.send(0);
+            round.faultServices({{"dropReplyNext", 0}});
+            round.expect(first.isOpen(), "the lost reply is reported as unknown", first);
+            for (std::size_t entry = 0; entry < 2; ++entry) {
+                const CallAnswer again = round.send(entry);
+                round.expect(!again.isNotRun(), "a call that ran is never called not run", again);
+            }
+            round.expectExecutions(1);
+        });
+    }
+
+    // The sidecar still has the answer: the entry asks it again over a new connection.
+    void replyLostOnTheWayToEntry()
+    {
+        run("connections between entry and sidecar cut before the reply", [](Round &round) {
+            auto call = round.sendLater(0);
+            round.system.fault(round.busy().inner(), {{"cut", true}});
+            const CallAnswer answer = call.get();
+            round.expect(answer.isDone(), "the answer is fetched over a new connection", answer);
+            round.expectExecutions(1);
+        });
+    }
+
+    void connectionToServiceCut()
+    {
+        run("connection between sidecar and service cut before the reply", [](Round &round) {
+            auto call = round.sendLater(0);
+            round.system.fault(round.busy().loopback(), {{"cut", true}});
+            const CallAnswer answer = call.get();
+            round.expect(answer.isOpen(), "the outcome is unknown", answer);
+            round.expect(!round.send(1).isNotRun(), "a retry is not called not run", answer);
+            round.expectAtMost(1);
+        });
+    }
+
+    void serviceRefusesConnections()
+    {
+        run("service refuses connections, then accepts them", [](Round &round) {
+            round.faultLoopbacks({{"refuse", true}, {"cut", true}});
+            const CallAnswer refused = round.send(0);
+            round.expect(refused.isNotRun(), "nothing was sent", refused);
+            round.expectExecutions(0);
+            round.faultLoopbacks({{"refuse", false}});
+            const CallAnswer answer = round.sendUntilDone();
+            round.expect(answer.isDone(), "the call runs when the service is back", answer);
+            round.expectExecutions(1);
+        });
+    }
+
+    void entryKilledBeforeReply()
+    {
+        run("entry killed between call and reply, retry through another entry", [](Round &round) {
+            auto call = round.sendLater(0);
+            round.busy();
+            round.system.entry(0).process->kill();
+            call.get();
+            const CallAnswer answer = round.send(1);
+            round.expect(answer.isDone(), "the retry gets the answer of the first call", answer);
+            round.expectExecutions(1);
+        });
+    }
+
+    void sidecarPausedBeforeReply()
+    {
+        run("sidecar SIGSTOP before the reply, retry elsewhere, SIGCONT", [](Round &round) {
+            auto call = round.sendLater(0);
+            ServerVm &home = round.busy();
+            home.sidecar->pause();
+            const CallAnswer first = call.get();
+            round.expect(!first.isNotRun(), "a call that was sent is not called not run", first);
+            round.expect(!round.send(1).isNotRun(), "nor is its retry", first);
+            home.sidecar->resume();
+            round.expect(!round.send(1).isNotRun(), "nor a retry at the returned home", first);
+            round.expectExecutions(1);
+        });
+    }
+
+    void vmReplacedWithEmptyMemory()
+    {
+        run("sidecar and service replaced by new ones with empty memory", [](Round &round) {
+            const CallAnswer first = round.send(0);
+            round.expect(first.isDone(), "the first call is answered", first);
+            for (std::size_t index = 0; index < round.system.serviceCount(); ++index)
+                round.log.replace(round.system.service(index));
+            round.system.waitReady();
+            const CallAnswer again = round.send(1);
+            round.expect(!again.isNotRun(), "an old key is not new at a new server", again);
+            round.expectExecutions(1);
+        });
+    }
+
+    void platformDown()
+    {
+        run("platform down, then back", [](Round &round) {
+            round.system.platformFault({{"down", "close"}});
+            const CallAnswer refused = round.send(0);
+            round.expect(refused.isNotRun(), "a new keyed call is refused", refused);
+            round.expect(!refused.retryAfter.empty(), "with the time to retry", refused);
+            round.expectExecutions(0);
+            round.system.platformFault({{"down", false}});
+            const CallAnswer answer = round.sendUntilDone();
+            round.expect(answer.isDone(), "the call runs when the platform is back", answer);
+            round.expectExecutions(1);
+        });
+    }
+
+    void claimRepliesLost()
+    {
+        run("replies to claim writes lost", [](Round &round) {
+            round.system.platformFault({{"loseReplyNext", 2}});
+            const CallAnswer first = round.send(0);
+            round.system.platformFault({{"loseReplyNext", 0}});
+            const CallAnswer answer = first.isDone() ? first : round.sendUntilDone();
+            round.expect(answer.isDone(), "a lost reply of a claim is read back", answer);
+            round.expectExecutions(1);
+        });
+    }
+
+    void keyReusedWithAnotherBody()
+    {
+        run("key used again with another body", [](Round &round) {
+            const CallAnswer first = round.send(0);
+            round.expect(first.isDone(), "the first call is answered", first);
+            const NoticeCall other(round.name, round.name, "revision 5");
+            for (std::size_t entry = 0; entry < 2; ++entry) {
+                const CallAnswer refused = other.send(round.system, entry);
+                round.expect(refused.isNotRun() && refused.status == 422,
+                             "another body under the same key is refused", refused);
+            }
+            round.expectExecutions(1);
+        });
+    }
+
+    void replyLostWithoutKey()
+    {
+        run("service drops the reply of a call without a key", [](Round &round) {
+            const NoticeCall call(round.name, {});
+            round.faultServices({{"dropReplyNext", 1}});
+            const CallAnswer answer = call.send(round.system, 0);
+            round.expect(answer.isOpen(), "the outcome is unknown", answer);
+            round.expectExecutions(1);
+        });
+    }
+
+    void severalFaultsAtOnce()
+    {
+        Proof proof("calls", "60 keys, 12 faults chosen by the seed, several at once");
+        for (std::size_t count = 0; count < Proof::rounds(); ++count) {
+            SystemFixture system(options());
+            proof.round();
+            CallChaos(system, proof, Proof::seed() + count).run();
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), proof.wrongCount());
+    }
+
+private:
+    // One key, its calls and the log they are compared with.
+    struct Round
+    {
+        SystemFixture &system;
+        Proof &proof;
+        std::string name;
+        ServiceLog log {system};
+        NoticeCall call {name, name};
+
+        CallAnswer send(std::size_t entry)
+        {
+            proof.request();
+            CallAnswer answer = call.send(system, entry);
+            if (answer.isOpen())
+                proof.unknown();
+            return answer;
+        }
+
+        std::future<CallAnswer> sendLater(std::size_t entry)
+        {
+            return std::async(std::launch::async, [this, entry] { return send(entry); });
+        }
+
+        CallAnswer sendUntilDone()
+        {
+            CallAnswer answer;
+            waitUntil([&] {
+                answer = send(1);
+                return !answer.isNotRun();
+            });
+            return answer;
+        }
+
+        ServerVm &busy()
+        {
+            ServerVm *server = log.busyServer();
+            CPPUNIT_ASSERT_MESSAGE("no server executes the call", server);
+            return *server;
+        }
+
+        void faultServices(const nlohmann::json &faults)
+        {
+            for (std::size_t index = 0; index < system.serviceCount(); ++index)
+                system.service(index).backendControl().post("/fake/fault", faults);
+        }
+
+        void faultLoopbacks(const nlohmann::json &faults)
+        {
+            for (std::size_t index = 0; index < system.serviceCount(); ++index)
+                system.fault(system.service(index).loopback(), faults);
+        }
+
+        void expect(bool holds, const std::string &rule, const CallAnswer &answer)
+        {
+            if (!holds)
+                proof.wrong("not so: " + rule + ": " + answer.text());
+        }
+
+        void expectExecutions(std::size_t count)
+        {
+            const std::size_t executed = log.executions(call.target());
+            if (executed != count)
+                proof.wrong(std::to_string(executed) + " executions instead of "
+                            + std::to_string(count));
+        }
+
+        void expectAtMost(std::size_t count)
+        {
+            const std::size_t executed = log.executions(call.target());
+            if (executed > count)
+                proof.wrong(std::to_string(executed) + " executions");
+        }
+    };
+
+    static SystemOptions options()
+    {
+        SystemOptions options;
+        options.engines = 0;
+        options.services = 3;
+        // Long enough for a fault between a call and its reply.
+        options.serviceFlags = {"--delay_ms", "150"};
+        return options;
+    }
+
+    static void run(const std::string &faults, const std::function<void(Round &)> &test)
+    {
+        Proof proof("calls", faults);
+        for (std::size_t count = 0; count < Proof::rounds(); ++count) {
+            SystemFixture system(options());
+            Round round {system, proof, "notice-" + std::to_string(count)};
+            proof.round();
+            test(round);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), proof.wrongCount());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(CallsTest);
--- /dev/null
+++ b/tests/process/configuration/RevisionWatch.cpp
@@ -0,0 +1,80 @@
+#include "RevisionWatch.h"
+
+#include "SystemFixture.h"
+
+#include <algorithm>
+
+namespace foxtailring::harness {
+
+RevisionWatch::RevisionWatch(SystemFixture &system)
+{
+    for (std::size_t index = 0; index < system.entryCount(); ++index)
+        m_nodes[system.entry(index).name].adminPort = system.entry(index).adminPort;
+    for (std::size_t index = 0; index < system.engineCount(); ++index) {
+        ServerVm &server = system.engine(index);
+        m_nodes[server.name].adminPort = server.adminPort();
+    }
+    m_thread = std::thread([this] {
+        constexpr std::chrono::hours longest {1};
+        waitUntil(
+            [this] {
+                poll();
+                return m_stopped.load();
+            },
+            longest);
+    });
+}
+
+RevisionWatch::~RevisionWatch()
+{
+    m_stopped = true;
+    m_thread.join();
+}
+
+void RevisionWatch::forget(const std::string &node)
+{
+    const std::lock_guard lock(m_mutex);
+    m_nodes[node].revision = 0;
+}
+
+bool RevisionWatch::waitFor(std::int64_t revision)
+{
+    return waitUntil([&] {
+        const std::lock_guard lock(m_mutex);
+        return std::all_of(m_nodes.begin(), m_nodes.end(),
+                           [&](const auto &node) { return node.second.revision >= revision; });
+    });
+}
+
+std::vector<std::string> RevisionWatch::faults()
+{
+    const std::lock_guard lock(m_mutex);
+    return m_faults;
+}
+
+void RevisionWatch::poll()
+{
+    std::map<std::string, Node> nodes;
+    {
+        const std::lock_guard lock(m_mutex);
+        nodes = m_nodes;
+    }
+    for (const auto &[name, node] : nodes)
+        note(name, static_cast<std::int64_t>(SystemFixture::counter(HttpClient(node.adminPort),
+                                                                    "config_revision")));
+}
+
+// A node that does not answer, or has no configuration yet, reports 0.
+void RevisionWatch::note(const std::string &name, std::int64_t revision)
+{
+    const std::lock_guard lock(m_mutex);
+    Node &node = m_nodes[name];
+    if (revision == 0)
+        return;
+    if (revision < node.revision)
+        m_faults.push_back(name + " went from revision " + std::to_string(node.revision) + " to "
+                           + std::to_string(revision));
+    node.revision = revision;
+}
+
+} // namespace foxtailring::harness
--- /dev/null
+++ b/tests/process/configuration/RevisionWatch.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace foxtailring::harness {
+
+class SystemFixture;
+
+/// \brief Polls the configuration revision of every entry and sidecar and notes each decrease.
+class RevisionWatch
+{
+public:
+    explicit RevisionWatch(SystemFixture &system);
+    ~RevisionWatch();
+    RevisionWatch(const RevisionWatch &) = delete;
+    RevisionWatch &operator=(const RevisionWatch &) = delete;
+
+    /// \brief Starts over for a node whose process is replaced.
+    void forget(const std::string &node);
+    /// \brief False when a node does not reach \a revision before the default deadline.
+    bool waitFor(std::int64_t revision);
+    /// \brief Decreases so far.
+    std::vector<std::string> faults();
+
+private:
+    struct Node
+    {
+        std::uint16_t adminPort = 0;
+        std::int64_t revision = 0;
+    };
+
+    void poll();
+    void note(const std::string &name, std::int64_t revision);
+
+    std::mutex m_mutex; // guards nodes and faults
+    std::map<std::string, Node> m_nodes;
+    std::vector<std::string> m_faults;
+    std::atomic<bool> m_stopped = false;
+    std::thread m_thread;
+};
+
+} // namespace foxtailring::harness
--- a/tests/process/system/ServerVm.h
+++ b/tests/process/system/ServerVm.h
@@ -4,6 +4,7 @@
 #include "HttpClient.h"
 #include "TemporaryFile.h"
 
+#include <cstdint>
 #include <memory>
 #include <string>
 
@@ -30,7 +31,8 @@
     std::string platform() const { return name + "-platform"; }
 
     HttpClient backendControl() { return HttpClient(backend->port()); }
-    HttpClient admin();
+    std::uint16_t adminPort();
+    HttpClient admin() { return HttpClient(adminPort()); }
 };
 
 } // namespace foxtailring::harness
--- a/tests/process/system/SystemFixture.cpp
+++ b/tests/process/system/SystemFixture.cpp
@@ -21,7 +21,7 @@
 }
 
 // Port of the output line `admin PORT`.
-std::uint16_t adminPort(ChildProcess &process)
+std::uint16_t readAdminPort(ChildProcess &process)
 {
     const std::string prefix = "admin ";
     std::uint16_t port = 0;
@@ -68,9 +68,9 @@
 
 } // namespace
 
-HttpClient ServerVm::admin()
+std::uint16_t ServerVm::adminPort()
 {
-    return HttpClient(adminPort(*sidecar));
+    return readAdminPort(*sidecar);
 }
 
 SystemFixture::SystemFixture(SystemOptions options)
@@ -153,7 +153,7 @@
                                              m_options.entrySettings));
     entry.process = std::make_unique<ChildProcess>(
         FOXTAILRING_ENTRY_PATH, std::vector<std::string> {"--config", entry.settings->path()});
-    const std::uint16_t admin = adminPort(*entry.process);
+    const std::uint16_t admin = readAdminPort(*entry.process);
     // Callers on other threads read the ports of an entry that is started anew.
     if (entry.port != 0)
         return;
