--- a/src/entry/CallRunner.cpp
+++ b/src/entry/CallRunner.cpp
@@ -23,6 +23,8 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds tickInterval {100};
+// A sidecar's result for a key that was used with another request.
+constexpr std::uint32_t statusConflict = 409;
 
 CallResult failure(Outcome outcome, std::string message)
 {
@@ -157,6 +159,8 @@
 {
     if (result.outcome == Outcome::Done)
         respond(std::move(result));
+    else if (result.status == statusConflict)
+        refuse(result.message);
     else
         goOn(std::move(result));
 }
@@ -235,6 +239,16 @@
     end();
 }
 
+// The claim of a key names one request, so this other one was never run under it.
+void CallRunner::refuse(const std::string &message)
+{
+    m_parts.counters.add("calls_total{outcome=\"refused\"}");
+    m_responder->respond(Problem::of({ErrorCode::Conflict, message}, Problem::notRun, {},
+                                     m_parts.settings.retryAfter)
+                             .response());
+    end();
+}
+
 void CallRunner::leaveServer()
 {
     if (m_stream.stream)
--- a/src/entry/CallRunner.h
+++ b/src/entry/CallRunner.h
@@ -49,6 +49,7 @@
     void callerGone();
     void respond(CallResult result);
     void fail();
+    void refuse(const std::string &message);
     void leaveServer();
     void end();
 
