entry: let the next home take a keyed call when the first one claimed nothing

Cause: a draining home refuses a new key as unknown with the advice to retry, and the entry passed that on instead of asking the next home, whose claim is as safe. Change: go on after such a refusal; a refusal of a leaving home does not use the retry budget.

--- a/src/entry/CallRunner.cpp
+++ b/src/entry/CallRunner.cpp
@@ -84,6 +84,7 @@
                 continue;
             m_address = server.info->address;
             m_serverId = server.info->id;
+            m_serverLeaves = server.state == ServerStatus::Leaving;
             return true;
         }
         return false;
@@ -173,9 +174,10 @@
     if (isUnknown && askHomeAgain(m_failure))
         return;
     m_mayHaveRun = m_mayHaveRun || isUnknown;
-    const bool isSafe = !isUnknown || m_job.call.idempotent;
+    const bool isSafe =
+        m_job.isKeyed() ? mayAskNextHome(m_failure) : !isUnknown || m_job.call.idempotent;
     const TimePoint now = m_parts.clock();
-    if (!isSafe || now >= m_job.deadline || !m_parts.retries.tryRetry(m_job.call.service, now))
+    if (!isSafe || now >= m_job.deadline || !mayRetry(now))
         return fail();
     m_parts.counters.add("retries_total{kind=\"call\"}");
     callNext();
@@ -193,6 +195,19 @@
     return true;
 }
 
+// A leaving home refuses every new key, however few calls succeed meanwhile.
+bool CallRunner::mayRetry(TimePoint now)
+{
+    return m_serverLeaves || m_parts.retries.tryRetry(m_job.call.service, now);
+}
+
+// A home that advises a retry has claimed nothing, so the next one may claim and run the call.
+bool CallRunner::mayAskNextHome(const CallResult &result)
+{
+    const bool isAnswered = !result.requestId.empty();
+    return result.outcome == Outcome::NotRun || (isAnswered && result.retryAfterMs > 0);
+}
+
 void CallRunner::tick()
 {
     if (m_ended)
--- a/src/entry/CallRunner.h
+++ b/src/entry/CallRunner.h
@@ -24,7 +24,8 @@
 /// \brief Makes one call of a plain service, at one server after the other where that is safe.
 ///
 /// Idempotent calls go to another server after "not run" and "unknown". Others go on only after
-/// "not run"; those with a key follow the rank of its home servers.
+/// "not run". Those with a key follow the rank of its home servers, also after a home that has
+/// claimed nothing.
 class CallRunner : public std::enable_shared_from_this<CallRunner>
 {
 public:
@@ -45,6 +46,8 @@
     void takeResult(CallResult result);
     void goOn(CallResult result);
     bool askHomeAgain(const CallResult &result);
+    static bool mayAskNextHome(const CallResult &result);
+    bool mayRetry(TimePoint now);
     void tick();
     void callerGone();
     void respond(CallResult result);
@@ -70,6 +73,7 @@
     std::string m_countedId;          ///< of the server that the work is counted at; empty: none
     std::set<std::string> m_tried;    ///< addresses
     CallResult m_failure;             ///< of the server asked last
+    bool m_serverLeaves = false;      ///< the server asked last, when the call has a key
     bool m_mayHaveRun = false;
     bool m_askedAgain = false;
     bool m_ended = false;
