operator: count nodes that no entry reaches as lacking a revision

Cause: a node that the entries had lost contact with was skipped, so that foxtailringctl wait returned success while a listed node did not have the revision. Change: every listed node counts. A change whose outcome is unknown is answered with the time to retry.

--- a/include/foxtailring/operator/NodeReport.h
+++ b/include/foxtailring/operator/NodeReport.h
@@ -22,7 +22,9 @@
     void addUnreachable(std::string id, std::string role);
 
     const std::vector<NodeStatus> &nodes() const { return m_nodes; }
-    /// \brief Ids of nodes that are not gone and have not acknowledged \a revision.
+    /// \brief Ids of nodes that have not acknowledged \a revision.
+    ///
+    /// Also those that no entry reaches: while the VM list names them, they may be at work.
     std::vector<std::string> missing(std::int64_t revision) const;
     std::string toJson() const;
 
--- a/src/operator/NodeReport.cpp
+++ b/src/operator/NodeReport.cpp
@@ -48,7 +48,7 @@
 {
     std::vector<std::string> ids;
     for (const auto &node : m_nodes) {
-        if (node.state != "gone" && node.revision < revision)
+        if (node.revision < revision)
             ids.push_back(node.id);
     }
     std::sort(ids.begin(), ids.end());
--- a/src/operator/Replies.cpp
+++ b/src/operator/Replies.cpp
@@ -45,7 +45,7 @@
                                  {"status", status},
                                  {"detail", error.message}};
     HttpResponse response {status, {{"content-type", "application/problem+json"}}, body.dump()};
-    if (status == 503)
+    if (status == 503 || status == 504)
         response.headers.push_back({"retry-after", retryAfterSeconds});
     return response;
 }
