entry: refuse a keyed call as unavailable when the platform cannot be asked

Change: 503 when the last home has sent nothing; the outcome stays unknown, since earlier attempts may have run. Measured: OutagesTest::refusalsSayWhyAndWhen fails without and passes with the change; entry_test 38 of 38 pass.

--- a/src/entry/CallRunner.cpp
+++ b/src/entry/CallRunner.cpp
@@ -244,7 +244,9 @@
 void CallRunner::fail()
 {
     const bool isNotRun = !m_mayHaveRun;
-    const Error error {isNotRun ? ErrorCode::Unavailable : ErrorCode::Timeout, m_failure.message};
+    // The last server has sent nothing; only earlier attempts of the key are unknown.
+    const bool isRefused = isNotRun || mayAskNextHome(m_failure);
+    const Error error {isRefused ? ErrorCode::Unavailable : ErrorCode::Timeout, m_failure.message};
     m_parts.counters.add(isNotRun ? "calls_total{outcome=\"not-run\"}"
                                   : "calls_total{outcome=\"unknown\"}");
     m_responder->respond(Problem::of(error, isNotRun ? Problem::notRun : Problem::unknown,
