entry: do not say "not run" for a keyed call that no sidecar has looked up

Change: a keyed call is "not run" only when a sidecar that has read its claim says so; refusals by the entry itself (limits, shutdown, no configuration) state unknown for keyed calls, with when to come back.

--- a/src/entry/CallPort.cpp
+++ b/src/entry/CallPort.cpp
@@ -10,6 +10,7 @@
 #include "CallRunner.h"
 #include "EntryParts.h"
 #include "HeaderFilter.h"
+#include "RefusalOutcome.h"
 #include "RequestTime.h"
 #include "ThreadRandom.h"
 
@@ -36,7 +37,8 @@
     auto made = job(request);
     if (!made) {
         request.responder->respond(
-            Problem::of(made.error(), Problem::notRun, {}, m_parts.settings.retryAfter).response());
+            Problem::of(made.error(), refusalOutcome(request.http), {}, m_parts.settings.retryAfter)
+                .response());
         return;
     }
     admit(std::make_shared<CallerRequest>(std::move(request)), std::move(made).value());
@@ -94,7 +96,7 @@
             const auto retryAfter =
                 std::chrono::ceil<std::chrono::milliseconds>(refusal.retryAfter);
             request->responder->respond(Problem::of({refusal.code, refusal.message},
-                                                    Problem::notRun, retryAfter,
+                                                    refusalOutcome(request->http), retryAfter,
                                                     m_parts.settings.retryAfter)
                                             .response());
         });
--- a/src/entry/CallRunner.cpp
+++ b/src/entry/CallRunner.cpp
@@ -243,9 +243,11 @@
 
 void CallRunner::fail()
 {
-    const bool isNotRun = !m_mayHaveRun;
+    // Only a sidecar that has read the claim of a key knows of its earlier attempts.
+    const bool isAnswered = !m_failure.requestId.empty();
+    const bool isNotRun = !m_mayHaveRun && (!m_job.isKeyed() || isAnswered);
     // The last server has sent nothing; only earlier attempts of the key are unknown.
-    const bool isRefused = isNotRun || mayAskNextHome(m_failure);
+    const bool isRefused = !m_mayHaveRun || mayAskNextHome(m_failure);
     const Error error {isRefused ? ErrorCode::Unavailable : ErrorCode::Timeout, m_failure.message};
     m_parts.counters.add(isNotRun ? "calls_total{outcome=\"not-run\"}"
                                   : "calls_total{outcome=\"unknown\"}");
--- a/src/entry/CallerPort.cpp
+++ b/src/entry/CallerPort.cpp
@@ -6,6 +6,7 @@
 #include "CallerRequest.h"
 #include "EntryParts.h"
 #include "KeyDigest.h"
+#include "RefusalOutcome.h"
 #include "ThreadRandom.h"
 
 #include <nlohmann/json.hpp>
@@ -42,6 +43,7 @@
 void CallerPort::handle(HttpRequest request, const std::shared_ptr<Http1Responder> &responder)
 {
     m_parts.counters.add("requests_total");
+    const std::string_view outcome = refusalOutcome(request);
     auto identified = identify(std::move(request), responder);
     if (identified) {
         dispatch(std::move(identified).value());
@@ -50,8 +52,7 @@
     m_parts.counters.add("requests_refused_total{code=\""
                          + std::string(errorCodeName(identified.error().code)) + "\"}");
     responder->respond(
-        Problem::of(identified.error(), Problem::notRun, {}, m_parts.settings.retryAfter)
-            .response());
+        Problem::of(identified.error(), outcome, {}, m_parts.settings.retryAfter).response());
 }
 
 Result<CallerRequest> CallerPort::identify(HttpRequest request,
