transport: harden the connections and add tests

Change: a responder that is dropped answers 500 or cuts its stream, abort() lets written chunks go out, a stopping server announces the close, slow readers are not cut off, and large buffers are freed after use. A stopping HTTP/2 server leaves the closing to the client, so that the GOAWAY is not lost. WorkerPool::stop() joins its threads. A kept-alive connection is reused only once its write is known to be complete.

--- a/include/foxtailring/transport/Endpoint.h
+++ b/include/foxtailring/transport/Endpoint.h
@@ -20,6 +20,8 @@
     /// \brief `IP:PORT`.
     std::string text() const;
 
+    // clang-tidy 14 takes the zero in a generated comparison for a null pointer.
+    // NOLINTNEXTLINE(modernize-use-nullptr)
     friend auto operator<=>(const Endpoint &, const Endpoint &) = default;
 };
 
--- a/include/foxtailring/transport/Http1Client.h
+++ b/include/foxtailring/transport/Http1Client.h
@@ -16,6 +16,8 @@
 struct Endpoint;
 
 /// \brief HTTP/1.1 client over Boost.Beast. Thread-safe.
+///
+/// Exchanges under way go on when the client is destroyed.
 class Http1Client
 {
 public:
@@ -27,13 +29,16 @@
     /// \brief Sends a request and returns the whole response.
     ///
     /// Unavailable: nothing was sent, since no connection could be made. Timeout and Closed: the
-    /// request may have taken effect. The hook runs exactly once. A request is never sent twice.
+    /// request may have taken effect; so does Malformed, for a response that cannot be parsed or
+    /// is above 64 MiB. InvalidArgument: method or target cannot be sent. The hook runs exactly
+    /// once. A request is never sent twice.
     void request(const Endpoint &endpoint, HttpRequest request, std::chrono::milliseconds timeout,
                  ResponseHook hook);
 
     /// \brief Sends a request and passes the response on as it arrives, without a time limit.
     ///
-    /// The closed hook gets Unavailable when nothing was sent, and Closed after a cut.
+    /// The closed hook gets Unavailable when nothing was sent, Closed after a cut and Malformed for
+    /// a response that cannot be parsed. Dropping the handle does not end the exchange.
     std::shared_ptr<Http1Stream> stream(const Endpoint &endpoint, HttpRequest request,
                                         StreamHooks hooks);
 
--- a/include/foxtailring/transport/Http1Responder.h
+++ b/include/foxtailring/transport/Http1Responder.h
@@ -23,6 +23,9 @@
     virtual void write(std::string chunk) = 0;
     virtual void finish() = 0;
     /// \brief Closes the connection without a final chunk, so that the caller sees a cut answer.
+    ///
+    /// Chunks that were written before still go out. Destroying the responder of an unfinished
+    /// stream has the same effect.
     virtual void abort() = 0;
     /// \brief \a hook runs once when the caller goes away before the response is complete.
     virtual void onDisconnect(std::function<void()> hook) = 0;
--- a/include/foxtailring/transport/Http1Server.h
+++ b/include/foxtailring/transport/Http1Server.h
@@ -14,7 +14,11 @@
 class WorkerPool;
 struct Endpoint;
 
-/// \brief HTTP/1.1 server over Boost.Beast. Malformed requests are answered 400, large ones 413.
+/// \brief HTTP/1.1 server over Boost.Beast.
+///
+/// Malformed requests are answered 400, large bodies 413 and large heads 431, with a problem body.
+/// A handler that throws or drops its responder unused is answered 500. A handler that is running
+/// when close() is called runs to its end.
 class Http1Server
 {
 public:
--- a/include/foxtailring/transport/Http2Stream.h
+++ b/include/foxtailring/transport/Http2Stream.h
@@ -13,7 +13,8 @@
 /// \brief One bidirectional HTTP/2 stream, on either side. Thread-safe.
 ///
 /// Bytes that arrive before onData() is set are kept for it. Hooks of one stream never run
-/// concurrently. The response head (status 200) is sent by itself before the first bytes.
+/// concurrently; onData comes before onEnd, and onEnd before onClosed. After onClosed no hook runs,
+/// so it is set last. The response head (status 200) is sent by itself before the first bytes.
 class Http2Stream
 {
 public:
--- a/include/foxtailring/transport/WorkerPool.h
+++ b/include/foxtailring/transport/WorkerPool.h
@@ -11,11 +11,13 @@
 namespace foxtailring {
 
 /// \brief An io_context run by a fixed number of threads.
+///
+/// Outlives every client, server and timer made with it, and every stream and responder.
 class WorkerPool
 {
 public:
     explicit WorkerPool(std::size_t threads);
-    /// \brief Stops and joins the threads; unfinished work is dropped.
+    /// \brief Calls stop() and drops unfinished work.
     ~WorkerPool();
     WorkerPool(const WorkerPool &) = delete;
     WorkerPool &operator=(const WorkerPool &) = delete;
@@ -25,6 +27,9 @@
     /// \brief Runs \a work on one of the threads.
     void post(std::function<void()> work);
 
+    /// \brief Stops and joins the threads, after which no hook runs and objects can be destroyed.
+    ///
+    /// On one of its own threads it only asks the others to stop.
     void stop();
 
 private:
--- a/src/transport/Http1ClientExchange.cpp
+++ b/src/transport/Http1ClientExchange.cpp
@@ -15,6 +15,8 @@
 namespace {
 
 constexpr std::chrono::milliseconds connectTime {1000};
+// A server that answers early may never read the rest of the request.
+constexpr std::chrono::milliseconds lateWriteTime {100};
 constexpr std::uint32_t maxHeadBytes = 64 * 1024;
 // Input that the parser cannot take yet is part of a head or of a chunk header.
 constexpr std::size_t maxPendingInput = 2 * maxHeadBytes;
@@ -30,7 +32,7 @@
     : m_socket(std::move(socket))
     , m_options(std::move(options))
     , m_hooks(std::move(hooks))
-    , m_connectTimer(m_socket.get_executor())
+    , m_stepTimer(m_socket.get_executor())
     , m_timer(m_socket.get_executor())
 {
     resetParser();
@@ -69,8 +71,8 @@
     const auto address = net::ip::make_address(m_options.endpoint.ip, status);
     if (status)
         return fail(ErrorCode::Unavailable, "not an IP number");
-    m_connectTimer.expires_after(connectTime);
-    m_connectTimer.async_wait([self = shared_from_this()](ErrorStatus waited) {
+    m_stepTimer.expires_after(connectTime);
+    m_stepTimer.async_wait([self = shared_from_this()](ErrorStatus waited) {
         if (!waited && !self->m_writeStarted)
             self->fail(ErrorCode::Unavailable, "connecting timed out");
     });
@@ -83,7 +85,7 @@
 {
     if (m_complete)
         return;
-    m_connectTimer.cancel();
+    m_stepTimer.cancel();
     if (status)
         return fail(ErrorCode::Unavailable, status.message());
     tuneSocket(m_socket);
@@ -94,14 +96,20 @@
 void Http1ClientExchange::write()
 {
     m_writeStarted = true;
-    net::async_write(m_socket, net::buffer(m_options.requestBytes),
-                     [self = shared_from_this()](ErrorStatus status, std::size_t) {
-                         // The pending read reports a lost connection.
-                         self->m_writeDone = !status;
-                     });
+    net::async_write(
+        m_socket, net::buffer(m_options.requestBytes),
+        [self = shared_from_this()](ErrorStatus status, std::size_t) { self->written(status); });
     read();
 }
 
+// The pending read reports a lost connection.
+void Http1ClientExchange::written(ErrorStatus status)
+{
+    m_writeDone = !status;
+    if (m_responseDone && !m_complete)
+        succeed();
+}
+
 void Http1ClientExchange::read()
 {
     m_socket.async_read_some(net::buffer(m_chunk),
@@ -118,7 +126,7 @@
         return ended(status);
     m_input.append(m_chunk.data(), size);
     parse();
-    if (m_complete)
+    if (m_complete || m_responseDone)
         return;
     if (m_input.size() > maxPendingInput)
         return fail(ErrorCode::Malformed, "a chunk header is too long");
@@ -132,7 +140,7 @@
     if (status == net::error::eof && m_parser->got_some())
         m_parser->put_eof(parseStatus);
     if (m_headPassed && !parseStatus && m_parser->is_done())
-        return succeed();
+        return responseReceived();
     const bool isCut = status == net::error::eof;
     fail(ErrorCode::Closed, isCut ? "the connection closed before the end" : status.message());
 }
@@ -157,7 +165,7 @@
     if (!m_parser->is_done())
         return;
     if (!isInterim(m_parser->get().result_int()))
-        return succeed();
+        return responseReceived();
     resetParser();
     if (!m_input.empty())
         parse();
@@ -197,6 +205,20 @@
         fail(ErrorCode::Unavailable, "connecting timed out");
 }
 
+// The event of a finished write can come after the response; a connection may be reused only once
+// it is known to have taken the whole request.
+void Http1ClientExchange::responseReceived()
+{
+    if (m_writeDone || !m_options.idle)
+        return succeed();
+    m_responseDone = true;
+    m_stepTimer.expires_after(lateWriteTime);
+    m_stepTimer.async_wait([self = shared_from_this()](ErrorStatus status) {
+        if (!status && !self->m_complete)
+            self->succeed();
+    });
+}
+
 void Http1ClientExchange::succeed()
 {
     const bool isReusable =
@@ -217,7 +239,7 @@
     m_complete = true;
     ErrorStatus ignored;
     m_socket.close(ignored);
-    m_connectTimer.cancel();
+    m_stepTimer.cancel();
     m_timer.cancel();
     const StreamHooks hooks = std::exchange(m_hooks, {});
     runHook(hooks.closed, result);
--- a/src/transport/Http1ClientExchange.h
+++ b/src/transport/Http1ClientExchange.h
@@ -32,6 +32,7 @@
         std::shared_ptr<IdleConnections> idle;
     };
 
+    /// \param socket a connection to reuse, or one that is not open yet
     Http1ClientExchange(Socket socket, Options options, StreamHooks hooks);
 
     // Thread-safe.
@@ -44,6 +45,7 @@
     void connect();
     void connected(ErrorStatus status);
     void write();
+    void written(ErrorStatus status);
     void read();
     void received(ErrorStatus status, std::size_t size);
     void ended(ErrorStatus status);
@@ -52,6 +54,7 @@
     bool parseStep(ErrorStatus &status);
     void deliver(std::size_t bodySize);
     void expired();
+    void responseReceived();
     void succeed();
     void fail(ErrorCode code, const std::string &message);
     void complete(const Result<Done> &result);
@@ -59,11 +62,12 @@
     Socket m_socket;
     Options m_options;
     StreamHooks m_hooks;
-    net::steady_timer m_connectTimer;
-    net::steady_timer m_timer;
+    net::steady_timer m_stepTimer; ///< of connecting, and of a write behind its response
+    net::steady_timer m_timer;     ///< of the whole exchange
     std::optional<Parser> m_parser;
     bool m_writeStarted = false;
     bool m_writeDone = false;
+    bool m_responseDone = false;
     bool m_headPassed = false;
     bool m_complete = false;
     std::string m_input;
--- a/src/transport/Http1Connection.cpp
+++ b/src/transport/Http1Connection.cpp
@@ -4,9 +4,9 @@
 #include "Http1ResponderHandle.h"
 #include "Http1ServerExchange.h"
 #include "Http1ServerShared.h"
+#include "LargeBuffer.h"
 
 #include <boost/asio/post.hpp>
-#include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
 
 namespace foxtailring {
@@ -132,7 +132,8 @@
 void Http1Connection::continueRequest()
 {
     armDeadline(m_shared->limits.idle);
-    if (m_continueSent || m_parser->get()[http::field::expect].empty())
+    const auto expected = m_parser->get()[http::field::expect];
+    if (m_continueSent || !boost::beast::iequals(expected, "100-continue"))
         return;
     m_continueSent = true;
     send("HTTP/1.1 100 Continue\r\n\r\n", 0);
@@ -166,8 +167,7 @@
     m_deadline.cancel();
     if (m_shared->isClosed)
         return closeNow();
-    const ResponseFraming framing {message.version() >= 11 ? 11U : 10U,
-                                   message.keep_alive() && !m_shared->isStopping,
+    const ResponseFraming framing {message.version() >= 11 ? 11U : 10U, message.keep_alive(),
                                    message.method() == http::verb::head};
     m_exchange =
         std::make_shared<Http1ServerExchange>(weak_from_this(), m_socket.get_executor(), framing);
@@ -177,7 +177,7 @@
             std::make_shared<Http1ResponderHandle>(m_exchange));
 }
 
-void Http1Connection::send(std::string bytes, std::size_t payloadBytes)
+void Http1Connection::send(std::string_view bytes, std::size_t payloadBytes)
 {
     if (m_phase == Phase::Closed)
         return;
@@ -201,22 +201,34 @@
 void Http1Connection::writePending()
 {
     m_writing = true;
-    m_inFlight.clear();
+    emptyBuffer(m_inFlight);
     m_inFlight.swap(m_queued);
+    m_inFlightStart = 0;
     m_inFlightPayload = std::exchange(m_queuedPayload, 0);
-    net::async_write(m_socket, net::buffer(m_inFlight),
-                     [self = shared_from_this()](ErrorStatus status, std::size_t) {
-                         self->m_writing = false;
-                         self->written(status);
-                     });
+    writeSome();
 }
 
-void Http1Connection::written(ErrorStatus status)
+void Http1Connection::writeSome()
+{
+    m_socket.async_write_some(net::buffer(m_inFlight) + m_inFlightStart,
+                              [self = shared_from_this()](ErrorStatus status, std::size_t size) {
+                                  self->written(status, size);
+                              });
+}
+
+void Http1Connection::written(ErrorStatus status, std::size_t size)
 {
     if (m_phase == Phase::Closed)
         return;
     if (status)
         return closeNow();
+    // A caller that takes bytes, however slowly, is not cut off.
+    if (m_responseComplete)
+        armDeadline(m_shared->limits.idle);
+    m_inFlightStart += size;
+    if (m_inFlightStart < m_inFlight.size())
+        return writeSome();
+    m_writing = false;
     if (m_exchange)
         m_exchange->pendingBytes -= std::exchange(m_inFlightPayload, 0);
     if (!m_queued.empty())
@@ -231,7 +243,8 @@
         m_exchange.reset();
         --m_shared->openRequests;
     }
-    if (!m_keepAlive || m_shared->isStopping)
+    emptyBuffer(m_inFlight);
+    if (!m_keepAlive || isStopping())
         return drain();
     beginRequest();
     read();
@@ -257,6 +270,19 @@
     });
 }
 
+bool Http1Connection::isStopping() const
+{
+    return m_shared->isStopping;
+}
+
+void Http1Connection::resetNow()
+{
+    ErrorStatus ignored;
+    if (m_phase != Phase::Closed)
+        m_socket.set_option(net::socket_base::linger(true, 0), ignored);
+    closeNow();
+}
+
 void Http1Connection::closeNow()
 {
     if (m_phase == Phase::Closed)
--- a/src/transport/Http1Connection.h
+++ b/src/transport/Http1Connection.h
@@ -19,8 +19,8 @@
 
 /// \brief One accepted HTTP/1.1 connection.
 ///
-/// A read is pending nearly always, so that a caller's disconnect is seen while its response is
-/// being produced. Bytes of a pipelined next request wait in m_input.
+/// A read is pending while a response is being produced, so that a caller's disconnect is seen.
+/// Bytes of pipelined requests wait in m_input; when that is full, reading pauses.
 class Http1Connection : public std::enable_shared_from_this<Http1Connection>
 {
 public:
@@ -34,9 +34,12 @@
     void close();
 
     // On the strand, called by the exchange.
-    void send(std::string bytes, std::size_t payloadBytes);
+    void send(std::string_view bytes, std::size_t payloadBytes);
     void completeResponse(bool keepAlive);
     void closeNow();
+    /// \brief Resets the connection, which no caller can take for the end of a response.
+    void resetNow();
+    bool isStopping() const;
 
 private:
     enum class Phase { Request, Response, Drain, Closed };
@@ -51,7 +54,8 @@
     void rejectRequest(int status, std::string_view title, std::string_view detail);
     void handleRequest();
     void writePending();
-    void written(ErrorStatus status);
+    void writeSome();
+    void written(ErrorStatus status, std::size_t size);
     void responseWritten();
     void drain();
     void armDeadline(std::chrono::milliseconds delay);
@@ -73,6 +77,7 @@
     bool m_writing = false;
     std::string m_queued;
     std::string m_inFlight;
+    std::size_t m_inFlightStart = 0; ///< bytes of m_inFlight that are written
     std::size_t m_queuedPayload = 0;
     std::size_t m_inFlightPayload = 0;
 };
--- a/src/transport/Http1ServerExchange.cpp
+++ b/src/transport/Http1ServerExchange.cpp
@@ -16,20 +16,23 @@
 void Http1ServerExchange::respond(HttpResponse response)
 {
     const std::size_t payload = response.body.size();
-    if (m_stage != Stage::Waiting || m_connection.expired()) {
+    const auto connection = m_connection.lock();
+    if (m_stage != Stage::Waiting || !connection) {
         pendingBytes -= payload;
         return;
     }
+    settleFraming(*connection);
     complete(responseBytes(std::move(response), m_framing), payload);
 }
 
 void Http1ServerExchange::startStream(int status, const std::vector<HttpHeader> &headers)
 {
-    if (m_stage != Stage::Waiting)
+    const auto connection = m_connection.lock();
+    if (m_stage != Stage::Waiting || !connection)
         return;
     m_stage = Stage::Streaming;
-    if (const auto connection = m_connection.lock())
-        connection->send(streamHeadBytes(status, headers, m_framing), 0);
+    settleFraming(*connection);
+    connection->send(streamHeadBytes(status, headers, m_framing), 0);
 }
 
 void Http1ServerExchange::write(const std::string &chunk)
@@ -54,9 +57,13 @@
 {
     if (m_stage == Stage::Complete || m_stage == Stage::Disconnected)
         return;
+    const bool hasNoEndMark = m_stage == Stage::Streaming && !m_framing.isChunked();
+    const auto connection = m_connection.lock();
     leave(Stage::Complete);
-    if (const auto connection = m_connection.lock())
-        connection->closeNow();
+    if (connection && hasNoEndMark)
+        connection->resetNow();
+    else if (connection)
+        connection->completeResponse(false);
 }
 
 void Http1ServerExchange::setDisconnectHook(std::function<void()> hook)
@@ -92,11 +99,19 @@
     const auto hook = std::exchange(m_disconnectHook, nullptr);
 }
 
-void Http1ServerExchange::complete(std::string bytes, std::size_t payloadBytes)
+// Decided as late as possible, so that a stopping server announces the close in the head.
+void Http1ServerExchange::settleFraming(const Http1Connection &connection)
+{
+    // Without chunks, only the end of the connection ends a streamed response.
+    if (connection.isStopping() || !m_framing.isChunked())
+        m_framing.keepAlive = false;
+}
+
+void Http1ServerExchange::complete(std::string_view bytes, std::size_t payloadBytes)
 {
     leave(Stage::Complete);
     if (const auto connection = m_connection.lock()) {
-        connection->send(std::move(bytes), payloadBytes);
+        connection->send(bytes, payloadBytes);
         connection->completeResponse(m_framing.keepAlive);
     }
 }
--- a/src/transport/Http1ServerExchange.h
+++ b/src/transport/Http1ServerExchange.h
@@ -45,12 +45,13 @@
 private:
     enum class Stage { Waiting, Streaming, Complete, Disconnected };
 
-    void complete(std::string bytes, std::size_t payloadBytes);
+    void settleFraming(const Http1Connection &connection);
+    void complete(std::string_view bytes, std::size_t payloadBytes);
     void leave(Stage stage);
 
     const std::weak_ptr<Http1Connection> m_connection;
     const Strand m_strand;
-    const ResponseFraming m_framing;
+    ResponseFraming m_framing;
     Stage m_stage = Stage::Waiting;
     std::function<void()> m_disconnectHook;
 };
--- a/src/transport/Http2Session.cpp
+++ b/src/transport/Http2Session.cpp
@@ -5,19 +5,15 @@
 #include "Http2SessionStream.h"
 
 #include <boost/asio/post.hpp>
-#include <boost/asio/write.hpp>
 
 namespace foxtailring {
 
 namespace {
 
-constexpr std::chrono::milliseconds connectTime {1000};
 // A retired connection that is silent cannot take the last frames; it is closed after this time.
 constexpr std::chrono::milliseconds closeTime {1000};
 constexpr std::int32_t streamWindowBytes = 1024 * 1024;
 constexpr std::int32_t connectionWindowBytes = 16 * 1024 * 1024;
-// Several frames go into one write, but a write stays small enough to show progress.
-constexpr std::size_t writeBytes = 256 * 1024;
 
 nghttp2_nv headerField(std::string_view name, std::string_view value)
 {
@@ -67,125 +63,6 @@
     nghttp2_session_set_local_window_size(m_session, NGHTTP2_FLAG_NONE, 0, connectionWindowBytes);
 }
 
-void Http2Session::start()
-{
-    net::post(m_socket.get_executor(), [self = shared_from_this()] {
-        if (!self->m_closed)
-            self->begin();
-    });
-}
-
-void Http2Session::connect(const Endpoint &endpoint)
-{
-    net::post(m_socket.get_executor(), [self = shared_from_this(), endpoint] {
-        if (self->m_closed)
-            return;
-        ErrorStatus status;
-        const auto address = net::ip::make_address(endpoint.ip, status);
-        if (status)
-            return self->shutDown("not an IP number");
-        self->m_timer.expires_after(connectTime);
-        self->m_timer.async_wait([self](ErrorStatus waited) {
-            if (!waited && !self->m_connected)
-                self->shutDown("connecting timed out");
-        });
-        self->m_socket.async_connect({address, endpoint.port}, [self](ErrorStatus connectStatus) {
-            self->connected(connectStatus);
-        });
-    });
-}
-
-void Http2Session::connected(ErrorStatus status)
-{
-    if (m_closed)
-        return;
-    if (status)
-        return shutDown(status.message());
-    m_timer.cancel();
-    tuneSocket(m_socket);
-    begin();
-}
-
-void Http2Session::begin()
-{
-    m_connected = true;
-    read();
-    flush();
-}
-
-void Http2Session::read()
-{
-    m_socket.async_read_some(net::buffer(m_input),
-                             [self = shared_from_this()](ErrorStatus status, std::size_t size) {
-                                 self->received(status, size);
-                             });
-}
-
-void Http2Session::received(ErrorStatus status, std::size_t size)
-{
-    if (m_closed)
-        return;
-    if (status)
-        return shutDown(status.message());
-    const ssize_t used = nghttp2_session_mem_recv(m_session, m_input.data(), size);
-    if (used < 0)
-        return shutDown(nghttp2_strerror(static_cast<int>(used)));
-    scheduleFlush();
-    read();
-}
-
-// Posting lets all sends that wait on the strand go into the same write.
-void Http2Session::scheduleFlush()
-{
-    if (m_flushScheduled || m_writing || !m_connected || m_closed)
-        return;
-    m_flushScheduled = true;
-    net::post(m_socket.get_executor(), [self = shared_from_this()] {
-        self->m_flushScheduled = false;
-        self->flush();
-    });
-}
-
-void Http2Session::flush()
-{
-    if (m_writing || !m_connected || m_closed)
-        return;
-    fillOutput();
-    if (m_closed)
-        return;
-    if (m_output.empty())
-        return closeIfUnused();
-    m_writing = true;
-    net::async_write(m_socket, net::buffer(m_output),
-                     [self = shared_from_this()](ErrorStatus status, std::size_t) {
-                         self->m_writing = false;
-                         self->written(status);
-                     });
-}
-
-void Http2Session::fillOutput()
-{
-    m_output.clear();
-    while (m_output.size() < writeBytes) {
-        const std::uint8_t *bytes = nullptr;
-        const ssize_t size = nghttp2_session_mem_send(m_session, &bytes);
-        if (size < 0)
-            return shutDown(nghttp2_strerror(static_cast<int>(size)));
-        if (size == 0)
-            return;
-        m_output.append(reinterpret_cast<const char *>(bytes), static_cast<std::size_t>(size));
-    }
-}
-
-void Http2Session::written(ErrorStatus status)
-{
-    if (m_closed)
-        return;
-    if (status)
-        return shutDown(status.message());
-    flush();
-}
-
 std::shared_ptr<Http2Stream> Http2Session::open(std::string path, std::vector<HttpHeader> headers)
 {
     auto stream = std::make_shared<Http2SessionStream>(weak_from_this(), m_socket.get_executor());
@@ -340,7 +217,7 @@
         nghttp2_submit_goaway(m_session, NGHTTP2_FLAG_NONE,
                               nghttp2_session_get_last_proc_stream_id(m_session), NGHTTP2_NO_ERROR,
                               nullptr, 0);
-    scheduleFlush();
+    flush();
     closeIfUnused();
 }
 
@@ -351,24 +228,28 @@
               [self = shared_from_this()] { self->shutDown("closed by this side"); });
 }
 
-// Closes a connection that has carried its last stream.
+// Ends a connection that has carried its last stream. The server leaves the closing to the client:
+// closing with unread input would reset the connection, and the GOAWAY that tells the client which
+// streams were never processed would be lost.
 void Http2Session::closeIfUnused()
 {
     if (m_closed)
         return;
-    if (!nghttp2_session_want_read(m_session) && !nghttp2_session_want_write(m_session)
-        && !m_writing)
+    const bool isDone = !nghttp2_session_want_read(m_session)
+        && !nghttp2_session_want_write(m_session) && !m_writing;
+    if (isDone && !isServer())
         return shutDown("the connection is done");
-    if (!m_retired || m_terminated || !m_streams.empty())
+    const bool isUnused = m_retired && m_streams.empty();
+    if (m_terminated || !(isDone || isUnused))
         return;
     m_terminated = true;
     nghttp2_session_terminate_session(m_session, NGHTTP2_NO_ERROR);
-    scheduleFlush();
     m_timer.expires_after(closeTime);
     m_timer.async_wait([self = shared_from_this()](ErrorStatus status) {
         if (!status)
             self->shutDown("the connection is done");
     });
+    flush();
 }
 
 void Http2Session::shutDown(std::string_view reason)
--- a/src/transport/Http2SessionStream.cpp
+++ b/src/transport/Http2SessionStream.cpp
@@ -2,6 +2,7 @@
 
 #include "HookGuard.h"
 #include "Http2Session.h"
+#include "LargeBuffer.h"
 
 #include <boost/asio/post.hpp>
 
@@ -117,7 +118,7 @@
     m_outputStart += size;
     m_pendingBytes -= size;
     if (m_outputStart == m_output.size()) {
-        m_output.clear();
+        emptyBuffer(m_output);
         m_outputStart = 0;
     } else if (m_outputStart > m_output.size() / 2) {
         // Erasing only when half is used keeps the cost per byte constant.
--- a/src/transport/WorkerPool.cpp
+++ b/src/transport/WorkerPool.cpp
@@ -6,6 +6,8 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
 
+#include <algorithm>
+#include <mutex>
 #include <thread>
 #include <vector>
 
@@ -20,9 +22,12 @@
     }
 
     void runWorker();
+    bool isWorkerThread() const;
+    void join();
 
     net::io_context context;
     net::executor_work_guard<net::io_context::executor_type> guard;
+    std::mutex joinMutex;
     std::vector<std::jthread> threads;
 };
 
@@ -38,6 +43,22 @@
     }
 }
 
+bool WorkerPool::State::isWorkerThread() const
+{
+    return std::any_of(threads.begin(), threads.end(), [](const std::jthread &thread) {
+        return thread.get_id() == std::this_thread::get_id();
+    });
+}
+
+void WorkerPool::State::join()
+{
+    const std::lock_guard lock(joinMutex);
+    for (std::jthread &thread : threads) {
+        if (thread.joinable())
+            thread.join();
+    }
+}
+
 WorkerPool::WorkerPool(std::size_t threads)
     : m_state(std::make_unique<State>(threads))
 {
@@ -48,7 +69,6 @@
 WorkerPool::~WorkerPool()
 {
     stop();
-    m_state->threads.clear();
 }
 
 net::io_context &WorkerPool::context()
@@ -64,6 +84,8 @@
 void WorkerPool::stop()
 {
     m_state->context.stop();
+    if (!m_state->isWorkerThread())
+        m_state->join();
 }
 
 } // namespace foxtailring
--- /dev/null
+++ b/tests/transport/BasicsTest.cpp
@@ -0,0 +1,96 @@
+#include "foxtailring/transport/Endpoint.h"
+#include "foxtailring/transport/Timer.h"
+#include "foxtailring/transport/WorkerPool.h"
+#include "Mailbox.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <atomic>
+
+using namespace foxtailring;
+using std::chrono::milliseconds;
+
+class BasicsTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(BasicsTest);
+    CPPUNIT_TEST(endpointRoundTrips);
+    CPPUNIT_TEST(badEndpointIsRejected);
+    CPPUNIT_TEST(poolSurvivesAnException);
+    CPPUNIT_TEST(timerRunsOnce);
+    CPPUNIT_TEST(timerRepeatsUntilItsHookCancels);
+    CPPUNIT_TEST(settingATimerReplacesItsHook);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void endpointRoundTrips()
+    {
+        for (const char *text : {"127.0.0.1:80", "[::1]:65535", "10.1.2.3:0"})
+            CPPUNIT_ASSERT_EQUAL(std::string(text), Endpoint::parse(text).value().text());
+        CPPUNIT_ASSERT_EQUAL(std::string("::1"), Endpoint::parse("[::1]:1").value().ip);
+    }
+
+    // Guards against settings that are only found to be wrong at the first connection.
+    void badEndpointIsRejected()
+    {
+        for (const char *text : {"", "127.0.0.1", "127.0.0.1:", "127.0.0.1:65536", "host:80",
+                                 "127.0.0.1:8x", "::1:80", "[127.0.0.1]:80", "127.0.0.1:-1"}) {
+            const auto parsed = Endpoint::parse(text);
+            CPPUNIT_ASSERT_MESSAGE(text, !parsed.isOk());
+            CPPUNIT_ASSERT(parsed.error().code == ErrorCode::InvalidArgument);
+        }
+    }
+
+    // Guards against one faulty hook that stops the process or loses a worker.
+    void poolSurvivesAnException()
+    {
+        Mailbox<int> events;
+        WorkerPool pool(1);
+        pool.post([] { throw std::runtime_error("thrown by a test"); });
+        pool.post([&events] { events.put(1); });
+        CPPUNIT_ASSERT_EQUAL(1, events.take());
+    }
+
+    void timerRunsOnce()
+    {
+        Mailbox<int> events;
+        WorkerPool pool(2);
+        Timer timer(pool);
+        timer.once(milliseconds(1), [&events] { events.put(1); });
+        CPPUNIT_ASSERT_EQUAL(1, events.take());
+    }
+
+    // Guards against a repeating timer that overlaps with itself or outlives its cancellation.
+    void timerRepeatsUntilItsHookCancels()
+    {
+        Mailbox<int> events;
+        std::atomic<int> running = 0;
+        int count = 0;
+        WorkerPool pool(4);
+        Timer timer(pool);
+        timer.every(milliseconds(1), [&] {
+            CPPUNIT_ASSERT_EQUAL(0, running++);
+            if (++count == 5)
+                timer.cancel();
+            events.put(count);
+            --running;
+        });
+        for (int i = 1; i <= 5; ++i)
+            CPPUNIT_ASSERT_EQUAL(i, events.take());
+        timer.once(milliseconds(1), [&] { events.put(0); });
+        CPPUNIT_ASSERT_EQUAL(0, events.take());
+    }
+
+    void settingATimerReplacesItsHook()
+    {
+        Mailbox<int> events;
+        WorkerPool pool(2);
+        Timer timer(pool);
+        timer.once(milliseconds(0), [&events] { events.put(1); });
+        timer.cancel();
+        timer.once(std::chrono::hours(1), [&events] { events.put(2); });
+        timer.once(milliseconds(1), [&events] { events.put(3); });
+        while (events.take() != 3) { }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(BasicsTest);
--- /dev/null
+++ b/tests/transport/Http1ClientTest.cpp
@@ -0,0 +1,333 @@
+#include "foxtailring/transport/Http1Client.h"
+#include "foxtailring/transport/Endpoint.h"
+#include "foxtailring/transport/Http1Responder.h"
+#include "foxtailring/transport/Http1Server.h"
+#include "foxtailring/transport/Http1Stream.h"
+#include "foxtailring/transport/WorkerPool.h"
+#include "Mailbox.h"
+#include "RawPeer.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <optional>
+
+using namespace foxtailring;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr milliseconds generous {20'000};
+
+// Collects a streamed response.
+class StreamEvents
+{
+public:
+    StreamHooks hooks()
+    {
+        // Hooks may run after a failed test has left its scope, so they share the state.
+        return {[state = m_state](const HttpResponse &head) { state->status = head.status; },
+                [state = m_state](std::string_view bytes) {
+                    state->body += bytes;
+                    state->sizes.put(state->body.size());
+                },
+                [state = m_state](Result<Done> result) { state->closed.put(std::move(result)); }};
+    }
+
+    // Status and body are valid once closed() has returned.
+    int status() const { return m_state->status; }
+    const std::string &body() const { return m_state->body; }
+    void waitForBody(std::size_t size)
+    {
+        while (m_state->sizes.take() < size) { }
+    }
+    Result<Done> closed() { return m_state->closed.take(); }
+    bool isClosedAgain() const { return !m_state->closed.isEmpty(); }
+
+private:
+    struct State
+    {
+        int status = 0;
+        std::string body;
+        Mailbox<std::size_t> sizes;
+        Mailbox<Result<Done>> closed;
+    };
+    std::shared_ptr<State> m_state = std::make_shared<State>();
+};
+
+} // namespace
+
+class Http1ClientTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(Http1ClientTest);
+    CPPUNIT_TEST(wholeExchange);
+    CPPUNIT_TEST(largeBodiesPassBothWays);
+    CPPUNIT_TEST(headHasNoBody);
+    CPPUNIT_TEST(streamedExchange);
+    CPPUNIT_TEST(streamCutInTheMiddleIsClosed);
+    CPPUNIT_TEST(cancelledStreamDisconnects);
+    CPPUNIT_TEST(silentServerTimesOut);
+    CPPUNIT_TEST(refusedConnectionIsUnavailable);
+    CPPUNIT_TEST(connectionIsReused);
+    CPPUNIT_TEST(closedIdleConnectionIsReplaced);
+    CPPUNIT_TEST(lostReplyIsNotSentAgain);
+    CPPUNIT_TEST(truncatedResponseIsClosed);
+    CPPUNIT_TEST(malformedResponseIsReported);
+    CPPUNIT_TEST(interimResponseIsSkipped);
+    CPPUNIT_TEST(bodyMayEndWithTheConnection);
+    CPPUNIT_TEST(unsendableRequestIsRejected);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override
+    {
+        m_pool.emplace(3);
+        m_client.emplace(*m_pool);
+    }
+
+    void tearDown() override
+    {
+        m_pool->stop();
+        m_server.reset();
+        m_client.reset();
+        m_pool.reset();
+    }
+
+    void wholeExchange()
+    {
+        startServer(
+            [](const HttpRequest &request, const std::shared_ptr<Http1Responder> &responder) {
+                const std::string seen = request.method + ' ' + request.target + ' '
+                    + std::string(request.header("x-name")) + ' ' + request.body;
+                responder->respond({201, {{"X-Back", "value"}}, seen});
+            });
+        for (int i = 0; i < 3; ++i) {
+            send({"PUT", "/path?q=1", {{"X-Name", "n"}}, "body"});
+            const HttpResponse response = m_responses.take().value();
+            CPPUNIT_ASSERT_EQUAL(201, response.status);
+            CPPUNIT_ASSERT_EQUAL(std::string("PUT /path?q=1 n body"), response.body);
+            CPPUNIT_ASSERT_EQUAL(std::string("value"), std::string(response.header("x-back")));
+        }
+    }
+
+    void largeBodiesPassBothWays()
+    {
+        startServer([](HttpRequest request, const std::shared_ptr<Http1Responder> &responder) {
+            responder->respond({200, {}, std::move(request.body)});
+        });
+        const std::string body(5'000'000, 'z');
+        for (int i = 0; i < 4; ++i)
+            send({"POST", "/", {}, body});
+        for (int i = 0; i < 4; ++i)
+            CPPUNIT_ASSERT(m_responses.take().value().body == body);
+    }
+
+    void headHasNoBody()
+    {
+        startServer([](const HttpRequest &, const std::shared_ptr<Http1Responder> &responder) {
+            responder->respond({200, {}, "12345"});
+        });
+        send({"HEAD", "/", {}, {}});
+        const HttpResponse response = m_responses.take().value();
+        CPPUNIT_ASSERT_EQUAL(std::string("5"), std::string(response.header("Content-Length")));
+        CPPUNIT_ASSERT(response.body.empty());
+    }
+
+    void streamedExchange()
+    {
+        std::string expected;
+        for (int i = 0; i < 500; ++i)
+            expected += std::to_string(i) + ' ';
+        startServer([](const HttpRequest &, const std::shared_ptr<Http1Responder> &responder) {
+            responder->startStream(200, {{"Content-Type", "text/event-stream"}});
+            for (int i = 0; i < 500; ++i)
+                responder->write(std::to_string(i) + ' ');
+            responder->finish();
+        });
+        StreamEvents events;
+        m_client->stream(m_endpoint, {"GET", "/", {}, {}}, events.hooks());
+        CPPUNIT_ASSERT(events.closed().isOk());
+        CPPUNIT_ASSERT_EQUAL(200, events.status());
+        CPPUNIT_ASSERT_EQUAL(expected, events.body());
+    }
+
+    // Guards against a cut answer that is taken for a complete one.
+    void streamCutInTheMiddleIsClosed()
+    {
+        RawServer server;
+        StreamEvents events;
+        m_client->stream({"127.0.0.1", server.port()}, {"GET", "/", {}, {}}, events.hooks());
+        RawPeer peer = server.accept();
+        peer.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n9\r\nwor");
+        events.waitForBody(8);
+        peer.close();
+        CPPUNIT_ASSERT(events.closed().error().code == ErrorCode::Closed);
+        CPPUNIT_ASSERT_EQUAL(std::string("hellowor"), events.body());
+    }
+
+    void cancelledStreamDisconnects()
+    {
+        Mailbox<int> gone;
+        startServer([&gone](const HttpRequest &, const std::shared_ptr<Http1Responder> &responder) {
+            responder->onDisconnect([&gone, responder] { gone.put(1); });
+            responder->startStream(200, {});
+            responder->write("x");
+        });
+        StreamEvents events;
+        const auto stream = m_client->stream(m_endpoint, {"GET", "/", {}, {}}, events.hooks());
+        events.waitForBody(1);
+        stream->cancel();
+        stream->cancel();
+        CPPUNIT_ASSERT(events.closed().error().code == ErrorCode::Closed);
+        gone.take();
+        CPPUNIT_ASSERT(!events.isClosedAgain());
+    }
+
+    void silentServerTimesOut()
+    {
+        RawServer server;
+        m_endpoint = {"127.0.0.1", server.port()};
+        send({"POST", "/", {}, {}}, milliseconds(50));
+        RawPeer peer = server.accept();
+        CPPUNIT_ASSERT(m_responses.take().error().code == ErrorCode::Timeout);
+        CPPUNIT_ASSERT(peer.readAll().starts_with("POST / ")); // ends: the client has closed
+    }
+
+    void refusedConnectionIsUnavailable()
+    {
+        m_endpoint = {"127.0.0.1", RawServer().port()};
+        send({"POST", "/", {}, {}});
+        CPPUNIT_ASSERT(m_responses.take().error().code == ErrorCode::Unavailable);
+        StreamEvents events;
+        m_client->stream(m_endpoint, {"GET", "/", {}, {}}, events.hooks());
+        CPPUNIT_ASSERT(events.closed().error().code == ErrorCode::Unavailable);
+    }
+
+    void connectionIsReused()
+    {
+        RawServer server;
+        m_endpoint = {"127.0.0.1", server.port()};
+        send({"GET", "/1", {}, {}});
+        RawPeer peer = server.accept();
+        for (int i = 0; i < 3; ++i) {
+            peer.readUntil("\r\n\r\n");
+            peer.write("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx");
+            CPPUNIT_ASSERT_EQUAL(std::string("x"), m_responses.take().value().body);
+            send({"GET", "/2", {}, {}});
+        }
+    }
+
+    // Guards against a request that fails only because the server had closed an idle connection.
+    void closedIdleConnectionIsReplaced()
+    {
+        RawServer server;
+        m_endpoint = {"127.0.0.1", server.port()};
+        send({"GET", "/1", {}, {}});
+        {
+            RawPeer peer = server.accept();
+            peer.readUntil("\r\n\r\n");
+            peer.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+            m_responses.take().value();
+        }
+        send({"POST", "/2", {}, {}});
+        RawPeer peer = server.accept();
+        CPPUNIT_ASSERT(peer.readUntil("\r\n\r\n").starts_with("POST /2 "));
+        peer.write("HTTP/1.1 204 No Content\r\n\r\n");
+        CPPUNIT_ASSERT_EQUAL(204, m_responses.take().value().status);
+    }
+
+    // Guards against a non-idempotent call that runs twice.
+    void lostReplyIsNotSentAgain()
+    {
+        RawServer server;
+        m_endpoint = {"127.0.0.1", server.port()};
+        send({"GET", "/1", {}, {}});
+        RawPeer peer = server.accept();
+        peer.readUntil("\r\n\r\n");
+        peer.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        m_responses.take().value();
+        send({"POST", "/2", {}, {}});
+        CPPUNIT_ASSERT(peer.readUntil("\r\n\r\n").starts_with("POST /2 "));
+        peer.close();
+        CPPUNIT_ASSERT(m_responses.take().error().code == ErrorCode::Closed);
+        send({"GET", "/3", {}, {}});
+        CPPUNIT_ASSERT(server.accept().readUntil("\r\n\r\n").starts_with("GET /3 "));
+    }
+
+    void truncatedResponseIsClosed()
+    {
+        CPPUNIT_ASSERT(errorAfter("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc")
+                       == ErrorCode::Closed);
+        CPPUNIT_ASSERT(errorAfter("HTTP/1.1 200 O") == ErrorCode::Closed);
+        CPPUNIT_ASSERT(errorAfter("") == ErrorCode::Closed);
+    }
+
+    void malformedResponseIsReported()
+    {
+        CPPUNIT_ASSERT(errorAfter("nonsense\r\n\r\n") == ErrorCode::Malformed);
+        CPPUNIT_ASSERT(errorAfter("HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n")
+                       == ErrorCode::Malformed);
+        CPPUNIT_ASSERT(errorAfter("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n")
+                       == ErrorCode::Malformed);
+        CPPUNIT_ASSERT(errorAfter("HTTP/1.1 200 OK\r\nLong: " + std::string(70'000, 'x'))
+                       == ErrorCode::Malformed);
+    }
+
+    void interimResponseIsSkipped()
+    {
+        answerWith(
+            "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+        CPPUNIT_ASSERT_EQUAL(std::string("ok"), m_responses.take().value().body);
+    }
+
+    void bodyMayEndWithTheConnection()
+    {
+        answerWith("HTTP/1.1 200 OK\r\n\r\nall of it");
+        CPPUNIT_ASSERT_EQUAL(std::string("all of it"), m_responses.take().value().body);
+    }
+
+    // Guards against a target from outside that starts a second request.
+    void unsendableRequestIsRejected()
+    {
+        send({"GET", "/ HTTP/1.1\r\nX: y\r\n\r\n", {}, {}});
+        CPPUNIT_ASSERT(m_responses.take().error().code == ErrorCode::InvalidArgument);
+    }
+
+private:
+    void startServer(Http1Server::Handler handler)
+    {
+        m_server.emplace(*m_pool, Endpoint {"127.0.0.1", 0}, HttpLimits(), std::move(handler));
+        m_endpoint = {"127.0.0.1", m_server->listen().value()};
+    }
+
+    void send(HttpRequest request, milliseconds timeout = generous)
+    {
+        m_client->request(
+            m_endpoint, std::move(request), timeout,
+            [this](Result<HttpResponse> response) { m_responses.put(std::move(response)); });
+    }
+
+    // Answers one request with these bytes and closes.
+    void answerWith(std::string_view bytes)
+    {
+        RawServer server;
+        m_endpoint = {"127.0.0.1", server.port()};
+        send({"GET", "/", {}, {}});
+        RawPeer peer = server.accept();
+        peer.readUntil("\r\n\r\n");
+        peer.write(bytes);
+    }
+
+    ErrorCode errorAfter(std::string_view bytes)
+    {
+        answerWith(bytes);
+        return m_responses.take().error().code;
+    }
+
+    Mailbox<Result<HttpResponse>> m_responses;
+    std::optional<WorkerPool> m_pool;
+    std::optional<Http1Client> m_client;
+    std::optional<Http1Server> m_server;
+    Endpoint m_endpoint;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(Http1ClientTest);
--- /dev/null
+++ b/tests/transport/RawPeer.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include <utility>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace foxtailring {
+
+/// \brief One end of a TCP connection that a test drives byte by byte, with blocking calls.
+class RawPeer
+{
+public:
+    using Tcp = boost::asio::ip::tcp;
+
+    explicit RawPeer(std::uint16_t port)
+        : m_socket(m_context)
+    {
+        m_socket.connect({boost::asio::ip::address_v4::loopback(), port});
+    }
+    explicit RawPeer(Tcp::acceptor &acceptor)
+        : m_socket(m_context)
+    {
+        acceptor.accept(m_socket);
+    }
+
+    void write(std::string_view bytes)
+    {
+        boost::system::error_code ignored; // the other end may close while this is under way
+        boost::asio::write(m_socket, boost::asio::buffer(bytes), ignored);
+    }
+
+    /// \brief Everything up to and with \a mark, or up to the end of the connection.
+    std::string readUntil(std::string_view mark)
+    {
+        boost::system::error_code status;
+        const std::size_t size =
+            boost::asio::read_until(m_socket, boost::asio::dynamic_buffer(m_input), mark, status);
+        std::string bytes = m_input.substr(0, status ? m_input.size() : size);
+        m_input.erase(0, bytes.size());
+        return bytes;
+    }
+
+    std::string readAll()
+    {
+        boost::system::error_code status;
+        boost::asio::read(m_socket, boost::asio::dynamic_buffer(m_input), status);
+        return std::exchange(m_input, {});
+    }
+
+    void close() { m_socket.close(); }
+
+private:
+    boost::asio::io_context m_context;
+    Tcp::socket m_socket;
+    std::string m_input;
+};
+
+/// \brief A listening socket whose connections a test drives itself.
+class RawServer
+{
+public:
+    RawServer()
+        : m_acceptor(m_context, {boost::asio::ip::address_v4::loopback(), 0})
+    {
+    }
+
+    std::uint16_t port() const { return m_acceptor.local_endpoint().port(); }
+    RawPeer accept() { return RawPeer(m_acceptor); }
+
+private:
+    boost::asio::io_context m_context;
+    boost::asio::ip::tcp::acceptor m_acceptor;
+};
+
+} // namespace foxtailring
