--- a/include/foxtailring/transport/Endpoint.h
+++ b/include/foxtailring/transport/Endpoint.h
@@ -20,7 +20,7 @@
     /// \brief `IP:PORT`.
     std::string text() const;
 
-    // clang-tidy 14 takes the zero in a generated comparison for a null pointer.
+    // clang-tidy 14 takes the defaulted comparison for a null pointer constant.
     // NOLINTNEXTLINE(modernize-use-nullptr)
     friend auto operator<=>(const Endpoint &, const Endpoint &) = default;
 };
--- a/include/foxtailring/transport/WorkerPool.h
+++ b/include/foxtailring/transport/WorkerPool.h
@@ -27,9 +27,10 @@
     /// \brief Runs \a work on one of the threads.
     void post(std::function<void()> work);
 
-    /// \brief Stops and joins the threads, after which no hook runs and objects can be destroyed.
+    /// \brief Stops and joins the threads; no hook runs afterwards, and work that is left stays
+    /// until the destructor.
     ///
-    /// On one of its own threads it only asks the others to stop.
+    /// On one of its own threads it only asks all of them to stop.
     void stop();
 
 private:
