--- a/include/foxtailring/transport/WorkerPool.h
+++ b/include/foxtailring/transport/WorkerPool.h
@@ -11,11 +11,13 @@
 namespace foxtailring {
 
 /// \brief An io_context run by a fixed number of threads.
+///
+/// Outlives every client, server and timer made with it, and every stream and responder.
 class WorkerPool
 {
 public:
     explicit WorkerPool(std::size_t threads);
-    /// \brief Stops and joins the threads; unfinished work is dropped.
+    /// \brief Calls stop() and drops unfinished work.
     ~WorkerPool();
     WorkerPool(const WorkerPool &) = delete;
     WorkerPool &operator=(const WorkerPool &) = delete;
@@ -25,9 +27,10 @@
     /// \brief Runs \a work on one of the threads.
     void post(std::function<void()> work);
 
-    /// \brief Stops and joins the threads; work that is left stays until the destructor.
+    /// \brief Stops and joins the threads; no hook runs afterwards, and work that is left stays
+    /// until the destructor.
     ///
-    /// Must not be called from one of the threads.
+    /// On one of its own threads it only asks all of them to stop.
     void stop();
 
 private:
