decisions: wait for a silent sidecar that has the only copy of an answer

Cause: a caller that came back while its sidecar was paused for a few seconds got answer_incomplete. Change: without the part already delivered, a silent sidecar is attached to again until the resume patience is over; a refused attach or connection still ends it at once.

--- a/include/foxtailring/decisions/GenerationSession.h
+++ b/include/foxtailring/decisions/GenerationSession.h
@@ -79,6 +79,7 @@
     void startRefused(GenerationActions &actions, const Error &error,
                       std::chrono::milliseconds retryAfter);
     void loseAttempt(GenerationActions &actions, const Error &error, TimePoint now);
+    void loseSilent(GenerationActions &actions, TimePoint now);
     void pause(GenerationActions &actions, const Error &error, std::chrono::milliseconds retryAfter,
                TimePoint now);
     void tickRunning(GenerationActions &actions, TimePoint now);
--- a/src/decisions/GenerationSession.cpp
+++ b/src/decisions/GenerationSession.cpp
@@ -234,10 +234,8 @@
 {
     const Liveness before = m_liveness.state();
     const Liveness state = m_liveness.check(now);
-    if (state == Liveness::Lost) {
-        loseAttempt(actions, {ErrorCode::Unavailable, "its sidecar is silent"}, now);
-        return;
-    }
+    if (state == Liveness::Lost)
+        return loseSilent(actions, now);
     const bool newlySuspected = state == Liveness::Suspected && before == Liveness::Alive;
     if (newlySuspected || (m_retryAt && now >= *m_retryAt)) {
         m_mayHaveRun = true;
--- a/src/decisions/GenerationSessionRecovery.cpp
+++ b/src/decisions/GenerationSessionRecovery.cpp
@@ -66,6 +66,20 @@
         askForServer(actions);
 }
 
+// A silent sidecar may be paused or cut off for a while, and its journal is the only copy when the
+// part already delivered is not known here. Trying on costs the caller less than starting again.
+void GenerationSession::loseSilent(GenerationActions &actions, TimePoint now)
+{
+    const TimePoint since = m_recoveringSince.value_or(now);
+    m_recoveringSince = since;
+    if (canResume() || reachedEnd() || now - since >= m_settings.resumePatience) {
+        loseAttempt(actions, {ErrorCode::Unavailable, "its sidecar is silent"}, now);
+        return;
+    }
+    m_liveness = LivenessMonitor(m_settings.liveness, now);
+    attachAgain(actions, true);
+}
+
 void GenerationSession::leaveServer()
 {
     m_excluded.insert(std::exchange(m_server, {}));
--- a/tests/decisions/GenerationSessionTest.cpp
+++ b/tests/decisions/GenerationSessionTest.cpp
@@ -60,6 +60,7 @@
     CPPUNIT_TEST(returningCallerGetsOnlyWhatItLacks);
     CPPUNIT_TEST(lostJournalOfReturningCallerIsIncomplete);
     CPPUNIT_TEST(journalWithoutItsBeginningIsReadFromTheCallersOffset);
+    CPPUNIT_TEST(pausedSidecarOfReturningCallerIsWaitedFor);
     CPPUNIT_TEST(callerWithoutTokensIsRestarted);
     CPPUNIT_TEST(goneCallerDetachesOrCancels);
     CPPUNIT_TEST(anyFaultsGiveOneWholeAnswer);
@@ -270,6 +271,30 @@
         CPPUNIT_ASSERT(find<Action::Fail>(end)->error.code == ErrorCode::Incomplete);
     }
 
+    // Guards against giving up an answer whose only copy is at a sidecar that is paused.
+    void pausedSidecarOfReturningCallerIsWaitedFor()
+    {
+        auto wanted = goal();
+        wanted.callerOffset = 4;
+        GenerationSession session(wanted, {});
+        auto actions = session.attach("a", 3, m_now);
+        const TimePoint latest = m_now + std::chrono::seconds(12);
+        std::size_t attaches = 0;
+        while (!session.isDone() && m_now < latest) {
+            attaches += find<Action::Attach>(actions) ? 1 : 0;
+            m_now += 100ms;
+            actions = session.tick(m_now);
+        }
+        CPPUNIT_ASSERT(attaches > 4);
+        CPPUNIT_ASSERT(find<Action::Fail>(actions)->error.code == ErrorCode::Incomplete);
+
+        GenerationSession paused(wanted, {});
+        paused.attach("a", 3, m_now);
+        for (int i = 0; i < 40; ++i)
+            paused.tick(m_now += 100ms);
+        CPPUNIT_ASSERT(find<Action::Emit>(paused.tokens(run(3, 0, 6), m_now)));
+    }
+
     void callerWithoutTokensIsRestarted()
     {
         GenerationSession session(goal(), {});
