--- a/tests/entry/CallTest.cpp
+++ b/tests/entry/CallTest.cpp
@@ -44,7 +44,7 @@
     }
 
     /// The first call of all gets \a first, the others are done.
-    static FakeSidecar::CallHook firstGets(std::optional<CallResult> first)
+    static FakeSidecar::CallHook firstGets(const std::optional<CallResult> &first)
     {
         const auto asked = std::make_shared<std::atomic<int>>(0);
         return [asked, first](const Call &) -> std::optional<CallResult> {
