tests: notice a generation that a terminated sidecar cuts and an entry resumes

Cause: LeavingTest::sidecarTerminatedUnderLoad passed with a sidecar that exits at once, since the entry resumes its generations. Change: count the generations; each answer has to be one.

--- a/tests/process/leaving/LeavingTest.cpp
+++ b/tests/process/leaving/LeavingTest.cpp
@@ -51,6 +51,7 @@
             Crowd after(system, callers, "after", tokens);
             expectUncut(proof, crowd);
             expectUncut(proof, after);
+            expectGenerations(proof, system, callers * 2);
             expectCleanExit(proof, *system.engine(0).sidecar);
         });
     }
@@ -82,10 +83,7 @@
             expectEach(proof, crowd,
                        [](const Answer &answer) { return answer.faultUnlessWhole(tokens); });
             expectCleanExit(proof, *system.entry(0).process);
-            const std::size_t started = system.generationsStarted();
-            if (started != callers)
-                proof.wrong(std::to_string(started) + " generations for " + std::to_string(callers)
-                            + " answers");
+            expectGenerations(proof, system, callers);
         });
     }
 
@@ -156,6 +154,15 @@
                    [](const Answer &answer) { return answer.faultUnlessUncut(tokens); });
     }
 
+    // Guards against an interrupted generation that the entry hides by a resume elsewhere.
+    static void expectGenerations(Proof &proof, SystemFixture &system, std::size_t count)
+    {
+        const std::size_t started = system.generationsStarted();
+        if (started != count)
+            proof.wrong(std::to_string(started) + " generations for " + std::to_string(count)
+                        + " answers");
+    }
+
     static void expectCleanExit(Proof &proof, ChildProcess &process)
     {
         const auto status = process.waitForExit();
