platform: reject more malformed replies and test the clients

Cause: the clients had no tests. Writing them showed that a lease grant without an id was passed on as lease 0 (never expires), a keep-alive reply that is not an object as an ended lease, a pair without key or revision as data, padding in the middle of base64 as bytes, an unknown VM role or state as a live sidecar, and a rate limit (429) as an invalid request. Change: these are Malformed, or Overloaded for the rate limit; the status of an error reply counts even when its body is not JSON; a watch drops bytes after its end and searches only new bytes for a line end.

--- a/include/foxtailring/platform/KeyValueClient.h
+++ b/include/foxtailring/platform/KeyValueClient.h
@@ -20,7 +20,8 @@
 /// \brief The platform's key-value service through the etcd v3 JSON gateway. Thread-safe.
 ///
 /// Errors: Unavailable, nothing was sent; Timeout and Closed, a write may have taken effect;
-/// Malformed, the reply cannot be read, and a write may have taken effect.
+/// Malformed, the reply cannot be read, and a write may have taken effect; Overloaded, the service
+/// refused the call by its rate limit; NotFound and InvalidArgument, it refused the call.
 /// Source: https://etcd.io/docs/v3.5/dev-guide/api_grpc_gateway/
 class KeyValueClient
 {
@@ -49,6 +50,9 @@
     void keepAlive(std::int64_t lease, NumberHook hook);
 
     /// \brief Follows all keys with \a prefix from \a revision on until it is cancelled or ends.
+    ///
+    /// A silent connection does not end it; renew it now and then. Cancel the stream once the ended
+    /// hook has run, since a watch that cannot be read stays open.
     std::shared_ptr<Http1Stream> watch(const std::string &prefix, std::int64_t revision,
                                        WatchHooks hooks);
 
--- a/src/platform/GatewayJson.cpp
+++ b/src/platform/GatewayJson.cpp
@@ -13,12 +13,21 @@
     return {ErrorCode::Malformed, "reply of the key-value service: " + what};
 }
 
+// Zero stands for a member that is left out.
+Result<std::int64_t> positiveInteger(const nlohmann::json &object, const char *member)
+{
+    auto number = integer(object, member);
+    if (number && number.value() <= 0)
+        return malformed(std::string("no ") + member);
+    return number;
+}
+
 Result<std::int64_t> headerRevision(const nlohmann::json &reply)
 {
     const auto header = reply.find("header");
     if (header == reply.end() || !header->is_object())
         return malformed("no header");
-    return integer(*header, "revision");
+    return positiveInteger(*header, "revision");
 }
 
 Result<std::string> bytes(const nlohmann::json &object, const char *member)
@@ -38,10 +47,12 @@
     auto key = bytes(object, "key");
     if (!key)
         return key.error();
+    if (key.value().empty())
+        return malformed("a key-value pair without a key");
     auto value = bytes(object, "value");
     if (!value)
         return value.error();
-    const auto revision = integer(object, "mod_revision");
+    const auto revision = positiveInteger(object, "mod_revision");
     if (!revision)
         return revision.error();
     return KeyValue {std::move(key).value(), std::move(value).value(), revision.value()};
@@ -80,10 +91,13 @@
     const int length = EVP_DecodeBlock(reinterpret_cast<unsigned char *>(out.data()),
                                        reinterpret_cast<const unsigned char *>(text.data()),
                                        static_cast<int>(text.size()));
-    if (length < 0 || text.size() % 4 != 0)
-        return malformed("a value is not base64");
     const std::size_t padding = text.ends_with("==") ? 2 : text.ends_with('=') ? 1 : 0;
+    if (length < 0 || static_cast<std::size_t>(length) < padding)
+        return malformed("a value is not base64");
     out.resize(static_cast<std::size_t>(length) - padding);
+    // EVP_DecodeBlock also takes white space at the ends and padding in the middle.
+    if (toBase64(out) != text)
+        return malformed("a value is not base64");
     return out;
 }
 
@@ -130,6 +144,8 @@
 
 Result<std::int64_t> integer(const nlohmann::json &object, const char *member)
 {
+    if (!object.is_object())
+        return malformed(std::string("no object around ") + member);
     const auto found = object.find(member);
     if (found == object.end())
         return std::int64_t(0);
@@ -145,6 +161,11 @@
     return value;
 }
 
+Result<std::int64_t> leaseId(const nlohmann::json &reply)
+{
+    return positiveInteger(reply, "ID");
+}
+
 Result<RangeResult> rangeResult(const nlohmann::json &reply)
 {
     const auto revision = headerRevision(reply);
--- a/src/platform/GatewayJson.h
+++ b/src/platform/GatewayJson.h
@@ -34,6 +34,8 @@
 
 /// \brief Integer member that may be absent, a string or a number. Malformed when it is neither.
 Result<std::int64_t> integer(const nlohmann::json &object, const char *member);
+/// \brief Id of a granted lease, which is never 0: a put with lease 0 would never expire.
+Result<std::int64_t> leaseId(const nlohmann::json &reply);
 Result<RangeResult> rangeResult(const nlohmann::json &reply);
 Result<SwapResult> swapResult(const nlohmann::json &reply);
 Result<std::vector<WatchEvent>> watchEvents(const nlohmann::json &result);
--- a/src/platform/KeyValueClient.cpp
+++ b/src/platform/KeyValueClient.cpp
@@ -19,24 +19,32 @@
 {
     if (status == 404)
         return ErrorCode::NotFound;
+    if (status == 429)
+        return ErrorCode::Overloaded;
     return status >= 500 ? ErrorCode::Timeout : ErrorCode::InvalidArgument;
 }
 
+std::string messageOf(const nlohmann::json &body)
+{
+    const auto message = body.is_object() ? body.find("message") : body.end();
+    return message != body.end() && message->is_string() ? message->get<std::string>()
+                                                         : "no message";
+}
+
 Result<nlohmann::json> replyBody(const Result<HttpResponse> &response)
 {
     if (!response)
         return response.error();
+    const int status = response.value().status;
     auto body = nlohmann::json::parse(response.value().body, nullptr, false);
+    // A proxy in between answers errors without JSON; the status tells all the same.
+    if (status != 200)
+        return Error {codeOf(status),
+                      "key-value service: status " + std::to_string(status) + ": "
+                          + messageOf(body)};
     if (!body.is_object())
         return Error {ErrorCode::Malformed, "reply of the key-value service is not a JSON object"};
-    if (response.value().status == 200)
-        return body;
-    const auto message = body.find("message");
-    const std::string text =
-        message != body.end() && message->is_string() ? message->get<std::string>() : "no message";
-    const ErrorCode code = codeOf(response.value().status);
-    return Error {
-        code, "key-value service: status " + std::to_string(response.value().status) + ": " + text};
+    return body;
 }
 
 template <typename T, typename Read>
@@ -116,9 +124,7 @@
     const nlohmann::json body = {{"TTL", std::to_string(timeToLive.count())}};
     m_state->call("/v3/lease/grant", body,
                   [hook = std::move(hook)](const Result<nlohmann::json> &reply) {
-                      hook(read<std::int64_t>(reply, [](const nlohmann::json &json) {
-                          return gateway::integer(json, "ID");
-                      }));
+                      hook(read<std::int64_t>(reply, gateway::leaseId));
                   });
 }
 
--- a/src/platform/VmListClient.cpp
+++ b/src/platform/VmListClient.cpp
@@ -12,17 +12,32 @@
 
 constexpr std::chrono::milliseconds timeout {2000};
 
-Vm readVm(const nlohmann::json &json)
+// A value that this version does not know must not be taken for the other one.
+Result<bool> isFirst(const nlohmann::json &json, const char *member, std::string_view first,
+                     std::string_view second)
 {
-    const std::string role = json.at("role");
-    const std::string state = json.at("state");
+    const std::string value = json.at(member);
+    if (value != first && value != second)
+        return Error {ErrorCode::Malformed,
+                      "VM list: " + std::string(member) + " \"" + value + '"'};
+    return value == first;
+}
+
+Result<Vm> readVm(const nlohmann::json &json)
+{
+    const auto isEntry = isFirst(json, "role", "entry", "sidecar");
+    if (!isEntry)
+        return isEntry.error();
+    const auto isLeaving = isFirst(json, "state", "leaving", "live");
+    if (!isLeaving)
+        return isLeaving.error();
     return Vm {json.at("id"),
                json.at("address"),
                json.at("region"),
                json.at("availabilityZone"),
                json.value("service", ""),
-               role == "entry",
-               state == "leaving"};
+               isEntry.value(),
+               isLeaving.value()};
 }
 
 } // namespace
@@ -58,8 +73,12 @@
 try {
     std::vector<Vm> vms;
     const auto list = nlohmann::json::parse(json);
-    for (const auto &item : list.at("vms"))
-        vms.push_back(readVm(item));
+    for (const auto &item : list.at("vms")) {
+        auto vm = readVm(item);
+        if (!vm)
+            return vm.error();
+        vms.push_back(std::move(vm).value());
+    }
     return vms;
 } catch (const nlohmann::json::exception &exception) {
     return Error {ErrorCode::Malformed, std::string("VM list: ") + exception.what()};
--- a/src/platform/WatchReader.cpp
+++ b/src/platform/WatchReader.cpp
@@ -20,11 +20,16 @@
 
 void WatchReader::feed(std::string_view bytes)
 {
-    m_pending += bytes;
+    if (m_ended)
+        return;
+    // Only the new bytes are searched: a line of megabytes arrives in thousands of pieces.
+    std::size_t searchFrom = m_pending.size();
     std::size_t end = 0;
-    while (!m_ended && (end = m_pending.find('\n')) != std::string::npos) {
+    m_pending += bytes;
+    while (!m_ended && (end = m_pending.find('\n', searchFrom)) != std::string::npos) {
         readLine(std::string_view(m_pending).substr(0, end));
         m_pending.erase(0, end + 1);
+        searchFrom = 0;
     }
     if (m_pending.size() > maxLineBytes)
         this->end({ErrorCode::Malformed, "a watch line is above the limit"});
--- /dev/null
+++ b/tests/platform/WatchTest.cpp
@@ -0,0 +1,148 @@
+#include "foxtailring/platform/KeyValueClient.h"
+#include "foxtailring/transport/Http1Stream.h"
+#include "PlatformFixture.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <nlohmann/json.hpp>
+
+using namespace foxtailring;
+
+namespace {
+
+const std::string created = R"({"result":{"header":{"revision":"4"},"created":true}})"
+                            "\n";
+const std::string put = R"({"result":{"header":{"revision":"5"},"events":[
+    {"kv":{"key":"aw==","value":"dg==","mod_revision":"5"}}]}})";
+
+std::string line(std::string text)
+{
+    std::erase(text, '\n');
+    return text + '\n';
+}
+
+} // namespace
+
+class WatchTest : public PlatformFixture
+{
+    CPPUNIT_TEST_SUITE(WatchTest);
+    CPPUNIT_TEST(changesArriveInPieces);
+    CPPUNIT_TEST(compactedStartIsStale);
+    CPPUNIT_TEST(endsAreToldOnce);
+    CPPUNIT_TEST(cutIsClosed);
+    CPPUNIT_TEST(refusedWatchIsUnavailable);
+    CPPUNIT_TEST(cancelReachesTheService);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void changesArriveInPieces()
+    {
+        const Arrived arrived = open();
+        CPPUNIT_ASSERT_EQUAL(std::string("/v3/watch"), arrived.request.target);
+        CPPUNIT_ASSERT(nlohmann::json::parse(arrived.request.body)
+                       == nlohmann::json::parse(R"({"create_request":
+                           {"key":"YS8=","range_end":"YTA=","start_revision":"5"}})"));
+        const std::string bytes = created + line(put) + line(R"({"result":{"header":
+            {"revision":"7"},"events":[{"type":"DELETE","kv":{"key":"aw==","mod_revision":"6"}},
+            {"kv":{"key":"bA==","mod_revision":"7"}}]}})");
+        for (std::size_t at = 0; at < bytes.size(); at += 11)
+            arrived.responder->write(bytes.substr(at, 11));
+
+        const Change first = m_changes.take();
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(5), first.revision);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), first.events.size());
+        CPPUNIT_ASSERT(!first.events[0].deleted);
+        CPPUNIT_ASSERT_EQUAL(std::string("v"), first.events[0].value.value);
+        const Change second = m_changes.take();
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(7), second.revision);
+        CPPUNIT_ASSERT(second.events.at(0).deleted);
+        CPPUNIT_ASSERT_EQUAL(std::string("k"), second.events[0].value.key);
+        CPPUNIT_ASSERT_EQUAL(std::string("l"), second.events.at(1).value.key);
+        CPPUNIT_ASSERT_EQUAL(std::string(), second.events[1].value.value);
+    }
+
+    // Guards against changes that are missed because the service no longer has them.
+    void compactedStartIsStale()
+    {
+        open().responder->write(created + line(R"({"result":{"header":{"revision":"90"},
+            "canceled":true,"compact_revision":"50"}})"));
+        CPPUNIT_ASSERT(m_ends.take() == ErrorCode::Stale);
+    }
+
+    void endsAreToldOnce()
+    {
+        const std::pair<const char *, ErrorCode> cases[] = {
+            {R"({"result":{"header":{"revision":"9"},"canceled":true}})", ErrorCode::Closed},
+            {R"({"error":{"message":"no"}})", ErrorCode::Malformed},
+            {R"({"result":{"events":[{"kv":{"key":"aw==","mod_revision":"5"}}]}})",
+             ErrorCode::Malformed},
+            {R"({"result":{"header":{"revision":"9"},"events":[{}]}})", ErrorCode::Malformed},
+            {R"({"result":{"header":{"revision":"9"},"events":[{"kv":{}}]}})",
+             ErrorCode::Malformed},
+            {R"({"result":{"header":)", ErrorCode::Malformed},
+            {"nonsense", ErrorCode::Malformed}};
+        for (const auto &[text, expected] : cases) {
+            const Arrived arrived = open();
+            arrived.responder->write(line(text) + line(put));
+            arrived.responder->finish();
+            CPPUNIT_ASSERT_MESSAGE(text, m_ends.take() == expected);
+        }
+        CPPUNIT_ASSERT(m_ends.isEmpty());
+        CPPUNIT_ASSERT(m_changes.isEmpty());
+    }
+
+    void cutIsClosed()
+    {
+        open().responder->write(created + line(put) + put.substr(0, 40));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(5), m_changes.take().revision);
+        CPPUNIT_ASSERT(m_ends.take() == ErrorCode::Closed);
+    }
+
+    void refusedWatchIsUnavailable()
+    {
+        m_stream = startWatch();
+        answer("busy", 503);
+        CPPUNIT_ASSERT(m_ends.take() == ErrorCode::Unavailable);
+    }
+
+    void cancelReachesTheService()
+    {
+        const Arrived arrived = open();
+        const auto gone = std::make_shared<Mailbox<int>>();
+        arrived.responder->onDisconnect([gone] { gone->put(1); });
+        m_stream->cancel();
+        CPPUNIT_ASSERT(m_ends.take() == ErrorCode::Closed);
+        gone->take();
+    }
+
+private:
+    struct Change
+    {
+        std::vector<WatchEvent> events;
+        std::int64_t revision;
+    };
+
+    std::shared_ptr<Http1Stream> startWatch()
+    {
+        KeyValueClient client(*m_http, m_service);
+        WatchHooks hooks;
+        hooks.changed = [this](std::span<const WatchEvent> events, std::int64_t revision) {
+            m_changes.put({{events.begin(), events.end()}, revision});
+        };
+        hooks.ended = [this](const Error &error) { m_ends.put(error.code); };
+        return client.watch("a/", 5, std::move(hooks));
+    }
+
+    Arrived open()
+    {
+        m_stream = startWatch();
+        Arrived arrived = m_arrived.take();
+        arrived.responder->startStream(200, {});
+        return arrived;
+    }
+
+    Mailbox<Change> m_changes;
+    Mailbox<ErrorCode> m_ends;
+    std::shared_ptr<Http1Stream> m_stream;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(WatchTest);
