--- a/src/entry/CallRunner.cpp
+++ b/src/entry/CallRunner.cpp
@@ -23,6 +23,8 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds tickInterval {100};
+// A sidecar's result for a key that was used with another request.
+constexpr std::uint32_t statusConflict = 409;
 
 CallResult failure(Outcome outcome, std::string message)
 {
@@ -82,6 +84,7 @@
                 continue;
             m_address = server.info->address;
             m_serverId = server.info->id;
+            m_serverLeaves = server.state == ServerStatus::Leaving;
             return true;
         }
         return false;
@@ -157,6 +160,8 @@
 {
     if (result.outcome == Outcome::Done)
         respond(std::move(result));
+    else if (result.status == statusConflict)
+        refuse(result.message);
     else
         goOn(std::move(result));
 }
@@ -169,9 +174,10 @@
     if (isUnknown && askHomeAgain(m_failure))
         return;
     m_mayHaveRun = m_mayHaveRun || isUnknown;
-    const bool isSafe = !isUnknown || m_job.call.idempotent;
+    const bool isSafe =
+        m_job.isKeyed() ? mayAskNextHome(m_failure) : !isUnknown || m_job.call.idempotent;
     const TimePoint now = m_parts.clock();
-    if (!isSafe || now >= m_job.deadline || !m_parts.retries.tryRetry(m_job.call.service, now))
+    if (!isSafe || now >= m_job.deadline || !mayRetry(now))
         return fail();
     m_parts.counters.add("retries_total{kind=\"call\"}");
     callNext();
@@ -189,6 +195,19 @@
     return true;
 }
 
+// A leaving home refuses every new key, however few calls succeed meanwhile.
+bool CallRunner::mayRetry(TimePoint now)
+{
+    return m_serverLeaves || m_parts.retries.tryRetry(m_job.call.service, now);
+}
+
+// A home that advises a retry has claimed nothing, so the next one may claim and run the call.
+bool CallRunner::mayAskNextHome(const CallResult &result)
+{
+    const bool isAnswered = !result.requestId.empty();
+    return result.outcome == Outcome::NotRun || (isAnswered && result.retryAfterMs > 0);
+}
+
 void CallRunner::tick()
 {
     if (m_ended)
@@ -224,8 +243,12 @@
 
 void CallRunner::fail()
 {
-    const bool isNotRun = !m_mayHaveRun;
-    const Error error {isNotRun ? ErrorCode::Unavailable : ErrorCode::Timeout, m_failure.message};
+    // Only a sidecar that has read the claim of a key knows of its earlier attempts.
+    const bool isAnswered = !m_failure.requestId.empty();
+    const bool isNotRun = !m_mayHaveRun && (!m_job.isKeyed() || isAnswered);
+    // The last server has sent nothing; only earlier attempts of the key are unknown.
+    const bool isRefused = !m_mayHaveRun || mayAskNextHome(m_failure);
+    const Error error {isRefused ? ErrorCode::Unavailable : ErrorCode::Timeout, m_failure.message};
     m_parts.counters.add(isNotRun ? "calls_total{outcome=\"not-run\"}"
                                   : "calls_total{outcome=\"unknown\"}");
     m_responder->respond(Problem::of(error, isNotRun ? Problem::notRun : Problem::unknown,
@@ -235,6 +258,16 @@
     end();
 }
 
+// The claim of a key names one request, so this other one was never run under it.
+void CallRunner::refuse(const std::string &message)
+{
+    m_parts.counters.add("calls_total{outcome=\"refused\"}");
+    m_responder->respond(Problem::of({ErrorCode::Conflict, message}, Problem::notRun, {},
+                                     m_parts.settings.retryAfter)
+                             .response());
+    end();
+}
+
 void CallRunner::leaveServer()
 {
     if (m_stream.stream)
