entry: never say that a keyed call was not run unless a home of its key says so

Cause: a refusal by the entry alone, such as at admission or with no server in reach, said not-run although an earlier attempt of the key had run. Change: such refusals have the outcome unknown and say that this attempt was not run; not-run is passed on from a home only.

--- a/src/entry/CallPort.cpp
+++ b/src/entry/CallPort.cpp
@@ -93,8 +93,12 @@
             m_parts.counters.add("calls_total{outcome=\"refused\"}");
             const auto retryAfter =
                 std::chrono::ceil<std::chrono::milliseconds>(refusal.retryAfter);
-            request->responder->respond(Problem::of({refusal.code, refusal.message},
-                                                    Problem::notRun, retryAfter,
+            // Only a home of the key knows whether an earlier attempt has run.
+            const auto outcome = job.isKeyed() ? Problem::unknown : Problem::notRun;
+            const std::string message = job.isKeyed()
+                ? "this attempt was not run; earlier attempts are unknown: " + refusal.message
+                : refusal.message;
+            request->responder->respond(Problem::of({refusal.code, message}, outcome, retryAfter,
                                                     m_parts.settings.retryAfter)
                                             .response());
         });
--- a/src/entry/CallRunner.cpp
+++ b/src/entry/CallRunner.cpp
@@ -46,6 +46,8 @@
     , m_timer(parts.pool)
 {
     m_failure = failure(Outcome::NotRun, "no server was asked");
+    // An earlier attempt of the key may have run; only a home can tell.
+    m_mayHaveRun = m_job.isKeyed();
 }
 
 CallRunner::~CallRunner() = default;
@@ -173,7 +175,8 @@
     const bool isUnknown = m_failure.outcome == Outcome::Unknown;
     if (isUnknown && askHomeAgain(m_failure))
         return;
-    m_mayHaveRun = m_mayHaveRun || isUnknown;
+    const bool isToldByHome = m_job.isKeyed() && !m_failure.requestId.empty() && !isUnknown;
+    m_mayHaveRun = isUnknown || (m_mayHaveRun && !isToldByHome);
     const bool isSafe =
         m_job.isKeyed() ? mayAskNextHome(m_failure) : !isUnknown || m_job.call.idempotent;
     const TimePoint now = m_parts.clock();
--- a/src/entry/CallerPort.cpp
+++ b/src/entry/CallerPort.cpp
@@ -42,6 +42,10 @@
 void CallerPort::handle(HttpRequest request, const std::shared_ptr<Http1Responder> &responder)
 {
     m_parts.counters.add("requests_total");
+    // An earlier attempt of a keyed call may have run, which this entry does not know.
+    const bool isKeyedCall =
+        request.target.starts_with(CallPort::prefix) && !request.header("Idempotency-Key").empty();
+    const auto outcome = isKeyedCall ? Problem::unknown : Problem::notRun;
     auto identified = identify(std::move(request), responder);
     if (identified) {
         dispatch(std::move(identified).value());
@@ -50,8 +54,7 @@
     m_parts.counters.add("requests_refused_total{code=\""
                          + std::string(errorCodeName(identified.error().code)) + "\"}");
     responder->respond(
-        Problem::of(identified.error(), Problem::notRun, {}, m_parts.settings.retryAfter)
-            .response());
+        Problem::of(identified.error(), outcome, {}, m_parts.settings.retryAfter).response());
 }
 
 Result<CallerRequest> CallerPort::identify(HttpRequest request,
