--- a/tests/process/calls/CallsTest.cpp
+++ b/tests/process/calls/CallsTest.cpp
@@ -28,6 +28,7 @@
     CPPUNIT_TEST(keyReusedWithAnotherBody);
     CPPUNIT_TEST(replyLostWithoutKey);
     CPPUNIT_TEST(homeDrains);
+    CPPUNIT_TEST(noHomeLeft);
     CPPUNIT_TEST(severalFaultsAtOnce);
     CPPUNIT_TEST_SUITE_END();
 
@@ -124,6 +125,8 @@
             round.system.waitReady();
             const CallAnswer again = round.send(1);
             round.expect(!again.isNotRun(), "an old key is not new at a new server", again);
+            const CallAnswer kept = round.sendUntilDone();
+            round.expect(kept.isDone(), "the recorded outcome is answered", kept);
             round.expectExecutions(1);
         });
     }
@@ -206,6 +209,23 @@
         });
     }
 
+    // Guards against a refusal by the entry alone that denies an earlier attempt.
+    void noHomeLeft()
+    {
+        run("all sidecars of the service killed after the call", [](Round &round) {
+            const CallAnswer first = round.send(0);
+            round.expect(first.isDone(), "the first call is answered", first);
+            for (std::size_t index = 0; index < round.system.serviceCount(); ++index)
+                round.system.service(index).sidecar->kill();
+            constexpr int retries = 20; // while the entries suspect and then lose the servers
+            for (int retry = 0; retry < retries; ++retry) {
+                const CallAnswer again = round.send(retry % 2);
+                round.expect(again.isOpen(), "a call that ran is never called not run", again);
+            }
+            round.expectExecutions(1);
+        });
+    }
+
     void severalFaultsAtOnce()
     {
         Proof proof("calls", "60 keys, 12 faults chosen by the seed, several at once");
