--- a/src/entry/CallPort.cpp
+++ b/src/entry/CallPort.cpp
@@ -10,6 +10,7 @@
 #include "CallRunner.h"
 #include "EntryParts.h"
 #include "HeaderFilter.h"
+#include "RefusalOutcome.h"
 #include "RequestTime.h"
 #include "ThreadRandom.h"
 
@@ -36,7 +37,8 @@
     auto made = job(request);
     if (!made) {
         request.responder->respond(
-            Problem::of(made.error(), Problem::notRun, {}, m_parts.settings.retryAfter).response());
+            Problem::of(made.error(), refusalOutcome(request.http), {}, m_parts.settings.retryAfter)
+                .response());
         return;
     }
     admit(std::make_shared<CallerRequest>(std::move(request)), std::move(made).value());
@@ -93,12 +95,8 @@
             m_parts.counters.add("calls_total{outcome=\"refused\"}");
             const auto retryAfter =
                 std::chrono::ceil<std::chrono::milliseconds>(refusal.retryAfter);
-            // Only a home of the key knows whether an earlier attempt has run.
-            const auto outcome = job.isKeyed() ? Problem::unknown : Problem::notRun;
-            const std::string message = job.isKeyed()
-                ? "this attempt was not run; earlier attempts are unknown: " + refusal.message
-                : refusal.message;
-            request->responder->respond(Problem::of({refusal.code, message}, outcome, retryAfter,
+            request->responder->respond(Problem::of({refusal.code, refusal.message},
+                                                    refusalOutcome(request->http), retryAfter,
                                                     m_parts.settings.retryAfter)
                                             .response());
         });
--- a/src/entry/CallRunner.cpp
+++ b/src/entry/CallRunner.cpp
@@ -46,8 +46,6 @@
     , m_timer(parts.pool)
 {
     m_failure = failure(Outcome::NotRun, "no server was asked");
-    // An earlier attempt of the key may have run; only a home can tell.
-    m_mayHaveRun = m_job.isKeyed();
 }
 
 CallRunner::~CallRunner() = default;
@@ -175,8 +173,7 @@
     const bool isUnknown = m_failure.outcome == Outcome::Unknown;
     if (isUnknown && askHomeAgain(m_failure))
         return;
-    const bool isToldByHome = m_job.isKeyed() && !m_failure.requestId.empty() && !isUnknown;
-    m_mayHaveRun = isUnknown || (m_mayHaveRun && !isToldByHome);
+    m_mayHaveRun = m_mayHaveRun || isUnknown;
     const bool isSafe =
         m_job.isKeyed() ? mayAskNextHome(m_failure) : !isUnknown || m_job.call.idempotent;
     const TimePoint now = m_parts.clock();
@@ -246,9 +243,11 @@
 
 void CallRunner::fail()
 {
-    const bool isNotRun = !m_mayHaveRun;
+    // Only a sidecar that has read the claim of a key knows of its earlier attempts.
+    const bool isAnswered = !m_failure.requestId.empty();
+    const bool isNotRun = !m_mayHaveRun && (!m_job.isKeyed() || isAnswered);
     // The last server has sent nothing; only earlier attempts of the key are unknown.
-    const bool isRefused = isNotRun || mayAskNextHome(m_failure);
+    const bool isRefused = !m_mayHaveRun || mayAskNextHome(m_failure);
     const Error error {isRefused ? ErrorCode::Unavailable : ErrorCode::Timeout, m_failure.message};
     m_parts.counters.add(isNotRun ? "calls_total{outcome=\"not-run\"}"
                                   : "calls_total{outcome=\"unknown\"}");
--- a/src/entry/CallerPort.cpp
+++ b/src/entry/CallerPort.cpp
@@ -6,6 +6,7 @@
 #include "CallerRequest.h"
 #include "EntryParts.h"
 #include "KeyDigest.h"
+#include "RefusalOutcome.h"
 #include "ThreadRandom.h"
 
 #include <nlohmann/json.hpp>
@@ -42,10 +43,7 @@
 void CallerPort::handle(HttpRequest request, const std::shared_ptr<Http1Responder> &responder)
 {
     m_parts.counters.add("requests_total");
-    // An earlier attempt of a keyed call may have run, which this entry does not know.
-    const bool isKeyedCall =
-        request.target.starts_with(CallPort::prefix) && !request.header("Idempotency-Key").empty();
-    const auto outcome = isKeyedCall ? Problem::unknown : Problem::notRun;
+    const std::string_view outcome = refusalOutcome(request);
     auto identified = identify(std::move(request), responder);
     if (identified) {
         dispatch(std::move(identified).value());
