--- a/bench/policy/OverloadScenario.cpp
+++ b/bench/policy/OverloadScenario.cpp
@@ -1,5 +1,6 @@
 #include "Fleet.h"
 #include "foxtailring/decisions/AdmissionController.h"
+#include "Quantile.h"
 #include "Report.h"
 #include "Scenarios.h"
 
--- a/bench/policy/Report.h
+++ b/bench/policy/Report.h
@@ -38,7 +38,4 @@
     std::vector<Scenario> m_scenarios; ///< in order of first use, as are variants and metrics
 };
 
-/// \brief The value below which \a share of \a values lie; 0 when there are none.
-double quantile(std::vector<double> values, double share);
-
 } // namespace foxtailring::bench
--- a/bench/policy/RoutingScenario.cpp
+++ b/bench/policy/RoutingScenario.cpp
@@ -1,4 +1,5 @@
 #include "Fleet.h"
+#include "Quantile.h"
 #include "Report.h"
 #include "Scenarios.h"
 
--- a/bench/policy/ZoneLossScenario.cpp
+++ b/bench/policy/ZoneLossScenario.cpp
@@ -1,6 +1,7 @@
 #include "Fleet.h"
 #include "foxtailring/decisions/AdmissionController.h"
 #include "foxtailring/decisions/ResumeAdmission.h"
+#include "Quantile.h"
 #include "Report.h"
 #include "Scenarios.h"
 
