--- a/src/entry/GenerationRunner.cpp
+++ b/src/entry/GenerationRunner.cpp
@@ -21,6 +21,9 @@
 
 using std::chrono::milliseconds;
 
+// How much longer the journal is kept when the caller went away before the end was written.
+constexpr int goneCallerFactor = 4;
+
 double secondsBetween(TimePoint from, TimePoint to)
 {
     return std::chrono::duration<double>(to - from).count();
@@ -289,17 +292,30 @@
         sendFinalAck();
         return;
     }
+    waitForReturn(m_parts.settings.finalAckDelay);
+}
+
+void GenerationRunner::waitForReturn(milliseconds delay)
+{
     const std::weak_ptr<GenerationRunner> weak = weak_from_this();
-    m_timer.once(m_parts.settings.finalAckDelay, [weak] {
+    m_timer.once(delay, [weak] {
         if (const auto self = weak.lock())
-            self->m_queue.post([self] { self->sendFinalAck(); });
+            self->m_queue.post([self] { self->deliveryTimePassed(); });
     });
 }
 
+void GenerationRunner::deliveryTimePassed()
+{
+    // The caller may have closed its connection at the last event, or lost that event and come
+    // back for it.
+    if (std::exchange(m_callerGone, false))
+        waitForReturn(m_parts.settings.finalAckDelay * goneCallerFactor);
+    else
+        sendFinalAck();
+}
+
 void GenerationRunner::sendFinalAck()
 {
-    if (m_callerGone)
-        m_finalAck->final = false;
     m_stream.stream->send(encodeMessage(*m_finalAck));
     m_stream.stream->finish();
     m_parts.lingering.add(std::exchange(m_stream.stream, nullptr));
--- a/src/entry/GenerationRunner.h
+++ b/src/entry/GenerationRunner.h
@@ -10,6 +10,7 @@
 #include "LinkStream.h"
 #include "SerialQueue.h"
 
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -75,6 +76,8 @@
     void noteInterruption();
     void end();
     void releaseJournal();
+    void waitForReturn(std::chrono::milliseconds delay);
+    void deliveryTimePassed();
     void sendFinalAck();
     void leaveTable();
     void countDropped();
