sidecar: drain a backend server by its resource

Cause: foxtailringctl drain stored a BackendServer resource that no sidecar acted on. Change: DrainState can be held and released without ending the process; the sidecar follows the resource of its own node id before it acknowledges the revision, and reports leaving to every entry at once. Measured: process_leaving_test operatorDrainsAndReleases passes, 72 requests, no wrong answer; without the call of takeDrain() it fails, since the held server gets new work. decisions_test 113 of 113.

--- a/include/foxtailring/decisions/DrainState.h
+++ b/include/foxtailring/decisions/DrainState.h
@@ -27,7 +27,12 @@
     /// \brief Starts draining; false when that was done before.
     bool begin(TimePoint now);
 
-    /// \brief Counts one piece of work in; Draining unless the process is serving.
+    /// \brief Stops or restarts taking new work on the operators' word, which does not end the
+    /// process; false when nothing changes.
+    bool hold(bool on);
+    bool takesNewWork() const;
+
+    /// \brief Counts one piece of work in; Draining unless the process takes new work.
     Result<Done> admitWork();
     /// \brief Counts one piece of work out.
     void endWork();
@@ -44,6 +49,7 @@
     const Duration m_limit;
     mutable std::mutex m_mutex;
     DrainPhase m_phase = DrainPhase::Serving;
+    bool m_held = false; ///< an operator asked for no new work
     TimePoint m_deadline;
     std::size_t m_work = 0;
 };
--- a/include/foxtailring/sidecar/ConfigService.h
+++ b/include/foxtailring/sidecar/ConfigService.h
@@ -2,6 +2,7 @@
 
 #include "foxtailring/sidecar/SidecarContext.h"
 
+#include <functional>
 #include <memory>
 
 namespace foxtailring {
@@ -14,14 +15,17 @@
 class ConfigService : public std::enable_shared_from_this<ConfigService>
 {
 public:
-    explicit ConfigService(const SidecarContext &context);
+    /// \param leavingChanged runs when operators stop or restart new work on this server
+    ConfigService(const SidecarContext &context, std::function<void()> leavingChanged);
 
     void open(const std::shared_ptr<Http2Stream> &stream);
 
 private:
     void takeFrame(MessageStream &stream, const Frame &frame);
+    void takeDrain();
 
     const SidecarContext m_context;
+    const std::function<void()> m_leavingChanged;
 };
 
 } // namespace foxtailring
--- a/src/decisions/DrainState.cpp
+++ b/src/decisions/DrainState.cpp
@@ -1,6 +1,7 @@
 #include "foxtailring/decisions/DrainState.h"
 
 #include <cassert>
+#include <utility>
 
 namespace foxtailring {
 
@@ -25,11 +26,23 @@
     return true;
 }
 
+bool DrainState::hold(bool on)
+{
+    const std::lock_guard lock(m_mutex);
+    return std::exchange(m_held, on) != on;
+}
+
+bool DrainState::takesNewWork() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_phase == DrainPhase::Serving && !m_held;
+}
+
 // Admission and the phase share a lock, so no work is counted in after the process is drained.
 Result<Done> DrainState::admitWork()
 {
     const std::lock_guard lock(m_mutex);
-    if (m_phase != DrainPhase::Serving)
+    if (m_phase != DrainPhase::Serving || m_held)
         return Error {ErrorCode::Draining, "the server is leaving and takes no new work"};
     ++m_work;
     return Done {};
--- a/src/sidecar/AdminServer.cpp
+++ b/src/sidecar/AdminServer.cpp
@@ -18,7 +18,7 @@
 
 HttpResponse readiness(const SidecarContext &context)
 {
-    if (context.drain->phase() != DrainPhase::Serving)
+    if (!context.drain->takesNewWork())
         return plainText(503, "draining\n");
     if (context.settings->requireConfig && context.config->revision() == 0)
         return plainText(503, "no configuration\n");
--- a/src/sidecar/ConfigService.cpp
+++ b/src/sidecar/ConfigService.cpp
@@ -3,6 +3,7 @@
 #include "foxtailring/base/Counters.h"
 #include "foxtailring/base/StructuredLog.h"
 #include "foxtailring/decisions/ConfigState.h"
+#include "foxtailring/decisions/DrainState.h"
 #include "foxtailring/protocol/ConfigAck.h"
 #include "foxtailring/protocol/ConfigUpdate.h"
 #include "foxtailring/sidecar/MessageStream.h"
@@ -10,8 +11,9 @@
 
 namespace foxtailring {
 
-ConfigService::ConfigService(const SidecarContext &context)
+ConfigService::ConfigService(const SidecarContext &context, std::function<void()> leavingChanged)
     : m_context(context)
+    , m_leavingChanged(std::move(leavingChanged))
 {
 }
 
@@ -37,7 +39,19 @@
     m_context.counters->setGauge("sidecar_config_revision", static_cast<double>(revision));
     if (before == 0 && revision > 0)
         StructuredLog::info("firstConfiguration", {{"revision", std::to_string(revision)}});
+    takeDrain();
     stream.send(ConfigAck {m_context.settings->nodeId, revision});
 }
 
+// In force before the acknowledgement, so that an operator who waits for the revision knows that
+// the server takes no new work.
+void ConfigService::takeDrain()
+{
+    const bool drain = m_context.config->snapshot()->isDraining(m_context.settings->nodeId);
+    if (!m_context.drain->hold(drain))
+        return;
+    StructuredLog::info(drain ? "heldByOperator" : "releasedByOperator");
+    m_leavingChanged();
+}
+
 } // namespace foxtailring
--- a/src/sidecar/ReportService.cpp
+++ b/src/sidecar/ReportService.cpp
@@ -111,7 +111,7 @@
     report.running = load.running;
     report.waiting = load.waiting;
     report.capacity = load.capacity;
-    report.leaving = m_context.drain->phase() != DrainPhase::Serving;
+    report.leaving = !m_context.drain->takesNewWork();
     report.configRevision = m_context.config->revision();
     report.prefixHashes = m_context.load->prefixHashes();
     return report;
--- a/src/sidecar/Sidecar.cpp
+++ b/src/sidecar/Sidecar.cpp
@@ -108,7 +108,7 @@
     , generations(std::make_shared<GenerationService>(context))
     , records(std::make_shared<RecordService>(context))
     , reports(std::make_shared<ReportService>(context))
-    , configs(std::make_shared<ConfigService>(context))
+    , configs(std::make_shared<ConfigService>(context, [sender = reports] { sender->sendToAll(); }))
     , calls(std::make_shared<CallService>(context,
                                           givenHooks.claimStore.isSet()
                                               ? std::move(givenHooks.claimStore)
--- a/tests/decisions/DrainStateTest.cpp
+++ b/tests/decisions/DrainStateTest.cpp
@@ -10,6 +10,7 @@
     CPPUNIT_TEST_SUITE(DrainStateTest);
     CPPUNIT_TEST(waitsForWorkAndAcknowledgements);
     CPPUNIT_TEST(limitEndsTheWait);
+    CPPUNIT_TEST(heldServerCanTakeWorkAgain);
     CPPUNIT_TEST_SUITE_END();
 
     const TimePoint m_start = TimePoint() + 1h;
@@ -41,6 +42,20 @@
         CPPUNIT_ASSERT(drain.update(1, m_start + 59s) == DrainPhase::Draining);
         CPPUNIT_ASSERT(drain.update(1, m_start + 60s) == DrainPhase::Drained);
     }
+
+    // Guards against an operator's drain that cannot be taken back, or that ends the process.
+    void heldServerCanTakeWorkAgain()
+    {
+        DrainState drain(1min);
+        CPPUNIT_ASSERT(drain.hold(true));
+        CPPUNIT_ASSERT(!drain.hold(true));
+        CPPUNIT_ASSERT(!drain.takesNewWork());
+        CPPUNIT_ASSERT(drain.admitWork().error().code == ErrorCode::Draining);
+        CPPUNIT_ASSERT(drain.admitAttach().isOk());
+        CPPUNIT_ASSERT(drain.update(0, m_start) == DrainPhase::Serving);
+        CPPUNIT_ASSERT(drain.hold(false));
+        CPPUNIT_ASSERT(drain.admitWork().isOk());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(DrainStateTest);
--- a/tests/process/leaving/LeavingTest.cpp
+++ b/tests/process/leaving/LeavingTest.cpp
@@ -1,4 +1,5 @@
 #include "Crowd.h"
+#include "OperatorCall.h"
 #include "Proof.h"
 #include "SystemFixture.h"
 
@@ -13,6 +14,7 @@
 {
     CPPUNIT_TEST_SUITE(LeavingTest);
     CPPUNIT_TEST(drainingServerGetsNoNewWork);
+    CPPUNIT_TEST(operatorDrainsAndReleases);
     CPPUNIT_TEST(sidecarTerminatedUnderLoad);
     CPPUNIT_TEST(entryTerminatedUnderLoad);
     CPPUNIT_TEST(entryHandsOverLongStreams);
@@ -41,6 +43,32 @@
         });
     }
 
+    // Guards against a drain that cuts work, is not in force when the client returns, or cannot be
+    // taken back.
+    void operatorDrainsAndReleases()
+    {
+        repeat("operator drains a server by a resource and takes it back", [](Proof &proof) {
+            SystemFixture system(options());
+            Crowd before(system, callers, "before", tokens);
+            before.waitForTokens(callers * 10);
+            ServerVm &held = system.engine(0);
+            const OperatorCall operators(system, 0);
+            CPPUNIT_ASSERT_EQUAL(0, operators.control({"drain", held.name, "--wait"}).exitCode);
+            const int started = startedAt(held);
+            Crowd after(system, callers, "after", tokens);
+            expectUncut(proof, before);
+            expectUncut(proof, after);
+            if (startedAt(held) != started)
+                proof.wrong("the drained server got new work");
+            CPPUNIT_ASSERT_EQUAL(
+                0, operators.control({"drain", held.name, "--undo", "--wait"}).exitCode);
+            Crowd again(system, callers * 4, "again", tokens);
+            expectUncut(proof, again);
+            if (startedAt(held) == started)
+                proof.wrong("the released server got no work");
+        });
+    }
+
     void sidecarTerminatedUnderLoad()
     {
         repeat("SIGTERM of a sidecar under load", [](Proof &proof) {
