entry: fit resume pacing, route ages and hints to the fleet

Cause: the resume rate was one entry's own and is now shared by all entries; routing assumed a run time of 5 s; hints of a restarted engine stayed; leaving servers' work held back new work.

--- a/include/foxtailring/entry/EntrySettings.h
+++ b/include/foxtailring/entry/EntrySettings.h
@@ -26,7 +26,8 @@
     std::size_t threads = 4;
 
     GenerationSessionSettings session;
-    double resumesPerSecond = 50; ///< for each service
+    /// A second, for each live server of a service, over all entries.
+    double resumesPerServer = 10;
     /// A caller may set an earlier one with `Prefer: wait=SECONDS`.
     std::chrono::milliseconds generationDeadline {3'600'000};
     std::chrono::milliseconds callDeadline {30'000};
--- a/src/entry/EntryParts.cpp
+++ b/src/entry/EntryParts.cpp
@@ -7,13 +7,6 @@
 
 namespace {
 
-ResumeAdmission::Settings resumeSettings(const EntrySettings &settings)
-{
-    ResumeAdmission::Settings out;
-    out.resumesPerSecond = settings.resumesPerSecond;
-    return out;
-}
-
 AdmissionController::Settings admissionSettings(const EntrySettings &settings)
 {
     AdmissionController::Settings out;
@@ -28,7 +21,6 @@
     , clock(steadyClock())
     , pool(settings.threads)
     , router(servers, hints, Router::Settings {})
-    , resumeAdmission(resumeSettings(settings))
     , admissionController(admissionSettings(settings))
     , admission(pool, admissionController, clock)
     , resumes(pool, resumeAdmission, clock)
--- a/src/entry/EntrySettings.cpp
+++ b/src/entry/EntrySettings.cpp
@@ -69,8 +69,8 @@
     // A call travels in one frame of at most 16 MiB.
     constexpr std::int64_t mostBodyBytes = 12 * 1024 * 1024;
     readCount(reader, "maxFruitlessAttempts", settings.session.maxFruitlessAttempts, 1000);
-    settings.resumesPerSecond =
-        reader.numberOr("resumesPerSecond", settings.resumesPerSecond, 0.1, 1'000'000);
+    settings.resumesPerServer =
+        reader.numberOr("resumesPerServer", settings.resumesPerServer, 0.1, 1'000'000);
     readCount(reader, "maxTokensLimit", settings.maxTokensLimit, 100'000'000);
     readCount(reader, "defaultMaxTokens", settings.defaultMaxTokens, settings.maxTokensLimit);
     readCount(reader, "requestBodyBytes", settings.requestBodyBytes, mostBodyBytes);
--- a/src/entry/Membership.cpp
+++ b/src/entry/Membership.cpp
@@ -53,6 +53,7 @@
     }
     m_parts.links.follow(followed);
     m_parts.admissionController.setLiveEntries(static_cast<std::uint32_t>(entries));
+    m_parts.resumeAdmission.setLiveEntries(static_cast<std::uint32_t>(entries));
     {
         const std::lock_guard lock(m_mutex);
         m_sharers = std::move(sharers);
@@ -102,8 +103,13 @@
     }
     const TimePoint now = m_parts.clock();
     for (const auto &[service, count] : sharers) {
-        const auto candidates = m_parts.servers.candidates(service, now);
-        m_parts.admissionController.updateCapacity(service, candidates, count);
+        const auto servers = m_parts.servers.servers(service, now);
+        m_parts.admissionController.updateCapacity(service, servers, count);
+        const auto live = std::count_if(servers.begin(), servers.end(), [](const auto &server) {
+            return server.state == ServerStatus::Live;
+        });
+        m_parts.resumeAdmission.setRate(
+            service, m_parts.settings.resumesPerServer * std::max(1.0, static_cast<double>(live)));
         m_parts.admissionController.setNewWorkShare(
             service, m_parts.resumeAdmission.newWorkShare(service, now));
     }
--- a/src/entry/ServerChoice.cpp
+++ b/src/entry/ServerChoice.cpp
@@ -29,6 +29,7 @@
     request.service = service;
     request.zone = parts.settings.availabilityZone;
     request.region = parts.settings.region;
+    request.meanRun = parts.admissionController.meanRun(service);
     if (excluded.empty())
         return request;
     for (const ServerState &server : parts.servers.servers(service, parts.clock())) {
--- a/src/entry/SidecarFollower.cpp
+++ b/src/entry/SidecarFollower.cpp
@@ -11,6 +11,8 @@
 #include "SidecarLink.h"
 #include "SidecarPaths.h"
 
+#include <utility>
+
 #include <algorithm>
 
 namespace foxtailring {
@@ -140,6 +142,8 @@
     if (m_liveness.state() != Liveness::Alive)
         revive();
     m_liveness.frameReceived(now);
+    if (std::exchange(m_incarnation, report.incarnation) != report.incarnation)
+        m_parts.hints.forget(m_serverId);
     if (m_parts.servers.applyReport(report, now) == ReportEffect::Applied)
         m_parts.hints.learn(report.serverId, report.prefixHashes, now);
     m_push.reported(report.configRevision, report.incarnation);
--- a/src/entry/SidecarFollower.h
+++ b/src/entry/SidecarFollower.h
@@ -56,6 +56,7 @@
 
     // On the queue.
     ConfigPush m_push;
+    std::uint64_t m_incarnation = 0; ///< of the latest report
     std::chrono::milliseconds m_reportInterval;
     LivenessMonitor m_liveness;
     LinkStream m_reports;
