entry: follow fewer servers of other regions

Cause: 8 servers for each service and region are 1872 links an entry at 39 models and 6 regions, most of them for the rare loss of the own region. Change: remoteSubsetSize, 2 by default, for regions other than the own one.

--- a/include/foxtailring/entry/EntrySettings.h
+++ b/include/foxtailring/entry/EntrySettings.h
@@ -46,7 +46,8 @@
     /// new one bounds how late a change is seen, at one call of the platform's service each time.
     std::chrono::milliseconds watchRenewal {4000};
     std::chrono::milliseconds reportInterval {500};
-    std::size_t subsetSize = 8; ///< servers followed for each service and region
+    std::size_t subsetSize = 8;       ///< servers followed for each service in the own region
+    std::size_t remoteSubsetSize = 2; ///< and in each other region, for the loss of the own one
 
     std::chrono::milliseconds retryAfter {1000}; ///< advice when nothing better is known
     /// Between "not ready" and the first refusal, so that the balancer notices.
--- a/src/entry/EntrySettings.cpp
+++ b/src/entry/EntrySettings.cpp
@@ -76,6 +76,7 @@
     readCount(reader, "requestBodyBytes", settings.requestBodyBytes, mostBodyBytes);
     readCount(reader, "callerBufferBytes", settings.callerBufferBytes, mostBytes);
     readCount(reader, "subsetSize", settings.subsetSize, 100'000);
+    readCount(reader, "remoteSubsetSize", settings.remoteSubsetSize, 100'000);
     reader.finish().isOk(); // The list of faults is shared; read() reports it.
 }
 
--- a/src/entry/Membership.cpp
+++ b/src/entry/Membership.cpp
@@ -12,10 +12,10 @@
 // Reports come every 500 ms, so that limits follow them without much delay.
 constexpr std::chrono::milliseconds capacityInterval {250};
 
-SubsetSelector::Settings selectorSettings(const EntrySettings &settings)
+SubsetSelector::Settings selectorSettings(std::size_t size)
 {
     SubsetSelector::Settings out;
-    out.size = settings.subsetSize;
+    out.size = size;
     return out;
 }
 
@@ -23,7 +23,8 @@
 
 Membership::Membership(EntryParts &parts)
     : m_parts(parts)
-    , m_selector(selectorSettings(parts.settings))
+    , m_ownRegion(selectorSettings(parts.settings.subsetSize))
+    , m_otherRegion(selectorSettings(parts.settings.remoteSubsetSize))
     , m_timer(parts.pool)
 {
     m_timer.every(capacityInterval, [this] { updateCapacities(); });
@@ -73,8 +74,9 @@
     for (const auto &[region, servers] : group.byRegion) {
         const bool isOwn = region == m_parts.settings.region;
         const Names entries = entryNames(list, isOwn ? region : std::string_view());
+        const SubsetSelector &selector = isOwn ? m_ownRegion : m_otherRegion;
         for (std::string &name :
-             m_selector.select(service, region, m_parts.settings.nodeId, entries, servers))
+             selector.select(service, region, m_parts.settings.nodeId, entries, servers))
             followed.push_back(std::move(name));
     }
     return followed;
--- a/src/entry/Membership.h
+++ b/src/entry/Membership.h
@@ -38,7 +38,8 @@
     void updateCapacities();
 
     EntryParts &m_parts;
-    SubsetSelector m_selector;
+    SubsetSelector m_ownRegion;
+    SubsetSelector m_otherRegion;
     mutable std::mutex m_mutex;
     std::vector<MemberList::Entry> m_otherEntries;
     std::map<std::string, std::uint32_t> m_sharers; ///< entries at the same servers, by service
--- a/src/entry/SidecarFollower.cpp
+++ b/src/entry/SidecarFollower.cpp
@@ -11,9 +11,8 @@
 #include "SidecarLink.h"
 #include "SidecarPaths.h"
 
-#include <utility>
-
 #include <algorithm>
+#include <utility>
 
 namespace foxtailring {
 
