tests: mend lint faults of the process tests

Cause: clang-tidy found slow concatenations, a member's name and a const that prevents a move. Change: as it advises.

--- a/tests/process/callers/CallersTest.cpp
+++ b/tests/process/callers/CallersTest.cpp
@@ -38,7 +38,7 @@
     {
         Proof proof("callers", "resume token of another client account");
         SystemFixture system {SystemOptions {}};
-        CallerOptions other = request;
+        CallerOptions other = m_request;
         other.apiKey = "contractors-key";
         expectRefused(proof, system, other, eventId(system));
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), proof.wrongCount());
@@ -59,7 +59,7 @@
              {token.value().sign("another secret of at least 32 characters"),
               unsignedPart.substr(0, unsignedPart.find('.')) + signature,
               id.substr(0, id.find('.')), id + "A", std::string("not-a-token")})
-            expectRefused(proof, system, request, forged);
+            expectRefused(proof, system, m_request, forged);
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), proof.wrongCount());
     }
 
@@ -68,7 +68,7 @@
     {
         Proof proof("callers", "resume token of another request");
         SystemFixture system {SystemOptions {}};
-        CallerOptions other = request;
+        CallerOptions other = m_request;
         other.prompt = "another prompt";
         expectRefused(proof, system, other, eventId(system));
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), proof.wrongCount());
@@ -77,7 +77,7 @@
 private:
     static constexpr std::size_t callers = 40;
     static constexpr std::size_t tokens = 150;
-    const CallerOptions request {.prompt = "condition of reach 3", .maxTokens = tokens};
+    const CallerOptions m_request {.prompt = "condition of reach 3", .maxTokens = tokens};
 
     static void crowdRound(Proof &proof, const std::string &name)
     {
@@ -126,7 +126,7 @@
     std::string eventId(SystemFixture &system) const
     {
         constexpr int events = 5;
-        SseStream stream(system.entry(0).port, Caller::call(request, {}));
+        SseStream stream(system.entry(0).port, Caller::call(m_request, {}));
         std::string id;
         for (int count = 0; count < events; ++count) {
             const auto event = stream.next();
--- a/tests/process/system/Answer.cpp
+++ b/tests/process/system/Answer.cpp
@@ -36,7 +36,8 @@
     const std::string expectedTag = tag();
     std::size_t index = 0;
     for (const std::string &word : wordsOf(text)) {
-        const std::string expected = expectedTag + '.' + std::to_string(index++);
+        std::string expected = expectedTag;
+        expected.append(".").append(std::to_string(index++));
         if (word != expected)
             return "token " + expected + " was expected, " + word + " came";
     }
@@ -45,7 +46,7 @@
 
 std::optional<std::string> Answer::faultUnlessWhole(std::size_t count) const
 {
-    if (const auto fault = faultInTokens())
+    if (auto fault = faultInTokens())
         return fault;
     if (end != End::Whole)
         return "no whole answer: end " + std::to_string(static_cast<int>(end)) + ", "
--- a/tests/process/system/SystemFixture.cpp
+++ b/tests/process/system/SystemFixture.cpp
@@ -41,7 +41,7 @@
 {
     std::string text;
     for (const auto &[key, value] : lines)
-        text += key + ": " + value + '\n';
+        text.append(key).append(": ").append(value).append("\n");
     return text + more;
 }
 
