--- a/tests/process/system/Answer.cpp
+++ b/tests/process/system/Answer.cpp
@@ -39,7 +39,7 @@
         std::string expected = expectedTag;
         expected.append(".").append(std::to_string(index++));
         if (word != expected)
-            return "token " + expected + " was expected, " + word + " came";
+            return std::string("token ").append(expected).append(" was expected, ").append(word);
     }
     return std::nullopt;
 }
