--- a/tests/process/leaving/LeavingTest.cpp
+++ b/tests/process/leaving/LeavingTest.cpp
@@ -15,6 +15,7 @@
     CPPUNIT_TEST_SUITE(LeavingTest);
     CPPUNIT_TEST(drainingServerGetsNoNewWork);
     CPPUNIT_TEST(operatorDrainsAndReleases);
+    CPPUNIT_TEST(changesCutNoWork);
     CPPUNIT_TEST(sidecarTerminatedUnderLoad);
     CPPUNIT_TEST(entryTerminatedUnderLoad);
     CPPUNIT_TEST(entryHandsOverLongStreams);
@@ -69,6 +70,29 @@
         });
     }
 
+    // Invariant 9. Guards against a change that reaches into generations that were admitted before.
+    void changesCutNoWork()
+    {
+        repeat(
+            "account and service deleted, server delisted, with work in flight", [](Proof &proof) {
+                SystemFixture system(options());
+                Crowd crowd(system, callers, "running", tokens);
+                crowd.waitForTokens(callers * 5);
+                const OperatorCall operators(system, 0);
+                for (const char *account : {"electricians", "contractors"})
+                    CPPUNIT_ASSERT_EQUAL(
+                        0,
+                        operators.control({"delete", "ClientAccount", account, "--wait"}).exitCode);
+                CPPUNIT_ASSERT_EQUAL(
+                    0,
+                    operators.control({"delete", "Service", "lector-esquemas", "--wait"}).exitCode);
+                system.engine(0).state = "leaving";
+                system.publishVms();
+                expectUncut(proof, crowd);
+                expectGenerations(proof, system, callers);
+            });
+    }
+
     void sidecarTerminatedUnderLoad()
     {
         repeat("SIGTERM of a sidecar under load", [](Proof &proof) {
