apps: share flags, settings and shutdown signals between the daemons

Cause: the entry's and the sidecar's main programs repeated the same 40 lines, and the operator interface of the entry was destroyed before the threads that may call it. Change: apps/Daemon; the entry's handler owns what it works with.

--- a/apps/foxtailring-entry.cpp
+++ b/apps/foxtailring-entry.cpp
@@ -6,38 +6,15 @@
 #include "foxtailring/transport/Http1Client.h"
 #include "foxtailring/transport/HttpRequest.h"
 
-#include <csignal>
+#include "Daemon.h"
+
 #include <future>
-#include <gflags/gflags.h>
 #include <iostream>
 
-DEFINE_string(config, "", "YAML file with the settings");
-DEFINE_bool(check_config, false, "check the settings and exit");
-
 namespace {
 
-constexpr int exitSuccess = 0;
-constexpr int exitFailure = 1;
-constexpr int exitUsage = 2;
-
 using namespace foxtailring;
 
-sigset_t shutdownSignals()
-{
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    return signals;
-}
-
-void waitForSignal()
-{
-    const sigset_t signals = shutdownSignals();
-    int signal = 0;
-    sigwait(&signals, &signal);
-}
-
 NodeStatus status(const NodeRevision &node)
 {
     return {node.id, node.role, node.state, node.availabilityZone, node.revision};
@@ -62,24 +39,39 @@
     return hooks;
 }
 
-int run(const EntrySettings &settings)
+// The operator interface of one entry and what it works with.
+struct OperatorParts
+{
+    OperatorParts(EntryNode &node, const Endpoint &platform)
+        : http(node.pool())
+        , keyValues(http, platform)
+        , store(node.pool(), keyValues)
+        , api(node.pool(), store, node.config(), http, operatorHooks(node))
+    {
+    }
+
+    Http1Client http;
+    KeyValueClient keyValues;
+    ResourceStore store;
+    OperatorApi api;
+};
+
+// The node keeps the handler, and with it the parts, as long as requests may arrive.
+void serveOperators(EntryNode &node, const Endpoint &platform)
 {
-    // Blocked before any thread starts, so that only waitForSignal() takes them.
-    const sigset_t signals = shutdownSignals();
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-    std::signal(SIGPIPE, SIG_IGN);
+    const auto parts = std::make_shared<OperatorParts>(node, platform);
+    node.setOperatorHandler(
+        [parts](const HttpRequest &request, std::shared_ptr<Http1Responder> responder) {
+            parts->api.handle(request, std::move(responder));
+        });
+}
 
+int run(const EntrySettings &settings)
+{
     StructuredLog::configure("foxtailring-entry", settings.nodeId);
     std::promise<void> drained; // outlives the threads that set it
     EntryNode node(settings);
-    Http1Client http(node.pool());
-    KeyValueClient keyValues(http, settings.platform);
-    ResourceStore store(node.pool(), keyValues);
-    OperatorApi operatorApi(node.pool(), store, node.config(), http, operatorHooks(node));
-    node.setOperatorHandler(
-        [&operatorApi](const HttpRequest &request, std::shared_ptr<Http1Responder> responder) {
-            operatorApi.handle(request, std::move(responder));
-        });
+    serveOperators(node, settings.platform);
     const auto ports = node.listen();
     if (!ports) {
         std::cerr << ports.error().message << '\n';
@@ -88,7 +80,7 @@
     node.followPlatform();
     std::cout << "listening " << ports.value().callers << "\nadmin " << ports.value().admin
               << std::endl;
-    waitForSignal();
+    Daemon::waitForShutdown();
     node.drain([&drained] { drained.set_value(); });
     drained.get_future().wait();
     return exitSuccess;
@@ -98,16 +90,13 @@
 
 int main(int argc, char **argv)
 {
-    gflags::SetUsageMessage("--config FILE [--check-config]");
-    gflags::ParseCommandLineFlags(&argc, &argv, true);
-    if (FLAGS_config.empty()) {
-        std::cerr << "--config FILE is required\n";
-        return exitUsage;
-    }
-    const auto settings = EntrySettings::fromFile(FLAGS_config);
-    if (!settings) {
-        std::cerr << settings.error().message << '\n';
-        return exitUsage;
-    }
-    return FLAGS_check_config ? exitSuccess : run(settings.value());
+    EntrySettings settings;
+    const auto load = [&settings](const std::string &path) -> Result<Done> {
+        auto loaded = EntrySettings::fromFile(path);
+        if (!loaded)
+            return loaded.error();
+        settings = std::move(loaded).value();
+        return Done {};
+    };
+    return Daemon::main(argc, argv, load, [&settings] { return run(settings); });
 }
