--- a/src/entry/SidecarFollower.cpp
+++ b/src/entry/SidecarFollower.cpp
@@ -119,6 +119,9 @@
     if (m_liveness.state() != Liveness::Alive)
         revive();
     m_liveness.frameReceived(now);
+    // A server that was replaced has an empty cache; its reports tell what it caches from now on.
+    if (std::exchange(m_incarnation, report.incarnation) != report.incarnation)
+        m_parts.hints.forget(report.serverId);
     if (m_parts.servers.applyReport(report, now) == ReportEffect::Applied)
         m_parts.hints.learn(report.serverId, report.prefixHashes, now);
     m_push.reported(report.configRevision, report.incarnation);
--- a/src/entry/SidecarFollower.h
+++ b/src/entry/SidecarFollower.h
@@ -57,6 +57,7 @@
     LivenessMonitor m_liveness;
     LinkStream m_reports;
     std::uint64_t m_streamNumber = 0; ///< of m_reports; hooks of earlier streams are ignored
+    std::uint64_t m_incarnation = 0; ///< of the latest report; 0: none yet
     TimePoint m_reopenAt = TimePoint::max();
     std::chrono::milliseconds m_backOff {0};
     bool m_stopped = false;
