--- a/src/entry/EntryStatus.cpp
+++ b/src/entry/EntryStatus.cpp
@@ -24,7 +24,13 @@
     return "gone";
 }
 
-nlohmann::json serverJson(const ServerState &server)
+std::int64_t revisionOf(const EntryParts &parts, const ServerState &server)
+{
+    // The acknowledgement of an update arrives before the next report.
+    return std::max(parts.links.revision(server.info->id), server.configRevision);
+}
+
+nlohmann::json serverJson(const EntryParts &parts, const ServerState &server)
 {
     nlohmann::json json {{"id", server.info->id},
                          {"address", server.info->address},
@@ -33,7 +39,8 @@
                          {"running", server.running},
                          {"waiting", server.waiting},
                          {"capacity", server.capacity},
-                         {"ownInFlight", server.ownInFlight}};
+                         {"ownInFlight", server.ownInFlight},
+                         {"revision", revisionOf(parts, server)}};
     if (server.reportAge != Duration::max())
         json["reportAgeMs"] =
             std::chrono::duration_cast<std::chrono::milliseconds>(server.reportAge).count();
@@ -51,9 +58,8 @@
     for (const std::string &service : parts.servers.services()) {
         for (const ServerState &server : parts.servers.servers(service, now)) {
             const ServerInfo &info = *server.info;
-            const auto acknowledged = parts.links.revision(info.id);
             out.push_back({info.id, "sidecar", stateName(server.state), info.availabilityZone,
-                           std::max(acknowledged, server.configRevision)});
+                           revisionOf(parts, server)});
         }
     }
     return out;
@@ -66,7 +72,7 @@
     for (const std::string &service : parts.servers.services()) {
         nlohmann::json servers = nlohmann::json::array();
         for (const ServerState &server : parts.servers.servers(service, now))
-            servers.push_back(serverJson(server));
+            servers.push_back(serverJson(parts, server));
         services[service] = {{"servers", std::move(servers)},
                              {"running", parts.admissionController.running(service)},
                              {"queued", parts.admissionController.queued(service)},
--- a/src/operator/ControlCommands.cpp
+++ b/src/operator/ControlCommands.cpp
@@ -46,6 +46,16 @@
         && found.value().value("spec", nlohmann::json()) == nlohmann::json::parse(resource.spec);
 }
 
+std::vector<std::string> serverRow(const std::string &service, const nlohmann::json &server)
+{
+    const auto number = [&](const char *field) {
+        return std::to_string(server.value(field, std::int64_t(0)));
+    };
+    return {server.value("id", ""),    service,           server.value("availabilityZone", ""),
+            server.value("state", ""), number("running"), number("waiting"),
+            number("capacity"),        number("revision")};
+}
+
 } // namespace
 
 ControlCommands::ControlCommands(OperatorClient &client, ControlOptions options, std::ostream &out,
@@ -284,13 +294,10 @@
     m_out << "revision " << status.value().value("revision", std::int64_t(0)) << '\n';
     TextTable table(
         {"SERVER", "SERVICE", "ZONE", "STATE", "RUNNING", "WAITING", "CAPACITY", "REVISION"});
-    for (const auto &server : status.value().value("servers", nlohmann::json::array())) {
-        const auto number = [&](const char *field) {
-            return std::to_string(server.value(field, std::int64_t(0)));
-        };
-        table.add({server.value("id", ""), server.value("service", ""),
-                   server.value("availabilityZone", ""), server.value("state", ""),
-                   number("running"), number("waiting"), number("capacity"), number("revision")});
+    const auto services = status.value().value("services", nlohmann::json::object());
+    for (const auto &[service, group] : services.items()) {
+        for (const auto &server : group.value("servers", nlohmann::json::array()))
+            table.add(serverRow(service, server));
     }
     table.print(m_out);
     return ExitCode::Success;
--- a/tests/process/leaving/LeavingTest.cpp
+++ b/tests/process/leaving/LeavingTest.cpp
@@ -55,6 +55,10 @@
             ServerVm &held = system.engine(0);
             const OperatorCall operators(system, 0);
             CPPUNIT_ASSERT_EQUAL(0, operators.control({"drain", held.name, "--wait"}).exitCode);
+            const std::string status = operators.control({"status"}).output;
+            if (status.find(held.name) == std::string::npos
+                || status.find("leaving") == std::string::npos)
+                proof.wrong("status does not show the drained server: " + status);
             const int started = startedAt(held);
             Crowd after(system, callers, "after", tokens);
             expectUncut(proof, before);
