tests: keep a silent stream from being resumed in the shutdown test

Cause: NodeTest shutdownFinishesWhatRuns failed once under load ("!drained"): its sidecar goes silent on purpose, and after 1 s the entry re-attached and completed the answer before the test looked. That recovery is right. Change: the test's entry suspects a silent stream after 60 s; the test still cuts the stream itself and expects the whole answer.

--- a/tests/entry/EntryFixture.cpp
+++ b/tests/entry/EntryFixture.cpp
@@ -52,9 +52,10 @@
 } // namespace
 
 EntryFixture::EntryFixture(std::size_t sidecarCount, const std::string &service,
-                           milliseconds drainLimit)
+                           milliseconds drainLimit, milliseconds suspectAfter)
     : m_service(service)
     , m_drainLimit(drainLimit)
+    , m_suspectAfter(suspectAfter)
     , m_pool(2)
     , m_client(m_pool)
 {
@@ -91,6 +92,7 @@
 {
     EntrySettings own = settings("entry-" + std::to_string(m_ports.size()));
     own.drainLimit = m_drainLimit;
+    own.session.liveness.suspectAfter = m_suspectAfter;
     auto made = std::make_unique<EntryNode>(std::move(own));
     const auto ports = made->listen();
     CPPUNIT_ASSERT(ports.isOk());
--- a/tests/entry/EntryFixture.h
+++ b/tests/entry/EntryFixture.h
@@ -21,7 +21,8 @@
 {
 public:
     explicit EntryFixture(std::size_t sidecarCount = 2, const std::string &service = "lector",
-                          std::chrono::milliseconds drainLimit = std::chrono::milliseconds(100));
+                          std::chrono::milliseconds drainLimit = std::chrono::milliseconds(100),
+                          std::chrono::milliseconds suspectAfter = std::chrono::seconds(1));
     ~EntryFixture();
 
     /// \brief Adds one more entry that serves the same sidecars; returns its port.
@@ -49,6 +50,7 @@
 private:
     std::string m_service;
     std::chrono::milliseconds m_drainLimit;
+    std::chrono::milliseconds m_suspectAfter;
     std::vector<std::unique_ptr<FakeSidecar>> m_sidecars;
     std::vector<std::unique_ptr<EntryNode>> m_entries;
     std::vector<EntryPorts> m_ports;
--- a/tests/entry/NodeTest.cpp
+++ b/tests/entry/NodeTest.cpp
@@ -106,7 +106,8 @@
     // Guards against a shutdown that interrupts a request, or takes new ones it cannot finish.
     void shutdownFinishesWhatRuns()
     {
-        EntryFixture fixture(1, "lector", std::chrono::seconds(20));
+        // The silent stream must not be taken for lost, and resumed, while the shutdown begins.
+        EntryFixture fixture(1, "lector", std::chrono::seconds(20), std::chrono::seconds(60));
         fixture.sidecar(0).setScript({Fault::Cut, 7});
         const std::string body = R"({"model":"m","prompt":"p","max_tokens":20,"stream":true})";
         const auto reader = fixture.stream(body);
