operator: answer 428 to a change without a precondition

Cause: the interface documented 428 and answered 400, with a status in the body that would have differed. Change: problemReply takes the status; foxtailringctl reads 428 as a usage error.

--- a/src/operator/OperatorApi.cpp
+++ b/src/operator/OperatorApi.cpp
@@ -27,6 +27,9 @@
     return json;
 }
 
+// A change without the revision that the operator has seen could overwrite another's.
+constexpr int preconditionRequired = 428;
+
 // The revision in `If-Match`, or 0 for `If-None-Match: *`.
 Result<std::int64_t> expectedRevision(const HttpRequest &request)
 {
@@ -112,7 +115,7 @@
 {
     const auto expected = expectedRevision(request);
     if (!expected)
-        return responder->respond(problemReply(expected.error()));
+        return responder->respond(problemReply(expected.error(), preconditionRequired));
     auto resource = StoredResource::fromJson(request.body, 0);
     if (!resource)
         return responder->respond(problemReply(resource.error()));
@@ -135,7 +138,7 @@
 {
     const auto expected = expectedRevision(request);
     if (!expected)
-        return responder->respond(problemReply(expected.error()));
+        return responder->respond(problemReply(expected.error(), preconditionRequired));
     store.remove(kind, name, expected.value(), [responder](Result<std::int64_t> result) {
         responder->respond(result ? jsonReply(200, {{"revision", result.value()}})
                                   : problemReply(result.error()));
--- a/src/operator/OperatorClient.cpp
+++ b/src/operator/OperatorClient.cpp
@@ -32,6 +32,7 @@
 {
     switch (status) {
     case 400:
+    case 428:
         return ErrorCode::InvalidArgument;
     case 401:
         return ErrorCode::Unauthorized;
--- a/src/operator/Replies.cpp
+++ b/src/operator/Replies.cpp
@@ -39,7 +39,11 @@
 
 HttpResponse problemReply(const Error &error)
 {
-    const int status = statusOf(error.code);
+    return problemReply(error, statusOf(error.code));
+}
+
+HttpResponse problemReply(const Error &error, int status)
+{
     const nlohmann::json body = {{"type", "about:blank"},
                                  {"title", errorCodeName(error.code)},
                                  {"status", status},
--- a/src/operator/Replies.h
+++ b/src/operator/Replies.h
@@ -12,5 +12,6 @@
 
 /// \brief Problem body for \a error, with the status that fits its code.
 HttpResponse problemReply(const Error &error);
+HttpResponse problemReply(const Error &error, int status);
 
 } // namespace foxtailring
