--- a/src/entry/ConfigWatcher.cpp
+++ b/src/entry/ConfigWatcher.cpp
@@ -1,6 +1,7 @@
 #include "ConfigWatcher.h"
 
 #include "foxtailring/base/StructuredLog.h"
+#include "foxtailring/platform/ResourceStore.h"
 #include "foxtailring/transport/Http1Stream.h"
 
 #include "EntryParts.h"
@@ -15,7 +16,7 @@
 
 using std::chrono::milliseconds;
 
-constexpr std::string_view keyPrefix = "/foxtailring/resources/";
+constexpr std::string_view keyPrefix = ResourceStore::prefix;
 constexpr milliseconds leastBackOff {100};
 constexpr milliseconds mostBackOff {2000};
 
