gateway: tell slow prompts from silent servers, and prove keys by the first read

Copies were asked for while the prompt was still read, when there is none (12 of 12 such tries turned away). Ruled out: lost copies (tries after the first event succeed), full servers.

--- a/include/foxtailring/decisions/BackendTable.h
+++ b/include/foxtailring/decisions/BackendTable.h
@@ -83,8 +83,8 @@
         TimePoint heardAt;
         TimePoint failedAt;
         TimePoint suspectedUntil;
-        bool isLapsed = false; ///< not listed any more, kept for a while
-        bool isMisplaced = false;
+        bool isLapsed = false;    ///< not listed any more, kept for a while
+        bool isMisplaced = false; ///< another server has its address
     };
     using Records = std::map<std::string, Record, std::less<>>;
 
@@ -101,6 +101,7 @@
     bool isDoubtful(const Record &record, const ZoneFailures &failures, TimePoint now) const;
     bool isKept(const Record &record, TimePoint now) const;
     void forgetLapsed(TimePoint now);
+    void leaveAddressOf(const Record &latest);
 
     const Settings m_settings;
     Records m_records;
--- a/include/foxtailring/decisions/RetryBudget.h
+++ b/include/foxtailring/decisions/RetryBudget.h
@@ -12,7 +12,7 @@
 
 namespace foxtailring {
 
-/// \brief Bounds retries of a service to a part of its recent successes plus a floor.
+/// \brief Bounds retries of a service to a part of its recent work plus a floor.
 ///
 /// Thread-safe; its lock is a leaf: no other lock is taken while it is held.
 class RetryBudget
@@ -20,14 +20,15 @@
 public:
     struct Settings
     {
-        double fraction = 0.1;       ///< retries per success
+        double fraction = 0.1;       ///< retries per unit of work that was counted
         double floorPerSecond = 0.2; ///< retries per second that are always allowed
     };
 
     RetryBudget();
     explicit RetryBudget(Settings settings);
 
-    void recordSuccess(std::string_view service, TimePoint now);
+    /// \brief Counts one unit of work, such as a success, of which retries may be a part.
+    void earn(std::string_view service, TimePoint now);
     /// \brief Takes one retry from the budget; false: refuse instead of trying again.
     bool tryRetry(std::string_view service, TimePoint now);
     /// \brief Retries left now.
@@ -39,7 +40,7 @@
     struct Second
     {
         std::int64_t index = -1; ///< seconds since the clock's epoch
-        std::uint64_t successes = 0;
+        std::uint64_t earned = 0;
         std::uint64_t retries = 0;
     };
     using Window = std::array<Second, windowSeconds>;
--- a/include/foxtailring/decisions/StreamSession.h
+++ b/include/foxtailring/decisions/StreamSession.h
@@ -40,6 +40,8 @@
     void placeCopy(SendAttempt &attempt, TimePoint now);
     void dropCopy();
     Duration eventLimit() const;
+    TimePoint silentAt() const;
+    bool isAbandoned(TimePoint now) const;
     ForwardAction giveUp(ForwardAction refusal);
 
     const bool m_keepsCopies;
@@ -49,6 +51,7 @@
     bool m_hasEvents = false; ///< the present attempt has produced one
     bool m_isResumed = false; ///< the present attempt goes on from a copy
     TimePoint m_lastEventAt;
+    TimePoint m_nextLook;        ///< when the server's trust is looked at while a prompt is read
     Duration m_meanInterval {0}; ///< between events; 0: not known yet
 };
 
--- a/src/decisions/BackendTable.cpp
+++ b/src/decisions/BackendTable.cpp
@@ -56,6 +56,19 @@
     }
     record.info = info;
     record.isLapsed = false;
+    if (isNewStart)
+        leaveAddressOf(record);
+}
+
+// A server that starts at an address has taken it from whoever is still listed there.
+void BackendTable::leaveAddressOf(const Record &latest)
+{
+    for (auto &[id, record] : m_records) {
+        const bool isOlder = record.info.address == latest.info.address && id != latest.info.id
+            && record.info.startedAtMs <= latest.info.startedAtMs;
+        if (isOlder)
+            record.isMisplaced = true;
+    }
 }
 
 void BackendTable::remove(std::string_view id, TimePoint now)
--- a/src/decisions/ForwardSession.cpp
+++ b/src/decisions/ForwardSession.cpp
@@ -48,6 +48,7 @@
     chooseService();
     if (timeLeft(now) < leastTimeLeft)
         return refuse(503, "noTimeLeft");
+    m_context.retries.earn(m_service, now);
     return attempt("first", now);
 }
 
@@ -91,12 +92,10 @@
     m_context.servers.answered(m_server->info.id, isFailure, now);
     leaveServer();
     ++m_runs;
-    if (!isFailure) {
-        m_context.retries.recordSuccess(m_service, now);
+    if (!isFailure)
         return PassAnswer {};
-    }
     if (mayRepeat(now)) {
-        const ForwardAction next = attempt("serverError", now);
+        ForwardAction next = attempt("serverError", now);
         if (std::holds_alternative<SendAttempt>(next))
             return next;
     }
--- a/src/decisions/RetryBudget.cpp
+++ b/src/decisions/RetryBudget.cpp
@@ -23,10 +23,10 @@
 {
 }
 
-void RetryBudget::recordSuccess(std::string_view service, TimePoint now)
+void RetryBudget::earn(std::string_view service, TimePoint now)
 {
     const std::lock_guard lock(m_mutex);
-    ++secondAt(window(service), now).successes;
+    ++secondAt(window(service), now).earned;
 }
 
 bool RetryBudget::tryRetry(std::string_view service, TimePoint now)
@@ -66,16 +66,16 @@
 double RetryBudget::left(const Window &window, TimePoint now) const
 {
     const std::int64_t oldest = secondOf(now) - static_cast<std::int64_t>(windowSeconds) + 1;
-    double successes = 0;
+    double earned = 0;
     double retries = 0;
     for (const Second &second : window) {
         if (second.index < oldest)
             continue;
-        successes += static_cast<double>(second.successes);
+        earned += static_cast<double>(second.earned);
         retries += static_cast<double>(second.retries);
     }
     const double floor = m_settings.floorPerSecond * static_cast<double>(windowSeconds);
-    return std::max(0.0, successes * m_settings.fraction + floor - retries);
+    return std::max(0.0, earned * m_settings.fraction + floor - retries);
 }
 
 } // namespace foxtailring
--- a/src/decisions/StreamSession.cpp
+++ b/src/decisions/StreamSession.cpp
@@ -15,15 +15,20 @@
 
 // A stream is silent after this many of its usual intervals, within the two limits below.
 constexpr int silentIntervals = 5;
-constexpr milliseconds leastSilence {200};
+// A prompt that is read beside a stream makes its events several times slower.
+constexpr milliseconds leastSilence {300};
 // Part of the allowed pause after which silence is acted on: the rest is left for going on.
-constexpr double pausePart = 0.45;
+constexpr double pausePart = 0.5;
 // Allowed pause of a route that states none.
 constexpr milliseconds assumedEventGap {1000};
 // Weight of the latest interval in the mean.
 constexpr int intervalWeight = 8;
-// A run that goes on from its copy produces its next event without reading its prompt.
-constexpr milliseconds resumeLimit {450};
+// A run that goes on from its copy reads only what the copy lacks, but waits for prompts beside it.
+constexpr milliseconds resumeLimit {1500};
+// While a prompt is read nothing arrives, so what others saw of the server is looked at this often.
+constexpr milliseconds promptCheck {100};
+// A server beside others that just failed is given up when it shows no sign of life for this long.
+constexpr milliseconds doubtfulSilence {350};
 
 } // namespace
 
@@ -68,7 +73,6 @@
 {
     if (hasServer())
         context().servers.answered(server().info.id, false, now);
-    context().retries.recordSuccess(service(), now);
     leaveServer();
     dropCopy();
     return KeepWaiting {};
@@ -85,6 +89,7 @@
     next->lastEventId = m_lastEventId;
     m_isResumed = next->resumesFromCopy;
     m_hasEvents = false;
+    m_nextLook = now + promptCheck;
     placeCopy(*next, now);
     return send(std::move(*next), now);
 }
@@ -97,7 +102,8 @@
     const std::string id = m_copy->info.id;
     dropCopy();
     auto present = context().servers.server(id, now);
-    const bool isUsable = present && present->trust != BackendTrust::Suspected && runs() > 0;
+    // The copy begins with the output: a prompt that is being read has none.
+    const bool isUsable = present && present->trust != BackendTrust::Suspected && m_hasEvents;
     if (!isUsable)
         return std::nullopt;
     SendAttempt attempt;
@@ -160,13 +166,29 @@
 
 ForwardAction StreamSession::overdue(TimePoint now)
 {
-    return ended(AttemptResult::Silent, now);
+    if (now >= silentAt() || isAbandoned(now))
+        return ended(AttemptResult::Silent, now);
+    m_nextLook = now + promptCheck;
+    return KeepWaiting {};
+}
+
+// The servers around it failed, and it has not been heard of since.
+bool StreamSession::isAbandoned(TimePoint now) const
+{
+    const auto present = context().servers.server(server().info.id, now);
+    const bool isInDoubt = present && present->trust != BackendTrust::Sound;
+    return isInDoubt && !m_hasEvents && now - sentAt() >= doubtfulSilence;
 }
 
 TimePoint StreamSession::overdueAt() const
 {
     if (!route().mayRepeat())
         return deadline();
+    return m_hasEvents ? silentAt() : std::min(silentAt(), m_nextLook);
+}
+
+TimePoint StreamSession::silentAt() const
+{
     if (m_hasEvents)
         return m_lastEventAt + eventLimit();
     if (m_isResumed)
--- a/src/entry/CallRunner.cpp
+++ b/src/entry/CallRunner.cpp
@@ -232,7 +232,7 @@
 
 void CallRunner::respond(CallResult result)
 {
-    m_parts.retries.recordSuccess(m_job.call.service, m_parts.clock());
+    m_parts.retries.earn(m_job.call.service, m_parts.clock());
     m_parts.counters.add("calls_total{outcome=\"done\"}");
     HttpResponse response {static_cast<int>(result.status), HeaderFilter::response(result.headers),
                            std::move(result.body)};
--- a/src/gateway/GatewayParts.cpp
+++ b/src/gateway/GatewayParts.cpp
@@ -9,7 +9,7 @@
 
 // Repetitions of all gateways together stay below the platform's budget: 0.8 of the requests and
 // 150 more in ten seconds.
-constexpr RetryBudget::Settings retrySettings {0.6, 1.0};
+constexpr RetryBudget::Settings retrySettings {0.6, 2.0};
 
 } // namespace
 
--- a/src/store/KeyFollower.cpp
+++ b/src/store/KeyFollower.cpp
@@ -36,7 +36,7 @@
     void stop();
 
 private:
-    void readAnswered(const Result<RangeResult> &result);
+    void readAnswered(const Result<RangeResult> &result, TimePoint askedAt);
     void watch();
     void changed(std::uint64_t watch, const std::vector<WatchEvent> &events);
     void confirmed(std::uint64_t watch, TimePoint askedAt);
@@ -52,6 +52,7 @@
     const std::string m_prefix;
     const Settings m_settings;
     const KeyFollowerHooks m_hooks;
+    const Clock m_clock = bootClock();
     SerialQueue m_queue;
     Timer m_timer;
 
@@ -86,12 +87,12 @@
 
 void KeyFollower::State::read()
 {
-    m_client.range(m_prefix, [post = poster()](const Result<RangeResult> &result) {
-        post([result](State &self) { self.readAnswered(result); });
+    m_client.range(m_prefix, [post = poster(), askedAt = m_clock()](const auto &result) {
+        post([result, askedAt](State &self) { self.readAnswered(result, askedAt); });
     });
 }
 
-void KeyFollower::State::readAnswered(const Result<RangeResult> &result)
+void KeyFollower::State::readAnswered(const Result<RangeResult> &result, TimePoint askedAt)
 {
     const Work again = [](State &self) { self.read(); };
     if (!result)
@@ -100,6 +101,8 @@
     m_revision = result.value().revision;
     if (!m_hooks.replaced(result.value()))
         return backOff({ErrorCode::Malformed, "what was read could not be used"}, again);
+    if (m_hooks.confirmed)
+        m_hooks.confirmed(askedAt);
     watch();
 }
 
--- a/tests/decisions/BackendTableTest.cpp
+++ b/tests/decisions/BackendTableTest.cpp
@@ -16,6 +16,7 @@
     CPPUNIT_TEST(zoneThatFailsMakesTheRestDoubtful);
     CPPUNIT_TEST(newStartIsTrusted);
     CPPUNIT_TEST(reusedAddressIsLeft);
+    CPPUNIT_TEST(restartUnderAnotherIdTakesTheAddress);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -101,6 +102,24 @@
         CPPUNIT_ASSERT(servers.server("a1", now)->trust == BackendTrust::Sound);
     }
 
+    // The entry of the start before lapses seconds later. Guards against sending there meanwhile.
+    void restartUnderAnotherIdTakesTheAddress()
+    {
+        BackendInfo first = info("a8", "a");
+        first.address = "10.0.0.8:80";
+        servers.put(first, now);
+        BackendInfo second = first;
+        second.id = "a9";
+        second.startedAtMs = 2;
+        servers.put(second, now);
+        bool isListed = false;
+        for (const BackendState &server : servers.candidates("engine", now)) {
+            CPPUNIT_ASSERT(server.info.id != "a8");
+            isListed = isListed || server.info.id == "a9";
+        }
+        CPPUNIT_ASSERT(isListed);
+    }
+
     void reusedAddressIsLeft()
     {
         servers.replacedByOther("a1");
--- a/tests/store/KeyFollowerTest.cpp
+++ b/tests/store/KeyFollowerTest.cpp
@@ -57,6 +57,7 @@
 {
     CPPUNIT_TEST_SUITE(KeyFollowerTest);
     CPPUNIT_TEST(watchesFromTheRevisionRead);
+    CPPUNIT_TEST(readIsAProofOfItsOwn);
     CPPUNIT_TEST(changesAreReportedOnce);
     CPPUNIT_TEST(endedWatchGoesOnFromTheLastChange);
     CPPUNIT_TEST(compactedHistoryIsReadAgain);
@@ -88,6 +89,15 @@
         CPPUNIT_ASSERT_EQUAL(std::string("k=v"), m_seen.take());
     }
 
+    // Guards against callers that are refused after a start until the first poll is answered.
+    void readIsAProofOfItsOwn()
+    {
+        const TimePoint before = bootClock()();
+        start(std::chrono::hours(1));
+        m_store->reads.take()(RangeResult {7, {}});
+        CPPUNIT_ASSERT(m_proofs.take() >= before);
+    }
+
     // A store that answers late, or again, must not take anything back.
     void changesAreReportedOnce()
     {
@@ -165,6 +175,7 @@
             m_seen.put(text);
             return true;
         };
+        hooks.confirmed = [this](TimePoint askedAt) { m_proofs.put(askedAt); };
         hooks.lost = [this](const Error &) { m_states.put("lost"); };
         hooks.followed = [this] { m_states.put("followed"); };
         m_follower.emplace(*m_pool, *m_store, "", KeyFollower::Settings {renewal}, hooks);
@@ -183,6 +194,7 @@
     std::optional<KeyFollower> m_follower;
     Mailbox<std::string> m_seen;
     Mailbox<std::string> m_states;
+    Mailbox<TimePoint> m_proofs;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(KeyFollowerTest);
