gateway: exit after the drain, and take no streams that cannot end in time

Ten requests were cut at the end of a drain: streams taken 3 s after SIGTERM run longer than what is left.

--- a/apps/foxtailring-gateway.cpp
+++ b/apps/foxtailring-gateway.cpp
@@ -12,9 +12,8 @@
 
 using namespace foxtailring;
 
-int run(const GatewaySettings &settings)
+int serve(const GatewaySettings &settings)
 {
-    StructuredLog::configure("foxtailring-gateway", settings.nodeId);
     std::promise<void> drained; // outlives the threads that set it
     const auto store = [&settings](Http1Client &http) {
         return std::make_unique<platform::KvClient>(http, settings.store,
@@ -31,10 +30,18 @@
     StructuredLog::info("stopping");
     node.drain([&drained] { drained.set_value(); });
     drained.get_future().wait();
-    StructuredLog::info("stopped");
+    StructuredLog::info("drained");
     return exitSuccess;
 }
 
+int run(const GatewaySettings &settings)
+{
+    StructuredLog::configure("foxtailring-gateway", settings.nodeId);
+    const int code = serve(settings);
+    StructuredLog::info("stopped", {{"code", std::to_string(code)}});
+    return code;
+}
+
 } // namespace
 
 int main(int argc, char **argv)
--- a/src/gateway/CallerIntake.cpp
+++ b/src/gateway/CallerIntake.cpp
@@ -59,7 +59,8 @@
 {
     const bool isKnown = m_parts.routes && m_parts.isListed;
     const bool needsKeys = isKnown && m_parts.routes->config().hasAccounts;
-    return isKnown && !m_refusesNew && (!needsKeys || m_parts.keys.isFresh(m_parts.clock()));
+    return isKnown && !m_drain.isDraining()
+        && (!needsKeys || m_parts.keys.isFresh(m_parts.clock()));
 }
 
 void CallerIntake::take(HttpRequest request, std::shared_ptr<Http1Responder> responder,
@@ -71,8 +72,6 @@
         return refuse(m_parts, *responder, "", 400, "malformed");
     }
     const std::string id = decoded.value().id;
-    if (m_refusesNew)
-        return refuse(m_parts, *responder, id, 503, "shuttingDown");
     if (!m_parts.routes)
         return refuse(m_parts, *responder, id, 503, "noConfiguration");
     if (!m_parts.isListed)
@@ -87,6 +86,8 @@
     const HttpRoute *route = table->route(request.host, request.path);
     if (!route)
         return refuse(m_parts, *responder, request.id, 404, "noRoute");
+    if (!m_drain.takes(route->kind, arrivedAt))
+        return refuse(m_parts, *responder, request.id, 503, "draining");
     std::string account;
     if (table->config().hasAccounts && !route->isPublic) {
         // A key that was withdrawn unheard of must not be accepted, nor a new one be rejected.
--- a/src/gateway/CallerIntake.h
+++ b/src/gateway/CallerIntake.h
@@ -1,15 +1,17 @@
 #pragma once
 
 #include "foxtailring/base/Clock.h"
+#include "foxtailring/decisions/DrainIntake.h"
 #include "foxtailring/transport/HttpRequest.h"
 
+#include "GatewayParts.h"
+
 #include <memory>
 
 namespace foxtailring {
 
 class Http1Responder;
 struct CallerRequest;
-struct GatewayParts;
 
 /// \brief Takes callers' requests: route, key, and the relay that serves them.
 class CallerIntake
@@ -20,8 +22,8 @@
     /// \brief Thread-safe.
     void handle(HttpRequest request, std::shared_ptr<Http1Responder> responder);
 
-    /// \brief New requests are refused from now on. On the queue.
-    void refuseNew() { m_refusesNew = true; }
+    /// \brief The process is about to end. On the queue.
+    void drain() { m_drain.begin(m_parts.clock()); }
     /// \brief Configuration and servers are known and keys can be checked. On the queue.
     bool isServing() const;
 
@@ -31,7 +33,7 @@
                TimePoint arrivedAt);
 
     GatewayParts &m_parts;
-    bool m_refusesNew = false;
+    DrainIntake m_drain;
 };
 
 } // namespace foxtailring
--- a/src/gateway/GatewayNode.cpp
+++ b/src/gateway/GatewayNode.cpp
@@ -77,7 +77,6 @@
     const std::unique_ptr<KeyValueClient> store;
     StoreWatch watch;
     Timer drainTimer;
-    bool isDraining = false;  ///< on the queue
     bool isStopping = false;  ///< no new connections; on the queue
     TimePoint drainStartedAt; ///< on the queue
     std::function<void()> drained;
@@ -91,7 +90,7 @@
                                    {{"Content-Type", "text/plain; version=0.0.4"}},
                                    parts.counters.prometheusText()});
     parts.queue.post([this, responder] {
-        const bool isReady = !isDraining && intake.isServing();
+        const bool isReady = intake.isServing();
         responder->respond({isReady ? 200 : 503, {{"Content-Type", "text/plain"}}, ""});
     });
 }
@@ -159,7 +158,7 @@
 {
     State &state = *m_state;
     state.parts.queue.post([&state, drained = std::move(drained)]() mutable {
-        state.isDraining = true;
+        state.intake.drain();
         state.drainStartedAt = state.parts.clock();
         state.drained = std::move(drained);
         state.callers.announceClose();
--- a/tests/decisions/RouteTableTest.cpp
+++ b/tests/decisions/RouteTableTest.cpp
@@ -1,4 +1,5 @@
 #include "foxtailring/decisions/RouteTable.h"
+#include "foxtailring/decisions/DrainIntake.h"
 #include "foxtailring/decisions/KeyFreshness.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -13,6 +14,7 @@
     CPPUNIT_TEST(keysFindTheirAccount);
     CPPUNIT_TEST(keysAreUsedOnlyWhileProved);
     CPPUNIT_TEST(oldProofDoesNotReplaceANewOne);
+    CPPUNIT_TEST(endingProcessTakesNoLateStreams);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -59,6 +61,19 @@
         CPPUNIT_ASSERT(keys.isFresh(start + std::chrono::seconds(6)));
     }
 
+    // Guards against streams that are cut when the process ends (cgka-ring trouble-2).
+    void endingProcessTakesNoLateStreams()
+    {
+        const TimePoint start {std::chrono::hours(1)};
+        DrainIntake intake;
+        CPPUNIT_ASSERT(intake.takes(CallKind::Stream, start));
+        intake.begin(start);
+        CPPUNIT_ASSERT(intake.takes(CallKind::Stream, start + std::chrono::milliseconds(500)));
+        CPPUNIT_ASSERT(!intake.takes(CallKind::Stream, start + std::chrono::seconds(2)));
+        CPPUNIT_ASSERT(intake.takes(CallKind::NonIdempotent, start + std::chrono::seconds(2)));
+        CPPUNIT_ASSERT(!intake.takes(CallKind::Idempotent, start + std::chrono::seconds(6)));
+    }
+
 private:
     static RouteConfig config()
     {
