gateway: use restarted servers while the store is away, and wait as long as prompts are ahead

First events were given up at 2.9 s behind two or three prompts that the engine was reading in turn. Ruled out: asking the health address instead (it tells no service). Change: while the list is away, the id in a 421 is taken for a restart of the same service if the configuration has only one service of engines; it goes 2 s after the list's return unless listed. The limit for a first event grows by the prompts ahead. The pause of each resume is logged and counted.

--- a/include/foxtailring/decisions/BackendAnswer.h
+++ b/include/foxtailring/decisions/BackendAnswer.h
@@ -15,6 +15,7 @@
     bool isOtherServer = false; ///< the request names another server than this one
     bool isSigned = false;      ///< carries the server's signature, as every answer of a run does
     std::string requestId;      ///< the request that it answers; empty: not told
+    std::string serverId;       ///< the server that answers; empty: not told
     std::optional<BackendLoadReport> load;
 
     bool isSuccess() const { return status >= 200 && status < 300; }
--- a/include/foxtailring/decisions/BackendTable.h
+++ b/include/foxtailring/decisions/BackendTable.h
@@ -63,7 +63,9 @@
     /// \brief No connection, a reset, or silence.
     void failed(std::string_view id, TimePoint now);
     /// \brief Another server has its address.
-    void replacedByOther(std::string_view id);
+    /// \param occupant id of that server; while the list cannot be read it is taken for a restart
+    /// of the same service, until the list tells. Empty: not known, or not to be used.
+    void replacedByOther(std::string_view id, std::string_view occupant, TimePoint now);
 
     std::optional<BackendState> server(std::string_view id, TimePoint now) const;
     /// \brief Servers of \a service that may take new work, by id; suspected ones included.
--- a/include/foxtailring/decisions/ForwardSession.h
+++ b/include/foxtailring/decisions/ForwardSession.h
@@ -81,6 +81,8 @@
     virtual ForwardAction attempt(std::string_view cause, TimePoint now) = 0;
     /// \brief Handles the loss of an attempt that may have run.
     virtual ForwardAction lost(AttemptResult result, TimePoint now) = 0;
+    /// \brief A server that has taken the address of another one serves the same.
+    virtual bool mayAdopt() const { return false; }
     /// \brief The server did not run the attempt.
     virtual void turnedAway() { }
     /// \brief Called when a time limit of the kind of request is due.
@@ -89,6 +91,7 @@
     virtual TimePoint overdueAt() const = 0;
 
     void chooseService();
+    ForwardAction misplaced(const BackendAnswer &answer, TimePoint now);
     ForwardAction rejected(AttemptResult result, TimePoint now);
 
     const HttpRoute &m_route;
--- a/include/foxtailring/decisions/RouteTable.h
+++ b/include/foxtailring/decisions/RouteTable.h
@@ -28,6 +28,8 @@
     const KeyedAccount *account(std::string_view key) const;
     /// \brief Null when the configuration does not describe the service.
     const RoutedService *service(std::string_view name) const;
+    /// \brief Services whose servers are engines.
+    std::size_t engineServices() const;
 
 private:
     const RouteConfig m_config;
--- a/include/foxtailring/decisions/StreamSession.h
+++ b/include/foxtailring/decisions/StreamSession.h
@@ -15,9 +15,15 @@
 class StreamSession : public ForwardSession
 {
 public:
-    /// \param keepsCopies the service can copy a run's memory to another server
+    /// \brief What the configuration says of the route's services.
+    struct Engines
+    {
+        bool keepCopies = false; ///< they can copy a run's memory to another server
+        bool areAlike = false;   ///< every engine that answers questions belongs to one service
+    };
+
     StreamSession(const HttpRoute &route, const ForwardRequest &request,
-                  const ForwardContext &context, bool keepsCopies);
+                  const ForwardContext &context, Engines engines);
     ~StreamSession() override;
 
     /// \brief An event arrived. Gap: the answer has a hole, and the attempt is to be ended as lost.
@@ -33,6 +39,7 @@
     ForwardAction attempt(std::string_view cause, TimePoint now) override;
     ForwardAction lost(AttemptResult result, TimePoint now) override;
     void turnedAway() override;
+    bool mayAdopt() const override { return m_engines.areAlike; }
     ForwardAction overdue(TimePoint now) override;
     TimePoint overdueAt() const override;
     ForwardAction expired(TimePoint now) override;
@@ -50,7 +57,7 @@
     bool hasLostConnection(const ServerReport &report) const;
     ForwardAction giveUp(ForwardAction refusal);
 
-    const bool m_keepsCopies;
+    const Engines m_engines;
     std::optional<BackendState> m_copy; ///< server that keeps a copy of the present run
     std::optional<std::int64_t> m_lastEventId;
     bool m_hasBegun = false;
@@ -63,6 +70,7 @@
     bool m_isAsking = false;            ///< the present server was asked whether it lives
     bool m_isPlacing = false;           ///< servers were asked for their load
     std::vector<std::string> m_choices; ///< ids of the servers asked for their load
+    std::uint32_t m_promptsAhead = 0;   ///< at the present server, as it last told
     std::string_view m_cause;           ///< why the next attempt is made
     Duration m_meanInterval {0};        ///< between events; 0: not known yet
 };
--- a/src/decisions/BackendTable.cpp
+++ b/src/decisions/BackendTable.cpp
@@ -158,10 +158,24 @@
     record->suspectedUntil = now + std::min(pause, m_settings.mostSuspectFor);
 }
 
-void BackendTable::replacedByOther(std::string_view id)
+void BackendTable::replacedByOther(std::string_view id, std::string_view occupant, TimePoint now)
 {
-    if (Record *record = find(id))
-        record->isMisplaced = true;
+    Record *record = find(id);
+    if (!record)
+        return;
+    record->isMisplaced = true;
+    const bool isAdopted = !occupant.empty() && m_isListLost && !find(occupant);
+    if (!isAdopted)
+        return;
+    BackendInfo info = record->info;
+    info.id = occupant;
+    info.isDraining = false;
+    info.startedAtMs = 0;
+    Record &adopted = m_records[info.id];
+    adopted.info = std::move(info);
+    adopted.heardAt = now;
+    // Dropped with all others that the list does not name when it can be read again.
+    adopted.isLapsed = true;
 }
 
 std::optional<BackendState> BackendTable::server(std::string_view id, TimePoint now) const
--- a/src/decisions/ForwardSession.cpp
+++ b/src/decisions/ForwardSession.cpp
@@ -85,7 +85,7 @@
     if (!m_server)
         return KeepWaiting {};
     if (answer.isOtherServer)
-        return ended(AttemptResult::OtherServer, now);
+        return misplaced(answer, now);
     if (answer.isNotRun)
         return ended(AttemptResult::NotRun, now);
     // A success without the signature is not the server's answer to a run.
@@ -108,6 +108,15 @@
     return PassAnswer {};
 }
 
+ForwardAction ForwardSession::misplaced(const BackendAnswer &answer, TimePoint now)
+{
+    const std::string id = m_server->info.id;
+    const std::string_view occupant = mayAdopt() ? answer.serverId : std::string_view();
+    leaveServer();
+    m_context.servers.replacedByOther(id, occupant, now);
+    return rejected(AttemptResult::OtherServer, now);
+}
+
 ForwardAction ForwardSession::ended(AttemptResult result, TimePoint now)
 {
     if (!m_server)
@@ -115,7 +124,7 @@
     const std::string id = m_server->info.id;
     leaveServer();
     if (result == AttemptResult::OtherServer)
-        m_context.servers.replacedByOther(id);
+        m_context.servers.replacedByOther(id, {}, now);
     else if (result == AttemptResult::NotRun)
         m_context.servers.heard(id, now);
     else
--- a/src/decisions/RouteTable.cpp
+++ b/src/decisions/RouteTable.cpp
@@ -63,4 +63,11 @@
     return found == m_byService.end() ? nullptr : found->second;
 }
 
+std::size_t RouteTable::engineServices() const
+{
+    const auto isEngine = [](const RoutedService &one) { return one.memoryTokens > 0; };
+    return static_cast<std::size_t>(
+        std::count_if(m_config.services.begin(), m_config.services.end(), isEngine));
+}
+
 } // namespace foxtailring
--- a/src/decisions/StreamSession.cpp
+++ b/src/decisions/StreamSession.cpp
@@ -49,9 +49,9 @@
 } // namespace
 
 StreamSession::StreamSession(const HttpRoute &route, const ForwardRequest &request,
-                             const ForwardContext &context, bool keepsCopies)
+                             const ForwardContext &context, Engines engines)
     : ForwardSession(route, request, context)
-    , m_keepsCopies(keepsCopies && route.isResumable)
+    , m_engines(engines)
     , m_lastEventId(request.lastEventId)
 {
 }
@@ -156,6 +156,7 @@
     m_isResumed = next.resumesFromCopy;
     m_hasEvents = false;
     m_isAsking = false;
+    m_promptsAhead = 0;
     m_heardAt = now;
     placeCopy(next, now);
     return send(std::move(next), now);
@@ -190,7 +191,7 @@
 
 void StreamSession::placeCopy(SendAttempt &attempt, TimePoint now)
 {
-    if (!m_keepsCopies)
+    if (!m_engines.keepCopies || !route().isResumable)
         return;
     std::vector<std::string> exclude = tried();
     exclude.push_back(attempt.server.info.id);
@@ -252,6 +253,8 @@
         return KeepWaiting {};
     if (reports.empty() || hasLostConnection(reports.front()))
         return ended(AttemptResult::Silent, now);
+    const BackendLoadReport &load = reports.front().load;
+    m_promptsAhead = std::max(load.reading + load.waiting, 1U) - 1;
     m_heardAt = now;
     return KeepWaiting {};
 }
@@ -299,7 +302,8 @@
         return sentAt() + resumeLimit;
     const Duration usual = context().rhythm.usualFirstEvent(service(), request().promptTokens);
     const auto least = std::chrono::duration_cast<Duration>(route().objective * firstEventPart);
-    return sentAt() + std::max(usual, least);
+    // Prompts are read one after the other; the usual time allows for one before this one.
+    return sentAt() + std::max(usual, least) + m_promptsAhead * usual / 2;
 }
 
 ForwardAction StreamSession::expired(TimePoint now)
--- a/src/gateway/RequestRelay.cpp
+++ b/src/gateway/RequestRelay.cpp
@@ -85,8 +85,10 @@
         const RoutedService *service = m_table->service(target.service);
         return service && service->keepsCopies;
     };
-    const bool copies = std::all_of(m_route.targets.begin(), m_route.targets.end(), keepsCopies);
-    return std::make_unique<StreamSession>(m_route, request, context, copies);
+    StreamSession::Engines engines;
+    engines.keepCopies = std::all_of(m_route.targets.begin(), m_route.targets.end(), keepsCopies);
+    engines.areAlike = m_table->engineServices() == 1;
+    return std::make_unique<StreamSession>(m_route, request, context, engines);
 }
 
 void RequestRelay::start()
@@ -122,6 +124,7 @@
     m_attempt = Attempt {};
     m_attempt.number = ++m_attempts;
     m_attempt.serverId = next.server.info.id;
+    m_attempt.isFromCopy = next.resumesFromCopy;
     if (m_attempts > 1)
         StructuredLog::info("attempt",
                             {{"request", m_request.id},
@@ -237,6 +240,7 @@
         return end(AttemptResult::Lost);
     if (verdict == EventVerdict::Duplicate)
         return;
+    noteResume(now);
     beginStream();
     m_responder->write(std::string(text));
     // A caller that does not read is cut off before it takes the memory of others.
@@ -244,6 +248,22 @@
         cut({"callerReadsTooSlowly"});
 }
 
+// The pause is what the caller saw between the last event before a loss and the first one after.
+void RequestRelay::noteResume(TimePoint now)
+{
+    const bool isResumed = m_hasBegun && !std::exchange(m_attempt.hasEvents, true);
+    const Duration pause = now - std::exchange(m_lastEventAt, now);
+    if (!isResumed)
+        return;
+    m_parts.counters.observeSeconds("gateway_resume_seconds",
+                                    std::chrono::duration<double>(pause).count());
+    StructuredLog::info("resumed",
+                        {{"request", m_request.id},
+                         {"server", m_attempt.serverId},
+                         {"fromCopy", m_attempt.isFromCopy ? "true" : "false"},
+                         {"pauseMs", msText(pause)}});
+}
+
 void RequestRelay::beginStream()
 {
     if (std::exchange(m_hasBegun, true))
--- a/src/gateway/RequestRelay.h
+++ b/src/gateway/RequestRelay.h
@@ -45,6 +45,8 @@
         EventStreamReader events;
         bool hasHead = false;
         bool isStreamed = false; ///< events are passed on as they arrive
+        bool isFromCopy = false;
+        bool hasEvents = false;
     };
     using Work = std::function<void(RequestRelay &)>;
 
@@ -61,6 +63,7 @@
     void closed(const Result<Done> &result);
     void streamEnded();
     void end(AttemptResult result);
+    void noteResume(TimePoint now);
     void beginStream();
     void passAnswer();
     void refuse(const Refuse &refusal);
@@ -84,6 +87,7 @@
     Attempt m_attempt;
     std::uint64_t m_attempts = 0;
     std::uint64_t m_questions = 0;
+    TimePoint m_lastEventAt;
     bool m_hasBegun = false; ///< the head of a streamed answer was sent to the caller
     bool m_isFinished = false;
 };
--- a/tests/decisions/BackendTableTest.cpp
+++ b/tests/decisions/BackendTableTest.cpp
@@ -17,6 +17,7 @@
     CPPUNIT_TEST(newStartIsTrusted);
     CPPUNIT_TEST(reusedAddressIsLeft);
     CPPUNIT_TEST(restartUnderAnotherIdTakesTheAddress);
+    CPPUNIT_TEST(restartsAreUsedWhileTheListIsAway);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -120,9 +121,23 @@
         CPPUNIT_ASSERT(isListed);
     }
 
+    // A zone that crashes while the store is away comes back under ids that no list tells. Guards
+    // against going on with the other zones only (planoteca-norte trouble-3).
+    void restartsAreUsedWhileTheListIsAway()
+    {
+        servers.listLost();
+        servers.replacedByOther("a1", "a9", now);
+        CPPUNIT_ASSERT(servers.server("a9", now).has_value());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(6), servers.candidates("engine", now).size());
+        servers.listRegained(now);
+        CPPUNIT_ASSERT(!servers.server("a9", now + Ms(2100)));
+        servers.put(info("a9", "a"), now);
+        CPPUNIT_ASSERT(servers.server("a9", now + Ms(2100)).has_value());
+    }
+
     void reusedAddressIsLeft()
     {
-        servers.replacedByOther("a1");
+        servers.replacedByOther("a1", "a9", now);
         CPPUNIT_ASSERT_EQUAL(std::size_t(5), servers.candidates("engine", now).size());
     }
 };
--- a/tests/decisions/StreamSessionTest.cpp
+++ b/tests/decisions/StreamSessionTest.cpp
@@ -34,7 +34,7 @@
     void copyIsInAnotherZone()
     {
         for (int round = 0; round < 20; ++round) {
-            StreamSession session(m_route, request(), context(), true);
+            StreamSession session(m_route, request(), context(), {true, true});
             const ForwardAction first = started(session);
             CPPUNIT_ASSERT(sent(first).copyTo.has_value());
             CPPUNIT_ASSERT(sent(first).copyTo->info.availabilityZone
@@ -44,7 +44,7 @@
 
     void lossGoesOnFromTheCopy()
     {
-        StreamSession session(m_route, request(), context(), true);
+        StreamSession session(m_route, request(), context(), {true, true});
         const std::string copy = sent(started(session)).copyTo->info.id;
         session.event(1, now + Ms(1000));
         session.event(2, now + Ms(1030));
@@ -58,7 +58,7 @@
     // A server that goes dark sends no reset. Guards against a pause longer than the route allows.
     void darkServerIsNoticedWithinTheAllowedPause()
     {
-        StreamSession session(m_route, request(), context(), true);
+        StreamSession session(m_route, request(), context(), {true, true});
         started(session);
         const TimePoint last = tenEvents(session);
         const TimePoint asking = session.nextCheck();
@@ -73,7 +73,7 @@
     // leaving a server that works.
     void slowServerThatAnswersIsKept()
     {
-        StreamSession session(m_route, request(), context(), true);
+        StreamSession session(m_route, request(), context(), {true, true});
         const std::string id = sent(started(session)).server.info.id;
         TimePoint at = tenEvents(session) + Ms(150);
         for (; at < now + Ms(2500); at += Ms(200)) {
@@ -85,7 +85,7 @@
     // Guards against a stream on a connection that lost its other end while the server works on.
     void eventsThatDoNotArriveShowALostConnection()
     {
-        StreamSession session(m_route, request(), context(), true);
+        StreamSession session(m_route, request(), context(), {true, true});
         const std::string id = sent(started(session)).server.info.id;
         const TimePoint asking = tenEvents(session) + Ms(300);
         session.check(asking);
@@ -95,7 +95,7 @@
     // Reports are a few hundred ms old. Guards against taking a run that has just begun for lost.
     void runThatHasJustBegunIsNotInAReport()
     {
-        StreamSession session(m_route, request(), context(), true);
+        StreamSession session(m_route, request(), context(), {true, true});
         const std::string id = sent(started(session)).server.info.id;
         session.event(1, now + Ms(1000));
         const TimePoint asking = session.nextCheck();
@@ -108,7 +108,7 @@
     // Guards against taking an engine that reads a long prompt for one that is dark.
     void slowPromptIsNotSilence()
     {
-        StreamSession session(m_route, request(), context(), true);
+        StreamSession session(m_route, request(), context(), {true, true});
         const std::string id = sent(started(session)).server.info.id;
         for (Ms age(0); age < Ms(3000); age += Ms(100)) {
             const ForwardAction action = session.check(now + age);
@@ -121,7 +121,7 @@
     // A stuck server answers questions and serves nothing.
     void stuckServerIsLeft()
     {
-        StreamSession session(m_route, request(), context(), true);
+        StreamSession session(m_route, request(), context(), {true, true});
         rhythm.firstEvent("engine", 8000, Ms(1000));
         started(session);
         const ForwardAction next = session.check(now + Ms(3500));
@@ -132,7 +132,7 @@
     // one of another process while other servers are idle.
     void runIsPlacedByWhatServersAnswer()
     {
-        StreamSession session(m_route, request(), context(), true);
+        StreamSession session(m_route, request(), context(), {true, true});
         const auto question = std::get<AskServers>(session.start(now));
         CPPUNIT_ASSERT(question.servers.size() > 1);
         std::vector<ServerReport> reports;
@@ -148,7 +148,7 @@
     // Guards against placing a run on a server that does not answer.
     void serverThatDoesNotAnswerIsNotChosen()
     {
-        StreamSession session(m_route, request(), context(), true);
+        StreamSession session(m_route, request(), context(), {true, true});
         const auto question = std::get<AskServers>(session.start(now));
         const ForwardAction first = session.asked({}, now);
         for (const BackendState &server : question.servers)
@@ -159,7 +159,7 @@
     // waiting for a first event that cannot come in time any more.
     void promptInADarkZoneIsLeft()
     {
-        StreamSession session(m_route, request(), context(), true);
+        StreamSession session(m_route, request(), context(), {true, true});
         const BackendState server = sent(started(session)).server;
         for (const char *number : {"1", "2", "3"}) {
             const std::string id = server.info.availabilityZone + number;
@@ -174,7 +174,7 @@
     // The copy begins with the output. Guards against asking for one that cannot be there.
     void promptThatIsLostIsReadAnewAtOnce()
     {
-        StreamSession session(m_route, request(), context(), true);
+        StreamSession session(m_route, request(), context(), {true, true});
         started(session);
         CPPUNIT_ASSERT(
             !sent(placed(session, session.ended(AttemptResult::Lost, now), now)).resumesFromCopy);
@@ -182,7 +182,7 @@
 
     void missingCopyIsReadAnew()
     {
-        StreamSession session(m_route, request(), context(), true);
+        StreamSession session(m_route, request(), context(), {true, true});
         started(session);
         session.event(1, now);
         CPPUNIT_ASSERT(
@@ -196,7 +196,7 @@
     // (planoteca-norte quiet-1, journal 6c434406).
     void runThatDidNotStartHasNoCopy()
     {
-        StreamSession session(m_route, request(), context(), true);
+        StreamSession session(m_route, request(), context(), {true, true});
         started(session);
         CPPUNIT_ASSERT(
             !sent(placed(session, session.ended(AttemptResult::NotRun, now), now)).resumesFromCopy);
@@ -207,7 +207,7 @@
     // Guards against a missing or a repeated event where two runs are joined.
     void eventsAreInOrder()
     {
-        StreamSession session(m_route, request(), context(), true);
+        StreamSession session(m_route, request(), context(), {true, true});
         started(session);
         CPPUNIT_ASSERT(session.event(1, now) == EventVerdict::Next);
         CPPUNIT_ASSERT(session.event(2, now) == EventVerdict::Next);
@@ -220,7 +220,7 @@
     {
         HttpRoute once = m_route;
         once.isResumable = false;
-        StreamSession session(once, request(), context(), true);
+        StreamSession session(once, request(), context(), {true, true});
         started(session);
         session.event(1, now);
         const ForwardAction next = placed(session, session.ended(AttemptResult::Lost, now), now);
@@ -232,7 +232,7 @@
     {
         HttpRoute once = m_route;
         once.isResumable = false;
-        StreamSession session(once, request(), context(), true);
+        StreamSession session(once, request(), context(), {true, true});
         CPPUNIT_ASSERT(!sent(started(session)).copyTo);
         CPPUNIT_ASSERT_EQUAL(
             502, refused(placed(session, session.ended(AttemptResult::Lost, now), now)).status);
@@ -242,7 +242,7 @@
     void countsAtServersEnd()
     {
         {
-            StreamSession session(m_route, request(), context(), true);
+            StreamSession session(m_route, request(), context(), {true, true});
             started(session);
             placed(session, session.ended(AttemptResult::Lost, now), now);
         }
