gateway: place runs and copies on servers that have just answered, in two zones at least

Change: four servers are asked, half of them at most in one zone; run and copy go to those that answered; chance weighs as much as one run; the limit for a first event keeps the longest queue seen.

--- a/include/foxtailring/decisions/BackendPlacer.h
+++ b/include/foxtailring/decisions/BackendPlacer.h
@@ -41,7 +41,8 @@
     /// \brief Server for a whole answer; none when no server is listed but excluded ones.
     std::optional<BackendState> forCall(const PlacementRequest &request, TimePoint now,
                                         RandomSource &random) const;
-    /// \brief Servers that may run a stream, best first as far as this process knows.
+    /// \brief Servers that may run a stream, best first as far as this process knows; half of them
+    /// at most in one availability zone, so that one that fails leaves others.
     std::vector<BackendState> runChoices(const PlacementRequest &request, std::size_t most,
                                          TimePoint now, RandomSource &random) const;
     /// \brief Server that runs a stream.
--- a/include/foxtailring/decisions/PlacementRequest.h
+++ b/include/foxtailring/decisions/PlacementRequest.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <cstdint>
 #include <span>
 #include <string>
 #include <string_view>
@@ -11,9 +10,10 @@
 struct PlacementRequest
 {
     std::string_view service;
-    std::span<const std::string> exclude; ///< ids of servers that were tried already
-    std::string_view avoidZone;           ///< availability zone to stay out of when possible
-    std::uint64_t memoryTokens = 0;       ///< prompt and output of a run; 0: not a run
+    std::span<const std::string> exclude;  ///< ids of servers that were tried already
+    std::span<const std::string> answered; ///< ids of servers that live as of now; empty: not known
+    std::string_view avoidZone;            ///< availability zone to stay out of when possible
+    std::uint64_t memoryTokens = 0;        ///< prompt and output of a run; 0: not a run
 };
 
 } // namespace foxtailring
--- a/include/foxtailring/decisions/StreamSession.h
+++ b/include/foxtailring/decisions/StreamSession.h
@@ -67,12 +67,13 @@
     TimePoint m_firstEventAt; ///< of the present attempt
     TimePoint m_heardAt;      ///< latest sign of life of the present server
     TimePoint m_askedAt;
-    bool m_isAsking = false;            ///< the present server was asked whether it lives
-    bool m_isPlacing = false;           ///< servers were asked for their load
-    std::vector<std::string> m_choices; ///< ids of the servers asked for their load
-    std::uint32_t m_promptsAhead = 0;   ///< at the present server, as it last told
-    std::string_view m_cause;           ///< why the next attempt is made
-    Duration m_meanInterval {0};        ///< between events; 0: not known yet
+    bool m_isAsking = false;             ///< the present server was asked whether it lives
+    bool m_isPlacing = false;            ///< servers were asked for their load
+    std::vector<std::string> m_choices;  ///< ids of the servers asked for their load
+    std::vector<std::string> m_answered; ///< those of them that answered
+    std::uint32_t m_promptsAhead = 0;    ///< most that the present server told
+    std::string_view m_cause;            ///< why the next attempt is made
+    Duration m_meanInterval {0};         ///< between events; 0: not known yet
 };
 
 } // namespace foxtailring
--- a/src/decisions/BackendPlacer.cpp
+++ b/src/decisions/BackendPlacer.cpp
@@ -12,6 +12,8 @@
 // A suspected server is a last resort, and a doubtful one the resort before it.
 constexpr double suspectedCost = 1000;
 constexpr double doubtfulCost = 100;
+// A server that has just answered is known to live, and its load is known.
+constexpr double unaskedCost = 50;
 // A server that fails requests is worse than any load, and better than one that does not answer.
 constexpr double failingCost = 10;
 // A copy occupies memory and a slot but takes no processing.
@@ -22,9 +24,14 @@
 constexpr double fullMemoryPart = 0.8;
 constexpr double fullMemoryCost = 10;
 // Breaks ties between equal servers, so that entries that know the same do not choose the same.
-constexpr double runTieBreak = 0.5;
+constexpr double runTieBreak = 1;
 constexpr double callTieBreak = 0.05;
 
+bool contains(std::span<const std::string> ids, const std::string &id)
+{
+    return std::find(ids.begin(), ids.end(), id) != ids.end();
+}
+
 } // namespace
 
 BackendPlacer::BackendPlacer(const BackendTable &table, std::string zone,
@@ -62,9 +69,14 @@
                                                     std::size_t most, TimePoint now,
                                                     RandomSource &random) const
 {
-    std::vector<BackendState> choices =
-        ranked(request, {&BackendPlacer::runCost, runTieBreak}, now, random);
-    choices.resize(std::min(choices.size(), most));
+    const std::size_t mostInZone = std::max<std::size_t>(most / 2, 1);
+    std::map<std::string, std::size_t> inZone;
+    std::vector<BackendState> choices;
+    for (BackendState &server :
+         ranked(request, {&BackendPlacer::runCost, runTieBreak}, now, random)) {
+        if (choices.size() < most && inZone[server.info.availabilityZone]++ < mostInZone)
+            choices.push_back(std::move(server));
+    }
     return choices;
 }
 
@@ -82,20 +94,24 @@
                                                 const Pricing &pricing, TimePoint now,
                                                 RandomSource &random) const
 {
+    std::vector<BackendState> candidates = m_table.candidates(request.service, now);
     std::vector<std::pair<double, BackendState>> priced;
-    for (BackendState &server : m_table.candidates(request.service, now)) {
-        const auto &excluded = request.exclude;
-        if (std::find(excluded.begin(), excluded.end(), server.info.id) != excluded.end())
+    priced.reserve(candidates.size());
+    for (BackendState &server : candidates) {
+        if (contains(request.exclude, server.info.id))
             continue;
         double price =
             (this->*pricing.cost)(server) + trustCost(server) + pricing.tieBreak * random.unit();
         if (!request.avoidZone.empty() && server.info.availabilityZone == request.avoidZone)
             price += doubtfulCost;
+        if (!request.answered.empty() && !contains(request.answered, server.info.id))
+            price += unaskedCost;
         priced.emplace_back(price, std::move(server));
     }
     std::stable_sort(priced.begin(), priced.end(),
                      [](const auto &a, const auto &b) { return a.first < b.first; });
     std::vector<BackendState> servers;
+    servers.reserve(priced.size());
     for (auto &[price, server] : priced)
         servers.push_back(std::move(server));
     return servers;
--- a/src/decisions/StreamSession.cpp
+++ b/src/decisions/StreamSession.cpp
@@ -6,6 +6,7 @@
 #include "foxtailring/decisions/RetryBudget.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace foxtailring {
@@ -30,7 +31,7 @@
 // Part of the objective after which a first event is not waited for any more.
 constexpr double firstEventPart = 0.65;
 // Servers asked for their load before a run is placed, and for how long.
-constexpr std::size_t placeChoices = 3;
+constexpr std::size_t placeChoices = 4;
 constexpr milliseconds placeWithin {60};
 // Allowed pause of a route that states none.
 constexpr milliseconds assumedEventGap {1000};
@@ -116,6 +117,7 @@
     ask.within = placeWithin;
     m_isPlacing = true;
     m_askedAt = now;
+    m_answered.clear();
     for (const BackendState &server : ask.servers)
         m_choices.push_back(server.info.id);
     return ask;
@@ -124,20 +126,15 @@
 ForwardAction StreamSession::placeAmong(std::span<const ServerReport> reports, TimePoint now)
 {
     m_isPlacing = false;
-    // Servers that were not asked are left out, unless none of those asked has answered.
+    m_answered.clear();
+    for (const ServerReport &report : reports)
+        m_answered.push_back(report.serverId);
+    // One that was asked and did not answer is not chosen as long as there is another.
     std::vector<std::string> exclude = tried();
-    if (!reports.empty()) {
-        for (const BackendState &server : context().servers.candidates(service(), now)) {
-            const bool hasAnswered =
-                std::any_of(reports.begin(), reports.end(), [&](const ServerReport &report) {
-                    return report.serverId == server.info.id;
-                });
-            if (!hasAnswered)
-                exclude.push_back(server.info.id);
-        }
-    } else {
-        exclude.insert(exclude.end(), m_choices.begin(), m_choices.end());
-    }
+    std::copy_if(m_choices.begin(), m_choices.end(), std::back_inserter(exclude),
+                 [this](const std::string &id) {
+                     return std::find(m_answered.begin(), m_answered.end(), id) == m_answered.end();
+                 });
     m_choices.clear();
     auto chosen = context().placer.forRun(placement(exclude), now, context().random);
     if (!chosen)
@@ -167,7 +164,7 @@
     PlacementRequest out;
     out.service = service();
     out.exclude = exclude;
-    out.memoryTokens = request().promptTokens + request().outputTokens;
+    out.answered = m_answered;
     return out;
 }
 
@@ -254,7 +251,8 @@
     if (reports.empty() || hasLostConnection(reports.front()))
         return ended(AttemptResult::Silent, now);
     const BackendLoadReport &load = reports.front().load;
-    m_promptsAhead = std::max(load.reading + load.waiting, 1U) - 1;
+    const std::uint32_t prompts = load.reading + load.waiting;
+    m_promptsAhead = std::max(m_promptsAhead, std::max(prompts, 1U) - 1);
     m_heardAt = now;
     return KeepWaiting {};
 }
--- a/src/gateway/RequestRelay.cpp
+++ b/src/gateway/RequestRelay.cpp
@@ -251,7 +251,8 @@
 // The pause is what the caller saw between the last event before a loss and the first one after.
 void RequestRelay::noteResume(TimePoint now)
 {
-    const bool isResumed = m_hasBegun && !std::exchange(m_attempt.hasEvents, true);
+    const bool isFirst = !std::exchange(m_attempt.hasEvents, true);
+    const bool isResumed = m_hasBegun && isFirst;
     const Duration pause = now - std::exchange(m_lastEventAt, now);
     if (!isResumed)
         return;
