transport: one table of reason phrases for problem bodies

Cause: the gateway's refusals repeated the entry's table. Change: statusTitle() in transport, used by both. Measured: unit tests of entry, gateway, transport, decisions, store, platform, operator, base pass.

--- a/src/entry/Problem.cpp
+++ b/src/entry/Problem.cpp
@@ -1,39 +1,11 @@
 #include "foxtailring/entry/Problem.h"
 
+#include "foxtailring/transport/StatusTitle.h"
+
 #include <nlohmann/json.hpp>
 
 namespace foxtailring {
 
-namespace {
-
-std::string_view title(int status)
-{
-    switch (status) {
-    case 400:
-        return "Bad Request";
-    case 401:
-        return "Unauthorized";
-    case 403:
-        return "Forbidden";
-    case 404:
-        return "Not Found";
-    case 422:
-        return "Unprocessable Content";
-    case 429:
-        return "Too Many Requests";
-    case 502:
-        return "Bad Gateway";
-    case 503:
-        return "Service Unavailable";
-    case 504:
-        return "Gateway Timeout";
-    default:
-        return "Internal Server Error";
-    }
-}
-
-} // namespace
-
 Problem Problem::of(Error error, std::string_view outcome, std::chrono::milliseconds retryAfter,
                     std::chrono::milliseconds fallback)
 {
@@ -82,7 +54,7 @@
 {
     nlohmann::ordered_json body;
     body["type"] = "urn:foxtailring:problem:" + std::string(errorCodeName(error.code));
-    body["title"] = title(status());
+    body["title"] = statusTitle(status());
     body["status"] = status();
     body["detail"] = error.message;
     body["outcome"] = outcome;
--- a/src/gateway/Refusal.cpp
+++ b/src/gateway/Refusal.cpp
@@ -1,5 +1,7 @@
 #include "Refusal.h"
 
+#include "foxtailring/transport/StatusTitle.h"
+
 #include <cstdio>
 #include <nlohmann/json.hpp>
 
@@ -7,26 +9,6 @@
 
 namespace {
 
-std::string_view titleOf(int status)
-{
-    switch (status) {
-    case 400:
-        return "Bad Request";
-    case 401:
-        return "Unauthorized";
-    case 404:
-        return "Not Found";
-    case 502:
-        return "Bad Gateway";
-    case 503:
-        return "Service Unavailable";
-    case 504:
-        return "Gateway Timeout";
-    default:
-        return "Error";
-    }
-}
-
 std::string secondsText(std::chrono::milliseconds time)
 {
     char text[32];
@@ -39,7 +21,7 @@
 HttpResponse refusalResponse(std::string_view requestId, const Refuse &refusal)
 {
     const nlohmann::json body = {{"type", "about:blank"},
-                                 {"title", titleOf(refusal.status)},
+                                 {"title", statusTitle(refusal.status)},
                                  {"status", refusal.status},
                                  {"cause", refusal.cause},
                                  {"request", requestId}};
