gateway: ask only engines, and wait for streams of other services

Cause: a stream of a service that is no engine would be asked for its load, would not answer, and would be taken for dark.

--- a/include/foxtailring/decisions/StreamSession.h
+++ b/include/foxtailring/decisions/StreamSession.h
@@ -19,7 +19,8 @@
     struct Engines
     {
         bool keepCopies = false; ///< they can copy a run's memory to another server
-        bool areAlike = false;   ///< every engine that answers questions belongs to one service
+        bool areAlike = false;   ///< every engine belongs to one service
+        bool canBeAsked = false; ///< they answer questions about their load and runs
     };
 
     StreamSession(const HttpRoute &route, const ForwardRequest &request,
--- a/src/decisions/StreamSession.cpp
+++ b/src/decisions/StreamSession.cpp
@@ -109,6 +109,8 @@
 // Other processes place runs on the same servers, so their load is asked for rather than guessed.
 ForwardAction StreamSession::askChoices(TimePoint now)
 {
+    if (!m_engines.canBeAsked)
+        return placeAmong({}, now);
     AskServers ask;
     ask.servers =
         context().placer.runChoices(placement(tried()), placeChoices, now, context().random);
@@ -226,6 +228,10 @@
 {
     if (now >= stuckAt() || isAbandoned(now))
         return ended(AttemptResult::Silent, now);
+    if (!m_engines.canBeAsked) {
+        m_heardAt = now;
+        return KeepWaiting {};
+    }
     // The answer to a question that is still open decides.
     if (m_isAsking)
         return KeepWaiting {};
--- a/src/gateway/RequestRelay.cpp
+++ b/src/gateway/RequestRelay.cpp
@@ -85,9 +85,14 @@
         const RoutedService *service = m_table->service(target.service);
         return service && service->keepsCopies;
     };
+    const auto isEngine = [this](const RouteTarget &target) {
+        const RoutedService *service = m_table->service(target.service);
+        return service && service->memoryTokens > 0;
+    };
     StreamSession::Engines engines;
     engines.keepCopies = std::all_of(m_route.targets.begin(), m_route.targets.end(), keepsCopies);
     engines.areAlike = m_table->engineServices() == 1;
+    engines.canBeAsked = std::all_of(m_route.targets.begin(), m_route.targets.end(), isEngine);
     return std::make_unique<StreamSession>(m_route, request, context, engines);
 }
 
--- a/tests/decisions/StreamSessionTest.cpp
+++ b/tests/decisions/StreamSessionTest.cpp
@@ -25,6 +25,7 @@
     CPPUNIT_TEST(eventsAreInOrder);
     CPPUNIT_TEST(begunStreamIsCutWhenNothingIsLeft);
     CPPUNIT_TEST(streamThatMayNotGoOnIsSentOnce);
+    CPPUNIT_TEST(serviceThatCannotBeAskedIsWaitedFor);
     CPPUNIT_TEST(countsAtServersEnd);
     CPPUNIT_TEST_SUITE_END();
 
@@ -35,7 +36,7 @@
     void copyIsInAnotherZone()
     {
         for (int round = 0; round < 20; ++round) {
-            StreamSession session(m_route, request(), context(), {true, true});
+            StreamSession session(m_route, request(), context(), {true, true, true});
             const ForwardAction first = started(session);
             CPPUNIT_ASSERT(sent(first).copyTo.has_value());
             CPPUNIT_ASSERT(sent(first).copyTo->info.availabilityZone
@@ -45,7 +46,7 @@
 
     void lossGoesOnFromTheCopy()
     {
-        StreamSession session(m_route, request(), context(), {true, true});
+        StreamSession session(m_route, request(), context(), {true, true, true});
         const std::string copy = sent(started(session)).copyTo->info.id;
         session.event(1, now + Ms(1000));
         session.event(2, now + Ms(1030));
@@ -59,7 +60,7 @@
     // A server that goes dark sends no reset. Guards against a pause longer than the route allows.
     void darkServerIsNoticedWithinTheAllowedPause()
     {
-        StreamSession session(m_route, request(), context(), {true, true});
+        StreamSession session(m_route, request(), context(), {true, true, true});
         started(session);
         const TimePoint last = tenEvents(session);
         const TimePoint asking = session.nextCheck();
@@ -74,7 +75,7 @@
     // leaving a server that works.
     void slowServerThatAnswersIsKept()
     {
-        StreamSession session(m_route, request(), context(), {true, true});
+        StreamSession session(m_route, request(), context(), {true, true, true});
         const std::string id = sent(started(session)).server.info.id;
         TimePoint at = tenEvents(session) + Ms(150);
         for (; at < now + Ms(2500); at += Ms(200)) {
@@ -86,7 +87,7 @@
     // Guards against a stream on a connection that lost its other end while the server works on.
     void eventsThatDoNotArriveShowALostConnection()
     {
-        StreamSession session(m_route, request(), context(), {true, true});
+        StreamSession session(m_route, request(), context(), {true, true, true});
         const std::string id = sent(started(session)).server.info.id;
         const TimePoint asking = tenEvents(session) + Ms(300);
         session.check(asking);
@@ -96,7 +97,7 @@
     // Reports are a few hundred ms old. Guards against taking a run that has just begun for lost.
     void runThatHasJustBegunIsNotInAReport()
     {
-        StreamSession session(m_route, request(), context(), {true, true});
+        StreamSession session(m_route, request(), context(), {true, true, true});
         const std::string id = sent(started(session)).server.info.id;
         session.event(1, now + Ms(1000));
         const TimePoint asking = session.nextCheck();
@@ -109,7 +110,7 @@
     // Guards against taking an engine that reads a long prompt for one that is dark.
     void slowPromptIsNotSilence()
     {
-        StreamSession session(m_route, request(), context(), {true, true});
+        StreamSession session(m_route, request(), context(), {true, true, true});
         const std::string id = sent(started(session)).server.info.id;
         for (Ms age(0); age < Ms(3000); age += Ms(100)) {
             const ForwardAction action = session.check(now + age);
@@ -122,7 +123,7 @@
     // A stuck server answers questions and serves nothing.
     void stuckServerIsLeft()
     {
-        StreamSession session(m_route, request(), context(), {true, true});
+        StreamSession session(m_route, request(), context(), {true, true, true});
         rhythm.firstEvent("engine", 8000, Ms(1000));
         started(session);
         const ForwardAction next = session.check(now + Ms(3500));
@@ -133,7 +134,7 @@
     // one of another process while other servers are idle.
     void runIsPlacedByWhatServersAnswer()
     {
-        StreamSession session(m_route, request(), context(), {true, true});
+        StreamSession session(m_route, request(), context(), {true, true, true});
         const auto question = std::get<AskServers>(session.start(now));
         CPPUNIT_ASSERT(question.servers.size() > 1);
         std::vector<ServerReport> reports;
@@ -149,7 +150,7 @@
     // Guards against placing a run on a server that does not answer.
     void serverThatDoesNotAnswerIsNotChosen()
     {
-        StreamSession session(m_route, request(), context(), {true, true});
+        StreamSession session(m_route, request(), context(), {true, true, true});
         const auto question = std::get<AskServers>(session.start(now));
         const ForwardAction first = session.asked({}, now);
         for (const BackendState &server : question.servers)
@@ -160,7 +161,7 @@
     // waiting for a first event that cannot come in time any more.
     void promptInADarkZoneIsLeft()
     {
-        StreamSession session(m_route, request(), context(), {true, true});
+        StreamSession session(m_route, request(), context(), {true, true, true});
         const BackendState server = sent(started(session)).server;
         for (const char *number : {"1", "2", "3"}) {
             const std::string id = server.info.availabilityZone + number;
@@ -175,7 +176,7 @@
     // The copy begins with the output. Guards against asking for one that cannot be there.
     void promptThatIsLostIsReadAnewAtOnce()
     {
-        StreamSession session(m_route, request(), context(), {true, true});
+        StreamSession session(m_route, request(), context(), {true, true, true});
         started(session);
         CPPUNIT_ASSERT(
             !sent(placed(session, session.ended(AttemptResult::Lost, now), now)).resumesFromCopy);
@@ -185,7 +186,7 @@
     // that goes on there (planoteca-norte hunt-17c6-39, rule DRAIN).
     void copyAtALeavingServerIsNotUsed()
     {
-        StreamSession session(m_route, request(), context(), {true, true});
+        StreamSession session(m_route, request(), context(), {true, true, true});
         BackendInfo copy = sent(started(session)).copyTo->info;
         session.event(1, now);
         copy.isDraining = true;
@@ -197,7 +198,7 @@
 
     void missingCopyIsReadAnew()
     {
-        StreamSession session(m_route, request(), context(), {true, true});
+        StreamSession session(m_route, request(), context(), {true, true, true});
         started(session);
         session.event(1, now);
         CPPUNIT_ASSERT(
@@ -211,7 +212,7 @@
     // (planoteca-norte quiet-1, journal 6c434406).
     void runThatDidNotStartHasNoCopy()
     {
-        StreamSession session(m_route, request(), context(), {true, true});
+        StreamSession session(m_route, request(), context(), {true, true, true});
         started(session);
         CPPUNIT_ASSERT(
             !sent(placed(session, session.ended(AttemptResult::NotRun, now), now)).resumesFromCopy);
@@ -222,7 +223,7 @@
     // Guards against a missing or a repeated event where two runs are joined.
     void eventsAreInOrder()
     {
-        StreamSession session(m_route, request(), context(), {true, true});
+        StreamSession session(m_route, request(), context(), {true, true, true});
         started(session);
         CPPUNIT_ASSERT(session.event(1, now) == EventVerdict::Next);
         CPPUNIT_ASSERT(session.event(2, now) == EventVerdict::Next);
@@ -235,7 +236,7 @@
     {
         HttpRoute once = m_route;
         once.isResumable = false;
-        StreamSession session(once, request(), context(), {true, true});
+        StreamSession session(once, request(), context(), {true, true, true});
         started(session);
         session.event(1, now);
         const ForwardAction next = placed(session, session.ended(AttemptResult::Lost, now), now);
@@ -247,17 +248,28 @@
     {
         HttpRoute once = m_route;
         once.isResumable = false;
-        StreamSession session(once, request(), context(), {true, true});
+        StreamSession session(once, request(), context(), {true, true, true});
         CPPUNIT_ASSERT(!sent(started(session)).copyTo);
         CPPUNIT_ASSERT_EQUAL(
             502, refused(placed(session, session.ended(AttemptResult::Lost, now), now)).status);
     }
 
+    // Guards against questions to a plain service, which answers none and would seem dark.
+    void serviceThatCannotBeAskedIsWaitedFor()
+    {
+        StreamSession session(m_route, request(), context(), {});
+        CPPUNIT_ASSERT(isAttempt(session.start(now)));
+        session.event(1, now + Ms(500));
+        CPPUNIT_ASSERT(isWaiting(session.check(now + Ms(1000))));
+        CPPUNIT_ASSERT(session.nextCheck() > now + Ms(1000));
+        CPPUNIT_ASSERT(isAttempt(session.check(now + Ms(3000))));
+    }
+
     // Guards against servers that seem loaded for ever by requests that have ended.
     void countsAtServersEnd()
     {
         {
-            StreamSession session(m_route, request(), context(), {true, true});
+            StreamSession session(m_route, request(), context(), {true, true, true});
             started(session);
             placed(session, session.ended(AttemptResult::Lost, now), now);
         }
--- a/tests/gateway/GatewayFixture.cpp
+++ b/tests/gateway/GatewayFixture.cpp
@@ -184,6 +184,7 @@
     RoutedService engine;
     engine.name = "engine";
     engine.keepsCopies = true;
+    engine.memoryTokens = 1000;
     out.services = {engine};
     out.hasAccounts = true;
     out.accounts = {{"crew", std::nullopt, {"good"}}};
