--- a/apps/Daemon.cpp
+++ b/apps/Daemon.cpp
@@ -55,7 +55,9 @@
     if (FLAGS_check_config)
         return exitSuccess;
     blockSignals();
-    return run();
+    // Destructors of static objects are skipped: the logging library's wait for its threads, which
+    // kept drained processes from ending until they were killed. Log lines are written at once.
+    std::quick_exit(run());
 }
 
 void Daemon::waitForShutdown()
--- a/apps/foxtailring-gateway.cpp
+++ b/apps/foxtailring-gateway.cpp
@@ -37,7 +37,10 @@
         std::cerr << listening.error().message << '\n';
         return exitFailure;
     }
-    StructuredLog::info("started", {{"zone", settings.availabilityZone}});
+    StructuredLog::info("started",
+                        {{"zone", settings.availabilityZone},
+                         {"listen", settings.listen.text()},
+                         {"metrics", settings.metrics.text()}});
     Daemon::waitForShutdown();
     StructuredLog::info("stopping");
     node.drain([&drained] { drained.set_value(); });
--- a/src/base/StructuredLog.cpp
+++ b/src/base/StructuredLog.cpp
@@ -111,10 +111,7 @@
 
 void StructuredLog::configure(std::string_view program, std::string_view nodeId)
 {
-    // Never destroyed: its destructor waits for threads of the library, which can keep a process
-    // that has ended its work from exiting. Lines are written at once, so nothing is lost.
-    static const auto *const initializer = new log4cplus::Initializer;
-    static_cast<void>(initializer);
+    static log4cplus::Initializer initializer;
     identity() = Identity {std::string(program), std::string(nodeId)};
     logger().removeAllAppenders();
     logger().addAppender(log4cplus::SharedAppenderPtr(new LineAppender));
--- a/src/operator/LogStory.cpp
+++ b/src/operator/LogStory.cpp
@@ -47,8 +47,12 @@
     for (const auto &[name, value] : object.items()) {
         const bool isCommon = std::find(common.begin(), common.end(), name) != common.end();
         const std::string text = value.is_string() ? value.get<std::string>() : value.dump();
-        if (!isCommon && !text.empty())
-            out += (out.empty() ? "" : ", ") + name + ' ' + text;
+        if (isCommon || text.empty())
+            continue;
+        out += out.empty() ? "" : ", ";
+        out += name;
+        out += ' ';
+        out += text;
     }
     return out;
 }
--- /dev/null
+++ b/tests/process/GatewayProcessTest.cpp
@@ -0,0 +1,43 @@
+#include "ChildProcess.h"
+#include "TemporaryFile.h"
+#include "Wait.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+
+using namespace foxtailring::harness;
+
+// The gateway program without a store.
+class GatewayProcessTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(GatewayProcessTest);
+    CPPUNIT_TEST(terminatedGatewayEnds);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against a drained process that stays until it is killed, which keeps its successor
+    // from starting (planoteca-norte inc-99fd: six of six).
+    void terminatedGatewayEnds()
+    {
+        const TemporaryFile settings("nodeId: g\navailabilityZone: a\nregions: [\"a=r\"]\n"
+                                     "listen: 127.0.0.1:0\nready: 127.0.0.1:0\n"
+                                     "metrics: 127.0.0.1:0\nstore: 127.0.0.1:1\n");
+        ChildProcess gateway(FOXTAILRING_GATEWAY_PATH, {"--config", settings.path()});
+        CPPUNIT_ASSERT(waitUntil([&] { return hasLine(gateway, "\"event\":\"started\""); }));
+        gateway.terminate();
+        CPPUNIT_ASSERT_EQUAL(0, gateway.waitForExit().value_or(-1));
+        CPPUNIT_ASSERT(hasLine(gateway, "\"event\":\"stopped\""));
+    }
+
+private:
+    static bool hasLine(const ChildProcess &process, std::string_view part)
+    {
+        const auto lines = process.output();
+        return std::any_of(lines.begin(), lines.end(), [part](const std::string &line) {
+            return line.find(part) != std::string::npos;
+        });
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(GatewayProcessTest);
