--- a/src/gateway/RequestRelay.cpp
+++ b/src/gateway/RequestRelay.cpp
@@ -220,7 +220,6 @@
 
 void RequestRelay::headArrived(HttpResponse head)
 {
-    m_attempt.hasHead = true;
     m_attempt.answer = m_parts.wire.decodeAnswer(head);
     m_attempt.head = std::move(head);
     m_session->headReceived(m_attempt.answer, m_parts.clock());
--- a/src/gateway/RequestRelay.h
+++ b/src/gateway/RequestRelay.h
@@ -43,7 +43,6 @@
         BackendAnswer answer;
         std::string body;
         EventStreamReader events;
-        bool hasHead = false;
         bool isStreamed = false; ///< events are passed on as they arrive
         bool isFromCopy = false;
         bool hasEvents = false;
