--- a/src/decisions/SubsetSelector.cpp
+++ b/src/decisions/SubsetSelector.cpp
@@ -23,7 +23,7 @@
     std::uint32_t server = 0;
 };
 
-bool ranksBefore(const Pair &left, const Pair &right)
+bool pairRanksBefore(const Pair &left, const Pair &right)
 {
     if (left.weight != right.weight)
         return left.weight > right.weight;
@@ -72,7 +72,7 @@
             if (m_chosen[entry].size() < m_size)
                 appendBest(entry, ranked, pairs);
         }
-        std::sort(pairs.begin(), pairs.end(), ranksBefore);
+        std::sort(pairs.begin(), pairs.end(), pairRanksBefore);
         for (const Pair &pair : pairs)
             take(pair, most);
     }
@@ -86,7 +86,7 @@
                 Pair {RendezvousHash::weight(m_seeds[entry], m_servers[server]), entry, server});
         if (count < own.size()) {
             std::nth_element(own.begin(), own.begin() + static_cast<std::ptrdiff_t>(count),
-                             own.end(), ranksBefore);
+                             own.end(), pairRanksBefore);
             own.resize(count);
         }
         pairs.insert(pairs.end(), own.begin(), own.end());
--- a/src/entry/EntryDrain.cpp
+++ b/src/entry/EntryDrain.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds tickInterval {20};
+constexpr std::chrono::milliseconds drainCheckInterval {20};
 // Time for the last events of streams that are handed over to leave.
 constexpr std::chrono::seconds handOverTime {2};
 
@@ -33,7 +33,7 @@
     StructuredLog::info("draining");
     m_done = std::move(done);
     m_enteredAt = m_parts.clock();
-    m_timer.every(tickInterval, [this] { tick(); });
+    m_timer.every(drainCheckInterval, [this] { tick(); });
 }
 
 void EntryDrain::tick()
--- a/src/operator/WatchStreams.cpp
+++ b/src/operator/WatchStreams.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds pollInterval {100};
+constexpr std::chrono::milliseconds updateInterval {100};
 
 std::string lineOf(const ResourceDelta &delta)
 {
@@ -61,7 +61,7 @@
     , m_timer(pool)
 {
     // Timer hooks never run concurrently, so only this hook changes a stream's revision.
-    m_timer.every(pollInterval, [state = m_state] {
+    m_timer.every(updateInterval, [state = m_state] {
         for (const auto &stream : state->open()) {
             if (stream->revision >= state->config.revision())
                 continue;
--- a/src/sidecar/ReportService.cpp
+++ b/src/sidecar/ReportService.cpp
@@ -18,7 +18,7 @@
 // Keeps one watcher from costing more than the control overhead of the node allows.
 constexpr std::uint32_t leastIntervalMs = 50;
 // A watcher that takes nothing gets the next report when it has taken these.
-constexpr std::size_t maxPendingBytes = 64 * 1024;
+constexpr std::size_t maxPendingReportBytes = 64 * 1024;
 
 } // namespace
 
@@ -96,7 +96,7 @@
 
 void ReportService::send(MessageStream &stream)
 {
-    if (stream.pendingBytes() <= maxPendingBytes)
+    if (stream.pendingBytes() <= maxPendingReportBytes)
         stream.send(report());
 }
 
--- a/tests/entry/FakeSidecar.cpp
+++ b/tests/entry/FakeSidecar.cpp
@@ -17,7 +17,7 @@
 
 namespace {
 
-constexpr std::chrono::seconds deadline {20};
+constexpr std::chrono::seconds waitWithin {20};
 constexpr std::chrono::milliseconds reportInterval {100};
 
 } // namespace
@@ -67,7 +67,7 @@
 bool FakeSidecar::wait(const std::function<bool()> &done)
 {
     std::unique_lock lock(m_mutex);
-    return m_changed.wait_for(lock, deadline, done);
+    return m_changed.wait_for(lock, waitWithin, done);
 }
 
 void FakeSidecar::opened(const Stream &stream)
--- a/tests/entry/SseReader.cpp
+++ b/tests/entry/SseReader.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr std::chrono::seconds deadline {20};
+constexpr std::chrono::seconds readWithin {20};
 
 bool takePrefix(std::string_view &line, std::string_view prefix)
 {
@@ -105,7 +105,7 @@
 bool SseReader::wait(Predicate done)
 {
     std::unique_lock lock(m_mutex);
-    return m_changed.wait_for(lock, deadline, done);
+    return m_changed.wait_for(lock, readWithin, done);
 }
 
 bool SseReader::waitForTokens(std::size_t count)
--- a/tests/entry/TestPlatform.cpp
+++ b/tests/entry/TestPlatform.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-constexpr std::chrono::seconds deadline {20};
+constexpr std::chrono::seconds settleWithin {20};
 
 std::string base64(const std::string &text)
 {
@@ -94,7 +94,7 @@
 bool TestPlatform::wait(const std::function<bool()> &done)
 {
     std::unique_lock lock(m_mutex);
-    return m_changed.wait_for(lock, deadline, done);
+    return m_changed.wait_for(lock, settleWithin, done);
 }
 
 void TestPlatform::handle(const HttpRequest &request,
--- a/tests/process/SidecarProcessTest.cpp
+++ b/tests/process/SidecarProcessTest.cpp
@@ -18,7 +18,6 @@
 
 using namespace foxtailring;
 using namespace foxtailring::harness;
-using nlohmann::json;
 
 // The sidecar program between the stand-ins; the test plays the entry.
 class SidecarProcessTest : public CppUnit::TestFixture
--- /dev/null
+++ b/tools/lib/compiled_sources.py
@@ -0,0 +1,28 @@
+#!/usr/bin/env python3
+"""Prints the sources in the compilation database of a build directory, largest first.
+
+usage: compiled_sources.py BUILD_DIR
+
+For a unity source the size is that of the sources it joins, so that the longest run starts first.
+"""
+
+import json
+import pathlib
+import re
+import sys
+
+
+def weight(path):
+    text = path.read_text()
+    joined = re.findall(r'^#include "(/.*\.cpp)"$', text, re.MULTILINE)
+    return sum(pathlib.Path(source).stat().st_size for source in joined) or len(text)
+
+
+def main():
+    database = pathlib.Path(sys.argv[1]) / "compile_commands.json"
+    sources = {pathlib.Path(entry["file"]) for entry in json.loads(database.read_text())}
+    for source in sorted(sources, key=weight, reverse=True):
+        print(source)
+
+
+main()
