tools: a soak of the gateway with real processes; explain tells of killed processes

Change: tools/soak starts gateways, backend servers, the key-value service and the fault proxy, draws faults of 22 kinds by a seed, and checks 14 promises on what callers and servers saw. The names on the users' wire stand in platform/standins/wire.py. tools/check plays two short seeds. explain adds an unfinished line with the start of the node's next process.

--- a/include/foxtailring/operator/LogStory.h
+++ b/include/foxtailring/operator/LogStory.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <iosfwd>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -12,6 +13,7 @@
 ///
 /// Keeps the lines of the request and, for each node that handled it, the latest line before it
 /// that changed what the node believed of the store, the configuration or a server in the story.
+/// Says which nodes never ended the request, and whether their process was replaced.
 class LogStory
 {
 public:
@@ -35,6 +37,9 @@
         std::size_t order = 0;
     };
 
+    /// What became of the request at \a node when none of its lines is the request's end; else
+    /// none.
+    std::optional<Line> missingEnd(const std::string &node) const;
     std::vector<Line> beliefsBefore(const Line &first, const std::set<std::string> &servers) const;
 
     const std::string m_requestId;
--- a/src/operator/LogStory.cpp
+++ b/src/operator/LogStory.cpp
@@ -105,6 +105,8 @@
             continue;
         const auto beliefs = beliefsBefore(line, m_servers);
         lines.insert(lines.end(), beliefs.begin(), beliefs.end());
+        if (const auto missing = missingEnd(line.node))
+            lines.push_back(*missing);
     }
     std::stable_sort(lines.begin(), lines.end(), [](const Line &a, const Line &b) {
         return a.time != b.time ? a.time < b.time : a.order < b.order;
@@ -116,6 +118,30 @@
     return !m_story.empty();
 }
 
+// A process that is killed writes no end; the next one on its node tells when that was.
+std::optional<LogStory::Line> LogStory::missingEnd(const std::string &node) const
+{
+    Line end;
+    for (const Line &line : m_story) {
+        if (line.node != node)
+            continue;
+        if (line.event == "request" || line.event == "refused")
+            return std::nullopt;
+        if (line.time >= end.time)
+            end = line;
+    }
+    end.event = "unfinished";
+    end.order = m_lines;
+    end.text = "these logs do not tell the end";
+    for (const Line &belief : m_beliefs) {
+        if (belief.node != node || belief.event != "started" || belief.time < end.time)
+            continue;
+        end.text = "the process ended before the answer; the next one started at " + belief.time;
+        break;
+    }
+    return end;
+}
+
 // The latest belief of each kind and subject counts; a server that the story does not name does
 // not.
 std::vector<LogStory::Line> LogStory::beliefsBefore(const Line &first,
--- a/tests/operator/LogStoryTest.cpp
+++ b/tests/operator/LogStoryTest.cpp
@@ -10,6 +10,7 @@
     CPPUNIT_TEST_SUITE(LogStoryTest);
     CPPUNIT_TEST(linesAreToldInTheOrderOfTime);
     CPPUNIT_TEST(latestBeliefBeforeTheRequestIsTold);
+    CPPUNIT_TEST(killedProcessIsNamed);
     CPPUNIT_TEST(requestWithoutLinesIsReported);
     CPPUNIT_TEST_SUITE_END();
 
@@ -48,6 +49,20 @@
         CPPUNIT_ASSERT(text.find("serverSuspected") < text.find("attempt"));
     }
 
+    // Guards against a story that just stops: of cgka-ring scale-1, 40 requests had no end.
+    void killedProcessIsNamed()
+    {
+        LogStory story("r1");
+        story.add(R"({"time":"T1","node":"g1","event":"started"})");
+        story.add(R"({"time":"T2","node":"g1","event":"attempt","request":"r1","server":"s1"})");
+        CPPUNIT_ASSERT(printed(story).find("do not tell the end") != std::string::npos);
+        story.add(R"({"time":"T3","node":"g2","event":"started"})");
+        story.add(R"({"time":"T4","node":"g1","event":"started"})");
+        CPPUNIT_ASSERT(printed(story).find("next one started at T4") != std::string::npos);
+        story.add(R"({"time":"T5","node":"g1","event":"request","request":"r1"})");
+        CPPUNIT_ASSERT(printed(story).find("unfinished") == std::string::npos);
+    }
+
     void requestWithoutLinesIsReported()
     {
         std::ostringstream out;
--- /dev/null
+++ b/tools/lib/soak/backend.py
@@ -0,0 +1,220 @@
+"""Stand-in of one backend server, an engine or a register, run as a process of its own.
+
+usage: backend.py NAME SERVICE PORT LOG
+
+Writes a JSON line for each run to LOG, which outlives the process. POST /standin/faults sets
+probabilities: notRun, error, truncated, garbled, doubled, answerLost.
+"""
+
+import hashlib
+import http.client
+import json
+import pathlib
+import random
+import sys
+import threading
+import time
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent.parent.parent
+sys.path[:0] = [str(ROOT / "platform" / "standins"), str(ROOT / "tools" / "lib")]
+import wire  # noqa: E402
+from soak import http_standin  # noqa: E402
+
+SLOTS = {"engine": 16, "register": 6}
+EVENTS = 60
+EVENT_SECONDS = 0.012
+PROMPT_SECONDS = 0.15
+CALL_SECONDS = 0.03
+COPY_EVERY_SECONDS = 0.1
+COPY_SECONDS = 0.05
+COPY_KEPT_SECONDS = 5
+MEMORY_TOKENS = 88000
+PROMPT_TOKENS = 8000
+
+
+def event_text(request, number):
+    return f"id: {number}\ndata: {request}:{number}\n\n".encode()
+
+
+class Backend:
+    def __init__(self, name, service, log):
+        self.name = name
+        self.service = service
+        self.log_file = open(log, "a", buffering=1)
+        self.lock = threading.Lock()
+        self.faults = {}
+        self.running = {}
+        self.copies = {}
+        self.answers = 0
+
+    def log(self, event, **fields):
+        line = json.dumps({"at": time.monotonic(), "server": self.name, "event": event, **fields})
+        with self.lock:
+            self.log_file.write(line + "\n")
+
+    def has_fault(self, name):
+        return random.random() < self.faults.get(name, 0)
+
+    def serve(self, handler, body):
+        if handler.path == wire.REPORT_PATH:
+            return self.report(handler)
+        if handler.path == wire.COPY_PATH:
+            return self.copy_run(handler, body)
+        if handler.path.startswith("/standin/"):
+            return self.control(handler, json.loads(body))
+        return self.admit(handler, body)
+
+    def control(self, handler, fields):
+        if handler.path == "/standin/faults":
+            self.faults = fields
+        else:
+            self.copies[fields["copy"]] = (fields["events"], time.monotonic())
+        handler.answer(200)
+
+    def copy_run(self, handler, body):
+        """Copies what a run has made so far; the copy is named by a handle of this server's."""
+        request, address = wire.copy_order(body)
+        with self.lock:
+            events = self.running.get(request)
+        if not events:
+            return handler.answer_json(404, {})
+        handle = f"h-{self.name}-{request}"
+        time.sleep(COPY_SECONDS)
+        if not Copier(address, handle).send(events):
+            return handler.answer_json(503, {})
+        self.log("copied", request=request, to=address)
+        return handler.answer_json(200, wire.copy_made(handle, events))
+
+    def report(self, handler):
+        with self.lock:
+            runs = [(request, PROMPT_TOKENS + events * 5, events)
+                    for request, events in self.running.items() if events > 0]
+            count = len(self.running)
+        handler.answer_json(200, wire.report(count, 0, runs, count * PROMPT_TOKENS, MEMORY_TOKENS))
+
+    def admit(self, handler, body):
+        headers = handler.headers
+        request = headers.get(wire.REQUEST_ID, "")
+        named = headers.get(wire.SERVER)
+        own = {wire.SERVER_ID: self.name, wire.NOT_RUN: "1", wire.REQUEST_ID: request}
+        if named and named != self.name:
+            return handler.answer(421, b"", own)
+        self.log("arrived", request=request)
+        with self.lock:
+            is_full = len(self.running) >= SLOTS[self.service]
+            is_admitted = not is_full and not self.has_fault("notRun")
+            if is_admitted:
+                self.running[request] = 0
+        if not is_admitted:
+            return handler.answer(503, b"", own)
+        try:
+            (self.stream if self.service == "engine" else self.call)(handler, request, body)
+        finally:
+            with self.lock:
+                self.running.pop(request, None)
+            self.log("ended", request=request)
+        return None
+
+    def note_run(self, handler, request, body, **fields):
+        headers = handler.headers
+        self.log("run", request=request, account=headers.get(wire.ACCOUNT),
+                 hasKey=wire.KEY in headers, method=handler.command, path=handler.path,
+                 body=hashlib.sha1(body).hexdigest(),
+                 deadline=int(headers.get(wire.DEADLINE, 0)), **fields)
+
+    def answer_headers(self, request):
+        self.answers += 1
+        with self.lock:
+            load = f"{len(self.running)},0,{SLOTS[self.service]}"
+        return {wire.REQUEST_ID: request, wire.SIGNATURE: f"{self.name}.{self.answers}",
+                wire.LOAD: load, wire.SERVER_ID: self.name}
+
+    def call(self, handler, request, body):
+        self.note_run(handler, request, body)
+        time.sleep(CALL_SECONDS * random.uniform(0.5, 2))
+        headers = self.answer_headers(request)
+        if self.has_fault("answerLost"):
+            handler.close_connection = True
+            return
+        if self.has_fault("error"):
+            return handler.answer(500, b"failed", headers)
+        text = json.dumps({"request": request, "body": hashlib.sha1(body).hexdigest()}).encode()
+        whole = handler.head(200, len(text), headers) + text
+        if self.has_fault("truncated"):
+            handler.wfile.write(whole[:-5])
+            handler.close_connection = True
+        elif self.has_fault("garbled"):
+            handler.wfile.write(b"\x00\xff not http\r\n\r\n")
+            handler.close_connection = True
+        elif self.has_fault("doubled"):
+            handler.wfile.write(whole + whole)
+        else:
+            handler.wfile.write(whole)
+
+    def stream(self, handler, request, body):
+        last = int(handler.headers.get(wire.LAST_EVENT, 0))
+        copy_from = handler.headers.get(wire.COPY_FROM)
+        if copy_from:
+            events, kept_at = self.copies.pop(copy_from.rsplit("/", 1)[1], (None, 0))
+            if events is None or time.monotonic() - kept_at > COPY_KEPT_SECONDS:
+                return handler.answer(503, b"", {wire.NOT_RUN: "1", wire.REQUEST_ID: request})
+            time.sleep(max(0, last - events) * EVENT_SECONDS / 4)
+        else:
+            time.sleep(PROMPT_SECONDS * random.uniform(0.8, 2))
+        self.note_run(handler, request, body, last=last, fromCopy=bool(copy_from))
+        headers = self.answer_headers(request)
+        handler.wfile.write(handler.head(200, None, {"Content-Type": "text/event-stream",
+                                                     **headers}))
+        copy_to = handler.headers.get(wire.COPY_TO)
+        copier = Copier(copy_to, request) if copy_to else None
+        for number in range(last + 1, EVENTS + 1):
+            time.sleep(EVENT_SECONDS)
+            with self.lock:
+                self.running[request] = number
+            handler.chunk(event_text(request, number))
+            if copier:
+                copier.made(number)
+        handler.wfile.write(b"0\r\n\r\n")
+        return None
+
+
+class Copier:
+    """Tells the server that keeps the copy how many events the run has made."""
+
+    def __init__(self, address, copy):
+        host, port = address.split(":")
+        self.target = (host, int(port))
+        self.copy = copy
+        self.sent_at = 0
+
+    def made(self, events):
+        if time.monotonic() - self.sent_at < COPY_EVERY_SECONDS:
+            return
+        self.sent_at = time.monotonic()
+        threading.Thread(target=self.send, args=(events,), daemon=True).start()
+
+    def send(self, events):
+        connection = http.client.HTTPConnection(*self.target, timeout=1)
+        try:
+            connection.request("POST", "/standin/copy",
+                               json.dumps({"copy": self.copy, "events": events}))
+            return connection.getresponse().status == 200
+        except (OSError, http.client.HTTPException):
+            return False  # a run without a copy is something that the soak is to meet
+        finally:
+            connection.close()
+
+
+def main():
+    name, service, port, log = sys.argv[1:5]
+    backend = Backend(name, service, log)
+
+    class Handler(http_standin.Handler):
+        def handle_request(self, body):
+            backend.serve(self, body)
+
+    http_standin.Server(("127.0.0.1", int(port)), Handler).serve_forever()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tools/lib/soak/checks.py
@@ -0,0 +1,231 @@
+"""The promises of the gateway, checked on what callers and backend servers saw."""
+
+import collections
+import json
+
+from .callers import NOT_RUN_STATUSES, METHODS
+from .world import (DRAIN_LIMIT_SECONDS, KEY_REVOCATION_SECONDS, LIST_NOTICE_SECONDS)
+
+# Time that a crowded machine may add between an event and its line in a log.
+CLOCK_SLACK_SECONDS = 0.3
+OVERLAP_SECONDS = 0.4
+# A gateway has recovered when this part of what is sent is served.
+RECOVERED_SHARE = 0.9
+RECOVERY_SECONDS = 4
+RETRY_RATIO = 0.8
+RETRY_SLACK = 150
+# What a fault has done may show this long after its end.
+FAULT_REACH_SECONDS = 3.5
+AFTER_LEAVING_SECONDS = 0.5
+GIVEN_UP_SHARE = 0.25
+MOST_DENIED = 5
+
+Violation = collections.namedtuple("Violation", "rule text")
+Fault = collections.namedtuple("Fault", "kind gateway server starts_at ends_at")
+
+
+class Evidence:
+    """Logs of all backend servers, attempts of all callers and what the soak did."""
+
+    def __init__(self, world, callers):
+        self.journal = world.journal
+        self.attempts = {attempt.request: attempt for attempt in callers.attempts}
+        self.callers = callers
+        self.faults = list(self._faults())
+        self.records = []
+        for path in sorted(world.folder.glob("server-*.jsonl")):
+            for line in path.read_text().splitlines():
+                if line.endswith("}"):  # the last line of a killed process may be cut off
+                    self.records.append(json.loads(line))
+        self.records.sort(key=lambda record: record["at"])
+        self.runs = [record for record in self.records if record["event"] == "run"]
+        self.runs_of = collections.defaultdict(list)
+        for run in self.runs:
+            self.runs_of[run["request"]].append(run)
+
+    def _faults(self):
+        ends = {entry["number"]: entry["at"] for entry in self.journal.of("faultOver")}
+        for entry in self.journal.of("fault"):
+            yield Fault(entry["kind"], entry["gateway"], entry["server"], entry["at"],
+                        ends.get(entry["number"], float("inf")))
+
+    def faults_between(self, start, end):
+        """Faults that were at work, or had just been, at some time of the span."""
+        return [fault for fault in self.faults
+                if fault.starts_at < end and fault.ends_at + FAULT_REACH_SECONDS > start]
+
+    def is_calm(self, start, end, apart_from=()):
+        """No fault but the kinds named was at work around the given time."""
+        return all(fault.kind in apart_from for fault in self.faults_between(start, end))
+
+
+def wrong_answers(evidence):
+    for wrong in evidence.callers.wrong:
+        yield Violation("wholeAnswer", json.dumps(wrong))
+
+
+def served_requests_ran(evidence):
+    """Also guards the soak itself: without the logs of the servers no check would find anything."""
+    for attempt in evidence.attempts.values():
+        if attempt.outcome == "served" and attempt.request not in evidence.runs_of:
+            yield Violation("servedHasRun", f"{attempt.request} was served without a run")
+
+
+def runs_are_as_sent(evidence):
+    for run in evidence.runs:
+        attempt = evidence.attempts.get(run["request"])
+        if attempt is None:
+            yield Violation("knownRequest", json.dumps(run))
+            continue
+        sent = {"account": attempt.account, "hasKey": False, "method": METHODS[attempt.kind],
+                "path": attempt.path, "body": attempt.body}
+        differing = {name: run[name] for name, value in sent.items() if run[name] != value}
+        if differing:
+            yield Violation("runsAsSent", f"{run['request']}: {differing}")
+
+
+def writes_run_once(evidence):
+    for request, runs in evidence.runs_of.items():
+        attempt = evidence.attempts.get(request)
+        if attempt and attempt.kind == "writes" and len(runs) > 1:
+            yield Violation("runsOnce", f"{request} ran at {[run['server'] for run in runs]}")
+
+
+def refused_never_run(evidence):
+    for attempt in evidence.attempts.values():
+        runs = evidence.runs_of.get(attempt.request)
+        if attempt.status in NOT_RUN_STATUSES and runs and attempt.kind != "reads":
+            yield Violation("refusedNeverRuns", f"{attempt.request} answered {attempt.status} ran "
+                                                f"at {[run['server'] for run in runs]}")
+
+
+def streams_run_at_one_server(evidence):
+    """The server before is left when a stream goes on elsewhere, unless a fault is in the way."""
+    ends = {(record["request"], record["server"]): record["at"]
+            for record in evidence.records if record["event"] == "ended"}
+    for request, runs in evidence.runs_of.items():
+        for earlier, later in zip(runs, runs[1:]):
+            end = ends.get((request, earlier["server"]))
+            if end is None or end - later["at"] <= OVERLAP_SECONDS + CLOCK_SLACK_SECONDS:
+                continue
+            if evidence.is_calm(earlier["at"], end):
+                yield Violation("runsAtOneServer", f"{request}: {earlier['server']} and "
+                                                   f"{later['server']} for {end - later['at']:.2f} s")
+
+
+def withdrawn_keys_run_nothing(evidence):
+    withdrawn = {entry["key"]: entry["acknowledged"]
+                 for entry in evidence.journal.of("keyWithdrawn")}
+    for attempt in evidence.attempts.values():
+        limit = withdrawn.get(attempt.key, float("inf")) + KEY_REVOCATION_SECONDS
+        if attempt.sent_at > limit and evidence.runs_of.get(attempt.request):
+            yield Violation("keyWithdrawn", f"{attempt.request} sent {attempt.sent_at - limit:.2f} s"
+                                            " after the limit")
+
+
+def proper_requests_are_allowed(evidence):
+    withdrawn = {entry["key"]: entry["acknowledged"]
+                 for entry in evidence.journal.of("keyWithdrawn")}
+    denied = [attempt for attempt in evidence.attempts.values()
+              if attempt.status in (400, 401, 403, 404, 413, 431)
+              and attempt.sent_at < withdrawn.get(attempt.key, float("inf")) - 1]
+    if len(denied) > MOST_DENIED:
+        yield Violation("allowed", f"{len(denied)} proper requests were denied, such as "
+                                   f"{denied[0].request} with {denied[0].status}")
+
+
+def leaving_servers_get_nothing(evidence):
+    leaving = {entry["server"]: entry["at"] for entry in evidence.journal.of("listed")
+               if entry["state"] == "draining"}
+    for record in evidence.records:
+        told_at = leaving.get(record["server"])
+        attempt = evidence.attempts.get(record.get("request"))
+        if record["event"] != "arrived" or told_at is None or attempt is None:
+            continue
+        late = record["at"] - told_at - LIST_NOTICE_SECONDS - CLOCK_SLACK_SECONDS
+        if late <= 0 or attempt.sent_at < told_at + LIST_NOTICE_SECONDS:
+            continue
+        hides_the_list = any(
+            fault.kind == "store_fails" or fault.gateway == attempt.gateway
+            and fault.kind in ("store_cut", "gateway_paused")
+            for fault in evidence.faults_between(told_at - LIST_NOTICE_SECONDS, record["at"]))
+        if not hides_the_list:
+            yield Violation("leavingServer", f"{record['request']} arrived at {record['server']} "
+                                             f"{late:.2f} s late")
+
+
+def planned_stops_cut_nothing(evidence):
+    """A gateway that is stopped as planned finishes what it has read."""
+    planned = ("gateway_terminated", "gateways_rolled", "gateway_hangup", "config_changed")
+    stops = [entry for entry in evidence.journal.of("signal") if entry["signal"] == "SIGTERM"]
+    for attempt in evidence.attempts.values():
+        if attempt.outcome != "broken" or not evidence.runs_of.get(attempt.request):
+            continue
+        is_near = any(stop["process"] == attempt.gateway
+                      and attempt.sent_at - 3 < stop["at"] < attempt.ended_at for stop in stops)
+        in_time = attempt.ended_at - attempt.sent_at < DRAIN_LIMIT_SECONDS * 5 / 6
+        if is_near and in_time and evidence.is_calm(attempt.sent_at, attempt.ended_at, planned):
+            yield Violation("plannedStop", f"{attempt.request} at {attempt.gateway} was cut")
+
+
+def given_up_work_ends(evidence):
+    ends = {}
+    for record in evidence.records:
+        if record["event"] == "ended":
+            ends[record["request"]] = record["at"]
+    calm = [attempt for attempt in evidence.attempts.values()
+            if attempt.gave_up and evidence.is_calm(attempt.sent_at, attempt.ended_at + 1)]
+    late = [attempt for attempt in calm
+            if ends.get(attempt.request, 0) > attempt.ended_at + AFTER_LEAVING_SECONDS
+            + CLOCK_SLACK_SECONDS]
+    if len(late) > max(2, GIVEN_UP_SHARE * len(calm)):
+        yield Violation("givenUp", f"{len(late)} of {len(calm)} went on at their servers")
+
+
+def retries_stay_in_budget(evidence):
+    window = 10
+    for kinds in (("streams",), ("writes", "reads")):
+        sent = [attempt.sent_at for attempt in evidence.attempts.values() if attempt.kind in kinds]
+        seen = set()
+        repeats = []
+        for record in evidence.records:
+            attempt = evidence.attempts.get(record.get("request"))
+            if record["event"] != "arrived" or attempt is None or attempt.kind not in kinds:
+                continue
+            if record["request"] in seen:
+                repeats.append(record["at"])
+            seen.add(record["request"])
+        for start in repeats:
+            count = sum(start <= at < start + window for at in repeats)
+            requests = max(sum(start - back <= at < start - back + window for at in sent)
+                           for back in (0, window / 2, window))
+            if count > RETRY_RATIO * requests + RETRY_SLACK:
+                yield Violation("retryBudget", f"{count} repeats beside {requests} requests")
+                break
+
+
+def gateways_stay_up(evidence):
+    for entry in evidence.journal.of("exited"):
+        if entry["signal"] == "SIGTERM" and entry["code"] != 0:
+            yield Violation("cleanExit", f"{entry['process']} ended with {entry['code']}")
+    for entry in evidence.journal.of("diedByItself", "faultFailed"):
+        yield Violation("staysUp", json.dumps(entry))
+
+
+def service_recovers(evidence):
+    calm_from = evidence.journal.of("faultsOver")[0]["at"] + RECOVERY_SECONDS
+    after = [attempt for attempt in evidence.attempts.values()
+             if attempt.sent_at > calm_from and not attempt.gave_up]
+    served = sum(attempt.outcome == "served" for attempt in after)
+    if served < RECOVERED_SHARE * len(after) or not after:
+        yield Violation("recovers", f"{served} of {len(after)} served after the faults")
+
+
+CHECKS = [wrong_answers, served_requests_ran, runs_are_as_sent, writes_run_once,
+          refused_never_run, streams_run_at_one_server, withdrawn_keys_run_nothing,
+          proper_requests_are_allowed, leaving_servers_get_nothing, planned_stops_cut_nothing, given_up_work_ends,
+          retries_stay_in_budget, gateways_stay_up, service_recovers]
+
+
+def violations(evidence):
+    return [found for check in CHECKS for found in check(evidence)]
--- /dev/null
+++ b/tools/lib/soak/http_standin.py
@@ -0,0 +1,58 @@
+"""What the HTTP stand-ins of the soak share."""
+
+import http.server
+import json
+import socket
+
+
+class Handler(http.server.BaseHTTPRequestHandler):
+    """Answers on kept-alive connections; handle_request(body) is the stand-in's part."""
+
+    protocol_version = "HTTP/1.1"
+    timeout = 30
+
+    def log_message(self, *_):
+        pass
+
+    def do_GET(self):
+        self._take()
+
+    def do_POST(self):
+        self._take()
+
+    def _take(self):
+        length = int(self.headers.get("Content-Length") or 0)
+        body = self.rfile.read(length) if length else b""
+        try:
+            self.handle_request(body)
+        except (ConnectionError, socket.timeout):
+            self.close_connection = True
+
+    def answer(self, status, body=b"", headers=None):
+        self.wfile.write(self.head(status, len(body), headers) + body)
+        self.wfile.flush()
+
+    def answer_json(self, status, value, headers=None):
+        self.answer(status, json.dumps(value).encode(),
+                    {"Content-Type": "application/json", **(headers or {})})
+
+    def head(self, status, length, headers=None):
+        """The bytes of an answer's head; without a length the body is sent in chunks."""
+        lines = [f"HTTP/1.1 {status} {self.responses.get(status, ('',))[0]}"]
+        framing = f"Content-Length: {length}" if length is not None else "Transfer-Encoding: chunked"
+        lines.append(framing)
+        lines += [f"{name}: {value}" for name, value in (headers or {}).items()]
+        return ("\r\n".join(lines) + "\r\n\r\n").encode()
+
+    def chunk(self, data):
+        self.wfile.write(f"{len(data):x}\r\n".encode() + data + b"\r\n")
+        self.wfile.flush()
+
+
+class Server(http.server.ThreadingHTTPServer):
+    daemon_threads = True
+    allow_reuse_address = True
+    request_queue_size = 256
+
+    def handle_error(self, *_):
+        """A connection that a fault has broken is not worth a line."""
