gateway: separate the answer to a copy order from sending it

Cause: copyRun held the order, its answer, the log line and the counter in one function, and the linter reports a const local in StreamSessionTest that keeps a move from happening. Change: runCopied handles the answer.

--- a/src/gateway/RequestRelay.cpp
+++ b/src/gateway/RequestRelay.cpp
@@ -200,33 +200,37 @@
 
 void RequestRelay::copyRun(const CopyRun &order)
 {
-    const auto endpoint = Endpoint::parse(order.from.info.address);
-    const auto ordered = [self = shared_from_this(), order](const Result<HttpResponse> &response) {
+    const auto hook = [self = shared_from_this(), order](const Result<HttpResponse> &response) {
         self->m_parts.queue.post([self, order, response] {
-            if (self->m_isFinished)
-                return;
-            auto handle = response ? self->m_parts.wire.decodeCopyOrder(response.value())
-                                   : Result<std::string>(response.error());
-            StructuredLog::info("runCopied",
-                                {{"request", self->m_request.id},
-                                 {"server", order.from.info.id},
-                                 {"copyTo", order.to.info.id},
-                                 {"error", handle ? "" : handle.error().message}});
-            self->m_parts.counters.add(handle ? "gateway_copies_total{outcome=\"made\"}"
-                                              : "gateway_copies_total{outcome=\"failed\"}");
-            std::optional<std::string> name;
-            if (handle)
-                name = std::move(handle).value();
-            self->perform(self->m_stream->copied(order, std::move(name), self->m_parts.clock()));
+            if (!self->m_isFinished)
+                self->runCopied(order, response);
         });
     };
+    const auto endpoint = Endpoint::parse(order.from.info.address);
     if (!endpoint)
-        return ordered(endpoint.error());
+        return hook(endpoint.error());
     ExchangeOptions options = ExchangeOptions::pooled();
     options.connectTimeout = connectTimeout;
     m_parts.http.request(endpoint.value(),
                          m_parts.wire.encodeCopyOrder(m_request.id, order.to.info.address),
-                         order.within, ordered, options);
+                         order.within, hook, options);
+}
+
+void RequestRelay::runCopied(const CopyRun &order, const Result<HttpResponse> &response)
+{
+    auto handle = response ? m_parts.wire.decodeCopyOrder(response.value())
+                           : Result<std::string>(response.error());
+    StructuredLog::info("runCopied",
+                        {{"request", m_request.id},
+                         {"server", order.from.info.id},
+                         {"copyTo", order.to.info.id},
+                         {"error", handle ? "" : handle.error().message}});
+    m_parts.counters.add(handle ? "gateway_copies_total{outcome=\"made\"}"
+                                : "gateway_copies_total{outcome=\"failed\"}");
+    std::optional<std::string> name;
+    if (handle)
+        name = std::move(handle).value();
+    perform(m_stream->copied(order, std::move(name), m_parts.clock()));
 }
 
 void RequestRelay::answeredByServers(std::span<const ServerReport> reports)
--- a/src/gateway/RequestRelay.h
+++ b/src/gateway/RequestRelay.h
@@ -57,6 +57,7 @@
     void logAttempt(const SendAttempt &next) const;
     void ask(const AskServers &question);
     void copyRun(const CopyRun &order);
+    void runCopied(const CopyRun &order, const Result<HttpResponse> &response);
     void answeredByServers(std::span<const ServerReport> reports);
     void headArrived(HttpResponse head);
     void bodyArrived(std::string_view bytes);
--- a/tests/decisions/StreamSessionTest.cpp
+++ b/tests/decisions/StreamSessionTest.cpp
@@ -345,7 +345,7 @@
     // A run that makes events and has lost the server that kept its copy.
     SendAttempt withoutCopy(StreamSession &session)
     {
-        const SendAttempt first = sent(started(session));
+        SendAttempt first = sent(started(session));
         m_event = 1;
         m_at = now + Ms(1000);
         session.event(m_event++, m_at);
