--- a/tools/lib/soak/world.py
+++ b/tools/lib/soak/world.py
@@ -23,20 +23,45 @@
 DRAIN_LIMIT_SECONDS = 5
 HEARTBEATS_MISSED_SECONDS = 1.5
 RESTART_SECONDS = 0.3
-PORTS = (12000, 32000)
 LIMITS = wire.limits(idle_ms=15000)
 
 
-def free_port():
-    """A port below those that the system gives to outgoing connections, which may come first."""
-    while True:
-        port = random.SystemRandom().randrange(*PORTS)
-        with socket.socket() as probe_socket:
-            try:
-                probe_socket.bind(("127.0.0.1", port))
-                return port
-            except OSError:
-                continue
+class Ports:
+    """Ports for one soak, from a block that it claims by listening on the block's first port.
+
+    The blocks lie below the ports that the system gives to outgoing connections.
+    """
+
+    FIRST = 12000
+    BLOCKS = 100
+    SIZE = 200
+
+    def __init__(self):
+        blocks = list(range(self.BLOCKS))
+        random.SystemRandom().shuffle(blocks)
+        self.claim = socket.socket()
+        for block in blocks:
+            first = self.FIRST + block * self.SIZE
+            if can_bind(self.claim, first):
+                self.claim.listen()
+                self.rest = iter(range(first + 1, first + self.SIZE))
+                return
+        raise RuntimeError("no block of ports is free")
+
+    def next(self):
+        for port in self.rest:
+            with socket.socket() as probe_socket:
+                if can_bind(probe_socket, port):
+                    return port
+        raise RuntimeError("the block of ports is used up")
+
+
+def can_bind(unbound, port):
+    try:
+        unbound.bind(("127.0.0.1", port))
+        return True
+    except OSError:
+        return False
 
 
 class Journal:
@@ -115,7 +140,7 @@
         self.zone = ZONES[index % len(ZONES)]
         self.slots = 16 if service == "engine" else 6
         self.route = f"server-{index}"
-        self.port = free_port()
+        self.port = world.ports.next()
         self.address = ""
         self.state = wire.READY
         self.sequence = 0
@@ -199,8 +224,8 @@
         self.route = f"callers-{index}"
         self.store_route = f"store-{index}"
         self.zone = ZONES[index % len(ZONES)]
-        self.port = free_port()
-        self.ready_port = free_port()
+        self.port = world.ports.next()
+        self.ready_port = world.ports.next()
         self.caller_port = 0
         self.store_port = 0
         self.is_changing = threading.Lock()
@@ -264,6 +289,7 @@
         self.random = random.Random(seed)
         self.journal = Journal(self.folder / "journal.jsonl")
         self.is_ending = False
+        self.ports = Ports()
         self.store = Store()
         self.gateways = [Gateway(self, index) for index in range(gateways)]
         services = ["engine"] * engines + ["register"] * registers
@@ -272,7 +298,7 @@
         self.accounts = {f"account-{index}": {f"key-{index}"} for index in range(4)}
         self.timeouts = {"streams": 25000, "writes": 5000, "reads": 5000}
         self.proxy = None
-        self.control_port = free_port()
+        self.control_port = self.ports.next()
 
     def start(self):
         self._start_proxy()
@@ -295,12 +321,12 @@
     def _start_proxy(self):
         routes = []
         for server in self.servers:
-            port = free_port()
+            port = self.ports.next()
             server.address = f"127.0.0.1:{port}"
             routes.append(f"--route={server.route}@{server.address}=127.0.0.1:{server.port}")
         for gateway in self.gateways:
-            gateway.caller_port = free_port()
-            gateway.store_port = free_port()
+            gateway.caller_port = self.ports.next()
+            gateway.store_port = self.ports.next()
             routes += [
                 f"--route={gateway.route}@127.0.0.1:{gateway.caller_port}=127.0.0.1:{gateway.port}",
                 f"--route={gateway.store_route}@127.0.0.1:{gateway.store_port}"
