decisions: release ordered copies that are not needed any more

Ruled out: releasing from the destructor of the session, which may run while the process is taken down. Change: RunCopy releases a dropped copy through a hook of the context, the relay drops it at the request's end, and the outcome is counted. A repeated order of the same copy releases nothing. The soak's files hold one part each, and its stand-in takes the release. Test unusedCopyIsReleased.

--- a/include/foxtailring/decisions/RunCopy.h
+++ b/include/foxtailring/decisions/RunCopy.h
@@ -4,6 +4,7 @@
 #include "foxtailring/decisions/BackendState.h"
 #include "foxtailring/decisions/CopyName.h"
 
+#include <functional>
 #include <optional>
 #include <string>
 
@@ -18,7 +19,10 @@
 class RunCopy
 {
 public:
-    explicit RunCopy(BackendTable &servers);
+    using ReleaseHook = std::function<void(const CopyName &)>;
+
+    /// \param release called for an ordered copy that is dropped unused; may be empty
+    RunCopy(BackendTable &servers, ReleaseHook release);
     ~RunCopy();
     RunCopy(const RunCopy &) = delete;
     RunCopy &operator=(const RunCopy &) = delete;
@@ -37,7 +41,10 @@
     std::optional<SendAttempt> take(TimePoint now);
 
 private:
+    void forget();
+
     BackendTable &m_servers;
+    const ReleaseHook m_release;
     std::optional<BackendState> m_keeper;
     std::optional<CopyName> m_ordered; ///< none: the copy grows by itself
     TimePoint m_placedAt;
--- a/include/foxtailring/decisions/StreamSession.h
+++ b/include/foxtailring/decisions/StreamSession.h
@@ -36,6 +36,8 @@
     ForwardAction asked(std::span<const ServerReport> reports, TimePoint now) override;
     /// \brief The run was copied as \a order says, and the copy has this handle; none: it failed.
     ForwardAction copied(const CopyRun &order, std::optional<std::string> handle, TimePoint now);
+    /// \brief The request has its end, whatever it is: no copy of its run is needed any more.
+    void dropCopy() { m_copy.drop(); }
     /// \brief Something was passed on to the caller, so that no other answer can be given.
     bool hasBegun() const { return m_hasBegun; }
     std::optional<std::int64_t> lastEventId() const { return m_lastEventId; }
--- a/include/foxtailring/gateway/BackendWire.h
+++ b/include/foxtailring/gateway/BackendWire.h
@@ -29,6 +29,7 @@
     std::function<HttpRequest(std::string_view requestId, const std::string &to)> encodeCopyOrder;
     /// Handle of the copy. Unavailable: there is none.
     std::function<Result<std::string>(const HttpResponse &)> decodeCopyOrder;
+    std::function<HttpRequest(const std::string &handle)> encodeCopyRelease;
     /// Headers of the backend server's answer that the caller gets.
     std::function<std::vector<HttpHeader>(const HttpResponse &)> callerHeaders;
 };
--- a/src/decisions/RunCopy.cpp
+++ b/src/decisions/RunCopy.cpp
@@ -14,14 +14,16 @@
 
 } // namespace
 
-RunCopy::RunCopy(BackendTable &servers)
+RunCopy::RunCopy(BackendTable &servers, ReleaseHook release)
     : m_servers(servers)
+    , m_release(std::move(release))
 {
 }
 
+// Nothing is sent any more when the process ends.
 RunCopy::~RunCopy()
 {
-    drop();
+    forget();
 }
 
 void RunCopy::grow(const BackendState &keeper)
@@ -33,12 +35,23 @@
 
 void RunCopy::place(const BackendState &keeper, CopyName name, TimePoint now)
 {
+    // An order that is repeated has the same copy brought up to date.
+    if (m_ordered && m_ordered->handle == name.handle)
+        forget();
     grow(keeper);
     m_ordered = std::move(name);
     m_placedAt = now;
 }
 
+// An engine keeps a place for an ordered copy until it lapses, even when the run has ended.
 void RunCopy::drop()
+{
+    if (m_ordered && m_release)
+        m_release(*m_ordered);
+    forget();
+}
+
+void RunCopy::forget()
 {
     if (m_keeper)
         m_servers.endCopy(m_keeper->info.id);
@@ -68,7 +81,7 @@
     SendAttempt attempt;
     attempt.server = *m_servers.server(m_keeper->info.id, now);
     attempt.fromCopy = m_ordered ? *m_ordered : CopyName {attempt.server.info.address, {}};
-    drop();
+    forget();
     return attempt;
 }
 
--- a/src/decisions/StreamSession.cpp
+++ b/src/decisions/StreamSession.cpp
@@ -58,7 +58,7 @@
                              const ForwardContext &context, Engines engines)
     : ForwardSession(route, request, context)
     , m_engines(engines)
-    , m_copy(context.servers)
+    , m_copy(context.servers, context.releaseCopy)
     , m_lastEventId(request.lastEventId)
 {
 }
--- a/src/gateway/GatewayParts.cpp
+++ b/src/gateway/GatewayParts.cpp
@@ -1,5 +1,8 @@
 #include "GatewayParts.h"
 
+#include "foxtailring/decisions/CopyName.h"
+#include "foxtailring/transport/Endpoint.h"
+
 namespace foxtailring {
 
 namespace {
@@ -13,6 +16,8 @@
 // seconds leaves room for 37 gateways that use it up at the same time.
 constexpr RetryBudget::Settings retrySettings {0.75, 0.4};
 
+constexpr std::chrono::milliseconds releaseWithin {500};
+
 } // namespace
 
 GatewayParts::GatewayParts(GatewaySettings gatewaySettings, BackendWire backendWire)
@@ -29,4 +34,24 @@
 {
 }
 
+ForwardContext GatewayParts::forwardContext()
+{
+    return {servers, placer, retries,
+            rhythm,  random, [this](const CopyName &copy) { releaseCopy(copy); }};
+}
+
+void GatewayParts::releaseCopy(const CopyName &copy)
+{
+    const auto endpoint = Endpoint::parse(copy.address);
+    if (!endpoint)
+        return;
+    const auto hook = [this](const Result<HttpResponse> &response) {
+        const bool isReleased = response && response.value().status < 300;
+        counters.add(isReleased ? "gateway_copies_total{outcome=\"released\"}"
+                                : "gateway_copies_total{outcome=\"releaseFailed\"}");
+    };
+    http.request(endpoint.value(), wire.encodeCopyRelease(copy.handle), releaseWithin, hook,
+                 ExchangeOptions::pooled());
+}
+
 } // namespace foxtailring
--- a/src/gateway/GatewayParts.h
+++ b/src/gateway/GatewayParts.h
@@ -29,7 +29,9 @@
     GatewayParts(const GatewayParts &) = delete;
     GatewayParts &operator=(const GatewayParts &) = delete;
 
-    ForwardContext forwardContext() { return {servers, placer, retries, rhythm, random}; }
+    ForwardContext forwardContext();
+    /// Tells the engine that made the copy; without an answer the copy lapses by itself.
+    void releaseCopy(const CopyName &copy);
 
     const GatewaySettings settings;
     const BackendWire wire;
--- a/src/gateway/RequestRelay.cpp
+++ b/src/gateway/RequestRelay.cpp
@@ -407,6 +407,8 @@
 {
     m_isFinished = true;
     m_timer.cancel();
+    if (m_stream)
+        m_stream->dropCopy();
     m_parts.counters.observeSeconds(
         m_stream ? "gateway_answer_seconds{kind=\"stream\"}"
                  : "gateway_answer_seconds{kind=\"call\"}",
--- a/tests/decisions/ForwardFixture.h
+++ b/tests/decisions/ForwardFixture.h
@@ -76,7 +76,12 @@
         return std::get<Refuse>(action);
     }
 
-    ForwardContext context() { return {servers, placer, retries, rhythm, random}; }
+    ForwardContext context()
+    {
+        return {servers, placer, retries,
+                rhythm,  random, [this](const CopyName &copy) {
+                    released.push_back(copy.handle); }};
+    }
     ForwardRequest request() const { return {now, Ms(5000), 8000, 600, std::nullopt}; }
 
     TimePoint now {std::chrono::hours(1)};
@@ -84,6 +89,7 @@
     BackendPlacer placer {servers, "a", {{"a", "ra"}, {"b", "rb"}, {"c", "rc"}}, {}};
     RetryBudget retries {RetryBudget::Settings {0.5, 5}};
     EngineRhythm rhythm;
+    std::vector<std::string> released; ///< handles of copies
     RandomSource random {7};
 };
 
--- a/tests/decisions/StreamSessionTest.cpp
+++ b/tests/decisions/StreamSessionTest.cpp
@@ -25,6 +25,7 @@
     CPPUNIT_TEST(orderedCopyIsKeptAlive);
     CPPUNIT_TEST(failedCopyIsOrderedAgain);
     CPPUNIT_TEST(copyOfAnEarlierServerIsNotUsed);
+    CPPUNIT_TEST(unusedCopyIsReleased);
     CPPUNIT_TEST(runThatDidNotStartHasNoCopy);
     CPPUNIT_TEST(eventsAreInOrder);
     CPPUNIT_TEST(begunStreamIsCutWhenNothingIsLeft);
@@ -268,6 +269,26 @@
         CPPUNIT_ASSERT(sent(next).fromCopy.value().handle.empty());
     }
 
+    // Guards against slots that engines keep for runs that have ended (planoteca-norte trouble-2).
+    void unusedCopyIsReleased()
+    {
+        {
+            StreamSession session(m_route, request(), context(), movingEngines);
+            withoutCopy(session);
+            session.copied(nextOrder(session), "h1", m_at);
+            session.copied(nextOrder(session), "h1", m_at);
+            CPPUNIT_ASSERT(released.empty());
+            session.finished(m_at);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), released.size());
+        StreamSession session(m_route, request(), context(), movingEngines);
+        withoutCopy(session);
+        session.copied(nextOrder(session), "h2", m_at);
+        placed(session, session.ended(AttemptResult::Lost, m_at), m_at);
+        session.finished(m_at);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), released.size());
+    }
+
     // Guards against asking one server after the other for a copy that was never made
     // (planoteca-norte quiet-1, journal 6c434406).
     void runThatDidNotStartHasNoCopy()
--- a/tests/gateway/GatewayFixture.cpp
+++ b/tests/gateway/GatewayFixture.cpp
@@ -160,6 +160,9 @@
                     return Error {ErrorCode::Unavailable, "no copy"};
                 return response.body;
             },
+            [](const std::string &handle) {
+                return HttpRequest {"DELETE", "/copy/" + handle, {}, ""};
+            },
             [](const HttpResponse &response) { return response.headers; }};
 }
 
--- a/tests/platform/WireTest.cpp
+++ b/tests/platform/WireTest.cpp
@@ -93,6 +93,7 @@
         CPPUNIT_ASSERT_EQUAL(std::string("/kv-move"), order.target);
         CPPUNIT_ASSERT_EQUAL(std::string(R"({"id":"9c41","last":false,"to":"10.0.0.2:80"})"),
                              order.body);
+        CPPUNIT_ASSERT_EQUAL(std::string("/kv-handle/h7"), m_wire.encodeCopyRelease("h7").target);
         const auto made = m_wire.decodeCopyOrder({200, {}, R"({"handle":"h7","created":12})"});
         CPPUNIT_ASSERT_EQUAL(std::string("h7"), made.value());
         CPPUNIT_ASSERT(!m_wire.decodeCopyOrder({409, {}, "{}"}));
--- a/tools/lib/soak/backend.py
+++ b/tools/lib/soak/backend.py
@@ -60,6 +60,9 @@
             return self.report(handler)
         if handler.path == wire.COPY_PATH:
             return self.copy_run(handler, body)
+        if handler.path.startswith(wire.RELEASE_PREFIX):
+            self.log("released", handle=handler.path)
+            return handler.answer(200)
         if handler.path.startswith("/standin/"):
             return self.control(handler, json.loads(body))
         return self.admit(handler, body)
--- a/tools/lib/soak/checks.py
+++ b/tools/lib/soak/checks.py
@@ -4,7 +4,7 @@
 import json
 
 from .callers import NOT_RUN_STATUSES, METHODS
-from .world import (DRAIN_LIMIT_SECONDS, KEY_REVOCATION_SECONDS, LIST_NOTICE_SECONDS)
+from .limits import DRAIN_LIMIT_SECONDS, KEY_REVOCATION_SECONDS, LIST_NOTICE_SECONDS
 
 # Time that a crowded machine may add between an event and its line in a log.
 CLOCK_SLACK_SECONDS = 0.3
--- a/tools/lib/soak/http_standin.py
+++ b/tools/lib/soak/http_standin.py
@@ -20,6 +20,9 @@
     def do_POST(self):
         self._take()
 
+    def do_DELETE(self):
+        self._take()
+
     def _take(self):
         length = int(self.headers.get("Content-Length") or 0)
         body = self.rfile.read(length) if length else b""
--- /dev/null
+++ b/tools/lib/soak/journal.py
@@ -0,0 +1,25 @@
+"""What a soak did, with times."""
+
+import json
+import threading
+import time
+
+
+class Journal:
+    """What the soak did, for the checks and for whoever traces a failure."""
+
+    def __init__(self, path):
+        self.lock = threading.Lock()
+        self.entries = []
+        self.file = open(path, "w", buffering=1)
+
+    def note(self, event, **fields):
+        entry = {"at": time.monotonic(), "event": event, **fields}
+        with self.lock:
+            self.entries.append(entry)
+            self.file.write(json.dumps(entry) + "\n")
+        return entry["at"]
+
+    def of(self, *events):
+        with self.lock:
+            return [entry for entry in self.entries if entry["event"] in events]
--- /dev/null
+++ b/tools/lib/soak/server.py
@@ -0,0 +1,98 @@
+"""A backend server of the soak: its process and its entry in the store."""
+
+import http.client
+import json
+import sys
+import threading
+import time
+
+import wire
+from .limits import HEARTBEATS_MISSED_SECONDS, LIST_NOTICE_SECONDS, ROOT, ZONES
+from .ports import wait_for_port
+from .process import Process
+
+
+class Server:
+    """A backend server and its entry in the store."""
+
+    def __init__(self, world, index, service):
+        self.world = world
+        self.index = index
+        self.service = service
+        self.zone = ZONES[index % len(ZONES)]
+        self.slots = 16 if service == "engine" else 6
+        self.route = f"server-{index}"
+        self.port = world.ports.next()
+        self.address = ""
+        self.state = wire.READY
+        self.sequence = 0
+        self.starts = 0
+        self.name = ""
+        self.born_ms = 0
+        self.process = None
+        self.is_changing = threading.Lock()
+
+    def start(self):
+        """Starts anew under another id, as a server that was restarted does."""
+        self.starts += 1
+        self.name = f"i-{self.index}-{self.starts}"
+        self.born_ms = int(time.time() * 1000)
+        self.state = wire.READY
+        log = self.world.folder / f"server-{self.index}.jsonl"
+        self.process = Process(self.world.journal, self.name,
+                               [sys.executable, ROOT / "tools/lib/soak/backend.py", self.name,
+                                self.service, self.port, log],
+                               self.world.folder / f"server-{self.index}.log")
+        self.process.start()
+        wait_for_port(self.port)
+        self.publish()
+
+    def publish(self):
+        self.sequence += 1
+        self.world.store.put(wire.SERVER_PREFIX + self.name, wire.server_entry(self))
+        self.world.journal.note("listed", server=self.name, state=self.state)
+
+    def withdraw(self):
+        self.world.store.remove(wire.SERVER_PREFIX + self.name)
+        self.world.journal.note("withdrawn", server=self.name)
+
+    def crash(self, down_seconds):
+        """Ends without notice; the entry lapses when heartbeats have been missed."""
+        if not self.is_changing.acquire(blocking=False):
+            return
+        try:
+            name = self.name
+            self.process.kill()
+            self.world.journal.note("crashed", server=name)
+            time.sleep(min(down_seconds, HEARTBEATS_MISSED_SECONDS))
+            self.withdraw()
+            time.sleep(max(0, down_seconds - HEARTBEATS_MISSED_SECONDS))
+            if not self.world.is_ending:
+                self.start()
+        finally:
+            self.is_changing.release()
+
+    def leave(self):
+        """Leaves as planned: tells it, serves on for the notice, ends, and comes back."""
+        if not self.is_changing.acquire(blocking=False):
+            return
+        try:
+            self.state = wire.DRAINING
+            self.publish()
+            time.sleep(LIST_NOTICE_SECONDS + 2)
+            self.withdraw()
+            self.process.kill()
+            if not self.world.is_ending:
+                self.start()
+        finally:
+            self.is_changing.release()
+
+    def set_faults(self, faults):
+        connection = http.client.HTTPConnection("127.0.0.1", self.port, timeout=2)
+        try:
+            connection.request("POST", "/standin/faults", json.dumps(faults))
+            connection.getresponse().read()
+        except (OSError, http.client.HTTPException) as fault:
+            self.world.journal.note("faultNotSet", server=self.name, cause=str(fault))
+        finally:
+            connection.close()
--- a/tools/lib/soak/world.py
+++ b/tools/lib/soak/world.py
@@ -5,281 +5,18 @@
 import json
 import pathlib
 import random
-import signal
-import socket
-import subprocess
-import sys
 import threading
 import time
 
 import wire
+from .gateway import Gateway, probe
+from .journal import Journal
+from .limits import BUILD, IDLE_MS
+from .ports import Ports, wait_for_port
+from .process import Process
+from .server import Server
 from .store import Store
 
-ROOT = pathlib.Path(__file__).resolve().parent.parent.parent.parent
-BUILD = ROOT / "build"
-ZONES = ["north", "south", "west"]
-KEY_REVOCATION_SECONDS = 3
-LIST_NOTICE_SECONDS = 2
-DRAIN_LIMIT_SECONDS = 5
-HEARTBEATS_MISSED_SECONDS = 1.5
-RESTART_SECONDS = 0.3
-LIMITS = wire.limits(idle_ms=15000)
-
-
-class Ports:
-    """Ports for one soak, from a block that it claims by listening on the block's first port.
-
-    The blocks lie below the ports that the system gives to outgoing connections.
-    """
-
-    FIRST = 12000
-    BLOCKS = 100
-    SIZE = 200
-
-    def __init__(self):
-        blocks = list(range(self.BLOCKS))
-        random.SystemRandom().shuffle(blocks)
-        self.claim = socket.socket()
-        for block in blocks:
-            first = self.FIRST + block * self.SIZE
-            if can_bind(self.claim, first):
-                self.claim.listen()
-                self.rest = iter(range(first + 1, first + self.SIZE))
-                return
-        raise RuntimeError("no block of ports is free")
-
-    def next(self):
-        for port in self.rest:
-            with socket.socket() as probe_socket:
-                if can_bind(probe_socket, port):
-                    return port
-        raise RuntimeError("the block of ports is used up")
-
-
-def can_bind(unbound, port):
-    try:
-        unbound.bind(("127.0.0.1", port))
-        return True
-    except OSError:
-        return False
-
-
-class Journal:
-    """What the soak did, for the checks and for whoever traces a failure."""
-
-    def __init__(self, path):
-        self.lock = threading.Lock()
-        self.entries = []
-        self.file = open(path, "w", buffering=1)
-
-    def note(self, event, **fields):
-        entry = {"at": time.monotonic(), "event": event, **fields}
-        with self.lock:
-            self.entries.append(entry)
-            self.file.write(json.dumps(entry) + "\n")
-        return entry["at"]
-
-    def of(self, *events):
-        with self.lock:
-            return [entry for entry in self.entries if entry["event"] in events]
-
-
-class Process:
-    """A child that is ended by its id only."""
-
-    def __init__(self, journal, name, arguments, log):
-        self.journal = journal
-        self.name = name
-        self.arguments = [str(argument) for argument in arguments]
-        self.log = log
-        self.child = None
-        self.is_paused = False
-        self.lock = threading.RLock()
-
-    def start(self):
-        with self.lock:
-            self.child = subprocess.Popen(self.arguments, stdout=open(self.log, "ab"),
-                                          stderr=subprocess.STDOUT)
-            self.is_paused = False
-            self.journal.note("started", process=self.name)
-
-    def is_running(self):
-        return self.child is not None and self.child.poll() is None
-
-    def send(self, number):
-        with self.lock:
-            if self.is_running():
-                self.journal.note("signal", process=self.name, signal=number.name)
-                self.child.send_signal(number)
-
-    def pause(self):
-        with self.lock:
-            self.is_paused = True
-            self.send(signal.SIGSTOP)
-
-    def resume(self):
-        with self.lock:
-            if self.is_paused:
-                self.is_paused = False
-                self.send(signal.SIGCONT)
-
-    def kill(self):
-        with self.lock:
-            self.send(signal.SIGKILL)
-            if self.child is not None:
-                self.child.wait()
-
-
-class Server:
-    """A backend server and its entry in the store."""
-
-    def __init__(self, world, index, service):
-        self.world = world
-        self.index = index
-        self.service = service
-        self.zone = ZONES[index % len(ZONES)]
-        self.slots = 16 if service == "engine" else 6
-        self.route = f"server-{index}"
-        self.port = world.ports.next()
-        self.address = ""
-        self.state = wire.READY
-        self.sequence = 0
-        self.starts = 0
-        self.name = ""
-        self.born_ms = 0
-        self.process = None
-        self.is_changing = threading.Lock()
-
-    def start(self):
-        """Starts anew under another id, as a server that was restarted does."""
-        self.starts += 1
-        self.name = f"i-{self.index}-{self.starts}"
-        self.born_ms = int(time.time() * 1000)
-        self.state = wire.READY
-        log = self.world.folder / f"server-{self.index}.jsonl"
-        self.process = Process(self.world.journal, self.name,
-                               [sys.executable, ROOT / "tools/lib/soak/backend.py", self.name,
-                                self.service, self.port, log],
-                               self.world.folder / f"server-{self.index}.log")
-        self.process.start()
-        wait_for_port(self.port)
-        self.publish()
-
-    def publish(self):
-        self.sequence += 1
-        self.world.store.put(wire.SERVER_PREFIX + self.name, wire.server_entry(self))
-        self.world.journal.note("listed", server=self.name, state=self.state)
-
-    def withdraw(self):
-        self.world.store.remove(wire.SERVER_PREFIX + self.name)
-        self.world.journal.note("withdrawn", server=self.name)
-
-    def crash(self, down_seconds):
-        """Ends without notice; the entry lapses when heartbeats have been missed."""
-        if not self.is_changing.acquire(blocking=False):
-            return
-        try:
-            name = self.name
-            self.process.kill()
-            self.world.journal.note("crashed", server=name)
-            time.sleep(min(down_seconds, HEARTBEATS_MISSED_SECONDS))
-            self.withdraw()
-            time.sleep(max(0, down_seconds - HEARTBEATS_MISSED_SECONDS))
-            if not self.world.is_ending:
-                self.start()
-        finally:
-            self.is_changing.release()
-
-    def leave(self):
-        """Leaves as planned: tells it, serves on for the notice, ends, and comes back."""
-        if not self.is_changing.acquire(blocking=False):
-            return
-        try:
-            self.state = wire.DRAINING
-            self.publish()
-            time.sleep(LIST_NOTICE_SECONDS + 2)
-            self.withdraw()
-            self.process.kill()
-            if not self.world.is_ending:
-                self.start()
-        finally:
-            self.is_changing.release()
-
-    def set_faults(self, faults):
-        connection = http.client.HTTPConnection("127.0.0.1", self.port, timeout=2)
-        try:
-            connection.request("POST", "/standin/faults", json.dumps(faults))
-            connection.getresponse().read()
-        except (OSError, http.client.HTTPException) as fault:
-            self.world.journal.note("faultNotSet", server=self.name, cause=str(fault))
-        finally:
-            connection.close()
-
-
-class Gateway:
-    def __init__(self, world, index):
-        self.world = world
-        self.index = index
-        self.name = f"gateway-{index}"
-        self.route = f"callers-{index}"
-        self.store_route = f"store-{index}"
-        self.zone = ZONES[index % len(ZONES)]
-        self.port = world.ports.next()
-        self.ready_port = world.ports.next()
-        self.caller_port = 0
-        self.store_port = 0
-        self.is_changing = threading.Lock()
-        self.is_in_rotation = False
-        self.wants_running = True
-        self.process = None
-
-    def prepare(self):
-        settings = self.world.folder / f"{self.name}.yaml"
-        regions = ", ".join(f'"{zone}={zone}"' for zone in ZONES)
-        settings.write_text(
-            f"nodeId: {self.name}\navailabilityZone: {self.zone}\nregions: [{regions}]\n"
-            f"listen: 127.0.0.1:{self.port}\nready: 127.0.0.1:{self.ready_port}\n"
-            f"metrics: 127.0.0.1:0\nstore: 127.0.0.1:{self.store_port}\n"
-            f"keyRevocationMs: {KEY_REVOCATION_SECONDS * 1000}\n"
-            f"listNoticeMs: {LIST_NOTICE_SECONDS * 1000}\n"
-            f"drainLimitSeconds: {DRAIN_LIMIT_SECONDS}\n")
-        self.process = Process(self.world.journal, self.name,
-                               [BUILD / "apps/foxtailring-gateway", f"--config={settings}"],
-                               self.world.folder / f"{self.name}.log")
-
-    def restart(self, number):
-        """Ends the process by a signal and starts it again, as the platform does."""
-        if not self.is_changing.acquire(blocking=False):
-            return
-        try:
-            self.wants_running = False
-            self.process.resume()
-            self.process.send(number)
-            try:
-                code = self.process.child.wait(DRAIN_LIMIT_SECONDS)
-            except subprocess.TimeoutExpired:
-                self.world.journal.note("grace", process=self.name)
-                self.process.kill()
-                code = None
-            self.world.journal.note("exited", process=self.name, signal=number.name, code=code)
-            time.sleep(RESTART_SECONDS)
-            if not self.world.is_ending:
-                self.process.start()
-            self.wants_running = True
-        finally:
-            self.is_changing.release()
-
-
-def wait_for_port(port, seconds=10):
-    deadline = time.monotonic() + seconds
-    while time.monotonic() < deadline:
-        try:
-            socket.create_connection(("127.0.0.1", port), 0.5).close()
-            return
-        except OSError:
-            time.sleep(0.05)
-    raise RuntimeError(f"nothing listens on port {port}")
-
 
 class World:
     """Starts everything; close() ends it."""
@@ -362,7 +99,8 @@
         routes = [wire.route("streams", "engine", "streaming", self.timeouts["streams"], 1500, 700),
                   wire.route("writes", "register", "non_idempotent", self.timeouts["writes"], 300),
                   wire.route("reads", "register", "idempotent", self.timeouts["reads"], 300)]
-        self.store.put(wire.CONFIG_KEY, wire.config(version, routes, self.accounts, LIMITS))
+        self.store.put(wire.CONFIG_KEY, wire.config(version, routes, self.accounts,
+                                                     wire.limits(IDLE_MS)))
         return self.journal.note("config", version=version,
                                  keys=sorted(key for keys in self.accounts.values() for key in keys))
 
@@ -387,14 +125,3 @@
             if process is not None and process.is_running():
                 process.kill()
         self.store.server.shutdown()
-
-
-def probe(port):
-    connection = http.client.HTTPConnection("127.0.0.1", port, timeout=0.5)
-    try:
-        connection.request("GET", "/readyz")
-        return connection.getresponse().status == 200
-    except (OSError, http.client.HTTPException):
-        return False
-    finally:
-        connection.close()
