--- a/src/decisions/StreamSession.cpp
+++ b/src/decisions/StreamSession.cpp
@@ -176,7 +176,6 @@
 
 void StreamSession::placeCopy(SendAttempt &attempt, TimePoint now)
 {
-    m_copy.drop();
     attempt.copyTo = copyKeeper(attempt.server, now);
     if (attempt.copyTo)
         m_copy.grow(*attempt.copyTo);
--- a/src/gateway/GatewayParts.cpp
+++ b/src/gateway/GatewayParts.cpp
@@ -1,5 +1,6 @@
 #include "GatewayParts.h"
 
+#include "foxtailring/base/StructuredLog.h"
 #include "foxtailring/decisions/CopyName.h"
 #include "foxtailring/transport/Endpoint.h"
 
@@ -34,22 +35,33 @@
 {
 }
 
-ForwardContext GatewayParts::forwardContext()
+ForwardContext GatewayParts::forwardContext(const std::string &requestId)
 {
-    return {servers, placer, retries,
-            rhythm,  random, [this](const CopyName &copy) { releaseCopy(copy); }};
+    return {servers, placer,
+            retries, rhythm,
+            random,  [this, requestId](const CopyName &copy) {
+                releaseCopy(requestId, copy); }};
 }
 
-void GatewayParts::releaseCopy(const CopyName &copy)
+void GatewayParts::releaseCopy(const std::string &requestId, const CopyName &copy)
 {
-    const auto endpoint = Endpoint::parse(copy.address);
-    if (!endpoint)
-        return;
-    const auto hook = [this](const Result<HttpResponse> &response) {
+    const auto hook = [this, requestId,
+                       handle = copy.handle](const Result<HttpResponse> &response) {
         const bool isReleased = response && response.value().status < 300;
         counters.add(isReleased ? "gateway_copies_total{outcome=\"released\"}"
                                 : "gateway_copies_total{outcome=\"releaseFailed\"}");
+        if (isReleased)
+            return;
+        StructuredLog::info("copyNotReleased",
+                            {{"request", requestId},
+                             {"handle", handle},
+                             {"error",
+                              response ? "status " + std::to_string(response.value().status)
+                                       : response.error().message}});
     };
+    const auto endpoint = Endpoint::parse(copy.address);
+    if (!endpoint)
+        return hook(endpoint.error());
     http.request(endpoint.value(), wire.encodeCopyRelease(copy.handle), releaseWithin, hook,
                  ExchangeOptions::pooled());
 }
--- a/src/gateway/GatewayParts.h
+++ b/src/gateway/GatewayParts.h
@@ -29,9 +29,9 @@
     GatewayParts(const GatewayParts &) = delete;
     GatewayParts &operator=(const GatewayParts &) = delete;
 
-    ForwardContext forwardContext();
+    ForwardContext forwardContext(const std::string &requestId);
     /// Tells the engine that made the copy; without an answer the copy lapses by itself.
-    void releaseCopy(const CopyName &copy);
+    void releaseCopy(const std::string &requestId, const CopyName &copy);
 
     const GatewaySettings settings;
     const BackendWire wire;
--- a/src/gateway/RequestRelay.cpp
+++ b/src/gateway/RequestRelay.cpp
@@ -78,26 +78,21 @@
     request.promptTokens = m_request.promptTokens;
     request.outputTokens = m_request.outputTokens;
     request.lastEventId = m_request.lastEventId;
-    const ForwardContext context = m_parts.forwardContext();
+    const ForwardContext context = m_parts.forwardContext(m_request.id);
     if (m_route.kind != CallKind::Stream)
         return std::make_unique<CallSession>(m_route, request, context);
-    const auto keepsCopies = [this](const RouteTarget &target) {
-        const RoutedService *service = m_table->service(target.service);
-        return service && service->keepsCopies;
-    };
-    const auto isEngine = [this](const RouteTarget &target) {
-        const RoutedService *service = m_table->service(target.service);
-        return service && service->memoryTokens > 0;
-    };
-    const auto movesRuns = [this](const RouteTarget &target) {
-        const RoutedService *service = m_table->service(target.service);
-        return service && service->movesRuns;
+    const auto allServices = [this](auto property) {
+        return std::all_of(m_route.targets.begin(), m_route.targets.end(),
+                           [this, property](const RouteTarget &target) {
+                               const RoutedService *service = m_table->service(target.service);
+                               return service && property(*service);
+                           });
     };
     StreamSession::Engines engines;
-    engines.canMove = std::all_of(m_route.targets.begin(), m_route.targets.end(), movesRuns);
-    engines.keepCopies = std::all_of(m_route.targets.begin(), m_route.targets.end(), keepsCopies);
+    engines.keepCopies = allServices([](const RoutedService &one) { return one.keepsCopies; });
     engines.areAlike = m_table->engineServices() == 1;
-    engines.canBeAsked = std::all_of(m_route.targets.begin(), m_route.targets.end(), isEngine);
+    engines.canBeAsked = allServices([](const RoutedService &one) { return one.memoryTokens > 0; });
+    engines.canMove = allServices([](const RoutedService &one) { return one.movesRuns; });
     return std::make_unique<StreamSession>(m_route, request, context, engines);
 }
 
--- a/tests/transport/Http1ClientTest.cpp
+++ b/tests/transport/Http1ClientTest.cpp
@@ -8,6 +8,7 @@
 #include "RawPeer.h"
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <memory>
 
 #include <optional>
 
@@ -317,18 +318,13 @@
     void streamedConnectionIsReused()
     {
         RawServer server;
-        StreamEvents first;
-        const Endpoint endpoint {"127.0.0.1", server.port()};
-        m_client->stream(endpoint, {"GET", "/1", {}, ""}, first.hooks(), reusing());
-        RawPeer peer = server.accept();
-        peer.readUntil("\r\n\r\n");
-        peer.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
-        CPPUNIT_ASSERT(first.closed().isOk());
+        const auto peer = firstExchange(server, "");
         StreamEvents second;
-        m_client->stream(endpoint, {"GET", "/2", {}, ""}, second.hooks(), reusing());
-        const std::string request = peer.readUntil("\r\n\r\n");
+        m_client->stream({"127.0.0.1", server.port()}, {"GET", "/2", {}, ""}, second.hooks(),
+                         reusing());
+        const std::string request = peer->readUntil("\r\n\r\n");
         CPPUNIT_ASSERT(request.starts_with("GET /2"));
-        peer.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        peer->write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
         CPPUNIT_ASSERT(second.closed().isOk());
     }
 
@@ -336,15 +332,10 @@
     void connectionIsNotUsedAfterHalfOfItsKeepAlive()
     {
         RawServer server;
-        StreamEvents first;
-        const Endpoint endpoint {"127.0.0.1", server.port()};
-        m_client->stream(endpoint, {"GET", "/1", {}, ""}, first.hooks(), reusing());
-        RawPeer peer = server.accept();
-        peer.readUntil("\r\n\r\n");
-        peer.write("HTTP/1.1 200 OK\r\nKeep-Alive: timeout=0\r\nContent-Length: 0\r\n\r\n");
-        CPPUNIT_ASSERT(first.closed().isOk());
+        const auto peer = firstExchange(server, "Keep-Alive: timeout=0\r\n");
         StreamEvents second;
-        m_client->stream(endpoint, {"GET", "/2", {}, ""}, second.hooks(), reusing());
+        m_client->stream({"127.0.0.1", server.port()}, {"GET", "/2", {}, ""}, second.hooks(),
+                         reusing());
         RawPeer other = server.accept();
         CPPUNIT_ASSERT(other.readUntil("\r\n\r\n").starts_with("GET /2"));
     }
@@ -357,6 +348,19 @@
         return options;
     }
 
+    // A streamed answer without a body; returns the peer of the connection, which stays open.
+    std::unique_ptr<RawPeer> firstExchange(RawServer &server, const std::string &header)
+    {
+        StreamEvents first;
+        m_client->stream({"127.0.0.1", server.port()}, {"GET", "/1", {}, ""}, first.hooks(),
+                         reusing());
+        std::unique_ptr<RawPeer> peer(new RawPeer(server.accept()));
+        peer->readUntil("\r\n\r\n");
+        peer->write("HTTP/1.1 200 OK\r\n" + header + "Content-Length: 0\r\n\r\n");
+        CPPUNIT_ASSERT(first.closed().isOk());
+        return peer;
+    }
+
     void startServer(Http1Server::Handler handler)
     {
         m_server.emplace(*m_pool, Endpoint {"127.0.0.1", 0}, HttpLimits(), std::move(handler));
--- a/tools/lib/soak/backend.py
+++ b/tools/lib/soak/backend.py
@@ -19,6 +19,7 @@
 sys.path[:0] = [str(ROOT / "platform" / "standins"), str(ROOT / "tools" / "lib")]
 import wire  # noqa: E402
 from soak import http_standin  # noqa: E402
+from system import request as send_request  # noqa: E402
 
 SLOTS = {"engine": 16, "register": 6}
 EVENTS = 60
@@ -185,8 +186,7 @@
     """Tells the server that keeps the copy how many events the run has made."""
 
     def __init__(self, address, copy):
-        host, port = address.split(":")
-        self.target = (host, int(port))
+        self.port = int(address.split(":")[1])
         self.copy = copy
         self.sent_at = 0
 
@@ -197,15 +197,12 @@
         threading.Thread(target=self.send, args=(events,), daemon=True).start()
 
     def send(self, events):
-        connection = http.client.HTTPConnection(*self.target, timeout=1)
         try:
-            connection.request("POST", "/standin/copy",
-                               json.dumps({"copy": self.copy, "events": events}))
-            return connection.getresponse().status == 200
+            status, _ = send_request(self.port, "POST", "/standin/copy",
+                                     {"copy": self.copy, "events": events}, timeout=1)
+            return status == 200
         except (OSError, http.client.HTTPException):
             return False  # a run without a copy is something that the soak is to meet
-        finally:
-            connection.close()
 
 
 def main():
--- a/tools/lib/soak/checks.py
+++ b/tools/lib/soak/checks.py
@@ -4,7 +4,8 @@
 import json
 
 from .callers import NOT_RUN_STATUSES, METHODS
-from .limits import DRAIN_LIMIT_SECONDS, KEY_REVOCATION_SECONDS, LIST_NOTICE_SECONDS
+from .limits import (DRAIN_LIMIT_SECONDS, DRAIN_RESERVE_SECONDS, KEY_REVOCATION_SECONDS,
+                     LIST_NOTICE_SECONDS)
 
 # Time that a crowded machine may add between an event and its line in a log.
 CLOCK_SLACK_SECONDS = 0.3
@@ -19,6 +20,14 @@
 AFTER_LEAVING_SECONDS = 0.5
 GIVEN_UP_SHARE = 0.25
 MOST_DENIED = 5
+# What a fault of each kind can reach; those in no list reach everything.
+GATEWAY_FAULTS = ("gateway_killed", "gateway_terminated", "gateway_paused", "gateway_hangup",
+                  "callers_reset", "callers_slow")
+SERVER_FAULTS = ("server_crashed", "server_paused", "server_leaves", "server_fails",
+                 "link_silent", "link_reset", "link_slow", "link_one_way")
+CLOSE_HIDING_FAULTS = ("server_paused", "link_silent", "link_slow", "link_one_way")
+# A store that fails keeps no request from its end once the request was sent to a server.
+STORE_FAULTS = ("store_fails", "store_forgets", "store_cut", "config_changed", "key_withdrawn")
 
 Violation = collections.namedtuple("Violation", "rule text")
 Fault = collections.namedtuple("Fault", "kind gateway server starts_at ends_at")
@@ -54,9 +63,33 @@
         return [fault for fault in self.faults
                 if fault.starts_at < end and fault.ends_at + FAULT_REACH_SECONDS > start]
 
-    def is_calm(self, start, end, apart_from=()):
-        """No fault but the kinds named was at work around the given time."""
-        return all(fault.kind in apart_from for fault in self.faults_between(start, end))
+    def is_calm(self, attempt, end, apart_from=()):
+        """No fault but the kinds named touched the attempt's gateway or servers until the end."""
+        places = {place_of(run["server"]) for run in self.runs_of[attempt.request]}
+        return not any(fault.kind not in apart_from and touches(fault, attempt.gateway, places)
+                       for fault in self.faults_between(attempt.sent_at, end))
+
+
+    def hides_close(self, attempt, server, end):
+        """The server could not see that its connection was closed, or the gateway could not act."""
+        return any(fault.kind == "gateway_paused" and fault.gateway == attempt.gateway
+                   or fault.kind in CLOSE_HIDING_FAULTS
+                   and place_of(fault.server) == place_of(server)
+                   for fault in self.faults_between(attempt.sent_at, end))
+
+
+def place_of(server):
+    """What stays of a server's id when it starts anew."""
+    return server.rsplit("-", 1)[0]
+
+
+def touches(fault, gateway, places):
+    """Whether a fault may end or hold up a request at this gateway and these servers."""
+    if fault.kind in GATEWAY_FAULTS:
+        return fault.gateway == gateway
+    if fault.kind in SERVER_FAULTS:
+        return place_of(fault.server) in places
+    return fault.kind not in STORE_FAULTS
 
 
 def wrong_answers(evidence):
@@ -100,15 +133,16 @@
 
 
 def streams_run_at_one_server(evidence):
-    """The server before is left when a stream goes on elsewhere, unless a fault is in the way."""
+    """The server before is left when a stream goes on elsewhere, unless it cannot be told."""
     ends = {(record["request"], record["server"]): record["at"]
             for record in evidence.records if record["event"] == "ended"}
     for request, runs in evidence.runs_of.items():
+        attempt = evidence.attempts.get(request)
         for earlier, later in zip(runs, runs[1:]):
             end = ends.get((request, earlier["server"]))
             if end is None or end - later["at"] <= OVERLAP_SECONDS + CLOCK_SLACK_SECONDS:
                 continue
-            if evidence.is_calm(earlier["at"], end):
+            if attempt and not evidence.hides_close(attempt, earlier["server"], end):
                 yield Violation("runsAtOneServer", f"{request}: {earlier['server']} and "
                                                    f"{later['server']} for {end - later['at']:.2f} s")
 
@@ -156,7 +190,7 @@
 
 def planned_stops_cut_nothing(evidence):
     """A gateway that is stopped as planned finishes what it has read."""
-    planned = ("gateway_terminated", "gateways_rolled", "gateway_hangup", "config_changed")
+    planned = ("gateway_terminated", "gateways_rolled", "gateway_hangup")
     stops = [entry for entry in evidence.journal.of("signal") if entry["signal"] == "SIGTERM"]
     for attempt in evidence.attempts.values():
         if attempt.outcome != "broken" or not evidence.runs_of.get(attempt.request):
@@ -164,7 +198,7 @@
         is_near = any(stop["process"] == attempt.gateway
                       and attempt.sent_at - 3 < stop["at"] < attempt.ended_at for stop in stops)
         in_time = attempt.ended_at - attempt.sent_at < DRAIN_LIMIT_SECONDS * 5 / 6
-        if is_near and in_time and evidence.is_calm(attempt.sent_at, attempt.ended_at, planned):
+        if is_near and in_time and evidence.is_calm(attempt, attempt.ended_at, planned):
             yield Violation("plannedStop", f"{attempt.request} at {attempt.gateway} was cut")
 
 
@@ -174,7 +208,7 @@
         if record["event"] == "ended":
             ends[record["request"]] = record["at"]
     calm = [attempt for attempt in evidence.attempts.values()
-            if attempt.gave_up and evidence.is_calm(attempt.sent_at, attempt.ended_at + 1)]
+            if attempt.gave_up and evidence.is_calm(attempt, attempt.ended_at + 1)]
     late = [attempt for attempt in calm
             if ends.get(attempt.request, 0) > attempt.ended_at + AFTER_LEAVING_SECONDS
             + CLOCK_SLACK_SECONDS]
@@ -204,15 +238,23 @@
                 break
 
 
+def is_paused(journal, process, time):
+    """The latest signal of that kind before the time has stopped the process."""
+    latest = None
+    for entry in journal.of("signal"):
+        is_kind = entry["signal"] in ("SIGSTOP", "SIGCONT")
+        if is_kind and entry["process"] == process and entry["at"] <= time:
+            latest = entry["signal"]
+    return latest == "SIGSTOP"
+
+
 def gateways_stay_up(evidence):
-    """A process that was paused while it drained may run out of its grace (seed 58)."""
-    pauses = [entry for entry in evidence.journal.of("signal") if entry["signal"] == "SIGSTOP"]
+    """Only a process that is stopped when its drain is due may run out of its grace (seed 58)."""
     for entry in evidence.journal.of("exited"):
-        was_paused = any(pause["process"] == entry["process"]
-                         and entry["at"] - DRAIN_LIMIT_SECONDS <= pause["at"] < entry["at"]
-                         for pause in pauses)
-        is_unclean = entry["code"] is None and not was_paused or entry["code"] not in (None, 0)
-        if entry["signal"] == "SIGTERM" and is_unclean:
+        due_at = entry["at"] - DRAIN_RESERVE_SECONDS
+        may_overrun = is_paused(evidence.journal, entry["process"], due_at)
+        is_clean = entry["code"] == 0 or entry["code"] is None and may_overrun
+        if entry["signal"] == "SIGTERM" and not is_clean:
             yield Violation("cleanExit", f"{entry['process']} ended with {entry['code']}")
     for entry in evidence.journal.of("diedByItself", "faultFailed"):
         yield Violation("staysUp", json.dumps(entry))
@@ -229,8 +271,8 @@
 
 CHECKS = [wrong_answers, served_requests_ran, runs_are_as_sent, writes_run_once,
           refused_never_run, streams_run_at_one_server, withdrawn_keys_run_nothing,
-          proper_requests_are_allowed, leaving_servers_get_nothing, planned_stops_cut_nothing, given_up_work_ends,
-          retries_stay_in_budget, gateways_stay_up, service_recovers]
+          proper_requests_are_allowed, leaving_servers_get_nothing, planned_stops_cut_nothing,
+          given_up_work_ends, retries_stay_in_budget, gateways_stay_up, service_recovers]
 
 
 def violations(evidence):
--- a/tools/lib/soak/gateway.py
+++ b/tools/lib/soak/gateway.py
@@ -5,7 +5,8 @@
 import threading
 import time
 
-from .limits import (BUILD, DRAIN_LIMIT_SECONDS, KEY_REVOCATION_SECONDS, LIST_NOTICE_SECONDS,
+from system import BUILD
+from .limits import (DRAIN_LIMIT_SECONDS, KEY_REVOCATION_SECONDS, LIST_NOTICE_SECONDS,
                      RESTART_SECONDS, ZONES)
 from .process import Process
 
--- a/tools/lib/soak/server.py
+++ b/tools/lib/soak/server.py
@@ -1,13 +1,13 @@
 """A backend server of the soak: its process and its entry in the store."""
 
 import http.client
-import json
 import sys
 import threading
 import time
 
 import wire
-from .limits import HEARTBEATS_MISSED_SECONDS, LIST_NOTICE_SECONDS, ROOT, ZONES
+from system import ROOT, request
+from .limits import HEARTBEATS_MISSED_SECONDS, LIST_NOTICE_SECONDS, ZONES
 from .ports import wait_for_port
 from .process import Process
 
@@ -88,11 +88,8 @@
             self.is_changing.release()
 
     def set_faults(self, faults):
-        connection = http.client.HTTPConnection("127.0.0.1", self.port, timeout=2)
+        """A server that is down or paused meanwhile keeps the faults that it has."""
         try:
-            connection.request("POST", "/standin/faults", json.dumps(faults))
-            connection.getresponse().read()
+            request(self.port, "POST", "/standin/faults", faults, timeout=2)
         except (OSError, http.client.HTTPException) as fault:
             self.world.journal.note("faultNotSet", server=self.name, cause=str(fault))
-        finally:
-            connection.close()
--- a/tools/lib/soak/world.py
+++ b/tools/lib/soak/world.py
@@ -1,17 +1,16 @@
 """The processes of one soak: gateways, backend servers, their proxy and the store."""
 
-import http.client
 import itertools
-import json
 import pathlib
 import random
 import threading
 import time
 
 import wire
+from system import BUILD, request
 from .gateway import Gateway, probe
 from .journal import Journal
-from .limits import BUILD, IDLE_MS
+from .limits import IDLE_MS
 from .ports import Ports, wait_for_port
 from .process import Process
 from .server import Server
@@ -75,19 +74,17 @@
         wait_for_port(self.control_port)
 
     def set_link(self, route, faults):
-        connection = http.client.HTTPConnection("127.0.0.1", self.control_port, timeout=5)
-        connection.request("POST", f"/fake/routes/{route}", json.dumps(faults),
-                           {"Content-Type": "application/json"})
-        response = connection.getresponse()
-        text = response.read()
-        connection.close()
-        if response.status != 200:
-            raise RuntimeError(f"fault of {route}: {response.status} {text}")
+        status, text = request(self.control_port, "POST", f"/fake/routes/{route}", faults)
+        if status != 200:
+            raise RuntimeError(f"fault of {route}: {status} {text}")
 
     def take_faults_off(self):
         """Ends what a fault may have left on."""
         for gateway in self.gateways:
             gateway.process.resume()
+        for server in self.servers:
+            server.process.resume()
+            server.set_faults({})
         routes = [server.route for server in self.servers]
         for gateway in self.gateways:
             routes += [gateway.route, gateway.store_route]
--- a/tools/lib/system.py
+++ b/tools/lib/system.py
@@ -51,8 +51,8 @@
     raise RuntimeError(f"no {label!r} line from {process.args[0]}")
 
 
-def request(port, method, path, body=None, headers=None):
-    connection = http.client.HTTPConnection("127.0.0.1", port, timeout=10)
+def request(port, method, path, body=None, headers=None, timeout=10):
+    connection = http.client.HTTPConnection("127.0.0.1", port, timeout=timeout)
     connection.request(method, path, json.dumps(body) if body is not None else None,
                        headers or {"content-type": "application/json"})
     response = connection.getresponse()
