decisions: poll the store as often as proofs of the keys are needed

Change: PollPacing (decisions) says when to poll, for how long, and what an answer proves: one without changes that came when its wait was over was made then or later. Polls after changes wait for what is left until the next proof is due.

--- a/apps/foxtailring-gateway.cpp
+++ b/apps/foxtailring-gateway.cpp
@@ -5,7 +5,6 @@
 #include "KvClient.h"
 #include "Wire.h"
 
-#include <algorithm>
 #include <future>
 #include <iostream>
 
@@ -13,15 +12,11 @@
 
 using namespace foxtailring;
 
-// Each call is paid for, so polls wait as long as both bounds allow: a change is seen in time for
-// the list even if one poll is lost, and the latest proof of the keys is at most 0.38 of their time
-// old when the store goes away, so that they can be used for 0.6 of it after that.
-platform::KvClient::Settings pollSettings(const GatewaySettings &settings)
+platform::KvClient::Settings storeSettings(const GatewaySettings &settings)
 {
-    platform::KvClient::Settings polls;
-    polls.pollWait = std::min(settings.listNotice * 56 / 100, settings.keyRevocation * 28 / 100);
-    polls.batchPause = std::min(settings.listNotice / 5, settings.keyRevocation / 10);
-    return polls;
+    platform::KvClient::Settings store;
+    store.pacing = PollPacing::within(settings.listNotice, settings.keyRevocation);
+    return store;
 }
 
 int serve(const GatewaySettings &settings)
@@ -29,7 +24,7 @@
     std::promise<void> drained; // outlives the threads that set it
     const auto store = [&settings](WorkerPool &pool, Http1Client &http) {
         return std::make_unique<platform::KvClient>(pool, http, settings.store,
-                                                    pollSettings(settings));
+                                                    storeSettings(settings));
     };
     GatewayNode node(settings, platform::backendWire(), platform::listReader(), store);
     const auto listening = node.listen();
--- a/include/foxtailring/store/KeyFollowerHooks.h
+++ b/include/foxtailring/store/KeyFollowerHooks.h
@@ -17,8 +17,8 @@
     std::function<bool(const RangeResult &)> replaced;
     /// Changes in order, none of them reported before. False: reads everything again.
     std::function<bool(std::span<const WatchEvent>)> changed;
-    /// Everything up to \a askedAt has been reported, on the clock of bootClock(). Optional.
-    std::function<void(TimePoint askedAt)> confirmed;
+    /// Everything up to \a provedAt has been reported, on the clock of bootClock(). Optional.
+    std::function<void(TimePoint provedAt)> confirmed;
     /// The service stopped answering; runs once until followed() runs. Optional.
     std::function<void(const Error &)> lost;
     /// The service answers, at first or again. Optional.
--- a/include/foxtailring/store/WatchHooks.h
+++ b/include/foxtailring/store/WatchHooks.h
@@ -15,9 +15,10 @@
 {
     /// Changes up to and including a revision, in order.
     std::function<void(std::span<const WatchEvent>, std::int64_t revision)> changed;
-    /// The service has answered that changed() has reported everything up to the moment \a askedAt,
-    /// on a clock that counts suspended time. Optional; not every form of the service tells this.
-    std::function<void(TimePoint askedAt)> confirmed;
+    /// The service has answered that changed() has reported everything up to the moment \a
+    /// provedAt, on a clock that counts suspended time. Optional; not every form of the service
+    /// tells this.
+    std::function<void(TimePoint provedAt)> confirmed;
     /// Runs exactly once. Stale: the start revision is compacted, read everything again.
     std::function<void(Error)> ended;
 };
