gateway: let requests wait for the first read of a process that has just started

Change: StartIntake (decisions): requests that arrive before the first read wait for it, at most until startWaitMs (300) after the start and at most 200 of them; then they are refused at once as before. Line waitsForStart.

--- a/include/foxtailring/gateway/GatewaySettings.h
+++ b/include/foxtailring/gateway/GatewaySettings.h
@@ -26,6 +26,7 @@
 
     std::chrono::milliseconds keyRevocation {5000}; ///< a withdrawn key is refused after this
     std::chrono::milliseconds listNotice {2500};    ///< a leaving server gets no work after this
+    std::chrono::milliseconds startWait {300};      ///< requests wait this long for the first read
     std::chrono::milliseconds drainLimit {8000};    ///< from SIGTERM to the end of the process
 
     static Result<GatewaySettings> fromFile(const std::string &path);
--- a/src/gateway/CallerIntake.cpp
+++ b/src/gateway/CallerIntake.cpp
@@ -7,6 +7,8 @@
 #include "Refusal.h"
 #include "RequestRelay.h"
 
+#include <utility>
+
 namespace foxtailring {
 
 namespace {
@@ -44,6 +46,8 @@
 
 CallerIntake::CallerIntake(GatewayParts &parts)
     : m_parts(parts)
+    , m_start(parts.clock(), parts.settings.startWait)
+    , m_startTimer(parts.pool)
 {
 }
 
@@ -71,17 +75,38 @@
         StructuredLog::info("requestMalformed", {{"message", decoded.error().message}});
         return refuse(m_parts, *responder, "", 400, "malformed");
     }
-    const std::string id = decoded.value().id;
-    if (!m_parts.routes)
-        return refuse(m_parts, *responder, id, 503, "noConfiguration");
-    if (!m_parts.isListed)
-        return refuse(m_parts, *responder, id, 503, "noServerList");
-    serve(std::move(decoded).value(), std::move(responder), arrivedAt);
+    admit({std::move(decoded).value(), std::move(responder), arrivedAt});
+}
+
+void CallerIntake::admit(Arrival arrival)
+{
+    if (m_parts.routes && m_parts.isListed)
+        return serve(std::move(arrival));
+    if (m_start.mayWait(m_waiting.size(), m_parts.clock()))
+        return keep(std::move(arrival));
+    refuse(m_parts, *arrival.responder, arrival.request.id, 503,
+           m_parts.routes ? "noServerList" : "noConfiguration");
+}
+
+void CallerIntake::keep(Arrival arrival)
+{
+    StructuredLog::info("waitsForStart", {{"request", arrival.request.id}});
+    m_waiting.push_back(std::move(arrival));
+    if (m_waiting.size() > 1)
+        return;
+    const auto wait = std::chrono::ceil<milliseconds>(m_start.end() - m_parts.clock());
+    m_startTimer.once(wait, [this] { m_parts.queue.post([this] { storeRead(); }); });
+}
+
+void CallerIntake::storeRead()
+{
+    for (Arrival &arrival : std::exchange(m_waiting, {}))
+        admit(std::move(arrival));
 }
 
-void CallerIntake::serve(CallerRequest request, std::shared_ptr<Http1Responder> responder,
-                         TimePoint arrivedAt)
+void CallerIntake::serve(Arrival arrival)
 {
+    auto &[request, responder, arrivedAt] = arrival;
     const std::shared_ptr<const RouteTable> table = m_parts.routes;
     const HttpRoute *route = table->route(request.host, request.path);
     if (!route)
--- a/src/gateway/GatewayNode.cpp
+++ b/src/gateway/GatewayNode.cpp
@@ -80,6 +80,7 @@
         , drainTimer(parts.pool)
     {
         parts.servers.setHooks(trustHooks(parts));
+        watch.onConfirmed([this] { intake.storeRead(); });
         watch.onConfig([this] { callers.setLimits(httpLimits(parts.routes->config().limits)); });
     }
 
--- a/src/gateway/GatewaySettings.cpp
+++ b/src/gateway/GatewaySettings.cpp
@@ -62,6 +62,7 @@
         static_cast<std::size_t>(reader.integerOr("threads", threads, 1, mostThreads));
     readMs(reader, "keyRevocationMs", settings.keyRevocation);
     readMs(reader, "listNoticeMs", settings.listNotice);
+    readMs(reader, "startWaitMs", settings.startWait);
     settings.drainLimit = std::chrono::round<milliseconds>(std::chrono::duration<double>(
         reader.numberOr("drainLimitSeconds", 8, leastDrainSeconds, mostDrainSeconds)));
     const auto done = reader.finish();
--- a/src/gateway/StoreWatch.cpp
+++ b/src/gateway/StoreWatch.cpp
@@ -55,8 +55,12 @@
             [this, copy = std::vector<WatchEvent>(events.begin(), events.end())] { change(copy); });
         return true;
     };
-    hooks.confirmed = [this](TimePoint askedAt) {
-        onQueue([this, askedAt] { m_parts.keys.proved(askedAt); });
+    hooks.confirmed = [this](TimePoint provedAt) {
+        onQueue([this, provedAt] {
+            m_parts.keys.proved(provedAt);
+            if (m_confirmedHook)
+                m_confirmedHook();
+        });
     };
     hooks.lost = [this](const Error &error) {
         StructuredLog::warn("storeLost", {{"message", error.message}});
--- a/src/gateway/StoreWatch.h
+++ b/src/gateway/StoreWatch.h
@@ -19,6 +19,8 @@
 
     /// \brief \a hook runs on the queue after a configuration came into force.
     void onConfig(std::function<void()> hook) { m_configHook = std::move(hook); }
+    /// \brief \a hook runs on the queue whenever the store has shown that all is known.
+    void onConfirmed(std::function<void()> hook) { m_confirmedHook = std::move(hook); }
     void start();
     void stop();
 
@@ -35,6 +37,7 @@
     GatewayParts &m_parts;
     const ListReader m_reader;
     std::function<void()> m_configHook;
+    std::function<void()> m_confirmedHook;
     KeyFollower m_follower;
 };
 
--- a/tests/gateway/GatewayFixture.cpp
+++ b/tests/gateway/GatewayFixture.cpp
@@ -76,7 +76,7 @@
     startGateway(milliseconds(20'000));
 }
 
-void GatewayFixture::startGateway(milliseconds keyRevocation)
+void GatewayFixture::startGateway(milliseconds keyRevocation, milliseconds startWait)
 {
     m_gateway.reset();
     GatewaySettings settings;
@@ -86,6 +86,7 @@
     for (Endpoint *endpoint : {&settings.listen, &settings.ready, &settings.metrics})
         *endpoint = {"127.0.0.1", 0};
     settings.keyRevocation = keyRevocation;
+    settings.startWait = startWait;
     auto store = std::make_unique<ListedStore>();
     m_store = store.get();
     m_gateway.emplace(settings, wire(), reader(),
--- a/tests/gateway/GatewayFixture.h
+++ b/tests/gateway/GatewayFixture.h
@@ -60,7 +60,8 @@
 
 protected:
     /// \brief Replaces the gateway by one with this bound for withdrawn keys.
-    void startGateway(std::chrono::milliseconds keyRevocation);
+    void startGateway(std::chrono::milliseconds keyRevocation,
+                      std::chrono::milliseconds startWait = testDeadline);
     /// \brief Puts configuration and servers `a` and `b`, one a zone, in force.
     void serve();
     void call(const std::string &path, const std::string &key = "good");
--- a/tests/gateway/GatewayTest.cpp
+++ b/tests/gateway/GatewayTest.cpp
@@ -8,6 +8,7 @@
     CPPUNIT_TEST_SUITE(GatewayTest);
     CPPUNIT_TEST(answerIsPassedOn);
     CPPUNIT_TEST(withoutConfigurationNothingIsDenied);
+    CPPUNIT_TEST(requestWaitsForTheFirstRead);
     CPPUNIT_TEST(unknownKeyAndRouteAreDenied);
     CPPUNIT_TEST(keysAreNotUsedWithoutProof);
     CPPUNIT_TEST(callThatWasTurnedAwayGoesElsewhere);
@@ -35,6 +36,7 @@
     // Guards against a 404 or 401 from a process that knows no configuration yet.
     void withoutConfigurationNothingIsDenied()
     {
+        startGateway(std::chrono::milliseconds(20'000), std::chrono::milliseconds(1));
         CPPUNIT_ASSERT_EQUAL(503, readiness());
         call("/once/x");
         const HttpResponse answer = m_answers->take().value();
@@ -42,6 +44,18 @@
         CPPUNIT_ASSERT(!answer.header("Retry-After").empty());
     }
 
+    // Guards against refusals by processes that all start anew and are asked at once
+    // (planoteca-norte-large trouble-3, 92 refusals within 50 ms).
+    void requestWaitsForTheFirstRead()
+    {
+        // Sent first, it is taken before the answer of the store.
+        call("/once/x");
+        CPPUNIT_ASSERT_EQUAL(503, readiness());
+        serve();
+        m_arrived->take().responder->respond(signedAnswer("done"));
+        CPPUNIT_ASSERT_EQUAL(200, m_answers->take().value().status);
+    }
+
     void unknownKeyAndRouteAreDenied()
     {
         serve();
