decisions: send callers that come back to the engine that has their prompt

Cause: a caller whose gateway was killed comes back to another one with the number of its last event. Ruled out: the copy of the run (its name holds the lost attempt's id, which the new gateway does not know). Change: a prompt has eight homes among the engines, by rendezvous hashing, the same for every gateway (decision 0009). A caller that comes back is sent to the home that says it has the prompt. Placing prefers homes by two runs. PromptHomesTest plays two processes with different lists.

--- a/include/foxtailring/decisions/BackendPlacer.h
+++ b/include/foxtailring/decisions/BackendPlacer.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace foxtailring {
@@ -45,6 +46,9 @@
     /// at most in one availability zone, so that one that fails leaves others.
     std::vector<BackendState> runChoices(const PlacementRequest &request, std::size_t most,
                                          TimePoint now, RandomSource &random) const;
+    /// \brief Ids of the servers where a prompt is read as a rule, the same for every process.
+    std::vector<std::string> promptHomes(std::string_view service, std::string_view promptId,
+                                         TimePoint now) const;
     /// \brief Server that runs a stream.
     std::optional<BackendState> forRun(const PlacementRequest &request, TimePoint now,
                                        RandomSource &random) const;
--- a/include/foxtailring/decisions/ForwardAction.h
+++ b/include/foxtailring/decisions/ForwardAction.h
@@ -35,6 +35,12 @@
 /// \brief Ask engines how they are doing, beside an attempt under way.
 struct AskServers
 {
+    enum class Subject : std::uint8_t {
+        Load,   ///< load and runs
+        Prompt, ///< whether the request's prompt is in memory
+    };
+
+    Subject subject = Subject::Load;
     std::vector<BackendState> servers;
     std::chrono::milliseconds within {0}; ///< answers that take longer do not count
     /// On connections of their own: a kept-alive one may have gone silent by itself.
--- a/include/foxtailring/decisions/ForwardRequest.h
+++ b/include/foxtailring/decisions/ForwardRequest.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <string>
 
 namespace foxtailring {
 
@@ -12,6 +13,7 @@
 {
     TimePoint arrivedAt;
     std::optional<Duration> patience;        ///< how long the caller waits; none: not told
+    std::string promptId;                    ///< names a run's own prompt; empty: not told
     std::uint64_t promptTokens = 0;          ///< of a run; 0: not told
     std::uint64_t outputTokens = 0;          ///< at most, of a run
     std::optional<std::int64_t> lastEventId; ///< the caller has the stream up to this event
--- a/include/foxtailring/decisions/ServerReport.h
+++ b/include/foxtailring/decisions/ServerReport.h
@@ -15,6 +15,7 @@
     BackendLoadReport load;
     bool hasRun = false;         ///< it works on the request that the report was asked for
     std::int64_t eventsMade = 0; ///< by that run
+    bool hasPrompt = false;      ///< it has the prompt that it was asked for in memory
 };
 
 } // namespace foxtailring
--- a/include/foxtailring/decisions/StreamSession.h
+++ b/include/foxtailring/decisions/StreamSession.h
@@ -53,6 +53,9 @@
 
     ForwardAction renewCopy(TimePoint now);
     std::optional<BackendState> copyKeeper(const BackendState &runner, TimePoint now) const;
+    /// A caller that comes back has a prompt that some engine may still have in memory.
+    ForwardAction findPrompt(TimePoint now);
+    ForwardAction promptFound(std::span<const ServerReport> reports, TimePoint now);
     ForwardAction askChoices(TimePoint now);
     ForwardAction placeAmong(std::span<const ServerReport> reports, TimePoint now);
     ForwardAction sendRun(SendAttempt next, TimePoint now);
@@ -76,9 +79,11 @@
     TimePoint m_heardAt;      ///< latest sign of life of the present server
     TimePoint m_askedAt;
     bool m_isAsking = false;  ///< the present server was asked whether it lives
+    bool m_isFinding = false; ///< servers were asked for the prompt
     bool m_isPlacing = false; ///< servers were asked for their load
     bool m_isCopying = false; ///< the present server was told to copy the run
     TimePoint m_copyCheckAt = TimePoint::max();
+    std::vector<std::string> m_homes;    ///< ids of the servers where the prompt is read as a rule
     std::vector<std::string> m_choices;  ///< ids of the servers asked for their load
     std::vector<std::string> m_answered; ///< those of them that answered
     std::uint32_t m_promptsAhead = 0;    ///< most that the present server told
--- a/include/foxtailring/gateway/BackendWire.h
+++ b/include/foxtailring/gateway/BackendWire.h
@@ -25,6 +25,12 @@
     /// Malformed: not an engine's report. \a requestId: whose run is looked for in it.
     std::function<Result<ServerReport>(const HttpResponse &, std::string_view requestId)>
         decodeReport;
+    /// Question to an engine about the prompts that it has in memory.
+    std::function<HttpRequest()> encodePromptQuestion;
+    /// Malformed: not an engine's list of prompts. \a promptId: the prompt that is looked for in
+    /// it.
+    std::function<Result<ServerReport>(const HttpResponse &, std::string_view promptId)>
+        decodePrompts;
     /// Order to an engine to copy the memory of a request's run to the engine at \a to.
     std::function<HttpRequest(std::string_view requestId, const std::string &to)> encodeCopyOrder;
     /// Handle of the copy. Unavailable: there is none.
--- a/include/foxtailring/gateway/CallerRequest.h
+++ b/include/foxtailring/gateway/CallerRequest.h
@@ -19,6 +19,7 @@
     std::string key;                                   ///< of a client account; empty: none given
     std::optional<std::chrono::milliseconds> patience; ///< how long the caller waits
     std::optional<std::int64_t> lastEventId;
+    std::string promptId; ///< of the part of the prompt that no other has; empty: not told
     std::uint64_t promptTokens = 0;
     std::uint64_t outputTokens = 0;
 };
--- a/src/decisions/BackendPlacer.cpp
+++ b/src/decisions/BackendPlacer.cpp
@@ -2,6 +2,7 @@
 
 #include "foxtailring/base/RandomSource.h"
 #include "foxtailring/decisions/BackendTable.h"
+#include "foxtailring/decisions/RendezvousHash.h"
 
 #include <algorithm>
 
@@ -23,6 +24,10 @@
 // Beyond this part of its memory an engine preempts runs.
 constexpr double fullMemoryPart = 0.8;
 constexpr double fullMemoryCost = 10;
+// In units of one run: a run leaves the homes of its prompt when they are in trouble or busier.
+constexpr double awayCost = 2;
+// Enough for some of them to be idle and in zones that are sound.
+constexpr std::size_t promptHomeCount = 8;
 // Breaks ties between equal servers, so that entries that know the same do not choose the same.
 constexpr double runTieBreak = 1;
 constexpr double callTieBreak = 0.05;
@@ -80,6 +85,15 @@
     return choices;
 }
 
+std::vector<std::string> BackendPlacer::promptHomes(std::string_view service,
+                                                    std::string_view promptId, TimePoint now) const
+{
+    std::vector<std::string> ids;
+    for (const BackendState &server : m_table.candidates(service, now))
+        ids.push_back(server.info.id);
+    return RendezvousHash::rank(promptId, ids, promptHomeCount);
+}
+
 std::optional<BackendState> BackendPlacer::cheapest(const PlacementRequest &request,
                                                     const Pricing &pricing, TimePoint now,
                                                     RandomSource &random) const
@@ -104,6 +118,8 @@
             (this->*pricing.cost)(server) + trustCost(server) + pricing.tieBreak * random.unit();
         if (!request.avoidZone.empty() && server.info.availabilityZone == request.avoidZone)
             price += doubtfulCost;
+        if (!request.homes.empty() && !contains(request.homes, server.info.id))
+            price += awayCost;
         if (!request.answered.empty() && !contains(request.answered, server.info.id))
             price += unaskedCost;
         priced.emplace_back(price, std::move(server));
--- a/src/decisions/StreamSession.cpp
+++ b/src/decisions/StreamSession.cpp
@@ -105,7 +105,48 @@
     // The copy begins with the output: a prompt that is being read has none.
     auto next = m_hasEvents ? m_copy.take(now) : std::nullopt;
     m_copy.drop();
-    return next ? sendRun(std::move(*next), now) : askChoices(now);
+    if (next)
+        return sendRun(std::move(*next), now);
+    if (!request().promptId.empty())
+        m_homes = context().placer.promptHomes(service(), request().promptId, now);
+    const bool isReturning = tried().empty() && request().lastEventId;
+    return isReturning && m_engines.canBeAsked && !m_homes.empty() ? findPrompt(now)
+                                                                   : askChoices(now);
+}
+
+// The process that served the caller before was lost with all that it knew. Its engine has ended
+// the run, and keeps the prompt until the memory is needed.
+ForwardAction StreamSession::findPrompt(TimePoint now)
+{
+    AskServers ask;
+    ask.subject = AskServers::Subject::Prompt;
+    ask.within = placeWithin;
+    for (const std::string &id : m_homes) {
+        const auto server = context().servers.server(id, now);
+        if (server && server->trust == BackendTrust::Sound)
+            ask.servers.push_back(*server);
+    }
+    if (ask.servers.empty())
+        return askChoices(now);
+    m_isFinding = true;
+    m_askedAt = now;
+    return ask;
+}
+
+ForwardAction StreamSession::promptFound(std::span<const ServerReport> reports, TimePoint now)
+{
+    m_isFinding = false;
+    for (const ServerReport &report : reports)
+        context().servers.heard(report.serverId, now);
+    const auto holder = std::find_if(reports.begin(), reports.end(),
+                                     [](const ServerReport &report) { return report.hasPrompt; });
+    const auto server =
+        holder == reports.end() ? std::nullopt : context().servers.server(holder->serverId, now);
+    if (!server || server->info.isDraining)
+        return askChoices(now);
+    SendAttempt next;
+    next.server = *server;
+    return sendRun(std::move(next), now);
 }
 
 // Other processes place runs on the same servers, so their load is asked for rather than guessed.
@@ -171,6 +212,7 @@
     out.service = service();
     out.exclude = exclude;
     out.answered = m_answered;
+    out.homes = m_homes;
     return out;
 }
 
@@ -190,6 +232,7 @@
     exclude.push_back(runner.info.id);
     PlacementRequest beside = placement(exclude);
     beside.avoidZone = runner.info.availabilityZone;
+    beside.homes = {};
     return context().placer.forCopy(beside, now, context().random);
 }
 
@@ -261,6 +304,8 @@
 
 ForwardAction StreamSession::asked(std::span<const ServerReport> reports, TimePoint now)
 {
+    if (m_isFinding)
+        return promptFound(reports, now);
     ForwardSession::asked(reports, now);
     if (m_isPlacing)
         return placeAmong(reports, now);
@@ -304,7 +349,7 @@
 
 TimePoint StreamSession::silentAt() const
 {
-    if (m_isPlacing || !route().mayRepeat())
+    if (m_isPlacing || m_isFinding || !route().mayRepeat())
         return deadline();
     if (m_isAsking)
         return std::min(stuckAt(), m_askedAt + 2 * askWithin);
--- a/src/gateway/QuestionRound.cpp
+++ b/src/gateway/QuestionRound.cpp
@@ -1,27 +1,30 @@
 #include "QuestionRound.h"
 
-#include "foxtailring/decisions/ForwardAction.h"
+#include "foxtailring/gateway/CallerRequest.h"
 #include "foxtailring/transport/Endpoint.h"
 
 #include "GatewayParts.h"
 
 namespace foxtailring {
 
-QuestionRound::QuestionRound(GatewayParts &parts, std::string requestId, Hook hook)
+QuestionRound::QuestionRound(GatewayParts &parts, const CallerRequest &request, AskServers question,
+                             Hook hook)
     : m_parts(parts)
-    , m_requestId(std::move(requestId))
+    , m_requestId(request.id)
+    , m_promptId(request.promptId)
+    , m_question(std::move(question))
     , m_hook(std::move(hook))
 {
 }
 
-void QuestionRound::start(const AskServers &question)
+void QuestionRound::start()
 {
-    m_open = question.servers.size();
-    for (const BackendState &server : question.servers)
-        ask(server, question);
+    m_open = m_question.servers.size();
+    for (const BackendState &server : m_question.servers)
+        ask(server);
 }
 
-void QuestionRound::ask(const BackendState &server, const AskServers &question)
+void QuestionRound::ask(const BackendState &server)
 {
     const std::string id = server.info.id;
     const auto hook = [self = shared_from_this(), id](const Result<HttpResponse> &response) {
@@ -32,18 +35,26 @@
         return hook(endpoint.error());
     m_parts.counters.add("gateway_questions_total");
     ExchangeOptions options = ExchangeOptions::pooled();
-    options.connectTimeout = question.within;
-    if (question.onNewConnections)
+    options.connectTimeout = m_question.within;
+    if (m_question.onNewConnections)
         options.reuseWithin = std::chrono::milliseconds(0);
-    m_parts.http.request(endpoint.value(), m_parts.wire.encodeQuestion(), question.within, hook,
-                         options);
+    const bool isOfPrompt = m_question.subject == AskServers::Subject::Prompt;
+    HttpRequest request =
+        isOfPrompt ? m_parts.wire.encodePromptQuestion() : m_parts.wire.encodeQuestion();
+    m_parts.http.request(endpoint.value(), std::move(request), m_question.within, hook, options);
+}
+
+Result<ServerReport> QuestionRound::decode(const HttpResponse &response) const
+{
+    return m_question.subject == AskServers::Subject::Prompt
+        ? m_parts.wire.decodePrompts(response, m_promptId)
+        : m_parts.wire.decodeReport(response, m_requestId);
 }
 
 void QuestionRound::answered(const std::string &serverId, const Result<HttpResponse> &response)
 {
     --m_open;
-    auto report = response ? m_parts.wire.decodeReport(response.value(), m_requestId)
-                           : Result<ServerReport>(response.error());
+    auto report = response ? decode(response.value()) : Result<ServerReport>(response.error());
     if (report) {
         report.value().serverId = serverId;
         m_reports.push_back(std::move(report).value());
--- a/src/gateway/QuestionRound.h
+++ b/src/gateway/QuestionRound.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "foxtailring/base/Result.h"
+#include "foxtailring/decisions/ForwardAction.h"
 #include "foxtailring/decisions/ServerReport.h"
 
 #include <cstddef>
@@ -12,8 +13,8 @@
 
 namespace foxtailring {
 
-struct AskServers;
 struct BackendState;
+struct CallerRequest;
 struct GatewayParts;
 struct HttpResponse;
 
@@ -25,17 +26,21 @@
 public:
     using Hook = std::function<void(std::span<const ServerReport>)>;
 
-    /// \param requestId the request for whose run the engines are asked
-    QuestionRound(GatewayParts &parts, std::string requestId, Hook hook);
+    /// \param request whose run or prompt the engines are asked for
+    QuestionRound(GatewayParts &parts, const CallerRequest &request, AskServers question,
+                  Hook hook);
 
-    void start(const AskServers &question);
+    void start();
 
 private:
-    void ask(const BackendState &server, const AskServers &question);
+    void ask(const BackendState &server);
+    Result<ServerReport> decode(const HttpResponse &response) const;
     void answered(const std::string &serverId, const Result<HttpResponse> &response);
 
     GatewayParts &m_parts;
     const std::string m_requestId;
+    const std::string m_promptId;
+    const AskServers m_question;
     const Hook m_hook;
     std::vector<ServerReport> m_reports;
     std::size_t m_open = 0; ///< questions without an answer
--- a/src/gateway/RequestRelay.cpp
+++ b/src/gateway/RequestRelay.cpp
@@ -75,6 +75,7 @@
     ForwardRequest request;
     request.arrivedAt = arrivedAt;
     request.patience = m_request.patience;
+    request.promptId = m_request.promptId;
     request.promptTokens = m_request.promptTokens;
     request.outputTokens = m_request.outputTokens;
     request.lastEventId = m_request.lastEventId;
@@ -184,13 +185,13 @@
 {
     const std::uint64_t number = ++m_questions;
     const auto round = std::make_shared<QuestionRound>(
-        m_parts, m_request.id,
+        m_parts, m_request, question,
         [self = shared_from_this(), number](std::span<const ServerReport> reports) {
             if (self->m_isFinished || self->m_questions != number)
                 return;
             self->answeredByServers(reports);
         });
-    round->start(question);
+    round->start();
 }
 
 void RequestRelay::copyRun(const CopyRun &order)
@@ -235,7 +236,8 @@
         summary += report.serverId + " running " + std::to_string(report.load.running) + " waiting "
             + std::to_string(report.load.waiting) + " reading "
             + std::to_string(report.load.reading) + " events "
-            + (report.hasRun ? std::to_string(report.eventsMade) : "none") + "; ";
+            + (report.hasRun ? std::to_string(report.eventsMade) : "none")
+            + (report.hasPrompt ? " prompt; " : "; ");
     StructuredLog::info("serversAsked",
                         {{"request", m_request.id},
                          {"reports", summary},
--- /dev/null
+++ b/tests/decisions/PromptHomesTest.cpp
@@ -0,0 +1,139 @@
+#include "foxtailring/decisions/PlacementRequest.h"
+#include "foxtailring/decisions/StreamSession.h"
+
+#include "ForwardFixture.h"
+
+#include <algorithm>
+
+using namespace foxtailring;
+
+// Processes are lost while their callers' streams run, and others take the callers over.
+class PromptHomesTest : public ForwardFixture
+{
+    CPPUNIT_TEST_SUITE(PromptHomesTest);
+    CPPUNIT_TEST(otherProcessesKnowWhereAPromptWasRead);
+    CPPUNIT_TEST(promptsAreSpread);
+    CPPUNIT_TEST(homesInTroubleAreLeft);
+    CPPUNIT_TEST(returningCallerGoesToItsPrompt);
+    CPPUNIT_TEST(promptThatNobodyHasIsReadWhereItIsIdle);
+    CPPUNIT_TEST(newCallerIsNotLookedFor);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override
+    {
+        for (int zone = 0; zone < zones; ++zone) {
+            for (int number = 0; number < serversInZone; ++number) {
+                servers.put(server(zone, number), now);
+                // The other process has not heard of some servers yet.
+                if (number > 0)
+                    m_otherTable.put(server(zone, number), now);
+            }
+        }
+    }
+
+    // Guards against prompts that are read anew though an engine has them: their callers come back
+    // to any process (planoteca-norte-large trouble-3, 0.066 of the worth).
+    void otherProcessesKnowWhereAPromptWasRead()
+    {
+        constexpr int prompts = 200;
+        int known = 0;
+        for (int prompt = 0; prompt < prompts; ++prompt) {
+            const std::string id = "p" + std::to_string(prompt);
+            const std::string chosen = place(id);
+            const auto homes = m_otherPlacer.promptHomes("engine", id, now);
+            known += std::count(homes.begin(), homes.end(), chosen) > 0 ? 1 : 0;
+        }
+        CPPUNIT_ASSERT(known >= prompts * 85 / 100);
+    }
+
+    // Guards against homes that make a few engines the busiest.
+    void promptsAreSpread()
+    {
+        for (int prompt = 0; prompt < zones * serversInZone; ++prompt)
+            servers.startWork(place("p" + std::to_string(prompt)));
+        for (const BackendState &one : servers.candidates("engine", now))
+            CPPUNIT_ASSERT(one.inFlight <= 3);
+    }
+
+    // Guards against a run at a server that fails because its prompt belongs there.
+    void homesInTroubleAreLeft()
+    {
+        const auto homes = placer.promptHomes("engine", "p1", now);
+        for (const std::string &id : homes)
+            servers.failed(id, now);
+        CPPUNIT_ASSERT(std::count(homes.begin(), homes.end(), place("p1")) == 0);
+    }
+
+    void returningCallerGoesToItsPrompt()
+    {
+        StreamSession session(m_route, returning(), context(), engines);
+        const auto question = std::get<AskServers>(session.start(now));
+        CPPUNIT_ASSERT(question.subject == AskServers::Subject::Prompt);
+        const std::string holder = question.servers.back().info.id;
+        const ForwardAction next = session.asked(answers(question, holder), now);
+        CPPUNIT_ASSERT_EQUAL(holder, sent(next).server.info.id);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(40), sent(next).lastEventId.value());
+    }
+
+    void promptThatNobodyHasIsReadWhereItIsIdle()
+    {
+        StreamSession session(m_route, returning(), context(), engines);
+        const auto question = std::get<AskServers>(session.start(now));
+        const auto load = std::get<AskServers>(session.asked(answers(question, ""), now));
+        CPPUNIT_ASSERT(load.subject == AskServers::Subject::Load);
+        sent(session.asked(answers(load, ""), now));
+    }
+
+    // Guards against a question to engines for each new stream.
+    void newCallerIsNotLookedFor()
+    {
+        StreamSession session(m_route, request(), context(), engines);
+        CPPUNIT_ASSERT(std::get<AskServers>(session.start(now)).subject
+                       == AskServers::Subject::Load);
+    }
+
+private:
+    static constexpr int zones = 6;
+    static constexpr int serversInZone = 14;
+    static constexpr StreamSession::Engines engines {true, true, true, true};
+
+    static BackendInfo server(int zone, int number)
+    {
+        const std::string name(1, static_cast<char>('a' + zone));
+        return info(name + std::to_string(number), name);
+    }
+
+    // Server that a run of the prompt is sent to, when engines answer that they are idle.
+    std::string place(const std::string &prompt)
+    {
+        const auto homes = placer.promptHomes("engine", prompt, now);
+        PlacementRequest request;
+        request.service = "engine";
+        request.homes = homes;
+        return placer.runChoices(request, 4, now, random).front().info.id;
+    }
+
+    ForwardRequest returning() const
+    {
+        ForwardRequest one = request();
+        one.lastEventId = 40;
+        return one;
+    }
+
+    static std::vector<ServerReport> answers(const AskServers &question, const std::string &holder)
+    {
+        std::vector<ServerReport> reports;
+        for (const BackendState &one : question.servers) {
+            reports.push_back({one.info.id, {}, false, 0});
+            reports.back().hasPrompt = one.info.id == holder;
+        }
+        return reports;
+    }
+
+    const HttpRoute m_route = route(CallKind::Stream);
+    BackendTable m_otherTable;
+    BackendPlacer m_otherPlacer {m_otherTable, "b", {}, {}};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PromptHomesTest);
--- a/tests/gateway/GatewayFixture.cpp
+++ b/tests/gateway/GatewayFixture.cpp
@@ -153,6 +153,12 @@
                 report.hasRun = true;
                 return report;
             },
+            [] {
+                return HttpRequest {"GET", "/prompts", {}, ""};
+            },
+            [](const HttpResponse &, std::string_view) -> Result<ServerReport> {
+                return ServerReport {};
+            },
             [](std::string_view, const std::string &to) {
                 return HttpRequest {"POST", "/copy", {{"copy-to", to}}, ""};
             },
--- a/tests/platform/DocumentsTest.cpp
+++ b/tests/platform/DocumentsTest.cpp
@@ -45,6 +45,7 @@
     CPPUNIT_TEST(serverIsDecoded);
     CPPUNIT_TEST(entriesOfOtherWritersAreRefused);
     CPPUNIT_TEST(engineReportIsDecoded);
+    CPPUNIT_TEST(promptListIsDecoded);
     CPPUNIT_TEST(otherAnswersAreNoReport);
     CPPUNIT_TEST_SUITE_END();
 
@@ -109,6 +110,16 @@
         CPPUNIT_ASSERT(!platform::decodeReport(answer, "r3").value().hasRun);
     }
 
+    void promptListIsDecoded()
+    {
+        const HttpResponse answer {
+            200, {}, R"({"epoch":3,"next":9,"held":[["","91bd3f06",410,"m"],7,["",8]]})"};
+        CPPUNIT_ASSERT(platform::decodePrompts(answer, "91bd3f06").value().hasPrompt);
+        CPPUNIT_ASSERT(!platform::decodePrompts(answer, "e4402b7d").value().hasPrompt);
+        CPPUNIT_ASSERT(!platform::decodePrompts({200, {}, "{}"}, "91bd3f06").isOk());
+        CPPUNIT_ASSERT(!platform::decodePrompts({404, {}, ""}, "91bd3f06").isOk());
+    }
+
     void otherAnswersAreNoReport()
     {
         CPPUNIT_ASSERT(!platform::decodeReport({404, {}, ""}, "r").isOk());
--- a/tests/platform/WireTest.cpp
+++ b/tests/platform/WireTest.cpp
@@ -26,6 +26,7 @@
         CPPUNIT_ASSERT(request.patience == std::chrono::milliseconds(2500));
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(1460), request.promptTokens);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(80), request.outputTokens);
+        CPPUNIT_ASSERT_EQUAL(std::string("e4402b7d"), request.promptId);
         CPPUNIT_ASSERT_EQUAL(std::int64_t(12), *request.lastEventId);
     }
 
@@ -122,6 +123,7 @@
                  {"Last-Event-Id", "12"},
                  {"Model", "m"},
                  {"Token-Count", "1460,80"},
+                 {"Prompt-Prefix", "5c1e07a2:800, e4402b7d:250"},
                  {"Request-Deadline-Ms", "2500"},
                  {"Authorization", "Token secret"},
                  {"X-Own", "kept"}},
