gateway: bound what requests hold in memory together

Cause: an answer that never ends was kept up to 16 MiB for each request, so a hundred requests to servers in trouble took the process over the smallest VM's 160 MB; interim heads were read to the deadline; a question to an engine could be answered with 64 MiB; the answer to another request was read without end. Ruled out: a smaller bound for each answer alone, which either cuts large sound answers or does not bound a hundred of them. Counted are bodies, incomplete answers, parts of events and bytes that the caller has not read. Beyond it a request is refused 503 at once, an answer is given up and tried elsewhere where that is allowed. At most 16 other heads and 1 MiB of other answers before an answer; bounds for answers to questions and orders. Metrics gateway_held_bytes, gateway_too_large_total; line answerTooLarge. The soak's servers send without end in nine shapes (tools/lib/soak/endless.py). The soak's engines answer the question for prompts. A body that callers send is counted once it is read whole; up to then the limits of connections hold.

--- a/include/foxtailring/gateway/GatewaySettings.h
+++ b/include/foxtailring/gateway/GatewaySettings.h
@@ -23,6 +23,7 @@
     Endpoint metrics;                                        ///< /metrics, at an address of its own
     Endpoint store;                                          ///< the platform's key-value service
     std::size_t threads = 1;
+    std::size_t memoryMb = 160; ///< of the VM; a quarter of it is for what requests hold
 
     std::chrono::milliseconds keyRevocation {5000}; ///< a withdrawn key is refused after this
     std::chrono::milliseconds listNotice {2500};    ///< a leaving server gets no work after this
--- a/include/foxtailring/protocol/EventStreamReader.h
+++ b/include/foxtailring/protocol/EventStreamReader.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -23,6 +24,7 @@
     bool feed(std::string_view bytes, const EventHook &hook);
     /// \brief Part of an event was received and not its end.
     bool hasPartialEvent() const { return !m_pending.empty(); }
+    std::size_t pendingBytes() const { return m_pending.size(); }
 
 private:
     std::string m_pending;
--- a/include/foxtailring/transport/ExchangeOptions.h
+++ b/include/foxtailring/transport/ExchangeOptions.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstddef>
 
 namespace foxtailring {
 
@@ -13,6 +14,8 @@
     std::chrono::milliseconds reuseWithin {0};
     /// Unacknowledged bytes for this long end the connection; 0: the system's own limit.
     std::chrono::milliseconds acknowledgeWithin {0};
+    /// A whole answer with a larger body is an error; a streamed one has no bound here.
+    std::size_t mostBodyBytes = std::size_t(64) * 1024 * 1024;
 
     /// \brief Kept-alive connections as long as they are kept.
     static ExchangeOptions pooled()
--- a/src/gateway/GatewayParts.cpp
+++ b/src/gateway/GatewayParts.cpp
@@ -18,6 +18,9 @@
 constexpr RetryBudget::Settings retrySettings {0.75, 0.4};
 
 constexpr std::chrono::milliseconds releaseWithin {500};
+constexpr std::size_t mostReleaseBytes = 64 * 1024;
+// Part of the VM's memory for what requests hold; buffers of connections and lists need the rest.
+constexpr std::size_t memoryParts = 4;
 
 } // namespace
 
@@ -32,6 +35,7 @@
     , retries(retrySettings)
     , keys(settings.keyRevocation, keyMargin)
     , random(RandomSource::fromEntropy())
+    , memory(settings.memoryMb * 1024 * 1024 / memoryParts)
 {
 }
 
@@ -62,8 +66,10 @@
     const auto endpoint = Endpoint::parse(copy.address);
     if (!endpoint)
         return hook(endpoint.error());
+    ExchangeOptions options = ExchangeOptions::pooled();
+    options.mostBodyBytes = mostReleaseBytes;
     http.request(endpoint.value(), wire.encodeCopyRelease(copy.handle), releaseWithin, hook,
-                 ExchangeOptions::pooled());
+                 options);
 }
 
 } // namespace foxtailring
--- a/src/gateway/GatewayParts.h
+++ b/src/gateway/GatewayParts.h
@@ -8,6 +8,7 @@
 #include "foxtailring/decisions/EngineRhythm.h"
 #include "foxtailring/decisions/ForwardContext.h"
 #include "foxtailring/decisions/KeyFreshness.h"
+#include "foxtailring/decisions/MemoryBudget.h"
 #include "foxtailring/decisions/RetryBudget.h"
 #include "foxtailring/decisions/RouteTable.h"
 #include "foxtailring/gateway/BackendWire.h"
@@ -49,6 +50,7 @@
     EngineRhythm rhythm;
     KeyFreshness keys;
     RandomSource random;
+    MemoryBudget memory;
 };
 
 } // namespace foxtailring
--- a/src/gateway/GatewaySettings.cpp
+++ b/src/gateway/GatewaySettings.cpp
@@ -9,6 +9,8 @@
 using std::chrono::milliseconds;
 
 constexpr std::int64_t mostThreads = 64;
+constexpr std::int64_t leastMemoryMb = 32;
+constexpr std::int64_t mostMemoryMb = 1024 * 1024;
 constexpr std::int64_t hourMs = 3'600'000;
 constexpr double leastDrainSeconds = 1;
 constexpr double mostDrainSeconds = 3600;
@@ -60,6 +62,9 @@
     const auto threads = static_cast<std::int64_t>(settings.threads);
     settings.threads =
         static_cast<std::size_t>(reader.integerOr("threads", threads, 1, mostThreads));
+    const auto memoryMb = static_cast<std::int64_t>(settings.memoryMb);
+    settings.memoryMb = static_cast<std::size_t>(
+        reader.integerOr("memoryMb", memoryMb, leastMemoryMb, mostMemoryMb));
     readMs(reader, "keyRevocationMs", settings.keyRevocation);
     readMs(reader, "listNoticeMs", settings.listNotice);
     readMs(reader, "startWaitMs", settings.startWait);
--- a/src/gateway/QuestionRound.cpp
+++ b/src/gateway/QuestionRound.cpp
@@ -7,6 +7,13 @@
 
 namespace foxtailring {
 
+namespace {
+
+// A few hundred runs or parts of prompts.
+constexpr std::size_t mostReportBytes = 128 * 1024;
+
+} // namespace
+
 QuestionRound::QuestionRound(GatewayParts &parts, const CallerRequest &request, AskServers question,
                              Hook hook)
     : m_parts(parts)
@@ -35,6 +42,7 @@
         return hook(endpoint.error());
     m_parts.counters.add("gateway_questions_total");
     ExchangeOptions options = ExchangeOptions::pooled();
+    options.mostBodyBytes = mostReportBytes;
     options.connectTimeout = m_question.within;
     if (m_question.onNewConnections)
         options.reuseWithin = std::chrono::milliseconds(0);
--- a/src/gateway/RequestRelay.cpp
+++ b/src/gateway/RequestRelay.cpp
@@ -29,6 +29,9 @@
 constexpr milliseconds cautiousReuseWithin {1500};
 // Bounds what a faulty server can make this process hold.
 constexpr std::size_t mostWholeBytes = 16 * 1024 * 1024;
+// By then answers that are too large were given up.
+constexpr milliseconds memoryRetryAfter {500};
+constexpr std::size_t mostOrderBytes = 64 * 1024;
 constexpr std::size_t mostUnreadBytes = 1024 * 1024;
 constexpr milliseconds leastCheck {5};
 
@@ -66,6 +69,7 @@
     , m_arrivedAt(arrivedAt)
     , m_session(makeSession(arrivedAt))
     , m_stream(dynamic_cast<StreamSession *>(m_session.get()))
+    , m_memory(parts.memory)
     , m_timer(parts.pool)
 {
 }
@@ -101,6 +105,8 @@
 {
     m_responder->onDisconnect(
         [self = shared_from_this()] { self->m_parts.queue.post([self] { self->callerLeft(); }); });
+    if (!holdsInBudget("request"))
+        return refuse({503, memoryRetryAfter, "memory"});
     perform(m_session->start(m_parts.clock()));
 }
 
@@ -207,6 +213,7 @@
         return hook(endpoint.error());
     ExchangeOptions options = ExchangeOptions::pooled();
     options.connectTimeout = connectTimeout;
+    options.mostBodyBytes = mostOrderBytes;
     m_parts.http.request(endpoint.value(),
                          m_parts.wire.encodeCopyOrder(m_request.id, order.to.info.address),
                          order.within, hook, options);
@@ -270,7 +277,7 @@
 {
     if (!m_attempt.isStreamed) {
         m_attempt.body += bytes;
-        if (m_attempt.body.size() > mostWholeBytes)
+        if (m_attempt.body.size() > mostWholeBytes || !holdsInBudget("answer"))
             end(AttemptResult::Lost);
         return;
     }
@@ -279,10 +286,30 @@
         if (m_attempt.number == number && !m_isFinished)
             eventArrived(id, text);
     });
-    if (!isReadable && m_attempt.number == number)
+    if (m_isFinished || m_attempt.number != number)
+        return;
+    if (!isReadable || !holdsInBudget("stream"))
         end(AttemptResult::Lost);
 }
 
+bool RequestRelay::holdsInBudget(std::string_view what)
+{
+    const std::size_t bytes = m_request.http.body.size() + m_attempt.body.size()
+        + m_attempt.events.pendingBytes() + m_responder->pendingBytes();
+    const bool isAllowed = m_memory.hold(bytes);
+    m_parts.counters.setGauge("gateway_held_bytes", static_cast<double>(m_parts.memory.held()));
+    if (isAllowed)
+        return true;
+    m_parts.counters.add("gateway_too_large_total{what=\"" + std::string(what) + "\"}");
+    StructuredLog::warn("answerTooLarge",
+                        {{"request", m_request.id},
+                         {"what", std::string(what)},
+                         {"server", m_attempt.serverId},
+                         {"bytes", std::to_string(bytes)},
+                         {"heldByAll", std::to_string(m_parts.memory.held())}});
+    return false;
+}
+
 void RequestRelay::eventArrived(std::optional<std::int64_t> id, std::string_view text)
 {
     const TimePoint now = m_parts.clock();
--- a/src/gateway/RequestRelay.h
+++ b/src/gateway/RequestRelay.h
@@ -2,6 +2,7 @@
 
 #include "foxtailring/base/Result.h"
 #include "foxtailring/decisions/ForwardSession.h"
+#include "foxtailring/decisions/MemoryBudget.h"
 #include "foxtailring/decisions/RouteTable.h"
 #include "foxtailring/decisions/StreamSession.h"
 #include "foxtailring/gateway/CallerRequest.h"
@@ -61,6 +62,8 @@
     void answeredByServers(std::span<const ServerReport> reports);
     void headArrived(HttpResponse head);
     void bodyArrived(std::string_view bytes);
+    /// Notes what the request holds. False: it is more than it may, and \a what is given up.
+    bool holdsInBudget(std::string_view what);
     void eventArrived(std::optional<std::int64_t> id, std::string_view text);
     void closed(const Result<Done> &result);
     void streamEnded();
@@ -85,6 +88,7 @@
     const TimePoint m_arrivedAt;
     const std::unique_ptr<ForwardSession> m_session;
     StreamSession *const m_stream; ///< the session when the answer is a stream, else null
+    MemoryBudget::Share m_memory;
     Timer m_timer;
     Attempt m_attempt;
     std::uint64_t m_attempts = 0;
--- a/src/transport/Http1Client.cpp
+++ b/src/transport/Http1Client.cpp
@@ -14,9 +14,6 @@
 
 namespace {
 
-// Bounds what a faulty server can make this process hold.
-constexpr std::size_t maxWholeBodyBytes = 64 * 1024 * 1024;
-
 // Does not keep the exchange alive, so that a forgotten handle holds no connection.
 class StreamHandle : public Http1Stream
 {
@@ -42,6 +39,7 @@
     HttpResponse response;
     Http1Client::ResponseHook hook;
     std::weak_ptr<Http1ClientExchange> exchange;
+    std::size_t mostBodyBytes = 0;
     bool isTooLarge = false;
 
     void append(std::string_view bytes);
@@ -52,7 +50,7 @@
 {
     if (isTooLarge)
         return;
-    isTooLarge = response.body.size() + bytes.size() > maxWholeBodyBytes;
+    isTooLarge = response.body.size() + bytes.size() > mostBodyBytes;
     if (!isTooLarge)
         response.body += bytes;
     else if (const auto locked = exchange.lock())
@@ -138,6 +136,7 @@
     }
     const auto whole = std::make_shared<WholeResponse>();
     whole->hook = std::move(hook);
+    whole->mostBodyBytes = exchangeOptions.mostBodyBytes;
     const auto exchange =
         m_state->exchange(endpoint, std::move(request), exchangeOptions, timeout, collect(whole));
     whole->exchange = exchange;
--- a/src/transport/Http1ClientExchange.cpp
+++ b/src/transport/Http1ClientExchange.cpp
@@ -40,6 +40,10 @@
     return std::min(half, IdleConnections::idleTime);
 }
 
+// A server that sends more than this before its answer never comes to an end.
+constexpr int mostOtherHeads = 16;
+constexpr std::size_t mostForeignBytes = 1024 * 1024;
+
 bool isInterim(unsigned status)
 {
     return status >= 100 && status < 200;
@@ -194,6 +198,8 @@
 void Http1ClientExchange::nextResponse()
 {
     m_isForeign = false;
+    if (++m_otherHeads > mostOtherHeads)
+        return fail(ErrorCode::Malformed, "too many heads before the answer");
     resetParser();
     if (!m_input.empty())
         parse();
@@ -228,8 +234,12 @@
 {
     if (!m_headPassed && !m_isForeign)
         passHead();
-    if (bodySize > 0 && !m_isForeign)
+    if (!m_isForeign && bodySize > 0)
         runHook(m_hooks.body, std::string_view(m_body.data(), bodySize));
+    if (m_isForeign)
+        m_foreignBytes += bodySize;
+    if (m_foreignBytes > mostForeignBytes)
+        fail(ErrorCode::Malformed, "the answer to another request is too long");
 }
 
 void Http1ClientExchange::expired()
--- a/src/transport/Http1ClientExchange.h
+++ b/src/transport/Http1ClientExchange.h
@@ -75,6 +75,8 @@
     bool m_headPassed = false;
     bool m_isForeign = false; ///< the response being read answers another request
     bool m_complete = false;
+    int m_otherHeads = 0;           ///< before the answer: interim, or of other requests
+    std::size_t m_foreignBytes = 0; ///< of answers to other requests
     std::string m_input;
     std::array<char, 8192> m_chunk;
     std::array<char, 8192> m_body;
--- /dev/null
+++ b/tests/process/endless_answers.py
@@ -0,0 +1,104 @@
+"""A gateway before backend servers whose answers never end.
+
+usage: endless_answers.py
+
+Guards against a process that is killed for its memory by a few servers in trouble: a hundred requests
+at once meet an answer without end in each shape. The process stays below the smallest VM's memory,
+each request has an answer in time, and requests to a sound server are served meanwhile.
+"""
+
+import concurrent.futures
+import http.client
+import pathlib
+import re
+import sys
+import tempfile
+import time
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
+sys.path[:0] = [str(ROOT / "platform" / "standins"), str(ROOT / "tools" / "lib")]
+import wire  # noqa: E402
+from soak import endless  # noqa: E402
+from soak.world import World  # noqa: E402
+
+REQUESTS = 100
+SMALLEST_VM_MB = 160
+PATIENCE_SECONDS = 4
+# Time that a crowded machine may add.
+SLACK_SECONDS = 6
+
+
+def peak_mb(process):
+    status = pathlib.Path(f"/proc/{process.child.pid}/status").read_text()
+    return int(re.search(r"VmHWM:\s+(\d+)", status).group(1)) / 1024
+
+
+def call(world, path, request):
+    connection = http.client.HTTPConnection("127.0.0.1", world.gateways[0].port,
+                                            timeout=PATIENCE_SECONDS + SLACK_SECONDS)
+    headers = {"Host": "soak.example", wire.REQUEST_ID: request, wire.KEY: "Token key-0",
+               wire.DEADLINE: str(PATIENCE_SECONDS * 1000), wire.TOKENS: "8000,300"}
+    started_at = time.monotonic()
+    try:
+        connection.request("POST" if path.startswith("/streams") else "GET", path, headers=headers)
+        response = connection.getresponse()
+        body = response.read()
+        return response.status, body, time.monotonic() - started_at
+    except http.client.IncompleteRead:
+        return "cut", b"", time.monotonic() - started_at
+    except (OSError, http.client.HTTPException) as fault:
+        return repr(fault), b"", time.monotonic() - started_at
+    finally:
+        connection.close()
+
+
+def play(world, shape, path):
+    """Failures of one shape."""
+    for server in world.servers:
+        server.set_faults({shape: 1})
+    with concurrent.futures.ThreadPoolExecutor(REQUESTS) as pool:
+        calls = [pool.submit(call, world, path, f"{shape}-{path[1]}-{number}")
+                 for number in range(REQUESTS)]
+        answers = [one.result() for one in calls]
+    for server in world.servers:
+        server.set_faults({})
+    statuses = {status for status, _, _ in answers}
+    slowest = max(took for _, _, took in answers)
+    peak = peak_mb(world.gateways[0].process)
+    print(f"{path} {shape}: peak {peak:.0f} MB, slowest {slowest:.2f} s, {sorted(map(str, statuses))}")
+    # After a complete answer the bytes belong to nobody, and the answer stands.
+    allowed = {200} if shape == "endlessAfter" else {502, 503, 504, "cut"}
+    if shape in ("endlessAfter", "endlessTrailer"):
+        allowed = {200, 502, 503, 504, "cut"}
+    if peak >= SMALLEST_VM_MB:
+        yield f"{shape}: {peak:.0f} MB"
+    if not statuses <= allowed:
+        yield f"{shape}: {statuses - allowed}"
+    if slowest > PATIENCE_SECONDS + SLACK_SECONDS / 2:
+        yield f"{shape}: an answer after {slowest:.1f} s"
+
+
+def main():
+    failures = []
+    with tempfile.TemporaryDirectory() as folder:
+        world = World(folder, 1, gateways=1, engines=2, registers=2)
+        try:
+            world.start()
+            for shape in endless.SHAPES:
+                failures += play(world, shape, "/reads/x")
+                failures += play(world, shape, "/streams/x")
+            time.sleep(3)
+            status, _, _ = call(world, "/reads/x", "sound")
+            if status != 200:
+                failures.append(f"a sound server's answer afterwards: {status}")
+            if world.gateways[0].process.child.poll() is not None:
+                failures.append("the gateway has ended")
+        finally:
+            world.close()
+    for failure in failures:
+        print("FAILED", failure)
+    return 1 if failures else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/transport/Http1ClientTest.cpp
+++ b/tests/transport/Http1ClientTest.cpp
@@ -79,6 +79,9 @@
     CPPUNIT_TEST(responseToAnotherRequestIsReadOver);
     CPPUNIT_TEST(streamedConnectionIsReused);
     CPPUNIT_TEST(connectionIsNotUsedAfterHalfOfItsKeepAlive);
+    CPPUNIT_TEST(endlessInterimHeadsEndTheExchange);
+    CPPUNIT_TEST(endlessForeignAnswerEndsTheExchange);
+    CPPUNIT_TEST(largeWholeAnswerIsAnError);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -340,7 +343,60 @@
         CPPUNIT_ASSERT(other.readUntil("\r\n\r\n").starts_with("GET /2"));
     }
 
+    // Guards against a server that sends heads until the request's deadline.
+    void endlessInterimHeadsEndTheExchange()
+    {
+        RawServer server;
+        StreamEvents events;
+        const auto peer = answering(server, events, {});
+        for (int i = 0; i < 1000; ++i)
+            peer->write("HTTP/1.1 103 Early Hints\r\n\r\n");
+        CPPUNIT_ASSERT(events.closed().error().code == ErrorCode::Malformed);
+    }
+
+    // Guards against reading on and on what belongs to another request.
+    void endlessForeignAnswerEndsTheExchange()
+    {
+        RawServer server;
+        StreamEvents events;
+        StreamHooks hooks = events.hooks();
+        hooks.accepts = [](const HttpResponse &) { return false; };
+        const auto peer = answering(server, events, std::move(hooks));
+        peer->write("HTTP/1.1 200 OK\r\nContent-Length: 100000000\r\n\r\n");
+        const std::string piece(64 * 1024, 'x');
+        for (int i = 0; i < 32; ++i)
+            peer->write(piece);
+        CPPUNIT_ASSERT(events.closed().error().code == ErrorCode::Malformed);
+    }
+
+    // Guards against a short question whose answer fills the memory.
+    void largeWholeAnswerIsAnError()
+    {
+        RawServer server;
+        Mailbox<Result<HttpResponse>> answers;
+        ExchangeOptions options;
+        options.mostBodyBytes = 1000;
+        m_client->request(
+            {"127.0.0.1", server.port()}, {"GET", "/", {}, ""}, generous,
+            [&answers](Result<HttpResponse> answer) { answers.put(answer); }, options);
+        RawPeer peer = server.accept();
+        peer.readUntil("\r\n\r\n");
+        peer.write("HTTP/1.1 200 OK\r\nContent-Length: 5000\r\n\r\n" + std::string(2000, 'x'));
+        CPPUNIT_ASSERT(answers.take().error().code == ErrorCode::Malformed);
+    }
+
 private:
+    // Starts a stream and reads its request at the server.
+    std::unique_ptr<RawPeer> answering(RawServer &server, StreamEvents &events, StreamHooks hooks)
+    {
+        if (!hooks.closed)
+            hooks = events.hooks();
+        m_client->stream({"127.0.0.1", server.port()}, {"GET", "/", {}, ""}, std::move(hooks), {});
+        std::unique_ptr<RawPeer> peer(new RawPeer(server.accept()));
+        peer->readUntil("\r\n\r\n");
+        return peer;
+    }
+
     static ExchangeOptions reusing()
     {
         ExchangeOptions options;
--- a/tools/lib/soak/backend.py
+++ b/tools/lib/soak/backend.py
@@ -3,7 +3,7 @@
 usage: backend.py NAME SERVICE PORT LOG
 
 Writes a JSON line for each run to LOG, which outlives the process. POST /standin/faults sets
-probabilities: notRun, error, truncated, garbled, doubled, answerLost.
+probabilities: notRun, error, truncated, garbled, doubled, answerLost, and those of endless.py.
 """
 
 import hashlib
@@ -18,7 +18,7 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent.parent
 sys.path[:0] = [str(ROOT / "platform" / "standins"), str(ROOT / "tools" / "lib")]
 import wire  # noqa: E402
-from soak import http_standin  # noqa: E402
+from soak import endless, http_standin  # noqa: E402
 from system import request as send_request  # noqa: E402
 
 SLOTS = {"engine": 16, "register": 6}
@@ -59,6 +59,8 @@
     def serve(self, handler, body):
         if handler.path == wire.REPORT_PATH:
             return self.report(handler)
+        if handler.path == wire.PROMPTS_PATH:
+            return handler.answer_json(200, wire.prompts())
         if handler.path == wire.COPY_PATH:
             return self.copy_run(handler, body)
         if handler.path.startswith(wire.RELEASE_PREFIX):
@@ -137,6 +139,9 @@
         self.note_run(handler, request, body)
         time.sleep(CALL_SECONDS * random.uniform(0.5, 2))
         headers = self.answer_headers(request)
+        shape = next(filter(self.has_fault, endless.SHAPES), None)
+        if shape:
+            return endless.pour(handler, shape, headers)
         if self.has_fault("answerLost"):
             handler.close_connection = True
             return
@@ -167,6 +172,9 @@
             time.sleep(PROMPT_SECONDS * random.uniform(0.8, 2))
         self.note_run(handler, request, body, last=last, fromCopy=bool(copy_from))
         headers = self.answer_headers(request)
+        shape = next(filter(self.has_fault, endless.SHAPES), None)
+        if shape:
+            return endless.pour(handler, shape, {"Content-Type": "text/event-stream", **headers})
         handler.wfile.write(handler.head(200, None, {"Content-Type": "text/event-stream",
                                                      **headers}))
         copy_to = handler.headers.get(wire.COPY_TO)
--- /dev/null
+++ b/tools/lib/soak/endless.py
@@ -0,0 +1,46 @@
+"""Bytes that are no answer and have no end, for the stand-in of a backend server."""
+
+import itertools
+
+PIECE = b"x" * 65536
+# Where in an answer the bytes come.
+SHAPES = ["endlessChunks", "endlessClose", "endlessLength", "endlessExtension", "endlessHead",
+          "endlessTrailer", "endlessInterim", "endlessAfter", "endlessEvent"]
+
+
+def beginning(handler, shape, headers):
+    if shape == "endlessHead":
+        return b"HTTP/1.1 200 OK\r\nX-Long: "
+    if shape == "endlessInterim":
+        return b""
+    if shape == "endlessClose":
+        head = handler.head(200, 0, {**headers, "Connection": "close"})
+        return head.replace(b"Content-Length: 0\r\n", b"")
+    if shape == "endlessLength":
+        return handler.head(200, 10 ** 12, headers)
+    if shape == "endlessAfter":
+        return handler.head(200, 2, headers) + b"{}"
+    head = handler.head(200, None, headers)
+    if shape == "endlessExtension":
+        return head + b"5;long="
+    if shape == "endlessTrailer":
+        return head + b"2\r\n{}\r\n0\r\nX-Long: "
+    if shape == "endlessEvent":
+        return head + b"f\r\nid: 1\ndata: abc\r\n"
+    return head
+
+
+def piece(shape):
+    if shape == "endlessInterim":
+        return b"HTTP/1.1 103 Early Hints\r\n\r\n" * 1000
+    if shape in ("endlessChunks", "endlessEvent"):
+        return b"%x\r\n%s\r\n" % (len(PIECE), PIECE)
+    return PIECE
+
+
+def pour(handler, shape, headers):
+    """Sends until the caller closes the connection."""
+    handler.close_connection = True
+    handler.wfile.write(beginning(handler, shape, headers))
+    for _ in itertools.count():
+        handler.wfile.write(piece(shape))
--- a/tools/lib/soak/faults.py
+++ b/tools/lib/soak/faults.py
@@ -5,6 +5,8 @@
 import threading
 import time
 
+from . import endless
+
 MEAN_PAUSE_SECONDS = 0.9
 QUIET_START_SECONDS = 2
 LINK_SILENCE = {"silentExisting": True}
@@ -105,7 +107,8 @@
         server.leave()
 
     def server_fails(self, length, _gateway, server, luck):
-        names = ["notRun", "error", "truncated", "garbled", "doubled", "answerLost"]
+        names = ["notRun", "error", "truncated", "garbled", "doubled", "answerLost",
+                 *endless.SHAPES]
         server.set_faults({names[int(luck * len(names))]: 0.4})
         time.sleep(length)
         server.set_faults({})
