transport: answer requests that cross a planned stop

Cause: 3 s after SIGTERM the gateway closed its port and every idle connection at once, and ended as soon as no request was known: connections that waited to be accepted and requests that lay unread in the kernel were reset. Clients saw a closed connection for requests that they had sent whole, writes among them. Ruled out: the drain limit (all of them fell within 40 ms of 3.0 s, with seconds left). Change: before the port is closed the connections that wait are taken; idle connections are ended by a half close 0.3 s later, and requests that come until then are served with `Connection: close`; the process ends when no connection is left, or 0.8 s after the stop when none has a request. A connection whose handshake ends between the last accept and the close of the port is still reset.

--- a/include/foxtailring/transport/Http1Server.h
+++ b/include/foxtailring/transport/Http1Server.h
@@ -36,10 +36,12 @@
     void setLimits(HttpLimits limits);
     /// \brief Every response from now on closes its connection; new connections are still taken.
     void announceClose();
-    /// \brief Refuses new connections; open ones finish their request and then close.
+    /// \brief Refuses new connections. Open ones close after the request that is under way or that
+    /// comes within a moment; they get a response.
     void stopAccepting();
     /// \brief Closes every connection at once.
     void close();
+    std::size_t openConnections() const;
     /// \brief Requests whose response is not complete.
     std::size_t openRequests() const;
 
--- a/src/gateway/GatewayNode.cpp
+++ b/src/gateway/GatewayNode.cpp
@@ -23,6 +23,8 @@
 // The balancer needs two misses, one a second, before it sends no new connections.
 constexpr milliseconds acceptWhileDraining {3000};
 constexpr milliseconds drainCheck {50};
+// Connections taken at the last moment bring their request by then.
+constexpr milliseconds lastRequests {800};
 // Left of the drain limit for ending the process.
 constexpr milliseconds drainReserve {500};
 
@@ -120,7 +122,9 @@
     const auto age = parts.clock() - drainStartedAt;
     if (age >= acceptWhileDraining && !std::exchange(isStopping, true))
         callers.stopAccepting();
-    const bool isDone = isStopping && callers.openRequests() == 0;
+    const bool isQuiet =
+        callers.openConnections() == 0 || age >= acceptWhileDraining + lastRequests;
+    const bool isDone = isStopping && isQuiet && callers.openRequests() == 0;
     const bool isOverdue = age >= parts.settings.drainLimit - drainReserve;
     if (!isDone && !isOverdue)
         return;
--- a/src/transport/Http1Connection.cpp
+++ b/src/transport/Http1Connection.cpp
@@ -19,6 +19,9 @@
 // closing with unread input would make the kernel reset the connection and lose it.
 constexpr std::chrono::milliseconds drainTime {2000};
 
+// A caller whose request crosses the stop of the server is served when it comes by then.
+constexpr std::chrono::milliseconds lastRequestTime {300};
+
 // Pipelined input beyond this waits in the kernel; it also bounds chunk extensions.
 constexpr std::size_t inputSlack = 64 * 1024;
 
@@ -62,10 +65,8 @@
 void Http1Connection::stop()
 {
     net::post(m_socket.get_executor(), [self = shared_from_this()] {
-        const bool isIdle = self->m_phase == Phase::Request && self->m_input.empty()
-            && !(self->m_parser && self->m_parser->got_some());
-        if (isIdle)
-            self->closeNow();
+        if (self->isIdle())
+            self->armDeadline(lastRequestTime);
     });
 }
 
@@ -270,10 +271,24 @@
     m_deadline.async_wait([self = shared_from_this()](ErrorStatus status) {
         // A handler that was queued before the deadline moved finds an expiry in the future.
         if (!status && self->m_deadline.expiry() <= std::chrono::steady_clock::now())
-            self->closeNow();
+            self->expired();
     });
 }
 
+// An idle connection is ended so that its caller is not told of a reset.
+void Http1Connection::expired()
+{
+    if (isStopping() && isIdle())
+        drain();
+    else
+        closeNow();
+}
+
+bool Http1Connection::isIdle() const
+{
+    return m_phase == Phase::Request && m_input.empty() && !(m_parser && m_parser->got_some());
+}
+
 bool Http1Connection::isClosing() const
 {
     return m_shared->isStopping || m_shared->isClosing;
--- a/src/transport/Http1Connection.h
+++ b/src/transport/Http1Connection.h
@@ -30,7 +30,7 @@
 
     // Thread-safe.
     void start();
-    /// \brief Closes an idle connection; a busy one closes after its response.
+    /// \brief Closes after the present response; an idle connection after a moment.
     void stop();
     void close();
 
@@ -61,6 +61,9 @@
     void written(ErrorStatus status, std::size_t size);
     void responseWritten();
     void drain();
+    void expired();
+    /// Nothing of a request has arrived.
+    bool isIdle() const;
     void armDeadline(std::chrono::milliseconds delay);
 
     Socket m_socket;
--- a/src/transport/Http1Server.cpp
+++ b/src/transport/Http1Server.cpp
@@ -23,10 +23,11 @@
     const auto connection = std::make_shared<Http1Connection>(std::move(socket), shared);
     connections.add(connection);
     // Checked after add(), so that either this or close() sees the connection.
+    if (shared->isClosed)
+        return connection->close();
+    connection->start();
     if (shared->isStopping)
-        connection->close();
-    else
-        connection->start();
+        connection->stop();
 }
 
 Http1Server::Http1Server(WorkerPool &pool, const Endpoint &endpoint, HttpLimits limits,
@@ -64,6 +65,7 @@
 void Http1Server::stopAccepting()
 {
     m_state->shared->isStopping = true;
+    m_state->listener->takeWaiting();
     m_state->listener->close();
     for (const auto &connection : m_state->connections.all())
         connection->stop();
@@ -78,6 +80,11 @@
         connection->close();
 }
 
+std::size_t Http1Server::openConnections() const
+{
+    return m_state->connections.all().size();
+}
+
 std::size_t Http1Server::openRequests() const
 {
     return m_state->shared->openRequests;
--- a/src/transport/Listener.cpp
+++ b/src/transport/Listener.cpp
@@ -59,6 +59,22 @@
     m_retry.cancel();
 }
 
+// A connection that waits in the kernel would be reset with the request that its caller has sent.
+void Listener::takeWaiting()
+{
+    const std::lock_guard lock(m_mutex);
+    ErrorStatus status;
+    m_acceptor.non_blocking(true, status);
+    while (!status) {
+        Socket socket(net::make_strand(m_context));
+        m_acceptor.accept(socket, status);
+        if (status)
+            return;
+        tuneSocket(socket);
+        m_hook(std::move(socket));
+    }
+}
+
 void Listener::accept()
 {
     m_acceptor.async_accept(net::make_strand(m_context),
--- a/src/transport/Listener.h
+++ b/src/transport/Listener.h
@@ -23,6 +23,8 @@
 
     /// \brief Binds and accepts; returns the port. Unavailable when the address is taken.
     Result<std::uint16_t> listen();
+    /// \brief Takes the connections that wait to be accepted.
+    void takeWaiting();
     /// \brief Releases the port before it returns.
     void close();
 
--- /dev/null
+++ b/tests/process/planned_stop.py
@@ -0,0 +1,95 @@
+"""A gateway that is stopped as planned while callers press.
+
+usage: planned_stop.py
+
+Guards against requests that are cut off without an answer around SIGTERM: callers in a closed loop, half
+of them on connections that they keep, send reads and writes until the port is closed. Each request
+that was sent whole gets an answer. One that crosses the close of a kept connection that was idle does
+not count.
+"""
+
+import http.client
+import pathlib
+import signal
+import sys
+import tempfile
+import threading
+import time
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
+sys.path[:0] = [str(ROOT / "platform" / "standins"), str(ROOT / "tools" / "lib")]
+import wire  # noqa: E402
+from soak.world import World  # noqa: E402
+
+CALLERS = 80
+SECONDS_BEFORE = 1.5
+
+
+class Caller:
+    def __init__(self, port, number):
+        self.port = port
+        self.number = number
+        self.keeps = number % 2 == 0
+        self.answered = 0
+        self.cut = []
+        self.thread = threading.Thread(target=self.run, daemon=True)
+        self.thread.start()
+
+    def run(self):
+        connection = None
+        count = 0
+        while True:
+            count += 1
+            if connection is None:
+                connection = http.client.HTTPConnection("127.0.0.1", self.port, timeout=10)
+                try:
+                    connection.connect()
+                except OSError:
+                    return  # the port is closed: another process serves
+            if not self.ask(connection, f"stop-{self.number}-{count}"):
+                return
+            if not self.keeps or connection.sock is None:
+                connection.close()
+                connection = None
+
+    def ask(self, connection, request):
+        method, path = ("POST", "/writes/x") if self.number % 4 < 2 else ("GET", "/reads/x")
+        headers = {"Host": "soak.example", wire.REQUEST_ID: request, wire.KEY: "Token key-0",
+                   wire.DEADLINE: "4000"}
+        try:
+            connection.request(method, path, headers=headers)
+        except OSError as fault:
+            self.cut.append(f"{request} while it was sent: {fault!r}")
+            return False
+        try:
+            connection.getresponse().read()
+            self.answered += 1
+            return True
+        except (OSError, http.client.HTTPException) as fault:
+            self.cut.append(f"{request}: {fault!r}")
+            return False
+
+
+def main():
+    with tempfile.TemporaryDirectory() as folder:
+        world = World(folder, 1, gateways=1, engines=1, registers=4)
+        try:
+            world.start()
+            callers = [Caller(world.gateways[0].port, number) for number in range(CALLERS)]
+            time.sleep(SECONDS_BEFORE)
+            process = world.gateways[0].process
+            process.send(signal.SIGTERM)
+            code = process.child.wait(20)
+            for caller in callers:
+                caller.thread.join(10)
+        finally:
+            world.close()
+    cut = [line for caller in callers for line in caller.cut]
+    print(f"{sum(caller.answered for caller in callers)} answered, {len(cut)} cut, exit code {code}")
+    for line in cut[:20]:
+        print("CUT", line)
+    return 1 if cut or code != 0 else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/transport/Http1ServerTest.cpp
+++ b/tests/transport/Http1ServerTest.cpp
@@ -46,6 +46,7 @@
     CPPUNIT_TEST(droppedResponderAnswers500);
     CPPUNIT_TEST(abortSendsNoFinalChunk);
     CPPUNIT_TEST(stoppedServerFinishesItsRequest);
+    CPPUNIT_TEST(requestsThatCrossTheStopAreAnswered);
     CPPUNIT_TEST(closedServerReleasesItsPort);
     CPPUNIT_TEST(lineBreaksInHeadersAreNotSent);
     CPPUNIT_TEST(announcedCloseStillTakesConnections);
@@ -243,6 +244,27 @@
         CPPUNIT_ASSERT(answer.ends_with("done"));
     }
 
+    // Guards against requests, on new and on kept connections, that a planned stop cuts off without
+    // an answer.
+    void requestsThatCrossTheStopAreAnswered()
+    {
+        RawPeer kept(m_port);
+        kept.write(getRoot);
+        m_arrived.take().responder->respond({204, {}, {}});
+        kept.readUntil("\r\n\r\n");
+        RawPeer waiting(m_port);
+        waiting.write(getRoot);
+        kept.write(getRoot);
+        m_server->stopAccepting();
+        for (int i = 0; i < 2; ++i)
+            m_arrived.take().responder->respond({200, {}, "done"});
+        for (RawPeer *peer : {&kept, &waiting}) {
+            const std::string answer = peer->readAll();
+            CPPUNIT_ASSERT(contains(answer, "Connection: close"));
+            CPPUNIT_ASSERT(answer.ends_with("done"));
+        }
+    }
+
     // Guards against a restarted process that cannot bind its own port.
     void closedServerReleasesItsPort()
     {
