decisions: learn of restarts from reports, and ask the keeper of a copy beside a failure

Cause: at hundreds of machines a gateway has four or five streams under way, so it hears of few of the servers that a failing zone takes with it. Change: a report that tells of a later start than the listed one says that the server's runs and copies are gone (serverReplaced), for placing, for the present run and for copies. The keeper of a copy is asked when a server in its zone failed and it was not heard of since; without an answer, or after a restart, another copy is ordered. Three tests in StreamSessionTest.

--- a/include/foxtailring/decisions/BackendState.h
+++ b/include/foxtailring/decisions/BackendState.h
@@ -21,9 +21,11 @@
 {
     BackendInfo info;
     BackendTrust trust = BackendTrust::Sound;
-    std::uint32_t inFlight = 0; ///< requests of this process
-    std::uint32_t copies = 0;   ///< copies of runs that this process placed there
-    double failureRate = 0;     ///< of the recent answers to this process, from 0 to 1
+    bool isMisplaced = false;        ///< another server, or its next start, has its address
+    bool hasFailedNeighbour = false; ///< one in its zone failed, and it was not heard of since
+    std::uint32_t inFlight = 0;      ///< requests of this process
+    std::uint32_t copies = 0;        ///< copies of runs that this process placed there
+    double failureRate = 0;          ///< of the recent answers to this process, from 0 to 1
     std::optional<BackendLoadReport> load;
     Duration loadAge {0};
 };
--- a/include/foxtailring/decisions/BackendTable.h
+++ b/include/foxtailring/decisions/BackendTable.h
@@ -39,11 +39,13 @@
         Duration lapseGrace = std::chrono::milliseconds(2000);
     };
 
-    /// \brief What is told when the trust in a server changes. Both are optional.
+    /// \brief What is told when a belief about a server changes. All are optional.
     struct Hooks
     {
         std::function<void(const BackendInfo &, Duration avoidedFor)> suspected;
         std::function<void(const BackendInfo &)> trusted; ///< it was heard of while suspected
+        std::function<void(const BackendInfo &)>
+            replaced; ///< another one, or another start, is there
     };
 
     BackendTable();
@@ -77,6 +79,10 @@
     /// of the same service, until the list tells. Empty: not known, or not to be used.
     void replacedByOther(std::string_view id, std::string_view occupant, TimePoint now);
 
+    /// \brief The server at its address told when it started. True: that is another start than the
+    /// listed one, which has lost what it ran and kept.
+    bool isOtherStart(std::string_view id, std::int64_t startedAtMs);
+
     std::optional<BackendState> server(std::string_view id, TimePoint now) const;
     /// \brief Servers of \a service that may take new work, by id; suspected ones included.
     std::vector<BackendState> candidates(std::string_view service, TimePoint now) const;
@@ -114,6 +120,7 @@
     bool isKept(const Record &record, TimePoint now) const;
     void forgetLapsed(TimePoint now);
     void leaveAddressOf(const Record &latest);
+    void misplace(Record &record);
 
     const Settings m_settings;
     Hooks m_hooks;
--- a/include/foxtailring/decisions/StreamSession.h
+++ b/include/foxtailring/decisions/StreamSession.h
@@ -52,6 +52,8 @@
     ForwardAction expired(TimePoint now) override;
 
     ForwardAction renewCopy(TimePoint now);
+    ForwardAction askKeeper(const BackendState &keeper);
+    void keeperAsked(std::span<const ServerReport> reports, TimePoint now);
     std::optional<BackendState> copyKeeper(const BackendState &runner, TimePoint now) const;
     /// A caller that comes back has a prompt that some engine may still have in memory.
     ForwardAction findPrompt(TimePoint now);
@@ -78,10 +80,11 @@
     TimePoint m_firstEventAt; ///< of the present attempt
     TimePoint m_heardAt;      ///< latest sign of life of the present server
     TimePoint m_askedAt;
-    bool m_isAsking = false;  ///< the present server was asked whether it lives
-    bool m_isFinding = false; ///< servers were asked for the prompt
-    bool m_isPlacing = false; ///< servers were asked for their load
-    bool m_isCopying = false; ///< the present server was told to copy the run
+    bool m_isAsking = false;       ///< the present server was asked whether it lives
+    bool m_isFinding = false;      ///< servers were asked for the prompt
+    bool m_isPlacing = false;      ///< servers were asked for their load
+    bool m_isAskingKeeper = false; ///< the server that keeps the copy was asked whether it lives
+    bool m_isCopying = false;      ///< the present server was told to copy the run
     TimePoint m_copyCheckAt = TimePoint::max();
     std::vector<std::string> m_homes;    ///< ids of the servers where the prompt is read as a rule
     std::vector<std::string> m_choices;  ///< ids of the servers asked for their load
--- a/src/decisions/BackendTable.cpp
+++ b/src/decisions/BackendTable.cpp
@@ -1,6 +1,7 @@
 #include "foxtailring/decisions/BackendTable.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace foxtailring {
 
@@ -171,7 +172,7 @@
     Record *record = find(id);
     if (!record)
         return;
-    record->isMisplaced = true;
+    misplace(*record);
     const bool isAdopted = !occupant.empty() && m_isListLost && !find(occupant);
     if (!isAdopted)
         return;
@@ -186,6 +187,22 @@
     adopted.isLapsed = true;
 }
 
+bool BackendTable::isOtherStart(std::string_view id, std::int64_t startedAtMs)
+{
+    Record *record = find(id);
+    const bool isOther = record && startedAtMs > 0 && record->info.startedAtMs > 0
+        && startedAtMs > record->info.startedAtMs;
+    if (isOther)
+        misplace(*record);
+    return isOther;
+}
+
+void BackendTable::misplace(Record &record)
+{
+    if (!std::exchange(record.isMisplaced, true) && m_hooks.replaced)
+        m_hooks.replaced(record.info);
+}
+
 std::optional<BackendState> BackendTable::server(std::string_view id, TimePoint now) const
 {
     const auto found = m_records.find(id);
@@ -219,6 +236,9 @@
 {
     BackendState state;
     state.info = record.info;
+    state.isMisplaced = record.isMisplaced;
+    const auto failure = failures.find(record.info.availabilityZone);
+    state.hasFailedNeighbour = failure != failures.end() && record.heardAt < failure->second.first;
     state.inFlight = record.inFlight;
     state.copies = record.copies;
     state.failureRate = record.failureRate;
--- a/src/decisions/ForwardSession.cpp
+++ b/src/decisions/ForwardSession.cpp
@@ -152,6 +152,8 @@
 ForwardAction ForwardSession::asked(std::span<const ServerReport> reports, TimePoint now)
 {
     for (const ServerReport &report : reports) {
+        if (m_context.servers.isOtherStart(report.serverId, report.startedAtMs))
+            continue;
         m_context.servers.heard(report.serverId, now);
         m_context.servers.loadTold(report.serverId, report.load, now);
     }
--- a/src/decisions/RunCopy.cpp
+++ b/src/decisions/RunCopy.cpp
@@ -64,7 +64,8 @@
     if (!m_keeper)
         return false;
     const auto present = m_servers.server(m_keeper->info.id, now);
-    return present && !present->info.isDraining && present->trust != BackendTrust::Suspected;
+    return present && !present->info.isDraining && !present->isMisplaced
+        && present->trust != BackendTrust::Suspected;
 }
 
 bool RunCopy::isAgeing(TimePoint now) const
--- a/src/decisions/StreamSession.cpp
+++ b/src/decisions/StreamSession.cpp
@@ -136,13 +136,15 @@
 ForwardAction StreamSession::promptFound(std::span<const ServerReport> reports, TimePoint now)
 {
     m_isFinding = false;
-    for (const ServerReport &report : reports)
-        context().servers.heard(report.serverId, now);
+    for (const ServerReport &report : reports) {
+        if (!context().servers.isOtherStart(report.serverId, report.startedAtMs))
+            context().servers.heard(report.serverId, now);
+    }
     const auto holder = std::find_if(reports.begin(), reports.end(),
                                      [](const ServerReport &report) { return report.hasPrompt; });
     const auto server =
         holder == reports.end() ? std::nullopt : context().servers.server(holder->serverId, now);
-    if (!server || server->info.isDraining)
+    if (!server || server->info.isDraining || server->isMisplaced)
         return askChoices(now);
     SendAttempt next;
     next.server = *server;
@@ -161,6 +163,7 @@
         return giveUp(refuse(503, "noServer"));
     ask.within = placeWithin;
     m_isPlacing = true;
+    m_isAskingKeeper = false;
     m_askedAt = now;
     m_answered.clear();
     for (const BackendState &server : ask.servers)
@@ -198,6 +201,7 @@
     m_isResumed = next.fromCopy.has_value();
     m_hasEvents = false;
     m_isAsking = false;
+    m_isAskingKeeper = false;
     m_isCopying = false;
     m_copyCheckAt = m_engines.canMove ? now + copyCheckInterval : TimePoint::max();
     m_promptsAhead = 0;
@@ -241,6 +245,11 @@
 {
     m_copyCheckAt = now + copyCheckInterval;
     const bool isUsable = m_copy.isUsable(now);
+    if (isUsable && !m_isAsking && !m_isCopying) {
+        const auto present = context().servers.server(m_copy.keeper()->info.id, now);
+        if (present->hasFailedNeighbour)
+            return askKeeper(*present);
+    }
     const bool isWanted = m_hasEvents && !m_isCopying && (!isUsable || m_copy.isAgeing(now));
     if (!isWanted)
         return KeepWaiting {};
@@ -253,6 +262,27 @@
     return CopyRun {server(), *keeper, copyWithin};
 }
 
+// Servers of a zone fail together, and the keeper is heard of only when it is asked.
+ForwardAction StreamSession::askKeeper(const BackendState &keeper)
+{
+    AskServers ask;
+    ask.servers = {keeper};
+    ask.within = askWithin;
+    ask.onNewConnections = true;
+    m_isAskingKeeper = true;
+    return ask;
+}
+
+void StreamSession::keeperAsked(std::span<const ServerReport> reports, TimePoint now)
+{
+    m_isAskingKeeper = false;
+    const auto &keeper = m_copy.keeper();
+    if (keeper && reports.empty())
+        context().servers.failed(keeper->info.id, now);
+    if (!m_copy.isUsable(now))
+        m_copyCheckAt = now;
+}
+
 ForwardAction StreamSession::copied(const CopyRun &order, std::optional<std::string> handle,
                                     TimePoint now)
 {
@@ -298,6 +328,7 @@
     ask.within = askWithin;
     ask.onNewConnections = true;
     m_isAsking = true;
+    m_isAskingKeeper = false;
     m_askedAt = now;
     return ask;
 }
@@ -309,6 +340,10 @@
     ForwardSession::asked(reports, now);
     if (m_isPlacing)
         return placeAmong(reports, now);
+    if (m_isAskingKeeper) {
+        keeperAsked(reports, now);
+        return KeepWaiting {};
+    }
     // Something arrived meanwhile, or the attempt has ended.
     if (!m_isAsking || !hasServer())
         return KeepWaiting {};
@@ -327,6 +362,10 @@
 // The server made events that did not arrive, or has no such run any more: the connection is dead.
 bool StreamSession::hasLostConnection(const ServerReport &report) const
 {
+    const bool isOtherStart = report.startedAtMs > 0 && server().info.startedAtMs > 0
+        && report.startedAtMs > server().info.startedAtMs;
+    if (isOtherStart)
+        return true;
     if (!m_hasEvents)
         return false;
     if (report.hasRun)
--- a/src/gateway/CallerIntake.cpp
+++ b/src/gateway/CallerIntake.cpp
@@ -106,7 +106,9 @@
 
 void CallerIntake::serve(Arrival arrival)
 {
-    auto &[request, responder, arrivedAt] = arrival;
+    CallerRequest &request = arrival.request;
+    const std::shared_ptr<Http1Responder> responder = std::move(arrival.responder);
+    const TimePoint arrivedAt = arrival.at;
     const std::shared_ptr<const RouteTable> table = m_parts.routes;
     const HttpRoute *route = table->route(request.host, request.path);
     if (!route)
@@ -124,7 +126,7 @@
         account = holder->name;
     }
     std::make_shared<RequestRelay>(m_parts, std::move(request), table, *route, std::move(account),
-                                   std::move(responder), arrivedAt)
+                                   responder, arrivedAt)
         ->start();
 }
 
--- a/src/gateway/GatewayNode.cpp
+++ b/src/gateway/GatewayNode.cpp
@@ -53,6 +53,10 @@
         StructuredLog::info("serverTrusted",
                             {{"server", info.id}, {"zone", info.availabilityZone}});
     };
+    hooks.replaced = [](const BackendInfo &info) {
+        StructuredLog::info("serverReplaced",
+                            {{"server", info.id}, {"zone", info.availabilityZone}});
+    };
     return hooks;
 }
 
--- a/tests/decisions/StreamSessionTest.cpp
+++ b/tests/decisions/StreamSessionTest.cpp
@@ -22,6 +22,9 @@
     CPPUNIT_TEST(copyAtALeavingServerIsNotUsed);
     CPPUNIT_TEST(missingCopyIsReadAnew);
     CPPUNIT_TEST(lostCopyIsReplaced);
+    CPPUNIT_TEST(keeperBesideAFailureIsAsked);
+    CPPUNIT_TEST(keeperThatStartedAnewHasNoCopy);
+    CPPUNIT_TEST(serverThatStartedAnewHasNoRun);
     CPPUNIT_TEST(orderedCopyIsKeptAlive);
     CPPUNIT_TEST(failedCopyIsOrderedAgain);
     CPPUNIT_TEST(copyOfAnEarlierServerIsNotUsed);
@@ -231,6 +234,40 @@
         CPPUNIT_ASSERT_EQUAL(first.server.info.address, sent(next).fromCopy->address);
     }
 
+    // A zone fails, and this process has nothing under way at the server there that keeps a copy.
+    // Guards against going on from a copy that is gone (planoteca-norte-large trouble-2, 6 late
+    // streams).
+    void keeperBesideAFailureIsAsked()
+    {
+        StreamSession session(m_route, request(), context(), movingEngines);
+        const BackendInfo keeper = askedKeeper(session);
+        CPPUNIT_ASSERT(isWaiting(session.asked({}, m_at)));
+        const CopyRun order = nextOrder(session);
+        CPPUNIT_ASSERT(order.to.info.availabilityZone != keeper.availabilityZone);
+    }
+
+    void keeperThatStartedAnewHasNoCopy()
+    {
+        StreamSession session(m_route, request(), context(), movingEngines);
+        const BackendInfo keeper = askedKeeper(session);
+        std::vector<ServerReport> answer {{keeper.id, {}, false, 0}};
+        answer.front().startedAtMs = keeper.startedAtMs + 1;
+        CPPUNIT_ASSERT(isWaiting(session.asked(answer, m_at)));
+        CPPUNIT_ASSERT(nextOrder(session).to.info.id != keeper.id);
+    }
+
+    // Guards against waiting for a run that a restart has ended.
+    void serverThatStartedAnewHasNoRun()
+    {
+        StreamSession session(m_route, request(), context(), {true, true, true});
+        const std::string id = sent(started(session)).server.info.id;
+        const TimePoint asking = now + Ms(450);
+        CPPUNIT_ASSERT(std::holds_alternative<AskServers>(session.check(asking)));
+        std::vector<ServerReport> answer {{id, {}, false, 0}};
+        answer.front().startedAtMs = 99;
+        CPPUNIT_ASSERT(isAttempt(placed(session, session.asked(answer, asking), asking)));
+    }
+
     // Engines drop a copy that is neither used nor ordered again.
     void orderedCopyIsKeptAlive()
     {
@@ -374,6 +411,26 @@
         return first;
     }
 
+    // A run whose copy lies in a zone where a server fails, up to the question that follows.
+    BackendInfo askedKeeper(StreamSession &session)
+    {
+        const BackendInfo keeper = sent(started(session)).copyTo->info;
+        m_event = 1;
+        m_at = now + Ms(1000);
+        session.event(m_event++, m_at);
+        const std::string other = keeper.availabilityZone + (keeper.id.ends_with('1') ? "2" : "1");
+        servers.failed(other, m_at);
+        ForwardAction action = KeepWaiting {};
+        while (isWaiting(action) && m_at < now + Ms(3000)) {
+            m_at += Ms(30);
+            session.event(m_event++, m_at);
+            action = session.check(m_at);
+        }
+        const AskServers question = std::get<AskServers>(action);
+        CPPUNIT_ASSERT_EQUAL(keeper.id, question.servers.front().info.id);
+        return keeper;
+    }
+
     // Goes on in the rhythm of an engine until the session wants something.
     CopyRun nextOrder(StreamSession &session)
     {
--- a/tests/transport/Http1ClientTest.cpp
+++ b/tests/transport/Http1ClientTest.cpp
@@ -378,7 +378,7 @@
         options.mostBodyBytes = 1000;
         m_client->request(
             {"127.0.0.1", server.port()}, {"GET", "/", {}, ""}, generous,
-            [&answers](Result<HttpResponse> answer) { answers.put(answer); }, options);
+            [&answers](Result<HttpResponse> answer) { answers.put(std::move(answer)); }, options);
         RawPeer peer = server.accept();
         peer.readUntil("\r\n\r\n");
         peer.write("HTTP/1.1 200 OK\r\nContent-Length: 5000\r\n\r\n" + std::string(2000, 'x'));
