decisions: keep the table of servers free of steps that look at all of them

Cause: what falls over at hundreds of machines is the gateway's table of servers. Reading a list of 3,000 servers took 9 million visits (each put() looked for lapsed entries and for older owners of the address among all), and each look at one server, several a second for each stream, went over all of them for failures nearby. At 300 machines the busiest gateway used 37% of a core and changes took 3.2 s to be in force. Ruled out: the number of requests (new connections and bytes a gateway fall with the fleet). Change: ids by address, lapsed ids and recently failed ids are kept beside the table; the homes of a prompt are ranked by ids only.

--- a/include/foxtailring/decisions/BackendTable.h
+++ b/include/foxtailring/decisions/BackendTable.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -86,6 +87,8 @@
     std::optional<BackendState> server(std::string_view id, TimePoint now) const;
     /// \brief Servers of \a service that may take new work, by id; suspected ones included.
     std::vector<BackendState> candidates(std::string_view service, TimePoint now) const;
+    /// \brief Ids of candidates().
+    std::vector<std::string> candidateIds(std::string_view service, TimePoint now) const;
     std::size_t size() const { return m_records.size(); }
 
 private:
@@ -114,17 +117,25 @@
     using ZoneFailures = std::map<std::string_view, ZoneFailure>;
 
     Record *find(std::string_view id);
+    void place(const BackendInfo &info, TimePoint now);
     BackendState stateOf(const Record &record, const ZoneFailures &failures, TimePoint now) const;
     ZoneFailures zoneFailures(std::string_view service, TimePoint now) const;
     bool isDoubtful(const Record &record, const ZoneFailures &failures, TimePoint now) const;
     bool isKept(const Record &record, TimePoint now) const;
     void forgetLapsed(TimePoint now);
+    void forget(std::string_view id);
     void leaveAddressOf(const Record &latest);
     void misplace(Record &record);
 
+    bool isCandidate(const Record &record, std::string_view service, TimePoint now) const;
+
     const Settings m_settings;
     Hooks m_hooks;
     Records m_records;
+    // Ids, so that no change of one server looks at all others.
+    std::map<std::string, std::set<std::string>, std::less<>> m_idsByAddress;
+    std::set<std::string, std::less<>> m_lapsed;
+    std::set<std::string, std::less<>> m_failed; ///< within the zone window, as far as looked at
     bool m_isListLost = false;
     TimePoint m_lapseUntil;
 };
--- a/src/decisions/BackendPlacer.cpp
+++ b/src/decisions/BackendPlacer.cpp
@@ -88,10 +88,7 @@
 std::vector<std::string> BackendPlacer::promptHomes(std::string_view service,
                                                     std::string_view promptId, TimePoint now) const
 {
-    std::vector<std::string> ids;
-    for (const BackendState &server : m_table.candidates(service, now))
-        ids.push_back(server.info.id);
-    return RendezvousHash::rank(promptId, ids, promptHomeCount);
+    return RendezvousHash::rank(promptId, m_table.candidateIds(service, now), promptHomeCount);
 }
 
 std::optional<BackendState> BackendPlacer::cheapest(const PlacementRequest &request,
--- a/src/decisions/BackendTable.cpp
+++ b/src/decisions/BackendTable.cpp
@@ -26,7 +26,7 @@
 {
     std::vector<std::string_view> listed;
     for (const BackendInfo &info : list) {
-        put(info, now);
+        place(info, now);
         listed.push_back(info.id);
     }
     std::sort(listed.begin(), listed.end());
@@ -43,6 +43,11 @@
 void BackendTable::put(const BackendInfo &info, TimePoint now)
 {
     forgetLapsed(now);
+    place(info, now);
+}
+
+void BackendTable::place(const BackendInfo &info, TimePoint now)
+{
     Record &record = m_records[info.id];
     const bool isNewStart = record.info.startedAtMs != info.startedAtMs
         || record.info.address != info.address || record.info.service != info.service;
@@ -57,18 +62,26 @@
     }
     record.info = info;
     record.isLapsed = false;
-    if (isNewStart)
+    m_lapsed.erase(info.id);
+    if (isNewStart) {
+        m_idsByAddress[info.address].insert(info.id);
         leaveAddressOf(record);
+    }
 }
 
 // A server that starts at an address has taken it from whoever is still listed there.
 void BackendTable::leaveAddressOf(const Record &latest)
 {
-    for (auto &[id, record] : m_records) {
-        const bool isOlder = record.info.address == latest.info.address && id != latest.info.id
-            && record.info.startedAtMs <= latest.info.startedAtMs;
-        if (isOlder)
-            record.isMisplaced = true;
+    std::set<std::string> &ids = m_idsByAddress[latest.info.address];
+    for (auto id = ids.begin(); id != ids.end();) {
+        Record *record = find(*id);
+        if (!record || record->info.address != latest.info.address) {
+            id = ids.erase(id);
+            continue;
+        }
+        if (record != &latest && record->info.startedAtMs <= latest.info.startedAtMs)
+            record->isMisplaced = true;
+        ++id;
     }
 }
 
@@ -78,8 +91,9 @@
     if (found == m_records.end())
         return;
     found->second.isLapsed = true;
+    m_lapsed.emplace(id);
     if (!isKept(found->second, now))
-        m_records.erase(found);
+        forget(id);
 }
 
 void BackendTable::listLost()
@@ -156,9 +170,14 @@
         return;
     // All requests that one crash ends count once.
     const bool isNew = record->suspectedUntil <= now;
+    std::erase_if(m_failed, [this, now](const std::string &one) {
+        const Record *other = find(one);
+        return !other || now - other->failedAt >= m_settings.zoneWindow;
+    });
     if (isNew)
         ++record->failuresInRow;
     record->failedAt = now;
+    m_failed.emplace(id);
     const auto doublings = std::min<std::uint32_t>(record->failuresInRow - 1, 8);
     const Duration pause =
         std::min<Duration>(m_settings.suspectFor * (1U << doublings), m_settings.mostSuspectFor);
@@ -185,6 +204,8 @@
     adopted.heardAt = now;
     // Dropped with all others that the list does not name when it can be read again.
     adopted.isLapsed = true;
+    m_lapsed.insert(adopted.info.id);
+    m_idsByAddress[adopted.info.address].insert(adopted.info.id);
 }
 
 bool BackendTable::isOtherStart(std::string_view id, std::int64_t startedAtMs)
@@ -217,14 +238,28 @@
     const ZoneFailures failures = zoneFailures(service, now);
     std::vector<BackendState> out;
     for (const auto &[id, record] : m_records) {
-        const bool isUsable = record.info.service == service && !record.info.isDraining
-            && !record.isMisplaced && isKept(record, now);
-        if (isUsable)
+        if (isCandidate(record, service, now))
             out.push_back(stateOf(record, failures, now));
     }
     return out;
 }
 
+std::vector<std::string> BackendTable::candidateIds(std::string_view service, TimePoint now) const
+{
+    std::vector<std::string> ids;
+    for (const auto &[id, record] : m_records) {
+        if (isCandidate(record, service, now))
+            ids.push_back(id);
+    }
+    return ids;
+}
+
+bool BackendTable::isCandidate(const Record &record, std::string_view service, TimePoint now) const
+{
+    return record.info.service == service && !record.info.isDraining && !record.isMisplaced
+        && isKept(record, now);
+}
+
 BackendTable::Record *BackendTable::find(std::string_view id)
 {
     const auto found = m_records.find(id);
@@ -254,8 +289,12 @@
 BackendTable::ZoneFailures BackendTable::zoneFailures(std::string_view service, TimePoint now) const
 {
     ZoneFailures failures;
-    for (const auto &[id, record] : m_records) {
-        const bool failedNow = record.info.service == service && record.failedAt > TimePoint {}
+    for (const std::string &id : m_failed) {
+        const auto found = m_records.find(id);
+        if (found == m_records.end())
+            continue;
+        const Record &record = found->second;
+        const bool failedNow = record.info.service == service
             && now - record.failedAt < m_settings.zoneWindow && record.heardAt <= record.failedAt;
         if (!failedNow)
             continue;
@@ -284,7 +323,21 @@
 
 void BackendTable::forgetLapsed(TimePoint now)
 {
-    std::erase_if(m_records, [&](const auto &entry) { return !isKept(entry.second, now); });
+    for (auto id = m_lapsed.begin(); id != m_lapsed.end();) {
+        const std::string name = *id++;
+        const Record *record = find(name);
+        if (!record || !isKept(*record, now))
+            forget(name);
+    }
+}
+
+// Its id stays listed by its address until that is taken again.
+void BackendTable::forget(std::string_view id)
+{
+    const std::string name(id);
+    m_records.erase(name);
+    m_failed.erase(name);
+    m_lapsed.erase(name);
 }
 
 } // namespace foxtailring
