protocol: leave comments in event streams out, and try copies of answers in pieces

Cause: a server that sends comments between events was taken for one whose stream is spoiled, and left. Copies of an earlier answer had been tried only whole and on a busy connection. Ruled out: that a copy reaches the next caller when it is split over reads, comes from a closing server, or lies on an idle connection: three tests, all passed at once. Measured: commentsAreNoEvents failed before; ctest protocol, transport and gateway pass.

--- a/include/foxtailring/protocol/EventStreamReader.h
+++ b/include/foxtailring/protocol/EventStreamReader.h
@@ -11,8 +11,8 @@
 
 /// \brief Splits the bytes of a text/event-stream into whole events.
 ///
-/// Bytes after the last blank line are held back, so that an event of which only a part arrived is
-/// never passed on.
+/// Comments are left out. Bytes after the last blank line are held back, so that an event of which
+/// only a part arrived is never passed on.
 class EventStreamReader
 {
 public:
--- a/src/protocol/EventStreamReader.cpp
+++ b/src/protocol/EventStreamReader.cpp
@@ -36,6 +36,19 @@
     return std::nullopt;
 }
 
+// A server that has nothing to tell may send comments so that the connection is kept.
+bool isComment(std::string_view event)
+{
+    while (!event.empty()) {
+        const auto end = std::min(event.find('\n'), event.size());
+        const std::string_view line = event.substr(0, end);
+        event.remove_prefix(std::min(end + 1, event.size()));
+        if (!line.empty() && line != "\r" && !line.starts_with(':'))
+            return false;
+    }
+    return true;
+}
+
 // Position after the first blank line from \a from on; npos when there is none.
 std::size_t eventEnd(std::string_view bytes, std::size_t from)
 {
@@ -61,7 +74,8 @@
     std::size_t end = 0;
     while ((end = eventEnd(m_pending, std::max(from, begin))) != std::string::npos) {
         const std::string_view event = std::string_view(m_pending).substr(begin, end - begin);
-        hook(idOf(event), event);
+        if (!isComment(event))
+            hook(idOf(event), event);
         begin = end;
     }
     m_pending.erase(0, begin);
--- a/tests/protocol/EventStreamReaderTest.cpp
+++ b/tests/protocol/EventStreamReaderTest.cpp
@@ -11,6 +11,7 @@
     CPPUNIT_TEST(eventsAreFoundHoweverTheyAreCut);
     CPPUNIT_TEST(partOfAnEventIsHeldBack);
     CPPUNIT_TEST(idIsReadBehindOtherFields);
+    CPPUNIT_TEST(commentsAreNoEvents);
     CPPUNIT_TEST(endlessEventIsRefused);
     CPPUNIT_TEST_SUITE_END();
 
@@ -59,6 +60,19 @@
         CPPUNIT_ASSERT(!found);
     }
 
+    // Guards against cutting a sound stream whose server sends comments between events.
+    void commentsAreNoEvents()
+    {
+        EventStreamReader reader;
+        int events = 0;
+        const auto hook = [&events](std::optional<std::int64_t> id, std::string_view) {
+            CPPUNIT_ASSERT(id);
+            ++events;
+        };
+        reader.feed(": still here\n\n:\r\n\r\n\n\nid: 1\n: beside\ndata: x\n\n: bye\n\n", hook);
+        CPPUNIT_ASSERT_EQUAL(1, events);
+    }
+
     // Guards against a faulty server that makes the process hold its endless event.
     void endlessEventIsRefused()
     {
--- a/tests/transport/Http1ClientTest.cpp
+++ b/tests/transport/Http1ClientTest.cpp
@@ -77,6 +77,9 @@
     CPPUNIT_TEST(bodyMayEndWithTheConnection);
     CPPUNIT_TEST(unsendableRequestIsRejected);
     CPPUNIT_TEST(responseToAnotherRequestIsReadOver);
+    CPPUNIT_TEST(responseToAnotherRequestMayComeInPieces);
+    CPPUNIT_TEST(copyFromAClosingServerIsNoAnswer);
+    CPPUNIT_TEST(copyOnAnIdleConnectionEndsIt);
     CPPUNIT_TEST(streamedConnectionIsReused);
     CPPUNIT_TEST(connectionIsNotUsedAfterHalfOfItsKeepAlive);
     CPPUNIT_TEST(endlessInterimHeadsEndTheExchange);
@@ -318,6 +321,47 @@
         CPPUNIT_ASSERT_EQUAL(std::string("new"), events.body());
     }
 
+    // Guards against a copy whose head is split over reads and taken for part of the next answer.
+    void responseToAnotherRequestMayComeInPieces()
+    {
+        RawServer server;
+        StreamEvents events;
+        const auto peer = answering(server, events, acceptingSecond(events));
+        const std::string text = "HTTP/1.1 200 OK\r\nid: 1\r\nContent-Length: 3\r\n\r\nold"
+                                 "HTTP/1.1 201 Created\r\nid: 2\r\nContent-Length: 3\r\n\r\nnew";
+        for (const char byte : text)
+            peer->write(std::string(1, byte));
+        CPPUNIT_ASSERT(events.closed().isOk());
+        CPPUNIT_ASSERT_EQUAL(201, events.status());
+        CPPUNIT_ASSERT_EQUAL(std::string("new"), events.body());
+    }
+
+    void copyFromAClosingServerIsNoAnswer()
+    {
+        RawServer server;
+        StreamEvents events;
+        {
+            const auto peer = answering(server, events, acceptingSecond(events));
+            peer->write(
+                "HTTP/1.1 200 OK\r\nid: 1\r\nConnection: close\r\nContent-Length: 3\r\n\r\nold");
+        }
+        CPPUNIT_ASSERT(!events.closed().isOk());
+        CPPUNIT_ASSERT_EQUAL(std::string(), events.body());
+    }
+
+    // The copy is there before the next request is sent.
+    void copyOnAnIdleConnectionEndsIt()
+    {
+        RawServer server;
+        const auto peer = firstExchange(server, "");
+        peer->write("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nold");
+        StreamEvents second;
+        m_client->stream({"127.0.0.1", server.port()}, {"GET", "/2", {}, ""}, second.hooks(),
+                         reusing());
+        RawPeer other = server.accept();
+        CPPUNIT_ASSERT(other.readUntil("\r\n\r\n").starts_with("GET /2"));
+    }
+
     void streamedConnectionIsReused()
     {
         RawServer server;
@@ -397,6 +441,14 @@
         return peer;
     }
 
+    // Takes only answers with the id 2.
+    static StreamHooks acceptingSecond(StreamEvents &events)
+    {
+        StreamHooks hooks = events.hooks();
+        hooks.accepts = [](const HttpResponse &head) { return head.header("id") == "2"; };
+        return hooks;
+    }
+
     static ExchangeOptions reusing()
     {
         ExchangeOptions options;
