decisions: refuse runs that cannot end in time at once

Cause: callers whose gateway lost power wait 18 s for the next event and come back with 0 to 6 s left. Ruled out: a bound by what runs take as a rule: runs with 3 to 6 s left are served sometimes, and a late answer is an answer. Change: EngineRhythm tells the least time of a run, from reading and event rates seen (0.6 of their means) and four tenths of the output that the request allows; a run that does not fit is refused 503 at once, or cut when its caller has a part. A prompt that was found in memory is not counted.

--- a/include/foxtailring/decisions/ForwardRequest.h
+++ b/include/foxtailring/decisions/ForwardRequest.h
@@ -16,6 +16,7 @@
     std::string promptId;                    ///< names a run's own prompt; empty: not told
     std::uint64_t promptTokens = 0;          ///< of a run; 0: not told
     std::uint64_t outputTokens = 0;          ///< at most, of a run
+    std::uint32_t tokensPerEvent = 1;        ///< of a run's output
     std::optional<std::int64_t> lastEventId; ///< the caller has the stream up to this event
 };
 
--- a/include/foxtailring/decisions/StreamSession.h
+++ b/include/foxtailring/decisions/StreamSession.h
@@ -58,6 +58,8 @@
     /// A caller that comes back has a prompt that some engine may still have in memory.
     ForwardAction findPrompt(TimePoint now);
     ForwardAction promptFound(std::span<const ServerReport> reports, TimePoint now);
+    /// Whether the run can be over in time if \a promptTokens of it are read first.
+    bool canEndInTime(std::uint64_t promptTokens, TimePoint now) const;
     ForwardAction askChoices(TimePoint now);
     ForwardAction placeAmong(std::span<const ServerReport> reports, TimePoint now);
     ForwardAction sendRun(SendAttempt next, TimePoint now);
--- a/src/decisions/EngineRhythm.cpp
+++ b/src/decisions/EngineRhythm.cpp
@@ -17,6 +17,8 @@
 constexpr double usualSpreads = 4;
 // Queueing behind one other prompt of the same size is usual.
 constexpr double usualPrompts = 2;
+// Part of the mean time that an engine without other work takes.
+constexpr double leastPart = 0.6;
 // Connecting, routing and the first decoding step.
 constexpr Seconds fixedTime {0.1};
 
@@ -40,6 +42,29 @@
     rate.perToken += latestWeight * (perToken - rate.perToken);
 }
 
+void EngineRhythm::interval(std::string_view service, Duration mean)
+{
+    const auto found = m_rates.find(service);
+    if (found == m_rates.end())
+        return;
+    Duration &known = found->second.interval;
+    known = known == Duration {0}
+        ? mean
+        : known + std::chrono::duration_cast<Duration>(latestWeight * (mean - known));
+}
+
+Duration EngineRhythm::leastRun(std::string_view service, std::uint64_t promptTokens,
+                                std::int64_t events) const
+{
+    const auto found = m_rates.find(service);
+    if (found == m_rates.end())
+        return Duration {0};
+    const Rate &rate = found->second;
+    const Seconds reading(rate.perToken * static_cast<double>(promptTokens));
+    const Seconds output = rate.interval * std::max<std::int64_t>(events, 0);
+    return std::chrono::duration_cast<Duration>(leastPart * (reading + output));
+}
+
 Duration EngineRhythm::usualFirstEvent(std::string_view service, std::uint64_t promptTokens) const
 {
     const auto found = m_rates.find(service);
--- a/src/decisions/StreamSession.cpp
+++ b/src/decisions/StreamSession.cpp
@@ -42,6 +42,8 @@
 // How often the server that keeps a copy is looked at, and how soon a failed copy is ordered again.
 constexpr milliseconds copyCheckInterval {400};
 constexpr milliseconds copyRetryPause {1000};
+// An output is seldom shorter than this part of what its request allows.
+constexpr double leastOutputPart = 0.4;
 // Copying a long prompt's memory between zones, behind a few others.
 constexpr milliseconds copyWithin {1500};
 // A server beside others that just failed is given up when it shows no sign of life for this long.
@@ -94,6 +96,8 @@
 {
     if (hasServer())
         context().servers.answered(server().info.id, false, now);
+    if (m_meanInterval > Duration {0})
+        context().rhythm.interval(service(), m_meanInterval);
     leaveServer();
     m_copy.drop();
     return KeepWaiting {};
@@ -146,14 +150,28 @@
         holder == reports.end() ? std::nullopt : context().servers.server(holder->serverId, now);
     if (!server || server->info.isDraining || server->isMisplaced)
         return askChoices(now);
+    if (!canEndInTime(0, now))
+        return giveUp(refuse(503, "noTimeLeft"));
     SendAttempt next;
     next.server = *server;
     return sendRun(std::move(next), now);
 }
 
+// What is read for a run that cannot end in time delays runs that can.
+bool StreamSession::canEndInTime(std::uint64_t promptTokens, TimePoint now) const
+{
+    const auto mostEvents =
+        static_cast<double>(request().outputTokens) / std::max(request().tokensPerEvent, 1U);
+    const auto events =
+        static_cast<std::int64_t>(leastOutputPart * mostEvents) - m_lastEventId.value_or(0);
+    return timeLeft(now) >= context().rhythm.leastRun(service(), promptTokens, events);
+}
+
 // Other processes place runs on the same servers, so their load is asked for rather than guessed.
 ForwardAction StreamSession::askChoices(TimePoint now)
 {
+    if (!canEndInTime(request().promptTokens, now))
+        return giveUp(refuse(503, "noTimeLeft"));
     if (!m_engines.canBeAsked)
         return placeAmong({}, now);
     AskServers ask;
--- a/src/gateway/RequestRelay.cpp
+++ b/src/gateway/RequestRelay.cpp
@@ -83,6 +83,8 @@
     request.promptTokens = m_request.promptTokens;
     request.outputTokens = m_request.outputTokens;
     request.lastEventId = m_request.lastEventId;
+    if (const RoutedService *first = m_table->service(m_route.targets.front().service))
+        request.tokensPerEvent = first->tokensPerEvent;
     const ForwardContext context = m_parts.forwardContext(m_request.id);
     if (m_route.kind != CallKind::Stream)
         return std::make_unique<CallSession>(m_route, request, context);
--- a/tests/decisions/ForwardFixture.h
+++ b/tests/decisions/ForwardFixture.h
@@ -82,7 +82,7 @@
                 rhythm,  random, [this](const CopyName &copy) {
                     released.push_back(copy.handle); }};
     }
-    ForwardRequest request() const { return {now, Ms(5000), "p1", 8000, 600, std::nullopt}; }
+    ForwardRequest request() const { return {now, Ms(5000), "p1", 8000, 600, 5, std::nullopt}; }
 
     TimePoint now {std::chrono::hours(1)};
     BackendTable servers;
--- a/tests/decisions/PromptHomesTest.cpp
+++ b/tests/decisions/PromptHomesTest.cpp
@@ -15,6 +15,7 @@
     CPPUNIT_TEST(promptsAreSpread);
     CPPUNIT_TEST(homesInTroubleAreLeft);
     CPPUNIT_TEST(returningCallerGoesToItsPrompt);
+    CPPUNIT_TEST(foundPromptIsServedNearTheDeadline);
     CPPUNIT_TEST(promptThatNobodyHasIsReadWhereItIsIdle);
     CPPUNIT_TEST(newCallerIsNotLookedFor);
     CPPUNIT_TEST_SUITE_END();
@@ -76,6 +77,23 @@
         CPPUNIT_ASSERT_EQUAL(std::int64_t(40), sent(next).lastEventId.value());
     }
 
+    // Guards against refusing a run of which only the last events are missing.
+    void foundPromptIsServedNearTheDeadline()
+    {
+        rhythm.firstEvent("engine", 8000, Ms(1000));
+        rhythm.interval("engine", Ms(30));
+        ForwardRequest late = returning();
+        late.patience = Ms(500);
+        StreamSession session(m_route, late, context(), engines);
+        const auto question = std::get<AskServers>(session.start(now));
+        const std::string holder = question.servers.front().info.id;
+        CPPUNIT_ASSERT(
+            std::holds_alternative<SendAttempt>(session.asked(answers(question, holder), now)));
+        StreamSession other(m_route, late, context(), engines);
+        const auto again = std::get<AskServers>(other.start(now));
+        CPPUNIT_ASSERT_EQUAL(503, refused(other.asked(answers(again, ""), now)).status);
+    }
+
     void promptThatNobodyHasIsReadWhereItIsIdle()
     {
         StreamSession session(m_route, returning(), context(), engines);
--- a/tests/decisions/StreamSessionTest.cpp
+++ b/tests/decisions/StreamSessionTest.cpp
@@ -25,6 +25,8 @@
     CPPUNIT_TEST(keeperBesideAFailureIsAsked);
     CPPUNIT_TEST(keeperThatStartedAnewHasNoCopy);
     CPPUNIT_TEST(serverThatStartedAnewHasNoRun);
+    CPPUNIT_TEST(runThatCannotEndInTimeIsRefused);
+    CPPUNIT_TEST(lostRunThatCannotEndInTimeIsCut);
     CPPUNIT_TEST(orderedCopyIsKeptAlive);
     CPPUNIT_TEST(failedCopyIsOrderedAgain);
     CPPUNIT_TEST(copyOfAnEarlierServerIsNotUsed);
@@ -268,6 +270,35 @@
         CPPUNIT_ASSERT(isAttempt(placed(session, session.asked(answer, asking), asking)));
     }
 
+    // Callers whose VM lost power come back near their deadline. Guards against prompts that are
+    // read for nothing and delay others (planoteca-norte-large trouble-2: 113 of 131 failed).
+    void runThatCannotEndInTimeIsRefused()
+    {
+        knowRhythm();
+        for (const auto &[patience, isServed] :
+             {std::pair(Ms(400), false), std::pair(Ms(1200), false), std::pair(Ms(4500), true)}) {
+            ForwardRequest late = request();
+            late.patience = patience;
+            StreamSession session(m_route, late, context(), movingEngines);
+            const ForwardAction first = started(session);
+            CPPUNIT_ASSERT_EQUAL(isServed, isAttempt(first));
+            if (!isServed)
+                CPPUNIT_ASSERT_EQUAL(503, refused(first).status);
+        }
+    }
+
+    // Its caller has part of the answer. Guards against holding it to the deadline.
+    void lostRunThatCannotEndInTimeIsCut()
+    {
+        knowRhythm();
+        StreamSession session(m_route, request(), context(), {});
+        started(session);
+        session.event(1, now + Ms(4400));
+        const TimePoint lostAt = now + Ms(4500);
+        const ForwardAction next = session.ended(AttemptResult::Lost, lostAt);
+        CPPUNIT_ASSERT(std::holds_alternative<CutAnswer>(next));
+    }
+
     // Engines drop a copy that is neither used nor ordered again.
     void orderedCopyIsKeptAlive()
     {
@@ -411,6 +442,13 @@
         return first;
     }
 
+    // Engines that read 8,000 tokens in a second and make an event in 30 ms.
+    void knowRhythm()
+    {
+        rhythm.firstEvent("engine", 8000, Ms(1000));
+        rhythm.interval("engine", Ms(30));
+    }
+
     // A run whose copy lies in a zone where a server fails, up to the question that follows.
     BackendInfo askedKeeper(StreamSession &session)
     {
