gateway: take the output's event size from all targets of a route

Cause: read as a newcomer: the relay looked at the first target of a route, which a route need not have; a restart of the present server was told in two ways. Change: the largest event size of the route's services is used; a restart is told by the table alone.

--- a/src/decisions/StreamSession.cpp
+++ b/src/decisions/StreamSession.cpp
@@ -377,12 +377,11 @@
     return KeepWaiting {};
 }
 
-// The server made events that did not arrive, or has no such run any more: the connection is dead.
+// The server made events that did not arrive, has no such run any more, or has started anew.
 bool StreamSession::hasLostConnection(const ServerReport &report) const
 {
-    const bool isOtherStart = report.startedAtMs > 0 && server().info.startedAtMs > 0
-        && report.startedAtMs > server().info.startedAtMs;
-    if (isOtherStart)
+    const auto present = context().servers.server(server().info.id, m_askedAt);
+    if (present && present->isMisplaced)
         return true;
     if (!m_hasEvents)
         return false;
--- a/src/gateway/RequestRelay.cpp
+++ b/src/gateway/RequestRelay.cpp
@@ -83,8 +83,10 @@
     request.promptTokens = m_request.promptTokens;
     request.outputTokens = m_request.outputTokens;
     request.lastEventId = m_request.lastEventId;
-    if (const RoutedService *first = m_table->service(m_route.targets.front().service))
-        request.tokensPerEvent = first->tokensPerEvent;
+    for (const RouteTarget &target : m_route.targets) {
+        if (const RoutedService *service = m_table->service(target.service))
+            request.tokensPerEvent = std::max(request.tokensPerEvent, service->tokensPerEvent);
+    }
     const ForwardContext context = m_parts.forwardContext(m_request.id);
     if (m_route.kind != CallKind::Stream)
         return std::make_unique<CallSession>(m_route, request, context);
