--- a/tests/decisions/StreamSessionTest.cpp
+++ b/tests/decisions/StreamSessionTest.cpp
@@ -452,7 +452,7 @@
     // A run whose copy lies in a zone where a server fails, up to the question that follows.
     BackendInfo askedKeeper(StreamSession &session)
     {
-        const BackendInfo keeper = sent(started(session)).copyTo->info;
+        BackendInfo keeper = sent(started(session)).copyTo->info;
         m_event = 1;
         m_at = now + Ms(1000);
         session.event(m_event++, m_at);
