soak: take the runs of a stream in the order of their attempts

Traced with its logs: the first attempt (i-5-1, arrived 5051.104) was reset by the soak at 5051.13 and the second one sent (i-0-1, arrived 5051.133). The stand-ins noted the runs after random prompt times: i-0-1 at 5051.2974, i-5-1 at 5051.2978, which ended 0.1 ms later. The check took i-0-1 for the earlier run. Ruled out: two runs at work: they overlapped for 0.1 ms. Change: runs are taken in the order in which their attempts arrived; the bound stays. A test that fails without it. The whole check was not run again on this commit. Conclusion: a fault of the check, no weaker now: the run that is left is judged by its end as before.

--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -111,6 +111,16 @@
         self.fault("link_one_way", 100.5, 101.5)
         self.assertEqual([], self.found(checks.streams_run_at_one_server))
 
+    # The attempt that was closed first began to run last, and ended at once (seed 2, r0000257).
+    def test_order_of_attempts_decides_which_run_is_left(self):
+        self.attempts.append(attempt())
+        self.records += [record("arrived", 100.0, server="i-5-1"),
+                         record("arrived", 100.1, server="i-0-1"),
+                         run(at=100.3, server="i-0-1"), run(at=100.31, server="i-5-1"),
+                         record("ended", 100.32, server="i-5-1"),
+                         record("ended", 101.2, server="i-0-1")]
+        self.assertEqual([], self.found(checks.streams_run_at_one_server))
+
     def test_withdrawn_key(self):
         self.note("keyWithdrawn", 100.0, key="k", acknowledged=100.0)
         self.attempts.append(attempt(sent_at=102.9))
--- a/tools/lib/soak/checks.py
+++ b/tools/lib/soak/checks.py
@@ -136,8 +136,12 @@
     """The server before is left when a stream goes on elsewhere, unless it cannot be told."""
     ends = {(record["request"], record["server"]): record["at"]
             for record in evidence.records if record["event"] == "ended"}
+    arrivals = {(record["request"], record["server"]): record["at"]
+                for record in evidence.records if record["event"] == "arrived"}
     for request, runs in evidence.runs_of.items():
         attempt = evidence.attempts.get(request)
+        # A run that came first may begin last, since prompts take different times (seed 2).
+        runs = sorted(runs, key=lambda run: arrivals.get((run["request"], run["server"]), run["at"]))
         for earlier, later in zip(runs, runs[1:]):
             end = ends.get((request, earlier["server"]))
             if end is None or end - later["at"] <= OVERLAP_SECONDS + CLOCK_SLACK_SECONDS:
