gateway: log a rate limit that a backend server names

Change: the codec decodes the header; a garbled one is neither a limit nor the end of one. Nothing acts on the limit yet.

--- a/include/foxtailring/decisions/BackendAnswer.h
+++ b/include/foxtailring/decisions/BackendAnswer.h
@@ -17,6 +17,8 @@
     std::string requestId;      ///< the request that this answers; empty: not given
     std::string serverId;       ///< empty: not given
     std::optional<BackendLoadReport> load;
+    bool namesRateLimit = false;     ///< has a rate limit, readable or not
+    std::optional<double> rateLimit; ///< requests per second from all processes together
 
     bool isSuccess() const { return status >= 200 && status < 300; }
 };
--- a/src/gateway/RequestRelay.cpp
+++ b/src/gateway/RequestRelay.cpp
@@ -278,10 +278,23 @@
     m_attempt.head = std::move(head);
     m_session->onHead(m_attempt.answer, m_parts.clock());
     const BackendAnswer &answer = m_attempt.answer;
+    if (answer.namesRateLimit)
+        logRateLimit();
     m_attempt.isStreaming = m_stream && answer.isSuccess() && answer.isSigned && !answer.isNotRun
         && isEventStream(m_attempt.head);
 }
 
+void RequestRelay::logRateLimit() const
+{
+    const auto &limit = m_attempt.answer.rateLimit;
+    m_parts.metrics.add(limit ? "gateway_limits_named_total{form=\"readable\"}"
+                              : "gateway_limits_named_total{form=\"unreadable\"}");
+    StructuredLog::info("limitNamed",
+                        {{"request", m_request.id},
+                         {"server", m_attempt.serverId},
+                         {"limitPerSecond", limit ? std::to_string(*limit) : "unreadable"}});
+}
+
 void RequestRelay::onBody(std::string_view bytes)
 {
     if (!m_attempt.isStreaming) {
--- a/src/gateway/RequestRelay.h
+++ b/src/gateway/RequestRelay.h
@@ -63,6 +63,7 @@
     void onRunCopied(const CopyRun &command, const Result<HttpResponse> &response);
     void onProbeResults(std::span<const ServerProbeResult> results);
     void onHead(HttpResponse head);
+    void logRateLimit() const;
     void onBody(std::string_view bytes);
     /// Reserves the memory that the request holds now. False: over the budget; the caller of this
     /// function abandons \a what.
--- a/tests/platform/WireFormatTest.cpp
+++ b/tests/platform/WireFormatTest.cpp
@@ -14,6 +14,7 @@
     CPPUNIT_TEST(attemptNamesWhereTheRunResumes);
     CPPUNIT_TEST(copyOnDemandIsNamedByItsHandle);
     CPPUNIT_TEST(answerIsDecoded);
+    CPPUNIT_TEST(rateLimitIsDecoded);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -113,6 +114,18 @@
         CPPUNIT_ASSERT(!odd.load);
     }
 
+    // Guards against taking a garbled limit for a limit, or for the end of one.
+    void rateLimitIsDecoded()
+    {
+        CPPUNIT_ASSERT(!m_codec.decodeAnswer({200, {}, ""}).namesRateLimit);
+        const BackendAnswer named = m_codec.decodeAnswer({200, {{"server-limit", " 8.4"}}, ""});
+        CPPUNIT_ASSERT_EQUAL(8.4, named.rateLimit.value());
+        for (const char *garbled : {"", "x", "8.4x", "-1", "nan", "inf", "1e999", "8.4, 9"}) {
+            const BackendAnswer odd = m_codec.decodeAnswer({200, {{"Server-Limit", garbled}}, ""});
+            CPPUNIT_ASSERT_MESSAGE(garbled, odd.namesRateLimit && !odd.rateLimit);
+        }
+    }
+
 private:
     static HttpRequest http()
     {
