--- a/tests/gateway/GatewayFixture.cpp
+++ b/tests/gateway/GatewayFixture.cpp
@@ -53,6 +53,9 @@
     answer.status = response.status;
     answer.isNotRun = !response.header("full").empty();
     answer.isSigned = !response.header("signed").empty();
+    answer.namesRateLimit = !response.header("limit").empty();
+    if (answer.namesRateLimit)
+        answer.rateLimit = std::stod(std::string(response.header("limit")));
     return answer;
 }
 
@@ -140,7 +143,7 @@
     return {200, {{"signed", "1"}}, std::move(body)};
 }
 
-BackendCodec GatewayFixture::codec() const
+BackendCodec GatewayFixture::codec()
 {
     return {decodeRequest,
             encodeAttempt,
@@ -193,7 +196,7 @@
     return out;
 }
 
-RouteConfig GatewayFixture::config() const
+RouteConfig GatewayFixture::config()
 {
     RouteConfig out;
     out.version = 1;
--- a/tests/gateway/GatewayFixture.h
+++ b/tests/gateway/GatewayFixture.h
@@ -45,8 +45,8 @@
 /// each of their requests itself.
 ///
 /// Wire format of the test: requests have the headers `id`, `key`, `last` (event id), `copy-to` and
-/// `copy-at`; a response with `full` was not run, and one with `signed` is signed. A server's entry
-/// in the store is its zone.
+/// `copy-at`; a response with `full` was not run, one with `signed` is signed, and `limit` is a
+/// rate limit. A server's entry in the store is its zone.
 class GatewayFixture : public CppUnit::TestFixture
 {
 public:
@@ -69,6 +69,8 @@
     void startServing();
     void call(const std::string &path, const std::string &key = "good");
     int readiness();
+    static BackendCodec codec();
+    StoreSchema schema() const;
     static std::string eventText(int id);
     static HttpResponse signedAnswer(std::string body);
 
@@ -86,9 +88,7 @@
     std::optional<WatchHooks> m_watch;
 
 private:
-    BackendCodec codec() const;
-    StoreSchema schema() const;
-    RouteConfig config() const;
+    static RouteConfig config();
 };
 
 } // namespace foxtailring
--- /dev/null
+++ b/tests/gateway/SharedStore.cpp
@@ -0,0 +1,61 @@
+#include "SharedStore.h"
+
+#include "foxtailring/base/Clock.h"
+
+namespace foxtailring {
+
+void SharedStore::put(const std::string &key, const std::string &value)
+{
+    const std::lock_guard lock(m_mutex);
+    m_items[key] = {key, value, ++m_revision};
+    const WatchEvent event {false, m_items[key]};
+    for (const WatchHooks &hooks : m_watches)
+        hooks.onChanges({&event, 1}, m_revision);
+}
+
+RangeResult SharedStore::read(const std::string &prefix) const
+{
+    const std::lock_guard lock(m_mutex);
+    RangeResult result;
+    result.revision = m_revision;
+    for (const auto &[key, item] : m_items) {
+        if (key.starts_with(prefix))
+            result.pairs.push_back(item);
+    }
+    return result;
+}
+
+WriteResult SharedStore::write(const std::string &key, const std::string &value,
+                               std::int64_t expectedRevision)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto found = m_items.find(key);
+        const KeyValue current = found == m_items.end() ? KeyValue {key, "", 0} : found->second;
+        if (current.modRevision != expectedRevision)
+            return {false, m_revision, current};
+    }
+    put(key, value);
+    return {true, read(key).revision, {}};
+}
+
+std::int64_t SharedStore::grantLease()
+{
+    const std::lock_guard lock(m_mutex);
+    return ++m_lastLease;
+}
+
+void SharedStore::watch(const WatchHooks &hooks)
+{
+    const std::lock_guard lock(m_mutex);
+    m_watches.push_back(hooks);
+}
+
+void SharedStore::confirm()
+{
+    const std::lock_guard lock(m_mutex);
+    for (const WatchHooks &hooks : m_watches)
+        hooks.onConfirmed(bootClock()());
+}
+
+} // namespace foxtailring
--- /dev/null
+++ b/tests/gateway/SharedStore.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "foxtailring/store/KeyValueClient.h"
+
+#include <map>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace foxtailring {
+
+/// \brief Contents of a store that several gateways of one test share. Thread-safe.
+///
+/// Leases never end by themselves; a watch gets every change at once.
+class SharedStore
+{
+public:
+    void put(const std::string &key, const std::string &value);
+    RangeResult read(const std::string &prefix) const;
+    /// \brief Applies the write if the key's revision is \a expectedRevision.
+    WriteResult write(const std::string &key, const std::string &value,
+                      std::int64_t expectedRevision);
+    std::int64_t grantLease();
+    void watch(const WatchHooks &hooks);
+    /// \brief Confirms to every watch that it has seen all changes so far.
+    void confirm();
+
+private:
+    mutable std::mutex m_mutex;
+    std::int64_t m_revision = 1;
+    std::int64_t m_lastLease = 0;
+    std::map<std::string, KeyValue> m_items;
+    std::vector<WatchHooks> m_watches;
+};
+
+} // namespace foxtailring
