gateway: keep the rate limits that backend servers name, divided among all gateways

Cause: the limit holds for all gateways together, and no gateway acted on it. The class of fault: a limit on a sum that nobody sees whole. Change: RateLimitTable. A gateway that knows of a limit writes a report (limit, demand) under a lease into the store, all gateways follow these keys with their long poll, and each divides the limit by the same rule: whole requests in any 4 s, by largest remainder, in proportion to demand. A lower share applies at once, a higher one after the others have seen the change and their requests have left the window. Requests of the last 4 s count, also those from before the limit. Without a known share a gateway takes a 32nd, without word from the store it goes back to that. Probes, copies, resumes and retries count. A server without a free request is passed over, neither tried nor suspected; if none is left, 503 with the time at which one is free. The end is seen from an answer or from another gateway's report. Nothing is written until a server names a limit. Lines serverLimited, serverUnlimited, limitReached; gauge and counter a server.

--- a/include/foxtailring/decisions/CopyReference.h
+++ b/include/foxtailring/decisions/CopyReference.h
@@ -7,8 +7,9 @@
 /// \brief Identifies the copy of a run to the server that holds it.
 struct CopyReference
 {
-    std::string address; ///< IP:PORT of the holder, or of the server that made the snapshot
-    std::string handle;  ///< empty: the request id is the handle
+    std::string address;  ///< IP:PORT of the holder, or of the server that made the snapshot
+    std::string handle;   ///< empty: the request id is the handle
+    std::string serverId; ///< the server at \a address; empty: unknown
 };
 
 } // namespace foxtailring
--- a/include/foxtailring/decisions/ForwardContext.h
+++ b/include/foxtailring/decisions/ForwardContext.h
@@ -8,6 +8,7 @@
 class BackendTable;
 class EngineLatencyEstimator;
 class RandomSource;
+class RateLimitTable;
 class RetryBudget;
 struct CopyReference;
 
@@ -17,6 +18,7 @@
     BackendTable &servers;
     const BackendPlacer &placer;
     RetryBudget &retryBudget;
+    RateLimitTable &rateLimits;
     EngineLatencyEstimator &latency;
     RandomSource &random;
     /// Tells the server to release a snapshot that is no longer needed; may be empty.
--- a/include/foxtailring/decisions/ForwardSession.h
+++ b/include/foxtailring/decisions/ForwardSession.h
@@ -16,6 +16,8 @@
 
 namespace foxtailring {
 
+class BackendPlacer;
+class RandomSource;
 struct PlacementRequest;
 
 /// \brief Decides how one caller's request is handled: where it is sent, when it is retried, and
@@ -66,12 +68,21 @@
     std::chrono::milliseconds timeLeft(TimePoint now) const;
     bool isPastDeadline(TimePoint now) const { return now >= m_deadline; }
 
+    /// \brief How BackendPlacer chooses a server.
+    using Chooser = std::optional<BackendState> (BackendPlacer::*)(const PlacementRequest &,
+                                                                   TimePoint, RandomSource &) const;
+
+    /// \brief Chooses a server whose rate limit allows a request, and takes the request from it.
+    std::optional<BackendState> choose(PlacementRequest placement, Chooser chooser, TimePoint now);
+    /// \brief Refusal if choose() found no server.
+    ForwardAction refuseUnplaced(TimePoint now);
     /// \brief Takes one retry from the budget. False if the route, the remaining time or the budget
     /// allows none.
     bool tryTakeRetry(TimePoint now);
     /// \brief Makes \a attempt the current one and returns it as an action.
     ForwardAction send(SendAttempt attempt, TimePoint now);
-    ForwardAction refuse(int status, std::string_view cause) const;
+    ForwardAction refuse(int status, std::string_view cause,
+                         Duration minRetryAfter = Duration {0}) const;
     /// \brief Counts an abandoned attempt that may have been executed.
     void countPossibleRun();
     /// \brief Stops counting the current attempt at its server; no attempt is current afterwards.
@@ -102,7 +113,8 @@
     const ForwardContext m_context;
     const TimePoint m_deadline;
     std::string m_service;
-    std::vector<std::string> m_triedIds; ///< ids of servers
+    std::vector<std::string> m_triedIds;   ///< ids of servers
+    std::vector<std::string> m_limitedIds; ///< servers without a free request at the last choice
     std::optional<BackendState> m_server;
     TimePoint m_sentAt;
     std::uint32_t m_possibleRuns = 0;
--- /dev/null
+++ b/include/foxtailring/decisions/RateLimitReportChange.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "foxtailring/decisions/RateLimitReport.h"
+
+#include <optional>
+#include <string>
+
+namespace foxtailring {
+
+/// \brief A change of one process's report in the store.
+struct RateLimitReportChange
+{
+    std::string processId;
+    std::optional<RateLimitReport> report; ///< none: the process has ended or is cut off
+};
+
+} // namespace foxtailring
--- a/src/decisions/CallSession.cpp
+++ b/src/decisions/CallSession.cpp
@@ -18,9 +18,9 @@
     PlacementRequest placement;
     placement.service = service();
     placement.exclude = triedIds();
-    auto chosen = context().placer.chooseForCall(placement, now, context().random);
+    auto chosen = choose(placement, &BackendPlacer::chooseForCall, now);
     if (!chosen)
-        return refuse(503, "noServer");
+        return refuseUnplaced(now);
     SendAttempt next;
     next.server = std::move(*chosen);
     next.cause = cause;
--- /dev/null
+++ b/src/decisions/DemandEstimator.cpp
@@ -0,0 +1,29 @@
+#include "foxtailring/decisions/DemandEstimator.h"
+
+#include <cmath>
+
+namespace foxtailring {
+
+namespace {
+
+constexpr double averagingSeconds = 8;
+
+double decay(Duration elapsed)
+{
+    return std::exp(-std::chrono::duration<double>(elapsed).count() / averagingSeconds);
+}
+
+} // namespace
+
+void DemandEstimator::record(TimePoint now)
+{
+    m_rate = perSecond(now) + 1 / averagingSeconds;
+    m_updatedAt = now;
+}
+
+double DemandEstimator::perSecond(TimePoint now) const
+{
+    return m_rate * decay(now - m_updatedAt);
+}
+
+} // namespace foxtailring
--- a/src/decisions/ForwardSession.cpp
+++ b/src/decisions/ForwardSession.cpp
@@ -1,7 +1,9 @@
 #include "foxtailring/decisions/ForwardSession.h"
 
 #include "foxtailring/base/RandomSource.h"
+#include "foxtailring/decisions/BackendPlacer.h"
 #include "foxtailring/decisions/BackendTable.h"
+#include "foxtailring/decisions/RateLimitTable.h"
 #include "foxtailring/decisions/RetryBudget.h"
 
 #include <algorithm>
@@ -19,7 +21,7 @@
 constexpr std::uint32_t maxAddressFailures = 8;
 // By then a slot is usually free again. The random spread keeps callers that were refused together
 // from retrying together.
-constexpr milliseconds minRetryAfter {250};
+constexpr milliseconds shortestRetryAfter {250};
 constexpr milliseconds retryAfterSpread {500};
 // With less time left, no server can answer before the deadline.
 constexpr milliseconds minTimeLeft {20};
@@ -78,6 +80,8 @@
     m_context.servers.recordContact(m_server->info.id, now);
     if (answer.load)
         m_context.servers.updateLoad(m_server->info.id, *answer.load, now);
+    if (!answer.isOtherServer)
+        m_context.rateLimits.recordAnswer(m_server->info.id, answer, m_sentAt, now);
 }
 
 ForwardAction ForwardSession::onAnswer(const BackendAnswer &answer, TimePoint now)
@@ -186,6 +190,34 @@
     return std::chrono::duration_cast<milliseconds>(m_deadline - now);
 }
 
+// A server without a free request is passed over like one that does not exist: it is neither tried
+// nor suspected.
+std::optional<BackendState> ForwardSession::choose(PlacementRequest placement, Chooser chooser,
+                                                   TimePoint now)
+{
+    std::vector<std::string> exclude(placement.exclude.begin(), placement.exclude.end());
+    m_limitedIds.clear();
+    while (true) {
+        placement.exclude = exclude;
+        auto chosen = (m_context.placer.*chooser)(placement, now, m_context.random);
+        if (!chosen || m_context.rateLimits.tryAcquire(chosen->info.id, now))
+            return chosen;
+        m_limitedIds.push_back(chosen->info.id);
+        exclude.push_back(chosen->info.id);
+    }
+}
+
+ForwardAction ForwardSession::refuseUnplaced(TimePoint now)
+{
+    if (m_limitedIds.empty())
+        return refuse(503, "noServer");
+    TimePoint freeAt = TimePoint::max();
+    for (const std::string &id : m_limitedIds)
+        freeAt = std::min(freeAt, m_context.rateLimits.freeAt(id, now));
+    const bool isShareEmpty = freeAt == TimePoint::max();
+    return refuse(503, "rateLimited", isShareEmpty ? Duration {0} : freeAt - now);
+}
+
 bool ForwardSession::tryTakeRetry(TimePoint now)
 {
     return m_route.allowsRetry() && m_possibleRuns < m_route.maxAttempts
@@ -204,14 +236,17 @@
 }
 
 // A request that may have been executed is never refused with 503, which would deny that.
-ForwardAction ForwardSession::refuse(int status, std::string_view cause) const
+ForwardAction ForwardSession::refuse(int status, std::string_view cause,
+                                     Duration minRetryAfter) const
 {
     Refuse answer;
     answer.status = status == 503 && m_possibleRuns > 0 ? 502 : status;
     answer.cause = cause;
     if (answer.status == 503) {
         const auto spread = static_cast<std::uint64_t>(retryAfterSpread.count());
-        answer.retryAfter = minRetryAfter + milliseconds(m_context.random.bounded(spread));
+        answer.retryAfter =
+            std::max(shortestRetryAfter, std::chrono::ceil<milliseconds>(minRetryAfter))
+            + milliseconds(m_context.random.bounded(spread));
     }
     return answer;
 }
--- a/src/decisions/RunCopy.cpp
+++ b/src/decisions/RunCopy.cpp
@@ -81,7 +81,9 @@
     }
     SendAttempt attempt;
     attempt.server = *m_servers.server(m_holder->info.id, now);
-    attempt.fromCopy = m_snapshot ? *m_snapshot : CopyReference {attempt.server.info.address, {}};
+    attempt.fromCopy = m_snapshot
+        ? *m_snapshot
+        : CopyReference {attempt.server.info.address, {}, attempt.server.info.id};
     reset();
     return attempt;
 }
--- a/src/decisions/StreamSession.cpp
+++ b/src/decisions/StreamSession.cpp
@@ -3,6 +3,7 @@
 #include "foxtailring/decisions/BackendPlacer.h"
 #include "foxtailring/decisions/BackendTable.h"
 #include "foxtailring/decisions/EngineLatencyEstimator.h"
+#include "foxtailring/decisions/RateLimitTable.h"
 #include "foxtailring/decisions/RetryBudget.h"
 
 #include <algorithm>
@@ -110,7 +111,7 @@
     // A copy exists only from the first event on, not while the prompt is processed.
     auto next = m_hasEvents ? m_copy.takeResumeAttempt(now) : std::nullopt;
     m_copy.drop();
-    if (next)
+    if (next && context().rateLimits.tryAcquire(next->server.info.id, now))
         return sendRun(std::move(*next), now);
     if (!request().promptId.empty())
         m_affinityServers =
@@ -130,7 +131,7 @@
     probe.timeout = placementProbeTimeout;
     for (const std::string &id : m_affinityServers) {
         const auto server = context().servers.server(id, now);
-        if (server && server->health == BackendHealth::Healthy)
+        if (server && server->health == BackendHealth::Healthy && mayProbe(*server, now))
             probe.servers.push_back(*server);
     }
     if (probe.servers.empty())
@@ -157,6 +158,8 @@
         return probeCandidates(now);
     if (!canFinishInTime(0, now))
         return refuseOrAbort(refuse(503, "noTimeLeft"));
+    if (!context().rateLimits.tryAcquire(server->info.id, now))
+        return probeCandidates(now);
     SendAttempt next;
     next.server = *server;
     return sendRun(std::move(next), now);
@@ -184,6 +187,10 @@
         context().placer.runCandidates(placement(triedIds()), maxCandidates, now, context().random);
     if (probe.servers.empty())
         return refuseOrAbort(refuse(503, "noServer"));
+    std::erase_if(probe.servers,
+                  [this, now](const BackendState &server) { return !mayProbe(server, now); });
+    if (probe.servers.empty())
+        return placeRun({}, now);
     probe.timeout = placementProbeTimeout;
     m_isPlacing = true;
     m_isProbingHolder = false;
@@ -194,6 +201,12 @@
     return probe;
 }
 
+bool StreamSession::mayProbe(const BackendState &server, TimePoint now) const
+{
+    return !context().rateLimits.isLimited(server.info.id)
+        && context().rateLimits.tryAcquire(server.info.id, now);
+}
+
 ForwardAction StreamSession::placeRun(std::span<const ServerProbeResult> reports, TimePoint now)
 {
     m_isPlacing = false;
@@ -208,11 +221,11 @@
                          == m_responsive.end();
                  });
     m_candidates.clear();
-    auto chosen = context().placer.chooseForRun(placement(exclude), now, context().random);
+    auto chosen = choose(placement(exclude), &BackendPlacer::chooseForRun, now);
     if (!chosen)
-        chosen = context().placer.chooseForRun(placement(triedIds()), now, context().random);
+        chosen = choose(placement(triedIds()), &BackendPlacer::chooseForRun, now);
     if (!chosen)
-        return refuseOrAbort(refuse(503, "noServer"));
+        return refuseOrAbort(refuseUnplaced(now));
     SendAttempt next;
     next.server = std::move(*chosen);
     return sendRun(std::move(next), now);
@@ -261,7 +274,14 @@
     PlacementRequest copyRequest = placement(exclude);
     copyRequest.avoidZone = runServer.info.availabilityZone;
     copyRequest.affinityServers = {};
-    return context().placer.chooseForCopy(copyRequest, now, context().random);
+    // The run could not resume at a server that has no free request.
+    while (true) {
+        copyRequest.exclude = exclude;
+        auto holder = context().placer.chooseForCopy(copyRequest, now, context().random);
+        if (!holder || !context().rateLimits.isLimited(holder->info.id))
+            return holder;
+        exclude.push_back(holder->info.id);
+    }
 }
 
 // Replaces a lost copy, renews a snapshot before it expires, and probes a holder at risk. A run may
@@ -272,7 +292,7 @@
     const bool isUsable = m_copy.isUsable(now);
     if (isUsable && !m_isProbing && !m_isCopying) {
         const auto current = context().servers.server(m_copy.holder()->info.id, now);
-        if (current->hasFailedZonePeer)
+        if (current->hasFailedZonePeer && mayProbe(*current, now))
             return probeCopyHolder(*current);
     }
     const bool isWanted = m_hasEvents && !m_isCopying && (!isUsable || m_copy.needsRenewal(now));
@@ -283,6 +303,10 @@
         m_copy.drop();
     if (!holder)
         return KeepWaiting {};
+    if (!context().rateLimits.tryAcquire(server().info.id, now)) {
+        m_copyCheckAt = now + copyRetryDelay;
+        return KeepWaiting {};
+    }
     m_isCopying = true;
     return CopyRun {server(), *holder, copyTimeout};
 }
@@ -316,7 +340,8 @@
         return KeepWaiting {};
     m_isCopying = false;
     if (handle)
-        m_copy.setSnapshot(copyRun.to, {copyRun.from.info.address, std::move(*handle)}, now);
+        m_copy.setSnapshot(
+            copyRun.to, {copyRun.from.info.address, std::move(*handle), copyRun.from.info.id}, now);
     else
         m_copyCheckAt = now + copyRetryDelay;
     return KeepWaiting {};
@@ -341,13 +366,16 @@
         return maintainCopy(now);
     if (now >= stuckAt() || isPresumedLost(now))
         return onAttemptEnded(AttemptResult::Silent, now);
-    if (!m_capabilities.canBeProbed) {
-        m_lastContactAt = now;
-        return KeepWaiting {};
-    }
     // The probe in progress decides.
     if (m_isProbing)
         return KeepWaiting {};
+    // Without a probe, only the time limit for the next event remains.
+    const bool mayAsk =
+        m_capabilities.canBeProbed && context().rateLimits.tryAcquire(server().info.id, now);
+    if (!mayAsk) {
+        m_lastContactAt = now;
+        return KeepWaiting {};
+    }
     ProbeServers probe;
     probe.servers = {server()};
     probe.timeout = probeTimeout;
--- a/src/gateway/GatewayNode.cpp
+++ b/src/gateway/GatewayNode.cpp
@@ -7,6 +7,7 @@
 #include "foxtailring/transport/Timer.h"
 
 #include "GatewayParts.h"
+#include "RateLimitPublisher.h"
 #include "RequestDispatcher.h"
 #include "StoreWatch.h"
 
@@ -60,6 +61,51 @@
     return hooks;
 }
 
+std::string msText(Duration duration)
+{
+    return std::to_string(std::chrono::duration_cast<milliseconds>(duration).count());
+}
+
+std::string limitGauge(std::string_view serverId)
+{
+    return "gateway_server_limit{server=\"" + std::string(serverId) + "\"}";
+}
+
+void logDenied(GatewayParts &parts, std::string_view serverId, const RateLimitExplanation &reason)
+{
+    parts.metrics.add("gateway_limit_denied_total{server=\"" + std::string(serverId) + "\"}");
+    parts.metrics.setGauge(limitGauge(serverId), reason.limit);
+    StructuredLog::info("limitReached",
+                        {{"server", std::string(serverId)},
+                         {"limitPerSecond", std::to_string(reason.limit)},
+                         {"limitAgeMs", msText(reason.limitAge)},
+                         {"quota", std::to_string(reason.quota)},
+                         {"windowMs", msText(reason.window)},
+                         {"recent", std::to_string(reason.recent)},
+                         {"gateways", std::to_string(reason.processes)},
+                         {"shareKnown", reason.isShareKnown ? "true" : "false"}});
+}
+
+RateLimitTable::Hooks makeRateLimitHooks(GatewayParts &parts)
+{
+    RateLimitTable::Hooks hooks;
+    hooks.onLimited = [&parts](std::string_view serverId, double limit) {
+        parts.metrics.setGauge(limitGauge(serverId), limit);
+        StructuredLog::info(
+            "serverLimited",
+            {{"server", std::string(serverId)}, {"limitPerSecond", std::to_string(limit)}});
+    };
+    hooks.onUnlimited = [&parts](std::string_view serverId, std::string_view cause) {
+        parts.metrics.setGauge(limitGauge(serverId), 0);
+        StructuredLog::info("serverUnlimited",
+                            {{"server", std::string(serverId)}, {"cause", std::string(cause)}});
+    };
+    hooks.onDenied = [&parts](std::string_view serverId, const RateLimitExplanation &reason) {
+        logDenied(parts, serverId, reason);
+    };
+    return hooks;
+}
+
 } // namespace
 
 struct GatewayNode::State
@@ -83,9 +129,11 @@
         , storeHttp(parts.pool)
         , store(factory(parts.pool, storeHttp))
         , watch(parts, *store, std::move(schema))
+        , rateLimitPublisher(parts, *store)
         , drainTimer(parts.pool)
     {
         parts.servers.setHooks(makeTrustHooks(parts));
+        parts.rateLimits.setHooks(makeRateLimitHooks(parts));
         watch.onConfirmed([this] { dispatcher.onStoreRead(); });
         watch.onConfigApplied(
             [this] { callers.setLimits(toHttpLimits(parts.routes->config().limits)); });
@@ -103,6 +151,7 @@
     Http1Client storeHttp;
     const std::unique_ptr<KeyValueClient> store;
     StoreWatch watch;
+    RateLimitPublisher rateLimitPublisher;
     Timer drainTimer;
     bool isStopping = false;  ///< no new connections; on the queue
     TimePoint drainStartedAt; ///< on the queue
@@ -147,6 +196,7 @@
     readiness.close();
     metrics.close();
     watch.stop();
+    rateLimitPublisher.stop();
     parts.pool.stop();
     // Runs the remaining tasks on this thread: they hold references to members that are destroyed
     // before the pool.
@@ -179,6 +229,7 @@
         *port = listening.value();
     }
     m_state->watch.start();
+    m_state->rateLimitPublisher.start();
     return ports;
 }
 
--- a/src/gateway/GatewayParts.cpp
+++ b/src/gateway/GatewayParts.cpp
@@ -33,6 +33,7 @@
     , queue(pool)
     , placer(servers, settings.availabilityZone, settings.regions, BackendPlacer::Settings {})
     , retryBudget(retryBudgetSettings)
+    , rateLimits({settings.nodeId, settings.maxServerListDelay})
     , keyFreshness(settings.maxKeyRevocationDelay, keyFreshnessMargin)
     , random(RandomSource::fromEntropy())
     , memoryBudget(settings.memoryMb * 1024 * 1024 / memoryBudgetDivisor)
@@ -44,10 +45,10 @@
     return {servers,
             placer,
             retryBudget,
+            rateLimits,
             latency,
             random,
-            [this, requestId](const CopyReference &copy) {
-                releaseCopy(requestId, copy); }};
+            [this, requestId](const CopyReference &copy) { releaseCopy(requestId, copy); }};
 }
 
 void GatewayParts::releaseCopy(const std::string &requestId, const CopyReference &copy)
@@ -69,6 +70,8 @@
     const auto endpoint = Endpoint::parse(copy.address);
     if (!endpoint)
         return hook(endpoint.error());
+    if (!copy.serverId.empty() && !rateLimits.tryAcquire(copy.serverId, clock()))
+        return hook(Error {ErrorCode::Overloaded, "the server's rate limit"});
     ExchangeOptions options = ExchangeOptions::pooled();
     options.maxBodyBytes = maxReleaseResponseBytes;
     http.request(endpoint.value(), codec.encodeCopyRelease(copy.handle), releaseTimeout, hook,
--- a/src/gateway/GatewayParts.h
+++ b/src/gateway/GatewayParts.h
@@ -9,6 +9,7 @@
 #include "foxtailring/decisions/ForwardContext.h"
 #include "foxtailring/decisions/KeyFreshness.h"
 #include "foxtailring/decisions/MemoryBudget.h"
+#include "foxtailring/decisions/RateLimitTable.h"
 #include "foxtailring/decisions/RetryBudget.h"
 #include "foxtailring/decisions/RouteTable.h"
 #include "foxtailring/gateway/BackendCodec.h"
@@ -48,6 +49,7 @@
     BackendTable servers;
     BackendPlacer placer;
     RetryBudget retryBudget;
+    RateLimitTable rateLimits;
     EngineLatencyEstimator latency;
     KeyFreshness keyFreshness;
     RandomSource random;
--- a/src/gateway/StoreWatch.cpp
+++ b/src/gateway/StoreWatch.cpp
@@ -3,6 +3,7 @@
 #include "foxtailring/base/StructuredLog.h"
 
 #include "GatewayParts.h"
+#include "RateLimitReportCodec.h"
 
 #include <algorithm>
 
@@ -14,6 +15,28 @@
 // watching both prefixes would take two.
 constexpr const char *allKeysPrefix = "";
 
+bool isRateLimitKey(std::string_view key)
+{
+    return key.starts_with(RateLimitReportCodec::keyPrefix);
+}
+
+std::string gatewayIdOf(std::string_view key)
+{
+    return std::string(key.substr(RateLimitReportCodec::keyPrefix.size()));
+}
+
+// The share of a gateway whose report is unreadable goes to the others.
+RateLimitReportChange readRateLimitReport(const KeyValue &pair)
+{
+    const std::string gatewayId = gatewayIdOf(pair.key);
+    auto report = RateLimitReportCodec::decode(pair.value);
+    if (report)
+        return {gatewayId, std::move(report).value()};
+    StructuredLog::warn("limitReportUnreadable",
+                        {{"gateway", gatewayId}, {"message", report.error().message}});
+    return {gatewayId, std::nullopt};
+}
+
 // Idle timeout, minimum and maximum backoff. The client itself ends polls that the store does not
 // answer; the idle timeout only matters for a client that does not.
 constexpr PrefixWatcher::Settings watcherSettings {std::chrono::milliseconds(12000),
@@ -60,6 +83,7 @@
     hooks.onConfirmed = [this](TimePoint confirmedAt) {
         post([this, confirmedAt] {
             m_parts.keyFreshness.recordConfirmation(confirmedAt);
+            m_parts.rateLimits.recordConfirmation(confirmedAt);
             if (m_confirmedHook)
                 m_confirmedHook();
         });
@@ -83,9 +107,12 @@
 {
     const TimePoint now = m_parts.clock();
     std::vector<BackendInfo> servers;
+    std::vector<RateLimitReportChange> reports;
     for (const KeyValue &pair : read.pairs) {
         if (pair.key == m_schema.configKey)
             applyConfig(pair);
+        if (isRateLimitKey(pair.key))
+            reports.push_back(readRateLimitReport(pair));
         if (!isServerKey(pair.key))
             continue;
         auto server = m_schema.decodeServer(serverIdOf(pair.key), pair.value);
@@ -97,6 +124,7 @@
                 {{"server", serverIdOf(pair.key)}, {"message", server.error().message}});
     }
     m_parts.servers.replace(servers, now);
+    m_parts.rateLimits.replaceReports(reports, now);
     m_parts.hasServerList = true;
     StructuredLog::info(
         "serversRead",
@@ -105,6 +133,7 @@
 
 void StoreWatch::applyEvents(const std::vector<WatchEvent> &events)
 {
+    applyRateLimitReports(events);
     for (const WatchEvent &event : events) {
         const KeyValue &pair = event.pair;
         if (pair.key == m_schema.configKey && !event.deleted)
@@ -120,6 +149,21 @@
     }
 }
 
+void StoreWatch::applyRateLimitReports(std::span<const WatchEvent> events)
+{
+    std::vector<RateLimitReportChange> changes;
+    for (const WatchEvent &event : events) {
+        if (!isRateLimitKey(event.pair.key))
+            continue;
+        if (event.deleted)
+            changes.push_back({gatewayIdOf(event.pair.key), std::nullopt});
+        else
+            changes.push_back(readRateLimitReport(event.pair));
+    }
+    if (!changes.empty())
+        m_parts.rateLimits.applyReports(changes, m_parts.clock());
+}
+
 void StoreWatch::applyServer(const KeyValue &pair)
 {
     const std::string id = serverIdOf(pair.key);
--- a/src/gateway/StoreWatch.h
+++ b/src/gateway/StoreWatch.h
@@ -33,6 +33,7 @@
     void applyEvents(const std::vector<WatchEvent> &events);
     void applyConfig(const KeyValue &pair);
     void applyServer(const KeyValue &pair);
+    void applyRateLimitReports(std::span<const WatchEvent> events);
     bool isServerKey(std::string_view key) const;
     std::string serverIdOf(std::string_view key) const;
 
--- a/tests/decisions/ForwardFixture.h
+++ b/tests/decisions/ForwardFixture.h
@@ -9,6 +9,7 @@
 #include "foxtailring/decisions/ForwardContext.h"
 #include "foxtailring/decisions/ForwardRequest.h"
 #include "foxtailring/decisions/HttpRoute.h"
+#include "foxtailring/decisions/RateLimitTable.h"
 #include "foxtailring/decisions/RetryBudget.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -78,11 +79,13 @@
 
     ForwardContext context()
     {
-        return {
-            servers,     placer,
-            retryBudget, latency,
-            random,      [this](const CopyReference &copy) {
-                    released.push_back(copy.handle); }};
+        return {servers,
+                placer,
+                retryBudget,
+                rateLimits,
+                latency,
+                random,
+                [this](const CopyReference &copy) { released.push_back(copy.handle); }};
     }
     ForwardRequest request() const { return {now, Ms(5000), "p1", 8000, 600, 5, std::nullopt}; }
 
@@ -90,6 +93,7 @@
     BackendTable servers;
     BackendPlacer placer {servers, "a", {{"a", "ra"}, {"b", "rb"}, {"c", "rc"}}, {}};
     RetryBudget retryBudget {RetryBudget::Settings {0.5, 5}};
+    RateLimitTable rateLimits {{"g", Ms(2500)}};
     EngineLatencyEstimator latency;
     std::vector<std::string> released; ///< handles of snapshots
     RandomSource random {7};
--- /dev/null
+++ b/tests/decisions/RateLimitTableTest.cpp
@@ -0,0 +1,242 @@
+#include "foxtailring/decisions/RateLimitTable.h"
+#include "foxtailring/decisions/BackendAnswer.h"
+#include "foxtailring/decisions/RateApportionment.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <limits>
+#include <string>
+#include <vector>
+
+using namespace foxtailring;
+
+class RateLimitTableTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(RateLimitTableTest);
+    CPPUNIT_TEST(requestsBeforeTheLimitCount);
+    CPPUNIT_TEST(shareAppliesOnceOthersKnowIt);
+    CPPUNIT_TEST(garbledLimitChangesNothing);
+    CPPUNIT_TEST(extremeLimitsAreUsable);
+    CPPUNIT_TEST(answerToAnEarlierRequestDoesNotEndTheLimit);
+    CPPUNIT_TEST(limitEndsWhenAnotherProcessReportsIt);
+    CPPUNIT_TEST(limitWithoutEvidenceExpires);
+    CPPUNIT_TEST(shareIsReducedWithoutWordFromTheStore);
+    CPPUNIT_TEST(restartedProcessKnowsTheLimitFromReports);
+    CPPUNIT_TEST(restartedProcessKeepsItsEntries);
+    CPPUNIT_TEST(refusalKnowsWhenARequestIsFree);
+    CPPUNIT_TEST(nothingIsReportedWithoutALimit);
+    CPPUNIT_TEST(reportIsRepeatedWhenItWasLost);
+    CPPUNIT_TEST(sharesAddUpToTheTotal);
+    CPPUNIT_TEST_SUITE_END();
+
+    using Ms = std::chrono::milliseconds;
+
+public:
+    // Guards against a server that gets its full rate on top of what it got just before.
+    void requestsBeforeTheLimitCount()
+    {
+        for (int i = 0; i < 40; ++i)
+            CPPUNIT_ASSERT(tryAt(Ms(i * 50)));
+        name(8);
+        CPPUNIT_ASSERT(!tryAt(Ms(2100)));
+        CPPUNIT_ASSERT(!tryAt(Ms(5900)));
+        CPPUNIT_ASSERT(tryAt(Ms(6100)));
+    }
+
+    // Guards against a process that uses a share before the others have given it up.
+    void shareAppliesOnceOthersKnowIt()
+    {
+        name(8);
+        publish();
+        CPPUNIT_ASSERT_EQUAL(1U, quota());
+        CPPUNIT_ASSERT(!explain().isShareKnown || explain().processes == 1);
+        advance(Ms(3900));
+        CPPUNIT_ASSERT_EQUAL(1U, quota());
+        advance(Ms(200));
+        CPPUNIT_ASSERT_EQUAL(32U, quota());
+        putReport("other", 8, 8);
+        CPPUNIT_ASSERT(quota() < 32);
+    }
+
+    void garbledLimitChangesNothing()
+    {
+        BackendAnswer garbled = answer();
+        garbled.namesRateLimit = true;
+        table.recordAnswer("s", garbled, now, now);
+        CPPUNIT_ASSERT(!table.isLimited("s"));
+        name(8);
+        table.recordAnswer("s", garbled, now + Ms(10), now + Ms(20));
+        CPPUNIT_ASSERT(table.isLimited("s"));
+    }
+
+    void extremeLimitsAreUsable()
+    {
+        for (const double limit : {0.0, 1e-9, 1e300, std::numeric_limits<double>::max()}) {
+            name(limit);
+            CPPUNIT_ASSERT(explain().window >= std::chrono::seconds(4));
+            CPPUNIT_ASSERT(explain().window <= std::chrono::seconds(31));
+            tryAt(Ms(1));
+        }
+    }
+
+    void answerToAnEarlierRequestDoesNotEndTheLimit()
+    {
+        advance(Ms(100));
+        name(8);
+        table.recordAnswer("s", answer(), now - Ms(50), now + Ms(10));
+        CPPUNIT_ASSERT(table.isLimited("s"));
+        table.recordAnswer("s", answer(), now + Ms(20), now + Ms(50));
+        CPPUNIT_ASSERT(!table.isLimited("s"));
+    }
+
+    // Guards against a process without a share, which gets no answer that shows the end.
+    void limitEndsWhenAnotherProcessReportsIt()
+    {
+        name(8);
+        putReport("other", 8, 1);
+        table.applyReports(std::vector<RateLimitReportChange> {{"other", RateLimitReport {}}}, now);
+        // The report may be older than the answer.
+        CPPUNIT_ASSERT(table.isLimited("s"));
+        advance(Ms(2600));
+        table.expire(now);
+        CPPUNIT_ASSERT(!table.isLimited("s"));
+    }
+
+    void limitWithoutEvidenceExpires()
+    {
+        name(8);
+        advance(std::chrono::seconds(15));
+        table.expire(now);
+        CPPUNIT_ASSERT(table.isLimited("s"));
+        advance(std::chrono::seconds(2));
+        table.expire(now);
+        CPPUNIT_ASSERT(!table.isLimited("s"));
+    }
+
+    // Guards against a gateway that is cut off and goes on with a share that the others have taken.
+    void shareIsReducedWithoutWordFromTheStore()
+    {
+        name(8);
+        publish();
+        advance(Ms(4100));
+        CPPUNIT_ASSERT_EQUAL(32U, quota());
+        now += std::chrono::seconds(7);
+        CPPUNIT_ASSERT_EQUAL(1U, quota());
+        CPPUNIT_ASSERT(!explain().isShareKnown);
+    }
+
+    void restartedProcessKnowsTheLimitFromReports()
+    {
+        putReport("other", 8, 1);
+        CPPUNIT_ASSERT(table.isLimited("s"));
+        CPPUNIT_ASSERT_EQUAL(8.0, explain().limit);
+        CPPUNIT_ASSERT_EQUAL(0U, quota());
+    }
+
+    // Guards against a restarted process whose first report lacks a server that is still limited:
+    // the others take that for the end of the limit.
+    void restartedProcessKeepsItsEntries()
+    {
+        putReport("own", 8, 4);
+        CPPUNIT_ASSERT(table.isLimited("s"));
+        tryServer("other");
+        BackendAnswer limited = answer();
+        limited.namesRateLimit = true;
+        limited.rateLimit = 2;
+        table.recordAnswer("other", limited, now, now);
+        const auto report = table.takeDueReport(now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t {2}, report.value().entries.size());
+    }
+
+    void refusalKnowsWhenARequestIsFree()
+    {
+        name(8);
+        CPPUNIT_ASSERT(tryAt(Ms(100)));
+        CPPUNIT_ASSERT(!tryAt(Ms(200)));
+        CPPUNIT_ASSERT(table.freeAt("s", now + Ms(200)) == now + Ms(4100));
+    }
+
+    void nothingIsReportedWithoutALimit()
+    {
+        for (int i = 0; i < 40; ++i)
+            tryAt(Ms(i * 50));
+        advance(std::chrono::seconds(3));
+        CPPUNIT_ASSERT(!table.takeDueReport(now));
+        CPPUNIT_ASSERT(!table.hasReport());
+    }
+
+    void reportIsRepeatedWhenItWasLost()
+    {
+        name(8);
+        CPPUNIT_ASSERT(table.takeDueReport(now).has_value());
+        advance(Ms(1100));
+        CPPUNIT_ASSERT(!table.takeDueReport(now));
+        table.onReportNotPublished();
+        CPPUNIT_ASSERT(table.takeDueReport(now).has_value());
+    }
+
+    void sharesAddUpToTheTotal()
+    {
+        const std::vector<RateApportionment::Sharer> sharers {
+            {"a", 1}, {"b", 1}, {"c", 1}, {"d", 0}, {"e", 16}};
+        for (const std::uint32_t total : {0U, 1U, 2U, 7U, 33U}) {
+            std::uint32_t sum = 0;
+            for (const auto &sharer : sharers)
+                sum += RateApportionment::shareOf(sharer.id, total, "s", sharers);
+            CPPUNIT_ASSERT_EQUAL(total, sum);
+        }
+        CPPUNIT_ASSERT_EQUAL(0U, RateApportionment::shareOf("x", 9, "s", sharers));
+        CPPUNIT_ASSERT_EQUAL(0U, RateApportionment::shareOf("d", 9, "s", sharers));
+    }
+
+private:
+    static BackendAnswer answer()
+    {
+        BackendAnswer one;
+        one.status = 200;
+        one.isSigned = true;
+        return one;
+    }
+
+    bool tryAt(Duration offset) { return table.tryAcquire("s", now + offset); }
+
+    bool tryServer(const std::string &id) { return table.tryAcquire(id, now); }
+
+    void name(double limit)
+    {
+        BackendAnswer limited = answer();
+        limited.namesRateLimit = true;
+        limited.rateLimit = limit;
+        table.recordAnswer("s", limited, now, now);
+    }
+
+    // While the store answers.
+    void advance(Duration duration)
+    {
+        now += duration;
+        table.recordConfirmation(now);
+    }
+
+    void publish()
+    {
+        const auto report = table.takeDueReport(now);
+        CPPUNIT_ASSERT(report.has_value());
+        table.recordConfirmation(now);
+        table.applyReports(std::vector<RateLimitReportChange> {{"own", *report}}, now);
+    }
+
+    void putReport(const std::string &processId, double limit, double demand)
+    {
+        const RateLimitReport report {{{"s", limit, demand}}};
+        table.applyReports(std::vector<RateLimitReportChange> {{processId, report}}, now);
+        table.recordConfirmation(now);
+    }
+
+    RateLimitExplanation explain() { return table.explain("s", now).value(); }
+    std::uint32_t quota() { return explain().quota; }
+
+    TimePoint now {std::chrono::hours(1)};
+    RateLimitTable table {{"own", Ms(2500)}};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RateLimitTableTest);
--- a/tests/platform/WireFormatTest.cpp
+++ b/tests/platform/WireFormatTest.cpp
@@ -78,7 +78,7 @@
         AttemptMetadata next = metadata();
         next.lastEventId = 40;
         next.copyTo = "10.0.0.2:80";
-        next.fromCopy = CopyReference {"10.0.0.1:80", {}};
+        next.fromCopy = CopyReference {"10.0.0.1:80", {}, {}};
         const HttpRequest sent = encode(http(), next);
         CPPUNIT_ASSERT_EQUAL(std::string("40"), std::string(sent.header("Last-Event-Id")));
         CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.2:80"), std::string(sent.header("Kv-Backup")));
@@ -88,7 +88,7 @@
     void copyOnDemandIsNamedByItsHandle()
     {
         AttemptMetadata next = metadata();
-        next.fromCopy = CopyReference {"10.0.0.1:80", "h7"};
+        next.fromCopy = CopyReference {"10.0.0.1:80", "h7", {}};
         const HttpRequest sent = encode(http(), next);
         CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.1:80/h7"), std::string(sent.header("Kv-From")));
         const HttpRequest order = m_codec.encodeCopyRequest("9c41", "10.0.0.2:80");
