soak: backend servers that name rate limits

Change: faults server_limited and service_limited (1.5 to 9.5 a second, for 0.8 to 10 s); the store takes writes under leases; check rateLimit: from 3 s after a server named its limit, no 4 s with more than 1.5 times of it and 5, probes and copies included, without the requests of gateways that were killed, stopped, paused or cut off in the last 3 s.

--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -68,6 +68,39 @@
         self.records.append(run())
         self.assertEqual([], self.violated_rules(checks.served_requests_ran))
 
+    def limited_server(self, requests, interval):
+        """A server that names 2 requests per second from 100 s to 120 s, and gets these requests."""
+        self.records.append(record("limit", 100, limit=2))
+        for number in range(requests):
+            self.attempts.append(attempt(request=f"r{number}"))
+            self.records.append(record("arrived", 105 + number * interval, request=f"r{number}"))
+        self.records.append(record("limit", 120, limit=None))
+
+    def test_rate_limit(self):
+        self.limited_server(17, 0.2)
+        self.assertEqual([], self.violated_rules(checks.rate_limits_hold))
+
+    def test_rate_limit_is_exceeded(self):
+        self.limited_server(18, 0.2)
+        self.assertEqual(["rateLimit"], self.violated_rules(checks.rate_limits_hold))
+
+    def test_probes_count_against_the_rate_limit(self):
+        self.limited_server(17, 0.2)
+        self.records.append(record("asked", 106, request=None))
+        self.assertEqual(["rateLimit"], self.violated_rules(checks.rate_limits_hold))
+
+    def test_requests_before_the_limit_count(self):
+        self.records += [record("limit", 100, limit=2), record("limit", 120, limit=None)]
+        for number in range(18):
+            self.attempts.append(attempt(request=f"r{number}"))
+            self.records.append(record("arrived", 99.2 + number * 0.01, request=f"r{number}"))
+        self.assertEqual(["rateLimit"], self.violated_rules(checks.rate_limits_hold))
+
+    def test_restarted_gateway_is_excused(self):
+        self.limited_server(18, 0.2)
+        self.fault("gateway_killed", 104, 104.5)
+        self.assertEqual([], self.violated_rules(checks.rate_limits_hold))
+
     def test_run_that_no_caller_sent(self):
         self.records.append(run(request="r9"))
         self.assertEqual(["knownRequest"], self.violated_rules(checks.runs_are_as_sent))
--- a/tools/lib/soak/backend.py
+++ b/tools/lib/soak/backend.py
@@ -4,7 +4,7 @@
 
 Appends a JSON line for each run to LOG, which is kept when the process ends. POST /standin/faults
 sets the probability of each fault: notRun, error, truncated, garbled, doubled, answerLost, and the
-shapes of endless.py.
+shapes of endless.py. POST /standin/limit sets the rate limit that answers name; null: none.
 """
 
 import hashlib
@@ -32,6 +32,7 @@
 COPY_LIFETIME_SECONDS = 5
 MEMORY_TOKENS = 88000
 PROMPT_TOKENS = 8000
+PROBE_PATHS = (wire.REPORT_PATH, wire.PROMPTS_PATH, wire.COPY_PATH)
 
 
 def event_text(request, number):
@@ -45,6 +46,7 @@
         self.log_file = open(log, "a", buffering=1)
         self.lock = threading.Lock()
         self.faults = {}
+        self.rate_limit = None
         self.running = {}
         self.copies = {}
         self.answers = 0
@@ -58,6 +60,10 @@
         return random.random() < self.faults.get(name, 0)
 
     def serve(self, handler, body):
+        if handler.path.startswith("/standin/"):
+            return self.control(handler, json.loads(body))
+        if handler.path.split("?")[0] in PROBE_PATHS or handler.path.startswith(wire.RELEASE_PREFIX):
+            self.log("asked")
         if handler.path == wire.REPORT_PATH:
             return self.report(handler)
         if handler.path == wire.PROMPTS_PATH:
@@ -67,13 +73,14 @@
         if handler.path.startswith(wire.RELEASE_PREFIX):
             self.log("released", handle=handler.path)
             return handler.answer(200)
-        if handler.path.startswith("/standin/"):
-            return self.control(handler, json.loads(body))
         return self.admit(handler, body)
 
     def control(self, handler, fields):
         if handler.path == "/standin/faults":
             self.faults = fields
+        elif handler.path == "/standin/limit":
+            self.rate_limit = fields["limit"]
+            self.log("limit", limit=self.rate_limit)
         else:
             self.copies[fields["copy"]] = (fields["events"], time.monotonic())
         handler.answer(200)
@@ -103,7 +110,8 @@
         headers = handler.headers
         request = headers.get(wire.REQUEST_ID, "")
         target_server = headers.get(wire.SERVER)
-        refusal_headers = {wire.SERVER_ID: self.name, wire.NOT_RUN: "1", wire.REQUEST_ID: request}
+        refusal_headers = {wire.SERVER_ID: self.name, wire.NOT_RUN: "1", wire.REQUEST_ID: request,
+                           **self.limit_headers()}
         if target_server and target_server != self.name:
             return handler.answer(421, b"", refusal_headers)
         self.log("arrived", request=request)
@@ -129,12 +137,15 @@
                  body=hashlib.sha1(body).hexdigest(),
                  deadline=int(headers.get(wire.DEADLINE, 0)), **fields)
 
+    def limit_headers(self):
+        return {} if self.rate_limit is None else {wire.RATE_LIMIT: self.rate_limit}
+
     def answer_headers(self, request):
         self.answers += 1
         with self.lock:
             load = f"{len(self.running)},0,{SLOTS[self.service]}"
         return {wire.REQUEST_ID: request, wire.SIGNATURE: f"{self.name}.{self.answers}",
-                wire.LOAD: load, wire.SERVER_ID: self.name}
+                wire.LOAD: load, wire.SERVER_ID: self.name, **self.limit_headers()}
 
     def call(self, handler, request, body):
         self.log_run(handler, request, body)
--- a/tools/lib/soak/checks.py
+++ b/tools/lib/soak/checks.py
@@ -20,6 +20,14 @@
 MAX_CANCELLATION_SECONDS = 0.5
 MAX_LATE_SHARE = 0.25
 MAX_DENIED_REQUESTS = 5
+# A rate limit holds from this time after it was named on, summed over all gateways, in each window.
+LIMIT_NOTICE_SECONDS = 3
+LIMIT_WINDOW_SECONDS = 4
+MAX_LIMIT_RATIO = 1.5
+LIMIT_TOLERANCE = 5
+# Faults after which a gateway's requests do not count against a limit for LIMIT_NOTICE_SECONDS.
+FAULTS_EXCUSING_LIMIT = ("gateway_killed", "gateway_terminated", "gateway_paused", "gateways_killed",
+                         "gateways_rolled", "store_cut")
 # What a fault of each kind can affect; a kind in no list affects everything.
 GATEWAY_FAULTS = ("gateway_killed", "gateway_terminated", "gateway_paused", "gateway_hangup",
                   "callers_reset", "callers_slow")
@@ -243,6 +251,51 @@
                 break
 
 
+def limit_periods(evidence):
+    """Yields server, limit, start and end of each time in which a server named one limit."""
+    current = {}
+    for record in evidence.records:
+        if record["event"] != "limit":
+            continue
+        limit, start = current.pop(record["server"], (None, 0))
+        if limit is not None:
+            yield record["server"], limit, start, record["at"]
+        current[record["server"]] = (record["limit"], record["at"])
+
+
+def counts_against_limit(evidence, record):
+    """Whether the gateway of a request was neither disturbed nor had been shortly before."""
+    attempt = evidence.attempts.get(record.get("request"))
+    if attempt is None:
+        return record["event"] == "asked" and not any(
+            fault.kind in FAULTS_EXCUSING_LIMIT
+            for fault in evidence.faults_between(record["at"] - LIMIT_NOTICE_SECONDS, record["at"]))
+    return not any(
+        fault.kind in FAULTS_EXCUSING_LIMIT
+        and (fault.gateway == attempt.gateway or fault.kind in ("gateways_killed", "gateways_rolled"))
+        for fault in evidence.faults_between(record["at"] - LIMIT_NOTICE_SECONDS, record["at"]))
+
+
+def rate_limits_hold(evidence):
+    """No server gets more than the rate that it named, counting probes and retries."""
+    for server, limit, start, end in limit_periods(evidence):
+        allowed = MAX_LIMIT_RATIO * limit * LIMIT_WINDOW_SECONDS + LIMIT_TOLERANCE
+        times = [record["at"] for record in evidence.records
+                 if record["event"] in ("arrived", "asked") and record["server"] == server
+                 and start + LIMIT_NOTICE_SECONDS - LIMIT_WINDOW_SECONDS <= record["at"] <= end
+                 and counts_against_limit(evidence, record)]
+        most = 0
+        for first, time in enumerate(times):
+            window_end = max(time + LIMIT_WINDOW_SECONDS, start + LIMIT_NOTICE_SECONDS)
+            inside = [other for other in times[first:] if other <= min(window_end, end)
+                      and other > window_end - LIMIT_WINDOW_SECONDS - 1e-6]
+            if window_end <= end:
+                most = max(most, len(inside))
+        if most > allowed:
+            yield Violation("rateLimit", f"{server} named {limit:.1f} per second and got {most} "
+                                         f"requests in {LIMIT_WINDOW_SECONDS} s, allowed {allowed:.0f}")
+
+
 def is_paused(journal, process, time):
     """Whether the latest SIGSTOP or SIGCONT before the time was SIGSTOP."""
     latest = None
@@ -277,7 +330,8 @@
 CHECKS = [wrong_answers, served_requests_ran, runs_are_as_sent, writes_run_once,
           refused_never_run, streams_run_at_one_server, withdrawn_keys_run_nothing,
           proper_requests_are_allowed, leaving_servers_get_nothing, planned_stops_cut_nothing,
-          given_up_work_ends, retries_stay_in_budget, gateways_stay_up, service_recovers]
+          given_up_work_ends, retries_stay_in_budget, rate_limits_hold, gateways_stay_up,
+          service_recovers]
 
 
 def violations(evidence):
--- a/tools/lib/soak/cluster.py
+++ b/tools/lib/soak/cluster.py
@@ -85,6 +85,7 @@
         for server in self.servers:
             server.process.resume()
             server.set_faults({})
+            server.set_rate_limit(None)
         routes = [server.route for server in self.servers]
         for gateway in self.gateways:
             routes += [gateway.route, gateway.store_route]
--- a/tools/lib/soak/faults.py
+++ b/tools/lib/soak/faults.py
@@ -9,6 +9,10 @@
 
 MEAN_FAULT_INTERVAL_SECONDS = 0.9
 FAULT_FREE_START_SECONDS = 2
+# Requests per second that limited servers take, and how much longer than other faults they do.
+LOWEST_LIMIT = 1.5
+LIMIT_SPREAD = 8
+LIMIT_STRETCH = 4
 SILENT_LINK = {"silentExisting": True}
 
 
@@ -26,7 +30,7 @@
             self.server_leaves, self.server_fails, self.link_silent, self.link_reset,
             self.link_slow, self.link_one_way, self.callers_reset, self.callers_slow,
             self.store_fails, self.store_forgets, self.store_cut, self.config_changed,
-            self.key_withdrawn, self.gateways_killed]
+            self.key_withdrawn, self.gateways_killed, self.server_limited, self.service_limited]
 
     def run(self, seconds):
         time.sleep(FAULT_FREE_START_SECONDS)
@@ -114,6 +118,19 @@
         time.sleep(seconds)
         server.set_faults({})
 
+    def server_limited(self, seconds, _gateway, server, fraction):
+        server.set_rate_limit(LOWEST_LIMIT + fraction * LIMIT_SPREAD)
+        time.sleep(LIMIT_STRETCH * seconds)
+        server.set_rate_limit(None)
+
+    def service_limited(self, seconds, _gateway, server, fraction):
+        servers = [other for other in self.cluster.servers if other.service == server.service]
+        for index, other in enumerate(servers):
+            other.set_rate_limit(LOWEST_LIMIT + (fraction + index / 3) % 1 * LIMIT_SPREAD)
+        time.sleep(LIMIT_STRETCH * seconds)
+        for other in servers:
+            other.set_rate_limit(None)
+
     def link_silent(self, _seconds, _gateway, server, _fraction):
         self.cluster.set_link(server.route, SILENT_LINK)
 
--- a/tools/lib/soak/server.py
+++ b/tools/lib/soak/server.py
@@ -87,6 +87,13 @@
         finally:
             self.transition_lock.release()
 
+    def set_rate_limit(self, limit):
+        """Has the server name a limit in requests per second; none: it names no limit any more."""
+        try:
+            request(self.port, "POST", "/standin/limit", {"limit": limit}, timeout=2)
+        except (OSError, http.client.HTTPException) as error:
+            self.cluster.journal.record("limitNotSet", server=self.name, cause=str(error))
+
     def set_faults(self, faults):
         """Sets the faults; a server that is down or paused does not receive them and keeps its own."""
         try:
--- a/tools/lib/soak/store.py
+++ b/tools/lib/soak/store.py
@@ -12,6 +12,7 @@
 MAX_HISTORY_EVENTS = 400
 SILENCE_SECONDS = 20
 SLOW_REPLY_SECONDS = 0.4
+LEASE_CHECK_INTERVAL_SECONDS = 0.2
 
 
 class Store:
@@ -23,26 +24,44 @@
         self.items = {}
         self.events = []
         self.compacted_revision = 0
+        self.leases = {}
         self.fault = None
         store = self
 
         class Handler(http_standin.Handler):
-            def handle_request(self, _):
-                store.serve(self)
+            def handle_request(self, body):
+                store.serve(self, body)
 
         self.server = http_standin.Server(("127.0.0.1", 0), Handler)
         self.port = self.server.server_address[1]
         threading.Thread(target=self.server.serve_forever, daemon=True).start()
+        threading.Thread(target=self._expire_leases, daemon=True).start()
 
     def put(self, key, value):
         """Writes an item; the write counts as acknowledged when this returns."""
         encoded = base64.b64encode(json.dumps(value).encode()).decode()
         with self.lock:
-            self.revision += 1
-            created = self.items.get(key, {}).get("created", self.revision)
-            item = {"key": key, "value": encoded, "rev": self.revision, "created": created, "lease": 0}
-            self.items[key] = item
-            self._append_event(item)
+            self._put_encoded(key, encoded, 0)
+
+    def _put_encoded(self, key, encoded, lease):
+        self.revision += 1
+        created = self.items.get(key, {}).get("created", self.revision)
+        item = {"key": key, "value": encoded, "rev": self.revision, "created": created, "lease": lease}
+        self.items[key] = item
+        self._append_event(item)
+
+    def _expire_leases(self):
+        """Leases go on while the store is down, like those of a store whose clock goes on."""
+        while True:
+            time.sleep(LEASE_CHECK_INTERVAL_SECONDS)
+            now = time.monotonic()
+            with self.lock:
+                ended = {number for number, (_, end) in self.leases.items() if end <= now}
+                for number in ended:
+                    del self.leases[number]
+                keys = [key for key, item in self.items.items() if item["lease"] in ended]
+            for key in keys:
+                self.remove(key)
 
     def remove(self, key):
         with self.lock:
@@ -62,7 +81,7 @@
             self.compacted_revision = self.events.pop(0)["rev"]
         self.lock.notify_all()
 
-    def serve(self, handler):
+    def serve(self, handler, body):
         fault = self.fault
         if fault == "down":
             return handler.answer_json(503, {})
@@ -82,8 +101,41 @@
                     200, {"items": items, "has_more": False, "as_of": self.revision})
         if url.path == wire.WATCH_PATH:
             return self.watch(handler, prefix, int(query["after"]), int(query["wait_ms"]) / 1000)
+        if url.path == wire.WRITE_PATH:
+            return self.write(handler, body)
+        if url.path == wire.LEASE_PATH:
+            return self.grant_lease(handler, wire.lease_duration_ms(body))
+        if url.path.startswith(wire.RENEWAL_PREFIX):
+            return self.renew_lease(handler, int(url.path[len(wire.RENEWAL_PREFIX):]))
         return handler.answer_json(404, {})
 
+    def write(self, handler, body):
+        key, expected, value, lease = wire.parse_write(body)
+        with self.lock:
+            current = self.items.get(key, {"key": key, "rev": 0, "value": "", "lease": 0})
+            if lease and lease not in self.leases:
+                return handler.answer_json(404, {})
+            if current["rev"] != expected:
+                return handler.answer_json(412, wire.conflict(current))
+            self._put_encoded(key, value, lease)
+            revision = self.revision
+        return handler.answer_json(200, {"rev": revision})
+
+    def grant_lease(self, handler, duration_ms):
+        with self.lock:
+            self.revision += 1
+            number = self.revision
+            self.leases[number] = (duration_ms, time.monotonic() + duration_ms / 1000)
+        return handler.answer_json(200, wire.lease(number, duration_ms))
+
+    def renew_lease(self, handler, number):
+        with self.lock:
+            if number not in self.leases:
+                return handler.answer_json(404, {})
+            duration_ms, _ = self.leases[number]
+            self.leases[number] = (duration_ms, time.monotonic() + duration_ms / 1000)
+        return handler.answer_json(200, wire.lease(number, duration_ms))
+
     def watch(self, handler, prefix, after, wait):
         deadline = time.monotonic() + wait
         with self.lock:
