transport: a response whose head ends where a read ends is no error

Callers saw a 502, or a repeat at another server, for a sound answer: "body limit exceeded" when the head of a response with a Content-Length ended exactly at the end of a read. Cause: the parser's body limit was none, and Boost 1.74 compares the length with an empty limit, which is below every number. More bytes in the same read overwrote the error, so it showed seldom. Ruled out: the client's own limit of a body, which is checked elsewhere (oversizedResponseBodyIsAnError). Change: a limit of the largest number. bodyMayFollowInALaterRead sends the body only after the head was delivered, so it shows the fault each time.

--- a/src/transport/Http1ClientExchange.cpp
+++ b/src/transport/Http1ClientExchange.cpp
@@ -10,6 +10,8 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cstdint>
+#include <limits>
 
 namespace foxtailring {
 
@@ -176,7 +178,8 @@
 {
     m_parser.emplace();
     m_parser->header_limit(maxHeadBytes);
-    m_parser->body_limit(boost::none);
+    // Boost 1.74 takes every Content-Length for larger than no limit.
+    m_parser->body_limit(std::numeric_limits<std::uint64_t>::max());
     m_parser->eager(true);
     m_parser->skip(m_options.isHead);
 }
--- a/tests/transport/Http1ClientTest.cpp
+++ b/tests/transport/Http1ClientTest.cpp
@@ -81,6 +81,7 @@
     CPPUNIT_TEST(unsendableRequestIsRejected);
     CPPUNIT_TEST(responseToAnotherRequestIsSkipped);
     CPPUNIT_TEST(responseToAnotherRequestMayComeInPieces);
+    CPPUNIT_TEST(bodyMayFollowInALaterRead);
     CPPUNIT_TEST(duplicateResponseBeforeCloseIsAnError);
     CPPUNIT_TEST(idleConnectionWithInputIsNotReused);
     CPPUNIT_TEST(streamedConnectionIsReused);
@@ -328,6 +329,26 @@
         assertSecondResponseDelivered(events);
     }
 
+    // Guards against a sound response that fails because its head ends where a read ends.
+    void bodyMayFollowInALaterRead()
+    {
+        RawServer server;
+        StreamEvents events;
+        StreamHooks hooks = events.hooks();
+        const auto hasHead = std::make_shared<Mailbox<bool>>();
+        hooks.onHead = [hasHead](const HttpResponse &) { hasHead->put(true); };
+        hooks.onClosed = [hasHead, closed = hooks.onClosed](const Result<Done> &result) {
+            hasHead->put(false);
+            closed(result);
+        };
+        const auto peer = openStream(server, events, std::move(hooks));
+        peer->write("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n");
+        CPPUNIT_ASSERT(hasHead->take());
+        peer->write("new");
+        CPPUNIT_ASSERT(events.closed().isOk());
+        CPPUNIT_ASSERT_EQUAL(std::string("new"), events.body());
+    }
+
     void duplicateResponseBeforeCloseIsAnError()
     {
         RawServer server;
