--- a/src/gateway/GatewayParts.cpp
+++ b/src/gateway/GatewayParts.cpp
@@ -12,11 +12,6 @@
 // dated before the store answered, so both already err on the safe side.
 constexpr std::chrono::milliseconds keyFreshnessMargin {100};
 
-// The retries of all gateways together stay below the budget of a service, which is 0.8 of its
-// requests plus 150 in ten seconds. The fraction applies to each gateway's own requests; the
-// minimum of 4 in ten seconds leaves room for 37 gateways that use it up at the same time.
-constexpr RetryBudget::Settings retryBudgetSettings {0.75, 0.4};
-
 constexpr std::chrono::milliseconds releaseTimeout {500};
 constexpr std::size_t maxReleaseResponseBytes = 64 * 1024;
 // Requests may hold this fraction of the VM's memory; connection buffers and lists need the rest.
@@ -24,6 +19,11 @@
 
 } // namespace
 
+// The retries of all gateways together stay below the budget of a service, which is 0.8 of its
+// requests plus 150 in ten seconds. The fraction applies to each gateway's own requests; the
+// minimum of 4 in ten seconds leaves room for 37 gateways that use it up at the same time.
+const RetryBudget::Settings GatewayParts::retryBudgetSettings {0.75, 0.4};
+
 GatewayParts::GatewayParts(GatewaySettings gatewaySettings, BackendCodec backendCodec)
     : settings(std::move(gatewaySettings))
     , codec(std::move(backendCodec))
--- a/src/gateway/GatewayParts.h
+++ b/src/gateway/GatewayParts.h
@@ -27,6 +27,8 @@
 /// Everything from \a routes on is only used on the queue, so that no decision needs a lock.
 struct GatewayParts
 {
+    static const RetryBudget::Settings retryBudgetSettings;
+
     GatewayParts(GatewaySettings gatewaySettings, BackendCodec backendCodec);
     GatewayParts(const GatewayParts &) = delete;
     GatewayParts &operator=(const GatewayParts &) = delete;
