gateway: lines about a reached limit name the request

Cause: limitReached had no request, so 'foxtailringctl explain' could not show why a request went elsewhere or was refused. Ruled out: a request id as an argument of RateLimitTable, which knows none of its callers. Change: ForwardSession reports a server that it passed over through a hook of its context, with the table's explanation, as it does for the release of copies. serverLimited and serverUnlimited are states that explain prints. Conclusion: a refusal by a limit is explained by the request's own lines.

--- a/include/foxtailring/decisions/ForwardContext.h
+++ b/include/foxtailring/decisions/ForwardContext.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <string_view>
 
 namespace foxtailring {
 
@@ -11,6 +12,7 @@
 class RateLimitTable;
 class RetryBudget;
 struct CopyReference;
+struct RateLimitExplanation;
 
 /// \brief State shared by all sessions of a process. Used on one queue.
 struct ForwardContext
@@ -23,6 +25,8 @@
     RandomSource &random;
     /// Tells the server to release a snapshot that is no longer needed; may be empty.
     std::function<void(const CopyReference &)> releaseCopy;
+    /// A server got no request because of its rate limit; may be empty.
+    std::function<void(std::string_view serverId, const RateLimitExplanation &)> onRateLimited;
 };
 
 } // namespace foxtailring
--- a/include/foxtailring/decisions/ForwardSession.h
+++ b/include/foxtailring/decisions/ForwardSession.h
@@ -72,6 +72,8 @@
     using Chooser = std::optional<BackendState> (BackendPlacer::*)(const PlacementRequest &,
                                                                    TimePoint, RandomSource &) const;
 
+    /// \brief Takes a request to the server from its rate limit. False if none is free.
+    bool tryAcquire(const std::string &serverId, TimePoint now);
     /// \brief Chooses a server whose rate limit allows a request, and takes the request from it.
     std::optional<BackendState> choose(PlacementRequest placement, Chooser chooser, TimePoint now);
     /// \brief Refusal if choose() found no server.
--- a/include/foxtailring/decisions/RateLimitTable.h
+++ b/include/foxtailring/decisions/RateLimitTable.h
@@ -37,13 +37,11 @@
         Duration reportDelay = std::chrono::milliseconds(2500);
     };
 
-    /// \brief Called when a belief changes, or a request is not sent because of a limit. All are
-    /// optional.
+    /// \brief Called when a limit begins or ends. All are optional.
     struct Hooks
     {
         std::function<void(std::string_view serverId, double limit)> onLimited;
         std::function<void(std::string_view serverId, std::string_view cause)> onUnlimited;
-        std::function<void(std::string_view serverId, const RateLimitExplanation &)> onDenied;
     };
 
     explicit RateLimitTable(Settings settings);
--- a/src/decisions/ForwardSession.cpp
+++ b/src/decisions/ForwardSession.cpp
@@ -190,6 +190,14 @@
     return std::chrono::duration_cast<milliseconds>(m_deadline - now);
 }
 
+bool ForwardSession::tryAcquire(const std::string &serverId, TimePoint now)
+{
+    const bool isFree = m_context.rateLimits.tryAcquire(serverId, now);
+    if (!isFree && m_context.onRateLimited)
+        m_context.onRateLimited(serverId, *m_context.rateLimits.explain(serverId, now));
+    return isFree;
+}
+
 // A server without a free request is passed over like one that does not exist: it is neither tried
 // nor suspected.
 std::optional<BackendState> ForwardSession::choose(PlacementRequest placement, Chooser chooser,
@@ -200,7 +208,7 @@
     while (true) {
         placement.exclude = exclude;
         auto chosen = (m_context.placer.*chooser)(placement, now, m_context.random);
-        if (!chosen || m_context.rateLimits.tryAcquire(chosen->info.id, now))
+        if (!chosen || tryAcquire(chosen->info.id, now))
             return chosen;
         m_limitedIds.push_back(chosen->info.id);
         exclude.push_back(chosen->info.id);
--- a/src/decisions/RateLimitTable.cpp
+++ b/src/decisions/RateLimitTable.cpp
@@ -235,11 +235,8 @@
         found = m_records.emplace(serverId, Record {}).first;
     Record &record = found->second;
     record.demand.record(now);
-    if (record.isLimited && freeAt(serverId, now) > now) {
-        if (m_hooks.onDenied)
-            m_hooks.onDenied(serverId, *explain(serverId, now));
+    if (record.isLimited && freeAt(serverId, now) > now)
         return false;
-    }
     record.sent.record(now);
     return true;
 }
--- a/src/decisions/StreamSession.cpp
+++ b/src/decisions/StreamSession.cpp
@@ -111,7 +111,7 @@
     // A copy exists only from the first event on, not while the prompt is processed.
     auto next = m_hasEvents ? m_copy.takeResumeAttempt(now) : std::nullopt;
     m_copy.drop();
-    if (next && context().rateLimits.tryAcquire(next->server.info.id, now))
+    if (next && tryAcquire(next->server.info.id, now))
         return sendRun(std::move(*next), now);
     if (!request().promptId.empty())
         m_affinityServers =
@@ -158,7 +158,7 @@
         return probeCandidates(now);
     if (!canFinishInTime(0, now))
         return refuseOrAbort(refuse(503, "noTimeLeft"));
-    if (!context().rateLimits.tryAcquire(server->info.id, now))
+    if (!tryAcquire(server->info.id, now))
         return probeCandidates(now);
     SendAttempt next;
     next.server = *server;
@@ -303,7 +303,7 @@
         m_copy.drop();
     if (!holder)
         return KeepWaiting {};
-    if (!context().rateLimits.tryAcquire(server().info.id, now)) {
+    if (!tryAcquire(server().info.id, now)) {
         m_copyCheckAt = now + copyRetryDelay;
         return KeepWaiting {};
     }
@@ -370,8 +370,7 @@
     if (m_isProbing)
         return KeepWaiting {};
     // Without a probe, only the time limit for the next event remains.
-    const bool mayAsk =
-        m_capabilities.canBeProbed && context().rateLimits.tryAcquire(server().info.id, now);
+    const bool mayAsk = m_capabilities.canBeProbed && tryAcquire(server().info.id, now);
     if (!mayAsk) {
         m_lastContactAt = now;
         return KeepWaiting {};
--- a/src/gateway/GatewayNode.cpp
+++ b/src/gateway/GatewayNode.cpp
@@ -61,48 +61,20 @@
     return hooks;
 }
 
-std::string msText(Duration duration)
-{
-    return std::to_string(std::chrono::duration_cast<milliseconds>(duration).count());
-}
-
-std::string limitGauge(std::string_view serverId)
-{
-    return "gateway_server_limit{server=\"" + std::string(serverId) + "\"}";
-}
-
-void logDenied(GatewayParts &parts, std::string_view serverId, const RateLimitExplanation &reason)
-{
-    parts.metrics.add("gateway_limit_denied_total{server=\"" + std::string(serverId) + "\"}");
-    parts.metrics.setGauge(limitGauge(serverId), reason.limit);
-    StructuredLog::info("limitReached",
-                        {{"server", std::string(serverId)},
-                         {"limitPerSecond", std::to_string(reason.limit)},
-                         {"limitAgeMs", msText(reason.limitAge)},
-                         {"quota", std::to_string(reason.quota)},
-                         {"windowMs", msText(reason.window)},
-                         {"recent", std::to_string(reason.recent)},
-                         {"gateways", std::to_string(reason.processes)},
-                         {"shareKnown", reason.isShareKnown ? "true" : "false"}});
-}
-
 RateLimitTable::Hooks makeRateLimitHooks(GatewayParts &parts)
 {
     RateLimitTable::Hooks hooks;
     hooks.onLimited = [&parts](std::string_view serverId, double limit) {
-        parts.metrics.setGauge(limitGauge(serverId), limit);
+        parts.metrics.setGauge(GatewayParts::rateLimitGauge(serverId), limit);
         StructuredLog::info(
             "serverLimited",
             {{"server", std::string(serverId)}, {"limitPerSecond", std::to_string(limit)}});
     };
     hooks.onUnlimited = [&parts](std::string_view serverId, std::string_view cause) {
-        parts.metrics.setGauge(limitGauge(serverId), 0);
+        parts.metrics.setGauge(GatewayParts::rateLimitGauge(serverId), 0);
         StructuredLog::info("serverUnlimited",
                             {{"server", std::string(serverId)}, {"cause", std::string(cause)}});
     };
-    hooks.onDenied = [&parts](std::string_view serverId, const RateLimitExplanation &reason) {
-        logDenied(parts, serverId, reason);
-    };
     return hooks;
 }
 
--- a/src/gateway/GatewayParts.cpp
+++ b/src/gateway/GatewayParts.cpp
@@ -17,6 +17,11 @@
 // Requests may hold this fraction of the VM's memory; connection buffers and lists need the rest.
 constexpr std::size_t memoryBudgetDivisor = 4;
 
+std::string msText(Duration duration)
+{
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
 } // namespace
 
 // The retries of all gateways together stay below the budget of a service, which is 0.8 of its
@@ -48,7 +53,32 @@
             rateLimits,
             latency,
             random,
-            [this, requestId](const CopyReference &copy) { releaseCopy(requestId, copy); }};
+            [this, requestId](const CopyReference &copy) { releaseCopy(requestId, copy); },
+            [this, requestId](std::string_view serverId, const RateLimitExplanation &reason) {
+                reportRateLimited(requestId, serverId, reason);
+            }};
+}
+
+std::string GatewayParts::rateLimitGauge(std::string_view serverId)
+{
+    return "gateway_server_limit{server=\"" + std::string(serverId) + "\"}";
+}
+
+void GatewayParts::reportRateLimited(const std::string &requestId, std::string_view serverId,
+                                     const RateLimitExplanation &reason)
+{
+    metrics.add("gateway_limit_denied_total{server=\"" + std::string(serverId) + "\"}");
+    metrics.setGauge(rateLimitGauge(serverId), reason.limit);
+    StructuredLog::info("limitReached",
+                        {{"request", requestId},
+                         {"server", std::string(serverId)},
+                         {"limitPerSecond", std::to_string(reason.limit)},
+                         {"limitAgeMs", msText(reason.limitAge)},
+                         {"quota", std::to_string(reason.quota)},
+                         {"windowMs", msText(reason.window)},
+                         {"recent", std::to_string(reason.recent)},
+                         {"gateways", std::to_string(reason.processes)},
+                         {"shareKnown", reason.isShareKnown ? "true" : "false"}});
 }
 
 void GatewayParts::releaseCopy(const std::string &requestId, const CopyReference &copy)
--- a/src/gateway/GatewayParts.h
+++ b/src/gateway/GatewayParts.h
@@ -38,6 +38,12 @@
     /// copy then expires by itself.
     void releaseCopy(const std::string &requestId, const CopyReference &copy);
 
+    /// \brief Logs and counts that \a reason kept a request, or a probe for it, from a server.
+    void reportRateLimited(const std::string &requestId, std::string_view serverId,
+                           const RateLimitExplanation &reason);
+    /// \brief Name of the gauge of a server's rate limit.
+    static std::string rateLimitGauge(std::string_view serverId);
+
     const GatewaySettings settings;
     const BackendCodec codec;
     const Clock clock; ///< goes on while the VM is suspended
--- a/src/operator/RequestTimeline.cpp
+++ b/src/operator/RequestTimeline.cpp
@@ -19,7 +19,7 @@
     std::string_view subjectField; ///< empty: the event concerns the node or its store
 };
 
-constexpr std::array<StateEvent, 12> stateEvents {{{"started", ""},
+constexpr std::array<StateEvent, 14> stateEvents {{{"started", ""},
                                                    {"stopping", ""},
                                                    {"storeLost", ""},
                                                    {"storeFollowed", ""},
@@ -30,7 +30,9 @@
                                                    {"serverGone", "server"},
                                                    {"serverEntryUnreadable", "server"},
                                                    {"serverSuspected", "server"},
-                                                   {"serverTrusted", "server"}}};
+                                                   {"serverTrusted", "server"},
+                                                   {"serverLimited", "server"},
+                                                   {"serverUnlimited", "server"}}};
 
 std::string stringField(const ordered_json &object, std::string_view name)
 {
--- a/tests/decisions/ForwardFixture.h
+++ b/tests/decisions/ForwardFixture.h
@@ -85,7 +85,10 @@
                 rateLimits,
                 latency,
                 random,
-                [this](const CopyReference &copy) { released.push_back(copy.handle); }};
+                [this](const CopyReference &copy) { released.push_back(copy.handle); },
+                [this](std::string_view serverId, const RateLimitExplanation &) {
+                    limited.emplace_back(serverId);
+                }};
     }
     ForwardRequest request() const { return {now, Ms(5000), "p1", 8000, 600, 5, std::nullopt}; }
 
@@ -96,6 +99,7 @@
     RateLimitTable rateLimits {{"g", Ms(2500)}};
     EngineLatencyEstimator latency;
     std::vector<std::string> released; ///< handles of snapshots
+    std::vector<std::string> limited;  ///< servers passed over because of their rate limit
     RandomSource random {7};
 };
 
--- a/tests/decisions/RateLimitedSessionTest.cpp
+++ b/tests/decisions/RateLimitedSessionTest.cpp
@@ -46,6 +46,8 @@
         const Refuse refusal = refused(session.start(now));
         CPPUNIT_ASSERT_EQUAL(503, refusal.status);
         CPPUNIT_ASSERT_EQUAL(std::string("rateLimited"), std::string(refusal.cause));
+        // Each is reported, so that the log explains the refusal.
+        CPPUNIT_ASSERT_EQUAL(m_all.size(), limited.size());
         // The request before was sent now, and the window is 4 s.
         CPPUNIT_ASSERT(refusal.retryAfter >= Ms(4000));
         CPPUNIT_ASSERT(refusal.retryAfter <= Ms(4500));
