transport: a request that arrives as its idle connection expires is not cut

Cause: handleRequest() cancelled the deadline. A handler that was queued already runs all the same, and it found the expiry in the past, since cancel() does not move it; the connection was not idle any more, so closeNow() cut it. Ruled out: the half close of an idle connection (drain()), which takes no further request. Change: disarmDeadline() moves the expiry to the end of time; the check in armDeadline() then stops the queued handler.

--- a/src/transport/Http1Connection.cpp
+++ b/src/transport/Http1Connection.cpp
@@ -172,7 +172,7 @@
 {
     http::request<http::string_body> message = m_parser->release();
     m_phase = Phase::Response;
-    m_deadline.cancel();
+    disarmDeadline();
     if (m_shared->isClosed)
         return closeNow();
     const ResponseFraming framing {message.version() >= 11 ? 11U : 10U, message.keep_alive(),
@@ -281,6 +281,12 @@
     });
 }
 
+// Unlike cancel(), also stops a handler that is queued already: it finds an expiry in the future.
+void Http1Connection::disarmDeadline()
+{
+    m_deadline.expires_at(std::chrono::steady_clock::time_point::max());
+}
+
 // While the server stops, an idle connection is shut down in order, so that the caller sees no
 // reset.
 void Http1Connection::onTimeout()
--- a/src/transport/Http1Connection.h
+++ b/src/transport/Http1Connection.h
@@ -65,6 +65,7 @@
     /// True when no byte of a request has arrived.
     bool isIdle() const;
     void armDeadline(std::chrono::milliseconds delay);
+    void disarmDeadline();
 
     Socket m_socket;
     HttpLimits m_limits; ///< of the current request
--- a/tests/transport/Http1ServerTest.cpp
+++ b/tests/transport/Http1ServerTest.cpp
@@ -1,14 +1,18 @@
 #include "foxtailring/transport/Http1Server.h"
 #include "foxtailring/transport/Endpoint.h"
 #include "foxtailring/transport/Http1Responder.h"
+#include "foxtailring/transport/Timer.h"
 #include "foxtailring/transport/WorkerPool.h"
 #include "Mailbox.h"
 #include "RawPeer.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <memory>
 #include <optional>
 #include <random>
+#include <set>
+#include <vector>
 
 using namespace foxtailring;
 
@@ -21,6 +25,8 @@
 };
 
 constexpr HttpLimits smallLimits {1024, 4096, std::chrono::seconds(60)};
+/// Idle connections end this long after a stop.
+constexpr std::chrono::milliseconds idleLimitAtStop {300};
 constexpr std::string_view getRoot = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
 
 bool contains(std::string_view text, std::string_view part)
@@ -47,6 +53,7 @@
     CPPUNIT_TEST(abortSendsNoFinalChunk);
     CPPUNIT_TEST(stoppedServerFinishesItsRequest);
     CPPUNIT_TEST(requestsSentDuringStopAreAnswered);
+    CPPUNIT_TEST(requestsAtTheIdleLimitAreAnswered);
     CPPUNIT_TEST(closedServerReleasesItsPort);
     CPPUNIT_TEST(lineBreaksInHeadersAreNotSent);
     CPPUNIT_TEST(connectionsAreAcceptedWithoutKeepAlive);
@@ -266,6 +273,31 @@
     }
 
     // A restarted process must be able to bind its port again.
+    // Guards against a connection that is cut with its request under way: the handler of its idle
+    // limit was queued already when the request was read.
+    void requestsAtTheIdleLimitAreAnswered()
+    {
+        for (int round = 1; round <= 8; ++round) {
+            const std::chrono::microseconds lead(100 * round);
+            std::vector<std::unique_ptr<RawPeer>> peers;
+            for (int i = 0; i < 100; ++i) {
+                peers.push_back(std::make_unique<RawPeer>(m_port));
+                peers.back()->write("GET /first HTTP/1.1\r\nHost: h\r\n\r\n");
+                m_requests.take().responder->respond({204, {}, {}});
+                peers.back()->readUntil("\r\n\r\n");
+            }
+            const auto limitAt = std::chrono::steady_clock::now() + idleLimitAtStop;
+            m_server->stopAccepting();
+            waitUntil(
+                [limitAt, lead] { return std::chrono::steady_clock::now() >= limitAt - lead; });
+            for (std::size_t i = 0; i < peers.size(); ++i)
+                peers[i]->write("GET /" + std::to_string(i) + " HTTP/1.1\r\nHost: h\r\n\r\n");
+            assertReceivedAreAnswered(peers);
+            tearDown();
+            setUp();
+        }
+    }
+
     void closedServerReleasesItsPort()
     {
         RawPeer peer(m_port);
@@ -316,6 +348,30 @@
     }
 
 private:
+    // All connections end, so that reading them shows which requests were answered.
+    void assertReceivedAreAnswered(const std::vector<std::unique_ptr<RawPeer>> &peers)
+    {
+        // The server handles what has arrived before it answers the first one.
+        Timer timer(*m_pool);
+        Mailbox<bool> over;
+        timer.once(std::chrono::milliseconds(50), [&over] { over.put(true); });
+        over.take();
+        std::set<std::string> received;
+        while (!m_requests.isEmpty()) {
+            PendingRequest pending = m_requests.take();
+            received.insert(pending.request.target.substr(1));
+            pending.responder->respond({200, {}, pending.request.target});
+        }
+        std::string unanswered;
+        for (std::size_t i = 0; i < peers.size(); ++i) {
+            const std::string number = std::to_string(i);
+            if (received.contains(number) && !peers[i]->readAll().starts_with("HTTP/1.1 200 "))
+                unanswered += number + " ";
+        }
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(std::to_string(received.size()) + " received", std::string(),
+                                     unanswered);
+    }
+
     std::optional<WorkerPool> m_pool;
     Mailbox<PendingRequest> m_requests;
     Mailbox<int> m_disconnects;
