gateway: a lease that ended between two limits is not used again

Cause: after a time without a limit the lease of a gateway's report has ended; the first report of the next limit was then refused (404) and came a pause of 0.5 to 1.5 s late. Ruled out: to keep the lease for ever, which costs a call each 3 s at every gateway. Change: a lease that was not renewed for its duration is forgotten, and the key with it. Conclusion: a new limit is published at once.

--- a/src/gateway/RateLimitPublisher.cpp
+++ b/src/gateway/RateLimitPublisher.cpp
@@ -47,14 +47,27 @@
     m_parts.rateLimits.expire(now);
     if (m_isCalling || now < m_pausedUntil)
         return;
-    if (m_lease == 0)
-        return m_parts.rateLimits.wantsReport(now) ? grantLease() : void();
+    forgetEndedLease(now);
+    if (m_lease == 0) {
+        if (m_parts.rateLimits.wantsReport(now))
+            grantLease();
+        return;
+    }
     if (const auto report = m_parts.rateLimits.takeDueReport(now))
         return publish(*report);
     if (m_parts.rateLimits.hasReport() && now - m_leaseRenewedAt >= leaseRenewalInterval)
         renewLease();
 }
 
+// After a time without a limit. The key has ended with its lease.
+void RateLimitPublisher::forgetEndedLease(TimePoint now)
+{
+    if (m_lease == 0 || now - m_leaseRenewedAt < leaseDuration)
+        return;
+    m_lease = 0;
+    m_revision = 0;
+}
+
 void RateLimitPublisher::grantLease()
 {
     m_isCalling = true;
--- a/src/gateway/RateLimitPublisher.h
+++ b/src/gateway/RateLimitPublisher.h
@@ -29,6 +29,7 @@
 
 private:
     void step();
+    void forgetEndedLease(TimePoint now);
     void grantLease();
     void renewLease();
     void publish(const RateLimitReport &report);
