--- a/src/gateway/GatewayParts.cpp
+++ b/src/gateway/GatewayParts.cpp
@@ -4,6 +4,8 @@
 #include "foxtailring/decisions/CopyReference.h"
 #include "foxtailring/transport/Endpoint.h"
 
+#include "DurationText.h"
+
 namespace foxtailring {
 
 namespace {
@@ -17,11 +19,6 @@
 // Requests may hold this fraction of the VM's memory; connection buffers and lists need the rest.
 constexpr std::size_t memoryBudgetDivisor = 4;
 
-std::string msText(Duration duration)
-{
-    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
-}
-
 } // namespace
 
 // The retries of all gateways together stay below the budget of a service, which is 0.8 of its
--- a/src/gateway/RequestRelay.cpp
+++ b/src/gateway/RequestRelay.cpp
@@ -7,6 +7,7 @@
 #include "foxtailring/transport/Http1Responder.h"
 #include "foxtailring/transport/Http1Stream.h"
 
+#include "DurationText.h"
 #include "GatewayParts.h"
 #include "Refusal.h"
 #include "ServerProbe.h"
@@ -35,11 +36,6 @@
 constexpr std::size_t maxUnreadCallerBytes = 1024 * 1024;
 constexpr milliseconds minTimerDelay {5};
 
-std::string msText(Duration duration)
-{
-    return std::to_string(std::chrono::duration_cast<milliseconds>(duration).count());
-}
-
 bool isEventStream(const HttpResponse &head)
 {
     return head.header("Content-Type").starts_with("text/event-stream");
