decisions: a stream that has begun is cut, not answered, when its retry is rejected

Callers saw a stream that never went on and never ended: endless_answers failed once beside load ("an answer after 10.3 s"). Cause: a run is lost after its first events, and its next attempt is rejected ("not run") or answered with an error: retryRejected() and onAnswer() then answered the caller (502, or the server's answer), which is ignored on a stream that has begun. The caller waited until its own timeout. Change: conclude(): a StreamSession that has begun aborts its answer in place of both.

--- a/include/foxtailring/decisions/ForwardSession.h
+++ b/include/foxtailring/decisions/ForwardSession.h
@@ -99,6 +99,8 @@
     virtual ForwardAction onLost(AttemptResult result, TimePoint now) = 0;
     /// \brief True if a server at the address of another one can be used in its place.
     virtual bool acceptsSuccessor() const { return false; }
+    /// \brief Returns what to do in place of \a action, which would answer the caller.
+    virtual ForwardAction conclude(ForwardAction action) const { return action; }
     /// \brief The server did not execute the attempt.
     virtual void onRejected() { }
     /// \brief Called at overdueAt() while an attempt is in progress.
--- a/include/foxtailring/decisions/StreamSession.h
+++ b/include/foxtailring/decisions/StreamSession.h
@@ -48,6 +48,7 @@
     ForwardAction makeAttempt(std::string_view cause, TimePoint now) override;
     ForwardAction onLost(AttemptResult result, TimePoint now) override;
     void onRejected() override;
+    ForwardAction conclude(ForwardAction action) const override;
     bool acceptsSuccessor() const override { return m_capabilities.isSingleService; }
     ForwardAction onOverdue(TimePoint now) override;
     TimePoint overdueAt() const override;
--- a/src/decisions/ForwardSession.cpp
+++ b/src/decisions/ForwardSession.cpp
@@ -100,7 +100,7 @@
     releaseServer();
     ++m_possibleRuns;
     if (!isFailure)
-        return PassAnswer {};
+        return conclude(PassAnswer {});
     if (tryTakeRetry(now)) {
         ForwardAction next = makeAttempt("serverError", now);
         if (std::holds_alternative<SendAttempt>(next))
@@ -108,8 +108,8 @@
     }
     // To the caller, 503 means that the request was not executed.
     if (answer.status == 503)
-        return refuse(502, "serverUnavailable");
-    return PassAnswer {};
+        return conclude(refuse(502, "serverUnavailable"));
+    return conclude(PassAnswer {});
 }
 
 ForwardAction ForwardSession::onWrongServer(const BackendAnswer &answer, TimePoint now)
@@ -149,7 +149,7 @@
     // An attempt that was not sent puts no load on a server, so it does not use the retry budget.
     const bool takesBudget = result != AttemptResult::NotSent;
     if (isExhausted || (takesBudget && !m_context.retryBudget.tryConsume(m_service, now)))
-        return refuse(503, attemptResultName(result));
+        return conclude(refuse(503, attemptResultName(result)));
     return makeAttempt(attemptResultName(result), now);
 }
 
--- a/src/decisions/StreamSession.cpp
+++ b/src/decisions/StreamSession.cpp
@@ -475,6 +475,15 @@
     return refuseOrAbort(ForwardSession::onExpired(now));
 }
 
+// A stream that has begun cannot be answered any more.
+ForwardAction StreamSession::conclude(ForwardAction action) const
+{
+    if (!m_hasStarted)
+        return action;
+    const auto *refusal = std::get_if<Refuse>(&action);
+    return AbortAnswer {refusal ? refusal->cause : "serverError"};
+}
+
 // If the caller already has a part of the answer, only aborting shows that the rest is missing.
 ForwardAction StreamSession::refuseOrAbort(ForwardAction refusal)
 {
--- a/tests/decisions/StreamSessionTest.cpp
+++ b/tests/decisions/StreamSessionTest.cpp
@@ -34,6 +34,7 @@
     CPPUNIT_TEST(runThatWasNotExecutedHasNoCopy);
     CPPUNIT_TEST(eventsArePassedOnInOrder);
     CPPUNIT_TEST(startedStreamIsAbortedWhenItCannotResume);
+    CPPUNIT_TEST(startedStreamIsAbortedWhenItsRetryIsAnswered);
     CPPUNIT_TEST(streamThatIsNotResumableIsSentOnce);
     CPPUNIT_TEST(serviceWithoutProbesIsWaitedFor);
     CPPUNIT_TEST(countsAtServersReturnToZero);
@@ -397,6 +398,20 @@
     }
 
     // Guards against a second execution of a stream that is not resumable.
+    // Guards against a caller that waits for the rest of a stream whose request was answered 502.
+    void startedStreamIsAbortedWhenItsRetryIsAnswered()
+    {
+        const HttpRoute once = m_route;
+        StreamSession session(once, request(), context(), {false, true, false});
+        sent(session.start(now));
+        session.onEvent(1, now);
+        sent(session.onAttemptEnded(AttemptResult::Lost, now));
+        ForwardAction next = session.onAttemptEnded(AttemptResult::NotRun, now);
+        while (std::holds_alternative<SendAttempt>(next))
+            next = session.onAttemptEnded(AttemptResult::NotRun, now);
+        CPPUNIT_ASSERT(std::holds_alternative<AbortAnswer>(next));
+    }
+
     void streamThatIsNotResumableIsSentOnce()
     {
         HttpRoute once = m_route;
