gateway: divide the minimum of the retry budget among all gateways

Seen: KNOWN-RED case SharedRetryBudgetTest::fleetOf350StaysInTheBudget. 350 gateways with two requests each might retry 1,750 times in 10 s, where the users' budget allows 710. Each gateway had a minimum of 4 retries in 10 s, whatever the number of gateways. Ruled out: no minimum (a gateway with two requests could retry once only), a minimum for 350 gateways everywhere (0.2 retries for fleets of 3 to 33), a counter in the store (slower than the pause that a stream allows). Change: each gateway lists itself in the store under a lease; FleetMembership counts the list, upwards when in doubt; the fleet divides 75 of the 150 by its size. Budgets below one retry are rounded with a random number a gateway. The lease also holds the report of rate limits, so RateLimitPublisher is now GatewayPublisher. Lines retryDenied, fleetSizeChanged, enlisted, publishFailed; three series. A report without servers no longer counts towards the publish interval, since its key now stays under the lease.

--- /dev/null
+++ b/include/foxtailring/decisions/FleetMembership.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "foxtailring/base/Clock.h"
+
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace foxtailring {
+
+/// \brief The processes that share limits, as far as this one knows.
+///
+/// A process counts from the moment it is listed until well after it was delisted: too high a count
+/// makes shares too small, too low a count breaks the limit. Not thread-safe; used on one queue.
+class FleetMembership
+{
+public:
+    /// \param ownId of this process, which counts whether it is listed or not
+    explicit FleetMembership(std::string ownId);
+
+    /// \brief Replaces the list of processes.
+    void replace(std::span<const std::string> ids, TimePoint now);
+    void put(std::string_view id);
+    void remove(std::string_view id, TimePoint now);
+    /// \brief Forgets processes that were delisted long ago.
+    void expire(TimePoint now);
+
+    bool isListed(std::string_view id) const;
+    /// \brief Number of processes to divide a limit by; at least 1. The largest planned fleet until
+    /// the list is known.
+    std::size_t size() const;
+
+private:
+    using DelistedAt = std::optional<TimePoint>; ///< none: listed
+
+    const std::string m_ownId;
+    bool m_isKnown = false; ///< a list was read
+    std::map<std::string, DelistedAt, std::less<>> m_others;
+    bool m_isSelfListed = false;
+};
+
+} // namespace foxtailring
--- a/include/foxtailring/decisions/ForwardContext.h
+++ b/include/foxtailring/decisions/ForwardContext.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <string>
 #include <string_view>
 
 namespace foxtailring {
@@ -27,6 +28,8 @@
     std::function<void(const CopyReference &)> releaseCopy;
     /// A server got no request because of its rate limit; may be empty.
     std::function<void(std::string_view serverId, const RateLimitExplanation &)> onRateLimited;
+    /// The retry budget of the service is used up; may be empty.
+    std::function<void(const std::string &service)> onRetryDenied;
 };
 
 } // namespace foxtailring
--- a/include/foxtailring/decisions/ForwardSession.h
+++ b/include/foxtailring/decisions/ForwardSession.h
@@ -111,6 +111,7 @@
     void chooseService();
     ForwardAction onWrongServer(const BackendAnswer &answer, TimePoint now);
     ForwardAction retryRejected(AttemptResult result, TimePoint now);
+    bool tryConsumeBudget(TimePoint now);
 
     const HttpRoute &m_route;
     const ForwardRequest m_request;
--- a/include/foxtailring/decisions/RetryBudget.h
+++ b/include/foxtailring/decisions/RetryBudget.h
@@ -14,14 +14,19 @@
 
 /// \brief Limits the retries of each service to a fraction of its recent work, plus a minimum rate.
 ///
-/// Thread-safe. No other lock is acquired while its mutex is held.
+/// The budget is that of a fleet of processes, each of which knows its own work only: the fraction
+/// applies to that, and the minimum rate is divided among all. Thread-safe. No other lock is
+/// acquired while its mutex is held.
 class RetryBudget
 {
 public:
     struct Settings
     {
         double fraction = 0.1;     ///< retries per unit of work
-        double minPerSecond = 0.2; ///< retries per second that are always allowed
+        double minPerSecond = 0.2; ///< retries per second that the fleet is always allowed
+        /// Part of a retry, below 1, with which the budget is rounded. Random numbers make the
+        /// rounded budgets of a fleet add up to the exact sum.
+        double rounding = 0;
     };
 
     RetryBudget();
@@ -31,7 +36,9 @@
     void deposit(std::string_view service, TimePoint now);
     /// \brief Takes one retry from the budget. False if none is left; the caller must not retry.
     bool tryConsume(std::string_view service, TimePoint now);
-    /// \brief Returns the number of retries left.
+    /// \brief Sets the number of processes in the fleet, at least 1.
+    void setProcessCount(std::size_t count);
+    /// \brief Returns the number of retries left, before rounding.
     double remaining(std::string_view service, TimePoint now) const;
 
 private:
@@ -51,6 +58,7 @@
 
     const Settings m_settings;
     mutable std::mutex m_mutex;
+    std::size_t m_processCount = 1;
     std::map<std::string, Window, std::less<>> m_windows;
 };
 
--- a/src/decisions/ForwardSession.cpp
+++ b/src/decisions/ForwardSession.cpp
@@ -148,7 +148,7 @@
         || m_addressFailures >= maxAddressFailures || timeLeft(now) < minTimeLeft;
     // An attempt that was not sent puts no load on a server, so it does not use the retry budget.
     const bool takesBudget = result != AttemptResult::NotSent;
-    if (isExhausted || (takesBudget && !m_context.retryBudget.tryConsume(m_service, now)))
+    if (isExhausted || (takesBudget && !tryConsumeBudget(now)))
         return conclude(refuse(503, attemptResultName(result)));
     return makeAttempt(attemptResultName(result), now);
 }
@@ -229,7 +229,16 @@
 bool ForwardSession::tryTakeRetry(TimePoint now)
 {
     return m_route.allowsRetry() && m_possibleRuns < m_route.maxAttempts
-        && timeLeft(now) >= minTimeLeft && m_context.retryBudget.tryConsume(m_service, now);
+        && timeLeft(now) >= minTimeLeft && tryConsumeBudget(now);
+}
+
+bool ForwardSession::tryConsumeBudget(TimePoint now)
+{
+    if (m_context.retryBudget.tryConsume(m_service, now))
+        return true;
+    if (m_context.onRetryDenied)
+        m_context.onRetryDenied(m_service);
+    return false;
 }
 
 ForwardAction ForwardSession::send(SendAttempt attempt, TimePoint now)
--- a/src/decisions/RateLimitTable.cpp
+++ b/src/decisions/RateLimitTable.cpp
@@ -161,12 +161,13 @@
             after.emplace(entry.serverId, entry);
     }
     const Limits before = std::exchange(m_reports[change.processId], after);
+    if (after.empty())
+        m_reports.erase(change.processId);
     for (const Limits *limits : {&before, &std::as_const(after)}) {
         for (const auto &[serverId, entry] : *limits)
             changed.insert(serverId);
     }
     if (!change.report) {
-        m_reports.erase(change.processId);
         m_isRepublishing = m_isRepublishing || isOwn;
         return;
     }
--- a/src/decisions/RetryBudget.cpp
+++ b/src/decisions/RetryBudget.cpp
@@ -33,17 +33,23 @@
 {
     const std::lock_guard lock(m_mutex);
     Window &seconds = window(service);
-    if (remaining(seconds, now) < 1)
+    if (remaining(seconds, now) + m_settings.rounding < 1)
         return false;
     ++secondAt(seconds, now).retries;
     return true;
 }
 
+void RetryBudget::setProcessCount(std::size_t count)
+{
+    const std::lock_guard lock(m_mutex);
+    m_processCount = std::max<std::size_t>(count, 1);
+}
+
 double RetryBudget::remaining(std::string_view service, TimePoint now) const
 {
     const std::lock_guard lock(m_mutex);
     const auto found = m_windows.find(service);
-    return remaining(found == m_windows.end() ? Window {} : found->second, now);
+    return std::max(0.0, remaining(found == m_windows.end() ? Window {} : found->second, now));
 }
 
 RetryBudget::Window &RetryBudget::window(std::string_view service)
@@ -74,8 +80,9 @@
         workUnits += static_cast<double>(second.workUnits);
         retries += static_cast<double>(second.retries);
     }
-    const double floor = m_settings.minPerSecond * static_cast<double>(windowSeconds);
-    return std::max(0.0, workUnits * m_settings.fraction + floor - retries);
+    const double fleetMinimum = m_settings.minPerSecond * static_cast<double>(windowSeconds);
+    const double minimum = fleetMinimum / static_cast<double>(m_processCount);
+    return workUnits * m_settings.fraction + minimum - retries;
 }
 
 } // namespace foxtailring
--- a/src/gateway/GatewayNode.cpp
+++ b/src/gateway/GatewayNode.cpp
@@ -7,7 +7,7 @@
 #include "foxtailring/transport/Timer.h"
 
 #include "GatewayParts.h"
-#include "RateLimitPublisher.h"
+#include "GatewayPublisher.h"
 #include "RequestDispatcher.h"
 #include "StoreWatch.h"
 
@@ -101,7 +101,7 @@
         , storeHttp(parts.pool)
         , store(factory(parts.pool, storeHttp))
         , watch(parts, *store, std::move(schema))
-        , rateLimitPublisher(parts, *store)
+        , publisher(parts, *store)
         , drainTimer(parts.pool)
     {
         parts.servers.setHooks(makeTrustHooks(parts));
@@ -123,7 +123,7 @@
     Http1Client storeHttp;
     const std::unique_ptr<KeyValueClient> store;
     StoreWatch watch;
-    RateLimitPublisher rateLimitPublisher;
+    GatewayPublisher publisher;
     Timer drainTimer;
     bool isStopping = false;  ///< no new connections; on the queue
     TimePoint drainStartedAt; ///< on the queue
@@ -168,7 +168,7 @@
     readiness.close();
     metrics.close();
     watch.stop();
-    rateLimitPublisher.stop();
+    publisher.stop();
     parts.pool.stop();
     // Runs the remaining tasks on this thread: they hold references to members that are destroyed
     // before the pool.
@@ -201,7 +201,7 @@
         *port = listening.value();
     }
     m_state->watch.start();
-    m_state->rateLimitPublisher.start();
+    m_state->publisher.start();
     return ports;
 }
 
--- a/src/gateway/GatewayParts.cpp
+++ b/src/gateway/GatewayParts.cpp
@@ -6,6 +6,8 @@
 
 #include "DurationText.h"
 
+#include <utility>
+
 namespace foxtailring {
 
 namespace {
@@ -21,10 +23,13 @@
 
 } // namespace
 
-// The retries of all gateways together stay below the budget of a service, which is 0.8 of its
-// requests plus 150 in ten seconds. The fraction applies to each gateway's own requests; the
-// minimum of 4 in ten seconds leaves room for 37 gateways that use it up at the same time.
-const RetryBudget::Settings GatewayParts::retryBudgetSettings {0.75, 0.4};
+// The users allow 0.8 of a service's requests plus 150 in ten seconds. The fraction applies to each
+// gateway's own requests. The fleet divides half of the 150, since gateways that restart, or learn
+// late that the fleet has grown, may use a minimum twice.
+RetryBudget::Settings GatewayParts::retryBudgetSettings(RandomSource &random)
+{
+    return {0.75, 7.5, random.generateDouble()};
+}
 
 GatewayParts::GatewayParts(GatewaySettings gatewaySettings, BackendCodec backendCodec)
     : settings(std::move(gatewaySettings))
@@ -34,26 +39,51 @@
     , http(pool)
     , queue(pool)
     , placer(servers, settings.availabilityZone, settings.regions, BackendPlacer::Settings {})
-    , retryBudget(retryBudgetSettings)
+    , random(RandomSource::fromEntropy())
+    , fleet(settings.nodeId)
+    , retryBudget(retryBudgetSettings(random))
     , rateLimits({settings.nodeId, settings.maxServerListDelay})
     , keyFreshness(settings.maxKeyRevocationDelay, keyFreshnessMargin)
-    , random(RandomSource::fromEntropy())
     , memoryBudget(settings.memoryMb * 1024 * 1024 / memoryBudgetDivisor)
 {
+    updateFleetSize();
 }
 
 ForwardContext GatewayParts::forwardContext(const std::string &requestId)
 {
-    return {servers,
-            placer,
-            retryBudget,
-            rateLimits,
-            latency,
-            random,
-            [this, requestId](const CopyReference &copy) { releaseCopy(requestId, copy); },
-            [this, requestId](std::string_view serverId, const RateLimitExplanation &reason) {
-                reportRateLimited(requestId, serverId, reason);
-            }};
+    return {
+        servers,
+        placer,
+        retryBudget,
+        rateLimits,
+        latency,
+        random,
+        [this, requestId](const CopyReference &copy) { releaseCopy(requestId, copy); },
+        [this, requestId](std::string_view serverId, const RateLimitExplanation &reason) {
+            reportRateLimited(requestId, serverId, reason);
+        },
+        [this, requestId](const std::string &service) { reportRetryDenied(requestId, service); }};
+}
+
+void GatewayParts::updateFleetSize()
+{
+    fleet.expire(clock());
+    const std::size_t size = fleet.size();
+    if (std::exchange(m_fleetSize, size) == size)
+        return;
+    retryBudget.setProcessCount(size);
+    metrics.setGauge("gateway_fleet_size", static_cast<double>(size));
+    StructuredLog::info("fleetSizeChanged", {{"gateways", std::to_string(size)}});
+}
+
+void GatewayParts::reportRetryDenied(const std::string &requestId, const std::string &service)
+{
+    metrics.add("gateway_retries_denied_total{service=\"" + service + "\"}");
+    StructuredLog::info("retryDenied",
+                        {{"request", requestId},
+                         {"service", service},
+                         {"left", std::to_string(retryBudget.remaining(service, clock()))},
+                         {"gateways", std::to_string(m_fleetSize)}});
 }
 
 std::string GatewayParts::rateLimitGauge(std::string_view serverId)
--- a/src/gateway/GatewayParts.h
+++ b/src/gateway/GatewayParts.h
@@ -6,6 +6,7 @@
 #include "foxtailring/decisions/BackendPlacer.h"
 #include "foxtailring/decisions/BackendTable.h"
 #include "foxtailring/decisions/EngineLatencyEstimator.h"
+#include "foxtailring/decisions/FleetMembership.h"
 #include "foxtailring/decisions/ForwardContext.h"
 #include "foxtailring/decisions/KeyFreshness.h"
 #include "foxtailring/decisions/MemoryBudget.h"
@@ -27,7 +28,8 @@
 /// Everything from \a routes on is only used on the queue, so that no decision needs a lock.
 struct GatewayParts
 {
-    static const RetryBudget::Settings retryBudgetSettings;
+    /// \brief Settings of one gateway's part of the users' retry budget.
+    static RetryBudget::Settings retryBudgetSettings(RandomSource &random);
 
     GatewayParts(GatewaySettings gatewaySettings, BackendCodec backendCodec);
     GatewayParts(const GatewayParts &) = delete;
@@ -38,6 +40,10 @@
     /// copy then expires by itself.
     void releaseCopy(const std::string &requestId, const CopyReference &copy);
 
+    /// \brief Divides shared limits by the number of gateways that is known now.
+    void updateFleetSize();
+    /// \brief Logs and counts that the retry budget kept a request from another server.
+    void reportRetryDenied(const std::string &requestId, const std::string &service);
     /// \brief Logs and counts that \a reason kept a request, or a probe for it, from a server.
     void reportRateLimited(const std::string &requestId, std::string_view serverId,
                            const RateLimitExplanation &reason);
@@ -56,12 +62,16 @@
     bool hasServerList = false;               ///< the server list was read
     BackendTable servers;
     BackendPlacer placer;
+    RandomSource random;
+    FleetMembership fleet;
     RetryBudget retryBudget;
     RateLimitTable rateLimits;
     EngineLatencyEstimator latency;
     KeyFreshness keyFreshness;
-    RandomSource random;
     MemoryBudget memoryBudget;
+
+private:
+    std::size_t m_fleetSize = 0; ///< by which shared limits are divided
 };
 
 } // namespace foxtailring
--- /dev/null
+++ b/src/gateway/GatewayPublisher.cpp
@@ -0,0 +1,199 @@
+#include "GatewayPublisher.h"
+
+#include "foxtailring/base/StructuredLog.h"
+
+#include "GatewayKey.h"
+#include "GatewayParts.h"
+#include "RateLimitReportCodec.h"
+
+#include <algorithm>
+
+namespace foxtailring {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr milliseconds stepInterval {250};
+// The keys of a gateway that has ended or is cut off disappear after this time.
+constexpr seconds leaseDuration {15};
+constexpr seconds leaseRenewalInterval {5};
+// Hundreds of gateways start at the same time, and the store takes a few hundred writes per second.
+constexpr milliseconds startSpread {3000};
+// By then the store has shown a key that was written.
+constexpr seconds listingVisibleAfter {5};
+// With a random spread, since the store may have rejected all gateways at once.
+constexpr milliseconds minFailurePause {500};
+constexpr milliseconds maxFailurePause {4000};
+constexpr milliseconds failurePauseSpread {1000};
+
+} // namespace
+
+GatewayPublisher::GatewayPublisher(GatewayParts &parts, KeyValueClient &client)
+    : m_parts(parts)
+    , m_client(client)
+    , m_listing {GatewayKey::of(parts.settings.nodeId)}
+    , m_report {std::string(RateLimitReportCodec::keyPrefix) + parts.settings.nodeId}
+    , m_timer(parts.pool)
+    , m_failurePause(minFailurePause)
+{
+}
+
+void GatewayPublisher::start()
+{
+    m_parts.queue.post([this] { m_enlistAt = m_parts.clock() + randomDelay(startSpread); });
+    m_timer.every(stepInterval, [this] { m_parts.queue.post([this] { step(); }); });
+}
+
+void GatewayPublisher::stop()
+{
+    m_timer.cancel();
+}
+
+void GatewayPublisher::step()
+{
+    const TimePoint now = m_parts.clock();
+    m_parts.rateLimits.expire(now);
+    m_parts.updateFleetSize();
+    if (m_isCalling || now < m_pausedUntil)
+        return;
+    forgetEndedLease(now);
+    if (m_lease == 0) {
+        if (now >= m_enlistAt || m_parts.rateLimits.wantsReport(now))
+            grantLease();
+        return;
+    }
+    if (const auto report = m_parts.rateLimits.takeDueReport(now))
+        return publish(*report);
+    if (isListingDue(now))
+        return enlist();
+    if (now - m_leaseRenewedAt >= leaseRenewalInterval)
+        renewLease();
+}
+
+bool GatewayPublisher::isListingDue(TimePoint now) const
+{
+    if (now < m_enlistAt)
+        return false;
+    if (m_listing.lease != m_lease)
+        return true;
+    const bool isVisible = m_parts.fleet.isListed(m_parts.settings.nodeId);
+    return !isVisible && now - m_listing.writtenAt >= listingVisibleAfter;
+}
+
+// The keys have ended with the lease.
+void GatewayPublisher::forgetEndedLease(TimePoint now)
+{
+    if (m_lease != 0 && now - m_leaseRenewedAt >= leaseDuration)
+        m_lease = 0;
+}
+
+void GatewayPublisher::grantLease()
+{
+    m_isCalling = true;
+    const TimePoint askedAt = m_parts.clock();
+    m_client.grantLease(leaseDuration, [this, askedAt](const Result<std::int64_t> &lease) {
+        m_parts.queue.post([this, askedAt, lease] {
+            m_isCalling = false;
+            if (!lease)
+                return onFailed("grantLease", lease.error());
+            m_lease = lease.value();
+            m_leaseRenewedAt = askedAt;
+            m_failurePause = minFailurePause;
+            step();
+        });
+    });
+}
+
+void GatewayPublisher::renewLease()
+{
+    m_isCalling = true;
+    const TimePoint askedAt = m_parts.clock();
+    m_client.keepAlive(m_lease, [this, askedAt](const Result<std::int64_t> &left) {
+        m_parts.queue.post([this, askedAt, left] {
+            m_isCalling = false;
+            if (!left)
+                return onFailed("keepAlive", left.error());
+            m_leaseRenewedAt = askedAt;
+            m_failurePause = minFailurePause;
+        });
+    });
+}
+
+void GatewayPublisher::enlist()
+{
+    write(m_listing, "", [this](const Result<WriteResult> &result) {
+        if (!result)
+            return onFailed("enlist", result.error());
+        if (result.value().applied)
+            StructuredLog::info("enlisted", {{"revision", std::to_string(m_listing.revision)}});
+    });
+}
+
+void GatewayPublisher::publish(const RateLimitReport &report)
+{
+    write(m_report, RateLimitReportCodec::encode(report), [this](const auto &result) {
+        if (result)
+            return onReportWritten(result.value());
+        m_parts.metrics.add("gateway_limit_reports_total{outcome=\"failed\"}");
+        onFailed("writeReport", result.error());
+    });
+}
+
+// A conflict shows the effect of an earlier write whose reply was lost, of an earlier process with
+// the same node id, or the end of a lease.
+void GatewayPublisher::write(LeasedKey &key, const std::string &value,
+                             KeyValueClient::WriteHook hook)
+{
+    m_isCalling = true;
+    const auto onReply = [this, &key, lease = m_lease, hook](const Result<WriteResult> &result) {
+        m_parts.queue.post([this, &key, lease, hook, result] {
+            m_isCalling = false;
+            if (result)
+                recordWritten(key, lease, result.value());
+            hook(result);
+        });
+    };
+    m_client.compareAndSwap(key.name, value, key.revision, onReply, m_lease);
+}
+
+void GatewayPublisher::recordWritten(LeasedKey &key, std::int64_t lease, const WriteResult &result)
+{
+    key.revision = result.applied ? result.revision : result.current.modRevision;
+    if (!result.applied)
+        return;
+    key.lease = lease;
+    key.writtenAt = m_parts.clock();
+    m_failurePause = minFailurePause;
+}
+
+void GatewayPublisher::onReportWritten(const WriteResult &result)
+{
+    if (result.applied)
+        return m_parts.metrics.add("gateway_limit_reports_total{outcome=\"written\"}");
+    m_parts.metrics.add("gateway_limit_reports_total{outcome=\"conflict\"}");
+    StructuredLog::info("limitReportConflict", {{"revision", std::to_string(m_report.revision)}});
+    m_parts.rateLimits.onReportNotPublished();
+}
+
+void GatewayPublisher::onFailed(std::string_view call, const Error &error)
+{
+    m_parts.metrics.add("gateway_publish_failures_total{call=\"" + std::string(call) + "\"}");
+    StructuredLog::warn("publishFailed",
+                        {{"call", std::string(call)},
+                         {"error", std::string(errorCodeName(error.code))},
+                         {"message", error.message}});
+    if (error.code == ErrorCode::NotFound)
+        m_lease = 0;
+    m_parts.rateLimits.onReportNotPublished();
+    m_pausedUntil = m_parts.clock() + m_failurePause + randomDelay(failurePauseSpread);
+    m_failurePause = std::min(2 * m_failurePause, maxFailurePause);
+}
+
+milliseconds GatewayPublisher::randomDelay(milliseconds bound)
+{
+    return milliseconds(m_parts.random.bounded(static_cast<std::uint64_t>(bound.count())));
+}
+
+} // namespace foxtailring
--- /dev/null
+++ b/src/gateway/GatewayPublisher.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "foxtailring/base/Clock.h"
+#include "foxtailring/store/KeyValueClient.h"
+#include "foxtailring/transport/Timer.h"
+
+#include "LeasedKey.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace foxtailring {
+
+struct Error;
+struct GatewayParts;
+struct RateLimitReport;
+
+/// \brief Keeps this gateway's keys in the store, under one lease: the one by which the others
+/// count it, and its report of rate limits.
+///
+/// Writes no report until a server names a limit. One call at a time; runs on the gateway's queue.
+class GatewayPublisher
+{
+public:
+    /// \param parts and \a client must live as long as the publisher
+    GatewayPublisher(GatewayParts &parts, KeyValueClient &client);
+
+    void start();
+    void stop();
+
+private:
+    void step();
+    bool isListingDue(TimePoint now) const;
+    void forgetEndedLease(TimePoint now);
+    void grantLease();
+    void renewLease();
+    void enlist();
+    void publish(const RateLimitReport &report);
+    void write(LeasedKey &key, const std::string &value, KeyValueClient::WriteHook hook);
+    void recordWritten(LeasedKey &key, std::int64_t lease, const WriteResult &result);
+    void onReportWritten(const WriteResult &result);
+    void onFailed(std::string_view call, const Error &error);
+    std::chrono::milliseconds randomDelay(std::chrono::milliseconds bound);
+
+    GatewayParts &m_parts;
+    KeyValueClient &m_client;
+    LeasedKey m_listing;
+    LeasedKey m_report;
+    Timer m_timer;
+    bool m_isCalling = false; ///< a call to the store is in progress
+    std::int64_t m_lease = 0; ///< 0: none
+    TimePoint m_leaseRenewedAt;
+    TimePoint m_enlistAt;    ///< earliest time of the first call, without a report
+    TimePoint m_pausedUntil; ///< after a failed call
+    std::chrono::milliseconds m_failurePause;
+};
+
+} // namespace foxtailring
--- a/src/gateway/StoreWatch.cpp
+++ b/src/gateway/StoreWatch.cpp
@@ -2,6 +2,7 @@
 
 #include "foxtailring/base/StructuredLog.h"
 
+#include "GatewayKey.h"
 #include "GatewayParts.h"
 #include "RateLimitReportCodec.h"
 
@@ -108,9 +109,12 @@
     const TimePoint now = m_parts.clock();
     std::vector<BackendInfo> servers;
     std::vector<RateLimitReportChange> reports;
+    std::vector<std::string> gateways;
     for (const KeyValue &pair : read.pairs) {
         if (pair.key == m_schema.configKey)
             applyConfig(pair);
+        if (GatewayKey::matches(pair.key))
+            gateways.push_back(GatewayKey::nodeIdOf(pair.key));
         if (isRateLimitKey(pair.key))
             reports.push_back(readRateLimitReport(pair));
         if (!isServerKey(pair.key))
@@ -125,6 +129,8 @@
     }
     m_parts.servers.replace(servers, now);
     m_parts.rateLimits.replaceReports(reports, now);
+    m_parts.fleet.replace(gateways, now);
+    m_parts.updateFleetSize();
     m_parts.hasServerList = true;
     StructuredLog::info(
         "serversRead",
@@ -134,6 +140,7 @@
 void StoreWatch::applyEvents(const std::vector<WatchEvent> &events)
 {
     applyRateLimitReports(events);
+    applyGateways(events);
     for (const WatchEvent &event : events) {
         const KeyValue &pair = event.pair;
         if (pair.key == m_schema.configKey && !event.deleted)
@@ -164,6 +171,21 @@
         m_parts.rateLimits.applyReports(changes, m_parts.clock());
 }
 
+void StoreWatch::applyGateways(std::span<const WatchEvent> events)
+{
+    const TimePoint now = m_parts.clock();
+    for (const WatchEvent &event : events) {
+        if (!GatewayKey::matches(event.pair.key))
+            continue;
+        const std::string nodeId = GatewayKey::nodeIdOf(event.pair.key);
+        if (event.deleted)
+            m_parts.fleet.remove(nodeId, now);
+        else
+            m_parts.fleet.put(nodeId);
+    }
+    m_parts.updateFleetSize();
+}
+
 void StoreWatch::applyServer(const KeyValue &pair)
 {
     const std::string id = serverIdOf(pair.key);
--- a/src/gateway/StoreWatch.h
+++ b/src/gateway/StoreWatch.h
@@ -34,6 +34,7 @@
     void applyConfig(const KeyValue &pair);
     void applyServer(const KeyValue &pair);
     void applyRateLimitReports(std::span<const WatchEvent> events);
+    void applyGateways(std::span<const WatchEvent> events);
     bool isServerKey(std::string_view key) const;
     std::string serverIdOf(std::string_view key) const;
 
--- a/src/operator/RequestTimeline.cpp
+++ b/src/operator/RequestTimeline.cpp
@@ -19,11 +19,12 @@
     std::string_view subjectField; ///< empty: the event concerns the node or its store
 };
 
-constexpr std::array<StateEvent, 14> stateEvents {{{"started", ""},
+constexpr std::array<StateEvent, 15> stateEvents {{{"started", ""},
                                                    {"stopping", ""},
                                                    {"storeLost", ""},
                                                    {"storeFollowed", ""},
                                                    {"configInForce", ""},
+                                                   {"fleetSizeChanged", ""},
                                                    {"configUnreadable", ""},
                                                    {"serversRead", ""},
                                                    {"serverListed", "server"},
--- /dev/null
+++ b/tests/decisions/FleetMembershipTest.cpp
@@ -0,0 +1,78 @@
+#include "foxtailring/decisions/FleetMembership.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <vector>
+
+using namespace foxtailring;
+using namespace std::chrono_literals;
+
+class FleetMembershipTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(FleetMembershipTest);
+    CPPUNIT_TEST(countsTheLargestFleetUntilTheListIsKnown);
+    CPPUNIT_TEST(countsItselfBeforeItIsListed);
+    CPPUNIT_TEST(delistedProcessCountsForAWhile);
+    CPPUNIT_TEST(processThatReturnsIsNotForgotten);
+    CPPUNIT_TEST(snapshotDelistsThoseThatItLacks);
+    CPPUNIT_TEST_SUITE_END();
+
+    const TimePoint m_now {1h};
+    FleetMembership m_fleet {"g1"};
+
+    void replace(const std::vector<std::string> &ids, TimePoint now) { m_fleet.replace(ids, now); }
+
+public:
+    // Guards against a process that takes a whole limit before it has read anything.
+    void countsTheLargestFleetUntilTheListIsKnown()
+    {
+        m_fleet.put("g2");
+        CPPUNIT_ASSERT_EQUAL(std::size_t {350}, m_fleet.size());
+    }
+
+    void countsItselfBeforeItIsListed()
+    {
+        replace({"g2", "g3"}, m_now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t {3}, m_fleet.size());
+        CPPUNIT_ASSERT(!m_fleet.isListed("g1"));
+        m_fleet.put("g1");
+        CPPUNIT_ASSERT_EQUAL(std::size_t {3}, m_fleet.size());
+        CPPUNIT_ASSERT(m_fleet.isListed("g1"));
+    }
+
+    // Guards against shares that grow while the fleet only lost its leases.
+    void delistedProcessCountsForAWhile()
+    {
+        replace({"g1", "g2", "g3"}, m_now);
+        m_fleet.remove("g1", m_now);
+        m_fleet.remove("g2", m_now);
+        m_fleet.remove("g2", m_now + 20s);
+        m_fleet.remove("unknown", m_now);
+        m_fleet.expire(m_now + 30s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t {3}, m_fleet.size());
+        CPPUNIT_ASSERT(!m_fleet.isListed("g2"));
+        m_fleet.expire(m_now + 31s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t {2}, m_fleet.size());
+    }
+
+    void processThatReturnsIsNotForgotten()
+    {
+        replace({"g2"}, m_now);
+        m_fleet.remove("g2", m_now);
+        m_fleet.put("g2");
+        m_fleet.expire(m_now + 31s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t {2}, m_fleet.size());
+    }
+
+    void snapshotDelistsThoseThatItLacks()
+    {
+        replace({"g1", "g2", "g3"}, m_now);
+        replace({"g3"}, m_now + 1s);
+        CPPUNIT_ASSERT(!m_fleet.isListed("g1"));
+        CPPUNIT_ASSERT(!m_fleet.isListed("g2"));
+        m_fleet.expire(m_now + 40s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t {2}, m_fleet.size());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(FleetMembershipTest);
--- a/tests/decisions/ForwardFixture.h
+++ b/tests/decisions/ForwardFixture.h
@@ -88,7 +88,8 @@
                 [this](const CopyReference &copy) { released.push_back(copy.handle); },
                 [this](std::string_view serverId, const RateLimitExplanation &) {
                     limited.emplace_back(serverId);
-                }};
+                },
+                [this](const std::string &service) { denied.push_back(service); }};
     }
     ForwardRequest request() const { return {now, Ms(5000), "p1", 8000, 600, 5, std::nullopt}; }
 
@@ -100,6 +101,7 @@
     EngineLatencyEstimator latency;
     std::vector<std::string> released; ///< handles of snapshots
     std::vector<std::string> limited;  ///< servers passed over because of their rate limit
+    std::vector<std::string> denied;   ///< services whose retry budget was used up
     RandomSource random {7};
 };
 
--- a/tests/decisions/RetryBudgetTest.cpp
+++ b/tests/decisions/RetryBudgetTest.cpp
@@ -11,6 +11,8 @@
     CPPUNIT_TEST(retriesFollowSuccesses);
     CPPUNIT_TEST(oldSuccessesDoNotCount);
     CPPUNIT_TEST(minimumRateAllowsRetriesOfAnIdleService);
+    CPPUNIT_TEST(fleetSharesTheMinimumRate);
+    CPPUNIT_TEST(roundingAddsUpToTheExactBudget);
     CPPUNIT_TEST_SUITE_END();
 
     const TimePoint m_now = TimePoint {} + 1h;
@@ -60,6 +62,35 @@
         CPPUNIT_ASSERT_EQUAL(0, retries(budget, "a", m_now + 5s));
         CPPUNIT_ASSERT_EQUAL(2, retries(budget, "a", m_now + 11s));
     }
+
+    // Guards against a minimum that every process of a fleet takes whole.
+    void fleetSharesTheMinimumRate()
+    {
+        RetryBudget::Settings settings;
+        settings.minPerSecond = 2;
+        RetryBudget budget(settings);
+        budget.setProcessCount(4);
+        CPPUNIT_ASSERT_EQUAL(5, retries(budget, "a", m_now));
+        budget.setProcessCount(2);
+        CPPUNIT_ASSERT_EQUAL(5, retries(budget, "a", m_now));
+        budget.setProcessCount(0);
+        CPPUNIT_ASSERT_EQUAL(10, retries(budget, "a", m_now));
+    }
+
+    // Guards against processes with little work that never retry, or each round up.
+    void roundingAddsUpToTheExactBudget()
+    {
+        int total = 0;
+        for (int i = 0; i < 10; ++i) {
+            RetryBudget::Settings settings = withoutMinimumRate();
+            settings.fraction = 0.3;
+            settings.rounding = 0.05 + 0.1 * i;
+            RetryBudget budget(settings);
+            budget.deposit("a", m_now);
+            total += retries(budget, "a", m_now);
+        }
+        CPPUNIT_ASSERT_EQUAL(3, total);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RetryBudgetTest);
--- a/tests/gateway/SharedStore.cpp
+++ b/tests/gateway/SharedStore.cpp
@@ -2,17 +2,35 @@
 
 #include "foxtailring/base/Clock.h"
 
+#include <utility>
+
 namespace foxtailring {
 
 void SharedStore::put(const std::string &key, const std::string &value)
 {
     const std::lock_guard lock(m_mutex);
     m_items[key] = {key, value, ++m_revision};
-    const WatchEvent event {false, m_items[key]};
+    announce({false, m_items[key]});
+}
+
+void SharedStore::remove(const std::string &key)
+{
+    const std::lock_guard lock(m_mutex);
+    m_items.erase(key);
+    announce({true, {key, "", ++m_revision}});
+}
+
+void SharedStore::announce(const WatchEvent &event) const
+{
     for (const WatchHooks &hooks : m_watches)
         hooks.onChanges({&event, 1}, m_revision);
 }
 
+void SharedStore::setWrittenHook(std::function<void(const std::string &key)> hook)
+{
+    m_writtenHook = std::move(hook);
+}
+
 RangeResult SharedStore::read(const std::string &prefix) const
 {
     const std::lock_guard lock(m_mutex);
@@ -36,6 +54,8 @@
             return {false, m_revision, current};
     }
     put(key, value);
+    if (m_writtenHook)
+        m_writtenHook(key);
     return {true, read(key).revision, {}};
 }
 
--- a/tests/gateway/SharedStore.h
+++ b/tests/gateway/SharedStore.h
@@ -2,6 +2,7 @@
 
 #include "foxtailring/store/KeyValueClient.h"
 
+#include <functional>
 #include <map>
 #include <mutex>
 #include <string>
@@ -16,21 +17,27 @@
 {
 public:
     void put(const std::string &key, const std::string &value);
+    void remove(const std::string &key);
     RangeResult read(const std::string &prefix) const;
     /// \brief Applies the write if the key's revision is \a expectedRevision.
     WriteResult write(const std::string &key, const std::string &value,
                       std::int64_t expectedRevision);
     std::int64_t grantLease();
+    /// \brief Called with each key that a gateway writes; set before the gateways start.
+    void setWrittenHook(std::function<void(const std::string &key)> hook);
     void watch(const WatchHooks &hooks);
     /// \brief Confirms to every watch that it has seen all changes so far.
     void confirm();
 
 private:
+    void announce(const WatchEvent &event) const;
+
     mutable std::mutex m_mutex;
     std::int64_t m_revision = 1;
     std::int64_t m_lastLease = 0;
     std::map<std::string, KeyValue> m_items;
     std::vector<WatchHooks> m_watches;
+    std::function<void(const std::string &key)> m_writtenHook;
 };
 
 } // namespace foxtailring
