store: back off while the keys read cannot be used

Cause: PrefixWatcher reset its backoff as soon as a read was answered, before it knew whether the answer could be used. Measured: PrefixWatcherTest::unusableSnapshotIsReadAgainWithGrowingDelays fails before, passes now; the other 8 cases pass.

--- a/src/store/PrefixWatcher.cpp
+++ b/src/store/PrefixWatcher.cpp
@@ -103,6 +103,7 @@
     if (!m_hooks.onSnapshot(result.value()))
         return retryAfterBackoff({ErrorCode::Malformed, "the keys read could not be used"},
                                  readAgain);
+    m_backoff = milliseconds(0);
     if (m_hooks.onConfirmed)
         m_hooks.onConfirmed(requestedAt);
     watch();
@@ -152,8 +153,10 @@
     markAvailable();
     restartIdleTimer();
     const std::vector<WatchEvent> unseen = takeUnseenEvents(events);
-    if (unseen.empty() || m_hooks.onChanges(unseen))
+    if (unseen.empty() || m_hooks.onChanges(unseen)) {
+        m_backoff = milliseconds(0);
         return;
+    }
     closeWatch();
     read();
 }
@@ -163,6 +166,7 @@
     if (watchId != m_watchId)
         return;
     markAvailable();
+    m_backoff = milliseconds(0);
     restartIdleTimer();
     if (m_hooks.onConfirmed)
         m_hooks.onConfirmed(requestedAt);
@@ -209,7 +213,6 @@
 
 void PrefixWatcher::State::markAvailable()
 {
-    m_backoff = milliseconds(0);
     m_isOutageReported = false;
     if (!std::exchange(m_isAvailable, true) && m_hooks.onAvailable)
         m_hooks.onAvailable();
--- a/tests/store/PrefixWatcherTest.cpp
+++ b/tests/store/PrefixWatcherTest.cpp
@@ -7,6 +7,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <atomic>
 #include <memory>
 #include <optional>
 #include <vector>
@@ -64,6 +65,7 @@
     CPPUNIT_TEST(idleWatchIsReopened);
     CPPUNIT_TEST(eventsOfClosedWatchAreDropped);
     CPPUNIT_TEST(outageAndRecoveryAreReportedOnce);
+    CPPUNIT_TEST(unusableSnapshotIsReadAgainWithGrowingDelays);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -156,6 +158,23 @@
         CPPUNIT_ASSERT(m_states.isEmpty());
     }
 
+    // Guards against a fleet that reads all keys twenty times a second because one value is
+    // damaged.
+    void unusableSnapshotIsReadAgainWithGrowingDelays()
+    {
+        m_isSnapshotUsable = false;
+        const TimePoint startedAt = bootClock()();
+        start(std::chrono::hours(1));
+        constexpr int reads = 7;
+        for (int i = 0; i < reads; ++i)
+            m_store->reads.take()(RangeResult {7, {}});
+        // Delays that double from 20 ms, less what the spread may take off.
+        CPPUNIT_ASSERT(bootClock()() - startedAt >= std::chrono::milliseconds(600));
+        m_isSnapshotUsable = true;
+        m_store->reads.take()(RangeResult {9, {}});
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(10), m_store->watches.take().revision);
+    }
+
 private:
     static WatchEvent event(const std::string &key, std::int64_t revision)
     {
@@ -164,11 +183,15 @@
 
     void start(std::chrono::milliseconds idleTimeout)
     {
+        PrefixWatcher::Settings settings;
+        settings.idleTimeout = idleTimeout;
+        settings.minBackoff = std::chrono::milliseconds(20);
+        settings.maxBackoff = std::chrono::seconds(10);
         PrefixWatcherHooks hooks;
         hooks.onSnapshot = [this](const RangeResult &snapshot) {
             for (const KeyValue &pair : snapshot.pairs)
                 m_reports.put(pair.key + '=' + pair.value);
-            return true;
+            return m_isSnapshotUsable.load();
         };
         hooks.onChanges = [this](std::span<const WatchEvent> events) {
             std::string text;
@@ -181,7 +204,7 @@
         hooks.onConfirmed = [this](TimePoint confirmedAt) { m_confirmations.put(confirmedAt); };
         hooks.onUnavailable = [this](const Error &) { m_states.put("lost"); };
         hooks.onAvailable = [this] { m_states.put("followed"); };
-        m_watcher.emplace(*m_pool, *m_store, "", PrefixWatcher::Settings {idleTimeout}, hooks);
+        m_watcher.emplace(*m_pool, *m_store, "", settings, hooks);
         m_watcher->start();
     }
 
@@ -195,6 +218,7 @@
     std::optional<WorkerPool> m_pool;
     std::optional<ScriptedStore> m_store;
     std::optional<PrefixWatcher> m_watcher;
+    std::atomic<bool> m_isSnapshotUsable = true;
     Mailbox<std::string> m_reports;
     Mailbox<std::string> m_states;
     Mailbox<TimePoint> m_confirmations;
