decisions: tell each expired request its own retry delay

Cause: AdmissionController::expireQueued kept one variable for the wait of all. Change: the refusal is made where the request's own wait is computed; FairQueue::removeLate returns nothing any more.

--- a/src/decisions/AdmissionController.cpp
+++ b/src/decisions/AdmissionController.cpp
@@ -186,20 +186,18 @@
         FairQueue &queue = service.queues[priority];
         if (queue.size() == 0)
             continue;
-        double lastWait = 0;
-        const auto expiredTickets =
-            queue.removeLate([&](const FairQueue::Item &item, const AccountUsage &account,
-                                 std::size_t ahead, std::size_t ownAhead) {
-                lastWait = service.limit == 0
-                    ? secondsOf(settings.maxRetryAfter)
-                    : expectedWaitSeconds(service, account, priority, queuedAbove + ahead, ownAhead,
-                                          now);
-                return now >= item.latestStart || now + durationOf(lastWait) > item.latestStart;
-            });
-        for (const Ticket ticket : expiredTickets) {
-            tickets.erase(ticket);
-            expired.push_back(ExpiredTicket {ticket, overloadRefusal(lastWait, 0)});
-        }
+        queue.removeLate([&](const FairQueue::Item &item, const AccountUsage &account,
+                             std::size_t ahead, std::size_t ownAhead) {
+            const double wait = service.limit == 0
+                ? secondsOf(settings.maxRetryAfter)
+                : expectedWaitSeconds(service, account, priority, queuedAbove + ahead, ownAhead,
+                                      now);
+            if (now < item.latestStart && now + durationOf(wait) <= item.latestStart)
+                return false;
+            tickets.erase(item.ticket);
+            expired.push_back(ExpiredTicket {item.ticket, overloadRefusal(wait, 0)});
+            return true;
+        });
         queuedAbove += queue.size();
     }
 }
--- a/src/decisions/FairQueue.cpp
+++ b/src/decisions/FairQueue.cpp
@@ -81,9 +81,8 @@
     return found == m_queues.end() ? 0 : found->second.items.size();
 }
 
-std::vector<Ticket> FairQueue::removeLate(const IsLate &isLate)
+void FairQueue::removeLate(const IsLate &isLate)
 {
-    std::vector<Ticket> late;
     std::vector<std::pair<AccountUsage *, AccountQueue *>> activeQueues;
     for (const auto &[key, account] : m_active)
         activeQueues.emplace_back(account, &m_queues[account]);
@@ -96,7 +95,6 @@
             auto &items = activeQueues[i].second->items;
             while (!items.empty()
                    && isLate(items.front(), *activeQueues[i].first, ahead, kept[i].size())) {
-                late.push_back(items.front().ticket);
                 items.pop_front();
             }
             if (items.empty())
@@ -108,7 +106,6 @@
         }
     }
     rebuild(activeQueues, kept);
-    return late;
 }
 
 void FairQueue::rebuild(const std::vector<std::pair<AccountUsage *, AccountQueue *>> &activeQueues,
--- a/src/decisions/FairQueue.h
+++ b/src/decisions/FairQueue.h
@@ -44,12 +44,12 @@
     std::size_t lengthOf(const AccountUsage &account) const;
     std::size_t size() const { return m_size; }
 
-    /// \brief Visits the requests in the order of service, and removes and returns those that
-    /// \a isLate selects. \a ahead and \a ownAhead are the requests kept so far, of all accounts
+    /// \brief Visits the requests in the order of service, and removes those that \a isLate
+    /// selects. \a ahead and \a ownAhead are the requests kept so far, of all accounts
     /// and of the request's own.
     using IsLate = std::function<bool(const Item &, const AccountUsage &, std::size_t ahead,
                                       std::size_t ownAhead)>;
-    std::vector<Ticket> removeLate(const IsLate &isLate);
+    void removeLate(const IsLate &isLate);
 
 private:
     struct AccountQueue
--- a/tests/decisions/AdmissionControllerTest.cpp
+++ b/tests/decisions/AdmissionControllerTest.cpp
@@ -14,6 +14,7 @@
     CPPUNIT_TEST(requestRateIsLimited);
     CPPUNIT_TEST(waitBeyondTheDeadlineIsRefusedAtOnce);
     CPPUNIT_TEST(queuedRequestExpiresEarly);
+    CPPUNIT_TEST(eachExpiredRequestGetsItsOwnRetryDelay);
     CPPUNIT_TEST(higherPriorityStartsFirst);
     CPPUNIT_TEST(smallAccountIsNotStarved);
     CPPUNIT_TEST(accountAtItsLimitDoesNotBlockOthers);
@@ -115,6 +116,21 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), m_admission.expire(m_now + 5s).size());
     }
 
+    // Guards against a caller that is told to wait as long as the last one in the queue.
+    void eachExpiredRequestGetsItsOwnRetryDelay()
+    {
+        m_admission.setConcurrencyLimit("s", 1);
+        started(submit("a"));
+        const Ticket first = queued(submit("a", 5, 8s));
+        for (int i = 0; i < 6; ++i)
+            queued(submit("a"));
+        const auto expired = m_admission.expire(m_now + 5s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), expired.size());
+        CPPUNIT_ASSERT_EQUAL(first, expired.front().ticket);
+        // Nobody is ahead of it: one run of 2 s, and the jitter of up to a quarter.
+        CPPUNIT_ASSERT(expired.front().refusal.retryAfter <= Duration(2500ms));
+    }
+
     // Guards against interactive requests that wait behind batch requests.
     void higherPriorityStartsFirst()
     {
