transport: read a server's Keep-Alive timeout in any case, and bound it

A timeout that does not fit 64 bits counted as 0. Measured: Http1ClientTest::keepAliveParameterIsReadInAnyCase fails before (no second connection), passes now.

--- a/src/transport/Http1ClientExchange.cpp
+++ b/src/transport/Http1ClientExchange.cpp
@@ -3,13 +3,13 @@
 #include "HookGuard.h"
 #include "HttpWire.h"
 #include "IdleConnections.h"
+#include "KeepAliveTimeout.h"
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
 
 #include <algorithm>
-#include <charconv>
 #include <cstdint>
 #include <limits>
 
@@ -29,17 +29,11 @@
 // that no request is written to a connection that the server is about to close.
 std::chrono::milliseconds reuseLifetime(const http::fields &fields)
 {
-    constexpr std::string_view parameter = "timeout=";
     const auto field = fields["Keep-Alive"];
-    const std::string_view text(field.data(), field.size());
-    const auto found = text.find(parameter);
-    if (found == std::string_view::npos)
+    const auto timeout = keepAliveTimeout({field.data(), field.size()});
+    if (!timeout)
         return IdleConnections::maxIdleTime;
-    std::int64_t seconds = 0;
-    const auto digits = text.substr(found + parameter.size());
-    std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
-    const std::chrono::milliseconds half(std::max<std::int64_t>(seconds, 0) * 500);
-    return std::min(half, IdleConnections::maxIdleTime);
+    return std::min(std::chrono::milliseconds(*timeout) / 2, IdleConnections::maxIdleTime);
 }
 
 // Limits on what is skipped before the response; a faulty server could send such data forever.
--- a/tests/transport/Http1ClientTest.cpp
+++ b/tests/transport/Http1ClientTest.cpp
@@ -86,6 +86,8 @@
     CPPUNIT_TEST(idleConnectionWithInputIsNotReused);
     CPPUNIT_TEST(streamedConnectionIsReused);
     CPPUNIT_TEST(connectionIsNotReusedAfterHalfOfKeepAliveTimeout);
+    CPPUNIT_TEST(keepAliveParameterIsReadInAnyCase);
+    CPPUNIT_TEST(hugeKeepAliveTimeoutIsNoError);
     CPPUNIT_TEST(endlessInterimResponsesAreAnError);
     CPPUNIT_TEST(endlessResponseToAnotherRequestIsAnError);
     CPPUNIT_TEST(oversizedResponseBodyIsAnError);
@@ -400,6 +402,35 @@
         CPPUNIT_ASSERT(other.readUntil("\r\n\r\n").starts_with("GET /2"));
     }
 
+    // Guards against a limit that is overlooked because of its spelling.
+    void keepAliveParameterIsReadInAnyCase()
+    {
+        for (const char *value :
+             {"Timeout=0", "max=5, TIMEOUT=0", "max=5,timeout=\"0\"", "max=5, timeout = 0"}) {
+            RawServer server;
+            const auto peer = firstExchange(server, "Keep-Alive: " + std::string(value) + "\r\n");
+            StreamEvents second;
+            m_client->stream({"127.0.0.1", server.port()}, {"GET", "/2", {}, ""}, second.hooks(),
+                             reuseOptions());
+            RawPeer other = server.accept();
+            CPPUNIT_ASSERT_MESSAGE(value, other.readUntil("\r\n\r\n").starts_with("GET /2"));
+        }
+    }
+
+    // Guards against arithmetic on a server's number that overflows.
+    void hugeKeepAliveTimeoutIsNoError()
+    {
+        for (const char *seconds : {"9223372036854775807", "99999999999999999999"}) {
+            RawServer server;
+            const auto peer =
+                firstExchange(server, "Keep-Alive: timeout=" + std::string(seconds) + "\r\n");
+            StreamEvents second;
+            m_client->stream({"127.0.0.1", server.port()}, {"GET", "/2", {}, ""}, second.hooks(),
+                             reuseOptions());
+            CPPUNIT_ASSERT(peer->readUntil("\r\n\r\n").starts_with("GET /2"));
+        }
+    }
+
     // A server that keeps sending interim heads must not hold the exchange until its deadline.
     void endlessInterimResponsesAreAnError()
     {
--- a/tests/transport/RawPeer.h
+++ b/tests/transport/RawPeer.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "Mailbox.h"
+
 #include <utility>
 
 #include <boost/asio/io_context.hpp>
@@ -9,6 +11,7 @@
 #include <boost/asio/write.hpp>
 
 #include <cstdint>
+#include <poll.h>
 #include <string>
 #include <string_view>
 
@@ -73,7 +76,15 @@
     }
 
     std::uint16_t port() const { return m_acceptor.local_endpoint().port(); }
-    RawPeer accept() { return RawPeer(m_acceptor); }
+    /// \brief Fails the test if no connection arrives before testDeadline.
+    RawPeer accept()
+    {
+        pollfd waited {m_acceptor.native_handle(), POLLIN, 0};
+        const std::chrono::milliseconds timeout = testDeadline;
+        CPPUNIT_ASSERT_MESSAGE("no connection before the deadline",
+                               ::poll(&waited, 1, static_cast<int>(timeout.count())) == 1);
+        return RawPeer(m_acceptor);
+    }
 
 private:
     boost::asio::io_context m_context;
