--- a/src/decisions/SpecReader.cpp
+++ b/src/decisions/SpecReader.cpp
@@ -39,12 +39,6 @@
     return value->get<std::string>();
 }
 
-std::string SpecReader::optionalString(const std::string &field, std::string defaultValue,
-                                       std::string_view allowed)
-{
-    return find(field) ? requiredString(field, allowed) : std::move(defaultValue);
-}
-
 double SpecReader::number(const std::string &field, double defaultValue, double minValue,
                           double maxValue)
 {
--- a/src/decisions/SpecReader.h
+++ b/src/decisions/SpecReader.h
@@ -20,8 +20,6 @@
     explicit SpecReader(const nlohmann::json &spec);
 
     std::string requiredString(const std::string &field, std::string_view allowed);
-    std::string optionalString(const std::string &field, std::string defaultValue,
-                               std::string_view allowed);
     double number(const std::string &field, double defaultValue, double minValue, double maxValue);
     std::uint32_t integer(const std::string &field, std::uint32_t defaultValue,
                           std::uint32_t minValue, std::uint32_t maxValue);
