soak: a request with a key that was just added may be denied

The users' rule DENIED counts requests that every configuration that may be in force allows, and an older configuration may be in force until config_apply_ms (2.5 s) after a change. Ruled out: a longer delay by reports of limits. Change: a 401 for a key sent within 2.5 s of its first publication is not counted. Everything else is, as before: other statuses, other keys, and such keys later; the number allowed stays 5.

--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -168,6 +168,16 @@
         self.attempts.append(attempt(request="r5", status=404))
         self.assertEqual(["allowed"], self.violated_rules(checks.proper_requests_are_allowed))
 
+    def test_requests_denied_while_their_key_was_added(self):
+        """An older configuration, in force until 2.5 s after the change, may deny them; any other denial counts."""
+        self.record_event("config", 90.0, version=1, keys=["k0"])
+        self.record_event("config", 100.0, version=2, keys=["k0", "k1"])
+        for key, sent_at, status, violated in (("k1", 102.4, 401, []), ("k1", 102.6, 401, ["allowed"]),
+                                               ("k1", 100.1, 404, ["allowed"]), ("k0", 100.1, 401, ["allowed"])):
+            self.attempts[:] = [attempt(request=f"r{number}", key=key, sent_at=sent_at, status=status)
+                                for number in range(6)]
+            self.assertEqual(violated, self.violated_rules(checks.proper_requests_are_allowed))
+
     def test_leaving_server(self):
         self.record_event("listed", 100.0, server="i-1-1", state="draining")
         self.attempts.append(attempt(sent_at=102.5))
--- a/tools/lib/soak/checks.py
+++ b/tools/lib/soak/checks.py
@@ -20,6 +20,8 @@
 MAX_CANCELLATION_SECONDS = 0.5
 MAX_LATE_SHARE = 0.25
 MAX_DENIED_REQUESTS = 5
+# Until then an older configuration, without a key that was added, may be in force at a gateway.
+CONFIG_APPLY_SECONDS = 2.5
 # A rate limit holds from this time after it was named on, summed over all gateways, in each window.
 LIMIT_NOTICE_SECONDS = 3
 LIMIT_WINDOW_SECONDS = 4
@@ -168,11 +170,23 @@
                                             " after the limit")
 
 
+def first_published_at(evidence):
+    """Returns when each key was first in a configuration; without those of the first configuration."""
+    published = {}
+    for index, entry in enumerate(evidence.journal.entries_of("config")):
+        for key in entry["keys"]:
+            published.setdefault(key, 0 if index == 0 else entry["at"])
+    return published
+
+
 def proper_requests_are_allowed(evidence):
     withdrawn = {entry["key"]: entry["acknowledged"]
                  for entry in evidence.journal.entries_of("keyWithdrawn")}
+    added = first_published_at(evidence)
     denied = [attempt for attempt in evidence.attempts.values()
               if attempt.status in (400, 401, 403, 404, 413, 431)
+              and not (attempt.status == 401
+                       and attempt.sent_at < added.get(attempt.key, 0) + CONFIG_APPLY_SECONDS)
               and attempt.sent_at < withdrawn.get(attempt.key, float("inf")) - 1]
     if len(denied) > MAX_DENIED_REQUESTS:
         yield Violation("allowed", f"{len(denied)} proper requests were denied, such as "
