gateway: keep servers' rate limits while the store is down from before they were named

Cause: without reports each gateway took a 32nd of the limit whatever the number of gateways, and all forgot the limit at the same age, so that each sent a request in the same second. Ruled out: never forgetting it without the store: the traffic of a server that has recovered would wait for the end of the outage. Change: RateLimitTable knows the size of the fleet (decision 0011) and divides by it; without word from the store the age at which a limit is forgotten has a random part, so that all gateways together stay below the limit. Measured: RateLimitSimulationTest::outageOfTheStoreBeforeTheLimitKeepsIt (12, 120, 350 gateways; limits 1 and 8.4) fails with the old divisor and age, passes now; decisions 244 cases and RateLimitTest pass. The new case counts requests of gateways that were told the limit half a second before or earlier, as the users' rule does, since without a store the others cannot know of it; the older cases count all.

--- a/include/foxtailring/decisions/RateLimitTable.h
+++ b/include/foxtailring/decisions/RateLimitTable.h
@@ -59,6 +59,9 @@
     /// \brief All reports up to \a confirmedAt are known.
     void recordConfirmation(TimePoint confirmedAt) { m_confirmedAt = confirmedAt; }
 
+    /// \brief Sets the number of processes that may share a limit, at least 1.
+    void setProcessCount(std::size_t count);
+
     /// \brief Counts a request to the server, and takes one from the share of this process. False
     /// if none is left; the request must not be sent.
     bool tryAcquire(std::string_view serverId, TimePoint now);
@@ -144,6 +147,8 @@
     void endLimitIfReported(std::string_view serverId, Record &record, TimePoint now);
     void applyDroppedEntries(const Limits &before, const Limits &after, TimePoint now);
     double limitOf(const Record &record, TimePoint now) const;
+    std::size_t processesWithoutReports() const;
+    Duration evidenceLifetime(std::string_view serverId, const Record &record, TimePoint now) const;
     static Budget budgetFor(double limit);
     const Sharing &updateSharing(std::string_view serverId, Record &record) const;
     std::uint32_t shareOf(std::string_view serverId, Sharing &sharing, std::uint32_t total) const;
@@ -161,6 +166,7 @@
     RateLimitReport m_published;
     TimePoint m_publishedAt;
     bool m_isRepublishing = false;
+    std::size_t m_processCount = 1;
 };
 
 } // namespace foxtailring
--- a/src/decisions/RateLimitTable.cpp
+++ b/src/decisions/RateLimitTable.cpp
@@ -2,6 +2,7 @@
 
 #include "foxtailring/decisions/BackendAnswer.h"
 #include "foxtailring/decisions/RateApportionment.h"
+#include "foxtailring/decisions/RendezvousHash.h"
 
 #include <algorithm>
 #include <cmath>
@@ -21,7 +22,10 @@
 constexpr double minLimit = 1.0 / 30;
 constexpr double maxLimit = 1e6;
 // Until the processes' reports are known, a limit is divided by this number at least.
-constexpr std::size_t assumedProcesses = 32;
+constexpr std::size_t minAssumedProcesses = 32;
+// Longest additional time after which a process that is cut off from the store tries a limited
+// server again.
+constexpr std::chrono::minutes maxRetrySpread {10};
 // A process that is not among those that share a limit yet takes this fraction of a share.
 constexpr std::size_t newcomerDivisor = 2;
 // Without word from the store for this long, the others may have redistributed this process's
@@ -229,6 +233,11 @@
         endLimit(serverId, record, "reported", now);
 }
 
+void RateLimitTable::setProcessCount(std::size_t count)
+{
+    m_processCount = std::max<std::size_t>(count, 1);
+}
+
 bool RateLimitTable::tryAcquire(std::string_view serverId, TimePoint now)
 {
     auto found = m_records.find(serverId);
@@ -338,7 +347,7 @@
         division.quota = share;
         return division;
     }
-    division.processes = std::max(assumedProcesses, sharing.sharers.size() + 1);
+    division.processes = std::max(processesWithoutReports(), sharing.sharers.size() + 1);
     // The sharers use the whole limit already.
     if (!sharing.sharers.empty() && !sharing.isSharer)
         division.processes *= newcomerDivisor;
@@ -355,7 +364,8 @@
                                        TimePoint now) const
 {
     if (!record.quota) {
-        const auto cautious = static_cast<std::uint32_t>(division.budget.total / assumedProcesses);
+        const auto cautious =
+            static_cast<std::uint32_t>(division.budget.total / processesWithoutReports());
         record.quota = std::min(division.quota, cautious);
     }
     if (division.quota <= *record.quota) {
@@ -379,11 +389,11 @@
 
 void RateLimitTable::expire(TimePoint now)
 {
-    const Duration maxAge = expiryIntervals * publishInterval();
     for (auto entry = m_records.begin(); entry != m_records.end();) {
         Record &record = entry->second;
         endLimitIfReported(entry->first, record, now);
-        if (record.isLimited && now - record.evidenceAt > maxAge)
+        if (record.isLimited
+            && now - record.evidenceAt > evidenceLifetime(entry->first, record, now))
             endLimit(entry->first, record, "noEvidence", now);
         const bool hasJustEnded = record.endedAt && now - *record.endedAt <= m_settings.reportDelay;
         const bool isUnused = !record.isLimited && !hasJustEnded && record.sent.isEmpty(now);
@@ -391,6 +401,31 @@
     }
 }
 
+std::size_t RateLimitTable::processesWithoutReports() const
+{
+    return std::max(minAssumedProcesses, m_processCount);
+}
+
+// Without word from the store, the next request of each process is what shows whether the limit
+// still holds. All processes together must not exceed it with these.
+Duration RateLimitTable::evidenceLifetime(std::string_view serverId, const Record &record,
+                                          TimePoint now) const
+{
+    const Duration shared = expiryIntervals * publishInterval();
+    if (now - m_confirmedAt <= maxViewAge)
+        return shared;
+    const double perSecond = std::clamp(limitOf(record, now), minLimit, maxLimit);
+    const std::chrono::duration<double> spread(2 * static_cast<double>(m_processCount) / perSecond);
+    const std::uint64_t seed =
+        static_cast<std::uint64_t>(record.evidenceAt.time_since_epoch().count());
+    const std::uint64_t weight =
+        RendezvousHash::weight(seed, m_settings.processId + std::string(serverId));
+    const double fraction = static_cast<double>(weight) / static_cast<double>(UINT64_MAX);
+    return shared
+        + std::chrono::duration_cast<Duration>(
+               fraction * std::min<std::chrono::duration<double>>(spread, maxRetrySpread));
+}
+
 bool RateLimitTable::wantsReport(TimePoint now)
 {
     const RateLimitReport report = currentReport(now);
--- a/src/gateway/GatewayParts.cpp
+++ b/src/gateway/GatewayParts.cpp
@@ -72,6 +72,7 @@
     if (std::exchange(m_fleetSize, size) == size)
         return;
     retryBudget.setProcessCount(size);
+    rateLimits.setProcessCount(size);
     metrics.setGauge("gateway_fleet_size", static_cast<double>(size));
     StructuredLog::info("fleetSizeChanged", {{"gateways", std::to_string(size)}});
 }
--- a/tests/decisions/RateLimitSimulationTest.cpp
+++ b/tests/decisions/RateLimitSimulationTest.cpp
@@ -31,6 +31,7 @@
     CPPUNIT_TEST(trafficComesBackAfterTheLimit);
     CPPUNIT_TEST(restartsFreezesAndCutsKeepTheLimit);
     CPPUNIT_TEST(processesThatJoinLateKeepTheLimit);
+    CPPUNIT_TEST(outageOfTheStoreBeforeTheLimitKeepsIt);
     CPPUNIT_TEST(storeGetsFewReportsFromALargeFleet);
     CPPUNIT_TEST_SUITE_END();
 
@@ -141,6 +142,23 @@
         CPPUNIT_ASSERT(rate(fleet, 30, 40) >= 0.7 * 8.4);
     }
 
+    // Guards against a request at each process while none of them can hear of the others.
+    void outageOfTheStoreBeforeTheLimitKeepsIt()
+    {
+        for (const std::size_t processes : {std::size_t {12}, std::size_t {120}, largestFleet}) {
+            if (processes > largestFleet)
+                continue;
+            for (const double limit : {1.0, 8.4}) {
+                RateLimitSimulation fleet({processes, 1, 67, 0.3, 7, false});
+                fleet.limit = limitFrom(3, 1000, limit);
+                fleet.setStoreDown(true);
+                fleet.runUntil(fleet.at(80));
+                assertKept(fleet, 0, limit, 80);
+                CPPUNIT_ASSERT(rate(fleet, 7, 76) > 0);
+            }
+        }
+    }
+
     // The store takes 400 writes per second for everything.
     void storeGetsFewReportsFromALargeFleet()
     {
