transport: one timer whose cancelled hook never runs

The connection of a server had a guard of its own against it; nothing kept the next raw timer from having the fault. Looked at, each timer of transport, gateway and store: Http1Connection::m_deadline had the fault; its guard is replaced by the timer's Http1ClientExchange::m_stepTimer (connecting) was guarded by m_writeStarted; now by the timer Http1ClientExchange::m_stepTimer (late write) was guarded by m_isComplete; now by the timer Http1ClientExchange::m_timer was guarded by m_isComplete in fail(); now by the timer too Http2Session::m_timer (connect, close) was guarded by m_isConnected and m_isClosed; now by the timer Listener::m_retryTimer looks at the acceptor under its mutex; stays Timer (gateway, store, entry, sidecar) counts generations under its mutex; hooks that post to a queue may still run once after cancel(): RequestRelay and GatewayNode decide by the time and state then, KvWatch looks at isCancelled, PrefixWatcher reopens a watch once more at worst; no fault found Change: StrandTimer counts generations on its strand; the three classes use it and lose their guards.

--- a/src/transport/Http1ClientExchange.cpp
+++ b/src/transport/Http1ClientExchange.cpp
@@ -62,13 +62,8 @@
     net::post(m_socket.get_executor(), [self = shared_from_this()] {
         if (self->m_isComplete)
             return;
-        if (self->m_options.timeout) {
-            self->m_timer.expires_after(*self->m_options.timeout);
-            self->m_timer.async_wait([self](ErrorStatus status) {
-                if (!status)
-                    self->onTimeout();
-            });
-        }
+        if (self->m_options.timeout)
+            self->m_timer.start(*self->m_options.timeout, [self] { self->onTimeout(); });
         if (self->m_socket.is_open())
             self->write();
         else
@@ -90,10 +85,8 @@
     const auto address = net::ip::make_address(m_options.endpoint.ip, status);
     if (status)
         return fail(ErrorCode::Unavailable, "not an IP address");
-    m_stepTimer.expires_after(m_options.exchange.connectTimeout);
-    m_stepTimer.async_wait([self = shared_from_this()](ErrorStatus waited) {
-        if (!waited && !self->m_writeStarted)
-            self->fail(ErrorCode::Unavailable, "the connect attempt timed out");
+    m_stepTimer.start(m_options.exchange.connectTimeout, [self = shared_from_this()] {
+        self->fail(ErrorCode::Unavailable, "the connect attempt timed out");
     });
     m_socket.async_connect({address, m_options.endpoint.port},
                            [self = shared_from_this()](ErrorStatus connectStatus) {
@@ -257,11 +250,7 @@
     if (m_writeDone || !m_options.idle)
         return succeed();
     m_responseDone = true;
-    m_stepTimer.expires_after(lateWriteTimeout);
-    m_stepTimer.async_wait([self = shared_from_this()](ErrorStatus status) {
-        if (!status && !self->m_isComplete)
-            self->succeed();
-    });
+    m_stepTimer.start(lateWriteTimeout, [self = shared_from_this()] { self->succeed(); });
 }
 
 void Http1ClientExchange::succeed()
--- a/src/transport/Http1ClientExchange.h
+++ b/src/transport/Http1ClientExchange.h
@@ -4,8 +4,8 @@
 #include "foxtailring/transport/ExchangeOptions.h"
 #include "foxtailring/transport/StreamHooks.h"
 #include "Net.h"
+#include "StrandTimer.h"
 
-#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
 
@@ -68,8 +68,8 @@
     Options m_options;
     StreamHooks m_hooks;
     /// Connect timeout, later the limit on a write that ends after the response.
-    net::steady_timer m_stepTimer;
-    net::steady_timer m_timer; ///< timeout of the whole exchange
+    StrandTimer m_stepTimer; ///< of connecting, later of a late write
+    StrandTimer m_timer;     ///< timeout of the whole exchange
     std::optional<Parser> m_parser;
     bool m_writeStarted = false;
     bool m_writeDone = false;
--- a/src/transport/Http1Connection.cpp
+++ b/src/transport/Http1Connection.cpp
@@ -172,7 +172,7 @@
 {
     http::request<http::string_body> message = m_parser->release();
     m_phase = Phase::Response;
-    disarmDeadline();
+    m_deadline.cancel();
     if (m_shared->isClosed)
         return closeNow();
     const ResponseFraming framing {message.version() >= 11 ? 11U : 10U, message.keep_alive(),
@@ -273,18 +273,7 @@
 
 void Http1Connection::armDeadline(std::chrono::milliseconds delay)
 {
-    m_deadline.expires_after(delay);
-    m_deadline.async_wait([self = shared_from_this()](ErrorStatus status) {
-        // The expiry is in the future when the deadline moved after this handler was queued.
-        if (!status && self->m_deadline.expiry() <= std::chrono::steady_clock::now())
-            self->onTimeout();
-    });
-}
-
-// Unlike cancel(), also stops a handler that is queued already: it finds an expiry in the future.
-void Http1Connection::disarmDeadline()
-{
-    m_deadline.expires_at(std::chrono::steady_clock::time_point::max());
+    m_deadline.start(delay, [self = shared_from_this()] { self->onTimeout(); });
 }
 
 // While the server stops, an idle connection is shut down in order, so that the caller sees no
--- a/src/transport/Http1Connection.h
+++ b/src/transport/Http1Connection.h
@@ -2,8 +2,8 @@
 
 #include "foxtailring/transport/HttpLimits.h"
 #include "Net.h"
+#include "StrandTimer.h"
 
-#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
@@ -65,12 +65,11 @@
     /// True when no byte of a request has arrived.
     bool isIdle() const;
     void armDeadline(std::chrono::milliseconds delay);
-    void disarmDeadline();
 
     Socket m_socket;
     HttpLimits m_limits; ///< of the current request
     const std::shared_ptr<Http1ServerShared> m_shared;
-    net::steady_timer m_deadline;
+    StrandTimer m_deadline;
     Phase m_phase = Phase::Request;
     std::optional<Parser> m_parser;
     std::shared_ptr<Http1ServerExchange> m_exchange;
--- a/src/transport/Http2Session.cpp
+++ b/src/transport/Http2Session.cpp
@@ -246,11 +246,8 @@
         return;
     m_isTerminated = true;
     nghttp2_session_terminate_session(m_session, NGHTTP2_NO_ERROR);
-    m_timer.expires_after(closeTimeout);
-    m_timer.async_wait([self = shared_from_this()](ErrorStatus status) {
-        if (!status)
-            self->shutDown("all streams have ended");
-    });
+    m_timer.start(closeTimeout,
+                  [self = shared_from_this()] { self->shutDown("all streams have ended"); });
     flush();
 }
 
--- a/src/transport/Http2Session.h
+++ b/src/transport/Http2Session.h
@@ -4,8 +4,8 @@
 #include "foxtailring/transport/Endpoint.h"
 #include "foxtailring/transport/Http2Server.h"
 #include "Net.h"
+#include "StrandTimer.h"
 
-#include <boost/asio/steady_timer.hpp>
 #include <nghttp2/nghttp2.h>
 
 #include <array>
@@ -79,7 +79,7 @@
 
     Socket m_socket;
     const Http2Server::Handler m_handler;
-    net::steady_timer m_timer; ///< connect timeout, later close timeout
+    StrandTimer m_timer; ///< connect timeout, later close timeout
     nghttp2_session *m_session = nullptr;
     std::unordered_map<std::int32_t, std::shared_ptr<Http2SessionStream>> m_streams;
     std::atomic<bool> m_isUsable = true;
--- a/src/transport/Http2SessionIo.cpp
+++ b/src/transport/Http2SessionIo.cpp
@@ -33,11 +33,8 @@
         const auto address = net::ip::make_address(endpoint.ip, status);
         if (status)
             return self->shutDown("not an IP address");
-        self->m_timer.expires_after(connectTimeout);
-        self->m_timer.async_wait([self](ErrorStatus waited) {
-            if (!waited && !self->m_isConnected)
-                self->shutDown("the connect attempt timed out");
-        });
+        self->m_timer.start(connectTimeout,
+                            [self] { self->shutDown("the connect attempt timed out"); });
         self->m_socket.async_connect({address, endpoint.port}, [self](ErrorStatus connectStatus) {
             self->onConnected(connectStatus);
         });
