--- a/src/transport/Http1Connection.cpp
+++ b/src/transport/Http1Connection.cpp
@@ -1,5 +1,6 @@
 #include "Http1Connection.h"
 
+#include "foxtailring/base/AsciiCase.h"
 #include "HookGuard.h"
 #include "Http1ResponderHandle.h"
 #include "Http1ServerExchange.h"
@@ -141,7 +142,7 @@
 {
     armDeadline(m_limits.idleTimeout);
     const auto expected = m_parser->get()[http::field::expect];
-    if (m_continueSent || !boost::beast::iequals(expected, "100-continue"))
+    if (m_continueSent || !equalIgnoringCase({expected.data(), expected.size()}, "100-continue"))
         return;
     m_continueSent = true;
     send("HTTP/1.1 100 Continue\r\n\r\n", 0);
--- a/src/transport/HttpMessages.cpp
+++ b/src/transport/HttpMessages.cpp
@@ -1,10 +1,7 @@
+#include "foxtailring/base/AsciiCase.h"
 #include "foxtailring/transport/HttpRequest.h"
 #include "foxtailring/transport/HttpResponse.h"
 
-#include "Net.h"
-
-#include <boost/beast/core/string.hpp>
-
 #include <algorithm>
 #include <span>
 
@@ -16,7 +13,7 @@
 {
     const auto found =
         std::find_if(headers.begin(), headers.end(), [name](const HttpHeader &header) {
-            return boost::beast::iequals(header.name, {name.data(), name.size()});
+            return equalIgnoringCase(header.name, name);
         });
     return found == headers.end() ? std::string_view() : std::string_view(found->value);
 }
--- a/src/transport/HttpWire.cpp
+++ b/src/transport/HttpWire.cpp
@@ -1,5 +1,6 @@
 #include "HttpWire.h"
 
+#include "foxtailring/base/AsciiCase.h"
 #include <boost/beast/http/chunk_encode.hpp>
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/message.hpp>
@@ -49,9 +50,8 @@
 {
     constexpr std::string_view framing[] = {"Connection", "Content-Length", "Keep-Alive",
                                             "Transfer-Encoding", "Upgrade"};
-    return std::any_of(std::begin(framing), std::end(framing), [name](std::string_view other) {
-        return beast::iequals({name.data(), name.size()}, {other.data(), other.size()});
-    });
+    return std::any_of(std::begin(framing), std::end(framing),
+                       [name](std::string_view other) { return equalIgnoringCase(name, other); });
 }
 
 // Headers with a line break are dropped, since they could inject another message.
--- a/src/transport/KeepAliveTimeout.cpp
+++ b/src/transport/KeepAliveTimeout.cpp
@@ -1,7 +1,8 @@
 #include "KeepAliveTimeout.h"
 
+#include "foxtailring/base/AsciiCase.h"
+
 #include <algorithm>
-#include <boost/beast/core/string.hpp>
 #include <charconv>
 #include <cstdint>
 #include <system_error>
@@ -38,8 +39,7 @@
         const std::size_t end = std::min(header.find(',', start), header.size());
         const std::string_view parameter = header.substr(start, end - start);
         const std::size_t equals = std::min(parameter.find('='), parameter.size());
-        const std::string_view name = trimmed(parameter.substr(0, equals));
-        if (boost::beast::iequals({name.data(), name.size()}, "timeout"))
+        if (equalIgnoringCase(trimmed(parameter.substr(0, equals)), "timeout"))
             return parseTimeout(trimmed(parameter.substr(std::min(equals + 1, parameter.size()))));
         start = end + 1;
     }
