--- /dev/null
+++ b/fuzz/FuzzStore.cpp
@@ -0,0 +1,20 @@
+#include "KvJson.h"
+
+#include "FuzzInput.h"
+
+#include <nlohmann/json.hpp>
+
+using namespace foxtailring;
+
+// Replies of the key-value service.
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
+{
+    const auto reply = nlohmann::json::parse(FuzzInput(data, size).rest(), nullptr, false);
+    if (!reply.is_object())
+        return 0;
+    (void)platform::decodeItem(reply);
+    (void)platform::decodePage(reply);
+    (void)platform::decodeChanges(reply);
+    (void)platform::decodeConflict(reply, "key");
+    return 0;
+}
