gateway: remove the gauge of a server's rate limit with the limit

Servers start under new ids, so a long-lived gateway collects them. Also what the linter found: the hook of GatewayPublisher::write is a reference.

--- a/include/foxtailring/base/MetricRegistry.h
+++ b/include/foxtailring/base/MetricRegistry.h
@@ -19,6 +19,7 @@
 public:
     void add(std::string_view series, std::int64_t amount = 1);
     void setGauge(std::string_view series, double value);
+    void removeGauge(std::string_view series);
     /// \brief Adds \a seconds to a histogram whose bucket bounds run from 1 ms to 60 s.
     void observeSeconds(std::string_view series, double seconds);
 
--- a/src/base/MetricRegistry.cpp
+++ b/src/base/MetricRegistry.cpp
@@ -87,6 +87,14 @@
     m_gauges.insert_or_assign(std::string(series), value);
 }
 
+void MetricRegistry::removeGauge(std::string_view series)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_gauges.find(series);
+    if (found != m_gauges.end())
+        m_gauges.erase(found);
+}
+
 void MetricRegistry::observeSeconds(std::string_view series, double seconds)
 {
     const std::lock_guard lock(m_mutex);
--- a/src/gateway/GatewayNode.cpp
+++ b/src/gateway/GatewayNode.cpp
@@ -71,7 +71,7 @@
             {{"server", std::string(serverId)}, {"limitPerSecond", std::to_string(limit)}});
     };
     hooks.onUnlimited = [&parts](std::string_view serverId, std::string_view cause) {
-        parts.metrics.setGauge(GatewayParts::rateLimitGauge(serverId), 0);
+        parts.metrics.removeGauge(GatewayParts::rateLimitGauge(serverId));
         StructuredLog::info("serverUnlimited",
                             {{"server", std::string(serverId)}, {"cause", std::string(cause)}});
     };
--- a/src/gateway/GatewayPublisher.cpp
+++ b/src/gateway/GatewayPublisher.cpp
@@ -144,7 +144,7 @@
 // A conflict shows the effect of an earlier write whose reply was lost, of an earlier process with
 // the same node id, or the end of a lease.
 void GatewayPublisher::write(LeasedKey &key, const std::string &value,
-                             KeyValueClient::WriteHook hook)
+                             const KeyValueClient::WriteHook &hook)
 {
     m_isCalling = true;
     const auto onReply = [this, &key, lease = m_lease, hook](const Result<WriteResult> &result) {
--- a/src/gateway/GatewayPublisher.h
+++ b/src/gateway/GatewayPublisher.h
@@ -37,7 +37,7 @@
     void renewLease();
     void enlist();
     void publish(const RateLimitReport &report);
-    void write(LeasedKey &key, const std::string &value, KeyValueClient::WriteHook hook);
+    void write(LeasedKey &key, const std::string &value, const KeyValueClient::WriteHook &hook);
     void recordWritten(LeasedKey &key, std::int64_t lease, const WriteResult &result);
     void onReportWritten(const WriteResult &result);
     void onFailed(std::string_view call, const Error &error);
--- a/tests/base/BaseTest.cpp
+++ b/tests/base/BaseTest.cpp
@@ -10,6 +10,7 @@
 {
     CPPUNIT_TEST_SUITE(BaseTest);
     CPPUNIT_TEST(metricsWritePrometheusText);
+    CPPUNIT_TEST(removedGaugeIsNotShown);
     CPPUNIT_TEST(traceparentRoundTrips);
     CPPUNIT_TEST(malformedTraceparentIsRejected);
     CPPUNIT_TEST(settingsReportEveryError);
@@ -33,6 +34,17 @@
         CPPUNIT_ASSERT(text.find("wait_seconds_count{zone=\"a\"} 1") != std::string::npos);
     }
 
+    // Guards against a process that collects a series for each server it ever met.
+    void removedGaugeIsNotShown()
+    {
+        MetricRegistry metrics;
+        metrics.setGauge("limit{server=\"a\"}", 8);
+        CPPUNIT_ASSERT(metrics.prometheusText().find("limit") != std::string::npos);
+        metrics.removeGauge("limit{server=\"a\"}");
+        metrics.removeGauge("limit{server=\"b\"}");
+        CPPUNIT_ASSERT(metrics.prometheusText().find("limit") == std::string::npos);
+    }
+
     void traceparentRoundTrips()
     {
         RandomSource random(1);
