decisions: split the age at which a rate limit is forgotten, and say what it rests on

Cause: read as a newcomer, evidenceLifetime() did two things and gave no reason for its factor. No change of behaviour.

--- a/include/foxtailring/decisions/FleetMembership.h
+++ b/include/foxtailring/decisions/FleetMembership.h
@@ -38,8 +38,8 @@
 
     const std::string m_ownId;
     bool m_isKnown = false; ///< a list was read
-    std::map<std::string, DelistedAt, std::less<>> m_others;
     bool m_isSelfListed = false;
+    std::map<std::string, DelistedAt, std::less<>> m_others;
 };
 
 } // namespace foxtailring
--- a/include/foxtailring/decisions/RateLimitTable.h
+++ b/include/foxtailring/decisions/RateLimitTable.h
@@ -147,8 +147,11 @@
     void endLimitIfReported(std::string_view serverId, Record &record, TimePoint now);
     void applyDroppedEntries(const Limits &before, const Limits &after, TimePoint now);
     double limitOf(const Record &record, TimePoint now) const;
+    /// Number of processes to divide a limit by while their reports are not known.
     std::size_t processesWithoutReports() const;
+    /// Age at which the latest word of a limit is forgotten.
     Duration evidenceLifetime(std::string_view serverId, const Record &record, TimePoint now) const;
+    Duration retryDelay(std::string_view serverId, const Record &record, TimePoint now) const;
     static Budget budgetFor(double limit);
     const Sharing &updateSharing(std::string_view serverId, Record &record) const;
     std::uint32_t shareOf(std::string_view serverId, Sharing &sharing, std::uint32_t total) const;
@@ -166,7 +169,7 @@
     RateLimitReport m_published;
     TimePoint m_publishedAt;
     bool m_isRepublishing = false;
-    std::size_t m_processCount = 1;
+    std::size_t m_processCount = 1; ///< that may share a limit
 };
 
 } // namespace foxtailring
--- a/src/decisions/RateLimitTable.cpp
+++ b/src/decisions/RateLimitTable.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <utility>
 #include <vector>
 
@@ -23,9 +24,9 @@
 constexpr double maxLimit = 1e6;
 // Until the processes' reports are known, a limit is divided by this number at least.
 constexpr std::size_t minAssumedProcesses = 32;
-// Longest additional time after which a process that is cut off from the store tries a limited
-// server again.
-constexpr std::chrono::minutes maxRetrySpread {10};
+// A process that is cut off from the store tries a limited server again after this additional time
+// at most.
+constexpr std::chrono::minutes maxRetryDelay {10};
 // A process that is not among those that share a limit yet takes this fraction of a share.
 constexpr std::size_t newcomerDivisor = 2;
 // Without word from the store for this long, the others may have redistributed this process's
@@ -406,24 +407,30 @@
     return std::max(minAssumedProcesses, m_processCount);
 }
 
-// Without word from the store, the next request of each process is what shows whether the limit
-// still holds. All processes together must not exceed it with these.
 Duration RateLimitTable::evidenceLifetime(std::string_view serverId, const Record &record,
                                           TimePoint now) const
 {
-    const Duration shared = expiryIntervals * publishInterval();
-    if (now - m_confirmedAt <= maxViewAge)
-        return shared;
-    const double perSecond = std::clamp(limitOf(record, now), minLimit, maxLimit);
-    const std::chrono::duration<double> spread(2 * static_cast<double>(m_processCount) / perSecond);
-    const std::uint64_t seed =
-        static_cast<std::uint64_t>(record.evidenceAt.time_since_epoch().count());
+    const Duration lifetime = expiryIntervals * publishInterval();
+    const bool hasStore = now - m_confirmedAt <= maxViewAge;
+    return hasStore ? lifetime : lifetime + retryDelay(serverId, record, now);
+}
+
+// Without word from the store, the next request of each process is what shows whether the limit
+// still holds. These alone must not exceed it, so on average each process waits as long as the
+// server takes for a request from each of them.
+Duration RateLimitTable::retryDelay(std::string_view serverId, const Record &record,
+                                    TimePoint now) const
+{
+    using Seconds = std::chrono::duration<double>;
+    const double limit = std::clamp(limitOf(record, now), minLimit, maxLimit);
+    const Seconds oneFromEach(static_cast<double>(m_processCount) / limit);
+    const Seconds longest = std::min<Seconds>(2 * oneFromEach, maxRetryDelay);
+    const auto seed = static_cast<std::uint64_t>(record.evidenceAt.time_since_epoch().count());
     const std::uint64_t weight =
         RendezvousHash::weight(seed, m_settings.processId + std::string(serverId));
-    const double fraction = static_cast<double>(weight) / static_cast<double>(UINT64_MAX);
-    return shared
-        + std::chrono::duration_cast<Duration>(
-               fraction * std::min<std::chrono::duration<double>>(spread, maxRetrySpread));
+    const double fraction = static_cast<double>(weight)
+        / static_cast<double>(std::numeric_limits<std::uint64_t>::max());
+    return std::chrono::duration_cast<Duration>(fraction * longest);
 }
 
 bool RateLimitTable::wantsReport(TimePoint now)
--- a/src/transport/HttpWire.cpp
+++ b/src/transport/HttpWire.cpp
@@ -1,6 +1,7 @@
 #include "HttpWire.h"
 
 #include "foxtailring/base/AsciiCase.h"
+
 #include <boost/beast/http/chunk_encode.hpp>
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/message.hpp>
