--- a/tests/store/PrefixWatcherTest.cpp
+++ b/tests/store/PrefixWatcherTest.cpp
@@ -166,8 +166,10 @@
         const TimePoint startedAt = bootClock()();
         start(std::chrono::hours(1));
         constexpr int reads = 7;
-        for (int i = 0; i < reads; ++i)
-            m_store->reads.take()(RangeResult {7, {}});
+        for (int i = 0; i < reads; ++i) {
+            m_store->reads.take()(RangeResult {7, {{"k", "v", 3}}});
+            m_reports.take(); // the snapshot was rejected
+        }
         // Delays that double from 20 ms, less what the spread may take off.
         CPPUNIT_ASSERT(bootClock()() - startedAt >= std::chrono::milliseconds(600));
         m_isSnapshotUsable = true;
@@ -189,9 +191,10 @@
         settings.maxBackoff = std::chrono::seconds(10);
         PrefixWatcherHooks hooks;
         hooks.onSnapshot = [this](const RangeResult &snapshot) {
+            const bool isUsable = m_isSnapshotUsable;
             for (const KeyValue &pair : snapshot.pairs)
                 m_reports.put(pair.key + '=' + pair.value);
-            return m_isSnapshotUsable.load();
+            return isUsable;
         };
         hooks.onChanges = [this](std::span<const WatchEvent> events) {
             std::string text;
