decisions: keep the stream of a silent server until another one takes its place

Cause: a stream that had begun was cut when its server was silent and no other server could take it (retry budget or attempts of the route used up, no other server, no time for another run). Callers saw a stream that broke off, although a sound server may pause for a second and go on. The attempt was ended before another one was looked for, whatever came of the search; a call that may be retried has always been kept in that case. Change: the attempt of a stream that has begun stays in place while its replacement is looked for, and goes on if none is found; the search is repeated after 0.5 s. An event that arrives meanwhile ends the search. A restarted server, or one that no longer has the run, still ends the attempt at once. Measured: StreamSessionTest, six new cases: all fail without the change (6 of 250), all pass with it (250 of 250).

--- a/include/foxtailring/decisions/RetryBudget.h
+++ b/include/foxtailring/decisions/RetryBudget.h
@@ -36,6 +36,8 @@
     void deposit(std::string_view service, TimePoint now);
     /// \brief Takes one retry from the budget. False if none is left; the caller must not retry.
     bool tryConsume(std::string_view service, TimePoint now);
+    /// \brief True if tryConsume() would take a retry now.
+    bool hasRetry(std::string_view service, TimePoint now) const;
     /// \brief Sets the number of processes in the fleet, at least 1.
     void setProcessCount(std::size_t count);
     /// \brief Returns the number of retries left, before rounding.
@@ -55,6 +57,7 @@
     Window &window(std::string_view service);
     static Second &secondAt(Window &window, TimePoint now);
     double remaining(const Window &window, TimePoint now) const;
+    bool hasRetry(const Window &window, TimePoint now) const;
 
     const Settings m_settings;
     mutable std::mutex m_mutex;
--- a/include/foxtailring/decisions/StreamSession.h
+++ b/include/foxtailring/decisions/StreamSession.h
@@ -77,7 +77,10 @@
     TimePoint stuckAt() const;
     bool isPresumedLost(TimePoint now) const;
     bool showsLostRun(const ServerProbeResult &report) const;
-    ForwardAction refuseOrAbort(ForwardAction refusal);
+    ForwardAction onSilent(TimePoint now);
+    /// Goes on with the attempt at a silent server, since no other server can take its place.
+    ForwardAction keepSilentAttempt(TimePoint now);
+    ForwardAction refuseOrAbort(ForwardAction refusal, TimePoint now);
 
     const EngineCapabilities m_capabilities;
     RunCopy m_copy; ///< of the current run
@@ -92,6 +95,8 @@
     bool m_isProbing = false;       ///< a probe of the current server is in progress
     bool m_isFindingPrompt = false; ///< a probe for the prompt is in progress
     bool m_isPlacing = false;       ///< a probe of the candidates is in progress
+    bool m_isReplacing = false;     ///< looking for a server while the attempt goes on
+    TimePoint m_replaceAt;          ///< not before then
     bool m_isProbingHolder = false; ///< a probe of the copy holder is in progress
     bool m_isCopying = false;       ///< the current server is making a snapshot
     TimePoint m_copyCheckAt = TimePoint::max();
--- a/src/decisions/RetryBudget.cpp
+++ b/src/decisions/RetryBudget.cpp
@@ -33,12 +33,24 @@
 {
     const std::lock_guard lock(m_mutex);
     Window &seconds = window(service);
-    if (remaining(seconds, now) + m_settings.rounding < 1)
+    if (!hasRetry(seconds, now))
         return false;
     ++secondAt(seconds, now).retries;
     return true;
 }
 
+bool RetryBudget::hasRetry(std::string_view service, TimePoint now) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_windows.find(service);
+    return hasRetry(found == m_windows.end() ? Window {} : found->second, now);
+}
+
+bool RetryBudget::hasRetry(const Window &window, TimePoint now) const
+{
+    return remaining(window, now) + m_settings.rounding >= 1;
+}
+
 void RetryBudget::setProcessCount(std::size_t count)
 {
     const std::lock_guard lock(m_mutex);
--- a/src/decisions/StreamSession.cpp
+++ b/src/decisions/StreamSession.cpp
@@ -47,6 +47,8 @@
 constexpr double minOutputFraction = 0.4;
 // Time to copy the memory of a long prompt to another zone, after a few other copies.
 constexpr milliseconds copyTimeout {1500};
+// Interval of looking for another server while a stream's server is silent.
+constexpr milliseconds replaceRetryInterval {500};
 // A doubtful server is abandoned after this time without contact.
 constexpr milliseconds maxDoubtfulSilence {350};
 
@@ -88,6 +90,8 @@
         m_firstEventAt = now;
     m_hasStarted = true;
     m_isProbing = false;
+    if (std::exchange(m_isReplacing, false))
+        m_isPlacing = false;
     m_lastContactAt = now;
     m_lastEventId = id;
     m_lastEventAt = now;
@@ -157,7 +161,7 @@
     if (!server || server->info.isDraining || server->isReplaced)
         return probeCandidates(now);
     if (!canFinishInTime(0, now))
-        return refuseOrAbort(refuse(503, "noTimeLeft"));
+        return refuseOrAbort(refuse(503, "noTimeLeft"), now);
     if (!tryAcquire(server->info.id, now))
         return probeCandidates(now);
     SendAttempt next;
@@ -179,14 +183,14 @@
 ForwardAction StreamSession::probeCandidates(TimePoint now)
 {
     if (!canFinishInTime(request().promptTokens, now))
-        return refuseOrAbort(refuse(503, "noTimeLeft"));
+        return refuseOrAbort(refuse(503, "noTimeLeft"), now);
     if (!m_capabilities.canBeProbed)
         return placeRun({}, now);
     ProbeServers probe;
     probe.servers =
         context().placer.runCandidates(placement(triedIds()), maxCandidates, now, context().random);
     if (probe.servers.empty())
-        return refuseOrAbort(refuse(503, "noServer"));
+        return refuseOrAbort(refuse(503, "noServer"), now);
     std::erase_if(probe.servers,
                   [this, now](const BackendState &server) { return !mayProbe(server, now); });
     if (probe.servers.empty())
@@ -225,7 +229,7 @@
     if (!chosen)
         chosen = choose(placement(triedIds()), &BackendPlacer::chooseForRun, now);
     if (!chosen)
-        return refuseOrAbort(refuseUnplaced(now));
+        return refuseOrAbort(refuseUnplaced(now), now);
     SendAttempt next;
     next.server = std::move(*chosen);
     return sendRun(std::move(next), now);
@@ -233,6 +237,11 @@
 
 ForwardAction StreamSession::sendRun(SendAttempt next, TimePoint now)
 {
+    if (std::exchange(m_isReplacing, false)) {
+        if (!tryTakeRetry(now))
+            return keepSilentAttempt(now);
+        countPossibleRun();
+    }
     next.cause = m_cause;
     next.lastEventId = m_lastEventId;
     m_isResumed = next.fromCopy.has_value();
@@ -349,8 +358,9 @@
 
 ForwardAction StreamSession::onLost(AttemptResult result, TimePoint now)
 {
+    m_isReplacing = false;
     if (!tryTakeRetry(now))
-        return refuseOrAbort(refuse(502, attemptResultName(result)));
+        return refuseOrAbort(refuse(502, attemptResultName(result)), now);
     return makeAttempt(attemptResultName(result), now);
 }
 
@@ -365,7 +375,7 @@
     if (now < silenceDueAt())
         return maintainCopy(now);
     if (now >= stuckAt() || isPresumedLost(now))
-        return onAttemptEnded(AttemptResult::Silent, now);
+        return onSilent(now);
     // The probe in progress decides.
     if (m_isProbing)
         return KeepWaiting {};
@@ -402,7 +412,9 @@
     m_isProbing = false;
     if (m_lastContactAt > m_probedAt)
         return KeepWaiting {};
-    if (reports.empty() || showsLostRun(reports.front()))
+    if (reports.empty())
+        return onSilent(now);
+    if (showsLostRun(reports.front()))
         return onAttemptEnded(AttemptResult::Silent, now);
     const BackendLoadReport &load = reports.front().load;
     const std::uint32_t prompts = load.prefilling + load.waiting;
@@ -411,6 +423,26 @@
     return KeepWaiting {};
 }
 
+// A sound server may pause for a second or more. A stream that has begun cannot be answered any
+// more, so its attempt goes on until another one takes its place.
+ForwardAction StreamSession::onSilent(TimePoint now)
+{
+    if (!m_hasStarted)
+        return onAttemptEnded(AttemptResult::Silent, now);
+    context().servers.recordFailure(server().info.id, now);
+    const bool isLastAttempt = possibleRuns() + 1 >= route().maxAttempts;
+    if (isLastAttempt || !context().retryBudget.hasRetry(service(), now))
+        return keepSilentAttempt(now);
+    m_isReplacing = true;
+    return makeAttempt(attemptResultName(AttemptResult::Silent), now);
+}
+
+ForwardAction StreamSession::keepSilentAttempt(TimePoint now)
+{
+    m_replaceAt = now + replaceRetryInterval;
+    return KeepWaiting {};
+}
+
 // True if the server was replaced or restarted, produced events that did not arrive, or no longer
 // has the run.
 bool StreamSession::showsLostRun(const ServerProbeResult &report) const
@@ -436,16 +468,19 @@
 
 TimePoint StreamSession::overdueAt() const
 {
+    // The probe in progress decides.
+    if (m_isPlacing || m_isFindingPrompt)
+        return deadline();
     return std::min(silenceDueAt(), m_copyCheckAt);
 }
 
 TimePoint StreamSession::silenceDueAt() const
 {
-    if (m_isPlacing || m_isFindingPrompt || !route().allowsRetry())
+    if (!route().allowsRetry())
         return deadline();
-    if (m_isProbing)
-        return std::min(stuckAt(), m_probedAt + 2 * probeTimeout);
-    return std::min(stuckAt(), m_lastContactAt + silenceThreshold());
+    const TimePoint silentAt =
+        m_isProbing ? m_probedAt + 2 * probeTimeout : m_lastContactAt + silenceThreshold();
+    return std::max(std::min(stuckAt(), silentAt), m_replaceAt);
 }
 
 Duration StreamSession::silenceThreshold() const
@@ -472,7 +507,8 @@
 
 ForwardAction StreamSession::onExpired(TimePoint now)
 {
-    return refuseOrAbort(ForwardSession::onExpired(now));
+    m_isReplacing = false;
+    return refuseOrAbort(ForwardSession::onExpired(now), now);
 }
 
 // A stream that has begun cannot be answered any more.
@@ -485,8 +521,10 @@
 }
 
 // If the caller already has a part of the answer, only aborting shows that the rest is missing.
-ForwardAction StreamSession::refuseOrAbort(ForwardAction refusal)
+ForwardAction StreamSession::refuseOrAbort(ForwardAction refusal, TimePoint now)
 {
+    if (std::exchange(m_isReplacing, false))
+        return keepSilentAttempt(now);
     if (!m_hasStarted)
         return refusal;
     return AbortAnswer {std::get<Refuse>(refusal).cause};
--- a/tests/decisions/StreamSessionTest.cpp
+++ b/tests/decisions/StreamSessionTest.cpp
@@ -15,6 +15,12 @@
     CPPUNIT_TEST(reportMayMissARecentRun);
     CPPUNIT_TEST(slowPromptIsNotTakenForSilence);
     CPPUNIT_TEST(stuckServerIsAbandoned);
+    CPPUNIT_TEST(streamOfASilentServerIsKeptWithoutRetryBudget);
+    CPPUNIT_TEST(streamOfASilentServerIsKeptWithoutAttemptsLeft);
+    CPPUNIT_TEST(streamOfASilentServerIsKeptWithoutOtherServers);
+    CPPUNIT_TEST(streamOfASilentServerIsKeptWithoutTimeForAnotherRun);
+    CPPUNIT_TEST(streamThatGoesOnDuringItsReplacementIsKept);
+    CPPUNIT_TEST(silentServerThatFailsDuringTheReplacementIsReplaced);
     CPPUNIT_TEST(runIsPlacedByReportedLoad);
     CPPUNIT_TEST(unresponsiveServerIsNotChosen);
     CPPUNIT_TEST(promptInAFailedZoneIsAbandoned);
@@ -142,6 +148,77 @@
         CPPUNIT_ASSERT(isAttempt(placed(session, next, now + Ms(3500))));
     }
 
+    // Guards against cutting the stream of a server that pauses for a second.
+    void streamOfASilentServerIsKeptWithoutRetryBudget()
+    {
+        StreamSession session(m_route, request(), context(), {true, true, true});
+        started(session);
+        const TimePoint last = tenEvents(session);
+        while (retryBudget.tryConsume("engine", last)) { }
+        expectKeptThroughSilence(session, last);
+    }
+
+    void streamOfASilentServerIsKeptWithoutAttemptsLeft()
+    {
+        HttpRoute once = m_route;
+        once.maxAttempts = 1;
+        StreamSession session(once, request(), context(), {true, true, true});
+        started(session);
+        expectKeptThroughSilence(session, tenEvents(session));
+    }
+
+    void streamOfASilentServerIsKeptWithoutOtherServers()
+    {
+        StreamSession session(m_route, request(), context(), {true, true, true});
+        const std::string id = sent(started(session)).server.info.id;
+        const TimePoint last = tenEvents(session);
+        for (const std::string &other : servers.candidateIds("engine", last)) {
+            if (other != id)
+                servers.remove(other, last);
+        }
+        expectKeptThroughSilence(session, last);
+    }
+
+    void streamOfASilentServerIsKeptWithoutTimeForAnotherRun()
+    {
+        learnLatency();
+        StreamSession session(m_route, request(), context(), {false, true, true});
+        started(session);
+        TimePoint at = now + Ms(1000);
+        for (std::int64_t id = 1; id <= 22; ++id)
+            session.onEvent(id, at += Ms(130));
+        expectKeptThroughSilence(session, at);
+    }
+
+    // Guards against moving a stream away from a server that has answered meanwhile.
+    void streamThatGoesOnDuringItsReplacementIsKept()
+    {
+        StreamSession session(m_route, request(), context(), {false, true, true});
+        started(session);
+        const TimePoint probedAt = tenEvents(session) + Ms(300);
+        session.check(probedAt);
+        const ForwardAction placing = session.onProbed({}, probedAt + Ms(120));
+        CPPUNIT_ASSERT(std::holds_alternative<ProbeServers>(placing));
+        session.onEvent(11, probedAt + Ms(130));
+        CPPUNIT_ASSERT(isWaiting(placed(session, placing, probedAt + Ms(140))));
+        session.onEvent(12, probedAt + Ms(160));
+        CPPUNIT_ASSERT(isWaiting(session.check(probedAt + Ms(200))));
+    }
+
+    void silentServerThatFailsDuringTheReplacementIsReplaced()
+    {
+        StreamSession session(m_route, request(), context(), {false, true, true});
+        started(session);
+        const TimePoint probedAt = tenEvents(session) + Ms(300);
+        session.check(probedAt);
+        session.onProbed({}, probedAt + Ms(120));
+        const TimePoint lostAt = probedAt + Ms(130);
+        const ForwardAction next =
+            placed(session, session.onAttemptEnded(AttemptResult::Lost, lostAt), lostAt);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(10), sent(next).lastEventId.value());
+        CPPUNIT_ASSERT_EQUAL(1U, session.possibleRuns());
+    }
+
     // Several processes place runs on the same servers. Guards against queueing behind another
     // process's prompt while other servers are idle.
     void runIsPlacedByReportedLoad()
@@ -520,6 +597,22 @@
         return placed(session, session.start(now), now);
     }
 
+    // The server neither sends events nor answers probes for a second, then goes on.
+    void expectKeptThroughSilence(StreamSession &session, TimePoint last)
+    {
+        const TimePoint end = last + Ms(1000);
+        for (TimePoint at = session.nextCheck(); at < end; at = session.nextCheck()) {
+            ForwardAction action = session.check(at);
+            if (std::holds_alternative<ProbeServers>(action))
+                action = session.onProbed({}, at + Ms(120));
+            CPPUNIT_ASSERT(isWaiting(action));
+            CPPUNIT_ASSERT(session.nextCheck() > at);
+        }
+        const std::int64_t next = session.lastEventId().value() + 1;
+        CPPUNIT_ASSERT(session.onEvent(next, end) == EventVerdict::Next);
+        CPPUNIT_ASSERT(isWaiting(session.check(end + Ms(30))));
+    }
+
     // Sends ten events, one every 30 ms; returns the time of the last one.
     TimePoint tenEvents(StreamSession &session)
     {
