gateway: log the events and the prompt parts of a failed attempt

Change: the ids of the prompt parts that other requests may share are decoded, bounded, and attemptFailed names them and the number of events that were passed on. WireFormatTest: two new cases.

--- a/include/foxtailring/gateway/GatewayRequest.h
+++ b/include/foxtailring/gateway/GatewayRequest.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace foxtailring {
 
@@ -21,6 +22,8 @@
     std::optional<std::chrono::milliseconds> timeout; ///< of the caller
     std::optional<std::int64_t> lastEventId;
     std::string promptId; ///< of the prompt part that only this request has; empty: not given
+    /// Ids of the prompt parts that other requests may have too, in order.
+    std::vector<std::string> sharedPromptParts;
     std::uint64_t promptTokens = 0;
     std::uint64_t maxOutputTokens = 0;
 };
--- a/src/gateway/RequestRelay.cpp
+++ b/src/gateway/RequestRelay.cpp
@@ -41,6 +41,14 @@
     return head.header("Content-Type").starts_with("text/event-stream");
 }
 
+std::string joined(std::span<const std::string> names)
+{
+    std::string text;
+    for (const std::string &name : names)
+        text += (text.empty() ? "" : ",") + name;
+    return text;
+}
+
 ExchangeOptions exchangeOptions(const HttpRoute &route)
 {
     ExchangeOptions options;
@@ -351,7 +359,7 @@
 // the caller saw it.
 void RequestRelay::recordResume(TimePoint now)
 {
-    const bool isFirst = !std::exchange(m_attempt.hasEvents, true);
+    const bool isFirst = ++m_attempt.eventCount == 1;
     const bool isResumed = m_hasStartedAnswer && isFirst;
     const Duration pause = now - std::exchange(m_lastEventAt, now);
     if (!isResumed)
@@ -405,6 +413,8 @@
                          {"number", std::to_string(m_attemptCount)},
                          {"server", m_attempt.serverId},
                          {"result", std::string(attemptResultName(result))},
+                         {"events", std::to_string(m_attempt.eventCount)},
+                         {"promptParts", joined(m_request.sharedPromptParts)},
                          {"ageMs", msText(m_parts.clock() - m_arrivedAt)}});
     perform(m_session->onAttemptEnded(result, m_parts.clock()));
 }
--- a/src/gateway/RequestRelay.h
+++ b/src/gateway/RequestRelay.h
@@ -47,7 +47,7 @@
         EventStreamReader events;
         bool isStreaming = false; ///< events are forwarded as they arrive
         bool isFromCopy = false;
-        bool hasEvents = false;
+        std::uint64_t eventCount = 0; ///< passed on
     };
     using AttemptTask = std::function<void(RequestRelay &)>;
 
--- a/tests/platform/WireFormatTest.cpp
+++ b/tests/platform/WireFormatTest.cpp
@@ -8,6 +8,8 @@
 {
     CPPUNIT_TEST_SUITE(WireFormatTest);
     CPPUNIT_TEST(requestIsDecoded);
+    CPPUNIT_TEST(sharedPromptPartsAreDecoded);
+    CPPUNIT_TEST(sharedPromptPartsAreBounded);
     CPPUNIT_TEST(ambiguousRequestsAreRefused);
     CPPUNIT_TEST(systemHeadersOfCallersAreDropped);
     CPPUNIT_TEST(connectionHeaderCannotDropProtectedHeaders);
@@ -31,6 +33,25 @@
         CPPUNIT_ASSERT_EQUAL(std::int64_t(12), *request.lastEventId);
     }
 
+    // Guards against taking the part of one request for one that others have.
+    void sharedPromptPartsAreDecoded()
+    {
+        const std::vector<std::string> parts = {"5c1e07a2", "91bd3f06"};
+        CPPUNIT_ASSERT(withPrompt("5c1e07a2:800, 91bd3f06:410,e44:2").sharedPromptParts == parts);
+        CPPUNIT_ASSERT(withPrompt("e4402b7d:250").sharedPromptParts.empty());
+        CPPUNIT_ASSERT(withPrompt("").sharedPromptParts.empty());
+    }
+
+    // Guards against callers that fill the memory with names of parts.
+    void sharedPromptPartsAreBounded()
+    {
+        std::string many;
+        for (int i = 0; i < 2000; ++i)
+            many += std::to_string(i) + ":1,";
+        CPPUNIT_ASSERT(withPrompt(many).sharedPromptParts.size() <= 256);
+        CPPUNIT_ASSERT(withPrompt(std::string(5000, 'a') + ":1,b:1").sharedPromptParts.empty());
+    }
+
     // Guards against requests that this process and a backend server interpret differently.
     void ambiguousRequestsAreRefused()
     {
@@ -143,6 +164,16 @@
                 "body"};
     }
 
+    GatewayRequest withPrompt(const std::string &prompt) const
+    {
+        HttpRequest request = http();
+        for (HttpHeader &header : request.headers) {
+            if (header.name == "Prompt-Prefix")
+                header.value = prompt;
+        }
+        return m_codec.decodeRequest(request).value();
+    }
+
     static AttemptMetadata metadata()
     {
         AttemptMetadata out;
