--- a/include/foxtailring/decisions/AttemptResult.h
+++ b/include/foxtailring/decisions/AttemptResult.h
@@ -10,7 +10,8 @@
     NotSent,     ///< no connection was established; the request was not executed
     NotRun,      ///< the server reported that it did not execute the request
     OtherServer, ///< another server has the address now and did not execute the request
-    Lost,        ///< connection lost or answer invalid; the request may have been executed
+    Lost,        ///< connection lost; the request may have been executed
+    Invalid,     ///< answer not valid or too large; the request may have been executed
     Silent,      ///< no data within the allowed time; the request may have been executed
 };
 
@@ -26,6 +27,8 @@
         return "otherServer";
     case AttemptResult::Lost:
         return "lost";
+    case AttemptResult::Invalid:
+        return "invalid";
     case AttemptResult::Silent:
         return "silent";
     }
@@ -35,7 +38,8 @@
 /// \brief True if the server may have executed the request.
 constexpr bool mayHaveRun(AttemptResult result)
 {
-    return result == AttemptResult::Lost || result == AttemptResult::Silent;
+    return result == AttemptResult::Lost || result == AttemptResult::Invalid
+        || result == AttemptResult::Silent;
 }
 
 } // namespace foxtailring
--- a/include/foxtailring/decisions/FleetMembership.h
+++ b/include/foxtailring/decisions/FleetMembership.h
@@ -28,6 +28,8 @@
     /// \brief Forgets processes that were delisted long ago.
     void expire(TimePoint now);
 
+    /// \brief True if this process is the one of the listed processes that \a key falls to.
+    bool owns(std::string_view key) const;
     bool isListed(std::string_view id) const;
     /// \brief Number of processes to divide a limit by; at least 1. The largest planned fleet until
     /// the list is known.
--- a/include/foxtailring/decisions/ForwardContext.h
+++ b/include/foxtailring/decisions/ForwardContext.h
@@ -9,6 +9,7 @@
 class BackendPlacer;
 class BackendTable;
 class EngineLatencyEstimator;
+class PromptQuarantine;
 class RandomSource;
 class RateLimitTable;
 class RetryBudget;
@@ -22,6 +23,7 @@
     const BackendPlacer &placer;
     RetryBudget &retryBudget;
     RateLimitTable &rateLimits;
+    PromptQuarantine &quarantine;
     EngineLatencyEstimator &latency;
     RandomSource &random;
     /// Tells the server to release a snapshot that is no longer needed; may be empty.
@@ -30,6 +32,8 @@
     std::function<void(std::string_view serverId, const RateLimitExplanation &)> onRateLimited;
     /// The retry budget of the service is used up; may be empty.
     std::function<void(const std::string &service)> onRetryDenied;
+    /// The request has this prompt part, which is quarantined; may be empty.
+    std::function<void(std::string_view part)> onQuarantined;
 };
 
 } // namespace foxtailring
--- a/include/foxtailring/decisions/ForwardRequest.h
+++ b/include/foxtailring/decisions/ForwardRequest.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace foxtailring {
 
@@ -12,12 +13,13 @@
 struct ForwardRequest
 {
     TimePoint arrivedAt;
-    std::optional<Duration> callerTimeout;   ///< how long the caller waits; none: not given
-    std::string promptId;                    ///< identifies the prompt of a run; empty: not given
-    std::uint64_t promptTokens = 0;          ///< of a run; 0: not given
-    std::uint64_t maxOutputTokens = 0;       ///< of a run; 0: not given
-    std::uint32_t tokensPerEvent = 1;        ///< of a run's output
-    std::optional<std::int64_t> lastEventId; ///< the last event that the caller has received
+    std::optional<Duration> callerTimeout; ///< how long the caller waits; none: not given
+    std::string promptId;                  ///< identifies the prompt of a run; empty: not given
+    std::vector<std::string> sharedPromptParts; ///< ids, in the order of the prompt
+    std::uint64_t promptTokens = 0;             ///< of a run; 0: not given
+    std::uint64_t maxOutputTokens = 0;          ///< of a run; 0: not given
+    std::uint32_t tokensPerEvent = 1;           ///< of a run's output
+    std::optional<std::int64_t> lastEventId;    ///< the last event that the caller has received
 };
 
 } // namespace foxtailring
--- a/include/foxtailring/decisions/ForwardSession.h
+++ b/include/foxtailring/decisions/ForwardSession.h
@@ -68,6 +68,10 @@
     std::chrono::milliseconds timeLeft(TimePoint now) const;
     bool isPastDeadline(TimePoint now) const { return now >= m_deadline; }
 
+    /// \brief The server of the current attempt failed before it had begun to answer.
+    void recordCrash(TimePoint now);
+    /// \brief Refusal if a part of the prompt is quarantined; none: the request may be sent.
+    std::optional<ForwardAction> refuseQuarantined(TimePoint now) const;
     /// \brief How BackendPlacer chooses a server.
     using Chooser = std::optional<BackendState> (BackendPlacer::*)(const PlacementRequest &,
                                                                    TimePoint, RandomSource &) const;
@@ -101,6 +105,11 @@
     virtual bool acceptsSuccessor() const { return false; }
     /// \brief Returns what to do in place of \a action, which would answer the caller.
     virtual ForwardAction conclude(ForwardAction action) const { return action; }
+    /// \brief True if the server of the current attempt has begun to answer and gone on.
+    virtual bool hasOutlivedStart() const { return false; }
+    /// \brief True if a server has begun to answer this request and gone on, so that no part of its
+    /// prompt crashes servers.
+    virtual bool isProvenHarmless() const { return false; }
     /// \brief The server did not execute the attempt.
     virtual void onRejected() { }
     /// \brief Called at overdueAt() while an attempt is in progress.
@@ -125,6 +134,7 @@
     std::uint32_t m_possibleRuns = 0;
     std::uint32_t m_rejections = 0;
     std::uint32_t m_addressFailures = 0;
+    bool m_isTrial = false; ///< the next attempt tries a part whose quarantine has ended
 };
 
 } // namespace foxtailring
--- /dev/null
+++ b/include/foxtailring/decisions/PromptQuarantine.h
@@ -0,0 +1,160 @@
+#pragma once
+
+#include "foxtailring/base/Clock.h"
+#include "foxtailring/decisions/PromptCrashReport.h"
+#include "foxtailring/decisions/RecentStarts.h"
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace foxtailring {
+
+/// \brief Finds prompt parts that crash each engine that begins to answer a request with them, and
+/// keeps such requests from the engines.
+///
+/// A crash makes suspect each part of the requests that the engine had not begun to answer; a
+/// request that an engine does begin to answer clears all its parts. A part that is suspect in
+/// several crashes, at different moments and engines, without being cleared is quarantined. When
+/// many engines fail at once, only a part that was at most of them is suspect. No process sees all
+/// crashes, so they exchange reports. Not thread-safe; used on one queue.
+class PromptQuarantine
+{
+public:
+    struct Settings
+    {
+        /// Crashes that make a quarantine. Those within \a minCrashInterval are one moment and
+        /// count once.
+        std::size_t crashThreshold = 2;
+        Duration minCrashInterval = std::chrono::milliseconds(700);
+        Duration evidenceLifetime = std::chrono::seconds(60);
+        /// How long a part is quarantined; doubles each time that it crashes an engine again.
+        Duration minQuarantine = std::chrono::seconds(20);
+        Duration maxQuarantine = std::chrono::minutes(10);
+        /// At the end, one process tries the part first; the others follow after this time.
+        Duration trialTime = std::chrono::seconds(15);
+        std::size_t maxParts = 256; ///< under suspicion or in quarantine
+    };
+
+    /// \brief Called when a quarantine begins or ends. All are optional.
+    struct Hooks
+    {
+        std::function<void(const std::string &part, std::size_t crashes, Duration time)>
+            onQuarantined;
+        std::function<void(const std::string &part, std::string_view cause)> onReleased;
+        /// Whether this process tries a part first when its quarantine ends.
+        std::function<bool(std::string_view part)> isTrialOwner;
+    };
+
+    using Parts = std::span<const std::string>; ///< of a request, in the order of its prompt
+
+    PromptQuarantine();
+    explicit PromptQuarantine(Settings settings);
+
+    void setHooks(Hooks hooks) { m_hooks = std::move(hooks); }
+    /// \brief Sets what is added to a time of this process to get the Unix time of a report.
+    void setUnixOffset(std::chrono::milliseconds offset) { m_unixOffset = offset; }
+
+    /// \brief An engine failed, whatever it was doing.
+    void recordFailure(const std::string &incarnation, TimePoint now);
+    /// \brief The engine failed before it had begun to answer a request with these parts.
+    void recordCrash(const std::string &incarnation, Parts parts, TimePoint now);
+    /// \brief The engine has begun to answer a request with these parts, and went on.
+    void recordStart(Parts parts, TimePoint now);
+    enum class Admission : std::uint8_t {
+        Admitted, ///< no part is quarantined
+        Trial,    ///< may be sent once, to try a part whose quarantine has ended
+        Rejected,
+    };
+
+    /// \brief Decides on a new request.
+    Admission admit(Parts parts, TimePoint now);
+    /// \brief Returns the first part that is quarantined; empty: none.
+    std::string_view quarantinedPart(Parts parts, TimePoint now) const;
+
+    /// \brief Adds what another process, or this one before its restart, has reported.
+    void applyReport(const PromptCrashReport &report, TimePoint now);
+    /// \brief Report of this process, if it must be published now. Counts as published.
+    std::optional<PromptCrashReport> takeDueReport(TimePoint now);
+    /// \brief The latest report was not published.
+    void onReportNotPublished();
+    bool wantsReport(TimePoint now) const { return now >= m_reportAt; }
+    /// \brief Forgets old evidence and ends quarantines whose time is over.
+    void expire(TimePoint now);
+
+    /// \brief Number of parts under suspicion or in quarantine.
+    std::size_t size() const { return m_records.size(); }
+    std::size_t quarantineCount() const;
+
+private:
+    struct Crash
+    {
+        TimePoint at;
+        std::size_t position = 0; ///< of the part among the parts of its request
+        bool isOwn = false;       ///< seen by this process
+    };
+    using Crashes = std::map<std::string, Crash, std::less<>>; ///< by incarnation
+
+    struct Record
+    {
+        Crashes crashes; ///< since the last start
+        TimePoint startedAt;
+        bool isOwnStart = false; ///< seen by this process
+        bool isInQuarantine = false;
+        bool hasRejected = false; ///< a request of this process
+        TimePoint quarantinedSince;
+        TimePoint quarantinedUntil;
+        TimePoint trialUntil; ///< a request that tries the part is in progress
+        std::uint32_t quarantineCount = 0;
+    };
+    using Records = std::map<std::string, Record, std::less<>>;
+
+    struct Failure
+    {
+        std::string incarnation;
+        TimePoint at;
+    };
+
+    struct SuspectsOfCrash
+    {
+        TimePoint at;
+        std::multimap<std::size_t, std::string> parts; ///< by position
+    };
+
+    void addCrash(const std::string &incarnation, Parts parts, TimePoint at, bool isOwn,
+                  TimePoint now);
+    Record *recordFor(const std::string &part);
+    void addStart(const std::string &part, Record &record, TimePoint at, bool isOwn);
+    void adoptQuarantine(const PromptCrashReport::Quarantine &reported, TimePoint now);
+    void updateQuarantines(TimePoint now);
+    std::size_t crashCount(const Record &record) const;
+    bool isAtMostFailures(const Record &record, TimePoint at) const;
+    bool isSameMoment(TimePoint one, TimePoint other) const;
+    bool isExplained(const std::string &part, const Record &record) const;
+    void quarantine(const std::string &part, Record &record, TimePoint now);
+    void release(const std::string &part, Record &record, std::string_view cause);
+    bool isQuarantined(const Record &record, TimePoint now) const;
+    static TimePoint latestCrash(const Record &record);
+    PromptCrashReport currentReport() const;
+    std::int64_t toUnixMs(TimePoint time) const;
+    TimePoint fromUnixMs(std::int64_t ms, TimePoint now) const;
+
+    const Settings m_settings;
+    Hooks m_hooks;
+    Records m_records;
+    RecentStarts m_recentStarts;
+    std::chrono::milliseconds m_unixOffset {0};
+    PromptCrashReport m_published;
+    TimePoint m_reportAt = TimePoint::max(); ///< when the next report is due
+    std::deque<Failure> m_failures;          ///< of all engines, by time
+};
+
+} // namespace foxtailring
--- a/include/foxtailring/decisions/StreamSession.h
+++ b/include/foxtailring/decisions/StreamSession.h
@@ -49,6 +49,8 @@
     ForwardAction onLost(AttemptResult result, TimePoint now) override;
     void onRejected() override;
     ForwardAction conclude(ForwardAction action) const override;
+    bool hasOutlivedStart() const override;
+    bool isProvenHarmless() const override { return m_isHarmless; }
     bool acceptsSuccessor() const override { return m_capabilities.isSingleService; }
     ForwardAction onOverdue(TimePoint now) override;
     TimePoint overdueAt() const override;
@@ -86,8 +88,10 @@
     RunCopy m_copy; ///< of the current run
     std::optional<std::int64_t> m_lastEventId;
     bool m_hasStarted = false;
-    bool m_hasEvents = false; ///< in the current attempt
-    bool m_isResumed = false; ///< the current attempt resumes from a copy
+    bool m_hasEvents = false;          ///< in the current attempt
+    std::uint32_t m_attemptEvents = 0; ///< passed on in the current attempt
+    bool m_isHarmless = false;         ///< an attempt outlived the beginning of its answer
+    bool m_isResumed = false;          ///< the current attempt resumes from a copy
     TimePoint m_lastEventAt;
     TimePoint m_firstEventAt;  ///< of the current attempt
     TimePoint m_lastContactAt; ///< with the current server
--- a/src/decisions/FleetMembership.cpp
+++ b/src/decisions/FleetMembership.cpp
@@ -1,5 +1,7 @@
 #include "foxtailring/decisions/FleetMembership.h"
 
+#include "foxtailring/decisions/RendezvousHash.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -53,6 +55,16 @@
     });
 }
 
+bool FleetMembership::owns(std::string_view key) const
+{
+    std::vector<std::string> names {m_ownId};
+    for (const auto &[id, delistedAt] : m_others) {
+        if (!delistedAt)
+            names.push_back(id);
+    }
+    return m_isKnown && RendezvousHash::first(key, names) == m_ownId;
+}
+
 bool FleetMembership::isListed(std::string_view id) const
 {
     if (id == m_ownId)
--- a/src/decisions/ForwardSession.cpp
+++ b/src/decisions/ForwardSession.cpp
@@ -3,6 +3,7 @@
 #include "foxtailring/base/RandomSource.h"
 #include "foxtailring/decisions/BackendPlacer.h"
 #include "foxtailring/decisions/BackendTable.h"
+#include "foxtailring/decisions/PromptQuarantine.h"
 #include "foxtailring/decisions/RateLimitTable.h"
 #include "foxtailring/decisions/RetryBudget.h"
 
@@ -32,6 +33,12 @@
     return request.arrivedAt + std::min(limit, request.callerTimeout.value_or(limit));
 }
 
+// Names one start of a server.
+std::string incarnationOf(const BackendInfo &info)
+{
+    return info.id + '@' + std::to_string(info.startedAtMs);
+}
+
 } // namespace
 
 ForwardSession::ForwardSession(const HttpRoute &route, const ForwardRequest &request,
@@ -53,6 +60,10 @@
     chooseService();
     if (timeLeft(now) < minTimeLeft)
         return refuse(503, "noTimeLeft");
+    m_isTrial = m_context.quarantine.admit(m_request.sharedPromptParts, now)
+        == PromptQuarantine::Admission::Trial;
+    if (auto refusal = refuseQuarantined(now))
+        return std::move(*refusal);
     m_context.retryBudget.deposit(m_service, now);
     return makeAttempt("first", now);
 }
@@ -94,7 +105,7 @@
         return onAttemptEnded(AttemptResult::NotRun, now);
     // A success without a signature does not come from a server that executed the request.
     if (answer.isSuccess() && !answer.isSigned)
-        return onAttemptEnded(AttemptResult::Lost, now);
+        return onAttemptEnded(AttemptResult::Invalid, now);
     const bool isFailure = answer.status >= 500;
     m_context.servers.recordAnswer(m_server->info.id, isFailure, now);
     releaseServer();
@@ -121,10 +132,35 @@
     return retryRejected(AttemptResult::OtherServer, now);
 }
 
+void ForwardSession::recordCrash(TimePoint now)
+{
+    m_context.quarantine.recordCrash(incarnationOf(m_server->info), m_request.sharedPromptParts,
+                                     now);
+}
+
+// A return of the caller cannot help, so it is told no time.
+std::optional<ForwardAction> ForwardSession::refuseQuarantined(TimePoint now) const
+{
+    if (m_isTrial || isProvenHarmless())
+        return std::nullopt;
+    const auto part = m_context.quarantine.quarantinedPart(m_request.sharedPromptParts, now);
+    if (part.empty())
+        return std::nullopt;
+    if (m_context.onQuarantined)
+        m_context.onQuarantined(part);
+    ForwardAction refusal = refuse(503, "promptQuarantined");
+    std::get<Refuse>(refusal).retryAfter = milliseconds(0);
+    return conclude(std::move(refusal));
+}
+
 ForwardAction ForwardSession::onAttemptEnded(AttemptResult result, TimePoint now)
 {
     if (!m_server)
         return KeepWaiting {};
+    if (result == AttemptResult::Lost || result == AttemptResult::Silent)
+        m_context.quarantine.recordFailure(incarnationOf(m_server->info), now);
+    if (result == AttemptResult::Lost && !hasOutlivedStart())
+        recordCrash(now);
     const std::string id = m_server->info.id;
     releaseServer();
     if (result == AttemptResult::OtherServer)
@@ -244,6 +280,10 @@
 ForwardAction ForwardSession::send(SendAttempt attempt, TimePoint now)
 {
     releaseServer();
+    // The part may have been quarantined while servers were probed.
+    if (auto refusal = refuseQuarantined(now))
+        return std::move(*refusal);
+    m_isTrial = false;
     m_server = attempt.server;
     m_context.servers.startWork(m_server->info.id);
     m_triedIds.push_back(m_server->info.id);
--- /dev/null
+++ b/src/decisions/PromptQuarantine.cpp
@@ -0,0 +1,415 @@
+#include "foxtailring/decisions/PromptQuarantine.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace foxtailring {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// A report holds the latest crashes, each with the parts that are deepest in the prompt: those at
+// its beginning are shared by the most requests and so are cleared first.
+constexpr std::size_t maxReportedCrashes = 16;
+constexpr std::size_t maxReportedParts = 32;
+constexpr std::size_t maxCrashesPerPart = 16;
+// A request that tries a part has begun or failed by then.
+constexpr std::chrono::seconds maxTrialDuration {10};
+// When so many engines fail at once, most suspects are cleared by their next attempt. Their reports
+// wait for that, since the store would get one from each process.
+constexpr std::size_t massFailureEngines = 3;
+constexpr std::chrono::seconds massFailureReportDelay {3};
+constexpr std::size_t maxFailures = 512;
+
+} // namespace
+
+PromptQuarantine::PromptQuarantine()
+    : PromptQuarantine(Settings {})
+{
+}
+
+PromptQuarantine::PromptQuarantine(Settings settings)
+    : m_settings(settings)
+{
+}
+
+void PromptQuarantine::recordFailure(const std::string &incarnation, TimePoint now)
+{
+    const auto isSame = [&](const Failure &failure) {
+        return failure.incarnation == incarnation && now - failure.at < m_settings.minCrashInterval;
+    };
+    if (std::any_of(m_failures.begin(), m_failures.end(), isSame))
+        return;
+    m_failures.push_back({incarnation, now});
+    if (m_failures.size() > maxFailures)
+        m_failures.pop_front();
+}
+
+void PromptQuarantine::recordCrash(const std::string &incarnation, Parts parts, TimePoint now)
+{
+    if (parts.empty())
+        return;
+    recordFailure(incarnation, now);
+    addCrash(incarnation, parts, now, true, now);
+    const auto recent = std::count_if(m_failures.begin(), m_failures.end(), [&](const auto &one) {
+        return now - one.at < m_settings.minCrashInterval;
+    });
+    const bool isMassFailure = static_cast<std::size_t>(recent) >= massFailureEngines;
+    m_reportAt = isMassFailure ? now + massFailureReportDelay : std::min(m_reportAt, now);
+    updateQuarantines(now);
+}
+
+void PromptQuarantine::addCrash(const std::string &incarnation, Parts parts, TimePoint at,
+                                bool isOwn, TimePoint now)
+{
+    if (now - at >= m_settings.evidenceLifetime)
+        return;
+    for (std::size_t position = 0; position < parts.size(); ++position) {
+        const std::string &part = parts[position];
+        const auto started = m_recentStarts.lastStart(part);
+        if (started && *started >= at)
+            continue;
+        Record *record = recordFor(part);
+        if (!record || record->startedAt >= at)
+            continue;
+        const auto found = record->crashes.find(incarnation);
+        if (found == record->crashes.end() && record->crashes.size() >= maxCrashesPerPart)
+            continue;
+        Crash &crash = record->crashes[incarnation];
+        const bool isNew = crash.at == TimePoint {};
+        crash.at = isNew ? at : std::min(crash.at, at);
+        crash.position = std::max(crash.position, position);
+        crash.isOwn = crash.isOwn || isOwn;
+    }
+}
+
+// When the table is full, the part whose latest crash is the oldest makes room, unless it is
+// quarantined: a caller that sends new parts all the time must not end a quarantine.
+PromptQuarantine::Record *PromptQuarantine::recordFor(const std::string &part)
+{
+    const auto found = m_records.find(part);
+    if (found != m_records.end())
+        return &found->second;
+    if (m_records.size() >= m_settings.maxParts) {
+        auto oldest = m_records.end();
+        TimePoint oldestAt = TimePoint::max();
+        for (auto it = m_records.begin(); it != m_records.end(); ++it) {
+            if (it->second.quarantineCount > 0 || latestCrash(it->second) >= oldestAt)
+                continue;
+            oldest = it;
+            oldestAt = latestCrash(it->second);
+        }
+        if (oldest == m_records.end())
+            return nullptr;
+        m_records.erase(oldest);
+    }
+    return &m_records[part];
+}
+
+TimePoint PromptQuarantine::latestCrash(const Record &record)
+{
+    TimePoint latest;
+    for (const auto &[incarnation, crash] : record.crashes)
+        latest = std::max(latest, crash.at);
+    return latest;
+}
+
+void PromptQuarantine::recordStart(Parts parts, TimePoint now)
+{
+    bool hasCleared = false;
+    for (const std::string &part : parts) {
+        m_recentStarts.record(part, now);
+        const auto found = m_records.find(part);
+        if (found == m_records.end())
+            continue;
+        const bool isSuspect = !found->second.crashes.empty() || found->second.isInQuarantine;
+        addStart(part, found->second, now, true);
+        hasCleared = hasCleared || isSuspect;
+    }
+    if (!hasCleared)
+        return;
+    m_reportAt = std::min(m_reportAt, now);
+    updateQuarantines(now);
+}
+
+void PromptQuarantine::addStart(const std::string &part, Record &record, TimePoint at, bool isOwn)
+{
+    if (at <= record.startedAt)
+        return;
+    record.startedAt = at;
+    record.isOwnStart = isOwn;
+    std::erase_if(record.crashes, [at](const auto &crash) { return crash.second.at <= at; });
+    if (record.isInQuarantine && at > record.quarantinedSince)
+        release(part, record, "started");
+    if (!record.isInQuarantine) {
+        record.quarantineCount = 0;
+        record.quarantinedUntil = {};
+    }
+}
+
+PromptQuarantine::Admission PromptQuarantine::admit(Parts parts, TimePoint now)
+{
+    Admission admission = Admission::Admitted;
+    for (const std::string &part : parts) {
+        const auto found = m_records.find(part);
+        if (found == m_records.end() || !isQuarantined(found->second, now))
+            continue;
+        Record &record = found->second;
+        const bool mayTry = now >= record.quarantinedUntil && now >= record.trialUntil
+            && m_hooks.isTrialOwner && m_hooks.isTrialOwner(part);
+        if (mayTry) {
+            record.trialUntil = now + maxTrialDuration;
+            admission = Admission::Trial;
+            continue;
+        }
+        if (!std::exchange(record.hasRejected, true))
+            m_reportAt = std::min(m_reportAt, now);
+        return Admission::Rejected;
+    }
+    return admission;
+}
+
+std::string_view PromptQuarantine::quarantinedPart(Parts parts, TimePoint now) const
+{
+    for (const std::string &part : parts) {
+        const auto found = m_records.find(part);
+        if (found != m_records.end() && isQuarantined(found->second, now))
+            return found->first;
+    }
+    return {};
+}
+
+// One process tries the part at the end of its quarantine; the others go on for a while.
+bool PromptQuarantine::isQuarantined(const Record &record, TimePoint now) const
+{
+    return record.isInQuarantine && now < record.quarantinedUntil + m_settings.trialTime;
+}
+
+// A process that restarts gets its own report back.
+void PromptQuarantine::applyReport(const PromptCrashReport &report, TimePoint now)
+{
+    for (const auto &crash : report.crashes)
+        addCrash(crash.incarnation, crash.parts, fromUnixMs(crash.atMs, now), false, now);
+    for (const auto &start : report.starts) {
+        const auto found = m_records.find(start.part);
+        if (found != m_records.end())
+            addStart(start.part, found->second, fromUnixMs(start.atMs, now), false);
+    }
+    for (const auto &reported : report.quarantines)
+        adoptQuarantine(reported, now);
+    updateQuarantines(now);
+}
+
+void PromptQuarantine::adoptQuarantine(const PromptCrashReport::Quarantine &reported, TimePoint now)
+{
+    const milliseconds left(reported.untilMs - toUnixMs(now));
+    const auto time = std::min<Duration>(left, m_settings.maxQuarantine);
+    const TimePoint since = fromUnixMs(reported.sinceMs, now);
+    const auto started = m_recentStarts.lastStart(reported.part);
+    if (time <= Duration {0} || (started && *started > since))
+        return;
+    Record *record = recordFor(reported.part);
+    const bool isNews = record && record->startedAt <= since
+        && (!record->isInQuarantine || record->quarantinedUntil < now + time);
+    if (!isNews)
+        return;
+    const bool isNew = !record->isInQuarantine;
+    record->isInQuarantine = true;
+    record->quarantinedSince = isNew ? since : std::min(record->quarantinedSince, since);
+    record->quarantinedUntil = now + time;
+    record->quarantineCount = std::max(record->quarantineCount, 1U);
+    if (isNew && m_hooks.onQuarantined)
+        m_hooks.onQuarantined(reported.part, crashCount(*record), time);
+}
+
+void PromptQuarantine::updateQuarantines(TimePoint now)
+{
+    for (auto &[part, record] : m_records) {
+        if (record.crashes.empty() || now < record.quarantinedUntil)
+            continue;
+        // A part that has been quarantined before gets no second chance to crash several engines.
+        const bool isRepeated =
+            record.quarantineCount > 0 && latestCrash(record) >= record.quarantinedUntil;
+        const bool isDue = crashCount(record) >= m_settings.crashThreshold
+            && latestCrash(record) > record.quarantinedSince;
+        if (isRepeated || (isDue && !isExplained(part, record)))
+            quarantine(part, record, now);
+    }
+}
+
+// Crashes that happened at the same moment count once.
+std::size_t PromptQuarantine::crashCount(const Record &record) const
+{
+    std::vector<TimePoint> times;
+    for (const auto &[incarnation, crash] : record.crashes) {
+        if (isAtMostFailures(record, crash.at))
+            times.push_back(crash.at);
+    }
+    std::sort(times.begin(), times.end());
+    std::size_t count = 0;
+    TimePoint counted;
+    for (const TimePoint at : times) {
+        if (count > 0 && at - counted < m_settings.minCrashInterval)
+            continue;
+        ++count;
+        counted = at;
+    }
+    return count;
+}
+
+// True if the part was suspect at most of the engines that failed around \a at. When a zone is
+// lost, few of its engines process any one part; a part that crashes engines is at all that fail.
+bool PromptQuarantine::isAtMostFailures(const Record &record, TimePoint at) const
+{
+    std::size_t suspected = 0;
+    std::size_t others = 0;
+    for (const auto &[incarnation, crash] : record.crashes) {
+        if (isSameMoment(crash.at, at))
+            ++suspected;
+    }
+    for (const Failure &failure : m_failures) {
+        if (isSameMoment(failure.at, at) && !record.crashes.contains(failure.incarnation))
+            ++others;
+    }
+    return suspected > others;
+}
+
+bool PromptQuarantine::isSameMoment(TimePoint one, TimePoint other) const
+{
+    return std::max(one, other) - std::min(one, other) < m_settings.minCrashInterval;
+}
+
+// Another part, deeper in the prompt, was suspect in all the crashes in which this one was. The
+// deeper part is in fewer other requests, so rejecting it does less harm, and if it is not the
+// cause, the next crash without it shows that.
+bool PromptQuarantine::isExplained(const std::string &part, const Record &record) const
+{
+    return std::any_of(m_records.begin(), m_records.end(), [&](const auto &other) {
+        if (other.first == part)
+            return false;
+        const Crashes &crashes = other.second.crashes;
+        return std::all_of(record.crashes.begin(), record.crashes.end(), [&](const auto &crash) {
+            const auto same = crashes.find(crash.first);
+            return same != crashes.end() && same->second.position > crash.second.position;
+        });
+    });
+}
+
+void PromptQuarantine::quarantine(const std::string &part, Record &record, TimePoint now)
+{
+    const auto doublings = std::min<std::uint32_t>(record.quarantineCount, 8);
+    const auto time =
+        std::min<Duration>(m_settings.minQuarantine * (1U << doublings), m_settings.maxQuarantine);
+    ++record.quarantineCount;
+    record.isInQuarantine = true;
+    record.quarantinedSince = now;
+    record.quarantinedUntil = now + time;
+    record.trialUntil = {};
+    if (m_hooks.onQuarantined)
+        m_hooks.onQuarantined(part, crashCount(record), time);
+    const bool isOwn = std::any_of(record.crashes.begin(), record.crashes.end(),
+                                   [](const auto &crash) { return crash.second.isOwn; });
+    if (isOwn)
+        m_reportAt = std::min(m_reportAt, now);
+}
+
+void PromptQuarantine::release(const std::string &part, Record &record, std::string_view cause)
+{
+    record.isInQuarantine = false;
+    record.hasRejected = false;
+    if (m_hooks.onReleased)
+        m_hooks.onReleased(part, cause);
+}
+
+void PromptQuarantine::expire(TimePoint now)
+{
+    const auto isOld = [this, now](TimePoint at) {
+        return now - at >= m_settings.evidenceLifetime;
+    };
+    for (auto &[part, record] : m_records) {
+        if (record.isInQuarantine && !isQuarantined(record, now))
+            release(part, record, "expired");
+        if (!record.isInQuarantine)
+            std::erase_if(record.crashes,
+                          [&](const auto &crash) { return isOld(crash.second.at); });
+    }
+    std::erase_if(m_records, [&](const auto &entry) {
+        const Record &record = entry.second;
+        return !record.isInQuarantine && record.crashes.empty() && isOld(record.startedAt)
+            && isOld(record.quarantinedUntil);
+    });
+}
+
+std::size_t PromptQuarantine::quarantineCount() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_records.begin(), m_records.end(),
+                      [](const auto &entry) { return entry.second.isInQuarantine; }));
+}
+
+std::optional<PromptCrashReport> PromptQuarantine::takeDueReport(TimePoint now)
+{
+    if (!wantsReport(now))
+        return std::nullopt;
+    m_reportAt = TimePoint::max();
+    PromptCrashReport report = currentReport();
+    if (report == m_published)
+        return std::nullopt;
+    m_published = report;
+    return report;
+}
+
+void PromptQuarantine::onReportNotPublished()
+{
+    m_published = {};
+    m_reportAt = TimePoint {};
+}
+
+PromptCrashReport PromptQuarantine::currentReport() const
+{
+    PromptCrashReport report;
+    std::map<std::string, SuspectsOfCrash> crashes;
+    for (const auto &[part, record] : m_records) {
+        bool isOwn = record.hasRejected;
+        for (const auto &[incarnation, crash] : record.crashes) {
+            if (!crash.isOwn)
+                continue;
+            isOwn = true;
+            crashes[incarnation].at = crash.at;
+            crashes[incarnation].parts.emplace(crash.position, part);
+        }
+        if (record.isOwnStart)
+            report.starts.push_back({part, toUnixMs(record.startedAt)});
+        if (record.isInQuarantine && isOwn)
+            report.quarantines.push_back(
+                {part, toUnixMs(record.quarantinedSince), toUnixMs(record.quarantinedUntil)});
+    }
+    for (auto &[incarnation, crash] : crashes) {
+        while (crash.parts.size() > maxReportedParts)
+            crash.parts.erase(crash.parts.begin());
+        PromptCrashReport::Crash &reported = report.crashes.emplace_back(
+            PromptCrashReport::Crash {incarnation, toUnixMs(crash.at), {}});
+        for (auto &[position, part] : crash.parts)
+            reported.parts.push_back(part);
+    }
+    std::sort(report.crashes.begin(), report.crashes.end(),
+              [](const auto &a, const auto &b) { return a.atMs > b.atMs; });
+    if (report.crashes.size() > maxReportedCrashes)
+        report.crashes.resize(maxReportedCrashes);
+    return report;
+}
+
+std::int64_t PromptQuarantine::toUnixMs(TimePoint time) const
+{
+    return std::chrono::duration_cast<milliseconds>(time.time_since_epoch()).count()
+        + m_unixOffset.count();
+}
+
+// Clocks differ between VMs; nothing that is reported happens later.
+TimePoint PromptQuarantine::fromUnixMs(std::int64_t ms, TimePoint now) const
+{
+    return std::min(TimePoint(milliseconds(ms) - m_unixOffset), now);
+}
+
+} // namespace foxtailring
--- a/src/decisions/StreamSession.cpp
+++ b/src/decisions/StreamSession.cpp
@@ -3,6 +3,7 @@
 #include "foxtailring/decisions/BackendPlacer.h"
 #include "foxtailring/decisions/BackendTable.h"
 #include "foxtailring/decisions/EngineLatencyEstimator.h"
+#include "foxtailring/decisions/PromptQuarantine.h"
 #include "foxtailring/decisions/RateLimitTable.h"
 #include "foxtailring/decisions/RetryBudget.h"
 
@@ -52,6 +53,9 @@
 // A doubtful server is abandoned after this time without contact.
 constexpr milliseconds maxDoubtfulSilence {350};
 
+// A server that sends this many events has outlived the beginning of its answer.
+constexpr std::uint32_t outlivedEvents = 3;
+
 milliseconds maxEventGapOf(const HttpRoute &route)
 {
     return route.maxEventGap.count() > 0 ? route.maxEventGap : defaultMaxEventGap;
@@ -88,6 +92,9 @@
         context().servers.recordContact(server().info.id, now);
     if (!std::exchange(m_hasEvents, true))
         m_firstEventAt = now;
+    if (++m_attemptEvents == outlivedEvents)
+        context().quarantine.recordStart(request().sharedPromptParts, now);
+    m_isHarmless = m_isHarmless || hasOutlivedStart();
     m_hasStarted = true;
     m_isProbing = false;
     if (std::exchange(m_isReplacing, false))
@@ -98,8 +105,15 @@
     return EventVerdict::Next;
 }
 
+bool StreamSession::hasOutlivedStart() const
+{
+    return m_attemptEvents >= outlivedEvents;
+}
+
 ForwardAction StreamSession::onFinished(TimePoint now)
 {
+    if (!hasOutlivedStart())
+        context().quarantine.recordStart(request().sharedPromptParts, now);
     if (hasServer())
         context().servers.recordAnswer(server().info.id, false, now);
     if (m_meanEventInterval > Duration {0})
@@ -111,6 +125,8 @@
 
 ForwardAction StreamSession::makeAttempt(std::string_view cause, TimePoint now)
 {
+    if (auto refusal = refuseQuarantined(now))
+        return std::move(*refusal);
     m_cause = cause;
     // A copy exists only from the first event on, not while the prompt is processed.
     auto next = m_hasEvents ? m_copy.takeResumeAttempt(now) : std::nullopt;
@@ -246,6 +262,7 @@
     next.lastEventId = m_lastEventId;
     m_isResumed = next.fromCopy.has_value();
     m_hasEvents = false;
+    m_attemptEvents = 0;
     m_isProbing = false;
     m_isProbingHolder = false;
     m_isCopying = false;
@@ -412,8 +429,11 @@
     m_isProbing = false;
     if (m_lastContactAt > m_probedAt)
         return KeepWaiting {};
-    if (reports.empty())
+    if (reports.empty()) {
+        if (!hasOutlivedStart())
+            recordCrash(now);
         return onSilent(now);
+    }
     if (showsLostRun(reports.front()))
         return onAttemptEnded(AttemptResult::Silent, now);
     const BackendLoadReport &load = reports.front().load;
--- a/src/gateway/GatewayNode.cpp
+++ b/src/gateway/GatewayNode.cpp
@@ -61,6 +61,23 @@
     return hooks;
 }
 
+PromptQuarantine::Hooks makeQuarantineHooks(GatewayParts &parts)
+{
+    PromptQuarantine::Hooks hooks;
+    hooks.onQuarantined = [&parts](const std::string &part, std::size_t crashes, Duration time) {
+        parts.metrics.add("gateway_quarantines_total");
+        const auto ms = std::chrono::duration_cast<milliseconds>(time).count();
+        StructuredLog::warn(
+            "promptQuarantined",
+            {{"part", part}, {"crashes", std::to_string(crashes)}, {"forMs", std::to_string(ms)}});
+    };
+    hooks.onReleased = [](const std::string &part, std::string_view cause) {
+        StructuredLog::info("promptReleased", {{"part", part}, {"cause", std::string(cause)}});
+    };
+    hooks.isTrialOwner = [&parts](std::string_view part) { return parts.fleet.owns(part); };
+    return hooks;
+}
+
 RateLimitTable::Hooks makeRateLimitHooks(GatewayParts &parts)
 {
     RateLimitTable::Hooks hooks;
@@ -106,6 +123,7 @@
     {
         parts.servers.setHooks(makeTrustHooks(parts));
         parts.rateLimits.setHooks(makeRateLimitHooks(parts));
+        parts.quarantine.setHooks(makeQuarantineHooks(parts));
         watch.onConfirmed([this] { dispatcher.onStoreRead(); });
         watch.onConfigApplied(
             [this] { callers.setLimits(toHttpLimits(parts.routes->config().limits)); });
--- a/src/gateway/GatewayParts.cpp
+++ b/src/gateway/GatewayParts.cpp
@@ -56,13 +56,15 @@
         placer,
         retryBudget,
         rateLimits,
+        quarantine,
         latency,
         random,
         [this, requestId](const CopyReference &copy) { releaseCopy(requestId, copy); },
         [this, requestId](std::string_view serverId, const RateLimitExplanation &reason) {
             reportRateLimited(requestId, serverId, reason);
         },
-        [this, requestId](const std::string &service) { reportRetryDenied(requestId, service); }};
+        [this, requestId](const std::string &service) { reportRetryDenied(requestId, service); },
+        [this, requestId](std::string_view part) { reportQuarantined(requestId, part); }};
 }
 
 void GatewayParts::updateFleetSize()
@@ -87,6 +89,12 @@
                          {"gateways", std::to_string(m_fleetSize)}});
 }
 
+void GatewayParts::reportQuarantined(const std::string &requestId, std::string_view part)
+{
+    metrics.add("gateway_quarantined_requests_total");
+    StructuredLog::info("promptRejected", {{"request", requestId}, {"part", std::string(part)}});
+}
+
 std::string GatewayParts::rateLimitGauge(std::string_view serverId)
 {
     return "gateway_server_limit{server=\"" + std::string(serverId) + "\"}";
--- a/src/gateway/GatewayParts.h
+++ b/src/gateway/GatewayParts.h
@@ -10,6 +10,7 @@
 #include "foxtailring/decisions/ForwardContext.h"
 #include "foxtailring/decisions/KeyFreshness.h"
 #include "foxtailring/decisions/MemoryBudget.h"
+#include "foxtailring/decisions/PromptQuarantine.h"
 #include "foxtailring/decisions/RateLimitTable.h"
 #include "foxtailring/decisions/RetryBudget.h"
 #include "foxtailring/decisions/RouteTable.h"
@@ -47,6 +48,8 @@
     /// \brief Logs and counts that \a reason kept a request, or a probe for it, from a server.
     void reportRateLimited(const std::string &requestId, std::string_view serverId,
                            const RateLimitExplanation &reason);
+    /// \brief Logs and counts that a quarantined prompt part kept a request from all servers.
+    void reportQuarantined(const std::string &requestId, std::string_view part);
     /// \brief Name of the gauge of a server's rate limit.
     static std::string rateLimitGauge(std::string_view serverId);
 
@@ -66,6 +69,7 @@
     FleetMembership fleet;
     RetryBudget retryBudget;
     RateLimitTable rateLimits;
+    PromptQuarantine quarantine;
     EngineLatencyEstimator latency;
     KeyFreshness keyFreshness;
     MemoryBudget memoryBudget;
--- a/src/gateway/GatewayPublisher.cpp
+++ b/src/gateway/GatewayPublisher.cpp
@@ -4,6 +4,7 @@
 
 #include "GatewayKey.h"
 #include "GatewayParts.h"
+#include "PromptCrashReportCodec.h"
 #include "RateLimitReportCodec.h"
 
 #include <algorithm>
@@ -35,6 +36,7 @@
     , m_client(client)
     , m_listing {GatewayKey::of(parts.settings.nodeId)}
     , m_report {std::string(RateLimitReportCodec::keyPrefix) + parts.settings.nodeId}
+    , m_crashReport {std::string(PromptCrashReportCodec::keyPrefix) + parts.settings.nodeId}
     , m_timer(parts.pool)
     , m_failurePause(minFailurePause)
 {
@@ -54,16 +56,25 @@
 void GatewayPublisher::step()
 {
     const TimePoint now = m_parts.clock();
+    updateUnixOffset();
     m_parts.rateLimits.expire(now);
+    m_parts.quarantine.expire(now);
+    m_parts.metrics.setGauge("gateway_prompts_quarantined",
+                             static_cast<double>(m_parts.quarantine.quarantineCount()));
     m_parts.updateFleetSize();
     if (m_isCalling || now < m_pausedUntil)
         return;
     forgetEndedLease(now);
     if (m_lease == 0) {
-        if (now >= m_enlistAt || m_parts.rateLimits.wantsReport(now))
+        if (now >= m_enlistAt || m_parts.rateLimits.wantsReport(now)
+            || m_parts.quarantine.wantsReport(now))
             grantLease();
         return;
     }
+    if (m_crashReport.lease != 0 && m_crashReport.lease != m_lease)
+        m_parts.quarantine.onReportNotPublished();
+    if (const auto report = m_parts.quarantine.takeDueReport(now))
+        return publish(*report);
     if (const auto report = m_parts.rateLimits.takeDueReport(now))
         return publish(*report);
     if (isListingDue(now))
@@ -141,6 +152,34 @@
     });
 }
 
+void GatewayPublisher::publish(const PromptCrashReport &report)
+{
+    write(m_crashReport, PromptCrashReportCodec::encode(report), [this](const auto &result) {
+        if (result)
+            return onCrashReportWritten(result.value());
+        m_parts.metrics.add("gateway_crash_reports_total{outcome=\"failed\"}");
+        m_parts.quarantine.onReportNotPublished();
+        onFailed("writeCrashReport", result.error());
+    });
+}
+
+void GatewayPublisher::onCrashReportWritten(const WriteResult &result)
+{
+    if (result.applied)
+        return m_parts.metrics.add("gateway_crash_reports_total{outcome=\"written\"}");
+    m_parts.metrics.add("gateway_crash_reports_total{outcome=\"conflict\"}");
+    m_parts.quarantine.onReportNotPublished();
+}
+
+// The wall clock may step, so the offset is read again each time.
+void GatewayPublisher::updateUnixOffset()
+{
+    const auto wallTime = std::chrono::system_clock::now().time_since_epoch();
+    const auto ownTime = m_parts.clock().time_since_epoch();
+    m_parts.quarantine.setUnixOffset(std::chrono::duration_cast<milliseconds>(wallTime)
+                                     - std::chrono::duration_cast<milliseconds>(ownTime));
+}
+
 // A conflict shows the effect of an earlier write whose reply was lost, of an earlier process with
 // the same node id, or the end of a lease.
 void GatewayPublisher::write(LeasedKey &key, const std::string &value,
--- a/src/gateway/GatewayPublisher.h
+++ b/src/gateway/GatewayPublisher.h
@@ -14,12 +14,14 @@
 
 struct Error;
 struct GatewayParts;
+struct PromptCrashReport;
 struct RateLimitReport;
 
 /// \brief Keeps this gateway's keys in the store, under one lease: the one by which the others
-/// count it, and its report of rate limits.
+/// count it, and its reports of rate limits and of crashes.
 ///
-/// Writes no report until a server names a limit. One call at a time; runs on the gateway's queue.
+/// Writes no report before there is something to tell. One call at a time; runs on the gateway's
+/// queue.
 class GatewayPublisher
 {
 public:
@@ -37,9 +39,12 @@
     void renewLease();
     void enlist();
     void publish(const RateLimitReport &report);
+    void publish(const PromptCrashReport &report);
+    void updateUnixOffset();
     void write(LeasedKey &key, const std::string &value, const KeyValueClient::WriteHook &hook);
     void recordWritten(LeasedKey &key, std::int64_t lease, const WriteResult &result);
     void onReportWritten(const WriteResult &result);
+    void onCrashReportWritten(const WriteResult &result);
     void onFailed(std::string_view call, const Error &error);
     std::chrono::milliseconds randomDelay(std::chrono::milliseconds bound);
 
@@ -47,6 +52,7 @@
     KeyValueClient &m_client;
     LeasedKey m_listing;
     LeasedKey m_report;
+    LeasedKey m_crashReport;
     Timer m_timer;
     bool m_isCalling = false; ///< a call to the store is in progress
     std::int64_t m_lease = 0; ///< 0: none
--- /dev/null
+++ b/src/gateway/PromptCrashReportCodec.cpp
@@ -0,0 +1,98 @@
+#include "PromptCrashReportCodec.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace foxtailring {
+
+namespace {
+
+using nlohmann::json;
+
+// Twice what a gateway writes: bounds what another writer can make this process do.
+constexpr std::size_t maxCrashes = 32;
+constexpr std::size_t maxParts = 64; ///< of a crash
+constexpr std::size_t maxNames = 512;
+constexpr std::size_t maxNameLength = 200; ///< bytes
+// A century; the sum of two times of a report does not overflow.
+constexpr std::int64_t maxTimeMs = 4'000'000'000'000;
+
+bool isName(const json &value)
+{
+    return value.is_string() && value.get_ref<const std::string &>().size() <= maxNameLength;
+}
+
+bool isTime(const json &value)
+{
+    return value.is_number_integer() && value.get<std::int64_t>() >= 0
+        && value.get<std::int64_t>() <= maxTimeMs;
+}
+
+bool isList(const json &document, const char *name, std::size_t maxSize)
+{
+    return document.contains(name) && document[name].is_array() && document[name].size() <= maxSize;
+}
+
+bool isCrash(const json &value)
+{
+    return value.is_array() && value.size() == 3 && isName(value[0]) && isTime(value[1])
+        && value[2].is_array() && value[2].size() <= maxParts
+        && std::all_of(value[2].begin(), value[2].end(), isName);
+}
+
+bool isStart(const json &value)
+{
+    return value.is_array() && value.size() == 2 && isName(value[0]) && isTime(value[1]);
+}
+
+bool isQuarantine(const json &value)
+{
+    return value.is_array() && value.size() == 3 && isName(value[0]) && isTime(value[1])
+        && isTime(value[2]);
+}
+
+bool isReport(const json &document)
+{
+    const auto all = [&](const char *name, bool (*isEntry)(const json &)) {
+        return std::all_of(document[name].begin(), document[name].end(), isEntry);
+    };
+    return document.is_object() && isList(document, "crashes", maxCrashes)
+        && isList(document, "starts", maxNames) && isList(document, "quarantines", maxNames)
+        && all("crashes", isCrash) && all("starts", isStart) && all("quarantines", isQuarantine);
+}
+
+} // namespace
+
+std::string PromptCrashReportCodec::encode(const PromptCrashReport &report)
+{
+    json document = {
+        {"crashes", json::array()}, {"starts", json::array()}, {"quarantines", json::array()}};
+    for (const auto &crash : report.crashes)
+        document["crashes"].push_back({crash.incarnation, crash.atMs, crash.parts});
+    for (const auto &start : report.starts)
+        document["starts"].push_back({start.part, start.atMs});
+    for (const auto &quarantine : report.quarantines)
+        document["quarantines"].push_back(
+            {quarantine.part, quarantine.sinceMs, quarantine.untilMs});
+    return document.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+Result<PromptCrashReport> PromptCrashReportCodec::decode(std::string_view text)
+{
+    const json document = json::parse(text, nullptr, false);
+    if (!isReport(document))
+        return Error {ErrorCode::Malformed, "not a report of crashes"};
+    PromptCrashReport report;
+    for (const json &crash : document["crashes"])
+        report.crashes.push_back({crash[0].get<std::string>(), crash[1].get<std::int64_t>(),
+                                  crash[2].get<std::vector<std::string>>()});
+    for (const json &start : document["starts"])
+        report.starts.push_back({start[0].get<std::string>(), start[1].get<std::int64_t>()});
+    for (const json &quarantine : document["quarantines"])
+        report.quarantines.push_back({quarantine[0].get<std::string>(),
+                                      quarantine[1].get<std::int64_t>(),
+                                      quarantine[2].get<std::int64_t>()});
+    return report;
+}
+
+} // namespace foxtailring
--- a/src/gateway/RequestRelay.cpp
+++ b/src/gateway/RequestRelay.cpp
@@ -41,6 +41,13 @@
     return head.header("Content-Type").starts_with("text/event-stream");
 }
 
+AttemptResult failureOf(const Error &error)
+{
+    if (error.code == ErrorCode::Unavailable)
+        return AttemptResult::NotSent;
+    return error.code == ErrorCode::Malformed ? AttemptResult::Invalid : AttemptResult::Lost;
+}
+
 std::string joined(std::span<const std::string> names)
 {
     std::string text;
@@ -84,6 +91,7 @@
     request.arrivedAt = arrivedAt;
     request.callerTimeout = m_request.timeout;
     request.promptId = m_request.promptId;
+    request.sharedPromptParts = m_request.sharedPromptParts;
     request.promptTokens = m_request.promptTokens;
     request.maxOutputTokens = m_request.maxOutputTokens;
     request.lastEventId = m_request.lastEventId;
@@ -304,7 +312,7 @@
     if (!m_attempt.isStreaming) {
         m_attempt.body += bytes;
         if (m_attempt.body.size() > maxBufferedAnswerBytes || !updateHeldMemory("answer"))
-            endAttempt(AttemptResult::Lost);
+            endAttempt(AttemptResult::Invalid);
         return;
     }
     const std::uint64_t number = m_attempt.number;
@@ -315,7 +323,7 @@
     if (m_isFinished || m_attempt.number != number)
         return;
     if (!isReadable || !updateHeldMemory("stream"))
-        endAttempt(AttemptResult::Lost);
+        endAttempt(AttemptResult::Invalid);
 }
 
 bool RequestRelay::updateHeldMemory(std::string_view what)
@@ -341,10 +349,10 @@
 {
     const TimePoint now = m_parts.clock();
     if (!id)
-        return endAttempt(AttemptResult::Lost);
+        return endAttempt(AttemptResult::Invalid);
     const EventVerdict verdict = m_stream->onEvent(*id, now);
     if (verdict == EventVerdict::Gap)
-        return endAttempt(AttemptResult::Lost);
+        return endAttempt(AttemptResult::Invalid);
     if (verdict == EventVerdict::Duplicate)
         return;
     recordResume(now);
@@ -387,10 +395,8 @@
 void RequestRelay::onClosed(const Result<Done> &result)
 {
     m_attempt.stream.reset();
-    if (!result) {
-        const bool isUnsent = result.error().code == ErrorCode::Unavailable;
-        return endAttempt(isUnsent ? AttemptResult::NotSent : AttemptResult::Lost);
-    }
+    if (!result)
+        return endAttempt(failureOf(result.error()));
     if (m_attempt.isStreaming)
         return onStreamEnd();
     perform(m_session->onAnswer(m_attempt.answer, m_parts.clock()));
--- a/src/gateway/StoreWatch.cpp
+++ b/src/gateway/StoreWatch.cpp
@@ -4,6 +4,7 @@
 
 #include "GatewayKey.h"
 #include "GatewayParts.h"
+#include "PromptCrashReportCodec.h"
 #include "RateLimitReportCodec.h"
 
 #include <algorithm>
@@ -38,6 +39,11 @@
     return {gatewayId, std::nullopt};
 }
 
+bool isPromptCrashKey(std::string_view key)
+{
+    return key.starts_with(PromptCrashReportCodec::keyPrefix);
+}
+
 // Idle timeout, minimum and maximum backoff. The client itself ends polls that the store does not
 // answer; the idle timeout only matters for a client that does not.
 constexpr PrefixWatcher::Settings watcherSettings {std::chrono::milliseconds(12000),
@@ -117,6 +123,8 @@
             gateways.push_back(GatewayKey::nodeIdOf(pair.key));
         if (isRateLimitKey(pair.key))
             reports.push_back(readRateLimitReport(pair));
+        if (isPromptCrashKey(pair.key))
+            applyPromptCrashReport(pair);
         if (!isServerKey(pair.key))
             continue;
         auto server = m_schema.decodeServer(serverIdOf(pair.key), pair.value);
@@ -145,6 +153,8 @@
         const KeyValue &pair = event.pair;
         if (pair.key == m_schema.configKey && !event.deleted)
             applyConfig(pair);
+        if (isPromptCrashKey(pair.key) && !event.deleted)
+            applyPromptCrashReport(pair);
         if (!isServerKey(pair.key))
             continue;
         if (event.deleted) {
@@ -186,6 +196,15 @@
     m_parts.updateFleetSize();
 }
 
+void StoreWatch::applyPromptCrashReport(const KeyValue &pair)
+{
+    const auto report = PromptCrashReportCodec::decode(pair.value);
+    if (report)
+        return m_parts.quarantine.applyReport(report.value(), m_parts.clock());
+    StructuredLog::warn("crashReportUnreadable",
+                        {{"key", pair.key}, {"message", report.error().message}});
+}
+
 void StoreWatch::applyServer(const KeyValue &pair)
 {
     const std::string id = serverIdOf(pair.key);
--- a/src/gateway/StoreWatch.h
+++ b/src/gateway/StoreWatch.h
@@ -33,6 +33,7 @@
     void applyEvents(const std::vector<WatchEvent> &events);
     void applyConfig(const KeyValue &pair);
     void applyServer(const KeyValue &pair);
+    void applyPromptCrashReport(const KeyValue &pair);
     void applyRateLimitReports(std::span<const WatchEvent> events);
     void applyGateways(std::span<const WatchEvent> events);
     bool isServerKey(std::string_view key) const;
--- a/tests/decisions/ForwardFixture.h
+++ b/tests/decisions/ForwardFixture.h
@@ -9,6 +9,7 @@
 #include "foxtailring/decisions/ForwardContext.h"
 #include "foxtailring/decisions/ForwardRequest.h"
 #include "foxtailring/decisions/HttpRoute.h"
+#include "foxtailring/decisions/PromptQuarantine.h"
 #include "foxtailring/decisions/RateLimitTable.h"
 #include "foxtailring/decisions/RetryBudget.h"
 
@@ -83,25 +84,29 @@
                 placer,
                 retryBudget,
                 rateLimits,
+                quarantine,
                 latency,
                 random,
                 [this](const CopyReference &copy) { released.push_back(copy.handle); },
                 [this](std::string_view serverId, const RateLimitExplanation &) {
                     limited.emplace_back(serverId);
                 },
-                [this](const std::string &service) { denied.push_back(service); }};
+                [this](const std::string &service) { denied.push_back(service); },
+                [this](std::string_view part) { quarantinedParts.emplace_back(part); }};
     }
-    ForwardRequest request() const { return {now, Ms(5000), "p1", 8000, 600, 5, std::nullopt}; }
+    ForwardRequest request() const { return {now, Ms(5000), "p1", {}, 8000, 600, 5, std::nullopt}; }
 
     TimePoint now {std::chrono::hours(1)};
     BackendTable servers;
     BackendPlacer placer {servers, "a", {{"a", "ra"}, {"b", "rb"}, {"c", "rc"}}, {}};
     RetryBudget retryBudget {RetryBudget::Settings {0.5, 5}};
     RateLimitTable rateLimits {{"g", Ms(2500)}};
+    PromptQuarantine quarantine;
     EngineLatencyEstimator latency;
-    std::vector<std::string> released; ///< handles of snapshots
-    std::vector<std::string> limited;  ///< servers passed over because of their rate limit
-    std::vector<std::string> denied;   ///< services whose retry budget was used up
+    std::vector<std::string> released;         ///< handles of snapshots
+    std::vector<std::string> limited;          ///< servers passed over because of their rate limit
+    std::vector<std::string> denied;           ///< services whose retry budget was used up
+    std::vector<std::string> quarantinedParts; ///< that kept a request from all servers
     RandomSource random {7};
 };
 
--- /dev/null
+++ b/tests/decisions/PromptQuarantineSimulationTest.cpp
@@ -0,0 +1,272 @@
+#include "foxtailring/base/RandomSource.h"
+#include "foxtailring/decisions/PromptQuarantine.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <deque>
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+using namespace foxtailring;
+using namespace std::chrono_literals;
+
+// Many processes, engines that crash at a deadly part, and a store that passes reports on late. The
+// users allow three requests with the part to reach engines later than a stable window after the
+// fifth crash.
+class PromptQuarantineSimulationTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(PromptQuarantineSimulationTest);
+    CPPUNIT_TEST(fleetsStopADeadlyPart);
+    CPPUNIT_TEST(fleetsStopADeadlyPartWhileZonesFail);
+    CPPUNIT_TEST(fleetsStopTwoDeadlyParts);
+    CPPUNIT_TEST(zoneFailuresAloneQuarantineNothing);
+    CPPUNIT_TEST(partThatIsNoLongerDeadlyComesBack);
+    CPPUNIT_TEST_SUITE_END();
+
+    struct Scenario
+    {
+        std::size_t processes = 4;
+        double deadlyPerSecond = 0.4;
+        double soundPerSecond = 5;
+        std::size_t deadlyParts = 1;
+        bool hasZoneFailures = false;
+        std::uint64_t seed = 1;
+    };
+
+    struct Result
+    {
+        std::size_t crashes = 0;
+        std::size_t lateDeadly = 0; ///< sent over 3 s after the fifth crash of their part
+        std::size_t sound = 0;
+        std::size_t soundRejected = 0;
+        std::size_t deadlyRejected = 0;
+        std::size_t harmlessRejected = 0; ///< with a part that is not deadly any more
+    };
+
+    struct Request
+    {
+        std::size_t process = 0;
+        std::vector<std::string> parts;
+        bool isDeadly = false;
+        std::size_t attempts = 0;
+        TimePoint beginsAt; ///< when its engine begins to answer
+        std::string engine;
+    };
+
+    struct Report
+    {
+        PromptCrashReport report;
+        TimePoint seenAt;
+        std::size_t reader = 0;
+    };
+
+    static constexpr auto tick = 50ms;
+    static constexpr std::size_t engineCount = 24;
+    static constexpr std::size_t maxAttempts = 5;
+
+    class Fleet
+    {
+    public:
+        explicit Fleet(const Scenario &scenario)
+            : m_scenario(scenario)
+            , m_random(scenario.seed)
+        {
+            for (std::size_t i = 0; i < scenario.processes; ++i) {
+                m_processes.emplace_back();
+                m_processes.back().setHooks(
+                    {nullptr, nullptr, [i](std::string_view) { return i == 0; }});
+            }
+        }
+
+        /// \param deadlyFor how long the parts crash engines
+        Result run(Duration time, Duration deadlyFor)
+        {
+            const TimePoint end = m_now + time;
+            const TimePoint deadlyEnd = m_now + deadlyFor;
+            for (; m_now < end; m_now += tick) {
+                m_isDeadly = m_now < deadlyEnd;
+                if (m_scenario.hasZoneFailures && isDue(6s))
+                    failZone();
+                arrive(m_scenario.deadlyPerSecond, true);
+                arrive(m_scenario.soundPerSecond, false);
+                begin();
+                exchangeReports();
+            }
+            return m_result;
+        }
+
+    private:
+        bool isDue(Duration interval) const { return m_now.time_since_epoch() % interval < tick; }
+
+        void arrive(double perSecond, bool isDeadly)
+        {
+            if (m_random.generateDouble()
+                >= perSecond * std::chrono::duration<double>(tick).count())
+                return;
+            Request request;
+            request.process = m_random.bounded(m_processes.size());
+            request.isDeadly = isDeadly;
+            request.parts = {"shared-" + std::to_string(m_random.bounded(3))};
+            if (isDeadly)
+                request.parts.push_back("deadly-"
+                                        + std::to_string(m_random.bounded(m_scenario.deadlyParts)));
+            m_result.sound += isDeadly ? 0 : 1;
+            const bool isRejected = m_processes[request.process].admit(request.parts, m_now)
+                == PromptQuarantine::Admission::Rejected;
+            if (isRejected)
+                ++(!isDeadly        ? m_result.soundRejected
+                       : m_isDeadly ? m_result.deadlyRejected
+                                    : m_result.harmlessRejected);
+            else
+                send(std::move(request));
+        }
+
+        void send(Request request)
+        {
+            const auto &crashes = m_crashes[request.parts.back()];
+            if (request.isDeadly && m_isDeadly && crashes.size() >= 5 && m_now > crashes[4] + 3s)
+                ++m_result.lateDeadly;
+            ++request.attempts;
+            const std::size_t engine = m_random.bounded(engineCount);
+            request.engine = nameOf(engine);
+            request.beginsAt = m_now + 300ms + m_random.bounded(1200) * 1ms;
+            m_running.push_back(std::move(request));
+        }
+
+        std::string nameOf(std::size_t engine)
+        {
+            return std::to_string(engine) + "@" + std::to_string(m_starts[engine]);
+        }
+
+        void begin()
+        {
+            const std::deque<Request> running = std::exchange(m_running, {});
+            for (const Request &request : running) {
+                const bool isCrash = request.isDeadly && m_isDeadly && request.beginsAt <= m_now;
+                if (isCrash && !m_failed.contains(request.engine)) {
+                    ++m_result.crashes;
+                    m_crashes[request.parts.back()].push_back(m_now);
+                    m_failed.insert(request.engine);
+                }
+            }
+            for (const Request &request : running) {
+                PromptQuarantine &process = m_processes[request.process];
+                if (m_failed.contains(request.engine)) {
+                    process.recordFailure(request.engine, m_now);
+                    process.recordCrash(request.engine, request.parts, m_now);
+                    if (request.attempts < maxAttempts
+                        && process.quarantinedPart(request.parts, m_now).empty())
+                        send(request);
+                } else if (request.beginsAt <= m_now) {
+                    process.recordStart(request.parts, m_now);
+                } else {
+                    m_running.push_back(request);
+                }
+            }
+            for (std::size_t engine = 0; engine < engineCount; ++engine) {
+                if (m_failed.contains(nameOf(engine)))
+                    ++m_starts[engine];
+            }
+            m_failed.clear();
+        }
+
+        // A third of the engines; each process sees those that it has streams at.
+        void failZone()
+        {
+            const std::size_t zone = m_random.bounded(3);
+            for (std::size_t engine = zone; engine < engineCount; engine += 3) {
+                m_failed.insert(nameOf(engine));
+                for (PromptQuarantine &process : m_processes) {
+                    if (m_random.bounded(3) == 0)
+                        process.recordFailure(nameOf(engine), m_now);
+                }
+            }
+        }
+
+        void exchangeReports()
+        {
+            for (std::size_t i = 0; i < m_processes.size(); ++i) {
+                m_processes[i].expire(m_now);
+                const auto report =
+                    isDue(250ms) ? m_processes[i].takeDueReport(m_now) : std::nullopt;
+                if (!report)
+                    continue;
+                for (std::size_t reader = 0; reader < m_processes.size(); ++reader) {
+                    if (reader != i)
+                        m_reports.push_back(
+                            {*report, m_now + m_random.bounded(1500) * 1ms, reader});
+                }
+            }
+            std::erase_if(m_reports, [this](const Report &report) {
+                if (report.seenAt > m_now)
+                    return false;
+                m_processes[report.reader].applyReport(report.report, m_now);
+                return true;
+            });
+        }
+
+        const Scenario m_scenario;
+        RandomSource m_random;
+        std::deque<PromptQuarantine> m_processes;
+        std::deque<Request> m_running;
+        std::deque<Report> m_reports;
+        std::map<std::string, std::vector<TimePoint>> m_crashes; ///< by part
+        std::map<std::size_t, std::size_t> m_starts;             ///< of each engine
+        std::set<std::string> m_failed;                          ///< in this tick
+        TimePoint m_now {1h};
+        bool m_isDeadly = true;
+        Result m_result;
+    };
+
+public:
+    void fleetsStopADeadlyPart() { assertStopped(false, 1); }
+    // Guards against zone failures that hide a deadly part.
+    void fleetsStopADeadlyPartWhileZonesFail() { assertStopped(true, 1); }
+    void fleetsStopTwoDeadlyParts() { assertStopped(false, 2); }
+
+    // Guards against rejecting sound requests because their engines fail for another reason.
+    void zoneFailuresAloneQuarantineNothing()
+    {
+        for (const std::size_t processes : {4, 33}) {
+            const Result result = Fleet({processes, 0, 20, 1, true, 7}).run(60s, 0s);
+            CPPUNIT_ASSERT_EQUAL(std::size_t(0), result.soundRejected);
+        }
+    }
+
+    void partThatIsNoLongerDeadlyComesBack()
+    {
+        Fleet fleet({4, 2, 5, 1, false, 3});
+        CPPUNIT_ASSERT(fleet.run(20s, 20s).deadlyRejected > 0);
+        const Result before = fleet.run(60s, 0s);
+        const Result after = fleet.run(20s, 0s);
+        CPPUNIT_ASSERT(before.harmlessRejected > 0);
+        CPPUNIT_ASSERT_EQUAL(before.harmlessRejected, after.harmlessRejected);
+    }
+
+private:
+    static void assertStopped(bool hasZoneFailures, std::size_t parts)
+    {
+        for (const std::size_t processes : {1, 4, 33, 350}) {
+            for (const double perSecond : {0.4, 2.0, 8.0}) {
+                for (std::uint64_t seed = 1; seed <= (processes > 100 ? 1 : 4); ++seed) {
+                    const Scenario scenario {processes, perSecond,       10,
+                                             parts,     hasZoneFailures, seed};
+                    const Result result = Fleet(scenario).run(30s, 30s);
+                    const std::string text = std::to_string(processes) + " processes, "
+                        + std::to_string(perSecond) + " per second, seed " + std::to_string(seed)
+                        + ": " + std::to_string(result.crashes) + " crashes, "
+                        + std::to_string(result.lateDeadly) + " late, "
+                        + std::to_string(result.soundRejected) + " of "
+                        + std::to_string(result.sound) + " sound rejected";
+                    CPPUNIT_ASSERT_MESSAGE(text, result.lateDeadly <= 3 * parts);
+                    CPPUNIT_ASSERT_MESSAGE(text, 2 * result.soundRejected <= result.sound);
+                }
+            }
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PromptQuarantineSimulationTest);
--- /dev/null
+++ b/tests/decisions/PromptQuarantineTest.cpp
@@ -0,0 +1,256 @@
+#include "foxtailring/decisions/PromptQuarantine.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+#include <vector>
+
+using namespace foxtailring;
+using namespace std::chrono_literals;
+
+class PromptQuarantineTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(PromptQuarantineTest);
+    CPPUNIT_TEST(partThatCrashesEnginesIsQuarantined);
+    CPPUNIT_TEST(partsAboveTheCauseAreNotQuarantined);
+    CPPUNIT_TEST(causeAboveDifferentPartsIsFound);
+    CPPUNIT_TEST(startClearsParts);
+    CPPUNIT_TEST(startAfterTheCrashOutweighsItsReport);
+    CPPUNIT_TEST(startOfAnotherProcessEndsAQuarantine);
+    CPPUNIT_TEST(crashesOfOneMomentCountOnce);
+    CPPUNIT_TEST(faultyEngineCountsOnce);
+    CPPUNIT_TEST(lossOfAZoneQuarantinesNothing);
+    CPPUNIT_TEST(crashesSeenByDifferentProcessesCount);
+    CPPUNIT_TEST(newProcessLearnsOfQuarantines);
+    CPPUNIT_TEST(wallClocksMayDiffer);
+    CPPUNIT_TEST(oneProcessTriesThePartAtTheEnd);
+    CPPUNIT_TEST(partThatCrashesAgainIsQuarantinedLonger);
+    CPPUNIT_TEST(newPartsDoNotEndAQuarantine);
+    CPPUNIT_TEST(evidenceIsBoundedAndForgotten);
+    CPPUNIT_TEST(reportIsPublishedWhenItChanges);
+    CPPUNIT_TEST_SUITE_END();
+
+    using Parts = std::vector<std::string>;
+    using Admission = PromptQuarantine::Admission;
+
+public:
+    void partThatCrashesEnginesIsQuarantined()
+    {
+        m_own.recordCrash("e1", m_deadly, m_now);
+        CPPUNIT_ASSERT(isAdmitted(m_own, m_deadly, m_now));
+        m_own.recordCrash("e2", m_deadly, m_now + 1s);
+        CPPUNIT_ASSERT(!isAdmitted(m_own, m_deadly, m_now + 1s));
+        CPPUNIT_ASSERT_EQUAL(std::string("deadly"), quarantined(m_own, m_deadly, m_now + 1s));
+    }
+
+    // Guards against rejecting sound requests that share the beginning of their prompt.
+    void partsAboveTheCauseAreNotQuarantined()
+    {
+        crashTwice(m_own, m_deadly);
+        CPPUNIT_ASSERT(isAdmitted(m_own, {"shared"}, m_now + 1s));
+        CPPUNIT_ASSERT(isAdmitted(m_own, {"shared", "other"}, m_now + 1s));
+    }
+
+    void causeAboveDifferentPartsIsFound()
+    {
+        m_own.recordCrash("e1", Parts {"deadly", "x"}, m_now);
+        m_own.recordCrash("e2", Parts {"deadly", "y"}, m_now + 1s);
+        CPPUNIT_ASSERT(!isAdmitted(m_own, {"deadly", "z"}, m_now + 1s));
+        CPPUNIT_ASSERT(isAdmitted(m_own, {"x"}, m_now + 1s));
+    }
+
+    void startClearsParts()
+    {
+        m_own.recordCrash("e1", m_deadly, m_now);
+        m_own.recordStart(m_deadly, m_now + 500ms);
+        m_own.recordCrash("e2", m_deadly, m_now + 1s);
+        CPPUNIT_ASSERT(isAdmitted(m_own, m_deadly, m_now + 1s));
+        m_own.recordCrash("e3", m_deadly, m_now + 2s);
+        CPPUNIT_ASSERT(!isAdmitted(m_own, m_deadly, m_now + 2s));
+        m_own.recordStart(m_deadly, m_now + 3s);
+        CPPUNIT_ASSERT(isAdmitted(m_own, m_deadly, m_now + 3s));
+        crashTwice(m_own, m_deadly, 4s);
+        CPPUNIT_ASSERT(!isAdmitted(m_own, m_deadly, m_now + 5s));
+    }
+
+    // Reports arrive late. Guards against counting a crash that a later start has cleared.
+    void startAfterTheCrashOutweighsItsReport()
+    {
+        m_own.recordCrash("e1", m_deadly, m_now);
+        const auto report = m_own.takeDueReport(m_now).value();
+        m_other.recordStart(m_deadly, m_now + 500ms);
+        m_other.applyReport(report, m_now + 1s);
+        m_other.recordCrash("e2", m_deadly, m_now + 1500ms);
+        CPPUNIT_ASSERT(isAdmitted(m_other, m_deadly, m_now + 1500ms));
+    }
+
+    void startOfAnotherProcessEndsAQuarantine()
+    {
+        crashTwice(m_own, m_deadly);
+        m_other.applyReport(m_own.takeDueReport(m_now + 1s).value(), m_now + 1s);
+        CPPUNIT_ASSERT(!isAdmitted(m_other, m_deadly, m_now + 1s));
+        m_other.takeDueReport(m_now + 1s);
+        m_other.recordStart(m_deadly, m_now + 1500ms);
+        m_own.applyReport(m_other.takeDueReport(m_now + 1500ms).value(), m_now + 2s);
+        CPPUNIT_ASSERT(isAdmitted(m_own, m_deadly, m_now + 2s));
+    }
+
+    // Guards against two reports of one failure that count as two.
+    void crashesOfOneMomentCountOnce()
+    {
+        m_own.recordCrash("e1", m_deadly, m_now);
+        m_own.recordCrash("e2", m_deadly, m_now + 100ms);
+        CPPUNIT_ASSERT(isAdmitted(m_own, m_deadly, m_now + 100ms));
+    }
+
+    // Guards against blaming prompts for an engine that breaks off each request.
+    void faultyEngineCountsOnce()
+    {
+        for (int i = 0; i < 10; ++i)
+            m_own.recordCrash("e1", m_deadly, m_now + i * 1s);
+        CPPUNIT_ASSERT(isAdmitted(m_own, m_deadly, m_now + 10s));
+    }
+
+    // Half of the engines of a zone had each begun to process another prompt, again and again.
+    void lossOfAZoneQuarantinesNothing()
+    {
+        for (int loss = 0; loss < 5; ++loss) {
+            const TimePoint at = m_now + loss * 2s;
+            for (int engine = 0; engine < 6; ++engine) {
+                const std::string name = std::to_string(loss) + "-" + std::to_string(engine);
+                m_own.recordFailure(name, at);
+                if (engine < 2)
+                    m_own.recordCrash(name, Parts {"hot"}, at);
+            }
+        }
+        CPPUNIT_ASSERT(isAdmitted(m_own, {"hot"}, m_now + 10s));
+    }
+
+    // Guards against a fault that no process sees whole.
+    void crashesSeenByDifferentProcessesCount()
+    {
+        m_own.recordCrash("e1", m_deadly, m_now);
+        m_other.recordCrash("e2", m_deadly, m_now + 1s);
+        m_other.applyReport(m_own.takeDueReport(m_now).value(), m_now + 1200ms);
+        CPPUNIT_ASSERT(!isAdmitted(m_other, m_deadly, m_now + 1200ms));
+        m_own.applyReport(m_other.takeDueReport(m_now + 1200ms).value(), m_now + 1500ms);
+        CPPUNIT_ASSERT(!isAdmitted(m_own, m_deadly, m_now + 1500ms));
+    }
+
+    void newProcessLearnsOfQuarantines()
+    {
+        crashTwice(m_own, m_deadly);
+        const auto report = m_own.takeDueReport(m_now + 1s).value();
+        PromptQuarantine started;
+        started.applyReport(report, m_now + 10s);
+        CPPUNIT_ASSERT(!isAdmitted(started, m_deadly, m_now + 10s));
+        // It tells others in turn, once it relies on the quarantine.
+        PromptQuarantine next;
+        next.applyReport(started.takeDueReport(m_now + 10s).value(), m_now + 11s);
+        CPPUNIT_ASSERT(!isAdmitted(next, m_deadly, m_now + 11s));
+    }
+
+    // Guards against evidence from the future that never ends.
+    void wallClocksMayDiffer()
+    {
+        m_other.setUnixOffset(2000ms);
+        crashTwice(m_other, m_deadly);
+        m_own.applyReport(m_other.takeDueReport(m_now + 1s).value(), m_now + 1s);
+        CPPUNIT_ASSERT(!isAdmitted(m_own, m_deadly, m_now + 1s));
+        m_own.recordStart(m_deadly, m_now + 1100ms);
+        CPPUNIT_ASSERT(isAdmitted(m_own, m_deadly, m_now + 1100ms));
+    }
+
+    // Guards against a rush of deadly requests when a quarantine ends everywhere.
+    void oneProcessTriesThePartAtTheEnd()
+    {
+        m_own.setHooks({nullptr, nullptr, [](std::string_view) { return true; }});
+        crashTwice(m_own, m_deadly);
+        m_other.applyReport(m_own.takeDueReport(m_now + 1s).value(), m_now + 1s);
+        const TimePoint end = m_now + 21s;
+        m_own.expire(end);
+        m_other.expire(end);
+        CPPUNIT_ASSERT(m_other.admit(m_deadly, end) == Admission::Rejected);
+        CPPUNIT_ASSERT(m_own.admit(m_deadly, end) == Admission::Trial);
+        CPPUNIT_ASSERT(m_own.admit(m_deadly, end) == Admission::Rejected);
+        m_own.recordStart(m_deadly, end + 1s);
+        CPPUNIT_ASSERT(m_own.admit(m_deadly, end + 1s) == Admission::Admitted);
+        m_other.applyReport(m_own.takeDueReport(end + 1s).value(), end + 2s);
+        CPPUNIT_ASSERT(m_other.admit(m_deadly, end + 2s) == Admission::Admitted);
+    }
+
+    void partThatCrashesAgainIsQuarantinedLonger()
+    {
+        m_own.setHooks({nullptr, nullptr, [](std::string_view) { return true; }});
+        crashTwice(m_own, m_deadly);
+        const TimePoint end = m_now + 21s;
+        CPPUNIT_ASSERT(m_own.admit(m_deadly, end) == Admission::Trial);
+        m_own.recordCrash("e3", m_deadly, end + 1s);
+        CPPUNIT_ASSERT(m_own.admit(m_deadly, end + 40s) == Admission::Rejected);
+        CPPUNIT_ASSERT(m_own.admit(m_deadly, end + 42s) == Admission::Trial);
+    }
+
+    // Guards against callers that send a new part with each request.
+    void newPartsDoNotEndAQuarantine()
+    {
+        crashTwice(m_own, m_deadly);
+        for (int i = 0; i < 2000; ++i)
+            m_own.recordCrash("n" + std::to_string(i), Parts {"part-" + std::to_string(i)},
+                              m_now + 1s + i * 1ms);
+        CPPUNIT_ASSERT(!isAdmitted(m_own, m_deadly, m_now + 4s));
+        CPPUNIT_ASSERT(m_own.size() <= 256);
+    }
+
+    void evidenceIsBoundedAndForgotten()
+    {
+        for (int i = 0; i < 1000; ++i) {
+            Parts parts;
+            for (int part = 0; part < 50; ++part)
+                parts.push_back(std::to_string(i * 50 + part));
+            m_own.recordCrash("e" + std::to_string(i), parts, m_now);
+        }
+        CPPUNIT_ASSERT(m_own.size() <= 256);
+        const auto report = m_own.takeDueReport(m_now + 5s).value();
+        CPPUNIT_ASSERT(report.crashes.size() <= 16);
+        m_own.expire(m_now + 2min);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), m_own.size());
+    }
+
+    // Each report is a write to the store.
+    void reportIsPublishedWhenItChanges()
+    {
+        CPPUNIT_ASSERT(!m_own.takeDueReport(m_now));
+        m_own.recordStart(m_deadly, m_now);
+        CPPUNIT_ASSERT(!m_own.takeDueReport(m_now));
+        m_own.recordCrash("e1", m_deadly, m_now + 1s);
+        CPPUNIT_ASSERT(m_own.takeDueReport(m_now + 1s));
+        CPPUNIT_ASSERT(!m_own.takeDueReport(m_now + 2s));
+        m_own.onReportNotPublished();
+        CPPUNIT_ASSERT(m_own.takeDueReport(m_now + 2s));
+    }
+
+private:
+    void crashTwice(PromptQuarantine &quarantine, const Parts &parts, Duration after = 0s) const
+    {
+        quarantine.recordCrash("e1", parts, m_now + after);
+        quarantine.recordCrash("e2", parts, m_now + after + 1s);
+    }
+
+    static bool isAdmitted(PromptQuarantine &quarantine, const Parts &parts, TimePoint now)
+    {
+        return quarantine.admit(parts, now) == Admission::Admitted;
+    }
+
+    static std::string quarantined(const PromptQuarantine &quarantine, const Parts &parts,
+                                   TimePoint now)
+    {
+        return std::string(quarantine.quarantinedPart(parts, now));
+    }
+
+    const TimePoint m_now {1h};
+    const Parts m_deadly = {"shared", "deadly"};
+    PromptQuarantine m_own;
+    PromptQuarantine m_other;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PromptQuarantineTest);
--- /dev/null
+++ b/tests/decisions/QuarantinedSessionTest.cpp
@@ -0,0 +1,153 @@
+#include "foxtailring/decisions/CallSession.h"
+#include "foxtailring/decisions/StreamSession.h"
+
+#include "ForwardFixture.h"
+
+using namespace foxtailring;
+
+// Sessions of requests whose prompt may crash servers.
+class QuarantinedSessionTest : public ForwardFixture
+{
+    CPPUNIT_TEST_SUITE(QuarantinedSessionTest);
+    CPPUNIT_TEST(requestThatCrashesTwoServersIsNotSentToAThird);
+    CPPUNIT_TEST(requestWithAQuarantinedPartIsRefusedAtOnce);
+    CPPUNIT_TEST(partQuarantinedDuringThePlacementKeepsTheRequest);
+    CPPUNIT_TEST(beginningOfAnswersClearsTheParts);
+    CPPUNIT_TEST(streamThatHasBegunIsResumed);
+    CPPUNIT_TEST(serverThatFailsLaterIsNoCrash);
+    CPPUNIT_TEST(invalidAnswerIsNoCrash);
+    CPPUNIT_TEST(unansweredProbeDuringThePromptIsACrash);
+    CPPUNIT_TEST(trialIsSentOnce);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override { listServers(); }
+
+    void requestThatCrashesTwoServersIsNotSentToAThird()
+    {
+        StreamSession session(m_route, deadlyRequest(), context(), {});
+        sent(session.start(now));
+        sent(session.onAttemptEnded(AttemptResult::Lost, now + Ms(1000)));
+        const auto action = session.onAttemptEnded(AttemptResult::Lost, now + Ms(2000));
+        CPPUNIT_ASSERT_EQUAL(502, refused(action).status);
+    }
+
+    // Guards against a caller that is told to come back although that cannot help.
+    void requestWithAQuarantinedPartIsRefusedAtOnce()
+    {
+        quarantinePart();
+        StreamSession session(m_route, deadlyRequest(), context(), {true, true, true});
+        const auto action = session.start(now);
+        CPPUNIT_ASSERT_EQUAL(503, refused(action).status);
+        CPPUNIT_ASSERT_EQUAL(Ms(0).count(), refused(action).retryAfter.count());
+        CPPUNIT_ASSERT_EQUAL(std::string("second"), quarantinedParts.at(0));
+        HttpRoute calls = route(CallKind::NonIdempotent);
+        CallSession call(calls, deadlyRequest(), context());
+        CPPUNIT_ASSERT_EQUAL(503, refused(call.start(now)).status);
+    }
+
+    void partQuarantinedDuringThePlacementKeepsTheRequest()
+    {
+        StreamSession session(m_route, deadlyRequest(), context(), {true, true, true});
+        CPPUNIT_ASSERT(std::holds_alternative<ProbeServers>(session.start(now)));
+        quarantinePart();
+        CPPUNIT_ASSERT_EQUAL(503, refused(session.onProbed({}, now)).status);
+    }
+
+    void beginningOfAnswersClearsTheParts()
+    {
+        quarantinePart();
+        quarantine.setHooks({nullptr, nullptr, [](std::string_view) { return true; }});
+        now += std::chrono::seconds(21);
+        StreamSession trial(m_route, deadlyRequest(), context(), {});
+        sent(trial.start(now));
+        for (std::int64_t id = 1; id <= 3; ++id)
+            trial.onEvent(id, now + Ms(1000) + Ms(30) * id);
+        StreamSession next(m_route, deadlyRequest(), context(), {});
+        sent(next.start(now + Ms(1100)));
+    }
+
+    // Guards against cutting sound streams that share a part with deadly requests.
+    void streamThatHasBegunIsResumed()
+    {
+        StreamSession session(m_route, deadlyRequest(), context(), {});
+        sent(session.start(now));
+        for (std::int64_t id = 1; id <= 3; ++id)
+            session.onEvent(id, now + Ms(30) * id);
+        now += Ms(100);
+        quarantinePart();
+        sent(session.onAttemptEnded(AttemptResult::Lost, now));
+    }
+
+    // Guards against blaming a prompt for the failure of a server that had begun its answer.
+    void serverThatFailsLaterIsNoCrash()
+    {
+        for (int i = 0; i < 3; ++i) {
+            StreamSession session(m_route, deadlyRequest(), context(), {});
+            sent(session.start(now));
+            for (std::int64_t id = 1; id <= 3; ++id)
+                session.onEvent(id, now);
+            sent(session.onAttemptEnded(AttemptResult::Lost, now));
+            now += Ms(1000);
+        }
+        CPPUNIT_ASSERT(quarantinedParts.empty());
+    }
+
+    void invalidAnswerIsNoCrash()
+    {
+        for (int i = 0; i < 3; ++i) {
+            StreamSession session(m_route, deadlyRequest(), context(), {});
+            sent(session.start(now));
+            sent(session.onAttemptEnded(AttemptResult::Invalid, now));
+            now += Ms(1000);
+        }
+        CPPUNIT_ASSERT(quarantinedParts.empty());
+    }
+
+    // A server that crashes may close no connection.
+    void unansweredProbeDuringThePromptIsACrash()
+    {
+        for (int i = 0; i < 2; ++i) {
+            StreamSession session(m_route, deadlyRequest(), context(), {false, true, true});
+            sent(session.onProbed({}, (session.start(now), now)));
+            now += Ms(1000);
+            CPPUNIT_ASSERT(std::holds_alternative<ProbeServers>(session.check(now)));
+            session.onProbed({}, now + Ms(120));
+        }
+        StreamSession next(m_route, deadlyRequest(), context(), {});
+        CPPUNIT_ASSERT_EQUAL(503, refused(next.start(now + Ms(200))).status);
+    }
+
+    // Guards against a trial that crashes one server after the other.
+    void trialIsSentOnce()
+    {
+        quarantine.setHooks({nullptr, nullptr, [](std::string_view) { return true; }});
+        quarantinePart();
+        now += std::chrono::seconds(21);
+        StreamSession session(m_route, deadlyRequest(), context(), {});
+        sent(session.start(now));
+        const auto action = session.onAttemptEnded(AttemptResult::Lost, now + Ms(1000));
+        CPPUNIT_ASSERT_EQUAL(502, refused(action).status);
+    }
+
+private:
+    ForwardRequest request(std::vector<std::string> parts) const
+    {
+        ForwardRequest out = ForwardFixture::request();
+        out.sharedPromptParts = std::move(parts);
+        return out;
+    }
+
+    ForwardRequest deadlyRequest() const { return request({"first", "second"}); }
+
+    void quarantinePart()
+    {
+        const std::vector<std::string> parts = {"first", "second"};
+        quarantine.recordCrash("e1", parts, now - Ms(1000));
+        quarantine.recordCrash("e2", parts, now);
+    }
+
+    const HttpRoute m_route = route(CallKind::Stream);
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(QuarantinedSessionTest);
--- /dev/null
+++ b/tests/gateway/PromptCrashReportCodecTest.cpp
@@ -0,0 +1,48 @@
+#include "PromptCrashReportCodec.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace foxtailring;
+
+class PromptCrashReportCodecTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(PromptCrashReportCodecTest);
+    CPPUNIT_TEST(reportSurvivesTheStore);
+    CPPUNIT_TEST(foreignValuesAreRejected);
+    CPPUNIT_TEST(bytesThatAreNoTextAreEncoded);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void reportSurvivesTheStore()
+    {
+        const PromptCrashReport sent {
+            {{"e@1", 1780000000000, {"a", "b"}}}, {{"a", 5}}, {{"b", 6, 7}}};
+        const auto received = PromptCrashReportCodec::decode(PromptCrashReportCodec::encode(sent));
+        CPPUNIT_ASSERT(received.value() == sent);
+        const auto empty = PromptCrashReportCodec::decode(PromptCrashReportCodec::encode({}));
+        CPPUNIT_ASSERT(empty.value().isEmpty());
+    }
+
+    // Guards against a value of another writer that ends the process or fills its memory.
+    void foreignValuesAreRejected()
+    {
+        const std::string frame = R"({"starts":[],"quarantines":[],"crashes":)";
+        for (const std::string &text :
+             {std::string(), std::string("x"), std::string("[]"), std::string("null"),
+              std::string(R"({"crashes":[]})"), frame + "1}", frame + "[1]}", frame + "[[1,2,3]]}",
+              frame + R"([["e","now",[]]]})", frame + R"([["e",-1,[]]]})",
+              frame + R"([["e",1e300,[]]]})", frame + R"([["e",99999999999999,[]]]})",
+              frame + R"([["e",1,[2]]]})", frame + R"([["e",1]]})",
+              frame + R"([[")" + std::string(300, 'e') + R"(",1,[]]]})"})
+            CPPUNIT_ASSERT_MESSAGE(text, !PromptCrashReportCodec::decode(text));
+    }
+
+    // Guards against an exception for ids that callers send.
+    void bytesThatAreNoTextAreEncoded()
+    {
+        const PromptCrashReport report {{{"e@1", 1, {"\xff\xfe"}}}, {}, {}};
+        CPPUNIT_ASSERT(PromptCrashReportCodec::decode(PromptCrashReportCodec::encode(report)));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PromptCrashReportCodecTest);
