transport, gateway: report connections that end with a request that gets no answer

Cause: a connection that was closed by a time limit, by the end of the process or by its caller left no trace, so that a request without an answer could not be told from one that never arrived. Change: Http1Server calls a hook with a ConnectionCut (cause, phase, bytes that arrived, age). The gateway logs connectionCut and counts gateway_connections_cut_total{cause}. The close of an idle connection is no cut. Conclusion: connections that are cut can be counted and found by cause.

--- a/include/foxtailring/transport/Http1Server.h
+++ b/include/foxtailring/transport/Http1Server.h
@@ -12,6 +12,7 @@
 
 class Http1Responder;
 class WorkerPool;
+struct ConnectionCut;
 struct Endpoint;
 
 /// \brief HTTP/1.1 server over Boost.Beast.
@@ -23,6 +24,7 @@
 {
 public:
     using Handler = std::function<void(HttpRequest, std::shared_ptr<Http1Responder>)>;
+    using CutHook = std::function<void(const ConnectionCut &)>;
 
     Http1Server(WorkerPool &pool, const Endpoint &endpoint, HttpLimits limits, Handler handler);
     /// \brief Calls close().
@@ -30,6 +32,9 @@
     Http1Server(const Http1Server &) = delete;
     Http1Server &operator=(const Http1Server &) = delete;
 
+    /// \brief Calls \a hook for each connection that is cut; to be set before listen(). The close
+    /// of an idle connection is no cut.
+    void onConnectionCut(CutHook hook);
     /// \brief Starts accepting connections and returns the port. InvalidArgument: the endpoint is
     /// not an IP address. Unavailable: binding failed.
     Result<std::uint16_t> listen();
--- a/src/gateway/GatewayNode.cpp
+++ b/src/gateway/GatewayNode.cpp
@@ -2,6 +2,7 @@
 
 #include "foxtailring/base/StructuredLog.h"
 #include "foxtailring/store/KeyValueClient.h"
+#include "foxtailring/transport/ConnectionCut.h"
 #include "foxtailring/transport/Http1Responder.h"
 #include "foxtailring/transport/Http1Server.h"
 #include "foxtailring/transport/Timer.h"
@@ -78,6 +79,19 @@
     return hooks;
 }
 
+Http1Server::CutHook makeCutHook(GatewayParts &parts)
+{
+    return [&parts](const ConnectionCut &cut) {
+        const std::string cause(connectionCutCauseName(cut.cause));
+        parts.metrics.add("gateway_connections_cut_total{cause=\"" + cause + "\"}");
+        StructuredLog::info("connectionCut",
+                            {{"cause", cause},
+                             {"phase", std::string(connectionCutPhaseName(cut.phase))},
+                             {"bytes", std::to_string(cut.arrivedBytes)},
+                             {"ageMs", std::to_string(cut.age.count())}});
+    };
+}
+
 } // namespace
 
 struct GatewayNode::State
@@ -106,6 +120,7 @@
     {
         parts.servers.setHooks(makeTrustHooks(parts));
         parts.rateLimits.setHooks(makeRateLimitHooks(parts));
+        callers.onConnectionCut(makeCutHook(parts));
         watch.onConfirmed([this] { dispatcher.onStoreRead(); });
         watch.onConfigApplied(
             [this] { callers.setLimits(toHttpLimits(parts.routes->config().limits)); });
--- /dev/null
+++ b/src/transport/ConnectionCut.cpp
@@ -0,0 +1,37 @@
+#include "foxtailring/transport/ConnectionCut.h"
+
+namespace foxtailring {
+
+std::string_view connectionCutCauseName(ConnectionCut::Cause cause)
+{
+    switch (cause) {
+    case ConnectionCut::Cause::IdleTimeout:
+        return "idleTimeout";
+    case ConnectionCut::Cause::HeaderTimeout:
+        return "headerTimeout";
+    case ConnectionCut::Cause::Stop:
+        return "stop";
+    case ConnectionCut::Cause::CallerClosed:
+        return "callerClosed";
+    case ConnectionCut::Cause::Closing:
+        return "closing";
+    }
+    return "";
+}
+
+std::string_view connectionCutPhaseName(ConnectionCut::Phase phase)
+{
+    switch (phase) {
+    case ConnectionCut::Phase::Head:
+        return "head";
+    case ConnectionCut::Phase::Body:
+        return "body";
+    case ConnectionCut::Phase::Response:
+        return "response";
+    case ConnectionCut::Phase::Closing:
+        return "closing";
+    }
+    return "";
+}
+
+} // namespace foxtailring
--- a/src/transport/Http1Connection.cpp
+++ b/src/transport/Http1Connection.cpp
@@ -75,7 +75,8 @@
 
 void Http1Connection::close()
 {
-    net::post(m_socket.get_executor(), [self = shared_from_this()] { self->closeNow(); });
+    net::post(m_socket.get_executor(),
+              [self = shared_from_this()] { self->cut(ConnectionCut::Cause::Stop); });
 }
 
 void Http1Connection::beginRequest()
@@ -84,6 +85,8 @@
     m_continueSent = false;
     m_headStarted = false;
     m_responseComplete = false;
+    m_arrivedBytes = m_input.size();
+    m_firstByteAt = std::chrono::steady_clock::now();
     m_limits = m_shared->limits();
     m_parser.emplace();
     m_parser->header_limit(static_cast<std::uint32_t>(m_limits.maxHeaderBytes));
@@ -112,9 +115,14 @@
     if (m_phase == Phase::Closed)
         return;
     if (status)
-        return closeNow();
+        return cut(ConnectionCut::Cause::CallerClosed);
+    if (m_arrivedBytes == 0)
+        m_firstByteAt = std::chrono::steady_clock::now();
+    m_arrivedBytes += size;
     if (m_phase != Phase::Drain)
         m_input.append(m_readBuffer.data(), size);
+    else if (m_arrivedBytes == size) // the connection was idle
+        reportCut(ConnectionCut::Cause::Closing);
     if (m_phase == Phase::Request)
         parse();
     read();
@@ -175,7 +183,7 @@
     m_phase = Phase::Response;
     m_deadline.cancel();
     if (m_shared->isClosed)
-        return closeNow();
+        return cut(ConnectionCut::Cause::Stop);
     const ResponseFraming framing {message.version() >= 11 ? 11U : 10U, message.keep_alive(),
                                    message.method() == http::verb::head};
     m_exchange =
@@ -230,7 +238,7 @@
     if (m_phase == Phase::Closed)
         return;
     if (status)
-        return closeNow();
+        return cut(ConnectionCut::Cause::CallerClosed);
     // Any progress extends the deadline, so that a slow caller is not cut off.
     if (m_responseComplete)
         armDeadline(m_limits.idleTimeout);
@@ -264,6 +272,8 @@
 
 void Http1Connection::drain()
 {
+    if (!m_input.empty())
+        reportCut(ConnectionCut::Cause::Closing);
     m_phase = Phase::Drain;
     m_input.clear();
     ErrorStatus ignored;
@@ -282,9 +292,35 @@
 void Http1Connection::onTimeout()
 {
     if (isStopping() && isIdle())
-        drain();
-    else
-        closeNow();
+        return drain();
+    const bool isInHead = m_phase == Phase::Request && !m_parser->is_header_done();
+    cut(isInHead ? ConnectionCut::Cause::HeaderTimeout : ConnectionCut::Cause::IdleTimeout);
+}
+
+void Http1Connection::cut(ConnectionCut::Cause cause)
+{
+    if (m_phase == Phase::Request || m_phase == Phase::Response)
+        reportCut(cause);
+    closeNow();
+}
+
+void Http1Connection::reportCut(ConnectionCut::Cause cause)
+{
+    if (m_arrivedBytes == 0)
+        return;
+    const auto age = std::chrono::steady_clock::now() - m_firstByteAt;
+    runHook(m_shared->cutHook,
+            ConnectionCut {cause, cutPhase(), m_arrivedBytes,
+                           std::chrono::duration_cast<std::chrono::milliseconds>(age)});
+}
+
+ConnectionCut::Phase Http1Connection::cutPhase() const
+{
+    if (m_phase == Phase::Drain)
+        return ConnectionCut::Phase::Closing;
+    if (m_phase == Phase::Response)
+        return ConnectionCut::Phase::Response;
+    return m_parser->is_header_done() ? ConnectionCut::Phase::Body : ConnectionCut::Phase::Head;
 }
 
 bool Http1Connection::isIdle() const
--- a/src/transport/Http1Connection.h
+++ b/src/transport/Http1Connection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "foxtailring/transport/ConnectionCut.h"
 #include "foxtailring/transport/HttpLimits.h"
 #include "Net.h"
 #include "StrandTimer.h"
@@ -62,6 +63,10 @@
     void onResponseWritten();
     void drain();
     void onTimeout();
+    /// \brief Closes the connection and reports the cut, if there is one.
+    void cut(ConnectionCut::Cause cause);
+    void reportCut(ConnectionCut::Cause cause);
+    ConnectionCut::Phase cutPhase() const;
     /// True when no byte of a request has arrived.
     bool isIdle() const;
     void armDeadline(std::chrono::milliseconds delay);
@@ -74,7 +79,9 @@
     std::optional<Parser> m_parser;
     std::shared_ptr<Http1ServerExchange> m_exchange;
     bool m_continueSent = false;
-    bool m_headStarted = false; ///< the first bytes of a head have arrived
+    bool m_headStarted = false;     ///< the first bytes of a head have arrived
+    std::size_t m_arrivedBytes = 0; ///< of the current request and of what follows it
+    std::chrono::steady_clock::time_point m_firstByteAt;
     bool m_responseComplete = false;
     bool m_keepAlive = true;
 
--- a/src/transport/Http1Server.cpp
+++ b/src/transport/Http1Server.cpp
@@ -47,6 +47,11 @@
     close();
 }
 
+void Http1Server::onConnectionCut(CutHook hook)
+{
+    m_state->shared->cutHook = std::move(hook);
+}
+
 Result<std::uint16_t> Http1Server::listen()
 {
     return m_state->listener->listen();
--- a/src/transport/Http1ServerShared.h
+++ b/src/transport/Http1ServerShared.h
@@ -31,6 +31,7 @@
     }
 
     const Http1Server::Handler handler;
+    Http1Server::CutHook cutHook; ///< set before the first connection is accepted
     std::atomic<std::size_t> openRequestCount = 0;
     std::atomic<bool> isStopping = false; ///< connections close after their current request
     std::atomic<bool> isClosing = false;  ///< each response closes its connection
--- a/tests/transport/Http1ServerTest.cpp
+++ b/tests/transport/Http1ServerTest.cpp
@@ -1,4 +1,5 @@
 #include "foxtailring/transport/Http1Server.h"
+#include "foxtailring/transport/ConnectionCut.h"
 #include "foxtailring/transport/Endpoint.h"
 #include "foxtailring/transport/Http1Responder.h"
 #include "foxtailring/transport/Timer.h"
@@ -58,6 +59,9 @@
     CPPUNIT_TEST(lineBreaksInHeadersAreNotSent);
     CPPUNIT_TEST(connectionsAreAcceptedWithoutKeepAlive);
     CPPUNIT_TEST(unfinishedHeadTimesOut);
+    CPPUNIT_TEST(timeLimitsThatCutRequestsAreReported);
+    CPPUNIT_TEST(requestsOfLostConnectionsAreReported);
+    CPPUNIT_TEST(idleConnectionsAreNotReported);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -68,6 +72,7 @@
                          [this](HttpRequest request, std::shared_ptr<Http1Responder> responder) {
                              m_requests.put({std::move(request), std::move(responder)});
                          });
+        m_server->onConnectionCut([this](const ConnectionCut &cut) { m_cuts.put(cut); });
         m_port = m_server->listen().value();
     }
 
@@ -347,7 +352,66 @@
         CPPUNIT_ASSERT_EQUAL(std::string(), peer.readAll());
     }
 
+    // A request that gets no answer must leave a trace.
+    void timeLimitsThatCutRequestsAreReported()
+    {
+        HttpLimits limits = smallLimits;
+        limits.headerTimeout = std::chrono::milliseconds(50);
+        limits.idleTimeout = std::chrono::milliseconds(60);
+        m_server->setLimits(limits);
+        RawPeer head(m_port);
+        head.write("GET / HTTP/1.1\r\n");
+        assertCut(ConnectionCut::Cause::HeaderTimeout, ConnectionCut::Phase::Head, 16, 50);
+        const std::string_view part = "POST / HTTP/1.1\r\nContent-Length: 4\r\n\r\nbo";
+        RawPeer body(m_port);
+        body.write(part);
+        assertCut(ConnectionCut::Cause::IdleTimeout, ConnectionCut::Phase::Body, part.size(), 60);
+    }
+
+    // As above: the caller leaves, or the process ends.
+    void requestsOfLostConnectionsAreReported()
+    {
+        RawPeer leaving(m_port);
+        leaving.write(getRoot);
+        const PendingRequest first = m_requests.take();
+        leaving.close();
+        assertCut(ConnectionCut::Cause::CallerClosed, ConnectionCut::Phase::Response,
+                  getRoot.size(), 0);
+        RawPeer peer(m_port);
+        peer.write(getRoot);
+        const PendingRequest second = m_requests.take();
+        m_server->close();
+        assertCut(ConnectionCut::Cause::Stop, ConnectionCut::Phase::Response, getRoot.size(), 0);
+    }
+
+    // Reports of connections that are closed in order would hide the others.
+    void idleConnectionsAreNotReported()
+    {
+        HttpLimits limits = smallLimits;
+        limits.idleTimeout = std::chrono::milliseconds(50);
+        m_server->setLimits(limits);
+        RawPeer unused(m_port);
+        RawPeer used(m_port);
+        used.write(getRoot);
+        m_requests.take().responder->respond({204, {}, {}});
+        CPPUNIT_ASSERT(used.readAll().starts_with("HTTP/1.1 204 "));
+        CPPUNIT_ASSERT_EQUAL(std::string(), unused.readAll());
+        RawPeer(m_port).close();
+        waitUntil([this] { return m_server->openConnectionCount() == 0; });
+        CPPUNIT_ASSERT(m_cuts.isEmpty());
+    }
+
 private:
+    void assertCut(ConnectionCut::Cause cause, ConnectionCut::Phase phase, std::size_t bytes,
+                   int minAgeMs)
+    {
+        const ConnectionCut cut = m_cuts.take();
+        CPPUNIT_ASSERT_EQUAL(connectionCutCauseName(cause), connectionCutCauseName(cut.cause));
+        CPPUNIT_ASSERT_EQUAL(connectionCutPhaseName(phase), connectionCutPhaseName(cut.phase));
+        CPPUNIT_ASSERT_EQUAL(bytes, cut.arrivedBytes);
+        CPPUNIT_ASSERT(cut.age >= std::chrono::milliseconds(minAgeMs));
+    }
+
     // All connections end, so that reading them shows which requests were answered.
     void assertReceivedAreAnswered(const std::vector<std::unique_ptr<RawPeer>> &peers)
     {
@@ -375,6 +439,7 @@
     std::optional<WorkerPool> m_pool;
     Mailbox<PendingRequest> m_requests;
     Mailbox<int> m_disconnects;
+    Mailbox<ConnectionCut> m_cuts;
     std::optional<Http1Server> m_server;
     std::uint16_t m_port = 0;
 };
