--- a/tools/lib/soak/backend.py
+++ b/tools/lib/soak/backend.py
@@ -3,8 +3,9 @@
 usage: backend.py NAME SERVICE PORT LOG
 
 Appends a JSON line for each run to LOG, which is kept when the process ends. POST /standin/faults
-sets the probability of each fault: notRun, error, truncated, garbled, doubled, answerLost, and the
-shapes of endless.py. POST /standin/limit sets the rate limit that answers name; null: none.
+sets the probability of each fault: notRun, error, truncated, garbled, doubled, answerLost, silent (a second
+before the answer), unframed (an answer with neither a length nor chunks), and the shapes of endless.py. A call
+with the query `pad=N` gets an answer with N more bytes. POST /standin/limit sets the rate limit that answers name; null: none.
 """
 
 import hashlib
@@ -15,6 +16,7 @@
 import sys
 import threading
 import time
+import urllib.parse
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent.parent
 sys.path[:0] = [str(ROOT / "platform" / "standins"), str(ROOT / "tools" / "lib")]
@@ -27,6 +29,7 @@
 EVENT_INTERVAL_SECONDS = 0.012
 PREFILL_SECONDS = 0.15
 CALL_SECONDS = 0.03
+SILENCE_SECONDS = 1
 COPY_INTERVAL_SECONDS = 0.1
 COPY_SECONDS = 0.05
 COPY_LIFETIME_SECONDS = 5
@@ -149,9 +152,13 @@
 
     def call(self, handler, request, body):
         self.log_run(handler, request, body)
-        time.sleep(CALL_SECONDS * random.uniform(0.5, 2))
+        time.sleep(SILENCE_SECONDS if self.has_fault("silent") else CALL_SECONDS * random.uniform(0.5, 2))
         headers = self.answer_headers(request)
-        answer = json.dumps({"request": request, "body": hashlib.sha1(body).hexdigest()}).encode()
+        fields = {"request": request, "body": hashlib.sha1(body).hexdigest()}
+        query = urllib.parse.parse_qs(urllib.parse.urlsplit(handler.path).query)
+        if "pad" in query:
+            fields["pad"] = "x" * int(query["pad"][0])
+        answer = json.dumps(fields).encode()
         shape = next(filter(self.has_fault, endless.SHAPES), None)
         if shape:
             return endless.send_endless_answer(handler, shape, headers, answer)
@@ -160,6 +167,10 @@
             return
         if self.has_fault("error"):
             return handler.answer(500, b"failed", headers)
+        if self.has_fault("unframed"):
+            handler.close_connection = True
+            handler.wfile.write(handler.unframed_head(200, headers) + answer)
+            return
         response = handler.head(200, len(answer), headers) + answer
         if self.has_fault("truncated"):
             handler.wfile.write(response[:-5])
--- a/tools/lib/soak/cluster.py
+++ b/tools/lib/soak/cluster.py
@@ -33,6 +33,7 @@
         self.config_versions = itertools.count(10, 7)
         self.accounts = {f"account-{index}": {f"key-{index}"} for index in range(4)}
         self.timeouts = {"streams": 25000, "writes": 5000, "reads": 5000}
+        self.limits = wire.limits(IDLE_TIMEOUT_MS)
         self.proxy = None
         self.control_port = self.ports.allocate()
 
@@ -97,8 +98,7 @@
         routes = [wire.route("streams", "engine", "streaming", self.timeouts["streams"], 1500, 700),
                   wire.route("writes", "register", "non_idempotent", self.timeouts["writes"], 300),
                   wire.route("reads", "register", "idempotent", self.timeouts["reads"], 300)]
-        self.store.put(wire.CONFIG_KEY, wire.config(version, routes, self.accounts,
-                                                     wire.limits(IDLE_TIMEOUT_MS)))
+        self.store.put(wire.CONFIG_KEY, wire.config(version, routes, self.accounts, self.limits))
         return self.journal.record("config", version=version,
                                    keys=sorted(key for keys in self.accounts.values() for key in keys))
 
--- a/tools/lib/soak/http_standin.py
+++ b/tools/lib/soak/http_standin.py
@@ -41,9 +41,15 @@
 
     def head(self, status, length, headers=None):
         """Returns the encoded status line and headers; without a length the body is chunked."""
-        lines = [f"HTTP/1.1 {status} {self.responses.get(status, ('',))[0]}"]
         framing = f"Content-Length: {length}" if length is not None else "Transfer-Encoding: chunked"
-        lines.append(framing)
+        return self._head(status, framing, headers)
+
+    def unframed_head(self, status, headers):
+        """Returns the head of an answer whose body ends with the connection."""
+        return self._head(status, "Connection: close", headers)
+
+    def _head(self, status, framing, headers):
+        lines = [f"HTTP/1.1 {status} {self.responses.get(status, ('',))[0]}", framing]
         lines += [f"{name}: {value}" for name, value in (headers or {}).items()]
         return ("\r\n".join(lines) + "\r\n\r\n").encode()
 
