transport: apply new limits to connections that are open

Cause: a connection took its limits when it became idle. Callers that used it within the new, longer idle limit found it closed, bodies were cut by an idle limit that was no longer in force, and heads were refused with 431 by an old header limit. Change: a request has the limits in force when its first byte arrives. A longer time limit also applies at once to idle connections and requests in progress; a shorter one never reaches what began before it, since callers rely on the one that was in force then. Conclusion: limits change with the configuration, not with the use of a connection.

--- a/include/foxtailring/transport/Http1Server.h
+++ b/include/foxtailring/transport/Http1Server.h
@@ -38,7 +38,8 @@
     /// \brief Starts accepting connections and returns the port. InvalidArgument: the endpoint is
     /// not an IP address. Unavailable: binding failed.
     Result<std::uint16_t> listen();
-    /// \brief Sets the limits of requests that start from now on.
+    /// \brief Sets the limits of requests whose first byte arrives from now on. Longer time limits
+    /// also apply to requests in progress and to idle connections.
     void setLimits(HttpLimits limits);
     /// \brief Closes each connection after its next response; new connections are still accepted.
     void disableKeepAlive();
--- a/src/transport/Http1Connection.cpp
+++ b/src/transport/Http1Connection.cpp
@@ -10,6 +10,8 @@
 #include <boost/asio/post.hpp>
 #include <boost/beast/http/error.hpp>
 
+#include <algorithm>
+
 namespace foxtailring {
 
 namespace http = boost::beast::http;
@@ -79,6 +81,19 @@
               [self = shared_from_this()] { self->cut(ConnectionCut::Cause::Stop); });
 }
 
+// Callers may rely on a longer limit as soon as it is in force, and on a shorter one only for what
+// they begin after it: an idle connection and a request in progress keep the longest one.
+void Http1Connection::extendLimits()
+{
+    net::post(m_socket.get_executor(), [self = shared_from_this()] {
+        const HttpLimits limits = self->m_shared->limits();
+        for (const TimeLimit limit : {&HttpLimits::idleTimeout, &HttpLimits::headerTimeout})
+            self->m_limits.*limit = std::max(self->m_limits.*limit, limits.*limit);
+        if (self->m_deadlineLimit)
+            self->startDeadline();
+    });
+}
+
 void Http1Connection::beginRequest()
 {
     m_phase = Phase::Request;
@@ -89,14 +104,20 @@
     m_firstByteAt = std::chrono::steady_clock::now();
     m_limits = m_shared->limits();
     m_parser.emplace();
-    m_parser->header_limit(static_cast<std::uint32_t>(m_limits.maxHeaderBytes));
-    m_parser->body_limit(m_limits.maxBodyBytes);
     m_parser->eager(true);
-    armDeadline(m_limits.idleTimeout);
+    armDeadline(&HttpLimits::idleTimeout);
     if (!m_input.empty())
         parse();
 }
 
+// The limits in force now hold for the request, not those from when the connection became idle.
+void Http1Connection::beginHead()
+{
+    m_limits = m_shared->limits();
+    m_parser->header_limit(static_cast<std::uint32_t>(m_limits.maxHeaderBytes));
+    m_parser->body_limit(m_limits.maxBodyBytes);
+}
+
 void Http1Connection::read()
 {
     const std::size_t inputLimit = m_limits.maxHeaderBytes + maxExtraInputBytes;
@@ -130,6 +151,8 @@
 
 void Http1Connection::parse()
 {
+    if (!m_parser->got_some())
+        beginHead();
     ErrorStatus status;
     while (!status && !m_input.empty() && !m_parser->is_done())
         m_input.erase(0, m_parser->put(net::buffer(m_input), status));
@@ -142,13 +165,13 @@
     if (m_parser->is_header_done())
         continueRequest();
     else if (!std::exchange(m_headStarted, true))
-        armDeadline(m_limits.headerTimeout);
+        armDeadline(&HttpLimits::headerTimeout);
 }
 
 // Runs after each read of a body: extends the deadline and sends 100 Continue if it is expected.
 void Http1Connection::continueRequest()
 {
-    armDeadline(m_limits.idleTimeout);
+    armDeadline(&HttpLimits::idleTimeout);
     const auto expected = m_parser->get()[http::field::expect];
     if (m_continueSent || !equalIgnoringCase({expected.data(), expected.size()}, "100-continue"))
         return;
@@ -181,6 +204,7 @@
 {
     http::request<http::string_body> message = m_parser->release();
     m_phase = Phase::Response;
+    m_deadlineLimit = nullptr;
     m_deadline.cancel();
     if (m_shared->isClosed)
         return cut(ConnectionCut::Cause::Stop);
@@ -210,7 +234,7 @@
         return;
     m_responseComplete = true;
     m_keepAlive = keepAlive;
-    armDeadline(m_limits.idleTimeout);
+    armDeadline(&HttpLimits::idleTimeout);
     if (!m_isWriting)
         onResponseWritten();
 }
@@ -241,7 +265,7 @@
         return cut(ConnectionCut::Cause::CallerClosed);
     // Any progress extends the deadline, so that a slow caller is not cut off.
     if (m_responseComplete)
-        armDeadline(m_limits.idleTimeout);
+        armDeadline(&HttpLimits::idleTimeout);
     m_inFlightOffset += size;
     if (m_inFlightOffset < m_inFlight.size())
         return writeSome();
@@ -282,8 +306,24 @@
     read();
 }
 
+void Http1Connection::armDeadline(TimeLimit limit)
+{
+    m_deadlineLimit = limit;
+    m_deadlineStartedAt = std::chrono::steady_clock::now();
+    startDeadline();
+}
+
+void Http1Connection::startDeadline()
+{
+    const auto age = std::chrono::steady_clock::now() - m_deadlineStartedAt;
+    const auto remaining = std::max(m_limits.*m_deadlineLimit - age, decltype(age)::zero());
+    m_deadline.start(std::chrono::ceil<std::chrono::milliseconds>(remaining),
+                     [self = shared_from_this()] { self->onTimeout(); });
+}
+
 void Http1Connection::armDeadline(std::chrono::milliseconds delay)
 {
+    m_deadlineLimit = nullptr;
     m_deadline.start(delay, [self = shared_from_this()] { self->onTimeout(); });
 }
 
@@ -353,6 +393,7 @@
     m_phase = Phase::Closed;
     ErrorStatus ignored;
     m_socket.close(ignored);
+    m_deadlineLimit = nullptr;
     m_deadline.cancel();
     if (const auto exchange = std::exchange(m_exchange, nullptr)) {
         --m_shared->openRequestCount;
--- a/src/transport/Http1Connection.h
+++ b/src/transport/Http1Connection.h
@@ -34,6 +34,8 @@
     /// \brief Closes an idle connection after 300 ms, any other after its current response.
     void stop();
     void close();
+    /// \brief Lets longer time limits of the server apply to what this connection waits for.
+    void extendLimits();
 
     // On the strand, called by the exchange.
     void send(std::string_view bytes, std::size_t payloadBytes);
@@ -50,6 +52,7 @@
     using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
 
     void beginRequest();
+    void beginHead();
     void read();
     void onRead(ErrorStatus status, std::size_t size);
     void parse();
@@ -69,12 +72,17 @@
     ConnectionCut::Phase cutPhase() const;
     /// True when no byte of a request has arrived.
     bool isIdle() const;
+    using TimeLimit = std::chrono::milliseconds HttpLimits::*;
     void armDeadline(std::chrono::milliseconds delay);
+    void armDeadline(TimeLimit limit);
+    void startDeadline();
 
     Socket m_socket;
-    HttpLimits m_limits; ///< of the current request
+    HttpLimits m_limits; ///< of the current request, or of the wait for one
     const std::shared_ptr<Http1ServerShared> m_shared;
     StrandTimer m_deadline;
+    TimeLimit m_deadlineLimit = nullptr; ///< that the deadline follows; null: it is fixed
+    std::chrono::steady_clock::time_point m_deadlineStartedAt;
     Phase m_phase = Phase::Request;
     std::optional<Parser> m_parser;
     std::shared_ptr<Http1ServerExchange> m_exchange;
--- a/src/transport/Http1Server.cpp
+++ b/src/transport/Http1Server.cpp
@@ -60,6 +60,8 @@
 void Http1Server::setLimits(HttpLimits limits)
 {
     m_state->shared->setLimits(limits);
+    for (const auto &connection : m_state->connections.openConnections())
+        connection->extendLimits();
 }
 
 void Http1Server::disableKeepAlive()
--- a/tests/transport/Http1ServerTest.cpp
+++ b/tests/transport/Http1ServerTest.cpp
@@ -28,6 +28,8 @@
 constexpr HttpLimits smallLimits {1024, 4096, std::chrono::seconds(60)};
 /// Idle connections end this long after a stop.
 constexpr std::chrono::milliseconds idleLimitAtStop {300};
+/// Long enough that a busy machine does not exceed it between two steps of a test.
+constexpr std::chrono::milliseconds shortTimeout {400};
 constexpr std::string_view getRoot = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
 
 bool contains(std::string_view text, std::string_view part)
@@ -62,6 +64,10 @@
     CPPUNIT_TEST(timeLimitsThatCutRequestsAreReported);
     CPPUNIT_TEST(requestsOfLostConnectionsAreReported);
     CPPUNIT_TEST(idleConnectionsAreNotReported);
+    CPPUNIT_TEST(longerIdleLimitReachesIdleConnections);
+    CPPUNIT_TEST(longerIdleLimitReachesBodiesInProgress);
+    CPPUNIT_TEST(shorterIdleLimitSparesIdleConnections);
+    CPPUNIT_TEST(requestHasTheSizesInForceWhenItBegins);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -401,7 +407,86 @@
         CPPUNIT_ASSERT(m_cuts.isEmpty());
     }
 
+    // Callers use a connection within the limit in force, and would find it closed.
+    void longerIdleLimitReachesIdleConnections()
+    {
+        setIdleTimeout(shortTimeout);
+        RawPeer peer(m_port);
+        peer.write(getRoot);
+        m_requests.take().responder->respond({204, {}, {}});
+        peer.readUntil("\r\n\r\n");
+        setIdleTimeout(std::chrono::seconds(60));
+        waitFor(2 * shortTimeout);
+        peer.write(getRoot);
+        m_requests.take().responder->respond({204, {}, {}});
+        CPPUNIT_ASSERT(peer.readUntil("\r\n\r\n").starts_with("HTTP/1.1 204 "));
+    }
+
+    // A body that keeps to the limit in force must not be cut.
+    void longerIdleLimitReachesBodiesInProgress()
+    {
+        setIdleTimeout(shortTimeout);
+        RawPeer peer(m_port);
+        peer.write("POST / HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 4\r\n\r\nbo");
+        peer.readUntil("\r\n\r\n");
+        setIdleTimeout(std::chrono::seconds(60));
+        waitFor(2 * shortTimeout);
+        peer.write("dy");
+        CPPUNIT_ASSERT_EQUAL(std::string("body"), m_requests.take().request.body);
+    }
+
+    // Callers that have kept a connection under the longer limit rely on it.
+    void shorterIdleLimitSparesIdleConnections()
+    {
+        RawPeer peer(m_port);
+        peer.write(getRoot);
+        m_requests.take().responder->respond({204, {}, {}});
+        peer.readUntil("\r\n\r\n");
+        setIdleTimeout(shortTimeout);
+        waitFor(2 * shortTimeout);
+        peer.write(getRoot);
+        m_requests.take().responder->respond({204, {}, {}});
+        CPPUNIT_ASSERT(peer.readUntil("\r\n\r\n").starts_with("HTTP/1.1 204 "));
+        CPPUNIT_ASSERT_EQUAL(std::string(), peer.readAll());
+    }
+
+    // A kept-alive connection must not keep the header and body limits of an old configuration.
+    void requestHasTheSizesInForceWhenItBegins()
+    {
+        const std::string body(5000, 'x');
+        const std::string request = "POST / HTTP/1.1\r\nLong: " + std::string(2000, 'x')
+            + "\r\nContent-Length: 5000\r\n\r\n" + body;
+        RawPeer peer(m_port);
+        peer.write(getRoot);
+        m_requests.take().responder->respond({204, {}, {}});
+        peer.readUntil("\r\n\r\n");
+        m_server->setLimits({4096, 8192, std::chrono::seconds(60)});
+        peer.write(request);
+        const PendingRequest pending = m_requests.take();
+        CPPUNIT_ASSERT_EQUAL(body, pending.request.body);
+        pending.responder->respond({204, {}, {}});
+        peer.readUntil("\r\n\r\n");
+        m_server->setLimits(smallLimits);
+        peer.write(request);
+        CPPUNIT_ASSERT(peer.readAll().starts_with("HTTP/1.1 431 "));
+    }
+
 private:
+    void setIdleTimeout(std::chrono::milliseconds timeout)
+    {
+        HttpLimits limits = smallLimits;
+        limits.idleTimeout = timeout;
+        m_server->setLimits(limits);
+    }
+
+    void waitFor(std::chrono::milliseconds time)
+    {
+        Timer timer(*m_pool);
+        Mailbox<bool> over;
+        timer.once(time, [&over] { over.put(true); });
+        over.take();
+    }
+
     void assertCut(ConnectionCut::Cause cause, ConnectionCut::Phase phase, std::size_t bytes,
                    int minAgeMs)
     {
@@ -416,10 +501,7 @@
     void assertReceivedAreAnswered(const std::vector<std::unique_ptr<RawPeer>> &peers)
     {
         // The server handles what has arrived before it answers the first one.
-        Timer timer(*m_pool);
-        Mailbox<bool> over;
-        timer.once(std::chrono::milliseconds(50), [&over] { over.put(true); });
-        over.take();
+        waitFor(std::chrono::milliseconds(50));
         std::set<std::string> received;
         while (!m_requests.isEmpty()) {
             PendingRequest pending = m_requests.take();
