transport: an idle connection keeps the idle limit of the request before it

Cause: a caller can read its answer before the connection turns idle; a shorter limit that came in between applied at once. Change: an idle connection has the longer of the limits of the request before it and those in force.

--- a/src/transport/Http1Connection.cpp
+++ b/src/transport/Http1Connection.cpp
@@ -86,14 +86,19 @@
 void Http1Connection::extendLimits()
 {
     net::post(m_socket.get_executor(), [self = shared_from_this()] {
-        const HttpLimits limits = self->m_shared->limits();
-        for (const TimeLimit limit : {&HttpLimits::idleTimeout, &HttpLimits::headerTimeout})
-            self->m_limits.*limit = std::max(self->m_limits.*limit, limits.*limit);
+        self->takeLongerLimits();
         if (self->m_deadlineLimit)
             self->startDeadline();
     });
 }
 
+void Http1Connection::takeLongerLimits()
+{
+    const HttpLimits limits = m_shared->limits();
+    for (const TimeLimit limit : {&HttpLimits::idleTimeout, &HttpLimits::headerTimeout})
+        m_limits.*limit = std::max(m_limits.*limit, limits.*limit);
+}
+
 void Http1Connection::beginRequest()
 {
     m_phase = Phase::Request;
@@ -102,7 +107,7 @@
     m_responseComplete = false;
     m_arrivedBytes = m_input.size();
     m_firstByteAt = std::chrono::steady_clock::now();
-    m_limits = m_shared->limits();
+    takeLongerLimits(); // the caller read its last answer perhaps before a limit became shorter
     m_parser.emplace();
     m_parser->eager(true);
     armDeadline(&HttpLimits::idleTimeout);
--- a/src/transport/Http1Connection.h
+++ b/src/transport/Http1Connection.h
@@ -53,6 +53,7 @@
 
     void beginRequest();
     void beginHead();
+    void takeLongerLimits();
     void read();
     void onRead(ErrorStatus status, std::size_t size);
     void parse();
