transport: refuse requests that do not arrive in time with 408

Cause: a time limit closed the connection of a request that had arrived in part. Its caller sent the rest and got neither an answer nor a refusal. Change: such a request is refused with 408 (not run) and its connection shut down in order, as are idle connections at their limit, outside a stop too. unfinishedHeadTimesOut expected a close without a word; it now expects the refusal. changing_limits now demands an answer also for requests that were not sent whole. Conclusion: a time limit on a caller's request ends in a refusal.

--- a/include/foxtailring/transport/Http1Server.h
+++ b/include/foxtailring/transport/Http1Server.h
@@ -17,8 +17,8 @@
 
 /// \brief HTTP/1.1 server over Boost.Beast.
 ///
-/// Responds with 400 to malformed requests, 413 to oversized bodies and 431 to oversized heads,
-/// each with a problem body, and with 500 when the handler throws or destroys its responder unused.
+/// Responds with 400 to malformed requests, 408 to those that do not arrive within the time limits,
+/// 413 to oversized bodies and 431 to oversized heads, each with a problem body, and with 500 when the handler throws or destroys its responder unused.
 /// A handler that is running when close() is called runs to completion.
 class Http1Server
 {
--- a/src/transport/Http1Connection.cpp
+++ b/src/transport/Http1Connection.cpp
@@ -332,14 +332,26 @@
     m_deadline.start(delay, [self = shared_from_this()] { self->onTimeout(); });
 }
 
-// While the server stops, an idle connection is shut down in order, so that the caller sees no
-// reset.
+// An idle connection is shut down in order, so that a caller whose request crosses the close sees no
+// reset. A part of a request is refused: its caller may send the rest and wait for an answer.
 void Http1Connection::onTimeout()
 {
-    if (isStopping() && isIdle())
+    if (isIdle())
         return drain();
-    const bool isInHead = m_phase == Phase::Request && !m_parser->is_header_done();
-    cut(isInHead ? ConnectionCut::Cause::HeaderTimeout : ConnectionCut::Cause::IdleTimeout);
+    if (m_phase == Phase::Request)
+        return rejectLate();
+    cut(ConnectionCut::Cause::IdleTimeout);
+}
+
+void Http1Connection::rejectLate()
+{
+    const bool isInHead = !m_parser->is_header_done();
+    reportCut(isInHead ? ConnectionCut::Cause::HeaderTimeout : ConnectionCut::Cause::IdleTimeout);
+    rejectRequest(408, "Request Timeout",
+                  isInHead ? "the head did not arrive within "
+                          + std::to_string(m_limits.headerTimeout.count()) + " ms"
+                           : "no part of the body arrived within "
+                          + std::to_string(m_limits.idleTimeout.count()) + " ms");
 }
 
 void Http1Connection::cut(ConnectionCut::Cause cause)
--- a/src/transport/Http1Connection.h
+++ b/src/transport/Http1Connection.h
@@ -67,6 +67,8 @@
     void onResponseWritten();
     void drain();
     void onTimeout();
+    /// \brief Refuses a request that has not arrived within its time limit.
+    void rejectLate();
     /// \brief Closes the connection and reports the cut, if there is one.
     void cut(ConnectionCut::Cause cause);
     void reportCut(ConnectionCut::Cause cause);
--- a/tests/process/changing_limits.py
+++ b/tests/process/changing_limits.py
@@ -8,7 +8,7 @@
 for up to four fifths of the limit, large answers that are read slowly, and HTTP/1.0 requests for streams. Some
 servers are silent for a second, others send answers that end with their connection.
 
-A request that was sent whole gets a complete answer or a refusal. One that keeps to the limits in force, old or new,
+Every request gets a complete answer or a refusal, also when the gateway stopped reading it. One that keeps to the limits in force, old or new,
 is not refused because of them. A caller relies on a longer limit when it is in force, and on a shorter one when it is written.
 """
 
@@ -173,10 +173,9 @@
             answered_at = time.monotonic()
         except (OSError, http.client.HTTPException) as error:
             status, is_kept = 0, False
-            if was_sent:
-                self._fail(f"{name}: no answer, {error!r} after {time.monotonic() - sent_at:.2f} s")
+            self._fail(f"{name}: no answer, {error!r} after {time.monotonic() - sent_at:.2f} s, sent whole: {was_sent}")
         with self.lock:
-            self.counts[f"{kind} {status or 'cut' if was_sent else 'not sent whole'}"] += 1
+            self.counts[f"{kind} {status or 'cut'}"] += 1
         if status == 200 and kind != "http10" and json.loads(body)["request"] != name:
             self._fail(f"{name}: answer of another request")
         if keeps_limits and (not was_sent or status in LIMIT_STATUSES):
--- a/tests/transport/Http1ServerTest.cpp
+++ b/tests/transport/Http1ServerTest.cpp
@@ -61,6 +61,7 @@
     CPPUNIT_TEST(lineBreaksInHeadersAreNotSent);
     CPPUNIT_TEST(connectionsAreAcceptedWithoutKeepAlive);
     CPPUNIT_TEST(unfinishedHeadTimesOut);
+    CPPUNIT_TEST(unfinishedBodyIsRefused);
     CPPUNIT_TEST(timeLimitsThatCutRequestsAreReported);
     CPPUNIT_TEST(requestsOfLostConnectionsAreReported);
     CPPUNIT_TEST(idleConnectionsAreNotReported);
@@ -355,7 +356,19 @@
         m_server->setLimits(limits);
         RawPeer peer(m_port);
         peer.write("GET / HTTP/1.1\r\n");
-        CPPUNIT_ASSERT_EQUAL(std::string(), peer.readAll());
+        assertTimeoutResponse(peer);
+    }
+
+    // A caller whose body is slow sends all of it and waits for an answer.
+    void unfinishedBodyIsRefused()
+    {
+        setIdleTimeout(std::chrono::milliseconds(50));
+        RawPeer peer(m_port);
+        peer.write("POST / HTTP/1.1\r\nContent-Length: 4\r\n\r\nbo");
+        m_cuts.take();
+        peer.write("dy");
+        assertTimeoutResponse(peer);
+        CPPUNIT_ASSERT(m_requests.isEmpty());
     }
 
     // A request that gets no answer must leave a trace.
@@ -472,6 +485,14 @@
     }
 
 private:
+    static void assertTimeoutResponse(RawPeer &peer)
+    {
+        const std::string answer = peer.readAll();
+        CPPUNIT_ASSERT_MESSAGE(answer, answer.starts_with("HTTP/1.1 408 "));
+        CPPUNIT_ASSERT(contains(answer, "Connection: close"));
+        CPPUNIT_ASSERT(contains(answer, "\"status\":408"));
+    }
+
     void setIdleTimeout(std::chrono::milliseconds timeout)
     {
         HttpLimits limits = smallLimits;
