transport: time limits of a response follow what its caller takes

Cause: progress of a response was what the socket took. It takes megabytes at once and more only when a third of its buffer is free, so a caller that read steadily was cut in the middle of a large answer, or found its connection closed as idle before it had read the answer. Change: when the idle limit expires and the caller's system has acknowledged bytes since it was set, the limit runs from the last acknowledgement. A caller that acknowledges only window probes is cut as before.

--- a/src/transport/Http1Connection.cpp
+++ b/src/transport/Http1Connection.cpp
@@ -315,6 +315,7 @@
 {
     m_deadlineLimit = limit;
     m_deadlineStartedAt = std::chrono::steady_clock::now();
+    m_unacknowledged = unacknowledgedBytes(m_socket);
     startDeadline();
 }
 
@@ -336,6 +337,8 @@
 // reset. A part of a request is refused: its caller may send the rest and wait for an answer.
 void Http1Connection::onTimeout()
 {
+    if (extendForReader())
+        return;
     if (isIdle())
         return drain();
     if (m_phase == Phase::Request)
@@ -343,6 +346,23 @@
     cut(ConnectionCut::Cause::IdleTimeout);
 }
 
+// The socket takes megabytes at once, and more only when a third of its buffer is free: a caller that
+// reads steadily may show no progress there for seconds, and turns idle when it has the last byte.
+// Acknowledgements alone prove nothing, since a caller that reads nothing acknowledges window probes.
+bool Http1Connection::extendForReader()
+{
+    if (m_deadlineLimit != &HttpLimits::idleTimeout || m_unacknowledged == 0)
+        return false;
+    const std::size_t unacknowledged = unacknowledgedBytes(m_socket);
+    const auto quietTime = timeSinceAcknowledgement(m_socket);
+    if (unacknowledged >= m_unacknowledged || quietTime >= m_limits.idleTimeout)
+        return false;
+    m_unacknowledged = unacknowledged;
+    m_deadlineStartedAt = std::chrono::steady_clock::now() - quietTime;
+    startDeadline();
+    return true;
+}
+
 void Http1Connection::rejectLate()
 {
     const bool isInHead = !m_parser->is_header_done();
--- a/src/transport/Http1Connection.h
+++ b/src/transport/Http1Connection.h
@@ -67,6 +67,8 @@
     void onResponseWritten();
     void drain();
     void onTimeout();
+    /// \brief Restarts the deadline at the time at which the caller last took a part of the response.
+    bool extendForReader();
     /// \brief Refuses a request that has not arrived within its time limit.
     void rejectLate();
     /// \brief Closes the connection and reports the cut, if there is one.
@@ -86,6 +88,7 @@
     StrandTimer m_deadline;
     TimeLimit m_deadlineLimit = nullptr; ///< that the deadline follows; null: it is fixed
     std::chrono::steady_clock::time_point m_deadlineStartedAt;
+    std::size_t m_unacknowledged = 0; ///< of the bytes written, when the deadline was set
     Phase m_phase = Phase::Request;
     std::optional<Parser> m_parser;
     std::shared_ptr<Http1ServerExchange> m_exchange;
--- a/src/transport/Net.cpp
+++ b/src/transport/Net.cpp
@@ -1,5 +1,9 @@
 #include "Net.h"
 
+#include <linux/sockios.h>
+#include <netinet/tcp.h>
+#include <sys/ioctl.h>
+
 namespace foxtailring {
 
 namespace {
@@ -26,6 +30,22 @@
     socket.set_option(KeepAliveCount(keepAliveCount), ignored);
 }
 
+std::size_t unacknowledgedBytes(Socket &socket)
+{
+    int count = 0;
+    return ::ioctl(socket.native_handle(), SIOCOUTQ, &count) == 0 ? static_cast<std::size_t>(count)
+                                                                 : 0;
+}
+
+std::chrono::milliseconds timeSinceAcknowledgement(Socket &socket)
+{
+    tcp_info info {};
+    socklen_t size = sizeof info;
+    if (::getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) != 0)
+        return std::chrono::milliseconds::max();
+    return std::chrono::milliseconds(info.tcpi_last_ack_recv);
+}
+
 void setUnacknowledgedTimeout(Socket &socket, std::chrono::milliseconds limit)
 {
     using UserTimeout = net::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
--- a/src/transport/Net.h
+++ b/src/transport/Net.h
@@ -22,6 +22,10 @@
 
 /// \brief Closes the connection when sent bytes stay unacknowledged for \a limit
 /// (TCP_USER_TIMEOUT).
+/// \brief Bytes written to \a socket that the peer's system has not acknowledged.
+std::size_t unacknowledgedBytes(Socket &socket);
+/// \brief Time since the peer's system last acknowledged anything.
+std::chrono::milliseconds timeSinceAcknowledgement(Socket &socket);
 void setUnacknowledgedTimeout(Socket &socket, std::chrono::milliseconds limit);
 
 } // namespace foxtailring
--- a/tests/transport/Http1ServerTest.cpp
+++ b/tests/transport/Http1ServerTest.cpp
@@ -30,6 +30,8 @@
 constexpr std::chrono::milliseconds idleLimitAtStop {300};
 /// Long enough that a busy machine does not exceed it between two steps of a test.
 constexpr std::chrono::milliseconds shortTimeout {400};
+/// More than the system's buffers of a connection hold.
+constexpr std::size_t largeBytes = 8'000'000;
 constexpr std::string_view getRoot = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
 
 bool contains(std::string_view text, std::string_view part)
@@ -62,6 +64,8 @@
     CPPUNIT_TEST(connectionsAreAcceptedWithoutKeepAlive);
     CPPUNIT_TEST(unfinishedHeadTimesOut);
     CPPUNIT_TEST(unfinishedBodyIsRefused);
+    CPPUNIT_TEST(slowReaderGetsTheWholeResponse);
+    CPPUNIT_TEST(callerThatReadsNothingIsCut);
     CPPUNIT_TEST(timeLimitsThatCutRequestsAreReported);
     CPPUNIT_TEST(requestsOfLostConnectionsAreReported);
     CPPUNIT_TEST(idleConnectionsAreNotReported);
@@ -484,6 +488,36 @@
         CPPUNIT_ASSERT(peer.readAll().starts_with("HTTP/1.1 431 "));
     }
 
+    // A caller that reads steadily must not be cut because the socket's buffer takes megabytes at once.
+    void slowReaderGetsTheWholeResponse()
+    {
+        setIdleTimeout(shortTimeout);
+        RawPeer peer(m_port, 65'536);
+        peer.write(getRoot);
+        m_requests.take().responder->respond({200, {}, std::string(largeBytes, 'x') + "#"});
+        std::size_t size = 0;
+        while (size < largeBytes) {
+            const std::size_t more = peer.readSome(65'536);
+            CPPUNIT_ASSERT_MESSAGE(std::to_string(size) + " bytes read", more > 0);
+            size += more;
+            waitFor(shortTimeout / 8);
+        }
+        peer.write(getRoot);
+        m_requests.take().responder->respond({204, {}, {}});
+        CPPUNIT_ASSERT(m_cuts.isEmpty());
+    }
+
+    // A caller must not occupy memory with a response that it never reads.
+    void callerThatReadsNothingIsCut()
+    {
+        setIdleTimeout(shortTimeout);
+        RawPeer peer(m_port, 65'536);
+        peer.write(getRoot);
+        m_requests.take().responder->respond({200, {}, std::string(largeBytes, 'x')});
+        assertCut(ConnectionCut::Cause::IdleTimeout, ConnectionCut::Phase::Response, getRoot.size(),
+                  400);
+    }
+
 private:
     static void assertTimeoutResponse(RawPeer &peer)
     {
--- a/tests/transport/RawPeer.h
+++ b/tests/transport/RawPeer.h
@@ -28,6 +28,14 @@
     {
         m_socket.connect({boost::asio::ip::address_v4::loopback(), port});
     }
+    /// \brief As above, with a receive buffer of about \a receiveBytes.
+    RawPeer(std::uint16_t port, int receiveBytes)
+        : m_socket(m_context)
+    {
+        m_socket.open(Tcp::v4());
+        m_socket.set_option(boost::asio::socket_base::receive_buffer_size(receiveBytes));
+        m_socket.connect({boost::asio::ip::address_v4::loopback(), port});
+    }
     explicit RawPeer(Tcp::acceptor &acceptor)
         : m_socket(m_context)
     {
@@ -51,6 +59,14 @@
         return bytes;
     }
 
+    /// \brief Reads and drops up to \a size bytes; 0: the connection has ended.
+    std::size_t readSome(std::size_t size)
+    {
+        boost::system::error_code status;
+        std::string bytes(size, '\0');
+        return m_socket.read_some(boost::asio::buffer(bytes), status);
+    }
+
     std::string readAll()
     {
         boost::system::error_code status;
