transport: read input that has arrived before a time limit is applied

Cause: after a pause of the process the deadlines of all connections have passed. The reactor reports 128 sockets at a time, so the others' deadlines ran before their input was read: requests on them were reset without an answer. Change: a deadline that passes while input waits in the system's buffer gives it 50 ms to be read, once. Conclusion: a paused process loses no request that had arrived when it goes on.

--- a/src/transport/Http1Connection.cpp
+++ b/src/transport/Http1Connection.cpp
@@ -26,6 +26,10 @@
 // time.
 constexpr std::chrono::milliseconds lastRequestTimeout {300};
 
+// Time to read input that was in the system's buffer when a deadline passed. A process that was
+// paused finds the deadlines of all its connections passed and reads 128 of them first.
+constexpr std::chrono::milliseconds lateReadTime {50};
+
 // Input buffered beyond the header limit. More pipelined input stays in the kernel; this also
 // limits the length of chunk extensions.
 constexpr std::size_t maxExtraInputBytes = 64 * 1024;
@@ -323,13 +327,18 @@
 {
     const auto age = std::chrono::steady_clock::now() - m_deadlineStartedAt;
     const auto remaining = std::max(m_limits.*m_deadlineLimit - age, decltype(age)::zero());
-    m_deadline.start(std::chrono::ceil<std::chrono::milliseconds>(remaining),
-                     [self = shared_from_this()] { self->onTimeout(); });
+    m_isOverdue = false;
+    startTimer(std::chrono::ceil<std::chrono::milliseconds>(remaining));
 }
 
 void Http1Connection::armDeadline(std::chrono::milliseconds delay)
 {
     m_deadlineLimit = nullptr;
+    startTimer(delay);
+}
+
+void Http1Connection::startTimer(std::chrono::milliseconds delay)
+{
     m_deadline.start(delay, [self = shared_from_this()] { self->onTimeout(); });
 }
 
@@ -337,6 +346,8 @@
 // reset. A part of a request is refused: its caller may send the rest and wait for an answer.
 void Http1Connection::onTimeout()
 {
+    if (hasUnreadInput() && !std::exchange(m_isOverdue, true))
+        return startTimer(lateReadTime);
     if (extendForReader())
         return;
     if (isIdle())
@@ -346,6 +357,12 @@
     cut(ConnectionCut::Cause::IdleTimeout);
 }
 
+bool Http1Connection::hasUnreadInput()
+{
+    ErrorStatus status;
+    return m_isReading && m_phase == Phase::Request && m_socket.available(status) > 0 && !status;
+}
+
 // The socket takes megabytes at once, and more only when a third of its buffer is free: a caller that
 // reads steadily may show no progress there for seconds, and turns idle when it has the last byte.
 // Acknowledgements alone prove nothing, since a caller that reads nothing acknowledges window probes.
--- a/src/transport/Http1Connection.h
+++ b/src/transport/Http1Connection.h
@@ -67,6 +67,7 @@
     void onResponseWritten();
     void drain();
     void onTimeout();
+    bool hasUnreadInput();
     /// \brief Restarts the deadline at the time at which the caller last took a part of the response.
     bool extendForReader();
     /// \brief Refuses a request that has not arrived within its time limit.
@@ -81,6 +82,7 @@
     void armDeadline(std::chrono::milliseconds delay);
     void armDeadline(TimeLimit limit);
     void startDeadline();
+    void startTimer(std::chrono::milliseconds delay);
 
     Socket m_socket;
     HttpLimits m_limits; ///< of the current request, or of the wait for one
@@ -88,6 +90,7 @@
     StrandTimer m_deadline;
     TimeLimit m_deadlineLimit = nullptr; ///< that the deadline follows; null: it is fixed
     std::chrono::steady_clock::time_point m_deadlineStartedAt;
+    bool m_isOverdue = false; ///< the deadline has passed, input that had arrived is read
     std::size_t m_unacknowledged = 0; ///< of the bytes written, when the deadline was set
     Phase m_phase = Phase::Request;
     std::optional<Parser> m_parser;
--- a/tests/transport/Http1ServerTest.cpp
+++ b/tests/transport/Http1ServerTest.cpp
@@ -66,6 +66,7 @@
     CPPUNIT_TEST(unfinishedBodyIsRefused);
     CPPUNIT_TEST(slowReaderGetsTheWholeResponse);
     CPPUNIT_TEST(callerThatReadsNothingIsCut);
+    CPPUNIT_TEST(inputThatWaitedDuringAPauseIsRead);
     CPPUNIT_TEST(timeLimitsThatCutRequestsAreReported);
     CPPUNIT_TEST(requestsOfLostConnectionsAreReported);
     CPPUNIT_TEST(idleConnectionsAreNotReported);
@@ -518,6 +519,40 @@
                   400);
     }
 
+    // After a pause of the process, requests had arrived on connections whose idle limit has passed.
+    void inputThatWaitedDuringAPauseIsRead()
+    {
+        WorkerPool pool(1);
+        Mailbox<bool> isPaused;
+        Mailbox<bool> mayGoOn;
+        Http1Server server(pool, Endpoint {"127.0.0.1", 0}, smallLimits,
+                           [&](const HttpRequest &request,
+                               const std::shared_ptr<Http1Responder> &responder) {
+                               if (request.target == "/pause") {
+                                   isPaused.put(true);
+                                   mayGoOn.take();
+                               }
+                               responder->respond({204, {}, {}});
+                           });
+        const std::uint16_t port = server.listen().value();
+        server.setLimits({1024, 4096, std::chrono::seconds(2)});
+        std::vector<std::unique_ptr<RawPeer>> peers;
+        for (int i = 0; i < 300; ++i) {
+            peers.push_back(std::make_unique<RawPeer>(port));
+            peers.back()->write(getRoot);
+            peers.back()->readUntil("\r\n\r\n");
+        }
+        peers.front()->write("GET /pause HTTP/1.1\r\nHost: h\r\n\r\n");
+        isPaused.take();
+        waitFor(std::chrono::milliseconds(2200));
+        for (std::size_t i = 1; i < peers.size(); ++i)
+            peers[i]->write(getRoot);
+        mayGoOn.put(true);
+        for (const auto &peer : peers)
+            CPPUNIT_ASSERT(peer->readUntil("\r\n\r\n").starts_with("HTTP/1.1 204 "));
+        pool.stop();
+    }
+
 private:
     static void assertTimeoutResponse(RawPeer &peer)
     {
