--- a/include/foxtailring/transport/Http1Server.h
+++ b/include/foxtailring/transport/Http1Server.h
@@ -12,17 +12,19 @@
 
 class Http1Responder;
 class WorkerPool;
+struct ConnectionCut;
 struct Endpoint;
 
 /// \brief HTTP/1.1 server over Boost.Beast.
 ///
-/// Responds with 400 to malformed requests, 413 to oversized bodies and 431 to oversized heads,
-/// each with a problem body, and with 500 when the handler throws or destroys its responder unused.
+/// Responds with 400 to malformed requests, 408 to those that do not arrive within the time limits,
+/// 413 to oversized bodies and 431 to oversized heads, each with a problem body, and with 500 when the handler throws or destroys its responder unused.
 /// A handler that is running when close() is called runs to completion.
 class Http1Server
 {
 public:
     using Handler = std::function<void(HttpRequest, std::shared_ptr<Http1Responder>)>;
+    using CutHook = std::function<void(const ConnectionCut &)>;
 
     Http1Server(WorkerPool &pool, const Endpoint &endpoint, HttpLimits limits, Handler handler);
     /// \brief Calls close().
@@ -30,10 +32,14 @@
     Http1Server(const Http1Server &) = delete;
     Http1Server &operator=(const Http1Server &) = delete;
 
+    /// \brief Calls \a hook for each connection that is cut; to be set before listen(). The close
+    /// of an idle connection is no cut.
+    void onConnectionCut(CutHook hook);
     /// \brief Starts accepting connections and returns the port. InvalidArgument: the endpoint is
     /// not an IP address. Unavailable: binding failed.
     Result<std::uint16_t> listen();
-    /// \brief Sets the limits of requests that start from now on.
+    /// \brief Sets the limits of requests whose first byte arrives from now on. Longer time limits
+    /// also apply to requests in progress and to idle connections.
     void setLimits(HttpLimits limits);
     /// \brief Closes each connection after its next response; new connections are still accepted.
     void disableKeepAlive();
--- a/src/transport/Http1Connection.cpp
+++ b/src/transport/Http1Connection.cpp
@@ -10,6 +10,8 @@
 #include <boost/asio/post.hpp>
 #include <boost/beast/http/error.hpp>
 
+#include <algorithm>
+
 namespace foxtailring {
 
 namespace http = boost::beast::http;
@@ -24,6 +26,10 @@
 // time.
 constexpr std::chrono::milliseconds lastRequestTimeout {300};
 
+// Time to read input that was in the system's buffer when a deadline passed. A process that was
+// paused finds the deadlines of all its connections passed and reads 128 of them first.
+constexpr std::chrono::milliseconds lateReadTime {50};
+
 // Input buffered beyond the header limit. More pipelined input stays in the kernel; this also
 // limits the length of chunk extensions.
 constexpr std::size_t maxExtraInputBytes = 64 * 1024;
@@ -75,7 +81,26 @@
 
 void Http1Connection::close()
 {
-    net::post(m_socket.get_executor(), [self = shared_from_this()] { self->closeNow(); });
+    net::post(m_socket.get_executor(),
+              [self = shared_from_this()] { self->cut(ConnectionCut::Cause::Stop); });
+}
+
+// Callers may rely on a longer limit as soon as it is in force, and on a shorter one only for what
+// they begin after it: an idle connection and a request in progress keep the longest one.
+void Http1Connection::extendLimits()
+{
+    net::post(m_socket.get_executor(), [self = shared_from_this()] {
+        self->takeLongerLimits();
+        if (self->m_deadlineLimit)
+            self->startDeadline();
+    });
+}
+
+void Http1Connection::takeLongerLimits()
+{
+    const HttpLimits limits = m_shared->limits();
+    for (const TimeLimit limit : {&HttpLimits::idleTimeout, &HttpLimits::headerTimeout})
+        m_limits.*limit = std::max(m_limits.*limit, limits.*limit);
 }
 
 void Http1Connection::beginRequest()
@@ -84,16 +109,24 @@
     m_continueSent = false;
     m_headStarted = false;
     m_responseComplete = false;
-    m_limits = m_shared->limits();
+    m_arrivedBytes = m_input.size();
+    m_firstByteAt = std::chrono::steady_clock::now();
+    takeLongerLimits(); // the caller read its last answer perhaps before a limit became shorter
     m_parser.emplace();
-    m_parser->header_limit(static_cast<std::uint32_t>(m_limits.maxHeaderBytes));
-    m_parser->body_limit(m_limits.maxBodyBytes);
     m_parser->eager(true);
-    armDeadline(m_limits.idleTimeout);
+    armDeadline(&HttpLimits::idleTimeout);
     if (!m_input.empty())
         parse();
 }
 
+// The limits in force now hold for the request, not those from when the connection became idle.
+void Http1Connection::beginHead()
+{
+    m_limits = m_shared->limits();
+    m_parser->header_limit(static_cast<std::uint32_t>(m_limits.maxHeaderBytes));
+    m_parser->body_limit(m_limits.maxBodyBytes);
+}
+
 void Http1Connection::read()
 {
     const std::size_t inputLimit = m_limits.maxHeaderBytes + maxExtraInputBytes;
@@ -112,9 +145,14 @@
     if (m_phase == Phase::Closed)
         return;
     if (status)
-        return closeNow();
+        return cut(ConnectionCut::Cause::CallerClosed);
+    if (m_arrivedBytes == 0)
+        m_firstByteAt = std::chrono::steady_clock::now();
+    m_arrivedBytes += size;
     if (m_phase != Phase::Drain)
         m_input.append(m_readBuffer.data(), size);
+    else if (m_arrivedBytes == size) // the connection was idle
+        reportCut(ConnectionCut::Cause::Closing);
     if (m_phase == Phase::Request)
         parse();
     read();
@@ -122,6 +160,8 @@
 
 void Http1Connection::parse()
 {
+    if (!m_parser->got_some())
+        beginHead();
     ErrorStatus status;
     while (!status && !m_input.empty() && !m_parser->is_done())
         m_input.erase(0, m_parser->put(net::buffer(m_input), status));
@@ -134,13 +174,13 @@
     if (m_parser->is_header_done())
         continueRequest();
     else if (!std::exchange(m_headStarted, true))
-        armDeadline(m_limits.headerTimeout);
+        armDeadline(&HttpLimits::headerTimeout);
 }
 
 // Runs after each read of a body: extends the deadline and sends 100 Continue if it is expected.
 void Http1Connection::continueRequest()
 {
-    armDeadline(m_limits.idleTimeout);
+    armDeadline(&HttpLimits::idleTimeout);
     const auto expected = m_parser->get()[http::field::expect];
     if (m_continueSent || !equalIgnoringCase({expected.data(), expected.size()}, "100-continue"))
         return;
@@ -173,9 +213,10 @@
 {
     http::request<http::string_body> message = m_parser->release();
     m_phase = Phase::Response;
+    m_deadlineLimit = nullptr;
     m_deadline.cancel();
     if (m_shared->isClosed)
-        return closeNow();
+        return cut(ConnectionCut::Cause::Stop);
     const ResponseFraming framing {message.version() >= 11 ? 11U : 10U, message.keep_alive(),
                                    message.method() == http::verb::head};
     m_exchange =
@@ -202,7 +243,7 @@
         return;
     m_responseComplete = true;
     m_keepAlive = keepAlive;
-    armDeadline(m_limits.idleTimeout);
+    armDeadline(&HttpLimits::idleTimeout);
     if (!m_isWriting)
         onResponseWritten();
 }
@@ -230,10 +271,10 @@
     if (m_phase == Phase::Closed)
         return;
     if (status)
-        return closeNow();
+        return cut(ConnectionCut::Cause::CallerClosed);
     // Any progress extends the deadline, so that a slow caller is not cut off.
     if (m_responseComplete)
-        armDeadline(m_limits.idleTimeout);
+        armDeadline(&HttpLimits::idleTimeout);
     m_inFlightOffset += size;
     if (m_inFlightOffset < m_inFlight.size())
         return writeSome();
@@ -264,6 +305,8 @@
 
 void Http1Connection::drain()
 {
+    if (!m_input.empty())
+        reportCut(ConnectionCut::Cause::Closing);
     m_phase = Phase::Drain;
     m_input.clear();
     ErrorStatus ignored;
@@ -272,19 +315,106 @@
     read();
 }
 
+void Http1Connection::armDeadline(TimeLimit limit)
+{
+    m_deadlineLimit = limit;
+    m_deadlineStartedAt = std::chrono::steady_clock::now();
+    m_unacknowledged = unacknowledgedBytes(m_socket);
+    startDeadline();
+}
+
+void Http1Connection::startDeadline()
+{
+    const auto age = std::chrono::steady_clock::now() - m_deadlineStartedAt;
+    const auto remaining = std::max(m_limits.*m_deadlineLimit - age, decltype(age)::zero());
+    m_isOverdue = false;
+    startTimer(std::chrono::ceil<std::chrono::milliseconds>(remaining));
+}
+
 void Http1Connection::armDeadline(std::chrono::milliseconds delay)
+{
+    m_deadlineLimit = nullptr;
+    startTimer(delay);
+}
+
+void Http1Connection::startTimer(std::chrono::milliseconds delay)
 {
     m_deadline.start(delay, [self = shared_from_this()] { self->onTimeout(); });
 }
 
-// While the server stops, an idle connection is shut down in order, so that the caller sees no
-// reset.
+// An idle connection is shut down in order, so that a caller whose request crosses the close sees no
+// reset. A part of a request is refused: its caller may send the rest and wait for an answer.
 void Http1Connection::onTimeout()
 {
-    if (isStopping() && isIdle())
-        drain();
-    else
-        closeNow();
+    if (hasUnreadInput() && !std::exchange(m_isOverdue, true))
+        return startTimer(lateReadTime);
+    if (extendForReader())
+        return;
+    if (isIdle())
+        return drain();
+    if (m_phase == Phase::Request)
+        return rejectLate();
+    cut(ConnectionCut::Cause::IdleTimeout);
+}
+
+bool Http1Connection::hasUnreadInput()
+{
+    ErrorStatus status;
+    return m_isReading && m_phase == Phase::Request && m_socket.available(status) > 0 && !status;
+}
+
+// The socket takes megabytes at once, and more only when a third of its buffer is free: a caller that
+// reads steadily may show no progress there for seconds, and turns idle when it has the last byte.
+// Acknowledgements alone prove nothing, since a caller that reads nothing acknowledges window probes.
+bool Http1Connection::extendForReader()
+{
+    if (m_deadlineLimit != &HttpLimits::idleTimeout || m_unacknowledged == 0)
+        return false;
+    const std::size_t unacknowledged = unacknowledgedBytes(m_socket);
+    const auto quietTime = timeSinceAcknowledgement(m_socket);
+    if (unacknowledged >= m_unacknowledged || quietTime >= m_limits.idleTimeout)
+        return false;
+    m_unacknowledged = unacknowledged;
+    m_deadlineStartedAt = std::chrono::steady_clock::now() - quietTime;
+    startDeadline();
+    return true;
+}
+
+void Http1Connection::rejectLate()
+{
+    const bool isInHead = !m_parser->is_header_done();
+    reportCut(isInHead ? ConnectionCut::Cause::HeaderTimeout : ConnectionCut::Cause::IdleTimeout);
+    rejectRequest(408, "Request Timeout",
+                  isInHead ? "the head did not arrive within "
+                          + std::to_string(m_limits.headerTimeout.count()) + " ms"
+                           : "no part of the body arrived within "
+                          + std::to_string(m_limits.idleTimeout.count()) + " ms");
+}
+
+void Http1Connection::cut(ConnectionCut::Cause cause)
+{
+    if (m_phase == Phase::Request || m_phase == Phase::Response)
+        reportCut(cause);
+    closeNow();
+}
+
+void Http1Connection::reportCut(ConnectionCut::Cause cause)
+{
+    if (m_arrivedBytes == 0)
+        return;
+    const auto age = std::chrono::steady_clock::now() - m_firstByteAt;
+    runHook(m_shared->cutHook,
+            ConnectionCut {cause, cutPhase(), m_arrivedBytes,
+                           std::chrono::duration_cast<std::chrono::milliseconds>(age)});
+}
+
+ConnectionCut::Phase Http1Connection::cutPhase() const
+{
+    if (m_phase == Phase::Drain)
+        return ConnectionCut::Phase::Closing;
+    if (m_phase == Phase::Response)
+        return ConnectionCut::Phase::Response;
+    return m_parser->is_header_done() ? ConnectionCut::Phase::Body : ConnectionCut::Phase::Head;
 }
 
 bool Http1Connection::isIdle() const
@@ -317,6 +447,7 @@
     m_phase = Phase::Closed;
     ErrorStatus ignored;
     m_socket.close(ignored);
+    m_deadlineLimit = nullptr;
     m_deadline.cancel();
     if (const auto exchange = std::exchange(m_exchange, nullptr)) {
         --m_shared->openRequestCount;
--- a/src/transport/Http1Connection.h
+++ b/src/transport/Http1Connection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "foxtailring/transport/ConnectionCut.h"
 #include "foxtailring/transport/HttpLimits.h"
 #include "Net.h"
 #include "StrandTimer.h"
@@ -33,6 +34,8 @@
     /// \brief Closes an idle connection after 300 ms, any other after its current response.
     void stop();
     void close();
+    /// \brief Lets longer time limits of the server apply to what this connection waits for.
+    void extendLimits();
 
     // On the strand, called by the exchange.
     void send(std::string_view bytes, std::size_t payloadBytes);
@@ -49,6 +52,8 @@
     using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
 
     void beginRequest();
+    void beginHead();
+    void takeLongerLimits();
     void read();
     void onRead(ErrorStatus status, std::size_t size);
     void parse();
@@ -62,19 +67,38 @@
     void onResponseWritten();
     void drain();
     void onTimeout();
+    bool hasUnreadInput();
+    /// \brief Restarts the deadline at the time at which the caller last took a part of the response.
+    bool extendForReader();
+    /// \brief Refuses a request that has not arrived within its time limit.
+    void rejectLate();
+    /// \brief Closes the connection and reports the cut, if there is one.
+    void cut(ConnectionCut::Cause cause);
+    void reportCut(ConnectionCut::Cause cause);
+    ConnectionCut::Phase cutPhase() const;
     /// True when no byte of a request has arrived.
     bool isIdle() const;
+    using TimeLimit = std::chrono::milliseconds HttpLimits::*;
     void armDeadline(std::chrono::milliseconds delay);
+    void armDeadline(TimeLimit limit);
+    void startDeadline();
+    void startTimer(std::chrono::milliseconds delay);
 
     Socket m_socket;
-    HttpLimits m_limits; ///< of the current request
+    HttpLimits m_limits; ///< of the current request, or of the wait for one
     const std::shared_ptr<Http1ServerShared> m_shared;
     StrandTimer m_deadline;
+    TimeLimit m_deadlineLimit = nullptr; ///< that the deadline follows; null: it is fixed
+    std::chrono::steady_clock::time_point m_deadlineStartedAt;
+    bool m_isOverdue = false; ///< the deadline has passed, input that had arrived is read
+    std::size_t m_unacknowledged = 0; ///< of the bytes written, when the deadline was set
     Phase m_phase = Phase::Request;
     std::optional<Parser> m_parser;
     std::shared_ptr<Http1ServerExchange> m_exchange;
     bool m_continueSent = false;
-    bool m_headStarted = false; ///< the first bytes of a head have arrived
+    bool m_headStarted = false;     ///< the first bytes of a head have arrived
+    std::size_t m_arrivedBytes = 0; ///< of the current request and of what follows it
+    std::chrono::steady_clock::time_point m_firstByteAt;
     bool m_responseComplete = false;
     bool m_keepAlive = true;
 
--- a/src/transport/Http1Server.cpp
+++ b/src/transport/Http1Server.cpp
@@ -47,6 +47,11 @@
     close();
 }
 
+void Http1Server::onConnectionCut(CutHook hook)
+{
+    m_state->shared->cutHook = std::move(hook);
+}
+
 Result<std::uint16_t> Http1Server::listen()
 {
     return m_state->listener->listen();
@@ -55,6 +60,8 @@
 void Http1Server::setLimits(HttpLimits limits)
 {
     m_state->shared->setLimits(limits);
+    for (const auto &connection : m_state->connections.openConnections())
+        connection->extendLimits();
 }
 
 void Http1Server::disableKeepAlive()
--- a/tests/transport/Http1ServerTest.cpp
+++ b/tests/transport/Http1ServerTest.cpp
@@ -1,4 +1,5 @@
 #include "foxtailring/transport/Http1Server.h"
+#include "foxtailring/transport/ConnectionCut.h"
 #include "foxtailring/transport/Endpoint.h"
 #include "foxtailring/transport/Http1Responder.h"
 #include "foxtailring/transport/Timer.h"
@@ -27,6 +28,10 @@
 constexpr HttpLimits smallLimits {1024, 4096, std::chrono::seconds(60)};
 /// Idle connections end this long after a stop.
 constexpr std::chrono::milliseconds idleLimitAtStop {300};
+/// Long enough that a busy machine does not exceed it between two steps of a test.
+constexpr std::chrono::milliseconds shortTimeout {400};
+/// More than the system's buffers of a connection hold.
+constexpr std::size_t largeBytes = 8'000'000;
 constexpr std::string_view getRoot = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
 
 bool contains(std::string_view text, std::string_view part)
@@ -58,6 +63,17 @@
     CPPUNIT_TEST(lineBreaksInHeadersAreNotSent);
     CPPUNIT_TEST(connectionsAreAcceptedWithoutKeepAlive);
     CPPUNIT_TEST(unfinishedHeadTimesOut);
+    CPPUNIT_TEST(unfinishedBodyIsRefused);
+    CPPUNIT_TEST(slowReaderGetsTheWholeResponse);
+    CPPUNIT_TEST(callerThatReadsNothingIsCut);
+    CPPUNIT_TEST(inputThatWaitedDuringAPauseIsRead);
+    CPPUNIT_TEST(timeLimitsThatCutRequestsAreReported);
+    CPPUNIT_TEST(requestsOfLostConnectionsAreReported);
+    CPPUNIT_TEST(idleConnectionsAreNotReported);
+    CPPUNIT_TEST(longerIdleLimitReachesIdleConnections);
+    CPPUNIT_TEST(longerIdleLimitReachesBodiesInProgress);
+    CPPUNIT_TEST(shorterIdleLimitSparesIdleConnections);
+    CPPUNIT_TEST(requestHasTheSizesInForceWhenItBegins);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -68,6 +84,7 @@
                          [this](HttpRequest request, std::shared_ptr<Http1Responder> responder) {
                              m_requests.put({std::move(request), std::move(responder)});
                          });
+        m_server->onConnectionCut([this](const ConnectionCut &cut) { m_cuts.put(cut); });
         m_port = m_server->listen().value();
     }
 
@@ -344,18 +361,237 @@
         m_server->setLimits(limits);
         RawPeer peer(m_port);
         peer.write("GET / HTTP/1.1\r\n");
+        assertTimeoutResponse(peer);
+    }
+
+    // A caller whose body is slow sends all of it and waits for an answer.
+    void unfinishedBodyIsRefused()
+    {
+        setIdleTimeout(std::chrono::milliseconds(50));
+        RawPeer peer(m_port);
+        peer.write("POST / HTTP/1.1\r\nContent-Length: 4\r\n\r\nbo");
+        m_cuts.take();
+        peer.write("dy");
+        assertTimeoutResponse(peer);
+        CPPUNIT_ASSERT(m_requests.isEmpty());
+    }
+
+    // A request that gets no answer must leave a trace.
+    void timeLimitsThatCutRequestsAreReported()
+    {
+        HttpLimits limits = smallLimits;
+        limits.headerTimeout = std::chrono::milliseconds(50);
+        limits.idleTimeout = std::chrono::milliseconds(60);
+        m_server->setLimits(limits);
+        RawPeer head(m_port);
+        head.write("GET / HTTP/1.1\r\n");
+        assertCut(ConnectionCut::Cause::HeaderTimeout, ConnectionCut::Phase::Head, 16, 50);
+        const std::string_view part = "POST / HTTP/1.1\r\nContent-Length: 4\r\n\r\nbo";
+        RawPeer body(m_port);
+        body.write(part);
+        assertCut(ConnectionCut::Cause::IdleTimeout, ConnectionCut::Phase::Body, part.size(), 60);
+    }
+
+    // As above: the caller leaves, or the process ends.
+    void requestsOfLostConnectionsAreReported()
+    {
+        RawPeer leaving(m_port);
+        leaving.write(getRoot);
+        const PendingRequest first = m_requests.take();
+        leaving.close();
+        assertCut(ConnectionCut::Cause::CallerClosed, ConnectionCut::Phase::Response,
+                  getRoot.size(), 0);
+        RawPeer peer(m_port);
+        peer.write(getRoot);
+        const PendingRequest second = m_requests.take();
+        m_server->close();
+        assertCut(ConnectionCut::Cause::Stop, ConnectionCut::Phase::Response, getRoot.size(), 0);
+    }
+
+    // Reports of connections that are closed in order would hide the others.
+    void idleConnectionsAreNotReported()
+    {
+        HttpLimits limits = smallLimits;
+        limits.idleTimeout = std::chrono::milliseconds(50);
+        m_server->setLimits(limits);
+        RawPeer unused(m_port);
+        RawPeer used(m_port);
+        used.write(getRoot);
+        m_requests.take().responder->respond({204, {}, {}});
+        CPPUNIT_ASSERT(used.readAll().starts_with("HTTP/1.1 204 "));
+        CPPUNIT_ASSERT_EQUAL(std::string(), unused.readAll());
+        RawPeer(m_port).close();
+        waitUntil([this] { return m_server->openConnectionCount() == 0; });
+        CPPUNIT_ASSERT(m_cuts.isEmpty());
+    }
+
+    // Callers use a connection within the limit in force, and would find it closed.
+    void longerIdleLimitReachesIdleConnections()
+    {
+        setIdleTimeout(shortTimeout);
+        RawPeer peer(m_port);
+        peer.write(getRoot);
+        m_requests.take().responder->respond({204, {}, {}});
+        peer.readUntil("\r\n\r\n");
+        setIdleTimeout(std::chrono::seconds(60));
+        waitFor(2 * shortTimeout);
+        peer.write(getRoot);
+        m_requests.take().responder->respond({204, {}, {}});
+        CPPUNIT_ASSERT(peer.readUntil("\r\n\r\n").starts_with("HTTP/1.1 204 "));
+    }
+
+    // A body that keeps to the limit in force must not be cut.
+    void longerIdleLimitReachesBodiesInProgress()
+    {
+        setIdleTimeout(shortTimeout);
+        RawPeer peer(m_port);
+        peer.write("POST / HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 4\r\n\r\nbo");
+        peer.readUntil("\r\n\r\n");
+        setIdleTimeout(std::chrono::seconds(60));
+        waitFor(2 * shortTimeout);
+        peer.write("dy");
+        CPPUNIT_ASSERT_EQUAL(std::string("body"), m_requests.take().request.body);
+    }
+
+    // Callers that have kept a connection under the longer limit rely on it.
+    void shorterIdleLimitSparesIdleConnections()
+    {
+        RawPeer peer(m_port);
+        peer.write(getRoot);
+        m_requests.take().responder->respond({204, {}, {}});
+        peer.readUntil("\r\n\r\n");
+        setIdleTimeout(shortTimeout);
+        waitFor(2 * shortTimeout);
+        peer.write(getRoot);
+        m_requests.take().responder->respond({204, {}, {}});
+        CPPUNIT_ASSERT(peer.readUntil("\r\n\r\n").starts_with("HTTP/1.1 204 "));
         CPPUNIT_ASSERT_EQUAL(std::string(), peer.readAll());
     }
 
+    // A kept-alive connection must not keep the header and body limits of an old configuration.
+    void requestHasTheSizesInForceWhenItBegins()
+    {
+        const std::string body(5000, 'x');
+        const std::string request = "POST / HTTP/1.1\r\nLong: " + std::string(2000, 'x')
+            + "\r\nContent-Length: 5000\r\n\r\n" + body;
+        RawPeer peer(m_port);
+        peer.write(getRoot);
+        m_requests.take().responder->respond({204, {}, {}});
+        peer.readUntil("\r\n\r\n");
+        m_server->setLimits({4096, 8192, std::chrono::seconds(60)});
+        peer.write(request);
+        const PendingRequest pending = m_requests.take();
+        CPPUNIT_ASSERT_EQUAL(body, pending.request.body);
+        pending.responder->respond({204, {}, {}});
+        peer.readUntil("\r\n\r\n");
+        m_server->setLimits(smallLimits);
+        peer.write(request);
+        CPPUNIT_ASSERT(peer.readAll().starts_with("HTTP/1.1 431 "));
+    }
+
+    // A caller that reads steadily must not be cut because the socket's buffer takes megabytes at once.
+    void slowReaderGetsTheWholeResponse()
+    {
+        setIdleTimeout(shortTimeout);
+        RawPeer peer(m_port, 65'536);
+        peer.write(getRoot);
+        m_requests.take().responder->respond({200, {}, std::string(largeBytes, 'x') + "#"});
+        std::size_t size = 0;
+        while (size < largeBytes) {
+            const std::size_t more = peer.readSome(65'536);
+            CPPUNIT_ASSERT_MESSAGE(std::to_string(size) + " bytes read", more > 0);
+            size += more;
+            waitFor(shortTimeout / 8);
+        }
+        peer.write(getRoot);
+        m_requests.take().responder->respond({204, {}, {}});
+        CPPUNIT_ASSERT(m_cuts.isEmpty());
+    }
+
+    // A caller must not occupy memory with a response that it never reads.
+    void callerThatReadsNothingIsCut()
+    {
+        setIdleTimeout(shortTimeout);
+        RawPeer peer(m_port, 65'536);
+        peer.write(getRoot);
+        m_requests.take().responder->respond({200, {}, std::string(largeBytes, 'x')});
+        assertCut(ConnectionCut::Cause::IdleTimeout, ConnectionCut::Phase::Response, getRoot.size(),
+                  400);
+    }
+
+    // After a pause of the process, requests had arrived on connections whose idle limit has passed.
+    void inputThatWaitedDuringAPauseIsRead()
+    {
+        WorkerPool pool(1);
+        Mailbox<bool> isPaused;
+        Mailbox<bool> mayGoOn;
+        Http1Server server(pool, Endpoint {"127.0.0.1", 0}, smallLimits,
+                           [&](const HttpRequest &request,
+                               const std::shared_ptr<Http1Responder> &responder) {
+                               if (request.target == "/pause") {
+                                   isPaused.put(true);
+                                   mayGoOn.take();
+                               }
+                               responder->respond({204, {}, {}});
+                           });
+        const std::uint16_t port = server.listen().value();
+        server.setLimits({1024, 4096, std::chrono::seconds(2)});
+        std::vector<std::unique_ptr<RawPeer>> peers;
+        for (int i = 0; i < 300; ++i) {
+            peers.push_back(std::make_unique<RawPeer>(port));
+            peers.back()->write(getRoot);
+            peers.back()->readUntil("\r\n\r\n");
+        }
+        peers.front()->write("GET /pause HTTP/1.1\r\nHost: h\r\n\r\n");
+        isPaused.take();
+        waitFor(std::chrono::milliseconds(2200));
+        for (std::size_t i = 1; i < peers.size(); ++i)
+            peers[i]->write(getRoot);
+        mayGoOn.put(true);
+        for (const auto &peer : peers)
+            CPPUNIT_ASSERT(peer->readUntil("\r\n\r\n").starts_with("HTTP/1.1 204 "));
+        pool.stop();
+    }
+
 private:
-    // All connections end, so that reading them shows which requests were answered.
-    void assertReceivedAreAnswered(const std::vector<std::unique_ptr<RawPeer>> &peers)
+    static void assertTimeoutResponse(RawPeer &peer)
+    {
+        const std::string answer = peer.readAll();
+        CPPUNIT_ASSERT_MESSAGE(answer, answer.starts_with("HTTP/1.1 408 "));
+        CPPUNIT_ASSERT(contains(answer, "Connection: close"));
+        CPPUNIT_ASSERT(contains(answer, "\"status\":408"));
+    }
+
+    void setIdleTimeout(std::chrono::milliseconds timeout)
+    {
+        HttpLimits limits = smallLimits;
+        limits.idleTimeout = timeout;
+        m_server->setLimits(limits);
+    }
+
+    void waitFor(std::chrono::milliseconds time)
     {
-        // The server handles what has arrived before it answers the first one.
         Timer timer(*m_pool);
         Mailbox<bool> over;
-        timer.once(std::chrono::milliseconds(50), [&over] { over.put(true); });
+        timer.once(time, [&over] { over.put(true); });
         over.take();
+    }
+
+    void assertCut(ConnectionCut::Cause cause, ConnectionCut::Phase phase, std::size_t bytes,
+                   int minAgeMs)
+    {
+        const ConnectionCut cut = m_cuts.take();
+        CPPUNIT_ASSERT_EQUAL(connectionCutCauseName(cause), connectionCutCauseName(cut.cause));
+        CPPUNIT_ASSERT_EQUAL(connectionCutPhaseName(phase), connectionCutPhaseName(cut.phase));
+        CPPUNIT_ASSERT_EQUAL(bytes, cut.arrivedBytes);
+        CPPUNIT_ASSERT(cut.age >= std::chrono::milliseconds(minAgeMs));
+    }
+
+    // All connections end, so that reading them shows which requests were answered.
+    void assertReceivedAreAnswered(const std::vector<std::unique_ptr<RawPeer>> &peers)
+    {
+        // The server handles what has arrived before it answers the first one.
+        waitFor(std::chrono::milliseconds(50));
         std::set<std::string> received;
         while (!m_requests.isEmpty()) {
             PendingRequest pending = m_requests.take();
@@ -375,6 +611,7 @@
     std::optional<WorkerPool> m_pool;
     Mailbox<PendingRequest> m_requests;
     Mailbox<int> m_disconnects;
+    Mailbox<ConnectionCut> m_cuts;
     std::optional<Http1Server> m_server;
     std::uint16_t m_port = 0;
 };
