transport, gateway: trust no answer without an id on a used connection

Cause: a server may write an earlier refusal once more to a kept-alive connection. An answer without an id counted as the answer to any request, so a non-idempotent request ran at a second server, or its caller was told "not run" (503) while the server ran it. A repeated refusal with the same id could meet the next attempt of its request at the same address (the successor of a replaced server). Change: an answer without an id counts only as the first response on a new connection (StreamHooks::matchesRequest learns which one it is). A connection that carried a refusal, or a response to another request, is closed (StreamHooks::allowsReuse). A response to another request that announces the end of the connection ends the exchange at once. A hook that throws while it attributes a response ends the exchange as Malformed; before, the exchange ended without onClosed. The servers of the gateway tests echo the request's id, as servers do. Conclusion: on a used connection only an answer that names the request counts; a new connection costs one round trip after each refusal. How many more connections that makes in an overload is not measured.

--- a/include/foxtailring/transport/StreamHooks.h
+++ b/include/foxtailring/transport/StreamHooks.h
@@ -20,7 +20,11 @@
     /// Returns whether a response belongs to this request; one that does not is skipped, and the
     /// next one is awaited. A faulty server may send a second response late. Optional: without it,
     /// every response belongs to the request.
-    std::function<bool(const HttpResponse &)> matchesRequest {};
+    /// \param isFirstResponse no response came on this connection before
+    std::function<bool(const HttpResponse &, bool isFirstResponse)> matchesRequest {};
+    /// Returns whether another request may use the connection after this response. Optional:
+    /// without it, every kept-alive connection is reused.
+    std::function<bool(const HttpResponse &)> allowsReuse {};
 };
 
 } // namespace foxtailring
--- a/src/gateway/RequestRelay.cpp
+++ b/src/gateway/RequestRelay.cpp
@@ -154,10 +154,18 @@
     metadata.fromCopy = next.fromCopy;
     const auto post = attemptPoster(m_attempt.number);
     StreamHooks hooks;
-    hooks.matchesRequest = [codec = &m_parts.codec,
-                            id = m_request.id](const HttpResponse &response) {
+    // Only the refusal of a malformed request has no id. On a connection that was used before, it
+    // may as well be an earlier answer that is written once more.
+    hooks.matchesRequest = [codec = &m_parts.codec, id = m_request.id](const HttpResponse &response,
+                                                                       bool isFirstResponse) {
         const std::string answered = codec->decodeAnswer(response).requestId;
-        return answered.empty() || answered == id;
+        return answered.empty() ? isFirstResponse : answered == id;
+    };
+    // A repeated refusal with the id of this request could meet its next attempt at the same
+    // address, so no connection that carried a refusal is used again.
+    hooks.allowsReuse = [codec = &m_parts.codec](const HttpResponse &response) {
+        const BackendAnswer answer = codec->decodeAnswer(response);
+        return !answer.isNotRun && !answer.isOtherServer;
     };
     hooks.onHead = [post](const HttpResponse &response) {
         post([response](RequestRelay &self) { self.onHead(response); });
--- a/src/transport/Http1ClientExchange.cpp
+++ b/src/transport/Http1ClientExchange.cpp
@@ -11,6 +11,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <functional>
 #include <limits>
 
 namespace foxtailring {
@@ -53,6 +54,7 @@
     , m_hooks(std::move(hooks))
     , m_stepTimer(m_socket.get_executor())
     , m_timer(m_socket.get_executor())
+    , m_isFirstResponse(!m_socket.is_open())
 {
     resetParser();
 }
@@ -184,6 +186,8 @@
     const bool isFinal = !isInterim(m_parser->get().result_int());
     if (isFinal && !m_isMismatched)
         return onResponseComplete();
+    if (isFinal && !m_parser->keep_alive())
+        return fail(ErrorCode::Closed, "the connection ends with a response to another request");
     startNextResponse();
 }
 
@@ -216,17 +220,33 @@
 {
     const auto &message = m_parser->get();
     const HttpResponse head {static_cast<int>(message.result_int()), toHeaders(message), {}};
-    m_isMismatched = m_hooks.matchesRequest && !m_hooks.matchesRequest(head);
+    if (!checkHead(head))
+        return fail(ErrorCode::Malformed, "the response cannot be attributed to a request");
+    m_isFirstResponse = false;
     if (m_isMismatched)
         return;
     m_headDelivered = true;
     runHook(m_hooks.onHead, head);
 }
 
+// Returns false if a hook throws. A server that sent one response too many may send more, so the
+// connection is not reused after a mismatch.
+bool Http1ClientExchange::checkHead(const HttpResponse &head)
+{
+    const std::function<void()> check = [this, &head] {
+        m_isMismatched = m_hooks.matchesRequest && !m_hooks.matchesRequest(head, m_isFirstResponse);
+        if (m_isMismatched || (m_hooks.allowsReuse && !m_hooks.allowsReuse(head)))
+            m_allowsReuse = false;
+    };
+    return runHook(check);
+}
+
 void Http1ClientExchange::deliverBody(std::size_t bodySize)
 {
     if (!m_headDelivered && !m_isMismatched)
         deliverHead();
+    if (m_isComplete)
+        return;
     if (!m_isMismatched && bodySize > 0)
         runHook(m_hooks.onBody, std::string_view(m_bodyBuffer.data(), bodySize));
     if (m_isMismatched)
@@ -256,7 +276,7 @@
 void Http1ClientExchange::succeed()
 {
     const bool isReusable =
-        m_options.idle && m_writeDone && m_input.empty() && m_parser->keep_alive();
+        m_options.idle && m_allowsReuse && m_writeDone && m_input.empty() && m_parser->keep_alive();
     if (isReusable)
         m_options.idle->put(m_options.endpoint, std::move(m_socket),
                             reuseLifetime(m_parser->get()));
--- a/src/transport/Http1ClientExchange.h
+++ b/src/transport/Http1ClientExchange.h
@@ -56,6 +56,7 @@
     void parse();
     bool parseStep(ErrorStatus &status);
     void deliverHead();
+    bool checkHead(const HttpResponse &head);
     void deliverBody(std::size_t bodySize);
     void startNextResponse();
     void onTimeout();
@@ -75,7 +76,9 @@
     bool m_writeDone = false;
     bool m_responseDone = false;
     bool m_headDelivered = false;
+    bool m_isFirstResponse;      ///< no response came on the connection before
     bool m_isMismatched = false; ///< the response being read belongs to another request
+    bool m_allowsReuse = true;   ///< the connection may carry another request
     bool m_isComplete = false;
     int m_skippedHeads = 0;         ///< interim responses, and responses to other requests
     std::size_t m_skippedBytes = 0; ///< body bytes of responses to other requests
--- a/tests/gateway/GatewayFixture.cpp
+++ b/tests/gateway/GatewayFixture.cpp
@@ -1,5 +1,7 @@
 #include "GatewayFixture.h"
 
+#include <stdexcept>
+
 namespace foxtailring {
 
 namespace {
@@ -23,8 +25,15 @@
     return one;
 }
 
+void throwIfUnreadable(std::string_view header)
+{
+    if (!header.empty())
+        throw std::runtime_error("unreadable");
+}
+
 Result<GatewayRequest> decodeRequest(HttpRequest http)
 {
+    throwIfUnreadable(http.header("unreadable"));
     GatewayRequest request;
     request.id = http.header("id");
     request.host = "h";
@@ -49,8 +58,11 @@
 
 BackendAnswer decodeAnswer(const HttpResponse &response)
 {
+    throwIfUnreadable(response.header("unreadable"));
     BackendAnswer answer;
     answer.status = response.status;
+    answer.requestId = response.header("id");
+    answer.isOtherServer = response.status == 421;
     answer.isNotRun = !response.header("full").empty();
     answer.isSigned = !response.header("signed").empty();
     answer.namesRateLimit = !response.header("limit").empty();
--- a/tests/gateway/GatewayTest.cpp
+++ b/tests/gateway/GatewayTest.cpp
@@ -165,7 +165,7 @@
 private:
     static std::vector<HttpHeader> eventHeaders()
     {
-        return {{"Content-Type", "text/event-stream"}, {"signed", "1"}};
+        return {{"Content-Type", "text/event-stream"}, {"signed", "1"}, {"id", "1"}};
     }
 };
 
--- a/tests/gateway/RateLimitTest.cpp
+++ b/tests/gateway/RateLimitTest.cpp
@@ -74,21 +74,22 @@
         for (int i = 0; i < 2; ++i) {
             const std::string name = i == 0 ? "a" : "b";
             m_servers[i].emplace(*m_pool, Endpoint {"127.0.0.1", 0}, HttpLimits(),
-                                 [this, name](const HttpRequest &,
+                                 [this, name](const HttpRequest &request,
                                               const std::shared_ptr<Http1Responder> &responder) {
-                                     answer(name, *responder);
+                                     answer(name, request, *responder);
                                  });
             m_serverPorts[i] = m_servers[i]->listen().value();
         }
     }
 
-    void answer(const std::string &server, Http1Responder &responder)
+    void answer(const std::string &server, const HttpRequest &request, Http1Responder &responder)
     {
         {
             const std::lock_guard lock(m_mutex);
             m_arrivals[server].push_back(m_clock());
         }
         HttpResponse response = signedAnswer("done");
+        response.headers.push_back({"id", std::string(request.header("id"))});
         if (m_isLimited)
             response.headers.push_back({"limit", std::to_string(limit)});
         responder.respond(std::move(response));
--- a/tests/transport/Http1ClientTest.cpp
+++ b/tests/transport/Http1ClientTest.cpp
@@ -11,6 +11,7 @@
 #include <memory>
 
 #include <optional>
+#include <stdexcept>
 
 using namespace foxtailring;
 using std::chrono::milliseconds;
@@ -91,6 +92,9 @@
     CPPUNIT_TEST(endlessInterimResponsesAreAnError);
     CPPUNIT_TEST(endlessResponseToAnotherRequestIsAnError);
     CPPUNIT_TEST(oversizedResponseBodyIsAnError);
+    CPPUNIT_TEST(firstResponseOfAConnectionIsToldFromLaterOnes);
+    CPPUNIT_TEST(connectionIsNotReusedAgainstTheHook);
+    CPPUNIT_TEST(throwingHookEndsTheExchange);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -448,7 +452,7 @@
         RawServer server;
         StreamEvents events;
         StreamHooks hooks = events.hooks();
-        hooks.matchesRequest = [](const HttpResponse &) { return false; };
+        hooks.matchesRequest = [](const HttpResponse &, bool) { return false; };
         const auto peer = openStream(server, events, std::move(hooks));
         peer->write("HTTP/1.1 200 OK\r\nContent-Length: 100000000\r\n\r\n");
         const std::string piece(64 * 1024, 'x');
@@ -473,6 +477,69 @@
         CPPUNIT_ASSERT(answers.take().error().code == ErrorCode::Malformed);
     }
 
+    // Guards against trust in a response without an id on a connection that was used before, or
+    // that has already carried a response to another request.
+    void firstResponseOfAConnectionIsToldFromLaterOnes()
+    {
+        RawServer server;
+        const auto firsts = std::make_shared<Mailbox<bool>>();
+        const auto hooks = [firsts](StreamEvents &events) {
+            StreamHooks out = events.hooks();
+            out.matchesRequest = [firsts](const HttpResponse &head, bool isFirst) {
+                firsts->put(isFirst);
+                return head.header("id") == "2";
+            };
+            return out;
+        };
+        StreamEvents first;
+        const auto peer = openStream(server, first, hooks(first));
+        peer->write(duplicateThenResponse);
+        CPPUNIT_ASSERT(first.closed().isOk());
+        CPPUNIT_ASSERT(firsts->take());
+        CPPUNIT_ASSERT(!firsts->take());
+
+        const auto reused = firstExchange(server, "");
+        StreamEvents second;
+        m_client->stream({"127.0.0.1", server.port()}, {"GET", "/2", {}, ""}, hooks(second),
+                         reuseOptions());
+        reused->readUntil("\r\n\r\n");
+        reused->write("HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nid: 2\r\n"
+                      "Content-Length: 0\r\n\r\n");
+        CPPUNIT_ASSERT(second.closed().isOk());
+        CPPUNIT_ASSERT(!firsts->take());
+    }
+
+    // Guards against a refusal that is written once more to a connection in use again.
+    void connectionIsNotReusedAgainstTheHook()
+    {
+        RawServer server;
+        StreamEvents events;
+        StreamHooks hooks = events.hooks();
+        hooks.allowsReuse = [](const HttpResponse &head) { return head.status != 503; };
+        m_client->stream({"127.0.0.1", server.port()}, {"GET", "/", {}, ""}, std::move(hooks),
+                         reuseOptions());
+        RawPeer peer = server.accept();
+        peer.readUntil("\r\n\r\n");
+        peer.write("HTTP/1.1 503 x\r\nContent-Length: 0\r\n\r\n");
+        CPPUNIT_ASSERT(events.closed().isOk());
+        peer.waitForClose();
+    }
+
+    // Guards against an exchange that never ends because a codec throws on its response.
+    void throwingHookEndsTheExchange()
+    {
+        RawServer server;
+        StreamEvents events;
+        StreamHooks hooks = events.hooks();
+        hooks.matchesRequest = [](const HttpResponse &, bool) -> bool {
+            throw std::runtime_error("unreadable");
+        };
+        const auto peer = openStream(server, events, std::move(hooks));
+        peer->write("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc");
+        CPPUNIT_ASSERT(events.closed().error().code == ErrorCode::Malformed);
+        CPPUNIT_ASSERT_EQUAL(std::string(), events.body());
+    }
+
 private:
     // Opens a stream and reads its request at the server; default hooks if onClosed is empty.
     std::unique_ptr<RawPeer> openStream(RawServer &server, StreamEvents &events, StreamHooks hooks)
@@ -496,7 +563,9 @@
     static StreamHooks hooksMatchingId2(StreamEvents &events)
     {
         StreamHooks hooks = events.hooks();
-        hooks.matchesRequest = [](const HttpResponse &head) { return head.header("id") == "2"; };
+        hooks.matchesRequest = [](const HttpResponse &head, bool) {
+            return head.header("id") == "2";
+        };
         return hooks;
     }
 
--- a/tests/transport/RawPeer.h
+++ b/tests/transport/RawPeer.h
@@ -60,6 +60,23 @@
 
     void close() { m_socket.close(); }
 
+    /// \brief Closes the connection by a reset.
+    void reset()
+    {
+        m_socket.set_option(boost::asio::socket_base::linger(true, 0));
+        m_socket.close();
+    }
+
+    /// \brief Fails the test if the other end does not close the connection before testDeadline.
+    void waitForClose()
+    {
+        pollfd waited {m_socket.native_handle(), POLLIN, 0};
+        const std::chrono::milliseconds timeout = testDeadline;
+        CPPUNIT_ASSERT_MESSAGE("not closed before the deadline",
+                               ::poll(&waited, 1, static_cast<int>(timeout.count())) == 1);
+        CPPUNIT_ASSERT_EQUAL(std::string(), readAll());
+    }
+
 private:
     boost::asio::io_context m_context;
     Tcp::socket m_socket;
