gateway: keep probes and orders for copies off the connections of requests

Cause: probes and orders for copies used any kept-alive connection, and their answers name no request. An answer to a request that was written once more could be taken for the answer to an order: the handle of another run's copy would mix two answers, and a release that failed counted as done. Change: orders for copies use a connection of their own (GatewayParts::sendOrder). Probes have a pool of their own (probeHttp); a report that is written once more there is a stale report of the same process, which decides placement only: the probes that judge a run or a copy's holder already used new connections. Measured: build/tests/gateway_test OrderConnectionTest on: both tests "no connection before the deadline", as the used connection was taken; now both pass, gateway 32 cases pass. The cost of the additional connections is not measured. Conclusion: no answer to a request reaches a probe or an order. A test that drives RequestRelay::copyRun itself is missing: the test fleet has no engine that copies on demand; it shares sendOrder with the release that is tested.

--- a/src/gateway/GatewayParts.cpp
+++ b/src/gateway/GatewayParts.cpp
@@ -17,7 +17,8 @@
 constexpr std::chrono::milliseconds keyFreshnessMargin {100};
 
 constexpr std::chrono::milliseconds releaseTimeout {500};
-constexpr std::size_t maxReleaseResponseBytes = 64 * 1024;
+constexpr std::chrono::milliseconds orderConnectTimeout {250};
+constexpr std::size_t maxOrderResponseBytes = 64 * 1024;
 // Requests may hold this fraction of the VM's memory; connection buffers and lists need the rest.
 constexpr std::size_t memoryBudgetDivisor = 4;
 
@@ -37,6 +38,7 @@
     , clock(bootClock())
     , pool(settings.threads)
     , http(pool)
+    , probeHttp(pool)
     , queue(pool)
     , placer(servers, settings.availabilityZone, settings.regions, BackendPlacer::Settings {})
     , random(RandomSource::fromEntropy())
@@ -125,15 +127,25 @@
                               response ? "status " + std::to_string(response.value().status)
                                        : response.error().message}});
     };
-    const auto endpoint = Endpoint::parse(copy.address);
-    if (!endpoint)
-        return hook(endpoint.error());
     if (!copy.serverId.empty() && !rateLimits.tryAcquire(copy.serverId, clock()))
         return hook(Error {ErrorCode::Overloaded, "the server's rate limit"});
-    ExchangeOptions options = ExchangeOptions::pooled();
-    options.maxBodyBytes = maxReleaseResponseBytes;
-    http.request(endpoint.value(), codec.encodeCopyRelease(copy.handle), releaseTimeout, hook,
-                 options);
+    sendOrder(copy.address, codec.encodeCopyRelease(copy.handle), releaseTimeout, hook);
+}
+
+// The response to an order names neither the order nor the run. On a connection that was used
+// before, the handle of another run's copy could be taken for this one's, which would mix two
+// answers.
+void GatewayParts::sendOrder(std::string_view address, HttpRequest order,
+                             std::chrono::milliseconds timeout,
+                             const Http1Client::ResponseHook &hook)
+{
+    const auto endpoint = Endpoint::parse(address);
+    if (!endpoint)
+        return hook(endpoint.error());
+    ExchangeOptions options;
+    options.connectTimeout = orderConnectTimeout;
+    options.maxBodyBytes = maxOrderResponseBytes;
+    http.request(endpoint.value(), std::move(order), timeout, hook, options);
 }
 
 } // namespace foxtailring
--- a/src/gateway/GatewayParts.h
+++ b/src/gateway/GatewayParts.h
@@ -19,7 +19,10 @@
 #include "foxtailring/transport/SerialQueue.h"
 #include "foxtailring/transport/WorkerPool.h"
 
+#include <chrono>
 #include <memory>
+#include <string>
+#include <string_view>
 
 namespace foxtailring {
 
@@ -40,6 +43,10 @@
     /// copy then expires by itself.
     void releaseCopy(const std::string &requestId, const CopyReference &copy);
 
+    /// \brief Sends a server an order for a copy on a connection of its own.
+    void sendOrder(std::string_view address, HttpRequest order, std::chrono::milliseconds timeout,
+                   const Http1Client::ResponseHook &hook);
+
     /// \brief Divides shared limits by the number of gateways that is known now.
     void updateFleetSize();
     /// \brief Logs and counts that the retry budget kept a request from another server.
@@ -56,6 +63,9 @@
     WorkerPool pool;
     MetricRegistry metrics;
     Http1Client http;
+    /// Of probes. Their answers name no request, so they share no connection with requests: a late
+    /// answer to a request would be taken for a report.
+    Http1Client probeHttp;
     SerialQueue queue;
 
     std::shared_ptr<const RouteTable> routes; ///< null until the first configuration was read
--- a/src/gateway/RequestRelay.cpp
+++ b/src/gateway/RequestRelay.cpp
@@ -32,7 +32,6 @@
 constexpr std::size_t maxBufferedAnswerBytes = 16 * 1024 * 1024;
 // By then attempts with an oversized answer have been cancelled, which frees their memory.
 constexpr milliseconds memoryRetryAfter {500};
-constexpr std::size_t maxCopyResponseBytes = 64 * 1024;
 constexpr std::size_t maxUnreadCallerBytes = 1024 * 1024;
 constexpr milliseconds minTimerDelay {5};
 
@@ -221,15 +220,9 @@
                 self->onRunCopied(command, response);
         });
     };
-    const auto endpoint = Endpoint::parse(command.from.info.address);
-    if (!endpoint)
-        return hook(endpoint.error());
-    ExchangeOptions options = ExchangeOptions::pooled();
-    options.connectTimeout = connectTimeout;
-    options.maxBodyBytes = maxCopyResponseBytes;
-    m_parts.http.request(endpoint.value(),
-                         m_parts.codec.encodeCopyRequest(m_request.id, command.to.info.address),
-                         command.timeout, hook, options);
+    m_parts.sendOrder(command.from.info.address,
+                      m_parts.codec.encodeCopyRequest(m_request.id, command.to.info.address),
+                      command.timeout, hook);
 }
 
 void RequestRelay::onRunCopied(const CopyRun &command, const Result<HttpResponse> &response)
--- a/src/gateway/ServerProbe.cpp
+++ b/src/gateway/ServerProbe.cpp
@@ -49,7 +49,7 @@
     const bool isPromptProbe = m_probe.subject == ProbeServers::Subject::Prompt;
     HttpRequest request =
         isPromptProbe ? m_parts.codec.encodePromptProbe() : m_parts.codec.encodeLoadProbe();
-    m_parts.http.request(endpoint.value(), std::move(request), m_probe.timeout, hook, options);
+    m_parts.probeHttp.request(endpoint.value(), std::move(request), m_probe.timeout, hook, options);
 }
 
 Result<ServerProbeResult> ServerProbe::decode(const HttpResponse &response) const
