gateway: believe the end of a run without an event only from two servers

Cause: an event stream that ended in order without a single event was passed on as complete, and so was a success without a body on a streaming route. When a stream had broken off and a faulty server continued it with nothing, or with events that the caller had, the caller took the part for the whole. Change: such an end counts as a lost attempt. Nothing marks the last event, so a run whose caller already had it when it was resumed ends without an event, too: a second server that ends it in the same way is believed (StreamSession::confirmEnd). A signed success of another type with a body is passed on whole as the first answer, as before: it is its server's whole answer; after a break it cuts the stream. Measured: build/tests/gateway_test BrokenStreamTest on: answerAfterABreakIsNeverPartOfTheStream ("200 signed event stream: " looks complete), streamAfterABreakMayNotEndWithoutAnEvent, brokenContinuationIsCut, firstStreamWithoutEventsIsRetried and firstEmptySuccessIsRetried fail; all other statuses, signed or not, cut the stream already (StreamSession::conclude). Conclusion: a run lost between its last event and its end needs two more servers; without them its stream is cut.

--- a/include/foxtailring/decisions/StreamSession.h
+++ b/include/foxtailring/decisions/StreamSession.h
@@ -31,6 +31,9 @@
 
     /// \brief An event arrived. After Gap, the attempt must be ended as lost.
     EventVerdict onEvent(std::int64_t id, TimePoint now);
+    /// \brief Whether a stream that ends now is complete. If not, the attempt must be ended as
+    /// lost.
+    bool confirmEnd();
     /// \brief The stream ended completely.
     ForwardAction onFinished(TimePoint now);
     ForwardAction onProbed(std::span<const ServerProbeResult> reports, TimePoint now) override;
@@ -83,8 +86,9 @@
     RunCopy m_copy; ///< of the current run
     std::optional<std::int64_t> m_lastEventId;
     bool m_hasStarted = false;
-    bool m_hasEvents = false; ///< in the current attempt
-    bool m_isResumed = false; ///< the current attempt resumes from a copy
+    bool m_hasEvents = false;   ///< in the current attempt
+    bool m_isResumed = false;   ///< the current attempt resumes from a copy
+    bool m_hasEmptyEnd = false; ///< an attempt ended in order without an event
     TimePoint m_lastEventAt;
     TimePoint m_firstEventAt;  ///< of the current attempt
     TimePoint m_lastContactAt; ///< with the current server
--- a/src/decisions/StreamSession.cpp
+++ b/src/decisions/StreamSession.cpp
@@ -94,6 +94,14 @@
     return EventVerdict::Next;
 }
 
+// A run produces at least one event, unless its caller already had the last one when it was
+// resumed. Nothing marks the last event, so an end without an event is only believed when a second
+// server confirms it.
+bool StreamSession::confirmEnd()
+{
+    return m_hasEvents || std::exchange(m_hasEmptyEnd, true);
+}
+
 ForwardAction StreamSession::onFinished(TimePoint now)
 {
     if (hasServer())
--- a/src/gateway/RequestRelay.cpp
+++ b/src/gateway/RequestRelay.cpp
@@ -386,12 +386,23 @@
     }
     if (m_attempt.isStreaming)
         return onStreamEnd();
+    if (isEmptyRun())
+        return endAttempt(AttemptResult::Lost);
     perform(m_session->onAnswer(m_attempt.answer, m_parts.clock()));
 }
 
+// A run has an output, so an empty success is not its answer.
+bool RequestRelay::isEmptyRun() const
+{
+    const BackendAnswer &answer = m_attempt.answer;
+    const std::string &method = m_request.http.method;
+    return m_stream && answer.status == 200 && !answer.isNotRun && m_attempt.body.empty()
+        && method != "HEAD" && method != "OPTIONS";
+}
+
 void RequestRelay::onStreamEnd()
 {
-    if (m_attempt.events.hasPartialEvent())
+    if (m_attempt.events.hasPartialEvent() || !m_stream->confirmEnd())
         return endAttempt(AttemptResult::Lost);
     startStreamedAnswer();
     perform(m_stream->onFinished(m_parts.clock()));
--- a/src/gateway/RequestRelay.h
+++ b/src/gateway/RequestRelay.h
@@ -70,6 +70,7 @@
     bool updateHeldMemory(std::string_view what);
     void onEvent(std::optional<std::int64_t> id, std::string_view text);
     void onClosed(const Result<Done> &result);
+    bool isEmptyRun() const;
     void onStreamEnd();
     void endAttempt(AttemptResult result);
     void recordResume(TimePoint now);
--- a/tests/decisions/StreamSessionTest.cpp
+++ b/tests/decisions/StreamSessionTest.cpp
@@ -35,6 +35,7 @@
     CPPUNIT_TEST(eventsArePassedOnInOrder);
     CPPUNIT_TEST(startedStreamIsAbortedWhenItCannotResume);
     CPPUNIT_TEST(startedStreamIsAbortedWhenItsRetryIsAnswered);
+    CPPUNIT_TEST(endWithoutAnEventNeedsASecondServer);
     CPPUNIT_TEST(streamThatIsNotResumableIsSentOnce);
     CPPUNIT_TEST(serviceWithoutProbesIsWaitedFor);
     CPPUNIT_TEST(countsAtServersReturnToZero);
@@ -385,6 +386,21 @@
         CPPUNIT_ASSERT(session.onEvent(3, now) == EventVerdict::Next);
     }
 
+    // Guards against a faulty server that ends a run with nothing, and against a run whose last
+    // event had arrived that can never end.
+    void endWithoutAnEventNeedsASecondServer()
+    {
+        StreamSession session(m_route, request(), context(), {true, true, true});
+        started(session);
+        session.onEvent(1, now);
+        CPPUNIT_ASSERT(session.confirmEnd());
+        placed(session, session.onAttemptEnded(AttemptResult::Lost, now), now);
+        session.onEvent(1, now);
+        CPPUNIT_ASSERT(!session.confirmEnd());
+        placed(session, session.onAttemptEnded(AttemptResult::Lost, now), now);
+        CPPUNIT_ASSERT(session.confirmEnd());
+    }
+
     void startedStreamIsAbortedWhenItCannotResume()
     {
         HttpRoute once = m_route;
--- /dev/null
+++ b/tests/gateway/BrokenStreamTest.cpp
@@ -0,0 +1,227 @@
+#include "GatewayFixture.h"
+
+using namespace foxtailring;
+
+namespace {
+
+// What a caller received: the bytes before the end, and whether the end looks complete.
+struct Received
+{
+    int status = 0;
+    std::string body;
+    bool isComplete = false;
+};
+
+} // namespace
+
+// What a caller sees of a stream whose servers fail, for all kinds of answers of the next server.
+class BrokenStreamTest : public GatewayFixture
+{
+    CPPUNIT_TEST_SUITE(BrokenStreamTest);
+    CPPUNIT_TEST(answerAfterABreakIsNeverPartOfTheStream);
+    CPPUNIT_TEST(streamAfterABreakMayNotEndWithoutAnEvent);
+    CPPUNIT_TEST(brokenContinuationIsCut);
+    CPPUNIT_TEST(firstStreamWithoutEventsIsRetried);
+    CPPUNIT_TEST(firstEmptySuccessIsRetried);
+    CPPUNIT_TEST(firstErrorIsPassedOnWhole);
+    CPPUNIT_TEST(firstSuccessOfAnotherTypeIsPassedOnWhole);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against the text of an error, or its head, in the middle of a stream, and against an
+    // end that looks complete.
+    void answerAfterABreakIsNeverPartOfTheStream()
+    {
+        for (const int status :
+             {200, 201, 204, 206, 301, 304, 400, 404, 408, 421, 429, 500, 502, 503, 504, 599}) {
+            for (const bool isSigned : {false, true}) {
+                for (const bool isEventStream : {false, true}) {
+                    for (const std::string body : {"", "id: 2\ndata: error\n\n", "failed"})
+                        breakThenAnswer(status, isSigned, isEventStream, body);
+                }
+            }
+        }
+    }
+
+    // Guards against a stream that ends as if it were complete because a faulty server continued it
+    // with nothing.
+    void streamAfterABreakMayNotEndWithoutAnEvent()
+    {
+        for (const char *body : {"", ": comment\n\n", "id: 1\ndata: x\n\n"}) {
+            beginStream();
+            ReceivedRequest second = m_received->take();
+            second.responder->startStream(200, eventHeaders());
+            second.responder->write(body);
+            second.responder->finish();
+            const Received received = waitForEnd();
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(body, eventText(1), received.body);
+            CPPUNIT_ASSERT_MESSAGE(body, !received.isComplete);
+        }
+    }
+
+    // Guards against text without an event's form in the middle of a stream.
+    void brokenContinuationIsCut()
+    {
+        for (const char *body : {"id: 2\nda", "data: error\n\n", "id: x\ndata: error\n\n",
+                                 "id: 9\ndata: x\n\n", "HTTP/1.1 500 x\r\nid: 1\r\n\r\n"}) {
+            beginStream();
+            ReceivedRequest second = m_received->take();
+            second.responder->startStream(200, eventHeaders());
+            second.responder->write(body);
+            second.responder->finish();
+            const Received received = waitForEnd();
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(body, eventText(1), received.body);
+            CPPUNIT_ASSERT_MESSAGE(body, !received.isComplete);
+        }
+    }
+
+    // Guards against an empty stream that is passed on as a complete answer.
+    void firstStreamWithoutEventsIsRetried()
+    {
+        for (const char *body : {"", ": comment\n\n", "id: 1\nda"}) {
+            restart();
+            openStream();
+            ReceivedRequest first = m_received->take();
+            first.responder->startStream(200, eventHeaders());
+            first.responder->write(body);
+            first.responder->finish();
+            serveSecond();
+        }
+    }
+
+    // Guards against a success without a body in place of a run's output.
+    void firstEmptySuccessIsRetried()
+    {
+        for (const bool isEventStream : {false, true}) {
+            restart();
+            openStream();
+            m_received->take().responder->respond(answer(200, true, isEventStream, ""));
+            serveSecond();
+        }
+    }
+
+    // Guards against errors that are held back although their caller can be told.
+    void firstErrorIsPassedOnWhole()
+    {
+        for (const bool isEventStream : {false, true}) {
+            for (const bool isSigned : {false, true}) {
+                restart();
+                openStream();
+                m_received->take().responder->respond(
+                    answer(404, isSigned, isEventStream, "id: 1\ndata: no\n\n"));
+                const Received received = waitForEnd();
+                CPPUNIT_ASSERT_EQUAL(404, received.status);
+                CPPUNIT_ASSERT_EQUAL(std::string("id: 1\ndata: no\n\n"), received.body);
+                CPPUNIT_ASSERT(received.isComplete);
+            }
+        }
+    }
+
+    // Guards against a whole answer of another type, which its server signed, that gets lost.
+    void firstSuccessOfAnotherTypeIsPassedOnWhole()
+    {
+        restart();
+        openStream();
+        m_received->take().responder->respond(answer(200, true, false, "whole"));
+        const Received received = waitForEnd();
+        CPPUNIT_ASSERT_EQUAL(200, received.status);
+        CPPUNIT_ASSERT_EQUAL(std::string("whole"), received.body);
+        CPPUNIT_ASSERT(received.isComplete);
+    }
+
+private:
+    void breakThenAnswer(int status, bool isSigned, bool isEventStream, const std::string &body)
+    {
+        const std::string what = std::to_string(status) + (isSigned ? " signed " : " unsigned ")
+            + (isEventStream ? "event stream: " : "text: ") + body;
+        // A continuation in order is no error.
+        if (status >= 200 && status < 300 && isSigned && isEventStream && body.starts_with("id: 2"))
+            return;
+        beginStream();
+        m_received->take().responder->respond(answer(status, isSigned, isEventStream, body));
+        const Received received = waitForEnd();
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(what, 200, received.status);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(what, eventText(1), received.body);
+        CPPUNIT_ASSERT_MESSAGE(what, !received.isComplete);
+    }
+
+    static HttpResponse answer(int status, bool isSigned, bool isEventStream,
+                               const std::string &body)
+    {
+        HttpResponse out {status, {{"id", "1"}}, body};
+        out.headers.push_back({"Content-Type", isEventStream ? "text/event-stream" : "text/plain"});
+        if (isSigned)
+            out.headers.push_back({"signed", "1"});
+        return out;
+    }
+
+    static std::vector<HttpHeader> eventHeaders()
+    {
+        return {{"Content-Type", "text/event-stream"}, {"signed", "1"}, {"id", "1"}};
+    }
+
+    // A failure of a server in one case must not decide where the next case is sent.
+    void restart()
+    {
+        startGateway(std::chrono::milliseconds(20'000));
+        startServing();
+    }
+
+    void openStream()
+    {
+        m_caller = std::make_shared<Caller>();
+        StreamHooks hooks;
+        hooks.onHead = [caller = m_caller](const HttpResponse &head) {
+            caller->received.status = head.status;
+        };
+        hooks.onBody = [caller = m_caller](std::string_view bytes) {
+            caller->received.body += bytes;
+        };
+        hooks.onClosed = [caller = m_caller](const Result<Done> &result) {
+            caller->received.isComplete = result.isOk();
+            caller->ended.put(true);
+        };
+        m_client->stream({"127.0.0.1", m_ports.callers},
+                         {"POST", "/stream/x", {{"id", "1"}, {"key", "good"}}, ""},
+                         std::move(hooks));
+    }
+
+    // Opens a stream whose first server breaks it off after the event 1.
+    void beginStream()
+    {
+        restart();
+        openStream();
+        ReceivedRequest first = m_received->take();
+        first.responder->startStream(200, eventHeaders());
+        first.responder->write(eventText(1));
+        first.responder->abort();
+    }
+
+    Received waitForEnd()
+    {
+        m_caller->ended.take();
+        return m_caller->received;
+    }
+
+    void serveSecond()
+    {
+        waitUntil([this] { return !m_received->isEmpty() || !m_caller->ended.isEmpty(); });
+        CPPUNIT_ASSERT_MESSAGE("the first answer was passed on", m_caller->ended.isEmpty());
+        ReceivedRequest second = m_received->take();
+        second.responder->startStream(200, eventHeaders());
+        second.responder->write(eventText(1));
+        second.responder->finish();
+        const Received received = waitForEnd();
+        CPPUNIT_ASSERT_EQUAL(eventText(1), received.body);
+        CPPUNIT_ASSERT(received.isComplete);
+    }
+
+    struct Caller
+    {
+        Received received;
+        Mailbox<bool> ended;
+    };
+    std::shared_ptr<Caller> m_caller;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(BrokenStreamTest);
