--- a/include/foxtailring/decisions/StreamSession.h
+++ b/include/foxtailring/decisions/StreamSession.h
@@ -31,6 +31,9 @@
 
     /// \brief An event arrived. After Gap, the attempt must be ended as lost.
     EventVerdict onEvent(std::int64_t id, TimePoint now);
+    /// \brief Whether a stream that ends now is complete. If not, the attempt must be ended as
+    /// lost.
+    bool confirmEnd();
     /// \brief The stream ended completely.
     ForwardAction onFinished(TimePoint now);
     ForwardAction onProbed(std::span<const ServerProbeResult> reports, TimePoint now) override;
@@ -92,6 +95,7 @@
     std::uint32_t m_attemptEvents = 0; ///< passed on in the current attempt
     bool m_isHarmless = false;         ///< an attempt outlived the beginning of its answer
     bool m_isResumed = false;          ///< the current attempt resumes from a copy
+    bool m_hasEmptyEnd = false;        ///< an attempt ended in order without an event
     TimePoint m_lastEventAt;
     TimePoint m_firstEventAt;  ///< of the current attempt
     TimePoint m_lastContactAt; ///< with the current server
--- a/src/decisions/StreamSession.cpp
+++ b/src/decisions/StreamSession.cpp
@@ -110,6 +110,14 @@
     return m_attemptEvents >= outlivedEvents;
 }
 
+// A run produces at least one event, unless its caller already had the last one when it was
+// resumed. Nothing marks the last event, so an end without an event is only believed when a second
+// server confirms it.
+bool StreamSession::confirmEnd()
+{
+    return m_hasEvents || std::exchange(m_hasEmptyEnd, true);
+}
+
 ForwardAction StreamSession::onFinished(TimePoint now)
 {
     if (!hasOutlivedStart())
--- a/src/gateway/RequestRelay.cpp
+++ b/src/gateway/RequestRelay.cpp
@@ -32,7 +32,6 @@
 constexpr std::size_t maxBufferedAnswerBytes = 16 * 1024 * 1024;
 // By then attempts with an oversized answer have been cancelled, which frees their memory.
 constexpr milliseconds memoryRetryAfter {500};
-constexpr std::size_t maxCopyResponseBytes = 64 * 1024;
 constexpr std::size_t maxUnreadCallerBytes = 1024 * 1024;
 constexpr milliseconds minTimerDelay {5};
 
@@ -170,10 +169,18 @@
     metadata.fromCopy = next.fromCopy;
     const auto post = attemptPoster(m_attempt.number);
     StreamHooks hooks;
-    hooks.matchesRequest = [codec = &m_parts.codec,
-                            id = m_request.id](const HttpResponse &response) {
+    // Only the refusal of a malformed request has no id. On a connection that was used before, it
+    // may as well be an earlier answer that is written once more.
+    hooks.matchesRequest = [codec = &m_parts.codec, id = m_request.id](const HttpResponse &response,
+                                                                       bool isFirstResponse) {
         const std::string answered = codec->decodeAnswer(response).requestId;
-        return answered.empty() || answered == id;
+        return answered.empty() ? isFirstResponse : answered == id;
+    };
+    // A repeated refusal with the id of this request could meet its next attempt at the same
+    // address, so no connection that carried a refusal is used again.
+    hooks.allowsReuse = [codec = &m_parts.codec](const HttpResponse &response) {
+        const BackendAnswer answer = codec->decodeAnswer(response);
+        return !answer.isNotRun && !answer.isOtherServer;
     };
     hooks.onHead = [post](const HttpResponse &response) {
         post([response](RequestRelay &self) { self.onHead(response); });
@@ -229,15 +236,9 @@
                 self->onRunCopied(command, response);
         });
     };
-    const auto endpoint = Endpoint::parse(command.from.info.address);
-    if (!endpoint)
-        return hook(endpoint.error());
-    ExchangeOptions options = ExchangeOptions::pooled();
-    options.connectTimeout = connectTimeout;
-    options.maxBodyBytes = maxCopyResponseBytes;
-    m_parts.http.request(endpoint.value(),
-                         m_parts.codec.encodeCopyRequest(m_request.id, command.to.info.address),
-                         command.timeout, hook, options);
+    m_parts.sendOrder(command.from.info.address,
+                      m_parts.codec.encodeCopyRequest(m_request.id, command.to.info.address),
+                      command.timeout, hook);
 }
 
 void RequestRelay::onRunCopied(const CopyRun &command, const Result<HttpResponse> &response)
@@ -399,12 +400,23 @@
         return endAttempt(failureOf(result.error()));
     if (m_attempt.isStreaming)
         return onStreamEnd();
+    if (isEmptyRun())
+        return endAttempt(AttemptResult::Lost);
     perform(m_session->onAnswer(m_attempt.answer, m_parts.clock()));
 }
 
+// A run has an output, so an empty success is not its answer.
+bool RequestRelay::isEmptyRun() const
+{
+    const BackendAnswer &answer = m_attempt.answer;
+    const std::string &method = m_request.http.method;
+    return m_stream && answer.status == 200 && !answer.isNotRun && m_attempt.body.empty()
+        && method != "HEAD" && method != "OPTIONS";
+}
+
 void RequestRelay::onStreamEnd()
 {
-    if (m_attempt.events.hasPartialEvent())
+    if (m_attempt.events.hasPartialEvent() || !m_stream->confirmEnd())
         return endAttempt(AttemptResult::Lost);
     startStreamedAnswer();
     perform(m_stream->onFinished(m_parts.clock()));
--- a/src/transport/Http1Connection.cpp
+++ b/src/transport/Http1Connection.cpp
@@ -342,8 +342,8 @@
     m_deadline.start(delay, [self = shared_from_this()] { self->onTimeout(); });
 }
 
-// An idle connection is shut down in order, so that a caller whose request crosses the close sees no
-// reset. A part of a request is refused: its caller may send the rest and wait for an answer.
+// An idle connection is shut down in order, so that a caller whose request crosses the close sees
+// no reset. A part of a request is refused: its caller may send the rest and wait for an answer.
 void Http1Connection::onTimeout()
 {
     if (hasUnreadInput() && !std::exchange(m_isOverdue, true))
@@ -363,9 +363,10 @@
     return m_isReading && m_phase == Phase::Request && m_socket.available(status) > 0 && !status;
 }
 
-// The socket takes megabytes at once, and more only when a third of its buffer is free: a caller that
-// reads steadily may show no progress there for seconds, and turns idle when it has the last byte.
-// Acknowledgements alone prove nothing, since a caller that reads nothing acknowledges window probes.
+// The socket takes megabytes at once, and more only when a third of its buffer is free: a caller
+// that reads steadily may show no progress there for seconds, and turns idle when it has the last
+// byte. Acknowledgements alone prove nothing, since a caller that reads nothing acknowledges window
+// probes.
 bool Http1Connection::extendForReader()
 {
     if (m_deadlineLimit != &HttpLimits::idleTimeout || m_unacknowledged == 0)
--- a/src/transport/Http1Connection.h
+++ b/src/transport/Http1Connection.h
@@ -68,7 +68,8 @@
     void drain();
     void onTimeout();
     bool hasUnreadInput();
-    /// \brief Restarts the deadline at the time at which the caller last took a part of the response.
+    /// \brief Restarts the deadline at the time at which the caller last took a part of the
+    /// response.
     bool extendForReader();
     /// \brief Refuses a request that has not arrived within its time limit.
     void rejectLate();
@@ -90,7 +91,7 @@
     StrandTimer m_deadline;
     TimeLimit m_deadlineLimit = nullptr; ///< that the deadline follows; null: it is fixed
     std::chrono::steady_clock::time_point m_deadlineStartedAt;
-    bool m_isOverdue = false; ///< the deadline has passed, input that had arrived is read
+    bool m_isOverdue = false;         ///< the deadline has passed, input that had arrived is read
     std::size_t m_unacknowledged = 0; ///< of the bytes written, when the deadline was set
     Phase m_phase = Phase::Request;
     std::optional<Parser> m_parser;
--- a/src/transport/Net.h
+++ b/src/transport/Net.h
@@ -20,12 +20,12 @@
 /// \brief Sets TCP_NODELAY and TCP keep-alive, as for every connection.
 void setSocketOptions(Socket &socket);
 
-/// \brief Closes the connection when sent bytes stay unacknowledged for \a limit
-/// (TCP_USER_TIMEOUT).
 /// \brief Bytes written to \a socket that the peer's system has not acknowledged.
 std::size_t unacknowledgedBytes(Socket &socket);
 /// \brief Time since the peer's system last acknowledged anything.
 std::chrono::milliseconds timeSinceAcknowledgement(Socket &socket);
+/// \brief Closes the connection when sent bytes stay unacknowledged for \a limit
+/// (TCP_USER_TIMEOUT).
 void setUnacknowledgedTimeout(Socket &socket, std::chrono::milliseconds limit);
 
 } // namespace foxtailring
--- a/tests/transport/Http1ServerTest.cpp
+++ b/tests/transport/Http1ServerTest.cpp
@@ -489,7 +489,8 @@
         CPPUNIT_ASSERT(peer.readAll().starts_with("HTTP/1.1 431 "));
     }
 
-    // A caller that reads steadily must not be cut because the socket's buffer takes megabytes at once.
+    // A caller that reads steadily must not be cut because the socket's buffer takes megabytes at
+    // once.
     void slowReaderGetsTheWholeResponse()
     {
         setIdleTimeout(shortTimeout);
@@ -519,21 +520,22 @@
                   400);
     }
 
-    // After a pause of the process, requests had arrived on connections whose idle limit has passed.
+    // After a pause of the process, requests had arrived on connections whose idle limit has
+    // passed.
     void inputThatWaitedDuringAPauseIsRead()
     {
         WorkerPool pool(1);
         Mailbox<bool> isPaused;
         Mailbox<bool> mayGoOn;
-        Http1Server server(pool, Endpoint {"127.0.0.1", 0}, smallLimits,
-                           [&](const HttpRequest &request,
-                               const std::shared_ptr<Http1Responder> &responder) {
-                               if (request.target == "/pause") {
-                                   isPaused.put(true);
-                                   mayGoOn.take();
-                               }
-                               responder->respond({204, {}, {}});
-                           });
+        Http1Server server(
+            pool, Endpoint {"127.0.0.1", 0}, smallLimits,
+            [&](const HttpRequest &request, const std::shared_ptr<Http1Responder> &responder) {
+                if (request.target == "/pause") {
+                    isPaused.put(true);
+                    mayGoOn.take();
+                }
+                responder->respond({204, {}, {}});
+            });
         const std::uint16_t port = server.listen().value();
         server.setLimits({1024, 4096, std::chrono::seconds(2)});
         std::vector<std::unique_ptr<RawPeer>> peers;
