--- a/tests/gateway/GatewayFixture.cpp
+++ b/tests/gateway/GatewayFixture.cpp
@@ -1,5 +1,7 @@
 #include "GatewayFixture.h"
 
+#include <sstream>
+
 #include <stdexcept>
 
 namespace foxtailring {
@@ -39,6 +41,9 @@
     request.host = "h";
     request.path = http.target;
     request.apiKey = http.header("key");
+    std::istringstream parts {std::string(http.header("parts"))};
+    for (std::string part; std::getline(parts, part, ',');)
+        request.sharedPromptParts.push_back(part);
     request.http = std::move(http);
     return request;
 }
@@ -47,6 +52,8 @@
 {
     HttpRequest request = caller.http;
     request.headers = {{"id", caller.id}, {"server", std::string(metadata.serverId)}};
+    if (!caller.sharedPromptParts.empty())
+        request.headers.push_back({"parts", std::string(caller.http.header("parts"))});
     if (metadata.lastEventId)
         request.headers.push_back({"last", std::to_string(*metadata.lastEventId)});
     if (metadata.copyTo)
--- a/tests/gateway/GatewayFixture.h
+++ b/tests/gateway/GatewayFixture.h
@@ -45,9 +45,9 @@
 /// each of their requests itself.
 ///
 /// Wire format of the test: requests have the headers `id`, `key`, `last` (event id), `copy-to` and
-/// `copy-at`; a response with `full` was not run, one with `signed` is signed, `id` is the request
-/// that it answers, and `limit` is a rate limit. The codec throws on a message with `unreadable`. A
-/// server's entry in the store is its zone.
+/// `copy-at`, and `parts` of the prompt; a response with `full` was not run, one with `signed` is
+/// signed, `id` is the request that it answers, and `limit` is a rate limit. The codec throws on a
+/// message with `unreadable`. A server's entry in the store is its zone.
 class GatewayFixture : public CppUnit::TestFixture
 {
 public:
