platform: read from an answer whether its server leaves

Cause: servers now say in each answer that they leave; nothing read the header, so callers' requests went on to them. Only the value `1`, once, is read as leaving; any other value, and a repeated header, is unreadable and taken for neither. The two new tests use the new field and don't build without it.

--- a/include/foxtailring/decisions/BackendAnswer.h
+++ b/include/foxtailring/decisions/BackendAnswer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "foxtailring/decisions/BackendLoadReport.h"
+#include "foxtailring/decisions/LeavingNotice.h"
 
 #include <optional>
 #include <string>
@@ -19,6 +20,7 @@
     std::optional<BackendLoadReport> load;
     bool namesRateLimit = false;     ///< has a rate limit, readable or not
     std::optional<double> rateLimit; ///< requests per second from all processes together
+    LeavingNotice leaving = LeavingNotice::None;
 
     bool isSuccess() const { return status >= 200 && status < 300; }
 };
--- a/include/foxtailring/decisions/ServerProbeResult.h
+++ b/include/foxtailring/decisions/ServerProbeResult.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "foxtailring/decisions/BackendLoadReport.h"
+#include "foxtailring/decisions/LeavingNotice.h"
 
 #include <cstdint>
 #include <optional>
@@ -17,6 +18,7 @@
     std::int64_t eventCount = 0;  ///< events produced by that run
     bool hasPrompt = false;       ///< the prompt that the probe asked about is in its memory
     std::int64_t startedAtMs = 0; ///< Unix time of its start; 0: not given
+    LeavingNotice leaving = LeavingNotice::None;
 };
 
 } // namespace foxtailring
--- a/tests/platform/WireFormatTest.cpp
+++ b/tests/platform/WireFormatTest.cpp
@@ -15,6 +15,8 @@
     CPPUNIT_TEST(copyOnDemandIsNamedByItsHandle);
     CPPUNIT_TEST(answerIsDecoded);
     CPPUNIT_TEST(rateLimitIsDecoded);
+    CPPUNIT_TEST(leavingIsDecoded);
+    CPPUNIT_TEST(leavingIsDecodedFromProbes);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -126,6 +128,48 @@
         }
     }
 
+    // Guards against missing that a server leaves, and against losing a server to a header that
+    // says something else.
+    void leavingIsDecoded()
+    {
+        const auto decode = [this](std::vector<HttpHeader> headers) {
+            return m_codec.decodeAnswer({503, std::move(headers), ""}).leaving;
+        };
+        CPPUNIT_ASSERT(decode({}) == LeavingNotice::None);
+        CPPUNIT_ASSERT(decode({{"Server-Leaving", "1"}}) == LeavingNotice::Leaving);
+        CPPUNIT_ASSERT(decode({{"server-leaving", "1"}}) == LeavingNotice::Leaving);
+        const std::string garbled[] = {"",
+                                       "0",
+                                       "2",
+                                       "01",
+                                       "1.0",
+                                       "1,1",
+                                       "true",
+                                       "\x01",
+                                       std::string("1\0", 2),
+                                       std::string(1'000'000, '1')};
+        for (const std::string &value : garbled)
+            CPPUNIT_ASSERT_MESSAGE(value.substr(0, 20),
+                                   decode({{"Server-Leaving", value}})
+                                       == LeavingNotice::Unreadable);
+        CPPUNIT_ASSERT(decode({{"Server-Leaving", "1"}, {"Server-Leaving", "1"}})
+                       == LeavingNotice::Unreadable);
+    }
+
+    // Guards against a run that is placed at a server whose answer to the probe said that it
+    // leaves.
+    void leavingIsDecodedFromProbes()
+    {
+        const std::vector<HttpHeader> headers {{"Server-Leaving", "1"}};
+        const HttpResponse load {200, headers,
+                                 R"({"num_waiting":0,"num_running":0,"kv_used":0,"kv_total":1})"};
+        const HttpResponse prompts {200, headers, R"({"held":[]})"};
+        CPPUNIT_ASSERT(m_codec.decodeLoadReport(load, "r").value().leaving
+                       == LeavingNotice::Leaving);
+        CPPUNIT_ASSERT(m_codec.decodePromptList(prompts, "p").value().leaving
+                       == LeavingNotice::Leaving);
+    }
+
 private:
     static HttpRequest http()
     {
