decisions: a server that says in an answer that it leaves gets no new work

Cause: BackendTable knew of leaving only from a server's entry. Callers' requests, probes, resumes and copies went on to servers whose answers said that they leave, and to all servers of a service when all of them said so. Change: BackendTable::recordNotice takes the notice of answers and probes. The table joins it with the entry's state in one place (isLeaving), which placement, affinity, resumes, copies and probes read as BackendState::acceptsNewWork. The notice holds for one start of a server: an entry written again doesn't end it, and LeavingServers (4,096 at most) keeps it when the entry goes and the same start is listed again. A success without signature and an answer of another server don't count. An unreadable notice is logged once and changes nothing. Log lines serverLeaving, serverLeavingEnded and leavingNoticeUnreadable; gauge gateway_server_leaving, which goes with the server. Conclusion: the rule is kept by what a gateway sees itself, with and without the store.

--- a/include/foxtailring/decisions/BackendState.h
+++ b/include/foxtailring/decisions/BackendState.h
@@ -21,6 +21,7 @@
 {
     BackendInfo info;
     BackendHealth health = BackendHealth::Healthy;
+    bool isLeaving = false;         ///< by its entry or by an answer
     bool isReplaced = false;        ///< another server, or a restarted one, has its address
     bool hasFailedZonePeer = false; ///< a server in its zone failed; no contact since then
     std::uint32_t inFlight = 0;     ///< requests from this process
@@ -28,6 +29,9 @@
     double failureRate = 0;         ///< moving average over answers to this process, 0 to 1
     std::optional<BackendLoadReport> load;
     Duration loadAge {0};
+
+    /// \brief False: only requests that are already there go on.
+    bool acceptsNewWork() const { return !isLeaving && !isReplaced; }
 };
 
 } // namespace foxtailring
--- a/include/foxtailring/decisions/BackendTable.h
+++ b/include/foxtailring/decisions/BackendTable.h
@@ -2,6 +2,9 @@
 
 #include "foxtailring/base/Clock.h"
 #include "foxtailring/decisions/BackendState.h"
+#include "foxtailring/decisions/LeavingNotice.h"
+#include "foxtailring/decisions/LeavingServers.h"
+#include "foxtailring/decisions/LeavingSource.h"
 
 #include <functional>
 #include <map>
@@ -47,6 +50,11 @@
         std::function<void(const BackendInfo &)> onRecovered; ///< contact with a suspected server
         /// Another server, or the same one after a restart, has its address.
         std::function<void(const BackendInfo &)> onReplaced;
+        std::function<void(const BackendInfo &, LeavingSource)> onLeaving;
+        /// A server that left has gone, has restarted, or is no longer listed as leaving.
+        std::function<void(const BackendInfo &)> onLeavingEnded;
+        /// An answer does not say clearly whether the server leaves; once for each start of it.
+        std::function<void(const BackendInfo &)> onNoticeUnreadable;
     };
 
     BackendTable();
@@ -80,6 +88,11 @@
     /// restarted server of the same service. Empty: unknown, or not to be added.
     void recordReplacement(std::string_view id, std::string_view successorId, TimePoint now);
 
+    /// \brief An answer said whether its server leaves. It gets no new work from then on, whatever
+    /// its entry says, until it restarts.
+    /// \param server as it was when the request was sent
+    void recordNotice(const BackendInfo &server, LeavingNotice notice);
+
     /// \brief Compares the start time that a server reports with its entry. True if it has
     /// restarted since, so that the runs and copies there are lost; the entry is marked as
     /// replaced.
@@ -105,6 +118,8 @@
         TimePoint lastContactAt;
         TimePoint failedAt;
         TimePoint suspectedUntil;
+        bool saysLeaving = false; ///< in an answer
+        bool hasUnreadableNotice = false;
         bool isUnlisted = false; ///< no longer in the list, but kept for now
         bool isReplaced = false; ///< another server has its address
     };
@@ -128,11 +143,14 @@
     void markOthersReplaced(const Record &latest);
     void markReplaced(Record &record);
 
+    static bool isLeaving(const Record &record);
+    void reportLeaving(const Record &record, bool wasLeaving, LeavingSource source) const;
     bool isCandidate(const Record &record, std::string_view service, TimePoint now) const;
 
     const Settings m_settings;
     Hooks m_hooks;
     Records m_records;
+    LeavingServers m_leavingServers;
     // Sets of ids, so that a change of one server does not scan all others.
     std::map<std::string, std::set<std::string>, std::less<>> m_idsByAddress;
     std::set<std::string, std::less<>> m_unlistedIds;
--- a/include/foxtailring/decisions/ForwardSession.h
+++ b/include/foxtailring/decisions/ForwardSession.h
@@ -72,6 +72,8 @@
     using Chooser = std::optional<BackendState> (BackendPlacer::*)(const PlacementRequest &,
                                                                    TimePoint, RandomSource &) const;
 
+    /// \brief Records whether the answer to a probe says that its server leaves.
+    void recordProbeNotice(const ServerProbeResult &report, TimePoint now);
     /// \brief Takes a request to the server from its rate limit. False if none is free.
     bool tryAcquire(const std::string &serverId, TimePoint now);
     /// \brief Chooses a server whose rate limit allows a request, and takes the request from it.
@@ -109,6 +111,7 @@
     virtual TimePoint overdueAt() const = 0;
 
     void chooseService();
+    void recordNotice(const BackendAnswer &answer);
     ForwardAction onWrongServer(const BackendAnswer &answer, TimePoint now);
     ForwardAction retryRejected(AttemptResult result, TimePoint now);
     bool tryConsumeBudget(TimePoint now);
--- /dev/null
+++ b/include/foxtailring/decisions/LeavingServers.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "foxtailring/decisions/BackendInfo.h"
+
+#include <cstddef>
+#include <deque>
+#include <functional>
+#include <map>
+#include <string>
+#include <string_view>
+
+namespace foxtailring {
+
+/// \brief Backend servers that said in an answer that they leave.
+///
+/// A server stays known after its entry has gone, since the same start of it may be listed again.
+/// Holds a limited number of servers and drops those that were added first.
+class LeavingServers
+{
+public:
+    static constexpr std::size_t maxSize = 4096;
+
+    /// \brief Adds \a server in place of an earlier start of it. Takes over its start time if that
+    /// was not given before.
+    void insert(const BackendInfo &server);
+    bool contains(const BackendInfo &server) const;
+    void erase(std::string_view id);
+    std::size_t size() const { return m_servers.size(); }
+
+private:
+    std::map<std::string, BackendInfo, std::less<>> m_servers; ///< by id
+    std::deque<std::string> m_order;                           ///< ids, those added first in front
+};
+
+} // namespace foxtailring
--- a/src/decisions/BackendTable.cpp
+++ b/src/decisions/BackendTable.cpp
@@ -51,6 +51,9 @@
     Record &record = m_records[info.id];
     const bool isNewStart = record.info.startedAtMs != info.startedAtMs
         || record.info.address != info.address || record.info.service != info.service;
+    const bool wasLeaving = isLeaving(record);
+    if (isNewStart && wasLeaving && m_hooks.onLeavingEnded)
+        m_hooks.onLeavingEnded(record.info);
     // What is known from before a restart no longer holds, except for the requests in flight and
     // the copies, which are still going to end.
     if (isNewStart) {
@@ -62,6 +65,11 @@
         record.lastContactAt = now;
     }
     record.info = info;
+    record.saysLeaving = m_leavingServers.contains(info);
+    if (record.saysLeaving)
+        m_leavingServers.insert(info);
+    reportLeaving(record, wasLeaving && !isNewStart,
+                  record.saysLeaving ? LeavingSource::Answer : LeavingSource::List);
     record.isUnlisted = false;
     m_unlistedIds.erase(info.id);
     if (isNewStart) {
@@ -205,12 +213,48 @@
     Record &successor = m_records[info.id];
     successor.info = std::move(info);
     successor.lastContactAt = now;
+    successor.saysLeaving = m_leavingServers.contains(successor.info);
+    reportLeaving(successor, false, LeavingSource::Answer);
     // Removed with all others that are not listed when the list can be read again.
     successor.isUnlisted = true;
     m_unlistedIds.insert(successor.info.id);
     m_idsByAddress[successor.info.address].insert(successor.info.id);
 }
 
+// An answer to a request that was sent before the server restarted is about its earlier start.
+void BackendTable::recordNotice(const BackendInfo &server, LeavingNotice notice)
+{
+    Record *record = find(server.id);
+    const bool isCurrent = record && record->info.isSameStart(server);
+    if (notice == LeavingNotice::Unreadable && isCurrent
+        && !std::exchange(record->hasUnreadableNotice, true) && m_hooks.onNoticeUnreadable)
+        m_hooks.onNoticeUnreadable(record->info);
+    // Without a start time, a later entry cannot be told from that of a restarted server.
+    const bool isKnown = isCurrent || (!record && server.startedAtMs > 0);
+    if (notice != LeavingNotice::Leaving || !isKnown)
+        return;
+    m_leavingServers.insert(record ? record->info : server);
+    if (!record)
+        return;
+    const bool wasLeaving = isLeaving(*record);
+    record->saysLeaving = true;
+    reportLeaving(*record, wasLeaving, LeavingSource::Answer);
+}
+
+bool BackendTable::isLeaving(const Record &record)
+{
+    return record.info.isDraining || record.saysLeaving;
+}
+
+void BackendTable::reportLeaving(const Record &record, bool wasLeaving, LeavingSource source) const
+{
+    const bool leaves = isLeaving(record);
+    if (leaves && !wasLeaving && m_hooks.onLeaving)
+        m_hooks.onLeaving(record.info, source);
+    if (!leaves && wasLeaving && m_hooks.onLeavingEnded)
+        m_hooks.onLeavingEnded(record.info);
+}
+
 bool BackendTable::detectRestart(std::string_view id, std::int64_t startedAtMs)
 {
     Record *record = find(id);
@@ -259,7 +303,7 @@
 
 bool BackendTable::isCandidate(const Record &record, std::string_view service, TimePoint now) const
 {
-    return record.info.service == service && !record.info.isDraining && !record.isReplaced
+    return record.info.service == service && !isLeaving(record) && !record.isReplaced
         && isRetained(record, now);
 }
 
@@ -274,6 +318,7 @@
 {
     BackendState state;
     state.info = record.info;
+    state.isLeaving = isLeaving(record);
     state.isReplaced = record.isReplaced;
     const auto failure = failures.find(record.info.availabilityZone);
     state.hasFailedZonePeer =
@@ -341,7 +386,15 @@
 void BackendTable::eraseRecord(std::string_view id)
 {
     const std::string name(id);
-    m_records.erase(name);
+    const auto found = m_records.find(name);
+    if (found != m_records.end()) {
+        const Record &record = found->second;
+        if (isLeaving(record) && m_hooks.onLeavingEnded)
+            m_hooks.onLeavingEnded(record.info);
+        if (record.info.startedAtMs == 0)
+            m_leavingServers.erase(name);
+        m_records.erase(found);
+    }
     m_recentlyFailedIds.erase(name);
     m_unlistedIds.erase(name);
 }
--- a/src/decisions/ForwardSession.cpp
+++ b/src/decisions/ForwardSession.cpp
@@ -82,6 +82,16 @@
         m_context.servers.updateLoad(m_server->info.id, *answer.load, now);
     if (!answer.isOtherServer)
         m_context.rateLimits.recordAnswer(m_server->info.id, answer, m_sentAt, now);
+    recordNotice(answer);
+}
+
+// What another server sends, or a success that no server has signed, does not count.
+void ForwardSession::recordNotice(const BackendAnswer &answer)
+{
+    const bool isOwnAnswer =
+        !answer.isOtherServer && (answer.isSigned || answer.isNotRun || !answer.isSuccess());
+    if (isOwnAnswer)
+        m_context.servers.recordNotice(m_server->info, answer.leaving);
 }
 
 ForwardAction ForwardSession::onAnswer(const BackendAnswer &answer, TimePoint now)
@@ -115,7 +125,8 @@
 ForwardAction ForwardSession::onWrongServer(const BackendAnswer &answer, TimePoint now)
 {
     const std::string id = m_server->info.id;
-    const std::string_view successorId = acceptsSuccessor() ? answer.serverId : std::string_view();
+    const bool isUsable = acceptsSuccessor() && answer.leaving != LeavingNotice::Leaving;
+    const std::string_view successorId = isUsable ? answer.serverId : std::string_view();
     releaseServer();
     m_context.servers.recordReplacement(id, successorId, now);
     return retryRejected(AttemptResult::OtherServer, now);
@@ -160,10 +171,17 @@
             continue;
         m_context.servers.recordContact(report.serverId, now);
         m_context.servers.updateLoad(report.serverId, report.load, now);
+        recordProbeNotice(report, now);
     }
     return KeepWaiting {};
 }
 
+void ForwardSession::recordProbeNotice(const ServerProbeResult &report, TimePoint now)
+{
+    if (const auto server = m_context.servers.server(report.serverId, now))
+        m_context.servers.recordNotice(server->info, report.leaving);
+}
+
 ForwardAction ForwardSession::check(TimePoint now)
 {
     if (isPastDeadline(now))
--- /dev/null
+++ b/src/decisions/LeavingServers.cpp
@@ -0,0 +1,35 @@
+#include "foxtailring/decisions/LeavingServers.h"
+
+#include <algorithm>
+
+namespace foxtailring {
+
+void LeavingServers::insert(const BackendInfo &server)
+{
+    if (contains(server)) {
+        m_servers.find(server.id)->second = server;
+        return;
+    }
+    erase(server.id);
+    if (m_servers.size() >= maxSize)
+        erase(std::string(m_order.front()));
+    m_servers.emplace(server.id, server);
+    m_order.push_back(server.id);
+}
+
+bool LeavingServers::contains(const BackendInfo &server) const
+{
+    const auto found = m_servers.find(server.id);
+    return found != m_servers.end() && found->second.isSameStart(server);
+}
+
+void LeavingServers::erase(std::string_view id)
+{
+    const auto found = m_servers.find(id);
+    if (found == m_servers.end())
+        return;
+    m_order.erase(std::find(m_order.begin(), m_order.end(), found->first));
+    m_servers.erase(found);
+}
+
+} // namespace foxtailring
--- a/src/decisions/RunCopy.cpp
+++ b/src/decisions/RunCopy.cpp
@@ -64,8 +64,7 @@
     if (!m_holder)
         return false;
     const auto current = m_servers.server(m_holder->info.id, now);
-    return current && !current->info.isDraining && !current->isReplaced
-        && current->health != BackendHealth::Suspected;
+    return current && current->acceptsNewWork() && current->health != BackendHealth::Suspected;
 }
 
 bool RunCopy::needsRenewal(TimePoint now) const
--- a/src/decisions/StreamSession.cpp
+++ b/src/decisions/StreamSession.cpp
@@ -146,15 +146,17 @@
 {
     m_isFindingPrompt = false;
     for (const ServerProbeResult &report : reports) {
-        if (!context().servers.detectRestart(report.serverId, report.startedAtMs))
-            context().servers.recordContact(report.serverId, now);
+        if (context().servers.detectRestart(report.serverId, report.startedAtMs))
+            continue;
+        context().servers.recordContact(report.serverId, now);
+        recordProbeNotice(report, now);
     }
     const auto holder =
         std::find_if(reports.begin(), reports.end(),
                      [](const ServerProbeResult &report) { return report.hasPrompt; });
     const auto server =
         holder == reports.end() ? std::nullopt : context().servers.server(holder->serverId, now);
-    if (!server || server->info.isDraining || server->isReplaced)
+    if (!server || !server->acceptsNewWork())
         return probeCandidates(now);
     if (!canFinishInTime(0, now))
         return refuseOrAbort(refuse(503, "noTimeLeft"));
--- a/src/gateway/GatewayNode.cpp
+++ b/src/gateway/GatewayNode.cpp
@@ -39,6 +39,31 @@
     return http;
 }
 
+std::string leavingGauge(const BackendInfo &info)
+{
+    return "gateway_server_leaving{server=\"" + info.id + "\"}";
+}
+
+void setLeavingHooks(GatewayParts &parts, BackendTable::Hooks &hooks)
+{
+    hooks.onLeaving = [&parts](const BackendInfo &info, LeavingSource source) {
+        const std::string name = source == LeavingSource::List ? "list" : "answer";
+        parts.metrics.setGauge(leavingGauge(info), 1);
+        parts.metrics.add("gateway_servers_leaving_total{source=\"" + name + "\"}");
+        StructuredLog::info("serverLeaving",
+                            {{"server", info.id}, {"service", info.service}, {"source", name}});
+    };
+    hooks.onLeavingEnded = [&parts](const BackendInfo &info) {
+        parts.metrics.removeGauge(leavingGauge(info));
+        StructuredLog::info("serverLeavingEnded", {{"server", info.id}, {"service", info.service}});
+    };
+    hooks.onNoticeUnreadable = [&parts](const BackendInfo &info) {
+        parts.metrics.add("gateway_leaving_unreadable_total");
+        StructuredLog::warn("leavingNoticeUnreadable",
+                            {{"server", info.id}, {"service", info.service}});
+    };
+}
+
 BackendTable::Hooks makeTrustHooks(GatewayParts &parts)
 {
     BackendTable::Hooks hooks;
@@ -58,6 +83,7 @@
         StructuredLog::info("serverReplaced",
                             {{"server", info.id}, {"zone", info.availabilityZone}});
     };
+    setLeavingHooks(parts, hooks);
     return hooks;
 }
 
--- a/tests/decisions/BackendTableTest.cpp
+++ b/tests/decisions/BackendTableTest.cpp
@@ -18,6 +18,15 @@
     CPPUNIT_TEST(serverWithReusedAddressIsNoCandidate);
     CPPUNIT_TEST(restartWithAnotherIdReplacesTheOldEntry);
     CPPUNIT_TEST(restartsAreUsedWhileTheListIsUnavailable);
+    CPPUNIT_TEST(serverThatSaysItLeavesIsNoCandidate);
+    CPPUNIT_TEST(entryDoesNotRevokeWhatAnAnswerSaid);
+    CPPUNIT_TEST(leavingServerThatIsListedAgainStillLeaves);
+    CPPUNIT_TEST(restartEndsLeaving);
+    CPPUNIT_TEST(answerOfAnEarlierStartIsIgnored);
+    CPPUNIT_TEST(withoutStartTimeLeavingEndsWithTheEntry);
+    CPPUNIT_TEST(startTimeThatIsGivenLaterTellsRestarts);
+    CPPUNIT_TEST(leavingIsReportedOnce);
+    CPPUNIT_TEST(unreadableNoticeIsReportedOnce);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -140,6 +149,170 @@
         servers.recordReplacement("a1", "a9", now);
         CPPUNIT_ASSERT_EQUAL(std::size_t(5), servers.candidates("engine", now).size());
     }
+
+    // Guards against 352 requests at a server later than 3 s after its first answer had said that
+    // it leaves.
+    void serverThatSaysItLeavesIsNoCandidate()
+    {
+        sayLeaving("a1");
+        CPPUNIT_ASSERT_EQUAL(std::size_t(5), servers.candidates("engine", now).size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(5), servers.candidateIds("engine", now).size());
+        CPPUNIT_ASSERT(!servers.server("a1", now)->acceptsNewWork());
+        CPPUNIT_ASSERT(servers.server("a2", now)->acceptsNewWork());
+    }
+
+    // A heartbeat writes the entry again, and a drain that is shown there may be undone. Guards
+    // against taking that for newer than the answer.
+    void entryDoesNotRevokeWhatAnAnswerSaid()
+    {
+        sayLeaving("a1");
+        BackendInfo entry = info("a1", "a");
+        for (const bool isDraining : {false, true, false}) {
+            entry.isDraining = isDraining;
+            servers.put(entry, now);
+            CPPUNIT_ASSERT(!servers.server("a1", now)->acceptsNewWork());
+        }
+        std::vector<BackendInfo> list {entry, info("b1", "b")};
+        servers.replace(list, now);
+        CPPUNIT_ASSERT(!servers.server("a1", now)->acceptsNewWork());
+        entry = info("b1", "b");
+        entry.isDraining = true;
+        servers.put(entry, now);
+        CPPUNIT_ASSERT(!servers.server("b1", now)->acceptsNewWork());
+        entry.isDraining = false;
+        servers.put(entry, now);
+        CPPUNIT_ASSERT(servers.server("b1", now)->acceptsNewWork());
+    }
+
+    // Entries lapse while the store is down, and while a server is too busy to renew its own.
+    // Guards against taking a server that is back in the list for one that has restarted.
+    void leavingServerThatIsListedAgainStillLeaves()
+    {
+        sayLeaving("a1");
+        servers.remove("a1", now);
+        CPPUNIT_ASSERT(!servers.server("a1", now));
+        servers.put(info("a1", "a"), now);
+        CPPUNIT_ASSERT(!servers.server("a1", now)->acceptsNewWork());
+        servers.onListLost();
+        servers.remove("a1", now);
+        CPPUNIT_ASSERT(!servers.server("a1", now)->acceptsNewWork());
+        servers.onListRestored(now);
+        now += Ms(2100);
+        servers.replace(std::vector<BackendInfo> {info("b1", "b")}, now);
+        CPPUNIT_ASSERT(!servers.server("a1", now));
+        servers.put(info("a1", "a"), now);
+        CPPUNIT_ASSERT(!servers.server("a1", now)->acceptsNewWork());
+    }
+
+    // Guards against losing a server for good because an earlier start of it left.
+    void restartEndsLeaving()
+    {
+        sayLeaving("a1");
+        BackendInfo restarted = info("a1", "a");
+        restarted.startedAtMs = 2;
+        servers.put(restarted, now);
+        CPPUNIT_ASSERT(servers.server("a1", now)->acceptsNewWork());
+        sayLeaving("a1");
+        BackendInfo other = restarted;
+        other.id = "a9";
+        other.startedAtMs = 3;
+        servers.put(other, now);
+        CPPUNIT_ASSERT(servers.server("a9", now)->acceptsNewWork());
+    }
+
+    // Guards against losing a restarted server to the last answers of its earlier start.
+    void answerOfAnEarlierStartIsIgnored()
+    {
+        BackendInfo restarted = info("a1", "a");
+        restarted.startedAtMs = 2;
+        servers.put(restarted, now);
+        servers.recordNotice(info("a1", "a"), LeavingNotice::Leaving);
+        CPPUNIT_ASSERT(servers.server("a1", now)->acceptsNewWork());
+    }
+
+    // Guards against losing a server for good whose restarts cannot be seen.
+    void withoutStartTimeLeavingEndsWithTheEntry()
+    {
+        BackendInfo entry = info("a1", "a");
+        entry.startedAtMs = 0;
+        servers.put(entry, now);
+        sayLeaving("a1");
+        servers.put(entry, now);
+        CPPUNIT_ASSERT(!servers.server("a1", now)->acceptsNewWork());
+        servers.remove("a1", now);
+        servers.recordNotice(entry, LeavingNotice::Leaving);
+        servers.put(entry, now);
+        CPPUNIT_ASSERT(servers.server("a1", now)->acceptsNewWork());
+    }
+
+    // While the store is down, a server at another one's address is used without its start time.
+    // Guards against forgetting that it leaves when it is listed, and against losing its next
+    // start.
+    void startTimeThatIsGivenLaterTellsRestarts()
+    {
+        servers.onListLost();
+        servers.recordReplacement("a1", "a9", now);
+        sayLeaving("a9");
+        BackendInfo entry = info("a9", "a");
+        entry.address = servers.server("a9", now)->info.address;
+        entry.startedAtMs = 5;
+        servers.put(entry, now);
+        CPPUNIT_ASSERT(!servers.server("a9", now)->acceptsNewWork());
+        entry.startedAtMs = 6;
+        servers.put(entry, now);
+        CPPUNIT_ASSERT(servers.server("a9", now)->acceptsNewWork());
+    }
+
+    // Guards against a log line for each answer, and against a gauge that outlives its server.
+    void leavingIsReportedOnce()
+    {
+        std::vector<std::string> reports;
+        reportLeavingTo(reports);
+        sayLeaving("a1");
+        sayLeaving("a1");
+        servers.put(info("a1", "a"), now);
+        BackendInfo entry = info("a2", "a");
+        entry.isDraining = true;
+        servers.put(entry, now);
+        sayLeaving("a2");
+        entry.isDraining = false;
+        servers.put(entry, now);
+        servers.remove("a1", now);
+        servers.put(info("a1", "a"), now);
+        entry.startedAtMs = 2;
+        servers.put(entry, now);
+        const std::vector<std::string> expected {"a1 answer", "a2 list", "a1 ended", "a1 answer",
+                                                 "a2 ended"};
+        CPPUNIT_ASSERT(expected == reports);
+    }
+
+    // Guards against a log line for each answer of a faulty server, and against losing the server.
+    void unreadableNoticeIsReportedOnce()
+    {
+        std::vector<std::string> reports;
+        reportLeavingTo(reports);
+        for (int i = 0; i < 3; ++i)
+            servers.recordNotice(info("a1", "a"), LeavingNotice::Unreadable);
+        servers.recordNotice(info("a2", "a"), LeavingNotice::None);
+        CPPUNIT_ASSERT(servers.server("a1", now)->acceptsNewWork());
+        CPPUNIT_ASSERT(std::vector<std::string> {"a1 unreadable"} == reports);
+    }
+
+private:
+    void reportLeavingTo(std::vector<std::string> &reports)
+    {
+        BackendTable::Hooks hooks;
+        hooks.onLeaving = [&reports](const BackendInfo &server, LeavingSource source) {
+            reports.push_back(server.id + (source == LeavingSource::List ? " list" : " answer"));
+        };
+        hooks.onLeavingEnded = [&reports](const BackendInfo &server) {
+            reports.push_back(server.id + " ended");
+        };
+        hooks.onNoticeUnreadable = [&reports](const BackendInfo &server) {
+            reports.push_back(server.id + " unreadable");
+        };
+        servers.setHooks(std::move(hooks));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(BackendTableTest);
--- a/tests/decisions/CallSessionTest.cpp
+++ b/tests/decisions/CallSessionTest.cpp
@@ -19,6 +19,10 @@
     CPPUNIT_TEST(deadlineIsEnforced);
     CPPUNIT_TEST(unsignedSuccessIsNotPassedOn);
     CPPUNIT_TEST(serverUnavailableIsNotPassedOn);
+    CPPUNIT_TEST(leavingServerGetsNoCalls);
+    CPPUNIT_TEST(refusalOfALeavingServerCounts);
+    CPPUNIT_TEST(answerOfAnotherServerIsNoNotice);
+    CPPUNIT_TEST(callIsRefusedAtOnceIfAllServersLeave);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -157,6 +161,71 @@
         session.start(now);
         CPPUNIT_ASSERT_EQUAL(502, refused(session.onAnswer(answer(503), now)).status);
     }
+
+    // Guards against calls, first or repeated ones, to a server whose answer said that it leaves.
+    void leavingServerGetsNoCalls()
+    {
+        const HttpRoute idempotent = route(CallKind::Idempotent);
+        CallSession first(idempotent, request(), context());
+        const std::string leaving = sent(first.start(now)).server.info.id;
+        BackendAnswer last = answer(200);
+        last.leaving = LeavingNotice::Leaving;
+        first.onHead(last, now);
+        CPPUNIT_ASSERT(std::holds_alternative<PassAnswer>(first.onAnswer(last, now)));
+        for (int call = 0; call < 100; ++call) {
+            CallSession next(idempotent, request(), context());
+            CPPUNIT_ASSERT(leaving != sent(next.start(now)).server.info.id);
+            const ForwardAction retry = next.onAttemptEnded(AttemptResult::NotSent, now);
+            CPPUNIT_ASSERT(leaving != sent(retry).server.info.id);
+        }
+    }
+
+    // The header may stand in refusals and errors only. Guards against reading it from successes
+    // only.
+    void refusalOfALeavingServerCounts()
+    {
+        for (const int status : {503, 500, 404}) {
+            const HttpRoute nonIdempotent = route(CallKind::NonIdempotent);
+            CallSession session(nonIdempotent, request(), context());
+            const std::string id = sent(session.start(now)).server.info.id;
+            BackendAnswer refusal;
+            refusal.status = status;
+            refusal.isNotRun = status == 503;
+            refusal.leaving = LeavingNotice::Leaving;
+            session.onHead(refusal, now);
+            CPPUNIT_ASSERT(!servers.server(id, now)->acceptsNewWork());
+        }
+    }
+
+    // Guards against losing a server to what something else at its address says.
+    void answerOfAnotherServerIsNoNotice()
+    {
+        for (const bool isOther : {true, false}) {
+            const HttpRoute nonIdempotent = route(CallKind::NonIdempotent);
+            CallSession session(nonIdempotent, request(), context());
+            const std::string id = sent(session.start(now)).server.info.id;
+            BackendAnswer other;
+            other.status = isOther ? 421 : 200;
+            other.isOtherServer = isOther;
+            other.leaving = LeavingNotice::Leaving;
+            session.onHead(other, now);
+            CPPUNIT_ASSERT(!servers.server(id, now)->isLeaving);
+        }
+    }
+
+    // Guards against holding a call until its deadline, and against sending it to a server that
+    // leaves for want of another.
+    void callIsRefusedAtOnceIfAllServersLeave()
+    {
+        for (const char *id : {"a1", "a2", "b1", "b2", "c1", "c2"})
+            sayLeaving(id);
+        const HttpRoute nonIdempotent = route(CallKind::NonIdempotent);
+        CallSession session(nonIdempotent, request(), context());
+        const ForwardAction action = session.start(now);
+        CPPUNIT_ASSERT_EQUAL(503, refused(action).status);
+        CPPUNIT_ASSERT(refused(action).retryAfter.count() > 0);
+        CPPUNIT_ASSERT_EQUAL(0U, session.possibleRuns());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CallSessionTest);
--- a/tests/decisions/ForwardFixture.h
+++ b/tests/decisions/ForwardFixture.h
@@ -65,6 +65,12 @@
         return one;
     }
 
+    /// \brief The server with this id says in an answer that it leaves.
+    void sayLeaving(const std::string &id)
+    {
+        servers.recordNotice(servers.server(id, now)->info, LeavingNotice::Leaving);
+    }
+
     static const SendAttempt &sent(const ForwardAction &action)
     {
         CPPUNIT_ASSERT(std::holds_alternative<SendAttempt>(action));
--- a/tests/decisions/StreamSessionTest.cpp
+++ b/tests/decisions/StreamSessionTest.cpp
@@ -2,6 +2,8 @@
 
 #include "ForwardFixture.h"
 
+#include <set>
+
 using namespace foxtailring;
 
 class StreamSessionTest : public ForwardFixture
@@ -38,6 +40,13 @@
     CPPUNIT_TEST(streamThatIsNotResumableIsSentOnce);
     CPPUNIT_TEST(serviceWithoutProbesIsWaitedFor);
     CPPUNIT_TEST(countsAtServersReturnToZero);
+    CPPUNIT_TEST(leavingServersGetNeitherRunsNorProbesNorCopies);
+    CPPUNIT_TEST(serverThatSaysInItsProbeThatItLeavesGetsNoRun);
+    CPPUNIT_TEST(runIsNotResumedAtALeavingServer);
+    CPPUNIT_TEST(copyAtALeavingServerIsReplaced);
+    CPPUNIT_TEST(runAtALeavingServerGoesOn);
+    CPPUNIT_TEST(streamIsRefusedAtOnceIfAllServersLeave);
+    CPPUNIT_TEST(successorThatLeavesIsNotUsed);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -423,6 +432,115 @@
             refused(placed(session, session.onAttemptEnded(AttemptResult::Lost, now), now)).status);
     }
 
+    // Guards against any request to a server whose answer said that it leaves.
+    void leavingServersGetNeitherRunsNorProbesNorCopies()
+    {
+        const std::set<std::string> leaving {"a1", "b1", "c2"};
+        for (const std::string &id : leaving)
+            sayLeaving(id);
+        for (int round = 0; round < 50; ++round) {
+            ForwardRequest one = request();
+            one.promptId = "p" + std::to_string(round);
+            if (round % 2 == 0)
+                one.lastEventId = 4;
+            StreamSession session(m_route, one, context(), copyingEngines);
+            ForwardAction action = session.start(now);
+            while (const auto *probe = std::get_if<ProbeServers>(&action)) {
+                for (const BackendState &server : probe->servers)
+                    CPPUNIT_ASSERT(leaving.count(server.info.id) == 0);
+                action = placed(session, action, now);
+            }
+            CPPUNIT_ASSERT(leaving.count(sent(action).server.info.id) == 0);
+            CPPUNIT_ASSERT(sent(action).copyTo);
+            CPPUNIT_ASSERT(leaving.count(sent(action).copyTo->info.id) == 0);
+        }
+    }
+
+    // Guards against placing the run at a server that the probe has just shown to leave.
+    void serverThatSaysInItsProbeThatItLeavesGetsNoRun()
+    {
+        for (const bool isPromptProbe : {false, true}) {
+            ForwardRequest one = request();
+            if (isPromptProbe)
+                one.lastEventId = 4;
+            StreamSession session(m_route, one, context(), copyingEngines);
+            const auto probe = std::get<ProbeServers>(session.start(now));
+            std::vector<ServerProbeResult> reports {
+                {probe.servers.front().info.id, {}, false, 0, isPromptProbe}};
+            reports.front().leaving = LeavingNotice::Leaving;
+            const std::string id = reports.front().serverId;
+            const ForwardAction next = placed(session, session.onProbed(reports, now), now);
+            CPPUNIT_ASSERT(id != sent(next).server.info.id);
+            CPPUNIT_ASSERT(!servers.server(id, now)->acceptsNewWork());
+        }
+    }
+
+    // Guards against resuming a run at a server that left after the copy was made there.
+    void runIsNotResumedAtALeavingServer()
+    {
+        StreamSession session(m_route, request(), context(), {true, true, true});
+        const std::string holder = sent(started(session)).copyTo->info.id;
+        session.onEvent(1, now);
+        sayLeaving(holder);
+        const ForwardAction next =
+            placed(session, session.onAttemptEnded(AttemptResult::Lost, now), now);
+        CPPUNIT_ASSERT(!sent(next).fromCopy);
+        CPPUNIT_ASSERT(holder != sent(next).server.info.id);
+    }
+
+    // Guards against a run whose only copy is where it cannot be resumed.
+    void copyAtALeavingServerIsReplaced()
+    {
+        StreamSession session(m_route, request(), context(), copyingEngines);
+        const std::string holder = sent(started(session)).copyTo->info.id;
+        sayLeaving(holder);
+        m_at = now + Ms(1000);
+        session.onEvent(m_event++, m_at);
+        CPPUNIT_ASSERT(nextCopyRun(session).to.info.id != holder);
+    }
+
+    // Guards against ending runs that a leaving server finishes. Only when it is silent, a probe
+    // tells whether it still has the run.
+    void runAtALeavingServerGoesOn()
+    {
+        StreamSession session(m_route, request(), context(), {true, true, true});
+        const std::string id = sent(started(session)).server.info.id;
+        sayLeaving(id);
+        const TimePoint last = tenEvents(session);
+        CPPUNIT_ASSERT(isWaiting(session.check(last + Ms(30))));
+        const TimePoint probedAt = session.nextCheck();
+        const auto probe = std::get<ProbeServers>(session.check(probedAt));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), probe.servers.size());
+        CPPUNIT_ASSERT_EQUAL(id, probe.servers.front().info.id);
+        CPPUNIT_ASSERT(isWaiting(session.onProbed(report(id, 10), probedAt)));
+        CPPUNIT_ASSERT(session.onEvent(11, probedAt) == EventVerdict::Next);
+        CPPUNIT_ASSERT(isWaiting(session.onFinished(probedAt)));
+    }
+
+    void streamIsRefusedAtOnceIfAllServersLeave()
+    {
+        for (const char *id : {"a1", "a2", "b1", "b2", "c1", "c2"})
+            sayLeaving(id);
+        StreamSession session(m_route, request(), context(), copyingEngines);
+        CPPUNIT_ASSERT_EQUAL(503, refused(session.start(now)).status);
+    }
+
+    // While the store is down, a server at the address of another one is used unless it leaves.
+    void successorThatLeavesIsNotUsed()
+    {
+        servers.onListLost();
+        StreamSession session(m_route, request(), context(), {true, true, true});
+        started(session);
+        BackendAnswer other;
+        other.status = 421;
+        other.isOtherServer = true;
+        other.serverId = "x9";
+        other.leaving = LeavingNotice::Leaving;
+        session.onHead(other, now);
+        session.onAnswer(other, now);
+        CPPUNIT_ASSERT(!servers.server("x9", now));
+    }
+
     // Guards against probing a service that does not answer probes and would seem to have failed.
     void serviceWithoutProbesIsWaitedFor()
     {
--- a/tests/gateway/GatewayFixture.cpp
+++ b/tests/gateway/GatewayFixture.cpp
@@ -47,6 +47,14 @@
     return request;
 }
 
+LeavingNotice leavingNotice(const HttpResponse &response)
+{
+    const std::string_view value = response.header("leaving");
+    if (value.empty())
+        return LeavingNotice::None;
+    return value == "1" ? LeavingNotice::Leaving : LeavingNotice::Unreadable;
+}
+
 BackendAnswer decodeAnswer(const HttpResponse &response)
 {
     BackendAnswer answer;
@@ -56,6 +64,7 @@
     answer.namesRateLimit = !response.header("limit").empty();
     if (answer.namesRateLimit)
         answer.rateLimit = std::stod(std::string(response.header("limit")));
+    answer.leaving = leavingNotice(response);
     return answer;
 }
 
@@ -133,6 +142,14 @@
     return box->take().value().status;
 }
 
+std::string GatewayFixture::metrics()
+{
+    const auto box = std::make_shared<Mailbox<Result<HttpResponse>>>();
+    m_client->request({"127.0.0.1", m_ports.metrics}, {"GET", "/metrics", {}, ""}, testDeadline,
+                      [box](Result<HttpResponse> answer) { box->put(std::move(answer)); });
+    return box->take().value().body;
+}
+
 std::string GatewayFixture::eventText(int id)
 {
     return "id: " + std::to_string(id) + "\ndata: x\n\n";
--- a/tests/gateway/GatewayFixture.h
+++ b/tests/gateway/GatewayFixture.h
@@ -45,8 +45,9 @@
 /// each of their requests itself.
 ///
 /// Wire format of the test: requests have the headers `id`, `key`, `last` (event id), `copy-to` and
-/// `copy-at`; a response with `full` was not run, one with `signed` is signed, and `limit` is a
-/// rate limit. A server's entry in the store is its zone.
+/// `copy-at`; a response with `full` was not run, one with `signed` is signed, `limit` is a rate
+/// limit, and `leaving` says that the server leaves if its value is `1`. A server's entry in the
+/// store is its zone.
 class GatewayFixture : public CppUnit::TestFixture
 {
 public:
@@ -69,6 +70,8 @@
     void startServing();
     void call(const std::string &path, const std::string &key = "good");
     int readiness();
+    /// \brief Text of the gateway's metrics.
+    std::string metrics();
     static BackendCodec codec();
     StoreSchema schema() const;
     static std::string eventText(int id);
--- a/tools/lib/soak/backend.py
+++ b/tools/lib/soak/backend.py
@@ -5,6 +5,7 @@
 Appends a JSON line for each run to LOG, which is kept when the process ends. POST /standin/faults
 sets the probability of each fault: notRun, error, truncated, garbled, doubled, answerLost, and the
 shapes of endless.py. POST /standin/limit sets the rate limit that answers name; null: none.
+POST /standin/leaving sets the value by which each answer says that the server leaves; null: none does.
 """
 
 import hashlib
@@ -47,6 +48,7 @@
         self.lock = threading.Lock()
         self.faults = {}
         self.rate_limit = None
+        self.leaving = None
         self.running = {}
         self.copies = {}
         self.answers = 0
@@ -67,12 +69,12 @@
         if handler.path == wire.REPORT_PATH:
             return self.report(handler)
         if handler.path == wire.PROMPTS_PATH:
-            return handler.answer_json(200, wire.prompts())
+            return handler.answer_json(200, wire.prompts(), self.state_headers())
         if handler.path == wire.COPY_PATH:
             return self.copy_running_request(handler, body)
         if handler.path.startswith(wire.RELEASE_PREFIX):
             self.log("released", handle=handler.path)
-            return handler.answer(200)
+            return handler.answer(200, b"", self.state_headers())
         return self.admit(handler, body)
 
     def control(self, handler, fields):
@@ -81,6 +83,9 @@
         elif handler.path == "/standin/limit":
             self.rate_limit = fields["limit"]
             self.log("limit", limit=self.rate_limit)
+        elif handler.path == "/standin/leaving":
+            self.leaving = fields["value"]
+            self.log("leaving", value=self.leaving)
         else:
             self.copies[fields["copy"]] = (fields["events"], time.monotonic())
         handler.answer(200)
@@ -91,27 +96,28 @@
         with self.lock:
             events = self.running.get(request)
         if not events:
-            return handler.answer_json(404, {})
+            return handler.answer_json(404, {}, self.state_headers())
         handle = f"h-{self.name}-{request}"
         time.sleep(COPY_SECONDS)
         if not Copier(address, handle).send(events):
-            return handler.answer_json(503, {})
+            return handler.answer_json(503, {}, self.state_headers())
         self.log("copied", request=request, to=address)
-        return handler.answer_json(200, wire.copy_response(handle, events))
+        return handler.answer_json(200, wire.copy_response(handle, events), self.state_headers())
 
     def report(self, handler):
         with self.lock:
             runs = [(request, PROMPT_TOKENS + events * 5, events)
                     for request, events in self.running.items() if events > 0]
             count = len(self.running)
-        handler.answer_json(200, wire.report(count, 0, runs, count * PROMPT_TOKENS, MEMORY_TOKENS))
+        handler.answer_json(200, wire.report(count, 0, runs, count * PROMPT_TOKENS, MEMORY_TOKENS),
+                            self.state_headers())
 
     def admit(self, handler, body):
         headers = handler.headers
         request = headers.get(wire.REQUEST_ID, "")
         target_server = headers.get(wire.SERVER)
         refusal_headers = {wire.SERVER_ID: self.name, wire.NOT_RUN: "1", wire.REQUEST_ID: request,
-                           **self.limit_headers()}
+                           **self.state_headers()}
         if target_server and target_server != self.name:
             return handler.answer(421, b"", refusal_headers)
         self.log("arrived", request=request)
@@ -137,15 +143,17 @@
                  body=hashlib.sha1(body).hexdigest(),
                  deadline=int(headers.get(wire.DEADLINE, 0)), **fields)
 
-    def limit_headers(self):
-        return {} if self.rate_limit is None else {wire.RATE_LIMIT: self.rate_limit}
+    def state_headers(self):
+        """Returns the headers that every answer has: the rate limit, and whether the server leaves."""
+        headers = {wire.RATE_LIMIT: self.rate_limit, wire.LEAVING: self.leaving}
+        return {name: value for name, value in headers.items() if value is not None}
 
     def answer_headers(self, request):
         self.answers += 1
         with self.lock:
             load = f"{len(self.running)},0,{SLOTS[self.service]}"
         return {wire.REQUEST_ID: request, wire.SIGNATURE: f"{self.name}.{self.answers}",
-                wire.LOAD: load, wire.SERVER_ID: self.name, **self.limit_headers()}
+                wire.LOAD: load, wire.SERVER_ID: self.name, **self.state_headers()}
 
     def call(self, handler, request, body):
         self.log_run(handler, request, body)
@@ -178,7 +186,8 @@
         if copy_from:
             events, copied_at = self.copies.pop(copy_from.rsplit("/", 1)[1], (None, 0))
             if events is None or time.monotonic() - copied_at > COPY_LIFETIME_SECONDS:
-                return handler.answer(503, b"", {wire.NOT_RUN: "1", wire.REQUEST_ID: request})
+                return handler.answer(503, b"", {wire.NOT_RUN: "1", wire.REQUEST_ID: request,
+                                                 **self.state_headers()})
             time.sleep(max(0, last_event - events) * EVENT_INTERVAL_SECONDS / 4)
         else:
             time.sleep(PREFILL_SECONDS * random.uniform(0.8, 2))
--- a/tools/lib/soak/gateway.py
+++ b/tools/lib/soak/gateway.py
@@ -27,6 +27,7 @@
         self.is_in_rotation = False
         self.should_run = True
         self.process = None
+        self.max_key_revocation_seconds = MAX_KEY_REVOCATION_SECONDS
 
     def prepare(self):
         settings = self.cluster.folder / f"{self.name}.yaml"
@@ -35,7 +36,7 @@
             f"nodeId: {self.name}\navailabilityZone: {self.zone}\nregions: [{regions}]\n"
             f"listen: 127.0.0.1:{self.port}\nready: 127.0.0.1:{self.ready_port}\n"
             f"metrics: 127.0.0.1:0\nstore: 127.0.0.1:{self.store_port}\n"
-            f"keyRevocationMs: {MAX_KEY_REVOCATION_SECONDS * 1000}\n"
+            f"keyRevocationMs: {self.max_key_revocation_seconds * 1000}\n"
             f"listNoticeMs: {MAX_SERVER_LIST_DELAY_SECONDS * 1000}\n"
             f"drainLimitSeconds: {DRAIN_TIMEOUT_SECONDS}\n")
         self.process = Process(self.cluster.journal, self.name,
--- a/tools/lib/soak/server.py
+++ b/tools/lib/soak/server.py
@@ -87,6 +87,35 @@
         finally:
             self.transition_lock.release()
 
+    def leave_by_answer(self):
+        """Planned stop that only the answers announce: the entry says ready until the server is gone."""
+        if not self.transition_lock.acquire(blocking=False):
+            return
+        try:
+            if not self.set_leaving("1"):
+                return
+            ends_at = time.monotonic() + MAX_SERVER_LIST_DELAY_SECONDS + 3
+            while time.monotonic() < ends_at and not self.cluster.is_ending:
+                time.sleep(HEARTBEAT_TIMEOUT_SECONDS / 3)
+                self.publish()
+            self.withdraw()
+            self.process.kill()
+            if not self.cluster.is_ending:
+                self.start()
+        finally:
+            self.transition_lock.release()
+
+    def set_leaving(self, value):
+        """Has each answer say that the server leaves, by this value; none: no answer says so. False if the
+        server cannot be reached."""
+        try:
+            request(self.port, "POST", "/standin/leaving", {"value": value}, timeout=2)
+        except (OSError, http.client.HTTPException) as error:
+            self.cluster.journal.record("leavingNotSet", server=self.name, cause=str(error))
+            return False
+        self.cluster.journal.record("leavingByAnswer", server=self.name, value=value)
+        return True
+
     def set_rate_limit(self, limit):
         """Has the server name a limit in requests per second; none: it names no limit any more."""
         try:
