--- a/include/foxtailring/decisions/BackendTable.h
+++ b/include/foxtailring/decisions/BackendTable.h
@@ -98,6 +98,8 @@
     /// replaced.
     bool detectRestart(std::string_view id, std::int64_t startedAtMs);
 
+    /// \brief True if the server is known, does not leave and was not replaced.
+    bool acceptsNewWork(std::string_view id) const;
     std::optional<BackendState> server(std::string_view id, TimePoint now) const;
     /// \brief Servers of \a service that accept new requests, sorted by id, including suspected
     /// ones.
@@ -145,6 +147,7 @@
 
     static bool isLeaving(const Record &record);
     void reportLeaving(const Record &record, bool wasLeaving, LeavingSource source) const;
+    static bool acceptsNewWork(const Record &record);
     bool isCandidate(const Record &record, std::string_view service, TimePoint now) const;
 
     const Settings m_settings;
--- a/include/foxtailring/decisions/RunCopy.h
+++ b/include/foxtailring/decisions/RunCopy.h
@@ -23,7 +23,8 @@
 public:
     using ReleaseHook = std::function<void(const CopyReference &)>;
 
-    /// \param release called for a snapshot that is dropped unused; may be empty
+    /// \param release called for a snapshot that is dropped unused, unless the server that made it
+    /// takes no new work; may be empty
     RunCopy(BackendTable &servers, ReleaseHook release);
     ~RunCopy();
     RunCopy(const RunCopy &) = delete;
--- a/src/decisions/BackendTable.cpp
+++ b/src/decisions/BackendTable.cpp
@@ -271,6 +271,17 @@
         m_hooks.onReplaced(record.info);
 }
 
+bool BackendTable::acceptsNewWork(const Record &record)
+{
+    return !isLeaving(record) && !record.isReplaced;
+}
+
+bool BackendTable::acceptsNewWork(std::string_view id) const
+{
+    const auto found = m_records.find(id);
+    return found != m_records.end() && acceptsNewWork(found->second);
+}
+
 std::optional<BackendState> BackendTable::server(std::string_view id, TimePoint now) const
 {
     const auto found = m_records.find(id);
@@ -303,8 +314,7 @@
 
 bool BackendTable::isCandidate(const Record &record, std::string_view service, TimePoint now) const
 {
-    return record.info.service == service && !isLeaving(record) && !record.isReplaced
-        && isRetained(record, now);
+    return record.info.service == service && acceptsNewWork(record) && isRetained(record, now);
 }
 
 BackendTable::Record *BackendTable::find(std::string_view id)
--- a/src/decisions/RunCopy.cpp
+++ b/src/decisions/RunCopy.cpp
@@ -43,10 +43,11 @@
     m_snapshotAt = now;
 }
 
-// An engine reserves memory for a snapshot until it expires, even after the run has ended.
+// An engine reserves memory for a snapshot until it expires, even after the run has ended. One that
+// leaves takes no new work that could need the memory.
 void RunCopy::drop()
 {
-    if (m_snapshot && m_releaseHook)
+    if (m_snapshot && m_releaseHook && m_servers.acceptsNewWork(m_snapshot->serverId))
         m_releaseHook(*m_snapshot);
     reset();
 }
--- a/tests/decisions/StreamSessionTest.cpp
+++ b/tests/decisions/StreamSessionTest.cpp
@@ -45,6 +45,7 @@
     CPPUNIT_TEST(runIsNotResumedAtALeavingServer);
     CPPUNIT_TEST(copyAtALeavingServerIsReplaced);
     CPPUNIT_TEST(runAtALeavingServerGoesOn);
+    CPPUNIT_TEST(snapshotOfALeavingServerIsNotReleased);
     CPPUNIT_TEST(streamIsRefusedAtOnceIfAllServersLeave);
     CPPUNIT_TEST(successorThatLeavesIsNotUsed);
     CPPUNIT_TEST_SUITE_END();
@@ -517,6 +518,28 @@
         CPPUNIT_ASSERT(isWaiting(session.onFinished(probedAt)));
     }
 
+    // An engine drops a snapshot by itself. Guards against a request to a server that leaves, or
+    // that is no longer listed, only to have it dropped sooner.
+    void snapshotOfALeavingServerIsNotReleased()
+    {
+        for (const std::string how : {"answer", "list", "gone", "ready"}) {
+            released.clear();
+            listServers();
+            StreamSession session(m_route, request(), context(), copyingEngines);
+            BackendInfo runServer = startAndLoseCopy(session).server.info;
+            session.onCopied(nextCopyRun(session), "h1", m_at);
+            runServer.isDraining = how == "list";
+            if (how == "answer")
+                sayLeaving(runServer.id);
+            else if (how == "gone")
+                servers.remove(runServer.id, now);
+            else
+                servers.put(runServer, now);
+            session.onFinished(m_at);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(how, std::size_t(how == "ready" ? 1 : 0), released.size());
+        }
+    }
+
     void streamIsRefusedAtOnceIfAllServersLeave()
     {
         for (const char *id : {"a1", "a2", "b1", "b2", "c1", "c2"})
