soak: servers that leave only by their answers

Change: fault server_leaves_by_answer (answers say that the server leaves, its entry is renewed as ready until it ends). Callers record which server said so and when. Check leavingByAnswer: nothing that a caller sent later than 2 s after that reaches the server through that gateway; only a restart of the gateway excuses it.

--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -17,7 +17,8 @@
 def attempt(request="r1", kind="writes", **fields):
     facts = {"request": request, "kind": kind, "gateway": "gateway-0", "account": "a", "key": "k",
              "body": "b", "path": "/p", "sent_at": 100.0, "ended_at": 100.2, "outcome": "served",
-             "status": 200, "retry_after": None, "events": 0, "reused": False, "gave_up": False}
+             "status": 200, "retry_after": None, "events": 0, "reused": False, "gave_up": False,
+             "leaving_server": None, "head_at": 100.2}
     return Attempt(**{**facts, **fields})
 
 
@@ -190,6 +191,32 @@
         self.fault("store_fails", 99.0, 103.0)
         self.assertEqual([], self.violated_rules(checks.leaving_servers_get_nothing))
 
+    def test_server_that_leaves_by_its_answer(self):
+        self.attempts += [attempt(request="r0", leaving_server="i-1-1", head_at=100.0),
+                          attempt(sent_at=102.1)]
+        self.records.append(record("arrived", 102.2))
+        self.assertEqual([], self.violated_rules(checks.servers_leaving_by_answer_get_nothing))
+        self.records[0] = record("arrived", 102.4)
+        self.assertEqual(["leavingByAnswer"],
+                         self.violated_rules(checks.servers_leaving_by_answer_get_nothing))
+        for fields in ({"sent_at": 101.9}, {"gateway": "gateway-1"}):
+            self.attempts[1] = attempt(**{"sent_at": 102.1, **fields})
+            self.assertEqual([], self.violated_rules(checks.servers_leaving_by_answer_get_nothing))
+        self.attempts[1] = attempt(sent_at=102.1)
+        self.records[0] = record("arrived", 102.4, server="i-1-2")
+        self.assertEqual([], self.violated_rules(checks.servers_leaving_by_answer_get_nothing))
+
+    def test_restarted_gateway_does_not_know_that_a_server_leaves(self):
+        self.attempts += [attempt(request="r0", leaving_server="i-1-1", head_at=100.0),
+                          attempt(sent_at=102.1)]
+        self.records.append(record("arrived", 102.4))
+        for process, at in (("gateway-1", 101.0), ("gateway-0", 99.9), ("gateway-0", 102.5)):
+            self.record_event("started", at, process=process)
+        self.assertEqual(["leavingByAnswer"],
+                         self.violated_rules(checks.servers_leaving_by_answer_get_nothing))
+        self.record_event("started", 101.0, process="gateway-0")
+        self.assertEqual([], self.violated_rules(checks.servers_leaving_by_answer_get_nothing))
+
     def test_planned_stop(self):
         self.record_event("signal", 100.1, process="gateway-0", signal="SIGTERM")
         self.fault("gateway_terminated", 100.1, 103.0)
--- a/tools/lib/soak/callers.py
+++ b/tools/lib/soak/callers.py
@@ -13,7 +13,7 @@
 
 Attempt = collections.namedtuple(
     "Attempt", "request kind gateway account key body path sent_at ended_at outcome status "
-               "retry_after events reused gave_up")
+               "retry_after events reused gave_up leaving_server head_at")
 
 KINDS = ["streams", "writes", "reads"]
 # Fraction of the requests for each kind.
@@ -110,12 +110,15 @@
 
     def _exchange(self, gateway, kind, path, headers, body, request_fields, gives_up):
         result = {"outcome": "broken", "status": 0, "retry_after": None, "events": 0,
-                  "reused": False, "gave_up": False}
+                  "reused": False, "gave_up": False, "leaving_server": None, "head_at": None}
         connection, result["reused"] = self._take_connection(gateway, kind)
         try:
             connection.request(METHODS[kind], path, body or None, headers)
             response = connection.getresponse()
             result["status"] = response.status
+            result["head_at"] = time.monotonic()
+            if response.getheader(wire.LEAVING) == "1":
+                result["leaving_server"] = response.getheader(wire.SERVER_ID)
             after = response.getheader("Retry-After")
             result["retry_after"] = float(after) if after else None
             if response.status == 200 and kind == "streams":
--- a/tools/lib/soak/checks.py
+++ b/tools/lib/soak/checks.py
@@ -33,8 +33,8 @@
 # What a fault of each kind can affect; a kind in no list affects everything.
 GATEWAY_FAULTS = ("gateway_killed", "gateway_terminated", "gateway_paused", "gateway_hangup",
                   "callers_reset", "callers_slow")
-SERVER_FAULTS = ("server_crashed", "server_paused", "server_leaves", "server_fails",
-                 "link_silent", "link_reset", "link_slow", "link_one_way")
+SERVER_FAULTS = ("server_crashed", "server_paused", "server_leaves", "server_leaves_by_answer",
+                 "server_fails", "link_silent", "link_reset", "link_slow", "link_one_way")
 FAULTS_HIDING_CLOSE = ("server_paused", "link_silent", "link_slow", "link_one_way")
 # A store failure does not affect a request that was already sent to a server.
 STORE_FAULTS = ("store_fails", "store_forgets", "store_cut", "config_changed", "key_withdrawn")
@@ -214,6 +214,33 @@
                                              f"{late:.2f} s late")
 
 
+def leaving_notices(evidence):
+    """Returns when each gateway first passed on an answer by which a server said that it leaves."""
+    noticed_at = {}
+    for attempt in evidence.attempts.values():
+        if attempt.leaving_server:
+            key = attempt.gateway, attempt.leaving_server
+            noticed_at[key] = min(noticed_at.get(key, float("inf")), attempt.head_at)
+    return noticed_at
+
+
+def servers_leaving_by_answer_get_nothing(evidence):
+    """Only a restart makes a gateway forget what it has passed on."""
+    noticed_at = leaving_notices(evidence)
+    starts = evidence.journal.entries_of("started")
+    for record in evidence.records:
+        attempt = evidence.attempts.get(record.get("request"))
+        if record["event"] != "arrived" or attempt is None:
+            continue
+        notice = noticed_at.get((attempt.gateway, record["server"]), float("inf"))
+        limit = notice + MAX_SERVER_LIST_DELAY_SECONDS
+        is_late = attempt.sent_at > limit and record["at"] > limit + LOG_DELAY_TOLERANCE_SECONDS
+        if is_late and not any(start["process"] == attempt.gateway
+                               and notice < start["at"] <= record["at"] for start in starts):
+            yield Violation("leavingByAnswer", f"{record['request']} arrived at {record['server']} "
+                                               f"{record['at'] - limit:.2f} s late")
+
+
 def planned_stops_cut_nothing(evidence):
     """A gateway in a planned stop finishes the requests that it has read."""
     planned_stop_kinds = ("gateway_terminated", "gateways_rolled", "gateway_hangup")
@@ -343,7 +370,8 @@
 
 CHECKS = [wrong_answers, served_requests_ran, runs_are_as_sent, writes_run_once,
           refused_never_run, streams_run_at_one_server, withdrawn_keys_run_nothing,
-          proper_requests_are_allowed, leaving_servers_get_nothing, planned_stops_cut_nothing,
+          proper_requests_are_allowed, leaving_servers_get_nothing, servers_leaving_by_answer_get_nothing,
+          planned_stops_cut_nothing,
           given_up_work_ends, retries_stay_in_budget, rate_limits_hold, gateways_stay_up,
           service_recovers]
 
--- a/tools/lib/soak/faults.py
+++ b/tools/lib/soak/faults.py
@@ -30,7 +30,8 @@
             self.server_leaves, self.server_fails, self.link_silent, self.link_reset,
             self.link_slow, self.link_one_way, self.callers_reset, self.callers_slow,
             self.store_fails, self.store_forgets, self.store_cut, self.config_changed,
-            self.key_withdrawn, self.gateways_killed, self.server_limited, self.service_limited]
+            self.key_withdrawn, self.gateways_killed, self.server_limited, self.service_limited,
+            self.server_leaves_by_answer]
 
     def run(self, seconds):
         time.sleep(FAULT_FREE_START_SECONDS)
@@ -111,6 +112,9 @@
     def server_leaves(self, _seconds, _gateway, server, _fraction):
         server.leave()
 
+    def server_leaves_by_answer(self, _seconds, _gateway, server, _fraction):
+        server.leave_by_answer()
+
     def server_fails(self, seconds, _gateway, server, fraction):
         names = ["notRun", "error", "truncated", "garbled", "doubled", "answerLost",
                  *endless.SHAPES]
