tests/decisions: a run at a leaving server is still copied

Cause: nothing held fast that a run in progress at a server that leaves gets a new copy when it has lost its own; without one a long run ends with its server.

--- a/tests/decisions/StreamSessionTest.cpp
+++ b/tests/decisions/StreamSessionTest.cpp
@@ -45,6 +45,7 @@
     CPPUNIT_TEST(runIsNotResumedAtALeavingServer);
     CPPUNIT_TEST(copyAtALeavingServerIsReplaced);
     CPPUNIT_TEST(runAtALeavingServerGoesOn);
+    CPPUNIT_TEST(runAtALeavingServerIsCopied);
     CPPUNIT_TEST(snapshotOfALeavingServerIsNotReleased);
     CPPUNIT_TEST(streamIsRefusedAtOnceIfAllServersLeave);
     CPPUNIT_TEST(successorThatLeavesIsNotUsed);
@@ -518,6 +519,20 @@
         CPPUNIT_ASSERT(isWaiting(session.onFinished(probedAt)));
     }
 
+    // Servers that leave end. Guards against a long run that ends with its server.
+    void runAtALeavingServerIsCopied()
+    {
+        StreamSession session(m_route, request(), context(), copyingEngines);
+        const std::string id = startAndLoseCopy(session).server.info.id;
+        sayLeaving(id);
+        const CopyRun order = nextCopyRun(session);
+        CPPUNIT_ASSERT_EQUAL(id, order.from.info.id);
+        session.onCopied(order, "h1", m_at);
+        const ForwardAction next =
+            placed(session, session.onAttemptEnded(AttemptResult::Lost, m_at), m_at);
+        CPPUNIT_ASSERT_EQUAL(order.to.info.id, sent(next).server.info.id);
+    }
+
     // An engine drops a snapshot by itself. Guards against a request to a server that leaves, or
     // that is no longer listed, only to have it dropped sooner.
     void snapshotOfALeavingServerIsNotReleased()
