operator: show in explain that a server leaves

Cause: foxtailringctl explain printed neither that a server in a request's story leaves nor that this ended. Change: serverLeaving and serverLeavingEnded are among the lines that tell a server's state. Measured: operator_test: leavingServerIsReported failed before, 10 OK after. Conclusion: explain covers the new log lines.

--- a/src/operator/RequestTimeline.cpp
+++ b/src/operator/RequestTimeline.cpp
@@ -19,7 +19,7 @@
     std::string_view subjectField; ///< empty: the event concerns the node or its store
 };
 
-constexpr std::array<StateEvent, 15> stateEvents {{{"started", ""},
+constexpr std::array<StateEvent, 17> stateEvents {{{"started", ""},
                                                    {"stopping", ""},
                                                    {"storeLost", ""},
                                                    {"storeFollowed", ""},
@@ -33,7 +33,9 @@
                                                    {"serverSuspected", "server"},
                                                    {"serverTrusted", "server"},
                                                    {"serverLimited", "server"},
-                                                   {"serverUnlimited", "server"}}};
+                                                   {"serverUnlimited", "server"},
+                                                   {"serverLeaving", "server"},
+                                                   {"serverLeavingEnded", "server"}}};
 
 std::string stringField(const ordered_json &object, std::string_view name)
 {
--- a/tests/operator/RequestTimelineTest.cpp
+++ b/tests/operator/RequestTimelineTest.cpp
@@ -10,6 +10,7 @@
     CPPUNIT_TEST_SUITE(RequestTimelineTest);
     CPPUNIT_TEST(linesArePrintedInTimeOrder);
     CPPUNIT_TEST(latestStateBeforeTheRequestIsPrinted);
+    CPPUNIT_TEST(leavingServerIsReported);
     CPPUNIT_TEST(killedProcessIsReported);
     CPPUNIT_TEST(requestWithoutLinesIsReported);
     CPPUNIT_TEST_SUITE_END();
@@ -52,6 +53,20 @@
         CPPUNIT_ASSERT(text.find("serverSuspected") < text.find("attempt"));
     }
 
+    // Guards against a timeline that does not say why a run at a server that is listed as ready
+    // ended.
+    void leavingServerIsReported()
+    {
+        RequestTimeline timeline("r1");
+        timeline.addLine(
+            R"({"time":"T1","node":"g1","event":"serverLeaving","server":"s1","source":"answer"})");
+        timeline.addLine(
+            R"({"time":"T2","node":"g1","event":"attempt","request":"r1","server":"s1"})");
+        CPPUNIT_ASSERT(printed(timeline).find("source answer") != std::string::npos);
+        timeline.addLine(R"({"time":"T1","node":"g1","event":"serverLeavingEnded","server":"s1"})");
+        CPPUNIT_ASSERT(printed(timeline).find("serverLeavingEnded") != std::string::npos);
+    }
+
     // Guards against a timeline that just stops: a killed process logs no end of its requests. 40
     // requests had none.
     void killedProcessIsReported()
