soak: a stand-in's answer that is complete before endless bytes has all events

Cause: the shape endlessAfter of a stream was a whole answer with one event of 60. Change: the body before the endless bytes has all the events that are left. The check is as strict as before. Conclusion: not a fault of the gateway.

--- a/tools/lib/soak/backend.py
+++ b/tools/lib/soak/backend.py
@@ -195,9 +195,10 @@
         headers = self.answer_headers(request)
         shape = next(filter(self.has_fault, endless.SHAPES), None)
         if shape:
+            events = [event_text(request, number) for number in range(last_event + 1, EVENTS_PER_RUN + 1)]
             return endless.send_endless_answer(handler, shape,
                                                {"Content-Type": "text/event-stream", **headers},
-                                               event_text(request, 1))
+                                               b"".join(events))
         handler.wfile.write(handler.head(200, None, {"Content-Type": "text/event-stream",
                                                      **headers}))
         copy_to = handler.headers.get(wire.COPY_TO)
