--- a/include/foxtailring/decisions/RunCopy.h
+++ b/include/foxtailring/decisions/RunCopy.h
@@ -23,7 +23,8 @@
 public:
     using ReleaseHook = std::function<void(const CopyReference &)>;
 
-    /// \param release called for a snapshot that is dropped unused; may be empty
+    /// \param release called for a snapshot that is dropped unused, unless the server that made it
+    /// takes no new work; may be empty
     RunCopy(BackendTable &servers, ReleaseHook release);
     ~RunCopy();
     RunCopy(const RunCopy &) = delete;
@@ -34,7 +35,7 @@
     /// \brief A snapshot of the run was copied to \a holder.
     void setSnapshot(const BackendState &holder, CopyReference reference, TimePoint now);
     void drop();
-    /// \brief True if there is a copy, and its server is neither suspected, draining nor replaced.
+    /// \brief True if there is a copy, and its server is neither suspected, leaving nor replaced.
     bool isUsable(TimePoint now) const;
     /// \brief True if the copy is a snapshot that expires soon unless it is renewed.
     bool needsRenewal(TimePoint now) const;
--- a/tests/gateway/GatewayFixture.h
+++ b/tests/gateway/GatewayFixture.h
@@ -46,8 +46,9 @@
 ///
 /// Wire format of the test: requests have the headers `id`, `key`, `last` (event id), `copy-to` and
 /// `copy-at`, and `parts` of the prompt; a response with `full` was not run, one with `signed` is
-/// signed, `id` is the request that it answers, and `limit` is a rate limit. The codec throws on a
-/// message with `unreadable`. A server's entry in the store is its zone.
+/// signed, `id` is the request that it answers, `limit` is a rate limit, and `leaving` says that the
+/// server leaves if its value is `1`. The codec throws on a message with `unreadable`. A server's
+/// entry in the store is its zone.
 class GatewayFixture : public CppUnit::TestFixture
 {
 public:
@@ -70,6 +71,8 @@
     void startServing();
     void call(const std::string &path, const std::string &key = "good");
     int readiness();
+    /// \brief Text of the gateway's metrics.
+    std::string metrics();
     static BackendCodec codec();
     StoreSchema schema() const;
     static std::string eventText(int id);
