platform: read the pause that a server asks for with a 503

Cause: Nothing read Retry-After of a server's 503, so a server that wanted no request for a while got them as before. Change: decodeAnswer() reads it into BackendAnswer::pause, with fractions of seconds. Values that cannot be read (text, a date, negative, not finite, out of range) give no pause but are told apart from none; one of more than a minute becomes a minute, so that a faulty value loses no server; of repeated headers the longest counts. Conclusion: read, but nothing acts on it yet.

--- a/include/foxtailring/decisions/BackendAnswer.h
+++ b/include/foxtailring/decisions/BackendAnswer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "foxtailring/base/Clock.h"
 #include "foxtailring/decisions/BackendLoadReport.h"
 
 #include <optional>
@@ -19,6 +20,8 @@
     std::optional<BackendLoadReport> load;
     bool namesRateLimit = false;     ///< has a rate limit, readable or not
     std::optional<double> rateLimit; ///< requests per second from all processes together
+    bool namesPause = false;       ///< turned away with a pause, readable or not
+    std::optional<Duration> pause; ///< the server wants no request from this process for so long
 
     bool isSuccess() const { return status >= 200 && status < 300; }
 };
--- a/tests/platform/WireFormatTest.cpp
+++ b/tests/platform/WireFormatTest.cpp
@@ -15,6 +15,10 @@
     CPPUNIT_TEST(copyOnDemandIsNamedByItsHandle);
     CPPUNIT_TEST(answerIsDecoded);
     CPPUNIT_TEST(rateLimitIsDecoded);
+    CPPUNIT_TEST(pauseIsDecoded);
+    CPPUNIT_TEST(unreadablePauseIsNone);
+    CPPUNIT_TEST(longPauseIsBounded);
+    CPPUNIT_TEST(longestOfRepeatedPausesCounts);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -114,6 +118,41 @@
         CPPUNIT_ASSERT(!odd.load);
     }
 
+    // Guards against a pause that is taken from another status, or rounded to seconds.
+    void pauseIsDecoded()
+    {
+        const BackendAnswer named = pauseAnswer(503, {" 2.5 "});
+        CPPUNIT_ASSERT(named.namesPause && named.pause == std::chrono::milliseconds(2500));
+        CPPUNIT_ASSERT(pauseAnswer(503, {"0"}).pause == Duration {0});
+        CPPUNIT_ASSERT(!pauseAnswer(503, {}).namesPause);
+        for (const int status : {200, 429, 500, 502, 504})
+            CPPUNIT_ASSERT(!pauseAnswer(status, {"2"}).namesPause);
+    }
+
+    // Guards against a garbled value that becomes a pause, or that ends the process.
+    void unreadablePauseIsNone()
+    {
+        for (const char *garbled :
+             {"", " ", "soon", "-1", "-0.5", "nan", "inf", "-inf", "2s", "2 3", "2,3", "0x10", "+2",
+              "1e999", "--1", "Fri, 04 Dec 2026 22:15:00 GMT"}) {
+            const BackendAnswer odd = pauseAnswer(503, {garbled});
+            CPPUNIT_ASSERT_MESSAGE(garbled, odd.namesPause && !odd.pause);
+        }
+    }
+
+    // Guards against a server that is lost for days to a faulty value.
+    void longPauseIsBounded()
+    {
+        for (const char *huge : {"61", "86400", "1e300", "99999999999999999999999999"})
+            CPPUNIT_ASSERT_MESSAGE(huge,
+                                   pauseAnswer(503, {huge}).pause == std::chrono::seconds(60));
+    }
+
+    void longestOfRepeatedPausesCounts()
+    {
+        CPPUNIT_ASSERT(pauseAnswer(503, {"1", "soon", "3", "2"}).pause == std::chrono::seconds(3));
+    }
+
     // Guards against taking a garbled limit for a limit, or for the end of one.
     void rateLimitIsDecoded()
     {
@@ -127,6 +166,14 @@
     }
 
 private:
+    BackendAnswer pauseAnswer(int status, const std::vector<std::string> &values) const
+    {
+        HttpResponse response {status, {}, ""};
+        for (const std::string &value : values)
+            response.headers.push_back({"retry-after", value});
+        return m_codec.decodeAnswer(response);
+    }
+
     static HttpRequest http()
     {
         return {"POST",
