decisions, gateway: send nothing to a server in the pause that it asked for

Cause: A server that turned a request away with 503 and Retry-After got further requests of all kinds meanwhile: calls, retries, runs, probes, orders for copies. Callers were told to return after 0.25 to 0.75 s while every server paused. Change: ServerPauses keeps the pauses by server, address and start time. ServerAdmission is the one guard of all requests to a server, of its pause and of its rate limit; sessions and releases of copies use it in place of RateLimitTable. Answers to attempts (abandoned ones too), probes, orders and releases are read. A pause lowers no health. A run in progress goes on; its silence is then judged by the time limit for the next event alone. While every server of a service pauses, requests are refused at once (serversPaused) until the first end, with a random spread of 0.5 s. Each process returns to a server up to 0.5 s after the pause if others take its requests. A release of a copy connects within 0.25 s, like attempts, so that it reaches its server within 0.5 s of a pause. Conclusion: kept by each process for itself. Answers to probes that come after their time limit are not read yet.

--- a/include/foxtailring/decisions/BackendAnswer.h
+++ b/include/foxtailring/decisions/BackendAnswer.h
@@ -20,8 +20,8 @@
     std::optional<BackendLoadReport> load;
     bool namesRateLimit = false;     ///< has a rate limit, readable or not
     std::optional<double> rateLimit; ///< requests per second from all processes together
-    bool namesPause = false;       ///< turned away with a pause, readable or not
-    std::optional<Duration> pause; ///< the server wants no request from this process for so long
+    bool namesPause = false;         ///< turned away with a pause, readable or not
+    std::optional<Duration> pause;   ///< the server wants no request from this process for so long
 
     bool isSuccess() const { return status >= 200 && status < 300; }
 };
--- a/include/foxtailring/decisions/ForwardContext.h
+++ b/include/foxtailring/decisions/ForwardContext.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "foxtailring/base/Clock.h"
+
 #include <functional>
 #include <string>
 #include <string_view>
@@ -10,8 +12,8 @@
 class BackendTable;
 class EngineLatencyEstimator;
 class RandomSource;
-class RateLimitTable;
 class RetryBudget;
+class ServerAdmission;
 struct CopyReference;
 struct RateLimitExplanation;
 
@@ -21,13 +23,15 @@
     BackendTable &servers;
     const BackendPlacer &placer;
     RetryBudget &retryBudget;
-    RateLimitTable &rateLimits;
+    ServerAdmission &admission;
     EngineLatencyEstimator &latency;
     RandomSource &random;
     /// Tells the server to release a snapshot that is no longer needed; may be empty.
     std::function<void(const CopyReference &)> releaseCopy;
     /// A server got no request because of its rate limit; may be empty.
     std::function<void(std::string_view serverId, const RateLimitExplanation &)> onRateLimited;
+    /// A server got no request because it asked for a pause; may be empty.
+    std::function<void(std::string_view serverId, Duration left)> onPauseReached;
     /// The retry budget of the service is used up; may be empty.
     std::function<void(const std::string &service)> onRetryDenied;
 };
--- a/include/foxtailring/decisions/ForwardSession.h
+++ b/include/foxtailring/decisions/ForwardSession.h
@@ -72,9 +72,9 @@
     using Chooser = std::optional<BackendState> (BackendPlacer::*)(const PlacementRequest &,
                                                                    TimePoint, RandomSource &) const;
 
-    /// \brief Takes a request to the server from its rate limit. False if none is free.
+    /// \brief Takes a request to the server. False if its rate limit or a pause allows none.
     bool tryAcquire(const std::string &serverId, TimePoint now);
-    /// \brief Chooses a server whose rate limit allows a request, and takes the request from it.
+    /// \brief Chooses a server to which a request may be sent now, and takes the request.
     std::optional<BackendState> choose(PlacementRequest placement, Chooser chooser, TimePoint now);
     /// \brief Refusal if choose() found no server.
     ForwardAction refuseUnplaced(TimePoint now);
@@ -109,6 +109,11 @@
     virtual TimePoint overdueAt() const = 0;
 
     void chooseService();
+    /// Time until a server of the service takes a request; 0: now or unknown.
+    Duration waitForServer(TimePoint now) const;
+    /// True if all servers of the service that are expected to answer asked for a pause.
+    bool isServicePaused(TimePoint now) const;
+    void reportDenied(const std::string &serverId, TimePoint now);
     ForwardAction onWrongServer(const BackendAnswer &answer, TimePoint now);
     ForwardAction retryRejected(AttemptResult result, TimePoint now);
     bool tryConsumeBudget(TimePoint now);
@@ -118,8 +123,8 @@
     const ForwardContext m_context;
     const TimePoint m_deadline;
     std::string m_service;
-    std::vector<std::string> m_triedIds;   ///< ids of servers
-    std::vector<std::string> m_limitedIds; ///< servers without a free request at the last choice
+    std::vector<std::string> m_triedIds; ///< ids of servers
+    bool m_isLimited = false;            ///< a server had no free request at the last choice
     std::optional<BackendState> m_server;
     TimePoint m_sentAt;
     std::uint32_t m_possibleRuns = 0;
--- a/include/foxtailring/decisions/ServerProbeResult.h
+++ b/include/foxtailring/decisions/ServerProbeResult.h
@@ -17,6 +17,7 @@
     std::int64_t eventCount = 0;  ///< events produced by that run
     bool hasPrompt = false;       ///< the prompt that the probe asked about is in its memory
     std::int64_t startedAtMs = 0; ///< Unix time of its start; 0: not given
+    bool isTurnedAway = false;    ///< the server asked for a pause in place of a report
 };
 
 } // namespace foxtailring
--- a/include/foxtailring/decisions/StreamSession.h
+++ b/include/foxtailring/decisions/StreamSession.h
@@ -65,7 +65,8 @@
     /// Whether the run can finish before the deadline if it first processes \a promptTokens.
     bool canFinishInTime(std::uint64_t promptTokens, TimePoint now) const;
     ForwardAction probeCandidates(TimePoint now);
-    /// True if the server may be probed: one that names a rate limit gets no probe beside the run.
+    /// True if the server may be probed: one that names a rate limit or asked for
+    /// a pause gets no probe beside the run.
     bool mayProbe(const BackendState &server, TimePoint now) const;
     ForwardAction placeRun(std::span<const ServerProbeResult> reports, TimePoint now);
     ForwardAction sendRun(SendAttempt next, TimePoint now);
--- a/src/decisions/ForwardSession.cpp
+++ b/src/decisions/ForwardSession.cpp
@@ -3,10 +3,12 @@
 #include "foxtailring/base/RandomSource.h"
 #include "foxtailring/decisions/BackendPlacer.h"
 #include "foxtailring/decisions/BackendTable.h"
-#include "foxtailring/decisions/RateLimitTable.h"
+#include "foxtailring/decisions/RateLimitExplanation.h"
 #include "foxtailring/decisions/RetryBudget.h"
+#include "foxtailring/decisions/ServerAdmission.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace foxtailring {
 
@@ -81,7 +83,7 @@
     if (answer.load)
         m_context.servers.updateLoad(m_server->info.id, *answer.load, now);
     if (!answer.isOtherServer)
-        m_context.rateLimits.recordAnswer(m_server->info.id, answer, m_sentAt, now);
+        m_context.admission.recordAnswer(m_server->info, answer, m_sentAt, now);
 }
 
 ForwardAction ForwardSession::onAnswer(const BackendAnswer &answer, TimePoint now)
@@ -96,7 +98,8 @@
     if (answer.isSuccess() && !answer.isSigned)
         return onAttemptEnded(AttemptResult::Lost, now);
     const bool isFailure = answer.status >= 500;
-    m_context.servers.recordAnswer(m_server->info.id, isFailure, now);
+    // A server that asks for a pause has not failed.
+    m_context.servers.recordAnswer(m_server->info.id, isFailure && !answer.pause, now);
     releaseServer();
     ++m_possibleRuns;
     if (!isFailure)
@@ -149,7 +152,7 @@
     // An attempt that was not sent puts no load on a server, so it does not use the retry budget.
     const bool takesBudget = result != AttemptResult::NotSent;
     if (isExhausted || (takesBudget && !tryConsumeBudget(now)))
-        return conclude(refuse(503, attemptResultName(result)));
+        return conclude(refuse(503, attemptResultName(result), waitForServer(now)));
     return makeAttempt(attemptResultName(result), now);
 }
 
@@ -159,7 +162,8 @@
         if (m_context.servers.detectRestart(report.serverId, report.startedAtMs))
             continue;
         m_context.servers.recordContact(report.serverId, now);
-        m_context.servers.updateLoad(report.serverId, report.load, now);
+        if (!report.isTurnedAway)
+            m_context.servers.updateLoad(report.serverId, report.load, now);
     }
     return KeepWaiting {};
 }
@@ -192,38 +196,87 @@
 
 bool ForwardSession::tryAcquire(const std::string &serverId, TimePoint now)
 {
-    const bool isFree = m_context.rateLimits.tryAcquire(serverId, now);
-    if (!isFree && m_context.onRateLimited)
-        m_context.onRateLimited(serverId, *m_context.rateLimits.explain(serverId, now));
+    const bool isFree = m_context.admission.tryAcquire(serverId, now);
+    if (!isFree)
+        reportDenied(serverId, now);
     return isFree;
 }
 
+void ForwardSession::reportDenied(const std::string &serverId, TimePoint now)
+{
+    if (m_context.admission.isPaused(serverId, now)) {
+        if (m_context.onPauseReached)
+            m_context.onPauseReached(serverId, m_context.admission.freeAt(serverId, now) - now);
+        return;
+    }
+    const auto limit = m_context.admission.explainLimit(serverId, now);
+    if (limit && m_context.onRateLimited)
+        m_context.onRateLimited(serverId, *limit);
+}
+
 // A server without a free request is passed over like one that does not exist: it is neither tried
-// nor suspected.
+// nor suspected. A server whose pause has just ended is chosen at once only if there is no other.
 std::optional<BackendState> ForwardSession::choose(PlacementRequest placement, Chooser chooser,
                                                    TimePoint now)
 {
-    std::vector<std::string> exclude(placement.exclude.begin(), placement.exclude.end());
-    m_limitedIds.clear();
+    const std::vector<std::string> requested(placement.exclude.begin(), placement.exclude.end());
+    std::vector<std::string> returning = m_context.admission.returningIds(now);
+    std::vector<std::string> denied;
+    m_isLimited = false;
     while (true) {
+        std::vector<std::string> exclude = requested;
+        exclude.insert(exclude.end(), returning.begin(), returning.end());
+        exclude.insert(exclude.end(), denied.begin(), denied.end());
         placement.exclude = exclude;
         auto chosen = (m_context.placer.*chooser)(placement, now, m_context.random);
-        if (!chosen || tryAcquire(chosen->info.id, now))
+        if (chosen && tryAcquire(chosen->info.id, now))
             return chosen;
-        m_limitedIds.push_back(chosen->info.id);
-        exclude.push_back(chosen->info.id);
+        if (!chosen && returning.empty())
+            return std::nullopt;
+        if (!chosen) {
+            returning.clear();
+        } else if (m_context.admission.isPaused(chosen->info.id, now)) {
+            // All at once, since many servers of a service may be in a pause.
+            const std::vector<std::string> paused = m_context.admission.pausedIds(now);
+            denied.insert(denied.end(), paused.begin(), paused.end());
+        } else {
+            m_isLimited = true;
+            denied.push_back(chosen->info.id);
+        }
     }
 }
 
 ForwardAction ForwardSession::refuseUnplaced(TimePoint now)
 {
-    if (m_limitedIds.empty())
+    if (isServicePaused(now))
+        return refuse(503, "serversPaused", waitForServer(now));
+    if (!m_isLimited)
         return refuse(503, "noServer");
-    TimePoint freeAt = TimePoint::max();
-    for (const std::string &id : m_limitedIds)
-        freeAt = std::min(freeAt, m_context.rateLimits.freeAt(id, now));
-    const bool isShareEmpty = freeAt == TimePoint::max();
-    return refuse(503, "rateLimited", isShareEmpty ? Duration {0} : freeAt - now);
+    return refuse(503, "rateLimited", waitForServer(now));
+}
+
+// A suspected server may not answer, so the others decide.
+Duration ForwardSession::waitForServer(TimePoint now) const
+{
+    TimePoint soonest = TimePoint::max();
+    for (const BackendState &server : m_context.servers.candidates(m_service, now)) {
+        if (server.health != BackendHealth::Suspected)
+            soonest = std::min(soonest, m_context.admission.freeAt(server.info.id, now));
+    }
+    return soonest == TimePoint::max() ? Duration {0} : soonest - now;
+}
+
+bool ForwardSession::isServicePaused(TimePoint now) const
+{
+    bool isPaused = false;
+    for (const BackendState &server : m_context.servers.candidates(m_service, now)) {
+        if (server.health == BackendHealth::Suspected)
+            continue;
+        isPaused = m_context.admission.isPaused(server.info.id, now);
+        if (!isPaused)
+            return false;
+    }
+    return isPaused;
 }
 
 bool ForwardSession::tryTakeRetry(TimePoint now)
--- a/src/decisions/StreamSession.cpp
+++ b/src/decisions/StreamSession.cpp
@@ -3,8 +3,8 @@
 #include "foxtailring/decisions/BackendPlacer.h"
 #include "foxtailring/decisions/BackendTable.h"
 #include "foxtailring/decisions/EngineLatencyEstimator.h"
-#include "foxtailring/decisions/RateLimitTable.h"
 #include "foxtailring/decisions/RetryBudget.h"
+#include "foxtailring/decisions/ServerAdmission.h"
 
 #include <algorithm>
 #include <iterator>
@@ -183,10 +183,12 @@
     if (!m_capabilities.canBeProbed)
         return placeRun({}, now);
     ProbeServers probe;
+    std::vector<std::string> exclude = triedIds();
+    for (const auto &avoided :
+         {context().admission.pausedIds(now), context().admission.returningIds(now)})
+        exclude.insert(exclude.end(), avoided.begin(), avoided.end());
     probe.servers =
-        context().placer.runCandidates(placement(triedIds()), maxCandidates, now, context().random);
-    if (probe.servers.empty())
-        return refuseOrAbort(refuse(503, "noServer"));
+        context().placer.runCandidates(placement(exclude), maxCandidates, now, context().random);
     std::erase_if(probe.servers,
                   [this, now](const BackendState &server) { return !mayProbe(server, now); });
     if (probe.servers.empty())
@@ -203,16 +205,18 @@
 
 bool StreamSession::mayProbe(const BackendState &server, TimePoint now) const
 {
-    return !context().rateLimits.isLimited(server.info.id)
-        && context().rateLimits.tryAcquire(server.info.id, now);
+    return !context().admission.isRestricted(server.info.id, now)
+        && context().admission.tryAcquire(server.info.id, now);
 }
 
 ForwardAction StreamSession::placeRun(std::span<const ServerProbeResult> reports, TimePoint now)
 {
     m_isPlacing = false;
     m_responsive.clear();
-    for (const ServerProbeResult &report : reports)
-        m_responsive.push_back(report.serverId);
+    for (const ServerProbeResult &report : reports) {
+        if (!report.isTurnedAway)
+            m_responsive.push_back(report.serverId);
+    }
     // A server that did not answer the probe is chosen only if there is no other.
     std::vector<std::string> exclude = triedIds();
     std::copy_if(m_candidates.begin(), m_candidates.end(), std::back_inserter(exclude),
@@ -274,11 +278,11 @@
     PlacementRequest copyRequest = placement(exclude);
     copyRequest.avoidZone = runServer.info.availabilityZone;
     copyRequest.affinityServers = {};
-    // The run could not resume at a server that has no free request.
+    // The run could not resume at a server that has no free request or is in a pause.
     while (true) {
         copyRequest.exclude = exclude;
         auto holder = context().placer.chooseForCopy(copyRequest, now, context().random);
-        if (!holder || !context().rateLimits.isLimited(holder->info.id))
+        if (!holder || !context().admission.isRestricted(holder->info.id, now))
             return holder;
         exclude.push_back(holder->info.id);
     }
@@ -402,6 +406,10 @@
     m_isProbing = false;
     if (m_lastContactAt > m_probedAt)
         return KeepWaiting {};
+    if (!reports.empty() && reports.front().isTurnedAway) {
+        m_lastContactAt = now;
+        return KeepWaiting {};
+    }
     if (reports.empty() || showsLostRun(reports.front()))
         return onAttemptEnded(AttemptResult::Silent, now);
     const BackendLoadReport &load = reports.front().load;
--- a/src/gateway/GatewayNode.cpp
+++ b/src/gateway/GatewayNode.cpp
@@ -78,6 +78,28 @@
     return hooks;
 }
 
+ServerPauses::Hooks makePauseHooks(GatewayParts &parts)
+{
+    ServerPauses::Hooks hooks;
+    hooks.onPaused = [&parts](std::string_view serverId, Duration left) {
+        const double seconds = std::chrono::duration<double>(left).count();
+        parts.metrics.add("gateway_pauses_total");
+        parts.metrics.setGauge(GatewayParts::pauseGauge(serverId), seconds);
+        StructuredLog::info(
+            "serverPaused",
+            {{"server", std::string(serverId)}, {"seconds", std::to_string(seconds)}});
+    };
+    hooks.onEnded = [&parts](std::string_view serverId) {
+        parts.metrics.removeGauge(GatewayParts::pauseGauge(serverId));
+        StructuredLog::info("serverPauseEnded", {{"server", std::string(serverId)}});
+    };
+    hooks.onUnreadable = [&parts](std::string_view serverId) {
+        parts.metrics.add("gateway_pauses_unreadable_total");
+        StructuredLog::warn("pauseUnreadable", {{"server", std::string(serverId)}});
+    };
+    return hooks;
+}
+
 } // namespace
 
 struct GatewayNode::State
@@ -106,6 +128,7 @@
     {
         parts.servers.setHooks(makeTrustHooks(parts));
         parts.rateLimits.setHooks(makeRateLimitHooks(parts));
+        parts.pauses.setHooks(makePauseHooks(parts));
         watch.onConfirmed([this] { dispatcher.onStoreRead(); });
         watch.onConfigApplied(
             [this] { callers.setLimits(toHttpLimits(parts.routes->config().limits)); });
--- a/src/gateway/GatewayParts.cpp
+++ b/src/gateway/GatewayParts.cpp
@@ -17,6 +17,9 @@
 constexpr std::chrono::milliseconds keyFreshnessMargin {100};
 
 constexpr std::chrono::milliseconds releaseTimeout {500};
+// Like the connect timeout of attempts: a request reaches its server soon after it was decided, so
+// that a pause that the server asks for meanwhile is kept.
+constexpr std::chrono::milliseconds releaseConnectTimeout {250};
 constexpr std::size_t maxReleaseResponseBytes = 64 * 1024;
 // Requests may hold this fraction of the VM's memory; connection buffers and lists need the rest.
 constexpr std::size_t memoryBudgetDivisor = 4;
@@ -43,6 +46,8 @@
     , fleet(settings.nodeId)
     , retryBudget(retryBudgetSettings(random))
     , rateLimits({settings.nodeId, settings.maxServerListDelay})
+    , pauses(servers, random)
+    , admission(rateLimits, pauses)
     , keyFreshness(settings.maxKeyRevocationDelay, keyFreshnessMargin)
     , memoryBudget(settings.memoryMb * 1024 * 1024 / memoryBudgetDivisor)
 {
@@ -55,13 +60,16 @@
         servers,
         placer,
         retryBudget,
-        rateLimits,
+        admission,
         latency,
         random,
         [this, requestId](const CopyReference &copy) { releaseCopy(requestId, copy); },
         [this, requestId](std::string_view serverId, const RateLimitExplanation &reason) {
             reportRateLimited(requestId, serverId, reason);
         },
+        [this, requestId](std::string_view serverId, Duration left) {
+            reportPauseReached(requestId, serverId, left);
+        },
         [this, requestId](const std::string &service) { reportRetryDenied(requestId, service); }};
 }
 
@@ -109,10 +117,37 @@
                          {"shareKnown", reason.isShareKnown ? "true" : "false"}});
 }
 
+std::string GatewayParts::pauseGauge(std::string_view serverId)
+{
+    return "gateway_server_pause_seconds{server=\"" + std::string(serverId) + "\"}";
+}
+
+void GatewayParts::reportPauseReached(const std::string &requestId, std::string_view serverId,
+                                      Duration left)
+{
+    metrics.add("gateway_pause_denied_total");
+    StructuredLog::info(
+        "pauseReached",
+        {{"request", requestId}, {"server", std::string(serverId)}, {"leftMs", msText(left)}});
+}
+
+bool GatewayParts::recordPause(const BackendInfo &server, const HttpResponse &response)
+{
+    const BackendAnswer answer = codec.decodeAnswer(response);
+    pauses.recordAnswer(server, answer, clock());
+    return answer.pause.has_value();
+}
+
 void GatewayParts::releaseCopy(const std::string &requestId, const CopyReference &copy)
 {
-    const auto hook = [this, requestId,
+    const auto hook = [this, requestId, serverId = copy.serverId,
                        handle = copy.handle](const Result<HttpResponse> &response) {
+        if (response) {
+            queue.post([this, serverId, answer = response.value()] {
+                if (const auto server = servers.server(serverId, clock()))
+                    recordPause(server->info, answer);
+            });
+        }
         const bool isReleased = response && response.value().status < 300;
         metrics.add(isReleased ? "gateway_copies_total{outcome=\"released\"}"
                                : "gateway_copies_total{outcome=\"releaseFailed\"}");
@@ -128,10 +163,11 @@
     const auto endpoint = Endpoint::parse(copy.address);
     if (!endpoint)
         return hook(endpoint.error());
-    if (!copy.serverId.empty() && !rateLimits.tryAcquire(copy.serverId, clock()))
-        return hook(Error {ErrorCode::Overloaded, "the server's rate limit"});
+    if (!copy.serverId.empty() && !admission.tryAcquire(copy.serverId, clock()))
+        return hook(Error {ErrorCode::Overloaded, "the server's rate limit or pause"});
     ExchangeOptions options = ExchangeOptions::pooled();
     options.maxBodyBytes = maxReleaseResponseBytes;
+    options.connectTimeout = releaseConnectTimeout;
     http.request(endpoint.value(), codec.encodeCopyRelease(copy.handle), releaseTimeout, hook,
                  options);
 }
--- a/src/gateway/GatewayParts.h
+++ b/src/gateway/GatewayParts.h
@@ -13,6 +13,8 @@
 #include "foxtailring/decisions/RateLimitTable.h"
 #include "foxtailring/decisions/RetryBudget.h"
 #include "foxtailring/decisions/RouteTable.h"
+#include "foxtailring/decisions/ServerAdmission.h"
+#include "foxtailring/decisions/ServerPauses.h"
 #include "foxtailring/gateway/BackendCodec.h"
 #include "foxtailring/gateway/GatewaySettings.h"
 #include "foxtailring/transport/Http1Client.h"
@@ -47,6 +49,12 @@
     /// \brief Logs and counts that \a reason kept a request, or a probe for it, from a server.
     void reportRateLimited(const std::string &requestId, std::string_view serverId,
                            const RateLimitExplanation &reason);
+    /// \brief Logs and counts that a server's pause kept a request from it.
+    void reportPauseReached(const std::string &requestId, std::string_view serverId, Duration left);
+    /// \brief Takes note of the pause that \a response may ask for. True if it does.
+    bool recordPause(const BackendInfo &server, const HttpResponse &response);
+    /// \brief Name of the gauge of a server's pause, in seconds.
+    static std::string pauseGauge(std::string_view serverId);
     /// \brief Name of the gauge of a server's rate limit.
     static std::string rateLimitGauge(std::string_view serverId);
 
@@ -66,6 +74,8 @@
     FleetMembership fleet;
     RetryBudget retryBudget;
     RateLimitTable rateLimits;
+    ServerPauses pauses;
+    ServerAdmission admission;
     EngineLatencyEstimator latency;
     KeyFreshness keyFreshness;
     MemoryBudget memoryBudget;
--- a/src/gateway/GatewayPublisher.cpp
+++ b/src/gateway/GatewayPublisher.cpp
@@ -55,6 +55,7 @@
 {
     const TimePoint now = m_parts.clock();
     m_parts.rateLimits.expire(now);
+    m_parts.pauses.expire(now);
     m_parts.updateFleetSize();
     if (m_isCalling || now < m_pausedUntil)
         return;
--- a/src/gateway/RequestRelay.cpp
+++ b/src/gateway/RequestRelay.cpp
@@ -159,8 +159,14 @@
         const std::string answered = codec->decodeAnswer(response).requestId;
         return answered.empty() || answered == id;
     };
-    hooks.onHead = [post](const HttpResponse &response) {
-        post([response](RequestRelay &self) { self.onHead(response); });
+    hooks.onHead = [self = shared_from_this(), number = m_attempt.number,
+                    info = next.server.info](const HttpResponse &response) {
+        self->m_parts.queue.post([self, number, info, response] {
+            if (!self->m_isFinished && self->m_attempt.number == number)
+                self->onHead(response);
+            else
+                self->m_parts.recordPause(info, response);
+        });
     };
     hooks.onBody = [post](std::string_view bytes) {
         post([copy = std::string(bytes)](RequestRelay &self) { self.onBody(copy); });
@@ -209,6 +215,8 @@
 {
     const auto hook = [self = shared_from_this(), command](const Result<HttpResponse> &response) {
         self->m_parts.queue.post([self, command, response] {
+            if (response)
+                self->m_parts.recordPause(command.from.info, response.value());
             if (!self->m_isFinished)
                 self->onRunCopied(command, response);
         });
--- a/src/gateway/ServerProbe.cpp
+++ b/src/gateway/ServerProbe.cpp
@@ -33,9 +33,9 @@
 
 void ServerProbe::sendProbe(const BackendState &server)
 {
-    const std::string id = server.info.id;
-    const auto hook = [self = shared_from_this(), id](const Result<HttpResponse> &response) {
-        self->m_parts.queue.post([self, id, response] { self->onResponse(id, response); });
+    const auto hook = [self = shared_from_this(),
+                       info = server.info](const Result<HttpResponse> &response) {
+        self->m_parts.queue.post([self, info, response] { self->onResponse(info, response); });
     };
     const auto endpoint = Endpoint::parse(server.info.address);
     if (!endpoint)
@@ -59,12 +59,17 @@
         : m_parts.codec.decodeLoadReport(response, m_requestId);
 }
 
-void ServerProbe::onResponse(const std::string &serverId, const Result<HttpResponse> &response)
+void ServerProbe::onResponse(const BackendInfo &server, const Result<HttpResponse> &response)
 {
     --m_open;
     auto report = response ? decode(response.value()) : Result<ServerProbeResult>(response.error());
+    if (response && m_parts.recordPause(server, response.value())) {
+        ServerProbeResult turnedAway;
+        turnedAway.isTurnedAway = true;
+        report = turnedAway;
+    }
     if (report) {
-        report.value().serverId = serverId;
+        report.value().serverId = server.id;
         m_reports.push_back(std::move(report).value());
     } else {
         m_parts.metrics.add("gateway_questions_unanswered_total{error=\""
--- a/src/gateway/ServerProbe.h
+++ b/src/gateway/ServerProbe.h
@@ -13,6 +13,7 @@
 
 namespace foxtailring {
 
+struct BackendInfo;
 struct BackendState;
 struct GatewayRequest;
 struct GatewayParts;
@@ -35,7 +36,7 @@
 private:
     void sendProbe(const BackendState &server);
     Result<ServerProbeResult> decode(const HttpResponse &response) const;
-    void onResponse(const std::string &serverId, const Result<HttpResponse> &response);
+    void onResponse(const BackendInfo &server, const Result<HttpResponse> &response);
 
     GatewayParts &m_parts;
     const std::string m_requestId;
--- a/tests/decisions/ForwardFixture.h
+++ b/tests/decisions/ForwardFixture.h
@@ -11,6 +11,8 @@
 #include "foxtailring/decisions/HttpRoute.h"
 #include "foxtailring/decisions/RateLimitTable.h"
 #include "foxtailring/decisions/RetryBudget.h"
+#include "foxtailring/decisions/ServerAdmission.h"
+#include "foxtailring/decisions/ServerPauses.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <string>
@@ -82,13 +84,14 @@
         return {servers,
                 placer,
                 retryBudget,
-                rateLimits,
+                admission,
                 latency,
                 random,
                 [this](const CopyReference &copy) { released.push_back(copy.handle); },
                 [this](std::string_view serverId, const RateLimitExplanation &) {
                     limited.emplace_back(serverId);
                 },
+                [this](std::string_view serverId, Duration) { paused.emplace_back(serverId); },
                 [this](const std::string &service) { denied.push_back(service); }};
     }
     ForwardRequest request() const { return {now, Ms(5000), "p1", 8000, 600, 5, std::nullopt}; }
@@ -98,11 +101,14 @@
     BackendPlacer placer {servers, "a", {{"a", "ra"}, {"b", "rb"}, {"c", "rc"}}, {}};
     RetryBudget retryBudget {RetryBudget::Settings {0.5, 5}};
     RateLimitTable rateLimits {{"g", Ms(2500)}};
+    RandomSource random {7};
+    ServerPauses pauses {servers, random};
+    ServerAdmission admission {rateLimits, pauses};
     EngineLatencyEstimator latency;
     std::vector<std::string> released; ///< handles of snapshots
     std::vector<std::string> limited;  ///< servers passed over because of their rate limit
+    std::vector<std::string> paused;   ///< servers passed over because of a pause
     std::vector<std::string> denied;   ///< services whose retry budget was used up
-    RandomSource random {7};
 };
 
 } // namespace foxtailring
--- a/tests/gateway/GatewayFixture.cpp
+++ b/tests/gateway/GatewayFixture.cpp
@@ -56,6 +56,9 @@
     answer.namesRateLimit = !response.header("limit").empty();
     if (answer.namesRateLimit)
         answer.rateLimit = std::stod(std::string(response.header("limit")));
+    answer.namesPause = response.status == 503 && !response.header("pause").empty();
+    if (answer.namesPause)
+        answer.pause = milliseconds(std::stoi(std::string(response.header("pause"))));
     return answer;
 }
 
@@ -68,9 +71,9 @@
     for (int i = 0; i < 2; ++i) {
         const std::string name = i == 0 ? "a" : "b";
         m_servers[i].emplace(*m_pool, Endpoint {"127.0.0.1", 0}, HttpLimits(),
-                             [box = m_received, name](HttpRequest request,
-                                                      std::shared_ptr<Http1Responder> responder) {
-                                 if (request.target == "/load")
+                             [this, box = m_received, name](
+                                 HttpRequest request, std::shared_ptr<Http1Responder> responder) {
+                                 if (request.target == "/load" && !m_receivesProbes)
                                      return responder->respond({200, {}, ""});
                                  box->put({name, std::move(request), std::move(responder)});
                              });
@@ -125,6 +128,14 @@
         [box = m_answers](Result<HttpResponse> answer) { box->put(std::move(answer)); });
 }
 
+std::string GatewayFixture::metricsText()
+{
+    const auto box = std::make_shared<Mailbox<Result<HttpResponse>>>();
+    m_client->request({"127.0.0.1", m_ports.metrics}, {"GET", "/metrics", {}, ""}, testDeadline,
+                      [box](Result<HttpResponse> answer) { box->put(std::move(answer)); });
+    return box->take().value().body;
+}
+
 int GatewayFixture::readiness()
 {
     const auto box = std::make_shared<Mailbox<Result<HttpResponse>>>();
--- a/tests/gateway/GatewayFixture.h
+++ b/tests/gateway/GatewayFixture.h
@@ -12,6 +12,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <atomic>
 #include <memory>
 #include <optional>
 #include <string>
@@ -45,8 +46,9 @@
 /// each of their requests itself.
 ///
 /// Wire format of the test: requests have the headers `id`, `key`, `last` (event id), `copy-to` and
-/// `copy-at`; a response with `full` was not run, one with `signed` is signed, and `limit` is a
-/// rate limit. A server's entry in the store is its zone.
+/// `copy-at`; a response with `full` was not run, one with `signed` is signed, `limit` is a rate
+/// limit, and with status 503 `pause` is a pause in milliseconds. A server's entry in the store is
+/// its zone.
 class GatewayFixture : public CppUnit::TestFixture
 {
 public:
@@ -69,6 +71,7 @@
     void startServing();
     void call(const std::string &path, const std::string &key = "good");
     int readiness();
+    std::string metricsText();
     static BackendCodec codec();
     StoreSchema schema() const;
     static std::string eventText(int id);
@@ -80,6 +83,8 @@
         std::make_shared<Mailbox<ReceivedRequest>>();
     std::shared_ptr<Mailbox<Result<HttpResponse>>> m_answers =
         std::make_shared<Mailbox<Result<HttpResponse>>>();
+    /// Probes of the servers' load are put into m_received, in place of being answered at once.
+    std::atomic<bool> m_receivesProbes = false;
     std::optional<Http1Server> m_servers[2];
     std::uint16_t m_serverPorts[2] = {0, 0};
     ListedStore *m_store = nullptr; ///< owned by the gateway
--- /dev/null
+++ b/tests/process/server_pauses.py
@@ -0,0 +1,144 @@
+"""Gateway in front of three servers that turn requests away and ask for a pause.
+
+usage: server_pauses.py
+
+Guards against a gateway that goes on sending to a server that asked it for a pause. 40 calls a second meet servers
+whose answers are 503 with a Retry-After of 2 s: first at one of the three, where every call is served by the others,
+then at all of them, where the calls are refused as not run with a time to retry. From half a second after such an
+answer until the end of its pause the server gets at most two requests. Afterwards the calls are served again.
+"""
+
+import http.client
+import json
+import pathlib
+import sys
+import tempfile
+import threading
+import time
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
+sys.path[:0] = [str(ROOT / "platform" / "standins"), str(ROOT / "tools" / "lib")]
+import wire  # noqa: E402
+from soak.cluster import Cluster  # noqa: E402
+
+PAUSE_SECONDS = 2
+NOTICE_SECONDS = 0.5
+MAX_REQUESTS_IN_PAUSE = 2
+CALLS_PER_SECOND = 40
+PHASE_SECONDS = 5
+TIMEOUT_SECONDS = 4
+# Spread of the times to retry that a gateway adds to a pause.
+RETRY_SPREAD_SECONDS = 0.5
+# Time that a busy machine may add.
+SCHEDULING_TOLERANCE_SECONDS = 0.3
+
+
+class Load:
+    """Sends calls at a fixed rate and keeps (status, time to retry) of each by phase."""
+
+    def __init__(self, port):
+        self.port = port
+        self.answers = []
+        self.lock = threading.Lock()
+
+    def call(self, path, request):
+        headers = {"Host": "soak.example", wire.REQUEST_ID: request, wire.KEY: "Token key-0",
+                   wire.DEADLINE: str(TIMEOUT_SECONDS * 1000)}
+        connection = http.client.HTTPConnection("127.0.0.1", self.port, timeout=TIMEOUT_SECONDS + 2)
+        try:
+            connection.request("POST" if path.startswith("/writes") else "GET", path, headers=headers)
+            response = connection.getresponse()
+            response.read()
+            answer = response.status, response.headers.get(wire.RETRY_AFTER)
+        except (OSError, http.client.HTTPException) as error:
+            answer = repr(error), None
+        finally:
+            connection.close()
+        with self.lock:
+            self.answers.append(answer)
+
+    def run(self, phase, seconds):
+        threads = []
+        self.answers = []
+        starts_at = time.monotonic()
+        for number in range(int(seconds * CALLS_PER_SECOND)):
+            time.sleep(max(0, starts_at + number / CALLS_PER_SECOND - time.monotonic()))
+            path = "/writes/x" if number % 2 == 0 else "/reads/x"
+            threads.append(threading.Thread(target=self.call, args=(path, f"{phase}-{number}")))
+            threads[-1].start()
+        for thread in threads:
+            thread.join()
+        return self.answers
+
+
+def most_in_pause(folder):
+    """Returns the number of pauses and the most requests that a server got within one."""
+    count = most = 0
+    for path in folder.glob("server-*.jsonl"):
+        records = [json.loads(line) for line in path.read_text().splitlines() if line.endswith("}")]
+        arrivals = [one["at"] for one in records if one["event"] in ("arrived", "asked")]
+        for one in records:
+            if one["event"] != "turnedAway":
+                continue
+            count += 1
+            first, end = one["at"] + NOTICE_SECONDS, one["at"] + one["pause"]
+            most = max(most, sum(first < at < end for at in arrivals))
+    return count, most
+
+
+def check_retry_times(answers):
+    """Every refusal says when the first of the servers takes requests again, and not much later."""
+    longest = PAUSE_SECONDS + RETRY_SPREAD_SECONDS
+    for status, retry_after in answers:
+        if status == 503 and not 0 < float(retry_after or 0) <= longest:
+            yield f"503 with {wire.RETRY_AFTER} {retry_after}"
+    times = {retry_after for status, retry_after in answers if status == 503}
+    if len(times) < len(answers) / 10:
+        yield f"only {len(times)} different times to retry for {len(answers)} callers"
+
+
+def statuses(answers):
+    seen = [status for status, _ in answers]
+    return {status: seen.count(status) for status in sorted(set(seen), key=str)}
+
+
+def main():
+    failures = []
+    with tempfile.TemporaryDirectory() as folder:
+        cluster = Cluster(folder, 1, gateways=1, engines=1, registers=3)
+        try:
+            cluster.start()
+            load = Load(cluster.gateways[0].port)
+            registers = [server for server in cluster.servers if server.service == "register"]
+            registers[0].set_pause(PAUSE_SECONDS)
+            one = load.run("one", PHASE_SECONDS)
+            for server in registers:
+                server.set_pause(PAUSE_SECONDS)
+            every = load.run("every", PHASE_SECONDS)
+            for server in registers:
+                server.set_pause(None)
+            time.sleep(PAUSE_SECONDS + SCHEDULING_TOLERANCE_SECONDS)
+            after = load.run("after", 1)
+            pauses, most = most_in_pause(cluster.folder)
+        finally:
+            cluster.close()
+    print(f"{pauses} pauses, most requests in one {most}; one server {statuses(one)}, every server {statuses(every)},"
+          f" afterwards {statuses(after)}")
+    if pauses == 0:
+        failures.append("no server was asked")
+    if most > MAX_REQUESTS_IN_PAUSE:
+        failures.append(f"a server got {most} requests in its pause, allowed {MAX_REQUESTS_IN_PAUSE}")
+    if set(statuses(one)) != {200}:
+        failures.append(f"with one server in pause: {statuses(one)}")
+    if set(statuses(every)) != {503}:
+        failures.append(f"with every server in pause: {statuses(every)}")
+    if set(statuses(after)) != {200}:
+        failures.append(f"after the pauses: {statuses(after)}")
+    failures += check_retry_times(every)
+    for failure in failures[:20]:
+        print("FAILED", failure)
+    return 1 if failures else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tools/lib/soak/backend.py
+++ b/tools/lib/soak/backend.py
@@ -5,6 +5,7 @@
 Appends a JSON line for each run to LOG, which is kept when the process ends. POST /standin/faults
 sets the probability of each fault: notRun, error, truncated, garbled, doubled, answerLost, and the
 shapes of endless.py. POST /standin/limit sets the rate limit that answers name; null: none.
+POST /standin/pause has the server turn every request away and ask for a pause of so many seconds; null: no more.
 """
 
 import hashlib
@@ -47,6 +48,7 @@
         self.lock = threading.Lock()
         self.faults = {}
         self.rate_limit = None
+        self.pause = None
         self.running = {}
         self.copies = {}
         self.answers = 0
@@ -64,6 +66,8 @@
             return self.control(handler, json.loads(body))
         if handler.path.split("?")[0] in PROBE_PATHS or handler.path.startswith(wire.RELEASE_PREFIX):
             self.log("asked")
+            if self.pause is not None:
+                return self.turn_away(handler, None)
         if handler.path == wire.REPORT_PATH:
             return self.report(handler)
         if handler.path == wire.PROMPTS_PATH:
@@ -81,6 +85,8 @@
         elif handler.path == "/standin/limit":
             self.rate_limit = fields["limit"]
             self.log("limit", limit=self.rate_limit)
+        elif handler.path == "/standin/pause":
+            self.pause = fields["pause"]
         else:
             self.copies[fields["copy"]] = (fields["events"], time.monotonic())
         handler.answer(200)
@@ -115,6 +121,8 @@
         if target_server and target_server != self.name:
             return handler.answer(421, b"", refusal_headers)
         self.log("arrived", request=request)
+        if self.pause is not None:
+            return self.turn_away(handler, request)
         with self.lock:
             is_full = len(self.running) >= SLOTS[self.service]
             is_admitted = not is_full and not self.has_fault("notRun")
@@ -130,6 +138,15 @@
             self.log("ended", request=request)
         return None
 
+    def turn_away(self, handler, request):
+        """Refuses a request, or a probe without a request, and asks for a pause."""
+        pause = self.pause
+        headers = {wire.SERVER_ID: self.name, wire.NOT_RUN: "1", wire.RETRY_AFTER: pause}
+        if request is not None:
+            headers[wire.REQUEST_ID] = request
+        self.log("turnedAway", request=request, pause=pause)
+        return handler.answer(503, b"", headers)
+
     def log_run(self, handler, request, body, **fields):
         headers = handler.headers
         self.log("run", request=request, account=headers.get(wire.ACCOUNT),
--- a/tools/lib/soak/cluster.py
+++ b/tools/lib/soak/cluster.py
@@ -22,6 +22,7 @@
 
     def __init__(self, folder, seed, gateways, engines, registers):
         self.folder = pathlib.Path(folder)
+        self.seed = seed
         self.random = random.Random(seed)
         self.journal = Journal(self.folder / "journal.jsonl")
         self.is_ending = False
@@ -86,6 +87,7 @@
             server.process.resume()
             server.set_faults({})
             server.set_rate_limit(None)
+            server.set_pause(None)
         routes = [server.route for server in self.servers]
         for gateway in self.gateways:
             routes += [gateway.route, gateway.store_route]
--- a/tools/lib/soak/server.py
+++ b/tools/lib/soak/server.py
@@ -94,6 +94,13 @@
         except (OSError, http.client.HTTPException) as error:
             self.cluster.journal.record("limitNotSet", server=self.name, cause=str(error))
 
+    def set_pause(self, seconds):
+        """Has the server turn requests away and ask for a pause; none: it takes requests again."""
+        try:
+            request(self.port, "POST", "/standin/pause", {"pause": seconds}, timeout=2)
+        except (OSError, http.client.HTTPException) as error:
+            self.cluster.journal.record("pauseNotSet", server=self.name, cause=str(error))
+
     def set_faults(self, faults):
         """Sets the faults; a server that is down or paused does not receive them and keeps its own."""
         try:
