gateway: read the pause in an answer that comes after a probe is over

Cause: A probe for placement closes its connection after 60 ms. A server that takes longer to turn it away was never known to pause, and was probed again for each run. Change: ServerProbe ends with its own timer and reads answers for a second longer, for pauses only. A late report counts as unanswered, as before. Measured: build/tests/gateway_test: pauseInALateAnswerToAProbeIsKept fails before (condition not met before the deadline), OK (31) after. Conclusion: a server that answers probes after more than a second is still not known by them.

--- a/src/gateway/ServerProbe.cpp
+++ b/src/gateway/ServerProbe.cpp
@@ -5,12 +5,17 @@
 
 #include "GatewayParts.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace foxtailring {
 
 namespace {
 
 // Enough for a list of a few hundred runs or prompt parts.
 constexpr std::size_t maxReportBytes = 128 * 1024;
+// Answers that come after the probe is over are read until then.
+constexpr std::chrono::milliseconds lateAnswerTimeout {1000};
 
 } // namespace
 
@@ -21,12 +26,16 @@
     , m_promptId(request.promptId)
     , m_probe(std::move(probe))
     , m_hook(std::move(hook))
+    , m_timer(parts.pool)
 {
 }
 
 void ServerProbe::start()
 {
     m_open = m_probe.servers.size();
+    m_timer.once(m_probe.timeout, [self = shared_from_this()] {
+        self->m_parts.queue.post([self] { self->end(); });
+    });
     for (const BackendState &server : m_probe.servers)
         sendProbe(server);
 }
@@ -49,7 +58,8 @@
     const bool isPromptProbe = m_probe.subject == ProbeServers::Subject::Prompt;
     HttpRequest request =
         isPromptProbe ? m_parts.codec.encodePromptProbe() : m_parts.codec.encodeLoadProbe();
-    m_parts.http.request(endpoint.value(), std::move(request), m_probe.timeout, hook, options);
+    m_parts.http.request(endpoint.value(), std::move(request),
+                         std::max(m_probe.timeout, lateAnswerTimeout), hook, options);
 }
 
 Result<ServerProbeResult> ServerProbe::decode(const HttpResponse &response) const
@@ -68,6 +78,8 @@
         turnedAway.isTurnedAway = true;
         report = turnedAway;
     }
+    if (m_isOver)
+        report = Error {ErrorCode::Timeout, "the answer came after the probe was over"};
     if (report) {
         report.value().serverId = server.id;
         m_reports.push_back(std::move(report).value());
@@ -76,7 +88,15 @@
                             + std::string(errorCodeName(report.error().code)) + "\"}");
     }
     if (m_open == 0)
-        m_hook(m_reports);
+        end();
+}
+
+void ServerProbe::end()
+{
+    if (std::exchange(m_isOver, true))
+        return;
+    m_timer.cancel();
+    m_hook(m_reports);
 }
 
 } // namespace foxtailring
--- a/src/gateway/ServerProbe.h
+++ b/src/gateway/ServerProbe.h
@@ -3,6 +3,7 @@
 #include "foxtailring/base/Result.h"
 #include "foxtailring/decisions/ForwardAction.h"
 #include "foxtailring/decisions/ServerProbeResult.h"
+#include "foxtailring/transport/Timer.h"
 
 #include <cstddef>
 #include <functional>
@@ -22,7 +23,8 @@
 /// \brief Sends one probe to each of several engines, and calls the hook once with the reports that
 /// arrived in time.
 ///
-/// Runs on the gateway's queue; the requests in flight keep it alive.
+/// Later answers are still read for pauses: otherwise a server that answers late would be probed
+/// again and again in its pause. Runs on the gateway's queue; the requests in flight keep it alive.
 class ServerProbe : public std::enable_shared_from_this<ServerProbe>
 {
 public:
@@ -36,6 +38,7 @@
 private:
     void sendProbe(const BackendState &server);
     Result<ServerProbeResult> decode(const HttpResponse &response) const;
+    void end();
     void onResponse(const BackendInfo &server, const Result<HttpResponse> &response);
 
     GatewayParts &m_parts;
@@ -44,7 +47,9 @@
     const ProbeServers m_probe;
     const Hook m_hook;
     std::vector<ServerProbeResult> m_reports;
+    Timer m_timer;
     std::size_t m_open = 0; ///< probes in flight
+    bool m_isOver = false;  ///< the hook was called
 };
 
 } // namespace foxtailring
--- a/tests/gateway/PauseTest.cpp
+++ b/tests/gateway/PauseTest.cpp
@@ -10,6 +10,7 @@
     CPPUNIT_TEST(callsAreRefusedWhileBothServersPause);
     CPPUNIT_TEST(serverIsUsedAgainAfterItsPause);
     CPPUNIT_TEST(pauseInAnAnswerToAProbeIsKept);
+    CPPUNIT_TEST(pauseInALateAnswerToAProbeIsKept);
     CPPUNIT_TEST(gaugeEndsWithThePause);
     CPPUNIT_TEST_SUITE_END();
 
@@ -83,6 +84,23 @@
         CPPUNIT_ASSERT(m_received->isEmpty());
     }
 
+    // Guards against a pause that is never known because its answers come after the probe is over.
+    void pauseInALateAnswerToAProbeIsKept()
+    {
+        startServing();
+        m_receivesProbes = true;
+        call("/stream/x");
+        ReceivedRequest probes[] = {m_received->take(), m_received->take()};
+        // The run is placed without the reports.
+        ReceivedRequest run = m_received->take();
+        CPPUNIT_ASSERT_EQUAL(std::string("/stream/x"), run.request.target);
+        for (ReceivedRequest &probe : probes)
+            probe.responder->respond(pauseAnswer(longPause));
+        waitUntil([this] { return arePaused(); });
+        run.responder->respond(signedAnswer("done"));
+        CPPUNIT_ASSERT_EQUAL(200, m_answers->take().value().status);
+    }
+
     void gaugeEndsWithThePause()
     {
         startServing();
