decisions: prefer a server after its pause to one that is suspected

Cause: For up to 0.5 s after a pause other servers were preferred, even those that are suspected and may not answer. Change: The preference holds only for servers that are expected to answer. Measured: build/tests/decisions_test: suspectedServerIsNotPreferredAfterThePause fails before (a2 in place of a1), OK (273) after.

--- a/src/decisions/ForwardSession.cpp
+++ b/src/decisions/ForwardSession.cpp
@@ -215,7 +215,8 @@
 }
 
 // A server without a free request is passed over like one that does not exist: it is neither tried
-// nor suspected. A server whose pause has just ended is chosen at once only if there is no other.
+// nor suspected. A server whose pause has just ended is chosen at once only if no other is expected
+// to answer.
 std::optional<BackendState> ForwardSession::choose(PlacementRequest placement, Chooser chooser,
                                                    TimePoint now)
 {
@@ -229,13 +230,14 @@
         exclude.insert(exclude.end(), denied.begin(), denied.end());
         placement.exclude = exclude;
         auto chosen = (m_context.placer.*chooser)(placement, now, m_context.random);
-        if (chosen && tryAcquire(chosen->info.id, now))
-            return chosen;
-        if (!chosen && returning.empty())
-            return std::nullopt;
-        if (!chosen) {
+        const bool isExpected = chosen && chosen->health != BackendHealth::Suspected;
+        if (!isExpected && !returning.empty()) {
             returning.clear();
-        } else if (m_context.admission.isPaused(chosen->info.id, now)) {
+            continue;
+        }
+        if (!chosen || tryAcquire(chosen->info.id, now))
+            return chosen;
+        if (m_context.admission.isPaused(chosen->info.id, now)) {
             // All at once, since many servers of a service may be in a pause.
             const std::vector<std::string> paused = m_context.admission.pausedIds(now);
             denied.insert(denied.end(), paused.begin(), paused.end());
--- a/tests/decisions/PausedSessionTest.cpp
+++ b/tests/decisions/PausedSessionTest.cpp
@@ -20,6 +20,7 @@
     CPPUNIT_TEST(callRejectedByEveryServerWaitsForThePause);
     CPPUNIT_TEST(serverThatIsFreeIsNotWaitedFor);
     CPPUNIT_TEST(otherServersArePreferredAfterThePause);
+    CPPUNIT_TEST(suspectedServerIsNotPreferredAfterThePause);
     CPPUNIT_TEST(pauseDuringAPlacementProbeIsKept);
     CPPUNIT_TEST(turnedAwayPlacementProbeIsNoReport);
     CPPUNIT_TEST(pausedEngineIsNotProbed);
@@ -148,6 +149,18 @@
             CPPUNIT_ASSERT(!used.contains(id));
     }
 
+    // Guards against calls that a dead server gets because the others have just ended their pauses.
+    void suspectedServerIsNotPreferredAfterThePause()
+    {
+        pause({"a1"}, Ms(2000));
+        now += Ms(2000);
+        CPPUNIT_ASSERT(!pauses.returningIds(now).empty());
+        for (const char *id : {"a2", "b1", "b2", "c1", "c2"})
+            servers.recordFailure(id, now);
+        CallSession session(m_call, request(), context());
+        CPPUNIT_ASSERT_EQUAL(std::string("a1"), sent(session.start(now)).server.info.id);
+    }
+
     // Guards against a decision that is older than the pause.
     void pauseDuringAPlacementProbeIsKept()
     {
@@ -307,7 +320,7 @@
     SendAttempt startRun(StreamSession &session)
     {
         const auto probe = std::get<ProbeServers>(session.start(now));
-        const SendAttempt first = sent(session.onProbed(reportsOf(probe), now));
+        SendAttempt first = sent(session.onProbed(reportsOf(probe), now));
         session.onEvent(1, now);
         return first;
     }
