--- a/include/foxtailring/decisions/BackendAnswer.h
+++ b/include/foxtailring/decisions/BackendAnswer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "foxtailring/base/Clock.h"
 #include "foxtailring/decisions/BackendLoadReport.h"
 #include "foxtailring/decisions/LeavingNotice.h"
 
@@ -21,6 +22,8 @@
     bool namesRateLimit = false;     ///< has a rate limit, readable or not
     std::optional<double> rateLimit; ///< requests per second from all processes together
     LeavingNotice leaving = LeavingNotice::None;
+    bool namesPause = false;       ///< turned away with a pause, readable or not
+    std::optional<Duration> pause; ///< the server wants no request from this process for so long
 
     bool isSuccess() const { return status >= 200 && status < 300; }
 };
--- a/include/foxtailring/decisions/ForwardContext.h
+++ b/include/foxtailring/decisions/ForwardContext.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "foxtailring/base/Clock.h"
+
 #include <functional>
 #include <string>
 #include <string_view>
@@ -11,8 +13,8 @@
 class EngineLatencyEstimator;
 class PromptQuarantine;
 class RandomSource;
-class RateLimitTable;
 class RetryBudget;
+class ServerAdmission;
 struct CopyReference;
 struct RateLimitExplanation;
 
@@ -22,7 +24,7 @@
     BackendTable &servers;
     const BackendPlacer &placer;
     RetryBudget &retryBudget;
-    RateLimitTable &rateLimits;
+    ServerAdmission &admission;
     PromptQuarantine &quarantine;
     EngineLatencyEstimator &latency;
     RandomSource &random;
@@ -30,6 +32,8 @@
     std::function<void(const CopyReference &)> releaseCopy;
     /// A server got no request because of its rate limit; may be empty.
     std::function<void(std::string_view serverId, const RateLimitExplanation &)> onRateLimited;
+    /// A server got no request because it asked for a pause; may be empty.
+    std::function<void(std::string_view serverId, Duration left)> onPauseReached;
     /// The retry budget of the service is used up; may be empty.
     std::function<void(const std::string &service)> onRetryDenied;
     /// The request has this prompt part, which is quarantined; may be empty.
--- a/include/foxtailring/decisions/ServerProbeResult.h
+++ b/include/foxtailring/decisions/ServerProbeResult.h
@@ -19,6 +19,7 @@
     bool hasPrompt = false;       ///< the prompt that the probe asked about is in its memory
     std::int64_t startedAtMs = 0; ///< Unix time of its start; 0: not given
     LeavingNotice leaving = LeavingNotice::None;
+    bool isTurnedAway = false; ///< the server asked for a pause in place of a report
 };
 
 } // namespace foxtailring
--- a/src/gateway/GatewayParts.cpp
+++ b/src/gateway/GatewayParts.cpp
@@ -17,6 +17,8 @@
 constexpr std::chrono::milliseconds keyFreshnessMargin {100};
 
 constexpr std::chrono::milliseconds releaseTimeout {500};
+// Like the connect timeout of attempts: a request reaches its server soon after it was decided, so
+// that a pause that the server asks for meanwhile is kept.
 constexpr std::chrono::milliseconds orderConnectTimeout {250};
 constexpr std::size_t maxOrderResponseBytes = 64 * 1024;
 // Requests may hold this fraction of the VM's memory; connection buffers and lists need the rest.
@@ -45,6 +47,8 @@
     , fleet(settings.nodeId)
     , retryBudget(retryBudgetSettings(random))
     , rateLimits({settings.nodeId, settings.maxServerListDelay})
+    , pauses(servers, random)
+    , admission(rateLimits, pauses)
     , keyFreshness(settings.maxKeyRevocationDelay, keyFreshnessMargin)
     , memoryBudget(settings.memoryMb * 1024 * 1024 / memoryBudgetDivisor)
 {
@@ -57,7 +61,7 @@
         servers,
         placer,
         retryBudget,
-        rateLimits,
+        admission,
         quarantine,
         latency,
         random,
@@ -65,6 +69,9 @@
         [this, requestId](std::string_view serverId, const RateLimitExplanation &reason) {
             reportRateLimited(requestId, serverId, reason);
         },
+        [this, requestId](std::string_view serverId, Duration left) {
+            reportPauseReached(requestId, serverId, left);
+        },
         [this, requestId](const std::string &service) { reportRetryDenied(requestId, service); },
         [this, requestId](std::string_view part) { reportQuarantined(requestId, part); }};
 }
@@ -119,10 +126,37 @@
                          {"shareKnown", reason.isShareKnown ? "true" : "false"}});
 }
 
+std::string GatewayParts::pauseGauge(std::string_view serverId)
+{
+    return "gateway_server_pause_seconds{server=\"" + std::string(serverId) + "\"}";
+}
+
+void GatewayParts::reportPauseReached(const std::string &requestId, std::string_view serverId,
+                                      Duration left)
+{
+    metrics.add("gateway_pause_denied_total");
+    StructuredLog::info(
+        "pauseReached",
+        {{"request", requestId}, {"server", std::string(serverId)}, {"leftMs", msText(left)}});
+}
+
+bool GatewayParts::recordPause(const BackendInfo &server, const HttpResponse &response)
+{
+    const BackendAnswer answer = codec.decodeAnswer(response);
+    pauses.recordAnswer(server, answer, clock());
+    return answer.pause.has_value();
+}
+
 void GatewayParts::releaseCopy(const std::string &requestId, const CopyReference &copy)
 {
-    const auto hook = [this, requestId,
+    const auto hook = [this, requestId, serverId = copy.serverId,
                        handle = copy.handle](const Result<HttpResponse> &response) {
+        if (response) {
+            queue.post([this, serverId, answer = response.value()] {
+                if (const auto server = servers.server(serverId, clock()))
+                    recordPause(server->info, answer);
+            });
+        }
         const bool isReleased = response && response.value().status < 300;
         metrics.add(isReleased ? "gateway_copies_total{outcome=\"released\"}"
                                : "gateway_copies_total{outcome=\"releaseFailed\"}");
@@ -135,8 +169,8 @@
                               response ? "status " + std::to_string(response.value().status)
                                        : response.error().message}});
     };
-    if (!copy.serverId.empty() && !rateLimits.tryAcquire(copy.serverId, clock()))
-        return hook(Error {ErrorCode::Overloaded, "the server's rate limit"});
+    if (!copy.serverId.empty() && !admission.tryAcquire(copy.serverId, clock()))
+        return hook(Error {ErrorCode::Overloaded, "the server's rate limit or pause"});
     sendOrder(copy.address, codec.encodeCopyRelease(copy.handle), releaseTimeout, hook);
 }
 
--- a/src/gateway/GatewayParts.h
+++ b/src/gateway/GatewayParts.h
@@ -14,6 +14,8 @@
 #include "foxtailring/decisions/RateLimitTable.h"
 #include "foxtailring/decisions/RetryBudget.h"
 #include "foxtailring/decisions/RouteTable.h"
+#include "foxtailring/decisions/ServerAdmission.h"
+#include "foxtailring/decisions/ServerPauses.h"
 #include "foxtailring/gateway/BackendCodec.h"
 #include "foxtailring/gateway/GatewaySettings.h"
 #include "foxtailring/transport/Http1Client.h"
@@ -57,6 +59,12 @@
                            const RateLimitExplanation &reason);
     /// \brief Logs and counts that a quarantined prompt part kept a request from all servers.
     void reportQuarantined(const std::string &requestId, std::string_view part);
+    /// \brief Logs and counts that a server's pause kept a request from it.
+    void reportPauseReached(const std::string &requestId, std::string_view serverId, Duration left);
+    /// \brief Takes note of the pause that \a response may ask for. True if it does.
+    bool recordPause(const BackendInfo &server, const HttpResponse &response);
+    /// \brief Name of the gauge of a server's pause, in seconds.
+    static std::string pauseGauge(std::string_view serverId);
     /// \brief Name of the gauge of a server's rate limit.
     static std::string rateLimitGauge(std::string_view serverId);
 
@@ -80,6 +88,8 @@
     RetryBudget retryBudget;
     RateLimitTable rateLimits;
     PromptQuarantine quarantine;
+    ServerPauses pauses;
+    ServerAdmission admission;
     EngineLatencyEstimator latency;
     KeyFreshness keyFreshness;
     MemoryBudget memoryBudget;
--- a/src/gateway/GatewayPublisher.cpp
+++ b/src/gateway/GatewayPublisher.cpp
@@ -61,6 +61,7 @@
     m_parts.quarantine.expire(now);
     m_parts.metrics.setGauge("gateway_prompts_quarantined",
                              static_cast<double>(m_parts.quarantine.quarantineCount()));
+    m_parts.pauses.expire(now);
     m_parts.updateFleetSize();
     if (m_isCalling || now < m_pausedUntil)
         return;
--- a/src/gateway/ServerProbe.cpp
+++ b/src/gateway/ServerProbe.cpp
@@ -5,12 +5,17 @@
 
 #include "GatewayParts.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace foxtailring {
 
 namespace {
 
 // Enough for a list of a few hundred runs or prompt parts.
 constexpr std::size_t maxReportBytes = 128 * 1024;
+// Answers that come after the probe is over are read until then.
+constexpr std::chrono::milliseconds lateAnswerTimeout {1000};
 
 } // namespace
 
@@ -21,21 +26,25 @@
     , m_promptId(request.promptId)
     , m_probe(std::move(probe))
     , m_hook(std::move(hook))
+    , m_timer(parts.pool)
 {
 }
 
 void ServerProbe::start()
 {
     m_open = m_probe.servers.size();
+    m_timer.once(m_probe.timeout, [self = shared_from_this()] {
+        self->m_parts.queue.post([self] { self->end(); });
+    });
     for (const BackendState &server : m_probe.servers)
         sendProbe(server);
 }
 
 void ServerProbe::sendProbe(const BackendState &server)
 {
-    const std::string id = server.info.id;
-    const auto hook = [self = shared_from_this(), id](const Result<HttpResponse> &response) {
-        self->m_parts.queue.post([self, id, response] { self->onResponse(id, response); });
+    const auto hook = [self = shared_from_this(),
+                       info = server.info](const Result<HttpResponse> &response) {
+        self->m_parts.queue.post([self, info, response] { self->onResponse(info, response); });
     };
     const auto endpoint = Endpoint::parse(server.info.address);
     if (!endpoint)
@@ -49,7 +58,8 @@
     const bool isPromptProbe = m_probe.subject == ProbeServers::Subject::Prompt;
     HttpRequest request =
         isPromptProbe ? m_parts.codec.encodePromptProbe() : m_parts.codec.encodeLoadProbe();
-    m_parts.probeHttp.request(endpoint.value(), std::move(request), m_probe.timeout, hook, options);
+    m_parts.probeHttp.request(endpoint.value(), std::move(request),
+                              std::max(m_probe.timeout, lateAnswerTimeout), hook, options);
 }
 
 Result<ServerProbeResult> ServerProbe::decode(const HttpResponse &response) const
@@ -59,19 +69,34 @@
         : m_parts.codec.decodeLoadReport(response, m_requestId);
 }
 
-void ServerProbe::onResponse(const std::string &serverId, const Result<HttpResponse> &response)
+void ServerProbe::onResponse(const BackendInfo &server, const Result<HttpResponse> &response)
 {
     --m_open;
     auto report = response ? decode(response.value()) : Result<ServerProbeResult>(response.error());
+    if (response && m_parts.recordPause(server, response.value())) {
+        ServerProbeResult turnedAway;
+        turnedAway.isTurnedAway = true;
+        report = turnedAway;
+    }
+    if (m_isOver)
+        report = Error {ErrorCode::Timeout, "the answer came after the probe was over"};
     if (report) {
-        report.value().serverId = serverId;
+        report.value().serverId = server.id;
         m_reports.push_back(std::move(report).value());
     } else {
         m_parts.metrics.add("gateway_questions_unanswered_total{error=\""
                             + std::string(errorCodeName(report.error().code)) + "\"}");
     }
     if (m_open == 0)
-        m_hook(m_reports);
+        end();
+}
+
+void ServerProbe::end()
+{
+    if (std::exchange(m_isOver, true))
+        return;
+    m_timer.cancel();
+    m_hook(m_reports);
 }
 
 } // namespace foxtailring
--- a/tests/decisions/ForwardFixture.h
+++ b/tests/decisions/ForwardFixture.h
@@ -12,6 +12,8 @@
 #include "foxtailring/decisions/PromptQuarantine.h"
 #include "foxtailring/decisions/RateLimitTable.h"
 #include "foxtailring/decisions/RetryBudget.h"
+#include "foxtailring/decisions/ServerAdmission.h"
+#include "foxtailring/decisions/ServerPauses.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <string>
@@ -89,7 +91,7 @@
         return {servers,
                 placer,
                 retryBudget,
-                rateLimits,
+                admission,
                 quarantine,
                 latency,
                 random,
@@ -97,6 +99,7 @@
                 [this](std::string_view serverId, const RateLimitExplanation &) {
                     limited.emplace_back(serverId);
                 },
+                [this](std::string_view serverId, Duration) { paused.emplace_back(serverId); },
                 [this](const std::string &service) { denied.push_back(service); },
                 [this](std::string_view part) { quarantinedParts.emplace_back(part); }};
     }
@@ -108,12 +111,15 @@
     RetryBudget retryBudget {RetryBudget::Settings {0.5, 5}};
     RateLimitTable rateLimits {{"g", Ms(2500)}};
     PromptQuarantine quarantine;
+    RandomSource random {7};
+    ServerPauses pauses {servers, random};
+    ServerAdmission admission {rateLimits, pauses};
     EngineLatencyEstimator latency;
     std::vector<std::string> released;         ///< handles of snapshots
     std::vector<std::string> limited;          ///< servers passed over because of their rate limit
+    std::vector<std::string> paused;           ///< servers passed over because of a pause
     std::vector<std::string> denied;           ///< services whose retry budget was used up
     std::vector<std::string> quarantinedParts; ///< that kept a request from all servers
-    RandomSource random {7};
 };
 
 } // namespace foxtailring
--- a/tests/gateway/GatewayFixture.cpp
+++ b/tests/gateway/GatewayFixture.cpp
@@ -84,6 +84,9 @@
     if (answer.namesRateLimit)
         answer.rateLimit = std::stod(std::string(response.header("limit")));
     answer.leaving = leavingNotice(response);
+    answer.namesPause = response.status == 503 && !response.header("pause").empty();
+    if (answer.namesPause)
+        answer.pause = milliseconds(std::stoi(std::string(response.header("pause"))));
     return answer;
 }
 
@@ -96,9 +99,9 @@
     for (int i = 0; i < 2; ++i) {
         const std::string name = i == 0 ? "a" : "b";
         m_servers[i].emplace(*m_pool, Endpoint {"127.0.0.1", 0}, HttpLimits(),
-                             [box = m_received, name](HttpRequest request,
-                                                      std::shared_ptr<Http1Responder> responder) {
-                                 if (request.target == "/load")
+                             [this, box = m_received, name](
+                                 HttpRequest request, std::shared_ptr<Http1Responder> responder) {
+                                 if (request.target == "/load" && !m_receivesProbes)
                                      return responder->respond({200, {}, ""});
                                  box->put({name, std::move(request), std::move(responder)});
                              });
@@ -174,9 +177,9 @@
     return "id: " + std::to_string(id) + "\ndata: x\n\n";
 }
 
-HttpResponse GatewayFixture::signedAnswer(std::string body)
+HttpResponse GatewayFixture::signedAnswer(std::string body, const std::string &id)
 {
-    return {200, {{"signed", "1"}}, std::move(body)};
+    return {200, {{"id", id}, {"signed", "1"}}, std::move(body)};
 }
 
 BackendCodec GatewayFixture::codec()
--- a/tests/gateway/GatewayFixture.h
+++ b/tests/gateway/GatewayFixture.h
@@ -12,6 +12,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <atomic>
 #include <memory>
 #include <optional>
 #include <string>
@@ -46,9 +47,9 @@
 ///
 /// Wire format of the test: requests have the headers `id`, `key`, `last` (event id), `copy-to` and
 /// `copy-at`, and `parts` of the prompt; a response with `full` was not run, one with `signed` is
-/// signed, `id` is the request that it answers, `limit` is a rate limit, and `leaving` says that the
-/// server leaves if its value is `1`. The codec throws on a message with `unreadable`. A server's
-/// entry in the store is its zone.
+/// signed, `id` is the request that it answers, `limit` is a rate limit, `leaving` says that the
+/// server leaves if its value is `1`, and with status 503 `pause` is a pause in milliseconds. The
+/// codec throws on a message with `unreadable`. A server's entry in the store is its zone.
 class GatewayFixture : public CppUnit::TestFixture
 {
 public:
@@ -76,7 +77,8 @@
     static BackendCodec codec();
     StoreSchema schema() const;
     static std::string eventText(int id);
-    static HttpResponse signedAnswer(std::string body);
+    /// \param id of the request that it answers
+    static HttpResponse signedAnswer(std::string body, const std::string &id = "1");
 
     std::optional<WorkerPool> m_pool;
     std::optional<Http1Client> m_client;
@@ -84,6 +86,8 @@
         std::make_shared<Mailbox<ReceivedRequest>>();
     std::shared_ptr<Mailbox<Result<HttpResponse>>> m_answers =
         std::make_shared<Mailbox<Result<HttpResponse>>>();
+    /// Probes of the servers' load are put into m_received, in place of being answered at once.
+    std::atomic<bool> m_receivesProbes = false;
     std::optional<Http1Server> m_servers[2];
     std::uint16_t m_serverPorts[2] = {0, 0};
     ListedStore *m_store = nullptr; ///< owned by the gateway
--- a/tests/gateway/LeavingTest.cpp
+++ b/tests/gateway/LeavingTest.cpp
@@ -60,8 +60,11 @@
         startServing();
         call("/stream/x");
         ReceivedRequest received = m_received->take();
-        received.responder->startStream(
-            200, {{"Content-Type", "text/event-stream"}, {"signed", "1"}, {"leaving", "1"}});
+        received.responder->startStream(200,
+                                        {{"Content-Type", "text/event-stream"},
+                                         {"id", "1"},
+                                         {"signed", "1"},
+                                         {"leaving", "1"}});
         received.responder->write(eventText(1));
         waitUntil([this] { return isLeaving("a") || isLeaving("b"); });
         received.responder->write(eventText(2));
@@ -78,7 +81,8 @@
             call("/once/x");
             ReceivedRequest received = m_received->take();
             CPPUNIT_ASSERT_EQUAL(std::string("a"), received.server);
-            received.responder->respond({200, {{"signed", "1"}, {"leaving", value}}, "done"});
+            received.responder->respond(
+                {200, {{"id", "1"}, {"signed", "1"}, {"leaving", value}}, "done"});
             CPPUNIT_ASSERT_EQUAL(200, m_answers->take().value().status);
         }
         CPPUNIT_ASSERT(metrics().find("gateway_leaving_unreadable_total 1\n") != std::string::npos);
@@ -103,7 +107,8 @@
         call("/once/x");
         ReceivedRequest received = m_received->take();
         CPPUNIT_ASSERT_EQUAL(name, received.server);
-        received.responder->respond({200, {{"signed", "1"}, {"leaving", "1"}}, "done"});
+        received.responder->respond(
+            {200, {{"id", "1"}, {"signed", "1"}, {"leaving", "1"}}, "done"});
         CPPUNIT_ASSERT_EQUAL(200, m_answers->take().value().status);
     }
 
--- a/tests/gateway/RateLimitTest.cpp
+++ b/tests/gateway/RateLimitTest.cpp
@@ -88,8 +88,7 @@
             const std::lock_guard lock(m_mutex);
             m_arrivals[server].push_back(m_clock());
         }
-        HttpResponse response = signedAnswer("done");
-        response.headers.push_back({"id", std::string(request.header("id"))});
+        HttpResponse response = signedAnswer("done", std::string(request.header("id")));
         if (m_isLimited)
             response.headers.push_back({"limit", std::to_string(limit)});
         responder.respond(std::move(response));
--- a/tools/lib/soak/backend.py
+++ b/tools/lib/soak/backend.py
@@ -7,6 +7,7 @@
 before the answer), unframed (an answer with neither a length nor chunks), and the shapes of endless.py. A call
 with the query `pad=N` gets an answer with N more bytes. POST /standin/limit sets the rate limit that answers name; null: none.
 POST /standin/leaving sets the value by which each answer says that the server leaves; null: none does.
+POST /standin/pause has the server turn every request away and ask for a pause of so many seconds; null: no more.
 """
 
 import hashlib
@@ -52,6 +53,7 @@
         self.faults = {}
         self.rate_limit = None
         self.leaving = None
+        self.pause = None
         self.running = {}
         self.copies = {}
         self.answers = 0
@@ -69,6 +71,8 @@
             return self.control(handler, json.loads(body))
         if handler.path.split("?")[0] in PROBE_PATHS or handler.path.startswith(wire.RELEASE_PREFIX):
             self.log("asked")
+            if self.pause is not None:
+                return self.turn_away(handler, None)
         if handler.path == wire.REPORT_PATH:
             return self.report(handler)
         if handler.path == wire.PROMPTS_PATH:
@@ -89,6 +93,8 @@
         elif handler.path == "/standin/leaving":
             self.leaving = fields["value"]
             self.log("leaving", value=self.leaving)
+        elif handler.path == "/standin/pause":
+            self.pause = fields["pause"]
         else:
             self.copies[fields["copy"]] = (fields["events"], time.monotonic())
         handler.answer(200)
@@ -124,6 +130,8 @@
         if target_server and target_server != self.name:
             return handler.answer(421, b"", refusal_headers)
         self.log("arrived", request=request)
+        if self.pause is not None:
+            return self.turn_away(handler, request)
         with self.lock:
             is_full = len(self.running) >= SLOTS[self.service]
             is_admitted = not is_full and not self.has_fault("notRun")
@@ -139,6 +147,15 @@
             self.log("ended", request=request)
         return None
 
+    def turn_away(self, handler, request):
+        """Refuses a request, or a probe without a request, and asks for a pause."""
+        pause = self.pause
+        headers = {wire.SERVER_ID: self.name, wire.NOT_RUN: "1", wire.RETRY_AFTER: pause}
+        if request is not None:
+            headers[wire.REQUEST_ID] = request
+        self.log("turnedAway", request=request, pause=pause)
+        return handler.answer(503, b"", headers)
+
     def log_run(self, handler, request, body, **fields):
         headers = handler.headers
         self.log("run", request=request, account=headers.get(wire.ACCOUNT),
