--- a/tests/transport/RawPeer.h
+++ b/tests/transport/RawPeer.h
@@ -93,6 +93,11 @@
     }
 
     std::uint16_t port() const { return m_acceptor.local_endpoint().port(); }
+    bool hasConnection()
+    {
+        pollfd waited {m_acceptor.native_handle(), POLLIN, 0};
+        return ::poll(&waited, 1, 0) == 1;
+    }
     /// \brief Fails the test if no connection arrives before testDeadline.
     RawPeer accept()
     {
