gateway: end a request whose hook throws

Cause: WorkerPool::runWorker catches what a task throws, so the process stays up, but the request of that task was left without an end: no timer was set, or its session waited for reports that had been dropped. Its caller got no answer, at best one at its deadline. Change: RequestRelay::guard ends the request with 502, or cuts its stream, and counts gateway_request_exceptions_total; ServerProbe takes a report that the codec throws on for a malformed one; the head of a stream counts as sent only after its headers were encoded. Conclusion: an exception in a hook of a request ends that request only, and at once.

--- a/src/gateway/RequestRelay.cpp
+++ b/src/gateway/RequestRelay.cpp
@@ -13,6 +13,8 @@
 #include "ServerProbe.h"
 
 #include <algorithm>
+#include <exception>
+#include <utility>
 
 namespace foxtailring {
 
@@ -110,7 +112,31 @@
     });
     if (!updateHeldMemory("request"))
         return refuse({503, memoryRetryAfter, "memory"});
-    perform(m_session->start(m_parts.clock()));
+    guard([this] { perform(m_session->start(m_parts.clock())); });
+}
+
+// A codec that throws must not leave the caller without an answer: the timer may not be set, or the
+// session may wait for a result that was dropped.
+void RequestRelay::guard(const std::function<void()> &work)
+{
+    try {
+        work();
+    } catch (const std::exception &exception) {
+        onException(exception.what());
+    }
+}
+
+// The status does not say whether the request was executed, since an attempt may be in progress.
+void RequestRelay::onException(std::string_view message)
+{
+    StructuredLog::warn("requestException",
+                        {{"request", m_request.id}, {"message", std::string(message)}});
+    m_parts.metrics.add("gateway_request_exceptions_total");
+    if (m_isFinished)
+        return;
+    if (m_hasStartedAnswer)
+        return abortAnswer({"exception"});
+    refuse({502, milliseconds(0), "exception"});
 }
 
 void RequestRelay::perform(const ForwardAction &action)
@@ -207,7 +233,7 @@
         [self = shared_from_this(), number](std::span<const ServerProbeResult> results) {
             if (self->m_isFinished || self->m_probeCount != number)
                 return;
-            self->onProbeResults(results);
+            self->guard([&self, results] { self->onProbeResults(results); });
         });
     serverProbe->start();
 }
@@ -217,7 +243,7 @@
     const auto hook = [self = shared_from_this(), command](const Result<HttpResponse> &response) {
         self->m_parts.queue.post([self, command, response] {
             if (!self->m_isFinished)
-                self->onRunCopied(command, response);
+                self->guard([&] { self->onRunCopied(command, response); });
         });
     };
     m_parts.sendOrder(command.from.info.address,
@@ -264,7 +290,7 @@
     return [self = shared_from_this(), number](AttemptTask task) {
         self->m_parts.queue.post([self, number, task = std::move(task)] {
             if (!self->m_isFinished && self->m_attempt.number == number)
-                task(*self);
+                self->guard([&self, &task] { task(*self); });
         });
     };
 }
@@ -368,10 +394,12 @@
 
 void RequestRelay::startStreamedAnswer()
 {
-    if (std::exchange(m_hasStartedAnswer, true))
+    if (m_hasStartedAnswer)
         return;
-    m_responder->startStream(m_attempt.answer.status,
-                             m_parts.codec.callerResponseHeaders(m_attempt.head));
+    // Before the flag is set, since it may throw.
+    auto headers = m_parts.codec.callerResponseHeaders(m_attempt.head);
+    m_hasStartedAnswer = true;
+    m_responder->startStream(m_attempt.answer.status, std::move(headers));
     m_parts.metrics.observeSeconds(
         "gateway_first_event_seconds",
         std::chrono::duration<double>(m_parts.clock() - m_arrivedAt).count());
@@ -491,7 +519,7 @@
         return;
     const auto wait = std::chrono::ceil<milliseconds>(m_session->nextCheck() - m_parts.clock());
     m_timer.once(std::max(wait, minTimerDelay), [self = shared_from_this()] {
-        self->m_parts.queue.post([self] { self->onTimer(); });
+        self->m_parts.queue.post([self] { self->guard([&self] { self->onTimer(); }); });
     });
 }
 
--- a/src/gateway/RequestRelay.h
+++ b/src/gateway/RequestRelay.h
@@ -11,8 +11,10 @@
 #include "foxtailring/transport/Timer.h"
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace foxtailring {
 
@@ -55,6 +57,9 @@
     /// The returned function posts a task to the queue; the task is dropped if attempt \a number is
     /// not the current one by then.
     std::function<void(AttemptTask)> attemptPoster(std::uint64_t number);
+    /// Runs \a work; an exception ends the request.
+    void guard(const std::function<void()> &work);
+    void onException(std::string_view message);
     void perform(const ForwardAction &action);
     void send(const SendAttempt &next);
     void logAttempt(const SendAttempt &next) const;
--- a/src/gateway/ServerProbe.cpp
+++ b/src/gateway/ServerProbe.cpp
@@ -5,6 +5,8 @@
 
 #include "GatewayParts.h"
 
+#include <exception>
+
 namespace foxtailring {
 
 namespace {
@@ -52,11 +54,16 @@
     m_parts.probeHttp.request(endpoint.value(), std::move(request), m_probe.timeout, hook, options);
 }
 
+// A report that the codec throws on is a malformed one: the hook waits for all reports.
 Result<ServerProbeResult> ServerProbe::decode(const HttpResponse &response) const
 {
-    return m_probe.subject == ProbeServers::Subject::Prompt
-        ? m_parts.codec.decodePromptList(response, m_promptId)
-        : m_parts.codec.decodeLoadReport(response, m_requestId);
+    try {
+        return m_probe.subject == ProbeServers::Subject::Prompt
+            ? m_parts.codec.decodePromptList(response, m_promptId)
+            : m_parts.codec.decodeLoadReport(response, m_requestId);
+    } catch (const std::exception &exception) {
+        return Error {ErrorCode::Malformed, exception.what()};
+    }
 }
 
 void ServerProbe::onResponse(const std::string &serverId, const Result<HttpResponse> &response)
--- a/tests/gateway/GatewayFixture.cpp
+++ b/tests/gateway/GatewayFixture.cpp
@@ -45,6 +45,7 @@
 
 HttpRequest encodeAttempt(const GatewayRequest &caller, const AttemptMetadata &metadata)
 {
+    throwIfUnreadable(caller.http.header("unsendable"));
     HttpRequest request = caller.http;
     request.headers = {{"id", caller.id}, {"server", std::string(metadata.serverId)}};
     if (metadata.lastEventId)
@@ -80,10 +81,10 @@
     for (int i = 0; i < 2; ++i) {
         const std::string name = i == 0 ? "a" : "b";
         m_servers[i].emplace(*m_pool, Endpoint {"127.0.0.1", 0}, HttpLimits(),
-                             [box = m_received, name](HttpRequest request,
-                                                      std::shared_ptr<Http1Responder> responder) {
+                             [box = m_received, reportHeaders = m_reportHeaders, name](
+                                 HttpRequest request, std::shared_ptr<Http1Responder> responder) {
                                  if (request.target == "/load")
-                                     return responder->respond({200, {}, ""});
+                                     return responder->respond({200, *reportHeaders, ""});
                                  box->put({name, std::move(request), std::move(responder)});
                              });
         m_serverPorts[i] = m_servers[i]->listen().value();
@@ -163,7 +164,8 @@
             [] {
                 return HttpRequest {"GET", "/load", {}, ""};
             },
-            [](const HttpResponse &, std::string_view) -> Result<ServerProbeResult> {
+            [](const HttpResponse &response, std::string_view) -> Result<ServerProbeResult> {
+                throwIfUnreadable(response.header("unreadable"));
                 ServerProbeResult report;
                 report.hasRun = true;
                 return report;
@@ -185,7 +187,10 @@
             [](const std::string &handle) {
                 return HttpRequest {"DELETE", "/copy/" + handle, {}, ""};
             },
-            [](const HttpResponse &response) { return response.headers; }};
+            [](const HttpResponse &response) {
+                throwIfUnreadable(response.header("unforwardable"));
+                return response.headers;
+            }};
 }
 
 StoreSchema GatewayFixture::schema() const
--- a/tests/gateway/GatewayFixture.h
+++ b/tests/gateway/GatewayFixture.h
@@ -15,6 +15,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace foxtailring {
 
@@ -46,7 +47,8 @@
 ///
 /// Wire format of the test: requests have the headers `id`, `key`, `last` (event id), `copy-to` and
 /// `copy-at`; a response with `full` was not run, one with `signed` is signed, `id` is the request
-/// that it answers, and `limit` is a rate limit. The codec throws on a message with `unreadable`. A
+/// that it answers, and `limit` is a rate limit. The codec throws on a message with `unreadable`,
+/// on sending a request with `unsendable` and on forwarding an answer with `unforwardable`. A
 /// server's entry in the store is its zone.
 class GatewayFixture : public CppUnit::TestFixture
 {
@@ -81,6 +83,9 @@
         std::make_shared<Mailbox<ReceivedRequest>>();
     std::shared_ptr<Mailbox<Result<HttpResponse>>> m_answers =
         std::make_shared<Mailbox<Result<HttpResponse>>>();
+    /// Headers of all load reports; to be set before the first one is requested.
+    std::shared_ptr<std::vector<HttpHeader>> m_reportHeaders =
+        std::make_shared<std::vector<HttpHeader>>();
     std::optional<Http1Server> m_servers[2];
     std::uint16_t m_serverPorts[2] = {0, 0};
     ListedStore *m_store = nullptr; ///< owned by the gateway
--- a/tests/gateway/GatewayTest.cpp
+++ b/tests/gateway/GatewayTest.cpp
@@ -15,6 +15,11 @@
     CPPUNIT_TEST(callThatMayHaveRunIsNotRetried);
     CPPUNIT_TEST(streamResumesFromItsCopy);
     CPPUNIT_TEST(brokenStreamDoesNotLookComplete);
+    CPPUNIT_TEST(unreadableAnswerIsALostAttempt);
+    CPPUNIT_TEST(unreadableRequestIsAnswered);
+    CPPUNIT_TEST(exceptionBeforeAnAttemptIsAnswered);
+    CPPUNIT_TEST(exceptionWhileForwardingIsAnswered);
+    CPPUNIT_TEST(unreadableReportsDoNotDelayARun);
     CPPUNIT_TEST(callerDisconnectCancelsTheAttempt);
     CPPUNIT_TEST(drainWaitsForRunningRequests);
     CPPUNIT_TEST_SUITE_END();
@@ -134,6 +139,74 @@
         CPPUNIT_ASSERT(!m_answers->take().isOk());
     }
 
+    // Guards against a caller without an answer, or with one that no server gave, because the codec
+    // throws on a response.
+    void unreadableAnswerIsALostAttempt()
+    {
+        startServing();
+        call("/once/x");
+        m_received->take().responder->respond({200, {{"unreadable", "1"}}, "x"});
+        CPPUNIT_ASSERT_EQUAL(502, m_answers->take().value().status);
+        CPPUNIT_ASSERT(m_received->isEmpty());
+        assertServesCalls();
+    }
+
+    // Guards against a caller that waits for nothing because the codec throws on its request.
+    void unreadableRequestIsAnswered()
+    {
+        startServing();
+        m_client->request(
+            {"127.0.0.1", m_ports.callers},
+            {"POST", "/once/x", {{"id", "1"}, {"unreadable", "1"}}, "body"}, testDeadline,
+            [box = m_answers](Result<HttpResponse> answer) { box->put(std::move(answer)); });
+        CPPUNIT_ASSERT_EQUAL(500, m_answers->take().value().status);
+        assertServesCalls();
+    }
+
+    // Guards against a request that is never answered, since its timer is not set yet.
+    void exceptionBeforeAnAttemptIsAnswered()
+    {
+        startServing();
+        m_client->request(
+            {"127.0.0.1", m_ports.callers},
+            {"POST", "/once/x", {{"id", "1"}, {"key", "good"}, {"unsendable", "1"}}, "body"},
+            testDeadline,
+            [box = m_answers](Result<HttpResponse> answer) { box->put(std::move(answer)); });
+        CPPUNIT_ASSERT_EQUAL(502, m_answers->take().value().status);
+        assertServesCalls();
+    }
+
+    // Guards against an answer that is dropped while its caller waits.
+    void exceptionWhileForwardingIsAnswered()
+    {
+        startServing();
+        call("/once/x");
+        m_received->take().responder->respond({200, {{"signed", "1"}, {"unforwardable", "1"}}, ""});
+        CPPUNIT_ASSERT_EQUAL(502, m_answers->take().value().status);
+        assertServesCalls();
+
+        call("/stream/x");
+        ReceivedRequest received = m_received->take();
+        auto headers = eventHeaders();
+        headers.push_back({"unforwardable", "1"});
+        received.responder->startStream(200, headers);
+        received.responder->write(eventText(1));
+        CPPUNIT_ASSERT_EQUAL(502, m_answers->take().value().status);
+    }
+
+    // Guards against a run that waits until its deadline for reports that were dropped.
+    void unreadableReportsDoNotDelayARun()
+    {
+        *m_reportHeaders = {{"unreadable", "1"}};
+        startServing();
+        call("/stream/x");
+        ReceivedRequest received = m_received->take();
+        received.responder->startStream(200, eventHeaders());
+        received.responder->write(eventText(1));
+        received.responder->finish();
+        CPPUNIT_ASSERT_EQUAL(eventText(1), m_answers->take().value().body);
+    }
+
     // Guards against servers that keep working for callers that have disconnected.
     void callerDisconnectCancelsTheAttempt()
     {
@@ -163,6 +236,13 @@
     }
 
 private:
+    void assertServesCalls()
+    {
+        call("/once/x");
+        m_received->take().responder->respond({200, {{"signed", "1"}, {"id", "1"}}, "done"});
+        CPPUNIT_ASSERT_EQUAL(200, m_answers->take().value().status);
+    }
+
     static std::vector<HttpHeader> eventHeaders()
     {
         return {{"Content-Type", "text/event-stream"}, {"signed", "1"}, {"id", "1"}};
