--- a/src/gateway/ServerProbe.cpp
+++ b/src/gateway/ServerProbe.cpp
@@ -6,6 +6,7 @@
 #include "GatewayParts.h"
 
 #include <algorithm>
+#include <exception>
 #include <utility>
 
 namespace foxtailring {
@@ -62,11 +63,16 @@
                               std::max(m_probe.timeout, lateAnswerTimeout), hook, options);
 }
 
+// A report that the codec throws on is a malformed one: the hook waits for all reports.
 Result<ServerProbeResult> ServerProbe::decode(const HttpResponse &response) const
 {
-    return m_probe.subject == ProbeServers::Subject::Prompt
-        ? m_parts.codec.decodePromptList(response, m_promptId)
-        : m_parts.codec.decodeLoadReport(response, m_requestId);
+    try {
+        return m_probe.subject == ProbeServers::Subject::Prompt
+            ? m_parts.codec.decodePromptList(response, m_promptId)
+            : m_parts.codec.decodeLoadReport(response, m_requestId);
+    } catch (const std::exception &exception) {
+        return Error {ErrorCode::Malformed, exception.what()};
+    }
 }
 
 void ServerProbe::onResponse(const BackendInfo &server, const Result<HttpResponse> &response)
--- a/tests/gateway/GatewayFixture.h
+++ b/tests/gateway/GatewayFixture.h
@@ -16,6 +16,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace foxtailring {
 
@@ -49,7 +50,8 @@
 /// `copy-at`, and `parts` of the prompt; a response with `full` was not run, one with `signed` is
 /// signed, `id` is the request that it answers, `limit` is a rate limit, `leaving` says that the
 /// server leaves if its value is `1`, and with status 503 `pause` is a pause in milliseconds. The
-/// codec throws on a message with `unreadable`. A server's entry in the store is its zone.
+/// codec throws on a message with `unreadable`, on sending a request with `unsendable` and on
+/// forwarding an answer with `unforwardable`. A server's entry in the store is its zone.
 class GatewayFixture : public CppUnit::TestFixture
 {
 public:
@@ -88,6 +90,9 @@
         std::make_shared<Mailbox<Result<HttpResponse>>>();
     /// Probes of the servers' load are put into m_received, in place of being answered at once.
     std::atomic<bool> m_receivesProbes = false;
+    /// Headers of all load reports; to be set before the first one is requested.
+    std::shared_ptr<std::vector<HttpHeader>> m_reportHeaders =
+        std::make_shared<std::vector<HttpHeader>>();
     std::optional<Http1Server> m_servers[2];
     std::uint16_t m_serverPorts[2] = {0, 0};
     ListedStore *m_store = nullptr; ///< owned by the gateway
