gateway: in a planned stop, wait for requests on new connections

Cause: 3.3 s after SIGTERM all idle connections were closed, also those whose caller had just connected and sends within a second or two. The process had until 7.5 s. Change: after 3.3 s idle connections end as soon as no request is open, arriving, or expected on a connection that has brought none, and 1 s before the drain timeout in any case; the process ends 0.5 s after that at the earliest. Requests that have arrived in part by then are refused with 503 and Retry-After. Without such connections a stop takes 3.8 s as before. A request that crosses the half close of an idle connection still gets no answer: after it nothing can be sent. It did not run and is counted (connectionCut, closing). Conclusion: a connection that was accepted gets an answer or a truthful refusal if its request arrives before the last second.

--- a/include/foxtailring/transport/Http1Server.h
+++ b/include/foxtailring/transport/Http1Server.h
@@ -18,8 +18,9 @@
 /// \brief HTTP/1.1 server over Boost.Beast.
 ///
 /// Responds with 400 to malformed requests, 408 to those that do not arrive within the time limits,
-/// 413 to oversized bodies and 431 to oversized heads, each with a problem body, and with 500 when the handler throws or destroys its responder unused.
-/// A handler that is running when close() is called runs to completion.
+/// 413 to oversized bodies and 431 to oversized heads, each with a problem body, and with 500 when
+/// the handler throws or destroys its responder unused. A handler that is running when close() is
+/// called runs to completion.
 class Http1Server
 {
 public:
@@ -43,12 +44,17 @@
     void setLimits(HttpLimits limits);
     /// \brief Closes each connection after its next response; new connections are still accepted.
     void disableKeepAlive();
-    /// \brief Refuses new connections. Open ones close after the request in progress, or after one
-    /// that arrives within 300 ms; both get a response.
+    /// \brief Refuses new connections. Open ones close after their next response.
     void stopAccepting();
+    /// \brief Closes idle connections in order, after stopAccepting(), and refuses requests that
+    /// have arrived in part with 503. Requests that have arrived whole get their response.
+    void closeIdle();
     /// \brief Closes all connections without waiting for responses.
     void close();
     std::size_t openConnectionCount() const;
+    /// \brief Number of connections that are about to bring a request: new ones, and those on which
+    /// a part of one has arrived.
+    std::size_t expectedRequestCount() const;
     /// \brief Number of requests whose response is not complete.
     std::size_t openRequestCount() const;
 
--- a/src/gateway/GatewayNode.cpp
+++ b/src/gateway/GatewayNode.cpp
@@ -12,6 +12,7 @@
 #include "RequestDispatcher.h"
 #include "StoreWatch.h"
 
+#include <optional>
 #include <utility>
 
 #include <boost/asio/io_context.hpp>
@@ -25,8 +26,12 @@
 // The load balancer probes once a second and stops sending new connections after two failures.
 constexpr milliseconds acceptDuration {3000};
 constexpr milliseconds drainPollInterval {50};
-// Connections that were accepted last have sent their request by then.
-constexpr milliseconds lateRequestWait {800};
+// A request on a kept-alive connection that was sent just before its caller learned of the stop has
+// arrived by then.
+constexpr milliseconds lateRequestWait {300};
+// Idle connections end this long before the process at least, so that their callers see an orderly
+// close and answers that cross it arrive.
+constexpr milliseconds idleCloseReserve {500};
 // Part of the drain timeout that is left for ending the process.
 constexpr milliseconds shutdownReserve {500};
 
@@ -128,6 +133,7 @@
 
     void answerProbe(const HttpRequest &request, const std::shared_ptr<Http1Responder> &responder);
     void checkDrained();
+    bool hasRequests() const;
     void stop();
 
     GatewayParts parts;
@@ -140,8 +146,9 @@
     StoreWatch watch;
     GatewayPublisher publisher;
     Timer drainTimer;
-    bool isStopping = false;  ///< no new connections; on the queue
-    TimePoint drainStartedAt; ///< on the queue
+    bool isStopping = false;              ///< no new connections; on the queue
+    TimePoint drainStartedAt;             ///< on the queue
+    std::optional<Duration> idleClosedAt; ///< since the start of the drain; on the queue
     std::function<void()> drained;
 };
 
@@ -157,15 +164,29 @@
     });
 }
 
+// Callers that connected last may take seconds until they send, so new connections are waited for
+// as long as the process lives. Kept-alive ones are not: their callers may not send at all.
+bool GatewayNode::State::hasRequests() const
+{
+    return callers.openRequestCount() > 0 || callers.expectedRequestCount() > 0;
+}
+
 void GatewayNode::State::checkDrained()
 {
     const auto age = parts.clock() - drainStartedAt;
+    const milliseconds endsAt = parts.settings.drainTimeout - shutdownReserve;
     if (age >= acceptDuration && !std::exchange(isStopping, true))
         callers.stopAccepting();
-    const bool hasNoLateRequests =
-        callers.openConnectionCount() == 0 || age >= acceptDuration + lateRequestWait;
-    const bool isDone = isStopping && hasNoLateRequests && callers.openRequestCount() == 0;
-    const bool isOverdue = age >= parts.settings.drainTimeout - shutdownReserve;
+    if (isStopping && !idleClosedAt
+        && (age >= endsAt - idleCloseReserve
+            || (age >= acceptDuration + lateRequestWait && !hasRequests()))) {
+        callers.closeIdle();
+        idleClosedAt = age;
+    }
+    const bool isClosed = callers.openConnectionCount() == 0
+        || (idleClosedAt && age >= *idleClosedAt + idleCloseReserve);
+    const bool isDone = isStopping && isClosed && callers.openRequestCount() == 0;
+    const bool isOverdue = age >= endsAt;
     if (!isDone && !isOverdue)
         return;
     if (!isDone)
--- a/src/transport/Http1Connection.cpp
+++ b/src/transport/Http1Connection.cpp
@@ -22,10 +22,6 @@
 // kernel reset the connection, and the caller may lose the response.
 constexpr std::chrono::milliseconds drainTimeout {2000};
 
-// A request sent just before the caller learns of the stop is served if it arrives within this
-// time.
-constexpr std::chrono::milliseconds lastRequestTimeout {300};
-
 // Time to read input that was in the system's buffer when a deadline passed. A process that was
 // paused finds the deadlines of all its connections passed and reads 128 of them first.
 constexpr std::chrono::milliseconds lateReadTime {50};
@@ -44,6 +40,15 @@
     return request;
 }
 
+// Another process takes the request at once.
+HttpResponse unavailableResponse()
+{
+    HttpResponse response = problemResponse(503, "Service Unavailable",
+                                            "the request did not arrive before the process ended");
+    response.headers.push_back({"Retry-After", "0"});
+    return response;
+}
+
 } // namespace
 
 Http1Connection::Http1Connection(Socket socket, std::shared_ptr<Http1ServerShared> shared)
@@ -52,6 +57,7 @@
     , m_shared(std::move(shared))
     , m_deadline(m_socket.get_executor())
 {
+    setExpectsRequest(true); // callers connect in order to send
 }
 
 Http1Connection::~Http1Connection()
@@ -59,6 +65,7 @@
     // An exchange is still open here only when the worker pool is destroyed.
     if (m_exchange)
         m_exchange->dropHook();
+    setExpectsRequest(false);
 }
 
 void Http1Connection::start()
@@ -71,14 +78,35 @@
     });
 }
 
-void Http1Connection::stop()
+void Http1Connection::closeIdle()
 {
     net::post(m_socket.get_executor(), [self = shared_from_this()] {
-        if (self->isIdle())
-            self->armDeadline(lastRequestTimeout);
+        if (self->m_phase == Phase::Request && !self->hasUnreadInput())
+            self->endWait();
     });
 }
 
+// A connection that was just accepted and has not begun to read is served when it begins.
+void Http1Connection::endWait()
+{
+    if (!m_parser)
+        return;
+    if (isIdle())
+        return drain();
+    reportCut(ConnectionCut::Cause::Stop);
+    rejectWith(unavailableResponse());
+}
+
+void Http1Connection::setExpectsRequest(bool expects)
+{
+    if (std::exchange(m_expectsRequest, expects) == expects)
+        return;
+    if (expects)
+        ++m_shared->expectedRequestCount;
+    else
+        --m_shared->expectedRequestCount;
+}
+
 void Http1Connection::close()
 {
     net::post(m_socket.get_executor(),
@@ -122,6 +150,7 @@
 // The limits in force now hold for the request, not those from when the connection became idle.
 void Http1Connection::beginHead()
 {
+    setExpectsRequest(true);
     m_limits = m_shared->limits();
     m_parser->header_limit(static_cast<std::uint32_t>(m_limits.maxHeaderBytes));
     m_parser->body_limit(m_limits.maxBodyBytes);
@@ -202,10 +231,16 @@
 }
 
 void Http1Connection::rejectRequest(int status, std::string_view title, std::string_view detail)
+{
+    rejectWith(problemResponse(status, title, detail));
+}
+
+void Http1Connection::rejectWith(HttpResponse response)
 {
     m_phase = Phase::Response;
+    setExpectsRequest(false);
     m_input.clear();
-    send(serializeResponse(problemResponse(status, title, detail), {11, false, false}), 0);
+    send(serializeResponse(std::move(response), {11, false, false}), 0);
     completeResponse(false);
 }
 
@@ -213,6 +248,7 @@
 {
     http::request<http::string_body> message = m_parser->release();
     m_phase = Phase::Response;
+    setExpectsRequest(false);
     m_deadlineLimit = nullptr;
     m_deadline.cancel();
     if (m_shared->isClosed)
@@ -297,9 +333,8 @@
     if (!m_keepAlive)
         return drain();
     beginRequest();
-    // The response announced keep-alive, so the caller may already have sent another request.
-    if (isStopping() && isIdle())
-        armDeadline(lastRequestTimeout);
+    if (m_shared->isClosingIdle && m_phase == Phase::Request && !hasUnreadInput())
+        endWait();
     read();
 }
 
@@ -308,6 +343,7 @@
     if (!m_input.empty())
         reportCut(ConnectionCut::Cause::Closing);
     m_phase = Phase::Drain;
+    setExpectsRequest(false);
     m_input.clear();
     ErrorStatus ignored;
     m_socket.shutdown(Tcp::socket::shutdown_send, ignored);
@@ -342,8 +378,8 @@
     m_deadline.start(delay, [self = shared_from_this()] { self->onTimeout(); });
 }
 
-// An idle connection is shut down in order, so that a caller whose request crosses the close sees no
-// reset. A part of a request is refused: its caller may send the rest and wait for an answer.
+// An idle connection is shut down in order, so that a caller whose request crosses the close sees
+// no reset. A part of a request is refused: its caller may send the rest and wait for an answer.
 void Http1Connection::onTimeout()
 {
     if (hasUnreadInput() && !std::exchange(m_isOverdue, true))
@@ -363,9 +399,10 @@
     return m_isReading && m_phase == Phase::Request && m_socket.available(status) > 0 && !status;
 }
 
-// The socket takes megabytes at once, and more only when a third of its buffer is free: a caller that
-// reads steadily may show no progress there for seconds, and turns idle when it has the last byte.
-// Acknowledgements alone prove nothing, since a caller that reads nothing acknowledges window probes.
+// The socket takes megabytes at once, and more only when a third of its buffer is free: a caller
+// that reads steadily may show no progress there for seconds, and turns idle when it has the last
+// byte. Acknowledgements alone prove nothing, since a caller that reads nothing acknowledges window
+// probes.
 bool Http1Connection::extendForReader()
 {
     if (m_deadlineLimit != &HttpLimits::idleTimeout || m_unacknowledged == 0)
@@ -427,11 +464,6 @@
     return m_shared->isStopping || m_shared->isClosing;
 }
 
-bool Http1Connection::isStopping() const
-{
-    return m_shared->isStopping;
-}
-
 void Http1Connection::resetNow()
 {
     ErrorStatus ignored;
@@ -445,6 +477,7 @@
     if (m_phase == Phase::Closed)
         return;
     m_phase = Phase::Closed;
+    setExpectsRequest(false);
     ErrorStatus ignored;
     m_socket.close(ignored);
     m_deadlineLimit = nullptr;
--- a/src/transport/Http1Connection.h
+++ b/src/transport/Http1Connection.h
@@ -18,6 +18,7 @@
 
 class Http1ServerExchange;
 struct Http1ServerShared;
+struct HttpResponse;
 
 /// \brief One accepted HTTP/1.1 connection.
 ///
@@ -31,8 +32,8 @@
 
     // Thread-safe.
     void start();
-    /// \brief Closes an idle connection after 300 ms, any other after its current response.
-    void stop();
+    /// \brief Closes the connection unless a whole request has arrived.
+    void closeIdle();
     void close();
     /// \brief Lets longer time limits of the server apply to what this connection waits for.
     void extendLimits();
@@ -43,7 +44,6 @@
     void closeNow();
     /// \brief Resets the connection, so that the caller cannot mistake this for the end of a body.
     void resetNow();
-    bool isStopping() const;
     /// \brief True when the next response is the last one on this connection.
     bool isClosing() const;
 
@@ -53,6 +53,8 @@
 
     void beginRequest();
     void beginHead();
+    void endWait();
+    void setExpectsRequest(bool expects);
     void takeLongerLimits();
     void read();
     void onRead(ErrorStatus status, std::size_t size);
@@ -60,6 +62,7 @@
     void continueRequest();
     void rejectRequest(ErrorStatus status);
     void rejectRequest(int status, std::string_view title, std::string_view detail);
+    void rejectWith(HttpResponse response);
     void handleRequest();
     void writeQueued();
     void writeSome();
@@ -68,7 +71,8 @@
     void drain();
     void onTimeout();
     bool hasUnreadInput();
-    /// \brief Restarts the deadline at the time at which the caller last took a part of the response.
+    /// \brief Restarts the deadline at the time at which the caller last took a part of the
+    /// response.
     bool extendForReader();
     /// \brief Refuses a request that has not arrived within its time limit.
     void rejectLate();
@@ -90,13 +94,14 @@
     StrandTimer m_deadline;
     TimeLimit m_deadlineLimit = nullptr; ///< that the deadline follows; null: it is fixed
     std::chrono::steady_clock::time_point m_deadlineStartedAt;
-    bool m_isOverdue = false; ///< the deadline has passed, input that had arrived is read
+    bool m_isOverdue = false;         ///< the deadline has passed, input that had arrived is read
     std::size_t m_unacknowledged = 0; ///< of the bytes written, when the deadline was set
     Phase m_phase = Phase::Request;
     std::optional<Parser> m_parser;
     std::shared_ptr<Http1ServerExchange> m_exchange;
     bool m_continueSent = false;
     bool m_headStarted = false;     ///< the first bytes of a head have arrived
+    bool m_expectsRequest = false;  ///< counted in Http1ServerShared::expectedRequestCount
     std::size_t m_arrivedBytes = 0; ///< of the current request and of what follows it
     std::chrono::steady_clock::time_point m_firstByteAt;
     bool m_responseComplete = false;
--- a/src/transport/Http1Server.cpp
+++ b/src/transport/Http1Server.cpp
@@ -26,8 +26,6 @@
     if (shared->isClosed)
         return connection->close();
     connection->start();
-    if (shared->isStopping)
-        connection->stop();
 }
 
 Http1Server::Http1Server(WorkerPool &pool, const Endpoint &endpoint, HttpLimits limits,
@@ -74,8 +72,13 @@
     m_state->shared->isStopping = true;
     m_state->listener->acceptPending();
     m_state->listener->close();
+}
+
+void Http1Server::closeIdle()
+{
+    m_state->shared->isClosingIdle = true;
     for (const auto &connection : m_state->connections.openConnections())
-        connection->stop();
+        connection->closeIdle();
 }
 
 void Http1Server::close()
@@ -92,6 +95,11 @@
     return m_state->connections.openConnections().size();
 }
 
+std::size_t Http1Server::expectedRequestCount() const
+{
+    return m_state->shared->expectedRequestCount;
+}
+
 std::size_t Http1Server::openRequestCount() const
 {
     return m_state->shared->openRequestCount;
--- a/src/transport/Http1ServerShared.h
+++ b/src/transport/Http1ServerShared.h
@@ -33,9 +33,11 @@
     const Http1Server::Handler handler;
     Http1Server::CutHook cutHook; ///< set before the first connection is accepted
     std::atomic<std::size_t> openRequestCount = 0;
-    std::atomic<bool> isStopping = false; ///< connections close after their current request
-    std::atomic<bool> isClosing = false;  ///< each response closes its connection
-    std::atomic<bool> isClosed = false;   ///< no more handlers are called
+    std::atomic<std::size_t> expectedRequestCount = 0;
+    std::atomic<bool> isStopping = false;    ///< connections close after their current request
+    std::atomic<bool> isClosing = false;     ///< each response closes its connection
+    std::atomic<bool> isClosingIdle = false; ///< connections without a whole request end
+    std::atomic<bool> isClosed = false;      ///< no more handlers are called
 
 private:
     mutable std::mutex m_mutex;
--- a/src/transport/Net.cpp
+++ b/src/transport/Net.cpp
@@ -34,7 +34,7 @@
 {
     int count = 0;
     return ::ioctl(socket.native_handle(), SIOCOUTQ, &count) == 0 ? static_cast<std::size_t>(count)
-                                                                 : 0;
+                                                                  : 0;
 }
 
 std::chrono::milliseconds timeSinceAcknowledgement(Socket &socket)
--- a/tests/transport/Http1ServerTest.cpp
+++ b/tests/transport/Http1ServerTest.cpp
@@ -26,8 +26,6 @@
 };
 
 constexpr HttpLimits smallLimits {1024, 4096, std::chrono::seconds(60)};
-/// Idle connections end this long after a stop.
-constexpr std::chrono::milliseconds idleLimitAtStop {300};
 /// Long enough that a busy machine does not exceed it between two steps of a test.
 constexpr std::chrono::milliseconds shortTimeout {400};
 /// More than the system's buffers of a connection hold.
@@ -58,7 +56,10 @@
     CPPUNIT_TEST(abortSendsNoFinalChunk);
     CPPUNIT_TEST(stoppedServerFinishesItsRequest);
     CPPUNIT_TEST(requestsSentDuringStopAreAnswered);
+    CPPUNIT_TEST(newConnectionsOfAStoppedServerMaySend);
+    CPPUNIT_TEST(stoppedServerRefusesPartsOfRequests);
     CPPUNIT_TEST(requestsAtTheIdleLimitAreAnswered);
+    CPPUNIT_TEST(requestsAtTheCloseOfIdleConnectionsAreAnswered);
     CPPUNIT_TEST(closedServerReleasesItsPort);
     CPPUNIT_TEST(lineBreaksInHeadersAreNotSent);
     CPPUNIT_TEST(connectionsAreAcceptedWithoutKeepAlive);
@@ -260,6 +261,7 @@
         busy.write(getRoot);
         const PendingRequest pending = m_requests.take();
         m_server->stopAccepting();
+        m_server->closeIdle();
         CPPUNIT_ASSERT_EQUAL(std::string(), idle.readAll());
         CPPUNIT_ASSERT_THROW(RawPeer {m_port}, boost::system::system_error);
         pending.responder->respond({200, {}, "done"});
@@ -289,32 +291,84 @@
         }
     }
 
-    // A restarted process must be able to bind its port again.
+    // A caller that connected last must not be cut because it takes a while until it sends.
+    void newConnectionsOfAStoppedServerMaySend()
+    {
+        RawPeer used(m_port);
+        used.write(getRoot);
+        m_requests.take().responder->respond({204, {}, {}});
+        used.readUntil("\r\n\r\n");
+        waitUntil([this] { return m_server->expectedRequestCount() == 0; });
+        RawPeer late(m_port);
+        waitUntil([this] { return m_server->expectedRequestCount() == 1; });
+        m_server->stopAccepting();
+        waitFor(shortTimeout);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_server->expectedRequestCount());
+        late.write(getRoot);
+        const PendingRequest pending = m_requests.take();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), m_server->expectedRequestCount());
+        m_server->closeIdle();
+        pending.responder->respond({200, {}, "done"});
+        CPPUNIT_ASSERT(late.readAll().ends_with("done"));
+    }
+
+    // A caller whose request is still arriving when the process ends must learn that it did not
+    // run.
+    void stoppedServerRefusesPartsOfRequests()
+    {
+        const std::string_view part =
+            "POST / HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 4\r\n\r\nbo";
+        RawPeer peer(m_port);
+        peer.write(part);
+        peer.readUntil("\r\n\r\n");
+        m_server->stopAccepting();
+        m_server->closeIdle();
+        const std::string answer = peer.readAll();
+        CPPUNIT_ASSERT_MESSAGE(answer, answer.starts_with("HTTP/1.1 503 "));
+        CPPUNIT_ASSERT(contains(answer, "Retry-After: 0"));
+        CPPUNIT_ASSERT(m_requests.isEmpty());
+        assertCut(ConnectionCut::Cause::Stop, ConnectionCut::Phase::Body, part.size(), 0);
+    }
+
     // Guards against a connection that is cut with its request under way: the handler of its idle
     // limit was queued already when the request was read.
     void requestsAtTheIdleLimitAreAnswered()
     {
         for (int round = 1; round <= 8; ++round) {
             const std::chrono::microseconds lead(100 * round);
-            std::vector<std::unique_ptr<RawPeer>> peers;
-            for (int i = 0; i < 100; ++i) {
-                peers.push_back(std::make_unique<RawPeer>(m_port));
-                peers.back()->write("GET /first HTTP/1.1\r\nHost: h\r\n\r\n");
-                m_requests.take().responder->respond({204, {}, {}});
-                peers.back()->readUntil("\r\n\r\n");
+            setIdleTimeout(shortTimeout);
+            std::vector<std::chrono::steady_clock::time_point> limitsAt;
+            const auto peers = idlePeers(&limitsAt);
+            for (std::size_t i = 0; i < peers.size(); ++i) {
+                const auto writeAt = limitsAt[i] - lead;
+                waitUntil([writeAt] { return std::chrono::steady_clock::now() >= writeAt; });
+                peers[i]->write(numberedRequest(i));
             }
-            const auto limitAt = std::chrono::steady_clock::now() + idleLimitAtStop;
+            assertReceivedAreAnswered(peers);
+            tearDown();
+            setUp();
+        }
+    }
+
+    // As above, for the close of idle connections at a stop.
+    void requestsAtTheCloseOfIdleConnectionsAreAnswered()
+    {
+        for (std::size_t round = 1; round <= 8; ++round) {
+            const auto peers = idlePeers(nullptr);
             m_server->stopAccepting();
-            waitUntil(
-                [limitAt, lead] { return std::chrono::steady_clock::now() >= limitAt - lead; });
-            for (std::size_t i = 0; i < peers.size(); ++i)
-                peers[i]->write("GET /" + std::to_string(i) + " HTTP/1.1\r\nHost: h\r\n\r\n");
+            for (std::size_t i = 0; i < peers.size(); ++i) {
+                peers[i]->write(numberedRequest(i));
+                if (i == 10 * round)
+                    m_server->closeIdle();
+            }
             assertReceivedAreAnswered(peers);
             tearDown();
             setUp();
         }
     }
 
+    // A restarted process must be able to bind its port again.
+
     void closedServerReleasesItsPort()
     {
         RawPeer peer(m_port);
@@ -489,7 +543,8 @@
         CPPUNIT_ASSERT(peer.readAll().starts_with("HTTP/1.1 431 "));
     }
 
-    // A caller that reads steadily must not be cut because the socket's buffer takes megabytes at once.
+    // A caller that reads steadily must not be cut because the socket's buffer takes megabytes at
+    // once.
     void slowReaderGetsTheWholeResponse()
     {
         setIdleTimeout(shortTimeout);
@@ -519,21 +574,22 @@
                   400);
     }
 
-    // After a pause of the process, requests had arrived on connections whose idle limit has passed.
+    // After a pause of the process, requests had arrived on connections whose idle limit has
+    // passed.
     void inputThatWaitedDuringAPauseIsRead()
     {
         WorkerPool pool(1);
         Mailbox<bool> isPaused;
         Mailbox<bool> mayGoOn;
-        Http1Server server(pool, Endpoint {"127.0.0.1", 0}, smallLimits,
-                           [&](const HttpRequest &request,
-                               const std::shared_ptr<Http1Responder> &responder) {
-                               if (request.target == "/pause") {
-                                   isPaused.put(true);
-                                   mayGoOn.take();
-                               }
-                               responder->respond({204, {}, {}});
-                           });
+        Http1Server server(
+            pool, Endpoint {"127.0.0.1", 0}, smallLimits,
+            [&](const HttpRequest &request, const std::shared_ptr<Http1Responder> &responder) {
+                if (request.target == "/pause") {
+                    isPaused.put(true);
+                    mayGoOn.take();
+                }
+                responder->respond({204, {}, {}});
+            });
         const std::uint16_t port = server.listen().value();
         server.setLimits({1024, 4096, std::chrono::seconds(2)});
         std::vector<std::unique_ptr<RawPeer>> peers;
@@ -587,6 +643,27 @@
         CPPUNIT_ASSERT(cut.age >= std::chrono::milliseconds(minAgeMs));
     }
 
+    static std::string numberedRequest(std::size_t number)
+    {
+        return "GET /" + std::to_string(number) + " HTTP/1.1\r\nHost: h\r\n\r\n";
+    }
+
+    // A hundred kept-alive connections, and when the idle limit of each expires.
+    std::vector<std::unique_ptr<RawPeer>>
+    idlePeers(std::vector<std::chrono::steady_clock::time_point> *limitsAt)
+    {
+        std::vector<std::unique_ptr<RawPeer>> peers;
+        for (int i = 0; i < 100; ++i) {
+            peers.push_back(std::make_unique<RawPeer>(m_port));
+            peers.back()->write("GET /first HTTP/1.1\r\nHost: h\r\n\r\n");
+            m_requests.take().responder->respond({204, {}, {}});
+            peers.back()->readUntil("\r\n\r\n");
+            if (limitsAt)
+                limitsAt->push_back(std::chrono::steady_clock::now() + shortTimeout);
+        }
+        return peers;
+    }
+
     // All connections end, so that reading them shows which requests were answered.
     void assertReceivedAreAnswered(const std::vector<std::unique_ptr<RawPeer>> &peers)
     {
--- a/tools/lib/soak/cluster.py
+++ b/tools/lib/soak/cluster.py
@@ -10,7 +10,7 @@
 from system import BUILD, request
 from .gateway import Gateway, is_ready_at
 from .journal import Journal
-from .limits import IDLE_TIMEOUT_MS
+from .limits import DRAIN_TIMEOUT_SECONDS, IDLE_TIMEOUT_MS
 from .ports import Ports, wait_for_port
 from .process import Process
 from .server import Server
@@ -20,11 +20,13 @@
 class Cluster:
     """All processes of a soak. start() waits until every gateway is ready; close() ends them."""
 
-    def __init__(self, folder, seed, gateways, engines, registers):
+    def __init__(self, folder, seed, gateways, engines, registers,
+                 drain_timeout_seconds=DRAIN_TIMEOUT_SECONDS):
         self.folder = pathlib.Path(folder)
         self.random = random.Random(seed)
         self.journal = Journal(self.folder / "journal.jsonl")
         self.is_ending = False
+        self.drain_timeout_seconds = drain_timeout_seconds
         self.ports = Ports()
         self.store = Store()
         self.gateways = [Gateway(self, index) for index in range(gateways)]
--- a/tools/lib/soak/gateway.py
+++ b/tools/lib/soak/gateway.py
@@ -6,7 +6,7 @@
 import time
 
 from system import BUILD
-from .limits import (DRAIN_TIMEOUT_SECONDS, MAX_KEY_REVOCATION_SECONDS, MAX_SERVER_LIST_DELAY_SECONDS,
+from .limits import (MAX_KEY_REVOCATION_SECONDS, MAX_SERVER_LIST_DELAY_SECONDS,
                      RESTART_DELAY_SECONDS, ZONES)
 from .process import Process
 
@@ -37,7 +37,7 @@
             f"metrics: 127.0.0.1:0\nstore: 127.0.0.1:{self.store_port}\n"
             f"keyRevocationMs: {MAX_KEY_REVOCATION_SECONDS * 1000}\n"
             f"listNoticeMs: {MAX_SERVER_LIST_DELAY_SECONDS * 1000}\n"
-            f"drainLimitSeconds: {DRAIN_TIMEOUT_SECONDS}\n")
+            f"drainLimitSeconds: {self.cluster.drain_timeout_seconds}\n")
         self.process = Process(self.cluster.journal, self.name,
                                [BUILD / "apps/foxtailring-gateway", f"--config={settings}"],
                                self.cluster.folder / f"{self.name}.log")
@@ -51,7 +51,7 @@
             self.process.resume()
             self.process.send_signal(signal_number)
             try:
-                code = self.process.child.wait(DRAIN_TIMEOUT_SECONDS)
+                code = self.process.child.wait(self.cluster.drain_timeout_seconds)
             except subprocess.TimeoutExpired:
                 self.cluster.journal.record("grace", process=self.name)
                 self.process.kill()
