gateway: answer calls that arrive during a stop before its end

Cause: calls are taken for 5 s after SIGTERM and may last as long as their route allows. One whose server is slow was cut by the end of the process 7.5 s after SIGTERM, without an answer or a refusal. Change: the time of a call that arrives while the process drains ends 0.2 s before the process does; its caller gets 504 or 503 then, and servers are told the time left. Streams are as before. Measured: gateway_test: callsDuringADrainAreAnsweredBeforeItsEnd had no answer before the end of the drain, OK (26) after; decisions_test OK (245). Conclusion: calls that arrive during a stop are not cut. Calls and streams from before SIGTERM that outlast it still are (drainCutShort).

--- a/include/foxtailring/decisions/DrainAdmission.h
+++ b/include/foxtailring/decisions/DrainAdmission.h
@@ -15,14 +15,18 @@
 class DrainAdmission
 {
 public:
-    /// \brief Starts draining; later calls have no effect.
-    void begin(TimePoint now) { m_startedAt = m_startedAt.value_or(now); }
+    /// \brief Starts draining; answers are sent until \a endsAt. Later calls have no effect.
+    void begin(TimePoint now, TimePoint endsAt = TimePoint::max());
     bool isDraining() const { return m_startedAt.has_value(); }
     /// \brief True if a request that arrives now is expected to finish before the process exits.
     bool accepts(CallKind kind, TimePoint now) const;
+    /// \brief Time limit of a call that arrives now, so that its caller gets an answer or a refusal
+    /// before the process exits; none: not draining.
+    std::optional<Duration> callTimeLimit(TimePoint now) const;
 
 private:
     std::optional<TimePoint> m_startedAt;
+    TimePoint m_endsAt;
 };
 
 } // namespace foxtailring
--- a/src/decisions/DrainAdmission.cpp
+++ b/src/decisions/DrainAdmission.cpp
@@ -1,5 +1,7 @@
 #include "foxtailring/decisions/DrainAdmission.h"
 
+#include <algorithm>
+
 namespace foxtailring {
 
 namespace {
@@ -13,6 +15,14 @@
 
 } // namespace
 
+void DrainAdmission::begin(TimePoint now, TimePoint endsAt)
+{
+    if (m_startedAt)
+        return;
+    m_startedAt = now;
+    m_endsAt = endsAt;
+}
+
 bool DrainAdmission::accepts(CallKind kind, TimePoint now) const
 {
     if (!m_startedAt)
@@ -21,4 +31,11 @@
         < (kind == CallKind::Stream ? streamAdmissionTime : callAdmissionTime);
 }
 
+std::optional<Duration> DrainAdmission::callTimeLimit(TimePoint now) const
+{
+    if (!m_startedAt)
+        return std::nullopt;
+    return std::max(m_endsAt - now, Duration::zero());
+}
+
 } // namespace foxtailring
--- a/src/gateway/GatewayNode.cpp
+++ b/src/gateway/GatewayNode.cpp
@@ -32,6 +32,8 @@
 // Idle connections end this long before the process at least, so that their callers see an orderly
 // close and answers that cross it arrive.
 constexpr milliseconds idleCloseReserve {500};
+// Calls are given up this long before the process ends, so that their refusals are written.
+constexpr milliseconds lastAnswerReserve {200};
 // Part of the drain timeout that is left for ending the process.
 constexpr milliseconds shutdownReserve {500};
 
@@ -245,8 +247,9 @@
 {
     State &state = *m_state;
     state.parts.queue.post([&state, drained = std::move(drained)]() mutable {
-        state.dispatcher.drain();
         state.drainStartedAt = state.parts.clock();
+        state.dispatcher.drain(state.drainStartedAt + state.parts.settings.drainTimeout
+                               - shutdownReserve - lastAnswerReserve);
         state.drained = std::move(drained);
         state.callers.disableKeepAlive();
         state.drainTimer.every(drainPollInterval, [&state] {
--- a/src/gateway/RequestDispatcher.cpp
+++ b/src/gateway/RequestDispatcher.cpp
@@ -7,6 +7,7 @@
 #include "Refusal.h"
 #include "RequestRelay.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace foxtailring {
@@ -105,6 +106,17 @@
         admit(std::move(pending));
 }
 
+// A call that the end of the process cut off would leave its caller without an answer.
+void RequestDispatcher::limitTime(GatewayRequest &request, const HttpRoute &route,
+                                  TimePoint arrivedAt) const
+{
+    const auto left = m_drain.callTimeLimit(arrivedAt);
+    if (!left || route.kind == CallKind::Stream)
+        return;
+    const auto limit = std::chrono::duration_cast<milliseconds>(*left);
+    request.timeout = std::min(request.timeout.value_or(limit), limit);
+}
+
 void RequestDispatcher::serve(PendingRequest pending)
 {
     GatewayRequest &request = pending.request;
@@ -116,6 +128,7 @@
         return refuse(m_parts, *responder, request.id, 404, "noRoute");
     if (!m_drain.accepts(route->kind, arrivedAt))
         return refuse(m_parts, *responder, request.id, 503, "draining");
+    limitTime(request, *route, arrivedAt);
     std::string account;
     if (table->config().hasAccounts && !route->isPublic) {
         // Without a recent proof from the store this gateway may have missed a change: it would
--- a/src/gateway/RequestDispatcher.h
+++ b/src/gateway/RequestDispatcher.h
@@ -26,8 +26,9 @@
     /// \brief Thread-safe.
     void handle(HttpRequest request, std::shared_ptr<Http1Responder> responder);
 
-    /// \brief From now on refuses requests that cannot finish in time. Call on the queue.
-    void drain() { m_drain.begin(m_parts.clock()); }
+    /// \brief From now on refuses requests that cannot finish in time, and gives up calls that
+    /// arrive from now on at \a endsAt. Call on the queue.
+    void drain(TimePoint endsAt) { m_drain.begin(m_parts.clock(), endsAt); }
     /// \brief Serves the requests that waited for the first read of the store. Call on the queue.
     void onStoreRead();
     /// \brief Whether configuration and servers are known, keys can be checked and no drain has
@@ -48,6 +49,7 @@
     void admit(PendingRequest pending);
     void enqueue(PendingRequest pending);
     void serve(PendingRequest pending);
+    void limitTime(GatewayRequest &request, const HttpRoute &route, TimePoint arrivedAt) const;
 
     GatewayParts &m_parts;
     const StartupAdmission m_startup;
--- a/tests/decisions/RouteTableTest.cpp
+++ b/tests/decisions/RouteTableTest.cpp
@@ -15,6 +15,7 @@
     CPPUNIT_TEST(keysExpireWithoutConfirmation);
     CPPUNIT_TEST(oldConfirmationDoesNotReplaceANewOne);
     CPPUNIT_TEST(drainingProcessRefusesLateStreams);
+    CPPUNIT_TEST(drainingProcessLimitsTheTimeOfCalls);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -74,6 +75,20 @@
         CPPUNIT_ASSERT(!admission.accepts(CallKind::Idempotent, start + std::chrono::seconds(6)));
     }
 
+    // Guards against calls that are still open when the process exits.
+    void drainingProcessLimitsTheTimeOfCalls()
+    {
+        const TimePoint start {std::chrono::hours(1)};
+        DrainAdmission admission;
+        CPPUNIT_ASSERT(!admission.callTimeLimit(start));
+        admission.begin(start, start + std::chrono::seconds(7));
+        admission.begin(start + std::chrono::seconds(1), TimePoint::max());
+        CPPUNIT_ASSERT(admission.callTimeLimit(start + std::chrono::seconds(4))
+                       == std::chrono::seconds(3));
+        CPPUNIT_ASSERT(admission.callTimeLimit(start + std::chrono::seconds(8))
+                       == Duration::zero());
+    }
+
 private:
     static RouteConfig config()
     {
--- a/tests/gateway/GatewayFixture.cpp
+++ b/tests/gateway/GatewayFixture.cpp
@@ -79,7 +79,8 @@
     startGateway(milliseconds(20'000));
 }
 
-void GatewayFixture::startGateway(milliseconds maxKeyRevocationDelay, milliseconds maxStartupWait)
+void GatewayFixture::startGateway(milliseconds maxKeyRevocationDelay, milliseconds maxStartupWait,
+                                  milliseconds drainTimeout)
 {
     m_gateway.reset();
     GatewaySettings settings;
@@ -90,6 +91,7 @@
         *endpoint = {"127.0.0.1", 0};
     settings.maxKeyRevocationDelay = maxKeyRevocationDelay;
     settings.maxStartupWait = maxStartupWait;
+    settings.drainTimeout = drainTimeout;
     auto store = std::make_unique<ListedStore>();
     m_store = store.get();
     m_gateway.emplace(settings, codec(), schema(),
--- a/tests/gateway/GatewayFixture.h
+++ b/tests/gateway/GatewayFixture.h
@@ -63,7 +63,8 @@
 protected:
     /// \brief Replaces the gateway by one with these settings.
     void startGateway(std::chrono::milliseconds maxKeyRevocationDelay,
-                      std::chrono::milliseconds maxStartupWait = testDeadline);
+                      std::chrono::milliseconds maxStartupWait = testDeadline,
+                      std::chrono::milliseconds drainTimeout = std::chrono::seconds(8));
     /// \brief Answers the first read of the store with the configuration and the servers `a` and
     /// `b`, one in each zone, and waits until the gateway is ready.
     void startServing();
--- a/tests/gateway/GatewayTest.cpp
+++ b/tests/gateway/GatewayTest.cpp
@@ -17,6 +17,7 @@
     CPPUNIT_TEST(brokenStreamDoesNotLookComplete);
     CPPUNIT_TEST(callerDisconnectCancelsTheAttempt);
     CPPUNIT_TEST(drainWaitsForRunningRequests);
+    CPPUNIT_TEST(callsDuringADrainAreAnsweredBeforeItsEnd);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -162,6 +163,23 @@
         drained->take();
     }
 
+    // A call whose server is slow must not be cut off by the end of the process.
+    void callsDuringADrainAreAnsweredBeforeItsEnd()
+    {
+        startGateway(std::chrono::seconds(20), testDeadline, std::chrono::milliseconds(2500));
+        startServing();
+        const auto drained = std::make_shared<Mailbox<int>>();
+        m_gateway->drain([drained] { drained->put(1); });
+        waitUntil([this] { return readiness() == 503; });
+        call("/once/x");
+        const ReceivedRequest received = m_received->take();
+        const auto answer = m_answers->take();
+        CPPUNIT_ASSERT(drained->isEmpty());
+        CPPUNIT_ASSERT(answer);
+        CPPUNIT_ASSERT_EQUAL(504, answer.value().status);
+        drained->take();
+    }
+
 private:
     static std::vector<HttpHeader> eventHeaders()
     {
