tools/soak: callers send on kept connections at the marks of a planned stop

Cause: the soak's callers met the times at which a stopping gateway closes something only by chance, and plannedStop judged requests of the first 3 s of a stop only. Change: before each planned stop of one or all gateways in turn, twenty connections are kept; each sends a write at 3.0, 3.3, 3.8, 4.0 or 4.5 s (drain timeout 5 s), spread by 0.03 s. plannedStop judges requests of the whole drain.

--- a/tools/lib/soak/callers.py
+++ b/tools/lib/soak/callers.py
@@ -10,6 +10,7 @@
 
 import wire
 from .backend import EVENTS_PER_RUN
+from .limits import STOP_MARKS_SECONDS
 
 Attempt = collections.namedtuple(
     "Attempt", "request kind gateway account key body path sent_at ended_at outcome status "
@@ -25,6 +26,8 @@
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 MAX_IDLE_CONNECTIONS = 40
 MAX_ACTIVE_REQUESTS = 160
+MARK_CONNECTIONS = 4
+MARK_SPREAD_SECONDS = 0.03
 
 
 class InvalidAnswer(Exception):
@@ -41,6 +44,7 @@
         self.attempts = []
         self.invalid_answers = []
         self.skipped = 0
+        self.mark_outcomes = collections.Counter()
         self.active_count = 0
         self.request_count = 0
         self.is_stopping = False
@@ -59,6 +63,41 @@
         if self.active_count:
             self.invalid_answers.append({"rule": "answered", "open": self.active_count})
 
+    def send_at_stop_marks(self, gateway):
+        """Keeps connections to a gateway and sends a request on each around the times at which a planned stop
+        that begins now closes something. Returns when the connections are kept."""
+        kept = [connection for connection in (self._keep_connection(gateway) for _ in range(
+            MARK_CONNECTIONS * len(STOP_MARKS_SECONDS))) if connection]
+        started_at = time.monotonic()
+        source = random.Random(started_at)
+        for number, connection in enumerate(kept):
+            mark = STOP_MARKS_SECONDS[number % len(STOP_MARKS_SECONDS)]
+            at = started_at + mark + source.uniform(-MARK_SPREAD_SECONDS, MARK_SPREAD_SECONDS)
+            with self.lock:
+                self.active_count += 1
+            threading.Thread(target=self._send_at, args=(at, gateway, connection), daemon=True).start()
+
+    def _keep_connection(self, gateway):
+        """Opens a connection by a read; None when the gateway does not keep it."""
+        connection = http.client.HTTPConnection("127.0.0.1", gateway.caller_port, timeout=1)
+        self._send_attempt("reads", (gateway, connection))
+        with self.lock:
+            idle = self.idle_connections[gateway.name]
+            if connection in idle:
+                idle.remove(connection)
+                return connection
+        return None
+
+    def _send_at(self, at, gateway, connection):
+        try:
+            time.sleep(max(0, at - time.monotonic()))
+            attempt = self._send_attempt("writes", (gateway, connection))
+            with self.lock:
+                self.mark_outcomes[attempt.outcome] += 1
+        finally:
+            with self.lock:
+                self.active_count -= 1
+
     def _generate_load(self):
         while not self.is_stopping:
             time.sleep(self.random.expovariate(self.requests_per_second))
@@ -82,7 +121,8 @@
             with self.lock:
                 self.active_count -= 1
 
-    def _send_attempt(self, kind):
+    def _send_attempt(self, kind, kept=None):
+        """Sends a request, on the kept connection (a gateway and its connection) if one is given."""
         with self.lock:
             self.request_count += 1
             number = self.request_count
@@ -90,7 +130,7 @@
             keys = sorted(self.cluster.accounts[account])
             key = self.random.choice(keys)
             gives_up = kind == "streams" and self.random.random() < GIVE_UP_SHARE
-            gateway = self.random.choice(self.cluster.gateways_in_rotation())
+            gateway = kept[0] if kept else self.random.choice(self.cluster.gateways_in_rotation())
         request = f"r{number:07d}"
         body = f"body of {request}".encode() * 3 if METHODS[kind] == "POST" else b""
         path = f"/{kind}/{number}?n={number}"
@@ -102,16 +142,17 @@
         if kind == "streams":
             headers.update({wire.TOKENS: "8000,300", wire.COPY_TO: "127.0.0.1:1"})
         sent_at = time.monotonic()
-        result = self._exchange(gateway, kind, path, headers, body, request_fields, gives_up)
+        result = self._exchange(gateway, kind, path, headers, body, request_fields, gives_up,
+                                kept and kept[1])
         attempt = Attempt(**request_fields, sent_at=sent_at, ended_at=time.monotonic(), **result)
         with self.lock:
             self.attempts.append(attempt)
         return attempt
 
-    def _exchange(self, gateway, kind, path, headers, body, request_fields, gives_up):
+    def _exchange(self, gateway, kind, path, headers, body, request_fields, gives_up, kept):
         result = {"outcome": "broken", "status": 0, "retry_after": None, "events": 0,
                   "reused": False, "gave_up": False}
-        connection, result["reused"] = self._take_connection(gateway, kind)
+        connection, result["reused"] = (kept, kept.sock is not None) if kept else self._take_connection(gateway, kind)
         try:
             connection.request(METHODS[kind], path, body or None, headers)
             response = connection.getresponse()
--- a/tools/lib/soak/checks.py
+++ b/tools/lib/soak/checks.py
@@ -222,7 +222,8 @@
         if attempt.outcome != "broken" or not evidence.runs_of.get(attempt.request):
             continue
         overlaps_stop = any(stop["process"] == attempt.gateway
-                            and attempt.sent_at - 3 < stop["at"] < attempt.ended_at for stop in stops)
+                            and attempt.sent_at - DRAIN_TIMEOUT_SECONDS < stop["at"] < attempt.ended_at
+                            for stop in stops)
         is_within_drain = attempt.ended_at - attempt.sent_at < DRAIN_TIMEOUT_SECONDS * 5 / 6
         if overlaps_stop and is_within_drain and evidence.is_unaffected(attempt, attempt.ended_at,
                                                                        planned_stop_kinds):
--- a/tools/lib/soak/faults.py
+++ b/tools/lib/soak/faults.py
@@ -19,8 +19,9 @@
 class FaultInjector:
     """Injects random faults until the time of run() is over, then waits for those still active."""
 
-    def __init__(self, cluster):
+    def __init__(self, cluster, callers):
         self.cluster = cluster
+        self.callers = callers
         self.random = cluster.random
         self.threads = []
         self.is_stopping = threading.Event()
@@ -76,11 +77,13 @@
             thread.join()
 
     def gateway_terminated(self, _seconds, gateway, _server, _fraction):
+        self.callers.send_at_stop_marks(gateway)
         gateway.restart(signal.SIGTERM)
 
     def gateways_rolled(self, _seconds, _gateway, _server, _fraction):
         for gateway in self.cluster.gateways:
             if not self.is_stopping.is_set():
+                self.callers.send_at_stop_marks(gateway)
                 gateway.restart(signal.SIGTERM)
 
     def gateway_paused(self, seconds, gateway, _server, _fraction):
