gateway: refuse requests that outlast a stop before the process ends

Cause: requests that were still open 0.5 s before the drain timeout were cut without an answer, also those whose answer had not begun. Conclusion: a planned stop cuts only streams that have begun.

--- a/include/foxtailring/decisions/ForwardSession.h
+++ b/include/foxtailring/decisions/ForwardSession.h
@@ -51,6 +51,8 @@
     /// \brief Applies the time limits. To be called at nextCheck().
     ForwardAction check(TimePoint now);
     TimePoint nextCheck() const;
+    /// \brief Ends the request as at its deadline.
+    ForwardAction expire(TimePoint now) { return onExpired(now); }
 
     const std::string &service() const { return m_service; }
     /// \brief Number of attempts so far in which the request was or may have been executed.
--- a/src/gateway/GatewayNode.cpp
+++ b/src/gateway/GatewayNode.cpp
@@ -32,7 +32,7 @@
 // Idle connections end this long before the process at least, so that their callers see an orderly
 // close and answers that cross it arrive.
 constexpr milliseconds idleCloseReserve {500};
-// Calls are given up this long before the process ends, so that their refusals are written.
+// Requests are given up this long before the process ends, so that their refusals are written.
 constexpr milliseconds lastAnswerReserve {200};
 // Part of the drain timeout that is left for ending the process.
 constexpr milliseconds shutdownReserve {500};
@@ -149,6 +149,7 @@
     GatewayPublisher publisher;
     Timer drainTimer;
     bool isStopping = false;              ///< no new connections; on the queue
+    bool hasGivenUp = false;              ///< requests that last too long were ended; on the queue
     TimePoint drainStartedAt;             ///< on the queue
     std::optional<Duration> idleClosedAt; ///< since the start of the drain; on the queue
     std::function<void()> drained;
@@ -185,6 +186,8 @@
         callers.closeIdle();
         idleClosedAt = age;
     }
+    if (age >= endsAt - lastAnswerReserve && !std::exchange(hasGivenUp, true))
+        dispatcher.giveUpRequests();
     const bool isClosed = callers.openConnectionCount() == 0
         || (idleClosedAt && age >= *idleClosedAt + idleCloseReserve);
     const bool isDone = isStopping && isClosed && callers.openRequestCount() == 0;
--- a/src/gateway/RequestDispatcher.cpp
+++ b/src/gateway/RequestDispatcher.cpp
@@ -140,9 +140,28 @@
             return refuse(m_parts, *responder, request.id, 401, "unknownKey");
         account = holder->name;
     }
-    std::make_shared<RequestRelay>(m_parts, std::move(request), table, *route, std::move(account),
-                                   responder, arrivedAt)
-        ->start();
+    const auto relay = std::make_shared<RequestRelay>(m_parts, std::move(request), table, *route,
+                                                      std::move(account), responder, arrivedAt);
+    track(relay);
+    relay->start();
+}
+
+// Pruning only after the list has doubled makes this amortized O(1).
+void RequestDispatcher::track(const std::shared_ptr<RequestRelay> &relay)
+{
+    if (m_relays.size() >= m_pruneAt) {
+        std::erase_if(m_relays, [](const auto &one) { return one.expired(); });
+        m_pruneAt = std::max(minPruneSize, 2 * m_relays.size());
+    }
+    m_relays.push_back(relay);
+}
+
+void RequestDispatcher::giveUpRequests()
+{
+    for (const auto &one : std::exchange(m_relays, {})) {
+        if (const auto relay = one.lock())
+            relay->giveUp();
+    }
 }
 
 } // namespace foxtailring
--- a/src/gateway/RequestDispatcher.h
+++ b/src/gateway/RequestDispatcher.h
@@ -15,6 +15,7 @@
 namespace foxtailring {
 
 class Http1Responder;
+class RequestRelay;
 
 /// \brief Decodes callers' requests, finds their route, checks their key and starts a relay for
 /// each.
@@ -29,6 +30,9 @@
     /// \brief From now on refuses requests that cannot finish in time, and gives up calls that
     /// arrive from now on at \a endsAt. Call on the queue.
     void drain(TimePoint endsAt) { m_drain.begin(m_parts.clock(), endsAt); }
+    /// \brief Ends all requests in progress: with a refusal, or cut if the answer has begun. Call
+    /// on the queue.
+    void giveUpRequests();
     /// \brief Serves the requests that waited for the first read of the store. Call on the queue.
     void onStoreRead();
     /// \brief Whether configuration and servers are known, keys can be checked and no drain has
@@ -49,13 +53,18 @@
     void admit(PendingRequest pending);
     void enqueue(PendingRequest pending);
     void serve(PendingRequest pending);
+    void track(const std::shared_ptr<RequestRelay> &relay);
     void limitTime(GatewayRequest &request, const HttpRoute &route, TimePoint arrivedAt) const;
 
+    static constexpr std::size_t minPruneSize = 64;
+
     GatewayParts &m_parts;
     const StartupAdmission m_startup;
     DrainAdmission m_drain;
     std::vector<PendingRequest> m_pending; ///< wait for the first read of the store
     Timer m_startupTimer;
+    std::vector<std::weak_ptr<RequestRelay>> m_relays;
+    std::size_t m_pruneAt = minPruneSize;
 };
 
 } // namespace foxtailring
--- a/src/gateway/RequestRelay.cpp
+++ b/src/gateway/RequestRelay.cpp
@@ -114,6 +114,12 @@
     perform(m_session->start(m_parts.clock()));
 }
 
+void RequestRelay::giveUp()
+{
+    if (!m_isFinished)
+        perform(m_session->expire(m_parts.clock()));
+}
+
 void RequestRelay::perform(const ForwardAction &action)
 {
     if (m_isFinished)
--- a/src/gateway/RequestRelay.h
+++ b/src/gateway/RequestRelay.h
@@ -34,6 +34,8 @@
                  TimePoint arrivedAt);
 
     void start();
+    /// \brief Ends the request now: with a refusal, or cut if its answer has begun.
+    void giveUp();
 
 private:
     struct Attempt
--- a/tests/gateway/GatewayTest.cpp
+++ b/tests/gateway/GatewayTest.cpp
@@ -18,6 +18,7 @@
     CPPUNIT_TEST(callerDisconnectCancelsTheAttempt);
     CPPUNIT_TEST(drainWaitsForRunningRequests);
     CPPUNIT_TEST(callsDuringADrainAreAnsweredBeforeItsEnd);
+    CPPUNIT_TEST(requestsThatOutlastADrainAreRefused);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -180,6 +181,25 @@
         drained->take();
     }
 
+    // Requests from before the stop must not be cut off by the end of the process while an answer
+    // can still be given.
+    void requestsThatOutlastADrainAreRefused()
+    {
+        for (const char *path : {"/once/x", "/stream/x"}) {
+            startGateway(std::chrono::seconds(20), testDeadline, std::chrono::milliseconds(1500));
+            startServing();
+            call(path);
+            const ReceivedRequest received = m_received->take();
+            const auto drained = std::make_shared<Mailbox<int>>();
+            m_gateway->drain([drained] { drained->put(1); });
+            const auto answer = m_answers->take();
+            CPPUNIT_ASSERT(drained->isEmpty());
+            CPPUNIT_ASSERT(answer);
+            CPPUNIT_ASSERT_EQUAL(504, answer.value().status);
+            drained->take();
+        }
+    }
+
 private:
     static std::vector<HttpHeader> eventHeaders()
     {
