--- a/src/gateway/RequestDispatcher.cpp
+++ b/src/gateway/RequestDispatcher.cpp
@@ -7,6 +7,7 @@
 #include "Refusal.h"
 #include "RequestRelay.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace foxtailring {
@@ -105,6 +106,17 @@
         admit(std::move(pending));
 }
 
+// A call that the end of the process cut off would leave its caller without an answer.
+void RequestDispatcher::limitTime(GatewayRequest &request, const HttpRoute &route,
+                                  TimePoint arrivedAt) const
+{
+    const auto left = m_drain.callTimeLimit(arrivedAt);
+    if (!left || route.kind == CallKind::Stream)
+        return;
+    const auto limit = std::chrono::duration_cast<milliseconds>(*left);
+    request.timeout = std::min(request.timeout.value_or(limit), limit);
+}
+
 void RequestDispatcher::serve(PendingRequest pending)
 {
     GatewayRequest &request = pending.request;
@@ -116,6 +128,7 @@
         return refuse(m_parts, *responder, request.id, 404, "noRoute");
     if (!m_drain.accepts(route->kind, arrivedAt))
         return refuse(m_parts, *responder, request.id, 503, "draining");
+    limitTime(request, *route, arrivedAt);
     std::string account;
     if (table->config().hasAccounts && !route->isPublic) {
         // Without a recent proof from the store this gateway may have missed a change: it would
@@ -127,9 +140,28 @@
             return refuse(m_parts, *responder, request.id, 401, "unknownKey");
         account = holder->name;
     }
-    std::make_shared<RequestRelay>(m_parts, std::move(request), table, *route, std::move(account),
-                                   responder, arrivedAt)
-        ->start();
+    const auto relay = std::make_shared<RequestRelay>(m_parts, std::move(request), table, *route,
+                                                      std::move(account), responder, arrivedAt);
+    track(relay);
+    relay->start();
+}
+
+// Pruning only after the list has doubled makes this amortized O(1).
+void RequestDispatcher::track(const std::shared_ptr<RequestRelay> &relay)
+{
+    if (m_relays.size() >= m_pruneAt) {
+        std::erase_if(m_relays, [](const auto &one) { return one.expired(); });
+        m_pruneAt = std::max(minPruneSize, 2 * m_relays.size());
+    }
+    m_relays.push_back(relay);
+}
+
+void RequestDispatcher::giveUpRequests()
+{
+    for (const auto &one : std::exchange(m_relays, {})) {
+        if (const auto relay = one.lock())
+            relay->giveUp();
+    }
 }
 
 } // namespace foxtailring
--- a/src/gateway/RequestRelay.cpp
+++ b/src/gateway/RequestRelay.cpp
@@ -155,6 +155,12 @@
     refuse({502, milliseconds(0), "exception"});
 }
 
+void RequestRelay::giveUp()
+{
+    if (!m_isFinished)
+        perform(m_session->expire(m_parts.clock()));
+}
+
 void RequestRelay::perform(const ForwardAction &action)
 {
     if (m_isFinished)
