decisions: end the search for another server with the attempt, and bound the wait for a silent one

A stream whose server stays dark was held to its deadline when no other server could take it. Placement state is cleared when a run is sent.

--- a/include/foxtailring/decisions/ForwardSession.h
+++ b/include/foxtailring/decisions/ForwardSession.h
@@ -70,8 +70,11 @@
     std::chrono::milliseconds timeLeft(TimePoint now) const;
     bool isPastDeadline(TimePoint now) const { return now >= m_deadline; }
 
-    /// \brief The server of the current attempt failed before it had begun to answer.
+    /// \brief The server of the current attempt failed. Its prompt is suspected unless a server has
+    /// begun to answer the request.
     void recordCrash(TimePoint now);
+    /// \brief The server of the current attempt failed, or looks as if it had.
+    void recordServerFailure(TimePoint now);
     /// \brief Refusal if a part of the prompt is quarantined; none: the request may be sent.
     std::optional<ForwardAction> refuseQuarantined(TimePoint now) const;
     /// \brief How BackendPlacer chooses a server.
@@ -109,6 +112,8 @@
     virtual bool acceptsSuccessor() const { return false; }
     /// \brief Returns what to do in place of \a action, which would answer the caller.
     virtual ForwardAction conclude(ForwardAction action) const { return action; }
+    /// \brief The current attempt has ended, or is about to be replaced after its deadline.
+    virtual void onAttemptOver() { }
     /// \brief True if the server of the current attempt has begun to answer and gone on.
     virtual bool hasOutlivedStart() const { return false; }
     /// \brief True if a server has begun to answer this request and gone on, so that no part of its
@@ -144,7 +149,7 @@
     std::uint32_t m_possibleRuns = 0;
     std::uint32_t m_rejections = 0;
     std::uint32_t m_addressFailures = 0;
-    bool m_isTrial = false; ///< the next attempt tries a part whose quarantine has ended
+    bool m_isTrial = false; ///< tries a part whose quarantine has ended, until it may have run
 };
 
 } // namespace foxtailring
--- a/include/foxtailring/decisions/StreamSession.h
+++ b/include/foxtailring/decisions/StreamSession.h
@@ -52,6 +52,7 @@
     ForwardAction onLost(AttemptResult result, TimePoint now) override;
     void onRejected() override;
     ForwardAction conclude(ForwardAction action) const override;
+    void onAttemptOver() override;
     bool hasOutlivedStart() const override;
     bool isProvenHarmless() const override { return m_isHarmless; }
     bool acceptsSuccessor() const override { return m_capabilities.isSingleService; }
@@ -83,6 +84,7 @@
     TimePoint stuckAt() const;
     bool isPresumedLost(TimePoint now) const;
     bool showsLostRun(const ServerProbeResult &report) const;
+    void endPlacement();
     ForwardAction onSilent(TimePoint now);
     /// Goes on with the attempt at a silent server, since no other server can take its place.
     ForwardAction keepSilentAttempt(TimePoint now);
--- a/src/decisions/ForwardSession.cpp
+++ b/src/decisions/ForwardSession.cpp
@@ -118,6 +118,7 @@
     // A success without a signature does not come from a server that executed the request.
     if (answer.isSuccess() && !answer.isSigned)
         return onAttemptEnded(AttemptResult::Invalid, now);
+    onAttemptOver();
     const bool isFailure = answer.status >= 500;
     // A server that asks for a pause has not failed.
     m_context.servers.recordAnswer(m_server->info.id, isFailure && !answer.pause, now);
@@ -138,6 +139,7 @@
 
 ForwardAction ForwardSession::onWrongServer(const BackendAnswer &answer, TimePoint now)
 {
+    onAttemptOver();
     const std::string id = m_server->info.id;
     const bool isUsable = acceptsSuccessor() && answer.leaving != LeavingNotice::Leaving;
     const std::string_view successorId = isUsable ? answer.serverId : std::string_view();
@@ -152,6 +154,12 @@
                                      now);
 }
 
+void ForwardSession::recordServerFailure(TimePoint now)
+{
+    m_context.servers.recordFailure(m_server->info.id, now);
+    m_context.quarantine.recordFailure(incarnationOf(m_server->info), now);
+}
+
 // A return of the caller cannot help, so it is told no time.
 std::optional<ForwardAction> ForwardSession::refuseQuarantined(TimePoint now) const
 {
@@ -171,21 +179,22 @@
 {
     if (!m_server)
         return KeepWaiting {};
-    if (result == AttemptResult::Lost || result == AttemptResult::Silent)
-        m_context.quarantine.recordFailure(incarnationOf(m_server->info), now);
-    if (result == AttemptResult::Lost && !hasOutlivedStart())
+    onAttemptOver();
+    if (result == AttemptResult::Lost)
         recordCrash(now);
     const std::string id = m_server->info.id;
-    releaseServer();
     if (result == AttemptResult::OtherServer)
         m_context.servers.recordReplacement(id, {}, now);
     else if (result == AttemptResult::NotRun)
         m_context.servers.recordContact(id, now);
-    else
+    else if (result == AttemptResult::Invalid || result == AttemptResult::NotSent)
         m_context.servers.recordFailure(id, now);
+    else
+        recordServerFailure(now);
+    releaseServer();
     if (!mayHaveRun(result))
         return retryRejected(result, now);
-    ++m_possibleRuns;
+    countPossibleRun();
     return onLost(result, now);
 }
 
@@ -238,6 +247,7 @@
 
 ForwardAction ForwardSession::onExpired(TimePoint /*now*/)
 {
+    onAttemptOver();
     const bool mayHaveStarted = hasServer() || m_possibleRuns > 0;
     releaseServer();
     return refuse(mayHaveStarted ? 504 : 503, "deadline");
--- a/src/decisions/StreamSession.cpp
+++ b/src/decisions/StreamSession.cpp
@@ -48,6 +48,8 @@
 constexpr double minOutputFraction = 0.4;
 // Time to copy the memory of a long prompt to another zone, after a few other copies.
 constexpr milliseconds copyTimeout {1500};
+// A server without a sign of life for longer has failed.
+constexpr std::chrono::seconds maxServerPause {5};
 // Interval of looking for another server while a stream's server is silent.
 constexpr milliseconds replaceRetryInterval {500};
 // A doubtful server is abandoned after this time without contact.
@@ -98,13 +100,21 @@
     m_hasStarted = true;
     m_isProbing = false;
     if (std::exchange(m_isReplacing, false))
-        m_isPlacing = false;
+        endPlacement();
+    m_replaceAt = {};
     m_lastContactAt = now;
     m_lastEventId = id;
     m_lastEventAt = now;
     return EventVerdict::Next;
 }
 
+void StreamSession::onAttemptOver()
+{
+    if (std::exchange(m_isReplacing, false))
+        endPlacement();
+    m_replaceAt = {};
+}
+
 bool StreamSession::hasOutlivedStart() const
 {
     return m_attemptEvents >= outlivedEvents;
@@ -134,7 +144,7 @@
 ForwardAction StreamSession::makeAttempt(std::string_view cause, TimePoint now)
 {
     if (auto refusal = refuseQuarantined(now))
-        return std::move(*refusal);
+        return refuseOrAbort(std::move(*refusal), now);
     m_cause = cause;
     // A copy exists only from the first event on, not while the prompt is processed.
     auto next = m_hasEvents ? m_copy.takeResumeAttempt(now) : std::nullopt;
@@ -272,6 +282,8 @@
             return keepSilentAttempt(now);
         countPossibleRun();
     }
+    endPlacement();
+    m_replaceAt = {};
     next.cause = m_cause;
     next.lastEventId = m_lastEventId;
     m_isResumed = next.fromCopy.has_value();
@@ -375,7 +387,9 @@
 ForwardAction StreamSession::onCopied(const CopyRun &copyRun, std::optional<std::string> handle,
                                       TimePoint now)
 {
-    const bool isCurrent = m_isCopying && hasServer() && server().info.id == copyRun.from.info.id;
+    // A run that is being replaced goes on elsewhere, and a new run cannot use its snapshot.
+    const bool isCurrent =
+        m_isCopying && !m_isReplacing && hasServer() && server().info.id == copyRun.from.info.id;
     if (!isCurrent)
         return KeepWaiting {};
     m_isCopying = false;
@@ -389,7 +403,6 @@
 
 ForwardAction StreamSession::onLost(AttemptResult result, TimePoint now)
 {
-    m_isReplacing = false;
     if (!tryTakeRetry(now))
         return refuseOrAbort(refuse(502, attemptResultName(result)), now);
     return makeAttempt(attemptResultName(result), now);
@@ -444,8 +457,7 @@
     if (m_lastContactAt > m_probedAt)
         return KeepWaiting {};
     if (reports.empty()) {
-        if (!hasOutlivedStart())
-            recordCrash(now);
+        recordCrash(now);
         return onSilent(now);
     }
     if (reports.front().isTurnedAway) {
@@ -462,12 +474,13 @@
 }
 
 // A sound server may pause for a second or more. A stream that has begun cannot be answered any
-// more, so its attempt goes on until another one takes its place.
+// more, so its attempt goes on until another one takes its place or the pause is too long.
 ForwardAction StreamSession::onSilent(TimePoint now)
 {
-    if (!m_hasStarted)
+    const bool isPause = now - m_lastContactAt < maxServerPause;
+    if (!m_hasStarted || !isPause)
         return onAttemptEnded(AttemptResult::Silent, now);
-    context().servers.recordFailure(server().info.id, now);
+    recordServerFailure(now);
     const bool isLastAttempt = possibleRuns() + 1 >= route().maxAttempts;
     if (isLastAttempt || !context().retryBudget.hasRetry(service(), now))
         return keepSilentAttempt(now);
@@ -475,8 +488,15 @@
     return makeAttempt(attemptResultName(AttemptResult::Silent), now);
 }
 
+void StreamSession::endPlacement()
+{
+    m_isPlacing = false;
+    m_candidates.clear();
+}
+
 ForwardAction StreamSession::keepSilentAttempt(TimePoint now)
 {
+    endPlacement();
     m_replaceAt = now + replaceRetryInterval;
     return KeepWaiting {};
 }
@@ -545,14 +565,13 @@
 
 ForwardAction StreamSession::onExpired(TimePoint now)
 {
-    m_isReplacing = false;
     return refuseOrAbort(ForwardSession::onExpired(now), now);
 }
 
 // A stream that has begun cannot be answered any more.
 ForwardAction StreamSession::conclude(ForwardAction action) const
 {
-    if (!m_hasStarted)
+    if (!m_hasStarted || std::holds_alternative<AbortAnswer>(action))
         return action;
     const auto *refusal = std::get_if<Refuse>(&action);
     return AbortAnswer {refusal ? refusal->cause : "serverError"};
@@ -563,9 +582,7 @@
 {
     if (std::exchange(m_isReplacing, false))
         return keepSilentAttempt(now);
-    if (!m_hasStarted)
-        return refusal;
-    return AbortAnswer {std::get<Refuse>(refusal).cause};
+    return conclude(std::move(refusal));
 }
 
 } // namespace foxtailring
--- a/tests/decisions/StreamSessionTest.cpp
+++ b/tests/decisions/StreamSessionTest.cpp
@@ -23,6 +23,9 @@
     CPPUNIT_TEST(streamOfASilentServerIsKeptWithoutTimeForAnotherRun);
     CPPUNIT_TEST(streamThatGoesOnDuringItsReplacementIsKept);
     CPPUNIT_TEST(silentServerThatFailsDuringTheReplacementIsReplaced);
+    CPPUNIT_TEST(silentServerThatRejectsDuringTheReplacementIsReplaced);
+    CPPUNIT_TEST(streamOfADeadServerIsAbortedInTime);
+    CPPUNIT_TEST(snapshotMadeDuringTheReplacementIsNotUsed);
     CPPUNIT_TEST(runIsPlacedByReportedLoad);
     CPPUNIT_TEST(unresponsiveServerIsNotChosen);
     CPPUNIT_TEST(promptInAFailedZoneIsAbandoned);
@@ -231,6 +234,65 @@
         CPPUNIT_ASSERT_EQUAL(1U, session.possibleRuns());
     }
 
+    // Guards against a stream that waits for its deadline without a server.
+    void silentServerThatRejectsDuringTheReplacementIsReplaced()
+    {
+        StreamSession session(m_route, request(), context(), {false, true, true});
+        started(session);
+        const TimePoint lostAt = tenEvents(session) + Ms(10);
+        const std::string id =
+            sent(placed(session, session.onAttemptEnded(AttemptResult::Lost, lostAt), lostAt))
+                .server.info.id;
+        const TimePoint silentAt = lostAt + Ms(410);
+        session.check(silentAt);
+        session.onProbed({}, silentAt + Ms(120));
+        for (const std::string &other : servers.candidateIds("engine", silentAt)) {
+            if (other != id)
+                servers.remove(other, silentAt);
+        }
+        const ForwardAction next =
+            session.onAttemptEnded(AttemptResult::NotRun, silentAt + Ms(130));
+        CPPUNIT_ASSERT(std::holds_alternative<AbortAnswer>(next));
+    }
+
+    // Guards against holding a caller to its deadline for a server that is gone.
+    void streamOfADeadServerIsAbortedInTime()
+    {
+        HttpRoute once = m_route;
+        once.maxAttempts = 1;
+        once.timeout = Ms(60'000);
+        ForwardRequest patient = request();
+        patient.callerTimeout = Ms(60'000);
+        StreamSession session(once, patient, context(), {true, true, true});
+        started(session);
+        const TimePoint last = tenEvents(session);
+        ForwardAction action = KeepWaiting {};
+        TimePoint at = last;
+        while (isWaiting(action) && at < last + Ms(10'000)) {
+            at = session.nextCheck();
+            action = session.check(at);
+            if (std::holds_alternative<ProbeServers>(action))
+                action = session.onProbed({}, at + Ms(120));
+        }
+        CPPUNIT_ASSERT(std::holds_alternative<AbortAnswer>(action));
+    }
+
+    // Guards against a run that goes on from the memory of another one.
+    void snapshotMadeDuringTheReplacementIsNotUsed()
+    {
+        StreamSession session(m_route, request(), context(), copyingEngines);
+        startAndLoseCopy(session);
+        const CopyRun order = nextCopyRun(session);
+        const TimePoint silentAt = m_at + Ms(300);
+        session.check(silentAt);
+        session.onProbed({}, silentAt + Ms(120));
+        session.onCopied(order, "h1", silentAt + Ms(130));
+        const TimePoint lostAt = silentAt + Ms(140);
+        const ForwardAction next =
+            placed(session, session.onAttemptEnded(AttemptResult::Lost, lostAt), lostAt);
+        CPPUNIT_ASSERT(!sent(next).fromCopy);
+    }
+
     // Several processes place runs on the same servers. Guards against queueing behind another
     // process's prompt while other servers are idle.
     void runIsPlacedByReportedLoad()
