decisions, gateway: what the review of the quarantine found

Suspects of a request are 16 parts at each end; the part with the fewest crashes makes room. A start that outweighs a reported crash is reported, within 2 s at random. Reports whose times are not credible are ignored.

--- a/include/foxtailring/decisions/PromptQuarantine.h
+++ b/include/foxtailring/decisions/PromptQuarantine.h
@@ -50,6 +50,9 @@
         std::function<void(const std::string &part, std::size_t crashes, Duration time)>
             onQuarantined;
         std::function<void(const std::string &part, std::string_view cause)> onReleased;
+        /// How long a report waits that only clears a part which other processes suspect: one of
+        /// those that see it clears it for all.
+        std::function<Duration()> clearingDelay;
         /// Whether this process tries a part first when its quarantine ends.
         std::function<bool(std::string_view part)> isTrialOwner;
     };
@@ -134,7 +137,10 @@
     Record *recordFor(const std::string &part);
     void addStart(const std::string &part, Record &record, TimePoint at, bool isOwn);
     void adoptQuarantine(const PromptCrashReport::Quarantine &reported, TimePoint now);
-    void updateQuarantines(TimePoint now);
+    void updateAllQuarantines(TimePoint now);
+    void updateQuarantine(const std::string &part, Record &record, TimePoint now);
+    /// The record that makes room for a new one; end: none may.
+    Records::iterator leastSuspect();
     std::size_t crashCount(const Record &record) const;
     bool isAtMostFailures(const Record &record, TimePoint at) const;
     bool isSameMoment(TimePoint one, TimePoint other) const;
--- a/src/decisions/ForwardSession.cpp
+++ b/src/decisions/ForwardSession.cpp
@@ -120,10 +120,12 @@
         return onAttemptEnded(AttemptResult::Invalid, now);
     onAttemptOver();
     const bool isFailure = answer.status >= 500;
+    if (answer.isSuccess())
+        m_context.quarantine.recordStart(m_request.sharedPromptParts, now);
     // A server that asks for a pause has not failed.
     m_context.servers.recordAnswer(m_server->info.id, isFailure && !answer.pause, now);
     releaseServer();
-    ++m_possibleRuns;
+    countPossibleRun();
     if (!isFailure)
         return conclude(PassAnswer {});
     if (tryTakeRetry(now)) {
@@ -150,8 +152,9 @@
 
 void ForwardSession::recordCrash(TimePoint now)
 {
-    m_context.quarantine.recordCrash(incarnationOf(m_server->info), m_request.sharedPromptParts,
-                                     now);
+    if (!hasOutlivedStart() && !isProvenHarmless())
+        m_context.quarantine.recordCrash(incarnationOf(m_server->info), m_request.sharedPromptParts,
+                                         now);
 }
 
 void ForwardSession::recordServerFailure(TimePoint now)
@@ -362,11 +365,11 @@
 
 ForwardAction ForwardSession::send(SendAttempt attempt, TimePoint now)
 {
-    releaseServer();
-    // The part may have been quarantined while servers were probed.
+    // The part may have been quarantined while servers were probed. The attempt in progress goes
+    // on.
     if (auto refusal = refuseQuarantined(now))
         return std::move(*refusal);
-    m_isTrial = false;
+    releaseServer();
     m_server = attempt.server;
     m_context.servers.startWork(m_server->info.id);
     m_triedIds.push_back(m_server->info.id);
@@ -393,6 +396,7 @@
 
 void ForwardSession::countPossibleRun()
 {
+    m_isTrial = false;
     ++m_possibleRuns;
 }
 
--- a/src/decisions/PromptQuarantine.cpp
+++ b/src/decisions/PromptQuarantine.cpp
@@ -21,6 +21,11 @@
 constexpr std::size_t massFailureEngines = 3;
 constexpr std::chrono::seconds massFailureReportDelay {3};
 constexpr std::size_t maxFailures = 512;
+// Suspects of one request: the parts at the beginning and at the end of its shared prompt. A caller
+// could otherwise fill the table with one request.
+constexpr std::size_t maxSuspectsPerEnd = 16;
+// Clocks of VMs differ by less.
+constexpr std::chrono::seconds maxClockDifference {5};
 
 } // namespace
 
@@ -42,7 +47,8 @@
     if (std::any_of(m_failures.begin(), m_failures.end(), isSame))
         return;
     m_failures.push_back({incarnation, now});
-    if (m_failures.size() > maxFailures)
+    while (m_failures.size() > maxFailures
+           || now - m_failures.front().at >= m_settings.evidenceLifetime)
         m_failures.pop_front();
 }
 
@@ -57,7 +63,6 @@
     });
     const bool isMassFailure = static_cast<std::size_t>(recent) >= massFailureEngines;
     m_reportAt = isMassFailure ? now + massFailureReportDelay : std::min(m_reportAt, now);
-    updateQuarantines(now);
 }
 
 void PromptQuarantine::addCrash(const std::string &incarnation, Parts parts, TimePoint at,
@@ -66,13 +71,22 @@
     if (now - at >= m_settings.evidenceLifetime)
         return;
     for (std::size_t position = 0; position < parts.size(); ++position) {
-        const std::string &part = parts[position];
-        const auto started = m_recentStarts.lastStart(part);
-        if (started && *started >= at)
+        const bool isInMiddle =
+            position >= maxSuspectsPerEnd && position + maxSuspectsPerEnd < parts.size();
+        Record *record = isInMiddle ? nullptr : recordFor(parts[position]);
+        if (!record)
             continue;
-        Record *record = recordFor(part);
-        if (!record || record->startedAt >= at)
+        const auto started = m_recentStarts.lastStart(parts[position]);
+        if (started && *started > record->startedAt) {
+            record->startedAt = *started;
+            record->isOwnStart = true;
+        }
+        if (record->startedAt >= at) {
+            // Another process suspects the part: it is told of the start.
+            if (!isOwn && record->isOwnStart && m_reportAt == TimePoint::max())
+                m_reportAt = now + (m_hooks.clearingDelay ? m_hooks.clearingDelay() : Duration {0});
             continue;
+        }
         const auto found = record->crashes.find(incarnation);
         if (found == record->crashes.end() && record->crashes.size() >= maxCrashesPerPart)
             continue;
@@ -82,9 +96,15 @@
         crash.position = std::max(crash.position, position);
         crash.isOwn = crash.isOwn || isOwn;
     }
+    // Only now are all parts known that may explain each other.
+    for (const std::string &part : parts) {
+        const auto found = m_records.find(part);
+        if (found != m_records.end())
+            updateQuarantine(part, found->second, now);
+    }
 }
 
-// When the table is full, the part whose latest crash is the oldest makes room, unless it is
+// When the table is full, the part with the fewest and oldest crashes makes room, unless it is
 // quarantined: a caller that sends new parts all the time must not end a quarantine.
 PromptQuarantine::Record *PromptQuarantine::recordFor(const std::string &part)
 {
@@ -92,21 +112,28 @@
     if (found != m_records.end())
         return &found->second;
     if (m_records.size() >= m_settings.maxParts) {
-        auto oldest = m_records.end();
-        TimePoint oldestAt = TimePoint::max();
-        for (auto it = m_records.begin(); it != m_records.end(); ++it) {
-            if (it->second.quarantineCount > 0 || latestCrash(it->second) >= oldestAt)
-                continue;
-            oldest = it;
-            oldestAt = latestCrash(it->second);
-        }
-        if (oldest == m_records.end())
+        const auto least = leastSuspect();
+        if (least == m_records.end())
             return nullptr;
-        m_records.erase(oldest);
+        m_records.erase(least);
     }
     return &m_records[part];
 }
 
+PromptQuarantine::Records::iterator PromptQuarantine::leastSuspect()
+{
+    auto least = m_records.end();
+    auto rank = std::pair(maxCrashesPerPart + 1, TimePoint::max());
+    for (auto it = m_records.begin(); it != m_records.end(); ++it) {
+        const auto own = std::pair(it->second.crashes.size(), latestCrash(it->second));
+        if (it->second.quarantineCount > 0 || own >= rank)
+            continue;
+        least = it;
+        rank = own;
+    }
+    return least;
+}
+
 TimePoint PromptQuarantine::latestCrash(const Record &record)
 {
     TimePoint latest;
@@ -118,19 +145,22 @@
 void PromptQuarantine::recordStart(Parts parts, TimePoint now)
 {
     bool hasCleared = false;
+    bool hasReleased = false;
     for (const std::string &part : parts) {
         m_recentStarts.record(part, now);
         const auto found = m_records.find(part);
         if (found == m_records.end())
             continue;
-        const bool isSuspect = !found->second.crashes.empty() || found->second.isInQuarantine;
-        addStart(part, found->second, now, true);
-        hasCleared = hasCleared || isSuspect;
+        Record &record = found->second;
+        hasReleased = hasReleased || record.isInQuarantine;
+        hasCleared = hasCleared || record.isInQuarantine || !record.crashes.empty();
+        addStart(part, record, now, true);
     }
     if (!hasCleared)
         return;
-    m_reportAt = std::min(m_reportAt, now);
-    updateQuarantines(now);
+    if (hasReleased || m_reportAt == TimePoint::max())
+        m_reportAt = now;
+    updateAllQuarantines(now);
 }
 
 void PromptQuarantine::addStart(const std::string &part, Record &record, TimePoint at, bool isOwn)
@@ -198,12 +228,18 @@
     }
     for (const auto &reported : report.quarantines)
         adoptQuarantine(reported, now);
-    updateQuarantines(now);
+    if (!report.starts.empty())
+        updateAllQuarantines(now);
 }
 
 void PromptQuarantine::adoptQuarantine(const PromptCrashReport::Quarantine &reported, TimePoint now)
 {
     const milliseconds left(reported.untilMs - toUnixMs(now));
+    const milliseconds whole(reported.untilMs - reported.sinceMs);
+    const bool isCredible = whole <= m_settings.maxQuarantine && left <= whole + maxClockDifference
+        && m_records.size() < m_settings.maxParts / 2;
+    if (!isCredible)
+        return;
     const auto time = std::min<Duration>(left, m_settings.maxQuarantine);
     const TimePoint since = fromUnixMs(reported.sinceMs, now);
     const auto started = m_recentStarts.lastStart(reported.part);
@@ -223,19 +259,25 @@
         m_hooks.onQuarantined(reported.part, crashCount(*record), time);
 }
 
-void PromptQuarantine::updateQuarantines(TimePoint now)
+// A start may clear the part that explained others.
+void PromptQuarantine::updateAllQuarantines(TimePoint now)
 {
-    for (auto &[part, record] : m_records) {
-        if (record.crashes.empty() || now < record.quarantinedUntil)
-            continue;
-        // A part that has been quarantined before gets no second chance to crash several engines.
-        const bool isRepeated =
-            record.quarantineCount > 0 && latestCrash(record) >= record.quarantinedUntil;
-        const bool isDue = crashCount(record) >= m_settings.crashThreshold
-            && latestCrash(record) > record.quarantinedSince;
-        if (isRepeated || (isDue && !isExplained(part, record)))
-            quarantine(part, record, now);
-    }
+    for (auto &[part, record] : m_records)
+        updateQuarantine(part, record, now);
+}
+
+void PromptQuarantine::updateQuarantine(const std::string &part, Record &record, TimePoint now)
+{
+    if (record.crashes.empty() || now < record.quarantinedUntil)
+        return;
+    // A part that has been quarantined before gets no second chance to crash several engines.
+    const bool isRepeated =
+        record.quarantineCount > 0 && latestCrash(record) >= record.quarantinedUntil;
+    const bool isDue = record.crashes.size() >= m_settings.crashThreshold
+        && latestCrash(record) > record.quarantinedSince
+        && crashCount(record) >= m_settings.crashThreshold;
+    if (isRepeated || (isDue && !isExplained(part, record)))
+        quarantine(part, record, now);
 }
 
 // Crashes that happened at the same moment count once.
@@ -327,13 +369,20 @@
     const auto isOld = [this, now](TimePoint at) {
         return now - at >= m_settings.evidenceLifetime;
     };
+    bool hasChanged = false;
     for (auto &[part, record] : m_records) {
-        if (record.isInQuarantine && !isQuarantined(record, now))
+        if (record.isInQuarantine && !isQuarantined(record, now)) {
             release(part, record, "expired");
+            hasChanged = true;
+        }
         if (!record.isInQuarantine)
-            std::erase_if(record.crashes,
-                          [&](const auto &crash) { return isOld(crash.second.at); });
+            hasChanged |= std::erase_if(record.crashes,
+                                        [&](const auto &crash) { return isOld(crash.second.at); })
+                > 0;
     }
+    // Others must not take over what has expired here.
+    if (hasChanged && !m_published.isEmpty())
+        m_reportAt = std::min(m_reportAt, now);
     std::erase_if(m_records, [&](const auto &entry) {
         const Record &record = entry.second;
         return !record.isInQuarantine && record.crashes.empty() && isOld(record.startedAt)
--- a/src/gateway/GatewayNode.cpp
+++ b/src/gateway/GatewayNode.cpp
@@ -34,6 +34,8 @@
 constexpr milliseconds idleCloseReserve {500};
 // Requests are given up this long before the process ends, so that their refusals are written.
 constexpr milliseconds lastAnswerReserve {200};
+// Many gateways may see that a prompt part is harmless at once; the first report is enough.
+constexpr milliseconds maxClearingDelay {2000};
 // Part of the drain timeout that is left for ending the process.
 constexpr milliseconds shutdownReserve {500};
 
@@ -108,6 +110,9 @@
     hooks.onReleased = [](const std::string &part, std::string_view cause) {
         StructuredLog::info("promptReleased", {{"part", part}, {"cause", std::string(cause)}});
     };
+    hooks.clearingDelay = [&parts] {
+        return milliseconds(parts.random.bounded(maxClearingDelay.count()));
+    };
     hooks.isTrialOwner = [&parts](std::string_view part) { return parts.fleet.owns(part); };
     return hooks;
 }
--- a/src/gateway/GatewayParts.cpp
+++ b/src/gateway/GatewayParts.cpp
@@ -53,6 +53,16 @@
     , memoryBudget(settings.memoryMb * 1024 * 1024 / memoryBudgetDivisor)
 {
     updateFleetSize();
+    updateUnixOffset();
+}
+
+void GatewayParts::updateUnixOffset()
+{
+    using std::chrono::milliseconds;
+    const auto wallTime = std::chrono::system_clock::now().time_since_epoch();
+    quarantine.setUnixOffset(
+        std::chrono::duration_cast<milliseconds>(wallTime)
+        - std::chrono::duration_cast<milliseconds>(clock().time_since_epoch()));
 }
 
 ForwardContext GatewayParts::forwardContext(const std::string &requestId)
--- a/src/gateway/GatewayParts.h
+++ b/src/gateway/GatewayParts.h
@@ -50,6 +50,8 @@
     void sendOrder(std::string_view address, HttpRequest order, std::chrono::milliseconds timeout,
                    const Http1Client::ResponseHook &hook);
 
+    /// \brief Reads again how far the clock of this process is from Unix time, which may step.
+    void updateUnixOffset();
     /// \brief Divides shared limits by the number of gateways that is known now.
     void updateFleetSize();
     /// \brief Logs and counts that the retry budget kept a request from another server.
--- a/src/gateway/GatewayPublisher.cpp
+++ b/src/gateway/GatewayPublisher.cpp
@@ -56,7 +56,7 @@
 void GatewayPublisher::step()
 {
     const TimePoint now = m_parts.clock();
-    updateUnixOffset();
+    m_parts.updateUnixOffset();
     m_parts.rateLimits.expire(now);
     m_parts.quarantine.expire(now);
     m_parts.metrics.setGauge("gateway_prompts_quarantined",
@@ -172,15 +172,6 @@
     m_parts.quarantine.onReportNotPublished();
 }
 
-// The wall clock may step, so the offset is read again each time.
-void GatewayPublisher::updateUnixOffset()
-{
-    const auto wallTime = std::chrono::system_clock::now().time_since_epoch();
-    const auto ownTime = m_parts.clock().time_since_epoch();
-    m_parts.quarantine.setUnixOffset(std::chrono::duration_cast<milliseconds>(wallTime)
-                                     - std::chrono::duration_cast<milliseconds>(ownTime));
-}
-
 // A conflict shows the effect of an earlier write whose reply was lost, of an earlier process with
 // the same node id, or the end of a lease.
 void GatewayPublisher::write(LeasedKey &key, const std::string &value,
--- a/src/gateway/GatewayPublisher.h
+++ b/src/gateway/GatewayPublisher.h
@@ -40,7 +40,6 @@
     void enlist();
     void publish(const RateLimitReport &report);
     void publish(const PromptCrashReport &report);
-    void updateUnixOffset();
     void write(LeasedKey &key, const std::string &value, const KeyValueClient::WriteHook &hook);
     void recordWritten(LeasedKey &key, std::int64_t lease, const WriteResult &result);
     void onReportWritten(const WriteResult &result);
--- a/tests/decisions/PromptQuarantineSimulationTest.cpp
+++ b/tests/decisions/PromptQuarantineSimulationTest.cpp
@@ -77,7 +77,7 @@
             for (std::size_t i = 0; i < scenario.processes; ++i) {
                 m_processes.emplace_back();
                 m_processes.back().setHooks(
-                    {nullptr, nullptr, [i](std::string_view) { return i == 0; }});
+                    {nullptr, nullptr, nullptr, [i](std::string_view) { return i == 0; }});
             }
         }
 
--- a/tests/decisions/PromptQuarantineTest.cpp
+++ b/tests/decisions/PromptQuarantineTest.cpp
@@ -26,6 +26,11 @@
     CPPUNIT_TEST(oneProcessTriesThePartAtTheEnd);
     CPPUNIT_TEST(partThatCrashesAgainIsQuarantinedLonger);
     CPPUNIT_TEST(newPartsDoNotEndAQuarantine);
+    CPPUNIT_TEST(newPartsBesideADeadlyOneDoNotHideIt);
+    CPPUNIT_TEST(startsOfAnotherProcessClearAReportedCrash);
+    CPPUNIT_TEST(oldReportsQuarantineNothing);
+    CPPUNIT_TEST(hostileReportsFillNothing);
+    CPPUNIT_TEST(reportOfAMassFailureWaitsForClearing);
     CPPUNIT_TEST(evidenceIsBoundedAndForgotten);
     CPPUNIT_TEST(reportIsPublishedWhenItChanges);
     CPPUNIT_TEST_SUITE_END();
@@ -164,7 +169,7 @@
     // Guards against a rush of deadly requests when a quarantine ends everywhere.
     void oneProcessTriesThePartAtTheEnd()
     {
-        m_own.setHooks({nullptr, nullptr, [](std::string_view) { return true; }});
+        m_own.setHooks({nullptr, nullptr, nullptr, [](std::string_view) { return true; }});
         crashTwice(m_own, m_deadly);
         m_other.applyReport(m_own.takeDueReport(m_now + 1s).value(), m_now + 1s);
         const TimePoint end = m_now + 21s;
@@ -181,7 +186,7 @@
 
     void partThatCrashesAgainIsQuarantinedLonger()
     {
-        m_own.setHooks({nullptr, nullptr, [](std::string_view) { return true; }});
+        m_own.setHooks({nullptr, nullptr, nullptr, [](std::string_view) { return true; }});
         crashTwice(m_own, m_deadly);
         const TimePoint end = m_now + 21s;
         CPPUNIT_ASSERT(m_own.admit(m_deadly, end) == Admission::Trial);
@@ -201,6 +206,62 @@
         CPPUNIT_ASSERT(m_own.size() <= 256);
     }
 
+    void newPartsBesideADeadlyOneDoNotHideIt()
+    {
+        for (int i = 0; i < 3; ++i) {
+            Parts parts;
+            for (int part = 0; part < 200; ++part)
+                parts.push_back(std::to_string(i * 200 + part));
+            parts.push_back("deadly");
+            m_own.recordCrash("e" + std::to_string(i), parts, m_now + i * 1s);
+        }
+        CPPUNIT_ASSERT(!isAdmitted(m_own, {"deadly"}, m_now + 3s));
+    }
+
+    // Guards against a sound part that one gateway suspects although others start it all the time.
+    void startsOfAnotherProcessClearAReportedCrash()
+    {
+        m_own.recordCrash("e1", m_deadly, m_now);
+        m_other.recordStart(m_deadly, m_now + 500ms);
+        m_other.applyReport(m_own.takeDueReport(m_now).value(), m_now + 1s);
+        m_own.applyReport(m_other.takeDueReport(m_now + 1s).value(), m_now + 2s);
+        m_own.recordCrash("e2", m_deadly, m_now + 20s);
+        CPPUNIT_ASSERT(isAdmitted(m_own, m_deadly, m_now + 20s));
+    }
+
+    void oldReportsQuarantineNothing()
+    {
+        crashTwice(m_own, m_deadly);
+        const auto report = m_own.takeDueReport(m_now + 1s).value();
+        m_other.applyReport(report, m_now + 1h);
+        CPPUNIT_ASSERT(isAdmitted(m_other, m_deadly, m_now + 1h));
+        // It is withdrawn as well.
+        m_own.expire(m_now + 1h);
+        CPPUNIT_ASSERT(m_own.takeDueReport(m_now + 1h).value().quarantines.empty());
+    }
+
+    void hostileReportsFillNothing()
+    {
+        constexpr std::int64_t farAheadMs = 3'999'999'999'999;
+        PromptCrashReport hostile;
+        for (int i = 0; i < 512; ++i)
+            hostile.quarantines.push_back({"h" + std::to_string(i), farAheadMs, farAheadMs});
+        m_own.applyReport(hostile, m_now);
+        CPPUNIT_ASSERT(isAdmitted(m_own, {"h0"}, m_now));
+        crashTwice(m_own, m_deadly);
+        CPPUNIT_ASSERT(!isAdmitted(m_own, m_deadly, m_now + 1s));
+    }
+
+    // Guards against a write to the store for each process that loses requests with a zone.
+    void reportOfAMassFailureWaitsForClearing()
+    {
+        for (int i = 0; i < 6; ++i)
+            m_own.recordCrash("e" + std::to_string(i), Parts {"p" + std::to_string(i)}, m_now);
+        m_own.recordStart(Parts {"p0"}, m_now + 300ms);
+        CPPUNIT_ASSERT(!m_own.takeDueReport(m_now + 300ms));
+        CPPUNIT_ASSERT(m_own.takeDueReport(m_now + 3s));
+    }
+
     void evidenceIsBoundedAndForgotten()
     {
         for (int i = 0; i < 1000; ++i) {
--- a/tests/decisions/QuarantinedSessionTest.cpp
+++ b/tests/decisions/QuarantinedSessionTest.cpp
@@ -3,6 +3,8 @@
 
 #include "ForwardFixture.h"
 
+#include <deque>
+
 using namespace foxtailring;
 
 // Sessions of requests whose prompt may crash servers.
@@ -18,6 +20,12 @@
     CPPUNIT_TEST(invalidAnswerIsNoCrash);
     CPPUNIT_TEST(unansweredProbeDuringThePromptIsACrash);
     CPPUNIT_TEST(trialIsSentOnce);
+    CPPUNIT_TEST(trialThatDidNotRunIsSentAgain);
+    CPPUNIT_TEST(silentLossOfAZoneAccusesNoPrompt);
+    CPPUNIT_TEST(requestThatHasBegunAccusesNoPrompt);
+    CPPUNIT_TEST(silentStreamIsNotCutByAQuarantine);
+    CPPUNIT_TEST(callInProgressIsNotDroppedByAQuarantine);
+    CPPUNIT_TEST(wholeAnswerClearsTheParts);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -57,7 +65,7 @@
     void beginningOfAnswersClearsTheParts()
     {
         quarantinePart();
-        quarantine.setHooks({nullptr, nullptr, [](std::string_view) { return true; }});
+        quarantine.setHooks({nullptr, nullptr, nullptr, [](std::string_view) { return true; }});
         now += std::chrono::seconds(21);
         StreamSession trial(m_route, deadlyRequest(), context(), {});
         sent(trial.start(now));
@@ -121,7 +129,7 @@
     // Guards against a trial that crashes one server after the other.
     void trialIsSentOnce()
     {
-        quarantine.setHooks({nullptr, nullptr, [](std::string_view) { return true; }});
+        quarantine.setHooks({nullptr, nullptr, nullptr, [](std::string_view) { return true; }});
         quarantinePart();
         now += std::chrono::seconds(21);
         StreamSession session(m_route, deadlyRequest(), context(), {});
@@ -130,7 +138,103 @@
         CPPUNIT_ASSERT_EQUAL(502, refused(action).status);
     }
 
+    void trialThatDidNotRunIsSentAgain()
+    {
+        quarantine.setHooks({nullptr, nullptr, nullptr, [](std::string_view) { return true; }});
+        quarantinePart();
+        now += std::chrono::seconds(21);
+        StreamSession session(m_route, deadlyRequest(), context(), {});
+        sent(session.start(now));
+        sent(session.onAttemptEnded(AttemptResult::NotRun, now));
+    }
+
+    // Servers of a zone lose power, three at a time; at one of them a prompt is processed.
+    void silentLossOfAZoneAccusesNoPrompt()
+    {
+        for (int loss = 0; loss < 2; ++loss) {
+            std::deque<StreamSession> streams;
+            for (int i = 0; i < 3; ++i)
+                startStream(streams.emplace_back(m_route, request({"other"}), context(), probed));
+            now += Ms(500);
+            StreamSession prompt(m_route, deadlyRequest(), context(), probed);
+            sent(place(prompt, prompt.start(now)));
+            now += Ms(500);
+            for (StreamSession &stream : streams)
+                silence(stream);
+            silence(prompt);
+            now += Ms(3000);
+        }
+        StreamSession next(m_route, deadlyRequest(), context(), {});
+        sent(next.start(now));
+    }
+
+    void requestThatHasBegunAccusesNoPrompt()
+    {
+        StreamSession session(m_route, deadlyRequest(), context(), {});
+        startStream(session);
+        for (int i = 0; i < 3; ++i) {
+            now += Ms(1000);
+            sent(session.onAttemptEnded(AttemptResult::Lost, now));
+        }
+    }
+
+    void silentStreamIsNotCutByAQuarantine()
+    {
+        StreamSession session(m_route, deadlyRequest(), context(), probed);
+        sent(place(session, session.start(now)));
+        session.onEvent(1, now);
+        quarantinePart();
+        now += Ms(300);
+        CPPUNIT_ASSERT(std::holds_alternative<KeepWaiting>(silence(session)));
+    }
+
+    // Guards against an answer that is dropped because its call could not be repeated.
+    void callInProgressIsNotDroppedByAQuarantine()
+    {
+        const HttpRoute calls = route(CallKind::Idempotent);
+        CallSession session(calls, deadlyRequest(), context());
+        sent(session.start(now));
+        quarantinePart();
+        const TimePoint overdue = session.nextCheck();
+        CPPUNIT_ASSERT(std::holds_alternative<KeepWaiting>(session.check(overdue)));
+        CPPUNIT_ASSERT(std::holds_alternative<PassAnswer>(session.onAnswer(answer(200), overdue)));
+    }
+
+    void wholeAnswerClearsTheParts()
+    {
+        const HttpRoute calls = route(CallKind::Idempotent);
+        for (int i = 0; i < 3; ++i) {
+            CallSession lost(calls, deadlyRequest(), context());
+            sent(lost.start(now));
+            sent(lost.onAttemptEnded(AttemptResult::Lost, now));
+            lost.onAnswer(answer(200), now += Ms(1000));
+        }
+        CPPUNIT_ASSERT(quarantinedParts.empty());
+    }
+
 private:
+    static constexpr StreamSession::EngineCapabilities probed {false, true, true, false};
+
+    ForwardAction place(StreamSession &session, const ForwardAction &action) const
+    {
+        return std::holds_alternative<ProbeServers>(action) ? session.onProbed({}, now) : action;
+    }
+
+    void startStream(StreamSession &session) const
+    {
+        sent(place(session, session.start(now)));
+        for (std::int64_t id = 1; id <= 3; ++id)
+            session.onEvent(id, now);
+    }
+
+    // The server does not answer the probe that the session sends.
+    ForwardAction silence(StreamSession &session) const
+    {
+        const ForwardAction action = session.check(now);
+        CPPUNIT_ASSERT(std::holds_alternative<ProbeServers>(action));
+        return session.onProbed({}, now + Ms(120));
+    }
+
     ForwardRequest request(std::vector<std::string> parts) const
     {
         ForwardRequest out = ForwardFixture::request();
