tests: five more shapes of answers without an end, and endless reports

Cause: header lines, blank lines, comments, repeated events and answers to other requests without an end were not tried, nor a report or an answer to an order without an end. Change: endless.py plays them, for endless_answers and the soak; OrderConnectionTest sends 16 MiB to a probe and to an order. What bounds them: maxHeadBytes, maxPendingInputBytes, maxSkippedHeads and maxSkippedBytes in Http1ClientExchange, maxBodyBytes of an exchange, MemoryBudget and the time limits of the session.

--- a/tests/gateway/OrderConnectionTest.cpp
+++ b/tests/gateway/OrderConnectionTest.cpp
@@ -17,6 +17,8 @@
     CPPUNIT_TEST_SUITE(OrderConnectionTest);
     CPPUNIT_TEST(releaseUsesNewConnection);
     CPPUNIT_TEST(probeUsesNoConnectionOfACall);
+    CPPUNIT_TEST(endlessReportIsAbandoned);
+    CPPUNIT_TEST(endlessAnswerToAnOrderIsAbandoned);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -51,19 +53,35 @@
     // Guards against a late answer to a call that is taken for a server's report.
     void probeUsesNoConnectionOfACall()
     {
-        ProbeServers probe;
-        probe.servers.resize(1);
-        probe.servers[0].info.address = address();
-        probe.timeout = testDeadline;
-        m_parts->queue.post([this, probe] {
-            std::make_shared<ServerProbe>(*m_parts, GatewayRequest(), probe,
-                                          [](std::span<const ServerProbeResult>) {})
-                ->start();
-        });
+        startProbe();
         RawPeer peer = m_server.accept();
         CPPUNIT_ASSERT(peer.readUntil("\r\n\r\n").starts_with("GET /load "));
     }
 
+    // Guards against a report without an end that fills the memory.
+    void endlessReportIsAbandoned()
+    {
+        startProbe();
+        RawPeer peer = m_server.accept();
+        peer.readUntil("\r\n\r\n");
+        sendEndlessBody(peer);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), m_reportCounts->take());
+    }
+
+    // Guards against an answer to an order without an end that fills the memory.
+    void endlessAnswerToAnOrderIsAbandoned()
+    {
+        m_parts->queue.post([this] {
+            m_parts->sendOrder(
+                address(), {"POST", "/order", {}, ""}, testDeadline,
+                [box = m_answers](Result<HttpResponse> answer) { box->put(std::move(answer)); });
+        });
+        RawPeer peer = m_server.accept();
+        peer.readUntil("\r\n\r\n");
+        sendEndlessBody(peer);
+        CPPUNIT_ASSERT(m_answers->take().error().code == ErrorCode::Malformed);
+    }
+
 private:
     static BackendCodec codec()
     {
@@ -79,11 +97,37 @@
         return codec;
     }
 
+    void startProbe()
+    {
+        ProbeServers probe;
+        probe.servers.resize(1);
+        probe.servers[0].info.address = address();
+        probe.timeout = testDeadline;
+        m_parts->queue.post([this, probe] {
+            std::make_shared<ServerProbe>(
+                *m_parts, GatewayRequest(), probe,
+                [box = m_reportCounts](std::span<const ServerProbeResult> reports) {
+                    box->put(reports.size());
+                })
+                ->start();
+        });
+    }
+
+    // Sends up to 16 MiB of a body; the client closes the connection before that.
+    static void sendEndlessBody(RawPeer &peer)
+    {
+        peer.write("HTTP/1.1 200 OK\r\n\r\n");
+        const std::string block(256 * 1024, 'x');
+        for (int i = 0; i < 64; ++i)
+            peer.write(block);
+    }
+
     std::string address() const { return "127.0.0.1:" + std::to_string(m_server.port()); }
 
     RawServer m_server;
     std::optional<GatewayParts> m_parts;
     std::unique_ptr<RawPeer> m_callPeer;
+    std::shared_ptr<Mailbox<std::size_t>> m_reportCounts = std::make_shared<Mailbox<std::size_t>>();
     std::shared_ptr<Mailbox<Result<HttpResponse>>> m_answers =
         std::make_shared<Mailbox<Result<HttpResponse>>>();
 };
--- a/tools/lib/soak/endless.py
+++ b/tools/lib/soak/endless.py
@@ -2,16 +2,22 @@
 
 import itertools
 
+import wire
+
 CHUNK = b"x" * 65536
 # Names the part of the response that does not end.
 SHAPES = ["endlessChunks", "endlessClose", "endlessLength", "endlessExtension", "endlessHead",
-          "endlessTrailer", "endlessInterim", "endlessAfter", "endlessEvent"]
+          "endlessTrailer", "endlessInterim", "endlessAfter", "endlessEvent", "endlessHeaders",
+          "endlessBlankLines", "endlessComments", "endlessRepeats", "endlessOthers"]
+OTHER_ANSWER = b"HTTP/1.1 200 OK\r\n%s: other\r\nContent-Length: 1\r\n\r\nx" % wire.REQUEST_ID.encode()
 
 
 def first_bytes(handler, shape, headers, body):
     if shape == "endlessHead":
         return b"HTTP/1.1 200 OK\r\nX-Long: "
-    if shape == "endlessInterim":
+    if shape == "endlessHeaders":
+        return b"HTTP/1.1 200 OK\r\n"
+    if shape in ("endlessInterim", "endlessBlankLines", "endlessOthers"):
         return b""
     if shape == "endlessClose":
         head = handler.head(200, 0, {**headers, "Connection": "close"})
@@ -33,6 +39,15 @@
 def next_bytes(shape):
     if shape == "endlessInterim":
         return b"HTTP/1.1 103 Early Hints\r\n\r\n" * 1000
+    if shape == "endlessHeaders":
+        return b"Name: value\r\n" * 1000
+    if shape == "endlessBlankLines":
+        return b"\r\n" * 1000
+    if shape == "endlessOthers":
+        return OTHER_ANSWER * 100
+    if shape in ("endlessComments", "endlessRepeats"):
+        event = b": comment\n\n" if shape == "endlessComments" else b"id: 1\ndata: abc\n\n"
+        return b"%x\r\n%s\r\n" % (len(event) * 100, event * 100)
     if shape in ("endlessChunks", "endlessEvent"):
         return b"%x\r\n%s\r\n" % (len(CHUNK), CHUNK)
     return CHUNK
