--- a/tests/gateway/UsedConnectionTest.cpp
+++ b/tests/gateway/UsedConnectionTest.cpp
@@ -53,7 +53,8 @@
                 const auto slowPeer = serveFirst();
                 send("2");
                 slowPeer->readUntil("body");
-                for (const char byte : response(status + id) + answerTo2)
+                const std::string bytes = response(status + id).append(answerTo2);
+                for (const char byte : bytes)
                     slowPeer->write(std::string(1, byte));
                 assertSecondServed(status + id + "in pieces");
             }
--- a/tests/transport/TruncatedResponseTest.cpp
+++ b/tests/transport/TruncatedResponseTest.cpp
@@ -109,7 +109,7 @@
 
     Box request()
     {
-        const auto box = std::make_shared<Mailbox<Result<HttpResponse>>>();
+        auto box = std::make_shared<Mailbox<Result<HttpResponse>>>();
         m_client->request(
             {"127.0.0.1", m_server.port()}, {"GET", "/", {}, ""}, testDeadline,
             [box](Result<HttpResponse> answer) { box->put(std::move(answer)); }, m_options);
