tools/soak: servers that turn requests away and ask for a pause

Cause: No run of the soak saw a server with Retry-After, and no check judged what it got in its pause. Change: Faults server_turns_away and service_turns_away, drawn apart so that the other faults of a seed stay the same. pauses_hold: from 0.5 s after the answer until the end of the pause at most two requests from the gateway that was told; faults that stop a gateway, or that delay what reaches the server, excuse it. Probes name no gateway and count if their connection carried a caller's request too; the others are not judged. Turned away answers name the server's rate limit, as its other answers do. Probes on new connections are not judged.

--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -101,6 +101,72 @@
         self.fault("gateway_killed", 104, 104.5)
         self.assertEqual([], self.violated_rules(checks.rate_limits_hold))
 
+    def paused_server(self, times, gateway="gateway-0"):
+        """A server that asks gateway-0 for a pause of 2 s at 100 s, and gets requests at these times."""
+        self.attempts.append(attempt(request="away"))
+        self.records.append(record("arrived", 100, request="away"))
+        self.records.append(record("turnedAway", 100, request="away", pause=2))
+        for number, at in enumerate(times):
+            self.attempts.append(attempt(request=f"r{number}", gateway=gateway))
+            self.records.append(record("arrived", at, request=f"r{number}"))
+
+    def test_pause(self):
+        self.paused_server([100.1, 100.2, 100.3, 100.4, 100.6, 101.9, 102.1, 102.2])
+        self.assertEqual([], self.violated_rules(checks.pauses_hold))
+
+    def test_pause_is_not_kept(self):
+        self.paused_server([100.6, 101, 101.9])
+        self.assertEqual(["pause"], self.violated_rules(checks.pauses_hold))
+
+    def test_turned_away_requests_count_in_the_pause(self):
+        self.paused_server([100.6, 101, 101.9])
+        for number in range(3):
+            self.records.append(record("turnedAway", 100.6 + number / 2, request=f"r{number}", pause=2))
+        self.assertEqual(["pause"], self.violated_rules(checks.pauses_hold))
+
+    def test_requests_of_another_gateway_do_not_count_in_the_pause(self):
+        self.paused_server([100.6, 101, 101.9], gateway="gateway-1")
+        self.assertEqual([], self.violated_rules(checks.pauses_hold))
+
+    def test_requests_to_a_restarted_server_do_not_count_in_the_pause(self):
+        self.paused_server([])
+        for number in range(5):
+            self.attempts.append(attempt(request=f"r{number}"))
+            self.records.append(record("arrived", 101, request=f"r{number}", server="i-1-2"))
+        self.assertEqual([], self.violated_rules(checks.pauses_hold))
+
+    def test_probes_count_in_the_pause(self):
+        for connections, rules in ((("c1", "c1", "c1"), ["pause"]), (("c1", "c1", "c2"), []),
+                                   (("c1", "c1"), []), ((None, None, None), [])):
+            with self.subTest(connections=connections):
+                self.attempts, self.records = [], []
+                self.paused_server([])
+                self.attempts.append(attempt(request="other", gateway="gateway-1"))
+                self.records += [record("arrived", 99, request="away", connection="c1"),
+                                 record("arrived", 99, request="other", connection="c2")]
+                self.records += [record("asked", 100.6 + number / 10, request=None, connection=connection)
+                                 for number, connection in enumerate(connections)]
+                self.assertEqual(rules, self.violated_rules(checks.pauses_hold))
+
+    def test_pause_that_a_probe_was_told_counts(self):
+        self.attempts.append(attempt(request="r1"))
+        self.records += [record("arrived", 99, connection="c1"),
+                         record("turnedAway", 100, request=None, connection="c1", pause=2)]
+        self.records += [record("asked", at, request=None, connection="c1") for at in (100.6, 101, 101.9)]
+        self.assertEqual(["pause"], self.violated_rules(checks.pauses_hold))
+
+    def test_gateway_that_was_disturbed_is_excused_from_the_pause(self):
+        for kind, gateway, server, rules in (("gateway_paused", "gateway-0", "i-1-1", []),
+                                             ("gateway_paused", "gateway-1", "i-1-1", ["pause"]),
+                                             ("link_silent", "gateway-1", "i-1-1", []),
+                                             ("link_silent", "gateway-0", "i-2-1", ["pause"]),
+                                             ("store_cut", "gateway-0", "i-1-1", ["pause"])):
+            with self.subTest(kind=kind, gateway=gateway, server=server):
+                self.attempts, self.records, self.journal.entries = [], [], []
+                self.paused_server([100.6, 101, 101.9])
+                self.fault(kind, 100.2, 101, gateway=gateway, server=server)
+                self.assertEqual(rules, self.violated_rules(checks.pauses_hold))
+
     def test_run_that_no_caller_sent(self):
         self.records.append(run(request="r9"))
         self.assertEqual(["knownRequest"], self.violated_rules(checks.runs_are_as_sent))
--- a/tools/lib/soak/backend.py
+++ b/tools/lib/soak/backend.py
@@ -10,6 +10,7 @@
 
 import hashlib
 import http.client
+import itertools
 import json
 import pathlib
 import random
@@ -65,7 +66,7 @@
         if handler.path.startswith("/standin/"):
             return self.control(handler, json.loads(body))
         if handler.path.split("?")[0] in PROBE_PATHS or handler.path.startswith(wire.RELEASE_PREFIX):
-            self.log("asked")
+            self.log("asked", connection=handler.connection_id)
             if self.pause is not None:
                 return self.turn_away(handler, None)
         if handler.path == wire.REPORT_PATH:
@@ -120,7 +121,7 @@
                            **self.limit_headers()}
         if target_server and target_server != self.name:
             return handler.answer(421, b"", refusal_headers)
-        self.log("arrived", request=request)
+        self.log("arrived", request=request, connection=handler.connection_id)
         if self.pause is not None:
             return self.turn_away(handler, request)
         with self.lock:
@@ -141,10 +142,11 @@
     def turn_away(self, handler, request):
         """Refuses a request, or a probe without a request, and asks for a pause."""
         pause = self.pause
-        headers = {wire.SERVER_ID: self.name, wire.NOT_RUN: "1", wire.RETRY_AFTER: pause}
+        headers = {wire.SERVER_ID: self.name, wire.NOT_RUN: "1", wire.RETRY_AFTER: pause,
+                   **self.limit_headers()}
         if request is not None:
             headers[wire.REQUEST_ID] = request
-        self.log("turnedAway", request=request, pause=pause)
+        self.log("turnedAway", request=request, pause=pause, connection=handler.connection_id)
         return handler.answer(503, b"", headers)
 
     def log_run(self, handler, request, body, **fields):
@@ -248,7 +250,13 @@
     name, service, port, log = sys.argv[1:5]
     backend = Backend(name, service, log)
 
+    connections = itertools.count()
+
     class Handler(http_standin.Handler):
+        def setup(self):
+            super().setup()
+            self.connection_id = f"{name}-{next(connections)}"
+
         def handle_request(self, body):
             backend.serve(self, body)
 
--- a/tools/lib/soak/checks.py
+++ b/tools/lib/soak/checks.py
@@ -27,6 +27,14 @@
 LIMIT_WINDOW_SECONDS = 4
 MAX_LIMIT_RATIO = 1.5
 LIMIT_TOLERANCE = 5
+# A server that asked for a pause gets this many requests from the same gateway, from PAUSE_NOTICE_SECONDS after its
+# answer until the end of the pause.
+PAUSE_NOTICE_SECONDS = 0.5
+MAX_REQUESTS_IN_PAUSE = 2
+# Faults that excuse the requests of a gateway, or those that reach the server late.
+GATEWAY_FAULTS_EXCUSING_PAUSE = ("gateway_killed", "gateway_terminated", "gateway_paused")
+FLEET_FAULTS_EXCUSING_PAUSE = ("gateways_killed", "gateways_rolled")
+SERVER_FAULTS_EXCUSING_PAUSE = ("server_paused", "link_silent", "link_slow", "link_one_way")
 # Faults after which a gateway's requests do not count against a limit for LIMIT_NOTICE_SECONDS.
 FAULTS_EXCUSING_LIMIT = ("gateway_killed", "gateway_terminated", "gateway_paused", "gateways_killed",
                          "gateways_rolled", "store_cut")
@@ -36,6 +44,8 @@
 SERVER_FAULTS = ("server_crashed", "server_paused", "server_leaves", "server_fails",
                  "link_silent", "link_reset", "link_slow", "link_one_way")
 FAULTS_HIDING_CLOSE = ("server_paused", "link_silent", "link_slow", "link_one_way")
+# Servers that turn new requests away go on with those that they have.
+PAUSE_FAULTS = ("server_turns_away", "service_turns_away")
 # A store failure does not affect a request that was already sent to a server.
 STORE_FAULTS = ("store_fails", "store_forgets", "store_cut", "config_changed", "key_withdrawn")
 
@@ -98,7 +108,7 @@
         return fault.gateway == gateway
     if fault.kind in SERVER_FAULTS:
         return host_of(fault.server) in hosts
-    return fault.kind not in STORE_FAULTS
+    return fault.kind not in STORE_FAULTS + PAUSE_FAULTS
 
 
 def wrong_answers(evidence):
@@ -310,6 +320,46 @@
                                          f"requests in {LIMIT_WINDOW_SECONDS} s, allowed {allowed:.0f}")
 
 
+def excuses_pause(fault, gateway, server):
+    return (fault.kind in FLEET_FAULTS_EXCUSING_PAUSE
+            or fault.kind in GATEWAY_FAULTS_EXCUSING_PAUSE and fault.gateway == gateway
+            or fault.kind in SERVER_FAULTS_EXCUSING_PAUSE and host_of(fault.server) == host_of(server))
+
+
+def connection_gateways(evidence):
+    """Returns the gateway of each connection that carried a caller's request."""
+    gateways = {}
+    for record in evidence.records:
+        attempt = evidence.attempts.get(record.get("request"))
+        if attempt and record.get("connection"):
+            gateways[record["connection"]] = attempt.gateway
+    return gateways
+
+
+def pauses_hold(evidence):
+    """A server that turned a gateway away with a pause gets at most two requests from it within the pause. Probes name
+    no gateway; those on connections that carried a caller's request too are counted."""
+    gateways = connection_gateways(evidence)
+    arrivals = collections.defaultdict(list)
+    pauses = []
+    for record in evidence.records:
+        attempt = evidence.attempts.get(record.get("request"))
+        gateway = attempt.gateway if attempt else gateways.get(record.get("connection"))
+        if gateway is None:
+            continue
+        if record["event"] in ("arrived", "asked"):
+            arrivals[record["server"], gateway].append(record["at"])
+        elif record["event"] == "turnedAway":
+            pauses.append((record["server"], gateway, record["at"], record["at"] + record["pause"]))
+    for server, gateway, start, end in pauses:
+        late = [at for at in arrivals[server, gateway] if start + PAUSE_NOTICE_SECONDS < at < end]
+        if len(late) > MAX_REQUESTS_IN_PAUSE and not any(
+                excuses_pause(fault, gateway, server) for fault in evidence.faults_between(start, end)):
+            yield Violation("pause", f"{server} asked {gateway} for {end - start:.2f} s and got {len(late)} "
+                                     f"requests, allowed {MAX_REQUESTS_IN_PAUSE}")
+            return
+
+
 def is_paused(journal, process, time):
     """Whether the latest SIGSTOP or SIGCONT before the time was SIGSTOP."""
     latest = None
@@ -344,7 +394,7 @@
 CHECKS = [wrong_answers, served_requests_ran, runs_are_as_sent, writes_run_once,
           refused_never_run, streams_run_at_one_server, withdrawn_keys_run_nothing,
           proper_requests_are_allowed, leaving_servers_get_nothing, planned_stops_cut_nothing,
-          given_up_work_ends, retries_stay_in_budget, rate_limits_hold, gateways_stay_up,
+          given_up_work_ends, retries_stay_in_budget, rate_limits_hold, pauses_hold, gateways_stay_up,
           service_recovers]
 
 
--- a/tools/lib/soak/faults.py
+++ b/tools/lib/soak/faults.py
@@ -1,6 +1,7 @@
 """Faults that the soak injects from outside. They are drawn by the seed and may overlap."""
 
 import itertools
+import random
 import signal
 import threading
 import time
@@ -13,6 +14,13 @@
 LOWEST_LIMIT = 1.5
 LIMIT_SPREAD = 8
 LIMIT_STRETCH = 4
+# Seconds of the pauses that servers ask for, and how much longer than other faults they turn requests away.
+SHORTEST_PAUSE_SECONDS = 0.3
+PAUSE_SPREAD_SECONDS = 3
+PAUSE_STRETCH = 2
+MEAN_PAUSE_INTERVAL_SECONDS = 2
+# Numbers of these faults in the journal, above those of the others.
+FIRST_PAUSE_NUMBER = 100_000
 SILENT_LINK = {"silentExisting": True}
 
 
@@ -31,10 +39,15 @@
             self.link_slow, self.link_one_way, self.callers_reset, self.callers_slow,
             self.store_fails, self.store_forgets, self.store_cut, self.config_changed,
             self.key_withdrawn, self.gateways_killed, self.server_limited, self.service_limited]
+        # Drawn apart, so that the other faults of a seed stay what they were before these existed.
+        self.pause_random = random.Random(cluster.seed)
+        self.pause_kinds = [self.server_turns_away, self.service_turns_away]
 
     def run(self, seconds):
         time.sleep(FAULT_FREE_START_SECONDS)
         ends_at = time.monotonic() + seconds
+        pauses = threading.Thread(target=self._inject_pauses, daemon=True)
+        pauses.start()
         for number in itertools.count():
             if time.monotonic() >= ends_at:
                 break
@@ -45,6 +58,7 @@
             thread.start()
             time.sleep(self.random.expovariate(1 / MEAN_FAULT_INTERVAL_SECONDS))
         self.is_stopping.set()
+        pauses.join(15)
         for thread in self.threads:
             thread.join(15)
 
@@ -54,6 +68,14 @@
         return (self.random.uniform(0.2, 2.5), self.random.choice(self.cluster.gateways),
                 self.random.choice(self.cluster.servers), self.random.random())
 
+    def _inject_pauses(self):
+        draw = self.pause_random
+        for number in itertools.count(FIRST_PAUSE_NUMBER):
+            if self.is_stopping.wait(draw.expovariate(1 / MEAN_PAUSE_INTERVAL_SECONDS)):
+                return
+            self._inject(number, draw.choice(self.pause_kinds), draw.uniform(0.2, 2.5),
+                         self.cluster.gateways[0], draw.choice(self.cluster.servers), draw.random())
+
     def _inject(self, number, kind, seconds, gateway, server, fraction):
         name = kind.__name__
         fields = {"number": number, "kind": name, "gateway": gateway.name, "server": server.name}
@@ -131,6 +153,21 @@
         for other in servers:
             other.set_rate_limit(None)
 
+    def server_turns_away(self, seconds, _gateway, server, fraction):
+        self._turn_away([server], seconds, fraction)
+
+    def service_turns_away(self, seconds, _gateway, server, fraction):
+        self._turn_away([other for other in self.cluster.servers if other.service == server.service],
+                        seconds, fraction)
+
+    @staticmethod
+    def _turn_away(servers, seconds, fraction):
+        for server in servers:
+            server.set_pause(SHORTEST_PAUSE_SECONDS + fraction * PAUSE_SPREAD_SECONDS)
+        time.sleep(PAUSE_STRETCH * seconds)
+        for server in servers:
+            server.set_pause(None)
+
     def link_silent(self, _seconds, _gateway, server, _fraction):
         self.cluster.set_link(server.route, SILENT_LINK)
 
