fuzz: answers that ask for a pause

Cause: FuzzHeaders decoded answers with status 200 only, in which no pause is read. Change: It decodes them with 503 too and ends if a pause is negative or longer than a minute.

--- a/fuzz/FuzzHeaders.cpp
+++ b/fuzz/FuzzHeaders.cpp
@@ -20,6 +20,10 @@
     }
     const HttpResponse response {200, request.headers, ""};
     (void)codec.decodeAnswer(response);
+    // Only an answer with this status can ask for a pause.
+    const BackendAnswer away = codec.decodeAnswer({503, request.headers, ""});
+    if (away.pause && (*away.pause < Duration {0} || *away.pause > std::chrono::minutes(1)))
+        __builtin_trap();
     (void)codec.callerResponseHeaders(response);
     const auto decoded = codec.decodeRequest(request);
     if (decoded)
