tools/soak: a stand-in's whole stream before bytes without end has all events

The drawn fault was server_fails with endlessAfter at i-3-1: the stand-in answered a stream with a length and a body of one event, which is a complete, signed answer, and the gateway passed it on as such. Change: the body has all events after the last one that the gateway names. The check is unchanged.

--- a/tools/lib/soak/backend.py
+++ b/tools/lib/soak/backend.py
@@ -42,6 +42,11 @@
     return f"id: {number}\ndata: {request}:{number}\n\n".encode()
 
 
+def whole_stream(request, last_event):
+    """Returns all events after the last one: an answer of one event would look complete (seed 513)."""
+    return b"".join(event_text(request, number) for number in range(last_event + 1, EVENTS_PER_RUN + 1))
+
+
 class Backend:
     def __init__(self, name, service, log):
         self.name = name
@@ -199,7 +204,7 @@
         if shape:
             return endless.send_endless_answer(handler, shape,
                                                {"Content-Type": "text/event-stream", **headers},
-                                               event_text(request, 1))
+                                               whole_stream(request, last_event))
         handler.wfile.write(handler.head(200, None, {"Content-Type": "text/event-stream",
                                                      **headers}))
         copy_to = handler.headers.get(wire.COPY_TO)
