--- a/tools/lib/soak/backend.py
+++ b/tools/lib/soak/backend.py
@@ -45,6 +45,11 @@
     return f"id: {number}\ndata: {request}:{number}\n\n".encode()
 
 
+def whole_stream(request, last_event):
+    """Returns all events after the last one: an answer of one event would look complete (seed 513)."""
+    return b"".join(event_text(request, number) for number in range(last_event + 1, EVENTS_PER_RUN + 1))
+
+
 class Backend:
     def __init__(self, name, service, log):
         self.name = name
@@ -225,10 +230,9 @@
         headers = self.answer_headers(request)
         shape = next(filter(self.has_fault, endless.SHAPES), None)
         if shape:
-            events = [event_text(request, number) for number in range(last_event + 1, EVENTS_PER_RUN + 1)]
             return endless.send_endless_answer(handler, shape,
                                                {"Content-Type": "text/event-stream", **headers},
-                                               b"".join(events))
+                                               whole_stream(request, last_event))
         handler.wfile.write(handler.head(200, None, {"Content-Type": "text/event-stream",
                                                      **headers}))
         copy_to = handler.headers.get(wire.COPY_TO)
