tools/soak: let a stand-in in a pause turn requests away again

Each request to a server in a pause ended with an exception that http_standin swallowed, so gateways saw a closed connection and the check of pauses had nothing to judge. Change: the name is right, and an exception other than of the connection goes to the stand-in's log.

--- a/tools/lib/soak/backend.py
+++ b/tools/lib/soak/backend.py
@@ -157,7 +157,7 @@
         """Refuses a request, or a probe without a request, and asks for a pause."""
         pause = self.pause
         headers = {wire.SERVER_ID: self.name, wire.NOT_RUN: "1", wire.RETRY_AFTER: pause,
-                   **self.limit_headers()}
+                   **self.state_headers()}
         if request is not None:
             headers[wire.REQUEST_ID] = request
         self.log("turnedAway", request=request, pause=pause, connection=handler.connection_id)
--- a/tools/lib/soak/http_standin.py
+++ b/tools/lib/soak/http_standin.py
@@ -3,6 +3,7 @@
 import http.server
 import json
 import socket
+import sys
 
 
 class Handler(http.server.BaseHTTPRequestHandler):
@@ -63,5 +64,7 @@
     allow_reuse_address = True
     request_queue_size = 256
 
-    def handle_error(self, *_):
-        """Injected faults break connections, so errors are not logged."""
+    def handle_error(self, request, client_address):
+        """Injected faults break connections; any other error is a fault of the stand-in and is logged."""
+        if not isinstance(sys.exc_info()[1], OSError):
+            super().handle_error(request, client_address)
