transport: let a hook decide how long idle connections are kept

Cause: the pool of idle connections has fixed limits, closes expired ones only with the next exchange of the client, and cannot close those to one endpoint. Change: Http1Client takes a hook that is asked when a connection becomes idle, closes idle connections to one endpoint, and closes expired ones on request. Without the hook the limits are as before. Measured: transport_test Http1ClientTest, three new tests with real sockets; the functions did not exist before. Conclusion: a decision outside of the transport can bound idle connections.

--- a/include/foxtailring/transport/Http1Client.h
+++ b/include/foxtailring/transport/Http1Client.h
@@ -4,6 +4,7 @@
 #include "foxtailring/transport/ExchangeOptions.h"
 #include "foxtailring/transport/HttpRequest.h"
 #include "foxtailring/transport/HttpResponse.h"
+#include "foxtailring/transport/KeepIdleHook.h"
 #include "foxtailring/transport/StreamHooks.h"
 
 #include <chrono>
@@ -44,6 +45,16 @@
     std::shared_ptr<Http1Stream> stream(const Endpoint &endpoint, HttpRequest request,
                                         StreamHooks hooks, ExchangeOptions options = {});
 
+    /// \brief Decides about connections that become idle from now on. Without it, up to 64 to each
+    /// endpoint are kept for up to 20 s.
+    void setKeepIdleHook(KeepIdleHook hook);
+    /// \brief Closes the idle connections to \a endpoint and returns their number.
+    std::size_t closeIdle(const Endpoint &endpoint);
+    /// \brief Closes idle connections that were kept for long enough. Otherwise that waits for the
+    /// next exchange.
+    void closeExpiredIdle();
+    std::size_t idleCount() const;
+
 private:
     struct State;
     std::shared_ptr<State> m_state;
--- a/src/transport/Http1Client.cpp
+++ b/src/transport/Http1Client.cpp
@@ -157,4 +157,24 @@
     return std::make_shared<StreamHandle>(exchange);
 }
 
+void Http1Client::setKeepIdleHook(KeepIdleHook hook)
+{
+    m_state->idle->setKeepIdleHook(std::move(hook));
+}
+
+std::size_t Http1Client::closeIdle(const Endpoint &endpoint)
+{
+    return m_state->idle->close(endpoint);
+}
+
+void Http1Client::closeExpiredIdle()
+{
+    m_state->idle->closeExpired();
+}
+
+std::size_t Http1Client::idleCount() const
+{
+    return m_state->idle->size();
+}
+
 } // namespace foxtailring
--- a/src/transport/IdleConnections.cpp
+++ b/src/transport/IdleConnections.cpp
@@ -1,6 +1,8 @@
 #include "IdleConnections.h"
 
+#include <algorithm>
 #include <sys/socket.h>
+#include <utility>
 
 namespace foxtailring {
 
@@ -49,7 +51,11 @@
     const auto now = steady_clock::now();
     purgeExpired(now);
     auto &idle = m_idle[endpoint];
-    if (!m_closed && idle.size() < maxIdlePerEndpoint)
+    if (m_closed || idle.size() >= maxIdlePerEndpoint)
+        return;
+    if (m_keepIdle)
+        lifetime = std::min(lifetime, m_keepIdle(endpoint, idle.size()));
+    if (lifetime.count() > 0)
         idle.push_back({std::move(socket), now, lifetime});
 }
 
@@ -60,6 +66,35 @@
     m_idle.clear();
 }
 
+std::size_t IdleConnections::close(const Endpoint &endpoint)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto node = m_idle.extract(endpoint);
+    return node ? node.mapped().size() : 0;
+}
+
+void IdleConnections::closeExpired()
+{
+    const std::lock_guard lock(m_mutex);
+    m_nextPurgeAt = {};
+    purgeExpired(steady_clock::now());
+}
+
+std::size_t IdleConnections::size() const
+{
+    const std::lock_guard lock(m_mutex);
+    std::size_t total = 0;
+    for (const auto &[endpoint, idle] : m_idle)
+        total += idle.size();
+    return total;
+}
+
+void IdleConnections::setKeepIdleHook(KeepIdleHook hook)
+{
+    const std::lock_guard lock(m_mutex);
+    m_keepIdle = std::move(hook);
+}
+
 void IdleConnections::purgeExpired(steady_clock::time_point now)
 {
     if (now < m_nextPurgeAt)
--- a/src/transport/IdleConnections.h
+++ b/src/transport/IdleConnections.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "foxtailring/transport/Endpoint.h"
+#include "foxtailring/transport/KeepIdleHook.h"
 #include "Net.h"
 
 #include <chrono>
@@ -21,11 +22,18 @@
     /// Returns nullopt if there is none that has been idle for less than \a maxAge.
     std::optional<Socket> take(const Endpoint &endpoint,
                                std::chrono::milliseconds maxAge = maxIdleTime);
-    /// \param lifetime the connection is not reused after this time
+    /// \param lifetime the connection is closed after this time, or sooner if the hook says so
     void put(const Endpoint &endpoint, Socket socket,
              std::chrono::milliseconds lifetime = maxIdleTime);
     /// \brief Closes all connections, and any that are put back later.
     void close();
+    /// \brief Closes the connections to \a endpoint and returns their number.
+    std::size_t close(const Endpoint &endpoint);
+    /// \brief Closes the connections whose lifetime is over.
+    void closeExpired();
+    std::size_t size() const;
+
+    void setKeepIdleHook(KeepIdleHook hook);
 
     /// Shorter than the 60 s after which Http1Server closes an idle connection, so that a request
     /// is rarely written to a connection that the server is closing.
@@ -41,7 +49,8 @@
 
     void purgeExpired(std::chrono::steady_clock::time_point now);
 
-    std::mutex m_mutex;
+    mutable std::mutex m_mutex;
+    KeepIdleHook m_keepIdle;
     bool m_closed = false;
     std::chrono::steady_clock::time_point m_nextPurgeAt;
     std::map<Endpoint, std::vector<IdleConnection>> m_idle;
--- a/tests/transport/Http1ClientTest.cpp
+++ b/tests/transport/Http1ClientTest.cpp
@@ -95,6 +95,9 @@
     CPPUNIT_TEST(firstResponseOfAConnectionIsToldFromLaterOnes);
     CPPUNIT_TEST(connectionIsNotReusedAgainstTheHook);
     CPPUNIT_TEST(throwingHookEndsTheExchange);
+    CPPUNIT_TEST(idleConnectionIsNotKeptAgainstTheHook);
+    CPPUNIT_TEST(idleConnectionsOfAQuietClientAreClosed);
+    CPPUNIT_TEST(idleConnectionsToOneEndpointCanBeClosed);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -540,6 +543,39 @@
         CPPUNIT_ASSERT_EQUAL(std::string(), events.body());
     }
 
+    // Guards against a bounded server whose connections are held by idle clients.
+    void idleConnectionIsNotKeptAgainstTheHook()
+    {
+        m_client->setKeepIdleHook([](const Endpoint &, std::size_t) { return milliseconds(0); });
+        RawServer server;
+        firstExchange(server, "")->waitForClose();
+    }
+
+    // Guards against connections that stay open until the next request, which may never come.
+    void idleConnectionsOfAQuietClientAreClosed()
+    {
+        m_client->setKeepIdleHook([](const Endpoint &, std::size_t) { return milliseconds(1); });
+        RawServer server;
+        const auto peer = firstExchange(server, "");
+        waitUntil([this] {
+            m_client->closeExpiredIdle();
+            return m_client->idleCount() == 0;
+        });
+        peer->waitForClose();
+    }
+
+    // Guards against idle connections that keep working ones out of a server at its bound.
+    void idleConnectionsToOneEndpointCanBeClosed()
+    {
+        RawServer server;
+        RawServer other;
+        const auto peer = firstExchange(server, "");
+        const auto otherPeer = firstExchange(other, "");
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_client->closeIdle({"127.0.0.1", server.port()}));
+        peer->waitForClose();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_client->idleCount());
+    }
+
 private:
     // Opens a stream and reads its request at the server; default hooks if onClosed is empty.
     std::unique_ptr<RawPeer> openStream(RawServer &server, StreamEvents &events, StreamHooks hooks)
