transport: report a request of which no byte was sent as not sent

Cause: a connection that was reset after the connect and before the request was written (a server at its limit of connections does that) was reported as lost, so that a non-idempotent call ended with 502 although it certainly did not run, and an idempotent one took a retry from the budget. Only a failed connect was reported as not sent. Change: a write that fails without one byte taken by the system fails the exchange with Unavailable. A reset after any byte was taken, or a read error that is seen first, is reported as lost as before.

--- a/include/foxtailring/decisions/AttemptResult.h
+++ b/include/foxtailring/decisions/AttemptResult.h
@@ -7,7 +7,7 @@
 
 /// \brief Why an attempt at a backend server produced no answer that can be passed on.
 enum class AttemptResult : std::uint8_t {
-    NotSent,     ///< no connection was established; the request was not executed
+    NotSent,     ///< no byte was sent; the request was not executed
     NotRun,      ///< the server reported that it did not execute the request
     OtherServer, ///< another server has the address now and did not execute the request
     Lost,        ///< connection lost; the request may have been executed
--- a/include/foxtailring/transport/Http1Client.h
+++ b/include/foxtailring/transport/Http1Client.h
@@ -30,10 +30,10 @@
 
     /// \brief Sends a request and passes the whole response to \a hook, which runs exactly once.
     ///
-    /// Unavailable: no connection could be made and nothing was sent. Timeout, Closed and
-    /// Malformed: the request may have taken effect; Malformed means that the response cannot be
-    /// parsed or that its body exceeds ExchangeOptions::maxBodyBytes. InvalidArgument: method or
-    /// target cannot be sent. A request is never sent twice.
+    /// Unavailable: nothing was sent, since no connection could be made or it was reset before.
+    /// Timeout, Closed and Malformed: the request may have taken effect; Malformed means that the
+    /// response cannot be parsed or that its body exceeds ExchangeOptions::maxBodyBytes.
+    /// InvalidArgument: method or target cannot be sent. A request is never sent twice.
     void request(const Endpoint &endpoint, HttpRequest request, std::chrono::milliseconds timeout,
                  ResponseHook hook, ExchangeOptions options = ExchangeOptions::pooled());
 
--- a/src/transport/Http1ClientExchange.cpp
+++ b/src/transport/Http1ClientExchange.cpp
@@ -113,16 +113,21 @@
 void Http1ClientExchange::write()
 {
     m_writeStarted = true;
-    net::async_write(
-        m_socket, net::buffer(m_options.requestBytes),
-        [self = shared_from_this()](ErrorStatus status, std::size_t) { self->onWritten(status); });
+    net::async_write(m_socket, net::buffer(m_options.requestBytes),
+                     [self = shared_from_this()](ErrorStatus status, std::size_t size) {
+                         self->onWritten(status, size);
+                     });
     read();
 }
 
-// Errors are left to the pending read, which reports a lost connection.
-void Http1ClientExchange::onWritten(ErrorStatus status)
+// A server at its limit of connections may reset one before the request is written. The request is
+// certain not to have run only if the system took none of its bytes. Other errors are left to the
+// pending read, which reports a lost connection.
+void Http1ClientExchange::onWritten(ErrorStatus status, std::size_t size)
 {
     m_writeDone = !status;
+    if (status && size == 0 && m_input.empty() && !m_headDelivered)
+        return fail(ErrorCode::Unavailable, "nothing was sent: " + status.message());
     if (m_responseDone && !m_isComplete)
         succeed();
 }
--- a/src/transport/Http1ClientExchange.h
+++ b/src/transport/Http1ClientExchange.h
@@ -48,7 +48,7 @@
     void connect();
     void onConnected(ErrorStatus status);
     void write();
-    void onWritten(ErrorStatus status);
+    void onWritten(ErrorStatus status, std::size_t size);
     void read();
     void onRead(ErrorStatus status, std::size_t size);
     void onReadError(ErrorStatus status);
--- a/tests/transport/Http1ClientTest.cpp
+++ b/tests/transport/Http1ClientTest.cpp
@@ -4,6 +4,7 @@
 #include "foxtailring/transport/Http1Server.h"
 #include "foxtailring/transport/Http1Stream.h"
 #include "foxtailring/transport/WorkerPool.h"
+#include "Http1ClientExchange.h"
 #include "Mailbox.h"
 #include "RawPeer.h"
 
@@ -98,6 +99,7 @@
     CPPUNIT_TEST(idleConnectionIsNotKeptAgainstTheHook);
     CPPUNIT_TEST(idleConnectionsOfAQuietClientAreClosed);
     CPPUNIT_TEST(idleConnectionsToOneEndpointCanBeClosed);
+    CPPUNIT_TEST(writeThatFailsWholeIsNotSent);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -576,6 +578,25 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_client->idleCount());
     }
 
+    // Guards against a request that certainly did not run and is taken for one that may have.
+    void writeThatFailsWholeIsNotSent()
+    {
+        RawServer server;
+        Socket socket(boost::asio::make_strand(m_pool->context()));
+        socket.connect({boost::asio::ip::address_v4::loopback(), server.port()});
+        server.accept().reset();
+        pollfd waited {socket.native_handle(), POLLIN, 0};
+        const milliseconds timeout = testDeadline;
+        CPPUNIT_ASSERT_EQUAL(1, ::poll(&waited, 1, static_cast<int>(timeout.count())));
+        Http1ClientExchange::Options options;
+        options.requestBytes = "POST / HTTP/1.1\r\n\r\n";
+        StreamEvents events;
+        const auto exchange = std::make_shared<Http1ClientExchange>(
+            std::move(socket), std::move(options), events.hooks());
+        exchange->start();
+        CPPUNIT_ASSERT(events.closed().error().code == ErrorCode::Unavailable);
+    }
+
 private:
     // Opens a stream and reads its request at the server; default hooks if onClosed is empty.
     std::unique_ptr<RawPeer> openStream(RawServer &server, StreamEvents &events, StreamHooks hooks)
