gateway: bound the idle connections to a server by the size of the fleet

After a reset the idle ones of the gateway stayed, and one that became idle took the place of connections at work. Conclusion: a reset after the request was sent still ends a non-idempotent call with 502, since it may have run.

--- a/src/gateway/GatewayParts.cpp
+++ b/src/gateway/GatewayParts.cpp
@@ -23,6 +23,13 @@
 constexpr std::size_t maxOrderResponseBytes = 64 * 1024;
 // Requests may hold this fraction of the VM's memory; connection buffers and lists need the rest.
 constexpr std::size_t memoryBudgetDivisor = 4;
+// Idle connections to one server that all gateways together keep, on average. Servers accept 96
+// connections at least; the rest is for those at work.
+constexpr double maxIdleRequestConnections = 48;
+constexpr double maxIdleProbeConnections = 32;
+// Requests use no connection that was idle for longer (maxReuseIdle in RequestRelay).
+constexpr std::chrono::milliseconds maxRequestIdle {8000};
+constexpr std::chrono::milliseconds maxProbeIdle {20'000};
 
 } // namespace
 
@@ -41,6 +48,10 @@
     , pool(settings.threads)
     , http(pool)
     , probeHttp(pool)
+    , idleConnections(pool, http, metrics, clock,
+                      {"requests", maxIdleRequestConnections, maxRequestIdle})
+    , idleProbeConnections(pool, probeHttp, metrics, clock,
+                           {"probes", maxIdleProbeConnections, maxProbeIdle})
     , queue(pool)
     , placer(servers, settings.availabilityZone, settings.regions, BackendPlacer::Settings {})
     , random(RandomSource::fromEntropy())
@@ -94,6 +105,8 @@
         return;
     retryBudget.setProcessCount(size);
     rateLimits.setProcessCount(size);
+    idleConnections.setProcessCount(size);
+    idleProbeConnections.setProcessCount(size);
     metrics.setGauge("gateway_fleet_size", static_cast<double>(size));
     StructuredLog::info("fleetSizeChanged", {{"gateways", std::to_string(size)}});
 }
@@ -150,6 +163,19 @@
         {{"request", requestId}, {"server", std::string(serverId)}, {"leftMs", msText(left)}});
 }
 
+void GatewayParts::onConnectionFailed(const std::string &serverId, const Endpoint &endpoint)
+{
+    const std::size_t requests = idleConnections.onConnectionFailed(endpoint);
+    const std::size_t probes = idleProbeConnections.onConnectionFailed(endpoint);
+    if (requests + probes == 0)
+        return;
+    StructuredLog::info("idleConnectionsClosed",
+                        {{"server", serverId},
+                         {"requests", std::to_string(requests)},
+                         {"probes", std::to_string(probes)},
+                         {"gateways", std::to_string(m_fleetSize)}});
+}
+
 bool GatewayParts::recordPause(const BackendInfo &server, const HttpResponse &response)
 {
     const BackendAnswer answer = codec.decodeAnswer(response);
--- a/src/gateway/GatewayParts.h
+++ b/src/gateway/GatewayParts.h
@@ -22,6 +22,8 @@
 #include "foxtailring/transport/SerialQueue.h"
 #include "foxtailring/transport/WorkerPool.h"
 
+#include "IdleConnectionControl.h"
+
 #include <chrono>
 #include <memory>
 #include <string>
@@ -63,6 +65,9 @@
     void reportQuarantined(const std::string &requestId, std::string_view part);
     /// \brief Logs and counts that a server's pause kept a request from it.
     void reportPauseReached(const std::string &requestId, std::string_view serverId, Duration left);
+    /// \brief Gives back the idle connections to a server to which a connection failed before an
+    /// answer: it may have reached its limit of connections.
+    void onConnectionFailed(const std::string &serverId, const Endpoint &endpoint);
     /// \brief Takes note of the pause that \a response may ask for. True if it does.
     bool recordPause(const BackendInfo &server, const HttpResponse &response);
     /// \brief Name of the gauge of a server's pause, in seconds.
@@ -79,6 +84,8 @@
     /// Of probes. Their answers name no request, so they share no connection with requests: a late
     /// answer to a request would be taken for a report.
     Http1Client probeHttp;
+    IdleConnectionControl idleConnections;
+    IdleConnectionControl idleProbeConnections;
     SerialQueue queue;
 
     std::shared_ptr<const RouteTable> routes; ///< null until the first configuration was read
--- a/src/gateway/RequestRelay.cpp
+++ b/src/gateway/RequestRelay.cpp
@@ -189,6 +189,7 @@
     m_attempt = Attempt {};
     m_attempt.number = ++m_attemptCount;
     m_attempt.serverId = next.server.info.id;
+    m_attempt.endpoint = endpoint.value();
     m_attempt.isFromCopy = next.fromCopy.has_value();
     logAttempt(next);
     AttemptMetadata metadata;
@@ -327,6 +328,7 @@
 
 void RequestRelay::onHead(HttpResponse head)
 {
+    m_attempt.hasHead = true;
     m_attempt.answer = m_parts.codec.decodeAnswer(head);
     m_attempt.head = std::move(head);
     m_session->onHead(m_attempt.answer, m_parts.clock());
@@ -439,7 +441,7 @@
 {
     m_attempt.stream.reset();
     if (!result)
-        return endAttempt(failureOf(result.error()));
+        return onConnectionError(result.error());
     if (m_attempt.isStreaming)
         return onStreamEnd();
     if (isEmptyRun())
@@ -447,6 +449,16 @@
     perform(m_session->onAnswer(m_attempt.answer, m_parts.clock()));
 }
 
+// A server at its limit of connections resets one before it answers, which looks like the end of
+// the server.
+void RequestRelay::onConnectionError(const Error &error)
+{
+    const bool isCut = error.code == ErrorCode::Unavailable || error.code == ErrorCode::Closed;
+    if (isCut && !m_attempt.hasHead)
+        m_parts.onConnectionFailed(m_attempt.serverId, m_attempt.endpoint);
+    endAttempt(failureOf(error));
+}
+
 // A run has an output, so an empty success is not its answer.
 bool RequestRelay::isEmptyRun() const
 {
--- a/src/gateway/RequestRelay.h
+++ b/src/gateway/RequestRelay.h
@@ -7,6 +7,7 @@
 #include "foxtailring/decisions/StreamSession.h"
 #include "foxtailring/gateway/GatewayRequest.h"
 #include "foxtailring/protocol/EventStreamReader.h"
+#include "foxtailring/transport/Endpoint.h"
 #include "foxtailring/transport/HttpResponse.h"
 #include "foxtailring/transport/Timer.h"
 
@@ -44,7 +45,9 @@
     {
         std::uint64_t number = 0;
         std::string serverId;
+        Endpoint endpoint;
         std::shared_ptr<Http1Stream> stream;
+        bool hasHead = false; ///< the answer has begun
         HttpResponse head;
         BackendAnswer answer;
         std::string body;
@@ -77,6 +80,7 @@
     bool updateHeldMemory(std::string_view what);
     void onEvent(std::optional<std::int64_t> id, std::string_view text);
     void onClosed(const Result<Done> &result);
+    void onConnectionError(const Error &error);
     bool isEmptyRun() const;
     void onStreamEnd();
     void endAttempt(AttemptResult result);
