gateway: let fleets of up to 36 keep a probe connection to each server

Cause: 32 idle probe connections at a server are less than one for each of 33 gateways, the largest site of today. With the 48 of requests that leaves 12 of the 96 that a server accepts at least, if all are idle at once. Measured: gateway_test ConnectionLimitTest passes; reuse of probe connections was not measured.

--- a/src/gateway/GatewayParts.cpp
+++ b/src/gateway/GatewayParts.cpp
@@ -24,9 +24,9 @@
 // Requests may hold this fraction of the VM's memory; connection buffers and lists need the rest.
 constexpr std::size_t memoryBudgetDivisor = 4;
 // Idle connections to one server that all gateways together keep, on average. Servers accept 96
-// connections at least; the rest is for those at work.
+// connections at least; the rest is for those at work. Up to 36 gateways keep one of each kind.
 constexpr double maxIdleRequestConnections = 48;
-constexpr double maxIdleProbeConnections = 32;
+constexpr double maxIdleProbeConnections = 36;
 // Requests use no connection that was idle for longer (maxReuseIdle in RequestRelay).
 constexpr std::chrono::milliseconds maxRequestIdle {8000};
 constexpr std::chrono::milliseconds maxProbeIdle {20'000};
