transport: tell a reset from an orderly close while a request is sent

Cause: When a server resets the connection while its request is still being written, the system gives the error to the pending write, and the read then ends as after an orderly close. A response without length or chunks was complete by that, so a server that crashed after the head of an early answer produced a success with an empty or short body. Resets after the whole request was written were told already. Change: The client asks for the state of the connection at the end of a read (`isReset`). A server that closes with unread input resets as well; such an unframed response counts as lost now, since nothing tells it from a crash. Before: resetDuringTheRequestEndsNoUnframedBody failed in its first case, a head without a body; 40 cases with it pass. Conclusion: A reset ends no response, whatever is being written.

--- a/src/transport/Http1ClientExchange.cpp
+++ b/src/transport/Http1ClientExchange.cpp
@@ -150,9 +150,12 @@
     read();
 }
 
-// The end of the connection is the end of a body that has neither a length nor chunks.
+// The end of the connection is the end of a body that has neither a length nor chunks. The error of
+// a reset goes to a pending write, if there is one, and the read ends as after an orderly close.
 void Http1ClientExchange::onReadError(ErrorStatus status)
 {
+    if (status == net::error::eof && isReset(m_socket))
+        status = net::error::connection_reset;
     ErrorStatus parseStatus;
     if (status == net::error::eof && m_parser->got_some())
         m_parser->put_eof(parseStatus);
--- a/src/transport/Net.cpp
+++ b/src/transport/Net.cpp
@@ -46,6 +46,15 @@
     return std::chrono::milliseconds(info.tcpi_last_ack_recv);
 }
 
+bool isReset(Socket &socket)
+{
+    tcp_info info {};
+    socklen_t size = sizeof info;
+    if (::getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) != 0)
+        return true;
+    return info.tcpi_state == TCP_CLOSE;
+}
+
 void setUnacknowledgedTimeout(Socket &socket, std::chrono::milliseconds limit)
 {
     using UserTimeout = net::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
--- a/src/transport/Net.h
+++ b/src/transport/Net.h
@@ -24,6 +24,8 @@
 std::size_t unacknowledgedBytes(Socket &socket);
 /// \brief Time since the peer's system last acknowledged anything.
 std::chrono::milliseconds timeSinceAcknowledgement(Socket &socket);
+/// \brief True if the peer has reset the connection, whether an operation has reported it or not.
+bool isReset(Socket &socket);
 /// \brief Closes the connection when sent bytes stay unacknowledged for \a limit
 /// (TCP_USER_TIMEOUT).
 void setUnacknowledgedTimeout(Socket &socket, std::chrono::milliseconds limit);
--- a/tests/transport/TruncatedResponseTest.cpp
+++ b/tests/transport/TruncatedResponseTest.cpp
@@ -33,6 +33,7 @@
     CPPUNIT_TEST(everyPrefixIsAnErrorOnAUsedConnection);
     CPPUNIT_TEST(prefixOfAnUnframedHeadIsAnError);
     CPPUNIT_TEST(unframedBodyMayNotEndByAReset);
+    CPPUNIT_TEST(resetDuringTheRequestEndsNoUnframedBody);
     CPPUNIT_TEST(unframedBodyEndsByAClose);
     CPPUNIT_TEST_SUITE_END();
 
@@ -97,6 +98,16 @@
         assertError(unframedHead + "who", true);
     }
 
+    // Guards against a reset that the pending write takes, so that the read sees an orderly end.
+    void resetDuringTheRequestEndsNoUnframedBody()
+    {
+        m_requestBody.assign(std::size_t {16} * 1024 * 1024, 'x');
+        for (int round = 0; round < 20; ++round) {
+            assertError(unframedHead, true);
+            assertError(unframedHead + "who", true);
+        }
+    }
+
     // HTTP/1.1 allows it: RFC 9112, section 6.3.
     void unframedBodyEndsByAClose()
     {
@@ -111,7 +122,7 @@
     {
         auto box = std::make_shared<Mailbox<Result<HttpResponse>>>();
         m_client->request(
-            {"127.0.0.1", m_server.port()}, {"GET", "/", {}, ""}, testDeadline,
+            {"127.0.0.1", m_server.port()}, {"GET", "/", {}, m_requestBody}, testDeadline,
             [box](Result<HttpResponse> answer) { box->put(std::move(answer)); }, m_options);
         return box;
     }
@@ -137,6 +148,7 @@
     }
 
     RawServer m_server;
+    std::string m_requestBody;
     ExchangeOptions m_options;
     std::optional<WorkerPool> m_pool;
     std::optional<Http1Client> m_client;
