decisions: keep a server's pause when its earlier start answers late

Cause: The answer to a request that was sent before a restart replaced the pause that the present start of the server had asked for, and, being that of another start, was then no pause either: requests reached the server within its pause. Change: `ServerPauses::recordAnswer` ignores an answer of another start than the one that is listed. A server that is not listed is treated as before. Before: lateAnswerOfTheEarlierStartKeepsThePauseOfTheNext failed; with it all 11 pass. Conclusion: A pause ends with its time or its start.

--- a/src/decisions/ServerPauses.cpp
+++ b/src/decisions/ServerPauses.cpp
@@ -32,10 +32,14 @@
         return;
     if (!answer.pause)
         return reportUnreadable(server.id);
+    const Pause ended {server.address, server.startedAtMs, now, now, true};
+    // An answer to a request from before a restart says nothing about the server listed now.
+    if (!isCurrent(server.id, ended, now))
+        return;
     Pause &pause = m_pauses[server.id];
     // The latest answer may be of a later start than the one before.
     if (!isSameStart(server, pause))
-        pause = {server.address, server.startedAtMs, now, now, true};
+        pause = ended;
     const TimePoint endsAt = now + *answer.pause;
     if (endsAt <= std::max(pause.endsAt, now))
         return;
--- a/tests/decisions/ServerPausesTest.cpp
+++ b/tests/decisions/ServerPausesTest.cpp
@@ -19,6 +19,7 @@
     CPPUNIT_TEST(laterEndOfOverlappingPausesCounts);
     CPPUNIT_TEST(restartAtTheSameAddressEndsThePause);
     CPPUNIT_TEST(lateAnswerOfTheEarlierStartIsNotThePauseOfTheNext);
+    CPPUNIT_TEST(lateAnswerOfTheEarlierStartKeepsThePauseOfTheNext);
     CPPUNIT_TEST(otherIdAtTheAddressIsNotPaused);
     CPPUNIT_TEST(serverThatIsListedAgainIsStillPaused);
     CPPUNIT_TEST(processesReturnAtDifferentTimes);
@@ -88,6 +89,17 @@
         CPPUNIT_ASSERT(!m_pauses.pausedUntil("a", m_now));
     }
 
+    // Guards against the end of a pause by an answer to a request from before the restart.
+    void lateAnswerOfTheEarlierStartKeepsThePauseOfTheNext()
+    {
+        const BackendInfo before = info("a", 1);
+        m_servers.put(info("a", 2), m_now);
+        m_pauses.recordAnswer(info("a", 2), answer(Ms(5000)), m_now);
+        const TimePoint end = m_now + Ms(5000);
+        m_pauses.recordAnswer(before, answer(Ms(2000)), m_now + Ms(100));
+        CPPUNIT_ASSERT(m_pauses.pausedUntil("a", m_now + Ms(200)) == end);
+    }
+
     void otherIdAtTheAddressIsNotPaused()
     {
         pause("a", Ms(5000));
