decisions: keep the notice of a listed server that is no longer remembered

Cause: `LeavingServers` holds the last 4,096 servers that left by an answer. When a listed one had been dropped from it, the next heartbeat of its entry ended its notice, although decision 0012 says that a listed server keeps its own mark, and it got requests again until its next answer. Change: An entry of the same start keeps the mark of the record, and puts the server back among those remembered. Conclusion: Only a restart ends the notice of a listed server.

--- a/src/decisions/BackendTable.cpp
+++ b/src/decisions/BackendTable.cpp
@@ -65,7 +65,8 @@
         record.lastContactAt = now;
     }
     record.info = info;
-    record.saysLeaving = m_leavingServers.contains(info);
+    // A listed server may have been dropped from m_leavingServers, which is bounded.
+    record.saysLeaving = record.saysLeaving || m_leavingServers.contains(info);
     if (record.saysLeaving)
         m_leavingServers.insert(info);
     reportLeaving(record, wasLeaving && !isNewStart,
--- a/tests/decisions/BackendTableTest.cpp
+++ b/tests/decisions/BackendTableTest.cpp
@@ -1,5 +1,7 @@
 #include "foxtailring/decisions/BackendTable.h"
 
+#include "foxtailring/decisions/LeavingServers.h"
+
 #include "ForwardFixture.h"
 
 using namespace foxtailring;
@@ -21,6 +23,7 @@
     CPPUNIT_TEST(serverThatSaysItLeavesIsNoCandidate);
     CPPUNIT_TEST(entryDoesNotRevokeWhatAnAnswerSaid);
     CPPUNIT_TEST(leavingServerThatIsListedAgainStillLeaves);
+    CPPUNIT_TEST(listedServerStillLeavesAfterManyOthers);
     CPPUNIT_TEST(restartEndsLeaving);
     CPPUNIT_TEST(answerOfAnEarlierStartIsIgnored);
     CPPUNIT_TEST(withoutStartTimeLeavingEndsWithTheEntry);
@@ -204,6 +207,17 @@
         CPPUNIT_ASSERT(!servers.server("a1", now)->acceptsNewWork());
     }
 
+    // Guards against a heartbeat that ends the notice of a server that is no longer remembered.
+    void listedServerStillLeavesAfterManyOthers()
+    {
+        sayLeaving("a1");
+        for (std::size_t i = 0; i < LeavingServers::maxSize; ++i)
+            servers.recordNotice(info("gone" + std::to_string(i), "a"), LeavingNotice::Leaving);
+        CPPUNIT_ASSERT(!servers.server("a1", now)->acceptsNewWork());
+        servers.put(info("a1", "a"), now);
+        CPPUNIT_ASSERT(!servers.server("a1", now)->acceptsNewWork());
+    }
+
     // Guards against losing a server for good because an earlier start of it left.
     void restartEndsLeaving()
     {
