platform: bound the timeout that a caller names

Cause: Timeouts are milliseconds of 64 bits on the wire and nanoseconds of 64 bits in the decisions. A caller that names a huge one, in order to wait as long as the route allows, got a negative one by the overflow, so that its deadline had passed when it arrived. Change: Timeouts are bounded to 0 to 24 h when they are decoded. Values that are no 64-bit integer still count as none. Before: callersTimeoutIsBounded failed for 2^63 - 1; with it all 35 tests of platform_test pass. What a whole gateway answered before was not measured. Conclusion: A patient caller gets the timeout of its route.

--- a/tests/platform/WireFormatTest.cpp
+++ b/tests/platform/WireFormatTest.cpp
@@ -8,6 +8,7 @@
 {
     CPPUNIT_TEST_SUITE(WireFormatTest);
     CPPUNIT_TEST(requestIsDecoded);
+    CPPUNIT_TEST(callersTimeoutIsBounded);
     CPPUNIT_TEST(sharedPromptPartsAreDecoded);
     CPPUNIT_TEST(sharedPromptPartsAreBounded);
     CPPUNIT_TEST(ambiguousRequestsAreRefused);
@@ -39,6 +40,19 @@
         CPPUNIT_ASSERT_EQUAL(std::int64_t(12), *request.lastEventId);
     }
 
+    // Guards against a patient caller that is refused because its timeout overflows in nanoseconds.
+    void callersTimeoutIsBounded()
+    {
+        using std::chrono::milliseconds;
+        CPPUNIT_ASSERT(withTimeout("9223372036854775807") == std::chrono::hours(24));
+        CPPUNIT_ASSERT(withTimeout("86400001") == std::chrono::hours(24));
+        CPPUNIT_ASSERT(withTimeout("86400000") == std::chrono::hours(24));
+        CPPUNIT_ASSERT(withTimeout("0") == milliseconds(0));
+        CPPUNIT_ASSERT(withTimeout("-9223372036854775808") == milliseconds(0));
+        for (const char *garbled : {"9223372036854775808", "2.5", "soon", ""})
+            CPPUNIT_ASSERT_MESSAGE(garbled, !withTimeout(garbled));
+    }
+
     // Guards against taking the part of one request for one that others have.
     void sharedPromptPartsAreDecoded()
     {
@@ -265,6 +279,16 @@
         return m_codec.decodeRequest(request).value();
     }
 
+    std::optional<std::chrono::milliseconds> withTimeout(const std::string &text) const
+    {
+        HttpRequest request = http();
+        for (HttpHeader &header : request.headers) {
+            if (header.name == "Request-Deadline-Ms")
+                header.value = text;
+        }
+        return m_codec.decodeRequest(request).value().timeout;
+    }
+
     static AttemptMetadata metadata()
     {
         AttemptMetadata out;
