transport: read the rest of a refused request for up to 30 s

Cause: A connection whose request was refused while it arrived (413, 431, 400, 408, and 503 in a stop) was closed 2 s after the refusal. A caller that was still sending its body then got a reset, and one that reads only after sending may lose the refusal. Ruled out: refusals of requests that have arrived whole. Change: The 2 s start anew with each read, for 30 s in all. Conclusion: A slow sender gets its refusal if it sends for less than 30 s after it.

--- a/src/transport/Http1Connection.cpp
+++ b/src/transport/Http1Connection.cpp
@@ -19,8 +19,10 @@
 namespace {
 
 // Time to read remaining input before the connection is closed: closing with unread input makes the
-// kernel reset the connection, and the caller may lose the response.
+// kernel reset the connection, and the caller may lose the response. Starts anew with each read, as
+// a caller may look for the response only when it has sent all of a long body.
 constexpr std::chrono::milliseconds drainTimeout {2000};
+constexpr std::chrono::milliseconds maxDrainTime {30'000};
 
 // Time to read input that was in the system's buffer when a deadline passed. A process that was
 // paused finds the deadlines of all its connections passed and reads 128 of them first.
@@ -184,6 +186,8 @@
         reportCut(ConnectionCut::Cause::Closing);
     if (m_phase == Phase::Request)
         parse();
+    else if (m_phase == Phase::Drain)
+        armDrainDeadline();
     read();
 }
 
@@ -347,10 +351,18 @@
     m_input.clear();
     ErrorStatus ignored;
     m_socket.shutdown(Tcp::socket::shutdown_send, ignored);
-    armDeadline(drainTimeout);
+    m_drainStartedAt = std::chrono::steady_clock::now();
+    armDrainDeadline();
     read();
 }
 
+void Http1Connection::armDrainDeadline()
+{
+    const auto age = std::chrono::steady_clock::now() - m_drainStartedAt;
+    const auto left = std::max(maxDrainTime - age, decltype(age)::zero());
+    armDeadline(std::min(drainTimeout, std::chrono::ceil<std::chrono::milliseconds>(left)));
+}
+
 void Http1Connection::armDeadline(TimeLimit limit)
 {
     m_deadlineLimit = limit;
--- a/src/transport/Http1Connection.h
+++ b/src/transport/Http1Connection.h
@@ -69,6 +69,7 @@
     void onWritten(ErrorStatus status, std::size_t size);
     void onResponseWritten();
     void drain();
+    void armDrainDeadline();
     void onTimeout();
     bool hasUnreadInput();
     /// \brief Restarts the deadline at the time at which the caller last took a part of the
@@ -94,7 +95,8 @@
     StrandTimer m_deadline;
     TimeLimit m_deadlineLimit = nullptr; ///< that the deadline follows; null: it is fixed
     std::chrono::steady_clock::time_point m_deadlineStartedAt;
-    bool m_isOverdue = false;         ///< the deadline has passed, input that had arrived is read
+    bool m_isOverdue = false; ///< the deadline has passed, input that had arrived is read
+    std::chrono::steady_clock::time_point m_drainStartedAt;
     std::size_t m_unacknowledged = 0; ///< of the bytes written, when the deadline was set
     Phase m_phase = Phase::Request;
     std::optional<Parser> m_parser;
--- a/tests/transport/Http1ServerTest.cpp
+++ b/tests/transport/Http1ServerTest.cpp
@@ -46,6 +46,7 @@
     CPPUNIT_TEST(malformedRequestsAreAnswered400);
     CPPUNIT_TEST(randomBytesDoNotStopTheServer);
     CPPUNIT_TEST(oversizedRequestsAreRejected);
+    CPPUNIT_TEST(rejectedSenderMaySendForSeconds);
     CPPUNIT_TEST(disconnectIsDetectedBeforeTheResponse);
     CPPUNIT_TEST(disconnectIsDetectedWhileStreaming);
     CPPUNIT_TEST(disconnectHookSetAfterDisconnectRuns);
@@ -152,6 +153,17 @@
         }
     }
 
+    // Guards against a refusal that is lost by a reset because its caller reads only after sending.
+    void rejectedSenderMaySendForSeconds()
+    {
+        RawPeer peer(m_port);
+        peer.write("POST / HTTP/1.1\r\nContent-Length: 1000000000\r\n\r\n");
+        const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(3);
+        while (std::chrono::steady_clock::now() < end)
+            CPPUNIT_ASSERT(peer.tryWrite("part of the body", std::chrono::milliseconds(50)));
+        CPPUNIT_ASSERT(peer.readUntil("\r\n").starts_with("HTTP/1.1 413 "));
+    }
+
     void disconnectIsDetectedBeforeTheResponse()
     {
         RawPeer peer(m_port);
--- a/tests/transport/RawPeer.h
+++ b/tests/transport/RawPeer.h
@@ -48,6 +48,18 @@
         boost::asio::write(m_socket, boost::asio::buffer(bytes), ignored);
     }
 
+    /// \brief Writes unless the connection is reset within \a interval. Returns false after a
+    /// reset.
+    bool tryWrite(std::string_view bytes, std::chrono::milliseconds interval)
+    {
+        pollfd waited {m_socket.native_handle(), 0, 0}; // errors alone
+        if (::poll(&waited, 1, static_cast<int>(interval.count())) != 0)
+            return false;
+        boost::system::error_code status;
+        boost::asio::write(m_socket, boost::asio::buffer(bytes), status);
+        return !status;
+    }
+
     /// \brief Reads up to and including \a mark, or up to the end of the connection.
     std::string readUntil(std::string_view mark)
     {
