decisions: date other gateways' crash reports by their arrival

Cause: Crashes of different gateways were put in order by Unix times. Where wall clocks differed by a second, a process that saw no failure itself made two moments of the loss of one zone and quarantined a sound part. A step of a clock, at the reporter or the reader, dated a reported crash anew, so that one that a start had cleared counted again. Ruled out: revisions of the store, ages counted from the reading, one fixed bound of uncertainty (decision 0014). Change: Reports say when they were made, on a clock that follows only steps of the wall clock. ReporterClocks keeps bounds of each reporter's clock, from the last confirmation of the store before a report came and the time when it was read; wall clocks count within 5 s. Crashes of others have bounds (TimeBounds); two moments are counted only if they are surely apart, and a start clears a crash that may have come before it. Conclusion: The order of moments does not depend on agreeing wall clocks, except for reports that were in the store before a gateway asked.

--- a/include/foxtailring/decisions/PromptCrashReport.h
+++ b/include/foxtailring/decisions/PromptCrashReport.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -8,7 +9,8 @@
 
 /// \brief What one process tells the others about prompt parts that may crash engines.
 ///
-/// Times are Unix times in milliseconds: events that several processes saw are put in order.
+/// Times are milliseconds of a clock of the reporter that goes on evenly. It shows about the Unix
+/// time, which versions before Dating rely on.
 struct PromptCrashReport
 {
     /// An engine failed before it had begun to answer a request.
@@ -37,9 +39,18 @@
         bool operator==(const Quarantine &) const = default;
     };
 
+    /// Tells how the times of the report relate to the times of its readers.
+    struct Dating
+    {
+        std::int64_t clockId = 0; ///< changes when the clock of the reporter is set anew
+        std::int64_t sentMs = 0;  ///< when the report was made
+        bool operator==(const Dating &) const = default;
+    };
+
     std::vector<Crash> crashes;
     std::vector<Start> starts;
     std::vector<Quarantine> quarantines;
+    std::optional<Dating> dating; ///< none: of a version before it
 
     bool isEmpty() const { return crashes.empty() && starts.empty() && quarantines.empty(); }
     bool operator==(const PromptCrashReport &) const = default;
--- a/include/foxtailring/decisions/PromptQuarantine.h
+++ b/include/foxtailring/decisions/PromptQuarantine.h
@@ -3,6 +3,9 @@
 #include "foxtailring/base/Clock.h"
 #include "foxtailring/decisions/PromptCrashReport.h"
 #include "foxtailring/decisions/RecentStarts.h"
+#include "foxtailring/decisions/ReporterClocks.h"
+#include "foxtailring/decisions/ReportReception.h"
+#include "foxtailring/decisions/TimeBounds.h"
 
 #include <chrono>
 #include <cstddef>
@@ -64,7 +67,7 @@
 
     void setHooks(Hooks hooks) { m_hooks = std::move(hooks); }
     /// \brief Sets what is added to a time of this process to get the Unix time of a report.
-    void setUnixOffset(std::chrono::milliseconds offset) { m_unixOffset = offset; }
+    void setUnixOffset(std::chrono::milliseconds offset);
 
     /// \brief An engine failed, whatever it was doing.
     void recordFailure(const std::string &incarnation, TimePoint now);
@@ -84,7 +87,8 @@
     std::string_view quarantinedPart(Parts parts, TimePoint now) const;
 
     /// \brief Adds what another process, or this one before its restart, has reported.
-    void applyReport(const PromptCrashReport &report, TimePoint now);
+    void applyReport(const PromptCrashReport &report, TimePoint now,
+                     const ReportReception &reception = {});
     /// \brief Report of this process, if it must be published now. Counts as published.
     std::optional<PromptCrashReport> takeDueReport(TimePoint now);
     /// \brief The latest report was not published.
@@ -100,7 +104,7 @@
 private:
     struct Crash
     {
-        TimePoint at;
+        TimeBounds at;
         std::size_t position = 0; ///< of the part among the parts of its request
         bool isOwn = false;       ///< seen by this process
     };
@@ -132,32 +136,36 @@
         std::multimap<std::size_t, std::string> parts; ///< by position
     };
 
-    void addCrash(const std::string &incarnation, Parts parts, TimePoint at, bool isOwn,
+    void addCrash(const std::string &incarnation, Parts parts, TimeBounds at, bool isOwn,
                   TimePoint now);
+    static void addSighting(Crash &crash, TimeBounds at, bool isOwn);
     Record *recordFor(const std::string &part);
     void addStart(const std::string &part, Record &record, TimePoint at, bool isOwn);
-    void adoptQuarantine(const PromptCrashReport::Quarantine &reported, TimePoint now);
+    void adoptQuarantine(const PromptCrashReport::Quarantine &reported, const ReporterClock &clock,
+                         TimePoint now);
     void updateAllQuarantines(TimePoint now);
     void updateQuarantine(const std::string &part, Record &record, TimePoint now);
     /// The record that makes room for a new one; end: none may.
     Records::iterator leastSuspect();
     std::size_t crashCount(const Record &record) const;
-    bool isAtMostFailures(const Record &record, TimePoint at) const;
-    bool isSameMoment(TimePoint one, TimePoint other) const;
+    bool isAtMostFailures(const Record &record, TimeBounds at) const;
+    bool isSurelyLater(TimeBounds at, TimeBounds other) const;
+    bool mayBeSameMoment(TimeBounds one, TimeBounds other) const;
     bool isExplained(const std::string &part, const Record &record) const;
     void quarantine(const std::string &part, Record &record, TimePoint now);
     void release(const std::string &part, Record &record, std::string_view cause);
     bool isQuarantined(const Record &record, TimePoint now) const;
     static TimePoint latestCrash(const Record &record);
     PromptCrashReport currentReport() const;
-    std::int64_t toUnixMs(TimePoint time) const;
-    TimePoint fromUnixMs(std::int64_t ms, TimePoint now) const;
+    std::int64_t toReportMs(TimePoint time) const;
 
     const Settings m_settings;
     Hooks m_hooks;
     Records m_records;
     RecentStarts m_recentStarts;
+    ReporterClocks m_reporterClocks;
     std::chrono::milliseconds m_unixOffset {0};
+    std::optional<std::chrono::milliseconds> m_reportOffset; ///< of the clock of own reports
     PromptCrashReport m_published;
     TimePoint m_reportAt = TimePoint::max(); ///< when the next report is due
     std::deque<Failure> m_failures;          ///< of all engines, by time
--- /dev/null
+++ b/include/foxtailring/decisions/ReporterClocks.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "foxtailring/decisions/ReporterClock.h"
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+
+namespace foxtailring {
+
+struct PromptCrashReport;
+struct ReportReception;
+
+/// \brief Learns from the arrival of reports how the clocks of their reporters differ from the
+/// clock of this process. Wall clocks are used only within what they may differ by.
+///
+/// Bounded; not thread-safe.
+class ReporterClocks
+{
+public:
+    /// \param unixOffset what is added to a time of this process to get the Unix time
+    ReporterClock read(const PromptCrashReport &report, const ReportReception &reception,
+                       std::chrono::milliseconds unixOffset, TimePoint now);
+
+private:
+    struct Known
+    {
+        std::int64_t id; ///< of the clock
+        ReporterClock clock;
+        TimePoint readAt;
+    };
+
+    void makeRoom();
+
+    std::map<std::string, Known, std::less<>> m_known; ///< by reporter
+};
+
+} // namespace foxtailring
--- a/src/decisions/PromptQuarantine.cpp
+++ b/src/decisions/PromptQuarantine.cpp
@@ -24,8 +24,17 @@
 // Suspects of one request: the parts at the beginning and at the end of its shared prompt. A caller
 // could otherwise fill the table with one request.
 constexpr std::size_t maxSuspectsPerEnd = 16;
-// Clocks of VMs differ by less.
+// What the end of a quarantine may be off by when its reporter's clock is known by wall clocks
+// alone.
 constexpr std::chrono::seconds maxClockDifference {5};
+// The clock of own reports follows the wall clock only when that is set anew, so that two readings
+// of it do not change the order of what they date.
+constexpr milliseconds minClockStep {500};
+
+TimeBounds notAfter(TimeBounds bounds, TimePoint now)
+{
+    return {std::min(bounds.earliest, now), std::min(bounds.latest, now)};
+}
 
 } // namespace
 
@@ -39,6 +48,13 @@
 {
 }
 
+void PromptQuarantine::setUnixOffset(milliseconds offset)
+{
+    m_unixOffset = offset;
+    if (!m_reportOffset || std::chrono::abs(offset - *m_reportOffset) >= minClockStep)
+        m_reportOffset = offset;
+}
+
 void PromptQuarantine::recordFailure(const std::string &incarnation, TimePoint now)
 {
     const auto isSame = [&](const Failure &failure) {
@@ -57,7 +73,7 @@
     if (parts.empty())
         return;
     recordFailure(incarnation, now);
-    addCrash(incarnation, parts, now, true, now);
+    addCrash(incarnation, parts, {now, now}, true, now);
     const auto recent = std::count_if(m_failures.begin(), m_failures.end(), [&](const auto &one) {
         return now - one.at < m_settings.minCrashInterval;
     });
@@ -65,10 +81,10 @@
     m_reportAt = isMassFailure ? now + massFailureReportDelay : std::min(m_reportAt, now);
 }
 
-void PromptQuarantine::addCrash(const std::string &incarnation, Parts parts, TimePoint at,
+void PromptQuarantine::addCrash(const std::string &incarnation, Parts parts, TimeBounds at,
                                 bool isOwn, TimePoint now)
 {
-    if (now - at >= m_settings.evidenceLifetime)
+    if (now - at.latest >= m_settings.evidenceLifetime)
         return;
     for (std::size_t position = 0; position < parts.size(); ++position) {
         const bool isInMiddle =
@@ -81,7 +97,7 @@
             record->startedAt = *started;
             record->isOwnStart = true;
         }
-        if (record->startedAt >= at) {
+        if (record->startedAt >= at.earliest) {
             // Another process suspects the part: it is told of the start.
             if (!isOwn && record->isOwnStart && m_reportAt == TimePoint::max())
                 m_reportAt = now + (m_hooks.clearingDelay ? m_hooks.clearingDelay() : Duration {0});
@@ -90,11 +106,10 @@
         const auto found = record->crashes.find(incarnation);
         if (found == record->crashes.end() && record->crashes.size() >= maxCrashesPerPart)
             continue;
-        Crash &crash = record->crashes[incarnation];
-        const bool isNew = crash.at == TimePoint {};
-        crash.at = isNew ? at : std::min(crash.at, at);
+        Crash &crash =
+            record->crashes.try_emplace(incarnation, Crash {at, position, isOwn}).first->second;
+        addSighting(crash, at, isOwn);
         crash.position = std::max(crash.position, position);
-        crash.isOwn = crash.isOwn || isOwn;
     }
     // Only now are all parts known that may explain each other.
     for (const std::string &part : parts) {
@@ -104,6 +119,20 @@
     }
 }
 
+// Several processes see the end of one engine, some of them late: the first sighting counts. What
+// this process saw itself is exact, and reports do not blur it.
+void PromptQuarantine::addSighting(Crash &crash, TimeBounds at, bool isOwn)
+{
+    const bool isSurelyEarlier = at.latest < crash.at.earliest;
+    const bool isSurelyLater = at.earliest > crash.at.latest;
+    const bool isMoreExact = isOwn && !crash.isOwn && !isSurelyLater;
+    if (isSurelyEarlier || isMoreExact)
+        crash.at = at;
+    else if (!crash.isOwn && !isOwn)
+        crash.at = {std::min(crash.at.earliest, at.earliest), std::min(crash.at.latest, at.latest)};
+    crash.isOwn = crash.isOwn || isOwn;
+}
+
 // When the table is full, the part with the fewest and oldest crashes makes room, unless it is
 // quarantined: a caller that sends new parts all the time must not end a quarantine.
 PromptQuarantine::Record *PromptQuarantine::recordFor(const std::string &part)
@@ -138,7 +167,7 @@
 {
     TimePoint latest;
     for (const auto &[incarnation, crash] : record.crashes)
-        latest = std::max(latest, crash.at);
+        latest = std::max(latest, crash.at.latest);
     return latest;
 }
 
@@ -169,7 +198,8 @@
         return;
     record.startedAt = at;
     record.isOwnStart = isOwn;
-    std::erase_if(record.crashes, [at](const auto &crash) { return crash.second.at <= at; });
+    std::erase_if(record.crashes,
+                  [at](const auto &crash) { return crash.second.at.earliest <= at; });
     if (record.isInQuarantine && at > record.quarantinedSince)
         release(part, record, "started");
     if (!record.isInQuarantine) {
@@ -217,31 +247,36 @@
 }
 
 // A process that restarts gets its own report back.
-void PromptQuarantine::applyReport(const PromptCrashReport &report, TimePoint now)
+void PromptQuarantine::applyReport(const PromptCrashReport &report, TimePoint now,
+                                   const ReportReception &reception)
 {
+    const ReporterClock clock = m_reporterClocks.read(report, reception, m_unixOffset, now);
     for (const auto &crash : report.crashes)
-        addCrash(crash.incarnation, crash.parts, fromUnixMs(crash.atMs, now), false, now);
+        addCrash(crash.incarnation, crash.parts, notAfter(clock.boundsOf(crash.atMs), now), false,
+                 now);
     for (const auto &start : report.starts) {
         const auto found = m_records.find(start.part);
         if (found != m_records.end())
-            addStart(start.part, found->second, fromUnixMs(start.atMs, now), false);
+            addStart(start.part, found->second, notAfter(clock.boundsOf(start.atMs), now).latest,
+                     false);
     }
     for (const auto &reported : report.quarantines)
-        adoptQuarantine(reported, now);
+        adoptQuarantine(reported, clock, now);
     if (!report.starts.empty())
         updateAllQuarantines(now);
 }
 
-void PromptQuarantine::adoptQuarantine(const PromptCrashReport::Quarantine &reported, TimePoint now)
+void PromptQuarantine::adoptQuarantine(const PromptCrashReport::Quarantine &reported,
+                                       const ReporterClock &clock, TimePoint now)
 {
-    const milliseconds left(reported.untilMs - toUnixMs(now));
+    const Duration left = clock.boundsOf(reported.untilMs).latest - now;
     const milliseconds whole(reported.untilMs - reported.sinceMs);
     const bool isCredible = whole <= m_settings.maxQuarantine && left <= whole + maxClockDifference
         && m_records.size() < m_settings.maxParts / 2;
     if (!isCredible)
         return;
     const auto time = std::min<Duration>(left, m_settings.maxQuarantine);
-    const TimePoint since = fromUnixMs(reported.sinceMs, now);
+    const TimePoint since = notAfter(clock.boundsOf(reported.sinceMs), now).latest;
     const auto started = m_recentStarts.lastStart(reported.part);
     if (time <= Duration {0} || (started && *started > since))
         return;
@@ -280,19 +315,20 @@
         quarantine(part, record, now);
 }
 
-// Crashes that happened at the same moment count once.
+// Crashes that may have happened at the same moment count once.
 std::size_t PromptQuarantine::crashCount(const Record &record) const
 {
-    std::vector<TimePoint> times;
+    std::vector<TimeBounds> times;
     for (const auto &[incarnation, crash] : record.crashes) {
         if (isAtMostFailures(record, crash.at))
             times.push_back(crash.at);
     }
-    std::sort(times.begin(), times.end());
+    std::sort(times.begin(), times.end(),
+              [](const auto &one, const auto &other) { return one.latest < other.latest; });
     std::size_t count = 0;
-    TimePoint counted;
-    for (const TimePoint at : times) {
-        if (count > 0 && at - counted < m_settings.minCrashInterval)
+    TimeBounds counted;
+    for (const TimeBounds &at : times) {
+        if (count > 0 && !isSurelyLater(at, counted))
             continue;
         ++count;
         counted = at;
@@ -302,24 +338,30 @@
 
 // True if the part was suspect at most of the engines that failed around \a at. When a zone is
 // lost, few of its engines process any one part; a part that crashes engines is at all that fail.
-bool PromptQuarantine::isAtMostFailures(const Record &record, TimePoint at) const
+bool PromptQuarantine::isAtMostFailures(const Record &record, TimeBounds at) const
 {
     std::size_t suspected = 0;
     std::size_t others = 0;
     for (const auto &[incarnation, crash] : record.crashes) {
-        if (isSameMoment(crash.at, at))
+        if (mayBeSameMoment(crash.at, at))
             ++suspected;
     }
     for (const Failure &failure : m_failures) {
-        if (isSameMoment(failure.at, at) && !record.crashes.contains(failure.incarnation))
+        if (mayBeSameMoment({failure.at, failure.at}, at)
+            && !record.crashes.contains(failure.incarnation))
             ++others;
     }
     return suspected > others;
 }
 
-bool PromptQuarantine::isSameMoment(TimePoint one, TimePoint other) const
+bool PromptQuarantine::isSurelyLater(TimeBounds at, TimeBounds other) const
+{
+    return at.earliest - other.latest >= m_settings.minCrashInterval;
+}
+
+bool PromptQuarantine::mayBeSameMoment(TimeBounds one, TimeBounds other) const
 {
-    return std::max(one, other) - std::min(one, other) < m_settings.minCrashInterval;
+    return !isSurelyLater(one, other) && !isSurelyLater(other, one);
 }
 
 // Another part, deeper in the prompt, was suspect in all the crashes in which this one was. The
@@ -376,8 +418,9 @@
             hasChanged = true;
         }
         if (!record.isInQuarantine)
-            hasChanged |= std::erase_if(record.crashes,
-                                        [&](const auto &crash) { return isOld(crash.second.at); })
+            hasChanged |=
+                std::erase_if(record.crashes,
+                              [&](const auto &crash) { return isOld(crash.second.at.latest); })
                 > 0;
     }
     // Others must not take over what has expired here.
@@ -406,6 +449,7 @@
     if (report == m_published)
         return std::nullopt;
     m_published = report;
+    report.dating = {m_reportOffset.value_or(milliseconds(0)).count(), toReportMs(now)};
     return report;
 }
 
@@ -425,20 +469,20 @@
             if (!crash.isOwn)
                 continue;
             isOwn = true;
-            crashes[incarnation].at = crash.at;
+            crashes[incarnation].at = crash.at.latest;
             crashes[incarnation].parts.emplace(crash.position, part);
         }
         if (record.isOwnStart)
-            report.starts.push_back({part, toUnixMs(record.startedAt)});
+            report.starts.push_back({part, toReportMs(record.startedAt)});
         if (record.isInQuarantine && isOwn)
             report.quarantines.push_back(
-                {part, toUnixMs(record.quarantinedSince), toUnixMs(record.quarantinedUntil)});
+                {part, toReportMs(record.quarantinedSince), toReportMs(record.quarantinedUntil)});
     }
     for (auto &[incarnation, crash] : crashes) {
         while (crash.parts.size() > maxReportedParts)
             crash.parts.erase(crash.parts.begin());
         PromptCrashReport::Crash &reported = report.crashes.emplace_back(
-            PromptCrashReport::Crash {incarnation, toUnixMs(crash.at), {}});
+            PromptCrashReport::Crash {incarnation, toReportMs(crash.at), {}});
         for (auto &[position, part] : crash.parts)
             reported.parts.push_back(part);
     }
@@ -449,16 +493,10 @@
     return report;
 }
 
-std::int64_t PromptQuarantine::toUnixMs(TimePoint time) const
+std::int64_t PromptQuarantine::toReportMs(TimePoint time) const
 {
     return std::chrono::duration_cast<milliseconds>(time.time_since_epoch()).count()
-        + m_unixOffset.count();
-}
-
-// Clocks differ between VMs; nothing that is reported happens later.
-TimePoint PromptQuarantine::fromUnixMs(std::int64_t ms, TimePoint now) const
-{
-    return std::min(TimePoint(milliseconds(ms) - m_unixOffset), now);
+        + m_reportOffset.value_or(milliseconds(0)).count();
 }
 
 } // namespace foxtailring
--- a/src/gateway/PromptCrashReportCodec.cpp
+++ b/src/gateway/PromptCrashReportCodec.cpp
@@ -51,6 +51,11 @@
         && isTime(value[2]);
 }
 
+bool isDating(const json &value)
+{
+    return value.is_array() && value.size() == 2 && isTime(value[0]) && isTime(value[1]);
+}
+
 bool isReport(const json &document)
 {
     const auto all = [&](const char *name, bool (*isEntry)(const json &)) {
@@ -58,7 +63,8 @@
     };
     return document.is_object() && isList(document, "crashes", maxCrashes)
         && isList(document, "starts", maxNames) && isList(document, "quarantines", maxNames)
-        && all("crashes", isCrash) && all("starts", isStart) && all("quarantines", isQuarantine);
+        && all("crashes", isCrash) && all("starts", isStart) && all("quarantines", isQuarantine)
+        && (!document.contains("dating") || isDating(document["dating"]));
 }
 
 } // namespace
@@ -74,6 +80,8 @@
     for (const auto &quarantine : report.quarantines)
         document["quarantines"].push_back(
             {quarantine.part, quarantine.sinceMs, quarantine.untilMs});
+    if (report.dating)
+        document["dating"] = {report.dating->clockId, report.dating->sentMs};
     return document.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
@@ -92,6 +100,9 @@
         report.quarantines.push_back({quarantine[0].get<std::string>(),
                                       quarantine[1].get<std::int64_t>(),
                                       quarantine[2].get<std::int64_t>()});
+    if (document.contains("dating"))
+        report.dating = {document["dating"][0].get<std::int64_t>(),
+                         document["dating"][1].get<std::int64_t>()};
     return report;
 }
 
--- a/src/gateway/StoreWatch.cpp
+++ b/src/gateway/StoreWatch.cpp
@@ -89,6 +89,7 @@
     };
     hooks.onConfirmed = [this](TimePoint confirmedAt) {
         post([this, confirmedAt] {
+            m_confirmedAt = confirmedAt;
             m_parts.keyFreshness.recordConfirmation(confirmedAt);
             m_parts.rateLimits.recordConfirmation(confirmedAt);
             if (m_confirmedHook)
@@ -124,7 +125,7 @@
         if (isRateLimitKey(pair.key))
             reports.push_back(readRateLimitReport(pair));
         if (isPromptCrashKey(pair.key))
-            applyPromptCrashReport(pair);
+            applyPromptCrashReport(pair, {});
         if (!isServerKey(pair.key))
             continue;
         auto server = m_schema.decodeServer(serverIdOf(pair.key), pair.value);
@@ -154,7 +155,7 @@
         if (pair.key == m_schema.configKey && !event.deleted)
             applyConfig(pair);
         if (isPromptCrashKey(pair.key) && !event.deleted)
-            applyPromptCrashReport(pair);
+            applyPromptCrashReport(pair, m_confirmedAt);
         if (!isServerKey(pair.key))
             continue;
         if (event.deleted) {
@@ -196,11 +197,12 @@
     m_parts.updateFleetSize();
 }
 
-void StoreWatch::applyPromptCrashReport(const KeyValue &pair)
+void StoreWatch::applyPromptCrashReport(const KeyValue &pair, TimePoint writtenAfter)
 {
     const auto report = PromptCrashReportCodec::decode(pair.value);
     if (report)
-        return m_parts.quarantine.applyReport(report.value(), m_parts.clock());
+        return m_parts.quarantine.applyReport(report.value(), m_parts.clock(),
+                                              {pair.key, writtenAfter});
     StructuredLog::warn("crashReportUnreadable",
                         {{"key", pair.key}, {"message", report.error().message}});
 }
--- a/src/gateway/StoreWatch.h
+++ b/src/gateway/StoreWatch.h
@@ -33,7 +33,7 @@
     void applyEvents(const std::vector<WatchEvent> &events);
     void applyConfig(const KeyValue &pair);
     void applyServer(const KeyValue &pair);
-    void applyPromptCrashReport(const KeyValue &pair);
+    void applyPromptCrashReport(const KeyValue &pair, TimePoint writtenAfter);
     void applyRateLimitReports(std::span<const WatchEvent> events);
     void applyGateways(std::span<const WatchEvent> events);
     bool isServerKey(std::string_view key) const;
@@ -42,6 +42,7 @@
     GatewayParts &m_parts;
     const StoreSchema m_schema;
     std::function<void()> m_configAppliedHook;
+    TimePoint m_confirmedAt; ///< all changes until then have been applied
     std::function<void()> m_confirmedHook;
     PrefixWatcher m_watcher;
 };
