decisions: keep a run whose next event is arriving in pieces

Cause: A report that counts one event more than have arrived was taken as proof of a lost connection, also while the bytes of that event were arriving. An event stream over a slow connection, with over 0.22 s from the first to the last byte of an event, was replaced at each event and cut when no attempt was left. The time until a stuck run is left was ruled out: it is 2.1 s after the latest event, and the replacement came sooner. Change: RequestRelay tells StreamSession of incomplete events. While their bytes arrive within the usual silence, a report may count one event more than have arrived. Conclusion: A connection that delivers only a part of an event and then nothing is found one probe later.

--- a/include/foxtailring/decisions/StreamSession.h
+++ b/include/foxtailring/decisions/StreamSession.h
@@ -31,6 +31,8 @@
 
     /// \brief An event arrived. After Gap, the attempt must be ended as lost.
     EventVerdict onEvent(std::int64_t id, TimePoint now);
+    /// \brief Bytes of an event arrived that is not complete yet.
+    void onPartialEvent(TimePoint now) { m_partialEventAt = now; }
     /// \brief Whether a stream that ends now is complete. If not, the attempt must be ended as
     /// lost.
     bool confirmEnd();
@@ -83,7 +85,7 @@
     /// When the attempt is given up although its server answers probes.
     TimePoint stuckAt() const;
     bool isPresumedLost(TimePoint now) const;
-    bool showsLostRun(const ServerProbeResult &report) const;
+    bool showsLostRun(const ServerProbeResult &report, TimePoint now) const;
     void endPlacement();
     ForwardAction onSilent(TimePoint now);
     /// Goes on with the attempt at a silent server, since no other server can take its place.
@@ -100,8 +102,9 @@
     bool m_isResumed = false;          ///< the current attempt resumes from a copy
     bool m_hasEmptyEnd = false;        ///< an attempt ended in order without an event
     TimePoint m_lastEventAt;
-    TimePoint m_firstEventAt;  ///< of the current attempt
-    TimePoint m_lastContactAt; ///< with the current server
+    TimePoint m_partialEventAt; ///< latest bytes of an incomplete event
+    TimePoint m_firstEventAt;   ///< of the current attempt
+    TimePoint m_lastContactAt;  ///< with the current server
     TimePoint m_probedAt;
     bool m_isProbing = false;       ///< a probe of the current server is in progress
     bool m_isFindingPrompt = false; ///< a probe for the prompt is in progress
--- a/src/decisions/StreamSession.cpp
+++ b/src/decisions/StreamSession.cpp
@@ -105,6 +105,7 @@
     m_lastContactAt = now;
     m_lastEventId = id;
     m_lastEventAt = now;
+    m_partialEventAt = {};
     return EventVerdict::Next;
 }
 
@@ -288,6 +289,7 @@
     next.lastEventId = m_lastEventId;
     m_isResumed = next.fromCopy.has_value();
     m_hasEvents = false;
+    m_partialEventAt = {};
     m_attemptEvents = 0;
     m_isProbing = false;
     m_isProbingHolder = false;
@@ -464,7 +466,7 @@
         m_lastContactAt = now;
         return KeepWaiting {};
     }
-    if (showsLostRun(reports.front()))
+    if (showsLostRun(reports.front(), now))
         return onAttemptEnded(AttemptResult::Silent, now);
     const BackendLoadReport &load = reports.front().load;
     const std::uint32_t prompts = load.prefilling + load.waiting;
@@ -503,15 +505,18 @@
 
 // True if the server was replaced or restarted, produced events that did not arrive, or no longer
 // has the run.
-bool StreamSession::showsLostRun(const ServerProbeResult &report) const
+bool StreamSession::showsLostRun(const ServerProbeResult &report, TimePoint now) const
 {
     const auto current = context().servers.server(server().info.id, m_probedAt);
     if (current && current->isReplaced)
         return true;
     if (!m_hasEvents)
         return false;
-    if (report.hasRun)
-        return report.eventCount > m_lastEventId.value_or(0);
+    if (report.hasRun) {
+        // An event whose bytes are arriving slowly is produced, but not missing.
+        const bool isArriving = now - m_partialEventAt < silenceThreshold();
+        return report.eventCount > m_lastEventId.value_or(0) + (isArriving ? 1 : 0);
+    }
     return m_probedAt - m_firstEventAt > maxReportAge;
 }
 
--- a/src/gateway/RequestRelay.cpp
+++ b/src/gateway/RequestRelay.cpp
@@ -364,7 +364,9 @@
     if (m_isFinished || m_attempt.number != number)
         return;
     if (!isReadable || !updateHeldMemory("stream"))
-        endAttempt(AttemptResult::Invalid);
+        return endAttempt(AttemptResult::Invalid);
+    if (m_attempt.events.hasPartialEvent())
+        m_stream->onPartialEvent(m_parts.clock());
 }
 
 bool RequestRelay::updateHeldMemory(std::string_view what)
--- a/tests/decisions/StreamSessionTest.cpp
+++ b/tests/decisions/StreamSessionTest.cpp
@@ -14,6 +14,8 @@
     CPPUNIT_TEST(deadServerIsDetectedWithinTheAllowedPause);
     CPPUNIT_TEST(slowServerThatAnswersIsKept);
     CPPUNIT_TEST(missingEventsShowALostConnection);
+    CPPUNIT_TEST(eventThatArrivesInPiecesIsNotMissing);
+    CPPUNIT_TEST(eventThatStoppedArrivingIsMissing);
     CPPUNIT_TEST(reportMayMissARecentRun);
     CPPUNIT_TEST(slowPromptIsNotTakenForSilence);
     CPPUNIT_TEST(stuckServerIsAbandoned);
@@ -127,6 +129,30 @@
         CPPUNIT_ASSERT(sent(session.onProbed(report(id, 14), probedAt)).fromCopy);
     }
 
+    // Guards against cutting a sound stream over a slow connection.
+    void eventThatArrivesInPiecesIsNotMissing()
+    {
+        StreamSession session(m_route, request(), context(), {true, true, true});
+        const std::string id = sent(started(session)).server.info.id;
+        const TimePoint probedAt = tenEvents(session) + Ms(300);
+        session.onPartialEvent(probedAt - Ms(20));
+        session.check(probedAt);
+        CPPUNIT_ASSERT(isWaiting(session.onProbed(report(id, 11), probedAt)));
+        session.check(session.nextCheck());
+        CPPUNIT_ASSERT(sent(session.onProbed(report(id, 12), session.nextCheck())).fromCopy);
+    }
+
+    // Guards against waiting for the rest of an event on a dead connection.
+    void eventThatStoppedArrivingIsMissing()
+    {
+        StreamSession session(m_route, request(), context(), {true, true, true});
+        const std::string id = sent(started(session)).server.info.id;
+        const TimePoint last = tenEvents(session);
+        session.onPartialEvent(last);
+        session.check(last + Ms(300));
+        CPPUNIT_ASSERT(sent(session.onProbed(report(id, 11), last + Ms(300))).fromCopy);
+    }
+
     // Reports are a few hundred ms old. Guards against treating a run that just started as lost.
     void reportMayMissARecentRun()
     {
