tests: run slow and stalled servers and callers against the gateway

Cause: Servers that dribble had only been tried on parts of the gateway (PROOFS.md: "not tried"). Change: slow_peers runs the program before stand-ins whose requests name a shape: sound streams with an event each 1.4 s, a byte each 20 ms or a head in bytes; whole answers sent over 2.4 s (length, chunks, end of the connection); streams and answers that stall; reports without an end; callers that send in bytes, stall, read slowly or not at all. Calls on all routes must be served meanwhile.

--- a/tools/lib/soak/backend.py
+++ b/tools/lib/soak/backend.py
@@ -5,7 +5,8 @@
 Appends a JSON line for each run to LOG, which is kept when the process ends. POST /standin/faults
 sets the probability of each fault: notRun, error, truncated, garbled, doubled, answerLost, silent (a second
 before the answer), unframed (an answer with neither a length nor chunks), and the shapes of endless.py. A call
-with the query `pad=N` gets an answer with N more bytes. POST /standin/limit sets the rate limit that answers name; null: none.
+with the query `pad=N` gets an answer with N more bytes, one with `dribble=SHAPE` an answer in small pieces (dribble.py);
+fault dribbledReport: reports that never end, a byte now and then. POST /standin/limit sets the rate limit that answers name; null: none.
 POST /standin/leaving sets the value by which each answer says that the server leaves; null: none does.
 POST /standin/pause has the server turn every request away and ask for a pause of so many seconds; null: no more.
 """
@@ -24,7 +25,7 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent.parent
 sys.path[:0] = [str(ROOT / "platform" / "standins"), str(ROOT / "tools" / "lib")]
 import wire  # noqa: E402
-from soak import endless, http_standin  # noqa: E402
+from soak import dribble, endless, http_standin  # noqa: E402
 from system import request as send_request  # noqa: E402
 
 SLOTS = {"engine": 16, "register": 6}
@@ -45,6 +46,11 @@
     return f"id: {number}\ndata: {request}:{number}\n\n".encode()
 
 
+def query_value(handler, name):
+    values = urllib.parse.parse_qs(urllib.parse.urlsplit(handler.path).query).get(name)
+    return values[0] if values else None
+
+
 def whole_stream(request, last_event):
     """Returns all events after the last one: an answer of one event would look complete (seed 513)."""
     return b"".join(event_text(request, number) for number in range(last_event + 1, EVENTS_PER_RUN + 1))
@@ -120,12 +126,14 @@
         return handler.answer_json(200, wire.copy_response(handle, events), self.state_headers())
 
     def report(self, handler):
+        if self.has_fault("dribbledReport"):
+            return dribble.send_endless_report(handler, handler.head(200, 100000, self.state_headers()))
         with self.lock:
             runs = [(request, PROMPT_TOKENS + events * 5, events)
                     for request, events in self.running.items() if events > 0]
             count = len(self.running)
-        handler.answer_json(200, wire.report(count, 0, runs, count * PROMPT_TOKENS, MEMORY_TOKENS),
-                            self.state_headers())
+        return handler.answer_json(200, wire.report(count, 0, runs, count * PROMPT_TOKENS, MEMORY_TOKENS),
+                                   self.state_headers())
 
     def admit(self, handler, body):
         headers = handler.headers
@@ -187,10 +195,13 @@
         time.sleep(SILENCE_SECONDS if self.has_fault("silent") else CALL_SECONDS * random.uniform(0.5, 2))
         headers = self.answer_headers(request)
         fields = {"request": request, "body": hashlib.sha1(body).hexdigest()}
-        query = urllib.parse.parse_qs(urllib.parse.urlsplit(handler.path).query)
-        if "pad" in query:
-            fields["pad"] = "x" * int(query["pad"][0])
+        pad = query_value(handler, "pad")
+        if pad:
+            fields["pad"] = "x" * int(pad)
         answer = json.dumps(fields).encode()
+        dribbled = query_value(handler, "dribble")
+        if dribbled:
+            return dribble.send_answer(handler, dribbled, headers, answer)
         shape = next(filter(self.has_fault, endless.SHAPES), None)
         if shape:
             return endless.send_endless_answer(handler, shape, headers, answer)
@@ -233,20 +244,29 @@
             return endless.send_endless_answer(handler, shape,
                                                {"Content-Type": "text/event-stream", **headers},
                                                whole_stream(request, last_event))
-        handler.wfile.write(handler.head(200, None, {"Content-Type": "text/event-stream",
-                                                     **headers}))
+        head = handler.head(200, None, {"Content-Type": "text/event-stream", **headers})
+        dribbled = query_value(handler, "dribble")
+        if dribbled:
+            numbers = itertools.count(last_event + 1)
+            return dribble.send_stream(handler, dribbled, head,
+                                       lambda: self.produce(request, next(numbers)))
+        handler.wfile.write(head)
         copy_to = handler.headers.get(wire.COPY_TO)
         copier = Copier(copy_to, request) if copy_to else None
         for number in range(last_event + 1, EVENTS_PER_RUN + 1):
             time.sleep(EVENT_INTERVAL_SECONDS)
-            with self.lock:
-                self.running[request] = number
-            handler.chunk(event_text(request, number))
+            handler.chunk(self.produce(request, number))
             if copier:
                 copier.on_event(number)
         handler.wfile.write(b"0\r\n\r\n")
         return None
 
+    def produce(self, request, number):
+        """Returns the text of an event, which reports show from now on."""
+        with self.lock:
+            self.running[request] = number
+        return event_text(request, number)
+
 
 class Copier:
     """Reports to the server that holds the copy how many events the run has produced."""
