decisions: retry a run that was answered with a server error

Cause: after a server error, onAnswer took a retry from the budget and returned the next action only if it was a SendAttempt. A run is placed after a probe of the candidates, so the probe was dropped, the retry was lost and the caller got the 500. Other places checked: onLost and retryRejected return every action; CallSession places a call in one step and drops only a refusal. Change: the session holds the status of the error until the next attempt is sent, and whatever would refuse the request before then (no server, no time, a quarantined prompt, the deadline) passes the error on instead; a 503 becomes 502, since the request has run. RequestRelay keeps the answer until then anyway. The end at the deadline is concluded in ForwardSession, so that StreamSession no longer overrides it. Conclusion: an error of one server no longer reaches a caller whose route and budget allow another attempt. The retry is still taken before a server is known; if none is found it is used up.

--- a/include/foxtailring/decisions/ForwardAction.h
+++ b/include/foxtailring/decisions/ForwardAction.h
@@ -55,7 +55,7 @@
     std::chrono::milliseconds timeout {0}; ///< a later answer is ignored
 };
 
-/// \brief Pass the server's answer to the caller.
+/// \brief Pass the latest attempt's answer to the caller. It is kept until the next SendAttempt.
 struct PassAnswer
 {
 };
--- a/include/foxtailring/decisions/ForwardSession.h
+++ b/include/foxtailring/decisions/ForwardSession.h
@@ -52,7 +52,7 @@
     ForwardAction check(TimePoint now);
     TimePoint nextCheck() const;
     /// \brief Ends the request as at its deadline.
-    ForwardAction expire(TimePoint now) { return onExpired(now); }
+    ForwardAction expire();
 
     const std::string &service() const { return m_service; }
     /// \brief Number of attempts so far in which the request was or may have been executed.
@@ -100,8 +100,8 @@
     void countPossibleRun();
     /// \brief Stops counting the current attempt at its server; no attempt is current afterwards.
     void releaseServer();
-    /// \brief Returns the action for a request whose deadline has passed.
-    virtual ForwardAction onExpired(TimePoint now);
+    /// \brief Returns what to do in place of \a action, which would answer the caller.
+    virtual ForwardAction conclude(ForwardAction action) const;
 
 private:
     /// \brief Returns the next attempt, or what must happen before it; Refuse if no server is left.
@@ -110,8 +110,6 @@
     virtual ForwardAction onLost(AttemptResult result, TimePoint now) = 0;
     /// \brief True if a server at the address of another one can be used in its place.
     virtual bool acceptsSuccessor() const { return false; }
-    /// \brief Returns what to do in place of \a action, which would answer the caller.
-    virtual ForwardAction conclude(ForwardAction action) const { return action; }
     /// \brief The current attempt has ended, or is about to be replaced after its deadline.
     virtual void onAttemptOver() { }
     /// \brief True if the server of the current attempt has begun to answer and gone on.
@@ -136,6 +134,7 @@
     ForwardAction onWrongServer(const BackendAnswer &answer, TimePoint now);
     ForwardAction retryRejected(AttemptResult result, TimePoint now);
     bool tryConsumeBudget(TimePoint now);
+    ForwardAction passHeldAnswer() const;
 
     const HttpRoute &m_route;
     const ForwardRequest m_request;
@@ -146,6 +145,8 @@
     bool m_isLimited = false;            ///< a server had no free request at the last choice
     std::optional<BackendState> m_server;
     TimePoint m_sentAt;
+    /// Status of a server error that is passed on unless another attempt is sent; none: no answer.
+    std::optional<int> m_heldStatus;
     std::uint32_t m_possibleRuns = 0;
     std::uint32_t m_rejections = 0;
     std::uint32_t m_addressFailures = 0;
--- a/include/foxtailring/decisions/StreamSession.h
+++ b/include/foxtailring/decisions/StreamSession.h
@@ -58,7 +58,6 @@
     bool acceptsSuccessor() const override { return m_capabilities.isSingleService; }
     ForwardAction onOverdue(TimePoint now) override;
     TimePoint overdueAt() const override;
-    ForwardAction onExpired(TimePoint now) override;
 
     ForwardAction maintainCopy(TimePoint now);
     ForwardAction probeCopyHolder(const BackendState &holder);
--- a/src/decisions/CallSession.cpp
+++ b/src/decisions/CallSession.cpp
@@ -20,7 +20,7 @@
     placement.exclude = triedIds();
     auto chosen = choose(placement, &BackendPlacer::chooseForCall, now);
     if (!chosen)
-        return refuseUnplaced(now);
+        return conclude(refuseUnplaced(now));
     SendAttempt next;
     next.server = std::move(*chosen);
     next.cause = cause;
--- a/src/decisions/ForwardSession.cpp
+++ b/src/decisions/ForwardSession.cpp
@@ -128,15 +128,25 @@
     countPossibleRun();
     if (!isFailure)
         return conclude(PassAnswer {});
-    if (tryTakeRetry(now)) {
-        ForwardAction next = makeAttempt("serverError", now);
-        if (std::holds_alternative<SendAttempt>(next))
-            return next;
-    }
-    // To the caller, 503 means that the request was not executed.
-    if (answer.status == 503)
-        return conclude(refuse(502, "serverUnavailable"));
-    return conclude(PassAnswer {});
+    m_heldStatus = answer.status;
+    if (!tryTakeRetry(now))
+        return conclude(passHeldAnswer());
+    return makeAttempt("serverError", now);
+}
+
+// To the caller, 503 means that the request was not executed.
+ForwardAction ForwardSession::passHeldAnswer() const
+{
+    if (m_heldStatus == 503)
+        return refuse(502, "serverUnavailable");
+    return PassAnswer {};
+}
+
+// A server's own error tells the caller more than a refusal.
+ForwardAction ForwardSession::conclude(ForwardAction action) const
+{
+    const bool isReplaced = m_heldStatus && std::holds_alternative<Refuse>(action);
+    return isReplaced ? passHeldAnswer() : action;
 }
 
 ForwardAction ForwardSession::onWrongServer(const BackendAnswer &answer, TimePoint now)
@@ -237,7 +247,7 @@
 ForwardAction ForwardSession::check(TimePoint now)
 {
     if (isPastDeadline(now))
-        return onExpired(now);
+        return expire();
     if (hasServer() && now >= overdueAt())
         return onOverdue(now);
     return KeepWaiting {};
@@ -248,12 +258,12 @@
     return hasServer() ? std::min(m_deadline, overdueAt()) : m_deadline;
 }
 
-ForwardAction ForwardSession::onExpired(TimePoint /*now*/)
+ForwardAction ForwardSession::expire()
 {
     onAttemptOver();
     const bool mayHaveStarted = hasServer() || m_possibleRuns > 0;
     releaseServer();
-    return refuse(mayHaveStarted ? 504 : 503, "deadline");
+    return conclude(refuse(mayHaveStarted ? 504 : 503, "deadline"));
 }
 
 milliseconds ForwardSession::timeLeft(TimePoint now) const
@@ -370,6 +380,7 @@
     if (auto refusal = refuseQuarantined(now))
         return std::move(*refusal);
     releaseServer();
+    m_heldStatus.reset();
     m_server = attempt.server;
     m_context.servers.startWork(m_server->info.id);
     m_triedIds.push_back(m_server->info.id);
--- a/src/decisions/StreamSession.cpp
+++ b/src/decisions/StreamSession.cpp
@@ -563,15 +563,12 @@
     return sentAt() + std::max(estimate, minimum) + m_maxPromptsAhead * estimate / 2;
 }
 
-ForwardAction StreamSession::onExpired(TimePoint now)
-{
-    return refuseOrAbort(ForwardSession::onExpired(now), now);
-}
-
 // A stream that has begun cannot be answered any more.
 ForwardAction StreamSession::conclude(ForwardAction action) const
 {
-    if (!m_hasStarted || std::holds_alternative<AbortAnswer>(action))
+    if (!m_hasStarted)
+        return ForwardSession::conclude(std::move(action));
+    if (std::holds_alternative<AbortAnswer>(action))
         return action;
     const auto *refusal = std::get_if<Refuse>(&action);
     return AbortAnswer {refusal ? refusal->cause : "serverError"};
--- a/src/gateway/RequestRelay.cpp
+++ b/src/gateway/RequestRelay.cpp
@@ -158,7 +158,7 @@
 void RequestRelay::giveUp()
 {
     if (!m_isFinished)
-        perform(m_session->expire(m_parts.clock()));
+        perform(m_session->expire());
 }
 
 void RequestRelay::perform(const ForwardAction &action)
--- a/tests/decisions/StreamSessionTest.cpp
+++ b/tests/decisions/StreamSessionTest.cpp
@@ -46,6 +46,12 @@
     CPPUNIT_TEST(eventsArePassedOnInOrder);
     CPPUNIT_TEST(startedStreamIsAbortedWhenItCannotResume);
     CPPUNIT_TEST(startedStreamIsAbortedWhenItsRetryIsAnswered);
+    CPPUNIT_TEST(serverErrorToARunIsRetried);
+    CPPUNIT_TEST(serverErrorToAResumedRunIsRetried);
+    CPPUNIT_TEST(serverErrorIsPassedOnIfNoServerTakesTheRetry);
+    CPPUNIT_TEST(serverErrorIsPassedOnAtTheDeadlineOfTheSearch);
+    CPPUNIT_TEST(unavailableServerIsNotReportedAsNotRun);
+    CPPUNIT_TEST(serverErrorIsForgottenWhenTheRetryIsSent);
     CPPUNIT_TEST(endWithoutAnEventNeedsASecondServer);
     CPPUNIT_TEST(streamThatIsNotResumableIsSentOnce);
     CPPUNIT_TEST(serviceWithoutProbesIsWaitedFor);
@@ -563,7 +569,70 @@
         CPPUNIT_ASSERT(std::holds_alternative<AbortAnswer>(next));
     }
 
-    // Guards against a second execution of a stream that is not resumable.
+    // Guards against a retry that is taken from the budget but never sent.
+    void serverErrorToARunIsRetried()
+    {
+        StreamSession session(m_route, request(), context(), {true, true, true});
+        const std::string failed = sent(started(session)).server.info.id;
+        const ForwardAction next = placed(session, session.onAnswer(answer(500), now), now);
+        CPPUNIT_ASSERT(sent(next).server.info.id != failed);
+        CPPUNIT_ASSERT_EQUAL(std::string_view("serverError"), sent(next).cause);
+    }
+
+    void serverErrorToAResumedRunIsRetried()
+    {
+        StreamSession session(m_route, request(), context(), {true, true, true});
+        started(session);
+        session.onEvent(1, now);
+        sent(session.onAttemptEnded(AttemptResult::Lost, now));
+        const ForwardAction next = placed(session, session.onAnswer(answer(500), now), now);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(1), sent(next).lastEventId.value());
+    }
+
+    // Guards against a caller whose answer is dropped for an attempt that is never made.
+    void serverErrorIsPassedOnIfNoServerTakesTheRetry()
+    {
+        StreamSession session(m_route, request(), context(), {true, true, true});
+        started(session);
+        const ForwardAction probing = session.onAnswer(answer(500), now);
+        CPPUNIT_ASSERT(std::holds_alternative<ProbeServers>(probing));
+        for (const std::string &id : servers.candidateIds("engine", now))
+            servers.remove(id, now);
+        CPPUNIT_ASSERT(std::holds_alternative<PassAnswer>(session.onProbed({}, now)));
+    }
+
+    void serverErrorIsPassedOnAtTheDeadlineOfTheSearch()
+    {
+        StreamSession session(m_route, request(), context(), {true, true, true});
+        started(session);
+        session.onAnswer(answer(500), now + Ms(4900));
+        CPPUNIT_ASSERT(std::holds_alternative<PassAnswer>(session.check(session.nextCheck())));
+    }
+
+    // Guards against a 503, which promises that the request has not run.
+    void unavailableServerIsNotReportedAsNotRun()
+    {
+        StreamSession session(m_route, request(), context(), {true, true, true});
+        started(session);
+        const ForwardAction probing = session.onAnswer(answer(503), now);
+        CPPUNIT_ASSERT(std::holds_alternative<ProbeServers>(probing));
+        for (const std::string &id : servers.candidateIds("engine", now))
+            servers.remove(id, now);
+        CPPUNIT_ASSERT_EQUAL(502, refused(session.onProbed({}, now)).status);
+    }
+
+    // Guards against passing on an answer that was replaced by that of a later attempt.
+    void serverErrorIsForgottenWhenTheRetryIsSent()
+    {
+        HttpRoute twice = m_route;
+        twice.maxAttempts = 2;
+        StreamSession session(twice, request(), context(), {true, true, true});
+        started(session);
+        sent(placed(session, session.onAnswer(answer(500), now), now));
+        const ForwardAction next = session.onAttemptEnded(AttemptResult::Lost, now);
+        CPPUNIT_ASSERT_EQUAL(502, refused(next).status);
+    }
+
     // Guards against a caller that waits for the rest of a stream whose request was answered 502.
     void startedStreamIsAbortedWhenItsRetryIsAnswered()
     {
@@ -578,6 +647,7 @@
         CPPUNIT_ASSERT(std::holds_alternative<AbortAnswer>(next));
     }
 
+    // Guards against a second execution of a stream that is not resumable.
     void streamThatIsNotResumableIsSentOnce()
     {
         HttpRoute once = m_route;
--- a/tests/gateway/BrokenStreamTest.cpp
+++ b/tests/gateway/BrokenStreamTest.cpp
@@ -24,6 +24,8 @@
     CPPUNIT_TEST(firstStreamWithoutEventsIsRetried);
     CPPUNIT_TEST(firstEmptySuccessIsRetried);
     CPPUNIT_TEST(firstErrorIsPassedOnWhole);
+    CPPUNIT_TEST(firstServerErrorIsRetried);
+    CPPUNIT_TEST(serverErrorOfAllServersIsPassedOnWhole);
     CPPUNIT_TEST(firstSuccessOfAnotherTypeIsPassedOnWhole);
     CPPUNIT_TEST_SUITE_END();
 
@@ -117,6 +119,28 @@
         }
     }
 
+    // Guards against a server error that a caller sees although another server would answer.
+    void firstServerErrorIsRetried()
+    {
+        restart();
+        openStream();
+        m_received->take().responder->respond(answer(500, true, false, "failed"));
+        serveSecond();
+    }
+
+    // Guards against an answer that is lost while another server is looked for.
+    void serverErrorOfAllServersIsPassedOnWhole()
+    {
+        restart();
+        openStream();
+        m_received->take().responder->respond(answer(500, true, false, "first"));
+        m_received->take().responder->respond(answer(500, true, false, "second"));
+        const Received received = waitForEnd();
+        CPPUNIT_ASSERT_EQUAL(500, received.status);
+        CPPUNIT_ASSERT_EQUAL(std::string("second"), received.body);
+        CPPUNIT_ASSERT(received.isComplete);
+    }
+
     // Guards against a whole answer of another type, which its server signed, that gets lost.
     void firstSuccessOfAnotherTypeIsPassedOnWhole()
     {
