--- a/src/decisions/ForwardSession.cpp
+++ b/src/decisions/ForwardSession.cpp
@@ -145,8 +145,9 @@
 // A server's own error tells the caller more than a refusal.
 ForwardAction ForwardSession::conclude(ForwardAction action) const
 {
-    const bool isReplaced = m_heldStatus && std::holds_alternative<Refuse>(action);
-    return isReplaced ? passHeldAnswer() : action;
+    if (m_heldStatus && std::holds_alternative<Refuse>(action))
+        return passHeldAnswer();
+    return action;
 }
 
 ForwardAction ForwardSession::onWrongServer(const BackendAnswer &answer, TimePoint now)
