decisions: keep a run at a silent server before its first event too

Cause: a server that pauses while it processes a prompt ended the attempt at once, and the caller got 502 if no retry was left or no other server could take the run, although a sound server may pause for a second and go on. Streams that have begun are kept in that case since. Change: StreamSession::onSilent treats both alike. A run without an event is kept for 2 s after the last sign of life at most, since its caller can still be refused and try again. It is not kept if a part of its prompt is quarantined or if it could not end in time anyway. An attempt that is kept is probed again and not presumed lost a second time; a probe that is answered ends the search. If it cannot be probed, the search goes on, where the missing probe counted as contact before. A run keeps its copy while it is being replaced. The quarantine gets one crash and one failure of an attempt, at the time at which it got them before: repeated ones would look like a second moment. Measured: build/tests/decisions_test without the change: the seven cases of StreamSessionTest about runs that are kept (promptAtASilentServer... three, promptThatIsReadDuringItsReplacementIsKept, promptAtAServerThatAnswersAgainIsKept, promptAtADoubtfulServerIsKept, runKeptThroughSilenceKeepsItsCopy) fail; with it 368 of 368, gateway_test 72 of 72. The five others guard the bounds and pass on the former code or were mended before they were run on it; each fails without its condition: promptAtADeadServerIsRefusedInTime without maxPromptPause, silentPromptThatCannotFinishInTimeIsRefusedAtOnce without canFinishInTime, silentPromptWithAQuarantinedPartIsRefusedAtOnce and silentTrialIsRefusedAtOnce without quarantinedPart, promptKeptAtALostServerIsNoCrash without m_isFailureRecorded. Conclusion: a run outlasts a pause of a second while its prompt is processed. A dead server that can be probed is given up at a check no later than 2.75 s after the run was sent (promptAtADeadServerIsRefusedInTime).

--- a/include/foxtailring/decisions/ForwardSession.h
+++ b/include/foxtailring/decisions/ForwardSession.h
@@ -73,8 +73,11 @@
     /// \brief The server of the current attempt failed. Its prompt is suspected unless a server has
     /// begun to answer the request.
     void recordCrash(TimePoint now);
-    /// \brief The server of the current attempt failed, or looks as if it had.
+    /// \brief The server of the current attempt failed, or looks as if it had. The quarantine
+    /// counts one failure of an attempt.
     void recordServerFailure(TimePoint now);
+    /// \brief A quarantined part of the prompt; empty: none, or proven harmless in this request.
+    std::string_view quarantinedPart(TimePoint now) const;
     /// \brief Refusal if a part of the prompt is quarantined; none: the request may be sent.
     std::optional<ForwardAction> refuseQuarantined(TimePoint now) const;
     /// \brief How BackendPlacer chooses a server.
@@ -147,6 +150,7 @@
     TimePoint m_sentAt;
     /// Status of a server error that is passed on unless another attempt is sent; none: no answer.
     std::optional<int> m_heldStatus;
+    bool m_isFailureRecorded = false; ///< of the current attempt's server
     std::uint32_t m_possibleRuns = 0;
     std::uint32_t m_rejections = 0;
     std::uint32_t m_addressFailures = 0;
--- a/include/foxtailring/decisions/StreamSession.h
+++ b/include/foxtailring/decisions/StreamSession.h
@@ -85,6 +85,11 @@
     bool showsLostRun(const ServerProbeResult &report) const;
     void endPlacement();
     ForwardAction onSilent(TimePoint now);
+    /// Whether the attempt at a silent server may still lead to a whole answer.
+    bool mayOutlastSilence(TimePoint now) const;
+    /// True if the attempt goes on although its server is silent.
+    bool isKeptSilent() const { return m_replaceAt != TimePoint {}; }
+    void recordSign(TimePoint now);
     /// Goes on with the attempt at a silent server, since no other server can take its place.
     ForwardAction keepSilentAttempt(TimePoint now);
     ForwardAction refuseOrAbort(ForwardAction refusal, TimePoint now);
--- a/src/decisions/ForwardSession.cpp
+++ b/src/decisions/ForwardSession.cpp
@@ -163,24 +163,32 @@
 
 void ForwardSession::recordCrash(TimePoint now)
 {
-    if (!hasOutlivedStart() && !isProvenHarmless())
+    if (!m_isFailureRecorded && !hasOutlivedStart() && !isProvenHarmless())
         m_context.quarantine.recordCrash(incarnationOf(m_server->info), m_request.sharedPromptParts,
                                          now);
 }
 
+// The quarantine compares the times of failures, so an attempt that is kept after its server failed
+// must not report the same failure again later.
 void ForwardSession::recordServerFailure(TimePoint now)
 {
     m_context.servers.recordFailure(m_server->info.id, now);
-    m_context.quarantine.recordFailure(incarnationOf(m_server->info), now);
+    if (!std::exchange(m_isFailureRecorded, true))
+        m_context.quarantine.recordFailure(incarnationOf(m_server->info), now);
+}
+
+std::string_view ForwardSession::quarantinedPart(TimePoint now) const
+{
+    if (isProvenHarmless())
+        return {};
+    return m_context.quarantine.quarantinedPart(m_request.sharedPromptParts, now);
 }
 
 // A return of the caller cannot help, so it is told no time.
 std::optional<ForwardAction> ForwardSession::refuseQuarantined(TimePoint now) const
 {
-    if (m_isTrial || isProvenHarmless())
-        return std::nullopt;
-    const auto part = m_context.quarantine.quarantinedPart(m_request.sharedPromptParts, now);
-    if (part.empty())
+    const std::string_view part = quarantinedPart(now);
+    if (m_isTrial || part.empty())
         return std::nullopt;
     if (m_context.onQuarantined)
         m_context.onQuarantined(part);
@@ -382,6 +390,7 @@
         return std::move(*refusal);
     releaseServer();
     m_heldStatus.reset();
+    m_isFailureRecorded = false;
     m_server = attempt.server;
     m_context.servers.startWork(m_server->info.id);
     m_triedIds.push_back(m_server->info.id);
--- a/src/decisions/StreamSession.cpp
+++ b/src/decisions/StreamSession.cpp
@@ -50,7 +50,10 @@
 constexpr milliseconds copyTimeout {1500};
 // A server without a sign of life for longer has failed.
 constexpr std::chrono::seconds maxServerPause {5};
-// Interval of looking for another server while a stream's server is silent.
+// The same for a run without an event. Its caller can still be refused and try again, so it is held
+// for no more than twice the pauses that sound servers make.
+constexpr milliseconds maxPromptPause {2000};
+// Interval of looking for another server while a run's server is silent.
 constexpr milliseconds replaceRetryInterval {500};
 // A doubtful server is abandoned after this time without contact.
 constexpr milliseconds maxDoubtfulSilence {350};
@@ -101,8 +104,7 @@
     m_isProbing = false;
     if (std::exchange(m_isReplacing, false))
         endPlacement();
-    m_replaceAt = {};
-    m_lastContactAt = now;
+    recordSign(now);
     m_lastEventId = id;
     m_lastEventAt = now;
     return EventVerdict::Next;
@@ -148,7 +150,9 @@
     m_cause = cause;
     // A copy exists only from the first event on, not while the prompt is processed.
     auto next = m_hasEvents ? m_copy.takeResumeAttempt(now) : std::nullopt;
-    m_copy.drop();
+    // A run that is being replaced may go on and need its copy.
+    if (!m_isReplacing)
+        m_copy.drop();
     if (next && tryAcquire(next->server.info.id, now))
         return sendRun(std::move(*next), now);
     if (!request().promptId.empty())
@@ -295,6 +299,7 @@
     m_copyCheckAt = m_capabilities.canCopyOnDemand ? now + copyCheckInterval : TimePoint::max();
     m_maxPromptsAhead = 0;
     m_lastContactAt = now;
+    m_copy.drop();
     assignCopyHolder(next, now);
     return send(std::move(next), now);
 }
@@ -425,6 +430,8 @@
         return KeepWaiting {};
     // Without a probe, only the time limit for the next event remains.
     const bool mayAsk = m_capabilities.canBeProbed && tryAcquire(server().info.id, now);
+    if (!mayAsk && isKeptSilent())
+        return onSilent(now);
     if (!mayAsk) {
         m_lastContactAt = now;
         return KeepWaiting {};
@@ -461,7 +468,7 @@
         return onSilent(now);
     }
     if (reports.front().isTurnedAway) {
-        m_lastContactAt = now;
+        recordSign(now);
         return KeepWaiting {};
     }
     if (showsLostRun(reports.front()))
@@ -469,16 +476,23 @@
     const BackendLoadReport &load = reports.front().load;
     const std::uint32_t prompts = load.prefilling + load.waiting;
     m_maxPromptsAhead = std::max(m_maxPromptsAhead, std::max(prompts, 1U) - 1);
-    m_lastContactAt = now;
+    recordSign(now);
     return KeepWaiting {};
 }
 
-// A sound server may pause for a second or more. A stream that has begun cannot be answered any
-// more, so its attempt goes on until another one takes its place or the pause is too long.
+// The current server showed that it works.
+void StreamSession::recordSign(TimePoint now)
+{
+    m_replaceAt = {};
+    m_lastContactAt = now;
+}
+
+// A sound server may pause for a second or more, so the attempt goes on until another one takes its
+// place or the pause is too long.
 ForwardAction StreamSession::onSilent(TimePoint now)
 {
-    const bool isPause = now - m_lastContactAt < maxServerPause;
-    if (!m_hasStarted || !isPause)
+    m_isProbing = false;
+    if (!mayOutlastSilence(now))
         return onAttemptEnded(AttemptResult::Silent, now);
     recordServerFailure(now);
     const bool isLastAttempt = possibleRuns() + 1 >= route().maxAttempts;
@@ -488,6 +502,16 @@
     return makeAttempt(attemptResultName(AttemptResult::Silent), now);
 }
 
+// A stream that has begun cannot be answered any more. Any other run is refused at once if waiting
+// cannot help: it has probably crashed its server, or would end too late.
+bool StreamSession::mayOutlastSilence(TimePoint now) const
+{
+    const Duration silence = now - m_lastContactAt;
+    if (m_hasStarted)
+        return silence < maxServerPause;
+    return silence < maxPromptPause && quarantinedPart(now).empty() && canFinishInTime(0, now);
+}
+
 void StreamSession::endPlacement()
 {
     m_isPlacing = false;
@@ -516,12 +540,13 @@
 }
 
 // True if the server is doubtful or suspected, sent no event yet, and there was no contact for too
-// long.
+// long. An attempt that is kept all the same is judged by its probes.
 bool StreamSession::isPresumedLost(TimePoint now) const
 {
     const auto current = context().servers.server(server().info.id, now);
     const bool isDoubtful = current && current->health != BackendHealth::Healthy;
-    return isDoubtful && !m_hasEvents && now - m_lastContactAt >= maxDoubtfulSilence;
+    return isDoubtful && !m_hasEvents && !isKeptSilent()
+        && now - m_lastContactAt >= maxDoubtfulSilence;
 }
 
 TimePoint StreamSession::overdueAt() const
--- a/tests/decisions/ForwardFixture.h
+++ b/tests/decisions/ForwardFixture.h
@@ -74,6 +74,22 @@
         servers.recordNotice(servers.server(id, now)->info, LeavingNotice::Leaving);
     }
 
+    /// \brief All servers in the zone of \a server fail, except itself.
+    void failZone(const BackendInfo &server, TimePoint at)
+    {
+        for (const char *number : {"1", "2", "3"}) {
+            const std::string id = server.availabilityZone + number;
+            servers.put(info(id, server.availabilityZone), now);
+            if (id != server.id)
+                servers.recordFailure(id, at);
+        }
+    }
+
+    void useUpRetries()
+    {
+        while (retryBudget.tryConsume("engine", now)) { }
+    }
+
     static const SendAttempt &sent(const ForwardAction &action)
     {
         CPPUNIT_ASSERT(std::holds_alternative<SendAttempt>(action));
--- a/tests/decisions/QuarantinedSessionTest.cpp
+++ b/tests/decisions/QuarantinedSessionTest.cpp
@@ -24,6 +24,9 @@
     CPPUNIT_TEST(silentLossOfAZoneAccusesNoPrompt);
     CPPUNIT_TEST(requestThatHasBegunAccusesNoPrompt);
     CPPUNIT_TEST(silentStreamIsNotCutByAQuarantine);
+    CPPUNIT_TEST(silentPromptWithAQuarantinedPartIsRefusedAtOnce);
+    CPPUNIT_TEST(silentTrialIsRefusedAtOnce);
+    CPPUNIT_TEST(promptKeptAtALostServerIsNoCrash);
     CPPUNIT_TEST(callInProgressIsNotDroppedByAQuarantine);
     CPPUNIT_TEST(wholeAnswerClearsTheParts);
     CPPUNIT_TEST_SUITE_END();
@@ -188,6 +191,46 @@
         CPPUNIT_ASSERT(std::holds_alternative<KeepWaiting>(silence(session)));
     }
 
+    // Guards against holding a caller for a server that its prompt has crashed.
+    void silentPromptWithAQuarantinedPartIsRefusedAtOnce()
+    {
+        StreamSession session(m_route, deadlyRequest(), context(), probed);
+        sent(place(session, session.start(now)));
+        quarantinePart();
+        now += Ms(400);
+        CPPUNIT_ASSERT_EQUAL(502, refused(silence(session)).status);
+    }
+
+    void silentTrialIsRefusedAtOnce()
+    {
+        quarantine.setHooks({nullptr, nullptr, nullptr, [](std::string_view) { return true; }});
+        quarantinePart();
+        now += std::chrono::seconds(21);
+        StreamSession session(m_route, deadlyRequest(), context(), probed);
+        sent(place(session, session.start(now)));
+        now += Ms(400);
+        CPPUNIT_ASSERT_EQUAL(502, refused(silence(session)).status);
+    }
+
+    // Guards against accusing a prompt of the loss of a zone, later than its other servers failed.
+    void promptKeptAtALostServerIsNoCrash()
+    {
+        for (int loss = 0; loss < 2; ++loss) {
+            StreamSession session(m_route, deadlyRequest(), context(), probed);
+            const BackendInfo lost = sent(place(session, session.start(now))).server.info;
+            useUpRetries();
+            now += Ms(400);
+            failZone(lost, now);
+            CPPUNIT_ASSERT(std::holds_alternative<KeepWaiting>(session.check(now)));
+            now = session.nextCheck();
+            silence(session);
+            session.onAttemptEnded(AttemptResult::Lost, now + Ms(200));
+            now += Ms(10'000);
+        }
+        StreamSession next(m_route, deadlyRequest(), context(), {});
+        sent(next.start(now));
+    }
+
     // Guards against an answer that is dropped because its call could not be repeated.
     void callInProgressIsNotDroppedByAQuarantine()
     {
--- a/tests/decisions/StreamSessionTest.cpp
+++ b/tests/decisions/StreamSessionTest.cpp
@@ -26,6 +26,15 @@
     CPPUNIT_TEST(silentServerThatRejectsDuringTheReplacementIsReplaced);
     CPPUNIT_TEST(streamOfADeadServerIsAbortedInTime);
     CPPUNIT_TEST(snapshotMadeDuringTheReplacementIsNotUsed);
+    CPPUNIT_TEST(promptAtASilentServerIsKeptWithoutRetryBudget);
+    CPPUNIT_TEST(promptAtASilentServerIsKeptWithoutAttemptsLeft);
+    CPPUNIT_TEST(promptAtASilentServerIsKeptWithoutOtherServers);
+    CPPUNIT_TEST(promptThatIsReadDuringItsReplacementIsKept);
+    CPPUNIT_TEST(promptAtAServerThatAnswersAgainIsKept);
+    CPPUNIT_TEST(promptAtADoubtfulServerIsKept);
+    CPPUNIT_TEST(promptAtADeadServerIsRefusedInTime);
+    CPPUNIT_TEST(silentPromptThatCannotFinishInTimeIsRefusedAtOnce);
+    CPPUNIT_TEST(runKeptThroughSilenceKeepsItsCopy);
     CPPUNIT_TEST(runIsPlacedByReportedLoad);
     CPPUNIT_TEST(unresponsiveServerIsNotChosen);
     CPPUNIT_TEST(promptInAFailedZoneIsAbandoned);
@@ -175,7 +184,7 @@
         StreamSession session(m_route, request(), context(), {true, true, true});
         started(session);
         const TimePoint last = tenEvents(session);
-        while (retryBudget.tryConsume("engine", last)) { }
+        useUpRetries();
         expectKeptThroughSilence(session, last);
     }
 
@@ -299,6 +308,132 @@
         CPPUNIT_ASSERT(!sent(next).fromCopy);
     }
 
+    // Guards against refusing a run whose server pauses while it processes the prompt.
+    void promptAtASilentServerIsKeptWithoutRetryBudget()
+    {
+        StreamSession session(m_route, request(), context(), {true, true, true});
+        started(session);
+        useUpRetries();
+        expectKeptThroughSilence(session, now);
+    }
+
+    void promptAtASilentServerIsKeptWithoutAttemptsLeft()
+    {
+        HttpRoute once = m_route;
+        once.maxAttempts = 1;
+        StreamSession session(once, request(), context(), {true, true, true});
+        started(session);
+        expectKeptThroughSilence(session, now);
+    }
+
+    void promptAtASilentServerIsKeptWithoutOtherServers()
+    {
+        StreamSession session(m_route, request(), context(), {true, true, true});
+        const std::string id = sent(started(session)).server.info.id;
+        for (const std::string &other : servers.candidateIds("engine", now)) {
+            if (other != id)
+                servers.remove(other, now);
+        }
+        expectKeptThroughSilence(session, now);
+    }
+
+    // Guards against ending a run that has begun while another server was looked for.
+    void promptThatIsReadDuringItsReplacementIsKept()
+    {
+        StreamSession session(m_route, request(), context(), {true, true, true});
+        const std::string id = sent(started(session)).server.info.id;
+        session.check(now + Ms(400));
+        const ForwardAction placing = session.onProbed({}, now + Ms(520));
+        CPPUNIT_ASSERT(std::holds_alternative<ProbeServers>(placing));
+        CPPUNIT_ASSERT_EQUAL(1U, servers.server(id, now)->inFlight);
+        session.onEvent(1, now + Ms(530));
+        CPPUNIT_ASSERT(isWaiting(placed(session, placing, now + Ms(540))));
+        CPPUNIT_ASSERT_EQUAL(0U, session.possibleRuns());
+    }
+
+    // Guards against a bound that counts from the beginning of a pause that is over.
+    void promptAtAServerThatAnswersAgainIsKept()
+    {
+        learnLatency();
+        StreamSession session(m_route, request(), context(), {true, true, true});
+        const std::string id = sent(started(session)).server.info.id;
+        useUpRetries();
+        bool isAnswered = false;
+        for (TimePoint at = session.nextCheck(); at < now + Ms(2600); at = session.nextCheck()) {
+            CPPUNIT_ASSERT(at > now);
+            ForwardAction action = session.check(at);
+            if (std::holds_alternative<ProbeServers>(action)) {
+                isAnswered = at > now + Ms(1000);
+                action = isAnswered ? session.onProbed(report(id, 0), at + Ms(20))
+                                    : session.onProbed({}, at + Ms(120));
+            }
+            CPPUNIT_ASSERT(isWaiting(action));
+        }
+        CPPUNIT_ASSERT(isAnswered);
+    }
+
+    void promptAtADoubtfulServerIsKept()
+    {
+        StreamSession session(m_route, request(), context(), {true, true, true});
+        const BackendInfo server = sent(started(session)).server.info;
+        useUpRetries();
+        failZone(server, now + Ms(400));
+        expectKeptThroughSilence(session, now);
+    }
+
+    // Guards against holding a caller to its deadline for a server that is gone.
+    void promptAtADeadServerIsRefusedInTime()
+    {
+        HttpRoute once = m_route;
+        once.maxAttempts = 1;
+        once.timeout = Ms(60'000);
+        ForwardRequest patient = request();
+        patient.callerTimeout = Ms(60'000);
+        StreamSession session(once, patient, context(), {true, true, true});
+        started(session);
+        ForwardAction action = KeepWaiting {};
+        TimePoint at = now;
+        while (isWaiting(action) && at < now + Ms(10'000)) {
+            at = session.nextCheck();
+            action = session.check(at);
+            if (std::holds_alternative<ProbeServers>(action))
+                action = session.onProbed({}, at + Ms(120));
+        }
+        CPPUNIT_ASSERT_EQUAL(502, refused(action).status);
+        CPPUNIT_ASSERT(at <= now + Ms(2750));
+    }
+
+    // Guards against waiting for a server whose run would end too late in any case.
+    void silentPromptThatCannotFinishInTimeIsRefusedAtOnce()
+    {
+        learnLatency();
+        ForwardRequest late = request();
+        late.callerTimeout = Ms(1600);
+        StreamSession session(m_route, late, context(), {true, true, true});
+        const std::string id = sent(started(session)).server.info.id;
+        useUpRetries();
+        for (const Ms age : {Ms(400), Ms(800)}) {
+            session.check(now + age);
+            session.onProbed(report(id, 0), now + age);
+        }
+        session.check(now + Ms(1200));
+        CPPUNIT_ASSERT_EQUAL(502, refused(session.onProbed({}, now + Ms(1320))).status);
+    }
+
+    // Guards against processing a prompt again whose run has a copy.
+    void runKeptThroughSilenceKeepsItsCopy()
+    {
+        StreamSession session(m_route, request(), context(), {true, true, true});
+        const std::string copy = sent(started(session)).copyTo->info.id;
+        session.check(now + Ms(400));
+        const ForwardAction placing = session.onProbed({}, now + Ms(520));
+        session.onEvent(1, now + Ms(530));
+        placed(session, placing, now + Ms(540));
+        const ForwardAction next = session.onAttemptEnded(AttemptResult::Lost, now + Ms(560));
+        CPPUNIT_ASSERT_EQUAL(copy, sent(next).server.info.id);
+        CPPUNIT_ASSERT(sent(next).fromCopy);
+    }
+
     // Several processes place runs on the same servers. Guards against queueing behind another
     // process's prompt while other servers are idle.
     void runIsPlacedByReportedLoad()
@@ -331,13 +466,7 @@
     void promptInAFailedZoneIsAbandoned()
     {
         StreamSession session(m_route, request(), context(), {true, true, true});
-        const BackendState server = sent(started(session)).server;
-        for (const char *number : {"1", "2", "3"}) {
-            const std::string id = server.info.availabilityZone + number;
-            servers.put(info(id, server.info.availabilityZone), now);
-            if (id != server.info.id)
-                servers.recordFailure(id, now + Ms(400));
-        }
+        failZone(sent(started(session)).server.info, now + Ms(400));
         const ForwardAction next = session.check(now + Ms(500));
         CPPUNIT_ASSERT(isAttempt(placed(session, next, now + Ms(500))));
     }
@@ -912,7 +1041,7 @@
             CPPUNIT_ASSERT(isWaiting(action));
             CPPUNIT_ASSERT(session.nextCheck() > at);
         }
-        const std::int64_t next = session.lastEventId().value() + 1;
+        const std::int64_t next = session.lastEventId().value_or(0) + 1;
         CPPUNIT_ASSERT(session.onEvent(next, end) == EventVerdict::Next);
         CPPUNIT_ASSERT(isWaiting(session.check(end + Ms(30))));
     }
