decisions: one constant for what wall clocks may differ by

Cause: PromptQuarantine.cpp and ReporterClocks.cpp each had a maxClockDifference of 5 s. Change: ReporterClocks holds it; PromptQuarantine uses it. Measured: decisions_test passes, 387 tests. Conclusion: no change of behaviour.

--- a/include/foxtailring/decisions/ReporterClocks.h
+++ b/include/foxtailring/decisions/ReporterClocks.h
@@ -20,6 +20,9 @@
 class ReporterClocks
 {
 public:
+    /// \brief Wall clocks of VMs differ by less.
+    static constexpr std::chrono::seconds maxWallClockDifference {5};
+
     /// \param unixOffset what is added to a time of this process to get the Unix time
     ReporterClock read(const PromptCrashReport &report, const ReportReception &reception,
                        std::chrono::milliseconds unixOffset, TimePoint now);
--- a/src/decisions/PromptQuarantine.cpp
+++ b/src/decisions/PromptQuarantine.cpp
@@ -24,9 +24,6 @@
 // Suspects of one request: the parts at the beginning and at the end of its shared prompt. A caller
 // could otherwise fill the table with one request.
 constexpr std::size_t maxSuspectsPerEnd = 16;
-// What the end of a quarantine may be off by when its reporter's clock is known by wall clocks
-// alone.
-constexpr std::chrono::seconds maxClockDifference {5};
 // The clock of own reports follows the wall clock only when that is set anew, so that two readings
 // of it do not change the order of what they date.
 constexpr milliseconds minClockStep {500};
@@ -271,7 +268,9 @@
 {
     const Duration left = clock.boundsOf(reported.untilMs).latest - now;
     const milliseconds whole(reported.untilMs - reported.sinceMs);
-    const bool isCredible = whole <= m_settings.maxQuarantine && left <= whole + maxClockDifference
+    // The reporter's clock may be known by wall clocks alone.
+    const Duration longest = whole + ReporterClocks::maxWallClockDifference;
+    const bool isCredible = whole <= m_settings.maxQuarantine && left <= longest
         && m_records.size() < m_settings.maxParts / 2;
     if (!isCredible)
         return;
--- a/src/decisions/ReporterClocks.cpp
+++ b/src/decisions/ReporterClocks.cpp
@@ -11,8 +11,6 @@
 
 using std::chrono::milliseconds;
 
-// Wall clocks of VMs differ by less.
-constexpr std::chrono::seconds maxClockDifference {5};
 // From the time that a report shows to its write in the store. A store that is down longer delays
 // its confirmations as well.
 constexpr milliseconds maxWriteTime {500};
@@ -21,7 +19,8 @@
 
 ReporterClock wallClock(milliseconds unixOffset)
 {
-    return ReporterClock(-unixOffset - maxClockDifference, -unixOffset + maxClockDifference);
+    const auto difference = ReporterClocks::maxWallClockDifference;
+    return ReporterClock(-unixOffset - difference, -unixOffset + difference);
 }
 
 // A report that was in the store before this process asked has no earliest time of its own.
