--- a/src/decisions/ForwardSession.cpp
+++ b/src/decisions/ForwardSession.cpp
@@ -128,15 +128,26 @@
     countPossibleRun();
     if (!isFailure)
         return conclude(PassAnswer {});
-    if (tryTakeRetry(now)) {
-        ForwardAction next = makeAttempt("serverError", now);
-        if (std::holds_alternative<SendAttempt>(next))
-            return next;
-    }
-    // To the caller, 503 means that the request was not executed.
-    if (answer.status == 503)
-        return conclude(refuse(502, "serverUnavailable"));
-    return conclude(PassAnswer {});
+    m_heldStatus = answer.status;
+    if (!tryTakeRetry(now))
+        return conclude(passHeldAnswer());
+    return makeAttempt("serverError", now);
+}
+
+// To the caller, 503 means that the request was not executed.
+ForwardAction ForwardSession::passHeldAnswer() const
+{
+    if (m_heldStatus == 503)
+        return refuse(502, "serverUnavailable");
+    return PassAnswer {};
+}
+
+// A server's own error tells the caller more than a refusal.
+ForwardAction ForwardSession::conclude(ForwardAction action) const
+{
+    if (m_heldStatus && std::holds_alternative<Refuse>(action))
+        return passHeldAnswer();
+    return action;
 }
 
 ForwardAction ForwardSession::onWrongServer(const BackendAnswer &answer, TimePoint now)
@@ -152,24 +163,32 @@
 
 void ForwardSession::recordCrash(TimePoint now)
 {
-    if (!hasOutlivedStart() && !isProvenHarmless())
+    if (!m_isFailureRecorded && !hasOutlivedStart() && !isProvenHarmless())
         m_context.quarantine.recordCrash(incarnationOf(m_server->info), m_request.sharedPromptParts,
                                          now);
 }
 
+// The quarantine compares the times of failures, so an attempt that is kept after its server failed
+// must not report the same failure again later.
 void ForwardSession::recordServerFailure(TimePoint now)
 {
     m_context.servers.recordFailure(m_server->info.id, now);
-    m_context.quarantine.recordFailure(incarnationOf(m_server->info), now);
+    if (!std::exchange(m_isFailureRecorded, true))
+        m_context.quarantine.recordFailure(incarnationOf(m_server->info), now);
+}
+
+std::string_view ForwardSession::quarantinedPart(TimePoint now) const
+{
+    if (isProvenHarmless())
+        return {};
+    return m_context.quarantine.quarantinedPart(m_request.sharedPromptParts, now);
 }
 
 // A return of the caller cannot help, so it is told no time.
 std::optional<ForwardAction> ForwardSession::refuseQuarantined(TimePoint now) const
 {
-    if (m_isTrial || isProvenHarmless())
-        return std::nullopt;
-    const auto part = m_context.quarantine.quarantinedPart(m_request.sharedPromptParts, now);
-    if (part.empty())
+    const std::string_view part = quarantinedPart(now);
+    if (m_isTrial || part.empty())
         return std::nullopt;
     if (m_context.onQuarantined)
         m_context.onQuarantined(part);
@@ -237,7 +256,7 @@
 ForwardAction ForwardSession::check(TimePoint now)
 {
     if (isPastDeadline(now))
-        return onExpired(now);
+        return expire();
     if (hasServer() && now >= overdueAt())
         return onOverdue(now);
     return KeepWaiting {};
@@ -248,12 +267,12 @@
     return hasServer() ? std::min(m_deadline, overdueAt()) : m_deadline;
 }
 
-ForwardAction ForwardSession::onExpired(TimePoint /*now*/)
+ForwardAction ForwardSession::expire()
 {
     onAttemptOver();
     const bool mayHaveStarted = hasServer() || m_possibleRuns > 0;
     releaseServer();
-    return refuse(mayHaveStarted ? 504 : 503, "deadline");
+    return conclude(refuse(mayHaveStarted ? 504 : 503, "deadline"));
 }
 
 milliseconds ForwardSession::timeLeft(TimePoint now) const
@@ -370,6 +389,8 @@
     if (auto refusal = refuseQuarantined(now))
         return std::move(*refusal);
     releaseServer();
+    m_heldStatus.reset();
+    m_isFailureRecorded = false;
     m_server = attempt.server;
     m_context.servers.startWork(m_server->info.id);
     m_triedIds.push_back(m_server->info.id);
