store: log the store's epoch and the position of the watch

No log line or metric has the epoch, the watch's position or the age of what a gateway knows, so the hypotheses cannot be told apart.

--- a/src/gateway/GatewayPublisher.cpp
+++ b/src/gateway/GatewayPublisher.cpp
@@ -63,6 +63,9 @@
                              static_cast<double>(m_parts.quarantine.quarantineCount()));
     m_parts.pauses.expire(now);
     m_parts.updateFleetSize();
+    if (const auto age = m_parts.keyFreshness.age(now))
+        m_parts.metrics.setGauge("gateway_store_confirmed_age_seconds",
+                                 std::chrono::duration<double>(*age).count());
     if (m_isCalling || now < m_pausedUntil)
         return;
     forgetEndedLease(now);
--- a/src/gateway/StoreWatch.cpp
+++ b/src/gateway/StoreWatch.cpp
@@ -141,15 +141,20 @@
     m_parts.fleet.replace(gateways, now);
     m_parts.updateFleetSize();
     m_parts.hasServerList = true;
-    StructuredLog::info(
-        "serversRead",
-        {{"servers", std::to_string(servers.size())}, {"revision", std::to_string(read.revision)}});
+    StructuredLog::info("serversRead",
+                        {{"servers", std::to_string(servers.size())},
+                         {"epoch", std::to_string(read.epoch)},
+                         {"revision", std::to_string(read.revision)}});
+    m_parts.metrics.setGauge("gateway_store_epoch", static_cast<double>(read.epoch));
+    reportRevision(read.revision);
 }
 
 void StoreWatch::applyEvents(const std::vector<WatchEvent> &events)
 {
     applyRateLimitReports(events);
     applyGateways(events);
+    if (!events.empty())
+        reportRevision(events.back().pair.modRevision);
     for (const WatchEvent &event : events) {
         const KeyValue &pair = event.pair;
         if (pair.key == m_schema.configKey && !event.deleted)
@@ -237,6 +242,7 @@
     if (m_parts.routes && version <= m_parts.routes->version())
         return;
     m_parts.routes = std::make_shared<const RouteTable>(std::move(config).value());
+    m_parts.metrics.setGauge("gateway_config_version", static_cast<double>(version));
     StructuredLog::info(
         "configInForce",
         {{"version", std::to_string(version)}, {"revision", std::to_string(pair.modRevision)}});
@@ -244,6 +250,11 @@
         m_configAppliedHook();
 }
 
+void StoreWatch::reportRevision(std::int64_t revision)
+{
+    m_parts.metrics.setGauge("gateway_store_revision", static_cast<double>(revision));
+}
+
 bool StoreWatch::isServerKey(std::string_view key) const
 {
     return key.starts_with(m_schema.serverKeyPrefix);
