store: keep revisions and leases within the epoch of the store that issued them

Cause: the position of the watch was used across the restore. Once the new history had passed it, the store answered 200, and what lay below was skipped. Ruled out: a hanging watch (the poll was answered at once), dropped events (none were sent). Change: StoreRevision and StoreLease carry the epoch; the client reports Stale for a poll, page, renewal or leased write answered in another one. After a restore the gateway keeps what it knows to be newer (draining, gone and restarted servers, others' rate limit reports), writes its own keys again, and takes the store's word on keys only after two seconds. LeavingServers is now ServerStarts, used for servers that have gone too. KvClientTest fails (aborts in pagesOfTwoEpochsAreNoResult) with the comparison of epochs taken out. platform, store, gateway, decisions tests pass but for the known idle connection case.

--- a/include/foxtailring/decisions/BackendTable.h
+++ b/include/foxtailring/decisions/BackendTable.h
@@ -3,8 +3,8 @@
 #include "foxtailring/base/Clock.h"
 #include "foxtailring/decisions/BackendState.h"
 #include "foxtailring/decisions/LeavingNotice.h"
-#include "foxtailring/decisions/LeavingServers.h"
 #include "foxtailring/decisions/LeavingSource.h"
+#include "foxtailring/decisions/ServerStarts.h"
 
 #include <functional>
 #include <map>
@@ -64,6 +64,10 @@
 
     /// \brief Replaces the server list; servers that are not in \a list are removed.
     void replace(std::span<const BackendInfo> list, TimePoint now);
+    /// \brief Takes over a list from a store that was restored from a backup. Its entries may be
+    /// older than what is known: they bring back no server that has gone, drains or has restarted
+    /// since. Servers that are not in \a list are kept for Settings::unlistedGrace.
+    void mergeRestored(std::span<const BackendInfo> list, TimePoint now);
     void put(const BackendInfo &info, TimePoint now);
     void remove(std::string_view id, TimePoint now);
     /// \brief The list cannot be read. Servers removed from now on are kept, since their leases may
@@ -136,6 +140,7 @@
 
     Record *find(std::string_view id);
     void insertOrUpdate(const BackendInfo &info, TimePoint now);
+    BackendInfo latestOf(const BackendInfo &restored) const;
     BackendState stateOf(const Record &record, const ZoneFailures &failures, TimePoint now) const;
     ZoneFailures recentZoneFailures(std::string_view service, TimePoint now) const;
     bool isDoubtful(const Record &record, const ZoneFailures &failures, TimePoint now) const;
@@ -153,7 +158,8 @@
     const Settings m_settings;
     Hooks m_hooks;
     Records m_records;
-    LeavingServers m_leavingServers;
+    ServerStarts m_leavingServers; ///< that said so in an answer
+    ServerStarts m_goneServers;    ///< whose entries were removed
     // Sets of ids, so that a change of one server does not scan all others.
     std::map<std::string, std::set<std::string>, std::less<>> m_idsByAddress;
     std::set<std::string, std::less<>> m_unlistedIds;
--- a/include/foxtailring/decisions/RateLimitTable.h
+++ b/include/foxtailring/decisions/RateLimitTable.h
@@ -57,6 +57,9 @@
     /// \brief Applies changes, of this process's report too, that the store returned together.
     void applyReports(std::span<const RateLimitReportChange> changes, TimePoint now);
     /// \brief All reports up to \a confirmedAt are known.
+    /// \brief The store was restored from a backup and its reports may be missing or older than
+    /// those known here, which are kept until their processes have had time to write them again.
+    void onStoreRestored(TimePoint now);
     void recordConfirmation(TimePoint confirmedAt) { m_confirmedAt = confirmedAt; }
 
     /// \brief Sets the number of processes that may share a limit, at least 1.
@@ -160,11 +163,14 @@
     RateLimitReport currentReport(TimePoint now);
     bool isReportDue(const RateLimitReport &report, TimePoint now) const;
     Duration publishInterval() const;
+    void expireUnconfirmedReports(TimePoint now);
 
     const Settings m_settings;
     Hooks m_hooks;
     Records m_records;
     std::map<std::string, Limits, std::less<>> m_reports; ///< by process
+    /// Processes whose reports are not known to be in the store, since a restore at that time.
+    std::map<std::string, TimePoint, std::less<>> m_unconfirmedReports;
     TimePoint m_confirmedAt;
     RateLimitReport m_published;
     TimePoint m_publishedAt;
--- a/include/foxtailring/decisions/LeavingServers.h
+++ b/include/foxtailring/decisions/ServerStarts.h
@@ -11,11 +11,11 @@
 
 namespace foxtailring {
 
-/// \brief Backend servers that said in an answer that they leave.
+/// \brief A set of backend servers, each by its latest start.
 ///
-/// A server stays known after its entry has gone, since the same start of it may be listed again.
-/// Holds a limited number of servers and drops those that were added first.
-class LeavingServers
+/// Remembers servers whose entries have gone, since the same start may be listed again. Holds a
+/// limited number of servers and drops those that were added first.
+class ServerStarts
 {
 public:
     static constexpr std::size_t maxSize = 4096;
--- a/include/foxtailring/store/EtcdClient.h
+++ b/include/foxtailring/store/EtcdClient.h
@@ -22,12 +22,12 @@
     void range(const std::string &prefix, RangeHook hook) override;
     void compareAndSwap(const std::string &key, const std::string &value,
                         std::int64_t expectedRevision, WriteHook hook,
-                        std::int64_t lease = 0) override;
+                        StoreLease lease = {}) override;
     void compareAndDelete(const std::string &key, std::int64_t expectedRevision,
                           WriteHook hook) override;
     void grantLease(std::chrono::seconds timeToLive, LeaseHook hook) override;
-    void keepAlive(std::int64_t lease, LeaseHook hook) override;
-    std::shared_ptr<Http1Stream> watch(const std::string &prefix, std::int64_t revision,
+    void keepAlive(StoreLease lease, RenewalHook hook) override;
+    std::shared_ptr<Http1Stream> watch(const std::string &prefix, StoreRevision from,
                                        WatchHooks hooks) override;
 
 private:
--- a/include/foxtailring/store/KeyValueClient.h
+++ b/include/foxtailring/store/KeyValueClient.h
@@ -2,6 +2,8 @@
 
 #include "foxtailring/base/Result.h"
 #include "foxtailring/store/RangeResult.h"
+#include "foxtailring/store/StoreLease.h"
+#include "foxtailring/store/StoreRevision.h"
 #include "foxtailring/store/WatchHooks.h"
 #include "foxtailring/store/WriteResult.h"
 
@@ -23,37 +25,40 @@
 /// - Malformed: the reply cannot be decoded; a write may have been applied.
 /// - Overloaded: rejected by the service's rate limit.
 /// - NotFound, InvalidArgument: rejected by the service.
+/// - Stale: the call used a revision or a lease of another epoch of the service, or a read saw two
+///   epochs; a write may have been applied.
 class KeyValueClient
 {
 public:
     using RangeHook = std::function<void(Result<RangeResult>)>;
     using WriteHook = std::function<void(Result<WriteResult>)>;
-    using LeaseHook = std::function<void(Result<std::int64_t>)>;
+    using LeaseHook = std::function<void(Result<StoreLease>)>;
+    using RenewalHook = std::function<void(Result<std::chrono::seconds>)>;
 
     virtual ~KeyValueClient() = default;
 
     virtual void get(const std::string &key, RangeHook hook) = 0;
     virtual void range(const std::string &prefix, RangeHook hook) = 0;
     /// \brief Stores \a value if the key's revision is \a expectedRevision (0: it does not exist).
-    /// \param lease id of the lease whose end deletes the key; 0: none
+    /// \param lease the lease whose end deletes the key; by default none
     virtual void compareAndSwap(const std::string &key, const std::string &value,
                                 std::int64_t expectedRevision, WriteHook hook,
-                                std::int64_t lease = 0) = 0;
+                                StoreLease lease = {}) = 0;
     /// \brief Deletes the key if its revision is \a expectedRevision.
     virtual void compareAndDelete(const std::string &key, std::int64_t expectedRevision,
                                   WriteHook hook) = 0;
 
-    /// \brief Creates a lease and returns its id.
+    /// \brief Creates a lease.
     virtual void grantLease(std::chrono::seconds timeToLive, LeaseHook hook) = 0;
-    /// \brief Renews a lease and returns its remaining seconds; NotFound when it has ended.
-    virtual void keepAlive(std::int64_t lease, LeaseHook hook) = 0;
+    /// \brief Renews a lease and returns the time left; NotFound when it has ended.
+    virtual void keepAlive(StoreLease lease, RenewalHook hook) = 0;
 
-    /// \brief Reports changes of keys with \a prefix from \a revision on until cancelled or ended.
+    /// \brief Reports changes of keys with \a prefix from \a from on until cancelled or ended.
     ///
     /// A dead connection without an error does not end the watch, so reopen one that has been idle
     /// for long. Cancel the stream after WatchHooks::onEnded, since the connection of a watch that
     /// cannot be decoded stays open.
-    virtual std::shared_ptr<Http1Stream> watch(const std::string &prefix, std::int64_t revision,
+    virtual std::shared_ptr<Http1Stream> watch(const std::string &prefix, StoreRevision from,
                                                WatchHooks hooks) = 0;
 };
 
--- a/include/foxtailring/store/RangeResult.h
+++ b/include/foxtailring/store/RangeResult.h
@@ -12,7 +12,7 @@
 {
     std::int64_t revision = 0;
     std::vector<KeyValue> pairs;
-    std::int64_t epoch = 0; ///< rises when the store is restored from a backup; 0: unknown
+    std::int64_t epoch = 0; ///< of the store, in which the revisions are valid
 };
 
 } // namespace foxtailring
--- a/include/foxtailring/store/WatchHooks.h
+++ b/include/foxtailring/store/WatchHooks.h
@@ -18,7 +18,8 @@
     /// The service has confirmed that all changes made up to \a confirmedAt, on bootClock(), have
     /// been reported. Optional; not every client reports it.
     std::function<void(TimePoint confirmedAt)> onConfirmed;
-    /// Runs exactly once. Stale: the start revision has been compacted; read all keys again.
+    /// Runs exactly once. Stale: the history from the start revision on is gone, because it was
+    /// compacted or belongs to another epoch of the service; read all keys again.
     std::function<void(Error)> onEnded;
 };
 
--- a/include/foxtailring/store/WriteResult.h
+++ b/include/foxtailring/store/WriteResult.h
@@ -12,6 +12,7 @@
     bool applied = false;
     std::int64_t revision = 0; ///< revision of the store after the call
     KeyValue current;          ///< the key as the service holds it; set only when not applied
+    std::int64_t epoch = 0;    ///< of the store, in which the revisions are valid
 };
 
 } // namespace foxtailring
--- a/src/decisions/BackendTable.cpp
+++ b/src/decisions/BackendTable.cpp
@@ -40,9 +40,35 @@
     eraseExpired(now);
 }
 
+void BackendTable::mergeRestored(std::span<const BackendInfo> list, TimePoint now)
+{
+    std::vector<BackendInfo> current;
+    for (const BackendInfo &info : list) {
+        if (!m_goneServers.contains(info))
+            current.push_back(latestOf(info));
+    }
+    m_unlistedGraceEnd = now + m_settings.unlistedGrace;
+    replace(current, now);
+}
+
+// A server drains until it ends; its entry is ready again only after another start.
+BackendInfo BackendTable::latestOf(const BackendInfo &restored) const
+{
+    const auto found = m_records.find(restored.id);
+    if (found == m_records.end())
+        return restored;
+    const BackendInfo &known = found->second.info;
+    if (known.startedAtMs > restored.startedAtMs)
+        return known;
+    BackendInfo latest = restored;
+    latest.isDraining = restored.isDraining || (known.isDraining && known.isSameStart(restored));
+    return latest;
+}
+
 void BackendTable::put(const BackendInfo &info, TimePoint now)
 {
     eraseExpired(now);
+    m_goneServers.erase(info.id);
     insertOrUpdate(info, now);
 }
 
@@ -402,6 +428,7 @@
         const Record &record = found->second;
         if (isLeaving(record) && m_hooks.onLeavingEnded)
             m_hooks.onLeavingEnded(record.info);
+        m_goneServers.insert(record.info);
         if (record.info.startedAtMs == 0)
             m_leavingServers.erase(name);
         m_records.erase(found);
--- a/src/decisions/RateLimitTable.cpp
+++ b/src/decisions/RateLimitTable.cpp
@@ -39,6 +39,9 @@
 // that no process has named or repeated.
 constexpr int refreshIntervals = 4;
 constexpr int expiryIntervals = 16;
+// Reports are written again within this time after the store was restored, and within two of the
+// intervals at which they are repeated.
+constexpr seconds minRewriteTime {30};
 // Demands below this one count as none.
 constexpr double minDemand = 1.0 / 16;
 // Published demands are powers of two, and change only when the demand is this factor away from the
@@ -160,6 +163,7 @@
                                  TimePoint now)
 {
     const bool isOwn = change.processId == m_settings.processId;
+    m_unconfirmedReports.erase(change.processId);
     Limits after;
     if (change.report) {
         for (const RateLimitReport::Entry &entry : change.report->entries)
@@ -388,8 +392,29 @@
     return *record.quota;
 }
 
+void RateLimitTable::onStoreRestored(TimePoint now)
+{
+    for (const auto &[processId, limits] : m_reports)
+        m_unconfirmedReports.insert_or_assign(processId, now);
+    m_isRepublishing = true;
+}
+
+void RateLimitTable::expireUnconfirmedReports(TimePoint now)
+{
+    const Duration rewriteTime =
+        std::max<Duration>(minRewriteTime, 2 * refreshIntervals * publishInterval());
+    std::vector<RateLimitReportChange> lost;
+    for (const auto &[processId, restoredAt] : m_unconfirmedReports) {
+        if (now - restoredAt > rewriteTime)
+            lost.push_back({processId, std::nullopt});
+    }
+    if (!lost.empty())
+        applyReports(lost, now);
+}
+
 void RateLimitTable::expire(TimePoint now)
 {
+    expireUnconfirmedReports(now);
     for (auto entry = m_records.begin(); entry != m_records.end();) {
         Record &record = entry->second;
         endLimitIfReported(entry->first, record, now);
--- a/src/decisions/LeavingServers.cpp
+++ b/src/decisions/ServerStarts.cpp
@@ -1,10 +1,10 @@
-#include "foxtailring/decisions/LeavingServers.h"
+#include "foxtailring/decisions/ServerStarts.h"
 
 #include <algorithm>
 
 namespace foxtailring {
 
-void LeavingServers::insert(const BackendInfo &server)
+void ServerStarts::insert(const BackendInfo &server)
 {
     if (contains(server)) {
         m_servers.find(server.id)->second = server;
@@ -17,13 +17,13 @@
     m_order.push_back(server.id);
 }
 
-bool LeavingServers::contains(const BackendInfo &server) const
+bool ServerStarts::contains(const BackendInfo &server) const
 {
     const auto found = m_servers.find(server.id);
     return found != m_servers.end() && found->second.isSameStart(server);
 }
 
-void LeavingServers::erase(std::string_view id)
+void ServerStarts::erase(std::string_view id)
 {
     const auto found = m_servers.find(id);
     if (found == m_servers.end())
--- a/src/gateway/GatewayNode.cpp
+++ b/src/gateway/GatewayNode.cpp
@@ -201,6 +201,7 @@
         callers.onConnectionCut(makeCutHook(parts));
         parts.pauses.setHooks(makePauseHooks(parts));
         watch.onConfirmed([this] { dispatcher.onStoreRead(); });
+        watch.onRestored([this] { publisher.onStoreRestored(); });
         watch.onConfigApplied(
             [this] { callers.setLimits(toHttpLimits(parts.routes->config().limits)); });
     }
--- a/src/gateway/GatewayPublisher.cpp
+++ b/src/gateway/GatewayPublisher.cpp
@@ -69,13 +69,13 @@
     if (m_isCalling || now < m_pausedUntil)
         return;
     forgetEndedLease(now);
-    if (m_lease == 0) {
+    if (m_lease.id == 0) {
         if (now >= m_enlistAt || m_parts.rateLimits.wantsReport(now)
             || m_parts.quarantine.wantsReport(now))
             grantLease();
         return;
     }
-    if (m_crashReport.lease != 0 && m_crashReport.lease != m_lease)
+    if (m_crashReport.lease.id != 0 && m_crashReport.lease != m_lease)
         m_parts.quarantine.onReportNotPublished();
     if (const auto report = m_parts.quarantine.takeDueReport(now))
         return publish(*report);
@@ -100,15 +100,30 @@
 // The keys have ended with the lease.
 void GatewayPublisher::forgetEndedLease(TimePoint now)
 {
-    if (m_lease != 0 && now - m_leaseRenewedAt >= leaseDuration)
-        m_lease = 0;
+    if (m_lease.id != 0 && now - m_leaseRenewedAt >= leaseDuration)
+        m_lease = {};
+}
+
+void GatewayPublisher::onStoreRestored()
+{
+    forgetKeys();
+    m_enlistAt = m_parts.clock() + randomDelay(startSpread);
+    m_parts.quarantine.onReportNotPublished();
+}
+
+// The lease ended with the epoch in which it was granted, and the keys are lost or hold old values.
+void GatewayPublisher::forgetKeys()
+{
+    m_lease = {};
+    for (LeasedKey *key : {&m_listing, &m_report, &m_crashReport})
+        *key = LeasedKey {key->name};
 }
 
 void GatewayPublisher::grantLease()
 {
     m_isCalling = true;
     const TimePoint askedAt = m_parts.clock();
-    m_client.grantLease(leaseDuration, [this, askedAt](const Result<std::int64_t> &lease) {
+    m_client.grantLease(leaseDuration, [this, askedAt](const Result<StoreLease> &lease) {
         m_parts.queue.post([this, askedAt, lease] {
             m_isCalling = false;
             if (!lease)
@@ -125,7 +140,7 @@
 {
     m_isCalling = true;
     const TimePoint askedAt = m_parts.clock();
-    m_client.keepAlive(m_lease, [this, askedAt](const Result<std::int64_t> &left) {
+    m_client.keepAlive(m_lease, [this, askedAt](const Result<std::chrono::seconds> &left) {
         m_parts.queue.post([this, askedAt, left] {
             m_isCalling = false;
             if (!left)
@@ -192,7 +207,7 @@
     m_client.compareAndSwap(key.name, value, key.revision, onReply, m_lease);
 }
 
-void GatewayPublisher::recordWritten(LeasedKey &key, std::int64_t lease, const WriteResult &result)
+void GatewayPublisher::recordWritten(LeasedKey &key, StoreLease lease, const WriteResult &result)
 {
     key.revision = result.applied ? result.revision : result.current.modRevision;
     if (!result.applied)
@@ -219,7 +234,9 @@
                          {"error", std::string(errorCodeName(error.code))},
                          {"message", error.message}});
     if (error.code == ErrorCode::NotFound)
-        m_lease = 0;
+        m_lease = {};
+    if (error.code == ErrorCode::Stale)
+        forgetKeys();
     m_parts.rateLimits.onReportNotPublished();
     m_pausedUntil = m_parts.clock() + m_failurePause + randomDelay(failurePauseSpread);
     m_failurePause = std::min(2 * m_failurePause, maxFailurePause);
--- a/src/gateway/GatewayPublisher.h
+++ b/src/gateway/GatewayPublisher.h
@@ -30,18 +30,22 @@
 
     void start();
     void stop();
+    /// \brief The store was restored from a backup: writes this gateway's keys again, after a
+    /// random delay. On the queue.
+    void onStoreRestored();
 
 private:
     void step();
     bool isListingDue(TimePoint now) const;
     void forgetEndedLease(TimePoint now);
+    void forgetKeys();
     void grantLease();
     void renewLease();
     void enlist();
     void publish(const RateLimitReport &report);
     void publish(const PromptCrashReport &report);
     void write(LeasedKey &key, const std::string &value, const KeyValueClient::WriteHook &hook);
-    void recordWritten(LeasedKey &key, std::int64_t lease, const WriteResult &result);
+    void recordWritten(LeasedKey &key, StoreLease lease, const WriteResult &result);
     void onReportWritten(const WriteResult &result);
     void onCrashReportWritten(const WriteResult &result);
     void onFailed(std::string_view call, const Error &error);
@@ -54,7 +58,7 @@
     LeasedKey m_crashReport;
     Timer m_timer;
     bool m_isCalling = false; ///< a call to the store is in progress
-    std::int64_t m_lease = 0; ///< 0: none
+    StoreLease m_lease;       ///< id 0: none
     TimePoint m_leaseRenewedAt;
     TimePoint m_enlistAt;    ///< earliest time of the first call, without a report
     TimePoint m_pausedUntil; ///< after a failed call
--- a/src/gateway/LeasedKey.h
+++ b/src/gateway/LeasedKey.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "foxtailring/base/Clock.h"
+#include "foxtailring/store/StoreLease.h"
 
 #include <cstdint>
 #include <string>
@@ -12,7 +13,7 @@
 {
     std::string name;
     std::int64_t revision = 0; ///< as far as known; 0: it does not exist
-    std::int64_t lease = 0;    ///< under which it was written last; 0: not written
+    StoreLease lease {};       ///< under which it was written last; id 0: not written
     TimePoint writtenAt {};
 };
 
--- a/src/gateway/StoreWatch.cpp
+++ b/src/gateway/StoreWatch.cpp
@@ -8,6 +8,7 @@
 #include "RateLimitReportCodec.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace foxtailring {
 
@@ -50,6 +51,9 @@
                                                    std::chrono::milliseconds(100),
                                                    std::chrono::milliseconds(800)};
 
+// The operators and the servers write what was lost again within this time.
+constexpr std::chrono::milliseconds restoredRewriteTime {2000};
+
 } // namespace
 
 StoreWatch::StoreWatch(GatewayParts &parts, KeyValueClient &client, StoreSchema schema)
@@ -136,8 +140,15 @@
                 "serverEntryUnreadable",
                 {{"server", serverIdOf(pair.key)}, {"message", server.error().message}});
     }
-    m_parts.servers.replace(servers, now);
-    m_parts.rateLimits.replaceReports(reports, now);
+    const bool isRestored = startEpoch(read);
+    if (isRestored) {
+        m_parts.servers.mergeRestored(servers, now);
+        m_parts.rateLimits.onStoreRestored(now);
+        m_parts.keyFreshness.recordRestore(now, restoredRewriteTime);
+    } else {
+        m_parts.servers.replace(servers, now);
+        m_parts.rateLimits.replaceReports(reports, now);
+    }
     m_parts.fleet.replace(gateways, now);
     m_parts.updateFleetSize();
     m_parts.hasServerList = true;
@@ -147,6 +158,22 @@
                          {"revision", std::to_string(read.revision)}});
     m_parts.metrics.setGauge("gateway_store_epoch", static_cast<double>(read.epoch));
     reportRevision(read.revision);
+    if (isRestored && m_restoredHook)
+        m_restoredHook();
+}
+
+// True if the store was restored from a backup since the last read.
+bool StoreWatch::startEpoch(const RangeResult &read)
+{
+    const std::optional<std::int64_t> previous = std::exchange(m_epoch, read.epoch);
+    if (!previous || *previous == read.epoch)
+        return false;
+    m_parts.metrics.add("gateway_store_restores_total");
+    StructuredLog::warn("storeRestored",
+                        {{"epoch", std::to_string(read.epoch)},
+                         {"previous", std::to_string(*previous)},
+                         {"revision", std::to_string(read.revision)}});
+    return true;
 }
 
 void StoreWatch::applyEvents(const std::vector<WatchEvent> &events)
--- a/src/gateway/StoreWatch.h
+++ b/src/gateway/StoreWatch.h
@@ -3,6 +3,7 @@
 #include "foxtailring/gateway/StoreSchema.h"
 #include "foxtailring/store/PrefixWatcher.h"
 
+#include <optional>
 #include <span>
 
 namespace foxtailring {
@@ -23,6 +24,8 @@
     /// \brief \a hook runs on the queue whenever the store has confirmed that every change so far
     /// was delivered.
     void onConfirmed(std::function<void()> hook) { m_confirmedHook = std::move(hook); }
+    /// \brief \a hook runs on the queue after a store that was restored from a backup was read.
+    void onRestored(std::function<void()> hook) { m_restoredHook = std::move(hook); }
     void start();
     void stop();
 
@@ -30,6 +33,7 @@
     PrefixWatcherHooks makeHooks();
     void post(std::function<void()> work);
     void applySnapshot(const RangeResult &read);
+    bool startEpoch(const RangeResult &read);
     void applyEvents(const std::vector<WatchEvent> &events);
     void applyConfig(const KeyValue &pair);
     void applyServer(const KeyValue &pair);
@@ -45,6 +49,8 @@
     std::function<void()> m_configAppliedHook;
     TimePoint m_confirmedAt; ///< all changes until then have been applied
     std::function<void()> m_confirmedHook;
+    std::function<void()> m_restoredHook;
+    std::optional<std::int64_t> m_epoch; ///< of the last full read
     PrefixWatcher m_watcher;
 };
 
--- a/src/store/EtcdClient.cpp
+++ b/src/store/EtcdClient.cpp
@@ -110,9 +110,9 @@
 }
 
 void EtcdClient::compareAndSwap(const std::string &key, const std::string &value,
-                                std::int64_t expectedRevision, WriteHook hook, std::int64_t lease)
+                                std::int64_t expectedRevision, WriteHook hook, StoreLease lease)
 {
-    m_state->transaction(etcd::compareAndSwapRequest(key, value, expectedRevision, lease),
+    m_state->transaction(etcd::compareAndSwapRequest(key, value, expectedRevision, lease.id),
                          std::move(hook));
 }
 
@@ -127,26 +127,31 @@
     const nlohmann::json body = {{"TTL", std::to_string(timeToLive.count())}};
     m_state->call("/v3/lease/grant", body,
                   [hook = std::move(hook)](const Result<nlohmann::json> &reply) {
-                      hook(decodeReply<std::int64_t>(reply, etcd::leaseId));
+                      const auto id = decodeReply<std::int64_t>(reply, etcd::leaseId);
+                      if (!id)
+                          return hook(id.error());
+                      hook(StoreLease {0, id.value()});
                   });
 }
 
-void EtcdClient::keepAlive(std::int64_t lease, LeaseHook hook)
+void EtcdClient::keepAlive(StoreLease lease, RenewalHook hook)
 {
-    const nlohmann::json body = {{"ID", std::to_string(lease)}};
+    const nlohmann::json body = {{"ID", std::to_string(lease.id)}};
     m_state->call("/v3/lease/keepalive", body,
                   [hook = std::move(hook)](const Result<nlohmann::json> &reply) {
-                      auto remainingSeconds =
+                      const auto remainingSeconds =
                           decodeReply<std::int64_t>(reply, [](const nlohmann::json &json) {
                               return etcd::integer(json.at("result"), "TTL");
                           });
-                      if (remainingSeconds && remainingSeconds.value() <= 0)
-                          remainingSeconds = Error {ErrorCode::NotFound, "the lease has expired"};
-                      hook(std::move(remainingSeconds));
+                      if (!remainingSeconds)
+                          return hook(remainingSeconds.error());
+                      if (remainingSeconds.value() <= 0)
+                          return hook(Error {ErrorCode::NotFound, "the lease has expired"});
+                      hook(std::chrono::seconds(remainingSeconds.value()));
                   });
 }
 
-std::shared_ptr<Http1Stream> EtcdClient::watch(const std::string &prefix, std::int64_t revision,
+std::shared_ptr<Http1Stream> EtcdClient::watch(const std::string &prefix, StoreRevision from,
                                                WatchHooks hooks)
 {
     auto reader = std::make_shared<WatchReader>(std::move(hooks));
@@ -163,7 +168,7 @@
     HttpRequest request {"POST",
                          "/v3/watch",
                          {{"content-type", "application/json"}},
-                         etcd::watchRequest(prefix, revision).dump()};
+                         etcd::watchRequest(prefix, from.number).dump()};
     return m_state->http.stream(m_state->service, std::move(request), std::move(stream));
 }
 
--- a/src/store/PrefixWatcher.cpp
+++ b/src/store/PrefixWatcher.cpp
@@ -59,7 +59,7 @@
 
     std::shared_ptr<Http1Stream> m_stream;
     std::uint64_t m_watchId = 0;
-    std::int64_t m_revision = 0; ///< of the last change reported
+    StoreRevision m_revision; ///< of the last change reported
     milliseconds m_backoff {0};
     bool m_isAvailable = false;
     bool m_isOutageReported = false;
@@ -99,7 +99,7 @@
     if (!result)
         return retryAfterBackoff(result.error(), readAgain);
     markAvailable();
-    m_revision = result.value().revision;
+    m_revision = {result.value().epoch, result.value().revision};
     if (!m_hooks.onSnapshot(result.value()))
         return retryAfterBackoff({ErrorCode::Malformed, "the keys read could not be used"},
                                  readAgain);
@@ -126,7 +126,8 @@
     hooks.onEnded = [post, watchId](const Error &error) {
         post([watchId, error](State &self) { self.onEnded(watchId, error); });
     };
-    m_stream = m_client.watch(m_prefix, m_revision + 1, std::move(hooks));
+    const StoreRevision next {m_revision.epoch, m_revision.number + 1};
+    m_stream = m_client.watch(m_prefix, next, std::move(hooks));
     restartIdleTimer();
 }
 
@@ -136,11 +137,11 @@
 PrefixWatcher::State::takeUnseenEvents(const std::vector<WatchEvent> &events)
 {
     std::vector<WatchEvent> unseen;
-    const std::int64_t lastRevision = m_revision;
+    const std::int64_t lastRevision = m_revision.number;
     for (const WatchEvent &event : events) {
         if (event.pair.modRevision <= lastRevision)
             continue;
-        m_revision = std::max(m_revision, event.pair.modRevision);
+        m_revision.number = std::max(m_revision.number, event.pair.modRevision);
         unseen.push_back(event);
     }
     return unseen;
--- a/tests/decisions/BackendTableTest.cpp
+++ b/tests/decisions/BackendTableTest.cpp
@@ -1,6 +1,6 @@
 #include "foxtailring/decisions/BackendTable.h"
 
-#include "foxtailring/decisions/LeavingServers.h"
+#include "foxtailring/decisions/ServerStarts.h"
 
 #include "ForwardFixture.h"
 
@@ -13,6 +13,10 @@
     CPPUNIT_TEST(removedServerIsNoCandidate);
     CPPUNIT_TEST(serversAreKeptWhileTheListIsUnavailable);
     CPPUNIT_TEST(serversStillMissingAfterAnOutageAreRemoved);
+    CPPUNIT_TEST(restoredListBringsBackNoServerThatHasGone);
+    CPPUNIT_TEST(restoredListDoesNotEndDraining);
+    CPPUNIT_TEST(restoredListDoesNotBringBackAnEarlierStart);
+    CPPUNIT_TEST(serversMissingInARestoredListAreKeptForAWhile);
     CPPUNIT_TEST(failedServerIsSuspectedTemporarily);
     CPPUNIT_TEST(oneCrashCountsOnce);
     CPPUNIT_TEST(zoneFailureMakesOtherServersDoubtful);
@@ -82,6 +86,46 @@
         CPPUNIT_ASSERT(servers.server("a1", now + Ms(1700))->health == BackendHealth::Healthy);
     }
 
+    // Guards against requests to a server that has left, because the store was restored from a
+    // backup that lists it.
+    void restoredListBringsBackNoServerThatHasGone()
+    {
+        servers.remove("a1", now);
+        servers.mergeRestored(std::vector<BackendInfo> {info("a1", "a"), info("b1", "b")}, now);
+        CPPUNIT_ASSERT(!servers.server("a1", now));
+        servers.put(info("a1", "a"), now);
+        CPPUNIT_ASSERT(servers.server("a1", now)->acceptsNewWork());
+    }
+
+    void restoredListDoesNotEndDraining()
+    {
+        BackendInfo draining = info("a1", "a");
+        draining.isDraining = true;
+        servers.put(draining, now);
+        servers.mergeRestored(std::vector<BackendInfo> {info("a1", "a"), info("b1", "b")}, now);
+        CPPUNIT_ASSERT(!servers.server("a1", now)->acceptsNewWork());
+        servers.put(info("a1", "a"), now);
+        CPPUNIT_ASSERT(servers.server("a1", now)->acceptsNewWork());
+    }
+
+    void restoredListDoesNotBringBackAnEarlierStart()
+    {
+        BackendInfo restarted = info("a1", "a");
+        restarted.startedAtMs = 2;
+        restarted.address = "10.0.0.9:80";
+        servers.put(restarted, now);
+        servers.mergeRestored(std::vector<BackendInfo> {info("a1", "a"), info("b1", "b")}, now);
+        CPPUNIT_ASSERT_EQUAL(restarted.address, servers.server("a1", now)->info.address);
+    }
+
+    // Guards against dropping servers that started after the backup and have yet to write again.
+    void serversMissingInARestoredListAreKeptForAWhile()
+    {
+        servers.mergeRestored(std::vector<BackendInfo> {info("b1", "b")}, now);
+        CPPUNIT_ASSERT(servers.server("a1", now + Ms(1900))->acceptsNewWork());
+        CPPUNIT_ASSERT(!servers.server("a1", now + Ms(2100)));
+    }
+
     // Guards against a long suspicion because one crash fails many requests.
     void oneCrashCountsOnce()
     {
@@ -211,7 +255,7 @@
     void listedServerStillLeavesAfterManyOthers()
     {
         sayLeaving("a1");
-        for (std::size_t i = 0; i < LeavingServers::maxSize; ++i)
+        for (std::size_t i = 0; i < ServerStarts::maxSize; ++i)
             servers.recordNotice(info("gone" + std::to_string(i), "a"), LeavingNotice::Leaving);
         CPPUNIT_ASSERT(!servers.server("a1", now)->acceptsNewWork());
         servers.put(info("a1", "a"), now);
--- a/tests/decisions/RateLimitTableTest.cpp
+++ b/tests/decisions/RateLimitTableTest.cpp
@@ -26,6 +26,8 @@
     CPPUNIT_TEST(refusalKnowsWhenARequestIsFree);
     CPPUNIT_TEST(nothingIsReportedWithoutALimit);
     CPPUNIT_TEST(reportIsRepeatedWhenItWasLost);
+    CPPUNIT_TEST(reportsAreKeptWhenARestoredStoreHasLostThem);
+    CPPUNIT_TEST(reportNotWrittenAgainAfterARestoreIsDropped);
     CPPUNIT_TEST(sharesAddUpToTheTotal);
     CPPUNIT_TEST_SUITE_END();
 
@@ -157,6 +159,40 @@
         CPPUNIT_ASSERT(m_table.freeAt("s", m_now + Ms(200)) == m_now + Ms(4100));
     }
 
+    // Guards against gateways that each take the whole limit while the others' reports are missing.
+    void reportsAreKeptWhenARestoredStoreHasLostThem()
+    {
+        name(8);
+        publish();
+        putReport("other", 8, 1);
+        advance(Ms(4100));
+        const std::uint32_t shared = quota();
+        m_table.onStoreRestored(m_now);
+        CPPUNIT_ASSERT(m_table.takeDueReport(m_now).has_value());
+        advance(std::chrono::seconds(5));
+        m_table.expire(m_now);
+        CPPUNIT_ASSERT_EQUAL(shared, quota());
+        CPPUNIT_ASSERT(shared < 32);
+    }
+
+    void reportNotWrittenAgainAfterARestoreIsDropped()
+    {
+        name(8);
+        publish();
+        putReport("ended", 8, 1);
+        putReport("other", 8, 1);
+        m_table.onStoreRestored(m_now);
+        advance(Ms(1100));
+        publish();
+        for (int i = 0; i < 8; ++i) {
+            advance(std::chrono::seconds(4));
+            name(8);
+            putReport("other", 8, 1);
+            m_table.expire(m_now);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t {2}, explain().processes);
+    }
+
     void nothingIsReportedWithoutALimit()
     {
         for (int i = 0; i < 40; ++i)
--- a/tests/decisions/RouteTableTest.cpp
+++ b/tests/decisions/RouteTableTest.cpp
@@ -13,6 +13,7 @@
     CPPUNIT_TEST(hostIsComparedWithoutCaseAndPort);
     CPPUNIT_TEST(keysIdentifyTheirAccount);
     CPPUNIT_TEST(keysExpireWithoutConfirmation);
+    CPPUNIT_TEST(restoredStoreConfirmsNoKeysUntilRevocationsAreBack);
     CPPUNIT_TEST(oldConfirmationDoesNotReplaceANewOne);
     CPPUNIT_TEST(drainingProcessRefusesLateStreams);
     CPPUNIT_TEST(drainingProcessLimitsTheTimeOfCalls);
@@ -53,6 +54,21 @@
         CPPUNIT_ASSERT(!keys.isFresh(start + std::chrono::milliseconds(4000)));
     }
 
+    // Guards against accepting a key whose revocation was lost with the store's latest writes.
+    void restoredStoreConfirmsNoKeysUntilRevocationsAreBack()
+    {
+        KeyFreshness keys(std::chrono::seconds(5), std::chrono::seconds(1));
+        const TimePoint start {std::chrono::hours(1)};
+        keys.recordConfirmation(start);
+        const TimePoint restored = start + std::chrono::seconds(1);
+        keys.recordRestore(restored, std::chrono::seconds(2));
+        keys.recordConfirmation(restored + std::chrono::milliseconds(1999));
+        CPPUNIT_ASSERT(keys.isFresh(start + std::chrono::milliseconds(3999)));
+        CPPUNIT_ASSERT(!keys.isFresh(start + std::chrono::milliseconds(4000)));
+        keys.recordConfirmation(restored + std::chrono::seconds(2));
+        CPPUNIT_ASSERT(keys.isFresh(start + std::chrono::milliseconds(4000)));
+    }
+
     void oldConfirmationDoesNotReplaceANewOne()
     {
         KeyFreshness keys(std::chrono::seconds(5), std::chrono::seconds(1));
--- a/tests/decisions/LeavingServersTest.cpp
+++ b/tests/decisions/ServerStartsTest.cpp
@@ -1,13 +1,13 @@
-#include "foxtailring/decisions/LeavingServers.h"
+#include "foxtailring/decisions/ServerStarts.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <string>
 
 using namespace foxtailring;
 
-class LeavingServersTest : public CppUnit::TestFixture
+class ServerStartsTest : public CppUnit::TestFixture
 {
-    CPPUNIT_TEST_SUITE(LeavingServersTest);
+    CPPUNIT_TEST_SUITE(ServerStartsTest);
     CPPUNIT_TEST(startsAreTold);
     CPPUNIT_TEST(memoryIsBounded);
     CPPUNIT_TEST_SUITE_END();
@@ -16,7 +16,7 @@
     // Guards against a restarted server that is taken for the one that left.
     void startsAreTold()
     {
-        LeavingServers servers;
+        ServerStarts servers;
         servers.insert(info("a", 1));
         CPPUNIT_ASSERT(servers.contains(info("a", 1)));
         CPPUNIT_ASSERT(!servers.contains(info("a", 2)));
@@ -32,11 +32,11 @@
     // them.
     void memoryIsBounded()
     {
-        LeavingServers servers;
-        const std::size_t count = LeavingServers::maxSize + 10;
+        ServerStarts servers;
+        const std::size_t count = ServerStarts::maxSize + 10;
         for (std::size_t i = 0; i < count; ++i)
             servers.insert(info("i-" + std::to_string(i), 1));
-        CPPUNIT_ASSERT_EQUAL(LeavingServers::maxSize, servers.size());
+        CPPUNIT_ASSERT_EQUAL(ServerStarts::maxSize, servers.size());
         CPPUNIT_ASSERT(!servers.contains(info("i-9", 1)));
         CPPUNIT_ASSERT(servers.contains(info("i-10", 1)));
         CPPUNIT_ASSERT(servers.contains(info("i-" + std::to_string(count - 1), 1)));
@@ -53,4 +53,4 @@
     }
 };
 
-CPPUNIT_TEST_SUITE_REGISTRATION(LeavingServersTest);
+CPPUNIT_TEST_SUITE_REGISTRATION(ServerStartsTest);
--- a/tests/gateway/GatewayFixture.h
+++ b/tests/gateway/GatewayFixture.h
@@ -27,13 +27,14 @@
     void get(const std::string &, RangeHook) override { }
     void range(const std::string &, RangeHook hook) override { reads->put(std::move(hook)); }
     void compareAndSwap(const std::string &, const std::string &, std::int64_t, WriteHook,
-                        std::int64_t) override
+                        StoreLease) override
     {
     }
     void compareAndDelete(const std::string &, std::int64_t, WriteHook) override { }
     void grantLease(std::chrono::seconds, LeaseHook) override { }
-    void keepAlive(std::int64_t, LeaseHook) override { }
-    std::shared_ptr<Http1Stream> watch(const std::string &, std::int64_t, WatchHooks hooks) override
+    void keepAlive(StoreLease, RenewalHook) override { }
+    std::shared_ptr<Http1Stream> watch(const std::string &, StoreRevision,
+                                       WatchHooks hooks) override
     {
         watches->put(std::move(hooks));
         return nullptr;
--- a/tests/gateway/SharedStore.cpp
+++ b/tests/gateway/SharedStore.cpp
@@ -59,10 +59,10 @@
     return {true, read(key).revision, {}};
 }
 
-std::int64_t SharedStore::grantLease()
+StoreLease SharedStore::grantLease()
 {
     const std::lock_guard lock(m_mutex);
-    return ++m_lastLease;
+    return {0, ++m_lastLease};
 }
 
 void SharedStore::watch(const WatchHooks &hooks)
--- a/tests/gateway/SharedStore.h
+++ b/tests/gateway/SharedStore.h
@@ -22,7 +22,7 @@
     /// \brief Applies the write if the key's revision is \a expectedRevision.
     WriteResult write(const std::string &key, const std::string &value,
                       std::int64_t expectedRevision);
-    std::int64_t grantLease();
+    StoreLease grantLease();
     /// \brief Called with each key that a gateway writes; set before the gateways start.
     void setWrittenHook(std::function<void(const std::string &key)> hook);
     void watch(const WatchHooks &hooks);
--- a/tests/gateway/SharedStoreClient.h
+++ b/tests/gateway/SharedStoreClient.h
@@ -17,14 +17,15 @@
     void get(const std::string &key, RangeHook hook) override { hook(m_store.read(key)); }
     void range(const std::string &prefix, RangeHook hook) override { hook(m_store.read(prefix)); }
     void compareAndSwap(const std::string &key, const std::string &value, std::int64_t expected,
-                        WriteHook hook, std::int64_t) override
+                        WriteHook hook, StoreLease) override
     {
         hook(m_store.write(key, value, expected));
     }
     void compareAndDelete(const std::string &, std::int64_t, WriteHook) override { }
     void grantLease(std::chrono::seconds, LeaseHook hook) override { hook(m_store.grantLease()); }
-    void keepAlive(std::int64_t, LeaseHook hook) override { hook(std::int64_t {10}); }
-    std::shared_ptr<Http1Stream> watch(const std::string &, std::int64_t, WatchHooks hooks) override
+    void keepAlive(StoreLease, RenewalHook hook) override { hook(std::chrono::seconds(10)); }
+    std::shared_ptr<Http1Stream> watch(const std::string &, StoreRevision,
+                                       WatchHooks hooks) override
     {
         m_store.watch(hooks);
         return nullptr;
--- a/tests/platform/KvClientTest.cpp
+++ b/tests/platform/KvClientTest.cpp
@@ -21,6 +21,10 @@
     CPPUNIT_TEST(compactedHistoryEndsTheWatch);
     CPPUNIT_TEST(unansweredPollEndsTheWatch);
     CPPUNIT_TEST(leaseIsGrantedAndRenewed);
+    CPPUNIT_TEST(pollAnsweredInAnotherEpochEndsTheWatch);
+    CPPUNIT_TEST(pagesOfTwoEpochsAreNoResult);
+    CPPUNIT_TEST(renewalInAnotherEpochFails);
+    CPPUNIT_TEST(leasedWriteInAnotherEpochFails);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -65,7 +69,7 @@
     void swapIsATransaction()
     {
         ResultMailbox<WriteResult> box;
-        m_client->compareAndSwap("k", "v", 0, box.hook(), 77);
+        m_client->compareAndSwap("k", "v", 0, box.hook(), {0, 77});
         const HttpRequest request = answer(R"({"rev":412})");
         CPPUNIT_ASSERT_EQUAL(std::string("/kv-txn"), request.target);
         CPPUNIT_ASSERT(json::parse(request.body)
@@ -80,7 +84,7 @@
     void refusedSwapReturnsTheCurrentValue()
     {
         ResultMailbox<WriteResult> box;
-        m_client->compareAndSwap("k", "v", 3, box.hook(), 0);
+        m_client->compareAndSwap("k", "v", 3, box.hook(), {});
         answer(R"({"items":[{"key":"k","value":"dw==","rev":5}]})", 412);
         const WriteResult result = box.take().value();
         CPPUNIT_ASSERT(!result.applied);
@@ -97,7 +101,7 @@
                                                    {403, ErrorCode::InvalidArgument}};
         for (const auto &[status, code] : cases) {
             ResultMailbox<WriteResult> box;
-            m_client->compareAndSwap("k", "v", 0, box.hook(), 0);
+            m_client->compareAndSwap("k", "v", 0, box.hook(), {});
             answer("", status);
             CPPUNIT_ASSERT(box.take().error().code == code);
         }
@@ -142,18 +146,79 @@
 
     void leaseIsGrantedAndRenewed()
     {
-        ResultMailbox<std::int64_t> granted;
+        ResultMailbox<StoreLease> granted;
         m_client->grantLease(std::chrono::seconds(3), granted.hook());
         const HttpRequest request = answer(R"({"lease":77120,"ttl_ms":3000})");
         CPPUNIT_ASSERT_EQUAL(std::string(R"({"ttl_ms":3000})"), request.body);
-        CPPUNIT_ASSERT_EQUAL(std::int64_t(77120), granted.take().value());
-        ResultMailbox<std::int64_t> renewed;
-        m_client->keepAlive(77120, renewed.hook());
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(77120), granted.take().value().id);
+        ResultMailbox<std::chrono::seconds> renewed;
+        m_client->keepAlive({0, 77120}, renewed.hook());
         CPPUNIT_ASSERT_EQUAL(std::string("/kv-keep/77120"), answer(R"({"ttl_ms":2900})").target);
-        CPPUNIT_ASSERT_EQUAL(std::int64_t(2), renewed.take().value());
+        CPPUNIT_ASSERT(renewed.take().value() == std::chrono::seconds(2));
+    }
+
+    // Guards against a watch that skips what a restored store wrote below its position.
+    void pollAnsweredInAnotherEpochEndsTheWatch()
+    {
+        const auto stream = startWatch({1, 5});
+        answerInEpoch("1", R"({"events":[],"as_of":8})");
+        m_confirmed.take();
+        answerInEpoch("2", R"({"events":[{"key":"p/a","value":"dg==","rev":9}],"as_of":9})");
+        CPPUNIT_ASSERT(m_ends.take() == ErrorCode::Stale);
+        CPPUNIT_ASSERT(m_changes.isEmpty() && m_confirmed.isEmpty());
+    }
+
+    // Guards against a list that is put together from a store before and after a restore.
+    void pagesOfTwoEpochsAreNoResult()
+    {
+        for (const char *second : {"2", ""}) {
+            ResultMailbox<RangeResult> box;
+            m_client->range("s/", box.hook());
+            answerInEpoch(
+                "1", R"({"items":[{"key":"s/a","value":"","rev":4}],"has_more":true,"as_of":9})");
+            answerInEpoch(second, R"({"items":[{"key":"s/b","value":"","rev":5}],"as_of":9})");
+            CPPUNIT_ASSERT(box.take().error().code == ErrorCode::Stale);
+        }
+    }
+
+    // Guards against renewing another process's lease, which was given the same id after a restore.
+    void renewalInAnotherEpochFails()
+    {
+        ResultMailbox<StoreLease> granted;
+        m_client->grantLease(std::chrono::seconds(3), granted.hook());
+        answerInEpoch("4", R"({"lease":77,"ttl_ms":3000})");
+        const StoreLease lease = granted.take().value();
+        ResultMailbox<std::chrono::seconds> renewed;
+        m_client->keepAlive(lease, renewed.hook());
+        answerInEpoch("4", R"({"ttl_ms":3000})");
+        CPPUNIT_ASSERT(renewed.take());
+        m_client->keepAlive(lease, renewed.hook());
+        answerInEpoch("5", R"({"ttl_ms":3000})");
+        CPPUNIT_ASSERT(renewed.take().error().code == ErrorCode::Stale);
+    }
+
+    // Guards against relying on a key that was written under a lease of before a restore.
+    void leasedWriteInAnotherEpochFails()
+    {
+        ResultMailbox<WriteResult> box;
+        m_client->compareAndSwap("k", "v", 3, box.hook(), {1, 77});
+        answerInEpoch("2", R"({"rev":412})");
+        CPPUNIT_ASSERT(box.take().error().code == ErrorCode::Stale);
+        m_client->compareAndSwap("k", "v", 3, box.hook(), {1, 77});
+        m_requests.take().responder->respond(
+            {412, {{"Store-Era", "2"}}, R"({"items":[{"key":"k","value":"dw==","rev":5}]})"});
+        CPPUNIT_ASSERT(box.take().error().code == ErrorCode::Stale);
     }
 
 private:
+    void answerInEpoch(const std::string &epoch, std::string body)
+    {
+        std::vector<HttpHeader> headers;
+        if (!epoch.empty())
+            headers.push_back({"Store-Era", epoch});
+        m_requests.take().responder->respond({200, std::move(headers), std::move(body)});
+    }
+
     static platform::KvClient::Settings settings()
     {
         platform::KvClient::Settings out;
@@ -162,7 +227,7 @@
         return out;
     }
 
-    std::shared_ptr<Http1Stream> startWatch()
+    std::shared_ptr<Http1Stream> startWatch(StoreRevision from = {0, 5})
     {
         WatchHooks hooks;
         hooks.onChanges = [this](std::span<const WatchEvent> events, std::int64_t) {
@@ -170,7 +235,7 @@
         };
         hooks.onConfirmed = [this](TimePoint) { m_confirmed.put(1); };
         hooks.onEnded = [this](const Error &error) { m_ends.put(error.code); };
-        return m_client->watch("p/", 5, std::move(hooks));
+        return m_client->watch("p/", from, std::move(hooks));
     }
 
     std::optional<platform::KvClient> m_client;
--- a/tests/store/EtcdClientTest.cpp
+++ b/tests/store/EtcdClientTest.cpp
@@ -90,7 +90,7 @@
     void swapComparesRevision()
     {
         ResultMailbox<WriteResult> mailbox;
-        m_client->compareAndSwap("k", "v", 5, mailbox.hook(), 9);
+        m_client->compareAndSwap("k", "v", 5, mailbox.hook(), {0, 9});
         const HttpRequest request = answer(R"({"header":{"revision":"6"},"succeeded":true,
             "responses":[{"response_put":{"header":{"revision":"6"}}}]})");
         CPPUNIT_ASSERT_EQUAL(std::string("/v3/kv/txn"), request.target);
@@ -215,20 +215,21 @@
 
     void leaseIsGrantedAndRenewed()
     {
-        ResultMailbox<std::int64_t> mailbox;
-        m_client->grantLease(std::chrono::seconds(10), mailbox.hook());
+        ResultMailbox<StoreLease> granted;
+        m_client->grantLease(std::chrono::seconds(10), granted.hook());
         const HttpRequest grant = answer(R"({"header":{"revision":"3"},"ID":"77","TTL":"10"})");
         CPPUNIT_ASSERT_EQUAL(std::string("/v3/lease/grant"), grant.target);
         CPPUNIT_ASSERT(json::parse(grant.body) == jsonOf(R"({"TTL":"10"})"));
-        CPPUNIT_ASSERT_EQUAL(std::int64_t(77), mailbox.take().value());
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(77), granted.take().value().id);
 
-        m_client->keepAlive(77, mailbox.hook());
+        ResultMailbox<std::chrono::seconds> mailbox;
+        m_client->keepAlive({0, 77}, mailbox.hook());
         const HttpRequest renewed = answer(R"({"result":{"ID":"77","TTL":"10"}})");
         CPPUNIT_ASSERT_EQUAL(std::string("/v3/lease/keepalive"), renewed.target);
         CPPUNIT_ASSERT(json::parse(renewed.body) == jsonOf(R"({"ID":"77"})"));
-        CPPUNIT_ASSERT_EQUAL(std::int64_t(10), mailbox.take().value());
+        CPPUNIT_ASSERT(mailbox.take().value() == std::chrono::seconds(10));
 
-        m_client->keepAlive(77, mailbox.hook());
+        m_client->keepAlive({0, 77}, mailbox.hook());
         answer(R"({"result":{"ID":"77"}})");
         CPPUNIT_ASSERT(mailbox.take().error().code == ErrorCode::NotFound);
     }
@@ -236,14 +237,15 @@
     // Guards against keys that never expire: lease 0 stands for no lease.
     void malformedLeasesAreRejected()
     {
-        ResultMailbox<std::int64_t> mailbox;
+        ResultMailbox<StoreLease> granted;
         for (const char *reply : {"{}", R"({"ID":"0"})", R"({"ID":true})"}) {
-            m_client->grantLease(std::chrono::seconds(10), mailbox.hook());
+            m_client->grantLease(std::chrono::seconds(10), granted.hook());
             answer(reply);
-            CPPUNIT_ASSERT_MESSAGE(reply, mailbox.take().error().code == ErrorCode::Malformed);
+            CPPUNIT_ASSERT_MESSAGE(reply, granted.take().error().code == ErrorCode::Malformed);
         }
+        ResultMailbox<std::chrono::seconds> mailbox;
         for (const char *reply : {"{}", R"({"result":5})", R"({"result":{"TTL":"soon"}})"}) {
-            m_client->keepAlive(1, mailbox.hook());
+            m_client->keepAlive({0, 1}, mailbox.hook());
             answer(reply);
             CPPUNIT_ASSERT_MESSAGE(reply, mailbox.take().error().code == ErrorCode::Malformed);
         }
--- a/tests/store/PrefixWatcherTest.cpp
+++ b/tests/store/PrefixWatcherTest.cpp
@@ -25,6 +25,7 @@
 struct OpenedWatch
 {
     std::int64_t revision = 0;
+    std::int64_t epoch = 0;
     WatchHooks hooks;
 };
 
@@ -35,16 +36,16 @@
     void get(const std::string &, RangeHook) override { }
     void range(const std::string &, RangeHook hook) override { reads.put(std::move(hook)); }
     void compareAndSwap(const std::string &, const std::string &, std::int64_t, WriteHook,
-                        std::int64_t) override
+                        StoreLease) override
     {
     }
     void compareAndDelete(const std::string &, std::int64_t, WriteHook) override { }
     void grantLease(std::chrono::seconds, LeaseHook) override { }
-    void keepAlive(std::int64_t, LeaseHook) override { }
-    std::shared_ptr<Http1Stream> watch(const std::string &, std::int64_t revision,
+    void keepAlive(StoreLease, RenewalHook) override { }
+    std::shared_ptr<Http1Stream> watch(const std::string &, StoreRevision from,
                                        WatchHooks hooks) override
     {
-        watches.put({revision, std::move(hooks)});
+        watches.put({from.number, from.epoch, std::move(hooks)});
         return std::make_shared<NullStream>();
     }
 
@@ -62,6 +63,7 @@
     CPPUNIT_TEST(changesAreReportedOnce);
     CPPUNIT_TEST(endedWatchIsReopenedAfterLastChange);
     CPPUNIT_TEST(compactedWatchReadsAllKeysAgain);
+    CPPUNIT_TEST(restoredStoreIsReadAndWatchedInItsEpoch);
     CPPUNIT_TEST(idleWatchIsReopened);
     CPPUNIT_TEST(eventsOfClosedWatchAreDropped);
     CPPUNIT_TEST(outageAndRecoveryAreReportedOnce);
@@ -127,6 +129,21 @@
         CPPUNIT_ASSERT_EQUAL(std::int64_t(21), m_store->watches.take().revision);
     }
 
+    // Guards against skipping what a restored store wrote at revisions that were seen before.
+    void restoredStoreIsReadAndWatchedInItsEpoch()
+    {
+        const OpenedWatch watch = openWatch();
+        watch.hooks.onChanges(std::vector<WatchEvent> {event("a", 9)}, 9);
+        m_reports.take();
+        watch.hooks.onEnded({ErrorCode::Stale, "another epoch"});
+        m_store->reads.take()(RangeResult {5, {}, 2});
+        const OpenedWatch next = m_store->watches.take();
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(6), next.revision);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(2), next.epoch);
+        next.hooks.onChanges(std::vector<WatchEvent> {event("b", 8)}, 8);
+        CPPUNIT_ASSERT_EQUAL(std::string("b@8 "), m_reports.take());
+    }
+
     // Guards against a dead connection that goes unnoticed because it reports no error.
     void idleWatchIsReopened()
     {
--- a/tests/store/WatchTest.cpp
+++ b/tests/store/WatchTest.cpp
@@ -129,7 +129,7 @@
             m_changes.put({{events.begin(), events.end()}, revision});
         };
         hooks.onEnded = [this](const Error &error) { m_ends.put(error.code); };
-        return client.watch("a/", 5, std::move(hooks));
+        return client.watch("a/", {0, 5}, std::move(hooks));
     }
 
     PendingRequest openWatch()
