gateway: spread full reads of the store over the fleet, and read the configuration first

Cause: when the store was restored or dropped its history, every gateway read all keys at the same moment: 8,750 calls at 350 gateways and 12,000 servers, against a limit of 2,000 a second. Change: RereadPacing spreads the reads at random, so that they use half of the store's rate (setting storeReadsPerSecond). The configuration alone is read at once, each second while the full read waits, and at the end of the hold, and confirms the keys.

--- a/include/foxtailring/gateway/GatewaySettings.h
+++ b/include/foxtailring/gateway/GatewaySettings.h
@@ -31,6 +31,7 @@
     std::chrono::milliseconds maxServerListDelay {2500};
     std::chrono::milliseconds maxStartupWait {
         300};                                      ///< of requests, for the first read of the store
+    double storeReadsPerSecond = 2000;             ///< that the store takes from all gateways
     std::chrono::milliseconds drainTimeout {8000}; ///< from SIGTERM to the end of the process
 
     static Result<GatewaySettings> fromFile(const std::string &path);
--- a/include/foxtailring/store/PrefixWatcherHooks.h
+++ b/include/foxtailring/store/PrefixWatcherHooks.h
@@ -5,6 +5,7 @@
 #include "foxtailring/store/RangeResult.h"
 #include "foxtailring/store/WatchEvent.h"
 
+#include <chrono>
 #include <functional>
 #include <span>
 
@@ -20,6 +21,11 @@
     std::function<bool(std::span<const WatchEvent>)> onChanges;
     /// All changes made up to \a confirmedAt, on bootClock(), have been reported. Optional.
     std::function<void(TimePoint confirmedAt)> onConfirmed;
+    /// The changes since the last one reported are gone from the store; all keys are read again
+    /// after rereadDelay(). Optional.
+    std::function<void()> onHistoryLost;
+    /// Optional; no delay by default.
+    std::function<std::chrono::milliseconds()> rereadDelay;
     /// The first failure of an outage; runs again only after onAvailable(). Optional.
     std::function<void(const Error &)> onUnavailable;
     /// The first answer of the service, at the start or after a failure. Optional.
--- a/src/gateway/GatewaySettings.cpp
+++ b/src/gateway/GatewaySettings.cpp
@@ -12,6 +12,8 @@
 constexpr std::int64_t minMemoryMb = 32;
 constexpr std::int64_t maxMemoryMb = 1024 * 1024;
 constexpr std::int64_t maxDurationMs = 3'600'000;
+constexpr double minReadsPerSecond = 1;
+constexpr double maxReadsPerSecond = 1e6;
 constexpr double minDrainSeconds = 1;
 constexpr double maxDrainSeconds = 3600;
 
@@ -68,6 +70,8 @@
     readMilliseconds(reader, "keyRevocationMs", settings.maxKeyRevocationDelay);
     readMilliseconds(reader, "listNoticeMs", settings.maxServerListDelay);
     readMilliseconds(reader, "startWaitMs", settings.maxStartupWait);
+    settings.storeReadsPerSecond = reader.numberOr(
+        "storeReadsPerSecond", settings.storeReadsPerSecond, minReadsPerSecond, maxReadsPerSecond);
     settings.drainTimeout = std::chrono::round<milliseconds>(std::chrono::duration<double>(
         reader.numberOr("drainLimitSeconds", 8, minDrainSeconds, maxDrainSeconds)));
     const auto done = reader.finish();
--- a/src/gateway/StoreWatch.cpp
+++ b/src/gateway/StoreWatch.cpp
@@ -1,6 +1,9 @@
 #include "StoreWatch.h"
 
+#include "foxtailring/base/RandomSource.h"
 #include "foxtailring/base/StructuredLog.h"
+#include "foxtailring/base/ThreadLocalRandom.h"
+#include "foxtailring/store/KeyValueClient.h"
 
 #include "GatewayKey.h"
 #include "GatewayParts.h"
@@ -51,6 +54,7 @@
                                                    std::chrono::milliseconds(100),
                                                    std::chrono::milliseconds(800)};
 
+constexpr std::chrono::milliseconds configReadInterval {1000};
 // The operators and the servers write what was lost again within this time.
 constexpr std::chrono::milliseconds restoredRewriteTime {2000};
 
@@ -58,7 +62,11 @@
 
 StoreWatch::StoreWatch(GatewayParts &parts, KeyValueClient &client, StoreSchema schema)
     : m_parts(parts)
+    , m_client(client)
     , m_schema(std::move(schema))
+    , m_rereadPacing(parts.settings.storeReadsPerSecond)
+    , m_configTimer(parts.pool)
+    , m_holdTimer(parts.pool)
     , m_watcher(parts.pool, client, allKeysPrefix, watcherSettings, makeHooks())
 {
 }
@@ -70,6 +78,8 @@
 
 void StoreWatch::stop()
 {
+    m_configTimer.cancel();
+    m_holdTimer.cancel();
     m_watcher.stop();
 }
 
@@ -100,6 +110,8 @@
                 m_confirmedHook();
         });
     };
+    hooks.onHistoryLost = [this] { post([this] { onHistoryLost(); }); };
+    hooks.rereadDelay = [this] { return randomRereadDelay(); };
     hooks.onUnavailable = [this](const Error &error) {
         StructuredLog::warn("storeLost", {{"message", error.message}});
         post([this] { m_parts.servers.onListLost(); });
@@ -115,8 +127,69 @@
     return hooks;
 }
 
+// A full read may wait for its turn among those of the fleet. Until then the configuration is read
+// alone, and keys are confirmed by that.
+void StoreWatch::onHistoryLost()
+{
+    m_isReadDue = true;
+    readConfig();
+    m_configTimer.every(configReadInterval, [this] {
+        post([this] {
+            if (m_isReadDue)
+                readConfig();
+        });
+    });
+}
+
+void StoreWatch::readConfig()
+{
+    const TimePoint requestedAt = m_parts.clock();
+    m_client.get(m_schema.configKey, [this, requestedAt](const Result<RangeResult> &read) {
+        if (!read) {
+            m_parts.metrics.add("store_failures_total{error=\""
+                                + std::string(errorCodeName(read.error().code)) + "\"}");
+            return;
+        }
+        post([this, requestedAt, result = read.value()] { applyConfigRead(result, requestedAt); });
+    });
+}
+
+void StoreWatch::applyConfigRead(const RangeResult &read, TimePoint requestedAt)
+{
+    if (read.pairs.empty())
+        return;
+    holdKeys(read.epoch);
+    applyConfig(read.pairs.front());
+    m_parts.keyFreshness.recordConfirmation(requestedAt);
+}
+
+// Revocations of keys may be among the writes that a restored store has lost.
+void StoreWatch::holdKeys(std::int64_t epoch)
+{
+    const std::optional<std::int64_t> previous = std::exchange(m_seenEpoch, epoch);
+    if (!previous || *previous == epoch)
+        return;
+    m_parts.keyFreshness.recordRestore(m_parts.clock(), restoredRewriteTime);
+    m_holdTimer.once(restoredRewriteTime, [this] { post([this] { readConfig(); }); });
+}
+
+void StoreWatch::updateRereadSpread()
+{
+    const Duration spread = m_rereadPacing.spread(m_parts.fleet.size(), m_callsOfRead);
+    m_rereadSpreadMs = std::chrono::ceil<std::chrono::milliseconds>(spread).count();
+}
+
+std::chrono::milliseconds StoreWatch::randomRereadDelay() const
+{
+    const auto bound = static_cast<std::uint64_t>(m_rereadSpreadMs.load()) + 1;
+    return std::chrono::milliseconds(threadLocalRandom().bounded(bound));
+}
+
 void StoreWatch::applySnapshot(const RangeResult &read)
 {
+    m_isReadDue = false;
+    m_configTimer.cancel();
+    m_callsOfRead = read.calls;
     const TimePoint now = m_parts.clock();
     std::vector<BackendInfo> servers;
     std::vector<RateLimitReportChange> reports;
@@ -141,16 +214,17 @@
                 {{"server", serverIdOf(pair.key)}, {"message", server.error().message}});
     }
     const bool isRestored = startEpoch(read);
+    holdKeys(read.epoch);
     if (isRestored) {
         m_parts.servers.mergeRestored(servers, now);
         m_parts.rateLimits.onStoreRestored(now);
-        m_parts.keyFreshness.recordRestore(now, restoredRewriteTime);
     } else {
         m_parts.servers.replace(servers, now);
         m_parts.rateLimits.replaceReports(reports, now);
     }
     m_parts.fleet.replace(gateways, now);
     m_parts.updateFleetSize();
+    updateRereadSpread();
     m_parts.hasServerList = true;
     StructuredLog::info("serversRead",
                         {{"servers", std::to_string(servers.size())},
@@ -227,6 +301,7 @@
             m_parts.fleet.put(nodeId);
     }
     m_parts.updateFleetSize();
+    updateRereadSpread();
 }
 
 void StoreWatch::applyPromptCrashReport(const KeyValue &pair, TimePoint writtenAfter)
--- a/src/gateway/StoreWatch.h
+++ b/src/gateway/StoreWatch.h
@@ -1,8 +1,11 @@
 #pragma once
 
+#include "foxtailring/decisions/RereadPacing.h"
 #include "foxtailring/gateway/StoreSchema.h"
 #include "foxtailring/store/PrefixWatcher.h"
+#include "foxtailring/transport/Timer.h"
 
+#include <atomic>
 #include <optional>
 #include <span>
 
@@ -34,6 +37,12 @@
     void post(std::function<void()> work);
     void applySnapshot(const RangeResult &read);
     bool startEpoch(const RangeResult &read);
+    void onHistoryLost();
+    void readConfig();
+    void applyConfigRead(const RangeResult &read, TimePoint requestedAt);
+    void holdKeys(std::int64_t epoch);
+    void updateRereadSpread();
+    std::chrono::milliseconds randomRereadDelay() const;
     void applyEvents(const std::vector<WatchEvent> &events);
     void applyConfig(const KeyValue &pair);
     void applyServer(const KeyValue &pair);
@@ -45,12 +54,21 @@
     std::string serverIdOf(std::string_view key) const;
 
     GatewayParts &m_parts;
+    KeyValueClient &m_client;
     const StoreSchema m_schema;
     std::function<void()> m_configAppliedHook;
     TimePoint m_confirmedAt; ///< all changes until then have been applied
     std::function<void()> m_confirmedHook;
     std::function<void()> m_restoredHook;
-    std::optional<std::int64_t> m_epoch; ///< of the last full read
+    std::optional<std::int64_t> m_epoch;     ///< of the last full read
+    std::optional<std::int64_t> m_seenEpoch; ///< of the last read, full or of the configuration
+    bool m_isReadDue = false;                ///< all keys are to be read again
+    std::size_t m_callsOfRead = 1;           ///< that the last full read took
+    const RereadPacing m_rereadPacing;
+    /// Used by the watcher's threads too.
+    std::atomic<std::chrono::milliseconds::rep> m_rereadSpreadMs = 0;
+    Timer m_configTimer; ///< reads the configuration alone until all keys were read
+    Timer m_holdTimer;   ///< ends the time in which a restored store confirms no keys
     PrefixWatcher m_watcher;
 };
 
--- a/src/store/PrefixWatcher.cpp
+++ b/src/store/PrefixWatcher.cpp
@@ -42,6 +42,7 @@
     void onChanges(std::uint64_t watchId, const std::vector<WatchEvent> &events);
     void onConfirmed(std::uint64_t watchId, TimePoint requestedAt);
     void onEnded(std::uint64_t watchId, const Error &error);
+    void rereadLater();
     std::vector<WatchEvent> takeUnseenEvents(const std::vector<WatchEvent> &events);
     void closeWatch();
     void restartIdleTimer();
@@ -179,11 +180,19 @@
         return;
     closeWatch();
     if (error.code == ErrorCode::Stale)
-        read();
+        rereadLater();
     else
         retryAfterBackoff(error, [](State &self) { self.watch(); });
 }
 
+void PrefixWatcher::State::rereadLater()
+{
+    if (m_hooks.onHistoryLost)
+        m_hooks.onHistoryLost();
+    const milliseconds delay = m_hooks.rereadDelay ? m_hooks.rereadDelay() : milliseconds(0);
+    schedule(delay, [](State &self) { self.read(); });
+}
+
 void PrefixWatcher::State::closeWatch()
 {
     ++m_watchId;
--- a/tests/store/PrefixWatcherTest.cpp
+++ b/tests/store/PrefixWatcherTest.cpp
@@ -64,6 +64,7 @@
     CPPUNIT_TEST(endedWatchIsReopenedAfterLastChange);
     CPPUNIT_TEST(compactedWatchReadsAllKeysAgain);
     CPPUNIT_TEST(restoredStoreIsReadAndWatchedInItsEpoch);
+    CPPUNIT_TEST(lostHistoryIsReportedBeforeTheRead);
     CPPUNIT_TEST(idleWatchIsReopened);
     CPPUNIT_TEST(eventsOfClosedWatchAreDropped);
     CPPUNIT_TEST(outageAndRecoveryAreReportedOnce);
@@ -144,6 +145,18 @@
         CPPUNIT_ASSERT_EQUAL(std::string("b@8 "), m_reports.take());
     }
 
+    // Guards against a fleet that reads everything at the same moment.
+    void lostHistoryIsReportedBeforeTheRead()
+    {
+        const OpenedWatch watch = openWatch();
+        m_rereadDelay = std::chrono::milliseconds(60);
+        const TimePoint endedAt = bootClock()();
+        watch.hooks.onEnded({ErrorCode::Stale, "history is gone"});
+        m_losses.take();
+        m_store->reads.take();
+        CPPUNIT_ASSERT(bootClock()() - endedAt >= std::chrono::milliseconds(60));
+    }
+
     // Guards against a dead connection that goes unnoticed because it reports no error.
     void idleWatchIsReopened()
     {
@@ -221,6 +234,8 @@
             m_reports.put(text);
             return true;
         };
+        hooks.onHistoryLost = [this] { m_losses.put(1); };
+        hooks.rereadDelay = [this] { return m_rereadDelay.load(); };
         hooks.onConfirmed = [this](TimePoint confirmedAt) { m_confirmations.put(confirmedAt); };
         hooks.onUnavailable = [this](const Error &) { m_states.put("lost"); };
         hooks.onAvailable = [this] { m_states.put("followed"); };
@@ -242,6 +257,8 @@
     Mailbox<std::string> m_reports;
     Mailbox<std::string> m_states;
     Mailbox<TimePoint> m_confirmations;
+    Mailbox<int> m_losses;
+    std::atomic<std::chrono::milliseconds> m_rereadDelay = std::chrono::milliseconds(0);
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PrefixWatcherTest);
