decisions: forget servers whose grace is over before the next one begins

Cause: a server that is removed within the 2 s after an outage or a restore is only hidden when that time is over; its record is erased by the next change of the list. A later outage, or a read of a restored store, begins a new grace, which applied to the hidden record too: requests went to a server that had gone. Change: onListLost() and mergeRestored() first erase what has expired. Measured: decisions_test BackendTableTest: serverThatHasGoneIsNotUsedInALaterOutage failed before in the outage, and with onListLost() mended alone in the restored list; 26 of 26 pass now. gateway_test 76 of 76 pass.

--- a/include/foxtailring/decisions/BackendTable.h
+++ b/include/foxtailring/decisions/BackendTable.h
@@ -72,7 +72,7 @@
     void remove(std::string_view id, TimePoint now);
     /// \brief The list cannot be read. Servers removed from now on are kept, since their leases may
     /// just have expired.
-    void onListLost();
+    void onListLost(TimePoint now);
     void onListRestored(TimePoint now);
 
     void startWork(std::string_view id);
--- a/src/decisions/BackendTable.cpp
+++ b/src/decisions/BackendTable.cpp
@@ -42,6 +42,7 @@
 
 void BackendTable::mergeRestored(std::span<const BackendInfo> list, TimePoint now)
 {
+    eraseExpired(now);
     std::vector<BackendInfo> current;
     for (const BackendInfo &info : list) {
         if (!m_goneServers.contains(info))
@@ -132,8 +133,11 @@
         eraseRecord(id);
 }
 
-void BackendTable::onListLost()
+// Expired servers are erased first here and in mergeRestored(), or the next grace would apply to
+// them too.
+void BackendTable::onListLost(TimePoint now)
 {
+    eraseExpired(now);
     m_isListUnavailable = true;
 }
 
--- a/src/gateway/StoreWatch.cpp
+++ b/src/gateway/StoreWatch.cpp
@@ -102,7 +102,7 @@
     };
     hooks.onUnavailable = [this](const Error &error) {
         StructuredLog::warn("storeLost", {{"message", error.message}});
-        post([this] { m_parts.servers.onListLost(); });
+        post([this] { m_parts.servers.onListLost(m_parts.clock()); });
     };
     hooks.onAvailable = [this] {
         StructuredLog::info("storeFollowed");
--- a/tests/decisions/BackendTableTest.cpp
+++ b/tests/decisions/BackendTableTest.cpp
@@ -13,6 +13,7 @@
     CPPUNIT_TEST(removedServerIsNoCandidate);
     CPPUNIT_TEST(serversAreKeptWhileTheListIsUnavailable);
     CPPUNIT_TEST(serversStillMissingAfterAnOutageAreRemoved);
+    CPPUNIT_TEST(serverThatHasGoneIsNotUsedInALaterOutage);
     CPPUNIT_TEST(restoredListBringsBackNoServerThatHasGone);
     CPPUNIT_TEST(restoredListDoesNotEndDraining);
     CPPUNIT_TEST(restoredListDoesNotBringBackAnEarlierStart);
@@ -57,7 +58,7 @@
     // Entries expire while the store is down. Guards against losing all live servers by that.
     void serversAreKeptWhileTheListIsUnavailable()
     {
-        servers.onListLost();
+        servers.onListLost(now);
         servers.remove("a1", now);
         CPPUNIT_ASSERT_EQUAL(std::size_t(6), servers.candidates("engine", now).size());
         servers.onListRestored(now);
@@ -67,7 +68,7 @@
 
     void serversStillMissingAfterAnOutageAreRemoved()
     {
-        servers.onListLost();
+        servers.onListLost(now);
         servers.remove("a1", now);
         servers.onListRestored(now);
         CPPUNIT_ASSERT_EQUAL(std::size_t(5), servers.candidates("engine", now + Ms(2100)).size());
@@ -75,6 +76,23 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(4), servers.candidates("engine", now + Ms(3000)).size());
     }
 
+    // Guards against requests to a server that went away just after an outage, because the list
+    // is unavailable or restored again.
+    void serverThatHasGoneIsNotUsedInALaterOutage()
+    {
+        servers.onListLost(now);
+        servers.onListRestored(now);
+        servers.remove("a1", now + Ms(100));
+        CPPUNIT_ASSERT(!servers.server("a1", now + Ms(2100)));
+        servers.onListLost(now + Ms(2100));
+        CPPUNIT_ASSERT(!servers.server("a1", now + Ms(2100)));
+        servers.onListRestored(now + Ms(2200));
+        servers.remove("a2", now + Ms(2300));
+        CPPUNIT_ASSERT(!servers.server("a2", now + Ms(4300)));
+        servers.mergeRestored(std::vector<BackendInfo> {info("a2", "a")}, now + Ms(4300));
+        CPPUNIT_ASSERT(!servers.server("a2", now + Ms(4300)));
+    }
+
     void failedServerIsSuspectedTemporarily()
     {
         servers.recordFailure("a1", now);
@@ -181,7 +199,7 @@
     // Guards against using only the other zones until the store is back.
     void restartsAreUsedWhileTheListIsUnavailable()
     {
-        servers.onListLost();
+        servers.onListLost(now);
         servers.recordReplacement("a1", "a9", now);
         CPPUNIT_ASSERT(servers.server("a9", now).has_value());
         CPPUNIT_ASSERT_EQUAL(std::size_t(6), servers.candidates("engine", now).size());
@@ -240,7 +258,7 @@
         CPPUNIT_ASSERT(!servers.server("a1", now));
         servers.put(info("a1", "a"), now);
         CPPUNIT_ASSERT(!servers.server("a1", now)->acceptsNewWork());
-        servers.onListLost();
+        servers.onListLost(now);
         servers.remove("a1", now);
         CPPUNIT_ASSERT(!servers.server("a1", now)->acceptsNewWork());
         servers.onListRestored(now);
@@ -308,7 +326,7 @@
     // start.
     void startTimeThatIsGivenLaterTellsRestarts()
     {
-        servers.onListLost();
+        servers.onListLost(now);
         servers.recordReplacement("a1", "a9", now);
         sayLeaving("a9");
         BackendInfo entry = info("a9", "a");
--- a/tests/decisions/StreamSessionTest.cpp
+++ b/tests/decisions/StreamSessionTest.cpp
@@ -946,7 +946,7 @@
     // While the store is down, a server at the address of another one is used unless it leaves.
     void successorThatLeavesIsNotUsed()
     {
-        servers.onListLost();
+        servers.onListLost(now);
         StreamSession session(m_route, request(), context(), {true, true, true});
         started(session);
         BackendAnswer other;
