decisions: keep earlier starts of a server that has gone out of a restored list

Cause: servers that have gone are remembered by their latest start and compared for the same one. A server that restarted and left, both after the backup, is in the restored list by its earlier start, and was used again. Change: ServerStarts::containsSameOrLater(), used by mergeRestored(). Measured: decisions_test BackendTableTest: restoredListDoesNotBringBackAnEarlierStartOfAGoneServer failed before, since the server was found; 27 of 27 pass now.

--- a/include/foxtailring/decisions/ServerStarts.h
+++ b/include/foxtailring/decisions/ServerStarts.h
@@ -24,6 +24,8 @@
     /// was not given before.
     void insert(const BackendInfo &server);
     bool contains(const BackendInfo &server) const;
+    /// \brief True if \a server or a later start of it was added.
+    bool containsSameOrLater(const BackendInfo &server) const;
     void erase(std::string_view id);
     std::size_t size() const { return m_servers.size(); }
 
--- a/src/decisions/BackendTable.cpp
+++ b/src/decisions/BackendTable.cpp
@@ -45,7 +45,7 @@
     eraseExpired(now);
     std::vector<BackendInfo> current;
     for (const BackendInfo &info : list) {
-        if (!m_goneServers.contains(info))
+        if (!m_goneServers.containsSameOrLater(info))
             current.push_back(latestOf(info));
     }
     m_unlistedGraceEnd = now + m_settings.unlistedGrace;
--- a/src/decisions/ServerStarts.cpp
+++ b/src/decisions/ServerStarts.cpp
@@ -23,6 +23,14 @@
     return found != m_servers.end() && found->second.isSameStart(server);
 }
 
+bool ServerStarts::containsSameOrLater(const BackendInfo &server) const
+{
+    const auto found = m_servers.find(server.id);
+    const bool isLater = found != m_servers.end() && server.startedAtMs > 0
+        && found->second.startedAtMs > server.startedAtMs;
+    return isLater || contains(server);
+}
+
 void ServerStarts::erase(std::string_view id)
 {
     const auto found = m_servers.find(id);
--- a/tests/decisions/BackendTableTest.cpp
+++ b/tests/decisions/BackendTableTest.cpp
@@ -15,6 +15,7 @@
     CPPUNIT_TEST(serversStillMissingAfterAnOutageAreRemoved);
     CPPUNIT_TEST(serverThatHasGoneIsNotUsedInALaterOutage);
     CPPUNIT_TEST(restoredListBringsBackNoServerThatHasGone);
+    CPPUNIT_TEST(restoredListDoesNotBringBackAnEarlierStartOfAGoneServer);
     CPPUNIT_TEST(restoredListDoesNotEndDraining);
     CPPUNIT_TEST(restoredListDoesNotBringBackAnEarlierStart);
     CPPUNIT_TEST(serversMissingInARestoredListAreKeptForAWhile);
@@ -115,6 +116,20 @@
         CPPUNIT_ASSERT(servers.server("a1", now)->acceptsNewWork());
     }
 
+    // Guards against requests to a server that restarted and left, both after the backup.
+    void restoredListDoesNotBringBackAnEarlierStartOfAGoneServer()
+    {
+        BackendInfo restarted = info("a1", "a");
+        restarted.startedAtMs = 2;
+        servers.put(restarted, now);
+        servers.remove("a1", now);
+        servers.mergeRestored(std::vector<BackendInfo> {info("a1", "a")}, now);
+        CPPUNIT_ASSERT(!servers.server("a1", now));
+        restarted.startedAtMs = 3;
+        servers.mergeRestored(std::vector<BackendInfo> {restarted}, now);
+        CPPUNIT_ASSERT(servers.server("a1", now)->acceptsNewWork());
+    }
+
     void restoredListDoesNotEndDraining()
     {
         BackendInfo draining = info("a1", "a");
