--- a/src/decisions/BackendTable.cpp
+++ b/src/decisions/BackendTable.cpp
@@ -42,9 +42,10 @@
 
 void BackendTable::mergeRestored(std::span<const BackendInfo> list, TimePoint now)
 {
+    eraseExpired(now);
     std::vector<BackendInfo> current;
     for (const BackendInfo &info : list) {
-        if (!m_goneServers.contains(info))
+        if (!m_goneServers.containsSameOrLater(info))
             current.push_back(latestOf(info));
     }
     m_unlistedGraceEnd = now + m_settings.unlistedGrace;
@@ -132,8 +133,11 @@
         eraseRecord(id);
 }
 
-void BackendTable::onListLost()
+// Expired servers are erased first here and in mergeRestored(), or the next grace would apply to
+// them too.
+void BackendTable::onListLost(TimePoint now)
 {
+    eraseExpired(now);
     m_isListUnavailable = true;
 }
 
