transport: refuse addresses with a zero byte, tell those of no host

Cause: make_address() reads up to the first zero byte, so "127.0.0.1\0x:80" was an endpoint. Endpoint::parse() also takes port 0 and unspecified addresses, which are right for listening; a connection to 0.0.0.0 goes to this machine. Change: parse() refuses zero bytes; isConnectable() is false for port 0, and for unspecified, multicast and broadcast addresses, also in their IPv6 form. Measured: build/tests/transport_test BasicsTest: before, endpointWithAZeroByteIsRejected failed; the second test is for the new function and failed on one that returns true. Conclusion: the decoder of servers' entries can refuse such addresses.

--- a/include/foxtailring/transport/Endpoint.h
+++ b/include/foxtailring/transport/Endpoint.h
@@ -18,6 +18,8 @@
     /// \brief Parses `IP:PORT` (`[IP]:PORT` for IPv6). Fails with InvalidArgument on any other
     /// text.
     static Result<Endpoint> parse(std::string_view text);
+    /// \brief False for port 0 and for unspecified, multicast and broadcast addresses.
+    bool isConnectable() const;
     /// \brief Returns `IP:PORT`, with an IPv6 address in brackets.
     std::string toString() const;
 
--- a/src/transport/Endpoint.cpp
+++ b/src/transport/Endpoint.cpp
@@ -22,6 +22,15 @@
     return ip;
 }
 
+// A connection to an unspecified address goes to this machine.
+bool isHostAddress(const net::ip::address &address)
+{
+    if (address.is_v6() && address.to_v6().is_v4_mapped())
+        return isHostAddress(net::ip::make_address_v4(net::ip::v4_mapped, address.to_v6()));
+    return !address.is_unspecified() && !address.is_multicast()
+        && address != net::ip::address(net::ip::address_v4::broadcast());
+}
+
 } // namespace
 
 Result<Endpoint> Endpoint::parse(std::string_view text)
@@ -33,6 +42,9 @@
     const std::string_view port = text.substr(colon + 1);
     const std::string_view ip = withoutBrackets(host);
 
+    // make_address() ignores what follows a zero byte.
+    if (ip.find('\0') != std::string_view::npos)
+        return notAnEndpoint(text);
     ErrorStatus status;
     const auto address = net::ip::make_address(std::string(ip), status);
     // IPv6 addresses must be in brackets; otherwise the last group would be parsed as the port.
@@ -47,6 +59,13 @@
     return endpoint;
 }
 
+bool Endpoint::isConnectable() const
+{
+    ErrorStatus status;
+    const auto address = net::ip::make_address(ip, status);
+    return !status && port != 0 && isHostAddress(address);
+}
+
 std::string Endpoint::toString() const
 {
     const bool isV6 = ip.find(':') != std::string::npos;
--- a/tests/transport/BasicsTest.cpp
+++ b/tests/transport/BasicsTest.cpp
@@ -15,6 +15,8 @@
     CPPUNIT_TEST_SUITE(BasicsTest);
     CPPUNIT_TEST(endpointRoundTrips);
     CPPUNIT_TEST(badEndpointIsRejected);
+    CPPUNIT_TEST(endpointWithAZeroByteIsRejected);
+    CPPUNIT_TEST(endpointsThatNameNoHostAreNotConnectable);
     CPPUNIT_TEST(poolSurvivesAnException);
     CPPUNIT_TEST(timerRunsOnce);
     CPPUNIT_TEST(timerRepeatsUntilItsHookCancels);
@@ -40,6 +42,25 @@
         }
     }
 
+    // Guards against taking the text before the zero byte for the address.
+    void endpointWithAZeroByteIsRejected()
+    {
+        using namespace std::string_view_literals;
+        for (const std::string_view text :
+             {"127.0.0.1\0x:80"sv, "127.0.0.1\0:80"sv, "[::1\0]:80"sv, "127.0.0.1:80\0"sv})
+            CPPUNIT_ASSERT(!Endpoint::parse(text).isOk());
+    }
+
+    // Guards against a connection to this machine instead of a server.
+    void endpointsThatNameNoHostAreNotConnectable()
+    {
+        for (const char *text : {"127.0.0.1:0", "0.0.0.0:80", "[::]:80", "[::ffff:0.0.0.0]:80",
+                                 "224.0.0.1:80", "[ff02::1]:80", "255.255.255.255:80"})
+            CPPUNIT_ASSERT_MESSAGE(text, !Endpoint::parse(text).value().isConnectable());
+        for (const char *text : {"127.0.0.1:1", "10.0.0.9:65535", "[::1]:80", "[fd00::9]:80"})
+            CPPUNIT_ASSERT_MESSAGE(text, Endpoint::parse(text).value().isConnectable());
+    }
+
     // A hook that throws must not end the process or one of its worker threads.
     void poolSurvivesAnException()
     {
