protocol: bound what a frame's body makes the decoder reserve

Cause: msgpack reserves memory for as many elements as an array or map claims to hold, and each level of nesting may claim more. A body of 250 KB with 50,000 nested arrays of 4096 elements took 190 MB, one of the permitted 16 MiB takes gigabytes; a single claim of 2^32 pairs asks for 137 GB. Change: Sizes are limited by the length of the body, and nesting to eight levels (messages use three). Measured: protocol_test ProtocolTest::claimedSizesReserveNoMemory: before, the assertion on the memory fails, peak of the process 203 MB; after, it passes, peak 12 MB. Found by a fuzzer of frames (AddressSanitizer: out-of-memory trying to allocate 0x2000000008 bytes after 670 inputs). Conclusion: A faulty peer costs at most a few times the size of its frame.

--- a/include/foxtailring/protocol/Frame.h
+++ b/include/foxtailring/protocol/Frame.h
@@ -12,6 +12,9 @@
 
 /// \brief Maximum body of a frame; a longer one closes the stream.
 constexpr std::size_t maxFrameBodyBytes = 16 * 1024 * 1024;
+/// \brief Maximum nesting of arrays and maps in a body. Messages use three levels; newer ones may
+/// have members with more that are skipped.
+constexpr std::size_t maxMessageDepth = 8;
 
 /// \brief One message on the wire: 4-byte big-endian body length, type byte, msgpack body.
 struct Frame
@@ -39,7 +42,11 @@
     if (frame.type != Message::type)
         return Error {ErrorCode::Malformed, "unexpected message type"};
     try {
-        const auto handle = msgpack::unpack(frame.body.data(), frame.body.size());
+        // The decoder reserves what an array or map claims to hold. Each element takes a byte of
+        // the body at least, and only one array or map of each level is incomplete at a time.
+        const std::size_t size = frame.body.size();
+        const msgpack::unpack_limit limit(size, size, size, size, size, maxMessageDepth);
+        const auto handle = msgpack::unpack(frame.body.data(), size, nullptr, nullptr, limit);
         return handle.get().template as<Message>();
     } catch (const std::exception &exception) {
         return Error {ErrorCode::Malformed, std::string("message body: ") + exception.what()};
--- a/tests/protocol/ProtocolTest.cpp
+++ b/tests/protocol/ProtocolTest.cpp
@@ -4,6 +4,7 @@
 #include "foxtailring/protocol/Tokens.h"
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <sys/resource.h>
 
 using namespace foxtailring;
 
@@ -12,6 +13,7 @@
     CPPUNIT_TEST_SUITE(ProtocolTest);
     CPPUNIT_TEST(framesDecodeFromSingleBytes);
     CPPUNIT_TEST(malformedFramesAreErrors);
+    CPPUNIT_TEST(claimedSizesReserveNoMemory);
     CPPUNIT_TEST(resumeTokenRoundTrips);
     CPPUNIT_TEST(forgedResumeTokenIsRejected);
     CPPUNIT_TEST_SUITE_END();
@@ -26,6 +28,13 @@
         return tokens;
     }
 
+    static long peakKilobytes()
+    {
+        rusage usage {};
+        getrusage(RUSAGE_SELF, &usage);
+        return usage.ru_maxrss;
+    }
+
 public:
     // Guards against lost or duplicated messages when a connection delivers bytes one at a time.
     void framesDecodeFromSingleBytes()
@@ -56,6 +65,17 @@
         CPPUNIT_ASSERT(!decodeMessage<Tokens>(Frame {MessageType::Failed, "\x80"}).isOk());
     }
 
+    // Guards against a peer whose frame claims large arrays in arrays: each level reserved them.
+    void claimedSizesReserveNoMemory()
+    {
+        std::string body;
+        for (int i = 0; i < 50'000; ++i)
+            body += std::string_view("\xdd\x00\x00\x10\x00", 5); // an array of 4096 elements
+        const long before = peakKilobytes();
+        CPPUNIT_ASSERT(!decodeMessage<Tokens>(Frame {MessageType::Tokens, body}).isOk());
+        CPPUNIT_ASSERT(peakKilobytes() - before < 64 * 1024);
+    }
+
     void resumeTokenRoundTrips()
     {
         const ResumeToken token {"req", "account", "service", 3, "127.0.0.1:9", 41};
