transport: keep trailers of a response out of its headers

Cause: Beast adds the fields of a trailer to the headers of the message. A head that arrived in one read with the whole chunked body was delivered only after the trailer had been read, so that headers depended on how the response came in pieces, and a trailer could set an id, a signature or a notice (RFC 9110, section 6.5.1 forbids that). Change: The parser stops after the head, which is delivered, and goes on then. Conclusion: Only fields of the head count as headers of a response.

--- a/src/transport/Http1ClientExchange.cpp
+++ b/src/transport/Http1ClientExchange.cpp
@@ -177,7 +177,6 @@
     m_parser->header_limit(maxHeadBytes);
     // Boost 1.74 takes every Content-Length for larger than no limit.
     m_parser->body_limit(std::numeric_limits<std::uint64_t>::max());
-    m_parser->eager(true);
     m_parser->skip(m_options.isHead);
 }
 
@@ -209,10 +208,12 @@
         parse();
 }
 
-// Parses at most one m_bodyBuffer of body bytes. Returns false when more input is needed or on an
-// error.
+// Parses a head, or at most one m_bodyBuffer of body bytes. Returns false when more input is needed
+// or on an error. The parser adds trailers to the headers, so the head is delivered before it reads
+// any further.
 bool Http1ClientExchange::parseStep(ErrorStatus &status)
 {
+    m_parser->eager(m_parser->is_header_done());
     auto &body = m_parser->get().body();
     body.data = m_bodyBuffer.data();
     body.size = m_bodyBuffer.size();
--- a/tests/transport/Http1ClientTest.cpp
+++ b/tests/transport/Http1ClientTest.cpp
@@ -84,6 +84,7 @@
     CPPUNIT_TEST(responseToAnotherRequestIsSkipped);
     CPPUNIT_TEST(responseToAnotherRequestMayComeInPieces);
     CPPUNIT_TEST(bodyMayFollowInALaterRead);
+    CPPUNIT_TEST(trailerIsNoHeader);
     CPPUNIT_TEST(duplicateResponseBeforeCloseIsAnError);
     CPPUNIT_TEST(idleConnectionWithInputIsNotReused);
     CPPUNIT_TEST(streamedConnectionIsReused);
@@ -340,6 +341,16 @@
         assertSecondResponseDelivered(events);
     }
 
+    // Guards against a trailer that counts as a header when the response arrives whole.
+    void trailerIsNoHeader()
+    {
+        respondWith("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                    "5\r\nwhole\r\n0\r\nid: 2\r\n\r\n");
+        const HttpResponse response = m_responses.take().value();
+        CPPUNIT_ASSERT_EQUAL(std::string("whole"), response.body);
+        CPPUNIT_ASSERT_EQUAL(std::string(), std::string(response.header("id")));
+    }
+
     // Guards against a sound response that fails because its head ends where a read ends.
     void bodyMayFollowInALaterRead()
     {
