transport: keep trailers of a request out of its headers

Cause: Beast adds the fields of a trailer to the headers of the message, and a request is handled after its trailer was read. A caller could set a header that a balancer in front removes from or checks in heads only. Change: The parser stops after the head, whose headers are kept for the handler. Conclusion: Only fields of the head count as headers of a request.

--- a/src/transport/Http1Connection.cpp
+++ b/src/transport/Http1Connection.cpp
@@ -32,12 +32,12 @@
 // limits the length of chunk extensions.
 constexpr std::size_t maxExtraInputBytes = 64 * 1024;
 
-HttpRequest takeRequest(http::request<http::string_body> message)
+HttpRequest takeRequest(http::request<http::string_body> message, std::vector<HttpHeader> headers)
 {
     HttpRequest request;
     request.method = std::string(message.method_string());
     request.target = std::string(message.target());
-    request.headers = toHeaders(message);
+    request.headers = std::move(headers);
     request.body = std::move(message.body());
     return request;
 }
@@ -143,7 +143,6 @@
     m_firstByteAt = std::chrono::steady_clock::now();
     takeLongerLimits(); // the caller read its last answer perhaps before a limit became shorter
     m_parser.emplace();
-    m_parser->eager(true);
     armDeadline(&HttpLimits::idleTimeout);
     if (!m_input.empty())
         parse();
@@ -197,7 +196,7 @@
         beginHead();
     ErrorStatus status;
     while (!status && !m_input.empty() && !m_parser->is_done())
-        m_input.erase(0, m_parser->put(net::buffer(m_input), status));
+        parseStep(status);
     if (status && status != http::error::need_more)
         return rejectRequest(status);
     if (m_parser->is_done())
@@ -210,6 +209,16 @@
         armDeadline(&HttpLimits::headerTimeout);
 }
 
+// The parser adds trailers to the headers, so the head is taken before it reads any further.
+void Http1Connection::parseStep(ErrorStatus &status)
+{
+    const bool isInHead = !m_parser->is_header_done();
+    m_parser->eager(!isInHead);
+    m_input.erase(0, m_parser->put(net::buffer(m_input), status));
+    if (isInHead && m_parser->is_header_done())
+        m_headers = toHeaders(m_parser->get());
+}
+
 // Runs after each read of a body: extends the deadline and sends 100 Continue if it is expected.
 void Http1Connection::continueRequest()
 {
@@ -263,7 +272,7 @@
         std::make_shared<Http1ServerExchange>(weak_from_this(), m_socket.get_executor(), framing);
     ++m_shared->openRequestCount;
     // If the handler throws, the destructor of the handle responds with 500.
-    runHook(m_shared->handler, takeRequest(std::move(message)),
+    runHook(m_shared->handler, takeRequest(std::move(message), std::exchange(m_headers, {})),
             std::make_shared<Http1ResponderHandle>(m_exchange));
 }
 
--- a/src/transport/Http1Connection.h
+++ b/src/transport/Http1Connection.h
@@ -2,6 +2,7 @@
 
 #include "foxtailring/transport/ConnectionCut.h"
 #include "foxtailring/transport/HttpLimits.h"
+#include "foxtailring/transport/HttpRequest.h"
 #include "Net.h"
 #include "StrandTimer.h"
 
@@ -13,6 +14,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace foxtailring {
 
@@ -59,6 +61,7 @@
     void read();
     void onRead(ErrorStatus status, std::size_t size);
     void parse();
+    void parseStep(ErrorStatus &status);
     void continueRequest();
     void rejectRequest(ErrorStatus status);
     void rejectRequest(int status, std::string_view title, std::string_view detail);
@@ -100,6 +103,7 @@
     std::size_t m_unacknowledged = 0; ///< of the bytes written, when the deadline was set
     Phase m_phase = Phase::Request;
     std::optional<Parser> m_parser;
+    std::vector<HttpHeader> m_headers; ///< of the current request, without trailers
     std::shared_ptr<Http1ServerExchange> m_exchange;
     bool m_continueSent = false;
     bool m_headStarted = false;     ///< the first bytes of a head have arrived
--- a/tests/transport/Http1ServerTest.cpp
+++ b/tests/transport/Http1ServerTest.cpp
@@ -52,6 +52,7 @@
     CPPUNIT_TEST(disconnectHookSetAfterDisconnectRuns);
     CPPUNIT_TEST(pipelinedRequestsAreAnsweredInOrder);
     CPPUNIT_TEST(expectedContinueIsSent);
+    CPPUNIT_TEST(trailerOfARequestIsNoHeader);
     CPPUNIT_TEST(http10ResponseIsNotChunked);
     CPPUNIT_TEST(droppedResponderAnswers500);
     CPPUNIT_TEST(abortSendsNoFinalChunk);
@@ -226,6 +227,23 @@
         CPPUNIT_ASSERT_EQUAL(std::string("body"), m_requests.take().request.body);
     }
 
+    // Guards against a trailer that sets a header which a balancer removes from callers' heads.
+    void trailerOfARequestIsNoHeader()
+    {
+        const std::string request =
+            "POST / HTTP/1.1\r\nName: head\r\nTransfer-Encoding: chunked\r\n\r\n"
+            "4\r\nbody\r\n0\r\nOther: trailer\r\nName: trailer\r\n\r\n";
+        for (const std::size_t pieceSize : {request.size(), std::size_t {1}}) {
+            RawPeer peer(m_port);
+            for (std::size_t i = 0; i < request.size(); i += pieceSize)
+                peer.write(std::string_view(request).substr(i, pieceSize));
+            const HttpRequest received = m_requests.take().request;
+            CPPUNIT_ASSERT_EQUAL(std::string("body"), received.body);
+            CPPUNIT_ASSERT_EQUAL(std::string("head"), std::string(received.header("Name")));
+            CPPUNIT_ASSERT_EQUAL(std::size_t(2), received.headers.size());
+        }
+    }
+
     void http10ResponseIsNotChunked()
     {
         RawPeer peer(m_port);
