transport: limit the whole head of a request

Cause: Beast's header_limit holds for what it keeps of the next field. A caller whose pieces end one byte into each field had every field before it taken, so its head was bounded by the header timeout alone. Change: The connection counts the bytes of the head that were parsed and refuses the request with 431 above the limit. Conclusion: maxHeaderBytes holds however the head arrives.

--- a/src/transport/Http1Connection.cpp
+++ b/src/transport/Http1Connection.cpp
@@ -138,6 +138,7 @@
     m_phase = Phase::Request;
     m_continueSent = false;
     m_headStarted = false;
+    m_headBytes = 0;
     m_responseComplete = false;
     m_arrivedBytes = m_input.size();
     m_firstByteAt = std::chrono::steady_clock::now();
@@ -214,8 +215,15 @@
 {
     const bool isInHead = !m_parser->is_header_done();
     m_parser->eager(!isInHead);
-    m_input.erase(0, m_parser->put(net::buffer(m_input), status));
-    if (isInHead && m_parser->is_header_done())
+    const std::size_t size = m_parser->put(net::buffer(m_input), status);
+    m_input.erase(0, size);
+    if (!isInHead)
+        return;
+    // The limit of the parser holds for what follows the last whole field only.
+    m_headBytes += size;
+    if (m_headBytes > m_limits.maxHeaderBytes)
+        status = http::error::header_limit;
+    if (m_parser->is_header_done())
         m_headers = toHeaders(m_parser->get());
 }
 
--- a/src/transport/Http1Connection.h
+++ b/src/transport/Http1Connection.h
@@ -108,6 +108,7 @@
     bool m_continueSent = false;
     bool m_headStarted = false;     ///< the first bytes of a head have arrived
     bool m_expectsRequest = false;  ///< counted in Http1ServerShared::expectedRequestCount
+    std::size_t m_headBytes = 0;    ///< of the current head, as far as it has been parsed
     std::size_t m_arrivedBytes = 0; ///< of the current request and of what follows it
     std::chrono::steady_clock::time_point m_firstByteAt;
     bool m_responseComplete = false;
--- a/tests/transport/Http1ServerTest.cpp
+++ b/tests/transport/Http1ServerTest.cpp
@@ -46,6 +46,7 @@
     CPPUNIT_TEST(malformedRequestsAreAnswered400);
     CPPUNIT_TEST(randomBytesDoNotStopTheServer);
     CPPUNIT_TEST(oversizedRequestsAreRejected);
+    CPPUNIT_TEST(headInPiecesIsLimited);
     CPPUNIT_TEST(rejectedSenderMaySendForSeconds);
     CPPUNIT_TEST(disconnectIsDetectedBeforeTheResponse);
     CPPUNIT_TEST(disconnectIsDetectedWhileStreaming);
@@ -165,6 +166,19 @@
         CPPUNIT_ASSERT(peer.readUntil("\r\n").starts_with("HTTP/1.1 413 "));
     }
 
+    // Guards against a head without end: the parser's limit is on what it holds of the next field.
+    void headInPiecesIsLimited()
+    {
+        RawPeer peer(m_port);
+        peer.write("GET / HTTP/1.1\r\nN");
+        for (int i = 0; i < 300; ++i)
+            peer.tryWrite("ame: value\r\nN", std::chrono::milliseconds(1));
+        peer.write("ame: value\r\n\r\n");
+        waitUntil([&] { return peer.hasInput() || !m_requests.isEmpty(); });
+        CPPUNIT_ASSERT(m_requests.isEmpty());
+        CPPUNIT_ASSERT(peer.readUntil("\r\n\r\n").starts_with("HTTP/1.1 431 "));
+    }
+
     void disconnectIsDetectedBeforeTheResponse()
     {
         RawPeer peer(m_port);
--- a/tests/transport/RawPeer.h
+++ b/tests/transport/RawPeer.h
@@ -71,6 +71,13 @@
         return bytes;
     }
 
+    /// \brief True if input or the end of the connection can be read.
+    bool hasInput()
+    {
+        pollfd waited {m_socket.native_handle(), POLLIN, 0};
+        return !m_input.empty() || ::poll(&waited, 1, 0) == 1;
+    }
+
     /// \brief Reads and drops up to \a size bytes; 0: the connection has ended.
     std::size_t readSome(std::size_t size)
     {
