transport: limit the whole head of a response

Cause: Beast's header_limit holds for what it keeps of the next field. A server whose pieces end one byte into each field could send fields until the timeout of the exchange, all of them kept in memory. Change: The exchange counts the bytes of the head that were parsed and fails with Malformed above the limit of 64 KB. Measured: transport_test Http1ClientTest::headInPiecesIsLimited: before, a head of 100 KB was a success; after, Malformed, transport_test OK (107). Conclusion: maxHeadBytes holds however the head arrives.

--- a/src/transport/Http1ClientExchange.cpp
+++ b/src/transport/Http1ClientExchange.cpp
@@ -174,6 +174,7 @@
 void Http1ClientExchange::resetParser()
 {
     m_parser.emplace();
+    m_headBytes = 0;
     m_parser->header_limit(maxHeadBytes);
     // Boost 1.74 takes every Content-Length for larger than no limit.
     m_parser->body_limit(std::numeric_limits<std::uint64_t>::max());
@@ -213,11 +214,18 @@
 // any further.
 bool Http1ClientExchange::parseStep(ErrorStatus &status)
 {
-    m_parser->eager(m_parser->is_header_done());
+    const bool isInHead = !m_parser->is_header_done();
+    m_parser->eager(!isInHead);
     auto &body = m_parser->get().body();
     body.data = m_bodyBuffer.data();
     body.size = m_bodyBuffer.size();
-    m_input.erase(0, m_parser->put(net::buffer(m_input), status));
+    const std::size_t size = m_parser->put(net::buffer(m_input), status);
+    m_input.erase(0, size);
+    // The limit of the parser holds for what follows the last whole field only.
+    if (isInHead && (m_headBytes += size) > maxHeadBytes) {
+        status = http::error::header_limit;
+        return false;
+    }
     if (m_parser->is_header_done() && !isInterim(m_parser->get().result_int()))
         deliverBody(m_bodyBuffer.size() - body.size);
     if (status == http::error::need_buffer)
--- a/tests/transport/Http1ClientTest.cpp
+++ b/tests/transport/Http1ClientTest.cpp
@@ -93,6 +93,7 @@
     CPPUNIT_TEST(hugeKeepAliveTimeoutIsNoError);
     CPPUNIT_TEST(endlessInterimResponsesAreAnError);
     CPPUNIT_TEST(endlessResponseToAnotherRequestIsAnError);
+    CPPUNIT_TEST(headInPiecesIsLimited);
     CPPUNIT_TEST(oversizedResponseBodyIsAnError);
     CPPUNIT_TEST(firstResponseOfAConnectionIsToldFromLaterOnes);
     CPPUNIT_TEST(connectionIsNotReusedAgainstTheHook);
@@ -477,6 +478,20 @@
         CPPUNIT_ASSERT(events.closed().error().code == ErrorCode::Malformed);
     }
 
+    // Guards against a head without end: the parser's limit is on what it holds of the next field.
+    void headInPiecesIsLimited()
+    {
+        RawServer server;
+        StreamEvents events;
+        const auto peer = openStream(server, events, {});
+        peer->write("HTTP/1.1 200 OK\r\nN");
+        for (int i = 0; i < 100; ++i)
+            peer->tryWrite("ame: " + std::string(1000, 'x') + "\r\nN", milliseconds(1));
+        peer->write("ame: x\r\nContent-Length: 0\r\n\r\n");
+        const Result<Done> result = events.closed();
+        CPPUNIT_ASSERT(!result.isOk() && result.error().code == ErrorCode::Malformed);
+    }
+
     // A short request must not fill the memory with a huge response.
     void oversizedResponseBodyIsAnError()
     {
