--- a/src/transport/Http1Connection.h
+++ b/src/transport/Http1Connection.h
@@ -2,6 +2,7 @@
 
 #include "foxtailring/transport/ConnectionCut.h"
 #include "foxtailring/transport/HttpLimits.h"
+#include "foxtailring/transport/HttpRequest.h"
 #include "Net.h"
 #include "StrandTimer.h"
 
@@ -13,6 +14,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace foxtailring {
 
@@ -59,6 +61,7 @@
     void read();
     void onRead(ErrorStatus status, std::size_t size);
     void parse();
+    void parseStep(ErrorStatus &status);
     void continueRequest();
     void rejectRequest(ErrorStatus status);
     void rejectRequest(int status, std::string_view title, std::string_view detail);
@@ -100,10 +103,12 @@
     std::size_t m_unacknowledged = 0; ///< of the bytes written, when the deadline was set
     Phase m_phase = Phase::Request;
     std::optional<Parser> m_parser;
+    std::vector<HttpHeader> m_headers; ///< of the current request, without trailers
     std::shared_ptr<Http1ServerExchange> m_exchange;
     bool m_continueSent = false;
     bool m_headStarted = false;     ///< the first bytes of a head have arrived
     bool m_expectsRequest = false;  ///< counted in Http1ServerShared::expectedRequestCount
+    std::size_t m_headBytes = 0;    ///< of the current head, as far as it has been parsed
     std::size_t m_arrivedBytes = 0; ///< of the current request and of what follows it
     std::chrono::steady_clock::time_point m_firstByteAt;
     bool m_responseComplete = false;
--- a/tests/transport/Http1ServerTest.cpp
+++ b/tests/transport/Http1ServerTest.cpp
@@ -46,12 +46,14 @@
     CPPUNIT_TEST(malformedRequestsAreAnswered400);
     CPPUNIT_TEST(randomBytesDoNotStopTheServer);
     CPPUNIT_TEST(oversizedRequestsAreRejected);
+    CPPUNIT_TEST(headInPiecesIsLimited);
     CPPUNIT_TEST(rejectedSenderMaySendForSeconds);
     CPPUNIT_TEST(disconnectIsDetectedBeforeTheResponse);
     CPPUNIT_TEST(disconnectIsDetectedWhileStreaming);
     CPPUNIT_TEST(disconnectHookSetAfterDisconnectRuns);
     CPPUNIT_TEST(pipelinedRequestsAreAnsweredInOrder);
     CPPUNIT_TEST(expectedContinueIsSent);
+    CPPUNIT_TEST(trailerOfARequestIsNoHeader);
     CPPUNIT_TEST(http10ResponseIsNotChunked);
     CPPUNIT_TEST(droppedResponderAnswers500);
     CPPUNIT_TEST(abortSendsNoFinalChunk);
@@ -164,6 +166,19 @@
         CPPUNIT_ASSERT(peer.readUntil("\r\n").starts_with("HTTP/1.1 413 "));
     }
 
+    // Guards against a head without end: the parser's limit is on what it holds of the next field.
+    void headInPiecesIsLimited()
+    {
+        RawPeer peer(m_port);
+        peer.write("GET / HTTP/1.1\r\nN");
+        for (int i = 0; i < 300; ++i)
+            peer.tryWrite("ame: value\r\nN", std::chrono::milliseconds(1));
+        peer.write("ame: value\r\n\r\n");
+        waitUntil([&] { return peer.hasInput() || !m_requests.isEmpty(); });
+        CPPUNIT_ASSERT(m_requests.isEmpty());
+        CPPUNIT_ASSERT(peer.readUntil("\r\n\r\n").starts_with("HTTP/1.1 431 "));
+    }
+
     void disconnectIsDetectedBeforeTheResponse()
     {
         RawPeer peer(m_port);
@@ -226,6 +241,23 @@
         CPPUNIT_ASSERT_EQUAL(std::string("body"), m_requests.take().request.body);
     }
 
+    // Guards against a trailer that sets a header which a balancer removes from callers' heads.
+    void trailerOfARequestIsNoHeader()
+    {
+        const std::string request =
+            "POST / HTTP/1.1\r\nName: head\r\nTransfer-Encoding: chunked\r\n\r\n"
+            "4\r\nbody\r\n0\r\nOther: trailer\r\nName: trailer\r\n\r\n";
+        for (const std::size_t pieceSize : {request.size(), std::size_t {1}}) {
+            RawPeer peer(m_port);
+            for (std::size_t i = 0; i < request.size(); i += pieceSize)
+                peer.write(std::string_view(request).substr(i, pieceSize));
+            const HttpRequest received = m_requests.take().request;
+            CPPUNIT_ASSERT_EQUAL(std::string("body"), received.body);
+            CPPUNIT_ASSERT_EQUAL(std::string("head"), std::string(received.header("Name")));
+            CPPUNIT_ASSERT_EQUAL(std::size_t(2), received.headers.size());
+        }
+    }
+
     void http10ResponseIsNotChunked()
     {
         RawPeer peer(m_port);
