gateway: refuse requests that a planned stop would cut off

Cause: a gateway that had got SIGTERM took every call for 5 s and every stream for 1 s, whatever they needed. Calls that outlasted the drain timeout were begun by a server and answered with 504 at its end, non-idempotent ones among them. Ruled out: a call that ends without any answer. Ruled out: only the route's timeout as the time that a call needs. With a timeout above the drain timeout it refuses all calls from SIGTERM on, also those that take milliseconds. Change: DrainAdmission takes a request only if it is expected to end in time: by twice the slowest answer of the route in the last 5 to 10 minutes (AnswerTimes; three times if it is non-idempotent), by twice the usual duration of a run of the allowed length, by the objective at least, by the time limit at most or if too little is known. Others are refused at once with 503 and Retry-After. A call whose time the stop shortens is not sent to another server either with less time left. An answer that takes longer than two or three times the slowest recent one is still cut with 504, as are requests from before SIGTERM that outlast the drain timeout.

--- a/include/foxtailring/decisions/EngineLatencyEstimator.h
+++ b/include/foxtailring/decisions/EngineLatencyEstimator.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -24,6 +25,10 @@
     /// \param events minimum number of events that are still to come
     Duration minRunDuration(std::string_view service, std::uint64_t promptTokens,
                             std::int64_t events) const;
+    /// \brief Usual duration of a run, with a delay of its first event that is not unusual; none if
+    /// no run with several events was observed yet.
+    std::optional<Duration> usualRunDuration(std::string_view service, std::uint64_t promptTokens,
+                                             std::int64_t events) const;
     /// \brief Time after which the first event of a run with such a prompt is unusually late.
     Duration maxFirstEventDelay(std::string_view service, std::uint64_t promptTokens) const;
 
--- a/include/foxtailring/decisions/ForwardRequest.h
+++ b/include/foxtailring/decisions/ForwardRequest.h
@@ -20,6 +20,7 @@
     std::uint64_t maxOutputTokens = 0;          ///< of a run; 0: not given
     std::uint32_t tokensPerEvent = 1;           ///< of a run's output
     std::optional<std::int64_t> lastEventId;    ///< the last event that the caller has received
+    Duration minAttemptTime {0}; ///< with less time left, it is not sent after a server rejected it
 };
 
 } // namespace foxtailring
--- a/include/foxtailring/gateway/GatewayRequest.h
+++ b/include/foxtailring/gateway/GatewayRequest.h
@@ -26,6 +26,8 @@
     std::vector<std::string> sharedPromptParts;
     std::uint64_t promptTokens = 0;
     std::uint64_t maxOutputTokens = 0;
+    /// With less time left, the request is not sent after a server rejected it; set in a drain.
+    std::chrono::nanoseconds minAttemptTime {0};
 };
 
 } // namespace foxtailring
--- a/src/decisions/EngineLatencyEstimator.cpp
+++ b/src/decisions/EngineLatencyEstimator.cpp
@@ -67,6 +67,17 @@
     return std::chrono::duration_cast<Duration>(unloadedFraction * (prefill + output));
 }
 
+std::optional<Duration> EngineLatencyEstimator::usualRunDuration(std::string_view service,
+                                                                 std::uint64_t promptTokens,
+                                                                 std::int64_t events) const
+{
+    const auto found = m_rates.find(service);
+    if (found == m_rates.end() || found->second.eventInterval == Duration {0})
+        return std::nullopt;
+    return maxFirstEventDelay(service, promptTokens)
+        + found->second.eventInterval * std::max<std::int64_t>(events, 0);
+}
+
 Duration EngineLatencyEstimator::maxFirstEventDelay(std::string_view service,
                                                     std::uint64_t promptTokens) const
 {
--- a/src/gateway/GatewayParts.h
+++ b/src/gateway/GatewayParts.h
@@ -3,6 +3,7 @@
 #include "foxtailring/base/Clock.h"
 #include "foxtailring/base/MetricRegistry.h"
 #include "foxtailring/base/RandomSource.h"
+#include "foxtailring/decisions/AnswerTimes.h"
 #include "foxtailring/decisions/BackendPlacer.h"
 #include "foxtailring/decisions/BackendTable.h"
 #include "foxtailring/decisions/EngineLatencyEstimator.h"
@@ -100,6 +101,7 @@
     ServerPauses pauses;
     ServerAdmission admission;
     EngineLatencyEstimator latency;
+    AnswerTimes answerTimes;
     KeyFreshness keyFreshness;
     MemoryBudget memoryBudget;
 
--- a/src/gateway/RequestDispatcher.cpp
+++ b/src/gateway/RequestDispatcher.cpp
@@ -106,13 +106,51 @@
         admit(std::move(pending));
 }
 
+DrainAdmission::Request RequestDispatcher::drainRequest(const GatewayRequest &request,
+                                                        const HttpRoute &route,
+                                                        const RouteTable &table,
+                                                        TimePoint arrivedAt) const
+{
+    DrainAdmission::Request drained;
+    drained.kind = route.kind;
+    drained.timeLimit = std::min(route.timeout, request.timeout.value_or(route.timeout));
+    drained.objective = route.latencyObjective;
+    drained.usualDuration = route.kind == CallKind::Stream
+        ? usualRunDuration(request, route, table)
+        : m_parts.answerTimes.longest(route.name, arrivedAt);
+    return drained;
+}
+
+// The session chooses the service, so the slowest one counts.
+std::optional<Duration> RequestDispatcher::usualRunDuration(const GatewayRequest &request,
+                                                            const HttpRoute &route,
+                                                            const RouteTable &table) const
+{
+    std::optional<Duration> usual;
+    for (const RouteTarget &target : route.targets) {
+        const RoutedService *service = table.service(target.service);
+        if (!service || request.maxOutputTokens == 0)
+            return std::nullopt;
+        const std::uint64_t events =
+            request.maxOutputTokens / std::max<std::uint64_t>(service->tokensPerEvent, 1);
+        const auto duration = m_parts.latency.usualRunDuration(
+            target.service, request.promptTokens,
+            static_cast<std::int64_t>(events) - request.lastEventId.value_or(0));
+        if (!duration)
+            return std::nullopt;
+        usual = std::max(usual.value_or(*duration), *duration);
+    }
+    return usual;
+}
+
 // A call that the end of the process cut off would leave its caller without an answer.
-void RequestDispatcher::limitTime(GatewayRequest &request, const HttpRoute &route,
+void RequestDispatcher::limitTime(GatewayRequest &request, const DrainAdmission::Request &drained,
                                   TimePoint arrivedAt) const
 {
     const auto left = m_drain.callTimeLimit(arrivedAt);
-    if (!left || route.kind == CallKind::Stream)
+    if (!left || drained.kind == CallKind::Stream)
         return;
+    request.minAttemptTime = m_drain.minAttemptTime(drained, arrivedAt);
     const auto limit = std::chrono::duration_cast<milliseconds>(*left);
     request.timeout = std::min(request.timeout.value_or(limit), limit);
 }
@@ -126,9 +164,10 @@
     const HttpRoute *route = table->route(request.host, request.path);
     if (!route)
         return refuse(m_parts, *responder, request.id, 404, "noRoute");
-    if (!m_drain.accepts(route->kind, arrivedAt))
+    const DrainAdmission::Request drained = drainRequest(request, *route, *table, arrivedAt);
+    if (!m_drain.accepts(drained, arrivedAt))
         return refuse(m_parts, *responder, request.id, 503, "draining");
-    limitTime(request, *route, arrivedAt);
+    limitTime(request, drained, arrivedAt);
     std::string account;
     if (table->config().hasAccounts && !route->isPublic) {
         // Without a recent proof from the store this gateway may have missed a change: it would
--- a/src/gateway/RequestDispatcher.h
+++ b/src/gateway/RequestDispatcher.h
@@ -54,7 +54,12 @@
     void enqueue(PendingRequest pending);
     void serve(PendingRequest pending);
     void track(const std::shared_ptr<RequestRelay> &relay);
-    void limitTime(GatewayRequest &request, const HttpRoute &route, TimePoint arrivedAt) const;
+    DrainAdmission::Request drainRequest(const GatewayRequest &request, const HttpRoute &route,
+                                         const RouteTable &table, TimePoint arrivedAt) const;
+    std::optional<Duration> usualRunDuration(const GatewayRequest &request, const HttpRoute &route,
+                                             const RouteTable &table) const;
+    void limitTime(GatewayRequest &request, const DrainAdmission::Request &drained,
+                   TimePoint arrivedAt) const;
 
     static constexpr std::size_t minPruneSize = 64;
 
--- a/src/gateway/RequestRelay.cpp
+++ b/src/gateway/RequestRelay.cpp
@@ -96,6 +96,7 @@
     request.promptTokens = m_request.promptTokens;
     request.maxOutputTokens = m_request.maxOutputTokens;
     request.lastEventId = m_request.lastEventId;
+    request.minAttemptTime = m_request.minAttemptTime;
     for (const RouteTarget &target : m_route.targets) {
         if (const RoutedService *service = m_table->service(target.service))
             request.tokensPerEvent = std::max(request.tokensPerEvent, service->tokensPerEvent);
@@ -188,6 +189,8 @@
         return perform(m_session->onAttemptEnded(AttemptResult::NotSent, m_parts.clock()));
     m_attempt = Attempt {};
     m_attempt.number = ++m_attemptCount;
+    if (!m_stream && m_attemptCount == 1)
+        m_parts.answerTimes.begin(m_route.name, m_arrivedAt);
     m_attempt.serverId = next.server.info.id;
     m_attempt.endpoint = endpoint.value();
     m_attempt.isFromCopy = next.fromCopy.has_value();
@@ -543,6 +546,9 @@
                  : "gateway_answer_seconds{kind=\"call\"}",
         std::chrono::duration<double>(m_parts.clock() - m_arrivedAt).count());
     m_parts.metrics.add("gateway_requests_total{outcome=\"" + std::string(outcome) + "\"}");
+    // To the caller, 503 means that no server has executed the request.
+    if (!m_stream && m_attemptCount > 0)
+        m_parts.answerTimes.end(m_route.name, m_arrivedAt, status != 503, m_parts.clock());
     StructuredLog::info("request",
                         {{"request", m_request.id},
                          {"outcome", std::string(outcome)},
--- a/tests/decisions/CallSessionTest.cpp
+++ b/tests/decisions/CallSessionTest.cpp
@@ -10,6 +10,7 @@
     CPPUNIT_TEST(answerIsPassedOn);
     CPPUNIT_TEST(nonIdempotentIsNotRetriedAfterItMayHaveRun);
     CPPUNIT_TEST(nonIdempotentIsRetriedIfNotExecuted);
+    CPPUNIT_TEST(rejectedCallWithTooLittleTimeIsRefused);
     CPPUNIT_TEST(idempotentIsRetriedElsewhere);
     CPPUNIT_TEST(executionsAreLimited);
     CPPUNIT_TEST(silentServerIsReplaced);
@@ -62,6 +63,22 @@
         }
     }
 
+    // Guards against another attempt that the end of a stopping process would cut off.
+    void rejectedCallWithTooLittleTimeIsRefused()
+    {
+        const HttpRoute nonIdempotent = route(CallKind::NonIdempotent);
+        ForwardRequest drained = request();
+        drained.minAttemptTime = Ms(2000);
+        for (const auto &[age, isSent] : {std::pair {Ms(3000), true}, {Ms(3001), false}}) {
+            CallSession session(nonIdempotent, drained, context());
+            session.start(now);
+            const ForwardAction next = session.onAttemptEnded(AttemptResult::NotRun, now + age);
+            CPPUNIT_ASSERT_EQUAL(isSent, std::holds_alternative<SendAttempt>(next));
+            if (!isSent)
+                CPPUNIT_ASSERT_EQUAL(503, refused(next).status);
+        }
+    }
+
     void idempotentIsRetriedElsewhere()
     {
         const HttpRoute idempotent = route(CallKind::Idempotent);
--- a/tests/decisions/RouteTableTest.cpp
+++ b/tests/decisions/RouteTableTest.cpp
@@ -67,12 +67,15 @@
     {
         const TimePoint start {std::chrono::hours(1)};
         DrainAdmission admission;
-        CPPUNIT_ASSERT(admission.accepts(CallKind::Stream, start));
+        const auto accepts = [&](CallKind kind, Duration age) {
+            return admission.accepts({kind, std::chrono::seconds(25), {}, {}}, start + age);
+        };
+        CPPUNIT_ASSERT(accepts(CallKind::Stream, Duration {0}));
         admission.begin(start);
-        CPPUNIT_ASSERT(admission.accepts(CallKind::Stream, start + std::chrono::milliseconds(500)));
-        CPPUNIT_ASSERT(!admission.accepts(CallKind::Stream, start + std::chrono::seconds(2)));
-        CPPUNIT_ASSERT(admission.accepts(CallKind::NonIdempotent, start + std::chrono::seconds(2)));
-        CPPUNIT_ASSERT(!admission.accepts(CallKind::Idempotent, start + std::chrono::seconds(6)));
+        CPPUNIT_ASSERT(accepts(CallKind::Stream, std::chrono::milliseconds(500)));
+        CPPUNIT_ASSERT(!accepts(CallKind::Stream, std::chrono::seconds(2)));
+        CPPUNIT_ASSERT(accepts(CallKind::NonIdempotent, std::chrono::seconds(2)));
+        CPPUNIT_ASSERT(!accepts(CallKind::Idempotent, std::chrono::seconds(6)));
     }
 
     // Guards against calls that are still open when the process exits.
--- a/tests/gateway/GatewayFixture.cpp
+++ b/tests/gateway/GatewayFixture.cpp
@@ -248,6 +248,9 @@
     out.version = 1;
     out.routes = {route("/once/", CallKind::NonIdempotent), route("/read/", CallKind::Idempotent),
                   route("/stream/", CallKind::Stream)};
+    HttpRoute quick = route("/quick/", CallKind::NonIdempotent);
+    quick.latencyObjective = milliseconds(300);
+    out.routes.push_back(quick);
     RoutedService engine;
     engine.name = "engine";
     engine.copiesContinuously = true;
--- a/tests/gateway/GatewayTest.cpp
+++ b/tests/gateway/GatewayTest.cpp
@@ -23,6 +23,7 @@
     CPPUNIT_TEST(callerDisconnectCancelsTheAttempt);
     CPPUNIT_TEST(drainWaitsForRunningRequests);
     CPPUNIT_TEST(callsDuringADrainAreAnsweredBeforeItsEnd);
+    CPPUNIT_TEST(callThatMayOutlastADrainIsRefusedAtOnce);
     CPPUNIT_TEST(requestsThatOutlastADrainAreRefused);
     CPPUNIT_TEST_SUITE_END();
 
@@ -237,15 +238,20 @@
         drained->take();
     }
 
-    // A call whose server is slow must not be cut off by the end of the process.
+    // A call whose server is slow for once must not be cut off by the end of the process.
     void callsDuringADrainAreAnsweredBeforeItsEnd()
     {
-        startGateway(std::chrono::seconds(20), testDeadline, std::chrono::milliseconds(2500));
+        startGateway(std::chrono::seconds(20), testDeadline, std::chrono::milliseconds(4000));
         startServing();
+        for (int number = 0; number < 20; ++number) {
+            call("/quick/x");
+            m_received->take().responder->respond(signedAnswer("done"));
+            CPPUNIT_ASSERT_EQUAL(200, m_answers->take().value().status);
+        }
         const auto drained = std::make_shared<Mailbox<int>>();
         m_gateway->drain([drained] { drained->put(1); });
         waitUntil([this] { return readiness() == 503; });
-        call("/once/x");
+        call("/quick/x");
         const ReceivedRequest received = m_received->take();
         const auto answer = m_answers->take();
         CPPUNIT_ASSERT(drained->isEmpty());
@@ -254,6 +260,24 @@
         drained->take();
     }
 
+    // Guards against calls that a server begins and the end of the process leaves without answer.
+    void callThatMayOutlastADrainIsRefusedAtOnce()
+    {
+        startGateway(std::chrono::seconds(20), testDeadline, std::chrono::milliseconds(2500));
+        startServing();
+        const auto drained = std::make_shared<Mailbox<int>>();
+        m_gateway->drain([drained] { drained->put(1); });
+        waitUntil([this] { return readiness() == 503; });
+        call("/once/x");
+        const auto answer = m_answers->take();
+        CPPUNIT_ASSERT(drained->isEmpty());
+        CPPUNIT_ASSERT(answer);
+        CPPUNIT_ASSERT_EQUAL(503, answer.value().status);
+        CPPUNIT_ASSERT(std::stod(std::string(answer.value().header("Retry-After"))) <= 0.3);
+        drained->take();
+        CPPUNIT_ASSERT(m_received->isEmpty());
+    }
+
     // Requests from before the stop must not be cut off by the end of the process while an answer
     // can still be given.
     void requestsThatOutlastADrainAreRefused()
--- a/tools/lib/soak/backend.py
+++ b/tools/lib/soak/backend.py
@@ -5,9 +5,11 @@
 Appends a JSON line for each run to LOG, which is kept when the process ends. POST /standin/faults
 sets the probability of each fault: notRun, error, truncated, garbled, doubled, answerLost, silent (a second
 before the answer), unframed (an answer with neither a length nor chunks), and the shapes of endless.py. A call
-with the query `pad=N` gets an answer with N more bytes, one with `dribble=SHAPE` an answer in small pieces (dribble.py);
+with the query `pad=N` gets an answer with N more bytes, one with `dribble=SHAPE` an answer in small pieces (dribble.py),
+one with `take=SECONDS` an answer that needs so long, a stream with its events spread over that time;
 fault dribbledReport: reports that never end, a byte now and then. POST /standin/limit sets the rate limit that answers name; null: none.
 POST /standin/leaving sets the value by which each answer says that the server leaves; null: none does.
+POST /standin/slots sets how many requests the server runs at a time.
 POST /standin/pause has the server turn every request away and ask for a pause of so many seconds; null: no more.
 """
 
@@ -66,6 +68,7 @@
         self.rate_limit = None
         self.leaving = None
         self.pause = None
+        self.slots = SLOTS[service]
         self.running = {}
         self.copies = {}
         self.answers = 0
@@ -107,6 +110,8 @@
             self.log("leaving", value=self.leaving)
         elif handler.path == "/standin/pause":
             self.pause = fields["pause"]
+        elif handler.path == "/standin/slots":
+            self.slots = fields["slots"]
         else:
             self.copies[fields["copy"]] = (fields["events"], time.monotonic())
         handler.answer(200)
@@ -147,7 +152,7 @@
         if self.pause is not None:
             return self.turn_away(handler, request)
         with self.lock:
-            is_full = len(self.running) >= SLOTS[self.service]
+            is_full = len(self.running) >= self.slots
             is_admitted = not is_full and not self.has_fault("notRun")
             if is_admitted:
                 self.running[request] = 0
@@ -186,13 +191,14 @@
     def answer_headers(self, request):
         self.answers += 1
         with self.lock:
-            load = f"{len(self.running)},0,{SLOTS[self.service]}"
+            load = f"{len(self.running)},0,{self.slots}"
         return {wire.REQUEST_ID: request, wire.SIGNATURE: f"{self.name}.{self.answers}",
                 wire.LOAD: load, wire.SERVER_ID: self.name, **self.state_headers()}
 
     def call(self, handler, request, body):
         self.log_run(handler, request, body)
-        time.sleep(SILENCE_SECONDS if self.has_fault("silent") else CALL_SECONDS * random.uniform(0.5, 2))
+        usual_seconds = SILENCE_SECONDS if self.has_fault("silent") else CALL_SECONDS * random.uniform(0.5, 2)
+        time.sleep(float(query_value(handler, "take") or usual_seconds))
         headers = self.answer_headers(request)
         fields = {"request": request, "body": hashlib.sha1(body).hexdigest()}
         pad = query_value(handler, "pad")
@@ -253,8 +259,10 @@
         handler.wfile.write(head)
         copy_to = handler.headers.get(wire.COPY_TO)
         copier = Copier(copy_to, request) if copy_to else None
+        take = query_value(handler, "take")
+        interval = float(take) / EVENTS_PER_RUN if take else EVENT_INTERVAL_SECONDS
         for number in range(last_event + 1, EVENTS_PER_RUN + 1):
-            time.sleep(EVENT_INTERVAL_SECONDS)
+            time.sleep(interval)
             handler.chunk(self.produce(request, number))
             if copier:
                 copier.on_event(number)
--- a/tools/lib/soak/server.py
+++ b/tools/lib/soak/server.py
@@ -130,6 +130,12 @@
         except (OSError, http.client.HTTPException) as error:
             self.cluster.journal.record("pauseNotSet", server=self.name, cause=str(error))
 
+    def set_slots(self, slots):
+        """Sets how many requests the server runs at a time, also in its entry."""
+        self.slots = slots
+        request(self.port, "POST", "/standin/slots", {"slots": slots}, timeout=2)
+        self.publish()
+
     def set_faults(self, faults):
         """Sets the faults; a server that is down or paused does not receive them and keeps its own."""
         try:
