decisions: use a server again that a restored list goes on naming

Cause: mergeRestored() drops entries of servers that have gone. The first read of an epoch does not tell which entries were written after the restore. A live server that had been taken for gone, since its entry had lapsed, and that wrote it again before a gateway read the list, stayed unknown there: it writes its entry once. The later the read, the more servers. Change: such an entry is held for 30 s, by when that of a server that has gone ends with its lease; one that is still listed is used. A further full read within that time, which brought back servers that had gone, keeps to this. BackendTable::expire(), called with the other tables. The 30 s are those after which other gateways count as gone; the lease of a server's entry is not known here.

--- a/include/foxtailring/decisions/BackendTable.h
+++ b/include/foxtailring/decisions/BackendTable.h
@@ -41,6 +41,10 @@
         /// Servers whose entries disappear while the list cannot be read are kept for this long
         /// after it is readable again: live servers have renewed their entries by then.
         Duration unlistedGrace = std::chrono::milliseconds(2000);
+        /// A restored entry of a server that has gone ends with its lease before this time is over.
+        /// One that stays may be of a live server, which wrote it after the restore but before the
+        /// list was read.
+        Duration goneHold = std::chrono::seconds(30);
     };
 
     /// \brief Called when the state of a server changes. All are optional.
@@ -65,8 +69,9 @@
     /// \brief Replaces the server list; servers that are not in \a list are removed.
     void replace(std::span<const BackendInfo> list, TimePoint now);
     /// \brief Takes over a list from a store that was restored from a backup. Its entries may be
-    /// older than what is known: they bring back no server that has gone, drains or has restarted
-    /// since. Servers that are not in \a list are kept for Settings::unlistedGrace.
+    /// older than what is known: they bring back no server that drains or has restarted since, and
+    /// one that has gone only if it is still listed after Settings::goneHold. Servers that are not
+    /// in \a list are kept for Settings::unlistedGrace.
     void mergeRestored(std::span<const BackendInfo> list, TimePoint now);
     void put(const BackendInfo &info, TimePoint now);
     void remove(std::string_view id, TimePoint now);
@@ -74,6 +79,9 @@
     /// just have expired.
     void onListLost(TimePoint now);
     void onListRestored(TimePoint now);
+    /// \brief Drops servers whose grace is over, and uses those that a restored list has kept for
+    /// Settings::goneHold although they had gone. To be called regularly.
+    void expire(TimePoint now);
 
     void startWork(std::string_view id);
     void endWork(std::string_view id);
@@ -136,6 +144,12 @@
         std::size_t count = 0; ///< servers that failed within the window
         TimePoint firstAt;
     };
+    struct HeldServer
+    {
+        BackendInfo info;
+        TimePoint until;
+    };
+
     using ZoneFailures = std::map<std::string_view, ZoneFailure>;
 
     Record *find(std::string_view id);
@@ -160,6 +174,8 @@
     Records m_records;
     ServerStarts m_leavingServers; ///< that said so in an answer
     ServerStarts m_goneServers;    ///< whose entries were removed
+    /// In m_goneServers, but listed in a restored store; by id.
+    std::map<std::string, HeldServer, std::less<>> m_heldServers;
     // Sets of ids, so that a change of one server does not scan all others.
     std::map<std::string, std::set<std::string>, std::less<>> m_idsByAddress;
     std::set<std::string, std::less<>> m_unlistedIds;
--- a/src/decisions/BackendTable.cpp
+++ b/src/decisions/BackendTable.cpp
@@ -25,8 +25,13 @@
 void BackendTable::replace(std::span<const BackendInfo> list, TimePoint now)
 {
     std::vector<std::string_view> listed;
+    const auto held = std::exchange(m_heldServers, {});
     for (const BackendInfo &info : list) {
-        insertOrUpdate(info, now);
+        const auto found = held.find(info.id);
+        if (found == held.end())
+            insertOrUpdate(info, now);
+        else
+            m_heldServers.emplace(info.id, HeldServer {info, found->second.until});
         listed.push_back(info.id);
     }
     std::sort(listed.begin(), listed.end());
@@ -43,10 +48,12 @@
 void BackendTable::mergeRestored(std::span<const BackendInfo> list, TimePoint now)
 {
     eraseExpired(now);
+    m_heldServers.clear();
     std::vector<BackendInfo> current;
     for (const BackendInfo &info : list) {
-        if (!m_goneServers.containsSameOrLater(info))
-            current.push_back(latestOf(info));
+        if (m_goneServers.containsSameOrLater(info))
+            m_heldServers.emplace(info.id, HeldServer {info, now + m_settings.goneHold});
+        current.push_back(latestOf(info));
     }
     m_unlistedGraceEnd = now + m_settings.unlistedGrace;
     replace(current, now);
@@ -70,6 +77,7 @@
 {
     eraseExpired(now);
     m_goneServers.erase(info.id);
+    m_heldServers.erase(info.id);
     insertOrUpdate(info, now);
 }
 
@@ -124,6 +132,7 @@
 
 void BackendTable::remove(std::string_view id, TimePoint now)
 {
+    m_heldServers.erase(std::string(id));
     const auto found = m_records.find(id);
     if (found == m_records.end())
         return;
@@ -149,6 +158,18 @@
     m_unlistedGraceEnd = now + m_settings.unlistedGrace;
 }
 
+void BackendTable::expire(TimePoint now)
+{
+    eraseExpired(now);
+    std::vector<BackendInfo> listed;
+    for (const auto &[id, held] : m_heldServers) {
+        if (now >= held.until)
+            listed.push_back(held.info);
+    }
+    for (const BackendInfo &info : listed)
+        put(info, now);
+}
+
 void BackendTable::startWork(std::string_view id)
 {
     if (Record *record = find(id))
--- a/src/gateway/GatewayPublisher.cpp
+++ b/src/gateway/GatewayPublisher.cpp
@@ -57,6 +57,7 @@
 {
     const TimePoint now = m_parts.clock();
     m_parts.updateUnixOffset();
+    m_parts.servers.expire(now);
     m_parts.rateLimits.expire(now);
     m_parts.quarantine.expire(now);
     m_parts.metrics.setGauge("gateway_prompts_quarantined",
--- a/tests/decisions/BackendTableTest.cpp
+++ b/tests/decisions/BackendTableTest.cpp
@@ -16,6 +16,9 @@
     CPPUNIT_TEST(serverThatHasGoneIsNotUsedInALaterOutage);
     CPPUNIT_TEST(restoredListBringsBackNoServerThatHasGone);
     CPPUNIT_TEST(restoredListDoesNotBringBackAnEarlierStartOfAGoneServer);
+    CPPUNIT_TEST(serverThatARestoredListStillHasLaterIsUsed);
+    CPPUNIT_TEST(readAfterARestoreBringsBackNoServerThatHasGone);
+    CPPUNIT_TEST(serverWhoseRestoredEntryEndsStaysGone);
     CPPUNIT_TEST(restoredListDoesNotEndDraining);
     CPPUNIT_TEST(restoredListDoesNotBringBackAnEarlierStart);
     CPPUNIT_TEST(serversMissingInARestoredListAreKeptForAWhile);
@@ -130,6 +133,44 @@
         CPPUNIT_ASSERT(servers.server("a1", now)->acceptsNewWork());
     }
 
+    // Guards against losing a live server for good: it was taken for gone, and wrote its entry
+    // again after the restore, but before the list was read.
+    void serverThatARestoredListStillHasLaterIsUsed()
+    {
+        const std::vector<BackendInfo> list {info("a1", "a"), info("b1", "b")};
+        servers.remove("a1", now);
+        servers.mergeRestored(list, now);
+        servers.expire(now + Ms(29'000));
+        CPPUNIT_ASSERT(!servers.server("a1", now + Ms(29'000)));
+        servers.expire(now + Ms(31'000));
+        CPPUNIT_ASSERT(servers.server("a1", now + Ms(31'000))->acceptsNewWork());
+    }
+
+    // Guards against a full read that follows the first one of a restored store.
+    void readAfterARestoreBringsBackNoServerThatHasGone()
+    {
+        const std::vector<BackendInfo> list {info("a1", "a"), info("b1", "b")};
+        servers.remove("a1", now);
+        servers.mergeRestored(list, now);
+        servers.replace(list, now + Ms(1000));
+        CPPUNIT_ASSERT(!servers.server("a1", now + Ms(1000)));
+        servers.expire(now + Ms(31'000));
+        CPPUNIT_ASSERT(servers.server("a1", now + Ms(31'000))->acceptsNewWork());
+    }
+
+    void serverWhoseRestoredEntryEndsStaysGone()
+    {
+        const std::vector<BackendInfo> list {info("a1", "a"), info("a2", "a")};
+        servers.remove("a1", now);
+        servers.remove("a2", now);
+        servers.mergeRestored(list, now);
+        servers.remove("a1", now + Ms(15'000));
+        servers.replace({}, now + Ms(15'000));
+        servers.expire(now + Ms(31'000));
+        CPPUNIT_ASSERT(!servers.server("a1", now + Ms(31'000)));
+        CPPUNIT_ASSERT(!servers.server("a2", now + Ms(31'000)));
+    }
+
     void restoredListDoesNotEndDraining()
     {
         BackendInfo draining = info("a1", "a");
