decisions: count rate limit reports of unknown processes in a restored store

Cause: the reports in the first read of an epoch are ignored, since they may be older than those known. A process that published its first report after the restore and before that read was left out of the shares until it repeated the report, four publish intervals later: 4 s to 35 s by the size of the fleet. Change: onStoreRestored() takes the reports and applies those of processes that have none here; an additional sharer only lowers this process's share. The own report is left out, as before, since it can only be older. The brief of recordConfirmation() is back at its function. A restored report of a process that has ended counts until its lease ends, or for 30 s.

--- a/include/foxtailring/decisions/RateLimitTable.h
+++ b/include/foxtailring/decisions/RateLimitTable.h
@@ -56,10 +56,10 @@
     void replaceReports(std::span<const RateLimitReportChange> reports, TimePoint now);
     /// \brief Applies changes, of this process's report too, that the store returned together.
     void applyReports(std::span<const RateLimitReportChange> changes, TimePoint now);
+    /// \brief The store was restored from a backup and has \a reports, which may be older than
+    /// those known here. These are kept until their processes have had time to write them again.
+    void onStoreRestored(std::span<const RateLimitReportChange> reports, TimePoint now);
     /// \brief All reports up to \a confirmedAt are known.
-    /// \brief The store was restored from a backup and its reports may be missing or older than
-    /// those known here, which are kept until their processes have had time to write them again.
-    void onStoreRestored(TimePoint now);
     void recordConfirmation(TimePoint confirmedAt) { m_confirmedAt = confirmedAt; }
 
     /// \brief Sets the number of processes that may share a limit, at least 1.
--- a/src/decisions/RateLimitTable.cpp
+++ b/src/decisions/RateLimitTable.cpp
@@ -392,8 +392,15 @@
     return *record.quota;
 }
 
-void RateLimitTable::onStoreRestored(TimePoint now)
+// A report that is not known may have been written after the restore.
+void RateLimitTable::onStoreRestored(std::span<const RateLimitReportChange> reports, TimePoint now)
 {
+    std::vector<RateLimitReportChange> unknown;
+    for (const RateLimitReportChange &change : reports) {
+        if (change.processId != m_settings.processId && !m_reports.contains(change.processId))
+            unknown.push_back(change);
+    }
+    applyReports(unknown, now);
     for (const auto &[processId, limits] : m_reports)
         m_unconfirmedReports.insert_or_assign(processId, now);
     m_isRepublishing = true;
--- a/src/gateway/StoreWatch.cpp
+++ b/src/gateway/StoreWatch.cpp
@@ -143,7 +143,7 @@
     const bool isRestored = startEpoch(read);
     if (isRestored) {
         m_parts.servers.mergeRestored(servers, now);
-        m_parts.rateLimits.onStoreRestored(now);
+        m_parts.rateLimits.onStoreRestored(reports, now);
         m_parts.keyFreshness.recordRestore(now, restoredRewriteTime);
     } else {
         m_parts.servers.replace(servers, now);
--- a/tests/decisions/RateLimitTableTest.cpp
+++ b/tests/decisions/RateLimitTableTest.cpp
@@ -27,6 +27,8 @@
     CPPUNIT_TEST(nothingIsReportedWithoutALimit);
     CPPUNIT_TEST(reportIsRepeatedWhenItWasLost);
     CPPUNIT_TEST(reportsAreKeptWhenARestoredStoreHasLostThem);
+    CPPUNIT_TEST(reportsOfUnknownProcessesInARestoredStoreCount);
+    CPPUNIT_TEST(ownReportInARestoredStoreIsNoNews);
     CPPUNIT_TEST(reportNotWrittenAgainAfterARestoreIsDropped);
     CPPUNIT_TEST(sharesAddUpToTheTotal);
     CPPUNIT_TEST_SUITE_END();
@@ -167,7 +169,7 @@
         putReport("other", 8, 1);
         advance(Ms(4100));
         const std::uint32_t shared = quota();
-        m_table.onStoreRestored(m_now);
+        m_table.onStoreRestored({}, m_now);
         CPPUNIT_ASSERT(m_table.takeDueReport(m_now).has_value());
         advance(std::chrono::seconds(5));
         m_table.expire(m_now);
@@ -175,13 +177,37 @@
         CPPUNIT_ASSERT(shared < 32);
     }
 
+    // Guards against a share that leaves out a process whose first report was written after the
+    // restore, but before this process read the store.
+    void reportsOfUnknownProcessesInARestoredStoreCount()
+    {
+        name(8);
+        publish();
+        putReport("known", 8, 4);
+        const RateLimitReport written {{{"s", 8, 4}}};
+        const RateLimitReport old {{{"t", 8, 4}}};
+        m_table.onStoreRestored(
+            std::vector<RateLimitReportChange> {{"new", written}, {"known", old}, {"own", old}},
+            m_now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t {3}, explain().processes);
+        CPPUNIT_ASSERT(!m_table.isLimited("t"));
+    }
+
+    // An old report of this process, which has published none since.
+    void ownReportInARestoredStoreIsNoNews()
+    {
+        const RateLimitReport old {{{"s", 8, 4}}};
+        m_table.onStoreRestored(std::vector<RateLimitReportChange> {{"own", old}}, m_now);
+        CPPUNIT_ASSERT(!m_table.isLimited("s"));
+    }
+
     void reportNotWrittenAgainAfterARestoreIsDropped()
     {
         name(8);
         publish();
         putReport("ended", 8, 1);
         putReport("other", 8, 1);
-        m_table.onStoreRestored(m_now);
+        m_table.onStoreRestored({}, m_now);
         advance(Ms(1100));
         publish();
         for (int i = 0; i < 8; ++i) {
