decisions: drop the copy of a run when its holder restarts

Cause: RunCopy checks that the holder is listed, but not that it is the same start of it. The entry of a later start resets the mark that the server was replaced, so the copy counted as usable: it was not made again, and the run was to go on from it at an engine without it. Change: a copy is usable only at the start of the server that took it.

--- a/include/foxtailring/decisions/RunCopy.h
+++ b/include/foxtailring/decisions/RunCopy.h
@@ -35,7 +35,8 @@
     /// \brief A snapshot of the run was copied to \a holder.
     void setSnapshot(const BackendState &holder, CopyReference reference, TimePoint now);
     void drop();
-    /// \brief True if there is a copy, and its server is neither suspected, leaving nor replaced.
+    /// \brief True if there is a copy, and its server is not suspected, leaving, replaced or
+    /// restarted.
     bool isUsable(TimePoint now) const;
     /// \brief True if the copy is a snapshot that expires soon unless it is renewed.
     bool needsRenewal(TimePoint now) const;
--- a/src/decisions/RunCopy.cpp
+++ b/src/decisions/RunCopy.cpp
@@ -65,7 +65,8 @@
     if (!m_holder)
         return false;
     const auto current = m_servers.server(m_holder->info.id, now);
-    return current && current->acceptsNewWork() && current->health != BackendHealth::Suspected;
+    return current && current->info.isSameStart(m_holder->info) && current->acceptsNewWork()
+        && current->health != BackendHealth::Suspected;
 }
 
 bool RunCopy::needsRenewal(TimePoint now) const
