gateway: notice a restore of the store during the first read

Cause: if the store is restored between two pages of a gateway's first read, the read fails as Stale and is repeated. The gateway compared epochs with its last full read only, of which there was none, so the first proof of the restored store counted at once: a key whose revocation was lost could be used. Change: a first read that fails as Stale counts as a read in an unknown epoch, so the next one is treated as that of a restored store. A gateway that starts after the restore still cannot know of it (design.md, 9.10).

--- a/src/gateway/StoreWatch.cpp
+++ b/src/gateway/StoreWatch.cpp
@@ -54,6 +54,9 @@
 // The operators and the servers write what was lost again within this time.
 constexpr std::chrono::milliseconds restoredRewriteTime {2000};
 
+// Also that of a store without epochs.
+constexpr std::int64_t unknownEpoch = 0;
+
 } // namespace
 
 StoreWatch::StoreWatch(GatewayParts &parts, KeyValueClient &client, StoreSchema schema)
@@ -111,6 +114,8 @@
     hooks.onError = [this](const Error &error) {
         m_parts.metrics.add("store_failures_total{error=\"" + std::string(errorCodeName(error.code))
                             + "\"}");
+        if (error.code == ErrorCode::Stale)
+            post([this] { recordInterruptedRead(); });
     };
     return hooks;
 }
@@ -162,6 +167,14 @@
         m_restoredHook();
 }
 
+// The pages of a read were from different epochs. If it was the first read, the next one would
+// otherwise look like that of a store that was not restored.
+void StoreWatch::recordInterruptedRead()
+{
+    if (!m_epoch)
+        m_epoch = unknownEpoch;
+}
+
 // True if the store was restored from a backup since the last read.
 bool StoreWatch::startEpoch(const RangeResult &read)
 {
--- a/src/gateway/StoreWatch.h
+++ b/src/gateway/StoreWatch.h
@@ -33,6 +33,7 @@
     PrefixWatcherHooks makeHooks();
     void post(std::function<void()> work);
     void applySnapshot(const RangeResult &read);
+    void recordInterruptedRead();
     bool startEpoch(const RangeResult &read);
     void applyEvents(const std::vector<WatchEvent> &events);
     void applyConfig(const KeyValue &pair);
@@ -50,7 +51,8 @@
     TimePoint m_confirmedAt; ///< all changes until then have been applied
     std::function<void()> m_confirmedHook;
     std::function<void()> m_restoredHook;
-    std::optional<std::int64_t> m_epoch; ///< of the last full read
+    std::optional<std::int64_t>
+        m_epoch; ///< of the last full read; unknownEpoch: see recordInterruptedRead()
     PrefixWatcher m_watcher;
 };
 
--- a/tests/gateway/GatewayTest.cpp
+++ b/tests/gateway/GatewayTest.cpp
@@ -11,6 +11,7 @@
     CPPUNIT_TEST(requestWaitsForTheFirstRead);
     CPPUNIT_TEST(unknownKeyAndRouteAreRejected);
     CPPUNIT_TEST(keysAreNotUsedWithoutRecentProof);
+    CPPUNIT_TEST(restoreDuringTheFirstReadDelaysTheUseOfKeys);
     CPPUNIT_TEST(refusedCallIsRetriedElsewhere);
     CPPUNIT_TEST(callThatMayHaveRunIsNotRetried);
     CPPUNIT_TEST(streamResumesFromItsCopy);
@@ -85,6 +86,16 @@
         CPPUNIT_ASSERT_EQUAL(503, readiness());
     }
 
+    // Guards against accepting a key whose revocation was lost with the store's latest writes.
+    void restoreDuringTheFirstReadDelaysTheUseOfKeys()
+    {
+        m_store->reads->take()(Error {ErrorCode::Stale, "pages of two epochs"});
+        m_store->reads->take()(
+            RangeResult {5, {{"config", "", 1}, {"servers/a", "a", 2}, {"servers/b", "b", 3}}, 2});
+        m_store->watches->take();
+        CPPUNIT_ASSERT_EQUAL(503, readiness());
+    }
+
     void refusedCallIsRetriedElsewhere()
     {
         startServing();
