--- a/src/gateway/StoreWatch.cpp
+++ b/src/gateway/StoreWatch.cpp
@@ -58,6 +58,9 @@
 // The operators and the servers write what was lost again within this time.
 constexpr std::chrono::milliseconds restoredRewriteTime {2000};
 
+// Also that of a store without epochs.
+constexpr std::int64_t unknownEpoch = 0;
+
 } // namespace
 
 StoreWatch::StoreWatch(GatewayParts &parts, KeyValueClient &client, StoreSchema schema)
@@ -123,6 +126,8 @@
     hooks.onError = [this](const Error &error) {
         m_parts.metrics.add("store_failures_total{error=\"" + std::string(errorCodeName(error.code))
                             + "\"}");
+        if (error.code == ErrorCode::Stale)
+            post([this] { recordInterruptedRead(); });
     };
     return hooks;
 }
@@ -217,7 +222,7 @@
     holdKeys(read.epoch);
     if (isRestored) {
         m_parts.servers.mergeRestored(servers, now);
-        m_parts.rateLimits.onStoreRestored(now);
+        m_parts.rateLimits.onStoreRestored(reports, now);
     } else {
         m_parts.servers.replace(servers, now);
         m_parts.rateLimits.replaceReports(reports, now);
@@ -236,6 +241,14 @@
         m_restoredHook();
 }
 
+// The pages of a read were from different epochs. If it was the first read, the next one would
+// otherwise look like that of a store that was not restored.
+void StoreWatch::recordInterruptedRead()
+{
+    m_epoch = m_epoch.value_or(unknownEpoch);
+    m_seenEpoch = m_seenEpoch.value_or(unknownEpoch);
+}
+
 // True if the store was restored from a backup since the last read.
 bool StoreWatch::startEpoch(const RangeResult &read)
 {
