--- a/tests/platform/DocumentsTest.cpp
+++ b/tests/platform/DocumentsTest.cpp
@@ -52,6 +52,8 @@
     CPPUNIT_TEST(serverIsDecoded);
     CPPUNIT_TEST(invalidEntriesAreRefused);
     CPPUNIT_TEST(engineReportIsDecoded);
+    CPPUNIT_TEST(oddReportsOfEnginesAreRefused);
+    CPPUNIT_TEST(oddRunsOfEnginesAreNotFound);
     CPPUNIT_TEST(promptListIsDecoded);
     CPPUNIT_TEST(otherResponsesAreNotAReport);
     CPPUNIT_TEST_SUITE_END();
@@ -222,6 +224,38 @@
         CPPUNIT_ASSERT(!platform::decodeLoadReport(answer, "r3").value().hasRun);
     }
 
+    // Guards against an engine that counts as idle because its load wrapped or is negative, and
+    // against a start time by which each engine has restarted.
+    void oddReportsOfEnginesAreRefused()
+    {
+        const std::string report =
+            R"({"num_waiting":1,"num_running":3,"kv_used":41,"kv_total":90,"born":17,"runs":[]})";
+        CPPUNIT_ASSERT(platform::decodeLoadReport({200, {}, report}, "r").isOk());
+        for (const auto &[from, to] :
+             {std::pair("g\":3", "g\":18446744073709551615"), std::pair("g\":3", "g\":-3"),
+              std::pair("g\":1,", "g\":1e400,"), std::pair("d\":41", "d\":-1"),
+              std::pair("l\":90", "l\":\"90\""), std::pair("n\":17", "n\":18446744073709551615"),
+              std::pair("n\":17", "n\":9223372036854775807"), std::pair("n\":17", "n\":-1"),
+              std::pair("s\":[]", "s\":{}")})
+            CPPUNIT_ASSERT_MESSAGE(
+                to, !platform::decodeLoadReport({200, {}, replaced(report, from, to)}, "r").isOk());
+        const std::string deep = std::string(300'000, '[') + std::string(300'000, ']');
+        CPPUNIT_ASSERT(!platform::decodeLoadReport({200, {}, deep}, "r").isOk());
+        CPPUNIT_ASSERT(!platform::decodeLoadReport({200, {}, replaced(report, "[]", deep)}, "r"));
+        CPPUNIT_ASSERT(!platform::decodePromptList({200, {}, "{\"held\":" + deep + '}'}, "r"));
+    }
+
+    void oddRunsOfEnginesAreNotFound()
+    {
+        for (const char *events : {"18446744073709551615", "-1", "1.5", "\"7\"", "[]"}) {
+            const std::string report = R"({"num_waiting":1,"num_running":3,"kv_used":41,
+                "kv_total":90,"runs":[["r1",4100,)"
+                + std::string(events) + R"(,5],7,[],["r2",90,1,5]]})";
+            CPPUNIT_ASSERT(!platform::decodeLoadReport({200, {}, report}, "r1").value().hasRun);
+            CPPUNIT_ASSERT(platform::decodeLoadReport({200, {}, report}, "r2").value().hasRun);
+        }
+    }
+
     void promptListIsDecoded()
     {
         const HttpResponse answer {
