--- a/tests/platform/WireFormatTest.cpp
+++ b/tests/platform/WireFormatTest.cpp
@@ -16,6 +16,8 @@
     CPPUNIT_TEST(connectionHeaderCannotDropProtectedHeaders);
     CPPUNIT_TEST(attemptNamesWhereTheRunResumes);
     CPPUNIT_TEST(copyOnDemandIsNamedByItsHandle);
+    CPPUNIT_TEST(requestIdThatIsNoTextIsEncoded);
+    CPPUNIT_TEST(handlesThatAreNoHeaderValueAreRefused);
     CPPUNIT_TEST(answerIsDecoded);
     CPPUNIT_TEST(rateLimitIsDecoded);
     CPPUNIT_TEST(leavingIsDecoded);
@@ -143,6 +145,24 @@
         CPPUNIT_ASSERT(!m_codec.decodeCopyResponse({200, {}, R"({"created":12})"}));
     }
 
+    // Guards against an exception for a caller's request id that is no UTF-8.
+    void requestIdThatIsNoTextIsEncoded()
+    {
+        const HttpRequest order = m_codec.encodeCopyRequest("9c\xff", "10.0.0.2:80");
+        CPPUNIT_ASSERT_EQUAL(std::string("/kv-move"), order.target);
+    }
+
+    // Guards against a handle that ends the header or the path that it becomes a part of.
+    void handlesThatAreNoHeaderValueAreRefused()
+    {
+        for (const std::string &handle :
+             {std::string("h7\\r\\nX: y"), std::string("h 7"), std::string(),
+              std::string(70'000, 'h'), std::string("h\\u0000")})
+            CPPUNIT_ASSERT_MESSAGE(
+                handle.substr(0, 20),
+                !m_codec.decodeCopyResponse({200, {}, "{\"handle\":\"" + handle + "\"}"}));
+    }
+
     void answerIsDecoded()
     {
         const BackendAnswer full =
