--- a/src/gateway/PromptCrashReportCodec.cpp
+++ b/src/gateway/PromptCrashReportCodec.cpp
@@ -1,5 +1,7 @@
 #include "PromptCrashReportCodec.h"
 
+#include "foxtailring/base/ParseJson.h"
+
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
@@ -87,7 +89,7 @@
 
 Result<PromptCrashReport> PromptCrashReportCodec::decode(std::string_view text)
 {
-    const json document = json::parse(text, nullptr, false);
+    const json document = parseJson(text);
     if (!isReport(document))
         return Error {ErrorCode::Malformed, "not a report of crashes"};
     PromptCrashReport report;
