platform: take back the partial reading of configurations

Cause: puts a configuration into force although entries of it cannot be read, without these. A configuration is one document with one version that the operators' store has validated: taking a part of it would be a configuration that nobody wrote, in force under that version's number. Ruled out: keeping it for services and limits only; the same holds for them. Conclusion: open: ranges of times, limits and account names in a configuration are not checked; they become errors of the whole document next.

--- a/include/foxtailring/decisions/RouteConfig.h
+++ b/include/foxtailring/decisions/RouteConfig.h
@@ -6,7 +6,6 @@
 #include "foxtailring/decisions/RoutedService.h"
 
 #include <cstdint>
-#include <string>
 #include <vector>
 
 namespace foxtailring {
@@ -20,7 +19,6 @@
     CallerLimits limits;
     bool hasAccounts = false; ///< requests need an API key unless the route is public
     std::vector<KeyedAccount> accounts;
-    std::vector<std::string> unreadable; ///< the first entries that could not be read, with reasons
 };
 
 } // namespace foxtailring
--- a/src/gateway/StoreWatch.cpp
+++ b/src/gateway/StoreWatch.cpp
@@ -356,10 +356,6 @@
     // A delayed response must not bring an older configuration back.
     if (m_parts.routes && version <= m_parts.routes->version())
         return;
-    for (const std::string &entry : config.value().unreadable) {
-        m_parts.metrics.add("config_entries_unreadable_total");
-        StructuredLog::warn("configEntryUnreadable", {{"message", entry}});
-    }
     m_parts.routes = std::make_shared<const RouteTable>(std::move(config).value());
     m_parts.metrics.setGauge("gateway_config_version", static_cast<double>(version));
     StructuredLog::info(
