platform: check the ranges of times, limits and account names in a configuration

Cause: a timeout of ms overflowed, a limit of -1 byte was one of 2^64, and an account name of 64 KiB or with a line end could not be a header, or ended one. Conclusion: a configuration is still taken as a whole or not at all.

--- a/tests/platform/DocumentsTest.cpp
+++ b/tests/platform/DocumentsTest.cpp
@@ -41,6 +41,8 @@
     CPPUNIT_TEST(configIsDecoded);
     CPPUNIT_TEST(unknownKindIsNotRetried);
     CPPUNIT_TEST(invalidConfigErrorNamesTheField);
+    CPPUNIT_TEST(configOutOfRangeIsUnreadable);
+    CPPUNIT_TEST(timesBeyondADayAreShortened);
     CPPUNIT_TEST(configWithoutAccountsNeedsNoKeys);
     CPPUNIT_TEST(serverIsDecoded);
     CPPUNIT_TEST(invalidEntriesAreRefused);
@@ -82,6 +84,29 @@
         CPPUNIT_ASSERT(out.error().message.find("path_prefix") != std::string::npos);
     }
 
+    // Guards against times that overflow, limits of 2^64 bytes and names that end a header.
+    void configOutOfRangeIsUnreadable()
+    {
+        const std::string route =
+            R"("host":"h","path_prefix":"/","kind":"idempotent","service":"s")";
+        const std::string documents[] = {
+            R"({"version":1,"routes":[{)" + route + R"(,"timeout_ms":-1}]})",
+            R"({"version":1,"limits":{"max_body_bytes":-1}})",
+            R"({"version":1,"tenants":[{"name":"a\nb","api_keys":[]}]})",
+            R"({"version":1,"tenants":[{"name":")" + std::string(70'000, 'a') + R"("}]})"};
+        for (const std::string &document : documents)
+            CPPUNIT_ASSERT_MESSAGE(document.substr(0, 60), !platform::decodeConfig(document));
+        CPPUNIT_ASSERT(platform::decodeConfig(R"({"version":1,"routes":[{)" + route
+                                              + R"(,"timeout_ms":1}]})"));
+    }
+
+    void timesBeyondADayAreShortened()
+    {
+        const auto out = platform::decodeConfig(
+            R"({"version":1,"limits":{"idle_timeout_ms":9223372036854775807}})");
+        CPPUNIT_ASSERT(out.value().limits.idleTimeout == std::chrono::hours(24));
+    }
+
     void configWithoutAccountsNeedsNoKeys()
     {
         const auto out = platform::decodeConfig(replaced(config, R"("tenants")", R"("others")"));
