tests/process: wait for all callers before the stop in late_in_stop

Cause: the time of SIGTERM was set before the 975 callers were started. Change: the time is set when all callers are ready. Conclusion: a slow start only moves the stop.

--- a/tests/process/late_in_stop.py
+++ b/tests/process/late_in_stop.py
@@ -111,37 +111,54 @@
     return read_answer(connection)
 
 
+class Stop:
+    """When SIGTERM is sent; known once all callers are ready, which takes seconds on a busy machine."""
+
+    def __init__(self):
+        self.at = None
+        self.is_known = threading.Event()
+
+    def set(self, at):
+        self.at = at
+        self.is_known.set()
+
+    def wait(self, seconds):
+        """Waits until so many seconds after SIGTERM."""
+        self.is_known.wait()
+        time.sleep(max(0, self.at + seconds - time.monotonic()))
+
+
 class Caller:
     """Sends the request of one case and keeps its outcome."""
 
-    def __init__(self, port, case, starts_at):
+    def __init__(self, port, case, stop):
         self.case = case
         self.port = port
-        self.starts_at = starts_at
+        self.stop = stop
+        self.is_ready = threading.Event()
         self.outcome = None
         self.thread = threading.Thread(target=self._run, daemon=True)
         self.thread.start()
 
-    def _wait(self, seconds):
-        """Waits until so many seconds after SIGTERM."""
-        time.sleep(max(0, self.starts_at + seconds - time.monotonic()))
-
     def _run(self):
         try:
             self.outcome = self._send()
         except OSError as error:
             self.outcome = Outcome(0, b"", error=repr(error))
+        finally:
+            self.is_ready.set()
 
     def _connect(self):
-        if self.case.connection == "idle":
+        if self.case.connection in ("idle", "body"):
             connection = connect(self.port)
             # Refused by the gateway itself, so that it says nothing about the time that answers take.
-            exchange(connection, f"first-{self.case.name()}", "/none/x")
+            if self.case.connection == "idle":
+                exchange(connection, f"first-{self.case.name()}", "/none/x")
+            self.is_ready.set()
             return connection
-        if self.case.connection == "late":
-            self._wait(random.uniform(*LATE_CONNECT_SECONDS))
-        elif self.case.connection == "new":
-            self._wait(self.case.send_at)
+        self.is_ready.set()
+        is_late = self.case.connection == "late"
+        self.stop.wait(random.uniform(*LATE_CONNECT_SECONDS) if is_late else self.case.send_at)
         return connect(self.port)
 
     def _send(self):
@@ -149,14 +166,14 @@
         with self._connect() as connection:
             target = f"/{case.path}/x?take={case.take}"
             if case.connection != "body":
-                self._wait(case.send_at)
+                self.stop.wait(case.send_at)
                 return exchange(connection, case.name(), target)
             head, body = request_bytes(case.name(), target, b"x" * 400)
             pieces = [body[start::BODY_PIECES] for start in range(BODY_PIECES)]
-            self._wait(case.send_at - BODY_SECONDS)
+            self.stop.wait(case.send_at - BODY_SECONDS)
             connection.sendall(head)
             for number, piece in enumerate(pieces, 1):
-                self._wait(case.send_at - BODY_SECONDS * (1 - number / BODY_PIECES))
+                self.stop.wait(case.send_at - BODY_SECONDS * (1 - number / BODY_PIECES))
                 try:
                     connection.sendall(piece)
                 except OSError:
@@ -240,13 +257,16 @@
                 server.set_slots(SLOTS)
             port = cluster.gateways[0].port
             learn(port, takes) if takes else None
-            starts_at = time.monotonic() + BODY_SECONDS + 1.5
-            callers = [Caller(port, case, starts_at) for case in cases]
-            time.sleep(starts_at - time.monotonic())
+            stop = Stop()
+            callers = [Caller(port, case, stop) for case in cases]
+            for caller in callers:
+                caller.is_ready.wait(20)
+            stop.set(time.monotonic() + BODY_SECONDS + 0.6)
+            stop.wait(0)
             process = cluster.gateways[0].process
             process.send_signal(signal.SIGTERM)
             code = process.child.wait(20)
-            took = time.monotonic() - starts_at
+            took = time.monotonic() - stop.at
             for caller in callers:
                 caller.thread.join(20)
             runs = run_counts(cluster.folder)
