decisions: keep a slow attempt while another server is asked

Cause: a read whose answer takes longer than twice the objective is sent to another server. CallSession::onOverdue made this the only attempt, and RequestRelay::send cancelled the first one. If the other servers then said "not run", ForwardSession::retryRejected refused the request, with 502 since the first server may have run it, although its answer was on its way. Ruled out: ending the first attempt when another server has taken the request. A call's server tells that it has taken it only with its answer. Change: the first attempt goes on as the fallback (SendAttempt::keepsLatest). The first whole answer is passed on and the other attempt ended. What would end the request without success waits for the fallback until the deadline; a server's error is held meanwhile. A fallback that was not run no longer counts as a possible run, so that the refusal after it is 503. There is one fallback at most, since only the first overdue attempt of a call is replaced. Both attempts count as work at their servers and in the memory of the request. Conclusion: a read that is slower than twice its objective ends as its first server answers, if no other one answers before.

--- a/include/foxtailring/decisions/ForwardAction.h
+++ b/include/foxtailring/decisions/ForwardAction.h
@@ -19,10 +19,13 @@
 {
 };
 
-/// \brief Send the request to a server, ending any attempt in progress first.
+/// \brief Send the request to a server, ending the latest attempt first unless it becomes a
+/// fallback.
 struct SendAttempt
 {
     BackendState server;
+    /// The latest attempt goes on as the fallback; there is at most one.
+    bool keepsLatest = false;
     std::chrono::milliseconds timeLeft {0}; ///< until the answer must be complete
     /// Server that receives a continuous copy of the run; none: no copy.
     std::optional<BackendState> copyTo;
@@ -58,6 +61,8 @@
 /// \brief Pass the latest attempt's answer to the caller. It is kept until the next SendAttempt.
 struct PassAnswer
 {
+    /// The fallback's answer, which was just reported, in place of the latest attempt's.
+    bool isFallback = false;
 };
 
 /// \brief Answer the caller with an error status.
--- a/include/foxtailring/decisions/ForwardSession.h
+++ b/include/foxtailring/decisions/ForwardSession.h
@@ -23,9 +23,9 @@
 /// \brief Decides how one caller's request is handled: where it is sent, when it is retried, and
 /// how it is answered.
 ///
-/// Each call takes an event and the current time, and returns the action to carry out. At most one
-/// attempt is in progress; SendAttempt replaces it. Not thread-safe; used on the queue of its
-/// context.
+/// Each call takes an event and the current time, and returns the action to carry out. SendAttempt
+/// replaces the attempt in progress, or keeps it as the fallback until it ends or the caller is
+/// answered. Not thread-safe; used on the queue of its context.
 class ForwardSession
 {
 public:
@@ -45,6 +45,12 @@
     ForwardAction onAnswer(const BackendAnswer &answer, TimePoint now);
     /// \brief The attempt ended without an answer that can be passed on.
     ForwardAction onAttemptEnded(AttemptResult result, TimePoint now);
+    /// \brief The status and headers of the fallback's answer arrived.
+    void onFallbackHead(const BackendAnswer &answer, TimePoint now);
+    /// \brief A complete answer of the fallback arrived.
+    ForwardAction onFallbackAnswer(const BackendAnswer &answer, TimePoint now);
+    /// \brief The fallback ended without an answer that can be passed on.
+    ForwardAction onFallbackEnded(AttemptResult result, TimePoint now);
     /// \brief The latest ProbeServers is over.
     /// \param reports answers that arrived in time
     virtual ForwardAction onProbed(std::span<const ServerProbeResult> reports, TimePoint now);
@@ -95,8 +101,12 @@
     /// \brief Takes one retry from the budget. False if the route, the remaining time or the budget
     /// allows none.
     bool tryTakeRetry(TimePoint now);
-    /// \brief Makes \a attempt the current one and returns it as an action.
+    /// \brief Makes \a attempt the current one and returns it as an action. If it keeps the latest
+    /// attempt, that one becomes the fallback.
     ForwardAction send(SendAttempt attempt, TimePoint now);
+    /// \brief Returns \a action, which would end the request without success, or waits for the
+    /// fallback.
+    ForwardAction waitForFallback(ForwardAction action) const;
     ForwardAction refuse(int status, std::string_view cause,
                          Duration minRetryAfter = Duration {0}) const;
     /// \brief Counts an abandoned attempt that may have been executed.
@@ -107,6 +117,13 @@
     virtual ForwardAction conclude(ForwardAction action) const;
 
 private:
+    /// An attempt that goes on while other servers are tried.
+    struct Fallback
+    {
+        BackendState server;
+        TimePoint sentAt;
+    };
+
     /// \brief Returns the next attempt, or what must happen before it; Refuse if no server is left.
     virtual ForwardAction makeAttempt(std::string_view cause, TimePoint now) = 0;
     /// \brief The current attempt was lost and may have been executed.
@@ -128,7 +145,10 @@
     virtual TimePoint overdueAt() const = 0;
 
     void chooseService();
-    void recordNotice(const BackendAnswer &answer);
+    void recordHead(const BackendInfo &server, TimePoint sentAt, const BackendAnswer &answer,
+                    TimePoint now);
+    void recordNotice(const BackendInfo &server, const BackendAnswer &answer);
+    void releaseFallback();
     /// Time until a server of the service takes a request; 0: now or unknown.
     Duration waitForServer(TimePoint now) const;
     /// True if all servers of the service that are expected to answer asked for a pause.
@@ -148,6 +168,7 @@
     bool m_isLimited = false;            ///< a server had no free request at the last choice
     std::optional<BackendState> m_server;
     TimePoint m_sentAt;
+    std::optional<Fallback> m_fallback;
     /// Status of a server error that is passed on unless another attempt is sent; none: no answer.
     std::optional<int> m_heldStatus;
     bool m_isFailureRecorded = false; ///< of the current attempt's server
--- a/src/decisions/CallSession.cpp
+++ b/src/decisions/CallSession.cpp
@@ -14,39 +14,47 @@
 } // namespace
 
 ForwardAction CallSession::makeAttempt(std::string_view cause, TimePoint now)
+{
+    auto next = place(cause, now);
+    if (!next)
+        return waitForFallback(conclude(refuseUnplaced(now)));
+    return send(std::move(*next), now);
+}
+
+std::optional<SendAttempt> CallSession::place(std::string_view cause, TimePoint now)
 {
     PlacementRequest placement;
     placement.service = service();
     placement.exclude = triedIds();
     auto chosen = choose(placement, &BackendPlacer::chooseForCall, now);
     if (!chosen)
-        return conclude(refuseUnplaced(now));
+        return std::nullopt;
     SendAttempt next;
     next.server = std::move(*chosen);
     next.cause = cause;
-    return send(std::move(next), now);
+    return next;
 }
 
 ForwardAction CallSession::onLost(AttemptResult result, TimePoint now)
 {
     if (!tryTakeRetry(now))
-        return refuse(502, attemptResultName(result));
+        return waitForFallback(refuse(502, attemptResultName(result)));
     return makeAttempt(attemptResultName(result), now);
 }
 
-// The attempt continues unless it can be replaced by one at another server.
+// The attempt goes on, since the next server may turn the request away, or be slower still.
 ForwardAction CallSession::onOverdue(TimePoint now)
 {
     m_isFinalAttempt = true;
     if (!tryTakeRetry(now))
         return KeepWaiting {};
     const std::string silentId = server().info.id;
-    ForwardAction next = makeAttempt("silent", now);
-    if (!std::holds_alternative<SendAttempt>(next))
+    auto next = place("silent", now);
+    if (!next || refuseQuarantined(now))
         return KeepWaiting {};
-    countPossibleRun();
+    next->keepsLatest = true;
     context().servers.recordAnswer(silentId, true, now);
-    return next;
+    return send(std::move(*next), now);
 }
 
 TimePoint CallSession::overdueAt() const
--- a/src/decisions/ForwardSession.cpp
+++ b/src/decisions/ForwardSession.cpp
@@ -55,6 +55,7 @@
 ForwardSession::~ForwardSession()
 {
     releaseServer();
+    releaseFallback();
 }
 
 ForwardAction ForwardSession::start(TimePoint now)
@@ -88,23 +89,84 @@
 
 void ForwardSession::onHead(const BackendAnswer &answer, TimePoint now)
 {
-    if (!m_server)
-        return;
-    m_context.servers.recordContact(m_server->info.id, now);
+    if (m_server)
+        recordHead(m_server->info, m_sentAt, answer, now);
+}
+
+void ForwardSession::recordHead(const BackendInfo &server, TimePoint sentAt,
+                                const BackendAnswer &answer, TimePoint now)
+{
+    m_context.servers.recordContact(server.id, now);
     if (answer.load)
-        m_context.servers.updateLoad(m_server->info.id, *answer.load, now);
+        m_context.servers.updateLoad(server.id, *answer.load, now);
     if (!answer.isOtherServer)
-        m_context.admission.recordAnswer(m_server->info, answer, m_sentAt, now);
-    recordNotice(answer);
+        m_context.admission.recordAnswer(server, answer, sentAt, now);
+    recordNotice(server, answer);
 }
 
 // What another server sends, or a success that no server has signed, does not count.
-void ForwardSession::recordNotice(const BackendAnswer &answer)
+void ForwardSession::recordNotice(const BackendInfo &server, const BackendAnswer &answer)
 {
     const bool isOwnAnswer =
         !answer.isOtherServer && (answer.isSigned || answer.isNotRun || !answer.isSuccess());
     if (isOwnAnswer)
-        m_context.servers.recordNotice(m_server->info, answer.leaving);
+        m_context.servers.recordNotice(server, answer.leaving);
+}
+
+void ForwardSession::onFallbackHead(const BackendAnswer &answer, TimePoint now)
+{
+    if (m_fallback)
+        recordHead(m_fallback->server.info, m_fallback->sentAt, answer, now);
+}
+
+ForwardAction ForwardSession::onFallbackAnswer(const BackendAnswer &answer, TimePoint now)
+{
+    if (!m_fallback)
+        return KeepWaiting {};
+    if (answer.isOtherServer)
+        return onFallbackEnded(AttemptResult::OtherServer, now);
+    if (answer.isNotRun)
+        return onFallbackEnded(AttemptResult::NotRun, now);
+    if (answer.isSuccess() && !answer.isSigned)
+        return onFallbackEnded(AttemptResult::Invalid, now);
+    const bool isFailure = answer.status >= 500;
+    m_context.servers.recordAnswer(m_fallback->server.info.id, isFailure && !answer.pause, now);
+    releaseFallback();
+    if (!isFailure)
+        return PassAnswer {true};
+    if (m_server)
+        return KeepWaiting {};
+    if (m_heldStatus)
+        return passHeldAnswer();
+    return answer.status == 503 ? refuse(502, "serverUnavailable") : PassAnswer {true};
+}
+
+ForwardAction ForwardSession::onFallbackEnded(AttemptResult result, TimePoint now)
+{
+    if (!m_fallback)
+        return KeepWaiting {};
+    const std::string &id = m_fallback->server.info.id;
+    if (result == AttemptResult::OtherServer)
+        m_context.servers.recordReplacement(id, {}, now);
+    else if (result == AttemptResult::NotRun)
+        m_context.servers.recordContact(id, now);
+    else
+        m_context.servers.recordFailure(id, now);
+    releaseFallback();
+    // It was counted when it became the fallback.
+    if (!mayHaveRun(result))
+        --m_possibleRuns;
+    if (m_server)
+        return KeepWaiting {};
+    const int status = mayHaveRun(result) ? 502 : 503;
+    return conclude(refuse(status, attemptResultName(result), waitForServer(now)));
+}
+
+ForwardAction ForwardSession::waitForFallback(ForwardAction action) const
+{
+    if (m_fallback)
+        return KeepWaiting {};
+    return action;
 }
 
 ForwardAction ForwardSession::onAnswer(const BackendAnswer &answer, TimePoint now)
@@ -130,7 +192,7 @@
         return conclude(PassAnswer {});
     m_heldStatus = answer.status;
     if (!tryTakeRetry(now))
-        return conclude(passHeldAnswer());
+        return waitForFallback(conclude(passHeldAnswer()));
     return makeAttempt("serverError", now);
 }
 
@@ -231,7 +293,8 @@
     // An attempt that was not sent puts no load on a server, so it does not use the retry budget.
     const bool takesBudget = result != AttemptResult::NotSent;
     if (isExhausted || (takesBudget && !tryConsumeBudget(now)))
-        return conclude(refuse(503, attemptResultName(result), waitForServer(now)));
+        return waitForFallback(
+            conclude(refuse(503, attemptResultName(result), waitForServer(now))));
     return makeAttempt(attemptResultName(result), now);
 }
 
@@ -273,6 +336,7 @@
     onAttemptOver();
     const bool mayHaveStarted = hasServer() || m_possibleRuns > 0;
     releaseServer();
+    releaseFallback();
     return conclude(refuse(mayHaveStarted ? 504 : 503, "deadline"));
 }
 
@@ -389,6 +453,11 @@
     // on.
     if (auto refusal = refuseQuarantined(now))
         return std::move(*refusal);
+    if (attempt.keepsLatest && m_server) {
+        m_fallback = Fallback {std::move(*m_server), m_sentAt};
+        m_server.reset();
+        countPossibleRun();
+    }
     releaseServer();
     m_heldStatus.reset();
     m_isFailureRecorded = false;
@@ -430,4 +499,11 @@
     m_server.reset();
 }
 
+void ForwardSession::releaseFallback()
+{
+    if (m_fallback)
+        m_context.servers.endWork(m_fallback->server.info.id);
+    m_fallback.reset();
+}
+
 } // namespace foxtailring
--- a/src/gateway/RequestRelay.cpp
+++ b/src/gateway/RequestRelay.cpp
@@ -172,8 +172,8 @@
         probeServers(*probe);
     else if (const auto *command = std::get_if<CopyRun>(&action))
         copyRun(*command);
-    else if (std::holds_alternative<PassAnswer>(action))
-        forwardAnswer();
+    else if (const auto *pass = std::get_if<PassAnswer>(&action))
+        forwardAnswer(*pass);
     else if (const auto *refusal = std::get_if<Refuse>(&action))
         refuse(*refusal);
     else if (const auto *reason = std::get_if<AbortAnswer>(&action))
@@ -183,6 +183,8 @@
 
 void RequestRelay::send(const SendAttempt &next)
 {
+    if (next.keepsLatest)
+        m_fallback = std::exchange(m_attempt, Attempt {});
     cancelAttempt();
     const auto endpoint = Endpoint::parse(next.server.info.address);
     if (!endpoint)
@@ -223,15 +225,19 @@
         self->m_parts.queue.post([self, number, info, response] {
             if (!self->m_isFinished && self->m_attempt.number == number)
                 self->onHead(response);
+            else if (!self->m_isFinished && self->isFallback(number))
+                self->onFallbackHead(response);
             else
                 self->m_parts.recordPause(info, response);
         });
     };
     hooks.onBody = [post](std::string_view bytes) {
-        post([copy = std::string(bytes)](RequestRelay &self) { self.onBody(copy); });
+        post([copy = std::string(bytes)](RequestRelay &self) { self.onBody(copy); },
+             [copy = std::string(bytes)](RequestRelay &self) { self.onFallbackBody(copy); });
     };
     hooks.onClosed = [post](const Result<Done> &result) {
-        post([result](RequestRelay &self) { self.onClosed(result); });
+        post([result](RequestRelay &self) { self.onClosed(result); },
+             [result](RequestRelay &self) { self.onFallbackClosed(result); });
     };
     m_attempt.stream =
         m_parts.http.stream(endpoint.value(), m_parts.codec.encodeAttempt(m_request, metadata),
@@ -319,37 +325,89 @@
     perform(m_session->onProbed(results, m_parts.clock()));
 }
 
-std::function<void(RequestRelay::AttemptTask)> RequestRelay::attemptPoster(std::uint64_t number)
+std::function<void(RequestRelay::AttemptTask, RequestRelay::AttemptTask)>
+RequestRelay::attemptPoster(std::uint64_t number)
 {
-    return [self = shared_from_this(), number](AttemptTask task) {
-        self->m_parts.queue.post([self, number, task = std::move(task)] {
-            if (!self->m_isFinished && self->m_attempt.number == number)
-                self->guard([&self, &task] { task(*self); });
-        });
+    return [self = shared_from_this(), number](AttemptTask task, AttemptTask fallbackTask) {
+        self->m_parts.queue.post(
+            [self, number, task = std::move(task), fallbackTask = std::move(fallbackTask)] {
+                if (self->m_isFinished)
+                    return;
+                if (self->m_attempt.number == number)
+                    self->guard([&self, &task] { task(*self); });
+                else if (self->isFallback(number))
+                    self->guard([&self, &fallbackTask] { fallbackTask(*self); });
+            });
     };
 }
 
+bool RequestRelay::isFallback(std::uint64_t number) const
+{
+    return m_fallback.number != 0 && m_fallback.number == number;
+}
+
+void RequestRelay::recordHead(Attempt &attempt, HttpResponse head)
+{
+    attempt.hasHead = true;
+    attempt.answer = m_parts.codec.decodeAnswer(head);
+    attempt.head = std::move(head);
+    if (attempt.answer.namesRateLimit)
+        logRateLimit(attempt);
+}
+
+void RequestRelay::onFallbackHead(HttpResponse head)
+{
+    recordHead(m_fallback, std::move(head));
+    m_session->onFallbackHead(m_fallback.answer, m_parts.clock());
+}
+
+void RequestRelay::onFallbackBody(std::string_view bytes)
+{
+    m_fallback.body += bytes;
+    if (m_fallback.body.size() > maxBufferedAnswerBytes || !updateHeldMemory("answer"))
+        endFallback(AttemptResult::Invalid);
+}
+
+void RequestRelay::onFallbackClosed(const Result<Done> &result)
+{
+    m_fallback.stream.reset();
+    if (!result)
+        return endFallback(recordConnectionError(m_fallback, result.error()));
+    perform(m_session->onFallbackAnswer(m_fallback.answer, m_parts.clock()));
+    cancelFallback();
+}
+
+void RequestRelay::endFallback(AttemptResult result)
+{
+    logFailure(m_fallback, result);
+    cancelFallback();
+    perform(m_session->onFallbackEnded(result, m_parts.clock()));
+}
+
+void RequestRelay::cancelFallback()
+{
+    if (const auto stream = std::exchange(m_fallback.stream, nullptr))
+        stream->cancel();
+    m_fallback = Attempt {};
+}
+
 void RequestRelay::onHead(HttpResponse head)
 {
-    m_attempt.hasHead = true;
-    m_attempt.answer = m_parts.codec.decodeAnswer(head);
-    m_attempt.head = std::move(head);
+    recordHead(m_attempt, std::move(head));
     m_session->onHead(m_attempt.answer, m_parts.clock());
     const BackendAnswer &answer = m_attempt.answer;
-    if (answer.namesRateLimit)
-        logRateLimit();
     m_attempt.isStreaming = m_stream && answer.isSuccess() && answer.isSigned && !answer.isNotRun
         && isEventStream(m_attempt.head);
 }
 
-void RequestRelay::logRateLimit() const
+void RequestRelay::logRateLimit(const Attempt &attempt) const
 {
-    const auto &limit = m_attempt.answer.rateLimit;
+    const auto &limit = attempt.answer.rateLimit;
     m_parts.metrics.add(limit ? "gateway_limits_named_total{form=\"readable\"}"
                               : "gateway_limits_named_total{form=\"unreadable\"}");
     StructuredLog::info("limitNamed",
                         {{"request", m_request.id},
-                         {"server", m_attempt.serverId},
+                         {"server", attempt.serverId},
                          {"limitPerSecond", limit ? std::to_string(*limit) : "unreadable"}});
 }
 
@@ -377,7 +435,7 @@
 bool RequestRelay::updateHeldMemory(std::string_view what)
 {
     const std::size_t bytes = m_request.http.body.size() + m_attempt.body.size()
-        + m_attempt.events.pendingBytes() + m_responder->pendingBytes();
+        + m_fallback.body.size() + m_attempt.events.pendingBytes() + m_responder->pendingBytes();
     const bool isAllowed = m_memory.tryResize(bytes);
     m_parts.metrics.setGauge("gateway_held_bytes",
                              static_cast<double>(m_parts.memoryBudget.held()));
@@ -446,7 +504,7 @@
 {
     m_attempt.stream.reset();
     if (!result)
-        return onConnectionError(result.error());
+        return endAttempt(recordConnectionError(m_attempt, result.error()));
     if (m_attempt.isStreaming)
         return onStreamEnd();
     if (isEmptyRun())
@@ -456,12 +514,12 @@
 
 // A server at its limit of connections resets one before it answers, which looks like the end of
 // the server.
-void RequestRelay::onConnectionError(const Error &error)
+AttemptResult RequestRelay::recordConnectionError(const Attempt &attempt, const Error &error)
 {
     const bool isCut = error.code == ErrorCode::Unavailable || error.code == ErrorCode::Closed;
-    if (isCut && !m_attempt.hasHead)
-        m_parts.onConnectionFailed(m_attempt.serverId, m_attempt.endpoint);
-    endAttempt(failureOf(error));
+    if (isCut && !attempt.hasHead)
+        m_parts.onConnectionFailed(attempt.serverId, attempt.endpoint);
+    return failureOf(error);
 }
 
 // A run has an output, so an empty success is not its answer.
@@ -484,20 +542,34 @@
 }
 
 void RequestRelay::endAttempt(AttemptResult result)
+{
+    logFailure(m_attempt, result);
+    if (!m_stream) {
+        // The session may wait for the fallback, which would let an oversized answer go on.
+        cancelAttempt();
+        m_attempt.body.clear();
+    }
+    perform(m_session->onAttemptEnded(result, m_parts.clock()));
+}
+
+void RequestRelay::logFailure(const Attempt &attempt, AttemptResult result) const
 {
     StructuredLog::info("attemptFailed",
                         {{"request", m_request.id},
-                         {"number", std::to_string(m_attemptCount)},
-                         {"server", m_attempt.serverId},
+                         {"number", std::to_string(attempt.number)},
+                         {"server", attempt.serverId},
                          {"result", std::string(attemptResultName(result))},
-                         {"events", std::to_string(m_attempt.eventCount)},
+                         {"events", std::to_string(attempt.eventCount)},
                          {"promptParts", joined(m_request.sharedPromptParts)},
                          {"ageMs", msText(m_parts.clock() - m_arrivedAt)}});
-    perform(m_session->onAttemptEnded(result, m_parts.clock()));
 }
 
-void RequestRelay::forwardAnswer()
+void RequestRelay::forwardAnswer(const PassAnswer &pass)
 {
+    if (pass.isFallback) {
+        cancelAttempt();
+        m_attempt = std::exchange(m_fallback, Attempt {});
+    }
     HttpResponse response;
     response.status = m_attempt.answer.status;
     response.headers = m_parts.codec.callerResponseHeaders(m_attempt.head);
@@ -538,6 +610,7 @@
 void RequestRelay::finish(std::string_view outcome, std::string_view cause, int status)
 {
     m_isFinished = true;
+    cancelFallback();
     m_timer.cancel();
     if (m_stream)
         m_stream->dropCopy();
--- a/src/gateway/RequestRelay.h
+++ b/src/gateway/RequestRelay.h
@@ -59,9 +59,9 @@
     using AttemptTask = std::function<void(RequestRelay &)>;
 
     std::unique_ptr<ForwardSession> makeSession(TimePoint arrivedAt);
-    /// The returned function posts a task to the queue; the task is dropped if attempt \a number is
-    /// not the current one by then.
-    std::function<void(AttemptTask)> attemptPoster(std::uint64_t number);
+    /// The returned function posts two tasks to the queue: the first is run if attempt \a number is
+    /// the current one by then, the second if it is the fallback.
+    std::function<void(AttemptTask, AttemptTask)> attemptPoster(std::uint64_t number);
     /// Runs \a work; an exception ends the request.
     void guard(const std::function<void()> &work);
     void onException(std::string_view message);
@@ -73,20 +73,29 @@
     void onRunCopied(const CopyRun &command, const Result<HttpResponse> &response);
     void onProbeResults(std::span<const ServerProbeResult> results);
     void onHead(HttpResponse head);
-    void logRateLimit() const;
+    void logRateLimit(const Attempt &attempt) const;
     void onBody(std::string_view bytes);
     /// Reserves the memory that the request holds now. False: over the budget; the caller of this
     /// function abandons \a what.
     bool updateHeldMemory(std::string_view what);
     void onEvent(std::optional<std::int64_t> id, std::string_view text);
     void onClosed(const Result<Done> &result);
-    void onConnectionError(const Error &error);
+    /// A connection to the server of the attempt failed; returns what became of the attempt.
+    AttemptResult recordConnectionError(const Attempt &attempt, const Error &error);
     bool isEmptyRun() const;
     void onStreamEnd();
     void endAttempt(AttemptResult result);
+    bool isFallback(std::uint64_t number) const;
+    void onFallbackHead(HttpResponse head);
+    void onFallbackBody(std::string_view bytes);
+    void onFallbackClosed(const Result<Done> &result);
+    void endFallback(AttemptResult result);
+    void cancelFallback();
+    void recordHead(Attempt &attempt, HttpResponse head);
+    void logFailure(const Attempt &attempt, AttemptResult result) const;
     void recordResume(TimePoint now);
     void startStreamedAnswer();
-    void forwardAnswer();
+    void forwardAnswer(const PassAnswer &pass);
     void refuse(const Refuse &refusal);
     void abortAnswer(const AbortAnswer &reason);
     void onCallerDisconnect();
@@ -107,6 +116,7 @@
     MemoryBudget::Reservation m_memory;
     Timer m_timer;
     Attempt m_attempt;
+    Attempt m_fallback; ///< an earlier attempt at a call that goes on; number 0: none
     std::uint64_t m_attemptCount = 0;
     std::uint64_t m_probeCount = 0;
     TimePoint m_lastEventAt;
--- a/tests/decisions/CallSessionTest.cpp
+++ b/tests/decisions/CallSessionTest.cpp
@@ -14,6 +14,12 @@
     CPPUNIT_TEST(idempotentIsRetriedElsewhere);
     CPPUNIT_TEST(executionsAreLimited);
     CPPUNIT_TEST(silentServerIsReplaced);
+    CPPUNIT_TEST(rejectionDoesNotEndASlowAttempt);
+    CPPUNIT_TEST(slowAnswerIsPassedOn);
+    CPPUNIT_TEST(slowAttemptThatIsLostIsReplaced);
+    CPPUNIT_TEST(requestThatNoServerRanIsRefusedAsNotRun);
+    CPPUNIT_TEST(serverErrorWaitsForASlowAttempt);
+    CPPUNIT_TEST(slowAttemptCountsAsWorkUntilItsEnd);
     CPPUNIT_TEST(refusalAfterAnExecutionIsNot503);
     CPPUNIT_TEST(overloadedServiceIsRefusedAtOnce);
     CPPUNIT_TEST(emptyBudgetPreventsRetries);
@@ -111,6 +117,95 @@
         CPPUNIT_ASSERT(session.nextCheck() >= now + Ms(5000));
     }
 
+    // Guards against 502 for a slow read because the servers that were asked next turned it away.
+    void rejectionDoesNotEndASlowAttempt()
+    {
+        const HttpRoute idempotent = route(CallKind::Idempotent);
+        CallSession session(idempotent, request(), context());
+        session.start(now);
+        ForwardAction next = session.check(session.nextCheck());
+        sent(next);
+        while (std::holds_alternative<SendAttempt>(next))
+            next = session.onAttemptEnded(AttemptResult::NotRun, now + Ms(700));
+        CPPUNIT_ASSERT(std::holds_alternative<KeepWaiting>(next));
+        CPPUNIT_ASSERT_EQUAL(504, refused(session.check(now + Ms(5000))).status);
+    }
+
+    // Whether another server has turned the request away, works on it, or failed.
+    void slowAnswerIsPassedOn()
+    {
+        for (const auto result :
+             {std::optional(AttemptResult::NotRun), std::optional(AttemptResult::Lost), {}}) {
+            const HttpRoute idempotent = route(CallKind::Idempotent);
+            CallSession session(idempotent, request(), context());
+            overdue(session);
+            ForwardAction next = KeepWaiting {};
+            if (result)
+                next = session.onAttemptEnded(*result, now + Ms(700));
+            CPPUNIT_ASSERT(!std::holds_alternative<Refuse>(next));
+            next = session.onFallbackAnswer(answer(200), now + Ms(900));
+            CPPUNIT_ASSERT(std::holds_alternative<PassAnswer>(next));
+            CPPUNIT_ASSERT(std::get<PassAnswer>(next).isFallback);
+        }
+    }
+
+    void slowAttemptThatIsLostIsReplaced()
+    {
+        const HttpRoute idempotent = route(CallKind::Idempotent);
+        CallSession session(idempotent, request(), context());
+        overdue(session);
+        CPPUNIT_ASSERT(std::holds_alternative<KeepWaiting>(
+            session.onFallbackEnded(AttemptResult::Lost, now + Ms(700))));
+        const ForwardAction next = session.onAnswer(answer(200), now + Ms(800));
+        CPPUNIT_ASSERT(std::holds_alternative<PassAnswer>(next));
+        CPPUNIT_ASSERT(!std::get<PassAnswer>(next).isFallback);
+    }
+
+    // 502 only if one of the servers may have executed it.
+    void requestThatNoServerRanIsRefusedAsNotRun()
+    {
+        for (const auto &[last, status] :
+             {std::pair {AttemptResult::NotRun, 503}, {AttemptResult::Lost, 502}}) {
+            const HttpRoute idempotent = route(CallKind::Idempotent);
+            CallSession session(idempotent, request(), context());
+            overdue(session);
+            ForwardAction next = session.onAttemptEnded(AttemptResult::NotRun, now + Ms(700));
+            while (std::holds_alternative<SendAttempt>(next))
+                next = session.onAttemptEnded(AttemptResult::NotRun, now + Ms(700));
+            CPPUNIT_ASSERT_EQUAL(status,
+                                 refused(session.onFallbackEnded(last, now + Ms(800))).status);
+        }
+    }
+
+    // Guards against a server's error that is passed on although an answer is on its way.
+    void serverErrorWaitsForASlowAttempt()
+    {
+        for (const bool isAnswered : {true, false}) {
+            const HttpRoute idempotent = route(CallKind::Idempotent);
+            CallSession session(idempotent, request(), context());
+            overdue(session);
+            CPPUNIT_ASSERT(
+                std::holds_alternative<KeepWaiting>(session.onAnswer(answer(500), now + Ms(700))));
+            const ForwardAction next =
+                session.onFallbackAnswer(answer(isAnswered ? 200 : 500), now + Ms(800));
+            CPPUNIT_ASSERT(std::holds_alternative<PassAnswer>(next));
+            CPPUNIT_ASSERT_EQUAL(isAnswered, std::get<PassAnswer>(next).isFallback);
+        }
+    }
+
+    void slowAttemptCountsAsWorkUntilItsEnd()
+    {
+        const HttpRoute idempotent = route(CallKind::Idempotent);
+        std::optional<CallSession> session(std::in_place, idempotent, request(), context());
+        const std::string first = sent(session->start(now)).server.info.id;
+        const std::string second = sent(session->check(session->nextCheck())).server.info.id;
+        CPPUNIT_ASSERT_EQUAL(1U, servers.server(first, now)->inFlight);
+        CPPUNIT_ASSERT_EQUAL(1U, servers.server(second, now)->inFlight);
+        session.reset();
+        CPPUNIT_ASSERT_EQUAL(0U, servers.server(first, now)->inFlight);
+        CPPUNIT_ASSERT_EQUAL(0U, servers.server(second, now)->inFlight);
+    }
+
     // Guards against a status that means "not executed" although an earlier attempt may have run.
     void refusalAfterAnExecutionIsNot503()
     {
@@ -243,6 +338,14 @@
         CPPUNIT_ASSERT(refused(action).retryAfter.count() > 0);
         CPPUNIT_ASSERT_EQUAL(0U, session.possibleRuns());
     }
+
+private:
+    /// The first attempt is overdue, and another server is asked.
+    void overdue(CallSession &session)
+    {
+        session.start(now);
+        CPPUNIT_ASSERT(sent(session.check(session.nextCheck())).keepsLatest);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CallSessionTest);
--- a/tests/gateway/GatewayFixture.cpp
+++ b/tests/gateway/GatewayFixture.cpp
@@ -249,8 +249,11 @@
     out.routes = {route("/once/", CallKind::NonIdempotent), route("/read/", CallKind::Idempotent),
                   route("/stream/", CallKind::Stream)};
     HttpRoute quick = route("/quick/", CallKind::NonIdempotent);
-    quick.latencyObjective = milliseconds(300);
-    out.routes.push_back(quick);
+    HttpRoute slow = route("/slow/", CallKind::Idempotent);
+    for (HttpRoute *one : {&quick, &slow}) {
+        one->latencyObjective = milliseconds(300);
+        out.routes.push_back(*one);
+    }
     RoutedService engine;
     engine.name = "engine";
     engine.copiesContinuously = true;
--- a/tests/gateway/GatewayTest.cpp
+++ b/tests/gateway/GatewayTest.cpp
@@ -21,6 +21,8 @@
     CPPUNIT_TEST(exceptionWhileForwardingIsAnswered);
     CPPUNIT_TEST(unreadableReportsDoNotDelayARun);
     CPPUNIT_TEST(callerDisconnectCancelsTheAttempt);
+    CPPUNIT_TEST(slowAnswerIsKeptWhenAnotherServerRejects);
+    CPPUNIT_TEST(firstOfTwoAnswersIsPassedOn);
     CPPUNIT_TEST(drainWaitsForRunningRequests);
     CPPUNIT_TEST(callsDuringADrainAreAnsweredBeforeItsEnd);
     CPPUNIT_TEST(callThatMayOutlastADrainIsRefusedAtOnce);
@@ -224,6 +226,42 @@
         gone->take();
     }
 
+    // Guards against 502 for a read whose answer was on its way.
+    void slowAnswerIsKeptWhenAnotherServerRejects()
+    {
+        startServing();
+        call("/slow/x");
+        const ReceivedRequest slow = m_received->take();
+        const ReceivedRequest next = m_received->take();
+        CPPUNIT_ASSERT(slow.server != next.server);
+        next.responder->respond({503, {{"full", "1"}, {"id", "1"}}, ""});
+        assertServesCalls(); // by then the rejection has arrived
+        slow.responder->respond(signedAnswer("slow"));
+        const auto answer = m_answers->take();
+        CPPUNIT_ASSERT(answer);
+        CPPUNIT_ASSERT_EQUAL(200, answer.value().status);
+        CPPUNIT_ASSERT_EQUAL(std::string("slow"), answer.value().body);
+    }
+
+    // Whichever attempt answers first, its answer is passed on whole and the other one is ended.
+    void firstOfTwoAnswersIsPassedOn()
+    {
+        startServing();
+        for (const bool isFirst : {true, false}) {
+            call("/slow/x");
+            const ReceivedRequest slow = m_received->take();
+            const ReceivedRequest next = m_received->take();
+            const auto gone = std::make_shared<Mailbox<int>>();
+            (isFirst ? next : slow).responder->onDisconnect([gone] { gone->put(1); });
+            (isFirst ? slow : next).responder->respond(signedAnswer(isFirst ? "slow" : "next"));
+            const auto answer = m_answers->take();
+            CPPUNIT_ASSERT(answer);
+            CPPUNIT_ASSERT_EQUAL(200, answer.value().status);
+            CPPUNIT_ASSERT_EQUAL(std::string(isFirst ? "slow" : "next"), answer.value().body);
+            gone->take();
+        }
+    }
+
     void drainWaitsForRunningRequests()
     {
         startServing();
