--- a/src/transport/Http1Connection.cpp
+++ b/src/transport/Http1Connection.cpp
@@ -417,8 +417,9 @@
 // Only payload counts: a caller could send chunk extensions at any rate.
 std::chrono::nanoseconds Http1Connection::bodyTimeLeft() const
 {
-    const std::chrono::duration<double> earned(static_cast<double>(m_parser->get().body().size())
-                                               / m_limits.minBodyBytesPerSecond);
+    const std::chrono::duration<double> earned(
+        static_cast<double>(m_parser->get().body().size())
+        / static_cast<double>(m_limits.minBodyBytesPerSecond));
     const std::chrono::nanoseconds left = m_limits.idleTimeout
         + std::chrono::duration_cast<std::chrono::nanoseconds>(earned)
         - (std::chrono::steady_clock::now() - *m_bodyStartedAt);
