--- a/src/gateway/StoreWatch.cpp
+++ b/src/gateway/StoreWatch.cpp
@@ -8,6 +8,7 @@
 #include "RateLimitReportCodec.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace foxtailring {
 
@@ -50,6 +51,9 @@
                                                    std::chrono::milliseconds(100),
                                                    std::chrono::milliseconds(800)};
 
+// The operators and the servers write what was lost again within this time.
+constexpr std::chrono::milliseconds restoredRewriteTime {2000};
+
 } // namespace
 
 StoreWatch::StoreWatch(GatewayParts &parts, KeyValueClient &client, StoreSchema schema)
@@ -136,20 +140,48 @@
                 "serverEntryUnreadable",
                 {{"server", serverIdOf(pair.key)}, {"message", server.error().message}});
     }
-    m_parts.servers.replace(servers, now);
-    m_parts.rateLimits.replaceReports(reports, now);
+    const bool isRestored = startEpoch(read);
+    if (isRestored) {
+        m_parts.servers.mergeRestored(servers, now);
+        m_parts.rateLimits.onStoreRestored(now);
+        m_parts.keyFreshness.recordRestore(now, restoredRewriteTime);
+    } else {
+        m_parts.servers.replace(servers, now);
+        m_parts.rateLimits.replaceReports(reports, now);
+    }
     m_parts.fleet.replace(gateways, now);
     m_parts.updateFleetSize();
     m_parts.hasServerList = true;
-    StructuredLog::info(
-        "serversRead",
-        {{"servers", std::to_string(servers.size())}, {"revision", std::to_string(read.revision)}});
+    StructuredLog::info("serversRead",
+                        {{"servers", std::to_string(servers.size())},
+                         {"epoch", std::to_string(read.epoch)},
+                         {"revision", std::to_string(read.revision)}});
+    m_parts.metrics.setGauge("gateway_store_epoch", static_cast<double>(read.epoch));
+    reportRevision(read.revision);
+    if (isRestored && m_restoredHook)
+        m_restoredHook();
+}
+
+// True if the store was restored from a backup since the last read.
+bool StoreWatch::startEpoch(const RangeResult &read)
+{
+    const std::optional<std::int64_t> previous = std::exchange(m_epoch, read.epoch);
+    if (!previous || *previous == read.epoch)
+        return false;
+    m_parts.metrics.add("gateway_store_restores_total");
+    StructuredLog::warn("storeRestored",
+                        {{"epoch", std::to_string(read.epoch)},
+                         {"previous", std::to_string(*previous)},
+                         {"revision", std::to_string(read.revision)}});
+    return true;
 }
 
 void StoreWatch::applyEvents(const std::vector<WatchEvent> &events)
 {
     applyRateLimitReports(events);
     applyGateways(events);
+    if (!events.empty())
+        reportRevision(events.back().pair.modRevision);
     for (const WatchEvent &event : events) {
         const KeyValue &pair = event.pair;
         if (pair.key == m_schema.configKey && !event.deleted)
@@ -237,6 +269,7 @@
     if (m_parts.routes && version <= m_parts.routes->version())
         return;
     m_parts.routes = std::make_shared<const RouteTable>(std::move(config).value());
+    m_parts.metrics.setGauge("gateway_config_version", static_cast<double>(version));
     StructuredLog::info(
         "configInForce",
         {{"version", std::to_string(version)}, {"revision", std::to_string(pair.modRevision)}});
@@ -244,6 +277,11 @@
         m_configAppliedHook();
 }
 
+void StoreWatch::reportRevision(std::int64_t revision)
+{
+    m_parts.metrics.setGauge("gateway_store_revision", static_cast<double>(revision));
+}
+
 bool StoreWatch::isServerKey(std::string_view key) const
 {
     return key.starts_with(m_schema.serverKeyPrefix);
