soak: restore the store from a backup, and check which configuration is in force

Change: fault store_restored, drawn apart as pauses are. Checks config_is_in_force (acknowledged + 2.5 s, later after a fault that delays it, as the other checks allow) and config_never_goes_back (by each process's log, and by withdrawn keys that are allowed after they were denied). A restore within 2 s of a server's notice that it leaves, or just before it, excuses requests to that server, as a failing store does; a later restore does not. The gateways' logs name the start.

--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -1,9 +1,11 @@
 """Tests each check of the soak on records that satisfy its guarantee and on records that violate it."""
 
+import datetime
 import json
 import pathlib
 import sys
 import tempfile
+import time
 import types
 import unittest
 
@@ -245,6 +247,100 @@
                                 for number in range(6)]
             self.assertEqual(violated, self.violated_rules(checks.proper_requests_are_allowed))
 
+    def log_of_gateway(self, *processes, gateway="gateway-0"):
+        """Has the gateway's log say when each process started and when which version came into force there."""
+        offset = time.time() - time.monotonic()
+        lines = []
+        for start, *versions in processes:
+            for at, event, version in [(start, "started", 0), *((at, "configInForce", version)
+                                                                for at, version in versions)]:
+                moment = datetime.datetime.fromtimestamp(at + offset, datetime.timezone.utc)
+                lines.append(json.dumps({"time": moment.isoformat(), "event": event, "version": str(version)},
+                                        separators=(",", ":")))
+        (self.folder / f"{gateway}.log").write_text("\n".join(lines))
+
+    def published_config(self, in_force_at, observed_until=200.0):
+        """Version 9 is acknowledged at 100 s and comes into force then."""
+        self.record_event("config", 50.0, version=8, keys=[])
+        self.record_event("config", 100.0, version=9, keys=[])
+        self.attempts.append(attempt(request="last", ended_at=observed_until))
+        self.log_of_gateway((49.0, (50.0, 8), *([(in_force_at, 9)] if in_force_at else [])))
+
+    def test_config_in_force(self):
+        for in_force_at, rules in ((102.4, []), (103.0, ["configInForce"]), (None, ["configInForce"])):
+            with self.subTest(in_force_at=in_force_at):
+                self.attempts, self.journal.entries = [], []
+                self.published_config(in_force_at)
+                self.assertEqual(rules, self.violated_rules(checks.config_is_in_force))
+
+    def test_newer_config_counts_as_in_force(self):
+        self.published_config(None)
+        self.log_of_gateway((49.0, (50.0, 8), (101.0, 10)))
+        self.assertEqual([], self.violated_rules(checks.config_is_in_force))
+
+    def test_config_whose_time_is_not_over_is_not_judged(self):
+        self.published_config(None, observed_until=102.0)
+        self.assertEqual([], self.violated_rules(checks.config_is_in_force))
+
+    def test_config_is_late_after_a_disturbance_of_the_store(self):
+        for kind, gateway, in_force_at, rules in (("store_restored", "gateway-1", 105.6, []),
+                                                  ("store_restored", "gateway-1", 106.0, ["configInForce"]),
+                                                  ("store_cut", "gateway-0", 105.6, []),
+                                                  ("store_cut", "gateway-1", 105.6, ["configInForce"]),
+                                                  ("server_crashed", "gateway-0", 105.6, ["configInForce"])):
+            with self.subTest(kind=kind, gateway=gateway, in_force_at=in_force_at):
+                self.attempts, self.journal.entries = [], []
+                self.published_config(in_force_at)
+                self.fault(kind, 100.5, 102.0, gateway=gateway)
+                self.assertEqual(rules, self.violated_rules(checks.config_is_in_force))
+
+    def test_restarted_gateway_has_the_config_again(self):
+        self.published_config(101.0)
+        self.fault("gateway_killed", 101.1, 101.5)
+        self.log_of_gateway((49.0, (50.0, 8), (101.0, 9)), (101.4,))
+        self.assertEqual(["configInForce"], self.violated_rules(checks.config_is_in_force))
+        self.log_of_gateway((49.0, (50.0, 8), (101.0, 9)), (101.4, (101.6, 9)))
+        self.assertEqual([], self.violated_rules(checks.config_is_in_force))
+
+    def test_config_goes_back(self):
+        for processes, rules in (([(99.0, (100.0, 8), (101.0, 9))], []),
+                                 ([(99.0, (100.0, 9), (101.0, 8))], ["configBack"]),
+                                 ([(99.0, (100.0, 9), (101.0, 9))], ["configBack"]),
+                                 ([(99.0, (100.0, 9)), (100.5, (101.0, 8))], [])):
+            with self.subTest(processes=processes):
+                self.log_of_gateway(*processes)
+                self.assertEqual(rules, self.violated_rules(checks.config_never_goes_back))
+
+    def test_denied_key_is_allowed_again(self):
+        self.record_event("keyWithdrawn", 100.0, key="k", acknowledged=100.0)
+        self.attempts += [attempt(request="r0", sent_at=101.0, ended_at=101.1, status=401),
+                          attempt(request="r1", sent_at=101.5, ended_at=101.6)]
+        self.assertEqual([], self.violated_rules(checks.config_never_goes_back))
+        self.records.append(run(request="r1"))
+        self.assertEqual(["configBack"], self.violated_rules(checks.config_never_goes_back))
+        self.attempts[0] = attempt(request="r0", gateway="gateway-1", sent_at=101.0, ended_at=101.1, status=401)
+        self.assertEqual([], self.violated_rules(checks.config_never_goes_back))
+        self.attempts[0] = attempt(request="r0", sent_at=101.0, ended_at=101.1, status=401)
+        self.log_of_gateway((90.0,), (101.2,))
+        self.assertEqual([], self.violated_rules(checks.config_never_goes_back))
+
+    def test_key_is_denied_until_its_config_is_in_force(self):
+        self.record_event("keyWithdrawn", 110.0, key="k", acknowledged=110.0)
+        self.attempts += [attempt(request="r0", sent_at=101.0, ended_at=101.1, status=401),
+                          attempt(request="r1", sent_at=111.0, ended_at=111.1)]
+        self.records.append(run(request="r1"))
+        self.assertEqual([], self.violated_rules(checks.config_never_goes_back))
+
+    def test_notice_of_a_leaving_server_that_a_restore_lost(self):
+        """A restore before the gateways knew excuses them, a later one does not."""
+        for start, end, rules in ((100.5, 101.0, []), (102.1, 102.2, ["leavingServer"])):
+            with self.subTest(start=start):
+                self.attempts, self.records, self.journal.entries = [attempt(sent_at=102.5)], [], []
+                self.record_event("listed", 100.0, server="i-1-1", state="draining")
+                self.records.append(record("arrived", 102.6))
+                self.fault("store_restored", start, end)
+                self.assertEqual(rules, self.violated_rules(checks.leaving_servers_get_nothing))
+
     def test_leaving_server(self):
         self.record_event("listed", 100.0, server="i-1-1", state="draining")
         self.attempts.append(attempt(sent_at=102.5))
--- a/tools/lib/soak/checks.py
+++ b/tools/lib/soak/checks.py
@@ -1,7 +1,9 @@
 """Checks of the gateway's guarantees on what callers and backend servers recorded."""
 
 import collections
+import datetime
 import json
+import time
 
 from .callers import NOT_RUN_STATUSES, METHODS
 from .limits import (DRAIN_TIMEOUT_SECONDS, SHUTDOWN_RESERVE_SECONDS, MAX_KEY_REVOCATION_SECONDS,
@@ -47,7 +49,10 @@
 # Servers that turn new requests away go on with those that they have.
 PAUSE_FAULTS = ("server_turns_away", "service_turns_away")
 # A store failure does not affect a request that was already sent to a server.
-STORE_FAULTS = ("store_fails", "store_forgets", "store_cut", "config_changed", "key_withdrawn")
+STORE_FAULTS = ("store_fails", "store_forgets", "store_cut", "store_restored", "config_changed", "key_withdrawn")
+# Faults that may delay a configuration, at all gateways and at one.
+FLEET_FAULTS_DELAYING_CONFIG = ("store_fails", "store_restored", "gateways_killed", "gateways_rolled")
+GATEWAY_FAULTS_DELAYING_CONFIG = ("store_cut", "gateway_killed", "gateway_terminated", "gateway_paused")
 
 Violation = collections.namedtuple("Violation", "rule text")
 Fault = collections.namedtuple("Fault", "kind gateway server starts_at ends_at")
@@ -71,6 +76,7 @@
         self.runs_of = collections.defaultdict(list)
         for run in self.runs:
             self.runs_of[run["request"]].append(run)
+        self.processes = {path.stem: list(gateway_processes(path)) for path in cluster.folder.glob("gateway-*.log")}
 
     def _faults(self):
         ends = {entry["number"]: entry["at"] for entry in self.journal.entries_of("faultOver")}
@@ -97,6 +103,26 @@
                    for fault in self.faults_between(attempt.sent_at, end))
 
 
+def gateway_processes(log):
+    """Yields start and [(time, version in force)] of each process that wrote to a gateway's log. The journal records
+    a start later than the process may have a configuration (seed 4)."""
+    offset = time.time() - time.monotonic()
+    process = None
+    for line in log.read_text(errors="replace").splitlines():
+        if not ('"event":"configInForce"' in line or '"event":"started"' in line) or not line.endswith("}"):
+            continue
+        entry = json.loads(line)
+        at = datetime.datetime.fromisoformat(entry["time"].replace("Z", "+00:00")).timestamp() - offset
+        if entry["event"] == "configInForce":
+            process[1].append((at, int(entry["version"])))
+            continue
+        if process:
+            yield process
+        process = (at, [])
+    if process:
+        yield process
+
+
 def host_of(server):
     """Returns the part of a server's id that stays the same after a restart."""
     return server.rsplit("-", 1)[0]
@@ -203,6 +229,57 @@
                                    f"{denied[0].request} with {denied[0].status}")
 
 
+def config_deadline(evidence, gateway, acknowledged_at):
+    """Returns when a configuration must be in force at a gateway; later after a fault that delays it."""
+    deadline = acknowledged_at + CONFIG_APPLY_SECONDS
+    while True:
+        ends = [fault.ends_at + FAULT_EFFECT_SECONDS
+                for fault in evidence.faults_between(acknowledged_at, deadline)
+                if fault.kind in FLEET_FAULTS_DELAYING_CONFIG
+                or fault.kind in GATEWAY_FAULTS_DELAYING_CONFIG and fault.gateway == gateway]
+        latest = max([deadline, *ends])
+        if latest == deadline:
+            return deadline
+        deadline = latest
+
+
+def config_is_in_force(evidence):
+    """An acknowledged configuration, or a newer one, is in force in time at each gateway, also after a restart."""
+    observed_until = max((attempt.ended_at for attempt in evidence.attempts.values()), default=0)
+    for gateway, processes in evidence.processes.items():
+        for entry in evidence.journal.entries_of("config"):
+            deadline = config_deadline(evidence, gateway, entry["at"]) + LOG_DELAY_TOLERANCE_SECONDS
+            if deadline > observed_until:
+                continue
+            versions = [versions for start, versions in processes if start <= deadline][-1:]
+            if not any(at <= deadline and version >= entry["version"] for at, version in sum(versions, [])):
+                yield Violation("configInForce", f"{gateway}: version {entry['version']} not in force "
+                                                 f"{deadline - entry['at']:.2f} s after its acknowledgement")
+                break
+
+
+def config_never_goes_back(evidence):
+    """By the log, and by withdrawn keys that are allowed after they were denied; a restart forgets."""
+    for gateway, processes in evidence.processes.items():
+        for _, versions in processes:
+            for (_, before), (_, after) in zip(versions, versions[1:]):
+                if after <= before:
+                    yield Violation("configBack", f"{gateway}: version {after} in force after {before}")
+    withdrawn = {entry["key"]: entry["acknowledged"]
+                 for entry in evidence.journal.entries_of("keyWithdrawn")}
+    denials = collections.defaultdict(list)
+    for attempt in sorted(evidence.attempts.values(), key=lambda attempt: attempt.ended_at):
+        if attempt.sent_at <= withdrawn.get(attempt.key, float("inf")):
+            continue
+        if attempt.status == 401:
+            denials[attempt.gateway, attempt.key].append(attempt.ended_at)
+        elif evidence.runs_of.get(attempt.request):
+            starts = [start for start, _ in evidence.processes.get(attempt.gateway, [])]
+            if any(denial < attempt.sent_at and not any(denial < start <= attempt.sent_at for start in starts)
+                   for denial in denials[attempt.gateway, attempt.key]):
+                yield Violation("configBack", f"{attempt.request} ran with a key that {attempt.gateway} had denied")
+
+
 def leaving_servers_get_nothing(evidence):
     leaving = {entry["server"]: entry["at"] for entry in evidence.journal.entries_of("listed")
                if entry["state"] == "draining"}
@@ -219,7 +296,11 @@
             and fault.kind in ("store_cut", "gateway_paused")
             for fault in evidence.faults_between(announced_at - MAX_SERVER_LIST_DELAY_SECONDS,
                                                  record["at"]))
-        if not may_delay_list:
+        # A restore may lose what was announced shortly before it; it makes no gateway forget what it knew.
+        is_lost = any(fault.kind == "store_restored"
+                      for fault in evidence.faults_between(announced_at - MAX_SERVER_LIST_DELAY_SECONDS,
+                                                           announced_at + MAX_SERVER_LIST_DELAY_SECONDS))
+        if not may_delay_list and not is_lost:
             yield Violation("leavingServer", f"{record['request']} arrived at {record['server']} "
                                              f"{late:.2f} s late")
 
@@ -421,7 +502,8 @@
 
 CHECKS = [wrong_answers, served_requests_ran, runs_are_as_sent, writes_run_once,
           refused_never_run, streams_run_at_one_server, withdrawn_keys_run_nothing,
-          proper_requests_are_allowed, leaving_servers_get_nothing, servers_leaving_by_answer_get_nothing,
+          proper_requests_are_allowed, config_is_in_force, config_never_goes_back,
+          leaving_servers_get_nothing, servers_leaving_by_answer_get_nothing,
           planned_stops_cut_nothing, given_up_work_ends, retries_stay_in_budget, rate_limits_hold,
           pauses_hold, gateways_stay_up,
           service_recovers]
--- a/tools/lib/soak/faults.py
+++ b/tools/lib/soak/faults.py
@@ -19,8 +19,13 @@
 PAUSE_SPREAD_SECONDS = 3
 PAUSE_STRETCH = 2
 MEAN_PAUSE_INTERVAL_SECONDS = 2
+MEAN_RESTORE_INTERVAL_SECONDS = 6
+# Age of the backups from which the store is restored.
+YOUNGEST_BACKUP_SECONDS = 0.5
+BACKUP_AGE_SPREAD_SECONDS = 5
 # Numbers of these faults in the journal, above those of the others.
 FIRST_PAUSE_NUMBER = 100_000
+FIRST_RESTORE_NUMBER = 200_000
 SILENT_LINK = {"silentExisting": True}
 
 
@@ -44,12 +49,16 @@
         # Drawn apart, so that the other faults of a seed stay what they were before these existed.
         self.pause_random = random.Random(cluster.seed)
         self.pause_kinds = [self.server_turns_away, self.service_turns_away]
+        self.restore_random = random.Random(f"restores of {cluster.seed}")
 
     def run(self, seconds):
         time.sleep(FAULT_FREE_START_SECONDS)
         ends_at = time.monotonic() + seconds
-        pauses = threading.Thread(target=self._inject_pauses, daemon=True)
-        pauses.start()
+        apart = [threading.Thread(target=self._inject_apart, daemon=True, args=arguments) for arguments in (
+            (self.pause_random, self.pause_kinds, MEAN_PAUSE_INTERVAL_SECONDS, FIRST_PAUSE_NUMBER),
+            (self.restore_random, [self.store_restored], MEAN_RESTORE_INTERVAL_SECONDS, FIRST_RESTORE_NUMBER))]
+        for thread in apart:
+            thread.start()
         for number in itertools.count():
             if time.monotonic() >= ends_at:
                 break
@@ -60,8 +69,7 @@
             thread.start()
             time.sleep(self.random.expovariate(1 / MEAN_FAULT_INTERVAL_SECONDS))
         self.is_stopping.set()
-        pauses.join(15)
-        for thread in self.threads:
+        for thread in apart + self.threads:
             thread.join(15)
 
     def _draw(self):
@@ -70,12 +78,12 @@
         return (self.random.uniform(0.2, 2.5), self.random.choice(self.cluster.gateways),
                 self.random.choice(self.cluster.servers), self.random.random())
 
-    def _inject_pauses(self):
-        draw = self.pause_random
-        for number in itertools.count(FIRST_PAUSE_NUMBER):
-            if self.is_stopping.wait(draw.expovariate(1 / MEAN_PAUSE_INTERVAL_SECONDS)):
+    def _inject_apart(self, draw, kinds, mean_interval, first_number):
+        """Injects faults of these kinds, one at a time, until the others are over."""
+        for number in itertools.count(first_number):
+            if self.is_stopping.wait(draw.expovariate(1 / mean_interval)):
                 return
-            self._inject(number, draw.choice(self.pause_kinds), draw.uniform(0.2, 2.5),
+            self._inject(number, draw.choice(kinds), draw.uniform(0.2, 2.5),
                          self.cluster.gateways[0], draw.choice(self.cluster.servers), draw.random())
 
     def _inject(self, number, kind, seconds, gateway, server, fraction):
@@ -199,6 +207,12 @@
         time.sleep(seconds * 2)
         self.cluster.store.fault = None
 
+    def store_restored(self, seconds, _gateway, _server, fraction):
+        seconds_old = YOUNGEST_BACKUP_SECONDS + fraction * BACKUP_AGE_SPREAD_SECONDS
+        away = ["down", "silent", "reset"][int(fraction * 30) % 3]
+        self.cluster.store.restore(seconds_old, away_seconds=seconds, away=away)
+        self.cluster.journal.record("restored", epoch=self.cluster.store.epoch, seconds_old=seconds_old, away=away)
+
     def store_forgets(self, _seconds, _gateway, _server, _fraction):
         self.cluster.store.compact()
 
