--- a/src/transport/Http1Connection.cpp
+++ b/src/transport/Http1Connection.cpp
@@ -32,12 +32,12 @@
 // limits the length of chunk extensions.
 constexpr std::size_t maxExtraInputBytes = 64 * 1024;
 
-HttpRequest takeRequest(http::request<http::string_body> message)
+HttpRequest takeRequest(http::request<http::string_body> message, std::vector<HttpHeader> headers)
 {
     HttpRequest request;
     request.method = std::string(message.method_string());
     request.target = std::string(message.target());
-    request.headers = toHeaders(message);
+    request.headers = std::move(headers);
     request.body = std::move(message.body());
     return request;
 }
@@ -138,12 +138,13 @@
     m_phase = Phase::Request;
     m_continueSent = false;
     m_headStarted = false;
+    m_headBytes = 0;
+    m_needsMore = false;
     m_responseComplete = false;
     m_arrivedBytes = m_input.size();
     m_firstByteAt = std::chrono::steady_clock::now();
     takeLongerLimits(); // the caller read its last answer perhaps before a limit became shorter
     m_parser.emplace();
-    m_parser->eager(true);
     armDeadline(&HttpLimits::idleTimeout);
     if (!m_input.empty())
         parse();
@@ -196,8 +197,8 @@
     if (!m_parser->got_some())
         beginHead();
     ErrorStatus status;
-    while (!status && !m_input.empty() && !m_parser->is_done())
-        m_input.erase(0, m_parser->put(net::buffer(m_input), status));
+    while (!status && canParse())
+        parseStep(status);
     if (status && status != http::error::need_more)
         return rejectRequest(status);
     if (m_parser->is_done())
@@ -210,6 +211,30 @@
         armDeadline(&HttpLimits::headerTimeout);
 }
 
+bool Http1Connection::canParse() const
+{
+    const bool isInChunks = m_needsMore && m_parser->is_header_done();
+    return m_input.size() >= (isInChunks ? minChunkedRestBytes : 1) && !m_parser->is_done();
+}
+
+// The parser adds trailers to the headers, so the head is taken before it reads any further.
+void Http1Connection::parseStep(ErrorStatus &status)
+{
+    const bool isInHead = !m_parser->is_header_done();
+    m_parser->eager(!isInHead);
+    const std::size_t size = m_parser->put(net::buffer(m_input), status);
+    m_input.erase(0, size);
+    m_needsMore = status == http::error::need_more;
+    if (!isInHead)
+        return;
+    // The limit of the parser holds for what follows the last whole field only.
+    m_headBytes += size;
+    if (m_headBytes > m_limits.maxHeaderBytes)
+        status = http::error::header_limit;
+    if (m_parser->is_header_done())
+        m_headers = toHeaders(m_parser->get());
+}
+
 // Runs after each read of a body: extends the deadline and sends 100 Continue if it is expected.
 void Http1Connection::continueRequest()
 {
@@ -263,7 +288,7 @@
         std::make_shared<Http1ServerExchange>(weak_from_this(), m_socket.get_executor(), framing);
     ++m_shared->openRequestCount;
     // If the handler throws, the destructor of the handle responds with 500.
-    runHook(m_shared->handler, takeRequest(std::move(message)),
+    runHook(m_shared->handler, takeRequest(std::move(message), std::exchange(m_headers, {})),
             std::make_shared<Http1ResponderHandle>(m_exchange));
 }
 
--- a/tests/decisions/BackendTableTest.cpp
+++ b/tests/decisions/BackendTableTest.cpp
@@ -13,7 +13,12 @@
     CPPUNIT_TEST(removedServerIsNoCandidate);
     CPPUNIT_TEST(serversAreKeptWhileTheListIsUnavailable);
     CPPUNIT_TEST(serversStillMissingAfterAnOutageAreRemoved);
+    CPPUNIT_TEST(serverThatHasGoneIsNotUsedInALaterOutage);
     CPPUNIT_TEST(restoredListBringsBackNoServerThatHasGone);
+    CPPUNIT_TEST(restoredListDoesNotBringBackAnEarlierStartOfAGoneServer);
+    CPPUNIT_TEST(serverThatARestoredListStillHasLaterIsUsed);
+    CPPUNIT_TEST(readAfterARestoreBringsBackNoServerThatHasGone);
+    CPPUNIT_TEST(serverWhoseRestoredEntryEndsStaysGone);
     CPPUNIT_TEST(restoredListDoesNotEndDraining);
     CPPUNIT_TEST(restoredListDoesNotBringBackAnEarlierStart);
     CPPUNIT_TEST(serversMissingInARestoredListAreKeptForAWhile);
@@ -57,7 +62,7 @@
     // Entries expire while the store is down. Guards against losing all live servers by that.
     void serversAreKeptWhileTheListIsUnavailable()
     {
-        servers.onListLost();
+        servers.onListLost(now);
         servers.remove("a1", now);
         CPPUNIT_ASSERT_EQUAL(std::size_t(6), servers.candidates("engine", now).size());
         servers.onListRestored(now);
@@ -67,7 +72,7 @@
 
     void serversStillMissingAfterAnOutageAreRemoved()
     {
-        servers.onListLost();
+        servers.onListLost(now);
         servers.remove("a1", now);
         servers.onListRestored(now);
         CPPUNIT_ASSERT_EQUAL(std::size_t(5), servers.candidates("engine", now + Ms(2100)).size());
@@ -75,6 +80,23 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(4), servers.candidates("engine", now + Ms(3000)).size());
     }
 
+    // Guards against requests to a server that went away just after an outage, because the list
+    // is unavailable or restored again.
+    void serverThatHasGoneIsNotUsedInALaterOutage()
+    {
+        servers.onListLost(now);
+        servers.onListRestored(now);
+        servers.remove("a1", now + Ms(100));
+        CPPUNIT_ASSERT(!servers.server("a1", now + Ms(2100)));
+        servers.onListLost(now + Ms(2100));
+        CPPUNIT_ASSERT(!servers.server("a1", now + Ms(2100)));
+        servers.onListRestored(now + Ms(2200));
+        servers.remove("a2", now + Ms(2300));
+        CPPUNIT_ASSERT(!servers.server("a2", now + Ms(4300)));
+        servers.mergeRestored(std::vector<BackendInfo> {info("a2", "a")}, now + Ms(4300));
+        CPPUNIT_ASSERT(!servers.server("a2", now + Ms(4300)));
+    }
+
     void failedServerIsSuspectedTemporarily()
     {
         servers.recordFailure("a1", now);
@@ -97,6 +119,58 @@
         CPPUNIT_ASSERT(servers.server("a1", now)->acceptsNewWork());
     }
 
+    // Guards against requests to a server that restarted and left, both after the backup.
+    void restoredListDoesNotBringBackAnEarlierStartOfAGoneServer()
+    {
+        BackendInfo restarted = info("a1", "a");
+        restarted.startedAtMs = 2;
+        servers.put(restarted, now);
+        servers.remove("a1", now);
+        servers.mergeRestored(std::vector<BackendInfo> {info("a1", "a")}, now);
+        CPPUNIT_ASSERT(!servers.server("a1", now));
+        restarted.startedAtMs = 3;
+        servers.mergeRestored(std::vector<BackendInfo> {restarted}, now);
+        CPPUNIT_ASSERT(servers.server("a1", now)->acceptsNewWork());
+    }
+
+    // Guards against losing a live server for good: it was taken for gone, and wrote its entry
+    // again after the restore, but before the list was read.
+    void serverThatARestoredListStillHasLaterIsUsed()
+    {
+        const std::vector<BackendInfo> list {info("a1", "a"), info("b1", "b")};
+        servers.remove("a1", now);
+        servers.mergeRestored(list, now);
+        servers.expire(now + Ms(29'000));
+        CPPUNIT_ASSERT(!servers.server("a1", now + Ms(29'000)));
+        servers.expire(now + Ms(31'000));
+        CPPUNIT_ASSERT(servers.server("a1", now + Ms(31'000))->acceptsNewWork());
+    }
+
+    // Guards against a full read that follows the first one of a restored store.
+    void readAfterARestoreBringsBackNoServerThatHasGone()
+    {
+        const std::vector<BackendInfo> list {info("a1", "a"), info("b1", "b")};
+        servers.remove("a1", now);
+        servers.mergeRestored(list, now);
+        servers.replace(list, now + Ms(1000));
+        CPPUNIT_ASSERT(!servers.server("a1", now + Ms(1000)));
+        servers.expire(now + Ms(31'000));
+        CPPUNIT_ASSERT(servers.server("a1", now + Ms(31'000))->acceptsNewWork());
+    }
+
+    void serverWhoseRestoredEntryEndsStaysGone()
+    {
+        const std::vector<BackendInfo> list {info("a1", "a"), info("a2", "a")};
+        servers.remove("a1", now);
+        servers.remove("a2", now);
+        servers.mergeRestored(list, now);
+        servers.remove("a1", now + Ms(15'000));
+        servers.replace({}, now + Ms(15'000));
+        servers.expire(now + Ms(31'000));
+        CPPUNIT_ASSERT(!servers.server("a1", now + Ms(31'000)));
+        CPPUNIT_ASSERT(!servers.server("a2", now + Ms(31'000)));
+    }
+
     void restoredListDoesNotEndDraining()
     {
         BackendInfo draining = info("a1", "a");
@@ -181,7 +255,7 @@
     // Guards against using only the other zones until the store is back.
     void restartsAreUsedWhileTheListIsUnavailable()
     {
-        servers.onListLost();
+        servers.onListLost(now);
         servers.recordReplacement("a1", "a9", now);
         CPPUNIT_ASSERT(servers.server("a9", now).has_value());
         CPPUNIT_ASSERT_EQUAL(std::size_t(6), servers.candidates("engine", now).size());
@@ -240,7 +314,7 @@
         CPPUNIT_ASSERT(!servers.server("a1", now));
         servers.put(info("a1", "a"), now);
         CPPUNIT_ASSERT(!servers.server("a1", now)->acceptsNewWork());
-        servers.onListLost();
+        servers.onListLost(now);
         servers.remove("a1", now);
         CPPUNIT_ASSERT(!servers.server("a1", now)->acceptsNewWork());
         servers.onListRestored(now);
@@ -308,7 +382,7 @@
     // start.
     void startTimeThatIsGivenLaterTellsRestarts()
     {
-        servers.onListLost();
+        servers.onListLost(now);
         servers.recordReplacement("a1", "a9", now);
         sayLeaving("a9");
         BackendInfo entry = info("a9", "a");
--- a/tests/transport/Http1ClientTest.cpp
+++ b/tests/transport/Http1ClientTest.cpp
@@ -84,6 +84,8 @@
     CPPUNIT_TEST(responseToAnotherRequestIsSkipped);
     CPPUNIT_TEST(responseToAnotherRequestMayComeInPieces);
     CPPUNIT_TEST(bodyMayFollowInALaterRead);
+    CPPUNIT_TEST(lastChunkMayComeInPieces);
+    CPPUNIT_TEST(trailerIsNoHeader);
     CPPUNIT_TEST(duplicateResponseBeforeCloseIsAnError);
     CPPUNIT_TEST(idleConnectionWithInputIsNotReused);
     CPPUNIT_TEST(streamedConnectionIsReused);
@@ -92,6 +94,7 @@
     CPPUNIT_TEST(hugeKeepAliveTimeoutIsNoError);
     CPPUNIT_TEST(endlessInterimResponsesAreAnError);
     CPPUNIT_TEST(endlessResponseToAnotherRequestIsAnError);
+    CPPUNIT_TEST(headInPiecesIsLimited);
     CPPUNIT_TEST(oversizedResponseBodyIsAnError);
     CPPUNIT_TEST(firstResponseOfAConnectionIsToldFromLaterOnes);
     CPPUNIT_TEST(connectionIsNotReusedAgainstTheHook);
@@ -340,6 +343,28 @@
         assertSecondResponseDelivered(events);
     }
 
+    // Guards against an assertion of Beast that ends the process on a rest of four bytes.
+    void lastChunkMayComeInPieces()
+    {
+        RawServer server;
+        StreamEvents events;
+        const auto peer = openStream(server, events, {});
+        peer->write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+        for (const std::string_view piece : {"0", "\r", "\n", "\r", "\n"})
+            peer->tryWrite(piece, milliseconds(20));
+        CPPUNIT_ASSERT(events.closed().isOk());
+    }
+
+    // Guards against a trailer that counts as a header when the response arrives whole.
+    void trailerIsNoHeader()
+    {
+        respondWith("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                    "5\r\nwhole\r\n0\r\nid: 2\r\n\r\n");
+        const HttpResponse response = m_responses.take().value();
+        CPPUNIT_ASSERT_EQUAL(std::string("whole"), response.body);
+        CPPUNIT_ASSERT_EQUAL(std::string(), std::string(response.header("id")));
+    }
+
     // Guards against a sound response that fails because its head ends where a read ends.
     void bodyMayFollowInALaterRead()
     {
@@ -466,6 +491,20 @@
         CPPUNIT_ASSERT(events.closed().error().code == ErrorCode::Malformed);
     }
 
+    // Guards against a head without end: the parser's limit is on what it holds of the next field.
+    void headInPiecesIsLimited()
+    {
+        RawServer server;
+        StreamEvents events;
+        const auto peer = openStream(server, events, {});
+        peer->write("HTTP/1.1 200 OK\r\nN");
+        for (int i = 0; i < 100; ++i)
+            peer->tryWrite("ame: " + std::string(1000, 'x') + "\r\nN", milliseconds(1));
+        peer->write("ame: x\r\nContent-Length: 0\r\n\r\n");
+        const Result<Done> result = events.closed();
+        CPPUNIT_ASSERT(!result.isOk() && result.error().code == ErrorCode::Malformed);
+    }
+
     // A short request must not fill the memory with a huge response.
     void oversizedResponseBodyIsAnError()
     {
