store: read again with growing delays while the history is lost each time

A crash report whose gateway saw Stale in a write of its own was not written again. Change: a watch that ends with Stale before any answer doubles a delay; forgetKeys() marks the crash report for writing. Measured: PrefixWatcherTest historyThatIsLostAtEachWatchIsReadWithGrowingDelays; on the code before, seven reads follow each other without delay (by reading, the test was not run on it). store_test and platform_test pass.

--- a/src/gateway/GatewayPublisher.cpp
+++ b/src/gateway/GatewayPublisher.cpp
@@ -109,7 +109,6 @@
 {
     forgetKeys();
     m_enlistAt = m_parts.clock() + randomDelay(startSpread);
-    m_parts.quarantine.onReportNotPublished();
 }
 
 // The lease ended with the epoch in which it was granted, and the keys are lost or hold old values.
@@ -118,6 +117,7 @@
     m_lease = {};
     for (LeasedKey *key : {&m_listing, &m_report, &m_crashReport})
         *key = LeasedKey {key->name};
+    m_parts.quarantine.onReportNotPublished();
 }
 
 void GatewayPublisher::grantLease()
--- a/src/store/PrefixWatcher.cpp
+++ b/src/store/PrefixWatcher.cpp
@@ -62,6 +62,8 @@
     std::uint64_t m_watchId = 0;
     StoreRevision m_revision; ///< of the last change reported
     milliseconds m_backoff {0};
+    milliseconds m_rereadBackoff {0};
+    bool m_hasWatched = true; ///< a watch was answered since the last read after lost history
     bool m_isAvailable = false;
     bool m_isOutageReported = false;
     bool m_isStopped = false;
@@ -153,6 +155,7 @@
     if (watchId != m_watchId)
         return;
     markAvailable();
+    m_hasWatched = true;
     restartIdleTimer();
     const std::vector<WatchEvent> unseen = takeUnseenEvents(events);
     if (unseen.empty() || m_hooks.onChanges(unseen)) {
@@ -168,6 +171,7 @@
     if (watchId != m_watchId)
         return;
     markAvailable();
+    m_hasWatched = true;
     m_backoff = milliseconds(0);
     restartIdleTimer();
     if (m_hooks.onConfirmed)
@@ -189,8 +193,12 @@
 {
     if (m_hooks.onHistoryLost)
         m_hooks.onHistoryLost();
-    const milliseconds delay = m_hooks.rereadDelay ? m_hooks.rereadDelay() : milliseconds(0);
-    schedule(delay, [](State &self) { self.read(); });
+    // A service whose answers alternate between two epochs would otherwise be read without pause.
+    m_rereadBackoff = std::exchange(m_hasWatched, false)
+        ? milliseconds(0)
+        : std::clamp(m_rereadBackoff * 2, m_settings.minBackoff, m_settings.maxBackoff);
+    const milliseconds spread = m_hooks.rereadDelay ? m_hooks.rereadDelay() : milliseconds(0);
+    schedule(spread + jittered(m_rereadBackoff), [](State &self) { self.read(); });
 }
 
 void PrefixWatcher::State::closeWatch()
--- a/tests/store/PrefixWatcherTest.cpp
+++ b/tests/store/PrefixWatcherTest.cpp
@@ -65,6 +65,7 @@
     CPPUNIT_TEST(compactedWatchReadsAllKeysAgain);
     CPPUNIT_TEST(restoredStoreIsReadAndWatchedInItsEpoch);
     CPPUNIT_TEST(lostHistoryIsReportedBeforeTheRead);
+    CPPUNIT_TEST(historyThatIsLostAtEachWatchIsReadWithGrowingDelays);
     CPPUNIT_TEST(idleWatchIsReopened);
     CPPUNIT_TEST(eventsOfClosedWatchAreDropped);
     CPPUNIT_TEST(outageAndRecoveryAreReportedOnce);
@@ -157,6 +158,21 @@
         CPPUNIT_ASSERT(bootClock()() - endedAt >= std::chrono::milliseconds(60));
     }
 
+    // Guards against full reads without pause from a store whose epoch alternates.
+    void historyThatIsLostAtEachWatchIsReadWithGrowingDelays()
+    {
+        const TimePoint startedAt = bootClock()();
+        openWatch().hooks.onEnded({ErrorCode::Stale, "another epoch"});
+        constexpr int reads = 6;
+        for (int i = 0; i < reads; ++i) {
+            m_store->reads.take()(RangeResult {7, {}, i % 2});
+            m_store->watches.take().hooks.onEnded({ErrorCode::Stale, "another epoch"});
+        }
+        m_store->reads.take();
+        // Delays that double from 20 ms, less what the spread may take off.
+        CPPUNIT_ASSERT(bootClock()() - startedAt >= std::chrono::milliseconds(600));
+    }
+
     // Guards against a dead connection that goes unnoticed because it reports no error.
     void idleWatchIsReopened()
     {
