decisions: divide idle connections by demand

FleetMembership keeps the demands. The simulation plays the lists and their lag, with lost and unreadable values, old processes, restart, growth, and outages of the store.

--- a/include/foxtailring/decisions/DemandEstimator.h
+++ b/include/foxtailring/decisions/DemandEstimator.h
@@ -8,6 +8,8 @@
 class DemandEstimator
 {
 public:
+    static constexpr double averagingSeconds = 8;
+
     void record(TimePoint now);
     double perSecond(TimePoint now) const;
 
--- a/include/foxtailring/decisions/FleetMembership.h
+++ b/include/foxtailring/decisions/FleetMembership.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "foxtailring/base/Clock.h"
+#include "foxtailring/decisions/IdleConnectionDivision.h"
 
 #include <cstddef>
 #include <map>
@@ -25,23 +26,42 @@
     void replace(std::span<const std::string> ids, TimePoint now);
     void put(std::string_view id);
     void remove(std::string_view id, TimePoint now);
+    /// \brief Records the demand for connections that the process \a id lists; none: not known.
+    /// Kept as long as the process counts. No effect if it does not count.
+    void setDemand(std::string_view id, std::optional<int> demand);
     /// \brief Forgets processes that were delisted long ago.
     void expire(TimePoint now);
 
     /// \brief True if this process is the one of the listed processes that \a key falls to.
     bool owns(std::string_view key) const;
     bool isListed(std::string_view id) const;
+    /// \brief True if this process is listed.
+    bool isListed() const { return m_isSelfListed; }
+    /// \brief True once a list was read.
+    bool isKnown() const { return m_isKnown; }
     /// \brief Number of processes to divide a limit by; at least 1. The largest planned fleet until
     /// the list is known.
     std::size_t size() const;
+    /// \brief Listed demand of this process.
+    std::optional<int> ownDemand() const;
+    /// \brief Demands of all other processes that size() counts.
+    const IdleConnectionDivision::Counts &otherDemands() const { return m_otherDemands; }
 
 private:
-    using DelistedAt = std::optional<TimePoint>; ///< none: listed
+    struct Other
+    {
+        std::optional<TimePoint> delistedAt; ///< none: listed
+        std::optional<int> demand;
+    };
+
+    void forgetDemand(std::optional<int> demand);
 
     const std::string m_ownId;
     bool m_isKnown = false; ///< a list was read
     bool m_isSelfListed = false;
-    std::map<std::string, DelistedAt, std::less<>> m_others;
+    std::optional<int> m_ownDemand;
+    std::map<std::string, Other, std::less<>> m_others;
+    IdleConnectionDivision::Counts m_otherDemands;
 };
 
 } // namespace foxtailring
--- a/include/foxtailring/decisions/IdleConnectionLimit.h
+++ b/include/foxtailring/decisions/IdleConnectionLimit.h
@@ -25,6 +25,8 @@
 
     /// \brief Divides the limit by the number of processes, at least 1.
     void setProcessCount(std::size_t count);
+    /// \brief Sets the share of this process, in connections.
+    void setShare(double share) { m_share = share; }
 
     /// \brief Records that a connection to \a server has become idle, and returns how long to keep
     /// it; 0: close it now.
--- a/src/decisions/DemandEstimator.cpp
+++ b/src/decisions/DemandEstimator.cpp
@@ -6,11 +6,10 @@
 
 namespace {
 
-constexpr double averagingSeconds = 8;
-
 double decay(Duration elapsed)
 {
-    return std::exp(-std::chrono::duration<double>(elapsed).count() / averagingSeconds);
+    return std::exp(-std::chrono::duration<double>(elapsed).count()
+                    / DemandEstimator::averagingSeconds);
 }
 
 } // namespace
--- a/src/decisions/FleetMembership.cpp
+++ b/src/decisions/FleetMembership.cpp
@@ -25,18 +25,22 @@
 {
     m_isKnown = true;
     m_isSelfListed = false;
-    for (auto &[id, delistedAt] : m_others)
-        delistedAt = delistedAt.value_or(now);
+    for (auto &[id, other] : m_others)
+        other.delistedAt = other.delistedAt.value_or(now);
     for (const std::string &id : ids)
         put(id);
 }
 
 void FleetMembership::put(std::string_view id)
 {
-    if (id == m_ownId)
+    if (id == m_ownId) {
         m_isSelfListed = true;
-    else
-        m_others[std::string(id)] = std::nullopt;
+        return;
+    }
+    const auto [found, isNew] = m_others.try_emplace(std::string(id));
+    found->second.delistedAt.reset();
+    if (isNew)
+        ++m_otherDemands[std::nullopt];
 }
 
 void FleetMembership::remove(std::string_view id, TimePoint now)
@@ -45,21 +49,36 @@
         m_isSelfListed = false;
     const auto found = m_others.find(id);
     if (found != m_others.end())
-        found->second = found->second.value_or(now);
+        found->second.delistedAt = found->second.delistedAt.value_or(now);
+}
+
+void FleetMembership::setDemand(std::string_view id, std::optional<int> demand)
+{
+    if (id == m_ownId)
+        m_ownDemand = demand;
+    const auto found = m_others.find(id);
+    if (found == m_others.end())
+        return;
+    forgetDemand(std::exchange(found->second.demand, demand));
+    ++m_otherDemands[demand];
 }
 
 void FleetMembership::expire(TimePoint now)
 {
-    std::erase_if(m_others, [now](const auto &other) {
-        return other.second && now - *other.second > delistedCountsFor;
+    std::erase_if(m_others, [this, now](const auto &other) {
+        const auto &[delistedAt, demand] = other.second;
+        const bool isOver = delistedAt && now - *delistedAt > delistedCountsFor;
+        if (isOver)
+            forgetDemand(demand);
+        return isOver;
     });
 }
 
 bool FleetMembership::owns(std::string_view key) const
 {
     std::vector<std::string> names {m_ownId};
-    for (const auto &[id, delistedAt] : m_others) {
-        if (!delistedAt)
+    for (const auto &[id, other] : m_others) {
+        if (!other.delistedAt)
             names.push_back(id);
     }
     return m_isKnown && RendezvousHash::first(key, names) == m_ownId;
@@ -70,7 +89,7 @@
     if (id == m_ownId)
         return m_isSelfListed;
     const auto found = m_others.find(id);
-    return found != m_others.end() && !found->second;
+    return found != m_others.end() && !found->second.delistedAt;
 }
 
 std::size_t FleetMembership::size() const
@@ -78,4 +97,16 @@
     return m_isKnown ? m_others.size() + 1 : largestFleet;
 }
 
+std::optional<int> FleetMembership::ownDemand() const
+{
+    return m_isSelfListed ? m_ownDemand : std::nullopt;
+}
+
+void FleetMembership::forgetDemand(std::optional<int> demand)
+{
+    const auto found = m_otherDemands.find(demand);
+    if (--found->second == 0)
+        m_otherDemands.erase(found);
+}
+
 } // namespace foxtailring
--- a/tests/decisions/FleetMembershipTest.cpp
+++ b/tests/decisions/FleetMembershipTest.cpp
@@ -15,6 +15,7 @@
     CPPUNIT_TEST(delistedProcessCountsForAWhile);
     CPPUNIT_TEST(processThatReturnsIsNotForgotten);
     CPPUNIT_TEST(snapshotDelistsThoseThatItLacks);
+    CPPUNIT_TEST(demandCountsAsLongAsItsProcess);
     CPPUNIT_TEST_SUITE_END();
 
     const TimePoint m_now {1h};
@@ -73,6 +74,22 @@
         m_fleet.expire(m_now + 40s);
         CPPUNIT_ASSERT_EQUAL(std::size_t {2}, m_fleet.size());
     }
+
+    // Guards against others that take the share of a process that only lost its lease.
+    void demandCountsAsLongAsItsProcess()
+    {
+        replace({"g1", "g2"}, m_now);
+        m_fleet.setDemand("g1", 4);
+        m_fleet.setDemand("g2", 5);
+        m_fleet.setDemand("unknown", 6);
+        replace({}, m_now);
+        CPPUNIT_ASSERT(!m_fleet.ownDemand());
+        CPPUNIT_ASSERT(m_fleet.otherDemands() == IdleConnectionDivision::Counts({{5, 1}}));
+        m_fleet.put("g1");
+        CPPUNIT_ASSERT(m_fleet.ownDemand() == 4);
+        m_fleet.expire(m_now + 31s);
+        CPPUNIT_ASSERT(m_fleet.otherDemands().empty());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(FleetMembershipTest);
--- a/tests/decisions/IdleConnectionSimulationTest.cpp
+++ b/tests/decisions/IdleConnectionSimulationTest.cpp
@@ -1,5 +1,6 @@
 #include "foxtailring/decisions/IdleConnectionLimit.h"
 
+#include "IdleConnectionFleet.h"
 #include "IdleConnectionSimulation.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -19,10 +20,12 @@
 #if defined(__SANITIZE_THREAD__) || defined(__SANITIZE_ADDRESS__)
 constexpr std::array<std::size_t, 2> fleets {4, 60};
 constexpr std::array<std::size_t, 1> smallFleets {33};
+constexpr std::array<std::size_t, 2> faultyFleets {4, 60};
 constexpr std::array<std::uint64_t, 1> seeds {1};
 #else
 constexpr std::array<std::size_t, 5> fleets {4, 33, 60, 120, 350};
 constexpr std::array<std::size_t, 3> smallFleets {4, 30, 33};
+constexpr std::array<std::size_t, 7> faultyFleets {1, 4, 12, 33, 60, 120, 350};
 constexpr std::array<std::uint64_t, 2> seeds {1, 2};
 #endif
 
@@ -41,6 +44,15 @@
     CPPUNIT_TEST(fleetsOfEachSizeLeaveRoomForWork);
     CPPUNIT_TEST(smallFleetReusesAboutAsManyConnections);
     CPPUNIT_TEST(busySmallFleetReusesAboutAsManyConnections);
+    CPPUNIT_TEST(busyGatewaysThatChangeLeaveRoomForWork);
+    CPPUNIT_TEST(fleetThatRestartsLeavesRoomForWork);
+    CPPUNIT_TEST(fleetThatDoublesLeavesRoomForWork);
+    CPPUNIT_TEST(lostWritesLeaveRoomForWork);
+    CPPUNIT_TEST(unreadableDemandsLeaveRoomForWork);
+    CPPUNIT_TEST(oldGatewaysLeaveRoomForWork);
+    CPPUNIT_TEST(fleetWithoutStoreLeavesRoomForWork);
+    CPPUNIT_TEST(gatewaysWithoutStoreLeaveRoomForWork);
+    CPPUNIT_TEST(playsShowTooManyShares);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -84,9 +96,73 @@
         }
     }
 
+    // Guards against gateways that still keep what they had by a demand that has moved on.
+    void busyGatewaysThatChangeLeaveRoomForWork()
+    {
+        play({.changeAt = changeAt, .shifts = true}, {}, fleetLimit);
+    }
+
+    void fleetThatRestartsLeavesRoomForWork()
+    {
+        play({.changeAt = changeAt, .restarts = true}, {}, fleetLimit);
+    }
+
+    // Guards against gateways that start and keep connections before the others count them.
+    void fleetThatDoublesLeavesRoomForWork()
+    {
+        for (const std::size_t gateways : faultyFleets)
+            playSkews({.gateways = gateways, .changeAt = changeAt, .started = (gateways + 1) / 2},
+                      {}, 1.5 * fleetLimit);
+    }
+
+    void lostWritesLeaveRoomForWork() { play({}, {.lostWrites = 0.5}, fleetLimit); }
+
+    void unreadableDemandsLeaveRoomForWork() { play({}, {.unreadable = 0.3}, fleetLimit); }
+
+    // Guards against new gateways that take what old ones keep without a demand.
+    void oldGatewaysLeaveRoomForWork()
+    {
+        for (const std::size_t gateways : faultyFleets)
+            playSkews({.gateways = gateways}, {.oldGateways = gateways / 2}, fleetLimit);
+    }
+
+    // Guards against demands of the past that count while nobody hears of newer ones.
+    void fleetWithoutStoreLeavesRoomForWork()
+    {
+        play({.changeAt = changeAt, .shifts = true},
+             {.storeDownFrom = Ms(20'000), .storeDownUntil = Ms(45'000)}, fleetLimit);
+    }
+
+    void gatewaysWithoutStoreLeaveRoomForWork()
+    {
+        for (const std::size_t gateways : faultyFleets) {
+            for (const std::size_t cutOff : {gateways / 10 + 1, (gateways + 1) / 2})
+                playSkews(
+                    {.gateways = gateways, .changeAt = changeAt, .shifts = true},
+                    {.storeDownFrom = Ms(20'000), .storeDownUntil = Ms(100'000), .cutOff = cutOff},
+                    fleetLimit);
+        }
+    }
+
+    // Guards against plays that could not show a gateway that takes too much.
+    void playsShowTooManyShares()
+    {
+        IdleConnectionFleet fleet(4, 1, {.oldGateways = 8});
+        Simulation simulation({.gateways = 8, .changeAt = changeAt, .started = 4}, keepBy(fleet));
+        simulation.setChangeHook([&fleet](TimePoint now) { fleet.grow(4, now); });
+        simulation.run(duration);
+        CPPUNIT_ASSERT(fleet.counts().mostShares > 1.5 * fleetLimit);
+    }
+
 private:
     static constexpr Ms duration {60'000};
     static constexpr double maxReuseLoss = 0.03;
+    static constexpr Ms changeAt {30'000};
+    static constexpr double fleetLimit = 48;
+    static constexpr double tolerance = 1e-6;
+    /// The store takes 400. Gateways that list themselves anew need one write in any case.
+    static constexpr std::size_t maxWritesPerSecond = 40;
+    static constexpr std::size_t maxListingWritesPerSecond = 240;
 
     static double reuse(const Simulation::Counts &counts)
     {
@@ -112,15 +188,53 @@
 
     static Simulation::Counts playWithLimit(const Simulation::Settings &settings)
     {
-        std::vector<IdleConnectionLimit> limits(settings.gateways,
-                                                IdleConnectionLimit(48, Ms(8000)));
-        for (IdleConnectionLimit &limit : limits)
-            limit.setProcessCount(settings.gateways);
-        const auto keep = [&limits](std::size_t gateway, std::size_t server, std::size_t idleCount,
-                                    TimePoint now) {
-            return limits[gateway].keepFor(std::to_string(server), idleCount, now);
-        };
-        return print(settings, "with", Simulation(settings, keep).run(duration));
+        IdleConnectionFleet fleet(settings.gateways, settings.seed, {});
+        return print(settings, "with", Simulation(settings, keepBy(fleet)).run(duration));
+    }
+
+    static Simulation::KeepHook keepBy(IdleConnectionFleet &fleet)
+    {
+        return [&fleet](std::size_t gateway, std::size_t server, std::size_t idleCount,
+                        TimePoint now) { return fleet.keepFor(gateway, server, idleCount, now); };
+    }
+
+    static void play(Simulation::Settings settings, const IdleConnectionFleet::Faults &faults,
+                     double maxShares)
+    {
+        for (const std::size_t gateways : faultyFleets) {
+            settings.gateways = gateways;
+            playSkews(settings, faults, maxShares);
+        }
+    }
+
+    static void playSkews(Simulation::Settings settings, const IdleConnectionFleet::Faults &faults,
+                          double maxShares)
+    {
+        for (const double skew : {0.5, 0.9}) {
+            settings.skew = skew;
+            playOne(settings, faults, maxShares);
+        }
+    }
+
+    static void playOne(const Simulation::Settings &settings,
+                        const IdleConnectionFleet::Faults &faults, double maxShares)
+    {
+        const std::size_t started = settings.started == 0 ? settings.gateways : settings.started;
+        IdleConnectionFleet fleet(started, settings.seed, faults);
+        Simulation simulation(settings, keepBy(fleet));
+        simulation.setChangeHook([&](TimePoint now) {
+            if (settings.restarts)
+                fleet.restart(now);
+            fleet.grow(settings.gateways - started, now);
+        });
+        const Simulation::Counts counts = print(settings, "with", simulation.run(duration));
+        std::cout << "  shares " << fleet.counts().mostShares << ", most writes/s "
+                  << fleet.counts().mostWrites << '\n';
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), counts.resets);
+        CPPUNIT_ASSERT(fleet.counts().mostShares <= maxShares + tolerance);
+        const bool listsAnew = settings.started > 0 || faults.storeDownUntil > Ms(0);
+        CPPUNIT_ASSERT(fleet.counts().mostWrites
+                       <= (listsAnew ? maxListingWritesPerSecond : maxWritesPerSecond));
     }
 
     static Simulation::Counts print(const Simulation::Settings &settings, const char *rule,
