gateway: list the demand for connections and divide by it

Cause: gateways listed an empty value, and each took an even share of the idle connections. Change: the value of a gateway's key is its demand as JSON (GatewayListingCodec); an empty or unreadable one is no demand. The publisher rewrites the key when another demand is due, the watch keeps the listed ones, and IdleConnectionControl gets the share in force. Probes keep the even share. Measured: gateway_test passes. Process and platform tests were not run. Conclusion: the division of decision 0016 is in force; older gateways read the new values, and newer ones the old.

--- a/src/gateway/GatewayKey.h
+++ b/src/gateway/GatewayKey.h
@@ -6,7 +6,7 @@
 namespace foxtailring {
 
 /// \brief Keys of the store by which gateways find each other. Each gateway keeps its own key under
-/// a lease; the value is empty.
+/// a lease; the value is that of GatewayListingCodec.
 class GatewayKey
 {
 public:
--- a/src/gateway/GatewayParts.cpp
+++ b/src/gateway/GatewayParts.cpp
@@ -2,10 +2,12 @@
 
 #include "foxtailring/base/StructuredLog.h"
 #include "foxtailring/decisions/CopyReference.h"
+#include "foxtailring/protocol/KeyHash.h"
 #include "foxtailring/transport/Endpoint.h"
 
 #include "DurationText.h"
 
+#include <cmath>
 #include <utility>
 
 namespace foxtailring {
@@ -31,6 +33,12 @@
 constexpr std::chrono::milliseconds maxRequestIdle {8000};
 constexpr std::chrono::milliseconds maxProbeIdle {20'000};
 
+// Differs between gateways, from 0 to 1.
+double phaseOf(const std::string &nodeId)
+{
+    return std::ldexp(static_cast<double>(keyHash(nodeId)), -64);
+}
+
 } // namespace
 
 // The users allow 0.8 of a service's requests plus 150 in ten seconds. The fraction applies to each
@@ -48,14 +56,16 @@
     , pool(settings.threads)
     , http(pool)
     , probeHttp(pool)
-    , idleConnections(pool, http, metrics, clock,
-                      {"requests", maxIdleRequestConnections, maxRequestIdle})
+    , idleConnections(
+          pool, http, metrics, clock,
+          {"requests", maxIdleRequestConnections, maxRequestIdle, phaseOf(settings.nodeId)})
     , idleProbeConnections(pool, probeHttp, metrics, clock,
-                           {"probes", maxIdleProbeConnections, maxProbeIdle})
+                           {"probes", maxIdleProbeConnections, maxProbeIdle, 0})
     , queue(pool)
     , placer(servers, settings.availabilityZone, settings.regions, BackendPlacer::Settings {})
     , random(RandomSource::fromEntropy())
     , fleet(settings.nodeId)
+    , idleShare({maxIdleRequestConnections, settings.maxServerListDelay})
     , retryBudget(retryBudgetSettings(random))
     , rateLimits({settings.nodeId, settings.maxServerListDelay})
     , pauses(servers, random)
@@ -100,17 +110,25 @@
 void GatewayParts::updateFleetSize()
 {
     fleet.expire(clock());
+    updateIdleShare();
     const std::size_t size = fleet.size();
     if (std::exchange(m_fleetSize, size) == size)
         return;
     retryBudget.setProcessCount(size);
     rateLimits.setProcessCount(size);
-    idleConnections.setProcessCount(size);
     idleProbeConnections.setProcessCount(size);
     metrics.setGauge("gateway_fleet_size", static_cast<double>(size));
     StructuredLog::info("fleetSizeChanged", {{"gateways", std::to_string(size)}});
 }
 
+void GatewayParts::updateIdleShare()
+{
+    const TimePoint now = clock();
+    idleShare.update(fleet, keyFreshness.age(now), now);
+    idleConnections.setShare(idleShare.inForce());
+    metrics.setGauge("gateway_idle_connection_share", idleShare.inForce());
+}
+
 void GatewayParts::reportRetryDenied(const std::string &requestId, const std::string &service)
 {
     metrics.add("gateway_retries_denied_total{service=\"" + service + "\"}");
--- a/src/gateway/GatewayParts.h
+++ b/src/gateway/GatewayParts.h
@@ -8,6 +8,7 @@
 #include "foxtailring/decisions/EngineLatencyEstimator.h"
 #include "foxtailring/decisions/FleetMembership.h"
 #include "foxtailring/decisions/ForwardContext.h"
+#include "foxtailring/decisions/IdleConnectionShare.h"
 #include "foxtailring/decisions/KeyFreshness.h"
 #include "foxtailring/decisions/MemoryBudget.h"
 #include "foxtailring/decisions/PromptQuarantine.h"
@@ -54,7 +55,7 @@
 
     /// \brief Reads again how far the clock of this process is from Unix time, which may step.
     void updateUnixOffset();
-    /// \brief Divides shared limits by the number of gateways that is known now.
+    /// \brief Divides shared limits by what is known of the gateways now.
     void updateFleetSize();
     /// \brief Logs and counts that the retry budget kept a request from another server.
     void reportRetryDenied(const std::string &requestId, const std::string &service);
@@ -94,6 +95,7 @@
     BackendPlacer placer;
     RandomSource random;
     FleetMembership fleet;
+    IdleConnectionShare idleShare; ///< of connections for requests
     RetryBudget retryBudget;
     RateLimitTable rateLimits;
     PromptQuarantine quarantine;
@@ -104,6 +106,8 @@
     MemoryBudget memoryBudget;
 
 private:
+    void updateIdleShare();
+
     std::size_t m_fleetSize = 0; ///< by which shared limits are divided
 };
 
--- a/src/gateway/GatewayPublisher.cpp
+++ b/src/gateway/GatewayPublisher.cpp
@@ -3,6 +3,7 @@
 #include "foxtailring/base/StructuredLog.h"
 
 #include "GatewayKey.h"
+#include "GatewayListingCodec.h"
 #include "GatewayParts.h"
 #include "PromptCrashReportCodec.h"
 #include "RateLimitReportCodec.h"
@@ -84,16 +85,25 @@
         renewLease();
 }
 
-bool GatewayPublisher::isListingDue(TimePoint now) const
+bool GatewayPublisher::isListingDue(TimePoint now)
 {
     if (now < m_enlistAt)
         return false;
-    if (m_listing.lease != m_lease)
+    if (m_listing.lease != m_lease || isDemandDue())
         return true;
     const bool isVisible = m_parts.fleet.isListed(m_parts.settings.nodeId);
     return !isVisible && now - m_listing.writtenAt >= listingVisibleAfter;
 }
 
+bool GatewayPublisher::isDemandDue()
+{
+    const auto due =
+        m_parts.idleConnections.takeDueDemand(m_parts.fleet.ownDemand(), m_parts.fleet.size());
+    if (due)
+        m_demand = due;
+    return due.has_value();
+}
+
 // The keys have ended with the lease.
 void GatewayPublisher::forgetEndedLease(TimePoint now)
 {
@@ -135,12 +145,14 @@
 
 void GatewayPublisher::enlist()
 {
-    write(m_listing, "", [this](const Result<WriteResult> &result) {
-        if (!result)
-            return onFailed("enlist", result.error());
-        if (result.value().applied)
-            StructuredLog::info("enlisted", {{"revision", std::to_string(m_listing.revision)}});
-    });
+    write(
+        m_listing, GatewayListingCodec::encode(m_demand),
+        [this](const Result<WriteResult> &result) {
+            if (!result)
+                return onFailed("enlist", result.error());
+            if (result.value().applied)
+                StructuredLog::info("enlisted", {{"revision", std::to_string(m_listing.revision)}});
+        });
 }
 
 void GatewayPublisher::publish(const RateLimitReport &report)
--- a/src/gateway/GatewayPublisher.h
+++ b/src/gateway/GatewayPublisher.h
@@ -7,6 +7,7 @@
 #include "LeasedKey.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -33,7 +34,8 @@
 
 private:
     void step();
-    bool isListingDue(TimePoint now) const;
+    bool isListingDue(TimePoint now);
+    bool isDemandDue();
     void forgetEndedLease(TimePoint now);
     void grantLease();
     void renewLease();
@@ -50,6 +52,7 @@
     GatewayParts &m_parts;
     KeyValueClient &m_client;
     LeasedKey m_listing;
+    std::optional<int> m_demand; ///< to be listed
     LeasedKey m_report;
     LeasedKey m_crashReport;
     Timer m_timer;
--- a/src/gateway/IdleConnectionControl.cpp
+++ b/src/gateway/IdleConnectionControl.cpp
@@ -25,6 +25,7 @@
     , m_clock(std::move(clock))
     , m_settings(std::move(settings))
     , m_limit(m_settings.fleetLimit, m_settings.maxKeptFor)
+    , m_demand(m_settings.demandPhase)
     , m_timer(pool)
 {
     m_client.setKeepIdleHook([this](const Endpoint &endpoint, std::size_t idleCount) {
@@ -44,6 +45,19 @@
     m_limit.setProcessCount(count);
 }
 
+void IdleConnectionControl::setShare(double share)
+{
+    const std::lock_guard lock(m_mutex);
+    m_limit.setShare(share);
+}
+
+std::optional<int> IdleConnectionControl::takeDueDemand(std::optional<int> listed,
+                                                        std::size_t processCount)
+{
+    const std::lock_guard lock(m_mutex);
+    return m_demand.takeDue(listed, processCount, m_clock());
+}
+
 std::size_t IdleConnectionControl::onConnectionFailed(const Endpoint &endpoint)
 {
     {
@@ -60,7 +74,9 @@
 milliseconds IdleConnectionControl::keepFor(const Endpoint &endpoint, std::size_t idleCount)
 {
     const std::lock_guard lock(m_mutex);
-    const milliseconds time = m_limit.keepFor(endpoint.toString(), idleCount, m_clock());
+    const TimePoint now = m_clock();
+    m_demand.record(now);
+    const milliseconds time = m_limit.keepFor(endpoint.toString(), idleCount, now);
     if (time.count() == 0)
         m_metrics.add(closedCounter("limit"));
     return time;
--- a/src/gateway/IdleConnectionControl.h
+++ b/src/gateway/IdleConnectionControl.h
@@ -1,11 +1,13 @@
 #pragma once
 
 #include "foxtailring/base/Clock.h"
+#include "foxtailring/decisions/IdleConnectionDemand.h"
 #include "foxtailring/decisions/IdleConnectionLimit.h"
 #include "foxtailring/transport/Timer.h"
 
 #include <cstddef>
 #include <mutex>
+#include <optional>
 #include <string>
 
 namespace foxtailring {
@@ -24,6 +26,7 @@
         std::string name; ///< of the client, in metrics
         double fleetLimit = 0;
         std::chrono::milliseconds maxKeptFor {0};
+        double demandPhase = 0; ///< see IdleConnectionDemand
     };
 
     /// \param client outlives this object
@@ -34,6 +37,10 @@
     IdleConnectionControl &operator=(const IdleConnectionControl &) = delete;
 
     void setProcessCount(std::size_t count);
+    /// \brief Sets the share of this gateway, in connections to each server.
+    void setShare(double share);
+    /// \brief The demand to list now, if any (IdleConnectionDemand::takeDue).
+    std::optional<int> takeDueDemand(std::optional<int> listed, std::size_t processCount);
     /// \brief A connection to \a endpoint failed before an answer: the idle ones are given back.
     /// Returns their number.
     std::size_t onConnectionFailed(const Endpoint &endpoint);
@@ -48,7 +55,8 @@
     const Clock m_clock;
     const Settings m_settings;
     std::mutex m_mutex;
-    IdleConnectionLimit m_limit; ///< under m_mutex
+    IdleConnectionLimit m_limit;   ///< under m_mutex
+    IdleConnectionDemand m_demand; ///< under m_mutex
     Timer m_timer;
 };
 
--- a/src/gateway/StoreWatch.cpp
+++ b/src/gateway/StoreWatch.cpp
@@ -3,6 +3,7 @@
 #include "foxtailring/base/StructuredLog.h"
 
 #include "GatewayKey.h"
+#include "GatewayListingCodec.h"
 #include "GatewayParts.h"
 #include "PromptCrashReportCodec.h"
 #include "RateLimitReportCodec.h"
@@ -139,6 +140,10 @@
     m_parts.servers.replace(servers, now);
     m_parts.rateLimits.replaceReports(reports, now);
     m_parts.fleet.replace(gateways, now);
+    for (const KeyValue &pair : read.pairs) {
+        if (GatewayKey::matches(pair.key))
+            applyGatewayDemand(pair);
+    }
     m_parts.updateFleetSize();
     m_parts.hasServerList = true;
     StructuredLog::info(
@@ -189,12 +194,21 @@
         if (!GatewayKey::matches(event.pair.key))
             continue;
         const std::string nodeId = GatewayKey::nodeIdOf(event.pair.key);
-        if (event.deleted)
+        if (event.deleted) {
             m_parts.fleet.remove(nodeId, now);
-        else
+        } else {
             m_parts.fleet.put(nodeId);
+            applyGatewayDemand(event.pair);
+        }
+        // After each one: IdleConnectionShare compares the lists as they were at each time.
+        m_parts.updateFleetSize();
     }
-    m_parts.updateFleetSize();
+}
+
+void StoreWatch::applyGatewayDemand(const KeyValue &pair)
+{
+    m_parts.fleet.setDemand(GatewayKey::nodeIdOf(pair.key),
+                            GatewayListingCodec::decode(pair.value));
 }
 
 void StoreWatch::applyPromptCrashReport(const KeyValue &pair, TimePoint writtenAfter)
--- a/src/gateway/StoreWatch.h
+++ b/src/gateway/StoreWatch.h
@@ -36,6 +36,7 @@
     void applyPromptCrashReport(const KeyValue &pair, TimePoint writtenAfter);
     void applyRateLimitReports(std::span<const WatchEvent> events);
     void applyGateways(std::span<const WatchEvent> events);
+    void applyGatewayDemand(const KeyValue &pair);
     bool isServerKey(std::string_view key) const;
     std::string serverIdOf(std::string_view key) const;
 
--- a/tests/gateway/FleetListingTest.cpp
+++ b/tests/gateway/FleetListingTest.cpp
@@ -13,6 +13,8 @@
     CPPUNIT_TEST_SUITE(FleetListingTest);
     CPPUNIT_TEST(gatewaysListThemselvesAndCountEachOther);
     CPPUNIT_TEST(gatewayWhoseKeyVanishedListsItselfAgain);
+    CPPUNIT_TEST(gatewayListsItsDemand);
+    CPPUNIT_TEST(shareRisesOnceAnOldGatewayIsKnown);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -38,7 +40,7 @@
         startGateways(3);
         awaitListed({"gateways/g0", "gateways/g1", "gateways/g2"});
         for (const GatewayPorts &ports : m_gatewayPorts)
-            waitUntil([&] { return fleetSizeOf(ports) == "gateway_fleet_size 3"; });
+            waitUntil([&] { return metricOf(ports, "gateway_fleet_size") == "3"; });
     }
 
     // Guards against a gateway that nobody counts after its lease ended during an outage.
@@ -50,7 +52,40 @@
         awaitListed({"gateways/g0"});
     }
 
+    // Guards against a demand that is measured and never told.
+    void gatewayListsItsDemand()
+    {
+        startGateways(1);
+        awaitListed({"gateways/g0"});
+        m_ports = m_gatewayPorts[0];
+        m_shared.confirm();
+        waitUntil([this] { return readiness() == 200; });
+        waitUntil([this] {
+            m_shared.confirm();
+            callOnce();
+            return m_shared.read("gateways/g0").pairs.at(0).value.starts_with("{\"demand\":");
+        });
+    }
+
+    // Guards against a gateway that cannot read, or does not count, one of an older version.
+    void shareRisesOnceAnOldGatewayIsKnown()
+    {
+        m_shared.put("gateways/old", "");
+        startGateways(1);
+        waitUntil([this] {
+            m_shared.confirm();
+            return metricOf(m_gatewayPorts[0], "gateway_idle_connection_share") == "24";
+        });
+    }
+
 private:
+    void callOnce()
+    {
+        call("/read/x");
+        m_received->take().responder->respond(signedAnswer("x"));
+        CPPUNIT_ASSERT_EQUAL(200, m_answers->take().value().status);
+    }
+
     void startGateways(std::size_t count)
     {
         for (std::size_t i = 0; i < count; ++i) {
@@ -74,14 +109,15 @@
             keys.erase(m_written->take());
     }
 
-    std::string fleetSizeOf(const GatewayPorts &ports)
+    std::string metricOf(const GatewayPorts &ports, const std::string &name)
     {
         const auto answer = std::make_shared<Mailbox<Result<HttpResponse>>>();
         m_client->request({"127.0.0.1", ports.metrics}, {"GET", "/metrics", {}, ""}, testDeadline,
                           [answer](const Result<HttpResponse> &one) { answer->put(one); });
         const std::string text = answer->take().value().body;
-        const std::size_t start = text.find("\ngateway_fleet_size ") + 1;
-        return text.substr(start, text.find('\n', start) - start);
+        const std::string start = "\n" + name + " ";
+        const std::size_t from = text.find(start) + start.size();
+        return text.substr(from, text.find('\n', from) - from);
     }
 
     SharedStore m_shared;
