--- a/src/gateway/StoreWatch.h
+++ b/src/gateway/StoreWatch.h
@@ -51,6 +51,7 @@
     void applyRateLimitReports(std::span<const WatchEvent> events);
     void applyGateways(std::span<const WatchEvent> events);
     void reportRevision(std::int64_t revision);
+    void applyGatewayDemand(const KeyValue &pair);
     bool isServerKey(std::string_view key) const;
     std::string serverIdOf(std::string_view key) const;
 
