tests/gateway: test a gateway's orders for copies

Cause: RequestRelay::copyRun had no test of its own. The second answer to an order is no answer to the next one (OrderConnectionTest). Conclusion: By reading, open: an order that is answered after the run's end or after its time limit makes a copy that nobody releases; it lapses at the engine.

--- a/tests/gateway/GatewayFixture.cpp
+++ b/tests/gateway/GatewayFixture.cpp
@@ -227,8 +227,11 @@
     StoreSchema out;
     out.configKey = "config";
     out.serverKeyPrefix = "servers/";
-    out.decodeConfig = [config = config()](std::string_view) -> Result<RouteConfig> {
-        return config;
+    // The text `copiesOnDemand` is a configuration in which engines also copy on demand.
+    out.decodeConfig = [config = config()](std::string_view text) -> Result<RouteConfig> {
+        RouteConfig decoded = config;
+        decoded.services.front().copiesOnDemand = text == "copiesOnDemand";
+        return decoded;
     };
     out.decodeServer = [this](std::string_view id, std::string_view zone) -> Result<BackendInfo> {
         BackendInfo info;
--- a/tests/gateway/OrderConnectionTest.cpp
+++ b/tests/gateway/OrderConnectionTest.cpp
@@ -16,6 +16,7 @@
 {
     CPPUNIT_TEST_SUITE(OrderConnectionTest);
     CPPUNIT_TEST(releaseUsesNewConnection);
+    CPPUNIT_TEST(secondAnswerToAnOrderIsDropped);
     CPPUNIT_TEST(probeUsesNoConnectionOfACall);
     CPPUNIT_TEST(endlessReportIsAbandoned);
     CPPUNIT_TEST(endlessAnswerToAnOrderIsAbandoned);
@@ -50,6 +51,25 @@
         CPPUNIT_ASSERT(peer.readUntil("\r\n\r\n").starts_with("DELETE /h "));
     }
 
+    // Guards against the second answer to an order that is taken for the answer to the next one.
+    void secondAnswerToAnOrderIsDropped()
+    {
+        for (const std::string number : {"1", "2"}) {
+            m_parts->queue.post([this] {
+                m_parts->sendOrder(address(), {"POST", "/order", {}, ""}, testDeadline,
+                                   [box = m_answers](Result<HttpResponse> answer) {
+                                       box->put(std::move(answer));
+                                   });
+            });
+            RawPeer peer = m_server.accept();
+            peer.readUntil("\r\n\r\n");
+            for (const std::string &body : {number + "a", number + "b"})
+                peer.write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n" + body);
+            CPPUNIT_ASSERT_EQUAL(number + "a", m_answers->take().value().body);
+        }
+        CPPUNIT_ASSERT(m_answers->isEmpty());
+    }
+
     // Guards against a late answer to a call that is taken for a server's report.
     void probeUsesNoConnectionOfACall()
     {
