--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -311,6 +311,14 @@
                 self.log_of_gateway(*processes)
                 self.assertEqual(rules, self.violated_rules(checks.config_never_goes_back))
 
+    def test_start_that_is_logged_after_the_first_config(self):
+        """The lines of two threads may be in the wrong order; their times are right (seed 8)."""
+        self.published_config(101.0)
+        log = self.folder / "gateway-0.log"
+        log.write_text("\n".join(reversed(log.read_text().splitlines())))
+        self.assertEqual([], self.violated_rules(checks.config_is_in_force))
+        self.assertEqual([], self.violated_rules(checks.config_never_goes_back))
+
     def test_denied_key_is_allowed_again(self):
         self.record_event("keyWithdrawn", 100.0, key="k", acknowledged=100.0)
         self.attempts += [attempt(request="r0", sent_at=101.0, ended_at=101.1, status=401),
--- a/tools/lib/soak/checks.py
+++ b/tools/lib/soak/checks.py
@@ -76,7 +76,7 @@
         self.runs_of = collections.defaultdict(list)
         for run in self.runs:
             self.runs_of[run["request"]].append(run)
-        self.processes = {path.stem: list(gateway_processes(path)) for path in cluster.folder.glob("gateway-*.log")}
+        self.processes = {path.stem: gateway_processes(path) for path in cluster.folder.glob("gateway-*.log")}
 
     def _faults(self):
         ends = {entry["number"]: entry["at"] for entry in self.journal.entries_of("faultOver")}
@@ -104,23 +104,23 @@
 
 
 def gateway_processes(log):
-    """Yields start and [(time, version in force)] of each process that wrote to a gateway's log. The journal records
-    a start later than the process may have a configuration (seed 4)."""
+    """Returns start and [(time, version in force)] of each process that wrote to a gateway's log. The journal records
+    a start later than the process may have a configuration (seed 4), and so may its log (seed 8)."""
     offset = time.time() - time.monotonic()
-    process = None
+    entries = []
     for line in log.read_text(errors="replace").splitlines():
         if not ('"event":"configInForce"' in line or '"event":"started"' in line) or not line.endswith("}"):
             continue
         entry = json.loads(line)
         at = datetime.datetime.fromisoformat(entry["time"].replace("Z", "+00:00")).timestamp() - offset
-        if entry["event"] == "configInForce":
-            process[1].append((at, int(entry["version"])))
-            continue
-        if process:
-            yield process
-        process = (at, [])
-    if process:
-        yield process
+        entries.append((at, entry["event"] != "started", int(entry.get("version", 0))))
+    processes = []
+    for at, is_in_force, version in sorted(entries):
+        if not is_in_force:
+            processes.append((at, []))
+        elif processes:
+            processes[-1][1].append((at, version))
+    return processes
 
 
 def host_of(server):
