soak: restore the store while a gateway is paused

Few writes happen in the soak, so the new history never passed the position of a gateway that had not noticed the restore. Change: in half of the restores a gateway is paused until 1 s after it, a configuration is published, and servers write their entries until the revision is beyond the old position.

--- a/tools/lib/soak/faults.py
+++ b/tools/lib/soak/faults.py
@@ -26,6 +26,10 @@
 # Numbers of these faults in the journal, above those of the others.
 FIRST_PAUSE_NUMBER = 100_000
 FIRST_RESTORE_NUMBER = 200_000
+FIRST_RESTORE_PAUSE_NUMBER = 300_000
+# How long a gateway that misses a restore stays paused after it, and how often a server writes meanwhile at most.
+PAUSE_AFTER_RESTORE_SECONDS = 1
+MAX_HEARTBEATS = 50
 SILENT_LINK = {"silentExisting": True}
 
 
@@ -50,13 +54,16 @@
         self.pause_random = random.Random(cluster.seed)
         self.pause_kinds = [self.server_turns_away, self.service_turns_away]
         self.restore_random = random.Random(f"restores of {cluster.seed}")
+        self.restore_pause_numbers = itertools.count(FIRST_RESTORE_PAUSE_NUMBER)
 
     def run(self, seconds):
         time.sleep(FAULT_FREE_START_SECONDS)
         ends_at = time.monotonic() + seconds
         apart = [threading.Thread(target=self._inject_apart, daemon=True, args=arguments) for arguments in (
-            (self.pause_random, self.pause_kinds, MEAN_PAUSE_INTERVAL_SECONDS, FIRST_PAUSE_NUMBER),
-            (self.restore_random, [self.store_restored], MEAN_RESTORE_INTERVAL_SECONDS, FIRST_RESTORE_NUMBER))]
+            (self.pause_random, self.pause_kinds, MEAN_PAUSE_INTERVAL_SECONDS, FIRST_PAUSE_NUMBER,
+             self.cluster.gateways[:1]),
+            (self.restore_random, [self.store_restored], MEAN_RESTORE_INTERVAL_SECONDS, FIRST_RESTORE_NUMBER,
+             self.cluster.gateways))]
         for thread in apart:
             thread.start()
         for number in itertools.count():
@@ -78,13 +85,14 @@
         return (self.random.uniform(0.2, 2.5), self.random.choice(self.cluster.gateways),
                 self.random.choice(self.cluster.servers), self.random.random())
 
-    def _inject_apart(self, draw, kinds, mean_interval, first_number):
-        """Injects faults of these kinds, one at a time, until the others are over."""
+    def _inject_apart(self, draw, kinds, mean_interval, first_number, gateways):
+        """Injects faults of these kinds, one at a time and at the gateways in turn, until the others are over."""
         for number in itertools.count(first_number):
             if self.is_stopping.wait(draw.expovariate(1 / mean_interval)):
                 return
             self._inject(number, draw.choice(kinds), draw.uniform(0.2, 2.5),
-                         self.cluster.gateways[0], draw.choice(self.cluster.servers), draw.random())
+                         gateways[number % len(gateways)],
+                         draw.choice(self.cluster.servers), draw.random())
 
     def _inject(self, number, kind, seconds, gateway, server, fraction):
         name = kind.__name__
@@ -207,11 +215,36 @@
         time.sleep(seconds * 2)
         self.cluster.store.fault = None
 
-    def store_restored(self, seconds, _gateway, _server, fraction):
+    def store_restored(self, seconds, gateway, server, fraction):
+        """In half of the cases a gateway is paused meanwhile, and the new history passes its position."""
+        store = self.cluster.store
+        position = store.revision
+        pause = None
+        if fraction * 2 % 1 < 0.5:
+            pause = threading.Thread(target=self._inject, daemon=True, args=(
+                next(self.restore_pause_numbers), self.gateway_paused, seconds + PAUSE_AFTER_RESTORE_SECONDS, gateway,
+                server, fraction))
+            pause.start()
+            time.sleep(0.1)
         seconds_old = YOUNGEST_BACKUP_SECONDS + fraction * BACKUP_AGE_SPREAD_SECONDS
         away = ["down", "silent", "reset"][int(fraction * 30) % 3]
-        self.cluster.store.restore(seconds_old, away_seconds=seconds, away=away)
-        self.cluster.journal.record("restored", epoch=self.cluster.store.epoch, seconds_old=seconds_old, away=away)
+        store.restore(seconds_old, away_seconds=seconds, away=away)
+        self.cluster.journal.record("restored", epoch=store.epoch, seconds_old=seconds_old, away=away)
+        if pause:
+            self.cluster.publish_config()
+            self._pass_position(position)
+            pause.join()
+
+    def _pass_position(self, position):
+        """Has servers that are not in a transition write their entries until the revision is beyond the position."""
+        for server in self.cluster.servers * MAX_HEARTBEATS:
+            if self.cluster.store.revision > position:
+                return
+            if server.transition_lock.acquire(blocking=False):
+                try:
+                    server.publish()
+                finally:
+                    server.transition_lock.release()
 
     def store_forgets(self, _seconds, _gateway, _server, _fraction):
         self.cluster.store.compact()
