--- a/src/gateway/StoreWatch.cpp
+++ b/src/gateway/StoreWatch.cpp
@@ -6,6 +6,7 @@
 #include "foxtailring/store/KeyValueClient.h"
 
 #include "GatewayKey.h"
+#include "GatewayListingCodec.h"
 #include "GatewayParts.h"
 #include "PromptCrashReportCodec.h"
 #include "RateLimitReportCodec.h"
@@ -58,6 +59,9 @@
 // The operators and the servers write what was lost again within this time.
 constexpr std::chrono::milliseconds restoredRewriteTime {2000};
 
+// Also that of a store without epochs.
+constexpr std::int64_t unknownEpoch = 0;
+
 } // namespace
 
 StoreWatch::StoreWatch(GatewayParts &parts, KeyValueClient &client, StoreSchema schema)
@@ -123,6 +127,8 @@
     hooks.onError = [this](const Error &error) {
         m_parts.metrics.add("store_failures_total{error=\"" + std::string(errorCodeName(error.code))
                             + "\"}");
+        if (error.code == ErrorCode::Stale)
+            post([this] { recordInterruptedRead(); });
     };
     return hooks;
 }
@@ -217,12 +223,17 @@
     holdKeys(read.epoch);
     if (isRestored) {
         m_parts.servers.mergeRestored(servers, now);
-        m_parts.rateLimits.onStoreRestored(now);
+        m_parts.rateLimits.onStoreRestored(reports, now);
     } else {
         m_parts.servers.replace(servers, now);
         m_parts.rateLimits.replaceReports(reports, now);
     }
     m_parts.fleet.replace(gateways, now);
+    for (const KeyValue &pair : read.pairs) {
+        // Demands in a restored copy are older than those known.
+        if (!isRestored && GatewayKey::matches(pair.key))
+            applyGatewayDemand(pair);
+    }
     m_parts.updateFleetSize();
     updateRereadSpread();
     m_parts.hasServerList = true;
@@ -236,6 +247,14 @@
         m_restoredHook();
 }
 
+// The pages of a read were from different epochs. If it was the first read, the next one would
+// otherwise look like that of a store that was not restored.
+void StoreWatch::recordInterruptedRead()
+{
+    m_epoch = m_epoch.value_or(unknownEpoch);
+    m_seenEpoch = m_seenEpoch.value_or(unknownEpoch);
+}
+
 // True if the store was restored from a backup since the last read.
 bool StoreWatch::startEpoch(const RangeResult &read)
 {
@@ -295,15 +314,24 @@
         if (!GatewayKey::matches(event.pair.key))
             continue;
         const std::string nodeId = GatewayKey::nodeIdOf(event.pair.key);
-        if (event.deleted)
+        if (event.deleted) {
             m_parts.fleet.remove(nodeId, now);
-        else
+        } else {
             m_parts.fleet.put(nodeId);
+            applyGatewayDemand(event.pair);
+        }
+        // After each one: IdleConnectionShare compares the lists as they were at each time.
+        m_parts.updateFleetSize();
     }
-    m_parts.updateFleetSize();
     updateRereadSpread();
 }
 
+void StoreWatch::applyGatewayDemand(const KeyValue &pair)
+{
+    m_parts.fleet.setDemand(GatewayKey::nodeIdOf(pair.key),
+                            GatewayListingCodec::decode(pair.value));
+}
+
 void StoreWatch::applyPromptCrashReport(const KeyValue &pair, TimePoint writtenAfter)
 {
     const auto report = PromptCrashReportCodec::decode(pair.value);
--- a/src/gateway/StoreWatch.h
+++ b/src/gateway/StoreWatch.h
@@ -36,6 +36,7 @@
     PrefixWatcherHooks makeHooks();
     void post(std::function<void()> work);
     void applySnapshot(const RangeResult &read);
+    void recordInterruptedRead();
     bool startEpoch(const RangeResult &read);
     void onHistoryLost();
     void readConfig();
@@ -50,6 +51,7 @@
     void applyRateLimitReports(std::span<const WatchEvent> events);
     void applyGateways(std::span<const WatchEvent> events);
     void reportRevision(std::int64_t revision);
+    void applyGatewayDemand(const KeyValue &pair);
     bool isServerKey(std::string_view key) const;
     std::string serverIdOf(std::string_view key) const;
 
@@ -60,7 +62,8 @@
     TimePoint m_confirmedAt; ///< all changes until then have been applied
     std::function<void()> m_confirmedHook;
     std::function<void()> m_restoredHook;
-    std::optional<std::int64_t> m_epoch;     ///< of the last full read
+    /// Of the last full read; unknownEpoch: see recordInterruptedRead().
+    std::optional<std::int64_t> m_epoch;
     std::optional<std::int64_t> m_seenEpoch; ///< of the last read, full or of the configuration
     bool m_isReadDue = false;                ///< all keys are to be read again
     std::size_t m_callsOfRead = 1;           ///< that the last full read took
--- a/tests/platform/DocumentsTest.cpp
+++ b/tests/platform/DocumentsTest.cpp
@@ -41,10 +41,14 @@
     CPPUNIT_TEST(configIsDecoded);
     CPPUNIT_TEST(unknownKindIsNotRetried);
     CPPUNIT_TEST(invalidConfigErrorNamesTheField);
+    CPPUNIT_TEST(configOutOfRangeIsUnreadable);
+    CPPUNIT_TEST(timesBeyondADayAreShortened);
     CPPUNIT_TEST(configWithoutAccountsNeedsNoKeys);
     CPPUNIT_TEST(serverIsDecoded);
     CPPUNIT_TEST(invalidEntriesAreRefused);
     CPPUNIT_TEST(engineReportIsDecoded);
+    CPPUNIT_TEST(oddReportsOfEnginesAreRefused);
+    CPPUNIT_TEST(oddRunsOfEnginesAreNotFound);
     CPPUNIT_TEST(promptListIsDecoded);
     CPPUNIT_TEST(otherResponsesAreNotAReport);
     CPPUNIT_TEST_SUITE_END();
@@ -80,6 +84,29 @@
         CPPUNIT_ASSERT(out.error().message.find("path_prefix") != std::string::npos);
     }
 
+    // Guards against times that overflow, limits of 2^64 bytes and names that end a header.
+    void configOutOfRangeIsUnreadable()
+    {
+        const std::string route =
+            R"("host":"h","path_prefix":"/","kind":"idempotent","service":"s")";
+        const std::string documents[] = {
+            R"({"version":1,"routes":[{)" + route + R"(,"timeout_ms":-1}]})",
+            R"({"version":1,"limits":{"max_body_bytes":-1}})",
+            R"({"version":1,"tenants":[{"name":"a\nb","api_keys":[]}]})",
+            R"({"version":1,"tenants":[{"name":")" + std::string(70'000, 'a') + R"("}]})"};
+        for (const std::string &document : documents)
+            CPPUNIT_ASSERT_MESSAGE(document.substr(0, 60), !platform::decodeConfig(document));
+        CPPUNIT_ASSERT(platform::decodeConfig(R"({"version":1,"routes":[{)" + route
+                                              + R"(,"timeout_ms":1}]})"));
+    }
+
+    void timesBeyondADayAreShortened()
+    {
+        const auto out = platform::decodeConfig(
+            R"({"version":1,"limits":{"idle_timeout_ms":9223372036854775807}})");
+        CPPUNIT_ASSERT(out.value().limits.idleTimeout == std::chrono::hours(24));
+    }
+
     void configWithoutAccountsNeedsNoKeys()
     {
         const auto out = platform::decodeConfig(replaced(config, R"("tenants")", R"("others")"));
@@ -111,6 +138,38 @@
         CPPUNIT_ASSERT(!platform::decodeLoadReport(answer, "r3").value().hasRun);
     }
 
+    // Guards against an engine that counts as idle because its load wrapped or is negative, and
+    // against a start time by which each engine has restarted.
+    void oddReportsOfEnginesAreRefused()
+    {
+        const std::string report =
+            R"({"num_waiting":1,"num_running":3,"kv_used":41,"kv_total":90,"born":17,"runs":[]})";
+        CPPUNIT_ASSERT(platform::decodeLoadReport({200, {}, report}, "r").isOk());
+        for (const auto &[from, to] :
+             {std::pair("g\":3", "g\":18446744073709551615"), std::pair("g\":3", "g\":-3"),
+              std::pair("g\":1,", "g\":1e400,"), std::pair("d\":41", "d\":-1"),
+              std::pair("l\":90", "l\":\"90\""), std::pair("n\":17", "n\":18446744073709551615"),
+              std::pair("n\":17", "n\":9223372036854775807"), std::pair("n\":17", "n\":-1"),
+              std::pair("s\":[]", "s\":{}")})
+            CPPUNIT_ASSERT_MESSAGE(
+                to, !platform::decodeLoadReport({200, {}, replaced(report, from, to)}, "r").isOk());
+        const std::string deep = std::string(300'000, '[') + std::string(300'000, ']');
+        CPPUNIT_ASSERT(!platform::decodeLoadReport({200, {}, deep}, "r").isOk());
+        CPPUNIT_ASSERT(!platform::decodeLoadReport({200, {}, replaced(report, "[]", deep)}, "r"));
+        CPPUNIT_ASSERT(!platform::decodePromptList({200, {}, "{\"held\":" + deep + '}'}, "r"));
+    }
+
+    void oddRunsOfEnginesAreNotFound()
+    {
+        for (const char *events : {"18446744073709551615", "-1", "1.5", "\"7\"", "[]"}) {
+            const std::string report = R"({"num_waiting":1,"num_running":3,"kv_used":41,
+                "kv_total":90,"runs":[["r1",4100,)"
+                + std::string(events) + R"(,5],7,[],["r2",90,1,5]]})";
+            CPPUNIT_ASSERT(!platform::decodeLoadReport({200, {}, report}, "r1").value().hasRun);
+            CPPUNIT_ASSERT(platform::decodeLoadReport({200, {}, report}, "r2").value().hasRun);
+        }
+    }
+
     void promptListIsDecoded()
     {
         const HttpResponse answer {
