gateway: share one copy of a body's bytes between the tasks of an attempt

Cause: each piece of a response was copied twice, for the current attempt and for the fallback. Change: both tasks share one copy. Measured: not measured; no change of behaviour. Conclusion: none.

--- a/src/gateway/RequestRelay.cpp
+++ b/src/gateway/RequestRelay.cpp
@@ -232,8 +232,9 @@
         });
     };
     hooks.onBody = [post](std::string_view bytes) {
-        post([copy = std::string(bytes)](RequestRelay &self) { self.onBody(copy); },
-             [copy = std::string(bytes)](RequestRelay &self) { self.onFallbackBody(copy); });
+        const auto copy = std::make_shared<const std::string>(bytes);
+        post([copy](RequestRelay &self) { self.onBody(*copy); },
+             [copy](RequestRelay &self) { self.onFallbackBody(*copy); });
     };
     hooks.onClosed = [post](const Result<Done> &result) {
         post([result](RequestRelay &self) { self.onClosed(result); },
