transport: take back the least rate of request bodies

Ruled out: load; all refusals are logged as slowBody. Change: reverts. Conclusion: a bound has to come from the caller's deadline or the route's timeout, which the connection does not know.

--- a/include/foxtailring/transport/ConnectionCut.h
+++ b/include/foxtailring/transport/ConnectionCut.h
@@ -13,7 +13,6 @@
     enum class Cause {
         IdleTimeout,   ///< no input, or no output progress, for HttpLimits::idleTimeout
         HeaderTimeout, ///< the head took longer than HttpLimits::headerTimeout
-        SlowBody,      ///< the body arrived below HttpLimits::minBodyBytesPerSecond
         Stop,          ///< the server was closed
         CallerClosed,  ///< the caller ended the connection
         Closing,       ///< the request crossed the close of an idle connection
--- a/include/foxtailring/transport/HttpLimits.h
+++ b/include/foxtailring/transport/HttpLimits.h
@@ -14,9 +14,6 @@
     std::chrono::milliseconds idleTimeout {60'000};
     /// Longest time from the first bytes of a head to its end.
     std::chrono::milliseconds headerTimeout {60'000};
-    /// A body is refused when it takes longer than idleTimeout and the time of its payload at this
-    /// rate. 500 is also the default of Apache's mod_reqtimeout.
-    std::size_t minBodyBytesPerSecond = 500;
 };
 
 } // namespace foxtailring
--- a/src/transport/ConnectionCut.cpp
+++ b/src/transport/ConnectionCut.cpp
@@ -9,8 +9,6 @@
         return "idleTimeout";
     case ConnectionCut::Cause::HeaderTimeout:
         return "headerTimeout";
-    case ConnectionCut::Cause::SlowBody:
-        return "slowBody";
     case ConnectionCut::Cause::Stop:
         return "stop";
     case ConnectionCut::Cause::CallerClosed:
--- a/src/transport/Http1Connection.cpp
+++ b/src/transport/Http1Connection.cpp
@@ -139,7 +139,6 @@
     m_continueSent = false;
     m_headStarted = false;
     m_headBytes = 0;
-    m_bodyStartedAt.reset();
     m_needsMore = false;
     m_responseComplete = false;
     m_arrivedBytes = m_input.size();
@@ -239,8 +238,6 @@
 // Runs after each read of a body: extends the deadline and sends 100 Continue if it is expected.
 void Http1Connection::continueRequest()
 {
-    if (!m_bodyStartedAt)
-        m_bodyStartedAt = std::chrono::steady_clock::now();
     armDeadline(&HttpLimits::idleTimeout);
     const auto expected = m_parser->get()[http::field::expect];
     if (m_continueSent || !equalIgnoringCase({expected.data(), expected.size()}, "100-continue"))
@@ -402,30 +399,11 @@
 void Http1Connection::startDeadline()
 {
     const auto age = std::chrono::steady_clock::now() - m_deadlineStartedAt;
-    auto remaining = std::max(m_limits.*m_deadlineLimit - age, decltype(age)::zero());
-    if (isInBody())
-        remaining = std::min(remaining, bodyTimeLeft());
+    const auto remaining = std::max(m_limits.*m_deadlineLimit - age, decltype(age)::zero());
     m_isOverdue = false;
     startTimer(std::chrono::ceil<std::chrono::milliseconds>(remaining));
 }
 
-bool Http1Connection::isInBody() const
-{
-    return m_phase == Phase::Request && m_bodyStartedAt;
-}
-
-// Only payload counts: a caller could send chunk extensions at any rate.
-std::chrono::nanoseconds Http1Connection::bodyTimeLeft() const
-{
-    const std::chrono::duration<double> earned(
-        static_cast<double>(m_parser->get().body().size())
-        / static_cast<double>(m_limits.minBodyBytesPerSecond));
-    const std::chrono::nanoseconds left = m_limits.idleTimeout
-        + std::chrono::duration_cast<std::chrono::nanoseconds>(earned)
-        - (std::chrono::steady_clock::now() - *m_bodyStartedAt);
-    return std::max(left, std::chrono::nanoseconds::zero());
-}
-
 void Http1Connection::armDeadline(std::chrono::milliseconds delay)
 {
     m_deadlineLimit = nullptr;
@@ -478,23 +456,13 @@
 
 void Http1Connection::rejectLate()
 {
-    if (!m_parser->is_header_done())
-        return rejectLate(ConnectionCut::Cause::HeaderTimeout,
-                          "the head did not arrive within "
-                              + std::to_string(m_limits.headerTimeout.count()) + " ms");
-    if (std::chrono::steady_clock::now() - m_deadlineStartedAt < m_limits.idleTimeout)
-        return rejectLate(ConnectionCut::Cause::SlowBody,
-                          "the body arrived at less than "
-                              + std::to_string(m_limits.minBodyBytesPerSecond) + " bytes a second");
-    rejectLate(ConnectionCut::Cause::IdleTimeout,
-               "no part of the body arrived within " + std::to_string(m_limits.idleTimeout.count())
-                   + " ms");
-}
-
-void Http1Connection::rejectLate(ConnectionCut::Cause cause, std::string_view detail)
-{
-    reportCut(cause);
-    rejectRequest(408, "Request Timeout", detail);
+    const bool isInHead = !m_parser->is_header_done();
+    reportCut(isInHead ? ConnectionCut::Cause::HeaderTimeout : ConnectionCut::Cause::IdleTimeout);
+    rejectRequest(408, "Request Timeout",
+                  isInHead ? "the head did not arrive within "
+                          + std::to_string(m_limits.headerTimeout.count()) + " ms"
+                           : "no part of the body arrived within "
+                          + std::to_string(m_limits.idleTimeout.count()) + " ms");
 }
 
 void Http1Connection::cut(ConnectionCut::Cause cause)
--- a/src/transport/Http1Connection.h
+++ b/src/transport/Http1Connection.h
@@ -14,7 +14,6 @@
 #include <memory>
 #include <optional>
 #include <string>
-#include <string_view>
 #include <vector>
 
 namespace foxtailring {
@@ -82,10 +81,6 @@
     bool extendForReader();
     /// \brief Refuses a request that has not arrived within its time limit.
     void rejectLate();
-    void rejectLate(ConnectionCut::Cause cause, std::string_view detail);
-    bool isInBody() const;
-    /// \brief Time until a body of which no more arrives is too slow.
-    std::chrono::nanoseconds bodyTimeLeft() const;
     /// \brief Closes the connection and reports the cut, if there is one.
     void cut(ConnectionCut::Cause cause);
     void reportCut(ConnectionCut::Cause cause);
@@ -112,8 +107,7 @@
     std::vector<HttpHeader> m_headers; ///< of the current request, without trailers
     std::shared_ptr<Http1ServerExchange> m_exchange;
     bool m_continueSent = false;
-    bool m_headStarted = false; ///< the first bytes of a head have arrived
-    std::optional<std::chrono::steady_clock::time_point> m_bodyStartedAt;
+    bool m_headStarted = false;     ///< the first bytes of a head have arrived
     bool m_needsMore = false;       ///< the parser has left a part of m_input unread
     bool m_expectsRequest = false;  ///< counted in Http1ServerShared::expectedRequestCount
     std::size_t m_headBytes = 0;    ///< of the current head, as far as it has been parsed
