tests/process: give each gateway the same time to list a server in odd_entries

Cause: the test looked at the second gateway's log as soon as one gateway had served the new server. Change: each gateway has until the same deadline that holds for the first request. Conclusion: the limit is unchanged; a gateway that does not list the server within it still fails.

--- a/tests/process/odd_entries.py
+++ b/tests/process/odd_entries.py
@@ -151,12 +151,16 @@
 
     def check_followed(self, name, server):
         """A server that starts and a configuration with another account come into force."""
+        deadline = time.monotonic() + MAX_DELAY_SECONDS
         server.leave()
         if not self.wait_until_served(server):
             yield f"{name}: {server.name}, which was listed later, gets no requests"
         for gateway in self.cluster.gateways:
-            if not self.has_listed(gateway, server):
-                yield f"{name}: {gateway.name} does not list {server.name}"
+            while not self.has_listed(gateway, server):
+                if time.monotonic() > deadline:
+                    yield f"{name}: {gateway.name} does not list {server.name}"
+                    break
+                time.sleep(0.1)
         key = f"later-{next(self.numbers)}"
         self.cluster.accounts[key] = {key}
         self.cluster.publish_config()
