soak: name the moment of a backup instead of its age

The test passed the age of the backup, and the stand-in subtracted it from the time at which it was called. When the thread is switched out between the two readings of the clock, the moment moves beyond the write that is to be lost, and the restore loses nothing. Ruled out: the watch of the stand-in; the answer is right for a store that was not rolled back. Change: Store.restore() takes the moment at which the backup was made. No check changes. Conclusion: the other callers (soak faults, restored_store) had the same gap and use the moment too.

--- a/tests/process/restored_store.py
+++ b/tests/process/restored_store.py
@@ -113,8 +113,8 @@
         for gateway in gateways:
             self.cluster.set_link(gateway.store_route, faults)
 
-    def restore(self, since, **options):
-        self.store.restore(time.monotonic() - since, **options)
+    def restore(self, made_at, **options):
+        self.store.restore(made_at, **options)
         return time.monotonic()
 
     def _probe(self, gateway):
@@ -417,7 +417,7 @@
     number = play.lease_of(first)
     first.process.pause()
     with play.store.lock:
-        play.store.restore(0)
+        play.store.restore(time.monotonic())
         play.store.next_lease = number
     wait_for(lambda: play.lease_of(second) == number, f"{second.name} has not got lease {number}")
     second.process.pause()
--- a/tests/soak/test_store.py
+++ b/tests/soak/test_store.py
@@ -48,12 +48,9 @@
     def keys(self):
         return sorted(self.store.items)
 
-    def age(self, since):
-        return time.monotonic() - since
-
-    def restore(self, since, **options):
-        """Restores a backup of the time since."""
-        self.store.restore(self.age(since), **{"config_delay": None, "servers_delay": None, **options})
+    def restore(self, made_at, **options):
+        """Restores a backup that was made at `made_at`; nothing is written again by itself."""
+        self.store.restore(made_at, **{"config_delay": None, "servers_delay": None, **options})
 
     def test_restore_brings_back_items_and_revision(self):
         self.store.put(PREFIX + "kept", 1)
--- a/tools/lib/soak/faults.py
+++ b/tools/lib/soak/faults.py
@@ -228,7 +228,7 @@
             time.sleep(0.1)
         seconds_old = YOUNGEST_BACKUP_SECONDS + fraction * BACKUP_AGE_SPREAD_SECONDS
         away = ["down", "silent", "reset"][int(fraction * 30) % 3]
-        store.restore(seconds_old, away_seconds=seconds, away=away)
+        store.restore(time.monotonic() - seconds_old, away_seconds=seconds, away=away)
         self.cluster.journal.record("restored", epoch=store.epoch, seconds_old=seconds_old, away=away)
         if pause:
             self.cluster.publish_config()
--- a/tools/lib/soak/store.py
+++ b/tools/lib/soak/store.py
@@ -139,9 +139,9 @@
         while self.away:
             self.lock.wait()
 
-    def restore(self, seconds_old, away_seconds=0, away="down", config_delay=0,
+    def restore(self, made_at, away_seconds=0, away="down", config_delay=0,
                 servers_delay=SERVERS_REWRITE_SECONDS):
-        """Restores the store from a backup that was made `seconds_old` before this call.
+        """Restores the store from a backup that was made at the monotonic time `made_at`.
 
         Until then the store is away for `away_seconds`: "down" (503), "silent" or "reset". The items and the revision
         become those of the backup, all leases and their keys are gone without an event, and the epoch rises by one.
@@ -149,7 +149,6 @@
         the removals of entries, at equal intervals within `servers_delay` seconds. None: rewrite() does it.
         """
         with self.restore_lock:
-            made_at = time.monotonic() - seconds_old
             if away_seconds:
                 with self.lock:
                     self.away = away
