tests/soak: wait for the store's state in place of fixed times

Change: the stand-in counts its open watches; the tests wait for the count or for the state, 10 s at most.

--- a/tests/soak/test_store.py
+++ b/tests/soak/test_store.py
@@ -52,6 +52,10 @@
         """Restores a backup that was made at `made_at`; nothing is written again by itself."""
         self.store.restore(made_at, **{"config_delay": None, "servers_delay": None, **options})
 
+    def wait_until(self, condition):
+        with self.store.lock:
+            self.assertTrue(self.store.lock.wait_for(condition, timeout=10))
+
     def test_restore_brings_back_items_and_revision(self):
         self.store.put(PREFIX + "kept", 1)
         self.store.put(PREFIX + "removed", 1)
@@ -119,7 +123,7 @@
         answers = []
         watch = threading.Thread(target=lambda: answers.append(self.watch(self.store.revision, 3000)))
         watch.start()
-        time.sleep(0.2)
+        self.wait_until(lambda: self.store.open_watches)
         self.restore(backup)
         watch.join()
         self.assertEqual([(410, {}, "2")], answers)
@@ -131,7 +135,7 @@
                 restore = threading.Thread(target=self.restore, args=(time.monotonic(),),
                                            kwargs={"away_seconds": 1, "away": away})
                 restore.start()
-                time.sleep(0.1)
+                self.wait_until(lambda: self.store.away)
                 if error:
                     self.assertRaises(error, self.watch, 0, timeout=0.3)
                 else:
@@ -154,7 +158,7 @@
 
                 thread = threading.Thread(target=watch)
                 thread.start()
-                time.sleep(0.2)
+                self.wait_until(lambda: self.store.open_watches)
                 self.restore(time.monotonic(), away_seconds=0.3, away=away)
                 thread.join()
                 self.assertEqual([error], errors)
--- a/tools/lib/soak/store.py
+++ b/tools/lib/soak/store.py
@@ -54,6 +54,7 @@
         self.newest = {}
         self.keys_to_rewrite = set()
         self.changes = collections.deque()
+        self.open_watches = 0
         self.restore_lock = threading.Lock()
         store = self
 
@@ -312,6 +313,14 @@
     def _watch(self, prefix, after, wait):
         """A watch that is open while the store is restored goes on in the restored history."""
         deadline = time.monotonic() + wait
+        self.open_watches += 1
+        self.lock.notify_all()
+        try:
+            return self._wait_for_events(prefix, after, deadline)
+        finally:
+            self.open_watches -= 1
+
+    def _wait_for_events(self, prefix, after, deadline):
         while True:
             if after < self.compacted_revision or after > self.revision:
                 return 410, {}
