transport: ignore connection attempts before the port is closed

Cause: the kernel completes handshakes until the listener is closed. One that ends between the last accept() and close() is reset. Ruled out: connections in the backlog at the time of the close; those have been accepted since. Change: 0.1 s before the close a filter on the listener drops segments with SYN, so that handshakes under way end and are accepted, and no new one begins. An attempt in that time is repeated by the caller's system after a second and refused, before anything is sent.

--- a/include/foxtailring/transport/Http1Server.h
+++ b/include/foxtailring/transport/Http1Server.h
@@ -44,6 +44,10 @@
     void setLimits(HttpLimits limits);
     /// \brief Closes each connection after its next response; new connections are still accepted.
     void disableKeepAlive();
+    /// \brief Leaves connection attempts unanswered, so that stopAccepting() resets none whose
+    /// handshake it crosses. To be called a round trip before it. Unavailable: the system does not
+    /// support it.
+    Result<Done> ignoreNewConnections();
     /// \brief Refuses new connections. Open ones close after their next response.
     void stopAccepting();
     /// \brief Closes idle connections in order, after stopAccepting(), and refuses requests that
--- a/src/gateway/GatewayNode.cpp
+++ b/src/gateway/GatewayNode.cpp
@@ -26,6 +26,9 @@
 // The load balancer probes once a second and stops sending new connections after two failures.
 constexpr milliseconds acceptDuration {3000};
 constexpr milliseconds drainPollInterval {50};
+// Connection attempts are ignored for this long before the port is closed, so that the handshakes
+// that have begun are completed and accepted.
+constexpr milliseconds handshakeReserve {100};
 // A request on a kept-alive connection that was sent just before its caller learned of the stop has
 // arrived by then.
 constexpr milliseconds lateRequestWait {300};
@@ -208,6 +211,7 @@
 
     void answerProbe(const HttpRequest &request, const std::shared_ptr<Http1Responder> &responder);
     void checkDrained();
+    void closePort(Duration age);
     bool hasRequests() const;
     void stop();
 
@@ -221,6 +225,7 @@
     StoreWatch watch;
     GatewayPublisher publisher;
     Timer drainTimer;
+    bool isIgnoringConnections = false;   ///< before isStopping; on the queue
     bool isStopping = false;              ///< no new connections; on the queue
     bool hasGivenUp = false;              ///< requests that last too long were ended; on the queue
     TimePoint drainStartedAt;             ///< on the queue
@@ -247,12 +252,21 @@
     return callers.openRequestCount() > 0 || callers.expectedRequestCount() > 0;
 }
 
+void GatewayNode::State::closePort(Duration age)
+{
+    if (age >= acceptDuration - handshakeReserve && !std::exchange(isIgnoringConnections, true)) {
+        if (const auto ignored = callers.ignoreNewConnections(); !ignored)
+            StructuredLog::warn("newConnectionsNotIgnored", {{"message", ignored.error().message}});
+    }
+    if (age >= acceptDuration && !std::exchange(isStopping, true))
+        callers.stopAccepting();
+}
+
 void GatewayNode::State::checkDrained()
 {
     const auto age = parts.clock() - drainStartedAt;
     const milliseconds endsAt = parts.settings.drainTimeout - shutdownReserve;
-    if (age >= acceptDuration && !std::exchange(isStopping, true))
-        callers.stopAccepting();
+    closePort(age);
     if (isStopping && !idleClosedAt
         && (age >= endsAt - idleCloseReserve
             || (age >= acceptDuration + lateRequestWait && !hasRequests()))) {
--- a/src/transport/Http1Server.cpp
+++ b/src/transport/Http1Server.cpp
@@ -67,6 +67,11 @@
     m_state->shared->isClosing = true;
 }
 
+Result<Done> Http1Server::ignoreNewConnections()
+{
+    return m_state->listener->ignoreAttempts();
+}
+
 void Http1Server::stopAccepting()
 {
     m_state->shared->isStopping = true;
--- a/src/transport/Listener.cpp
+++ b/src/transport/Listener.cpp
@@ -1,5 +1,9 @@
 #include "Listener.h"
 
+#include <iterator>
+#include <linux/filter.h>
+#include <sys/socket.h>
+
 namespace foxtailring {
 
 namespace {
@@ -7,6 +11,11 @@
 // Without a delay, accept() would fail in a busy loop while no file descriptor is left.
 constexpr std::chrono::milliseconds acceptRetryDelay {50};
 
+constexpr unsigned tcpFlagsOffsetBytes = 13;
+constexpr unsigned tcpSynFlag = 2;
+constexpr unsigned dropSegment = 0;
+constexpr unsigned passSegment = 0xffffffff;
+
 } // namespace
 
 Listener::Listener(net::io_context &context, Endpoint endpoint, Hook hook)
@@ -59,6 +68,28 @@
     m_retryTimer.cancel();
 }
 
+// The kernel completes handshakes until the port is closed, and resets the connections that it
+// completes after the last accept(). So their first segment, the one with SYN, is dropped before.
+Result<Done> Listener::ignoreAttempts()
+{
+    sock_filter program[] = {
+        BPF_STMT(BPF_LD | BPF_B | BPF_ABS, tcpFlagsOffsetBytes),
+        BPF_JUMP(BPF_JMP | BPF_JSET | BPF_K, tcpSynFlag, 0, 1),
+        BPF_STMT(BPF_RET | BPF_K, dropSegment),
+        BPF_STMT(BPF_RET | BPF_K, passSegment),
+    };
+    const sock_fprog filter {static_cast<unsigned short>(std::size(program)), program};
+    const std::lock_guard lock(m_mutex);
+    if (::setsockopt(m_acceptor.native_handle(), SOL_SOCKET, SO_ATTACH_FILTER, &filter,
+                     sizeof filter)
+        == 0)
+        return Done {};
+    const ErrorStatus status(errno, boost::system::system_category());
+    return Error {ErrorCode::Unavailable,
+                  "cannot ignore connection attempts on " + m_endpoint.toString() + ": "
+                      + status.message()};
+}
+
 // Closing the listener resets connections in the backlog, whose callers may have sent a request.
 void Listener::acceptPending()
 {
--- a/src/transport/Listener.h
+++ b/src/transport/Listener.h
@@ -24,6 +24,9 @@
     /// \brief Starts accepting connections and returns the port. InvalidArgument: the endpoint is
     /// not an IP address. Unavailable: binding failed.
     Result<std::uint16_t> listen();
+    /// \brief Leaves connection attempts unanswered from now on. Connections whose handshake has
+    /// begun are still accepted. Unavailable: the system does not support it.
+    Result<Done> ignoreAttempts();
     /// \brief Accepts the connections in the kernel's backlog.
     void acceptPending();
     /// \brief Stops accepting; the port is free when this returns.
--- a/tests/transport/Http1ServerTest.cpp
+++ b/tests/transport/Http1ServerTest.cpp
@@ -9,6 +9,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <future>
 #include <memory>
 #include <optional>
 #include <random>
@@ -60,6 +61,7 @@
     CPPUNIT_TEST(abortSendsNoFinalChunk);
     CPPUNIT_TEST(stoppedServerFinishesItsRequest);
     CPPUNIT_TEST(requestsSentDuringStopAreAnswered);
+    CPPUNIT_TEST(attemptsBeforeThePortIsClosedAreNotEstablished);
     CPPUNIT_TEST(newConnectionsOfAStoppedServerMaySend);
     CPPUNIT_TEST(stoppedServerRefusesPartsOfRequests);
     CPPUNIT_TEST(requestsAtTheIdleLimitAreAnswered);
@@ -347,6 +349,17 @@
         }
     }
 
+    // Guards against a connection that is established, but reset as the port is closed before it is
+    // accepted.
+    void attemptsBeforeThePortIsClosedAreNotEstablished()
+    {
+        CPPUNIT_ASSERT(m_server->ignoreNewConnections());
+        auto attempt = std::async(std::launch::async, [this] { RawPeer {m_port}; });
+        waitFor(shortTimeout);
+        m_server->stopAccepting();
+        CPPUNIT_ASSERT_THROW(attempt.get(), boost::system::system_error);
+    }
+
     // A caller that connected last must not be cut because it takes a while until it sends.
     void newConnectionsOfAStoppedServerMaySend()
     {
