decisions: leave a run that its engine no longer lists before its first event

Callers saw: a first event that came seconds late, or a request that failed at its deadline, although the engine answered its probes. Cause: an engine that loses the answer of a run keeps the connection open. Ruled out: prompts of others ahead of it; the reports count 0 runs that wait or are in prefill. Change: a report that lists the engine's runs, has none that waits or is in prefill and does not list this one shows that it is lost, from 1 s after it was sent. Engines that list no runs, or a list that cannot be read whole, show nothing; this was taken for a lost run after the first event before.

--- a/include/foxtailring/decisions/ServerProbeResult.h
+++ b/include/foxtailring/decisions/ServerProbeResult.h
@@ -20,6 +20,7 @@
     std::int64_t startedAtMs = 0; ///< Unix time of its start; 0: not given
     LeavingNotice leaving = LeavingNotice::None;
     bool isTurnedAway = false; ///< the server asked for a pause in place of a report
+    bool listsRuns = false;    ///< all runs but those in prompt processing; \a hasRun is known
 };
 
 } // namespace foxtailring
--- a/include/foxtailring/decisions/StreamSession.h
+++ b/include/foxtailring/decisions/StreamSession.h
@@ -85,6 +85,7 @@
     TimePoint stuckAt() const;
     bool isPresumedLost(TimePoint now) const;
     bool showsLostRun(const ServerProbeResult &report, TimePoint now) const;
+    bool isMissing(const ServerProbeResult &report) const;
     void endPlacement();
     ForwardAction onSilent(TimePoint now);
     /// Whether the attempt at a silent server may still lead to a whole answer.
--- a/src/decisions/StreamSession.cpp
+++ b/src/decisions/StreamSession.cpp
@@ -534,14 +534,24 @@
     const auto current = context().servers.server(server().info.id, m_probedAt);
     if (current && current->isReplaced)
         return true;
+    if (!report.hasRun)
+        return isMissing(report);
     if (!m_hasEvents)
         return false;
-    if (report.hasRun) {
-        // An event whose bytes are arriving slowly is produced, but not missing.
-        const bool isArriving = now - m_partialEventAt < silenceThreshold();
-        return report.eventCount > m_lastEventId.value_or(0) + (isArriving ? 1 : 0);
-    }
-    return m_probedAt - m_firstEventAt > maxReportAge;
+    // An event whose bytes are arriving slowly is produced, but not missing.
+    const bool isArriving = now - m_partialEventAt < silenceThreshold();
+    return report.eventCount > m_lastEventId.value_or(0) + (isArriving ? 1 : 0);
+}
+
+// Runs that wait or whose prompt is processed are not listed, so before the first event the run is
+// only known to be missing when the server has none of these.
+bool StreamSession::isMissing(const ServerProbeResult &report) const
+{
+    const bool mayBeUnlisted = !m_hasEvents && report.load.waiting + report.load.prefilling > 0;
+    if (!report.listsRuns || mayBeUnlisted)
+        return false;
+    const TimePoint knownSince = m_hasEvents ? m_firstEventAt : sentAt();
+    return m_probedAt - knownSince > maxReportAge;
 }
 
 // True if the server is doubtful or suspected, sent no event yet, and there was no contact for too
--- /dev/null
+++ b/tests/decisions/UnlistedRunTest.cpp
@@ -0,0 +1,138 @@
+#include "foxtailring/decisions/StreamSession.h"
+
+#include "ForwardFixture.h"
+
+using namespace foxtailring;
+
+// A server that loses the answer of a run keeps the connection open, so only its reports show that
+// the run is gone.
+class UnlistedRunTest : public ForwardFixture
+{
+    CPPUNIT_TEST_SUITE(UnlistedRunTest);
+    CPPUNIT_TEST(runThatItsServerLostIsNotWaitedFor);
+    CPPUNIT_TEST(reportMayMissARunThatWasJustSent);
+    CPPUNIT_TEST(runMayBeAmongTheWaitingOnes);
+    CPPUNIT_TEST(runMayBeAmongThePromptsBeingRead);
+    CPPUNIT_TEST(listedRunIsKept);
+    CPPUNIT_TEST(serverThatListsNoRunsShowsNothing);
+    CPPUNIT_TEST(serverThatListsNoRunsShowsNothingAfterEvents);
+    CPPUNIT_TEST_SUITE_END();
+
+    static constexpr Ms firstReportAt {400};
+
+public:
+    void setUp() override
+    {
+        listServers();
+        m_route.latencyObjective = Ms(4500);
+        m_route.timeout = Ms(25000);
+    }
+
+    // Guards against holding a caller until the limit for the first event (3.6 s on a played day).
+    void runThatItsServerLostIsNotWaitedFor()
+    {
+        const ForwardAction next = lastActionWith([](ServerProbeResult &) {});
+        const std::string other = sent(next).server.info.id;
+        CPPUNIT_ASSERT(other != m_id);
+        CPPUNIT_ASSERT(m_at <= now + Ms(1500));
+    }
+
+    void reportMayMissARunThatWasJustSent()
+    {
+        start();
+        CPPUNIT_ASSERT(std::holds_alternative<KeepWaiting>(report(now + firstReportAt, {})));
+    }
+
+    void runMayBeAmongTheWaitingOnes()
+    {
+        expectKept([](ServerProbeResult &result) { result.load.waiting = 1; });
+    }
+
+    void runMayBeAmongThePromptsBeingRead()
+    {
+        expectKept([](ServerProbeResult &result) { result.load.prefilling = 1; });
+    }
+
+    void listedRunIsKept()
+    {
+        expectKept([](ServerProbeResult &result) { result.hasRun = true; });
+    }
+
+    // Guards against reading a prompt anew whenever an engine without such lists is slow.
+    void serverThatListsNoRunsShowsNothing()
+    {
+        expectKept([](ServerProbeResult &result) { result.listsRuns = false; });
+    }
+
+    void serverThatListsNoRunsShowsNothingAfterEvents()
+    {
+        start();
+        m_session->onEvent(1, now + Ms(1000));
+        ServerProbeResult unknown;
+        unknown.listsRuns = false;
+        CPPUNIT_ASSERT(std::holds_alternative<KeepWaiting>(reportOf(unknown, now + Ms(2500))));
+    }
+
+private:
+    using Change = std::function<void(ServerProbeResult &)>;
+
+    void start()
+    {
+        m_session.emplace(m_route, request(), context(),
+                          StreamSession::EngineCapabilities {true, true, true});
+        const auto probe = std::get<ProbeServers>(m_session->start(now));
+        m_id = sent(m_session->onProbed(idle(probe), now)).server.info.id;
+    }
+
+    static std::vector<ServerProbeResult> idle(const ProbeServers &probe)
+    {
+        std::vector<ServerProbeResult> results(probe.servers.size());
+        for (std::size_t i = 0; i < results.size(); ++i)
+            results[i].serverId = probe.servers[i].info.id;
+        return results;
+    }
+
+    /// The run's server is probed at \a at and answers that it has no run, changed by \a change.
+    ForwardAction report(TimePoint at, const Change &change)
+    {
+        ServerProbeResult result;
+        result.listsRuns = true;
+        if (change)
+            change(result);
+        return reportOf(result, at);
+    }
+
+    ForwardAction reportOf(ServerProbeResult result, TimePoint at)
+    {
+        const ForwardAction probe = m_session->check(at);
+        CPPUNIT_ASSERT(std::holds_alternative<ProbeServers>(probe));
+        result.serverId = m_id;
+        return m_session->onProbed(std::vector {result}, at);
+    }
+
+    /// Probes until the session does something else or two seconds have passed.
+    ForwardAction lastActionWith(const Change &change)
+    {
+        start();
+        for (m_at = now + firstReportAt; m_at < now + Ms(2000); m_at = m_session->nextCheck()) {
+            ForwardAction action = report(m_at, change);
+            if (const auto *probe = std::get_if<ProbeServers>(&action))
+                return m_session->onProbed(idle(*probe), m_at);
+            if (!std::holds_alternative<KeepWaiting>(action))
+                return action;
+        }
+        return KeepWaiting {};
+    }
+
+    void expectKept(const Change &change)
+    {
+        CPPUNIT_ASSERT(std::holds_alternative<KeepWaiting>(lastActionWith(change)));
+    }
+
+    HttpRoute m_route = route(CallKind::Stream);
+    std::optional<StreamSession> m_session;
+    std::string m_id;
+    TimePoint m_at;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(UnlistedRunTest);
--- a/tests/platform/DocumentsTest.cpp
+++ b/tests/platform/DocumentsTest.cpp
@@ -47,6 +47,7 @@
     CPPUNIT_TEST(serverIsDecoded);
     CPPUNIT_TEST(invalidEntriesAreRefused);
     CPPUNIT_TEST(engineReportIsDecoded);
+    CPPUNIT_TEST(engineReportMayListNoRuns);
     CPPUNIT_TEST(oddReportsOfEnginesAreRefused);
     CPPUNIT_TEST(oddRunsOfEnginesAreNotFound);
     CPPUNIT_TEST(promptListIsDecoded);
@@ -135,9 +136,18 @@
         CPPUNIT_ASSERT_EQUAL(std::int64_t(7), own.eventCount);
         CPPUNIT_ASSERT_EQUAL(1U, own.load.prefilling);
         CPPUNIT_ASSERT_EQUAL(1U, own.load.waiting);
+        CPPUNIT_ASSERT(own.listsRuns);
         CPPUNIT_ASSERT(!platform::decodeLoadReport(answer, "r3").value().hasRun);
     }
 
+    // Guards against a run that is taken for lost because its engine lists no runs.
+    void engineReportMayListNoRuns()
+    {
+        const HttpResponse answer {200, {}, R"({"num_waiting":0,"num_running":3,"kv_used":41,
+            "kv_total":90})"};
+        CPPUNIT_ASSERT(!platform::decodeLoadReport(answer, "r").value().listsRuns);
+    }
+
     // Guards against an engine that counts as idle because its load wrapped or is negative, and
     // against a start time by which each engine has restarted.
     void oddReportsOfEnginesAreRefused()
@@ -165,7 +175,10 @@
             const std::string report = R"({"num_waiting":1,"num_running":3,"kv_used":41,
                 "kv_total":90,"runs":[["r1",4100,)"
                 + std::string(events) + R"(,5],7,[],["r2",90,1,5]]})";
-            CPPUNIT_ASSERT(!platform::decodeLoadReport({200, {}, report}, "r1").value().hasRun);
+            const ServerProbeResult odd =
+                platform::decodeLoadReport({200, {}, report}, "r1").value();
+            CPPUNIT_ASSERT(!odd.hasRun);
+            CPPUNIT_ASSERT(!odd.listsRuns);
             CPPUNIT_ASSERT(platform::decodeLoadReport({200, {}, report}, "r2").value().hasRun);
         }
     }
