soak: let the stand-in repeat an event of the run that it serves

Cause: the stand-in's fault endlessRepeats sent `id: 1`, `data: abc` without end, for every run. The event carries nothing by which a gateway could tell it from one of the run, so no change of the gateway would help. Change: a stream repeats the event that follows the last one the caller has, a call repeats its answer. The check is unchanged. Conclusion: what remains repeated is an event with an id that is not due, which the gateway must drop.

--- a/tools/lib/soak/backend.py
+++ b/tools/lib/soak/backend.py
@@ -210,7 +210,7 @@
             return dribble.send_answer(handler, dribbled, headers, answer)
         shape = next(filter(self.has_fault, endless.SHAPES), None)
         if shape:
-            return endless.send_endless_answer(handler, shape, headers, answer)
+            return endless.send_endless_answer(handler, shape, headers, answer, answer)
         if self.has_fault("answerLost"):
             handler.close_connection = True
             return
@@ -249,7 +249,8 @@
         if shape:
             return endless.send_endless_answer(handler, shape,
                                                {"Content-Type": "text/event-stream", **headers},
-                                               whole_stream(request, last_event))
+                                               whole_stream(request, last_event),
+                                               event_text(request, min(last_event + 1, EVENTS_PER_RUN)))
         head = handler.head(200, None, {"Content-Type": "text/event-stream", **headers})
         dribbled = query_value(handler, "dribble")
         if dribbled:
--- a/tools/lib/soak/endless.py
+++ b/tools/lib/soak/endless.py
@@ -36,7 +36,7 @@
     return head
 
 
-def next_bytes(shape):
+def next_bytes(shape, event):
     if shape == "endlessInterim":
         return b"HTTP/1.1 103 Early Hints\r\n\r\n" * 1000
     if shape == "endlessHeaders":
@@ -46,16 +46,17 @@
     if shape == "endlessOthers":
         return OTHER_ANSWER * 100
     if shape in ("endlessComments", "endlessRepeats"):
-        event = b": comment\n\n" if shape == "endlessComments" else b"id: 1\ndata: abc\n\n"
-        return b"%x\r\n%s\r\n" % (len(event) * 100, event * 100)
+        repeated = b": comment\n\n" if shape == "endlessComments" else event
+        return b"%x\r\n%s\r\n" % (len(repeated) * 100, repeated * 100)
     if shape in ("endlessChunks", "endlessEvent"):
         return b"%x\r\n%s\r\n" % (len(CHUNK), CHUNK)
     return CHUNK
 
 
-def send_endless_answer(handler, shape, headers, body):
-    """Sends until the client closes the connection. Shapes with a complete answer start with body."""
+def send_endless_answer(handler, shape, headers, body, event):
+    """Sends until the client closes the connection. Shapes with a complete answer start with body; endlessRepeats
+    repeats event, which must be the run's own: a client cannot tell well-formed data of another origin from it."""
     handler.close_connection = True
     handler.wfile.write(first_bytes(handler, shape, headers, body))
     for _ in itertools.count():
-        handler.wfile.write(next_bytes(shape))
+        handler.wfile.write(next_bytes(shape, event))
