soak: judge runsAtOneServer by the order in which attempts were sent

Cause: the check took the run that arrived last for the one that goes on. Change: attempts are ordered by the time left that each one was told (Request-Deadline-Ms, as the servers recorded it; it falls from attempt to attempt). The order of arrival decides where a run has no such time, or where the times differ by more than has passed between the caller's sending and the last arrival. The bound stays 0.4 s. A run that arrived first and was sent last, which the check used to blame, is judged from the end of its caller's request on instead, so that a gateway that leaves it after all is still found. Measured: tests/soak/test_checks.py.

--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -223,6 +223,42 @@
                          record("ended", 101.2, server="i-0-1")]
         self.assertEqual([], self.violated_rules(checks.streams_run_at_one_server))
 
+    def two_attempts(self, *runs, ended_at=101.2):
+        """A stream sent at 99.4 s; a run is a server, the time left told to it, and its arrival, start and end."""
+        self.attempts[:] = [attempt(kind="streams", sent_at=99.4, ended_at=ended_at)]
+        self.records[:] = []
+        for server, time_left_ms, arrived_at, started_at, ended in runs:
+            self.records += [record("arrived", arrived_at, server=server),
+                             run(at=started_at, server=server, deadline=time_left_ms),
+                             record("ended", ended, server=server)]
+
+    # A slow link: the attempt that was sent first and left arrived 17 ms after the one that goes on (seed 528).
+    def test_attempt_that_arrived_last_may_have_been_sent_first(self):
+        self.two_attempts(("i-0-2", 11480, 100.0, 100.2, 101.1), ("i-1-2", 12000, 100.017, 100.3, 100.328))
+        self.assertEqual([], self.violated_rules(checks.streams_run_at_one_server))
+
+    def test_run_that_was_left_and_works_on(self):
+        for name, arrived_at in (("arrived first", 99.5), ("arrived last", 100.017)):
+            for end, rules in ((100.89, []), (100.92, ["runsAtOneServer"])):
+                with self.subTest(name=name, end=end):
+                    self.two_attempts(("i-0-2", 11480, 100.0, 100.2, 101.1),
+                                      ("i-1-2", 12000, arrived_at, 100.19, end))
+                    self.assertEqual(rules, self.violated_rules(checks.streams_run_at_one_server))
+
+    def test_run_that_arrived_first_goes_on_without_its_caller(self):
+        for end, rules in ((101.85, []), (101.95, ["runsAtOneServer"])):
+            with self.subTest(end=end):
+                self.two_attempts(("i-0-2", 11480, 100.0, 100.2, end), ("i-1-2", 12000, 100.017, 100.3, 100.5))
+                self.assertEqual(rules, self.violated_rules(checks.streams_run_at_one_server))
+
+    # The attempts cannot have been sent further apart than the caller's request and the last arrival.
+    def test_time_left_that_cannot_be_true_gives_no_order(self):
+        for time_left_ms, rules in ((11400, []), (11300, ["runsAtOneServer"]), (0, ["runsAtOneServer"])):
+            with self.subTest(time_left_ms=time_left_ms):
+                self.two_attempts(("i-0-2", time_left_ms, 100.0, 100.2, 101.1),
+                                  ("i-1-2", 12000, 100.017, 100.3, 100.328))
+                self.assertEqual(rules, self.violated_rules(checks.streams_run_at_one_server))
+
     def test_withdrawn_key(self):
         self.record_event("keyWithdrawn", 100.0, key="k", acknowledged=100.0)
         self.attempts.append(attempt(sent_at=102.9))
--- a/tools/lib/soak/checks.py
+++ b/tools/lib/soak/checks.py
@@ -12,6 +12,8 @@
 # A busy machine may delay an event's log line by this much.
 LOG_DELAY_TOLERANCE_SECONDS = 0.3
 MAX_OVERLAP_SECONDS = 0.4
+# Gateways tell the time left in whole units of this length.
+TIME_LEFT_UNIT_SECONDS = 0.001
 # The service has recovered when this fraction of the requests is served.
 MIN_SERVED_SHARE = 0.9
 MAX_RECOVERY_SECONDS = 4
@@ -177,23 +179,49 @@
                                                 f"at {[run['server'] for run in runs]}")
 
 
+def in_order_of_sending(evidence, runs, arrivals):
+    """Sorts the runs of a request by the time left that the gateway told with each attempt, which only falls: an
+    attempt on a slow link may arrive after the one that replaced it (seed 528), and runs start by their prompts
+    (seed 2). By their arrivals when the time is unknown or fell by more than has passed since the caller sent."""
+    by_arrival = sorted(runs, key=lambda run: arrivals[run["request"], run["server"]])
+    times_left = [run.get("deadline", 0) for run in runs]
+    attempt = evidence.attempts.get(runs[0]["request"])
+    if attempt is None or min(times_left) <= 0:
+        return by_arrival
+    last_arrival = arrivals[by_arrival[-1]["request"], by_arrival[-1]["server"]]
+    if (max(times_left) - min(times_left)) / 1000 > last_arrival - attempt.sent_at + TIME_LEFT_UNIT_SECONDS:
+        return by_arrival
+    return sorted(by_arrival, key=lambda run: -run["deadline"])
+
+
+def runs_left(evidence, runs, arrivals):
+    """Yields each run of a request that another one replaced, that other one, and the time from which it is left."""
+    runs = in_order_of_sending(evidence, runs, arrivals)
+    attempt = evidence.attempts.get(runs[0]["request"])
+    for earlier, later in zip(runs, runs[1:]):
+        yield earlier, later, later["at"]
+        arrived_first = arrivals[later["request"], later["server"]] < arrivals[earlier["request"], earlier["server"]]
+        if attempt and arrived_first:
+            # It may go on as the attempt sent last, but only for as long as the caller waits for its answer.
+            yield later, earlier, max(earlier["at"], attempt.ended_at)
+
+
 def streams_run_at_one_server(evidence):
     """When a stream resumes elsewhere, its previous server stops, unless it cannot be notified."""
     ends = {(record["request"], record["server"]): record["at"]
             for record in evidence.records if record["event"] == "ended"}
-    arrivals = {(record["request"], record["server"]): record["at"]
-                for record in evidence.records if record["event"] == "arrived"}
+    arrivals = {(record["request"], record["server"]): record["at"] for record in evidence.runs}
+    arrivals.update({(record["request"], record["server"]): record["at"]
+                     for record in evidence.records if record["event"] == "arrived"})
     for request, runs in evidence.runs_of.items():
         attempt = evidence.attempts.get(request)
-        # The run that arrived first may start last, since prompts take different times (seed 2).
-        runs = sorted(runs, key=lambda run: arrivals.get((run["request"], run["server"]), run["at"]))
-        for earlier, later in zip(runs, runs[1:]):
-            end = ends.get((request, earlier["server"]))
-            if end is None or end - later["at"] <= MAX_OVERLAP_SECONDS + LOG_DELAY_TOLERANCE_SECONDS:
+        for left, other, left_at in runs_left(evidence, runs, arrivals):
+            end = ends.get((request, left["server"]))
+            if end is None or end - left_at <= MAX_OVERLAP_SECONDS + LOG_DELAY_TOLERANCE_SECONDS:
                 continue
-            if attempt and not evidence.hides_close(attempt, earlier["server"], end):
-                yield Violation("runsAtOneServer", f"{request}: {earlier['server']} and "
-                                                   f"{later['server']} for {end - later['at']:.2f} s")
+            if attempt and not evidence.hides_close(attempt, left["server"], end):
+                yield Violation("runsAtOneServer", f"{request}: {left['server']} and "
+                                                   f"{other['server']} for {end - left_at:.2f} s")
 
 
 def withdrawn_keys_run_nothing(evidence):
