tests/soak: read the two clocks of a gateway's log without a pause between them

Cause: logs of gateways have wall-clock times, which gateway_processes() turned into monotonic ones by `time.time() - time.monotonic()`. test_checks.py did the same on its own. A process that is preempted between the two readings gets another difference; 0.2 s suffice to change the result of test_config_in_force. The soak's own checks configInForce and configBack are concerned too. Change: wall_clock_offset() takes the quickest of five readings; the tests write their logs with a fixed difference that the checks are given. Conclusion: a process that is preempted in each of the five readings still gets a wrong difference.

--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -5,9 +5,9 @@
 import pathlib
 import sys
 import tempfile
-import time
 import types
 import unittest
+import unittest.mock
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 sys.path[:0] = [str(ROOT / "tools" / "lib"), str(ROOT / "platform" / "standins")]
@@ -15,6 +15,27 @@
 from soak.callers import Attempt  # noqa: E402
 from soak.journal import Journal  # noqa: E402
 
+# Of the wall clock ahead of the monotonic one, in the logs made here.
+CLOCK_OFFSET = 1_800_000_000.0
+
+
+class PreemptedClock:
+    """Both clocks of a process that is preempted for half a second after its first readings of the wall clock."""
+
+    def __init__(self, preemptions):
+        self.now = 10.0
+        self.preemptions = preemptions
+
+    def monotonic(self):
+        return self.now
+
+    def time(self):
+        wall = self.now + CLOCK_OFFSET
+        if self.preemptions > 0:
+            self.preemptions -= 1
+            self.now += 0.5
+        return wall
+
 
 def attempt(request="r1", kind="writes", **fields):
     facts = {"request": request, "kind": kind, "gateway": "gateway-0", "account": "a", "key": "k",
@@ -43,6 +64,9 @@
         self.attempts = []
         self.records = []
         self.invalid_answers = []
+        self.clock = unittest.mock.patch.object(checks, "wall_clock_offset", return_value=CLOCK_OFFSET)
+        self.clock.start()
+        self.addCleanup(self.clock.stop)
 
     def record_event(self, event, at, **fields):
         self.journal.entries.append({"at": at, "event": event, **fields})
@@ -285,16 +309,25 @@
 
     def log_of_gateway(self, *processes, gateway="gateway-0"):
         """Has the gateway's log say when each process started and when which version came into force there."""
-        offset = time.time() - time.monotonic()
         lines = []
         for start, *versions in processes:
             for at, event, version in [(start, "started", 0), *((at, "configInForce", version)
                                                                 for at, version in versions)]:
-                moment = datetime.datetime.fromtimestamp(at + offset, datetime.timezone.utc)
+                moment = datetime.datetime.fromtimestamp(at + CLOCK_OFFSET, datetime.timezone.utc)
                 lines.append(json.dumps({"time": moment.isoformat(), "event": event, "version": str(version)},
                                         separators=(",", ":")))
         (self.folder / f"{gateway}.log").write_text("\n".join(lines))
 
+    def test_log_is_read_by_a_process_that_is_preempted(self):
+        self.log_of_gateway((49.0, (50.0, 8)))
+        self.clock.stop()
+        for preemptions in (1, checks.CLOCK_READINGS - 1):
+            with self.subTest(preemptions=preemptions), \
+                    unittest.mock.patch.object(checks, "time", PreemptedClock(preemptions)):
+                (start, versions), = checks.gateway_processes(self.folder / "gateway-0.log")
+                self.assertAlmostEqual(49.0, start, places=5)
+                self.assertAlmostEqual(50.0, versions[0][0], places=5)
+
     def published_config(self, in_force_at, observed_until=200.0):
         """Version 9 is acknowledged at 100 s and comes into force then."""
         self.record_event("config", 50.0, version=8, keys=[])
--- a/tools/lib/soak/checks.py
+++ b/tools/lib/soak/checks.py
@@ -11,6 +11,7 @@
 
 # A busy machine may delay an event's log line by this much.
 LOG_DELAY_TOLERANCE_SECONDS = 0.3
+CLOCK_READINGS = 5
 MAX_OVERLAP_SECONDS = 0.4
 # Gateways tell the time left in whole units of this length.
 TIME_LEFT_UNIT_SECONDS = 0.001
@@ -105,10 +106,20 @@
                    for fault in self.faults_between(attempt.sent_at, end))
 
 
+def wall_clock_offset():
+    """Returns by how much the wall clock is ahead of the monotonic one. A process that is preempted between the two reads
+    them apart, so that the quickest of several readings counts."""
+    readings = []
+    for _ in range(CLOCK_READINGS):
+        before, wall, after = time.monotonic(), time.time(), time.monotonic()
+        readings.append((after - before, wall - before))
+    return min(readings)[1]
+
+
 def gateway_processes(log):
     """Returns start and [(time, version in force)] of each process that wrote to a gateway's log. The journal records
     a start later than the process may have a configuration (seed 4), and so may its log (seed 8)."""
-    offset = time.time() - time.monotonic()
+    offset = wall_clock_offset()
     entries = []
     for line in log.read_text(errors="replace").splitlines():
         if not ('"event":"configInForce"' in line or '"event":"started"' in line) or not line.endswith("}"):
