tests/soak: end the outage of a restored store by the test in place of a fixed time

Cause: test_away expected its call within an outage of 1 s, and a reset within 0.3 s; test_open_watch_fails_when_the_store_goes_away expected a watch to see an outage of 0.3 s; test_open_watch_ends_with_the_new_epoch expected the restore within the 3 s of its watch; test_newest_items_are_written_again read the state of the store without its lock, between the two steps of a rewrite. A thread that gets no processor for that long fails them. Change: Store.end_outage() ends an outage early; the tests end it when they have seen what they wait for. Only a failing store reaches their limits of 20 and 25 s. The state is read under the lock. Conclusion: one time is left: a store counts as silent after 0.5 s without an answer, and a slow machine only makes that check weaker.

--- a/tests/soak/test_store.py
+++ b/tests/soak/test_store.py
@@ -15,6 +15,11 @@
 from soak.store import Store  # noqa: E402
 
 PREFIX = wire.SERVER_PREFIX
+# Limits that only a failing store reaches, also on a busy machine.
+WATCH_MS = 20000
+TIMEOUT_SECONDS = 25
+# Time without an answer after which the store counts as silent.
+SILENT_SECONDS = 0.5
 
 
 class StoreTest(unittest.TestCase):
@@ -46,12 +51,21 @@
         return self.call("POST", wire.LEASE_PATH, {"ttl_ms": 5000})[1]["lease"]
 
     def keys(self):
-        return sorted(self.store.items)
+        with self.store.lock:
+            return sorted(self.store.items)
 
     def restore(self, made_at, **options):
         """Restores a backup that was made at `made_at`; nothing is written again by itself."""
         self.store.restore(made_at, **{"config_delay": None, "servers_delay": None, **options})
 
+    def begin_outage(self, away):
+        """Starts a restore that keeps the store away until end_outage(); returns its thread."""
+        restore = threading.Thread(target=self.restore, args=(time.monotonic(),),
+                                   kwargs={"away_seconds": TIMEOUT_SECONDS, "away": away})
+        restore.start()
+        self.wait_until(lambda: self.store.away)
+        return restore
+
     def wait_until(self, condition):
         with self.store.lock:
             self.assertTrue(self.store.lock.wait_for(condition, timeout=10))
@@ -121,7 +135,7 @@
         backup = time.monotonic()
         self.store.put(PREFIX + "lost", 1)
         answers = []
-        watch = threading.Thread(target=lambda: answers.append(self.watch(self.store.revision, 3000)))
+        watch = threading.Thread(target=lambda: answers.append(self.watch(self.store.revision, WATCH_MS, TIMEOUT_SECONDS)))
         watch.start()
         self.wait_until(lambda: self.store.open_watches)
         self.restore(backup)
@@ -130,37 +144,48 @@
 
     def test_away(self):
         """While it is away the store answers nothing but 503, and no write is acknowledged."""
-        for away, error in (("down", None), ("silent", TimeoutError), ("reset", ConnectionResetError)):
+        for away, error, timeout in (("down", None, TIMEOUT_SECONDS), ("silent", TimeoutError, SILENT_SECONDS),
+                                     ("reset", ConnectionResetError, TIMEOUT_SECONDS)):
             with self.subTest(away=away):
-                restore = threading.Thread(target=self.restore, args=(time.monotonic(),),
-                                           kwargs={"away_seconds": 1, "away": away})
-                restore.start()
-                self.wait_until(lambda: self.store.away)
+                restore = self.begin_outage(away)
                 if error:
-                    self.assertRaises(error, self.watch, 0, timeout=0.3)
+                    self.assertRaises(error, self.watch, 0, timeout=timeout)
                 else:
-                    self.assertEqual(503, self.watch(0)[0])
-                self.store.put(PREFIX + away, 1)
-                self.assertIsNone(self.store.away)
+                    self.assertEqual(503, self.watch(0, timeout=timeout)[0])
+                away_after_write = []
+
+                def write():
+                    self.store.put(PREFIX + away, 1)
+                    away_after_write.append(self.store.away)
+
+                writer = threading.Thread(target=write)
+                writer.start()
+                self.assertNotIn(PREFIX + away, self.keys())
+                self.store.end_outage()
+                writer.join()
                 restore.join()
+                self.assertEqual([None], away_after_write)
                 self.assertIn(PREFIX + away, self.keys())
 
     def test_open_watch_fails_when_the_store_goes_away(self):
-        for away, error in (("silent", TimeoutError), ("reset", ConnectionResetError)):
+        for away, error, timeout in (("silent", TimeoutError, SILENT_SECONDS),
+                                     ("reset", ConnectionResetError, TIMEOUT_SECONDS)):
             with self.subTest(away=away):
                 errors = []
 
                 def watch():
                     try:
-                        self.watch(self.store.revision, 3000, timeout=1)
+                        self.watch(self.store.revision, WATCH_MS, timeout)
                     except OSError as failure:
                         errors.append(type(failure))
 
                 thread = threading.Thread(target=watch)
                 thread.start()
                 self.wait_until(lambda: self.store.open_watches)
-                self.restore(time.monotonic(), away_seconds=0.3, away=away)
+                restore = self.begin_outage(away)
                 thread.join()
+                self.store.end_outage()
+                restore.join()
                 self.assertEqual([error], errors)
 
     def test_newest_items_are_written_again(self):
@@ -176,9 +201,7 @@
         self.restore(backup, config_delay=None, servers_delay=None)
         self.assertEqual([PREFIX + "removed"], self.keys())
         self.restore(backup, config_delay=0.2, servers_delay=0.4)
-        deadline = time.monotonic() + 5
-        while self.store.keys_to_rewrite and time.monotonic() < deadline:
-            time.sleep(0.05)
+        self.wait_until(lambda: not self.store.keys_to_rewrite)
         self.assertEqual([wire.CONFIG_KEY, PREFIX + "a"], self.keys())
 
     def test_item_written_since_the_restore_is_not_written_again(self):
--- a/tools/lib/soak/store.py
+++ b/tools/lib/soak/store.py
@@ -51,6 +51,7 @@
         self.omits_epoch = False
         self.next_lease = None
         self.away = None
+        self.ends_outage = False
         self.newest = {}
         self.keys_to_rewrite = set()
         self.changes = collections.deque()
@@ -154,7 +155,8 @@
                 with self.lock:
                     self.away = away
                     self.lock.notify_all()
-                time.sleep(away_seconds)
+                    self.lock.wait_for(lambda: self.ends_outage, away_seconds)
+                    self.ends_outage = False
             with self.lock:
                 self._roll_back(made_at)
                 self.epoch += 1
@@ -166,6 +168,12 @@
                 self.lock.notify_all()
         threading.Thread(target=self._rewrite_later, args=(epoch, config_delay, servers_delay), daemon=True).start()
 
+    def end_outage(self):
+        """Ends the time for which a restore keeps the store away."""
+        with self.lock:
+            self.ends_outage = True
+            self.lock.notify_all()
+
     def _roll_back(self, made_at):
         items = dict(self.items)
         revision = self.revision
