--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -5,9 +5,9 @@
 import pathlib
 import sys
 import tempfile
-import time
 import types
 import unittest
+import unittest.mock
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 sys.path[:0] = [str(ROOT / "tools" / "lib"), str(ROOT / "platform" / "standins")]
@@ -15,6 +15,27 @@
 from soak.callers import Attempt  # noqa: E402
 from soak.journal import Journal  # noqa: E402
 
+# Of the wall clock ahead of the monotonic one, in the logs made here.
+CLOCK_OFFSET = 1_800_000_000.0
+
+
+class PreemptedClock:
+    """Both clocks of a process that is preempted for half a second after its first readings of the wall clock."""
+
+    def __init__(self, preemptions):
+        self.now = 10.0
+        self.preemptions = preemptions
+
+    def monotonic(self):
+        return self.now
+
+    def time(self):
+        wall = self.now + CLOCK_OFFSET
+        if self.preemptions > 0:
+            self.preemptions -= 1
+            self.now += 0.5
+        return wall
+
 
 def attempt(request="r1", kind="writes", **fields):
     facts = {"request": request, "kind": kind, "gateway": "gateway-0", "account": "a", "key": "k",
@@ -43,6 +64,9 @@
         self.attempts = []
         self.records = []
         self.invalid_answers = []
+        self.clock = unittest.mock.patch.object(checks, "wall_clock_offset", return_value=CLOCK_OFFSET)
+        self.clock.start()
+        self.addCleanup(self.clock.stop)
 
     def record_event(self, event, at, **fields):
         self.journal.entries.append({"at": at, "event": event, **fields})
@@ -223,6 +247,42 @@
                          record("ended", 101.2, server="i-0-1")]
         self.assertEqual([], self.violated_rules(checks.streams_run_at_one_server))
 
+    def two_attempts(self, *runs, ended_at=101.2):
+        """A stream sent at 99.4 s; a run is a server, the time left told to it, and its arrival, start and end."""
+        self.attempts[:] = [attempt(kind="streams", sent_at=99.4, ended_at=ended_at)]
+        self.records[:] = []
+        for server, time_left_ms, arrived_at, started_at, ended in runs:
+            self.records += [record("arrived", arrived_at, server=server),
+                             run(at=started_at, server=server, deadline=time_left_ms),
+                             record("ended", ended, server=server)]
+
+    # A slow link: the attempt that was sent first and left arrived 17 ms after the one that goes on (seed 528).
+    def test_attempt_that_arrived_last_may_have_been_sent_first(self):
+        self.two_attempts(("i-0-2", 11480, 100.0, 100.2, 101.1), ("i-1-2", 12000, 100.017, 100.3, 100.328))
+        self.assertEqual([], self.violated_rules(checks.streams_run_at_one_server))
+
+    def test_run_that_was_left_and_works_on(self):
+        for name, arrived_at in (("arrived first", 99.5), ("arrived last", 100.017)):
+            for end, rules in ((100.89, []), (100.92, ["runsAtOneServer"])):
+                with self.subTest(name=name, end=end):
+                    self.two_attempts(("i-0-2", 11480, 100.0, 100.2, 101.1),
+                                      ("i-1-2", 12000, arrived_at, 100.19, end))
+                    self.assertEqual(rules, self.violated_rules(checks.streams_run_at_one_server))
+
+    def test_run_that_arrived_first_goes_on_without_its_caller(self):
+        for end, rules in ((101.85, []), (101.95, ["runsAtOneServer"])):
+            with self.subTest(end=end):
+                self.two_attempts(("i-0-2", 11480, 100.0, 100.2, end), ("i-1-2", 12000, 100.017, 100.3, 100.5))
+                self.assertEqual(rules, self.violated_rules(checks.streams_run_at_one_server))
+
+    # The attempts cannot have been sent further apart than the caller's request and the last arrival.
+    def test_time_left_that_cannot_be_true_gives_no_order(self):
+        for time_left_ms, rules in ((11400, []), (11300, ["runsAtOneServer"]), (0, ["runsAtOneServer"])):
+            with self.subTest(time_left_ms=time_left_ms):
+                self.two_attempts(("i-0-2", time_left_ms, 100.0, 100.2, 101.1),
+                                  ("i-1-2", 12000, 100.017, 100.3, 100.328))
+                self.assertEqual(rules, self.violated_rules(checks.streams_run_at_one_server))
+
     def test_withdrawn_key(self):
         self.record_event("keyWithdrawn", 100.0, key="k", acknowledged=100.0)
         self.attempts.append(attempt(sent_at=102.9))
@@ -249,16 +309,25 @@
 
     def log_of_gateway(self, *processes, gateway="gateway-0"):
         """Has the gateway's log say when each process started and when which version came into force there."""
-        offset = time.time() - time.monotonic()
         lines = []
         for start, *versions in processes:
             for at, event, version in [(start, "started", 0), *((at, "configInForce", version)
                                                                 for at, version in versions)]:
-                moment = datetime.datetime.fromtimestamp(at + offset, datetime.timezone.utc)
+                moment = datetime.datetime.fromtimestamp(at + CLOCK_OFFSET, datetime.timezone.utc)
                 lines.append(json.dumps({"time": moment.isoformat(), "event": event, "version": str(version)},
                                         separators=(",", ":")))
         (self.folder / f"{gateway}.log").write_text("\n".join(lines))
 
+    def test_log_is_read_by_a_process_that_is_preempted(self):
+        self.log_of_gateway((49.0, (50.0, 8)))
+        self.clock.stop()
+        for preemptions in (1, checks.CLOCK_READINGS - 1):
+            with self.subTest(preemptions=preemptions), \
+                    unittest.mock.patch.object(checks, "time", PreemptedClock(preemptions)):
+                (start, versions), = checks.gateway_processes(self.folder / "gateway-0.log")
+                self.assertAlmostEqual(49.0, start, places=5)
+                self.assertAlmostEqual(50.0, versions[0][0], places=5)
+
     def published_config(self, in_force_at, observed_until=200.0):
         """Version 9 is acknowledged at 100 s and comes into force then."""
         self.record_event("config", 50.0, version=8, keys=[])
