transport: bound a body by its request's own time

Cause: Each byte of a body extends the idle limit, so a caller that sends one now and then holds its connection without end. Operators see connections that stay open; memory is bounded. Change: Http1Server::limitBodyTime takes a hook that is told the head of a request whose body does not arrive together with it, and returns the time that the body may take from then on. Later it is refused with 408 and reported as connectionCut with the cause bodyTimeout. Input that had arrived is read first. When limits change, bodies in progress keep the longer time. The gateway returns the lesser of the caller's deadline and the route's timeout (BodyTimeLimit); without a route, the longest timeout of the configuration, so that such a request does not hold its connection either. The fixture of the gateway tests decodes two more headers, patience and malformed; no existing test uses them. Measured: without the wiring in GatewayNode bodyIsRefusedAfterItsCallersPatience fails with "no answer" after 5 s, and the two new cases of slow_peers time out after 20.1 s (4 of 4, deadline 5 s, idle limit 3 s). Without bodyEndsAt in startDeadline bodyWithoutEndIsRefused fails with "no answer" after 4 s. Conclusion: a request holds a connection no longer than its own time and the time of its head. The deadline of the request itself is still counted from the arrival of the whole request.

--- a/include/foxtailring/transport/ConnectionCut.h
+++ b/include/foxtailring/transport/ConnectionCut.h
@@ -13,6 +13,7 @@
     enum class Cause {
         IdleTimeout,   ///< no input, or no output progress, for HttpLimits::idleTimeout
         HeaderTimeout, ///< the head took longer than HttpLimits::headerTimeout
+        BodyTimeout,   ///< the body took longer than its request's time
         Stop,          ///< the server was closed
         CallerClosed,  ///< the caller ended the connection
         Closing,       ///< the request crossed the close of an idle connection
--- a/include/foxtailring/transport/Http1Server.h
+++ b/include/foxtailring/transport/Http1Server.h
@@ -4,9 +4,11 @@
 #include "foxtailring/transport/HttpLimits.h"
 #include "foxtailring/transport/HttpRequest.h"
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace foxtailring {
 
@@ -26,6 +28,8 @@
 public:
     using Handler = std::function<void(HttpRequest, std::shared_ptr<Http1Responder>)>;
     using CutHook = std::function<void(const ConnectionCut &)>;
+    using BodyTimeHook =
+        std::function<std::optional<std::chrono::milliseconds>(const HttpRequest &head)>;
 
     Http1Server(WorkerPool &pool, const Endpoint &endpoint, HttpLimits limits, Handler handler);
     /// \brief Calls close().
@@ -36,6 +40,12 @@
     /// \brief Calls \a hook for each connection that is cut; to be set before listen(). The close
     /// of an idle connection is no cut.
     void onConnectionCut(CutHook hook);
+    /// \brief Refuses a request whose body is not complete within the time that \a hook returns,
+    /// from the arrival of its head on; nullopt: no such limit. To be set before listen().
+    ///
+    /// Called on any thread, with a request without body, when a body does not arrive together with
+    /// its head, and again after setLimits(): the longer time holds.
+    void limitBodyTime(BodyTimeHook hook);
     /// \brief Starts accepting connections and returns the port. InvalidArgument: the endpoint is
     /// not an IP address. Unavailable: binding failed.
     Result<std::uint16_t> listen();
--- a/src/gateway/GatewayNode.cpp
+++ b/src/gateway/GatewayNode.cpp
@@ -7,6 +7,7 @@
 #include "foxtailring/transport/Http1Server.h"
 #include "foxtailring/transport/Timer.h"
 
+#include "BodyTimeLimit.h"
 #include "GatewayParts.h"
 #include "GatewayPublisher.h"
 #include "RequestDispatcher.h"
@@ -180,6 +181,7 @@
           const StoreFactory &factory)
         : parts(std::move(settings), std::move(codec))
         , dispatcher(parts)
+        , bodyTimeLimit(parts.codec)
         , callers(parts.pool, parts.settings.listen, HttpLimits {},
                   [this](HttpRequest request, std::shared_ptr<Http1Responder> responder) {
                       dispatcher.handle(std::move(request), std::move(responder));
@@ -202,11 +204,15 @@
         parts.rateLimits.setHooks(makeRateLimitHooks(parts));
         parts.quarantine.setHooks(makeQuarantineHooks(parts));
         callers.onConnectionCut(makeCutHook(parts));
+        callers.limitBodyTime(
+            [this](const HttpRequest &head) { return bodyTimeLimit.limit(head); });
         parts.pauses.setHooks(makePauseHooks(parts));
         watch.onConfirmed([this] { dispatcher.onStoreRead(); });
         watch.onRestored([this] { publisher.onStoreRestored(); });
-        watch.onConfigApplied(
-            [this] { callers.setLimits(toHttpLimits(parts.routes->config().limits)); });
+        watch.onConfigApplied([this] {
+            bodyTimeLimit.setRoutes(parts.routes);
+            callers.setLimits(toHttpLimits(parts.routes->config().limits));
+        });
     }
 
     void answerProbe(const HttpRequest &request, const std::shared_ptr<Http1Responder> &responder);
@@ -217,6 +223,7 @@
 
     GatewayParts parts;
     RequestDispatcher dispatcher;
+    BodyTimeLimit bodyTimeLimit;
     Http1Server callers;
     Http1Server readiness;
     Http1Server metrics;
--- a/src/transport/ConnectionCut.cpp
+++ b/src/transport/ConnectionCut.cpp
@@ -9,6 +9,8 @@
         return "idleTimeout";
     case ConnectionCut::Cause::HeaderTimeout:
         return "headerTimeout";
+    case ConnectionCut::Cause::BodyTimeout:
+        return "bodyTimeout";
     case ConnectionCut::Cause::Stop:
         return "stop";
     case ConnectionCut::Cause::CallerClosed:
--- a/src/transport/Http1Connection.cpp
+++ b/src/transport/Http1Connection.cpp
@@ -11,6 +11,7 @@
 #include <boost/beast/http/error.hpp>
 
 #include <algorithm>
+#include <functional>
 
 namespace foxtailring {
 
@@ -131,6 +132,10 @@
     const HttpLimits limits = m_shared->limits();
     for (const TimeLimit limit : {&HttpLimits::idleTimeout, &HttpLimits::headerTimeout})
         m_limits.*limit = std::max(m_limits.*limit, limits.*limit);
+    if (m_phase != Phase::Request || !m_bodyStartedAt)
+        return;
+    const auto time = allowedBodyTime();
+    m_bodyTime = m_bodyTime && time ? std::max(*m_bodyTime, *time) : time;
 }
 
 void Http1Connection::beginRequest()
@@ -138,6 +143,8 @@
     m_phase = Phase::Request;
     m_continueSent = false;
     m_headStarted = false;
+    m_bodyStartedAt.reset();
+    m_bodyTime.reset();
     m_headBytes = 0;
     m_needsMore = false;
     m_responseComplete = false;
@@ -238,6 +245,8 @@
 // Runs after each read of a body: extends the deadline and sends 100 Continue if it is expected.
 void Http1Connection::continueRequest()
 {
+    if (!m_bodyStartedAt)
+        beginBody();
     armDeadline(&HttpLimits::idleTimeout);
     const auto expected = m_parser->get()[http::field::expect];
     if (m_continueSent || !equalIgnoringCase({expected.data(), expected.size()}, "100-continue"))
@@ -246,6 +255,39 @@
     send("HTTP/1.1 100 Continue\r\n\r\n", 0);
 }
 
+void Http1Connection::beginBody()
+{
+    m_bodyStartedAt = std::chrono::steady_clock::now();
+    m_bodyTime = allowedBodyTime();
+}
+
+std::optional<std::chrono::milliseconds> Http1Connection::allowedBodyTime() const
+{
+    std::optional<std::chrono::milliseconds> time;
+    if (!m_shared->bodyTimeHook)
+        return time;
+    const std::function<void()> ask = [this, &time] {
+        const auto &message = m_parser->get();
+        time = m_shared->bodyTimeHook(
+            {std::string(message.method_string()), std::string(message.target()), m_headers, {}});
+    };
+    runHook(ask);
+    return time;
+}
+
+std::optional<std::chrono::steady_clock::time_point> Http1Connection::bodyEndsAt() const
+{
+    if (m_phase != Phase::Request || !m_bodyTime)
+        return std::nullopt;
+    return *m_bodyStartedAt + *m_bodyTime;
+}
+
+bool Http1Connection::isBodyLate() const
+{
+    const auto endsAt = bodyEndsAt();
+    return endsAt && *endsAt <= std::chrono::steady_clock::now();
+}
+
 void Http1Connection::rejectRequest(ErrorStatus status)
 {
     if (status == http::error::body_limit || status == http::error::buffer_overflow)
@@ -398,8 +440,11 @@
 
 void Http1Connection::startDeadline()
 {
-    const auto age = std::chrono::steady_clock::now() - m_deadlineStartedAt;
-    const auto remaining = std::max(m_limits.*m_deadlineLimit - age, decltype(age)::zero());
+    auto endsAt = m_deadlineStartedAt + m_limits.*m_deadlineLimit;
+    if (const auto bodyEnd = bodyEndsAt())
+        endsAt = std::min(endsAt, *bodyEnd);
+    const auto left = endsAt - std::chrono::steady_clock::now();
+    const auto remaining = std::max(left, decltype(left)::zero());
     m_isOverdue = false;
     startTimer(std::chrono::ceil<std::chrono::milliseconds>(remaining));
 }
@@ -421,6 +466,8 @@
 {
     if (hasUnreadInput() && !std::exchange(m_isOverdue, true))
         return startTimer(lateReadTime);
+    if (isBodyLate())
+        return rejectLate();
     if (extendForReader())
         return;
     if (isIdle())
@@ -456,13 +503,25 @@
 
 void Http1Connection::rejectLate()
 {
-    const bool isInHead = !m_parser->is_header_done();
-    reportCut(isInHead ? ConnectionCut::Cause::HeaderTimeout : ConnectionCut::Cause::IdleTimeout);
-    rejectRequest(408, "Request Timeout",
-                  isInHead ? "the head did not arrive within "
-                          + std::to_string(m_limits.headerTimeout.count()) + " ms"
-                           : "no part of the body arrived within "
-                          + std::to_string(m_limits.idleTimeout.count()) + " ms");
+    ConnectionCut::Cause cause = ConnectionCut::Cause::IdleTimeout;
+    if (!m_parser->is_header_done())
+        cause = ConnectionCut::Cause::HeaderTimeout;
+    else if (isBodyLate())
+        cause = ConnectionCut::Cause::BodyTimeout;
+    reportCut(cause);
+    rejectRequest(408, "Request Timeout", lateDetail());
+}
+
+std::string Http1Connection::lateDetail() const
+{
+    const auto text = [](std::chrono::milliseconds time) {
+        return std::to_string(time.count()) + " ms";
+    };
+    if (!m_parser->is_header_done())
+        return "the head did not arrive within " + text(m_limits.headerTimeout);
+    if (isBodyLate())
+        return "the body did not arrive within " + text(*m_bodyTime);
+    return "no part of the body arrived within " + text(m_limits.idleTimeout);
 }
 
 void Http1Connection::cut(ConnectionCut::Cause cause)
--- a/src/transport/Http1Connection.h
+++ b/src/transport/Http1Connection.h
@@ -64,6 +64,11 @@
     bool canParse() const;
     void parseStep(ErrorStatus &status);
     void continueRequest();
+    void beginBody();
+    std::optional<std::chrono::milliseconds> allowedBodyTime() const;
+    std::optional<std::chrono::steady_clock::time_point> bodyEndsAt() const;
+    /// True when the time of the body that is arriving is over.
+    bool isBodyLate() const;
     void rejectRequest(ErrorStatus status);
     void rejectRequest(int status, std::string_view title, std::string_view detail);
     void rejectWith(HttpResponse response);
@@ -81,6 +86,7 @@
     bool extendForReader();
     /// \brief Refuses a request that has not arrived within its time limit.
     void rejectLate();
+    std::string lateDetail() const;
     /// \brief Closes the connection and reports the cut, if there is one.
     void cut(ConnectionCut::Cause cause);
     void reportCut(ConnectionCut::Cause cause);
@@ -107,7 +113,10 @@
     std::vector<HttpHeader> m_headers; ///< of the current request, without trailers
     std::shared_ptr<Http1ServerExchange> m_exchange;
     bool m_continueSent = false;
-    bool m_headStarted = false;     ///< the first bytes of a head have arrived
+    bool m_headStarted = false; ///< the first bytes of a head have arrived
+    /// Arrival of the head, if the body did not arrive together with it.
+    std::optional<std::chrono::steady_clock::time_point> m_bodyStartedAt;
+    std::optional<std::chrono::milliseconds> m_bodyTime; ///< allowed from then on
     bool m_needsMore = false;       ///< the parser has left a part of m_input unread
     bool m_expectsRequest = false;  ///< counted in Http1ServerShared::expectedRequestCount
     std::size_t m_headBytes = 0;    ///< of the current head, as far as it has been parsed
--- a/src/transport/Http1Server.cpp
+++ b/src/transport/Http1Server.cpp
@@ -50,6 +50,11 @@
     m_state->shared->cutHook = std::move(hook);
 }
 
+void Http1Server::limitBodyTime(BodyTimeHook hook)
+{
+    m_state->shared->bodyTimeHook = std::move(hook);
+}
+
 Result<std::uint16_t> Http1Server::listen()
 {
     return m_state->listener->listen();
--- a/tests/gateway/GatewayFixture.cpp
+++ b/tests/gateway/GatewayFixture.cpp
@@ -36,11 +36,15 @@
 Result<GatewayRequest> decodeRequest(HttpRequest http)
 {
     throwIfUnreadable(http.header("unreadable"));
+    if (!http.header("malformed").empty())
+        return Error {ErrorCode::InvalidArgument, "malformed"};
     GatewayRequest request;
     request.id = http.header("id");
     request.host = "h";
     request.path = http.target;
     request.apiKey = http.header("key");
+    if (const std::string patience(http.header("patience")); !patience.empty())
+        request.timeout = milliseconds(std::stoi(patience));
     std::istringstream parts {std::string(http.header("parts"))};
     for (std::string part; std::getline(parts, part, ',');)
         request.sharedPromptParts.push_back(part);
--- a/tests/gateway/GatewayFixture.h
+++ b/tests/gateway/GatewayFixture.h
@@ -47,12 +47,13 @@
 /// \brief A gateway with real connections to two backend servers, `a` and `b`; the test answers
 /// each of their requests itself.
 ///
-/// Wire format of the test: requests have the headers `id`, `key`, `last` (event id), `copy-to` and
-/// `copy-at`, and `parts` of the prompt; a response with `full` was not run, one with `signed` is
-/// signed, `id` is the request that it answers, `limit` is a rate limit, `leaving` says that the
-/// server leaves if its value is `1`, and with status 503 `pause` is a pause in milliseconds. The
-/// codec throws on a message with `unreadable`, on sending a request with `unsendable` and on
-/// forwarding an answer with `unforwardable`. A server's entry in the store is its zone.
+/// Wire format of the test: requests have the headers `id`, `key`, `last` (event id), `patience` in
+/// milliseconds, `copy-to` and `copy-at`, and `parts` of the prompt, and are refused with
+/// `malformed`; a response with `full` was not run, one with `signed` is signed, `id` is the
+/// request that it answers, `limit` is a rate limit, `leaving` says that the server leaves if its
+/// value is `1`, and with status 503 `pause` is a pause in milliseconds. The codec throws on a
+/// message with `unreadable`, on sending a request with `unsendable` and on forwarding an answer
+/// with `unforwardable`. A server's entry in the store is its zone.
 class GatewayFixture : public CppUnit::TestFixture
 {
 public:
--- a/tests/process/slow_peers.py
+++ b/tests/process/slow_peers.py
@@ -202,6 +202,12 @@
     return None
 
 
+def check_bytewise_body(name, cluster, path, limit_seconds):
+    """Sends a body below the idle limit, a byte each tenth of a second, until the gateway refuses the request."""
+    return check_unfinished_request(name, cluster, request_head("POST", path, name, 100_000, tokens="8000,300"), 0.1,
+                                    limit_seconds * 1000)
+
+
 def check_slow_reader(cluster, name):
     """Reads a large answer in pieces, with pauses below the idle limit."""
     with connect(cluster) as connection:
@@ -253,6 +259,9 @@
         name, cluster, request_head("POST", "/writes/x", name)[:-4] + b"\r\nLong: ", 0.1, HEADER_TIMEOUT_MS)
     yield "stalledRequestBody", lambda name: check_unfinished_request(
         name, cluster, request_head("POST", "/writes/x", name, 100) + b"x", IDLE_TIMEOUT_MS / 1000 * 2, IDLE_TIMEOUT_MS)
+    yield "bytewiseRequestBody", lambda name: check_bytewise_body(name, cluster, "/writes/x", CALL_TIMEOUT_SECONDS)
+    yield "bytewiseBodyWithoutRoute", lambda name: check_bytewise_body(
+        name, cluster, "/nowhere/x", CALL_TIMEOUT_SECONDS)
     yield "unreadAnswer", lambda name: check_caller_that_does_not_read(cluster, name)
 
 
