store, operator: compare a revision only in the epoch that issued it

Cause: a conditional change (If-Match) named a bare revision. After a restore from a backup the store issues the revision again, so a change prepared before the restore could overwrite or delete a resource that its operator had never seen, with status 200. EtcdClient read no epoch at all, so its watches, leases and transactions had the same fault. GatewayPublisher could pair a revision of one epoch with a lease of the next one after it had been paused longer than its lease.

Change: EtcdClient takes the cluster id for the epoch, and ends watches and calls with a lease of another epoch with Stale. compareAndSwap and compareAndDelete expect a StoreRevision. A transaction cannot compare the cluster id, so EtcdClient reads the epoch before a conditional write; a revision of another epoch fails the condition. A restore between the two calls makes the write Stale, and ResourceStore reads the resource back by its change id. Entity tags are EPOCH.REVISION; one without an epoch is refused with 428. Existing tests: signatures only; the operator client of the process tests passes entity tags on.

The cost of the additional read was not measured.

A sidecar's claims still name no epoch.

--- a/include/foxtailring/decisions/StoredResource.h
+++ b/include/foxtailring/decisions/StoredResource.h
@@ -17,6 +17,7 @@
     std::string writer;        ///< operator who made the last change
     std::string changeId;      ///< unique per change; shows whether a write took effect
     std::string spec;          ///< JSON object
+    std::int64_t epoch = 0;    ///< of the store, in which the revision is valid
 
     /// \brief Serializes kind, name, writer, changeId and spec.
     std::string toJson() const;
--- a/include/foxtailring/operator/OperatorClient.h
+++ b/include/foxtailring/operator/OperatorClient.h
@@ -32,11 +32,11 @@
 
     Result<nlohmann::json> fetchList();
     Result<nlohmann::json> fetchResource(const std::string &kind, const std::string &name);
-    /// \param expectedRevision current revision of the resource; 0 creates it. Any other
-    /// revision in the store is a Conflict
-    Result<nlohmann::json> put(const StoredResource &resource, std::int64_t expectedRevision);
+    /// \param entityTag of the resource as last read; empty creates it. Any other tag in the store
+    /// is a Conflict
+    Result<nlohmann::json> put(const StoredResource &resource, const std::string &entityTag);
     Result<nlohmann::json> remove(const std::string &kind, const std::string &name,
-                                  std::int64_t expectedRevision);
+                                  const std::string &entityTag);
     /// \brief Reports which nodes have \a revision in force; 0 means the current revision of the
     /// entry.
     Result<nlohmann::json> fetchInForce(std::int64_t revision);
--- a/include/foxtailring/store/EtcdClient.h
+++ b/include/foxtailring/store/EtcdClient.h
@@ -9,7 +9,8 @@
 
 /// \brief Client of the etcd v3 JSON gateway.
 ///
-/// See https://etcd.io/docs/v3.5/dev-guide/api_grpc_gateway/
+/// See https://etcd.io/docs/v3.5/dev-guide/api_grpc_gateway/. The epoch of the store is its cluster
+/// id, which a restore from a snapshot changes.
 class EtcdClient : public KeyValueClient
 {
 public:
@@ -20,11 +21,9 @@
 
     void get(const std::string &key, RangeHook hook) override;
     void range(const std::string &prefix, RangeHook hook) override;
-    void compareAndSwap(const std::string &key, const std::string &value,
-                        std::int64_t expectedRevision, WriteHook hook,
-                        StoreLease lease = {}) override;
-    void compareAndDelete(const std::string &key, std::int64_t expectedRevision,
-                          WriteHook hook) override;
+    void compareAndSwap(const std::string &key, const std::string &value, StoreRevision expected,
+                        WriteHook hook, StoreLease lease = {}) override;
+    void compareAndDelete(const std::string &key, StoreRevision expected, WriteHook hook) override;
     void grantLease(std::chrono::seconds timeToLive, LeaseHook hook) override;
     void keepAlive(StoreLease lease, RenewalHook hook) override;
     std::shared_ptr<Http1Stream> watch(const std::string &prefix, StoreRevision from,
@@ -32,7 +31,7 @@
 
 private:
     struct State;
-    std::unique_ptr<State> m_state;
+    const std::shared_ptr<State> m_state;
 };
 
 } // namespace foxtailring
--- a/include/foxtailring/store/KeyValueClient.h
+++ b/include/foxtailring/store/KeyValueClient.h
@@ -39,13 +39,15 @@
 
     virtual void get(const std::string &key, RangeHook hook) = 0;
     virtual void range(const std::string &prefix, RangeHook hook) = 0;
-    /// \brief Stores \a value if the key's revision is \a expectedRevision (0: it does not exist).
+    /// \brief Stores \a value if the key's revision is \a expected (number 0: it does not exist).
+    ///
+    /// A revision of another epoch fails the condition if the client learns of the epoch before it
+    /// writes, and is Stale if the answer to the write shows it.
     /// \param lease the lease whose end deletes the key; by default none
     virtual void compareAndSwap(const std::string &key, const std::string &value,
-                                std::int64_t expectedRevision, WriteHook hook,
-                                StoreLease lease = {}) = 0;
-    /// \brief Deletes the key if its revision is \a expectedRevision.
-    virtual void compareAndDelete(const std::string &key, std::int64_t expectedRevision,
+                                StoreRevision expected, WriteHook hook, StoreLease lease = {}) = 0;
+    /// \brief Deletes the key if its revision is \a expected, as compareAndSwap() does.
+    virtual void compareAndDelete(const std::string &key, StoreRevision expected,
                                   WriteHook hook) = 0;
 
     /// \brief Creates a lease.
--- a/include/foxtailring/store/ResourceList.h
+++ b/include/foxtailring/store/ResourceList.h
@@ -12,6 +12,7 @@
 {
     std::int64_t revision = 0;
     std::vector<StoredResource> resources;
+    std::int64_t epoch = 0; ///< of the store, in which the revisions are valid
 };
 
 } // namespace foxtailring
--- a/include/foxtailring/store/StoreRevision.h
+++ b/include/foxtailring/store/StoreRevision.h
@@ -1,6 +1,9 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
 
 namespace foxtailring {
 
@@ -12,6 +15,13 @@
 {
     std::int64_t epoch = 0; ///< 0: the store names no epoch
     std::int64_t number = 0;
+
+    /// \brief Text form `EPOCH.NUMBER`, with the epoch as an unsigned number.
+    std::string toString() const;
+    /// \brief Parses the output of toString(); none if \a text has another form.
+    static std::optional<StoreRevision> parse(std::string_view text);
+
+    bool operator==(const StoreRevision &) const = default;
 };
 
 } // namespace foxtailring
--- a/src/gateway/GatewayPublisher.cpp
+++ b/src/gateway/GatewayPublisher.cpp
@@ -164,14 +164,14 @@
 
 void GatewayPublisher::enlist()
 {
-    write(
-        m_listing, GatewayListingCodec::encode(m_demand),
-        [this](const Result<WriteResult> &result) {
-            if (!result)
-                return onFailed("enlist", result.error());
-            if (result.value().applied)
-                StructuredLog::info("enlisted", {{"revision", std::to_string(m_listing.revision)}});
-        });
+    write(m_listing, GatewayListingCodec::encode(m_demand),
+          [this](const Result<WriteResult> &result) {
+              if (!result)
+                  return onFailed("enlist", result.error());
+              if (result.value().applied)
+                  StructuredLog::info("enlisted",
+                                      {{"revision", std::to_string(m_listing.revision.number)}});
+          });
 }
 
 void GatewayPublisher::publish(const RateLimitReport &report)
@@ -222,7 +222,7 @@
 
 void GatewayPublisher::recordWritten(LeasedKey &key, StoreLease lease, const WriteResult &result)
 {
-    key.revision = result.applied ? result.revision : result.current.modRevision;
+    key.revision = {result.epoch, result.applied ? result.revision : result.current.modRevision};
     if (!result.applied)
         return;
     key.lease = lease;
@@ -235,7 +235,8 @@
     if (result.applied)
         return m_parts.metrics.add("gateway_limit_reports_total{outcome=\"written\"}");
     m_parts.metrics.add("gateway_limit_reports_total{outcome=\"conflict\"}");
-    StructuredLog::info("limitReportConflict", {{"revision", std::to_string(m_report.revision)}});
+    StructuredLog::info("limitReportConflict",
+                        {{"revision", std::to_string(m_report.revision.number)}});
     m_parts.rateLimits.onReportNotPublished();
 }
 
--- a/src/gateway/LeasedKey.h
+++ b/src/gateway/LeasedKey.h
@@ -2,8 +2,8 @@
 
 #include "foxtailring/base/Clock.h"
 #include "foxtailring/store/StoreLease.h"
+#include "foxtailring/store/StoreRevision.h"
 
-#include <cstdint>
 #include <string>
 
 namespace foxtailring {
@@ -12,7 +12,7 @@
 struct LeasedKey
 {
     std::string name;
-    std::int64_t revision = 0; ///< as far as known; 0: it does not exist
+    StoreRevision revision {}; ///< as far as known; number 0: it does not exist
     StoreLease lease {};       ///< under which it was written last; id 0: not written
     TimePoint writtenAt {};
 };
--- a/src/operator/ControlCommands.cpp
+++ b/src/operator/ControlCommands.cpp
@@ -42,6 +42,12 @@
     return found.error();
 }
 
+// Entity tag of a resource, or empty when it does not exist.
+std::string entityTag(const Result<nlohmann::json> &found)
+{
+    return found ? found.value().value("entityTag", "") : "";
+}
+
 bool hasSameSpec(const Result<nlohmann::json> &found, const StoredResource &resource)
 {
     return found
@@ -156,7 +162,7 @@
         m_out << label << " unchanged at revision " << expected.value() << '\n';
         return expected.value();
     }
-    const auto stored = m_client.put(resource, expected.value());
+    const auto stored = m_client.put(resource, entityTag(found));
     if (!stored)
         return stored.error();
     const auto revision = stored.value().value("revision", std::int64_t(0));
@@ -246,12 +252,13 @@
 
 int ControlCommands::remove(const std::string &kind, const std::string &name)
 {
-    const auto expected = currentRevision(m_client.fetchResource(kind, name));
+    const auto found = m_client.fetchResource(kind, name);
+    const auto expected = currentRevision(found);
     if (!expected)
         return fail(expected.error());
     if (expected.value() == 0)
         return fail({ErrorCode::NotFound, kind + '/' + name + " does not exist"});
-    const auto removed = m_client.remove(kind, name, expected.value());
+    const auto removed = m_client.remove(kind, name, entityTag(found));
     if (!removed)
         return fail(removed.error());
     const auto revision = removed.value().value("revision", std::int64_t(0));
--- a/src/operator/OperatorApi.cpp
+++ b/src/operator/OperatorApi.cpp
@@ -11,7 +11,6 @@
 #include "Replies.h"
 #include "WatchStreams.h"
 
-#include <charconv>
 #include <nlohmann/json.hpp>
 
 namespace foxtailring {
@@ -24,29 +23,36 @@
 {
     auto json = nlohmann::json::parse(resource.toJson());
     json["revision"] = resource.revision;
+    json["entityTag"] = StoreRevision {resource.epoch, resource.revision}.toString();
     return json;
 }
 
+HttpResponse resourceReply(const StoredResource &resource)
+{
+    const auto json = toJson(resource);
+    HttpResponse response = jsonReply(200, json);
+    response.headers.push_back({"etag", '"' + json["entityTag"].get<std::string>() + '"'});
+    return response;
+}
+
 // A change must name the revision that it replaces, or it could overwrite another operator's
 // change.
 constexpr int preconditionRequired = 428;
 
-// Revision in `If-Match`, or 0 for `If-None-Match: *`.
-Result<std::int64_t> expectedRevision(const HttpRequest &request)
+// Revision in `If-Match`, or number 0 for `If-None-Match: *`.
+Result<StoreRevision> expectedRevision(const HttpRequest &request)
 {
     if (request.header("if-none-match") == "*")
-        return std::int64_t(0);
+        return StoreRevision {};
     std::string_view text = request.header("if-match");
     if (text.size() >= 2 && text.front() == '"' && text.back() == '"')
         text = text.substr(1, text.size() - 2);
-    std::int64_t revision = 0;
-    const auto end = text.data() + text.size();
-    const auto [stop, error] = std::from_chars(text.data(), end, revision);
-    if (text.empty() || error != std::errc() || stop != end || revision < 1)
+    const auto revision = StoreRevision::parse(text);
+    if (!revision || revision->number == 0)
         return Error {ErrorCode::InvalidArgument,
-                      "If-Match must hold the revision of the resource as last seen, or "
+                      "If-Match must hold the entity tag of the resource as last seen, or "
                       "If-None-Match: * to create it"};
-    return revision;
+    return *revision;
 }
 
 } // namespace
@@ -106,8 +112,7 @@
                              const Responder &responder)
 {
     store.get(kind, name, [responder](Result<StoredResource> result) {
-        responder->respond(result ? jsonReply(200, toJson(result.value()))
-                                  : problemReply(result.error()));
+        responder->respond(result ? resourceReply(result.value()) : problemReply(result.error()));
     });
 }
 
@@ -129,7 +134,7 @@
     resource.value().writer = request.header("x-operator");
     store.put(std::move(resource).value(), expected.value(),
               [responder](Result<StoredResource> result) {
-                  responder->respond(result ? jsonReply(200, toJson(result.value()))
+                  responder->respond(result ? resourceReply(result.value())
                                             : problemReply(result.error()));
               });
 }
--- a/src/operator/OperatorClient.cpp
+++ b/src/operator/OperatorClient.cpp
@@ -21,11 +21,11 @@
     return "/operator/v1/resources/" + kind + '/' + name;
 }
 
-HttpHeader preconditionHeader(std::int64_t expectedRevision)
+HttpHeader preconditionHeader(const std::string &entityTag)
 {
-    if (expectedRevision == 0)
+    if (entityTag.empty())
         return {"if-none-match", "*"};
-    return {"if-match", '"' + std::to_string(expectedRevision) + '"'};
+    return {"if-match", '"' + entityTag + '"'};
 }
 
 ErrorCode errorCodeForStatus(int status)
@@ -122,18 +122,18 @@
 }
 
 Result<nlohmann::json> OperatorClient::put(const StoredResource &resource,
-                                           std::int64_t expectedRevision)
+                                           const std::string &entityTag)
 {
     return call({"PUT",
                  resourcePath(resource.kind, resource.name),
-                 {preconditionHeader(expectedRevision)},
+                 {preconditionHeader(entityTag)},
                  resource.toJson()});
 }
 
 Result<nlohmann::json> OperatorClient::remove(const std::string &kind, const std::string &name,
-                                              std::int64_t expectedRevision)
+                                              const std::string &entityTag)
 {
-    return call({"DELETE", resourcePath(kind, name), {preconditionHeader(expectedRevision)}, ""});
+    return call({"DELETE", resourcePath(kind, name), {preconditionHeader(entityTag)}, ""});
 }
 
 Result<nlohmann::json> OperatorClient::fetchInForce(std::int64_t revision)
--- a/src/sidecar/ClaimStore.cpp
+++ b/src/sidecar/ClaimStore.cpp
@@ -63,7 +63,7 @@
     store.swapBucket = [platform](const std::string &path, const std::string &value,
                                   std::int64_t expectedRevision, SwapHook hook) {
         platform->keyValues.compareAndSwap(
-            path, value, expectedRevision,
+            path, value, {0, expectedRevision},
             [hook = std::move(hook)](const Result<WriteResult> &result) {
                 hook(result ? Result<BucketSwap>(swapOf(result.value())) : result.error());
             });
--- a/src/store/EtcdClient.cpp
+++ b/src/store/EtcdClient.cpp
@@ -48,6 +48,17 @@
     return body;
 }
 
+Error epochError()
+{
+    return {ErrorCode::Stale, "key-value service: the revision or lease is of another epoch"};
+}
+
+// The call was made before a write, so that the write was not sent.
+Error notWritten(const Error &error)
+{
+    return {ErrorCode::Unavailable, "nothing was written: " + error.message};
+}
+
 template <typename T, typename Decoder>
 Result<T> decodeReply(const Result<nlohmann::json> &reply, Decoder decode)
 try {
@@ -61,8 +72,15 @@
 
 } // namespace
 
-struct EtcdClient::State
+struct EtcdClient::State : std::enable_shared_from_this<EtcdClient::State>
 {
+    State(Http1Client &client, const Endpoint &endpoint, std::chrono::milliseconds callTimeout)
+        : http(client)
+        , service(endpoint)
+        , timeout(callTimeout)
+    {
+    }
+
     void call(const char *path, const nlohmann::json &body, JsonHook hook)
     {
         HttpRequest request {"POST", path, {{"content-type", "application/json"}}, body.dump()};
@@ -79,21 +97,83 @@
         });
     }
 
-    void transaction(const nlohmann::json &body, WriteHook hook)
+    void transaction(const nlohmann::json &body, StoreRevision expected, StoreLease lease,
+                     WriteHook hook)
     {
-        call("/v3/kv/txn", body, [hook = std::move(hook)](const Result<nlohmann::json> &reply) {
-            hook(decodeReply<WriteResult>(reply, etcd::writeResult));
-        });
+        call("/v3/kv/txn", body,
+             [expected, lease, hook = std::move(hook)](const Result<nlohmann::json> &reply) {
+                 const auto result = decodeReply<WriteResult>(reply, etcd::writeResult);
+                 if (!result)
+                     return hook(result.error());
+                 const std::int64_t epoch = result.value().epoch;
+                 const bool isOfAnotherEpoch = (expected.number != 0 && expected.epoch != epoch)
+                     || (lease.id != 0 && lease.epoch != epoch);
+                 if (isOfAnotherEpoch)
+                     return hook(epochError());
+                 hook(result.value());
+             });
     }
 
+    void conditionalWrite(const std::string &key, const nlohmann::json &body,
+                          StoreRevision expected, StoreLease lease, WriteHook hook);
+    void readEpoch(const std::string &key, bool mayRepeat,
+                   std::function<void(const Result<RangeResult> &)> hook);
+    void failCondition(const std::string &key, WriteHook hook);
+
     Http1Client &http;
     Endpoint service;
     std::chrono::milliseconds timeout;
 };
 
+// A transaction cannot compare the cluster id, and after a restore the key may have the expected
+// revision again with another value. So the epoch is read first. If the store is restored between
+// the two calls, the answer of the transaction shows it.
+void EtcdClient::State::conditionalWrite(const std::string &key, const nlohmann::json &body,
+                                         StoreRevision expected, StoreLease lease, WriteHook hook)
+{
+    if (expected.number == 0 || expected.epoch == 0)
+        return transaction(body, expected, lease, std::move(hook));
+    readEpoch(key, true,
+              [self = shared_from_this(), key, body, expected, lease,
+               hook = std::move(hook)](const Result<RangeResult> &read) {
+                  if (!read)
+                      return hook(notWritten(read.error()));
+                  if (read.value().epoch != expected.epoch)
+                      return self->failCondition(key, hook);
+                  self->transaction(body, expected, lease, hook);
+              });
+}
+
+// A kept-alive connection may be closed just when it is used again.
+void EtcdClient::State::readEpoch(const std::string &key, bool mayRepeat,
+                                  std::function<void(const Result<RangeResult> &)> hook)
+{
+    range(etcd::keyOnlyRequest(key),
+          [self = shared_from_this(), key, mayRepeat,
+           hook = std::move(hook)](const Result<RangeResult> &read) {
+              if (!read && read.error().code == ErrorCode::Closed && mayRepeat)
+                  return self->readEpoch(key, false, hook);
+              hook(read);
+          });
+}
+
+void EtcdClient::State::failCondition(const std::string &key, WriteHook hook)
+{
+    range(etcd::rangeRequest(key), [hook = std::move(hook)](const Result<RangeResult> &read) {
+        if (!read)
+            return hook(notWritten(read.error()));
+        WriteResult result;
+        result.revision = read.value().revision;
+        result.epoch = read.value().epoch;
+        if (!read.value().pairs.empty())
+            result.current = read.value().pairs.front();
+        hook(std::move(result));
+    });
+}
+
 EtcdClient::EtcdClient(Http1Client &http, const Endpoint &service,
                        std::chrono::milliseconds timeout)
-    : m_state(new State {http, service, timeout})
+    : m_state(std::make_shared<State>(http, service, timeout))
 {
 }
 
@@ -110,16 +190,17 @@
 }
 
 void EtcdClient::compareAndSwap(const std::string &key, const std::string &value,
-                                std::int64_t expectedRevision, WriteHook hook, StoreLease lease)
+                                StoreRevision expected, WriteHook hook, StoreLease lease)
 {
-    m_state->transaction(etcd::compareAndSwapRequest(key, value, expectedRevision, lease.id),
-                         std::move(hook));
+    m_state->conditionalWrite(key,
+                              etcd::compareAndSwapRequest(key, value, expected.number, lease.id),
+                              expected, lease, std::move(hook));
 }
 
-void EtcdClient::compareAndDelete(const std::string &key, std::int64_t expectedRevision,
-                                  WriteHook hook)
+void EtcdClient::compareAndDelete(const std::string &key, StoreRevision expected, WriteHook hook)
 {
-    m_state->transaction(etcd::compareAndDeleteRequest(key, expectedRevision), std::move(hook));
+    m_state->conditionalWrite(key, etcd::compareAndDeleteRequest(key, expected.number), expected,
+                              {}, std::move(hook));
 }
 
 void EtcdClient::grantLease(std::chrono::seconds timeToLive, LeaseHook hook)
@@ -130,7 +211,10 @@
                       const auto id = decodeReply<std::int64_t>(reply, etcd::leaseId);
                       if (!id)
                           return hook(id.error());
-                      hook(StoreLease {0, id.value()});
+                      const auto epoch = decodeReply<std::int64_t>(reply, etcd::epoch);
+                      if (!epoch)
+                          return hook(epoch.error());
+                      hook(StoreLease {epoch.value(), id.value()});
                   });
 }
 
@@ -138,7 +222,15 @@
 {
     const nlohmann::json body = {{"ID", std::to_string(lease.id)}};
     m_state->call("/v3/lease/keepalive", body,
-                  [hook = std::move(hook)](const Result<nlohmann::json> &reply) {
+                  [lease, hook = std::move(hook)](const Result<nlohmann::json> &reply) {
+                      const auto epoch =
+                          decodeReply<std::int64_t>(reply, [](const nlohmann::json &json) {
+                              return etcd::epoch(json.at("result"));
+                          });
+                      if (!epoch)
+                          return hook(epoch.error());
+                      if (epoch.value() != lease.epoch)
+                          return hook(epochError());
                       const auto remainingSeconds =
                           decodeReply<std::int64_t>(reply, [](const nlohmann::json &json) {
                               return etcd::integer(json.at("result"), "TTL");
@@ -154,7 +246,7 @@
 std::shared_ptr<Http1Stream> EtcdClient::watch(const std::string &prefix, StoreRevision from,
                                                WatchHooks hooks)
 {
-    auto reader = std::make_shared<WatchReader>(std::move(hooks));
+    auto reader = std::make_shared<WatchReader>(std::move(hooks), from.epoch);
     StreamHooks stream;
     stream.onHead = [reader](const HttpResponse &head) {
         if (head.status != 200)
--- a/src/store/EtcdJson.cpp
+++ b/src/store/EtcdJson.cpp
@@ -90,6 +90,13 @@
     return {{"key", toBase64(key)}};
 }
 
+nlohmann::json keyOnlyRequest(const std::string &key)
+{
+    auto request = rangeRequest(key);
+    request["keys_only"] = true;
+    return request;
+}
+
 nlohmann::json prefixRequest(const std::string &prefix)
 {
     return {{"key", toBase64(prefix)}, {"range_end", toBase64(prefixEnd(prefix))}};
@@ -135,6 +142,26 @@
     return value;
 }
 
+Result<std::int64_t> epoch(const nlohmann::json &reply)
+{
+    const auto header = reply.find("header");
+    if (header == reply.end() || !header->is_object())
+        return std::int64_t(0);
+    const auto found = header->find("cluster_id");
+    if (found == header->end())
+        return std::int64_t(0);
+    std::uint64_t id = 0;
+    if (found->is_number_unsigned())
+        return static_cast<std::int64_t>(found->get<std::uint64_t>());
+    if (!found->is_string())
+        return malformed("cluster_id is not an integer");
+    const auto &text = found->get_ref<const std::string &>();
+    const auto [stop, error] = std::from_chars(text.data(), text.data() + text.size(), id);
+    if (error != std::errc() || stop != text.data() + text.size())
+        return malformed("cluster_id is not an integer");
+    return static_cast<std::int64_t>(id);
+}
+
 Result<std::int64_t> leaseId(const nlohmann::json &reply)
 {
     return positiveInteger(reply, "ID");
@@ -145,8 +172,12 @@
     const auto revision = headerRevision(reply);
     if (!revision)
         return revision.error();
+    const auto epochOfReply = epoch(reply);
+    if (!epochOfReply)
+        return epochOfReply.error();
     RangeResult result;
     result.revision = revision.value();
+    result.epoch = epochOfReply.value();
     for (const auto &item : reply.value("kvs", nlohmann::json::array())) {
         auto pair = keyValue(item);
         if (!pair)
@@ -161,8 +192,12 @@
     const auto revision = headerRevision(reply);
     if (!revision)
         return revision.error();
+    const auto epochOfReply = epoch(reply);
+    if (!epochOfReply)
+        return epochOfReply.error();
     WriteResult result;
     result.revision = revision.value();
+    result.epoch = epochOfReply.value();
     const auto succeeded = reply.find("succeeded");
     if (succeeded != reply.end() && !succeeded->is_boolean())
         return malformed("succeeded is not a boolean");
--- a/src/store/EtcdJson.h
+++ b/src/store/EtcdJson.h
@@ -25,6 +25,8 @@
 std::string prefixEnd(std::string prefix);
 
 nlohmann::json rangeRequest(const std::string &key);
+/// \brief Range request whose reply has no value.
+nlohmann::json keyOnlyRequest(const std::string &key);
 nlohmann::json prefixRequest(const std::string &prefix);
 nlohmann::json compareAndSwapRequest(const std::string &key, const std::string &value,
                                      std::int64_t expectedRevision, std::int64_t lease);
@@ -35,6 +37,8 @@
 ///
 /// Malformed when \a object is not an object or the member is of another type.
 Result<std::int64_t> integer(const nlohmann::json &object, const char *member);
+/// \brief Cluster id in the header of \a reply, by its 64 bits; 0 when there is none.
+Result<std::int64_t> epoch(const nlohmann::json &reply);
 /// \brief Id of a granted lease. Malformed when it is 0, since a key put with lease 0 never
 /// expires.
 Result<std::int64_t> leaseId(const nlohmann::json &reply);
--- a/src/store/ResourceStore.cpp
+++ b/src/store/ResourceStore.cpp
@@ -18,15 +18,19 @@
 
 bool mayHaveBeenApplied(ErrorCode code)
 {
-    return code == ErrorCode::Timeout || code == ErrorCode::Closed || code == ErrorCode::Malformed;
+    return code == ErrorCode::Timeout || code == ErrorCode::Closed || code == ErrorCode::Malformed
+        || code == ErrorCode::Stale;
 }
 
-Error conflict(const StoredResource &current, const std::string &label,
-               std::int64_t expectedRevision)
+Error conflict(const StoredResource &current, const std::string &label, StoreRevision expected)
 {
-    const std::string expectation = expectedRevision == 0
+    const std::string expectation = expected.number == 0
         ? "that it does not exist"
-        : "revision " + std::to_string(expectedRevision);
+        : "revision " + std::to_string(expected.number);
+    if (expected.number != 0 && expected.epoch != current.epoch)
+        return {ErrorCode::Conflict,
+                label + ": the change expects " + expectation
+                    + ", but the platform's store has been restored from a backup since then"};
     if (current.revision == 0)
         return {ErrorCode::Conflict,
                 label + ": the change expects " + expectation + ", but it has been deleted"};
@@ -35,15 +39,17 @@
                 + std::to_string(current.revision) + ", written by \"" + current.writer + "\""};
 }
 
-StoredResource decodeResource(const KeyValue &pair)
+StoredResource decodeResource(const KeyValue &pair, std::int64_t epoch)
 {
-    auto resource = StoredResource::fromJson(pair.value, pair.modRevision);
-    if (resource)
-        return std::move(resource).value();
-    StoredResource invalid;
-    invalid.revision = pair.modRevision;
-    invalid.writer = "unknown";
-    return invalid;
+    auto decoded = StoredResource::fromJson(pair.value, pair.modRevision);
+    StoredResource resource;
+    if (decoded)
+        resource = std::move(decoded).value();
+    else
+        resource.writer = "unknown";
+    resource.revision = pair.modRevision;
+    resource.epoch = epoch;
+    return resource;
 }
 
 } // namespace
@@ -76,19 +82,19 @@
 {
 public:
     Change(WorkerPool &pool, KeyValueClient &client, StoredResource resource,
-           std::int64_t expectedRevision)
+           StoreRevision expected)
         : m_client(client)
         , m_timer(pool)
         , m_resource(std::move(resource))
         , m_key(ResourceStore::keyOf(m_resource.kind, m_resource.name))
-        , m_expectedRevision(expectedRevision)
+        , m_expected(expected)
     {
     }
 
     void put(const ResourceStore::ResourceHook &hook)
     {
         m_client.compareAndSwap(
-            m_key, m_resource.toJson(), m_expectedRevision,
+            m_key, m_resource.toJson(), m_expected,
             [self = shared_from_this(), hook](const Result<WriteResult> &result) {
                 if (!result)
                     return self->retry(result.error(), hook, [self, hook] { self->put(hook); });
@@ -99,7 +105,7 @@
     void remove(const ResourceStore::RevisionHook &hook)
     {
         m_client.compareAndDelete(
-            m_key, m_expectedRevision,
+            m_key, m_expected,
             [self = shared_from_this(), hook](const Result<WriteResult> &result) {
                 if (!result)
                     return self->retry(result.error(), hook, [self, hook] { self->remove(hook); });
@@ -131,9 +137,10 @@
     {
         if (result.applied) {
             m_resource.revision = result.revision;
+            m_resource.epoch = result.epoch;
             return hook(m_resource);
         }
-        const StoredResource current = decodeResource(result.current);
+        const StoredResource current = decodeResource(result.current, result.epoch);
         // An earlier attempt was applied, and only its reply was lost.
         if (current.changeId == m_resource.changeId)
             return hook(current);
@@ -145,12 +152,12 @@
         const bool isAlreadyDeleted = m_mayBeApplied && result.current.modRevision == 0;
         if (result.applied || isAlreadyDeleted)
             return hook(result.revision);
-        hook(conflictError(decodeResource(result.current)));
+        hook(conflictError(decodeResource(result.current, result.epoch)));
     }
 
     Error conflictError(const StoredResource &current) const
     {
-        Error error = conflict(current, label(), m_expectedRevision);
+        Error error = conflict(current, label(), m_expected);
         if (m_mayBeApplied)
             error.message += "; this change may have been applied before that one";
         return error;
@@ -160,7 +167,7 @@
     Timer m_timer;
     StoredResource m_resource;
     std::string m_key;
-    std::int64_t m_expectedRevision;
+    StoreRevision m_expected;
     int m_attempts = 0;
     bool m_mayBeApplied = false;
 };
@@ -185,9 +192,10 @@
                           [hook = std::move(hook)](const Result<RangeResult> &result) {
                               if (!result)
                                   return hook(result.error());
-                              ResourceList list {result.value().revision, {}};
+                              const std::int64_t epoch = result.value().epoch;
+                              ResourceList list {result.value().revision, {}, epoch};
                               for (const auto &pair : result.value().pairs)
-                                  list.resources.push_back(decodeResource(pair));
+                                  list.resources.push_back(decodeResource(pair, epoch));
                               hook(std::move(list));
                           });
 }
@@ -200,25 +208,24 @@
                 return hook(result.error());
             if (result.value().pairs.empty())
                 return hook(Error {ErrorCode::NotFound, kind + '/' + name + " does not exist"});
-            hook(decodeResource(result.value().pairs.front()));
+            hook(decodeResource(result.value().pairs.front(), result.value().epoch));
         });
 }
 
-void ResourceStore::put(StoredResource resource, std::int64_t expectedRevision,
-                        const ResourceHook &hook)
+void ResourceStore::put(StoredResource resource, StoreRevision expected, const ResourceHook &hook)
 {
     resource.changeId = m_state->changeId();
-    std::make_shared<Change>(m_state->pool, m_state->client, std::move(resource), expectedRevision)
+    std::make_shared<Change>(m_state->pool, m_state->client, std::move(resource), expected)
         ->put(hook);
 }
 
-void ResourceStore::remove(const std::string &kind, const std::string &name,
-                           std::int64_t expectedRevision, const RevisionHook &hook)
+void ResourceStore::remove(const std::string &kind, const std::string &name, StoreRevision expected,
+                           const RevisionHook &hook)
 {
     StoredResource resource;
     resource.kind = kind;
     resource.name = name;
-    std::make_shared<Change>(m_state->pool, m_state->client, std::move(resource), expectedRevision)
+    std::make_shared<Change>(m_state->pool, m_state->client, std::move(resource), expected)
         ->remove(hook);
 }
 
--- a/src/store/WatchReader.cpp
+++ b/src/store/WatchReader.cpp
@@ -13,8 +13,9 @@
 
 } // namespace
 
-WatchReader::WatchReader(WatchHooks hooks)
+WatchReader::WatchReader(WatchHooks hooks, std::int64_t epoch)
     : m_hooks(std::move(hooks))
+    , m_epoch(epoch)
 {
 }
 
@@ -57,6 +58,11 @@
     if (!json.is_object() || !json.contains("result") || !json["result"].is_object())
         return Error {ErrorCode::Malformed, "a watch line holds no result object"};
     const auto &result = json["result"];
+    const auto epoch = etcd::epoch(result);
+    if (!epoch)
+        return epoch.error();
+    if (epoch.value() != m_epoch)
+        return Error {ErrorCode::Stale, "the watch starts in another epoch of the service"};
     const auto compactRevision = etcd::integer(result, "compact_revision");
     if (!compactRevision)
         return compactRevision.error();
--- a/src/store/WatchReader.h
+++ b/src/store/WatchReader.h
@@ -13,7 +13,8 @@
 class WatchReader
 {
 public:
-    explicit WatchReader(WatchHooks hooks);
+    /// \param epoch of the store in which the watch starts; another one ends it with Stale
+    WatchReader(WatchHooks hooks, std::int64_t epoch);
 
     void feed(std::string_view bytes);
     /// \brief Ends the watch with \a error; only the first call runs WatchHooks::onEnded.
@@ -24,6 +25,7 @@
     std::optional<Error> readResult(std::string_view line);
 
     WatchHooks m_hooks;
+    const std::int64_t m_epoch;
     std::string m_pending;
     bool m_isEnded = false;
 };
--- a/tests/platform/KvClientTest.cpp
+++ b/tests/platform/KvClientTest.cpp
@@ -25,6 +25,7 @@
     CPPUNIT_TEST(pagesOfTwoEpochsAreNoResult);
     CPPUNIT_TEST(renewalInAnotherEpochFails);
     CPPUNIT_TEST(leasedWriteInAnotherEpochFails);
+    CPPUNIT_TEST(revisionOfAnotherEpochFails);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -69,7 +70,7 @@
     void swapIsATransaction()
     {
         ResultMailbox<WriteResult> box;
-        m_client->compareAndSwap("k", "v", 0, box.hook(), {0, 77});
+        m_client->compareAndSwap("k", "v", {0, 0}, box.hook(), {0, 77});
         const HttpRequest request = answer(R"({"rev":412})");
         CPPUNIT_ASSERT_EQUAL(std::string("/kv-txn"), request.target);
         CPPUNIT_ASSERT(json::parse(request.body)
@@ -84,7 +85,7 @@
     void refusedSwapReturnsTheCurrentValue()
     {
         ResultMailbox<WriteResult> box;
-        m_client->compareAndSwap("k", "v", 3, box.hook(), {});
+        m_client->compareAndSwap("k", "v", {0, 3}, box.hook(), {});
         answer(R"({"items":[{"key":"k","value":"dw==","rev":5}]})", 412);
         const WriteResult result = box.take().value();
         CPPUNIT_ASSERT(!result.applied);
@@ -101,7 +102,7 @@
                                                    {403, ErrorCode::InvalidArgument}};
         for (const auto &[status, code] : cases) {
             ResultMailbox<WriteResult> box;
-            m_client->compareAndSwap("k", "v", 0, box.hook(), {});
+            m_client->compareAndSwap("k", "v", {0, 0}, box.hook(), {});
             answer("", status);
             CPPUNIT_ASSERT(box.take().error().code == code);
         }
@@ -201,15 +202,24 @@
     void leasedWriteInAnotherEpochFails()
     {
         ResultMailbox<WriteResult> box;
-        m_client->compareAndSwap("k", "v", 3, box.hook(), {1, 77});
+        m_client->compareAndSwap("k", "v", {1, 3}, box.hook(), {1, 77});
         answerInEpoch("2", R"({"rev":412})");
         CPPUNIT_ASSERT(box.take().error().code == ErrorCode::Stale);
-        m_client->compareAndSwap("k", "v", 3, box.hook(), {1, 77});
+        m_client->compareAndSwap("k", "v", {1, 3}, box.hook(), {1, 77});
         m_requests.take().responder->respond(
             {412, {{"Store-Era", "2"}}, R"({"items":[{"key":"k","value":"dw==","rev":5}]})"});
         CPPUNIT_ASSERT(box.take().error().code == ErrorCode::Stale);
     }
 
+    // Guards against relying on a write whose condition held by chance after a restore.
+    void revisionOfAnotherEpochFails()
+    {
+        ResultMailbox<WriteResult> box;
+        m_client->compareAndDelete("k", {1, 3}, box.hook());
+        answerInEpoch("2", R"({"rev":412})");
+        CPPUNIT_ASSERT(box.take().error().code == ErrorCode::Stale);
+    }
+
 private:
     void answerInEpoch(const std::string &epoch, std::string body)
     {
--- a/tests/process/configuration/ConfigurationTest.cpp
+++ b/tests/process/configuration/ConfigurationTest.cpp
@@ -35,9 +35,9 @@
             SystemFixture system {SystemOptions {}};
             constexpr int races = 10;
             for (int race = 0; race < races; ++race) {
-                const std::int64_t readRevision = OperatorClient(system, 0).revision(kind, name);
+                const std::string tag = OperatorClient(system, 0).entityTag(kind, name);
                 const auto change = [&](std::size_t entry, const std::string &writer) {
-                    return OperatorClient(system, entry).put(account(writer), readRevision, writer);
+                    return OperatorClient(system, entry).put(account(writer), tag, writer);
                 };
                 auto first = std::async(std::launch::async, change, 0, "ana");
                 const auto second = change(1, "bea");
@@ -51,11 +51,11 @@
         runRounds("reply lost after the write took effect", [](InvariantReport &report) {
             SystemFixture system {SystemOptions {}};
             const OperatorClient operatorClient(system, 0);
-            const std::int64_t readRevision = operatorClient.revision(kind, name);
+            const std::string tag = operatorClient.entityTag(kind, name);
             const std::int64_t before = platformRevision(system);
             system.setPlatformFault({{"loseReplyNext", 1}});
             report.addRequest();
-            const auto reply = operatorClient.put(account("lost"), readRevision, "ana");
+            const auto reply = operatorClient.put(account("lost"), tag, "ana");
             if (!reply || reply.value().status != 200)
                 report.addViolation("the change took effect, but was not accepted");
             if (platformRevision(system) != before + 1)
--- a/tests/process/outages/OutagesTest.cpp
+++ b/tests/process/outages/OutagesTest.cpp
@@ -47,29 +47,29 @@
 
     void rejectionsHaveReasonAndRetryAfter()
     {
-        runRounds("platform refuses connections: keyed call and resource change",
-                  [](InvariantReport &report) {
-                      SystemFixture system(options());
-                      refusePlatform(system);
-                      expectRetryAdvice(report, sendNotice(system, "notice-1"),
-                                        {unavailableStatus});
-                      expectRetryAdvice(report, OperatorClient(system, 0).put(newModel(), 0, "ana"),
-                                        {unavailableStatus});
-                  });
+        runRounds(
+            "platform refuses connections: keyed call and resource change",
+            [](InvariantReport &report) {
+                SystemFixture system(options());
+                refusePlatform(system);
+                expectRetryAdvice(report, sendNotice(system, "notice-1"), {unavailableStatus});
+                expectRetryAdvice(report, OperatorClient(system, 0).put(newModel(), "", "ana"),
+                                  {unavailableStatus});
+            });
     }
 
     // A platform that closes the connection may have stored the change, so the outcome is unknown.
     void lostRepliesHaveReasonAndRetryAfter()
     {
-        runRounds("platform closes connections: keyed call and resource change",
-                  [](InvariantReport &report) {
-                      SystemFixture system(options());
-                      system.setPlatformFault({{"down", "close"}});
-                      expectRetryAdvice(report, sendNotice(system, "notice-1"),
-                                        {unavailableStatus});
-                      expectRetryAdvice(report, OperatorClient(system, 0).put(newModel(), 0, "ana"),
-                                        {unavailableStatus, timeoutStatus});
-                  });
+        runRounds(
+            "platform closes connections: keyed call and resource change",
+            [](InvariantReport &report) {
+                SystemFixture system(options());
+                system.setPlatformFault({{"down", "close"}});
+                expectRetryAdvice(report, sendNotice(system, "notice-1"), {unavailableStatus});
+                expectRetryAdvice(report, OperatorClient(system, 0).put(newModel(), "", "ana"),
+                                  {unavailableStatus, timeoutStatus});
+            });
     }
 
     void callsWithoutKeyContinue()
--- a/tests/process/system/OperatorClient.cpp
+++ b/tests/process/system/OperatorClient.cpp
@@ -18,23 +18,23 @@
 {
 }
 
-Result<HttpReply> OperatorClient::put(const nlohmann::json &resource, std::int64_t expectedRevision,
+Result<HttpReply> OperatorClient::put(const nlohmann::json &resource, const std::string &entityTag,
                                       const std::string &writer) const
 {
     HttpCall call {"PUT",
                    target(resource["kind"], resource["name"]),
                    {{"X-Operator", writer}, {"Content-Type", "application/json"}},
                    resource.dump()};
-    if (expectedRevision == 0)
+    if (entityTag.empty())
         call.headers.push_back({"If-None-Match", "*"});
     else
-        call.headers.push_back({"If-Match", '"' + std::to_string(expectedRevision) + '"'});
+        call.headers.push_back({"If-Match", '"' + entityTag + '"'});
     return HttpClient(m_port).send(call);
 }
 
-std::int64_t OperatorClient::revision(const std::string &kind, const std::string &name) const
+std::string OperatorClient::entityTag(const std::string &kind, const std::string &name) const
 {
-    return resource(kind, name)["revision"].get<std::int64_t>();
+    return resource(kind, name)["entityTag"].get<std::string>();
 }
 
 nlohmann::json OperatorClient::resource(const std::string &kind, const std::string &name) const
--- a/tests/process/system/OperatorClient.h
+++ b/tests/process/system/OperatorClient.h
@@ -24,11 +24,11 @@
 
     OperatorClient(SystemFixture &system, std::size_t entry);
 
-    /// \brief Replaces a resource if it is at \a expectedRevision; 0 creates it.
-    Result<HttpReply> put(const nlohmann::json &resource, std::int64_t expectedRevision,
+    /// \brief Replaces a resource if it has \a entityTag; an empty one creates it.
+    Result<HttpReply> put(const nlohmann::json &resource, const std::string &entityTag,
                           const std::string &writer) const;
-    /// \brief Current revision of a resource. Throws std::runtime_error when it cannot be read.
-    std::int64_t revision(const std::string &kind, const std::string &name) const;
+    /// \brief Entity tag of a resource. Throws std::runtime_error when it cannot be read.
+    std::string entityTag(const std::string &kind, const std::string &name) const;
     nlohmann::json resource(const std::string &kind, const std::string &name) const;
     /// \brief Runs foxtailringctl with \a arguments and waits for its end.
     Run runControlTool(const std::vector<std::string> &arguments) const;
--- a/tests/store/EtcdClientTest.cpp
+++ b/tests/store/EtcdClientTest.cpp
@@ -34,6 +34,7 @@
     CPPUNIT_TEST(malformedTransactionsAreRejected);
     CPPUNIT_TEST(leaseIsGrantedAndRenewed);
     CPPUNIT_TEST(malformedLeasesAreRejected);
+    CPPUNIT_TEST(leaseOfAnotherEpochIsStale);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -90,7 +91,7 @@
     void swapComparesRevision()
     {
         ResultMailbox<WriteResult> mailbox;
-        m_client->compareAndSwap("k", "v", 5, mailbox.hook(), {0, 9});
+        m_client->compareAndSwap("k", "v", {0, 5}, mailbox.hook(), {0, 9});
         const HttpRequest request = answer(R"({"header":{"revision":"6"},"succeeded":true,
             "responses":[{"response_put":{"header":{"revision":"6"}}}]})");
         CPPUNIT_ASSERT_EQUAL(std::string("/v3/kv/txn"), request.target);
@@ -107,7 +108,7 @@
     void failedSwapReturnsCurrentValue()
     {
         ResultMailbox<WriteResult> mailbox;
-        m_client->compareAndSwap("k", "v", 5, mailbox.hook());
+        m_client->compareAndSwap("k", "v", {0, 5}, mailbox.hook());
         answer(R"({"header":{"revision":"8"},"responses":[{"response_range":
             {"kvs":[{"key":"aw==","value":"dw==","mod_revision":"7"}]}}]})");
         const WriteResult changed = mailbox.take().value();
@@ -115,7 +116,7 @@
         CPPUNIT_ASSERT_EQUAL(std::string("w"), changed.current.value);
         CPPUNIT_ASSERT_EQUAL(std::int64_t(7), changed.current.modRevision);
 
-        m_client->compareAndSwap("k", "v", 5, mailbox.hook());
+        m_client->compareAndSwap("k", "v", {0, 5}, mailbox.hook());
         answer(R"({"header":{"revision":"8"},"responses":[{"response_range":{}}]})");
         const WriteResult deleted = mailbox.take().value();
         CPPUNIT_ASSERT(!deleted.applied);
@@ -125,7 +126,7 @@
     void removeIsATransaction()
     {
         ResultMailbox<WriteResult> mailbox;
-        m_client->compareAndDelete("k", 5, mailbox.hook());
+        m_client->compareAndDelete("k", {0, 5}, mailbox.hook());
         const HttpRequest request = answer(R"({"header":{"revision":"6"},"succeeded":true})");
         CPPUNIT_ASSERT(json::parse(request.body)["success"]
                        == jsonOf(R"([{"request_delete_range":{"key":"aw=="}}])"));
@@ -136,17 +137,17 @@
     void lostReplyIsDistinctFromNotSent()
     {
         ResultMailbox<WriteResult> mailbox;
-        m_client->compareAndSwap("k", "v", 0, mailbox.hook());
+        m_client->compareAndSwap("k", "v", {0, 0}, mailbox.hook());
         m_requests.take().responder->abort();
         CPPUNIT_ASSERT(mailbox.take().error().code == ErrorCode::Closed);
 
         EtcdClient shortTimeoutClient(*m_http, m_service, std::chrono::milliseconds(50));
-        shortTimeoutClient.compareAndSwap("k", "v", 0, mailbox.hook());
+        shortTimeoutClient.compareAndSwap("k", "v", {0, 0}, mailbox.hook());
         const PendingRequest unanswered = m_requests.take();
         CPPUNIT_ASSERT(mailbox.take().error().code == ErrorCode::Timeout);
 
         m_server->close();
-        m_client->compareAndSwap("k", "v", 0, mailbox.hook());
+        m_client->compareAndSwap("k", "v", {0, 0}, mailbox.hook());
         CPPUNIT_ASSERT(mailbox.take().error().code == ErrorCode::Unavailable);
     }
 
@@ -161,7 +162,7 @@
             {504, "<html>", ErrorCode::Timeout}};
         for (const auto &[status, body, expected] : cases) {
             ResultMailbox<WriteResult> mailbox;
-            m_client->compareAndSwap("k", "v", 0, mailbox.hook());
+            m_client->compareAndSwap("k", "v", {0, 0}, mailbox.hook());
             answer(body, status);
             CPPUNIT_ASSERT_MESSAGE(body, mailbox.take().error().code == expected);
         }
@@ -206,7 +207,7 @@
             R"({"header":{"revision":"3"},"responses":[{"response_range":{"kvs":[{}]}}]})"};
         for (const char *reply : replies) {
             ResultMailbox<WriteResult> mailbox;
-            m_client->compareAndSwap("k", "v", 1, mailbox.hook());
+            m_client->compareAndSwap("k", "v", {0, 1}, mailbox.hook());
             answer(reply);
             const auto result = mailbox.take();
             CPPUNIT_ASSERT_MESSAGE(reply, !result && result.error().code == ErrorCode::Malformed);
@@ -251,6 +252,23 @@
         }
     }
 
+    // Guards against the renewal of another process's lease, which has the id of the lost one.
+    void leaseOfAnotherEpochIsStale()
+    {
+        ResultMailbox<StoreLease> granted;
+        m_client->grantLease(std::chrono::seconds(10), granted.hook());
+        answer(R"({"header":{"cluster_id":"7","revision":"3"},"ID":"77","TTL":"10"})");
+        const StoreLease lease = granted.take().value();
+        ResultMailbox<std::chrono::seconds> renewed;
+        m_client->keepAlive(lease, renewed.hook());
+        answer(R"({"result":{"header":{"cluster_id":"8","revision":"3"},"ID":"77","TTL":"10"}})");
+        CPPUNIT_ASSERT(renewed.take().error().code == ErrorCode::Stale);
+        ResultMailbox<WriteResult> written;
+        m_client->compareAndSwap("k", "v", {}, written.hook(), lease);
+        answer(R"({"header":{"cluster_id":"8","revision":"6"},"succeeded":true})");
+        CPPUNIT_ASSERT(written.take().error().code == ErrorCode::Stale);
+    }
+
 private:
     std::optional<EtcdClient> m_client;
 };
--- a/tests/store/PrefixWatcherTest.cpp
+++ b/tests/store/PrefixWatcherTest.cpp
@@ -35,11 +35,11 @@
 public:
     void get(const std::string &, RangeHook) override { }
     void range(const std::string &, RangeHook hook) override { reads.put(std::move(hook)); }
-    void compareAndSwap(const std::string &, const std::string &, std::int64_t, WriteHook,
+    void compareAndSwap(const std::string &, const std::string &, StoreRevision, WriteHook,
                         StoreLease) override
     {
     }
-    void compareAndDelete(const std::string &, std::int64_t, WriteHook) override { }
+    void compareAndDelete(const std::string &, StoreRevision, WriteHook) override { }
     void grantLease(std::chrono::seconds, LeaseHook) override { }
     void keepAlive(StoreLease, RenewalHook) override { }
     std::shared_ptr<Http1Stream> watch(const std::string &, StoreRevision from,
--- a/tests/store/WatchTest.cpp
+++ b/tests/store/WatchTest.cpp
@@ -27,6 +27,7 @@
     CPPUNIT_TEST_SUITE(WatchTest);
     CPPUNIT_TEST(changesSpanChunks);
     CPPUNIT_TEST(compactedStartIsStale);
+    CPPUNIT_TEST(watchInAnotherEpochIsStale);
     CPPUNIT_TEST(endIsReportedOnce);
     CPPUNIT_TEST(disconnectReportsClosed);
     CPPUNIT_TEST(refusedWatchIsUnavailable);
@@ -68,6 +69,16 @@
         CPPUNIT_ASSERT(m_ends.take() == ErrorCode::Stale);
     }
 
+    // Guards against changes that are taken for those after a revision of before a restore.
+    void watchInAnotherEpochIsStale()
+    {
+        openWatch().responder->write(line(R"({"result":{"header":{"cluster_id":"7",
+            "revision":"90"},"created":true}})")
+                                     + line(put));
+        CPPUNIT_ASSERT(m_ends.take() == ErrorCode::Stale);
+        CPPUNIT_ASSERT(m_changes.isEmpty());
+    }
+
     void endIsReportedOnce()
     {
         const std::pair<const char *, ErrorCode> cases[] = {
