gateway: make forward sessions in a class of their own

No behaviour was wrong. Change: ForwardSessionFactory makes the session of a request from its route and the services of the route table. Conclusion: no change of behaviour.

--- a/src/gateway/RequestRelay.cpp
+++ b/src/gateway/RequestRelay.cpp
@@ -1,13 +1,13 @@
 #include "RequestRelay.h"
 
 #include "foxtailring/base/StructuredLog.h"
-#include "foxtailring/decisions/CallSession.h"
 #include "foxtailring/transport/Endpoint.h"
 #include "foxtailring/transport/Http1Client.h"
 #include "foxtailring/transport/Http1Responder.h"
 #include "foxtailring/transport/Http1Stream.h"
 
 #include "DurationText.h"
+#include "ForwardSessionFactory.h"
 #include "GatewayParts.h"
 #include "Refusal.h"
 #include "ServerProbe.h"
@@ -79,49 +79,14 @@
     , m_account(std::move(account))
     , m_responder(std::move(responder))
     , m_arrivedAt(arrivedAt)
-    , m_session(makeSession(arrivedAt))
+    , m_session(ForwardSessionFactory(*m_table, route)
+                    .make(m_request, arrivedAt, parts.forwardContext(m_request.id)))
     , m_stream(dynamic_cast<StreamSession *>(m_session.get()))
     , m_memory(parts.memoryBudget)
     , m_timer(parts.pool)
 {
 }
 
-std::unique_ptr<ForwardSession> RequestRelay::makeSession(TimePoint arrivedAt)
-{
-    ForwardRequest request;
-    request.arrivedAt = arrivedAt;
-    request.callerTimeout = m_request.timeout;
-    request.promptId = m_request.promptId;
-    request.sharedPromptParts = m_request.sharedPromptParts;
-    request.promptTokens = m_request.promptTokens;
-    request.maxOutputTokens = m_request.maxOutputTokens;
-    request.lastEventId = m_request.lastEventId;
-    request.minAttemptTime = m_request.minAttemptTime;
-    for (const RouteTarget &target : m_route.targets) {
-        if (const RoutedService *service = m_table->service(target.service))
-            request.tokensPerEvent = std::max(request.tokensPerEvent, service->tokensPerEvent);
-    }
-    const ForwardContext context = m_parts.forwardContext(m_request.id);
-    if (m_route.kind != CallKind::Stream)
-        return std::make_unique<CallSession>(m_route, request, context);
-    const auto allServices = [this](auto property) {
-        return std::all_of(m_route.targets.begin(), m_route.targets.end(),
-                           [this, property](const RouteTarget &target) {
-                               const RoutedService *service = m_table->service(target.service);
-                               return service && property(*service);
-                           });
-    };
-    StreamSession::EngineCapabilities capabilities;
-    capabilities.canCopyContinuously =
-        allServices([](const RoutedService &one) { return one.copiesContinuously; });
-    capabilities.isSingleService = m_table->engineServiceCount() == 1;
-    capabilities.canBeProbed =
-        allServices([](const RoutedService &one) { return one.memoryTokens > 0; });
-    capabilities.canCopyOnDemand =
-        allServices([](const RoutedService &one) { return one.copiesOnDemand; });
-    return std::make_unique<StreamSession>(m_route, request, context, capabilities);
-}
-
 void RequestRelay::start()
 {
     m_responder->onDisconnect([self = shared_from_this()] {
--- a/src/gateway/RequestRelay.h
+++ b/src/gateway/RequestRelay.h
@@ -58,7 +58,6 @@
     };
     using AttemptTask = std::function<void(RequestRelay &)>;
 
-    std::unique_ptr<ForwardSession> makeSession(TimePoint arrivedAt);
     /// The returned function posts two tasks to the queue: the first is run if attempt \a number is
     /// the current one by then, the second if it is the fallback.
     std::function<void(AttemptTask, AttemptTask)> attemptPoster(std::uint64_t number);
