gateway: send attempts from a class of their own

Cause: RequestRelay.cpp encoded each attempt and chose the connections that may carry it, besides carrying out the session's decisions. No behaviour was wrong. Change: AttemptSender owns the metadata of an attempt, the connection hooks and the time limits of its exchange. ServerAttempt has its own header.

--- a/src/gateway/RequestRelay.cpp
+++ b/src/gateway/RequestRelay.cpp
@@ -22,14 +22,6 @@
 
 using std::chrono::milliseconds;
 
-// Covers one round trip between regions. A lost packet is not waited for: trying another server is
-// faster than the retransmission.
-constexpr milliseconds connectTimeout {250};
-constexpr milliseconds acknowledgeTimeout {1500};
-// A request that may not be retried is lost if its kept-alive connection turns out to be dead, so
-// it only uses connections that have been idle for a short time.
-constexpr milliseconds maxReuseIdle {8000};
-constexpr milliseconds cautiousMaxReuseIdle {1500};
 // Limits the memory that a faulty server can make this process hold.
 constexpr std::size_t maxBufferedAnswerBytes = 16 * 1024 * 1024;
 // By then attempts with an oversized answer have been cancelled, which frees their memory.
@@ -57,15 +49,6 @@
     return text;
 }
 
-ExchangeOptions exchangeOptions(const HttpRoute &route)
-{
-    ExchangeOptions options;
-    options.connectTimeout = connectTimeout;
-    options.unacknowledgedTimeout = acknowledgeTimeout;
-    options.maxIdleTime = route.allowsRetry() ? maxReuseIdle : cautiousMaxReuseIdle;
-    return options;
-}
-
 } // namespace
 
 RequestRelay::RequestRelay(GatewayParts &parts, GatewayRequest request,
@@ -76,12 +59,12 @@
     , m_request(std::move(request))
     , m_table(std::move(table))
     , m_route(route)
-    , m_account(std::move(account))
     , m_responder(std::move(responder))
     , m_arrivedAt(arrivedAt)
     , m_session(ForwardSessionFactory(*m_table, route)
                     .make(m_request, arrivedAt, parts.forwardContext(m_request.id)))
     , m_stream(dynamic_cast<StreamSession *>(m_session.get()))
+    , m_sender(parts.http, parts.codec, m_request, route, std::move(account))
     , m_memory(parts.memoryBudget)
     , m_timer(parts.pool)
 {
@@ -149,12 +132,12 @@
 void RequestRelay::send(const SendAttempt &next)
 {
     if (next.keepsLatest)
-        m_fallback = std::exchange(m_attempt, Attempt {});
+        m_fallback = std::exchange(m_attempt, ServerAttempt {});
     cancelAttempt();
     const auto endpoint = Endpoint::parse(next.server.info.address);
     if (!endpoint)
         return perform(m_session->onAttemptEnded(AttemptResult::NotSent, m_parts.clock()));
-    m_attempt = Attempt {};
+    m_attempt = ServerAttempt {};
     m_attempt.number = ++m_attemptCount;
     if (!m_stream && m_attemptCount == 1)
         m_parts.answerTimes.begin(m_route.name, m_arrivedAt);
@@ -162,29 +145,8 @@
     m_attempt.endpoint = endpoint.value();
     m_attempt.isFromCopy = next.fromCopy.has_value();
     logAttempt(next);
-    AttemptMetadata metadata;
-    metadata.serverId = next.server.info.id;
-    metadata.account = m_account;
-    metadata.timeLeft = next.timeLeft;
-    metadata.lastEventId = next.lastEventId;
-    if (next.copyTo)
-        metadata.copyTo = next.copyTo->info.address;
-    metadata.fromCopy = next.fromCopy;
     const auto post = attemptPoster(m_attempt.number);
     StreamHooks hooks;
-    // Only the refusal of a malformed request has no id. On a connection that was used before, it
-    // may as well be an earlier answer that is written once more.
-    hooks.matchesRequest = [codec = &m_parts.codec, id = m_request.id](const HttpResponse &response,
-                                                                       bool isFirstResponse) {
-        const std::string answered = codec->decodeAnswer(response).requestId;
-        return answered.empty() ? isFirstResponse : answered == id;
-    };
-    // A repeated refusal with the id of this request could meet its next attempt at the same
-    // address, so no connection that carried a refusal is used again.
-    hooks.allowsReuse = [codec = &m_parts.codec](const HttpResponse &response) {
-        const BackendAnswer answer = codec->decodeAnswer(response);
-        return !answer.isNotRun && !answer.isOtherServer;
-    };
     hooks.onHead = [self = shared_from_this(), number = m_attempt.number,
                     info = next.server.info](const HttpResponse &response) {
         self->m_parts.queue.post([self, number, info, response] {
@@ -205,9 +167,7 @@
         post([result](RequestRelay &self) { self.onClosed(result); },
              [result](RequestRelay &self) { self.onFallbackClosed(result); });
     };
-    m_attempt.stream =
-        m_parts.http.stream(endpoint.value(), m_parts.codec.encodeAttempt(m_request, metadata),
-                            std::move(hooks), exchangeOptions(m_route));
+    m_attempt.stream = m_sender.send(next, endpoint.value(), std::move(hooks));
 }
 
 void RequestRelay::logAttempt(const SendAttempt &next) const
@@ -312,7 +272,7 @@
     return m_fallback.number != 0 && m_fallback.number == number;
 }
 
-void RequestRelay::recordHead(Attempt &attempt, HttpResponse head)
+void RequestRelay::recordHead(ServerAttempt &attempt, HttpResponse head)
 {
     attempt.hasHead = true;
     attempt.answer = m_parts.codec.decodeAnswer(head);
@@ -354,7 +314,7 @@
 {
     if (const auto stream = std::exchange(m_fallback.stream, nullptr))
         stream->cancel();
-    m_fallback = Attempt {};
+    m_fallback = ServerAttempt {};
 }
 
 void RequestRelay::onHead(HttpResponse head)
@@ -366,7 +326,7 @@
         && isEventStream(m_attempt.head);
 }
 
-void RequestRelay::logRateLimit(const Attempt &attempt) const
+void RequestRelay::logRateLimit(const ServerAttempt &attempt) const
 {
     const auto &limit = attempt.answer.rateLimit;
     m_parts.metrics.add(limit ? "gateway_limits_named_total{form=\"readable\"}"
@@ -480,7 +440,7 @@
 
 // A server at its limit of connections resets one before it answers, which looks like the end of
 // the server.
-AttemptResult RequestRelay::recordConnectionError(const Attempt &attempt, const Error &error)
+AttemptResult RequestRelay::recordConnectionError(const ServerAttempt &attempt, const Error &error)
 {
     const bool isCut = error.code == ErrorCode::Unavailable || error.code == ErrorCode::Closed;
     if (isCut && !attempt.hasHead)
@@ -518,7 +478,7 @@
     perform(m_session->onAttemptEnded(result, m_parts.clock()));
 }
 
-void RequestRelay::logFailure(const Attempt &attempt, AttemptResult result) const
+void RequestRelay::logFailure(const ServerAttempt &attempt, AttemptResult result) const
 {
     StructuredLog::info("attemptFailed",
                         {{"request", m_request.id},
@@ -534,7 +494,7 @@
 {
     if (pass.isFallback) {
         cancelAttempt();
-        m_attempt = std::exchange(m_fallback, Attempt {});
+        m_attempt = std::exchange(m_fallback, ServerAttempt {});
     }
     HttpResponse response;
     response.status = m_attempt.answer.status;
--- a/src/gateway/RequestRelay.h
+++ b/src/gateway/RequestRelay.h
@@ -6,11 +6,12 @@
 #include "foxtailring/decisions/RouteTable.h"
 #include "foxtailring/decisions/StreamSession.h"
 #include "foxtailring/gateway/GatewayRequest.h"
-#include "foxtailring/protocol/EventStreamReader.h"
-#include "foxtailring/transport/Endpoint.h"
 #include "foxtailring/transport/HttpResponse.h"
 #include "foxtailring/transport/Timer.h"
 
+#include "AttemptSender.h"
+#include "ServerAttempt.h"
+
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -20,7 +21,6 @@
 namespace foxtailring {
 
 class Http1Responder;
-class Http1Stream;
 struct GatewayParts;
 
 /// \brief Carries out what a ForwardSession decides for one caller's request.
@@ -41,21 +41,6 @@
     void giveUp();
 
 private:
-    struct Attempt
-    {
-        std::uint64_t number = 0;
-        std::string serverId;
-        Endpoint endpoint;
-        std::shared_ptr<Http1Stream> stream;
-        bool hasHead = false; ///< the answer has begun
-        HttpResponse head;
-        BackendAnswer answer;
-        std::string body;
-        EventStreamReader events;
-        bool isStreaming = false; ///< events are forwarded as they arrive
-        bool isFromCopy = false;
-        std::uint64_t eventCount = 0; ///< passed on
-    };
     using AttemptTask = std::function<void(RequestRelay &)>;
 
     /// The returned function posts two tasks to the queue: the first is run if attempt \a number is
@@ -72,7 +57,7 @@
     void onRunCopied(const CopyRun &command, const Result<HttpResponse> &response);
     void onProbeResults(std::span<const ServerProbeResult> results);
     void onHead(HttpResponse head);
-    void logRateLimit(const Attempt &attempt) const;
+    void logRateLimit(const ServerAttempt &attempt) const;
     void onBody(std::string_view bytes);
     /// Reserves the memory that the request holds now. False: over the budget; the caller of this
     /// function abandons \a what.
@@ -80,7 +65,7 @@
     void onEvent(std::optional<std::int64_t> id, std::string_view text);
     void onClosed(const Result<Done> &result);
     /// A connection to the server of the attempt failed; returns what became of the attempt.
-    AttemptResult recordConnectionError(const Attempt &attempt, const Error &error);
+    AttemptResult recordConnectionError(const ServerAttempt &attempt, const Error &error);
     bool isEmptyRun() const;
     void onStreamEnd();
     void endAttempt(AttemptResult result);
@@ -90,8 +75,8 @@
     void onFallbackClosed(const Result<Done> &result);
     void endFallback(AttemptResult result);
     void cancelFallback();
-    void recordHead(Attempt &attempt, HttpResponse head);
-    void logFailure(const Attempt &attempt, AttemptResult result) const;
+    void recordHead(ServerAttempt &attempt, HttpResponse head);
+    void logFailure(const ServerAttempt &attempt, AttemptResult result) const;
     void recordResume(TimePoint now);
     void startStreamedAnswer();
     void forwardAnswer(const PassAnswer &pass);
@@ -107,15 +92,15 @@
     const GatewayRequest m_request;
     const std::shared_ptr<const RouteTable> m_table;
     const HttpRoute &m_route;
-    const std::string m_account;
     const std::shared_ptr<Http1Responder> m_responder;
     const TimePoint m_arrivedAt;
     const std::unique_ptr<ForwardSession> m_session;
     StreamSession *const m_stream; ///< m_session if the answer is a stream, else null
+    const AttemptSender m_sender;
     MemoryBudget::Reservation m_memory;
     Timer m_timer;
-    Attempt m_attempt;
-    Attempt m_fallback; ///< an earlier attempt at a call that goes on; number 0: none
+    ServerAttempt m_attempt;
+    ServerAttempt m_fallback; ///< an earlier attempt at a call that goes on; number 0: none
     std::uint64_t m_attemptCount = 0;
     std::uint64_t m_probeCount = 0;
     TimePoint m_lastEventAt;
