gateway: report what happens to a request from a class of its own

Cause: log lines and metrics took a sixth of RequestRelay.cpp. No behaviour was wrong. Change: RequestReporter logs and counts attempts, their failures, probes, rate limits, resumes and the end of a request. The names and fields of log lines and metrics are the same. Conclusion: no change of behaviour.

--- a/src/gateway/RequestRelay.cpp
+++ b/src/gateway/RequestRelay.cpp
@@ -6,7 +6,6 @@
 #include "foxtailring/transport/Http1Responder.h"
 #include "foxtailring/transport/Http1Stream.h"
 
-#include "DurationText.h"
 #include "ForwardSessionFactory.h"
 #include "GatewayParts.h"
 #include "Refusal.h"
@@ -41,14 +40,6 @@
     return error.code == ErrorCode::Malformed ? AttemptResult::Invalid : AttemptResult::Lost;
 }
 
-std::string joined(std::span<const std::string> names)
-{
-    std::string text;
-    for (const std::string &name : names)
-        text += (text.empty() ? "" : ",") + name;
-    return text;
-}
-
 } // namespace
 
 RequestRelay::RequestRelay(GatewayParts &parts, GatewayRequest request,
@@ -61,6 +52,7 @@
     , m_route(route)
     , m_responder(std::move(responder))
     , m_arrivedAt(arrivedAt)
+    , m_reporter(parts, m_request, *m_table, route, arrivedAt)
     , m_session(ForwardSessionFactory(*m_table, route)
                     .make(m_request, arrivedAt, parts.forwardContext(m_request.id)))
     , m_stream(dynamic_cast<StreamSession *>(m_session.get()))
@@ -94,9 +86,7 @@
 // The status does not say whether the request was executed, since an attempt may be in progress.
 void RequestRelay::onException(std::string_view message)
 {
-    StructuredLog::warn("requestException",
-                        {{"request", m_request.id}, {"message", std::string(message)}});
-    m_parts.metrics.add("gateway_request_exceptions_total");
+    m_reporter.reportException(message);
     if (m_isFinished)
         return;
     if (m_hasStartedAnswer)
@@ -144,7 +134,7 @@
     m_attempt.serverId = next.server.info.id;
     m_attempt.endpoint = endpoint.value();
     m_attempt.isFromCopy = next.fromCopy.has_value();
-    logAttempt(next);
+    m_reporter.reportAttempt(next, m_attemptCount);
     const auto post = attemptPoster(m_attempt.number);
     StreamHooks hooks;
     hooks.onHead = [self = shared_from_this(), number = m_attempt.number,
@@ -170,25 +160,6 @@
     m_attempt.stream = m_sender.send(next, endpoint.value(), std::move(hooks));
 }
 
-void RequestRelay::logAttempt(const SendAttempt &next) const
-{
-    constexpr std::string_view healthNames[] = {"sound", "doubtful", "suspected"};
-    const BackendState &server = next.server;
-    m_parts.metrics.add("gateway_attempts_total{cause=\"" + std::string(next.cause) + "\"}");
-    StructuredLog::info("attempt",
-                        {{"request", m_request.id},
-                         {"number", std::to_string(m_attemptCount)},
-                         {"server", server.info.id},
-                         {"zone", server.info.availabilityZone},
-                         {"cause", std::string(next.cause)},
-                         {"trust", std::string(healthNames[static_cast<int>(server.health)])},
-                         {"inFlight", std::to_string(server.inFlight)},
-                         {"loadAgeMs", server.load ? msText(server.loadAge) : "none"},
-                         {"fromCopy", next.fromCopy ? "true" : "false"},
-                         {"copyTo", next.copyTo ? next.copyTo->info.id : ""},
-                         {"timeLeftMs", std::to_string(next.timeLeft.count())}});
-}
-
 void RequestRelay::probeServers(const ProbeServers &probe)
 {
     const std::uint64_t number = ++m_probeCount;
@@ -236,18 +207,7 @@
 
 void RequestRelay::onProbeResults(std::span<const ServerProbeResult> results)
 {
-    std::string summary;
-    for (const ServerProbeResult &report : results)
-        summary += report.serverId + " running " + std::to_string(report.load.running) + " waiting "
-            + std::to_string(report.load.waiting) + " reading "
-            + std::to_string(report.load.prefilling) + " events "
-            + (report.hasRun ? std::to_string(report.eventCount) : "none")
-            + (report.hasPrompt ? " prompt; " : "; ");
-    StructuredLog::info("serversAsked",
-                        {{"request", m_request.id},
-                         {"reports", summary},
-                         {"attempt", std::to_string(m_attempt.number)},
-                         {"lastEvent", std::to_string(m_stream->lastEventId().value_or(0))}});
+    m_reporter.reportProbe(results, m_attempt.number, m_stream->lastEventId().value_or(0));
     perform(m_session->onProbed(results, m_parts.clock()));
 }
 
@@ -278,7 +238,7 @@
     attempt.answer = m_parts.codec.decodeAnswer(head);
     attempt.head = std::move(head);
     if (attempt.answer.namesRateLimit)
-        logRateLimit(attempt);
+        m_reporter.reportRateLimit(attempt);
 }
 
 void RequestRelay::onFallbackHead(HttpResponse head)
@@ -305,7 +265,7 @@
 
 void RequestRelay::endFallback(AttemptResult result)
 {
-    logFailure(m_fallback, result);
+    m_reporter.reportFailure(m_fallback, result);
     cancelFallback();
     perform(m_session->onFallbackEnded(result, m_parts.clock()));
 }
@@ -326,17 +286,6 @@
         && isEventStream(m_attempt.head);
 }
 
-void RequestRelay::logRateLimit(const ServerAttempt &attempt) const
-{
-    const auto &limit = attempt.answer.rateLimit;
-    m_parts.metrics.add(limit ? "gateway_limits_named_total{form=\"readable\"}"
-                              : "gateway_limits_named_total{form=\"unreadable\"}");
-    StructuredLog::info("limitNamed",
-                        {{"request", m_request.id},
-                         {"server", attempt.serverId},
-                         {"limitPerSecond", limit ? std::to_string(*limit) : "unreadable"}});
-}
-
 void RequestRelay::onBody(std::string_view bytes)
 {
     if (!m_attempt.isStreaming) {
@@ -367,13 +316,7 @@
                              static_cast<double>(m_parts.memoryBudget.held()));
     if (isAllowed)
         return true;
-    m_parts.metrics.add("gateway_too_large_total{what=\"" + std::string(what) + "\"}");
-    StructuredLog::warn("answerTooLarge",
-                        {{"request", m_request.id},
-                         {"what", std::string(what)},
-                         {"server", m_attempt.serverId},
-                         {"bytes", std::to_string(bytes)},
-                         {"heldByAll", std::to_string(m_parts.memoryBudget.held())}});
+    m_reporter.reportOverBudget(what, m_attempt.serverId, bytes);
     return false;
 }
 
@@ -402,15 +345,8 @@
     const bool isFirst = ++m_attempt.eventCount == 1;
     const bool isResumed = m_hasStartedAnswer && isFirst;
     const Duration pause = now - std::exchange(m_lastEventAt, now);
-    if (!isResumed)
-        return;
-    m_parts.metrics.observeSeconds("gateway_resume_seconds",
-                                   std::chrono::duration<double>(pause).count());
-    StructuredLog::info("resumed",
-                        {{"request", m_request.id},
-                         {"server", m_attempt.serverId},
-                         {"fromCopy", m_attempt.isFromCopy ? "true" : "false"},
-                         {"pauseMs", msText(pause)}});
+    if (isResumed)
+        m_reporter.reportResume(m_attempt, pause);
 }
 
 void RequestRelay::startStreamedAnswer()
@@ -421,9 +357,7 @@
     auto headers = m_parts.codec.callerResponseHeaders(m_attempt.head);
     m_hasStartedAnswer = true;
     m_responder->startStream(m_attempt.answer.status, std::move(headers));
-    m_parts.metrics.observeSeconds(
-        "gateway_first_event_seconds",
-        std::chrono::duration<double>(m_parts.clock() - m_arrivedAt).count());
+    m_reporter.reportFirstEvent();
 }
 
 void RequestRelay::onClosed(const Result<Done> &result)
@@ -469,7 +403,7 @@
 
 void RequestRelay::endAttempt(AttemptResult result)
 {
-    logFailure(m_attempt, result);
+    m_reporter.reportFailure(m_attempt, result);
     if (!m_stream) {
         // The session may wait for the fallback, which would let an oversized answer go on.
         cancelAttempt();
@@ -478,18 +412,6 @@
     perform(m_session->onAttemptEnded(result, m_parts.clock()));
 }
 
-void RequestRelay::logFailure(const ServerAttempt &attempt, AttemptResult result) const
-{
-    StructuredLog::info("attemptFailed",
-                        {{"request", m_request.id},
-                         {"number", std::to_string(attempt.number)},
-                         {"server", attempt.serverId},
-                         {"result", std::string(attemptResultName(result))},
-                         {"events", std::to_string(attempt.eventCount)},
-                         {"promptParts", joined(m_request.sharedPromptParts)},
-                         {"ageMs", msText(m_parts.clock() - m_arrivedAt)}});
-}
-
 void RequestRelay::forwardAnswer(const PassAnswer &pass)
 {
     if (pass.isFallback) {
@@ -540,24 +462,10 @@
     m_timer.cancel();
     if (m_stream)
         m_stream->dropCopy();
-    m_parts.metrics.observeSeconds(
-        m_stream ? "gateway_answer_seconds{kind=\"stream\"}"
-                 : "gateway_answer_seconds{kind=\"call\"}",
-        std::chrono::duration<double>(m_parts.clock() - m_arrivedAt).count());
-    m_parts.metrics.add("gateway_requests_total{outcome=\"" + std::string(outcome) + "\"}");
     // To the caller, 503 means that no server has executed the request.
     if (!m_stream && m_attemptCount > 0)
         m_parts.answerTimes.end(m_route.name, m_arrivedAt, status != 503, m_parts.clock());
-    StructuredLog::info("request",
-                        {{"request", m_request.id},
-                         {"outcome", std::string(outcome)},
-                         {"cause", std::string(cause)},
-                         {"status", std::to_string(status)},
-                         {"route", m_route.name},
-                         {"config", std::to_string(m_table->version())},
-                         {"server", m_attempt.serverId},
-                         {"attempts", std::to_string(m_attemptCount)},
-                         {"tookMs", msText(m_parts.clock() - m_arrivedAt)}});
+    m_reporter.reportEnd({outcome, cause, status}, m_attempt.serverId, m_attemptCount);
 }
 
 // The timer is set for the earliest time limit. If events have moved that limit by the time it
--- a/src/gateway/RequestRelay.h
+++ b/src/gateway/RequestRelay.h
@@ -10,6 +10,7 @@
 #include "foxtailring/transport/Timer.h"
 
 #include "AttemptSender.h"
+#include "RequestReporter.h"
 #include "ServerAttempt.h"
 
 #include <cstdint>
@@ -51,13 +52,11 @@
     void onException(std::string_view message);
     void perform(const ForwardAction &action);
     void send(const SendAttempt &next);
-    void logAttempt(const SendAttempt &next) const;
     void probeServers(const ProbeServers &probe);
     void copyRun(const CopyRun &command);
     void onRunCopied(const CopyRun &command, const Result<HttpResponse> &response);
     void onProbeResults(std::span<const ServerProbeResult> results);
     void onHead(HttpResponse head);
-    void logRateLimit(const ServerAttempt &attempt) const;
     void onBody(std::string_view bytes);
     /// Reserves the memory that the request holds now. False: over the budget; the caller of this
     /// function abandons \a what.
@@ -76,7 +75,6 @@
     void endFallback(AttemptResult result);
     void cancelFallback();
     void recordHead(ServerAttempt &attempt, HttpResponse head);
-    void logFailure(const ServerAttempt &attempt, AttemptResult result) const;
     void recordResume(TimePoint now);
     void startStreamedAnswer();
     void forwardAnswer(const PassAnswer &pass);
@@ -94,6 +92,7 @@
     const HttpRoute &m_route;
     const std::shared_ptr<Http1Responder> m_responder;
     const TimePoint m_arrivedAt;
+    const RequestReporter m_reporter;
     const std::unique_ptr<ForwardSession> m_session;
     StreamSession *const m_stream; ///< m_session if the answer is a stream, else null
     const AttemptSender m_sender;
--- /dev/null
+++ b/src/gateway/RequestReporter.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "foxtailring/base/Clock.h"
+#include "foxtailring/decisions/AttemptResult.h"
+#include "foxtailring/decisions/ForwardAction.h"
+#include "foxtailring/decisions/ServerProbeResult.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <span>
+#include <string_view>
+
+namespace foxtailring {
+
+class RouteTable;
+struct GatewayParts;
+struct GatewayRequest;
+struct HttpRoute;
+struct ServerAttempt;
+
+/// \brief Logs and counts what happens to one request.
+class RequestReporter
+{
+public:
+    /// \brief How a request ended.
+    struct Outcome
+    {
+        std::string_view name;
+        std::string_view cause; ///< empty: none
+        int status = 0;         ///< 0: no complete answer
+    };
+
+    /// \param request and the other references must outlive the reporter
+    RequestReporter(GatewayParts &parts, const GatewayRequest &request, const RouteTable &table,
+                    const HttpRoute &route, TimePoint arrivedAt);
+
+    void reportException(std::string_view message) const;
+    void reportAttempt(const SendAttempt &next, std::uint64_t number) const;
+    void reportFailure(const ServerAttempt &attempt, AttemptResult result) const;
+    /// \brief The server of \a attempt named a rate limit.
+    void reportRateLimit(const ServerAttempt &attempt) const;
+    void reportProbe(std::span<const ServerProbeResult> results, std::uint64_t attemptNumber,
+                     std::int64_t lastEventId) const;
+    /// \brief The stream goes on after \a pause without an event.
+    void reportResume(const ServerAttempt &attempt, Duration pause) const;
+    void reportFirstEvent() const;
+    /// \brief The memory budget does not allow \a bytes, with \a what that the request now holds.
+    void reportOverBudget(std::string_view what, std::string_view serverId,
+                          std::size_t bytes) const;
+    /// \param serverId of the latest attempt
+    void reportEnd(const Outcome &outcome, std::string_view serverId,
+                   std::uint64_t attemptCount) const;
+
+private:
+    Duration age() const;
+
+    GatewayParts &m_parts;
+    const GatewayRequest &m_request;
+    const RouteTable &m_table;
+    const HttpRoute &m_route;
+    const TimePoint m_arrivedAt;
+};
+
+} // namespace foxtailring
