gateway: answer the caller from a class of its own

Cause: RequestRelay.cpp held the state of the caller's answer next to that of the attempts. No behaviour was wrong. Change: CallerAnswer owns the responder, the begin of a streamed answer, the limit of unread bytes and the pause that a resume caused.

--- a/src/gateway/RequestRelay.cpp
+++ b/src/gateway/RequestRelay.cpp
@@ -2,13 +2,10 @@
 
 #include "foxtailring/base/StructuredLog.h"
 #include "foxtailring/transport/Endpoint.h"
-#include "foxtailring/transport/Http1Client.h"
-#include "foxtailring/transport/Http1Responder.h"
 #include "foxtailring/transport/Http1Stream.h"
 
 #include "ForwardSessionFactory.h"
 #include "GatewayParts.h"
-#include "Refusal.h"
 #include "ServerProbe.h"
 
 #include <algorithm>
@@ -25,7 +22,6 @@
 constexpr std::size_t maxBufferedAnswerBytes = 16 * 1024 * 1024;
 // By then attempts with an oversized answer have been cancelled, which frees their memory.
 constexpr milliseconds memoryRetryAfter {500};
-constexpr std::size_t maxUnreadCallerBytes = 1024 * 1024;
 constexpr milliseconds minTimerDelay {5};
 
 bool isEventStream(const HttpResponse &head)
@@ -50,9 +46,9 @@
     , m_request(std::move(request))
     , m_table(std::move(table))
     , m_route(route)
-    , m_responder(std::move(responder))
     , m_arrivedAt(arrivedAt)
     , m_reporter(parts, m_request, *m_table, route, arrivedAt)
+    , m_answer(parts.codec, m_request, m_reporter, std::move(responder))
     , m_session(ForwardSessionFactory(*m_table, route)
                     .make(m_request, arrivedAt, parts.forwardContext(m_request.id)))
     , m_stream(dynamic_cast<StreamSession *>(m_session.get()))
@@ -64,7 +60,7 @@
 
 void RequestRelay::start()
 {
-    m_responder->onDisconnect([self = shared_from_this()] {
+    m_answer.onDisconnect([self = shared_from_this()] {
         self->m_parts.queue.post([self] { self->onCallerDisconnect(); });
     });
     if (!updateHeldMemory("request"))
@@ -89,7 +85,7 @@
     m_reporter.reportException(message);
     if (m_isFinished)
         return;
-    if (m_hasStartedAnswer)
+    if (m_answer.hasStarted())
         return abortAnswer({"exception"});
     refuse({502, milliseconds(0), "exception"});
 }
@@ -310,7 +306,7 @@
 bool RequestRelay::updateHeldMemory(std::string_view what)
 {
     const std::size_t bytes = m_request.http.body.size() + m_attempt.body.size()
-        + m_fallback.body.size() + m_attempt.events.pendingBytes() + m_responder->pendingBytes();
+        + m_fallback.body.size() + m_attempt.events.pendingBytes() + m_answer.pendingBytes();
     const bool isAllowed = m_memory.tryResize(bytes);
     m_parts.metrics.setGauge("gateway_held_bytes",
                              static_cast<double>(m_parts.memoryBudget.held()));
@@ -330,36 +326,10 @@
         return endAttempt(AttemptResult::Invalid);
     if (verdict == EventVerdict::Duplicate)
         return;
-    recordResume(now);
-    startStreamedAnswer();
-    m_responder->write(std::string(text));
-    // A caller that does not read is disconnected before it uses up the memory of other requests.
-    if (m_responder->pendingBytes() > maxUnreadCallerBytes)
+    if (!m_answer.passEvent(m_attempt, text, now))
         abortAnswer({"callerReadsTooSlowly"});
 }
 
-// The pause is the time between the last event before the failure and the first one after it, as
-// the caller saw it.
-void RequestRelay::recordResume(TimePoint now)
-{
-    const bool isFirst = ++m_attempt.eventCount == 1;
-    const bool isResumed = m_hasStartedAnswer && isFirst;
-    const Duration pause = now - std::exchange(m_lastEventAt, now);
-    if (isResumed)
-        m_reporter.reportResume(m_attempt, pause);
-}
-
-void RequestRelay::startStreamedAnswer()
-{
-    if (m_hasStartedAnswer)
-        return;
-    // Before the flag is set, since it may throw.
-    auto headers = m_parts.codec.callerResponseHeaders(m_attempt.head);
-    m_hasStartedAnswer = true;
-    m_responder->startStream(m_attempt.answer.status, std::move(headers));
-    m_reporter.reportFirstEvent();
-}
-
 void RequestRelay::onClosed(const Result<Done> &result)
 {
     m_attempt.stream.reset();
@@ -395,9 +365,9 @@
 {
     if (m_attempt.events.hasPartialEvent() || !m_stream->confirmEnd())
         return endAttempt(AttemptResult::Lost);
-    startStreamedAnswer();
+    m_answer.startStream(m_attempt);
     perform(m_stream->onFinished(m_parts.clock()));
-    m_responder->finish();
+    m_answer.finishStream();
     finish("served", "", m_attempt.answer.status);
 }
 
@@ -418,25 +388,21 @@
         cancelAttempt();
         m_attempt = std::exchange(m_fallback, ServerAttempt {});
     }
-    HttpResponse response;
-    response.status = m_attempt.answer.status;
-    response.headers = m_parts.codec.callerResponseHeaders(m_attempt.head);
-    response.body = std::move(m_attempt.body);
-    m_responder->respond(std::move(response));
+    m_answer.respond(m_attempt);
     finish(m_attempt.answer.isSuccess() ? "served" : "serverFailed", "", m_attempt.answer.status);
 }
 
 void RequestRelay::refuse(const Refuse &refusal)
 {
     cancelAttempt();
-    m_responder->respond(refusalResponse(m_request.id, refusal));
+    m_answer.refuse(refusal);
     finish("refused", refusal.cause, refusal.status);
 }
 
 void RequestRelay::abortAnswer(const AbortAnswer &reason)
 {
     cancelAttempt();
-    m_responder->abort();
+    m_answer.abort();
     finish("cut", reason.cause, 0);
 }
 
--- a/src/gateway/RequestRelay.h
+++ b/src/gateway/RequestRelay.h
@@ -10,6 +10,7 @@
 #include "foxtailring/transport/Timer.h"
 
 #include "AttemptSender.h"
+#include "CallerAnswer.h"
 #include "RequestReporter.h"
 #include "ServerAttempt.h"
 
@@ -75,8 +76,6 @@
     void endFallback(AttemptResult result);
     void cancelFallback();
     void recordHead(ServerAttempt &attempt, HttpResponse head);
-    void recordResume(TimePoint now);
-    void startStreamedAnswer();
     void forwardAnswer(const PassAnswer &pass);
     void refuse(const Refuse &refusal);
     void abortAnswer(const AbortAnswer &reason);
@@ -90,9 +89,9 @@
     const GatewayRequest m_request;
     const std::shared_ptr<const RouteTable> m_table;
     const HttpRoute &m_route;
-    const std::shared_ptr<Http1Responder> m_responder;
     const TimePoint m_arrivedAt;
     const RequestReporter m_reporter;
+    CallerAnswer m_answer;
     const std::unique_ptr<ForwardSession> m_session;
     StreamSession *const m_stream; ///< m_session if the answer is a stream, else null
     const AttemptSender m_sender;
@@ -102,8 +101,6 @@
     ServerAttempt m_fallback; ///< an earlier attempt at a call that goes on; number 0: none
     std::uint64_t m_attemptCount = 0;
     std::uint64_t m_probeCount = 0;
-    TimePoint m_lastEventAt;
-    bool m_hasStartedAnswer = false; ///< the head of a streamed answer was sent to the caller
     bool m_isFinished = false;
 };
 
