decisions: track the progress of a run in a class of its own

No behaviour was wrong. Change: RunProgress holds them, and tells when an attempt is silent, stuck or lost by a report. Conclusion: no change of behaviour.

--- a/include/foxtailring/decisions/StreamSession.h
+++ b/include/foxtailring/decisions/StreamSession.h
@@ -4,6 +4,7 @@
 #include "foxtailring/decisions/ForwardSession.h"
 #include "foxtailring/decisions/PlacementRequest.h"
 #include "foxtailring/decisions/RunCopy.h"
+#include "foxtailring/decisions/RunProgress.h"
 
 namespace foxtailring {
 
@@ -32,7 +33,7 @@
     /// \brief An event arrived. After Gap, the attempt must be ended as lost.
     EventVerdict onEvent(std::int64_t id, TimePoint now);
     /// \brief Bytes of an event arrived that is not complete yet.
-    void onPartialEvent(TimePoint now) { m_partialEventAt = now; }
+    void onPartialEvent(TimePoint now) { m_progress.recordPartialEvent(now); }
     /// \brief Whether a stream that ends now is complete. If not, the attempt must be ended as
     /// lost.
     bool confirmEnd();
@@ -79,7 +80,6 @@
     ForwardAction sendRun(SendAttempt next, TimePoint now);
     PlacementRequest placement(std::span<const std::string> exclude) const;
     void assignCopyHolder(SendAttempt &attempt, TimePoint now);
-    Duration silenceThreshold() const;
     TimePoint silenceDueAt() const;
     /// When the attempt is given up although its server answers probes.
     TimePoint stuckAt() const;
@@ -97,18 +97,12 @@
     ForwardAction refuseOrAbort(ForwardAction refusal, TimePoint now);
 
     const EngineCapabilities m_capabilities;
-    RunCopy m_copy; ///< of the current run
+    RunProgress m_progress; ///< of the current attempt
+    RunCopy m_copy;         ///< of the current run
     std::optional<std::int64_t> m_lastEventId;
     bool m_hasStarted = false;
-    bool m_hasEvents = false;          ///< in the current attempt
-    std::uint32_t m_attemptEvents = 0; ///< passed on in the current attempt
-    bool m_isHarmless = false;         ///< an attempt outlived the beginning of its answer
-    bool m_isResumed = false;          ///< the current attempt resumes from a copy
-    bool m_hasEmptyEnd = false;        ///< an attempt ended in order without an event
-    TimePoint m_lastEventAt;
-    TimePoint m_partialEventAt; ///< latest bytes of an incomplete event
-    TimePoint m_firstEventAt;   ///< of the current attempt
-    TimePoint m_lastContactAt;  ///< with the current server
+    bool m_isHarmless = false;  ///< an attempt outlived the beginning of its answer
+    bool m_hasEmptyEnd = false; ///< an attempt ended in order without an event
     TimePoint m_probedAt;
     bool m_isProbing = false;       ///< a probe of the current server is in progress
     bool m_isFindingPrompt = false; ///< a probe for the prompt is in progress
@@ -121,9 +115,7 @@
     std::vector<std::string> m_affinityServers; ///< ids
     std::vector<std::string> m_candidates;      ///< ids of the probed servers
     std::vector<std::string> m_responsive;      ///< ids of those that answered
-    std::uint32_t m_maxPromptsAhead = 0;        ///< maximum that the current server reported
     std::string_view m_cause;                   ///< of the next attempt
-    Duration m_meanEventInterval {0};           ///< moving average; 0: unknown
 };
 
 } // namespace foxtailring
--- /dev/null
+++ b/src/decisions/RunProgress.cpp
@@ -0,0 +1,112 @@
+#include "foxtailring/decisions/RunProgress.h"
+
+#include "foxtailring/decisions/HttpRoute.h"
+#include "foxtailring/decisions/ServerProbeResult.h"
+
+#include <algorithm>
+
+namespace foxtailring {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+// A server is probed after this many mean event intervals without an event. A prompt that the
+// server processes at the same time makes the intervals several times longer.
+constexpr int silenceIntervals = 4;
+constexpr milliseconds minSilence {150};
+constexpr milliseconds maxSilence {220};
+// Probe interval before the first event: nothing arrives while the prompt is processed.
+constexpr milliseconds prefillProbeInterval {400};
+// A report may be this old and not include a run that started since.
+constexpr milliseconds maxReportAge {1000};
+// A server that answers probes but sends no events for this many allowed pauses is stuck.
+constexpr int stuckEventGaps = 3;
+// Fraction of the latency objective that is at least allowed for the first event.
+constexpr double firstEventFraction = 0.65;
+// For routes that configure none.
+constexpr milliseconds defaultMaxEventGap {1000};
+// The latest interval has the weight 1 / intervalAverageDivisor in the moving average.
+constexpr int intervalAverageDivisor = 8;
+// A resumed run processes only what its copy lacks, but may wait for the prompts of other runs.
+constexpr milliseconds resumeTimeout {1500};
+
+milliseconds maxEventGapOf(const HttpRoute &route)
+{
+    return route.maxEventGap.count() > 0 ? route.maxEventGap : defaultMaxEventGap;
+}
+
+} // namespace
+
+RunProgress::RunProgress(const HttpRoute &route)
+    : m_route(route)
+{
+}
+
+void RunProgress::start(bool isResumed, TimePoint now)
+{
+    m_isResumed = isResumed;
+    m_eventCount = 0;
+    m_partialEventAt = {};
+    m_maxPromptsAhead = 0;
+    m_lastContactAt = now;
+}
+
+void RunProgress::recordEvent(TimePoint now)
+{
+    if (hasEvents()) {
+        const Duration interval = now - m_lastEventAt;
+        const bool isFirst = m_meanEventInterval == Duration {0};
+        m_meanEventInterval = isFirst
+            ? interval
+            : m_meanEventInterval + (interval - m_meanEventInterval) / intervalAverageDivisor;
+    } else {
+        m_firstEventAt = now;
+    }
+    ++m_eventCount;
+    m_lastEventAt = now;
+    m_partialEventAt = {};
+    m_lastContactAt = now;
+}
+
+// The prompt of the run itself is among them.
+void RunProgress::recordPrompts(std::uint32_t prompts)
+{
+    m_maxPromptsAhead = std::max(m_maxPromptsAhead, std::max(prompts, 1U) - 1);
+}
+
+Duration RunProgress::silenceThreshold() const
+{
+    if (!hasEvents())
+        return prefillProbeInterval;
+    const Duration threshold = silenceIntervals * m_meanEventInterval;
+    return std::clamp<Duration>(threshold, minSilence, maxSilence);
+}
+
+TimePoint RunProgress::stuckAt(TimePoint sentAt, Duration maxFirstEventDelay) const
+{
+    if (hasEvents())
+        return m_lastEventAt + stuckEventGaps * maxEventGapOf(m_route);
+    if (m_isResumed)
+        return sentAt + resumeTimeout;
+    const auto minimum =
+        std::chrono::duration_cast<Duration>(m_route.latencyObjective * firstEventFraction);
+    // Prompts are processed one after the other; the estimate allows for one ahead of this one.
+    return sentAt + std::max(maxFirstEventDelay, minimum)
+        + m_maxPromptsAhead * maxFirstEventDelay / 2;
+}
+
+bool RunProgress::isLostBy(const ServerProbeResult &report, std::int64_t lastEventId,
+                           TimePoint probedAt, TimePoint now) const
+{
+    if (!hasEvents())
+        return false;
+    if (report.hasRun) {
+        // An event whose bytes are arriving slowly is produced, but not missing.
+        const bool isArriving = now - m_partialEventAt < silenceThreshold();
+        return report.eventCount > lastEventId + (isArriving ? 1 : 0);
+    }
+    return probedAt - m_firstEventAt > maxReportAge;
+}
+
+} // namespace foxtailring
--- a/src/decisions/StreamSession.cpp
+++ b/src/decisions/StreamSession.cpp
@@ -17,30 +17,11 @@
 
 namespace {
 
-// A server is probed after this many mean event intervals without an event. A prompt that the
-// server processes at the same time makes the intervals several times longer.
-constexpr int silenceIntervals = 4;
-constexpr milliseconds minSilence {150};
-constexpr milliseconds maxSilence {220};
-// Probe interval before the first event: nothing arrives while the prompt is processed.
-constexpr milliseconds prefillProbeInterval {400};
 // Two round trips between regions: one to connect, one for the answer.
 constexpr milliseconds probeTimeout {120};
-// A report may be this old and not include a run that started since.
-constexpr milliseconds maxReportAge {1000};
-// A server that answers probes but sends no events for this many allowed pauses is stuck.
-constexpr int stuckEventGaps = 3;
-// Fraction of the latency objective that is at least allowed for the first event.
-constexpr double firstEventFraction = 0.65;
 // Number of servers that are probed for their load before a run is placed.
 constexpr std::size_t maxCandidates = 4;
 constexpr milliseconds placementProbeTimeout {60};
-// For routes that configure none.
-constexpr milliseconds defaultMaxEventGap {1000};
-// The latest interval has the weight 1 / intervalAverageDivisor in the moving average.
-constexpr int intervalAverageDivisor = 8;
-// A resumed run processes only what its copy lacks, but may wait for the prompts of other runs.
-constexpr milliseconds resumeTimeout {1500};
 // Interval of checking the copy and its holder, and delay before a failed snapshot is retried.
 constexpr milliseconds copyCheckInterval {400};
 constexpr milliseconds copyRetryDelay {1000};
@@ -61,17 +42,13 @@
 // A server that sends this many events has outlived the beginning of its answer.
 constexpr std::uint32_t outlivedEvents = 3;
 
-milliseconds maxEventGapOf(const HttpRoute &route)
-{
-    return route.maxEventGap.count() > 0 ? route.maxEventGap : defaultMaxEventGap;
-}
-
 } // namespace
 
 StreamSession::StreamSession(const HttpRoute &route, const ForwardRequest &request,
                              const ForwardContext &context, EngineCapabilities capabilities)
     : ForwardSession(route, request, context)
     , m_capabilities(capabilities)
+    , m_progress(route)
     , m_copy(context.servers, context.releaseCopy)
     , m_lastEventId(request.lastEventId)
 {
@@ -84,30 +61,20 @@
         return EventVerdict::Duplicate;
     if (m_lastEventId && id > *m_lastEventId + 1)
         return EventVerdict::Gap;
-    if (!m_hasEvents && !m_isResumed)
+    if (m_progress.isPrefilling())
         context().latency.recordFirstEvent(service(), request().promptTokens, now - sentAt());
-    if (m_hasEvents) {
-        const Duration interval = now - m_lastEventAt;
-        const bool isFirst = m_meanEventInterval == Duration {0};
-        m_meanEventInterval = isFirst
-            ? interval
-            : m_meanEventInterval + (interval - m_meanEventInterval) / intervalAverageDivisor;
-    }
     if (hasServer())
         context().servers.recordContact(server().info.id, now);
-    if (!std::exchange(m_hasEvents, true))
-        m_firstEventAt = now;
-    if (++m_attemptEvents == outlivedEvents)
+    m_progress.recordEvent(now);
+    if (m_progress.eventCount() == outlivedEvents)
         context().quarantine.recordStart(request().sharedPromptParts, now);
     m_isHarmless = m_isHarmless || hasOutlivedStart();
     m_hasStarted = true;
     m_isProbing = false;
     if (std::exchange(m_isReplacing, false))
         endPlacement();
-    recordSign(now);
+    m_replaceAt = {};
     m_lastEventId = id;
-    m_lastEventAt = now;
-    m_partialEventAt = {};
     return EventVerdict::Next;
 }
 
@@ -120,7 +87,7 @@
 
 bool StreamSession::hasOutlivedStart() const
 {
-    return m_attemptEvents >= outlivedEvents;
+    return m_progress.eventCount() >= outlivedEvents;
 }
 
 // A run produces at least one event, unless its caller already had the last one when it was
@@ -128,7 +95,7 @@
 // server confirms it.
 bool StreamSession::confirmEnd()
 {
-    return m_hasEvents || std::exchange(m_hasEmptyEnd, true);
+    return m_progress.hasEvents() || std::exchange(m_hasEmptyEnd, true);
 }
 
 ForwardAction StreamSession::onFinished(TimePoint now)
@@ -137,8 +104,8 @@
         context().quarantine.recordStart(request().sharedPromptParts, now);
     if (hasServer())
         context().servers.recordAnswer(server().info.id, false, now);
-    if (m_meanEventInterval > Duration {0})
-        context().latency.recordEventInterval(service(), m_meanEventInterval);
+    if (m_progress.meanEventInterval() > Duration {0})
+        context().latency.recordEventInterval(service(), m_progress.meanEventInterval());
     releaseServer();
     m_copy.drop();
     return KeepWaiting {};
@@ -150,7 +117,7 @@
         return refuseOrAbort(std::move(*refusal), now);
     m_cause = cause;
     // A copy exists only from the first event on, not while the prompt is processed.
-    auto next = m_hasEvents ? m_copy.takeResumeAttempt(now) : std::nullopt;
+    auto next = m_progress.hasEvents() ? m_copy.takeResumeAttempt(now) : std::nullopt;
     // A run that is being replaced may go on and need its copy.
     if (!m_isReplacing)
         m_copy.drop();
@@ -291,16 +258,11 @@
     m_replaceAt = {};
     next.cause = m_cause;
     next.lastEventId = m_lastEventId;
-    m_isResumed = next.fromCopy.has_value();
-    m_hasEvents = false;
-    m_partialEventAt = {};
-    m_attemptEvents = 0;
+    m_progress.start(next.fromCopy.has_value(), now);
     m_isProbing = false;
     m_isProbingHolder = false;
     m_isCopying = false;
     m_copyCheckAt = m_capabilities.canCopyOnDemand ? now + copyCheckInterval : TimePoint::max();
-    m_maxPromptsAhead = 0;
-    m_lastContactAt = now;
     m_copy.drop();
     assignCopyHolder(next, now);
     return send(std::move(next), now);
@@ -354,7 +316,8 @@
         if (current->hasFailedZonePeer && mayProbe(*current, now))
             return probeCopyHolder(*current);
     }
-    const bool isWanted = m_hasEvents && !m_isCopying && (!isUsable || m_copy.needsRenewal(now));
+    const bool isWanted =
+        m_progress.hasEvents() && !m_isCopying && (!isUsable || m_copy.needsRenewal(now));
     if (!isWanted)
         return KeepWaiting {};
     const auto holder = isUsable ? m_copy.holder() : chooseCopyHolder(server(), now);
@@ -435,7 +398,7 @@
     if (!mayAsk && isKeptSilent())
         return onSilent(now);
     if (!mayAsk) {
-        m_lastContactAt = now;
+        m_progress.recordContact(now);
         return KeepWaiting {};
     }
     ProbeServers probe;
@@ -463,7 +426,7 @@
     if (!m_isProbing || !hasServer())
         return KeepWaiting {};
     m_isProbing = false;
-    if (m_lastContactAt > m_probedAt)
+    if (m_progress.lastContactAt() > m_probedAt)
         return KeepWaiting {};
     if (reports.empty()) {
         recordCrash(now);
@@ -476,8 +439,7 @@
     if (showsLostRun(reports.front(), now))
         return onAttemptEnded(AttemptResult::Silent, now);
     const BackendLoadReport &load = reports.front().load;
-    const std::uint32_t prompts = load.prefilling + load.waiting;
-    m_maxPromptsAhead = std::max(m_maxPromptsAhead, std::max(prompts, 1U) - 1);
+    m_progress.recordPrompts(load.prefilling + load.waiting);
     recordSign(now);
     return KeepWaiting {};
 }
@@ -486,7 +448,7 @@
 void StreamSession::recordSign(TimePoint now)
 {
     m_replaceAt = {};
-    m_lastContactAt = now;
+    m_progress.recordContact(now);
 }
 
 // A sound server may pause for a second or more, so the attempt goes on until another one takes its
@@ -508,7 +470,7 @@
 // cannot help: it has probably crashed its server, or would end too late.
 bool StreamSession::mayOutlastSilence(TimePoint now) const
 {
-    const Duration silence = now - m_lastContactAt;
+    const Duration silence = now - m_progress.lastContactAt();
     if (m_hasStarted)
         return silence < maxServerPause;
     return silence < maxPromptPause && quarantinedPart(now).empty() && canFinishInTime(0, now);
@@ -534,14 +496,7 @@
     const auto current = context().servers.server(server().info.id, m_probedAt);
     if (current && current->isReplaced)
         return true;
-    if (!m_hasEvents)
-        return false;
-    if (report.hasRun) {
-        // An event whose bytes are arriving slowly is produced, but not missing.
-        const bool isArriving = now - m_partialEventAt < silenceThreshold();
-        return report.eventCount > m_lastEventId.value_or(0) + (isArriving ? 1 : 0);
-    }
-    return m_probedAt - m_firstEventAt > maxReportAge;
+    return m_progress.isLostBy(report, m_lastEventId.value_or(0), m_probedAt, now);
 }
 
 // True if the server is doubtful or suspected, sent no event yet, and there was no contact for too
@@ -550,8 +505,8 @@
 {
     const auto current = context().servers.server(server().info.id, now);
     const bool isDoubtful = current && current->health != BackendHealth::Healthy;
-    return isDoubtful && !m_hasEvents && !isKeptSilent()
-        && now - m_lastContactAt >= maxDoubtfulSilence;
+    return isDoubtful && !m_progress.hasEvents() && !isKeptSilent()
+        && now - m_progress.lastContactAt() >= maxDoubtfulSilence;
 }
 
 TimePoint StreamSession::overdueAt() const
@@ -566,31 +521,18 @@
 {
     if (!route().allowsRetry())
         return deadline();
-    const TimePoint silentAt =
-        m_isProbing ? m_probedAt + 2 * probeTimeout : m_lastContactAt + silenceThreshold();
+    const TimePoint silentAt = m_isProbing
+        ? m_probedAt + 2 * probeTimeout
+        : m_progress.lastContactAt() + m_progress.silenceThreshold();
     return std::max(std::min(stuckAt(), silentAt), m_replaceAt);
 }
 
-Duration StreamSession::silenceThreshold() const
-{
-    if (!m_hasEvents)
-        return prefillProbeInterval;
-    const Duration threshold = silenceIntervals * m_meanEventInterval;
-    return std::clamp<Duration>(threshold, minSilence, maxSilence);
-}
-
 TimePoint StreamSession::stuckAt() const
 {
-    if (m_hasEvents)
-        return m_lastEventAt + stuckEventGaps * maxEventGapOf(route());
-    if (m_isResumed)
-        return sentAt() + resumeTimeout;
-    const Duration estimate =
-        context().latency.maxFirstEventDelay(service(), request().promptTokens);
-    const auto minimum =
-        std::chrono::duration_cast<Duration>(route().latencyObjective * firstEventFraction);
-    // Prompts are processed one after the other; the estimate allows for one ahead of this one.
-    return sentAt() + std::max(estimate, minimum) + m_maxPromptsAhead * estimate / 2;
+    const Duration maxFirstEventDelay = m_progress.isPrefilling()
+        ? context().latency.maxFirstEventDelay(service(), request().promptTokens)
+        : Duration {0};
+    return m_progress.stuckAt(sentAt(), maxFirstEventDelay);
 }
 
 // A stream that has begun cannot be answered any more.
