decisions: place runs in a class of their own

Cause: StreamSession.cpp chose the engines to probe, and the holder of a copy, besides deciding when to do so. No behaviour was wrong. Change: RunPlacement holds the affinity servers and the candidates and answers of a probe, and chooses from them. Measured: decisions_test passes (458). Conclusion: no change of behaviour.

--- /dev/null
+++ b/include/foxtailring/decisions/RunPlacement.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "foxtailring/base/Clock.h"
+#include "foxtailring/decisions/BackendState.h"
+#include "foxtailring/decisions/PlacementRequest.h"
+#include "foxtailring/decisions/ServerProbeResult.h"
+
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace foxtailring {
+
+struct ForwardContext;
+
+/// \brief Finds the engines that one request's run and its copy may be placed on, from the prompt,
+/// the engines tried so far and the answers of the candidates that were probed.
+class RunPlacement
+{
+public:
+    /// \param service, \a triedIds may change; they and \a context must outlive the placement
+    RunPlacement(const ForwardContext &context, const std::string &service,
+                 const std::vector<std::string> &triedIds);
+
+    /// \brief Updates the affinity servers of the prompt.
+    void updateAffinityServers(const std::string &promptId, TimePoint now);
+    bool hasAffinityServers() const { return !m_affinityServers.empty(); }
+    /// \brief Healthy affinity servers that may be probed now; takes a request to each.
+    std::vector<BackendState> takePromptProbes(TimePoint now) const;
+    /// \brief Candidates that may be probed now for their load; takes a request to each.
+    std::vector<BackendState> takeCandidateProbes(TimePoint now);
+    /// \brief The probe of the candidates is over.
+    void recordReports(std::span<const ServerProbeResult> reports);
+    /// \brief Forgets the candidates that were probed.
+    void dropCandidates() { m_candidates.clear(); }
+
+    /// \brief Ids of the servers tried so far and of the candidates that did not answer.
+    std::vector<std::string> unresponsiveIds() const;
+    /// \brief \a exclude must outlive the result, as must this placement without changes.
+    PlacementRequest request(std::span<const std::string> exclude) const;
+    /// \brief Server in another zone for a continuous copy of a run at \a runServer.
+    std::optional<BackendState> chooseCopyHolder(const BackendState &runServer,
+                                                 TimePoint now) const;
+    /// \brief Takes a request for a probe of the server. False: it names a rate limit or asked for
+    /// a pause, so that it gets no probe beside the run.
+    bool tryTakeProbe(const BackendState &server, TimePoint now) const;
+
+private:
+    const ForwardContext &m_context;
+    const std::string &m_service;
+    const std::vector<std::string> &m_triedIds;
+    std::vector<std::string> m_affinityServers; ///< ids
+    std::vector<std::string> m_candidates;      ///< ids of the probed servers
+    std::vector<std::string> m_responsive;      ///< ids of those that answered
+};
+
+} // namespace foxtailring
--- a/include/foxtailring/decisions/StreamSession.h
+++ b/include/foxtailring/decisions/StreamSession.h
@@ -2,8 +2,8 @@
 
 #include "foxtailring/decisions/EventVerdict.h"
 #include "foxtailring/decisions/ForwardSession.h"
-#include "foxtailring/decisions/PlacementRequest.h"
 #include "foxtailring/decisions/RunCopy.h"
+#include "foxtailring/decisions/RunPlacement.h"
 #include "foxtailring/decisions/RunProgress.h"
 
 namespace foxtailring {
@@ -73,12 +73,8 @@
     /// Whether the run can finish before the deadline if it first processes \a promptTokens.
     bool canFinishInTime(std::uint64_t promptTokens, TimePoint now) const;
     ForwardAction probeCandidates(TimePoint now);
-    /// True if the server may be probed: one that names a rate limit or asked for
-    /// a pause gets no probe beside the run.
-    bool mayProbe(const BackendState &server, TimePoint now) const;
     ForwardAction placeRun(std::span<const ServerProbeResult> reports, TimePoint now);
     ForwardAction sendRun(SendAttempt next, TimePoint now);
-    PlacementRequest placement(std::span<const std::string> exclude) const;
     void assignCopyHolder(SendAttempt &attempt, TimePoint now);
     TimePoint silenceDueAt() const;
     /// When the attempt is given up although its server answers probes.
@@ -97,6 +93,7 @@
     ForwardAction refuseOrAbort(ForwardAction refusal, TimePoint now);
 
     const EngineCapabilities m_capabilities;
+    RunPlacement m_placement;
     RunProgress m_progress; ///< of the current attempt
     RunCopy m_copy;         ///< of the current run
     std::optional<std::int64_t> m_lastEventId;
@@ -112,10 +109,7 @@
     bool m_isProbingHolder = false; ///< a probe of the copy holder is in progress
     bool m_isCopying = false;       ///< the current server is making a snapshot
     TimePoint m_copyCheckAt = TimePoint::max();
-    std::vector<std::string> m_affinityServers; ///< ids
-    std::vector<std::string> m_candidates;      ///< ids of the probed servers
-    std::vector<std::string> m_responsive;      ///< ids of those that answered
-    std::string_view m_cause;                   ///< of the next attempt
+    std::string_view m_cause; ///< of the next attempt
 };
 
 } // namespace foxtailring
--- /dev/null
+++ b/src/decisions/RunPlacement.cpp
@@ -0,0 +1,115 @@
+#include "foxtailring/decisions/RunPlacement.h"
+
+#include "foxtailring/decisions/BackendPlacer.h"
+#include "foxtailring/decisions/BackendTable.h"
+#include "foxtailring/decisions/ForwardContext.h"
+#include "foxtailring/decisions/ServerAdmission.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace foxtailring {
+
+namespace {
+
+// Number of servers that are probed for their load before a run is placed.
+constexpr std::size_t maxCandidates = 4;
+
+} // namespace
+
+RunPlacement::RunPlacement(const ForwardContext &context, const std::string &service,
+                           const std::vector<std::string> &triedIds)
+    : m_context(context)
+    , m_service(service)
+    , m_triedIds(triedIds)
+{
+}
+
+void RunPlacement::updateAffinityServers(const std::string &promptId, TimePoint now)
+{
+    m_affinityServers = m_context.placer.promptAffinityServers(m_service, promptId, now);
+}
+
+std::vector<BackendState> RunPlacement::takePromptProbes(TimePoint now) const
+{
+    std::vector<BackendState> probed;
+    for (const std::string &id : m_affinityServers) {
+        const auto server = m_context.servers.server(id, now);
+        if (server && server->health == BackendHealth::Healthy && tryTakeProbe(*server, now))
+            probed.push_back(*server);
+    }
+    return probed;
+}
+
+std::vector<BackendState> RunPlacement::takeCandidateProbes(TimePoint now)
+{
+    std::vector<std::string> exclude = m_triedIds;
+    for (const auto &avoided :
+         {m_context.admission.pausedIds(now), m_context.admission.returningIds(now)})
+        exclude.insert(exclude.end(), avoided.begin(), avoided.end());
+    std::vector<BackendState> probed =
+        m_context.placer.runCandidates(request(exclude), maxCandidates, now, m_context.random);
+    std::erase_if(probed,
+                  [this, now](const BackendState &server) { return !tryTakeProbe(server, now); });
+    if (!probed.empty())
+        m_responsive.clear();
+    for (const BackendState &server : probed)
+        m_candidates.push_back(server.info.id);
+    return probed;
+}
+
+void RunPlacement::recordReports(std::span<const ServerProbeResult> reports)
+{
+    m_responsive.clear();
+    for (const ServerProbeResult &report : reports) {
+        if (!report.isTurnedAway)
+            m_responsive.push_back(report.serverId);
+    }
+}
+
+std::vector<std::string> RunPlacement::unresponsiveIds() const
+{
+    std::vector<std::string> ids = m_triedIds;
+    std::copy_if(m_candidates.begin(), m_candidates.end(), std::back_inserter(ids),
+                 [this](const std::string &id) {
+                     return std::find(m_responsive.begin(), m_responsive.end(), id)
+                         == m_responsive.end();
+                 });
+    return ids;
+}
+
+PlacementRequest RunPlacement::request(std::span<const std::string> exclude) const
+{
+    PlacementRequest placementRequest;
+    placementRequest.service = m_service;
+    placementRequest.exclude = exclude;
+    placementRequest.responsive = m_responsive;
+    placementRequest.affinityServers = m_affinityServers;
+    return placementRequest;
+}
+
+std::optional<BackendState> RunPlacement::chooseCopyHolder(const BackendState &runServer,
+                                                           TimePoint now) const
+{
+    std::vector<std::string> exclude = m_triedIds;
+    exclude.push_back(runServer.info.id);
+    PlacementRequest copyRequest = request(exclude);
+    copyRequest.avoidZone = runServer.info.availabilityZone;
+    copyRequest.affinityServers = {};
+    // The run could not resume at a server that has no free request or is in a pause.
+    while (true) {
+        copyRequest.exclude = exclude;
+        auto holder = m_context.placer.chooseForCopy(copyRequest, now, m_context.random);
+        if (!holder || !m_context.admission.isRestricted(holder->info.id, now))
+            return holder;
+        exclude.push_back(holder->info.id);
+    }
+}
+
+bool RunPlacement::tryTakeProbe(const BackendState &server, TimePoint now) const
+{
+    return !m_context.admission.isRestricted(server.info.id, now)
+        && m_context.admission.tryAcquire(server.info.id, now);
+}
+
+} // namespace foxtailring
--- a/src/decisions/StreamSession.cpp
+++ b/src/decisions/StreamSession.cpp
@@ -5,10 +5,8 @@
 #include "foxtailring/decisions/EngineLatencyEstimator.h"
 #include "foxtailring/decisions/PromptQuarantine.h"
 #include "foxtailring/decisions/RetryBudget.h"
-#include "foxtailring/decisions/ServerAdmission.h"
 
 #include <algorithm>
-#include <iterator>
 #include <utility>
 
 namespace foxtailring {
@@ -19,8 +17,6 @@
 
 // Two round trips between regions: one to connect, one for the answer.
 constexpr milliseconds probeTimeout {120};
-// Number of servers that are probed for their load before a run is placed.
-constexpr std::size_t maxCandidates = 4;
 constexpr milliseconds placementProbeTimeout {60};
 // Interval of checking the copy and its holder, and delay before a failed snapshot is retried.
 constexpr milliseconds copyCheckInterval {400};
@@ -48,6 +44,7 @@
                              const ForwardContext &context, EngineCapabilities capabilities)
     : ForwardSession(route, request, context)
     , m_capabilities(capabilities)
+    , m_placement(this->context(), service(), triedIds())
     , m_progress(route)
     , m_copy(context.servers, context.releaseCopy)
     , m_lastEventId(request.lastEventId)
@@ -124,10 +121,9 @@
     if (next && tryAcquire(next->server.info.id, now))
         return sendRun(std::move(*next), now);
     if (!request().promptId.empty())
-        m_affinityServers =
-            context().placer.promptAffinityServers(service(), request().promptId, now);
+        m_placement.updateAffinityServers(request().promptId, now);
     const bool isReturning = triedIds().empty() && request().lastEventId;
-    return isReturning && m_capabilities.canBeProbed && !m_affinityServers.empty()
+    return isReturning && m_capabilities.canBeProbed && m_placement.hasAffinityServers()
         ? probeForPrompt(now)
         : probeCandidates(now);
 }
@@ -139,11 +135,7 @@
     ProbeServers probe;
     probe.subject = ProbeServers::Subject::Prompt;
     probe.timeout = placementProbeTimeout;
-    for (const std::string &id : m_affinityServers) {
-        const auto server = context().servers.server(id, now);
-        if (server && server->health == BackendHealth::Healthy && mayProbe(*server, now))
-            probe.servers.push_back(*server);
-    }
+    probe.servers = m_placement.takePromptProbes(now);
     if (probe.servers.empty())
         return probeCandidates(now);
     m_isFindingPrompt = true;
@@ -195,51 +187,26 @@
     if (!m_capabilities.canBeProbed)
         return placeRun({}, now);
     ProbeServers probe;
-    std::vector<std::string> exclude = triedIds();
-    for (const auto &avoided :
-         {context().admission.pausedIds(now), context().admission.returningIds(now)})
-        exclude.insert(exclude.end(), avoided.begin(), avoided.end());
-    probe.servers =
-        context().placer.runCandidates(placement(exclude), maxCandidates, now, context().random);
-    std::erase_if(probe.servers,
-                  [this, now](const BackendState &server) { return !mayProbe(server, now); });
+    probe.servers = m_placement.takeCandidateProbes(now);
     if (probe.servers.empty())
         return placeRun({}, now);
     probe.timeout = placementProbeTimeout;
     m_isPlacing = true;
     m_isProbingHolder = false;
     m_probedAt = now;
-    m_responsive.clear();
-    for (const BackendState &server : probe.servers)
-        m_candidates.push_back(server.info.id);
     return probe;
 }
 
-bool StreamSession::mayProbe(const BackendState &server, TimePoint now) const
-{
-    return !context().admission.isRestricted(server.info.id, now)
-        && context().admission.tryAcquire(server.info.id, now);
-}
-
 ForwardAction StreamSession::placeRun(std::span<const ServerProbeResult> reports, TimePoint now)
 {
     m_isPlacing = false;
-    m_responsive.clear();
-    for (const ServerProbeResult &report : reports) {
-        if (!report.isTurnedAway)
-            m_responsive.push_back(report.serverId);
-    }
+    m_placement.recordReports(reports);
     // A server that did not answer the probe is chosen only if there is no other.
-    std::vector<std::string> exclude = triedIds();
-    std::copy_if(m_candidates.begin(), m_candidates.end(), std::back_inserter(exclude),
-                 [this](const std::string &id) {
-                     return std::find(m_responsive.begin(), m_responsive.end(), id)
-                         == m_responsive.end();
-                 });
-    m_candidates.clear();
-    auto chosen = choose(placement(exclude), &BackendPlacer::chooseForRun, now);
+    const std::vector<std::string> unresponsive = m_placement.unresponsiveIds();
+    m_placement.dropCandidates();
+    auto chosen = choose(m_placement.request(unresponsive), &BackendPlacer::chooseForRun, now);
     if (!chosen)
-        chosen = choose(placement(triedIds()), &BackendPlacer::chooseForRun, now);
+        chosen = choose(m_placement.request(triedIds()), &BackendPlacer::chooseForRun, now);
     if (!chosen)
         return refuseOrAbort(refuseUnplaced(now), now);
     SendAttempt next;
@@ -268,16 +235,6 @@
     return send(std::move(next), now);
 }
 
-PlacementRequest StreamSession::placement(std::span<const std::string> exclude) const
-{
-    PlacementRequest placementRequest;
-    placementRequest.service = service();
-    placementRequest.exclude = exclude;
-    placementRequest.responsive = m_responsive;
-    placementRequest.affinityServers = m_affinityServers;
-    return placementRequest;
-}
-
 void StreamSession::assignCopyHolder(SendAttempt &attempt, TimePoint now)
 {
     attempt.copyTo = chooseCopyHolder(attempt.server, now);
@@ -290,19 +247,7 @@
 {
     if (!m_capabilities.canCopyContinuously || !route().isResumable)
         return std::nullopt;
-    std::vector<std::string> exclude = triedIds();
-    exclude.push_back(runServer.info.id);
-    PlacementRequest copyRequest = placement(exclude);
-    copyRequest.avoidZone = runServer.info.availabilityZone;
-    copyRequest.affinityServers = {};
-    // The run could not resume at a server that has no free request or is in a pause.
-    while (true) {
-        copyRequest.exclude = exclude;
-        auto holder = context().placer.chooseForCopy(copyRequest, now, context().random);
-        if (!holder || !context().admission.isRestricted(holder->info.id, now))
-            return holder;
-        exclude.push_back(holder->info.id);
-    }
+    return m_placement.chooseCopyHolder(runServer, now);
 }
 
 // Replaces a lost copy, renews a snapshot before it expires, and probes a holder at risk. A run may
@@ -313,7 +258,7 @@
     const bool isUsable = m_copy.isUsable(now);
     if (isUsable && !m_isProbing && !m_isCopying) {
         const auto current = context().servers.server(m_copy.holder()->info.id, now);
-        if (current->hasFailedZonePeer && mayProbe(*current, now))
+        if (current->hasFailedZonePeer && m_placement.tryTakeProbe(*current, now))
             return probeCopyHolder(*current);
     }
     const bool isWanted =
@@ -479,7 +424,7 @@
 void StreamSession::endPlacement()
 {
     m_isPlacing = false;
-    m_candidates.clear();
+    m_placement.dropCandidates();
 }
 
 ForwardAction StreamSession::keepSilentAttempt(TimePoint now)
