gateway: estimate how long a request takes only during a stop

Cause: the dispatcher computed the inputs of DrainAdmission for every request: the longest recent answer of a call's route, or the usual run of each target of a stream. Without a stop, DrainAdmission accepts the request and limits nothing, whatever they are. Change: serve() computes them only while a drain is under way. The time saved was not measured. Conclusion: no change of behaviour.

--- a/src/gateway/RequestDispatcher.cpp
+++ b/src/gateway/RequestDispatcher.cpp
@@ -155,6 +155,16 @@
     request.timeout = std::min(request.timeout.value_or(limit), limit);
 }
 
+bool RequestDispatcher::admitToDrain(GatewayRequest &request, const HttpRoute &route,
+                                     const RouteTable &table, TimePoint arrivedAt) const
+{
+    const DrainAdmission::Request drained = drainRequest(request, route, table, arrivedAt);
+    if (!m_drain.accepts(drained, arrivedAt))
+        return false;
+    limitTime(request, drained, arrivedAt);
+    return true;
+}
+
 void RequestDispatcher::serve(PendingRequest pending)
 {
     GatewayRequest &request = pending.request;
@@ -164,10 +174,8 @@
     const HttpRoute *route = table->route(request.host, request.path);
     if (!route)
         return refuse(m_parts, *responder, request.id, 404, "noRoute");
-    const DrainAdmission::Request drained = drainRequest(request, *route, *table, arrivedAt);
-    if (!m_drain.accepts(drained, arrivedAt))
+    if (m_drain.isDraining() && !admitToDrain(request, *route, *table, arrivedAt))
         return refuse(m_parts, *responder, request.id, 503, "draining");
-    limitTime(request, drained, arrivedAt);
     std::string account;
     if (table->config().hasAccounts && !route->isPublic) {
         // Without a recent proof from the store this gateway may have missed a change: it would
--- a/src/gateway/RequestDispatcher.h
+++ b/src/gateway/RequestDispatcher.h
@@ -54,6 +54,9 @@
     void enqueue(PendingRequest pending);
     void serve(PendingRequest pending);
     void track(const std::shared_ptr<RequestRelay> &relay);
+    /// Limits the request's time to that of the drain. False: it is not expected to end in time.
+    bool admitToDrain(GatewayRequest &request, const HttpRoute &route, const RouteTable &table,
+                      TimePoint arrivedAt) const;
     DrainAdmission::Request drainRequest(const GatewayRequest &request, const HttpRoute &route,
                                          const RouteTable &table, TimePoint arrivedAt) const;
     std::optional<Duration> usualRunDuration(const GatewayRequest &request, const HttpRoute &route,
