--- a/src/decisions/StreamSession.cpp
+++ b/src/decisions/StreamSession.cpp
@@ -5,10 +5,8 @@
 #include "foxtailring/decisions/EngineLatencyEstimator.h"
 #include "foxtailring/decisions/PromptQuarantine.h"
 #include "foxtailring/decisions/RetryBudget.h"
-#include "foxtailring/decisions/ServerAdmission.h"
 
 #include <algorithm>
-#include <iterator>
 #include <utility>
 
 namespace foxtailring {
@@ -17,30 +15,9 @@
 
 namespace {
 
-// A server is probed after this many mean event intervals without an event. A prompt that the
-// server processes at the same time makes the intervals several times longer.
-constexpr int silenceIntervals = 4;
-constexpr milliseconds minSilence {150};
-constexpr milliseconds maxSilence {220};
-// Probe interval before the first event: nothing arrives while the prompt is processed.
-constexpr milliseconds prefillProbeInterval {400};
 // Two round trips between regions: one to connect, one for the answer.
 constexpr milliseconds probeTimeout {120};
-// A report may be this old and not include a run that started since.
-constexpr milliseconds maxReportAge {1000};
-// A server that answers probes but sends no events for this many allowed pauses is stuck.
-constexpr int stuckEventGaps = 3;
-// Fraction of the latency objective that is at least allowed for the first event.
-constexpr double firstEventFraction = 0.65;
-// Number of servers that are probed for their load before a run is placed.
-constexpr std::size_t maxCandidates = 4;
 constexpr milliseconds placementProbeTimeout {60};
-// For routes that configure none.
-constexpr milliseconds defaultMaxEventGap {1000};
-// The latest interval has the weight 1 / intervalAverageDivisor in the moving average.
-constexpr int intervalAverageDivisor = 8;
-// A resumed run processes only what its copy lacks, but may wait for the prompts of other runs.
-constexpr milliseconds resumeTimeout {1500};
 // Interval of checking the copy and its holder, and delay before a failed snapshot is retried.
 constexpr milliseconds copyCheckInterval {400};
 constexpr milliseconds copyRetryDelay {1000};
@@ -61,17 +38,14 @@
 // A server that sends this many events has outlived the beginning of its answer.
 constexpr std::uint32_t outlivedEvents = 3;
 
-milliseconds maxEventGapOf(const HttpRoute &route)
-{
-    return route.maxEventGap.count() > 0 ? route.maxEventGap : defaultMaxEventGap;
-}
-
 } // namespace
 
 StreamSession::StreamSession(const HttpRoute &route, const ForwardRequest &request,
                              const ForwardContext &context, EngineCapabilities capabilities)
     : ForwardSession(route, request, context)
     , m_capabilities(capabilities)
+    , m_placement(this->context(), service(), triedIds())
+    , m_progress(route)
     , m_copy(context.servers, context.releaseCopy)
     , m_lastEventId(request.lastEventId)
 {
@@ -84,30 +58,20 @@
         return EventVerdict::Duplicate;
     if (m_lastEventId && id > *m_lastEventId + 1)
         return EventVerdict::Gap;
-    if (!m_hasEvents && !m_isResumed)
+    if (m_progress.isPrefilling())
         context().latency.recordFirstEvent(service(), request().promptTokens, now - sentAt());
-    if (m_hasEvents) {
-        const Duration interval = now - m_lastEventAt;
-        const bool isFirst = m_meanEventInterval == Duration {0};
-        m_meanEventInterval = isFirst
-            ? interval
-            : m_meanEventInterval + (interval - m_meanEventInterval) / intervalAverageDivisor;
-    }
     if (hasServer())
         context().servers.recordContact(server().info.id, now);
-    if (!std::exchange(m_hasEvents, true))
-        m_firstEventAt = now;
-    if (++m_attemptEvents == outlivedEvents)
+    m_progress.recordEvent(now);
+    if (m_progress.eventCount() == outlivedEvents)
         context().quarantine.recordStart(request().sharedPromptParts, now);
     m_isHarmless = m_isHarmless || hasOutlivedStart();
     m_hasStarted = true;
     m_isProbing = false;
     if (std::exchange(m_isReplacing, false))
         endPlacement();
-    recordSign(now);
+    m_replaceAt = {};
     m_lastEventId = id;
-    m_lastEventAt = now;
-    m_partialEventAt = {};
     return EventVerdict::Next;
 }
 
@@ -120,7 +84,7 @@
 
 bool StreamSession::hasOutlivedStart() const
 {
-    return m_attemptEvents >= outlivedEvents;
+    return m_progress.eventCount() >= outlivedEvents;
 }
 
 // A run produces at least one event, unless its caller already had the last one when it was
@@ -128,7 +92,7 @@
 // server confirms it.
 bool StreamSession::confirmEnd()
 {
-    return m_hasEvents || std::exchange(m_hasEmptyEnd, true);
+    return m_progress.hasEvents() || std::exchange(m_hasEmptyEnd, true);
 }
 
 ForwardAction StreamSession::onFinished(TimePoint now)
@@ -137,8 +101,8 @@
         context().quarantine.recordStart(request().sharedPromptParts, now);
     if (hasServer())
         context().servers.recordAnswer(server().info.id, false, now);
-    if (m_meanEventInterval > Duration {0})
-        context().latency.recordEventInterval(service(), m_meanEventInterval);
+    if (m_progress.meanEventInterval() > Duration {0})
+        context().latency.recordEventInterval(service(), m_progress.meanEventInterval());
     releaseServer();
     m_copy.drop();
     return KeepWaiting {};
@@ -150,17 +114,16 @@
         return refuseOrAbort(std::move(*refusal), now);
     m_cause = cause;
     // A copy exists only from the first event on, not while the prompt is processed.
-    auto next = m_hasEvents ? m_copy.takeResumeAttempt(now) : std::nullopt;
+    auto next = m_progress.hasEvents() ? m_copy.takeResumeAttempt(now) : std::nullopt;
     // A run that is being replaced may go on and need its copy.
     if (!m_isReplacing)
         m_copy.drop();
     if (next && tryAcquire(next->server.info.id, now))
         return sendRun(std::move(*next), now);
     if (!request().promptId.empty())
-        m_affinityServers =
-            context().placer.promptAffinityServers(service(), request().promptId, now);
+        m_placement.updateAffinityServers(request().promptId, now);
     const bool isReturning = triedIds().empty() && request().lastEventId;
-    return isReturning && m_capabilities.canBeProbed && !m_affinityServers.empty()
+    return isReturning && m_capabilities.canBeProbed && m_placement.hasAffinityServers()
         ? probeForPrompt(now)
         : probeCandidates(now);
 }
@@ -172,11 +135,7 @@
     ProbeServers probe;
     probe.subject = ProbeServers::Subject::Prompt;
     probe.timeout = placementProbeTimeout;
-    for (const std::string &id : m_affinityServers) {
-        const auto server = context().servers.server(id, now);
-        if (server && server->health == BackendHealth::Healthy && mayProbe(*server, now))
-            probe.servers.push_back(*server);
-    }
+    probe.servers = m_placement.takePromptProbes(now);
     if (probe.servers.empty())
         return probeCandidates(now);
     m_isFindingPrompt = true;
@@ -228,51 +187,26 @@
     if (!m_capabilities.canBeProbed)
         return placeRun({}, now);
     ProbeServers probe;
-    std::vector<std::string> exclude = triedIds();
-    for (const auto &avoided :
-         {context().admission.pausedIds(now), context().admission.returningIds(now)})
-        exclude.insert(exclude.end(), avoided.begin(), avoided.end());
-    probe.servers =
-        context().placer.runCandidates(placement(exclude), maxCandidates, now, context().random);
-    std::erase_if(probe.servers,
-                  [this, now](const BackendState &server) { return !mayProbe(server, now); });
+    probe.servers = m_placement.takeCandidateProbes(now);
     if (probe.servers.empty())
         return placeRun({}, now);
     probe.timeout = placementProbeTimeout;
     m_isPlacing = true;
     m_isProbingHolder = false;
     m_probedAt = now;
-    m_responsive.clear();
-    for (const BackendState &server : probe.servers)
-        m_candidates.push_back(server.info.id);
     return probe;
 }
 
-bool StreamSession::mayProbe(const BackendState &server, TimePoint now) const
-{
-    return !context().admission.isRestricted(server.info.id, now)
-        && context().admission.tryAcquire(server.info.id, now);
-}
-
 ForwardAction StreamSession::placeRun(std::span<const ServerProbeResult> reports, TimePoint now)
 {
     m_isPlacing = false;
-    m_responsive.clear();
-    for (const ServerProbeResult &report : reports) {
-        if (!report.isTurnedAway)
-            m_responsive.push_back(report.serverId);
-    }
+    m_placement.recordReports(reports);
     // A server that did not answer the probe is chosen only if there is no other.
-    std::vector<std::string> exclude = triedIds();
-    std::copy_if(m_candidates.begin(), m_candidates.end(), std::back_inserter(exclude),
-                 [this](const std::string &id) {
-                     return std::find(m_responsive.begin(), m_responsive.end(), id)
-                         == m_responsive.end();
-                 });
-    m_candidates.clear();
-    auto chosen = choose(placement(exclude), &BackendPlacer::chooseForRun, now);
+    const std::vector<std::string> unresponsive = m_placement.unresponsiveIds();
+    m_placement.dropCandidates();
+    auto chosen = choose(m_placement.request(unresponsive), &BackendPlacer::chooseForRun, now);
     if (!chosen)
-        chosen = choose(placement(triedIds()), &BackendPlacer::chooseForRun, now);
+        chosen = choose(m_placement.request(triedIds()), &BackendPlacer::chooseForRun, now);
     if (!chosen)
         return refuseOrAbort(refuseUnplaced(now), now);
     SendAttempt next;
@@ -291,31 +225,16 @@
     m_replaceAt = {};
     next.cause = m_cause;
     next.lastEventId = m_lastEventId;
-    m_isResumed = next.fromCopy.has_value();
-    m_hasEvents = false;
-    m_partialEventAt = {};
-    m_attemptEvents = 0;
+    m_progress.start(next.fromCopy.has_value(), now);
     m_isProbing = false;
     m_isProbingHolder = false;
     m_isCopying = false;
     m_copyCheckAt = m_capabilities.canCopyOnDemand ? now + copyCheckInterval : TimePoint::max();
-    m_maxPromptsAhead = 0;
-    m_lastContactAt = now;
     m_copy.drop();
     assignCopyHolder(next, now);
     return send(std::move(next), now);
 }
 
-PlacementRequest StreamSession::placement(std::span<const std::string> exclude) const
-{
-    PlacementRequest placementRequest;
-    placementRequest.service = service();
-    placementRequest.exclude = exclude;
-    placementRequest.responsive = m_responsive;
-    placementRequest.affinityServers = m_affinityServers;
-    return placementRequest;
-}
-
 void StreamSession::assignCopyHolder(SendAttempt &attempt, TimePoint now)
 {
     attempt.copyTo = chooseCopyHolder(attempt.server, now);
@@ -328,19 +247,7 @@
 {
     if (!m_capabilities.canCopyContinuously || !route().isResumable)
         return std::nullopt;
-    std::vector<std::string> exclude = triedIds();
-    exclude.push_back(runServer.info.id);
-    PlacementRequest copyRequest = placement(exclude);
-    copyRequest.avoidZone = runServer.info.availabilityZone;
-    copyRequest.affinityServers = {};
-    // The run could not resume at a server that has no free request or is in a pause.
-    while (true) {
-        copyRequest.exclude = exclude;
-        auto holder = context().placer.chooseForCopy(copyRequest, now, context().random);
-        if (!holder || !context().admission.isRestricted(holder->info.id, now))
-            return holder;
-        exclude.push_back(holder->info.id);
-    }
+    return m_placement.chooseCopyHolder(runServer, now);
 }
 
 // Replaces a lost copy, renews a snapshot before it expires, and probes a holder at risk. A run may
@@ -351,10 +258,11 @@
     const bool isUsable = m_copy.isUsable(now);
     if (isUsable && !m_isProbing && !m_isCopying) {
         const auto current = context().servers.server(m_copy.holder()->info.id, now);
-        if (current->hasFailedZonePeer && mayProbe(*current, now))
+        if (current->hasFailedZonePeer && m_placement.tryTakeProbe(*current, now))
             return probeCopyHolder(*current);
     }
-    const bool isWanted = m_hasEvents && !m_isCopying && (!isUsable || m_copy.needsRenewal(now));
+    const bool isWanted =
+        m_progress.hasEvents() && !m_isCopying && (!isUsable || m_copy.needsRenewal(now));
     if (!isWanted)
         return KeepWaiting {};
     const auto holder = isUsable ? m_copy.holder() : chooseCopyHolder(server(), now);
@@ -435,7 +343,7 @@
     if (!mayAsk && isKeptSilent())
         return onSilent(now);
     if (!mayAsk) {
-        m_lastContactAt = now;
+        m_progress.recordContact(now);
         return KeepWaiting {};
     }
     ProbeServers probe;
@@ -463,7 +371,7 @@
     if (!m_isProbing || !hasServer())
         return KeepWaiting {};
     m_isProbing = false;
-    if (m_lastContactAt > m_probedAt)
+    if (m_progress.lastContactAt() > m_probedAt)
         return KeepWaiting {};
     if (reports.empty()) {
         recordCrash(now);
@@ -476,8 +384,7 @@
     if (showsLostRun(reports.front(), now))
         return onAttemptEnded(AttemptResult::Silent, now);
     const BackendLoadReport &load = reports.front().load;
-    const std::uint32_t prompts = load.prefilling + load.waiting;
-    m_maxPromptsAhead = std::max(m_maxPromptsAhead, std::max(prompts, 1U) - 1);
+    m_progress.recordPrompts(load.prefilling + load.waiting);
     recordSign(now);
     return KeepWaiting {};
 }
@@ -486,7 +393,7 @@
 void StreamSession::recordSign(TimePoint now)
 {
     m_replaceAt = {};
-    m_lastContactAt = now;
+    m_progress.recordContact(now);
 }
 
 // A sound server may pause for a second or more, so the attempt goes on until another one takes its
@@ -508,7 +415,7 @@
 // cannot help: it has probably crashed its server, or would end too late.
 bool StreamSession::mayOutlastSilence(TimePoint now) const
 {
-    const Duration silence = now - m_lastContactAt;
+    const Duration silence = now - m_progress.lastContactAt();
     if (m_hasStarted)
         return silence < maxServerPause;
     return silence < maxPromptPause && quarantinedPart(now).empty() && canFinishInTime(0, now);
@@ -517,7 +424,7 @@
 void StreamSession::endPlacement()
 {
     m_isPlacing = false;
-    m_candidates.clear();
+    m_placement.dropCandidates();
 }
 
 ForwardAction StreamSession::keepSilentAttempt(TimePoint now)
@@ -534,24 +441,7 @@
     const auto current = context().servers.server(server().info.id, m_probedAt);
     if (current && current->isReplaced)
         return true;
-    if (!report.hasRun)
-        return isMissing(report);
-    if (!m_hasEvents)
-        return false;
-    // An event whose bytes are arriving slowly is produced, but not missing.
-    const bool isArriving = now - m_partialEventAt < silenceThreshold();
-    return report.eventCount > m_lastEventId.value_or(0) + (isArriving ? 1 : 0);
-}
-
-// Runs that wait or whose prompt is processed are not listed, so before the first event the run is
-// only known to be missing when the server has none of these.
-bool StreamSession::isMissing(const ServerProbeResult &report) const
-{
-    const bool mayBeUnlisted = !m_hasEvents && report.load.waiting + report.load.prefilling > 0;
-    if (!report.listsRuns || mayBeUnlisted)
-        return false;
-    const TimePoint knownSince = m_hasEvents ? m_firstEventAt : sentAt();
-    return m_probedAt - knownSince > maxReportAge;
+    return m_progress.isLostBy(report, m_lastEventId.value_or(0), m_probedAt, now);
 }
 
 // True if the server is doubtful or suspected, sent no event yet, and there was no contact for too
@@ -560,8 +450,8 @@
 {
     const auto current = context().servers.server(server().info.id, now);
     const bool isDoubtful = current && current->health != BackendHealth::Healthy;
-    return isDoubtful && !m_hasEvents && !isKeptSilent()
-        && now - m_lastContactAt >= maxDoubtfulSilence;
+    return isDoubtful && !m_progress.hasEvents() && !isKeptSilent()
+        && now - m_progress.lastContactAt() >= maxDoubtfulSilence;
 }
 
 TimePoint StreamSession::overdueAt() const
@@ -576,31 +466,18 @@
 {
     if (!route().allowsRetry())
         return deadline();
-    const TimePoint silentAt =
-        m_isProbing ? m_probedAt + 2 * probeTimeout : m_lastContactAt + silenceThreshold();
+    const TimePoint silentAt = m_isProbing
+        ? m_probedAt + 2 * probeTimeout
+        : m_progress.lastContactAt() + m_progress.silenceThreshold();
     return std::max(std::min(stuckAt(), silentAt), m_replaceAt);
 }
 
-Duration StreamSession::silenceThreshold() const
-{
-    if (!m_hasEvents)
-        return prefillProbeInterval;
-    const Duration threshold = silenceIntervals * m_meanEventInterval;
-    return std::clamp<Duration>(threshold, minSilence, maxSilence);
-}
-
 TimePoint StreamSession::stuckAt() const
 {
-    if (m_hasEvents)
-        return m_lastEventAt + stuckEventGaps * maxEventGapOf(route());
-    if (m_isResumed)
-        return sentAt() + resumeTimeout;
-    const Duration estimate =
-        context().latency.maxFirstEventDelay(service(), request().promptTokens);
-    const auto minimum =
-        std::chrono::duration_cast<Duration>(route().latencyObjective * firstEventFraction);
-    // Prompts are processed one after the other; the estimate allows for one ahead of this one.
-    return sentAt() + std::max(estimate, minimum) + m_maxPromptsAhead * estimate / 2;
+    const Duration maxFirstEventDelay = m_progress.isPrefilling()
+        ? context().latency.maxFirstEventDelay(service(), request().promptTokens)
+        : Duration {0};
+    return m_progress.stuckAt(sentAt(), maxFirstEventDelay);
 }
 
 // A stream that has begun cannot be answered any more.
--- a/src/gateway/RequestRelay.cpp
+++ b/src/gateway/RequestRelay.cpp
@@ -1,15 +1,11 @@
 #include "RequestRelay.h"
 
 #include "foxtailring/base/StructuredLog.h"
-#include "foxtailring/decisions/CallSession.h"
 #include "foxtailring/transport/Endpoint.h"
-#include "foxtailring/transport/Http1Client.h"
-#include "foxtailring/transport/Http1Responder.h"
 #include "foxtailring/transport/Http1Stream.h"
 
-#include "DurationText.h"
+#include "ForwardSessionFactory.h"
 #include "GatewayParts.h"
-#include "Refusal.h"
 #include "ServerProbe.h"
 
 #include <algorithm>
@@ -22,19 +18,10 @@
 
 using std::chrono::milliseconds;
 
-// Covers one round trip between regions. A lost packet is not waited for: trying another server is
-// faster than the retransmission.
-constexpr milliseconds connectTimeout {250};
-constexpr milliseconds acknowledgeTimeout {1500};
-// A request that may not be retried is lost if its kept-alive connection turns out to be dead, so
-// it only uses connections that have been idle for a short time.
-constexpr milliseconds maxReuseIdle {8000};
-constexpr milliseconds cautiousMaxReuseIdle {1500};
 // Limits the memory that a faulty server can make this process hold.
 constexpr std::size_t maxBufferedAnswerBytes = 16 * 1024 * 1024;
 // By then attempts with an oversized answer have been cancelled, which frees their memory.
 constexpr milliseconds memoryRetryAfter {500};
-constexpr std::size_t maxUnreadCallerBytes = 1024 * 1024;
 constexpr milliseconds minTimerDelay {5};
 
 bool isEventStream(const HttpResponse &head)
@@ -49,23 +36,6 @@
     return error.code == ErrorCode::Malformed ? AttemptResult::Invalid : AttemptResult::Lost;
 }
 
-std::string joined(std::span<const std::string> names)
-{
-    std::string text;
-    for (const std::string &name : names)
-        text += (text.empty() ? "" : ",") + name;
-    return text;
-}
-
-ExchangeOptions exchangeOptions(const HttpRoute &route)
-{
-    ExchangeOptions options;
-    options.connectTimeout = connectTimeout;
-    options.unacknowledgedTimeout = acknowledgeTimeout;
-    options.maxIdleTime = route.allowsRetry() ? maxReuseIdle : cautiousMaxReuseIdle;
-    return options;
-}
-
 } // namespace
 
 RequestRelay::RequestRelay(GatewayParts &parts, GatewayRequest request,
@@ -76,55 +46,21 @@
     , m_request(std::move(request))
     , m_table(std::move(table))
     , m_route(route)
-    , m_account(std::move(account))
-    , m_responder(std::move(responder))
     , m_arrivedAt(arrivedAt)
-    , m_session(makeSession(arrivedAt))
+    , m_reporter(parts, m_request, *m_table, route, arrivedAt)
+    , m_answer(parts.codec, m_request, m_reporter, std::move(responder))
+    , m_session(ForwardSessionFactory(*m_table, route)
+                    .make(m_request, arrivedAt, parts.forwardContext(m_request.id)))
     , m_stream(dynamic_cast<StreamSession *>(m_session.get()))
+    , m_sender(parts.http, parts.codec, m_request, route, std::move(account))
     , m_memory(parts.memoryBudget)
     , m_timer(parts.pool)
 {
 }
 
-std::unique_ptr<ForwardSession> RequestRelay::makeSession(TimePoint arrivedAt)
-{
-    ForwardRequest request;
-    request.arrivedAt = arrivedAt;
-    request.callerTimeout = m_request.timeout;
-    request.promptId = m_request.promptId;
-    request.sharedPromptParts = m_request.sharedPromptParts;
-    request.promptTokens = m_request.promptTokens;
-    request.maxOutputTokens = m_request.maxOutputTokens;
-    request.lastEventId = m_request.lastEventId;
-    request.minAttemptTime = m_request.minAttemptTime;
-    for (const RouteTarget &target : m_route.targets) {
-        if (const RoutedService *service = m_table->service(target.service))
-            request.tokensPerEvent = std::max(request.tokensPerEvent, service->tokensPerEvent);
-    }
-    const ForwardContext context = m_parts.forwardContext(m_request.id);
-    if (m_route.kind != CallKind::Stream)
-        return std::make_unique<CallSession>(m_route, request, context);
-    const auto allServices = [this](auto property) {
-        return std::all_of(m_route.targets.begin(), m_route.targets.end(),
-                           [this, property](const RouteTarget &target) {
-                               const RoutedService *service = m_table->service(target.service);
-                               return service && property(*service);
-                           });
-    };
-    StreamSession::EngineCapabilities capabilities;
-    capabilities.canCopyContinuously =
-        allServices([](const RoutedService &one) { return one.copiesContinuously; });
-    capabilities.isSingleService = m_table->engineServiceCount() == 1;
-    capabilities.canBeProbed =
-        allServices([](const RoutedService &one) { return one.memoryTokens > 0; });
-    capabilities.canCopyOnDemand =
-        allServices([](const RoutedService &one) { return one.copiesOnDemand; });
-    return std::make_unique<StreamSession>(m_route, request, context, capabilities);
-}
-
 void RequestRelay::start()
 {
-    m_responder->onDisconnect([self = shared_from_this()] {
+    m_answer.onDisconnect([self = shared_from_this()] {
         self->m_parts.queue.post([self] { self->onCallerDisconnect(); });
     });
     if (!updateHeldMemory("request"))
@@ -146,12 +82,10 @@
 // The status does not say whether the request was executed, since an attempt may be in progress.
 void RequestRelay::onException(std::string_view message)
 {
-    StructuredLog::warn("requestException",
-                        {{"request", m_request.id}, {"message", std::string(message)}});
-    m_parts.metrics.add("gateway_request_exceptions_total");
+    m_reporter.reportException(message);
     if (m_isFinished)
         return;
-    if (m_hasStartedAnswer)
+    if (m_answer.hasStarted())
         return abortAnswer({"exception"});
     refuse({502, milliseconds(0), "exception"});
 }
@@ -184,42 +118,21 @@
 void RequestRelay::send(const SendAttempt &next)
 {
     if (next.keepsLatest)
-        m_fallback = std::exchange(m_attempt, Attempt {});
+        m_fallback = std::exchange(m_attempt, ServerAttempt {});
     cancelAttempt();
     const auto endpoint = Endpoint::parse(next.server.info.address);
     if (!endpoint)
         return perform(m_session->onAttemptEnded(AttemptResult::NotSent, m_parts.clock()));
-    m_attempt = Attempt {};
+    m_attempt = ServerAttempt {};
     m_attempt.number = ++m_attemptCount;
     if (!m_stream && m_attemptCount == 1)
         m_parts.answerTimes.begin(m_route.name, m_arrivedAt);
     m_attempt.serverId = next.server.info.id;
     m_attempt.endpoint = endpoint.value();
     m_attempt.isFromCopy = next.fromCopy.has_value();
-    logAttempt(next);
-    AttemptMetadata metadata;
-    metadata.serverId = next.server.info.id;
-    metadata.account = m_account;
-    metadata.timeLeft = next.timeLeft;
-    metadata.lastEventId = next.lastEventId;
-    if (next.copyTo)
-        metadata.copyTo = next.copyTo->info.address;
-    metadata.fromCopy = next.fromCopy;
+    m_reporter.reportAttempt(next, m_attemptCount);
     const auto post = attemptPoster(m_attempt.number);
     StreamHooks hooks;
-    // Only the refusal of a malformed request has no id. On a connection that was used before, it
-    // may as well be an earlier answer that is written once more.
-    hooks.matchesRequest = [codec = &m_parts.codec, id = m_request.id](const HttpResponse &response,
-                                                                       bool isFirstResponse) {
-        const std::string answered = codec->decodeAnswer(response).requestId;
-        return answered.empty() ? isFirstResponse : answered == id;
-    };
-    // A repeated refusal with the id of this request could meet its next attempt at the same
-    // address, so no connection that carried a refusal is used again.
-    hooks.allowsReuse = [codec = &m_parts.codec](const HttpResponse &response) {
-        const BackendAnswer answer = codec->decodeAnswer(response);
-        return !answer.isNotRun && !answer.isOtherServer;
-    };
     hooks.onHead = [self = shared_from_this(), number = m_attempt.number,
                     info = next.server.info](const HttpResponse &response) {
         self->m_parts.queue.post([self, number, info, response] {
@@ -240,28 +153,7 @@
         post([result](RequestRelay &self) { self.onClosed(result); },
              [result](RequestRelay &self) { self.onFallbackClosed(result); });
     };
-    m_attempt.stream =
-        m_parts.http.stream(endpoint.value(), m_parts.codec.encodeAttempt(m_request, metadata),
-                            std::move(hooks), exchangeOptions(m_route));
-}
-
-void RequestRelay::logAttempt(const SendAttempt &next) const
-{
-    constexpr std::string_view healthNames[] = {"sound", "doubtful", "suspected"};
-    const BackendState &server = next.server;
-    m_parts.metrics.add("gateway_attempts_total{cause=\"" + std::string(next.cause) + "\"}");
-    StructuredLog::info("attempt",
-                        {{"request", m_request.id},
-                         {"number", std::to_string(m_attemptCount)},
-                         {"server", server.info.id},
-                         {"zone", server.info.availabilityZone},
-                         {"cause", std::string(next.cause)},
-                         {"trust", std::string(healthNames[static_cast<int>(server.health)])},
-                         {"inFlight", std::to_string(server.inFlight)},
-                         {"loadAgeMs", server.load ? msText(server.loadAge) : "none"},
-                         {"fromCopy", next.fromCopy ? "true" : "false"},
-                         {"copyTo", next.copyTo ? next.copyTo->info.id : ""},
-                         {"timeLeftMs", std::to_string(next.timeLeft.count())}});
+    m_attempt.stream = m_sender.send(next, endpoint.value(), std::move(hooks));
 }
 
 void RequestRelay::probeServers(const ProbeServers &probe)
@@ -311,18 +203,7 @@
 
 void RequestRelay::onProbeResults(std::span<const ServerProbeResult> results)
 {
-    std::string summary;
-    for (const ServerProbeResult &report : results)
-        summary += report.serverId + " running " + std::to_string(report.load.running) + " waiting "
-            + std::to_string(report.load.waiting) + " reading "
-            + std::to_string(report.load.prefilling) + " events "
-            + (report.hasRun ? std::to_string(report.eventCount) : "none")
-            + (report.hasPrompt ? " prompt; " : "; ");
-    StructuredLog::info("serversAsked",
-                        {{"request", m_request.id},
-                         {"reports", summary},
-                         {"attempt", std::to_string(m_attempt.number)},
-                         {"lastEvent", std::to_string(m_stream->lastEventId().value_or(0))}});
+    m_reporter.reportProbe(results, m_attempt.number, m_stream->lastEventId().value_or(0));
     perform(m_session->onProbed(results, m_parts.clock()));
 }
 
@@ -347,13 +228,13 @@
     return m_fallback.number != 0 && m_fallback.number == number;
 }
 
-void RequestRelay::recordHead(Attempt &attempt, HttpResponse head)
+void RequestRelay::recordHead(ServerAttempt &attempt, HttpResponse head)
 {
     attempt.hasHead = true;
     attempt.answer = m_parts.codec.decodeAnswer(head);
     attempt.head = std::move(head);
     if (attempt.answer.namesRateLimit)
-        logRateLimit(attempt);
+        m_reporter.reportRateLimit(attempt);
 }
 
 void RequestRelay::onFallbackHead(HttpResponse head)
@@ -380,7 +261,7 @@
 
 void RequestRelay::endFallback(AttemptResult result)
 {
-    logFailure(m_fallback, result);
+    m_reporter.reportFailure(m_fallback, result);
     cancelFallback();
     perform(m_session->onFallbackEnded(result, m_parts.clock()));
 }
@@ -389,7 +270,7 @@
 {
     if (const auto stream = std::exchange(m_fallback.stream, nullptr))
         stream->cancel();
-    m_fallback = Attempt {};
+    m_fallback = ServerAttempt {};
 }
 
 void RequestRelay::onHead(HttpResponse head)
@@ -401,17 +282,6 @@
         && isEventStream(m_attempt.head);
 }
 
-void RequestRelay::logRateLimit(const Attempt &attempt) const
-{
-    const auto &limit = attempt.answer.rateLimit;
-    m_parts.metrics.add(limit ? "gateway_limits_named_total{form=\"readable\"}"
-                              : "gateway_limits_named_total{form=\"unreadable\"}");
-    StructuredLog::info("limitNamed",
-                        {{"request", m_request.id},
-                         {"server", attempt.serverId},
-                         {"limitPerSecond", limit ? std::to_string(*limit) : "unreadable"}});
-}
-
 void RequestRelay::onBody(std::string_view bytes)
 {
     if (!m_attempt.isStreaming) {
@@ -436,19 +306,13 @@
 bool RequestRelay::updateHeldMemory(std::string_view what)
 {
     const std::size_t bytes = m_request.http.body.size() + m_attempt.body.size()
-        + m_fallback.body.size() + m_attempt.events.pendingBytes() + m_responder->pendingBytes();
+        + m_fallback.body.size() + m_attempt.events.pendingBytes() + m_answer.pendingBytes();
     const bool isAllowed = m_memory.tryResize(bytes);
     m_parts.metrics.setGauge("gateway_held_bytes",
                              static_cast<double>(m_parts.memoryBudget.held()));
     if (isAllowed)
         return true;
-    m_parts.metrics.add("gateway_too_large_total{what=\"" + std::string(what) + "\"}");
-    StructuredLog::warn("answerTooLarge",
-                        {{"request", m_request.id},
-                         {"what", std::string(what)},
-                         {"server", m_attempt.serverId},
-                         {"bytes", std::to_string(bytes)},
-                         {"heldByAll", std::to_string(m_parts.memoryBudget.held())}});
+    m_reporter.reportOverBudget(what, m_attempt.serverId, bytes);
     return false;
 }
 
@@ -462,45 +326,10 @@
         return endAttempt(AttemptResult::Invalid);
     if (verdict == EventVerdict::Duplicate)
         return;
-    recordResume(now);
-    startStreamedAnswer();
-    m_responder->write(std::string(text));
-    // A caller that does not read is disconnected before it uses up the memory of other requests.
-    if (m_responder->pendingBytes() > maxUnreadCallerBytes)
+    if (!m_answer.passEvent(m_attempt, text, now))
         abortAnswer({"callerReadsTooSlowly"});
 }
 
-// The pause is the time between the last event before the failure and the first one after it, as
-// the caller saw it.
-void RequestRelay::recordResume(TimePoint now)
-{
-    const bool isFirst = ++m_attempt.eventCount == 1;
-    const bool isResumed = m_hasStartedAnswer && isFirst;
-    const Duration pause = now - std::exchange(m_lastEventAt, now);
-    if (!isResumed)
-        return;
-    m_parts.metrics.observeSeconds("gateway_resume_seconds",
-                                   std::chrono::duration<double>(pause).count());
-    StructuredLog::info("resumed",
-                        {{"request", m_request.id},
-                         {"server", m_attempt.serverId},
-                         {"fromCopy", m_attempt.isFromCopy ? "true" : "false"},
-                         {"pauseMs", msText(pause)}});
-}
-
-void RequestRelay::startStreamedAnswer()
-{
-    if (m_hasStartedAnswer)
-        return;
-    // Before the flag is set, since it may throw.
-    auto headers = m_parts.codec.callerResponseHeaders(m_attempt.head);
-    m_hasStartedAnswer = true;
-    m_responder->startStream(m_attempt.answer.status, std::move(headers));
-    m_parts.metrics.observeSeconds(
-        "gateway_first_event_seconds",
-        std::chrono::duration<double>(m_parts.clock() - m_arrivedAt).count());
-}
-
 void RequestRelay::onClosed(const Result<Done> &result)
 {
     m_attempt.stream.reset();
@@ -515,7 +344,7 @@
 
 // A server at its limit of connections resets one before it answers, which looks like the end of
 // the server.
-AttemptResult RequestRelay::recordConnectionError(const Attempt &attempt, const Error &error)
+AttemptResult RequestRelay::recordConnectionError(const ServerAttempt &attempt, const Error &error)
 {
     const bool isCut = error.code == ErrorCode::Unavailable || error.code == ErrorCode::Closed;
     if (isCut && !attempt.hasHead)
@@ -536,15 +365,15 @@
 {
     if (m_attempt.events.hasPartialEvent() || !m_stream->confirmEnd())
         return endAttempt(AttemptResult::Lost);
-    startStreamedAnswer();
+    m_answer.startStream(m_attempt);
     perform(m_stream->onFinished(m_parts.clock()));
-    m_responder->finish();
+    m_answer.finishStream();
     finish("served", "", m_attempt.answer.status);
 }
 
 void RequestRelay::endAttempt(AttemptResult result)
 {
-    logFailure(m_attempt, result);
+    m_reporter.reportFailure(m_attempt, result);
     if (!m_stream) {
         // The session may wait for the fallback, which would let an oversized answer go on.
         cancelAttempt();
@@ -553,43 +382,27 @@
     perform(m_session->onAttemptEnded(result, m_parts.clock()));
 }
 
-void RequestRelay::logFailure(const Attempt &attempt, AttemptResult result) const
-{
-    StructuredLog::info("attemptFailed",
-                        {{"request", m_request.id},
-                         {"number", std::to_string(attempt.number)},
-                         {"server", attempt.serverId},
-                         {"result", std::string(attemptResultName(result))},
-                         {"events", std::to_string(attempt.eventCount)},
-                         {"promptParts", joined(m_request.sharedPromptParts)},
-                         {"ageMs", msText(m_parts.clock() - m_arrivedAt)}});
-}
-
 void RequestRelay::forwardAnswer(const PassAnswer &pass)
 {
     if (pass.isFallback) {
         cancelAttempt();
-        m_attempt = std::exchange(m_fallback, Attempt {});
+        m_attempt = std::exchange(m_fallback, ServerAttempt {});
     }
-    HttpResponse response;
-    response.status = m_attempt.answer.status;
-    response.headers = m_parts.codec.callerResponseHeaders(m_attempt.head);
-    response.body = std::move(m_attempt.body);
-    m_responder->respond(std::move(response));
+    m_answer.respond(m_attempt);
     finish(m_attempt.answer.isSuccess() ? "served" : "serverFailed", "", m_attempt.answer.status);
 }
 
 void RequestRelay::refuse(const Refuse &refusal)
 {
     cancelAttempt();
-    m_responder->respond(refusalResponse(m_request.id, refusal));
+    m_answer.refuse(refusal);
     finish("refused", refusal.cause, refusal.status);
 }
 
 void RequestRelay::abortAnswer(const AbortAnswer &reason)
 {
     cancelAttempt();
-    m_responder->abort();
+    m_answer.abort();
     finish("cut", reason.cause, 0);
 }
 
@@ -615,24 +428,10 @@
     m_timer.cancel();
     if (m_stream)
         m_stream->dropCopy();
-    m_parts.metrics.observeSeconds(
-        m_stream ? "gateway_answer_seconds{kind=\"stream\"}"
-                 : "gateway_answer_seconds{kind=\"call\"}",
-        std::chrono::duration<double>(m_parts.clock() - m_arrivedAt).count());
-    m_parts.metrics.add("gateway_requests_total{outcome=\"" + std::string(outcome) + "\"}");
     // To the caller, 503 means that no server has executed the request.
     if (!m_stream && m_attemptCount > 0)
         m_parts.answerTimes.end(m_route.name, m_arrivedAt, status != 503, m_parts.clock());
-    StructuredLog::info("request",
-                        {{"request", m_request.id},
-                         {"outcome", std::string(outcome)},
-                         {"cause", std::string(cause)},
-                         {"status", std::to_string(status)},
-                         {"route", m_route.name},
-                         {"config", std::to_string(m_table->version())},
-                         {"server", m_attempt.serverId},
-                         {"attempts", std::to_string(m_attemptCount)},
-                         {"tookMs", msText(m_parts.clock() - m_arrivedAt)}});
+    m_reporter.reportEnd({outcome, cause, status}, m_attempt.serverId, m_attemptCount);
 }
 
 // The timer is set for the earliest time limit. If events have moved that limit by the time it
