tests: list the odd entries of the store under its lock

Cause: OddEntries.remove_all() went through the items of the stand-in's store while gateways wrote and removed keys of their own there. A key that is added or removed meanwhile raises "dictionary changed size during iteration", which odd_entries.py reports as a failure. Change: the keys are listed under the lock.

--- a/tests/process/odd_entries.py
+++ b/tests/process/odd_entries.py
@@ -122,7 +122,9 @@
 
     def remove_all(self):
         """Removes the entries, so that the answers of the stand-in stay small."""
-        for key in [key for key in self.store.items if "/odd-" in key]:
+        with self.store.lock:  # gateways write keys of their own meanwhile
+            odd_keys = [key for key in self.store.items if "/odd-" in key]
+        for key in odd_keys:
             self.store.remove(key)
 
 
