tests: wait for the runs before all engines ask for a pause

Cause: server_pauses.py sent five runs and had the engines ask for a pause 0.7 s after the first one. A run that a busy machine delayed until then was turned away and failed the script. The script did not look whether a run was in progress at all. Change: it waits until the engines have recorded all five, 4 s at most; runs take 2 s, and the script fails if none is in progress when the pauses begin.

--- a/tests/process/server_pauses.py
+++ b/tests/process/server_pauses.py
@@ -28,6 +28,8 @@
 MAX_REQUESTS_IN_PAUSE = 2
 CALLS_PER_SECOND = 40
 RUNS_PER_SECOND = 10
+RUNS_IN_PROGRESS = 5
+RUN_SECONDS = 2
 PHASE_SECONDS = 5
 TIMEOUT_SECONDS = 4
 # Spread of the times to retry that a gateway adds to a pause.
@@ -125,14 +127,29 @@
     yield from check_retry_times(every)
 
 
+def runs_in_progress(folder):
+    """Returns how many requests have arrived at servers, and how many of those have not ended."""
+    records = [json.loads(line) for path in folder.glob("server-*.jsonl")
+               for line in path.read_text().splitlines() if line.endswith("}")]
+    arrived = {record["request"] for record in records if record["event"] == "arrived"}
+    ended = {record["request"] for record in records if record["event"] == "ended"}
+    return len(arrived), len(arrived - ended)
+
+
 def play_runs_in_progress(cluster, load):
     """Every engine asks for a pause while runs are in progress; they go on."""
     engines = [server for server in cluster.servers if server.service == "engine"]
-    running = threading.Thread(target=load.run, args=("progress", 0.5, RUNS_PER_SECOND, ["/streams/x"]))
+    running = threading.Thread(target=load.run, args=("progress", RUNS_IN_PROGRESS / RUNS_PER_SECOND, RUNS_PER_SECOND,
+                                                      [f"/streams/x?take={RUN_SECONDS}"]))
     running.start()
-    time.sleep(0.7)
+    deadline = time.monotonic() + TIMEOUT_SECONDS
+    while runs_in_progress(cluster.folder)[0] < RUNS_IN_PROGRESS and time.monotonic() < deadline:
+        time.sleep(0.05)
     for engine in engines:
         engine.set_pause(PAUSE_SECONDS)
+    arrived, in_progress = runs_in_progress(cluster.folder)
+    if arrived < RUNS_IN_PROGRESS or in_progress == 0:
+        yield f"runs in progress: {arrived} arrived and {in_progress} went on when the engines asked for a pause"
     running.join()
     for engine in engines:
         engine.set_pause(None)
