soak: read the line after a truncated one

Cause: a process of the soak that is killed may leave part of a line in its log, and the process that is started in its place appends to that line. The line then ends with a brace, but is no JSON, and reading it ended the whole check. Seven places read such logs, each on its own. Change: tools/lib/soak/records.py reads the logs of servers and gateways for the checks and the scripts, and takes the object that a line ends with.

--- a/tests/process/changing_limits.py
+++ b/tests/process/changing_limits.py
@@ -28,7 +28,7 @@
 import wire  # noqa: E402
 from soak.backend import EVENTS_PER_RUN  # noqa: E402
 from soak.cluster import Cluster  # noqa: E402
-from soak.gateway import log_entries  # noqa: E402
+from soak.records import gateway_entries  # noqa: E402
 
 SEED = 1
 # Idle limit, header limit (ms), header bytes and timeout of reads (ms) of each configuration.
@@ -274,7 +274,7 @@
     log = cluster.folder / "gateway-0.log"
     deadline = time.monotonic() + 5
     while time.monotonic() < deadline:
-        if any(entry["version"] == str(version) for entry in log_entries(log, "configInForce")):
+        if any(entry["version"] == str(version) for entry in gateway_entries(log, "configInForce")):
             return
         time.sleep(0.02)
     raise RuntimeError(f"configuration {version} is not in force in time")
@@ -283,7 +283,7 @@
 def print_cuts(cluster):
     """Prints what the gateway logged about connections that it cut."""
     cuts = collections.Counter((entry["cause"], entry["phase"])
-                               for entry in log_entries(cluster.folder / "gateway-0.log", "connectionCut"))
+                               for entry in gateway_entries(cluster.folder / "gateway-0.log", "connectionCut"))
     for (cause, phase), count in sorted(cuts.items()):
         print(f"connectionCut {cause} {phase}: {count}")
 
--- a/tests/process/late_in_stop.py
+++ b/tests/process/late_in_stop.py
@@ -26,6 +26,7 @@
 import wire  # noqa: E402
 from soak.backend import EVENTS_PER_RUN, event_text  # noqa: E402
 from soak.cluster import Cluster  # noqa: E402
+from soak.records import server_records  # noqa: E402
 
 SEED = 1
 DRAIN_TIMEOUT_SECONDS = 8
@@ -193,11 +194,9 @@
 def run_counts(folder):
     """Returns how often servers ran each request."""
     counts = {}
-    for path in folder.glob("server-*.jsonl"):
-        for line in path.read_text().splitlines():
-            record = json.loads(line) if line.endswith("}") else {}
-            if record.get("event") == "run":
-                counts[record["request"]] = counts.get(record["request"], 0) + 1
+    for record in server_records(folder):
+        if record["event"] == "run":
+            counts[record["request"]] = counts.get(record["request"], 0) + 1
     return counts
 
 
--- a/tests/process/leaving_by_answer.py
+++ b/tests/process/leaving_by_answer.py
@@ -13,7 +13,6 @@
 import contextlib
 import http.client
 import itertools
-import json
 import pathlib
 import sys
 import tempfile
@@ -25,6 +24,7 @@
 import wire  # noqa: E402
 from soak.cluster import Cluster  # noqa: E402
 from soak.limits import HEARTBEAT_TIMEOUT_SECONDS, MAX_SERVER_LIST_DELAY_SECONDS  # noqa: E402
+from soak.records import server_records  # noqa: E402
 
 CALLERS = 16
 CALL_INTERVAL_SECONDS = 0.4
@@ -110,11 +110,6 @@
         self.thread.join(2)
 
 
-def server_records(folder):
-    return [json.loads(line) for path in folder.glob("server-*.jsonl")
-            for line in path.read_text().splitlines() if line.endswith("}")]
-
-
 def late_requests(folder, answers):
     """Returns when each leaving server first had a request that it answered by saying so, and the number of requests
     and probes that it got later than the limit after that."""
--- a/tests/process/planned_stop.py
+++ b/tests/process/planned_stop.py
@@ -11,7 +11,6 @@
 """
 
 import http.client
-import json
 import pathlib
 import random
 import signal
@@ -25,6 +24,7 @@
 import wire  # noqa: E402
 from soak.cluster import Cluster  # noqa: E402
 from soak.limits import DRAIN_TIMEOUT_SECONDS, SHUTDOWN_RESERVE_SECONDS  # noqa: E402
+from soak.records import server_records  # noqa: E402
 
 CALLER_COUNT = 80
 LOAD_SECONDS = 1.5
@@ -103,9 +103,7 @@
 
 def run_requests(folder):
     """Returns the requests that servers ran."""
-    records = [json.loads(line) for path in folder.glob("server-*.jsonl")
-               for line in path.read_text().splitlines() if line.endswith("}")]
-    return {record["request"] for record in records if record["event"] == "run"}
+    return {record["request"] for record in server_records(folder) if record["event"] == "run"}
 
 
 class Caller:
--- a/tests/process/restored_store.py
+++ b/tests/process/restored_store.py
@@ -11,7 +11,6 @@
 import collections
 import contextlib
 import http.client
-import json
 import pathlib
 import re
 import sys
@@ -24,6 +23,7 @@
 import wire  # noqa: E402
 from soak.cluster import Cluster  # noqa: E402
 from soak.limits import MAX_KEY_REVOCATION_SECONDS, MAX_SERVER_LIST_DELAY_SECONDS, ZONES  # noqa: E402
+from soak.records import server_records  # noqa: E402
 
 PERMANENT_KEY = "key-0"
 PROBE_INTERVAL_SECONDS = 0.05
@@ -203,8 +203,7 @@
 
     def requests_of(self, server_name):
         """Returns when each request arrived at a server."""
-        return [record["at"] for path in self.cluster.folder.glob("server-*.jsonl")
-                for record in map(json.loads, (line for line in path.read_text().splitlines() if line.endswith("}")))
+        return [record["at"] for record in server_records(self.cluster.folder)
                 if record["server"] == server_name and record["event"] == "arrived"]
 
     def lease_of(self, gateway):
--- a/tests/process/server_pauses.py
+++ b/tests/process/server_pauses.py
@@ -10,8 +10,8 @@
 go on while every engine turns new ones away.
 """
 
+import collections
 import http.client
-import json
 import pathlib
 import sys
 import tempfile
@@ -22,6 +22,7 @@
 sys.path[:0] = [str(ROOT / "platform" / "standins"), str(ROOT / "tools" / "lib")]
 import wire  # noqa: E402
 from soak.cluster import Cluster  # noqa: E402
+from soak.records import server_records  # noqa: E402
 
 PAUSE_SECONDS = 2
 NOTICE_SECONDS = 0.5
@@ -79,15 +80,16 @@
 def most_in_pause(folder):
     """Returns the number of pauses and the most requests that a server got within one."""
     count = most = 0
-    for path in folder.glob("server-*.jsonl"):
-        records = [json.loads(line) for line in path.read_text().splitlines() if line.endswith("}")]
-        arrivals = [one["at"] for one in records if one["event"] in ("arrived", "asked")]
-        for one in records:
-            if one["event"] != "turnedAway":
-                continue
+    records = server_records(folder)
+    arrivals = collections.defaultdict(list)
+    for one in records:
+        if one["event"] in ("arrived", "asked"):
+            arrivals[one["server"]].append(one["at"])
+    for one in records:
+        if one["event"] == "turnedAway":
             count += 1
             first, end = one["at"] + NOTICE_SECONDS, one["at"] + one["pause"]
-            most = max(most, sum(first < at < end for at in arrivals))
+            most = max(most, sum(first < at < end for at in arrivals[one["server"]]))
     return count, most
 
 
@@ -129,8 +131,7 @@
 
 def runs_in_progress(folder):
     """Returns how many requests have arrived at servers, and how many of those have not ended."""
-    records = [json.loads(line) for path in folder.glob("server-*.jsonl")
-               for line in path.read_text().splitlines() if line.endswith("}")]
+    records = server_records(folder)
     arrived = {record["request"] for record in records if record["event"] == "arrived"}
     ended = {record["request"] for record in records if record["event"] == "ended"}
     return len(arrived), len(arrived - ended)
--- a/tests/process/slow_peers.py
+++ b/tests/process/slow_peers.py
@@ -23,7 +23,7 @@
 from soak import dribble  # noqa: E402
 from soak.backend import EVENTS_PER_RUN, event_text  # noqa: E402
 from soak.cluster import Cluster  # noqa: E402
-from soak.gateway import log_entries  # noqa: E402
+from soak.records import gateway_entries  # noqa: E402
 
 SEED = 1
 REQUESTS_PER_CASE = 2
@@ -218,7 +218,7 @@
 
 
 def count_cuts(cluster):
-    return len(log_entries(cluster.folder / "gateway-0.log", "connectionCut"))
+    return len(gateway_entries(cluster.folder / "gateway-0.log", "connectionCut"))
 
 
 def check_caller_that_does_not_read(cluster, name):
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -13,7 +13,7 @@
 sys.path[:0] = [str(ROOT / "tools" / "lib"), str(ROOT / "platform" / "standins")]
 from soak import checks  # noqa: E402
 from soak.callers import Attempt  # noqa: E402
-from soak.gateway import log_entries  # noqa: E402
+from soak.records import gateway_entries, server_records  # noqa: E402
 from soak.journal import Journal  # noqa: E402
 
 # Of the wall clock ahead of the monotonic one, in the logs made here.
@@ -519,18 +519,36 @@
         self.assertEqual(["recovers"], self.violated_rules(checks.service_recovers))
 
 
-class LogEntriesTest(unittest.TestCase):
+class RecordsTest(unittest.TestCase):
+    @staticmethod
+    def gateway_line(event, version):
+        fields = {"time": "2026-01-01T00:00:00.000Z", "event": event, "version": str(version)}
+        return json.dumps(fields, separators=(",", ":"))
+
     # The scripts read the log of a gateway that runs.
     def test_line_that_is_being_written_is_left_out(self):
-        whole = ['{"event":"configInForce","version":"1"}', '{"event":"started"}', '{"event":"configInForce","version":"2"}']
+        whole = [self.gateway_line("configInForce", 1), self.gateway_line("started", 0),
+                 self.gateway_line("configInForce", 2)]
         with tempfile.TemporaryDirectory() as folder:
             log = pathlib.Path(folder) / "gateway-0.log"
-            for last in ("", '{"event":"configInForce","ver', '{"event":"configInForce","version":"3"}'):
+            for last in ("", self.gateway_line("configInForce", 3)[:-5]):
                 with self.subTest(last=last):
                     log.write_text("\n".join(whole) + "\n" + last)
-                    entries = log_entries(log, "configInForce")
+                    entries = gateway_entries(log, "configInForce")
                     self.assertEqual(["1", "2"], [entry["version"] for entry in entries])
 
+    # A restarted process appends to the line of the killed one.
+    def test_line_after_a_truncated_one_is_read(self):
+        with tempfile.TemporaryDirectory() as name:
+            folder = pathlib.Path(name)
+            lines = [json.dumps({"at": at, "event": "run"}) for at in (1, 2, 3)]
+            (folder / "server-0.jsonl").write_text(lines[0] + "\n" + lines[1][:-6] + lines[2] + "\n")
+            self.assertEqual([1, 3], [record["at"] for record in server_records(folder)])
+            started = self.gateway_line("started", 2)
+            (folder / "gateway-0.log").write_text(started + "\n" + self.gateway_line("stopped", 0)[:-9] + started + "\n")
+            self.assertEqual(["2", "2"], [entry["version"] for entry in
+                                          gateway_entries(folder / "gateway-0.log", "started")])
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tools/lib/soak/checks.py
+++ b/tools/lib/soak/checks.py
@@ -8,6 +8,7 @@
 from .callers import NOT_RUN_STATUSES, METHODS
 from .limits import (DRAIN_TIMEOUT_SECONDS, SHUTDOWN_RESERVE_SECONDS, MAX_KEY_REVOCATION_SECONDS,
                      MAX_SERVER_LIST_DELAY_SECONDS)
+from .records import gateway_entries, server_records
 
 # A busy machine may delay an event's log line by this much.
 LOG_DELAY_TOLERANCE_SECONDS = 0.3
@@ -69,12 +70,7 @@
         self.attempts = {attempt.request: attempt for attempt in callers.attempts}
         self.callers = callers
         self.faults = list(self._faults())
-        self.records = []
-        for path in sorted(cluster.folder.glob("server-*.jsonl")):
-            for line in path.read_text().splitlines():
-                if line.endswith("}"):  # the last line of a killed process may be truncated
-                    self.records.append(json.loads(line))
-        self.records.sort(key=lambda record: record["at"])
+        self.records = sorted(server_records(cluster.folder), key=lambda record: record["at"])
         self.runs = [record for record in self.records if record["event"] == "run"]
         self.runs_of = collections.defaultdict(list)
         for run in self.runs:
@@ -121,10 +117,7 @@
     a start later than the process may have a configuration (seed 4), and so may its log (seed 8)."""
     offset = wall_clock_offset()
     entries = []
-    for line in log.read_text(errors="replace").splitlines():
-        if not ('"event":"configInForce"' in line or '"event":"started"' in line) or not line.endswith("}"):
-            continue
-        entry = json.loads(line)
+    for entry in gateway_entries(log, "configInForce", "started"):
         at = datetime.datetime.fromisoformat(entry["time"].replace("Z", "+00:00")).timestamp() - offset
         entries.append((at, entry["event"] != "started", int(entry.get("version", 0))))
     processes = []
--- a/tools/lib/soak/gateway.py
+++ b/tools/lib/soak/gateway.py
@@ -1,7 +1,6 @@
 """A gateway of the soak: its settings and its process."""
 
 import http.client
-import json
 import subprocess
 import threading
 import time
@@ -67,13 +66,6 @@
             self.restart_lock.release()
 
 
-def log_entries(log, event):
-    """Returns the entries of an event in a gateway's log, without a last line that the gateway is still writing."""
-    text = log.read_text(errors="replace")
-    lines = text[:text.rfind("\n") + 1].splitlines()
-    return [json.loads(line) for line in lines if f'"event":"{event}"' in line]
-
-
 def is_ready_at(port):
     connection = http.client.HTTPConnection("127.0.0.1", port, timeout=0.5)
     try:
