entry, sidecar: put the restored store's configuration in force

Cause: ConfigState ordered configurations by bare store revisions. A restart is no fault: a process starts without a configuration.

Change: updates, acknowledgements and load reports carry the epoch. A full update of another epoch replaces the configuration; a delta of another epoch is Stale. Epochs have no order, so the entry that reads the new one from the store names the epoch before it as ended, which keeps an entry that has yet to notice the restore from bringing the old configuration back to a sidecar. WatchStreams sends all resources after a restore. Existing tests: two more arguments; the tests' store names a cluster id and confirms a watch with a first line, as etcd does.

Measured: with the epoch rules of ConfigState taken out, four cases of ConfigStateTest fail, and restoredStoreIsFollowed and restoredConfigurationReachesSidecars wait for the new configuration in vain.

--- a/include/foxtailring/decisions/ConfigSnapshot.h
+++ b/include/foxtailring/decisions/ConfigSnapshot.h
@@ -22,6 +22,7 @@
     using Key = std::pair<std::string, std::string>; ///< kind and name
 
     std::int64_t revision = 0; ///< store revision; 0: no configuration yet
+    std::int64_t epoch = 0;    ///< of the store, in which the revision is valid
     std::map<Key, StoredResource> resources;
     std::map<std::string, ServiceResource, std::less<>> services;
     std::map<std::string, ClientAccountResource, std::less<>> accounts;
--- a/include/foxtailring/protocol/ConfigAck.h
+++ b/include/foxtailring/protocol/ConfigAck.h
@@ -15,8 +15,9 @@
 
     std::string nodeId;
     std::int64_t revision = 0;
+    std::int64_t epoch = 0; ///< of the store, in which the revision is valid
 
-    MSGPACK_DEFINE_MAP(nodeId, revision)
+    MSGPACK_DEFINE_MAP(nodeId, revision, epoch)
 };
 
 } // namespace foxtailring
--- a/include/foxtailring/protocol/ConfigUpdate.h
+++ b/include/foxtailring/protocol/ConfigUpdate.h
@@ -18,8 +18,10 @@
     std::int64_t baseRevision =
         0; ///< the revision that the update applies to; 0: it holds all resources
     std::vector<ResourceDelta> resources;
+    std::int64_t epoch = 0;                  ///< of the store, in which the revisions are valid
+    std::vector<std::int64_t> earlierEpochs; ///< known to have ended before \a epoch began
 
-    MSGPACK_DEFINE_MAP(revision, baseRevision, resources)
+    MSGPACK_DEFINE_MAP(revision, baseRevision, resources, epoch, earlierEpochs)
 };
 
 } // namespace foxtailring
--- a/include/foxtailring/protocol/LoadReport.h
+++ b/include/foxtailring/protocol/LoadReport.h
@@ -24,11 +24,12 @@
     bool leaving = false;                    ///< draining: accepts no new work
     std::int64_t configRevision = 0;         ///< configuration revision that the sidecar uses
     std::vector<std::uint64_t> prefixHashes; ///< prompt prefixes that the engine reports as cached
+    std::int64_t configEpoch = 0; ///< epoch of the store in which configRevision is valid
 
     // Encoded as an array: this is the most frequent control message, and member names would take
     // more than half of it.
     MSGPACK_DEFINE(serverId, service, incarnation, sequence, running, waiting, capacity, leaving,
-                   configRevision, prefixHashes)
+                   configRevision, prefixHashes, configEpoch)
 };
 
 } // namespace foxtailring
--- a/src/decisions/ConfigState.cpp
+++ b/src/decisions/ConfigState.cpp
@@ -2,6 +2,7 @@
 
 #include "foxtailring/protocol/ConfigUpdate.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace foxtailring {
@@ -10,6 +11,13 @@
 
 // Deltas retained for nodes that are behind: about an hour at 29,000 changes per day.
 constexpr std::size_t maxRecentUpdates = 1200;
+// An entry whose epoch ended longer ago has read the store again since then.
+constexpr std::size_t maxEarlierEpochs = 16;
+
+bool contains(const std::vector<std::int64_t> &epochs, std::int64_t epoch)
+{
+    return std::find(epochs.begin(), epochs.end(), epoch) != epochs.end();
+}
 
 template <typename ResourceType, typename Map>
 void store(Map &map, const StoredResource &resource)
@@ -69,6 +77,7 @@
 {
     ConfigUpdate update;
     update.revision = snapshot.revision;
+    update.epoch = snapshot.epoch;
     for (const auto &[key, resource] : snapshot.resources) {
         update.resources.push_back(
             ResourceDelta {key.first, key.second, resource.revision, resource.toJson(), false});
@@ -86,9 +95,11 @@
 Result<Done> ConfigState::apply(const ConfigUpdate &update)
 {
     const std::lock_guard lock(m_mutex);
-    if (update.revision <= m_snapshot->revision)
+    if (isOutOfDate(update))
         return Done {};
     const bool isFull = update.baseRevision == 0;
+    if (!isFull && update.epoch != m_snapshot->epoch)
+        return Error {ErrorCode::Stale, "update starts in another epoch of the store"};
     if (!isFull && update.baseRevision > m_snapshot->revision)
         return Error {ErrorCode::Stale,
                       "update starts at revision " + std::to_string(update.baseRevision)
@@ -98,11 +109,37 @@
     for (const auto &delta : update.resources)
         applyDelta(*updated, delta);
     updated->revision = update.revision;
+    updated->epoch = update.epoch;
+    recordEarlierEpochs(update);
     recordUpdate(update);
     m_snapshot = std::move(updated);
     return Done {};
 }
 
+// Epochs have no order of their own. An entry that saw the store's epoch change knows that the
+// earlier one has ended, and says so in its updates, so that an entry that has yet to notice it
+// cannot bring the earlier configuration back.
+bool ConfigState::isOutOfDate(const ConfigUpdate &update) const
+{
+    if (m_snapshot->revision == 0)
+        return false;
+    if (update.epoch == m_snapshot->epoch)
+        return update.revision <= m_snapshot->revision;
+    return contains(m_earlierEpochs, update.epoch)
+        && !contains(update.earlierEpochs, m_snapshot->epoch);
+}
+
+void ConfigState::recordEarlierEpochs(const ConfigUpdate &update)
+{
+    for (const std::int64_t epoch : update.earlierEpochs) {
+        if (!contains(m_earlierEpochs, epoch))
+            m_earlierEpochs.push_back(epoch);
+    }
+    std::erase(m_earlierEpochs, update.epoch);
+    if (m_earlierEpochs.size() > maxEarlierEpochs)
+        m_earlierEpochs.erase(m_earlierEpochs.begin(), m_earlierEpochs.end() - maxEarlierEpochs);
+}
+
 void ConfigState::recordUpdate(const ConfigUpdate &update)
 {
     if (update.baseRevision == 0) {
@@ -127,14 +164,21 @@
     return m_snapshot->revision;
 }
 
-ConfigUpdate ConfigState::updateSince(std::int64_t baseRevision) const
+ConfigUpdate ConfigState::updateSince(std::int64_t baseRevision, std::int64_t baseEpoch) const
 {
     const std::lock_guard lock(m_mutex);
+    if (baseEpoch != m_snapshot->epoch)
+        baseRevision = 0;
     const bool isCovered = baseRevision != 0 && !m_recentUpdates.empty()
         && m_recentUpdates.front().baseRevision <= baseRevision;
-    if (!isCovered && baseRevision != m_snapshot->revision)
-        return fullUpdate(*m_snapshot);
+    if (!isCovered && (baseRevision == 0 || baseRevision != m_snapshot->revision)) {
+        ConfigUpdate full = fullUpdate(*m_snapshot);
+        full.earlierEpochs = m_earlierEpochs;
+        return full;
+    }
     ConfigUpdate update;
+    update.epoch = m_snapshot->epoch;
+    update.earlierEpochs = m_earlierEpochs;
     update.baseRevision = baseRevision;
     update.revision = m_snapshot->revision;
     for (const auto &delta : m_recentUpdates) {
--- a/src/entry/ConfigPush.cpp
+++ b/src/entry/ConfigPush.cpp
@@ -27,19 +27,22 @@
 {
 }
 
-void ConfigPush::reported(std::int64_t revision, std::uint64_t incarnation)
+void ConfigPush::reported(std::int64_t revision, std::int64_t epoch, std::uint64_t incarnation)
 {
     const bool isNew = std::exchange(m_incarnation, incarnation) != incarnation;
     // A report may have been on its way before the latest acknowledgement.
-    m_revision = isNew ? revision : std::max(revision, m_revision.load());
+    const bool isSameEpoch = !isNew && epoch == m_epoch;
+    m_revision = isSameEpoch ? std::max(revision, m_revision.load()) : revision;
+    m_epoch = epoch;
     if (isNew)
         m_sentRevision = 0;
 }
 
 void ConfigPush::pushIfBehind(TimePoint now)
 {
-    const std::int64_t wanted = m_parts.config.revision();
-    if (m_incarnation == 0 || m_revision >= wanted)
+    const auto wanted = m_parts.config.snapshot();
+    const bool isCurrent = m_epoch == wanted->epoch && m_revision >= wanted->revision;
+    if (m_incarnation == 0 || wanted->revision == 0 || isCurrent)
         return;
     if (m_sentRevision != 0 && now - m_sentAt > ackTimeout)
         close();
@@ -48,7 +51,8 @@
         return;
     if (!m_stream.stream)
         open();
-    const ConfigUpdate update = m_parts.config.updateSince(m_revision);
+    const ConfigUpdate update = m_parts.config.updateSince(m_revision, m_epoch);
+    m_sentEpoch = update.epoch;
     m_sentRevision = update.revision;
     m_sentAt = now;
     m_stream.stream->send(encodeMessage(update));
@@ -79,8 +83,12 @@
         return;
     // The sidecar decides what it has, even when that is less than was sent.
     m_revision = ack.value().revision;
+    m_epoch = ack.value().epoch;
     m_sentRevision = 0;
-    pushIfBehind(m_parts.clock());
+    // One that keeps another epoch knows that the one sent has ended. Its next report, or the
+    // store, decides what to send.
+    if (m_epoch == m_sentEpoch)
+        pushIfBehind(m_parts.clock());
 }
 
 void ConfigPush::close()
--- a/src/entry/ConfigPush.h
+++ b/src/entry/ConfigPush.h
@@ -30,7 +30,7 @@
     void setPost(Post post) { m_post = std::move(post); }
 
     /// \brief A load report of the sidecar told its revision.
-    void reported(std::int64_t revision, std::uint64_t incarnation);
+    void reported(std::int64_t revision, std::int64_t epoch, std::uint64_t incarnation);
     /// \brief Sends what the sidecar lacks, unless that is on its way already.
     void pushIfBehind(TimePoint now);
     /// \brief The link is lost: the stream is of no more use.
@@ -49,7 +49,9 @@
     std::uint64_t m_streamNumber = 0;
     std::uint64_t m_incarnation = 0; ///< 0: no report yet
     std::atomic<std::int64_t> m_revision = 0;
+    std::int64_t m_epoch = 0;        ///< of the store, in which m_revision is valid
     std::int64_t m_sentRevision = 0; ///< on its way; 0: nothing
+    std::int64_t m_sentEpoch = 0;
     TimePoint m_sentAt;
 };
 
--- a/src/entry/ConfigWatcher.cpp
+++ b/src/entry/ConfigWatcher.cpp
@@ -55,13 +55,12 @@
 {
     PrefixWatcherHooks hooks;
     hooks.onSnapshot = [this](const RangeResult &read) {
-        // A configuration that cannot be applied is not read again before it changes.
-        apply(fullUpdate(read));
-        m_revision = read.revision;
+        takeSnapshot(read);
         return true;
     };
     hooks.onChanges = [this](std::span<const WatchEvent> events) {
-        const ConfigUpdate update = delta(events, m_revision);
+        ConfigUpdate update = delta(events, m_revision);
+        update.epoch = m_epoch;
         m_revision = update.revision;
         return apply(update);
     };
@@ -73,6 +72,22 @@
     return hooks;
 }
 
+// The store's word is final, also when it was restored from a backup and is at a lower revision.
+void ConfigWatcher::takeSnapshot(const RangeResult &read)
+{
+    ConfigUpdate update = fullUpdate(read);
+    if (m_revision != 0 && m_epoch != read.epoch) {
+        update.earlierEpochs = {m_epoch};
+        StructuredLog::warn("storeRestored",
+                            {{"revision", std::to_string(read.revision)},
+                             {"previousRevision", std::to_string(m_revision)}});
+    }
+    // A configuration that cannot be applied is not read again before it changes.
+    apply(update);
+    m_revision = read.revision;
+    m_epoch = read.epoch;
+}
+
 bool ConfigWatcher::apply(const ConfigUpdate &update)
 {
     const bool applied = m_apply(update).isOk();
@@ -85,6 +100,7 @@
 {
     ConfigUpdate update;
     update.revision = read.revision;
+    update.epoch = read.epoch;
     for (const KeyValue &pair : read.pairs)
         append(update, pair, false);
     return update;
--- a/src/entry/ConfigWatcher.h
+++ b/src/entry/ConfigWatcher.h
@@ -32,12 +32,15 @@
 
 private:
     PrefixWatcherHooks watcherHooks();
+    void takeSnapshot(const RangeResult &read);
     bool apply(const ConfigUpdate &update);
 
     EntryParts &m_parts;
     Hook m_apply;
     EtcdClient m_client;
-    std::int64_t m_revision = 0; ///< everything up to here is applied; used by the watcher's hooks
+    // Used by the watcher's hooks.
+    std::int64_t m_revision = 0; ///< everything up to here is applied
+    std::int64_t m_epoch = 0;    ///< of the store, in which the revision is valid
     PrefixWatcher m_watcher;
 };
 
--- a/src/entry/EntryNode.cpp
+++ b/src/entry/EntryNode.cpp
@@ -138,13 +138,14 @@
 Result<Done> EntryNode::applyConfig(const ConfigUpdate &update)
 {
     ConfigState &config = m_state->parts.config;
-    const std::int64_t before = config.revision();
+    const auto before = config.snapshot();
     auto applied = config.apply(update);
-    const std::int64_t revision = config.revision();
-    if (revision == before)
+    const auto current = config.snapshot();
+    if (current == before)
         return applied;
-    if (before == 0)
-        StructuredLog::info("firstConfiguration", {{"revision", std::to_string(revision)}});
+    if (before->revision == 0)
+        StructuredLog::info("firstConfiguration",
+                            {{"revision", std::to_string(current->revision)}});
     m_state->parts.links.configChanged();
     return applied;
 }
--- a/src/entry/SidecarFollower.cpp
+++ b/src/entry/SidecarFollower.cpp
@@ -146,7 +146,7 @@
         m_parts.hints.removeServer(report.serverId);
     if (m_parts.servers.applyReport(report, now) == ReportEffect::Applied)
         m_parts.hints.record(report.serverId, report.prefixHashes, now);
-    m_push.reported(report.configRevision, report.incarnation);
+    m_push.reported(report.configRevision, report.configEpoch, report.incarnation);
     m_push.pushIfBehind(now);
 }
 
--- a/src/operator/WatchStreams.cpp
+++ b/src/operator/WatchStreams.cpp
@@ -33,6 +33,7 @@
 struct WatchStreams::Stream
 {
     std::int64_t revision = 0;
+    std::int64_t epoch = 0; ///< of the store, in which the revision is valid
     std::shared_ptr<Http1Responder> responder;
     bool isDisconnected = false; ///< guarded by the mutex of the state
 };
@@ -63,12 +64,14 @@
     // Timer hooks never run concurrently, so this hook updates revisions without a lock.
     m_timer.every(updateInterval, [state = m_state] {
         for (const auto &stream : state->openStreams()) {
-            if (stream->revision >= state->config.revision())
+            const auto current = state->config.snapshot();
+            if (stream->epoch == current->epoch && stream->revision >= current->revision)
                 continue;
-            const ConfigUpdate update = state->config.updateSince(stream->revision);
+            const ConfigUpdate update = state->config.updateSince(stream->revision, stream->epoch);
             for (const auto &delta : update.resources)
                 stream->responder->write(formatLine(delta));
             stream->revision = update.revision;
+            stream->epoch = update.epoch;
         }
     });
 }
@@ -77,6 +80,7 @@
 {
     auto stream = std::make_shared<Stream>();
     stream->revision = from;
+    stream->epoch = m_state->config.snapshot()->epoch;
     stream->responder = std::move(responder);
     stream->responder->startStream(200, {{"content-type", "application/x-ndjson"}});
     stream->responder->onDisconnect([state = std::weak_ptr(m_state), weak = std::weak_ptr(stream)] {
--- a/src/sidecar/ConfigService.cpp
+++ b/src/sidecar/ConfigService.cpp
@@ -35,12 +35,13 @@
     const std::int64_t before = m_context.config->revision();
     if (!m_context.config->apply(update.value()))
         m_context.metrics->add("sidecar_config_stale_total");
-    const std::int64_t revision = m_context.config->revision();
+    const auto current = m_context.config->snapshot();
+    const std::int64_t revision = current->revision;
     m_context.metrics->setGauge("sidecar_config_revision", static_cast<double>(revision));
     if (before == 0 && revision > 0)
         StructuredLog::info("firstConfiguration", {{"revision", std::to_string(revision)}});
     takeDrain();
-    stream.send(ConfigAck {m_context.settings->nodeId, revision});
+    stream.send(ConfigAck {m_context.settings->nodeId, revision, current->epoch});
 }
 
 // In force before the acknowledgement, so that an operator who waits for the revision knows that
--- a/src/sidecar/ReportService.cpp
+++ b/src/sidecar/ReportService.cpp
@@ -112,7 +112,9 @@
     report.waiting = load.waiting;
     report.capacity = load.capacity;
     report.leaving = !m_context.drain->takesNewWork();
-    report.configRevision = m_context.config->revision();
+    const auto config = m_context.config->snapshot();
+    report.configRevision = config->revision;
+    report.configEpoch = config->epoch;
     report.prefixHashes = m_context.load->prefixHashes();
     return report;
 }
--- a/tests/decisions/ConfigStateTest.cpp
+++ b/tests/decisions/ConfigStateTest.cpp
@@ -10,6 +10,10 @@
 {
     CPPUNIT_TEST_SUITE(ConfigStateTest);
     CPPUNIT_TEST(revisionNeverDecreases);
+    CPPUNIT_TEST(restoredStoreReplacesTheConfiguration);
+    CPPUNIT_TEST(endedEpochDoesNotComeBack);
+    CPPUNIT_TEST(epochThatIsNotKnownToHaveEndedIsTaken);
+    CPPUNIT_TEST(deltaOfAnotherEpochIsRefused);
     CPPUNIT_TEST(deltaWithGapIsRefused);
     CPPUNIT_TEST(updatesFromAnyBaseLeadToTheSameSnapshot);
     CPPUNIT_TEST(unreadableResourceKeepsTheLastValue);
@@ -33,6 +37,14 @@
         return made;
     }
 
+    static ConfigUpdate inEpoch(std::int64_t epoch, ConfigUpdate made,
+                                std::vector<std::int64_t> earlier = {})
+    {
+        made.epoch = epoch;
+        made.earlierEpochs = std::move(earlier);
+        return made;
+    }
+
 public:
     // Guards against a delayed old update, from a watch or a peer, that reverts the configuration.
     void revisionNeverDecreases()
@@ -44,6 +56,53 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), state.snapshot()->models.count("old"));
     }
 
+    // Guards against a configuration that stays in force until the restored store has passed its
+    // revision.
+    void restoredStoreReplacesTheConfiguration()
+    {
+        ConfigState state;
+        CPPUNIT_ASSERT(state.apply(inEpoch(1, update(0, 9, {model("lost", 9)}))).isOk());
+        CPPUNIT_ASSERT(state.apply(inEpoch(2, update(0, 4, {model("a", 4)}), {1})).isOk());
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(4), state.revision());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), state.snapshot()->models.count("lost"));
+        const ConfigUpdate full = state.updateSince(9, 1);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(0), full.baseRevision);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), full.resources.size());
+    }
+
+    // Guards against an entry that has not noticed the restore and pushes what it had.
+    void endedEpochDoesNotComeBack()
+    {
+        ConfigState entry;
+        CPPUNIT_ASSERT(entry.apply(inEpoch(1, update(0, 9, {}))).isOk());
+        CPPUNIT_ASSERT(entry.apply(inEpoch(2, update(0, 4, {model("a", 4)}), {1})).isOk());
+        ConfigState sidecar;
+        CPPUNIT_ASSERT(sidecar.apply(entry.updateSince(0, 0)).isOk());
+        CPPUNIT_ASSERT(sidecar.apply(inEpoch(1, update(0, 50, {model("lost", 9)}))).isOk());
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(4), sidecar.revision());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), sidecar.snapshot()->models.count("lost"));
+    }
+
+    // Guards against a node that keeps an ended epoch because it never saw the change.
+    void epochThatIsNotKnownToHaveEndedIsTaken()
+    {
+        ConfigState sidecar;
+        CPPUNIT_ASSERT(sidecar.apply(inEpoch(2, update(0, 4, {}))).isOk());
+        CPPUNIT_ASSERT(sidecar.apply(inEpoch(1, update(0, 9, {}))).isOk());
+        CPPUNIT_ASSERT(sidecar.apply(inEpoch(2, update(0, 4, {}), {1})).isOk());
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(4), sidecar.revision());
+    }
+
+    // Guards against a snapshot put together from two histories of the store.
+    void deltaOfAnotherEpochIsRefused()
+    {
+        ConfigState state;
+        CPPUNIT_ASSERT(state.apply(inEpoch(1, update(0, 9, {}))).isOk());
+        const auto result = state.apply(inEpoch(2, update(4, 10, {model("a", 10)})));
+        CPPUNIT_ASSERT(!result.isOk() && result.error().code == ErrorCode::Stale);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), state.snapshot()->models.count("a"));
+    }
+
     // Guards against a node that missed a change and still advances its revision.
     void deltaWithGapIsRefused()
     {
@@ -68,12 +127,12 @@
             CPPUNIT_ASSERT(target.apply(update(0, 2, {model("a", 1), model("b", 2)})).isOk());
             if (base >= 5)
                 CPPUNIT_ASSERT(target.apply(update(2, 5, {model("c", 5)})).isOk());
-            CPPUNIT_ASSERT(target.apply(source.updateSince(base)).isOk());
+            CPPUNIT_ASSERT(target.apply(source.updateSince(base, 0)).isOk());
             CPPUNIT_ASSERT_EQUAL(std::int64_t(6), target.revision());
             CPPUNIT_ASSERT_EQUAL(std::size_t(2), target.snapshot()->models.size());
             CPPUNIT_ASSERT_EQUAL(std::size_t(0), target.snapshot()->models.count("a"));
         }
-        CPPUNIT_ASSERT(source.updateSince(6).resources.empty());
+        CPPUNIT_ASSERT(source.updateSince(6, 0).resources.empty());
     }
 
     void unreadableResourceKeepsTheLastValue()
--- a/tests/entry/FakeSidecar.cpp
+++ b/tests/entry/FakeSidecar.cpp
@@ -114,7 +114,8 @@
     case MessageType::ConfigUpdate:
         ++configUpdates;
         configRevision = decodeMessage<ConfigUpdate>(frame).value().revision;
-        return stream->send(encodeMessage(ConfigAck {m_id, configRevision}));
+        configEpoch = decodeMessage<ConfigUpdate>(frame).value().epoch;
+        return stream->send(encodeMessage(ConfigAck {m_id, configRevision, configEpoch}));
     default:
         return;
     }
@@ -237,6 +238,7 @@
     out.sequence = ++m_sequence;
     out.capacity = 100;
     out.configRevision = configRevision;
+    out.configEpoch = configEpoch;
     stream->send(encodeMessage(out));
 }
 
--- a/tests/entry/FakeSidecar.h
+++ b/tests/entry/FakeSidecar.h
@@ -70,6 +70,7 @@
     std::vector<Call> calls;
     std::map<std::string, GenerationRecord> records; ///< by key
     std::int64_t configRevision = 0;
+    std::int64_t configEpoch = 0;
     std::size_t configUpdates = 0;
 
 private:
--- a/tests/entry/NodeTest.cpp
+++ b/tests/entry/NodeTest.cpp
@@ -16,6 +16,7 @@
 {
     CPPUNIT_TEST_SUITE(NodeTest);
     CPPUNIT_TEST(configurationReachesSidecars);
+    CPPUNIT_TEST(restoredConfigurationReachesSidecars);
     CPPUNIT_TEST(deadSidecarGetsNoWork);
     CPPUNIT_TEST(adminPortAnswers);
     CPPUNIT_TEST(requestsWaitForConfiguration);
@@ -55,6 +56,25 @@
         CPPUNIT_ASSERT_EQUAL(std::int64_t(5), node(fixture.entry(), "entry-0").revision);
     }
 
+    // Guards against a sidecar that keeps the revision of an ended epoch, since it is the higher
+    // one.
+    void restoredConfigurationReachesSidecars()
+    {
+        EntryFixture fixture;
+        FakeSidecar &sidecar = fixture.sidecar(0);
+        ConfigUpdate update;
+        update.revision = 9;
+        update.epoch = 1;
+        CPPUNIT_ASSERT(fixture.entry().applyConfig(update).isOk());
+        CPPUNIT_ASSERT(sidecar.wait([&] { return sidecar.configRevision == 9; }));
+        update.revision = 4;
+        update.epoch = 2;
+        update.earlierEpochs = {1};
+        CPPUNIT_ASSERT(fixture.entry().applyConfig(update).isOk());
+        CPPUNIT_ASSERT(sidecar.wait([&] { return sidecar.configRevision == 4; }));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(2), sidecar.configEpoch);
+    }
+
     // Guards against new work for a server that is gone while the VM list still names it.
     void deadSidecarGetsNoWork()
     {
--- a/tests/entry/PlatformTest.cpp
+++ b/tests/entry/PlatformTest.cpp
@@ -17,6 +17,7 @@
     CPPUNIT_TEST(changesAreFollowed);
     CPPUNIT_TEST(silentWatchIsRenewed);
     CPPUNIT_TEST(compactedWatchReadsAgain);
+    CPPUNIT_TEST(restoredStoreIsFollowed);
     CPPUNIT_TEST(outageKeepsConfigurationAndServers);
     CPPUNIT_TEST(catchUpInSeveralPartsLosesNothing);
     CPPUNIT_TEST_SUITE_END();
@@ -67,6 +68,25 @@
         CPPUNIT_ASSERT_EQUAL(revision, node->config().revision());
     }
 
+    // Guards against an entry that keeps the changes lost with the restored store, and misses those
+    // after it.
+    void restoredStoreIsFollowed()
+    {
+        TestPlatform platform;
+        const std::int64_t kept = platform.put("Model", "kept", m_spec);
+        const auto node = follow(platform);
+        platform.put("Model", "lost", m_spec);
+        platform.put("Model", "lost-too", m_spec);
+        waitForModel(*node, "lost-too");
+        platform.restore(kept);
+        const std::int64_t revision = platform.put("Model", "after", m_spec);
+        waitForModel(*node, "after");
+        const auto snapshot = node->config().snapshot();
+        CPPUNIT_ASSERT_EQUAL(revision, snapshot->revision);
+        CPPUNIT_ASSERT(snapshot->models.contains("kept"));
+        CPPUNIT_ASSERT(!snapshot->models.contains("lost"));
+    }
+
     // Guards against a connection that goes silent for good and hides every later change.
     void silentWatchIsRenewed()
     {
--- a/tests/entry/TestPlatform.cpp
+++ b/tests/entry/TestPlatform.cpp
@@ -91,6 +91,17 @@
     m_watches.clear();
 }
 
+void TestPlatform::restore(std::int64_t revision)
+{
+    const std::lock_guard lock(m_mutex);
+    ++m_epoch;
+    while (m_changes.back().revision > revision)
+        m_changes.pop_back();
+    for (const auto &watch : m_watches)
+        watch->abort();
+    m_watches.clear();
+}
+
 bool TestPlatform::wait(const std::function<bool()> &done)
 {
     std::unique_lock lock(m_mutex);
@@ -123,9 +134,7 @@
         if (key != "/other")
             pairs.push_back(pair(key, change.value, change.revision));
     }
-    const nlohmann::json body {
-        {"header", {{"revision", std::to_string(m_changes.back().revision)}}},
-        {"kvs", std::move(pairs)}};
+    const nlohmann::json body {{"header", header()}, {"kvs", std::move(pairs)}};
     responder.respond({200, {}, body.dump()});
 }
 
@@ -134,9 +143,13 @@
     const auto json = nlohmann::json::parse(body);
     const auto from = std::stoll(json.at("create_request").at("start_revision").get<std::string>());
     responder->startStream(200, {});
+    const nlohmann::json created {{"result", {{"header", header()}, {"created", true}}}};
+    responder->write(created.dump() + '\n');
     if (from < m_compacted) {
-        const nlohmann::json line {
-            {"result", {{"canceled", true}, {"compact_revision", std::to_string(m_compacted)}}}};
+        const nlohmann::json line {{"result",
+                                    {{"header", header()},
+                                     {"canceled", true},
+                                     {"compact_revision", std::to_string(m_compacted)}}}};
         responder->write(line.dump() + '\n');
         return responder->finish();
     }
@@ -147,12 +160,18 @@
     m_watches.push_back(responder);
 }
 
+nlohmann::json TestPlatform::header() const
+{
+    return {{"cluster_id", std::to_string(m_epoch)},
+            {"revision", std::to_string(m_changes.back().revision)}};
+}
+
 std::string TestPlatform::eventLine(const Change &change) const
 {
     // The header names the revision of the service, which may be ahead of the change.
     const nlohmann::json line {
         {"result",
-         {{"header", {{"revision", std::to_string(m_changes.back().revision)}}},
+         {{"header", header()},
           {"events",
            nlohmann::json::array({{{"kv", pair(change.key, change.value, change.revision)}}})}}}};
     return line.dump() + '\n';
--- a/tests/entry/TestPlatform.h
+++ b/tests/entry/TestPlatform.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <nlohmann/json_fwd.hpp>
 #include <string>
 #include <vector>
 
@@ -35,6 +36,9 @@
     /// \brief Watches below this revision are refused as compacted.
     void compact(std::int64_t revision);
 
+    /// \brief Restores the store as it was at \a revision, in a new epoch.
+    void restore(std::int64_t revision);
+
     bool wait(const std::function<bool()> &done);
 
     // Read under wait().
@@ -53,6 +57,7 @@
     void range(Http1Responder &responder);
     void watch(const std::string &body, const std::shared_ptr<Http1Responder> &responder);
     std::string eventLine(const Change &change) const;
+    nlohmann::json header() const;
 
     WorkerPool m_pool;
     std::unique_ptr<Http1Server> m_server;
@@ -63,6 +68,7 @@
     std::vector<std::shared_ptr<Http1Responder>> m_watches;
     std::string m_vms = R"({"vms":[]})";
     std::int64_t m_compacted = 0;
+    int m_epoch = 1;
     bool m_down = false;
 };
 
--- a/tests/sidecar/CallTest.cpp
+++ b/tests/sidecar/CallTest.cpp
@@ -179,8 +179,9 @@
             "op",
             "c",
             R"({"type":"plain","checksFencing":true,"nonIdempotent":[{"method":"POST","pathPrefix":"/orders"}]})"};
-        TestEntry config(client(), "/node/config",
-                         ConfigUpdate {5, 0, {{"Service", "lector", 5, service.toJson(), false}}});
+        TestEntry config(
+            client(), "/node/config",
+            ConfigUpdate {5, 0, {{"Service", "lector", 5, service.toJson(), false}}, 0, {}});
         CPPUNIT_ASSERT_EQUAL(std::int64_t(5), config.next<ConfigAck>().revision);
         TestEntry entry(client(), "/call", message("k", true));
         const auto call = m_engine->call(0);
--- a/tests/sidecar/GenerationTest.cpp
+++ b/tests/sidecar/GenerationTest.cpp
@@ -227,9 +227,9 @@
         TestEntry early(client(), "/generation/start", startMessage());
         CPPUNIT_ASSERT(early.next<Refused>().code == ErrorCode::Unavailable);
 
-        TestEntry config(client(), "/node/config", ConfigUpdate {5, 0, {}});
+        TestEntry config(client(), "/node/config", ConfigUpdate {5, 0, {}, 0, {}});
         CPPUNIT_ASSERT_EQUAL(std::int64_t(5), config.next<ConfigAck>().revision);
-        config.send(ConfigUpdate {9, 8, {}});
+        config.send(ConfigUpdate {9, 8, {}, 0, {}});
         CPPUNIT_ASSERT_EQUAL(std::int64_t(5), config.next<ConfigAck>().revision);
 
         StartAttempt bad = startMessage();
--- a/tests/sidecar/NodeTest.cpp
+++ b/tests/sidecar/NodeTest.cpp
@@ -144,7 +144,7 @@
         startSidecar(changed);
         CPPUNIT_ASSERT_EQUAL(200, admin("GET", "/healthz").status);
         CPPUNIT_ASSERT_EQUAL(503, admin("GET", "/readyz").status);
-        TestEntry config(client(), "/node/config", ConfigUpdate {5, 0, {}});
+        TestEntry config(client(), "/node/config", ConfigUpdate {5, 0, {}, 0, {}});
         config.next<ConfigAck>();
         CPPUNIT_ASSERT_EQUAL(200, admin("GET", "/readyz").status);
         const auto metrics = admin("GET", "/metrics");
