decisions: keep the publication of rate limits in a class of its own

No behaviour was wrong. Change: RateLimitPublication holds the latest report, the steady demands and the time of the next one. Conclusion: no change of behaviour.

--- a/include/foxtailring/decisions/RateLimitTable.h
+++ b/include/foxtailring/decisions/RateLimitTable.h
@@ -4,6 +4,7 @@
 #include "foxtailring/decisions/DemandEstimator.h"
 #include "foxtailring/decisions/RateApportionment.h"
 #include "foxtailring/decisions/RateLimitExplanation.h"
+#include "foxtailring/decisions/RateLimitPublication.h"
 #include "foxtailring/decisions/RateLimitReport.h"
 #include "foxtailring/decisions/RateLimitReportChange.h"
 #include "foxtailring/decisions/RequestWindow.h"
@@ -81,9 +82,9 @@
     /// \brief Report of this process, if it must be published now. Counts as published.
     std::optional<RateLimitReport> takeDueReport(TimePoint now);
     /// \brief The latest report was not published.
-    void onReportNotPublished() { m_isRepublishing = true; }
+    void onReportNotPublished() { m_publication.requestRepeat(); }
     /// \brief True while this process's report must be kept in the store.
-    bool hasReport() const { return !m_published.entries.empty(); }
+    bool hasReport() const { return !m_publication.isEmpty(); }
 
 private:
     struct Raise
@@ -161,7 +162,6 @@
     Division divide(std::string_view serverId, Record &record, TimePoint now) const;
     std::uint32_t quotaFor(Record &record, const Division &division, TimePoint now) const;
     RateLimitReport currentReport(TimePoint now);
-    bool isReportDue(const RateLimitReport &report, TimePoint now) const;
     Duration publishInterval() const;
     void expireUnconfirmedReports(TimePoint now);
 
@@ -172,9 +172,7 @@
     /// Processes whose reports are not known to be in the store, since a restore at that time.
     std::map<std::string, TimePoint, std::less<>> m_unconfirmedReports;
     TimePoint m_confirmedAt;
-    RateLimitReport m_published;
-    TimePoint m_publishedAt;
-    bool m_isRepublishing = false;
+    RateLimitPublication m_publication;
     std::size_t m_processCount = 1; ///< that may share a limit
 };
 
--- a/src/decisions/RateLimitTable.cpp
+++ b/src/decisions/RateLimitTable.cpp
@@ -5,7 +5,6 @@
 #include "foxtailring/decisions/RendezvousHash.h"
 
 #include <algorithm>
-#include <cmath>
 #include <limits>
 #include <utility>
 #include <vector>
@@ -35,57 +34,11 @@
 // All processes together publish this many reports per second at most.
 constexpr milliseconds publishIntervalPerProcess {25};
 constexpr milliseconds minPublishInterval {1000};
-// In publish intervals: a report is repeated although nothing has changed, and a limit is dropped
-// that no process has named or repeated.
-constexpr int refreshIntervals = 4;
+// In publish intervals: a limit is dropped that no process has named or repeated.
 constexpr int expiryIntervals = 16;
 // Reports are written again within this time after the store was restored, and within two of the
 // intervals at which they are repeated.
 constexpr seconds minRewriteTime {30};
-// Demands below this one count as none.
-constexpr double minDemand = 1.0 / 16;
-// Published demands are powers of two, and change only when the demand is this factor away from the
-// published one: shares that move with every fluctuation could not be used.
-constexpr double demandTolerance = 1.8;
-
-double powerOfTwo(double demand)
-{
-    return demand < minDemand ? 0 : std::exp2(std::round(std::log2(demand)));
-}
-
-/// Demand to publish in place of \a published.
-double steadyDemand(double published, double demand)
-{
-    const bool isClose = published > 0 && demand < published * demandTolerance
-        && demand > published / demandTolerance;
-    return isClose ? published : powerOfTwo(demand);
-}
-
-const RateLimitReport::Entry *entryOf(const RateLimitReport &report, std::string_view serverId)
-{
-    const auto found =
-        std::find_if(report.entries.begin(), report.entries.end(),
-                     [serverId](const auto &entry) { return entry.serverId == serverId; });
-    return found == report.entries.end() ? nullptr : &*found;
-}
-
-bool differs(const RateLimitReport::Entry &a, const RateLimitReport::Entry &b)
-{
-    return a.demand != b.demand || a.limit != b.limit;
-}
-
-bool haveSameServers(const RateLimitReport &a, const RateLimitReport &b)
-{
-    return std::equal(a.entries.begin(), a.entries.end(), b.entries.begin(), b.entries.end(),
-                      [](const auto &x, const auto &y) { return x.serverId == y.serverId; });
-}
-
-bool haveSameEntries(const RateLimitReport &a, const RateLimitReport &b)
-{
-    return std::equal(a.entries.begin(), a.entries.end(), b.entries.begin(), b.entries.end(),
-                      [](const auto &x, const auto &y) { return !differs(x, y); });
-}
-
 } // namespace
 
 RateLimitTable::RateLimitTable(Settings settings)
@@ -177,13 +130,14 @@
             changed.insert(serverId);
     }
     if (!change.report) {
-        m_isRepublishing = m_isRepublishing || isOwn;
+        if (isOwn)
+            m_publication.requestRepeat();
         return;
     }
     // Before a restart, this process published the report.
-    const bool isInherited = isOwn && m_published.entries.empty();
+    const bool isInherited = isOwn && m_publication.isEmpty();
     if (isInherited)
-        m_published = *change.report;
+        m_publication.inherit(*change.report);
     if (!isOwn || isInherited)
         applyNewEntries(before, after, now);
     if (!isOwn)
@@ -403,13 +357,13 @@
     applyReports(unknown, now);
     for (const auto &[processId, limits] : m_reports)
         m_unconfirmedReports.insert_or_assign(processId, now);
-    m_isRepublishing = true;
+    m_publication.requestRepeat();
 }
 
 void RateLimitTable::expireUnconfirmedReports(TimePoint now)
 {
-    const Duration rewriteTime =
-        std::max<Duration>(minRewriteTime, 2 * refreshIntervals * publishInterval());
+    const Duration rewriteTime = std::max<Duration>(
+        minRewriteTime, 2 * RateLimitPublication::refreshIntervals * publishInterval());
     std::vector<RateLimitReportChange> lost;
     for (const auto &[processId, restoredAt] : m_unconfirmedReports) {
         if (now - restoredAt > rewriteTime)
@@ -468,17 +422,15 @@
 bool RateLimitTable::wantsReport(TimePoint now)
 {
     const RateLimitReport report = currentReport(now);
-    return !report.entries.empty() && isReportDue(report, now);
+    return !report.entries.empty() && m_publication.isDue(report, publishInterval(), now);
 }
 
 std::optional<RateLimitReport> RateLimitTable::takeDueReport(TimePoint now)
 {
     RateLimitReport report = currentReport(now);
-    if (!isReportDue(report, now))
+    if (!m_publication.isDue(report, publishInterval(), now))
         return std::nullopt;
-    m_published = report;
-    m_publishedAt = now;
-    m_isRepublishing = false;
+    m_publication.record(report, now);
     return report;
 }
 
@@ -489,10 +441,8 @@
     for (auto &[serverId, record] : m_records) {
         if (!record.isLimited)
             continue;
-        const RateLimitReport::Entry *published = entryOf(m_published, serverId);
-        const double demand =
-            steadyDemand(published ? published->demand : 0, record.demand.perSecond(now));
-        if (!record.namedLimit && demand <= 0 && !published)
+        const double demand = m_publication.steadyDemand(serverId, record.demand.perSecond(now));
+        if (!record.namedLimit && demand <= 0 && !m_publication.names(serverId))
             continue;
         updateSharing(serverId, record);
         report.entries.push_back({serverId, limitOf(record, now), demand});
@@ -500,17 +450,6 @@
     return report;
 }
 
-bool RateLimitTable::isReportDue(const RateLimitReport &report, TimePoint now) const
-{
-    if (report.entries.empty() && m_published.entries.empty())
-        return false;
-    if (!haveSameServers(report, m_published))
-        return true;
-    const Duration age = now - m_publishedAt;
-    const bool isChanged = m_isRepublishing || !haveSameEntries(report, m_published);
-    return age >= (isChanged ? 1 : refreshIntervals) * publishInterval();
-}
-
 Duration RateLimitTable::publishInterval() const
 {
     return std::max<Duration>(minPublishInterval, publishIntervalPerProcess * m_reports.size());
