decisions: choose admitted servers in a class of its own

No behaviour was wrong. Change: AdmittedPlacer takes requests from limits, chooses among the servers that are free, and tells when one will be. Measured: decisions_test passes (458). Conclusion: no change of behaviour.

--- a/include/foxtailring/decisions/ForwardSession.h
+++ b/include/foxtailring/decisions/ForwardSession.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "foxtailring/base/Clock.h"
+#include "foxtailring/decisions/AdmittedPlacer.h"
 #include "foxtailring/decisions/AttemptResult.h"
 #include "foxtailring/decisions/BackendAnswer.h"
 #include "foxtailring/decisions/ForwardAction.h"
@@ -16,10 +17,6 @@
 
 namespace foxtailring {
 
-class BackendPlacer;
-class RandomSource;
-struct PlacementRequest;
-
 /// \brief Decides how one caller's request is handled: where it is sent, when it is retried, and
 /// how it is answered.
 ///
@@ -86,16 +83,20 @@
     std::string_view quarantinedPart(TimePoint now) const;
     /// \brief Refusal if a part of the prompt is quarantined; none: the request may be sent.
     std::optional<ForwardAction> refuseQuarantined(TimePoint now) const;
-    /// \brief How BackendPlacer chooses a server.
-    using Chooser = std::optional<BackendState> (BackendPlacer::*)(const PlacementRequest &,
-                                                                   TimePoint, RandomSource &) const;
 
     /// \brief Records whether the answer to a probe says that its server leaves.
     void recordProbeNotice(const ServerProbeResult &report, TimePoint now);
     /// \brief Takes a request to the server. False if its rate limit or a pause allows none.
-    bool tryAcquire(const std::string &serverId, TimePoint now);
+    bool tryAcquire(const std::string &serverId, TimePoint now)
+    {
+        return m_admittedPlacer.tryAcquire(serverId, now);
+    }
     /// \brief Chooses a server to which a request may be sent now, and takes the request.
-    std::optional<BackendState> choose(PlacementRequest placement, Chooser chooser, TimePoint now);
+    std::optional<BackendState> choose(const PlacementRequest &placement,
+                                       AdmittedPlacer::Chooser chooser, TimePoint now)
+    {
+        return m_admittedPlacer.choose(placement, chooser, now);
+    }
     /// \brief Refusal if choose() found no server.
     ForwardAction refuseUnplaced(TimePoint now);
     /// \brief Takes one retry from the budget. False if the route, the remaining time or the budget
@@ -149,11 +150,6 @@
                     TimePoint now);
     void recordNotice(const BackendInfo &server, const BackendAnswer &answer);
     void releaseFallback();
-    /// Time until a server of the service takes a request; 0: now or unknown.
-    Duration waitForServer(TimePoint now) const;
-    /// True if all servers of the service that are expected to answer asked for a pause.
-    bool isServicePaused(TimePoint now) const;
-    void reportDenied(const std::string &serverId, TimePoint now);
     ForwardAction onWrongServer(const BackendAnswer &answer, TimePoint now);
     ForwardAction retryRejected(AttemptResult result, TimePoint now);
     bool tryConsumeBudget(TimePoint now);
@@ -164,8 +160,8 @@
     const ForwardContext m_context;
     const TimePoint m_deadline;
     std::string m_service;
+    AdmittedPlacer m_admittedPlacer;
     std::vector<std::string> m_triedIds; ///< ids of servers
-    bool m_isLimited = false;            ///< a server had no free request at the last choice
     std::optional<BackendState> m_server;
     TimePoint m_sentAt;
     std::optional<Fallback> m_fallback;
--- /dev/null
+++ b/src/decisions/AdmittedPlacer.cpp
@@ -0,0 +1,99 @@
+#include "foxtailring/decisions/AdmittedPlacer.h"
+
+#include "foxtailring/base/RandomSource.h"
+#include "foxtailring/decisions/BackendPlacer.h"
+#include "foxtailring/decisions/BackendTable.h"
+#include "foxtailring/decisions/ForwardContext.h"
+#include "foxtailring/decisions/RateLimitExplanation.h"
+#include "foxtailring/decisions/ServerAdmission.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace foxtailring {
+
+AdmittedPlacer::AdmittedPlacer(const ForwardContext &context, const std::string &service)
+    : m_context(context)
+    , m_service(service)
+{
+}
+
+bool AdmittedPlacer::tryAcquire(const std::string &serverId, TimePoint now)
+{
+    const bool isFree = m_context.admission.tryAcquire(serverId, now);
+    if (!isFree)
+        reportDenied(serverId, now);
+    return isFree;
+}
+
+void AdmittedPlacer::reportDenied(const std::string &serverId, TimePoint now) const
+{
+    if (m_context.admission.isPaused(serverId, now)) {
+        if (m_context.onPauseReached)
+            m_context.onPauseReached(serverId, m_context.admission.freeAt(serverId, now) - now);
+        return;
+    }
+    const auto limit = m_context.admission.explainLimit(serverId, now);
+    if (limit && m_context.onRateLimited)
+        m_context.onRateLimited(serverId, *limit);
+}
+
+// A server without a free request is passed over like one that does not exist: it is neither tried
+// nor suspected. A server whose pause has just ended is chosen at once only if no other is expected
+// to answer.
+std::optional<BackendState> AdmittedPlacer::choose(PlacementRequest placement, Chooser chooser,
+                                                   TimePoint now)
+{
+    const std::vector<std::string> requested(placement.exclude.begin(), placement.exclude.end());
+    std::vector<std::string> returning = m_context.admission.returningIds(now);
+    std::vector<std::string> denied;
+    m_isLimited = false;
+    while (true) {
+        std::vector<std::string> exclude = requested;
+        exclude.insert(exclude.end(), returning.begin(), returning.end());
+        exclude.insert(exclude.end(), denied.begin(), denied.end());
+        placement.exclude = exclude;
+        auto chosen = (m_context.placer.*chooser)(placement, now, m_context.random);
+        const bool isExpected = chosen && chosen->health != BackendHealth::Suspected;
+        if (!isExpected && !returning.empty()) {
+            returning.clear();
+            continue;
+        }
+        if (!chosen || tryAcquire(chosen->info.id, now))
+            return chosen;
+        if (m_context.admission.isPaused(chosen->info.id, now)) {
+            // All at once, since many servers of a service may be in a pause.
+            const std::vector<std::string> paused = m_context.admission.pausedIds(now);
+            denied.insert(denied.end(), paused.begin(), paused.end());
+        } else {
+            m_isLimited = true;
+            denied.push_back(chosen->info.id);
+        }
+    }
+}
+
+// A suspected server may not answer, so the others decide.
+Duration AdmittedPlacer::waitForServer(TimePoint now) const
+{
+    TimePoint soonest = TimePoint::max();
+    for (const BackendState &server : m_context.servers.candidates(m_service, now)) {
+        if (server.health != BackendHealth::Suspected)
+            soonest = std::min(soonest, m_context.admission.freeAt(server.info.id, now));
+    }
+    return soonest == TimePoint::max() ? Duration {0} : soonest - now;
+}
+
+bool AdmittedPlacer::isServicePaused(TimePoint now) const
+{
+    bool isPaused = false;
+    for (const BackendState &server : m_context.servers.candidates(m_service, now)) {
+        if (server.health == BackendHealth::Suspected)
+            continue;
+        isPaused = m_context.admission.isPaused(server.info.id, now);
+        if (!isPaused)
+            return false;
+    }
+    return isPaused;
+}
+
+} // namespace foxtailring
--- a/src/decisions/ForwardSession.cpp
+++ b/src/decisions/ForwardSession.cpp
@@ -1,10 +1,8 @@
 #include "foxtailring/decisions/ForwardSession.h"
 
 #include "foxtailring/base/RandomSource.h"
-#include "foxtailring/decisions/BackendPlacer.h"
 #include "foxtailring/decisions/BackendTable.h"
 #include "foxtailring/decisions/PromptQuarantine.h"
-#include "foxtailring/decisions/RateLimitExplanation.h"
 #include "foxtailring/decisions/RetryBudget.h"
 #include "foxtailring/decisions/ServerAdmission.h"
 
@@ -49,6 +47,7 @@
     , m_request(request)
     , m_context(context)
     , m_deadline(deadlineOf(route, request))
+    , m_admittedPlacer(m_context, m_service)
 {
 }
 
@@ -159,7 +158,7 @@
     if (m_server)
         return KeepWaiting {};
     const int status = mayHaveRun(result) ? 502 : 503;
-    return conclude(refuse(status, attemptResultName(result), waitForServer(now)));
+    return conclude(refuse(status, attemptResultName(result), m_admittedPlacer.waitForServer(now)));
 }
 
 ForwardAction ForwardSession::waitForFallback(ForwardAction action) const
@@ -294,7 +293,7 @@
     const bool takesBudget = result != AttemptResult::NotSent;
     if (isExhausted || (takesBudget && !tryConsumeBudget(now)))
         return waitForFallback(
-            conclude(refuse(503, attemptResultName(result), waitForServer(now))));
+            conclude(refuse(503, attemptResultName(result), m_admittedPlacer.waitForServer(now))));
     return makeAttempt(attemptResultName(result), now);
 }
 
@@ -345,91 +344,13 @@
     return std::chrono::duration_cast<milliseconds>(m_deadline - now);
 }
 
-bool ForwardSession::tryAcquire(const std::string &serverId, TimePoint now)
-{
-    const bool isFree = m_context.admission.tryAcquire(serverId, now);
-    if (!isFree)
-        reportDenied(serverId, now);
-    return isFree;
-}
-
-void ForwardSession::reportDenied(const std::string &serverId, TimePoint now)
-{
-    if (m_context.admission.isPaused(serverId, now)) {
-        if (m_context.onPauseReached)
-            m_context.onPauseReached(serverId, m_context.admission.freeAt(serverId, now) - now);
-        return;
-    }
-    const auto limit = m_context.admission.explainLimit(serverId, now);
-    if (limit && m_context.onRateLimited)
-        m_context.onRateLimited(serverId, *limit);
-}
-
-// A server without a free request is passed over like one that does not exist: it is neither tried
-// nor suspected. A server whose pause has just ended is chosen at once only if no other is expected
-// to answer.
-std::optional<BackendState> ForwardSession::choose(PlacementRequest placement, Chooser chooser,
-                                                   TimePoint now)
-{
-    const std::vector<std::string> requested(placement.exclude.begin(), placement.exclude.end());
-    std::vector<std::string> returning = m_context.admission.returningIds(now);
-    std::vector<std::string> denied;
-    m_isLimited = false;
-    while (true) {
-        std::vector<std::string> exclude = requested;
-        exclude.insert(exclude.end(), returning.begin(), returning.end());
-        exclude.insert(exclude.end(), denied.begin(), denied.end());
-        placement.exclude = exclude;
-        auto chosen = (m_context.placer.*chooser)(placement, now, m_context.random);
-        const bool isExpected = chosen && chosen->health != BackendHealth::Suspected;
-        if (!isExpected && !returning.empty()) {
-            returning.clear();
-            continue;
-        }
-        if (!chosen || tryAcquire(chosen->info.id, now))
-            return chosen;
-        if (m_context.admission.isPaused(chosen->info.id, now)) {
-            // All at once, since many servers of a service may be in a pause.
-            const std::vector<std::string> paused = m_context.admission.pausedIds(now);
-            denied.insert(denied.end(), paused.begin(), paused.end());
-        } else {
-            m_isLimited = true;
-            denied.push_back(chosen->info.id);
-        }
-    }
-}
-
 ForwardAction ForwardSession::refuseUnplaced(TimePoint now)
 {
-    if (isServicePaused(now))
-        return refuse(503, "serversPaused", waitForServer(now));
-    if (!m_isLimited)
+    if (m_admittedPlacer.isServicePaused(now))
+        return refuse(503, "serversPaused", m_admittedPlacer.waitForServer(now));
+    if (!m_admittedPlacer.isLimited())
         return refuse(503, "noServer");
-    return refuse(503, "rateLimited", waitForServer(now));
-}
-
-// A suspected server may not answer, so the others decide.
-Duration ForwardSession::waitForServer(TimePoint now) const
-{
-    TimePoint soonest = TimePoint::max();
-    for (const BackendState &server : m_context.servers.candidates(m_service, now)) {
-        if (server.health != BackendHealth::Suspected)
-            soonest = std::min(soonest, m_context.admission.freeAt(server.info.id, now));
-    }
-    return soonest == TimePoint::max() ? Duration {0} : soonest - now;
-}
-
-bool ForwardSession::isServicePaused(TimePoint now) const
-{
-    bool isPaused = false;
-    for (const BackendState &server : m_context.servers.candidates(m_service, now)) {
-        if (server.health == BackendHealth::Suspected)
-            continue;
-        isPaused = m_context.admission.isPaused(server.info.id, now);
-        if (!isPaused)
-            return false;
-    }
-    return isPaused;
+    return refuse(503, "rateLimited", m_admittedPlacer.waitForServer(now));
 }
 
 bool ForwardSession::tryTakeRetry(TimePoint now)
