decisions: keep the failures of engines in a class of their own

No behaviour was wrong. Change: EngineFailures records recent failures and tells which may be of one moment. Measured: decisions_test passes (458), gateway_test passes (92). Conclusion: no change of behaviour.

--- /dev/null
+++ b/include/foxtailring/decisions/EngineFailures.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "foxtailring/base/Clock.h"
+#include "foxtailring/decisions/TimeBounds.h"
+
+#include <cstddef>
+#include <deque>
+#include <functional>
+#include <string>
+
+namespace foxtailring {
+
+/// \brief Recent failures of engines, and which of them may have happened at the same moment.
+class EngineFailures
+{
+public:
+    /// \param minInterval events that are closer to each other may be of one moment
+    /// \param lifetime failures are forgotten after this time
+    EngineFailures(Duration minInterval, Duration lifetime);
+
+    /// \brief An engine failed. One that failed less than the shortest interval before is not
+    /// counted again.
+    void record(const std::string &incarnation, TimePoint now);
+    /// \brief Number of failures within the shortest interval before \a now.
+    std::size_t recentCount(TimePoint now) const;
+    /// \brief Number of failures that may have happened at the moment \a at, of engines for which
+    /// \a isCounted is true.
+    std::size_t count(TimeBounds at,
+                      const std::function<bool(const std::string &incarnation)> &isCounted) const;
+    /// \brief True if \a at is a later moment than \a other.
+    bool isSurelyLater(TimeBounds at, TimeBounds other) const;
+    bool mayBeSameMoment(TimeBounds one, TimeBounds other) const;
+
+private:
+    struct Failure
+    {
+        std::string incarnation;
+        TimePoint at;
+    };
+
+    const Duration m_minInterval;
+    const Duration m_lifetime;
+    std::deque<Failure> m_failures; ///< by time
+};
+
+} // namespace foxtailring
--- a/include/foxtailring/decisions/PromptQuarantine.h
+++ b/include/foxtailring/decisions/PromptQuarantine.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "foxtailring/base/Clock.h"
+#include "foxtailring/decisions/EngineFailures.h"
 #include "foxtailring/decisions/PromptCrashReport.h"
 #include "foxtailring/decisions/RecentStarts.h"
 #include "foxtailring/decisions/ReporterClocks.h"
@@ -10,7 +11,6 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
-#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -70,7 +70,10 @@
     void setUnixOffset(std::chrono::milliseconds offset);
 
     /// \brief An engine failed, whatever it was doing.
-    void recordFailure(const std::string &incarnation, TimePoint now);
+    void recordFailure(const std::string &incarnation, TimePoint now)
+    {
+        m_failures.record(incarnation, now);
+    }
     /// \brief The engine failed before it had begun to answer a request with these parts.
     void recordCrash(const std::string &incarnation, Parts parts, TimePoint now);
     /// \brief The engine has begun to answer a request with these parts, and went on.
@@ -124,12 +127,6 @@
     };
     using Records = std::map<std::string, Record, std::less<>>;
 
-    struct Failure
-    {
-        std::string incarnation;
-        TimePoint at;
-    };
-
     struct SuspectsOfCrash
     {
         TimePoint at;
@@ -149,8 +146,6 @@
     Records::iterator leastSuspect();
     std::size_t crashCount(const Record &record) const;
     bool isAtMostFailures(const Record &record, TimeBounds at) const;
-    bool isSurelyLater(TimeBounds at, TimeBounds other) const;
-    bool mayBeSameMoment(TimeBounds one, TimeBounds other) const;
     bool isExplained(const std::string &part, const Record &record) const;
     void quarantine(const std::string &part, Record &record, TimePoint now);
     void release(const std::string &part, Record &record, std::string_view cause);
@@ -161,6 +156,7 @@
 
     const Settings m_settings;
     Hooks m_hooks;
+    EngineFailures m_failures; ///< of all engines
     Records m_records;
     RecentStarts m_recentStarts;
     ReporterClocks m_reporterClocks;
@@ -168,7 +164,6 @@
     std::optional<std::chrono::milliseconds> m_reportOffset; ///< of the clock of own reports
     PromptCrashReport m_published;
     TimePoint m_reportAt = TimePoint::max(); ///< when the next report is due
-    std::deque<Failure> m_failures;          ///< of all engines, by time
 };
 
 } // namespace foxtailring
--- /dev/null
+++ b/src/decisions/EngineFailures.cpp
@@ -0,0 +1,57 @@
+#include "foxtailring/decisions/EngineFailures.h"
+
+#include <algorithm>
+
+namespace foxtailring {
+
+namespace {
+
+constexpr std::size_t maxFailures = 512;
+
+} // namespace
+
+EngineFailures::EngineFailures(Duration minInterval, Duration lifetime)
+    : m_minInterval(minInterval)
+    , m_lifetime(lifetime)
+{
+}
+
+void EngineFailures::record(const std::string &incarnation, TimePoint now)
+{
+    const auto isSame = [&](const Failure &failure) {
+        return failure.incarnation == incarnation && now - failure.at < m_minInterval;
+    };
+    if (std::any_of(m_failures.begin(), m_failures.end(), isSame))
+        return;
+    m_failures.push_back({incarnation, now});
+    while (m_failures.size() > maxFailures || now - m_failures.front().at >= m_lifetime)
+        m_failures.pop_front();
+}
+
+std::size_t EngineFailures::recentCount(TimePoint now) const
+{
+    const auto isRecent = [&](const Failure &failure) { return now - failure.at < m_minInterval; };
+    return static_cast<std::size_t>(std::count_if(m_failures.begin(), m_failures.end(), isRecent));
+}
+
+std::size_t
+EngineFailures::count(TimeBounds at,
+                      const std::function<bool(const std::string &incarnation)> &isCounted) const
+{
+    const auto isAt = [&](const Failure &failure) {
+        return mayBeSameMoment({failure.at, failure.at}, at) && isCounted(failure.incarnation);
+    };
+    return static_cast<std::size_t>(std::count_if(m_failures.begin(), m_failures.end(), isAt));
+}
+
+bool EngineFailures::isSurelyLater(TimeBounds at, TimeBounds other) const
+{
+    return at.earliest - other.latest >= m_minInterval;
+}
+
+bool EngineFailures::mayBeSameMoment(TimeBounds one, TimeBounds other) const
+{
+    return !isSurelyLater(one, other) && !isSurelyLater(other, one);
+}
+
+} // namespace foxtailring
--- a/src/decisions/PromptQuarantine.cpp
+++ b/src/decisions/PromptQuarantine.cpp
@@ -20,7 +20,6 @@
 // wait for that, since the store would get one from each process.
 constexpr std::size_t massFailureEngines = 3;
 constexpr std::chrono::seconds massFailureReportDelay {3};
-constexpr std::size_t maxFailures = 512;
 // Suspects of one request: the parts at the beginning and at the end of its shared prompt. A caller
 // could otherwise fill the table with one request.
 constexpr std::size_t maxSuspectsPerEnd = 16;
@@ -42,6 +41,7 @@
 
 PromptQuarantine::PromptQuarantine(Settings settings)
     : m_settings(settings)
+    , m_failures(settings.minCrashInterval, settings.evidenceLifetime)
 {
 }
 
@@ -52,29 +52,13 @@
         m_reportOffset = offset;
 }
 
-void PromptQuarantine::recordFailure(const std::string &incarnation, TimePoint now)
-{
-    const auto isSame = [&](const Failure &failure) {
-        return failure.incarnation == incarnation && now - failure.at < m_settings.minCrashInterval;
-    };
-    if (std::any_of(m_failures.begin(), m_failures.end(), isSame))
-        return;
-    m_failures.push_back({incarnation, now});
-    while (m_failures.size() > maxFailures
-           || now - m_failures.front().at >= m_settings.evidenceLifetime)
-        m_failures.pop_front();
-}
-
 void PromptQuarantine::recordCrash(const std::string &incarnation, Parts parts, TimePoint now)
 {
     if (parts.empty())
         return;
-    recordFailure(incarnation, now);
+    m_failures.record(incarnation, now);
     addCrash(incarnation, parts, {now, now}, true, now);
-    const auto recent = std::count_if(m_failures.begin(), m_failures.end(), [&](const auto &one) {
-        return now - one.at < m_settings.minCrashInterval;
-    });
-    const bool isMassFailure = static_cast<std::size_t>(recent) >= massFailureEngines;
+    const bool isMassFailure = m_failures.recentCount(now) >= massFailureEngines;
     m_reportAt = isMassFailure ? now + massFailureReportDelay : std::min(m_reportAt, now);
 }
 
@@ -327,7 +311,7 @@
     std::size_t count = 0;
     TimeBounds counted;
     for (const TimeBounds &at : times) {
-        if (count > 0 && !isSurelyLater(at, counted))
+        if (count > 0 && !m_failures.isSurelyLater(at, counted))
             continue;
         ++count;
         counted = at;
@@ -340,29 +324,16 @@
 bool PromptQuarantine::isAtMostFailures(const Record &record, TimeBounds at) const
 {
     std::size_t suspected = 0;
-    std::size_t others = 0;
     for (const auto &[incarnation, crash] : record.crashes) {
-        if (mayBeSameMoment(crash.at, at))
+        if (m_failures.mayBeSameMoment(crash.at, at))
             ++suspected;
     }
-    for (const Failure &failure : m_failures) {
-        if (mayBeSameMoment({failure.at, failure.at}, at)
-            && !record.crashes.contains(failure.incarnation))
-            ++others;
-    }
+    const std::size_t others = m_failures.count(at, [&record](const std::string &incarnation) {
+        return !record.crashes.contains(incarnation);
+    });
     return suspected > others;
 }
 
-bool PromptQuarantine::isSurelyLater(TimeBounds at, TimeBounds other) const
-{
-    return at.earliest - other.latest >= m_settings.minCrashInterval;
-}
-
-bool PromptQuarantine::mayBeSameMoment(TimeBounds one, TimeBounds other) const
-{
-    return !isSurelyLater(one, other) && !isSurelyLater(other, one);
-}
-
 // Another part, deeper in the prompt, was suspect in all the crashes in which this one was. The
 // deeper part is in fewer other requests, so rejecting it does less harm, and if it is not the
 // cause, the next crash without it shows that.
