decisions, sidecar: keep claims across a restore of the store

Cause: ClaimBucketState took a bucket of a lower revision for a stale read and answered "the platform is unavailable", so after a restore every new keyed call of the bucket was refused until the store had passed the old revision. Taking the restored bucket as it is would have been worse: claims made since the backup are missing in it, and a repeated key would have run a second time. Swaps named a bare revision and could replace another process's claims by chance.

Change: revisions of buckets are StoreRevisions, which move to base for that; a lower revision is stale only in the same epoch. Records that the restored bucket lacks are stored again with the next swap, unless a later claim of the key is there. Existing tests: revisions are passed as StoreRevision, with epoch 0; nothing else.

Measured: without the epoch in the order of revisions both new cases of ClaimTableTest fail (the waiting call is answered as unavailable). With it but without the lost records, restoredBucketGetsTheLostClaimsBack ends in a null dereference, since the swap lacks the claim.

--- a/include/foxtailring/decisions/ClaimDocument.h
+++ b/include/foxtailring/decisions/ClaimDocument.h
@@ -27,6 +27,7 @@
     void set(const std::string &key, ClaimRecord record);
     void erase(const std::string &key);
     std::size_t size() const { return m_claims.size(); }
+    const std::map<std::string, ClaimRecord> &claims() const { return m_claims; } ///< by key
 
     /// \brief Removes claims last updated at or before \a unixSeconds.
     void expire(std::int64_t unixSeconds);
--- a/include/foxtailring/decisions/ClaimTable.h
+++ b/include/foxtailring/decisions/ClaimTable.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "foxtailring/base/StoreRevision.h"
 #include "foxtailring/decisions/ClaimAction.h"
 #include "foxtailring/decisions/ClaimLimits.h"
 #include "foxtailring/decisions/ClaimRequest.h"
@@ -37,14 +38,14 @@
 
     ClaimActions submit(const ClaimRequest &request, const ClockReadings &now);
 
-    /// \brief \a value is empty and \a revision is 0 if the document does not exist.
-    ClaimActions onBucketLoaded(std::uint32_t bucket, std::string_view value, std::int64_t revision,
-                                const ClockReadings &now);
-    ClaimActions onSwapSucceeded(std::uint32_t bucket, std::int64_t revision,
+    /// \brief \a value is empty and \a revision has number 0 if the document does not exist.
+    ClaimActions onBucketLoaded(std::uint32_t bucket, std::string_view value,
+                                StoreRevision revision, const ClockReadings &now);
+    ClaimActions onSwapSucceeded(std::uint32_t bucket, StoreRevision revision,
                                  const ClockReadings &now);
     /// \brief The swap had no effect; \a value and \a revision are the current ones.
-    ClaimActions onSwapConflict(std::uint32_t bucket, std::string_view value, std::int64_t revision,
-                                const ClockReadings &now);
+    ClaimActions onSwapConflict(std::uint32_t bucket, std::string_view value,
+                                StoreRevision revision, const ClockReadings &now);
     /// \brief The result is unknown: the swap may have taken effect, or may do so later.
     ClaimActions onSwapUnknown(std::uint32_t bucket, const ClockReadings &now);
     /// \brief A read failed, or a swap was certainly not executed.
--- a/include/foxtailring/decisions/SwapBucket.h
+++ b/include/foxtailring/decisions/SwapBucket.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "foxtailring/base/StoreRevision.h"
 #include <cstdint>
 #include <string>
 
@@ -12,7 +13,7 @@
 {
     std::uint32_t bucket = 0;
     std::string value;
-    std::int64_t expectedRevision = 0; ///< 0: the document does not exist
+    StoreRevision expectedRevision; ///< number 0: the document does not exist
 };
 
 } // namespace foxtailring
--- a/include/foxtailring/sidecar/BucketValue.h
+++ b/include/foxtailring/sidecar/BucketValue.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "foxtailring/base/StoreRevision.h"
 #include <cstdint>
 #include <string>
 
@@ -8,8 +9,8 @@
 /// \brief A bucket's document as the platform's service holds it.
 struct BucketValue
 {
-    std::string value;         ///< empty when the document does not exist
-    std::int64_t revision = 0; ///< 0 when the document does not exist
+    std::string value;      ///< empty when the document does not exist
+    StoreRevision revision; ///< number 0 when the document does not exist
 };
 
 } // namespace foxtailring
--- a/include/foxtailring/sidecar/ClaimStore.h
+++ b/include/foxtailring/sidecar/ClaimStore.h
@@ -25,7 +25,7 @@
 
     std::function<void(const std::string &path, ReadHook)> readBucket;
     std::function<void(const std::string &path, const std::string &value,
-                       std::int64_t expectedRevision, SwapHook)>
+                       StoreRevision expectedRevision, SwapHook)>
         swapBucket;
 
     /// \brief Whether a platform is configured.
--- a/include/foxtailring/store/KeyValueClient.h
+++ b/include/foxtailring/store/KeyValueClient.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "foxtailring/base/Result.h"
+#include "foxtailring/base/StoreRevision.h"
 #include "foxtailring/store/RangeResult.h"
 #include "foxtailring/store/StoreLease.h"
-#include "foxtailring/store/StoreRevision.h"
 #include "foxtailring/store/WatchHooks.h"
 #include "foxtailring/store/WriteResult.h"
 
--- a/include/foxtailring/store/ResourceStore.h
+++ b/include/foxtailring/store/ResourceStore.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "foxtailring/base/Result.h"
+#include "foxtailring/base/StoreRevision.h"
 #include "foxtailring/decisions/StoredResource.h"
 #include "foxtailring/store/ResourceList.h"
-#include "foxtailring/store/StoreRevision.h"
 
 #include <cstdint>
 #include <functional>
--- a/src/decisions/ClaimBucketState.cpp
+++ b/src/decisions/ClaimBucketState.cpp
@@ -73,30 +73,34 @@
     return true;
 }
 
-void ClaimBucketState::onLoaded(std::string_view value, std::int64_t revision,
+void ClaimBucketState::onLoaded(std::string_view value, StoreRevision revision,
                                 const ClockReadings &now, ClaimActions &actions)
 {
     auto document = ClaimDocument::fromJson(value);
     // A document that cannot be parsed is never overwritten, since it may hold claims. A revision
-    // lower than the known one comes from a stale read.
-    const bool isOutOfDate = revision != 0 && revision < m_revision;
+    // lower than the known one comes from a stale read, unless the store was restored since.
+    const bool isOutOfDate = revision.epoch == m_revision.epoch && revision.number != 0
+        && revision.number < m_revision.number;
     if (!document || isOutOfDate)
         return onUnavailable(now, actions);
     applyDocument(std::move(document).value(), revision, now, actions);
 }
 
-void ClaimBucketState::onSwapSucceeded(std::int64_t revision, const ClockReadings &now,
+void ClaimBucketState::onSwapSucceeded(StoreRevision revision, const ClockReadings &now,
                                        ClaimActions &actions)
 {
     if (m_swapDocument)
         applyDocument(std::move(*m_swapDocument), revision, now, actions);
 }
 
-void ClaimBucketState::applyDocument(ClaimDocument document, std::int64_t revision,
+void ClaimBucketState::applyDocument(ClaimDocument document, StoreRevision revision,
                                      const ClockReadings &now, ClaimActions &actions)
 {
     m_phase = Phase::Idle;
     m_swapDocument.reset();
+    if (revision.epoch != m_revision.epoch)
+        collectLostRecords();
+    addLostRecords(document, now.unixSeconds);
     m_document = std::move(document);
     // A delayed swap has no effect once the revision that it expects has changed.
     if (revision != m_revision)
@@ -115,6 +119,32 @@
     dropRecorded();
 }
 
+// A store that was restored from a backup has lost the latest claims. They are stored again, so
+// that their calls do not run a second time.
+void ClaimBucketState::collectLostRecords()
+{
+    for (const auto &[key, record] : m_document.claims())
+        m_lostRecords.insert_or_assign(key, record);
+}
+
+// A claim that was made after the restore is the later one.
+void ClaimBucketState::addLostRecords(ClaimDocument &document, std::int64_t unixSeconds)
+{
+    std::erase_if(m_lostRecords, [&](const auto &entry) {
+        const ClaimRecord &lost = entry.second;
+        if (lost.updatedUnixSeconds <= unixSeconds - m_limits.retentionSeconds)
+            return true;
+        const ClaimRecord *stored = document.find(entry.first);
+        if (!stored)
+            return false;
+        if (stored->claimId == lost.claimId)
+            return stored->outcome || !lost.outcome;
+        return stored->updatedUnixSeconds >= lost.updatedUnixSeconds;
+    });
+    for (const auto &[key, record] : m_lostRecords)
+        document.set(key, record);
+}
+
 // Compares a claim that is not known to be stored with the record of its key. Returns true if its
 // calls were answered, so that it can be dropped. isFresh: the document was just read or written.
 bool ClaimBucketState::resolveFromRecord(PendingClaims::value_type &keyedClaim, bool isFresh,
@@ -288,7 +318,8 @@
 
 bool ClaimBucketState::hasWork() const
 {
-    return std::any_of(m_pending.begin(), m_pending.end(),
+    return !m_lostRecords.empty()
+        || std::any_of(m_pending.begin(), m_pending.end(),
                        [](const PendingClaims::value_type &keyedClaim) {
                            return keyedClaim.second.state != State::Sent;
                        });
--- a/src/decisions/ClaimBucketState.h
+++ b/src/decisions/ClaimBucketState.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "foxtailring/base/StoreRevision.h"
 #include "foxtailring/decisions/ClaimAction.h"
 #include "foxtailring/decisions/ClaimDocument.h"
 #include "foxtailring/decisions/ClaimLimits.h"
@@ -27,9 +28,9 @@
     /// \param claimId unique to this submission
     void submit(const ClaimRequest &request, std::string claimId, const ClockReadings &now,
                 ClaimActions &actions);
-    void onLoaded(std::string_view value, std::int64_t revision, const ClockReadings &now,
+    void onLoaded(std::string_view value, StoreRevision revision, const ClockReadings &now,
                   ClaimActions &actions);
-    void onSwapSucceeded(std::int64_t revision, const ClockReadings &now, ClaimActions &actions);
+    void onSwapSucceeded(StoreRevision revision, const ClockReadings &now, ClaimActions &actions);
     void onSwapUnknown();
     void onUnavailable(const ClockReadings &now, ClaimActions &actions);
     void onCallEnded(const SendCall &call, AnswerCall result, ClaimActions &actions);
@@ -53,8 +54,10 @@
 
     bool joinPending(PendingClaims::iterator found, const ClaimRequest &request,
                      ClaimActions &actions);
-    void applyDocument(ClaimDocument document, std::int64_t revision, const ClockReadings &now,
+    void applyDocument(ClaimDocument document, StoreRevision revision, const ClockReadings &now,
                        ClaimActions &actions);
+    void collectLostRecords();
+    void addLostRecords(ClaimDocument &document, std::int64_t unixSeconds);
     bool resolveFromRecord(PendingClaims::value_type &keyedClaim, bool isFresh, TimePoint now,
                            ClaimActions &actions);
     bool resolveFromClaim(PendingClaims::value_type &keyedClaim, const ClaimRecord &record,
@@ -75,11 +78,12 @@
     const ClaimLimits &m_limits;
     PendingClaims m_pending; ///< by key
     Phase m_phase = Phase::Idle;
-    ClaimDocument m_document; ///< as last read or written
-    std::int64_t m_revision = 0;
-    bool m_isDocumentCurrent = false; ///< m_document may be the base of a swap
-    bool m_needsReread = false;       ///< another process may have stored an outcome
-    bool m_isSwapUnresolved = false;  ///< a swap with an unknown result may still take effect
+    ClaimDocument m_document; ///< as last read or written, with the lost records
+    std::map<std::string, ClaimRecord> m_lostRecords; ///< that a restored store no longer has
+    StoreRevision m_revision;                         ///< of m_document
+    bool m_isDocumentCurrent = false;                 ///< m_document may be the base of a swap
+    bool m_needsReread = false;      ///< another process may have stored an outcome
+    bool m_isSwapUnresolved = false; ///< a swap with an unknown result may still take effect
     std::optional<ClaimDocument> m_swapDocument; ///< written by the swap in flight
     TimePoint m_retryAt;                         ///< no read or swap starts earlier
 };
--- a/src/decisions/ClaimTable.cpp
+++ b/src/decisions/ClaimTable.cpp
@@ -39,14 +39,14 @@
 }
 
 ClaimActions ClaimTable::onBucketLoaded(std::uint32_t bucket, std::string_view value,
-                                        std::int64_t revision, const ClockReadings &now)
+                                        StoreRevision revision, const ClockReadings &now)
 {
     return handleEvent(bucket, now, [&](ClaimBucketState &state, ClaimActions &actions) {
         state.onLoaded(value, revision, now, actions);
     });
 }
 
-ClaimActions ClaimTable::onSwapSucceeded(std::uint32_t bucket, std::int64_t revision,
+ClaimActions ClaimTable::onSwapSucceeded(std::uint32_t bucket, StoreRevision revision,
                                          const ClockReadings &now)
 {
     return handleEvent(bucket, now, [&](ClaimBucketState &state, ClaimActions &actions) {
@@ -55,7 +55,7 @@
 }
 
 ClaimActions ClaimTable::onSwapConflict(std::uint32_t bucket, std::string_view value,
-                                        std::int64_t revision, const ClockReadings &now)
+                                        StoreRevision revision, const ClockReadings &now)
 {
     return onBucketLoaded(bucket, value, revision, now);
 }
--- a/src/gateway/LeasedKey.h
+++ b/src/gateway/LeasedKey.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "foxtailring/base/Clock.h"
+#include "foxtailring/base/StoreRevision.h"
 #include "foxtailring/store/StoreLease.h"
-#include "foxtailring/store/StoreRevision.h"
 
 #include <string>
 
--- a/src/sidecar/ClaimStore.cpp
+++ b/src/sidecar/ClaimStore.cpp
@@ -24,8 +24,8 @@
 BucketValue valueOf(const RangeResult &range)
 {
     if (range.pairs.empty())
-        return {};
-    return {range.pairs.front().value, range.pairs.front().modRevision};
+        return {{}, {range.epoch, 0}};
+    return {range.pairs.front().value, {range.epoch, range.pairs.front().modRevision}};
 }
 
 void read(const std::shared_ptr<Platform> &platform, const std::string &path, bool mayRepeat,
@@ -46,8 +46,8 @@
 BucketSwap swapOf(const WriteResult &result)
 {
     if (result.applied)
-        return {true, {{}, result.revision}};
-    return {false, {result.current.value, result.current.modRevision}};
+        return {true, {{}, {result.epoch, result.revision}}};
+    return {false, {result.current.value, {result.epoch, result.current.modRevision}}};
 }
 
 } // namespace
@@ -61,9 +61,9 @@
         read(platform, path, true, std::move(hook));
     };
     store.swapBucket = [platform](const std::string &path, const std::string &value,
-                                  std::int64_t expectedRevision, SwapHook hook) {
+                                  StoreRevision expectedRevision, SwapHook hook) {
         platform->keyValues.compareAndSwap(
-            path, value, {0, expectedRevision},
+            path, value, expectedRevision,
             [hook = std::move(hook)](const Result<WriteResult> &result) {
                 hook(result ? Result<BucketSwap>(swapOf(result.value())) : result.error());
             });
--- a/tests/store/StoreRevisionTest.cpp
+++ b/tests/base/StoreRevisionTest.cpp
@@ -1,4 +1,4 @@
-#include "foxtailring/store/StoreRevision.h"
+#include "foxtailring/base/StoreRevision.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
--- a/tests/decisions/ClaimSimulationTest.cpp
+++ b/tests/decisions/ClaimSimulationTest.cpp
@@ -108,7 +108,7 @@
         node.reads.pop_back();
         if (m_faults && chance(15))
             return collect(index, node.table->onPlatformUnavailable(bucket, m_now));
-        collect(index, node.table->onBucketLoaded(bucket, m_value, m_revision, m_now));
+        collect(index, node.table->onBucketLoaded(bucket, m_value, {0, m_revision}, m_now));
     }
 
     void swap(std::uint64_t index)
@@ -125,9 +125,9 @@
         if (fault < 40)
             return collect(index, node.table->onSwapUnknown(bucket, m_now));
         if (worked)
-            collect(index, node.table->onSwapSucceeded(bucket, m_revision, m_now));
+            collect(index, node.table->onSwapSucceeded(bucket, {0, m_revision}, m_now));
         else
-            collect(index, node.table->onSwapConflict(bucket, m_value, m_revision, m_now));
+            collect(index, node.table->onSwapConflict(bucket, m_value, {0, m_revision}, m_now));
     }
 
     void call(std::uint64_t index)
@@ -147,7 +147,7 @@
 
     bool apply(const SwapBucket &swap)
     {
-        if (swap.expectedRevision != m_revision)
+        if (swap.expectedRevision.number != m_revision)
             return false;
         m_value = swap.value;
         ++m_revision;
--- a/tests/decisions/ClaimTableTest.cpp
+++ b/tests/decisions/ClaimTableTest.cpp
@@ -12,6 +12,8 @@
 {
     CPPUNIT_TEST_SUITE(ClaimTableTest);
     CPPUNIT_TEST(callIsSentOnlyAfterItsClaimIsStored);
+    CPPUNIT_TEST(restoredBucketGetsTheLostClaimsBack);
+    CPPUNIT_TEST(claimMadeAfterARestoreIsKept);
     CPPUNIT_TEST(claimsAreBatchedWithOneSwapInFlight);
     CPPUNIT_TEST(repeatedKeyIsAnsweredWithoutRunningAgain);
     CPPUNIT_TEST(otherBodyIsRefused);
@@ -40,13 +42,13 @@
     {
         m_driver.collect(m_driver.table.submit(request(callId, key, m_driver, body), m_driver.now));
     }
-    void load(std::string_view value, std::int64_t revision)
+    void load(std::string_view value, std::int64_t revision, std::int64_t epoch = 0)
     {
-        m_driver.collect(m_driver.table.onBucketLoaded(3, value, revision, m_driver.now));
+        m_driver.collect(m_driver.table.onBucketLoaded(3, value, {epoch, revision}, m_driver.now));
     }
-    void swapped(std::int64_t revision)
+    void swapped(std::int64_t revision, std::int64_t epoch = 0)
     {
-        m_driver.collect(m_driver.table.onSwapSucceeded(3, revision, m_driver.now));
+        m_driver.collect(m_driver.table.onSwapSucceeded(3, {epoch, revision}, m_driver.now));
     }
     void unavailable() { m_driver.collect(m_driver.table.onPlatformUnavailable(3, m_driver.now)); }
     void swapUnknown() { m_driver.collect(m_driver.table.onSwapUnknown(3, m_driver.now)); }
@@ -86,12 +88,58 @@
         CPPUNIT_ASSERT(answer(1).outcome == Outcome::Done);
         CPPUNIT_ASSERT_EQUAL(std::string("answer"), *answer(1).answer);
         tick(20ms);
-        CPPUNIT_ASSERT_EQUAL(std::int64_t(5), m_driver.swaps[1].expectedRevision);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(5), m_driver.swaps[1].expectedRevision.number);
         CPPUNIT_ASSERT(lastSwap().find("acme/k")->outcome == Outcome::Done);
         swapped(6);
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), m_driver.table.pendingClaims());
     }
 
+    // Guards against calls that are refused until a restored store has passed the old revision, and
+    // against a call that runs again because its claim was lost with the store.
+    void restoredBucketGetsTheLostClaimsBack()
+    {
+        submit(1, "acme/k");
+        load("", 0, 1);
+        swapped(5, 1);
+        finish(m_driver.sends[0]);
+        tick(20ms);
+        swapped(9, 1);
+        submit(2, "acme/new");
+        tick(20ms);
+        load("", 3, 2);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), m_driver.answers.count(2));
+        tick(20ms);
+        CPPUNIT_ASSERT((m_driver.swaps.back().expectedRevision == StoreRevision {2, 3}));
+        CPPUNIT_ASSERT(lastSwap().find("acme/k")->outcome == Outcome::Done);
+        swapped(4, 2);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), m_driver.sends.size());
+        finish(m_driver.sends[1]);
+        tick(20ms);
+        swapped(5, 2);
+        const std::size_t swaps = m_driver.swaps.size();
+        submit(3, "acme/k");
+        tick(1s);
+        CPPUNIT_ASSERT(answer(3).outcome == Outcome::Done);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), m_driver.sends.size());
+        CPPUNIT_ASSERT_EQUAL(swaps, m_driver.swaps.size());
+    }
+
+    // Guards against a lost claim that replaces one which another process made after the restore.
+    void claimMadeAfterARestoreIsKept()
+    {
+        submit(1, "acme/k");
+        load("", 0, 1);
+        swapped(5, 1);
+        finish(m_driver.sends[0]);
+        tick(20ms);
+        swapped(6, 1);
+        m_driver.advance(5s);
+        submit(2, "acme/new");
+        load(documentWith({"b", "other-1", 9, Outcome::Done, 201, "later", now()}), 3, 2);
+        tick(20ms);
+        CPPUNIT_ASSERT_EQUAL(std::string("other-1"), lastSwap().find("acme/k")->claimId);
+    }
+
     // Guards against one write per claim, which would overload the platform's key-value service.
     void claimsAreBatchedWithOneSwapInFlight()
     {
@@ -110,7 +158,7 @@
         auto other = request(4, "acme/d", m_driver);
         other.bucket = 4;
         m_driver.collect(m_driver.table.submit(other, m_driver.now));
-        m_driver.collect(m_driver.table.onBucketLoaded(4, "", 0, m_driver.now));
+        m_driver.collect(m_driver.table.onBucketLoaded(4, "", {}, m_driver.now));
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), m_driver.swaps.size());
         CPPUNIT_ASSERT(*m_driver.table.nextTick() == m_driver.now.monotonic + 20ms);
         tick(20ms);
@@ -136,7 +184,8 @@
 
         ClaimDriver other {8};
         other.collect(other.table.submit(request(1, "acme/k", other), other.now));
-        other.collect(other.table.onBucketLoaded(3, m_driver.swaps.back().value, 6, other.now));
+        other.collect(
+            other.table.onBucketLoaded(3, m_driver.swaps.back().value, {0, 6}, other.now));
         CPPUNIT_ASSERT(other.answers.at(1).outcome == Outcome::Done);
         CPPUNIT_ASSERT_EQUAL(std::uint32_t(200), other.answers.at(1).status);
         CPPUNIT_ASSERT(other.swaps.empty());
@@ -298,16 +347,16 @@
         ClaimDocument document;
         document.set("acme/old", {"b", "8-1", 8, Outcome::Done, 200, std::string(200, 'x'), now()});
         driver.collect(driver.table.submit(request(1, "acme/k", driver), driver.now));
-        driver.collect(driver.table.onBucketLoaded(3, document.toJson(), 4, driver.now));
+        driver.collect(driver.table.onBucketLoaded(3, document.toJson(), {0, 4}, driver.now));
         const auto stripped = ClaimDocument::fromJson(driver.swaps.at(0).value).value();
         CPPUNIT_ASSERT(stripped.find("acme/old")->outcome == Outcome::Done);
         CPPUNIT_ASSERT(!stripped.find("acme/old")->answer);
-        driver.collect(driver.table.onSwapSucceeded(3, 5, driver.now));
+        driver.collect(driver.table.onSwapSucceeded(3, {0, 5}, driver.now));
         driver.advance(20ms);
         for (std::uint64_t callId = 2; callId < 8; ++callId)
             driver.collect(driver.table.submit(
                 request(callId, "acme/k" + std::to_string(callId), driver), driver.now));
-        driver.collect(driver.table.onSwapSucceeded(3, 6, driver.now));
+        driver.collect(driver.table.onSwapSucceeded(3, {0, 6}, driver.now));
         driver.advance(20ms);
         driver.collect(driver.table.tick(driver.now));
         CPPUNIT_ASSERT(driver.answers.at(7).message.find("full") != std::string::npos);
--- a/tests/sidecar/TestStore.cpp
+++ b/tests/sidecar/TestStore.cpp
@@ -3,14 +3,14 @@
 using namespace foxtailring;
 
 Result<BucketSwap> TestStore::Shared::swap(const std::string &path, const std::string &value,
-                                           std::int64_t expected)
+                                           StoreRevision expected)
 {
     ++swaps;
     BucketValue &bucket = buckets[path];
     if (bucket.revision != expected)
         return BucketSwap {false, bucket};
-    bucket = {value, ++revision};
-    return BucketSwap {true, {{}, revision}};
+    bucket = {value, {0, ++revision}};
+    return BucketSwap {true, {{}, {0, revision}}};
 }
 
 ClaimStore TestStore::store() const
@@ -26,7 +26,7 @@
         hook(result);
     };
     store.swapBucket = [shared = m_shared](const std::string &path, const std::string &value,
-                                           std::int64_t expected,
+                                           StoreRevision expected,
                                            const ClaimStore::SwapHook &hook) {
         Result<BucketSwap> result {ErrorCode::Unavailable, "unavailable"};
         bool held = false;
--- a/tests/sidecar/TestStore.h
+++ b/tests/sidecar/TestStore.h
@@ -29,8 +29,9 @@
 private:
     struct Shared
     {
-        foxtailring::Result<foxtailring::BucketSwap>
-        swap(const std::string &path, const std::string &value, std::int64_t expected);
+        foxtailring::Result<foxtailring::BucketSwap> swap(const std::string &path,
+                                                          const std::string &value,
+                                                          foxtailring::StoreRevision expected);
 
         Waiting waiting; // guards all below
         Fault fault = Fault::None;
