sidecar: forget an engine's cache events when it may have restarted

Cause: LoadMonitor noticed a restart of its engine only by a lower event number. An engine that had passed the old number by the next poll was taken for the earlier run: prefixes of the lost cache stayed in the load reports, and the new run's events up to the old number were never read. A lower number discarded the prefixes, but went on from that number, so the events below it were lost too.

Change: the protocol names no run of the engine, so a poll of /load or /cache_events that fails with anything but a timeout starts a new feed: no prefixes, read from the first event. An answer to a question of an earlier feed is dropped. A lower number starts a new feed as well.

Measured: without the change restartedEngineIsReadFromItsFirstEvent reports prefix 12 of the earlier run beside 21. With it sidecar_test passes (29).

Conclusion: a restart between two polls of /load (250 ms) that no poll meets and that passes the old number is still not noticed. The prefixes are hints, so this costs a prefill, never an answer. A kept-alive connection that the engine closes also starts a new feed, which reads its events again.

--- a/src/sidecar/LoadMonitor.cpp
+++ b/src/sidecar/LoadMonitor.cpp
@@ -27,7 +27,9 @@
 struct LoadMonitor::State
 {
     void takeLoad(const Result<HttpResponse> &response);
-    void takeCacheEvents(const Result<HttpResponse> &response);
+    void takeCacheEvents(const Result<HttpResponse> &response, std::uint64_t askedInFeed);
+    void noteFailure(const Result<HttpResponse> &response);
+    void startNewFeed();
     void takeCacheEvent(const nlohmann::json &event);
 
     mutable std::mutex mutex; // guards all below
@@ -35,6 +37,7 @@
     bool asksCacheEvents = false;
     BackendLoad load;
     std::uint64_t lastEvent = 0;
+    std::uint64_t feed = 0; ///< changes when the engine may have restarted
     PrefixHashes hashes {maxPrefixHashes};
 };
 
@@ -43,6 +46,7 @@
 {
     const std::lock_guard lock(mutex);
     asksLoad = false;
+    noteFailure(response);
     if (!response || response.value().status != 200)
         return;
     const auto json = nlohmann::json::parse(response.value().body, nullptr, false);
@@ -50,25 +54,45 @@
         load = {countIn(json, "running"), countIn(json, "waiting"), countIn(json, "capacity")};
 }
 
-void LoadMonitor::State::takeCacheEvents(const Result<HttpResponse> &response)
+// Event numbers are valid for one run of the engine, and the protocol names none. An engine that
+// restarts refuses or closes connections, so the numbers known are not used after that. One that is
+// only slow goes on with its numbers.
+void LoadMonitor::State::noteFailure(const Result<HttpResponse> &response)
+{
+    if (!response && response.error().code != ErrorCode::Timeout)
+        startNewFeed();
+}
+
+void LoadMonitor::State::startNewFeed()
+{
+    ++feed;
+    lastEvent = 0;
+    hashes.clear();
+}
+
+void LoadMonitor::State::takeCacheEvents(const Result<HttpResponse> &response,
+                                         std::uint64_t askedInFeed)
 {
     const std::lock_guard lock(mutex);
     asksCacheEvents = false;
+    noteFailure(response);
+    if (askedInFeed != feed)
+        return;
     if (!response || response.value().status != 200)
         return;
     const auto json = nlohmann::json::parse(response.value().body, nullptr, false);
     const auto events = json.is_object() ? json.value("events", nlohmann::json()) : json;
     if (!events.is_array())
         return;
+    const auto last = json.find("last");
+    const bool hasLast = last != json.end() && last->is_number_unsigned();
+    // A restarted engine numbers its events from the start again; those up to here were not sent.
+    if (hasLast && last->get<std::uint64_t>() < lastEvent)
+        return startNewFeed();
     for (const auto &event : events)
         takeCacheEvent(event);
-    // A restarted engine numbers its events from the start again.
-    const auto last = json.find("last");
-    if (last != json.end() && last->is_number_unsigned()) {
-        if (last->get<std::uint64_t>() < lastEvent)
-            hashes.clear();
+    if (hasLast)
         lastEvent = last->get<std::uint64_t>();
-    }
 }
 
 void LoadMonitor::State::takeCacheEvent(const nlohmann::json &event)
@@ -134,16 +158,18 @@
 void LoadMonitor::pollCacheEvents()
 {
     std::uint64_t after = 0;
+    std::uint64_t feed = 0;
     {
         const std::lock_guard lock(m_state->mutex);
         if (std::exchange(m_state->asksCacheEvents, true))
             return;
         after = m_state->lastEvent;
+        feed = m_state->feed;
     }
     m_backend->request(
         m_settings->backend, {"GET", "/cache_events?after=" + std::to_string(after), {}, {}},
-        m_settings->probeTimeout, [state = m_state](const Result<HttpResponse> &response) {
-            state->takeCacheEvents(response);
+        m_settings->probeTimeout, [state = m_state, feed](const Result<HttpResponse> &response) {
+            state->takeCacheEvents(response, feed);
         });
 }
 
--- a/tests/sidecar/NodeTest.cpp
+++ b/tests/sidecar/NodeTest.cpp
@@ -5,6 +5,7 @@
 #include "foxtailring/transport/Http1Client.h"
 #include "SidecarFixture.h"
 
+#include <algorithm>
 #include <cppunit/extensions/HelperMacros.h>
 
 using namespace foxtailring;
@@ -14,6 +15,7 @@
 {
     CPPUNIT_TEST_SUITE(NodeTest);
     CPPUNIT_TEST(reportsCarryLoadAndPrefixes);
+    CPPUNIT_TEST(restartedEngineIsReadFromItsFirstEvent);
     CPPUNIT_TEST(drainReportsAtOnceAndLetsWorkEnd);
     CPPUNIT_TEST(drainLimitEndsTheWait);
     CPPUNIT_TEST(recordsAreFoundByAccountAndKey);
@@ -81,6 +83,30 @@
         CPPUNIT_ASSERT(!report.leaving);
     }
 
+    // Guards against prefixes of an earlier run of the engine, and against events of the new one
+    // that are skipped because their numbers were used before.
+    void restartedEngineIsReadFromItsFirstEvent()
+    {
+        m_engine->setCacheEvents(
+            R"({"events":[{"sequence":3,"type":"stored","prefix_hash":12}],"last":3})");
+        startSidecar(settings());
+        TestEntry watcher(client(), "/node/reports", WatchReports {"entry-1", 50});
+        const auto takePrefixes = [&watcher](std::uint64_t awaited) {
+            LoadReport report;
+            do
+                report = watcher.next<LoadReport>();
+            while (std::ranges::count(report.prefixHashes, awaited) == 0);
+            return report.prefixHashes;
+        };
+        takePrefixes(12);
+        m_engine->setDown(true);
+        m_engine->setCacheEvents(
+            R"({"events":[{"sequence":9,"type":"stored","prefix_hash":21}],"last":9})");
+        CPPUNIT_ASSERT(m_engine->waitForClosed());
+        m_engine->setDown(false);
+        CPPUNIT_ASSERT(takePrefixes(21) == std::vector<std::uint64_t> {21});
+    }
+
     // Guards against a shutdown that interrupts a request, and against entries that learn of it
     // late.
     void drainReportsAtOnceAndLetsWorkEnd()
--- a/tests/sidecar/TestEngine.cpp
+++ b/tests/sidecar/TestEngine.cpp
@@ -37,6 +37,8 @@
     std::vector<TestCompletion> calls;
     std::vector<std::shared_ptr<Http1Responder>> unanswered;
     std::size_t cancelled = 0;
+    bool down = false;
+    std::size_t closed = 0; ///< requests without an answer since setDown()
     bool healthy = true;
     std::string load = R"({"running":0,"waiting":0,"capacity":8})";
     std::string cacheEvents = R"({"events":[],"last":0})";
@@ -68,6 +70,13 @@
                                 const std::shared_ptr<Http1Responder> &responder)
 {
     const auto json = [](std::string body) { return HttpResponse {200, {}, std::move(body)}; };
+    bool isDown = false;
+    waiting.change([&] {
+        isDown = down;
+        closed += down ? 1 : 0;
+    });
+    if (isDown)
+        return responder->abort();
     if (request.target == "/v1/completions") {
         responder->onDisconnect([weak = weak_from_this()] {
             if (const auto self = weak.lock())
@@ -145,6 +154,19 @@
     m_shared->waiting.change([&] { m_shared->healthy = healthy; });
 }
 
+void TestEngine::setDown(bool down)
+{
+    m_shared->waiting.change([&] {
+        m_shared->down = down;
+        m_shared->closed = 0;
+    });
+}
+
+bool TestEngine::waitForClosed() const
+{
+    return m_shared->waiting.until([&] { return m_shared->closed > 0; });
+}
+
 void TestEngine::setLoad(const std::string &json)
 {
     m_shared->waiting.change([&] { m_shared->load = json; });
--- a/tests/sidecar/TestEngine.h
+++ b/tests/sidecar/TestEngine.h
@@ -31,6 +31,10 @@
     /// \brief Without answer `/health` probes stay open.
     void setHealthy(bool healthy);
     void setLoad(const std::string &json);
+    /// \brief Connections are closed without an answer.
+    void setDown(bool down);
+    /// \brief Waits until a request was closed without an answer since setDown().
+    bool waitForClosed() const;
     void setCacheEvents(const std::string &json);
     /// \brief Accepts no connection from now on.
     void close();
