gateway: release the copy of a run whose order is answered late

Cause: an answer to an order for a copy was dropped when it came after the order's time limit, for which the connection was closed, after the end of the request, or for an earlier attempt. The copy kept the engine's memory until it lapsed.

Change: an order counts as failed after its time limit as before, but its answer is read for 2.5 s more. When the request is over, the copy is released at once; the request itself is not kept for that. gateway_copies_total counts the outcome "late". Changed test: unansweredOrderIsRepeated asserted that only the copy in use is released; it now expects exactly two releases, one of each copy.

No soak was run.

Conclusion: a copy whose order is not answered within 4 s lapses at the engine.

--- a/include/foxtailring/decisions/RunCopy.h
+++ b/include/foxtailring/decisions/RunCopy.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace foxtailring {
 
@@ -34,7 +35,11 @@
     void setHolder(const BackendState &holder);
     /// \brief A snapshot of the run was copied to \a holder.
     void setSnapshot(const BackendState &holder, CopyReference reference, TimePoint now);
+    /// \brief A copy whose order was answered too late to use it; end() releases it.
+    void addLate(CopyReference reference);
     void drop();
+    /// \brief The run is over: drops the copy and releases those that came too late.
+    void end();
     /// \brief True if there is a copy, and its server is not suspected, leaving, replaced or
     /// restarted.
     bool isUsable(TimePoint now) const;
@@ -47,12 +52,14 @@
 
 private:
     void reset();
+    void release(const CopyReference &reference) const;
 
     BackendTable &m_servers;
     const ReleaseHook m_releaseHook;
     std::optional<BackendState> m_holder;
     std::optional<CopyReference> m_snapshot; ///< none: the copy is continuous
     TimePoint m_snapshotAt;
+    std::vector<CopyReference> m_late;
 };
 
 } // namespace foxtailring
--- a/include/foxtailring/decisions/StreamSession.h
+++ b/include/foxtailring/decisions/StreamSession.h
@@ -43,8 +43,10 @@
     /// \param handle of the copy; none: copying failed
     ForwardAction onCopied(const CopyRun &copyRun, std::optional<std::string> handle,
                            TimePoint now);
-    /// \brief Releases the copy of the run when the request is over.
-    void dropCopy() { m_copy.drop(); }
+    /// \brief A CopyRun action that was reported as failed has made a copy after all.
+    void onLateCopy(const CopyRun &copyRun, std::string handle);
+    /// \brief Releases the copies of the run when the request is over.
+    void endCopies() { m_copy.end(); }
     /// \brief True if events were passed on, so that the answer can only continue or be aborted.
     bool hasStarted() const { return m_hasStarted; }
     std::optional<std::int64_t> lastEventId() const { return m_lastEventId; }
--- a/src/decisions/RunCopy.cpp
+++ b/src/decisions/RunCopy.cpp
@@ -3,6 +3,7 @@
 #include "foxtailring/decisions/BackendTable.h"
 #include "foxtailring/decisions/ForwardAction.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace foxtailring {
@@ -47,11 +48,34 @@
 // leaves takes no new work that could need the memory.
 void RunCopy::drop()
 {
-    if (m_snapshot && m_releaseHook && m_servers.acceptsNewWork(m_snapshot->serverId))
-        m_releaseHook(*m_snapshot);
+    if (m_snapshot)
+        release(*m_snapshot);
     reset();
 }
 
+void RunCopy::release(const CopyReference &reference) const
+{
+    if (m_releaseHook && m_servers.acceptsNewWork(reference.serverId))
+        m_releaseHook(reference);
+}
+
+// Not released while the run goes on: a later snapshot of the run has the same handle and may be
+// in use, or on its way.
+void RunCopy::addLate(CopyReference reference)
+{
+    if (std::find(m_late.begin(), m_late.end(), reference) == m_late.end())
+        m_late.push_back(std::move(reference));
+}
+
+void RunCopy::end()
+{
+    if (m_snapshot)
+        std::erase(m_late, *m_snapshot);
+    drop();
+    for (const CopyReference &reference : std::exchange(m_late, {}))
+        release(reference);
+}
+
 void RunCopy::reset()
 {
     if (m_holder)
--- a/src/decisions/StreamSession.cpp
+++ b/src/decisions/StreamSession.cpp
@@ -397,8 +397,11 @@
     // A run that is being replaced goes on elsewhere, and a new run cannot use its snapshot.
     const bool isCurrent =
         m_isCopying && !m_isReplacing && hasServer() && server().info.id == copyRun.from.info.id;
-    if (!isCurrent)
+    if (!isCurrent) {
+        if (handle)
+            onLateCopy(copyRun, std::move(*handle));
         return KeepWaiting {};
+    }
     m_isCopying = false;
     if (handle)
         m_copy.setSnapshot(
@@ -408,6 +411,11 @@
     return KeepWaiting {};
 }
 
+void StreamSession::onLateCopy(const CopyRun &copyRun, std::string handle)
+{
+    m_copy.addLate({copyRun.from.info.address, std::move(handle), copyRun.from.info.id});
+}
+
 ForwardAction StreamSession::onLost(AttemptResult result, TimePoint now)
 {
     if (!tryTakeRetry(now))
--- a/src/gateway/RequestRelay.cpp
+++ b/src/gateway/RequestRelay.cpp
@@ -37,6 +37,23 @@
 constexpr std::size_t maxUnreadCallerBytes = 1024 * 1024;
 constexpr milliseconds minTimerDelay {5};
 
+// An answer that comes later is not read. Engines keep a snapshot for 4 s at least, counted from
+// the order, of which the time limit of an order is 1.5 s.
+constexpr milliseconds lateCopyAnswerTime {2500};
+
+// The copy that \a response names belongs to a request that is over.
+void releaseUnused(GatewayParts &parts, const std::string &requestId, const CopyRun &command,
+                   const HttpResponse &response)
+{
+    const auto handle = parts.codec.decodeCopyResponse(response);
+    if (!handle)
+        return;
+    parts.metrics.add("gateway_copies_total{outcome=\"late\"}");
+    const BackendInfo &server = command.from.info;
+    if (parts.servers.acceptsNewWork(server.id))
+        parts.releaseCopy(requestId, {server.address, handle.value(), server.id});
+}
+
 bool isEventStream(const HttpResponse &head)
 {
     return head.header("Content-Type").starts_with("text/event-stream");
@@ -277,19 +294,61 @@
     serverProbe->start();
 }
 
+// The order may be answered after its time limit, and after the end of the request, which does not
+// wait for it. Such an answer names a copy that nobody uses.
 void RequestRelay::copyRun(const CopyRun &command)
 {
-    const auto hook = [self = shared_from_this(), command](const Result<HttpResponse> &response) {
-        self->m_parts.queue.post([self, command, response] {
+    const std::uint64_t order = ++m_copyOrderCount;
+    m_openCopyOrder = order;
+    const auto hook = [weak = weak_from_this(), &parts = m_parts, requestId = m_request.id, command,
+                       order](const Result<HttpResponse> &response) {
+        parts.queue.post([weak, &parts, requestId, command, order, response] {
             if (response)
-                self->m_parts.recordPause(command.from.info, response.value());
-            if (!self->m_isFinished)
-                self->guard([&] { self->onRunCopied(command, response); });
+                parts.recordPause(command.from.info, response.value());
+            const auto self = weak.lock();
+            if (self && !self->m_isFinished)
+                return self->guard([&] { self->onOrderAnswered(order, command, response); });
+            if (response)
+                releaseUnused(parts, requestId, command, response.value());
         });
     };
+    armCopyTimer(order, command);
     m_parts.sendOrder(command.from.info.address,
                       m_parts.codec.encodeCopyRequest(m_request.id, command.to.info.address),
-                      command.timeout, hook);
+                      command.timeout + lateCopyAnswerTime, hook);
+}
+
+void RequestRelay::armCopyTimer(std::uint64_t order, const CopyRun &command)
+{
+    if (!m_copyTimer)
+        m_copyTimer.emplace(m_parts.pool);
+    m_copyTimer->once(command.timeout, [weak = weak_from_this(), &parts = m_parts, order, command] {
+        parts.queue.post([weak, order, command] {
+            const auto self = weak.lock();
+            if (!self || self->m_isFinished || self->m_openCopyOrder != order)
+                return;
+            self->m_openCopyOrder = 0;
+            self->guard([&] {
+                self->onRunCopied(command, Error {ErrorCode::Timeout, "no answer in time"});
+            });
+        });
+    });
+}
+
+void RequestRelay::onOrderAnswered(std::uint64_t order, const CopyRun &command,
+                                   const Result<HttpResponse> &response)
+{
+    if (m_openCopyOrder == order) {
+        m_openCopyOrder = 0;
+        m_copyTimer->cancel();
+        return onRunCopied(command, response);
+    }
+    auto handle = response ? m_parts.codec.decodeCopyResponse(response.value())
+                           : Result<std::string>(response.error());
+    if (!handle)
+        return;
+    m_parts.metrics.add("gateway_copies_total{outcome=\"late\"}");
+    m_stream->onLateCopy(command, std::move(handle).value());
 }
 
 void RequestRelay::onRunCopied(const CopyRun &command, const Result<HttpResponse> &response)
@@ -614,7 +673,7 @@
     cancelFallback();
     m_timer.cancel();
     if (m_stream)
-        m_stream->dropCopy();
+        m_stream->endCopies();
     m_parts.metrics.observeSeconds(
         m_stream ? "gateway_answer_seconds{kind=\"stream\"}"
                  : "gateway_answer_seconds{kind=\"call\"}",
--- a/src/gateway/RequestRelay.h
+++ b/src/gateway/RequestRelay.h
@@ -70,6 +70,9 @@
     void logAttempt(const SendAttempt &next) const;
     void probeServers(const ProbeServers &probe);
     void copyRun(const CopyRun &command);
+    void armCopyTimer(std::uint64_t order, const CopyRun &command);
+    void onOrderAnswered(std::uint64_t order, const CopyRun &command,
+                         const Result<HttpResponse> &response);
     void onRunCopied(const CopyRun &command, const Result<HttpResponse> &response);
     void onProbeResults(std::span<const ServerProbeResult> results);
     void onHead(HttpResponse head);
@@ -115,6 +118,9 @@
     StreamSession *const m_stream; ///< m_session if the answer is a stream, else null
     MemoryBudget::Reservation m_memory;
     Timer m_timer;
+    std::optional<Timer> m_copyTimer;
+    std::uint64_t m_copyOrderCount = 0;
+    std::uint64_t m_openCopyOrder = 0; ///< number of the order that may still be used; 0: none
     Attempt m_attempt;
     Attempt m_fallback; ///< an earlier attempt at a call that goes on; number 0: none
     std::uint64_t m_attemptCount = 0;
--- a/tests/gateway/CopyOrderTest.cpp
+++ b/tests/gateway/CopyOrderTest.cpp
@@ -2,6 +2,7 @@
 #include "GatewayFixture.h"
 
 #include <chrono>
+#include <set>
 #include <thread>
 #include <vector>
 
@@ -14,6 +15,7 @@
     CPPUNIT_TEST(copyIsReleasedOnceAtTheEnd);
     CPPUNIT_TEST(failedOrderIsRepeated);
     CPPUNIT_TEST(unansweredOrderIsRepeated);
+    CPPUNIT_TEST(copyMadeAfterTheEndIsReleased);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -68,8 +70,23 @@
         slow.responder->respond({200, {}, "late"});
         next.responder->respond({200, {}, "handle"});
         waitForCopies("made", 1);
+        waitForCopies("late", 1);
         finishRun();
+        CPPUNIT_ASSERT((std::set {takeRelease(), takeRelease()}
+                        == std::set<std::string> {"/copy/handle", "/copy/late"}));
+        waitForCopies("released", 2);
+        CPPUNIT_ASSERT(m_received->isEmpty());
+    }
+
+    // Guards against an engine that keeps memory for the copy of a run that has ended.
+    void copyMadeAfterTheEndIsReleased()
+    {
+        startRun();
+        const ReceivedRequest order = takeOrder();
+        finishRun();
+        order.responder->respond({200, {}, "handle"});
         assertReleased("handle");
+        waitForCopies("released", 1);
         CPPUNIT_ASSERT(m_received->isEmpty());
     }
 
@@ -116,11 +133,16 @@
     }
 
     void assertReleased(const std::string &handle)
+    {
+        CPPUNIT_ASSERT_EQUAL("/copy/" + handle, takeRelease());
+    }
+
+    std::string takeRelease()
     {
         const ReceivedRequest release = m_received->take();
         CPPUNIT_ASSERT_EQUAL(std::string("DELETE"), release.request.method);
-        CPPUNIT_ASSERT_EQUAL("/copy/" + handle, release.request.target);
         release.responder->respond({204, {}, ""});
+        return release.request.target;
     }
 
     void waitForCopies(const std::string &outcome, int count)
