store: compare the revision of a claim that names no epoch

Cause: since EtcdClient returns Stale for an expected revision of epoch 0 whenever the store names its epoch. ClaimStore expects such revisions, so each swap of an existing claim document was reported as Stale although the store had applied it; a conflict was reported as Stale too. The sidecar takes the outcome for unknown, counts sidecar_claim_swaps_failed_total and has to read the document again before the call goes on. The process tests do not look at that counter, and the unit tests of claims use a store in memory. Ruled out: the first write of a document (revision 0), which is not compared by its epoch.

Change: EtcdClient compares an expected revision of epoch 0 by its number alone, as before. So that no entity tag is valid in every epoch, StoreRevision::parse rejects epoch 0; `0.5` was accepted before, and the change was written before its answer was found to be Stale.

Measured: sidecar_test ClaimStoreTest, before: both cases fail with "the revision or lease is of another epoch"; after: OK. store_test StoreRevisionTest without the change of parse() fails at "0.5". sidecar_test OK (30), store_test OK (41), operator_test OK (10). Process tests were not run.

Conclusion: claims work as before; they still cannot tell a restored document from a new one. A service that names no cluster id cannot be used by operators; etcd always names one.

--- a/include/foxtailring/store/EtcdClient.h
+++ b/include/foxtailring/store/EtcdClient.h
@@ -10,7 +10,8 @@
 /// \brief Client of the etcd v3 JSON gateway.
 ///
 /// See https://etcd.io/docs/v3.5/dev-guide/api_grpc_gateway/. The epoch of the store is its cluster
-/// id, which a restore from a snapshot changes.
+/// id, which a restore from a snapshot changes. An expected revision of epoch 0 is compared by its
+/// number alone.
 class EtcdClient : public KeyValueClient
 {
 public:
--- a/include/foxtailring/store/StoreRevision.h
+++ b/include/foxtailring/store/StoreRevision.h
@@ -18,7 +18,8 @@
 
     /// \brief Text form `EPOCH.NUMBER`, with the epoch as an unsigned number.
     std::string toString() const;
-    /// \brief Parses the output of toString(); none if \a text has another form.
+    /// \brief Parses the output of toString(); none if \a text has another form or names
+    /// epoch 0.
     static std::optional<StoreRevision> parse(std::string_view text);
 
     bool operator==(const StoreRevision &) const = default;
--- a/src/store/EtcdClient.cpp
+++ b/src/store/EtcdClient.cpp
@@ -53,6 +53,12 @@
     return {ErrorCode::Stale, "key-value service: the revision or lease is of another epoch"};
 }
 
+// Claims carry revisions without an epoch, which are compared by their number alone.
+bool hasEpoch(StoreRevision revision)
+{
+    return revision.number != 0 && revision.epoch != 0;
+}
+
 // The call was made before a write, so that the write was not sent.
 Error notWritten(const Error &error)
 {
@@ -106,7 +112,7 @@
                  if (!result)
                      return hook(result.error());
                  const std::int64_t epoch = result.value().epoch;
-                 const bool isOfAnotherEpoch = (expected.number != 0 && expected.epoch != epoch)
+                 const bool isOfAnotherEpoch = (hasEpoch(expected) && expected.epoch != epoch)
                      || (lease.id != 0 && lease.epoch != epoch);
                  if (isOfAnotherEpoch)
                      return hook(epochError());
@@ -131,7 +137,7 @@
 void EtcdClient::State::conditionalWrite(const std::string &key, const nlohmann::json &body,
                                          StoreRevision expected, StoreLease lease, WriteHook hook)
 {
-    if (expected.number == 0 || expected.epoch == 0)
+    if (!hasEpoch(expected))
         return transaction(body, expected, lease, std::move(hook));
     readEpoch(key, true,
               [self = shared_from_this(), key, body, expected, lease,
--- a/src/store/StoreRevision.cpp
+++ b/src/store/StoreRevision.cpp
@@ -31,7 +31,7 @@
         return std::nullopt;
     const auto epoch = parseNumber<std::uint64_t>(text.substr(0, dot));
     const auto number = parseNumber<std::int64_t>(text.substr(dot + 1));
-    if (!epoch || !number || *number < 0)
+    if (!epoch || *epoch == 0 || !number || *number < 0)
         return std::nullopt;
     return StoreRevision {static_cast<std::int64_t>(*epoch), *number};
 }
--- a/tests/store/StoreRevisionTest.cpp
+++ b/tests/store/StoreRevisionTest.cpp
@@ -14,7 +14,7 @@
     // Guards against an entity tag that is valid in every epoch.
     void textWithoutEpochIsRejected()
     {
-        for (const char *text : {"", "5", ".5", "1.", "1.5.", "-1.5", "1.-5", "1.x", " 1.5"})
+        for (const char *text : {"", "5", "0.5", ".5", "1.", "1.5.", "-1.5", "1.-5", "1.x", " 1.5"})
             CPPUNIT_ASSERT_MESSAGE(text, !StoreRevision::parse(text));
         CPPUNIT_ASSERT((StoreRevision::parse("1.5") == StoreRevision {1, 5}));
     }
