transport: count the first time of a body from when it is named

Cause: a body that begins before the first configuration, from a caller that names no time, has no limit. When the configuration came into force, the time of its route was counted from the arrival of the head, so a body that had taken longer by then was answered with 408 at once, although its caller had kept to every limit in force. limitBodyTime() promises that the longer time holds. Ruled out: a body with a time; it keeps the longer one from the arrival of its head.

Change: the first time that a body is allowed counts from the call of setLimits() that names it, so the caller can still complete it and no connection is held without end.

Conclusion: only bodies that begin before the first configuration are affected.

--- a/include/foxtailring/transport/Http1Server.h
+++ b/include/foxtailring/transport/Http1Server.h
@@ -44,7 +44,8 @@
     /// from the arrival of its head on; nullopt: no such limit. To be set before listen().
     ///
     /// Called on any thread, with a request without body, when a body does not arrive together with
-    /// its head, and again after setLimits(): the longer time holds.
+    /// its head, and again after setLimits(): the longer time holds. The first time of a body
+    /// that had none counts from then on.
     void limitBodyTime(BodyTimeHook hook);
     /// \brief Starts accepting connections and returns the port. InvalidArgument: the endpoint is
     /// not an IP address. Unavailable: binding failed.
--- a/src/transport/Http1Connection.cpp
+++ b/src/transport/Http1Connection.cpp
@@ -135,6 +135,9 @@
     if (m_phase != Phase::Request || !m_bodyStartedAt)
         return;
     const auto time = allowedBodyTime();
+    // A body without a time may have taken longer already than its first one allows.
+    if (!m_bodyTime)
+        m_bodyStartedAt = std::chrono::steady_clock::now();
     m_bodyTime = m_bodyTime && time ? std::max(*m_bodyTime, *time) : time;
 }
 
--- a/src/transport/Http1Connection.h
+++ b/src/transport/Http1Connection.h
@@ -114,7 +114,8 @@
     std::shared_ptr<Http1ServerExchange> m_exchange;
     bool m_continueSent = false;
     bool m_headStarted = false; ///< the first bytes of a head have arrived
-    /// Arrival of the head, if the body did not arrive together with it.
+    /// Arrival of the head, if the body did not arrive together with it, or a later time as long as
+    /// no time was allowed.
     std::optional<std::chrono::steady_clock::time_point> m_bodyStartedAt;
     std::optional<std::chrono::milliseconds> m_bodyTime; ///< allowed from then on
     bool m_needsMore = false;       ///< the parser has left a part of m_input unread
--- a/tests/transport/BodyTimeTest.cpp
+++ b/tests/transport/BodyTimeTest.cpp
@@ -41,6 +41,7 @@
     CPPUNIT_TEST(bodyWithoutTimeIsRead);
     CPPUNIT_TEST(timeEndsWithItsRequest);
     CPPUNIT_TEST(longerTimeReachesBodiesInProgress);
+    CPPUNIT_TEST(firstTimeCountsFromWhenItIsNamed);
     CPPUNIT_TEST(bodyThatWaitedDuringAPauseIsRead);
     CPPUNIT_TEST(throwingHookNamesNoTime);
     CPPUNIT_TEST_SUITE_END();
@@ -142,6 +143,23 @@
         assertSlowBodyIsRead(peer);
     }
 
+    // Guards against a body that is refused at once when the first configuration comes into force.
+    void firstTimeCountsFromWhenItIsNamed()
+    {
+        m_timeMs = -1;
+        RawPeer peer(m_port);
+        peer.write(smallHead);
+        m_heads.take();
+        waitFor(2 * shortTime);
+        m_timeMs = static_cast<int>(shortTime.count());
+        m_server->setLimits(limits);
+        m_heads.take();
+        waitFor(byteInterval);
+        peer.tryWrite("body", byteInterval);
+        const std::string answer = peer.readUntil("\r\n\r\n");
+        CPPUNIT_ASSERT_MESSAGE(answer, answer.starts_with("HTTP/1.1 204 "));
+    }
+
     // After a pause of the process, bodies had arrived whose time has passed.
     void bodyThatWaitedDuringAPauseIsRead()
     {
