tests/restored_store: check a published configuration in one place

Cause: two steps of answers_without_epoch published a configuration and checked it at every gateway with the same lines. Change: Play.check_published() does it. No check changes. Conclusion: the other cases check some gateways only, or from other times on, and keep their lines.

--- a/tests/process/restored_store.py
+++ b/tests/process/restored_store.py
@@ -167,6 +167,11 @@
                 statuses = self.statuses(gateway, marker, start)
                 yield f"{gateway.name}: {marker} in force {took} after it could be, answers {statuses}"
 
+    def check_published(self):
+        """Publishes a configuration, which comes into force at every gateway."""
+        marker, acknowledged_at = self.publish()
+        yield from self.check_in_force(marker, {gateway: acknowledged_at for gateway in self.gateways})
+
     def check_served(self):
         """Every gateway serves the permanent key again when the proofs of the keys count, and until then says 503."""
         since = time.monotonic()
@@ -477,12 +482,10 @@
     since = {gateway: acknowledged_at for gateway in others}
     yield from play.check_in_force(marker, {**since, frozen: time.monotonic()})
     yield from play.check_served()
-    marker, acknowledged_at = play.publish()
-    yield from play.check_in_force(marker, {gateway: acknowledged_at for gateway in play.gateways})
+    yield from play.check_published()
     play.store.omits_epoch = False
     yield from play.check_served()
-    marker, acknowledged_at = play.publish()
-    yield from play.check_in_force(marker, {gateway: acknowledged_at for gateway in play.gateways})
+    yield from play.check_published()
     yield from play.check_served()
 
 
