tests/late_in_stop: take the routes of the shared cluster

Change: Cluster has the objectives of its routes beside their timeouts; late_in_stop sets both. No check changes. Conclusion: the configuration of the soak is unchanged.

--- a/tests/process/late_in_stop.py
+++ b/tests/process/late_in_stop.py
@@ -68,16 +68,6 @@
     error: str = ""
 
 
-class LateCluster(Cluster):
-    def publish_config(self):
-        objective_ms = ROUTE_TIMEOUT_MS // 2
-        routes = [wire.route("streams", "engine", "streaming", ROUTE_TIMEOUT_MS, objective_ms, 700),
-                  wire.route("writes", "register", "non_idempotent", ROUTE_TIMEOUT_MS, objective_ms),
-                  wire.route("reads", "register", "idempotent", ROUTE_TIMEOUT_MS, objective_ms)]
-        version = next(self.config_versions)
-        self.store.put(wire.CONFIG_KEY, wire.config(version, routes, self.accounts, self.limits))
-
-
 def request_bytes(name, target, body=b""):
     method = "GET" if target.startswith("/reads") and not body else "POST"
     head = [f"{method} {target} HTTP/1.1", "Host: soak.example", f"{wire.REQUEST_ID}: {name}",
@@ -249,8 +239,10 @@
     """Stops a gateway that has seen answers that take so long. Returns what failed."""
     random.seed(SEED)
     with tempfile.TemporaryDirectory() as folder:
-        cluster = LateCluster(folder, SEED, gateways=1, engines=3, registers=3,
-                              drain_timeout_seconds=DRAIN_TIMEOUT_SECONDS)
+        cluster = Cluster(folder, SEED, gateways=1, engines=3, registers=3,
+                          drain_timeout_seconds=DRAIN_TIMEOUT_SECONDS)
+        cluster.timeouts = dict.fromkeys(PATHS, ROUTE_TIMEOUT_MS)
+        cluster.objectives = dict.fromkeys(PATHS, ROUTE_TIMEOUT_MS // 2)
         try:
             cluster.start()
             for server in cluster.servers:
--- a/tools/lib/soak/cluster.py
+++ b/tools/lib/soak/cluster.py
@@ -37,6 +37,7 @@
         self.config_lock = threading.Lock()
         self.accounts = {f"account-{index}": {f"key-{index}"} for index in range(4)}
         self.timeouts = {"streams": 25000, "writes": 5000, "reads": 5000}
+        self.objectives = {"streams": 1500, "writes": 300, "reads": 300}
         self.limits = wire.limits(IDLE_TIMEOUT_MS)
         self.proxy = None
         self.control_port = self.ports.allocate()
@@ -102,9 +103,12 @@
         """Publishes the configuration; the versions of concurrent calls arrive in order."""
         with self.config_lock:
             version = next(self.config_versions)
-            routes = [wire.route("streams", "engine", "streaming", self.timeouts["streams"], 1500, 700),
-                      wire.route("writes", "register", "non_idempotent", self.timeouts["writes"], 300),
-                      wire.route("reads", "register", "idempotent", self.timeouts["reads"], 300)]
+            routes = [wire.route("streams", "engine", "streaming", self.timeouts["streams"],
+                                 self.objectives["streams"], 700),
+                      wire.route("writes", "register", "non_idempotent", self.timeouts["writes"],
+                                 self.objectives["writes"]),
+                      wire.route("reads", "register", "idempotent", self.timeouts["reads"],
+                                 self.objectives["reads"])]
             self.store.put(wire.CONFIG_KEY, wire.config(version, routes, self.accounts, self.limits))
             return self.journal.record("config", version=version, keys=sorted(
                 key for keys in self.accounts.values() for key in keys))
