tests/process: share the folder, the result and the end check of the scripts

Cause: nine scripts print their failures with the same lines; three repeat the choice of the working folder, three the check that the gateway still runs. Change: scenario.py has them. No check changes.

--- a/tests/process/changing_limits.py
+++ b/tests/process/changing_limits.py
@@ -25,6 +25,7 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 sys.path[:0] = [str(ROOT / "platform" / "standins"), str(ROOT / "tools" / "lib")]
+import scenario  # noqa: E402
 import wire  # noqa: E402
 from soak.backend import EVENTS_PER_RUN  # noqa: E402
 from soak.cluster import Cluster  # noqa: E402
@@ -327,10 +328,9 @@
             failures = play(cluster)
         finally:
             cluster.close()
-    for line in failures[:30]:
-        print("FAILED", line)
+    code = scenario.exit_code(failures, 30)
     print(f"{len(failures)} failed")
-    return 1 if failures else 0
+    return code
 
 
 if __name__ == "__main__":
--- a/tests/process/endless_answers.py
+++ b/tests/process/endless_answers.py
@@ -17,6 +17,7 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 sys.path[:0] = [str(ROOT / "platform" / "standins"), str(ROOT / "tools" / "lib")]
+import scenario  # noqa: E402
 import wire  # noqa: E402
 from soak import endless  # noqa: E402
 from soak.cluster import Cluster  # noqa: E402
@@ -114,13 +115,10 @@
             status, _, _ = call(cluster, "/reads/x", "sound")
             if status != 200:
                 failures.append(f"a sound server's answer afterwards: {status}")
-            if cluster.gateways[0].process.child.poll() is not None:
-                failures.append("the gateway has ended")
+            failures += scenario.check_running(cluster.gateways[0])
         finally:
             cluster.close()
-    for failure in failures:
-        print("FAILED", failure)
-    return 1 if failures else 0
+    return scenario.exit_code(failures)
 
 
 if __name__ == "__main__":
--- a/tests/process/late_in_stop.py
+++ b/tests/process/late_in_stop.py
@@ -23,6 +23,7 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 sys.path[:0] = [str(ROOT / "platform" / "standins"), str(ROOT / "tools" / "lib")]
+import scenario  # noqa: E402
 import wire  # noqa: E402
 from soak.backend import EVENTS_PER_RUN, event_text  # noqa: E402
 from soak.cluster import Cluster  # noqa: E402
@@ -282,9 +283,7 @@
     failures = (play("unknown times", (), cases, SURELY_SERVED_SECONDS)
                 + play("mixed times", TAKES_SECONDS, cases, SURELY_SERVED_SECONDS)
                 + play("short times", TAKES_SECONDS[:1], short_cases, SURELY_SERVED_WITH_HISTORY_SECONDS))
-    for line in failures[:20]:
-        print("FAILED", line)
-    return 1 if failures else 0
+    return scenario.exit_code(failures, 20)
 
 
 if __name__ == "__main__":
--- a/tests/process/leaving_by_answer.py
+++ b/tests/process/leaving_by_answer.py
@@ -10,18 +10,17 @@
 """
 
 import collections
-import contextlib
 import http.client
 import itertools
 import json
 import pathlib
 import sys
-import tempfile
 import threading
 import time
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 sys.path[:0] = [str(ROOT / "platform" / "standins"), str(ROOT / "tools" / "lib")]
+import scenario  # noqa: E402
 import wire  # noqa: E402
 from soak.cluster import Cluster  # noqa: E402
 from soak.limits import HEARTBEAT_TIMEOUT_SECONDS, MAX_SERVER_LIST_DELAY_SECONDS  # noqa: E402
@@ -210,9 +209,7 @@
 
 
 def main():
-    with contextlib.ExitStack() as stack:
-        folder = sys.argv[1] if len(sys.argv) > 1 else stack.enter_context(tempfile.TemporaryDirectory())
-        pathlib.Path(folder).mkdir(parents=True, exist_ok=True)
+    with scenario.working_folder() as folder:
         cluster = Cluster(folder, 1, gateways=1, engines=3, registers=REGISTERS)
         cluster.gateways[0].max_key_revocation_seconds = KEY_REVOCATION_SECONDS
         try:
@@ -223,8 +220,7 @@
             failures = list(play(cluster, load))
             load.close()
             heartbeats.close()
-            if cluster.gateways[0].process.child.poll() is not None:
-                failures.append("the gateway has ended")
+            failures += scenario.check_running(cluster.gateways[0])
         finally:
             cluster.close()
         noticed_at, late = late_requests(cluster.folder, load.answers)
@@ -234,9 +230,7 @@
         failures.append(f"only {len(noticed_at)} of {len(cluster.servers)} servers answered that they leave")
     if late:
         failures.append(f"{sum(late.values())} requests or probes later than the limit")
-    for failure in failures:
-        print("FAILED", failure)
-    return 1 if failures else 0
+    return scenario.exit_code(failures)
 
 
 if __name__ == "__main__":
--- a/tests/process/odd_entries.py
+++ b/tests/process/odd_entries.py
@@ -10,7 +10,6 @@
 logs are kept in FOLDER.
 """
 
-import contextlib
 import collections
 import itertools
 import json
@@ -18,12 +17,12 @@
 import re
 import socket
 import sys
-import tempfile
 import threading
 import time
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 sys.path[:0] = [str(ROOT / "platform" / "standins"), str(ROOT / "tools" / "lib")]
+import scenario  # noqa: E402
 import wire  # noqa: E402
 from leaving_by_answer import Load  # noqa: E402
 from soak.cluster import Cluster  # noqa: E402
@@ -253,9 +252,7 @@
 
 
 def main():
-    with contextlib.ExitStack() as stack:
-        folder = sys.argv[1] if len(sys.argv) > 1 else stack.enter_context(tempfile.TemporaryDirectory())
-        pathlib.Path(folder).mkdir(parents=True, exist_ok=True)
+    with scenario.working_folder() as folder:
         trap = Trap()
         cluster = Cluster(folder, 1, gateways=GATEWAYS, engines=2, registers=REGISTERS)
         odd = OddEntries(cluster.store, trap)
@@ -275,9 +272,7 @@
             cluster.close()
     if trap.connections:
         failures.append(f"{trap.connections} connections to the address of an odd entry")
-    for failure in failures:
-        print("FAILED", failure)
-    return 1 if failures else 0
+    return scenario.exit_code(failures)
 
 
 if __name__ == "__main__":
--- a/tests/process/planned_stop.py
+++ b/tests/process/planned_stop.py
@@ -22,6 +22,7 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 sys.path[:0] = [str(ROOT / "platform" / "standins"), str(ROOT / "tools" / "lib")]
+import scenario  # noqa: E402
 import wire  # noqa: E402
 from soak.cluster import Cluster  # noqa: E402
 from soak.limits import DRAIN_TIMEOUT_SECONDS, SHUTDOWN_RESERVE_SECONDS  # noqa: E402
@@ -188,9 +189,7 @@
     failures = (play(caller_count=CALLER_COUNT) + play(mark_caller_count=MARK_CALLERS_PER_MARK)
                 + play(mark_caller_count=MARK_CALLERS_PER_MARK, keeps_expecting=True)
                 + play(late_caller_count=LATE_CALLER_COUNT))
-    for line in failures[:20]:
-        print("FAILED", line)
-    return 1 if failures else 0
+    return scenario.exit_code(failures, 20)
 
 
 if __name__ == "__main__":
--- a/tests/process/restored_store.py
+++ b/tests/process/restored_store.py
@@ -15,12 +15,12 @@
 import pathlib
 import re
 import sys
-import tempfile
 import threading
 import time
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 sys.path[:0] = [str(ROOT / "platform" / "standins"), str(ROOT / "tools" / "lib")]
+import scenario  # noqa: E402
 import wire  # noqa: E402
 from soak.cluster import Cluster  # noqa: E402
 from soak.limits import MAX_KEY_REVOCATION_SECONDS, MAX_SERVER_LIST_DELAY_SECONDS, ZONES  # noqa: E402
@@ -557,8 +557,7 @@
         return 2
     case, options = CASES[sys.argv[1]]
     with contextlib.ExitStack() as stack:
-        folder = sys.argv[2] if len(sys.argv) > 2 else stack.enter_context(tempfile.TemporaryDirectory())
-        pathlib.Path(folder).mkdir(parents=True, exist_ok=True)
+        folder = stack.enter_context(scenario.working_folder(2))
         play = Play(folder, **options)
         stack.callback(play.close)
         play.start()
@@ -569,10 +568,9 @@
         except SetupError as error:
             failures.append(f"not played: {error}")
         failures += check_gateways(play)
-    for failure in failures:
-        print("FAILED", failure)
+    code = scenario.exit_code(failures)
     print(f"{sys.argv[1]}: {len(play.answers)} answers, {'failed' if failures else 'passed'}")
-    return 1 if failures else 0
+    return code
 
 
 if __name__ == "__main__":
--- a/tests/process/server_pauses.py
+++ b/tests/process/server_pauses.py
@@ -20,6 +20,7 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 sys.path[:0] = [str(ROOT / "platform" / "standins"), str(ROOT / "tools" / "lib")]
+import scenario  # noqa: E402
 import wire  # noqa: E402
 from soak.cluster import Cluster  # noqa: E402
 
@@ -159,9 +160,7 @@
         failures.append("no server asked for a pause")
     if most > MAX_REQUESTS_IN_PAUSE:
         failures.append(f"a server got {most} requests in its pause, allowed {MAX_REQUESTS_IN_PAUSE}")
-    for failure in failures[:20]:
-        print("FAILED", failure)
-    return 1 if failures else 0
+    return scenario.exit_code(failures, 20)
 
 
 if __name__ == "__main__":
--- a/tests/process/slow_peers.py
+++ b/tests/process/slow_peers.py
@@ -19,6 +19,7 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 sys.path[:0] = [str(ROOT / "platform" / "standins"), str(ROOT / "tools" / "lib")]
+import scenario  # noqa: E402
 import wire  # noqa: E402
 from soak import dribble  # noqa: E402
 from soak.backend import EVENTS_PER_RUN, event_text  # noqa: E402
@@ -307,13 +308,10 @@
             failures += run_phase(cluster, "callers", list(caller_cases(cluster)))
             failures += run_dribbled_reports(cluster)
             failures += run_phase(cluster, "stalled", list(stalled_cases(cluster)))
-            if cluster.gateways[0].process.child.poll() is not None:
-                failures.append("the gateway has ended")
+            failures += scenario.check_running(cluster.gateways[0])
         finally:
             cluster.close()
-    for failure in failures:
-        print("FAILED", failure)
-    return 1 if failures else 0
+    return scenario.exit_code(failures)
 
 
 if __name__ == "__main__":
