--- a/tests/process/late_in_stop.py
+++ b/tests/process/late_in_stop.py
@@ -23,6 +23,7 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 sys.path[:0] = [str(ROOT / "platform" / "standins"), str(ROOT / "tools" / "lib")]
+import scenario  # noqa: E402
 import wire  # noqa: E402
 from soak.backend import EVENTS_PER_RUN, event_text  # noqa: E402
 from soak.cluster import Cluster  # noqa: E402
@@ -69,16 +70,6 @@
     error: str = ""
 
 
-class LateCluster(Cluster):
-    def publish_config(self):
-        objective_ms = ROUTE_TIMEOUT_MS // 2
-        routes = [wire.route("streams", "engine", "streaming", ROUTE_TIMEOUT_MS, objective_ms, 700),
-                  wire.route("writes", "register", "non_idempotent", ROUTE_TIMEOUT_MS, objective_ms),
-                  wire.route("reads", "register", "idempotent", ROUTE_TIMEOUT_MS, objective_ms)]
-        version = next(self.config_versions)
-        self.store.put(wire.CONFIG_KEY, wire.config(version, routes, self.accounts, self.limits))
-
-
 def request_bytes(name, target, body=b""):
     method = "GET" if target.startswith("/reads") and not body else "POST"
     head = [f"{method} {target} HTTP/1.1", "Host: soak.example", f"{wire.REQUEST_ID}: {name}",
@@ -248,8 +239,10 @@
     """Stops a gateway that has seen answers that take so long. Returns what failed."""
     random.seed(SEED)
     with tempfile.TemporaryDirectory() as folder:
-        cluster = LateCluster(folder, SEED, gateways=1, engines=3, registers=3,
-                              drain_timeout_seconds=DRAIN_TIMEOUT_SECONDS)
+        cluster = Cluster(folder, SEED, gateways=1, engines=3, registers=3,
+                          drain_timeout_seconds=DRAIN_TIMEOUT_SECONDS)
+        cluster.timeouts = dict.fromkeys(PATHS, ROUTE_TIMEOUT_MS)
+        cluster.objectives = dict.fromkeys(PATHS, ROUTE_TIMEOUT_MS // 2)
         try:
             cluster.start()
             for server in cluster.servers:
@@ -290,9 +283,7 @@
     failures = (play("unknown times", (), cases, SURELY_SERVED_SECONDS)
                 + play("mixed times", TAKES_SECONDS, cases, SURELY_SERVED_SECONDS)
                 + play("short times", TAKES_SECONDS[:1], short_cases, SURELY_SERVED_WITH_HISTORY_SECONDS))
-    for line in failures[:20]:
-        print("FAILED", line)
-    return 1 if failures else 0
+    return scenario.exit_code(failures, 20)
 
 
 if __name__ == "__main__":
--- a/tests/process/restored_store.py
+++ b/tests/process/restored_store.py
@@ -14,12 +14,12 @@
 import pathlib
 import re
 import sys
-import tempfile
 import threading
 import time
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 sys.path[:0] = [str(ROOT / "platform" / "standins"), str(ROOT / "tools" / "lib")]
+import scenario  # noqa: E402
 import wire  # noqa: E402
 from soak.cluster import Cluster  # noqa: E402
 from soak.limits import MAX_KEY_REVOCATION_SECONDS, MAX_SERVER_LIST_DELAY_SECONDS, ZONES  # noqa: E402
@@ -167,6 +167,11 @@
                 statuses = self.statuses(gateway, marker, start)
                 yield f"{gateway.name}: {marker} in force {took} after it could be, answers {statuses}"
 
+    def check_published(self):
+        """Publishes a configuration, which comes into force at every gateway."""
+        marker, acknowledged_at = self.publish()
+        yield from self.check_in_force(marker, {gateway: acknowledged_at for gateway in self.gateways})
+
     def check_served(self):
         """Every gateway serves the permanent key again when the proofs of the keys count, and until then says 503."""
         since = time.monotonic()
@@ -476,12 +481,10 @@
     since = {gateway: acknowledged_at for gateway in others}
     yield from play.check_in_force(marker, {**since, frozen: time.monotonic()})
     yield from play.check_served()
-    marker, acknowledged_at = play.publish()
-    yield from play.check_in_force(marker, {gateway: acknowledged_at for gateway in play.gateways})
+    yield from play.check_published()
     play.store.omits_epoch = False
     yield from play.check_served()
-    marker, acknowledged_at = play.publish()
-    yield from play.check_in_force(marker, {gateway: acknowledged_at for gateway in play.gateways})
+    yield from play.check_published()
     yield from play.check_served()
 
 
@@ -553,8 +556,7 @@
         return 2
     case, options = CASES[sys.argv[1]]
     with contextlib.ExitStack() as stack:
-        folder = sys.argv[2] if len(sys.argv) > 2 else stack.enter_context(tempfile.TemporaryDirectory())
-        pathlib.Path(folder).mkdir(parents=True, exist_ok=True)
+        folder = stack.enter_context(scenario.working_folder(2))
         play = Play(folder, **options)
         stack.callback(play.close)
         play.start()
@@ -565,10 +567,9 @@
         except SetupError as error:
             failures.append(f"not played: {error}")
         failures += check_gateways(play)
-    for failure in failures:
-        print("FAILED", failure)
+    code = scenario.exit_code(failures)
     print(f"{sys.argv[1]}: {len(play.answers)} answers, {'failed' if failures else 'passed'}")
-    return 1 if failures else 0
+    return code
 
 
 if __name__ == "__main__":
