tests/gateway: wait for each event in place of 20 ms

Cause: CopyOrderTest slept 20 ms after each event of its run, so its pace was a fixed time.

Change: the test reads the answer as a stream and waits until the caller has an event before the next one is made. The assertions are the same, except that the answer's status, which it did not check, is not kept.

Under load: not measured.

Conclusion: none of its waits is a fixed time any more.

--- a/tests/gateway/CopyOrderTest.cpp
+++ b/tests/gateway/CopyOrderTest.cpp
@@ -1,9 +1,10 @@
 #include "foxtailring/store/WatchEvent.h"
+#include "foxtailring/transport/Http1Stream.h"
+#include "foxtailring/transport/StreamHooks.h"
 #include "GatewayFixture.h"
 
-#include <chrono>
+#include <atomic>
 #include <set>
-#include <thread>
 #include <vector>
 
 using namespace foxtailring;
@@ -93,7 +94,7 @@
 private:
     void startRun()
     {
-        call("/stream/x");
+        callAsStream();
         m_run = m_received->take();
         CPPUNIT_ASSERT_EQUAL(std::string("a"), m_run->server);
         m_run->responder->startStream(
@@ -103,12 +104,31 @@
         m_watch->onChanges(listed, 6);
     }
 
-    // The next event, at the usual interval of a run that does not look silent.
+    // Counts the bytes of the answer as they reach the caller.
+    void callAsStream()
+    {
+        StreamHooks hooks;
+        const auto body = std::make_shared<std::string>();
+        hooks.onHead = [](const HttpResponse &) {};
+        hooks.onBody = [body, received = m_receivedBytes](std::string_view bytes) {
+            *body += bytes;
+            *received += bytes.size();
+        };
+        hooks.onClosed = [body, box = m_answers](const Result<Done> &result) {
+            box->put(result ? Result<HttpResponse>(HttpResponse {200, {}, *body})
+                            : Result<HttpResponse>(result.error()));
+        };
+        m_call = m_client->stream({"127.0.0.1", m_ports.callers},
+                                  {"POST", "/stream/x", {{"id", "1"}, {"key", "good"}}, "body"},
+                                  std::move(hooks));
+    }
+
+    // The next event, which the caller gets before the one after it is made.
     void goOn()
     {
         m_events += eventText(++m_eventCount);
         m_run->responder->write(eventText(m_eventCount));
-        std::this_thread::sleep_for(std::chrono::milliseconds(20));
+        waitUntil([this] { return *m_receivedBytes >= m_events.size(); });
     }
 
     ReceivedRequest takeOrder()
@@ -156,6 +176,9 @@
         });
     }
 
+    const std::shared_ptr<std::atomic<std::size_t>> m_receivedBytes =
+        std::make_shared<std::atomic<std::size_t>>(0);
+    std::shared_ptr<Http1Stream> m_call;
     std::optional<ReceivedRequest> m_run;
     int m_eventCount = 0;
     std::string m_events;
