decisions: keep an unlisted run until another engine takes it

Cause: since a run that its engine does not list 1 s after it was sent is ended at once. A request whose body is still on its way to the engine is not listed either, and the engine has no run that waits. Ruled out: runs that had an event, and servers that were replaced or restarted; these are ended at once as before.

Change: before the first event such a run is treated as a silent one. It goes on until another engine takes it, for 2 s without a sign of life at most.

Measured: decisions_test UnlistedRunTest without the change: unlistedRunIsKeptIfNothingElseCanTakeIt and unlistedRunIsKeptForALimitedTime fail, since the session does not wait. With it UnlistedRunTest OK (9), the last report being refused 3.2 s after the run was sent; decisions_test OK (467).

Conclusion: with another engine free the run is still placed there at the same report. The cost of the request that is sent twice while its body is slow remains.

--- a/include/foxtailring/decisions/StreamSession.h
+++ b/include/foxtailring/decisions/StreamSession.h
@@ -80,9 +80,10 @@
     /// When the attempt is given up although its server answers probes.
     TimePoint stuckAt() const;
     bool isPresumedLost(TimePoint now) const;
-    bool showsLostRun(const ServerProbeResult &report, TimePoint now) const;
+    bool isServerReplaced() const;
     void endPlacement();
     ForwardAction onSilent(TimePoint now);
+    ForwardAction onRunLost(TimePoint now);
     /// Whether the attempt at a silent server may still lead to a whole answer.
     bool mayOutlastSilence(TimePoint now) const;
     /// True if the attempt goes on although its server is silent.
--- a/src/decisions/StreamSession.cpp
+++ b/src/decisions/StreamSession.cpp
@@ -381,8 +381,10 @@
         recordSign(now);
         return KeepWaiting {};
     }
-    if (showsLostRun(reports.front(), now))
+    if (isServerReplaced())
         return onAttemptEnded(AttemptResult::Silent, now);
+    if (m_progress.isLostBy(reports.front(), m_lastEventId.value_or(0), m_probedAt, now))
+        return onRunLost(now);
     const BackendLoadReport &load = reports.front().load;
     m_progress.recordPrompts(load.prefilling + load.waiting);
     recordSign(now);
@@ -434,14 +436,18 @@
     return KeepWaiting {};
 }
 
-// True if the server was replaced or restarted, produced events that did not arrive, or no longer
-// has the run.
-bool StreamSession::showsLostRun(const ServerProbeResult &report, TimePoint now) const
+// Before the first event the request may still be on its way to the server, so the attempt goes on
+// until another one takes its place.
+ForwardAction StreamSession::onRunLost(TimePoint now)
+{
+    return m_progress.hasEvents() ? onAttemptEnded(AttemptResult::Silent, now) : onSilent(now);
+}
+
+// True if the server was replaced or restarted since the attempt was sent.
+bool StreamSession::isServerReplaced() const
 {
     const auto current = context().servers.server(server().info.id, m_probedAt);
-    if (current && current->isReplaced)
-        return true;
-    return m_progress.isLostBy(report, m_lastEventId.value_or(0), m_probedAt, now);
+    return current && current->isReplaced;
 }
 
 // True if the server is doubtful or suspected, sent no event yet, and there was no contact for too
--- a/tests/decisions/UnlistedRunTest.cpp
+++ b/tests/decisions/UnlistedRunTest.cpp
@@ -10,6 +10,8 @@
 {
     CPPUNIT_TEST_SUITE(UnlistedRunTest);
     CPPUNIT_TEST(runThatItsServerLostIsNotWaitedFor);
+    CPPUNIT_TEST(unlistedRunIsKeptIfNothingElseCanTakeIt);
+    CPPUNIT_TEST(unlistedRunIsKeptForALimitedTime);
     CPPUNIT_TEST(reportMayMissARunThatWasJustSent);
     CPPUNIT_TEST(runMayBeAmongTheWaitingOnes);
     CPPUNIT_TEST(runMayBeAmongThePromptsBeingRead);
@@ -37,6 +39,31 @@
         CPPUNIT_ASSERT(m_at <= now + Ms(1500));
     }
 
+    // Guards against the refusal of a request whose body is still on its way to the engine.
+    void unlistedRunIsKeptIfNothingElseCanTakeIt()
+    {
+        useUpRetries();
+        expectKept({});
+        m_session->onEvent(1, m_at);
+        CPPUNIT_ASSERT(std::holds_alternative<KeepWaiting>(m_session->check(m_at)));
+    }
+
+    // Guards against holding a caller of a run that is lost although no other engine is left.
+    void unlistedRunIsKeptForALimitedTime()
+    {
+        useUpRetries();
+        expectKept({});
+        ForwardAction action = KeepWaiting {};
+        for (; m_at < now + Ms(3600); m_at = m_session->nextCheck()) {
+            action = m_session->check(m_at);
+            if (std::holds_alternative<ProbeServers>(action))
+                action = m_session->onProbed(std::vector {unlisted()}, m_at);
+            if (!std::holds_alternative<KeepWaiting>(action))
+                break;
+        }
+        CPPUNIT_ASSERT_EQUAL(502, refused(action).status);
+    }
+
     void reportMayMissARunThatWasJustSent()
     {
         start();
@@ -92,11 +119,18 @@
         return results;
     }
 
-    /// The run's server is probed at \a at and answers that it has no run, changed by \a change.
-    ForwardAction report(TimePoint at, const Change &change)
+    ServerProbeResult unlisted() const
     {
         ServerProbeResult result;
+        result.serverId = m_id;
         result.listsRuns = true;
+        return result;
+    }
+
+    /// The run's server is probed at \a at and answers that it has no run, changed by \a change.
+    ForwardAction report(TimePoint at, const Change &change)
+    {
+        ServerProbeResult result = unlisted();
         if (change)
             change(result);
         return reportOf(result, at);
