--- a/tools/lib/soak/backend.py
+++ b/tools/lib/soak/backend.py
@@ -1,13 +1,13 @@
 """Stand-in of one backend server, an engine or a register, run as a separate process.
 
-usage: backend.py NAME SERVICE PORT LOG
+usage: backend.py NAME SERVICE PORT[,PORT...] LOG
 
-Appends a JSON line for each run to LOG, which is kept when the process ends. POST /standin/faults
+Appends a JSON line for each run to LOG, which is kept when the process ends. Lines about requests name the port on which they came. POST /standin/faults
 sets the probability of each fault: notRun, error, truncated, garbled, doubled, answerLost, silent (a second
 before the answer), unframed (an answer with neither a length nor chunks), and the shapes of endless.py. A call
 with the query `pad=N` gets an answer with N more bytes, one with `dribble=SHAPE` an answer in small pieces (dribble.py),
 one with `take=SECONDS` an answer that needs so long, a stream with its events spread over that time;
-fault dribbledReport: reports that never end, a byte now and then. POST /standin/limit sets the rate limit that answers name; null: none.
+fault dribbledReport: reports that never end, a byte now and then; slowCopies: orders for copies take a second. POST /standin/limit sets the rate limit that answers name; null: none.
 POST /standin/leaving sets the value by which each answer says that the server leaves; null: none does.
 POST /standin/slots sets how many requests the server runs at a time.
 POST /standin/pause has the server turn every request away and ask for a pause of so many seconds; null: no more.
@@ -38,6 +38,7 @@
 SILENCE_SECONDS = 1
 COPY_INTERVAL_SECONDS = 0.1
 COPY_SECONDS = 0.05
+SLOW_COPY_SECONDS = 1
 COPY_LIFETIME_SECONDS = 5
 MEMORY_TOKENS = 88000
 PROMPT_TOKENS = 8000
@@ -95,7 +96,7 @@
         if handler.path == wire.COPY_PATH:
             return self.copy_running_request(handler, body)
         if handler.path.startswith(wire.RELEASE_PREFIX):
-            self.log("released", handle=handler.path)
+            self.log("released", handle=handler.path.removeprefix(wire.RELEASE_PREFIX), port=handler.port)
             return handler.answer(200, b"", self.state_headers())
         return self.admit(handler, body)
 
@@ -119,15 +120,22 @@
     def copy_running_request(self, handler, body):
         """Copies the events that a run has produced to another server, under a handle chosen by this server."""
         request, address = wire.parse_copy_request(body)
+        self.log("copyOrdered", request=request, to=address, port=handler.port)
+        try:
+            return self.make_copy(handler, request, address)
+        finally:
+            self.log("copyOrderEnded", request=request, port=handler.port)
+
+    def make_copy(self, handler, request, address):
         with self.lock:
             events = self.running.get(request)
         if not events:
             return handler.answer_json(404, {}, self.state_headers())
         handle = f"h-{self.name}-{request}"
-        time.sleep(COPY_SECONDS)
+        time.sleep(SLOW_COPY_SECONDS if self.has_fault("slowCopies") else COPY_SECONDS)
         if not Copier(address, handle).send(events):
             return handler.answer_json(503, {}, self.state_headers())
-        self.log("copied", request=request, to=address)
+        self.log("copied", request=request, to=address, handle=handle)
         return handler.answer_json(200, wire.copy_response(handle, events), self.state_headers())
 
     def report(self, handler):
@@ -148,7 +156,7 @@
                            **self.state_headers()}
         if target_server and target_server != self.name:
             return handler.answer(421, b"", refusal_headers)
-        self.log("arrived", request=request, connection=handler.connection_id)
+        self.log("arrived", request=request, connection=handler.connection_id, port=handler.port)
         if self.pause is not None:
             return self.turn_away(handler, request)
         with self.lock:
@@ -243,7 +251,8 @@
             time.sleep(max(0, last_event - events) * EVENT_INTERVAL_SECONDS / 4)
         else:
             time.sleep(PREFILL_SECONDS * random.uniform(0.8, 2))
-        self.log_run(handler, request, body, last=last_event, fromCopy=bool(copy_from))
+        self.log_run(handler, request, body, last=last_event, fromCopy=bool(copy_from),
+                     copyTo=handler.headers.get(wire.COPY_TO))
         headers = self.answer_headers(request)
         shape = next(filter(self.has_fault, endless.SHAPES), None)
         if shape:
@@ -300,7 +309,7 @@
 
 
 def main():
-    name, service, port, log = sys.argv[1:5]
+    name, service, ports, log = sys.argv[1:5]
     backend = Backend(name, service, log)
 
     connections = itertools.count()
@@ -309,11 +318,15 @@
         def setup(self):
             super().setup()
             self.connection_id = f"{name}-{next(connections)}"
+            self.port = self.server.server_address[1]
 
         def handle_request(self, body):
             backend.serve(self, body)
 
-    http_standin.Server(("127.0.0.1", int(port)), Handler).serve_forever()
+    servers = [http_standin.Server(("127.0.0.1", int(port)), Handler) for port in ports.split(",")]
+    for server in servers[1:]:
+        threading.Thread(target=server.serve_forever, daemon=True).start()
+    servers[0].serve_forever()
 
 
 if __name__ == "__main__":
--- a/tools/lib/soak/server.py
+++ b/tools/lib/soak/server.py
@@ -23,6 +23,7 @@
         self.slots = 16 if service == "engine" else 6
         self.route = f"server-{index}"
         self.port = cluster.ports.allocate()
+        self.extra_ports = []
         self.address = ""
         self.state = wire.READY
         self.sequence = 0
@@ -41,7 +42,7 @@
         log = self.cluster.folder / f"server-{self.index}.jsonl"
         self.process = Process(self.cluster.journal, self.name,
                                [sys.executable, ROOT / "tools/lib/soak/backend.py", self.name,
-                                self.service, self.port, log],
+                                self.service, ",".join(map(str, [self.port, *self.extra_ports])), log],
                                self.cluster.folder / f"server-{self.index}.log")
         self.process.start()
         wait_for_port(self.port)
