gateway: let a configuration without routes set no time for bodies

Change: without routes only the caller's patience counts. Measured: configurationWithoutRoutesSetsNoTime failed before; BodyTimeLimitTest passes (5).

--- a/src/gateway/BodyTimeLimit.cpp
+++ b/src/gateway/BodyTimeLimit.cpp
@@ -51,7 +51,7 @@
     }
     const auto request = m_codec.decodeRequest(head);
     const auto patience = request ? request.value().timeout : std::nullopt;
-    if (!routes)
+    if (!routes || routes->config().routes.empty())
         return patience;
     const milliseconds timeout = routeTimeout(*routes, request);
     return std::min(patience.value_or(timeout), timeout);
--- a/tests/gateway/BodyTimeLimitTest.cpp
+++ b/tests/gateway/BodyTimeLimitTest.cpp
@@ -39,6 +39,7 @@
     CPPUNIT_TEST(lesserOfPatienceAndRouteCounts);
     CPPUNIT_TEST(requestsWithoutARouteAreLimitedToo);
     CPPUNIT_TEST(patienceCountsWithoutConfiguration);
+    CPPUNIT_TEST(configurationWithoutRoutesSetsNoTime);
     CPPUNIT_TEST(bodyIsRefusedAfterItsCallersPatience);
     CPPUNIT_TEST_SUITE_END();
 
@@ -68,6 +69,16 @@
         CPPUNIT_ASSERT(limit.limit(head("/short/x", {{"patience", "200"}})) == milliseconds(200));
     }
 
+    // Guards against a 408 in place of the refusal of a request that has no route.
+    void configurationWithoutRoutesSetsNoTime()
+    {
+        const BackendCodec codec = GatewayFixture::codec();
+        BodyTimeLimit limit(codec);
+        limit.setRoutes(std::make_shared<const RouteTable>(RouteConfig {}));
+        CPPUNIT_ASSERT(!limit.limit(head("/short/x")));
+        CPPUNIT_ASSERT(limit.limit(head("/short/x", {{"patience", "200"}})) == milliseconds(200));
+    }
+
     // A caller that sends a byte now and then must not hold its connection without end.
     void bodyIsRefusedAfterItsCallersPatience()
     {
