--- a/src/gateway/GatewayNode.cpp
+++ b/src/gateway/GatewayNode.cpp
@@ -232,7 +232,7 @@
     StoreWatch watch;
     GatewayPublisher publisher;
     Timer drainTimer;
-    bool isIgnoringConnections = false;   ///< before isStopping; on the queue
+    std::optional<Duration> ignoringAt;   ///< since the start of the drain; on the queue
     bool isStopping = false;              ///< no new connections; on the queue
     bool hasGivenUp = false;              ///< requests that last too long were ended; on the queue
     TimePoint drainStartedAt;             ///< on the queue
@@ -261,12 +261,18 @@
 
 void GatewayNode::State::closePort(Duration age)
 {
-    if (age >= acceptDuration - handshakeReserve && !std::exchange(isIgnoringConnections, true)) {
+    if (age < acceptDuration - handshakeReserve || isStopping)
+        return;
+    if (!ignoringAt) {
+        ignoringAt = age;
         if (const auto ignored = callers.ignoreNewConnections(); !ignored)
             StructuredLog::warn("newConnectionsNotIgnored", {{"message", ignored.error().message}});
     }
-    if (age >= acceptDuration && !std::exchange(isStopping, true))
-        callers.stopAccepting();
+    // Counted from the call above, since the process may have been paused meanwhile.
+    if (age < *ignoringAt + handshakeReserve)
+        return;
+    isStopping = true;
+    callers.stopAccepting();
 }
 
 void GatewayNode::State::checkDrained()
