--- a/tests/gateway/BodyTimeLimitTest.cpp
+++ b/tests/gateway/BodyTimeLimitTest.cpp
@@ -11,7 +11,7 @@
 
 using std::chrono::milliseconds;
 
-std::shared_ptr<const RouteTable> routes()
+std::shared_ptr<const RouteTable> twoRoutes()
 {
     RouteConfig config;
     for (const auto &[prefix, timeout] : {std::pair("/short/", 300), std::pair("/long/", 9000)}) {
@@ -25,7 +25,7 @@
     return std::make_shared<const RouteTable>(std::move(config));
 }
 
-HttpRequest head(const std::string &target, std::vector<HttpHeader> headers = {})
+HttpRequest postHead(const std::string &target, std::vector<HttpHeader> headers = {})
 {
     return {"POST", target, std::move(headers), ""};
 }
@@ -46,27 +46,28 @@
 public:
     void lesserOfPatienceAndRouteCounts()
     {
-        assertLimit(300, head("/short/x"));
-        assertLimit(200, head("/short/x", {{"patience", "200"}}));
-        assertLimit(300, head("/short/x", {{"patience", "5000"}}));
-        assertLimit(5000, head("/long/x", {{"patience", "5000"}}));
-        assertLimit(0, head("/long/x", {{"patience", "0"}}));
+        assertLimit(300, postHead("/short/x"));
+        assertLimit(200, postHead("/short/x", {{"patience", "200"}}));
+        assertLimit(300, postHead("/short/x", {{"patience", "5000"}}));
+        assertLimit(5000, postHead("/long/x", {{"patience", "5000"}}));
+        assertLimit(0, postHead("/long/x", {{"patience", "0"}}));
     }
 
     // Such a body would be awaited without end although its request is to be refused.
     void requestsWithoutARouteAreLimitedToo()
     {
-        assertLimit(9000, head("/none/x"));
-        assertLimit(200, head("/none/x", {{"patience", "200"}}));
-        assertLimit(9000, head("/short/x", {{"malformed", "1"}}));
+        assertLimit(9000, postHead("/none/x"));
+        assertLimit(200, postHead("/none/x", {{"patience", "200"}}));
+        assertLimit(9000, postHead("/short/x", {{"malformed", "1"}}));
     }
 
     void patienceCountsWithoutConfiguration()
     {
         const BackendCodec codec = GatewayFixture::codec();
         const BodyTimeLimit limit(codec);
-        CPPUNIT_ASSERT(!limit.limit(head("/short/x")));
-        CPPUNIT_ASSERT(limit.limit(head("/short/x", {{"patience", "200"}})) == milliseconds(200));
+        CPPUNIT_ASSERT(!limit.limit(postHead("/short/x")));
+        CPPUNIT_ASSERT(limit.limit(postHead("/short/x", {{"patience", "200"}}))
+                       == milliseconds(200));
     }
 
     // Guards against a 408 in place of the refusal of a request that has no route.
@@ -75,8 +76,9 @@
         const BackendCodec codec = GatewayFixture::codec();
         BodyTimeLimit limit(codec);
         limit.setRoutes(std::make_shared<const RouteTable>(RouteConfig {}));
-        CPPUNIT_ASSERT(!limit.limit(head("/short/x")));
-        CPPUNIT_ASSERT(limit.limit(head("/short/x", {{"patience", "200"}})) == milliseconds(200));
+        CPPUNIT_ASSERT(!limit.limit(postHead("/short/x")));
+        CPPUNIT_ASSERT(limit.limit(postHead("/short/x", {{"patience", "200"}}))
+                       == milliseconds(200));
     }
 
     // A caller that sends a byte now and then must not hold its connection without end.
@@ -100,7 +102,7 @@
     {
         const BackendCodec codec = GatewayFixture::codec();
         BodyTimeLimit limit(codec);
-        limit.setRoutes(routes());
+        limit.setRoutes(twoRoutes());
         const auto time = limit.limit(head);
         CPPUNIT_ASSERT(time);
         CPPUNIT_ASSERT_EQUAL(expectedMs, static_cast<int>(time->count()));
