decisions: keep a stream whose run its engine no longer lists until another engine takes it

An engine that runs out of memory preempts a run; the run then waits, and waiting runs are not listed. StreamSession::onRunLost took a run that had events and is no longer listed for lost and ended the attempt at once, so the stream was cut when the retry budget, the attempts or the servers were used up (trace: waiting rose from 0 to 1, then retryDenied and the cut in the same millisecond). A report only shows what its engine knew some hundred ms ago, so it is no proof either. Change: such a run goes on until another engine takes its place, as one of a silent server does. If the engine has runs that wait or are processed, the run may be among them: the engine counts as answering, is not suspected, and the attempt is kept to the deadline. If it has none, the bound of a silent server holds (5 s without a sign of the run). Measured: UnlistedRunTest on with the new tests: preemptedRunIsKeptIfNothingElseCanTakeIt, runThatVanishedIsKeptIfNothingElseCanTakeIt, engineThatPreemptsIsNotSuspected and (its cause) preemptedRunIsReplaced fail; with the change all 14 pass, and all tests of decisions. The attempt still ends when a substitute is sent, before it is accepted; that follows.

--- a/include/foxtailring/decisions/RunProgress.h
+++ b/include/foxtailring/decisions/RunProgress.h
@@ -49,6 +49,9 @@
     /// \param probedAt when the report was asked for
     bool isLostBy(const ServerProbeResult &report, std::int64_t lastEventId, TimePoint probedAt,
                   TimePoint now) const;
+    /// \brief True if a run that \a report does not list may wait at the server, or have its prompt
+    /// processed there.
+    static bool mayWaitUnlisted(const ServerProbeResult &report);
 
 private:
     bool isMissingFrom(const ServerProbeResult &report, TimePoint probedAt) const;
--- a/include/foxtailring/decisions/StreamSession.h
+++ b/include/foxtailring/decisions/StreamSession.h
@@ -85,7 +85,9 @@
     bool isServerReplaced() const;
     void endPlacement();
     ForwardAction onSilent(TimePoint now);
-    ForwardAction onRunLost(TimePoint now);
+    ForwardAction onRunLost(const ServerProbeResult &report, TimePoint now);
+    /// Looks for a server that can take the place of the current attempt, which goes on meanwhile.
+    ForwardAction replaceAttempt(std::string_view cause, TimePoint now);
     /// Whether the attempt at a silent server may still lead to a whole answer.
     bool mayOutlastSilence(TimePoint now) const;
     /// True if the attempt goes on although its server is silent.
--- a/src/decisions/RunProgress.cpp
+++ b/src/decisions/RunProgress.cpp
@@ -109,12 +109,18 @@
     return report.eventCount > lastEventId + (isArriving ? 1 : 0);
 }
 
-// Runs that wait or whose prompt is processed are not listed, so before the first event the run is
-// only known to be missing when the server has none of these.
+// Runs that wait or whose prompt is processed are not listed. Among them are preempted runs, whose
+// memory is processed again.
+bool RunProgress::mayWaitUnlisted(const ServerProbeResult &report)
+{
+    return !report.hasRun && (report.load.waiting > 0 || report.load.prefilling > 0);
+}
+
+// Before the first event, a run that may wait is not missing. After it, such a run was preempted,
+// and another server may continue it sooner.
 bool RunProgress::isMissingFrom(const ServerProbeResult &report, TimePoint probedAt) const
 {
-    const bool mayBeUnlisted = !hasEvents() && report.load.waiting + report.load.prefilling > 0;
-    if (!report.listsRuns || mayBeUnlisted)
+    if (!report.listsRuns || (!hasEvents() && mayWaitUnlisted(report)))
         return false;
     const TimePoint knownSince = hasEvents() ? m_firstEventAt : m_startedAt;
     return probedAt - knownSince > maxReportAge;
--- a/src/decisions/StreamSession.cpp
+++ b/src/decisions/StreamSession.cpp
@@ -392,7 +392,7 @@
     if (isServerReplaced())
         return onAttemptEnded(AttemptResult::Silent, now);
     if (m_progress.isLostBy(reports.front(), m_lastEventId.value_or(0), m_probedAt, now))
-        return onRunLost(now);
+        return onRunLost(reports.front(), now);
     const BackendLoadReport &load = reports.front().load;
     m_progress.recordPrompts(load.prefilling + load.waiting);
     recordSign(now);
@@ -414,11 +414,16 @@
     if (!mayOutlastSilence(now))
         return onAttemptEnded(AttemptResult::Silent, now);
     recordServerFailure(now);
+    return replaceAttempt(attemptResultName(AttemptResult::Silent), now);
+}
+
+ForwardAction StreamSession::replaceAttempt(std::string_view cause, TimePoint now)
+{
     const bool isLastAttempt = possibleRuns() + 1 >= route().maxAttempts;
     if (isLastAttempt || !context().retryBudget.hasRetry(service(), now))
         return keepSilentAttempt(now);
     m_isReplacing = true;
-    return makeAttempt(attemptResultName(AttemptResult::Silent), now);
+    return makeAttempt(cause, now);
 }
 
 // A stream that has begun cannot be answered any more. Any other run is refused at once if waiting
@@ -444,11 +449,14 @@
     return KeepWaiting {};
 }
 
-// Before the first event the request may still be on its way to the server, so the attempt goes on
-// until another one takes its place.
-ForwardAction StreamSession::onRunLost(TimePoint now)
+// A report proves little: it lags, the request or events may be on their way, and a run that was
+// preempted waits unlisted. So the attempt goes on until another one takes its place.
+ForwardAction StreamSession::onRunLost(const ServerProbeResult &report, TimePoint now)
 {
-    return m_progress.hasEvents() ? onAttemptEnded(AttemptResult::Silent, now) : onSilent(now);
+    if (!RunProgress::mayWaitUnlisted(report))
+        return onSilent(now);
+    m_progress.recordContact(now);
+    return replaceAttempt("unlisted", now);
 }
 
 // True if the server was replaced or restarted since the attempt was sent.
--- a/tests/decisions/UnlistedRunTest.cpp
+++ b/tests/decisions/UnlistedRunTest.cpp
@@ -12,6 +12,11 @@
     CPPUNIT_TEST(runThatItsServerLostIsNotWaitedFor);
     CPPUNIT_TEST(unlistedRunIsKeptIfNothingElseCanTakeIt);
     CPPUNIT_TEST(unlistedRunIsKeptForALimitedTime);
+    CPPUNIT_TEST(preemptedRunIsKeptIfNothingElseCanTakeIt);
+    CPPUNIT_TEST(runThatVanishedIsKeptIfNothingElseCanTakeIt);
+    CPPUNIT_TEST(runThatVanishedIsAbortedInTime);
+    CPPUNIT_TEST(preemptedRunIsReplaced);
+    CPPUNIT_TEST(engineThatPreemptsIsNotSuspected);
     CPPUNIT_TEST(reportMayMissARunThatWasJustSent);
     CPPUNIT_TEST(runMayBeAmongTheWaitingOnes);
     CPPUNIT_TEST(runMayBeAmongThePromptsBeingRead);
@@ -21,6 +26,7 @@
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr Ms firstReportAt {400};
+    static constexpr std::int64_t eventCount = 40;
 
 public:
     void setUp() override
@@ -64,6 +70,58 @@
         CPPUNIT_ASSERT_EQUAL(502, refused(action).status);
     }
 
+    // Guards against cutting a stream that its engine has preempted and would go on with.
+    void preemptedRunIsKeptIfNothingElseCanTakeIt()
+    {
+        startWithEvents();
+        useUpRetries();
+        expectKeptFor(Ms(6000), preempted());
+        CPPUNIT_ASSERT(m_session->onEvent(eventCount + 1, m_at) == EventVerdict::Next);
+        CPPUNIT_ASSERT(std::holds_alternative<KeepWaiting>(m_session->check(m_at)));
+    }
+
+    // Guards against cutting a stream because of one report that lags or is wrong.
+    void runThatVanishedIsKeptIfNothingElseCanTakeIt()
+    {
+        startWithEvents();
+        useUpRetries();
+        expectKeptFor(Ms(3000), unlisted());
+        CPPUNIT_ASSERT(m_session->onEvent(eventCount + 1, m_at) == EventVerdict::Next);
+    }
+
+    // Guards against holding a caller to its deadline for a run that is lost.
+    void runThatVanishedIsAbortedInTime()
+    {
+        startWithEvents();
+        useUpRetries();
+        const TimePoint last = m_at;
+        ForwardAction action = KeepWaiting {};
+        while (std::holds_alternative<KeepWaiting>(action) && m_at < last + Ms(8000))
+            action = nextActionWith(unlisted());
+        CPPUNIT_ASSERT(std::holds_alternative<AbortAnswer>(action));
+        CPPUNIT_ASSERT(m_at <= last + Ms(6000));
+    }
+
+    // Guards against a pause of seconds until the engine has memory for the run again.
+    void preemptedRunIsReplaced()
+    {
+        startWithEvents();
+        const TimePoint last = m_at;
+        ForwardAction action = KeepWaiting {};
+        while (std::holds_alternative<KeepWaiting>(action) && m_at < last + Ms(2000))
+            action = nextActionWith(preempted());
+        CPPUNIT_ASSERT(sent(action).fromCopy);
+        CPPUNIT_ASSERT_EQUAL(std::string_view("unlisted"), sent(action).cause);
+    }
+
+    void engineThatPreemptsIsNotSuspected()
+    {
+        startWithEvents();
+        useUpRetries();
+        expectKeptFor(Ms(1000), preempted());
+        CPPUNIT_ASSERT(servers.server(m_id, m_at)->health == BackendHealth::Healthy);
+    }
+
     void reportMayMissARunThatWasJustSent()
     {
         start();
@@ -105,7 +163,7 @@
 
     void start()
     {
-        m_session.emplace(m_route, request(), context(),
+        m_session.emplace(m_route, m_request, context(),
                           StreamSession::EngineCapabilities {true, true, true});
         const auto probe = std::get<ProbeServers>(m_session->start(now));
         m_id = sent(m_session->onProbed(idle(probe), now)).server.info.id;
@@ -127,6 +185,43 @@
         return result;
     }
 
+    /// Another run waits, or this one.
+    ServerProbeResult preempted() const
+    {
+        ServerProbeResult result = unlisted();
+        result.load.running = 2;
+        result.load.waiting = 1;
+        return result;
+    }
+
+    /// Events arrive every 30 ms, for longer than reports lag.
+    void startWithEvents()
+    {
+        m_request.callerTimeout = m_route.timeout;
+        start();
+        m_at = now + Ms(1000);
+        for (std::int64_t id = 1; id <= eventCount; ++id)
+            m_session->onEvent(id, m_at += Ms(30));
+    }
+
+    /// Goes on to the next check; the run's server answers a probe with \a result.
+    ForwardAction nextActionWith(const ServerProbeResult &result)
+    {
+        m_at = m_session->nextCheck();
+        const ForwardAction action = m_session->check(m_at);
+        if (!std::holds_alternative<ProbeServers>(action))
+            return action;
+        m_at += Ms(10);
+        return m_session->onProbed(std::vector {result}, m_at);
+    }
+
+    void expectKeptFor(Ms time, const ServerProbeResult &result)
+    {
+        const TimePoint end = m_at + time;
+        while (m_at < end)
+            CPPUNIT_ASSERT(std::holds_alternative<KeepWaiting>(nextActionWith(result)));
+    }
+
     /// The run's server is probed at \a at and answers that it has no run, changed by \a change.
     ForwardAction report(TimePoint at, const Change &change)
     {
@@ -164,6 +259,7 @@
     }
 
     HttpRoute m_route = route(CallKind::Stream);
+    ForwardRequest m_request = request();
     std::optional<StreamSession> m_session;
     std::string m_id;
     TimePoint m_at;
