decisions, gateway: end a replaced stream's attempt only when its replacement delivers

An attempt that was believed lost (silent, unlisted, stuck) was ended as soon as the next attempt was sent. Change: one rule for all such beliefs: the attempt becomes the fallback, as a slow call's already does. The first of the two that delivers an event wins, and the other one is ended then. If the replacement is rejected or lost and no other server takes the run, the fallback is the current attempt again (ResumeFallback, log line attemptResumed, counter gateway_attempts_resumed_total). If the fallback's server is known to work on the run, it is ended after 250 ms, as two servers must not work on one run; engines reject sooner. A part that is quarantined while a replacement is looked for no longer ends the stream either. Measured: BrokenStreamTest on the code before: streamOfASilentServerOutlivesARejection, streamOfASilentServerGoesOnBesideItsReplacement and streamThatEndsBesideItsReplacementIsComplete fail (replacedStreamIsEndedByTheFirstEventOfItsReplacement holds on both); all pass now, as do ReplacedRunTest (12, new) and all tests of decisions and gateway. Conclusion: an attempt ends by its own end, its replacement's first event, its bound or its caller; never by a belief alone.

--- a/include/foxtailring/decisions/ForwardAction.h
+++ b/include/foxtailring/decisions/ForwardAction.h
@@ -35,6 +35,11 @@
     std::string_view cause;                  ///< why this attempt is made, for the log
 };
 
+/// \brief The fallback is the latest attempt again and goes on; end the attempt that replaced it.
+struct ResumeFallback
+{
+};
+
 /// \brief Query engines without affecting an attempt in progress.
 struct ProbeServers
 {
@@ -80,7 +85,7 @@
 };
 
 /// \brief What the caller of a ForwardSession must do next.
-using ForwardAction =
-    std::variant<KeepWaiting, SendAttempt, ProbeServers, CopyRun, PassAnswer, Refuse, AbortAnswer>;
+using ForwardAction = std::variant<KeepWaiting, SendAttempt, ResumeFallback, ProbeServers, CopyRun,
+                                   PassAnswer, Refuse, AbortAnswer>;
 
 } // namespace foxtailring
--- a/include/foxtailring/decisions/ForwardSession.h
+++ b/include/foxtailring/decisions/ForwardSession.h
@@ -48,6 +48,8 @@
     ForwardAction onFallbackAnswer(const BackendAnswer &answer, TimePoint now);
     /// \brief The fallback ended without an answer that can be passed on.
     ForwardAction onFallbackEnded(AttemptResult result, TimePoint now);
+    /// \brief False if an earlier attempt that was kept must be ended now.
+    bool hasFallback() const { return m_fallback.has_value(); }
     /// \brief The latest ProbeServers is over.
     /// \param reports answers that arrived in time
     virtual ForwardAction onProbed(std::span<const ServerProbeResult> reports, TimePoint now);
@@ -107,7 +109,10 @@
     ForwardAction send(SendAttempt attempt, TimePoint now);
     /// \brief Returns \a action, which would end the request without success, or waits for the
     /// fallback.
-    ForwardAction waitForFallback(ForwardAction action) const;
+    virtual ForwardAction waitForFallback(ForwardAction action, TimePoint now);
+    /// \brief The fallback becomes the current attempt again; an attempt in progress is abandoned.
+    void resumeFallback();
+    void releaseFallback();
     ForwardAction refuse(int status, std::string_view cause,
                          Duration minRetryAfter = Duration {0}) const;
     /// \brief Counts an abandoned attempt that may have been executed.
@@ -138,8 +143,12 @@
     /// \brief True if a server has begun to answer this request and gone on, so that no part of its
     /// prompt crashes servers.
     virtual bool isProvenHarmless() const { return false; }
+    /// \brief True while the server for the next attempt is being chosen.
+    virtual bool isChoosingServer() const { return false; }
     /// \brief The server did not execute the attempt.
     virtual void onRejected() { }
+    /// \brief True if a part of the answer was passed on, so that a whole answer is of no use.
+    virtual bool hasPassedEvents() const { return false; }
     /// \brief Called at overdueAt() while an attempt is in progress.
     virtual ForwardAction onOverdue(TimePoint now) = 0;
     /// \brief The next time limit of the current attempt.
@@ -149,7 +158,6 @@
     void recordHead(const BackendInfo &server, TimePoint sentAt, const BackendAnswer &answer,
                     TimePoint now);
     void recordNotice(const BackendInfo &server, const BackendAnswer &answer);
-    void releaseFallback();
     ForwardAction onWrongServer(const BackendAnswer &answer, TimePoint now);
     ForwardAction retryRejected(AttemptResult result, TimePoint now);
     bool tryConsumeBudget(TimePoint now);
--- a/include/foxtailring/decisions/RunProgress.h
+++ b/include/foxtailring/decisions/RunProgress.h
@@ -56,7 +56,7 @@
 private:
     bool isMissingFrom(const ServerProbeResult &report, TimePoint probedAt) const;
 
-    const HttpRoute &m_route;
+    const HttpRoute *m_route; ///< a pointer, so that a progress can be assigned
     bool m_isResumed = false;
     TimePoint m_startedAt;
     std::uint32_t m_eventCount = 0;
--- a/include/foxtailring/decisions/StreamSession.h
+++ b/include/foxtailring/decisions/StreamSession.h
@@ -34,6 +34,12 @@
     EventVerdict onEvent(std::int64_t id, TimePoint now);
     /// \brief Bytes of an event arrived that is not complete yet.
     void onPartialEvent(TimePoint now) { m_progress.recordPartialEvent(now); }
+    /// \brief The fallback sent an event. True if it follows the events passed on: the fallback is
+    /// the current attempt again, the other one must be ended, and the event goes to onEvent().
+    bool onFallbackEvent(std::int64_t id, TimePoint now);
+    /// \brief The fallback's stream ended completely, without an event that the caller lacks. It is
+    /// the current attempt again.
+    void onFallbackFinished(TimePoint now);
     /// \brief Whether a stream that ends now is complete. If not, the attempt must be ended as
     /// lost.
     bool confirmEnd();
@@ -56,6 +62,9 @@
     ForwardAction makeAttempt(std::string_view cause, TimePoint now) override;
     ForwardAction onLost(AttemptResult result, TimePoint now) override;
     void onRejected() override;
+    bool hasPassedEvents() const override { return m_hasStarted; }
+    bool isChoosingServer() const override { return m_isPlacing || m_isFindingPrompt; }
+    ForwardAction waitForFallback(ForwardAction action, TimePoint now) override;
     ForwardAction conclude(ForwardAction action) const override;
     void onAttemptOver() override;
     bool hasOutlivedStart() const override;
@@ -77,6 +86,7 @@
     ForwardAction probeCandidates(TimePoint now);
     ForwardAction placeRun(std::span<const ServerProbeResult> reports, TimePoint now);
     ForwardAction sendRun(SendAttempt next, TimePoint now);
+    void keepAsFallback(SendAttempt &next, TimePoint now);
     void assignCopyHolder(SendAttempt &attempt, TimePoint now);
     TimePoint silenceDueAt() const;
     /// When the attempt is given up although its server answers probes.
@@ -95,16 +105,20 @@
     void recordSign(TimePoint now);
     /// Goes on with the attempt at a silent server, since no other server can take its place.
     ForwardAction keepSilentAttempt(TimePoint now);
+    void returnToFallback(TimePoint now);
     ForwardAction refuseOrAbort(ForwardAction refusal, TimePoint now);
 
     const EngineCapabilities m_capabilities;
     RunPlacement m_placement;
-    RunProgress m_progress; ///< of the current attempt
-    RunCopy m_copy;         ///< of the current run
+    RunProgress m_progress;         ///< of the current attempt
+    RunProgress m_fallbackProgress; ///< of the fallback
+    RunCopy m_copy;                 ///< of the current run
     std::optional<std::int64_t> m_lastEventId;
     bool m_hasStarted = false;
     bool m_isHarmless = false;  ///< an attempt outlived the beginning of its answer
     bool m_hasEmptyEnd = false; ///< an attempt ended in order without an event
+    bool m_isRunListed = false; ///< by the latest report of the current server
+    TimePoint m_fallbackEndsAt; ///< at the latest
     TimePoint m_probedAt;
     bool m_isProbing = false;       ///< a probe of the current server is in progress
     bool m_isFindingPrompt = false; ///< a probe for the prompt is in progress
--- a/src/decisions/CallSession.cpp
+++ b/src/decisions/CallSession.cpp
@@ -17,7 +17,7 @@
 {
     auto next = place(cause, now);
     if (!next)
-        return waitForFallback(conclude(refuseUnplaced(now)));
+        return waitForFallback(conclude(refuseUnplaced(now)), now);
     return send(std::move(*next), now);
 }
 
@@ -38,7 +38,7 @@
 ForwardAction CallSession::onLost(AttemptResult result, TimePoint now)
 {
     if (!tryTakeRetry(now))
-        return waitForFallback(refuse(502, attemptResultName(result)));
+        return waitForFallback(refuse(502, attemptResultName(result)), now);
     return makeAttempt(attemptResultName(result), now);
 }
 
--- a/src/decisions/ForwardSession.cpp
+++ b/src/decisions/ForwardSession.cpp
@@ -126,7 +126,7 @@
         return onFallbackEnded(AttemptResult::OtherServer, now);
     if (answer.isNotRun)
         return onFallbackEnded(AttemptResult::NotRun, now);
-    if (answer.isSuccess() && !answer.isSigned)
+    if ((answer.isSuccess() && !answer.isSigned) || hasPassedEvents())
         return onFallbackEnded(AttemptResult::Invalid, now);
     const bool isFailure = answer.status >= 500;
     m_context.servers.recordAnswer(m_fallback->server.info.id, isFailure && !answer.pause, now);
@@ -155,19 +155,35 @@
     // It was counted when it became the fallback.
     if (!mayHaveRun(result))
         --m_possibleRuns;
-    if (m_server)
+    if (m_server || isChoosingServer())
         return KeepWaiting {};
     const int status = mayHaveRun(result) ? 502 : 503;
     return conclude(refuse(status, attemptResultName(result), m_admittedPlacer.waitForServer(now)));
 }
 
-ForwardAction ForwardSession::waitForFallback(ForwardAction action) const
+ForwardAction ForwardSession::waitForFallback(ForwardAction action, TimePoint)
 {
     if (m_fallback)
         return KeepWaiting {};
     return action;
 }
 
+// It was counted as a possible run when it became the fallback; now the attempt in progress is.
+void ForwardSession::resumeFallback()
+{
+    if (m_server) {
+        releaseServer();
+        countPossibleRun();
+    }
+    m_server = std::move(m_fallback->server);
+    m_sentAt = m_fallback->sentAt;
+    m_fallback.reset();
+    --m_possibleRuns;
+    m_heldStatus.reset();
+    // It was replaced because its server looked as if it had failed.
+    m_isFailureRecorded = true;
+}
+
 ForwardAction ForwardSession::onAnswer(const BackendAnswer &answer, TimePoint now)
 {
     if (!m_server)
@@ -191,7 +207,7 @@
         return conclude(PassAnswer {});
     m_heldStatus = answer.status;
     if (!tryTakeRetry(now))
-        return waitForFallback(conclude(passHeldAnswer()));
+        return waitForFallback(conclude(passHeldAnswer()), now);
     return makeAttempt("serverError", now);
 }
 
@@ -293,7 +309,8 @@
     const bool takesBudget = result != AttemptResult::NotSent;
     if (isExhausted || (takesBudget && !tryConsumeBudget(now)))
         return waitForFallback(
-            conclude(refuse(503, attemptResultName(result), m_admittedPlacer.waitForServer(now))));
+            conclude(refuse(503, attemptResultName(result), m_admittedPlacer.waitForServer(now))),
+            now);
     return makeAttempt(attemptResultName(result), now);
 }
 
--- a/src/decisions/RunProgress.cpp
+++ b/src/decisions/RunProgress.cpp
@@ -39,7 +39,7 @@
 } // namespace
 
 RunProgress::RunProgress(const HttpRoute &route)
-    : m_route(route)
+    : m_route(&route)
 {
 }
 
@@ -87,11 +87,11 @@
 TimePoint RunProgress::stuckAt(TimePoint sentAt, Duration maxFirstEventDelay) const
 {
     if (hasEvents())
-        return m_lastEventAt + stuckEventGaps * maxEventGapOf(m_route);
+        return m_lastEventAt + stuckEventGaps * maxEventGapOf(*m_route);
     if (m_isResumed)
         return sentAt + resumeTimeout;
     const auto minimum =
-        std::chrono::duration_cast<Duration>(m_route.latencyObjective * firstEventFraction);
+        std::chrono::duration_cast<Duration>(m_route->latencyObjective * firstEventFraction);
     // Prompts are processed one after the other; the estimate allows for one ahead of this one.
     return sentAt + std::max(maxFirstEventDelay, minimum)
         + m_maxPromptsAhead * maxFirstEventDelay / 2;
--- a/src/decisions/StreamSession.cpp
+++ b/src/decisions/StreamSession.cpp
@@ -32,6 +32,9 @@
 constexpr milliseconds maxPromptPause {2000};
 // Interval of looking for another server while a run's server is silent.
 constexpr milliseconds replaceRetryInterval {500};
+// Two servers may work on one run for 400 ms. A fallback whose server is known to work is ended by
+// then, unless the next server has rejected the run; engines reject at once.
+constexpr milliseconds maxOverlap {250};
 // A doubtful server is abandoned after this time without contact.
 constexpr milliseconds maxDoubtfulSilence {350};
 
@@ -46,6 +49,7 @@
     , m_capabilities(capabilities)
     , m_placement(this->context(), service(), triedIds())
     , m_progress(route)
+    , m_fallbackProgress(route)
     , m_copy(context.servers, context.releaseCopy)
     , m_lastEventId(request.lastEventId)
 {
@@ -71,10 +75,51 @@
     if (std::exchange(m_isReplacing, false))
         endPlacement();
     m_replaceAt = {};
+    releaseFallback();
     m_lastEventId = id;
     return EventVerdict::Next;
 }
 
+bool StreamSession::onFallbackEvent(std::int64_t id, TimePoint now)
+{
+    if (m_lastEventId && id <= *m_lastEventId)
+        return false;
+    returnToFallback(now);
+    return true;
+}
+
+void StreamSession::onFallbackFinished(TimePoint now)
+{
+    returnToFallback(now);
+}
+
+// The copy that the other attempt was resumed from may be used up, so another one is made soon.
+void StreamSession::returnToFallback(TimePoint now)
+{
+    endPlacement();
+    m_isReplacing = false;
+    m_isProbing = false;
+    m_isProbingHolder = false;
+    m_isFindingPrompt = false;
+    m_isCopying = false;
+    m_isRunListed = false;
+    m_replaceAt = {};
+    m_copy.drop();
+    m_copyCheckAt = m_capabilities.canCopyOnDemand ? now : TimePoint::max();
+    m_progress = m_fallbackProgress;
+    resumeFallback();
+}
+
+// Nothing else can take the run, but the attempt that was to be replaced may still go on.
+ForwardAction StreamSession::waitForFallback(ForwardAction action, TimePoint now)
+{
+    if (!hasFallback())
+        return action;
+    returnToFallback(now);
+    keepSilentAttempt(now);
+    return ResumeFallback {};
+}
+
 void StreamSession::onAttemptOver()
 {
     if (std::exchange(m_isReplacing, false))
@@ -216,10 +261,13 @@
 
 ForwardAction StreamSession::sendRun(SendAttempt next, TimePoint now)
 {
+    // The part may have been quarantined while servers were probed.
+    if (auto refusal = refuseQuarantined(now))
+        return refuseOrAbort(std::move(*refusal), now);
     if (std::exchange(m_isReplacing, false)) {
         if (!tryTakeRetry(now))
             return keepSilentAttempt(now);
-        countPossibleRun();
+        keepAsFallback(next, now);
     }
     endPlacement();
     m_replaceAt = {};
@@ -229,12 +277,24 @@
     m_isProbing = false;
     m_isProbingHolder = false;
     m_isCopying = false;
+    m_isRunListed = false;
     m_copyCheckAt = m_capabilities.canCopyOnDemand ? now + copyCheckInterval : TimePoint::max();
     m_copy.drop();
     assignCopyHolder(next, now);
     return send(std::move(next), now);
 }
 
+// The replaced attempt goes on until the next one delivers, since that one may be rejected. With a
+// fallback already, the attempt in between has delivered nothing and is ended.
+void StreamSession::keepAsFallback(SendAttempt &next, TimePoint now)
+{
+    if (hasFallback())
+        return countPossibleRun();
+    next.keepsLatest = true;
+    m_fallbackProgress = m_progress;
+    m_fallbackEndsAt = m_isRunListed ? now + maxOverlap : TimePoint::max();
+}
+
 void StreamSession::assignCopyHolder(SendAttempt &attempt, TimePoint now)
 {
     attempt.copyTo = chooseCopyHolder(attempt.server, now);
@@ -339,8 +399,10 @@
 
 ForwardAction StreamSession::onOverdue(TimePoint now)
 {
+    if (hasFallback() && now >= m_fallbackEndsAt)
+        releaseFallback();
     if (now < silenceDueAt())
-        return maintainCopy(now);
+        return now < m_copyCheckAt ? KeepWaiting {} : maintainCopy(now);
     if (now >= stuckAt() || isPresumedLost(now))
         return onSilent(now);
     // The probe in progress decides.
@@ -391,6 +453,7 @@
     }
     if (isServerReplaced())
         return onAttemptEnded(AttemptResult::Silent, now);
+    m_isRunListed = reports.front().hasRun;
     if (m_progress.isLostBy(reports.front(), m_lastEventId.value_or(0), m_probedAt, now))
         return onRunLost(reports.front(), now);
     const BackendLoadReport &load = reports.front().load;
@@ -481,7 +544,8 @@
     // The probe in progress decides.
     if (m_isPlacing || m_isFindingPrompt)
         return deadline();
-    return std::min(silenceDueAt(), m_copyCheckAt);
+    const TimePoint fallbackEndsAt = hasFallback() ? m_fallbackEndsAt : TimePoint::max();
+    return std::min({silenceDueAt(), m_copyCheckAt, fallbackEndsAt});
 }
 
 TimePoint StreamSession::silenceDueAt() const
@@ -518,7 +582,7 @@
 {
     if (std::exchange(m_isReplacing, false))
         return keepSilentAttempt(now);
-    return conclude(std::move(refusal));
+    return waitForFallback(conclude(std::move(refusal)), now);
 }
 
 } // namespace foxtailring
--- a/src/gateway/RequestRelay.cpp
+++ b/src/gateway/RequestRelay.cpp
@@ -119,6 +119,8 @@
         return;
     if (const auto *next = std::get_if<SendAttempt>(&action))
         send(*next);
+    else if (std::holds_alternative<ResumeFallback>(action))
+        resumeFallback("noServer");
     else if (const auto *probe = std::get_if<ProbeServers>(&action))
         probeServers(*probe);
     else if (const auto *command = std::get_if<CopyRun>(&action))
@@ -129,6 +131,7 @@
         refuse(*refusal);
     else if (const auto *reason = std::get_if<AbortAnswer>(&action))
         abortAnswer(*reason);
+    updateFallback();
     armTimer();
 }
 
@@ -294,6 +297,8 @@
     attempt.head = std::move(head);
     if (attempt.answer.namesRateLimit)
         m_reporter.reportRateLimit(attempt);
+    attempt.isStreaming = m_stream && attempt.answer.isSuccess() && attempt.answer.isSigned
+        && !attempt.answer.isNotRun && isEventStream(attempt.head);
 }
 
 void RequestRelay::onFallbackHead(HttpResponse head)
@@ -304,16 +309,54 @@
 
 void RequestRelay::onFallbackBody(std::string_view bytes)
 {
+    if (m_fallback.isStreaming)
+        return onFallbackEvents(bytes);
     m_fallback.body += bytes;
     if (m_fallback.body.size() > maxBufferedAnswerBytes || !updateHeldMemory("answer"))
         endFallback(AttemptResult::Invalid);
 }
 
+// The events are collected first, since the fallback is moved when it becomes the current attempt.
+void RequestRelay::onFallbackEvents(std::string_view bytes)
+{
+    struct Event
+    {
+        std::optional<std::int64_t> id;
+        std::string text;
+    };
+    std::vector<Event> events;
+    const bool isReadable =
+        m_fallback.events.feed(bytes, [&events](auto id, std::string_view text) {
+            events.push_back({id, std::string(text)});
+        });
+    if (!isReadable || !updateHeldMemory("stream"))
+        return endFallback(AttemptResult::Invalid);
+    for (const Event &event : events) {
+        const std::uint64_t number = m_fallback.number;
+        if (number != 0 && !event.id)
+            return endFallback(AttemptResult::Invalid);
+        if (number != 0 && m_stream->onFallbackEvent(*event.id, m_parts.clock()))
+            resumeFallback("event");
+        if (m_fallback.number == 0 && !m_isFinished)
+            onEvent(event.id, event.text);
+    }
+    armTimer();
+}
+
 void RequestRelay::onFallbackClosed(const Result<Done> &result)
 {
     m_fallback.stream.reset();
     if (!result)
         return endFallback(recordConnectionError(m_fallback, result.error()));
+    if (isEmptyRun(m_fallback))
+        return endFallback(AttemptResult::Lost);
+    if (m_fallback.isStreaming && m_fallback.events.hasPartialEvent())
+        return endFallback(AttemptResult::Lost);
+    if (m_fallback.isStreaming) {
+        m_stream->onFallbackFinished(m_parts.clock());
+        resumeFallback("end");
+        return onClosed(result);
+    }
     perform(m_session->onFallbackAnswer(m_fallback.answer, m_parts.clock()));
     cancelFallback();
 }
@@ -325,6 +368,19 @@
     perform(m_session->onFallbackEnded(result, m_parts.clock()));
 }
 
+void RequestRelay::resumeFallback(std::string_view cause)
+{
+    cancelAttempt();
+    m_attempt = std::exchange(m_fallback, ServerAttempt {});
+    m_reporter.reportFallbackResumed(m_attempt, cause);
+}
+
+void RequestRelay::updateFallback()
+{
+    if (!m_isFinished && m_fallback.number != 0 && !m_session->hasFallback())
+        cancelFallback();
+}
+
 void RequestRelay::cancelFallback()
 {
     if (const auto stream = std::exchange(m_fallback.stream, nullptr))
@@ -336,9 +392,6 @@
 {
     recordHead(m_attempt, std::move(head));
     m_session->onHead(m_attempt.answer, m_parts.clock());
-    const BackendAnswer &answer = m_attempt.answer;
-    m_attempt.isStreaming = m_stream && answer.isSuccess() && answer.isSigned && !answer.isNotRun
-        && isEventStream(m_attempt.head);
 }
 
 void RequestRelay::onBody(std::string_view bytes)
@@ -365,7 +418,8 @@
 bool RequestRelay::updateHeldMemory(std::string_view what)
 {
     const std::size_t bytes = m_request.http.body.size() + m_attempt.body.size()
-        + m_fallback.body.size() + m_attempt.events.pendingBytes() + m_answer.pendingBytes();
+        + m_attempt.events.pendingBytes() + m_fallback.body.size()
+        + m_fallback.events.pendingBytes() + m_answer.pendingBytes();
     const bool isAllowed = m_memory.tryResize(bytes);
     m_parts.metrics.setGauge("gateway_held_bytes",
                              static_cast<double>(m_parts.memoryBudget.held()));
@@ -385,6 +439,7 @@
         return endAttempt(AttemptResult::Invalid);
     if (verdict == EventVerdict::Duplicate)
         return;
+    updateFallback();
     if (!m_answer.passEvent(m_attempt, text, now))
         abortAnswer({"callerReadsTooSlowly"});
 }
@@ -396,7 +451,7 @@
         return endAttempt(recordConnectionError(m_attempt, result.error()));
     if (m_attempt.isStreaming)
         return onStreamEnd();
-    if (isEmptyRun())
+    if (isEmptyRun(m_attempt))
         return endAttempt(AttemptResult::Lost);
     perform(m_session->onAnswer(m_attempt.answer, m_parts.clock()));
 }
@@ -412,12 +467,12 @@
 }
 
 // A run has an output, so an empty success is not its answer.
-bool RequestRelay::isEmptyRun() const
+bool RequestRelay::isEmptyRun(const ServerAttempt &attempt) const
 {
-    const BackendAnswer &answer = m_attempt.answer;
+    const BackendAnswer &answer = attempt.answer;
     const std::string &method = m_request.http.method;
-    return m_stream && answer.status == 200 && !answer.isNotRun && m_attempt.body.empty()
-        && method != "HEAD" && method != "OPTIONS";
+    return m_stream && !attempt.isStreaming && answer.status == 200 && !answer.isNotRun
+        && attempt.body.empty() && method != "HEAD" && method != "OPTIONS";
 }
 
 void RequestRelay::onStreamEnd()
--- a/src/gateway/RequestRelay.h
+++ b/src/gateway/RequestRelay.h
@@ -69,7 +69,7 @@
     void onClosed(const Result<Done> &result);
     /// A connection to the server of the attempt failed; returns what became of the attempt.
     AttemptResult recordConnectionError(const ServerAttempt &attempt, const Error &error);
-    bool isEmptyRun() const;
+    bool isEmptyRun(const ServerAttempt &attempt) const;
     void onStreamEnd();
     void endAttempt(AttemptResult result);
     bool isFallback(std::uint64_t number) const;
@@ -77,6 +77,12 @@
     void onFallbackBody(std::string_view bytes);
     void onFallbackClosed(const Result<Done> &result);
     void endFallback(AttemptResult result);
+    /// The fallback is the current attempt again; the one in progress is ended.
+    void resumeFallback(std::string_view cause);
+    /// Passes on the events of a stream that is the fallback.
+    void onFallbackEvents(std::string_view bytes);
+    /// Ends the fallback if the session needs it no longer.
+    void updateFallback();
     void cancelFallback();
     void recordHead(ServerAttempt &attempt, HttpResponse head);
     void forwardAnswer(const PassAnswer &pass);
@@ -104,7 +110,7 @@
     std::uint64_t m_copyOrderCount = 0;
     std::uint64_t m_openCopyOrder = 0; ///< number of the order that may still be used; 0: none
     ServerAttempt m_attempt;
-    ServerAttempt m_fallback; ///< an earlier attempt at a call that goes on; number 0: none
+    ServerAttempt m_fallback; ///< an earlier attempt that goes on; number 0: none
     std::uint64_t m_attemptCount = 0;
     std::uint64_t m_probeCount = 0;
     bool m_isFinished = false;
--- a/src/gateway/RequestReporter.cpp
+++ b/src/gateway/RequestReporter.cpp
@@ -128,6 +128,19 @@
     m_parts.metrics.observeSeconds("gateway_first_event_seconds", secondsOf(age()));
 }
 
+void RequestReporter::reportFallbackResumed(const ServerAttempt &attempt,
+                                            std::string_view cause) const
+{
+    m_parts.metrics.add("gateway_attempts_resumed_total{cause=\"" + std::string(cause) + "\"}");
+    StructuredLog::info("attemptResumed",
+                        {{"request", m_request.id},
+                         {"number", std::to_string(attempt.number)},
+                         {"server", attempt.serverId},
+                         {"cause", std::string(cause)},
+                         {"events", std::to_string(attempt.eventCount)},
+                         {"ageMs", msText(age())}});
+}
+
 void RequestReporter::reportOverBudget(std::string_view what, std::string_view serverId,
                                        std::size_t bytes) const
 {
--- a/src/gateway/RequestReporter.h
+++ b/src/gateway/RequestReporter.h
@@ -44,6 +44,9 @@
     /// \brief The stream goes on after \a pause without an event.
     void reportResume(const ServerAttempt &attempt, Duration pause) const;
     void reportFirstEvent() const;
+    /// \brief An attempt that was to be replaced goes on.
+    /// \param cause what showed it: an event, its end, or that no other server takes the request
+    void reportFallbackResumed(const ServerAttempt &attempt, std::string_view cause) const;
     /// \brief The memory budget does not allow \a bytes, with \a what that the request now holds.
     void reportOverBudget(std::string_view what, std::string_view serverId,
                           std::size_t bytes) const;
--- /dev/null
+++ b/tests/decisions/ReplacedRunTest.cpp
@@ -0,0 +1,230 @@
+#include "foxtailring/decisions/StreamSession.h"
+
+#include "ForwardFixture.h"
+
+#include <optional>
+
+using namespace foxtailring;
+
+// A server may be silent, or not list a run, and go on with it all the same.
+class ReplacedRunTest : public ForwardFixture
+{
+    CPPUNIT_TEST_SUITE(ReplacedRunTest);
+    CPPUNIT_TEST(streamGoesOnIfItsReplacementIsRejected);
+    CPPUNIT_TEST(streamGoesOnIfItsReplacementIsLost);
+    CPPUNIT_TEST(promptGoesOnIfItsReplacementIsRejected);
+    CPPUNIT_TEST(streamGoesOnIfAPartIsQuarantinedMeanwhile);
+    CPPUNIT_TEST(eventOfTheReplacedAttemptEndsTheReplacement);
+    CPPUNIT_TEST(repeatedEventOfTheReplacedAttemptProvesNothing);
+    CPPUNIT_TEST(eventOfTheReplacementEndsTheReplacedAttempt);
+    CPPUNIT_TEST(twoServersWorkOnARunForAShortTimeOnly);
+    CPPUNIT_TEST(replacementGoesOnIfTheReplacedAttemptIsLost);
+    CPPUNIT_TEST(streamWithoutAnyServerIsAborted);
+    CPPUNIT_TEST(runsAreCountedOnce);
+    CPPUNIT_TEST(countsAtServersReturnToZero);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override { listServers(); }
+
+    // Guards against cutting a stream whose server works, because the next server is full.
+    void streamGoesOnIfItsReplacementIsRejected()
+    {
+        replaceSilentRun(eventCount);
+        CPPUNIT_ASSERT(std::holds_alternative<ResumeFallback>(rejectAll()));
+        CPPUNIT_ASSERT(m_session->onEvent(eventCount + 1, m_at) == EventVerdict::Next);
+        CPPUNIT_ASSERT_EQUAL(0U, m_session->possibleRuns());
+    }
+
+    void streamGoesOnIfItsReplacementIsLost()
+    {
+        replaceSilentRun(eventCount);
+        useUpRetries();
+        const ForwardAction next = m_session->onAttemptEnded(AttemptResult::Lost, m_at);
+        CPPUNIT_ASSERT(std::holds_alternative<ResumeFallback>(next));
+        CPPUNIT_ASSERT(m_session->onEvent(eventCount + 1, m_at) == EventVerdict::Next);
+    }
+
+    // Guards against refusing a request that its server will answer.
+    void promptGoesOnIfItsReplacementIsRejected()
+    {
+        replaceSilentRun(0);
+        CPPUNIT_ASSERT(std::holds_alternative<ResumeFallback>(rejectAll()));
+        CPPUNIT_ASSERT(m_session->onEvent(1, m_at) == EventVerdict::Next);
+    }
+
+    // Guards against cutting a stream because its prompt is suspected of a crash of other servers.
+    void streamGoesOnIfAPartIsQuarantinedMeanwhile()
+    {
+        m_capabilities.canCopyContinuously = false;
+        m_request.sharedPromptParts = {"p1"};
+        const ForwardAction placing = findReplacement(2);
+        quarantinePart("p1");
+        CPPUNIT_ASSERT(std::holds_alternative<KeepWaiting>(placed(placing)));
+        CPPUNIT_ASSERT(m_session->onEvent(3, m_at) == EventVerdict::Next);
+    }
+
+    // Guards against waiting for a second prompt although the first server has gone on.
+    void eventOfTheReplacedAttemptEndsTheReplacement()
+    {
+        replaceSilentRun(eventCount);
+        CPPUNIT_ASSERT(m_session->onFallbackEvent(eventCount + 1, m_at));
+        CPPUNIT_ASSERT(!m_session->hasFallback());
+        CPPUNIT_ASSERT(m_session->onEvent(eventCount + 1, m_at) == EventVerdict::Next);
+        CPPUNIT_ASSERT_EQUAL(1U, servers.server(m_firstId, m_at)->inFlight);
+        CPPUNIT_ASSERT_EQUAL(0U, servers.server(m_secondId, m_at)->inFlight);
+    }
+
+    void repeatedEventOfTheReplacedAttemptProvesNothing()
+    {
+        replaceSilentRun(eventCount);
+        CPPUNIT_ASSERT(!m_session->onFallbackEvent(eventCount, m_at));
+        CPPUNIT_ASSERT(m_session->hasFallback());
+    }
+
+    // Guards against two servers that work on one run.
+    void eventOfTheReplacementEndsTheReplacedAttempt()
+    {
+        replaceSilentRun(eventCount);
+        CPPUNIT_ASSERT(m_session->hasFallback());
+        CPPUNIT_ASSERT(m_session->onEvent(eventCount + 1, m_at) == EventVerdict::Next);
+        CPPUNIT_ASSERT(!m_session->hasFallback());
+    }
+
+    // The connection is dead, but its server goes on with the run.
+    void twoServersWorkOnARunForAShortTimeOnly()
+    {
+        start(eventCount);
+        const TimePoint sentAt = m_at;
+        CPPUNIT_ASSERT(sent(loseEvents()).keepsLatest);
+        ForwardAction action = KeepWaiting {};
+        while (m_session->hasFallback() && std::holds_alternative<KeepWaiting>(action)) {
+            m_at = m_session->nextCheck();
+            action = m_session->check(m_at);
+        }
+        CPPUNIT_ASSERT(!m_session->hasFallback());
+        CPPUNIT_ASSERT(std::holds_alternative<KeepWaiting>(action));
+        CPPUNIT_ASSERT(m_at <= sentAt + Ms(300) + maxDetectionTime);
+    }
+
+    void replacementGoesOnIfTheReplacedAttemptIsLost()
+    {
+        replaceSilentRun(eventCount);
+        const ForwardAction action = m_session->onFallbackEnded(AttemptResult::Lost, m_at);
+        CPPUNIT_ASSERT(std::holds_alternative<KeepWaiting>(action));
+        CPPUNIT_ASSERT(m_session->onEvent(eventCount + 1, m_at) == EventVerdict::Next);
+    }
+
+    // Guards against a caller that waits for its deadline although nothing works on its request.
+    void streamWithoutAnyServerIsAborted()
+    {
+        replaceSilentRun(eventCount);
+        useUpRetries();
+        m_session->onFallbackEnded(AttemptResult::Lost, m_at);
+        const ForwardAction action = m_session->onAttemptEnded(AttemptResult::Lost, m_at);
+        CPPUNIT_ASSERT(std::holds_alternative<AbortAnswer>(action));
+    }
+
+    // Guards against more servers for a request than its route allows.
+    void runsAreCountedOnce()
+    {
+        replaceSilentRun(eventCount);
+        CPPUNIT_ASSERT_EQUAL(1U, m_session->possibleRuns());
+        m_session->onFallbackEvent(eventCount + 1, m_at);
+        CPPUNIT_ASSERT_EQUAL(1U, m_session->possibleRuns());
+    }
+
+    void countsAtServersReturnToZero()
+    {
+        replaceSilentRun(eventCount);
+        rejectAll();
+        m_session->onEvent(eventCount + 1, m_at);
+        m_session->onFinished(m_at);
+        m_session.reset();
+        for (const std::string &id : servers.candidateIds("engine", m_at))
+            CPPUNIT_ASSERT_EQUAL(0U, servers.server(id, m_at)->inFlight);
+    }
+
+private:
+    static constexpr std::int64_t eventCount = 10;
+    static constexpr Ms maxDetectionTime {350};
+
+    void start(std::int64_t events)
+    {
+        m_session.emplace(m_route, m_request, context(), m_capabilities);
+        m_at = now;
+        m_firstId = sent(placed(m_session->start(now))).server.info.id;
+        if (events > 0)
+            m_at = now + Ms(1000);
+        for (std::int64_t id = 1; id <= events; ++id)
+            m_session->onEvent(id, m_at += Ms(30));
+    }
+
+    /// If \a action is a probe, answers that all servers are idle; returns the next action.
+    ForwardAction placed(const ForwardAction &action)
+    {
+        const auto *probe = std::get_if<ProbeServers>(&action);
+        if (!probe)
+            return action;
+        std::vector<ServerProbeResult> reports;
+        for (const BackendState &server : probe->servers)
+            reports.push_back({server.info.id, {}, false, 0});
+        return m_session->onProbed(reports, m_at);
+    }
+
+    /// Starts a run that is silent after \a events events; returns what is done about it.
+    ForwardAction findReplacement(std::int64_t events)
+    {
+        start(events);
+        m_at = m_session->nextCheck();
+        CPPUNIT_ASSERT(std::holds_alternative<ProbeServers>(m_session->check(m_at)));
+        m_at += Ms(120);
+        return m_session->onProbed({}, m_at);
+    }
+
+    void replaceSilentRun(std::int64_t events)
+    {
+        const ForwardAction next = placed(findReplacement(events));
+        CPPUNIT_ASSERT(sent(next).keepsLatest);
+        m_secondId = sent(next).server.info.id;
+    }
+
+    /// The server of the run reports events that did not arrive.
+    ForwardAction loseEvents()
+    {
+        m_at = m_session->nextCheck();
+        CPPUNIT_ASSERT(std::holds_alternative<ProbeServers>(m_session->check(m_at)));
+        ServerProbeResult ahead {m_firstId, {}, true, eventCount + 4};
+        return placed(m_session->onProbed(std::vector {ahead}, m_at));
+    }
+
+    /// Servers reject the request until no other one is tried.
+    ForwardAction rejectAll()
+    {
+        ForwardAction action = m_session->onAttemptEnded(AttemptResult::NotRun, m_at);
+        for (int round = 0; round < 8; ++round) {
+            action = placed(action);
+            if (!std::holds_alternative<SendAttempt>(action))
+                break;
+            action = m_session->onAttemptEnded(AttemptResult::NotRun, m_at);
+        }
+        return action;
+    }
+
+    void quarantinePart(const std::string &part)
+    {
+        quarantine.recordCrash("e1", std::vector {part}, m_at - Ms(1000));
+        quarantine.recordCrash("e2", std::vector {part}, m_at);
+        CPPUNIT_ASSERT(!quarantine.quarantinedPart(std::vector {part}, m_at).empty());
+    }
+
+    const HttpRoute m_route = route(CallKind::Stream);
+    ForwardRequest m_request = request();
+    StreamSession::EngineCapabilities m_capabilities {true, true, true};
+    std::optional<StreamSession> m_session;
+    std::string m_firstId;
+    std::string m_secondId;
+    TimePoint m_at;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ReplacedRunTest);
--- a/tests/gateway/BrokenStreamTest.cpp
+++ b/tests/gateway/BrokenStreamTest.cpp
@@ -27,6 +27,10 @@
     CPPUNIT_TEST(firstServerErrorIsRetried);
     CPPUNIT_TEST(serverErrorOfAllServersIsPassedOnWhole);
     CPPUNIT_TEST(firstSuccessOfAnotherTypeIsPassedOnWhole);
+    CPPUNIT_TEST(streamOfASilentServerOutlivesARejection);
+    CPPUNIT_TEST(streamOfASilentServerGoesOnBesideItsReplacement);
+    CPPUNIT_TEST(streamThatEndsBesideItsReplacementIsComplete);
+    CPPUNIT_TEST(replacedStreamIsEndedByTheFirstEventOfItsReplacement);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -153,7 +157,92 @@
         CPPUNIT_ASSERT(received.isComplete);
     }
 
+    // Guards against cutting a stream whose server works, because the next server is full.
+    void streamOfASilentServerOutlivesARejection()
+    {
+        const ReceivedRequest first = beginSilentStream();
+        HttpResponse rejection = answer(503, false, false, "");
+        rejection.headers.push_back({"full", "1"});
+        takeAttempt().responder->respond(rejection);
+        waitUntil([this] { return metrics().find(resumedAfter("noServer")) != std::string::npos; });
+        expectRestFrom(first);
+    }
+
+    // Guards against a caller that waits for a second run although the first one goes on.
+    void streamOfASilentServerGoesOnBesideItsReplacement()
+    {
+        const ReceivedRequest first = beginSilentStream();
+        const ReceivedRequest second = takeAttempt();
+        Mailbox<bool> ended;
+        second.responder->onDisconnect([&ended] { ended.put(true); });
+        expectRestFrom(first);
+        ended.take();
+    }
+
+    void streamThatEndsBesideItsReplacementIsComplete()
+    {
+        const ReceivedRequest first = beginSilentStream();
+        const ReceivedRequest second = takeAttempt();
+        first.responder->finish();
+        const Received received = waitForEnd();
+        CPPUNIT_ASSERT_EQUAL(eventText(1), received.body);
+        CPPUNIT_ASSERT(received.isComplete);
+    }
+
+    // Guards against two servers that work on one run, and against events of both in one answer.
+    void replacedStreamIsEndedByTheFirstEventOfItsReplacement()
+    {
+        const ReceivedRequest first = beginSilentStream();
+        Mailbox<bool> ended;
+        first.responder->onDisconnect([&ended] { ended.put(true); });
+        const ReceivedRequest second = takeAttempt();
+        second.responder->startStream(200, eventHeaders());
+        second.responder->write(eventText(2));
+        ended.take();
+        second.responder->finish();
+        const Received received = waitForEnd();
+        CPPUNIT_ASSERT_EQUAL(eventText(1) + eventText(2), received.body);
+        CPPUNIT_ASSERT(received.isComplete);
+    }
+
 private:
+    static std::string resumedAfter(const std::string &cause)
+    {
+        return "gateway_attempts_resumed_total{cause=\"" + cause + "\"} 1";
+    }
+
+    // Opens a stream whose server sends the event 1 and then neither events nor reports.
+    ReceivedRequest beginSilentStream()
+    {
+        restart();
+        openStream();
+        ReceivedRequest first = m_received->take();
+        m_receivesProbes = true;
+        first.responder->startStream(200, eventHeaders());
+        first.responder->write(eventText(1));
+        return first;
+    }
+
+    // The next attempt; probes before it stay without an answer.
+    ReceivedRequest takeAttempt()
+    {
+        for (;;) {
+            ReceivedRequest next = m_received->take();
+            if (next.request.target == "/stream/x")
+                return next;
+            m_unanswered.push_back(std::move(next));
+        }
+    }
+
+    void expectRestFrom(const ReceivedRequest &server)
+    {
+        server.responder->write(eventText(2));
+        server.responder->finish();
+        const Received received = waitForEnd();
+        CPPUNIT_ASSERT_EQUAL(eventText(1) + eventText(2), received.body);
+        CPPUNIT_ASSERT(received.isComplete);
+    }
+
     void breakThenAnswer(int status, bool isSigned, bool isEventStream, const std::string &body)
     {
         const std::string what = std::to_string(status) + (isSigned ? " signed " : " unsigned ")
@@ -187,6 +276,8 @@
     // A failure of a server in one case must not decide where the next case is sent.
     void restart()
     {
+        m_receivesProbes = false;
+        m_unanswered.clear();
         startGateway(std::chrono::milliseconds(20'000));
         startServing();
     }
@@ -240,6 +331,7 @@
         CPPUNIT_ASSERT(received.isComplete);
     }
 
+    std::vector<ReceivedRequest> m_unanswered; ///< a responder that is dropped answers with 500
     struct Caller
     {
         Received received;
