--- a/src/decisions/RunProgress.cpp
+++ b/src/decisions/RunProgress.cpp
@@ -39,7 +39,7 @@
 } // namespace
 
 RunProgress::RunProgress(const HttpRoute &route)
-    : m_route(route)
+    : m_route(&route)
 {
 }
 
@@ -87,11 +87,11 @@
 TimePoint RunProgress::stuckAt(TimePoint sentAt, Duration maxFirstEventDelay) const
 {
     if (hasEvents())
-        return m_lastEventAt + stuckEventGaps * maxEventGapOf(m_route);
+        return m_lastEventAt + stuckEventGaps * maxEventGapOf(*m_route);
     if (m_isResumed)
         return sentAt + resumeTimeout;
     const auto minimum =
-        std::chrono::duration_cast<Duration>(m_route.latencyObjective * firstEventFraction);
+        std::chrono::duration_cast<Duration>(m_route->latencyObjective * firstEventFraction);
     // Prompts are processed one after the other; the estimate allows for one ahead of this one.
     return sentAt + std::max(maxFirstEventDelay, minimum)
         + m_maxPromptsAhead * maxFirstEventDelay / 2;
@@ -109,12 +109,18 @@
     return report.eventCount > lastEventId + (isArriving ? 1 : 0);
 }
 
-// Runs that wait or whose prompt is processed are not listed, so before the first event the run is
-// only known to be missing when the server has none of these.
+// Runs that wait or whose prompt is processed are not listed. Among them are preempted runs, whose
+// memory is processed again.
+bool RunProgress::mayWaitUnlisted(const ServerProbeResult &report)
+{
+    return !report.hasRun && (report.load.waiting > 0 || report.load.prefilling > 0);
+}
+
+// Before the first event, a run that may wait is not missing. After it, such a run was preempted,
+// and another server may continue it sooner.
 bool RunProgress::isMissingFrom(const ServerProbeResult &report, TimePoint probedAt) const
 {
-    const bool mayBeUnlisted = !hasEvents() && report.load.waiting + report.load.prefilling > 0;
-    if (!report.listsRuns || mayBeUnlisted)
+    if (!report.listsRuns || (!hasEvents() && mayWaitUnlisted(report)))
         return false;
     const TimePoint knownSince = hasEvents() ? m_firstEventAt : m_startedAt;
     return probedAt - knownSince > maxReportAge;
