gateway: give servers the time of a probe once more if the gateway itself was late

A gateway that is busy, for instance with the configurations of a storm, finds its timers overdue: probes were taken for unanswered before they had been sent or their answers read. Change: a probe whose timer fires 30 ms late or more gets its whole time once more; connecting may take as long as a late answer. Counter gateway_questions_extended_total. A session waits for the end of its probe, in place of checking every 5 ms once it is overdue. Measured: ServerProbeTest::serverIsNotSilentIfTheGatewayWasBusy fails on (0 reports in place of 1) and passes now; gateway_test and decisions_test pass. Conclusion: silence that the gateway itself caused is no evidence against a server.

--- a/src/decisions/StreamSession.cpp
+++ b/src/decisions/StreamSession.cpp
@@ -553,7 +553,7 @@
     if (!route().allowsRetry())
         return deadline();
     const TimePoint silentAt = m_isProbing
-        ? m_probedAt + 2 * probeTimeout
+        ? TimePoint::max()
         : m_progress.lastContactAt() + m_progress.silenceThreshold();
     return std::max(std::min(stuckAt(), silentAt), m_replaceAt);
 }
--- a/src/gateway/ServerProbe.cpp
+++ b/src/gateway/ServerProbe.cpp
@@ -17,6 +17,8 @@
 constexpr std::size_t maxReportBytes = 128 * 1024;
 // Answers that come after the probe is over are read until then.
 constexpr std::chrono::milliseconds lateAnswerTimeout {1000};
+// A timer that fires this late shows that the process itself was paused or busy.
+constexpr std::chrono::milliseconds maxOwnDelay {30};
 
 } // namespace
 
@@ -34,13 +36,30 @@
 void ServerProbe::start()
 {
     m_open = m_probe.servers.size();
-    m_timer.once(m_probe.timeout, [self = shared_from_this()] {
-        self->m_parts.queue.post([self] { self->end(); });
-    });
+    startTimer();
     for (const BackendState &server : m_probe.servers)
         sendProbe(server);
 }
 
+void ServerProbe::startTimer()
+{
+    m_dueAt = m_parts.clock() + m_probe.timeout;
+    m_timer.once(m_probe.timeout, [self = shared_from_this()] {
+        self->m_parts.queue.post([self] { self->onTimeout(); });
+    });
+}
+
+// If this process was late itself, probes may not have been sent and answers not been read, so
+// silence says nothing about the servers. They get the whole time once more.
+void ServerProbe::onTimeout()
+{
+    const Duration delay = m_parts.clock() - m_dueAt;
+    if (m_isOver || delay < maxOwnDelay || std::exchange(m_isExtended, true))
+        return end();
+    m_parts.metrics.add("gateway_questions_extended_total");
+    startTimer();
+}
+
 void ServerProbe::sendProbe(const BackendState &server)
 {
     const auto hook = [self = shared_from_this(),
@@ -53,7 +72,7 @@
     m_parts.metrics.add("gateway_questions_total");
     ExchangeOptions options = ExchangeOptions::pooled();
     options.maxBodyBytes = maxReportBytes;
-    options.connectTimeout = m_probe.timeout;
+    options.connectTimeout = std::max(m_probe.timeout, lateAnswerTimeout);
     if (m_probe.useNewConnections)
         options.maxIdleTime = std::chrono::milliseconds(0);
     const bool isPromptProbe = m_probe.subject == ProbeServers::Subject::Prompt;
--- a/src/gateway/ServerProbe.h
+++ b/src/gateway/ServerProbe.h
@@ -36,6 +36,8 @@
     void start();
 
 private:
+    void startTimer();
+    void onTimeout();
     void sendProbe(const BackendState &server);
     Result<ServerProbeResult> decode(const HttpResponse &response) const;
     void end();
@@ -48,6 +50,8 @@
     const Hook m_hook;
     std::vector<ServerProbeResult> m_reports;
     Timer m_timer;
+    TimePoint m_dueAt;
+    bool m_isExtended = false;
     std::size_t m_open = 0; ///< probes in flight
     bool m_isOver = false;  ///< the hook was called
 };
