gateway: decode configurations beside the requests, the newest one only

Cause: each value of the configuration's key was decoded on the queue of requests, one after the other, also those that a later one of the same answer or of the next answer had replaced already. It takes the newest waiting one of an epoch of the store, by its revision, and the one before it if that is unreadable. The queue of requests only puts the finished table in force, and records a proof of keys after the outcome of every configuration that was offered before it. configInForce names decodeMs and lagMs; gateway_configs_superseded_total counts those that were not decoded. Conclusion: a request waits for no decoding. Of [version 8, version 7] in one answer 7 takes effect if neither was in force, as on a gateway that reads only the last state.

--- a/src/gateway/GatewayNode.cpp
+++ b/src/gateway/GatewayNode.cpp
@@ -310,11 +310,16 @@
     metrics.close();
     watch.stop();
     publisher.stop();
+    parts.storePool.stop();
     parts.pool.stop();
     // Runs the remaining tasks on this thread: they hold references to members that are destroyed
-    // before the pool.
-    parts.pool.context().restart();
-    parts.pool.context().poll();
+    // before the pools. Tasks of each pool queue some on the other one.
+    std::size_t ran = 0;
+    do {
+        parts.storePool.context().restart();
+        parts.pool.context().restart();
+        ran = parts.storePool.context().poll() + parts.pool.context().poll();
+    } while (ran > 0);
 }
 
 GatewayNode::GatewayNode(GatewaySettings settings, BackendCodec codec, StoreSchema schema,
--- a/src/gateway/GatewayParts.cpp
+++ b/src/gateway/GatewayParts.cpp
@@ -33,6 +33,9 @@
 constexpr std::chrono::milliseconds maxRequestIdle {8000};
 constexpr std::chrono::milliseconds maxProbeIdle {20'000};
 
+// One of them reads the store's answers while the other one decodes a configuration.
+constexpr std::size_t storeThreads = 2;
+
 // Differs between gateways, from 0 to 1.
 double phaseOf(const std::string &nodeId)
 {
@@ -54,6 +57,7 @@
     , codec(std::move(backendCodec))
     , clock(bootClock())
     , pool(settings.threads)
+    , storePool(storeThreads)
     , http(pool)
     , probeHttp(pool)
     , idleConnections(
--- a/src/gateway/GatewayParts.h
+++ b/src/gateway/GatewayParts.h
@@ -81,6 +81,9 @@
     const BackendCodec codec;
     const Clock clock; ///< goes on while the VM is suspended
     WorkerPool pool;
+    /// Reads the store and decodes configurations, so that the pool's threads are free for
+    /// requests.
+    WorkerPool storePool;
     MetricRegistry metrics;
     Http1Client http;
     /// Of probes. Their answers name no request, so they share no connection with requests: a late
--- a/src/gateway/StoreWatch.cpp
+++ b/src/gateway/StoreWatch.cpp
@@ -5,6 +5,7 @@
 #include "foxtailring/base/ThreadLocalRandom.h"
 #include "foxtailring/store/KeyValueClient.h"
 
+#include "DurationText.h"
 #include "GatewayKey.h"
 #include "GatewayListingCodec.h"
 #include "GatewayParts.h"
@@ -69,6 +70,10 @@
     , m_client(client)
     , m_schema(std::move(schema))
     , m_rereadPacing(parts.settings.storeReadsPerSecond)
+    , m_decoder(parts.storePool, parts.clock, m_schema.decodeConfig,
+                [this](const std::shared_ptr<const ConfigDecoder::Outcome> &outcome) {
+                    post([this, outcome] { onConfigDecoded(*outcome); });
+                })
     , m_configTimer(parts.pool)
     , m_holdTimer(parts.pool)
     , m_watcher(parts.pool, client, allKeysPrefix, watcherSettings, makeHooks())
@@ -96,22 +101,19 @@
 {
     PrefixWatcherHooks hooks;
     hooks.onSnapshot = [this](const RangeResult &read) {
-        post([this, read] { applySnapshot(read); });
+        post([this, read, readAt = m_parts.clock()] { applySnapshot(read, readAt); });
         return true;
     };
     hooks.onChanges = [this](std::span<const WatchEvent> events) {
-        post([this, copy = std::vector<WatchEvent>(events.begin(), events.end())] {
-            applyEvents(copy);
-        });
+        post([this, copy = std::vector<WatchEvent>(events.begin(), events.end()),
+              readAt = m_parts.clock()] { applyEvents(copy, readAt); });
         return true;
     };
     hooks.onConfirmed = [this](TimePoint confirmedAt) {
         post([this, confirmedAt] {
             m_confirmedAt = confirmedAt;
-            m_parts.keyFreshness.recordConfirmation(confirmedAt);
             m_parts.rateLimits.recordConfirmation(confirmedAt);
-            if (m_confirmedHook)
-                m_confirmedHook();
+            recordProof(confirmedAt, true);
         });
     };
     hooks.onHistoryLost = [this] { post([this] { onHistoryLost(); }); };
@@ -156,17 +158,19 @@
                                 + std::string(errorCodeName(read.error().code)) + "\"}");
             return;
         }
-        post([this, requestedAt, result = read.value()] { applyConfigRead(result, requestedAt); });
+        post([this, requestedAt, result = read.value(), readAt = m_parts.clock()] {
+            applyConfigRead(result, requestedAt, readAt);
+        });
     });
 }
 
-void StoreWatch::applyConfigRead(const RangeResult &read, TimePoint requestedAt)
+void StoreWatch::applyConfigRead(const RangeResult &read, TimePoint requestedAt, TimePoint readAt)
 {
     if (read.pairs.empty())
         return;
     holdKeys(read.epoch);
-    applyConfig(read.pairs.front());
-    m_parts.keyFreshness.recordConfirmation(requestedAt);
+    offerConfigs({{read.pairs.front(), read.epoch, readAt}});
+    recordProof(requestedAt, false);
 }
 
 // Revocations of keys may be among the writes that a restored store has lost.
@@ -191,7 +195,7 @@
     return std::chrono::milliseconds(threadLocalRandom().bounded(bound));
 }
 
-void StoreWatch::applySnapshot(const RangeResult &read)
+void StoreWatch::applySnapshot(const RangeResult &read, TimePoint readAt)
 {
     m_isReadDue = false;
     m_configTimer.cancel();
@@ -202,7 +206,7 @@
     std::vector<std::string> gateways;
     for (const KeyValue &pair : read.pairs) {
         if (pair.key == m_schema.configKey)
-            applyConfig(pair);
+            offerConfigs({{pair, read.epoch, readAt}});
         if (GatewayKey::matches(pair.key))
             gateways.push_back(GatewayKey::nodeIdOf(pair.key));
         if (isRateLimitKey(pair.key))
@@ -269,16 +273,17 @@
     return true;
 }
 
-void StoreWatch::applyEvents(const std::vector<WatchEvent> &events)
+void StoreWatch::applyEvents(const std::vector<WatchEvent> &events, TimePoint readAt)
 {
     applyRateLimitReports(events);
     applyGateways(events);
     if (!events.empty())
         reportRevision(events.back().pair.modRevision);
+    std::vector<ConfigDecoder::Candidate> configs;
     for (const WatchEvent &event : events) {
         const KeyValue &pair = event.pair;
         if (pair.key == m_schema.configKey && !event.deleted)
-            applyConfig(pair);
+            configs.push_back({pair, m_epoch.value_or(unknownEpoch), readAt});
         if (isPromptCrashKey(pair.key) && !event.deleted)
             applyPromptCrashReport(pair, m_confirmedAt);
         if (!isServerKey(pair.key))
@@ -290,6 +295,7 @@
             applyServer(pair);
         }
     }
+    offerConfigs(std::move(configs));
 }
 
 void StoreWatch::applyRateLimitReports(std::span<const WatchEvent> events)
@@ -359,25 +365,62 @@
     m_parts.servers.put(server.value(), m_parts.clock());
 }
 
-void StoreWatch::applyConfig(const KeyValue &pair)
+void StoreWatch::offerConfigs(std::vector<ConfigDecoder::Candidate> candidates)
+{
+    if (!candidates.empty())
+        m_offeredConfig = m_decoder.offer(std::move(candidates));
+}
+
+void StoreWatch::onConfigDecoded(const ConfigDecoder::Outcome &outcome)
 {
-    auto config = m_schema.decodeConfig(pair.value);
-    if (!config) {
+    for (const Error &error : outcome.errors) {
         m_parts.metrics.add("config_unreadable_total");
-        StructuredLog::warn("configUnreadable", {{"message", config.error().message}});
-        return;
+        StructuredLog::warn("configUnreadable", {{"message", error.message}});
     }
-    const std::int64_t version = config.value().version;
+    if (outcome.superseded > 0)
+        m_parts.metrics.add("gateway_configs_superseded_total",
+                            static_cast<std::int64_t>(outcome.superseded));
+    if (outcome.table)
+        putInForce(outcome);
+    m_decodedConfig = outcome.offer;
+    recordWaitingProofs();
+}
+
+void StoreWatch::putInForce(const ConfigDecoder::Outcome &outcome)
+{
+    const std::int64_t version = outcome.table->version();
     // A delayed response must not bring an older configuration back.
     if (m_parts.routes && version <= m_parts.routes->version())
         return;
-    m_parts.routes = std::make_shared<const RouteTable>(std::move(config).value());
+    std::shared_ptr<const RouteTable> previous = std::exchange(m_parts.routes, outcome.table);
     m_parts.metrics.setGauge("gateway_config_version", static_cast<double>(version));
-    StructuredLog::info(
-        "configInForce",
-        {{"version", std::to_string(version)}, {"revision", std::to_string(pair.modRevision)}});
+    StructuredLog::info("configInForce",
+                        {{"version", std::to_string(version)},
+                         {"revision", std::to_string(outcome.revision)},
+                         {"decodeMs", msText(outcome.decodeTime)},
+                         {"lagMs", msText(m_parts.clock() - outcome.readAt)}});
     if (m_configAppliedHook)
         m_configAppliedHook();
+    // The end of a table of thousands of routes takes time that requests need.
+    m_parts.storePool.post([last = std::move(previous)] {});
+}
+
+// Keys that were withdrawn by a configuration must not count as proved before it is in force.
+void StoreWatch::recordProof(TimePoint queriedAt, bool isOfAllKeys)
+{
+    m_waitingProofs.push_back({m_offeredConfig, queriedAt, isOfAllKeys});
+    recordWaitingProofs();
+}
+
+void StoreWatch::recordWaitingProofs()
+{
+    while (!m_waitingProofs.empty() && m_waitingProofs.front().offer <= m_decodedConfig) {
+        const WaitingProof proof = m_waitingProofs.front();
+        m_waitingProofs.pop_front();
+        m_parts.keyFreshness.recordConfirmation(proof.queriedAt);
+        if (proof.isOfAllKeys && m_confirmedHook)
+            m_confirmedHook();
+    }
 }
 
 void StoreWatch::reportRevision(std::int64_t revision)
--- a/src/gateway/StoreWatch.h
+++ b/src/gateway/StoreWatch.h
@@ -5,9 +5,14 @@
 #include "foxtailring/store/PrefixWatcher.h"
 #include "foxtailring/transport/Timer.h"
 
+#include "ConfigDecoder.h"
+
 #include <atomic>
+#include <cstdint>
+#include <deque>
 #include <optional>
 #include <span>
+#include <vector>
 
 namespace foxtailring {
 
@@ -33,19 +38,31 @@
     void stop();
 
 private:
+    /// A proof of keys that waits until the configurations offered before it were decoded.
+    struct WaitingProof
+    {
+        std::uint64_t offer = 0;
+        TimePoint queriedAt;
+        bool isOfAllKeys = false; ///< not of the configuration alone
+    };
+
     PrefixWatcherHooks makeHooks();
     void post(std::function<void()> work);
-    void applySnapshot(const RangeResult &read);
+    void applySnapshot(const RangeResult &read, TimePoint readAt);
     void recordInterruptedRead();
     bool startEpoch(const RangeResult &read);
     void onHistoryLost();
     void readConfig();
-    void applyConfigRead(const RangeResult &read, TimePoint requestedAt);
+    void applyConfigRead(const RangeResult &read, TimePoint requestedAt, TimePoint readAt);
     void holdKeys(std::int64_t epoch);
     void updateRereadSpread();
     std::chrono::milliseconds randomRereadDelay() const;
-    void applyEvents(const std::vector<WatchEvent> &events);
-    void applyConfig(const KeyValue &pair);
+    void applyEvents(const std::vector<WatchEvent> &events, TimePoint readAt);
+    void offerConfigs(std::vector<ConfigDecoder::Candidate> candidates);
+    void onConfigDecoded(const ConfigDecoder::Outcome &outcome);
+    void putInForce(const ConfigDecoder::Outcome &outcome);
+    void recordProof(TimePoint queriedAt, bool isOfAllKeys);
+    void recordWaitingProofs();
     void applyServer(const KeyValue &pair);
     void applyPromptCrashReport(const KeyValue &pair, TimePoint writtenAfter);
     void applyRateLimitReports(std::span<const WatchEvent> events);
@@ -70,6 +87,10 @@
     const RereadPacing m_rereadPacing;
     /// Used by the watcher's threads too.
     std::atomic<std::chrono::milliseconds::rep> m_rereadSpreadMs = 0;
+    std::uint64_t m_offeredConfig = 0; ///< number of the last offer to the decoder
+    std::uint64_t m_decodedConfig = 0; ///< number of the last offer whose outcome is known
+    std::deque<WaitingProof> m_waitingProofs;
+    ConfigDecoder m_decoder;
     Timer m_configTimer; ///< reads the configuration alone until all keys were read
     Timer m_holdTimer;   ///< ends the time in which a restored store confirms no keys
     PrefixWatcher m_watcher;
--- a/tests/gateway/GatewayFixture.h
+++ b/tests/gateway/GatewayFixture.h
@@ -80,7 +80,8 @@
     /// \brief Text of the gateway's metrics.
     std::string metrics();
     static BackendCodec codec();
-    StoreSchema schema() const;
+    virtual StoreSchema schema() const;
+    static RouteConfig config();
     static std::string eventText(int id);
     /// \param id of the request that it answers
     static HttpResponse signedAnswer(std::string body, const std::string &id = "1");
@@ -102,9 +103,6 @@
     std::optional<GatewayNode> m_gateway;
     GatewayPorts m_ports;
     std::optional<WatchHooks> m_watch;
-
-private:
-    static RouteConfig config();
 };
 
 } // namespace foxtailring
