gateway: read the store on threads of its own

Change: the store's HTTP client, its key-value client and the watch of all keys use GatewayParts::storePool, whose second thread decodes configurations meanwhile. Conclusion: only the effects of an answer run on the thread of requests.

--- a/src/gateway/GatewayNode.cpp
+++ b/src/gateway/GatewayNode.cpp
@@ -194,8 +194,8 @@
                   [this](const HttpRequest &request, const std::shared_ptr<Http1Responder> &to) {
                       answerProbe(request, to);
                   })
-        , storeHttp(parts.pool)
-        , store(factory(parts.pool, storeHttp))
+        , storeHttp(parts.storePool)
+        , store(factory(parts.storePool, storeHttp))
         , watch(parts, *store, std::move(schema))
         , publisher(parts, *store)
         , drainTimer(parts.pool)
--- a/src/gateway/StoreWatch.cpp
+++ b/src/gateway/StoreWatch.cpp
@@ -76,7 +76,7 @@
                 })
     , m_configTimer(parts.pool)
     , m_holdTimer(parts.pool)
-    , m_watcher(parts.pool, client, allKeysPrefix, watcherSettings, makeHooks())
+    , m_watcher(parts.storePool, client, allKeysPrefix, watcherSettings, makeHooks())
 {
 }
 
--- a/tests/gateway/ConfigStormTest.cpp
+++ b/tests/gateway/ConfigStormTest.cpp
@@ -13,6 +13,7 @@
     CPPUNIT_TEST(waitingConfigurationIsReplaced);
     CPPUNIT_TEST(unreadableConfigurationHidesNoOlderOne);
     CPPUNIT_TEST(requestsAreDecidedWhileAConfigurationIsDecoded);
+    CPPUNIT_TEST(requestsAreDecidedWhileAnAnswerOfTheStoreIsRead);
     CPPUNIT_TEST(serverIsGoneWhileAConfigurationIsDecoded);
     CPPUNIT_TEST(keysAreProvedAfterTheConfiguration);
     CPPUNIT_TEST_SUITE_END();
@@ -79,6 +80,21 @@
         CPPUNIT_ASSERT_EQUAL(200, m_answers->take().value().status);
     }
 
+    // Guards against requests that wait for the JSON of an answer of several megabytes.
+    void requestsAreDecidedWhileAnAnswerOfTheStoreIsRead()
+    {
+        startServing();
+        std::promise<void> reading;
+        m_storePool->post([&reading, opened = m_opened] {
+            reading.set_value();
+            opened.wait();
+        });
+        reading.get_future().wait();
+        call("/once/x");
+        m_received->take().responder->respond(signedAnswer("done"));
+        CPPUNIT_ASSERT_EQUAL(200, m_answers->take().value().status);
+    }
+
     // Guards against a request to a server whose end came with a large configuration.
     void serverIsGoneWhileAConfigurationIsDecoded()
     {
--- a/tests/gateway/GatewayFixture.cpp
+++ b/tests/gateway/GatewayFixture.cpp
@@ -130,8 +130,10 @@
     settings.drainTimeout = drainTimeout;
     auto store = std::make_unique<ListedStore>();
     m_store = store.get();
-    m_gateway.emplace(settings, codec(), schema(),
-                      [&store](WorkerPool &, Http1Client &) { return std::move(store); });
+    m_gateway.emplace(settings, codec(), schema(), [this, &store](WorkerPool &pool, Http1Client &) {
+        m_storePool = &pool;
+        return std::move(store);
+    });
     m_ports = m_gateway->listen().value();
 }
 
--- a/tests/gateway/GatewayFixture.h
+++ b/tests/gateway/GatewayFixture.h
@@ -99,7 +99,8 @@
         std::make_shared<std::vector<HttpHeader>>();
     std::optional<Http1Server> m_servers[2];
     std::uint16_t m_serverPorts[2] = {0, 0};
-    ListedStore *m_store = nullptr; ///< owned by the gateway
+    ListedStore *m_store = nullptr;    ///< owned by the gateway
+    WorkerPool *m_storePool = nullptr; ///< that the gateway gives to the store's client
     std::optional<GatewayNode> m_gateway;
     GatewayPorts m_ports;
     std::optional<WatchHooks> m_watch;
