transport: leave idle connections alone when limits stay the same

Cause: Http1Server::setLimits queued a task for each open connection at every configuration, also if the limits were those in force. Change: the same limits only reach connections whose body is arriving, since the time that it may take follows the routes and can have changed. Conclusion: the effect of a configuration no longer grows with the idle connections, except for the walk over them.

--- a/include/foxtailring/transport/Http1Server.h
+++ b/include/foxtailring/transport/Http1Server.h
@@ -51,7 +51,8 @@
     /// not an IP address. Unavailable: binding failed.
     Result<std::uint16_t> listen();
     /// \brief Sets the limits of requests whose first byte arrives from now on. Longer time limits
-    /// also apply to requests in progress and to idle connections.
+    /// also apply to requests in progress and to idle connections. The same limits as before only
+    /// reach connections whose body is arriving, see limitBodyTime().
     void setLimits(HttpLimits limits);
     /// \brief Closes each connection after its next response; new connections are still accepted.
     void disableKeepAlive();
--- a/include/foxtailring/transport/HttpLimits.h
+++ b/include/foxtailring/transport/HttpLimits.h
@@ -14,6 +14,8 @@
     std::chrono::milliseconds idleTimeout {60'000};
     /// Longest time from the first bytes of a head to its end.
     std::chrono::milliseconds headerTimeout {60'000};
+
+    bool operator==(const HttpLimits &) const = default;
 };
 
 } // namespace foxtailring
--- a/src/transport/Http1Connection.cpp
+++ b/src/transport/Http1Connection.cpp
@@ -147,6 +147,7 @@
     m_continueSent = false;
     m_headStarted = false;
     m_bodyStartedAt.reset();
+    m_hasBodyStarted = false;
     m_bodyTime.reset();
     m_headBytes = 0;
     m_needsMore = false;
@@ -261,6 +262,8 @@
 void Http1Connection::beginBody()
 {
     m_bodyStartedAt = std::chrono::steady_clock::now();
+    // Before the hook is called: whoever changes what it returns then sees this body.
+    m_hasBodyStarted = true;
     m_bodyTime = allowedBodyTime();
 }
 
--- a/src/transport/Http1Connection.h
+++ b/src/transport/Http1Connection.h
@@ -10,6 +10,7 @@
 #include <boost/beast/http/string_body.hpp>
 
 #include <array>
+#include <atomic>
 #include <chrono>
 #include <memory>
 #include <optional>
@@ -39,6 +40,8 @@
     void close();
     /// \brief Lets longer time limits of the server apply to what this connection waits for.
     void extendLimits();
+    /// \brief True if the current request has a body that did not arrive together with its head.
+    bool hasBodyStarted() const { return m_hasBodyStarted; }
 
     // On the strand, called by the exchange.
     void send(std::string_view bytes, std::size_t payloadBytes);
@@ -118,6 +121,7 @@
     /// no time was allowed.
     std::optional<std::chrono::steady_clock::time_point> m_bodyStartedAt;
     std::optional<std::chrono::milliseconds> m_bodyTime; ///< allowed from then on
+    std::atomic<bool> m_hasBodyStarted = false;          ///< m_bodyStartedAt is set
     bool m_needsMore = false;       ///< the parser has left a part of m_input unread
     bool m_expectsRequest = false;  ///< counted in Http1ServerShared::expectedRequestCount
     std::size_t m_headBytes = 0;    ///< of the current head, as far as it has been parsed
--- a/src/transport/Http1Server.cpp
+++ b/src/transport/Http1Server.cpp
@@ -62,9 +62,12 @@
 
 void Http1Server::setLimits(HttpLimits limits)
 {
-    m_state->shared->setLimits(limits);
-    for (const auto &connection : m_state->connections.openConnections())
-        connection->extendLimits();
+    const bool isChanged = m_state->shared->setLimits(limits);
+    for (const auto &connection : m_state->connections.openConnections()) {
+        // The time that a body may take can have changed even if the limits have not.
+        if (isChanged || connection->hasBodyStarted())
+            connection->extendLimits();
+    }
 }
 
 void Http1Server::disableKeepAlive()
--- a/src/transport/Http1ServerShared.h
+++ b/src/transport/Http1ServerShared.h
@@ -24,10 +24,11 @@
         return m_limits;
     }
 
-    void setLimits(HttpLimits limits)
+    /// \brief True if these are other limits than before.
+    bool setLimits(HttpLimits limits)
     {
         const std::lock_guard lock(m_mutex);
-        m_limits = limits;
+        return std::exchange(m_limits, limits) != limits;
     }
 
     const Http1Server::Handler handler;
--- a/tests/transport/Http1ServerTest.cpp
+++ b/tests/transport/Http1ServerTest.cpp
@@ -7,6 +7,7 @@
 #include "Mailbox.h"
 #include "RawPeer.h"
 
+#include <boost/asio/io_context.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <future>
@@ -78,6 +79,7 @@
     CPPUNIT_TEST(requestsOfLostConnectionsAreReported);
     CPPUNIT_TEST(idleConnectionsAreNotReported);
     CPPUNIT_TEST(longerIdleLimitReachesIdleConnections);
+    CPPUNIT_TEST(unchangedLimitsCostIdleConnectionsNothing);
     CPPUNIT_TEST(longerIdleLimitReachesBodiesInProgress);
     CPPUNIT_TEST(shorterIdleLimitSparesIdleConnections);
     CPPUNIT_TEST(requestHasTheSizesInForceWhenItBegins);
@@ -548,6 +550,23 @@
         CPPUNIT_ASSERT(m_cuts.isEmpty());
     }
 
+    // Guards against work for every connection at each of many configurations with the same limits.
+    void unchangedLimitsCostIdleConnectionsNothing()
+    {
+        RawPeer first(m_port);
+        RawPeer second(m_port);
+        waitUntil([this] { return m_server->openConnectionCount() == 2; });
+        m_server->setLimits(smallLimits);
+        m_pool->stop();
+        runQueuedTasks();
+        m_server->setLimits(smallLimits);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), runQueuedTasks());
+        HttpLimits longer = smallLimits;
+        longer.idleTimeout *= 2;
+        m_server->setLimits(longer);
+        CPPUNIT_ASSERT(runQueuedTasks() >= 2);
+    }
+
     // Callers use a connection within the limit in force, and would find it closed.
     void longerIdleLimitReachesIdleConnections()
     {
@@ -679,6 +698,13 @@
     }
 
 private:
+    /// \brief Runs what is queued on the stopped pool and returns the number of tasks.
+    std::size_t runQueuedTasks()
+    {
+        m_pool->context().restart();
+        return m_pool->context().poll();
+    }
+
     static void assertTimeoutResponse(RawPeer &peer)
     {
         const std::string answer = peer.readAll();
