--- a/tests/gateway/ConfigDecoderTest.cpp
+++ b/tests/gateway/ConfigDecoderTest.cpp
@@ -103,6 +103,7 @@
     std::uint64_t offer(const std::vector<Value> &values, std::int64_t epoch = 0)
     {
         std::vector<ConfigDecoder::Candidate> candidates;
+        candidates.reserve(values.size());
         for (const Value &value : values)
             candidates.push_back({{"config", value.text, value.revision}, epoch, {}});
         return m_decoder.offer(std::move(candidates));
