--- a/tests/gateway/GatewayFixture.h
+++ b/tests/gateway/GatewayFixture.h
@@ -80,7 +80,8 @@
     /// \brief Text of the gateway's metrics.
     std::string metrics();
     static BackendCodec codec();
-    StoreSchema schema() const;
+    virtual StoreSchema schema() const;
+    static RouteConfig config();
     static std::string eventText(int id);
     /// \param id of the request that it answers
     static HttpResponse signedAnswer(std::string body, const std::string &id = "1");
@@ -98,13 +99,11 @@
         std::make_shared<std::vector<HttpHeader>>();
     std::optional<Http1Server> m_servers[2];
     std::uint16_t m_serverPorts[2] = {0, 0};
-    ListedStore *m_store = nullptr; ///< owned by the gateway
+    ListedStore *m_store = nullptr;    ///< owned by the gateway
+    WorkerPool *m_storePool = nullptr; ///< that the gateway gives to the store's client
     std::optional<GatewayNode> m_gateway;
     GatewayPorts m_ports;
     std::optional<WatchHooks> m_watch;
-
-private:
-    static RouteConfig config();
 };
 
 } // namespace foxtailring
