decisions: bound the time that a run is allowed for the prompts ahead of it

Cause: RunProgress::stuckAt multiplied the prompts that a server reports, two counts of up to 1e9 each, by the delay of a first event in 64 bits of nanoseconds. Change: the time for the prompts is computed in seconds as a double and limited to 24 h.

--- a/src/decisions/RunProgress.cpp
+++ b/src/decisions/RunProgress.cpp
@@ -28,6 +28,8 @@
 constexpr milliseconds defaultMaxEventGap {1000};
 // The latest interval has the weight 1 / intervalAverageDivisor in the moving average.
 constexpr int intervalAverageDivisor = 8;
+// Bounds the time for the prompts ahead: a server may report any number of them.
+constexpr std::chrono::hours maxPromptTime {24};
 // A resumed run processes only what its copy lacks, but may wait for the prompts of other runs.
 constexpr milliseconds resumeTimeout {1500};
 
@@ -93,8 +95,11 @@
     const auto minimum =
         std::chrono::duration_cast<Duration>(m_route.latencyObjective * firstEventFraction);
     // Prompts are processed one after the other; the estimate allows for one ahead of this one.
+    // Computed in seconds, since 64 bits of nanoseconds hold 292 years.
+    using Seconds = std::chrono::duration<double>;
+    const Seconds ahead = m_maxPromptsAhead * Seconds(maxFirstEventDelay) / 2;
     return sentAt + std::max(maxFirstEventDelay, minimum)
-        + m_maxPromptsAhead * maxFirstEventDelay / 2;
+        + std::chrono::duration_cast<Duration>(std::min<Seconds>(ahead, maxPromptTime));
 }
 
 bool RunProgress::isLostBy(const ServerProbeResult &report, std::int64_t lastEventId,
