decisions: bound the times that follow from the sizes of prompts and outputs

Cause: the sizes of a prompt and its output are what the caller says (Token-Count, up to 2^64 - 1). EngineLatencyEstimator converted their time to 64 bits of nanoseconds without a check and multiplied the event interval by the number of events. A prompt of 1e15 tokens had the longest time that there is, which wraps when the time of sending is added to it: its run counted as stuck at once. Change: times are computed in seconds as doubles and limited to 24 h.

--- a/src/decisions/EngineLatencyEstimator.cpp
+++ b/src/decisions/EngineLatencyEstimator.cpp
@@ -21,12 +21,25 @@
 constexpr double unloadedFraction = 0.6;
 // For connecting, routing and the first decoding step.
 constexpr Seconds fixedDelay {0.1};
+// Longer than any request may take. The sizes of prompts and outputs are what callers say, and a
+// time that they lead to must fit 64 bits of nanoseconds, also when it is added to others.
+constexpr Seconds maxDuration = std::chrono::hours(24);
 
 double sizeOf(std::uint64_t promptTokens)
 {
     return static_cast<double>(std::max<std::uint64_t>(promptTokens, 1));
 }
 
+Seconds outputDuration(Duration eventInterval, std::int64_t events)
+{
+    return Seconds(eventInterval) * static_cast<double>(std::max<std::int64_t>(events, 0));
+}
+
+Duration bounded(Seconds duration)
+{
+    return std::chrono::duration_cast<Duration>(std::min(duration, maxDuration));
+}
+
 } // namespace
 
 void EngineLatencyEstimator::recordFirstEvent(std::string_view service, std::uint64_t promptTokens,
@@ -63,8 +76,7 @@
         return Duration {0};
     const Rate &rate = found->second;
     const Seconds prefill(rate.perToken * static_cast<double>(promptTokens));
-    const Seconds output = rate.eventInterval * std::max<std::int64_t>(events, 0);
-    return std::chrono::duration_cast<Duration>(unloadedFraction * (prefill + output));
+    return bounded(unloadedFraction * (prefill + outputDuration(rate.eventInterval, events)));
 }
 
 std::optional<Duration> EngineLatencyEstimator::usualRunDuration(std::string_view service,
@@ -74,8 +86,8 @@
     const auto found = m_rates.find(service);
     if (found == m_rates.end() || found->second.eventInterval == Duration {0})
         return std::nullopt;
-    return maxFirstEventDelay(service, promptTokens)
-        + found->second.eventInterval * std::max<std::int64_t>(events, 0);
+    return bounded(maxFirstEventDelay(service, promptTokens)
+                   + outputDuration(found->second.eventInterval, events));
 }
 
 Duration EngineLatencyEstimator::maxFirstEventDelay(std::string_view service,
@@ -87,8 +99,7 @@
         ? std::max(maxUsualPrompts * found->second.perToken,
                    found->second.perToken + maxUsualDeviations * found->second.deviation)
         : maxUsualPrompts * assumedSecondsPerToken;
-    return std::chrono::duration_cast<Duration>(fixedDelay
-                                                + Seconds(perToken * sizeOf(promptTokens)));
+    return bounded(fixedDelay + Seconds(perToken * sizeOf(promptTokens)));
 }
 
 } // namespace foxtailring
