decisions: ignore the rate limits of a server's earlier start

Cause: an answer to a request that was sent before a server restarted named the limit of the listed start, or ended it, since limits are kept by the server's id alone. Change: ServerAdmission::recordAnswer passes an answer on to the limits only if its server is the listed start, or is not listed (BackendTable::hasOtherStart). A limit that was named before a restart is kept as before until an answer shows its end. Conclusion: a limit is the word of the start that is listed.

--- a/include/foxtailring/decisions/BackendTable.h
+++ b/include/foxtailring/decisions/BackendTable.h
@@ -110,6 +110,11 @@
     /// replaced.
     bool detectRestart(std::string_view id, std::int64_t startedAtMs);
 
+    /// \brief True if another start of the server than this one is listed, so that an answer of
+    /// \a server says nothing about it.
+    /// \param server as it was when the request was sent
+    bool hasOtherStart(const BackendInfo &server) const;
+
     /// \brief True if the server is known, does not leave and was not replaced.
     bool acceptsNewWork(std::string_view id) const;
     std::optional<BackendState> server(std::string_view id, TimePoint now) const;
--- a/include/foxtailring/decisions/ServerAdmission.h
+++ b/include/foxtailring/decisions/ServerAdmission.h
@@ -9,6 +9,7 @@
 
 namespace foxtailring {
 
+class BackendTable;
 class RateLimitTable;
 class ServerPauses;
 struct BackendAnswer;
@@ -23,10 +24,11 @@
 class ServerAdmission
 {
 public:
-    /// \param limits must outlive the object, as must \a pauses
-    ServerAdmission(RateLimitTable &limits, ServerPauses &pauses);
+    /// \param servers must outlive the object, as must \a limits and \a pauses
+    ServerAdmission(const BackendTable &servers, RateLimitTable &limits, ServerPauses &pauses);
 
     /// \brief An answer of the server itself to an attempt arrived.
+    /// \param server as it was when the request was sent
     /// \param sentAt when the request that it answers was sent
     void recordAnswer(const BackendInfo &server, const BackendAnswer &answer, TimePoint sentAt,
                       TimePoint now);
@@ -47,6 +49,7 @@
     std::optional<RateLimitExplanation> explainLimit(std::string_view serverId, TimePoint now);
 
 private:
+    const BackendTable &m_servers;
     RateLimitTable &m_limits;
     ServerPauses &m_pauses;
 };
--- a/src/decisions/BackendTable.cpp
+++ b/src/decisions/BackendTable.cpp
@@ -317,6 +317,12 @@
     return hasRestarted;
 }
 
+bool BackendTable::hasOtherStart(const BackendInfo &server) const
+{
+    const auto found = m_records.find(server.id);
+    return found != m_records.end() && !found->second.info.isSameStart(server);
+}
+
 void BackendTable::markReplaced(Record &record)
 {
     if (!std::exchange(record.isReplaced, true) && m_hooks.onReplaced)
--- a/src/decisions/ServerAdmission.cpp
+++ b/src/decisions/ServerAdmission.cpp
@@ -1,6 +1,7 @@
 #include "foxtailring/decisions/ServerAdmission.h"
 
 #include "foxtailring/decisions/BackendInfo.h"
+#include "foxtailring/decisions/BackendTable.h"
 #include "foxtailring/decisions/RateLimitTable.h"
 #include "foxtailring/decisions/ServerPauses.h"
 
@@ -8,17 +9,22 @@
 
 namespace foxtailring {
 
-ServerAdmission::ServerAdmission(RateLimitTable &limits, ServerPauses &pauses)
-    : m_limits(limits)
+ServerAdmission::ServerAdmission(const BackendTable &servers, RateLimitTable &limits,
+                                 ServerPauses &pauses)
+    : m_servers(servers)
+    , m_limits(limits)
     , m_pauses(pauses)
 {
 }
 
+// An answer to a request from before a restart neither names nor ends the limit of the server
+// listed now.
 void ServerAdmission::recordAnswer(const BackendInfo &server, const BackendAnswer &answer,
                                    TimePoint sentAt, TimePoint now)
 {
     m_pauses.recordAnswer(server, answer, now);
-    m_limits.recordAnswer(server.id, answer, sentAt, now);
+    if (!m_servers.hasOtherStart(server))
+        m_limits.recordAnswer(server.id, answer, sentAt, now);
 }
 
 // A request that a pause keeps away takes nothing from the rate limit.
--- a/src/gateway/GatewayParts.cpp
+++ b/src/gateway/GatewayParts.cpp
@@ -69,7 +69,7 @@
     , retryBudget(retryBudgetSettings(random))
     , rateLimits({settings.nodeId, settings.maxServerListDelay})
     , pauses(servers, random)
-    , admission(rateLimits, pauses)
+    , admission(servers, rateLimits, pauses)
     , keyFreshness(settings.maxKeyRevocationDelay, keyFreshnessMargin)
     , memoryBudget(settings.memoryMb * 1024 * 1024 / memoryBudgetDivisor)
 {
--- a/tests/decisions/ForwardFixture.h
+++ b/tests/decisions/ForwardFixture.h
@@ -129,7 +129,7 @@
     PromptQuarantine quarantine;
     RandomSource random {7};
     ServerPauses pauses {servers, random};
-    ServerAdmission admission {rateLimits, pauses};
+    ServerAdmission admission {servers, rateLimits, pauses};
     EngineLatencyEstimator latency;
     std::vector<std::string> released;         ///< handles of snapshots
     std::vector<std::string> limited;          ///< servers passed over because of their rate limit
--- a/tests/decisions/RateLimitedSessionTest.cpp
+++ b/tests/decisions/RateLimitedSessionTest.cpp
@@ -16,6 +16,9 @@
     CPPUNIT_TEST(retryCountsAgainstTheLimit);
     CPPUNIT_TEST(answerEndsTheLimit);
     CPPUNIT_TEST(otherServersLimitIsNotTaken);
+    CPPUNIT_TEST(lateAnswerOfTheEarlierStartIsNotTheLimitOfTheNext);
+    CPPUNIT_TEST(lateAnswerOfTheEarlierStartKeepsTheLimitOfTheNext);
+    CPPUNIT_TEST(answerOfAServerThatIsNotListedCounts);
     CPPUNIT_TEST(limitedEngineIsNotProbedForPlacement);
     CPPUNIT_TEST(runIsPlacedWithoutAProbeWhenEveryEngineIsLimited);
     CPPUNIT_TEST(silentRunIsKeptWithoutAProbe);
@@ -87,6 +90,39 @@
         CPPUNIT_ASSERT(!rateLimits.isLimited(id));
     }
 
+    // Guards against a new process that gets few requests because its predecessor took few.
+    void lateAnswerOfTheEarlierStartIsNotTheLimitOfTheNext()
+    {
+        CallSession session(m_call, request(), context());
+        const BackendInfo before = sent(session.start(now)).server.info;
+        restart(before);
+        session.onHead(limitAnswer(1), now);
+        CPPUNIT_ASSERT(!rateLimits.isLimited(before.id));
+    }
+
+    // Guards against a limit that is exceeded since the process before the restart names none.
+    void lateAnswerOfTheEarlierStartKeepsTheLimitOfTheNext()
+    {
+        const BackendInfo before = info("a1", "a");
+        const BackendInfo after = restart(before);
+        const TimePoint named = now;
+        admission.recordAnswer(after, limitAnswer(8), named, named);
+        admission.recordAnswer(before, answer(200), named + Ms(10), named + Ms(20));
+        CPPUNIT_ASSERT(rateLimits.isLimited("a1"));
+        admission.recordAnswer(before, limitAnswer(1000), named + Ms(10), named + Ms(20));
+        CPPUNIT_ASSERT_EQUAL(8.0, admission.explainLimit("a1", named + Ms(20))->limit);
+        admission.recordAnswer(after, answer(200), named + Ms(10), named + Ms(20));
+        CPPUNIT_ASSERT(!rateLimits.isLimited("a1"));
+    }
+
+    // An entry may be missing for a moment.
+    void answerOfAServerThatIsNotListedCounts()
+    {
+        const BackendInfo gone = info("d1", "a");
+        admission.recordAnswer(gone, limitAnswer(8), now, now);
+        CPPUNIT_ASSERT(rateLimits.isLimited("d1"));
+    }
+
     void limitedEngineIsNotProbedForPlacement()
     {
         name("a1", 1000);
@@ -146,12 +182,26 @@
     }
 
 private:
-    void name(const std::string &id, double limit)
+    static BackendAnswer limitAnswer(double limit)
     {
         BackendAnswer limited = answer(200);
         limited.namesRateLimit = true;
         limited.rateLimit = limit;
-        rateLimits.recordAnswer(id, limited, now, now);
+        return limited;
+    }
+
+    void name(const std::string &id, double limit)
+    {
+        rateLimits.recordAnswer(id, limitAnswer(limit), now, now);
+    }
+
+    /// Lists a later start of the server at the same address.
+    BackendInfo restart(const BackendInfo &before)
+    {
+        BackendInfo after = before;
+        ++after.startedAtMs;
+        servers.put(after, now);
+        return after;
     }
 
     /// The servers name a limit of which this process has used its share.
