tests/decisions: store an outcome in one place

Cause: two tests of restored buckets stored a claim and its outcome with the same six lines. Change: ClaimTableTest::storeOutcome; the checks and revisions are as before. Conclusion: no behaviour changes.

--- a/tests/decisions/ClaimTableTest.cpp
+++ b/tests/decisions/ClaimTableTest.cpp
@@ -61,6 +61,16 @@
     {
         m_driver.collect(m_driver.table.onCallFinished(call, 200, "answer", m_driver.now));
     }
+    /// The claim of \a key and then its outcome are stored in epoch 1, the latter at \a revision.
+    void storeOutcome(const std::string &key, std::int64_t revision)
+    {
+        submit(1, key);
+        load("", 0, 1);
+        swapped(5, 1);
+        finish(m_driver.sends[0]);
+        tick(20ms);
+        swapped(revision, 1);
+    }
     const AnswerCall &answer(std::uint64_t callId) { return m_driver.answers.at(callId); }
     ClaimDocument lastSwap() const
     {
@@ -98,12 +108,7 @@
     // against a call that runs again because its claim was lost with the store.
     void restoredBucketGetsTheLostClaimsBack()
     {
-        submit(1, "acme/k");
-        load("", 0, 1);
-        swapped(5, 1);
-        finish(m_driver.sends[0]);
-        tick(20ms);
-        swapped(9, 1);
+        storeOutcome("acme/k", 9);
         submit(2, "acme/new");
         tick(20ms);
         load("", 3, 2);
@@ -127,12 +132,7 @@
     // Guards against a lost claim that replaces one which another process made after the restore.
     void claimMadeAfterARestoreIsKept()
     {
-        submit(1, "acme/k");
-        load("", 0, 1);
-        swapped(5, 1);
-        finish(m_driver.sends[0]);
-        tick(20ms);
-        swapped(6, 1);
+        storeOutcome("acme/k", 6);
         m_driver.advance(5s);
         submit(2, "acme/new");
         load(documentWith({"b", "other-1", 9, Outcome::Done, 201, "later", now()}), 3, 2);
