platform: bound the counts that requests and answers tell

Cause: token counts, the last event of a caller and the load in an answer were taken up to the range of their types. Change: token counts and loads are limited to 1e9, as those of reports are. A last event that is negative, or that no event can follow, counts as none, as one that is no number does.

--- a/tests/platform/WireFormatTest.cpp
+++ b/tests/platform/WireFormatTest.cpp
@@ -9,6 +9,8 @@
     CPPUNIT_TEST_SUITE(WireFormatTest);
     CPPUNIT_TEST(requestIsDecoded);
     CPPUNIT_TEST(callersTimeoutIsBounded);
+    CPPUNIT_TEST(tokenCountsAreBounded);
+    CPPUNIT_TEST(lastEventsThatNoStreamHasAreIgnored);
     CPPUNIT_TEST(sharedPromptPartsAreDecoded);
     CPPUNIT_TEST(sharedPromptPartsAreBounded);
     CPPUNIT_TEST(ambiguousRequestsAreRefused);
@@ -19,6 +21,7 @@
     CPPUNIT_TEST(requestIdThatIsNoTextIsEncoded);
     CPPUNIT_TEST(handlesThatAreNoHeaderValueAreRefused);
     CPPUNIT_TEST(answerIsDecoded);
+    CPPUNIT_TEST(loadThatNoServerHasIsBounded);
     CPPUNIT_TEST(rateLimitIsDecoded);
     CPPUNIT_TEST(leavingIsDecoded);
     CPPUNIT_TEST(leavingIsDecodedFromProbes);
@@ -55,6 +58,28 @@
             CPPUNIT_ASSERT_MESSAGE(garbled, !withTimeout(garbled));
     }
 
+    // Guards against a caller whose counts overflow where the events that are left are counted.
+    void tokenCountsAreBounded()
+    {
+        const GatewayRequest most =
+            with("Token-Count", "18446744073709551615,18446744073709551615");
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(1'000'000'000), most.promptTokens);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(1'000'000'000), most.maxOutputTokens);
+        const GatewayRequest usual = with("Token-Count", "1000000000,999999999");
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(1'000'000'000), usual.promptTokens);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(999'999'999), usual.maxOutputTokens);
+    }
+
+    // Guards against the overflow of the number of events that are left, and against a stream that
+    // waits for an event before the first one.
+    void lastEventsThatNoStreamHasAreIgnored()
+    {
+        for (const char *garbled : {"-1", "-9223372036854775808", "9223372036854775807",
+                                    "9223372036854775808", "last", ""})
+            CPPUNIT_ASSERT_MESSAGE(garbled, !with("Last-Event-Id", garbled).lastEventId);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(0), *with("Last-Event-Id", "0").lastEventId);
+    }
+
     // Guards against taking the part of one request for one that others have.
     void sharedPromptPartsAreDecoded()
     {
@@ -175,6 +200,17 @@
         CPPUNIT_ASSERT(!odd.load);
     }
 
+    // Guards against a server that looks idle since its running and waiting requests overflow when
+    // they are added.
+    void loadThatNoServerHasIsBounded()
+    {
+        const BackendAnswer odd =
+            m_codec.decodeAnswer({200, {{"Server-Load", "4294967295,1,4294967295"}}, ""});
+        CPPUNIT_ASSERT_EQUAL(1'000'000'000U, odd.load.value().running);
+        CPPUNIT_ASSERT_EQUAL(1U, odd.load.value().waiting);
+        CPPUNIT_ASSERT_EQUAL(1'000'000'000U, odd.load.value().slots);
+    }
+
     // Guards against a pause that is taken from another status, or rounded to seconds.
     void pauseIsDecoded()
     {
@@ -289,24 +325,24 @@
                 "body"};
     }
 
-    GatewayRequest withPrompt(const std::string &prompt) const
+    GatewayRequest with(const std::string &name, const std::string &value) const
     {
         HttpRequest request = http();
         for (HttpHeader &header : request.headers) {
-            if (header.name == "Prompt-Prefix")
-                header.value = prompt;
+            if (header.name == name)
+                header.value = value;
         }
         return m_codec.decodeRequest(request).value();
     }
 
+    GatewayRequest withPrompt(const std::string &prompt) const
+    {
+        return with("Prompt-Prefix", prompt);
+    }
+
     std::optional<std::chrono::milliseconds> withTimeout(const std::string &text) const
     {
-        HttpRequest request = http();
-        for (HttpHeader &header : request.headers) {
-            if (header.name == "Request-Deadline-Ms")
-                header.value = text;
-        }
-        return m_codec.decodeRequest(request).value().timeout;
+        return with("Request-Deadline-Ms", text).timeout;
     }
 
     static AttemptMetadata metadata()
