--- a/tests/platform/DocumentsTest.cpp
+++ b/tests/platform/DocumentsTest.cpp
@@ -43,6 +43,8 @@
     CPPUNIT_TEST(invalidConfigErrorNamesTheField);
     CPPUNIT_TEST(configOutOfRangeIsUnreadable);
     CPPUNIT_TEST(timesBeyondADayAreShortened);
+    CPPUNIT_TEST(numberBeyondADoubleCostsOnlyItsField);
+    CPPUNIT_TEST(numberBeyondADoubleIsOfTheWrongType);
     CPPUNIT_TEST(configWithoutAccountsNeedsNoKeys);
     CPPUNIT_TEST(serverIsDecoded);
     CPPUNIT_TEST(invalidEntriesAreRefused);
@@ -108,6 +110,42 @@
         CPPUNIT_ASSERT(out.value().limits.idleTimeout == std::chrono::hours(24));
     }
 
+    // Guards against new routes and revoked keys that do not come into force because of a field
+    // that nothing reads.
+    void numberBeyondADoubleCostsOnlyItsField()
+    {
+        for (const char *huge : {"1e400", "-1e400", "1.5E+999"}) {
+            const auto out =
+                platform::decodeConfig(replaced(config, R"("x":1)", R"("x":)" + std::string(huge)));
+            CPPUNIT_ASSERT_MESSAGE(huge, out.isOk());
+            CPPUNIT_ASSERT_EQUAL(std::int64_t(7), out.value().version);
+            CPPUNIT_ASSERT_EQUAL(std::size_t(2), out.value().routes.size());
+            CPPUNIT_ASSERT(out.value().hasAccounts && !out.value().routes.at(0).isPublic);
+        }
+    }
+
+    // A configuration is taken as a whole or not at all: without one of these fields it could open
+    // a route or lose an account. The earlier one stays in force.
+    void numberBeyondADoubleIsOfTheWrongType()
+    {
+        for (const auto &[name, from] :
+             {std::pair("version", "7"), std::pair("timeout_ms", "25000"),
+              std::pair("public", "false"), std::pair("host", R"("h.example")"),
+              std::pair("max_conns", "370"), std::pair("kv_capacity_tokens", "88000"),
+              std::pair("max_body_bytes", "4096"), std::pair("weight", "90"),
+              std::pair("priority", "1"), std::pair("api_keys", R"(["k1","k2"])")}) {
+            const std::string field = '"' + std::string(name) + "\":";
+            const auto out =
+                platform::decodeConfig(replaced(config, field + from, field + "1e400"));
+            CPPUNIT_ASSERT_MESSAGE(name, !out.isOk());
+            CPPUNIT_ASSERT_MESSAGE(out.error().message,
+                                   out.error().message.find(name) != std::string::npos);
+        }
+        CPPUNIT_ASSERT(!platform::decodeConfig(replaced(config, R"("k1")", "1e400")));
+        CPPUNIT_ASSERT(
+            !platform::decodeConfig(replaced(config, R"({"name":"t1")", R"(1e400,{"name":"t1")")));
+    }
+
     void configWithoutAccountsNeedsNoKeys()
     {
         const auto out = platform::decodeConfig(replaced(config, R"("tenants")", R"("others")"));
