tests/process: join the heads of the scripts and the frozen gateway of two restores

Cause: eight scripts set the same search path with the same lines, hand_over.py had a working folder and an exit code of its own beside those of scenario.py, and two cases of restored_store.py played a frozen gateway with the same block. Change: scenario.py sets the search path when it is imported, and is imported first; hand_over.py and server_pauses.py use its working folder, so that server_pauses.py keeps its logs in a folder that is given too. restored_store.py: freeze_during_restore serves frozen_gateway and answers_without_epoch, with the same checks; the second case now also waits 0.2 s after the pause. late_in_stop.py and planned_stop.py are left as they are. Conclusion: no check changes.

--- a/tests/process/changing_limits.py
+++ b/tests/process/changing_limits.py
@@ -15,7 +15,6 @@
 import collections
 import http.client
 import json
-import pathlib
 import random
 import socket
 import sys
@@ -23,13 +22,11 @@
 import threading
 import time
 
-ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
-sys.path[:0] = [str(ROOT / "platform" / "standins"), str(ROOT / "tools" / "lib")]
-import scenario  # noqa: E402
-import wire  # noqa: E402
-from soak.backend import EVENTS_PER_RUN  # noqa: E402
-from soak.cluster import Cluster  # noqa: E402
-from soak.records import gateway_entries  # noqa: E402
+import scenario  # before the next ones, whose folders it adds
+import wire
+from soak.backend import EVENTS_PER_RUN
+from soak.cluster import Cluster
+from soak.records import gateway_entries
 
 SEED = 1
 # Idle limit, header limit (ms), header bytes and timeout of reads (ms) of each configuration.
--- a/tests/process/endless_answers.py
+++ b/tests/process/endless_answers.py
@@ -15,12 +15,10 @@
 import tempfile
 import time
 
-ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
-sys.path[:0] = [str(ROOT / "platform" / "standins"), str(ROOT / "tools" / "lib")]
-import scenario  # noqa: E402
-import wire  # noqa: E402
-from soak import endless  # noqa: E402
-from soak.cluster import Cluster  # noqa: E402
+import scenario  # before the next ones, whose folders it adds
+import wire
+from soak import endless
+from soak.cluster import Cluster
 
 REQUESTS = 100
 SMALLEST_VM_MB = 160
--- a/tests/process/hand_over.py
+++ b/tests/process/hand_over.py
@@ -18,25 +18,22 @@
 import http.client
 import itertools
 import json
-import pathlib
 import signal
 import socket
 import sys
-import tempfile
 import threading
 import time
 
-ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
-sys.path[:0] = [str(ROOT / "platform" / "standins"), str(ROOT / "tools" / "lib")]
-import wire  # noqa: E402
-from soak import http_standin  # noqa: E402
-from soak.backend import EVENTS_PER_RUN, event_text  # noqa: E402
-from soak.callers import NOT_RUN_STATUSES  # noqa: E402
-from soak.cluster import Cluster  # noqa: E402
-from soak.gateway import is_ready_at  # noqa: E402
-from soak.ports import wait_for_port  # noqa: E402
-from soak.process import Process  # noqa: E402
-from system import BUILD  # noqa: E402
+import scenario  # before the next ones, whose folders it adds
+import wire
+from soak import http_standin
+from soak.backend import EVENTS_PER_RUN, event_text
+from soak.callers import NOT_RUN_STATUSES
+from soak.cluster import Cluster
+from soak.gateway import is_ready_at
+from soak.ports import wait_for_port
+from soak.process import Process
+from system import BUILD
 
 SEED = 1
 STREAMS = 8
@@ -405,13 +402,9 @@
 def main():
     name = sys.argv[1]
     print(f"seed {SEED}, case {name}")
-    with tempfile.TemporaryDirectory() as temporary:
-        folder = pathlib.Path(sys.argv[2] if len(sys.argv) > 2 else temporary)
-        folder.mkdir(exist_ok=True)
+    with scenario.working_folder(2) as folder:
         failures = run_case(name, folder)
-    for failure in failures:
-        print("FAILED", failure)
-    return 1 if failures else 0
+    return scenario.exit_code(failures)
 
 
 if __name__ == "__main__":
--- a/tests/process/leaving_by_answer.py
+++ b/tests/process/leaving_by_answer.py
@@ -12,18 +12,15 @@
 import collections
 import http.client
 import itertools
-import pathlib
 import sys
 import threading
 import time
 
-ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
-sys.path[:0] = [str(ROOT / "platform" / "standins"), str(ROOT / "tools" / "lib")]
-import scenario  # noqa: E402
-import wire  # noqa: E402
-from soak.cluster import Cluster  # noqa: E402
-from soak.limits import HEARTBEAT_TIMEOUT_SECONDS, MAX_SERVER_LIST_DELAY_SECONDS  # noqa: E402
-from soak.records import server_records  # noqa: E402
+import scenario  # before the next ones, whose folders it adds
+import wire
+from soak.cluster import Cluster
+from soak.limits import HEARTBEAT_TIMEOUT_SECONDS, MAX_SERVER_LIST_DELAY_SECONDS
+from soak.records import server_records
 
 CALLERS = 16
 CALL_INTERVAL_SECONDS = 0.4
--- a/tests/process/odd_entries.py
+++ b/tests/process/odd_entries.py
@@ -20,13 +20,11 @@
 import threading
 import time
 
-ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
-sys.path[:0] = [str(ROOT / "platform" / "standins"), str(ROOT / "tools" / "lib")]
-import scenario  # noqa: E402
-import wire  # noqa: E402
-from leaving_by_answer import Load  # noqa: E402
-from soak.cluster import Cluster  # noqa: E402
-from soak.limits import MAX_SERVER_LIST_DELAY_SECONDS  # noqa: E402
+import scenario  # before the next ones, whose folders it adds
+import wire
+from leaving_by_answer import Load
+from soak.cluster import Cluster
+from soak.limits import MAX_SERVER_LIST_DELAY_SECONDS
 
 MAX_VALUE_BYTES = 1_000_000
 MAX_DELAY_SECONDS = 5
--- a/tests/process/restored_store.py
+++ b/tests/process/restored_store.py
@@ -11,19 +11,16 @@
 import collections
 import contextlib
 import http.client
-import pathlib
 import re
 import sys
 import threading
 import time
 
-ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
-sys.path[:0] = [str(ROOT / "platform" / "standins"), str(ROOT / "tools" / "lib")]
-import scenario  # noqa: E402
-import wire  # noqa: E402
-from soak.cluster import Cluster  # noqa: E402
-from soak.limits import MAX_KEY_REVOCATION_SECONDS, MAX_SERVER_LIST_DELAY_SECONDS, ZONES  # noqa: E402
-from soak.records import server_records  # noqa: E402
+import scenario  # before the next ones, whose folders it adds
+import wire
+from soak.cluster import Cluster
+from soak.limits import MAX_KEY_REVOCATION_SECONDS, MAX_SERVER_LIST_DELAY_SECONDS, ZONES
+from soak.records import server_records
 
 PERMANENT_KEY = "key-0"
 PROBE_INTERVAL_SECONDS = 0.05
@@ -241,12 +238,13 @@
     return backup, play.store.revision
 
 
-def frozen_gateway(play):
+def freeze_during_restore(play, omits_epoch=False):
     """The new history passes the position of a gateway that is frozen."""
     backup, position = lose_a_configuration(play)
     frozen, *others = play.gateways
     frozen.process.pause()
     time.sleep(0.2)
+    play.store.omits_epoch = omits_epoch
     play.restore(backup, away_seconds=0.3)
     marker, acknowledged_at = play.publish()
     play.pass_position(position)
@@ -257,6 +255,11 @@
     yield from play.check_served()
 
 
+def frozen_gateway(play):
+    """A gateway is frozen while the store is restored."""
+    yield from freeze_during_restore(play)
+
+
 def silent_to_half(play):
     """The new history passes the position of gateways that get no answer of the store meanwhile."""
     backup, position = lose_a_configuration(play)
@@ -469,18 +472,7 @@
 
 def answers_without_epoch(play):
     """The answers have no epoch for some seconds, in which the store is restored while a gateway is frozen."""
-    backup, position = lose_a_configuration(play)
-    frozen, *others = play.gateways
-    frozen.process.pause()
-    play.store.omits_epoch = True
-    play.restore(backup, away_seconds=0.3)
-    marker, acknowledged_at = play.publish()
-    play.pass_position(position)
-    time.sleep(1)
-    frozen.process.resume()
-    since = {gateway: acknowledged_at for gateway in others}
-    yield from play.check_in_force(marker, {**since, frozen: time.monotonic()})
-    yield from play.check_served()
+    yield from freeze_during_restore(play, omits_epoch=True)
     yield from play.check_published()
     play.store.omits_epoch = False
     yield from play.check_served()
--- a/tests/process/scenario.py
+++ b/tests/process/scenario.py
@@ -1,10 +1,14 @@
-"""What the process tests in this folder share: their working folder, their checks of a gateway's end and their result."""
+"""What the process tests in this folder share: where their stand-ins are found, their working folder, their checks of a
+gateway's end and their result. It is imported before the stand-ins."""
 
 import contextlib
 import pathlib
 import sys
 import tempfile
 
+ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
+sys.path[:0] = [str(ROOT / "platform" / "standins"), str(ROOT / "tools" / "lib")]
+
 
 @contextlib.contextmanager
 def working_folder(argument=1):
--- a/tests/process/server_pauses.py
+++ b/tests/process/server_pauses.py
@@ -1,6 +1,6 @@
 """Gateway in front of three servers that turn requests away and ask for a pause.
 
-usage: server_pauses.py
+usage: server_pauses.py [FOLDER]
 
 Guards against a gateway that goes on sending to a server that asked it for a pause. 40 calls a second meet servers
 whose answers are 503 with a Retry-After of 2 s: first at one of the three, where every call is served by the others,
@@ -12,18 +12,14 @@
 
 import collections
 import http.client
-import pathlib
 import sys
-import tempfile
 import threading
 import time
 
-ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
-sys.path[:0] = [str(ROOT / "platform" / "standins"), str(ROOT / "tools" / "lib")]
-import scenario  # noqa: E402
-import wire  # noqa: E402
-from soak.cluster import Cluster  # noqa: E402
-from soak.records import server_records  # noqa: E402
+import scenario  # before the next ones, whose folders it adds
+import wire
+from soak.cluster import Cluster
+from soak.records import server_records
 
 PAUSE_SECONDS = 2
 NOTICE_SECONDS = 0.5
@@ -162,7 +158,7 @@
 
 def main():
     failures = []
-    with tempfile.TemporaryDirectory() as folder:
+    with scenario.working_folder() as folder:
         cluster = Cluster(folder, 1, gateways=1, engines=3, registers=3)
         try:
             cluster.start()
--- a/tests/process/slow_peers.py
+++ b/tests/process/slow_peers.py
@@ -10,21 +10,18 @@
 import concurrent.futures
 import http.client
 import json
-import pathlib
 import socket
 import sys
 import tempfile
 import threading
 import time
 
-ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
-sys.path[:0] = [str(ROOT / "platform" / "standins"), str(ROOT / "tools" / "lib")]
-import scenario  # noqa: E402
-import wire  # noqa: E402
-from soak import dribble  # noqa: E402
-from soak.backend import EVENTS_PER_RUN, event_text  # noqa: E402
-from soak.cluster import Cluster  # noqa: E402
-from soak.records import gateway_entries  # noqa: E402
+import scenario  # before the next ones, whose folders it adds
+import wire
+from soak import dribble
+from soak.backend import EVENTS_PER_RUN, event_text
+from soak.cluster import Cluster
+from soak.records import gateway_entries
 
 SEED = 1
 REQUESTS_PER_CASE = 2
