tools/soak: check that a server's short stop cuts no answer

Cause: the soak stops servers for 0.2 to 2.5 s, and no check said that callers get their answers nevertheless; other faults overlap, so that few requests could be judged. Change: before the other faults, an engine and a register near a gateway stop for 1 to 2 s. Check `shortStop`: an answer that is cut, or a status of 500 and more, is a violation if nothing but such stops, one a server, could affect the request. A run takes 1.5 to 2.5 s more; the other faults of a seed stay as they were.

--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -470,6 +470,50 @@
         self.fault("server_crashed", 100.1, 100.2, server="i-1-4")
         self.assertEqual([], self.violated_rules(checks.planned_stops_cut_nothing))
 
+    def short_stop(self, outcome="broken", end=102.2, server="i-1-1", status=502):
+        """A request that ends so while its server, or another one, stops at 100.2 s."""
+        self.journal.entries.clear()
+        self.fault("server_paused", 100.2, end, server=server)
+        self.records[:] = [run()]
+        self.attempts[:] = [attempt(outcome=outcome, ended_at=103, status=status)]
+
+    def test_short_stop(self):
+        for outcome, rules in (("served", []), ("refused", []), ("gaveUp", []), ("broken", ["shortStop"]),
+                               ("failed", ["shortStop"])):
+            with self.subTest(outcome=outcome):
+                self.short_stop(outcome)
+                self.assertEqual(rules, self.violated_rules(checks.short_stops_cut_nothing))
+
+    def test_denied_request_is_not_cut_by_a_short_stop(self):
+        for status, rules in ((401, []), (404, []), (500, ["shortStop"]), (504, ["shortStop"])):
+            with self.subTest(status=status):
+                self.short_stop("failed", status=status)
+                self.assertEqual(rules, self.violated_rules(checks.short_stops_cut_nothing))
+
+    def test_request_at_a_stopped_server_that_did_not_run(self):
+        self.short_stop("failed")
+        self.records.clear()
+        self.assertEqual(["shortStop"], self.violated_rules(checks.short_stops_cut_nothing))
+        self.fault("server_paused", 100.2, 102.2, server="i-2-1")
+        self.assertEqual(["shortStop"], self.violated_rules(checks.short_stops_cut_nothing))
+        self.fault("link_reset", 100.2, 100.3, server="i-3-1")
+        self.assertEqual([], self.violated_rules(checks.short_stops_cut_nothing))
+
+    def test_other_stops_are_excused(self):
+        for end, server in ((102.6, "i-1-1"), (102.2, "i-2-1")):
+            with self.subTest(end=end, server=server):
+                self.short_stop(end=end, server=server)
+                self.assertEqual([], self.violated_rules(checks.short_stops_cut_nothing))
+
+    def test_short_stop_beside_another_fault(self):
+        for kind, server, rules in (("server_paused", "i-1-1", []), ("server_crashed", "i-1-1", []),
+                                    ("link_slow", "i-1-1", []), ("server_crashed", "i-2-1", ["shortStop"]),
+                                    ("store_cut", "i-1-1", ["shortStop"])):
+            with self.subTest(kind=kind, server=server):
+                self.short_stop()
+                self.fault(kind, 102, 102.5, server=server)
+                self.assertEqual(rules, self.violated_rules(checks.short_stops_cut_nothing))
+
     def test_given_up_work(self):
         for number in range(4):
             self.attempts.append(attempt(request=f"r{number}", kind="streams", gave_up=True))
--- a/tools/lib/soak/checks.py
+++ b/tools/lib/soak/checks.py
@@ -41,6 +41,8 @@
 GATEWAY_FAULTS_EXCUSING_PAUSE = ("gateway_killed", "gateway_terminated", "gateway_paused")
 FLEET_FAULTS_EXCUSING_PAUSE = ("gateways_killed", "gateways_rolled")
 SERVER_FAULTS_EXCUSING_PAUSE = ("server_paused", "link_silent", "link_slow", "link_one_way")
+# A server that stops for longer may be given up, and so may one that stops again before a request has ended.
+MAX_SHORT_STOP_SECONDS = 2
 # Faults after which a gateway's requests do not count against a limit for LIMIT_NOTICE_SECONDS.
 FAULTS_EXCUSING_LIMIT = ("gateway_killed", "gateway_terminated", "gateway_paused", "gateways_killed",
                          "gateways_rolled", "store_cut")
@@ -380,6 +382,32 @@
             yield Violation("plannedStop", f"{attempt.request} at {attempt.gateway} was cut")
 
 
+def met_only_short_stops(evidence, attempt):
+    """Whether nothing could affect the attempt but short stops of its servers, one of each. It may have been sent to any
+    server when it ran at none."""
+    hosts = {host_of(run["server"]) for run in evidence.runs_of.get(attempt.request, [])}
+    hosts = hosts or {host_of(fault.server) for fault in evidence.faults}
+    faults = [fault for fault in evidence.faults_between(attempt.sent_at, attempt.ended_at)
+              if may_affect(fault, attempt.gateway, hosts)]
+    stopped = [host_of(fault.server) for fault in faults if is_short_stop(fault)]
+    return stopped and len(stopped) == len(faults) == len(set(stopped))
+
+
+def is_short_stop(fault):
+    return (fault.kind == "server_paused"
+            and fault.ends_at - fault.starts_at <= MAX_SHORT_STOP_SECONDS + LOG_DELAY_TOLERANCE_SECONDS)
+
+
+def short_stops_cut_nothing(evidence):
+    """A server that stops for a moment and goes on has not failed: its caller gets the whole answer."""
+    for attempt in evidence.attempts.values():
+        # A request with a key that was withdrawn is denied (401) whatever its servers do.
+        is_cut = attempt.outcome == "broken" or attempt.outcome == "failed" and attempt.status >= 500
+        if is_cut and met_only_short_stops(evidence, attempt):
+            yield Violation("shortStop", f"{attempt.request} at {attempt.gateway} has status {attempt.status} and "
+                                         f"{attempt.events} events though its server only stopped for a moment")
+
+
 def given_up_work_ends(evidence):
     ends = {}
     for record in evidence.records:
@@ -536,9 +564,8 @@
           refused_never_run, streams_run_at_one_server, withdrawn_keys_run_nothing,
           proper_requests_are_allowed, config_is_in_force, config_never_goes_back,
           leaving_servers_get_nothing, servers_leaving_by_answer_get_nothing,
-          planned_stops_cut_nothing, given_up_work_ends, retries_stay_in_budget, rate_limits_hold,
-          pauses_hold, gateways_stay_up,
-          service_recovers]
+          planned_stops_cut_nothing, short_stops_cut_nothing, given_up_work_ends, retries_stay_in_budget,
+          rate_limits_hold, pauses_hold, gateways_stay_up, service_recovers]
 
 
 def violations(evidence):
--- a/tools/lib/soak/faults.py
+++ b/tools/lib/soak/faults.py
@@ -10,6 +10,9 @@
 
 MEAN_FAULT_INTERVAL_SECONDS = 0.9
 FAULT_FREE_START_SECONDS = 2
+# Before the other faults, a server of each service stops for so long, and goes on for a while before they begin.
+SHORT_STOP_SECONDS = (1, 2)
+SHORT_STOP_EFFECT_SECONDS = 0.5
 # Requests per second that limited servers take, and how much longer than other faults they do.
 LOWEST_LIMIT = 1.5
 LIMIT_SPREAD = 8
@@ -27,6 +30,7 @@
 FIRST_PAUSE_NUMBER = 100_000
 FIRST_RESTORE_NUMBER = 200_000
 FIRST_RESTORE_PAUSE_NUMBER = 300_000
+FIRST_SHORT_STOP_NUMBER = 400_000
 # How long a gateway that misses a restore stays paused after it, and how often a server writes meanwhile at most.
 PAUSE_AFTER_RESTORE_SECONDS = 1
 MAX_HEARTBEATS = 50
@@ -58,6 +62,7 @@
 
     def run(self, seconds):
         time.sleep(FAULT_FREE_START_SECONDS)
+        self._stop_servers_shortly()
         ends_at = time.monotonic() + seconds
         apart = [threading.Thread(target=self._inject_apart, daemon=True, args=arguments) for arguments in (
             (self.pause_random, self.pause_kinds, MEAN_PAUSE_INTERVAL_SECONDS, FIRST_PAUSE_NUMBER,
@@ -79,6 +84,23 @@
         for thread in apart + self.threads:
             thread.join(15)
 
+    def _stop_servers_shortly(self):
+        """Stops a server of each service, near a gateway. Nothing else happens, so that short_stops_cut_nothing has
+        requests to judge."""
+        draw = random.Random(f"short stops of {self.cluster.seed}")
+        zones = {gateway.zone for gateway in self.cluster.gateways}
+        stops = []
+        for number, service in enumerate(("engine", "register"), FIRST_SHORT_STOP_NUMBER):
+            near = [server for server in self.cluster.servers if server.service == service and server.zone in zones]
+            stops.append(threading.Thread(target=self._inject, daemon=True, args=(
+                number, self.server_paused, draw.uniform(*SHORT_STOP_SECONDS), self.cluster.gateways[0],
+                draw.choice(near), 0)))
+        for thread in stops:
+            thread.start()
+        for thread in stops:
+            thread.join()
+        time.sleep(SHORT_STOP_EFFECT_SECONDS)
+
     def _draw(self):
         """Draws the arguments of a fault: duration, gateway, server and a fraction. A single thread draws,
         so that the seed determines the order."""
