decisions: keep a preempted run past the limit for a stuck server

Cause: keeps a run that may wait unlisted to its deadline, but the limit for a stuck server (three allowed pauses after the latest event) went on. From then on StreamSession::onOverdue called onSilent every 500 ms without a probe: the engine that only preempts was suspected, and the stream was cut 5 s after the latest probe, though every report said that runs wait. Change: a report that the run may wait starts the limit anew, so the engine is still probed. The older tests stop at 6 s and 1 s, before either shows. Conclusion: such a run is replaced or kept to its deadline.

--- a/include/foxtailring/decisions/RunProgress.h
+++ b/include/foxtailring/decisions/RunProgress.h
@@ -26,6 +26,8 @@
     void recordPartialEvent(TimePoint now) { m_partialEventAt = now; }
     /// \brief The server of the attempt showed that it works.
     void recordContact(TimePoint now) { m_lastContactAt = now; }
+    /// \brief The server reported that the run may wait until it is processed again.
+    void recordWaiting(TimePoint now) { m_waitingAt = now; }
     /// \brief The server reported this many prompts that it processes or that wait.
     void recordPrompts(std::uint32_t prompts);
 
@@ -64,6 +66,7 @@
     TimePoint m_lastEventAt;
     TimePoint m_partialEventAt; ///< latest bytes of an incomplete event
     TimePoint m_lastContactAt;
+    TimePoint m_waitingAt; ///< latest report that the run may wait
     std::uint32_t m_maxPromptsAhead = 0;
     Duration m_meanEventInterval {0};
 };
--- a/src/decisions/RunProgress.cpp
+++ b/src/decisions/RunProgress.cpp
@@ -48,6 +48,7 @@
     m_isResumed = isResumed;
     m_eventCount = 0;
     m_partialEventAt = {};
+    m_waitingAt = {};
     m_maxPromptsAhead = 0;
     m_startedAt = now;
     m_lastContactAt = now;
@@ -87,7 +88,7 @@
 TimePoint RunProgress::stuckAt(TimePoint sentAt, Duration maxFirstEventDelay) const
 {
     if (hasEvents())
-        return m_lastEventAt + stuckEventGaps * maxEventGapOf(*m_route);
+        return std::max(m_lastEventAt, m_waitingAt) + stuckEventGaps * maxEventGapOf(*m_route);
     if (m_isResumed)
         return sentAt + resumeTimeout;
     const auto minimum =
--- a/src/decisions/StreamSession.cpp
+++ b/src/decisions/StreamSession.cpp
@@ -519,6 +519,7 @@
     if (!RunProgress::mayWaitUnlisted(report))
         return onSilent(now);
     m_progress.recordContact(now);
+    m_progress.recordWaiting(now);
     return replaceAttempt("unlisted", now);
 }
 
--- a/tests/decisions/UnlistedRunTest.cpp
+++ b/tests/decisions/UnlistedRunTest.cpp
@@ -17,6 +17,8 @@
     CPPUNIT_TEST(runThatVanishedIsAbortedInTime);
     CPPUNIT_TEST(preemptedRunIsReplaced);
     CPPUNIT_TEST(engineThatPreemptsIsNotSuspected);
+    CPPUNIT_TEST(preemptedRunIsKeptAsLongAsItsEngineMayWorkOnIt);
+    CPPUNIT_TEST(engineThatPreemptsForLongIsNotSuspected);
     CPPUNIT_TEST(reportMayMissARunThatWasJustSent);
     CPPUNIT_TEST(runMayBeAmongTheWaitingOnes);
     CPPUNIT_TEST(runMayBeAmongThePromptsBeingRead);
@@ -122,6 +124,25 @@
         CPPUNIT_ASSERT(servers.server(m_id, m_at)->health == BackendHealth::Healthy);
     }
 
+    // Guards against cutting a stream because the limit for a stuck server has passed, although its
+    // engine goes on to report that runs wait.
+    void preemptedRunIsKeptAsLongAsItsEngineMayWorkOnIt()
+    {
+        startWithEvents();
+        while (retryBudget.tryConsume("engine", m_at)) { }
+        expectKeptFor(Ms(7500), preempted());
+        CPPUNIT_ASSERT(m_session->onEvent(eventCount + 1, m_at) == EventVerdict::Next);
+    }
+
+    // Guards against keeping other requests from an engine that is only short of memory.
+    void engineThatPreemptsForLongIsNotSuspected()
+    {
+        startWithEvents();
+        useUpRetries();
+        expectKeptFor(Ms(4000), preempted());
+        CPPUNIT_ASSERT(servers.server(m_id, m_at)->health == BackendHealth::Healthy);
+    }
+
     void reportMayMissARunThatWasJustSent()
     {
         start();
