decisions: keep the other attempt when one of the two is answered with an error

Cause: two answers ended a request although another attempt could still serve it. ForwardSession::onAnswer cut a stream that had begun when its replacement answered as a whole with anything but a server error (such as 404), although the fallback went on. onFallbackAnswer passed on a server error of the fallback while the next server was being chosen, as only onFallbackEnded asked for that. Change: the first waits for the fallback, the second for the server that is being chosen. Measured: ReplacedRunTest on: streamGoesOnIfItsReplacementIsAnsweredOtherwise and errorOfTheReplacedAttemptDoesNotEndThePlacement fail; both pass with the change. Conclusion: calls are not affected, as they pass no events and choose a server at once.

--- a/src/decisions/ForwardSession.cpp
+++ b/src/decisions/ForwardSession.cpp
@@ -133,7 +133,7 @@
     releaseFallback();
     if (!isFailure)
         return PassAnswer {true};
-    if (m_server)
+    if (m_server || isChoosingServer())
         return KeepWaiting {};
     if (m_heldStatus)
         return passHeldAnswer();
@@ -203,6 +203,8 @@
     m_context.servers.recordAnswer(m_server->info.id, isFailure && !answer.pause, now);
     releaseServer();
     countPossibleRun();
+    if (!isFailure && hasPassedEvents())
+        return waitForFallback(conclude(PassAnswer {}), now);
     if (!isFailure)
         return conclude(PassAnswer {});
     m_heldStatus = answer.status;
--- a/tests/decisions/ReplacedRunTest.cpp
+++ b/tests/decisions/ReplacedRunTest.cpp
@@ -22,6 +22,8 @@
     CPPUNIT_TEST(streamWithoutAnyServerIsAborted);
     CPPUNIT_TEST(runsAreCountedOnce);
     CPPUNIT_TEST(countsAtServersReturnToZero);
+    CPPUNIT_TEST(streamGoesOnIfItsReplacementIsAnsweredOtherwise);
+    CPPUNIT_TEST(errorOfTheReplacedAttemptDoesNotEndThePlacement);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -145,6 +147,31 @@
             CPPUNIT_ASSERT_EQUAL(0U, servers.server(id, m_at)->inFlight);
     }
 
+    // Guards against cutting a stream whose server works, because the next server answers the
+    // request with an error of the caller.
+    void streamGoesOnIfItsReplacementIsAnsweredOtherwise()
+    {
+        for (const int status : {200, 404}) {
+            replaceSilentRun(eventCount);
+            const ForwardAction action = m_session->onAnswer(answer(status), m_at);
+            CPPUNIT_ASSERT(std::holds_alternative<ResumeFallback>(action));
+            CPPUNIT_ASSERT(m_session->onEvent(eventCount + 1, m_at) == EventVerdict::Next);
+        }
+    }
+
+    // Guards against an error that a caller sees although the next server is being chosen.
+    void errorOfTheReplacedAttemptDoesNotEndThePlacement()
+    {
+        for (const int status : {500, 503}) {
+            replaceSilentRun(0);
+            const ForwardAction placing = m_session->onAttemptEnded(AttemptResult::NotRun, m_at);
+            CPPUNIT_ASSERT(std::holds_alternative<ProbeServers>(placing));
+            const ForwardAction action = m_session->onFallbackAnswer(answer(status), m_at);
+            CPPUNIT_ASSERT(std::holds_alternative<KeepWaiting>(action));
+            sent(placed(placing));
+        }
+    }
+
 private:
     static constexpr std::int64_t eventCount = 10;
     static constexpr Ms maxDetectionTime {350};
@@ -176,6 +203,12 @@
     ForwardAction findReplacement(std::int64_t events)
     {
         start(events);
+        return findSilence();
+    }
+
+    /// The run's server does not answer the next probe.
+    ForwardAction findSilence()
+    {
         m_at = m_session->nextCheck();
         CPPUNIT_ASSERT(std::holds_alternative<ProbeServers>(m_session->check(m_at)));
         m_at += Ms(120);
