decisions: bound only an overlap of two servers that may both work on a run

Cause: the 250 ms after which a working fallback is ended ran from the first replacement. If that one was rejected after 200 ms, the fallback was ended as soon as the next server was asked, which could reject the run as well. A report from before a silence also counted as knowledge that the silent server works, so its attempt was ended after 250 ms. Change: the bound starts anew with each replacement, and a probe without an answer ends what an earlier report showed.

--- a/src/decisions/StreamSession.cpp
+++ b/src/decisions/StreamSession.cpp
@@ -268,6 +268,8 @@
         if (!tryTakeRetry(now))
             return keepSilentAttempt(now);
         keepAsFallback(next, now);
+    } else if (hasFallback() && m_fallbackEndsAt != TimePoint::max()) {
+        m_fallbackEndsAt = now + maxOverlap;
     }
     endPlacement();
     m_replaceAt = {};
@@ -444,6 +446,7 @@
     if (m_progress.lastContactAt() > m_probedAt)
         return KeepWaiting {};
     if (reports.empty()) {
+        m_isRunListed = false;
         recordCrash(now);
         return onSilent(now);
     }
--- a/tests/decisions/ReplacedRunTest.cpp
+++ b/tests/decisions/ReplacedRunTest.cpp
@@ -22,6 +22,8 @@
     CPPUNIT_TEST(streamWithoutAnyServerIsAborted);
     CPPUNIT_TEST(runsAreCountedOnce);
     CPPUNIT_TEST(countsAtServersReturnToZero);
+    CPPUNIT_TEST(overlapStartsAnewWithEachReplacement);
+    CPPUNIT_TEST(listedRunOfASilentServerIsNotKnownToGoOn);
     CPPUNIT_TEST(streamGoesOnIfItsReplacementIsAnsweredOtherwise);
     CPPUNIT_TEST(errorOfTheReplacedAttemptDoesNotEndThePlacement);
     CPPUNIT_TEST_SUITE_END();
@@ -147,6 +149,36 @@
             CPPUNIT_ASSERT_EQUAL(0U, servers.server(id, m_at)->inFlight);
     }
 
+    // Guards against ending a working run as soon as its third server is asked: a server that
+    // rejected the run has not worked on it.
+    void overlapStartsAnewWithEachReplacement()
+    {
+        start(eventCount);
+        CPPUNIT_ASSERT(sent(loseEvents()).keepsLatest);
+        m_at += Ms(200);
+        const ForwardAction placing = m_session->onAttemptEnded(AttemptResult::NotRun, m_at);
+        m_at += Ms(60);
+        sent(placed(placing));
+        m_session->check(m_at);
+        CPPUNIT_ASSERT(m_session->hasFallback());
+        CPPUNIT_ASSERT(std::holds_alternative<ResumeFallback>(rejectAll()));
+    }
+
+    // Guards against ending the attempt at a silent server early because of a report from before
+    // its silence.
+    void listedRunOfASilentServerIsNotKnownToGoOn()
+    {
+        start(eventCount);
+        m_at = m_session->nextCheck();
+        CPPUNIT_ASSERT(std::holds_alternative<ProbeServers>(m_session->check(m_at)));
+        m_session->onProbed(std::vector {ServerProbeResult {m_firstId, {}, true, eventCount}},
+                            m_at);
+        CPPUNIT_ASSERT(m_session->onEvent(eventCount + 1, m_at += Ms(30)) == EventVerdict::Next);
+        sent(placed(findSilence()));
+        checkUntil(m_at + Ms(600));
+        CPPUNIT_ASSERT(m_session->hasFallback());
+    }
+
     // Guards against cutting a stream whose server works, because the next server answers the
     // request with an error of the caller.
     void streamGoesOnIfItsReplacementIsAnsweredOtherwise()
@@ -215,6 +247,20 @@
         return m_session->onProbed({}, m_at);
     }
 
+    /// Probes are answered that the run of the latest attempt may wait.
+    void checkUntil(TimePoint end)
+    {
+        while (m_session->nextCheck() < end) {
+            m_at = m_session->nextCheck();
+            const ForwardAction action = m_session->check(m_at);
+            if (const auto *probe = std::get_if<ProbeServers>(&action)) {
+                ServerProbeResult report {probe->servers.front().info.id, {}, false, 0};
+                report.load.waiting = 1;
+                m_session->onProbed(std::vector {report}, m_at);
+            }
+        }
+    }
+
     void replaceSilentRun(std::int64_t events)
     {
         const ForwardAction next = placed(findReplacement(events));
