decisions: probe a resumed attempt before it is given up

Cause: the fallback is not probed. When its replacement was lost or rejected 5 s later (2 s before the first event), the attempt was resumed, and ended at the next check 500 ms later without a question: its limit for a stuck server and its latest contact were those from before. Change: an attempt that is resumed because nothing else takes the run is probed first. A probe without an answer ends it as before. Conclusion: the time as a fallback is no evidence against a server.

--- a/include/foxtailring/decisions/StreamSession.h
+++ b/include/foxtailring/decisions/StreamSession.h
@@ -120,6 +120,8 @@
     bool m_isRunListed = false; ///< by the latest report of the current server
     TimePoint m_fallbackEndsAt; ///< at the latest
     TimePoint m_probedAt;
+    /// The attempt was the fallback, which is not probed, so it is probed before it is given up.
+    bool m_isUnwatched = false;
     bool m_isProbing = false;       ///< a probe of the current server is in progress
     bool m_isFindingPrompt = false; ///< a probe for the prompt is in progress
     bool m_isPlacing = false;       ///< a probe of the candidates is in progress
--- a/src/decisions/StreamSession.cpp
+++ b/src/decisions/StreamSession.cpp
@@ -72,6 +72,7 @@
     m_isHarmless = m_isHarmless || hasOutlivedStart();
     m_hasStarted = true;
     m_isProbing = false;
+    m_isUnwatched = false;
     if (std::exchange(m_isReplacing, false))
         endPlacement();
     m_replaceAt = {};
@@ -116,6 +117,7 @@
     if (!hasFallback())
         return action;
     returnToFallback(now);
+    m_isUnwatched = true;
     keepSilentAttempt(now);
     return ResumeFallback {};
 }
@@ -277,6 +279,7 @@
     next.lastEventId = m_lastEventId;
     m_progress.start(next.fromCopy.has_value(), now);
     m_isProbing = false;
+    m_isUnwatched = false;
     m_isProbingHolder = false;
     m_isCopying = false;
     m_isRunListed = false;
@@ -405,12 +408,14 @@
         releaseFallback();
     if (now < silenceDueAt())
         return now < m_copyCheckAt ? KeepWaiting {} : maintainCopy(now);
-    if (now >= stuckAt() || isPresumedLost(now))
+    if (!m_isUnwatched && (now >= stuckAt() || isPresumedLost(now)))
         return onSilent(now);
     // The probe in progress decides.
     if (m_isProbing)
         return KeepWaiting {};
     // Without a probe, only the time limit for the next event remains.
+    if (!m_capabilities.canBeProbed)
+        m_isUnwatched = false;
     const bool mayAsk = m_capabilities.canBeProbed && tryAcquire(server().info.id, now);
     if (!mayAsk && isKeptSilent())
         return onSilent(now);
@@ -443,6 +448,7 @@
     if (!m_isProbing || !hasServer())
         return KeepWaiting {};
     m_isProbing = false;
+    m_isUnwatched = false;
     if (m_progress.lastContactAt() > m_probedAt)
         return KeepWaiting {};
     if (reports.empty()) {
@@ -559,7 +565,8 @@
     const TimePoint silentAt = m_isProbing
         ? m_probedAt + 2 * probeTimeout
         : m_progress.lastContactAt() + m_progress.silenceThreshold();
-    return std::max(std::min(stuckAt(), silentAt), m_replaceAt);
+    const TimePoint givenUpAt = m_isUnwatched ? TimePoint::max() : stuckAt();
+    return std::max(std::min(givenUpAt, silentAt), m_replaceAt);
 }
 
 TimePoint StreamSession::stuckAt() const
--- a/tests/decisions/ReplacedRunTest.cpp
+++ b/tests/decisions/ReplacedRunTest.cpp
@@ -26,6 +26,7 @@
     CPPUNIT_TEST(listedRunOfASilentServerIsNotKnownToGoOn);
     CPPUNIT_TEST(streamGoesOnIfItsReplacementIsAnsweredOtherwise);
     CPPUNIT_TEST(errorOfTheReplacedAttemptDoesNotEndThePlacement);
+    CPPUNIT_TEST(resumedAttemptIsAskedBeforeItIsGivenUp);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -204,6 +205,20 @@
         }
     }
 
+    // Guards against ending an attempt whose server was not asked while it was the fallback.
+    void resumedAttemptIsAskedBeforeItIsGivenUp()
+    {
+        m_route.timeout = Ms(20000);
+        m_request.callerTimeout = Ms(20000);
+        replaceSilentRun(eventCount);
+        m_at += Ms(6000);
+        useUpRetries();
+        CPPUNIT_ASSERT(std::holds_alternative<ResumeFallback>(
+            m_session->onAttemptEnded(AttemptResult::Lost, m_at)));
+        m_at = m_session->nextCheck();
+        CPPUNIT_ASSERT(std::holds_alternative<ProbeServers>(m_session->check(m_at)));
+    }
+
 private:
     static constexpr std::int64_t eventCount = 10;
     static constexpr Ms maxDetectionTime {350};
@@ -297,7 +312,7 @@
         CPPUNIT_ASSERT(!quarantine.quarantinedPart(std::vector {part}, m_at).empty());
     }
 
-    const HttpRoute m_route = route(CallKind::Stream);
+    HttpRoute m_route = route(CallKind::Stream);
     ForwardRequest m_request = request();
     StreamSession::EngineCapabilities m_capabilities {true, true, true};
     std::optional<StreamSession> m_session;
