--- a/tests/decisions/ReplacedRunTest.cpp
+++ b/tests/decisions/ReplacedRunTest.cpp
@@ -22,6 +22,11 @@
     CPPUNIT_TEST(streamWithoutAnyServerIsAborted);
     CPPUNIT_TEST(runsAreCountedOnce);
     CPPUNIT_TEST(countsAtServersReturnToZero);
+    CPPUNIT_TEST(overlapStartsAnewWithEachReplacement);
+    CPPUNIT_TEST(listedRunOfASilentServerIsNotKnownToGoOn);
+    CPPUNIT_TEST(streamGoesOnIfItsReplacementIsAnsweredOtherwise);
+    CPPUNIT_TEST(errorOfTheReplacedAttemptDoesNotEndThePlacement);
+    CPPUNIT_TEST(resumedAttemptIsAskedBeforeItIsGivenUp);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -145,6 +150,75 @@
             CPPUNIT_ASSERT_EQUAL(0U, servers.server(id, m_at)->inFlight);
     }
 
+    // Guards against ending a working run as soon as its third server is asked: a server that
+    // rejected the run has not worked on it.
+    void overlapStartsAnewWithEachReplacement()
+    {
+        start(eventCount);
+        CPPUNIT_ASSERT(sent(loseEvents()).keepsLatest);
+        m_at += Ms(200);
+        const ForwardAction placing = m_session->onAttemptEnded(AttemptResult::NotRun, m_at);
+        m_at += Ms(60);
+        sent(placed(placing));
+        m_session->check(m_at);
+        CPPUNIT_ASSERT(m_session->hasFallback());
+        CPPUNIT_ASSERT(std::holds_alternative<ResumeFallback>(rejectAll()));
+    }
+
+    // Guards against ending the attempt at a silent server early because of a report from before
+    // its silence.
+    void listedRunOfASilentServerIsNotKnownToGoOn()
+    {
+        start(eventCount);
+        m_at = m_session->nextCheck();
+        CPPUNIT_ASSERT(std::holds_alternative<ProbeServers>(m_session->check(m_at)));
+        m_session->onProbed(std::vector {ServerProbeResult {m_firstId, {}, true, eventCount}},
+                            m_at);
+        CPPUNIT_ASSERT(m_session->onEvent(eventCount + 1, m_at += Ms(30)) == EventVerdict::Next);
+        sent(placed(findSilence()));
+        checkUntil(m_at + Ms(600));
+        CPPUNIT_ASSERT(m_session->hasFallback());
+    }
+
+    // Guards against cutting a stream whose server works, because the next server answers the
+    // request with an error of the caller.
+    void streamGoesOnIfItsReplacementIsAnsweredOtherwise()
+    {
+        for (const int status : {200, 404}) {
+            replaceSilentRun(eventCount);
+            const ForwardAction action = m_session->onAnswer(answer(status), m_at);
+            CPPUNIT_ASSERT(std::holds_alternative<ResumeFallback>(action));
+            CPPUNIT_ASSERT(m_session->onEvent(eventCount + 1, m_at) == EventVerdict::Next);
+        }
+    }
+
+    // Guards against an error that a caller sees although the next server is being chosen.
+    void errorOfTheReplacedAttemptDoesNotEndThePlacement()
+    {
+        for (const int status : {500, 503}) {
+            replaceSilentRun(0);
+            const ForwardAction placing = m_session->onAttemptEnded(AttemptResult::NotRun, m_at);
+            CPPUNIT_ASSERT(std::holds_alternative<ProbeServers>(placing));
+            const ForwardAction action = m_session->onFallbackAnswer(answer(status), m_at);
+            CPPUNIT_ASSERT(std::holds_alternative<KeepWaiting>(action));
+            sent(placed(placing));
+        }
+    }
+
+    // Guards against ending an attempt whose server was not asked while it was the fallback.
+    void resumedAttemptIsAskedBeforeItIsGivenUp()
+    {
+        m_route.timeout = Ms(20000);
+        m_request.callerTimeout = Ms(20000);
+        replaceSilentRun(eventCount);
+        m_at += Ms(6000);
+        useUpRetries();
+        CPPUNIT_ASSERT(std::holds_alternative<ResumeFallback>(
+            m_session->onAttemptEnded(AttemptResult::Lost, m_at)));
+        m_at = m_session->nextCheck();
+        CPPUNIT_ASSERT(std::holds_alternative<ProbeServers>(m_session->check(m_at)));
+    }
+
 private:
     static constexpr std::int64_t eventCount = 10;
     static constexpr Ms maxDetectionTime {350};
@@ -176,12 +250,32 @@
     ForwardAction findReplacement(std::int64_t events)
     {
         start(events);
+        return findSilence();
+    }
+
+    /// The run's server does not answer the next probe.
+    ForwardAction findSilence()
+    {
         m_at = m_session->nextCheck();
         CPPUNIT_ASSERT(std::holds_alternative<ProbeServers>(m_session->check(m_at)));
         m_at += Ms(120);
         return m_session->onProbed({}, m_at);
     }
 
+    /// Probes are answered that the run of the latest attempt may wait.
+    void checkUntil(TimePoint end)
+    {
+        while (m_session->nextCheck() < end) {
+            m_at = m_session->nextCheck();
+            const ForwardAction action = m_session->check(m_at);
+            if (const auto *probe = std::get_if<ProbeServers>(&action)) {
+                ServerProbeResult report {probe->servers.front().info.id, {}, false, 0};
+                report.load.waiting = 1;
+                m_session->onProbed(std::vector {report}, m_at);
+            }
+        }
+    }
+
     void replaceSilentRun(std::int64_t events)
     {
         const ForwardAction next = placed(findReplacement(events));
@@ -218,7 +312,7 @@
         CPPUNIT_ASSERT(!quarantine.quarantinedPart(std::vector {part}, m_at).empty());
     }
 
-    const HttpRoute m_route = route(CallKind::Stream);
+    HttpRoute m_route = route(CallKind::Stream);
     ForwardRequest m_request = request();
     StreamSession::EngineCapabilities m_capabilities {true, true, true};
     std::optional<StreamSession> m_session;
