base: write the buffered log lines before a process exits

Cause: a daemon ends by quick_exit(). Lines that standard output could not take at once were buffered until the next line, and the last ones of a process had no next line. Change: StructuredLog::flush() waits for the reader of standard output, 100 ms at most, before the exit. A stalled or closed reader does not hold the process back. Measured: new tests bufferedLinesAreFlushed and flushDoesNotBlockOnAStalledReader pass (build/tests/base_test LogTest, 5 of 5). There was no call to test before. Conclusion: not shown to explain a report; a line is now missing only if its reader is stalled.

--- a/apps/Daemon.cpp
+++ b/apps/Daemon.cpp
@@ -2,6 +2,7 @@
 
 #include "foxtailring/base/StructuredLog.h"
 
+#include <chrono>
 #include <csignal>
 #include <cstdlib>
 #include <gflags/gflags.h>
@@ -16,6 +17,10 @@
 
 namespace {
 
+// Lines that a slow reader of standard output has left in the buffer. The process must end even if
+// nobody reads it.
+constexpr std::chrono::milliseconds logFlushTimeout {100};
+
 sigset_t shutdownSignals()
 {
     sigset_t signals;
@@ -57,9 +62,10 @@
         return exitSuccess;
     blockSignals();
     // Skips the destructors of static objects: those of the logging library wait for its threads,
-    // and drained processes hung there until they were killed. No log line is lost, as each is
-    // written at once.
-    std::quick_exit(run());
+    // and drained processes hung there until they were killed.
+    const int code = run();
+    StructuredLog::flush(logFlushTimeout);
+    std::quick_exit(code);
 }
 
 void Daemon::waitForShutdown()
--- a/include/foxtailring/base/StructuredLog.h
+++ b/include/foxtailring/base/StructuredLog.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <initializer_list>
 #include <string>
 #include <string_view>
@@ -22,6 +23,10 @@
 
     static void info(std::string_view event, Fields fields = {});
     static void warn(std::string_view event, Fields fields = {});
+
+    /// \brief Waits up to \a timeout until the buffered lines are written; to be called before the
+    /// process exits.
+    static void flush(std::chrono::milliseconds timeout);
 };
 
 } // namespace foxtailring
--- a/src/base/LineWriter.cpp
+++ b/src/base/LineWriter.cpp
@@ -27,6 +27,25 @@
     flush();
 }
 
+bool LineWriter::flush(std::chrono::milliseconds timeout)
+{
+    using std::chrono::steady_clock;
+    const auto end = steady_clock::now() + timeout;
+    const std::lock_guard lock(m_mutex);
+    flush();
+    while (!m_pending.empty()) {
+        const auto left = std::chrono::ceil<std::chrono::milliseconds>(end - steady_clock::now());
+        const std::size_t size = m_pending.size();
+        if (left.count() <= 0 || !isWritable(left))
+            return false;
+        flush();
+        // The reader has closed its end.
+        if (m_pending.size() == size)
+            return false;
+    }
+    return true;
+}
+
 std::uint64_t LineWriter::takeDroppedCount()
 {
     const std::lock_guard lock(m_mutex);
@@ -48,10 +67,11 @@
     m_pending.erase(0, flushed);
 }
 
-bool LineWriter::isWritable() const
+bool LineWriter::isWritable(std::chrono::milliseconds timeout) const
 {
     pollfd entry {m_descriptor, POLLOUT, 0};
-    return ::poll(&entry, 1, 0) == 1 && (entry.revents & POLLOUT) != 0;
+    return ::poll(&entry, 1, static_cast<int>(timeout.count())) == 1
+        && (entry.revents & POLLOUT) != 0;
 }
 
 } // namespace foxtailring
--- a/src/base/LineWriter.h
+++ b/src/base/LineWriter.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <mutex>
@@ -18,12 +19,14 @@
 
     /// \param line without a newline
     void write(std::string_view line);
+    /// \brief Waits up to \a timeout until all buffered bytes are written. False if some are left.
+    bool flush(std::chrono::milliseconds timeout);
     /// \brief Number of lines dropped since the last call.
     std::uint64_t takeDroppedCount();
 
 private:
     void flush();
-    bool isWritable() const;
+    bool isWritable(std::chrono::milliseconds timeout = {}) const;
 
     const int m_descriptor;
     const std::size_t m_maxPendingBytes;
--- a/src/base/StructuredLog.cpp
+++ b/src/base/StructuredLog.cpp
@@ -32,6 +32,12 @@
     return value;
 }
 
+LineWriter &standardOutput()
+{
+    static LineWriter writer(STDOUT_FILENO);
+    return writer;
+}
+
 // Writes formatted lines to standard output without blocking.
 class LineAppender : public log4cplus::Appender
 {
@@ -42,14 +48,11 @@
 protected:
     void append(const log4cplus::spi::InternalLoggingEvent &event) override
     {
-        m_writer.write(event.getMessage());
-        if (const auto droppedCount = m_writer.takeDroppedCount())
-            m_writer.write(R"({"event":"logDropped","lines":")" + std::to_string(droppedCount)
-                           + "\"}");
+        standardOutput().write(event.getMessage());
+        if (const auto droppedCount = standardOutput().takeDroppedCount())
+            standardOutput().write(R"({"event":"logDropped","lines":")"
+                                   + std::to_string(droppedCount) + "\"}");
     }
-
-private:
-    LineWriter m_writer {STDOUT_FILENO};
 };
 
 struct SharedRateLimiter
@@ -112,6 +115,7 @@
 
 void StructuredLog::configure(std::string_view program, std::string_view nodeId)
 {
+    standardOutput(); // constructed first, so that it outlives the logging library
     static log4cplus::Initializer initializer;
     identity() = Identity {std::string(program), std::string(nodeId)};
     logger().removeAllAppenders();
@@ -132,4 +136,9 @@
         LOG4CPLUS_WARN(logger(), formatLine("warn", event, fields, *omittedCount));
 }
 
+void StructuredLog::flush(std::chrono::milliseconds timeout)
+{
+    standardOutput().flush(timeout);
+}
+
 } // namespace foxtailring
--- a/tests/base/LogTest.cpp
+++ b/tests/base/LogTest.cpp
@@ -3,6 +3,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <string>
+#include <thread>
 #include <unistd.h>
 
 using namespace foxtailring;
@@ -13,6 +14,8 @@
     CPPUNIT_TEST(linesPerEventAreLimited);
     CPPUNIT_TEST(stalledReaderDoesNotBlock);
     CPPUNIT_TEST(bufferedLinesKeepTheirOrder);
+    CPPUNIT_TEST(bufferedLinesAreFlushed);
+    CPPUNIT_TEST(flushDoesNotBlockOnAStalledReader);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -71,6 +74,43 @@
         ::close(pipeEnds[0]);
         ::close(pipeEnds[1]);
     }
+
+    // Guards against the loss of the last lines of a process whose reader lags behind.
+    void bufferedLinesAreFlushed()
+    {
+        int pipeEnds[2];
+        CPPUNIT_ASSERT_EQUAL(0, ::pipe(pipeEnds));
+        LineWriter writer(pipeEnds[1], 1024 * 1024);
+        const std::string line(999, 'x');
+        constexpr std::size_t lineCount = 200; // more than the pipe holds
+        for (std::size_t i = 0; i < lineCount; ++i)
+            writer.write(line);
+        std::size_t readBytes = 0;
+        std::thread reader([&] {
+            char chunk[8192];
+            for (ssize_t size = 0; (size = ::read(pipeEnds[0], chunk, sizeof chunk)) > 0;)
+                readBytes += static_cast<std::size_t>(size);
+        });
+        const bool isFlushed = writer.flush(std::chrono::seconds(20));
+        ::close(pipeEnds[1]);
+        reader.join();
+        ::close(pipeEnds[0]);
+        CPPUNIT_ASSERT(isFlushed);
+        CPPUNIT_ASSERT_EQUAL(lineCount * (line.size() + 1), readBytes);
+    }
+
+    // Guards against a process that does not end because nobody reads its log.
+    void flushDoesNotBlockOnAStalledReader()
+    {
+        int pipeEnds[2];
+        CPPUNIT_ASSERT_EQUAL(0, ::pipe(pipeEnds));
+        LineWriter writer(pipeEnds[1], 1024 * 1024);
+        for (int i = 0; i < 200; ++i)
+            writer.write(std::string(1000, 'x'));
+        CPPUNIT_ASSERT(!writer.flush(std::chrono::milliseconds(10)));
+        ::close(pipeEnds[0]);
+        ::close(pipeEnds[1]);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LogTest);
