transport, gateway: tell how far the gateway's queue lags behind

Cause: every request passes through the queue, and nothing told how long it waited there. Change: SerialQueue tells the wait of each task (onTaskWaited(), lag()). The gateway keeps the histogram gateway_queue_wait_seconds and logs queueLag, at most once a second, from 0.25 s on. The cost of a clock reading and a histogram entry for each task was not measured. Conclusion: a lag is visible. A task that waits while nothing runs is seen only when it runs.

--- a/include/foxtailring/transport/SerialQueue.h
+++ b/include/foxtailring/transport/SerialQueue.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <functional>
 #include <memory>
 
@@ -11,17 +12,24 @@
 class SerialQueue
 {
 public:
+    using WaitHook = std::function<void(std::chrono::milliseconds wait)>;
+
     explicit SerialQueue(WorkerPool &pool);
     ~SerialQueue();
     SerialQueue(const SerialQueue &) = delete;
     SerialQueue &operator=(const SerialQueue &) = delete;
 
+    /// \brief Calls \a hook on the queue, before each task, with the time for which the task
+    /// waited; to be set before the first post().
+    void onTaskWaited(WaitHook hook);
+    /// \brief How long the task that was begun last had waited.
+    std::chrono::milliseconds lag() const;
     /// \brief Queues \a work; never runs it inside the call.
     void post(std::function<void()> work);
 
 private:
     struct State;
-    std::unique_ptr<State> m_state;
+    std::shared_ptr<State> m_state;
 };
 
 } // namespace foxtailring
--- a/src/gateway/GatewayNode.cpp
+++ b/src/gateway/GatewayNode.cpp
@@ -43,6 +43,10 @@
 // Part of the drain timeout that is left for ending the process.
 constexpr milliseconds shutdownReserve {500};
 
+// A task of the queue that waited for this long is logged.
+constexpr milliseconds minLoggedLag {250};
+constexpr milliseconds lagLogInterval {1000};
+
 HttpLimits toHttpLimits(const CallerLimits &limits)
 {
     HttpLimits http;
@@ -151,6 +155,22 @@
     };
 }
 
+// A lagging queue delays every request and every answer, and no other line tells why.
+SerialQueue::WaitHook makeWaitHook(GatewayParts &parts)
+{
+    return [&parts, loggedAt = std::optional<TimePoint>()](milliseconds wait) mutable {
+        parts.metrics.observeSeconds("gateway_queue_wait_seconds",
+                                     std::chrono::duration<double>(wait).count());
+        if (wait < minLoggedLag)
+            return;
+        const TimePoint now = parts.clock();
+        if (loggedAt && now < *loggedAt + lagLogInterval)
+            return;
+        loggedAt = now;
+        StructuredLog::warn("queueLag", {{"waitMs", std::to_string(wait.count())}});
+    };
+}
+
 ServerPauses::Hooks makePauseHooks(GatewayParts &parts)
 {
     ServerPauses::Hooks hooks;
@@ -200,6 +220,7 @@
         , publisher(parts, *store)
         , drainTimer(parts.pool)
     {
+        parts.queue.onTaskWaited(makeWaitHook(parts));
         parts.servers.setHooks(makeTrustHooks(parts));
         parts.rateLimits.setHooks(makeRateLimitHooks(parts));
         parts.quarantine.setHooks(makeQuarantineHooks(parts));
--- a/tests/transport/BasicsTest.cpp
+++ b/tests/transport/BasicsTest.cpp
@@ -1,4 +1,5 @@
 #include "foxtailring/transport/Endpoint.h"
+#include "foxtailring/transport/SerialQueue.h"
 #include "foxtailring/transport/Timer.h"
 #include "foxtailring/transport/WorkerPool.h"
 #include "Mailbox.h"
@@ -18,6 +19,7 @@
     CPPUNIT_TEST(endpointWithAZeroByteIsRejected);
     CPPUNIT_TEST(endpointsThatNameNoHostAreNotConnectable);
     CPPUNIT_TEST(poolSurvivesAnException);
+    CPPUNIT_TEST(queueTellsHowLongTasksWait);
     CPPUNIT_TEST(timerRunsOnce);
     CPPUNIT_TEST(timerRepeatsUntilItsHookCancels);
     CPPUNIT_TEST(settingATimerReplacesItsHook);
@@ -71,6 +73,31 @@
         CPPUNIT_ASSERT_EQUAL(1, events.take());
     }
 
+    // Guards against a queue that lags behind without a trace.
+    void queueTellsHowLongTasksWait()
+    {
+        constexpr milliseconds blockedTime {50};
+        Mailbox<milliseconds> waits;
+        WorkerPool pool(1);
+        SerialQueue queue(pool);
+        queue.onTaskWaited([&waits](milliseconds wait) { waits.put(wait); });
+        Mailbox<bool> begun;
+        Mailbox<bool> mayGoOn;
+        queue.post([&] {
+            begun.put(true);
+            mayGoOn.take();
+        });
+        begun.take();
+        queue.post([] {});
+        const auto goesOnAt = std::chrono::steady_clock::now() + blockedTime;
+        waitUntil([goesOnAt] { return std::chrono::steady_clock::now() >= goesOnAt; });
+        mayGoOn.put(true);
+        waits.take();
+        CPPUNIT_ASSERT(waits.take() >= blockedTime);
+        CPPUNIT_ASSERT(queue.lag() >= blockedTime);
+        pool.stop();
+    }
+
     void timerRunsOnce()
     {
         Mailbox<int> events;
