transport: report requests that a closing server has not read or has discarded

Cause: a connection that was closed with a request in the system's buffer, or with one whose read had completed while its handler had not run, left no line. Change: connectionCut has the phases unread and discarded, and the counter gateway_connections_cut_total has the label phase. Lines of an event stay bounded as before.

--- a/src/gateway/GatewayNode.cpp
+++ b/src/gateway/GatewayNode.cpp
@@ -146,10 +146,12 @@
 {
     return [&parts](const ConnectionCut &cut) {
         const std::string cause(connectionCutCauseName(cut.cause));
-        parts.metrics.add("gateway_connections_cut_total{cause=\"" + cause + "\"}");
+        const std::string phase(connectionCutPhaseName(cut.phase));
+        parts.metrics.add("gateway_connections_cut_total{cause=\"" + cause + "\",phase=\"" + phase
+                          + "\"}");
         StructuredLog::info("connectionCut",
                             {{"cause", cause},
-                             {"phase", std::string(connectionCutPhaseName(cut.phase))},
+                             {"phase", phase},
                              {"bytes", std::to_string(cut.arrivedBytes)},
                              {"ageMs", std::to_string(cut.age.count())}});
     };
--- a/src/transport/ConnectionCut.cpp
+++ b/src/transport/ConnectionCut.cpp
@@ -32,6 +32,10 @@
         return "response";
     case ConnectionCut::Phase::Closing:
         return "closing";
+    case ConnectionCut::Phase::Unread:
+        return "unread";
+    case ConnectionCut::Phase::Discarded:
+        return "discarded";
     }
     return "";
 }
--- a/src/transport/Http1Connection.cpp
+++ b/src/transport/Http1Connection.cpp
@@ -112,8 +112,10 @@
 
 void Http1Connection::close()
 {
-    net::post(m_socket.get_executor(),
-              [self = shared_from_this()] { self->cut(ConnectionCut::Cause::Stop); });
+    net::post(m_socket.get_executor(), [self = shared_from_this()] {
+        self->reportUnread();
+        self->cut(ConnectionCut::Cause::Stop);
+    });
 }
 
 // Callers may rely on a longer limit as soon as it is in force, and on a shorter one only for what
@@ -185,7 +187,7 @@
 void Http1Connection::onRead(ErrorStatus status, std::size_t size)
 {
     if (m_phase == Phase::Closed)
-        return;
+        return reportDiscarded(size);
     if (status)
         return cut(ConnectionCut::Cause::CallerClosed);
     if (m_arrivedBytes == 0)
@@ -481,9 +483,15 @@
 }
 
 bool Http1Connection::hasUnreadInput()
+{
+    return m_isReading && m_phase == Phase::Request && unreadBytes() > 0;
+}
+
+std::size_t Http1Connection::unreadBytes() const
 {
     ErrorStatus status;
-    return m_isReading && m_phase == Phase::Request && m_socket.available(status) > 0 && !status;
+    const std::size_t size = m_socket.available(status);
+    return status ? 0 : size;
 }
 
 // The socket takes megabytes at once, and more only when a third of its buffer is free: a caller
@@ -544,6 +552,25 @@
                            std::chrono::duration_cast<std::chrono::milliseconds>(age)});
 }
 
+// Tells a request that was never read from one that was read: the first may be sent again safely.
+void Http1Connection::reportUnread()
+{
+    if (!isIdle())
+        return;
+    if (const std::size_t size = unreadBytes())
+        runHook(m_shared->cutHook,
+                ConnectionCut {ConnectionCut::Cause::Stop, ConnectionCut::Phase::Unread, size, {}});
+}
+
+// The socket is read before the handler of the read runs, so a close may come between them.
+void Http1Connection::reportDiscarded(std::size_t size)
+{
+    if (size > 0 && m_arrivedBytes == 0)
+        runHook(m_shared->cutHook,
+                ConnectionCut {
+                    ConnectionCut::Cause::Closing, ConnectionCut::Phase::Discarded, size, {}});
+}
+
 ConnectionCut::Phase Http1Connection::cutPhase() const
 {
     if (m_phase == Phase::Drain)
--- a/src/transport/Http1Connection.h
+++ b/src/transport/Http1Connection.h
@@ -90,6 +90,9 @@
     /// \brief Closes the connection and reports the cut, if there is one.
     void cut(ConnectionCut::Cause cause);
     void reportCut(ConnectionCut::Cause cause);
+    void reportUnread();
+    void reportDiscarded(std::size_t size);
+    std::size_t unreadBytes() const;
     ConnectionCut::Phase cutPhase() const;
     /// True when no byte of a request has arrived.
     bool isIdle() const;
--- a/tests/transport/Http1ServerTest.cpp
+++ b/tests/transport/Http1ServerTest.cpp
@@ -76,6 +76,7 @@
     CPPUNIT_TEST(inputThatWaitedDuringAPauseIsRead);
     CPPUNIT_TEST(timeLimitsThatCutRequestsAreReported);
     CPPUNIT_TEST(requestsOfLostConnectionsAreReported);
+    CPPUNIT_TEST(unreadRequestsOfAClosedServerAreReported);
     CPPUNIT_TEST(idleConnectionsAreNotReported);
     CPPUNIT_TEST(longerIdleLimitReachesIdleConnections);
     CPPUNIT_TEST(longerIdleLimitReachesBodiesInProgress);
@@ -531,6 +532,37 @@
         assertCut(ConnectionCut::Cause::Stop, ConnectionCut::Phase::Response, getRoot.size(), 0);
     }
 
+    // As above: the request has arrived, but a busy process has not read it.
+    void unreadRequestsOfAClosedServerAreReported()
+    {
+        WorkerPool pool(1);
+        Http1Server server(
+            pool, Endpoint {"127.0.0.1", 0}, smallLimits,
+            [](const HttpRequest &, const std::shared_ptr<Http1Responder> &responder) {
+                responder->respond({204, {}, {}});
+            });
+        Mailbox<ConnectionCut> cuts;
+        server.onConnectionCut([&cuts](const ConnectionCut &cut) { cuts.put(cut); });
+        RawPeer peer(server.listen().value());
+        peer.write(getRoot);
+        peer.readUntil("\r\n\r\n");
+        Mailbox<bool> begun;
+        Mailbox<bool> mayGoOn;
+        pool.post([&] {
+            begun.put(true);
+            mayGoOn.take();
+        });
+        begun.take();
+        server.close();
+        peer.write(getRoot);
+        waitUntil([&peer] { return peer.isAcknowledged(); });
+        mayGoOn.put(true);
+        const ConnectionCut cut = cuts.take();
+        CPPUNIT_ASSERT_EQUAL(std::string_view("unread"), connectionCutPhaseName(cut.phase));
+        CPPUNIT_ASSERT_EQUAL(getRoot.size(), cut.arrivedBytes);
+        pool.stop();
+    }
+
     // Reports of connections that are closed in order would hide the others.
     void idleConnectionsAreNotReported()
     {
--- a/tests/transport/RawPeer.h
+++ b/tests/transport/RawPeer.h
@@ -11,9 +11,11 @@
 #include <boost/asio/write.hpp>
 
 #include <cstdint>
+#include <linux/sockios.h>
 #include <poll.h>
 #include <string>
 #include <string_view>
+#include <sys/ioctl.h>
 
 namespace foxtailring {
 
@@ -71,6 +73,13 @@
         return bytes;
     }
 
+    /// \brief True if everything written has reached the other end's system.
+    bool isAcknowledged()
+    {
+        int count = 0;
+        return ::ioctl(m_socket.native_handle(), SIOCOUTQ, &count) == 0 && count == 0;
+    }
+
     /// \brief True if input or the end of the connection can be read.
     bool hasInput()
     {
