transport: close idle connections without reading what crosses the close

Cause: at a stop and at the idle limit, Http1Connection shut down the sending side of an idle connection and went on reading. A request that crossed this was read and discarded, and its caller learned that only by the end of the connection, up to 2 s or the rest of the process later. Change: such a connection is closed completely. Its pending read is cancelled first: if it had completed, or input waits, the request is served or refused; otherwise the system resets what arrives later. A connection whose last answer is not acknowledged stays usable until it is, 2 s at most, as a reset could overtake the answer of a pipelining caller. After closeIdle(), parts of requests are also refused when they are read late, and connections that begin later are closed. Last answers with Connection: close keep the orderly close.

--- a/include/foxtailring/transport/Http1Server.h
+++ b/include/foxtailring/transport/Http1Server.h
@@ -61,8 +61,9 @@
     Result<Done> ignoreNewConnections();
     /// \brief Refuses new connections. Open ones close after their next response.
     void stopAccepting();
-    /// \brief Closes idle connections in order, after stopAccepting(), and refuses requests that
-    /// have arrived in part with 503. Requests that have arrived whole get their response.
+    /// \brief Closes idle connections at once, after stopAccepting(): what arrives later is not
+    /// read. Requests that have arrived whole, read or not, get their response; parts are refused
+    /// with 503.
     void closeIdle();
     /// \brief Closes all connections without waiting for responses.
     void close();
--- a/src/transport/Http1Connection.cpp
+++ b/src/transport/Http1Connection.cpp
@@ -29,6 +29,9 @@
 // paused finds the deadlines of all its connections passed and reads 128 of them first.
 constexpr std::chrono::milliseconds lateReadTime {50};
 
+// Time until it is looked again whether the caller has the whole last answer.
+constexpr std::chrono::milliseconds acknowledgementInterval {20};
+
 // Input buffered beyond the header limit. More pipelined input stays in the kernel; this also
 // limits the length of chunk extensions.
 constexpr std::size_t maxExtraInputBytes = 64 * 1024;
@@ -78,28 +81,66 @@
             return;
         self->beginRequest();
         self->read();
+        self->endWaitAtStop();
     });
 }
 
 void Http1Connection::closeIdle()
 {
-    net::post(m_socket.get_executor(), [self = shared_from_this()] {
-        if (self->m_phase == Phase::Request && !self->hasUnreadInput())
-            self->endWait();
-    });
+    net::post(m_socket.get_executor(), [self = shared_from_this()] { self->endWaitAtStop(); });
+}
+
+void Http1Connection::endWaitAtStop()
+{
+    if (m_shared->isClosingIdle && m_phase == Phase::Request && m_parser)
+        endWait();
 }
 
-// A connection that was just accepted and has not begun to read is served when it begins.
+// Input that has arrived is read first; onRead() comes back here.
 void Http1Connection::endWait()
 {
-    if (!m_parser)
-        return;
+    if (unreadBytes() > 0)
+        return read();
     if (isIdle())
-        return drain();
+        return closeUnused();
     reportCut(ConnectionCut::Cause::Stop);
     rejectWith(unavailableResponse());
 }
 
+// Nothing is read after the close: a request that crosses it is reset by the system, so its caller
+// learns at once that it did not run. A shutdown of the sending side alone would leave the request
+// to a process that can no longer answer it. The system may have read a request already whose
+// handler waits; only the end of the cancelled read tells.
+void Http1Connection::closeUnused()
+{
+    if (awaitsAcknowledgement())
+        return;
+    if (!m_isReading)
+        return onReadCancelled();
+    m_isClosingUnused = true;
+    ErrorStatus ignored;
+    m_socket.cancel(ignored);
+}
+
+void Http1Connection::onReadCancelled()
+{
+    m_isClosingUnused = false;
+    if (unreadBytes() == 0)
+        return closeNow();
+    armDeadline(&HttpLimits::idleTimeout);
+    read();
+}
+
+// A reset that a pipelined request causes could overtake the rest of an answer.
+bool Http1Connection::awaitsAcknowledgement()
+{
+    const auto idleTime = std::chrono::steady_clock::now() - m_deadlineStartedAt;
+    if (unacknowledgedBytes(m_socket) == 0 || idleTime >= drainTimeout)
+        return false;
+    armDeadline(acknowledgementInterval);
+    return true;
+}
+
 void Http1Connection::setExpectsRequest(bool expects)
 {
     if (std::exchange(m_expectsRequest, expects) == expects)
@@ -188,6 +229,8 @@
 {
     if (m_phase == Phase::Closed)
         return reportDiscarded(size);
+    if (std::exchange(m_isClosingUnused, false) && status == net::error::operation_aborted)
+        return onReadCancelled();
     if (status)
         return cut(ConnectionCut::Cause::CallerClosed);
     if (m_arrivedBytes == 0)
@@ -195,13 +238,12 @@
     m_arrivedBytes += size;
     if (m_phase != Phase::Drain)
         m_input.append(m_readBuffer.data(), size);
-    else if (m_arrivedBytes == size) // the connection was idle
-        reportCut(ConnectionCut::Cause::Closing);
     if (m_phase == Phase::Request)
         parse();
     else if (m_phase == Phase::Drain)
         armDrainDeadline();
     read();
+    endWaitAtStop();
 }
 
 void Http1Connection::parse()
@@ -409,9 +451,8 @@
     if (!m_keepAlive)
         return drain();
     beginRequest();
-    if (m_shared->isClosingIdle && m_phase == Phase::Request && !hasUnreadInput())
-        endWait();
     read();
+    endWaitAtStop();
 }
 
 void Http1Connection::drain()
@@ -465,8 +506,7 @@
     m_deadline.start(delay, [self = shared_from_this()] { self->onTimeout(); });
 }
 
-// An idle connection is shut down in order, so that a caller whose request crosses the close sees
-// no reset. A part of a request is refused: its caller may send the rest and wait for an answer.
+// A part of a request is refused: its caller may send the rest and wait for an answer.
 void Http1Connection::onTimeout()
 {
     if (hasUnreadInput() && !std::exchange(m_isOverdue, true))
@@ -476,7 +516,7 @@
     if (extendForReader())
         return;
     if (isIdle())
-        return drain();
+        return closeUnused();
     if (m_phase == Phase::Request)
         return rejectLate();
     cut(ConnectionCut::Cause::IdleTimeout);
--- a/src/transport/Http1Connection.h
+++ b/src/transport/Http1Connection.h
@@ -34,7 +34,8 @@
 
     // Thread-safe.
     void start();
-    /// \brief Closes the connection unless a whole request has arrived.
+    /// \brief Closes the connection at once unless a request has arrived, read or not. A part of
+    /// one is refused.
     void closeIdle();
     void close();
     /// \brief Lets longer time limits of the server apply to what this connection waits for.
@@ -55,7 +56,12 @@
 
     void beginRequest();
     void beginHead();
+    /// \brief Ends the wait for a request if idle connections are to end.
+    void endWaitAtStop();
     void endWait();
+    void closeUnused();
+    void onReadCancelled();
+    bool awaitsAcknowledgement();
     void setExpectsRequest(bool expects);
     void takeLongerLimits();
     void read();
@@ -130,6 +136,7 @@
     bool m_keepAlive = true;
 
     bool m_isReading = false;
+    bool m_isClosingUnused = false; ///< the read is cancelled in order to close the connection
     std::string m_input;
     std::array<char, 8192> m_readBuffer;
 
--- a/tests/transport/Http1ServerTest.cpp
+++ b/tests/transport/Http1ServerTest.cpp
@@ -66,6 +66,9 @@
     CPPUNIT_TEST(stoppedServerRefusesPartsOfRequests);
     CPPUNIT_TEST(requestsAtTheIdleLimitAreAnswered);
     CPPUNIT_TEST(requestsAtTheCloseOfIdleConnectionsAreAnswered);
+    CPPUNIT_TEST(requestsAfterTheCloseOfIdleConnectionsAreNotRead);
+    CPPUNIT_TEST(requestsAfterTheIdleLimitAreNotRead);
+    CPPUNIT_TEST(requestsThatArriveInPiecesDuringTheCloseAreRefused);
     CPPUNIT_TEST(closedServerReleasesItsPort);
     CPPUNIT_TEST(lineBreaksInHeadersAreNotSent);
     CPPUNIT_TEST(connectionsAreAcceptedWithoutKeepAlive);
@@ -437,8 +440,43 @@
         }
     }
 
-    // A restarted process must be able to bind its port again.
+    // Guards against a request that crosses the close of its idle connection and is read and
+    // discarded, so that its caller waits for an answer until the process ends.
+    void requestsAfterTheCloseOfIdleConnectionsAreNotRead()
+    {
+        const auto peers = idlePeers(nullptr);
+        m_server->stopAccepting();
+        m_server->closeIdle();
+        assertLateRequestsAreReset(peers);
+    }
+
+    // As above, at the idle limit.
+    void requestsAfterTheIdleLimitAreNotRead()
+    {
+        const auto peers = idlePeers(nullptr);
+        setIdleTimeout(shortTimeout);
+        for (const auto &peer : peers) {
+            peer->write(getRoot); // shorter limits hold for what begins later
+            m_requests.take().responder->respond({204, {}, {}});
+            peer->readUntil("\r\n\r\n");
+        }
+        assertLateRequestsAreReset(peers);
+    }
 
+    // Guards against a connection that stays open because the first part of a request waited unread
+    // when idle connections were closed.
+    void requestsThatArriveInPiecesDuringTheCloseAreRefused()
+    {
+        const auto peers = idlePeers(nullptr);
+        m_server->stopAccepting();
+        for (const auto &peer : peers)
+            peer->write(getRoot.substr(0, 20));
+        m_server->closeIdle();
+        for (const auto &peer : peers)
+            CPPUNIT_ASSERT(peer->readAll().starts_with("HTTP/1.1 503 "));
+    }
+
+    // A restarted process must be able to bind its port again.
     void closedServerReleasesItsPort()
     {
         RawPeer peer(m_port);
@@ -784,6 +822,20 @@
         }
         CPPUNIT_ASSERT_EQUAL_MESSAGE(std::to_string(received.size()) + " received", std::string(),
                                      unanswered);
+        CPPUNIT_ASSERT_MESSAGE("a request was read and discarded", m_cuts.isEmpty());
+    }
+
+    // Each caller sees the end of its connection and sends a request nevertheless.
+    void assertLateRequestsAreReset(const std::vector<std::unique_ptr<RawPeer>> &peers)
+    {
+        for (const auto &peer : peers)
+            CPPUNIT_ASSERT_EQUAL(std::string(), peer->readAll());
+        for (const auto &peer : peers)
+            peer->write(getRoot);
+        for (const auto &peer : peers)
+            CPPUNIT_ASSERT(!peer->tryWrite(getRoot, shortTimeout));
+        CPPUNIT_ASSERT(m_requests.isEmpty());
+        CPPUNIT_ASSERT(m_cuts.isEmpty());
     }
 
     std::optional<WorkerPool> m_pool;
