transport: let a queue drop the tasks that have not begun

Cause: at its end a gateway works off the whole rest of its queue, however long, after its connections are closed. Change: SerialQueue::close() drops tasks that have not begun and those posted later.

--- a/include/foxtailring/transport/SerialQueue.h
+++ b/include/foxtailring/transport/SerialQueue.h
@@ -24,6 +24,8 @@
     void onTaskWaited(WaitHook hook);
     /// \brief How long the task that was begun last had waited.
     std::chrono::milliseconds lag() const;
+    /// \brief Drops tasks that have not begun, and those that are posted later.
+    void close();
     /// \brief Queues \a work; never runs it inside the call.
     void post(std::function<void()> work);
 
--- a/src/transport/SerialQueue.cpp
+++ b/src/transport/SerialQueue.cpp
@@ -23,11 +23,14 @@
     boost::asio::strand<boost::asio::io_context::executor_type> strand;
     WaitHook waitHook;
     std::atomic<std::chrono::milliseconds> lag {};
+    std::atomic<bool> isClosed = false;
 };
 
 void SerialQueue::State::run(const std::function<void()> &work,
                              std::chrono::steady_clock::time_point postedAt)
 {
+    if (isClosed)
+        return;
     const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(
         std::chrono::steady_clock::now() - postedAt);
     lag = wait;
@@ -57,6 +60,11 @@
     m_state->waitHook = std::move(hook);
 }
 
+void SerialQueue::close()
+{
+    m_state->isClosed = true;
+}
+
 std::chrono::milliseconds SerialQueue::lag() const
 {
     return m_state->lag;
--- a/tests/transport/BasicsTest.cpp
+++ b/tests/transport/BasicsTest.cpp
@@ -20,6 +20,7 @@
     CPPUNIT_TEST(endpointsThatNameNoHostAreNotConnectable);
     CPPUNIT_TEST(poolSurvivesAnException);
     CPPUNIT_TEST(queueTellsHowLongTasksWait);
+    CPPUNIT_TEST(closedQueueDropsItsTasks);
     CPPUNIT_TEST(timerRunsOnce);
     CPPUNIT_TEST(timerRepeatsUntilItsHookCancels);
     CPPUNIT_TEST(settingATimerReplacesItsHook);
@@ -98,6 +99,23 @@
         pool.stop();
     }
 
+    // Guards against a process that works off a long queue after its end has come.
+    void closedQueueDropsItsTasks()
+    {
+        Mailbox<int> events;
+        WorkerPool pool(1);
+        SerialQueue queue(pool);
+        queue.post([&] {
+            queue.close();
+            events.put(1);
+        });
+        queue.post([&events] { events.put(2); });
+        CPPUNIT_ASSERT_EQUAL(1, events.take());
+        pool.post([&events] { events.put(3); });
+        CPPUNIT_ASSERT_EQUAL(3, events.take());
+        pool.stop();
+    }
+
     void timerRunsOnce()
     {
         Mailbox<int> events;
