transport: let a server refuse requests without its handler, and count usable connections

Cause: near the end of a process, a request whose handler waits for a lagging queue is read and then cut by the exit. And a process could not tell connections that wait only for their callers' close from those on which a request may still be read. Change: Http1Server::refuseRequests() answers whole requests with 503 on their connection's strand; connectionCut has the phase refused. usableConnectionCount() counts all but connections whose last response was written. There was no call to test before.

--- a/include/foxtailring/transport/ConnectionCut.h
+++ b/include/foxtailring/transport/ConnectionCut.h
@@ -23,6 +23,7 @@
         Body,     ///< the head and a part of the body had arrived
         Response, ///< the request was handed to the handler, the response was not written
         Closing,  ///< the server had ended its side of the connection
+        Refused,  ///< the whole request had arrived, it was refused without the handler
         Unread,   ///< the bytes were not read
         Discarded ///< the bytes were read, and the connection was closed before they were parsed
     };
--- a/include/foxtailring/transport/Http1Server.h
+++ b/include/foxtailring/transport/Http1Server.h
@@ -65,12 +65,17 @@
     /// read. Requests that have arrived whole, read or not, get their response; parts are refused
     /// with 503.
     void closeIdle();
+    /// \brief Refuses each request that arrives whole from now on with 503, without the handler.
+    void refuseRequests();
     /// \brief Closes all connections without waiting for responses.
     void close();
     std::size_t openConnectionCount() const;
     /// \brief Number of connections that are about to bring a request: new ones, and those on which
     /// a part of one has arrived.
     std::size_t expectedRequestCount() const;
+    /// \brief Number of connections that a request may still be read from or be open on: all but
+    /// those whose last response was written.
+    std::size_t usableConnectionCount() const;
     /// \brief Number of requests whose response is not complete.
     std::size_t openRequestCount() const;
 
--- a/src/transport/ConnectionCut.cpp
+++ b/src/transport/ConnectionCut.cpp
@@ -32,6 +32,8 @@
         return "response";
     case ConnectionCut::Phase::Closing:
         return "closing";
+    case ConnectionCut::Phase::Refused:
+        return "refused";
     case ConnectionCut::Phase::Unread:
         return "unread";
     case ConnectionCut::Phase::Discarded:
--- a/src/transport/Http1Connection.cpp
+++ b/src/transport/Http1Connection.cpp
@@ -49,8 +49,8 @@
 // Another process takes the request at once.
 HttpResponse unavailableResponse()
 {
-    HttpResponse response = problemResponse(503, "Service Unavailable",
-                                            "the request did not arrive before the process ended");
+    HttpResponse response = problemResponse(
+        503, "Service Unavailable", "the request arrived when the process was about to end");
     response.headers.push_back({"Retry-After", "0"});
     return response;
 }
@@ -63,6 +63,7 @@
     , m_shared(std::move(shared))
     , m_deadline(m_socket.get_executor())
 {
+    setUsable(true);
     setExpectsRequest(true); // callers connect in order to send
 }
 
@@ -72,6 +73,7 @@
     if (m_exchange)
         m_exchange->dropHook();
     setExpectsRequest(false);
+    setUsable(false);
 }
 
 void Http1Connection::start()
@@ -151,6 +153,16 @@
         --m_shared->expectedRequestCount;
 }
 
+void Http1Connection::setUsable(bool isUsable)
+{
+    if (std::exchange(m_isUsable, isUsable) == isUsable)
+        return;
+    if (isUsable)
+        ++m_shared->usableConnectionCount;
+    else
+        --m_shared->usableConnectionCount;
+}
+
 void Http1Connection::close()
 {
     net::post(m_socket.get_executor(), [self = shared_from_this()] {
@@ -371,6 +383,8 @@
     m_deadline.cancel();
     if (m_shared->isClosed)
         return cut(ConnectionCut::Cause::Stop);
+    if (m_shared->isRefusing)
+        return refuseRequest();
     const ResponseFraming framing {message.version() >= 11 ? 11U : 10U, message.keep_alive(),
                                    message.method() == http::verb::head};
     m_exchange =
@@ -381,6 +395,12 @@
             std::make_shared<Http1ResponderHandle>(m_exchange));
 }
 
+void Http1Connection::refuseRequest()
+{
+    reportCut(ConnectionCut::Cause::Stop, ConnectionCut::Phase::Refused);
+    rejectWith(unavailableResponse());
+}
+
 void Http1Connection::send(std::string_view bytes, std::size_t payloadBytes)
 {
     if (m_phase == Phase::Closed)
@@ -461,6 +481,7 @@
         reportCut(ConnectionCut::Cause::Closing);
     m_phase = Phase::Drain;
     setExpectsRequest(false);
+    setUsable(false);
     m_input.clear();
     ErrorStatus ignored;
     m_socket.shutdown(Tcp::socket::shutdown_send, ignored);
@@ -584,11 +605,15 @@
 
 void Http1Connection::reportCut(ConnectionCut::Cause cause)
 {
-    if (m_arrivedBytes == 0)
-        return;
+    if (m_arrivedBytes > 0)
+        reportCut(cause, cutPhase());
+}
+
+void Http1Connection::reportCut(ConnectionCut::Cause cause, ConnectionCut::Phase phase)
+{
     const auto age = std::chrono::steady_clock::now() - m_firstByteAt;
     runHook(m_shared->cutHook,
-            ConnectionCut {cause, cutPhase(), m_arrivedBytes,
+            ConnectionCut {cause, phase, m_arrivedBytes,
                            std::chrono::duration_cast<std::chrono::milliseconds>(age)});
 }
 
@@ -644,6 +669,7 @@
         return;
     m_phase = Phase::Closed;
     setExpectsRequest(false);
+    setUsable(false);
     ErrorStatus ignored;
     m_socket.close(ignored);
     m_deadlineLimit = nullptr;
--- a/src/transport/Http1Connection.h
+++ b/src/transport/Http1Connection.h
@@ -63,6 +63,7 @@
     void onReadCancelled();
     bool awaitsAcknowledgement();
     void setExpectsRequest(bool expects);
+    void setUsable(bool isUsable);
     void takeLongerLimits();
     void read();
     void onRead(ErrorStatus status, std::size_t size);
@@ -79,6 +80,7 @@
     void rejectRequest(int status, std::string_view title, std::string_view detail);
     void rejectWith(HttpResponse response);
     void handleRequest();
+    void refuseRequest();
     void writeQueued();
     void writeSome();
     void onWritten(ErrorStatus status, std::size_t size);
@@ -96,6 +98,7 @@
     /// \brief Closes the connection and reports the cut, if there is one.
     void cut(ConnectionCut::Cause cause);
     void reportCut(ConnectionCut::Cause cause);
+    void reportCut(ConnectionCut::Cause cause, ConnectionCut::Phase phase);
     void reportUnread();
     void reportDiscarded(std::size_t size);
     std::size_t unreadBytes() const;
@@ -129,6 +132,7 @@
     std::optional<std::chrono::milliseconds> m_bodyTime; ///< allowed from then on
     bool m_needsMore = false;       ///< the parser has left a part of m_input unread
     bool m_expectsRequest = false;  ///< counted in Http1ServerShared::expectedRequestCount
+    bool m_isUsable = false;        ///< counted in Http1ServerShared::usableConnectionCount
     std::size_t m_headBytes = 0;    ///< of the current head, as far as it has been parsed
     std::size_t m_arrivedBytes = 0; ///< of the current request and of what follows it
     std::chrono::steady_clock::time_point m_firstByteAt;
--- a/src/transport/Http1Server.cpp
+++ b/src/transport/Http1Server.cpp
@@ -91,6 +91,11 @@
         connection->closeIdle();
 }
 
+void Http1Server::refuseRequests()
+{
+    m_state->shared->isRefusing = true;
+}
+
 void Http1Server::close()
 {
     m_state->shared->isStopping = true;
@@ -110,6 +115,11 @@
     return m_state->shared->expectedRequestCount;
 }
 
+std::size_t Http1Server::usableConnectionCount() const
+{
+    return m_state->shared->usableConnectionCount;
+}
+
 std::size_t Http1Server::openRequestCount() const
 {
     return m_state->shared->openRequestCount;
--- a/src/transport/Http1ServerShared.h
+++ b/src/transport/Http1ServerShared.h
@@ -35,9 +35,11 @@
     Http1Server::BodyTimeHook bodyTimeHook; ///< set before the first connection is accepted
     std::atomic<std::size_t> openRequestCount = 0;
     std::atomic<std::size_t> expectedRequestCount = 0;
+    std::atomic<std::size_t> usableConnectionCount = 0;
     std::atomic<bool> isStopping = false;    ///< connections close after their current request
     std::atomic<bool> isClosing = false;     ///< each response closes its connection
     std::atomic<bool> isClosingIdle = false; ///< connections without a whole request end
+    std::atomic<bool> isRefusing = false;    ///< requests are refused without the handler
     std::atomic<bool> isClosed = false;      ///< no more handlers are called
 
 private:
--- a/tests/transport/Http1ServerTest.cpp
+++ b/tests/transport/Http1ServerTest.cpp
@@ -69,6 +69,8 @@
     CPPUNIT_TEST(requestsAfterTheCloseOfIdleConnectionsAreNotRead);
     CPPUNIT_TEST(requestsAfterTheIdleLimitAreNotRead);
     CPPUNIT_TEST(requestsThatArriveInPiecesDuringTheCloseAreRefused);
+    CPPUNIT_TEST(requestsAreRefusedWithoutTheHandler);
+    CPPUNIT_TEST(connectionsWithTheirLastResponseAreNotUsable);
     CPPUNIT_TEST(closedServerReleasesItsPort);
     CPPUNIT_TEST(lineBreaksInHeadersAreNotSent);
     CPPUNIT_TEST(connectionsAreAcceptedWithoutKeepAlive);
@@ -476,6 +478,40 @@
             CPPUNIT_ASSERT(peer->readAll().starts_with("HTTP/1.1 503 "));
     }
 
+    // Guards against a request without an answer because its handler waits for a queue that lags
+    // behind the end of the process.
+    void requestsAreRefusedWithoutTheHandler()
+    {
+        RawPeer kept(m_port);
+        kept.write(getRoot);
+        m_requests.take().responder->respond({204, {}, {}});
+        kept.readUntil("\r\n\r\n");
+        m_server->refuseRequests();
+        kept.write(getRoot);
+        const std::string answer = kept.readAll();
+        CPPUNIT_ASSERT_MESSAGE(answer, answer.starts_with("HTTP/1.1 503 "));
+        CPPUNIT_ASSERT(contains(answer, "Retry-After: 0"));
+        CPPUNIT_ASSERT(contains(answer, "Connection: close"));
+        CPPUNIT_ASSERT(m_requests.isEmpty());
+        assertCut(ConnectionCut::Cause::Stop, ConnectionCut::Phase::Refused, getRoot.size(), 0);
+    }
+
+    // Guards against a process that ends while a connection still awaits its request's answer, and
+    // against one that waits for callers who keep connections open after their last answer.
+    void connectionsWithTheirLastResponseAreNotUsable()
+    {
+        m_server->disableKeepAlive();
+        RawPeer peer(m_port);
+        waitUntil([this] { return m_server->usableConnectionCount() == 1; });
+        peer.write(getRoot);
+        const PendingRequest pending = m_requests.take();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_server->usableConnectionCount());
+        pending.responder->respond({204, {}, {}});
+        peer.readAll();
+        waitUntil([this] { return m_server->usableConnectionCount() == 0; });
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_server->openConnectionCount());
+    }
+
     // A restarted process must be able to bind its port again.
     void closedServerReleasesItsPort()
     {
