gateway: end a planned stop in time when the queue lags, and close nothing unread

Cause: each step of a stop waited for the gateway's queue, and its times counted from when the queue had begun it. Change: the times count from drain() and are watched beside the queue; steps that pass through it come earlier by its lag. The process ends when no connection is usable any more. From the last close of idle connections on, whole requests are refused without the queue. Tasks left in the queue are dropped at the end, and the main thread ends a process that is too busy for that (drainOverdue). Conclusion: drainOverdue and a queue that lags by half a second were not provoked in a run.

--- a/apps/foxtailring-gateway.cpp
+++ b/apps/foxtailring-gateway.cpp
@@ -5,6 +5,7 @@
 #include "KvClient.h"
 #include "WireFormat.h"
 
+#include <chrono>
 #include <future>
 #include <iostream>
 
@@ -12,6 +13,9 @@
 
 using namespace foxtailring;
 
+// Part of the drain timeout that is left to a process whose threads are too busy to end the drain.
+constexpr std::chrono::milliseconds exitReserve {300};
+
 platform::KvClient::Settings storeSettings(const GatewaySettings &settings)
 {
     platform::KvClient::Settings store;
@@ -39,9 +43,12 @@
                          {"metrics", settings.metrics.toString()}});
     Daemon::waitForShutdown();
     StructuredLog::info("stopping");
+    const auto endsAt = std::chrono::steady_clock::now() + settings.drainTimeout - exitReserve;
     node.drain([&drained] { drained.set_value(); });
-    drained.get_future().wait();
-    StructuredLog::info("drained");
+    if (drained.get_future().wait_until(endsAt) == std::future_status::ready)
+        StructuredLog::info("drained");
+    else
+        StructuredLog::warn("drainOverdue");
     return exitSuccess;
 }
 
--- a/src/gateway/GatewayNode.cpp
+++ b/src/gateway/GatewayNode.cpp
@@ -13,6 +13,7 @@
 #include "RequestDispatcher.h"
 #include "StoreWatch.h"
 
+#include <algorithm>
 #include <optional>
 #include <utility>
 
@@ -33,11 +34,13 @@
 // A request on a kept-alive connection that was sent just before its caller learned of the stop has
 // arrived by then.
 constexpr milliseconds lateRequestWait {300};
-// Idle connections end this long before the process at least, so that their callers see an orderly
-// close and answers that cross it arrive.
+// Idle connections end this long before the process at least, so that requests that arrived before
+// are refused, and callers have read their last answer.
 constexpr milliseconds idleCloseReserve {500};
 // Requests are given up this long before the process ends, so that their refusals are written.
 constexpr milliseconds lastAnswerReserve {200};
+// A longer lag of the queue is not made up for: nothing could be served meanwhile.
+constexpr milliseconds maxExpectedLag {500};
 // Many gateways may see that a prompt part is harmless at once; the first report is enough.
 constexpr milliseconds maxClearingDelay {2000};
 // Part of the drain timeout that is left for ending the process.
@@ -241,6 +244,9 @@
     void answerProbe(const HttpRequest &request, const std::shared_ptr<Http1Responder> &responder);
     void checkDrained();
     void closePort(Duration age);
+    Duration lag() const;
+    void closeIdle(Duration age, Duration endsAt);
+    bool isDrained(Duration age) const;
     bool hasRequests() const;
     void stop();
 
@@ -255,11 +261,12 @@
     StoreWatch watch;
     GatewayPublisher publisher;
     Timer drainTimer;
-    std::optional<Duration> ignoringAt;   ///< since the start of the drain; on the queue
-    bool isStopping = false;              ///< no new connections; on the queue
-    bool hasGivenUp = false;              ///< requests that last too long were ended; on the queue
-    TimePoint drainStartedAt;             ///< on the queue
-    std::optional<Duration> idleClosedAt; ///< since the start of the drain; on the queue
+    /// Set by drain(), then used by the drain's timer only, not on the queue.
+    TimePoint drainStartedAt;
+    std::optional<Duration> ignoringAt;   ///< since the start of the drain
+    bool isStopping = false;              ///< no new connections
+    bool hasGivenUp = false;              ///< requests that last too long were ended
+    std::optional<Duration> idleClosedAt; ///< since the start of the drain
     std::function<void()> drained;
 };
 
@@ -298,28 +305,51 @@
     callers.stopAccepting();
 }
 
-void GatewayNode::State::checkDrained()
+// Queue tasks that are due at a time of the stop are posted this much earlier.
+Duration GatewayNode::State::lag() const
+{
+    return std::min(parts.queue.lag(), maxExpectedLag);
+}
+
+// From the close before the limit on, a request is refused without the queue, which may be too late
+// for it.
+void GatewayNode::State::closeIdle(Duration age, Duration endsAt)
+{
+    if (!isStopping || idleClosedAt)
+        return;
+    const bool isLast = age >= endsAt - idleCloseReserve - lag();
+    if (!isLast && (age < acceptDuration + lateRequestWait || hasRequests()))
+        return;
+    if (isLast)
+        callers.refuseRequests();
+    callers.closeIdle();
+    idleClosedAt = age;
+}
+
+// A connection may be closed by the end of the process only if nothing more is read from it.
+bool GatewayNode::State::isDrained(Duration age) const
 {
-    const auto age = parts.clock() - drainStartedAt;
-    const milliseconds endsAt = parts.settings.drainTimeout - shutdownReserve;
-    closePort(age);
-    if (isStopping && !idleClosedAt
-        && (age >= endsAt - idleCloseReserve
-            || (age >= acceptDuration + lateRequestWait && !hasRequests()))) {
-        callers.closeIdle();
-        idleClosedAt = age;
-    }
-    if (age >= endsAt - lastAnswerReserve && !std::exchange(hasGivenUp, true))
-        dispatcher.giveUpRequests();
     const bool isClosed = callers.openConnectionCount() == 0
         || (idleClosedAt && age >= *idleClosedAt + idleCloseReserve);
-    const bool isDone = isStopping && isClosed && callers.openRequestCount() == 0;
-    const bool isOverdue = age >= endsAt;
-    if (!isDone && !isOverdue)
+    return isStopping && isClosed && callers.usableConnectionCount() == 0;
+}
+
+// Runs beside the queue, so that the process ends in time when the queue lags.
+void GatewayNode::State::checkDrained()
+{
+    const Duration age = parts.clock() - drainStartedAt;
+    const Duration endsAt = parts.settings.drainTimeout - shutdownReserve;
+    closePort(age);
+    closeIdle(age, endsAt);
+    if (age >= endsAt - lastAnswerReserve - lag() && !std::exchange(hasGivenUp, true))
+        parts.queue.post([this] { dispatcher.giveUpRequests(); });
+    const bool isDone = isDrained(age);
+    if (!isDone && age < endsAt)
         return;
     if (!isDone)
         StructuredLog::warn("drainCutShort",
-                            {{"requests", std::to_string(callers.openRequestCount())}});
+                            {{"requests", std::to_string(callers.openRequestCount())},
+                             {"connections", std::to_string(callers.usableConnectionCount())}});
     drainTimer.cancel();
     if (const auto hook = std::exchange(drained, nullptr))
         hook();
@@ -329,6 +359,7 @@
 {
     drainTimer.cancel();
     callers.close();
+    parts.queue.close();
     readiness.close();
     metrics.close();
     watch.stop();
@@ -372,16 +403,13 @@
 void GatewayNode::drain(std::function<void()> drained)
 {
     State &state = *m_state;
-    state.parts.queue.post([&state, drained = std::move(drained)]() mutable {
-        state.drainStartedAt = state.parts.clock();
-        state.dispatcher.drain(state.drainStartedAt + state.parts.settings.drainTimeout
-                               - shutdownReserve - lastAnswerReserve);
-        state.drained = std::move(drained);
-        state.callers.disableKeepAlive();
-        state.drainTimer.every(drainPollInterval, [&state] {
-            state.parts.queue.post([&state] { state.checkDrained(); });
-        });
-    });
+    state.drainStartedAt = state.parts.clock();
+    state.drained = std::move(drained);
+    state.callers.disableKeepAlive();
+    const TimePoint lastAnswerAt = state.drainStartedAt + state.parts.settings.drainTimeout
+        - shutdownReserve - lastAnswerReserve;
+    state.parts.queue.post([&state, lastAnswerAt] { state.dispatcher.drain(lastAnswerAt); });
+    state.drainTimer.every(drainPollInterval, [&state] { state.checkDrained(); });
 }
 
 } // namespace foxtailring
