--- a/src/gateway/GatewayNode.cpp
+++ b/src/gateway/GatewayNode.cpp
@@ -13,6 +13,7 @@
 #include "RequestDispatcher.h"
 #include "StoreWatch.h"
 
+#include <algorithm>
 #include <optional>
 #include <utility>
 
@@ -33,16 +34,22 @@
 // A request on a kept-alive connection that was sent just before its caller learned of the stop has
 // arrived by then.
 constexpr milliseconds lateRequestWait {300};
-// Idle connections end this long before the process at least, so that their callers see an orderly
-// close and answers that cross it arrive.
+// Idle connections end this long before the process at least, so that requests that arrived before
+// are refused, and callers have read their last answer.
 constexpr milliseconds idleCloseReserve {500};
 // Requests are given up this long before the process ends, so that their refusals are written.
 constexpr milliseconds lastAnswerReserve {200};
+// A longer lag of the queue is not made up for: nothing could be served meanwhile.
+constexpr milliseconds maxExpectedLag {500};
 // Many gateways may see that a prompt part is harmless at once; the first report is enough.
 constexpr milliseconds maxClearingDelay {2000};
 // Part of the drain timeout that is left for ending the process.
 constexpr milliseconds shutdownReserve {500};
 
+// A task of the queue that waited for this long is logged.
+constexpr milliseconds minLoggedLag {250};
+constexpr milliseconds lagLogInterval {1000};
+
 HttpLimits toHttpLimits(const CallerLimits &limits)
 {
     HttpLimits http;
@@ -142,15 +149,33 @@
 {
     return [&parts](const ConnectionCut &cut) {
         const std::string cause(connectionCutCauseName(cut.cause));
-        parts.metrics.add("gateway_connections_cut_total{cause=\"" + cause + "\"}");
+        const std::string phase(connectionCutPhaseName(cut.phase));
+        parts.metrics.add("gateway_connections_cut_total{cause=\"" + cause + "\",phase=\"" + phase
+                          + "\"}");
         StructuredLog::info("connectionCut",
                             {{"cause", cause},
-                             {"phase", std::string(connectionCutPhaseName(cut.phase))},
+                             {"phase", phase},
                              {"bytes", std::to_string(cut.arrivedBytes)},
                              {"ageMs", std::to_string(cut.age.count())}});
     };
 }
 
+// A lagging queue delays every request and every answer, and no other line tells why.
+SerialQueue::WaitHook makeWaitHook(GatewayParts &parts)
+{
+    return [&parts, loggedAt = std::optional<TimePoint>()](milliseconds wait) mutable {
+        parts.metrics.observeSeconds("gateway_queue_wait_seconds",
+                                     std::chrono::duration<double>(wait).count());
+        if (wait < minLoggedLag)
+            return;
+        const TimePoint now = parts.clock();
+        if (loggedAt && now < *loggedAt + lagLogInterval)
+            return;
+        loggedAt = now;
+        StructuredLog::warn("queueLag", {{"waitMs", std::to_string(wait.count())}});
+    };
+}
+
 ServerPauses::Hooks makePauseHooks(GatewayParts &parts)
 {
     ServerPauses::Hooks hooks;
@@ -200,6 +225,7 @@
         , publisher(parts, *store)
         , drainTimer(parts.pool)
     {
+        parts.queue.onTaskWaited(makeWaitHook(parts));
         parts.servers.setHooks(makeTrustHooks(parts));
         parts.rateLimits.setHooks(makeRateLimitHooks(parts));
         parts.quarantine.setHooks(makeQuarantineHooks(parts));
@@ -218,6 +244,9 @@
     void answerProbe(const HttpRequest &request, const std::shared_ptr<Http1Responder> &responder);
     void checkDrained();
     void closePort(Duration age);
+    Duration lag() const;
+    void closeIdle(Duration age, Duration endsAt);
+    bool isDrained(Duration age) const;
     bool hasRequests() const;
     void stop();
 
@@ -232,11 +261,12 @@
     StoreWatch watch;
     GatewayPublisher publisher;
     Timer drainTimer;
-    std::optional<Duration> ignoringAt;   ///< since the start of the drain; on the queue
-    bool isStopping = false;              ///< no new connections; on the queue
-    bool hasGivenUp = false;              ///< requests that last too long were ended; on the queue
-    TimePoint drainStartedAt;             ///< on the queue
-    std::optional<Duration> idleClosedAt; ///< since the start of the drain; on the queue
+    /// Set by drain(), then used by the drain's timer only, not on the queue.
+    TimePoint drainStartedAt;
+    std::optional<Duration> ignoringAt;   ///< since the start of the drain
+    bool isStopping = false;              ///< no new connections
+    bool hasGivenUp = false;              ///< requests that last too long were ended
+    std::optional<Duration> idleClosedAt; ///< since the start of the drain
     std::function<void()> drained;
 };
 
@@ -275,28 +305,51 @@
     callers.stopAccepting();
 }
 
-void GatewayNode::State::checkDrained()
+// Queue tasks that are due at a time of the stop are posted this much earlier.
+Duration GatewayNode::State::lag() const
+{
+    return std::min(parts.queue.lag(), maxExpectedLag);
+}
+
+// From the close before the limit on, a request is refused without the queue, which may be too late
+// for it.
+void GatewayNode::State::closeIdle(Duration age, Duration endsAt)
+{
+    if (!isStopping || idleClosedAt)
+        return;
+    const bool isLast = age >= endsAt - idleCloseReserve - lag();
+    if (!isLast && (age < acceptDuration + lateRequestWait || hasRequests()))
+        return;
+    if (isLast)
+        callers.refuseRequests();
+    callers.closeIdle();
+    idleClosedAt = age;
+}
+
+// A connection may be closed by the end of the process only if nothing more is read from it.
+bool GatewayNode::State::isDrained(Duration age) const
 {
-    const auto age = parts.clock() - drainStartedAt;
-    const milliseconds endsAt = parts.settings.drainTimeout - shutdownReserve;
-    closePort(age);
-    if (isStopping && !idleClosedAt
-        && (age >= endsAt - idleCloseReserve
-            || (age >= acceptDuration + lateRequestWait && !hasRequests()))) {
-        callers.closeIdle();
-        idleClosedAt = age;
-    }
-    if (age >= endsAt - lastAnswerReserve && !std::exchange(hasGivenUp, true))
-        dispatcher.giveUpRequests();
     const bool isClosed = callers.openConnectionCount() == 0
         || (idleClosedAt && age >= *idleClosedAt + idleCloseReserve);
-    const bool isDone = isStopping && isClosed && callers.openRequestCount() == 0;
-    const bool isOverdue = age >= endsAt;
-    if (!isDone && !isOverdue)
+    return isStopping && isClosed && callers.usableConnectionCount() == 0;
+}
+
+// Runs beside the queue, so that the process ends in time when the queue lags.
+void GatewayNode::State::checkDrained()
+{
+    const Duration age = parts.clock() - drainStartedAt;
+    const Duration endsAt = parts.settings.drainTimeout - shutdownReserve;
+    closePort(age);
+    closeIdle(age, endsAt);
+    if (age >= endsAt - lastAnswerReserve - lag() && !std::exchange(hasGivenUp, true))
+        parts.queue.post([this] { dispatcher.giveUpRequests(); });
+    const bool isDone = isDrained(age);
+    if (!isDone && age < endsAt)
         return;
     if (!isDone)
         StructuredLog::warn("drainCutShort",
-                            {{"requests", std::to_string(callers.openRequestCount())}});
+                            {{"requests", std::to_string(callers.openRequestCount())},
+                             {"connections", std::to_string(callers.usableConnectionCount())}});
     drainTimer.cancel();
     if (const auto hook = std::exchange(drained, nullptr))
         hook();
@@ -306,6 +359,7 @@
 {
     drainTimer.cancel();
     callers.close();
+    parts.queue.close();
     readiness.close();
     metrics.close();
     watch.stop();
@@ -354,16 +408,13 @@
 void GatewayNode::drain(std::function<void()> drained)
 {
     State &state = *m_state;
-    state.parts.queue.post([&state, drained = std::move(drained)]() mutable {
-        state.drainStartedAt = state.parts.clock();
-        state.dispatcher.drain(state.drainStartedAt + state.parts.settings.drainTimeout
-                               - shutdownReserve - lastAnswerReserve);
-        state.drained = std::move(drained);
-        state.callers.disableKeepAlive();
-        state.drainTimer.every(drainPollInterval, [&state] {
-            state.parts.queue.post([&state] { state.checkDrained(); });
-        });
-    });
+    state.drainStartedAt = state.parts.clock();
+    state.drained = std::move(drained);
+    state.callers.disableKeepAlive();
+    const TimePoint lastAnswerAt = state.drainStartedAt + state.parts.settings.drainTimeout
+        - shutdownReserve - lastAnswerReserve;
+    state.parts.queue.post([&state, lastAnswerAt] { state.dispatcher.drain(lastAnswerAt); });
+    state.drainTimer.every(drainPollInterval, [&state] { state.checkDrained(); });
 }
 
 } // namespace foxtailring
--- a/src/transport/Http1Connection.cpp
+++ b/src/transport/Http1Connection.cpp
@@ -29,6 +29,9 @@
 // paused finds the deadlines of all its connections passed and reads 128 of them first.
 constexpr std::chrono::milliseconds lateReadTime {50};
 
+// Time until it is looked again whether the caller has the whole last answer.
+constexpr std::chrono::milliseconds acknowledgementInterval {20};
+
 // Input buffered beyond the header limit. More pipelined input stays in the kernel; this also
 // limits the length of chunk extensions.
 constexpr std::size_t maxExtraInputBytes = 64 * 1024;
@@ -46,8 +49,8 @@
 // Another process takes the request at once.
 HttpResponse unavailableResponse()
 {
-    HttpResponse response = problemResponse(503, "Service Unavailable",
-                                            "the request did not arrive before the process ended");
+    HttpResponse response = problemResponse(
+        503, "Service Unavailable", "the request arrived when the process was about to end");
     response.headers.push_back({"Retry-After", "0"});
     return response;
 }
@@ -60,6 +63,7 @@
     , m_shared(std::move(shared))
     , m_deadline(m_socket.get_executor())
 {
+    setUsable(true);
     setExpectsRequest(true); // callers connect in order to send
 }
 
@@ -69,6 +73,7 @@
     if (m_exchange)
         m_exchange->dropHook();
     setExpectsRequest(false);
+    setUsable(false);
 }
 
 void Http1Connection::start()
@@ -78,28 +83,66 @@
             return;
         self->beginRequest();
         self->read();
+        self->endWaitAtStop();
     });
 }
 
 void Http1Connection::closeIdle()
 {
-    net::post(m_socket.get_executor(), [self = shared_from_this()] {
-        if (self->m_phase == Phase::Request && !self->hasUnreadInput())
-            self->endWait();
-    });
+    net::post(m_socket.get_executor(), [self = shared_from_this()] { self->endWaitAtStop(); });
+}
+
+void Http1Connection::endWaitAtStop()
+{
+    if (m_shared->isClosingIdle && m_phase == Phase::Request && m_parser)
+        endWait();
 }
 
-// A connection that was just accepted and has not begun to read is served when it begins.
+// Input that has arrived is read first; onRead() comes back here.
 void Http1Connection::endWait()
 {
-    if (!m_parser)
-        return;
+    if (unreadBytes() > 0)
+        return read();
     if (isIdle())
-        return drain();
+        return closeUnused();
     reportCut(ConnectionCut::Cause::Stop);
     rejectWith(unavailableResponse());
 }
 
+// Nothing is read after the close: a request that crosses it is reset by the system, so its caller
+// learns at once that it did not run. A shutdown of the sending side alone would leave the request
+// to a process that can no longer answer it. The system may have read a request already whose
+// handler waits; only the end of the cancelled read tells.
+void Http1Connection::closeUnused()
+{
+    if (awaitsAcknowledgement())
+        return;
+    if (!m_isReading)
+        return onReadCancelled();
+    m_isClosingUnused = true;
+    ErrorStatus ignored;
+    m_socket.cancel(ignored);
+}
+
+void Http1Connection::onReadCancelled()
+{
+    m_isClosingUnused = false;
+    if (unreadBytes() == 0)
+        return closeNow();
+    armDeadline(&HttpLimits::idleTimeout);
+    read();
+}
+
+// A reset that a pipelined request causes could overtake the rest of an answer.
+bool Http1Connection::awaitsAcknowledgement()
+{
+    const auto idleTime = std::chrono::steady_clock::now() - m_deadlineStartedAt;
+    if (unacknowledgedBytes(m_socket) == 0 || idleTime >= drainTimeout)
+        return false;
+    armDeadline(acknowledgementInterval);
+    return true;
+}
+
 void Http1Connection::setExpectsRequest(bool expects)
 {
     if (std::exchange(m_expectsRequest, expects) == expects)
@@ -110,10 +153,22 @@
         --m_shared->expectedRequestCount;
 }
 
+void Http1Connection::setUsable(bool isUsable)
+{
+    if (std::exchange(m_isUsable, isUsable) == isUsable)
+        return;
+    if (isUsable)
+        ++m_shared->usableConnectionCount;
+    else
+        --m_shared->usableConnectionCount;
+}
+
 void Http1Connection::close()
 {
-    net::post(m_socket.get_executor(),
-              [self = shared_from_this()] { self->cut(ConnectionCut::Cause::Stop); });
+    net::post(m_socket.get_executor(), [self = shared_from_this()] {
+        self->reportUnread();
+        self->cut(ConnectionCut::Cause::Stop);
+    });
 }
 
 // Callers may rely on a longer limit as soon as it is in force, and on a shorter one only for what
@@ -186,7 +241,9 @@
 void Http1Connection::onRead(ErrorStatus status, std::size_t size)
 {
     if (m_phase == Phase::Closed)
-        return;
+        return reportDiscarded(size);
+    if (std::exchange(m_isClosingUnused, false) && status == net::error::operation_aborted)
+        return onReadCancelled();
     if (status)
         return cut(ConnectionCut::Cause::CallerClosed);
     if (m_arrivedBytes == 0)
@@ -194,13 +251,12 @@
     m_arrivedBytes += size;
     if (m_phase != Phase::Drain)
         m_input.append(m_readBuffer.data(), size);
-    else if (m_arrivedBytes == size) // the connection was idle
-        reportCut(ConnectionCut::Cause::Closing);
     if (m_phase == Phase::Request)
         parse();
     else if (m_phase == Phase::Drain)
         armDrainDeadline();
     read();
+    endWaitAtStop();
 }
 
 void Http1Connection::parse()
@@ -330,6 +386,8 @@
     m_deadline.cancel();
     if (m_shared->isClosed)
         return cut(ConnectionCut::Cause::Stop);
+    if (m_shared->isRefusing)
+        return refuseRequest();
     const ResponseFraming framing {message.version() >= 11 ? 11U : 10U, message.keep_alive(),
                                    message.method() == http::verb::head};
     m_exchange =
@@ -340,6 +398,12 @@
             std::make_shared<Http1ResponderHandle>(m_exchange));
 }
 
+void Http1Connection::refuseRequest()
+{
+    reportCut(ConnectionCut::Cause::Stop, ConnectionCut::Phase::Refused);
+    rejectWith(unavailableResponse());
+}
+
 void Http1Connection::send(std::string_view bytes, std::size_t payloadBytes)
 {
     if (m_phase == Phase::Closed)
@@ -410,9 +474,8 @@
     if (!m_keepAlive)
         return drain();
     beginRequest();
-    if (m_shared->isClosingIdle && m_phase == Phase::Request && !hasUnreadInput())
-        endWait();
     read();
+    endWaitAtStop();
 }
 
 void Http1Connection::drain()
@@ -421,6 +484,7 @@
         reportCut(ConnectionCut::Cause::Closing);
     m_phase = Phase::Drain;
     setExpectsRequest(false);
+    setUsable(false);
     m_input.clear();
     ErrorStatus ignored;
     m_socket.shutdown(Tcp::socket::shutdown_send, ignored);
@@ -466,8 +530,7 @@
     m_deadline.start(delay, [self = shared_from_this()] { self->onTimeout(); });
 }
 
-// An idle connection is shut down in order, so that a caller whose request crosses the close sees
-// no reset. A part of a request is refused: its caller may send the rest and wait for an answer.
+// A part of a request is refused: its caller may send the rest and wait for an answer.
 void Http1Connection::onTimeout()
 {
     if (hasUnreadInput() && !std::exchange(m_isOverdue, true))
@@ -477,16 +540,22 @@
     if (extendForReader())
         return;
     if (isIdle())
-        return drain();
+        return closeUnused();
     if (m_phase == Phase::Request)
         return rejectLate();
     cut(ConnectionCut::Cause::IdleTimeout);
 }
 
 bool Http1Connection::hasUnreadInput()
+{
+    return m_isReading && m_phase == Phase::Request && unreadBytes() > 0;
+}
+
+std::size_t Http1Connection::unreadBytes() const
 {
     ErrorStatus status;
-    return m_isReading && m_phase == Phase::Request && m_socket.available(status) > 0 && !status;
+    const std::size_t size = m_socket.available(status);
+    return status ? 0 : size;
 }
 
 // The socket takes megabytes at once, and more only when a third of its buffer is free: a caller
@@ -539,14 +608,37 @@
 
 void Http1Connection::reportCut(ConnectionCut::Cause cause)
 {
-    if (m_arrivedBytes == 0)
-        return;
+    if (m_arrivedBytes > 0)
+        reportCut(cause, cutPhase());
+}
+
+void Http1Connection::reportCut(ConnectionCut::Cause cause, ConnectionCut::Phase phase)
+{
     const auto age = std::chrono::steady_clock::now() - m_firstByteAt;
     runHook(m_shared->cutHook,
-            ConnectionCut {cause, cutPhase(), m_arrivedBytes,
+            ConnectionCut {cause, phase, m_arrivedBytes,
                            std::chrono::duration_cast<std::chrono::milliseconds>(age)});
 }
 
+// Tells a request that was never read from one that was read: the first may be sent again safely.
+void Http1Connection::reportUnread()
+{
+    if (!isIdle())
+        return;
+    if (const std::size_t size = unreadBytes())
+        runHook(m_shared->cutHook,
+                ConnectionCut {ConnectionCut::Cause::Stop, ConnectionCut::Phase::Unread, size, {}});
+}
+
+// The socket is read before the handler of the read runs, so a close may come between them.
+void Http1Connection::reportDiscarded(std::size_t size)
+{
+    if (size > 0 && m_arrivedBytes == 0)
+        runHook(m_shared->cutHook,
+                ConnectionCut {
+                    ConnectionCut::Cause::Closing, ConnectionCut::Phase::Discarded, size, {}});
+}
+
 ConnectionCut::Phase Http1Connection::cutPhase() const
 {
     if (m_phase == Phase::Drain)
@@ -580,6 +672,7 @@
         return;
     m_phase = Phase::Closed;
     setExpectsRequest(false);
+    setUsable(false);
     ErrorStatus ignored;
     m_socket.close(ignored);
     m_deadlineLimit = nullptr;
--- a/src/transport/Http1Connection.h
+++ b/src/transport/Http1Connection.h
@@ -35,7 +35,8 @@
 
     // Thread-safe.
     void start();
-    /// \brief Closes the connection unless a whole request has arrived.
+    /// \brief Closes the connection at once unless a request has arrived, read or not. A part of
+    /// one is refused.
     void closeIdle();
     void close();
     /// \brief Lets longer time limits of the server apply to what this connection waits for.
@@ -58,8 +59,14 @@
 
     void beginRequest();
     void beginHead();
+    /// \brief Ends the wait for a request if idle connections are to end.
+    void endWaitAtStop();
     void endWait();
+    void closeUnused();
+    void onReadCancelled();
+    bool awaitsAcknowledgement();
     void setExpectsRequest(bool expects);
+    void setUsable(bool isUsable);
     void takeLongerLimits();
     void read();
     void onRead(ErrorStatus status, std::size_t size);
@@ -76,6 +83,7 @@
     void rejectRequest(int status, std::string_view title, std::string_view detail);
     void rejectWith(HttpResponse response);
     void handleRequest();
+    void refuseRequest();
     void writeQueued();
     void writeSome();
     void onWritten(ErrorStatus status, std::size_t size);
@@ -93,6 +101,10 @@
     /// \brief Closes the connection and reports the cut, if there is one.
     void cut(ConnectionCut::Cause cause);
     void reportCut(ConnectionCut::Cause cause);
+    void reportCut(ConnectionCut::Cause cause, ConnectionCut::Phase phase);
+    void reportUnread();
+    void reportDiscarded(std::size_t size);
+    std::size_t unreadBytes() const;
     ConnectionCut::Phase cutPhase() const;
     /// True when no byte of a request has arrived.
     bool isIdle() const;
@@ -124,6 +136,7 @@
     std::atomic<bool> m_hasBodyStarted = false;          ///< m_bodyStartedAt is set
     bool m_needsMore = false;       ///< the parser has left a part of m_input unread
     bool m_expectsRequest = false;  ///< counted in Http1ServerShared::expectedRequestCount
+    bool m_isUsable = false;        ///< counted in Http1ServerShared::usableConnectionCount
     std::size_t m_headBytes = 0;    ///< of the current head, as far as it has been parsed
     std::size_t m_arrivedBytes = 0; ///< of the current request and of what follows it
     std::chrono::steady_clock::time_point m_firstByteAt;
@@ -131,6 +144,7 @@
     bool m_keepAlive = true;
 
     bool m_isReading = false;
+    bool m_isClosingUnused = false; ///< the read is cancelled in order to close the connection
     std::string m_input;
     std::array<char, 8192> m_readBuffer;
 
--- a/tests/transport/Http1ServerTest.cpp
+++ b/tests/transport/Http1ServerTest.cpp
@@ -67,6 +67,11 @@
     CPPUNIT_TEST(stoppedServerRefusesPartsOfRequests);
     CPPUNIT_TEST(requestsAtTheIdleLimitAreAnswered);
     CPPUNIT_TEST(requestsAtTheCloseOfIdleConnectionsAreAnswered);
+    CPPUNIT_TEST(requestsAfterTheCloseOfIdleConnectionsAreNotRead);
+    CPPUNIT_TEST(requestsAfterTheIdleLimitAreNotRead);
+    CPPUNIT_TEST(requestsThatArriveInPiecesDuringTheCloseAreRefused);
+    CPPUNIT_TEST(requestsAreRefusedWithoutTheHandler);
+    CPPUNIT_TEST(connectionsWithTheirLastResponseAreNotUsable);
     CPPUNIT_TEST(closedServerReleasesItsPort);
     CPPUNIT_TEST(lineBreaksInHeadersAreNotSent);
     CPPUNIT_TEST(connectionsAreAcceptedWithoutKeepAlive);
@@ -77,6 +82,7 @@
     CPPUNIT_TEST(inputThatWaitedDuringAPauseIsRead);
     CPPUNIT_TEST(timeLimitsThatCutRequestsAreReported);
     CPPUNIT_TEST(requestsOfLostConnectionsAreReported);
+    CPPUNIT_TEST(unreadRequestsOfAClosedServerAreReported);
     CPPUNIT_TEST(idleConnectionsAreNotReported);
     CPPUNIT_TEST(longerIdleLimitReachesIdleConnections);
     CPPUNIT_TEST(unchangedLimitsCostIdleConnectionsNothing);
@@ -438,8 +444,77 @@
         }
     }
 
-    // A restarted process must be able to bind its port again.
+    // Guards against a request that crosses the close of its idle connection and is read and
+    // discarded, so that its caller waits for an answer until the process ends.
+    void requestsAfterTheCloseOfIdleConnectionsAreNotRead()
+    {
+        const auto peers = idlePeers(nullptr);
+        m_server->stopAccepting();
+        m_server->closeIdle();
+        assertLateRequestsAreReset(peers);
+    }
+
+    // As above, at the idle limit.
+    void requestsAfterTheIdleLimitAreNotRead()
+    {
+        const auto peers = idlePeers(nullptr);
+        setIdleTimeout(shortTimeout);
+        for (const auto &peer : peers) {
+            peer->write(getRoot); // shorter limits hold for what begins later
+            m_requests.take().responder->respond({204, {}, {}});
+            peer->readUntil("\r\n\r\n");
+        }
+        assertLateRequestsAreReset(peers);
+    }
 
+    // Guards against a connection that stays open because the first part of a request waited unread
+    // when idle connections were closed.
+    void requestsThatArriveInPiecesDuringTheCloseAreRefused()
+    {
+        const auto peers = idlePeers(nullptr);
+        m_server->stopAccepting();
+        for (const auto &peer : peers)
+            peer->write(getRoot.substr(0, 20));
+        m_server->closeIdle();
+        for (const auto &peer : peers)
+            CPPUNIT_ASSERT(peer->readAll().starts_with("HTTP/1.1 503 "));
+    }
+
+    // Guards against a request without an answer because its handler waits for a queue that lags
+    // behind the end of the process.
+    void requestsAreRefusedWithoutTheHandler()
+    {
+        RawPeer kept(m_port);
+        kept.write(getRoot);
+        m_requests.take().responder->respond({204, {}, {}});
+        kept.readUntil("\r\n\r\n");
+        m_server->refuseRequests();
+        kept.write(getRoot);
+        const std::string answer = kept.readAll();
+        CPPUNIT_ASSERT_MESSAGE(answer, answer.starts_with("HTTP/1.1 503 "));
+        CPPUNIT_ASSERT(contains(answer, "Retry-After: 0"));
+        CPPUNIT_ASSERT(contains(answer, "Connection: close"));
+        CPPUNIT_ASSERT(m_requests.isEmpty());
+        assertCut(ConnectionCut::Cause::Stop, ConnectionCut::Phase::Refused, getRoot.size(), 0);
+    }
+
+    // Guards against a process that ends while a connection still awaits its request's answer, and
+    // against one that waits for callers who keep connections open after their last answer.
+    void connectionsWithTheirLastResponseAreNotUsable()
+    {
+        m_server->disableKeepAlive();
+        RawPeer peer(m_port);
+        waitUntil([this] { return m_server->usableConnectionCount() == 1; });
+        peer.write(getRoot);
+        const PendingRequest pending = m_requests.take();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_server->usableConnectionCount());
+        pending.responder->respond({204, {}, {}});
+        peer.readAll();
+        waitUntil([this] { return m_server->usableConnectionCount() == 0; });
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_server->openConnectionCount());
+    }
+
+    // A restarted process must be able to bind its port again.
     void closedServerReleasesItsPort()
     {
         RawPeer peer(m_port);
@@ -533,6 +608,37 @@
         assertCut(ConnectionCut::Cause::Stop, ConnectionCut::Phase::Response, getRoot.size(), 0);
     }
 
+    // As above: the request has arrived, but a busy process has not read it.
+    void unreadRequestsOfAClosedServerAreReported()
+    {
+        WorkerPool pool(1);
+        Http1Server server(
+            pool, Endpoint {"127.0.0.1", 0}, smallLimits,
+            [](const HttpRequest &, const std::shared_ptr<Http1Responder> &responder) {
+                responder->respond({204, {}, {}});
+            });
+        Mailbox<ConnectionCut> cuts;
+        server.onConnectionCut([&cuts](const ConnectionCut &cut) { cuts.put(cut); });
+        RawPeer peer(server.listen().value());
+        peer.write(getRoot);
+        peer.readUntil("\r\n\r\n");
+        Mailbox<bool> begun;
+        Mailbox<bool> mayGoOn;
+        pool.post([&] {
+            begun.put(true);
+            mayGoOn.take();
+        });
+        begun.take();
+        server.close();
+        peer.write(getRoot);
+        waitUntil([&peer] { return peer.isAcknowledged(); });
+        mayGoOn.put(true);
+        const ConnectionCut cut = cuts.take();
+        CPPUNIT_ASSERT_EQUAL(std::string_view("unread"), connectionCutPhaseName(cut.phase));
+        CPPUNIT_ASSERT_EQUAL(getRoot.size(), cut.arrivedBytes);
+        pool.stop();
+    }
+
     // Reports of connections that are closed in order would hide the others.
     void idleConnectionsAreNotReported()
     {
@@ -778,6 +884,20 @@
         }
         CPPUNIT_ASSERT_EQUAL_MESSAGE(std::to_string(received.size()) + " received", std::string(),
                                      unanswered);
+        CPPUNIT_ASSERT_MESSAGE("a request was read and discarded", m_cuts.isEmpty());
+    }
+
+    // Each caller sees the end of its connection and sends a request nevertheless.
+    void assertLateRequestsAreReset(const std::vector<std::unique_ptr<RawPeer>> &peers)
+    {
+        for (const auto &peer : peers)
+            CPPUNIT_ASSERT_EQUAL(std::string(), peer->readAll());
+        for (const auto &peer : peers)
+            peer->write(getRoot);
+        for (const auto &peer : peers)
+            CPPUNIT_ASSERT(!peer->tryWrite(getRoot, shortTimeout));
+        CPPUNIT_ASSERT(m_requests.isEmpty());
+        CPPUNIT_ASSERT(m_cuts.isEmpty());
     }
 
     std::optional<WorkerPool> m_pool;
