--- a/src/decisions/StreamSession.cpp
+++ b/src/decisions/StreamSession.cpp
@@ -562,9 +562,8 @@
 {
     if (!route().allowsRetry())
         return deadline();
-    const TimePoint silentAt = m_isProbing
-        ? TimePoint::max()
-        : m_progress.lastContactAt() + m_progress.silenceThreshold();
+    const TimePoint silentAt =
+        m_isProbing ? TimePoint::max() : m_progress.lastContactAt() + m_progress.silenceThreshold();
     const TimePoint givenUpAt = m_isUnwatched ? TimePoint::max() : stuckAt();
     return std::max(std::min(givenUpAt, silentAt), m_replaceAt);
 }
--- a/tests/gateway/BrokenStreamTest.cpp
+++ b/tests/gateway/BrokenStreamTest.cpp
@@ -34,6 +34,13 @@
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    // A responder that outlives its server answers on a pool that is gone.
+    void tearDown() override
+    {
+        m_unanswered.clear();
+        GatewayFixture::tearDown();
+    }
+
     // Guards against the text of an error, or its head, in the middle of a stream, and against an
     // end that looks complete.
     void answerAfterABreakIsNeverPartOfTheStream()
