tests/transport: wait for the server's end of a request before it is closed

Change: the test waits until no request is open. What it checks is unchanged. Conclusion: a fault of the test, not of the server.

--- a/tests/transport/Http1ServerTest.cpp
+++ b/tests/transport/Http1ServerTest.cpp
@@ -620,6 +620,8 @@
         RawPeer peer(server.listen().value());
         peer.write(getRoot);
         peer.readUntil("\r\n\r\n");
+        // The peer may have the answer before the server has ended the request.
+        waitUntil([&server] { return server.openRequestCount() == 0; });
         Mailbox<bool> begun;
         Mailbox<bool> mayGoOn;
         pool.post([&] {
