apps: let all threads of a gateway share one heap arena

Cause: since the store is read on threads of its own, each of them kept freed memory of large answers in an arena of its own. Change: mallopt(M_ARENA_MAX, 1) before the first thread starts.

--- a/apps/foxtailring-gateway.cpp
+++ b/apps/foxtailring-gateway.cpp
@@ -8,6 +8,8 @@
 #include <future>
 #include <iostream>
 
+#include <malloc.h>
+
 namespace {
 
 using namespace foxtailring;
@@ -57,6 +59,9 @@
 
 int main(int argc, char **argv)
 {
+    // The threads that read the store would each keep freed memory of large answers in an arena of
+    // their own: 113 and 130 MB in place of 85 MB in tests/process/odd_entries.py.
+    mallopt(M_ARENA_MAX, 1);
     GatewaySettings settings;
     const auto load = [&settings](const std::string &path) -> Result<Done> {
         auto loaded = GatewaySettings::fromFile(path);
