decisions, gateway: keep a replacement when the fallback's stream cannot be passed on

Cause: an event of the fallback beyond a gap, or an end of its stream without any event, made it the current attempt again. Its replacement, which may work, was ended, and then the resumed attempt itself, as the event or the end was not believed. Events after such a gap in the same bytes were taken for those of the next attempt. Change: the fallback alone is ended then. An end without an event is believed as in confirmEnd(). The gateway's part has no test of its own. Conclusion: a replacement is ended only by an event that follows, or a complete end.

--- a/include/foxtailring/decisions/StreamSession.h
+++ b/include/foxtailring/decisions/StreamSession.h
@@ -37,9 +37,12 @@
     /// \brief The fallback sent an event. True if it follows the events passed on: the fallback is
     /// the current attempt again, the other one must be ended, and the event goes to onEvent().
     bool onFallbackEvent(std::int64_t id, TimePoint now);
-    /// \brief The fallback's stream ended completely, without an event that the caller lacks. It is
-    /// the current attempt again.
-    void onFallbackFinished(TimePoint now);
+    /// \brief True if events before the event \a id are missing.
+    bool isBeyondGap(std::int64_t id) const { return m_lastEventId && id > *m_lastEventId + 1; }
+    /// \brief The fallback's stream ended completely, without an event that the caller lacks. True
+    /// if the answer is complete: the fallback is the current attempt again. If not, it must be
+    /// ended as lost.
+    bool onFallbackFinished(TimePoint now);
     /// \brief Whether a stream that ends now is complete. If not, the attempt must be ended as
     /// lost.
     bool confirmEnd();
--- a/src/decisions/StreamSession.cpp
+++ b/src/decisions/StreamSession.cpp
@@ -60,7 +60,7 @@
     // A resumed run may repeat events that the caller already has.
     if (m_lastEventId && id <= *m_lastEventId)
         return EventVerdict::Duplicate;
-    if (m_lastEventId && id > *m_lastEventId + 1)
+    if (isBeyondGap(id))
         return EventVerdict::Gap;
     if (m_progress.isPrefilling())
         context().latency.recordFirstEvent(service(), request().promptTokens, now - sentAt());
@@ -85,13 +85,19 @@
 {
     if (m_lastEventId && id <= *m_lastEventId)
         return false;
+    if (isBeyondGap(id))
+        return false;
     returnToFallback(now);
     return true;
 }
 
-void StreamSession::onFallbackFinished(TimePoint now)
+// An end without an event is only believed as in confirmEnd().
+bool StreamSession::onFallbackFinished(TimePoint now)
 {
+    if (!m_fallbackProgress.hasEvents() && !std::exchange(m_hasEmptyEnd, true))
+        return false;
     returnToFallback(now);
+    return true;
 }
 
 // The copy that the other attempt was resumed from may be used up, so another one is made soon.
--- a/src/gateway/RequestRelay.cpp
+++ b/src/gateway/RequestRelay.cpp
@@ -331,13 +331,14 @@
         });
     if (!isReadable || !updateHeldMemory("stream"))
         return endFallback(AttemptResult::Invalid);
+    const std::uint64_t number = m_fallback.number;
     for (const Event &event : events) {
-        const std::uint64_t number = m_fallback.number;
-        if (number != 0 && !event.id)
+        const bool isWaiting = isFallback(number);
+        if (isWaiting && (!event.id || m_stream->isBeyondGap(*event.id)))
             return endFallback(AttemptResult::Invalid);
-        if (number != 0 && m_stream->onFallbackEvent(*event.id, m_parts.clock()))
+        if (isWaiting && m_stream->onFallbackEvent(*event.id, m_parts.clock()))
             resumeFallback("event");
-        if (m_fallback.number == 0 && !m_isFinished)
+        if (m_attempt.number == number && !m_isFinished)
             onEvent(event.id, event.text);
     }
     armTimer();
@@ -353,7 +354,8 @@
     if (m_fallback.isStreaming && m_fallback.events.hasPartialEvent())
         return endFallback(AttemptResult::Lost);
     if (m_fallback.isStreaming) {
-        m_stream->onFallbackFinished(m_parts.clock());
+        if (!m_stream->onFallbackFinished(m_parts.clock()))
+            return endFallback(AttemptResult::Lost);
         resumeFallback("end");
         return onClosed(result);
     }
--- a/tests/decisions/ReplacedRunTest.cpp
+++ b/tests/decisions/ReplacedRunTest.cpp
@@ -27,6 +27,8 @@
     CPPUNIT_TEST(streamGoesOnIfItsReplacementIsAnsweredOtherwise);
     CPPUNIT_TEST(errorOfTheReplacedAttemptDoesNotEndThePlacement);
     CPPUNIT_TEST(resumedAttemptIsAskedBeforeItIsGivenUp);
+    CPPUNIT_TEST(eventBeyondAGapLeavesTheReplacement);
+    CPPUNIT_TEST(endWithoutAnEventLeavesTheReplacement);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -219,6 +221,22 @@
         CPPUNIT_ASSERT(std::holds_alternative<ProbeServers>(m_session->check(m_at)));
     }
 
+    // Guards against ending a working replacement for a stream that cannot be passed on.
+    void eventBeyondAGapLeavesTheReplacement()
+    {
+        replaceSilentRun(eventCount);
+        CPPUNIT_ASSERT(!m_session->onFallbackEvent(eventCount + 2, m_at));
+        CPPUNIT_ASSERT_EQUAL(1U, servers.server(m_secondId, m_at)->inFlight);
+    }
+
+    void endWithoutAnEventLeavesTheReplacement()
+    {
+        replaceSilentRun(0);
+        m_session->onFallbackFinished(m_at);
+        CPPUNIT_ASSERT(m_session->hasFallback());
+        CPPUNIT_ASSERT_EQUAL(1U, servers.server(m_secondId, m_at)->inFlight);
+    }
+
 private:
     static constexpr std::int64_t eventCount = 10;
     static constexpr Ms maxDetectionTime {350};
