--- a/src/gateway/RequestRelay.cpp
+++ b/src/gateway/RequestRelay.cpp
@@ -137,8 +137,10 @@
 
 void RequestRelay::send(const SendAttempt &next)
 {
-    if (next.keepsLatest)
+    if (next.keepsLatest) {
+        cancelFallback();
         m_fallback = std::exchange(m_attempt, ServerAttempt {});
+    }
     cancelAttempt();
     const auto endpoint = Endpoint::parse(next.server.info.address);
     if (!endpoint)
