decisions: bound the overlap of two servers on one run unless the first one has preempted it

Change: the fallback ends 250 ms after each replacement was sent, unless its server has just reported that it does not work on the run (a run with events that it no longer lists: preempted). Conclusion: a replacement that a silent server's successor rejects later than 250 ms still ends the stream unless a retry is left; that is the price of the rule.

--- a/include/foxtailring/decisions/StreamSession.h
+++ b/include/foxtailring/decisions/StreamSession.h
@@ -120,7 +120,8 @@
     bool m_hasStarted = false;
     bool m_isHarmless = false;  ///< an attempt outlived the beginning of its answer
     bool m_hasEmptyEnd = false; ///< an attempt ended in order without an event
-    bool m_isRunListed = false; ///< by the latest report of the current server
+    /// The latest report of the current server shows that it does not work on the run.
+    bool m_isRunUnlisted = false;
     TimePoint m_fallbackEndsAt; ///< at the latest
     TimePoint m_probedAt;
     /// The attempt was the fallback, which is not probed, so it is probed before it is given up.
--- a/src/decisions/StreamSession.cpp
+++ b/src/decisions/StreamSession.cpp
@@ -32,7 +32,7 @@
 constexpr milliseconds maxPromptPause {2000};
 // Interval of looking for another server while a run's server is silent.
 constexpr milliseconds replaceRetryInterval {500};
-// Two servers may work on one run for 400 ms. A fallback whose server is known to work is ended by
+// Two servers may work on one run for 400 ms. A fallback whose server may work on it is ended by
 // then, unless the next server has rejected the run; engines reject at once.
 constexpr milliseconds maxOverlap {250};
 // A doubtful server is abandoned after this time without contact.
@@ -109,7 +109,7 @@
     m_isProbingHolder = false;
     m_isFindingPrompt = false;
     m_isCopying = false;
-    m_isRunListed = false;
+    m_isRunUnlisted = false;
     m_replaceAt = {};
     m_copy.drop();
     m_copyCheckAt = m_capabilities.canCopyOnDemand ? now : TimePoint::max();
@@ -288,7 +288,7 @@
     m_isUnwatched = false;
     m_isProbingHolder = false;
     m_isCopying = false;
-    m_isRunListed = false;
+    m_isRunUnlisted = false;
     m_copyCheckAt = m_capabilities.canCopyOnDemand ? now + copyCheckInterval : TimePoint::max();
     m_copy.drop();
     assignCopyHolder(next, now);
@@ -303,7 +303,7 @@
         return countPossibleRun();
     next.keepsLatest = true;
     m_fallbackProgress = m_progress;
-    m_fallbackEndsAt = m_isRunListed ? now + maxOverlap : TimePoint::max();
+    m_fallbackEndsAt = m_isRunUnlisted ? TimePoint::max() : now + maxOverlap;
 }
 
 void StreamSession::assignCopyHolder(SendAttempt &attempt, TimePoint now)
@@ -458,7 +458,7 @@
     if (m_progress.lastContactAt() > m_probedAt)
         return KeepWaiting {};
     if (reports.empty()) {
-        m_isRunListed = false;
+        m_isRunUnlisted = false;
         recordCrash(now);
         return onSilent(now);
     }
@@ -468,7 +468,8 @@
     }
     if (isServerReplaced())
         return onAttemptEnded(AttemptResult::Silent, now);
-    m_isRunListed = reports.front().hasRun;
+    m_isRunUnlisted =
+        m_progress.hasEvents() && reports.front().listsRuns && !reports.front().hasRun;
     if (m_progress.isLostBy(reports.front(), m_lastEventId.value_or(0), m_probedAt, now))
         return onRunLost(reports.front(), now);
     const BackendLoadReport &load = reports.front().load;
--- a/tests/gateway/GatewayFixture.h
+++ b/tests/gateway/GatewayFixture.h
@@ -51,9 +51,10 @@
 /// milliseconds, `copy-to` and `copy-at`, and `parts` of the prompt, and are refused with
 /// `malformed`; a response with `full` was not run, one with `signed` is signed, `id` is the
 /// request that it answers, `limit` is a rate limit, `leaving` says that the server leaves if its
-/// value is `1`, and with status 503 `pause` is a pause in milliseconds. The codec throws on a
-/// message with `unreadable`, on sending a request with `unsendable` and on forwarding an answer
-/// with `unforwardable`. A server's entry in the store is its zone.
+/// value is `1`, and with status 503 `pause` is a pause in milliseconds. A load report lists the
+/// run that is asked for, and with `unlisted` one run that waits. The codec throws on a message
+/// with `unreadable`, on sending a request with `unsendable` and on forwarding an answer with
+/// `unforwardable`. A server's entry in the store is its zone.
 class GatewayFixture : public CppUnit::TestFixture
 {
 public:
