--- a/tests/decisions/UnlistedRunTest.cpp
+++ b/tests/decisions/UnlistedRunTest.cpp
@@ -229,7 +229,7 @@
     ForwardAction nextActionWith(const ServerProbeResult &result)
     {
         m_at = m_session->nextCheck();
-        const ForwardAction action = m_session->check(m_at);
+        ForwardAction action = m_session->check(m_at);
         if (!std::holds_alternative<ProbeServers>(action))
             return action;
         m_at += Ms(10);
--- a/tests/gateway/ServerProbeTest.cpp
+++ b/tests/gateway/ServerProbeTest.cpp
@@ -76,7 +76,7 @@
     }
 
     std::optional<GatewayParts> m_parts;
-    const GatewayRequest m_request;
+    GatewayRequest m_request;
     std::shared_ptr<Mailbox<std::size_t>> m_counts = std::make_shared<Mailbox<std::size_t>>();
 };
 
