tools/soak: judge the replacement when the gateway goes on with the attempt before it

Cause: runsAtOneServer took the run that was sent last for the one that goes on. Since the gateway may go on with the attempt before it when that delivers first, and ends the later one. Change: where the gateway's log says attemptResumed for the earlier run's server, the run that must end within the same time is the later one. Nothing changes without that line; limits are the same. Conclusion: two runs at once are limited as before, whichever goes on.

--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -270,6 +270,18 @@
                                       ("i-1-2", 12000, arrived_at, 100.19, end))
                     self.assertEqual(rules, self.violated_rules(checks.streams_run_at_one_server))
 
+    # The gateway had two attempts for a moment and went on with the first one, which delivered first (seed 875).
+    def test_attempt_that_goes_on_leaves_its_replacement(self):
+        line = json.dumps({"time": "2026-01-01T00:00:00.000Z", "level": "info", "event": "attemptResumed",
+                           "request": "r1", "server": "i-1-2"}, separators=(",", ":"))
+        for end, rules in ((100.99, []), (101.01, ["runsAtOneServer"])):
+            with self.subTest(end=end):
+                self.two_attempts(("i-1-2", 12000, 100.0, 100.1, 101.1), ("i-0-2", 11480, 100.2, 100.3, end))
+                self.assertEqual(["runsAtOneServer"], self.violated_rules(checks.streams_run_at_one_server))
+                (self.folder / "gateway-0.log").write_text(line + "\n")
+                self.assertEqual(rules, self.violated_rules(checks.streams_run_at_one_server))
+                (self.folder / "gateway-0.log").unlink()
+
     def test_run_that_arrived_first_goes_on_without_its_caller(self):
         for end, rules in ((101.85, []), (101.95, ["runsAtOneServer"])):
             with self.subTest(end=end):
--- a/tools/lib/soak/checks.py
+++ b/tools/lib/soak/checks.py
@@ -77,7 +77,11 @@
         self.runs_of = collections.defaultdict(list)
         for run in self.runs:
             self.runs_of[run["request"]].append(run)
-        self.processes = {path.stem: gateway_processes(path) for path in cluster.folder.glob("gateway-*.log")}
+        logs = list(cluster.folder.glob("gateway-*.log"))
+        self.processes = {path.stem: gateway_processes(path) for path in logs}
+        # (request, server) of each attempt that was being replaced and went on, since it delivered first.
+        self.resumed = {(entry["request"], entry["server"])
+                        for path in logs for entry in gateway_entries(path, "attemptResumed")}
 
     def _faults(self):
         ends = {entry["number"]: entry["at"] for entry in self.journal.entries_of("faultOver")}
@@ -213,7 +217,8 @@
 
 
 def streams_run_at_one_server(evidence):
-    """When a stream resumes elsewhere, its previous server stops, unless it cannot be notified."""
+    """When a stream resumes elsewhere, its previous server stops, unless it cannot be notified; or the new one does,
+    when the gateway says that the previous one goes on."""
     ends = {(record["request"], record["server"]): record["at"]
             for record in evidence.records if record["event"] == "ended"}
     arrivals = {(record["request"], record["server"]): record["at"] for record in evidence.runs}
@@ -222,6 +227,8 @@
     for request, runs in evidence.runs_of.items():
         attempt = evidence.attempts.get(request)
         for left, other, left_at in runs_left(evidence, runs, arrivals):
+            if (request, left["server"]) in evidence.resumed:
+                left, other = other, left
             end = ends.get((request, left["server"]))
             if end is None or end - left_at <= MAX_OVERLAP_SECONDS + LOG_DELAY_TOLERANCE_SECONDS:
                 continue
