--- a/review/standins.py
+++ b/review/standins.py
@@ -8,6 +8,7 @@
 import json
 import os
 import pathlib
+import select
 import signal
 import socket
 import subprocess
@@ -350,3 +351,108 @@
 
 def limits():
     return {"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 5000, "idle_timeout_ms": 10000}
+
+
+class EngineServer(Listener):
+    """A sound model server: streams numbered events, lists its runs, stops a run when its connection closes.
+
+    It falls silent for `silence_seconds` after each `events_between_silences` events. `runs` maps the ids of the
+    requests in work to the events made; `begun` and `done` hold the ids of requests that were begun and made whole.
+    """
+
+    def __init__(self, record, server_id, born_ms, events=40, event_seconds=0.05, prefill_seconds=0.2,
+                 events_between_silences=10, silence_seconds=0.6):
+        self.record = record
+        self.id = server_id
+        self.born_ms = born_ms
+        self.events = events
+        self.event_seconds = event_seconds
+        self.prefill_seconds = prefill_seconds
+        self.events_between_silences = events_between_silences
+        self.silence_seconds = silence_seconds
+        self.runs = {}
+        self.begun = []
+        self.done = set()
+        super().__init__()
+
+    def serve(self, connection):
+        rest = b""
+        while True:
+            request = read_message(connection, rest)
+            if request is None:
+                return
+            line, headers, _, rest = request
+            if line.startswith("GET /report "):
+                connection.sendall(self._report())
+                continue
+            request_id = headers.get("request-id", "")
+            if not request_id:
+                connection.sendall(message(400, {"Not-Executed": 1}))
+            elif headers.get("target-instance", self.id) != self.id:
+                connection.sendall(message(421, {"Request-Id": request_id, "Instance-Id": self.id, "Not-Executed": 1}))
+            elif "kv-from" in headers:
+                connection.sendall(message(503, {"Request-Id": request_id, "Not-Executed": 1}))
+            else:
+                self._stream(connection, request_id, int(headers.get("last-event-id", 0)))
+
+    def _report(self):
+        runs = [[request_id, 8000, made, 5] for request_id, made in list(self.runs.items()) if made]
+        fields = {"stage": "both", "models": [], "busy": False, "seq": 0, "num_waiting": 0,
+                  "num_running": len(self.runs), "kv_used": 8000 * len(self.runs), "kv_total": 88000, "handles": 0,
+                  "runs": runs, "born": self.born_ms}
+        return message(200, {"Content-Type": "application/json"}, json.dumps(fields).encode())
+
+    def _stream(self, connection, request_id, last_event):
+        self.record.write(f"server {self.id} runs {request_id} from event {last_event + 1}")
+        self.begun.append(request_id)
+        self.runs[request_id] = last_event
+        try:
+            time.sleep(self.prefill_seconds)
+            connection.sendall((f"HTTP/1.1 200 OK\r\nRequest-Id: {request_id}\r\n"
+                                f"Server-Stamp: stamp.{self.id}.{request_id}\r\nContent-Type: text/event-stream\r\n"
+                                "Transfer-Encoding: chunked\r\n\r\n").encode())
+            for number in range(last_event + 1, self.events + 1):
+                event = f"id: {number}\ndata: token-{number}\n\n".encode()
+                connection.sendall(f"{len(event):x}\r\n".encode() + event + b"\r\n")
+                self.runs[request_id] = number
+                pause = number % self.events_between_silences == 0
+                time.sleep(self.silence_seconds if pause else self.event_seconds)
+                if select.select([connection], [], [], 0)[0]:
+                    self.record.write(f"server {self.id}: connection of {request_id} closed at event {number}")
+                    raise OSError
+            connection.sendall(b"0\r\n\r\n")
+            self.done.add(request_id)
+        finally:
+            self.runs.pop(request_id, None)
+
+
+def stream(connection, request_id, path, key, seconds=25):
+    """Sends one request of a stream on an open connection; returns (status, event ids, whether it is whole)."""
+    connection.settimeout(seconds)
+    body = b"prompt"
+    connection.sendall(
+        (f"POST {path} HTTP/1.1\r\nHost: site.example\r\nRequest-Id: {request_id}\r\nModel: m\r\n"
+         f"Token-Count: 8000,200\r\nPrompt-Prefix: {request_id[-4:]}:8000\r\nRequest-Deadline-Ms: {seconds * 1000}\r\n"
+         f"Authorization: Token {key}\r\nContent-Length: {len(body)}\r\n\r\n").encode() + body)
+    data = b""
+    status = 0
+    with contextlib.suppress(OSError):
+        while True:
+            if b"\r\n\r\n" in data:
+                head, _, rest = data.partition(b"\r\n\r\n")
+                status = int(head.split(b" ")[1])
+                lower = head.lower()
+                if b"chunked" in lower and rest.endswith(b"0\r\n\r\n"):
+                    return status, event_ids(rest), True
+                length = [line for line in lower.split(b"\r\n") if line.startswith(b"content-length:")]
+                if length and len(rest) >= int(length[0].split(b":")[1]):
+                    return status, [], True
+            part = connection.recv(65536)
+            if not part:
+                break
+            data += part
+    return status, event_ids(data), False
+
+
+def event_ids(data):
+    return [int(line[4:]) for line in data.replace(b"\r", b"").split(b"\n") if line.startswith(b"id: ")]
