--- a/review/standins.py
+++ b/review/standins.py
@@ -357,9 +357,14 @@
     """A sound model server: streams numbered events, lists its runs, stops a run when its connection closes.
 
     It falls silent for `silence_seconds` after each `events_between_silences` events. `runs` maps the ids of the
-    requests in work to the events made; `begun` and `done` hold the ids of requests that were begun and made whole.
+    requests in work to the events made; `begun` and `done` hold the ids of requests that were begun and made whole,
+    `answered` those for which an event was made. A request with the prompt part `crashing_part` crashes the server as it
+    begins to write the answer; on_crash(server) is called then.
     """
 
+    crashing_part = None
+    on_crash = None
+
     def __init__(self, record, server_id, born_ms, events=40, event_seconds=0.05, prefill_seconds=0.2,
                  events_between_silences=10, silence_seconds=0.6):
         self.record = record
@@ -373,8 +378,15 @@
         self.runs = {}
         self.begun = []
         self.done = set()
+        self.answered = set()
         super().__init__()
 
+    def restart(self):
+        """Starts again under its id and address; it knows nothing of before."""
+        self.born_ms = int(time.time() * 1000)
+        self.runs = {}
+        super().__init__(self.port)
+
     def serve(self, connection):
         rest = b""
         while True:
@@ -393,7 +405,8 @@
             elif "kv-from" in headers:
                 connection.sendall(message(503, {"Request-Id": request_id, "Not-Executed": 1}))
             else:
-                self._stream(connection, request_id, int(headers.get("last-event-id", 0)))
+                parts = [part.split(":")[0] for part in headers.get("prompt-prefix", "").split(",")[:-1]]
+                self._stream(connection, request_id, int(headers.get("last-event-id", 0)), self.crashing_part in parts)
 
     def _report(self):
         runs = [[request_id, 8000, made, 5] for request_id, made in list(self.runs.items()) if made]
@@ -402,12 +415,16 @@
                   "runs": runs, "born": self.born_ms}
         return message(200, {"Content-Type": "application/json"}, json.dumps(fields).encode())
 
-    def _stream(self, connection, request_id, last_event):
+    def _stream(self, connection, request_id, last_event, crashes):
         self.record.write(f"server {self.id} runs {request_id} from event {last_event + 1}")
         self.begun.append(request_id)
         self.runs[request_id] = last_event
         try:
             time.sleep(self.prefill_seconds)
+            if crashes:
+                self.record.write(f"server {self.id} crashes as it begins to answer {request_id}")
+                self.on_crash(self)
+                return
             connection.sendall((f"HTTP/1.1 200 OK\r\nRequest-Id: {request_id}\r\n"
                                 f"Server-Stamp: stamp.{self.id}.{request_id}\r\nContent-Type: text/event-stream\r\n"
                                 "Transfer-Encoding: chunked\r\n\r\n").encode())
@@ -415,6 +432,7 @@
                 event = f"id: {number}\ndata: token-{number}\n\n".encode()
                 connection.sendall(f"{len(event):x}\r\n".encode() + event + b"\r\n")
                 self.runs[request_id] = number
+                self.answered.add(request_id)
                 pause = number % self.events_between_silences == 0
                 time.sleep(self.silence_seconds if pause else self.event_seconds)
                 if select.select([connection], [], [], 0)[0]:
@@ -426,13 +444,13 @@
             self.runs.pop(request_id, None)
 
 
-def stream(connection, request_id, path, key, seconds=25):
+def stream(connection, request_id, path, key, seconds=25, prompt=None):
     """Sends one request of a stream on an open connection; returns (status, event ids, whether it is whole)."""
     connection.settimeout(seconds)
     body = b"prompt"
     connection.sendall(
         (f"POST {path} HTTP/1.1\r\nHost: site.example\r\nRequest-Id: {request_id}\r\nModel: m\r\n"
-         f"Token-Count: 8000,200\r\nPrompt-Prefix: {request_id[-4:]}:8000\r\nRequest-Deadline-Ms: {seconds * 1000}\r\n"
+         f"Token-Count: 8000,200\r\nPrompt-Prefix: {prompt or request_id[-4:] + ':8000'}\r\nRequest-Deadline-Ms: {seconds * 1000}\r\n"
          f"Authorization: Token {key}\r\nContent-Length: {len(body)}\r\n\r\n").encode() + body)
     data = b""
     status = 0
