--- a/review/1/run.py
+++ b/review/1/run.py
@@ -1,10 +1,8 @@
 """A server of another service at a reused address is given model requests while the store is down. See claim.txt."""
 
-import os
 import pathlib
 import socket
 import sys
-import tempfile
 import threading
 import time
 
@@ -97,12 +95,5 @@
         gateway.end()
 
 
-def main():
-    record = standins.Record(HERE / "record.txt")
-    with tempfile.TemporaryDirectory() as folder:
-        code = play(record, folder, os.environ.get("TROUBLE") != "0")
-    record.write(f"exit {code}")
-    return code
-
-
-sys.exit(main())
+if __name__ == "__main__":
+    sys.exit(standins.run_case(HERE, play))
--- a/review/3/run.py
+++ b/review/3/run.py
@@ -1,9 +1,7 @@
 """Requests that a failing server has run are answered 429 and 408, which promise that they have not. See claim.txt."""
 
-import os
 import pathlib
 import sys
-import tempfile
 import time
 
 HERE = pathlib.Path(__file__).resolve().parent
@@ -69,12 +67,5 @@
         gateway.end()
 
 
-def main():
-    record = standins.Record(HERE / "record.txt")
-    with tempfile.TemporaryDirectory() as folder:
-        code = play(record, folder, os.environ.get("TROUBLE") != "0")
-    record.write(f"exit {code}")
-    return code
-
-
-sys.exit(main())
+if __name__ == "__main__":
+    sys.exit(standins.run_case(HERE, play))
--- a/review/standins.py
+++ b/review/standins.py
@@ -13,6 +13,7 @@
 import socket
 import subprocess
 import sys
+import tempfile
 import threading
 import time
 import urllib.parse
@@ -43,6 +44,19 @@
             return at
 
 
+def run_case(folder, play):
+    """Plays a case and returns its exit code: 1 if the rule was broken, 0 if it held, 2 if the case could not run."""
+    record = Record(folder / "record.txt")
+    try:
+        with tempfile.TemporaryDirectory() as scratch:
+            code = play(record, scratch, os.environ.get("TROUBLE") != "0")
+    except Exception as error:  # an error of the script is no broken rule
+        record.write(f"the case could not run: {error!r}")
+        code = 2
+    record.write(f"exit {code}")
+    return code
+
+
 def free_port():
     with socket.create_server(("127.0.0.1", 0)) as listener:
         return listener.getsockname()[1]
