--- a/review/3/run.py
+++ b/review/3/run.py
@@ -8,7 +8,8 @@
 sys.path.insert(0, str(HERE.parent))
 import standins  # noqa: E402
 
-REQUESTS = 200
+REQUESTS = 400
+SERVERS = 7                  # one of them fails: a share of 0.143
 FAILING_SHARE = 0.4          # of the requests of the failing server
 PROMISES = (408, 421, 429, 503)
 
@@ -23,10 +24,10 @@
         answer = super().answer(line, headers, body)
         if not self.runs or self.runs[-1][1] != headers.get("request-id"):
             return answer
-        FailingServer.count += 1
-        if not self.fails or FailingServer.count % 5 >= 5 * FAILING_SHARE:
+        self.count += 1
+        if not self.fails or self.count % 5 >= 5 * FAILING_SHARE:
             return answer
-        status = 429 if FailingServer.count % 5 == 0 else 408
+        status = 429 if self.count % 5 == 0 else 408
         request_id = headers["request-id"]
         self.record.write(f"server {self.id} has run {request_id} and answers {status} without Not-Executed")
         return standins.message(status, {"Request-Id": request_id, "Server-Stamp": f"stamp.{self.id}.{request_id}"},
@@ -35,7 +36,7 @@
 
 def play(record, folder, is_trouble):
     store = standins.Store(record)
-    servers = [FailingServer(record, f"i-register-{index}") for index in range(3)]
+    servers = [FailingServer(record, f"i-register-{index}") for index in range(SERVERS)]
     servers[0].fails = is_trouble
     store.put("op/config", {
         "version": 3, "routes": [standins.route("orders", "register", "non_idempotent", max_attempts=1)],
