decisions: use a successor in an outage only if an entry named its service

Cause: while the list of servers could not be read, any id in a 421 answer was added as a server of the service that the gone server had (BackendTable::recordReplacement). No answer names a service: a 421 answer names an id, a load report a start time and no id. Change: such a successor is used only if an earlier entry of its id named its service, and as a server of that one. A test that expected the use of an id that was never listed now lists it first and checks the address too. A server that starts under an id that was never listed waits for its entry, also while the store is down.

--- a/include/foxtailring/decisions/BackendTable.h
+++ b/include/foxtailring/decisions/BackendTable.h
@@ -97,7 +97,8 @@
     void recordFailure(std::string_view id, TimePoint now);
     /// \brief Another server has the address of \a id.
     /// \param successorId id of that server. While the list cannot be read, it is added as a
-    /// restarted server of the same service. Empty: unknown, or not to be added.
+    /// restarted server if it had an entry before, which names its service. Empty: unknown, or not
+    /// to be added.
     void recordReplacement(std::string_view id, std::string_view successorId, TimePoint now);
 
     /// \brief An answer said whether its server leaves. It gets no new work from then on, whatever
@@ -168,6 +169,7 @@
     void eraseRecord(std::string_view id);
     void markOthersReplaced(const Record &latest);
     void markReplaced(Record &record);
+    void addSuccessor(const std::string &address, std::string_view id, TimePoint now);
 
     static bool isLeaving(const Record &record);
     void reportLeaving(const Record &record, bool wasLeaving, LeavingSource source) const;
--- a/include/foxtailring/decisions/ServerStarts.h
+++ b/include/foxtailring/decisions/ServerStarts.h
@@ -26,6 +26,8 @@
     bool contains(const BackendInfo &server) const;
     /// \brief True if \a server or a later start of it was added.
     bool containsSameOrLater(const BackendInfo &server) const;
+    /// \brief The latest start of the server that was added; null: none.
+    const BackendInfo *find(std::string_view id) const;
     void erase(std::string_view id);
     std::size_t size() const { return m_servers.size(); }
 
--- a/src/decisions/BackendTable.cpp
+++ b/src/decisions/BackendTable.cpp
@@ -254,12 +254,19 @@
     if (!record)
         return;
     markReplaced(*record);
-    const bool isSuccessorAccepted =
-        !successorId.empty() && m_isListUnavailable && !find(successorId);
-    if (!isSuccessorAccepted)
+    if (!successorId.empty() && m_isListUnavailable && !find(successorId))
+        addSuccessor(record->info.address, successorId, now);
+}
+
+// The address of a server that has gone may belong to a server of any service, and no answer names
+// the service, so only an earlier entry of the successor does.
+void BackendTable::addSuccessor(const std::string &address, std::string_view id, TimePoint now)
+{
+    const BackendInfo *entry = m_goneServers.find(id);
+    if (!entry)
         return;
-    BackendInfo info = record->info;
-    info.id = successorId;
+    BackendInfo info = *entry;
+    info.address = address;
     info.isDraining = false;
     info.startedAtMs = 0;
     Record &successor = m_records[info.id];
--- a/src/decisions/ServerStarts.cpp
+++ b/src/decisions/ServerStarts.cpp
@@ -31,6 +31,12 @@
     return isLater || contains(server);
 }
 
+const BackendInfo *ServerStarts::find(std::string_view id) const
+{
+    const auto found = m_servers.find(id);
+    return found == m_servers.end() ? nullptr : &found->second;
+}
+
 void ServerStarts::erase(std::string_view id)
 {
     const auto found = m_servers.find(id);
--- a/tests/decisions/BackendTableTest.cpp
+++ b/tests/decisions/BackendTableTest.cpp
@@ -28,6 +28,7 @@
     CPPUNIT_TEST(restartedServerIsHealthy);
     CPPUNIT_TEST(serverWithReusedAddressIsNoCandidate);
     CPPUNIT_TEST(restartWithAnotherIdReplacesTheOldEntry);
+    CPPUNIT_TEST(serverAtAReusedAddressGetsNoRequestsOfAnotherService);
     CPPUNIT_TEST(restartsAreUsedWhileTheListIsUnavailable);
     CPPUNIT_TEST(serverThatSaysItLeavesIsNoCandidate);
     CPPUNIT_TEST(entryDoesNotRevokeWhatAnAnswerSaid);
@@ -251,13 +252,31 @@
         CPPUNIT_ASSERT(isListed);
     }
 
-    // A zone that crashes while the store is down restarts with ids that are not in the list.
-    // Guards against using only the other zones until the store is back.
+    // Guards against model requests that a server of another service runs: 9 to 12 in each of three
+    // plays. It answered with 421 and its id at the address of an engine that was gone.
+    void serverAtAReusedAddressGetsNoRequestsOfAnotherService()
+    {
+        BackendInfo call = info("l1", "a");
+        call.service = "logbook";
+        servers.put(call, now);
+        servers.remove("l1", now);
+        servers.onListLost(now);
+        servers.recordReplacement("a1", "l9", now);
+        servers.recordReplacement("a2", "l1", now);
+        CPPUNIT_ASSERT(!servers.server("l9", now));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(4), servers.candidates("engine", now).size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), servers.candidates("logbook", now).size());
+    }
+
+    // A server may start again at the address of another one while the store is down. Guards
+    // against losing it until the store is back, although its earlier entry names its service.
     void restartsAreUsedWhileTheListIsUnavailable()
     {
+        listEarlier("a9");
         servers.onListLost(now);
         servers.recordReplacement("a1", "a9", now);
         CPPUNIT_ASSERT(servers.server("a9", now).has_value());
+        CPPUNIT_ASSERT_EQUAL(info("a1", "a").address, servers.server("a9", now)->info.address);
         CPPUNIT_ASSERT_EQUAL(std::size_t(6), servers.candidates("engine", now).size());
         servers.onListRestored(now);
         CPPUNIT_ASSERT(!servers.server("a9", now + Ms(2100)));
@@ -382,6 +401,7 @@
     // start.
     void startTimeThatIsGivenLaterTellsRestarts()
     {
+        listEarlier("a9");
         servers.onListLost(now);
         servers.recordReplacement("a1", "a9", now);
         sayLeaving("a9");
@@ -431,6 +451,13 @@
     }
 
 private:
+    /// \brief The server had an entry, which is gone.
+    void listEarlier(const std::string &id)
+    {
+        servers.put(info(id, "a"), now);
+        servers.remove(id, now);
+    }
+
     void reportLeavingTo(std::vector<std::string> &reports)
     {
         BackendTable::Hooks hooks;
--- a/tests/decisions/StreamSessionTest.cpp
+++ b/tests/decisions/StreamSessionTest.cpp
@@ -943,9 +943,12 @@
         CPPUNIT_ASSERT_EQUAL(503, refused(session.start(now)).status);
     }
 
-    // While the store is down, a server at the address of another one is used unless it leaves.
+    // While the store is down, a server at the address of another one is used if it had an entry
+    // before, unless it leaves.
     void successorThatLeavesIsNotUsed()
     {
+        servers.put(info("x9", "a"), now);
+        servers.remove("x9", now);
         servers.onListLost(now);
         StreamSession session(m_route, request(), context(), {true, true, true});
         started(session);
