decisions: let one entry or 421 answer suspend a server, not end its use

Cause: an entry with a sound server's address marked that server as replaced, whatever its service, and only a new start cleared the mark (BackendTable::markOthersReplaced). A stream whose server answered a probe and listed the run was ended all the same. A 421 answer had the same effect for good. Change: ServerIdentities owns what is believed about the server at an address. Entries of services that the configuration in force does not name suspend nobody and are logged once in 10 s. Another entry suspends a server for 10 s at most, a 421 answer for 2 to 16 s; the server's heartbeat, its start time in a report, or a signed answer ends it.

--- a/include/foxtailring/decisions/BackendState.h
+++ b/include/foxtailring/decisions/BackendState.h
@@ -21,8 +21,9 @@
 {
     BackendInfo info;
     BackendHealth health = BackendHealth::Healthy;
-    bool isLeaving = false;         ///< by its entry or by an answer
-    bool isReplaced = false;        ///< another server, or a restarted one, has its address
+    bool isLeaving = false;   ///< by its entry or by an answer
+    bool isReplaced = false;  ///< another server, or a restarted one, seems to have its address
+    bool isRestarted = false; ///< has told a later start than its entry
     bool hasFailedZonePeer = false; ///< a server in its zone failed; no contact since then
     std::uint32_t inFlight = 0;     ///< requests from this process
     std::uint32_t copies = 0;       ///< copies of runs placed there by this process
--- a/include/foxtailring/decisions/BackendTable.h
+++ b/include/foxtailring/decisions/BackendTable.h
@@ -4,6 +4,7 @@
 #include "foxtailring/decisions/BackendState.h"
 #include "foxtailring/decisions/LeavingNotice.h"
 #include "foxtailring/decisions/LeavingSource.h"
+#include "foxtailring/decisions/ServerIdentities.h"
 #include "foxtailring/decisions/ServerStarts.h"
 
 #include <functional>
@@ -45,6 +46,7 @@
         /// One that stays may be of a live server, which wrote it after the restore but before the
         /// list was read.
         Duration goneHold = std::chrono::seconds(30);
+        ServerIdentities::Settings identities;
     };
 
     /// \brief Called when the state of a server changes. All are optional.
@@ -52,8 +54,10 @@
     {
         std::function<void(const BackendInfo &, Duration avoidedFor)> onSuspected;
         std::function<void(const BackendInfo &)> onRecovered; ///< contact with a suspected server
-        /// Another server, or the same one after a restart, has its address.
+        /// Another server, or the same one after a restart, seems to have its address.
         std::function<void(const BackendInfo &)> onReplaced;
+        /// A server has its address after all, or may have it for all that is still known.
+        std::function<void(const BackendInfo &)> onReplacementEnded;
         std::function<void(const BackendInfo &, LeavingSource)> onLeaving;
         /// A server that left has gone, has restarted, or is no longer listed as leaving.
         std::function<void(const BackendInfo &)> onLeavingEnded;
@@ -64,7 +68,7 @@
     BackendTable();
     explicit BackendTable(Settings settings);
 
-    void setHooks(Hooks hooks) { m_hooks = std::move(hooks); }
+    void setHooks(Hooks hooks);
 
     /// \brief Replaces the server list; servers that are not in \a list are removed.
     void replace(std::span<const BackendInfo> list, TimePoint now);
@@ -73,14 +77,19 @@
     /// one that has gone only if it is still listed after Settings::goneHold. Servers that are not
     /// in \a list are kept for Settings::unlistedGrace.
     void mergeRestored(std::span<const BackendInfo> list, TimePoint now);
+    /// \brief A server wrote its entry.
     void put(const BackendInfo &info, TimePoint now);
     void remove(std::string_view id, TimePoint now);
     /// \brief The list cannot be read. Servers removed from now on are kept, since their leases may
     /// just have expired.
     void onListLost(TimePoint now);
     void onListRestored(TimePoint now);
-    /// \brief Drops servers whose grace is over, and uses those that a restored list has kept for
-    /// Settings::goneHold although they had gone. To be called regularly.
+    /// \brief Sets the services that the configuration in force names. Entries of other services
+    /// say nothing about other servers.
+    void setNamedServices(ServerIdentities::Names services, TimePoint now);
+    /// \brief Drops servers whose grace is over, uses those that a restored list has kept for
+    /// Settings::goneHold although they had gone, and ends what ServerIdentities has believed for
+    /// long enough. To be called regularly.
     void expire(TimePoint now);
 
     void startWork(std::string_view id);
@@ -95,7 +104,10 @@
     void updateLoad(std::string_view id, const BackendLoadReport &load, TimePoint now);
     /// \brief No connection, a reset, or a timeout.
     void recordFailure(std::string_view id, TimePoint now);
-    /// \brief Another server has the address of \a id.
+    /// \brief The server itself answered a request.
+    /// \param server as it was when the request was sent
+    void confirmIdentity(const BackendInfo &server, TimePoint now);
+    /// \brief Another server answered at the address of \a id.
     /// \param successorId id of that server. While the list cannot be read, it is added as a
     /// restarted server if it had an entry before, which names its service. Empty: unknown, or not
     /// to be added.
@@ -109,14 +121,15 @@
     /// \brief Compares the start time that a server reports with its entry. True if it has
     /// restarted since, so that the runs and copies there are lost; the entry is marked as
     /// replaced.
-    bool detectRestart(std::string_view id, std::int64_t startedAtMs);
+    bool detectRestart(std::string_view id, std::int64_t startedAtMs, TimePoint now);
 
     /// \brief True if another start of the server than this one is listed, so that an answer of
     /// \a server says nothing about it.
     /// \param server as it was when the request was sent
     bool hasOtherStart(const BackendInfo &server) const;
 
-    /// \brief True if the server is known, does not leave and was not replaced.
+    /// \brief True if the server is known, does not leave and was not replaced, as of the latest
+    /// expire().
     bool acceptsNewWork(std::string_view id) const;
     std::optional<BackendState> server(std::string_view id, TimePoint now) const;
     /// \brief Servers of \a service that accept new requests, sorted by id, including suspected
@@ -140,8 +153,8 @@
         TimePoint suspectedUntil;
         bool saysLeaving = false; ///< in an answer
         bool hasUnreadableNotice = false;
-        bool isUnlisted = false; ///< no longer in the list, but kept for now
-        bool isReplaced = false; ///< another server has its address
+        bool isUnlisted = false;  ///< no longer in the list, but kept for now
+        bool isRestarted = false; ///< since its entry was written
     };
     using Records = std::map<std::string, Record, std::less<>>;
 
@@ -167,13 +180,12 @@
     bool isRetained(const Record &record, TimePoint now) const;
     void eraseExpired(TimePoint now);
     void eraseRecord(std::string_view id);
-    void markOthersReplaced(const Record &latest);
-    void markReplaced(Record &record);
     void addSuccessor(const std::string &address, std::string_view id, TimePoint now);
 
     static bool isLeaving(const Record &record);
     void reportLeaving(const Record &record, bool wasLeaving, LeavingSource source) const;
-    static bool acceptsNewWork(const Record &record);
+    bool isReplaced(const Record &record, TimePoint now) const;
+    bool acceptsNewWork(const Record &record, TimePoint now) const;
     bool isCandidate(const Record &record, std::string_view service, TimePoint now) const;
 
     const Settings m_settings;
@@ -183,13 +195,14 @@
     ServerStarts m_goneServers;    ///< whose entries were removed
     /// In m_goneServers, but listed in a restored store; by id.
     std::map<std::string, HeldServer, std::less<>> m_heldServers;
+    ServerIdentities m_identities;
     // Sets of ids, so that a change of one server does not scan all others.
-    std::map<std::string, std::set<std::string>, std::less<>> m_idsByAddress;
     std::set<std::string, std::less<>> m_unlistedIds;
     /// Failed within the zone failure window; pruned on the next failure.
     std::set<std::string, std::less<>> m_recentlyFailedIds;
     bool m_isListUnavailable = false;
     TimePoint m_unlistedGraceEnd;
+    TimePoint m_expiredAt; ///< latest call of expire()
 };
 
 } // namespace foxtailring
--- a/include/foxtailring/decisions/StreamSession.h
+++ b/include/foxtailring/decisions/StreamSession.h
@@ -95,7 +95,7 @@
     /// When the attempt is given up although its server answers probes.
     TimePoint stuckAt() const;
     bool isPresumedLost(TimePoint now) const;
-    bool isServerReplaced() const;
+    bool isServerRestarted() const;
     void endPlacement();
     ForwardAction onSilent(TimePoint now);
     ForwardAction onRunLost(const ServerProbeResult &report, TimePoint now);
--- a/src/decisions/BackendTable.cpp
+++ b/src/decisions/BackendTable.cpp
@@ -19,9 +19,16 @@
 
 BackendTable::BackendTable(Settings settings)
     : m_settings(settings)
+    , m_identities(settings.identities)
 {
 }
 
+void BackendTable::setHooks(Hooks hooks)
+{
+    m_hooks = std::move(hooks);
+    m_identities.setHooks({m_hooks.onReplaced, m_hooks.onReplacementEnded});
+}
+
 void BackendTable::replace(std::span<const BackendInfo> list, TimePoint now)
 {
     std::vector<std::string_view> listed;
@@ -79,6 +86,7 @@
     m_goneServers.erase(info.id);
     m_heldServers.erase(info.id);
     insertOrUpdate(info, now);
+    m_identities.confirmByEntry(info.id, now);
 }
 
 void BackendTable::insertOrUpdate(const BackendInfo &info, TimePoint now)
@@ -108,26 +116,13 @@
                   record.saysLeaving ? LeavingSource::Answer : LeavingSource::List);
     record.isUnlisted = false;
     m_unlistedIds.erase(info.id);
-    if (isNewStart) {
-        m_idsByAddress[info.address].insert(info.id);
-        markOthersReplaced(record);
-    }
+    if (isNewStart)
+        m_identities.addEntry(info, now);
 }
 
-// A server that starts has taken over its address from any other server still listed there.
-void BackendTable::markOthersReplaced(const Record &latest)
+void BackendTable::setNamedServices(ServerIdentities::Names services, TimePoint now)
 {
-    std::set<std::string> &ids = m_idsByAddress[latest.info.address];
-    for (auto id = ids.begin(); id != ids.end();) {
-        Record *record = find(*id);
-        if (!record || record->info.address != latest.info.address) {
-            id = ids.erase(id);
-            continue;
-        }
-        if (record != &latest && record->info.startedAtMs <= latest.info.startedAtMs)
-            record->isReplaced = true;
-        ++id;
-    }
+    m_identities.setNamedServices(std::move(services), now);
 }
 
 void BackendTable::remove(std::string_view id, TimePoint now)
@@ -168,6 +163,8 @@
     }
     for (const BackendInfo &info : listed)
         put(info, now);
+    m_identities.expire(now);
+    m_expiredAt = now;
 }
 
 void BackendTable::startWork(std::string_view id)
@@ -253,7 +250,7 @@
     Record *record = find(id);
     if (!record)
         return;
-    markReplaced(*record);
+    m_identities.recordWrongServer(id, now);
     if (!successorId.empty() && m_isListUnavailable && !find(successorId))
         addSuccessor(record->info.address, successorId, now);
 }
@@ -277,7 +274,13 @@
     // Removed with all others that are not listed when the list can be read again.
     successor.isUnlisted = true;
     m_unlistedIds.insert(successor.info.id);
-    m_idsByAddress[successor.info.address].insert(successor.info.id);
+    m_identities.addUnlisted(successor.info);
+}
+
+void BackendTable::confirmIdentity(const BackendInfo &server, TimePoint now)
+{
+    if (!hasOtherStart(server))
+        m_identities.confirm(server.id, now);
 }
 
 // An answer to a request that was sent before the server restarted is about its earlier start.
@@ -314,14 +317,17 @@
         m_hooks.onLeavingEnded(record.info);
 }
 
-bool BackendTable::detectRestart(std::string_view id, std::int64_t startedAtMs)
+bool BackendTable::detectRestart(std::string_view id, std::int64_t startedAtMs, TimePoint now)
 {
     Record *record = find(id);
-    const bool hasRestarted = record && startedAtMs > 0 && record->info.startedAtMs > 0
-        && startedAtMs > record->info.startedAtMs;
-    if (hasRestarted)
-        markReplaced(*record);
-    return hasRestarted;
+    const bool isTold = record && startedAtMs > 0 && record->info.startedAtMs > 0;
+    if (isTold && startedAtMs == record->info.startedAtMs)
+        confirmIdentity(record->info, now);
+    if (!isTold || startedAtMs <= record->info.startedAtMs)
+        return false;
+    if (!std::exchange(record->isRestarted, true) && m_hooks.onReplaced)
+        m_hooks.onReplaced(record->info);
+    return true;
 }
 
 bool BackendTable::hasOtherStart(const BackendInfo &server) const
@@ -330,21 +336,20 @@
     return found != m_records.end() && !found->second.info.isSameStart(server);
 }
 
-void BackendTable::markReplaced(Record &record)
+bool BackendTable::isReplaced(const Record &record, TimePoint now) const
 {
-    if (!std::exchange(record.isReplaced, true) && m_hooks.onReplaced)
-        m_hooks.onReplaced(record.info);
+    return record.isRestarted || m_identities.isSuspended(record.info.id, now);
 }
 
-bool BackendTable::acceptsNewWork(const Record &record)
+bool BackendTable::acceptsNewWork(const Record &record, TimePoint now) const
 {
-    return !isLeaving(record) && !record.isReplaced;
+    return !isLeaving(record) && !isReplaced(record, now);
 }
 
 bool BackendTable::acceptsNewWork(std::string_view id) const
 {
     const auto found = m_records.find(id);
-    return found != m_records.end() && acceptsNewWork(found->second);
+    return found != m_records.end() && acceptsNewWork(found->second, m_expiredAt);
 }
 
 std::optional<BackendState> BackendTable::server(std::string_view id, TimePoint now) const
@@ -379,7 +384,7 @@
 
 bool BackendTable::isCandidate(const Record &record, std::string_view service, TimePoint now) const
 {
-    return record.info.service == service && acceptsNewWork(record) && isRetained(record, now);
+    return record.info.service == service && acceptsNewWork(record, now) && isRetained(record, now);
 }
 
 BackendTable::Record *BackendTable::find(std::string_view id)
@@ -394,7 +399,8 @@
     BackendState state;
     state.info = record.info;
     state.isLeaving = isLeaving(record);
-    state.isReplaced = record.isReplaced;
+    state.isReplaced = isReplaced(record, now);
+    state.isRestarted = record.isRestarted;
     const auto failure = failures.find(record.info.availabilityZone);
     state.hasFailedZonePeer =
         failure != failures.end() && record.lastContactAt < failure->second.firstAt;
@@ -457,7 +463,6 @@
     }
 }
 
-// The id stays in m_idsByAddress until another server starts at the address.
 void BackendTable::eraseRecord(std::string_view id)
 {
     const std::string name(id);
@@ -471,6 +476,7 @@
             m_leavingServers.erase(name);
         m_records.erase(found);
     }
+    m_identities.remove(name);
     m_recentlyFailedIds.erase(name);
     m_unlistedIds.erase(name);
 }
--- a/src/decisions/ForwardSession.cpp
+++ b/src/decisions/ForwardSession.cpp
@@ -100,6 +100,9 @@
         m_context.servers.updateLoad(server.id, *answer.load, now);
     if (!answer.isOtherServer)
         m_context.admission.recordAnswer(server, answer, sentAt, now);
+    // Requests name the server that is to execute them, and only one that did signs.
+    if (!answer.isOtherServer && answer.isSigned)
+        m_context.servers.confirmIdentity(server, now);
     recordNotice(server, answer);
 }
 
@@ -319,7 +322,7 @@
 ForwardAction ForwardSession::onProbed(std::span<const ServerProbeResult> reports, TimePoint now)
 {
     for (const ServerProbeResult &report : reports) {
-        if (m_context.servers.detectRestart(report.serverId, report.startedAtMs))
+        if (m_context.servers.detectRestart(report.serverId, report.startedAtMs, now))
             continue;
         m_context.servers.recordContact(report.serverId, now);
         if (!report.isTurnedAway)
--- a/src/decisions/StreamSession.cpp
+++ b/src/decisions/StreamSession.cpp
@@ -201,7 +201,7 @@
 {
     m_isFindingPrompt = false;
     for (const ServerProbeResult &report : reports) {
-        if (context().servers.detectRestart(report.serverId, report.startedAtMs))
+        if (context().servers.detectRestart(report.serverId, report.startedAtMs, now))
             continue;
         context().servers.recordContact(report.serverId, now);
         recordProbeNotice(report, now);
@@ -466,7 +466,7 @@
         recordSign(now);
         return KeepWaiting {};
     }
-    if (isServerReplaced())
+    if (isServerRestarted() && !reports.front().hasRun)
         return onAttemptEnded(AttemptResult::Silent, now);
     m_isRunUnlisted =
         m_progress.hasEvents() && reports.front().listsRuns && !reports.front().hasRun;
@@ -539,11 +539,11 @@
     return replaceAttempt("unlisted", now);
 }
 
-// True if the server was replaced or restarted since the attempt was sent.
-bool StreamSession::isServerReplaced() const
+// True if the server has told a later start than its entry. What others say about it ends no run.
+bool StreamSession::isServerRestarted() const
 {
     const auto current = context().servers.server(server().info.id, m_probedAt);
-    return current && current->isReplaced;
+    return current && current->isRestarted;
 }
 
 // True if the server is doubtful or suspected, sent no event yet, and there was no contact for too
--- a/src/gateway/GatewayNode.cpp
+++ b/src/gateway/GatewayNode.cpp
@@ -104,6 +104,10 @@
         StructuredLog::info("serverReplaced",
                             {{"server", info.id}, {"zone", info.availabilityZone}});
     };
+    hooks.onReplacementEnded = [](const BackendInfo &info) {
+        StructuredLog::info("serverReplacementEnded",
+                            {{"server", info.id}, {"zone", info.availabilityZone}});
+    };
     setLeavingHooks(parts, hooks);
     return hooks;
 }
--- a/src/gateway/StoreWatch.cpp
+++ b/src/gateway/StoreWatch.cpp
@@ -59,6 +59,8 @@
 constexpr std::chrono::milliseconds configReadInterval {1000};
 // The operators and the servers write what was lost again within this time.
 constexpr std::chrono::milliseconds restoredRewriteTime {2000};
+// Of log lines about entries whose service the configuration does not name.
+constexpr std::chrono::seconds unnamedServiceReportInterval {10};
 
 // Also that of a store without epochs.
 constexpr std::int64_t unknownEpoch = 0;
@@ -216,12 +218,14 @@
         if (!isServerKey(pair.key))
             continue;
         auto server = m_schema.decodeServer(serverIdOf(pair.key), pair.value);
-        if (server)
+        if (server) {
+            reportUnnamedService(server.value());
             servers.push_back(std::move(server).value());
-        else
+        } else {
             StructuredLog::warn(
                 "serverEntryUnreadable",
                 {{"server", serverIdOf(pair.key)}, {"message", server.error().message}});
+        }
     }
     const bool isRestored = startEpoch(read);
     holdKeys(read.epoch);
@@ -362,9 +366,24 @@
                         {{"server", id},
                          {"service", server.value().service},
                          {"draining", server.value().isDraining ? "true" : "false"}});
+    reportUnnamedService(server.value());
     m_parts.servers.put(server.value(), m_parts.clock());
 }
 
+// Another writer's entries may come as often as heartbeats, so not each one is logged.
+void StoreWatch::reportUnnamedService(const BackendInfo &server)
+{
+    if (!m_parts.routes || m_parts.routes->service(server.service))
+        return;
+    m_parts.metrics.add("gateway_unnamed_services_total");
+    const TimePoint now = m_parts.clock();
+    if (now < m_unnamedServiceReportAt)
+        return;
+    m_unnamedServiceReportAt = now + unnamedServiceReportInterval;
+    StructuredLog::warn("serverServiceUnnamed",
+                        {{"server", server.id}, {"service", server.service}});
+}
+
 void StoreWatch::offerConfigs(std::vector<ConfigDecoder::Candidate> candidates)
 {
     if (!candidates.empty())
@@ -393,6 +412,10 @@
     if (m_parts.routes && version <= m_parts.routes->version())
         return;
     std::shared_ptr<const RouteTable> previous = std::exchange(m_parts.routes, outcome.table);
+    ServerIdentities::Names services;
+    for (const RoutedService &service : m_parts.routes->config().services)
+        services.insert(service.name);
+    m_parts.servers.setNamedServices(std::move(services), m_parts.clock());
     m_parts.metrics.setGauge("gateway_config_version", static_cast<double>(version));
     StructuredLog::info("configInForce",
                         {{"version", std::to_string(version)},
--- a/src/gateway/StoreWatch.h
+++ b/src/gateway/StoreWatch.h
@@ -64,6 +64,8 @@
     void recordProof(TimePoint queriedAt, bool isOfAllKeys);
     void recordWaitingProofs();
     void applyServer(const KeyValue &pair);
+    /// Logs and counts an entry whose service the configuration does not name.
+    void reportUnnamedService(const BackendInfo &server);
     void applyPromptCrashReport(const KeyValue &pair, TimePoint writtenAfter);
     void applyRateLimitReports(std::span<const WatchEvent> events);
     void applyGateways(std::span<const WatchEvent> events);
@@ -87,8 +89,9 @@
     const RereadPacing m_rereadPacing;
     /// Used by the watcher's threads too.
     std::atomic<std::chrono::milliseconds::rep> m_rereadSpreadMs = 0;
-    std::uint64_t m_offeredConfig = 0; ///< number of the last offer to the decoder
-    std::uint64_t m_decodedConfig = 0; ///< number of the last offer whose outcome is known
+    std::uint64_t m_offeredConfig = 0;  ///< number of the last offer to the decoder
+    std::uint64_t m_decodedConfig = 0;  ///< number of the last offer whose outcome is known
+    TimePoint m_unnamedServiceReportAt; ///< not before then
     std::deque<WaitingProof> m_waitingProofs;
     ConfigDecoder m_decoder;
     Timer m_configTimer; ///< reads the configuration alone until all keys were read
--- a/tests/decisions/BackendTableTest.cpp
+++ b/tests/decisions/BackendTableTest.cpp
@@ -30,6 +30,12 @@
     CPPUNIT_TEST(restartWithAnotherIdReplacesTheOldEntry);
     CPPUNIT_TEST(serverAtAReusedAddressGetsNoRequestsOfAnotherService);
     CPPUNIT_TEST(restartsAreUsedWhileTheListIsUnavailable);
+    CPPUNIT_TEST(entryOfAnUnnamedServiceReplacesNoServer);
+    CPPUNIT_TEST(serviceThatIsNamedLaterReplacesServers);
+    CPPUNIT_TEST(falseEntryAtAnAddressIsContradictedByTheServer);
+    CPPUNIT_TEST(falseReplacementEndsByItself);
+    CPPUNIT_TEST(entryAtAnAddressOfOthersIsSparedRequests);
+    CPPUNIT_TEST(replacementIsReportedOnce);
     CPPUNIT_TEST(serverThatSaysItLeavesIsNoCandidate);
     CPPUNIT_TEST(entryDoesNotRevokeWhatAnAnswerSaid);
     CPPUNIT_TEST(leavingServerThatIsListedAgainStillLeaves);
@@ -284,6 +290,110 @@
         CPPUNIT_ASSERT(servers.server("a9", now + Ms(2100)).has_value());
     }
 
+    // Guards against losing sound servers to entries of another writer: 12 of 12 streams were cut,
+    // and no server was used again.
+    void entryOfAnUnnamedServiceReplacesNoServer()
+    {
+        for (const bool isConfigLate : {false, true}) {
+            servers.setNamedServices({"engine"}, now);
+            if (isConfigLate)
+                servers.setNamedServices({"engine", "no-such-service"}, now);
+            listOther("a1", "no-such-service");
+            servers.setNamedServices({"engine"}, now);
+            CPPUNIT_ASSERT(servers.server("a1", now)->acceptsNewWork());
+            CPPUNIT_ASSERT_EQUAL(std::size_t(6), servers.candidates("engine", now).size());
+            servers.remove("odd", now);
+        }
+    }
+
+    // Guards against requests to a server whose address a new service has, because its entry came
+    // before the configuration.
+    void serviceThatIsNamedLaterReplacesServers()
+    {
+        servers.setNamedServices({"engine"}, now);
+        listOther("a1", "logbook");
+        CPPUNIT_ASSERT(servers.server("a1", now)->acceptsNewWork());
+        servers.setNamedServices({"engine", "logbook"}, now);
+        CPPUNIT_ASSERT(!servers.server("a1", now)->acceptsNewWork());
+    }
+
+    // Guards against losing a server for good because another one's entry has its address.
+    void falseEntryAtAnAddressIsContradictedByTheServer()
+    {
+        const BackendInfo sound = info("a1", "a");
+        for (const std::string how : {"entry", "report", "signature", "entry gone"}) {
+            listOther("a1", "engine");
+            CPPUNIT_ASSERT_MESSAGE(how, !servers.server("a1", now)->acceptsNewWork());
+            servers.replace(listed(), now);
+            CPPUNIT_ASSERT_MESSAGE(how, !servers.server("a1", now)->acceptsNewWork());
+            if (how == "entry")
+                servers.put(sound, now);
+            else if (how == "report")
+                servers.detectRestart("a1", sound.startedAtMs, now);
+            else if (how == "signature")
+                servers.confirmIdentity(sound, now);
+            else
+                servers.remove("odd", now);
+            CPPUNIT_ASSERT_MESSAGE(how, servers.server("a1", now)->acceptsNewWork());
+            servers.remove("odd", now);
+        }
+    }
+
+    // While the store is down, a server that gets no requests has no way to show that it lives.
+    // Guards against losing it until the store is back.
+    void falseReplacementEndsByItself()
+    {
+        listOther("a1", "engine");
+        servers.onListLost(now);
+        servers.recordReplacement("a2", {}, now);
+        CPPUNIT_ASSERT(!servers.server("a2", now + Ms(1900))->acceptsNewWork());
+        CPPUNIT_ASSERT(servers.server("a2", now + Ms(2000))->acceptsNewWork());
+        CPPUNIT_ASSERT(!servers.server("a1", now + Ms(9900))->acceptsNewWork());
+        CPPUNIT_ASSERT(servers.server("a1", now + Ms(10'000))->acceptsNewWork());
+        for (int i = 0; i < 20; ++i) {
+            servers.recordReplacement("a2", {}, now += Ms(20'000));
+            CPPUNIT_ASSERT(!servers.server("a2", now)->acceptsNewWork());
+        }
+        CPPUNIT_ASSERT(servers.server("a2", now + Ms(16'000))->acceptsNewWork());
+    }
+
+    // Guards against a request at each heartbeat to an address that belongs to another server.
+    void entryAtAnAddressOfOthersIsSparedRequests()
+    {
+        int requests = 0;
+        for (int i = 0; i < 60; ++i) {
+            servers.put(info("a1", "a"), now += Ms(1000));
+            if (!servers.server("a1", now)->acceptsNewWork())
+                continue;
+            servers.recordReplacement("a1", "b9", now);
+            ++requests;
+        }
+        CPPUNIT_ASSERT(requests <= 8);
+        servers.confirmIdentity(info("a1", "a"), now);
+        servers.recordReplacement("a1", "b9", now);
+        servers.put(info("a1", "a"), now);
+        CPPUNIT_ASSERT(servers.server("a1", now)->acceptsNewWork());
+    }
+
+    // Guards against a log line for each request to a server that has gone.
+    void replacementIsReportedOnce()
+    {
+        std::vector<std::string> reports;
+        BackendTable::Hooks hooks;
+        hooks.onReplaced = [&reports](const BackendInfo &one) { reports.push_back(one.id); };
+        hooks.onReplacementEnded = [&reports](const BackendInfo &one) {
+            reports.push_back(one.id + " ended");
+        };
+        servers.setHooks(std::move(hooks));
+        listOther("a1", "engine");
+        for (int i = 0; i < 3; ++i)
+            servers.recordReplacement("a1", {}, now);
+        servers.expire(now + Ms(9000));
+        servers.expire(now + Ms(10'000));
+        servers.expire(now + Ms(11'000));
+        CPPUNIT_ASSERT((std::vector<std::string> {"a1", "a1 ended"} == reports));
+    }
+
     void serverWithReusedAddressIsNoCandidate()
     {
         servers.recordReplacement("a1", "a9", now);
@@ -451,6 +561,31 @@
     }
 
 private:
+    /// \brief An entry of a later server has the address of \a id.
+    void listOther(const std::string &id, const std::string &service)
+    {
+        servers.put(other(id, service), now);
+    }
+
+    static BackendInfo other(const std::string &id, const std::string &service)
+    {
+        BackendInfo one = info("odd", "a");
+        one.address = info(id, "a").address;
+        one.service = service;
+        one.startedAtMs = 2;
+        return one;
+    }
+
+    /// \brief The list with all entries.
+    std::vector<BackendInfo> listed() const
+    {
+        std::vector<BackendInfo> list;
+        for (const std::string id : {"a1", "a2", "b1", "b2", "c1", "c2"})
+            list.push_back(servers.server(id, now)->info);
+        list.push_back(other("a1", "engine"));
+        return list;
+    }
+
     /// \brief The server had an entry, which is gone.
     void listEarlier(const std::string &id)
     {
--- a/tests/decisions/StreamSessionTest.cpp
+++ b/tests/decisions/StreamSessionTest.cpp
@@ -76,6 +76,7 @@
     CPPUNIT_TEST(snapshotOfALeavingServerIsNotReleased);
     CPPUNIT_TEST(streamIsRefusedAtOnceIfAllServersLeave);
     CPPUNIT_TEST(successorThatLeavesIsNotUsed);
+    CPPUNIT_TEST(streamIsNotEndedByAThirdParty);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -585,6 +586,32 @@
         CPPUNIT_ASSERT(isAttempt(placed(session, session.onProbed(answer, probedAt), probedAt)));
     }
 
+    // Guards against cutting streams whose server works, because an entry or an answer of another
+    // server has its address: 12 of 12 in one trial.
+    void streamIsNotEndedByAThirdParty()
+    {
+        for (const bool isEntry : {false, true}) {
+            StreamSession session(m_route, request(), context(), {true, true, true});
+            BackendInfo other = sent(started(session)).server.info;
+            const std::string id = other.id;
+            const TimePoint last = tenEvents(session);
+            other.id = "x9";
+            other.startedAtMs = 2;
+            if (isEntry)
+                servers.put(other, last);
+            else
+                servers.recordReplacement(id, {}, last);
+            CPPUNIT_ASSERT(!servers.server(id, last)->acceptsNewWork());
+            const TimePoint probedAt = last + Ms(300);
+            CPPUNIT_ASSERT(std::holds_alternative<ProbeServers>(session.check(probedAt)));
+            CPPUNIT_ASSERT(isWaiting(session.onProbed(report(id, 10), probedAt)));
+            CPPUNIT_ASSERT(!session.hasFallback());
+            CPPUNIT_ASSERT(session.onEvent(11, probedAt) == EventVerdict::Next);
+            servers.remove("x9", now);
+            listServers();
+        }
+    }
+
     // Callers reconnect shortly before their deadline. Guards against processing prompts of runs
     // that cannot finish, which delays others: 113 of 131 such streams failed.
     void runThatCannotFinishInTimeIsRefused()
