decisions: confirm a later start time before it ends anything

Cause: one wrong digit in the start time of one report marked a sound server as restarted until its next start, ended its runs and gave up its copies (BackendTable::detectRestart). Change: a later start time suspends a server only if a second report, a lost connection or an entry or 421 answer says so too; then for 3 s, until a report or heartbeat with the entry's start, and once for each start told. The server of a run that is not listed is probed again at once, the holder of a copy at its next check. Two tests that expected one report to suffice now expect that second probe and the same end after it. Questions about servers that nothing speaks against take no look-up.

--- a/include/foxtailring/decisions/BackendState.h
+++ b/include/foxtailring/decisions/BackendState.h
@@ -3,6 +3,7 @@
 #include "foxtailring/base/Clock.h"
 #include "foxtailring/decisions/BackendInfo.h"
 #include "foxtailring/decisions/BackendLoadReport.h"
+#include "foxtailring/decisions/ReportedStart.h"
 
 #include <cstdint>
 #include <optional>
@@ -21,9 +22,9 @@
 {
     BackendInfo info;
     BackendHealth health = BackendHealth::Healthy;
-    bool isLeaving = false;   ///< by its entry or by an answer
-    bool isReplaced = false;  ///< another server, or a restarted one, seems to have its address
-    bool isRestarted = false; ///< has told a later start than its entry
+    bool isLeaving = false;  ///< by its entry or by an answer
+    bool isReplaced = false; ///< another server, or a restarted one, seems to have its address
+    ReportedStart reportedStart = ReportedStart::Accepted;
     bool hasFailedZonePeer = false; ///< a server in its zone failed; no contact since then
     std::uint32_t inFlight = 0;     ///< requests from this process
     std::uint32_t copies = 0;       ///< copies of runs placed there by this process
--- a/include/foxtailring/decisions/BackendTable.h
+++ b/include/foxtailring/decisions/BackendTable.h
@@ -118,10 +118,16 @@
     /// \param server as it was when the request was sent
     void recordNotice(const BackendInfo &server, LeavingNotice notice);
 
-    /// \brief Compares the start time that a server reports with its entry. True if it has
-    /// restarted since, so that the runs and copies there are lost; the entry is marked as
-    /// replaced.
-    bool detectRestart(std::string_view id, std::int64_t startedAtMs, TimePoint now);
+    /// \brief A report has this start time. Restarted: the runs and copies there are lost.
+    ReportedStart recordReport(std::string_view id, std::int64_t startedAtMs, TimePoint now)
+    {
+        return m_identities.recordReport(id, startedAtMs, now);
+    }
+    /// \brief A connection to the server was lost, or could not be made.
+    void recordConnectionLost(std::string_view id, TimePoint now)
+    {
+        m_identities.recordConnectionLost(id, now);
+    }
 
     /// \brief True if another start of the server than this one is listed, so that an answer of
     /// \a server says nothing about it.
@@ -153,8 +159,7 @@
         TimePoint suspectedUntil;
         bool saysLeaving = false; ///< in an answer
         bool hasUnreadableNotice = false;
-        bool isUnlisted = false;  ///< no longer in the list, but kept for now
-        bool isRestarted = false; ///< since its entry was written
+        bool isUnlisted = false; ///< no longer in the list, but kept for now
     };
     using Records = std::map<std::string, Record, std::less<>>;
 
--- a/include/foxtailring/decisions/ServerIdentities.h
+++ b/include/foxtailring/decisions/ServerIdentities.h
@@ -2,6 +2,7 @@
 
 #include "foxtailring/base/Clock.h"
 #include "foxtailring/decisions/BackendInfo.h"
+#include "foxtailring/decisions/ReportedStart.h"
 
 #include <cstdint>
 #include <functional>
@@ -30,6 +31,11 @@
         /// How long a 421 answer suspends a server; doubles with each further one.
         Duration wrongServerHold = std::chrono::seconds(2);
         Duration maxWrongServerHold = std::chrono::seconds(16);
+        /// How long a confirmed restart suspends a server. Its runs and copies are lost, but it
+        /// works, and its entry is written again within seconds.
+        Duration restartHold = std::chrono::seconds(3);
+        /// How long a report, or the loss of a connection, may confirm a restart.
+        Duration restartMemory = std::chrono::seconds(5);
     };
 
     /// \brief Called when a suspension begins or ends. All are optional. Ends that nothing but the
@@ -57,8 +63,7 @@
     /// \brief The server is no longer listed: it suspends no other from now on.
     void remove(std::string_view id);
 
-    /// \brief The server answered in its own name: with a signature, or with its start time. Ends
-    /// what others said about it.
+    /// \brief The server signed an answer. Ends what others said about it.
     void confirm(std::string_view id, TimePoint now);
     /// \brief The server wrote its entry again. Ends what others said, unless its address has sent
     /// a 421 answer more than once since the server answered itself.
@@ -66,7 +71,16 @@
     /// \brief A server with another id answered at the address, with 421.
     void recordWrongServer(std::string_view id, TimePoint now);
 
+    /// \brief A report from the address has this start time; 0: none. That of the entry ends all
+    /// that was said against the server. A later one suspends it once it is confirmed: by another
+    /// report, the loss of a connection, or what suspends the server already.
+    /// \return what the reports say now
+    ReportedStart recordReport(std::string_view id, std::int64_t startedAtMs, TimePoint now);
+    /// \brief A connection to the server was lost, or could not be made.
+    void recordConnectionLost(std::string_view id, TimePoint now);
+
     bool isSuspended(std::string_view id, TimePoint now) const;
+    ReportedStart reportedStart(std::string_view id, TimePoint now) const;
     /// \brief Ends what has lasted for its time. To be called regularly.
     void expire(TimePoint now);
 
@@ -79,15 +93,27 @@
         TimePoint claimedUntil;
         std::uint32_t wrongServerAnswers = 0; ///< since the server answered itself
         TimePoint wrongServerUntil;
+        std::int64_t laterStartMs = 0; ///< that the latest report named; 0: none
+        TimePoint laterStartToldAt;
+        /// Has been confirmed, or contradicted by the entry, so that it is not news any more.
+        bool isLaterStartKnown = false;
+        TimePoint restartedUntil;
+        TimePoint connectionLostAt;
     };
 
     Identity *find(std::string_view id);
+    static void endThirdPartyWord(Identity &identity);
+    void recordLaterStart(Identity &identity, std::int64_t startedAtMs, TimePoint now);
+    void confirmRestart(Identity &identity, TimePoint now);
+    ReportedStart reportedStart(const Identity &identity, TimePoint now) const;
+    bool isRecent(TimePoint at, TimePoint now) const;
     bool isNamed(const std::string &service) const;
     /// Suspends the earlier servers at the address of \a claimant.
     void claimAddress(const BackendInfo &claimant, TimePoint now);
     void endClaims(const BackendInfo &claimant);
-    /// Calls the hook if \a identity has been suspended, or is not any more.
-    void reportChange(const Identity &identity, TimePoint now);
+    /// To be called after each change. Calls the hook if \a identity has been suspended, or is not
+    /// any more.
+    void update(const Identity &identity, TimePoint now);
     static bool isSuspended(const Identity &identity, TimePoint now);
 
     const Settings m_settings;
@@ -95,6 +121,8 @@
     std::map<std::string, Identity, std::less<>> m_identities; ///< by id
     /// Ids, so that a change of one server does not scan all others.
     std::map<std::string, Names, std::less<>> m_idsByAddress;
+    // Few, so that most questions need no look at m_identities.
+    Names m_disputedIds;             ///< whose entries something speaks against
     Names m_suspendedIds;            ///< as reported
     std::optional<Names> m_services; ///< none: no configuration yet
 };
--- a/include/foxtailring/decisions/StreamSession.h
+++ b/include/foxtailring/decisions/StreamSession.h
@@ -95,7 +95,7 @@
     /// When the attempt is given up although its server answers probes.
     TimePoint stuckAt() const;
     bool isPresumedLost(TimePoint now) const;
-    bool isServerRestarted() const;
+    ReportedStart reportedStart(TimePoint now) const;
     void endPlacement();
     ForwardAction onSilent(TimePoint now);
     ForwardAction onRunLost(const ServerProbeResult &report, TimePoint now);
@@ -122,7 +122,8 @@
     bool m_hasEmptyEnd = false; ///< an attempt ended in order without an event
     /// The latest report of the current server shows that it does not work on the run.
     bool m_isRunUnlisted = false;
-    TimePoint m_fallbackEndsAt; ///< at the latest
+    bool m_isStartUnconfirmed = false; ///< by the latest report of the current server
+    TimePoint m_fallbackEndsAt;        ///< at the latest
     TimePoint m_probedAt;
     /// The attempt was the fallback, which is not probed, so it is probed before it is given up.
     bool m_isUnwatched = false;
--- a/src/decisions/BackendTable.cpp
+++ b/src/decisions/BackendTable.cpp
@@ -317,19 +317,6 @@
         m_hooks.onLeavingEnded(record.info);
 }
 
-bool BackendTable::detectRestart(std::string_view id, std::int64_t startedAtMs, TimePoint now)
-{
-    Record *record = find(id);
-    const bool isTold = record && startedAtMs > 0 && record->info.startedAtMs > 0;
-    if (isTold && startedAtMs == record->info.startedAtMs)
-        confirmIdentity(record->info, now);
-    if (!isTold || startedAtMs <= record->info.startedAtMs)
-        return false;
-    if (!std::exchange(record->isRestarted, true) && m_hooks.onReplaced)
-        m_hooks.onReplaced(record->info);
-    return true;
-}
-
 bool BackendTable::hasOtherStart(const BackendInfo &server) const
 {
     const auto found = m_records.find(server.id);
@@ -338,7 +325,7 @@
 
 bool BackendTable::isReplaced(const Record &record, TimePoint now) const
 {
-    return record.isRestarted || m_identities.isSuspended(record.info.id, now);
+    return m_identities.isSuspended(record.info.id, now);
 }
 
 bool BackendTable::acceptsNewWork(const Record &record, TimePoint now) const
@@ -400,7 +387,7 @@
     state.info = record.info;
     state.isLeaving = isLeaving(record);
     state.isReplaced = isReplaced(record, now);
-    state.isRestarted = record.isRestarted;
+    state.reportedStart = m_identities.reportedStart(record.info.id, now);
     const auto failure = failures.find(record.info.availabilityZone);
     state.hasFailedZonePeer =
         failure != failures.end() && record.lastContactAt < failure->second.firstAt;
--- a/src/decisions/ForwardSession.cpp
+++ b/src/decisions/ForwardSession.cpp
@@ -148,6 +148,8 @@
     if (!m_fallback)
         return KeepWaiting {};
     const std::string &id = m_fallback->server.info.id;
+    if (result == AttemptResult::Lost || result == AttemptResult::NotSent)
+        m_context.servers.recordConnectionLost(id, now);
     if (result == AttemptResult::OtherServer)
         m_context.servers.recordReplacement(id, {}, now);
     else if (result == AttemptResult::NotRun)
@@ -287,6 +289,8 @@
     if (result == AttemptResult::Lost)
         recordCrash(now);
     const std::string id = m_server->info.id;
+    if (result == AttemptResult::Lost || result == AttemptResult::NotSent)
+        m_context.servers.recordConnectionLost(id, now);
     if (result == AttemptResult::OtherServer)
         m_context.servers.recordReplacement(id, {}, now);
     else if (result == AttemptResult::NotRun)
@@ -322,7 +326,9 @@
 ForwardAction ForwardSession::onProbed(std::span<const ServerProbeResult> reports, TimePoint now)
 {
     for (const ServerProbeResult &report : reports) {
-        if (m_context.servers.detectRestart(report.serverId, report.startedAtMs, now))
+        const ReportedStart start =
+            m_context.servers.recordReport(report.serverId, report.startedAtMs, now);
+        if (start != ReportedStart::Accepted)
             continue;
         m_context.servers.recordContact(report.serverId, now);
         if (!report.isTurnedAway)
--- a/src/decisions/ServerIdentities.cpp
+++ b/src/decisions/ServerIdentities.cpp
@@ -12,6 +12,8 @@
 
 void ServerIdentities::setNamedServices(Names services, TimePoint now)
 {
+    if (m_services == services)
+        return;
     const std::optional<Names> previous = std::exchange(m_services, std::move(services));
     for (const auto &[id, identity] : m_identities) {
         const std::string &service = identity.info.service;
@@ -55,6 +57,7 @@
     ids->second.erase(identity.info.id);
     if (ids->second.empty())
         m_idsByAddress.erase(ids);
+    m_disputedIds.erase(identity.info.id);
     m_suspendedIds.erase(identity.info.id);
 }
 
@@ -67,7 +70,7 @@
             continue;
         identity.claimantId = claimant.id;
         identity.claimedUntil = now + m_settings.claimHold;
-        reportChange(identity, now);
+        update(identity, now);
     }
 }
 
@@ -88,10 +91,85 @@
     Identity *identity = find(id);
     if (!identity)
         return;
-    identity->claimantId.clear();
-    identity->wrongServerAnswers = 0;
-    identity->wrongServerUntil = {};
-    reportChange(*identity, now);
+    endThirdPartyWord(*identity);
+    update(*identity, now);
+}
+
+void ServerIdentities::endThirdPartyWord(Identity &identity)
+{
+    identity.claimantId.clear();
+    identity.wrongServerAnswers = 0;
+    identity.wrongServerUntil = {};
+}
+
+ReportedStart ServerIdentities::recordReport(std::string_view id, std::int64_t startedAtMs,
+                                             TimePoint now)
+{
+    Identity *identity = find(id);
+    if (!identity || startedAtMs <= 0 || identity->info.startedAtMs <= 0)
+        return ReportedStart::Accepted;
+    if (startedAtMs > identity->info.startedAtMs)
+        recordLaterStart(*identity, startedAtMs, now);
+    if (startedAtMs == identity->info.startedAtMs) {
+        endThirdPartyWord(*identity);
+        identity->laterStartMs = 0;
+        identity->restartedUntil = {};
+    }
+    update(*identity, now);
+    return reportedStart(*identity, now);
+}
+
+// Each start is news once. A server that keeps telling another start than its entry works all the
+// same, and would otherwise be suspended again and again.
+void ServerIdentities::recordLaterStart(Identity &identity, std::int64_t startedAtMs, TimePoint now)
+{
+    const bool isNews = identity.laterStartMs != startedAtMs;
+    const bool isRepeated = !isNews && isRecent(identity.laterStartToldAt, now);
+    if (isNews)
+        identity.isLaterStartKnown = false;
+    identity.laterStartMs = startedAtMs;
+    identity.laterStartToldAt = now;
+    const bool isConfirmed =
+        isRepeated || isRecent(identity.connectionLostAt, now) || isSuspended(identity, now);
+    if (!identity.isLaterStartKnown && isConfirmed)
+        confirmRestart(identity, now);
+}
+
+void ServerIdentities::recordConnectionLost(std::string_view id, TimePoint now)
+{
+    Identity *identity = find(id);
+    if (!identity)
+        return;
+    identity->connectionLostAt = now;
+    if (reportedStart(*identity, now) == ReportedStart::Unconfirmed)
+        confirmRestart(*identity, now);
+    update(*identity, now);
+}
+
+void ServerIdentities::confirmRestart(Identity &identity, TimePoint now)
+{
+    identity.isLaterStartKnown = true;
+    identity.restartedUntil = now + m_settings.restartHold;
+}
+
+ReportedStart ServerIdentities::reportedStart(std::string_view id, TimePoint now) const
+{
+    return m_disputedIds.contains(id) ? reportedStart(m_identities.find(id)->second, now)
+                                      : ReportedStart::Accepted;
+}
+
+ReportedStart ServerIdentities::reportedStart(const Identity &identity, TimePoint now) const
+{
+    if (identity.restartedUntil > now)
+        return ReportedStart::Restarted;
+    const bool isUnconfirmed = identity.laterStartMs > 0 && !identity.isLaterStartKnown
+        && isRecent(identity.laterStartToldAt, now);
+    return isUnconfirmed ? ReportedStart::Unconfirmed : ReportedStart::Accepted;
+}
+
+bool ServerIdentities::isRecent(TimePoint at, TimePoint now) const
+{
+    return at != TimePoint {} && now - at <= m_settings.restartMemory;
 }
 
 // An entry with a wrong address is written again, too. What is at the address contradicts it each
@@ -104,7 +182,10 @@
     identity->claimantId.clear();
     if (identity->wrongServerAnswers <= 1)
         identity->wrongServerUntil = {};
-    reportChange(*identity, now);
+    // The entry has the earlier start still, so the later one is wrong, or its entry will follow.
+    identity->isLaterStartKnown = identity->laterStartMs > 0;
+    identity->restartedUntil = {};
+    update(*identity, now);
 }
 
 void ServerIdentities::recordWrongServer(std::string_view id, TimePoint now)
@@ -118,31 +199,34 @@
         + std::min<Duration>(m_settings.wrongServerHold * (1U << doublings),
                              m_settings.maxWrongServerHold);
     ++identity->wrongServerAnswers;
-    reportChange(*identity, now);
+    update(*identity, now);
 }
 
 bool ServerIdentities::isSuspended(std::string_view id, TimePoint now) const
 {
-    const auto found = m_identities.find(id);
-    return found != m_identities.end() && isSuspended(found->second, now);
+    return m_disputedIds.contains(id) && isSuspended(m_identities.find(id)->second, now);
 }
 
 bool ServerIdentities::isSuspended(const Identity &identity, TimePoint now)
 {
     const bool isClaimed = !identity.claimantId.empty() && identity.claimedUntil > now;
-    return isClaimed || identity.wrongServerUntil > now;
+    return isClaimed || identity.wrongServerUntil > now || identity.restartedUntil > now;
 }
 
 void ServerIdentities::expire(TimePoint now)
 {
-    const Names suspended = m_suspendedIds;
-    for (const std::string &id : suspended)
-        reportChange(*find(id), now);
+    const Names disputed = m_disputedIds;
+    for (const std::string &id : disputed)
+        update(*find(id), now);
 }
 
-void ServerIdentities::reportChange(const Identity &identity, TimePoint now)
+void ServerIdentities::update(const Identity &identity, TimePoint now)
 {
     const std::string &id = identity.info.id;
+    if (isSuspended(identity, now) || reportedStart(identity, now) != ReportedStart::Accepted)
+        m_disputedIds.insert(id);
+    else
+        m_disputedIds.erase(id);
     if (isSuspended(identity, now)) {
         if (m_suspendedIds.insert(id).second && m_hooks.onSuspended)
             m_hooks.onSuspended(identity.info);
--- a/src/decisions/StreamSession.cpp
+++ b/src/decisions/StreamSession.cpp
@@ -201,7 +201,9 @@
 {
     m_isFindingPrompt = false;
     for (const ServerProbeResult &report : reports) {
-        if (context().servers.detectRestart(report.serverId, report.startedAtMs, now))
+        const ReportedStart start =
+            context().servers.recordReport(report.serverId, report.startedAtMs, now);
+        if (start != ReportedStart::Accepted)
             continue;
         context().servers.recordContact(report.serverId, now);
         recordProbeNotice(report, now);
@@ -289,6 +291,7 @@
     m_isProbingHolder = false;
     m_isCopying = false;
     m_isRunUnlisted = false;
+    m_isStartUnconfirmed = false;
     m_copyCheckAt = m_capabilities.canCopyOnDemand ? now + copyCheckInterval : TimePoint::max();
     m_copy.drop();
     assignCopyHolder(next, now);
@@ -466,8 +469,14 @@
         recordSign(now);
         return KeepWaiting {};
     }
-    if (isServerRestarted() && !reports.front().hasRun)
+    const ReportedStart start =
+        reports.front().hasRun ? ReportedStart::Accepted : reportedStart(now);
+    if (start == ReportedStart::Restarted)
         return onAttemptEnded(AttemptResult::Silent, now);
+    // The next probe, at once, confirms the later start or shows that it was wrong.
+    if (!std::exchange(m_isStartUnconfirmed, start == ReportedStart::Unconfirmed)
+        && start == ReportedStart::Unconfirmed)
+        return KeepWaiting {};
     m_isRunUnlisted =
         m_progress.hasEvents() && reports.front().listsRuns && !reports.front().hasRun;
     if (m_progress.isLostBy(reports.front(), m_lastEventId.value_or(0), m_probedAt, now))
@@ -539,11 +548,11 @@
     return replaceAttempt("unlisted", now);
 }
 
-// True if the server has told a later start than its entry. What others say about it ends no run.
-bool StreamSession::isServerRestarted() const
+// What the current server's reports say. What others say about it ends no run.
+ReportedStart StreamSession::reportedStart(TimePoint now) const
 {
-    const auto current = context().servers.server(server().info.id, m_probedAt);
-    return current && current->isRestarted;
+    const auto current = context().servers.server(server().info.id, now);
+    return current ? current->reportedStart : ReportedStart::Accepted;
 }
 
 // True if the server is doubtful or suspected, sent no event yet, and there was no contact for too
--- a/tests/decisions/StreamSessionTest.cpp
+++ b/tests/decisions/StreamSessionTest.cpp
@@ -77,6 +77,7 @@
     CPPUNIT_TEST(streamIsRefusedAtOnceIfAllServersLeave);
     CPPUNIT_TEST(successorThatLeavesIsNotUsed);
     CPPUNIT_TEST(streamIsNotEndedByAThirdParty);
+    CPPUNIT_TEST(spoiledStartTimeEndsNoRun);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -571,6 +572,15 @@
         std::vector<ServerProbeResult> answer {{holder.id, {}, false, 0}};
         answer.front().startedAtMs = holder.startedAtMs + 1;
         CPPUNIT_ASSERT(isWaiting(session.onProbed(answer, m_at)));
+        // One report alone may be wrong, so the holder is probed again.
+        ForwardAction next = KeepWaiting {};
+        for (int i = 0; i < 20 && isWaiting(next); ++i) {
+            session.onEvent(m_event++, m_at += Ms(30));
+            next = session.check(m_at);
+        }
+        CPPUNIT_ASSERT(std::holds_alternative<ProbeServers>(next));
+        CPPUNIT_ASSERT_EQUAL(holder.id, std::get<ProbeServers>(next).servers.front().info.id);
+        CPPUNIT_ASSERT(isWaiting(session.onProbed(answer, m_at)));
         CPPUNIT_ASSERT(nextCopyRun(session).to.info.id != holder.id);
     }
 
@@ -583,9 +593,31 @@
         CPPUNIT_ASSERT(std::holds_alternative<ProbeServers>(session.check(probedAt)));
         std::vector<ServerProbeResult> answer {{id, {}, false, 0}};
         answer.front().startedAtMs = 99;
+        CPPUNIT_ASSERT(isWaiting(session.onProbed(answer, probedAt)));
+        CPPUNIT_ASSERT(session.nextCheck() <= probedAt);
+        CPPUNIT_ASSERT(std::holds_alternative<ProbeServers>(session.check(probedAt)));
         CPPUNIT_ASSERT(isAttempt(placed(session, session.onProbed(answer, probedAt), probedAt)));
     }
 
+    // Guards against ending a run because one report of its server had a wrong digit.
+    void spoiledStartTimeEndsNoRun()
+    {
+        for (const std::int64_t events : {0, 10}) {
+            StreamSession session(m_route, request(), context(), {true, true, true});
+            const std::string id = sent(started(session)).server.info.id;
+            const TimePoint probedAt = events == 0 ? now + Ms(450) : tenEvents(session) + Ms(300);
+            CPPUNIT_ASSERT(std::holds_alternative<ProbeServers>(session.check(probedAt)));
+            std::vector<ServerProbeResult> answer {{id, {}, false, 0}};
+            answer.front().startedAtMs = 99;
+            CPPUNIT_ASSERT(isWaiting(session.onProbed(answer, probedAt)));
+            CPPUNIT_ASSERT(std::holds_alternative<ProbeServers>(session.check(probedAt)));
+            answer.front().startedAtMs = 1;
+            CPPUNIT_ASSERT(isWaiting(session.onProbed(answer, probedAt)));
+            CPPUNIT_ASSERT(servers.server(id, probedAt)->acceptsNewWork());
+            CPPUNIT_ASSERT(session.onEvent(events + 1, probedAt) == EventVerdict::Next);
+        }
+    }
+
     // Guards against cutting streams whose server works, because an entry or an answer of another
     // server has its address: 12 of 12 in one trial.
     void streamIsNotEndedByAThirdParty()
