--- a/src/decisions/BackendTable.cpp
+++ b/src/decisions/BackendTable.cpp
@@ -19,9 +19,16 @@
 
 BackendTable::BackendTable(Settings settings)
     : m_settings(settings)
+    , m_identities(settings.identities)
 {
 }
 
+void BackendTable::setHooks(Hooks hooks)
+{
+    m_hooks = std::move(hooks);
+    m_identities.setHooks({m_hooks.onReplaced, m_hooks.onReplacementEnded});
+}
+
 void BackendTable::replace(std::span<const BackendInfo> list, TimePoint now)
 {
     std::vector<std::string_view> listed;
@@ -79,6 +86,7 @@
     m_goneServers.erase(info.id);
     m_heldServers.erase(info.id);
     insertOrUpdate(info, now);
+    m_identities.confirmByEntry(info.id, now);
 }
 
 void BackendTable::insertOrUpdate(const BackendInfo &info, TimePoint now)
@@ -108,26 +116,13 @@
                   record.saysLeaving ? LeavingSource::Answer : LeavingSource::List);
     record.isUnlisted = false;
     m_unlistedIds.erase(info.id);
-    if (isNewStart) {
-        m_idsByAddress[info.address].insert(info.id);
-        markOthersReplaced(record);
-    }
+    if (isNewStart)
+        m_identities.addEntry(info, now);
 }
 
-// A server that starts has taken over its address from any other server still listed there.
-void BackendTable::markOthersReplaced(const Record &latest)
+void BackendTable::setNamedServices(ServerIdentities::Names services, TimePoint now)
 {
-    std::set<std::string> &ids = m_idsByAddress[latest.info.address];
-    for (auto id = ids.begin(); id != ids.end();) {
-        Record *record = find(*id);
-        if (!record || record->info.address != latest.info.address) {
-            id = ids.erase(id);
-            continue;
-        }
-        if (record != &latest && record->info.startedAtMs <= latest.info.startedAtMs)
-            record->isReplaced = true;
-        ++id;
-    }
+    m_identities.setNamedServices(std::move(services), now);
 }
 
 void BackendTable::remove(std::string_view id, TimePoint now)
@@ -168,6 +163,8 @@
     }
     for (const BackendInfo &info : listed)
         put(info, now);
+    m_identities.expire(now);
+    m_expiredAt = now;
 }
 
 void BackendTable::startWork(std::string_view id)
@@ -253,13 +250,20 @@
     Record *record = find(id);
     if (!record)
         return;
-    markReplaced(*record);
-    const bool isSuccessorAccepted =
-        !successorId.empty() && m_isListUnavailable && !find(successorId);
-    if (!isSuccessorAccepted)
+    m_identities.recordWrongServer(id, now);
+    if (!successorId.empty() && m_isListUnavailable && !find(successorId))
+        addSuccessor(record->info.address, successorId, now);
+}
+
+// The address of a server that has gone may belong to a server of any service, and no answer names
+// the service, so only an earlier entry of the successor does.
+void BackendTable::addSuccessor(const std::string &address, std::string_view id, TimePoint now)
+{
+    const BackendInfo *entry = m_goneServers.find(id);
+    if (!entry)
         return;
-    BackendInfo info = record->info;
-    info.id = successorId;
+    BackendInfo info = *entry;
+    info.address = address;
     info.isDraining = false;
     info.startedAtMs = 0;
     Record &successor = m_records[info.id];
@@ -270,7 +274,13 @@
     // Removed with all others that are not listed when the list can be read again.
     successor.isUnlisted = true;
     m_unlistedIds.insert(successor.info.id);
-    m_idsByAddress[successor.info.address].insert(successor.info.id);
+    m_identities.addUnlisted(successor.info);
+}
+
+void BackendTable::confirmIdentity(const BackendInfo &server, TimePoint now)
+{
+    if (!hasOtherStart(server))
+        m_identities.confirm(server.id, now);
 }
 
 // An answer to a request that was sent before the server restarted is about its earlier start.
@@ -307,37 +317,26 @@
         m_hooks.onLeavingEnded(record.info);
 }
 
-bool BackendTable::detectRestart(std::string_view id, std::int64_t startedAtMs)
-{
-    Record *record = find(id);
-    const bool hasRestarted = record && startedAtMs > 0 && record->info.startedAtMs > 0
-        && startedAtMs > record->info.startedAtMs;
-    if (hasRestarted)
-        markReplaced(*record);
-    return hasRestarted;
-}
-
 bool BackendTable::hasOtherStart(const BackendInfo &server) const
 {
     const auto found = m_records.find(server.id);
     return found != m_records.end() && !found->second.info.isSameStart(server);
 }
 
-void BackendTable::markReplaced(Record &record)
+bool BackendTable::isReplaced(const Record &record, TimePoint now) const
 {
-    if (!std::exchange(record.isReplaced, true) && m_hooks.onReplaced)
-        m_hooks.onReplaced(record.info);
+    return m_identities.isSuspended(record.info.id, now);
 }
 
-bool BackendTable::acceptsNewWork(const Record &record)
+bool BackendTable::acceptsNewWork(const Record &record, TimePoint now) const
 {
-    return !isLeaving(record) && !record.isReplaced;
+    return !isLeaving(record) && !isReplaced(record, now);
 }
 
 bool BackendTable::acceptsNewWork(std::string_view id) const
 {
     const auto found = m_records.find(id);
-    return found != m_records.end() && acceptsNewWork(found->second);
+    return found != m_records.end() && acceptsNewWork(found->second, m_expiredAt);
 }
 
 std::optional<BackendState> BackendTable::server(std::string_view id, TimePoint now) const
@@ -372,7 +371,7 @@
 
 bool BackendTable::isCandidate(const Record &record, std::string_view service, TimePoint now) const
 {
-    return record.info.service == service && acceptsNewWork(record) && isRetained(record, now);
+    return record.info.service == service && acceptsNewWork(record, now) && isRetained(record, now);
 }
 
 BackendTable::Record *BackendTable::find(std::string_view id)
@@ -387,7 +386,8 @@
     BackendState state;
     state.info = record.info;
     state.isLeaving = isLeaving(record);
-    state.isReplaced = record.isReplaced;
+    state.isReplaced = isReplaced(record, now);
+    state.reportedStart = m_identities.reportedStart(record.info.id, now);
     const auto failure = failures.find(record.info.availabilityZone);
     state.hasFailedZonePeer =
         failure != failures.end() && record.lastContactAt < failure->second.firstAt;
@@ -450,7 +450,6 @@
     }
 }
 
-// The id stays in m_idsByAddress until another server starts at the address.
 void BackendTable::eraseRecord(std::string_view id)
 {
     const std::string name(id);
@@ -464,6 +463,7 @@
             m_leavingServers.erase(name);
         m_records.erase(found);
     }
+    m_identities.remove(name);
     m_recentlyFailedIds.erase(name);
     m_unlistedIds.erase(name);
 }
--- a/tests/decisions/BackendTableTest.cpp
+++ b/tests/decisions/BackendTableTest.cpp
@@ -28,7 +28,18 @@
     CPPUNIT_TEST(restartedServerIsHealthy);
     CPPUNIT_TEST(serverWithReusedAddressIsNoCandidate);
     CPPUNIT_TEST(restartWithAnotherIdReplacesTheOldEntry);
+    CPPUNIT_TEST(serverAtAReusedAddressGetsNoRequestsOfAnotherService);
     CPPUNIT_TEST(restartsAreUsedWhileTheListIsUnavailable);
+    CPPUNIT_TEST(entryOfAnUnnamedServiceReplacesNoServer);
+    CPPUNIT_TEST(serviceThatIsNamedLaterReplacesServers);
+    CPPUNIT_TEST(falseEntryAtAnAddressIsContradictedByTheServer);
+    CPPUNIT_TEST(falseReplacementEndsByItself);
+    CPPUNIT_TEST(entryAtAnAddressOfOthersIsSparedRequests);
+    CPPUNIT_TEST(replacementIsReportedOnce);
+    CPPUNIT_TEST(spoiledStartTimeTakesNoServerAway);
+    CPPUNIT_TEST(laterStartTimeIsConfirmed);
+    CPPUNIT_TEST(confirmedRestartEnds);
+    CPPUNIT_TEST(serverThatKeepsTellingAnotherStartIsUsed);
     CPPUNIT_TEST(serverThatSaysItLeavesIsNoCandidate);
     CPPUNIT_TEST(entryDoesNotRevokeWhatAnAnswerSaid);
     CPPUNIT_TEST(leavingServerThatIsListedAgainStillLeaves);
@@ -251,13 +262,31 @@
         CPPUNIT_ASSERT(isListed);
     }
 
-    // A zone that crashes while the store is down restarts with ids that are not in the list.
-    // Guards against using only the other zones until the store is back.
+    // Guards against model requests that a server of another service runs: 9 to 12 in each of three
+    // plays. It answered with 421 and its id at the address of an engine that was gone.
+    void serverAtAReusedAddressGetsNoRequestsOfAnotherService()
+    {
+        BackendInfo call = info("l1", "a");
+        call.service = "logbook";
+        servers.put(call, now);
+        servers.remove("l1", now);
+        servers.onListLost(now);
+        servers.recordReplacement("a1", "l9", now);
+        servers.recordReplacement("a2", "l1", now);
+        CPPUNIT_ASSERT(!servers.server("l9", now));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(4), servers.candidates("engine", now).size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), servers.candidates("logbook", now).size());
+    }
+
+    // A server may start again at the address of another one while the store is down. Guards
+    // against losing it until the store is back, although its earlier entry names its service.
     void restartsAreUsedWhileTheListIsUnavailable()
     {
+        listEarlier("a9");
         servers.onListLost(now);
         servers.recordReplacement("a1", "a9", now);
         CPPUNIT_ASSERT(servers.server("a9", now).has_value());
+        CPPUNIT_ASSERT_EQUAL(info("a1", "a").address, servers.server("a9", now)->info.address);
         CPPUNIT_ASSERT_EQUAL(std::size_t(6), servers.candidates("engine", now).size());
         servers.onListRestored(now);
         CPPUNIT_ASSERT(!servers.server("a9", now + Ms(2100)));
@@ -265,6 +294,184 @@
         CPPUNIT_ASSERT(servers.server("a9", now + Ms(2100)).has_value());
     }
 
+    // Guards against losing sound servers to entries of another writer: 12 of 12 streams were cut,
+    // and no server was used again.
+    void entryOfAnUnnamedServiceReplacesNoServer()
+    {
+        for (const bool isConfigLate : {false, true}) {
+            servers.setNamedServices({"engine"}, now);
+            if (isConfigLate)
+                servers.setNamedServices({"engine", "no-such-service"}, now);
+            listOther("a1", "no-such-service");
+            servers.setNamedServices({"engine"}, now);
+            CPPUNIT_ASSERT(servers.server("a1", now)->acceptsNewWork());
+            CPPUNIT_ASSERT_EQUAL(std::size_t(6), servers.candidates("engine", now).size());
+            servers.remove("odd", now);
+        }
+    }
+
+    // Guards against requests to a server whose address a new service has, because its entry came
+    // before the configuration.
+    void serviceThatIsNamedLaterReplacesServers()
+    {
+        servers.setNamedServices({"engine"}, now);
+        listOther("a1", "logbook");
+        CPPUNIT_ASSERT(servers.server("a1", now)->acceptsNewWork());
+        servers.setNamedServices({"engine", "logbook"}, now);
+        CPPUNIT_ASSERT(!servers.server("a1", now)->acceptsNewWork());
+    }
+
+    // Guards against losing a server for good because another one's entry has its address.
+    void falseEntryAtAnAddressIsContradictedByTheServer()
+    {
+        const BackendInfo sound = info("a1", "a");
+        for (const std::string how : {"entry", "report", "signature", "entry gone"}) {
+            listOther("a1", "engine");
+            CPPUNIT_ASSERT_MESSAGE(how, !servers.server("a1", now)->acceptsNewWork());
+            servers.replace(listed(), now);
+            CPPUNIT_ASSERT_MESSAGE(how, !servers.server("a1", now)->acceptsNewWork());
+            if (how == "entry")
+                servers.put(sound, now);
+            else if (how == "report")
+                servers.recordReport("a1", sound.startedAtMs, now);
+            else if (how == "signature")
+                servers.confirmIdentity(sound, now);
+            else
+                servers.remove("odd", now);
+            CPPUNIT_ASSERT_MESSAGE(how, servers.server("a1", now)->acceptsNewWork());
+            servers.remove("odd", now);
+        }
+    }
+
+    // While the store is down, a server that gets no requests has no way to show that it lives.
+    // Guards against losing it until the store is back.
+    void falseReplacementEndsByItself()
+    {
+        listOther("a1", "engine");
+        servers.onListLost(now);
+        servers.recordReplacement("a2", {}, now);
+        CPPUNIT_ASSERT(!servers.server("a2", now + Ms(1900))->acceptsNewWork());
+        CPPUNIT_ASSERT(servers.server("a2", now + Ms(2000))->acceptsNewWork());
+        CPPUNIT_ASSERT(!servers.server("a1", now + Ms(9900))->acceptsNewWork());
+        CPPUNIT_ASSERT(servers.server("a1", now + Ms(10'000))->acceptsNewWork());
+        for (int i = 0; i < 20; ++i) {
+            servers.recordReplacement("a2", {}, now += Ms(20'000));
+            CPPUNIT_ASSERT(!servers.server("a2", now)->acceptsNewWork());
+        }
+        CPPUNIT_ASSERT(servers.server("a2", now + Ms(16'000))->acceptsNewWork());
+    }
+
+    // Guards against a request at each heartbeat to an address that belongs to another server.
+    void entryAtAnAddressOfOthersIsSparedRequests()
+    {
+        int requests = 0;
+        for (int i = 0; i < 60; ++i) {
+            servers.put(info("a1", "a"), now += Ms(1000));
+            if (!servers.server("a1", now)->acceptsNewWork())
+                continue;
+            servers.recordReplacement("a1", "b9", now);
+            ++requests;
+        }
+        CPPUNIT_ASSERT(requests <= 8);
+        servers.confirmIdentity(info("a1", "a"), now);
+        servers.recordReplacement("a1", "b9", now);
+        servers.put(info("a1", "a"), now);
+        CPPUNIT_ASSERT(servers.server("a1", now)->acceptsNewWork());
+    }
+
+    // Guards against a log line for each request to a server that has gone.
+    void replacementIsReportedOnce()
+    {
+        std::vector<std::string> reports;
+        BackendTable::Hooks hooks;
+        hooks.onReplaced = [&reports](const BackendInfo &one) { reports.push_back(one.id); };
+        hooks.onReplacementEnded = [&reports](const BackendInfo &one) {
+            reports.push_back(one.id + " ended");
+        };
+        servers.setHooks(std::move(hooks));
+        listOther("a1", "engine");
+        for (int i = 0; i < 3; ++i)
+            servers.recordReplacement("a1", {}, now);
+        servers.expire(now + Ms(9000));
+        servers.expire(now + Ms(10'000));
+        servers.expire(now + Ms(11'000));
+        CPPUNIT_ASSERT((std::vector<std::string> {"a1", "a1 ended"} == reports));
+    }
+
+    // Guards against losing a server for good because a report had one wrong digit.
+    void spoiledStartTimeTakesNoServerAway()
+    {
+        for (const std::int64_t startedAtMs : {9, 8, 7}) {
+            CPPUNIT_ASSERT(servers.recordReport("a1", startedAtMs, now)
+                           == ReportedStart::Unconfirmed);
+            CPPUNIT_ASSERT(servers.server("a1", now)->acceptsNewWork());
+        }
+        CPPUNIT_ASSERT(servers.recordReport("a1", 1, now) == ReportedStart::Accepted);
+        servers.recordConnectionLost("a2", now);
+        CPPUNIT_ASSERT(servers.recordReport("a1", 7, now) == ReportedStart::Unconfirmed);
+        now += Ms(6000);
+        CPPUNIT_ASSERT(servers.recordReport("a1", 7, now) == ReportedStart::Unconfirmed);
+        CPPUNIT_ASSERT(servers.server("a1", now)->acceptsNewWork());
+    }
+
+    // Guards against relying on runs and copies that a restart has ended.
+    void laterStartTimeIsConfirmed()
+    {
+        for (const std::string how : {"report", "loss before", "loss after", "other entry"}) {
+            servers.put(info("a1", "a"), now += Ms(10'000));
+            servers.recordReport("a1", 1, now);
+            if (how == "loss before")
+                servers.recordConnectionLost("a1", now);
+            if (how == "other entry")
+                listOther("a1", "engine");
+            servers.recordReport("a1", 9, now);
+            if (how == "loss after")
+                servers.recordConnectionLost("a1", now);
+            if (how == "report")
+                servers.recordReport("a1", 9, now + Ms(1));
+            const auto server = servers.server("a1", now + Ms(1));
+            CPPUNIT_ASSERT_MESSAGE(how, server->reportedStart == ReportedStart::Restarted);
+            CPPUNIT_ASSERT_MESSAGE(how, !server->acceptsNewWork());
+        }
+    }
+
+    // Guards against losing a server until its entry is written again, which may be after an outage
+    // of the store, or never if the start time was wrong.
+    void confirmedRestartEnds()
+    {
+        for (const std::string how : {"time", "report", "entry", "later entry"}) {
+            servers.put(info("a1", "a"), now += Ms(10'000));
+            servers.recordReport("a1", 1, now);
+            servers.recordReport("a1", 9, now);
+            servers.recordReport("a1", 9, now);
+            CPPUNIT_ASSERT_MESSAGE(how, !servers.server("a1", now)->acceptsNewWork());
+            BackendInfo entry = info("a1", "a");
+            if (how == "time")
+                now += Ms(3000);
+            else if (how == "report")
+                servers.recordReport("a1", 1, now);
+            entry.startedAtMs = how == "later entry" ? 9 : 1;
+            if (how.ends_with("entry"))
+                servers.put(entry, now);
+            CPPUNIT_ASSERT_MESSAGE(how, servers.server("a1", now)->acceptsNewWork());
+        }
+    }
+
+    // Guards against a server that is suspended with every other report.
+    void serverThatKeepsTellingAnotherStartIsUsed()
+    {
+        std::size_t suspensions = 0;
+        for (int i = 0; i < 100; ++i) {
+            now += Ms(500);
+            if (i % 3 == 0)
+                servers.put(info("a1", "a"), now);
+            servers.recordReport("a1", 9, now);
+            if (!servers.server("a1", now)->acceptsNewWork())
+                ++suspensions;
+        }
+        CPPUNIT_ASSERT(suspensions <= 6);
+    }
+
     void serverWithReusedAddressIsNoCandidate()
     {
         servers.recordReplacement("a1", "a9", now);
@@ -382,6 +589,7 @@
     // start.
     void startTimeThatIsGivenLaterTellsRestarts()
     {
+        listEarlier("a9");
         servers.onListLost(now);
         servers.recordReplacement("a1", "a9", now);
         sayLeaving("a9");
@@ -431,6 +639,38 @@
     }
 
 private:
+    /// \brief An entry of a later server has the address of \a id.
+    void listOther(const std::string &id, const std::string &service)
+    {
+        servers.put(other(id, service), now);
+    }
+
+    static BackendInfo other(const std::string &id, const std::string &service)
+    {
+        BackendInfo one = info("odd", "a");
+        one.address = info(id, "a").address;
+        one.service = service;
+        one.startedAtMs = 2;
+        return one;
+    }
+
+    /// \brief The list with all entries.
+    std::vector<BackendInfo> listed() const
+    {
+        std::vector<BackendInfo> list;
+        for (const std::string id : {"a1", "a2", "b1", "b2", "c1", "c2"})
+            list.push_back(servers.server(id, now)->info);
+        list.push_back(other("a1", "engine"));
+        return list;
+    }
+
+    /// \brief The server had an entry, which is gone.
+    void listEarlier(const std::string &id)
+    {
+        servers.put(info(id, "a"), now);
+        servers.remove(id, now);
+    }
+
     void reportLeavingTo(std::vector<std::string> &reports)
     {
         BackendTable::Hooks hooks;
--- a/tests/decisions/StreamSessionTest.cpp
+++ b/tests/decisions/StreamSessionTest.cpp
@@ -76,6 +76,8 @@
     CPPUNIT_TEST(snapshotOfALeavingServerIsNotReleased);
     CPPUNIT_TEST(streamIsRefusedAtOnceIfAllServersLeave);
     CPPUNIT_TEST(successorThatLeavesIsNotUsed);
+    CPPUNIT_TEST(streamIsNotEndedByAThirdParty);
+    CPPUNIT_TEST(spoiledStartTimeEndsNoRun);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -570,6 +572,15 @@
         std::vector<ServerProbeResult> answer {{holder.id, {}, false, 0}};
         answer.front().startedAtMs = holder.startedAtMs + 1;
         CPPUNIT_ASSERT(isWaiting(session.onProbed(answer, m_at)));
+        // One report alone may be wrong, so the holder is probed again.
+        ForwardAction next = KeepWaiting {};
+        for (int i = 0; i < 20 && isWaiting(next); ++i) {
+            session.onEvent(m_event++, m_at += Ms(30));
+            next = session.check(m_at);
+        }
+        CPPUNIT_ASSERT(std::holds_alternative<ProbeServers>(next));
+        CPPUNIT_ASSERT_EQUAL(holder.id, std::get<ProbeServers>(next).servers.front().info.id);
+        CPPUNIT_ASSERT(isWaiting(session.onProbed(answer, m_at)));
         CPPUNIT_ASSERT(nextCopyRun(session).to.info.id != holder.id);
     }
 
@@ -582,9 +593,57 @@
         CPPUNIT_ASSERT(std::holds_alternative<ProbeServers>(session.check(probedAt)));
         std::vector<ServerProbeResult> answer {{id, {}, false, 0}};
         answer.front().startedAtMs = 99;
+        CPPUNIT_ASSERT(isWaiting(session.onProbed(answer, probedAt)));
+        CPPUNIT_ASSERT(session.nextCheck() <= probedAt);
+        CPPUNIT_ASSERT(std::holds_alternative<ProbeServers>(session.check(probedAt)));
         CPPUNIT_ASSERT(isAttempt(placed(session, session.onProbed(answer, probedAt), probedAt)));
     }
 
+    // Guards against ending a run because one report of its server had a wrong digit.
+    void spoiledStartTimeEndsNoRun()
+    {
+        for (const std::int64_t events : {0, 10}) {
+            StreamSession session(m_route, request(), context(), {true, true, true});
+            const std::string id = sent(started(session)).server.info.id;
+            const TimePoint probedAt = events == 0 ? now + Ms(450) : tenEvents(session) + Ms(300);
+            CPPUNIT_ASSERT(std::holds_alternative<ProbeServers>(session.check(probedAt)));
+            std::vector<ServerProbeResult> answer {{id, {}, false, 0}};
+            answer.front().startedAtMs = 99;
+            CPPUNIT_ASSERT(isWaiting(session.onProbed(answer, probedAt)));
+            CPPUNIT_ASSERT(std::holds_alternative<ProbeServers>(session.check(probedAt)));
+            answer.front().startedAtMs = 1;
+            CPPUNIT_ASSERT(isWaiting(session.onProbed(answer, probedAt)));
+            CPPUNIT_ASSERT(servers.server(id, probedAt)->acceptsNewWork());
+            CPPUNIT_ASSERT(session.onEvent(events + 1, probedAt) == EventVerdict::Next);
+        }
+    }
+
+    // Guards against cutting streams whose server works, because an entry or an answer of another
+    // server has its address: 12 of 12 in one trial.
+    void streamIsNotEndedByAThirdParty()
+    {
+        for (const bool isEntry : {false, true}) {
+            StreamSession session(m_route, request(), context(), {true, true, true});
+            BackendInfo other = sent(started(session)).server.info;
+            const std::string id = other.id;
+            const TimePoint last = tenEvents(session);
+            other.id = "x9";
+            other.startedAtMs = 2;
+            if (isEntry)
+                servers.put(other, last);
+            else
+                servers.recordReplacement(id, {}, last);
+            CPPUNIT_ASSERT(!servers.server(id, last)->acceptsNewWork());
+            const TimePoint probedAt = last + Ms(300);
+            CPPUNIT_ASSERT(std::holds_alternative<ProbeServers>(session.check(probedAt)));
+            CPPUNIT_ASSERT(isWaiting(session.onProbed(report(id, 10), probedAt)));
+            CPPUNIT_ASSERT(!session.hasFallback());
+            CPPUNIT_ASSERT(session.onEvent(11, probedAt) == EventVerdict::Next);
+            servers.remove("x9", now);
+            listServers();
+        }
+    }
+
     // Callers reconnect shortly before their deadline. Guards against processing prompts of runs
     // that cannot finish, which delays others: 113 of 131 such streams failed.
     void runThatCannotFinishInTimeIsRefused()
@@ -943,9 +1002,12 @@
         CPPUNIT_ASSERT_EQUAL(503, refused(session.start(now)).status);
     }
 
-    // While the store is down, a server at the address of another one is used unless it leaves.
+    // While the store is down, a server at the address of another one is used if it had an entry
+    // before, unless it leaves.
     void successorThatLeavesIsNotUsed()
     {
+        servers.put(info("x9", "a"), now);
+        servers.remove("x9", now);
         servers.onListLost(now);
         StreamSession session(m_route, request(), context(), {true, true, true});
         started(session);
