decisions: let a begun stream wait for a retry or a server

The relay ends the latest attempt and logs attemptDelayed (noRetry, noServer) with the retries left; the attempt line has them, too. The copy is kept until the run is sent. Streams without an event are refused at once as before.

--- a/include/foxtailring/decisions/ForwardAction.h
+++ b/include/foxtailring/decisions/ForwardAction.h
@@ -40,6 +40,13 @@
 {
 };
 
+/// \brief End the latest attempt. No retry is left or no server takes the request now, so the next
+/// attempt is made later.
+struct DelayAttempt
+{
+    std::string_view reason; ///< `noRetry` or `noServer`
+};
+
 /// \brief Query engines without affecting an attempt in progress.
 struct ProbeServers
 {
@@ -85,7 +92,7 @@
 };
 
 /// \brief What the caller of a ForwardSession must do next.
-using ForwardAction = std::variant<KeepWaiting, SendAttempt, ResumeFallback, ProbeServers, CopyRun,
-                                   PassAnswer, Refuse, AbortAnswer>;
+using ForwardAction = std::variant<KeepWaiting, SendAttempt, ResumeFallback, DelayAttempt,
+                                   ProbeServers, CopyRun, PassAnswer, Refuse, AbortAnswer>;
 
 } // namespace foxtailring
--- a/include/foxtailring/decisions/ForwardSession.h
+++ b/include/foxtailring/decisions/ForwardSession.h
@@ -10,6 +10,7 @@
 #include "foxtailring/decisions/HttpRoute.h"
 #include "foxtailring/decisions/ServerProbeResult.h"
 
+#include <cstdint>
 #include <optional>
 #include <span>
 #include <string>
@@ -110,6 +111,20 @@
     /// \brief Returns \a action, which would end the request without success, or waits for the
     /// fallback.
     virtual ForwardAction waitForFallback(ForwardAction action, TimePoint now);
+    /// \brief What keeps a request from its next attempt.
+    enum class Missing : std::uint8_t {
+        Retry,  ///< the retry budget is used up
+        Server, ///< no server takes the request
+    };
+
+    /// \brief Returns \a ending, which ends the request without success, or waits for the fallback
+    /// or until \a missing may be there.
+    virtual ForwardAction waitForNextAttempt(Missing missing, ForwardAction ending, TimePoint now);
+    /// \brief Servers that did not take the request may be tried again, unless they are suspected.
+    /// One that does not take it then ends the search at once.
+    void forgetRejections(TimePoint now);
+    /// \brief Time until a server of the service takes a request; 0: now or unknown.
+    Duration waitForServer(TimePoint now) const { return m_admittedPlacer.waitForServer(now); }
     /// \brief The fallback becomes the current attempt again; an attempt in progress is abandoned.
     void resumeFallback();
     void releaseFallback();
@@ -153,6 +168,10 @@
     virtual ForwardAction onOverdue(TimePoint now) = 0;
     /// \brief The next time limit of the current attempt.
     virtual TimePoint overdueAt() const = 0;
+    /// \brief Called at nextLook() while no attempt is in progress.
+    virtual ForwardAction lookForAttempt(TimePoint) { return KeepWaiting {}; }
+    /// \brief When to look for the next attempt; never if the request does not wait for one.
+    virtual TimePoint nextLook() const { return TimePoint::max(); }
 
     void chooseService();
     void recordHead(const BackendInfo &server, TimePoint sentAt, const BackendAnswer &answer,
--- a/include/foxtailring/decisions/HttpRoute.h
+++ b/include/foxtailring/decisions/HttpRoute.h
@@ -26,6 +26,13 @@
     std::chrono::milliseconds maxEventGap {0}; ///< allowed pause between events; 0: default
     std::vector<RouteTarget> targets;
 
+    /// \brief The allowed pause between events, the default included.
+    std::chrono::milliseconds usedEventGap() const
+    {
+        constexpr std::chrono::milliseconds defaultMaxEventGap {1000};
+        return maxEventGap.count() > 0 ? maxEventGap : defaultMaxEventGap;
+    }
+
     /// \brief True if a request may be sent again after a server may have executed it.
     bool allowsRetry() const
     {
--- a/include/foxtailring/decisions/RetryBudget.h
+++ b/include/foxtailring/decisions/RetryBudget.h
@@ -38,6 +38,9 @@
     bool tryConsume(std::string_view service, TimePoint now);
     /// \brief True if tryConsume() would take a retry now.
     bool hasRetry(std::string_view service, TimePoint now) const;
+    /// \brief One more piece of work waits for a retry that it needs.
+    void addWaiting(std::string_view service);
+    void removeWaiting(std::string_view service);
     /// \brief Sets the number of processes in the fleet, at least 1.
     void setProcessCount(std::size_t count);
     /// \brief Returns the number of retries left, before rounding.
@@ -63,6 +66,7 @@
     mutable std::mutex m_mutex;
     std::size_t m_processCount = 1;
     std::map<std::string, Window, std::less<>> m_windows;
+    std::map<std::string, std::size_t, std::less<>> m_waiting;
 };
 
 } // namespace foxtailring
--- a/include/foxtailring/decisions/StreamSession.h
+++ b/include/foxtailring/decisions/StreamSession.h
@@ -2,6 +2,7 @@
 
 #include "foxtailring/decisions/EventVerdict.h"
 #include "foxtailring/decisions/ForwardSession.h"
+#include "foxtailring/decisions/ResumeWait.h"
 #include "foxtailring/decisions/RunCopy.h"
 #include "foxtailring/decisions/RunPlacement.h"
 #include "foxtailring/decisions/RunProgress.h"
@@ -68,6 +69,12 @@
     bool hasPassedEvents() const override { return m_hasStarted; }
     bool isChoosingServer() const override { return m_isPlacing || m_isFindingPrompt; }
     ForwardAction waitForFallback(ForwardAction action, TimePoint now) override;
+    ForwardAction waitForNextAttempt(Missing missing, ForwardAction ending, TimePoint now) override;
+    ForwardAction lookForAttempt(TimePoint now) override;
+    TimePoint nextLook() const override
+    {
+        return isChoosingServer() ? TimePoint::max() : m_wait.nextLook();
+    }
     ForwardAction conclude(ForwardAction action) const override;
     void onAttemptOver() override;
     bool hasOutlivedStart() const override;
@@ -76,6 +83,13 @@
     ForwardAction onOverdue(TimePoint now) override;
     TimePoint overdueAt() const override;
 
+    /// Whether an attempt that is made later can still lead to a whole answer.
+    bool mayWaitForAttempt(TimePoint now) const;
+    ForwardAction delayAttempt(std::string_view reason, Duration needed, TimePoint now);
+    bool hasUsableCopy(TimePoint now) const
+    {
+        return m_progress.hasEvents() && m_copy.isUsable(now);
+    }
     ForwardAction maintainCopy(TimePoint now);
     ForwardAction probeCopyHolder(const BackendState &holder);
     void onCopyHolderProbed(std::span<const ServerProbeResult> reports, TimePoint now);
@@ -116,6 +130,9 @@
     RunProgress m_progress;         ///< of the current attempt
     RunProgress m_fallbackProgress; ///< of the fallback
     RunCopy m_copy;                 ///< of the current run
+    ResumeWait m_wait;              ///< for the next attempt of a stream that has begun
+    bool m_hasRetry = false;        ///< the next attempt's retry is taken, but it has no server yet
+    std::string_view m_waitCause;   ///< of the end of the stream if no attempt can be made
     std::optional<std::int64_t> m_lastEventId;
     bool m_hasStarted = false;
     bool m_isHarmless = false;  ///< an attempt outlived the beginning of its answer
--- a/src/decisions/ForwardSession.cpp
+++ b/src/decisions/ForwardSession.cpp
@@ -209,7 +209,7 @@
         return conclude(PassAnswer {});
     m_heldStatus = answer.status;
     if (!tryTakeRetry(now))
-        return waitForFallback(conclude(passHeldAnswer()), now);
+        return waitForNextAttempt(Missing::Retry, passHeldAnswer(), now);
     return makeAttempt("serverError", now);
 }
 
@@ -310,12 +310,26 @@
     // An attempt that was not sent puts no load on a server, so it does not use the retry budget.
     const bool takesBudget = result != AttemptResult::NotSent;
     if (isExhausted || (takesBudget && !tryConsumeBudget(now)))
-        return waitForFallback(
-            conclude(refuse(503, attemptResultName(result), m_admittedPlacer.waitForServer(now))),
-            now);
+        return waitForNextAttempt(isExhausted ? Missing::Server : Missing::Retry,
+                                  refuse(503, attemptResultName(result), waitForServer(now)), now);
     return makeAttempt(attemptResultName(result), now);
 }
 
+ForwardAction ForwardSession::waitForNextAttempt(Missing, ForwardAction ending, TimePoint now)
+{
+    return waitForFallback(conclude(std::move(ending)), now);
+}
+
+void ForwardSession::forgetRejections(TimePoint now)
+{
+    std::erase_if(m_triedIds, [this, now](const std::string &id) {
+        const auto tried = m_context.servers.server(id, now);
+        return !tried || tried->health != BackendHealth::Suspected;
+    });
+    m_rejections = maxRejections - 1;
+    m_addressFailures = maxAddressFailures - 1;
+}
+
 ForwardAction ForwardSession::onProbed(std::span<const ServerProbeResult> reports, TimePoint now)
 {
     for (const ServerProbeResult &report : reports) {
@@ -341,12 +355,14 @@
         return expire();
     if (hasServer() && now >= overdueAt())
         return onOverdue(now);
+    if (!hasServer() && now >= nextLook())
+        return lookForAttempt(now);
     return KeepWaiting {};
 }
 
 TimePoint ForwardSession::nextCheck() const
 {
-    return hasServer() ? std::min(m_deadline, overdueAt()) : m_deadline;
+    return std::min(m_deadline, hasServer() ? overdueAt() : nextLook());
 }
 
 ForwardAction ForwardSession::expire()
--- a/src/decisions/RetryBudget.cpp
+++ b/src/decisions/RetryBudget.cpp
@@ -51,6 +51,20 @@
     return remaining(window, now) + m_settings.rounding >= 1;
 }
 
+void RetryBudget::addWaiting(std::string_view service)
+{
+    const std::lock_guard lock(m_mutex);
+    ++m_waiting.try_emplace(std::string(service), 0).first->second;
+}
+
+void RetryBudget::removeWaiting(std::string_view service)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_waiting.find(service);
+    if (found != m_waiting.end() && --found->second == 0)
+        m_waiting.erase(found);
+}
+
 void RetryBudget::setProcessCount(std::size_t count)
 {
     const std::lock_guard lock(m_mutex);
--- a/src/decisions/RunProgress.cpp
+++ b/src/decisions/RunProgress.cpp
@@ -24,8 +24,6 @@
 constexpr int stuckEventGaps = 3;
 // Fraction of the latency objective that is at least allowed for the first event.
 constexpr double firstEventFraction = 0.65;
-// For routes that configure none.
-constexpr milliseconds defaultMaxEventGap {1000};
 // The latest interval has the weight 1 / intervalAverageDivisor in the moving average.
 constexpr int intervalAverageDivisor = 8;
 // Bounds the time for the prompts ahead: a server may report any number of them.
@@ -33,11 +31,6 @@
 // A resumed run processes only what its copy lacks, but may wait for the prompts of other runs.
 constexpr milliseconds resumeTimeout {1500};
 
-milliseconds maxEventGapOf(const HttpRoute &route)
-{
-    return route.maxEventGap.count() > 0 ? route.maxEventGap : defaultMaxEventGap;
-}
-
 } // namespace
 
 RunProgress::RunProgress(const HttpRoute &route)
@@ -90,7 +83,7 @@
 TimePoint RunProgress::stuckAt(TimePoint sentAt, Duration maxFirstEventDelay) const
 {
     if (hasEvents())
-        return std::max(m_lastEventAt, m_waitingAt) + stuckEventGaps * maxEventGapOf(*m_route);
+        return std::max(m_lastEventAt, m_waitingAt) + stuckEventGaps * m_route->usedEventGap();
     if (m_isResumed)
         return sentAt + resumeTimeout;
     const auto minimum =
--- a/src/decisions/StreamSession.cpp
+++ b/src/decisions/StreamSession.cpp
@@ -32,6 +32,8 @@
 constexpr milliseconds maxPromptPause {2000};
 // Interval of looking for another server while a run's server is silent.
 constexpr milliseconds replaceRetryInterval {500};
+// After a round of rejections, the next server is asked this much later.
+constexpr milliseconds rejectedRetryInterval {200};
 // Two servers may work on one run for 400 ms. A fallback whose server may work on it is ended by
 // then, unless the next server has rejected the run; engines reject at once.
 constexpr milliseconds maxOverlap {250};
@@ -51,6 +53,7 @@
     , m_progress(route)
     , m_fallbackProgress(route)
     , m_copy(context.servers, context.releaseCopy)
+    , m_wait(route, service(), context.retryBudget, context.random)
     , m_lastEventId(request.lastEventId)
 {
 }
@@ -67,6 +70,7 @@
     if (hasServer())
         context().servers.recordContact(server().info.id, now);
     m_progress.recordEvent(now);
+    m_wait.recordEvent(now);
     if (m_progress.eventCount() == outlivedEvents)
         context().quarantine.recordStart(request().sharedPromptParts, now);
     m_isHarmless = m_isHarmless || hasOutlivedStart();
@@ -167,12 +171,9 @@
         return refuseOrAbort(std::move(*refusal), now);
     m_cause = cause;
     // A copy exists only from the first event on, not while the prompt is processed.
-    auto next = m_progress.hasEvents() ? m_copy.takeResumeAttempt(now) : std::nullopt;
-    // A run that is being replaced may go on and need its copy.
-    if (!m_isReplacing)
-        m_copy.drop();
-    if (next && tryAcquire(next->server.info.id, now))
-        return sendRun(std::move(*next), now);
+    // It is kept until the run is sent: a run that goes on, or waits for a server, may need it.
+    if (hasUsableCopy(now) && tryAcquire(m_copy.holder()->info.id, now))
+        return sendRun(m_copy.takeResumeAttempt(now).value(), now);
     if (!request().promptId.empty())
         m_placement.updateAffinityServers(request().promptId, now);
     const bool isReturning = triedIds().empty() && request().lastEventId;
@@ -260,8 +261,10 @@
     auto chosen = choose(m_placement.request(unresponsive), &BackendPlacer::chooseForRun, now);
     if (!chosen)
         chosen = choose(m_placement.request(triedIds()), &BackendPlacer::chooseForRun, now);
-    if (!chosen)
-        return refuseOrAbort(refuseUnplaced(now), now);
+    if (!chosen) {
+        m_hasRetry = !m_isReplacing;
+        return waitForNextAttempt(Missing::Server, refuseUnplaced(now), now);
+    }
     SendAttempt next;
     next.server = std::move(*chosen);
     return sendRun(std::move(next), now);
@@ -280,6 +283,8 @@
         m_fallbackEndsAt = now + maxOverlap;
     }
     endPlacement();
+    m_wait.end();
+    m_hasRetry = false;
     m_replaceAt = {};
     next.cause = m_cause;
     next.lastEventId = m_lastEventId;
@@ -398,10 +403,54 @@
 ForwardAction StreamSession::onLost(AttemptResult result, TimePoint now)
 {
     if (!tryTakeRetry(now))
-        return refuseOrAbort(refuse(502, attemptResultName(result)), now);
+        return waitForNextAttempt(Missing::Retry, refuse(502, attemptResultName(result)), now);
     return makeAttempt(attemptResultName(result), now);
 }
 
+// The caller of a stream that has begun cannot be told to return, but waits for the next event for
+// seconds. The budget fills and servers become free sooner.
+ForwardAction StreamSession::waitForNextAttempt(Missing missing, ForwardAction ending,
+                                                TimePoint now)
+{
+    if (m_isReplacing || hasFallback() || !mayWaitForAttempt(now))
+        return refuseOrAbort(std::move(ending), now);
+    m_waitCause = std::get<AbortAnswer>(conclude(std::move(ending))).cause;
+    if (missing == Missing::Retry)
+        return delayAttempt("noRetry", Duration {0}, now);
+    forgetRejections(now);
+    return delayAttempt("noServer", std::max<Duration>(waitForServer(now), rejectedRetryInterval),
+                        now);
+}
+
+bool StreamSession::mayWaitForAttempt(TimePoint now) const
+{
+    return m_hasStarted && route().allowsRetry() && possibleRuns() < route().maxAttempts
+        && m_wait.isOfUse(now)
+        && canFinishInTime(hasUsableCopy(now) ? 0 : request().promptTokens, now);
+}
+
+ForwardAction StreamSession::delayAttempt(std::string_view reason, Duration needed, TimePoint now)
+{
+    if (!m_wait.start(reason, needed, now))
+        return KeepWaiting {};
+    return DelayAttempt {reason};
+}
+
+ForwardAction StreamSession::lookForAttempt(TimePoint now)
+{
+    if (!mayWaitForAttempt(now))
+        return AbortAnswer {m_waitCause};
+    if (!m_hasRetry && !context().retryBudget.hasRetry(service(), now))
+        return delayAttempt("noRetry", Duration {0}, now);
+    const Duration needed = waitForServer(now);
+    if (needed > Duration {0})
+        return delayAttempt("noServer", needed, now);
+    m_hasRetry = m_hasRetry || tryTakeRetry(now);
+    if (!m_hasRetry)
+        return delayAttempt("noRetry", Duration {0}, now);
+    return makeAttempt("delayed", now);
+}
+
 // A run that was not executed has no copy.
 void StreamSession::onRejected()
 {
--- a/src/gateway/RequestRelay.cpp
+++ b/src/gateway/RequestRelay.cpp
@@ -121,6 +121,8 @@
         send(*next);
     else if (std::holds_alternative<ResumeFallback>(action))
         resumeFallback("noServer");
+    else if (const auto *delay = std::get_if<DelayAttempt>(&action))
+        delayAttempt(*delay);
     else if (const auto *probe = std::get_if<ProbeServers>(&action))
         probeServers(*probe);
     else if (const auto *command = std::get_if<CopyRun>(&action))
@@ -379,6 +381,13 @@
     m_reporter.reportFallbackResumed(m_attempt, cause);
 }
 
+// Its server must not work on the run beside that of the next attempt.
+void RequestRelay::delayAttempt(const DelayAttempt &delay)
+{
+    cancelAttempt();
+    m_reporter.reportDelay(delay, m_session->service());
+}
+
 void RequestRelay::updateFallback()
 {
     if (!m_isFinished && m_fallback.number != 0 && !m_session->hasFallback())
--- a/src/gateway/RequestRelay.h
+++ b/src/gateway/RequestRelay.h
@@ -77,6 +77,7 @@
     void onFallbackBody(std::string_view bytes);
     void onFallbackClosed(const Result<Done> &result);
     void endFallback(AttemptResult result);
+    void delayAttempt(const DelayAttempt &delay);
     /// The fallback is the current attempt again; the one in progress is ended.
     void resumeFallback(std::string_view cause);
     /// Passes on the events of a stream that is the fallback.
--- a/src/gateway/RequestReporter.cpp
+++ b/src/gateway/RequestReporter.cpp
@@ -77,9 +77,26 @@
                          {"loadAgeMs", server.load ? msText(server.loadAge) : "none"},
                          {"fromCopy", next.fromCopy ? "true" : "false"},
                          {"copyTo", next.copyTo ? next.copyTo->info.id : ""},
+                         {"retriesLeft", retriesLeft(server.info.service)},
                          {"timeLeftMs", std::to_string(next.timeLeft.count())}});
 }
 
+void RequestReporter::reportDelay(const DelayAttempt &delay, const std::string &service) const
+{
+    m_parts.metrics.add("gateway_attempts_delayed_total{reason=\"" + std::string(delay.reason)
+                        + "\"}");
+    StructuredLog::info("attemptDelayed",
+                        {{"request", m_request.id},
+                         {"reason", std::string(delay.reason)},
+                         {"retriesLeft", retriesLeft(service)},
+                         {"ageMs", msText(age())}});
+}
+
+std::string RequestReporter::retriesLeft(const std::string &service) const
+{
+    return std::to_string(m_parts.retryBudget.remaining(service, m_parts.clock()));
+}
+
 void RequestReporter::reportFailure(const ServerAttempt &attempt, AttemptResult result) const
 {
     StructuredLog::info("attemptFailed",
--- a/src/gateway/RequestReporter.h
+++ b/src/gateway/RequestReporter.h
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <span>
+#include <string>
 #include <string_view>
 
 namespace foxtailring {
@@ -36,6 +37,8 @@
 
     void reportException(std::string_view message) const;
     void reportAttempt(const SendAttempt &next, std::uint64_t number) const;
+    /// \brief A begun stream waits for its next attempt.
+    void reportDelay(const DelayAttempt &delay, const std::string &service) const;
     void reportFailure(const ServerAttempt &attempt, AttemptResult result) const;
     /// \brief The server of \a attempt named a rate limit.
     void reportRateLimit(const ServerAttempt &attempt) const;
@@ -55,6 +58,8 @@
                    std::uint64_t attemptCount) const;
 
 private:
+    /// What is left of the service's retry budget.
+    std::string retriesLeft(const std::string &service) const;
     Duration age() const;
 
     GatewayParts &m_parts;
--- a/tests/decisions/ForwardFixture.h
+++ b/tests/decisions/ForwardFixture.h
@@ -96,6 +96,11 @@
         return std::get<SendAttempt>(action);
     }
 
+    static bool isDelayed(const ForwardAction &action)
+    {
+        return std::holds_alternative<DelayAttempt>(action);
+    }
+
     static const Refuse &refused(const ForwardAction &action)
     {
         CPPUNIT_ASSERT(std::holds_alternative<Refuse>(action));
