decisions: keep a retry in reserve when a run is moved on a belief

Cause: a move away from a server that was silent, stuck or did not list the run could take the last retry of the budget that all gateways share; if the next server rejected the run, or another stream lost its server, that stream had no retry left. Change: such a move needs a second retry, and one more for each stream that waits for a retry (RetryBudget::hasSpareRetry). After one second the last retry may be used, since nothing but silence shows the loss of a server without power, and a process with a small part of the budget may never hold two. A move that is put off is logged as retryDenied.

--- a/include/foxtailring/decisions/RetryBudget.h
+++ b/include/foxtailring/decisions/RetryBudget.h
@@ -38,6 +38,9 @@
     bool tryConsume(std::string_view service, TimePoint now);
     /// \brief True if tryConsume() would take a retry now.
     bool hasRetry(std::string_view service, TimePoint now) const;
+    /// \brief True if a retry is left beside one that is kept in reserve, and one for each piece of
+    /// work that waits.
+    bool hasSpareRetry(std::string_view service, TimePoint now) const;
     /// \brief One more piece of work waits for a retry that it needs.
     void addWaiting(std::string_view service);
     void removeWaiting(std::string_view service);
@@ -60,7 +63,7 @@
     Window &window(std::string_view service);
     static Second &secondAt(Window &window, TimePoint now);
     double remaining(const Window &window, TimePoint now) const;
-    bool hasRetry(const Window &window, TimePoint now) const;
+    bool hasRetries(std::string_view service, std::size_t count, TimePoint now) const;
 
     const Settings m_settings;
     mutable std::mutex m_mutex;
--- a/include/foxtailring/decisions/StreamSession.h
+++ b/include/foxtailring/decisions/StreamSession.h
@@ -115,6 +115,8 @@
     ForwardAction onRunLost(const ServerProbeResult &report, TimePoint now);
     /// Looks for a server that can take the place of the current attempt, which goes on meanwhile.
     ForwardAction replaceAttempt(std::string_view cause, TimePoint now);
+    /// Whether the budget allows a move away from a server that may go on with the run.
+    bool mayMoveOnBelief(TimePoint now) const;
     /// Whether the attempt at a silent server may still lead to a whole answer.
     bool mayOutlastSilence(TimePoint now) const;
     /// True if the attempt goes on although its server is silent.
@@ -148,6 +150,7 @@
     bool m_isPlacing = false;       ///< a probe of the candidates is in progress
     bool m_isReplacing = false;     ///< looking for a server while the attempt goes on
     TimePoint m_replaceAt;          ///< not before then
+    TimePoint m_movableSince;       ///< the attempt is to be replaced since; 0: it is not
     bool m_isProbingHolder = false; ///< a probe of the copy holder is in progress
     bool m_isCopying = false;       ///< the current server is making a snapshot
     TimePoint m_copyCheckAt = TimePoint::max();
--- a/src/decisions/RetryBudget.cpp
+++ b/src/decisions/RetryBudget.cpp
@@ -32,23 +32,30 @@
 bool RetryBudget::tryConsume(std::string_view service, TimePoint now)
 {
     const std::lock_guard lock(m_mutex);
-    Window &seconds = window(service);
-    if (!hasRetry(seconds, now))
+    if (!hasRetries(service, 1, now))
         return false;
-    ++secondAt(seconds, now).retries;
+    ++secondAt(window(service), now).retries;
     return true;
 }
 
 bool RetryBudget::hasRetry(std::string_view service, TimePoint now) const
 {
     const std::lock_guard lock(m_mutex);
-    const auto found = m_windows.find(service);
-    return hasRetry(found == m_windows.end() ? Window {} : found->second, now);
+    return hasRetries(service, 1, now);
+}
+
+bool RetryBudget::hasSpareRetry(std::string_view service, TimePoint now) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto waiting = m_waiting.find(service);
+    return hasRetries(service, 2 + (waiting == m_waiting.end() ? 0 : waiting->second), now);
 }
 
-bool RetryBudget::hasRetry(const Window &window, TimePoint now) const
+bool RetryBudget::hasRetries(std::string_view service, std::size_t count, TimePoint now) const
 {
-    return remaining(window, now) + m_settings.rounding >= 1;
+    const auto found = m_windows.find(service);
+    const double left = remaining(found == m_windows.end() ? Window {} : found->second, now);
+    return left + m_settings.rounding >= static_cast<double>(count);
 }
 
 void RetryBudget::addWaiting(std::string_view service)
--- a/src/decisions/StreamSession.cpp
+++ b/src/decisions/StreamSession.cpp
@@ -32,6 +32,8 @@
 constexpr milliseconds maxPromptPause {2000};
 // Interval of looking for another server while a run's server is silent.
 constexpr milliseconds replaceRetryInterval {500};
+// Sound servers are silent for 1.5 s, and a move is wanted 0.3 s to 0.6 s after the last contact.
+constexpr milliseconds reserveTime {1000};
 // After a round of rejections, the next server is asked this much later.
 constexpr milliseconds rejectedRetryInterval {200};
 // Two servers may work on one run for 400 ms. A fallback whose server may work on it is ended by
@@ -80,6 +82,7 @@
     if (std::exchange(m_isReplacing, false))
         endPlacement();
     m_replaceAt = {};
+    m_movableSince = {};
     releaseFallback();
     m_lastEventId = id;
     return EventVerdict::Next;
@@ -115,6 +118,7 @@
     m_isCopying = false;
     m_isRunUnlisted = false;
     m_replaceAt = {};
+    m_movableSince = {};
     m_copy.drop();
     m_copyCheckAt = m_capabilities.canCopyOnDemand ? now : TimePoint::max();
     m_progress = m_fallbackProgress;
@@ -276,7 +280,7 @@
     if (auto refusal = refuseQuarantined(now))
         return refuseOrAbort(std::move(*refusal), now);
     if (std::exchange(m_isReplacing, false)) {
-        if (!tryTakeRetry(now))
+        if (!mayMoveOnBelief(now) || !tryTakeRetry(now))
             return keepSilentAttempt(now);
         keepAsFallback(next, now);
     } else if (hasFallback() && m_fallbackEndsAt != TimePoint::max()) {
@@ -286,6 +290,7 @@
     m_wait.end();
     m_hasRetry = false;
     m_replaceAt = {};
+    m_movableSince = {};
     next.cause = m_cause;
     next.lastEventId = m_lastEventId;
     m_progress.start(next.fromCopy.has_value(), now);
@@ -531,6 +536,7 @@
 void StreamSession::recordSign(TimePoint now)
 {
     m_replaceAt = {};
+    m_movableSince = {};
     m_progress.recordContact(now);
 }
 
@@ -547,13 +553,29 @@
 
 ForwardAction StreamSession::replaceAttempt(std::string_view cause, TimePoint now)
 {
-    const bool isLastAttempt = possibleRuns() + 1 >= route().maxAttempts;
-    if (isLastAttempt || !context().retryBudget.hasRetry(service(), now))
+    if (m_movableSince == TimePoint {})
+        m_movableSince = now;
+    if (possibleRuns() + 1 >= route().maxAttempts)
         return keepSilentAttempt(now);
+    if (!mayMoveOnBelief(now)) {
+        if (context().onRetryDenied)
+            context().onRetryDenied(service());
+        return keepSilentAttempt(now);
+    }
     m_isReplacing = true;
     return makeAttempt(cause, now);
 }
 
+// The next server may reject or lose the run, which needs another retry, and runs whose server is
+// proven lost cannot go on without one. So the last retry is left to them for as long as sound
+// servers are silent.
+bool StreamSession::mayMoveOnBelief(TimePoint now) const
+{
+    const RetryBudget &budget = context().retryBudget;
+    return now - m_movableSince < reserveTime ? budget.hasSpareRetry(service(), now)
+                                              : budget.hasRetry(service(), now);
+}
+
 // A stream that has begun cannot be answered any more. Any other run is refused at once if waiting
 // cannot help: it has probably crashed its server, or would end too late.
 bool StreamSession::mayOutlastSilence(TimePoint now) const
--- a/tests/decisions/ReplacedRunTest.cpp
+++ b/tests/decisions/ReplacedRunTest.cpp
@@ -30,6 +30,12 @@
     CPPUNIT_TEST(resumedAttemptIsAskedBeforeItIsGivenUp);
     CPPUNIT_TEST(eventBeyondAGapLeavesTheReplacement);
     CPPUNIT_TEST(endWithoutAnEventLeavesTheReplacement);
+    CPPUNIT_TEST(moveOnABeliefLeavesTheLastRetry);
+    CPPUNIT_TEST(lastRetryIsForProvenLosses);
+    CPPUNIT_TEST(lastRetryIsUsedAfterALongSilence);
+    CPPUNIT_TEST(unlistedRunLeavesTheLastRetry);
+    CPPUNIT_TEST(stuckRunLeavesTheLastRetry);
+    CPPUNIT_TEST(streamThatWaitsForARetryComesFirst);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -261,6 +267,96 @@
         CPPUNIT_ASSERT_EQUAL(1U, servers.server(m_secondId, m_at)->inFlight);
     }
 
+    // Guards against cutting a stream that its server would have gone on with, because its move
+    // took the retry that the next step needs.
+    void moveOnABeliefLeavesTheLastRetry()
+    {
+        for (const std::int64_t events : {std::int64_t(0), eventCount}) {
+            start(events);
+            leaveRetries(1);
+            CPPUNIT_ASSERT(std::holds_alternative<KeepWaiting>(placed(findSilence())));
+            CPPUNIT_ASSERT(retryBudget.hasRetry("engine", m_at));
+            CPPUNIT_ASSERT_EQUAL(std::string("engine"), denied.back());
+            CPPUNIT_ASSERT(m_session->onEvent(events + 1, m_at) == EventVerdict::Next);
+            now += Ms(11'000);
+            m_request.arrivedAt = now;
+            start(events);
+            leaveRetries(2);
+            sent(placed(findSilence()));
+            now += Ms(11'000);
+            m_request.arrivedAt = now;
+        }
+    }
+
+    void lastRetryIsForProvenLosses()
+    {
+        start(eventCount);
+        leaveRetries(1);
+        sent(placed(m_session->onAttemptEnded(AttemptResult::Lost, m_at)));
+        CPPUNIT_ASSERT(!retryBudget.hasRetry("engine", m_at));
+    }
+
+    // Guards against cutting the streams of a server without power in a process with few retries:
+    // nothing but silence shows its failure.
+    void lastRetryIsUsedAfterALongSilence()
+    {
+        start(eventCount);
+        const TimePoint last = m_at;
+        leaveRetries(1);
+        ForwardAction action = placed(findSilence());
+        while (std::holds_alternative<KeepWaiting>(action) && m_at < last + Ms(3000))
+            action = placed(findSilence());
+        CPPUNIT_ASSERT(sent(action).keepsLatest);
+        CPPUNIT_ASSERT(m_at > last + Ms(1300) && m_at < last + Ms(2000));
+    }
+
+    void unlistedRunLeavesTheLastRetry()
+    {
+        start(longRunEvents);
+        leaveRetries(1);
+        m_at = m_session->nextCheck();
+        CPPUNIT_ASSERT(std::holds_alternative<ProbeServers>(m_session->check(m_at)));
+        ServerProbeResult preempted {m_firstId, {}, false, 0};
+        preempted.listsRuns = true;
+        preempted.load.waiting = 1;
+        const ForwardAction action = m_session->onProbed(std::vector {preempted}, m_at);
+        CPPUNIT_ASSERT(std::holds_alternative<KeepWaiting>(placed(action)));
+        CPPUNIT_ASSERT(retryBudget.hasRetry("engine", m_at));
+    }
+
+    void stuckRunLeavesTheLastRetry()
+    {
+        start(eventCount);
+        leaveRetries(1);
+        ForwardAction action = KeepWaiting {};
+        const TimePoint stuckAt = m_at + 3 * m_route.maxEventGap;
+        while (m_at < stuckAt) {
+            m_at = m_session->nextCheck();
+            action = m_session->check(m_at);
+            if (std::holds_alternative<ProbeServers>(action) && m_at < stuckAt)
+                m_session->onProbed(
+                    std::vector {ServerProbeResult {m_firstId, {}, true, eventCount}}, m_at);
+        }
+        CPPUNIT_ASSERT(std::holds_alternative<KeepWaiting>(placed(action)));
+        CPPUNIT_ASSERT(retryBudget.hasRetry("engine", m_at));
+    }
+
+    // Guards against a lost stream that is cut while others move away from servers that go on.
+    void streamThatWaitsForARetryComesFirst()
+    {
+        start(eventCount);
+        leaveRetries(0);
+        StreamSession lost(m_route, m_request, context(), m_capabilities);
+        placed(lost, lost.start(now));
+        lost.onEvent(1, m_at);
+        leaveRetries(0);
+        CPPUNIT_ASSERT(isDelayed(lost.onAttemptEnded(AttemptResult::Lost, m_at)));
+        for (int i = 0; i < 4; ++i)
+            retryBudget.deposit("engine", m_at);
+        CPPUNIT_ASSERT(std::holds_alternative<KeepWaiting>(placed(findSilence())));
+        sent(placed(lost, lost.check(std::max(m_at, lost.nextCheck()))));
+    }
+
 private:
     static constexpr std::int64_t eventCount = 10;
     static constexpr std::int64_t longRunEvents = 40; ///< for longer than reports lag
@@ -278,7 +374,9 @@
     }
 
     /// If \a action is a probe, answers that all servers are idle; returns the next action.
-    ForwardAction placed(const ForwardAction &action)
+    ForwardAction placed(const ForwardAction &action) { return placed(*m_session, action); }
+
+    ForwardAction placed(StreamSession &session, const ForwardAction &action)
     {
         const auto *probe = std::get_if<ProbeServers>(&action);
         if (!probe)
@@ -286,7 +384,7 @@
         std::vector<ServerProbeResult> reports;
         for (const BackendState &server : probe->servers)
             reports.push_back({server.info.id, {}, false, 0});
-        return m_session->onProbed(reports, m_at);
+        return session.onProbed(reports, m_at);
     }
 
     /// Starts a run that is silent after \a events events; returns what is done about it.
@@ -326,6 +424,13 @@
         m_secondId = sent(next).server.info.id;
     }
 
+    void leaveRetries(std::size_t count)
+    {
+        const double left = retryBudget.remaining("engine", m_at);
+        for (std::size_t used = count; used + 1 <= left; ++used)
+            retryBudget.tryConsume("engine", m_at);
+    }
+
     /// The server of the run reports events that did not arrive.
     ForwardAction loseEvents()
     {
--- a/tests/decisions/RetryBudgetTest.cpp
+++ b/tests/decisions/RetryBudgetTest.cpp
@@ -13,6 +13,8 @@
     CPPUNIT_TEST(minimumRateAllowsRetriesOfAnIdleService);
     CPPUNIT_TEST(fleetSharesTheMinimumRate);
     CPPUNIT_TEST(roundingAddsUpToTheExactBudget);
+    CPPUNIT_TEST(spareRetryLeavesOne);
+    CPPUNIT_TEST(workThatWaitsComesFirst);
     CPPUNIT_TEST_SUITE_END();
 
     const TimePoint m_now = TimePoint {} + 1h;
@@ -91,6 +93,39 @@
         }
         CPPUNIT_ASSERT_EQUAL(3, total);
     }
+
+    // Guards against a retry that is of no use because its next step cannot be paid for.
+    void spareRetryLeavesOne()
+    {
+        RetryBudget::Settings settings;
+        settings.minPerSecond = 0.3;
+        RetryBudget budget(settings);
+        CPPUNIT_ASSERT(budget.hasSpareRetry("a", m_now));
+        CPPUNIT_ASSERT(budget.tryConsume("a", m_now));
+        CPPUNIT_ASSERT(budget.hasSpareRetry("a", m_now));
+        CPPUNIT_ASSERT(budget.tryConsume("a", m_now));
+        CPPUNIT_ASSERT(!budget.hasSpareRetry("a", m_now));
+        CPPUNIT_ASSERT(budget.hasRetry("a", m_now));
+        CPPUNIT_ASSERT(budget.hasSpareRetry("b", m_now));
+    }
+
+    // Guards against retries that are taken on a belief while a lost stream waits for one.
+    void workThatWaitsComesFirst()
+    {
+        RetryBudget::Settings settings;
+        settings.minPerSecond = 0.3;
+        RetryBudget budget(settings);
+        budget.addWaiting("a");
+        CPPUNIT_ASSERT(budget.hasSpareRetry("a", m_now));
+        budget.addWaiting("a");
+        CPPUNIT_ASSERT(!budget.hasSpareRetry("a", m_now));
+        CPPUNIT_ASSERT(budget.hasRetry("a", m_now));
+        CPPUNIT_ASSERT(budget.hasSpareRetry("b", m_now));
+        budget.removeWaiting("a");
+        CPPUNIT_ASSERT(budget.hasSpareRetry("a", m_now));
+        budget.removeWaiting("a");
+        CPPUNIT_ASSERT(budget.hasSpareRetry("a", m_now));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RetryBudgetTest);
