decisions: ask the copy holder before a run is moved to it on a belief

Cause: a run was moved from a silent server to the holder of its copy without asking it. Servers fall silent together, so the next attempt could be silent, too, while the first one was ended 250 ms later. Change: the holder is probed like the candidates for a new run; one that does not answer in 60 ms gets no run, and the run is placed anew. Tests that expected the run to be sent at once answer the probe.

--- a/include/foxtailring/decisions/StreamSession.h
+++ b/include/foxtailring/decisions/StreamSession.h
@@ -100,6 +100,12 @@
     ForwardAction onPromptProbed(std::span<const ServerProbeResult> reports, TimePoint now);
     /// Whether the run can finish before the deadline if it first processes \a promptTokens.
     bool canFinishInTime(std::uint64_t promptTokens, TimePoint now) const;
+    /// Asks the copy holder before the run is moved there from a server that may go on with it.
+    ForwardAction probeNextServer();
+    ForwardAction onNextServerProbed(std::span<const ServerProbeResult> reports, TimePoint now);
+    ForwardAction resumeFromCopy(TimePoint now);
+    /// Looks for a server that processes the prompt.
+    ForwardAction placeAnew(TimePoint now);
     ForwardAction probeCandidates(TimePoint now);
     ForwardAction placeRun(std::span<const ServerProbeResult> reports, TimePoint now);
     ForwardAction sendRun(SendAttempt next, TimePoint now);
@@ -148,6 +154,7 @@
     bool m_isProbing = false;       ///< a probe of the current server is in progress
     bool m_isFindingPrompt = false; ///< a probe for the prompt is in progress
     bool m_isPlacing = false;       ///< a probe of the candidates is in progress
+    bool m_isProbingNext = false;   ///< it is that of the copy holder that is to take the run
     bool m_isReplacing = false;     ///< looking for a server while the attempt goes on
     TimePoint m_replaceAt;          ///< not before then
     TimePoint m_movableSince;       ///< the attempt is to be replaced since; 0: it is not
--- a/src/decisions/StreamSession.cpp
+++ b/src/decisions/StreamSession.cpp
@@ -174,10 +174,46 @@
     if (auto refusal = refuseQuarantined(now))
         return refuseOrAbort(std::move(*refusal), now);
     m_cause = cause;
-    // A copy exists only from the first event on, not while the prompt is processed.
-    // It is kept until the run is sent: a run that goes on, or waits for a server, may need it.
+    // A copy exists only from the first event on, not while the prompt is processed. It is kept
+    // until the run is sent: a run that goes on, or waits for a server, may need it.
+    if (m_isReplacing && m_capabilities.canBeProbed && hasUsableCopy(now)
+        && m_placement.tryTakeProbe(*m_copy.holder(), now))
+        return probeNextServer();
     if (hasUsableCopy(now) && tryAcquire(m_copy.holder()->info.id, now))
-        return sendRun(m_copy.takeResumeAttempt(now).value(), now);
+        return resumeFromCopy(now);
+    return placeAnew(now);
+}
+
+ForwardAction StreamSession::resumeFromCopy(TimePoint now)
+{
+    return sendRun(m_copy.takeResumeAttempt(now).value(), now);
+}
+
+// Servers fall silent together, and a copy holder sends nothing by which this could be known.
+ForwardAction StreamSession::probeNextServer()
+{
+    ProbeServers probe;
+    probe.servers = {*m_copy.holder()};
+    probe.timeout = placementProbeTimeout;
+    probe.useNewConnections = true;
+    m_isPlacing = true;
+    m_isProbingNext = true;
+    m_isProbingHolder = false;
+    return probe;
+}
+
+ForwardAction StreamSession::onNextServerProbed(std::span<const ServerProbeResult> reports,
+                                                TimePoint now)
+{
+    m_isProbingNext = false;
+    const bool isWorking = !reports.empty() && !reports.front().isTurnedAway;
+    if (isWorking && hasUsableCopy(now) && tryAcquire(m_copy.holder()->info.id, now))
+        return resumeFromCopy(now);
+    return placeAnew(now);
+}
+
+ForwardAction StreamSession::placeAnew(TimePoint now)
+{
     if (!request().promptId.empty())
         m_placement.updateAffinityServers(request().promptId, now);
     const bool isReturning = triedIds().empty() && request().lastEventId;
@@ -258,6 +294,8 @@
 ForwardAction StreamSession::placeRun(std::span<const ServerProbeResult> reports, TimePoint now)
 {
     m_isPlacing = false;
+    if (m_isProbingNext)
+        return onNextServerProbed(reports, now);
     m_placement.recordReports(reports);
     // A server that did not answer the probe is chosen only if there is no other.
     const std::vector<std::string> unresponsive = m_placement.unresponsiveIds();
@@ -589,6 +627,7 @@
 void StreamSession::endPlacement()
 {
     m_isPlacing = false;
+    m_isProbingNext = false;
     m_placement.dropCandidates();
 }
 
--- a/tests/decisions/PausedSessionTest.cpp
+++ b/tests/decisions/PausedSessionTest.cpp
@@ -210,7 +210,9 @@
         TimePoint at = session.nextCheck();
         for (; at < stuckAt; at = session.nextCheck())
             CPPUNIT_ASSERT(std::holds_alternative<KeepWaiting>(session.check(at)));
-        CPPUNIT_ASSERT(sent(session.check(at)).server.info.id != first.server.info.id);
+        const auto probe = std::get<ProbeServers>(session.check(at));
+        CPPUNIT_ASSERT(sent(session.onProbed(reportsOf(probe), at)).server.info.id
+                       != first.server.info.id);
     }
 
     // Guards against a live run that is given up, and an engine that is suspected, because it
--- a/tests/decisions/ReplacedRunTest.cpp
+++ b/tests/decisions/ReplacedRunTest.cpp
@@ -36,6 +36,11 @@
     CPPUNIT_TEST(unlistedRunLeavesTheLastRetry);
     CPPUNIT_TEST(stuckRunLeavesTheLastRetry);
     CPPUNIT_TEST(streamThatWaitsForARetryComesFirst);
+    CPPUNIT_TEST(copyHolderIsAskedBeforeARunIsMoved);
+    CPPUNIT_TEST(silentCopyHolderGetsNoRun);
+    CPPUNIT_TEST(eventDuringTheProbeOfTheCopyHolderEndsTheMove);
+    CPPUNIT_TEST(lateRejectionIsOutlived);
+    CPPUNIT_TEST(lateRejectionWithoutARetryIsOutlived);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -357,6 +362,57 @@
         sent(placed(lost, lost.check(std::max(m_at, lost.nextCheck()))));
     }
 
+    // Guards against moving a run from a silent server to another silent one.
+    void copyHolderIsAskedBeforeARunIsMoved()
+    {
+        const ForwardAction asking = findReplacement(eventCount);
+        CPPUNIT_ASSERT_EQUAL(m_copyId, std::get<ProbeServers>(asking).servers.front().info.id);
+        const ForwardAction next = placed(asking);
+        CPPUNIT_ASSERT_EQUAL(m_copyId, sent(next).server.info.id);
+        CPPUNIT_ASSERT(sent(next).fromCopy && sent(next).keepsLatest);
+    }
+
+    void silentCopyHolderGetsNoRun()
+    {
+        findReplacement(eventCount);
+        m_at += Ms(60);
+        const ForwardAction next = placed(m_session->onProbed({}, m_at));
+        CPPUNIT_ASSERT(!sent(next).fromCopy);
+    }
+
+    void eventDuringTheProbeOfTheCopyHolderEndsTheMove()
+    {
+        const ForwardAction asking = findReplacement(eventCount);
+        m_session->onEvent(eventCount + 1, m_at);
+        CPPUNIT_ASSERT(std::holds_alternative<KeepWaiting>(placed(asking)));
+        CPPUNIT_ASSERT_EQUAL(1U, servers.server(m_firstId, m_at)->inFlight);
+    }
+
+    // Guards against cutting a stream whose next server rejects it after the overlap of the two.
+    void lateRejectionIsOutlived()
+    {
+        replaceSilentRun(eventCount);
+        checkUntil(m_at + Ms(300));
+        CPPUNIT_ASSERT(!m_session->hasFallback());
+        CPPUNIT_ASSERT(isDelayed(rejectAll()));
+        m_at = m_session->nextCheck();
+        const ForwardAction next = placed(m_session->check(m_at));
+        CPPUNIT_ASSERT_EQUAL(eventCount, sent(next).lastEventId.value());
+        CPPUNIT_ASSERT(m_session->onEvent(eventCount + 1, m_at) == EventVerdict::Next);
+    }
+
+    void lateRejectionWithoutARetryIsOutlived()
+    {
+        replaceSilentRun(eventCount);
+        checkUntil(m_at + Ms(300));
+        leaveRetries(0);
+        CPPUNIT_ASSERT(isDelayed(m_session->onAttemptEnded(AttemptResult::NotRun, m_at)));
+        for (int i = 0; i < 4; ++i)
+            retryBudget.deposit("engine", m_at);
+        m_at = m_session->nextCheck();
+        sent(placed(m_session->check(m_at)));
+    }
+
 private:
     static constexpr std::int64_t eventCount = 10;
     static constexpr std::int64_t longRunEvents = 40; ///< for longer than reports lag
@@ -366,7 +422,9 @@
     {
         m_session.emplace(m_route, m_request, context(), m_capabilities);
         m_at = now;
-        m_firstId = sent(placed(m_session->start(now))).server.info.id;
+        const ForwardAction first = placed(m_session->start(now));
+        m_firstId = sent(first).server.info.id;
+        m_copyId = sent(first).copyTo ? sent(first).copyTo->info.id : "";
         if (events > 0)
             m_at = now + Ms(1000);
         for (std::int64_t id = 1; id <= events; ++id)
@@ -465,6 +523,7 @@
     StreamSession::EngineCapabilities m_capabilities {true, true, true};
     std::optional<StreamSession> m_session;
     std::string m_firstId;
+    std::string m_copyId;
     std::string m_secondId;
     TimePoint m_at;
 };
--- a/tests/decisions/StreamSessionTest.cpp
+++ b/tests/decisions/StreamSessionTest.cpp
@@ -118,7 +118,8 @@
         CPPUNIT_ASSERT(probe.useNewConnections);
         const TimePoint unanswered = probedAt + probe.timeout;
         CPPUNIT_ASSERT(unanswered <= last + Ms(350));
-        CPPUNIT_ASSERT(sent(session.onProbed({}, unanswered)).fromCopy);
+        CPPUNIT_ASSERT(
+            sent(placed(session, session.onProbed({}, unanswered), unanswered)).fromCopy);
     }
 
     // A prompt in processing makes the events of other runs ten times slower. Guards against
@@ -141,7 +142,8 @@
         const std::string id = sent(started(session)).server.info.id;
         const TimePoint probedAt = tenEvents(session) + Ms(300);
         session.check(probedAt);
-        CPPUNIT_ASSERT(sent(session.onProbed(report(id, 14), probedAt)).fromCopy);
+        CPPUNIT_ASSERT(
+            sent(placed(session, session.onProbed(report(id, 14), probedAt), probedAt)).fromCopy);
     }
 
     // Guards against cutting a sound stream over a slow connection.
@@ -154,7 +156,8 @@
         session.check(probedAt);
         CPPUNIT_ASSERT(isWaiting(session.onProbed(report(id, 11), probedAt)));
         session.check(session.nextCheck());
-        CPPUNIT_ASSERT(sent(session.onProbed(report(id, 12), session.nextCheck())).fromCopy);
+        const TimePoint at = session.nextCheck();
+        CPPUNIT_ASSERT(sent(placed(session, session.onProbed(report(id, 12), at), at)).fromCopy);
     }
 
     // Guards against waiting for the rest of an event on a dead connection.
@@ -165,7 +168,8 @@
         const TimePoint last = tenEvents(session);
         session.onPartialEvent(last);
         session.check(last + Ms(300));
-        CPPUNIT_ASSERT(sent(session.onProbed(report(id, 11), last + Ms(300))).fromCopy);
+        const ForwardAction next = session.onProbed(report(id, 11), last + Ms(300));
+        CPPUNIT_ASSERT(sent(placed(session, next, last + Ms(300))).fromCopy);
     }
 
     // Reports are a few hundred ms old. Guards against treating a run that just started as lost.
--- a/tests/decisions/UnlistedRunTest.cpp
+++ b/tests/decisions/UnlistedRunTest.cpp
@@ -116,6 +116,7 @@
         ForwardAction action = KeepWaiting {};
         while (std::holds_alternative<KeepWaiting>(action) && m_at < last + Ms(2000))
             action = nextActionWith(preempted());
+        action = m_session->onProbed(idle(std::get<ProbeServers>(action)), m_at);
         CPPUNIT_ASSERT(sent(action).fromCopy);
         CPPUNIT_ASSERT_EQUAL(std::string_view("unlisted"), sent(action).cause);
     }
