--- a/include/foxtailring/decisions/StreamSession.h
+++ b/include/foxtailring/decisions/StreamSession.h
@@ -2,6 +2,7 @@
 
 #include "foxtailring/decisions/EventVerdict.h"
 #include "foxtailring/decisions/ForwardSession.h"
+#include "foxtailring/decisions/ResumeWait.h"
 #include "foxtailring/decisions/RunCopy.h"
 #include "foxtailring/decisions/RunPlacement.h"
 #include "foxtailring/decisions/RunProgress.h"
@@ -68,6 +69,12 @@
     bool hasPassedEvents() const override { return m_hasStarted; }
     bool isChoosingServer() const override { return m_isPlacing || m_isFindingPrompt; }
     ForwardAction waitForFallback(ForwardAction action, TimePoint now) override;
+    ForwardAction waitForNextAttempt(Missing missing, ForwardAction ending, TimePoint now) override;
+    ForwardAction lookForAttempt(TimePoint now) override;
+    TimePoint nextLook() const override
+    {
+        return isChoosingServer() ? TimePoint::max() : m_wait.nextLook();
+    }
     ForwardAction conclude(ForwardAction action) const override;
     void onAttemptOver() override;
     bool hasOutlivedStart() const override;
@@ -76,6 +83,13 @@
     ForwardAction onOverdue(TimePoint now) override;
     TimePoint overdueAt() const override;
 
+    /// Whether an attempt that is made later can still lead to a whole answer.
+    bool mayWaitForAttempt(TimePoint now) const;
+    ForwardAction delayAttempt(std::string_view reason, Duration needed, TimePoint now);
+    bool hasUsableCopy(TimePoint now) const
+    {
+        return m_progress.hasEvents() && m_copy.isUsable(now);
+    }
     ForwardAction maintainCopy(TimePoint now);
     ForwardAction probeCopyHolder(const BackendState &holder);
     void onCopyHolderProbed(std::span<const ServerProbeResult> reports, TimePoint now);
@@ -86,6 +100,12 @@
     ForwardAction onPromptProbed(std::span<const ServerProbeResult> reports, TimePoint now);
     /// Whether the run can finish before the deadline if it first processes \a promptTokens.
     bool canFinishInTime(std::uint64_t promptTokens, TimePoint now) const;
+    /// Asks the copy holder before the run is moved there from a server that may go on with it.
+    ForwardAction probeNextServer();
+    ForwardAction onNextServerProbed(std::span<const ServerProbeResult> reports, TimePoint now);
+    ForwardAction resumeFromCopy(TimePoint now);
+    /// Looks for a server that processes the prompt.
+    ForwardAction placeAnew(TimePoint now);
     ForwardAction probeCandidates(TimePoint now);
     ForwardAction placeRun(std::span<const ServerProbeResult> reports, TimePoint now);
     ForwardAction sendRun(SendAttempt next, TimePoint now);
@@ -101,6 +121,8 @@
     ForwardAction onRunLost(const ServerProbeResult &report, TimePoint now);
     /// Looks for a server that can take the place of the current attempt, which goes on meanwhile.
     ForwardAction replaceAttempt(std::string_view cause, TimePoint now);
+    /// Whether the budget allows a move away from a server that may go on with the run.
+    bool mayMoveOnBelief(TimePoint now) const;
     /// Whether the attempt at a silent server may still lead to a whole answer.
     bool mayOutlastSilence(TimePoint now) const;
     /// True if the attempt goes on although its server is silent.
@@ -116,6 +138,9 @@
     RunProgress m_progress;         ///< of the current attempt
     RunProgress m_fallbackProgress; ///< of the fallback
     RunCopy m_copy;                 ///< of the current run
+    ResumeWait m_wait;              ///< for the next attempt of a stream that has begun
+    bool m_hasRetry = false;        ///< the next attempt's retry is taken, but it has no server yet
+    std::string_view m_waitCause;   ///< of the end of the stream if no attempt can be made
     std::optional<std::int64_t> m_lastEventId;
     bool m_hasStarted = false;
     bool m_isHarmless = false;  ///< an attempt outlived the beginning of its answer
@@ -130,8 +155,10 @@
     bool m_isProbing = false;       ///< a probe of the current server is in progress
     bool m_isFindingPrompt = false; ///< a probe for the prompt is in progress
     bool m_isPlacing = false;       ///< a probe of the candidates is in progress
+    bool m_isProbingNext = false;   ///< it is that of the copy holder that is to take the run
     bool m_isReplacing = false;     ///< looking for a server while the attempt goes on
     TimePoint m_replaceAt;          ///< not before then
+    TimePoint m_movableSince;       ///< the attempt is to be replaced since; 0: it is not
     bool m_isProbingHolder = false; ///< a probe of the copy holder is in progress
     bool m_isCopying = false;       ///< the current server is making a snapshot
     TimePoint m_copyCheckAt = TimePoint::max();
--- a/src/decisions/StreamSession.cpp
+++ b/src/decisions/StreamSession.cpp
@@ -32,6 +32,10 @@
 constexpr milliseconds maxPromptPause {2000};
 // Interval of looking for another server while a run's server is silent.
 constexpr milliseconds replaceRetryInterval {500};
+// Sound servers are silent for 1.5 s, and a move is wanted 0.3 s to 0.6 s after the last contact.
+constexpr milliseconds reserveTime {1000};
+// After a round of rejections, the next server is asked this much later.
+constexpr milliseconds rejectedRetryInterval {200};
 // Two servers may work on one run for 400 ms. A fallback whose server may work on it is ended by
 // then, unless the next server has rejected the run; engines reject at once.
 constexpr milliseconds maxOverlap {250};
@@ -51,6 +55,7 @@
     , m_progress(route)
     , m_fallbackProgress(route)
     , m_copy(context.servers, context.releaseCopy)
+    , m_wait(route, service(), context.retryBudget, context.random)
     , m_lastEventId(request.lastEventId)
 {
 }
@@ -67,6 +72,7 @@
     if (hasServer())
         context().servers.recordContact(server().info.id, now);
     m_progress.recordEvent(now);
+    m_wait.recordEvent(now);
     if (m_progress.eventCount() == outlivedEvents)
         context().quarantine.recordStart(request().sharedPromptParts, now);
     m_isHarmless = m_isHarmless || hasOutlivedStart();
@@ -76,6 +82,7 @@
     if (std::exchange(m_isReplacing, false))
         endPlacement();
     m_replaceAt = {};
+    m_movableSince = {};
     releaseFallback();
     m_lastEventId = id;
     return EventVerdict::Next;
@@ -111,6 +118,7 @@
     m_isCopying = false;
     m_isRunUnlisted = false;
     m_replaceAt = {};
+    m_movableSince = {};
     m_copy.drop();
     m_copyCheckAt = m_capabilities.canCopyOnDemand ? now : TimePoint::max();
     m_progress = m_fallbackProgress;
@@ -166,13 +174,46 @@
     if (auto refusal = refuseQuarantined(now))
         return refuseOrAbort(std::move(*refusal), now);
     m_cause = cause;
-    // A copy exists only from the first event on, not while the prompt is processed.
-    auto next = m_progress.hasEvents() ? m_copy.takeResumeAttempt(now) : std::nullopt;
-    // A run that is being replaced may go on and need its copy.
-    if (!m_isReplacing)
-        m_copy.drop();
-    if (next && tryAcquire(next->server.info.id, now))
-        return sendRun(std::move(*next), now);
+    // A copy exists only from the first event on, not while the prompt is processed. It is kept
+    // until the run is sent: a run that goes on, or waits for a server, may need it.
+    if (m_isReplacing && m_capabilities.canBeProbed && hasUsableCopy(now)
+        && m_placement.tryTakeProbe(*m_copy.holder(), now))
+        return probeNextServer();
+    if (hasUsableCopy(now) && tryAcquire(m_copy.holder()->info.id, now))
+        return resumeFromCopy(now);
+    return placeAnew(now);
+}
+
+ForwardAction StreamSession::resumeFromCopy(TimePoint now)
+{
+    return sendRun(m_copy.takeResumeAttempt(now).value(), now);
+}
+
+// Servers fall silent together, and a copy holder sends nothing by which this could be known.
+ForwardAction StreamSession::probeNextServer()
+{
+    ProbeServers probe;
+    probe.servers = {*m_copy.holder()};
+    probe.timeout = placementProbeTimeout;
+    probe.useNewConnections = true;
+    m_isPlacing = true;
+    m_isProbingNext = true;
+    m_isProbingHolder = false;
+    return probe;
+}
+
+ForwardAction StreamSession::onNextServerProbed(std::span<const ServerProbeResult> reports,
+                                                TimePoint now)
+{
+    m_isProbingNext = false;
+    const bool isWorking = !reports.empty() && !reports.front().isTurnedAway;
+    if (isWorking && hasUsableCopy(now) && tryAcquire(m_copy.holder()->info.id, now))
+        return resumeFromCopy(now);
+    return placeAnew(now);
+}
+
+ForwardAction StreamSession::placeAnew(TimePoint now)
+{
     if (!request().promptId.empty())
         m_placement.updateAffinityServers(request().promptId, now);
     const bool isReturning = triedIds().empty() && request().lastEventId;
@@ -255,6 +296,8 @@
 ForwardAction StreamSession::placeRun(std::span<const ServerProbeResult> reports, TimePoint now)
 {
     m_isPlacing = false;
+    if (m_isProbingNext)
+        return onNextServerProbed(reports, now);
     m_placement.recordReports(reports);
     // A server that did not answer the probe is chosen only if there is no other.
     const std::vector<std::string> unresponsive = m_placement.unresponsiveIds();
@@ -262,8 +305,10 @@
     auto chosen = choose(m_placement.request(unresponsive), &BackendPlacer::chooseForRun, now);
     if (!chosen)
         chosen = choose(m_placement.request(triedIds()), &BackendPlacer::chooseForRun, now);
-    if (!chosen)
-        return refuseOrAbort(refuseUnplaced(now), now);
+    if (!chosen) {
+        m_hasRetry = !m_isReplacing;
+        return waitForNextAttempt(Missing::Server, refuseUnplaced(now), now);
+    }
     SendAttempt next;
     next.server = std::move(*chosen);
     return sendRun(std::move(next), now);
@@ -275,14 +320,17 @@
     if (auto refusal = refuseQuarantined(now))
         return refuseOrAbort(std::move(*refusal), now);
     if (std::exchange(m_isReplacing, false)) {
-        if (!tryTakeRetry(now))
+        if (!mayMoveOnBelief(now) || !tryTakeRetry(now))
             return keepSilentAttempt(now);
         keepAsFallback(next, now);
     } else if (hasFallback() && m_fallbackEndsAt != TimePoint::max()) {
         m_fallbackEndsAt = now + maxOverlap;
     }
     endPlacement();
+    m_wait.end();
+    m_hasRetry = false;
     m_replaceAt = {};
+    m_movableSince = {};
     next.cause = m_cause;
     next.lastEventId = m_lastEventId;
     m_progress.start(next.fromCopy.has_value(), now);
@@ -401,10 +449,54 @@
 ForwardAction StreamSession::onLost(AttemptResult result, TimePoint now)
 {
     if (!tryTakeRetry(now))
-        return refuseOrAbort(refuse(502, attemptResultName(result)), now);
+        return waitForNextAttempt(Missing::Retry, refuse(502, attemptResultName(result)), now);
     return makeAttempt(attemptResultName(result), now);
 }
 
+// The caller of a stream that has begun cannot be told to return, but waits for the next event for
+// seconds. The budget fills and servers become free sooner.
+ForwardAction StreamSession::waitForNextAttempt(Missing missing, ForwardAction ending,
+                                                TimePoint now)
+{
+    if (m_isReplacing || hasFallback() || !mayWaitForAttempt(now))
+        return refuseOrAbort(std::move(ending), now);
+    m_waitCause = std::get<AbortAnswer>(conclude(std::move(ending))).cause;
+    if (missing == Missing::Retry)
+        return delayAttempt("noRetry", Duration {0}, now);
+    forgetRejections(now);
+    return delayAttempt("noServer", std::max<Duration>(waitForServer(now), rejectedRetryInterval),
+                        now);
+}
+
+bool StreamSession::mayWaitForAttempt(TimePoint now) const
+{
+    return m_hasStarted && route().allowsRetry() && possibleRuns() < route().maxAttempts
+        && m_wait.isOfUse(now)
+        && canFinishInTime(hasUsableCopy(now) ? 0 : request().promptTokens, now);
+}
+
+ForwardAction StreamSession::delayAttempt(std::string_view reason, Duration needed, TimePoint now)
+{
+    if (!m_wait.start(reason, needed, now))
+        return KeepWaiting {};
+    return DelayAttempt {reason};
+}
+
+ForwardAction StreamSession::lookForAttempt(TimePoint now)
+{
+    if (!mayWaitForAttempt(now))
+        return AbortAnswer {m_waitCause};
+    if (!m_hasRetry && !context().retryBudget.hasRetry(service(), now))
+        return delayAttempt("noRetry", Duration {0}, now);
+    const Duration needed = waitForServer(now);
+    if (needed > Duration {0})
+        return delayAttempt("noServer", needed, now);
+    m_hasRetry = m_hasRetry || tryTakeRetry(now);
+    if (!m_hasRetry)
+        return delayAttempt("noRetry", Duration {0}, now);
+    return makeAttempt("delayed", now);
+}
+
 // A run that was not executed has no copy.
 void StreamSession::onRejected()
 {
@@ -491,6 +583,7 @@
 void StreamSession::recordSign(TimePoint now)
 {
     m_replaceAt = {};
+    m_movableSince = {};
     m_progress.recordContact(now);
 }
 
@@ -507,13 +600,29 @@
 
 ForwardAction StreamSession::replaceAttempt(std::string_view cause, TimePoint now)
 {
-    const bool isLastAttempt = possibleRuns() + 1 >= route().maxAttempts;
-    if (isLastAttempt || !context().retryBudget.hasRetry(service(), now))
+    if (m_movableSince == TimePoint {})
+        m_movableSince = now;
+    if (possibleRuns() + 1 >= route().maxAttempts)
+        return keepSilentAttempt(now);
+    if (!mayMoveOnBelief(now)) {
+        if (context().onRetryDenied)
+            context().onRetryDenied(service());
         return keepSilentAttempt(now);
+    }
     m_isReplacing = true;
     return makeAttempt(cause, now);
 }
 
+// The next server may reject or lose the run, which needs another retry, and runs whose server is
+// proven lost cannot go on without one. So the last retry is left to them for as long as sound
+// servers are silent.
+bool StreamSession::mayMoveOnBelief(TimePoint now) const
+{
+    const RetryBudget &budget = context().retryBudget;
+    return now - m_movableSince < reserveTime ? budget.hasSpareRetry(service(), now)
+                                              : budget.hasRetry(service(), now);
+}
+
 // A stream that has begun cannot be answered any more. Any other run is refused at once if waiting
 // cannot help: it has probably crashed its server, or would end too late.
 bool StreamSession::mayOutlastSilence(TimePoint now) const
@@ -527,6 +636,7 @@
 void StreamSession::endPlacement()
 {
     m_isPlacing = false;
+    m_isProbingNext = false;
     m_placement.dropCandidates();
 }
 
--- a/tests/decisions/ReplacedRunTest.cpp
+++ b/tests/decisions/ReplacedRunTest.cpp
@@ -30,6 +30,17 @@
     CPPUNIT_TEST(resumedAttemptIsAskedBeforeItIsGivenUp);
     CPPUNIT_TEST(eventBeyondAGapLeavesTheReplacement);
     CPPUNIT_TEST(endWithoutAnEventLeavesTheReplacement);
+    CPPUNIT_TEST(moveOnABeliefLeavesTheLastRetry);
+    CPPUNIT_TEST(lastRetryIsForProvenLosses);
+    CPPUNIT_TEST(lastRetryIsUsedAfterALongSilence);
+    CPPUNIT_TEST(unlistedRunLeavesTheLastRetry);
+    CPPUNIT_TEST(stuckRunLeavesTheLastRetry);
+    CPPUNIT_TEST(streamThatWaitsForARetryComesFirst);
+    CPPUNIT_TEST(copyHolderIsAskedBeforeARunIsMoved);
+    CPPUNIT_TEST(silentCopyHolderGetsNoRun);
+    CPPUNIT_TEST(eventDuringTheProbeOfTheCopyHolderEndsTheMove);
+    CPPUNIT_TEST(lateRejectionIsOutlived);
+    CPPUNIT_TEST(lateRejectionWithoutARetryIsOutlived);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -126,11 +137,20 @@
     // Guards against a caller that waits for its deadline although nothing works on its request.
     void streamWithoutAnyServerIsAborted()
     {
+        m_route.timeout = Ms(20000);
+        m_request.callerTimeout = Ms(20000);
         replaceSilentRun(eventCount);
-        useUpRetries();
+        const TimePoint lastEventAt = now + Ms(1000) + eventCount * Ms(30);
         m_session->onFallbackEnded(AttemptResult::Lost, m_at);
-        const ForwardAction action = m_session->onAttemptEnded(AttemptResult::Lost, m_at);
+        useUpRetries();
+        ForwardAction action = m_session->onAttemptEnded(AttemptResult::Lost, m_at);
+        CPPUNIT_ASSERT(isDelayed(action));
+        while (!std::holds_alternative<AbortAnswer>(action) && m_at < now + Ms(19000)) {
+            m_at = m_session->nextCheck();
+            action = m_session->check(m_at);
+        }
         CPPUNIT_ASSERT(std::holds_alternative<AbortAnswer>(action));
+        CPPUNIT_ASSERT(m_at == lastEventAt + 8 * m_route.maxEventGap);
     }
 
     // Guards against more servers for a request than its route allows.
@@ -252,6 +272,147 @@
         CPPUNIT_ASSERT_EQUAL(1U, servers.server(m_secondId, m_at)->inFlight);
     }
 
+    // Guards against cutting a stream that its server would have gone on with, because its move
+    // took the retry that the next step needs.
+    void moveOnABeliefLeavesTheLastRetry()
+    {
+        for (const std::int64_t events : {std::int64_t(0), eventCount}) {
+            start(events);
+            leaveRetries(1);
+            CPPUNIT_ASSERT(std::holds_alternative<KeepWaiting>(placed(findSilence())));
+            CPPUNIT_ASSERT(retryBudget.hasRetry("engine", m_at));
+            CPPUNIT_ASSERT_EQUAL(std::string("engine"), denied.back());
+            CPPUNIT_ASSERT(m_session->onEvent(events + 1, m_at) == EventVerdict::Next);
+            now += Ms(11'000);
+            m_request.arrivedAt = now;
+            start(events);
+            leaveRetries(2);
+            sent(placed(findSilence()));
+            now += Ms(11'000);
+            m_request.arrivedAt = now;
+        }
+    }
+
+    void lastRetryIsForProvenLosses()
+    {
+        start(eventCount);
+        leaveRetries(1);
+        sent(placed(m_session->onAttemptEnded(AttemptResult::Lost, m_at)));
+        CPPUNIT_ASSERT(!retryBudget.hasRetry("engine", m_at));
+    }
+
+    // Guards against cutting the streams of a server without power in a process with few retries:
+    // nothing but silence shows its failure.
+    void lastRetryIsUsedAfterALongSilence()
+    {
+        start(eventCount);
+        const TimePoint last = m_at;
+        leaveRetries(1);
+        ForwardAction action = placed(findSilence());
+        while (std::holds_alternative<KeepWaiting>(action) && m_at < last + Ms(3000))
+            action = placed(findSilence());
+        CPPUNIT_ASSERT(sent(action).keepsLatest);
+        CPPUNIT_ASSERT(m_at > last + Ms(1300) && m_at < last + Ms(2000));
+    }
+
+    void unlistedRunLeavesTheLastRetry()
+    {
+        start(longRunEvents);
+        leaveRetries(1);
+        m_at = m_session->nextCheck();
+        CPPUNIT_ASSERT(std::holds_alternative<ProbeServers>(m_session->check(m_at)));
+        ServerProbeResult preempted {m_firstId, {}, false, 0};
+        preempted.listsRuns = true;
+        preempted.load.waiting = 1;
+        const ForwardAction action = m_session->onProbed(std::vector {preempted}, m_at);
+        CPPUNIT_ASSERT(std::holds_alternative<KeepWaiting>(placed(action)));
+        CPPUNIT_ASSERT(retryBudget.hasRetry("engine", m_at));
+    }
+
+    void stuckRunLeavesTheLastRetry()
+    {
+        start(eventCount);
+        leaveRetries(1);
+        ForwardAction action = KeepWaiting {};
+        const TimePoint stuckAt = m_at + 3 * m_route.maxEventGap;
+        while (m_at < stuckAt) {
+            m_at = m_session->nextCheck();
+            action = m_session->check(m_at);
+            if (std::holds_alternative<ProbeServers>(action) && m_at < stuckAt)
+                m_session->onProbed(
+                    std::vector {ServerProbeResult {m_firstId, {}, true, eventCount}}, m_at);
+        }
+        CPPUNIT_ASSERT(std::holds_alternative<KeepWaiting>(placed(action)));
+        CPPUNIT_ASSERT(retryBudget.hasRetry("engine", m_at));
+    }
+
+    // Guards against a lost stream that is cut while others move away from servers that go on.
+    void streamThatWaitsForARetryComesFirst()
+    {
+        start(eventCount);
+        leaveRetries(0);
+        StreamSession lost(m_route, m_request, context(), m_capabilities);
+        placed(lost, lost.start(now));
+        lost.onEvent(1, m_at);
+        leaveRetries(0);
+        CPPUNIT_ASSERT(isDelayed(lost.onAttemptEnded(AttemptResult::Lost, m_at)));
+        for (int i = 0; i < 4; ++i)
+            retryBudget.deposit("engine", m_at);
+        CPPUNIT_ASSERT(std::holds_alternative<KeepWaiting>(placed(findSilence())));
+        sent(placed(lost, lost.check(std::max(m_at, lost.nextCheck()))));
+    }
+
+    // Guards against moving a run from a silent server to another silent one.
+    void copyHolderIsAskedBeforeARunIsMoved()
+    {
+        const ForwardAction asking = findReplacement(eventCount);
+        CPPUNIT_ASSERT_EQUAL(m_copyId, std::get<ProbeServers>(asking).servers.front().info.id);
+        const ForwardAction next = placed(asking);
+        CPPUNIT_ASSERT_EQUAL(m_copyId, sent(next).server.info.id);
+        CPPUNIT_ASSERT(sent(next).fromCopy && sent(next).keepsLatest);
+    }
+
+    void silentCopyHolderGetsNoRun()
+    {
+        findReplacement(eventCount);
+        m_at += Ms(60);
+        const ForwardAction next = placed(m_session->onProbed({}, m_at));
+        CPPUNIT_ASSERT(!sent(next).fromCopy);
+    }
+
+    void eventDuringTheProbeOfTheCopyHolderEndsTheMove()
+    {
+        const ForwardAction asking = findReplacement(eventCount);
+        m_session->onEvent(eventCount + 1, m_at);
+        CPPUNIT_ASSERT(std::holds_alternative<KeepWaiting>(placed(asking)));
+        CPPUNIT_ASSERT_EQUAL(1U, servers.server(m_firstId, m_at)->inFlight);
+    }
+
+    // Guards against cutting a stream whose next server rejects it after the overlap of the two.
+    void lateRejectionIsOutlived()
+    {
+        replaceSilentRun(eventCount);
+        checkUntil(m_at + Ms(300));
+        CPPUNIT_ASSERT(!m_session->hasFallback());
+        CPPUNIT_ASSERT(isDelayed(rejectAll()));
+        m_at = m_session->nextCheck();
+        const ForwardAction next = placed(m_session->check(m_at));
+        CPPUNIT_ASSERT_EQUAL(eventCount, sent(next).lastEventId.value());
+        CPPUNIT_ASSERT(m_session->onEvent(eventCount + 1, m_at) == EventVerdict::Next);
+    }
+
+    void lateRejectionWithoutARetryIsOutlived()
+    {
+        replaceSilentRun(eventCount);
+        checkUntil(m_at + Ms(300));
+        leaveRetries(0);
+        CPPUNIT_ASSERT(isDelayed(m_session->onAttemptEnded(AttemptResult::NotRun, m_at)));
+        for (int i = 0; i < 4; ++i)
+            retryBudget.deposit("engine", m_at);
+        m_at = m_session->nextCheck();
+        sent(placed(m_session->check(m_at)));
+    }
+
 private:
     static constexpr std::int64_t eventCount = 10;
     static constexpr std::int64_t longRunEvents = 40; ///< for longer than reports lag
@@ -261,7 +422,9 @@
     {
         m_session.emplace(m_route, m_request, context(), m_capabilities);
         m_at = now;
-        m_firstId = sent(placed(m_session->start(now))).server.info.id;
+        const ForwardAction first = placed(m_session->start(now));
+        m_firstId = sent(first).server.info.id;
+        m_copyId = sent(first).copyTo ? sent(first).copyTo->info.id : "";
         if (events > 0)
             m_at = now + Ms(1000);
         for (std::int64_t id = 1; id <= events; ++id)
@@ -269,7 +432,9 @@
     }
 
     /// If \a action is a probe, answers that all servers are idle; returns the next action.
-    ForwardAction placed(const ForwardAction &action)
+    ForwardAction placed(const ForwardAction &action) { return placed(*m_session, action); }
+
+    ForwardAction placed(StreamSession &session, const ForwardAction &action)
     {
         const auto *probe = std::get_if<ProbeServers>(&action);
         if (!probe)
@@ -277,7 +442,7 @@
         std::vector<ServerProbeResult> reports;
         for (const BackendState &server : probe->servers)
             reports.push_back({server.info.id, {}, false, 0});
-        return m_session->onProbed(reports, m_at);
+        return session.onProbed(reports, m_at);
     }
 
     /// Starts a run that is silent after \a events events; returns what is done about it.
@@ -317,6 +482,13 @@
         m_secondId = sent(next).server.info.id;
     }
 
+    void leaveRetries(std::size_t count)
+    {
+        const double left = retryBudget.remaining("engine", m_at);
+        for (std::size_t used = count; used + 1 <= left; ++used)
+            retryBudget.tryConsume("engine", m_at);
+    }
+
     /// The server of the run reports events that did not arrive.
     ForwardAction loseEvents()
     {
@@ -351,6 +523,7 @@
     StreamSession::EngineCapabilities m_capabilities {true, true, true};
     std::optional<StreamSession> m_session;
     std::string m_firstId;
+    std::string m_copyId;
     std::string m_secondId;
     TimePoint m_at;
 };
