tests: streams of BrokenStreamTest have two attempts

Cause: a begun stream that was lost twice now waits for a third attempt, while these tests expect its end at once. Change: they use a route with two attempts, after which the stream is cut at once. What the caller must have got is checked as before: the first event, nothing of the answer, and no complete end.

--- a/tests/gateway/GatewayFixture.cpp
+++ b/tests/gateway/GatewayFixture.cpp
@@ -259,6 +259,9 @@
     out.version = 1;
     out.routes = {route("/once/", CallKind::NonIdempotent), route("/read/", CallKind::Idempotent),
                   route("/stream/", CallKind::Stream)};
+    // A stream that was lost twice is cut at once instead of waiting for a third attempt.
+    out.routes.push_back(route("/twice/", CallKind::Stream));
+    out.routes.back().maxAttempts = 2;
     HttpRoute quick = route("/quick/", CallKind::NonIdempotent);
     HttpRoute slow = route("/slow/", CallKind::Idempotent);
     for (HttpRoute *one : {&quick, &slow}) {
