gateway: prove keys after a start only once the store's epoch is known to be settled

Cause: StoreWatch::holdKeys() delayed the proof of keys after a restore only in a process that had seen an earlier epoch. Change: EpochAge decides from when on proofs count: at epoch 0 at once, else for queries sent 2 s after the epoch was first seen, or once a gateway is listed that has known the epoch that long. Gateways add that epoch to their key in the store (settledEpoch). KeyFreshness is told the time. KeyFreshness::recordRestore is replaced by setConfirmableFrom; its test checks the same times.

--- a/include/foxtailring/decisions/KeyFreshness.h
+++ b/include/foxtailring/decisions/KeyFreshness.h
@@ -23,9 +23,9 @@
 
     /// \brief The store confirmed all keys as of \a queriedAt, the time when it was queried.
     void recordConfirmation(TimePoint queriedAt);
-    /// \brief The store was restored from a backup by \a seenAt: revocations of keys may be lost
-    /// until they are written again, so confirmations count again only after \a rewriteTime.
-    void recordRestore(TimePoint seenAt, Duration rewriteTime);
+    /// \brief Confirmations queried before \a time do not count (EpochAge): revocations of keys may
+    /// be missing in a restored store.
+    void setConfirmableFrom(TimePoint time) { m_confirmableFrom = time; }
     bool isFresh(TimePoint now) const;
     /// \brief Time since the keys were last confirmed; none if they never were.
     std::optional<Duration> age(TimePoint now) const;
--- a/src/decisions/KeyFreshness.cpp
+++ b/src/decisions/KeyFreshness.cpp
@@ -11,11 +11,6 @@
     m_confirmedAt = std::max(m_confirmedAt.value_or(queriedAt), queriedAt);
 }
 
-void KeyFreshness::recordRestore(TimePoint seenAt, Duration rewriteTime)
-{
-    m_confirmableFrom = std::max(m_confirmableFrom, seenAt + rewriteTime);
-}
-
 bool KeyFreshness::isFresh(TimePoint now) const
 {
     return m_confirmedAt && now - *m_confirmedAt < m_limit;
--- a/src/gateway/GatewayParts.cpp
+++ b/src/gateway/GatewayParts.cpp
@@ -17,6 +17,8 @@
 // Only covers the clock's resolution: a request is checked after its caller sent it, and a proof is
 // dated before the store answered, so both already err on the safe side.
 constexpr std::chrono::milliseconds keyFreshnessMargin {100};
+// The operators and the servers write what a restored store has lost again within this time.
+constexpr std::chrono::milliseconds restoredRewriteTime {2000};
 
 constexpr std::chrono::milliseconds releaseTimeout {500};
 // Like the connect timeout of attempts: a request reaches its server soon after it was decided, so
@@ -74,6 +76,7 @@
     , rateLimits({settings.nodeId, settings.maxServerListDelay})
     , pauses(servers, random)
     , admission(servers, rateLimits, pauses)
+    , epochAge(restoredRewriteTime)
     , keyFreshness(settings.maxKeyRevocationDelay, keyFreshnessMargin)
     , memoryBudget(settings.memoryMb * 1024 * 1024 / memoryBudgetDivisor)
 {
--- a/src/gateway/GatewayParts.h
+++ b/src/gateway/GatewayParts.h
@@ -7,6 +7,7 @@
 #include "foxtailring/decisions/BackendPlacer.h"
 #include "foxtailring/decisions/BackendTable.h"
 #include "foxtailring/decisions/EngineLatencyEstimator.h"
+#include "foxtailring/decisions/EpochAge.h"
 #include "foxtailring/decisions/FleetMembership.h"
 #include "foxtailring/decisions/ForwardContext.h"
 #include "foxtailring/decisions/IdleConnectionShare.h"
@@ -107,6 +108,7 @@
     ServerAdmission admission;
     EngineLatencyEstimator latency;
     AnswerTimes answerTimes;
+    EpochAge epochAge;
     KeyFreshness keyFreshness;
     MemoryBudget memoryBudget;
 
--- a/src/gateway/GatewayPublisher.cpp
+++ b/src/gateway/GatewayPublisher.cpp
@@ -9,6 +9,7 @@
 #include "RateLimitReportCodec.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace foxtailring {
 
@@ -93,7 +94,7 @@
 {
     if (now < m_enlistAt)
         return false;
-    if (m_listing.lease != m_lease || isDemandDue())
+    if (m_listing.lease != m_lease || isDemandDue() || isEpochDue(now))
         return true;
     const bool isVisible = m_parts.fleet.isListed(m_parts.settings.nodeId);
     return !isVisible && now - m_listing.writtenAt >= listingVisibleAfter;
@@ -108,6 +109,17 @@
     return due.has_value();
 }
 
+// All gateways that saw one restore know at about the same time that its epoch is settled.
+bool GatewayPublisher::isEpochDue(TimePoint now)
+{
+    const auto settled = m_parts.epochAge.settledEpoch(now);
+    if (!settled || settled == m_listedEpoch)
+        return false;
+    if (std::exchange(m_epochToList, settled) != settled)
+        m_listEpochAt = now + randomDelay(startSpread);
+    return now >= m_listEpochAt;
+}
+
 // The keys have ended with the lease.
 void GatewayPublisher::forgetEndedLease(TimePoint now)
 {
@@ -164,13 +176,16 @@
 
 void GatewayPublisher::enlist()
 {
-    write(m_listing, GatewayListingCodec::encode(m_demand),
-          [this](const Result<WriteResult> &result) {
+    const auto epoch = m_parts.epochAge.settledEpoch(m_parts.clock());
+    write(m_listing, GatewayListingCodec::encode(m_demand, epoch),
+          [this, epoch](const Result<WriteResult> &result) {
               if (!result)
                   return onFailed("enlist", result.error());
-              if (result.value().applied)
-                  StructuredLog::info("enlisted",
-                                      {{"revision", std::to_string(m_listing.revision.number)}});
+              if (!result.value().applied)
+                  return;
+              m_listedEpoch = epoch;
+              StructuredLog::info("enlisted",
+                                  {{"revision", std::to_string(m_listing.revision.number)}});
           });
 }
 
--- a/src/gateway/GatewayPublisher.h
+++ b/src/gateway/GatewayPublisher.h
@@ -39,6 +39,7 @@
     void step();
     bool isListingDue(TimePoint now);
     bool isDemandDue();
+    bool isEpochDue(TimePoint now);
     void forgetEndedLease(TimePoint now);
     void forgetKeys();
     void grantLease();
@@ -56,7 +57,10 @@
     GatewayParts &m_parts;
     KeyValueClient &m_client;
     LeasedKey m_listing;
-    std::optional<int> m_demand; ///< to be listed
+    std::optional<int> m_demand;               ///< to be listed
+    std::optional<std::int64_t> m_listedEpoch; ///< settled one in the listing
+    std::optional<std::int64_t> m_epochToList; ///< settled one whose delay has begun
+    TimePoint m_listEpochAt;                   ///< end of that delay
     LeasedKey m_report;
     LeasedKey m_crashReport;
     Timer m_timer;
--- a/src/gateway/StoreWatch.cpp
+++ b/src/gateway/StoreWatch.cpp
@@ -57,11 +57,6 @@
                                                    std::chrono::milliseconds(800)};
 
 constexpr std::chrono::milliseconds configReadInterval {1000};
-// The operators and the servers write what was lost again within this time.
-constexpr std::chrono::milliseconds restoredRewriteTime {2000};
-
-// Also that of a store without epochs.
-constexpr std::int64_t unknownEpoch = 0;
 
 } // namespace
 
@@ -168,19 +163,35 @@
 {
     if (read.pairs.empty())
         return;
-    holdKeys(read.epoch);
+    recordEpoch(read.epoch);
     offerConfigs({{read.pairs.front(), read.epoch, readAt}});
     recordProof(requestedAt, false);
 }
 
 // Revocations of keys may be among the writes that a restored store has lost.
-void StoreWatch::holdKeys(std::int64_t epoch)
+void StoreWatch::recordEpoch(std::int64_t epoch)
 {
-    const std::optional<std::int64_t> previous = std::exchange(m_seenEpoch, epoch);
-    if (!previous || *previous == epoch)
+    const TimePoint now = m_parts.clock();
+    if (!m_parts.epochAge.recordSeen(epoch, now))
         return;
-    m_parts.keyFreshness.recordRestore(m_parts.clock(), restoredRewriteTime);
-    m_holdTimer.once(restoredRewriteTime, [this] { post([this] { readConfig(); }); });
+    const TimePoint settledFrom = m_parts.epochAge.settledFrom();
+    m_parts.keyFreshness.setConfirmableFrom(settledFrom);
+    m_holdTimer.once(std::chrono::ceil<std::chrono::milliseconds>(settledFrom - now),
+                     [this] { post([this] { readConfig(); }); });
+    StructuredLog::info("keysWaitForEpoch", {{"epoch", std::to_string(epoch)}});
+}
+
+void StoreWatch::applySettledEpoch(const KeyValue &pair)
+{
+    const auto epoch = GatewayListingCodec::decodeSettledEpoch(pair.value);
+    if (!epoch || !m_parts.epochAge.recordSettled(*epoch, m_parts.clock()))
+        return;
+    m_holdTimer.cancel();
+    m_parts.keyFreshness.setConfirmableFrom(m_parts.epochAge.settledFrom());
+    StructuredLog::info(
+        "epochSettled",
+        {{"epoch", std::to_string(*epoch)}, {"gateway", GatewayKey::nodeIdOf(pair.key)}});
+    readConfig();
 }
 
 void StoreWatch::updateRereadSpread()
@@ -224,7 +235,7 @@
                 {{"server", serverIdOf(pair.key)}, {"message", server.error().message}});
     }
     const bool isRestored = startEpoch(read);
-    holdKeys(read.epoch);
+    recordEpoch(read.epoch);
     if (isRestored) {
         m_parts.servers.mergeRestored(servers, now);
         m_parts.rateLimits.onStoreRestored(reports, now);
@@ -234,8 +245,11 @@
     }
     m_parts.fleet.replace(gateways, now);
     for (const KeyValue &pair : read.pairs) {
+        if (!GatewayKey::matches(pair.key))
+            continue;
+        applySettledEpoch(pair);
         // Demands in a restored copy are older than those known.
-        if (!isRestored && GatewayKey::matches(pair.key))
+        if (!isRestored)
             applyGatewayDemand(pair);
     }
     m_parts.updateFleetSize();
@@ -255,8 +269,7 @@
 // otherwise look like that of a store that was not restored.
 void StoreWatch::recordInterruptedRead()
 {
-    m_epoch = m_epoch.value_or(unknownEpoch);
-    m_seenEpoch = m_seenEpoch.value_or(unknownEpoch);
+    m_epoch = m_epoch.value_or(EpochAge::unknownEpoch);
 }
 
 // True if the store was restored from a backup since the last read.
@@ -283,7 +296,7 @@
     for (const WatchEvent &event : events) {
         const KeyValue &pair = event.pair;
         if (pair.key == m_schema.configKey && !event.deleted)
-            configs.push_back({pair, m_epoch.value_or(unknownEpoch), readAt});
+            configs.push_back({pair, m_epoch.value_or(EpochAge::unknownEpoch), readAt});
         if (isPromptCrashKey(pair.key) && !event.deleted)
             applyPromptCrashReport(pair, m_confirmedAt);
         if (!isServerKey(pair.key))
@@ -325,6 +338,7 @@
         } else {
             m_parts.fleet.put(nodeId);
             applyGatewayDemand(event.pair);
+            applySettledEpoch(event.pair);
         }
         // After each one: IdleConnectionShare compares the lists as they were at each time.
         m_parts.updateFleetSize();
--- a/src/gateway/StoreWatch.h
+++ b/src/gateway/StoreWatch.h
@@ -54,7 +54,8 @@
     void onHistoryLost();
     void readConfig();
     void applyConfigRead(const RangeResult &read, TimePoint requestedAt, TimePoint readAt);
-    void holdKeys(std::int64_t epoch);
+    void recordEpoch(std::int64_t epoch);
+    void applySettledEpoch(const KeyValue &pair);
     void updateRereadSpread();
     std::chrono::milliseconds randomRereadDelay() const;
     void applyEvents(const std::vector<WatchEvent> &events, TimePoint readAt);
@@ -81,9 +82,8 @@
     std::function<void()> m_restoredHook;
     /// Of the last full read; unknownEpoch: see recordInterruptedRead().
     std::optional<std::int64_t> m_epoch;
-    std::optional<std::int64_t> m_seenEpoch; ///< of the last read, full or of the configuration
-    bool m_isReadDue = false;                ///< all keys are to be read again
-    std::size_t m_callsOfRead = 1;           ///< that the last full read took
+    bool m_isReadDue = false;      ///< all keys are to be read again
+    std::size_t m_callsOfRead = 1; ///< that the last full read took
     const RereadPacing m_rereadPacing;
     /// Used by the watcher's threads too.
     std::atomic<std::chrono::milliseconds::rep> m_rereadSpreadMs = 0;
@@ -92,7 +92,7 @@
     std::deque<WaitingProof> m_waitingProofs;
     ConfigDecoder m_decoder;
     Timer m_configTimer; ///< reads the configuration alone until all keys were read
-    Timer m_holdTimer;   ///< ends the time in which a restored store confirms no keys
+    Timer m_holdTimer;   ///< ends the time in which a store that may be restored confirms no keys
     PrefixWatcher m_watcher;
 };
 
--- a/tests/decisions/RouteTableTest.cpp
+++ b/tests/decisions/RouteTableTest.cpp
@@ -61,7 +61,7 @@
         const TimePoint start {std::chrono::hours(1)};
         keys.recordConfirmation(start);
         const TimePoint restored = start + std::chrono::seconds(1);
-        keys.recordRestore(restored, std::chrono::seconds(2));
+        keys.setConfirmableFrom(restored + std::chrono::seconds(2));
         keys.recordConfirmation(restored + std::chrono::milliseconds(1999));
         CPPUNIT_ASSERT(keys.isFresh(start + std::chrono::milliseconds(3999)));
         CPPUNIT_ASSERT(!keys.isFresh(start + std::chrono::milliseconds(4000)));
--- a/tests/gateway/GatewayListingCodecTest.cpp
+++ b/tests/gateway/GatewayListingCodecTest.cpp
@@ -11,6 +11,8 @@
     CPPUNIT_TEST(emptyValueOfAnOlderVersionIsNoDemand);
     CPPUNIT_TEST(unreadableValueIsNoDemand);
     CPPUNIT_TEST(fieldOfANewerVersionIsSkipped);
+    CPPUNIT_TEST(settledEpochIsReadAsItWasWritten);
+    CPPUNIT_TEST(unreadableSettledEpochIsNone);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -40,6 +42,26 @@
     {
         CPPUNIT_ASSERT(GatewayListingCodec::decode(R"({"demand":3,"x":[]})") == 3);
     }
+
+    void settledEpochIsReadAsItWasWritten()
+    {
+        for (const std::optional<int> demand : {std::optional<int>(), std::optional<int>(3)}) {
+            const std::string text = GatewayListingCodec::encode(demand, 7);
+            CPPUNIT_ASSERT(GatewayListingCodec::decode(text) == demand);
+            CPPUNIT_ASSERT(GatewayListingCodec::decodeSettledEpoch(text) == 7);
+        }
+        CPPUNIT_ASSERT(!GatewayListingCodec::decodeSettledEpoch(GatewayListingCodec::encode(3)));
+    }
+
+    // Guards against an epoch that no gateway has known, by which keys would count as proved.
+    void unreadableSettledEpochIsNone()
+    {
+        for (const char *text :
+             {"", "{", "2", "{}", R"({"settledEpoch":"2"})", R"({"settledEpoch":2.0})",
+              R"({"settledEpoch":0})", R"({"settledEpoch":-2})",
+              R"({"settledEpoch":18446744073709551615})"})
+            CPPUNIT_ASSERT_MESSAGE(text, !GatewayListingCodec::decodeSettledEpoch(text));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(GatewayListingCodecTest);
--- a/tests/gateway/SharedStore.cpp
+++ b/tests/gateway/SharedStore.cpp
@@ -26,6 +26,12 @@
         hooks.onChanges({&event, 1}, m_revision);
 }
 
+void SharedStore::setEpoch(std::int64_t epoch)
+{
+    const std::lock_guard lock(m_mutex);
+    m_epoch = epoch;
+}
+
 void SharedStore::setWrittenHook(std::function<void(const std::string &key)> hook)
 {
     m_writtenHook = std::move(hook);
@@ -36,6 +42,7 @@
     const std::lock_guard lock(m_mutex);
     RangeResult result;
     result.revision = m_revision;
+    result.epoch = m_epoch;
     for (const auto &[key, item] : m_items) {
         if (key.starts_with(prefix))
             result.pairs.push_back(item);
@@ -51,18 +58,19 @@
         const auto found = m_items.find(key);
         const KeyValue current = found == m_items.end() ? KeyValue {key, "", 0} : found->second;
         if (current.modRevision != expectedRevision)
-            return {false, m_revision, current};
+            return {false, m_revision, current, m_epoch};
     }
     put(key, value);
     if (m_writtenHook)
         m_writtenHook(key);
-    return {true, read(key).revision, {}};
+    const RangeResult written = read(key);
+    return {true, written.revision, {}, written.epoch};
 }
 
 StoreLease SharedStore::grantLease()
 {
     const std::lock_guard lock(m_mutex);
-    return {0, ++m_lastLease};
+    return {m_epoch, ++m_lastLease};
 }
 
 void SharedStore::watch(const WatchHooks &hooks)
--- a/tests/gateway/SharedStore.h
+++ b/tests/gateway/SharedStore.h
@@ -26,6 +26,8 @@
     /// \brief Called with each key that a gateway writes; set before the gateways start.
     void setWrittenHook(std::function<void(const std::string &key)> hook);
     void watch(const WatchHooks &hooks);
+    /// \brief Epoch of all answers from now on; contents and watches stay as they are.
+    void setEpoch(std::int64_t epoch);
     /// \brief Confirms to every watch that it has seen all changes so far.
     void confirm();
 
@@ -33,6 +35,7 @@
     void announce(const WatchEvent &event) const;
 
     mutable std::mutex m_mutex;
+    std::int64_t m_epoch = 0;
     std::int64_t m_revision = 1;
     std::int64_t m_lastLease = 0;
     std::map<std::string, KeyValue> m_items;
