--- a/tests/platform/KvClientTest.cpp
+++ b/tests/platform/KvClientTest.cpp
@@ -2,6 +2,7 @@
 
 #include "foxtailring/transport/Http1Stream.h"
 #include "PlatformFixture.h"
+#include "RawPeer.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <nlohmann/json.hpp>
@@ -26,6 +27,13 @@
     CPPUNIT_TEST(renewalInAnotherEpochFails);
     CPPUNIT_TEST(leasedWriteInAnotherEpochFails);
     CPPUNIT_TEST(revisionOfAnotherEpochFails);
+    CPPUNIT_TEST(endlessRepliesAreAbandoned);
+    CPPUNIT_TEST(slowEndlessReplyTimesOut);
+    CPPUNIT_TEST(pageOfTheLargestValuesIsRead);
+    CPPUNIT_TEST(changesOfTheLargestValuesAreReported);
+    CPPUNIT_TEST(unreadableChangesEndTheWatchAsStale);
+    CPPUNIT_TEST(pagesThatRepeatEndTheRead);
+    CPPUNIT_TEST(pagesWithoutEndAreAbandoned);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -220,7 +228,194 @@
         CPPUNIT_ASSERT(box.take().error().code == ErrorCode::Stale);
     }
 
+    // Guards against a store that fills the memory with an answer that never ends.
+    void endlessRepliesAreAbandoned()
+    {
+        const std::pair<std::string, std::string> shapes[] = {
+            {"HTTP/1.1 200 OK\r\nX-Long: ", std::string(65536, 'x')},
+            {"HTTP/1.1 200 OK\r\nContent-Length: 1000000000000\r\n\r\n", std::string(65536, 'x')},
+            {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+             "10000\r\n" + std::string(65536, ' ') + "\r\n"},
+            {"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n", std::string(65536, ' ')},
+            {"HTTP/1.1 500 Error\r\nConnection: close\r\n\r\n", std::string(65536, ' ')},
+            {"", "HTTP/1.1 103 Early Hints\r\n\r\n"}};
+        for (const auto &[start, more] : shapes) {
+            for (const auto &[name, begin] : calls()) {
+                RawServer store;
+                m_client.emplace(*m_pool, *m_http, Endpoint {"127.0.0.1", store.port()},
+                                 settings());
+                const auto outcome = std::make_shared<Mailbox<ErrorCode>>();
+                const auto stream = begin(outcome);
+                RawPeer peer = store.accept();
+                peer.readUntil("\r\n\r\n");
+                const std::size_t sent = sendUntilClosed(peer, start, more);
+                CPPUNIT_ASSERT_MESSAGE(name + " " + start + ": " + std::to_string(sent),
+                                       sent < maxSentBytes);
+                const ErrorCode expected =
+                    name == "watch" ? ErrorCode::Stale : ErrorCode::Malformed;
+                CPPUNIT_ASSERT_MESSAGE(name + " " + start, outcome->take() == expected);
+            }
+        }
+    }
+
+    // Guards against a store whose bytes come too slowly to reach a limit of bytes.
+    void slowEndlessReplyTimesOut()
+    {
+        platform::KvClient::Settings shortTimeouts = settings();
+        shortTimeouts.timeout = std::chrono::milliseconds(100);
+        shortTimeouts.pollTimeoutMargin = std::chrono::milliseconds(100);
+        for (const auto &[name, begin] : calls()) {
+            RawServer store;
+            m_client.emplace(*m_pool, *m_http, Endpoint {"127.0.0.1", store.port()}, shortTimeouts);
+            const auto outcome = std::make_shared<Mailbox<ErrorCode>>();
+            const auto stream = begin(outcome);
+            RawPeer peer = store.accept();
+            peer.readUntil("\r\n\r\n");
+            peer.write("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n");
+            while (peer.tryWrite(" ", std::chrono::milliseconds(5))) { }
+            CPPUNIT_ASSERT_MESSAGE(name, outcome->take() == ErrorCode::Timeout);
+        }
+    }
+
+    // Guards against a limit that rejects what the store may hold.
+    void pageOfTheLargestValuesIsRead()
+    {
+        ResultMailbox<RangeResult> box;
+        m_client->range("s/", box.hook());
+        const json item = largestItem("s/a", 4);
+        answer(json {{"items", {item, largestItem("s/b", 5)}}, {"as_of", 9}}.dump());
+        const RangeResult read = box.take().value();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), read.pairs.size());
+        CPPUNIT_ASSERT(read.pairs.back().value.size() == largestValueBytes);
+        m_client->get("s/a", box.hook());
+        answer(largestItem("s/a", 4).dump());
+        CPPUNIT_ASSERT(box.take().value().pairs.front().value.size() == largestValueBytes);
+        ResultMailbox<WriteResult> written;
+        m_client->compareAndSwap("s/a", "v", {0, 3}, written.hook(), {});
+        answer(json {{"items", {item}}}.dump(), 412);
+        CPPUNIT_ASSERT(written.take().value().current.value.size() == largestValueBytes);
+    }
+
+    void changesOfTheLargestValuesAreReported()
+    {
+        const auto stream = startWatch();
+        json events = json::array();
+        for (int revision = 6; revision < 9; ++revision)
+            events.push_back(largestItem("p/a", revision));
+        answer(json {{"events", events}, {"as_of", 9}}.dump());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), m_changes.take().size());
+        stream->cancel();
+    }
+
+    // Guards against a watch that asks for the same unreadable changes for ever.
+    void unreadableChangesEndTheWatchAsStale()
+    {
+        const auto stream = startWatch();
+        answer("[]");
+        CPPUNIT_ASSERT(m_ends.take() == ErrorCode::Stale);
+    }
+
+    // Guards against a read that takes the same page again and again.
+    void pagesThatRepeatEndTheRead()
+    {
+        ResultMailbox<RangeResult> box;
+        m_client->range("s/", box.hook());
+        const std::string page =
+            R"({"items":[{"key":"s/a","value":"","rev":4}],"has_more":true,"as_of":9})";
+        answer(page);
+        answer(page);
+        CPPUNIT_ASSERT(box.take().error().code == ErrorCode::Malformed);
+    }
+
+    // Guards against a read that fills the memory page by page, or never ends.
+    void pagesWithoutEndAreAbandoned()
+    {
+        for (const bool isLarge : {true, false}) {
+            ResultMailbox<RangeResult> box;
+            m_client->range("s/", box.hook());
+            int pages = 0;
+            for (; pages < maxPages && box.isEmpty(); ++pages) {
+                json item = isLarge ? largestItem("", 4) : json {{"rev", 4}};
+                item["key"] = "s/" + std::to_string(100'000 + pages);
+                answer(json {{"items", {item}}, {"has_more", true}, {"as_of", 9}}.dump());
+                waitUntil([&] { return !m_requests.isEmpty() || !box.isEmpty(); });
+            }
+            CPPUNIT_ASSERT(!box.isEmpty());
+            CPPUNIT_ASSERT(box.take().error().code == ErrorCode::Malformed);
+            CPPUNIT_ASSERT(pages < (isLarge ? 64 : maxPages));
+        }
+    }
+
 private:
+    static constexpr std::size_t largestValueBytes = 1024 * 1024;
+    static_assert(largestValueBytes % 3 == 1);
+    static constexpr std::size_t maxSentBytes = 24 * 1024 * 1024;
+    static constexpr int maxPages = 1000;
+
+    using Outcome = std::shared_ptr<Mailbox<ErrorCode>>;
+    using Call = std::function<std::shared_ptr<Http1Stream>(const Outcome &)>;
+
+    template <typename T>
+    static std::function<void(Result<T>)> errorHook(const Outcome &outcome)
+    {
+        return [outcome](const Result<T> &result) { outcome->put(result.error().code); };
+    }
+
+    std::vector<std::pair<std::string, Call>> calls()
+    {
+        return {{"get",
+                 [this](const Outcome &to) {
+                     m_client->get("k", errorHook<RangeResult>(to));
+                     return nullptr;
+                 }},
+                {"range",
+                 [this](const Outcome &to) {
+                     m_client->range("k", errorHook<RangeResult>(to));
+                     return nullptr;
+                 }},
+                {"swap",
+                 [this](const Outcome &to) {
+                     m_client->compareAndSwap("k", "v", {0, 0}, errorHook<WriteResult>(to), {});
+                     return nullptr;
+                 }},
+                {"grant",
+                 [this](const Outcome &to) {
+                     m_client->grantLease(std::chrono::seconds(3), errorHook<StoreLease>(to));
+                     return nullptr;
+                 }},
+                {"renew",
+                 [this](const Outcome &to) {
+                     m_client->keepAlive({0, 7}, errorHook<std::chrono::seconds>(to));
+                     return nullptr;
+                 }},
+                {"watch", [this](const Outcome &to) {
+                     WatchHooks hooks;
+                     hooks.onChanges = [](std::span<const WatchEvent>, std::int64_t) {};
+                     hooks.onEnded = [to](const Error &error) { to->put(error.code); };
+                     return m_client->watch("p/", {0, 5}, std::move(hooks));
+                 }}};
+    }
+
+    /// Returns the number of bytes sent, maxSentBytes at most, until the client closes.
+    static std::size_t sendUntilClosed(RawPeer &peer, const std::string &start,
+                                       const std::string &more)
+    {
+        std::size_t sent = start.size();
+        peer.write(start);
+        while (sent < maxSentBytes && peer.tryWrite(more, std::chrono::milliseconds(0)))
+            sent += more.size();
+        peer.close();
+        return sent;
+    }
+
+    static json largestItem(const std::string &key, int revision)
+    {
+        // Base64 of zeros.
+        std::string value((largestValueBytes + 2) / 3 * 4, 'A');
+        value.replace(value.size() - 2, 2, "==");
+        return {{"key", key}, {"value", value}, {"rev", revision}, {"as_of", 9}};
+    }
+
     void answerInEpoch(const std::string &epoch, std::string body)
     {
         std::vector<HttpHeader> headers;
@@ -234,6 +429,7 @@
         platform::KvClient::Settings out;
         out.timeout = testDeadline;
         out.pacing = PollPacing(testDeadline, std::chrono::milliseconds(0));
+        out.pollTimeoutMargin = testDeadline;
         return out;
     }
 
--- a/tools/lib/soak/store.py
+++ b/tools/lib/soak/store.py
@@ -10,7 +10,7 @@
 import time
 import urllib.parse
 
-from . import http_standin
+from . import endless, http_standin
 import wire
 
 MAX_HISTORY_EVENTS = 400
@@ -18,6 +18,7 @@
 SLOW_REPLY_SECONDS = 0.4
 LEASE_CHECK_INTERVAL_SECONDS = 0.2
 MAX_BACKUP_AGE_SECONDS = 60
+PAGE_VALUE = base64.b64encode(bytes(1024 * 1024)).decode()
 # Within this time after a restore the servers have written their entries again.
 SERVERS_REWRITE_SECONDS = 2
 
@@ -34,9 +35,12 @@
     """Items and their history. `fault` is None, "down", "silent" or "slow".
 
     `page_size` bounds the items of a page; None puts all in one. `before_next_page` is called once, before the next
-    page that is not the first of its read. `omits_epoch` leaves the epoch out of the answers.
+    page that is not the first of its read. `omits_epoch` leaves the epoch out of the answers. `endless` is a shape of soak.endless that all answers
+    have, or PAGES: reads are answered with one more page without end.
     """
 
+    PAGES = "endlessPages"
+
     def __init__(self):
         self.lock = threading.Condition()
         self.revision = 1
@@ -49,6 +53,8 @@
         self.page_size = None
         self.before_next_page = None
         self.omits_epoch = False
+        self.endless = None
+        self.endless_answers = collections.Counter()
         self.next_lease = None
         self.away = None
         self.ends_outage = False
@@ -226,6 +232,8 @@
     def serve(self, handler, body):
         url = urllib.parse.urlsplit(handler.path)
         query = dict(urllib.parse.parse_qsl(url.query, keep_blank_values=True))
+        if self.endless:
+            return self._answer_endlessly(handler, url.path, query)
         if url.path == wire.RANGE_PATH and "after" in query:
             self._prepare_next_page()
         try:
@@ -241,6 +249,18 @@
             return
         handler.answer_json(status, value, headers)
 
+    def _answer_endlessly(self, handler, path, query):
+        shape = self.endless
+        self.endless_answers[path.rstrip("0123456789")] += 1
+        if shape != self.PAGES:
+            return endless.send_endless_answer(handler, shape, {wire.EPOCH: self.epoch}, b"{}", b"")
+        if path != wire.RANGE_PATH:
+            return handler.answer_json(410, {}, {wire.EPOCH: self.epoch})
+        key = f"x{int(query.get('after', 'x0')[1:]) + 1:09}"
+        item = {"key": key, "value": PAGE_VALUE, "rev": 1, "created": 1, "lease": 0}
+        return handler.answer_json(200, {"items": [item], "has_more": True, "as_of": self.revision},
+                                   {wire.EPOCH: self.epoch})
+
     def _prepare_next_page(self):
         with self.lock:
             hook, self.before_next_page = self.before_next_page, None
