gateway: do not take the list of a store that may be restored for the whole fleet at a start

Cause: a restore ends all leases, so a gateway that starts then reads an empty list of gateways, took itself for the whole fleet, and took the fleet's limits (retries, rate limits, idle connections) whole. Change: at a start in an epoch that is not settled the list does not count as known for 6 s, or until a gateway is listed that knows the epoch for 2 s; 350 gateways are assumed meanwhile.

--- a/include/foxtailring/decisions/FleetMembership.h
+++ b/include/foxtailring/decisions/FleetMembership.h
@@ -29,7 +29,11 @@
     /// \brief Records the demand for connections that the process \a id lists; none: not known.
     /// Kept as long as the process counts. No effect if it does not count.
     void setDemand(std::string_view id, std::optional<int> demand);
-    /// \brief Forgets processes that were delisted long ago.
+    /// \brief The list may lack most processes, as that of a restored store does: it does not count
+    /// as known until \a until, or until trustList().
+    void distrustList(TimePoint until) { m_distrustedUntil = until; }
+    void trustList() { m_distrustedUntil.reset(); }
+    /// \brief Forgets processes that were delisted long ago, and distrust that is over.
     void expire(TimePoint now);
 
     /// \brief True if this process is the one of the listed processes that \a key falls to.
@@ -37,8 +41,8 @@
     bool isListed(std::string_view id) const;
     /// \brief True if this process is listed.
     bool isListed() const { return m_isSelfListed; }
-    /// \brief True once a list was read.
-    bool isKnown() const { return m_isKnown; }
+    /// \brief True once a list was read that may be relied on.
+    bool isKnown() const { return m_isKnown && !m_distrustedUntil; }
     /// \brief Number of processes to divide a limit by; at least 1. The largest planned fleet until
     /// the list is known.
     std::size_t size() const;
@@ -59,6 +63,7 @@
 
     const std::string m_ownId;
     bool m_isKnown = false; ///< a list was read
+    std::optional<TimePoint> m_distrustedUntil;
     bool m_isSelfListed = false;
     std::optional<int> m_ownDemand;
     std::map<std::string, Other, std::less<>> m_others;
--- a/src/decisions/FleetMembership.cpp
+++ b/src/decisions/FleetMembership.cpp
@@ -65,6 +65,8 @@
 
 void FleetMembership::expire(TimePoint now)
 {
+    if (m_distrustedUntil && now >= *m_distrustedUntil)
+        m_distrustedUntil.reset();
     if (!m_firstDelistedAt || now - *m_firstDelistedAt <= delistedCountsFor)
         return;
     m_firstDelistedAt.reset();
@@ -86,7 +88,7 @@
         if (!other.delistedAt)
             names.push_back(id);
     }
-    return m_isKnown && RendezvousHash::first(key, names) == m_ownId;
+    return isKnown() && RendezvousHash::first(key, names) == m_ownId;
 }
 
 bool FleetMembership::isListed(std::string_view id) const
@@ -99,7 +101,7 @@
 
 std::size_t FleetMembership::size() const
 {
-    return m_isKnown ? m_others.size() + 1 : largestFleet;
+    return isKnown() ? m_others.size() + 1 : largestFleet;
 }
 
 std::optional<int> FleetMembership::ownDemand() const
--- a/src/gateway/StoreWatch.cpp
+++ b/src/gateway/StoreWatch.cpp
@@ -57,6 +57,9 @@
                                                    std::chrono::milliseconds(800)};
 
 constexpr std::chrono::milliseconds configReadInterval {1000};
+// After the rewrite of the others, gateways list themselves again within this time: the spread of
+// their listings, one step and the calls (GatewayPublisher).
+constexpr std::chrono::milliseconds relistTime {4000};
 
 } // namespace
 
@@ -187,6 +190,7 @@
     if (!epoch || !m_parts.epochAge.recordSettled(*epoch, m_parts.clock()))
         return;
     m_holdTimer.cancel();
+    m_parts.fleet.trustList();
     m_parts.keyFreshness.setConfirmableFrom(m_parts.epochAge.settledFrom());
     StructuredLog::info(
         "epochSettled",
@@ -236,6 +240,9 @@
     }
     const bool isRestored = startEpoch(read);
     recordEpoch(read.epoch);
+    // A process that has known the fleet before keeps it while leases are granted again.
+    if (!m_parts.hasServerList && now < m_parts.epochAge.settledFrom())
+        m_parts.fleet.distrustList(m_parts.epochAge.settledFrom() + relistTime);
     if (isRestored) {
         m_parts.servers.mergeRestored(servers, now);
         m_parts.rateLimits.onStoreRestored(reports, now);
--- a/tests/decisions/FleetMembershipTest.cpp
+++ b/tests/decisions/FleetMembershipTest.cpp
@@ -11,6 +11,7 @@
 {
     CPPUNIT_TEST_SUITE(FleetMembershipTest);
     CPPUNIT_TEST(countsTheLargestFleetUntilTheListIsKnown);
+    CPPUNIT_TEST(listOfARestoredStoreIsNotTheFleet);
     CPPUNIT_TEST(countsItselfBeforeItIsListed);
     CPPUNIT_TEST(delistedProcessCountsForAWhile);
     CPPUNIT_TEST(processThatReturnsIsNotForgotten);
@@ -32,6 +33,21 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t {350}, m_fleet.size());
     }
 
+    // Guards against a process that takes the whole limit since a restore has ended all leases.
+    void listOfARestoredStoreIsNotTheFleet()
+    {
+        m_fleet.distrustList(m_now + 5s);
+        replace({"g1"}, m_now);
+        m_fleet.expire(m_now + 4999ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t {350}, m_fleet.size());
+        CPPUNIT_ASSERT(!m_fleet.isKnown() && !m_fleet.owns("part"));
+        m_fleet.expire(m_now + 5s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t {1}, m_fleet.size());
+        m_fleet.distrustList(m_now + 10s);
+        m_fleet.trustList();
+        CPPUNIT_ASSERT(m_fleet.isKnown() && m_fleet.owns("part"));
+    }
+
     void countsItselfBeforeItIsListed()
     {
         replace({"g2", "g3"}, m_now);
--- a/tests/gateway/RestoredStartTest.cpp
+++ b/tests/gateway/RestoredStartTest.cpp
@@ -30,6 +30,7 @@
     CPPUNIT_TEST(neighbourThatListsItselfLaterEndsTheWait);
     CPPUNIT_TEST(listingOfAnEarlierEpochProvesNothing);
     CPPUNIT_TEST(gatewayListsTheEpochOnceItIsSettled);
+    CPPUNIT_TEST(fleetIsUnknownUntilTheEpochIsSettled);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -108,7 +109,23 @@
         CPPUNIT_ASSERT_EQUAL(settledListing(2), listed);
     }
 
+    // Guards against shares of limits as of a fleet of one, since a restore has ended all leases.
+    void fleetIsUnknownUntilTheEpochIsSettled()
+    {
+        start(2);
+        waitUntil([this] { return metrics().find("gateway_store_epoch 2") != std::string::npos; });
+        CPPUNIT_ASSERT(hasFleetSize(350));
+        m_shared.put("gateways/other", settledListing(2));
+        waitUntil([this] { return hasFleetSize(2); });
+    }
+
 private:
+    bool hasFleetSize(int size)
+    {
+        return metrics().find("gateway_fleet_size " + std::to_string(size) + "\n")
+            != std::string::npos;
+    }
+
     StoreSchema schema() const override
     {
         StoreSchema out = GatewayFixture::schema();
