--- a/src/gateway/StoreWatch.cpp
+++ b/src/gateway/StoreWatch.cpp
@@ -57,14 +57,12 @@
                                                    std::chrono::milliseconds(800)};
 
 constexpr std::chrono::milliseconds configReadInterval {1000};
-// The operators and the servers write what was lost again within this time.
-constexpr std::chrono::milliseconds restoredRewriteTime {2000};
+// After the rewrite of the others, gateways list themselves again within this time: the spread of
+// their listings, one step and the calls (GatewayPublisher).
+constexpr std::chrono::milliseconds relistTime {4000};
 // Of log lines about entries whose service the configuration does not name.
 constexpr std::chrono::seconds unnamedServiceReportInterval {10};
 
-// Also that of a store without epochs.
-constexpr std::int64_t unknownEpoch = 0;
-
 } // namespace
 
 StoreWatch::StoreWatch(GatewayParts &parts, KeyValueClient &client, StoreSchema schema)
@@ -170,19 +168,36 @@
 {
     if (read.pairs.empty())
         return;
-    holdKeys(read.epoch);
+    recordEpoch(read.epoch);
     offerConfigs({{read.pairs.front(), read.epoch, readAt}});
     recordProof(requestedAt, false);
 }
 
 // Revocations of keys may be among the writes that a restored store has lost.
-void StoreWatch::holdKeys(std::int64_t epoch)
+void StoreWatch::recordEpoch(std::int64_t epoch)
 {
-    const std::optional<std::int64_t> previous = std::exchange(m_seenEpoch, epoch);
-    if (!previous || *previous == epoch)
+    const TimePoint now = m_parts.clock();
+    if (!m_parts.epochAge.recordSeen(epoch, now))
         return;
-    m_parts.keyFreshness.recordRestore(m_parts.clock(), restoredRewriteTime);
-    m_holdTimer.once(restoredRewriteTime, [this] { post([this] { readConfig(); }); });
+    const TimePoint settledFrom = m_parts.epochAge.settledFrom();
+    m_parts.keyFreshness.setConfirmableFrom(settledFrom);
+    m_holdTimer.once(std::chrono::ceil<std::chrono::milliseconds>(settledFrom - now),
+                     [this] { post([this] { readConfig(); }); });
+    StructuredLog::info("keysWaitForEpoch", {{"epoch", std::to_string(epoch)}});
+}
+
+void StoreWatch::applySettledEpoch(const KeyValue &pair)
+{
+    const auto epoch = GatewayListingCodec::decodeSettledEpoch(pair.value);
+    if (!epoch || !m_parts.epochAge.recordSettled(*epoch, m_parts.clock()))
+        return;
+    m_holdTimer.cancel();
+    m_parts.fleet.trustList();
+    m_parts.keyFreshness.setConfirmableFrom(m_parts.epochAge.settledFrom());
+    StructuredLog::info(
+        "epochSettled",
+        {{"epoch", std::to_string(*epoch)}, {"gateway", GatewayKey::nodeIdOf(pair.key)}});
+    readConfig();
 }
 
 void StoreWatch::updateRereadSpread()
@@ -228,7 +243,10 @@
         }
     }
     const bool isRestored = startEpoch(read);
-    holdKeys(read.epoch);
+    recordEpoch(read.epoch);
+    // A process that has known the fleet before keeps it while leases are granted again.
+    if (!m_parts.hasServerList && now < m_parts.epochAge.settledFrom())
+        m_parts.fleet.distrustList(m_parts.epochAge.settledFrom() + relistTime);
     if (isRestored) {
         m_parts.servers.mergeRestored(servers, now);
         m_parts.rateLimits.onStoreRestored(reports, now);
@@ -238,8 +256,11 @@
     }
     m_parts.fleet.replace(gateways, now);
     for (const KeyValue &pair : read.pairs) {
+        if (!GatewayKey::matches(pair.key))
+            continue;
+        applySettledEpoch(pair);
         // Demands in a restored copy are older than those known.
-        if (!isRestored && GatewayKey::matches(pair.key))
+        if (!isRestored)
             applyGatewayDemand(pair);
     }
     m_parts.updateFleetSize();
@@ -259,8 +280,7 @@
 // otherwise look like that of a store that was not restored.
 void StoreWatch::recordInterruptedRead()
 {
-    m_epoch = m_epoch.value_or(unknownEpoch);
-    m_seenEpoch = m_seenEpoch.value_or(unknownEpoch);
+    m_epoch = m_epoch.value_or(EpochAge::unknownEpoch);
 }
 
 // True if the store was restored from a backup since the last read.
@@ -287,7 +307,7 @@
     for (const WatchEvent &event : events) {
         const KeyValue &pair = event.pair;
         if (pair.key == m_schema.configKey && !event.deleted)
-            configs.push_back({pair, m_epoch.value_or(unknownEpoch), readAt});
+            configs.push_back({pair, m_epoch.value_or(EpochAge::unknownEpoch), readAt});
         if (isPromptCrashKey(pair.key) && !event.deleted)
             applyPromptCrashReport(pair, m_confirmedAt);
         if (!isServerKey(pair.key))
@@ -329,6 +349,7 @@
         } else {
             m_parts.fleet.put(nodeId);
             applyGatewayDemand(event.pair);
+            applySettledEpoch(event.pair);
         }
         // After each one: IdleConnectionShare compares the lists as they were at each time.
         m_parts.updateFleetSize();
