transport, gateway: count requests from their first byte on

Cause: MemoryBudget counted a body only when its request was whole. 100 callers that sent 4 MB each took the gateway to 453 MB; 260 MB were allowed. Change: Http1Server::limitMemory counts what a connection holds of a request (head, body, input behind a request in progress) in a RequestMemory, which the request owns from then on. A request beyond it is refused with 503 and Retry-After, and its connection closed.

--- a/include/foxtailring/transport/Http1Server.h
+++ b/include/foxtailring/transport/Http1Server.h
@@ -13,6 +13,7 @@
 namespace foxtailring {
 
 class Http1Responder;
+class RequestMemory;
 class WorkerPool;
 struct ConnectionCut;
 struct Endpoint;
@@ -30,6 +31,7 @@
     using CutHook = std::function<void(const ConnectionCut &)>;
     using BodyTimeHook =
         std::function<std::optional<std::chrono::milliseconds>(const HttpRequest &head)>;
+    using MemoryHook = std::function<std::shared_ptr<RequestMemory>()>;
 
     Http1Server(WorkerPool &pool, const Endpoint &endpoint, HttpLimits limits, Handler handler);
     /// \brief Calls close().
@@ -47,6 +49,10 @@
     /// its head, and again after setLimits(): the longer time holds. The first time of a body
     /// that had none counts from then on.
     void limitBodyTime(BodyTimeHook hook);
+    /// \brief Counts each request from its first byte on in the memory that \a hook returns. One
+    /// that may not grow is refused at once, without the handler, and its connection closed. The
+    /// handler's request owns the memory. To be set before listen(); called on any thread.
+    void limitMemory(MemoryHook hook);
     /// \brief Starts accepting connections and returns the port. InvalidArgument: the endpoint is
     /// not an IP address. Unavailable: binding failed.
     Result<std::uint16_t> listen();
--- a/src/gateway/GatewayNode.cpp
+++ b/src/gateway/GatewayNode.cpp
@@ -232,6 +232,7 @@
         callers.onConnectionCut(makeCutHook(parts));
         callers.limitBodyTime(
             [this](const HttpRequest &head) { return bodyTimeLimit.limit(head); });
+        callers.limitMemory([this] { return parts.requestMemory.begin(); });
         parts.pauses.setHooks(makePauseHooks(parts));
         watch.onConfirmed([this] { dispatcher.onStoreRead(); });
         watch.onRestored([this] { publisher.onStoreRestored(); });
@@ -273,9 +274,11 @@
 void GatewayNode::State::answerProbe(const HttpRequest &request,
                                      const std::shared_ptr<Http1Responder> &responder)
 {
-    if (request.target == "/metrics")
+    if (request.target == "/metrics") {
+        parts.requestMemory.updateGauges();
         return responder->respond(
             {200, {{"Content-Type", "text/plain; version=0.0.4"}}, parts.metrics.prometheusText()});
+    }
     parts.queue.post([this, responder] {
         const bool isReady = dispatcher.isServing();
         responder->respond({isReady ? 200 : 503, {{"Content-Type", "text/plain"}}, ""});
--- a/src/gateway/GatewayParts.cpp
+++ b/src/gateway/GatewayParts.cpp
@@ -56,6 +56,8 @@
     : settings(std::move(gatewaySettings))
     , codec(std::move(backendCodec))
     , clock(bootClock())
+    , memoryBudget(settings.memoryMb * 1024 * 1024 / memoryBudgetDivisor)
+    , requestMemory(memoryBudget, metrics, clock)
     , pool(settings.threads)
     , storePool(storeThreads)
     , http(pool)
@@ -75,7 +77,6 @@
     , pauses(servers, random)
     , admission(servers, rateLimits, pauses)
     , keyFreshness(settings.maxKeyRevocationDelay, keyFreshnessMargin)
-    , memoryBudget(settings.memoryMb * 1024 * 1024 / memoryBudgetDivisor)
 {
     updateFleetSize();
     updateUnixOffset();
--- a/src/gateway/GatewayParts.h
+++ b/src/gateway/GatewayParts.h
@@ -25,6 +25,7 @@
 #include "foxtailring/transport/WorkerPool.h"
 
 #include "IdleConnectionControl.h"
+#include "RequestMemoryFactory.h"
 
 #include <chrono>
 #include <memory>
@@ -80,11 +81,13 @@
     const GatewaySettings settings;
     const BackendCodec codec;
     const Clock clock; ///< goes on while the VM is suspended
+    MetricRegistry metrics;
+    MemoryBudget memoryBudget; ///< before the pool, whose connections hold parts of it
+    RequestMemoryFactory requestMemory;
     WorkerPool pool;
     /// Reads the store and decodes configurations, so that the pool's threads are free for
     /// requests.
     WorkerPool storePool;
-    MetricRegistry metrics;
     Http1Client http;
     /// Of probes. Their answers name no request, so they share no connection with requests: a late
     /// answer to a request would be taken for a report.
@@ -108,7 +111,6 @@
     EngineLatencyEstimator latency;
     AnswerTimes answerTimes;
     KeyFreshness keyFreshness;
-    MemoryBudget memoryBudget;
 
 private:
     void updateIdleShare();
--- a/src/gateway/RequestRelay.cpp
+++ b/src/gateway/RequestRelay.cpp
@@ -3,6 +3,7 @@
 #include "foxtailring/base/StructuredLog.h"
 #include "foxtailring/transport/Endpoint.h"
 #include "foxtailring/transport/Http1Stream.h"
+#include "foxtailring/transport/RequestMemory.h"
 
 #include "ForwardSessionFactory.h"
 #include "GatewayParts.h"
@@ -70,7 +71,7 @@
                     .make(m_request, arrivedAt, parts.forwardContext(m_request.id)))
     , m_stream(dynamic_cast<StreamSession *>(m_session.get()))
     , m_sender(parts.http, parts.codec, m_request, route, std::move(account))
-    , m_memory(parts.memoryBudget)
+    , m_memory(m_request.http.memory ? m_request.http.memory : parts.requestMemory.begin())
     , m_timer(parts.pool)
 {
 }
@@ -424,10 +425,7 @@
     const std::size_t bytes = m_request.http.body.size() + m_attempt.body.size()
         + m_attempt.events.pendingBytes() + m_fallback.body.size()
         + m_fallback.events.pendingBytes() + m_answer.pendingBytes();
-    const bool isAllowed = m_memory.tryResize(bytes);
-    m_parts.metrics.setGauge("gateway_held_bytes",
-                             static_cast<double>(m_parts.memoryBudget.held()));
-    if (isAllowed)
+    if (m_memory->tryResize(bytes))
         return true;
     m_reporter.reportOverBudget(what, m_attempt.serverId, bytes);
     return false;
--- a/src/gateway/RequestRelay.h
+++ b/src/gateway/RequestRelay.h
@@ -2,7 +2,6 @@
 
 #include "foxtailring/base/Result.h"
 #include "foxtailring/decisions/ForwardSession.h"
-#include "foxtailring/decisions/MemoryBudget.h"
 #include "foxtailring/decisions/RouteTable.h"
 #include "foxtailring/decisions/StreamSession.h"
 #include "foxtailring/gateway/GatewayRequest.h"
@@ -23,6 +22,7 @@
 namespace foxtailring {
 
 class Http1Responder;
+class RequestMemory;
 struct GatewayParts;
 
 /// \brief Carries out what a ForwardSession decides for one caller's request.
@@ -104,7 +104,7 @@
     const std::unique_ptr<ForwardSession> m_session;
     StreamSession *const m_stream; ///< m_session if the answer is a stream, else null
     const AttemptSender m_sender;
-    MemoryBudget::Reservation m_memory;
+    const std::shared_ptr<RequestMemory> m_memory;
     Timer m_timer;
     std::optional<Timer> m_copyTimer;
     std::uint64_t m_copyOrderCount = 0;
--- a/src/transport/Http1Connection.cpp
+++ b/src/transport/Http1Connection.cpp
@@ -1,6 +1,7 @@
 #include "Http1Connection.h"
 
 #include "foxtailring/base/AsciiCase.h"
+#include "foxtailring/transport/RequestMemory.h"
 #include "HookGuard.h"
 #include "Http1ResponderHandle.h"
 #include "Http1ServerExchange.h"
@@ -36,6 +37,11 @@
 // limits the length of chunk extensions.
 constexpr std::size_t maxExtraInputBytes = 64 * 1024;
 
+// A head is held twice, as fields of the parser and as headers. Many short fields need far more
+// memory than their text.
+constexpr std::size_t headCopies = 2;
+constexpr std::size_t fieldBytes = sizeof(http::fields::value_type) + sizeof(HttpHeader);
+
 HttpRequest takeRequest(http::request<http::string_body> message, std::vector<HttpHeader> headers)
 {
     HttpRequest request;
@@ -205,6 +211,8 @@
     m_hasBodyStarted = false;
     m_bodyTime.reset();
     m_headBytes = 0;
+    m_fieldCount = 0;
+    m_isInputFull = false;
     m_needsMore = false;
     m_responseComplete = false;
     m_arrivedBytes = m_input.size();
@@ -228,7 +236,7 @@
 void Http1Connection::read()
 {
     const std::size_t inputLimit = m_limits.maxHeaderBytes + maxExtraInputBytes;
-    if (m_isReading || m_phase == Phase::Closed || m_input.size() >= inputLimit)
+    if (m_isReading || m_phase == Phase::Closed || m_isInputFull || m_input.size() >= inputLimit)
         return;
     m_isReading = true;
     m_socket.async_read_some(net::buffer(m_readBuffer),
@@ -255,6 +263,8 @@
         parse();
     else if (m_phase == Phase::Drain)
         armDrainDeadline();
+    else if (m_phase == Phase::Response)
+        m_isInputFull = !reserveInput();
     read();
     endWaitAtStop();
 }
@@ -268,6 +278,8 @@
         parseStep(status);
     if (status && status != http::error::need_more)
         return rejectRequest(status);
+    if (!reserveInput())
+        return rejectOversized();
     if (m_parser->is_done())
         return handleRequest();
     if (m_input.size() >= m_limits.maxHeaderBytes + maxExtraInputBytes)
@@ -290,6 +302,9 @@
     const bool isInHead = !m_parser->is_header_done();
     m_parser->eager(!isInHead);
     const std::size_t size = m_parser->put(net::buffer(m_input), status);
+    if (isInHead)
+        m_fieldCount += static_cast<std::size_t>(
+            std::count(m_input.begin(), m_input.begin() + static_cast<std::ptrdiff_t>(size), '\n'));
     m_input.erase(0, size);
     m_needsMore = status == http::error::need_more;
     if (!isInHead)
@@ -302,6 +317,46 @@
         m_headers = toHeaders(m_parser->get());
 }
 
+std::size_t Http1Connection::heldBytes() const
+{
+    if (m_phase != Phase::Request || !m_parser)
+        return m_input.size();
+    return m_input.size() + headCopies * m_headBytes + fieldBytes * m_fieldCount
+        + m_parser->get().body().size();
+}
+
+bool Http1Connection::reserveInput()
+{
+    if (!m_memory && m_shared->memoryHook && heldBytes() > 0)
+        m_memory = m_shared->memoryHook();
+    return !m_memory || m_memory->tryResize(heldBytes());
+}
+
+void Http1Connection::rejectOversized()
+{
+    rejectWith(m_memory->refuse());
+}
+
+void Http1Connection::releaseInput()
+{
+    std::string().swap(m_input);
+    m_parser.reset();
+    m_headers.clear();
+    m_memory.reset();
+}
+
+// What follows the request is counted by itself.
+std::shared_ptr<RequestMemory> Http1Connection::takeMemory(std::size_t bodyBytes)
+{
+    auto memory = std::exchange(m_memory, nullptr);
+    if (memory) {
+        memory->tryResize(headCopies * m_headBytes + fieldBytes * m_fieldCount + bodyBytes);
+        memory->onArrived();
+    }
+    m_isInputFull = !reserveInput();
+    return memory;
+}
+
 // Runs after each read of a body: extends the deadline and sends 100 Continue if it is expected.
 void Http1Connection::continueRequest()
 {
@@ -372,7 +427,7 @@
 {
     m_phase = Phase::Response;
     setExpectsRequest(false);
-    m_input.clear();
+    releaseInput(); // the connection may stay open for maxDrainTime
     send(serializeResponse(std::move(response), {11, false, false}), 0);
     completeResponse(false);
 }
@@ -393,8 +448,10 @@
     m_exchange =
         std::make_shared<Http1ServerExchange>(weak_from_this(), m_socket.get_executor(), framing);
     ++m_shared->openRequestCount;
+    HttpRequest request = takeRequest(std::move(message), std::exchange(m_headers, {}));
+    request.memory = takeMemory(request.body.size());
     // If the handler throws, the destructor of the handle responds with 500.
-    runHook(m_shared->handler, takeRequest(std::move(message), std::exchange(m_headers, {})),
+    runHook(m_shared->handler, std::move(request),
             std::make_shared<Http1ResponderHandle>(m_exchange));
 }
 
@@ -485,7 +542,8 @@
     m_phase = Phase::Drain;
     setExpectsRequest(false);
     setUsable(false);
-    m_input.clear();
+    releaseInput();
+    m_isInputFull = false;
     ErrorStatus ignored;
     m_socket.shutdown(Tcp::socket::shutdown_send, ignored);
     m_drainStartedAt = std::chrono::steady_clock::now();
@@ -671,6 +729,7 @@
     if (m_phase == Phase::Closed)
         return;
     m_phase = Phase::Closed;
+    releaseInput();
     setExpectsRequest(false);
     setUsable(false);
     ErrorStatus ignored;
--- a/src/transport/Http1Connection.h
+++ b/src/transport/Http1Connection.h
@@ -20,6 +20,7 @@
 namespace foxtailring {
 
 class Http1ServerExchange;
+class RequestMemory;
 struct Http1ServerShared;
 struct HttpResponse;
 
@@ -73,6 +74,12 @@
     void parse();
     bool canParse() const;
     void parseStep(ErrorStatus &status);
+    std::size_t heldBytes() const;
+    /// \brief Counts the input that is held. False: it is more than the memory hook allows.
+    bool reserveInput();
+    void rejectOversized();
+    void releaseInput();
+    std::shared_ptr<RequestMemory> takeMemory(std::size_t bodyBytes);
     void continueRequest();
     void beginBody();
     std::optional<std::chrono::milliseconds> allowedBodyTime() const;
@@ -134,11 +141,14 @@
     std::optional<std::chrono::steady_clock::time_point> m_bodyStartedAt;
     std::optional<std::chrono::milliseconds> m_bodyTime; ///< allowed from then on
     std::atomic<bool> m_hasBodyStarted = false;          ///< m_bodyStartedAt is set
-    bool m_needsMore = false;       ///< the parser has left a part of m_input unread
-    bool m_expectsRequest = false;  ///< counted in Http1ServerShared::expectedRequestCount
-    bool m_isUsable = false;        ///< counted in Http1ServerShared::usableConnectionCount
-    std::size_t m_headBytes = 0;    ///< of the current head, as far as it has been parsed
-    std::size_t m_arrivedBytes = 0; ///< of the current request and of what follows it
+    bool m_needsMore = false;      ///< the parser has left a part of m_input unread
+    bool m_expectsRequest = false; ///< counted in Http1ServerShared::expectedRequestCount
+    bool m_isUsable = false;       ///< counted in Http1ServerShared::usableConnectionCount
+    std::size_t m_headBytes = 0;   ///< of the current head, as far as it has been parsed
+    std::size_t m_fieldCount = 0;  ///< lines of the current head, as far as it has been parsed
+    std::shared_ptr<RequestMemory> m_memory; ///< of the input; null: none is held or limited
+    bool m_isInputFull = false;              ///< no more is read until the response is complete
+    std::size_t m_arrivedBytes = 0;          ///< of the current request and of what follows it
     std::chrono::steady_clock::time_point m_firstByteAt;
     bool m_responseComplete = false;
     bool m_keepAlive = true;
--- a/src/transport/Http1Server.cpp
+++ b/src/transport/Http1Server.cpp
@@ -55,6 +55,11 @@
     m_state->shared->bodyTimeHook = std::move(hook);
 }
 
+void Http1Server::limitMemory(MemoryHook hook)
+{
+    m_state->shared->memoryHook = std::move(hook);
+}
+
 Result<std::uint16_t> Http1Server::listen()
 {
     return m_state->listener->listen();
--- a/src/transport/Http1ServerShared.h
+++ b/src/transport/Http1ServerShared.h
@@ -34,6 +34,7 @@
     const Http1Server::Handler handler;
     Http1Server::CutHook cutHook;           ///< set before the first connection is accepted
     Http1Server::BodyTimeHook bodyTimeHook; ///< set before the first connection is accepted
+    Http1Server::MemoryHook memoryHook;     ///< set before the first connection is accepted
     std::atomic<std::size_t> openRequestCount = 0;
     std::atomic<std::size_t> expectedRequestCount = 0;
     std::atomic<std::size_t> usableConnectionCount = 0;
--- a/tests/decisions/MemoryBudgetTest.cpp
+++ b/tests/decisions/MemoryBudgetTest.cpp
@@ -13,6 +13,8 @@
     CPPUNIT_TEST(endlessAnswersStayWithinTheBudget);
     CPPUNIT_TEST(smallAnswersFitBesideEndlessOnes);
     CPPUNIT_TEST(reservationsAreReleased);
+    CPPUNIT_TEST(arrivingRequestsLeaveRoomForAnswers);
+    CPPUNIT_TEST(arrivedRequestsAreNoLongerCountedAsArriving);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -45,16 +47,42 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), m_budget.held());
     }
 
+    // Guards against runs that are ended because many large requests arrive.
+    void arrivingRequestsLeaveRoomForAnswers()
+    {
+        MemoryBudget::Reservation run(m_budget);
+        CPPUNIT_ASSERT(run.tryResize(2 * mebi));
+        growToLimit(1000, true);
+        CPPUNIT_ASSERT(m_budget.held() < budgetBytes * 3 / 4);
+        CPPUNIT_ASSERT(run.tryResize(5 * mebi));
+    }
+
+    void arrivedRequestsAreNoLongerCountedAsArriving()
+    {
+        {
+            MemoryBudget::Reservation first(m_budget, true);
+            MemoryBudget::Reservation second(m_budget, true);
+            CPPUNIT_ASSERT(first.tryResize(3 * mebi) && second.tryResize(mebi));
+            CPPUNIT_ASSERT_EQUAL(4 * mebi, m_budget.arriving());
+            first.setArrived();
+            CPPUNIT_ASSERT_EQUAL(mebi, m_budget.arriving());
+            CPPUNIT_ASSERT_EQUAL(4 * mebi, m_budget.held());
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), m_budget.arriving());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), m_budget.held());
+    }
+
 private:
     static constexpr std::size_t mebi = 1024 * 1024;
     static constexpr std::size_t budgetBytes = 40 * mebi;
 
     // Grows requests in turn by 8 KiB until none may hold more.
-    void growToLimit(int requests)
+    void growToLimit(int requests, bool areArriving = false)
     {
         std::vector<std::size_t> sizes(static_cast<std::size_t>(requests), 0);
         for (int i = 0; i < requests; ++i)
-            m_reservations.push_back(std::make_unique<MemoryBudget::Reservation>(m_budget));
+            m_reservations.push_back(
+                std::make_unique<MemoryBudget::Reservation>(m_budget, areArriving));
         bool hasGrown = true;
         while (hasGrown) {
             hasGrown = false;
--- a/tools/lib/soak/gateway.py
+++ b/tools/lib/soak/gateway.py
@@ -28,6 +28,7 @@
         self.should_run = True
         self.process = None
         self.max_key_revocation_seconds = MAX_KEY_REVOCATION_SECONDS
+        self.memory_mb = 160
 
     def prepare(self):
         settings = self.cluster.folder / f"{self.name}.yaml"
@@ -38,6 +39,7 @@
             f"metrics: 127.0.0.1:0\nstore: 127.0.0.1:{self.store_port}\n"
             f"keyRevocationMs: {self.max_key_revocation_seconds * 1000}\n"
             f"listNoticeMs: {MAX_SERVER_LIST_DELAY_SECONDS * 1000}\n"
+            f"memoryMb: {self.memory_mb}\n"
             f"drainLimitSeconds: {self.cluster.drain_timeout_seconds}\n")
         self.process = Process(self.cluster.journal, self.name,
                                [BUILD / "apps/foxtailring-gateway", f"--config={settings}"],
