decisions: keep the promise of "not run" for every status

Cause: callers take 503, 429, 408, 421 and 400 for "not run, and never will be". Only an unmarked 503 of a server was replaced; 429, 408 and 400 were passed on, and an unmarked 421 counted as proof that the request had not run. Change: callerStatus decides which status the caller gets, for every answer and refusal. A promise that may be false becomes 502. An unmarked 429, 408 or 421 of a call that may be repeated is tried at another server first, as an unmarked 503 is.

--- a/include/foxtailring/decisions/ForwardSession.h
+++ b/include/foxtailring/decisions/ForwardSession.h
@@ -17,6 +17,8 @@
 
 namespace foxtailring {
 
+struct AnswerOrigin;
+
 /// \brief Decides how one caller's request is handled: where it is sent, when it is retried, and
 /// how it is answered.
 ///
@@ -162,6 +164,10 @@
     ForwardAction retryRejected(AttemptResult result, TimePoint now);
     bool tryConsumeBudget(TimePoint now);
     ForwardAction passHeldAnswer() const;
+    /// \brief What is known of the request apart from an attempt in progress.
+    AnswerOrigin origin() const;
+    /// \brief True if a server's answer with \a status, which may have run, can be passed on.
+    bool mayPass(int status) const;
 
     const HttpRoute &m_route;
     const ForwardRequest m_request;
@@ -173,7 +179,8 @@
     std::optional<BackendState> m_server;
     TimePoint m_sentAt;
     std::optional<Fallback> m_fallback;
-    /// Status of a server error that is passed on unless another attempt is sent; none: no answer.
+    /// Status of a server's answer that is passed on, if it may be, unless another attempt is sent;
+    /// none: no answer.
     std::optional<int> m_heldStatus;
     bool m_isFailureRecorded = false; ///< of the current attempt's server
     std::uint32_t m_possibleRuns = 0;
--- a/src/decisions/ForwardSession.cpp
+++ b/src/decisions/ForwardSession.cpp
@@ -2,6 +2,7 @@
 
 #include "foxtailring/base/RandomSource.h"
 #include "foxtailring/decisions/BackendTable.h"
+#include "foxtailring/decisions/CallerStatus.h"
 #include "foxtailring/decisions/PromptQuarantine.h"
 #include "foxtailring/decisions/RetryBudget.h"
 #include "foxtailring/decisions/ServerAdmission.h"
@@ -122,22 +123,23 @@
 {
     if (!m_fallback)
         return KeepWaiting {};
-    if (answer.isOtherServer)
+    if (answer.isOtherServer && answer.isNotRun)
         return onFallbackEnded(AttemptResult::OtherServer, now);
     if (answer.isNotRun)
         return onFallbackEnded(AttemptResult::NotRun, now);
     if ((answer.isSuccess() && !answer.isSigned) || hasPassedEvents())
         return onFallbackEnded(AttemptResult::Invalid, now);
-    const bool isFailure = answer.status >= 500;
+    const bool isFailure = answer.status >= 500 || answer.isOtherServer;
+    const bool isFinal = answer.status < 500 && mayPass(answer.status);
     m_context.servers.recordAnswer(m_fallback->server.info.id, isFailure && !answer.pause, now);
     releaseFallback();
-    if (!isFailure)
+    if (isFinal)
         return PassAnswer {true};
     if (m_server || isChoosingServer())
         return KeepWaiting {};
     if (m_heldStatus)
         return passHeldAnswer();
-    return answer.status == 503 ? refuse(502, "serverUnavailable") : PassAnswer {true};
+    return mayPass(answer.status) ? PassAnswer {true} : refuse(502, "serverUnavailable");
 }
 
 ForwardAction ForwardSession::onFallbackEnded(AttemptResult result, TimePoint now)
@@ -188,7 +190,7 @@
 {
     if (!m_server)
         return KeepWaiting {};
-    if (answer.isOtherServer)
+    if (answer.isOtherServer && answer.isNotRun)
         return onWrongServer(answer, now);
     if (answer.isNotRun)
         return onAttemptEnded(AttemptResult::NotRun, now);
@@ -196,16 +198,17 @@
     if (answer.isSuccess() && !answer.isSigned)
         return onAttemptEnded(AttemptResult::Invalid, now);
     onAttemptOver();
-    const bool isFailure = answer.status >= 500;
+    const bool isFailure = answer.status >= 500 || answer.isOtherServer;
     if (answer.isSuccess())
         m_context.quarantine.recordStart(m_request.sharedPromptParts, now);
     // A server that asks for a pause has not failed.
     m_context.servers.recordAnswer(m_server->info.id, isFailure && !answer.pause, now);
     releaseServer();
     countPossibleRun();
-    if (!isFailure && hasPassedEvents())
+    const bool isFinal = answer.status < 500 && mayPass(answer.status);
+    if (isFinal && hasPassedEvents())
         return waitForFallback(conclude(PassAnswer {}), now);
-    if (!isFailure)
+    if (isFinal)
         return conclude(PassAnswer {});
     m_heldStatus = answer.status;
     if (!tryTakeRetry(now))
@@ -213,14 +216,30 @@
     return makeAttempt("serverError", now);
 }
 
-// To the caller, 503 means that the request was not executed.
 ForwardAction ForwardSession::passHeldAnswer() const
 {
-    if (m_heldStatus == 503)
+    if (!mayPass(*m_heldStatus))
         return refuse(502, "serverUnavailable");
     return PassAnswer {};
 }
 
+AnswerOrigin ForwardSession::origin() const
+{
+    AnswerOrigin known;
+    known.wasSent = m_possibleRuns > 0;
+    known.isIdempotent = m_route.kind != CallKind::NonIdempotent;
+    known.hasBegun = hasPassedEvents();
+    return known;
+}
+
+bool ForwardSession::mayPass(int status) const
+{
+    AnswerOrigin whole = origin();
+    whole.wasSent = true;
+    whole.hasBegun = false;
+    return callerStatus(status, whole) == status;
+}
+
 // A server's own error tells the caller more than a refusal.
 ForwardAction ForwardSession::conclude(ForwardAction action) const
 {
@@ -409,12 +428,12 @@
     return attempt;
 }
 
-// A request that may have been executed is never refused with 503, which would deny that.
+// If the answer has begun, no status is sent: the session turns the refusal into the end of it.
 ForwardAction ForwardSession::refuse(int status, std::string_view cause,
                                      Duration minRetryAfter) const
 {
     Refuse answer;
-    answer.status = status == 503 && m_possibleRuns > 0 ? 502 : status;
+    answer.status = callerStatus(status, origin()).value_or(status);
     answer.cause = cause;
     if (answer.status == 503) {
         const auto spread = static_cast<std::uint64_t>(retryAfterSpread.count());
--- a/tests/decisions/StreamSessionTest.cpp
+++ b/tests/decisions/StreamSessionTest.cpp
@@ -952,6 +952,7 @@
         BackendAnswer other;
         other.status = 421;
         other.isOtherServer = true;
+        other.isNotRun = true;
         other.serverId = "x9";
         other.leaving = LeavingNotice::Leaving;
         session.onHead(other, now);
