transport: take an answer with an invalid status for malformed

Cause: validStatus() turned a status such as 900 or 042 of a server into 500 and kept the headers, so the caller got a 500 with the server's signature. Change: Http1ClientExchange ends an answer whose status is not within 100 to 599 as malformed, for whole and for streamed answers. A status of this process that cannot be sent becomes 500 without the headers of the other answer. Measured: invalidStatusIsAnError passes (Http1ClientTest 40 of 40); with isStatus() always true it fails (aborts: the answer is a success).

--- a/src/transport/Http1ClientExchange.cpp
+++ b/src/transport/Http1ClientExchange.cpp
@@ -235,6 +235,10 @@
         status = http::error::header_limit;
         return false;
     }
+    if (m_parser->is_header_done() && !isStatus(m_parser->get().result_int())) {
+        status = http::error::bad_status;
+        return false;
+    }
     if (m_parser->is_header_done() && !isInterim(m_parser->get().result_int()))
         deliverBody(m_bodyBuffer.size() - body.size);
     if (status == http::error::need_buffer)
--- a/src/transport/HttpWire.cpp
+++ b/src/transport/HttpWire.cpp
@@ -66,9 +66,9 @@
     }
 }
 
-unsigned validStatus(int status)
+bool isFinalStatus(int status)
 {
-    return status >= 200 && status <= 599 ? static_cast<unsigned>(status) : 500;
+    return status >= 200 && status <= 599;
 }
 
 bool hasNoBody(unsigned status)
@@ -86,9 +86,17 @@
     return headers;
 }
 
+bool isStatus(unsigned status)
+{
+    return status >= 100 && status <= 599;
+}
+
+// A status that cannot be sent is an error of this process; the headers belong to another answer.
 std::string serializeResponse(HttpResponse response, const ResponseFraming &framing)
 {
-    const unsigned status = validStatus(response.status);
+    if (!isFinalStatus(response.status))
+        response = problemResponse(500, "Internal Server Error", "the status is not valid");
+    const auto status = static_cast<unsigned>(response.status);
     http::response<http::string_body> message;
     message.version(framing.version);
     message.result(status);
@@ -106,8 +114,9 @@
 {
     http::response<http::empty_body> message;
     message.version(framing.version);
-    message.result(validStatus(status));
-    setHeaders(message, headers);
+    message.result(isFinalStatus(status) ? static_cast<unsigned>(status) : 500);
+    if (isFinalStatus(status))
+        setHeaders(message, headers);
     message.keep_alive(framing.keepAlive);
     message.chunked(framing.isChunked());
     return serialize(message, true);
--- a/src/transport/HttpWire.h
+++ b/src/transport/HttpWire.h
@@ -22,6 +22,9 @@
     bool isChunked() const { return version >= 11; }
 };
 
+/// \brief True for the status codes of HTTP, 100 to 599.
+bool isStatus(unsigned status);
+
 std::vector<HttpHeader> toHeaders(const boost::beast::http::fields &fields);
 
 std::string serializeResponse(HttpResponse response, const ResponseFraming &framing);
--- a/tests/transport/Http1ClientTest.cpp
+++ b/tests/transport/Http1ClientTest.cpp
@@ -92,6 +92,7 @@
     CPPUNIT_TEST(connectionIsNotReusedAfterHalfOfKeepAliveTimeout);
     CPPUNIT_TEST(keepAliveParameterIsReadInAnyCase);
     CPPUNIT_TEST(hugeKeepAliveTimeoutIsNoError);
+    CPPUNIT_TEST(invalidStatusIsAnError);
     CPPUNIT_TEST(endlessInterimResponsesAreAnError);
     CPPUNIT_TEST(endlessResponseToAnotherRequestIsAnError);
     CPPUNIT_TEST(headInPiecesIsLimited);
@@ -476,6 +477,22 @@
         CPPUNIT_ASSERT(events.closed().error().code == ErrorCode::Malformed);
     }
 
+    // Guards against an answer that nobody can read and that its caller gets as 500, signed.
+    void invalidStatusIsAnError()
+    {
+        for (const std::string status :
+             {"900", "999", "700", "600", "042", "099", "000", "20", "2000", "2x0", "-20"}) {
+            const std::string answer = "HTTP/1.1 " + status + " OK\r\nContent-Length: 2\r\n\r\nok";
+            RawServer server;
+            StreamEvents events;
+            openStream(server, events, {})->write(answer);
+            CPPUNIT_ASSERT_MESSAGE(status, events.closed().error().code == ErrorCode::Malformed);
+            CPPUNIT_ASSERT_EQUAL(0, events.status());
+            CPPUNIT_ASSERT_MESSAGE(status,
+                                   requestOnce(answer).error().code == ErrorCode::Malformed);
+        }
+    }
+
     // An endless response to another request must not be read forever.
     void endlessResponseToAnotherRequestIsAnError()
     {
@@ -648,6 +665,19 @@
         return peer;
     }
 
+    // Result of a request that is not streamed and gets \a answer.
+    Result<HttpResponse> requestOnce(const std::string &answer)
+    {
+        RawServer server;
+        const auto results = std::make_shared<Mailbox<Result<HttpResponse>>>();
+        m_client->request({"127.0.0.1", server.port()}, {"GET", "/", {}, ""}, longTimeout,
+                          [results](const Result<HttpResponse> &result) { results->put(result); });
+        RawPeer peer = server.accept();
+        peer.readUntil("\r\n\r\n");
+        peer.write(answer);
+        return results->take();
+    }
+
     static void assertSecondResponseDelivered(StreamEvents &events)
     {
         CPPUNIT_ASSERT(events.closed().isOk());
