transport: refuse messages whose body has no certain end

Cause: Beast ignores a transfer coding that it does not know. A request with Transfer-Encoding: gzip ran with an empty body, and the bytes of its body as the next request. Change: bodyFraming checks each head. Requests: 400 if another program could read the end of the body in another way, 501 for a coding other than chunked; nothing runs and the connection closes. Answers of servers with such a head are malformed.

--- a/src/transport/Http1ClientExchange.cpp
+++ b/src/transport/Http1ClientExchange.cpp
@@ -1,5 +1,6 @@
 #include "Http1ClientExchange.h"
 
+#include "BodyFraming.h"
 #include "HookGuard.h"
 #include "HttpWire.h"
 #include "IdleConnections.h"
@@ -235,10 +236,8 @@
         status = http::error::header_limit;
         return false;
     }
-    if (m_parser->is_header_done() && !isStatus(m_parser->get().result_int())) {
-        status = http::error::bad_status;
+    if (isInHead && m_parser->is_header_done() && !isHeadValid(status))
         return false;
-    }
     if (m_parser->is_header_done() && !isInterim(m_parser->get().result_int()))
         deliverBody(m_bodyBuffer.size() - body.size);
     if (status == http::error::need_buffer)
@@ -246,6 +245,19 @@
     return !status;
 }
 
+// Refuses what callers could not read, or could read in another way than this process.
+bool Http1ClientExchange::isHeadValid(ErrorStatus &status) const
+{
+    const auto &message = m_parser->get();
+    const bool hasStatus = isStatus(message.result_int());
+    const bool isFramed = bodyFraming(message, message.version()) == BodyFraming::Valid;
+    if (!hasStatus)
+        status = http::error::bad_status;
+    else if (!isFramed)
+        status = http::error::bad_transfer_encoding;
+    return hasStatus && isFramed;
+}
+
 void Http1ClientExchange::deliverHead()
 {
     const auto &message = m_parser->get();
--- a/src/transport/Http1ClientExchange.h
+++ b/src/transport/Http1ClientExchange.h
@@ -56,6 +56,7 @@
     void parse();
     bool canParse() const;
     bool parseStep(ErrorStatus &status);
+    bool isHeadValid(ErrorStatus &status) const;
     void deliverHead();
     bool checkHead(const HttpResponse &head);
     void deliverBody(std::size_t bodySize);
--- a/src/transport/Http1Connection.cpp
+++ b/src/transport/Http1Connection.cpp
@@ -1,5 +1,6 @@
 #include "Http1Connection.h"
 
+#include "BodyFraming.h"
 #include "foxtailring/base/AsciiCase.h"
 #include "foxtailring/transport/RequestMemory.h"
 #include "HookGuard.h"
@@ -314,7 +315,19 @@
     if (m_headBytes > m_limits.maxHeaderBytes)
         status = http::error::header_limit;
     if (m_parser->is_header_done())
-        m_headers = toHeaders(m_parser->get());
+        takeHead(status);
+}
+
+// A body whose end is in doubt is not read: its bytes could run as the next request.
+void Http1Connection::takeHead(ErrorStatus &status)
+{
+    const auto &message = m_parser->get();
+    m_headers = toHeaders(message);
+    const BodyFraming framing = bodyFraming(message, message.version());
+    if (!status && framing == BodyFraming::Malformed)
+        status = http::error::bad_transfer_encoding;
+    else if (!status && framing == BodyFraming::UnknownCoding)
+        status = net::error::operation_not_supported;
 }
 
 std::size_t Http1Connection::heldBytes() const
@@ -415,6 +428,8 @@
         return rejectRequest(431, "Request Header Fields Too Large",
                              "the head is above " + std::to_string(m_limits.maxHeaderBytes)
                                  + " bytes");
+    if (status == net::error::operation_not_supported)
+        return rejectRequest(501, "Not Implemented", "the transfer coding is not known");
     rejectRequest(400, "Bad Request", status.message());
 }
 
--- a/src/transport/Http1Connection.h
+++ b/src/transport/Http1Connection.h
@@ -74,6 +74,7 @@
     void parse();
     bool canParse() const;
     void parseStep(ErrorStatus &status);
+    void takeHead(ErrorStatus &status);
     std::size_t heldBytes() const;
     /// \brief Counts the input that is held. False: it is more than the memory hook allows.
     bool reserveInput();
--- a/tests/transport/Http1ClientTest.cpp
+++ b/tests/transport/Http1ClientTest.cpp
@@ -93,6 +93,7 @@
     CPPUNIT_TEST(keepAliveParameterIsReadInAnyCase);
     CPPUNIT_TEST(hugeKeepAliveTimeoutIsNoError);
     CPPUNIT_TEST(invalidStatusIsAnError);
+    CPPUNIT_TEST(unknownFramingIsAnError);
     CPPUNIT_TEST(endlessInterimResponsesAreAnError);
     CPPUNIT_TEST(endlessResponseToAnotherRequestIsAnError);
     CPPUNIT_TEST(headInPiecesIsLimited);
@@ -493,6 +494,26 @@
         }
     }
 
+    // Guards against a body whose coding no caller is told of, and whose end is in doubt.
+    void unknownFramingIsAnError()
+    {
+        for (const std::string fields :
+             {"Transfer-Encoding: gzip\r\n", "Transfer-Encoding: gzip, chunked\r\n",
+              "Transfer-Encoding: chunked, gzip\r\n", "Transfer-Encoding: chunked;a=1\r\n",
+              "Transfer-Encoding:\r\n", "Transfer-Encoding: gzip\r\nContent-Length: 2\r\n",
+              "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n",
+              "Content-Length: 2\r\nContent-Length: 3\r\n"}) {
+            const std::string answer = "HTTP/1.1 200 OK\r\n" + fields + "\r\nok";
+            RawServer server;
+            StreamEvents events;
+            openStream(server, events, {})->write(answer);
+            CPPUNIT_ASSERT_MESSAGE(fields, events.closed().error().code == ErrorCode::Malformed);
+            CPPUNIT_ASSERT_EQUAL(0, events.status());
+            CPPUNIT_ASSERT_MESSAGE(fields,
+                                   requestOnce(answer).error().code == ErrorCode::Malformed);
+        }
+    }
+
     // An endless response to another request must not be read forever.
     void endlessResponseToAnotherRequestIsAnError()
     {
--- a/tests/transport/Http1ServerTest.cpp
+++ b/tests/transport/Http1ServerTest.cpp
@@ -46,6 +46,9 @@
 {
     CPPUNIT_TEST_SUITE(Http1ServerTest);
     CPPUNIT_TEST(malformedRequestsAreAnswered400);
+    CPPUNIT_TEST(bodyOfAnUnknownCodingIsNoRequest);
+    CPPUNIT_TEST(ambiguousFramingIsRefused);
+    CPPUNIT_TEST(chunkedIsReadInAnyCase);
     CPPUNIT_TEST(randomBytesDoNotStopTheServer);
     CPPUNIT_TEST(oversizedRequestsAreRejected);
     CPPUNIT_TEST(headInPiecesIsLimited);
@@ -131,6 +134,56 @@
         CPPUNIT_ASSERT(m_requests.isEmpty());
     }
 
+    // Guards against a body that runs as a second request, past what is in front of this process.
+    void bodyOfAnUnknownCodingIsNoRequest()
+    {
+        for (const std::string coding : {"gzip", "GZIP", "identity", "gzip, chunked", "x",
+                                         "chunked-x", "xchunked", "deflate,gzip"})
+            assertRefused("501", "Transfer-Encoding: " + coding + "\r\n");
+        assertRefused("501", "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n");
+    }
+
+    void ambiguousFramingIsRefused()
+    {
+        for (const std::string fields :
+             {"Transfer-Encoding:\r\n",
+              "Transfer-Encoding: ,chunked\r\n",
+              "Transfer-Encoding: chunked,\r\n",
+              "Transfer-Encoding: chunked, gzip\r\n",
+              "Transfer-Encoding: chunked, chunked\r\n",
+              "Transfer-Encoding: chunked;a=1\r\n",
+              "Transfer-Encoding: \"chunked\"\r\n",
+              "Transfer-Encoding: chunked gzip\r\n",
+              "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+              "Transfer-Encoding: chunked\r\nTransfer-Encoding: gzip\r\n",
+              "Transfer-Encoding : chunked\r\n",
+              "Transfer-Encoding\t: gzip\r\n",
+              "Content-Length: 0\r\nTransfer-Encoding: gzip\r\n",
+              "Transfer-Encoding: gzip\r\nContent-Length: 0\r\n",
+              "Content-Length: 0\r\nTransfer-Encoding: chunked\r\n",
+              "Transfer-Encoding: chunked\r\nContent-Length: 0\r\n",
+              "Content-Length: 0\r\nContent-Length: 1\r\n",
+              "Content-Length: 0, 1\r\n",
+              "Content-Length : 0\r\n",
+              "Content-Length: +0\r\n",
+              "Content-Length: -1\r\n",
+              "Content-Length: 0x0\r\n",
+              "Content-Length:\r\n",
+              "Content-Length: 18446744073709551616\r\n"})
+            assertRefused("400", fields);
+        RawPeer peer(m_port);
+        peer.write("POST / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n");
+        CPPUNIT_ASSERT(peer.readAll().starts_with("HTTP/1.1 400 "));
+        CPPUNIT_ASSERT(m_requests.isEmpty());
+    }
+
+    void chunkedIsReadInAnyCase()
+    {
+        RawPeer peer(m_port);
+        peer.write("POST / HTTP/1.1\r\ntransfer-encoding: \tChunked \r\n\r\n1\r\nx\r\n0\r\n\r\n");
+        CPPUNIT_ASSERT_EQUAL(std::string("x"), m_requests.take().request.body);
+    }
+
     // Random input must not cause a parser error that is not handled.
     void randomBytesDoNotStopTheServer()
     {
@@ -813,6 +866,18 @@
         return m_pool->context().poll();
     }
 
+    // A request with \a fields, and another one in place of its body, gets one response.
+    void assertRefused(const std::string &status, const std::string &fields)
+    {
+        RawPeer peer(m_port);
+        peer.write("POST /a HTTP/1.1\r\nHost: h\r\n" + fields
+                   + "\r\nGET /b HTTP/1.1\r\nHost: h\r\n\r\n");
+        const std::string answer = peer.readAll();
+        CPPUNIT_ASSERT_MESSAGE(fields + answer, answer.starts_with("HTTP/1.1 " + status + ' '));
+        CPPUNIT_ASSERT_EQUAL(answer.find("HTTP/1.1"), answer.rfind("HTTP/1.1"));
+        CPPUNIT_ASSERT_MESSAGE(fields, m_requests.isEmpty());
+    }
+
     static void assertTimeoutResponse(RawPeer &peer)
     {
         const std::string answer = peer.readAll();
