platform: keep the signature of an answer whatever its Connection header names

Cause: callerResponseHeaders removed every header that a server's Connection header names, the signature too, so the caller got a success that it could not attribute. An answer without a signature is no success already (ForwardSession).

--- a/tests/platform/WireFormatTest.cpp
+++ b/tests/platform/WireFormatTest.cpp
@@ -21,6 +21,8 @@
     CPPUNIT_TEST(requestIdThatIsNoTextIsEncoded);
     CPPUNIT_TEST(handlesThatAreNoHeaderValueAreRefused);
     CPPUNIT_TEST(answerIsDecoded);
+    CPPUNIT_TEST(connectionHeaderOfAnAnswerKeepsItsSignature);
+    CPPUNIT_TEST(everyConnectionHeaderCounts);
     CPPUNIT_TEST(loadThatNoServerHasIsBounded);
     CPPUNIT_TEST(rateLimitIsDecoded);
     CPPUNIT_TEST(leavingIsDecoded);
@@ -200,6 +202,35 @@
         CPPUNIT_ASSERT(!odd.load);
     }
 
+    // Guards against a success whose caller cannot see which server answered, and for whom.
+    void connectionHeaderOfAnAnswerKeepsItsSignature()
+    {
+        const HttpResponse response {
+            200,
+            {{"Connection", "close, server-stamp, Instance-Id, Request-Id, Content-Type, X-Own"},
+             {"Server-Stamp", "s"},
+             {"Instance-Id", "i"},
+             {"Request-Id", "r"},
+             {"Content-Type", "text/event-stream"},
+             {"X-Own", "1"}},
+            ""};
+        const HttpResponse passed {200, m_codec.callerResponseHeaders(response), ""};
+        CPPUNIT_ASSERT(m_codec.decodeAnswer(passed).isSigned);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(4), passed.headers.size());
+        CPPUNIT_ASSERT(passed.header("X-Own").empty());
+    }
+
+    void everyConnectionHeaderCounts()
+    {
+        const HttpResponse response {200,
+                                     {{"Connection", "X-First"},
+                                      {"Connection", "X-Second"},
+                                      {"X-First", "1"},
+                                      {"X-Second", "1"}},
+                                     ""};
+        CPPUNIT_ASSERT(m_codec.callerResponseHeaders(response).empty());
+    }
+
     // Guards against a server that looks idle since its running and waiting requests overflow when
     // they are added.
     void loadThatNoServerHasIsBounded()
