--- a/src/gateway/GatewayParts.cpp
+++ b/src/gateway/GatewayParts.cpp
@@ -58,6 +58,8 @@
     : settings(std::move(gatewaySettings))
     , codec(std::move(backendCodec))
     , clock(bootClock())
+    , memoryBudget(settings.memoryMb * 1024 * 1024 / memoryBudgetDivisor)
+    , requestMemory(memoryBudget, metrics, clock)
     , pool(settings.threads)
     , storePool(storeThreads)
     , http(pool)
@@ -78,7 +80,6 @@
     , admission(servers, rateLimits, pauses)
     , epochAge(restoredRewriteTime)
     , keyFreshness(settings.maxKeyRevocationDelay, keyFreshnessMargin)
-    , memoryBudget(settings.memoryMb * 1024 * 1024 / memoryBudgetDivisor)
 {
     updateFleetSize();
     updateUnixOffset();
--- a/tests/transport/Http1ClientTest.cpp
+++ b/tests/transport/Http1ClientTest.cpp
@@ -92,6 +92,8 @@
     CPPUNIT_TEST(connectionIsNotReusedAfterHalfOfKeepAliveTimeout);
     CPPUNIT_TEST(keepAliveParameterIsReadInAnyCase);
     CPPUNIT_TEST(hugeKeepAliveTimeoutIsNoError);
+    CPPUNIT_TEST(invalidStatusIsAnError);
+    CPPUNIT_TEST(unknownFramingIsAnError);
     CPPUNIT_TEST(endlessInterimResponsesAreAnError);
     CPPUNIT_TEST(endlessResponseToAnotherRequestIsAnError);
     CPPUNIT_TEST(headInPiecesIsLimited);
@@ -476,6 +478,42 @@
         CPPUNIT_ASSERT(events.closed().error().code == ErrorCode::Malformed);
     }
 
+    // Guards against an answer that nobody can read and that its caller gets as 500, signed.
+    void invalidStatusIsAnError()
+    {
+        for (const std::string status :
+             {"900", "999", "700", "600", "042", "099", "000", "20", "2000", "2x0", "-20"}) {
+            const std::string answer = "HTTP/1.1 " + status + " OK\r\nContent-Length: 2\r\n\r\nok";
+            RawServer server;
+            StreamEvents events;
+            openStream(server, events, {})->write(answer);
+            CPPUNIT_ASSERT_MESSAGE(status, events.closed().error().code == ErrorCode::Malformed);
+            CPPUNIT_ASSERT_EQUAL(0, events.status());
+            CPPUNIT_ASSERT_MESSAGE(status,
+                                   requestOnce(answer).error().code == ErrorCode::Malformed);
+        }
+    }
+
+    // Guards against a body whose coding no caller is told of, and whose end is in doubt.
+    void unknownFramingIsAnError()
+    {
+        for (const std::string fields :
+             {"Transfer-Encoding: gzip\r\n", "Transfer-Encoding: gzip, chunked\r\n",
+              "Transfer-Encoding: chunked, gzip\r\n", "Transfer-Encoding: chunked;a=1\r\n",
+              "Transfer-Encoding:\r\n", "Transfer-Encoding: gzip\r\nContent-Length: 2\r\n",
+              "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n",
+              "Content-Length: 2\r\nContent-Length: 3\r\n"}) {
+            const std::string answer = "HTTP/1.1 200 OK\r\n" + fields + "\r\nok";
+            RawServer server;
+            StreamEvents events;
+            openStream(server, events, {})->write(answer);
+            CPPUNIT_ASSERT_MESSAGE(fields, events.closed().error().code == ErrorCode::Malformed);
+            CPPUNIT_ASSERT_EQUAL(0, events.status());
+            CPPUNIT_ASSERT_MESSAGE(fields,
+                                   requestOnce(answer).error().code == ErrorCode::Malformed);
+        }
+    }
+
     // An endless response to another request must not be read forever.
     void endlessResponseToAnotherRequestIsAnError()
     {
@@ -648,6 +686,19 @@
         return peer;
     }
 
+    // Result of a request that is not streamed and gets \a answer.
+    Result<HttpResponse> requestOnce(const std::string &answer)
+    {
+        RawServer server;
+        const auto results = std::make_shared<Mailbox<Result<HttpResponse>>>();
+        m_client->request({"127.0.0.1", server.port()}, {"GET", "/", {}, ""}, longTimeout,
+                          [results](const Result<HttpResponse> &result) { results->put(result); });
+        RawPeer peer = server.accept();
+        peer.readUntil("\r\n\r\n");
+        peer.write(answer);
+        return results->take();
+    }
+
     static void assertSecondResponseDelivered(StreamEvents &events)
     {
         CPPUNIT_ASSERT(events.closed().isOk());
