quarantine: count a silent server as crashed only with proof

Cause: StreamSession::onProbed recorded a crash as soon as a probe got no answer, after about 0.44 s of silence. A sound server may be silent for 1.3 s, so two pauses quarantined a prompt part though nothing had crashed. Change: SuspectedCrashes holds servers that fell silent before their answer began. A crash counts, dated by the last sign of life, once the connection ends, a later start is known, the entry is removed while the list can be read, or a second probe gets no answer 1.5 s after the first one. A report of the same start, or bytes of the attempt, end the suspicion and withdraw the failure. CrashProber asks each suspected server once from the periodic work of the gateway; 64 servers at most. The log names the evidence.

--- a/include/foxtailring/decisions/EngineFailures.h
+++ b/include/foxtailring/decisions/EngineFailures.h
@@ -20,9 +20,11 @@
 
     /// \brief An engine failed. One that failed less than the shortest interval before is not
     /// counted again.
-    void record(const std::string &incarnation, TimePoint now);
-    /// \brief Number of failures within the shortest interval before \a now.
-    std::size_t recentCount(TimePoint now) const;
+    void record(const std::string &incarnation, TimePoint at, TimePoint now);
+    /// \brief The engine has not failed after all.
+    void withdraw(const std::string &incarnation);
+    /// \brief Number of failures closer to \a at than the shortest interval.
+    std::size_t countAt(TimePoint at) const;
     /// \brief Number of failures that may have happened at the moment \a at, of engines for which
     /// \a isCounted is true.
     std::size_t count(TimeBounds at,
@@ -40,7 +42,7 @@
 
     const Duration m_minInterval;
     const Duration m_lifetime;
-    std::deque<Failure> m_failures; ///< by time
+    std::deque<Failure> m_failures; ///< in the order in which they were recorded
 };
 
 } // namespace foxtailring
--- a/include/foxtailring/decisions/ForwardContext.h
+++ b/include/foxtailring/decisions/ForwardContext.h
@@ -15,6 +15,7 @@
 class RandomSource;
 class RetryBudget;
 class ServerAdmission;
+class SuspectedCrashes;
 struct CopyReference;
 struct RateLimitExplanation;
 
@@ -26,6 +27,7 @@
     RetryBudget &retryBudget;
     ServerAdmission &admission;
     PromptQuarantine &quarantine;
+    SuspectedCrashes &suspectedCrashes;
     EngineLatencyEstimator &latency;
     RandomSource &random;
     /// Tells the server to release a snapshot that is no longer needed; may be empty.
--- a/include/foxtailring/decisions/ForwardSession.h
+++ b/include/foxtailring/decisions/ForwardSession.h
@@ -75,12 +75,17 @@
     std::chrono::milliseconds timeLeft(TimePoint now) const;
     bool isPastDeadline(TimePoint now) const { return now >= m_deadline; }
 
-    /// \brief The server of the current attempt failed. Its prompt is suspected unless a server has
-    /// begun to answer the request.
-    void recordCrash(TimePoint now);
+    /// \brief The server of the current attempt does not answer a probe. It may have crashed,
+    /// unless a server has begun to answer the request.
+    void suspectCrash(TimePoint now);
+    /// \brief The server of the current attempt sent something, so it has not failed.
+    void recordSignOfLife();
+    /// \brief The same for the server of the fallback.
+    void recordFallbackSignOfLife();
     /// \brief The server of the current attempt failed, or looks as if it had. The quarantine
     /// counts one failure of an attempt.
-    void recordServerFailure(TimePoint now);
+    /// \param at when it failed, as far as is known
+    void recordServerFailure(TimePoint at, TimePoint now);
     /// \brief A quarantined part of the prompt; empty: none, or proven harmless in this request.
     std::string_view quarantinedPart(TimePoint now) const;
     /// \brief Refusal if a part of the prompt is quarantined; none: the request may be sent.
@@ -149,12 +154,16 @@
     virtual void onRejected() { }
     /// \brief True if a part of the answer was passed on, so that a whole answer is of no use.
     virtual bool hasPassedEvents() const { return false; }
+    /// \brief When the server of the current attempt last showed that it works, if that is known.
+    virtual TimePoint lastSignAt(TimePoint now) const { return now; }
     /// \brief Called at overdueAt() while an attempt is in progress.
     virtual ForwardAction onOverdue(TimePoint now) = 0;
     /// \brief The next time limit of the current attempt.
     virtual TimePoint overdueAt() const = 0;
 
     void chooseService();
+    bool mayBlamePrompt() const { return !hasOutlivedStart() && !isProvenHarmless(); }
+    void recordReset(TimePoint now);
     void recordHead(const BackendInfo &server, TimePoint sentAt, const BackendAnswer &answer,
                     TimePoint now);
     void recordNotice(const BackendInfo &server, const BackendAnswer &answer);
@@ -176,6 +185,7 @@
     /// Status of a server error that is passed on unless another attempt is sent; none: no answer.
     std::optional<int> m_heldStatus;
     bool m_isFailureRecorded = false; ///< of the current attempt's server
+    bool m_isCrashSuspected = false;  ///< of the current attempt's server, because of its silence
     std::uint32_t m_possibleRuns = 0;
     std::uint32_t m_rejections = 0;
     std::uint32_t m_addressFailures = 0;
--- a/include/foxtailring/decisions/PromptQuarantine.h
+++ b/include/foxtailring/decisions/PromptQuarantine.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "foxtailring/base/Clock.h"
+#include "foxtailring/decisions/CrashEvidence.h"
 #include "foxtailring/decisions/EngineFailures.h"
 #include "foxtailring/decisions/PromptCrashReport.h"
 #include "foxtailring/decisions/RecentStarts.h"
@@ -50,7 +51,9 @@
     /// \brief Called when a quarantine begins or ends. All are optional.
     struct Hooks
     {
-        std::function<void(const std::string &part, std::size_t crashes, Duration time)>
+        /// \a evidence names what showed the crashes; empty: another process has seen them.
+        std::function<void(const std::string &part, std::size_t crashes, std::string_view evidence,
+                           Duration time)>
             onQuarantined;
         std::function<void(const std::string &part, std::string_view cause)> onReleased;
         /// How long a report waits that only clears a part which other processes suspect: one of
@@ -70,12 +73,29 @@
     void setUnixOffset(std::chrono::milliseconds offset);
 
     /// \brief An engine failed, whatever it was doing.
+    void recordFailure(const std::string &incarnation, TimePoint at, TimePoint now)
+    {
+        m_failures.record(incarnation, at, now);
+    }
     void recordFailure(const std::string &incarnation, TimePoint now)
     {
-        m_failures.record(incarnation, now);
+        recordFailure(incarnation, now, now);
+    }
+    /// \brief The engine looked as if it had failed, but it is sound.
+    void withdrawFailure(const std::string &incarnation) { m_failures.withdraw(incarnation); }
+
+    /// When an engine crashed, and what shows it.
+    struct ProvenCrash
+    {
+        TimePoint at;
+        CrashEvidence evidence = CrashEvidence::Reset;
+    };
+    /// \brief The engine crashed before it had begun to answer a request with these parts.
+    void recordCrash(const std::string &incarnation, Parts parts, ProvenCrash crash, TimePoint now);
+    void recordCrash(const std::string &incarnation, Parts parts, TimePoint now)
+    {
+        recordCrash(incarnation, parts, {now, CrashEvidence::Reset}, now);
     }
-    /// \brief The engine failed before it had begun to answer a request with these parts.
-    void recordCrash(const std::string &incarnation, Parts parts, TimePoint now);
     /// \brief The engine has begun to answer a request with these parts, and went on.
     void recordStart(Parts parts, TimePoint now);
     enum class Admission : std::uint8_t {
@@ -110,6 +130,7 @@
         TimeBounds at;
         std::size_t position = 0; ///< of the part among the parts of its request
         bool isOwn = false;       ///< seen by this process
+        CrashEvidence evidence = CrashEvidence::Reported;
     };
     using Crashes = std::map<std::string, Crash, std::less<>>; ///< by incarnation
 
@@ -133,9 +154,10 @@
         std::multimap<std::size_t, std::string> parts; ///< by position
     };
 
-    void addCrash(const std::string &incarnation, Parts parts, TimeBounds at, bool isOwn,
-                  TimePoint now);
-    static void addSighting(Crash &crash, TimeBounds at, bool isOwn);
+    void addCrash(const std::string &incarnation, Parts parts, TimeBounds at,
+                  CrashEvidence evidence, TimePoint now);
+    static void addSighting(Crash &crash, TimeBounds at, CrashEvidence evidence);
+    static std::string evidenceText(const Record &record);
     Record *recordFor(const std::string &part);
     void addStart(const std::string &part, Record &record, TimePoint at, bool isOwn);
     void adoptQuarantine(const PromptCrashReport::Quarantine &reported, const ReporterClock &clock,
--- a/include/foxtailring/decisions/StreamSession.h
+++ b/include/foxtailring/decisions/StreamSession.h
@@ -33,7 +33,7 @@
     /// \brief An event arrived. After Gap, the attempt must be ended as lost.
     EventVerdict onEvent(std::int64_t id, TimePoint now);
     /// \brief Bytes of an event arrived that is not complete yet.
-    void onPartialEvent(TimePoint now) { m_progress.recordPartialEvent(now); }
+    void onPartialEvent(TimePoint now);
     /// \brief The fallback sent an event. True if it follows the events passed on: the fallback is
     /// the current attempt again, the other one must be ended, and the event goes to onEvent().
     bool onFallbackEvent(std::int64_t id, TimePoint now);
@@ -71,6 +71,7 @@
     ForwardAction conclude(ForwardAction action) const override;
     void onAttemptOver() override;
     bool hasOutlivedStart() const override;
+    TimePoint lastSignAt(TimePoint) const override { return m_progress.lastContactAt(); }
     bool isProvenHarmless() const override { return m_isHarmless; }
     bool acceptsSuccessor() const override { return m_capabilities.isSingleService; }
     ForwardAction onOverdue(TimePoint now) override;
--- /dev/null
+++ b/include/foxtailring/decisions/SuspectedCrashes.h
@@ -0,0 +1,109 @@
+#pragma once
+
+#include "foxtailring/base/Clock.h"
+#include "foxtailring/decisions/BackendInfo.h"
+#include "foxtailring/decisions/BackendState.h"
+#include "foxtailring/decisions/CrashEvidence.h"
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <span>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace foxtailring {
+
+class BackendTable;
+class PromptQuarantine;
+
+/// \brief Servers that fell silent before they had begun to answer a request, until it is known
+/// whether they crashed.
+///
+/// A sound server may be silent for a second or so. So silence accuses no prompt by itself: it is
+/// recorded as a crash only with proof, and forgotten when the same start of the server sends
+/// anything. Not thread-safe; used on one queue.
+class SuspectedCrashes
+{
+public:
+    using Parts = std::span<const std::string>; ///< of a request, in the order of its prompt
+
+    /// A server that leaves a probe unanswered, sends nothing for this long and leaves another one
+    /// unanswered has crashed. It is silent for about 2 s then; sound ones for 1.3 s at most.
+    static constexpr std::chrono::milliseconds maxSoundSilence {1500};
+    static constexpr std::size_t maxServers = 64; ///< under suspicion
+
+    /// \brief All are optional.
+    struct Hooks
+    {
+        /// A crash was recorded; once for each start of a server.
+        std::function<void(const BackendInfo &, CrashEvidence)> onCrash;
+        /// A suspected server has not crashed. \a sign is what it sent.
+        std::function<void(const BackendInfo &, std::string_view sign)> onCleared;
+    };
+
+    /// \param quarantine gets the proven crashes; must outlive the object
+    explicit SuspectedCrashes(PromptQuarantine &quarantine);
+
+    void setHooks(Hooks hooks) { m_hooks = std::move(hooks); }
+
+    /// \brief Names one start of a server.
+    static std::string incarnationOf(const BackendInfo &server);
+
+    /// \brief The server does not answer a probe of an attempt whose answer has not begun.
+    /// \param silentSince last sign of life of the server
+    void suspect(const BackendInfo &server, Parts parts, TimePoint silentSince, TimePoint now);
+    /// \brief The connection of an attempt ended before its answer began, which proves a crash.
+    /// \param isKnownFailure the failure was recorded before without a suspicion; the crash then
+    /// accuses no prompt
+    void recordReset(const BackendInfo &server, Parts parts, bool isKnownFailure, TimePoint now);
+    /// \brief The server, in the start that \a server names, sent bytes of an answer.
+    void recordBytes(const BackendInfo &server);
+    /// \brief A report of the server arrived.
+    /// \param startedAtMs start time in the report; 0: not given
+    void recordReport(std::string_view serverId, std::int64_t startedAtMs, TimePoint now);
+    /// \brief Applies what the server list shows. To be called regularly.
+    void update(const BackendTable &servers, TimePoint now);
+    /// \brief Servers that must be probed now, since nobody else asks them: one probe for each
+    /// suspicion. recordProbed() must follow for each of them.
+    std::vector<BackendState> takeDueProbes(const BackendTable &servers, TimePoint now);
+    /// \brief A probe from takeDueProbes() is over. If there was an answer, recordReport() must be
+    /// called before.
+    void recordProbed(const BackendInfo &server, TimePoint now);
+    /// \brief The probe was not sent. takeDueProbes() returns it again.
+    void recordNotProbed(const BackendInfo &server);
+
+    /// \brief True if the crash of this start of a server was proven lately.
+    bool hasCrashed(const BackendInfo &server) const;
+    /// \brief Number of servers under suspicion.
+    std::size_t size() const { return m_suspicions.size(); }
+
+private:
+    struct Suspicion
+    {
+        BackendInfo server;
+        TimePoint silentSince;                         ///< latest sign of life
+        TimePoint suspectedAt;                         ///< first probe without an answer
+        std::vector<std::vector<std::string>> prompts; ///< of the attempts that were in progress
+        bool isProbed = false;
+    };
+    using Suspicions = std::map<std::string, Suspicion, std::less<>>; ///< by incarnation
+
+    Suspicions::iterator confirm(Suspicions::iterator suspicion, CrashEvidence evidence,
+                                 TimePoint now);
+    Suspicions::iterator clear(Suspicions::iterator suspicion, std::string_view sign);
+    /// True if the crash was not known.
+    bool recordCrashed(const std::string &incarnation, TimePoint now);
+    void reportCrash(const BackendInfo &server, CrashEvidence evidence) const;
+
+    PromptQuarantine &m_quarantine;
+    Hooks m_hooks;
+    Suspicions m_suspicions;
+    std::map<std::string, TimePoint, std::less<>> m_crashed; ///< when it was proven, by incarnation
+};
+
+} // namespace foxtailring
--- a/src/decisions/EngineFailures.cpp
+++ b/src/decisions/EngineFailures.cpp
@@ -16,22 +16,28 @@
 {
 }
 
-void EngineFailures::record(const std::string &incarnation, TimePoint now)
+void EngineFailures::record(const std::string &incarnation, TimePoint at, TimePoint now)
 {
     const auto isSame = [&](const Failure &failure) {
-        return failure.incarnation == incarnation && now - failure.at < m_minInterval;
+        return failure.incarnation == incarnation
+            && std::chrono::abs(at - failure.at) < m_minInterval;
     };
     if (std::any_of(m_failures.begin(), m_failures.end(), isSame))
         return;
-    m_failures.push_back({incarnation, now});
+    m_failures.push_back({incarnation, at});
     while (m_failures.size() > maxFailures || now - m_failures.front().at >= m_lifetime)
         m_failures.pop_front();
 }
 
-std::size_t EngineFailures::recentCount(TimePoint now) const
+void EngineFailures::withdraw(const std::string &incarnation)
 {
-    const auto isRecent = [&](const Failure &failure) { return now - failure.at < m_minInterval; };
-    return static_cast<std::size_t>(std::count_if(m_failures.begin(), m_failures.end(), isRecent));
+    std::erase_if(m_failures,
+                  [&](const Failure &failure) { return failure.incarnation == incarnation; });
+}
+
+std::size_t EngineFailures::countAt(TimePoint at) const
+{
+    return count({at, at}, [](const std::string &) { return true; });
 }
 
 std::size_t
--- a/src/decisions/ForwardSession.cpp
+++ b/src/decisions/ForwardSession.cpp
@@ -5,6 +5,7 @@
 #include "foxtailring/decisions/PromptQuarantine.h"
 #include "foxtailring/decisions/RetryBudget.h"
 #include "foxtailring/decisions/ServerAdmission.h"
+#include "foxtailring/decisions/SuspectedCrashes.h"
 
 #include <algorithm>
 #include <utility>
@@ -33,12 +34,6 @@
     return request.arrivedAt + std::min(limit, request.callerTimeout.value_or(limit));
 }
 
-// Names one start of a server.
-std::string incarnationOf(const BackendInfo &info)
-{
-    return info.id + '@' + std::to_string(info.startedAtMs);
-}
-
 } // namespace
 
 ForwardSession::ForwardSession(const HttpRoute &route, const ForwardRequest &request,
@@ -88,8 +83,11 @@
 
 void ForwardSession::onHead(const BackendAnswer &answer, TimePoint now)
 {
-    if (m_server)
-        recordHead(m_server->info, m_sentAt, answer, now);
+    if (!m_server)
+        return;
+    if (!answer.isOtherServer)
+        recordSignOfLife();
+    recordHead(m_server->info, m_sentAt, answer, now);
 }
 
 void ForwardSession::recordHead(const BackendInfo &server, TimePoint sentAt,
@@ -114,8 +112,11 @@
 
 void ForwardSession::onFallbackHead(const BackendAnswer &answer, TimePoint now)
 {
-    if (m_fallback)
-        recordHead(m_fallback->server.info, m_fallback->sentAt, answer, now);
+    if (!m_fallback)
+        return;
+    if (!answer.isOtherServer)
+        recordFallbackSignOfLife();
+    recordHead(m_fallback->server.info, m_fallback->sentAt, answer, now);
 }
 
 ForwardAction ForwardSession::onFallbackAnswer(const BackendAnswer &answer, TimePoint now)
@@ -151,6 +152,9 @@
         m_context.servers.recordContact(id, now);
     else
         m_context.servers.recordFailure(id, now);
+    if (result == AttemptResult::Lost && !isProvenHarmless())
+        m_context.suspectedCrashes.recordReset(m_fallback->server.info, m_request.sharedPromptParts,
+                                               true, now);
     releaseFallback();
     // It was counted when it became the fallback.
     if (!mayHaveRun(result))
@@ -182,6 +186,7 @@
     m_heldStatus.reset();
     // It was replaced because its server looked as if it had failed.
     m_isFailureRecorded = true;
+    m_isCrashSuspected = false;
 }
 
 ForwardAction ForwardSession::onAnswer(const BackendAnswer &answer, TimePoint now)
@@ -240,20 +245,50 @@
     return retryRejected(AttemptResult::OtherServer, now);
 }
 
-void ForwardSession::recordCrash(TimePoint now)
+// If the failure was recorded before, as that of a server in a zone that fails, the prompt is not
+// suspected.
+void ForwardSession::suspectCrash(TimePoint now)
+{
+    if (!mayBlamePrompt())
+        return;
+    m_isCrashSuspected = m_isCrashSuspected || !m_isFailureRecorded;
+    if (!m_isCrashSuspected)
+        return;
+    m_context.suspectedCrashes.suspect(m_server->info, m_request.sharedPromptParts, lastSignAt(now),
+                                       now);
+}
+
+void ForwardSession::recordReset(TimePoint now)
+{
+    if (mayBlamePrompt())
+        m_context.suspectedCrashes.recordReset(m_server->info, m_request.sharedPromptParts,
+                                               m_isFailureRecorded, now);
+}
+
+void ForwardSession::recordSignOfLife()
 {
-    if (!m_isFailureRecorded && !hasOutlivedStart() && !isProvenHarmless())
-        m_context.quarantine.recordCrash(incarnationOf(m_server->info), m_request.sharedPromptParts,
-                                         now);
+    if (!m_server)
+        return;
+    m_isCrashSuspected = false;
+    if (std::exchange(m_isFailureRecorded, false))
+        m_context.quarantine.withdrawFailure(SuspectedCrashes::incarnationOf(m_server->info));
+    m_context.suspectedCrashes.recordBytes(m_server->info);
+}
+
+void ForwardSession::recordFallbackSignOfLife()
+{
+    if (m_fallback)
+        m_context.suspectedCrashes.recordBytes(m_fallback->server.info);
 }
 
 // The quarantine compares the times of failures, so an attempt that is kept after its server failed
 // must not report the same failure again later.
-void ForwardSession::recordServerFailure(TimePoint now)
+void ForwardSession::recordServerFailure(TimePoint at, TimePoint now)
 {
     m_context.servers.recordFailure(m_server->info.id, now);
     if (!std::exchange(m_isFailureRecorded, true))
-        m_context.quarantine.recordFailure(incarnationOf(m_server->info), now);
+        m_context.quarantine.recordFailure(SuspectedCrashes::incarnationOf(m_server->info), at,
+                                           now);
 }
 
 std::string_view ForwardSession::quarantinedPart(TimePoint now) const
@@ -282,7 +317,7 @@
         return KeepWaiting {};
     onAttemptOver();
     if (result == AttemptResult::Lost)
-        recordCrash(now);
+        recordReset(now);
     const std::string id = m_server->info.id;
     if (result == AttemptResult::OtherServer)
         m_context.servers.recordReplacement(id, {}, now);
@@ -291,7 +326,7 @@
     else if (result == AttemptResult::Invalid || result == AttemptResult::NotSent)
         m_context.servers.recordFailure(id, now);
     else
-        recordServerFailure(now);
+        recordServerFailure(result == AttemptResult::Silent ? lastSignAt(now) : now, now);
     releaseServer();
     if (!mayHaveRun(result))
         return retryRejected(result, now);
@@ -319,6 +354,7 @@
 ForwardAction ForwardSession::onProbed(std::span<const ServerProbeResult> reports, TimePoint now)
 {
     for (const ServerProbeResult &report : reports) {
+        m_context.suspectedCrashes.recordReport(report.serverId, report.startedAtMs, now);
         if (m_context.servers.detectRestart(report.serverId, report.startedAtMs))
             continue;
         m_context.servers.recordContact(report.serverId, now);
@@ -401,6 +437,7 @@
     releaseServer();
     m_heldStatus.reset();
     m_isFailureRecorded = false;
+    m_isCrashSuspected = false;
     m_server = attempt.server;
     m_context.servers.startWork(m_server->info.id);
     m_triedIds.push_back(m_server->info.id);
--- a/src/decisions/PromptQuarantine.cpp
+++ b/src/decisions/PromptQuarantine.cpp
@@ -1,6 +1,7 @@
 #include "foxtailring/decisions/PromptQuarantine.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace foxtailring {
@@ -52,19 +53,21 @@
         m_reportOffset = offset;
 }
 
-void PromptQuarantine::recordCrash(const std::string &incarnation, Parts parts, TimePoint now)
+void PromptQuarantine::recordCrash(const std::string &incarnation, Parts parts, ProvenCrash crash,
+                                   TimePoint now)
 {
     if (parts.empty())
         return;
-    m_failures.record(incarnation, now);
-    addCrash(incarnation, parts, {now, now}, true, now);
-    const bool isMassFailure = m_failures.recentCount(now) >= massFailureEngines;
+    m_failures.record(incarnation, crash.at, now);
+    addCrash(incarnation, parts, {crash.at, crash.at}, crash.evidence, now);
+    const bool isMassFailure = m_failures.countAt(crash.at) >= massFailureEngines;
     m_reportAt = isMassFailure ? now + massFailureReportDelay : std::min(m_reportAt, now);
 }
 
 void PromptQuarantine::addCrash(const std::string &incarnation, Parts parts, TimeBounds at,
-                                bool isOwn, TimePoint now)
+                                CrashEvidence evidence, TimePoint now)
 {
+    const bool isOwn = evidence != CrashEvidence::Reported;
     if (now - at.latest >= m_settings.evidenceLifetime)
         return;
     for (std::size_t position = 0; position < parts.size(); ++position) {
@@ -88,8 +91,9 @@
         if (found == record->crashes.end() && record->crashes.size() >= maxCrashesPerPart)
             continue;
         Crash &crash =
-            record->crashes.try_emplace(incarnation, Crash {at, position, isOwn}).first->second;
-        addSighting(crash, at, isOwn);
+            record->crashes.try_emplace(incarnation, Crash {at, position, isOwn, evidence})
+                .first->second;
+        addSighting(crash, at, evidence);
         crash.position = std::max(crash.position, position);
     }
     // Only now are all parts known that may explain each other.
@@ -102,8 +106,9 @@
 
 // Several processes see the end of one engine, some of them late: the first sighting counts. What
 // this process saw itself is exact, and reports do not blur it.
-void PromptQuarantine::addSighting(Crash &crash, TimeBounds at, bool isOwn)
+void PromptQuarantine::addSighting(Crash &crash, TimeBounds at, CrashEvidence evidence)
 {
+    const bool isOwn = evidence != CrashEvidence::Reported;
     const bool isSurelyEarlier = at.latest < crash.at.earliest;
     const bool isSurelyLater = at.earliest > crash.at.latest;
     const bool isMoreExact = isOwn && !crash.isOwn && !isSurelyLater;
@@ -111,7 +116,19 @@
         crash.at = at;
     else if (!crash.isOwn && !isOwn)
         crash.at = {std::min(crash.at.earliest, at.earliest), std::min(crash.at.latest, at.latest)};
-    crash.isOwn = crash.isOwn || isOwn;
+    if (isOwn && !std::exchange(crash.isOwn, true))
+        crash.evidence = evidence;
+}
+
+std::string PromptQuarantine::evidenceText(const Record &record)
+{
+    std::set<std::string_view> names;
+    for (const auto &[incarnation, crash] : record.crashes)
+        names.insert(crashEvidenceName(crash.evidence));
+    std::string text;
+    for (const std::string_view name : names)
+        text.append(text.empty() ? "" : " ").append(name);
+    return text;
 }
 
 // When the table is full, the part with the fewest and oldest crashes makes room, unless it is
@@ -233,8 +250,8 @@
 {
     const ReporterClock clock = m_reporterClocks.read(report, reception, m_unixOffset, now);
     for (const auto &crash : report.crashes)
-        addCrash(crash.incarnation, crash.parts, notAfter(clock.boundsOf(crash.atMs), now), false,
-                 now);
+        addCrash(crash.incarnation, crash.parts, notAfter(clock.boundsOf(crash.atMs), now),
+                 CrashEvidence::Reported, now);
     for (const auto &start : report.starts) {
         const auto found = m_records.find(start.part);
         if (found != m_records.end())
@@ -274,7 +291,7 @@
     record->quarantinedUntil = now + time;
     record->quarantineCount = std::max(record->quarantineCount, 1U);
     if (isNew && m_hooks.onQuarantined)
-        m_hooks.onQuarantined(reported.part, crashCount(*record), time);
+        m_hooks.onQuarantined(reported.part, crashCount(*record), evidenceText(*record), time);
 }
 
 // A start may clear the part that explained others.
@@ -361,7 +378,7 @@
     record.quarantinedUntil = now + time;
     record.trialUntil = {};
     if (m_hooks.onQuarantined)
-        m_hooks.onQuarantined(part, crashCount(record), time);
+        m_hooks.onQuarantined(part, crashCount(record), evidenceText(record), time);
     const bool isOwn = std::any_of(record.crashes.begin(), record.crashes.end(),
                                    [](const auto &crash) { return crash.second.isOwn; });
     if (isOwn)
--- a/src/decisions/StreamSession.cpp
+++ b/src/decisions/StreamSession.cpp
@@ -5,6 +5,7 @@
 #include "foxtailring/decisions/EngineLatencyEstimator.h"
 #include "foxtailring/decisions/PromptQuarantine.h"
 #include "foxtailring/decisions/RetryBudget.h"
+#include "foxtailring/decisions/SuspectedCrashes.h"
 
 #include <algorithm>
 #include <utility>
@@ -66,6 +67,7 @@
         context().latency.recordFirstEvent(service(), request().promptTokens, now - sentAt());
     if (hasServer())
         context().servers.recordContact(server().info.id, now);
+    recordSignOfLife();
     m_progress.recordEvent(now);
     if (m_progress.eventCount() == outlivedEvents)
         context().quarantine.recordStart(request().sharedPromptParts, now);
@@ -81,8 +83,15 @@
     return EventVerdict::Next;
 }
 
+void StreamSession::onPartialEvent(TimePoint now)
+{
+    recordSignOfLife();
+    m_progress.recordPartialEvent(now);
+}
+
 bool StreamSession::onFallbackEvent(std::int64_t id, TimePoint now)
 {
+    recordFallbackSignOfLife();
     if (m_lastEventId && id <= *m_lastEventId)
         return false;
     if (isBeyondGap(id))
@@ -201,6 +210,7 @@
 {
     m_isFindingPrompt = false;
     for (const ServerProbeResult &report : reports) {
+        context().suspectedCrashes.recordReport(report.serverId, report.startedAtMs, now);
         if (context().servers.detectRestart(report.serverId, report.startedAtMs))
             continue;
         context().servers.recordContact(report.serverId, now);
@@ -459,7 +469,7 @@
         return KeepWaiting {};
     if (reports.empty()) {
         m_isRunUnlisted = false;
-        recordCrash(now);
+        suspectCrash(now);
         return onSilent(now);
     }
     if (reports.front().isTurnedAway) {
@@ -482,6 +492,7 @@
 void StreamSession::recordSign(TimePoint now)
 {
     m_replaceAt = {};
+    recordSignOfLife();
     m_progress.recordContact(now);
 }
 
@@ -492,7 +503,7 @@
     m_isProbing = false;
     if (!mayOutlastSilence(now))
         return onAttemptEnded(AttemptResult::Silent, now);
-    recordServerFailure(now);
+    recordServerFailure(lastSignAt(now), now);
     return replaceAttempt(attemptResultName(AttemptResult::Silent), now);
 }
 
--- /dev/null
+++ b/src/decisions/SuspectedCrashes.cpp
@@ -0,0 +1,191 @@
+#include "foxtailring/decisions/SuspectedCrashes.h"
+
+#include "foxtailring/decisions/BackendTable.h"
+#include "foxtailring/decisions/PromptQuarantine.h"
+
+#include <algorithm>
+#include <optional>
+
+namespace foxtailring {
+
+namespace {
+
+// Prompts that one server processes at the same time; more say little about each of them.
+constexpr std::size_t maxPromptsPerServer = 16;
+// Longer than any request that may ask whether its servers crashed.
+constexpr std::chrono::seconds crashMemory {60};
+constexpr std::size_t maxCrashed = 512;
+// Probes at one time, so that the loss of a zone makes no burst of them.
+constexpr std::size_t maxProbesAtOnce = 8;
+
+} // namespace
+
+SuspectedCrashes::SuspectedCrashes(PromptQuarantine &quarantine)
+    : m_quarantine(quarantine)
+{
+}
+
+std::string SuspectedCrashes::incarnationOf(const BackendInfo &server)
+{
+    return server.id + '@' + std::to_string(server.startedAtMs);
+}
+
+void SuspectedCrashes::suspect(const BackendInfo &server, Parts parts, TimePoint silentSince,
+                               TimePoint now)
+{
+    const std::string incarnation = incarnationOf(server);
+    if (parts.empty() || m_crashed.contains(incarnation))
+        return;
+    auto found = m_suspicions.find(incarnation);
+    if (found == m_suspicions.end()) {
+        if (m_suspicions.size() >= maxServers)
+            return;
+        found = m_suspicions.emplace(incarnation, Suspicion {server, silentSince, now, {}, false})
+                    .first;
+    }
+    Suspicion &suspicion = found->second;
+    std::vector<std::string> prompt(parts.begin(), parts.end());
+    auto &prompts = suspicion.prompts;
+    if (prompts.size() < maxPromptsPerServer
+        && std::find(prompts.begin(), prompts.end(), prompt) == prompts.end())
+        prompts.push_back(std::move(prompt));
+    suspicion.silentSince = std::max(suspicion.silentSince, silentSince);
+    if (now - suspicion.suspectedAt >= maxSoundSilence)
+        confirm(found, CrashEvidence::Silent, now);
+}
+
+void SuspectedCrashes::recordReset(const BackendInfo &server, Parts parts, bool isKnownFailure,
+                                   TimePoint now)
+{
+    const std::string incarnation = incarnationOf(server);
+    const auto found = m_suspicions.find(incarnation);
+    if (found != m_suspicions.end()) {
+        confirm(found, CrashEvidence::Reset, now);
+        return;
+    }
+    const bool isNew = recordCrashed(incarnation, now);
+    if (isKnownFailure || parts.empty())
+        return;
+    if (isNew)
+        reportCrash(server, CrashEvidence::Reset);
+    m_quarantine.recordCrash(incarnation, parts, {now, CrashEvidence::Reset}, now);
+}
+
+void SuspectedCrashes::recordBytes(const BackendInfo &server)
+{
+    if (m_suspicions.empty())
+        return;
+    const auto found = m_suspicions.find(incarnationOf(server));
+    if (found != m_suspicions.end())
+        clear(found, "bytes");
+}
+
+// A report without a start time may be of a later start, but does not prove it: in doubt nothing is
+// accused.
+void SuspectedCrashes::recordReport(std::string_view serverId, std::int64_t startedAtMs,
+                                    TimePoint now)
+{
+    for (auto it = m_suspicions.begin(); it != m_suspicions.end();) {
+        const BackendInfo &server = it->second.server;
+        if (server.id != serverId)
+            ++it;
+        else if (server.startedAtMs > 0 && startedAtMs > server.startedAtMs)
+            it = confirm(it, CrashEvidence::Restarted, now);
+        else
+            it = clear(it, "report");
+    }
+}
+
+void SuspectedCrashes::update(const BackendTable &servers, TimePoint now)
+{
+    std::erase_if(m_crashed,
+                  [now](const auto &crashed) { return now - crashed.second >= crashMemory; });
+    for (auto it = m_suspicions.begin(); it != m_suspicions.end();) {
+        const BackendInfo &server = it->second.server;
+        const auto current = servers.server(server.id, now);
+        if (!current)
+            it = confirm(it, CrashEvidence::Lapsed, now);
+        else if (server.startedAtMs > 0 && current->info.startedAtMs > server.startedAtMs)
+            it = confirm(it, CrashEvidence::Restarted, now);
+        else
+            ++it;
+    }
+}
+
+std::vector<BackendState> SuspectedCrashes::takeDueProbes(const BackendTable &servers,
+                                                          TimePoint now)
+{
+    std::vector<BackendState> due;
+    for (auto &[incarnation, suspicion] : m_suspicions) {
+        if (suspicion.isProbed || now - suspicion.suspectedAt < maxSoundSilence
+            || due.size() >= maxProbesAtOnce)
+            continue;
+        auto server = servers.server(suspicion.server.id, now);
+        if (!server)
+            continue;
+        suspicion.isProbed = true;
+        server->info = suspicion.server;
+        due.push_back(std::move(*server));
+    }
+    return due;
+}
+
+void SuspectedCrashes::recordProbed(const BackendInfo &server, TimePoint now)
+{
+    const auto found = m_suspicions.find(incarnationOf(server));
+    if (found != m_suspicions.end())
+        confirm(found, CrashEvidence::Silent, now);
+}
+
+void SuspectedCrashes::recordNotProbed(const BackendInfo &server)
+{
+    const auto found = m_suspicions.find(incarnationOf(server));
+    if (found != m_suspicions.end())
+        found->second.isProbed = false;
+}
+
+bool SuspectedCrashes::hasCrashed(const BackendInfo &server) const
+{
+    return m_crashed.contains(incarnationOf(server));
+}
+
+SuspectedCrashes::Suspicions::iterator
+SuspectedCrashes::confirm(Suspicions::iterator suspicion, CrashEvidence evidence, TimePoint now)
+{
+    const std::string incarnation = suspicion->first;
+    const Suspicion proven = std::move(suspicion->second);
+    const auto next = m_suspicions.erase(suspicion);
+    recordCrashed(incarnation, now);
+    reportCrash(proven.server, evidence);
+    for (const auto &prompt : proven.prompts)
+        m_quarantine.recordCrash(incarnation, prompt, {proven.silentSince, evidence}, now);
+    return next;
+}
+
+// The failure counted until now, so that the loss of a zone accused nobody.
+SuspectedCrashes::Suspicions::iterator SuspectedCrashes::clear(Suspicions::iterator suspicion,
+                                                               std::string_view sign)
+{
+    m_quarantine.withdrawFailure(suspicion->first);
+    if (m_hooks.onCleared)
+        m_hooks.onCleared(suspicion->second.server, sign);
+    return m_suspicions.erase(suspicion);
+}
+
+bool SuspectedCrashes::recordCrashed(const std::string &incarnation, TimePoint now)
+{
+    const bool isNew = m_crashed.emplace(incarnation, now).second;
+    if (m_crashed.size() > maxCrashed)
+        m_crashed.erase(std::min_element(
+            m_crashed.begin(), m_crashed.end(),
+            [](const auto &one, const auto &other) { return one.second < other.second; }));
+    return isNew;
+}
+
+void SuspectedCrashes::reportCrash(const BackendInfo &server, CrashEvidence evidence) const
+{
+    if (m_hooks.onCrash)
+        m_hooks.onCrash(server, evidence);
+}
+
+} // namespace foxtailring
--- a/src/gateway/GatewayNode.cpp
+++ b/src/gateway/GatewayNode.cpp
@@ -108,15 +108,39 @@
     return hooks;
 }
 
+SuspectedCrashes::Hooks makeCrashHooks(GatewayParts &parts)
+{
+    SuspectedCrashes::Hooks hooks;
+    hooks.onCrash = [&parts](const BackendInfo &server, CrashEvidence evidence) {
+        const std::string name(crashEvidenceName(evidence));
+        parts.metrics.add("gateway_crashes_counted_total{evidence=\"" + name + "\"}");
+        StructuredLog::info("crashCounted",
+                            {{"server", server.id},
+                             {"startedAtMs", std::to_string(server.startedAtMs)},
+                             {"evidence", name}});
+    };
+    hooks.onCleared = [&parts](const BackendInfo &server, std::string_view sign) {
+        parts.metrics.add("gateway_crash_suspicions_cleared_total");
+        StructuredLog::info("crashSuspicionCleared",
+                            {{"server", server.id},
+                             {"startedAtMs", std::to_string(server.startedAtMs)},
+                             {"sign", std::string(sign)}});
+    };
+    return hooks;
+}
+
 PromptQuarantine::Hooks makeQuarantineHooks(GatewayParts &parts)
 {
     PromptQuarantine::Hooks hooks;
-    hooks.onQuarantined = [&parts](const std::string &part, std::size_t crashes, Duration time) {
+    hooks.onQuarantined = [&parts](const std::string &part, std::size_t crashes,
+                                   std::string_view evidence, Duration time) {
         parts.metrics.add("gateway_quarantines_total");
         const auto ms = std::chrono::duration_cast<milliseconds>(time).count();
-        StructuredLog::warn(
-            "promptQuarantined",
-            {{"part", part}, {"crashes", std::to_string(crashes)}, {"forMs", std::to_string(ms)}});
+        StructuredLog::warn("promptQuarantined",
+                            {{"part", part},
+                             {"crashes", std::to_string(crashes)},
+                             {"evidence", std::string(evidence)},
+                             {"forMs", std::to_string(ms)}});
     };
     hooks.onReleased = [](const std::string &part, std::string_view cause) {
         StructuredLog::info("promptReleased", {{"part", part}, {"cause", std::string(cause)}});
@@ -229,6 +253,7 @@
         parts.servers.setHooks(makeTrustHooks(parts));
         parts.rateLimits.setHooks(makeRateLimitHooks(parts));
         parts.quarantine.setHooks(makeQuarantineHooks(parts));
+        parts.suspectedCrashes.setHooks(makeCrashHooks(parts));
         callers.onConnectionCut(makeCutHook(parts));
         callers.limitBodyTime(
             [this](const HttpRequest &head) { return bodyTimeLimit.limit(head); });
--- a/src/gateway/GatewayParts.cpp
+++ b/src/gateway/GatewayParts.cpp
@@ -72,6 +72,7 @@
     , idleShare({maxIdleRequestConnections, settings.maxServerListDelay})
     , retryBudget(retryBudgetSettings(random))
     , rateLimits({settings.nodeId, settings.maxServerListDelay})
+    , suspectedCrashes(quarantine)
     , pauses(servers, random)
     , admission(servers, rateLimits, pauses)
     , keyFreshness(settings.maxKeyRevocationDelay, keyFreshnessMargin)
@@ -98,6 +99,7 @@
         retryBudget,
         admission,
         quarantine,
+        suspectedCrashes,
         latency,
         random,
         [this, requestId](const CopyReference &copy) { releaseCopy(requestId, copy); },
--- a/src/gateway/GatewayParts.h
+++ b/src/gateway/GatewayParts.h
@@ -18,6 +18,7 @@
 #include "foxtailring/decisions/RouteTable.h"
 #include "foxtailring/decisions/ServerAdmission.h"
 #include "foxtailring/decisions/ServerPauses.h"
+#include "foxtailring/decisions/SuspectedCrashes.h"
 #include "foxtailring/gateway/BackendCodec.h"
 #include "foxtailring/gateway/GatewaySettings.h"
 #include "foxtailring/transport/Http1Client.h"
@@ -103,6 +104,7 @@
     RetryBudget retryBudget;
     RateLimitTable rateLimits;
     PromptQuarantine quarantine;
+    SuspectedCrashes suspectedCrashes;
     ServerPauses pauses;
     ServerAdmission admission;
     EngineLatencyEstimator latency;
--- a/src/gateway/GatewayPublisher.cpp
+++ b/src/gateway/GatewayPublisher.cpp
@@ -38,6 +38,7 @@
     , m_listing {GatewayKey::of(parts.settings.nodeId)}
     , m_report {std::string(RateLimitReportCodec::keyPrefix) + parts.settings.nodeId}
     , m_crashReport {std::string(PromptCrashReportCodec::keyPrefix) + parts.settings.nodeId}
+    , m_crashProber(parts)
     , m_timer(parts.pool)
     , m_failurePause(minFailurePause)
 {
@@ -60,6 +61,7 @@
     m_parts.updateUnixOffset();
     m_parts.servers.expire(now);
     m_parts.rateLimits.expire(now);
+    m_crashProber.step(now);
     m_parts.quarantine.expire(now);
     m_parts.metrics.setGauge("gateway_prompts_quarantined",
                              static_cast<double>(m_parts.quarantine.quarantineCount()));
--- a/src/gateway/GatewayPublisher.h
+++ b/src/gateway/GatewayPublisher.h
@@ -4,6 +4,7 @@
 #include "foxtailring/store/KeyValueClient.h"
 #include "foxtailring/transport/Timer.h"
 
+#include "CrashProber.h"
 #include "LeasedKey.h"
 
 #include <cstdint>
@@ -59,6 +60,7 @@
     std::optional<int> m_demand; ///< to be listed
     LeasedKey m_report;
     LeasedKey m_crashReport;
+    CrashProber m_crashProber;
     Timer m_timer;
     bool m_isCalling = false; ///< a call to the store is in progress
     StoreLease m_lease;       ///< id 0: none
--- a/tests/decisions/ForwardFixture.h
+++ b/tests/decisions/ForwardFixture.h
@@ -14,6 +14,7 @@
 #include "foxtailring/decisions/RetryBudget.h"
 #include "foxtailring/decisions/ServerAdmission.h"
 #include "foxtailring/decisions/ServerPauses.h"
+#include "foxtailring/decisions/SuspectedCrashes.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <string>
@@ -109,6 +110,7 @@
                 retryBudget,
                 admission,
                 quarantine,
+                suspectedCrashes,
                 latency,
                 random,
                 [this](const CopyReference &copy) { released.push_back(copy.handle); },
@@ -127,6 +129,7 @@
     RetryBudget retryBudget {RetryBudget::Settings {0.5, 5}};
     RateLimitTable rateLimits {{"g", Ms(2500)}};
     PromptQuarantine quarantine;
+    SuspectedCrashes suspectedCrashes {quarantine};
     RandomSource random {7};
     ServerPauses pauses {servers, random};
     ServerAdmission admission {servers, rateLimits, pauses};
--- /dev/null
+++ b/tests/decisions/SuspectedCrashesTest.cpp
@@ -0,0 +1,233 @@
+#include "foxtailring/decisions/SuspectedCrashes.h"
+#include "foxtailring/decisions/BackendTable.h"
+#include "foxtailring/decisions/PromptQuarantine.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+#include <vector>
+
+using namespace foxtailring;
+using namespace std::chrono_literals;
+
+// Silent servers, and what tells a crash from a pause.
+class SuspectedCrashesTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(SuspectedCrashesTest);
+    CPPUNIT_TEST(silenceAloneIsNoCrash);
+    CPPUNIT_TEST(laterStartIsACrash);
+    CPPUNIT_TEST(laterEntryIsACrash);
+    CPPUNIT_TEST(removedEntryIsACrash);
+    CPPUNIT_TEST(entryRemovedWhileTheListIsLostIsNoCrash);
+    CPPUNIT_TEST(secondUnansweredProbeIsACrash);
+    CPPUNIT_TEST(reportOfTheSameStartClears);
+    CPPUNIT_TEST(reportWithoutAStartTimeClears);
+    CPPUNIT_TEST(bytesClear);
+    CPPUNIT_TEST(startAfterTheSilenceBeganOutweighsIt);
+    CPPUNIT_TEST(eachServerIsAskedOnce);
+    CPPUNIT_TEST(suspicionsAreBounded);
+    CPPUNIT_TEST(silentZoneAccusesNobody);
+    CPPUNIT_TEST(pauseOfOthersDoesNotHideACrash);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override
+    {
+        m_crashes.setHooks(
+            {[this](const BackendInfo &, CrashEvidence found) { m_evidence.push_back(found); },
+             [this](const BackendInfo &, std::string_view sign) { m_signs.emplace_back(sign); }});
+        for (int i = 0; i < 100; ++i)
+            m_servers.put(server(i), m_now);
+    }
+
+    // Guards against a prompt that is refused because sound servers paused.
+    void silenceAloneIsNoCrash()
+    {
+        suspectTwo();
+        m_crashes.update(m_servers, m_now + 1300ms);
+        CPPUNIT_ASSERT(isAdmitted());
+        CPPUNIT_ASSERT(m_evidence.empty());
+        CPPUNIT_ASSERT(m_crashes.takeDueProbes(m_servers, m_now + 1900ms).empty());
+    }
+
+    void laterStartIsACrash()
+    {
+        suspectTwo();
+        m_crashes.recordReport("s0", 2, m_now + 1300ms);
+        CPPUNIT_ASSERT(isAdmitted());
+        m_crashes.recordReport("s1", 2, m_now + 1400ms);
+        assertCrashes(CrashEvidence::Restarted);
+        CPPUNIT_ASSERT(m_crashes.hasCrashed(server(0)));
+        CPPUNIT_ASSERT(!m_crashes.hasCrashed(server(0, 2)));
+    }
+
+    void laterEntryIsACrash()
+    {
+        suspectTwo();
+        m_servers.put(server(0, 2), m_now + 1300ms);
+        m_servers.put(server(1, 2), m_now + 1300ms);
+        m_crashes.update(m_servers, m_now + 1300ms);
+        assertCrashes(CrashEvidence::Restarted);
+    }
+
+    void removedEntryIsACrash()
+    {
+        suspectTwo();
+        m_servers.remove("s0", m_now + 1300ms);
+        m_servers.remove("s1", m_now + 1300ms);
+        m_crashes.update(m_servers, m_now + 1300ms);
+        assertCrashes(CrashEvidence::Lapsed);
+    }
+
+    // Guards against taking the loss of the store for the loss of servers.
+    void entryRemovedWhileTheListIsLostIsNoCrash()
+    {
+        suspectTwo();
+        m_servers.onListLost(m_now);
+        m_servers.remove("s0", m_now + 1300ms);
+        m_servers.remove("s1", m_now + 1300ms);
+        m_crashes.update(m_servers, m_now + 1300ms);
+        CPPUNIT_ASSERT(m_evidence.empty());
+    }
+
+    void secondUnansweredProbeIsACrash()
+    {
+        suspectTwo();
+        const TimePoint later = m_now + 3s;
+        for (const BackendState &one : m_crashes.takeDueProbes(m_servers, later))
+            m_crashes.recordProbed(one.info, later + 250ms);
+        assertCrashes(CrashEvidence::Silent);
+    }
+
+    void reportOfTheSameStartClears()
+    {
+        suspectTwo();
+        m_crashes.recordReport("s0", 1, m_now + 1300ms);
+        m_crashes.recordReport("s1", 1, m_now + 1300ms);
+        m_crashes.recordProbed(server(0), m_now + 3s);
+        assertCleared("report");
+    }
+
+    void reportWithoutAStartTimeClears()
+    {
+        suspectTwo();
+        m_crashes.recordReport("s0", 0, m_now + 1300ms);
+        m_crashes.recordReport("s1", 0, m_now + 1300ms);
+        assertCleared("report");
+    }
+
+    void bytesClear()
+    {
+        suspectTwo();
+        m_crashes.recordBytes(server(0, 2));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), m_crashes.size());
+        m_crashes.recordBytes(server(0));
+        m_crashes.recordBytes(server(1));
+        assertCleared("bytes");
+    }
+
+    // Proof comes seconds after the crash. Guards against a crash that is dated by its proof.
+    void startAfterTheSilenceBeganOutweighsIt()
+    {
+        suspectTwo();
+        m_quarantine.recordStart(m_parts, m_now + 1200ms);
+        m_crashes.recordReport("s0", 2, m_now + 1300ms);
+        m_crashes.recordReport("s1", 2, m_now + 3s);
+        CPPUNIT_ASSERT(isAdmitted());
+    }
+
+    void eachServerIsAskedOnce()
+    {
+        suspectTwo();
+        const TimePoint later = m_now + 3s;
+        const auto due = m_crashes.takeDueProbes(m_servers, later);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), due.size());
+        CPPUNIT_ASSERT(m_crashes.takeDueProbes(m_servers, later).empty());
+        m_crashes.recordNotProbed(due[0].info);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_crashes.takeDueProbes(m_servers, later).size());
+    }
+
+    void suspicionsAreBounded()
+    {
+        for (int i = 0; i < 100; ++i)
+            m_crashes.suspect(server(i), m_parts, m_now, m_now + 500ms);
+        CPPUNIT_ASSERT_EQUAL(SuspectedCrashes::maxServers, m_crashes.size());
+    }
+
+    // Two zones lose power, one after the other; one server of each processes the prompt.
+    void silentZoneAccusesNobody()
+    {
+        for (int loss = 0; loss < 2; ++loss) {
+            const TimePoint at = m_now + loss * 2s;
+            for (int i = 1; i < 4; ++i)
+                m_quarantine.recordFailure(name(10 * loss + i), at + i * 100ms, at + 600ms);
+            m_crashes.suspect(server(10 * loss), m_parts, at, at + 500ms);
+            m_crashes.recordProbed(server(10 * loss), at + 2s);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), m_evidence.size());
+        CPPUNIT_ASSERT(isAdmitted());
+    }
+
+    // Guards against deadly parts that are found late beside sound servers that pause.
+    void pauseOfOthersDoesNotHideACrash()
+    {
+        for (int crash = 0; crash < 2; ++crash) {
+            const TimePoint at = m_now + crash * 2s;
+            for (int i = 1; i < 4; ++i) {
+                const BackendInfo paused = server(10 * crash + i);
+                m_quarantine.recordFailure(name(10 * crash + i), at, at + 500ms);
+                m_crashes.suspect(paused, std::vector<std::string> {"other"}, at, at + 500ms);
+                m_crashes.recordReport(paused.id, 1, at + 1300ms);
+            }
+            m_crashes.suspect(server(10 * crash), m_parts, at, at + 500ms);
+            m_crashes.recordReport("s" + std::to_string(10 * crash), 2, at + 1900ms);
+        }
+        CPPUNIT_ASSERT(!isAdmitted());
+    }
+
+private:
+    static BackendInfo server(int number, std::int64_t startedAtMs = 1)
+    {
+        BackendInfo info;
+        info.id = "s" + std::to_string(number);
+        info.service = "engine";
+        info.address = "10.0.0.1:" + std::to_string(8000 + number);
+        info.startedAtMs = startedAtMs;
+        return info;
+    }
+
+    static std::string name(int number) { return SuspectedCrashes::incarnationOf(server(number)); }
+
+    // Two moments at two servers.
+    void suspectTwo()
+    {
+        m_crashes.suspect(server(0), m_parts, m_now, m_now + 500ms);
+        m_crashes.suspect(server(1), m_parts, m_now + 1s, m_now + 1500ms);
+    }
+
+    bool isAdmitted() const { return m_quarantine.quarantinedPart(m_parts, m_now + 5s).empty(); }
+
+    void assertCrashes(CrashEvidence evidence) const
+    {
+        CPPUNIT_ASSERT(m_evidence == std::vector(2, evidence));
+        CPPUNIT_ASSERT(!isAdmitted());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), m_crashes.size());
+    }
+
+    void assertCleared(const std::string &sign) const
+    {
+        CPPUNIT_ASSERT(m_signs == std::vector(2, sign));
+        CPPUNIT_ASSERT(m_evidence.empty());
+        CPPUNIT_ASSERT(isAdmitted());
+    }
+
+    const TimePoint m_now {1h};
+    const std::vector<std::string> m_parts = {"shared", "deadly"};
+    BackendTable m_servers;
+    PromptQuarantine m_quarantine;
+    SuspectedCrashes m_crashes {m_quarantine};
+    std::vector<CrashEvidence> m_evidence;
+    std::vector<std::string> m_signs;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(SuspectedCrashesTest);
