quarantine: end no attempt whose server may live

Cause: refuseQuarantined() was asked before each further attempt, and mayOutlastSilence() ended a silent attempt because a part was quarantined. A quarantine that accused the wrong part, or came from another gateway, refused requests under way and cut streams that had passed events on. Change: a quarantine refuses new requests, and a further attempt only of a request that is known to have crashed a server of its own before the answer began; of a stream that has passed an event on, after two such crashes. While it is open whether a silent server has crashed, the attempt is kept within its time limits and no other server gets the part. Tests: silentPromptWithAQuarantinedPartIsRefusedAtOnce and silentTrialIsRefusedAtOnce took one unanswered probe for proof. They are replaced by silentPromptWithAQuarantinedPartIsKeptAtItsServer, silentPromptIsRefusedOnceItsServerHasCrashed and silentTrialIsNotSentAgain, which also forbid a second server.

--- a/include/foxtailring/decisions/ForwardSession.h
+++ b/include/foxtailring/decisions/ForwardSession.h
@@ -88,7 +88,8 @@
     void recordServerFailure(TimePoint at, TimePoint now);
     /// \brief A quarantined part of the prompt; empty: none, or proven harmless in this request.
     std::string_view quarantinedPart(TimePoint now) const;
-    /// \brief Refusal if a part of the prompt is quarantined; none: the request may be sent.
+    /// \brief Refusal if a part of the prompt is quarantined and the request is new or known to
+    /// have crashed its own servers; none: the request may be sent.
     std::optional<ForwardAction> refuseQuarantined(TimePoint now) const;
 
     /// \brief Records whether the answer to a probe says that its server leaves.
@@ -164,6 +165,8 @@
     void chooseService();
     bool mayBlamePrompt() const { return !hasOutlivedStart() && !isProvenHarmless(); }
     void recordReset(TimePoint now);
+    void recordUncertainServer();
+    bool isSubjectToQuarantine() const;
     void recordHead(const BackendInfo &server, TimePoint sentAt, const BackendAnswer &answer,
                     TimePoint now);
     void recordNotice(const BackendInfo &server, const BackendAnswer &answer);
@@ -182,6 +185,8 @@
     std::optional<BackendState> m_server;
     TimePoint m_sentAt;
     std::optional<Fallback> m_fallback;
+    /// Servers that were lost, or fell silent, before they had begun to answer.
+    std::vector<BackendInfo> m_uncertainServers;
     /// Status of a server error that is passed on unless another attempt is sent; none: no answer.
     std::optional<int> m_heldStatus;
     bool m_isFailureRecorded = false; ///< of the current attempt's server
--- a/include/foxtailring/decisions/StreamSession.h
+++ b/include/foxtailring/decisions/StreamSession.h
@@ -109,6 +109,8 @@
     void recordSign(TimePoint now);
     /// Goes on with the attempt at a silent server, since no other server can take its place.
     ForwardAction keepSilentAttempt(TimePoint now);
+    /// What a quarantine does to the next attempt; none: it may be sent.
+    std::optional<ForwardAction> applyQuarantine(TimePoint now);
     void returnToFallback(TimePoint now);
     ForwardAction refuseOrAbort(ForwardAction refusal, TimePoint now);
 
--- a/src/decisions/CallSession.cpp
+++ b/src/decisions/CallSession.cpp
@@ -50,7 +50,9 @@
         return KeepWaiting {};
     const std::string silentId = server().info.id;
     auto next = place("silent", now);
-    if (!next || refuseQuarantined(now))
+    // The server that has the call may be sound, so the call goes on, but no other one gets the
+    // part.
+    if (!next || !quarantinedPart(now).empty())
         return KeepWaiting {};
     next->keepsLatest = true;
     context().servers.recordAnswer(silentId, true, now);
--- a/src/decisions/ForwardSession.cpp
+++ b/src/decisions/ForwardSession.cpp
@@ -8,6 +8,7 @@
 #include "foxtailring/decisions/SuspectedCrashes.h"
 
 #include <algorithm>
+#include <cstddef>
 #include <utility>
 
 namespace foxtailring {
@@ -25,6 +26,9 @@
 // from retrying together.
 constexpr milliseconds shortestRetryAfter {250};
 constexpr milliseconds retryAfterSpread {500};
+// A part that crashes servers sends no event, so an answer that has begun is cut only if it did so
+// more than once.
+constexpr std::ptrdiff_t minCrashesOfBegunAnswer = 2;
 // With less time left, no server can answer before the deadline.
 constexpr milliseconds minTimeLeft {20};
 
@@ -251,6 +255,7 @@
 {
     if (!mayBlamePrompt())
         return;
+    recordUncertainServer();
     m_isCrashSuspected = m_isCrashSuspected || !m_isFailureRecorded;
     if (!m_isCrashSuspected)
         return;
@@ -260,9 +265,20 @@
 
 void ForwardSession::recordReset(TimePoint now)
 {
-    if (mayBlamePrompt())
-        m_context.suspectedCrashes.recordReset(m_server->info, m_request.sharedPromptParts,
-                                               m_isFailureRecorded, now);
+    if (!mayBlamePrompt())
+        return;
+    recordUncertainServer();
+    m_context.suspectedCrashes.recordReset(m_server->info, m_request.sharedPromptParts,
+                                           m_isFailureRecorded, now);
+}
+
+void ForwardSession::recordUncertainServer()
+{
+    const auto isSame = [this](const BackendInfo &other) {
+        return other.isSameStart(m_server->info);
+    };
+    if (std::none_of(m_uncertainServers.begin(), m_uncertainServers.end(), isSame))
+        m_uncertainServers.push_back(m_server->info);
 }
 
 void ForwardSession::recordSignOfLife()
@@ -298,11 +314,26 @@
     return m_context.quarantine.quarantinedPart(m_request.sharedPromptParts, now);
 }
 
+// A quarantine may accuse the wrong part, or be taken over from another process that knows less. So
+// it ends work under way only if that has crashed servers of its own.
+bool ForwardSession::isSubjectToQuarantine() const
+{
+    const auto hasCrashed = [this](const BackendInfo &server) {
+        return m_context.suspectedCrashes.hasCrashed(server);
+    };
+    const auto crashes =
+        std::count_if(m_uncertainServers.begin(), m_uncertainServers.end(), hasCrashed);
+    if (hasPassedEvents())
+        return crashes >= minCrashesOfBegunAnswer;
+    const bool isNew = m_possibleRuns == 0 && !m_server && !m_fallback;
+    return isNew || crashes > 0;
+}
+
 // A return of the caller cannot help, so it is told no time.
 std::optional<ForwardAction> ForwardSession::refuseQuarantined(TimePoint now) const
 {
     const std::string_view part = quarantinedPart(now);
-    if (m_isTrial || part.empty())
+    if (m_isTrial || part.empty() || !isSubjectToQuarantine())
         return std::nullopt;
     if (m_context.onQuarantined)
         m_context.onQuarantined(part);
@@ -425,8 +456,7 @@
 
 ForwardAction ForwardSession::send(SendAttempt attempt, TimePoint now)
 {
-    // The part may have been quarantined while servers were probed. The attempt in progress goes
-    // on.
+    // The part may have been quarantined while servers were probed.
     if (auto refusal = refuseQuarantined(now))
         return std::move(*refusal);
     if (attempt.keepsLatest && m_server) {
--- a/src/decisions/StreamSession.cpp
+++ b/src/decisions/StreamSession.cpp
@@ -172,8 +172,8 @@
 
 ForwardAction StreamSession::makeAttempt(std::string_view cause, TimePoint now)
 {
-    if (auto refusal = refuseQuarantined(now))
-        return refuseOrAbort(std::move(*refusal), now);
+    if (auto action = applyQuarantine(now))
+        return std::move(*action);
     m_cause = cause;
     // A copy exists only from the first event on, not while the prompt is processed.
     auto next = m_progress.hasEvents() ? m_copy.takeResumeAttempt(now) : std::nullopt;
@@ -280,8 +280,8 @@
 ForwardAction StreamSession::sendRun(SendAttempt next, TimePoint now)
 {
     // The part may have been quarantined while servers were probed.
-    if (auto refusal = refuseQuarantined(now))
-        return refuseOrAbort(std::move(*refusal), now);
+    if (auto action = applyQuarantine(now))
+        return std::move(*action);
     if (std::exchange(m_isReplacing, false)) {
         if (!tryTakeRetry(now))
             return keepSilentAttempt(now);
@@ -516,14 +516,28 @@
     return makeAttempt(cause, now);
 }
 
-// A stream that has begun cannot be answered any more. Any other run is refused at once if waiting
-// cannot help: it has probably crashed its server, or would end too late.
+// While it is open whether a silent server has crashed, no other server gets the quarantined part,
+// and the attempt goes on: its server may be sound.
+std::optional<ForwardAction> StreamSession::applyQuarantine(TimePoint now)
+{
+    const bool isOpen = m_isReplacing && !context().suspectedCrashes.hasCrashed(server().info);
+    if (isOpen && !quarantinedPart(now).empty()) {
+        m_isReplacing = false;
+        return keepSilentAttempt(now);
+    }
+    if (auto refusal = refuseQuarantined(now))
+        return refuseOrAbort(std::move(*refusal), now);
+    return std::nullopt;
+}
+
+// A stream that has begun cannot be answered any more. Any other run is refused at once if it would
+// end too late.
 bool StreamSession::mayOutlastSilence(TimePoint now) const
 {
     const Duration silence = now - m_progress.lastContactAt();
     if (m_hasStarted)
         return silence < maxServerPause;
-    return silence < maxPromptPause && quarantinedPart(now).empty() && canFinishInTime(0, now);
+    return silence < maxPromptPause && canFinishInTime(0, now);
 }
 
 void StreamSession::endPlacement()
