--- a/include/foxtailring/decisions/PromptQuarantine.h
+++ b/include/foxtailring/decisions/PromptQuarantine.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "foxtailring/base/Clock.h"
+#include "foxtailring/decisions/CrashEvidence.h"
 #include "foxtailring/decisions/EngineFailures.h"
 #include "foxtailring/decisions/PromptCrashReport.h"
 #include "foxtailring/decisions/RecentStarts.h"
@@ -26,7 +27,9 @@
 ///
 /// A crash makes suspect each part of the requests that the engine had not begun to answer; a
 /// request that an engine does begin to answer clears all its parts. A part that is suspect in
-/// several crashes, at different moments and engines, without being cleared is quarantined. When
+/// several crashes, at different moments and engines, without being cleared is quarantined; of
+/// several such parts, the one with the fewest recent starts. Requests are rejected that have all
+/// parts which are no less likely the cause. When
 /// many engines fail at once, only a part that was at most of them is suspect. No process sees all
 /// crashes, so they exchange reports. Not thread-safe; used on one queue.
 class PromptQuarantine
@@ -50,7 +53,9 @@
     /// \brief Called when a quarantine begins or ends. All are optional.
     struct Hooks
     {
-        std::function<void(const std::string &part, std::size_t crashes, Duration time)>
+        /// \a evidence names what showed the crashes; empty: another process has seen them.
+        std::function<void(const std::string &part, std::size_t crashes, std::string_view evidence,
+                           Duration time)>
             onQuarantined;
         std::function<void(const std::string &part, std::string_view cause)> onReleased;
         /// How long a report waits that only clears a part which other processes suspect: one of
@@ -70,12 +75,29 @@
     void setUnixOffset(std::chrono::milliseconds offset);
 
     /// \brief An engine failed, whatever it was doing.
+    void recordFailure(const std::string &incarnation, TimePoint at, TimePoint now)
+    {
+        m_failures.record(incarnation, at, now);
+    }
     void recordFailure(const std::string &incarnation, TimePoint now)
     {
-        m_failures.record(incarnation, now);
+        recordFailure(incarnation, now, now);
+    }
+    /// \brief The engine looked as if it had failed, but it is sound.
+    void withdrawFailure(const std::string &incarnation) { m_failures.withdraw(incarnation); }
+
+    /// When an engine crashed, and what shows it.
+    struct ProvenCrash
+    {
+        TimePoint at;
+        CrashEvidence evidence = CrashEvidence::Reset;
+    };
+    /// \brief The engine crashed before it had begun to answer a request with these parts.
+    void recordCrash(const std::string &incarnation, Parts parts, ProvenCrash crash, TimePoint now);
+    void recordCrash(const std::string &incarnation, Parts parts, TimePoint now)
+    {
+        recordCrash(incarnation, parts, {now, CrashEvidence::Reset}, now);
     }
-    /// \brief The engine failed before it had begun to answer a request with these parts.
-    void recordCrash(const std::string &incarnation, Parts parts, TimePoint now);
     /// \brief The engine has begun to answer a request with these parts, and went on.
     void recordStart(Parts parts, TimePoint now);
     enum class Admission : std::uint8_t {
@@ -110,6 +132,7 @@
         TimeBounds at;
         std::size_t position = 0; ///< of the part among the parts of its request
         bool isOwn = false;       ///< seen by this process
+        CrashEvidence evidence = CrashEvidence::Reported;
     };
     using Crashes = std::map<std::string, Crash, std::less<>>; ///< by incarnation
 
@@ -133,9 +156,10 @@
         std::multimap<std::size_t, std::string> parts; ///< by position
     };
 
-    void addCrash(const std::string &incarnation, Parts parts, TimeBounds at, bool isOwn,
-                  TimePoint now);
-    static void addSighting(Crash &crash, TimeBounds at, bool isOwn);
+    void addCrash(const std::string &incarnation, Parts parts, TimeBounds at,
+                  CrashEvidence evidence, TimePoint now);
+    static void addSighting(Crash &crash, TimeBounds at, CrashEvidence evidence);
+    static std::string evidenceText(const Record &record);
     Record *recordFor(const std::string &part);
     void addStart(const std::string &part, Record &record, TimePoint at, bool isOwn);
     void adoptQuarantine(const PromptCrashReport::Quarantine &reported, const ReporterClock &clock,
@@ -146,7 +170,16 @@
     Records::iterator leastSuspect();
     std::size_t crashCount(const Record &record) const;
     bool isAtMostFailures(const Record &record, TimeBounds at) const;
-    bool isExplained(const std::string &part, const Record &record) const;
+    bool isExplained(const std::string &part, const Record &record, TimePoint now) const;
+    bool isAccused(const std::string &part, const Record &record, Parts request,
+                   TimePoint now) const;
+    bool isRejecting(const std::string &part, const Record &record, Parts request,
+                     TimePoint now) const
+    {
+        return isQuarantined(record, now) && isAccused(part, record, request, now);
+    }
+    /// Order of magnitude of the recent starts with a part; 0: none.
+    int startLevel(const std::string &part, const Record &record, TimePoint now) const;
     void quarantine(const std::string &part, Record &record, TimePoint now);
     void release(const std::string &part, Record &record, std::string_view cause);
     bool isQuarantined(const Record &record, TimePoint now) const;
--- a/src/decisions/ForwardSession.cpp
+++ b/src/decisions/ForwardSession.cpp
@@ -6,8 +6,10 @@
 #include "foxtailring/decisions/PromptQuarantine.h"
 #include "foxtailring/decisions/RetryBudget.h"
 #include "foxtailring/decisions/ServerAdmission.h"
+#include "foxtailring/decisions/SuspectedCrashes.h"
 
 #include <algorithm>
+#include <cstddef>
 #include <utility>
 
 namespace foxtailring {
@@ -25,6 +27,9 @@
 // from retrying together.
 constexpr milliseconds shortestRetryAfter {250};
 constexpr milliseconds retryAfterSpread {500};
+// A part that crashes servers sends no event, so an answer that has begun is cut only if it did so
+// more than once.
+constexpr std::ptrdiff_t minCrashesOfBegunAnswer = 2;
 // With less time left, no server can answer before the deadline.
 constexpr milliseconds minTimeLeft {20};
 
@@ -34,12 +39,6 @@
     return request.arrivedAt + std::min(limit, request.callerTimeout.value_or(limit));
 }
 
-// Names one start of a server.
-std::string incarnationOf(const BackendInfo &info)
-{
-    return info.id + '@' + std::to_string(info.startedAtMs);
-}
-
 } // namespace
 
 ForwardSession::ForwardSession(const HttpRoute &route, const ForwardRequest &request,
@@ -89,8 +88,11 @@
 
 void ForwardSession::onHead(const BackendAnswer &answer, TimePoint now)
 {
-    if (m_server)
-        recordHead(m_server->info, m_sentAt, answer, now);
+    if (!m_server)
+        return;
+    if (!answer.isOtherServer)
+        recordSignOfLife();
+    recordHead(m_server->info, m_sentAt, answer, now);
 }
 
 void ForwardSession::recordHead(const BackendInfo &server, TimePoint sentAt,
@@ -118,8 +120,11 @@
 
 void ForwardSession::onFallbackHead(const BackendAnswer &answer, TimePoint now)
 {
-    if (m_fallback)
-        recordHead(m_fallback->server.info, m_fallback->sentAt, answer, now);
+    if (!m_fallback)
+        return;
+    if (!answer.isOtherServer)
+        recordFallbackSignOfLife();
+    recordHead(m_fallback->server.info, m_fallback->sentAt, answer, now);
 }
 
 ForwardAction ForwardSession::onFallbackAnswer(const BackendAnswer &answer, TimePoint now)
@@ -158,6 +163,9 @@
         m_context.servers.recordContact(id, now);
     else
         m_context.servers.recordFailure(id, now);
+    if (result == AttemptResult::Lost && !isProvenHarmless())
+        m_context.suspectedCrashes.recordReset(m_fallback->server.info, m_request.sharedPromptParts,
+                                               true, now);
     releaseFallback();
     // It was counted when it became the fallback.
     if (!mayHaveRun(result))
@@ -189,6 +197,7 @@
     m_heldStatus.reset();
     // It was replaced because its server looked as if it had failed.
     m_isFailureRecorded = true;
+    m_isCrashSuspected = false;
 }
 
 ForwardAction ForwardSession::onAnswer(const BackendAnswer &answer, TimePoint now)
@@ -264,20 +273,62 @@
     return retryRejected(AttemptResult::OtherServer, now);
 }
 
-void ForwardSession::recordCrash(TimePoint now)
+// If the failure was recorded before, as that of a server in a zone that fails, the prompt is not
+// suspected.
+void ForwardSession::suspectCrash(TimePoint now)
+{
+    if (!mayBlamePrompt())
+        return;
+    recordUncertainServer();
+    m_isCrashSuspected = m_isCrashSuspected || !m_isFailureRecorded;
+    if (!m_isCrashSuspected)
+        return;
+    m_context.suspectedCrashes.suspect(m_server->info, m_request.sharedPromptParts, lastSignAt(now),
+                                       now);
+}
+
+void ForwardSession::recordReset(TimePoint now)
 {
-    if (!m_isFailureRecorded && !hasOutlivedStart() && !isProvenHarmless())
-        m_context.quarantine.recordCrash(incarnationOf(m_server->info), m_request.sharedPromptParts,
-                                         now);
+    if (!mayBlamePrompt())
+        return;
+    recordUncertainServer();
+    m_context.suspectedCrashes.recordReset(m_server->info, m_request.sharedPromptParts,
+                                           m_isFailureRecorded, now);
+}
+
+void ForwardSession::recordUncertainServer()
+{
+    const auto isSame = [this](const BackendInfo &other) {
+        return other.isSameStart(m_server->info);
+    };
+    if (std::none_of(m_uncertainServers.begin(), m_uncertainServers.end(), isSame))
+        m_uncertainServers.push_back(m_server->info);
+}
+
+void ForwardSession::recordSignOfLife()
+{
+    if (!m_server)
+        return;
+    m_isCrashSuspected = false;
+    if (std::exchange(m_isFailureRecorded, false))
+        m_context.quarantine.withdrawFailure(SuspectedCrashes::incarnationOf(m_server->info));
+    m_context.suspectedCrashes.recordBytes(m_server->info);
+}
+
+void ForwardSession::recordFallbackSignOfLife()
+{
+    if (m_fallback)
+        m_context.suspectedCrashes.recordBytes(m_fallback->server.info);
 }
 
 // The quarantine compares the times of failures, so an attempt that is kept after its server failed
 // must not report the same failure again later.
-void ForwardSession::recordServerFailure(TimePoint now)
+void ForwardSession::recordServerFailure(TimePoint at, TimePoint now)
 {
     m_context.servers.recordFailure(m_server->info.id, now);
     if (!std::exchange(m_isFailureRecorded, true))
-        m_context.quarantine.recordFailure(incarnationOf(m_server->info), now);
+        m_context.quarantine.recordFailure(SuspectedCrashes::incarnationOf(m_server->info), at,
+                                           now);
 }
 
 std::string_view ForwardSession::quarantinedPart(TimePoint now) const
@@ -287,11 +338,26 @@
     return m_context.quarantine.quarantinedPart(m_request.sharedPromptParts, now);
 }
 
+// A quarantine may accuse the wrong part, or be taken over from another process that knows less. So
+// it ends work under way only if that has crashed servers of its own.
+bool ForwardSession::isSubjectToQuarantine() const
+{
+    const auto hasCrashed = [this](const BackendInfo &server) {
+        return m_context.suspectedCrashes.hasCrashed(server);
+    };
+    const auto crashes =
+        std::count_if(m_uncertainServers.begin(), m_uncertainServers.end(), hasCrashed);
+    if (hasPassedEvents())
+        return crashes >= minCrashesOfBegunAnswer;
+    const bool isNew = m_possibleRuns == 0 && !m_server && !m_fallback;
+    return isNew || crashes > 0;
+}
+
 // A return of the caller cannot help, so it is told no time.
 std::optional<ForwardAction> ForwardSession::refuseQuarantined(TimePoint now) const
 {
     const std::string_view part = quarantinedPart(now);
-    if (m_isTrial || part.empty())
+    if (m_isTrial || part.empty() || !isSubjectToQuarantine())
         return std::nullopt;
     if (m_context.onQuarantined)
         m_context.onQuarantined(part);
@@ -306,7 +372,7 @@
         return KeepWaiting {};
     onAttemptOver();
     if (result == AttemptResult::Lost)
-        recordCrash(now);
+        recordReset(now);
     const std::string id = m_server->info.id;
     if (result == AttemptResult::Lost || result == AttemptResult::NotSent)
         m_context.servers.recordConnectionLost(id, now);
@@ -317,7 +383,7 @@
     else if (result == AttemptResult::Invalid || result == AttemptResult::NotSent)
         m_context.servers.recordFailure(id, now);
     else
-        recordServerFailure(now);
+        recordServerFailure(result == AttemptResult::Silent ? lastSignAt(now) : now, now);
     releaseServer();
     if (!mayHaveRun(result))
         return retryRejected(result, now);
@@ -361,6 +427,8 @@
     for (const ServerProbeResult &report : reports) {
         const ReportedStart start =
             m_context.servers.recordReport(report.serverId, report.startedAtMs, now);
+        if (start != ReportedStart::Unconfirmed)
+            m_context.suspectedCrashes.recordReport(report.serverId, report.startedAtMs, now);
         if (start != ReportedStart::Accepted)
             continue;
         m_context.servers.recordContact(report.serverId, now);
@@ -433,8 +501,7 @@
 
 ForwardAction ForwardSession::send(SendAttempt attempt, TimePoint now)
 {
-    // The part may have been quarantined while servers were probed. The attempt in progress goes
-    // on.
+    // The part may have been quarantined while servers were probed.
     if (auto refusal = refuseQuarantined(now))
         return std::move(*refusal);
     if (attempt.keepsLatest && m_server) {
@@ -445,6 +512,7 @@
     releaseServer();
     m_heldStatus.reset();
     m_isFailureRecorded = false;
+    m_isCrashSuspected = false;
     m_server = attempt.server;
     m_context.servers.startWork(m_server->info.id);
     m_triedIds.push_back(m_server->info.id);
--- a/src/decisions/StreamSession.cpp
+++ b/src/decisions/StreamSession.cpp
@@ -5,6 +5,7 @@
 #include "foxtailring/decisions/EngineLatencyEstimator.h"
 #include "foxtailring/decisions/PromptQuarantine.h"
 #include "foxtailring/decisions/RetryBudget.h"
+#include "foxtailring/decisions/SuspectedCrashes.h"
 
 #include <algorithm>
 #include <utility>
@@ -71,6 +72,7 @@
         context().latency.recordFirstEvent(service(), request().promptTokens, now - sentAt());
     if (hasServer())
         context().servers.recordContact(server().info.id, now);
+    recordSignOfLife();
     m_progress.recordEvent(now);
     m_wait.recordEvent(now);
     if (m_progress.eventCount() == outlivedEvents)
@@ -88,8 +90,15 @@
     return EventVerdict::Next;
 }
 
+void StreamSession::onPartialEvent(TimePoint now)
+{
+    recordSignOfLife();
+    m_progress.recordPartialEvent(now);
+}
+
 bool StreamSession::onFallbackEvent(std::int64_t id, TimePoint now)
 {
+    recordFallbackSignOfLife();
     if (m_lastEventId && id <= *m_lastEventId)
         return false;
     if (isBeyondGap(id))
@@ -171,8 +180,8 @@
 
 ForwardAction StreamSession::makeAttempt(std::string_view cause, TimePoint now)
 {
-    if (auto refusal = refuseQuarantined(now))
-        return refuseOrAbort(std::move(*refusal), now);
+    if (auto action = applyQuarantine(now))
+        return std::move(*action);
     m_cause = cause;
     // A copy exists only from the first event on, not while the prompt is processed. It is kept
     // until the run is sent: a run that goes on, or waits for a server, may need it.
@@ -244,6 +253,8 @@
     for (const ServerProbeResult &report : reports) {
         const ReportedStart start =
             context().servers.recordReport(report.serverId, report.startedAtMs, now);
+        if (start != ReportedStart::Unconfirmed)
+            context().suspectedCrashes.recordReport(report.serverId, report.startedAtMs, now);
         if (start != ReportedStart::Accepted)
             continue;
         context().servers.recordContact(report.serverId, now);
@@ -317,8 +328,8 @@
 ForwardAction StreamSession::sendRun(SendAttempt next, TimePoint now)
 {
     // The part may have been quarantined while servers were probed.
-    if (auto refusal = refuseQuarantined(now))
-        return refuseOrAbort(std::move(*refusal), now);
+    if (auto action = applyQuarantine(now))
+        return std::move(*action);
     if (std::exchange(m_isReplacing, false)) {
         if (!mayMoveOnBelief(now) || !tryTakeRetry(now))
             return keepSilentAttempt(now);
@@ -554,7 +565,7 @@
         return KeepWaiting {};
     if (reports.empty()) {
         m_isRunUnlisted = false;
-        recordCrash(now);
+        suspectCrash(now);
         return onSilent(now);
     }
     if (reports.front().isTurnedAway) {
@@ -584,6 +595,7 @@
 {
     m_replaceAt = {};
     m_movableSince = {};
+    recordSignOfLife();
     m_progress.recordContact(now);
 }
 
@@ -594,7 +606,7 @@
     m_isProbing = false;
     if (!mayOutlastSilence(now))
         return onAttemptEnded(AttemptResult::Silent, now);
-    recordServerFailure(now);
+    recordServerFailure(lastSignAt(now), now);
     return replaceAttempt(attemptResultName(AttemptResult::Silent), now);
 }
 
@@ -623,14 +635,28 @@
                                               : budget.hasRetry(service(), now);
 }
 
-// A stream that has begun cannot be answered any more. Any other run is refused at once if waiting
-// cannot help: it has probably crashed its server, or would end too late.
+// While it is open whether a silent server has crashed, no other server gets the quarantined part,
+// and the attempt goes on: its server may be sound.
+std::optional<ForwardAction> StreamSession::applyQuarantine(TimePoint now)
+{
+    const bool isOpen = m_isReplacing && !context().suspectedCrashes.hasCrashed(server().info);
+    if (isOpen && !quarantinedPart(now).empty()) {
+        m_isReplacing = false;
+        return keepSilentAttempt(now);
+    }
+    if (auto refusal = refuseQuarantined(now))
+        return refuseOrAbort(std::move(*refusal), now);
+    return std::nullopt;
+}
+
+// A stream that has begun cannot be answered any more. Any other run is refused at once if it would
+// end too late.
 bool StreamSession::mayOutlastSilence(TimePoint now) const
 {
     const Duration silence = now - m_progress.lastContactAt();
     if (m_hasStarted)
         return silence < maxServerPause;
-    return silence < maxPromptPause && quarantinedPart(now).empty() && canFinishInTime(0, now);
+    return silence < maxPromptPause && canFinishInTime(0, now);
 }
 
 void StreamSession::endPlacement()
--- a/src/gateway/GatewayPublisher.h
+++ b/src/gateway/GatewayPublisher.h
@@ -4,6 +4,7 @@
 #include "foxtailring/store/KeyValueClient.h"
 #include "foxtailring/transport/Timer.h"
 
+#include "CrashProber.h"
 #include "LeasedKey.h"
 
 #include <cstdint>
@@ -63,6 +64,7 @@
     TimePoint m_listEpochAt;                   ///< end of that delay
     LeasedKey m_report;
     LeasedKey m_crashReport;
+    CrashProber m_crashProber;
     Timer m_timer;
     bool m_isCalling = false; ///< a call to the store is in progress
     StoreLease m_lease;       ///< id 0: none
