quarantine: ask a suspected server between its pauses

Cause: a server under suspicion was asked again only 1.5 s later. Change: a suspected server is asked every 0.5 s until it answers or 1.5 s are over. silenceAloneIsNoCrash expected that it is not asked at all before; it now answers no probe and must not be counted, which is as strict.

--- a/include/foxtailring/decisions/SuspectedCrashes.h
+++ b/include/foxtailring/decisions/SuspectedCrashes.h
@@ -35,6 +35,8 @@
     /// A server that leaves a probe unanswered, sends nothing for this long and leaves another one
     /// unanswered has crashed. It is silent for about 2 s then; sound ones for 1.3 s at most.
     static constexpr std::chrono::milliseconds maxSoundSilence {1500};
+    /// Between probes of a suspected server: one that pauses twice is asked between its pauses.
+    static constexpr std::chrono::milliseconds probeInterval {500};
     static constexpr std::size_t maxServers = 64; ///< under suspicion
 
     /// \brief All are optional.
@@ -68,8 +70,8 @@
     void recordReport(std::string_view serverId, std::int64_t startedAtMs, TimePoint now);
     /// \brief Applies what the server list shows. To be called regularly.
     void update(const BackendTable &servers, TimePoint now);
-    /// \brief Servers that must be probed now, since nobody else asks them: one probe for each
-    /// suspicion. recordProbed() must follow for each of them.
+    /// \brief Servers that must be probed now, since nobody else asks them. recordProbed() must
+    /// follow for each of them.
     std::vector<BackendState> takeDueProbes(const BackendTable &servers, TimePoint now);
     /// \brief A probe from takeDueProbes() is over. If there was an answer, recordReport() must be
     /// called before.
@@ -89,7 +91,8 @@
         TimePoint silentSince;                         ///< latest sign of life
         TimePoint suspectedAt;                         ///< first probe without an answer
         std::vector<std::vector<std::string>> prompts; ///< of the attempts that were in progress
-        bool isProbed = false;
+        TimePoint probedAt;                            ///< start of the latest own probe
+        bool isProbing = false;
     };
     using Suspicions = std::map<std::string, Suspicion, std::less<>>; ///< by incarnation
 
--- a/src/decisions/SuspectedCrashes.cpp
+++ b/src/decisions/SuspectedCrashes.cpp
@@ -40,8 +40,9 @@
     if (found == m_suspicions.end()) {
         if (m_suspicions.size() >= maxServers)
             return;
-        found = m_suspicions.emplace(incarnation, Suspicion {server, silentSince, now, {}, false})
-                    .first;
+        found =
+            m_suspicions.emplace(incarnation, Suspicion {server, silentSince, now, {}, now, false})
+                .first;
     }
     Suspicion &suspicion = found->second;
     std::vector<std::string> prompt(parts.begin(), parts.end());
@@ -117,13 +118,14 @@
 {
     std::vector<BackendState> due;
     for (auto &[incarnation, suspicion] : m_suspicions) {
-        if (suspicion.isProbed || now - suspicion.suspectedAt < maxSoundSilence
+        if (suspicion.isProbing || now - suspicion.probedAt < probeInterval
             || due.size() >= maxProbesAtOnce)
             continue;
         auto server = servers.server(suspicion.server.id, now);
         if (!server)
             continue;
-        suspicion.isProbed = true;
+        suspicion.isProbing = true;
+        suspicion.probedAt = now;
         server->info = suspicion.server;
         due.push_back(std::move(*server));
     }
@@ -133,7 +135,12 @@
 void SuspectedCrashes::recordProbed(const BackendInfo &server, TimePoint now)
 {
     const auto found = m_suspicions.find(incarnationOf(server));
-    if (found != m_suspicions.end())
+    if (found == m_suspicions.end())
+        return;
+    Suspicion &suspicion = found->second;
+    const bool wasProbing = std::exchange(suspicion.isProbing, false);
+    const TimePoint askedAt = wasProbing ? suspicion.probedAt : now;
+    if (askedAt - suspicion.suspectedAt >= maxSoundSilence)
         confirm(found, CrashEvidence::Silent, now);
 }
 
@@ -141,7 +148,7 @@
 {
     const auto found = m_suspicions.find(incarnationOf(server));
     if (found != m_suspicions.end())
-        found->second.isProbed = false;
+        found->second.isProbing = false;
 }
 
 bool SuspectedCrashes::hasCrashed(const BackendInfo &server) const
