transport, tests: one function that trims text; findings of the linter

Cause: the linter reads files together, and trimmed() stood twice; two conversions and concatenations in new tests. Change: base/Trimmed.h; names and conversions in three tests, with the same checks.

--- a/src/transport/BodyFraming.cpp
+++ b/src/transport/BodyFraming.cpp
@@ -1,6 +1,7 @@
 #include "BodyFraming.h"
 
 #include "foxtailring/base/AsciiCase.h"
+#include "foxtailring/base/Trimmed.h"
 
 #include <algorithm>
 #include <string_view>
@@ -12,13 +13,8 @@
 
 namespace {
 
-std::string_view trimmed(std::string_view text)
-{
-    const auto begin = text.find_first_not_of(" \t");
-    if (begin == std::string_view::npos)
-        return {};
-    return text.substr(begin, text.find_last_not_of(" \t") - begin + 1);
-}
+// Optional whitespace of a header field (RFC 9110).
+constexpr std::string_view whitespace = " 	";
 
 bool isTokenCharacter(char c)
 {
@@ -42,7 +38,7 @@
         std::string_view rest(field->value().data(), field->value().size());
         while (true) {
             const auto comma = rest.find(',');
-            codings.push_back(trimmed(rest.substr(0, comma)));
+            codings.push_back(trimmed(rest.substr(0, comma), whitespace));
             if (comma == std::string_view::npos)
                 break;
             rest.remove_prefix(comma + 1);
--- a/src/transport/KeepAliveTimeout.cpp
+++ b/src/transport/KeepAliveTimeout.cpp
@@ -1,6 +1,7 @@
 #include "KeepAliveTimeout.h"
 
 #include "foxtailring/base/AsciiCase.h"
+#include "foxtailring/base/Trimmed.h"
 
 #include <algorithm>
 #include <charconv>
@@ -13,14 +14,7 @@
 
 constexpr std::chrono::seconds maxTimeout = std::chrono::hours(24);
 
-std::string_view trimmed(std::string_view text)
-{
-    constexpr std::string_view trimmable = " \t\"";
-    const auto first = text.find_first_not_of(trimmable);
-    if (first == std::string_view::npos)
-        return {};
-    return text.substr(first, text.find_last_not_of(trimmable) - first + 1);
-}
+constexpr std::string_view trimmable = " 	\"";
 
 std::chrono::seconds parseTimeout(std::string_view digits)
 {
@@ -39,8 +33,9 @@
         const std::size_t end = std::min(header.find(',', start), header.size());
         const std::string_view parameter = header.substr(start, end - start);
         const std::size_t equals = std::min(parameter.find('='), parameter.size());
-        if (equalIgnoringCase(trimmed(parameter.substr(0, equals)), "timeout"))
-            return parseTimeout(trimmed(parameter.substr(std::min(equals + 1, parameter.size()))));
+        if (equalIgnoringCase(trimmed(parameter.substr(0, equals), trimmable), "timeout"))
+            return parseTimeout(
+                trimmed(parameter.substr(std::min(equals + 1, parameter.size())), trimmable));
         start = end + 1;
     }
     return std::nullopt;
--- a/tests/decisions/ReplacedRunTest.cpp
+++ b/tests/decisions/ReplacedRunTest.cpp
@@ -484,8 +484,8 @@
 
     void leaveRetries(std::size_t count)
     {
-        const double left = retryBudget.remaining("engine", m_at);
-        for (std::size_t used = count; used + 1 <= left; ++used)
+        const auto left = static_cast<std::size_t>(retryBudget.remaining("engine", m_at));
+        for (std::size_t used = count; used < left; ++used)
             retryBudget.tryConsume("engine", m_at);
     }
 
--- a/tests/platform/KvClientTest.cpp
+++ b/tests/platform/KvClientTest.cpp
@@ -249,11 +249,11 @@
                 RawPeer peer = store.accept();
                 peer.readUntil("\r\n\r\n");
                 const std::size_t sent = sendUntilClosed(peer, start, more);
-                CPPUNIT_ASSERT_MESSAGE(name + " " + start + ": " + std::to_string(sent),
-                                       sent < maxSentBytes);
+                const std::string text = std::string(name).append(" ").append(start);
+                CPPUNIT_ASSERT_MESSAGE(text, sent < maxSentBytes);
                 const ErrorCode expected =
                     name == "watch" ? ErrorCode::Stale : ErrorCode::Malformed;
-                CPPUNIT_ASSERT_MESSAGE(name + " " + start, outcome->take() == expected);
+                CPPUNIT_ASSERT_MESSAGE(text, outcome->take() == expected);
             }
         }
     }
--- a/tests/transport/RequestMemoryTest.cpp
+++ b/tests/transport/RequestMemoryTest.cpp
@@ -19,7 +19,7 @@
 
 namespace {
 
-constexpr HttpLimits limits {16 * 1024, 4'000'000, std::chrono::seconds(60)};
+constexpr HttpLimits largeBodyLimits {16 * 1024, 4'000'000, std::chrono::seconds(60)};
 constexpr std::size_t limitBytes = 1'000'000;
 constexpr int callerCount = 100;
 constexpr std::size_t partBytes = 50'000;
@@ -87,7 +87,7 @@
     {
         m_pool.emplace(1);
         m_server.emplace(
-            *m_pool, Endpoint {"127.0.0.1", 0}, limits,
+            *m_pool, Endpoint {"127.0.0.1", 0}, largeBodyLimits,
             [this](HttpRequest request, const std::shared_ptr<Http1Responder> &responder) {
                 m_responders.put(responder);
                 m_requests.put(std::move(request));
