decisions: take no retry for a call that a quarantine keeps at its server

CallSession::onOverdue consumed a retry before it found that the part was quarantined. Streams that wait for a retry of the same service lost it.

callKeptByAQuarantineTakesNoRetry failed before.

--- a/src/decisions/CallSession.cpp
+++ b/src/decisions/CallSession.cpp
@@ -46,13 +46,13 @@
 ForwardAction CallSession::onOverdue(TimePoint now)
 {
     m_isFinalAttempt = true;
-    if (!tryTakeRetry(now))
+    // The server that has the call may be sound, so the call goes on, but no other one gets the
+    // part.
+    if (!quarantinedPart(now).empty() || !tryTakeRetry(now))
         return KeepWaiting {};
     const std::string silentId = server().info.id;
     auto next = place("silent", now);
-    // The server that has the call may be sound, so the call goes on, but no other one gets the
-    // part.
-    if (!next || !quarantinedPart(now).empty())
+    if (!next)
         return KeepWaiting {};
     next->keepsLatest = true;
     context().servers.recordAnswer(silentId, true, now);
--- a/tests/decisions/QuarantinedSessionTest.cpp
+++ b/tests/decisions/QuarantinedSessionTest.cpp
@@ -36,6 +36,7 @@
     CPPUNIT_TEST(promptKeptAtALostServerIsNoCrash);
     CPPUNIT_TEST(callInProgressIsNotDroppedByAQuarantine);
     CPPUNIT_TEST(wholeAnswerClearsTheParts);
+    CPPUNIT_TEST(callKeptByAQuarantineTakesNoRetry);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -354,6 +355,19 @@
         CPPUNIT_ASSERT(quarantinedParts.empty());
     }
 
+    // Guards against streams that wait for a retry which a call took and did not use.
+    void callKeptByAQuarantineTakesNoRetry()
+    {
+        const HttpRoute calls = route(CallKind::Idempotent);
+        CallSession session(calls, deadlyRequest(), context());
+        sent(session.start(now));
+        quarantinePart();
+        const TimePoint overdue = session.nextCheck();
+        const double before = retryBudget.remaining("engine", overdue);
+        session.check(overdue);
+        CPPUNIT_ASSERT_EQUAL(before, retryBudget.remaining("engine", overdue));
+    }
+
 private:
     static constexpr StreamSession::EngineCapabilities probed {false, true, true, false};
 
