--- a/include/foxtailring/decisions/SuspectedCrashes.h
+++ b/include/foxtailring/decisions/SuspectedCrashes.h
@@ -61,9 +61,11 @@
     /// \param isKnownFailure the failure was recorded before without a suspicion; the crash then
     /// accuses no prompt
     void recordReset(const BackendInfo &server, Parts parts, bool isKnownFailure, TimePoint now);
-    /// \brief The server, in the start that \a server names, sent bytes of an answer.
+    /// \brief The server, in the start that \a server names, sent bytes of an answer. A crash of
+    /// which only silence was known is forgotten.
     void recordBytes(const BackendInfo &server);
-    /// \brief A report of the server arrived.
+    /// \brief A report of the server arrived. One of the same start refutes a crash as
+    /// recordBytes() does.
     /// \param startedAtMs start time in the report; 0: not given
     void recordReport(std::string_view serverId, std::int64_t startedAtMs, TimePoint now);
     /// \brief Applies what the server list shows. To be called regularly.
@@ -83,6 +85,12 @@
     std::size_t size() const { return m_suspicions.size(); }
 
 private:
+    struct ProvenCrash
+    {
+        CrashEvidence evidence;
+        TimePoint provenAt;
+    };
+
     struct Suspicion
     {
         BackendInfo server;
@@ -97,13 +105,16 @@
                                  TimePoint now);
     Suspicions::iterator clear(Suspicions::iterator suspicion, std::string_view sign);
     /// True if the crash was not known.
-    bool recordCrashed(const std::string &incarnation, TimePoint now);
+    bool recordCrashed(const std::string &incarnation, CrashEvidence evidence, TimePoint now);
+    /// The server has sent something, so a crash that only its silence proved was none.
+    void refuteSilence(std::string_view incarnation);
+    static std::string incarnationOf(std::string_view serverId, std::int64_t startedAtMs);
     void reportCrash(const BackendInfo &server, CrashEvidence evidence) const;
 
     PromptQuarantine &m_quarantine;
     Hooks m_hooks;
     Suspicions m_suspicions;
-    std::map<std::string, TimePoint, std::less<>> m_crashed; ///< when it was proven, by incarnation
+    std::map<std::string, ProvenCrash, std::less<>> m_crashed; ///< by incarnation
 };
 
 } // namespace foxtailring
--- a/src/decisions/SuspectedCrashes.cpp
+++ b/src/decisions/SuspectedCrashes.cpp
@@ -27,7 +27,12 @@
 
 std::string SuspectedCrashes::incarnationOf(const BackendInfo &server)
 {
-    return server.id + '@' + std::to_string(server.startedAtMs);
+    return incarnationOf(server.id, server.startedAtMs);
+}
+
+std::string SuspectedCrashes::incarnationOf(std::string_view serverId, std::int64_t startedAtMs)
+{
+    return std::string(serverId) + '@' + std::to_string(startedAtMs);
 }
 
 void SuspectedCrashes::suspect(const BackendInfo &server, Parts parts, TimePoint silentSince,
@@ -63,7 +68,7 @@
         confirm(found, CrashEvidence::Reset, now);
         return;
     }
-    const bool isNew = recordCrashed(incarnation, now);
+    const bool isNew = recordCrashed(incarnation, CrashEvidence::Reset, now);
     if (isKnownFailure || parts.empty())
         return;
     if (isNew)
@@ -73,18 +78,29 @@
 
 void SuspectedCrashes::recordBytes(const BackendInfo &server)
 {
-    if (m_suspicions.empty())
+    if (m_suspicions.empty() && m_crashed.empty())
         return;
-    const auto found = m_suspicions.find(incarnationOf(server));
+    const std::string incarnation = incarnationOf(server);
+    refuteSilence(incarnation);
+    const auto found = m_suspicions.find(incarnation);
     if (found != m_suspicions.end())
         clear(found, "bytes");
 }
 
+// What was on its way at a reset may still arrive after it, but not after seconds of silence.
+void SuspectedCrashes::refuteSilence(std::string_view incarnation)
+{
+    const auto crashed = m_crashed.find(incarnation);
+    if (crashed != m_crashed.end() && crashed->second.evidence == CrashEvidence::Silent)
+        m_crashed.erase(crashed);
+}
+
 // A report without a start time may be of a later start, but does not prove it: in doubt nothing is
 // accused.
 void SuspectedCrashes::recordReport(std::string_view serverId, std::int64_t startedAtMs,
                                     TimePoint now)
 {
+    refuteSilence(incarnationOf(serverId, startedAtMs));
     for (auto it = m_suspicions.begin(); it != m_suspicions.end();) {
         const BackendInfo &server = it->second.server;
         if (server.id != serverId)
@@ -98,8 +114,9 @@
 
 void SuspectedCrashes::update(const BackendTable &servers, TimePoint now)
 {
-    std::erase_if(m_crashed,
-                  [now](const auto &crashed) { return now - crashed.second >= crashMemory; });
+    std::erase_if(m_crashed, [now](const auto &crashed) {
+        return now - crashed.second.provenAt >= crashMemory;
+    });
     for (auto it = m_suspicions.begin(); it != m_suspicions.end();) {
         const BackendInfo &server = it->second.server;
         const auto current = servers.server(server.id, now);
@@ -155,7 +172,7 @@
     const std::string incarnation = suspicion->first;
     const Suspicion proven = std::move(suspicion->second);
     const auto next = m_suspicions.erase(suspicion);
-    recordCrashed(incarnation, now);
+    recordCrashed(incarnation, evidence, now);
     reportCrash(proven.server, evidence);
     for (const auto &prompt : proven.prompts)
         m_quarantine.recordCrash(incarnation, prompt, {proven.silentSince, evidence}, now);
@@ -172,13 +189,15 @@
     return m_suspicions.erase(suspicion);
 }
 
-bool SuspectedCrashes::recordCrashed(const std::string &incarnation, TimePoint now)
+bool SuspectedCrashes::recordCrashed(const std::string &incarnation, CrashEvidence evidence,
+                                     TimePoint now)
 {
-    const bool isNew = m_crashed.emplace(incarnation, now).second;
+    const bool isNew = m_crashed.emplace(incarnation, ProvenCrash {evidence, now}).second;
     if (m_crashed.size() > maxCrashed)
-        m_crashed.erase(std::min_element(
-            m_crashed.begin(), m_crashed.end(),
-            [](const auto &one, const auto &other) { return one.second < other.second; }));
+        m_crashed.erase(std::min_element(m_crashed.begin(), m_crashed.end(),
+                                         [](const auto &one, const auto &other) {
+                                             return one.second.provenAt < other.second.provenAt;
+                                         }));
     return isNew;
 }
 
--- a/tests/decisions/SuspectedCrashesTest.cpp
+++ b/tests/decisions/SuspectedCrashesTest.cpp
@@ -28,6 +28,7 @@
     CPPUNIT_TEST(suspicionsAreBounded);
     CPPUNIT_TEST(silentZoneAccusesNobody);
     CPPUNIT_TEST(pauseOfOthersDoesNotHideACrash);
+    CPPUNIT_TEST(signOfLifeAfterSilenceRefutesTheCrash);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -185,6 +186,19 @@
         CPPUNIT_ASSERT(!isAdmitted());
     }
 
+    // Guards against ending work at a sound server that was silent during both probes.
+    void signOfLifeAfterSilenceRefutesTheCrash()
+    {
+        suspectTwo();
+        m_crashes.recordProbed(server(0), m_now + 3s);
+        m_crashes.recordProbed(server(1), m_now + 3s);
+        CPPUNIT_ASSERT(m_crashes.hasCrashed(server(0)));
+        m_crashes.recordBytes(server(0));
+        m_crashes.recordReport("s1", 1, m_now + 4s);
+        CPPUNIT_ASSERT(!m_crashes.hasCrashed(server(0)));
+        CPPUNIT_ASSERT(!m_crashes.hasCrashed(server(1)));
+    }
+
 private:
     static BackendInfo server(int number, std::int64_t startedAtMs = 1)
     {
