quarantine: count a later start as a crash only if it is confirmed news

ServerIdentities accepts the reports of a server that keeps telling a later start than its entry. A suspicion took each of them for the proof of a crash, so a pause of such a server accused prompts.

laterStartThanTheEntryIsNoCrashByItself failed before.

--- a/include/foxtailring/decisions/SuspectedCrashes.h
+++ b/include/foxtailring/decisions/SuspectedCrashes.h
@@ -20,6 +20,7 @@
 
 class BackendTable;
 class PromptQuarantine;
+struct ServerProbeResult;
 
 /// \brief Servers that fell silent before they had begun to answer a request, until it is known
 /// whether they crashed.
@@ -68,15 +69,20 @@
     /// recordBytes() does.
     /// \param startedAtMs start time in the report; 0: not given
     void recordReport(std::string_view serverId, std::int64_t startedAtMs, TimePoint now);
+    /// \brief A report of the server arrived.
+    /// \param start what \a servers makes of the start time in it
+    void recordReport(const BackendTable &servers, const ServerProbeResult &report,
+                      ReportedStart start, TimePoint now);
     /// \brief Applies what the server list shows. To be called regularly.
     void update(const BackendTable &servers, TimePoint now);
     /// \brief Servers that must be probed now, since nobody else asks them: one probe for each
     /// suspicion. recordProbed() must follow for each of them.
     std::vector<BackendState> takeDueProbes(const BackendTable &servers, TimePoint now);
-    /// \brief A probe from takeDueProbes() is over. If there was an answer, recordReport() must be
-    /// called before.
+    /// \brief A probe from takeDueProbes() was not answered, or its answer was passed to
+    /// recordReport() and proved what became of the server.
     void recordProbed(const BackendInfo &server, TimePoint now);
-    /// \brief The probe was not sent. takeDueProbes() returns it again.
+    /// \brief The probe was not sent, or its answer proves nothing. takeDueProbes() returns it
+    /// again.
     void recordNotProbed(const BackendInfo &server);
 
     /// \brief True if the crash of this start of a server was proven lately.
--- a/src/decisions/ForwardSession.cpp
+++ b/src/decisions/ForwardSession.cpp
@@ -427,8 +427,7 @@
     for (const ServerProbeResult &report : reports) {
         const ReportedStart start =
             m_context.servers.recordReport(report.serverId, report.startedAtMs, now);
-        if (start != ReportedStart::Unconfirmed)
-            m_context.suspectedCrashes.recordReport(report.serverId, report.startedAtMs, now);
+        m_context.suspectedCrashes.recordReport(m_context.servers, report, start, now);
         if (start != ReportedStart::Accepted)
             continue;
         m_context.servers.recordContact(report.serverId, now);
--- a/src/decisions/StreamSession.cpp
+++ b/src/decisions/StreamSession.cpp
@@ -253,8 +253,7 @@
     for (const ServerProbeResult &report : reports) {
         const ReportedStart start =
             context().servers.recordReport(report.serverId, report.startedAtMs, now);
-        if (start != ReportedStart::Unconfirmed)
-            context().suspectedCrashes.recordReport(report.serverId, report.startedAtMs, now);
+        context().suspectedCrashes.recordReport(context().servers, report, start, now);
         if (start != ReportedStart::Accepted)
             continue;
         context().servers.recordContact(report.serverId, now);
--- a/src/decisions/SuspectedCrashes.cpp
+++ b/src/decisions/SuspectedCrashes.cpp
@@ -2,6 +2,7 @@
 
 #include "foxtailring/decisions/BackendTable.h"
 #include "foxtailring/decisions/PromptQuarantine.h"
+#include "foxtailring/decisions/ServerProbeResult.h"
 
 #include <algorithm>
 #include <optional>
@@ -112,6 +113,20 @@
     }
 }
 
+// A later start is believed once it is confirmed. While it is not, a server that tells another
+// start than its entry has shown no more than that it works.
+void SuspectedCrashes::recordReport(const BackendTable &servers, const ServerProbeResult &report,
+                                    ReportedStart start, TimePoint now)
+{
+    if (start == ReportedStart::Unconfirmed)
+        return;
+    std::int64_t startedAtMs = report.startedAtMs;
+    const auto current = servers.server(report.serverId, now);
+    if (start == ReportedStart::Accepted && current)
+        startedAtMs = std::min(startedAtMs, current->info.startedAtMs);
+    recordReport(report.serverId, startedAtMs, now);
+}
+
 void SuspectedCrashes::update(const BackendTable &servers, TimePoint now)
 {
     std::erase_if(m_crashed, [now](const auto &crashed) {
--- a/tests/decisions/QuarantinedSessionTest.cpp
+++ b/tests/decisions/QuarantinedSessionTest.cpp
@@ -37,6 +37,7 @@
     CPPUNIT_TEST(callInProgressIsNotDroppedByAQuarantine);
     CPPUNIT_TEST(wholeAnswerClearsTheParts);
     CPPUNIT_TEST(callKeptByAQuarantineTakesNoRetry);
+    CPPUNIT_TEST(laterStartThanTheEntryIsNoCrashByItself);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -368,6 +369,27 @@
         CPPUNIT_ASSERT_EQUAL(before, retryBudget.remaining("engine", overdue));
     }
 
+    // A server may keep telling a later start than its entry, and works all the same. Guards
+    // against a pause of such a server that counts as a crash.
+    void laterStartThanTheEntryIsNoCrashByItself()
+    {
+        StreamSession session(m_route, deadlyRequest(), context(), probed);
+        const BackendInfo server = sent(place(session, session.start(now))).server.info;
+        servers.recordReport(server.id, 2, now);
+        servers.put(server, now);
+        now += Ms(1000);
+        silence(session);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), suspectedCrashes.size());
+        StreamSession other(m_route, request({"other"}), context(), probed);
+        other.start(now);
+        ServerProbeResult report;
+        report.serverId = server.id;
+        report.startedAtMs = 2;
+        other.onProbed(std::vector {report}, now + Ms(800));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), suspectedCrashes.size());
+        CPPUNIT_ASSERT(!suspectedCrashes.hasCrashed(server));
+    }
+
 private:
     static constexpr StreamSession::EngineCapabilities probed {false, true, true, false};
 
