gateway: ask a suspected server again if its later start is unconfirmed

CrashProber took one report of a later start for the proof of a crash, which sessions do only once it is confirmed, and counted any answer that left the suspicion open as silence. What its answers prove is now decided in SuspectedCrashes.

unconfirmedStartIsAskedAgain failed before, on the same code moved there.

--- a/include/foxtailring/decisions/SuspectedCrashes.h
+++ b/include/foxtailring/decisions/SuspectedCrashes.h
@@ -78,8 +78,11 @@
     /// \brief Servers that must be probed now, since nobody else asks them: one probe for each
     /// suspicion. recordProbed() must follow for each of them.
     std::vector<BackendState> takeDueProbes(const BackendTable &servers, TimePoint now);
-    /// \brief A probe from takeDueProbes() was not answered, or its answer was passed to
-    /// recordReport() and proved what became of the server.
+    /// \brief A probe from takeDueProbes() is over.
+    /// \param reports answer to the probe; empty if there was none
+    void recordProbed(const BackendInfo &server, std::span<const ServerProbeResult> reports,
+                      BackendTable &servers, TimePoint now);
+    /// \brief The probe from takeDueProbes() was not answered.
     void recordProbed(const BackendInfo &server, TimePoint now);
     /// \brief The probe was not sent, or its answer proves nothing. takeDueProbes() returns it
     /// again.
--- a/src/decisions/SuspectedCrashes.cpp
+++ b/src/decisions/SuspectedCrashes.cpp
@@ -162,6 +162,22 @@
     return due;
 }
 
+void SuspectedCrashes::recordProbed(const BackendInfo &server,
+                                    std::span<const ServerProbeResult> reports,
+                                    BackendTable &servers, TimePoint now)
+{
+    for (const ServerProbeResult &report : reports) {
+        const ReportedStart start = servers.recordReport(report.serverId, report.startedAtMs, now);
+        recordReport(servers, report, start, now);
+        if (start == ReportedStart::Accepted)
+            servers.recordContact(report.serverId, now);
+    }
+    // A suspicion that outlasts an answer needs another one.
+    if (!reports.empty())
+        return recordNotProbed(server);
+    recordProbed(server, now);
+}
+
 void SuspectedCrashes::recordProbed(const BackendInfo &server, TimePoint now)
 {
     const auto found = m_suspicions.find(incarnationOf(server));
--- a/src/gateway/CrashProber.cpp
+++ b/src/gateway/CrashProber.cpp
@@ -50,15 +50,7 @@
 void CrashProber::onProbed(GatewayParts &parts, const BackendState &server,
                            std::span<const ServerProbeResult> reports)
 {
-    const TimePoint now = parts.clock();
-    for (const ServerProbeResult &report : reports) {
-        parts.suspectedCrashes.recordReport(report.serverId, report.startedAtMs, now);
-        const ReportedStart start =
-            parts.servers.recordReport(report.serverId, report.startedAtMs, now);
-        if (start == ReportedStart::Accepted)
-            parts.servers.recordContact(report.serverId, now);
-    }
-    parts.suspectedCrashes.recordProbed(server.info, now);
+    parts.suspectedCrashes.recordProbed(server.info, reports, parts.servers, parts.clock());
 }
 
 } // namespace foxtailring
--- a/tests/decisions/SuspectedCrashesTest.cpp
+++ b/tests/decisions/SuspectedCrashesTest.cpp
@@ -1,6 +1,7 @@
 #include "foxtailring/decisions/SuspectedCrashes.h"
 #include "foxtailring/decisions/BackendTable.h"
 #include "foxtailring/decisions/PromptQuarantine.h"
+#include "foxtailring/decisions/ServerProbeResult.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -29,6 +30,7 @@
     CPPUNIT_TEST(silentZoneAccusesNobody);
     CPPUNIT_TEST(pauseOfOthersDoesNotHideACrash);
     CPPUNIT_TEST(signOfLifeAfterSilenceRefutesTheCrash);
+    CPPUNIT_TEST(unconfirmedStartIsAskedAgain);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -199,6 +201,22 @@
         CPPUNIT_ASSERT(!m_crashes.hasCrashed(server(1)));
     }
 
+    // Guards against one wrong report that proves a crash, or an answer that counts as silence.
+    void unconfirmedStartIsAskedAgain()
+    {
+        suspectTwo();
+        ServerProbeResult report;
+        report.serverId = "s0";
+        report.startedAtMs = 2;
+        const TimePoint later = m_now + 3s;
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), m_crashes.takeDueProbes(m_servers, later).size());
+        m_crashes.recordProbed(server(0), std::vector {report}, m_servers, later);
+        CPPUNIT_ASSERT(!m_crashes.hasCrashed(server(0)));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_crashes.takeDueProbes(m_servers, later).size());
+        m_crashes.recordProbed(server(0), std::vector {report}, m_servers, later + 250ms);
+        CPPUNIT_ASSERT(m_crashes.hasCrashed(server(0)));
+    }
+
 private:
     static BackendInfo server(int number, std::int64_t startedAtMs = 1)
     {
