quarantine: take the planned end of a silent server for no crash

A server that was silent for a moment and then ended or started again as planned counted as crashed by its removed entry or its later start.

endOfALeavingServerIsNoCrash failed before.

--- a/include/foxtailring/decisions/SuspectedCrashes.h
+++ b/include/foxtailring/decisions/SuspectedCrashes.h
@@ -107,6 +107,7 @@
         TimePoint suspectedAt;                         ///< first probe without an answer
         std::vector<std::vector<std::string>> prompts; ///< of the attempts that were in progress
         bool isProbed = false;
+        bool isLeaving = false; ///< its end or next start is planned
     };
     using Suspicions = std::map<std::string, Suspicion, std::less<>>; ///< by incarnation
 
--- a/src/decisions/SuspectedCrashes.cpp
+++ b/src/decisions/SuspectedCrashes.cpp
@@ -46,8 +46,7 @@
     if (found == m_suspicions.end()) {
         if (m_suspicions.size() >= maxServers)
             return;
-        found = m_suspicions.emplace(incarnation, Suspicion {server, silentSince, now, {}, false})
-                    .first;
+        found = m_suspicions.emplace(incarnation, Suspicion {server, silentSince, now, {}}).first;
     }
     Suspicion &suspicion = found->second;
     std::vector<std::string> prompt(parts.begin(), parts.end());
@@ -140,7 +139,7 @@
         else if (server.startedAtMs > 0 && current->info.startedAtMs > server.startedAtMs)
             it = confirm(it, CrashEvidence::Restarted, now);
         else
-            ++it;
+            (it++)->second.isLeaving = current->isLeaving;
     }
 }
 
@@ -200,6 +199,10 @@
 SuspectedCrashes::Suspicions::iterator
 SuspectedCrashes::confirm(Suspicions::iterator suspicion, CrashEvidence evidence, TimePoint now)
 {
+    // A planned stop ends a server, too.
+    const bool isEnd = evidence == CrashEvidence::Lapsed || evidence == CrashEvidence::Restarted;
+    if (isEnd && suspicion->second.isLeaving)
+        return clear(suspicion, "leaving");
     const std::string incarnation = suspicion->first;
     const Suspicion proven = std::move(suspicion->second);
     const auto next = m_suspicions.erase(suspicion);
--- a/tests/decisions/SuspectedCrashesTest.cpp
+++ b/tests/decisions/SuspectedCrashesTest.cpp
@@ -31,6 +31,7 @@
     CPPUNIT_TEST(pauseOfOthersDoesNotHideACrash);
     CPPUNIT_TEST(signOfLifeAfterSilenceRefutesTheCrash);
     CPPUNIT_TEST(unconfirmedStartIsAskedAgain);
+    CPPUNIT_TEST(endOfALeavingServerIsNoCrash);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -217,6 +218,23 @@
         CPPUNIT_ASSERT(m_crashes.hasCrashed(server(0)));
     }
 
+    // Guards against prompts accused of planned stops of servers that paused before.
+    void endOfALeavingServerIsNoCrash()
+    {
+        suspectTwo();
+        for (const int number : {0, 1}) {
+            BackendInfo leaving = server(number);
+            leaving.isDraining = true;
+            m_servers.put(leaving, m_now + 1300ms);
+        }
+        m_crashes.update(m_servers, m_now + 1300ms);
+        m_servers.remove("s0", m_now + 1600ms);
+        m_servers.put(server(1, 2), m_now + 1600ms);
+        m_crashes.update(m_servers, m_now + 1600ms);
+        CPPUNIT_ASSERT(m_evidence.empty());
+        CPPUNIT_ASSERT(isAdmitted());
+    }
+
 private:
     static BackendInfo server(int number, std::int64_t startedAtMs = 1)
     {
