transport, gateway: take a server that acknowledges nothing for silent

A connection that the system gave up after 1.5 s without an acknowledgement was reported as closed. The gateway took that for the proof of a crash at once, without a second probe, though a sound server may be silent for as long.

unacknowledgedRequestTimesOut failed before: the error was closed.

--- a/src/gateway/RequestRelay.cpp
+++ b/src/gateway/RequestRelay.cpp
@@ -51,6 +51,9 @@
 {
     if (error.code == ErrorCode::Unavailable)
         return AttemptResult::NotSent;
+    // A server that acknowledges nothing is silent. Only a lost connection proves a crash.
+    if (error.code == ErrorCode::Timeout)
+        return AttemptResult::Silent;
     return error.code == ErrorCode::Malformed ? AttemptResult::Invalid : AttemptResult::Lost;
 }
 
--- a/src/transport/Http1ClientExchange.cpp
+++ b/src/transport/Http1ClientExchange.cpp
@@ -127,6 +127,7 @@
 void Http1ClientExchange::onWritten(ErrorStatus status, std::size_t size)
 {
     m_writeDone = !status;
+    m_writeTimedOut = status == net::error::timed_out;
     if (status && size == 0 && m_input.empty() && !m_headDelivered)
         return fail(ErrorCode::Unavailable, "nothing was sent: " + status.message());
     if (m_responseDone && !m_isComplete)
@@ -167,6 +168,9 @@
         m_parser->put_eof(parseStatus);
     if (m_headDelivered && !parseStatus && m_parser->is_done())
         return onResponseComplete();
+    // The peer may be silent and go on, so this does not show the end of the connection there.
+    if (m_writeTimedOut || status == net::error::timed_out)
+        return fail(ErrorCode::Timeout, "the peer acknowledged nothing for too long");
     const bool isCut = status == net::error::eof;
     fail(ErrorCode::Closed,
          isCut ? "the connection closed before the end of the response" : status.message());
--- a/tests/transport/Http1ClientTest.cpp
+++ b/tests/transport/Http1ClientTest.cpp
@@ -101,6 +101,7 @@
     CPPUNIT_TEST(firstResponseOfAConnectionIsToldFromLaterOnes);
     CPPUNIT_TEST(connectionIsNotReusedAgainstTheHook);
     CPPUNIT_TEST(throwingHookEndsTheExchange);
+    CPPUNIT_TEST(unacknowledgedRequestTimesOut);
     CPPUNIT_TEST(idleConnectionIsNotKeptAgainstTheHook);
     CPPUNIT_TEST(idleConnectionsOfAQuietClientAreClosed);
     CPPUNIT_TEST(idleConnectionsToOneEndpointCanBeClosed);
@@ -607,6 +608,22 @@
         peer.waitForClose();
     }
 
+    // Guards against the silence of a server that is taken for a connection which it has closed.
+    void unacknowledgedRequestTimesOut()
+    {
+        RawServer server;
+        StreamEvents events;
+        ExchangeOptions options;
+        options.unacknowledgedTimeout = milliseconds(300);
+        m_client->stream({"127.0.0.1", server.port()},
+                         {"POST", "/", {}, std::string(std::size_t(32) << 20U, 'x')},
+                         events.hooks(), options);
+        const RawPeer peer = server.accept();
+        const auto closed = events.closed();
+        CPPUNIT_ASSERT_EQUAL(std::string("timeout"),
+                             std::string(errorCodeName(closed.error().code)));
+    }
+
     // Guards against an exchange that never ends because a codec throws on its response.
     void throwingHookEndsTheExchange()
     {
