--- a/include/foxtailring/decisions/SuspectedCrashes.h
+++ b/include/foxtailring/decisions/SuspectedCrashes.h
@@ -20,6 +20,7 @@
 
 class BackendTable;
 class PromptQuarantine;
+struct ServerProbeResult;
 
 /// \brief Servers that fell silent before they had begun to answer a request, until it is known
 /// whether they crashed.
@@ -63,20 +64,30 @@
     /// \param isKnownFailure the failure was recorded before without a suspicion; the crash then
     /// accuses no prompt
     void recordReset(const BackendInfo &server, Parts parts, bool isKnownFailure, TimePoint now);
-    /// \brief The server, in the start that \a server names, sent bytes of an answer.
+    /// \brief The server, in the start that \a server names, sent bytes of an answer. A crash of
+    /// which only silence was known is forgotten.
     void recordBytes(const BackendInfo &server);
-    /// \brief A report of the server arrived.
+    /// \brief A report of the server arrived. One of the same start refutes a crash as
+    /// recordBytes() does.
     /// \param startedAtMs start time in the report; 0: not given
     void recordReport(std::string_view serverId, std::int64_t startedAtMs, TimePoint now);
+    /// \brief A report of the server arrived.
+    /// \param start what \a servers makes of the start time in it
+    void recordReport(const BackendTable &servers, const ServerProbeResult &report,
+                      ReportedStart start, TimePoint now);
     /// \brief Applies what the server list shows. To be called regularly.
     void update(const BackendTable &servers, TimePoint now);
     /// \brief Servers that must be probed now, since nobody else asks them. recordProbed() must
     /// follow for each of them.
     std::vector<BackendState> takeDueProbes(const BackendTable &servers, TimePoint now);
-    /// \brief A probe from takeDueProbes() is over. If there was an answer, recordReport() must be
-    /// called before.
+    /// \brief A probe from takeDueProbes() is over.
+    /// \param reports answer to the probe; empty if there was none
+    void recordProbed(const BackendInfo &server, std::span<const ServerProbeResult> reports,
+                      BackendTable &servers, TimePoint now);
+    /// \brief The probe from takeDueProbes() was not answered.
     void recordProbed(const BackendInfo &server, TimePoint now);
-    /// \brief The probe was not sent. takeDueProbes() returns it again.
+    /// \brief The probe was not sent, or its answer proves nothing. takeDueProbes() returns it
+    /// again.
     void recordNotProbed(const BackendInfo &server);
 
     /// \brief True if the crash of this start of a server was proven lately.
@@ -85,6 +96,12 @@
     std::size_t size() const { return m_suspicions.size(); }
 
 private:
+    struct ProvenCrash
+    {
+        CrashEvidence evidence;
+        TimePoint provenAt;
+    };
+
     struct Suspicion
     {
         BackendInfo server;
@@ -93,6 +110,7 @@
         std::vector<std::vector<std::string>> prompts; ///< of the attempts that were in progress
         TimePoint probedAt;                            ///< start of the latest own probe
         bool isProbing = false;
+        bool isLeaving = false; ///< its end or next start is planned
     };
     using Suspicions = std::map<std::string, Suspicion, std::less<>>; ///< by incarnation
 
@@ -100,13 +118,16 @@
                                  TimePoint now);
     Suspicions::iterator clear(Suspicions::iterator suspicion, std::string_view sign);
     /// True if the crash was not known.
-    bool recordCrashed(const std::string &incarnation, TimePoint now);
+    bool recordCrashed(const std::string &incarnation, CrashEvidence evidence, TimePoint now);
+    /// The server has sent something, so a crash that only its silence proved was none.
+    void refuteSilence(std::string_view incarnation);
+    static std::string incarnationOf(std::string_view serverId, std::int64_t startedAtMs);
     void reportCrash(const BackendInfo &server, CrashEvidence evidence) const;
 
     PromptQuarantine &m_quarantine;
     Hooks m_hooks;
     Suspicions m_suspicions;
-    std::map<std::string, TimePoint, std::less<>> m_crashed; ///< when it was proven, by incarnation
+    std::map<std::string, ProvenCrash, std::less<>> m_crashed; ///< by incarnation
 };
 
 } // namespace foxtailring
--- a/src/decisions/SuspectedCrashes.cpp
+++ b/src/decisions/SuspectedCrashes.cpp
@@ -2,6 +2,7 @@
 
 #include "foxtailring/decisions/BackendTable.h"
 #include "foxtailring/decisions/PromptQuarantine.h"
+#include "foxtailring/decisions/ServerProbeResult.h"
 
 #include <algorithm>
 #include <optional>
@@ -27,7 +28,12 @@
 
 std::string SuspectedCrashes::incarnationOf(const BackendInfo &server)
 {
-    return server.id + '@' + std::to_string(server.startedAtMs);
+    return incarnationOf(server.id, server.startedAtMs);
+}
+
+std::string SuspectedCrashes::incarnationOf(std::string_view serverId, std::int64_t startedAtMs)
+{
+    return std::string(serverId) + '@' + std::to_string(startedAtMs);
 }
 
 void SuspectedCrashes::suspect(const BackendInfo &server, Parts parts, TimePoint silentSince,
@@ -41,8 +47,7 @@
         if (m_suspicions.size() >= maxServers)
             return;
         found =
-            m_suspicions.emplace(incarnation, Suspicion {server, silentSince, now, {}, now, false})
-                .first;
+            m_suspicions.emplace(incarnation, Suspicion {server, silentSince, now, {}, now}).first;
     }
     Suspicion &suspicion = found->second;
     std::vector<std::string> prompt(parts.begin(), parts.end());
@@ -64,7 +69,7 @@
         confirm(found, CrashEvidence::Reset, now);
         return;
     }
-    const bool isNew = recordCrashed(incarnation, now);
+    const bool isNew = recordCrashed(incarnation, CrashEvidence::Reset, now);
     if (isKnownFailure || parts.empty())
         return;
     if (isNew)
@@ -74,18 +79,29 @@
 
 void SuspectedCrashes::recordBytes(const BackendInfo &server)
 {
-    if (m_suspicions.empty())
+    if (m_suspicions.empty() && m_crashed.empty())
         return;
-    const auto found = m_suspicions.find(incarnationOf(server));
+    const std::string incarnation = incarnationOf(server);
+    refuteSilence(incarnation);
+    const auto found = m_suspicions.find(incarnation);
     if (found != m_suspicions.end())
         clear(found, "bytes");
 }
 
+// What was on its way at a reset may still arrive after it, but not after seconds of silence.
+void SuspectedCrashes::refuteSilence(std::string_view incarnation)
+{
+    const auto crashed = m_crashed.find(incarnation);
+    if (crashed != m_crashed.end() && crashed->second.evidence == CrashEvidence::Silent)
+        m_crashed.erase(crashed);
+}
+
 // A report without a start time may be of a later start, but does not prove it: in doubt nothing is
 // accused.
 void SuspectedCrashes::recordReport(std::string_view serverId, std::int64_t startedAtMs,
                                     TimePoint now)
 {
+    refuteSilence(incarnationOf(serverId, startedAtMs));
     for (auto it = m_suspicions.begin(); it != m_suspicions.end();) {
         const BackendInfo &server = it->second.server;
         if (server.id != serverId)
@@ -97,10 +113,25 @@
     }
 }
 
+// A later start is believed once it is confirmed. While it is not, a server that tells another
+// start than its entry has shown no more than that it works.
+void SuspectedCrashes::recordReport(const BackendTable &servers, const ServerProbeResult &report,
+                                    ReportedStart start, TimePoint now)
+{
+    if (start == ReportedStart::Unconfirmed)
+        return;
+    std::int64_t startedAtMs = report.startedAtMs;
+    const auto current = servers.server(report.serverId, now);
+    if (start == ReportedStart::Accepted && current)
+        startedAtMs = std::min(startedAtMs, current->info.startedAtMs);
+    recordReport(report.serverId, startedAtMs, now);
+}
+
 void SuspectedCrashes::update(const BackendTable &servers, TimePoint now)
 {
-    std::erase_if(m_crashed,
-                  [now](const auto &crashed) { return now - crashed.second >= crashMemory; });
+    std::erase_if(m_crashed, [now](const auto &crashed) {
+        return now - crashed.second.provenAt >= crashMemory;
+    });
     for (auto it = m_suspicions.begin(); it != m_suspicions.end();) {
         const BackendInfo &server = it->second.server;
         const auto current = servers.server(server.id, now);
@@ -109,7 +140,7 @@
         else if (server.startedAtMs > 0 && current->info.startedAtMs > server.startedAtMs)
             it = confirm(it, CrashEvidence::Restarted, now);
         else
-            ++it;
+            (it++)->second.isLeaving = current->isLeaving;
     }
 }
 
@@ -132,6 +163,22 @@
     return due;
 }
 
+void SuspectedCrashes::recordProbed(const BackendInfo &server,
+                                    std::span<const ServerProbeResult> reports,
+                                    BackendTable &servers, TimePoint now)
+{
+    for (const ServerProbeResult &report : reports) {
+        const ReportedStart start = servers.recordReport(report.serverId, report.startedAtMs, now);
+        recordReport(servers, report, start, now);
+        if (start == ReportedStart::Accepted)
+            servers.recordContact(report.serverId, now);
+    }
+    // A suspicion that outlasts an answer needs another one.
+    if (!reports.empty())
+        return recordNotProbed(server);
+    recordProbed(server, now);
+}
+
 void SuspectedCrashes::recordProbed(const BackendInfo &server, TimePoint now)
 {
     const auto found = m_suspicions.find(incarnationOf(server));
@@ -159,10 +206,14 @@
 SuspectedCrashes::Suspicions::iterator
 SuspectedCrashes::confirm(Suspicions::iterator suspicion, CrashEvidence evidence, TimePoint now)
 {
+    // A planned stop ends a server, too.
+    const bool isEnd = evidence == CrashEvidence::Lapsed || evidence == CrashEvidence::Restarted;
+    if (isEnd && suspicion->second.isLeaving)
+        return clear(suspicion, "leaving");
     const std::string incarnation = suspicion->first;
     const Suspicion proven = std::move(suspicion->second);
     const auto next = m_suspicions.erase(suspicion);
-    recordCrashed(incarnation, now);
+    recordCrashed(incarnation, evidence, now);
     reportCrash(proven.server, evidence);
     for (const auto &prompt : proven.prompts)
         m_quarantine.recordCrash(incarnation, prompt, {proven.silentSince, evidence}, now);
@@ -179,13 +230,15 @@
     return m_suspicions.erase(suspicion);
 }
 
-bool SuspectedCrashes::recordCrashed(const std::string &incarnation, TimePoint now)
+bool SuspectedCrashes::recordCrashed(const std::string &incarnation, CrashEvidence evidence,
+                                     TimePoint now)
 {
-    const bool isNew = m_crashed.emplace(incarnation, now).second;
+    const bool isNew = m_crashed.emplace(incarnation, ProvenCrash {evidence, now}).second;
     if (m_crashed.size() > maxCrashed)
-        m_crashed.erase(std::min_element(
-            m_crashed.begin(), m_crashed.end(),
-            [](const auto &one, const auto &other) { return one.second < other.second; }));
+        m_crashed.erase(std::min_element(m_crashed.begin(), m_crashed.end(),
+                                         [](const auto &one, const auto &other) {
+                                             return one.second.provenAt < other.second.provenAt;
+                                         }));
     return isNew;
 }
 
--- a/tests/decisions/SuspectedCrashesTest.cpp
+++ b/tests/decisions/SuspectedCrashesTest.cpp
@@ -1,6 +1,7 @@
 #include "foxtailring/decisions/SuspectedCrashes.h"
 #include "foxtailring/decisions/BackendTable.h"
 #include "foxtailring/decisions/PromptQuarantine.h"
+#include "foxtailring/decisions/ServerProbeResult.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -29,6 +30,9 @@
     CPPUNIT_TEST(suspicionsAreBounded);
     CPPUNIT_TEST(silentZoneAccusesNobody);
     CPPUNIT_TEST(pauseOfOthersDoesNotHideACrash);
+    CPPUNIT_TEST(signOfLifeAfterSilenceRefutesTheCrash);
+    CPPUNIT_TEST(unconfirmedStartIsAskedAgain);
+    CPPUNIT_TEST(endOfALeavingServerIsNoCrash);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -205,6 +209,53 @@
         CPPUNIT_ASSERT(!isAdmitted());
     }
 
+    // Guards against ending work at a sound server that was silent during both probes.
+    void signOfLifeAfterSilenceRefutesTheCrash()
+    {
+        suspectTwo();
+        m_crashes.recordProbed(server(0), m_now + 3s);
+        m_crashes.recordProbed(server(1), m_now + 3s);
+        CPPUNIT_ASSERT(m_crashes.hasCrashed(server(0)));
+        m_crashes.recordBytes(server(0));
+        m_crashes.recordReport("s1", 1, m_now + 4s);
+        CPPUNIT_ASSERT(!m_crashes.hasCrashed(server(0)));
+        CPPUNIT_ASSERT(!m_crashes.hasCrashed(server(1)));
+    }
+
+    // Guards against one wrong report that proves a crash, or an answer that counts as silence.
+    void unconfirmedStartIsAskedAgain()
+    {
+        suspectTwo();
+        ServerProbeResult report;
+        report.serverId = "s0";
+        report.startedAtMs = 2;
+        const TimePoint later = m_now + 3s;
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), m_crashes.takeDueProbes(m_servers, later).size());
+        m_crashes.recordProbed(server(0), std::vector {report}, m_servers, later);
+        CPPUNIT_ASSERT(!m_crashes.hasCrashed(server(0)));
+        const TimePoint next = later + SuspectedCrashes::probeInterval;
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_crashes.takeDueProbes(m_servers, next).size());
+        m_crashes.recordProbed(server(0), std::vector {report}, m_servers, next + 250ms);
+        CPPUNIT_ASSERT(m_crashes.hasCrashed(server(0)));
+    }
+
+    // Guards against prompts accused of planned stops of servers that paused before.
+    void endOfALeavingServerIsNoCrash()
+    {
+        suspectTwo();
+        for (const int number : {0, 1}) {
+            BackendInfo leaving = server(number);
+            leaving.isDraining = true;
+            m_servers.put(leaving, m_now + 1300ms);
+        }
+        m_crashes.update(m_servers, m_now + 1300ms);
+        m_servers.remove("s0", m_now + 1600ms);
+        m_servers.put(server(1, 2), m_now + 1600ms);
+        m_crashes.update(m_servers, m_now + 1600ms);
+        CPPUNIT_ASSERT(m_evidence.empty());
+        CPPUNIT_ASSERT(isAdmitted());
+    }
+
 private:
     static BackendInfo server(int number, std::int64_t startedAtMs = 1)
     {
