transport: wait for the end of the write before naming a lost connection

The read may end before the pending write, to which the system gives the error. unacknowledgedRequestTimesOut failed once on a busy machine.

--- a/src/transport/Http1ClientExchange.cpp
+++ b/src/transport/Http1ClientExchange.cpp
@@ -127,11 +127,14 @@
 void Http1ClientExchange::onWritten(ErrorStatus status, std::size_t size)
 {
     m_writeDone = !status;
+    m_writeEnded = true;
     m_writeTimedOut = status == net::error::timed_out;
     if (status && size == 0 && m_input.empty() && !m_headDelivered)
         return fail(ErrorCode::Unavailable, "nothing was sent: " + status.message());
     if (m_responseDone && !m_isComplete)
         succeed();
+    if (m_readWaitsForWrite && !m_isComplete)
+        onReadError(net::error::eof);
 }
 
 void Http1ClientExchange::read()
@@ -163,6 +166,11 @@
 {
     if (status == net::error::eof && isReset(m_socket))
         status = net::error::connection_reset;
+    // The end of the pending write, which follows at once, tells a reset from a timeout.
+    if (status == net::error::connection_reset && !m_writeEnded) {
+        m_readWaitsForWrite = true;
+        return;
+    }
     ErrorStatus parseStatus;
     if (status == net::error::eof && m_parser->got_some())
         m_parser->put_eof(parseStatus);
--- a/src/transport/Http1ClientExchange.h
+++ b/src/transport/Http1ClientExchange.h
@@ -77,6 +77,8 @@
     bool m_writeStarted = false;
     bool m_writeDone = false;
     bool m_writeTimedOut = false; ///< the peer acknowledged nothing for too long
+    bool m_writeEnded = false;
+    bool m_readWaitsForWrite = false;
     bool m_responseDone = false;
     bool m_headDelivered = false;
     bool m_isFirstResponse;      ///< no response came on the connection before
