--- a/tests/gateway/BrokenStreamTest.cpp
+++ b/tests/gateway/BrokenStreamTest.cpp
@@ -203,9 +203,6 @@
     }
 
 private:
-    static constexpr std::string_view delayed =
-        "gateway_attempts_delayed_total{reason=\"noServer\"} 1";
-
     static std::string resumedAfter(const std::string &cause)
     {
         return "gateway_attempts_resumed_total{cause=\"" + cause + "\"} 1";
