tests/gateway: what the probes of a suspected server prove

Cause: CrashProber had no test of its own. Change: CrashProberTest: a server that answers again is no crash, one that stays silent is.

--- /dev/null
+++ b/tests/gateway/CrashProberTest.cpp
@@ -0,0 +1,80 @@
+#include "CrashProber.h"
+#include "GatewayFixture.h"
+#include "GatewayParts.h"
+
+#include <boost/asio/io_context.hpp>
+
+using namespace foxtailring;
+
+// What a gateway's own probes of a silent server prove.
+class CrashProberTest : public GatewayFixture
+{
+    CPPUNIT_TEST_SUITE(CrashProberTest);
+    CPPUNIT_TEST(serverThatAnswersAgainIsNoCrash);
+    CPPUNIT_TEST(serverThatStaysSilentIsACrash);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override
+    {
+        GatewayFixture::setUp();
+        GatewaySettings settings;
+        settings.nodeId = "g";
+        settings.availabilityZone = "a";
+        settings.regions = {{"a", "r"}};
+        settings.threads = 1;
+        m_parts.emplace(settings, codec());
+        m_parts->suspectedCrashes.setHooks(
+            {[box = m_outcomes](const BackendInfo &, CrashEvidence) { box->put("crash"); },
+             [box = m_outcomes](const BackendInfo &, std::string_view sign) {
+                 box->put(std::string(sign));
+             }});
+        m_prober.emplace(*m_parts);
+    }
+
+    void tearDown() override
+    {
+        m_parts->pool.stop();
+        // Runs the remaining tasks: they refer to members that are destroyed before the pool.
+        m_parts->pool.context().restart();
+        m_parts->pool.context().poll();
+        m_prober.reset();
+        m_parts.reset();
+        GatewayFixture::tearDown();
+    }
+
+    // Guards against a prompt that is refused because nobody asked a server that had paused.
+    void serverThatAnswersAgainIsNoCrash() { CPPUNIT_ASSERT_EQUAL(std::string("report"), probe()); }
+
+    void serverThatStaysSilentIsACrash()
+    {
+        m_receivesProbes = true;
+        CPPUNIT_ASSERT_EQUAL(std::string("crash"), probe());
+    }
+
+private:
+    // The server has been silent for longer than a sound one may be.
+    std::string probe()
+    {
+        m_parts->queue.post([this] {
+            BackendInfo server;
+            server.id = "a";
+            server.service = "engine";
+            server.address = "127.0.0.1:" + std::to_string(m_serverPorts[0]);
+            server.startedAtMs = 1;
+            const TimePoint now = m_parts->clock();
+            const TimePoint suspectedAt = now - 2 * SuspectedCrashes::maxSoundSilence;
+            m_parts->servers.put(server, now);
+            m_parts->suspectedCrashes.suspect(server, m_promptParts, suspectedAt, suspectedAt);
+            m_prober->step(now);
+        });
+        return m_outcomes->take();
+    }
+
+    std::optional<GatewayParts> m_parts;
+    std::optional<CrashProber> m_prober;
+    const std::vector<std::string> m_promptParts = {"shared", "deadly"};
+    std::shared_ptr<Mailbox<std::string>> m_outcomes = std::make_shared<Mailbox<std::string>>();
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(CrashProberTest);
