--- a/src/transport/BodyFraming.cpp
+++ b/src/transport/BodyFraming.cpp
@@ -14,7 +14,7 @@
 namespace {
 
 // Optional whitespace of a header field (RFC 9110).
-constexpr std::string_view whitespace = " 	";
+constexpr std::string_view whitespace = " \t";
 
 bool isTokenCharacter(char c)
 {
--- a/src/transport/KeepAliveTimeout.cpp
+++ b/src/transport/KeepAliveTimeout.cpp
@@ -14,7 +14,7 @@
 
 constexpr std::chrono::seconds maxTimeout = std::chrono::hours(24);
 
-constexpr std::string_view trimmable = " 	\"";
+constexpr std::string_view trimmable = " \t\"";
 
 std::chrono::seconds parseTimeout(std::string_view digits)
 {
