decisions: let small requests arrive while endless answers fill the memory budget

Cause: since requests that arrive leave a quarter of the budget to running ones. Answers without end fill more than three quarters, so every new request was refused with 503.

--- a/src/decisions/MemoryBudget.cpp
+++ b/src/decisions/MemoryBudget.cpp
@@ -7,6 +7,9 @@
 // Part of the budget that requests in progress do not fill while they arrive. A running request
 // whose answer grows is given up when the budget allows no more.
 constexpr std::size_t runningReserveDivisor = 4;
+// A request of this size may use that part too. Answers without end fill the rest, and would
+// otherwise keep out all other requests.
+constexpr std::size_t maxSmallRequestBytes = 8 * 1024;
 
 } // namespace
 
@@ -27,7 +30,8 @@
 bool MemoryBudget::Reservation::tryResize(std::size_t bytes)
 {
     const std::lock_guard lock(m_budget.m_mutex);
-    const std::size_t reserve = m_isArriving ? m_budget.m_total / runningReserveDivisor : 0;
+    const bool isLargeArrival = m_isArriving && bytes > maxSmallRequestBytes;
+    const std::size_t reserve = isLargeArrival ? m_budget.m_total / runningReserveDivisor : 0;
     const std::size_t total = m_budget.m_total - reserve;
     const std::size_t others = m_budget.m_held - m_bytes;
     const std::size_t available = others < total ? total - others : 0;
--- a/tests/decisions/MemoryBudgetTest.cpp
+++ b/tests/decisions/MemoryBudgetTest.cpp
@@ -14,6 +14,7 @@
     CPPUNIT_TEST(smallAnswersFitBesideEndlessOnes);
     CPPUNIT_TEST(reservationsAreReleased);
     CPPUNIT_TEST(arrivingRequestsLeaveRoomForAnswers);
+    CPPUNIT_TEST(smallRequestsArriveBesideEndlessAnswers);
     CPPUNIT_TEST(arrivedRequestsAreNoLongerCountedAsArriving);
     CPPUNIT_TEST_SUITE_END();
 
@@ -57,6 +58,16 @@
         CPPUNIT_ASSERT(run.tryResize(5 * mebi));
     }
 
+    // Guards against refusing all other clients because a few servers send endless answers.
+    void smallRequestsArriveBesideEndlessAnswers()
+    {
+        growToLimit(100);
+        MemoryBudget::Reservation small(m_budget, true);
+        CPPUNIT_ASSERT(small.tryResize(4 * 1024));
+        MemoryBudget::Reservation large(m_budget, true);
+        CPPUNIT_ASSERT(!large.tryResize(mebi));
+    }
+
     void arrivedRequestsAreNoLongerCountedAsArriving()
     {
         {
