quarantine: take no loss after an event for a crash of its prompt

Cause: an attempt counted as a crash of its prompt until it had sent three events, and a begun stream was ended by a quarantine after two such crashes. Servers of zones that fail in waves crash at any event. Change: once an event was passed on, the losses of a request accuse nothing and no quarantine ends it or keeps it at a silent server. Parts are still cleared for other requests by three events only.

--- a/include/foxtailring/decisions/ForwardSession.h
+++ b/include/foxtailring/decisions/ForwardSession.h
@@ -78,8 +78,8 @@
     std::chrono::milliseconds timeLeft(TimePoint now) const;
     bool isPastDeadline(TimePoint now) const { return now >= m_deadline; }
 
-    /// \brief The server of the current attempt does not answer a probe. It may have crashed,
-    /// unless a server has begun to answer the request.
+    /// \brief The server of the current attempt does not answer a probe. It may have crashed
+    /// because of the prompt, unless a server has begun to answer the request.
     void suspectCrash(TimePoint now);
     /// \brief The server of the current attempt sent something, so it has not failed.
     void recordSignOfLife();
@@ -89,7 +89,7 @@
     /// counts one failure of an attempt.
     /// \param at when it failed, as far as is known
     void recordServerFailure(TimePoint at, TimePoint now);
-    /// \brief A quarantined part of the prompt; empty: none, or proven harmless in this request.
+    /// \brief A quarantined part of the prompt; empty: none, or a server has begun to answer.
     std::string_view quarantinedPart(TimePoint now) const;
     /// \brief Refusal if a part of the prompt is quarantined and the request is new or known to
     /// have crashed its own servers; none: the request may be sent.
@@ -161,11 +161,6 @@
     virtual bool acceptsSuccessor() const { return false; }
     /// \brief The current attempt has ended, or is about to be replaced after its deadline.
     virtual void onAttemptOver() { }
-    /// \brief True if the server of the current attempt has begun to answer and gone on.
-    virtual bool hasOutlivedStart() const { return false; }
-    /// \brief True if a server has begun to answer this request and gone on, so that no part of its
-    /// prompt crashes servers.
-    virtual bool isProvenHarmless() const { return false; }
     /// \brief True while the server for the next attempt is being chosen.
     virtual bool isChoosingServer() const { return false; }
     /// \brief The server did not execute the attempt.
@@ -184,7 +179,8 @@
     virtual TimePoint nextLook() const { return TimePoint::max(); }
 
     void chooseService();
-    bool mayBlamePrompt() const { return !hasOutlivedStart() && !isProvenHarmless(); }
+    /// \brief True if a part of the prompt may crash servers. One that does lets no event through.
+    bool mayBlamePrompt() const { return !hasPassedEvents(); }
     void recordReset(TimePoint now);
     void recordUncertainServer();
     bool isSubjectToQuarantine() const;
--- a/include/foxtailring/decisions/StreamSession.h
+++ b/include/foxtailring/decisions/StreamSession.h
@@ -77,9 +77,8 @@
     }
     ForwardAction conclude(ForwardAction action) const override;
     void onAttemptOver() override;
-    bool hasOutlivedStart() const override;
+    bool hasOutlivedStart() const;
     TimePoint lastSignAt(TimePoint) const override { return m_progress.lastContactAt(); }
-    bool isProvenHarmless() const override { return m_isHarmless; }
     bool acceptsSuccessor() const override { return m_capabilities.isSingleService; }
     ForwardAction onOverdue(TimePoint now) override;
     TimePoint overdueAt() const override;
@@ -146,7 +145,6 @@
     std::string_view m_waitCause;   ///< of the end of the stream if no attempt can be made
     std::optional<std::int64_t> m_lastEventId;
     bool m_hasStarted = false;
-    bool m_isHarmless = false;  ///< an attempt outlived the beginning of its answer
     bool m_hasEmptyEnd = false; ///< an attempt ended in order without an event
     /// The latest report of the current server shows that it does not work on the run.
     bool m_isRunUnlisted = false;
--- a/src/decisions/ForwardSession.cpp
+++ b/src/decisions/ForwardSession.cpp
@@ -27,9 +27,6 @@
 // from retrying together.
 constexpr milliseconds shortestRetryAfter {250};
 constexpr milliseconds retryAfterSpread {500};
-// A part that crashes servers sends no event, so an answer that has begun is cut only if it did so
-// more than once.
-constexpr std::ptrdiff_t minCrashesOfBegunAnswer = 2;
 // With less time left, no server can answer before the deadline.
 constexpr milliseconds minTimeLeft {20};
 
@@ -163,7 +160,7 @@
         m_context.servers.recordContact(id, now);
     else
         m_context.servers.recordFailure(id, now);
-    if (result == AttemptResult::Lost && !isProvenHarmless())
+    if (result == AttemptResult::Lost && mayBlamePrompt())
         m_context.suspectedCrashes.recordReset(m_fallback->server.info, m_request.sharedPromptParts,
                                                true, now);
     releaseFallback();
@@ -333,7 +330,7 @@
 
 std::string_view ForwardSession::quarantinedPart(TimePoint now) const
 {
-    if (isProvenHarmless())
+    if (!mayBlamePrompt())
         return {};
     return m_context.quarantine.quarantinedPart(m_request.sharedPromptParts, now);
 }
@@ -345,12 +342,8 @@
     const auto hasCrashed = [this](const BackendInfo &server) {
         return m_context.suspectedCrashes.hasCrashed(server);
     };
-    const auto crashes =
-        std::count_if(m_uncertainServers.begin(), m_uncertainServers.end(), hasCrashed);
-    if (hasPassedEvents())
-        return crashes >= minCrashesOfBegunAnswer;
     const bool isNew = m_possibleRuns == 0 && !m_server && !m_fallback;
-    return isNew || crashes > 0;
+    return isNew || std::any_of(m_uncertainServers.begin(), m_uncertainServers.end(), hasCrashed);
 }
 
 // A return of the caller cannot help, so it is told no time.
--- a/src/decisions/StreamSession.cpp
+++ b/src/decisions/StreamSession.cpp
@@ -43,7 +43,7 @@
 // A doubtful server is abandoned after this time without contact.
 constexpr milliseconds maxDoubtfulSilence {350};
 
-// A server that sends this many events has outlived the beginning of its answer.
+// A server that sends this many events clears the prompt for all other requests.
 constexpr std::uint32_t outlivedEvents = 3;
 
 } // namespace
@@ -77,7 +77,6 @@
     m_wait.recordEvent(now);
     if (m_progress.eventCount() == outlivedEvents)
         context().quarantine.recordStart(request().sharedPromptParts, now);
-    m_isHarmless = m_isHarmless || hasOutlivedStart();
     m_hasStarted = true;
     m_isProbing = false;
     m_isUnwatched = false;
--- a/tests/decisions/ReplacedRunTest.cpp
+++ b/tests/decisions/ReplacedRunTest.cpp
@@ -14,6 +14,7 @@
     CPPUNIT_TEST(streamGoesOnIfItsReplacementIsLost);
     CPPUNIT_TEST(promptGoesOnIfItsReplacementIsRejected);
     CPPUNIT_TEST(streamGoesOnIfAPartIsQuarantinedMeanwhile);
+    CPPUNIT_TEST(promptIsKeptIfAPartIsQuarantinedMeanwhile);
     CPPUNIT_TEST(eventOfTheReplacedAttemptEndsTheReplacement);
     CPPUNIT_TEST(repeatedEventOfTheReplacedAttemptProvesNothing);
     CPPUNIT_TEST(eventOfTheReplacementEndsTheReplacedAttempt);
@@ -72,17 +73,30 @@
         CPPUNIT_ASSERT(m_session->onEvent(1, m_at) == EventVerdict::Next);
     }
 
-    // Guards against cutting a stream because its prompt is suspected of a crash of other servers.
+    // Guards against cutting a stream because its prompt is suspected of a crash of other servers,
+    // and against keeping it at a silent server for that (inc8).
     void streamGoesOnIfAPartIsQuarantinedMeanwhile()
     {
         m_capabilities.canCopyContinuously = false;
         m_request.sharedPromptParts = {"p1"};
         const ForwardAction placing = findReplacement(2);
         quarantinePart("p1");
-        CPPUNIT_ASSERT(std::holds_alternative<KeepWaiting>(placed(placing)));
+        CPPUNIT_ASSERT(sent(placed(placing)).keepsLatest);
+        CPPUNIT_ASSERT(m_session->onFallbackEvent(3, m_at));
         CPPUNIT_ASSERT(m_session->onEvent(3, m_at) == EventVerdict::Next);
     }
 
+    // Guards against a second server that gets a part which may have crashed the first one.
+    void promptIsKeptIfAPartIsQuarantinedMeanwhile()
+    {
+        m_capabilities.canCopyContinuously = false;
+        m_request.sharedPromptParts = {"p1"};
+        const ForwardAction placing = findReplacement(0);
+        quarantinePart("p1");
+        CPPUNIT_ASSERT(std::holds_alternative<KeepWaiting>(placed(placing)));
+        CPPUNIT_ASSERT(m_session->onEvent(1, m_at) == EventVerdict::Next);
+    }
+
     // Guards against waiting for a second prompt although the first server has gone on.
     void eventOfTheReplacedAttemptEndsTheReplacement()
     {
