quarantine: take a reset by a living server for no crash

Callers with a sound prompt could be refused for 20 s because two servers had reset connections, which one at its limit of connections does. Cause: any end of a connection before the answer counted as a crash. Change: with its zone, the server itself is asked on a new connection. If it answers with the same start, nothing is recorded and its failure is withdrawn. Test: resetByALivingServerIsNoCrash fails without the change.

--- a/include/foxtailring/decisions/SuspectedCrashes.h
+++ b/include/foxtailring/decisions/SuspectedCrashes.h
@@ -48,7 +48,7 @@
     {
         /// A crash was recorded; once for each start of a server.
         std::function<void(const BackendInfo &, CrashEvidence, const CrashVerdict &)> onCrash;
-        /// A suspected server has not crashed. \a sign is what it sent.
+        /// A server that seemed to have crashed has not. \a sign is what it sent.
         std::function<void(const BackendInfo &, std::string_view sign)> onCleared;
     };
 
@@ -65,7 +65,8 @@
     /// \brief The server does not answer a probe of an attempt whose answer has not begun.
     /// \param silentSince last sign of life of the server
     void suspect(const BackendInfo &server, Parts parts, TimePoint silentSince, TimePoint now);
-    /// \brief The connection of an attempt ended before its answer began, which proves a crash.
+    /// \brief The connection of an attempt ended before its answer began, which proves a crash
+    /// unless the checks find the server alive.
     /// \param isKnownFailure the failure was recorded before without a suspicion; the crash then
     /// accuses no prompt
     void recordReset(const BackendInfo &server, Parts parts, bool isKnownFailure, TimePoint now);
@@ -137,6 +138,8 @@
     /// Records the crash once the circumstances are known.
     void accuse(SuspectCrash crash, TimePoint now);
     void onVerdict(const SuspectCrash &crash, const CrashVerdict &verdict, TimePoint now);
+    /// The server lives, in the same start: it only ended a connection.
+    void refute(const SuspectCrash &crash);
     void recordCrashed(const std::string &incarnation, CrashEvidence evidence, TimePoint now);
     /// The server has sent something, so a crash that only its silence proved was none.
     void refuteSilence(std::string_view incarnation);
--- a/src/decisions/SuspectedCrashes.cpp
+++ b/src/decisions/SuspectedCrashes.cpp
@@ -88,16 +88,19 @@
         return onVerdict(crash, {}, now);
     const BackendInfo server = crash.server;
     const TimePoint at = crash.at;
+    const bool mayLive = crash.evidence == CrashEvidence::Reset;
     const auto hook = [this, crash = std::move(crash)](const CrashVerdict &verdict,
                                                        TimePoint decidedAt) {
         onVerdict(crash, verdict, decidedAt);
     };
-    m_checks->check(server, at, false, hook, now);
+    m_checks->check(server, at, mayLive, hook, now);
 }
 
 void SuspectedCrashes::onVerdict(const SuspectCrash &crash, const CrashVerdict &verdict,
                                  TimePoint now)
 {
+    if (verdict.kind == CrashVerdict::Kind::Alive)
+        return refute(crash);
     reportCrash(crash, verdict);
     PromptQuarantine::ProvenCrash proven {crash.at, crash.evidence, verdict.askedPeers, {}};
     for (const BackendInfo &peer : verdict.failedPeers)
@@ -106,6 +109,15 @@
         m_quarantine.recordCrash(incarnationOf(crash.server), prompt, proven, now);
 }
 
+void SuspectedCrashes::refute(const SuspectCrash &crash)
+{
+    const std::string incarnation = incarnationOf(crash.server);
+    m_crashed.erase(incarnation);
+    m_quarantine.withdrawFailure(incarnation);
+    if (m_hooks.onCleared)
+        m_hooks.onCleared(crash.server, "report");
+}
+
 void SuspectedCrashes::recordBytes(const BackendInfo &server)
 {
     if (m_suspicions.empty() && m_crashed.empty())
--- a/tests/decisions/SuspectedCrashesTest.cpp
+++ b/tests/decisions/SuspectedCrashesTest.cpp
@@ -7,6 +7,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <set>
 #include <string>
 #include <vector>
 
@@ -38,6 +39,7 @@
     CPPUNIT_TEST(crashesOfWholeZonesAccuseNobody);
     CPPUNIT_TEST(crashesInSoundZonesAccuse);
     CPPUNIT_TEST(zoneIsAskedWhileItIsSilent);
+    CPPUNIT_TEST(resetByALivingServerIsNoCrash);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -283,7 +285,7 @@
         for (const int number : {0, 1}) {
             const TimePoint at = m_now + number * 1s;
             m_checkedCrashes.suspect(server(number), m_parts, at, at + 500ms);
-            answerAll(false, at + 750ms);
+            answerAll(allServers(), at + 750ms);
             m_checkedCrashes.recordReport(server(number).id, 2, at + 1400ms);
         }
         CPPUNIT_ASSERT(isAdmitted());
@@ -291,6 +293,21 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), m_questions.size());
     }
 
+    // A server at its limit of connections resets some and goes on. Guards against prompts that are
+    // accused of that.
+    void resetByALivingServerIsNoCrash()
+    {
+        useChecks();
+        for (const int number : {0, 1}) {
+            const TimePoint at = m_now + number * 1s;
+            m_checkedCrashes.recordReset(server(number), m_parts, false, at);
+            CPPUNIT_ASSERT(m_checkedCrashes.hasCrashed(server(number)));
+            answerAll({}, at + 50ms);
+            CPPUNIT_ASSERT(!m_checkedCrashes.hasCrashed(server(number)));
+        }
+        assertCleared("report");
+    }
+
 private:
     struct Question
     {
@@ -316,7 +333,16 @@
         m_checkedCrashes.setHooks(hooks());
     }
 
-    void answerAll(bool areSound, TimePoint now)
+    static std::set<std::string> allServers()
+    {
+        std::set<std::string> all;
+        for (int i = 0; i < 100; ++i)
+            all.insert(server(i).id);
+        return all;
+    }
+
+    // All that were asked answer, but for \a down.
+    void answerAll(const std::set<std::string> &down, TimePoint now)
     {
         const Question asked = m_questions.back();
         std::vector<ServerProbeResult> reports;
@@ -324,7 +350,7 @@
             ServerProbeResult report;
             report.serverId = one.info.id;
             report.startedAtMs = one.info.startedAtMs;
-            if (areSound && one.info.id != "s0" && one.info.id != "s1")
+            if (!down.contains(one.info.id))
                 reports.push_back(report);
         }
         m_checks.recordAnswers(asked.number, asked.servers, reports, now);
@@ -337,7 +363,7 @@
         for (const int number : {0, 1}) {
             const TimePoint at = m_now + number * 1s;
             m_checkedCrashes.recordReset(server(number), m_parts, false, at);
-            answerAll(areZonesSound, at + 50ms);
+            answerAll(areZonesSound ? std::set<std::string> {"s0", "s1"} : allServers(), at + 50ms);
         }
     }
 
