decisions: count the attempt under way when the promise of a refusal is judged

A caller could be promised "not run" (503) while a server still had the request. No path is known that does it; the table test of callerStatus cannot see it, since it is told what is known. Cause: origin() counted attempts that had ended, expire() all of them. Change: hasPossibleRun() knows of every attempt, ended or under way, and origin(), expire() and the quarantine ask it. Test: refusalWhileAnAttemptIsAtAServerPromisesNothing got 503 before.

--- a/include/foxtailring/decisions/ForwardSession.h
+++ b/include/foxtailring/decisions/ForwardSession.h
@@ -191,7 +191,10 @@
     ForwardAction retryRejected(AttemptResult result, TimePoint now);
     bool tryConsumeBudget(TimePoint now);
     ForwardAction passHeldAnswer() const;
-    /// \brief What is known of the request apart from an attempt in progress.
+    /// \brief True if a server was sent the request and has not said that it did not run it. The
+    /// fallback counts among the possible runs.
+    bool hasPossibleRun() const { return m_possibleRuns > 0 || m_server; }
+    /// \brief What is known of the request.
     AnswerOrigin origin() const;
     /// \brief True if a server's answer with \a status, which may have run, can be passed on.
     bool mayPass(int status) const;
--- a/src/decisions/ForwardSession.cpp
+++ b/src/decisions/ForwardSession.cpp
@@ -237,7 +237,7 @@
 AnswerOrigin ForwardSession::origin() const
 {
     AnswerOrigin known;
-    known.wasSent = m_possibleRuns > 0;
+    known.wasSent = hasPossibleRun();
     known.isIdempotent = m_route.kind != CallKind::NonIdempotent;
     known.hasBegun = hasPassedEvents();
     return known;
@@ -342,8 +342,8 @@
     const auto hasCrashed = [this](const BackendInfo &server) {
         return m_context.suspectedCrashes.hasCrashed(server);
     };
-    const bool isNew = m_possibleRuns == 0 && !m_server && !m_fallback;
-    return isNew || std::any_of(m_uncertainServers.begin(), m_uncertainServers.end(), hasCrashed);
+    return !hasPossibleRun()
+        || std::any_of(m_uncertainServers.begin(), m_uncertainServers.end(), hasCrashed);
 }
 
 // A return of the caller cannot help, so it is told no time.
@@ -456,10 +456,10 @@
 ForwardAction ForwardSession::expire()
 {
     onAttemptOver();
-    const bool mayHaveStarted = hasServer() || m_possibleRuns > 0;
+    const ForwardAction ending = refuse(hasPossibleRun() ? 504 : 503, "deadline");
     releaseServer();
     releaseFallback();
-    return conclude(refuse(mayHaveStarted ? 504 : 503, "deadline"));
+    return conclude(ending);
 }
 
 milliseconds ForwardSession::timeLeft(TimePoint now) const
--- a/tests/decisions/CallSessionTest.cpp
+++ b/tests/decisions/CallSessionTest.cpp
@@ -29,6 +29,7 @@
     CPPUNIT_TEST(markedRefusalIsAPromise);
     CPPUNIT_TEST(idempotentCallGoesOnAfterAnUnprovenRefusal);
     CPPUNIT_TEST(promiseOfASlowServerIsNotPassedOn);
+    CPPUNIT_TEST(refusalWhileAnAttemptIsAtAServerPromisesNothing);
     CPPUNIT_TEST(otherErrorsOfAServerArePassedOn);
     CPPUNIT_TEST(leavingServerGetsNoCalls);
     CPPUNIT_TEST(refusalOfALeavingServerCounts);
@@ -310,6 +311,25 @@
         }
     }
 
+    // Guards against a refusal that promises "not run" while a server may still run the request.
+    void refusalWhileAnAttemptIsAtAServerPromisesNothing()
+    {
+        struct RefusingSession : CallSession
+        {
+            using CallSession::CallSession;
+            using ForwardSession::refuse;
+        };
+        const HttpRoute calls = route(CallKind::NonIdempotent);
+        RefusingSession session(calls, request(), context());
+        CPPUNIT_ASSERT_EQUAL(503, refused(session.refuse(503, "noServer")).status);
+        sent(session.start(now));
+        CPPUNIT_ASSERT_EQUAL(502, refused(session.refuse(503, "noServer")).status);
+        session.onAttemptEnded(AttemptResult::NotRun, now);
+        session.onAttemptEnded(AttemptResult::NotRun, now);
+        session.onAttemptEnded(AttemptResult::NotRun, now);
+        CPPUNIT_ASSERT_EQUAL(503, refused(session.refuse(503, "noServer")).status);
+    }
+
     void promiseOfASlowServerIsNotPassedOn()
     {
         for (const int status : {503, 429, 408, 421}) {
