gateway: wait for the acknowledgement of a call that cannot be repeated

A caller got 502 for a call whose server was silent for a second and went on. Cause: a connection was given up when sent bytes stayed unacknowledged for 1.5 s, the longest silence of a sound server. The system sends lost packets again after doubling intervals, so the acknowledgement may come later still. Change: 5 s where the request may not be sent to another server; 1.5 s as before where it may, since that server is tried then. Test: callThatCannotBeRepeatedOutlastsAPause fails without the change. Measured: gateway_test AttemptSenderTest OK (2).

--- a/src/gateway/AttemptSender.cpp
+++ b/src/gateway/AttemptSender.cpp
@@ -16,7 +16,11 @@
 // Covers one round trip between regions. A lost packet is not waited for: trying another server is
 // faster than the retransmission.
 constexpr milliseconds connectTimeout {250};
+// Another server is tried then.
 constexpr milliseconds acknowledgeTimeout {1500};
+// A sound server may be silent for 1.5 s. Its acknowledgement may come 4.5 s late, since the
+// interval between retransmissions doubles, and no other server may execute the request.
+constexpr milliseconds lastAcknowledgeTimeout {5000};
 // A request that may not be retried is lost if its kept-alive connection turns out to be dead, so
 // it only uses connections that have been idle for a short time.
 constexpr milliseconds maxReuseIdle {8000};
@@ -77,7 +81,8 @@
 {
     ExchangeOptions options;
     options.connectTimeout = connectTimeout;
-    options.unacknowledgedTimeout = acknowledgeTimeout;
+    options.unacknowledgedTimeout =
+        m_route.allowsRetry() ? acknowledgeTimeout : lastAcknowledgeTimeout;
     options.maxIdleTime = m_route.allowsRetry() ? maxReuseIdle : cautiousMaxReuseIdle;
     return options;
 }
--- a/src/gateway/AttemptSender.h
+++ b/src/gateway/AttemptSender.h
@@ -29,11 +29,12 @@
     /// here
     std::shared_ptr<Http1Stream> send(const SendAttempt &attempt, const Endpoint &endpoint,
                                       StreamHooks hooks) const;
+    /// \brief How each attempt is sent.
+    ExchangeOptions exchangeOptions() const;
 
 private:
     AttemptMetadata metadata(const SendAttempt &attempt) const;
     void setConnectionHooks(StreamHooks &hooks) const;
-    ExchangeOptions exchangeOptions() const;
 
     Http1Client &m_client;
     const BackendCodec &m_codec;
