decisions: do not count attempts that ended with their server against a begun stream

Streams were cut with 10 s and more of their time left, since their zones had failed five times. Cause: each attempt counted against the attempts of the route, also one whose server was lost. Change: an attempt that the end of its server ended after the caller had got an event is not counted once the server is known to have ended: its entry is gone, or a later start is listed or told. The retry budget, the deadline and the time that the run needs bound the attempts as before. Test: attemptsThatEndedWithTheirServersAreNotCounted fails without the change; promptPaysForEachAttempt holds the limit for a request without an event.

--- a/include/foxtailring/decisions/ForwardSession.h
+++ b/include/foxtailring/decisions/ForwardSession.h
@@ -163,8 +163,12 @@
     virtual void onAttemptOver() { }
     /// \brief True while the server for the next attempt is being chosen.
     virtual bool isChoosingServer() const { return false; }
+    /// \brief The connection to the server of the current attempt ended before the answer did.
+    virtual void onServerLost() { }
     /// \brief The server did not execute the attempt.
     virtual void onRejected() { }
+    /// \brief Number of attempts that count against the limit of the route.
+    virtual std::uint32_t usedAttempts(TimePoint) const { return m_possibleRuns; }
     /// \brief True if a part of the answer was passed on, so that a whole answer is of no use.
     virtual bool hasPassedEvents() const { return false; }
     /// \brief When the server of the current attempt last showed that it works, if that is known.
--- a/include/foxtailring/decisions/StreamSession.h
+++ b/include/foxtailring/decisions/StreamSession.h
@@ -65,7 +65,9 @@
 private:
     ForwardAction makeAttempt(std::string_view cause, TimePoint now) override;
     ForwardAction onLost(AttemptResult result, TimePoint now) override;
+    void onServerLost() override;
     void onRejected() override;
+    std::uint32_t usedAttempts(TimePoint now) const override;
     bool hasPassedEvents() const override { return m_hasStarted; }
     bool isChoosingServer() const override { return m_isPlacing || m_isFindingPrompt; }
     ForwardAction waitForFallback(ForwardAction action, TimePoint now) override;
@@ -140,9 +142,11 @@
     RunProgress m_progress;         ///< of the current attempt
     RunProgress m_fallbackProgress; ///< of the fallback
     RunCopy m_copy;                 ///< of the current run
-    ResumeWait m_wait;              ///< for the next attempt of a stream that has begun
-    bool m_hasRetry = false;        ///< the next attempt's retry is taken, but it has no server yet
-    std::string_view m_waitCause;   ///< of the end of the stream if no attempt can be made
+    /// Servers that were lost after the caller had got an event.
+    std::vector<BackendInfo> m_lostServers;
+    ResumeWait m_wait;            ///< for the next attempt of a stream that has begun
+    bool m_hasRetry = false;      ///< the next attempt's retry is taken, but it has no server yet
+    std::string_view m_waitCause; ///< of the end of the stream if no attempt can be made
     std::optional<std::int64_t> m_lastEventId;
     bool m_hasStarted = false;
     bool m_hasEmptyEnd = false; ///< an attempt ended in order without an event
--- a/src/decisions/ForwardSession.cpp
+++ b/src/decisions/ForwardSession.cpp
@@ -364,8 +364,10 @@
     if (!m_server)
         return KeepWaiting {};
     onAttemptOver();
-    if (result == AttemptResult::Lost)
+    if (result == AttemptResult::Lost) {
         recordReset(now);
+        onServerLost();
+    }
     const std::string id = m_server->info.id;
     if (result == AttemptResult::Lost || result == AttemptResult::NotSent)
         m_context.servers.recordConnectionLost(id, now);
@@ -478,7 +480,7 @@
 
 bool ForwardSession::tryTakeRetry(TimePoint now)
 {
-    return m_route.allowsRetry() && m_possibleRuns < m_route.maxAttempts
+    return m_route.allowsRetry() && usedAttempts(now) < m_route.maxAttempts
         && timeLeft(now) >= minTimeLeft && tryConsumeBudget(now);
 }
 
--- a/src/decisions/StreamSession.cpp
+++ b/src/decisions/StreamSession.cpp
@@ -144,6 +144,25 @@
     return ResumeFallback {};
 }
 
+void StreamSession::onServerLost()
+{
+    if (m_hasStarted)
+        m_lostServers.push_back(server().info);
+}
+
+// Servers fail with their zones, several times within one long answer. Before the first event, the
+// prompt may be the cause.
+std::uint32_t StreamSession::usedAttempts(TimePoint now) const
+{
+    const auto hasEnded = [&](const BackendInfo &lost) {
+        const auto current = context().servers.server(lost.id, now);
+        return !current || !current->info.isSameStart(lost)
+            || current->reportedStart == ReportedStart::Restarted;
+    };
+    const auto ended = std::count_if(m_lostServers.begin(), m_lostServers.end(), hasEnded);
+    return possibleRuns() - static_cast<std::uint32_t>(ended);
+}
+
 void StreamSession::onAttemptOver()
 {
     if (std::exchange(m_isReplacing, false))
@@ -479,7 +498,7 @@
 
 bool StreamSession::mayWaitForAttempt(TimePoint now) const
 {
-    return m_hasStarted && route().allowsRetry() && possibleRuns() < route().maxAttempts
+    return m_hasStarted && route().allowsRetry() && usedAttempts(now) < route().maxAttempts
         && m_wait.isOfUse(now)
         && canFinishInTime(hasUsableCopy(now) ? 0 : request().promptTokens, now);
 }
@@ -612,7 +631,7 @@
 {
     if (m_movableSince == TimePoint {})
         m_movableSince = now;
-    if (possibleRuns() + 1 >= route().maxAttempts)
+    if (usedAttempts(now) + 1 >= route().maxAttempts)
         return keepSilentAttempt(now);
     if (!mayMoveOnBelief(now)) {
         if (context().onRetryDenied)
--- a/tests/decisions/WaitingStreamTest.cpp
+++ b/tests/decisions/WaitingStreamTest.cpp
@@ -28,6 +28,8 @@
     CPPUNIT_TEST(streamWithoutAnEventIsRefusedAtOnce);
     CPPUNIT_TEST(streamThatIsNotResumableIsCutAtOnce);
     CPPUNIT_TEST(streamWithoutAttemptsLeftIsCutAtOnce);
+    CPPUNIT_TEST(attemptsThatEndedWithTheirServersAreNotCounted);
+    CPPUNIT_TEST(promptPaysForEachAttempt);
     CPPUNIT_TEST(streamsThatWaitDoNotLookTogether);
     CPPUNIT_TEST(delayIsReportedOnceForEachReason);
     CPPUNIT_TEST_SUITE_END();
@@ -264,6 +266,29 @@
         CPPUNIT_ASSERT(std::holds_alternative<AbortAnswer>(action));
     }
 
+    // Guards against a begun stream that is cut with time left because its servers were lost
+    // (inc8).
+    void attemptsThatEndedWithTheirServersAreNotCounted()
+    {
+        m_route.maxAttempts = 2;
+        start();
+        for (int loss = 0; loss < 4; ++loss)
+            loseServer();
+        placed(m_session->onAttemptEnded(AttemptResult::Lost, m_at));
+        const ForwardAction action = m_session->onAttemptEnded(AttemptResult::Lost, m_at);
+        CPPUNIT_ASSERT(std::holds_alternative<AbortAnswer>(action));
+    }
+
+    // Its prompt may be what its servers crashed of.
+    void promptPaysForEachAttempt()
+    {
+        m_route.maxAttempts = 2;
+        start(0);
+        loseServer();
+        const ForwardAction action = m_session->onAttemptEnded(AttemptResult::Lost, m_at);
+        CPPUNIT_ASSERT_EQUAL(502, refused(action).status);
+    }
+
     // Guards against all streams of a lost server that ask the same servers in one moment.
     void streamsThatWaitDoNotLookTogether()
     {
@@ -301,6 +326,7 @@
         m_session.emplace(m_route, m_request, context(), m_capabilities);
         m_at = now;
         const ForwardAction first = placed(m_session->start(now));
+        m_serverId = sent(first).server.info.id;
         m_copyId = sent(first).copyTo ? sent(first).copyTo->info.id : "";
         if (events > 0)
             m_at = now + Ms(1000);
@@ -309,6 +335,16 @@
     }
 
     /// If \a action is a probe, answers that all servers are idle; returns the next action.
+    // The server of the stream is lost and restarts, and the stream goes on elsewhere.
+    void loseServer()
+    {
+        BackendInfo lost = servers.server(m_serverId, m_at)->info;
+        const ForwardAction next = placed(m_session->onAttemptEnded(AttemptResult::Lost, m_at));
+        m_serverId = sent(next).server.info.id;
+        ++lost.startedAtMs;
+        servers.put(lost, m_at);
+    }
+
     ForwardAction placed(const ForwardAction &action)
     {
         const auto *probe = std::get_if<ProbeServers>(&action);
@@ -400,6 +436,7 @@
     ForwardRequest m_request = request();
     StreamSession::EngineCapabilities m_capabilities {true, true, true};
     std::optional<StreamSession> m_session;
+    std::string m_serverId; ///< of the current attempt
     std::string m_copyId;
     TimePoint m_at;
 };
