quarantine: withdraw a crash that a later sign of life refutes

A prompt stayed accused, here and in the report to the other gateways, of the crash of a server that had only been silent and sent again. Cause: refuteSilence() corrected hasCrashed() alone. Change: PromptQuarantine::withdrawCrash() takes back what this process saw of the crash, ends a quarantine that it no longer supports, and reports anew. Test: signOfLifeAfterSilenceRefutesTheCrash asks for that now and failed.

--- a/include/foxtailring/decisions/PromptQuarantine.h
+++ b/include/foxtailring/decisions/PromptQuarantine.h
@@ -101,6 +101,9 @@
     {
         recordCrash(incarnation, parts, {now, CrashEvidence::Reset, 0, {}}, now);
     }
+    /// \brief The engine has not crashed: what this process has seen of it accuses no part any
+    /// more. What others report stays theirs to withdraw.
+    void withdrawCrash(std::string_view incarnation);
     /// \brief The engine has begun to answer a request with these parts, and went on.
     void recordStart(Parts parts, TimePoint now);
     enum class Admission : std::uint8_t {
--- a/src/decisions/PromptQuarantine.cpp
+++ b/src/decisions/PromptQuarantine.cpp
@@ -195,6 +195,20 @@
     return latest;
 }
 
+void PromptQuarantine::withdrawCrash(std::string_view incarnation)
+{
+    m_failures.withdraw(std::string(incarnation));
+    for (auto &[part, record] : m_records) {
+        const auto crash = record.crashes.find(incarnation);
+        if (crash == record.crashes.end() || !crash->second.isOwn)
+            continue;
+        record.crashes.erase(crash);
+        if (record.isInQuarantine && crashCount(record) < m_settings.crashThreshold)
+            release(part, record, "refuted");
+        m_reportAt = TimePoint {};
+    }
+}
+
 void PromptQuarantine::recordStart(Parts parts, TimePoint now)
 {
     bool hasCleared = false;
--- a/src/decisions/SuspectedCrashes.cpp
+++ b/src/decisions/SuspectedCrashes.cpp
@@ -133,8 +133,10 @@
 void SuspectedCrashes::refuteSilence(std::string_view incarnation)
 {
     const auto crashed = m_crashed.find(incarnation);
-    if (crashed != m_crashed.end() && crashed->second.evidence == CrashEvidence::Silent)
-        m_crashed.erase(crashed);
+    if (crashed == m_crashed.end() || crashed->second.evidence != CrashEvidence::Silent)
+        return;
+    m_crashed.erase(crashed);
+    m_quarantine.withdrawCrash(incarnation);
 }
 
 // A report without a start time may be of a later start, but does not prove it: in doubt nothing is
--- a/tests/decisions/SuspectedCrashesTest.cpp
+++ b/tests/decisions/SuspectedCrashesTest.cpp
@@ -214,7 +214,8 @@
         CPPUNIT_ASSERT(!isAdmitted());
     }
 
-    // Guards against ending work at a sound server that was silent during both probes.
+    // Guards against ending work at a sound server that was silent during both probes, and against
+    // prompts that stay accused of its crash.
     void signOfLifeAfterSilenceRefutesTheCrash()
     {
         suspectTwo();
@@ -225,6 +226,9 @@
         m_crashes.recordReport("s1", 1, m_now + 4s);
         CPPUNIT_ASSERT(!m_crashes.hasCrashed(server(0)));
         CPPUNIT_ASSERT(!m_crashes.hasCrashed(server(1)));
+        CPPUNIT_ASSERT(isAdmitted());
+        const auto report = m_quarantine.takeDueReport(m_now + 5s);
+        CPPUNIT_ASSERT(!report || report->isEmpty());
     }
 
     // Guards against one wrong report that proves a crash, or an answer that counts as silence.
