tests: name the refusal that a test asks for

tools/lint takes the using-declaration of a base class's member, called through an object, for unused.

--- a/tests/decisions/CallSessionTest.cpp
+++ b/tests/decisions/CallSessionTest.cpp
@@ -317,17 +317,17 @@
         struct RefusingSession : CallSession
         {
             using CallSession::CallSession;
-            using ForwardSession::refuse;
+            ForwardAction refusal() const { return refuse(503, "noServer"); }
         };
         const HttpRoute calls = route(CallKind::NonIdempotent);
         RefusingSession session(calls, request(), context());
-        CPPUNIT_ASSERT_EQUAL(503, refused(session.refuse(503, "noServer")).status);
+        CPPUNIT_ASSERT_EQUAL(503, refused(session.refusal()).status);
         sent(session.start(now));
-        CPPUNIT_ASSERT_EQUAL(502, refused(session.refuse(503, "noServer")).status);
+        CPPUNIT_ASSERT_EQUAL(502, refused(session.refusal()).status);
         session.onAttemptEnded(AttemptResult::NotRun, now);
         session.onAttemptEnded(AttemptResult::NotRun, now);
         session.onAttemptEnded(AttemptResult::NotRun, now);
-        CPPUNIT_ASSERT_EQUAL(503, refused(session.refuse(503, "noServer")).status);
+        CPPUNIT_ASSERT_EQUAL(503, refused(session.refusal()).status);
     }
 
     void promiseOfASlowServerIsNotPassedOn()
