--- a/include/foxtailring/decisions/PromptCrashReport.h
+++ b/include/foxtailring/decisions/PromptCrashReport.h
@@ -19,7 +19,7 @@
         std::string incarnation; ///< of the engine: names one start of it
         std::int64_t atMs = 0;
         std::vector<std::string> parts; ///< suspected, in the order of the prompt
-        bool isOfZone = false;          ///< most of its zone failed with it
+        bool isZoneFailure = false;     ///< most of its zone failed with it
         bool operator==(const Crash &) const = default;
     };
 
--- a/include/foxtailring/decisions/PromptQuarantine.h
+++ b/include/foxtailring/decisions/PromptQuarantine.h
@@ -141,7 +141,7 @@
         CrashEvidence evidence = CrashEvidence::Reported;
         std::size_t askedPeers = 0;           ///< by this process, in the zone of the engine
         std::vector<std::string> failedPeers; ///< incarnations of those that had failed, too
-        bool isOfZone = false;                ///< by the reports of other processes
+        bool isZoneFailure = false;           ///< by the reports of other processes
     };
     using Crashes = std::map<std::string, Crash, std::less<>>; ///< by incarnation
 
@@ -163,7 +163,7 @@
     {
         TimePoint at;
         std::multimap<std::size_t, std::string> parts; ///< by position
-        bool isOfZone = true;                          ///< as to each of them
+        bool isZoneFailure = true;                     ///< as to each of them
     };
 
     /// \param sighting of the crash; its position is left out
@@ -181,7 +181,7 @@
     Records::iterator leastSuspect();
     std::size_t crashCount(const Record &record) const;
     bool isAtMostFailures(const Record &record, TimeBounds at) const;
-    static bool isOfZone(const Record &record, const Crash &crash);
+    static bool isZoneFailure(const Record &record, const Crash &crash);
     bool isExplained(const std::string &part, const Record &record, TimePoint now) const;
     bool isAccused(const std::string &part, const Record &record, Parts request,
                    TimePoint now) const;
--- a/src/decisions/PromptQuarantine.cpp
+++ b/src/decisions/PromptQuarantine.cpp
@@ -132,14 +132,14 @@
         crash.askedPeers = sighting.askedPeers;
         crash.failedPeers = sighting.failedPeers;
     }
-    crash.isOfZone = crash.isOfZone && sighting.isOfZone;
+    crash.isZoneFailure = crash.isZoneFailure && sighting.isZoneFailure;
 }
 
 // Engines of the zone that requests with the same part have crashed do not speak for it.
-bool PromptQuarantine::isOfZone(const Record &record, const Crash &crash)
+bool PromptQuarantine::isZoneFailure(const Record &record, const Crash &crash)
 {
     if (!crash.isOwn)
-        return crash.isOfZone;
+        return crash.isZoneFailure;
     const auto unexplained = static_cast<std::size_t>(
         std::count_if(crash.failedPeers.begin(), crash.failedPeers.end(),
                       [&](const auto &peer) { return !record.crashes.contains(peer); }));
@@ -295,7 +295,7 @@
     for (const auto &crash : report.crashes) {
         Crash sighting;
         sighting.at = notAfter(clock.boundsOf(crash.atMs), now);
-        sighting.isOfZone = crash.isOfZone;
+        sighting.isZoneFailure = crash.isZoneFailure;
         addCrash(crash.incarnation, crash.parts, sighting, now);
     }
     for (const auto &start : report.starts) {
@@ -358,7 +358,7 @@
     const bool isRepeated = record.quarantineCount > 0
         && std::any_of(record.crashes.begin(), record.crashes.end(), [&](const auto &crash) {
                                 return crash.second.at.latest >= record.quarantinedUntil
-                                    && !isOfZone(record, crash.second);
+                                    && !isZoneFailure(record, crash.second);
                             });
     const bool isDue = record.crashes.size() >= m_settings.crashThreshold
         && latestCrash(record) > record.quarantinedSince
@@ -372,7 +372,7 @@
 {
     std::vector<TimeBounds> times;
     for (const auto &[incarnation, crash] : record.crashes) {
-        if (!isOfZone(record, crash) && isAtMostFailures(record, crash.at))
+        if (!isZoneFailure(record, crash) && isAtMostFailures(record, crash.at))
             times.push_back(crash.at);
     }
     std::sort(times.begin(), times.end(),
@@ -545,7 +545,7 @@
                 continue;
             SuspectsOfCrash &suspects = crashes[incarnation];
             suspects.at = crash.at.latest;
-            suspects.isOfZone = suspects.isOfZone && isOfZone(record, crash);
+            suspects.isZoneFailure = suspects.isZoneFailure && isZoneFailure(record, crash);
         }
         if (record.isOwnStart)
             report.starts.push_back({part, toReportMs(record.startedAt)});
@@ -566,7 +566,7 @@
         while (crash.parts.size() > maxReportedParts)
             crash.parts.erase(crash.parts.begin());
         PromptCrashReport::Crash &reported = report.crashes.emplace_back(
-            PromptCrashReport::Crash {incarnation, toReportMs(crash.at), {}, crash.isOfZone});
+            PromptCrashReport::Crash {incarnation, toReportMs(crash.at), {}, crash.isZoneFailure});
         for (auto &[position, part] : crash.parts)
             reported.parts.push_back(part);
     }
--- a/src/gateway/PromptCrashReportCodec.cpp
+++ b/src/gateway/PromptCrashReportCodec.cpp
@@ -88,7 +88,7 @@
         document["crashes"].push_back({crash.incarnation, crash.atMs, crash.parts});
     // A list of its own, which earlier versions ignore.
     for (const auto &crash : report.crashes) {
-        if (crash.isOfZone)
+        if (crash.isZoneFailure)
             document["zoneCrashes"].push_back(crash.incarnation);
     }
     for (const auto &start : report.starts)
