--- /dev/null
+++ b/include/foxtailring/decisions/CrashAttribution.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "foxtailring/base/Clock.h"
+#include "foxtailring/decisions/SuspectRecord.h"
+
+#include <cstddef>
+#include <span>
+#include <string>
+
+namespace foxtailring {
+
+class EngineFailures;
+class SuspectStarts;
+class SuspectTable;
+
+/// \brief Decides which of several suspects is to blame for crashes.
+class CrashAttribution
+{
+public:
+    using Suspects = std::span<const std::string>; ///< of a request, from the least specific one
+
+    /// \brief All must outlive the object.
+    CrashAttribution(const SuspectTable &suspects, const EngineFailures &failures,
+                     const SuspectStarts &starts);
+
+    /// \brief Number of crashes at different moments that may be due to the suspect.
+    std::size_t crashCount(const SuspectRecord &record) const;
+    /// \brief True if another suspect explains all its crashes, and is more likely the cause.
+    bool isExplained(const std::string &name, const SuspectRecord &record, TimePoint now) const;
+    /// \brief False if the request lacks a suspect that has the same crashes and is no less likely
+    /// the cause. Such requests are sound, or their next crash shows which suspect is the cause.
+    bool isAccused(const std::string &name, const SuspectRecord &record, Suspects request,
+                   TimePoint now) const;
+    /// \brief Order of magnitude of the recent starts with a suspect; 0: none.
+    int startLevel(const std::string &name, const SuspectRecord &record, TimePoint now) const;
+
+private:
+    /// \brief Calls \a visit for the other suspects that have all crashes of \a record, until it
+    /// returns true. Returns whether it has.
+    template <typename Visit>
+    bool anyWithSameCrashes(const std::string &name, const SuspectRecord &record,
+                            Visit visit) const;
+    bool isAtMostFailures(const SuspectRecord &record, const SuspectRecord::Crash &crash) const;
+
+    const SuspectTable &m_suspects;
+    const EngineFailures &m_failures;
+    const SuspectStarts &m_starts;
+};
+
+} // namespace foxtailring
--- a/include/foxtailring/decisions/PromptCrashReport.h
+++ b/include/foxtailring/decisions/CrashReport.h
@@ -7,34 +7,35 @@
 
 namespace foxtailring {
 
-/// \brief What one process tells the others about prompt parts that may crash engines.
+/// \brief What one process tells the others about prompt parts and requests that may crash servers.
 ///
 /// Times are milliseconds of a clock of the reporter that goes on evenly. It shows about the Unix
 /// time, which versions before Dating rely on.
-struct PromptCrashReport
+struct CrashReport
 {
-    /// An engine failed before it had begun to answer a request.
+    /// A server failed before it had begun to answer a request.
     struct Crash
     {
-        std::string incarnation; ///< of the engine: names one start of it
+        std::string incarnation; ///< of the server: names one start of it
         std::int64_t atMs = 0;
-        std::vector<std::string> parts; ///< suspected, in the order of the prompt
-        bool isZoneFailure = false;     ///< most of its zone failed with it
+        std::vector<std::string> suspects; ///< the most specific ones last
+        bool isZoneFailure = false;        ///< most of its zone failed with it
+        std::string service;               ///< of the server; empty: of a version before it
         bool operator==(const Crash &) const = default;
     };
 
-    /// An engine began to answer a request that has the part, and went on.
+    /// A server answered, or began to answer and went on with, a request that has the suspect.
     struct Start
     {
-        std::string part;
+        std::string suspect;
         std::int64_t atMs = 0;
         bool operator==(const Start &) const = default;
     };
 
-    /// Requests that have the part are rejected.
+    /// Requests that have the suspect are rejected.
     struct Quarantine
     {
-        std::string part;
+        std::string suspect;
         std::int64_t sinceMs = 0;
         std::int64_t untilMs = 0;
         bool operator==(const Quarantine &) const = default;
@@ -54,7 +55,7 @@
     std::optional<Dating> dating; ///< none: of a version before it
 
     bool isEmpty() const { return crashes.empty() && starts.empty() && quarantines.empty(); }
-    bool operator==(const PromptCrashReport &) const = default;
+    bool operator==(const CrashReport &) const = default;
 };
 
 } // namespace foxtailring
--- a/include/foxtailring/decisions/EngineFailures.h
+++ b/include/foxtailring/decisions/EngineFailures.h
@@ -10,7 +10,7 @@
 
 namespace foxtailring {
 
-/// \brief Recent failures of engines, and which of them may have happened at the same moment.
+/// \brief Recent failures of servers, and which of them may have happened at the same moment.
 class EngineFailures
 {
 public:
@@ -18,16 +18,18 @@
     /// \param lifetime failures are forgotten after this time
     EngineFailures(Duration minInterval, Duration lifetime);
 
-    /// \brief An engine failed. One that failed less than the shortest interval before is not
+    /// \brief A server failed. One that failed less than the shortest interval before is not
     /// counted again.
-    void record(const std::string &incarnation, TimePoint at, TimePoint now);
-    /// \brief The engine has not failed after all.
+    void record(const std::string &incarnation, const std::string &service, TimePoint at,
+                TimePoint now);
+    /// \brief The server has not failed after all.
     void withdraw(const std::string &incarnation);
-    /// \brief Number of failures closer to \a at than the shortest interval.
-    std::size_t countAt(TimePoint at) const;
-    /// \brief Number of failures that may have happened at the moment \a at, of engines for which
-    /// \a isCounted is true.
-    std::size_t count(TimeBounds at,
+    /// \brief Number of failures of the service closer to \a at than the shortest interval.
+    std::size_t countAt(TimePoint at, const std::string &service) const;
+    /// \brief Number of failures that may have happened at the moment \a at, of servers of the
+    /// service for which \a isCounted is true.
+    /// \param service empty: not known, so that all count
+    std::size_t count(TimeBounds at, const std::string &service,
                       const std::function<bool(const std::string &incarnation)> &isCounted) const;
     /// \brief True if \a at is a later moment than \a other.
     bool isSurelyLater(TimeBounds at, TimeBounds other) const;
@@ -37,6 +39,7 @@
     struct Failure
     {
         std::string incarnation;
+        std::string service;
         TimePoint at;
     };
 
--- a/include/foxtailring/decisions/ForwardContext.h
+++ b/include/foxtailring/decisions/ForwardContext.h
@@ -11,7 +11,7 @@
 class BackendPlacer;
 class BackendTable;
 class EngineLatencyEstimator;
-class PromptQuarantine;
+class RequestQuarantine;
 class RandomSource;
 class RetryBudget;
 class ServerAdmission;
@@ -26,7 +26,7 @@
     const BackendPlacer &placer;
     RetryBudget &retryBudget;
     ServerAdmission &admission;
-    PromptQuarantine &quarantine;
+    RequestQuarantine &quarantine;
     SuspectedCrashes &suspectedCrashes;
     EngineLatencyEstimator &latency;
     RandomSource &random;
--- a/include/foxtailring/decisions/ForwardSession.h
+++ b/include/foxtailring/decisions/ForwardSession.h
@@ -90,7 +90,7 @@
     /// \param at when it failed, as far as is known
     void recordServerFailure(TimePoint at, TimePoint now);
     /// \brief A quarantined part of the prompt; empty: none, or a server has begun to answer.
-    std::string_view quarantinedPart(TimePoint now) const;
+    std::string_view quarantinedSuspect(TimePoint now) const;
     /// \brief Refusal if a part of the prompt is quarantined and the request is new or known to
     /// have crashed its own servers; none: the request may be sent.
     std::optional<ForwardAction> refuseQuarantined(TimePoint now) const;
--- a/include/foxtailring/decisions/ReporterClocks.h
+++ b/include/foxtailring/decisions/ReporterClocks.h
@@ -10,7 +10,7 @@
 
 namespace foxtailring {
 
-struct PromptCrashReport;
+struct CrashReport;
 struct ReportReception;
 
 /// \brief Learns from the arrival of reports how the clocks of their reporters differ from the
@@ -24,7 +24,7 @@
     static constexpr std::chrono::seconds maxWallClockDifference {5};
 
     /// \param unixOffset what is added to a time of this process to get the Unix time
-    ReporterClock read(const PromptCrashReport &report, const ReportReception &reception,
+    ReporterClock read(const CrashReport &report, const ReportReception &reception,
                        std::chrono::milliseconds unixOffset, TimePoint now);
 
 private:
--- /dev/null
+++ b/include/foxtailring/decisions/SuspectTable.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "foxtailring/decisions/SuspectRecord.h"
+
+#include <cstddef>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <string_view>
+
+namespace foxtailring {
+
+/// \brief The suspects of a process, by name, and which of them each crash has in common.
+///
+/// Bounded; not thread-safe.
+class SuspectTable
+{
+public:
+    using Records = std::map<std::string, SuspectRecord, std::less<>>;
+    using Names = std::set<std::string, std::less<>>;
+    using CrashFilter = std::function<bool(const SuspectRecord::Crash &)>;
+
+    explicit SuspectTable(std::size_t maxSuspects);
+
+    const Records &records() const { return m_records; }
+    std::size_t size() const { return m_records.size(); }
+    /// \brief Null if \a name is no suspect.
+    SuspectRecord *find(std::string_view name);
+    const SuspectRecord *find(std::string_view name) const;
+    /// \brief Adds \a name if it is none yet. The one with the fewest and oldest crashes makes
+    /// room; null if there is no room.
+    SuspectRecord *findOrAdd(const std::string &name);
+    /// \brief Calls \a visit for each suspect. It must not add any.
+    void forEach(const std::function<void(const std::string &name, SuspectRecord &)> &visit);
+    /// \brief Removes the suspects for which \a isRemoved is true.
+    void removeIf(const std::function<bool(const SuspectRecord &)> &isRemoved);
+
+    /// \brief The crash of a server in the record of \a name, which is made of \a crash if there is
+    /// none yet. Null: no room, or no such suspect.
+    SuspectRecord::Crash *findOrAddCrash(const std::string &name, const std::string &incarnation,
+                                         const SuspectRecord::Crash &crash);
+    /// \brief Removes the crashes of \a name for which \a isRemoved is true; returns their number.
+    std::size_t removeCrashes(const std::string &name, const CrashFilter &isRemoved);
+    bool removeCrash(const std::string &name, std::string_view incarnation);
+    /// \brief The suspects that have the crash of this start of a server in their records.
+    const Names &suspectsOf(std::string_view incarnation) const;
+
+private:
+    void makeRoom();
+    void remove(Records::iterator record);
+    void unlink(const std::string &name, std::string_view incarnation);
+
+    const std::size_t m_maxSuspects;
+    Records m_records;
+    std::map<std::string, Names, std::less<>> m_suspects; ///< by incarnation
+};
+
+} // namespace foxtailring
--- a/include/foxtailring/decisions/SuspectedCrashes.h
+++ b/include/foxtailring/decisions/SuspectedCrashes.h
@@ -20,7 +20,7 @@
 
 class BackendTable;
 class CrashChecks;
-class PromptQuarantine;
+class RequestQuarantine;
 struct CrashVerdict;
 struct ServerProbeResult;
 
@@ -55,7 +55,7 @@
     /// \param quarantine gets the proven crashes; must outlive the object
     /// \param checks ask the zones of crashed servers; null: nobody is asked. Must outlive the
     /// object, which must outlive the checks in progress.
-    explicit SuspectedCrashes(PromptQuarantine &quarantine, CrashChecks *checks = nullptr);
+    explicit SuspectedCrashes(RequestQuarantine &quarantine, CrashChecks *checks = nullptr);
 
     void setHooks(Hooks hooks) { m_hooks = std::move(hooks); }
 
@@ -146,7 +146,7 @@
     static std::string incarnationOf(std::string_view serverId, std::int64_t startedAtMs);
     void reportCrash(const SuspectCrash &crash, const CrashVerdict &verdict);
 
-    PromptQuarantine &m_quarantine;
+    RequestQuarantine &m_quarantine;
     CrashChecks *const m_checks;
     Hooks m_hooks;
     Suspicions m_suspicions;
--- a/src/decisions/CallSession.cpp
+++ b/src/decisions/CallSession.cpp
@@ -48,7 +48,7 @@
     m_isFinalAttempt = true;
     // The server that has the call may be sound, so the call goes on, but no other one gets the
     // part.
-    if (!quarantinedPart(now).empty() || !tryTakeRetry(now))
+    if (!quarantinedSuspect(now).empty() || !tryTakeRetry(now))
         return KeepWaiting {};
     const std::string silentId = server().info.id;
     auto next = place("silent", now);
--- /dev/null
+++ b/src/decisions/CrashReportBuilder.cpp
@@ -0,0 +1,96 @@
+#include "CrashReportBuilder.h"
+
+#include "foxtailring/decisions/SuspectTable.h"
+
+#include <algorithm>
+#include <cstddef>
+#include <tuple>
+#include <utility>
+#include <vector>
+
+namespace foxtailring {
+
+namespace {
+
+constexpr std::size_t maxReportedCrashes = 16;
+constexpr std::size_t maxReportedSuspects = 32; ///< of a crash
+
+} // namespace
+
+CrashReportBuilder::CrashReportBuilder(const SuspectTable &suspects,
+                                       std::function<std::int64_t(TimePoint)> toReportMs)
+    : m_suspects(suspects)
+    , m_toReportMs(std::move(toReportMs))
+{
+}
+
+CrashReport CrashReportBuilder::build()
+{
+    for (const auto &[name, record] : m_suspects.records())
+        addRecord(name, record);
+    for (auto &[incarnation, crash] : m_crashes)
+        m_report.crashes.push_back(std::move(crash));
+    std::sort(m_report.crashes.begin(), m_report.crashes.end(),
+              [](const auto &a, const auto &b) { return a.atMs > b.atMs; });
+    if (m_report.crashes.size() > maxReportedCrashes)
+        m_report.crashes.resize(maxReportedCrashes);
+    for (CrashReport::Crash &crash : m_report.crashes)
+        addSuspects(crash);
+    return std::move(m_report);
+}
+
+void CrashReportBuilder::addRecord(const std::string &name, const SuspectRecord &record)
+{
+    const SuspectRecord::Quarantine &quarantine = record.quarantine;
+    addCrashes(record, quarantine.isInForce && quarantine.hasRejected);
+    if (record.isOwnStart)
+        m_report.starts.push_back({name, m_toReportMs(record.startedAt)});
+    if (quarantine.isInForce && (quarantine.hasRejected || record.hasOwnCrash()))
+        m_report.quarantines.push_back(
+            {name, m_toReportMs(quarantine.since), m_toReportMs(quarantine.until)});
+}
+
+void CrashReportBuilder::addCrashes(const SuspectRecord &record, bool isReliedOn)
+{
+    for (const auto &[incarnation, crash] : record.crashes) {
+        if (!crash.isOwn && !isReliedOn)
+            continue;
+        const bool isZoneFailure = record.isZoneFailure(crash);
+        const auto [found, isNew] = m_crashes.try_emplace(
+            incarnation, CrashReport::Crash {incarnation, 0, {}, isZoneFailure, crash.service});
+        CrashReport::Crash &reported = found->second;
+        reported.atMs = m_toReportMs(crash.at.latest);
+        reported.isZoneFailure = reported.isZoneFailure && isZoneFailure;
+    }
+}
+
+// All its suspects, or readers would hold one of several possible causes for the only one. If they
+// are too many, those with the most crashes, and of these the most specific ones: what many
+// requests share is cleared first.
+void CrashReportBuilder::addSuspects(CrashReport::Crash &crash) const
+{
+    struct Suspect
+    {
+        std::size_t crashes;
+        std::size_t position;
+        const std::string *name;
+    };
+    std::vector<Suspect> suspects;
+    for (const std::string &name : m_suspects.suspectsOf(crash.incarnation)) {
+        const SuspectRecord::Crashes &crashes = m_suspects.find(name)->crashes;
+        suspects.push_back({crashes.size(), crashes.at(crash.incarnation).position, &name});
+    }
+    std::sort(suspects.begin(), suspects.end(), [](const Suspect &one, const Suspect &other) {
+        return std::tie(one.crashes, one.position) > std::tie(other.crashes, other.position);
+    });
+    if (suspects.size() > maxReportedSuspects)
+        suspects.resize(maxReportedSuspects);
+    // Readers take the order for that of the positions.
+    std::stable_sort(
+        suspects.begin(), suspects.end(),
+        [](const Suspect &one, const Suspect &other) { return one.position < other.position; });
+    for (const Suspect &suspect : suspects)
+        crash.suspects.push_back(*suspect.name);
+}
+
+} // namespace foxtailring
--- a/src/decisions/EngineFailures.cpp
+++ b/src/decisions/EngineFailures.cpp
@@ -16,7 +16,8 @@
 {
 }
 
-void EngineFailures::record(const std::string &incarnation, TimePoint at, TimePoint now)
+void EngineFailures::record(const std::string &incarnation, const std::string &service,
+                            TimePoint at, TimePoint now)
 {
     const auto isSame = [&](const Failure &failure) {
         return failure.incarnation == incarnation
@@ -24,7 +25,7 @@
     };
     if (std::any_of(m_failures.begin(), m_failures.end(), isSame))
         return;
-    m_failures.push_back({incarnation, at});
+    m_failures.push_back({incarnation, service, at});
     while (m_failures.size() > maxFailures || now - m_failures.front().at >= m_lifetime)
         m_failures.pop_front();
 }
@@ -35,17 +36,20 @@
                   [&](const Failure &failure) { return failure.incarnation == incarnation; });
 }
 
-std::size_t EngineFailures::countAt(TimePoint at) const
+std::size_t EngineFailures::countAt(TimePoint at, const std::string &service) const
 {
-    return count({at, at}, [](const std::string &) { return true; });
+    return count({at, at}, service, [](const std::string &) { return true; });
 }
 
 std::size_t
-EngineFailures::count(TimeBounds at,
+EngineFailures::count(TimeBounds at, const std::string &service,
                       const std::function<bool(const std::string &incarnation)> &isCounted) const
 {
     const auto isAt = [&](const Failure &failure) {
-        return mayBeSameMoment({failure.at, failure.at}, at) && isCounted(failure.incarnation);
+        const bool isOfService =
+            service.empty() || failure.service.empty() || failure.service == service;
+        return isOfService && mayBeSameMoment({failure.at, failure.at}, at)
+            && isCounted(failure.incarnation);
     };
     return static_cast<std::size_t>(std::count_if(m_failures.begin(), m_failures.end(), isAt));
 }
--- a/src/decisions/ForwardSession.cpp
+++ b/src/decisions/ForwardSession.cpp
@@ -3,7 +3,7 @@
 #include "foxtailring/base/RandomSource.h"
 #include "foxtailring/decisions/BackendTable.h"
 #include "foxtailring/decisions/CallerStatus.h"
-#include "foxtailring/decisions/PromptQuarantine.h"
+#include "foxtailring/decisions/RequestQuarantine.h"
 #include "foxtailring/decisions/RetryBudget.h"
 #include "foxtailring/decisions/ServerAdmission.h"
 #include "foxtailring/decisions/SuspectedCrashes.h"
@@ -60,7 +60,7 @@
     if (timeLeft(now) < minTimeLeft)
         return refuse(503, "noTimeLeft");
     m_isTrial = m_context.quarantine.admit(m_request.sharedPromptParts, now)
-        == PromptQuarantine::Admission::Trial;
+        == RequestQuarantine::Admission::Trial;
     if (auto refusal = refuseQuarantined(now))
         return std::move(*refusal);
     m_context.retryBudget.deposit(m_service, now);
@@ -324,15 +324,15 @@
 {
     m_context.servers.recordFailure(m_server->info.id, now);
     if (!std::exchange(m_isFailureRecorded, true))
-        m_context.quarantine.recordFailure(SuspectedCrashes::incarnationOf(m_server->info), at,
+        m_context.quarantine.recordFailure(SuspectedCrashes::incarnationOf(m_server->info), {}, at,
                                            now);
 }
 
-std::string_view ForwardSession::quarantinedPart(TimePoint now) const
+std::string_view ForwardSession::quarantinedSuspect(TimePoint now) const
 {
     if (!mayBlamePrompt())
         return {};
-    return m_context.quarantine.quarantinedPart(m_request.sharedPromptParts, now);
+    return m_context.quarantine.quarantinedSuspect(m_request.sharedPromptParts, now);
 }
 
 // A quarantine may accuse the wrong part, or be taken over from another process that knows less. So
@@ -349,7 +349,7 @@
 // A return of the caller cannot help, so it is told no time.
 std::optional<ForwardAction> ForwardSession::refuseQuarantined(TimePoint now) const
 {
-    const std::string_view part = quarantinedPart(now);
+    const std::string_view part = quarantinedSuspect(now);
     if (m_isTrial || part.empty() || !isSubjectToQuarantine())
         return std::nullopt;
     if (m_context.onQuarantined)
--- a/src/decisions/ReporterClocks.cpp
+++ b/src/decisions/ReporterClocks.cpp
@@ -1,6 +1,6 @@
 #include "foxtailring/decisions/ReporterClocks.h"
 
-#include "foxtailring/decisions/PromptCrashReport.h"
+#include "foxtailring/decisions/CrashReport.h"
 #include "foxtailring/decisions/ReportReception.h"
 
 #include <algorithm>
@@ -24,7 +24,7 @@
 }
 
 // A report that was in the store before this process asked has no earliest time of its own.
-ReporterClock clockOf(const PromptCrashReport::Dating &dating, TimePoint writtenAfter,
+ReporterClock clockOf(const CrashReport::Dating &dating, TimePoint writtenAfter,
                       const ReporterClock &wall, TimePoint now)
 {
     const TimePoint wallEarliest = wall.boundsOf(dating.sentMs).earliest;
@@ -37,9 +37,8 @@
 
 } // namespace
 
-ReporterClock ReporterClocks::read(const PromptCrashReport &report,
-                                   const ReportReception &reception, milliseconds unixOffset,
-                                   TimePoint now)
+ReporterClock ReporterClocks::read(const CrashReport &report, const ReportReception &reception,
+                                   milliseconds unixOffset, TimePoint now)
 {
     const ReporterClock wall = wallClock(unixOffset);
     if (!report.dating)
--- a/src/decisions/StreamSession.cpp
+++ b/src/decisions/StreamSession.cpp
@@ -3,7 +3,7 @@
 #include "foxtailring/decisions/BackendPlacer.h"
 #include "foxtailring/decisions/BackendTable.h"
 #include "foxtailring/decisions/EngineLatencyEstimator.h"
-#include "foxtailring/decisions/PromptQuarantine.h"
+#include "foxtailring/decisions/RequestQuarantine.h"
 #include "foxtailring/decisions/RetryBudget.h"
 #include "foxtailring/decisions/SuspectedCrashes.h"
 
@@ -657,7 +657,7 @@
 std::optional<ForwardAction> StreamSession::applyQuarantine(TimePoint now)
 {
     const bool isOpen = m_isReplacing && !context().suspectedCrashes.hasCrashed(server().info);
-    if (isOpen && !quarantinedPart(now).empty()) {
+    if (isOpen && !quarantinedSuspect(now).empty()) {
         m_isReplacing = false;
         return keepSilentAttempt(now);
     }
--- /dev/null
+++ b/src/decisions/SuspectTable.cpp
@@ -0,0 +1,139 @@
+#include "foxtailring/decisions/SuspectTable.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace foxtailring {
+
+namespace {
+
+constexpr std::size_t maxCrashesPerSuspect = 16;
+
+} // namespace
+
+SuspectTable::SuspectTable(std::size_t maxSuspects)
+    : m_maxSuspects(maxSuspects)
+{
+}
+
+SuspectRecord *SuspectTable::find(std::string_view name)
+{
+    const auto found = m_records.find(name);
+    return found == m_records.end() ? nullptr : &found->second;
+}
+
+const SuspectRecord *SuspectTable::find(std::string_view name) const
+{
+    const auto found = m_records.find(name);
+    return found == m_records.end() ? nullptr : &found->second;
+}
+
+SuspectRecord *SuspectTable::findOrAdd(const std::string &name)
+{
+    if (SuspectRecord *record = find(name))
+        return record;
+    if (m_records.size() >= m_maxSuspects)
+        makeRoom();
+    return m_records.size() < m_maxSuspects ? &m_records[name] : nullptr;
+}
+
+// One that is quarantined stays: a caller that sends new requests all the time must not end a
+// quarantine.
+void SuspectTable::makeRoom()
+{
+    auto least = m_records.end();
+    auto rank = std::pair(maxCrashesPerSuspect + 1, TimePoint::max());
+    for (auto it = m_records.begin(); it != m_records.end(); ++it) {
+        const auto own = std::pair(it->second.crashes.size(), it->second.latestCrash());
+        if (it->second.quarantine.count > 0 || own >= rank)
+            continue;
+        least = it;
+        rank = own;
+    }
+    if (least != m_records.end())
+        remove(least);
+}
+
+void SuspectTable::forEach(
+    const std::function<void(const std::string &name, SuspectRecord &)> &visit)
+{
+    for (auto &[name, record] : m_records)
+        visit(name, record);
+}
+
+void SuspectTable::removeIf(const std::function<bool(const SuspectRecord &)> &isRemoved)
+{
+    for (auto it = m_records.begin(); it != m_records.end();) {
+        const auto record = it++;
+        if (isRemoved(record->second))
+            remove(record);
+    }
+}
+
+void SuspectTable::remove(Records::iterator record)
+{
+    for (const auto &[incarnation, crash] : record->second.crashes)
+        unlink(record->first, incarnation);
+    m_records.erase(record);
+}
+
+SuspectRecord::Crash *SuspectTable::findOrAddCrash(const std::string &name,
+                                                   const std::string &incarnation,
+                                                   const SuspectRecord::Crash &crash)
+{
+    SuspectRecord *record = find(name);
+    if (!record)
+        return nullptr;
+    SuspectRecord::Crashes &crashes = record->crashes;
+    const auto found = crashes.find(incarnation);
+    if (found != crashes.end())
+        return &found->second;
+    if (crashes.size() >= maxCrashesPerSuspect)
+        return nullptr;
+    m_suspects[incarnation].insert(name);
+    return &crashes.emplace(incarnation, crash).first->second;
+}
+
+std::size_t SuspectTable::removeCrashes(const std::string &name, const CrashFilter &isRemoved)
+{
+    SuspectRecord *record = find(name);
+    if (!record)
+        return 0;
+    return std::erase_if(record->crashes, [&](const auto &crash) {
+        if (!isRemoved(crash.second))
+            return false;
+        unlink(name, crash.first);
+        return true;
+    });
+}
+
+bool SuspectTable::removeCrash(const std::string &name, std::string_view incarnation)
+{
+    SuspectRecord *record = find(name);
+    const auto found =
+        record ? record->crashes.find(incarnation) : SuspectRecord::Crashes::iterator();
+    if (!record || found == record->crashes.end())
+        return false;
+    unlink(name, incarnation);
+    record->crashes.erase(found);
+    return true;
+}
+
+void SuspectTable::unlink(const std::string &name, std::string_view incarnation)
+{
+    const auto found = m_suspects.find(incarnation);
+    if (found == m_suspects.end())
+        return;
+    found->second.erase(name);
+    if (found->second.empty())
+        m_suspects.erase(found);
+}
+
+const SuspectTable::Names &SuspectTable::suspectsOf(std::string_view incarnation) const
+{
+    static const Names none;
+    const auto found = m_suspects.find(incarnation);
+    return found == m_suspects.end() ? none : found->second;
+}
+
+} // namespace foxtailring
--- a/src/decisions/SuspectedCrashes.cpp
+++ b/src/decisions/SuspectedCrashes.cpp
@@ -3,7 +3,7 @@
 #include "foxtailring/decisions/BackendTable.h"
 #include "foxtailring/decisions/CrashChecks.h"
 #include "foxtailring/decisions/CrashVerdict.h"
-#include "foxtailring/decisions/PromptQuarantine.h"
+#include "foxtailring/decisions/RequestQuarantine.h"
 #include "foxtailring/decisions/ServerProbeResult.h"
 
 #include <algorithm>
@@ -23,7 +23,7 @@
 
 } // namespace
 
-SuspectedCrashes::SuspectedCrashes(PromptQuarantine &quarantine, CrashChecks *checks)
+SuspectedCrashes::SuspectedCrashes(RequestQuarantine &quarantine, CrashChecks *checks)
     : m_quarantine(quarantine)
     , m_checks(checks)
 {
@@ -102,7 +102,10 @@
     if (verdict.kind == CrashVerdict::Kind::Alive)
         return refute(crash);
     reportCrash(crash, verdict);
-    PromptQuarantine::ProvenCrash proven {crash.at, crash.evidence, verdict.askedPeers, {}};
+    RequestQuarantine::ProvenCrash proven;
+    proven.at = crash.at;
+    proven.evidence = crash.evidence;
+    proven.askedPeers = verdict.askedPeers;
     for (const BackendInfo &peer : verdict.failedPeers)
         proven.failedPeers.push_back(incarnationOf(peer));
     for (const auto &prompt : crash.prompts)
--- a/src/gateway/PromptCrashReportCodec.cpp
+++ b/src/gateway/CrashReportCodec.cpp
@@ -1,4 +1,4 @@
-#include "PromptCrashReportCodec.h"
+#include "CrashReportCodec.h"
 
 #include "foxtailring/base/ParseJson.h"
 
@@ -13,7 +13,7 @@
 
 // Twice what a gateway writes: bounds what another writer can make this process do.
 constexpr std::size_t maxCrashes = 32;
-constexpr std::size_t maxParts = 64; ///< of a crash
+constexpr std::size_t maxSuspects = 64; ///< of a crash
 constexpr std::size_t maxNames = 512;
 constexpr std::size_t maxNameLength = 200; ///< bytes
 // A century; the sum of two times of a report does not overflow.
@@ -38,7 +38,7 @@
 bool isCrash(const json &value)
 {
     return value.is_array() && value.size() == 3 && isName(value[0]) && isTime(value[1])
-        && value[2].is_array() && value[2].size() <= maxParts
+        && value[2].is_array() && value[2].size() <= maxSuspects
         && std::all_of(value[2].begin(), value[2].end(), isName);
 }
 
@@ -68,7 +68,26 @@
         && all("crashes", isCrash) && all("starts", isStart) && all("quarantines", isQuarantine)
         && (!document.contains("dating") || isDating(document["dating"]))
         && (!document.contains("zoneCrashes")
-            || (isList(document, "zoneCrashes", maxCrashes) && all("zoneCrashes", isName)));
+            || (isList(document, "zoneCrashes", maxCrashes) && all("zoneCrashes", isName)))
+        && (!document.contains("services")
+            || (isList(document, "services", maxCrashes) && all("services", isServiceOfCrash)));
+}
+
+bool isServiceOfCrash(const json &value)
+{
+    return value.is_array() && value.size() == 2 && isName(value[0]) && isName(value[1]);
+}
+
+std::string serviceOf(const json &document, const json &incarnation)
+{
+    const auto services = document.find("services");
+    if (services == document.end())
+        return {};
+    for (const json &entry : *services) {
+        if (entry[0] == incarnation)
+            return entry[1].get<std::string>();
+    }
+    return {};
 }
 
 bool isZoneCrash(const json &document, const json &incarnation)
@@ -80,37 +99,39 @@
 
 } // namespace
 
-std::string PromptCrashReportCodec::encode(const PromptCrashReport &report)
+std::string CrashReportCodec::encode(const CrashReport &report)
 {
     json document = {
         {"crashes", json::array()}, {"starts", json::array()}, {"quarantines", json::array()}};
     for (const auto &crash : report.crashes)
-        document["crashes"].push_back({crash.incarnation, crash.atMs, crash.parts});
-    // A list of its own, which earlier versions ignore.
+        document["crashes"].push_back({crash.incarnation, crash.atMs, crash.suspects});
+    // Lists of their own, which earlier versions ignore.
     for (const auto &crash : report.crashes) {
         if (crash.isZoneFailure)
             document["zoneCrashes"].push_back(crash.incarnation);
+        if (!crash.service.empty())
+            document["services"].push_back({crash.incarnation, crash.service});
     }
     for (const auto &start : report.starts)
-        document["starts"].push_back({start.part, start.atMs});
+        document["starts"].push_back({start.suspect, start.atMs});
     for (const auto &quarantine : report.quarantines)
         document["quarantines"].push_back(
-            {quarantine.part, quarantine.sinceMs, quarantine.untilMs});
+            {quarantine.suspect, quarantine.sinceMs, quarantine.untilMs});
     if (report.dating)
         document["dating"] = {report.dating->clockId, report.dating->sentMs};
     return document.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
-Result<PromptCrashReport> PromptCrashReportCodec::decode(std::string_view text)
+Result<CrashReport> CrashReportCodec::decode(std::string_view text)
 {
     const json document = parseJson(text);
     if (!isReport(document))
         return Error {ErrorCode::Malformed, "not a report of crashes"};
-    PromptCrashReport report;
+    CrashReport report;
     for (const json &crash : document["crashes"])
         report.crashes.push_back({crash[0].get<std::string>(), crash[1].get<std::int64_t>(),
                                   crash[2].get<std::vector<std::string>>(),
-                                  isZoneCrash(document, crash[0])});
+                                  isZoneCrash(document, crash[0]), serviceOf(document, crash[0])});
     for (const json &start : document["starts"])
         report.starts.push_back({start[0].get<std::string>(), start[1].get<std::int64_t>()});
     for (const json &quarantine : document["quarantines"])
--- a/src/gateway/GatewayNode.cpp
+++ b/src/gateway/GatewayNode.cpp
@@ -135,9 +135,9 @@
     return hooks;
 }
 
-PromptQuarantine::Hooks makeQuarantineHooks(GatewayParts &parts)
+RequestQuarantine::Hooks makeQuarantineHooks(GatewayParts &parts)
 {
-    PromptQuarantine::Hooks hooks;
+    RequestQuarantine::Hooks hooks;
     hooks.onQuarantined = [&parts](const std::string &part, std::size_t crashes,
                                    std::string_view evidence, Duration time) {
         parts.metrics.add("gateway_quarantines_total");
--- a/src/gateway/GatewayParts.h
+++ b/src/gateway/GatewayParts.h
@@ -14,8 +14,8 @@
 #include "foxtailring/decisions/IdleConnectionShare.h"
 #include "foxtailring/decisions/KeyFreshness.h"
 #include "foxtailring/decisions/MemoryBudget.h"
-#include "foxtailring/decisions/PromptQuarantine.h"
 #include "foxtailring/decisions/RateLimitTable.h"
+#include "foxtailring/decisions/RequestQuarantine.h"
 #include "foxtailring/decisions/RetryBudget.h"
 #include "foxtailring/decisions/RouteTable.h"
 #include "foxtailring/decisions/ServerAdmission.h"
@@ -108,7 +108,7 @@
     IdleConnectionShare idleShare; ///< of connections for requests
     RetryBudget retryBudget;
     RateLimitTable rateLimits;
-    PromptQuarantine quarantine;
+    RequestQuarantine quarantine;
     CrashChecks crashChecks;
     SuspectedCrashes suspectedCrashes;
     ServerPauses pauses;
--- a/src/gateway/GatewayPublisher.cpp
+++ b/src/gateway/GatewayPublisher.cpp
@@ -2,10 +2,10 @@
 
 #include "foxtailring/base/StructuredLog.h"
 
+#include "CrashReportCodec.h"
 #include "GatewayKey.h"
 #include "GatewayListingCodec.h"
 #include "GatewayParts.h"
-#include "PromptCrashReportCodec.h"
 #include "RateLimitReportCodec.h"
 
 #include <algorithm>
@@ -38,7 +38,7 @@
     , m_client(client)
     , m_listing {GatewayKey::of(parts.settings.nodeId)}
     , m_report {std::string(RateLimitReportCodec::keyPrefix) + parts.settings.nodeId}
-    , m_crashReport {std::string(PromptCrashReportCodec::keyPrefix) + parts.settings.nodeId}
+    , m_crashReport {std::string(CrashReportCodec::keyPrefix) + parts.settings.nodeId}
     , m_crashProber(parts)
     , m_timer(parts.pool)
     , m_failurePause(minFailurePause)
@@ -201,9 +201,9 @@
     });
 }
 
-void GatewayPublisher::publish(const PromptCrashReport &report)
+void GatewayPublisher::publish(const CrashReport &report)
 {
-    write(m_crashReport, PromptCrashReportCodec::encode(report), [this](const auto &result) {
+    write(m_crashReport, CrashReportCodec::encode(report), [this](const auto &result) {
         if (result)
             return onCrashReportWritten(result.value());
         m_parts.metrics.add("gateway_crash_reports_total{outcome=\"failed\"}");
--- a/src/gateway/GatewayPublisher.h
+++ b/src/gateway/GatewayPublisher.h
@@ -16,7 +16,7 @@
 
 struct Error;
 struct GatewayParts;
-struct PromptCrashReport;
+struct CrashReport;
 struct RateLimitReport;
 
 /// \brief Keeps this gateway's keys in the store, under one lease: the one by which the others
@@ -47,7 +47,7 @@
     void renewLease();
     void enlist();
     void publish(const RateLimitReport &report);
-    void publish(const PromptCrashReport &report);
+    void publish(const CrashReport &report);
     void write(LeasedKey &key, const std::string &value, const KeyValueClient::WriteHook &hook);
     void recordWritten(LeasedKey &key, StoreLease lease, const WriteResult &result);
     void onReportWritten(const WriteResult &result);
--- a/src/gateway/StoreWatch.cpp
+++ b/src/gateway/StoreWatch.cpp
@@ -5,11 +5,11 @@
 #include "foxtailring/base/ThreadLocalRandom.h"
 #include "foxtailring/store/KeyValueClient.h"
 
+#include "CrashReportCodec.h"
 #include "DurationText.h"
 #include "GatewayKey.h"
 #include "GatewayListingCodec.h"
 #include "GatewayParts.h"
-#include "PromptCrashReportCodec.h"
 #include "RateLimitReportCodec.h"
 
 #include <algorithm>
@@ -45,9 +45,9 @@
     return {gatewayId, std::nullopt};
 }
 
-bool isPromptCrashKey(std::string_view key)
+bool isCrashReportKey(std::string_view key)
 {
-    return key.starts_with(PromptCrashReportCodec::keyPrefix);
+    return key.starts_with(CrashReportCodec::keyPrefix);
 }
 
 // Idle timeout, minimum and maximum backoff. The client itself ends polls that the store does not
@@ -228,8 +228,8 @@
             gateways.push_back(GatewayKey::nodeIdOf(pair.key));
         if (isRateLimitKey(pair.key))
             reports.push_back(readRateLimitReport(pair));
-        if (isPromptCrashKey(pair.key))
-            applyPromptCrashReport(pair, {});
+        if (isCrashReportKey(pair.key))
+            applyCrashReport(pair, {});
         if (!isServerKey(pair.key))
             continue;
         auto server = m_schema.decodeServer(serverIdOf(pair.key), pair.value);
@@ -308,8 +308,8 @@
         const KeyValue &pair = event.pair;
         if (pair.key == m_schema.configKey && !event.deleted)
             configs.push_back({pair, m_epoch.value_or(EpochAge::unknownEpoch), readAt});
-        if (isPromptCrashKey(pair.key) && !event.deleted)
-            applyPromptCrashReport(pair, m_confirmedAt);
+        if (isCrashReportKey(pair.key) && !event.deleted)
+            applyCrashReport(pair, m_confirmedAt);
         if (!isServerKey(pair.key))
             continue;
         if (event.deleted) {
@@ -363,9 +363,9 @@
                             GatewayListingCodec::decode(pair.value));
 }
 
-void StoreWatch::applyPromptCrashReport(const KeyValue &pair, TimePoint writtenAfter)
+void StoreWatch::applyCrashReport(const KeyValue &pair, TimePoint writtenAfter)
 {
-    const auto report = PromptCrashReportCodec::decode(pair.value);
+    const auto report = CrashReportCodec::decode(pair.value);
     if (report)
         return m_parts.quarantine.applyReport(report.value(), m_parts.clock(),
                                               {pair.key, writtenAfter});
--- a/src/gateway/StoreWatch.h
+++ b/src/gateway/StoreWatch.h
@@ -67,7 +67,7 @@
     void applyServer(const KeyValue &pair);
     /// Logs and counts an entry whose service the configuration does not name.
     void reportUnnamedService(const BackendInfo &server);
-    void applyPromptCrashReport(const KeyValue &pair, TimePoint writtenAfter);
+    void applyCrashReport(const KeyValue &pair, TimePoint writtenAfter);
     void applyRateLimitReports(std::span<const WatchEvent> events);
     void applyGateways(std::span<const WatchEvent> events);
     void reportRevision(std::int64_t revision);
--- a/tests/decisions/ForwardFixture.h
+++ b/tests/decisions/ForwardFixture.h
@@ -9,8 +9,8 @@
 #include "foxtailring/decisions/ForwardContext.h"
 #include "foxtailring/decisions/ForwardRequest.h"
 #include "foxtailring/decisions/HttpRoute.h"
-#include "foxtailring/decisions/PromptQuarantine.h"
 #include "foxtailring/decisions/RateLimitTable.h"
+#include "foxtailring/decisions/RequestQuarantine.h"
 #include "foxtailring/decisions/RetryBudget.h"
 #include "foxtailring/decisions/ServerAdmission.h"
 #include "foxtailring/decisions/ServerPauses.h"
@@ -133,7 +133,7 @@
     BackendPlacer placer {servers, "a", {{"a", "ra"}, {"b", "rb"}, {"c", "rc"}}, {}};
     RetryBudget retryBudget {RetryBudget::Settings {0.5, 5}};
     RateLimitTable rateLimits {{"g", Ms(2500)}};
-    PromptQuarantine quarantine;
+    RequestQuarantine quarantine;
     SuspectedCrashes suspectedCrashes {quarantine};
     RandomSource random {7};
     ServerPauses pauses {servers, random};
--- a/tests/decisions/PromptQuarantineSimulationTest.cpp
+++ b/tests/decisions/PromptQuarantineSimulationTest.cpp
@@ -1,7 +1,7 @@
 #include "foxtailring/base/RandomSource.h"
 #include "foxtailring/decisions/BackendTable.h"
 #include "foxtailring/decisions/CrashChecks.h"
-#include "foxtailring/decisions/PromptQuarantine.h"
+#include "foxtailring/decisions/RequestQuarantine.h"
 #include "foxtailring/decisions/ServerProbeResult.h"
 #include "foxtailring/decisions/SuspectedCrashes.h"
 
@@ -100,7 +100,7 @@
 
     struct Report
     {
-        PromptCrashReport report;
+        CrashReport report;
         TimePoint seenAt;
         std::size_t reader = 0;
         std::string reporter;
@@ -184,7 +184,7 @@
                     "deadly-" + std::to_string(m_random.bounded(m_scenario.deadlyParts)));
             m_result.sound += isDeadly ? 0 : 1;
             const bool isRejected = m_processes[request.process].admit(request.parts, m_now)
-                == PromptQuarantine::Admission::Rejected;
+                == RequestQuarantine::Admission::Rejected;
             if (isRejected)
                 ++(!isDeadly        ? m_result.soundRejected
                        : m_isDeadly ? m_result.deadlyRejected
@@ -282,7 +282,7 @@
         // The request goes on elsewhere unless its prompt is quarantined, as in StreamSession.
         void waitForSilent(Request request)
         {
-            PromptQuarantine &process = m_processes[request.process];
+            RequestQuarantine &process = m_processes[request.process];
             SuspectedCrashes &suspicions = m_suspicions[request.process];
             const std::size_t engine = request.engineNumber;
             const bool isNewStart = request.engine != nameOf(engine);
@@ -299,13 +299,13 @@
             BackendInfo info = infoOf(engine);
             info.startedAtMs -= isNewStart ? 1 : 0;
             if (!std::exchange(request.isSuspected, true)) {
-                process.recordFailure(SuspectedCrashes::incarnationOf(info), m_silentSince[engine],
-                                      m_now);
+                process.recordFailure(SuspectedCrashes::incarnationOf(info), {},
+                                      m_silentSince[engine], m_now);
                 suspicions.suspect(info, request.parts, m_silentSince[engine], m_now);
             }
             if (request.attempts >= m_scenario.maxAttempts || suspicions.hasCrashed(info))
                 return;
-            if (process.quarantinedPart(request.parts, m_now).empty())
+            if (process.quarantinedSuspect(request.parts, m_now).empty())
                 send(std::move(request));
             else
                 m_running.push_back(std::move(request));
@@ -329,7 +329,7 @@
                 }
             }
             for (const Request &request : running) {
-                PromptQuarantine &process = m_processes[request.process];
+                RequestQuarantine &process = m_processes[request.process];
                 if (m_failed.contains(request.engine)) {
                     process.recordFailure(request.engine, m_now);
                     m_suspicions[request.process].recordReset(infoOf(request.engineNumber),
@@ -357,7 +357,7 @@
         {
             if (request.attempts >= m_scenario.maxAttempts)
                 return;
-            if (m_processes[request.process].quarantinedPart(request.parts, m_now).empty())
+            if (m_processes[request.process].quarantinedSuspect(request.parts, m_now).empty())
                 send(request);
             else
                 m_result.soundEnded += request.isDeadly ? 0 : 1;
@@ -403,7 +403,7 @@
             for (std::size_t engine = zone; engine < engineCount; engine += zoneCount) {
                 m_failed.insert(nameOf(engine));
                 m_downUntil[engine] = m_now + zoneDownTime;
-                for (PromptQuarantine &process : m_processes) {
+                for (RequestQuarantine &process : m_processes) {
                     if (m_random.bounded(m_scenario.processesPerFailure) == 0)
                         process.recordFailure(nameOf(engine), m_now);
                 }
@@ -438,7 +438,7 @@
 
         const Scenario m_scenario;
         RandomSource m_random;
-        std::deque<PromptQuarantine> m_processes;
+        std::deque<RequestQuarantine> m_processes;
         BackendTable m_table;
         std::deque<CrashChecks> m_checks;               ///< by process
         std::deque<SuspectedCrashes> m_suspicions;      ///< by process
--- a/tests/decisions/QuarantinedSessionTest.cpp
+++ b/tests/decisions/QuarantinedSessionTest.cpp
@@ -256,7 +256,8 @@
         }
         for (std::int64_t id = 1; id <= 3; ++id)
             session.onEvent(id, now);
-        CPPUNIT_ASSERT(quarantine.quarantinedPart(deadlyRequest().sharedPromptParts, now).empty());
+        CPPUNIT_ASSERT(
+            quarantine.quarantinedSuspect(deadlyRequest().sharedPromptParts, now).empty());
     }
 
     // Guards against holding a caller for a server that its prompt has crashed.
--- a/tests/decisions/ReplacedRunTest.cpp
+++ b/tests/decisions/ReplacedRunTest.cpp
@@ -529,7 +529,7 @@
     {
         quarantine.recordCrash("e1", std::vector {part}, m_at - Ms(3000));
         quarantine.recordCrash("e2", std::vector {part}, m_at - Ms(2000));
-        CPPUNIT_ASSERT(!quarantine.quarantinedPart(std::vector {part}, m_at).empty());
+        CPPUNIT_ASSERT(!quarantine.quarantinedSuspect(std::vector {part}, m_at).empty());
     }
 
     HttpRoute m_route = route(CallKind::Stream);
--- a/tests/decisions/PromptQuarantineTest.cpp
+++ b/tests/decisions/RequestQuarantineTest.cpp
@@ -1,4 +1,4 @@
-#include "foxtailring/decisions/PromptQuarantine.h"
+#include "foxtailring/decisions/RequestQuarantine.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -8,9 +8,9 @@
 using namespace foxtailring;
 using namespace std::chrono_literals;
 
-class PromptQuarantineTest : public CppUnit::TestFixture
+class RequestQuarantineTest : public CppUnit::TestFixture
 {
-    CPPUNIT_TEST_SUITE(PromptQuarantineTest);
+    CPPUNIT_TEST_SUITE(RequestQuarantineTest);
     CPPUNIT_TEST(partThatCrashesEnginesIsQuarantined);
     CPPUNIT_TEST(partsAboveTheCauseAreNotQuarantined);
     CPPUNIT_TEST(causeAboveDifferentPartsIsFound);
@@ -45,7 +45,7 @@
     CPPUNIT_TEST_SUITE_END();
 
     using Parts = std::vector<std::string>;
-    using Admission = PromptQuarantine::Admission;
+    using Admission = RequestQuarantine::Admission;
 
 public:
     void partThatCrashesEnginesIsQuarantined()
@@ -110,7 +110,7 @@
         crashTwice(m_own, both);
         m_other.applyReport(m_own.takeDueReport(m_now + 1s).value(), m_now + 2s);
         CPPUNIT_ASSERT(!isAdmitted(m_other, both, m_now + 2s));
-        PromptQuarantine next;
+        RequestQuarantine next;
         next.applyReport(m_other.takeDueReport(m_now + 2s).value(), m_now + 3s);
         CPPUNIT_ASSERT(!isAdmitted(next, both, m_now + 3s));
         CPPUNIT_ASSERT(isAdmitted(next, {"harmless", "other"}, m_now + 3s));
@@ -122,7 +122,7 @@
         crashTwice(m_own, {"cause", "harmless"});
         m_other.recordStart(Parts {"harmless"}, m_now + 1100ms);
         m_own.recordCrash("e3", Parts {"harmless"}, m_now + 1s);
-        PromptCrashReport report = m_own.takeDueReport(m_now + 1200ms).value();
+        CrashReport report = m_own.takeDueReport(m_now + 1200ms).value();
         for (auto &quarantine : report.quarantines)
             quarantine.sinceMs += 200;
         m_other.applyReport(report, m_now + 2s);
@@ -211,11 +211,11 @@
     {
         crashTwice(m_own, m_deadly);
         const auto report = m_own.takeDueReport(m_now + 1s).value();
-        PromptQuarantine started;
+        RequestQuarantine started;
         started.applyReport(report, m_now + 10s);
         CPPUNIT_ASSERT(!isAdmitted(started, m_deadly, m_now + 10s));
         // It tells others in turn, once it relies on the quarantine.
-        PromptQuarantine next;
+        RequestQuarantine next;
         next.applyReport(started.takeDueReport(m_now + 10s).value(), m_now + 11s);
         CPPUNIT_ASSERT(!isAdmitted(next, m_deadly, m_now + 11s));
     }
@@ -235,8 +235,8 @@
     void clocksThatDifferMakeOneMomentOfAZoneLoss()
     {
         for (const auto skew : {-5000ms, -1000ms, 0ms, 1000ms, 2000ms, 5000ms}) {
-            PromptQuarantine reporters[2];
-            PromptQuarantine reader;
+            RequestQuarantine reporters[2];
+            RequestQuarantine reader;
             reporters[1].setUnixOffset(skew);
             for (int i = 0; i < 2; ++i) {
                 reporters[i].recordCrash("e" + std::to_string(i), Parts {"hot"}, m_now);
@@ -282,7 +282,7 @@
         m_other.applyReport(report, m_now);
         m_other.recordCrash("e2", m_deadly, m_now + 6s);
         CPPUNIT_ASSERT(!isAdmitted(m_other, m_deadly, m_now + 6s));
-        PromptQuarantine next;
+        RequestQuarantine next;
         report = m_other.takeDueReport(m_now + 6s).value();
         report.dating.reset();
         next.applyReport(report, m_now + 6s);
@@ -366,7 +366,7 @@
     void hostileReportsFillNothing()
     {
         constexpr std::int64_t farAheadMs = 3'999'999'999'999;
-        PromptCrashReport hostile;
+        CrashReport hostile;
         for (int i = 0; i < 512; ++i)
             hostile.quarantines.push_back({"h" + std::to_string(i), farAheadMs, farAheadMs});
         m_own.applyReport(hostile, m_now);
@@ -414,27 +414,27 @@
     }
 
 private:
-    void crashTwice(PromptQuarantine &quarantine, const Parts &parts, Duration after = 0s) const
+    void crashTwice(RequestQuarantine &quarantine, const Parts &parts, Duration after = 0s) const
     {
         quarantine.recordCrash("e1", parts, m_now + after);
         quarantine.recordCrash("e2", parts, m_now + after + 1s);
     }
 
-    static bool isAdmitted(PromptQuarantine &quarantine, const Parts &parts, TimePoint now)
+    static bool isAdmitted(RequestQuarantine &quarantine, const Parts &parts, TimePoint now)
     {
         return quarantine.admit(parts, now) == Admission::Admitted;
     }
 
-    static std::string quarantined(const PromptQuarantine &quarantine, const Parts &parts,
+    static std::string quarantined(const RequestQuarantine &quarantine, const Parts &parts,
                                    TimePoint now)
     {
-        return std::string(quarantine.quarantinedPart(parts, now));
+        return std::string(quarantine.quarantinedSuspect(parts, now));
     }
 
     const TimePoint m_now {1h};
     const Parts m_deadly = {"shared", "deadly"};
-    PromptQuarantine m_own;
-    PromptQuarantine m_other;
+    RequestQuarantine m_own;
+    RequestQuarantine m_other;
 };
 
-CPPUNIT_TEST_SUITE_REGISTRATION(PromptQuarantineTest);
+CPPUNIT_TEST_SUITE_REGISTRATION(RequestQuarantineTest);
--- a/tests/decisions/SuspectedCrashesTest.cpp
+++ b/tests/decisions/SuspectedCrashesTest.cpp
@@ -2,7 +2,7 @@
 #include "foxtailring/base/RandomSource.h"
 #include "foxtailring/decisions/BackendTable.h"
 #include "foxtailring/decisions/CrashChecks.h"
-#include "foxtailring/decisions/PromptQuarantine.h"
+#include "foxtailring/decisions/RequestQuarantine.h"
 #include "foxtailring/decisions/ServerProbeResult.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -189,7 +189,7 @@
         for (int loss = 0; loss < 2; ++loss) {
             const TimePoint at = m_now + loss * 2s;
             for (int i = 1; i < 4; ++i)
-                m_quarantine.recordFailure(name(10 * loss + i), at + i * 100ms, at + 600ms);
+                m_quarantine.recordFailure(name(10 * loss + i), {}, at + i * 100ms, at + 600ms);
             m_crashes.suspect(server(10 * loss), m_parts, at, at + 500ms);
             m_crashes.recordProbed(server(10 * loss), at + 2s);
         }
@@ -204,7 +204,7 @@
             const TimePoint at = m_now + crash * 2s;
             for (int i = 1; i < 4; ++i) {
                 const BackendInfo paused = server(10 * crash + i);
-                m_quarantine.recordFailure(name(10 * crash + i), at, at + 500ms);
+                m_quarantine.recordFailure(name(10 * crash + i), {}, at, at + 500ms);
                 m_crashes.suspect(paused, std::vector<std::string> {"other"}, at, at + 500ms);
                 m_crashes.recordReport(paused.id, 1, at + 1300ms);
             }
@@ -390,7 +390,7 @@
         m_crashes.suspect(server(1), m_parts, m_now + 1s, m_now + 1500ms);
     }
 
-    bool isAdmitted() const { return m_quarantine.quarantinedPart(m_parts, m_now + 5s).empty(); }
+    bool isAdmitted() const { return m_quarantine.quarantinedSuspect(m_parts, m_now + 5s).empty(); }
 
     void assertCrashes(CrashEvidence evidence) const
     {
@@ -409,7 +409,7 @@
     const TimePoint m_now {1h};
     const std::vector<std::string> m_parts = {"shared", "deadly"};
     BackendTable m_servers;
-    PromptQuarantine m_quarantine;
+    RequestQuarantine m_quarantine;
     SuspectedCrashes m_crashes {m_quarantine};
     RandomSource m_random {1};
     CrashChecks m_checks {m_servers, m_random};
--- a/tests/gateway/PromptCrashReportCodecTest.cpp
+++ b/tests/gateway/CrashReportCodecTest.cpp
@@ -1,12 +1,12 @@
-#include "PromptCrashReportCodec.h"
+#include "CrashReportCodec.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
 using namespace foxtailring;
 
-class PromptCrashReportCodecTest : public CppUnit::TestFixture
+class CrashReportCodecTest : public CppUnit::TestFixture
 {
-    CPPUNIT_TEST_SUITE(PromptCrashReportCodecTest);
+    CPPUNIT_TEST_SUITE(CrashReportCodecTest);
     CPPUNIT_TEST(reportSurvivesTheStore);
     CPPUNIT_TEST(reportsOfTheVersionBeforeAreRead);
     CPPUNIT_TEST(foreignValuesAreRejected);
@@ -16,21 +16,21 @@
 public:
     void reportSurvivesTheStore()
     {
-        const PromptCrashReport sent {
+        const CrashReport sent {
             {{"e@1", 1780000000000, {"a", "b"}, false}, {"e@2", 1780000000001, {"a"}, true}},
             {{"a", 5}},
             {{"b", 6, 7}},
             {{8, 9}}};
-        const auto received = PromptCrashReportCodec::decode(PromptCrashReportCodec::encode(sent));
+        const auto received = CrashReportCodec::decode(CrashReportCodec::encode(sent));
         CPPUNIT_ASSERT(received.value() == sent);
-        const auto empty = PromptCrashReportCodec::decode(PromptCrashReportCodec::encode({}));
+        const auto empty = CrashReportCodec::decode(CrashReportCodec::encode({}));
         CPPUNIT_ASSERT(empty.value().isEmpty());
     }
 
     // Guards against gateways that do not understand each other during a roll-out.
     void reportsOfTheVersionBeforeAreRead()
     {
-        const auto report = PromptCrashReportCodec::decode(
+        const auto report = CrashReportCodec::decode(
             R"({"crashes":[["e@1",5,["a"]]],"quarantines":[],"starts":[]})");
         CPPUNIT_ASSERT_EQUAL(std::int64_t(5), report.value().crashes.at(0).atMs);
         CPPUNIT_ASSERT(!report.value().dating);
@@ -48,15 +48,15 @@
               frame + R"([["e",1,[2]]]})", frame + R"([["e",1]]})", frame + R"([],"dating":[1]})",
               frame + R"([],"dating":[1,-1]})",
               frame + R"([[")" + std::string(300, 'e') + R"(",1,[]]]})"})
-            CPPUNIT_ASSERT_MESSAGE(text, !PromptCrashReportCodec::decode(text));
+            CPPUNIT_ASSERT_MESSAGE(text, !CrashReportCodec::decode(text));
     }
 
     // Guards against an exception for ids that callers send.
     void bytesThatAreNoTextAreEncoded()
     {
-        const PromptCrashReport report {{{"e@1", 1, {"\xff\xfe"}}}, {}, {}, {}};
-        CPPUNIT_ASSERT(PromptCrashReportCodec::decode(PromptCrashReportCodec::encode(report)));
+        const CrashReport report {{{"e@1", 1, {"\xff\xfe"}}}, {}, {}, {}};
+        CPPUNIT_ASSERT(CrashReportCodec::decode(CrashReportCodec::encode(report)));
     }
 };
 
-CPPUNIT_TEST_SUITE_REGISTRATION(PromptCrashReportCodecTest);
+CPPUNIT_TEST_SUITE_REGISTRATION(CrashReportCodecTest);
