quarantine: take the whole request for one of its suspects

Cause: evidence of crashes is kept by prompt part. Calls have none, and a repeat has a new id, so nothing connects the crashes. The same holds for a stream without shared parts. Change: a digest of caller, method, host, target and body is the last and most specific suspect of each request. A whole answer of any status by the server that ran it clears it; the prompt parts are still cleared by successes alone. Of requests with the same crashes none is quarantined until one is answered or crashes alone. The loss of an attempt that was replaced counts, unless its failure was recorded before. The table holds 1,024 suspects (256), since each lost call is one; the two tests of the bound take it from the settings now. attemptFailed names the digest. Log lines and the cause of the refusal are renamed: suspectQuarantined, suspectReleased, requestQuarantined. Conclusion: streams whose repeats are the same are found by the request, no longer by one of its parts, so that sound requests with that part are not refused.

--- a/include/foxtailring/decisions/ForwardContext.h
+++ b/include/foxtailring/decisions/ForwardContext.h
@@ -38,8 +38,8 @@
     std::function<void(std::string_view serverId, Duration left)> onPauseReached;
     /// The retry budget of the service is used up; may be empty.
     std::function<void(const std::string &service)> onRetryDenied;
-    /// The request has this prompt part, which is quarantined; may be empty.
-    std::function<void(std::string_view part)> onQuarantined;
+    /// The request is refused because of this suspect, which is quarantined; may be empty.
+    std::function<void(std::string_view suspect)> onQuarantined;
 };
 
 } // namespace foxtailring
--- a/include/foxtailring/decisions/ForwardRequest.h
+++ b/include/foxtailring/decisions/ForwardRequest.h
@@ -21,6 +21,7 @@
     std::uint32_t tokensPerEvent = 1;           ///< of a run's output
     std::optional<std::int64_t> lastEventId;    ///< the last event that the caller has received
     Duration minAttemptTime {0}; ///< with less time left, it is not sent after a server rejected it
+    std::string contentDigest;   ///< RequestDigest; the same for its repeats; empty: not given
 };
 
 } // namespace foxtailring
--- a/include/foxtailring/decisions/ForwardSession.h
+++ b/include/foxtailring/decisions/ForwardSession.h
@@ -79,7 +79,7 @@
     bool isPastDeadline(TimePoint now) const { return now >= m_deadline; }
 
     /// \brief The server of the current attempt does not answer a probe. It may have crashed
-    /// because of the prompt, unless a server has begun to answer the request.
+    /// because of the request, unless a server has begun to answer it.
     void suspectCrash(TimePoint now);
     /// \brief The server of the current attempt sent something, so it has not failed.
     void recordSignOfLife();
@@ -89,10 +89,12 @@
     /// counts one failure of an attempt.
     /// \param at when it failed, as far as is known
     void recordServerFailure(TimePoint at, TimePoint now);
-    /// \brief A quarantined part of the prompt; empty: none, or a server has begun to answer.
+    /// \brief What is quarantined of the request; empty: nothing, or a server has begun to answer.
     std::string_view quarantinedSuspect(TimePoint now) const;
-    /// \brief Refusal if a part of the prompt is quarantined and the request is new or known to
-    /// have crashed its own servers; none: the request may be sent.
+    /// \brief A server began to answer and went on, so that nothing of the request crashes it.
+    void recordStart(TimePoint now);
+    /// \brief Refusal if something of the request is quarantined and it is new or known to have
+    /// crashed its own servers; none: the request may be sent.
     std::optional<ForwardAction> refuseQuarantined(TimePoint now) const;
 
     /// \brief Records whether the answer to a probe says that its server leaves.
@@ -151,6 +153,7 @@
     {
         BackendState server;
         TimePoint sentAt;
+        bool isFailureRecorded = false; ///< of its server
     };
 
     /// \brief Returns the next attempt, or what must happen before it; Refuse if no server is left.
@@ -183,9 +186,10 @@
     virtual TimePoint nextLook() const { return TimePoint::max(); }
 
     void chooseService();
-    /// \brief True if a part of the prompt may crash servers. One that does lets no event through.
-    bool mayBlamePrompt() const { return !hasPassedEvents(); }
+    /// \brief True if the request may crash servers. One that does lets no event through.
+    bool mayCrashServers() const { return !hasPassedEvents(); }
     void recordReset(TimePoint now);
+    void recordWholeAnswer(const BackendAnswer &answer, TimePoint now);
     void recordUncertainServer();
     bool isSubjectToQuarantine() const;
     void recordHead(const BackendInfo &server, TimePoint sentAt, const BackendAnswer &answer,
@@ -205,6 +209,7 @@
 
     const HttpRoute &m_route;
     const ForwardRequest m_request;
+    const std::vector<std::string> m_suspects; ///< see RequestQuarantine
     const ForwardContext m_context;
     const TimePoint m_deadline;
     std::string m_service;
@@ -223,7 +228,7 @@
     std::uint32_t m_possibleRuns = 0;
     std::uint32_t m_rejections = 0;
     std::uint32_t m_addressFailures = 0;
-    bool m_isTrial = false; ///< tries a part whose quarantine has ended, until it may have run
+    bool m_isTrial = false; ///< tries a suspect whose quarantine has ended, until it may have run
 };
 
 } // namespace foxtailring
--- a/include/foxtailring/decisions/RequestQuarantine.h
+++ b/include/foxtailring/decisions/RequestQuarantine.h
@@ -48,8 +48,8 @@
         Duration maxQuarantine = std::chrono::minutes(10);
         /// At the end, one process tries the suspect first; the others follow after this time.
         Duration trialTime = std::chrono::seconds(15);
-        std::size_t maxSuspects = 256;    ///< in quarantine or not
-        std::size_t maxQuarantines = 128; ///< those that other processes report are not taken over
+        std::size_t maxSuspects = 1024;   ///< in quarantine or not
+        std::size_t maxQuarantines = 256; ///< those that other processes report are not taken over
     };
 
     /// \brief Called when a quarantine begins or ends. All are optional.
--- a/include/foxtailring/decisions/SuspectedCrashes.h
+++ b/include/foxtailring/decisions/SuspectedCrashes.h
@@ -27,14 +27,14 @@
 /// \brief Servers that fell silent before they had begun to answer a request, until it is known
 /// whether they crashed.
 ///
-/// A sound server may be silent for a second or so. So silence accuses no prompt by itself: it is
+/// A sound server may be silent for a second or so. So silence accuses no request by itself: it is
 /// recorded as a crash only with proof, and forgotten when the same start of the server sends
 /// anything. Before a crash is recorded, others in its zone are asked whether they failed with it,
 /// as far as there are checks. Not thread-safe; used on one queue.
 class SuspectedCrashes
 {
 public:
-    using Parts = std::span<const std::string>; ///< of a request, in the order of its prompt
+    using Suspects = std::span<const std::string>; ///< of a request, see RequestQuarantine
 
     /// A server that leaves a probe unanswered, sends nothing for this long and leaves another one
     /// unanswered has crashed. It is silent for about 2 s then; sound ones for 1.3 s at most.
@@ -64,12 +64,14 @@
 
     /// \brief The server does not answer a probe of an attempt whose answer has not begun.
     /// \param silentSince last sign of life of the server
-    void suspect(const BackendInfo &server, Parts parts, TimePoint silentSince, TimePoint now);
+    void suspect(const BackendInfo &server, Suspects suspects, TimePoint silentSince,
+                 TimePoint now);
     /// \brief The connection of an attempt ended before its answer began, which proves a crash
     /// unless the checks find the server alive.
     /// \param isKnownFailure the failure was recorded before without a suspicion; the crash then
-    /// accuses no prompt
-    void recordReset(const BackendInfo &server, Parts parts, bool isKnownFailure, TimePoint now);
+    /// accuses no request
+    void recordReset(const BackendInfo &server, Suspects suspects, bool isKnownFailure,
+                     TimePoint now);
     /// \brief The server, in the start that \a server names, sent bytes of an answer. A crash of
     /// which only silence was known is forgotten.
     void recordBytes(const BackendInfo &server);
@@ -109,28 +111,29 @@
         bool isReported = false; ///< to the hooks
     };
 
+    using Requests = std::vector<std::vector<std::string>>; ///< the suspects of each
+
     struct Suspicion
     {
         BackendInfo server;
-        TimePoint silentSince;                         ///< latest sign of life
-        TimePoint suspectedAt;                         ///< first probe without an answer
-        std::vector<std::vector<std::string>> prompts; ///< of the attempts that were in progress
-        TimePoint probedAt;                            ///< start of the latest own probe
+        TimePoint silentSince; ///< latest sign of life
+        TimePoint suspectedAt; ///< first probe without an answer
+        Requests requests;     ///< the suspects of those that were in progress
+        TimePoint probedAt;    ///< start of the latest own probe
         bool isProbing = false;
         bool isLeaving = false; ///< its end or next start is planned
     };
     using Suspicions = std::map<std::string, Suspicion, std::less<>>; ///< by incarnation
 
+    static void addRequest(Suspicion &suspicion, Suspects suspects);
     Suspicions::iterator confirm(Suspicions::iterator suspicion, CrashEvidence evidence,
                                  TimePoint now);
     Suspicions::iterator clear(Suspicions::iterator suspicion, std::string_view sign);
-    using Prompts = std::vector<std::vector<std::string>>;
-
-    /// A proven crash, and the prompts that may have caused it.
+    /// A proven crash, and the requests that may have caused it.
     struct SuspectCrash
     {
         BackendInfo server;
-        Prompts prompts;
+        Requests requests;
         TimePoint at;
         CrashEvidence evidence;
     };
--- a/include/foxtailring/gateway/GatewayRequest.h
+++ b/include/foxtailring/gateway/GatewayRequest.h
@@ -24,6 +24,8 @@
     std::string promptId; ///< of the prompt part that only this request has; empty: not given
     /// Ids of the prompt parts that other requests may have too, in order.
     std::vector<std::string> sharedPromptParts;
+    /// Names the caller, the target and the body (RequestDigest); set when the caller is known.
+    std::string contentDigest;
     std::uint64_t promptTokens = 0;
     std::uint64_t maxOutputTokens = 0;
     /// With less time left, the request is not sent after a server rejected it; set in a drain.
--- a/src/decisions/CrashAttribution.cpp
+++ b/src/decisions/CrashAttribution.cpp
@@ -3,6 +3,7 @@
 #include "foxtailring/decisions/EngineFailures.h"
 #include "foxtailring/decisions/SuspectStarts.h"
 #include "foxtailring/decisions/SuspectTable.h"
+#include "foxtailring/protocol/RequestDigest.h"
 
 #include <algorithm>
 #include <cmath>
@@ -15,6 +16,13 @@
 // Two half-lives after a single start, it says nothing any more.
 constexpr double minStartWeight = 0.25;
 
+// Nothing tells two whole requests apart that are suspect in the same crashes: none of them is
+// quarantined until one is answered, or crashes another server.
+bool areRivals(const std::string &one, const std::string &other)
+{
+    return RequestDigest::isDigest(one) && RequestDigest::isDigest(other);
+}
+
 } // namespace
 
 CrashAttribution::CrashAttribution(const SuspectTable &suspects, const EngineFailures &failures,
@@ -95,7 +103,8 @@
         };
         return otherLevel < level
             || (otherLevel == level
-                && std::all_of(record.crashes.begin(), record.crashes.end(), isMoreSpecific));
+                && (areRivals(name, other)
+                    || std::all_of(record.crashes.begin(), record.crashes.end(), isMoreSpecific)));
     });
 }
 
--- a/src/decisions/ForwardSession.cpp
+++ b/src/decisions/ForwardSession.cpp
@@ -30,6 +30,14 @@
 // With less time left, no server can answer before the deadline.
 constexpr milliseconds minTimeLeft {20};
 
+std::vector<std::string> suspectsOf(const ForwardRequest &request)
+{
+    std::vector<std::string> suspects = request.sharedPromptParts;
+    if (!request.contentDigest.empty())
+        suspects.push_back(request.contentDigest);
+    return suspects;
+}
+
 TimePoint deadlineOf(const HttpRoute &route, const ForwardRequest &request)
 {
     const Duration limit = route.timeout;
@@ -42,6 +50,7 @@
                                const ForwardContext &context)
     : m_route(route)
     , m_request(request)
+    , m_suspects(suspectsOf(request))
     , m_context(context)
     , m_deadline(deadlineOf(route, request))
     , m_admittedPlacer(m_context, m_service)
@@ -59,8 +68,7 @@
     chooseService();
     if (timeLeft(now) < minTimeLeft)
         return refuse(503, "noTimeLeft");
-    m_isTrial = m_context.quarantine.admit(m_request.sharedPromptParts, now)
-        == RequestQuarantine::Admission::Trial;
+    m_isTrial = m_context.quarantine.admit(m_suspects, now) == RequestQuarantine::Admission::Trial;
     if (auto refusal = refuseQuarantined(now))
         return std::move(*refusal);
     m_context.retryBudget.deposit(m_service, now);
@@ -136,6 +144,7 @@
         return onFallbackEnded(AttemptResult::Invalid, now);
     const bool isFailure = answer.status >= 500 || answer.isOtherServer;
     const bool isFinal = answer.status < 500 && mayPass(answer.status);
+    recordWholeAnswer(answer, now);
     m_context.servers.recordAnswer(m_fallback->server.info.id, isFailure && !answer.pause, now);
     releaseFallback();
     if (isFinal)
@@ -160,9 +169,9 @@
         m_context.servers.recordContact(id, now);
     else
         m_context.servers.recordFailure(id, now);
-    if (result == AttemptResult::Lost && mayBlamePrompt())
-        m_context.suspectedCrashes.recordReset(m_fallback->server.info, m_request.sharedPromptParts,
-                                               true, now);
+    if (result == AttemptResult::Lost && mayCrashServers())
+        m_context.suspectedCrashes.recordReset(m_fallback->server.info, m_suspects,
+                                               m_fallback->isFailureRecorded, now);
     releaseFallback();
     // It was counted when it became the fallback.
     if (!mayHaveRun(result))
@@ -210,8 +219,7 @@
         return onAttemptEnded(AttemptResult::Invalid, now);
     onAttemptOver();
     const bool isFailure = answer.status >= 500 || answer.isOtherServer;
-    if (answer.isSuccess())
-        m_context.quarantine.recordStart(m_request.sharedPromptParts, now);
+    recordWholeAnswer(answer, now);
     // A server that asks for a pause has not failed.
     m_context.servers.recordAnswer(m_server->info.id, isFailure && !answer.pause, now);
     releaseServer();
@@ -270,27 +278,25 @@
     return retryRejected(AttemptResult::OtherServer, now);
 }
 
-// If the failure was recorded before, as that of a server in a zone that fails, the prompt is not
+// If the failure was recorded before, as that of a server in a zone that fails, the request is not
 // suspected.
 void ForwardSession::suspectCrash(TimePoint now)
 {
-    if (!mayBlamePrompt())
+    if (!mayCrashServers())
         return;
     recordUncertainServer();
     m_isCrashSuspected = m_isCrashSuspected || !m_isFailureRecorded;
     if (!m_isCrashSuspected)
         return;
-    m_context.suspectedCrashes.suspect(m_server->info, m_request.sharedPromptParts, lastSignAt(now),
-                                       now);
+    m_context.suspectedCrashes.suspect(m_server->info, m_suspects, lastSignAt(now), now);
 }
 
 void ForwardSession::recordReset(TimePoint now)
 {
-    if (!mayBlamePrompt())
+    if (!mayCrashServers())
         return;
     recordUncertainServer();
-    m_context.suspectedCrashes.recordReset(m_server->info, m_request.sharedPromptParts,
-                                           m_isFailureRecorded, now);
+    m_context.suspectedCrashes.recordReset(m_server->info, m_suspects, m_isFailureRecorded, now);
 }
 
 void ForwardSession::recordUncertainServer()
@@ -330,9 +336,24 @@
 
 std::string_view ForwardSession::quarantinedSuspect(TimePoint now) const
 {
-    if (!mayBlamePrompt())
+    if (!mayCrashServers())
         return {};
-    return m_context.quarantine.quarantinedSuspect(m_request.sharedPromptParts, now);
+    return m_context.quarantine.quarantinedSuspect(m_suspects, now);
+}
+
+void ForwardSession::recordStart(TimePoint now)
+{
+    m_context.quarantine.recordStart(m_suspects, now);
+}
+
+// A failure that the server answers with may come before it looks at the prompt. But what crashes
+// each server that runs it as a whole is not answered at all.
+void ForwardSession::recordWholeAnswer(const BackendAnswer &answer, TimePoint now)
+{
+    if (answer.isSuccess())
+        return recordStart(now);
+    if (answer.isSigned && !answer.isOtherServer && !m_request.contentDigest.empty())
+        m_context.quarantine.recordStart(std::span(&m_request.contentDigest, 1), now);
 }
 
 // A quarantine may accuse the wrong part, or be taken over from another process that knows less. So
@@ -349,12 +370,12 @@
 // A return of the caller cannot help, so it is told no time.
 std::optional<ForwardAction> ForwardSession::refuseQuarantined(TimePoint now) const
 {
-    const std::string_view part = quarantinedSuspect(now);
-    if (m_isTrial || part.empty() || !isSubjectToQuarantine())
+    const std::string_view suspect = quarantinedSuspect(now);
+    if (m_isTrial || suspect.empty() || !isSubjectToQuarantine())
         return std::nullopt;
     if (m_context.onQuarantined)
-        m_context.onQuarantined(part);
-    ForwardAction refusal = refuse(503, "promptQuarantined");
+        m_context.onQuarantined(suspect);
+    ForwardAction refusal = refuse(503, "requestQuarantined");
     std::get<Refuse>(refusal).retryAfter = milliseconds(0);
     return conclude(std::move(refusal));
 }
@@ -495,11 +516,11 @@
 
 ForwardAction ForwardSession::send(SendAttempt attempt, TimePoint now)
 {
-    // The part may have been quarantined while servers were probed.
+    // It may have been quarantined while servers were probed.
     if (auto refusal = refuseQuarantined(now))
         return std::move(*refusal);
     if (attempt.keepsLatest && m_server) {
-        m_fallback = Fallback {std::move(*m_server), m_sentAt};
+        m_fallback = Fallback {std::move(*m_server), m_sentAt, m_isFailureRecorded};
         m_server.reset();
         countPossibleRun();
     }
--- a/src/decisions/StreamSession.cpp
+++ b/src/decisions/StreamSession.cpp
@@ -76,7 +76,7 @@
     m_progress.recordEvent(now);
     m_wait.recordEvent(now);
     if (m_progress.eventCount() == outlivedEvents)
-        context().quarantine.recordStart(request().sharedPromptParts, now);
+        recordStart(now);
     m_hasStarted = true;
     m_isProbing = false;
     m_isUnwatched = false;
@@ -186,7 +186,7 @@
 ForwardAction StreamSession::onFinished(TimePoint now)
 {
     if (!hasOutlivedStart())
-        context().quarantine.recordStart(request().sharedPromptParts, now);
+        recordStart(now);
     if (hasServer())
         context().servers.recordAnswer(server().info.id, false, now);
     if (m_progress.meanEventInterval() > Duration {0})
--- a/src/decisions/SuspectedCrashes.cpp
+++ b/src/decisions/SuspectedCrashes.cpp
@@ -13,8 +13,8 @@
 
 namespace {
 
-// Prompts that one server processes at the same time; more say little about each of them.
-constexpr std::size_t maxPromptsPerServer = 16;
+// Requests that one server processes at the same time; more say little about each of them.
+constexpr std::size_t maxRequestsPerServer = 64;
 // Longer than any request that may ask whether its servers crashed.
 constexpr std::chrono::seconds crashMemory {60};
 constexpr std::size_t maxCrashed = 512;
@@ -39,11 +39,11 @@
     return std::string(serverId) + '@' + std::to_string(startedAtMs);
 }
 
-void SuspectedCrashes::suspect(const BackendInfo &server, Parts parts, TimePoint silentSince,
+void SuspectedCrashes::suspect(const BackendInfo &server, Suspects suspects, TimePoint silentSince,
                                TimePoint now)
 {
     const std::string incarnation = incarnationOf(server);
-    if (parts.empty() || m_crashed.contains(incarnation))
+    if (suspects.empty() || m_crashed.contains(incarnation))
         return;
     auto found = m_suspicions.find(incarnation);
     if (found == m_suspicions.end()) {
@@ -57,29 +57,35 @@
                 server, silentSince, false, [](const auto &, TimePoint) {}, now);
     }
     Suspicion &suspicion = found->second;
-    std::vector<std::string> prompt(parts.begin(), parts.end());
-    auto &prompts = suspicion.prompts;
-    if (prompts.size() < maxPromptsPerServer
-        && std::find(prompts.begin(), prompts.end(), prompt) == prompts.end())
-        prompts.push_back(std::move(prompt));
+    addRequest(suspicion, suspects);
     suspicion.silentSince = std::max(suspicion.silentSince, silentSince);
     if (now - suspicion.suspectedAt >= maxSoundSilence)
         confirm(found, CrashEvidence::Silent, now);
 }
 
-void SuspectedCrashes::recordReset(const BackendInfo &server, Parts parts, bool isKnownFailure,
-                                   TimePoint now)
+void SuspectedCrashes::addRequest(Suspicion &suspicion, Suspects suspects)
+{
+    std::vector<std::string> request(suspects.begin(), suspects.end());
+    auto &requests = suspicion.requests;
+    if (!request.empty() && requests.size() < maxRequestsPerServer
+        && std::find(requests.begin(), requests.end(), request) == requests.end())
+        requests.push_back(std::move(request));
+}
+
+void SuspectedCrashes::recordReset(const BackendInfo &server, Suspects suspects,
+                                   bool isKnownFailure, TimePoint now)
 {
     const std::string incarnation = incarnationOf(server);
     const auto found = m_suspicions.find(incarnation);
     if (found != m_suspicions.end()) {
+        addRequest(found->second, suspects);
         confirm(found, CrashEvidence::Reset, now);
         return;
     }
     recordCrashed(incarnation, CrashEvidence::Reset, now);
-    if (isKnownFailure || parts.empty())
+    if (isKnownFailure || suspects.empty())
         return;
-    accuse({server, {{parts.begin(), parts.end()}}, now, CrashEvidence::Reset}, now);
+    accuse({server, {{suspects.begin(), suspects.end()}}, now, CrashEvidence::Reset}, now);
 }
 
 void SuspectedCrashes::accuse(SuspectCrash crash, TimePoint now)
@@ -108,8 +114,8 @@
     proven.askedPeers = verdict.askedPeers;
     for (const BackendInfo &peer : verdict.failedPeers)
         proven.failedPeers.push_back(incarnationOf(peer));
-    for (const auto &prompt : crash.prompts)
-        m_quarantine.recordCrash(incarnationOf(crash.server), prompt, proven, now);
+    for (const auto &request : crash.requests)
+        m_quarantine.recordCrash(incarnationOf(crash.server), request, proven, now);
 }
 
 void SuspectedCrashes::refute(const SuspectCrash &crash)
@@ -260,7 +266,7 @@
     Suspicion proven = std::move(suspicion->second);
     const auto next = m_suspicions.erase(suspicion);
     recordCrashed(incarnation, evidence, now);
-    accuse({std::move(proven.server), std::move(proven.prompts), proven.silentSince, evidence},
+    accuse({std::move(proven.server), std::move(proven.requests), proven.silentSince, evidence},
            now);
     return next;
 }
--- a/src/gateway/CrashReportCodec.cpp
+++ b/src/gateway/CrashReportCodec.cpp
@@ -58,6 +58,11 @@
     return value.is_array() && value.size() == 2 && isTime(value[0]) && isTime(value[1]);
 }
 
+bool isServiceOfCrash(const json &value)
+{
+    return value.is_array() && value.size() == 2 && isName(value[0]) && isName(value[1]);
+}
+
 bool isReport(const json &document)
 {
     const auto all = [&](const char *name, bool (*isEntry)(const json &)) {
@@ -73,11 +78,6 @@
             || (isList(document, "services", maxCrashes) && all("services", isServiceOfCrash)));
 }
 
-bool isServiceOfCrash(const json &value)
-{
-    return value.is_array() && value.size() == 2 && isName(value[0]) && isName(value[1]);
-}
-
 std::string serviceOf(const json &document, const json &incarnation)
 {
     const auto services = document.find("services");
--- a/src/gateway/ForwardSessionFactory.cpp
+++ b/src/gateway/ForwardSessionFactory.cpp
@@ -33,6 +33,7 @@
     forwarded.callerTimeout = request.timeout;
     forwarded.promptId = request.promptId;
     forwarded.sharedPromptParts = request.sharedPromptParts;
+    forwarded.contentDigest = request.contentDigest;
     forwarded.promptTokens = request.promptTokens;
     forwarded.maxOutputTokens = request.maxOutputTokens;
     forwarded.lastEventId = request.lastEventId;
--- a/src/gateway/GatewayNode.cpp
+++ b/src/gateway/GatewayNode.cpp
@@ -138,23 +138,24 @@
 RequestQuarantine::Hooks makeQuarantineHooks(GatewayParts &parts)
 {
     RequestQuarantine::Hooks hooks;
-    hooks.onQuarantined = [&parts](const std::string &part, std::size_t crashes,
+    hooks.onQuarantined = [&parts](const std::string &suspect, std::size_t crashes,
                                    std::string_view evidence, Duration time) {
         parts.metrics.add("gateway_quarantines_total");
         const auto ms = std::chrono::duration_cast<milliseconds>(time).count();
-        StructuredLog::warn("promptQuarantined",
-                            {{"part", part},
+        StructuredLog::warn("suspectQuarantined",
+                            {{"suspect", suspect},
                              {"crashes", std::to_string(crashes)},
                              {"evidence", std::string(evidence)},
                              {"forMs", std::to_string(ms)}});
     };
-    hooks.onReleased = [](const std::string &part, std::string_view cause) {
-        StructuredLog::info("promptReleased", {{"part", part}, {"cause", std::string(cause)}});
+    hooks.onReleased = [](const std::string &suspect, std::string_view cause) {
+        StructuredLog::info("suspectReleased",
+                            {{"suspect", suspect}, {"cause", std::string(cause)}});
     };
     hooks.clearingDelay = [&parts] {
         return milliseconds(parts.random.bounded(maxClearingDelay.count()));
     };
-    hooks.isTrialOwner = [&parts](std::string_view part) { return parts.fleet.owns(part); };
+    hooks.isTrialOwner = [&parts](std::string_view suspect) { return parts.fleet.owns(suspect); };
     return hooks;
 }
 
--- a/src/gateway/GatewayParts.cpp
+++ b/src/gateway/GatewayParts.cpp
@@ -115,7 +115,7 @@
             reportPauseReached(requestId, serverId, left);
         },
         [this, requestId](const std::string &service) { reportRetryDenied(requestId, service); },
-        [this, requestId](std::string_view part) { reportQuarantined(requestId, part); }};
+        [this, requestId](std::string_view suspect) { reportQuarantined(requestId, suspect); }};
 }
 
 void GatewayParts::updateFleetSize()
@@ -150,10 +150,11 @@
                          {"gateways", std::to_string(m_fleetSize)}});
 }
 
-void GatewayParts::reportQuarantined(const std::string &requestId, std::string_view part)
+void GatewayParts::reportQuarantined(const std::string &requestId, std::string_view suspect)
 {
     metrics.add("gateway_quarantined_requests_total");
-    StructuredLog::info("promptRejected", {{"request", requestId}, {"part", std::string(part)}});
+    StructuredLog::info("requestQuarantined",
+                        {{"request", requestId}, {"suspect", std::string(suspect)}});
 }
 
 std::string GatewayParts::rateLimitGauge(std::string_view serverId)
--- a/src/gateway/GatewayParts.h
+++ b/src/gateway/GatewayParts.h
@@ -68,7 +68,7 @@
     void reportRateLimited(const std::string &requestId, std::string_view serverId,
                            const RateLimitExplanation &reason);
     /// \brief Logs and counts that a quarantined prompt part kept a request from all servers.
-    void reportQuarantined(const std::string &requestId, std::string_view part);
+    void reportQuarantined(const std::string &requestId, std::string_view suspect);
     /// \brief Logs and counts that a server's pause kept a request from it.
     void reportPauseReached(const std::string &requestId, std::string_view serverId, Duration left);
     /// \brief Gives back the idle connections to a server to which a connection failed before an
--- a/src/gateway/GatewayPublisher.cpp
+++ b/src/gateway/GatewayPublisher.cpp
@@ -64,7 +64,7 @@
     m_parts.rateLimits.expire(now);
     m_crashProber.step(now);
     m_parts.quarantine.expire(now);
-    m_parts.metrics.setGauge("gateway_prompts_quarantined",
+    m_parts.metrics.setGauge("gateway_suspects_quarantined",
                              static_cast<double>(m_parts.quarantine.quarantineCount()));
     m_parts.pauses.expire(now);
     m_parts.updateFleetSize();
--- a/src/gateway/RequestDispatcher.cpp
+++ b/src/gateway/RequestDispatcher.cpp
@@ -1,6 +1,7 @@
 #include "RequestDispatcher.h"
 
 #include "foxtailring/base/StructuredLog.h"
+#include "foxtailring/protocol/RequestDigest.h"
 #include "foxtailring/transport/Http1Responder.h"
 
 #include "GatewayParts.h"
@@ -8,6 +9,7 @@
 #include "RequestRelay.h"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 namespace foxtailring {
@@ -44,6 +46,14 @@
     responder.respond(refusalResponse(requestId, refusal));
 }
 
+// Repeats of a request have new ids, and may differ in headers such as the time that is left.
+std::string contentDigest(const GatewayRequest &request, std::string_view account)
+{
+    const std::array<std::string_view, 5> fields {account, request.http.method, request.host,
+                                                  request.http.target, request.http.body};
+    return RequestDigest::of(fields);
+}
+
 } // namespace
 
 RequestDispatcher::RequestDispatcher(GatewayParts &parts)
@@ -187,6 +197,7 @@
             return refuse(m_parts, *responder, request.id, 401, "unknownKey");
         account = holder->name;
     }
+    request.contentDigest = contentDigest(request, account);
     const auto relay = std::make_shared<RequestRelay>(m_parts, std::move(request), table, *route,
                                                       std::move(account), responder, arrivedAt);
     track(relay);
--- a/src/gateway/RequestReporter.cpp
+++ b/src/gateway/RequestReporter.cpp
@@ -106,6 +106,7 @@
                          {"result", std::string(attemptResultName(result))},
                          {"events", std::to_string(attempt.eventCount)},
                          {"promptParts", joined(m_request.sharedPromptParts)},
+                         {"digest", m_request.contentDigest},
                          {"ageMs", msText(age())}});
 }
 
--- a/tests/decisions/ForwardFixture.h
+++ b/tests/decisions/ForwardFixture.h
@@ -126,7 +126,10 @@
                 [this](const std::string &service) { denied.push_back(service); },
                 [this](std::string_view part) { quarantinedParts.emplace_back(part); }};
     }
-    ForwardRequest request() const { return {now, Ms(5000), "p1", {}, 8000, 600, 5, std::nullopt}; }
+    ForwardRequest request() const
+    {
+        return {now, Ms(5000), "p1", {}, 8000, 600, 5, std::nullopt, Ms(0), {}};
+    }
 
     TimePoint now {std::chrono::hours(1)};
     BackendTable servers;
--- /dev/null
+++ b/tests/decisions/QuarantinedCallTest.cpp
@@ -0,0 +1,173 @@
+#include "foxtailring/decisions/CallSession.h"
+#include "foxtailring/decisions/StreamSession.h"
+#include "foxtailring/protocol/RequestDigest.h"
+
+#include "ForwardFixture.h"
+
+#include <array>
+#include <string_view>
+
+using namespace foxtailring;
+
+// Calls that crash the servers that run them: their repeats share nothing but their content.
+class QuarantinedCallTest : public ForwardFixture
+{
+    CPPUNIT_TEST_SUITE(QuarantinedCallTest);
+    CPPUNIT_TEST(repeatOfACallThatCrashedTwoServersIsRefused);
+    CPPUNIT_TEST(idempotentCallIsNotSentToAThirdServer);
+    CPPUNIT_TEST(refusalOfACallThatHasRunDoesNotSayOtherwise);
+    CPPUNIT_TEST(otherCallsOfTheCallerAreSent);
+    CPPUNIT_TEST(callsLostTogetherAreBothSent);
+    CPPUNIT_TEST(answerClearsACall);
+    CPPUNIT_TEST(failureOfItsServerClearsACall);
+    CPPUNIT_TEST(rejectionClearsNothing);
+    CPPUNIT_TEST(crashUnderAReplacedAttemptCounts);
+    CPPUNIT_TEST(streamWithoutSharedPartsIsRefused);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override { listServers(); }
+
+    // Guards against a call that crashes one server after the other (inc10).
+    void repeatOfACallThatCrashedTwoServersIsRefused()
+    {
+        crash("deadly");
+        crash("deadly");
+        CallSession repeat(m_single, call("deadly"), context());
+        const auto action = repeat.start(now);
+        CPPUNIT_ASSERT_EQUAL(503, refused(action).status);
+        CPPUNIT_ASSERT_EQUAL(Ms(0).count(), refused(action).retryAfter.count());
+        CPPUNIT_ASSERT_EQUAL(call("deadly").contentDigest, quarantinedParts.at(0));
+    }
+
+    void idempotentCallIsNotSentToAThirdServer()
+    {
+        crash("deadly");
+        CallSession session(m_repeatable, call("deadly"), context());
+        sent(session.start(now));
+        now += Ms(1000);
+        CPPUNIT_ASSERT_EQUAL(502, refused(session.onAttemptEnded(AttemptResult::Lost, now)).status);
+    }
+
+    // Guards against a refusal that says "not run" for a call that a server has begun.
+    void refusalOfACallThatHasRunDoesNotSayOtherwise()
+    {
+        crash("deadly");
+        CallSession session(m_single, call("deadly"), context());
+        sent(session.start(now));
+        now += Ms(1000);
+        CPPUNIT_ASSERT_EQUAL(502, refused(session.onAttemptEnded(AttemptResult::Lost, now)).status);
+    }
+
+    void otherCallsOfTheCallerAreSent()
+    {
+        crash("deadly");
+        crash("deadly");
+        CallSession other(m_single, call("other"), context());
+        sent(other.start(now));
+    }
+
+    // Guards against refusing a sound call that died beside a deadly one.
+    void callsLostTogetherAreBothSent()
+    {
+        // Two calls at each server, both lost with it.
+        for (int i = 0; i < 2; ++i) {
+            CallSession deadly(m_single, call("deadly"), context());
+            CallSession sound(m_single, call("sound"), context());
+            const BackendInfo server = sent(deadly.start(now)).server.info;
+            sent(sound.start(now));
+            suspectedCrashes.recordReset(server, digestOf("sound"), false, now);
+            deadly.onAttemptEnded(AttemptResult::Lost, now);
+            now += Ms(1000);
+        }
+        CallSession sound(m_single, call("sound"), context());
+        sent(sound.start(now));
+        sound.onAnswer(answer(200), now);
+        // Only now is it known which of the two is the cause.
+        CallSession repeat(m_single, call("deadly"), context());
+        CPPUNIT_ASSERT_EQUAL(503, refused(repeat.start(now)).status);
+        CallSession again(m_single, call("sound"), context());
+        sent(again.start(now));
+    }
+
+    void answerClearsACall() { CPPUNIT_ASSERT(isSentAfter(answer(200))); }
+
+    // A server that answers with a failure has not crashed.
+    void failureOfItsServerClearsACall() { CPPUNIT_ASSERT(isSentAfter(answer(500))); }
+
+    // Guards against a server that is full and so hides what crashes the others.
+    void rejectionClearsNothing()
+    {
+        BackendAnswer rejection = answer(503);
+        rejection.isNotRun = true;
+        CPPUNIT_ASSERT(!isSentAfter(rejection));
+    }
+
+    // A call that takes long is sent to a second server while the first one still has it.
+    void crashUnderAReplacedAttemptCounts()
+    {
+        crash("deadly");
+        CallSession session(m_repeatable, call("deadly"), context());
+        sent(session.start(now));
+        now = session.nextCheck();
+        sent(session.check(now));
+        session.onFallbackEnded(AttemptResult::Lost, now + Ms(100));
+        CallSession repeat(m_repeatable, call("deadly"), context());
+        CPPUNIT_ASSERT_EQUAL(503, refused(repeat.start(now + Ms(100))).status);
+    }
+
+    // Guards against streams that have no part in common with others but are the same themselves.
+    void streamWithoutSharedPartsIsRefused()
+    {
+        for (int i = 0; i < 2; ++i) {
+            StreamSession session(m_stream, call("deadly"), context(), {});
+            sent(session.start(now));
+            now += Ms(1000);
+            session.onAttemptEnded(AttemptResult::Lost, now);
+        }
+        StreamSession repeat(m_stream, call("deadly"), context(), {});
+        CPPUNIT_ASSERT_EQUAL(503, refused(repeat.start(now)).status);
+    }
+
+private:
+    static std::vector<std::string> digestOf(std::string_view content)
+    {
+        const std::array fields {content};
+        return {RequestDigest::of(fields)};
+    }
+
+    ForwardRequest call(std::string_view content) const
+    {
+        ForwardRequest out = request();
+        out.contentDigest = digestOf(content).front();
+        return out;
+    }
+
+    // Its server ends without an answer; the next one does so a second later.
+    void crash(std::string_view content)
+    {
+        CallSession session(m_single, call(content), context());
+        sent(session.start(now));
+        session.onAttemptEnded(AttemptResult::Lost, now);
+        now += Ms(1000);
+    }
+
+    // True if the call is sent after a crash, an answer, and another crash.
+    bool isSentAfter(const BackendAnswer &between)
+    {
+        crash("call");
+        CallSession answered(m_single, call("call"), context());
+        sent(answered.start(now));
+        answered.onAnswer(between, now);
+        now += Ms(1000);
+        crash("call");
+        CallSession repeat(m_single, call("call"), context());
+        return std::holds_alternative<SendAttempt>(repeat.start(now));
+    }
+
+    HttpRoute m_single = route(CallKind::NonIdempotent);
+    HttpRoute m_repeatable = route(CallKind::Idempotent);
+    HttpRoute m_stream = route(CallKind::Stream);
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(QuarantinedCallTest);
--- a/tests/decisions/RequestQuarantineTest.cpp
+++ b/tests/decisions/RequestQuarantineTest.cpp
@@ -1,8 +1,11 @@
 #include "foxtailring/decisions/RequestQuarantine.h"
+#include "foxtailring/protocol/RequestDigest.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 using namespace foxtailring;
@@ -41,6 +44,10 @@
     CPPUNIT_TEST(hostileReportsFillNothing);
     CPPUNIT_TEST(reportOfAMassFailureWaitsForClearing);
     CPPUNIT_TEST(evidenceIsBoundedAndForgotten);
+    CPPUNIT_TEST(requestsWithTheSameCrashesAreBothAdmitted);
+    CPPUNIT_TEST(deadlyPartIsFoundAmongDifferentRequests);
+    CPPUNIT_TEST(partsOfARepeatedRequestAreNotBlamed);
+    CPPUNIT_TEST(newQuarantineIsReportedAtOnceInAMassFailure);
     CPPUNIT_TEST(reportIsPublishedWhenItChanges);
     CPPUNIT_TEST_SUITE_END();
 
@@ -326,7 +333,7 @@
             m_own.recordCrash("n" + std::to_string(i), Parts {"part-" + std::to_string(i)},
                               m_now + 1s + i * 1ms);
         CPPUNIT_ASSERT(!isAdmitted(m_own, m_deadly, m_now + 4s));
-        CPPUNIT_ASSERT(m_own.size() <= 256);
+        CPPUNIT_ASSERT(m_own.size() <= RequestQuarantine::Settings {}.maxSuspects);
     }
 
     void newPartsBesideADeadlyOneDoNotHideIt()
@@ -393,13 +400,57 @@
                 parts.push_back(std::to_string(i * 50 + part));
             m_own.recordCrash("e" + std::to_string(i), parts, m_now);
         }
-        CPPUNIT_ASSERT(m_own.size() <= 256);
+        CPPUNIT_ASSERT(m_own.size() <= RequestQuarantine::Settings {}.maxSuspects);
         const auto report = m_own.takeDueReport(m_now + 5s).value();
         CPPUNIT_ASSERT(report.crashes.size() <= 16);
         m_own.expire(m_now + 2min);
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), m_own.size());
     }
 
+    // Guards against refusing a sound request that was lost with a deadly one each time.
+    void requestsWithTheSameCrashesAreBothAdmitted()
+    {
+        const Parts deadly = {wholeRequest("deadly")};
+        const Parts sound = {wholeRequest("sound")};
+        crashTwice(m_own, deadly);
+        crashTwice(m_own, sound);
+        CPPUNIT_ASSERT(isAdmitted(m_own, sound, m_now + 1s));
+        CPPUNIT_ASSERT(isAdmitted(m_own, deadly, m_now + 1s));
+        m_own.recordCrash("e3", deadly, m_now + 2s);
+        CPPUNIT_ASSERT(isAdmitted(m_own, sound, m_now + 2s));
+        CPPUNIT_ASSERT(!isAdmitted(m_own, deadly, m_now + 2s));
+    }
+
+    void deadlyPartIsFoundAmongDifferentRequests()
+    {
+        m_own.recordCrash("e1", Parts {"deadly", wholeRequest("one")}, m_now);
+        m_own.recordCrash("e2", Parts {"deadly", wholeRequest("two")}, m_now + 1s);
+        const Parts third = {"deadly", wholeRequest("three")};
+        CPPUNIT_ASSERT_EQUAL(std::string("deadly"), quarantined(m_own, third, m_now + 1s));
+    }
+
+    // Guards against refusing sound requests that share the parts of one that is deadly itself.
+    void partsOfARepeatedRequestAreNotBlamed()
+    {
+        crashTwice(m_own, {"shared", wholeRequest("deadly")});
+        CPPUNIT_ASSERT(isAdmitted(m_own, {"shared", wholeRequest("other")}, m_now + 1s));
+        CPPUNIT_ASSERT(!isAdmitted(m_own, {"shared", wholeRequest("deadly")}, m_now + 1s));
+    }
+
+    // Guards against gateways that learn of a deadly request seconds late, because three servers
+    // failed.
+    void newQuarantineIsReportedAtOnceInAMassFailure()
+    {
+        const Parts deadly = {wholeRequest("deadly")};
+        for (int i = 0; i < 3; ++i)
+            m_own.recordCrash("e" + std::to_string(i), deadly, m_now + i * 200ms);
+        m_own.takeDueReport(m_now + 5s);
+        m_own.recordCrash("e4", deadly, m_now + 6s);
+        m_own.recordCrash("e5", Parts {wholeRequest("sound")}, m_now + 6s);
+        m_own.recordCrash("e6", Parts {wholeRequest("other")}, m_now + 6s);
+        CPPUNIT_ASSERT(m_own.takeDueReport(m_now + 6s));
+    }
+
     // Each report is a write to the store.
     void reportIsPublishedWhenItChanges()
     {
@@ -420,6 +471,11 @@
         quarantine.recordCrash("e2", parts, m_now + after + 1s);
     }
 
+    static std::string wholeRequest(std::string_view content)
+    {
+        return RequestDigest::of(std::span(&content, 1));
+    }
+
     static bool isAdmitted(RequestQuarantine &quarantine, const Parts &parts, TimePoint now)
     {
         return quarantine.admit(parts, now) == Admission::Admitted;
--- a/tests/process/silent_servers.py
+++ b/tests/process/silent_servers.py
@@ -148,7 +148,7 @@
     """Returns what the silence of a round has cost its streams."""
     entries = [entry for gateway in cluster.gateways
                for entry in gateway_entries(cluster.folder / f"{gateway.name}.log", "attempt", "attemptResumed",
-                                            "attemptDelayed", "retryDenied", "promptQuarantined")
+                                            "attemptDelayed", "retryDenied", "suspectQuarantined")
                if entry.get("request", "").startswith(prefix)]
     moves = [entry for entry in entries if entry["event"] == "attempt" and entry["number"] != "1"]
     gaps = [gap for stream in streams for gap in stream.gaps()]
