quarantine: compare the failures of one service only

Cause: a crash counts against a suspect only if it was at most of the servers that failed around it, and failures of all services counted together. A zone of engines that fails at the moment at which a plain server crashes excused the call. Change: failures and reported crashes name their service. Conclusion: the rule about most failures is about the servers that a request could have been at.

--- a/src/decisions/ForwardSession.cpp
+++ b/src/decisions/ForwardSession.cpp
@@ -330,8 +330,8 @@
 {
     m_context.servers.recordFailure(m_server->info.id, now);
     if (!std::exchange(m_isFailureRecorded, true))
-        m_context.quarantine.recordFailure(SuspectedCrashes::incarnationOf(m_server->info), {}, at,
-                                           now);
+        m_context.quarantine.recordFailure(SuspectedCrashes::incarnationOf(m_server->info),
+                                           m_service, at, now);
 }
 
 std::string_view ForwardSession::quarantinedSuspect(TimePoint now) const
--- a/src/decisions/SuspectedCrashes.cpp
+++ b/src/decisions/SuspectedCrashes.cpp
@@ -109,6 +109,7 @@
         return refute(crash);
     reportCrash(crash, verdict);
     RequestQuarantine::ProvenCrash proven;
+    proven.service = crash.server.service;
     proven.at = crash.at;
     proven.evidence = crash.evidence;
     proven.askedPeers = verdict.askedPeers;
--- a/tests/decisions/RequestQuarantineTest.cpp
+++ b/tests/decisions/RequestQuarantineTest.cpp
@@ -48,6 +48,8 @@
     CPPUNIT_TEST(deadlyPartIsFoundAmongDifferentRequests);
     CPPUNIT_TEST(partsOfARepeatedRequestAreNotBlamed);
     CPPUNIT_TEST(newQuarantineIsReportedAtOnceInAMassFailure);
+    CPPUNIT_TEST(failuresOfAnotherServiceExcuseNothing);
+    CPPUNIT_TEST(reportedCrashNamesItsService);
     CPPUNIT_TEST(reportIsPublishedWhenItChanges);
     CPPUNIT_TEST_SUITE_END();
 
@@ -451,6 +453,26 @@
         CPPUNIT_ASSERT(m_own.takeDueReport(m_now + 6s));
     }
 
+    // Guards against a deadly call that is not found while engines fail.
+    void failuresOfAnotherServiceExcuseNothing()
+    {
+        const Parts deadly = {wholeRequest("deadly")};
+        for (int moment = 0; moment < 2; ++moment) {
+            const TimePoint at = m_now + moment * 1s;
+            for (int i = 0; i < 6; ++i)
+                m_own.recordFailure("engine" + std::to_string(6 * moment + i), "engine", at, at);
+            m_own.recordCrash("s" + std::to_string(moment), deadly, crashOfPlainServer(at), at);
+        }
+        CPPUNIT_ASSERT(!isAdmitted(m_own, deadly, m_now + 1s));
+    }
+
+    void reportedCrashNamesItsService()
+    {
+        m_own.recordCrash("s1", m_deadly, crashOfPlainServer(m_now), m_now);
+        const auto report = m_own.takeDueReport(m_now).value();
+        CPPUNIT_ASSERT_EQUAL(std::string("plain"), report.crashes.at(0).service);
+    }
+
     // Each report is a write to the store.
     void reportIsPublishedWhenItChanges()
     {
@@ -471,6 +493,14 @@
         quarantine.recordCrash("e2", parts, m_now + after + 1s);
     }
 
+    static RequestQuarantine::ProvenCrash crashOfPlainServer(TimePoint at)
+    {
+        RequestQuarantine::ProvenCrash crash;
+        crash.service = "plain";
+        crash.at = at;
+        return crash;
+    }
+
     static std::string wholeRequest(std::string_view content)
     {
         return RequestDigest::of(std::span(&content, 1));
