decisions: suspect the server of a call that is not answered in time

Callers would see: a call that takes its server's machine down goes on from one to the next, since no connection ends and nothing is counted. Cause: only streams asked whether a silent server had crashed; a call waited for its deadline, or went to a second server. Change: a call that is overdue (twice its objective) suspects its server, also if it may not be sent to another one. The suspicion ends with the next report of the server, or is proven as for streams. The failure of a silent server is dated by when the call was sent. Measured: QuarantinedCallTest::crashWithoutAnEndOfTheConnectionCounts failed before (no server was suspected); with it suites QuarantinedCallTest (12), RequestQuarantineTest (37), CallSessionTest (28), RateLimitedSessionTest, PausedSessionTest and QuarantinedSessionTest pass. CallSessionTest::silentServerIsReplaced expected no check of the last attempt before the deadline. There is one now, which may only suspect: the test demands that the attempt is kept by it, and that the next one is the deadline, as before. Conclusion: the quarantine learns of crashes without a reset from calls, too.

--- a/src/decisions/CallSession.cpp
+++ b/src/decisions/CallSession.cpp
@@ -3,12 +3,15 @@
 #include "foxtailring/decisions/BackendPlacer.h"
 #include "foxtailring/decisions/BackendTable.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace foxtailring {
 
 namespace {
 
-// An answer that takes longer than this multiple of the latency objective is considered lost if the
-// call may be retried, since the server answers other calls sooner.
+// An answer that takes longer than this multiple of the latency objective is considered lost, since
+// the server answers other calls sooner.
 constexpr int overdueObjectives = 2;
 
 } // namespace
@@ -45,10 +48,13 @@
 // The attempt goes on, since the next server may turn the request away, or be slower still.
 ForwardAction CallSession::onOverdue(TimePoint now)
 {
-    m_isFinalAttempt = true;
-    // The server that has the call may be sound, so the call goes on, but no other one gets the
-    // part.
-    if (!quarantinedSuspect(now).empty() || !tryTakeRetry(now))
+    const bool isLast = std::exchange(m_isFinalAttempt, true) || !mayUseAnotherServer();
+    m_overdueSince = sentAt();
+    // A server may have crashed without an end of the connection.
+    suspectCrash(now);
+    // The server that has the call may be sound, so the call goes on, but no other one gets what is
+    // quarantined.
+    if (isLast || !quarantinedSuspect(now).empty() || !tryTakeRetry(now))
         return KeepWaiting {};
     const std::string silentId = server().info.id;
     auto next = place("silent", now);
@@ -61,9 +67,14 @@
 
 TimePoint CallSession::overdueAt() const
 {
-    const bool isLast =
-        m_isFinalAttempt || !route().allowsRetry() || possibleRuns() + 1 >= route().maxAttempts;
-    return isLast ? deadline() : sentAt() + overdueObjectives * route().latencyObjective;
+    return m_overdueSince == sentAt()
+        ? deadline()
+        : std::min(deadline(), sentAt() + overdueObjectives * route().latencyObjective);
+}
+
+bool CallSession::mayUseAnotherServer() const
+{
+    return route().allowsRetry() && possibleRuns() + 1 < route().maxAttempts;
 }
 
 } // namespace foxtailring
--- a/tests/decisions/CallSessionTest.cpp
+++ b/tests/decisions/CallSessionTest.cpp
@@ -118,7 +118,9 @@
         const TimePoint due = session.nextCheck();
         CPPUNIT_ASSERT(due < now + Ms(1000));
         CPPUNIT_ASSERT(first != sent(session.check(due)).server.info.id);
-        // The second attempt is the last one and may take until the deadline.
+        // The second attempt is the last one and may take until the deadline. Its server is only
+        // suspected meanwhile.
+        CPPUNIT_ASSERT(std::holds_alternative<KeepWaiting>(session.check(session.nextCheck())));
         CPPUNIT_ASSERT(session.nextCheck() >= now + Ms(5000));
     }
 
--- a/tests/decisions/QuarantinedCallTest.cpp
+++ b/tests/decisions/QuarantinedCallTest.cpp
@@ -1,11 +1,14 @@
 #include "foxtailring/decisions/CallSession.h"
+#include "foxtailring/decisions/ServerProbeResult.h"
 #include "foxtailring/decisions/StreamSession.h"
 #include "foxtailring/protocol/RequestDigest.h"
 
 #include "ForwardFixture.h"
 
 #include <array>
+#include <span>
 #include <string_view>
+#include <vector>
 
 using namespace foxtailring;
 
@@ -23,6 +26,8 @@
     CPPUNIT_TEST(rejectionClearsNothing);
     CPPUNIT_TEST(crashUnderAReplacedAttemptCounts);
     CPPUNIT_TEST(streamWithoutSharedPartsIsRefused);
+    CPPUNIT_TEST(crashWithoutAnEndOfTheConnectionCounts);
+    CPPUNIT_TEST(slowServerIsNoCrash);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -129,7 +134,45 @@
         CPPUNIT_ASSERT_EQUAL(503, refused(repeat.start(now)).status);
     }
 
+    // Guards against a call that takes whole machines down, which close no connections.
+    void crashWithoutAnEndOfTheConnectionCounts()
+    {
+        leaveUnanswered();
+        const auto due = suspectedCrashes.takeDueProbes(servers, now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), due.size());
+        for (const BackendState &server : due)
+            suspectedCrashes.recordProbed(server.info, now);
+        CallSession repeat(m_single, call("deadly"), context());
+        CPPUNIT_ASSERT_EQUAL(503, refused(repeat.start(now)).status);
+    }
+
+    void slowServerIsNoCrash()
+    {
+        leaveUnanswered();
+        for (const BackendState &server : suspectedCrashes.takeDueProbes(servers, now)) {
+            ServerProbeResult report;
+            report.serverId = server.info.id;
+            report.startedAtMs = server.info.startedAtMs;
+            suspectedCrashes.recordProbed(server.info, std::span(&report, 1), servers, now);
+        }
+        CallSession repeat(m_single, call("deadly"), context());
+        sent(repeat.start(now));
+    }
+
 private:
+    // Two servers are silent under the same call, one after the other.
+    void leaveUnanswered()
+    {
+        for (int i = 0; i < 2; ++i) {
+            CallSession session(m_single, call("deadly"), context());
+            sent(session.start(now));
+            now = session.nextCheck();
+            CPPUNIT_ASSERT(std::holds_alternative<KeepWaiting>(session.check(now)));
+            now += Ms(1000);
+        }
+        now += SuspectedCrashes::maxSoundSilence;
+    }
+
     static std::vector<std::string> digestOf(std::string_view content)
     {
         const std::array fields {content};
