soak: let a marked call end the stand-in of its server

Change: a call whose target or body contains CRASH_MARKER ends backend.py with a reset of its connection; the log has `crashed`. `reset` moves from store.py to http_standin.py, since both stand-ins use it. The attempts of the read route can be set.

--- a/tools/lib/soak/backend.py
+++ b/tools/lib/soak/backend.py
@@ -6,8 +6,9 @@
 sets the probability of each fault: notRun, error, truncated, garbled, doubled, answerLost, silent (a second
 before the answer), unframed (an answer with neither a length nor chunks), and the shapes of endless.py. A call
 with the query `pad=N` gets an answer with N more bytes, one with `dribble=SHAPE` an answer in small pieces (dribble.py),
-one with `take=SECONDS` an answer that needs so long, a stream with its events spread over that time;
-fault dribbledReport: reports that never end, a byte now and then; slowCopies: orders for copies take a second. POST /standin/limit sets the rate limit that answers name; null: none.
+one with `take=SECONDS` an answer that needs so long, a stream with its events spread over that time.
+A call whose target or body contains CRASH_MARKER ends the process when it begins to run, without an answer. Fault
+dribbledReport: reports that never end, a byte now and then; slowCopies: orders for copies take a second. POST /standin/limit sets the rate limit that answers name; null: none.
 POST /standin/leaving sets the value by which each answer says that the server leaves; null: none does.
 POST /standin/slots sets how many requests the server runs at a time.
 POST /standin/pause has the server turn every request away and ask for a pause of so many seconds; null: no more.
@@ -17,6 +18,7 @@
 import http.client
 import itertools
 import json
+import os
 import pathlib
 import random
 import sys
@@ -42,6 +44,7 @@
 COPY_LIFETIME_SECONDS = 5
 MEMORY_TOKENS = 88000
 PROMPT_TOKENS = 8000
+CRASH_MARKER = "crash-the-server"
 PROBE_PATHS = (wire.REPORT_PATH, wire.PROMPTS_PATH, wire.COPY_PATH)
 
 
@@ -75,9 +78,12 @@
         self.answers = 0
 
     def log(self, event, **fields):
-        line = json.dumps({"at": time.monotonic(), "server": self.name, "event": event, **fields})
+        line = self.log_line(event, **fields)
         with self.lock:
-            self.log_file.write(line + "\n")
+            self.log_file.write(line)
+
+    def log_line(self, event, **fields):
+        return json.dumps({"at": time.monotonic(), "server": self.name, "event": event, **fields}) + "\n"
 
     def has_fault(self, name):
         return random.random() < self.faults.get(name, 0)
@@ -184,6 +190,15 @@
         self.log("turnedAway", request=request, pause=pause, connection=handler.connection_id)
         return handler.answer(503, b"", headers)
 
+    def crash(self, handler, request):
+        """Ends the process and resets the connection of the request. The lock stays locked, so that a second request with
+        the marker does not log a crash of the same process."""
+        line = self.log_line("crashed", request=request)
+        with self.lock:
+            self.log_file.write(line)
+            http_standin.reset(handler)
+            os._exit(1)
+
     def log_run(self, handler, request, body, **fields):
         headers = handler.headers
         self.log("run", request=request, account=headers.get(wire.ACCOUNT),
@@ -205,6 +220,8 @@
 
     def call(self, handler, request, body):
         self.log_run(handler, request, body)
+        if CRASH_MARKER in handler.path or CRASH_MARKER.encode() in body:
+            self.crash(handler, request)
         usual_seconds = SILENCE_SECONDS if self.has_fault("silent") else CALL_SECONDS * random.uniform(0.5, 2)
         time.sleep(float(query_value(handler, "take") or usual_seconds))
         headers = self.answer_headers(request)
--- a/tools/lib/soak/cluster.py
+++ b/tools/lib/soak/cluster.py
@@ -38,6 +38,7 @@
         self.accounts = {f"account-{index}": {f"key-{index}"} for index in range(4)}
         self.timeouts = {"streams": 25000, "writes": 5000, "reads": 5000}
         self.objectives = {"streams": 1500, "writes": 300, "reads": 300}
+        self.read_attempts = 3
         self.limits = wire.limits(IDLE_TIMEOUT_MS)
         self.proxy = None
         self.control_port = self.ports.allocate()
@@ -108,7 +109,7 @@
                       wire.route("writes", "register", "non_idempotent", self.timeouts["writes"],
                                  self.objectives["writes"]),
                       wire.route("reads", "register", "idempotent", self.timeouts["reads"],
-                                 self.objectives["reads"])]
+                                 self.objectives["reads"], max_attempts=self.read_attempts)]
             self.store.put(wire.CONFIG_KEY, wire.config(version, routes, self.accounts, self.limits))
             return self.journal.record("config", version=version, keys=sorted(
                 key for keys in self.accounts.values() for key in keys))
--- a/tools/lib/soak/http_standin.py
+++ b/tools/lib/soak/http_standin.py
@@ -2,7 +2,9 @@
 
 import http.server
 import json
+import os
 import socket
+import struct
 import sys
 
 
@@ -68,3 +70,9 @@
         """Injected faults break connections; any other error is a fault of the stand-in and is logged."""
         if not isinstance(sys.exc_info()[1], OSError):
             super().handle_error(request, client_address)
+
+
+def reset(handler):
+    """Resets the connection."""
+    handler.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    os.close(handler.connection.detach())
--- a/tools/lib/soak/store.py
+++ b/tools/lib/soak/store.py
@@ -3,9 +3,6 @@
 import base64
 import collections
 import json
-import os
-import socket
-import struct
 import threading
 import time
 import urllib.parse
@@ -280,7 +277,7 @@
             self.lock.wait_for(lambda: False, SILENCE_SECONDS)
             raise Unanswered
         if self.away == "reset":
-            reset(handler)
+            http_standin.reset(handler)
             raise Unanswered
 
     def _reply(self, path, query, body):
@@ -360,9 +357,3 @@
         if self.fault == "down" or self.away:
             return 503, {}
         return 200, {"events": new, "as_of": self.revision}
-
-
-def reset(handler):
-    """Resets the connection."""
-    handler.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-    os.close(handler.connection.detach())
