tests: send a second copy of an answer to the next caller

Cause: at the gateway only refusals of other requests were played on a used connection, no copy of a success. With signed answers always taken in AttemptSender::setConnectionHooks, the five tests of UsedConnectionTest passed. Change: a late copy of an answer, without its id, chunked or in pieces; one that waits on the idle connection; one that nothing follows; one of a stream. With that change of the hook three of the new tests fail: "Expected: second, Actual: first", "Expected: 502, Actual: 200", and the events of the first stream in place of the second. With bytes on an idle connection ignored in IdleConnections, copyOfAnAnswerMayComeBeforeTheRequest fails: "no connection before the deadline". No fault was found in the code.

--- a/tests/gateway/UsedConnectionTest.cpp
+++ b/tests/gateway/UsedConnectionTest.cpp
@@ -1,6 +1,8 @@
 #include "GatewayFixture.h"
 #include "RawPeer.h"
 
+#include <sstream>
+
 using namespace foxtailring;
 
 namespace {
@@ -14,6 +16,17 @@
 const std::string answerTo1 = response("200 OK\r\nid: 1\r\nsigned: 1\r\n", "first");
 const std::string answerTo2 = response("200 OK\r\nid: 2\r\nsigned: 1\r\n", "second");
 
+std::string stream(const std::string &id, const std::string &events)
+{
+    std::ostringstream out;
+    out << "HTTP/1.1 200 OK\r\nid: " << id
+        << "\r\nsigned: 1\r\nContent-Type: text/event-stream\r\n"
+           "Transfer-Encoding: chunked\r\n\r\n"
+        << std::hex << events.size() << "\r\n"
+        << events << "\r\n0\r\n\r\n";
+    return out.str();
+}
+
 } // namespace
 
 // A faulty server `a` that writes to a kept-alive connection what it wrote there before.
@@ -25,6 +38,10 @@
     CPPUNIT_TEST(connectionEndsAfterRefusal);
     CPPUNIT_TEST(answerWithoutIdEndsTheAttemptWithTheConnection);
     CPPUNIT_TEST(refusalWithoutIdIsTrustedOnANewConnection);
+    CPPUNIT_TEST(copyOfAnAnswerIsSkipped);
+    CPPUNIT_TEST(copyOfAnAnswerMayComeBeforeTheRequest);
+    CPPUNIT_TEST(copyOfAnAnswerDoesNotEndTheRequest);
+    CPPUNIT_TEST(copyOfAStreamIsSkipped);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -70,10 +87,7 @@
             const auto peer = serveFirst();
             peer->write(early);
             send("2");
-            RawPeer other = m_faulty.accept();
-            other.readUntil("body");
-            other.write(answerTo2);
-            assertSecondServed(early);
+            assertSecondServedOnANewConnection(early);
         }
     }
 
@@ -118,6 +132,82 @@
         CPPUNIT_ASSERT_EQUAL(std::string("malformed"), answer.body);
     }
 
+    // Guards against a caller that gets the answer to another one, which its server sends twice.
+    void copyOfAnAnswerIsSkipped()
+    {
+        const std::string chunked = "HTTP/1.1 200 OK\r\nid: 1\r\nsigned: 1\r\n"
+                                    "Transfer-Encoding: chunked\r\n\r\n5\r\nfirst\r\n0\r\n\r\n";
+        for (const std::string &copy :
+             {answerTo1, response("200 OK\r\nsigned: 1\r\n", "first"), chunked}) {
+            restart();
+            const auto peer = serveFirst();
+            send("2");
+            peer->readUntil("body");
+            peer->write(copy);
+            peer->write(answerTo2);
+            assertSecondServed(copy);
+
+            restart();
+            const auto slowPeer = serveFirst();
+            send("2");
+            slowPeer->readUntil("body");
+            for (const char byte : copy + answerTo2)
+                slowPeer->write(std::string(1, byte));
+            assertSecondServed(copy + "in pieces");
+        }
+    }
+
+    // As above, for a copy that waits on an idle connection.
+    void copyOfAnAnswerMayComeBeforeTheRequest()
+    {
+        for (const std::string &early : {answerTo1, answerTo1.substr(0, answerTo1.size() - 1)}) {
+            restart();
+            const auto peer = serveFirst();
+            peer->write(early);
+            send("2");
+            assertSecondServedOnANewConnection(early);
+        }
+    }
+
+    // Guards against a copy that is taken for the answer because no other one follows, and against
+    // a second run of a request that may have run.
+    void copyOfAnAnswerDoesNotEndTheRequest()
+    {
+        const auto peer = serveFirst();
+        send("2");
+        peer->readUntil("body");
+        peer->write(answerTo1);
+        peer->close();
+        CPPUNIT_ASSERT_EQUAL(502, m_answers->take().value().status);
+        CPPUNIT_ASSERT(m_received->isEmpty());
+    }
+
+    // Guards against events of another caller's stream.
+    void copyOfAStreamIsSkipped()
+    {
+        const std::string firstEvents = "id: 1\ndata: first\n\n";
+        const std::string secondEvents = "id: 1\ndata: second\n\n";
+        restartWithOneServer();
+        send("1", "/stream/x");
+        const auto peer = acceptRequest();
+        peer->readUntil("body");
+        peer->write(stream("1", firstEvents));
+        CPPUNIT_ASSERT_EQUAL(firstEvents, m_answers->take().value().body);
+
+        send("2", "/stream/x");
+        waitUntil([this, &peer] {
+            if (m_faulty.hasConnection())
+                CPPUNIT_ASSERT(!acceptUnlessProbe());
+            return peer->hasInput();
+        });
+        peer->readUntil("body");
+        peer->write(stream("1", firstEvents));
+        peer->write(stream("2", secondEvents));
+        const HttpResponse answer = m_answers->take().value();
+        CPPUNIT_ASSERT_EQUAL(200, answer.status);
+        CPPUNIT_ASSERT_EQUAL(secondEvents, answer.body);
+    }
+
 private:
     // A failure of a server in one case must not decide where the next case is sent.
     void restart()
@@ -126,14 +216,42 @@
         startServing();
     }
 
-    void send(const std::string &id)
+    void restartWithOneServer()
+    {
+        startGateway(std::chrono::milliseconds(20'000));
+        const auto read = m_store->reads->take();
+        read(RangeResult {5, {{"config", "", 1}, {"servers/a", "a", 2}}});
+        m_watch = m_store->watches->take();
+        waitUntil([this] { return readiness() == 200; });
+    }
+
+    void send(const std::string &id, const std::string &path = "/once/x")
     {
         m_client->request(
-            {"127.0.0.1", m_ports.callers},
-            {"POST", "/once/x", {{"id", id}, {"key", "good"}}, "body"}, testDeadline,
+            {"127.0.0.1", m_ports.callers}, {"POST", path, {{"id", id}, {"key", "good"}}, "body"},
+            testDeadline,
             [box = m_answers](Result<HttpResponse> answer) { box->put(std::move(answer)); });
     }
 
+    // Accepts a connection; returns it if the gateway sends a request there, or else answers the
+    // probe of the server's load.
+    std::unique_ptr<RawPeer> acceptUnlessProbe()
+    {
+        std::unique_ptr<RawPeer> peer(new RawPeer(m_faulty.accept()));
+        if (!peer->readUntil("\r\n\r\n").starts_with("GET /load"))
+            return peer;
+        peer->write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        return nullptr;
+    }
+
+    std::unique_ptr<RawPeer> acceptRequest()
+    {
+        while (true) {
+            if (auto peer = acceptUnlessProbe())
+                return peer;
+        }
+    }
+
     std::unique_ptr<RawPeer> serveFirst()
     {
         send("1");
@@ -153,6 +271,14 @@
         CPPUNIT_ASSERT_EQUAL_MESSAGE(what, std::string("second"), answer.body);
     }
 
+    void assertSecondServedOnANewConnection(const std::string &what)
+    {
+        RawPeer other = m_faulty.accept();
+        other.readUntil("body");
+        other.write(answerTo2);
+        assertSecondServed(what);
+    }
+
     RawServer m_faulty;
 };
 
