bench: measure the quarantine by the size of its table

Cause: with the digest of each call as a suspect, the table may have to hold more than 256 of them, and each call asks it and each answer may clear something. Change: bench-capacity measures admit, recordStart and recordCrash with full tables of 64, 256 and 1,024 suspects, each with one crash, or with two in which all servers failed together.

--- a/bench/capacity/CapacityBench.h
+++ b/bench/capacity/CapacityBench.h
@@ -12,5 +12,7 @@
 std::vector<Slope> measureSubsets();
 /// \brief AdmissionController by number of client accounts.
 std::vector<Slope> measureAccounts();
+/// \brief PromptQuarantine by number of suspects in a full table.
+std::vector<Slope> measureQuarantine();
 
 } // namespace foxtailring::bench
--- a/bench/capacity/main.cpp
+++ b/bench/capacity/main.cpp
@@ -8,7 +8,7 @@
 {
     using namespace foxtailring::bench;
     std::vector<Slope> all = measureServers();
-    for (const auto &more : {measureSubsets(), measureAccounts()})
+    for (const auto &more : {measureSubsets(), measureAccounts(), measureQuarantine()})
         all.insert(all.end(), more.begin(), more.end());
     for (const Slope &slope : all)
         slope.printRow(std::cout);
