tests: play the loss of zones in the simulation of calls

Cause: a rule that counts each crash, also those within 0.7 s, may accuse a sound call that was retried in a zone while the zone was being lost. No play covered that. Change: a variant of CallQuarantineSimulationTest without a deadly call in which all servers of a zone crash within 0.3 s, every 6 s. No sound call may be refused.

--- a/tests/decisions/CallQuarantineFleet.h
+++ b/tests/decisions/CallQuarantineFleet.h
@@ -38,6 +38,7 @@
         bool isStoreAway = false;
         bool hasEngineFailures = false; ///< a third of the engines of another service every 6 s
         bool hasRandomCrashes = false;  ///< a single server every 3 s
+        bool hasZoneLosses = false;     ///< all servers of a zone within 0.3 s, every 6 s
     };
 
     struct Result
@@ -74,6 +75,8 @@
             after(settlingTime, [this] { arriveDeadly(); });
         if (scenario.hasRandomCrashes)
             every(crashInterval, [this] { crashAny(); });
+        if (scenario.hasZoneLosses)
+            every(zoneLossInterval, [this] { loseZone(); });
         if (scenario.hasEngineFailures)
             every(engineFailureInterval, [this] { failEngines(); });
     }
@@ -116,6 +119,8 @@
     static constexpr Ms settlingTime {5000}; ///< without the deadly call
     static constexpr Ms restartTime {3500};
     static constexpr Ms crashInterval {3000};
+    static constexpr Ms zoneLossInterval {6000};
+    static constexpr Ms zoneLossTime {300};
     static constexpr Ms networkTime {1};
     static constexpr Ms probeTime {50}; ///< until all that were asked have answered or refused
     static constexpr Ms stableTime {3000};
@@ -341,6 +346,17 @@
             crash(up[m_random.bounded(up.size())], false);
     }
 
+    // A call that is retried in the zone while the zone is lost is lost again.
+    void loseZone()
+    {
+        const std::size_t zone = m_random.bounded(zoneCount);
+        for (std::size_t server = zone; server < m_servers.size(); server += zoneCount)
+            after(random(Ms(0), zoneLossTime), [this, server] {
+                if (m_servers[server].isUp())
+                    crash(server, false);
+            });
+    }
+
     // Each gateway sees those that it has streams at.
     void failEngines()
     {
--- a/tests/decisions/CallQuarantineSimulationTest.cpp
+++ b/tests/decisions/CallQuarantineSimulationTest.cpp
@@ -44,12 +44,13 @@
     CPPUNIT_TEST(soundCallsAreServedWhileOtherServicesFail);
     CPPUNIT_TEST(soundCallsAreServedWhileTheStoreIsAway);
     CPPUNIT_TEST(soundCallsAreServedBesideRandomCrashes);
+    CPPUNIT_TEST(soundCallsAreServedWhileZonesAreLost);
     CPPUNIT_TEST(storeGetsFewReports);
     CPPUNIT_TEST_SUITE_END();
 
     using Fleet = CallQuarantineFleet;
 
-    enum class Kind { DeadlyCall, EnginesFail, StoreAway, RandomCrashes };
+    enum class Kind { DeadlyCall, EnginesFail, StoreAway, RandomCrashes, ZoneLosses };
 
     struct Play
     {
@@ -99,11 +100,14 @@
     // Guards against accusing a call that is at most servers because many callers make it.
     void soundCallsAreServedBesideRandomCrashes() { assertSoundIsServed(Kind::RandomCrashes); }
 
+    // Guards against accusing calls that were retried in a zone that was being lost.
+    void soundCallsAreServedWhileZonesAreLost() { assertSoundIsServed(Kind::ZoneLosses); }
+
     // Guards against a report of each gateway for each crash.
     void storeGetsFewReports()
     {
-        for (const Kind kind :
-             {Kind::DeadlyCall, Kind::EnginesFail, Kind::StoreAway, Kind::RandomCrashes})
+        for (const Kind kind : {Kind::DeadlyCall, Kind::EnginesFail, Kind::StoreAway,
+                                Kind::RandomCrashes, Kind::ZoneLosses})
             assertAll(kind, [](const Fleet::Result &result) {
                 return result.mostReports <= maxReportsPerSecond;
             });
@@ -170,7 +174,8 @@
                         scenario.isStoreAway = kind == Kind::StoreAway;
                         scenario.hasEngineFailures = kind == Kind::EnginesFail;
                         scenario.hasRandomCrashes = kind == Kind::RandomCrashes;
-                        if (scenario.hasRandomCrashes) {
+                        scenario.hasZoneLosses = kind == Kind::ZoneLosses;
+                        if (scenario.hasRandomCrashes || scenario.hasZoneLosses) {
                             scenario.deadlyPerSecond = 0;
                             scenario.hotShare = 0.5;
                         }
@@ -193,6 +198,8 @@
             return "store away";
         case Kind::RandomCrashes:
             return "random crashes";
+        case Kind::ZoneLosses:
+            return "zones lost";
         }
         return {};
     }
