quarantine: count each crash of a whole request, and report without delay

Callers would see: a call that crashes three servers within half a second is still sent 4 s later, since these count as one moment (CallQuarantineSimulationTest: 24 of 100 plays with more than three late calls, up to 13; in 57 plays gateways did not reject it 3 s after the third crash). Cause: crashes within 0.7 s count once, because the loss of a zone is seen over that time. A whole request is at one server at a time. And where three servers fail at once, each further crash put the report off for 3 s again, so that failures in series kept it back for good. Change: for a whole request each crash counts, and three make a quarantine, with two more for each order of magnitude of its recent answers (a hot key is at most servers whatever ends them). A report goes out at once if a suspect of the crash was at another one before, or a quarantine begins; it is put off once. A part is explained by a request only if that has crashed three servers itself. Measured: CallQuarantineSimulationTest, 9 of 10 cases pass (4, 33, 350 gateways); at most 3 late calls where the store is there. soundCallsAreServedWhileTheStoreIsAway: 14 hot calls refused in 1 of 100 plays. PromptQuarantineSimulationTest, in which each request now has a digest: darkCrashesAreStoppedBesidePauses has 4 late requests (3 allowed) in one play, the other 13 cases pass, also soundRequestsAreServedBesideADeadlyPart. QuarantinedCallTest (12), RequestQuarantineTest (39), QuarantinedSessionTest (29), SuspectedCrashesTest (22) pass.

--- a/include/foxtailring/decisions/CrashAttribution.h
+++ b/include/foxtailring/decisions/CrashAttribution.h
@@ -17,14 +17,19 @@
 class CrashAttribution
 {
 public:
+    /// Crashes that make a quarantine of a whole request that is not answered elsewhere. It is at
+    /// one server at a time, so each of them counts.
+    static constexpr std::size_t minRequestCrashes = 3;
+
     using Suspects = std::span<const std::string>; ///< of a request, from the least specific one
 
     /// \brief All must outlive the object.
     CrashAttribution(const SuspectTable &suspects, const EngineFailures &failures,
                      const SuspectStarts &starts);
 
-    /// \brief Number of crashes at different moments that may be due to the suspect.
-    std::size_t crashCount(const SuspectRecord &record) const;
+    /// \brief Number of crashes that may be due to the suspect; those of a prompt part at different
+    /// moments.
+    std::size_t crashCount(const std::string &name, const SuspectRecord &record) const;
     /// \brief True if another suspect explains all its crashes, and is more likely the cause.
     bool isExplained(const std::string &name, const SuspectRecord &record, TimePoint now) const;
     /// \brief False if the request lacks a suspect that has the same crashes and is no less likely
--- a/include/foxtailring/decisions/RequestQuarantine.h
+++ b/include/foxtailring/decisions/RequestQuarantine.h
@@ -38,8 +38,8 @@
 public:
     struct Settings
     {
-        /// Crashes that make a quarantine. Those within \a minCrashInterval are one moment and
-        /// count once.
+        /// Crashes that make a quarantine of a prompt part. Those within \a minCrashInterval are
+        /// one moment and count once.
         std::size_t crashThreshold = 2;
         Duration minCrashInterval = std::chrono::milliseconds(700);
         Duration evidenceLifetime = std::chrono::seconds(60);
@@ -142,6 +142,7 @@
     /// \param sighting of the crash; its position is left out
     void addCrash(const std::string &incarnation, Suspects suspects, const Crash &sighting,
                   TimePoint now);
+    void requestCrashReport(Suspects suspects, const ProvenCrash &crash, TimePoint now);
     /// \brief False if a start since has cleared the suspect of the crash.
     bool mayBeDueTo(const std::string &suspect, SuspectRecord &record, const Crash &sighting,
                     TimePoint now);
@@ -149,7 +150,11 @@
     void addStart(const std::string &suspect, SuspectRecord &record, TimePoint at, bool isOwn);
     void adoptQuarantine(const CrashReport::Quarantine &reported, const ReporterClock &clock,
                          TimePoint now);
-    void updateAllQuarantines(TimePoint now);
+    /// \brief Adds the suspects that have a crash in common with \a record to \a names.
+    void addSharing(const SuspectRecord &record, SuspectTable::Names &names) const;
+    void updateQuarantines(const SuspectTable::Names &suspects, TimePoint now);
+    std::size_t crashThreshold(const std::string &suspect, const SuspectRecord &record,
+                               TimePoint now) const;
     void updateQuarantine(const std::string &suspect, SuspectRecord &record, TimePoint now);
     bool isRejecting(const std::string &suspect, const SuspectRecord &record, Suspects request,
                      TimePoint now) const;
@@ -170,7 +175,8 @@
     std::optional<std::chrono::milliseconds> m_reportOffset; ///< of the clock of own reports
     CrashReport m_published;
     TimePoint m_reportAt = TimePoint::max(); ///< when the next report is due
-    bool m_isReportUrgent = false;           ///< the next report tells of a new quarantine
+    bool m_isReportUrgent = false;           ///< the next report is not put off
+    bool m_isReportPutOff = false;           ///< it waits for the clearing of its suspects
 };
 
 } // namespace foxtailring
--- a/src/decisions/CrashAttribution.cpp
+++ b/src/decisions/CrashAttribution.cpp
@@ -16,13 +16,18 @@
 // Two half-lives after a single start, it says nothing any more.
 constexpr double minStartWeight = 0.25;
 
-// Nothing tells two whole requests apart that are suspect in the same crashes: none of them is
-// quarantined until one is answered, or crashes another server.
-bool areRivals(const std::string &one, const std::string &other)
+bool areRequests(const std::string &one, const std::string &other)
 {
     return RequestDigest::isDigest(one) && RequestDigest::isDigest(other);
 }
 
+// A part is blamed until it is known that one request crashes servers whatever its parts are.
+bool mayExplainParts(const std::string &name, const SuspectRecord &record)
+{
+    return !RequestDigest::isDigest(name)
+        || record.crashes.size() >= CrashAttribution::minRequestCrashes;
+}
+
 } // namespace
 
 CrashAttribution::CrashAttribution(const SuspectTable &suspects, const EngineFailures &failures,
@@ -33,8 +38,9 @@
 {
 }
 
-// Crashes that may have happened at the same moment count once.
-std::size_t CrashAttribution::crashCount(const SuspectRecord &record) const
+// Crashes that may have happened at the same moment count once for a prompt part, which may be at
+// all servers of a zone that fails. A whole request was sent to one after the other.
+std::size_t CrashAttribution::crashCount(const std::string &name, const SuspectRecord &record) const
 {
     std::vector<TimeBounds> times;
     for (const auto &[incarnation, crash] : record.crashes) {
@@ -43,10 +49,11 @@
     }
     std::sort(times.begin(), times.end(),
               [](const auto &one, const auto &other) { return one.latest < other.latest; });
+    const bool isRequest = RequestDigest::isDigest(name);
     std::size_t count = 0;
     TimeBounds counted;
     for (const TimeBounds &at : times) {
-        if (count > 0 && !m_failures.isSurelyLater(at, counted))
+        if (count > 0 && !isRequest && !m_failures.isSurelyLater(at, counted))
             continue;
         ++count;
         counted = at;
@@ -91,7 +98,8 @@
 
 // Of several suspects with the same crashes, the one with the fewest recent starts is the most
 // likely. If that does not tell them apart, the more specific one is taken: it is in fewer other
-// requests, and if it is not the cause, the next crash without it shows that.
+// requests, and if it is not the cause, the next crash without it shows that. Nothing tells two
+// whole requests apart: neither is quarantined until one is answered, or crashes another server.
 bool CrashAttribution::isExplained(const std::string &name, const SuspectRecord &record,
                                    TimePoint now) const
 {
@@ -101,10 +109,10 @@
         const auto isMoreSpecific = [&candidate](const auto &crash) {
             return candidate.crashes.at(crash.first).position > crash.second.position;
         };
-        return otherLevel < level
-            || (otherLevel == level
-                && (areRivals(name, other)
-                    || std::all_of(record.crashes.begin(), record.crashes.end(), isMoreSpecific)));
+        if (otherLevel != level || areRequests(name, other))
+            return otherLevel <= level;
+        return mayExplainParts(other, candidate)
+            && std::all_of(record.crashes.begin(), record.crashes.end(), isMoreSpecific);
     });
 }
 
@@ -113,7 +121,8 @@
 {
     const int level = startLevel(name, record, now);
     return !anyWithSameCrashes(name, record, [&](const std::string &other, const auto &candidate) {
-        return startLevel(other, candidate, now) <= level
+        return (areRequests(name, other) || mayExplainParts(other, candidate))
+            && startLevel(other, candidate, now) <= level
             && std::find(request.begin(), request.end(), other) == request.end();
     });
 }
--- a/src/decisions/RequestQuarantine.cpp
+++ b/src/decisions/RequestQuarantine.cpp
@@ -1,5 +1,7 @@
 #include "foxtailring/decisions/RequestQuarantine.h"
 
+#include "foxtailring/protocol/RequestDigest.h"
+
 #include "CrashReportBuilder.h"
 
 #include <algorithm>
@@ -20,6 +22,8 @@
 // Suspects of one request: the prompt parts at the beginning and those at the end, with the request
 // itself. A caller could otherwise fill the table with one request.
 constexpr std::size_t maxSuspectsPerEnd = 16;
+// More crashes that a whole request needs for each order of magnitude of its recent answers.
+constexpr std::size_t crashesPerStartLevel = 2;
 // The clock of own reports follows the wall clock only when that is set anew, so that two readings
 // of it do not change the order of what they date.
 constexpr milliseconds minClockStep {500};
@@ -65,11 +69,25 @@
     sighting.askedPeers = crash.askedPeers;
     sighting.failedPeers = crash.failedPeers;
     addCrash(incarnation, suspects, sighting, now);
+    requestCrashReport(suspects, crash, now);
+}
+
+// What was at a crash before is hardly cleared by its next attempt. A report that has been put off
+// is not put off again, or failures in series would keep it back.
+void RequestQuarantine::requestCrashReport(Suspects suspects, const ProvenCrash &crash,
+                                           TimePoint now)
+{
+    const bool isRepeated =
+        std::any_of(suspects.begin(), suspects.end(), [this](const std::string &suspect) {
+            const SuspectRecord *record = m_suspects.find(suspect);
+            return record && record->crashes.size() > 1;
+        });
+    m_isReportUrgent = m_isReportUrgent || isRepeated;
     const bool isMassFailure = m_failures.countAt(crash.at, crash.service) >= massFailureServers;
-    if (isMassFailure && !m_isReportUrgent)
-        m_reportAt = now + massFailureReportDelay;
-    else
+    if (m_isReportUrgent || !isMassFailure)
         requestReport(now);
+    else if (!std::exchange(m_isReportPutOff, true))
+        m_reportAt = now + massFailureReportDelay;
 }
 
 void RequestQuarantine::addCrash(const std::string &incarnation, Suspects suspects,
@@ -145,7 +163,8 @@
         if (!record.crashes.find(incarnation)->second.isOwn)
             continue;
         m_suspects.removeCrash(suspect, incarnation);
-        const bool isRefuted = m_attribution.crashCount(record) < m_settings.crashThreshold;
+        const bool isRefuted =
+            m_attribution.crashCount(suspect, record) < m_settings.crashThreshold;
         if (record.quarantine.isInForce && isRefuted)
             release(suspect, record, "refuted");
         m_reportAt = TimePoint {};
@@ -156,6 +175,7 @@
 {
     bool hasCleared = false;
     bool hasReleased = false;
+    SuspectTable::Names affected;
     for (const std::string &suspect : suspects) {
         m_starts.record(suspect, now);
         SuspectRecord *record = m_suspects.find(suspect);
@@ -163,13 +183,14 @@
             continue;
         hasReleased = hasReleased || record->quarantine.isInForce;
         hasCleared = hasCleared || record->quarantine.isInForce || !record->crashes.empty();
+        addSharing(*record, affected);
         addStart(suspect, *record, now, true);
     }
     if (!hasCleared)
         return;
     if (hasReleased || m_reportAt == TimePoint::max())
         m_reportAt = now;
-    updateAllQuarantines(now);
+    updateQuarantines(affected, now);
 }
 
 void RequestQuarantine::addStart(const std::string &suspect, SuspectRecord &record, TimePoint at,
@@ -248,15 +269,17 @@
         sighting.isZoneFailure = crash.isZoneFailure;
         addCrash(crash.incarnation, crash.suspects, sighting, now);
     }
+    SuspectTable::Names affected;
     for (const auto &start : report.starts) {
-        if (SuspectRecord *record = m_suspects.find(start.suspect))
-            addStart(start.suspect, *record, notAfter(clock.boundsOf(start.atMs), now).latest,
-                     false);
+        SuspectRecord *record = m_suspects.find(start.suspect);
+        if (!record)
+            continue;
+        addSharing(*record, affected);
+        addStart(start.suspect, *record, notAfter(clock.boundsOf(start.atMs), now).latest, false);
     }
     for (const auto &reported : report.quarantines)
         adoptQuarantine(reported, clock, now);
-    if (!report.starts.empty())
-        updateAllQuarantines(now);
+    updateQuarantines(affected, now);
 }
 
 void RequestQuarantine::adoptQuarantine(const CrashReport::Quarantine &reported,
@@ -291,16 +314,25 @@
     quarantine.until = now + time;
     quarantine.count = std::max(quarantine.count, 1U);
     if (isNew && m_hooks.onQuarantined)
-        m_hooks.onQuarantined(reported.suspect, m_attribution.crashCount(*record),
+        m_hooks.onQuarantined(reported.suspect, m_attribution.crashCount(reported.suspect, *record),
                               record->evidenceText(), time);
 }
 
-// A start may clear the suspect that explained others.
-void RequestQuarantine::updateAllQuarantines(TimePoint now)
+void RequestQuarantine::addSharing(const SuspectRecord &record, SuspectTable::Names &names) const
 {
-    m_suspects.forEach([this, now](const std::string &suspect, SuspectRecord &record) {
-        updateQuarantine(suspect, record, now);
-    });
+    for (const auto &[incarnation, crash] : record.crashes) {
+        const SuspectTable::Names &sharing = m_suspects.suspectsOf(incarnation);
+        names.insert(sharing.begin(), sharing.end());
+    }
+}
+
+// A start may clear the suspect that explained others with the same crashes.
+void RequestQuarantine::updateQuarantines(const SuspectTable::Names &suspects, TimePoint now)
+{
+    for (const std::string &suspect : suspects) {
+        if (SuspectRecord *record = m_suspects.find(suspect))
+            updateQuarantine(suspect, *record, now);
+    }
 }
 
 void RequestQuarantine::updateQuarantine(const std::string &suspect, SuspectRecord &record,
@@ -317,11 +349,22 @@
                             });
     const bool isDue = record.crashes.size() >= m_settings.crashThreshold
         && record.latestCrash() > quarantined.since
-        && m_attribution.crashCount(record) >= m_settings.crashThreshold;
+        && m_attribution.crashCount(suspect, record) >= crashThreshold(suspect, record, now);
     if (isRepeated || (isDue && !m_attribution.isExplained(suspect, record, now)))
         quarantine(suspect, record, now);
 }
 
+// Many callers may send the same request, so that it is at most servers whatever ends them.
+std::size_t RequestQuarantine::crashThreshold(const std::string &suspect,
+                                              const SuspectRecord &record, TimePoint now) const
+{
+    if (!RequestDigest::isDigest(suspect))
+        return m_settings.crashThreshold;
+    const int level = m_attribution.startLevel(suspect, record, now);
+    return CrashAttribution::minRequestCrashes
+        + crashesPerStartLevel * static_cast<std::size_t>(level);
+}
+
 void RequestQuarantine::quarantine(const std::string &suspect, SuspectRecord &record, TimePoint now)
 {
     SuspectRecord::Quarantine &quarantined = record.quarantine;
@@ -334,8 +377,8 @@
     quarantined.until = now + time;
     quarantined.trialUntil = {};
     if (m_hooks.onQuarantined)
-        m_hooks.onQuarantined(suspect, m_attribution.crashCount(record), record.evidenceText(),
-                              time);
+        m_hooks.onQuarantined(suspect, m_attribution.crashCount(suspect, record),
+                              record.evidenceText(), time);
     if (!record.hasOwnCrash())
         return;
     m_isReportUrgent = true;
@@ -390,6 +433,7 @@
         return std::nullopt;
     m_reportAt = TimePoint::max();
     m_isReportUrgent = false;
+    m_isReportPutOff = false;
     CrashReport report =
         CrashReportBuilder(m_suspects, [this](TimePoint time) { return toReportMs(time); }).build();
     if (report == m_published)
