gateway: limit the time of streams in a planned stop, as that of calls

A stream that arrives after SIGTERM is admitted if its usual duration fits into the stop, but the session is not told when the stop ends: it has the route's whole time and no minAttemptTime, as only calls had. Servers that ask for pauses or are silent use up the time, a later one is sent the run although it cannot end, and the stream is cut. Change: DrainAdmission limits the time of every kind of request, so a stream that servers reject is refused when it cannot end any more, and servers are told the true time.

--- a/include/foxtailring/decisions/DrainAdmission.h
+++ b/include/foxtailring/decisions/DrainAdmission.h
@@ -30,9 +30,9 @@
     bool isDraining() const { return m_startedAt.has_value(); }
     /// \brief True if a request that arrives now is expected to finish before the process exits.
     bool accepts(const Request &request, TimePoint now) const;
-    /// \brief Time limit of a call that arrives now, so that its caller gets an answer or a refusal
-    /// before the process exits; none: not draining.
-    std::optional<Duration> callTimeLimit(TimePoint now) const;
+    /// \brief Time limit of a request that arrives now, so that its caller gets an answer or a
+    /// refusal before the process exits; none: not draining.
+    std::optional<Duration> timeLimit(TimePoint now) const;
     /// \brief Time that must be left for sending a request that arrives now, also to another server
     /// after one has turned it away. 0: the drain does not shorten the request's time.
     Duration minAttemptTime(const Request &request, TimePoint now) const;
--- a/src/decisions/DrainAdmission.cpp
+++ b/src/decisions/DrainAdmission.cpp
@@ -47,7 +47,7 @@
     return now - *m_startedAt < admissionTime && expectedDuration(request) <= m_endsAt - now;
 }
 
-std::optional<Duration> DrainAdmission::callTimeLimit(TimePoint now) const
+std::optional<Duration> DrainAdmission::timeLimit(TimePoint now) const
 {
     if (!m_startedAt)
         return std::nullopt;
@@ -56,7 +56,7 @@
 
 Duration DrainAdmission::minAttemptTime(const Request &request, TimePoint now) const
 {
-    const auto limit = callTimeLimit(now);
+    const auto limit = timeLimit(now);
     return limit && *limit < request.timeLimit ? expectedDuration(request) : Duration::zero();
 }
 
--- a/src/gateway/RequestDispatcher.cpp
+++ b/src/gateway/RequestDispatcher.cpp
@@ -143,12 +143,14 @@
     return usual;
 }
 
-// A call that the end of the process cut off would leave its caller without an answer.
+// A request that the end of the process cut off would leave its caller without an answer. A stream
+// must not begin at another server too late, after servers have rejected it or kept it waiting:
+// once its answer has begun, it can no longer be refused.
 void RequestDispatcher::limitTime(GatewayRequest &request, const DrainAdmission::Request &drained,
                                   TimePoint arrivedAt) const
 {
-    const auto left = m_drain.callTimeLimit(arrivedAt);
-    if (!left || drained.kind == CallKind::Stream)
+    const auto left = m_drain.timeLimit(arrivedAt);
+    if (!left)
         return;
     request.minAttemptTime = m_drain.minAttemptTime(drained, arrivedAt);
     const auto limit = std::chrono::duration_cast<milliseconds>(*left);
--- a/tests/decisions/RouteTableTest.cpp
+++ b/tests/decisions/RouteTableTest.cpp
@@ -99,13 +99,12 @@
     {
         const TimePoint start {std::chrono::hours(1)};
         DrainAdmission admission;
-        CPPUNIT_ASSERT(!admission.callTimeLimit(start));
+        CPPUNIT_ASSERT(!admission.timeLimit(start));
         admission.begin(start, start + std::chrono::seconds(7));
         admission.begin(start + std::chrono::seconds(1), TimePoint::max());
-        CPPUNIT_ASSERT(admission.callTimeLimit(start + std::chrono::seconds(4))
+        CPPUNIT_ASSERT(admission.timeLimit(start + std::chrono::seconds(4))
                        == std::chrono::seconds(3));
-        CPPUNIT_ASSERT(admission.callTimeLimit(start + std::chrono::seconds(8))
-                       == Duration::zero());
+        CPPUNIT_ASSERT(admission.timeLimit(start + std::chrono::seconds(8)) == Duration::zero());
     }
 
 private:
--- a/tests/gateway/GatewayFixture.cpp
+++ b/tests/gateway/GatewayFixture.cpp
@@ -45,6 +45,8 @@
     request.apiKey = http.header("key");
     if (const std::string patience(http.header("patience")); !patience.empty())
         request.timeout = milliseconds(std::stoi(patience));
+    if (const std::string output(http.header("output")); !output.empty())
+        request.maxOutputTokens = std::stoul(output);
     std::istringstream parts {std::string(http.header("parts"))};
     for (std::string part; std::getline(parts, part, ',');)
         request.sharedPromptParts.push_back(part);
@@ -56,7 +58,9 @@
 {
     throwIfUnreadable(caller.http.header("unsendable"));
     HttpRequest request = caller.http;
-    request.headers = {{"id", caller.id}, {"server", std::string(metadata.serverId)}};
+    request.headers = {{"id", caller.id},
+                       {"server", std::string(metadata.serverId)},
+                       {"time-left", std::to_string(metadata.timeLeft.count())}};
     if (!caller.sharedPromptParts.empty())
         request.headers.push_back({"parts", std::string(caller.http.header("parts"))});
     if (metadata.lastEventId)
@@ -157,11 +161,12 @@
     waitUntil([this] { return readiness() == 200; });
 }
 
-void GatewayFixture::call(const std::string &path, const std::string &key)
+void GatewayFixture::call(const std::string &path, const std::string &key,
+                          std::vector<HttpHeader> headers)
 {
+    headers.insert(headers.end(), {{"id", "1"}, {"key", key}});
     m_client->request(
-        {"127.0.0.1", m_ports.callers}, {"POST", path, {{"id", "1"}, {"key", key}}, "body"},
-        testDeadline,
+        {"127.0.0.1", m_ports.callers}, {"POST", path, std::move(headers), "body"}, testDeadline,
         [box = m_answers](Result<HttpResponse> answer) { box->put(std::move(answer)); });
 }
 
--- a/tests/gateway/GatewayFixture.h
+++ b/tests/gateway/GatewayFixture.h
@@ -48,13 +48,14 @@
 /// each of their requests itself.
 ///
 /// Wire format of the test: requests have the headers `id`, `key`, `last` (event id), `patience` in
-/// milliseconds, `copy-to` and `copy-at`, and `parts` of the prompt, and are refused with
-/// `malformed`; a response with `full` was not run, one with `signed` is signed, `id` is the
-/// request that it answers, `limit` is a rate limit, `leaving` says that the server leaves if its
-/// value is `1`, and with status 503 `pause` is a pause in milliseconds. A load report lists the
-/// run that is asked for, and with `unlisted` one run that waits. The codec throws on a message
-/// with `unreadable`, on sending a request with `unsendable` and on forwarding an answer with
-/// `unforwardable`. A server's entry in the store is its zone.
+/// milliseconds, `output` in tokens, `copy-to` and `copy-at`, `parts` of the prompt, and
+/// `time-left` in milliseconds, and are refused with `malformed`; a response with `full` was not
+/// run, one with `signed` is signed, `id` is the request that it answers, `limit` is a rate limit,
+/// `leaving` says that the server leaves if its value is `1`, and with status 503 `pause` is a
+/// pause in milliseconds. A load report lists the run that is asked for, and with `unlisted` one
+/// run that waits. The codec throws on a message with `unreadable`, on sending a request with
+/// `unsendable` and on forwarding an answer with `unforwardable`. A server's entry in the store is
+/// its zone.
 class GatewayFixture : public CppUnit::TestFixture
 {
 public:
@@ -76,7 +77,8 @@
     /// \brief Answers the first read of the store with the configuration and the servers `a` and
     /// `b`, one in each zone, and waits until the gateway is ready.
     void startServing();
-    void call(const std::string &path, const std::string &key = "good");
+    void call(const std::string &path, const std::string &key = "good",
+              std::vector<HttpHeader> headers = {});
     int readiness();
     /// \brief Text of the gateway's metrics.
     std::string metrics();
--- a/tests/gateway/GatewayTest.cpp
+++ b/tests/gateway/GatewayTest.cpp
@@ -28,6 +28,7 @@
     CPPUNIT_TEST(callsDuringADrainAreAnsweredBeforeItsEnd);
     CPPUNIT_TEST(callThatMayOutlastADrainIsRefusedAtOnce);
     CPPUNIT_TEST(requestsThatOutlastADrainAreRefused);
+    CPPUNIT_TEST(streamIsNotSentAgainTooLateInADrain);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -346,6 +347,38 @@
         }
     }
 
+    // Guards against a stream that begins at its second server, after the first one has rejected
+    // it, and that the end of the process cuts off: its caller has no answer and no refusal then.
+    void streamIsNotSentAgainTooLateInADrain()
+    {
+        // The time for answers is 1 s more than the objective, which a stream is expected to take.
+        const std::chrono::milliseconds answerTime(11'000);
+        startGateway(std::chrono::seconds(20), testDeadline,
+                     answerTime + std::chrono::milliseconds(700));
+        startServing();
+        const std::vector<HttpHeader> output = {{"output", "2"}};
+        call("/stream/x", "good", output);
+        const ReceivedRequest known = m_received->take();
+        known.responder->startStream(200, eventHeaders());
+        known.responder->write(eventText(1));
+        known.responder->write(eventText(2));
+        known.responder->finish();
+        CPPUNIT_ASSERT_EQUAL(200, m_answers->take().value().status);
+
+        const auto drainedAt = std::chrono::steady_clock::now();
+        m_gateway->drain([] {});
+        call("/stream/x", "good", output);
+        const ReceivedRequest received = m_received->take();
+        CPPUNIT_ASSERT(std::stoi(std::string(received.request.header("time-left")))
+                       <= answerTime.count());
+        waitUntil([drainedAt] {
+            return std::chrono::steady_clock::now() - drainedAt > std::chrono::seconds(1);
+        });
+        received.responder->respond({503, {{"id", "1"}, {"full", "1"}}, ""});
+        CPPUNIT_ASSERT_EQUAL(503, m_answers->take().value().status);
+        CPPUNIT_ASSERT(m_received->isEmpty());
+    }
+
 private:
     void assertServesCalls()
     {
