transport: check the limits in force before a connection is closed by a timer

Callers may rely on a longer idle limit as soon as it is in force. Http1Server::setLimits posts the longer limit to each connection, but the handler of the old limit's timer may wait in the queue already, when the process had no processor time. It closed the connection after the longer limit was in force, and a request sent on it was reset: neither an answer nor a refusal, beside a change of the configuration. Change: Http1Connection asks for the limits in force when a deadline passes and again before it closes an unused connection, and moves the deadline if they allow more. A stop that closes idle connections is not held up. Measured: Http1ServerTest::longerIdleLimitHoldsForQueuedTimers failed before, 3 of 3 runs ("Expected: 3, Actual: 1": two of three connections closed after the longer limit was in force); now Http1ServerTest OK (48) 3 of 3, transport_test OK (146). Conclusion: a class of lost requests that needs no fault but a starved process.

--- a/src/transport/Http1Connection.cpp
+++ b/src/transport/Http1Connection.cpp
@@ -134,9 +134,10 @@
 void Http1Connection::onReadCancelled()
 {
     m_isClosingUnused = false;
-    if (unreadBytes() == 0)
+    if (unreadBytes() > 0)
+        armDeadline(&HttpLimits::idleTimeout);
+    else if (!extendForLimits())
         return closeNow();
-    armDeadline(&HttpLimits::idleTimeout);
     read();
 }
 
@@ -581,12 +582,16 @@
     startDeadline();
 }
 
+std::chrono::steady_clock::time_point Http1Connection::deadline() const
+{
+    const auto endsAt = m_deadlineStartedAt + m_limits.*m_deadlineLimit;
+    const auto bodyEnd = bodyEndsAt();
+    return bodyEnd ? std::min(endsAt, *bodyEnd) : endsAt;
+}
+
 void Http1Connection::startDeadline()
 {
-    auto endsAt = m_deadlineStartedAt + m_limits.*m_deadlineLimit;
-    if (const auto bodyEnd = bodyEndsAt())
-        endsAt = std::min(endsAt, *bodyEnd);
-    const auto left = endsAt - std::chrono::steady_clock::now();
+    const auto left = deadline() - std::chrono::steady_clock::now();
     const auto remaining = std::max(left, decltype(left)::zero());
     m_isOverdue = false;
     startTimer(std::chrono::ceil<std::chrono::milliseconds>(remaining));
@@ -608,6 +613,8 @@
 {
     if (hasUnreadInput() && !std::exchange(m_isOverdue, true))
         return startTimer(lateReadTime);
+    if (extendForLimits())
+        return;
     if (isBodyLate())
         return rejectLate();
     if (extendForReader())
@@ -619,6 +626,19 @@
     cut(ConnectionCut::Cause::IdleTimeout);
 }
 
+// Callers rely on a longer limit as soon as it is in force, but the handler of the timer may have
+// been queued before, and extendLimits() runs after it then.
+bool Http1Connection::extendForLimits()
+{
+    if (!m_deadlineLimit || m_shared->isClosingIdle)
+        return false;
+    takeLongerLimits();
+    if (deadline() <= std::chrono::steady_clock::now())
+        return false;
+    startDeadline();
+    return true;
+}
+
 bool Http1Connection::hasUnreadInput()
 {
     return m_isReading && m_phase == Phase::Request && unreadBytes() > 0;
--- a/src/transport/Http1Connection.h
+++ b/src/transport/Http1Connection.h
@@ -100,6 +100,8 @@
     void armDrainDeadline();
     void onTimeout();
     bool hasUnreadInput();
+    /// \brief Moves a deadline that has passed by shorter limits than those in force.
+    bool extendForLimits();
     /// \brief Restarts the deadline at the time at which the caller last took a part of the
     /// response.
     bool extendForReader();
@@ -119,6 +121,7 @@
     using TimeLimit = std::chrono::milliseconds HttpLimits::*;
     void armDeadline(std::chrono::milliseconds delay);
     void armDeadline(TimeLimit limit);
+    std::chrono::steady_clock::time_point deadline() const;
     void startDeadline();
     void startTimer(std::chrono::milliseconds delay);
 
--- a/tests/transport/Http1ServerTest.cpp
+++ b/tests/transport/Http1ServerTest.cpp
@@ -88,6 +88,7 @@
     CPPUNIT_TEST(unreadRequestsOfAClosedServerAreReported);
     CPPUNIT_TEST(idleConnectionsAreNotReported);
     CPPUNIT_TEST(longerIdleLimitReachesIdleConnections);
+    CPPUNIT_TEST(longerIdleLimitHoldsForQueuedTimers);
     CPPUNIT_TEST(unchangedLimitsCostIdleConnectionsNothing);
     CPPUNIT_TEST(longerIdleLimitReachesBodiesInProgress);
     CPPUNIT_TEST(shorterIdleLimitSparesIdleConnections);
@@ -743,6 +744,31 @@
         CPPUNIT_ASSERT(peer.readUntil("\r\n\r\n").starts_with("HTTP/1.1 204 "));
     }
 
+    // Guards against the close of a connection whose caller relies on the longer limit in force:
+    // the process had no processor time, and the timer of the shorter limit was queued already.
+    void longerIdleLimitHoldsForQueuedTimers()
+    {
+        setIdleTimeout(shortTimeout);
+        std::vector<std::unique_ptr<RawPeer>> peers;
+        for (int i = 0; i < 4; ++i) {
+            peers.push_back(std::make_unique<RawPeer>(m_port));
+            peers.back()->write(getRoot);
+            m_requests.take().responder->respond({204, {}, {}});
+            peers.back()->readUntil("\r\n\r\n");
+        }
+        m_pool->stop();
+        const auto endsAt = std::chrono::steady_clock::now() + 2 * shortTimeout;
+        waitUntil([endsAt] { return std::chrono::steady_clock::now() >= endsAt; });
+        m_pool->context().restart();
+        while (m_server->usableConnectionCount() == peers.size())
+            m_pool->context().poll_one();
+        const std::size_t count = m_server->usableConnectionCount();
+        CPPUNIT_ASSERT(count > 0);
+        setIdleTimeout(std::chrono::seconds(60));
+        m_pool->context().poll();
+        CPPUNIT_ASSERT_EQUAL(count, m_server->usableConnectionCount());
+    }
+
     // A body that keeps to the limit in force must not be cut.
     void longerIdleLimitReachesBodiesInProgress()
     {
