soak: let callers wait for as long as their requests name

The caller that keeps connections for the marks of a stop gave up after 1 s, though its request names 4 s. It connected 2.98 s after SIGTERM, when the stopping gateway ignores connection attempts (handshakeReserve); the system tried again 1.0 s later and reached the next process, and the caller left in the same millisecond, which the check counts as cut. Its socket's own time limit had ended the connection, not the gateway. Change: all callers wait for the time that their request names and a second more. Conclusion: no fault of the gateway. An ignored connection attempt costs its caller a second, as design.md 9.8 says.

--- a/tools/lib/soak/callers.py
+++ b/tools/lib/soak/callers.py
@@ -30,6 +30,12 @@
 MARK_SPREAD_SECONDS = 0.03
 
 
+def wait_seconds(kind):
+    """Returns how long a caller waits: a connection attempt that a stopping gateway ignores takes a second, and the time
+    that the request names counts from its arrival."""
+    return TIMEOUT_MS[kind] / 1000 + 1
+
+
 class InvalidAnswer(Exception):
     """The answer is incomplete or belongs to another request."""
 
@@ -79,7 +85,7 @@
 
     def _keep_connection(self, gateway):
         """Opens a connection by a read; None when the gateway does not keep it."""
-        connection = http.client.HTTPConnection("127.0.0.1", gateway.caller_port, timeout=1)
+        connection = http.client.HTTPConnection("127.0.0.1", gateway.caller_port, timeout=wait_seconds("reads"))
         self._send_attempt("reads", (gateway, connection))
         with self.lock:
             idle = self.idle_connections[gateway.name]
@@ -183,8 +189,7 @@
             idle = self.idle_connections[gateway.name]
             if idle and kind != "streams":
                 return idle.pop(), True
-        return http.client.HTTPConnection("127.0.0.1", gateway.caller_port,
-                                          timeout=TIMEOUT_MS[kind] / 1000 + 1), False
+        return http.client.HTTPConnection("127.0.0.1", gateway.caller_port, timeout=wait_seconds(kind)), False
 
     def _return_connection(self, gateway, connection):
         with self.lock:
