tests: requests in the backlog of a server that stops are answered

No test had a backlog of more than one. Change: a test with 100 such connections. It found no fault.

--- a/tests/transport/Http1ServerTest.cpp
+++ b/tests/transport/Http1ServerTest.cpp
@@ -65,6 +65,7 @@
     CPPUNIT_TEST(abortSendsNoFinalChunk);
     CPPUNIT_TEST(stoppedServerFinishesItsRequest);
     CPPUNIT_TEST(requestsSentDuringStopAreAnswered);
+    CPPUNIT_TEST(requestsInTheBacklogOfAStoppedServerAreAnswered);
     CPPUNIT_TEST(attemptsBeforeThePortIsClosedAreNotEstablished);
     CPPUNIT_TEST(newConnectionsOfAStoppedServerMaySend);
     CPPUNIT_TEST(stoppedServerRefusesPartsOfRequests);
@@ -411,6 +412,29 @@
         }
     }
 
+    // Guards against requests without an answer that have arrived whole, on connections that nobody
+    // has accepted, in a process without processor time that closes its port and idle connections.
+    void requestsInTheBacklogOfAStoppedServerAreAnswered()
+    {
+        m_pool->stop();
+        std::vector<std::unique_ptr<RawPeer>> peers;
+        for (int i = 0; i < 100; ++i) {
+            peers.push_back(std::make_unique<RawPeer>(m_port));
+            peers.back()->write(getRoot);
+        }
+        m_server->stopAccepting();
+        m_server->closeIdle();
+        m_pool->context().restart();
+        for (std::size_t i = 0; i < peers.size(); ++i) {
+            waitUntil(
+                [this] { return m_pool->context().poll_one() == 0 && !m_requests.isEmpty(); });
+            m_requests.take().responder->respond({200, {}, "done"});
+        }
+        m_pool->context().poll();
+        for (const auto &peer : peers)
+            CPPUNIT_ASSERT(peer->readUntil("done").ends_with("done"));
+    }
+
     // Guards against a connection that is established, but reset as the port is closed before it is
     // accepted.
     void attemptsBeforeThePortIsClosedAreNotEstablished()
