decisions: move the upkeep of a run's copy from StreamSession to RunCopier

Change: RunCopier has that job and the state of it (the copy, the order and the probe in progress, the time of the next check). ForwardSession gives derived classes its AdmittedPlacer. No change of behaviour; existing tests are unchanged.

--- a/include/foxtailring/decisions/ForwardSession.h
+++ b/include/foxtailring/decisions/ForwardSession.h
@@ -77,6 +77,7 @@
     const std::vector<std::string> &triedIds() const { return m_triedIds; }
     std::chrono::milliseconds timeLeft(TimePoint now) const;
     bool isPastDeadline(TimePoint now) const { return now >= m_deadline; }
+    AdmittedPlacer &admittedPlacer() { return m_admittedPlacer; }
 
     /// \brief The server of the current attempt does not answer a probe. It may have crashed
     /// because of the prompt, unless a server has begun to answer the request.
--- a/include/foxtailring/decisions/StreamSession.h
+++ b/include/foxtailring/decisions/StreamSession.h
@@ -3,7 +3,7 @@
 #include "foxtailring/decisions/EventVerdict.h"
 #include "foxtailring/decisions/ForwardSession.h"
 #include "foxtailring/decisions/ResumeWait.h"
-#include "foxtailring/decisions/RunCopy.h"
+#include "foxtailring/decisions/RunCopier.h"
 #include "foxtailring/decisions/RunPlacement.h"
 #include "foxtailring/decisions/RunProgress.h"
 
@@ -57,7 +57,7 @@
     /// \brief A CopyRun action that was reported as failed has made a copy after all.
     void onLateCopy(const CopyRun &copyRun, std::string handle);
     /// \brief Releases the copies of the run when the request is over.
-    void endCopies() { m_copy.end(); }
+    void endCopies() { m_copier.end(); }
     /// \brief True if events were passed on, so that the answer can only continue or be aborted.
     bool hasStarted() const { return m_hasStarted; }
     std::optional<std::int64_t> lastEventId() const { return m_lastEventId; }
@@ -88,15 +88,6 @@
     /// Whether an attempt that is made later can still lead to a whole answer.
     bool mayWaitForAttempt(TimePoint now) const;
     ForwardAction delayAttempt(std::string_view reason, Duration needed, TimePoint now);
-    bool hasUsableCopy(TimePoint now) const
-    {
-        return m_progress.hasEvents() && m_copy.isUsable(now);
-    }
-    ForwardAction maintainCopy(TimePoint now);
-    ForwardAction probeCopyHolder(const BackendState &holder);
-    void onCopyHolderProbed(std::span<const ServerProbeResult> reports, TimePoint now);
-    std::optional<BackendState> chooseCopyHolder(const BackendState &runServer,
-                                                 TimePoint now) const;
     /// Looks for an engine that still has the prompt of a reconnecting caller in memory.
     ForwardAction probeForPrompt(TimePoint now);
     ForwardAction onPromptProbed(std::span<const ServerProbeResult> reports, TimePoint now);
@@ -112,7 +103,6 @@
     ForwardAction placeRun(std::span<const ServerProbeResult> reports, TimePoint now);
     ForwardAction sendRun(SendAttempt next, TimePoint now);
     void keepAsFallback(SendAttempt &next, TimePoint now);
-    void assignCopyHolder(SendAttempt &attempt, TimePoint now);
     TimePoint silenceDueAt() const;
     /// When the attempt is given up although its server answers probes.
     TimePoint stuckAt() const;
@@ -141,7 +131,7 @@
     RunPlacement m_placement;
     RunProgress m_progress;         ///< of the current attempt
     RunProgress m_fallbackProgress; ///< of the fallback
-    RunCopy m_copy;                 ///< of the current run
+    RunCopier m_copier;             ///< of the current run
     /// Servers that were lost after the caller had got an event.
     std::vector<BackendInfo> m_lostServers;
     ResumeWait m_wait;            ///< for the next attempt of a stream that has begun
@@ -164,10 +154,7 @@
     bool m_isReplacing = false;     ///< looking for a server while the attempt goes on
     TimePoint m_replaceAt;          ///< not before then
     TimePoint m_movableSince;       ///< the attempt is to be replaced since; 0: it is not
-    bool m_isProbingHolder = false; ///< a probe of the copy holder is in progress
-    bool m_isCopying = false;       ///< the current server is making a snapshot
-    TimePoint m_copyCheckAt = TimePoint::max();
-    std::string_view m_cause; ///< of the next attempt
+    std::string_view m_cause;       ///< of the next attempt
 };
 
 } // namespace foxtailring
--- a/src/decisions/StreamSession.cpp
+++ b/src/decisions/StreamSession.cpp
@@ -19,13 +19,8 @@
 // Two round trips between regions: one to connect, one for the answer.
 constexpr milliseconds probeTimeout {120};
 constexpr milliseconds placementProbeTimeout {60};
-// Interval of checking the copy and its holder, and delay before a failed snapshot is retried.
-constexpr milliseconds copyCheckInterval {400};
-constexpr milliseconds copyRetryDelay {1000};
 // Few outputs are shorter than this fraction of what their request allows.
 constexpr double minOutputFraction = 0.4;
-// Time to copy the memory of a long prompt to another zone, after a few other copies.
-constexpr milliseconds copyTimeout {1500};
 // A server without a sign of life for longer has failed.
 constexpr std::chrono::seconds maxServerPause {5};
 // The same for a run without an event. Its caller can still be refused and try again, so it is held
@@ -55,7 +50,9 @@
     , m_placement(this->context(), service(), triedIds())
     , m_progress(route)
     , m_fallbackProgress(route)
-    , m_copy(context.servers, context.releaseCopy)
+    , m_copier(
+          this->context(), m_progress, m_placement, admittedPlacer(),
+          {capabilities.canCopyContinuously && route.isResumable, capabilities.canCopyOnDemand})
     , m_wait(route, service(), context.retryBudget, context.random)
     , m_lastEventId(request.lastEventId)
 {
@@ -115,20 +112,16 @@
     return true;
 }
 
-// The copy that the other attempt was resumed from may be used up, so another one is made soon.
 void StreamSession::returnToFallback(TimePoint now)
 {
     endPlacement();
     m_isReplacing = false;
     m_isProbing = false;
-    m_isProbingHolder = false;
     m_isFindingPrompt = false;
-    m_isCopying = false;
     m_isRunUnlisted = false;
     m_replaceAt = {};
     m_movableSince = {};
-    m_copy.drop();
-    m_copyCheckAt = m_capabilities.canCopyOnDemand ? now : TimePoint::max();
+    m_copier.restart(now);
     m_progress = m_fallbackProgress;
     resumeFallback();
 }
@@ -192,7 +185,7 @@
     if (m_progress.meanEventInterval() > Duration {0})
         context().latency.recordEventInterval(service(), m_progress.meanEventInterval());
     releaseServer();
-    m_copy.drop();
+    m_copier.dropCopy();
     return KeepWaiting {};
 }
 
@@ -201,31 +194,31 @@
     if (auto action = applyQuarantine(now))
         return std::move(*action);
     m_cause = cause;
-    // A copy exists only from the first event on, not while the prompt is processed. It is kept
-    // until the run is sent: a run that goes on, or waits for a server, may need it.
-    if (m_isReplacing && m_capabilities.canBeProbed && hasUsableCopy(now)
-        && m_placement.tryTakeProbe(*m_copy.holder(), now))
+    // The copy is kept until the run is sent: a run that goes on, or waits for a server, may need
+    // it.
+    if (m_isReplacing && m_capabilities.canBeProbed && m_copier.hasUsableCopy(now)
+        && m_placement.tryTakeProbe(*m_copier.holder(), now))
         return probeNextServer();
-    if (hasUsableCopy(now) && tryAcquire(m_copy.holder()->info.id, now))
+    if (m_copier.hasUsableCopy(now) && tryAcquire(m_copier.holder()->info.id, now))
         return resumeFromCopy(now);
     return placeAnew(now);
 }
 
 ForwardAction StreamSession::resumeFromCopy(TimePoint now)
 {
-    return sendRun(m_copy.takeResumeAttempt(now).value(), now);
+    return sendRun(m_copier.takeResumeAttempt(now).value(), now);
 }
 
 // Servers fall silent together, and a copy holder sends nothing by which this could be known.
 ForwardAction StreamSession::probeNextServer()
 {
     ProbeServers probe;
-    probe.servers = {*m_copy.holder()};
+    probe.servers = {*m_copier.holder()};
     probe.timeout = placementProbeTimeout;
     probe.useNewConnections = true;
     m_isPlacing = true;
     m_isProbingNext = true;
-    m_isProbingHolder = false;
+    m_copier.abandonProbe();
     return probe;
 }
 
@@ -234,7 +227,7 @@
 {
     m_isProbingNext = false;
     const bool isWorking = !reports.empty() && !reports.front().isTurnedAway;
-    if (isWorking && hasUsableCopy(now) && tryAcquire(m_copy.holder()->info.id, now))
+    if (isWorking && m_copier.hasUsableCopy(now) && tryAcquire(m_copier.holder()->info.id, now))
         return resumeFromCopy(now);
     return placeAnew(now);
 }
@@ -316,7 +309,7 @@
         return placeRun({}, now);
     probe.timeout = placementProbeTimeout;
     m_isPlacing = true;
-    m_isProbingHolder = false;
+    m_copier.abandonProbe();
     m_probedAt = now;
     return probe;
 }
@@ -364,13 +357,9 @@
     m_progress.start(next.fromCopy.has_value(), now);
     m_isProbing = false;
     m_isUnwatched = false;
-    m_isProbingHolder = false;
-    m_isCopying = false;
     m_isRunUnlisted = false;
     m_isStartUnconfirmed = false;
-    m_copyCheckAt = m_capabilities.canCopyOnDemand ? now + copyCheckInterval : TimePoint::max();
-    m_copy.drop();
-    assignCopyHolder(next, now);
+    m_copier.start(next, now);
     return send(std::move(next), now);
 }
 
@@ -385,93 +374,22 @@
     m_fallbackEndsAt = m_isRunUnlisted ? TimePoint::max() : now + maxOverlap;
 }
 
-void StreamSession::assignCopyHolder(SendAttempt &attempt, TimePoint now)
-{
-    attempt.copyTo = chooseCopyHolder(attempt.server, now);
-    if (attempt.copyTo)
-        m_copy.setHolder(*attempt.copyTo);
-}
-
-std::optional<BackendState> StreamSession::chooseCopyHolder(const BackendState &runServer,
-                                                            TimePoint now) const
-{
-    if (!m_capabilities.canCopyContinuously || !route().isResumable)
-        return std::nullopt;
-    return m_placement.chooseCopyHolder(runServer, now);
-}
-
-// Replaces a lost copy, renews a snapshot before it expires, and probes a holder at risk. A run may
-// see several failures, and the next one may be that of its own server.
-ForwardAction StreamSession::maintainCopy(TimePoint now)
-{
-    m_copyCheckAt = now + copyCheckInterval;
-    const bool isUsable = m_copy.isUsable(now);
-    if (isUsable && !m_isProbing && !m_isCopying) {
-        const auto current = context().servers.server(m_copy.holder()->info.id, now);
-        if (current->hasFailedZonePeer && m_placement.tryTakeProbe(*current, now))
-            return probeCopyHolder(*current);
-    }
-    const bool isWanted =
-        m_progress.hasEvents() && !m_isCopying && (!isUsable || m_copy.needsRenewal(now));
-    if (!isWanted)
-        return KeepWaiting {};
-    const auto holder = isUsable ? m_copy.holder() : chooseCopyHolder(server(), now);
-    if (!isUsable)
-        m_copy.drop();
-    if (!holder)
-        return KeepWaiting {};
-    if (!tryAcquire(server().info.id, now)) {
-        m_copyCheckAt = now + copyRetryDelay;
-        return KeepWaiting {};
-    }
-    m_isCopying = true;
-    return CopyRun {server(), *holder, copyTimeout};
-}
-
-// Servers of a zone fail together, and the holder sends nothing unless it is probed.
-ForwardAction StreamSession::probeCopyHolder(const BackendState &holder)
-{
-    ProbeServers probe;
-    probe.servers = {holder};
-    probe.timeout = probeTimeout;
-    probe.useNewConnections = true;
-    m_isProbingHolder = true;
-    return probe;
-}
-
-void StreamSession::onCopyHolderProbed(std::span<const ServerProbeResult> reports, TimePoint now)
-{
-    m_isProbingHolder = false;
-    const auto &holder = m_copy.holder();
-    if (holder && reports.empty())
-        context().servers.recordFailure(holder->info.id, now);
-    if (!m_copy.isUsable(now))
-        m_copyCheckAt = now;
-}
-
 ForwardAction StreamSession::onCopied(const CopyRun &copyRun, std::optional<std::string> handle,
                                       TimePoint now)
 {
     // A run that is being replaced goes on elsewhere, and a new run cannot use its snapshot.
     const bool isCurrent =
-        m_isCopying && !m_isReplacing && hasServer() && server().info.id == copyRun.from.info.id;
-    if (!isCurrent) {
-        if (handle)
-            onLateCopy(copyRun, std::move(*handle));
-        return KeepWaiting {};
-    }
-    m_isCopying = false;
-    if (handle)
-        m_copy.setSnapshot(
-            copyRun.to, {copyRun.from.info.address, std::move(*handle), copyRun.from.info.id}, now);
-    else
-        m_copyCheckAt = now + copyRetryDelay;
+        !m_isReplacing && hasServer() && server().info.id == copyRun.from.info.id;
+    if (isCurrent)
+        m_copier.onCopied(copyRun, std::move(handle), now);
+    else if (handle)
+        onLateCopy(copyRun, std::move(*handle));
     return KeepWaiting {};
 }
 
 void StreamSession::onLateCopy(const CopyRun &copyRun, std::string handle)
 {
-    m_copy.addLate({copyRun.from.info.address, std::move(handle), copyRun.from.info.id});
+    m_copier.onLateCopy(copyRun, std::move(handle));
 }
 
 ForwardAction StreamSession::onLost(AttemptResult result, TimePoint now)
@@ -500,7 +418,7 @@
 {
     return m_hasStarted && route().allowsRetry() && usedAttempts(now) < route().maxAttempts
         && m_wait.isOfUse(now)
-        && canFinishInTime(hasUsableCopy(now) ? 0 : request().promptTokens, now);
+        && canFinishInTime(m_copier.hasUsableCopy(now) ? 0 : request().promptTokens, now);
 }
 
 ForwardAction StreamSession::delayAttempt(std::string_view reason, Duration needed, TimePoint now)
@@ -528,7 +446,7 @@
 // A run that was not executed has no copy.
 void StreamSession::onRejected()
 {
-    m_copy.drop();
+    m_copier.dropCopy();
 }
 
 ForwardAction StreamSession::onOverdue(TimePoint now)
@@ -536,7 +454,8 @@
     if (hasFallback() && now >= m_fallbackEndsAt)
         releaseFallback();
     if (now < silenceDueAt())
-        return now < m_copyCheckAt ? KeepWaiting {} : maintainCopy(now);
+        return now < m_copier.checkAt() ? KeepWaiting {}
+                                        : m_copier.check(server(), !m_isProbing, now);
     if (!m_isUnwatched && (now >= stuckAt() || isPresumedLost(now)))
         return onSilent(now);
     // The probe in progress decides.
@@ -557,7 +476,7 @@
     probe.timeout = probeTimeout;
     probe.useNewConnections = true;
     m_isProbing = true;
-    m_isProbingHolder = false;
+    m_copier.abandonProbe();
     m_probedAt = now;
     return probe;
 }
@@ -569,8 +488,8 @@
     ForwardSession::onProbed(reports, now);
     if (m_isPlacing)
         return placeRun(reports, now);
-    if (m_isProbingHolder) {
-        onCopyHolderProbed(reports, now);
+    if (m_copier.isProbing()) {
+        m_copier.onProbed(reports, now);
         return KeepWaiting {};
     }
     // An event arrived meanwhile, or the attempt has ended.
@@ -724,7 +643,7 @@
     if (m_isPlacing || m_isFindingPrompt)
         return deadline();
     const TimePoint fallbackEndsAt = hasFallback() ? m_fallbackEndsAt : TimePoint::max();
-    return std::min({silenceDueAt(), m_copyCheckAt, fallbackEndsAt});
+    return std::min({silenceDueAt(), m_copier.checkAt(), fallbackEndsAt});
 }
 
 TimePoint StreamSession::silenceDueAt() const
