decisions: move the choice of a run's next server from StreamSession to ServerSearch

Cause: StreamSession chose the server for the next attempt of a run with three kinds of probes (of the copy holder, for the prompt, of the candidates) beside the watch over the current attempt, and kept the state of both in flags of one class. Change: ServerSearch has the choice and its one probe in progress. It returns the next probe, the attempt to send, or why there is none; the session decides what becomes of the request then. RunPlacement names the server that has the prompt. The session no longer notes the time of these probes, which only the check of a probe of the current server reads, and that probe sets it. No change of behaviour; existing tests are unchanged.

--- a/include/foxtailring/decisions/RunPlacement.h
+++ b/include/foxtailring/decisions/RunPlacement.h
@@ -26,8 +26,14 @@
     /// \brief Updates the affinity servers of the prompt.
     void updateAffinityServers(const std::string &promptId, TimePoint now);
     bool hasAffinityServers() const { return !m_affinityServers.empty(); }
+    /// \brief Ids of the servers tried so far.
+    const std::vector<std::string> &triedIds() const { return m_triedIds; }
     /// \brief Healthy affinity servers that may be probed now; takes a request to each.
     std::vector<BackendState> takePromptProbes(TimePoint now) const;
+    /// \brief The server that has the prompt in memory by its report; none: there is none, or it
+    /// accepts no new work.
+    std::optional<BackendState> promptHolder(std::span<const ServerProbeResult> reports,
+                                             TimePoint now) const;
     /// \brief Candidates that may be probed now for their load; takes a request to each.
     std::vector<BackendState> takeCandidateProbes(TimePoint now);
     /// \brief The probe of the candidates is over.
--- a/include/foxtailring/decisions/StreamSession.h
+++ b/include/foxtailring/decisions/StreamSession.h
@@ -6,6 +6,7 @@
 #include "foxtailring/decisions/RunCopier.h"
 #include "foxtailring/decisions/RunPlacement.h"
 #include "foxtailring/decisions/RunProgress.h"
+#include "foxtailring/decisions/ServerSearch.h"
 
 namespace foxtailring {
 
@@ -69,7 +70,7 @@
     void onRejected() override;
     std::uint32_t usedAttempts(TimePoint now) const override;
     bool hasPassedEvents() const override { return m_hasStarted; }
-    bool isChoosingServer() const override { return m_isPlacing || m_isFindingPrompt; }
+    bool isChoosingServer() const override { return m_search.isActive(); }
     ForwardAction waitForFallback(ForwardAction action, TimePoint now) override;
     ForwardAction waitForNextAttempt(Missing missing, ForwardAction ending, TimePoint now) override;
     ForwardAction lookForAttempt(TimePoint now) override;
@@ -88,19 +89,11 @@
     /// Whether an attempt that is made later can still lead to a whole answer.
     bool mayWaitForAttempt(TimePoint now) const;
     ForwardAction delayAttempt(std::string_view reason, Duration needed, TimePoint now);
-    /// Looks for an engine that still has the prompt of a reconnecting caller in memory.
-    ForwardAction probeForPrompt(TimePoint now);
-    ForwardAction onPromptProbed(std::span<const ServerProbeResult> reports, TimePoint now);
+    /// Records who answered a probe for the prompt.
+    void recordPromptReports(std::span<const ServerProbeResult> reports, TimePoint now);
     /// Whether the run can finish before the deadline if it first processes \a promptTokens.
     bool canFinishInTime(std::uint64_t promptTokens, TimePoint now) const;
-    /// Asks the copy holder before the run is moved there from a server that may go on with it.
-    ForwardAction probeNextServer();
-    ForwardAction onNextServerProbed(std::span<const ServerProbeResult> reports, TimePoint now);
-    ForwardAction resumeFromCopy(TimePoint now);
-    /// Looks for a server that processes the prompt.
-    ForwardAction placeAnew(TimePoint now);
-    ForwardAction probeCandidates(TimePoint now);
-    ForwardAction placeRun(std::span<const ServerProbeResult> reports, TimePoint now);
+    ForwardAction continueSearch(ServerSearch::Step step, TimePoint now);
     ForwardAction sendRun(SendAttempt next, TimePoint now);
     void keepAsFallback(SendAttempt &next, TimePoint now);
     TimePoint silenceDueAt() const;
@@ -108,7 +101,6 @@
     TimePoint stuckAt() const;
     bool isPresumedLost(TimePoint now) const;
     ReportedStart reportedStart(TimePoint now) const;
-    void endPlacement();
     ForwardAction onSilent(TimePoint now);
     ForwardAction onRunLost(const ServerProbeResult &report, TimePoint now);
     /// Looks for a server that can take the place of the current attempt, which goes on meanwhile.
@@ -132,6 +124,7 @@
     RunProgress m_progress;         ///< of the current attempt
     RunProgress m_fallbackProgress; ///< of the fallback
     RunCopier m_copier;             ///< of the current run
+    ServerSearch m_search;          ///< for the next attempt's server
     /// Servers that were lost after the caller had got an event.
     std::vector<BackendInfo> m_lostServers;
     ResumeWait m_wait;            ///< for the next attempt of a stream that has begun
@@ -147,14 +140,11 @@
     TimePoint m_probedAt;
     /// The attempt was the fallback, which is not probed, so it is probed before it is given up.
     bool m_isUnwatched = false;
-    bool m_isProbing = false;       ///< a probe of the current server is in progress
-    bool m_isFindingPrompt = false; ///< a probe for the prompt is in progress
-    bool m_isPlacing = false;       ///< a probe of the candidates is in progress
-    bool m_isProbingNext = false;   ///< it is that of the copy holder that is to take the run
-    bool m_isReplacing = false;     ///< looking for a server while the attempt goes on
-    TimePoint m_replaceAt;          ///< not before then
-    TimePoint m_movableSince;       ///< the attempt is to be replaced since; 0: it is not
-    std::string_view m_cause;       ///< of the next attempt
+    bool m_isProbing = false;   ///< a probe of the current server is in progress
+    bool m_isReplacing = false; ///< looking for a server while the attempt goes on
+    TimePoint m_replaceAt;      ///< not before then
+    TimePoint m_movableSince;   ///< the attempt is to be replaced since; 0: it is not
+    std::string_view m_cause;   ///< of the next attempt
 };
 
 } // namespace foxtailring
--- a/src/decisions/RunPlacement.cpp
+++ b/src/decisions/RunPlacement.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <utility>
 
 namespace foxtailring {
 
@@ -41,6 +42,18 @@
     return probed;
 }
 
+std::optional<BackendState> RunPlacement::promptHolder(std::span<const ServerProbeResult> reports,
+                                                       TimePoint now) const
+{
+    const auto holder =
+        std::find_if(reports.begin(), reports.end(),
+                     [](const ServerProbeResult &report) { return report.hasPrompt; });
+    if (holder == reports.end())
+        return std::nullopt;
+    auto server = m_context.servers.server(holder->serverId, now);
+    return server && server->acceptsNewWork() ? std::move(server) : std::nullopt;
+}
+
 std::vector<BackendState> RunPlacement::takeCandidateProbes(TimePoint now)
 {
     std::vector<std::string> exclude = m_triedIds;
--- a/src/decisions/StreamSession.cpp
+++ b/src/decisions/StreamSession.cpp
@@ -1,6 +1,5 @@
 #include "foxtailring/decisions/StreamSession.h"
 
-#include "foxtailring/decisions/BackendPlacer.h"
 #include "foxtailring/decisions/BackendTable.h"
 #include "foxtailring/decisions/EngineLatencyEstimator.h"
 #include "foxtailring/decisions/PromptQuarantine.h"
@@ -18,7 +17,6 @@
 
 // Two round trips between regions: one to connect, one for the answer.
 constexpr milliseconds probeTimeout {120};
-constexpr milliseconds placementProbeTimeout {60};
 // Few outputs are shorter than this fraction of what their request allows.
 constexpr double minOutputFraction = 0.4;
 // A server without a sign of life for longer has failed.
@@ -53,6 +51,10 @@
     , m_copier(
           this->context(), m_progress, m_placement, admittedPlacer(),
           {capabilities.canCopyContinuously && route.isResumable, capabilities.canCopyOnDemand})
+    , m_search(this->request(), m_placement, admittedPlacer(), m_copier, capabilities.canBeProbed,
+               [this](std::uint64_t promptTokens, TimePoint now) {
+                   return canFinishInTime(promptTokens, now);
+               })
     , m_wait(route, service(), context.retryBudget, context.random)
     , m_lastEventId(request.lastEventId)
 {
@@ -78,7 +80,7 @@
     m_isProbing = false;
     m_isUnwatched = false;
     if (std::exchange(m_isReplacing, false))
-        endPlacement();
+        m_search.end();
     m_replaceAt = {};
     m_movableSince = {};
     releaseFallback();
@@ -114,10 +116,9 @@
 
 void StreamSession::returnToFallback(TimePoint now)
 {
-    endPlacement();
+    m_search.end();
     m_isReplacing = false;
     m_isProbing = false;
-    m_isFindingPrompt = false;
     m_isRunUnlisted = false;
     m_replaceAt = {};
     m_movableSince = {};
@@ -159,7 +160,7 @@
 void StreamSession::onAttemptOver()
 {
     if (std::exchange(m_isReplacing, false))
-        endPlacement();
+        m_search.end();
     m_replaceAt = {};
 }
 
@@ -194,73 +195,26 @@
     if (auto action = applyQuarantine(now))
         return std::move(*action);
     m_cause = cause;
-    // The copy is kept until the run is sent: a run that goes on, or waits for a server, may need
-    // it.
-    if (m_isReplacing && m_capabilities.canBeProbed && m_copier.hasUsableCopy(now)
-        && m_placement.tryTakeProbe(*m_copier.holder(), now))
-        return probeNextServer();
-    if (m_copier.hasUsableCopy(now) && tryAcquire(m_copier.holder()->info.id, now))
-        return resumeFromCopy(now);
-    return placeAnew(now);
+    return continueSearch(m_search.start(m_isReplacing, now), now);
 }
 
-ForwardAction StreamSession::resumeFromCopy(TimePoint now)
+ForwardAction StreamSession::continueSearch(ServerSearch::Step step, TimePoint now)
 {
-    return sendRun(m_copier.takeResumeAttempt(now).value(), now);
-}
-
-// Servers fall silent together, and a copy holder sends nothing by which this could be known.
-ForwardAction StreamSession::probeNextServer()
-{
-    ProbeServers probe;
-    probe.servers = {*m_copier.holder()};
-    probe.timeout = placementProbeTimeout;
-    probe.useNewConnections = true;
-    m_isPlacing = true;
-    m_isProbingNext = true;
-    m_copier.abandonProbe();
-    return probe;
-}
-
-ForwardAction StreamSession::onNextServerProbed(std::span<const ServerProbeResult> reports,
-                                                TimePoint now)
-{
-    m_isProbingNext = false;
-    const bool isWorking = !reports.empty() && !reports.front().isTurnedAway;
-    if (isWorking && m_copier.hasUsableCopy(now) && tryAcquire(m_copier.holder()->info.id, now))
-        return resumeFromCopy(now);
-    return placeAnew(now);
-}
-
-ForwardAction StreamSession::placeAnew(TimePoint now)
-{
-    if (!request().promptId.empty())
-        m_placement.updateAffinityServers(request().promptId, now);
-    const bool isReturning = triedIds().empty() && request().lastEventId;
-    return isReturning && m_capabilities.canBeProbed && m_placement.hasAffinityServers()
-        ? probeForPrompt(now)
-        : probeCandidates(now);
-}
-
-// The process that served the caller before has failed, and its state is lost. The engine has
-// stopped the run, but keeps the prompt in memory until it needs the space.
-ForwardAction StreamSession::probeForPrompt(TimePoint now)
-{
-    ProbeServers probe;
-    probe.subject = ProbeServers::Subject::Prompt;
-    probe.timeout = placementProbeTimeout;
-    probe.servers = m_placement.takePromptProbes(now);
-    if (probe.servers.empty())
-        return probeCandidates(now);
-    m_isFindingPrompt = true;
-    m_probedAt = now;
-    return probe;
+    if (auto *probe = std::get_if<ProbeServers>(&step)) {
+        m_copier.abandonProbe();
+        return std::move(*probe);
+    }
+    if (auto *next = std::get_if<SendAttempt>(&step))
+        return sendRun(std::move(*next), now);
+    if (std::get<ServerSearch::Failure>(step) == ServerSearch::Failure::NoTime)
+        return refuseOrAbort(refuse(503, "noTimeLeft"), now);
+    m_hasRetry = !m_isReplacing;
+    return waitForNextAttempt(Missing::Server, refuseUnplaced(now), now);
 }
 
-ForwardAction StreamSession::onPromptProbed(std::span<const ServerProbeResult> reports,
-                                            TimePoint now)
+// Such a report says nothing about the server's load.
+void StreamSession::recordPromptReports(std::span<const ServerProbeResult> reports, TimePoint now)
 {
-    m_isFindingPrompt = false;
     for (const ServerProbeResult &report : reports) {
         const ReportedStart start =
             context().servers.recordReport(report.serverId, report.startedAtMs, now);
@@ -270,23 +224,8 @@
         context().servers.recordContact(report.serverId, now);
         recordProbeNotice(report, now);
     }
-    const auto holder =
-        std::find_if(reports.begin(), reports.end(),
-                     [](const ServerProbeResult &report) { return report.hasPrompt; });
-    const auto server =
-        holder == reports.end() ? std::nullopt : context().servers.server(holder->serverId, now);
-    if (!server || !server->acceptsNewWork())
-        return probeCandidates(now);
-    if (!canFinishInTime(0, now))
-        return refuseOrAbort(refuse(503, "noTimeLeft"), now);
-    if (!tryAcquire(server->info.id, now))
-        return probeCandidates(now);
-    SendAttempt next;
-    next.server = *server;
-    return sendRun(std::move(next), now);
 }
 
-// Processing the prompt of a run that cannot finish in time would only delay other runs.
 bool StreamSession::canFinishInTime(std::uint64_t promptTokens, TimePoint now) const
 {
     const auto maxEvents =
@@ -296,45 +235,6 @@
     return timeLeft(now) >= context().latency.minRunDuration(service(), promptTokens, minEvents);
 }
 
-// Other processes place runs on the same servers, so the servers are probed for their current load.
-ForwardAction StreamSession::probeCandidates(TimePoint now)
-{
-    if (!canFinishInTime(request().promptTokens, now))
-        return refuseOrAbort(refuse(503, "noTimeLeft"), now);
-    if (!m_capabilities.canBeProbed)
-        return placeRun({}, now);
-    ProbeServers probe;
-    probe.servers = m_placement.takeCandidateProbes(now);
-    if (probe.servers.empty())
-        return placeRun({}, now);
-    probe.timeout = placementProbeTimeout;
-    m_isPlacing = true;
-    m_copier.abandonProbe();
-    m_probedAt = now;
-    return probe;
-}
-
-ForwardAction StreamSession::placeRun(std::span<const ServerProbeResult> reports, TimePoint now)
-{
-    m_isPlacing = false;
-    if (m_isProbingNext)
-        return onNextServerProbed(reports, now);
-    m_placement.recordReports(reports);
-    // A server that did not answer the probe is chosen only if there is no other.
-    const std::vector<std::string> unresponsive = m_placement.unresponsiveIds();
-    m_placement.dropCandidates();
-    auto chosen = choose(m_placement.request(unresponsive), &BackendPlacer::chooseForRun, now);
-    if (!chosen)
-        chosen = choose(m_placement.request(triedIds()), &BackendPlacer::chooseForRun, now);
-    if (!chosen) {
-        m_hasRetry = !m_isReplacing;
-        return waitForNextAttempt(Missing::Server, refuseUnplaced(now), now);
-    }
-    SendAttempt next;
-    next.server = std::move(*chosen);
-    return sendRun(std::move(next), now);
-}
-
 ForwardAction StreamSession::sendRun(SendAttempt next, TimePoint now)
 {
     // The part may have been quarantined while servers were probed.
@@ -347,7 +247,7 @@
     } else if (hasFallback() && m_fallbackEndsAt != TimePoint::max()) {
         m_fallbackEndsAt = now + maxOverlap;
     }
-    endPlacement();
+    m_search.end();
     m_wait.end();
     m_hasRetry = false;
     m_replaceAt = {};
@@ -483,11 +383,12 @@
 
 ForwardAction StreamSession::onProbed(std::span<const ServerProbeResult> reports, TimePoint now)
 {
-    if (m_isFindingPrompt)
-        return onPromptProbed(reports, now);
-    ForwardSession::onProbed(reports, now);
-    if (m_isPlacing)
-        return placeRun(reports, now);
+    if (m_search.isProbingPrompt())
+        recordPromptReports(reports, now);
+    else
+        ForwardSession::onProbed(reports, now);
+    if (m_search.isActive())
+        return continueSearch(m_search.onProbed(reports, now), now);
     if (m_copier.isProbing()) {
         m_copier.onProbed(reports, now);
         return KeepWaiting {};
@@ -595,16 +496,9 @@
     return silence < maxPromptPause && canFinishInTime(0, now);
 }
 
-void StreamSession::endPlacement()
-{
-    m_isPlacing = false;
-    m_isProbingNext = false;
-    m_placement.dropCandidates();
-}
-
 ForwardAction StreamSession::keepSilentAttempt(TimePoint now)
 {
-    endPlacement();
+    m_search.end();
     m_replaceAt = now + replaceRetryInterval;
     return KeepWaiting {};
 }
@@ -640,7 +534,7 @@
 TimePoint StreamSession::overdueAt() const
 {
     // The probe in progress decides.
-    if (m_isPlacing || m_isFindingPrompt)
+    if (m_search.isActive())
         return deadline();
     const TimePoint fallbackEndsAt = hasFallback() ? m_fallbackEndsAt : TimePoint::max();
     return std::min({silenceDueAt(), m_copier.checkAt(), fallbackEndsAt});
--- /dev/null
+++ b/tests/decisions/ServerSearchTest.cpp
@@ -0,0 +1,281 @@
+#include "foxtailring/decisions/ServerSearch.h"
+
+#include "foxtailring/decisions/AdmittedPlacer.h"
+#include "foxtailring/decisions/RunCopier.h"
+#include "foxtailring/decisions/RunPlacement.h"
+#include "foxtailring/decisions/RunProgress.h"
+
+#include "ForwardFixture.h"
+
+#include <algorithm>
+#include <vector>
+
+using namespace foxtailring;
+
+class ServerSearchTest : public ForwardFixture
+{
+    CPPUNIT_TEST_SUITE(ServerSearchTest);
+    CPPUNIT_TEST(candidatesAreProbedForTheirLoad);
+    CPPUNIT_TEST(serverWithoutAnAnswerIsTheLastChoice);
+    CPPUNIT_TEST(engineThatReportsNothingIsChosenAtOnce);
+    CPPUNIT_TEST(lostRunResumesFromItsCopyWithoutAProbe);
+    CPPUNIT_TEST(copyHolderIsAskedBeforeAMove);
+    CPPUNIT_TEST(silentCopyHolderGetsNoRun);
+    CPPUNIT_TEST(copyHolderInAPauseGetsNoRun);
+    CPPUNIT_TEST(copyHolderThatLeavesMeanwhileGetsNoRun);
+    CPPUNIT_TEST(returningCallerIsSentToItsPrompt);
+    CPPUNIT_TEST(leavingServerWithThePromptIsNotChosen);
+    CPPUNIT_TEST(laterAttemptDoesNotLookForThePrompt);
+    CPPUNIT_TEST(runThatCannotFinishIsNotPlaced);
+    CPPUNIT_TEST(foundPromptTakesNoTime);
+    CPPUNIT_TEST(searchWithoutServersFails);
+    CPPUNIT_TEST(searchThatWasGivenUpIsNotActive);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override { listServers(); }
+
+    // Guards against placing by a load that other processes have changed since.
+    void candidatesAreProbedForTheirLoad()
+    {
+        ServerSearch search = make(request());
+        const ProbeServers probe = probeOf(search.start(false, now));
+        CPPUNIT_ASSERT(probe.subject == ProbeServers::Subject::Load);
+        CPPUNIT_ASSERT(probe.servers.size() > 1);
+        CPPUNIT_ASSERT(search.isActive() && !search.isProbingPrompt());
+        const std::string id = found(search.onProbed(reports(probe), now)).server.info.id;
+        CPPUNIT_ASSERT(isAmong(probe.servers, id));
+        CPPUNIT_ASSERT(!search.isActive());
+    }
+
+    // Guards against a run at a server that has crashed, and against a refusal when all reports
+    // were lost.
+    void serverWithoutAnAnswerIsTheLastChoice()
+    {
+        for (int round = 0; round < 20; ++round) {
+            ServerSearch search = make(request());
+            const ProbeServers probe = probeOf(search.start(false, now));
+            std::vector<ServerProbeResult> answers = reports(probe);
+            answers.resize(1);
+            const std::string id = found(search.onProbed(answers, now)).server.info.id;
+            CPPUNIT_ASSERT(id == answers.front().serverId || !isAmong(probe.servers, id));
+            const ProbeServers unanswered = probeOf(search.start(false, now));
+            CPPUNIT_ASSERT(
+                !isAmong(unanswered.servers, found(search.onProbed({}, now)).server.info.id));
+        }
+        for (const char *id : {"a2", "b1", "b2", "c1", "c2"})
+            sayLeaving(id);
+        ServerSearch search = make(request());
+        probeOf(search.start(false, now));
+        CPPUNIT_ASSERT_EQUAL(std::string("a1"), found(search.onProbed({}, now)).server.info.id);
+    }
+
+    void engineThatReportsNothingIsChosenAtOnce()
+    {
+        m_canBeProbed = false;
+        ServerSearch search = make(request());
+        found(search.start(false, now));
+        giveCopy();
+        CPPUNIT_ASSERT(found(search.start(true, now)).fromCopy);
+    }
+
+    void lostRunResumesFromItsCopyWithoutAProbe()
+    {
+        ServerSearch search = make(request());
+        const std::string holder = giveCopy();
+        const SendAttempt next = found(search.start(false, now));
+        CPPUNIT_ASSERT_EQUAL(holder, next.server.info.id);
+        CPPUNIT_ASSERT(next.fromCopy);
+        CPPUNIT_ASSERT(!m_copier.holder());
+    }
+
+    // Guards against moving a run to a server that fell silent together with the current one.
+    void copyHolderIsAskedBeforeAMove()
+    {
+        ServerSearch search = make(request());
+        const std::string holder = giveCopy();
+        const ProbeServers probe = probeOf(search.start(true, now));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), probe.servers.size());
+        CPPUNIT_ASSERT(probe.useNewConnections);
+        CPPUNIT_ASSERT_EQUAL(holder, probe.servers.front().info.id);
+        const SendAttempt next = found(search.onProbed(reports(probe), now));
+        CPPUNIT_ASSERT_EQUAL(holder, next.server.info.id);
+        CPPUNIT_ASSERT(next.fromCopy);
+    }
+
+    // The copy may be needed if nothing else takes the run.
+    void silentCopyHolderGetsNoRun()
+    {
+        ServerSearch search = make(request());
+        giveCopy();
+        probeOf(search.start(true, now));
+        const ProbeServers candidates = probeOf(search.onProbed({}, now));
+        CPPUNIT_ASSERT(candidates.servers.size() > 1);
+        CPPUNIT_ASSERT(m_copier.hasUsableCopy(now));
+        CPPUNIT_ASSERT(!found(search.onProbed(reports(candidates), now)).fromCopy);
+    }
+
+    void copyHolderInAPauseGetsNoRun()
+    {
+        ServerSearch search = make(request());
+        giveCopy();
+        std::vector<ServerProbeResult> answers = reports(probeOf(search.start(true, now)));
+        answers.front().isTurnedAway = true;
+        CPPUNIT_ASSERT(probeOf(search.onProbed(answers, now)).servers.size() > 1);
+    }
+
+    // Guards against resuming from a copy that is of no use any more.
+    void copyHolderThatLeavesMeanwhileGetsNoRun()
+    {
+        ServerSearch search = make(request());
+        const std::string holder = giveCopy();
+        const ProbeServers probe = probeOf(search.start(true, now));
+        sayLeaving(holder);
+        CPPUNIT_ASSERT(!isAmong(probeOf(search.onProbed(reports(probe), now)).servers, holder));
+    }
+
+    void returningCallerIsSentToItsPrompt()
+    {
+        ServerSearch search = make(returning());
+        const ProbeServers probe = probeOf(search.start(false, now));
+        CPPUNIT_ASSERT(probe.subject == ProbeServers::Subject::Prompt);
+        CPPUNIT_ASSERT(search.isProbingPrompt());
+        std::vector<ServerProbeResult> answers = reports(probe);
+        answers.back().hasPrompt = true;
+        CPPUNIT_ASSERT_EQUAL(answers.back().serverId,
+                             found(search.onProbed(answers, now)).server.info.id);
+    }
+
+    void leavingServerWithThePromptIsNotChosen()
+    {
+        ServerSearch search = make(returning());
+        std::vector<ServerProbeResult> answers = reports(probeOf(search.start(false, now)));
+        answers.front().hasPrompt = true;
+        sayLeaving(answers.front().serverId);
+        const ProbeServers candidates = probeOf(search.onProbed(answers, now));
+        CPPUNIT_ASSERT(candidates.subject == ProbeServers::Subject::Load);
+        CPPUNIT_ASSERT(!isAmong(candidates.servers, answers.front().serverId));
+    }
+
+    // Guards against a probe for the prompt before each further attempt of the run.
+    void laterAttemptDoesNotLookForThePrompt()
+    {
+        m_triedIds.emplace_back("a1");
+        ServerSearch search = make(returning());
+        const ProbeServers probe = probeOf(search.start(false, now));
+        CPPUNIT_ASSERT(probe.subject == ProbeServers::Subject::Load);
+        CPPUNIT_ASSERT(!isAmong(probe.servers, "a1"));
+    }
+
+    // Guards against processing a prompt that only delays other runs.
+    void runThatCannotFinishIsNotPlaced()
+    {
+        const ForwardRequest one = request();
+        m_affordableTokens = one.promptTokens - 1;
+        ServerSearch search = make(one);
+        const ServerSearch::Step step = search.start(false, now);
+        CPPUNIT_ASSERT(std::get<ServerSearch::Failure>(step) == ServerSearch::Failure::NoTime);
+        CPPUNIT_ASSERT(!search.isActive());
+        giveCopy();
+        CPPUNIT_ASSERT(found(search.start(false, now)).fromCopy);
+    }
+
+    // Guards against refusing a run of which only the last events are missing.
+    void foundPromptTakesNoTime()
+    {
+        m_affordableTokens = 0;
+        ServerSearch search = make(returning());
+        std::vector<ServerProbeResult> answers = reports(probeOf(search.start(false, now)));
+        answers.front().hasPrompt = true;
+        found(search.onProbed(answers, now));
+    }
+
+    void searchWithoutServersFails()
+    {
+        for (const char *id : {"a1", "a2", "b1", "b2", "c1", "c2"})
+            sayLeaving(id);
+        ServerSearch search = make(request());
+        const ServerSearch::Step step = search.start(false, now);
+        CPPUNIT_ASSERT(std::get<ServerSearch::Failure>(step) == ServerSearch::Failure::NoServer);
+    }
+
+    // Guards against a candidate of an earlier search that counts as silent in the next one.
+    void searchThatWasGivenUpIsNotActive()
+    {
+        ServerSearch search = make(request());
+        probeOf(search.start(false, now));
+        CPPUNIT_ASSERT(search.isActive());
+        search.end();
+        CPPUNIT_ASSERT(!search.isActive());
+        CPPUNIT_ASSERT(m_placement.unresponsiveIds().empty());
+    }
+
+private:
+    ServerSearch make(const ForwardRequest &request)
+    {
+        m_request = request;
+        return ServerSearch(m_request, m_placement, m_admittedPlacer, m_copier, m_canBeProbed,
+                            [this](std::uint64_t promptTokens, TimePoint) {
+                                return promptTokens <= m_affordableTokens;
+                            });
+    }
+
+    /// \brief The request of a caller that has a part of the answer.
+    ForwardRequest returning() const
+    {
+        ForwardRequest one = request();
+        one.lastEventId = 40;
+        return one;
+    }
+
+    /// \brief A run at the server `a1` has sent an event. Returns the id of its copy's holder.
+    std::string giveCopy()
+    {
+        SendAttempt attempt;
+        attempt.server = *servers.server("a1", now);
+        m_progress.start(false, now);
+        m_copier.start(attempt, now);
+        m_progress.recordEvent(now);
+        return m_copier.holder().value().info.id;
+    }
+
+    static ProbeServers probeOf(const ServerSearch::Step &step)
+    {
+        CPPUNIT_ASSERT(std::holds_alternative<ProbeServers>(step));
+        return std::get<ProbeServers>(step);
+    }
+
+    static SendAttempt found(const ServerSearch::Step &step)
+    {
+        CPPUNIT_ASSERT(std::holds_alternative<SendAttempt>(step));
+        return std::get<SendAttempt>(step);
+    }
+
+    static std::vector<ServerProbeResult> reports(const ProbeServers &probe)
+    {
+        std::vector<ServerProbeResult> all;
+        for (const BackendState &server : probe.servers)
+            all.push_back({server.info.id, {}, false, 0});
+        return all;
+    }
+
+    static bool isAmong(const std::vector<BackendState> &servers, const std::string &id)
+    {
+        return std::any_of(servers.begin(), servers.end(),
+                           [&id](const BackendState &server) { return server.info.id == id; });
+    }
+
+    const HttpRoute m_route = route(CallKind::Stream);
+    const ForwardContext m_context = context();
+    const std::string m_service = "engine";
+    std::vector<std::string> m_triedIds;
+    ForwardRequest m_request;
+    bool m_canBeProbed = true;
+    std::uint64_t m_affordableTokens = 100'000;
+    RunPlacement m_placement {m_context, m_service, m_triedIds};
+    AdmittedPlacer m_admittedPlacer {m_context, m_service};
+    RunProgress m_progress {m_route};
+    RunCopier m_copier {m_context, m_progress, m_placement, m_admittedPlacer, {true, true}};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ServerSearchTest);
