decisions: move the watch over an attempt's server from StreamSession to AttemptWatch

Cause: StreamSession decided when the server of the current attempt is probed, what its report shows and how long it may be silent, beside what becomes of the run then. Change: AttemptWatch has the watch and its state: the progress of the attempt, the probe in progress, what the latest report said, and until when a silent attempt is kept. It returns a probe or a finding; the session acts on the finding. No change of behaviour; existing tests are unchanged.

--- a/include/foxtailring/decisions/StreamSession.h
+++ b/include/foxtailring/decisions/StreamSession.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "foxtailring/decisions/AttemptWatch.h"
 #include "foxtailring/decisions/EventVerdict.h"
 #include "foxtailring/decisions/ForwardSession.h"
 #include "foxtailring/decisions/ResumeWait.h"
@@ -81,7 +82,7 @@
     ForwardAction conclude(ForwardAction action) const override;
     void onAttemptOver() override;
     bool hasOutlivedStart() const;
-    TimePoint lastSignAt(TimePoint) const override { return m_progress.lastContactAt(); }
+    TimePoint lastSignAt(TimePoint) const override { return m_watch.progress().lastContactAt(); }
     bool acceptsSuccessor() const override { return m_capabilities.isSingleService; }
     ForwardAction onOverdue(TimePoint now) override;
     TimePoint overdueAt() const override;
@@ -97,21 +98,14 @@
     ForwardAction sendRun(SendAttempt next, TimePoint now);
     void keepAsFallback(SendAttempt &next, TimePoint now);
     TimePoint silenceDueAt() const;
-    /// When the attempt is given up although its server answers probes.
-    TimePoint stuckAt() const;
-    bool isPresumedLost(TimePoint now) const;
-    ReportedStart reportedStart(TimePoint now) const;
     ForwardAction onSilent(TimePoint now);
-    ForwardAction onRunLost(const ServerProbeResult &report, TimePoint now);
     /// Looks for a server that can take the place of the current attempt, which goes on meanwhile.
     ForwardAction replaceAttempt(std::string_view cause, TimePoint now);
     /// Whether the budget allows a move away from a server that may go on with the run.
     bool mayMoveOnBelief(TimePoint now) const;
     /// Whether the attempt at a silent server may still lead to a whole answer.
     bool mayOutlastSilence(TimePoint now) const;
-    /// True if the attempt goes on although its server is silent.
-    bool isKeptSilent() const { return m_replaceAt != TimePoint {}; }
-    void recordSign(TimePoint now);
+    ForwardAction onWatched(AttemptWatch::Finding finding, TimePoint now);
     /// Goes on with the attempt at a silent server, since no other server can take its place.
     ForwardAction keepSilentAttempt(TimePoint now);
     /// What a quarantine does to the next attempt; none: it may be sent.
@@ -121,7 +115,7 @@
 
     const EngineCapabilities m_capabilities;
     RunPlacement m_placement;
-    RunProgress m_progress;         ///< of the current attempt
+    AttemptWatch m_watch;           ///< of the current attempt
     RunProgress m_fallbackProgress; ///< of the fallback
     RunCopier m_copier;             ///< of the current run
     ServerSearch m_search;          ///< for the next attempt's server
@@ -133,16 +127,8 @@
     std::optional<std::int64_t> m_lastEventId;
     bool m_hasStarted = false;
     bool m_hasEmptyEnd = false; ///< an attempt ended in order without an event
-    /// The latest report of the current server shows that it does not work on the run.
-    bool m_isRunUnlisted = false;
-    bool m_isStartUnconfirmed = false; ///< by the latest report of the current server
-    TimePoint m_fallbackEndsAt;        ///< at the latest
-    TimePoint m_probedAt;
-    /// The attempt was the fallback, which is not probed, so it is probed before it is given up.
-    bool m_isUnwatched = false;
-    bool m_isProbing = false;   ///< a probe of the current server is in progress
+    TimePoint m_fallbackEndsAt; ///< at the latest
     bool m_isReplacing = false; ///< looking for a server while the attempt goes on
-    TimePoint m_replaceAt;      ///< not before then
     TimePoint m_movableSince;   ///< the attempt is to be replaced since; 0: it is not
     std::string_view m_cause;   ///< of the next attempt
 };
--- a/src/decisions/StreamSession.cpp
+++ b/src/decisions/StreamSession.cpp
@@ -15,17 +15,8 @@
 
 namespace {
 
-// Two round trips between regions: one to connect, one for the answer.
-constexpr milliseconds probeTimeout {120};
 // Few outputs are shorter than this fraction of what their request allows.
 constexpr double minOutputFraction = 0.4;
-// A server without a sign of life for longer has failed.
-constexpr std::chrono::seconds maxServerPause {5};
-// The same for a run without an event. Its caller can still be refused and try again, so it is held
-// for no more than twice the pauses that sound servers make.
-constexpr milliseconds maxPromptPause {2000};
-// Interval of looking for another server while a run's server is silent.
-constexpr milliseconds replaceRetryInterval {500};
 // Sound servers are silent for 1.5 s, and a move is wanted 0.3 s to 0.6 s after the last contact.
 constexpr milliseconds reserveTime {1000};
 // After a round of rejections, the next server is asked this much later.
@@ -33,9 +24,6 @@
 // Two servers may work on one run for 400 ms. A fallback whose server may work on it is ended by
 // then, unless the next server has rejected the run; engines reject at once.
 constexpr milliseconds maxOverlap {250};
-// A doubtful server is abandoned after this time without contact.
-constexpr milliseconds maxDoubtfulSilence {350};
-
 // A server that sends this many events clears the prompt for all other requests.
 constexpr std::uint32_t outlivedEvents = 3;
 
@@ -46,10 +34,11 @@
     : ForwardSession(route, request, context)
     , m_capabilities(capabilities)
     , m_placement(this->context(), service(), triedIds())
-    , m_progress(route)
+    , m_watch(this->context(), route, this->request(), service(), admittedPlacer(),
+              capabilities.canBeProbed)
     , m_fallbackProgress(route)
     , m_copier(
-          this->context(), m_progress, m_placement, admittedPlacer(),
+          this->context(), m_watch.progress(), m_placement, admittedPlacer(),
           {capabilities.canCopyContinuously && route.isResumable, capabilities.canCopyOnDemand})
     , m_search(this->request(), m_placement, admittedPlacer(), m_copier, capabilities.canBeProbed,
                [this](std::uint64_t promptTokens, TimePoint now) {
@@ -67,21 +56,18 @@
         return EventVerdict::Duplicate;
     if (isBeyondGap(id))
         return EventVerdict::Gap;
-    if (m_progress.isPrefilling())
+    if (m_watch.progress().isPrefilling())
         context().latency.recordFirstEvent(service(), request().promptTokens, now - sentAt());
     if (hasServer())
         context().servers.recordContact(server().info.id, now);
     recordSignOfLife();
-    m_progress.recordEvent(now);
+    m_watch.recordEvent(now);
     m_wait.recordEvent(now);
-    if (m_progress.eventCount() == outlivedEvents)
+    if (m_watch.progress().eventCount() == outlivedEvents)
         context().quarantine.recordStart(request().sharedPromptParts, now);
     m_hasStarted = true;
-    m_isProbing = false;
-    m_isUnwatched = false;
     if (std::exchange(m_isReplacing, false))
         m_search.end();
-    m_replaceAt = {};
     m_movableSince = {};
     releaseFallback();
     m_lastEventId = id;
@@ -91,7 +77,7 @@
 void StreamSession::onPartialEvent(TimePoint now)
 {
     recordSignOfLife();
-    m_progress.recordPartialEvent(now);
+    m_watch.recordPartialEvent(now);
 }
 
 bool StreamSession::onFallbackEvent(std::int64_t id, TimePoint now)
@@ -118,12 +104,9 @@
 {
     m_search.end();
     m_isReplacing = false;
-    m_isProbing = false;
-    m_isRunUnlisted = false;
-    m_replaceAt = {};
     m_movableSince = {};
     m_copier.restart(now);
-    m_progress = m_fallbackProgress;
+    m_watch.resume(m_fallbackProgress);
     resumeFallback();
 }
 
@@ -133,7 +116,7 @@
     if (!hasFallback())
         return action;
     returnToFallback(now);
-    m_isUnwatched = true;
+    m_watch.requireProbe();
     keepSilentAttempt(now);
     return ResumeFallback {};
 }
@@ -161,12 +144,12 @@
 {
     if (std::exchange(m_isReplacing, false))
         m_search.end();
-    m_replaceAt = {};
+    m_watch.endKeeping();
 }
 
 bool StreamSession::hasOutlivedStart() const
 {
-    return m_progress.eventCount() >= outlivedEvents;
+    return m_watch.progress().eventCount() >= outlivedEvents;
 }
 
 // A run produces at least one event, unless its caller already had the last one when it was
@@ -174,7 +157,7 @@
 // server confirms it.
 bool StreamSession::confirmEnd()
 {
-    return m_progress.hasEvents() || std::exchange(m_hasEmptyEnd, true);
+    return m_watch.progress().hasEvents() || std::exchange(m_hasEmptyEnd, true);
 }
 
 ForwardAction StreamSession::onFinished(TimePoint now)
@@ -183,8 +166,8 @@
         context().quarantine.recordStart(request().sharedPromptParts, now);
     if (hasServer())
         context().servers.recordAnswer(server().info.id, false, now);
-    if (m_progress.meanEventInterval() > Duration {0})
-        context().latency.recordEventInterval(service(), m_progress.meanEventInterval());
+    if (m_watch.progress().meanEventInterval() > Duration {0})
+        context().latency.recordEventInterval(service(), m_watch.progress().meanEventInterval());
     releaseServer();
     m_copier.dropCopy();
     return KeepWaiting {};
@@ -250,15 +233,10 @@
     m_search.end();
     m_wait.end();
     m_hasRetry = false;
-    m_replaceAt = {};
     m_movableSince = {};
     next.cause = m_cause;
     next.lastEventId = m_lastEventId;
-    m_progress.start(next.fromCopy.has_value(), now);
-    m_isProbing = false;
-    m_isUnwatched = false;
-    m_isRunUnlisted = false;
-    m_isStartUnconfirmed = false;
+    m_watch.start(next.fromCopy.has_value(), now);
     m_copier.start(next, now);
     return send(std::move(next), now);
 }
@@ -270,8 +248,8 @@
     if (hasFallback())
         return countPossibleRun();
     next.keepsLatest = true;
-    m_fallbackProgress = m_progress;
-    m_fallbackEndsAt = m_isRunUnlisted ? TimePoint::max() : now + maxOverlap;
+    m_fallbackProgress = m_watch.progress();
+    m_fallbackEndsAt = m_watch.isRunUnlisted() ? TimePoint::max() : now + maxOverlap;
 }
 
 ForwardAction StreamSession::onCopied(const CopyRun &copyRun, std::optional<std::string> handle,
@@ -355,30 +333,12 @@
         releaseFallback();
     if (now < silenceDueAt())
         return now < m_copier.checkAt() ? KeepWaiting {}
-                                        : m_copier.check(server(), !m_isProbing, now);
-    if (!m_isUnwatched && (now >= stuckAt() || isPresumedLost(now)))
-        return onSilent(now);
-    // The probe in progress decides.
-    if (m_isProbing)
-        return KeepWaiting {};
-    // Without a probe, only the time limit for the next event remains.
-    if (!m_capabilities.canBeProbed)
-        m_isUnwatched = false;
-    const bool mayAsk = m_capabilities.canBeProbed && tryAcquire(server().info.id, now);
-    if (!mayAsk && isKeptSilent())
-        return onSilent(now);
-    if (!mayAsk) {
-        m_progress.recordContact(now);
-        return KeepWaiting {};
-    }
-    ProbeServers probe;
-    probe.servers = {server()};
-    probe.timeout = probeTimeout;
-    probe.useNewConnections = true;
-    m_isProbing = true;
+                                        : m_copier.check(server(), !m_watch.isProbing(), now);
+    const AttemptWatch::Step step = m_watch.check(server(), sentAt(), now);
+    if (const auto *finding = std::get_if<AttemptWatch::Finding>(&step))
+        return onWatched(*finding, now);
     m_copier.abandonProbe();
-    m_probedAt = now;
-    return probe;
+    return std::get<ProbeServers>(step);
 }
 
 ForwardAction StreamSession::onProbed(std::span<const ServerProbeResult> reports, TimePoint now)
@@ -394,53 +354,37 @@
         return KeepWaiting {};
     }
     // An event arrived meanwhile, or the attempt has ended.
-    if (!m_isProbing || !hasServer())
-        return KeepWaiting {};
-    m_isProbing = false;
-    m_isUnwatched = false;
-    if (m_progress.lastContactAt() > m_probedAt)
+    if (!m_watch.isProbing() || !hasServer())
         return KeepWaiting {};
-    if (reports.empty()) {
-        m_isRunUnlisted = false;
+    return onWatched(m_watch.onProbed(server(), reports, m_lastEventId.value_or(0), now), now);
+}
+
+ForwardAction StreamSession::onWatched(AttemptWatch::Finding finding, TimePoint now)
+{
+    switch (finding) {
+    case AttemptWatch::Finding::Open:
+        break;
+    case AttemptWatch::Finding::Working:
+        m_movableSince = {};
+        recordSignOfLife();
+        break;
+    case AttemptWatch::Finding::Unanswered:
         suspectCrash(now);
         return onSilent(now);
-    }
-    if (reports.front().isTurnedAway) {
-        recordSign(now);
-        return KeepWaiting {};
-    }
-    const ReportedStart start =
-        reports.front().hasRun ? ReportedStart::Accepted : reportedStart(now);
-    if (start == ReportedStart::Restarted)
+    case AttemptWatch::Finding::Silent:
+        return onSilent(now);
+    case AttemptWatch::Finding::Restarted:
         return onAttemptEnded(AttemptResult::Silent, now);
-    // The next probe, at once, confirms the later start or shows that it was wrong.
-    if (!std::exchange(m_isStartUnconfirmed, start == ReportedStart::Unconfirmed)
-        && start == ReportedStart::Unconfirmed)
-        return KeepWaiting {};
-    m_isRunUnlisted =
-        m_progress.hasEvents() && reports.front().listsRuns && !reports.front().hasRun;
-    if (m_progress.isLostBy(reports.front(), m_lastEventId.value_or(0), m_probedAt, now))
-        return onRunLost(reports.front(), now);
-    const BackendLoadReport &load = reports.front().load;
-    m_progress.recordPrompts(load.prefilling + load.waiting);
-    recordSign(now);
+    case AttemptWatch::Finding::Unlisted:
+        return replaceAttempt("unlisted", now);
+    }
     return KeepWaiting {};
 }
 
-// The current server showed that it works.
-void StreamSession::recordSign(TimePoint now)
-{
-    m_replaceAt = {};
-    m_movableSince = {};
-    recordSignOfLife();
-    m_progress.recordContact(now);
-}
-
 // A sound server may pause for a second or more, so the attempt goes on until another one takes its
 // place or the pause is too long.
 ForwardAction StreamSession::onSilent(TimePoint now)
 {
-    m_isProbing = false;
     if (!mayOutlastSilence(now))
         return onAttemptEnded(AttemptResult::Silent, now);
     recordServerFailure(lastSignAt(now), now);
@@ -490,47 +434,17 @@
 // end too late.
 bool StreamSession::mayOutlastSilence(TimePoint now) const
 {
-    const Duration silence = now - m_progress.lastContactAt();
-    if (m_hasStarted)
-        return silence < maxServerPause;
-    return silence < maxPromptPause && canFinishInTime(0, now);
+    return m_watch.mayOutlastSilence(m_hasStarted, now)
+        && (m_hasStarted || canFinishInTime(0, now));
 }
 
 ForwardAction StreamSession::keepSilentAttempt(TimePoint now)
 {
     m_search.end();
-    m_replaceAt = now + replaceRetryInterval;
+    m_watch.keepSilent(now);
     return KeepWaiting {};
 }
 
-// A report proves little: it lags, the request or events may be on their way, and a run that was
-// preempted waits unlisted. So the attempt goes on until another one takes its place.
-ForwardAction StreamSession::onRunLost(const ServerProbeResult &report, TimePoint now)
-{
-    if (!RunProgress::mayWaitUnlisted(report))
-        return onSilent(now);
-    m_progress.recordContact(now);
-    m_progress.recordWaiting(now);
-    return replaceAttempt("unlisted", now);
-}
-
-// What the current server's reports say. What others say about it ends no run.
-ReportedStart StreamSession::reportedStart(TimePoint now) const
-{
-    const auto current = context().servers.server(server().info.id, now);
-    return current ? current->reportedStart : ReportedStart::Accepted;
-}
-
-// True if the server is doubtful or suspected, sent no event yet, and there was no contact for too
-// long. An attempt that is kept all the same is judged by its probes.
-bool StreamSession::isPresumedLost(TimePoint now) const
-{
-    const auto current = context().servers.server(server().info.id, now);
-    const bool isDoubtful = current && current->health != BackendHealth::Healthy;
-    return isDoubtful && !m_progress.hasEvents() && !isKeptSilent()
-        && now - m_progress.lastContactAt() >= maxDoubtfulSilence;
-}
-
 TimePoint StreamSession::overdueAt() const
 {
     // The probe in progress decides.
@@ -542,20 +456,7 @@
 
 TimePoint StreamSession::silenceDueAt() const
 {
-    if (!route().allowsRetry())
-        return deadline();
-    const TimePoint silentAt =
-        m_isProbing ? TimePoint::max() : m_progress.lastContactAt() + m_progress.silenceThreshold();
-    const TimePoint givenUpAt = m_isUnwatched ? TimePoint::max() : stuckAt();
-    return std::max(std::min(givenUpAt, silentAt), m_replaceAt);
-}
-
-TimePoint StreamSession::stuckAt() const
-{
-    const Duration maxFirstEventDelay = m_progress.isPrefilling()
-        ? context().latency.maxFirstEventDelay(service(), request().promptTokens)
-        : Duration {0};
-    return m_progress.stuckAt(sentAt(), maxFirstEventDelay);
+    return route().allowsRetry() ? m_watch.dueAt(sentAt()) : deadline();
 }
 
 // A stream that has begun cannot be answered any more.
