gateway: move the orders for copies of a run from RequestRelay to CopyOrderSender

The orders for copies, their time limit and answers that come too late have a state of their own and touch the relay only where the outcome is told to the session. The relay stays the owner that answers in progress look for. No change of behaviour; existing tests are unchanged.

--- a/src/gateway/RequestRelay.cpp
+++ b/src/gateway/RequestRelay.cpp
@@ -25,23 +25,6 @@
 constexpr milliseconds memoryRetryAfter {500};
 constexpr milliseconds minTimerDelay {5};
 
-// An answer that comes later is not read. Engines keep a snapshot for 4 s at least, counted from
-// the order, of which the time limit of an order is 1.5 s.
-constexpr milliseconds lateCopyAnswerTime {2500};
-
-// The copy that \a response names belongs to a request that is over.
-void releaseUnused(GatewayParts &parts, const std::string &requestId, const CopyRun &command,
-                   const HttpResponse &response)
-{
-    const auto handle = parts.codec.decodeCopyResponse(response);
-    if (!handle)
-        return;
-    parts.metrics.add("gateway_copies_total{outcome=\"late\"}");
-    const BackendInfo &server = command.from.info;
-    if (parts.servers.acceptsNewWork(server.id))
-        parts.releaseCopy(requestId, {server.address, handle.value(), server.id});
-}
-
 bool isEventStream(const HttpResponse &head)
 {
     return head.header("Content-Type").starts_with("text/event-stream");
@@ -76,6 +59,7 @@
     , m_sender(parts.http, parts.codec, m_request, route, std::move(account))
     , m_memory(m_request.http.memory ? m_request.http.memory : parts.requestMemory.begin())
     , m_timer(parts.pool)
+    , m_copyOrders(parts, m_request.id, copyHooks())
 {
 }
 
@@ -130,7 +114,7 @@
     else if (const auto *probe = std::get_if<ProbeServers>(&action))
         probeServers(*probe);
     else if (const auto *command = std::get_if<CopyRun>(&action))
-        copyRun(*command);
+        m_copyOrders.send(*command, weak_from_this());
     else if (const auto *pass = std::get_if<PassAnswer>(&action))
         forwardAnswer(*pass);
     else if (const auto *refusal = std::get_if<Refuse>(&action))
@@ -197,78 +181,15 @@
     serverProbe->start();
 }
 
-// The order may be answered after its time limit, and after the end of the request, which does not
-// wait for it. Such an answer names a copy that nobody uses.
-void RequestRelay::copyRun(const CopyRun &command)
-{
-    const std::uint64_t order = ++m_copyOrderCount;
-    m_openCopyOrder = order;
-    const auto hook = [weak = weak_from_this(), &parts = m_parts, requestId = m_request.id, command,
-                       order](const Result<HttpResponse> &response) {
-        parts.queue.post([weak, &parts, requestId, command, order, response] {
-            if (response)
-                parts.recordPause(command.from.info, response.value());
-            const auto self = weak.lock();
-            if (self && !self->m_isFinished)
-                return self->guard([&] { self->onOrderAnswered(order, command, response); });
-            if (response)
-                releaseUnused(parts, requestId, command, response.value());
-        });
-    };
-    armCopyTimer(order, command);
-    m_parts.sendOrder(command.from.info.address,
-                      m_parts.codec.encodeCopyRequest(m_request.id, command.to.info.address),
-                      command.timeout + lateCopyAnswerTime, hook);
-}
-
-void RequestRelay::armCopyTimer(std::uint64_t order, const CopyRun &command)
-{
-    if (!m_copyTimer)
-        m_copyTimer.emplace(m_parts.pool);
-    m_copyTimer->once(command.timeout, [weak = weak_from_this(), &parts = m_parts, order, command] {
-        parts.queue.post([weak, order, command] {
-            const auto self = weak.lock();
-            if (!self || self->m_isFinished || self->m_openCopyOrder != order)
-                return;
-            self->m_openCopyOrder = 0;
-            self->guard([&] {
-                self->onRunCopied(command, Error {ErrorCode::Timeout, "no answer in time"});
-            });
-        });
-    });
-}
-
-void RequestRelay::onOrderAnswered(std::uint64_t order, const CopyRun &command,
-                                   const Result<HttpResponse> &response)
-{
-    if (m_openCopyOrder == order) {
-        m_openCopyOrder = 0;
-        m_copyTimer->cancel();
-        return onRunCopied(command, response);
-    }
-    auto handle = response ? m_parts.codec.decodeCopyResponse(response.value())
-                           : Result<std::string>(response.error());
-    if (!handle)
-        return;
-    m_parts.metrics.add("gateway_copies_total{outcome=\"late\"}");
-    m_stream->onLateCopy(command, std::move(handle).value());
-}
-
-void RequestRelay::onRunCopied(const CopyRun &command, const Result<HttpResponse> &response)
+CopyOrderSender::Hooks RequestRelay::copyHooks()
 {
-    auto handle = response ? m_parts.codec.decodeCopyResponse(response.value())
-                           : Result<std::string>(response.error());
-    StructuredLog::info("runCopied",
-                        {{"request", m_request.id},
-                         {"server", command.from.info.id},
-                         {"copyTo", command.to.info.id},
-                         {"error", handle ? "" : handle.error().message}});
-    m_parts.metrics.add(handle ? "gateway_copies_total{outcome=\"made\"}"
-                               : "gateway_copies_total{outcome=\"failed\"}");
-    std::optional<std::string> copyHandle;
-    if (handle)
-        copyHandle = std::move(handle).value();
-    perform(m_stream->onCopied(command, std::move(copyHandle), m_parts.clock()));
+    return {[this](const CopyRun &command, std::optional<std::string> handle) {
+                perform(m_stream->onCopied(command, std::move(handle), m_parts.clock()));
+            },
+            [this](const CopyRun &command, std::string handle) {
+                m_stream->onLateCopy(command, std::move(handle));
+            },
+            [this](std::string_view message) { onException(message); }};
 }
 
 void RequestRelay::onProbeResults(std::span<const ServerProbeResult> results)
@@ -552,6 +473,7 @@
 void RequestRelay::finish(std::string_view outcome, std::string_view cause, int status)
 {
     m_isFinished = true;
+    m_copyOrders.end();
     cancelFallback();
     m_timer.cancel();
     if (m_stream)
--- a/src/gateway/RequestRelay.h
+++ b/src/gateway/RequestRelay.h
@@ -10,6 +10,7 @@
 
 #include "AttemptSender.h"
 #include "CallerAnswer.h"
+#include "CopyOrderSender.h"
 #include "RequestReporter.h"
 #include "ServerAttempt.h"
 
@@ -54,11 +55,7 @@
     void perform(const ForwardAction &action);
     void send(const SendAttempt &next);
     void probeServers(const ProbeServers &probe);
-    void copyRun(const CopyRun &command);
-    void armCopyTimer(std::uint64_t order, const CopyRun &command);
-    void onOrderAnswered(std::uint64_t order, const CopyRun &command,
-                         const Result<HttpResponse> &response);
-    void onRunCopied(const CopyRun &command, const Result<HttpResponse> &response);
+    CopyOrderSender::Hooks copyHooks();
     void onProbeResults(std::span<const ServerProbeResult> results);
     void onHead(HttpResponse head);
     void onBody(std::string_view bytes);
@@ -107,9 +104,7 @@
     const AttemptSender m_sender;
     const std::shared_ptr<RequestMemory> m_memory;
     Timer m_timer;
-    std::optional<Timer> m_copyTimer;
-    std::uint64_t m_copyOrderCount = 0;
-    std::uint64_t m_openCopyOrder = 0; ///< number of the order that may still be used; 0: none
+    CopyOrderSender m_copyOrders;
     ServerAttempt m_attempt;
     ServerAttempt m_fallback; ///< an earlier attempt that goes on; number 0: none
     std::uint64_t m_attemptCount = 0;
