gateway: move the reading of servers' answers from RequestRelay to AnswerReader

Cause: RequestRelay decided for the current attempt and for the fallback, each in its own way, which kind of answer arrives, whether it is whole and what the failure of its connection means. Change: AnswerReader does this once for both; the size limit of a whole answer moves with it. No change of behaviour; existing tests are unchanged.

--- a/src/gateway/RequestRelay.cpp
+++ b/src/gateway/RequestRelay.cpp
@@ -1,6 +1,5 @@
 #include "RequestRelay.h"
 
-#include "foxtailring/base/StructuredLog.h"
 #include "foxtailring/transport/Endpoint.h"
 #include "foxtailring/transport/Http1Stream.h"
 #include "foxtailring/transport/RequestMemory.h"
@@ -19,27 +18,10 @@
 
 using std::chrono::milliseconds;
 
-// Limits the memory that a faulty server can make this process hold.
-constexpr std::size_t maxBufferedAnswerBytes = 16 * 1024 * 1024;
 // By then attempts with an oversized answer have been cancelled, which frees their memory.
 constexpr milliseconds memoryRetryAfter {500};
 constexpr milliseconds minTimerDelay {5};
 
-bool isEventStream(const HttpResponse &head)
-{
-    return head.header("Content-Type").starts_with("text/event-stream");
-}
-
-AttemptResult failureOf(const Error &error)
-{
-    if (error.code == ErrorCode::Unavailable)
-        return AttemptResult::NotSent;
-    // A server that acknowledges nothing is silent. Only a lost connection proves a crash.
-    if (error.code == ErrorCode::Timeout)
-        return AttemptResult::Silent;
-    return error.code == ErrorCode::Malformed ? AttemptResult::Invalid : AttemptResult::Lost;
-}
-
 } // namespace
 
 RequestRelay::RequestRelay(GatewayParts &parts, GatewayRequest request,
@@ -57,6 +39,7 @@
                     .make(m_request, arrivedAt, parts.forwardContext(m_request.id)))
     , m_stream(dynamic_cast<StreamSession *>(m_session.get()))
     , m_sender(parts.http, parts.codec, m_request, route, std::move(account))
+    , m_reader(parts.codec, m_request.http.method, m_stream != nullptr)
     , m_memory(m_request.http.memory ? m_request.http.memory : parts.requestMemory.begin())
     , m_timer(parts.pool)
     , m_copyOrders(parts, m_request.id, copyHooks())
@@ -221,13 +204,9 @@
 
 void RequestRelay::recordHead(ServerAttempt &attempt, HttpResponse head)
 {
-    attempt.hasHead = true;
-    attempt.answer = m_parts.codec.decodeAnswer(head);
-    attempt.head = std::move(head);
+    m_reader.readHead(attempt, std::move(head));
     if (attempt.answer.namesRateLimit)
         m_reporter.reportRateLimit(attempt);
-    attempt.isStreaming = m_stream && attempt.answer.isSuccess() && attempt.answer.isSigned
-        && !attempt.answer.isNotRun && isEventStream(attempt.head);
 }
 
 void RequestRelay::onFallbackHead(HttpResponse head)
@@ -240,28 +219,18 @@
 {
     if (m_fallback.isStreaming)
         return onFallbackEvents(bytes);
-    m_fallback.body += bytes;
-    if (m_fallback.body.size() > maxBufferedAnswerBytes || !updateHeldMemory("answer"))
+    if (!AnswerReader::readBody(m_fallback, bytes) || !updateHeldMemory("answer"))
         endFallback(AttemptResult::Invalid);
 }
 
 // The events are collected first, since the fallback is moved when it becomes the current attempt.
 void RequestRelay::onFallbackEvents(std::string_view bytes)
 {
-    struct Event
-    {
-        std::optional<std::int64_t> id;
-        std::string text;
-    };
-    std::vector<Event> events;
-    const bool isReadable =
-        m_fallback.events.feed(bytes, [&events](auto id, std::string_view text) {
-            events.push_back({id, std::string(text)});
-        });
-    if (!isReadable || !updateHeldMemory("stream"))
+    const auto events = AnswerReader::readEvents(m_fallback, bytes);
+    if (!events || !updateHeldMemory("stream"))
         return endFallback(AttemptResult::Invalid);
     const std::uint64_t number = m_fallback.number;
-    for (const Event &event : events) {
+    for (const StreamedEvent &event : *events) {
         const bool isWaiting = isFallback(number);
         if (isWaiting && (!event.id || m_stream->isBeyondGap(*event.id)))
             return endFallback(AttemptResult::Invalid);
@@ -278,9 +247,7 @@
     m_fallback.stream.reset();
     if (!result)
         return endFallback(recordConnectionError(m_fallback, result.error()));
-    if (isEmptyRun(m_fallback))
-        return endFallback(AttemptResult::Lost);
-    if (m_fallback.isStreaming && m_fallback.events.hasPartialEvent())
+    if (m_reader.isCutShort(m_fallback))
         return endFallback(AttemptResult::Lost);
     if (m_fallback.isStreaming) {
         if (!m_stream->onFallbackFinished(m_parts.clock()))
@@ -335,8 +302,7 @@
 void RequestRelay::onBody(std::string_view bytes)
 {
     if (!m_attempt.isStreaming) {
-        m_attempt.body += bytes;
-        if (m_attempt.body.size() > maxBufferedAnswerBytes || !updateHeldMemory("answer"))
+        if (!AnswerReader::readBody(m_attempt, bytes) || !updateHeldMemory("answer"))
             endAttempt(AttemptResult::Invalid);
         return;
     }
@@ -384,10 +350,10 @@
     m_attempt.stream.reset();
     if (!result)
         return endAttempt(recordConnectionError(m_attempt, result.error()));
+    if (m_reader.isCutShort(m_attempt))
+        return endAttempt(AttemptResult::Lost);
     if (m_attempt.isStreaming)
         return onStreamEnd();
-    if (isEmptyRun(m_attempt))
-        return endAttempt(AttemptResult::Lost);
     perform(m_session->onAnswer(m_attempt.answer, m_parts.clock()));
 }
 
@@ -398,21 +364,12 @@
     const bool isCut = error.code == ErrorCode::Unavailable || error.code == ErrorCode::Closed;
     if (isCut && !attempt.hasHead)
         m_parts.onConnectionFailed(attempt.serverId, attempt.endpoint);
-    return failureOf(error);
-}
-
-// A run has an output, so an empty success is not its answer.
-bool RequestRelay::isEmptyRun(const ServerAttempt &attempt) const
-{
-    const BackendAnswer &answer = attempt.answer;
-    const std::string &method = m_request.http.method;
-    return m_stream && !attempt.isStreaming && answer.status == 200 && !answer.isNotRun
-        && attempt.body.empty() && method != "HEAD" && method != "OPTIONS";
+    return AnswerReader::failureOf(error);
 }
 
 void RequestRelay::onStreamEnd()
 {
-    if (m_attempt.events.hasPartialEvent() || !m_stream->confirmEnd())
+    if (!m_stream->confirmEnd())
         return endAttempt(AttemptResult::Lost);
     m_answer.startStream(m_attempt);
     perform(m_stream->onFinished(m_parts.clock()));
--- a/src/gateway/RequestRelay.h
+++ b/src/gateway/RequestRelay.h
@@ -8,6 +8,7 @@
 #include "foxtailring/transport/HttpResponse.h"
 #include "foxtailring/transport/Timer.h"
 
+#include "AnswerReader.h"
 #include "AttemptSender.h"
 #include "CallerAnswer.h"
 #include "CopyOrderSender.h"
@@ -66,7 +67,6 @@
     void onClosed(const Result<Done> &result);
     /// A connection to the server of the attempt failed; returns what became of the attempt.
     AttemptResult recordConnectionError(const ServerAttempt &attempt, const Error &error);
-    bool isEmptyRun(const ServerAttempt &attempt) const;
     void onStreamEnd();
     void endAttempt(AttemptResult result);
     bool isFallback(std::uint64_t number) const;
@@ -102,6 +102,7 @@
     const std::unique_ptr<ForwardSession> m_session;
     StreamSession *const m_stream; ///< m_session if the answer is a stream, else null
     const AttemptSender m_sender;
+    const AnswerReader m_reader;
     const std::shared_ptr<RequestMemory> m_memory;
     Timer m_timer;
     CopyOrderSender m_copyOrders;
