tests: let clang compile RunCopierTest

Cause: a const vector without an initializer deletes the default constructor of the fixture in clang, which the linter uses; gcc accepts it. Change: the member is not const. Measured: before, clang-tidy reported "call to implicitly-deleted default constructor of 'RunCopierTest'"; now RunCopierTest 12 OK. Conclusion: test code only.

--- a/tests/decisions/RunCopierTest.cpp
+++ b/tests/decisions/RunCopierTest.cpp
@@ -219,7 +219,7 @@
     const HttpRoute m_route = route(CallKind::Stream);
     const ForwardContext m_context = context();
     const std::string m_service = "engine";
-    const std::vector<std::string> m_triedIds;
+    std::vector<std::string> m_triedIds;
     RunPlacement m_placement {m_context, m_service, m_triedIds};
     AdmittedPlacer m_admittedPlacer {m_context, m_service};
     RunProgress m_progress {m_route};
