gateway: move the attempts in progress from RequestRelay to OpenAttempts

Cause: RequestRelay kept the current attempt, the fallback and their numbers in three members, and each place that replaced one of them had to close its connection first. Change: OpenAttempts owns both attempts; starting, keeping, resuming and ending one closes what it replaces. No change of behaviour; existing tests are unchanged.

--- a/src/gateway/RequestRelay.cpp
+++ b/src/gateway/RequestRelay.cpp
@@ -110,30 +110,25 @@
 
 void RequestRelay::send(const SendAttempt &next)
 {
-    if (next.keepsLatest) {
-        cancelFallback();
-        m_fallback = std::exchange(m_attempt, ServerAttempt {});
-    }
-    cancelAttempt();
+    if (next.keepsLatest)
+        m_attempts.keepCurrent();
+    m_attempts.endCurrent();
     const auto endpoint = Endpoint::parse(next.server.info.address);
     if (!endpoint)
         return perform(m_session->onAttemptEnded(AttemptResult::NotSent, m_parts.clock()));
-    m_attempt = ServerAttempt {};
-    m_attempt.number = ++m_attemptCount;
-    if (!m_stream && m_attemptCount == 1)
+    ServerAttempt &attempt = m_attempts.begin(next.server.info.id, endpoint.value());
+    attempt.isFromCopy = next.fromCopy.has_value();
+    if (!m_stream && m_attempts.count() == 1)
         m_parts.answerTimes.begin(m_route.name, m_arrivedAt);
-    m_attempt.serverId = next.server.info.id;
-    m_attempt.endpoint = endpoint.value();
-    m_attempt.isFromCopy = next.fromCopy.has_value();
-    m_reporter.reportAttempt(next, m_attemptCount);
-    const auto post = attemptPoster(m_attempt.number);
+    m_reporter.reportAttempt(next, m_attempts.count());
+    const auto post = attemptPoster(attempt.number);
     StreamHooks hooks;
-    hooks.onHead = [self = shared_from_this(), number = m_attempt.number,
+    hooks.onHead = [self = shared_from_this(), number = attempt.number,
                     info = next.server.info](const HttpResponse &response) {
         self->m_parts.queue.post([self, number, info, response] {
-            if (!self->m_isFinished && self->m_attempt.number == number)
+            if (!self->m_isFinished && self->m_attempts.isCurrent(number))
                 self->onHead(response);
-            else if (!self->m_isFinished && self->isFallback(number))
+            else if (!self->m_isFinished && self->m_attempts.isFallback(number))
                 self->onFallbackHead(response);
             else
                 self->m_parts.recordPause(info, response);
@@ -148,7 +143,7 @@
         post([result](RequestRelay &self) { self.onClosed(result); },
              [result](RequestRelay &self) { self.onFallbackClosed(result); });
     };
-    m_attempt.stream = m_sender.send(next, endpoint.value(), std::move(hooks));
+    attempt.stream = m_sender.send(next, endpoint.value(), std::move(hooks));
 }
 
 void RequestRelay::probeServers(const ProbeServers &probe)
@@ -177,7 +172,8 @@
 
 void RequestRelay::onProbeResults(std::span<const ServerProbeResult> results)
 {
-    m_reporter.reportProbe(results, m_attempt.number, m_stream->lastEventId().value_or(0));
+    m_reporter.reportProbe(results, m_attempts.current().number,
+                           m_stream->lastEventId().value_or(0));
     perform(m_session->onProbed(results, m_parts.clock()));
 }
 
@@ -189,19 +185,14 @@
             [self, number, task = std::move(task), fallbackTask = std::move(fallbackTask)] {
                 if (self->m_isFinished)
                     return;
-                if (self->m_attempt.number == number)
+                if (self->m_attempts.isCurrent(number))
                     self->guard([&self, &task] { task(*self); });
-                else if (self->isFallback(number))
+                else if (self->m_attempts.isFallback(number))
                     self->guard([&self, &fallbackTask] { fallbackTask(*self); });
             });
     };
 }
 
-bool RequestRelay::isFallback(std::uint64_t number) const
-{
-    return m_fallback.number != 0 && m_fallback.number == number;
-}
-
 void RequestRelay::recordHead(ServerAttempt &attempt, HttpResponse head)
 {
     m_reader.readHead(attempt, std::move(head));
@@ -211,32 +202,32 @@
 
 void RequestRelay::onFallbackHead(HttpResponse head)
 {
-    recordHead(m_fallback, std::move(head));
-    m_session->onFallbackHead(m_fallback.answer, m_parts.clock());
+    recordHead(m_attempts.fallback(), std::move(head));
+    m_session->onFallbackHead(m_attempts.fallback().answer, m_parts.clock());
 }
 
 void RequestRelay::onFallbackBody(std::string_view bytes)
 {
-    if (m_fallback.isStreaming)
+    if (m_attempts.fallback().isStreaming)
         return onFallbackEvents(bytes);
-    if (!AnswerReader::readBody(m_fallback, bytes) || !updateHeldMemory("answer"))
+    if (!AnswerReader::readBody(m_attempts.fallback(), bytes) || !updateHeldMemory("answer"))
         endFallback(AttemptResult::Invalid);
 }
 
 // The events are collected first, since the fallback is moved when it becomes the current attempt.
 void RequestRelay::onFallbackEvents(std::string_view bytes)
 {
-    const auto events = AnswerReader::readEvents(m_fallback, bytes);
+    const auto events = AnswerReader::readEvents(m_attempts.fallback(), bytes);
     if (!events || !updateHeldMemory("stream"))
         return endFallback(AttemptResult::Invalid);
-    const std::uint64_t number = m_fallback.number;
+    const std::uint64_t number = m_attempts.fallback().number;
     for (const StreamedEvent &event : *events) {
-        const bool isWaiting = isFallback(number);
+        const bool isWaiting = m_attempts.isFallback(number);
         if (isWaiting && (!event.id || m_stream->isBeyondGap(*event.id)))
             return endFallback(AttemptResult::Invalid);
         if (isWaiting && m_stream->onFallbackEvent(*event.id, m_parts.clock()))
             resumeFallback("event");
-        if (m_attempt.number == number && !m_isFinished)
+        if (m_attempts.isCurrent(number) && !m_isFinished)
             onEvent(event.id, event.text);
     }
     armTimer();
@@ -244,89 +235,81 @@
 
 void RequestRelay::onFallbackClosed(const Result<Done> &result)
 {
-    m_fallback.stream.reset();
+    m_attempts.fallback().stream.reset();
     if (!result)
-        return endFallback(recordConnectionError(m_fallback, result.error()));
-    if (m_reader.isCutShort(m_fallback))
+        return endFallback(recordConnectionError(m_attempts.fallback(), result.error()));
+    if (m_reader.isCutShort(m_attempts.fallback()))
         return endFallback(AttemptResult::Lost);
-    if (m_fallback.isStreaming) {
+    if (m_attempts.fallback().isStreaming) {
         if (!m_stream->onFallbackFinished(m_parts.clock()))
             return endFallback(AttemptResult::Lost);
         resumeFallback("end");
         return onClosed(result);
     }
-    perform(m_session->onFallbackAnswer(m_fallback.answer, m_parts.clock()));
-    cancelFallback();
+    perform(m_session->onFallbackAnswer(m_attempts.fallback().answer, m_parts.clock()));
+    m_attempts.endFallback();
 }
 
 void RequestRelay::endFallback(AttemptResult result)
 {
-    m_reporter.reportFailure(m_fallback, result);
-    cancelFallback();
+    m_reporter.reportFailure(m_attempts.fallback(), result);
+    m_attempts.endFallback();
     perform(m_session->onFallbackEnded(result, m_parts.clock()));
 }
 
 void RequestRelay::resumeFallback(std::string_view cause)
 {
-    cancelAttempt();
-    m_attempt = std::exchange(m_fallback, ServerAttempt {});
-    m_reporter.reportFallbackResumed(m_attempt, cause);
+    m_attempts.resumeFallback();
+    m_reporter.reportFallbackResumed(m_attempts.current(), cause);
 }
 
 // Its server must not work on the run beside that of the next attempt.
 void RequestRelay::delayAttempt(const DelayAttempt &delay)
 {
-    cancelAttempt();
+    m_attempts.endCurrent();
     m_reporter.reportDelay(delay, m_session->service());
 }
 
 void RequestRelay::updateFallback()
 {
-    if (!m_isFinished && m_fallback.number != 0 && !m_session->hasFallback())
-        cancelFallback();
-}
-
-void RequestRelay::cancelFallback()
-{
-    if (const auto stream = std::exchange(m_fallback.stream, nullptr))
-        stream->cancel();
-    m_fallback = ServerAttempt {};
+    if (!m_isFinished && m_attempts.hasFallback() && !m_session->hasFallback())
+        m_attempts.endFallback();
 }
 
 void RequestRelay::onHead(HttpResponse head)
 {
-    recordHead(m_attempt, std::move(head));
-    m_session->onHead(m_attempt.answer, m_parts.clock());
+    recordHead(m_attempts.current(), std::move(head));
+    m_session->onHead(m_attempts.current().answer, m_parts.clock());
 }
 
 void RequestRelay::onBody(std::string_view bytes)
 {
-    if (!m_attempt.isStreaming) {
-        if (!AnswerReader::readBody(m_attempt, bytes) || !updateHeldMemory("answer"))
+    if (!m_attempts.current().isStreaming) {
+        if (!AnswerReader::readBody(m_attempts.current(), bytes) || !updateHeldMemory("answer"))
             endAttempt(AttemptResult::Invalid);
         return;
     }
-    const std::uint64_t number = m_attempt.number;
-    const bool isReadable = m_attempt.events.feed(bytes, [&](auto id, std::string_view text) {
-        if (m_attempt.number == number && !m_isFinished)
-            onEvent(id, text);
-    });
-    if (m_isFinished || m_attempt.number != number)
+    const std::uint64_t number = m_attempts.current().number;
+    const bool isReadable =
+        m_attempts.current().events.feed(bytes, [&](auto id, std::string_view text) {
+            if (m_attempts.isCurrent(number) && !m_isFinished)
+                onEvent(id, text);
+        });
+    if (m_isFinished || !m_attempts.isCurrent(number))
         return;
     if (!isReadable || !updateHeldMemory("stream"))
         return endAttempt(AttemptResult::Invalid);
-    if (m_attempt.events.hasPartialEvent())
+    if (m_attempts.current().events.hasPartialEvent())
         m_stream->onPartialEvent(m_parts.clock());
 }
 
 bool RequestRelay::updateHeldMemory(std::string_view what)
 {
-    const std::size_t bytes = m_request.http.body.size() + m_attempt.body.size()
-        + m_attempt.events.pendingBytes() + m_fallback.body.size()
-        + m_fallback.events.pendingBytes() + m_answer.pendingBytes();
+    const std::size_t bytes =
+        m_request.http.body.size() + m_attempts.pendingBytes() + m_answer.pendingBytes();
     if (m_memory->tryResize(bytes))
         return true;
-    m_reporter.reportOverBudget(what, m_attempt.serverId, bytes);
+    m_reporter.reportOverBudget(what, m_attempts.current().serverId, bytes);
     return false;
 }
 
@@ -341,20 +324,20 @@
     if (verdict == EventVerdict::Duplicate)
         return;
     updateFallback();
-    if (!m_answer.passEvent(m_attempt, text, now))
+    if (!m_answer.passEvent(m_attempts.current(), text, now))
         abortAnswer({"callerReadsTooSlowly"});
 }
 
 void RequestRelay::onClosed(const Result<Done> &result)
 {
-    m_attempt.stream.reset();
+    m_attempts.current().stream.reset();
     if (!result)
-        return endAttempt(recordConnectionError(m_attempt, result.error()));
-    if (m_reader.isCutShort(m_attempt))
+        return endAttempt(recordConnectionError(m_attempts.current(), result.error()));
+    if (m_reader.isCutShort(m_attempts.current()))
         return endAttempt(AttemptResult::Lost);
-    if (m_attempt.isStreaming)
+    if (m_attempts.current().isStreaming)
         return onStreamEnd();
-    perform(m_session->onAnswer(m_attempt.answer, m_parts.clock()));
+    perform(m_session->onAnswer(m_attempts.current().answer, m_parts.clock()));
 }
 
 // A server at its limit of connections resets one before it answers, which looks like the end of
@@ -371,43 +354,42 @@
 {
     if (!m_stream->confirmEnd())
         return endAttempt(AttemptResult::Lost);
-    m_answer.startStream(m_attempt);
+    m_answer.startStream(m_attempts.current());
     perform(m_stream->onFinished(m_parts.clock()));
     m_answer.finishStream();
-    finish("served", "", m_attempt.answer.status);
+    finish("served", "", m_attempts.current().answer.status);
 }
 
 void RequestRelay::endAttempt(AttemptResult result)
 {
-    m_reporter.reportFailure(m_attempt, result);
+    m_reporter.reportFailure(m_attempts.current(), result);
     if (!m_stream) {
         // The session may wait for the fallback, which would let an oversized answer go on.
-        cancelAttempt();
-        m_attempt.body.clear();
+        m_attempts.endCurrent();
+        m_attempts.current().body.clear();
     }
     perform(m_session->onAttemptEnded(result, m_parts.clock()));
 }
 
 void RequestRelay::forwardAnswer(const PassAnswer &pass)
 {
-    if (pass.isFallback) {
-        cancelAttempt();
-        m_attempt = std::exchange(m_fallback, ServerAttempt {});
-    }
-    m_answer.respond(m_attempt);
-    finish(m_attempt.answer.isSuccess() ? "served" : "serverFailed", "", m_attempt.answer.status);
+    if (pass.isFallback)
+        m_attempts.resumeFallback();
+    m_answer.respond(m_attempts.current());
+    finish(m_attempts.current().answer.isSuccess() ? "served" : "serverFailed", "",
+           m_attempts.current().answer.status);
 }
 
 void RequestRelay::refuse(const Refuse &refusal)
 {
-    cancelAttempt();
+    m_attempts.endCurrent();
     m_answer.refuse(refusal);
     finish("refused", refusal.cause, refusal.status);
 }
 
 void RequestRelay::abortAnswer(const AbortAnswer &reason)
 {
-    cancelAttempt();
+    m_attempts.endCurrent();
     m_answer.abort();
     finish("cut", reason.cause, 0);
 }
@@ -416,29 +398,23 @@
 {
     if (m_isFinished)
         return;
-    cancelAttempt();
+    m_attempts.endCurrent();
     finish("callerLeft", "", 0);
 }
 
-void RequestRelay::cancelAttempt()
-{
-    m_attempt.number = 0;
-    if (const auto stream = std::exchange(m_attempt.stream, nullptr))
-        stream->cancel();
-}
-
 void RequestRelay::finish(std::string_view outcome, std::string_view cause, int status)
 {
     m_isFinished = true;
     m_copyOrders.end();
-    cancelFallback();
+    m_attempts.endFallback();
     m_timer.cancel();
     if (m_stream)
         m_stream->endCopies();
     // To the caller, 503 means that no server has executed the request.
-    if (!m_stream && m_attemptCount > 0)
+    if (!m_stream && m_attempts.count() > 0)
         m_parts.answerTimes.end(m_route.name, m_arrivedAt, status != 503, m_parts.clock());
-    m_reporter.reportEnd({outcome, cause, status}, m_attempt.serverId, m_attemptCount);
+    m_reporter.reportEnd({outcome, cause, status}, m_attempts.current().serverId,
+                         m_attempts.count());
 }
 
 // The timer is set for the earliest time limit. If events have moved that limit by the time it
--- a/src/gateway/RequestRelay.h
+++ b/src/gateway/RequestRelay.h
@@ -12,8 +12,8 @@
 #include "AttemptSender.h"
 #include "CallerAnswer.h"
 #include "CopyOrderSender.h"
+#include "OpenAttempts.h"
 #include "RequestReporter.h"
-#include "ServerAttempt.h"
 
 #include <cstdint>
 #include <functional>
@@ -69,7 +69,6 @@
     AttemptResult recordConnectionError(const ServerAttempt &attempt, const Error &error);
     void onStreamEnd();
     void endAttempt(AttemptResult result);
-    bool isFallback(std::uint64_t number) const;
     void onFallbackHead(HttpResponse head);
     void onFallbackBody(std::string_view bytes);
     void onFallbackClosed(const Result<Done> &result);
@@ -81,13 +80,11 @@
     void onFallbackEvents(std::string_view bytes);
     /// Ends the fallback if the session needs it no longer.
     void updateFallback();
-    void cancelFallback();
     void recordHead(ServerAttempt &attempt, HttpResponse head);
     void forwardAnswer(const PassAnswer &pass);
     void refuse(const Refuse &refusal);
     void abortAnswer(const AbortAnswer &reason);
     void onCallerDisconnect();
-    void cancelAttempt();
     void finish(std::string_view outcome, std::string_view cause, int status);
     void armTimer();
     void onTimer();
@@ -106,9 +103,7 @@
     const std::shared_ptr<RequestMemory> m_memory;
     Timer m_timer;
     CopyOrderSender m_copyOrders;
-    ServerAttempt m_attempt;
-    ServerAttempt m_fallback; ///< an earlier attempt that goes on; number 0: none
-    std::uint64_t m_attemptCount = 0;
+    OpenAttempts m_attempts;
     std::uint64_t m_probeCount = 0;
     bool m_isFinished = false;
 };
