--- a/src/decisions/StreamSession.cpp
+++ b/src/decisions/StreamSession.cpp
@@ -1,6 +1,5 @@
 #include "foxtailring/decisions/StreamSession.h"
 
-#include "foxtailring/decisions/BackendPlacer.h"
 #include "foxtailring/decisions/BackendTable.h"
 #include "foxtailring/decisions/EngineLatencyEstimator.h"
 #include "foxtailring/decisions/RequestQuarantine.h"
@@ -16,23 +15,8 @@
 
 namespace {
 
-// Two round trips between regions: one to connect, one for the answer.
-constexpr milliseconds probeTimeout {120};
-constexpr milliseconds placementProbeTimeout {60};
-// Interval of checking the copy and its holder, and delay before a failed snapshot is retried.
-constexpr milliseconds copyCheckInterval {400};
-constexpr milliseconds copyRetryDelay {1000};
 // Few outputs are shorter than this fraction of what their request allows.
 constexpr double minOutputFraction = 0.4;
-// Time to copy the memory of a long prompt to another zone, after a few other copies.
-constexpr milliseconds copyTimeout {1500};
-// A server without a sign of life for longer has failed.
-constexpr std::chrono::seconds maxServerPause {5};
-// The same for a run without an event. Its caller can still be refused and try again, so it is held
-// for no more than twice the pauses that sound servers make.
-constexpr milliseconds maxPromptPause {2000};
-// Interval of looking for another server while a run's server is silent.
-constexpr milliseconds replaceRetryInterval {500};
 // Sound servers are silent for 1.5 s, and a move is wanted 0.3 s to 0.6 s after the last contact.
 constexpr milliseconds reserveTime {1000};
 // After a round of rejections, the next server is asked this much later.
@@ -40,9 +24,6 @@
 // Two servers may work on one run for 400 ms. A fallback whose server may work on it is ended by
 // then, unless the next server has rejected the run; engines reject at once.
 constexpr milliseconds maxOverlap {250};
-// A doubtful server is abandoned after this time without contact.
-constexpr milliseconds maxDoubtfulSilence {350};
-
 // A server that sends this many events clears the prompt for all other requests.
 constexpr std::uint32_t outlivedEvents = 3;
 
@@ -53,9 +34,16 @@
     : ForwardSession(route, request, context)
     , m_capabilities(capabilities)
     , m_placement(this->context(), service(), triedIds())
-    , m_progress(route)
+    , m_watch(this->context(), route, this->request(), service(), admittedPlacer(),
+              capabilities.canBeProbed)
     , m_fallbackProgress(route)
-    , m_copy(context.servers, context.releaseCopy)
+    , m_copier(
+          this->context(), m_watch.progress(), m_placement, admittedPlacer(),
+          {capabilities.canCopyContinuously && route.isResumable, capabilities.canCopyOnDemand})
+    , m_search(this->request(), m_placement, admittedPlacer(), m_copier, capabilities.canBeProbed,
+               [this](std::uint64_t promptTokens, TimePoint now) {
+                   return canFinishInTime(promptTokens, now);
+               })
     , m_wait(route, service(), context.retryBudget, context.random)
     , m_lastEventId(request.lastEventId)
 {
@@ -68,21 +56,18 @@
         return EventVerdict::Duplicate;
     if (isBeyondGap(id))
         return EventVerdict::Gap;
-    if (m_progress.isPrefilling())
+    if (m_watch.progress().isPrefilling())
         context().latency.recordFirstEvent(service(), request().promptTokens, now - sentAt());
     if (hasServer())
         context().servers.recordContact(server().info.id, now);
     recordSignOfLife();
-    m_progress.recordEvent(now);
+    m_watch.recordEvent(now);
     m_wait.recordEvent(now);
-    if (m_progress.eventCount() == outlivedEvents)
+    if (m_watch.progress().eventCount() == outlivedEvents)
         recordStart(now);
     m_hasStarted = true;
-    m_isProbing = false;
-    m_isUnwatched = false;
     if (std::exchange(m_isReplacing, false))
-        endPlacement();
-    m_replaceAt = {};
+        m_search.end();
     m_movableSince = {};
     releaseFallback();
     m_lastEventId = id;
@@ -92,7 +77,7 @@
 void StreamSession::onPartialEvent(TimePoint now)
 {
     recordSignOfLife();
-    m_progress.recordPartialEvent(now);
+    m_watch.recordPartialEvent(now);
 }
 
 bool StreamSession::onFallbackEvent(std::int64_t id, TimePoint now)
@@ -115,21 +100,13 @@
     return true;
 }
 
-// The copy that the other attempt was resumed from may be used up, so another one is made soon.
 void StreamSession::returnToFallback(TimePoint now)
 {
-    endPlacement();
+    m_search.end();
     m_isReplacing = false;
-    m_isProbing = false;
-    m_isProbingHolder = false;
-    m_isFindingPrompt = false;
-    m_isCopying = false;
-    m_isRunUnlisted = false;
-    m_replaceAt = {};
     m_movableSince = {};
-    m_copy.drop();
-    m_copyCheckAt = m_capabilities.canCopyOnDemand ? now : TimePoint::max();
-    m_progress = m_fallbackProgress;
+    m_copier.restart(now);
+    m_watch.resume(m_fallbackProgress);
     resumeFallback();
 }
 
@@ -139,7 +116,7 @@
     if (!hasFallback())
         return action;
     returnToFallback(now);
-    m_isUnwatched = true;
+    m_watch.requireProbe();
     keepSilentAttempt(now);
     return ResumeFallback {};
 }
@@ -166,13 +143,13 @@
 void StreamSession::onAttemptOver()
 {
     if (std::exchange(m_isReplacing, false))
-        endPlacement();
-    m_replaceAt = {};
+        m_search.end();
+    m_watch.endKeeping();
 }
 
 bool StreamSession::hasOutlivedStart() const
 {
-    return m_progress.eventCount() >= outlivedEvents;
+    return m_watch.progress().eventCount() >= outlivedEvents;
 }
 
 // A run produces at least one event, unless its caller already had the last one when it was
@@ -180,7 +157,7 @@
 // server confirms it.
 bool StreamSession::confirmEnd()
 {
-    return m_progress.hasEvents() || std::exchange(m_hasEmptyEnd, true);
+    return m_watch.progress().hasEvents() || std::exchange(m_hasEmptyEnd, true);
 }
 
 ForwardAction StreamSession::onFinished(TimePoint now)
@@ -189,10 +166,10 @@
         recordStart(now);
     if (hasServer())
         context().servers.recordAnswer(server().info.id, false, now);
-    if (m_progress.meanEventInterval() > Duration {0})
-        context().latency.recordEventInterval(service(), m_progress.meanEventInterval());
+    if (m_watch.progress().meanEventInterval() > Duration {0})
+        context().latency.recordEventInterval(service(), m_watch.progress().meanEventInterval());
     releaseServer();
-    m_copy.drop();
+    m_copier.dropCopy();
     return KeepWaiting {};
 }
 
@@ -201,73 +178,26 @@
     if (auto action = applyQuarantine(now))
         return std::move(*action);
     m_cause = cause;
-    // A copy exists only from the first event on, not while the prompt is processed. It is kept
-    // until the run is sent: a run that goes on, or waits for a server, may need it.
-    if (m_isReplacing && m_capabilities.canBeProbed && hasUsableCopy(now)
-        && m_placement.tryTakeProbe(*m_copy.holder(), now))
-        return probeNextServer();
-    if (hasUsableCopy(now) && tryAcquire(m_copy.holder()->info.id, now))
-        return resumeFromCopy(now);
-    return placeAnew(now);
-}
-
-ForwardAction StreamSession::resumeFromCopy(TimePoint now)
-{
-    return sendRun(m_copy.takeResumeAttempt(now).value(), now);
-}
-
-// Servers fall silent together, and a copy holder sends nothing by which this could be known.
-ForwardAction StreamSession::probeNextServer()
-{
-    ProbeServers probe;
-    probe.servers = {*m_copy.holder()};
-    probe.timeout = placementProbeTimeout;
-    probe.useNewConnections = true;
-    m_isPlacing = true;
-    m_isProbingNext = true;
-    m_isProbingHolder = false;
-    return probe;
-}
-
-ForwardAction StreamSession::onNextServerProbed(std::span<const ServerProbeResult> reports,
-                                                TimePoint now)
-{
-    m_isProbingNext = false;
-    const bool isWorking = !reports.empty() && !reports.front().isTurnedAway;
-    if (isWorking && hasUsableCopy(now) && tryAcquire(m_copy.holder()->info.id, now))
-        return resumeFromCopy(now);
-    return placeAnew(now);
+    return continueSearch(m_search.start(m_isReplacing, now), now);
 }
 
-ForwardAction StreamSession::placeAnew(TimePoint now)
+ForwardAction StreamSession::continueSearch(ServerSearch::Step step, TimePoint now)
 {
-    if (!request().promptId.empty())
-        m_placement.updateAffinityServers(request().promptId, now);
-    const bool isReturning = triedIds().empty() && request().lastEventId;
-    return isReturning && m_capabilities.canBeProbed && m_placement.hasAffinityServers()
-        ? probeForPrompt(now)
-        : probeCandidates(now);
-}
-
-// The process that served the caller before has failed, and its state is lost. The engine has
-// stopped the run, but keeps the prompt in memory until it needs the space.
-ForwardAction StreamSession::probeForPrompt(TimePoint now)
-{
-    ProbeServers probe;
-    probe.subject = ProbeServers::Subject::Prompt;
-    probe.timeout = placementProbeTimeout;
-    probe.servers = m_placement.takePromptProbes(now);
-    if (probe.servers.empty())
-        return probeCandidates(now);
-    m_isFindingPrompt = true;
-    m_probedAt = now;
-    return probe;
+    if (auto *probe = std::get_if<ProbeServers>(&step)) {
+        m_copier.abandonProbe();
+        return std::move(*probe);
+    }
+    if (auto *next = std::get_if<SendAttempt>(&step))
+        return sendRun(std::move(*next), now);
+    if (std::get<ServerSearch::Failure>(step) == ServerSearch::Failure::NoTime)
+        return refuseOrAbort(refuse(503, "noTimeLeft"), now);
+    m_hasRetry = !m_isReplacing;
+    return waitForNextAttempt(Missing::Server, refuseUnplaced(now), now);
 }
 
-ForwardAction StreamSession::onPromptProbed(std::span<const ServerProbeResult> reports,
-                                            TimePoint now)
+// Such a report says nothing about the server's load.
+void StreamSession::recordPromptReports(std::span<const ServerProbeResult> reports, TimePoint now)
 {
-    m_isFindingPrompt = false;
     for (const ServerProbeResult &report : reports) {
         const ReportedStart start =
             context().servers.recordReport(report.serverId, report.startedAtMs, now);
@@ -277,23 +207,8 @@
         context().servers.recordContact(report.serverId, now);
         recordProbeNotice(report, now);
     }
-    const auto holder =
-        std::find_if(reports.begin(), reports.end(),
-                     [](const ServerProbeResult &report) { return report.hasPrompt; });
-    const auto server =
-        holder == reports.end() ? std::nullopt : context().servers.server(holder->serverId, now);
-    if (!server || !server->acceptsNewWork())
-        return probeCandidates(now);
-    if (!canFinishInTime(0, now))
-        return refuseOrAbort(refuse(503, "noTimeLeft"), now);
-    if (!tryAcquire(server->info.id, now))
-        return probeCandidates(now);
-    SendAttempt next;
-    next.server = *server;
-    return sendRun(std::move(next), now);
 }
 
-// Processing the prompt of a run that cannot finish in time would only delay other runs.
 bool StreamSession::canFinishInTime(std::uint64_t promptTokens, TimePoint now) const
 {
     const auto maxEvents =
@@ -303,45 +218,6 @@
     return timeLeft(now) >= context().latency.minRunDuration(service(), promptTokens, minEvents);
 }
 
-// Other processes place runs on the same servers, so the servers are probed for their current load.
-ForwardAction StreamSession::probeCandidates(TimePoint now)
-{
-    if (!canFinishInTime(request().promptTokens, now))
-        return refuseOrAbort(refuse(503, "noTimeLeft"), now);
-    if (!m_capabilities.canBeProbed)
-        return placeRun({}, now);
-    ProbeServers probe;
-    probe.servers = m_placement.takeCandidateProbes(now);
-    if (probe.servers.empty())
-        return placeRun({}, now);
-    probe.timeout = placementProbeTimeout;
-    m_isPlacing = true;
-    m_isProbingHolder = false;
-    m_probedAt = now;
-    return probe;
-}
-
-ForwardAction StreamSession::placeRun(std::span<const ServerProbeResult> reports, TimePoint now)
-{
-    m_isPlacing = false;
-    if (m_isProbingNext)
-        return onNextServerProbed(reports, now);
-    m_placement.recordReports(reports);
-    // A server that did not answer the probe is chosen only if there is no other.
-    const std::vector<std::string> unresponsive = m_placement.unresponsiveIds();
-    m_placement.dropCandidates();
-    auto chosen = choose(m_placement.request(unresponsive), &BackendPlacer::chooseForRun, now);
-    if (!chosen)
-        chosen = choose(m_placement.request(triedIds()), &BackendPlacer::chooseForRun, now);
-    if (!chosen) {
-        m_hasRetry = !m_isReplacing;
-        return waitForNextAttempt(Missing::Server, refuseUnplaced(now), now);
-    }
-    SendAttempt next;
-    next.server = std::move(*chosen);
-    return sendRun(std::move(next), now);
-}
-
 ForwardAction StreamSession::sendRun(SendAttempt next, TimePoint now)
 {
     // The part may have been quarantined while servers were probed.
@@ -354,23 +230,14 @@
     } else if (hasFallback() && m_fallbackEndsAt != TimePoint::max()) {
         m_fallbackEndsAt = now + maxOverlap;
     }
-    endPlacement();
+    m_search.end();
     m_wait.end();
     m_hasRetry = false;
-    m_replaceAt = {};
     m_movableSince = {};
     next.cause = m_cause;
     next.lastEventId = m_lastEventId;
-    m_progress.start(next.fromCopy.has_value(), now);
-    m_isProbing = false;
-    m_isUnwatched = false;
-    m_isProbingHolder = false;
-    m_isCopying = false;
-    m_isRunUnlisted = false;
-    m_isStartUnconfirmed = false;
-    m_copyCheckAt = m_capabilities.canCopyOnDemand ? now + copyCheckInterval : TimePoint::max();
-    m_copy.drop();
-    assignCopyHolder(next, now);
+    m_watch.start(next.fromCopy.has_value(), now);
+    m_copier.start(next, now);
     return send(std::move(next), now);
 }
 
@@ -381,72 +248,8 @@
     if (hasFallback())
         return countPossibleRun();
     next.keepsLatest = true;
-    m_fallbackProgress = m_progress;
-    m_fallbackEndsAt = m_isRunUnlisted ? TimePoint::max() : now + maxOverlap;
-}
-
-void StreamSession::assignCopyHolder(SendAttempt &attempt, TimePoint now)
-{
-    attempt.copyTo = chooseCopyHolder(attempt.server, now);
-    if (attempt.copyTo)
-        m_copy.setHolder(*attempt.copyTo);
-}
-
-std::optional<BackendState> StreamSession::chooseCopyHolder(const BackendState &runServer,
-                                                            TimePoint now) const
-{
-    if (!m_capabilities.canCopyContinuously || !route().isResumable)
-        return std::nullopt;
-    return m_placement.chooseCopyHolder(runServer, now);
-}
-
-// Replaces a lost copy, renews a snapshot before it expires, and probes a holder at risk. A run may
-// see several failures, and the next one may be that of its own server.
-ForwardAction StreamSession::maintainCopy(TimePoint now)
-{
-    m_copyCheckAt = now + copyCheckInterval;
-    const bool isUsable = m_copy.isUsable(now);
-    if (isUsable && !m_isProbing && !m_isCopying) {
-        const auto current = context().servers.server(m_copy.holder()->info.id, now);
-        if (current->hasFailedZonePeer && m_placement.tryTakeProbe(*current, now))
-            return probeCopyHolder(*current);
-    }
-    const bool isWanted =
-        m_progress.hasEvents() && !m_isCopying && (!isUsable || m_copy.needsRenewal(now));
-    if (!isWanted)
-        return KeepWaiting {};
-    const auto holder = isUsable ? m_copy.holder() : chooseCopyHolder(server(), now);
-    if (!isUsable)
-        m_copy.drop();
-    if (!holder)
-        return KeepWaiting {};
-    if (!tryAcquire(server().info.id, now)) {
-        m_copyCheckAt = now + copyRetryDelay;
-        return KeepWaiting {};
-    }
-    m_isCopying = true;
-    return CopyRun {server(), *holder, copyTimeout};
-}
-
-// Servers of a zone fail together, and the holder sends nothing unless it is probed.
-ForwardAction StreamSession::probeCopyHolder(const BackendState &holder)
-{
-    ProbeServers probe;
-    probe.servers = {holder};
-    probe.timeout = probeTimeout;
-    probe.useNewConnections = true;
-    m_isProbingHolder = true;
-    return probe;
-}
-
-void StreamSession::onCopyHolderProbed(std::span<const ServerProbeResult> reports, TimePoint now)
-{
-    m_isProbingHolder = false;
-    const auto &holder = m_copy.holder();
-    if (holder && reports.empty())
-        context().servers.recordFailure(holder->info.id, now);
-    if (!m_copy.isUsable(now))
-        m_copyCheckAt = now;
+    m_fallbackProgress = m_watch.progress();
+    m_fallbackEndsAt = m_watch.isRunUnlisted() ? TimePoint::max() : now + maxOverlap;
 }
 
 ForwardAction StreamSession::onCopied(const CopyRun &copyRun, std::optional<std::string> handle,
@@ -454,24 +257,17 @@
 {
     // A run that is being replaced goes on elsewhere, and a new run cannot use its snapshot.
     const bool isCurrent =
-        m_isCopying && !m_isReplacing && hasServer() && server().info.id == copyRun.from.info.id;
-    if (!isCurrent) {
-        if (handle)
-            onLateCopy(copyRun, std::move(*handle));
-        return KeepWaiting {};
-    }
-    m_isCopying = false;
-    if (handle)
-        m_copy.setSnapshot(
-            copyRun.to, {copyRun.from.info.address, std::move(*handle), copyRun.from.info.id}, now);
-    else
-        m_copyCheckAt = now + copyRetryDelay;
+        !m_isReplacing && hasServer() && server().info.id == copyRun.from.info.id;
+    if (isCurrent)
+        m_copier.onCopied(copyRun, std::move(handle), now);
+    else if (handle)
+        onLateCopy(copyRun, std::move(*handle));
     return KeepWaiting {};
 }
 
 void StreamSession::onLateCopy(const CopyRun &copyRun, std::string handle)
 {
-    m_copy.addLate({copyRun.from.info.address, std::move(handle), copyRun.from.info.id});
+    m_copier.onLateCopy(copyRun, std::move(handle));
 }
 
 ForwardAction StreamSession::onLost(AttemptResult result, TimePoint now)
@@ -500,7 +296,7 @@
 {
     return m_hasStarted && route().allowsRetry() && usedAttempts(now) < route().maxAttempts
         && m_wait.isOfUse(now)
-        && canFinishInTime(hasUsableCopy(now) ? 0 : request().promptTokens, now);
+        && canFinishInTime(m_copier.hasUsableCopy(now) ? 0 : request().promptTokens, now);
 }
 
 ForwardAction StreamSession::delayAttempt(std::string_view reason, Duration needed, TimePoint now)
@@ -528,7 +324,7 @@
 // A run that was not executed has no copy.
 void StreamSession::onRejected()
 {
-    m_copy.drop();
+    m_copier.dropCopy();
 }
 
 ForwardAction StreamSession::onOverdue(TimePoint now)
@@ -536,91 +332,59 @@
     if (hasFallback() && now >= m_fallbackEndsAt)
         releaseFallback();
     if (now < silenceDueAt())
-        return now < m_copyCheckAt ? KeepWaiting {} : maintainCopy(now);
-    if (!m_isUnwatched && (now >= stuckAt() || isPresumedLost(now)))
-        return onSilent(now);
-    // The probe in progress decides.
-    if (m_isProbing)
-        return KeepWaiting {};
-    // Without a probe, only the time limit for the next event remains.
-    if (!m_capabilities.canBeProbed)
-        m_isUnwatched = false;
-    const bool mayAsk = m_capabilities.canBeProbed && tryAcquire(server().info.id, now);
-    if (!mayAsk && isKeptSilent())
-        return onSilent(now);
-    if (!mayAsk) {
-        m_progress.recordContact(now);
-        return KeepWaiting {};
-    }
-    ProbeServers probe;
-    probe.servers = {server()};
-    probe.timeout = probeTimeout;
-    probe.useNewConnections = true;
-    m_isProbing = true;
-    m_isProbingHolder = false;
-    m_probedAt = now;
-    return probe;
+        return now < m_copier.checkAt() ? KeepWaiting {}
+                                        : m_copier.check(server(), !m_watch.isProbing(), now);
+    const AttemptWatch::Step step = m_watch.check(server(), sentAt(), now);
+    if (const auto *finding = std::get_if<AttemptWatch::Finding>(&step))
+        return onWatched(*finding, now);
+    m_copier.abandonProbe();
+    return std::get<ProbeServers>(step);
 }
 
 ForwardAction StreamSession::onProbed(std::span<const ServerProbeResult> reports, TimePoint now)
 {
-    if (m_isFindingPrompt)
-        return onPromptProbed(reports, now);
-    ForwardSession::onProbed(reports, now);
-    if (m_isPlacing)
-        return placeRun(reports, now);
-    if (m_isProbingHolder) {
-        onCopyHolderProbed(reports, now);
+    if (m_search.isProbingPrompt())
+        recordPromptReports(reports, now);
+    else
+        ForwardSession::onProbed(reports, now);
+    if (m_search.isActive())
+        return continueSearch(m_search.onProbed(reports, now), now);
+    if (m_copier.isProbing()) {
+        m_copier.onProbed(reports, now);
         return KeepWaiting {};
     }
     // An event arrived meanwhile, or the attempt has ended.
-    if (!m_isProbing || !hasServer())
+    if (!m_watch.isProbing() || !hasServer())
         return KeepWaiting {};
-    m_isProbing = false;
-    m_isUnwatched = false;
-    if (m_progress.lastContactAt() > m_probedAt)
-        return KeepWaiting {};
-    if (reports.empty()) {
-        m_isRunUnlisted = false;
+    return onWatched(m_watch.onProbed(server(), reports, m_lastEventId.value_or(0), now), now);
+}
+
+ForwardAction StreamSession::onWatched(AttemptWatch::Finding finding, TimePoint now)
+{
+    switch (finding) {
+    case AttemptWatch::Finding::Open:
+        break;
+    case AttemptWatch::Finding::Working:
+        m_movableSince = {};
+        recordSignOfLife();
+        break;
+    case AttemptWatch::Finding::Unanswered:
         suspectCrash(now);
         return onSilent(now);
-    }
-    if (reports.front().isTurnedAway) {
-        recordSign(now);
-        return KeepWaiting {};
-    }
-    const ReportedStart start =
-        reports.front().hasRun ? ReportedStart::Accepted : reportedStart(now);
-    if (start == ReportedStart::Restarted)
+    case AttemptWatch::Finding::Silent:
+        return onSilent(now);
+    case AttemptWatch::Finding::Restarted:
         return onAttemptEnded(AttemptResult::Silent, now);
-    // The next probe, at once, confirms the later start or shows that it was wrong.
-    if (!std::exchange(m_isStartUnconfirmed, start == ReportedStart::Unconfirmed)
-        && start == ReportedStart::Unconfirmed)
-        return KeepWaiting {};
-    m_isRunUnlisted =
-        m_progress.hasEvents() && reports.front().listsRuns && !reports.front().hasRun;
-    if (m_progress.isLostBy(reports.front(), m_lastEventId.value_or(0), m_probedAt, now))
-        return onRunLost(reports.front(), now);
-    const BackendLoadReport &load = reports.front().load;
-    m_progress.recordPrompts(load.prefilling + load.waiting);
-    recordSign(now);
+    case AttemptWatch::Finding::Unlisted:
+        return replaceAttempt("unlisted", now);
+    }
     return KeepWaiting {};
 }
 
-// The current server showed that it works.
-void StreamSession::recordSign(TimePoint now)
-{
-    m_replaceAt = {};
-    m_movableSince = {};
-    recordSignOfLife();
-    m_progress.recordContact(now);
-}
-
 // A sound server may pause for a second or more, so the attempt goes on until another one takes its
 // place or the pause is too long.
 ForwardAction StreamSession::onSilent(TimePoint now)
 {
-    m_isProbing = false;
     if (!mayOutlastSilence(now))
         return onAttemptEnded(AttemptResult::Silent, now);
     recordServerFailure(lastSignAt(now), now);
@@ -670,79 +434,29 @@
 // end too late.
 bool StreamSession::mayOutlastSilence(TimePoint now) const
 {
-    const Duration silence = now - m_progress.lastContactAt();
-    if (m_hasStarted)
-        return silence < maxServerPause;
-    return silence < maxPromptPause && canFinishInTime(0, now);
-}
-
-void StreamSession::endPlacement()
-{
-    m_isPlacing = false;
-    m_isProbingNext = false;
-    m_placement.dropCandidates();
+    return m_watch.mayOutlastSilence(m_hasStarted, now)
+        && (m_hasStarted || canFinishInTime(0, now));
 }
 
 ForwardAction StreamSession::keepSilentAttempt(TimePoint now)
 {
-    endPlacement();
-    m_replaceAt = now + replaceRetryInterval;
+    m_search.end();
+    m_watch.keepSilent(now);
     return KeepWaiting {};
 }
 
-// A report proves little: it lags, the request or events may be on their way, and a run that was
-// preempted waits unlisted. So the attempt goes on until another one takes its place.
-ForwardAction StreamSession::onRunLost(const ServerProbeResult &report, TimePoint now)
-{
-    if (!RunProgress::mayWaitUnlisted(report))
-        return onSilent(now);
-    m_progress.recordContact(now);
-    m_progress.recordWaiting(now);
-    return replaceAttempt("unlisted", now);
-}
-
-// What the current server's reports say. What others say about it ends no run.
-ReportedStart StreamSession::reportedStart(TimePoint now) const
-{
-    const auto current = context().servers.server(server().info.id, now);
-    return current ? current->reportedStart : ReportedStart::Accepted;
-}
-
-// True if the server is doubtful or suspected, sent no event yet, and there was no contact for too
-// long. An attempt that is kept all the same is judged by its probes.
-bool StreamSession::isPresumedLost(TimePoint now) const
-{
-    const auto current = context().servers.server(server().info.id, now);
-    const bool isDoubtful = current && current->health != BackendHealth::Healthy;
-    return isDoubtful && !m_progress.hasEvents() && !isKeptSilent()
-        && now - m_progress.lastContactAt() >= maxDoubtfulSilence;
-}
-
 TimePoint StreamSession::overdueAt() const
 {
     // The probe in progress decides.
-    if (m_isPlacing || m_isFindingPrompt)
+    if (m_search.isActive())
         return deadline();
     const TimePoint fallbackEndsAt = hasFallback() ? m_fallbackEndsAt : TimePoint::max();
-    return std::min({silenceDueAt(), m_copyCheckAt, fallbackEndsAt});
+    return std::min({silenceDueAt(), m_copier.checkAt(), fallbackEndsAt});
 }
 
 TimePoint StreamSession::silenceDueAt() const
 {
-    if (!route().allowsRetry())
-        return deadline();
-    const TimePoint silentAt =
-        m_isProbing ? TimePoint::max() : m_progress.lastContactAt() + m_progress.silenceThreshold();
-    const TimePoint givenUpAt = m_isUnwatched ? TimePoint::max() : stuckAt();
-    return std::max(std::min(givenUpAt, silentAt), m_replaceAt);
-}
-
-TimePoint StreamSession::stuckAt() const
-{
-    const Duration maxFirstEventDelay = m_progress.isPrefilling()
-        ? context().latency.maxFirstEventDelay(service(), request().promptTokens)
-        : Duration {0};
-    return m_progress.stuckAt(sentAt(), maxFirstEventDelay);
+    return route().allowsRetry() ? m_watch.dueAt(sentAt()) : deadline();
 }
 
 // A stream that has begun cannot be answered any more.
--- a/src/gateway/RequestRelay.cpp
+++ b/src/gateway/RequestRelay.cpp
@@ -1,6 +1,5 @@
 #include "RequestRelay.h"
 
-#include "foxtailring/base/StructuredLog.h"
 #include "foxtailring/transport/Endpoint.h"
 #include "foxtailring/transport/Http1Stream.h"
 #include "foxtailring/transport/RequestMemory.h"
@@ -19,44 +18,10 @@
 
 using std::chrono::milliseconds;
 
-// Limits the memory that a faulty server can make this process hold.
-constexpr std::size_t maxBufferedAnswerBytes = 16 * 1024 * 1024;
 // By then attempts with an oversized answer have been cancelled, which frees their memory.
 constexpr milliseconds memoryRetryAfter {500};
 constexpr milliseconds minTimerDelay {5};
 
-// An answer that comes later is not read. Engines keep a snapshot for 4 s at least, counted from
-// the order, of which the time limit of an order is 1.5 s.
-constexpr milliseconds lateCopyAnswerTime {2500};
-
-// The copy that \a response names belongs to a request that is over.
-void releaseUnused(GatewayParts &parts, const std::string &requestId, const CopyRun &command,
-                   const HttpResponse &response)
-{
-    const auto handle = parts.codec.decodeCopyResponse(response);
-    if (!handle)
-        return;
-    parts.metrics.add("gateway_copies_total{outcome=\"late\"}");
-    const BackendInfo &server = command.from.info;
-    if (parts.servers.acceptsNewWork(server.id))
-        parts.releaseCopy(requestId, {server.address, handle.value(), server.id});
-}
-
-bool isEventStream(const HttpResponse &head)
-{
-    return head.header("Content-Type").starts_with("text/event-stream");
-}
-
-AttemptResult failureOf(const Error &error)
-{
-    if (error.code == ErrorCode::Unavailable)
-        return AttemptResult::NotSent;
-    // A server that acknowledges nothing is silent. Only a lost connection proves a crash.
-    if (error.code == ErrorCode::Timeout)
-        return AttemptResult::Silent;
-    return error.code == ErrorCode::Malformed ? AttemptResult::Invalid : AttemptResult::Lost;
-}
-
 } // namespace
 
 RequestRelay::RequestRelay(GatewayParts &parts, GatewayRequest request,
@@ -74,8 +39,10 @@
                     .make(m_request, arrivedAt, parts.forwardContext(m_request.id)))
     , m_stream(dynamic_cast<StreamSession *>(m_session.get()))
     , m_sender(parts.http, parts.codec, m_request, route, std::move(account))
+    , m_reader(parts.codec, m_request.http.method, m_stream != nullptr)
     , m_memory(m_request.http.memory ? m_request.http.memory : parts.requestMemory.begin())
     , m_timer(parts.pool)
+    , m_copyOrders(parts, m_request.id, copyHooks())
 {
 }
 
@@ -130,7 +97,7 @@
     else if (const auto *probe = std::get_if<ProbeServers>(&action))
         probeServers(*probe);
     else if (const auto *command = std::get_if<CopyRun>(&action))
-        copyRun(*command);
+        m_copyOrders.send(*command, weak_from_this());
     else if (const auto *pass = std::get_if<PassAnswer>(&action))
         forwardAnswer(*pass);
     else if (const auto *refusal = std::get_if<Refuse>(&action))
@@ -143,30 +110,25 @@
 
 void RequestRelay::send(const SendAttempt &next)
 {
-    if (next.keepsLatest) {
-        cancelFallback();
-        m_fallback = std::exchange(m_attempt, ServerAttempt {});
-    }
-    cancelAttempt();
+    if (next.keepsLatest)
+        m_attempts.keepCurrent();
+    m_attempts.endCurrent();
     const auto endpoint = Endpoint::parse(next.server.info.address);
     if (!endpoint)
         return perform(m_session->onAttemptEnded(AttemptResult::NotSent, m_parts.clock()));
-    m_attempt = ServerAttempt {};
-    m_attempt.number = ++m_attemptCount;
-    if (!m_stream && m_attemptCount == 1)
+    ServerAttempt &attempt = m_attempts.begin(next.server.info.id, endpoint.value());
+    attempt.isFromCopy = next.fromCopy.has_value();
+    if (!m_stream && m_attempts.count() == 1)
         m_parts.answerTimes.begin(m_route.name, m_arrivedAt);
-    m_attempt.serverId = next.server.info.id;
-    m_attempt.endpoint = endpoint.value();
-    m_attempt.isFromCopy = next.fromCopy.has_value();
-    m_reporter.reportAttempt(next, m_attemptCount);
-    const auto post = attemptPoster(m_attempt.number);
+    m_reporter.reportAttempt(next, m_attempts.count());
+    const auto post = attemptPoster(attempt.number);
     StreamHooks hooks;
-    hooks.onHead = [self = shared_from_this(), number = m_attempt.number,
+    hooks.onHead = [self = shared_from_this(), number = attempt.number,
                     info = next.server.info](const HttpResponse &response) {
         self->m_parts.queue.post([self, number, info, response] {
-            if (!self->m_isFinished && self->m_attempt.number == number)
+            if (!self->m_isFinished && self->m_attempts.isCurrent(number))
                 self->onHead(response);
-            else if (!self->m_isFinished && self->isFallback(number))
+            else if (!self->m_isFinished && self->m_attempts.isFallback(number))
                 self->onFallbackHead(response);
             else
                 self->m_parts.recordPause(info, response);
@@ -181,7 +143,7 @@
         post([result](RequestRelay &self) { self.onClosed(result); },
              [result](RequestRelay &self) { self.onFallbackClosed(result); });
     };
-    m_attempt.stream = m_sender.send(next, endpoint.value(), std::move(hooks));
+    attempt.stream = m_sender.send(next, endpoint.value(), std::move(hooks));
 }
 
 void RequestRelay::probeServers(const ProbeServers &probe)
@@ -197,83 +159,21 @@
     serverProbe->start();
 }
 
-// The order may be answered after its time limit, and after the end of the request, which does not
-// wait for it. Such an answer names a copy that nobody uses.
-void RequestRelay::copyRun(const CopyRun &command)
-{
-    const std::uint64_t order = ++m_copyOrderCount;
-    m_openCopyOrder = order;
-    const auto hook = [weak = weak_from_this(), &parts = m_parts, requestId = m_request.id, command,
-                       order](const Result<HttpResponse> &response) {
-        parts.queue.post([weak, &parts, requestId, command, order, response] {
-            if (response)
-                parts.recordPause(command.from.info, response.value());
-            const auto self = weak.lock();
-            if (self && !self->m_isFinished)
-                return self->guard([&] { self->onOrderAnswered(order, command, response); });
-            if (response)
-                releaseUnused(parts, requestId, command, response.value());
-        });
-    };
-    armCopyTimer(order, command);
-    m_parts.sendOrder(command.from.info.address,
-                      m_parts.codec.encodeCopyRequest(m_request.id, command.to.info.address),
-                      command.timeout + lateCopyAnswerTime, hook);
-}
-
-void RequestRelay::armCopyTimer(std::uint64_t order, const CopyRun &command)
+CopyOrderSender::Hooks RequestRelay::copyHooks()
 {
-    if (!m_copyTimer)
-        m_copyTimer.emplace(m_parts.pool);
-    m_copyTimer->once(command.timeout, [weak = weak_from_this(), &parts = m_parts, order, command] {
-        parts.queue.post([weak, order, command] {
-            const auto self = weak.lock();
-            if (!self || self->m_isFinished || self->m_openCopyOrder != order)
-                return;
-            self->m_openCopyOrder = 0;
-            self->guard([&] {
-                self->onRunCopied(command, Error {ErrorCode::Timeout, "no answer in time"});
-            });
-        });
-    });
-}
-
-void RequestRelay::onOrderAnswered(std::uint64_t order, const CopyRun &command,
-                                   const Result<HttpResponse> &response)
-{
-    if (m_openCopyOrder == order) {
-        m_openCopyOrder = 0;
-        m_copyTimer->cancel();
-        return onRunCopied(command, response);
-    }
-    auto handle = response ? m_parts.codec.decodeCopyResponse(response.value())
-                           : Result<std::string>(response.error());
-    if (!handle)
-        return;
-    m_parts.metrics.add("gateway_copies_total{outcome=\"late\"}");
-    m_stream->onLateCopy(command, std::move(handle).value());
-}
-
-void RequestRelay::onRunCopied(const CopyRun &command, const Result<HttpResponse> &response)
-{
-    auto handle = response ? m_parts.codec.decodeCopyResponse(response.value())
-                           : Result<std::string>(response.error());
-    StructuredLog::info("runCopied",
-                        {{"request", m_request.id},
-                         {"server", command.from.info.id},
-                         {"copyTo", command.to.info.id},
-                         {"error", handle ? "" : handle.error().message}});
-    m_parts.metrics.add(handle ? "gateway_copies_total{outcome=\"made\"}"
-                               : "gateway_copies_total{outcome=\"failed\"}");
-    std::optional<std::string> copyHandle;
-    if (handle)
-        copyHandle = std::move(handle).value();
-    perform(m_stream->onCopied(command, std::move(copyHandle), m_parts.clock()));
+    return {[this](const CopyRun &command, std::optional<std::string> handle) {
+                perform(m_stream->onCopied(command, std::move(handle), m_parts.clock()));
+            },
+            [this](const CopyRun &command, std::string handle) {
+                m_stream->onLateCopy(command, std::move(handle));
+            },
+            [this](std::string_view message) { onException(message); }};
 }
 
 void RequestRelay::onProbeResults(std::span<const ServerProbeResult> results)
 {
-    m_reporter.reportProbe(results, m_attempt.number, m_stream->lastEventId().value_or(0));
+    m_reporter.reportProbe(results, m_attempts.current().number,
+                           m_stream->lastEventId().value_or(0));
     perform(m_session->onProbed(results, m_parts.clock()));
 }
 
@@ -285,68 +185,49 @@
             [self, number, task = std::move(task), fallbackTask = std::move(fallbackTask)] {
                 if (self->m_isFinished)
                     return;
-                if (self->m_attempt.number == number)
+                if (self->m_attempts.isCurrent(number))
                     self->guard([&self, &task] { task(*self); });
-                else if (self->isFallback(number))
+                else if (self->m_attempts.isFallback(number))
                     self->guard([&self, &fallbackTask] { fallbackTask(*self); });
             });
     };
 }
 
-bool RequestRelay::isFallback(std::uint64_t number) const
-{
-    return m_fallback.number != 0 && m_fallback.number == number;
-}
-
 void RequestRelay::recordHead(ServerAttempt &attempt, HttpResponse head)
 {
-    attempt.hasHead = true;
-    attempt.answer = m_parts.codec.decodeAnswer(head);
-    attempt.head = std::move(head);
+    m_reader.readHead(attempt, std::move(head));
     if (attempt.answer.namesRateLimit)
         m_reporter.reportRateLimit(attempt);
-    attempt.isStreaming = m_stream && attempt.answer.isSuccess() && attempt.answer.isSigned
-        && !attempt.answer.isNotRun && isEventStream(attempt.head);
 }
 
 void RequestRelay::onFallbackHead(HttpResponse head)
 {
-    recordHead(m_fallback, std::move(head));
-    m_session->onFallbackHead(m_fallback.answer, m_parts.clock());
+    recordHead(m_attempts.fallback(), std::move(head));
+    m_session->onFallbackHead(m_attempts.fallback().answer, m_parts.clock());
 }
 
 void RequestRelay::onFallbackBody(std::string_view bytes)
 {
-    if (m_fallback.isStreaming)
+    if (m_attempts.fallback().isStreaming)
         return onFallbackEvents(bytes);
-    m_fallback.body += bytes;
-    if (m_fallback.body.size() > maxBufferedAnswerBytes || !updateHeldMemory("answer"))
+    if (!AnswerReader::readBody(m_attempts.fallback(), bytes) || !updateHeldMemory("answer"))
         endFallback(AttemptResult::Invalid);
 }
 
 // The events are collected first, since the fallback is moved when it becomes the current attempt.
 void RequestRelay::onFallbackEvents(std::string_view bytes)
 {
-    struct Event
-    {
-        std::optional<std::int64_t> id;
-        std::string text;
-    };
-    std::vector<Event> events;
-    const bool isReadable =
-        m_fallback.events.feed(bytes, [&events](auto id, std::string_view text) {
-            events.push_back({id, std::string(text)});
-        });
-    if (!isReadable || !updateHeldMemory("stream"))
+    const auto events = AnswerReader::readEvents(m_attempts.fallback(), bytes);
+    if (!events || !updateHeldMemory("stream"))
         return endFallback(AttemptResult::Invalid);
-    const std::uint64_t number = m_fallback.number;
-    for (const Event &event : events) {
-        const bool isWaiting = isFallback(number);
+    const std::uint64_t number = m_attempts.fallback().number;
+    for (const StreamedEvent &event : *events) {
+        const bool isWaiting = m_attempts.isFallback(number);
         if (isWaiting && (!event.id || m_stream->isBeyondGap(*event.id)))
             return endFallback(AttemptResult::Invalid);
         if (isWaiting && m_stream->onFallbackEvent(*event.id, m_parts.clock()))
             resumeFallback("event");
-        if (m_attempt.number == number && !m_isFinished)
+        if (m_attempts.isCurrent(number) && !m_isFinished)
             onEvent(event.id, event.text);
     }
     armTimer();
@@ -354,92 +235,81 @@
 
 void RequestRelay::onFallbackClosed(const Result<Done> &result)
 {
-    m_fallback.stream.reset();
+    m_attempts.fallback().stream.reset();
     if (!result)
-        return endFallback(recordConnectionError(m_fallback, result.error()));
-    if (isEmptyRun(m_fallback))
-        return endFallback(AttemptResult::Lost);
-    if (m_fallback.isStreaming && m_fallback.events.hasPartialEvent())
+        return endFallback(recordConnectionError(m_attempts.fallback(), result.error()));
+    if (m_reader.isCutShort(m_attempts.fallback()))
         return endFallback(AttemptResult::Lost);
-    if (m_fallback.isStreaming) {
+    if (m_attempts.fallback().isStreaming) {
         if (!m_stream->onFallbackFinished(m_parts.clock()))
             return endFallback(AttemptResult::Lost);
         resumeFallback("end");
         return onClosed(result);
     }
-    perform(m_session->onFallbackAnswer(m_fallback.answer, m_parts.clock()));
-    cancelFallback();
+    perform(m_session->onFallbackAnswer(m_attempts.fallback().answer, m_parts.clock()));
+    m_attempts.endFallback();
 }
 
 void RequestRelay::endFallback(AttemptResult result)
 {
-    m_reporter.reportFailure(m_fallback, result);
-    cancelFallback();
+    m_reporter.reportFailure(m_attempts.fallback(), result);
+    m_attempts.endFallback();
     perform(m_session->onFallbackEnded(result, m_parts.clock()));
 }
 
 void RequestRelay::resumeFallback(std::string_view cause)
 {
-    cancelAttempt();
-    m_attempt = std::exchange(m_fallback, ServerAttempt {});
-    m_reporter.reportFallbackResumed(m_attempt, cause);
+    m_attempts.resumeFallback();
+    m_reporter.reportFallbackResumed(m_attempts.current(), cause);
 }
 
 // Its server must not work on the run beside that of the next attempt.
 void RequestRelay::delayAttempt(const DelayAttempt &delay)
 {
-    cancelAttempt();
+    m_attempts.endCurrent();
     m_reporter.reportDelay(delay, m_session->service());
 }
 
 void RequestRelay::updateFallback()
 {
-    if (!m_isFinished && m_fallback.number != 0 && !m_session->hasFallback())
-        cancelFallback();
-}
-
-void RequestRelay::cancelFallback()
-{
-    if (const auto stream = std::exchange(m_fallback.stream, nullptr))
-        stream->cancel();
-    m_fallback = ServerAttempt {};
+    if (!m_isFinished && m_attempts.hasFallback() && !m_session->hasFallback())
+        m_attempts.endFallback();
 }
 
 void RequestRelay::onHead(HttpResponse head)
 {
-    recordHead(m_attempt, std::move(head));
-    m_session->onHead(m_attempt.answer, m_parts.clock());
+    recordHead(m_attempts.current(), std::move(head));
+    m_session->onHead(m_attempts.current().answer, m_parts.clock());
 }
 
 void RequestRelay::onBody(std::string_view bytes)
 {
-    if (!m_attempt.isStreaming) {
-        m_attempt.body += bytes;
-        if (m_attempt.body.size() > maxBufferedAnswerBytes || !updateHeldMemory("answer"))
+    if (!m_attempts.current().isStreaming) {
+        if (!AnswerReader::readBody(m_attempts.current(), bytes) || !updateHeldMemory("answer"))
             endAttempt(AttemptResult::Invalid);
         return;
     }
-    const std::uint64_t number = m_attempt.number;
-    const bool isReadable = m_attempt.events.feed(bytes, [&](auto id, std::string_view text) {
-        if (m_attempt.number == number && !m_isFinished)
-            onEvent(id, text);
-    });
-    if (m_isFinished || m_attempt.number != number)
+    const std::uint64_t number = m_attempts.current().number;
+    const bool isReadable =
+        m_attempts.current().events.feed(bytes, [&](auto id, std::string_view text) {
+            if (m_attempts.isCurrent(number) && !m_isFinished)
+                onEvent(id, text);
+        });
+    if (m_isFinished || !m_attempts.isCurrent(number))
         return;
     if (!isReadable || !updateHeldMemory("stream"))
         return endAttempt(AttemptResult::Invalid);
-    if (m_attempt.events.hasPartialEvent())
+    if (m_attempts.current().events.hasPartialEvent())
         m_stream->onPartialEvent(m_parts.clock());
 }
 
 bool RequestRelay::updateHeldMemory(std::string_view what)
 {
-    const std::size_t bytes = m_request.http.body.size() + m_attempt.body.size()
-        + m_attempt.events.pendingBytes() + m_fallback.body.size()
-        + m_fallback.events.pendingBytes() + m_answer.pendingBytes();
+    const std::size_t bytes =
+        m_request.http.body.size() + m_attempts.pendingBytes() + m_answer.pendingBytes();
     if (m_memory->tryResize(bytes))
         return true;
-    m_reporter.reportOverBudget(what, m_attempt.serverId, bytes);
+    m_reporter.reportOverBudget(what, m_attempts.current().serverId, bytes);
     return false;
 }
 
@@ -454,20 +324,20 @@
     if (verdict == EventVerdict::Duplicate)
         return;
     updateFallback();
-    if (!m_answer.passEvent(m_attempt, text, now))
+    if (!m_answer.passEvent(m_attempts.current(), text, now))
         abortAnswer({"callerReadsTooSlowly"});
 }
 
 void RequestRelay::onClosed(const Result<Done> &result)
 {
-    m_attempt.stream.reset();
+    m_attempts.current().stream.reset();
     if (!result)
-        return endAttempt(recordConnectionError(m_attempt, result.error()));
-    if (m_attempt.isStreaming)
-        return onStreamEnd();
-    if (isEmptyRun(m_attempt))
+        return endAttempt(recordConnectionError(m_attempts.current(), result.error()));
+    if (m_reader.isCutShort(m_attempts.current()))
         return endAttempt(AttemptResult::Lost);
-    perform(m_session->onAnswer(m_attempt.answer, m_parts.clock()));
+    if (m_attempts.current().isStreaming)
+        return onStreamEnd();
+    perform(m_session->onAnswer(m_attempts.current().answer, m_parts.clock()));
 }
 
 // A server at its limit of connections resets one before it answers, which looks like the end of
@@ -477,59 +347,49 @@
     const bool isCut = error.code == ErrorCode::Unavailable || error.code == ErrorCode::Closed;
     if (isCut && !attempt.hasHead)
         m_parts.onConnectionFailed(attempt.serverId, attempt.endpoint);
-    return failureOf(error);
-}
-
-// A run has an output, so an empty success is not its answer.
-bool RequestRelay::isEmptyRun(const ServerAttempt &attempt) const
-{
-    const BackendAnswer &answer = attempt.answer;
-    const std::string &method = m_request.http.method;
-    return m_stream && !attempt.isStreaming && answer.status == 200 && !answer.isNotRun
-        && attempt.body.empty() && method != "HEAD" && method != "OPTIONS";
+    return AnswerReader::failureOf(error);
 }
 
 void RequestRelay::onStreamEnd()
 {
-    if (m_attempt.events.hasPartialEvent() || !m_stream->confirmEnd())
+    if (!m_stream->confirmEnd())
         return endAttempt(AttemptResult::Lost);
-    m_answer.startStream(m_attempt);
+    m_answer.startStream(m_attempts.current());
     perform(m_stream->onFinished(m_parts.clock()));
     m_answer.finishStream();
-    finish("served", "", m_attempt.answer.status);
+    finish("served", "", m_attempts.current().answer.status);
 }
 
 void RequestRelay::endAttempt(AttemptResult result)
 {
-    m_reporter.reportFailure(m_attempt, result);
+    m_reporter.reportFailure(m_attempts.current(), result);
     if (!m_stream) {
         // The session may wait for the fallback, which would let an oversized answer go on.
-        cancelAttempt();
-        m_attempt.body.clear();
+        m_attempts.endCurrent();
+        m_attempts.current().body.clear();
     }
     perform(m_session->onAttemptEnded(result, m_parts.clock()));
 }
 
 void RequestRelay::forwardAnswer(const PassAnswer &pass)
 {
-    if (pass.isFallback) {
-        cancelAttempt();
-        m_attempt = std::exchange(m_fallback, ServerAttempt {});
-    }
-    m_answer.respond(m_attempt);
-    finish(m_attempt.answer.isSuccess() ? "served" : "serverFailed", "", m_attempt.answer.status);
+    if (pass.isFallback)
+        m_attempts.resumeFallback();
+    m_answer.respond(m_attempts.current());
+    finish(m_attempts.current().answer.isSuccess() ? "served" : "serverFailed", "",
+           m_attempts.current().answer.status);
 }
 
 void RequestRelay::refuse(const Refuse &refusal)
 {
-    cancelAttempt();
+    m_attempts.endCurrent();
     m_answer.refuse(refusal);
     finish("refused", refusal.cause, refusal.status);
 }
 
 void RequestRelay::abortAnswer(const AbortAnswer &reason)
 {
-    cancelAttempt();
+    m_attempts.endCurrent();
     m_answer.abort();
     finish("cut", reason.cause, 0);
 }
@@ -538,28 +398,23 @@
 {
     if (m_isFinished)
         return;
-    cancelAttempt();
+    m_attempts.endCurrent();
     finish("callerLeft", "", 0);
 }
 
-void RequestRelay::cancelAttempt()
-{
-    m_attempt.number = 0;
-    if (const auto stream = std::exchange(m_attempt.stream, nullptr))
-        stream->cancel();
-}
-
 void RequestRelay::finish(std::string_view outcome, std::string_view cause, int status)
 {
     m_isFinished = true;
-    cancelFallback();
+    m_copyOrders.end();
+    m_attempts.endFallback();
     m_timer.cancel();
     if (m_stream)
         m_stream->endCopies();
     // To the caller, 503 means that no server has executed the request.
-    if (!m_stream && m_attemptCount > 0)
+    if (!m_stream && m_attempts.count() > 0)
         m_parts.answerTimes.end(m_route.name, m_arrivedAt, status != 503, m_parts.clock());
-    m_reporter.reportEnd({outcome, cause, status}, m_attempt.serverId, m_attemptCount);
+    m_reporter.reportEnd({outcome, cause, status}, m_attempts.current().serverId,
+                         m_attempts.count());
 }
 
 // The timer is set for the earliest time limit. If events have moved that limit by the time it
