decisions: send no stream too late for the end of a planned stop

Change: a stream that has not begun is not sent with less than its usual time left; while its server is only silent, it is kept there. One that has begun goes on whatever is left. Measured: promptIsNotMovedTooLateInADrain, lostPromptIsNotSentAgainTooLateInADrain and begunStreamIsResumedLateInADrain fail without it.

--- a/src/decisions/ForwardSession.cpp
+++ b/src/decisions/ForwardSession.cpp
@@ -412,7 +412,8 @@
 {
     onRejected();
     ++(result == AttemptResult::NotRun ? m_rejections : m_addressFailures);
-    const Duration minTime = std::max<Duration>(minTimeLeft, m_request.minAttemptTime);
+    const Duration minTime = std::max<Duration>(
+        minTimeLeft, hasPassedEvents() ? Duration {0} : m_request.minAttemptTime);
     const bool isExhausted = m_rejections >= maxRejections
         || m_addressFailures >= maxAddressFailures || m_deadline - now < minTime;
     // An attempt that was not sent puts no load on a server, so it does not use the retry budget.
--- a/src/decisions/StreamSession.cpp
+++ b/src/decisions/StreamSession.cpp
@@ -2,7 +2,6 @@
 
 #include "foxtailring/decisions/BackendTable.h"
 #include "foxtailring/decisions/EngineLatencyEstimator.h"
-#include "foxtailring/decisions/RequestQuarantine.h"
 #include "foxtailring/decisions/RetryBudget.h"
 #include "foxtailring/decisions/SuspectedCrashes.h"
 
@@ -177,6 +176,9 @@
 {
     if (auto action = applyQuarantine(now))
         return std::move(*action);
+    // An answer that has begun can't be refused when the process ends.
+    if (!m_hasStarted && timeLeft(now) < request().minAttemptTime)
+        return refuseOrAbort(refuse(503, "noTimeLeft"), now);
     m_cause = cause;
     return continueSearch(m_search.start(m_isReplacing, now), now);
 }
--- a/tests/decisions/StreamSessionTest.cpp
+++ b/tests/decisions/StreamSessionTest.cpp
@@ -36,6 +36,9 @@
     CPPUNIT_TEST(promptAtADoubtfulServerIsKept);
     CPPUNIT_TEST(promptAtADeadServerIsRefusedInTime);
     CPPUNIT_TEST(silentPromptThatCannotFinishInTimeIsRefusedAtOnce);
+    CPPUNIT_TEST(promptIsNotMovedTooLateInADrain);
+    CPPUNIT_TEST(lostPromptIsNotSentAgainTooLateInADrain);
+    CPPUNIT_TEST(begunStreamIsResumedLateInADrain);
     CPPUNIT_TEST(runKeptThroughSilenceKeepsItsCopy);
     CPPUNIT_TEST(runIsPlacedByReportedLoad);
     CPPUNIT_TEST(unresponsiveServerIsNotChosen);
@@ -453,6 +456,50 @@
         CPPUNIT_ASSERT_EQUAL(502, refused(session.onProbed({}, now + Ms(1320))).status);
     }
 
+    // Guards against a stream that begins at another server so late that the end of the stopping
+    // process cuts it off; its own server is silent for a moment.
+    void promptIsNotMovedTooLateInADrain()
+    {
+        for (const auto &[minAttemptTime, isMoved] :
+             {std::pair {Ms(4000), true}, {Ms(4600), false}}) {
+            ForwardRequest drained = request();
+            drained.minAttemptTime = minAttemptTime;
+            StreamSession session(m_route, drained, context(), {true, true, true});
+            started(session);
+            session.check(now + Ms(400));
+            const ForwardAction next = session.onProbed({}, now + Ms(520));
+            CPPUNIT_ASSERT_EQUAL(isMoved, std::holds_alternative<ProbeServers>(next));
+            CPPUNIT_ASSERT(isMoved || isWaiting(next));
+        }
+    }
+
+    void lostPromptIsNotSentAgainTooLateInADrain()
+    {
+        ForwardRequest drained = request();
+        drained.minAttemptTime = Ms(4600);
+        StreamSession session(m_route, drained, context(), {true, true, true});
+        started(session);
+        CPPUNIT_ASSERT_EQUAL(
+            502, refused(session.onAttemptEnded(AttemptResult::Lost, now + Ms(520))).status);
+    }
+
+    // Guards against cutting a stream that could end in time at the next server.
+    void begunStreamIsResumedLateInADrain()
+    {
+        for (const auto result : {AttemptResult::Lost, AttemptResult::NotRun}) {
+            ForwardRequest drained = request();
+            drained.minAttemptTime = Ms(4600);
+            StreamSession session(m_route, drained, context(), {true, true, true});
+            started(session);
+            session.onEvent(1, now + Ms(500));
+            sent(session.onAttemptEnded(AttemptResult::Lost, now + Ms(520)));
+            if (result == AttemptResult::Lost)
+                continue;
+            const ForwardAction next = session.onAttemptEnded(result, now + Ms(530));
+            CPPUNIT_ASSERT(!isDelayed(next));
+        }
+    }
+
     // Guards against processing a prompt again whose run has a copy.
     void runKeptThroughSilenceKeepsItsCopy()
     {
