--- a/include/foxtailring/decisions/ForwardContext.h
+++ b/include/foxtailring/decisions/ForwardContext.h
@@ -11,7 +11,7 @@
 class BackendPlacer;
 class BackendTable;
 class EngineLatencyEstimator;
-class PromptQuarantine;
+class RequestQuarantine;
 class RandomSource;
 class RetryBudget;
 class ServerAdmission;
@@ -26,7 +26,7 @@
     const BackendPlacer &placer;
     RetryBudget &retryBudget;
     ServerAdmission &admission;
-    PromptQuarantine &quarantine;
+    RequestQuarantine &quarantine;
     SuspectedCrashes &suspectedCrashes;
     EngineLatencyEstimator &latency;
     RandomSource &random;
@@ -38,8 +38,8 @@
     std::function<void(std::string_view serverId, Duration left)> onPauseReached;
     /// The retry budget of the service is used up; may be empty.
     std::function<void(const std::string &service)> onRetryDenied;
-    /// The request has this prompt part, which is quarantined; may be empty.
-    std::function<void(std::string_view part)> onQuarantined;
+    /// The request is refused because of this suspect, which is quarantined; may be empty.
+    std::function<void(std::string_view suspect)> onQuarantined;
 };
 
 } // namespace foxtailring
--- a/include/foxtailring/decisions/StreamSession.h
+++ b/include/foxtailring/decisions/StreamSession.h
@@ -1,11 +1,13 @@
 #pragma once
 
+#include "foxtailring/decisions/AttemptWatch.h"
 #include "foxtailring/decisions/EventVerdict.h"
 #include "foxtailring/decisions/ForwardSession.h"
 #include "foxtailring/decisions/ResumeWait.h"
-#include "foxtailring/decisions/RunCopy.h"
+#include "foxtailring/decisions/RunCopier.h"
 #include "foxtailring/decisions/RunPlacement.h"
 #include "foxtailring/decisions/RunProgress.h"
+#include "foxtailring/decisions/ServerSearch.h"
 
 namespace foxtailring {
 
@@ -57,7 +59,7 @@
     /// \brief A CopyRun action that was reported as failed has made a copy after all.
     void onLateCopy(const CopyRun &copyRun, std::string handle);
     /// \brief Releases the copies of the run when the request is over.
-    void endCopies() { m_copy.end(); }
+    void endCopies() { m_copier.end(); }
     /// \brief True if events were passed on, so that the answer can only continue or be aborted.
     bool hasStarted() const { return m_hasStarted; }
     std::optional<std::int64_t> lastEventId() const { return m_lastEventId; }
@@ -69,7 +71,7 @@
     void onRejected() override;
     std::uint32_t usedAttempts(TimePoint now) const override;
     bool hasPassedEvents() const override { return m_hasStarted; }
-    bool isChoosingServer() const override { return m_isPlacing || m_isFindingPrompt; }
+    bool isChoosingServer() const override { return m_search.isActive(); }
     ForwardAction waitForFallback(ForwardAction action, TimePoint now) override;
     ForwardAction waitForNextAttempt(Missing missing, ForwardAction ending, TimePoint now) override;
     ForwardAction lookForAttempt(TimePoint now) override;
@@ -80,7 +82,7 @@
     ForwardAction conclude(ForwardAction action) const override;
     void onAttemptOver() override;
     bool hasOutlivedStart() const;
-    TimePoint lastSignAt(TimePoint) const override { return m_progress.lastContactAt(); }
+    TimePoint lastSignAt(TimePoint) const override { return m_watch.progress().lastContactAt(); }
     bool acceptsSuccessor() const override { return m_capabilities.isSingleService; }
     ForwardAction onOverdue(TimePoint now) override;
     TimePoint overdueAt() const override;
@@ -88,48 +90,22 @@
     /// Whether an attempt that is made later can still lead to a whole answer.
     bool mayWaitForAttempt(TimePoint now) const;
     ForwardAction delayAttempt(std::string_view reason, Duration needed, TimePoint now);
-    bool hasUsableCopy(TimePoint now) const
-    {
-        return m_progress.hasEvents() && m_copy.isUsable(now);
-    }
-    ForwardAction maintainCopy(TimePoint now);
-    ForwardAction probeCopyHolder(const BackendState &holder);
-    void onCopyHolderProbed(std::span<const ServerProbeResult> reports, TimePoint now);
-    std::optional<BackendState> chooseCopyHolder(const BackendState &runServer,
-                                                 TimePoint now) const;
-    /// Looks for an engine that still has the prompt of a reconnecting caller in memory.
-    ForwardAction probeForPrompt(TimePoint now);
-    ForwardAction onPromptProbed(std::span<const ServerProbeResult> reports, TimePoint now);
+    /// Records who answered a probe for the prompt.
+    void recordPromptReports(std::span<const ServerProbeResult> reports, TimePoint now);
     /// Whether the run can finish before the deadline if it first processes \a promptTokens.
     bool canFinishInTime(std::uint64_t promptTokens, TimePoint now) const;
-    /// Asks the copy holder before the run is moved there from a server that may go on with it.
-    ForwardAction probeNextServer();
-    ForwardAction onNextServerProbed(std::span<const ServerProbeResult> reports, TimePoint now);
-    ForwardAction resumeFromCopy(TimePoint now);
-    /// Looks for a server that processes the prompt.
-    ForwardAction placeAnew(TimePoint now);
-    ForwardAction probeCandidates(TimePoint now);
-    ForwardAction placeRun(std::span<const ServerProbeResult> reports, TimePoint now);
+    ForwardAction continueSearch(ServerSearch::Step step, TimePoint now);
     ForwardAction sendRun(SendAttempt next, TimePoint now);
     void keepAsFallback(SendAttempt &next, TimePoint now);
-    void assignCopyHolder(SendAttempt &attempt, TimePoint now);
     TimePoint silenceDueAt() const;
-    /// When the attempt is given up although its server answers probes.
-    TimePoint stuckAt() const;
-    bool isPresumedLost(TimePoint now) const;
-    ReportedStart reportedStart(TimePoint now) const;
-    void endPlacement();
     ForwardAction onSilent(TimePoint now);
-    ForwardAction onRunLost(const ServerProbeResult &report, TimePoint now);
     /// Looks for a server that can take the place of the current attempt, which goes on meanwhile.
     ForwardAction replaceAttempt(std::string_view cause, TimePoint now);
     /// Whether the budget allows a move away from a server that may go on with the run.
     bool mayMoveOnBelief(TimePoint now) const;
     /// Whether the attempt at a silent server may still lead to a whole answer.
     bool mayOutlastSilence(TimePoint now) const;
-    /// True if the attempt goes on although its server is silent.
-    bool isKeptSilent() const { return m_replaceAt != TimePoint {}; }
-    void recordSign(TimePoint now);
+    ForwardAction onWatched(AttemptWatch::Finding finding, TimePoint now);
     /// Goes on with the attempt at a silent server, since no other server can take its place.
     ForwardAction keepSilentAttempt(TimePoint now);
     /// What a quarantine does to the next attempt; none: it may be sent.
@@ -139,9 +115,10 @@
 
     const EngineCapabilities m_capabilities;
     RunPlacement m_placement;
-    RunProgress m_progress;         ///< of the current attempt
+    AttemptWatch m_watch;           ///< of the current attempt
     RunProgress m_fallbackProgress; ///< of the fallback
-    RunCopy m_copy;                 ///< of the current run
+    RunCopier m_copier;             ///< of the current run
+    ServerSearch m_search;          ///< for the next attempt's server
     /// Servers that were lost after the caller had got an event.
     std::vector<BackendInfo> m_lostServers;
     ResumeWait m_wait;            ///< for the next attempt of a stream that has begun
@@ -150,24 +127,10 @@
     std::optional<std::int64_t> m_lastEventId;
     bool m_hasStarted = false;
     bool m_hasEmptyEnd = false; ///< an attempt ended in order without an event
-    /// The latest report of the current server shows that it does not work on the run.
-    bool m_isRunUnlisted = false;
-    bool m_isStartUnconfirmed = false; ///< by the latest report of the current server
-    TimePoint m_fallbackEndsAt;        ///< at the latest
-    TimePoint m_probedAt;
-    /// The attempt was the fallback, which is not probed, so it is probed before it is given up.
-    bool m_isUnwatched = false;
-    bool m_isProbing = false;       ///< a probe of the current server is in progress
-    bool m_isFindingPrompt = false; ///< a probe for the prompt is in progress
-    bool m_isPlacing = false;       ///< a probe of the candidates is in progress
-    bool m_isProbingNext = false;   ///< it is that of the copy holder that is to take the run
-    bool m_isReplacing = false;     ///< looking for a server while the attempt goes on
-    TimePoint m_replaceAt;          ///< not before then
-    TimePoint m_movableSince;       ///< the attempt is to be replaced since; 0: it is not
-    bool m_isProbingHolder = false; ///< a probe of the copy holder is in progress
-    bool m_isCopying = false;       ///< the current server is making a snapshot
-    TimePoint m_copyCheckAt = TimePoint::max();
-    std::string_view m_cause; ///< of the next attempt
+    TimePoint m_fallbackEndsAt; ///< at the latest
+    bool m_isReplacing = false; ///< looking for a server while the attempt goes on
+    TimePoint m_movableSince;   ///< the attempt is to be replaced since; 0: it is not
+    std::string_view m_cause;   ///< of the next attempt
 };
 
 } // namespace foxtailring
--- a/src/gateway/GatewayParts.h
+++ b/src/gateway/GatewayParts.h
@@ -14,8 +14,8 @@
 #include "foxtailring/decisions/IdleConnectionShare.h"
 #include "foxtailring/decisions/KeyFreshness.h"
 #include "foxtailring/decisions/MemoryBudget.h"
-#include "foxtailring/decisions/PromptQuarantine.h"
 #include "foxtailring/decisions/RateLimitTable.h"
+#include "foxtailring/decisions/RequestQuarantine.h"
 #include "foxtailring/decisions/RetryBudget.h"
 #include "foxtailring/decisions/RouteTable.h"
 #include "foxtailring/decisions/ServerAdmission.h"
@@ -68,7 +68,7 @@
     void reportRateLimited(const std::string &requestId, std::string_view serverId,
                            const RateLimitExplanation &reason);
     /// \brief Logs and counts that a quarantined prompt part kept a request from all servers.
-    void reportQuarantined(const std::string &requestId, std::string_view part);
+    void reportQuarantined(const std::string &requestId, std::string_view suspect);
     /// \brief Logs and counts that a server's pause kept a request from it.
     void reportPauseReached(const std::string &requestId, std::string_view serverId, Duration left);
     /// \brief Gives back the idle connections to a server to which a connection failed before an
@@ -108,7 +108,7 @@
     IdleConnectionShare idleShare; ///< of connections for requests
     RetryBudget retryBudget;
     RateLimitTable rateLimits;
-    PromptQuarantine quarantine;
+    RequestQuarantine quarantine;
     CrashChecks crashChecks;
     SuspectedCrashes suspectedCrashes;
     ServerPauses pauses;
--- a/src/gateway/GatewayPublisher.cpp
+++ b/src/gateway/GatewayPublisher.cpp
@@ -2,10 +2,10 @@
 
 #include "foxtailring/base/StructuredLog.h"
 
+#include "CrashReportCodec.h"
 #include "GatewayKey.h"
 #include "GatewayListingCodec.h"
 #include "GatewayParts.h"
-#include "PromptCrashReportCodec.h"
 #include "RateLimitReportCodec.h"
 
 #include <algorithm>
@@ -38,7 +38,7 @@
     , m_client(client)
     , m_listing {GatewayKey::of(parts.settings.nodeId)}
     , m_report {std::string(RateLimitReportCodec::keyPrefix) + parts.settings.nodeId}
-    , m_crashReport {std::string(PromptCrashReportCodec::keyPrefix) + parts.settings.nodeId}
+    , m_crashReport {std::string(CrashReportCodec::keyPrefix) + parts.settings.nodeId}
     , m_crashProber(parts)
     , m_timer(parts.pool)
     , m_failurePause(minFailurePause)
@@ -64,7 +64,7 @@
     m_parts.rateLimits.expire(now);
     m_crashProber.step(now);
     m_parts.quarantine.expire(now);
-    m_parts.metrics.setGauge("gateway_prompts_quarantined",
+    m_parts.metrics.setGauge("gateway_suspects_quarantined",
                              static_cast<double>(m_parts.quarantine.quarantineCount()));
     m_parts.pauses.expire(now);
     m_parts.updateFleetSize();
@@ -201,9 +201,9 @@
     });
 }
 
-void GatewayPublisher::publish(const PromptCrashReport &report)
+void GatewayPublisher::publish(const CrashReport &report)
 {
-    write(m_crashReport, PromptCrashReportCodec::encode(report), [this](const auto &result) {
+    write(m_crashReport, CrashReportCodec::encode(report), [this](const auto &result) {
         if (result)
             return onCrashReportWritten(result.value());
         m_parts.metrics.add("gateway_crash_reports_total{outcome=\"failed\"}");
--- a/src/gateway/RequestRelay.h
+++ b/src/gateway/RequestRelay.h
@@ -8,10 +8,12 @@
 #include "foxtailring/transport/HttpResponse.h"
 #include "foxtailring/transport/Timer.h"
 
+#include "AnswerReader.h"
 #include "AttemptSender.h"
 #include "CallerAnswer.h"
+#include "CopyOrderSender.h"
+#include "OpenAttempts.h"
 #include "RequestReporter.h"
-#include "ServerAttempt.h"
 
 #include <cstdint>
 #include <functional>
@@ -54,11 +56,7 @@
     void perform(const ForwardAction &action);
     void send(const SendAttempt &next);
     void probeServers(const ProbeServers &probe);
-    void copyRun(const CopyRun &command);
-    void armCopyTimer(std::uint64_t order, const CopyRun &command);
-    void onOrderAnswered(std::uint64_t order, const CopyRun &command,
-                         const Result<HttpResponse> &response);
-    void onRunCopied(const CopyRun &command, const Result<HttpResponse> &response);
+    CopyOrderSender::Hooks copyHooks();
     void onProbeResults(std::span<const ServerProbeResult> results);
     void onHead(HttpResponse head);
     void onBody(std::string_view bytes);
@@ -69,10 +67,8 @@
     void onClosed(const Result<Done> &result);
     /// A connection to the server of the attempt failed; returns what became of the attempt.
     AttemptResult recordConnectionError(const ServerAttempt &attempt, const Error &error);
-    bool isEmptyRun(const ServerAttempt &attempt) const;
     void onStreamEnd();
     void endAttempt(AttemptResult result);
-    bool isFallback(std::uint64_t number) const;
     void onFallbackHead(HttpResponse head);
     void onFallbackBody(std::string_view bytes);
     void onFallbackClosed(const Result<Done> &result);
@@ -84,13 +80,11 @@
     void onFallbackEvents(std::string_view bytes);
     /// Ends the fallback if the session needs it no longer.
     void updateFallback();
-    void cancelFallback();
     void recordHead(ServerAttempt &attempt, HttpResponse head);
     void forwardAnswer(const PassAnswer &pass);
     void refuse(const Refuse &refusal);
     void abortAnswer(const AbortAnswer &reason);
     void onCallerDisconnect();
-    void cancelAttempt();
     void finish(std::string_view outcome, std::string_view cause, int status);
     void armTimer();
     void onTimer();
@@ -105,14 +99,11 @@
     const std::unique_ptr<ForwardSession> m_session;
     StreamSession *const m_stream; ///< m_session if the answer is a stream, else null
     const AttemptSender m_sender;
+    const AnswerReader m_reader;
     const std::shared_ptr<RequestMemory> m_memory;
     Timer m_timer;
-    std::optional<Timer> m_copyTimer;
-    std::uint64_t m_copyOrderCount = 0;
-    std::uint64_t m_openCopyOrder = 0; ///< number of the order that may still be used; 0: none
-    ServerAttempt m_attempt;
-    ServerAttempt m_fallback; ///< an earlier attempt that goes on; number 0: none
-    std::uint64_t m_attemptCount = 0;
+    CopyOrderSender m_copyOrders;
+    OpenAttempts m_attempts;
     std::uint64_t m_probeCount = 0;
     bool m_isFinished = false;
 };
--- a/tests/decisions/PromptQuarantineTest.cpp
+++ b/tests/decisions/RequestQuarantineTest.cpp
@@ -1,16 +1,19 @@
-#include "foxtailring/decisions/PromptQuarantine.h"
+#include "foxtailring/decisions/RequestQuarantine.h"
+#include "foxtailring/protocol/RequestDigest.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 using namespace foxtailring;
 using namespace std::chrono_literals;
 
-class PromptQuarantineTest : public CppUnit::TestFixture
+class RequestQuarantineTest : public CppUnit::TestFixture
 {
-    CPPUNIT_TEST_SUITE(PromptQuarantineTest);
+    CPPUNIT_TEST_SUITE(RequestQuarantineTest);
     CPPUNIT_TEST(partThatCrashesEnginesIsQuarantined);
     CPPUNIT_TEST(partsAboveTheCauseAreNotQuarantined);
     CPPUNIT_TEST(causeAboveDifferentPartsIsFound);
@@ -41,11 +44,19 @@
     CPPUNIT_TEST(hostileReportsFillNothing);
     CPPUNIT_TEST(reportOfAMassFailureWaitsForClearing);
     CPPUNIT_TEST(evidenceIsBoundedAndForgotten);
+    CPPUNIT_TEST(requestsWithTheSameCrashesAreBothAdmitted);
+    CPPUNIT_TEST(deadlyPartIsFoundAmongDifferentRequests);
+    CPPUNIT_TEST(partsOfARepeatedRequestAreNotBlamed);
+    CPPUNIT_TEST(newQuarantineIsReportedAtOnceInAMassFailure);
+    CPPUNIT_TEST(failuresOfAnotherServiceExcuseNothing);
+    CPPUNIT_TEST(requestThatIsOftenAnsweredNeedsMoreCrashes);
+    CPPUNIT_TEST(reportIsNotPutOffTwice);
+    CPPUNIT_TEST(reportedCrashNamesItsService);
     CPPUNIT_TEST(reportIsPublishedWhenItChanges);
     CPPUNIT_TEST_SUITE_END();
 
     using Parts = std::vector<std::string>;
-    using Admission = PromptQuarantine::Admission;
+    using Admission = RequestQuarantine::Admission;
 
 public:
     void partThatCrashesEnginesIsQuarantined()
@@ -110,7 +121,7 @@
         crashTwice(m_own, both);
         m_other.applyReport(m_own.takeDueReport(m_now + 1s).value(), m_now + 2s);
         CPPUNIT_ASSERT(!isAdmitted(m_other, both, m_now + 2s));
-        PromptQuarantine next;
+        RequestQuarantine next;
         next.applyReport(m_other.takeDueReport(m_now + 2s).value(), m_now + 3s);
         CPPUNIT_ASSERT(!isAdmitted(next, both, m_now + 3s));
         CPPUNIT_ASSERT(isAdmitted(next, {"harmless", "other"}, m_now + 3s));
@@ -122,7 +133,7 @@
         crashTwice(m_own, {"cause", "harmless"});
         m_other.recordStart(Parts {"harmless"}, m_now + 1100ms);
         m_own.recordCrash("e3", Parts {"harmless"}, m_now + 1s);
-        PromptCrashReport report = m_own.takeDueReport(m_now + 1200ms).value();
+        CrashReport report = m_own.takeDueReport(m_now + 1200ms).value();
         for (auto &quarantine : report.quarantines)
             quarantine.sinceMs += 200;
         m_other.applyReport(report, m_now + 2s);
@@ -211,11 +222,11 @@
     {
         crashTwice(m_own, m_deadly);
         const auto report = m_own.takeDueReport(m_now + 1s).value();
-        PromptQuarantine started;
+        RequestQuarantine started;
         started.applyReport(report, m_now + 10s);
         CPPUNIT_ASSERT(!isAdmitted(started, m_deadly, m_now + 10s));
         // It tells others in turn, once it relies on the quarantine.
-        PromptQuarantine next;
+        RequestQuarantine next;
         next.applyReport(started.takeDueReport(m_now + 10s).value(), m_now + 11s);
         CPPUNIT_ASSERT(!isAdmitted(next, m_deadly, m_now + 11s));
     }
@@ -235,8 +246,8 @@
     void clocksThatDifferMakeOneMomentOfAZoneLoss()
     {
         for (const auto skew : {-5000ms, -1000ms, 0ms, 1000ms, 2000ms, 5000ms}) {
-            PromptQuarantine reporters[2];
-            PromptQuarantine reader;
+            RequestQuarantine reporters[2];
+            RequestQuarantine reader;
             reporters[1].setUnixOffset(skew);
             for (int i = 0; i < 2; ++i) {
                 reporters[i].recordCrash("e" + std::to_string(i), Parts {"hot"}, m_now);
@@ -282,7 +293,7 @@
         m_other.applyReport(report, m_now);
         m_other.recordCrash("e2", m_deadly, m_now + 6s);
         CPPUNIT_ASSERT(!isAdmitted(m_other, m_deadly, m_now + 6s));
-        PromptQuarantine next;
+        RequestQuarantine next;
         report = m_other.takeDueReport(m_now + 6s).value();
         report.dating.reset();
         next.applyReport(report, m_now + 6s);
@@ -326,7 +337,7 @@
             m_own.recordCrash("n" + std::to_string(i), Parts {"part-" + std::to_string(i)},
                               m_now + 1s + i * 1ms);
         CPPUNIT_ASSERT(!isAdmitted(m_own, m_deadly, m_now + 4s));
-        CPPUNIT_ASSERT(m_own.size() <= 256);
+        CPPUNIT_ASSERT(m_own.size() <= RequestQuarantine::Settings {}.maxSuspects);
     }
 
     void newPartsBesideADeadlyOneDoNotHideIt()
@@ -366,7 +377,7 @@
     void hostileReportsFillNothing()
     {
         constexpr std::int64_t farAheadMs = 3'999'999'999'999;
-        PromptCrashReport hostile;
+        CrashReport hostile;
         for (int i = 0; i < 512; ++i)
             hostile.quarantines.push_back({"h" + std::to_string(i), farAheadMs, farAheadMs});
         m_own.applyReport(hostile, m_now);
@@ -393,13 +404,93 @@
                 parts.push_back(std::to_string(i * 50 + part));
             m_own.recordCrash("e" + std::to_string(i), parts, m_now);
         }
-        CPPUNIT_ASSERT(m_own.size() <= 256);
+        CPPUNIT_ASSERT(m_own.size() <= RequestQuarantine::Settings {}.maxSuspects);
         const auto report = m_own.takeDueReport(m_now + 5s).value();
         CPPUNIT_ASSERT(report.crashes.size() <= 16);
         m_own.expire(m_now + 2min);
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), m_own.size());
     }
 
+    // Guards against refusing a sound request that was lost with a deadly one each time.
+    void requestsWithTheSameCrashesAreBothAdmitted()
+    {
+        const Parts deadly = {wholeRequest("deadly")};
+        const Parts sound = {wholeRequest("sound")};
+        crashThrice(m_own, deadly);
+        crashThrice(m_own, sound);
+        CPPUNIT_ASSERT(isAdmitted(m_own, sound, m_now + 1s));
+        CPPUNIT_ASSERT(isAdmitted(m_own, deadly, m_now + 1s));
+        m_own.recordCrash("e4", deadly, m_now + 2s);
+        CPPUNIT_ASSERT(isAdmitted(m_own, sound, m_now + 2s));
+        CPPUNIT_ASSERT(!isAdmitted(m_own, deadly, m_now + 2s));
+    }
+
+    void deadlyPartIsFoundAmongDifferentRequests()
+    {
+        m_own.recordCrash("e1", Parts {"deadly", wholeRequest("one")}, m_now);
+        m_own.recordCrash("e2", Parts {"deadly", wholeRequest("two")}, m_now + 1s);
+        const Parts third = {"deadly", wholeRequest("three")};
+        CPPUNIT_ASSERT_EQUAL(std::string("deadly"), quarantined(m_own, third, m_now + 1s));
+    }
+
+    // Guards against refusing sound requests that share the parts of one that is deadly itself.
+    void partsOfARepeatedRequestAreNotBlamed()
+    {
+        crashThrice(m_own, {"shared", wholeRequest("deadly")});
+        CPPUNIT_ASSERT(isAdmitted(m_own, {"shared", wholeRequest("other")}, m_now + 1s));
+        CPPUNIT_ASSERT(!isAdmitted(m_own, {"shared", wholeRequest("deadly")}, m_now + 1s));
+    }
+
+    // Guards against gateways that learn of a deadly request seconds late, because three servers
+    // failed.
+    void newQuarantineIsReportedAtOnceInAMassFailure()
+    {
+        const Parts deadly = {wholeRequest("deadly")};
+        crashThrice(m_own, deadly);
+        m_own.recordCrash("e4", Parts {wholeRequest("sound")}, m_now + 1s);
+        m_own.recordCrash("e5", Parts {wholeRequest("other")}, m_now + 1s);
+        CPPUNIT_ASSERT(m_own.takeDueReport(m_now + 1s));
+    }
+
+    // Guards against a deadly call that is not found while engines fail.
+    void failuresOfAnotherServiceExcuseNothing()
+    {
+        const Parts deadly = {wholeRequest("deadly")};
+        for (int moment = 0; moment < 3; ++moment) {
+            const TimePoint at = m_now + moment * 1s;
+            for (int i = 0; i < 6; ++i)
+                m_own.recordFailure("engine" + std::to_string(6 * moment + i), "engine", at, at);
+            m_own.recordCrash("s" + std::to_string(moment), deadly, crashOfPlainServer(at), at);
+        }
+        CPPUNIT_ASSERT(!isAdmitted(m_own, deadly, m_now + 2s));
+    }
+
+    // Guards against refusing a call that many callers make, because its servers crash.
+    void requestThatIsOftenAnsweredNeedsMoreCrashes()
+    {
+        const Parts hot = {wholeRequest("hot")};
+        for (int i = 0; i < 24; ++i)
+            m_own.recordStart(hot, m_now - 1s);
+        crashThrice(m_own, hot);
+        CPPUNIT_ASSERT(isAdmitted(m_own, hot, m_now + 1s));
+    }
+
+    // Guards against evidence that never leaves a process because servers fail all the time.
+    void reportIsNotPutOffTwice()
+    {
+        for (int i = 0; i < 20; ++i)
+            m_own.recordCrash("e" + std::to_string(i), Parts {wholeRequest(std::to_string(i))},
+                              m_now + i * 200ms);
+        CPPUNIT_ASSERT(m_own.takeDueReport(m_now + 3800ms));
+    }
+
+    void reportedCrashNamesItsService()
+    {
+        m_own.recordCrash("s1", m_deadly, crashOfPlainServer(m_now), m_now);
+        const auto report = m_own.takeDueReport(m_now).value();
+        CPPUNIT_ASSERT_EQUAL(std::string("plain"), report.crashes.at(0).service);
+    }
+
     // Each report is a write to the store.
     void reportIsPublishedWhenItChanges()
     {
@@ -414,27 +505,46 @@
     }
 
 private:
-    void crashTwice(PromptQuarantine &quarantine, const Parts &parts, Duration after = 0s) const
+    void crashTwice(RequestQuarantine &quarantine, const Parts &parts, Duration after = 0s) const
     {
         quarantine.recordCrash("e1", parts, m_now + after);
         quarantine.recordCrash("e2", parts, m_now + after + 1s);
     }
 
-    static bool isAdmitted(PromptQuarantine &quarantine, const Parts &parts, TimePoint now)
+    void crashThrice(RequestQuarantine &quarantine, const Parts &suspects) const
+    {
+        for (int i = 1; i <= 3; ++i)
+            quarantine.recordCrash("e" + std::to_string(i), suspects, m_now + i * 300ms);
+    }
+
+    static RequestQuarantine::ProvenCrash crashOfPlainServer(TimePoint at)
+    {
+        RequestQuarantine::ProvenCrash crash;
+        crash.service = "plain";
+        crash.at = at;
+        return crash;
+    }
+
+    static std::string wholeRequest(std::string_view content)
+    {
+        return RequestDigest::of(std::span(&content, 1));
+    }
+
+    static bool isAdmitted(RequestQuarantine &quarantine, const Parts &parts, TimePoint now)
     {
         return quarantine.admit(parts, now) == Admission::Admitted;
     }
 
-    static std::string quarantined(const PromptQuarantine &quarantine, const Parts &parts,
+    static std::string quarantined(const RequestQuarantine &quarantine, const Parts &parts,
                                    TimePoint now)
     {
-        return std::string(quarantine.quarantinedPart(parts, now));
+        return std::string(quarantine.quarantinedSuspect(parts, now));
     }
 
     const TimePoint m_now {1h};
     const Parts m_deadly = {"shared", "deadly"};
-    PromptQuarantine m_own;
-    PromptQuarantine m_other;
+    RequestQuarantine m_own;
+    RequestQuarantine m_other;
 };
 
-CPPUNIT_TEST_SUITE_REGISTRATION(PromptQuarantineTest);
+CPPUNIT_TEST_SUITE_REGISTRATION(RequestQuarantineTest);
