quarantine: release a request whose crashes are refuted

Callers would see: a call stays refused for 20 s after one of its three crashes turned out to be none. Cause: withdrawCrash compared with the threshold of prompt parts, two, also for whole requests, which need three. Change: one function names the least crashes of a suspect, for both.

--- a/include/foxtailring/decisions/RequestQuarantine.h
+++ b/include/foxtailring/decisions/RequestQuarantine.h
@@ -153,6 +153,8 @@
     /// \brief Adds the suspects that have a crash in common with \a record to \a names.
     void addSharing(const SuspectRecord &record, SuspectTable::Names &names) const;
     void updateQuarantines(const SuspectTable::Names &suspects, TimePoint now);
+    /// \brief Crashes without which the suspect is not quarantined.
+    std::size_t minCrashes(const std::string &suspect) const;
     std::size_t crashThreshold(const std::string &suspect, const SuspectRecord &record,
                                TimePoint now) const;
     void updateQuarantine(const std::string &suspect, SuspectRecord &record, TimePoint now);
--- a/src/decisions/RequestQuarantine.cpp
+++ b/src/decisions/RequestQuarantine.cpp
@@ -163,8 +163,7 @@
         if (!record.crashes.find(incarnation)->second.isOwn)
             continue;
         m_suspects.removeCrash(suspect, incarnation);
-        const bool isRefuted =
-            m_attribution.crashCount(suspect, record) < m_settings.crashThreshold;
+        const bool isRefuted = m_attribution.crashCount(suspect, record) < minCrashes(suspect);
         if (record.quarantine.isInForce && isRefuted)
             release(suspect, record, "refuted");
         m_reportAt = TimePoint {};
@@ -354,15 +353,20 @@
         quarantine(suspect, record, now);
 }
 
+std::size_t RequestQuarantine::minCrashes(const std::string &suspect) const
+{
+    return RequestDigest::isDigest(suspect) ? CrashAttribution::minRequestCrashes
+                                            : m_settings.crashThreshold;
+}
+
 // Many callers may send the same request, so that it is at most servers whatever ends them.
 std::size_t RequestQuarantine::crashThreshold(const std::string &suspect,
                                               const SuspectRecord &record, TimePoint now) const
 {
     if (!RequestDigest::isDigest(suspect))
-        return m_settings.crashThreshold;
+        return minCrashes(suspect);
     const int level = m_attribution.startLevel(suspect, record, now);
-    return CrashAttribution::minRequestCrashes
-        + crashesPerStartLevel * static_cast<std::size_t>(level);
+    return minCrashes(suspect) + crashesPerStartLevel * static_cast<std::size_t>(level);
 }
 
 void RequestQuarantine::quarantine(const std::string &suspect, SuspectRecord &record, TimePoint now)
