decisions: do not take a refusal for an answer that clears a request

Callers would see: a server that asks for a pause hides a call that crashes the others. Cause: any signed answer without the note that nothing has run cleared the request, also 503, 429 and 408. Change: answers whose status promises that nothing has run, or that ask for a pause, clear nothing.

--- a/src/decisions/ForwardSession.cpp
+++ b/src/decisions/ForwardSession.cpp
@@ -352,7 +352,10 @@
 {
     if (answer.isSuccess())
         return recordStart(now);
-    if (answer.isSigned && !answer.isOtherServer && !m_request.contentDigest.empty())
+    // A server may turn a request away before it runs it, and not say so.
+    const bool mayBeTurnedAway = answer.pause || promisesNotRun(answer.status);
+    if (answer.isSigned && !answer.isOtherServer && !mayBeTurnedAway
+        && !m_request.contentDigest.empty())
         m_context.quarantine.recordStart(std::span(&m_request.contentDigest, 1), now);
 }
 
