quarantine: drop the oldest crash of a suspect for a later one

Callers would see: a part that was at 16 servers of one moment is admitted for good, and a trial that crashes a server ends the quarantine. Cause: a record with 16 crashes took no further ones. Change: the oldest one makes room.

--- a/include/foxtailring/decisions/SuspectTable.h
+++ b/include/foxtailring/decisions/SuspectTable.h
@@ -37,7 +37,7 @@
     void removeIf(const std::function<bool(const SuspectRecord &)> &isRemoved);
 
     /// \brief The crash of a server in the record of \a name, which is made of \a crash if there is
-    /// none yet. Null: no room, or no such suspect.
+    /// none yet; an older one makes room. Null: no room, or no such suspect.
     SuspectRecord::Crash *findOrAddCrash(const std::string &name, const std::string &incarnation,
                                          const SuspectRecord::Crash &crash);
     /// \brief Removes the crashes of \a name for which \a isRemoved is true; returns their number.
@@ -48,6 +48,8 @@
 
 private:
     void makeRoom();
+    /// \brief Removes the oldest crash of \a name. False if it is not older than \a at.
+    bool removeCrashBefore(const std::string &name, TimePoint at);
     void remove(Records::iterator record);
     void unlink(const std::string &name, std::string_view incarnation);
 
--- a/src/decisions/SuspectTable.cpp
+++ b/src/decisions/SuspectTable.cpp
@@ -88,12 +88,26 @@
     const auto found = crashes.find(incarnation);
     if (found != crashes.end())
         return &found->second;
-    if (crashes.size() >= maxCrashesPerSuspect)
+    if (crashes.size() >= maxCrashesPerSuspect && !removeCrashBefore(name, crash.at.latest))
         return nullptr;
     m_suspects[incarnation].insert(name);
     return &crashes.emplace(incarnation, crash).first->second;
 }
 
+// The latest crashes tell whether the suspect still crashes servers.
+bool SuspectTable::removeCrashBefore(const std::string &name, TimePoint at)
+{
+    const SuspectRecord::Crashes &crashes = m_records.find(name)->second.crashes;
+    const auto oldest =
+        std::min_element(crashes.begin(), crashes.end(), [](const auto &one, const auto &other) {
+            return one.second.at.latest < other.second.at.latest;
+        });
+    if (oldest->second.at.latest >= at)
+        return false;
+    const std::string incarnation = oldest->first;
+    return removeCrash(name, incarnation);
+}
+
 std::size_t SuspectTable::removeCrashes(const std::string &name, const CrashFilter &isRemoved)
 {
     SuspectRecord *record = find(name);
