quarantine: bound the crashes that recent answers excuse

Callers would see: a request that was answered often and then begins to crash servers goes on for 30 crashes. Cause: two more crashes were needed for each order of magnitude of its starts, without a bound. Change: nine crashes are enough for any request.

--- a/src/decisions/RequestQuarantine.cpp
+++ b/src/decisions/RequestQuarantine.cpp
@@ -24,6 +24,8 @@
 constexpr std::size_t maxSuspectsPerEnd = 16;
 // More crashes that a whole request needs for each order of magnitude of its recent answers.
 constexpr std::size_t crashesPerStartLevel = 2;
+// Starts long before do not protect a request that crashes one server after the other.
+constexpr std::size_t maxRequestCrashes = 9;
 // The clock of own reports follows the wall clock only when that is set anew, so that two readings
 // of it do not change the order of what they date.
 constexpr milliseconds minClockStep {500};
@@ -366,7 +368,8 @@
     if (!RequestDigest::isDigest(suspect))
         return minCrashes(suspect);
     const int level = m_attribution.startLevel(suspect, record, now);
-    return minCrashes(suspect) + crashesPerStartLevel * static_cast<std::size_t>(level);
+    return std::min(minCrashes(suspect) + crashesPerStartLevel * static_cast<std::size_t>(level),
+                    maxRequestCrashes);
 }
 
 void RequestQuarantine::quarantine(const std::string &suspect, SuspectRecord &record, TimePoint now)
