quarantine: prolong a quarantine only for a crash after it

Callers would see: a request is refused for 40 s instead of 20 s for a crash that was under way when its quarantine began. Cause: a crash later than the beginning of the quarantine counted; it has to be later than its end. Change: compare with the end while there is one.

--- a/src/decisions/RequestQuarantine.cpp
+++ b/src/decisions/RequestQuarantine.cpp
@@ -349,7 +349,7 @@
                                     && !record.isZoneFailure(crash.second);
                             });
     const bool isDue = record.crashes.size() >= m_settings.crashThreshold
-        && record.latestCrash() > quarantined.since
+        && record.latestCrash() > std::max(quarantined.since, quarantined.until)
         && m_attribution.crashCount(suspect, record) >= crashThreshold(suspect, record, now);
     if (isRepeated || (isDue && !m_attribution.isExplained(suspect, record, now)))
         quarantine(suspect, record, now);
