quarantine: do not let two requests excuse each other for good

Callers would see: two calls that crash servers and are always sent together are never refused. Cause: of requests with the same crashes none was quarantined until one was answered. Change: that ends with their sixth common crash. A pair still takes six servers, more than the users allow for one.

--- a/src/decisions/CrashAttribution.cpp
+++ b/src/decisions/CrashAttribution.cpp
@@ -16,11 +16,20 @@
 // Two half-lives after a single start, it says nothing any more.
 constexpr double minStartWeight = 0.25;
 
+// Two requests that are lost together excuse each other. A sound one is not lost so often without
+// being answered once, so then both are to blame.
+constexpr std::size_t maxSharedCrashes = 6;
+
 bool areRequests(const std::string &one, const std::string &other)
 {
     return RequestDigest::isDigest(one) && RequestDigest::isDigest(other);
 }
 
+bool mayExcuse(const SuspectRecord &record)
+{
+    return record.crashes.size() < maxSharedCrashes;
+}
+
 // A part is blamed until it is known that one request crashes servers whatever its parts are.
 bool mayExplainParts(const std::string &name, const SuspectRecord &record)
 {
@@ -109,8 +118,10 @@
         const auto isMoreSpecific = [&candidate](const auto &crash) {
             return candidate.crashes.at(crash.first).position > crash.second.position;
         };
-        if (otherLevel != level || areRequests(name, other))
-            return otherLevel <= level;
+        if (otherLevel != level)
+            return otherLevel < level;
+        if (areRequests(name, other))
+            return mayExcuse(record);
         return mayExplainParts(other, candidate)
             && std::all_of(record.crashes.begin(), record.crashes.end(), isMoreSpecific);
     });
@@ -121,8 +132,10 @@
 {
     const int level = startLevel(name, record, now);
     return !anyWithSameCrashes(name, record, [&](const std::string &other, const auto &candidate) {
-        return (areRequests(name, other) || mayExplainParts(other, candidate))
-            && startLevel(other, candidate, now) <= level
+        const int otherLevel = startLevel(other, candidate, now);
+        const bool isLikely = areRequests(name, other) ? otherLevel < level || mayExcuse(record)
+                                                       : mayExplainParts(other, candidate);
+        return isLikely && otherLevel <= level
             && std::find(request.begin(), request.end(), other) == request.end();
     });
 }
