--- a/src/decisions/RequestQuarantine.cpp
+++ b/src/decisions/RequestQuarantine.cpp
@@ -24,6 +24,8 @@
 constexpr std::size_t maxSuspectsPerEnd = 16;
 // More crashes that a whole request needs for each order of magnitude of its recent answers.
 constexpr std::size_t crashesPerStartLevel = 2;
+// Starts long before do not protect a request that crashes one server after the other.
+constexpr std::size_t maxRequestCrashes = 9;
 // The clock of own reports follows the wall clock only when that is set anew, so that two readings
 // of it do not change the order of what they date.
 constexpr milliseconds minClockStep {500};
@@ -163,8 +165,7 @@
         if (!record.crashes.find(incarnation)->second.isOwn)
             continue;
         m_suspects.removeCrash(suspect, incarnation);
-        const bool isRefuted =
-            m_attribution.crashCount(suspect, record) < m_settings.crashThreshold;
+        const bool isRefuted = m_attribution.crashCount(suspect, record) < minCrashes(suspect);
         if (record.quarantine.isInForce && isRefuted)
             release(suspect, record, "refuted");
         m_reportAt = TimePoint {};
@@ -348,21 +349,27 @@
                                     && !record.isZoneFailure(crash.second);
                             });
     const bool isDue = record.crashes.size() >= m_settings.crashThreshold
-        && record.latestCrash() > quarantined.since
+        && record.latestCrash() > std::max(quarantined.since, quarantined.until)
         && m_attribution.crashCount(suspect, record) >= crashThreshold(suspect, record, now);
     if (isRepeated || (isDue && !m_attribution.isExplained(suspect, record, now)))
         quarantine(suspect, record, now);
 }
 
+std::size_t RequestQuarantine::minCrashes(const std::string &suspect) const
+{
+    return RequestDigest::isDigest(suspect) ? CrashAttribution::minRequestCrashes
+                                            : m_settings.crashThreshold;
+}
+
 // Many callers may send the same request, so that it is at most servers whatever ends them.
 std::size_t RequestQuarantine::crashThreshold(const std::string &suspect,
                                               const SuspectRecord &record, TimePoint now) const
 {
     if (!RequestDigest::isDigest(suspect))
-        return m_settings.crashThreshold;
+        return minCrashes(suspect);
     const int level = m_attribution.startLevel(suspect, record, now);
-    return CrashAttribution::minRequestCrashes
-        + crashesPerStartLevel * static_cast<std::size_t>(level);
+    return std::min(minCrashes(suspect) + crashesPerStartLevel * static_cast<std::size_t>(level),
+                    maxRequestCrashes);
 }
 
 void RequestQuarantine::quarantine(const std::string &suspect, SuspectRecord &record, TimePoint now)
