--- a/include/foxtailring/decisions/CrashAttribution.h
+++ b/include/foxtailring/decisions/CrashAttribution.h
@@ -17,8 +17,8 @@
 class CrashAttribution
 {
 public:
-    /// Crashes that make a quarantine of a whole request that is not answered elsewhere. It is at
-    /// one server at a time, so each of them counts.
+    /// Crashes that make a quarantine of a whole request that has not been answered lately. Each
+    /// attempt is at one server, so each of them counts.
     static constexpr std::size_t minRequestCrashes = 3;
 
     using Suspects = std::span<const std::string>; ///< of a request, from the least specific one
--- a/include/foxtailring/decisions/RecentStarts.h
+++ b/include/foxtailring/decisions/RecentStarts.h
@@ -9,14 +9,15 @@
 
 namespace foxtailring {
 
-/// \brief Remembers when and how often engines began to answer requests with each of the recent
-/// prompt parts. Bounded; not thread-safe.
+/// \brief Remembers when and how often servers began to answer requests with each of the recent
+/// suspects (see RequestQuarantine). Bounded; not thread-safe.
 class RecentStarts
 {
 public:
     void record(const std::string &part, TimePoint now);
     std::optional<TimePoint> lastStart(const std::string &part) const;
-    /// \brief Number of starts with the part, in which each counts half for each half-life since.
+    /// \brief Number of starts with the suspect, in which each counts half for each half-life
+    /// since.
     double weight(const std::string &part, TimePoint now) const;
     /// \brief What one start counts now.
     static double weightOf(TimePoint start, TimePoint now);
--- a/include/foxtailring/decisions/SuspectTable.h
+++ b/include/foxtailring/decisions/SuspectTable.h
@@ -55,7 +55,7 @@
 
     const std::size_t m_maxSuspects;
     Records m_records;
-    std::map<std::string, Names, std::less<>> m_suspects; ///< by incarnation
+    std::map<std::string, Names, std::less<>> m_namesByCrash; ///< by incarnation
 };
 
 } // namespace foxtailring
--- a/src/decisions/CrashAttribution.cpp
+++ b/src/decisions/CrashAttribution.cpp
@@ -48,7 +48,8 @@
 }
 
 // Crashes that may have happened at the same moment count once for a prompt part, which may be at
-// all servers of a zone that fails. A whole request was sent to one after the other.
+// all servers of a zone that fails. A whole request is sent to one after the other, unless many
+// callers send it; then its recent answers raise the number that it needs.
 std::size_t CrashAttribution::crashCount(const std::string &name, const SuspectRecord &record) const
 {
     std::vector<TimeBounds> times;
--- a/src/decisions/SuspectTable.cpp
+++ b/src/decisions/SuspectTable.cpp
@@ -90,7 +90,7 @@
         return &found->second;
     if (crashes.size() >= maxCrashesPerSuspect && !removeCrashBefore(name, crash.at.latest))
         return nullptr;
-    m_suspects[incarnation].insert(name);
+    m_namesByCrash[incarnation].insert(name);
     return &crashes.emplace(incarnation, crash).first->second;
 }
 
@@ -135,19 +135,19 @@
 
 void SuspectTable::unlink(const std::string &name, std::string_view incarnation)
 {
-    const auto found = m_suspects.find(incarnation);
-    if (found == m_suspects.end())
+    const auto found = m_namesByCrash.find(incarnation);
+    if (found == m_namesByCrash.end())
         return;
     found->second.erase(name);
     if (found->second.empty())
-        m_suspects.erase(found);
+        m_namesByCrash.erase(found);
 }
 
 const SuspectTable::Names &SuspectTable::suspectsOf(std::string_view incarnation) const
 {
     static const Names none;
-    const auto found = m_suspects.find(incarnation);
-    return found == m_suspects.end() ? none : found->second;
+    const auto found = m_namesByCrash.find(incarnation);
+    return found == m_namesByCrash.end() ? none : found->second;
 }
 
 } // namespace foxtailring
