--- a/include/foxtailring/decisions/RequestQuarantine.h
+++ b/include/foxtailring/decisions/RequestQuarantine.h
@@ -129,7 +129,7 @@
     /// \brief The latest report was not published.
     void onReportNotPublished();
     bool wantsReport(TimePoint now) const { return now >= m_reportAt; }
-    /// \brief Forgets old evidence and ends quarantines whose time is over.
+    /// \brief Forgets old evidence and ends quarantines whose time is over, at intervals.
     void expire(TimePoint now);
 
     /// \brief Number of suspects, in quarantine or not.
@@ -177,6 +177,7 @@
     std::optional<std::chrono::milliseconds> m_reportOffset; ///< of the clock of own reports
     CrashReport m_published;
     TimePoint m_reportAt = TimePoint::max(); ///< when the next report is due
+    TimePoint m_expiredAt;                   ///< latest walk of expire()
     bool m_isReportUrgent = false;           ///< the next report is not put off
     bool m_isReportPutOff = false;           ///< it waits for the clearing of its suspects
 };
--- a/src/decisions/RequestQuarantine.cpp
+++ b/src/decisions/RequestQuarantine.cpp
@@ -26,6 +26,8 @@
 constexpr std::size_t crashesPerStartLevel = 2;
 // Starts long before do not protect a request that crashes one server after the other.
 constexpr std::size_t maxRequestCrashes = 9;
+// Walks through all suspects, so not at each call.
+constexpr milliseconds expiryInterval {500};
 // The clock of own reports follows the wall clock only when that is set anew, so that two readings
 // of it do not change the order of what they date.
 constexpr milliseconds minClockStep {500};
@@ -403,6 +405,9 @@
 
 void RequestQuarantine::expire(TimePoint now)
 {
+    if (now - m_expiredAt < expiryInterval)
+        return;
+    m_expiredAt = now;
     const auto isOld = [this, now](TimePoint at) {
         return now - at >= m_settings.evidenceLifetime;
     };
