--- a/tests/decisions/PromptQuarantineSimulationTest.cpp
+++ b/tests/decisions/PromptQuarantineSimulationTest.cpp
@@ -11,6 +11,7 @@
 #include <array>
 #include <deque>
 #include <map>
+#include <memory>
 #include <set>
 #include <span>
 #include <string>
@@ -103,8 +104,7 @@
 
     struct Report
     {
-        CrashReport report;
-        TimePoint seenAt;
+        std::shared_ptr<const CrashReport> report;
         std::size_t reader = 0;
         std::string reporter;
     };
@@ -424,24 +424,27 @@
                 return;
             for (std::size_t i = 0; i < m_processes.size(); ++i) {
                 m_processes[i].expire(m_now);
-                const auto report =
-                    isDue(250ms) ? m_processes[i].takeDueReport(m_now) : std::nullopt;
-                if (!report)
-                    continue;
-                for (std::size_t reader = 0; reader < m_processes.size(); ++reader) {
-                    if (reader != i)
-                        m_reports.push_back({*report,
-                                             m_now + m_random.bounded(maxReportDelay.count()) * 1ms,
-                                             reader, std::to_string(i)});
-                }
+                auto report = isDue(250ms) ? m_processes[i].takeDueReport(m_now) : std::nullopt;
+                if (report)
+                    publish(std::make_shared<const CrashReport>(std::move(*report)), i);
             }
-            std::erase_if(m_reports, [this](const Report &report) {
-                if (report.seenAt > m_now)
-                    return false;
-                m_processes[report.reader].applyReport(report.report, m_now,
+            const auto due = m_reports.extract(m_now);
+            if (due.empty())
+                return;
+            for (const Report &report : due.mapped())
+                m_processes[report.reader].applyReport(*report.report, m_now,
                                                        {report.reporter, m_now - maxReportDelay});
-                return true;
-            });
+        }
+
+        void publish(const std::shared_ptr<const CrashReport> &report, std::size_t reporter)
+        {
+            for (std::size_t reader = 0; reader < m_processes.size(); ++reader) {
+                if (reader == reporter)
+                    continue;
+                const auto delay = m_random.bounded(maxReportDelay.count()) * 1ms;
+                const TimePoint readAt = m_now + (delay + tick - 1ms) / tick * tick;
+                m_reports[readAt].push_back({report, reader, std::to_string(reporter)});
+            }
         }
 
         const Scenario m_scenario;
@@ -456,7 +459,7 @@
         std::map<std::size_t, TimePoint> m_downUntil; ///< by engine; it answers no check
         std::set<std::size_t> m_dark; ///< engines that have crashed and are not back
         std::deque<Request> m_running;
-        std::deque<Report> m_reports;
+        std::map<TimePoint, std::vector<Report>> m_reports; ///< by the tick in which they are read
         std::map<std::string, std::vector<TimePoint>> m_crashes; ///< by part
         std::map<std::size_t, std::size_t> m_starts;             ///< of each engine
         std::set<std::string> m_failed;                          ///< in this tick
