watch: start the probe state of a run anew when the fallback resumes

Cause: at the return to a fallback, AttemptWatch kept the mark that the latest report named an unconfirmed later start, although that report was of the server that was to replace it. The first spoiled start time of the fallback's own server then counted as confirmed: the run was judged by that report, found missing and ended. Change: all that probes have shown about an attempt is one ProbeState, which starts anew with each change of the attempt, so that no single mark can be left out. Measured: AttemptWatchTest::reportsOfTheReplacementDoNotCountForTheFallback failed before. decisions_test AttemptWatchTest and StreamSessionTest pass (19 and 72 tests).

--- a/include/foxtailring/decisions/AttemptWatch.h
+++ b/include/foxtailring/decisions/AttemptWatch.h
@@ -48,7 +48,7 @@
     /// \brief An earlier attempt with this progress is the current one again.
     void resume(const RunProgress &progress);
     /// \brief The attempt was not watched for some time, so it is probed before it is given up.
-    void requireProbe() { m_isUnwatched = true; }
+    void requireProbe() { m_state.isUnwatched = true; }
     /// \brief The attempt sent its next event.
     void recordEvent(TimePoint now);
     /// \brief Bytes of an event arrived that is not complete yet.
@@ -60,25 +60,38 @@
     /// \brief Returns the probe of the server, or what the silence shows.
     Step check(const BackendState &server, TimePoint sentAt, TimePoint now);
     /// \brief True while a probe of the server is in progress.
-    bool isProbing() const { return m_isProbing; }
+    bool isProbing() const { return m_state.isProbing; }
     /// \brief The probe of the server is over.
     /// \param lastEventId latest event that arrived, of any attempt; 0: none
     Finding onProbed(const BackendState &server, std::span<const ServerProbeResult> reports,
                      std::int64_t lastEventId, TimePoint now);
     /// \brief True if the latest report shows that the server does not work on the run.
-    bool isRunUnlisted() const { return m_isRunUnlisted; }
+    bool isRunUnlisted() const { return m_state.isRunUnlisted; }
 
     /// \brief The attempt goes on although its server is silent. It is checked again a little
     /// later.
     void keepSilent(TimePoint now);
     /// \brief The attempt is over or replaced.
-    void endKeeping() { m_keptUntil = {}; }
+    void endKeeping() { m_state.keptUntil = {}; }
     /// \brief True if the server may still be sound in spite of its silence.
     /// \param hasStarted the caller has a part of the answer
     bool mayOutlastSilence(bool hasStarted, TimePoint now) const;
 
 private:
-    bool isKeptSilent() const { return m_keptUntil != TimePoint {}; }
+    /// \brief What the probes of the current attempt have shown. Starts anew with each change of
+    /// the attempt.
+    struct ProbeState
+    {
+        bool isProbing = false;
+        TimePoint probedAt;
+        /// The attempt was the fallback, which is not probed.
+        bool isUnwatched = false;
+        bool isRunUnlisted = false;      ///< by the latest report
+        bool isStartUnconfirmed = false; ///< by the latest report
+        TimePoint keptUntil;             ///< not checked before then; 0: it is not kept
+    };
+
+    bool isKeptSilent() const { return m_state.keptUntil != TimePoint {}; }
     /// When the attempt is given up although its server answers probes.
     TimePoint stuckAt(TimePoint sentAt) const;
     bool isPresumedLost(const BackendState &server, TimePoint now) const;
@@ -94,13 +107,7 @@
     AdmittedPlacer &m_admittedPlacer;
     const bool m_canBeProbed;
     RunProgress m_progress;
-    bool m_isProbing = false;
-    TimePoint m_probedAt;
-    /// The attempt was the fallback, which is not probed.
-    bool m_isUnwatched = false;
-    bool m_isRunUnlisted = false;      ///< by the latest report
-    bool m_isStartUnconfirmed = false; ///< by the latest report
-    TimePoint m_keptUntil;             ///< not checked before then; 0: it is not kept
+    ProbeState m_state;
 };
 
 } // namespace foxtailring
--- a/src/decisions/AttemptWatch.cpp
+++ b/src/decisions/AttemptWatch.cpp
@@ -44,35 +44,30 @@
 void AttemptWatch::start(bool isResumed, TimePoint now)
 {
     m_progress.start(isResumed, now);
-    m_isProbing = false;
-    m_isUnwatched = false;
-    m_isRunUnlisted = false;
-    m_isStartUnconfirmed = false;
-    m_keptUntil = {};
+    m_state = {};
 }
 
 void AttemptWatch::resume(const RunProgress &progress)
 {
     m_progress = progress;
-    m_isProbing = false;
-    m_isRunUnlisted = false;
-    m_keptUntil = {};
+    m_state = {};
 }
 
 void AttemptWatch::recordEvent(TimePoint now)
 {
     m_progress.recordEvent(now);
-    m_isProbing = false;
-    m_isUnwatched = false;
-    m_keptUntil = {};
+    m_state.isProbing = false;
+    m_state.isUnwatched = false;
+    m_state.keptUntil = {};
 }
 
 TimePoint AttemptWatch::dueAt(TimePoint sentAt) const
 {
-    const TimePoint silentAt =
-        m_isProbing ? TimePoint::max() : m_progress.lastContactAt() + m_progress.silenceThreshold();
-    const TimePoint givenUpAt = m_isUnwatched ? TimePoint::max() : stuckAt(sentAt);
-    return std::max(std::min(givenUpAt, silentAt), m_keptUntil);
+    const TimePoint silentAt = m_state.isProbing
+        ? TimePoint::max()
+        : m_progress.lastContactAt() + m_progress.silenceThreshold();
+    const TimePoint givenUpAt = m_state.isUnwatched ? TimePoint::max() : stuckAt(sentAt);
+    return std::max(std::min(givenUpAt, silentAt), m_state.keptUntil);
 }
 
 TimePoint AttemptWatch::stuckAt(TimePoint sentAt) const
@@ -95,16 +90,16 @@
 
 AttemptWatch::Step AttemptWatch::check(const BackendState &server, TimePoint sentAt, TimePoint now)
 {
-    if (!m_isUnwatched && (now >= stuckAt(sentAt) || isPresumedLost(server, now))) {
-        m_isProbing = false;
+    if (!m_state.isUnwatched && (now >= stuckAt(sentAt) || isPresumedLost(server, now))) {
+        m_state.isProbing = false;
         return Finding::Silent;
     }
     // The probe in progress decides.
-    if (m_isProbing)
+    if (m_state.isProbing)
         return Finding::Open;
     // Without a probe, only the time limit for the next event remains.
     if (!m_canBeProbed)
-        m_isUnwatched = false;
+        m_state.isUnwatched = false;
     const bool mayAsk = m_canBeProbed && m_admittedPlacer.tryAcquire(server.info.id, now);
     if (!mayAsk && isKeptSilent())
         return Finding::Silent;
@@ -116,8 +111,8 @@
     probe.servers = {server};
     probe.timeout = probeTimeout;
     probe.useNewConnections = true;
-    m_isProbing = true;
-    m_probedAt = now;
+    m_state.isProbing = true;
+    m_state.probedAt = now;
     return probe;
 }
 
@@ -125,13 +120,13 @@
                                              std::span<const ServerProbeResult> reports,
                                              std::int64_t lastEventId, TimePoint now)
 {
-    m_isProbing = false;
-    m_isUnwatched = false;
+    m_state.isProbing = false;
+    m_state.isUnwatched = false;
     // Something arrived meanwhile.
-    if (m_progress.lastContactAt() > m_probedAt)
+    if (m_progress.lastContactAt() > m_state.probedAt)
         return Finding::Open;
     if (reports.empty()) {
-        m_isRunUnlisted = false;
+        m_state.isRunUnlisted = false;
         return Finding::Unanswered;
     }
     if (reports.front().isTurnedAway)
@@ -148,11 +143,11 @@
     if (start == ReportedStart::Restarted)
         return Finding::Restarted;
     // The next probe, at once, confirms the later start or shows that it was wrong.
-    if (!std::exchange(m_isStartUnconfirmed, start == ReportedStart::Unconfirmed)
+    if (!std::exchange(m_state.isStartUnconfirmed, start == ReportedStart::Unconfirmed)
         && start == ReportedStart::Unconfirmed)
         return Finding::Open;
-    m_isRunUnlisted = m_progress.hasEvents() && report.listsRuns && !report.hasRun;
-    if (m_progress.isLostBy(report, lastEventId, m_probedAt, now))
+    m_state.isRunUnlisted = m_progress.hasEvents() && report.listsRuns && !report.hasRun;
+    if (m_progress.isLostBy(report, lastEventId, m_state.probedAt, now))
         return recordMissing(report, now);
     m_progress.recordPrompts(report.load.prefilling + report.load.waiting);
     return recordWorking(now);
@@ -178,14 +173,14 @@
 
 AttemptWatch::Finding AttemptWatch::recordWorking(TimePoint now)
 {
-    m_keptUntil = {};
+    m_state.keptUntil = {};
     m_progress.recordContact(now);
     return Finding::Working;
 }
 
 void AttemptWatch::keepSilent(TimePoint now)
 {
-    m_keptUntil = now + replaceRetryInterval;
+    m_state.keptUntil = now + replaceRetryInterval;
 }
 
 bool AttemptWatch::mayOutlastSilence(bool hasStarted, TimePoint now) const
--- a/tests/decisions/AttemptWatchTest.cpp
+++ b/tests/decisions/AttemptWatchTest.cpp
@@ -29,6 +29,7 @@
     CPPUNIT_TEST(serverThatMayNotBeAskedIsWaitedFor);
     CPPUNIT_TEST(silenceOfSoundServersIsOutlasted);
     CPPUNIT_TEST(resumedProgressGoesOn);
+    CPPUNIT_TEST(reportsOfTheReplacementDoNotCountForTheFallback);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -259,6 +260,26 @@
         CPPUNIT_ASSERT(m_watch->dueAt(now) <= m_lastEventAt + Ms(220));
     }
 
+    // Guards against ending the fallback after one spoiled start time, because a report of the
+    // server that was to replace it named a later start, too.
+    void reportsOfTheReplacementDoNotCountForTheFallback()
+    {
+        eventsFor(Ms(1500));
+        const RunProgress earlier = m_watch->progress();
+        ServerProbeResult later = report(false, 0);
+        later.listsRuns = true;
+        m_watch->start(false, m_at);
+        probeAtDue();
+        servers.recordReport("a1", 2, m_at);
+        CPPUNIT_ASSERT(onProbed({later}, m_at) == Finding::Open);
+        servers.recordReport("a1", 1, m_at);
+        m_watch->resume(earlier);
+        m_watch->requireProbe();
+        probeAtDue();
+        servers.recordReport("a1", 2, m_at);
+        CPPUNIT_ASSERT(onProbed({later}, m_at) == Finding::Open);
+    }
+
 private:
     using Finding = AttemptWatch::Finding;
 
