gateway: read the events of one attempt before any of them is acted on

Cause: the relay acted on each event while the reader of the current attempt was still splitting the bytes of the read. If an event was invalid (missing id, events missing before it) and the relay returned to the fallback, the reader in use became that of the fallback, and went on with the offsets of the other one: it dropped as many bytes of the fallback's incomplete event. Callers saw their stream cut, although its first server went on with it. Change: all complete events of a read are taken out of the attempt's reader first. They are passed on for as long as that attempt is the current one, as for the fallback before.

--- a/src/gateway/RequestRelay.cpp
+++ b/src/gateway/RequestRelay.cpp
@@ -227,7 +227,7 @@
             return endFallback(AttemptResult::Invalid);
         if (isWaiting && m_stream->onFallbackEvent(*event.id, m_parts.clock()))
             resumeFallback("event");
-        if (m_attempts.isCurrent(number) && !m_isFinished)
+        if (isOpen(number))
             onEvent(event.id, event.text);
     }
     armTimer();
@@ -289,20 +289,34 @@
             endAttempt(AttemptResult::Invalid);
         return;
     }
+    onEvents(bytes);
+}
+
+// The events are collected first: an event may end the attempt, and another one, with its own
+// reader and unread bytes, is the current one then.
+void RequestRelay::onEvents(std::string_view bytes)
+{
     const std::uint64_t number = m_attempts.current().number;
-    const bool isReadable =
-        m_attempts.current().events.feed(bytes, [&](auto id, std::string_view text) {
-            if (m_attempts.isCurrent(number) && !m_isFinished)
-                onEvent(id, text);
-        });
-    if (m_isFinished || !m_attempts.isCurrent(number))
+    const auto events = AnswerReader::readEvents(m_attempts.current(), bytes);
+    if (!events)
+        return endAttempt(AttemptResult::Invalid);
+    for (const StreamedEvent &event : *events) {
+        if (isOpen(number))
+            onEvent(event.id, event.text);
+    }
+    if (!isOpen(number))
         return;
-    if (!isReadable || !updateHeldMemory("stream"))
+    if (!updateHeldMemory("stream"))
         return endAttempt(AttemptResult::Invalid);
     if (m_attempts.current().events.hasPartialEvent())
         m_stream->onPartialEvent(m_parts.clock());
 }
 
+bool RequestRelay::isOpen(std::uint64_t number) const
+{
+    return !m_isFinished && m_attempts.isCurrent(number);
+}
+
 bool RequestRelay::updateHeldMemory(std::string_view what)
 {
     const std::size_t bytes =
--- a/src/gateway/RequestRelay.h
+++ b/src/gateway/RequestRelay.h
@@ -60,6 +60,10 @@
     void onProbeResults(std::span<const ServerProbeResult> results);
     void onHead(HttpResponse head);
     void onBody(std::string_view bytes);
+    /// Passes on the events of a stream that is the current attempt.
+    void onEvents(std::string_view bytes);
+    /// Whether the request goes on and attempt \a number is the current one.
+    bool isOpen(std::uint64_t number) const;
     /// Reserves the memory that the request holds now. False: over the budget; the caller of this
     /// function abandons \a what.
     bool updateHeldMemory(std::string_view what);
--- a/tests/gateway/BrokenStreamTest.cpp
+++ b/tests/gateway/BrokenStreamTest.cpp
@@ -31,6 +31,8 @@
     CPPUNIT_TEST(preemptedStreamGoesOnBesideItsReplacement);
     CPPUNIT_TEST(streamThatEndsBesideItsReplacementIsComplete);
     CPPUNIT_TEST(replacedStreamIsEndedByTheFirstEventOfItsReplacement);
+    CPPUNIT_TEST(partOfAnEventOutlivesAnInvalidReplacement);
+    CPPUNIT_TEST(eventsOfAReplacementAreNotMixedWithThoseOfTheFallback);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -202,22 +204,77 @@
         CPPUNIT_ASSERT(received.isComplete);
     }
 
-private:
-    static std::string resumedAfter(const std::string &cause)
+    // Guards against losing the part of an event that the first server has sent, when an invalid
+    // event of its replacement makes the relay return to it within one read.
+    void partOfAnEventOutlivesAnInvalidReplacement()
     {
-        return "gateway_attempts_resumed_total{cause=\"" + cause + "\"} 1";
+        const std::string second = eventText(2);
+        const std::vector<std::string> reads = invalidReads();
+        for (std::size_t i = 0; i < reads.size(); ++i) {
+            const std::size_t cut = std::vector<std::size_t> {1, 6, 9, second.size() - 1}.at(i);
+            const Attempts attempts = replacePreemptedStream(second.substr(0, cut));
+            endReplacement(attempts, reads.at(i));
+            attempts.first.responder->write(second.substr(cut) + eventText(3));
+            attempts.first.responder->finish();
+            expectEvents(3, std::to_string(cut) + " bytes, then " + reads.at(i));
+        }
     }
 
+    // Guards against events of the replacement that follow an invalid one, in the same read, and
+    // are completed by or added to those of the first server.
+    void eventsOfAReplacementAreNotMixedWithThoseOfTheFallback()
+    {
+        const std::string second = eventText(2);
+        for (const std::string &rest : {eventText(2), second.substr(0, 9), second + "id: 3\nda"}) {
+            const Attempts attempts = replacePreemptedStream();
+            endReplacement(attempts, eventText(9) + rest);
+            attempts.first.responder->write(second.substr(0, 4));
+            attempts.first.responder->write(second.substr(4) + eventText(3).substr(0, 9));
+            attempts.first.responder->write(eventText(3).substr(9));
+            attempts.first.responder->finish();
+            expectEvents(3, rest);
+        }
+    }
+
+private:
     struct Attempts
     {
         ReceivedRequest first;
         ReceivedRequest second;
     };
 
-    // Opens a stream whose server sends the event 1 and then no longer lists the run; returns when
-    // it is replaced for that reason. On a busy machine a probe may be unanswered before, and the
-    // server counts as silent; then the stream is begun anew.
-    Attempts replacePreemptedStream()
+    // What makes an attempt invalid that has to send the event 2 next.
+    static std::vector<std::string> invalidReads()
+    {
+        return {eventText(9), "data: x\n\n", "id: x\ndata: x\n\n", eventText(9) + eventText(10)};
+    }
+
+    void endReplacement(const Attempts &attempts, const std::string &events)
+    {
+        attempts.second.responder->startStream(200, eventHeaders());
+        attempts.second.responder->write(events);
+        waitUntil([this] { return metrics().find(resumedAfter("noServer")) != std::string::npos; });
+    }
+
+    void expectEvents(int count, const std::string &what)
+    {
+        std::string expected;
+        for (int id = 1; id <= count; ++id)
+            expected += eventText(id);
+        const Received received = waitForEnd();
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(what, expected, received.body);
+        CPPUNIT_ASSERT_MESSAGE(what, received.isComplete);
+    }
+
+    static std::string resumedAfter(const std::string &cause)
+    {
+        return "gateway_attempts_resumed_total{cause=\"" + cause + "\"} 1";
+    }
+
+    // Opens a stream whose server sends the event 1 and a part of the next one, and then no longer
+    // lists the run; returns when it is replaced for that reason. On a busy machine a probe may be
+    // unanswered before, and the server counts as silent; then the stream is begun anew.
+    Attempts replacePreemptedStream(const std::string &partOfEvent2 = "")
     {
         *m_reportHeaders = {{"unlisted", "1"}};
         for (;;) {
@@ -227,7 +284,7 @@
             Attempts attempts;
             attempts.first = m_received->take();
             attempts.first.responder->startStream(200, eventHeaders());
-            attempts.first.responder->write(eventText(1));
+            attempts.first.responder->write(eventText(1) + partOfEvent2);
             attempts.second = m_received->take();
             if (metrics().find("gateway_attempts_total{cause=\"unlisted\"} 1") != std::string::npos)
                 return attempts;
