gateway: end a stream's attempt at once when it is invalid

Cause: after an invalid event (no id, or events missing before it) the session looked for another server, but the relay kept the attempt until that one was found. When candidates were probed first, the later events of the faulty server were passed on meanwhile, and its end of the stream was taken for the end of the answer: the caller got an answer as complete although a part of it had been unreadable. Change: the relay ends each attempt at once that has failed, as it did for calls, and drops its unread bytes, which counted against the memory of the request until the next attempt.

--- a/src/gateway/OpenAttempts.cpp
+++ b/src/gateway/OpenAttempts.cpp
@@ -35,6 +35,13 @@
         stream->cancel();
 }
 
+void OpenAttempts::dropCurrent()
+{
+    endCurrent();
+    m_current.body.clear();
+    m_current.events = {};
+}
+
 void OpenAttempts::endFallback()
 {
     if (const auto stream = std::exchange(m_fallback.stream, nullptr))
--- a/src/gateway/OpenAttempts.h
+++ b/src/gateway/OpenAttempts.h
@@ -24,6 +24,8 @@
     /// \brief Closes the connection of the current attempt. What has arrived is kept until the next
     /// one.
     void endCurrent();
+    /// \brief Ends the current attempt and drops what has arrived of its body.
+    void dropCurrent();
     void endFallback();
 
     ServerAttempt &current() { return m_current; }
--- a/src/gateway/RequestRelay.cpp
+++ b/src/gateway/RequestRelay.cpp
@@ -374,14 +374,12 @@
     finish("served", "", m_attempts.current().answer.status);
 }
 
+// Its server may send on while the next one is looked for, or while the session waits for the
+// fallback. Nothing of that may be passed on or held.
 void RequestRelay::endAttempt(AttemptResult result)
 {
     m_reporter.reportFailure(m_attempts.current(), result);
-    if (!m_stream) {
-        // The session may wait for the fallback, which would let an oversized answer go on.
-        m_attempts.endCurrent();
-        m_attempts.current().body.clear();
-    }
+    m_attempts.dropCurrent();
     perform(m_session->onAttemptEnded(result, m_parts.clock()));
 }
 
--- a/tests/gateway/OpenAttemptsTest.cpp
+++ b/tests/gateway/OpenAttemptsTest.cpp
@@ -16,6 +16,7 @@
     CPPUNIT_TEST(resumedFallbackEndsItsReplacement);
     CPPUNIT_TEST(laterFallbackEndsTheEarlierOne);
     CPPUNIT_TEST(endedAttemptKeepsWhatHasArrived);
+    CPPUNIT_TEST(droppedAttemptHoldsNoBytes);
     CPPUNIT_TEST(noAttemptHasTheNumberOfNone);
     CPPUNIT_TEST(pendingBytesAreThoseOfBoth);
     CPPUNIT_TEST_SUITE_END();
@@ -83,6 +84,20 @@
         CPPUNIT_ASSERT_EQUAL(std::string("answer"), m_attempts.current().body);
     }
 
+    // Guards against memory that the answer of a faulty server takes while the next server is
+    // looked for.
+    void droppedAttemptHoldsNoBytes()
+    {
+        const auto first = begin("a");
+        m_attempts.current().body = "answer";
+        m_attempts.current().events.feed("id: 1", [](auto, std::string_view) {});
+        m_attempts.dropCurrent();
+        CPPUNIT_ASSERT(first->isCancelled);
+        CPPUNIT_ASSERT(!m_attempts.isCurrent(1));
+        CPPUNIT_ASSERT_EQUAL(std::string("a"), m_attempts.current().serverId);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), m_attempts.pendingBytes());
+    }
+
     // Guards against bytes of an attempt that has ended which count as those of the fallback.
     void noAttemptHasTheNumberOfNone()
     {
