sidecar: read what the engine sends with a limit on its nesting

Cause: the events, load and cache reports of the engine were parsed without a limit on their depth. Copying or writing a value takes stack for each level, so one event with a million levels (2 MB, half of what is accepted) ended the sidecar with all its generations. Change: they are parsed by parseJson(), as the gateway does with reports of engines.

--- a/src/sidecar/CompletionReader.cpp
+++ b/src/sidecar/CompletionReader.cpp
@@ -1,5 +1,7 @@
 #include "foxtailring/sidecar/CompletionReader.h"
 
+#include "foxtailring/base/ParseJson.h"
+
 #include <nlohmann/json.hpp>
 
 namespace foxtailring {
@@ -43,7 +45,9 @@
 Result<CompletionChunk> parseEvent(const std::string &data)
 {
     try {
-        const json event = json::parse(data);
+        const json event = parseJson(data);
+        if (event.is_discarded())
+            return malformed("no JSON, or nested too deeply");
         if (event.contains("error"))
             return Error {ErrorCode::EngineFailed, "engine error: " + event["error"].dump()};
         const json choices = event.value("choices", json::array());
--- a/src/sidecar/LoadMonitor.cpp
+++ b/src/sidecar/LoadMonitor.cpp
@@ -1,5 +1,6 @@
 #include "foxtailring/sidecar/LoadMonitor.h"
 
+#include "foxtailring/base/ParseJson.h"
 #include "foxtailring/decisions/DrainState.h"
 #include "foxtailring/sidecar/SidecarSettings.h"
 #include "foxtailring/transport/Http1Client.h"
@@ -49,7 +50,7 @@
     noteFailure(response);
     if (!response || response.value().status != 200)
         return;
-    const auto json = nlohmann::json::parse(response.value().body, nullptr, false);
+    const auto json = parseJson(response.value().body);
     if (json.is_object())
         load = {countIn(json, "running"), countIn(json, "waiting"), countIn(json, "capacity")};
 }
@@ -80,7 +81,7 @@
         return;
     if (!response || response.value().status != 200)
         return;
-    const auto json = nlohmann::json::parse(response.value().body, nullptr, false);
+    const auto json = parseJson(response.value().body);
     const auto events = json.is_object() ? json.value("events", nlohmann::json()) : json;
     if (!events.is_array())
         return;
