transport: reset a response without chunks that is cut at a stop or by the idle limit

Cause: a stream to an HTTP/1.0 caller ends with its connection. The server reset the connection when a handler aborted such a stream, but closed it in order when the server was closed, or when the caller read nothing for the idle limit: a part of the answer looked like the whole one. Change: the exchange knows that its response ends with the connection, and the connection is reset whenever it is closed before such a response is written whole. resetNow() is no longer needed.

--- a/src/transport/Http1Connection.cpp
+++ b/src/transport/Http1Connection.cpp
@@ -751,14 +751,7 @@
     return m_shared->isStopping || m_shared->isClosing;
 }
 
-void Http1Connection::resetNow()
-{
-    ErrorStatus ignored;
-    if (m_phase != Phase::Closed)
-        m_socket.set_option(net::socket_base::linger(true, 0), ignored);
-    closeNow();
-}
-
+// A response that ends with the connection and is not written whole must not end in order.
 void Http1Connection::closeNow()
 {
     if (m_phase == Phase::Closed)
@@ -768,6 +761,8 @@
     setExpectsRequest(false);
     setUsable(false);
     ErrorStatus ignored;
+    if (m_exchange && m_exchange->endsWithConnection())
+        m_socket.set_option(net::socket_base::linger(true, 0), ignored);
     m_socket.close(ignored);
     m_deadlineLimit = nullptr;
     m_deadline.cancel();
--- a/src/transport/Http1Connection.h
+++ b/src/transport/Http1Connection.h
@@ -48,9 +48,9 @@
     // On the strand, called by the exchange.
     void send(std::string_view bytes, std::size_t payloadBytes);
     void completeResponse(bool keepAlive);
+    /// \brief Closes the connection. It is reset if the caller could mistake the close for the end
+    /// of a body.
     void closeNow();
-    /// \brief Resets the connection, so that the caller cannot mistake this for the end of a body.
-    void resetNow();
     /// \brief True when the next response is the last one on this connection.
     bool isClosing() const;
 
--- a/src/transport/Http1ServerExchange.cpp
+++ b/src/transport/Http1ServerExchange.cpp
@@ -31,6 +31,7 @@
     if (m_stage != Stage::Waiting || !connection)
         return;
     m_stage = Stage::Streaming;
+    m_endsWithConnection = !m_framing.isChunked();
     updateKeepAlive(*connection);
     connection->send(serializeStreamHead(status, headers, m_framing), 0);
 }
@@ -57,11 +58,10 @@
 {
     if (m_stage == Stage::Complete || m_stage == Stage::Disconnected)
         return;
-    const bool hasNoEndMark = m_stage == Stage::Streaming && !m_framing.isChunked();
     const auto connection = m_connection.lock();
     enterStage(Stage::Complete);
-    if (connection && hasNoEndMark)
-        connection->resetNow();
+    if (connection && m_endsWithConnection)
+        connection->closeNow();
     else if (connection)
         connection->completeResponse(false);
 }
--- a/src/transport/Http1ServerExchange.h
+++ b/src/transport/Http1ServerExchange.h
@@ -24,6 +24,8 @@
 
     const Strand &strand() const { return m_strand; }
     bool isComplete() const { return m_stage == Stage::Complete; }
+    /// \brief True for a response that has begun and whose end is that of the connection.
+    bool endsWithConnection() const { return m_endsWithConnection; }
 
     void respond(HttpResponse response);
     void startStream(int status, const std::vector<HttpHeader> &headers);
@@ -54,6 +56,7 @@
     const Strand m_strand;
     ResponseFraming m_framing;
     Stage m_stage = Stage::Waiting;
+    bool m_endsWithConnection = false;
     std::function<void()> m_disconnectHook;
 };
 
--- a/tests/transport/RawPeer.h
+++ b/tests/transport/RawPeer.h
@@ -102,6 +102,14 @@
         return std::exchange(m_input, {});
     }
 
+    /// \brief Reads to the end. False: the connection ended by a reset.
+    bool readToOrderlyEnd()
+    {
+        boost::system::error_code status;
+        boost::asio::read(m_socket, boost::asio::dynamic_buffer(m_input), status);
+        return status == boost::asio::error::eof;
+    }
+
     void close() { m_socket.close(); }
 
     /// \brief Closes the connection by a reset.
