gateway tests: one fixture for the parts of a gateway

Cause: CopyOrderSenderTest, CrashProberTest and ServerProbeTest set up and tore down a GatewayParts by the same code. Change: GatewayPartsFixture does it; releaseUsers() destroys what refers to the parts. No check is changed.

--- a/tests/gateway/CopyOrderSenderTest.cpp
+++ b/tests/gateway/CopyOrderSenderTest.cpp
@@ -1,15 +1,12 @@
 #include "CopyOrderSender.h"
-#include "GatewayFixture.h"
-#include "GatewayParts.h"
-
-#include <boost/asio/io_context.hpp>
+#include "GatewayPartsFixture.h"
 
 #include <stdexcept>
 
 using namespace foxtailring;
 
 // Orders to server `a` by which it copies a run to `b`.
-class CopyOrderSenderTest : public GatewayFixture
+class CopyOrderSenderTest : public GatewayPartsFixture
 {
     CPPUNIT_TEST_SUITE(CopyOrderSenderTest);
     CPPUNIT_TEST(answerNamesTheCopy);
@@ -23,27 +20,12 @@
 public:
     void setUp() override
     {
-        GatewayFixture::setUp();
-        GatewaySettings settings;
-        settings.nodeId = "g";
-        settings.availabilityZone = "a";
-        settings.regions = {{"a", "r"}};
-        settings.threads = 1;
-        m_parts.emplace(settings, codec());
+        GatewayPartsFixture::setUp();
         m_owner = std::make_shared<CopyOrderSender>(*m_parts, "1", hooks());
         m_parts->queue.post([this] { m_parts->servers.put(server(0), m_parts->clock()); });
     }
 
-    void tearDown() override
-    {
-        m_parts->pool.stop();
-        // Runs the remaining tasks: they refer to members that are destroyed before the pool.
-        m_parts->pool.context().restart();
-        m_parts->pool.context().poll();
-        m_owner.reset();
-        m_parts.reset();
-        GatewayFixture::tearDown();
-    }
+    void releaseUsers() override { m_owner.reset(); }
 
     void answerNamesTheCopy()
     {
@@ -155,7 +137,6 @@
         CPPUNIT_ASSERT(m_outcomes->isEmpty());
     }
 
-    std::optional<GatewayParts> m_parts;
     std::shared_ptr<CopyOrderSender> m_owner;
     bool m_throws = false;
     std::shared_ptr<Mailbox<std::string>> m_outcomes = std::make_shared<Mailbox<std::string>>();
--- a/tests/gateway/CrashProberTest.cpp
+++ b/tests/gateway/CrashProberTest.cpp
@@ -1,13 +1,10 @@
 #include "CrashProber.h"
-#include "GatewayFixture.h"
-#include "GatewayParts.h"
-
-#include <boost/asio/io_context.hpp>
+#include "GatewayPartsFixture.h"
 
 using namespace foxtailring;
 
 // What a gateway's own probes of a silent server prove.
-class CrashProberTest : public GatewayFixture
+class CrashProberTest : public GatewayPartsFixture
 {
     CPPUNIT_TEST_SUITE(CrashProberTest);
     CPPUNIT_TEST(serverThatAnswersAgainIsNoCrash);
@@ -19,13 +16,7 @@
 public:
     void setUp() override
     {
-        GatewayFixture::setUp();
-        GatewaySettings settings;
-        settings.nodeId = "g";
-        settings.availabilityZone = "a";
-        settings.regions = {{"a", "r"}};
-        settings.threads = 1;
-        m_parts.emplace(settings, codec());
+        GatewayPartsFixture::setUp();
         m_parts->suspectedCrashes.setHooks(
             {[box = m_outcomes](const BackendInfo &, CrashEvidence, const CrashVerdict &verdict) {
                  const bool isCommon = verdict.kind == CrashVerdict::Kind::Common;
@@ -37,16 +28,7 @@
         m_prober.emplace(*m_parts);
     }
 
-    void tearDown() override
-    {
-        m_parts->pool.stop();
-        // Runs the remaining tasks: they refer to members that are destroyed before the pool.
-        m_parts->pool.context().restart();
-        m_parts->pool.context().poll();
-        m_prober.reset();
-        m_parts.reset();
-        GatewayFixture::tearDown();
-    }
+    void releaseUsers() override { m_prober.reset(); }
 
     // Guards against a prompt that is refused because nobody asked a server that had paused.
     void serverThatAnswersAgainIsNoCrash() { CPPUNIT_ASSERT_EQUAL(std::string("report"), probe()); }
@@ -111,7 +93,6 @@
         return m_outcomes->take();
     }
 
-    std::optional<GatewayParts> m_parts;
     std::optional<CrashProber> m_prober;
     const std::vector<std::string> m_promptParts = {"shared", "deadly"};
     std::shared_ptr<Mailbox<std::string>> m_outcomes = std::make_shared<Mailbox<std::string>>();
--- a/tests/gateway/ServerProbeTest.cpp
+++ b/tests/gateway/ServerProbeTest.cpp
@@ -1,15 +1,12 @@
 #include "ServerProbe.h"
-#include "GatewayFixture.h"
-#include "GatewayParts.h"
+#include "GatewayPartsFixture.h"
 
 #include "foxtailring/gateway/GatewayRequest.h"
 
-#include <boost/asio/io_context.hpp>
-
 using namespace foxtailring;
 
 // What probes tell of servers while the gateway itself is late.
-class ServerProbeTest : public GatewayFixture
+class ServerProbeTest : public GatewayPartsFixture
 {
     CPPUNIT_TEST_SUITE(ServerProbeTest);
     CPPUNIT_TEST(serverIsNotSilentIfTheGatewayWasBusy);
@@ -19,27 +16,6 @@
     static constexpr std::chrono::milliseconds timeout {120};
 
 public:
-    void setUp() override
-    {
-        GatewayFixture::setUp();
-        GatewaySettings settings;
-        settings.nodeId = "g";
-        settings.availabilityZone = "a";
-        settings.regions = {{"a", "r"}};
-        settings.threads = 1;
-        m_parts.emplace(settings, codec());
-    }
-
-    void tearDown() override
-    {
-        m_parts->pool.stop();
-        // Runs the remaining tasks: they refer to members that are destroyed before the pool.
-        m_parts->pool.context().restart();
-        m_parts->pool.context().poll();
-        m_parts.reset();
-        GatewayFixture::tearDown();
-    }
-
     // Guards against suspecting all servers at once when the gateway's only thread was busy.
     void serverIsNotSilentIfTheGatewayWasBusy()
     {
@@ -75,7 +51,6 @@
         return m_counts->take();
     }
 
-    std::optional<GatewayParts> m_parts;
     GatewayRequest m_request;
     std::shared_ptr<Mailbox<std::size_t>> m_counts = std::make_shared<Mailbox<std::size_t>>();
 };
