transport: keep a connection that stops reading until its response

Cause: a caller that sent more than 96 KiB behind a request (or more than the memory allows) got a closed connection in place of the response, and the server counted its request as open forever. The server holds its connections by weak references; when the input was full and the handler was at work, neither a read nor a timer held this one, so it was destroyed. Change: a connection that reads nothing during a response looks once a second whether the caller has reset it. The timer holds the connection. An end without a reset is seen when the response is written.

--- a/src/transport/Http1Connection.cpp
+++ b/src/transport/Http1Connection.cpp
@@ -34,6 +34,9 @@
 // Time until it is looked again whether the caller has the whole last answer.
 constexpr std::chrono::milliseconds acknowledgementInterval {20};
 
+// Time until it is looked again whether the caller has reset a connection that is not read.
+constexpr std::chrono::milliseconds resetCheckInterval {1000};
+
 // Input buffered beyond the header limit. More pipelined input stays in the kernel; this also
 // limits the length of chunk extensions.
 constexpr std::size_t maxExtraInputBytes = 64 * 1024;
@@ -235,11 +238,28 @@
     m_parser->body_limit(m_limits.maxBodyBytes);
 }
 
+bool Http1Connection::isInputFull() const
+{
+    return m_isInputFull || m_input.size() >= m_limits.maxHeaderBytes + maxExtraInputBytes;
+}
+
+// The server holds its connections by weak references: without a read, a write or a timer in
+// progress, nothing else holds this one.
+void Http1Connection::watchCaller()
+{
+    if (m_phase != Phase::Response || m_responseComplete)
+        return;
+    if (isReset(m_socket))
+        return cut(ConnectionCut::Cause::CallerClosed);
+    armDeadline(resetCheckInterval);
+}
+
 void Http1Connection::read()
 {
-    const std::size_t inputLimit = m_limits.maxHeaderBytes + maxExtraInputBytes;
-    if (m_isReading || m_phase == Phase::Closed || m_isInputFull || m_input.size() >= inputLimit)
+    if (m_isReading || m_phase == Phase::Closed)
         return;
+    if (isInputFull())
+        return watchCaller();
     m_isReading = true;
     m_socket.async_read_some(net::buffer(m_readBuffer),
                              [self = shared_from_this()](ErrorStatus status, std::size_t size) {
@@ -284,7 +304,7 @@
         return rejectOversized();
     if (m_parser->is_done())
         return handleRequest();
-    if (m_input.size() >= m_limits.maxHeaderBytes + maxExtraInputBytes)
+    if (isInputFull())
         return rejectRequest(400, "Bad Request", "a chunk header is too long");
     if (m_parser->is_header_done())
         continueRequest();
@@ -611,6 +631,8 @@
 // A part of a request is refused: its caller may send the rest and wait for an answer.
 void Http1Connection::onTimeout()
 {
+    if (m_phase == Phase::Response && !m_responseComplete)
+        return watchCaller();
     if (hasUnreadInput() && !std::exchange(m_isOverdue, true))
         return startTimer(lateReadTime);
     if (extendForLimits())
--- a/src/transport/Http1Connection.h
+++ b/src/transport/Http1Connection.h
@@ -27,7 +27,8 @@
 /// \brief One accepted HTTP/1.1 connection.
 ///
 /// A read stays pending while a response is produced, to detect that the caller disconnects.
-/// Pipelined requests are buffered in m_input; reading pauses while that is full.
+/// Pipelined requests are buffered in m_input; reading pauses while that is full, and the
+/// connection looks for a reset at intervals instead.
 class Http1Connection : public std::enable_shared_from_this<Http1Connection>
 {
 public:
@@ -69,6 +70,9 @@
     void setExpectsRequest(bool expects);
     void setUsable(bool isUsable);
     void takeLongerLimits();
+    bool isInputFull() const;
+    /// \brief Detects a reset while nothing is read, and holds the connection until the response.
+    void watchCaller();
     void read();
     void onRead(ErrorStatus status, std::size_t size);
     void parse();
