transport: count and report connections in classes of their own

Cause: Http1Connection.cpp had 800 lines with many jobs. Change: CountedFlag counts a connection in the server's counters; CutReporter counts the bytes of a request and reports their loss.

--- a/src/transport/Http1Connection.cpp
+++ b/src/transport/Http1Connection.cpp
@@ -72,9 +72,12 @@
     , m_limits(shared->limits())
     , m_shared(std::move(shared))
     , m_deadline(m_socket.get_executor())
+    , m_expectsRequest(m_shared->expectedRequestCount)
+    , m_isUsable(m_shared->usableConnectionCount)
+    , m_cutReporter(m_shared->cutHook)
 {
-    setUsable(true);
-    setExpectsRequest(true); // callers connect in order to send
+    m_isUsable.set(true);
+    m_expectsRequest.set(true); // callers connect in order to send
 }
 
 Http1Connection::~Http1Connection()
@@ -82,8 +85,6 @@
     // An exchange is still open here only when the worker pool is destroyed.
     if (m_exchange)
         m_exchange->dropHook();
-    setExpectsRequest(false);
-    setUsable(false);
 }
 
 void Http1Connection::start()
@@ -154,30 +155,11 @@
     return true;
 }
 
-void Http1Connection::setExpectsRequest(bool expects)
-{
-    if (std::exchange(m_expectsRequest, expects) == expects)
-        return;
-    if (expects)
-        ++m_shared->expectedRequestCount;
-    else
-        --m_shared->expectedRequestCount;
-}
-
-void Http1Connection::setUsable(bool isUsable)
-{
-    if (std::exchange(m_isUsable, isUsable) == isUsable)
-        return;
-    if (isUsable)
-        ++m_shared->usableConnectionCount;
-    else
-        --m_shared->usableConnectionCount;
-}
-
 void Http1Connection::close()
 {
     net::post(m_socket.get_executor(), [self = shared_from_this()] {
-        self->reportUnread();
+        if (self->isIdle())
+            self->m_cutReporter.reportUnread(self->unreadBytes());
         self->cut(ConnectionCut::Cause::Stop);
     });
 }
@@ -220,8 +202,7 @@
     m_isInputFull = false;
     m_needsMore = false;
     m_responseComplete = false;
-    m_arrivedBytes = m_input.size();
-    m_firstByteAt = std::chrono::steady_clock::now();
+    m_cutReporter.beginRequest(m_input.size());
     takeLongerLimits(); // the caller read its last answer perhaps before a limit became shorter
     m_parser.emplace();
     armDeadline(&HttpLimits::idleTimeout);
@@ -232,7 +213,7 @@
 // The limits in force now hold for the request, not those from when the connection became idle.
 void Http1Connection::beginHead()
 {
-    setExpectsRequest(true);
+    m_expectsRequest.set(true);
     m_limits = m_shared->limits();
     m_parser->header_limit(static_cast<std::uint32_t>(m_limits.maxHeaderBytes));
     m_parser->body_limit(m_limits.maxBodyBytes);
@@ -271,14 +252,12 @@
 void Http1Connection::onRead(ErrorStatus status, std::size_t size)
 {
     if (m_phase == Phase::Closed)
-        return reportDiscarded(size);
+        return m_cutReporter.reportDiscarded(size);
     if (std::exchange(m_isClosingUnused, false) && status == net::error::operation_aborted)
         return onReadCancelled();
     if (status)
         return cut(ConnectionCut::Cause::CallerClosed);
-    if (m_arrivedBytes == 0)
-        m_firstByteAt = std::chrono::steady_clock::now();
-    m_arrivedBytes += size;
+    m_cutReporter.addBytes(size);
     if (m_phase != Phase::Drain)
         m_input.append(m_readBuffer.data(), size);
     if (m_phase == Phase::Request)
@@ -462,7 +441,7 @@
 void Http1Connection::rejectWith(HttpResponse response)
 {
     m_phase = Phase::Response;
-    setExpectsRequest(false);
+    m_expectsRequest.set(false);
     releaseInput(); // the connection may stay open for maxDrainTime
     send(serializeResponse(std::move(response), {11, false, false}), 0);
     completeResponse(false);
@@ -472,7 +451,7 @@
 {
     http::request<http::string_body> message = m_parser->release();
     m_phase = Phase::Response;
-    setExpectsRequest(false);
+    m_expectsRequest.set(false);
     m_deadlineLimit = nullptr;
     m_deadline.cancel();
     if (m_shared->isClosed)
@@ -493,7 +472,7 @@
 
 void Http1Connection::refuseRequest()
 {
-    reportCut(ConnectionCut::Cause::Stop, ConnectionCut::Phase::Refused);
+    m_cutReporter.report(ConnectionCut::Cause::Stop, ConnectionCut::Phase::Refused);
     rejectWith(unavailableResponse());
 }
 
@@ -576,8 +555,8 @@
     if (!m_input.empty())
         reportCut(ConnectionCut::Cause::Closing);
     m_phase = Phase::Drain;
-    setExpectsRequest(false);
-    setUsable(false);
+    m_expectsRequest.set(false);
+    m_isUsable.set(false);
     releaseInput();
     m_isInputFull = false;
     ErrorStatus ignored;
@@ -723,35 +702,7 @@
 
 void Http1Connection::reportCut(ConnectionCut::Cause cause)
 {
-    if (m_arrivedBytes > 0)
-        reportCut(cause, cutPhase());
-}
-
-void Http1Connection::reportCut(ConnectionCut::Cause cause, ConnectionCut::Phase phase)
-{
-    const auto age = std::chrono::steady_clock::now() - m_firstByteAt;
-    runHook(m_shared->cutHook,
-            ConnectionCut {cause, phase, m_arrivedBytes,
-                           std::chrono::duration_cast<std::chrono::milliseconds>(age)});
-}
-
-// Tells a request that was never read from one that was read: the first may be sent again safely.
-void Http1Connection::reportUnread()
-{
-    if (!isIdle())
-        return;
-    if (const std::size_t size = unreadBytes())
-        runHook(m_shared->cutHook,
-                ConnectionCut {ConnectionCut::Cause::Stop, ConnectionCut::Phase::Unread, size, {}});
-}
-
-// The socket is read before the handler of the read runs, so a close may come between them.
-void Http1Connection::reportDiscarded(std::size_t size)
-{
-    if (size > 0 && m_arrivedBytes == 0)
-        runHook(m_shared->cutHook,
-                ConnectionCut {
-                    ConnectionCut::Cause::Closing, ConnectionCut::Phase::Discarded, size, {}});
+    m_cutReporter.report(cause, cutPhase());
 }
 
 ConnectionCut::Phase Http1Connection::cutPhase() const
@@ -760,7 +711,8 @@
         return ConnectionCut::Phase::Closing;
     if (m_phase == Phase::Response)
         return ConnectionCut::Phase::Response;
-    return m_parser->is_header_done() ? ConnectionCut::Phase::Body : ConnectionCut::Phase::Head;
+    const bool hasHead = m_parser && m_parser->is_header_done();
+    return hasHead ? ConnectionCut::Phase::Body : ConnectionCut::Phase::Head;
 }
 
 bool Http1Connection::isIdle() const
@@ -787,8 +739,8 @@
         return;
     m_phase = Phase::Closed;
     releaseInput();
-    setExpectsRequest(false);
-    setUsable(false);
+    m_expectsRequest.set(false);
+    m_isUsable.set(false);
     ErrorStatus ignored;
     m_socket.close(ignored);
     m_deadlineLimit = nullptr;
--- a/src/transport/Http1Connection.h
+++ b/src/transport/Http1Connection.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "CountedFlag.h"
+#include "CutReporter.h"
 #include "foxtailring/transport/ConnectionCut.h"
 #include "foxtailring/transport/HttpLimits.h"
 #include "foxtailring/transport/HttpRequest.h"
@@ -67,8 +69,6 @@
     void closeUnused();
     void onReadCancelled();
     bool awaitsAcknowledgement();
-    void setExpectsRequest(bool expects);
-    void setUsable(bool isUsable);
     void takeLongerLimits();
     bool isInputFull() const;
     /// \brief Detects a reset while nothing is read, and holds the connection until the response.
@@ -115,9 +115,6 @@
     /// \brief Closes the connection and reports the cut, if there is one.
     void cut(ConnectionCut::Cause cause);
     void reportCut(ConnectionCut::Cause cause);
-    void reportCut(ConnectionCut::Cause cause, ConnectionCut::Phase phase);
-    void reportUnread();
-    void reportDiscarded(std::size_t size);
     std::size_t unreadBytes() const;
     ConnectionCut::Phase cutPhase() const;
     /// True when no byte of a request has arrived.
@@ -149,15 +146,14 @@
     std::optional<std::chrono::steady_clock::time_point> m_bodyStartedAt;
     std::optional<std::chrono::milliseconds> m_bodyTime; ///< allowed from then on
     std::atomic<bool> m_hasBodyStarted = false;          ///< m_bodyStartedAt is set
-    bool m_needsMore = false;      ///< the parser has left a part of m_input unread
-    bool m_expectsRequest = false; ///< counted in Http1ServerShared::expectedRequestCount
-    bool m_isUsable = false;       ///< counted in Http1ServerShared::usableConnectionCount
-    std::size_t m_headBytes = 0;   ///< of the current head, as far as it has been parsed
-    std::size_t m_fieldCount = 0;  ///< lines of the current head, as far as it has been parsed
+    bool m_needsMore = false;     ///< the parser has left a part of m_input unread
+    CountedFlag m_expectsRequest; ///< counted in Http1ServerShared::expectedRequestCount
+    CountedFlag m_isUsable;       ///< counted in Http1ServerShared::usableConnectionCount
+    std::size_t m_headBytes = 0;  ///< of the current head, as far as it has been parsed
+    std::size_t m_fieldCount = 0; ///< lines of the current head, as far as it has been parsed
     std::shared_ptr<RequestMemory> m_memory; ///< of the input; null: none is held or limited
     bool m_isInputFull = false;              ///< no more is read until the response is complete
-    std::size_t m_arrivedBytes = 0;          ///< of the current request and of what follows it
-    std::chrono::steady_clock::time_point m_firstByteAt;
+    CutReporter m_cutReporter;
     bool m_responseComplete = false;
     bool m_keepAlive = true;
 
