transport: queue the output of a connection in a class of its own

Cause: Http1Connection kept the batches of its writes itself, one of many jobs. Change: OutputQueue holds the batch being written and what waits behind it. No change of behaviour.

--- a/src/transport/Http1Connection.cpp
+++ b/src/transport/Http1Connection.cpp
@@ -7,7 +7,6 @@
 #include "Http1ResponderHandle.h"
 #include "Http1ServerExchange.h"
 #include "Http1ServerShared.h"
-#include "LargeBuffer.h"
 
 #include <boost/asio/post.hpp>
 #include <boost/beast/http/error.hpp>
@@ -480,9 +479,8 @@
 {
     if (m_phase == Phase::Closed)
         return;
-    m_queued += bytes;
-    m_queuedPayload += payloadBytes;
-    if (!m_isWriting)
+    m_output.add(bytes, payloadBytes);
+    if (!m_output.isWriting())
         writeQueued();
 }
 
@@ -493,23 +491,19 @@
     m_responseComplete = true;
     m_keepAlive = keepAlive;
     armDeadline(&HttpLimits::idleTimeout);
-    if (!m_isWriting)
+    if (!m_output.isWriting())
         onResponseWritten();
 }
 
 void Http1Connection::writeQueued()
 {
-    m_isWriting = true;
-    clearBuffer(m_inFlight);
-    m_inFlight.swap(m_queued);
-    m_inFlightOffset = 0;
-    m_inFlightPayload = std::exchange(m_queuedPayload, 0);
+    m_output.startBatch();
     writeSome();
 }
 
 void Http1Connection::writeSome()
 {
-    m_socket.async_write_some(net::buffer(m_inFlight) + m_inFlightOffset,
+    m_socket.async_write_some(m_output.rest(),
                               [self = shared_from_this()](ErrorStatus status, std::size_t size) {
                                   self->onWritten(status, size);
                               });
@@ -524,13 +518,11 @@
     // Any progress extends the deadline, so that a slow caller is not cut off.
     if (m_responseComplete)
         armDeadline(&HttpLimits::idleTimeout);
-    m_inFlightOffset += size;
-    if (m_inFlightOffset < m_inFlight.size())
+    if (!m_output.onWritten(size))
         return writeSome();
-    m_isWriting = false;
     if (m_exchange)
-        m_exchange->pendingBytes -= std::exchange(m_inFlightPayload, 0);
-    if (!m_queued.empty())
+        m_exchange->pendingBytes -= m_output.takeWrittenPayload();
+    if (m_output.hasWaiting())
         writeQueued();
     else if (m_responseComplete && m_phase == Phase::Response)
         onResponseWritten();
@@ -542,7 +534,7 @@
         m_exchange.reset();
         --m_shared->openRequestCount;
     }
-    clearBuffer(m_inFlight);
+    m_output.releaseBatch();
     if (!m_keepAlive)
         return drain();
     beginRequest();
@@ -747,7 +739,7 @@
     m_deadline.cancel();
     if (const auto exchange = std::exchange(m_exchange, nullptr)) {
         --m_shared->openRequestCount;
-        exchange->pendingBytes -= m_inFlightPayload + m_queuedPayload;
+        exchange->pendingBytes -= m_output.payloadBytes();
         exchange->onDisconnected();
     }
 }
--- a/src/transport/Http1Connection.h
+++ b/src/transport/Http1Connection.h
@@ -6,6 +6,7 @@
 #include "foxtailring/transport/HttpLimits.h"
 #include "foxtailring/transport/HttpRequest.h"
 #include "Net.h"
+#include "OutputQueue.h"
 #include "StrandTimer.h"
 
 #include <boost/beast/http/parser.hpp>
@@ -162,12 +163,7 @@
     std::string m_input;
     std::array<char, 8192> m_readBuffer;
 
-    bool m_isWriting = false;
-    std::string m_queued;
-    std::string m_inFlight;
-    std::size_t m_inFlightOffset = 0; ///< bytes of m_inFlight already written
-    std::size_t m_queuedPayload = 0;
-    std::size_t m_inFlightPayload = 0;
+    OutputQueue m_output;
 };
 
 } // namespace foxtailring
