transport: keep the time limits of a connection in classes of their own

Cause: Http1Connection kept its deadline, what moves it, and the time of a body itself. Change: ConnectionDeadline holds the wait of a connection and what extends it; BodyDeadline holds the limit of a body. No change of behaviour.

--- a/src/transport/Http1Connection.cpp
+++ b/src/transport/Http1Connection.cpp
@@ -26,10 +26,6 @@
 constexpr std::chrono::milliseconds drainTimeout {2000};
 constexpr std::chrono::milliseconds maxDrainTime {30'000};
 
-// Time to read input that was in the system's buffer when a deadline passed. A process that was
-// paused finds the deadlines of all its connections passed and reads 128 of them first.
-constexpr std::chrono::milliseconds lateReadTime {50};
-
 // Time until it is looked again whether the caller has the whole last answer.
 constexpr std::chrono::milliseconds acknowledgementInterval {20};
 
@@ -70,7 +66,7 @@
     : m_socket(std::move(socket))
     , m_limits(shared->limits())
     , m_shared(std::move(shared))
-    , m_deadline(m_socket.get_executor())
+    , m_deadline(m_socket, m_limits, deadlineHooks())
     , m_expectsRequest(m_shared->expectedRequestCount)
     , m_isUsable(m_shared->usableConnectionCount)
     , m_cutReporter(m_shared->cutHook)
@@ -138,7 +134,7 @@
 {
     m_isClosingUnused = false;
     if (unreadBytes() > 0)
-        armDeadline(&HttpLimits::idleTimeout);
+        m_deadline.arm(&HttpLimits::idleTimeout);
     else if (!extendForLimits())
         return closeNow();
     read();
@@ -147,10 +143,9 @@
 // A reset that a pipelined request causes could overtake the rest of an answer.
 bool Http1Connection::awaitsAcknowledgement()
 {
-    const auto idleTime = std::chrono::steady_clock::now() - m_deadlineStartedAt;
-    if (unacknowledgedBytes(m_socket) == 0 || idleTime >= drainTimeout)
+    if (unacknowledgedBytes(m_socket) == 0 || m_deadline.age() >= drainTimeout)
         return false;
-    armDeadline(acknowledgementInterval);
+    m_deadline.arm(acknowledgementInterval);
     return true;
 }
 
@@ -169,23 +164,19 @@
 {
     net::post(m_socket.get_executor(), [self = shared_from_this()] {
         self->takeLongerLimits();
-        if (self->m_deadlineLimit)
-            self->startDeadline();
+        self->m_deadline.update();
     });
 }
 
 void Http1Connection::takeLongerLimits()
 {
     const HttpLimits limits = m_shared->limits();
-    for (const TimeLimit limit : {&HttpLimits::idleTimeout, &HttpLimits::headerTimeout})
+    for (const auto limit : {&HttpLimits::idleTimeout, &HttpLimits::headerTimeout})
         m_limits.*limit = std::max(m_limits.*limit, limits.*limit);
-    if (m_phase != Phase::Request || !m_bodyStartedAt)
+    if (m_phase != Phase::Request || !m_bodyDeadline.hasBegun())
         return;
     const auto time = allowedBodyTime();
-    // A body without a time may have taken longer already than its first one allows.
-    if (!m_bodyTime)
-        m_bodyStartedAt = std::chrono::steady_clock::now();
-    m_bodyTime = m_bodyTime && time ? std::max(*m_bodyTime, *time) : time;
+    m_bodyDeadline.extend(time, std::chrono::steady_clock::now());
 }
 
 void Http1Connection::beginRequest()
@@ -193,9 +184,7 @@
     m_phase = Phase::Request;
     m_continueSent = false;
     m_headStarted = false;
-    m_bodyStartedAt.reset();
-    m_hasBodyStarted = false;
-    m_bodyTime.reset();
+    m_bodyDeadline.reset();
     m_headBytes = 0;
     m_fieldCount = 0;
     m_isInputFull = false;
@@ -204,7 +193,7 @@
     m_cutReporter.beginRequest(m_input.size());
     takeLongerLimits(); // the caller read its last answer perhaps before a limit became shorter
     m_parser.emplace();
-    armDeadline(&HttpLimits::idleTimeout);
+    m_deadline.arm(&HttpLimits::idleTimeout);
     if (!m_input.empty())
         parse();
 }
@@ -231,7 +220,7 @@
         return;
     if (isReset(m_socket))
         return cut(ConnectionCut::Cause::CallerClosed);
-    armDeadline(resetCheckInterval);
+    m_deadline.arm(resetCheckInterval);
 }
 
 void Http1Connection::read()
@@ -287,7 +276,7 @@
     if (m_parser->is_header_done())
         continueRequest();
     else if (!std::exchange(m_headStarted, true))
-        armDeadline(&HttpLimits::headerTimeout);
+        m_deadline.arm(&HttpLimits::headerTimeout);
 }
 
 bool Http1Connection::canParse() const
@@ -372,9 +361,9 @@
 // Runs after each read of a body: extends the deadline and sends 100 Continue if it is expected.
 void Http1Connection::continueRequest()
 {
-    if (!m_bodyStartedAt)
+    if (!m_bodyDeadline.hasBegun())
         beginBody();
-    armDeadline(&HttpLimits::idleTimeout);
+    m_deadline.arm(&HttpLimits::idleTimeout);
     const auto expected = m_parser->get()[http::field::expect];
     if (m_continueSent || !equalIgnoringCase({expected.data(), expected.size()}, "100-continue"))
         return;
@@ -384,10 +373,9 @@
 
 void Http1Connection::beginBody()
 {
-    m_bodyStartedAt = std::chrono::steady_clock::now();
     // Before the hook is called: whoever changes what it returns then sees this body.
-    m_hasBodyStarted = true;
-    m_bodyTime = allowedBodyTime();
+    m_bodyDeadline.begin(std::chrono::steady_clock::now());
+    m_bodyDeadline.setLimit(allowedBodyTime());
 }
 
 std::optional<std::chrono::milliseconds> Http1Connection::allowedBodyTime() const
@@ -406,9 +394,9 @@
 
 std::optional<std::chrono::steady_clock::time_point> Http1Connection::bodyEndsAt() const
 {
-    if (m_phase != Phase::Request || !m_bodyTime)
+    if (m_phase != Phase::Request)
         return std::nullopt;
-    return *m_bodyStartedAt + *m_bodyTime;
+    return m_bodyDeadline.endsAt();
 }
 
 bool Http1Connection::isBodyLate() const
@@ -451,7 +439,6 @@
     http::request<http::string_body> message = m_parser->release();
     m_phase = Phase::Response;
     m_expectsRequest.set(false);
-    m_deadlineLimit = nullptr;
     m_deadline.cancel();
     if (m_shared->isClosed)
         return cut(ConnectionCut::Cause::Stop);
@@ -490,7 +477,7 @@
         return;
     m_responseComplete = true;
     m_keepAlive = keepAlive;
-    armDeadline(&HttpLimits::idleTimeout);
+    m_deadline.arm(&HttpLimits::idleTimeout);
     if (!m_output.isWriting())
         onResponseWritten();
 }
@@ -517,7 +504,7 @@
         return cut(ConnectionCut::Cause::CallerClosed);
     // Any progress extends the deadline, so that a slow caller is not cut off.
     if (m_responseComplete)
-        armDeadline(&HttpLimits::idleTimeout);
+        m_deadline.arm(&HttpLimits::idleTimeout);
     if (!m_output.onWritten(size))
         return writeSome();
     if (m_exchange)
@@ -562,41 +549,13 @@
 {
     const auto age = std::chrono::steady_clock::now() - m_drainStartedAt;
     const auto left = std::max(maxDrainTime - age, decltype(age)::zero());
-    armDeadline(std::min(drainTimeout, std::chrono::ceil<std::chrono::milliseconds>(left)));
-}
-
-void Http1Connection::armDeadline(TimeLimit limit)
-{
-    m_deadlineLimit = limit;
-    m_deadlineStartedAt = std::chrono::steady_clock::now();
-    m_unacknowledged = unacknowledgedBytes(m_socket);
-    startDeadline();
-}
-
-std::chrono::steady_clock::time_point Http1Connection::deadline() const
-{
-    const auto endsAt = m_deadlineStartedAt + m_limits.*m_deadlineLimit;
-    const auto bodyEnd = bodyEndsAt();
-    return bodyEnd ? std::min(endsAt, *bodyEnd) : endsAt;
-}
-
-void Http1Connection::startDeadline()
-{
-    const auto left = deadline() - std::chrono::steady_clock::now();
-    const auto remaining = std::max(left, decltype(left)::zero());
-    m_isOverdue = false;
-    startTimer(std::chrono::ceil<std::chrono::milliseconds>(remaining));
-}
-
-void Http1Connection::armDeadline(std::chrono::milliseconds delay)
-{
-    m_deadlineLimit = nullptr;
-    startTimer(delay);
+    m_deadline.arm(std::min(drainTimeout, std::chrono::ceil<std::chrono::milliseconds>(left)));
 }
 
-void Http1Connection::startTimer(std::chrono::milliseconds delay)
+ConnectionDeadline::Hooks Http1Connection::deadlineHooks()
 {
-    m_deadline.start(delay, [self = shared_from_this()] { self->onTimeout(); });
+    return {[this] { return [self = shared_from_this()] { self->onTimeout(); }; },
+            [this] { return bodyEndsAt(); }};
 }
 
 // A part of a request is refused: its caller may send the rest and wait for an answer.
@@ -604,13 +563,13 @@
 {
     if (m_phase == Phase::Response && !m_responseComplete)
         return watchCaller();
-    if (hasUnreadInput() && !std::exchange(m_isOverdue, true))
-        return startTimer(lateReadTime);
+    if (hasUnreadInput() && m_deadline.extendForInput())
+        return;
     if (extendForLimits())
         return;
     if (isBodyLate())
         return rejectLate();
-    if (extendForReader())
+    if (m_deadline.extendForReader())
         return;
     if (isIdle())
         return closeUnused();
@@ -619,17 +578,14 @@
     cut(ConnectionCut::Cause::IdleTimeout);
 }
 
-// Callers rely on a longer limit as soon as it is in force, but the handler of the timer may have
-// been queued before, and extendLimits() runs after it then.
+// The handler of the timer may have been queued before a limit was changed, and extendLimits() runs
+// after it then.
 bool Http1Connection::extendForLimits()
 {
-    if (!m_deadlineLimit || m_shared->isClosingIdle)
+    if (!m_deadline.followsLimit() || m_shared->isClosingIdle)
         return false;
     takeLongerLimits();
-    if (deadline() <= std::chrono::steady_clock::now())
-        return false;
-    startDeadline();
-    return true;
+    return m_deadline.extendForLimits();
 }
 
 bool Http1Connection::hasUnreadInput()
@@ -644,24 +600,6 @@
     return status ? 0 : size;
 }
 
-// The socket takes megabytes at once, and more only when a third of its buffer is free: a caller
-// that reads steadily may show no progress there for seconds, and turns idle when it has the last
-// byte. Acknowledgements alone prove nothing, since a caller that reads nothing acknowledges window
-// probes.
-bool Http1Connection::extendForReader()
-{
-    if (m_deadlineLimit != &HttpLimits::idleTimeout || m_unacknowledged == 0)
-        return false;
-    const std::size_t unacknowledged = unacknowledgedBytes(m_socket);
-    const auto quietTime = timeSinceAcknowledgement(m_socket);
-    if (unacknowledged >= m_unacknowledged || quietTime >= m_limits.idleTimeout)
-        return false;
-    m_unacknowledged = unacknowledged;
-    m_deadlineStartedAt = std::chrono::steady_clock::now() - quietTime;
-    startDeadline();
-    return true;
-}
-
 void Http1Connection::rejectLate()
 {
     ConnectionCut::Cause cause = ConnectionCut::Cause::IdleTimeout;
@@ -681,7 +619,7 @@
     if (!m_parser->is_header_done())
         return "the head did not arrive within " + text(m_limits.headerTimeout);
     if (isBodyLate())
-        return "the body did not arrive within " + text(*m_bodyTime);
+        return "the body did not arrive within " + text(*m_bodyDeadline.limit());
     return "no part of the body arrived within " + text(m_limits.idleTimeout);
 }
 
@@ -735,7 +673,6 @@
     m_isUsable.set(false);
     ErrorStatus ignored;
     m_socket.close(ignored);
-    m_deadlineLimit = nullptr;
     m_deadline.cancel();
     if (const auto exchange = std::exchange(m_exchange, nullptr)) {
         --m_shared->openRequestCount;
--- a/src/transport/Http1Connection.h
+++ b/src/transport/Http1Connection.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "BodyDeadline.h"
+#include "ConnectionDeadline.h"
 #include "CountedFlag.h"
 #include "CutReporter.h"
 #include "foxtailring/transport/ConnectionCut.h"
@@ -7,13 +9,11 @@
 #include "foxtailring/transport/HttpRequest.h"
 #include "Net.h"
 #include "OutputQueue.h"
-#include "StrandTimer.h"
 
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
 #include <array>
-#include <atomic>
 #include <chrono>
 #include <memory>
 #include <optional>
@@ -47,7 +47,7 @@
     /// \brief Lets longer time limits of the server apply to what this connection waits for.
     void extendLimits();
     /// \brief True if the current request has a body that did not arrive together with its head.
-    bool hasBodyStarted() const { return m_hasBodyStarted; }
+    bool hasBodyStarted() const { return m_bodyDeadline.hasBegun(); }
 
     // On the strand, called by the exchange.
     void send(std::string_view bytes, std::size_t payloadBytes);
@@ -107,9 +107,6 @@
     bool hasUnreadInput();
     /// \brief Moves a deadline that has passed by shorter limits than those in force.
     bool extendForLimits();
-    /// \brief Restarts the deadline at the time at which the caller last took a part of the
-    /// response.
-    bool extendForReader();
     /// \brief Refuses a request that has not arrived within its time limit.
     void rejectLate();
     std::string lateDetail() const;
@@ -120,33 +117,20 @@
     ConnectionCut::Phase cutPhase() const;
     /// True when no byte of a request has arrived.
     bool isIdle() const;
-    using TimeLimit = std::chrono::milliseconds HttpLimits::*;
-    void armDeadline(std::chrono::milliseconds delay);
-    void armDeadline(TimeLimit limit);
-    std::chrono::steady_clock::time_point deadline() const;
-    void startDeadline();
-    void startTimer(std::chrono::milliseconds delay);
+    ConnectionDeadline::Hooks deadlineHooks();
 
     Socket m_socket;
     HttpLimits m_limits; ///< of the current request, or of the wait for one
     const std::shared_ptr<Http1ServerShared> m_shared;
-    StrandTimer m_deadline;
-    TimeLimit m_deadlineLimit = nullptr; ///< that the deadline follows; null: it is fixed
-    std::chrono::steady_clock::time_point m_deadlineStartedAt;
-    bool m_isOverdue = false; ///< the deadline has passed, input that had arrived is read
+    ConnectionDeadline m_deadline;
+    BodyDeadline m_bodyDeadline;
     std::chrono::steady_clock::time_point m_drainStartedAt;
-    std::size_t m_unacknowledged = 0; ///< of the bytes written, when the deadline was set
     Phase m_phase = Phase::Request;
     std::optional<Parser> m_parser;
     std::vector<HttpHeader> m_headers; ///< of the current request, without trailers
     std::shared_ptr<Http1ServerExchange> m_exchange;
     bool m_continueSent = false;
-    bool m_headStarted = false; ///< the first bytes of a head have arrived
-    /// Arrival of the head, if the body did not arrive together with it, or a later time as long as
-    /// no time was allowed.
-    std::optional<std::chrono::steady_clock::time_point> m_bodyStartedAt;
-    std::optional<std::chrono::milliseconds> m_bodyTime; ///< allowed from then on
-    std::atomic<bool> m_hasBodyStarted = false;          ///< m_bodyStartedAt is set
+    bool m_headStarted = false;   ///< the first bytes of a head have arrived
     bool m_needsMore = false;     ///< the parser has left a part of m_input unread
     CountedFlag m_expectsRequest; ///< counted in Http1ServerShared::expectedRequestCount
     CountedFlag m_isUsable;       ///< counted in Http1ServerShared::usableConnectionCount
