transport: read requests in a class of its own

Cause: Http1Connection parsed requests, counted their memory and worded its refusals itself. Change: Http1RequestReader makes requests of bytes within the limits of size and memory; RequestRefusal words the responses to requests that are not served. No change of behaviour.

--- a/src/transport/Http1Connection.cpp
+++ b/src/transport/Http1Connection.cpp
@@ -1,23 +1,18 @@
 #include "Http1Connection.h"
 
-#include "BodyFraming.h"
-#include "foxtailring/base/AsciiCase.h"
-#include "foxtailring/transport/RequestMemory.h"
 #include "HookGuard.h"
 #include "Http1ResponderHandle.h"
 #include "Http1ServerExchange.h"
 #include "Http1ServerShared.h"
+#include "RequestRefusal.h"
 
 #include <boost/asio/post.hpp>
-#include <boost/beast/http/error.hpp>
 
 #include <algorithm>
 #include <functional>
 
 namespace foxtailring {
 
-namespace http = boost::beast::http;
-
 namespace {
 
 // Time to read remaining input before the connection is closed: closing with unread input makes the
@@ -32,34 +27,6 @@
 // Time until it is looked again whether the caller has reset a connection that is not read.
 constexpr std::chrono::milliseconds resetCheckInterval {1000};
 
-// Input buffered beyond the header limit. More pipelined input stays in the kernel; this also
-// limits the length of chunk extensions.
-constexpr std::size_t maxExtraInputBytes = 64 * 1024;
-
-// A head is held twice, as fields of the parser and as headers. Many short fields need far more
-// memory than their text.
-constexpr std::size_t headCopies = 2;
-constexpr std::size_t fieldBytes = sizeof(http::fields::value_type) + sizeof(HttpHeader);
-
-HttpRequest takeRequest(http::request<http::string_body> message, std::vector<HttpHeader> headers)
-{
-    HttpRequest request;
-    request.method = std::string(message.method_string());
-    request.target = std::string(message.target());
-    request.headers = std::move(headers);
-    request.body = std::move(message.body());
-    return request;
-}
-
-// Another process takes the request at once.
-HttpResponse unavailableResponse()
-{
-    HttpResponse response = problemResponse(
-        503, "Service Unavailable", "the request arrived when the process was about to end");
-    response.headers.push_back({"Retry-After", "0"});
-    return response;
-}
-
 } // namespace
 
 Http1Connection::Http1Connection(Socket socket, std::shared_ptr<Http1ServerShared> shared)
@@ -67,6 +34,7 @@
     , m_limits(shared->limits())
     , m_shared(std::move(shared))
     , m_deadline(m_socket, m_limits, deadlineHooks())
+    , m_reader(m_limits, m_shared->memoryHook)
     , m_expectsRequest(m_shared->expectedRequestCount)
     , m_isUsable(m_shared->usableConnectionCount)
     , m_cutReporter(m_shared->cutHook)
@@ -100,7 +68,7 @@
 
 void Http1Connection::endWaitAtStop()
 {
-    if (m_shared->isClosingIdle && m_phase == Phase::Request && m_parser)
+    if (m_shared->isClosingIdle && m_phase == Phase::Request && m_reader.isReading())
         endWait();
 }
 
@@ -185,16 +153,12 @@
     m_continueSent = false;
     m_headStarted = false;
     m_bodyDeadline.reset();
-    m_headBytes = 0;
-    m_fieldCount = 0;
-    m_isInputFull = false;
-    m_needsMore = false;
     m_responseComplete = false;
-    m_cutReporter.beginRequest(m_input.size());
+    m_cutReporter.beginRequest(m_reader.inputSize());
     takeLongerLimits(); // the caller read its last answer perhaps before a limit became shorter
-    m_parser.emplace();
+    m_reader.begin();
     m_deadline.arm(&HttpLimits::idleTimeout);
-    if (!m_input.empty())
+    if (m_reader.inputSize() > 0)
         parse();
 }
 
@@ -203,13 +167,7 @@
 {
     m_expectsRequest.set(true);
     m_limits = m_shared->limits();
-    m_parser->header_limit(static_cast<std::uint32_t>(m_limits.maxHeaderBytes));
-    m_parser->body_limit(m_limits.maxBodyBytes);
-}
-
-bool Http1Connection::isInputFull() const
-{
-    return m_isInputFull || m_input.size() >= m_limits.maxHeaderBytes + maxExtraInputBytes;
+    m_reader.setLimits(m_limits);
 }
 
 // The server holds its connections by weak references: without a read, a write or a timer in
@@ -227,7 +185,7 @@
 {
     if (m_isReading || m_phase == Phase::Closed)
         return;
-    if (isInputFull())
+    if (m_reader.isFull())
         return watchCaller();
     m_isReading = true;
     m_socket.async_read_some(net::buffer(m_readBuffer),
@@ -247,125 +205,38 @@
         return cut(ConnectionCut::Cause::CallerClosed);
     m_cutReporter.addBytes(size);
     if (m_phase != Phase::Drain)
-        m_input.append(m_readBuffer.data(), size);
+        m_reader.append({m_readBuffer.data(), size});
     if (m_phase == Phase::Request)
         parse();
     else if (m_phase == Phase::Drain)
         armDrainDeadline();
     else if (m_phase == Phase::Response)
-        m_isInputFull = !reserveInput();
+        m_reader.holdFollowing();
     read();
     endWaitAtStop();
 }
 
 void Http1Connection::parse()
 {
-    if (!m_parser->got_some())
+    if (!m_reader.hasStarted())
         beginHead();
-    ErrorStatus status;
-    while (!status && canParse())
-        parseStep(status);
-    if (status && status != http::error::need_more)
-        return rejectRequest(status);
-    if (!reserveInput())
-        return rejectOversized();
-    if (m_parser->is_done())
+    if (auto refusal = m_reader.parse())
+        return rejectWith(std::move(*refusal));
+    if (m_reader.isDone())
         return handleRequest();
-    if (isInputFull())
-        return rejectRequest(400, "Bad Request", "a chunk header is too long");
-    if (m_parser->is_header_done())
+    if (m_reader.hasHead())
         continueRequest();
     else if (!std::exchange(m_headStarted, true))
         m_deadline.arm(&HttpLimits::headerTimeout);
 }
 
-bool Http1Connection::canParse() const
-{
-    const bool isInChunks = m_needsMore && m_parser->is_header_done();
-    return m_input.size() >= (isInChunks ? minChunkedRestBytes : 1) && !m_parser->is_done();
-}
-
-// The parser adds trailers to the headers, so the head is taken before it reads any further.
-void Http1Connection::parseStep(ErrorStatus &status)
-{
-    const bool isInHead = !m_parser->is_header_done();
-    m_parser->eager(!isInHead);
-    const std::size_t size = m_parser->put(net::buffer(m_input), status);
-    if (isInHead)
-        m_fieldCount += static_cast<std::size_t>(
-            std::count(m_input.begin(), m_input.begin() + static_cast<std::ptrdiff_t>(size), '\n'));
-    m_input.erase(0, size);
-    m_needsMore = status == http::error::need_more;
-    if (!isInHead)
-        return;
-    // The limit of the parser holds for what follows the last whole field only.
-    m_headBytes += size;
-    if (m_headBytes > m_limits.maxHeaderBytes)
-        status = http::error::header_limit;
-    if (m_parser->is_header_done())
-        takeHead(status);
-}
-
-// A body whose end is in doubt is not read: its bytes could run as the next request.
-void Http1Connection::takeHead(ErrorStatus &status)
-{
-    const auto &message = m_parser->get();
-    m_headers = toHeaders(message);
-    const BodyFraming framing = bodyFraming(message, message.version());
-    if (!status && framing == BodyFraming::Malformed)
-        status = http::error::bad_transfer_encoding;
-    else if (!status && framing == BodyFraming::UnknownCoding)
-        status = net::error::operation_not_supported;
-}
-
-std::size_t Http1Connection::heldBytes() const
-{
-    if (m_phase != Phase::Request || !m_parser)
-        return m_input.size();
-    return m_input.size() + headCopies * m_headBytes + fieldBytes * m_fieldCount
-        + m_parser->get().body().size();
-}
-
-bool Http1Connection::reserveInput()
-{
-    if (!m_memory && m_shared->memoryHook && heldBytes() > 0)
-        m_memory = m_shared->memoryHook();
-    return !m_memory || m_memory->tryResize(heldBytes());
-}
-
-void Http1Connection::rejectOversized()
-{
-    rejectWith(m_memory->refuse());
-}
-
-void Http1Connection::releaseInput()
-{
-    std::string().swap(m_input);
-    m_parser.reset();
-    m_headers.clear();
-    m_memory.reset();
-}
-
-// What follows the request is counted by itself.
-std::shared_ptr<RequestMemory> Http1Connection::takeMemory(std::size_t bodyBytes)
-{
-    auto memory = std::exchange(m_memory, nullptr);
-    if (memory) {
-        memory->tryResize(headCopies * m_headBytes + fieldBytes * m_fieldCount + bodyBytes);
-        memory->onArrived();
-    }
-    m_isInputFull = !reserveInput();
-    return memory;
-}
-
 // Runs after each read of a body: extends the deadline and sends 100 Continue if it is expected.
 void Http1Connection::continueRequest()
 {
     if (!m_bodyDeadline.hasBegun())
         beginBody();
     m_deadline.arm(&HttpLimits::idleTimeout);
-    const auto expected = m_parser->get()[http::field::expect];
-    if (m_continueSent || !equalIgnoringCase({expected.data(), expected.size()}, "100-continue"))
+    if (m_continueSent || !m_reader.expectsContinue())
         return;
     m_continueSent = true;
     send("HTTP/1.1 100 Continue\r\n\r\n", 0);
@@ -384,9 +255,7 @@
     if (!m_shared->bodyTimeHook)
         return time;
     const std::function<void()> ask = [this, &time] {
-        const auto &message = m_parser->get();
-        time = m_shared->bodyTimeHook(
-            {std::string(message.method_string()), std::string(message.target()), m_headers, {}});
+        time = m_shared->bodyTimeHook(m_reader.head());
     };
     runHook(ask);
     return time;
@@ -405,38 +274,17 @@
     return endsAt && *endsAt <= std::chrono::steady_clock::now();
 }
 
-void Http1Connection::rejectRequest(ErrorStatus status)
-{
-    if (status == http::error::body_limit || status == http::error::buffer_overflow)
-        return rejectRequest(413, "Content Too Large",
-                             "the body is above " + std::to_string(m_limits.maxBodyBytes)
-                                 + " bytes");
-    if (status == http::error::header_limit)
-        return rejectRequest(431, "Request Header Fields Too Large",
-                             "the head is above " + std::to_string(m_limits.maxHeaderBytes)
-                                 + " bytes");
-    if (status == net::error::operation_not_supported)
-        return rejectRequest(501, "Not Implemented", "the transfer coding is not known");
-    rejectRequest(400, "Bad Request", status.message());
-}
-
-void Http1Connection::rejectRequest(int status, std::string_view title, std::string_view detail)
-{
-    rejectWith(problemResponse(status, title, detail));
-}
-
 void Http1Connection::rejectWith(HttpResponse response)
 {
     m_phase = Phase::Response;
     m_expectsRequest.set(false);
-    releaseInput(); // the connection may stay open for maxDrainTime
+    m_reader.release(); // the connection may stay open for maxDrainTime
     send(serializeResponse(std::move(response), {11, false, false}), 0);
     completeResponse(false);
 }
 
 void Http1Connection::handleRequest()
 {
-    http::request<http::string_body> message = m_parser->release();
     m_phase = Phase::Response;
     m_expectsRequest.set(false);
     m_deadline.cancel();
@@ -444,13 +292,10 @@
         return cut(ConnectionCut::Cause::Stop);
     if (m_shared->isRefusing)
         return refuseRequest();
-    const ResponseFraming framing {message.version() >= 11 ? 11U : 10U, message.keep_alive(),
-                                   message.method() == http::verb::head};
-    m_exchange =
-        std::make_shared<Http1ServerExchange>(weak_from_this(), m_socket.get_executor(), framing);
+    m_exchange = std::make_shared<Http1ServerExchange>(weak_from_this(), m_socket.get_executor(),
+                                                       m_reader.responseFraming());
     ++m_shared->openRequestCount;
-    HttpRequest request = takeRequest(std::move(message), std::exchange(m_headers, {}));
-    request.memory = takeMemory(request.body.size());
+    HttpRequest request = m_reader.take();
     // If the handler throws, the destructor of the handle responds with 500.
     runHook(m_shared->handler, std::move(request),
             std::make_shared<Http1ResponderHandle>(m_exchange));
@@ -531,13 +376,12 @@
 
 void Http1Connection::drain()
 {
-    if (!m_input.empty())
+    if (m_reader.inputSize() > 0)
         reportCut(ConnectionCut::Cause::Closing);
     m_phase = Phase::Drain;
     m_expectsRequest.set(false);
     m_isUsable.set(false);
-    releaseInput();
-    m_isInputFull = false;
+    m_reader.release();
     ErrorStatus ignored;
     m_socket.shutdown(Tcp::socket::shutdown_send, ignored);
     m_drainStartedAt = std::chrono::steady_clock::now();
@@ -602,25 +446,19 @@
 
 void Http1Connection::rejectLate()
 {
-    ConnectionCut::Cause cause = ConnectionCut::Cause::IdleTimeout;
-    if (!m_parser->is_header_done())
-        cause = ConnectionCut::Cause::HeaderTimeout;
-    else if (isBodyLate())
-        cause = ConnectionCut::Cause::BodyTimeout;
-    reportCut(cause);
-    rejectRequest(408, "Request Timeout", lateDetail());
+    if (!m_reader.hasHead())
+        return rejectLate(ConnectionCut::Cause::HeaderTimeout,
+                          lateHeadResponse(m_limits.headerTimeout));
+    if (isBodyLate())
+        return rejectLate(ConnectionCut::Cause::BodyTimeout,
+                          lateBodyResponse(*m_bodyDeadline.limit()));
+    rejectLate(ConnectionCut::Cause::IdleTimeout, stalledBodyResponse(m_limits.idleTimeout));
 }
 
-std::string Http1Connection::lateDetail() const
+void Http1Connection::rejectLate(ConnectionCut::Cause cause, HttpResponse response)
 {
-    const auto text = [](std::chrono::milliseconds time) {
-        return std::to_string(time.count()) + " ms";
-    };
-    if (!m_parser->is_header_done())
-        return "the head did not arrive within " + text(m_limits.headerTimeout);
-    if (isBodyLate())
-        return "the body did not arrive within " + text(*m_bodyDeadline.limit());
-    return "no part of the body arrived within " + text(m_limits.idleTimeout);
+    reportCut(cause);
+    rejectWith(std::move(response));
 }
 
 void Http1Connection::cut(ConnectionCut::Cause cause)
@@ -641,13 +479,12 @@
         return ConnectionCut::Phase::Closing;
     if (m_phase == Phase::Response)
         return ConnectionCut::Phase::Response;
-    const bool hasHead = m_parser && m_parser->is_header_done();
-    return hasHead ? ConnectionCut::Phase::Body : ConnectionCut::Phase::Head;
+    return m_reader.hasHead() ? ConnectionCut::Phase::Body : ConnectionCut::Phase::Head;
 }
 
 bool Http1Connection::isIdle() const
 {
-    return m_phase == Phase::Request && m_input.empty() && !(m_parser && m_parser->got_some());
+    return m_phase == Phase::Request && m_reader.inputSize() == 0 && !m_reader.hasStarted();
 }
 
 bool Http1Connection::isClosing() const
@@ -668,7 +505,7 @@
     if (m_phase == Phase::Closed)
         return;
     m_phase = Phase::Closed;
-    releaseInput();
+    m_reader.release();
     m_expectsRequest.set(false);
     m_isUsable.set(false);
     ErrorStatus ignored;
--- a/src/transport/Http1Connection.h
+++ b/src/transport/Http1Connection.h
@@ -7,30 +7,26 @@
 #include "foxtailring/transport/ConnectionCut.h"
 #include "foxtailring/transport/HttpLimits.h"
 #include "foxtailring/transport/HttpRequest.h"
+#include "Http1RequestReader.h"
 #include "Net.h"
 #include "OutputQueue.h"
 
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
-
 #include <array>
 #include <chrono>
 #include <memory>
 #include <optional>
-#include <string>
-#include <vector>
+#include <string_view>
 
 namespace foxtailring {
 
 class Http1ServerExchange;
-class RequestMemory;
 struct Http1ServerShared;
 struct HttpResponse;
 
 /// \brief One accepted HTTP/1.1 connection.
 ///
 /// A read stays pending while a response is produced, to detect that the caller disconnects.
-/// Pipelined requests are buffered in m_input; reading pauses while that is full, and the
+/// Pipelined requests are held by the reader; reading pauses while that is full, and the
 /// connection looks for a reset at intervals instead.
 class Http1Connection : public std::enable_shared_from_this<Http1Connection>
 {
@@ -60,7 +56,6 @@
 
 private:
     enum class Phase { Request, Response, Drain, Closed };
-    using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
 
     void beginRequest();
     void beginHead();
@@ -71,29 +66,17 @@
     void onReadCancelled();
     bool awaitsAcknowledgement();
     void takeLongerLimits();
-    bool isInputFull() const;
     /// \brief Detects a reset while nothing is read, and holds the connection until the response.
     void watchCaller();
     void read();
     void onRead(ErrorStatus status, std::size_t size);
     void parse();
-    bool canParse() const;
-    void parseStep(ErrorStatus &status);
-    void takeHead(ErrorStatus &status);
-    std::size_t heldBytes() const;
-    /// \brief Counts the input that is held. False: it is more than the memory hook allows.
-    bool reserveInput();
-    void rejectOversized();
-    void releaseInput();
-    std::shared_ptr<RequestMemory> takeMemory(std::size_t bodyBytes);
     void continueRequest();
     void beginBody();
     std::optional<std::chrono::milliseconds> allowedBodyTime() const;
     std::optional<std::chrono::steady_clock::time_point> bodyEndsAt() const;
     /// True when the time of the body that is arriving is over.
     bool isBodyLate() const;
-    void rejectRequest(ErrorStatus status);
-    void rejectRequest(int status, std::string_view title, std::string_view detail);
     void rejectWith(HttpResponse response);
     void handleRequest();
     void refuseRequest();
@@ -109,7 +92,7 @@
     bool extendForLimits();
     /// \brief Refuses a request that has not arrived within its time limit.
     void rejectLate();
-    std::string lateDetail() const;
+    void rejectLate(ConnectionCut::Cause cause, HttpResponse response);
     /// \brief Closes the connection and reports the cut, if there is one.
     void cut(ConnectionCut::Cause cause);
     void reportCut(ConnectionCut::Cause cause);
@@ -126,25 +109,18 @@
     BodyDeadline m_bodyDeadline;
     std::chrono::steady_clock::time_point m_drainStartedAt;
     Phase m_phase = Phase::Request;
-    std::optional<Parser> m_parser;
-    std::vector<HttpHeader> m_headers; ///< of the current request, without trailers
+    Http1RequestReader m_reader;
     std::shared_ptr<Http1ServerExchange> m_exchange;
     bool m_continueSent = false;
     bool m_headStarted = false;   ///< the first bytes of a head have arrived
-    bool m_needsMore = false;     ///< the parser has left a part of m_input unread
     CountedFlag m_expectsRequest; ///< counted in Http1ServerShared::expectedRequestCount
     CountedFlag m_isUsable;       ///< counted in Http1ServerShared::usableConnectionCount
-    std::size_t m_headBytes = 0;  ///< of the current head, as far as it has been parsed
-    std::size_t m_fieldCount = 0; ///< lines of the current head, as far as it has been parsed
-    std::shared_ptr<RequestMemory> m_memory; ///< of the input; null: none is held or limited
-    bool m_isInputFull = false;              ///< no more is read until the response is complete
     CutReporter m_cutReporter;
     bool m_responseComplete = false;
     bool m_keepAlive = true;
 
     bool m_isReading = false;
     bool m_isClosingUnused = false; ///< the read is cancelled in order to close the connection
-    std::string m_input;
     std::array<char, 8192> m_readBuffer;
 
     OutputQueue m_output;
