transport: time the close of a connection in a class of its own

Change: DrainPeriod says how long input is read before the close; a CountedFlag counts the open request; unreadBytes() joins the other questions to a socket in Net. No change of behaviour.

--- a/src/transport/Http1Connection.cpp
+++ b/src/transport/Http1Connection.cpp
@@ -15,12 +15,6 @@
 
 namespace {
 
-// Time to read remaining input before the connection is closed: closing with unread input makes the
-// kernel reset the connection, and the caller may lose the response. Starts anew with each read, as
-// a caller may look for the response only when it has sent all of a long body.
-constexpr std::chrono::milliseconds drainTimeout {2000};
-constexpr std::chrono::milliseconds maxDrainTime {30'000};
-
 // Time until it is looked again whether the caller has the whole last answer.
 constexpr std::chrono::milliseconds acknowledgementInterval {20};
 
@@ -37,6 +31,7 @@
     , m_reader(m_limits, m_shared->memoryHook)
     , m_expectsRequest(m_shared->expectedRequestCount)
     , m_isUsable(m_shared->usableConnectionCount)
+    , m_isRequestOpen(m_shared->openRequestCount)
     , m_cutReporter(m_shared->cutHook)
 {
     m_isUsable.set(true);
@@ -75,7 +70,7 @@
 // Input that has arrived is read first; onRead() comes back here.
 void Http1Connection::endWait()
 {
-    if (unreadBytes() > 0)
+    if (unreadBytes(m_socket) > 0)
         return read();
     if (isIdle())
         return closeUnused();
@@ -101,7 +96,7 @@
 void Http1Connection::onReadCancelled()
 {
     m_isClosingUnused = false;
-    if (unreadBytes() > 0)
+    if (unreadBytes(m_socket) > 0)
         m_deadline.arm(&HttpLimits::idleTimeout);
     else if (!extendForLimits())
         return closeNow();
@@ -111,7 +106,7 @@
 // A reset that a pipelined request causes could overtake the rest of an answer.
 bool Http1Connection::awaitsAcknowledgement()
 {
-    if (unacknowledgedBytes(m_socket) == 0 || m_deadline.age() >= drainTimeout)
+    if (unacknowledgedBytes(m_socket) == 0 || m_deadline.age() >= DrainPeriod::quietTime)
         return false;
     m_deadline.arm(acknowledgementInterval);
     return true;
@@ -121,7 +116,7 @@
 {
     net::post(m_socket.get_executor(), [self = shared_from_this()] {
         if (self->isIdle())
-            self->m_cutReporter.reportUnread(self->unreadBytes());
+            self->m_cutReporter.reportUnread(unreadBytes(self->m_socket));
         self->cut(ConnectionCut::Cause::Stop);
     });
 }
@@ -209,7 +204,7 @@
     if (m_phase == Phase::Request)
         parse();
     else if (m_phase == Phase::Drain)
-        armDrainDeadline();
+        m_deadline.arm(m_drainPeriod.timeLeft(std::chrono::steady_clock::now()));
     else if (m_phase == Phase::Response)
         m_reader.holdFollowing();
     read();
@@ -278,7 +273,7 @@
 {
     m_phase = Phase::Response;
     m_expectsRequest.set(false);
-    m_reader.release(); // the connection may stay open for maxDrainTime
+    m_reader.release(); // the connection may stay open for DrainPeriod::longestTime
     send(serializeResponse(std::move(response), {11, false, false}), 0);
     completeResponse(false);
 }
@@ -294,7 +289,7 @@
         return refuseRequest();
     m_exchange = std::make_shared<Http1ServerExchange>(weak_from_this(), m_socket.get_executor(),
                                                        m_reader.responseFraming());
-    ++m_shared->openRequestCount;
+    m_isRequestOpen.set(true);
     HttpRequest request = m_reader.take();
     // If the handler throws, the destructor of the handle responds with 500.
     runHook(m_shared->handler, std::move(request),
@@ -362,10 +357,8 @@
 
 void Http1Connection::onResponseWritten()
 {
-    if (m_exchange) {
-        m_exchange.reset();
-        --m_shared->openRequestCount;
-    }
+    m_exchange.reset();
+    m_isRequestOpen.set(false);
     m_output.releaseBatch();
     if (!m_keepAlive)
         return drain();
@@ -384,18 +377,11 @@
     m_reader.release();
     ErrorStatus ignored;
     m_socket.shutdown(Tcp::socket::shutdown_send, ignored);
-    m_drainStartedAt = std::chrono::steady_clock::now();
-    armDrainDeadline();
+    m_drainPeriod.begin(std::chrono::steady_clock::now());
+    m_deadline.arm(m_drainPeriod.timeLeft(std::chrono::steady_clock::now()));
     read();
 }
 
-void Http1Connection::armDrainDeadline()
-{
-    const auto age = std::chrono::steady_clock::now() - m_drainStartedAt;
-    const auto left = std::max(maxDrainTime - age, decltype(age)::zero());
-    m_deadline.arm(std::min(drainTimeout, std::chrono::ceil<std::chrono::milliseconds>(left)));
-}
-
 ConnectionDeadline::Hooks Http1Connection::deadlineHooks()
 {
     return {[this] { return [self = shared_from_this()] { self->onTimeout(); }; },
@@ -434,14 +420,7 @@
 
 bool Http1Connection::hasUnreadInput()
 {
-    return m_isReading && m_phase == Phase::Request && unreadBytes() > 0;
-}
-
-std::size_t Http1Connection::unreadBytes() const
-{
-    ErrorStatus status;
-    const std::size_t size = m_socket.available(status);
-    return status ? 0 : size;
+    return m_isReading && m_phase == Phase::Request && unreadBytes(m_socket) > 0;
 }
 
 void Http1Connection::rejectLate()
@@ -511,8 +490,8 @@
     ErrorStatus ignored;
     m_socket.close(ignored);
     m_deadline.cancel();
+    m_isRequestOpen.set(false);
     if (const auto exchange = std::exchange(m_exchange, nullptr)) {
-        --m_shared->openRequestCount;
         exchange->pendingBytes -= m_output.payloadBytes();
         exchange->onDisconnected();
     }
--- a/src/transport/Http1Connection.h
+++ b/src/transport/Http1Connection.h
@@ -4,6 +4,7 @@
 #include "ConnectionDeadline.h"
 #include "CountedFlag.h"
 #include "CutReporter.h"
+#include "DrainPeriod.h"
 #include "foxtailring/transport/ConnectionCut.h"
 #include "foxtailring/transport/HttpLimits.h"
 #include "foxtailring/transport/HttpRequest.h"
@@ -85,7 +86,6 @@
     void onWritten(ErrorStatus status, std::size_t size);
     void onResponseWritten();
     void drain();
-    void armDrainDeadline();
     void onTimeout();
     bool hasUnreadInput();
     /// \brief Moves a deadline that has passed by shorter limits than those in force.
@@ -96,7 +96,6 @@
     /// \brief Closes the connection and reports the cut, if there is one.
     void cut(ConnectionCut::Cause cause);
     void reportCut(ConnectionCut::Cause cause);
-    std::size_t unreadBytes() const;
     ConnectionCut::Phase cutPhase() const;
     /// True when no byte of a request has arrived.
     bool isIdle() const;
@@ -107,7 +106,7 @@
     const std::shared_ptr<Http1ServerShared> m_shared;
     ConnectionDeadline m_deadline;
     BodyDeadline m_bodyDeadline;
-    std::chrono::steady_clock::time_point m_drainStartedAt;
+    DrainPeriod m_drainPeriod;
     Phase m_phase = Phase::Request;
     Http1RequestReader m_reader;
     std::shared_ptr<Http1ServerExchange> m_exchange;
@@ -115,6 +114,7 @@
     bool m_headStarted = false;   ///< the first bytes of a head have arrived
     CountedFlag m_expectsRequest; ///< counted in Http1ServerShared::expectedRequestCount
     CountedFlag m_isUsable;       ///< counted in Http1ServerShared::usableConnectionCount
+    CountedFlag m_isRequestOpen;  ///< counted in Http1ServerShared::openRequestCount
     CutReporter m_cutReporter;
     bool m_responseComplete = false;
     bool m_keepAlive = true;
--- a/src/transport/Net.cpp
+++ b/src/transport/Net.cpp
@@ -30,6 +30,13 @@
     socket.set_option(KeepAliveCount(keepAliveCount), ignored);
 }
 
+std::size_t unreadBytes(const Socket &socket)
+{
+    ErrorStatus status;
+    const std::size_t size = socket.available(status);
+    return status ? 0 : size;
+}
+
 std::size_t unacknowledgedBytes(Socket &socket)
 {
     int count = 0;
--- a/src/transport/Net.h
+++ b/src/transport/Net.h
@@ -20,6 +20,8 @@
 /// \brief Sets TCP_NODELAY and TCP keep-alive, as for every connection.
 void setSocketOptions(Socket &socket);
 
+/// \brief Bytes that have arrived on \a socket and are not read; 0 after an error.
+std::size_t unreadBytes(const Socket &socket);
 /// \brief Bytes written to \a socket that the peer's system has not acknowledged.
 std::size_t unacknowledgedBytes(Socket &socket);
 /// \brief Time since the peer's system last acknowledged anything.
