decisions: take what a session records out of ForwardSession

It recorded reports of probes by the same code as StreamSession, and the ends of an attempt and of a fallback by two copies of one rule. Change: ServerEvidence records what answers, probes and ends of attempts show about servers, for both sessions; RequestSuspicion keeps what one request is suspected of. No change of behaviour.

--- a/include/foxtailring/decisions/ForwardSession.h
+++ b/include/foxtailring/decisions/ForwardSession.h
@@ -8,6 +8,8 @@
 #include "foxtailring/decisions/ForwardContext.h"
 #include "foxtailring/decisions/ForwardRequest.h"
 #include "foxtailring/decisions/HttpRoute.h"
+#include "foxtailring/decisions/RequestSuspicion.h"
+#include "foxtailring/decisions/ServerEvidence.h"
 #include "foxtailring/decisions/ServerProbeResult.h"
 
 #include <cstdint>
@@ -98,8 +100,7 @@
     /// crashed its own servers; none: the request may be sent.
     std::optional<ForwardAction> refuseQuarantined(TimePoint now) const;
 
-    /// \brief Records whether the answer to a probe says that its server leaves.
-    void recordProbeNotice(const ServerProbeResult &report, TimePoint now);
+    const ServerEvidence &evidence() const { return m_evidence; }
     /// \brief Takes a request to the server. False if its rate limit or a pause allows none.
     bool tryAcquire(const std::string &serverId, TimePoint now)
     {
@@ -189,13 +190,9 @@
     void chooseService();
     /// \brief True if the request may crash servers. One that does lets no event through.
     bool mayCrashServers() const { return !hasPassedEvents(); }
-    void recordReset(TimePoint now);
-    void recordWholeAnswer(const BackendAnswer &answer, TimePoint now);
-    void recordUncertainServer();
     bool isSubjectToQuarantine() const;
-    void recordHead(const BackendInfo &server, TimePoint sentAt, const BackendAnswer &answer,
-                    TimePoint now);
-    void recordNotice(const BackendInfo &server, const BackendAnswer &answer);
+    /// \brief Tells the quarantine of the failure of the current attempt's server, once.
+    void reportFailure(TimePoint at, TimePoint now);
     ForwardAction onWrongServer(const BackendAnswer &answer, TimePoint now);
     ForwardAction retryRejected(AttemptResult result, TimePoint now);
     bool tryConsumeBudget(TimePoint now);
@@ -210,8 +207,9 @@
 
     const HttpRoute &m_route;
     const ForwardRequest m_request;
-    const std::vector<std::string> m_suspects; ///< see RequestQuarantine
     const ForwardContext m_context;
+    const ServerEvidence m_evidence;
+    RequestSuspicion m_suspicion;
     const TimePoint m_deadline;
     std::string m_service;
     AdmittedPlacer m_admittedPlacer;
@@ -219,8 +217,6 @@
     std::optional<BackendState> m_server;
     TimePoint m_sentAt;
     std::optional<Fallback> m_fallback;
-    /// Servers that were lost, or fell silent, before they had begun to answer.
-    std::vector<BackendInfo> m_uncertainServers;
     /// Status of a server's answer that is passed on, if it may be, unless another attempt is sent;
     /// none: no answer.
     std::optional<int> m_heldStatus;
@@ -229,7 +225,6 @@
     std::uint32_t m_possibleRuns = 0;
     std::uint32_t m_rejections = 0;
     std::uint32_t m_addressFailures = 0;
-    bool m_isTrial = false; ///< tries a suspect whose quarantine has ended, until it may have run
 };
 
 } // namespace foxtailring
--- a/include/foxtailring/decisions/StreamSession.h
+++ b/include/foxtailring/decisions/StreamSession.h
@@ -91,7 +91,6 @@
     bool mayWaitForAttempt(TimePoint now) const;
     ForwardAction delayAttempt(std::string_view reason, Duration needed, TimePoint now);
     /// Records who answered a probe for the prompt.
-    void recordPromptReports(std::span<const ServerProbeResult> reports, TimePoint now);
     /// Whether the run can finish before the deadline if it first processes \a promptTokens.
     bool canFinishInTime(std::uint64_t promptTokens, TimePoint now) const;
     ForwardAction continueSearch(ServerSearch::Step step, TimePoint now);
--- a/src/decisions/ForwardSession.cpp
+++ b/src/decisions/ForwardSession.cpp
@@ -5,7 +5,6 @@
 #include "foxtailring/decisions/CallerStatus.h"
 #include "foxtailring/decisions/RequestQuarantine.h"
 #include "foxtailring/decisions/RetryBudget.h"
-#include "foxtailring/decisions/ServerAdmission.h"
 #include "foxtailring/decisions/SuspectedCrashes.h"
 
 #include <algorithm>
@@ -30,14 +29,6 @@
 // With less time left, no server can answer before the deadline.
 constexpr milliseconds minTimeLeft {20};
 
-std::vector<std::string> suspectsOf(const ForwardRequest &request)
-{
-    std::vector<std::string> suspects = request.sharedPromptParts;
-    if (!request.contentDigest.empty())
-        suspects.push_back(request.contentDigest);
-    return suspects;
-}
-
 TimePoint deadlineOf(const HttpRoute &route, const ForwardRequest &request)
 {
     const Duration limit = route.timeout;
@@ -50,8 +41,9 @@
                                const ForwardContext &context)
     : m_route(route)
     , m_request(request)
-    , m_suspects(suspectsOf(request))
     , m_context(context)
+    , m_evidence(m_context)
+    , m_suspicion(m_request, m_context)
     , m_deadline(deadlineOf(route, request))
     , m_admittedPlacer(m_context, m_service)
 {
@@ -68,7 +60,7 @@
     chooseService();
     if (timeLeft(now) < minTimeLeft)
         return refuse(503, "noTimeLeft");
-    m_isTrial = m_context.quarantine.admit(m_suspects, now) == RequestQuarantine::Admission::Trial;
+    m_suspicion.admit(now);
     if (auto refusal = refuseQuarantined(now))
         return std::move(*refusal);
     m_context.retryBudget.deposit(m_service, now);
@@ -97,30 +89,7 @@
         return;
     if (!answer.isOtherServer)
         recordSignOfLife();
-    recordHead(m_server->info, m_sentAt, answer, now);
-}
-
-void ForwardSession::recordHead(const BackendInfo &server, TimePoint sentAt,
-                                const BackendAnswer &answer, TimePoint now)
-{
-    m_context.servers.recordContact(server.id, now);
-    if (answer.load)
-        m_context.servers.updateLoad(server.id, *answer.load, now);
-    if (!answer.isOtherServer)
-        m_context.admission.recordAnswer(server, answer, sentAt, now);
-    // Requests name the server that is to execute them, and only one that did signs.
-    if (!answer.isOtherServer && answer.isSigned)
-        m_context.servers.confirmIdentity(server, now);
-    recordNotice(server, answer);
-}
-
-// What another server sends, or a success that no server has signed, does not count.
-void ForwardSession::recordNotice(const BackendInfo &server, const BackendAnswer &answer)
-{
-    const bool isOwnAnswer =
-        !answer.isOtherServer && (answer.isSigned || answer.isNotRun || !answer.isSuccess());
-    if (isOwnAnswer)
-        m_context.servers.recordNotice(server, answer.leaving);
+    m_evidence.recordHead(m_server->info, m_sentAt, answer, now);
 }
 
 void ForwardSession::onFallbackHead(const BackendAnswer &answer, TimePoint now)
@@ -129,7 +98,7 @@
         return;
     if (!answer.isOtherServer)
         recordFallbackSignOfLife();
-    recordHead(m_fallback->server.info, m_fallback->sentAt, answer, now);
+    m_evidence.recordHead(m_fallback->server.info, m_fallback->sentAt, answer, now);
 }
 
 ForwardAction ForwardSession::onFallbackAnswer(const BackendAnswer &answer, TimePoint now)
@@ -144,7 +113,7 @@
         return onFallbackEnded(AttemptResult::Invalid, now);
     const bool isFailure = answer.status >= 500 || answer.isOtherServer;
     const bool isFinal = answer.status < 500 && mayPass(answer.status);
-    recordWholeAnswer(answer, now);
+    m_suspicion.recordWholeAnswer(answer, now);
     m_context.servers.recordAnswer(m_fallback->server.info.id, isFailure && !answer.pause, now);
     releaseFallback();
     if (isFinal)
@@ -160,18 +129,9 @@
 {
     if (!m_fallback)
         return KeepWaiting {};
-    const std::string &id = m_fallback->server.info.id;
-    if (result == AttemptResult::Lost || result == AttemptResult::NotSent)
-        m_context.servers.recordConnectionLost(id, now);
-    if (result == AttemptResult::OtherServer)
-        m_context.servers.recordReplacement(id, {}, now);
-    else if (result == AttemptResult::NotRun)
-        m_context.servers.recordContact(id, now);
-    else
-        m_context.servers.recordFailure(id, now);
+    m_evidence.recordEnd(m_fallback->server.info.id, result, now);
     if (result == AttemptResult::Lost && mayCrashServers())
-        m_context.suspectedCrashes.recordReset(m_fallback->server.info, m_suspects,
-                                               m_fallback->isFailureRecorded, now);
+        m_suspicion.recordReset(m_fallback->server.info, m_fallback->isFailureRecorded, now);
     releaseFallback();
     // It was counted when it became the fallback.
     if (!mayHaveRun(result))
@@ -219,7 +179,7 @@
         return onAttemptEnded(AttemptResult::Invalid, now);
     onAttemptOver();
     const bool isFailure = answer.status >= 500 || answer.isOtherServer;
-    recordWholeAnswer(answer, now);
+    m_suspicion.recordWholeAnswer(answer, now);
     // A server that asks for a pause has not failed.
     m_context.servers.recordAnswer(m_server->info.id, isFailure && !answer.pause, now);
     releaseServer();
@@ -284,28 +244,10 @@
 {
     if (!mayCrashServers())
         return;
-    recordUncertainServer();
+    m_suspicion.addUncertainServer(m_server->info);
     m_isCrashSuspected = m_isCrashSuspected || !m_isFailureRecorded;
-    if (!m_isCrashSuspected)
-        return;
-    m_context.suspectedCrashes.suspect(m_server->info, m_suspects, lastSignAt(now), now);
-}
-
-void ForwardSession::recordReset(TimePoint now)
-{
-    if (!mayCrashServers())
-        return;
-    recordUncertainServer();
-    m_context.suspectedCrashes.recordReset(m_server->info, m_suspects, m_isFailureRecorded, now);
-}
-
-void ForwardSession::recordUncertainServer()
-{
-    const auto isSame = [this](const BackendInfo &other) {
-        return other.isSameStart(m_server->info);
-    };
-    if (std::none_of(m_uncertainServers.begin(), m_uncertainServers.end(), isSame))
-        m_uncertainServers.push_back(m_server->info);
+    if (m_isCrashSuspected)
+        m_suspicion.recordSilence(m_server->info, lastSignAt(now), now);
 }
 
 void ForwardSession::recordSignOfLife()
@@ -324,11 +266,16 @@
         m_context.suspectedCrashes.recordBytes(m_fallback->server.info);
 }
 
-// The quarantine compares the times of failures, so an attempt that is kept after its server failed
-// must not report the same failure again later.
 void ForwardSession::recordServerFailure(TimePoint at, TimePoint now)
 {
     m_context.servers.recordFailure(m_server->info.id, now);
+    reportFailure(at, now);
+}
+
+// The quarantine compares the times of failures, so an attempt that is kept after its server failed
+// must not report the same failure again later.
+void ForwardSession::reportFailure(TimePoint at, TimePoint now)
+{
     if (!std::exchange(m_isFailureRecorded, true))
         m_context.quarantine.recordFailure(SuspectedCrashes::incarnationOf(m_server->info),
                                            m_service, at, now);
@@ -338,43 +285,26 @@
 {
     if (!mayCrashServers())
         return {};
-    return m_context.quarantine.quarantinedSuspect(m_suspects, now);
+    return m_suspicion.quarantinedSuspect(now);
 }
 
 void ForwardSession::recordStart(TimePoint now)
 {
-    m_context.quarantine.recordStart(m_suspects, now);
-}
-
-// A failure that the server answers with may come before it looks at the prompt. But what crashes
-// each server that runs it as a whole is not answered at all.
-void ForwardSession::recordWholeAnswer(const BackendAnswer &answer, TimePoint now)
-{
-    if (answer.isSuccess())
-        return recordStart(now);
-    // A server may turn a request away before it runs it, and not say so.
-    const bool mayBeTurnedAway = answer.pause || promisesNotRun(answer.status);
-    if (answer.isSigned && !answer.isOtherServer && !mayBeTurnedAway
-        && !m_request.contentDigest.empty())
-        m_context.quarantine.recordStart(std::span(&m_request.contentDigest, 1), now);
+    m_suspicion.recordStart(now);
 }
 
 // A quarantine may accuse the wrong part, or be taken over from another process that knows less. So
 // it ends work under way only if that has crashed servers of its own.
 bool ForwardSession::isSubjectToQuarantine() const
 {
-    const auto hasCrashed = [this](const BackendInfo &server) {
-        return m_context.suspectedCrashes.hasCrashed(server);
-    };
-    return !hasPossibleRun()
-        || std::any_of(m_uncertainServers.begin(), m_uncertainServers.end(), hasCrashed);
+    return !hasPossibleRun() || m_suspicion.hasCrashedServer();
 }
 
 // A return of the caller cannot help, so it is told no time.
 std::optional<ForwardAction> ForwardSession::refuseQuarantined(TimePoint now) const
 {
     const std::string_view suspect = quarantinedSuspect(now);
-    if (m_isTrial || suspect.empty() || !isSubjectToQuarantine())
+    if (m_suspicion.isTrial() || suspect.empty() || !isSubjectToQuarantine())
         return std::nullopt;
     if (m_context.onQuarantined)
         m_context.onQuarantined(suspect);
@@ -389,20 +319,15 @@
         return KeepWaiting {};
     onAttemptOver();
     if (result == AttemptResult::Lost) {
-        recordReset(now);
+        if (mayCrashServers()) {
+            m_suspicion.addUncertainServer(m_server->info);
+            m_suspicion.recordReset(m_server->info, m_isFailureRecorded, now);
+        }
         onServerLost();
     }
-    const std::string id = m_server->info.id;
-    if (result == AttemptResult::Lost || result == AttemptResult::NotSent)
-        m_context.servers.recordConnectionLost(id, now);
-    if (result == AttemptResult::OtherServer)
-        m_context.servers.recordReplacement(id, {}, now);
-    else if (result == AttemptResult::NotRun)
-        m_context.servers.recordContact(id, now);
-    else if (result == AttemptResult::Invalid || result == AttemptResult::NotSent)
-        m_context.servers.recordFailure(id, now);
-    else
-        recordServerFailure(result == AttemptResult::Silent ? lastSignAt(now) : now, now);
+    m_evidence.recordEnd(m_server->info.id, result, now);
+    if (result == AttemptResult::Lost || result == AttemptResult::Silent)
+        reportFailure(result == AttemptResult::Silent ? lastSignAt(now) : now, now);
     releaseServer();
     if (!mayHaveRun(result))
         return retryRejected(result, now);
@@ -444,26 +369,10 @@
 
 ForwardAction ForwardSession::onProbed(std::span<const ServerProbeResult> reports, TimePoint now)
 {
-    for (const ServerProbeResult &report : reports) {
-        const ReportedStart start =
-            m_context.servers.recordReport(report.serverId, report.startedAtMs, now);
-        m_context.suspectedCrashes.recordReport(m_context.servers, report, start, now);
-        if (start != ReportedStart::Accepted)
-            continue;
-        m_context.servers.recordContact(report.serverId, now);
-        if (!report.isTurnedAway)
-            m_context.servers.updateLoad(report.serverId, report.load, now);
-        recordProbeNotice(report, now);
-    }
+    m_evidence.recordReports(reports, ServerEvidence::ReportedLoad::Given, now);
     return KeepWaiting {};
 }
 
-void ForwardSession::recordProbeNotice(const ServerProbeResult &report, TimePoint now)
-{
-    if (const auto server = m_context.servers.server(report.serverId, now))
-        m_context.servers.recordNotice(server->info, report.leaving);
-}
-
 ForwardAction ForwardSession::check(TimePoint now)
 {
     if (isPastDeadline(now))
@@ -558,7 +467,7 @@
 
 void ForwardSession::countPossibleRun()
 {
-    m_isTrial = false;
+    m_suspicion.endTrial();
     ++m_possibleRuns;
 }
 
--- a/src/decisions/StreamSession.cpp
+++ b/src/decisions/StreamSession.cpp
@@ -197,20 +197,6 @@
     return waitForNextAttempt(Missing::Server, refuseUnplaced(now), now);
 }
 
-// Such a report says nothing about the server's load.
-void StreamSession::recordPromptReports(std::span<const ServerProbeResult> reports, TimePoint now)
-{
-    for (const ServerProbeResult &report : reports) {
-        const ReportedStart start =
-            context().servers.recordReport(report.serverId, report.startedAtMs, now);
-        context().suspectedCrashes.recordReport(context().servers, report, start, now);
-        if (start != ReportedStart::Accepted)
-            continue;
-        context().servers.recordContact(report.serverId, now);
-        recordProbeNotice(report, now);
-    }
-}
-
 bool StreamSession::canFinishInTime(std::uint64_t promptTokens, TimePoint now) const
 {
     const auto maxEvents =
@@ -346,7 +332,7 @@
 ForwardAction StreamSession::onProbed(std::span<const ServerProbeResult> reports, TimePoint now)
 {
     if (m_search.isProbingPrompt())
-        recordPromptReports(reports, now);
+        evidence().recordReports(reports, ServerEvidence::ReportedLoad::None, now);
     else
         ForwardSession::onProbed(reports, now);
     if (m_search.isActive())
