--- a/src/transport/Http1Connection.h
+++ b/src/transport/Http1Connection.h
@@ -1,33 +1,34 @@
 #pragma once
 
+#include "BodyDeadline.h"
+#include "ConnectionDeadline.h"
+#include "CountedFlag.h"
+#include "CutReporter.h"
+#include "DrainPeriod.h"
 #include "foxtailring/transport/ConnectionCut.h"
 #include "foxtailring/transport/HttpLimits.h"
 #include "foxtailring/transport/HttpRequest.h"
+#include "Http1RequestReader.h"
 #include "Net.h"
-#include "StrandTimer.h"
-
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
+#include "OutputQueue.h"
 
 #include <array>
-#include <atomic>
 #include <chrono>
 #include <memory>
 #include <optional>
-#include <string>
-#include <vector>
+#include <string_view>
 
 namespace foxtailring {
 
 class Http1ServerExchange;
-class RequestMemory;
 struct Http1ServerShared;
 struct HttpResponse;
 
 /// \brief One accepted HTTP/1.1 connection.
 ///
 /// A read stays pending while a response is produced, to detect that the caller disconnects.
-/// Pipelined requests are buffered in m_input; reading pauses while that is full.
+/// Pipelined requests are held by the reader; reading pauses while that is full, and the
+/// connection looks for a reset at intervals instead.
 class Http1Connection : public std::enable_shared_from_this<Http1Connection>
 {
 public:
@@ -43,7 +44,7 @@
     /// \brief Lets longer time limits of the server apply to what this connection waits for.
     void extendLimits();
     /// \brief True if the current request has a body that did not arrive together with its head.
-    bool hasBodyStarted() const { return m_hasBodyStarted; }
+    bool hasBodyStarted() const { return m_bodyDeadline.hasBegun(); }
 
     // On the strand, called by the exchange.
     void send(std::string_view bytes, std::size_t payloadBytes);
@@ -56,7 +57,6 @@
 
 private:
     enum class Phase { Request, Response, Drain, Closed };
-    using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
 
     void beginRequest();
     void beginHead();
@@ -66,29 +66,18 @@
     void closeUnused();
     void onReadCancelled();
     bool awaitsAcknowledgement();
-    void setExpectsRequest(bool expects);
-    void setUsable(bool isUsable);
     void takeLongerLimits();
+    /// \brief Detects a reset while nothing is read, and holds the connection until the response.
+    void watchCaller();
     void read();
     void onRead(ErrorStatus status, std::size_t size);
     void parse();
-    bool canParse() const;
-    void parseStep(ErrorStatus &status);
-    void takeHead(ErrorStatus &status);
-    std::size_t heldBytes() const;
-    /// \brief Counts the input that is held. False: it is more than the memory hook allows.
-    bool reserveInput();
-    void rejectOversized();
-    void releaseInput();
-    std::shared_ptr<RequestMemory> takeMemory(std::size_t bodyBytes);
     void continueRequest();
     void beginBody();
     std::optional<std::chrono::milliseconds> allowedBodyTime() const;
     std::optional<std::chrono::steady_clock::time_point> bodyEndsAt() const;
     /// True when the time of the body that is arriving is over.
     bool isBodyLate() const;
-    void rejectRequest(ErrorStatus status);
-    void rejectRequest(int status, std::string_view title, std::string_view detail);
     void rejectWith(HttpResponse response);
     void handleRequest();
     void refuseRequest();
@@ -97,77 +86,44 @@
     void onWritten(ErrorStatus status, std::size_t size);
     void onResponseWritten();
     void drain();
-    void armDrainDeadline();
     void onTimeout();
     bool hasUnreadInput();
     /// \brief Moves a deadline that has passed by shorter limits than those in force.
     bool extendForLimits();
-    /// \brief Restarts the deadline at the time at which the caller last took a part of the
-    /// response.
-    bool extendForReader();
     /// \brief Refuses a request that has not arrived within its time limit.
     void rejectLate();
-    std::string lateDetail() const;
+    void rejectLate(ConnectionCut::Cause cause, HttpResponse response);
     /// \brief Closes the connection and reports the cut, if there is one.
     void cut(ConnectionCut::Cause cause);
     void reportCut(ConnectionCut::Cause cause);
-    void reportCut(ConnectionCut::Cause cause, ConnectionCut::Phase phase);
-    void reportUnread();
-    void reportDiscarded(std::size_t size);
-    std::size_t unreadBytes() const;
     ConnectionCut::Phase cutPhase() const;
     /// True when no byte of a request has arrived.
     bool isIdle() const;
-    using TimeLimit = std::chrono::milliseconds HttpLimits::*;
-    void armDeadline(std::chrono::milliseconds delay);
-    void armDeadline(TimeLimit limit);
-    std::chrono::steady_clock::time_point deadline() const;
-    void startDeadline();
-    void startTimer(std::chrono::milliseconds delay);
+    ConnectionDeadline::Hooks deadlineHooks();
 
     Socket m_socket;
     HttpLimits m_limits; ///< of the current request, or of the wait for one
     const std::shared_ptr<Http1ServerShared> m_shared;
-    StrandTimer m_deadline;
-    TimeLimit m_deadlineLimit = nullptr; ///< that the deadline follows; null: it is fixed
-    std::chrono::steady_clock::time_point m_deadlineStartedAt;
-    bool m_isOverdue = false; ///< the deadline has passed, input that had arrived is read
-    std::chrono::steady_clock::time_point m_drainStartedAt;
-    std::size_t m_unacknowledged = 0; ///< of the bytes written, when the deadline was set
+    ConnectionDeadline m_deadline;
+    BodyDeadline m_bodyDeadline;
+    DrainPeriod m_drainPeriod;
     Phase m_phase = Phase::Request;
-    std::optional<Parser> m_parser;
-    std::vector<HttpHeader> m_headers; ///< of the current request, without trailers
+    Http1RequestReader m_reader;
     std::shared_ptr<Http1ServerExchange> m_exchange;
     bool m_continueSent = false;
-    bool m_headStarted = false; ///< the first bytes of a head have arrived
-    /// Arrival of the head, if the body did not arrive together with it, or a later time as long as
-    /// no time was allowed.
-    std::optional<std::chrono::steady_clock::time_point> m_bodyStartedAt;
-    std::optional<std::chrono::milliseconds> m_bodyTime; ///< allowed from then on
-    std::atomic<bool> m_hasBodyStarted = false;          ///< m_bodyStartedAt is set
-    bool m_needsMore = false;      ///< the parser has left a part of m_input unread
-    bool m_expectsRequest = false; ///< counted in Http1ServerShared::expectedRequestCount
-    bool m_isUsable = false;       ///< counted in Http1ServerShared::usableConnectionCount
-    std::size_t m_headBytes = 0;   ///< of the current head, as far as it has been parsed
-    std::size_t m_fieldCount = 0;  ///< lines of the current head, as far as it has been parsed
-    std::shared_ptr<RequestMemory> m_memory; ///< of the input; null: none is held or limited
-    bool m_isInputFull = false;              ///< no more is read until the response is complete
-    std::size_t m_arrivedBytes = 0;          ///< of the current request and of what follows it
-    std::chrono::steady_clock::time_point m_firstByteAt;
+    bool m_headStarted = false;   ///< the first bytes of a head have arrived
+    CountedFlag m_expectsRequest; ///< counted in Http1ServerShared::expectedRequestCount
+    CountedFlag m_isUsable;       ///< counted in Http1ServerShared::usableConnectionCount
+    CountedFlag m_isRequestOpen;  ///< counted in Http1ServerShared::openRequestCount
+    CutReporter m_cutReporter;
     bool m_responseComplete = false;
     bool m_keepAlive = true;
 
     bool m_isReading = false;
     bool m_isClosingUnused = false; ///< the read is cancelled in order to close the connection
-    std::string m_input;
     std::array<char, 8192> m_readBuffer;
 
-    bool m_isWriting = false;
-    std::string m_queued;
-    std::string m_inFlight;
-    std::size_t m_inFlightOffset = 0; ///< bytes of m_inFlight already written
-    std::size_t m_queuedPayload = 0;
-    std::size_t m_inFlightPayload = 0;
+    OutputQueue m_output;
 };
 
 } // namespace foxtailring
