quarantine: accuse a request that is overdue after its server's crash was proven

Callers would see: a deadly call with a long objective is sent to one server after the other and never refused, if a request beside it is suspected sooner and the crashes of the silent servers are proven before the call is overdue. Cause: SuspectedCrashes::suspect() returned early for a server whose crash was proven. Change: the time of a proven crash is kept, with the time from which the server left probes unanswered. A request that is suspected later is accused of that crash, unless it was sent after the server was down. Measured: QuarantinedCallTest::callThatIsOverdueAfterTheProofCounts failed on the untouched code and passes now. requestThatIsOverdueAfterOthersShowedTheCrashCounts passes; requestSentToACrashedServerIsNotAccused guards the change (it passed before, since nothing was accused). SuspectedCrashesTest::requestThatIsOverdueAfterTheProofCounts still fails: its sound request is at the same four crashes and is never answered, so neither is refused (isAccused).

--- a/include/foxtailring/decisions/SuspectedCrashes.h
+++ b/include/foxtailring/decisions/SuspectedCrashes.h
@@ -63,9 +63,11 @@
     static std::string incarnationOf(const BackendInfo &server);
 
     /// \brief The server does not answer a probe of an attempt whose answer has not begun.
+    /// A crash that is proven already accuses the request at once.
     /// \param silentSince last sign of life of the server
-    void suspect(const BackendInfo &server, Suspects suspects, TimePoint silentSince,
-                 TimePoint now);
+    /// \param sentAt when the attempt was sent; default: before any crash of the server
+    void suspect(const BackendInfo &server, Suspects suspects, TimePoint silentSince, TimePoint now,
+                 TimePoint sentAt = {});
     /// \brief The connection of an attempt ended before its answer began, which proves a crash
     /// unless the checks find the server alive.
     /// \param isKnownFailure the failure was recorded before without a suspicion; the crash then
@@ -107,6 +109,8 @@
     struct ProvenCrash
     {
         CrashEvidence evidence;
+        TimePoint at;
+        TimePoint downSince; ///< what was sent later is not the cause
         TimePoint provenAt;
         bool isReported = false; ///< to the hooks
     };
@@ -120,6 +124,8 @@
         TimePoint suspectedAt; ///< first probe without an answer
         Requests requests;     ///< the suspects of those that were in progress
         TimePoint probedAt;    ///< start of the latest own probe
+        /// Start of the first own probe without an answer.
+        TimePoint unansweredSince = TimePoint::max();
         bool isProbing = false;
         bool isLeaving = false; ///< its end or next start is planned
     };
@@ -143,7 +149,9 @@
     void onVerdict(const SuspectCrash &crash, const CrashVerdict &verdict, TimePoint now);
     /// The server lives, in the same start: it only ended a connection.
     void refute(const SuspectCrash &crash);
-    void recordCrashed(const std::string &incarnation, CrashEvidence evidence, TimePoint now);
+    void accuseLate(const BackendInfo &server, const ProvenCrash &crash, Suspects suspects,
+                    TimePoint sentAt, TimePoint now);
+    void recordCrashed(const std::string &incarnation, const ProvenCrash &crash);
     /// The server has sent something, so a crash that only its silence proved was none.
     void refuteSilence(std::string_view incarnation);
     static std::string incarnationOf(std::string_view serverId, std::int64_t startedAtMs);
--- a/src/decisions/ForwardSession.cpp
+++ b/src/decisions/ForwardSession.cpp
@@ -288,7 +288,7 @@
     m_isCrashSuspected = m_isCrashSuspected || !m_isFailureRecorded;
     if (!m_isCrashSuspected)
         return;
-    m_context.suspectedCrashes.suspect(m_server->info, m_suspects, lastSignAt(now), now);
+    m_context.suspectedCrashes.suspect(m_server->info, m_suspects, lastSignAt(now), now, m_sentAt);
 }
 
 void ForwardSession::recordReset(TimePoint now)
--- a/src/decisions/SuspectedCrashes.cpp
+++ b/src/decisions/SuspectedCrashes.cpp
@@ -40,11 +40,14 @@
 }
 
 void SuspectedCrashes::suspect(const BackendInfo &server, Suspects suspects, TimePoint silentSince,
-                               TimePoint now)
+                               TimePoint now, TimePoint sentAt)
 {
     const std::string incarnation = incarnationOf(server);
-    if (suspects.empty() || m_crashed.contains(incarnation))
+    if (suspects.empty())
         return;
+    const auto crashed = m_crashed.find(incarnation);
+    if (crashed != m_crashed.end())
+        return accuseLate(server, crashed->second, suspects, sentAt, now);
     auto found = m_suspicions.find(incarnation);
     if (found == m_suspicions.end()) {
         if (m_suspicions.size() >= maxServers)
@@ -63,6 +66,14 @@
         confirm(found, CrashEvidence::Silent, now);
 }
 
+// A request may be overdue long after others have shown that its server crashed.
+void SuspectedCrashes::accuseLate(const BackendInfo &server, const ProvenCrash &crash,
+                                  Suspects suspects, TimePoint sentAt, TimePoint now)
+{
+    if (sentAt <= crash.downSince)
+        accuse({server, {{suspects.begin(), suspects.end()}}, crash.at, crash.evidence}, now);
+}
+
 void SuspectedCrashes::addRequest(Suspicion &suspicion, Suspects suspects)
 {
     std::vector<std::string> request(suspects.begin(), suspects.end());
@@ -82,7 +93,7 @@
         confirm(found, CrashEvidence::Reset, now);
         return;
     }
-    recordCrashed(incarnation, CrashEvidence::Reset, now);
+    recordCrashed(incarnation, {CrashEvidence::Reset, now, now, now});
     if (isKnownFailure || suspects.empty())
         return;
     accuse({server, {{suspects.begin(), suspects.end()}}, now, CrashEvidence::Reset}, now);
@@ -240,6 +251,7 @@
     Suspicion &suspicion = found->second;
     const bool wasProbing = std::exchange(suspicion.isProbing, false);
     const TimePoint askedAt = wasProbing ? suspicion.probedAt : now;
+    suspicion.unansweredSince = std::min(suspicion.unansweredSince, askedAt);
     if (askedAt - suspicion.suspectedAt >= maxSoundSilence)
         confirm(found, CrashEvidence::Silent, now);
 }
@@ -266,7 +278,8 @@
     const std::string incarnation = suspicion->first;
     Suspicion proven = std::move(suspicion->second);
     const auto next = m_suspicions.erase(suspicion);
-    recordCrashed(incarnation, evidence, now);
+    const TimePoint downSince = std::min(proven.unansweredSince, now);
+    recordCrashed(incarnation, {evidence, proven.silentSince, downSince, now});
     accuse({std::move(proven.server), std::move(proven.requests), proven.silentSince, evidence},
            now);
     return next;
@@ -282,10 +295,9 @@
     return m_suspicions.erase(suspicion);
 }
 
-void SuspectedCrashes::recordCrashed(const std::string &incarnation, CrashEvidence evidence,
-                                     TimePoint now)
+void SuspectedCrashes::recordCrashed(const std::string &incarnation, const ProvenCrash &crash)
 {
-    m_crashed.emplace(incarnation, ProvenCrash {evidence, now});
+    m_crashed.emplace(incarnation, crash);
     if (m_crashed.size() > maxCrashed)
         m_crashed.erase(std::min_element(m_crashed.begin(), m_crashed.end(),
                                          [](const auto &one, const auto &other) {
--- a/tests/decisions/QuarantinedCallTest.cpp
+++ b/tests/decisions/QuarantinedCallTest.cpp
@@ -27,6 +27,7 @@
     CPPUNIT_TEST(crashUnderAReplacedAttemptCounts);
     CPPUNIT_TEST(streamWithoutSharedPartsIsRefused);
     CPPUNIT_TEST(crashWithoutAnEndOfTheConnectionCounts);
+    CPPUNIT_TEST(callThatIsOverdueAfterTheProofCounts);
     CPPUNIT_TEST(slowServerIsNoCrash);
     CPPUNIT_TEST(pauseClearsNothing);
     CPPUNIT_TEST_SUITE_END();
@@ -146,6 +147,25 @@
         CPPUNIT_ASSERT_EQUAL(503, refused(repeat.start(now)).status);
     }
 
+    // Guards against a call with a long objective, whose servers others find down before it is
+    // overdue.
+    void callThatIsOverdueAfterTheProofCounts()
+    {
+        for (int i = 0; i < 3; ++i) {
+            CallSession deadly(m_single, call("deadly"), context());
+            const BackendInfo server = sent(deadly.start(now)).server.info;
+            suspectedCrashes.suspect(server, digestOf("sound"), now, now);
+            suspectedCrashes.recordProbed(server, now + SuspectedCrashes::maxSoundSilence);
+            CPPUNIT_ASSERT(suspectedCrashes.hasCrashed(server));
+            now = deadly.nextCheck();
+            deadly.check(now);
+            servers.remove(server.id, now);
+        }
+        quarantine.recordStart(digestOf("sound"), now);
+        CallSession repeat(m_single, call("deadly"), context());
+        CPPUNIT_ASSERT_EQUAL(503, refused(repeat.start(now)).status);
+    }
+
     void slowServerIsNoCrash()
     {
         leaveUnanswered();
--- a/tests/decisions/SuspectedCrashesTest.cpp
+++ b/tests/decisions/SuspectedCrashesTest.cpp
@@ -41,6 +41,8 @@
     CPPUNIT_TEST(zoneIsAskedWhileItIsSilent);
     CPPUNIT_TEST(resetByALivingServerIsNoCrash);
     CPPUNIT_TEST(requestThatIsOverdueAfterTheProofCounts);
+    CPPUNIT_TEST(requestThatIsOverdueAfterOthersShowedTheCrashCounts);
+    CPPUNIT_TEST(requestSentToACrashedServerIsNotAccused);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -329,6 +331,35 @@
                                !m_quarantine.quarantinedSuspect(m_parts, later).empty());
     }
 
+    // As above, with another sound request at each server, so that one request is at all crashes.
+    void requestThatIsOverdueAfterOthersShowedTheCrashCounts()
+    {
+        for (int i = 0; i < 2; ++i) {
+            const std::vector<std::string> sound = {"sound" + std::to_string(i)};
+            const TimePoint at = m_now + i * 5s;
+            m_crashes.suspect(server(i), sound, at, at + 500ms);
+            m_crashes.recordProbed(server(i), at + 2s);
+            m_crashes.suspect(server(i), m_parts, at, at + 2s);
+        }
+        assertCrashes(CrashEvidence::Silent);
+        CPPUNIT_ASSERT(!m_quarantine.quarantinedSuspect(m_parts, m_now + 8s).empty());
+    }
+
+    // Guards against sound requests that are accused because they went to servers that were down.
+    void requestSentToACrashedServerIsNotAccused()
+    {
+        const std::vector<std::string> sound = {"sound"};
+        for (int i = 0; i < 4; ++i) {
+            const TimePoint at = m_now + i * 5s;
+            m_crashes.suspect(server(i), m_parts, at, at + 500ms);
+            m_crashes.recordProbed(server(i), at + 1s);
+            m_crashes.recordProbed(server(i), at + 2s);
+            m_crashes.suspect(server(i), sound, at + 4s, at + 4s, at + 1500ms);
+        }
+        CPPUNIT_ASSERT(m_quarantine.quarantinedSuspect(sound, m_now + 19s).empty());
+        CPPUNIT_ASSERT(!m_quarantine.quarantinedSuspect(m_parts, m_now + 19s).empty());
+    }
+
 private:
     struct Question
     {
