quarantine: give whole requests and prompt parts a share of the suspects each

Callers would see: a request that crashes one server after the other is never refused, if 32 other requests with 32 new prompt parts each are lost at each of these crashes. Cause: the suspect with the fewest and oldest crashes makes room, and new parts of the next crash push out the one record of the request before it gets its second crash. Change: whole requests have half of the table and parts the rest. A kind that has its share makes room for its own; one that has not takes from the other. Quarantined suspects stay, as before, and the table stays bounded. Measured: RequestQuarantineTest::newSuspectsOfOneCrashDoNotHideARepeatedRequest (listed) and the new newRequestsOfOneCrashDoNotHideARepeatedPart failed before and pass now. What remains: more than 512 new suspects of the same kind at each crash still push out a repeated one.

--- a/include/foxtailring/decisions/SuspectTable.h
+++ b/include/foxtailring/decisions/SuspectTable.h
@@ -3,11 +3,13 @@
 #include "foxtailring/decisions/SuspectRecord.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace foxtailring {
 
@@ -29,7 +31,8 @@
     SuspectRecord *find(std::string_view name);
     const SuspectRecord *find(std::string_view name) const;
     /// \brief Adds \a name if it is none yet. The one with the fewest and oldest crashes makes
-    /// room; null if there is no room.
+    /// room: one of its kind, if that has its share (whole requests half of the table, parts the
+    /// rest). Null if there is no room.
     SuspectRecord *findOrAdd(const std::string &name);
     /// \brief Calls \a visit for each suspect. It must not add any.
     void forEach(const std::function<void(const std::string &name, SuspectRecord &)> &visit);
@@ -47,7 +50,15 @@
     const Names &suspectsOf(std::string_view incarnation) const;
 
 private:
-    void makeRoom();
+    /// Those of one kind: whole requests, or parts.
+    struct Kind
+    {
+        std::size_t size = 0;
+        Records::iterator least; ///< the first to make room; the end: none may
+        std::pair<std::size_t, TimePoint> rank {SIZE_MAX, TimePoint::max()};
+    };
+
+    void makeRoom(const std::string &newcomer);
     /// \brief Removes the oldest crash of \a name. False if it is not older than \a at.
     bool removeCrashBefore(const std::string &name, TimePoint at);
     void remove(Records::iterator record);
--- a/src/decisions/SuspectTable.cpp
+++ b/src/decisions/SuspectTable.cpp
@@ -1,5 +1,7 @@
 #include "foxtailring/decisions/SuspectTable.h"
 
+#include "foxtailring/protocol/RequestDigest.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -33,23 +35,32 @@
     if (SuspectRecord *record = find(name))
         return record;
     if (m_records.size() >= m_maxSuspects)
-        makeRoom();
+        makeRoom(name);
     return m_records.size() < m_maxSuspects ? &m_records[name] : nullptr;
 }
 
 // One that is quarantined stays: a caller that sends new requests all the time must not end a
-// quarantine.
-void SuspectTable::makeRoom()
+// quarantine. One request brings many parts, and many requests share few parts, so that neither
+// kind leaves room to the other without a share.
+void SuspectTable::makeRoom(const std::string &newcomer)
 {
-    auto least = m_records.end();
-    auto rank = std::pair(maxCrashesPerSuspect + 1, TimePoint::max());
+    Kind requests {0, m_records.end()};
+    Kind parts {0, m_records.end()};
     for (auto it = m_records.begin(); it != m_records.end(); ++it) {
-        const auto own = std::pair(it->second.crashes.size(), it->second.latestCrash());
-        if (it->second.quarantine.count > 0 || own >= rank)
+        Kind &kind = RequestDigest::isDigest(it->first) ? requests : parts;
+        ++kind.size;
+        const auto rank = std::pair(it->second.crashes.size(), it->second.latestCrash());
+        if (it->second.quarantine.count > 0 || rank >= kind.rank)
             continue;
-        least = it;
-        rank = own;
+        kind.least = it;
+        kind.rank = rank;
     }
+    const std::size_t requestShare = m_maxSuspects / 2;
+    const bool isRequest = RequestDigest::isDigest(newcomer);
+    const bool hasRequestShare = requests.size >= requestShare + (isRequest ? 0 : 1);
+    const Kind &first = hasRequestShare ? requests : parts;
+    const Kind &second = hasRequestShare ? parts : requests;
+    const auto least = first.least != m_records.end() ? first.least : second.least;
     if (least != m_records.end())
         remove(least);
 }
--- a/tests/decisions/RequestQuarantineTest.cpp
+++ b/tests/decisions/RequestQuarantineTest.cpp
@@ -59,6 +59,7 @@
     CPPUNIT_TEST(requestWithAWithdrawnCrashIsReleased);
     CPPUNIT_TEST(requestOfManyCallersSurvivesTheLossOfAZone);
     CPPUNIT_TEST(newSuspectsOfOneCrashDoNotHideARepeatedRequest);
+    CPPUNIT_TEST(newRequestsOfOneCrashDoNotHideARepeatedPart);
     CPPUNIT_TEST(startsDoNotRaiseTheThresholdAboveWhatIsKept);
     CPPUNIT_TEST(knownCrashesDoNotProlongAQuarantine);
     CPPUNIT_TEST(startsOfOtherRequestsDoNotHideThoseOfOne);
@@ -620,6 +621,20 @@
         CPPUNIT_ASSERT(!isAdmitted(m_own, deadly, m_now + 10s));
     }
 
+    void newRequestsOfOneCrashDoNotHideARepeatedPart()
+    {
+        const Parts deadly = {"deadly"};
+        for (int server = 0; server < 4; ++server) {
+            const TimePoint at = m_now + server * 1s;
+            const std::string name = "e" + std::to_string(server);
+            m_own.recordCrash(name, deadly, at);
+            for (int request = 0; request < 1024; ++request)
+                m_own.recordCrash(name, Parts {wholeRequest(name + std::to_string(request))}, at);
+            CPPUNIT_ASSERT(m_own.size() <= RequestQuarantine::Settings().maxSuspects);
+        }
+        CPPUNIT_ASSERT(!isAdmitted(m_own, deadly, m_now + 4s));
+    }
+
     // Guards against a request that was answered often, then turns deadly, and needs more crashes
     // than a record keeps.
     void startsDoNotRaiseTheThresholdAboveWhatIsKept()
