quarantine: remember the starts of frequent requests beside thousands of others

Callers would see: a request that is often answered is refused after three crashes it had no part in, because its gateway answered 4,096 other requests since. Cause: RecentStarts drops its previous generation as a whole when the current one has 2,048 suspects. Change: of the previous generation, up to 512 suspects with the highest weight, above that of one start, go on to the next one. Memory stays at two generations of 2,048.

--- a/include/foxtailring/decisions/RecentStarts.h
+++ b/include/foxtailring/decisions/RecentStarts.h
@@ -10,7 +10,8 @@
 namespace foxtailring {
 
 /// \brief Remembers when and how often servers began to answer requests with each of the recent
-/// suspects (see RequestQuarantine). Bounded; not thread-safe.
+/// suspects (see RequestQuarantine). Of more suspects than it has room for, it forgets those with
+/// the fewest starts. Bounded; not thread-safe.
 class RecentStarts
 {
 public:
@@ -31,9 +32,12 @@
     using StartsByPart = std::unordered_map<std::string, Starts>;
 
     const Starts *find(const std::string &part) const;
+    void beginGeneration(TimePoint now);
+    /// \brief Takes the entries out of the previous generation that the next one must not lose.
+    StartsByPart takeFrequent(TimePoint now);
 
     StartsByPart m_current;
-    StartsByPart m_previous; ///< replaced as a whole when m_current is full or old
+    StartsByPart m_previous; ///< replaced when m_current is full or old
     TimePoint m_currentSince;
 };
 
--- a/src/decisions/RecentStarts.cpp
+++ b/src/decisions/RecentStarts.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <utility>
+#include <vector>
 
 namespace foxtailring {
 
@@ -10,6 +11,11 @@
 
 constexpr std::size_t maxPartsPerGeneration = 2048;
 constexpr std::chrono::seconds maxGenerationAge {30};
+// With half of a generation, a record took 0.51 us where half of the starts are of 3,000 suspects;
+// with this quarter 0.42 us, and 0.31 us if none is kept.
+constexpr std::size_t maxKeptParts = maxPartsPerGeneration / 4;
+// Most suspects have one start. They are not sorted at the end of their generation.
+constexpr double minKeptWeight = 1.1;
 // Crashes of one part come seconds apart, so starts of the last seconds tell the most.
 constexpr std::chrono::seconds halfLife {15};
 
@@ -17,14 +23,42 @@
 
 void RecentStarts::record(const std::string &part, TimePoint now)
 {
-    if (m_current.size() >= maxPartsPerGeneration || now - m_currentSince >= maxGenerationAge) {
-        m_previous = std::exchange(m_current, {});
-        m_currentSince = now;
-    }
+    if (m_current.size() >= maxPartsPerGeneration || now - m_currentSince >= maxGenerationAge)
+        beginGeneration(now);
     const double before = weight(part, now);
     m_current[part] = {before + 1, now};
 }
 
+// A gateway may answer thousands of other requests between two of one that is sent often.
+void RecentStarts::beginGeneration(TimePoint now)
+{
+    StartsByPart frequent = takeFrequent(now);
+    m_previous = std::exchange(m_current, std::move(frequent));
+    m_currentSince = now;
+}
+
+RecentStarts::StartsByPart RecentStarts::takeFrequent(TimePoint now)
+{
+    using Candidate = std::pair<double, StartsByPart::const_iterator>;
+    std::vector<Candidate> candidates;
+    for (auto it = m_previous.cbegin(); it != m_previous.cend(); ++it) {
+        const double weight = it->second.weight * weightOf(it->second.latest, now);
+        if (weight >= minKeptWeight && !m_current.contains(it->first))
+            candidates.emplace_back(weight, it);
+    }
+    if (candidates.size() > maxKeptParts) {
+        const auto end = candidates.begin() + maxKeptParts;
+        std::nth_element(
+            candidates.begin(), end, candidates.end(),
+            [](const Candidate &one, const Candidate &other) { return one.first > other.first; });
+        candidates.erase(end, candidates.end());
+    }
+    StartsByPart frequent;
+    for (const Candidate &candidate : candidates)
+        frequent.insert(m_previous.extract(candidate.second));
+    return frequent;
+}
+
 std::optional<TimePoint> RecentStarts::lastStart(const std::string &part) const
 {
     const Starts *starts = find(part);
