quarantine: take the trial of a suspect only for a request that is sent

Cause: RequestQuarantine::admit took the trial of one suspect before it looked at the next one. Change: the trials are taken once no suspect rejects the request. Measured: RequestQuarantineTest::refusedRequestTakesNoTrial failed on the untouched code and passes now.

--- a/include/foxtailring/decisions/RequestQuarantine.h
+++ b/include/foxtailring/decisions/RequestQuarantine.h
@@ -158,6 +158,8 @@
     std::size_t crashThreshold(const std::string &suspect, const SuspectRecord &record,
                                TimePoint now) const;
     void updateQuarantine(const std::string &suspect, SuspectRecord &record, TimePoint now);
+    bool mayTry(const std::string &suspect, const SuspectRecord::Quarantine &quarantine,
+                TimePoint now) const;
     bool isRejecting(const std::string &suspect, const SuspectRecord &record, Suspects request,
                      TimePoint now) const;
     bool isQuarantined(const SuspectRecord &record, TimePoint now) const;
--- a/src/decisions/RequestQuarantine.cpp
+++ b/src/decisions/RequestQuarantine.cpp
@@ -216,26 +216,33 @@
     }
 }
 
+// The trials are taken last: a request that another suspect rejects tries none.
 RequestQuarantine::Admission RequestQuarantine::admit(Suspects suspects, TimePoint now)
 {
-    Admission admission = Admission::Admitted;
+    std::vector<SuspectRecord::Quarantine *> trials;
     for (const std::string &suspect : suspects) {
         SuspectRecord *record = m_suspects.find(suspect);
         if (!record || !isRejecting(suspect, *record, suspects, now))
             continue;
         SuspectRecord::Quarantine &quarantine = record->quarantine;
-        const bool mayTry = now >= quarantine.until && now >= quarantine.trialUntil
-            && m_hooks.isTrialOwner && m_hooks.isTrialOwner(suspect);
-        if (mayTry) {
-            quarantine.trialUntil = now + maxTrialDuration;
-            admission = Admission::Trial;
+        if (mayTry(suspect, quarantine, now)) {
+            trials.push_back(&quarantine);
             continue;
         }
         if (!std::exchange(quarantine.hasRejected, true))
             requestReport(now);
         return Admission::Rejected;
     }
-    return admission;
+    for (SuspectRecord::Quarantine *tried : trials)
+        tried->trialUntil = now + maxTrialDuration;
+    return trials.empty() ? Admission::Admitted : Admission::Trial;
+}
+
+bool RequestQuarantine::mayTry(const std::string &suspect,
+                               const SuspectRecord::Quarantine &quarantine, TimePoint now) const
+{
+    return now >= quarantine.until && now >= quarantine.trialUntil && m_hooks.isTrialOwner
+        && m_hooks.isTrialOwner(suspect);
 }
 
 std::string_view RequestQuarantine::quarantinedSuspect(Suspects suspects, TimePoint now) const
--- a/tests/decisions/RequestQuarantineTest.cpp
+++ b/tests/decisions/RequestQuarantineTest.cpp
@@ -58,6 +58,7 @@
     CPPUNIT_TEST(pairOfDeadlyRequestsIsNotAdmittedForever);
     CPPUNIT_TEST(requestWithAWithdrawnCrashIsReleased);
     CPPUNIT_TEST(requestOfManyCallersSurvivesTheLossOfAZone);
+    CPPUNIT_TEST(refusedRequestTakesNoTrial);
     CPPUNIT_TEST(newSuspectsOfOneCrashDoNotHideARepeatedRequest);
     CPPUNIT_TEST(newRequestsOfOneCrashDoNotHideARepeatedPart);
     CPPUNIT_TEST(startsDoNotRaiseTheThresholdAboveWhatIsKept);
@@ -602,6 +603,23 @@
         CPPUNIT_ASSERT(isAdmitted(m_own, read, m_now + 1s));
     }
 
+    // Guards against a trial that ends without a request, because a later suspect of the request
+    // that took it is still quarantined.
+    void refusedRequestTakesNoTrial()
+    {
+        RequestQuarantine::Hooks hooks;
+        hooks.isTrialOwner = [](std::string_view suspect) { return suspect == "first"; };
+        m_own.setHooks(hooks);
+        for (int i = 0; i < 2; ++i) {
+            m_own.recordCrash("a" + std::to_string(i), Parts {"first"}, m_now + i * 1s);
+            m_own.recordCrash("b" + std::to_string(i), Parts {"second"}, m_now + (i + 5) * 1s);
+        }
+        const TimePoint end = m_now + 27s;
+        CPPUNIT_ASSERT(m_own.admit(Parts {"first", "second"}, end) == Admission::Rejected);
+        CPPUNIT_ASSERT(m_own.admit(Parts {"first"}, end) == Admission::Trial);
+        CPPUNIT_ASSERT(m_own.admit(Parts {"first"}, end) == Admission::Rejected);
+    }
+
     // Guards against callers that keep a quarantine from beginning with many suspects of their own.
     void newSuspectsOfOneCrashDoNotHideARepeatedRequest()
     {
