protocol: give a request no digest if OpenSSL fails

Callers would see: after errors of the library, requests of all callers have the digest of zeros, so that three crashes have all of them refused, and an answer to one clears all. Cause: RequestDigest ignored the results of the OpenSSL calls. Change: an error gives an empty name, which ForwardSession takes for a request without a digest; its prompt parts are judged as before. Measured: RequestDigestTest::failureOfTheLibraryGivesNoDigest, which names a provider that does not exist, failed before (request:000...0) and passes now with the three other cases.

--- a/include/foxtailring/protocol/RequestDigest.h
+++ b/include/foxtailring/protocol/RequestDigest.h
@@ -15,6 +15,7 @@
 {
 public:
     /// \brief Digest of a list of fields, each of any content. Starts with `request:`.
+    /// Empty if the library fails: the request then has no name.
     static std::string of(std::span<const std::string_view> fields);
     /// \brief True if \a name has the form of a digest. Ids of prompt parts never do.
     static bool isDigest(std::string_view name);
--- a/src/protocol/RequestDigest.cpp
+++ b/src/protocol/RequestDigest.cpp
@@ -19,7 +19,7 @@
 using Context = std::unique_ptr<EVP_MD_CTX, decltype(&EVP_MD_CTX_free)>;
 
 // The length keeps two lists apart that are the same text when joined.
-void addField(EVP_MD_CTX *context, std::string_view field)
+bool addField(EVP_MD_CTX *context, std::string_view field)
 {
     std::array<std::uint8_t, 8> length {};
     std::uint64_t rest = field.size();
@@ -27,20 +27,25 @@
         byte = static_cast<std::uint8_t>(rest & 0xFFU);
         rest >>= 8U;
     }
-    EVP_DigestUpdate(context, length.data(), length.size());
-    EVP_DigestUpdate(context, field.data(), field.size());
+    return EVP_DigestUpdate(context, length.data(), length.size()) == 1
+        && EVP_DigestUpdate(context, field.data(), field.size()) == 1;
 }
 
 } // namespace
 
+// Without the results, an error would give each request the digest of zeros.
 std::string RequestDigest::of(std::span<const std::string_view> fields)
 {
     const Context context(EVP_MD_CTX_new(), &EVP_MD_CTX_free);
-    EVP_DigestInit_ex(context.get(), EVP_sha256(), nullptr);
-    for (const std::string_view field : fields)
-        addField(context.get(), field);
+    if (!context || EVP_DigestInit_ex(context.get(), EVP_sha256(), nullptr) != 1)
+        return {};
+    for (const std::string_view field : fields) {
+        if (!addField(context.get(), field))
+            return {};
+    }
     std::array<std::uint8_t, EVP_MAX_MD_SIZE> bytes {};
-    EVP_DigestFinal_ex(context.get(), bytes.data(), nullptr);
+    if (EVP_DigestFinal_ex(context.get(), bytes.data(), nullptr) != 1)
+        return {};
     std::string name(digestPrefix);
     for (std::size_t i = 0; i < digestBytes; ++i) {
         name.push_back(hexDigits[bytes[i] >> 4U]);
--- a/tests/protocol/RequestDigestTest.cpp
+++ b/tests/protocol/RequestDigestTest.cpp
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <cppunit/extensions/HelperMacros.h>
+#include <openssl/evp.h>
 #include <string>
 #include <string_view>
 
@@ -13,6 +14,7 @@
     CPPUNIT_TEST(sameFieldsHaveOneDigest);
     CPPUNIT_TEST(movedFieldBordersChangeTheDigest);
     CPPUNIT_TEST(promptPartIsNoDigest);
+    CPPUNIT_TEST(failureOfTheLibraryGivesNoDigest);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -40,6 +42,18 @@
         CPPUNIT_ASSERT(!RequestDigest::isDigest(""));
     }
 
+    // Guards against one name for all requests, of which one that crashes servers has all refused.
+    void failureOfTheLibraryGivesNoDigest()
+    {
+        CPPUNIT_ASSERT_EQUAL(1, EVP_set_default_properties(nullptr, "provider=missing"));
+        const std::string one = digest("GET", "/a", "");
+        const std::string other = digest("GET", "/b", "");
+        CPPUNIT_ASSERT_EQUAL(1, EVP_set_default_properties(nullptr, ""));
+        CPPUNIT_ASSERT_EQUAL(std::string(), one);
+        CPPUNIT_ASSERT_EQUAL(std::string(), other);
+        CPPUNIT_ASSERT(RequestDigest::isDigest(digest("GET", "/a", "")));
+    }
+
 private:
     static std::string digest(std::string_view one, std::string_view two, std::string_view three)
     {
