quarantine: gather the suspects of the crashes of a report once

Callers would see: a pause of more than a second of each gateway, at each report of a hostile writer of the store. Cause: RequestQuarantine::applyReport added the suspects that share a crash anew for each start of the report, 8 million names for 512 starts of suspects that share 16 crashes with 1,024. Change: the crashes are gathered first, then the names once. They are at most the 16,384 links of a full table (1,024 suspects with 16 crashes). recordStart does the same, and gathers no names if it clears nothing. No test counts the work.

--- a/include/foxtailring/decisions/RequestQuarantine.h
+++ b/include/foxtailring/decisions/RequestQuarantine.h
@@ -16,6 +16,7 @@
 #include <cstdint>
 #include <functional>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -138,6 +139,7 @@
 
 private:
     using Crash = SuspectRecord::Crash;
+    using Incarnations = std::set<std::string, std::less<>>; ///< starts of servers
 
     /// \param sighting of the crash; its position is left out
     void addCrash(const std::string &incarnation, Suspects suspects, const Crash &sighting,
@@ -150,9 +152,10 @@
     void addStart(const std::string &suspect, SuspectRecord &record, TimePoint at, bool isOwn);
     void adoptQuarantine(const CrashReport::Quarantine &reported, const ReporterClock &clock,
                          TimePoint now);
-    /// \brief Adds the suspects that have a crash in common with \a record to \a names.
-    void addSharing(const SuspectRecord &record, SuspectTable::Names &names) const;
-    void updateQuarantines(const SuspectTable::Names &suspects, TimePoint now);
+    /// \brief Adds the servers that crashed under the suspect.
+    static void addIncarnations(const SuspectRecord &record, Incarnations &incarnations);
+    /// \brief Updates the quarantine of each suspect of these crashes.
+    void updateSuspectsOf(const Incarnations &incarnations, TimePoint now);
     /// \brief Crashes without which the suspect is not quarantined.
     std::size_t minCrashes(const std::string &suspect) const;
     std::size_t crashThreshold(const std::string &suspect, const SuspectRecord &record,
--- a/src/decisions/RequestQuarantine.cpp
+++ b/src/decisions/RequestQuarantine.cpp
@@ -178,7 +178,7 @@
 {
     bool hasCleared = false;
     bool hasReleased = false;
-    SuspectTable::Names affected;
+    Incarnations affected;
     for (const std::string &suspect : suspects) {
         m_starts.record(suspect, now);
         SuspectRecord *record = m_suspects.find(suspect);
@@ -186,14 +186,14 @@
             continue;
         hasReleased = hasReleased || record->quarantine.isInForce;
         hasCleared = hasCleared || record->quarantine.isInForce || !record->crashes.empty();
-        addSharing(*record, affected);
+        addIncarnations(*record, affected);
         addStart(suspect, *record, now, true);
     }
     if (!hasCleared)
         return;
     if (hasReleased || m_reportAt == TimePoint::max())
         m_reportAt = now;
-    updateQuarantines(affected, now);
+    updateSuspectsOf(affected, now);
 }
 
 void RequestQuarantine::addStart(const std::string &suspect, SuspectRecord &record, TimePoint at,
@@ -279,17 +279,17 @@
         sighting.isZoneFailure = crash.isZoneFailure;
         addCrash(crash.incarnation, crash.suspects, sighting, now);
     }
-    SuspectTable::Names affected;
+    Incarnations affected;
     for (const auto &start : report.starts) {
         SuspectRecord *record = m_suspects.find(start.suspect);
         if (!record)
             continue;
-        addSharing(*record, affected);
+        addIncarnations(*record, affected);
         addStart(start.suspect, *record, notAfter(clock.boundsOf(start.atMs), now).latest, false);
     }
     for (const auto &reported : report.quarantines)
         adoptQuarantine(reported, clock, now);
-    updateQuarantines(affected, now);
+    updateSuspectsOf(affected, now);
 }
 
 void RequestQuarantine::adoptQuarantine(const CrashReport::Quarantine &reported,
@@ -328,17 +328,22 @@
                               record->evidenceText(), time);
 }
 
-void RequestQuarantine::addSharing(const SuspectRecord &record, SuspectTable::Names &names) const
+void RequestQuarantine::addIncarnations(const SuspectRecord &record, Incarnations &incarnations)
 {
-    for (const auto &[incarnation, crash] : record.crashes) {
-        const SuspectTable::Names &sharing = m_suspects.suspectsOf(incarnation);
-        names.insert(sharing.begin(), sharing.end());
-    }
+    for (const auto &[incarnation, crash] : record.crashes)
+        incarnations.insert(incarnation);
 }
 
-// A start may clear the suspect that explained others with the same crashes.
-void RequestQuarantine::updateQuarantines(const SuspectTable::Names &suspects, TimePoint now)
+// A start may clear the suspect that explained others with the same crashes. Names are gathered
+// once for all starts of a report: 512 starts that share 16 crashes with 1,024 suspects would
+// otherwise add 8 million.
+void RequestQuarantine::updateSuspectsOf(const Incarnations &incarnations, TimePoint now)
 {
+    SuspectTable::Names suspects;
+    for (const std::string &incarnation : incarnations) {
+        const SuspectTable::Names &sharing = m_suspects.suspectsOf(incarnation);
+        suspects.insert(sharing.begin(), sharing.end());
+    }
     for (const std::string &suspect : suspects) {
         if (SuspectRecord *record = m_suspects.find(suspect))
             updateQuarantine(suspect, *record, now);
