--- a/include/foxtailring/decisions/RequestSuspicion.h
+++ b/include/foxtailring/decisions/RequestSuspicion.h
@@ -35,7 +35,9 @@
     void addUncertainServer(const BackendInfo &server);
     /// \brief The server does not answer a probe.
     /// \param silentSince last sign of life of the server
-    void recordSilence(const BackendInfo &server, TimePoint silentSince, TimePoint now) const;
+    /// \param sentAt when the attempt was sent
+    void recordSilence(const BackendInfo &server, TimePoint silentSince, TimePoint now,
+                       TimePoint sentAt) const;
     /// \brief The connection to the server ended before the answer began.
     /// \param isKnownFailure see SuspectedCrashes::recordReset()
     void recordReset(const BackendInfo &server, bool isKnownFailure, TimePoint now) const;
--- a/src/decisions/ForwardSession.cpp
+++ b/src/decisions/ForwardSession.cpp
@@ -247,7 +247,7 @@
     m_suspicion.addUncertainServer(m_server->info);
     m_isCrashSuspected = m_isCrashSuspected || !m_isFailureRecorded;
     if (m_isCrashSuspected)
-        m_suspicion.recordSilence(m_server->info, lastSignAt(now), now);
+        m_suspicion.recordSilence(m_server->info, lastSignAt(now), now, m_sentAt);
 }
 
 void ForwardSession::recordSignOfLife()
--- a/src/decisions/RequestSuspicion.cpp
+++ b/src/decisions/RequestSuspicion.cpp
@@ -57,9 +57,9 @@
 }
 
 void RequestSuspicion::recordSilence(const BackendInfo &server, TimePoint silentSince,
-                                     TimePoint now) const
+                                     TimePoint now, TimePoint sentAt) const
 {
-    m_context.suspectedCrashes.suspect(server, m_suspects, silentSince, now);
+    m_context.suspectedCrashes.suspect(server, m_suspects, silentSince, now, sentAt);
 }
 
 void RequestSuspicion::recordReset(const BackendInfo &server, bool isKnownFailure,
--- a/tests/decisions/RequestQuarantineTest.cpp
+++ b/tests/decisions/RequestQuarantineTest.cpp
@@ -58,7 +58,9 @@
     CPPUNIT_TEST(pairOfDeadlyRequestsIsNotAdmittedForever);
     CPPUNIT_TEST(requestWithAWithdrawnCrashIsReleased);
     CPPUNIT_TEST(requestOfManyCallersSurvivesTheLossOfAZone);
+    CPPUNIT_TEST(refusedRequestTakesNoTrial);
     CPPUNIT_TEST(newSuspectsOfOneCrashDoNotHideARepeatedRequest);
+    CPPUNIT_TEST(newRequestsOfOneCrashDoNotHideARepeatedPart);
     CPPUNIT_TEST(startsDoNotRaiseTheThresholdAboveWhatIsKept);
     CPPUNIT_TEST(knownCrashesDoNotProlongAQuarantine);
     CPPUNIT_TEST(startsOfOtherRequestsDoNotHideThoseOfOne);
@@ -601,6 +603,23 @@
         CPPUNIT_ASSERT(isAdmitted(m_own, read, m_now + 1s));
     }
 
+    // Guards against a trial that ends without a request, because a later suspect of the request
+    // that took it is still quarantined.
+    void refusedRequestTakesNoTrial()
+    {
+        RequestQuarantine::Hooks hooks;
+        hooks.isTrialOwner = [](std::string_view suspect) { return suspect == "first"; };
+        m_own.setHooks(hooks);
+        for (int i = 0; i < 2; ++i) {
+            m_own.recordCrash("a" + std::to_string(i), Parts {"first"}, m_now + i * 1s);
+            m_own.recordCrash("b" + std::to_string(i), Parts {"second"}, m_now + (i + 5) * 1s);
+        }
+        const TimePoint end = m_now + 27s;
+        CPPUNIT_ASSERT(m_own.admit(Parts {"first", "second"}, end) == Admission::Rejected);
+        CPPUNIT_ASSERT(m_own.admit(Parts {"first"}, end) == Admission::Trial);
+        CPPUNIT_ASSERT(m_own.admit(Parts {"first"}, end) == Admission::Rejected);
+    }
+
     // Guards against callers that keep a quarantine from beginning with many suspects of their own.
     void newSuspectsOfOneCrashDoNotHideARepeatedRequest()
     {
@@ -620,6 +639,20 @@
         CPPUNIT_ASSERT(!isAdmitted(m_own, deadly, m_now + 10s));
     }
 
+    void newRequestsOfOneCrashDoNotHideARepeatedPart()
+    {
+        const Parts deadly = {"deadly"};
+        for (int server = 0; server < 4; ++server) {
+            const TimePoint at = m_now + server * 1s;
+            const std::string name = "e" + std::to_string(server);
+            m_own.recordCrash(name, deadly, at);
+            for (int request = 0; request < 1024; ++request)
+                m_own.recordCrash(name, Parts {wholeRequest(name + std::to_string(request))}, at);
+            CPPUNIT_ASSERT(m_own.size() <= RequestQuarantine::Settings().maxSuspects);
+        }
+        CPPUNIT_ASSERT(!isAdmitted(m_own, deadly, m_now + 4s));
+    }
+
     // Guards against a request that was answered often, then turns deadly, and needs more crashes
     // than a record keeps.
     void startsDoNotRaiseTheThresholdAboveWhatIsKept()
--- a/tests/decisions/RequestSuspicionTest.cpp
+++ b/tests/decisions/RequestSuspicionTest.cpp
@@ -21,7 +21,7 @@
         RequestSuspicion suspicion(request(), m_context);
         const BackendInfo server = info("a1", "a");
         suspicion.addUncertainServer(server);
-        suspicion.recordSilence(server, now, now);
+        suspicion.recordSilence(server, now, now, now);
         CPPUNIT_ASSERT(!suspicion.hasCrashedServer());
         suspicion.recordReset(server, false, now);
         CPPUNIT_ASSERT(suspicion.hasCrashedServer());
