quarantine: do not prolong a quarantine by what wall clocks leave open

Cause: of a report without a dated reception the latest bound of the end was taken, up to 5 s late. A quarantine in force was prolonged by a report of itself that was read again, and a new one lasted 5 s longer than at its reporter. Change: a new quarantine lasts no longer than its whole time from when it is read, since it has begun by then. One in force is prolonged by a report that wall clocks alone date only if the end is surely later. Measured: knownCrashesDoNotProlongAQuarantine and undatedQuarantineLastsNoLongerThanItsTime failed before and pass; longerQuarantineOfAnotherProcessIsTakenOver passed before, too. Trial dropped: the earliest bound for dated receptions, too.

--- a/src/decisions/RequestQuarantine.cpp
+++ b/src/decisions/RequestQuarantine.cpp
@@ -288,7 +288,8 @@
 void RequestQuarantine::adoptQuarantine(const CrashReport::Quarantine &reported,
                                         const ReporterClock &clock, TimePoint now)
 {
-    const Duration left = clock.boundsOf(reported.untilMs).latest - now;
+    const TimeBounds end = clock.boundsOf(reported.untilMs);
+    const Duration left = end.latest - now;
     const milliseconds whole(reported.untilMs - reported.sinceMs);
     // The reporter's clock may be known by wall clocks alone.
     const Duration longest = whole + ReporterClocks::maxWallClockDifference;
@@ -296,7 +297,8 @@
         && quarantineCount() < m_settings.maxQuarantines;
     if (!isCredible)
         return;
-    const auto time = std::min<Duration>(left, m_settings.maxQuarantine);
+    // It has begun by now, whatever the bounds are.
+    const auto time = std::min<Duration>(left, whole);
     const TimePoint since = notAfter(clock.boundsOf(reported.sinceMs), now).latest;
     const auto started = m_starts.lastStart(reported.suspect);
     if (time <= Duration {0} || (started && *started > since))
@@ -305,16 +307,20 @@
     if (!record || record->startedAt > since)
         return;
     SuspectRecord::Quarantine &quarantine = record->quarantine;
-    const bool isNews = !quarantine.isInForce || quarantine.until < now + time;
+    const bool isNew = !quarantine.isInForce;
+    // One that is in force here may be the same, so a report that wall clocks alone date prolongs
+    // it only if its end is surely later.
+    const bool isExact = end.latest - end.earliest < ReporterClocks::maxWallClockDifference;
+    const TimePoint until = isNew || isExact ? now + time : std::min(now + time, end.earliest);
+    const bool isNews = isNew || quarantine.until < until;
     // Starts here have cleared the suspect of the crashes behind the quarantine.
     const bool isCleared =
         record->crashes.empty() && m_attribution.startLevel(reported.suspect, *record, now) > 0;
     if (!isNews || isCleared)
         return;
-    const bool isNew = !quarantine.isInForce;
     quarantine.isInForce = true;
     quarantine.since = isNew ? since : std::min(quarantine.since, since);
-    quarantine.until = now + time;
+    quarantine.until = until;
     quarantine.count = std::max(quarantine.count, 1U);
     if (isNew && m_hooks.onQuarantined)
         m_hooks.onQuarantined(reported.suspect, m_attribution.crashCount(reported.suspect, *record),
--- a/tests/decisions/RequestQuarantineTest.cpp
+++ b/tests/decisions/RequestQuarantineTest.cpp
@@ -61,6 +61,8 @@
     CPPUNIT_TEST(newSuspectsOfOneCrashDoNotHideARepeatedRequest);
     CPPUNIT_TEST(startsDoNotRaiseTheThresholdAboveWhatIsKept);
     CPPUNIT_TEST(knownCrashesDoNotProlongAQuarantine);
+    CPPUNIT_TEST(undatedQuarantineLastsNoLongerThanItsTime);
+    CPPUNIT_TEST(longerQuarantineOfAnotherProcessIsTakenOver);
     CPPUNIT_TEST(startsOfOtherRequestsDoNotHideThoseOfOne);
     CPPUNIT_TEST(partsOfARequestRepeatedSlowlyAreNotBlamed);
     CPPUNIT_TEST(partsOfARequestLostTwiceAreNotBlamed);
@@ -559,6 +561,31 @@
         CPPUNIT_ASSERT(isAdmitted(m_own, sound, m_now + 40s));
     }
 
+    // Guards against refusing requests for longer than the process that reported the quarantine.
+    void undatedQuarantineLastsNoLongerThanItsTime()
+    {
+        crashTwice(m_own, m_deadly);
+        CrashReport report = m_own.takeDueReport(m_now + 1s).value();
+        report.dating.reset();
+        m_other.applyReport(report, m_now + 1s);
+        m_other.expire(m_now + 35s);
+        CPPUNIT_ASSERT(!isAdmitted(m_other, m_deadly, m_now + 35s));
+        m_other.expire(m_now + 36s);
+        CPPUNIT_ASSERT(isAdmitted(m_other, m_deadly, m_now + 36s));
+    }
+
+    // Guards against deadly requests that are admitted at the end of the first quarantine, although
+    // the part has crashed a server at its trial elsewhere.
+    void longerQuarantineOfAnotherProcessIsTakenOver()
+    {
+        crashTwice(m_own, m_deadly);
+        m_other.applyReport(m_own.takeDueReport(m_now + 1s).value(), m_now + 1s);
+        m_own.recordCrash("e3", m_deadly, m_now + 22s);
+        m_other.applyReport(m_own.takeDueReport(m_now + 22s).value(), m_now + 23s);
+        m_other.expire(m_now + 50s);
+        CPPUNIT_ASSERT(!isAdmitted(m_other, m_deadly, m_now + 50s));
+    }
+
     // Guards against two deadly requests that are always sent together and crash servers without
     // end, since neither is told from the other.
     void pairOfDeadlyRequestsIsNotAdmittedForever()
