quarantine: excuse a read of many callers when its zone is lost

Cause: a failed server of the zone does not excuse a suspect that was at its crash, too. A read that many callers make at once was at all servers of a zone that was lost, so each crash counted and the read was refused. Change: while all crashes of a suspect surely came within 20 ms, the failed servers of the zone speak for it. A deadly request crashes one server after the other, or another one later; then all its crashes count as before. The bounds of reported crashes are wider, so they are not excused. No simulation plays a hot call at a zone that fails within 20 ms.

--- a/include/foxtailring/decisions/SuspectRecord.h
+++ b/include/foxtailring/decisions/SuspectRecord.h
@@ -52,6 +52,10 @@
     bool isZoneFailure(const Crash &crash) const;
     /// \brief Names of the kinds of evidence of its crashes, for logs.
     std::string evidenceText() const;
+
+private:
+    /// \brief True if all crashes surely came within the time in which a zone is lost.
+    bool areAllOfOneLoss() const;
 };
 
 } // namespace foxtailring
--- a/tests/decisions/RequestQuarantineTest.cpp
+++ b/tests/decisions/RequestQuarantineTest.cpp
@@ -58,6 +58,8 @@
     CPPUNIT_TEST(pairOfDeadlyRequestsIsNotAdmittedForever);
     CPPUNIT_TEST(requestWithAWithdrawnCrashIsReleased);
     CPPUNIT_TEST(requestOfManyCallersSurvivesTheLossOfAZone);
+    CPPUNIT_TEST(deadlyRequestThatCrashesAWholeZoneIsFound);
+    CPPUNIT_TEST(deadlyRequestOfManyCallersIsFoundAfterAZone);
     CPPUNIT_TEST(newSuspectsOfOneCrashDoNotHideARepeatedRequest);
     CPPUNIT_TEST(startsDoNotRaiseTheThresholdAboveWhatIsKept);
     CPPUNIT_TEST(knownCrashesDoNotProlongAQuarantine);
@@ -616,18 +618,28 @@
     void requestOfManyCallersSurvivesTheLossOfAZone()
     {
         const Parts read = {wholeRequest("read")};
-        for (int i = 0; i < 5; ++i) {
-            RequestQuarantine::ProvenCrash crash = crashOfPlainServer(m_now + i * 1ms);
-            for (int peer = 0; peer < 5; ++peer) {
-                if (peer != i)
-                    crash.failedPeers.push_back("e" + std::to_string(peer));
-            }
-            crash.askedPeers = crash.failedPeers.size();
-            m_own.recordCrash("e" + std::to_string(i), read, crash, m_now + 10ms);
-        }
+        crashZone(m_own, read, 1ms);
         CPPUNIT_ASSERT(isAdmitted(m_own, read, m_now + 1s));
     }
 
+    // Guards against a deadly request that is excused because it has crashed the whole zone, when
+    // each failed attempt is sent again at once.
+    void deadlyRequestThatCrashesAWholeZoneIsFound()
+    {
+        const Parts deadly = {wholeRequest("deadly")};
+        crashZone(m_own, deadly, 50ms);
+        CPPUNIT_ASSERT(!isAdmitted(m_own, deadly, m_now + 1s));
+    }
+
+    // As above, when many callers send it at the same moment.
+    void deadlyRequestOfManyCallersIsFoundAfterAZone()
+    {
+        const Parts deadly = {wholeRequest("deadly")};
+        crashZone(m_own, deadly, 1ms);
+        m_own.recordCrash("other", deadly, crashOfPlainServer(m_now + 1s), m_now + 1s);
+        CPPUNIT_ASSERT(!isAdmitted(m_own, deadly, m_now + 1s));
+    }
+
     // Guards against callers that keep a quarantine from beginning with many suspects of their own.
     void newSuspectsOfOneCrashDoNotHideARepeatedRequest()
     {
@@ -705,6 +717,20 @@
             quarantine.recordCrash("e" + std::to_string(i), suspects, m_now + i * 300ms);
     }
 
+    /// All five servers of a zone fail; each finds the others silent.
+    void crashZone(RequestQuarantine &quarantine, const Parts &suspects, Duration interval) const
+    {
+        for (int i = 0; i < 5; ++i) {
+            RequestQuarantine::ProvenCrash crash = crashOfPlainServer(m_now + i * interval);
+            for (int peer = 0; peer < 5; ++peer) {
+                if (peer != i)
+                    crash.failedPeers.push_back("e" + std::to_string(peer));
+            }
+            crash.askedPeers = crash.failedPeers.size();
+            quarantine.recordCrash("e" + std::to_string(i), suspects, crash, crash.at + 10ms);
+        }
+    }
+
     static RequestQuarantine::ProvenCrash crashOfPlainServer(TimePoint at)
     {
         RequestQuarantine::ProvenCrash crash;
