--- a/tests/decisions/RequestQuarantineTest.cpp
+++ b/tests/decisions/RequestQuarantineTest.cpp
@@ -59,10 +59,14 @@
     CPPUNIT_TEST(requestWithAWithdrawnCrashIsReleased);
     CPPUNIT_TEST(requestOfManyCallersSurvivesTheLossOfAZone);
     CPPUNIT_TEST(refusedRequestTakesNoTrial);
+    CPPUNIT_TEST(deadlyRequestThatCrashesAWholeZoneIsFound);
+    CPPUNIT_TEST(deadlyRequestOfManyCallersIsFoundAfterAZone);
     CPPUNIT_TEST(newSuspectsOfOneCrashDoNotHideARepeatedRequest);
     CPPUNIT_TEST(newRequestsOfOneCrashDoNotHideARepeatedPart);
     CPPUNIT_TEST(startsDoNotRaiseTheThresholdAboveWhatIsKept);
     CPPUNIT_TEST(knownCrashesDoNotProlongAQuarantine);
+    CPPUNIT_TEST(undatedQuarantineLastsNoLongerThanItsTime);
+    CPPUNIT_TEST(longerQuarantineOfAnotherProcessIsTakenOver);
     CPPUNIT_TEST(startsOfOtherRequestsDoNotHideThoseOfOne);
     CPPUNIT_TEST(partsOfARequestRepeatedSlowlyAreNotBlamed);
     CPPUNIT_TEST(partsOfARequestLostTwiceAreNotBlamed);
@@ -561,6 +565,31 @@
         CPPUNIT_ASSERT(isAdmitted(m_own, sound, m_now + 40s));
     }
 
+    // Guards against refusing requests for longer than the process that reported the quarantine.
+    void undatedQuarantineLastsNoLongerThanItsTime()
+    {
+        crashTwice(m_own, m_deadly);
+        CrashReport report = m_own.takeDueReport(m_now + 1s).value();
+        report.dating.reset();
+        m_other.applyReport(report, m_now + 1s);
+        m_other.expire(m_now + 35s);
+        CPPUNIT_ASSERT(!isAdmitted(m_other, m_deadly, m_now + 35s));
+        m_other.expire(m_now + 36s);
+        CPPUNIT_ASSERT(isAdmitted(m_other, m_deadly, m_now + 36s));
+    }
+
+    // Guards against deadly requests that are admitted at the end of the first quarantine, although
+    // the part has crashed a server at its trial elsewhere.
+    void longerQuarantineOfAnotherProcessIsTakenOver()
+    {
+        crashTwice(m_own, m_deadly);
+        m_other.applyReport(m_own.takeDueReport(m_now + 1s).value(), m_now + 1s);
+        m_own.recordCrash("e3", m_deadly, m_now + 22s);
+        m_other.applyReport(m_own.takeDueReport(m_now + 22s).value(), m_now + 23s);
+        m_other.expire(m_now + 50s);
+        CPPUNIT_ASSERT(!isAdmitted(m_other, m_deadly, m_now + 50s));
+    }
+
     // Guards against two deadly requests that are always sent together and crash servers without
     // end, since neither is told from the other.
     void pairOfDeadlyRequestsIsNotAdmittedForever()
@@ -591,15 +620,7 @@
     void requestOfManyCallersSurvivesTheLossOfAZone()
     {
         const Parts read = {wholeRequest("read")};
-        for (int i = 0; i < 5; ++i) {
-            RequestQuarantine::ProvenCrash crash = crashOfPlainServer(m_now + i * 1ms);
-            for (int peer = 0; peer < 5; ++peer) {
-                if (peer != i)
-                    crash.failedPeers.push_back("e" + std::to_string(peer));
-            }
-            crash.askedPeers = crash.failedPeers.size();
-            m_own.recordCrash("e" + std::to_string(i), read, crash, m_now + 10ms);
-        }
+        crashZone(m_own, read, 1ms);
         CPPUNIT_ASSERT(isAdmitted(m_own, read, m_now + 1s));
     }
 
@@ -620,6 +641,24 @@
         CPPUNIT_ASSERT(m_own.admit(Parts {"first"}, end) == Admission::Rejected);
     }
 
+    // Guards against a deadly request that is excused because it has crashed the whole zone, when
+    // each failed attempt is sent again at once.
+    void deadlyRequestThatCrashesAWholeZoneIsFound()
+    {
+        const Parts deadly = {wholeRequest("deadly")};
+        crashZone(m_own, deadly, 50ms);
+        CPPUNIT_ASSERT(!isAdmitted(m_own, deadly, m_now + 1s));
+    }
+
+    // As above, when many callers send it at the same moment.
+    void deadlyRequestOfManyCallersIsFoundAfterAZone()
+    {
+        const Parts deadly = {wholeRequest("deadly")};
+        crashZone(m_own, deadly, 1ms);
+        m_own.recordCrash("other", deadly, crashOfPlainServer(m_now + 1s), m_now + 1s);
+        CPPUNIT_ASSERT(!isAdmitted(m_own, deadly, m_now + 1s));
+    }
+
     // Guards against callers that keep a quarantine from beginning with many suspects of their own.
     void newSuspectsOfOneCrashDoNotHideARepeatedRequest()
     {
@@ -711,6 +750,20 @@
             quarantine.recordCrash("e" + std::to_string(i), suspects, m_now + i * 300ms);
     }
 
+    /// All five servers of a zone fail; each finds the others silent.
+    void crashZone(RequestQuarantine &quarantine, const Parts &suspects, Duration interval) const
+    {
+        for (int i = 0; i < 5; ++i) {
+            RequestQuarantine::ProvenCrash crash = crashOfPlainServer(m_now + i * interval);
+            for (int peer = 0; peer < 5; ++peer) {
+                if (peer != i)
+                    crash.failedPeers.push_back("e" + std::to_string(peer));
+            }
+            crash.askedPeers = crash.failedPeers.size();
+            quarantine.recordCrash("e" + std::to_string(i), suspects, crash, crash.at + 10ms);
+        }
+    }
+
     static RequestQuarantine::ProvenCrash crashOfPlainServer(TimePoint at)
     {
         RequestQuarantine::ProvenCrash crash;
