placement: do not choose a server by the report of another start

Their reports name a later start than the entry, and were left out of the load table, but still made the entry's server count as responsive: an idle server, chosen first. It refuses the request (421), and each of these arrivals uses up the budget of retries, so that streams which lost their server were not sent again.

Ruled out: naming the server in its probes.

Change: a report with a start that differs from the entry's neither makes a server responsive, nor shows that it holds a prompt or a copy. Such a server is the last choice, as one that did not answer.

--- a/include/foxtailring/decisions/RunPlacement.h
+++ b/include/foxtailring/decisions/RunPlacement.h
@@ -36,8 +36,11 @@
                                              TimePoint now) const;
     /// \brief Candidates that may be probed now for their load; takes a request to each.
     std::vector<BackendState> takeCandidateProbes(TimePoint now);
+    /// \brief False if the report names another start than the server's entry: it may come from
+    /// another server at the address, which refuses the request.
+    bool isFromServer(const ServerProbeResult &report, TimePoint now) const;
     /// \brief The probe of the candidates is over.
-    void recordReports(std::span<const ServerProbeResult> reports);
+    void recordReports(std::span<const ServerProbeResult> reports, TimePoint now);
     /// \brief Forgets the candidates that were probed.
     void dropCandidates() { m_candidates.clear(); }
 
@@ -58,7 +61,7 @@
     const std::vector<std::string> &m_triedIds;
     std::vector<std::string> m_affinityServers; ///< ids
     std::vector<std::string> m_candidates;      ///< ids of the probed servers
-    std::vector<std::string> m_responsive;      ///< ids of those that answered
+    std::vector<std::string> m_responsive;      ///< ids of those that answered themselves
 };
 
 } // namespace foxtailring
--- a/src/decisions/RunPlacement.cpp
+++ b/src/decisions/RunPlacement.cpp
@@ -46,8 +46,9 @@
                                                        TimePoint now) const
 {
     const auto holder =
-        std::find_if(reports.begin(), reports.end(),
-                     [](const ServerProbeResult &report) { return report.hasPrompt; });
+        std::find_if(reports.begin(), reports.end(), [this, now](const ServerProbeResult &report) {
+            return report.hasPrompt && isFromServer(report, now);
+        });
     if (holder == reports.end())
         return std::nullopt;
     auto server = m_context.servers.server(holder->serverId, now);
@@ -71,11 +72,17 @@
     return probed;
 }
 
-void RunPlacement::recordReports(std::span<const ServerProbeResult> reports)
+bool RunPlacement::isFromServer(const ServerProbeResult &report, TimePoint now) const
+{
+    const auto server = m_context.servers.server(report.serverId, now);
+    return server && server->reportedStart == ReportedStart::Accepted;
+}
+
+void RunPlacement::recordReports(std::span<const ServerProbeResult> reports, TimePoint now)
 {
     m_responsive.clear();
     for (const ServerProbeResult &report : reports) {
-        if (!report.isTurnedAway)
+        if (!report.isTurnedAway && isFromServer(report, now))
             m_responsive.push_back(report.serverId);
     }
 }
--- a/src/decisions/ServerSearch.cpp
+++ b/src/decisions/ServerSearch.cpp
@@ -49,7 +49,8 @@
         return onPromptProbed(reports, now);
     if (probe == Probe::Candidates)
         return choose(reports, now);
-    const bool isWorking = !reports.empty() && !reports.front().isTurnedAway;
+    const bool isWorking = !reports.empty() && !reports.front().isTurnedAway
+        && m_placement.isFromServer(reports.front(), now);
     if (auto next = isWorking ? tryResume(now) : std::nullopt)
         return std::move(*next);
     return placeAnew(now);
@@ -137,7 +138,7 @@
 // A server that did not answer the probe is chosen only if there is no other.
 ServerSearch::Step ServerSearch::choose(std::span<const ServerProbeResult> reports, TimePoint now)
 {
-    m_placement.recordReports(reports);
+    m_placement.recordReports(reports, now);
     const std::vector<std::string> unresponsive = m_placement.unresponsiveIds();
     m_placement.dropCandidates();
     auto chosen = m_admittedPlacer.choose(m_placement.request(unresponsive),
--- a/tests/decisions/ServerSearchTest.cpp
+++ b/tests/decisions/ServerSearchTest.cpp
@@ -17,12 +17,14 @@
     CPPUNIT_TEST_SUITE(ServerSearchTest);
     CPPUNIT_TEST(candidatesAreProbedForTheirLoad);
     CPPUNIT_TEST(serverWithoutAnAnswerIsTheLastChoice);
+    CPPUNIT_TEST(reportOfALaterStartIsNoReasonToChoose);
     CPPUNIT_TEST(engineThatReportsNothingIsChosenAtOnce);
     CPPUNIT_TEST(lostRunResumesFromItsCopyWithoutAProbe);
     CPPUNIT_TEST(copyHolderIsAskedBeforeAMove);
     CPPUNIT_TEST(silentCopyHolderGetsNoRun);
     CPPUNIT_TEST(copyHolderInAPauseGetsNoRun);
     CPPUNIT_TEST(copyHolderThatLeavesMeanwhileGetsNoRun);
+    CPPUNIT_TEST(copyHolderWithALaterStartGetsNoRun);
     CPPUNIT_TEST(returningCallerIsSentToItsPrompt);
     CPPUNIT_TEST(leavingServerWithThePromptIsNotChosen);
     CPPUNIT_TEST(laterAttemptDoesNotLookForThePrompt);
@@ -70,6 +72,21 @@
         CPPUNIT_ASSERT_EQUAL(std::string("a1"), found(search.onProbed({}, now)).server.info.id);
     }
 
+    // Guards against requests to an address that another server has taken over: it reports that it
+    // is idle, and each request that it refuses counts as a retry.
+    void reportOfALaterStartIsNoReasonToChoose()
+    {
+        for (int round = 0; round < 20; ++round) {
+            ServerSearch search = make(request());
+            const std::vector<ServerProbeResult> answers =
+                reports(probeOf(search.start(false, now)));
+            const std::string later = answers.front().serverId;
+            servers.recordReport(later, 100 + round, now);
+            CPPUNIT_ASSERT(servers.server(later, now)->acceptsNewWork());
+            CPPUNIT_ASSERT(found(search.onProbed(answers, now)).server.info.id != later);
+        }
+    }
+
     void engineThatReportsNothingIsChosenAtOnce()
     {
         m_canBeProbed = false;
@@ -134,6 +151,16 @@
         CPPUNIT_ASSERT(!isAmong(probeOf(search.onProbed(reports(probe), now)).servers, holder));
     }
 
+    // Guards against resuming from a copy that was lost in a restart.
+    void copyHolderWithALaterStartGetsNoRun()
+    {
+        ServerSearch search = make(request());
+        const std::string holder = giveCopy();
+        const ProbeServers probe = probeOf(search.start(true, now));
+        servers.recordReport(holder, 99, now);
+        CPPUNIT_ASSERT(probeOf(search.onProbed(reports(probe), now)).servers.size() > 1);
+    }
+
     void returningCallerIsSentToItsPrompt()
     {
         ServerSearch search = make(returning());
