--- a/tests/decisions/RequestQuarantineTest.cpp
+++ b/tests/decisions/RequestQuarantineTest.cpp
@@ -68,6 +68,8 @@
     CPPUNIT_TEST(startsOfOtherRequestsDoNotHideThoseOfOne);
     CPPUNIT_TEST(partsOfARequestRepeatedSlowlyAreNotBlamed);
     CPPUNIT_TEST(partsOfARequestLostTwiceAreNotBlamed);
+    CPPUNIT_TEST(partIsRefusedOnceAnotherRequestCrashes);
+    CPPUNIT_TEST(quarantinedPartWithOneKnownCrashIsRefused);
     CPPUNIT_TEST_SUITE_END();
 
     using Parts = std::vector<std::string>;
@@ -704,6 +706,27 @@
         CPPUNIT_ASSERT(isAdmitted(m_own, {"shared", wholeRequest("other")}, m_now + 2s));
     }
 
+    // Guards against a deadly part that is excused because one request with it was lost twice.
+    void partIsRefusedOnceAnotherRequestCrashes()
+    {
+        crashTwice(m_own, {"deadly", wholeRequest("one")});
+        CPPUNIT_ASSERT(!isAdmitted(m_own, {"deadly", wholeRequest("one")}, m_now + 2s));
+        m_own.recordCrash("e3", Parts {"deadly", wholeRequest("two")}, m_now + 3s);
+        CPPUNIT_ASSERT(!isAdmitted(m_own, {"deadly", wholeRequest("two")}, m_now + 3s));
+        CPPUNIT_ASSERT(!isAdmitted(m_own, {"deadly", wholeRequest("three")}, m_now + 3s));
+    }
+
+    // Guards against a deadly part that is admitted because only the first crash behind its
+    // quarantine is known here.
+    void quarantinedPartWithOneKnownCrashIsRefused()
+    {
+        crashTwice(m_own, {"deadly", wholeRequest("one")});
+        CrashReport report = m_own.takeDueReport(m_now + 1s).value();
+        report.crashes.resize(1);
+        m_other.applyReport(report, m_now + 1s);
+        CPPUNIT_ASSERT(!isAdmitted(m_other, {"deadly", wholeRequest("two")}, m_now + 2s));
+    }
+
 private:
     void crashTwice(RequestQuarantine &quarantine, const Parts &parts, Duration after = 0s) const
     {
