transport: count a request's memory until its response is written

Cause: the memory of a request was given back at its end, although the connection went on holding what its caller had not read yet: for as long as the caller reads a byte now and then. Change: the connection keeps the memory of a request until its response is written or the connection is closed. The memory stays what the request held at last, its body included.

--- a/src/transport/Http1Connection.cpp
+++ b/src/transport/Http1Connection.cpp
@@ -466,6 +466,8 @@
     ++m_shared->openRequestCount;
     HttpRequest request = takeRequest(std::move(message), std::exchange(m_headers, {}));
     request.memory = takeMemory(request.body.size());
+    // A caller that reads slowly makes this process hold the response after its request is over.
+    m_responseMemory = request.memory;
     // If the handler throws, the destructor of the handle responds with 500.
     runHook(m_shared->handler, std::move(request),
             std::make_shared<Http1ResponderHandle>(m_exchange));
@@ -544,6 +546,7 @@
         --m_shared->openRequestCount;
     }
     clearBuffer(m_inFlight);
+    m_responseMemory.reset();
     if (!m_keepAlive)
         return drain();
     beginRequest();
@@ -758,6 +761,7 @@
         return;
     m_phase = Phase::Closed;
     releaseInput();
+    m_responseMemory.reset();
     setExpectsRequest(false);
     setUsable(false);
     ErrorStatus ignored;
--- a/src/transport/Http1Connection.h
+++ b/src/transport/Http1Connection.h
@@ -151,8 +151,10 @@
     std::size_t m_headBytes = 0;   ///< of the current head, as far as it has been parsed
     std::size_t m_fieldCount = 0;  ///< lines of the current head, as far as it has been parsed
     std::shared_ptr<RequestMemory> m_memory; ///< of the input; null: none is held or limited
-    bool m_isInputFull = false;              ///< no more is read until the response is complete
-    std::size_t m_arrivedBytes = 0;          ///< of the current request and of what follows it
+    /// Of the request whose response is not written yet.
+    std::shared_ptr<RequestMemory> m_responseMemory;
+    bool m_isInputFull = false;     ///< no more is read until the response is complete
+    std::size_t m_arrivedBytes = 0; ///< of the current request and of what follows it
     std::chrono::steady_clock::time_point m_firstByteAt;
     bool m_responseComplete = false;
     bool m_keepAlive = true;
