tests: two findings of the linter in the new tests

Change: CutResponseTest takes its responder by reference; UnreadAnswerTest names the size of its body.

--- a/tests/gateway/UnreadAnswerTest.cpp
+++ b/tests/gateway/UnreadAnswerTest.cpp
@@ -3,6 +3,13 @@
 
 using namespace foxtailring;
 
+namespace {
+
+// More than the buffers of the connection take.
+constexpr std::size_t answerBytes = 10'000'000;
+
+} // namespace
+
 // Answers that their callers do not read.
 class UnreadAnswerTest : public GatewayFixture
 {
@@ -19,7 +26,9 @@
         RawPeer peer(m_ports.callers, 4096);
         peer.write("POST /once/x HTTP/1.1\r\nHost: h\r\nid: 1\r\nkey: good\r\n"
                    "Content-Length: 0\r\n\r\n");
-        m_received->take().responder->respond(signedAnswer(std::string(10'000'000, 'x')));
+        std::string body;
+        body.resize(answerBytes, 'x');
+        m_received->take().responder->respond(signedAnswer(std::move(body)));
         waitUntil([this] { return hasMetric("gateway_requests_total{outcome=\"served\"} 1"); });
         waitUntil([this] { return hasMetric("gateway_held_bytes 1"); });
         CPPUNIT_ASSERT(peer.readUntil("\r\n\r\n").starts_with("HTTP/1.1 200 "));
--- a/tests/transport/CutResponseTest.cpp
+++ b/tests/transport/CutResponseTest.cpp
@@ -38,11 +38,11 @@
         m_pool.emplace(2);
         HttpLimits limits;
         limits.idleTimeout = std::chrono::milliseconds(300);
-        m_server.emplace(
-            *m_pool, Endpoint {"127.0.0.1", 0}, limits,
-            [box = m_responders](HttpRequest, std::shared_ptr<Http1Responder> responder) {
-                box->put(std::move(responder));
-            });
+        m_server.emplace(*m_pool, Endpoint {"127.0.0.1", 0}, limits,
+                         [box = m_responders](const HttpRequest &,
+                                              const std::shared_ptr<Http1Responder> &responder) {
+                             box->put(responder);
+                         });
         m_server->onConnectionCut(
             [box = m_cuts](const ConnectionCut &cut) { box->put(cut.cause); });
         m_port = m_server->listen().value();
