--- a/src/transport/Http1Connection.cpp
+++ b/src/transport/Http1Connection.cpp
@@ -291,6 +291,8 @@
                                                        m_reader.responseFraming());
     m_isRequestOpen.set(true);
     HttpRequest request = m_reader.take();
+    // A caller that reads slowly makes this process hold the response after its request is over.
+    m_responseMemory = request.memory;
     // If the handler throws, the destructor of the handle responds with 500.
     runHook(m_shared->handler, std::move(request),
             std::make_shared<Http1ResponderHandle>(m_exchange));
@@ -360,6 +362,7 @@
     m_exchange.reset();
     m_isRequestOpen.set(false);
     m_output.releaseBatch();
+    m_responseMemory.reset();
     if (!m_keepAlive)
         return drain();
     beginRequest();
@@ -478,6 +481,7 @@
         return;
     m_phase = Phase::Closed;
     m_reader.release();
+    m_responseMemory.reset();
     m_expectsRequest.set(false);
     m_isUsable.set(false);
     ErrorStatus ignored;
--- a/src/transport/Http1Connection.h
+++ b/src/transport/Http1Connection.h
@@ -21,6 +21,7 @@
 namespace foxtailring {
 
 class Http1ServerExchange;
+class RequestMemory;
 struct Http1ServerShared;
 struct HttpResponse;
 
@@ -116,6 +117,8 @@
     CountedFlag m_isUsable;       ///< counted in Http1ServerShared::usableConnectionCount
     CountedFlag m_isRequestOpen;  ///< counted in Http1ServerShared::openRequestCount
     CutReporter m_cutReporter;
+    /// Of the request whose response is not written yet.
+    std::shared_ptr<RequestMemory> m_responseMemory;
     bool m_responseComplete = false;
     bool m_keepAlive = true;
 
