gateway: never put off the timer of a request

Cause: the timer of a request was set anew, 5 ms later at the earliest, at each part that arrived of the fallback's answer. Parts that came more often than that kept it from firing: no deadline, no probe, no other server.

Change: a timer that is set is only set anew for an earlier time. Whatever the session wants later is looked at when it fires.

--- a/src/gateway/RequestRelay.cpp
+++ b/src/gateway/RequestRelay.cpp
@@ -429,20 +429,26 @@
                          m_attempts.count());
 }
 
-// The timer is set for the earliest time limit. If events have moved that limit by the time it
-// fires, check() does nothing and the timer is set again.
+// The timer is set for the earliest time limit, and never put off: what arrives all the time would
+// keep it from firing. If events have moved that limit by then, check() does nothing and the timer
+// is set again.
 void RequestRelay::armTimer()
 {
     if (m_isFinished)
         return;
-    const auto wait = std::chrono::ceil<milliseconds>(m_session->nextCheck() - m_parts.clock());
-    m_timer.once(std::max(wait, minTimerDelay), [self = shared_from_this()] {
+    const TimePoint now = m_parts.clock();
+    const TimePoint at = std::max(m_session->nextCheck(), now + minTimerDelay);
+    if (m_timerAt <= at)
+        return;
+    m_timerAt = at;
+    m_timer.once(std::chrono::ceil<milliseconds>(at - now), [self = shared_from_this()] {
         self->m_parts.queue.post([self] { self->guard([&self] { self->onTimer(); }); });
     });
 }
 
 void RequestRelay::onTimer()
 {
+    m_timerAt = TimePoint::max();
     if (m_isFinished)
         return;
     perform(m_session->check(m_parts.clock()));
--- a/src/gateway/RequestRelay.h
+++ b/src/gateway/RequestRelay.h
@@ -106,6 +106,7 @@
     const AnswerReader m_reader;
     const std::shared_ptr<RequestMemory> m_memory;
     Timer m_timer;
+    TimePoint m_timerAt = TimePoint::max(); ///< when it fires; the maximum: it is not set
     CopyOrderSender m_copyOrders;
     OpenAttempts m_attempts;
     std::uint64_t m_probeCount = 0;
--- a/tests/gateway/FaultyReplacementTest.cpp
+++ b/tests/gateway/FaultyReplacementTest.cpp
@@ -37,6 +37,7 @@
     CPPUNIT_TEST_SUITE(FaultyReplacementTest);
     CPPUNIT_TEST(streamGoesOnBesideAFaultyReplacement);
     CPPUNIT_TEST(faultyFallbackDoesNotDisturbItsReplacement);
+    CPPUNIT_TEST(fallbackThatSendsCommentsDoesNotHoldUpTheDeadline);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -78,6 +79,18 @@
         }
     }
 
+    // Guards against a request that gets neither an answer nor a refusal: each part of the
+    // fallback's answer set the timer of the request anew.
+    void fallbackThatSendsCommentsDoesNotHoldUpTheDeadline()
+    {
+        replaceStream({{"patience", "1500"}});
+        const std::string comments = chunk(repeated(": comment\n\n", 100));
+        const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(6);
+        while (m_answers->isEmpty() && std::chrono::steady_clock::now() < end)
+            m_first->tryWrite(comments, std::chrono::milliseconds(0));
+        CPPUNIT_ASSERT(!m_answers->isEmpty());
+    }
+
 private:
     static std::vector<std::string> faultyAnswers()
     {
@@ -94,13 +107,13 @@
 
     // Begins a stream whose server sends the event 1; returns when it has been sent to another
     // server for the reason that the first one does not list the run.
-    void replaceStream()
+    void replaceStream(const std::vector<HttpHeader> &headers = {})
     {
         for (;;) {
             startGateway(std::chrono::milliseconds(20'000));
             startServing();
             m_answers->clear();
-            call("/stream/x");
+            call("/stream/x", "good", headers);
             m_first = acceptRequest();
             m_first->write(chunkedHead + chunk(eventText(1)));
             m_second = acceptRequest();
