--- a/src/decisions/CrashAttribution.cpp
+++ b/src/decisions/CrashAttribution.cpp
@@ -6,7 +6,6 @@
 #include "foxtailring/protocol/RequestDigest.h"
 
 #include <algorithm>
-#include <chrono>
 #include <cmath>
 #include <vector>
 
@@ -21,12 +20,6 @@
 // being answered once, so then both are to blame.
 constexpr std::size_t maxSharedCrashes = 6;
 
-// A request that was lost so often, and no other with its parts, is more likely the cause.
-constexpr std::size_t minCrashesOfOne = 2;
-// By then, most requests with a deadly part that were running beside it have crashed servers, too.
-// Without the delay, more of them reached servers late (363 in place of 351 in 1,052 plays).
-constexpr std::chrono::seconds excuseDelay {1};
-
 bool areRequests(const std::string &one, const std::string &other)
 {
     return RequestDigest::isDigest(one) && RequestDigest::isDigest(other);
@@ -44,14 +37,6 @@
         || record.crashes.size() >= CrashAttribution::minRequestCrashes;
 }
 
-// Crashes of one request alone do not show that others with the same parts are deadly. Of a
-// quarantine that was taken over, a single crash may be known here, which shows neither.
-bool mayExcuseOthers(const std::string &name, const SuspectRecord &part, TimePoint now)
-{
-    return !RequestDigest::isDigest(name)
-        || (part.crashes.size() >= minCrashesOfOne && now - part.quarantine.since >= excuseDelay);
-}
-
 } // namespace
 
 CrashAttribution::CrashAttribution(const SuspectTable &suspects, const EngineFailures &failures,
@@ -149,9 +134,8 @@
     const int level = startLevel(name, record, now);
     return !anyWithSameCrashes(name, record, [&](const std::string &other, const auto &candidate) {
         const int otherLevel = startLevel(other, candidate, now);
-        const bool isLikely = areRequests(name, other)
-            ? otherLevel < level || mayExcuse(record)
-            : mayExplainParts(other, candidate) || mayExcuseOthers(other, record, now);
+        const bool isLikely = areRequests(name, other) ? otherLevel < level || mayExcuse(record)
+                                                       : mayExplainParts(other, candidate);
         return isLikely && otherLevel <= level
             && std::find(request.begin(), request.end(), other) == request.end();
     });
