transport tests: a finished response without chunks is reset by a close behind it (failing)

Shows: closeNow() resets a response whose end is that of the connection whenever its exchange is still held, also if its last byte is written and only the handler of the write has not run. The caller then sees a reset in place of the end of a whole answer. The test holds the one thread of the pool, so that finish() and close() run before that handler.

--- a/tests/transport/CutResponseTest.cpp
+++ b/tests/transport/CutResponseTest.cpp
@@ -30,22 +30,14 @@
     CPPUNIT_TEST(finishedResponseEndsInOrder);
     CPPUNIT_TEST(closedServerResetsAResponseInProgress);
     CPPUNIT_TEST(callerThatDoesNotReadIsReset);
+    CPPUNIT_TEST(finishedResponseSurvivesACloseBehindIt);
     CPPUNIT_TEST_SUITE_END();
 
 public:
     void setUp() override
     {
         m_pool.emplace(2);
-        HttpLimits limits;
-        limits.idleTimeout = std::chrono::milliseconds(300);
-        m_server.emplace(*m_pool, Endpoint {"127.0.0.1", 0}, limits,
-                         [box = m_responders](const HttpRequest &,
-                                              const std::shared_ptr<Http1Responder> &responder) {
-                             box->put(responder);
-                         });
-        m_server->onConnectionCut(
-            [box = m_cuts](const ConnectionCut &cut) { box->put(cut.cause); });
-        m_port = m_server->listen().value();
+        start();
     }
 
     void tearDown() override
@@ -84,7 +76,43 @@
         CPPUNIT_ASSERT(!peer.readToOrderlyEnd());
     }
 
+    // Guards against a reset in place of the end of a whole answer: its last bytes are written, but
+    // the handler of the write runs behind the close.
+    void finishedResponseSurvivesACloseBehindIt()
+    {
+        m_server.reset();
+        m_pool.emplace(1);
+        start();
+        RawPeer peer(m_port);
+        const auto responder = beginStream(peer);
+        const auto entered = std::make_shared<Mailbox<bool>>();
+        const auto mayGoOn = std::make_shared<Mailbox<bool>>();
+        m_pool->post([entered, mayGoOn] {
+            entered->put(true);
+            mayGoOn->take();
+        });
+        entered->take();
+        responder->finish();
+        m_server->close();
+        mayGoOn->put(true);
+        CPPUNIT_ASSERT(peer.readToOrderlyEnd());
+    }
+
 private:
+    void start()
+    {
+        HttpLimits limits;
+        limits.idleTimeout = std::chrono::milliseconds(300);
+        m_server.emplace(*m_pool, Endpoint {"127.0.0.1", 0}, limits,
+                         [box = m_responders](const HttpRequest &,
+                                              const std::shared_ptr<Http1Responder> &responder) {
+                             box->put(responder);
+                         });
+        m_server->onConnectionCut(
+            [box = m_cuts](const ConnectionCut &cut) { box->put(cut.cause); });
+        m_port = m_server->listen().value();
+    }
+
     // Returns when the caller has the first part.
     std::shared_ptr<Http1Responder> beginStream(RawPeer &peer)
     {
