--- a/tests/decisions/ServerSearchTest.cpp
+++ b/tests/decisions/ServerSearchTest.cpp
@@ -18,6 +18,9 @@
     CPPUNIT_TEST(candidatesAreProbedForTheirLoad);
     CPPUNIT_TEST(serverWithoutAnAnswerIsTheLastChoice);
     CPPUNIT_TEST(reportOfALaterStartIsNoReasonToChoose);
+    CPPUNIT_TEST(reportOfALaterStartIsNoReasonToChooseAfterItsHold);
+    CPPUNIT_TEST(reportOfAnEarlierStartIsNoReasonToChoose);
+    CPPUNIT_TEST(restartedServerIsChosenBeforeOneWithoutAnAnswer);
     CPPUNIT_TEST(engineThatReportsNothingIsChosenAtOnce);
     CPPUNIT_TEST(lostRunResumesFromItsCopyWithoutAProbe);
     CPPUNIT_TEST(copyHolderIsAskedBeforeAMove);
@@ -87,6 +90,44 @@
         }
     }
 
+    // As above, while the entry of the lost server is still listed: its restart is confirmed by the
+    // second report and remembered for 3 s, the other server goes on reporting.
+    void reportOfALaterStartIsNoReasonToChooseAfterItsHold()
+    {
+        const std::string later = "a1";
+        servers.recordReport(later, 99, now);
+        servers.recordReport(later, 99, now + std::chrono::seconds(1));
+        const TimePoint afterHold = now + std::chrono::seconds(5);
+        CPPUNIT_ASSERT_EQUAL(0, timesChosenOnReport(later, 99, afterHold));
+    }
+
+    // As above, for an entry whose address belongs to a server that started before.
+    void reportOfAnEarlierStartIsNoReasonToChoose()
+    {
+        BackendInfo moved = info("a1", "a");
+        moved.startedAtMs = 50;
+        servers.put(moved, now);
+        CPPUNIT_ASSERT_EQUAL(0, timesChosenOnReport("a1", 40, now));
+    }
+
+    // Guards against a run at a server that does not answer in place of one that has restarted and
+    // whose entry is late, as while the store is away.
+    void restartedServerIsChosenBeforeOneWithoutAnAnswer()
+    {
+        for (const char *id : {"a2", "b2", "c1", "c2"})
+            sayLeaving(id);
+        int lost = 0;
+        for (int round = 0; round < 20; ++round) {
+            ServerSearch search = make(request());
+            probeOf(search.start(false, now));
+            servers.recordReport("a1", 100 + round, now);
+            CPPUNIT_ASSERT(servers.server("a1", now)->acceptsNewWork());
+            const std::vector<ServerProbeResult> answers = {{"a1", {}, false, 0}};
+            lost += found(search.onProbed(answers, now)).server.info.id != "a1" ? 1 : 0;
+        }
+        CPPUNIT_ASSERT_EQUAL(0, lost);
+    }
+
     void engineThatReportsNothingIsChosenAtOnce()
     {
         m_canBeProbed = false;
@@ -278,6 +319,23 @@
         return std::get<SendAttempt>(step);
     }
 
+    // Of 20 runs, those that are sent to \a id, whose address reports another start when it is
+    // asked.
+    int timesChosenOnReport(const std::string &id, std::int64_t startedAtMs, TimePoint at)
+    {
+        int chosen = 0;
+        for (int round = 0; round < 20; ++round) {
+            ServerSearch search = make(request());
+            const ProbeServers probe = probeOf(search.start(false, at));
+            if (!isAmong(probe.servers, id))
+                continue;
+            CPPUNIT_ASSERT(servers.server(id, at)->acceptsNewWork());
+            servers.recordReport(id, startedAtMs, at);
+            chosen += found(search.onProbed(reports(probe), at)).server.info.id == id ? 1 : 0;
+        }
+        return chosen;
+    }
+
     static std::vector<ServerProbeResult> reports(const ProbeServers &probe)
     {
         std::vector<ServerProbeResult> all;
