decisions tests: an overdue call at a living server is accused of a removed entry (failing)

Shows: SuspectedCrashes::accuseLate() accuses each overdue call of a crash that a removed entry proved, although the server has reported the same start since: only crashes proven by silence are refuted. A call is overdue without an unanswered probe.

--- a/tests/decisions/SuspectedCrashesTest.cpp
+++ b/tests/decisions/SuspectedCrashesTest.cpp
@@ -43,6 +43,7 @@
     CPPUNIT_TEST(requestThatIsOverdueAfterTheProofCounts);
     CPPUNIT_TEST(requestThatIsOverdueAfterOthersShowedTheCrashCounts);
     CPPUNIT_TEST(requestSentToACrashedServerIsNotAccused);
+    CPPUNIT_TEST(overdueRequestAtALivingServerIsNotAccused);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -360,6 +361,23 @@
         CPPUNIT_ASSERT(!m_quarantine.quarantinedSuspect(m_parts, m_now + 19s).empty());
     }
 
+    // Guards against a slow sound call that is accused because the entries of its servers were
+    // removed during a pause, although they have answered since.
+    void overdueRequestAtALivingServerIsNotAccused()
+    {
+        for (int i = 0; i < 4; ++i) {
+            const std::vector<std::string> other = {"other" + std::to_string(i)};
+            const TimePoint at = m_now + i * 5s;
+            m_crashes.suspect(server(i), other, at, at + 500ms);
+            m_servers.remove(server(i).id, at + 1s);
+            m_crashes.update(m_servers, at + 1s);
+            m_servers.put(server(i), at + 2s);
+            m_crashes.recordReport(server(i).id, 1, at + 2s);
+            m_crashes.suspect(server(i), m_parts, at, at + 3s, at);
+        }
+        CPPUNIT_ASSERT(m_quarantine.quarantinedSuspect(m_parts, m_now + 19s).empty());
+    }
+
 private:
     struct Question
     {
