--- a/tests/decisions/RequestQuarantineTest.cpp
+++ b/tests/decisions/RequestQuarantineTest.cpp
@@ -72,6 +72,8 @@
     CPPUNIT_TEST(partsOfARequestLostTwiceAreNotBlamed);
     CPPUNIT_TEST(partIsRefusedOnceAnotherRequestCrashes);
     CPPUNIT_TEST(quarantinedPartWithOneKnownCrashIsRefused);
+    CPPUNIT_TEST(partOfSeveralCrashingRequestsIsRefused);
+    CPPUNIT_TEST(partOfThreeCrashingRequestsIsRefusedBesideOneWithoutIt);
     CPPUNIT_TEST_SUITE_END();
 
     using Parts = std::vector<std::string>;
@@ -760,7 +762,34 @@
         CPPUNIT_ASSERT(!isAdmitted(m_other, {"deadly", wholeRequest("two")}, m_now + 2s));
     }
 
+    // Guards against a deadly part that is excused although two requests with it crashed servers,
+    // because a request without it was lost beside both: its retry went where the second one went.
+    void partOfSeveralCrashingRequestsIsRefused()
+    {
+        crashBeside(1, m_now);
+        crashBeside(2, m_now + 1s);
+        CPPUNIT_ASSERT(!isAdmitted(m_own, {"shared", "deadly", wholeRequest("next")}, m_now + 1s));
+        CPPUNIT_ASSERT(!isAdmitted(m_own, {"shared", "deadly", wholeRequest("next")}, m_now + 3s));
+    }
+
+    // As above, with a request that was lost at a third crash, too.
+    void partOfThreeCrashingRequestsIsRefusedBesideOneWithoutIt()
+    {
+        for (int number = 1; number <= 3; ++number)
+            crashBeside(number, m_now + number * 2s);
+        CPPUNIT_ASSERT(!isAdmitted(m_own, {"shared", "deadly", wholeRequest("next")}, m_now + 9s));
+    }
+
 private:
+    // A server crashes under a request with a deadly part and a sound one without it.
+    void crashBeside(int number, TimePoint at)
+    {
+        const std::string server = "e" + std::to_string(number);
+        const std::string deadly = wholeRequest("deadly" + std::to_string(number));
+        m_own.recordCrash(server, Parts {"shared", "deadly", deadly}, at);
+        m_own.recordCrash(server, Parts {"shared", wholeRequest("sound")}, at);
+    }
+
     void crashTwice(RequestQuarantine &quarantine, const Parts &parts, Duration after = 0s) const
     {
         quarantine.recordCrash("e1", parts, m_now + after);
