decisions tests: a deadly request after a zone that another process saw (failing)

Shows: since a report marks the crashes of a zone within 20 ms as the zone's, also for a deadly request that many callers sent at once. A process that reads it can't drop the excuse when the request crashes other servers later: with seven crashes known (five reported, two own) the request is admitted there.

--- a/tests/decisions/RequestQuarantineTest.cpp
+++ b/tests/decisions/RequestQuarantineTest.cpp
@@ -72,6 +72,7 @@
     CPPUNIT_TEST(partsOfARequestLostTwiceAreNotBlamed);
     CPPUNIT_TEST(partIsRefusedOnceAnotherRequestCrashes);
     CPPUNIT_TEST(quarantinedPartWithOneKnownCrashIsRefused);
+    CPPUNIT_TEST(deadlyRequestIsFoundAfterAZoneThatAnotherProcessSaw);
     CPPUNIT_TEST(partOfSeveralCrashingRequestsIsRefused);
     CPPUNIT_TEST(partOfThreeCrashingRequestsIsRefusedBesideOneWithoutIt);
     CPPUNIT_TEST_SUITE_END();
@@ -762,6 +763,20 @@
         CPPUNIT_ASSERT(!isAdmitted(m_other, {"deadly", wholeRequest("two")}, m_now + 2s));
     }
 
+    // As deadlyRequestOfManyCallersIsFoundAfterAZone, when the later crashes are those of another
+    // process, which holds the excuse as the report gave it.
+    void deadlyRequestIsFoundAfterAZoneThatAnotherProcessSaw()
+    {
+        const Parts deadly = {wholeRequest("deadly")};
+        crashZone(m_own, deadly, 1ms);
+        m_other.applyReport(m_own.takeDueReport(m_now + 4s).value(), m_now + 4s);
+        for (int i = 0; i < 2; ++i) {
+            const TimePoint at = m_now + 5s + i * 1s;
+            m_other.recordCrash("x" + std::to_string(i), deadly, crashOfPlainServer(at), at);
+        }
+        CPPUNIT_ASSERT(!isAdmitted(m_other, deadly, m_now + 6s));
+    }
+
     // Guards against a deadly part that is excused although two requests with it crashed servers,
     // because a request without it was lost beside both: its retry went where the second one went.
     void partOfSeveralCrashingRequestsIsRefused()
