placement: choose a server with another start before one that is silent

A start that was confirmed, or is earlier than the entry's, was accepted again.

Change: candidates are chosen in the order: own report, report of another start, no report. The start in the report is compared with the entry's.

--- a/include/foxtailring/decisions/RunPlacement.h
+++ b/include/foxtailring/decisions/RunPlacement.h
@@ -45,7 +45,9 @@
     void dropCandidates() { m_candidates.clear(); }
 
     /// \brief Ids of the servers tried so far and of the candidates that did not answer.
-    std::vector<std::string> unresponsiveIds() const;
+    std::vector<std::string> unansweredIds() const { return triedAndNotIn(m_answered); }
+    /// \brief As unansweredIds(), with those whose report named another start.
+    std::vector<std::string> unresponsiveIds() const { return triedAndNotIn(m_responsive); }
     /// \brief \a exclude must outlive the result, as must this placement without changes.
     PlacementRequest request(std::span<const std::string> exclude) const;
     /// \brief Server in another zone for a continuous copy of a run at \a runServer.
@@ -56,11 +58,14 @@
     bool tryTakeProbe(const BackendState &server, TimePoint now) const;
 
 private:
+    std::vector<std::string> triedAndNotIn(std::span<const std::string> ids) const;
+
     const ForwardContext &m_context;
     const std::string &m_service;
     const std::vector<std::string> &m_triedIds;
     std::vector<std::string> m_affinityServers; ///< ids
     std::vector<std::string> m_candidates;      ///< ids of the probed servers
+    std::vector<std::string> m_answered;        ///< ids of those with a report
     std::vector<std::string> m_responsive;      ///< ids of those that answered themselves
 };
 
--- a/src/decisions/RunPlacement.cpp
+++ b/src/decisions/RunPlacement.cpp
@@ -75,27 +75,33 @@
 bool RunPlacement::isFromServer(const ServerProbeResult &report, TimePoint now) const
 {
     const auto server = m_context.servers.server(report.serverId, now);
-    return server && server->reportedStart == ReportedStart::Accepted;
+    if (!server || server->reportedStart != ReportedStart::Accepted)
+        return false;
+    const std::int64_t listed = server->info.startedAtMs;
+    return report.startedAtMs <= 0 || listed <= 0 || report.startedAtMs == listed;
 }
 
 void RunPlacement::recordReports(std::span<const ServerProbeResult> reports, TimePoint now)
 {
+    m_answered.clear();
     m_responsive.clear();
     for (const ServerProbeResult &report : reports) {
-        if (!report.isTurnedAway && isFromServer(report, now))
+        if (report.isTurnedAway)
+            continue;
+        m_answered.push_back(report.serverId);
+        if (isFromServer(report, now))
             m_responsive.push_back(report.serverId);
     }
 }
 
-std::vector<std::string> RunPlacement::unresponsiveIds() const
+std::vector<std::string> RunPlacement::triedAndNotIn(std::span<const std::string> ids) const
 {
-    std::vector<std::string> ids = m_triedIds;
-    std::copy_if(m_candidates.begin(), m_candidates.end(), std::back_inserter(ids),
-                 [this](const std::string &id) {
-                     return std::find(m_responsive.begin(), m_responsive.end(), id)
-                         == m_responsive.end();
+    std::vector<std::string> others = m_triedIds;
+    std::copy_if(m_candidates.begin(), m_candidates.end(), std::back_inserter(others),
+                 [&ids](const std::string &id) {
+                     return std::find(ids.begin(), ids.end(), id) == ids.end();
                  });
-    return ids;
+    return others;
 }
 
 PlacementRequest RunPlacement::request(std::span<const std::string> exclude) const
--- a/src/decisions/ServerSearch.cpp
+++ b/src/decisions/ServerSearch.cpp
@@ -135,17 +135,21 @@
     return probe;
 }
 
-// A server that did not answer the probe is chosen only if there is no other.
+// A server that did not answer the probe is chosen only if there is no other. One whose report
+// named another start may have restarted under its id and work, with an entry that is late, so it
+// comes before those.
 ServerSearch::Step ServerSearch::choose(std::span<const ServerProbeResult> reports, TimePoint now)
 {
     m_placement.recordReports(reports, now);
-    const std::vector<std::string> unresponsive = m_placement.unresponsiveIds();
+    const std::vector<std::string> exclusions[] = {
+        m_placement.unresponsiveIds(), m_placement.unansweredIds(), m_placement.triedIds()};
     m_placement.dropCandidates();
-    auto chosen = m_admittedPlacer.choose(m_placement.request(unresponsive),
-                                          &BackendPlacer::chooseForRun, now);
-    if (!chosen)
-        chosen = m_admittedPlacer.choose(m_placement.request(m_placement.triedIds()),
-                                         &BackendPlacer::chooseForRun, now);
+    std::optional<BackendState> chosen;
+    for (const std::vector<std::string> &excluded : exclusions) {
+        if (!chosen)
+            chosen = m_admittedPlacer.choose(m_placement.request(excluded),
+                                             &BackendPlacer::chooseForRun, now);
+    }
     if (!chosen)
         return Failure::NoServer;
     SendAttempt next;
--- a/tests/decisions/ServerSearchTest.cpp
+++ b/tests/decisions/ServerSearchTest.cpp
@@ -331,7 +331,10 @@
                 continue;
             CPPUNIT_ASSERT(servers.server(id, at)->acceptsNewWork());
             servers.recordReport(id, startedAtMs, at);
-            chosen += found(search.onProbed(reports(probe), at)).server.info.id == id ? 1 : 0;
+            std::vector<ServerProbeResult> answers = reports(probe);
+            for (ServerProbeResult &answer : answers)
+                answer.startedAtMs = answer.serverId == id ? startedAtMs : 0;
+            chosen += found(search.onProbed(answers, at)).server.info.id == id ? 1 : 0;
         }
         return chosen;
     }
