--- a/src/decisions/SuspectedCrashes.cpp
+++ b/src/decisions/SuspectedCrashes.cpp
@@ -66,11 +66,12 @@
         confirm(found, CrashEvidence::Silent, now);
 }
 
-// A request may be overdue long after others have shown that its server crashed.
+// A request may be overdue long after others have shown that its server crashed. That an entry was
+// removed is not enough: no later report refutes it, and the server may work.
 void SuspectedCrashes::accuseLate(const BackendInfo &server, const ProvenCrash &crash,
                                   Suspects suspects, TimePoint sentAt, TimePoint now)
 {
-    if (sentAt <= crash.downSince)
+    if (crash.evidence != CrashEvidence::Lapsed && sentAt <= crash.downSince)
         accuse({server, {{suspects.begin(), suspects.end()}}, crash.at, crash.evidence}, now);
 }
 
