--- a/include/foxtailring/decisions/StreamSession.h
+++ b/include/foxtailring/decisions/StreamSession.h
@@ -90,7 +90,6 @@
     /// Whether an attempt that is made later can still lead to a whole answer.
     bool mayWaitForAttempt(TimePoint now) const;
     ForwardAction delayAttempt(std::string_view reason, Duration needed, TimePoint now);
-    /// Records who answered a probe for the prompt.
     /// Whether the run can finish before the deadline if it first processes \a promptTokens.
     bool canFinishInTime(std::uint64_t promptTokens, TimePoint now) const;
     ForwardAction continueSearch(ServerSearch::Step step, TimePoint now);
