--- a/review/standins2.py
+++ b/review/standins2.py
@@ -458,7 +458,6 @@
         if "chunked" in headers.get("transfer-encoding", ""):
             while data := await read_chunk(reader):
                 body += data
-            await reader.readline()
         elif "content-length" in headers:
             body = await reader.readexactly(int(headers["content-length"]))
     except (asyncio.IncompleteReadError, ConnectionError, ValueError):
