--- a/review/standins2.py
+++ b/review/standins2.py
@@ -24,7 +24,7 @@
 KEY = "key-of-tenant-a"
 TENANT = "tenant-a"
 HOST = "callers.example"
-ZONES = {"zone-a": "region-a", "zone-b": "region-b"}
+ZONES = {"zone-a": "region-a", "zone-b": "region-b", "zone-c": "region-c"}
 BOUNDS = {"drain_ms": 2500, "grace_s": 8, "revoke_ms": 5000, "config_apply_ms": 2500}
 STARTED_AT = time.monotonic()
 
