--- a/review/standins2.py
+++ b/review/standins2.py
@@ -490,6 +490,9 @@
             print(f"cannot run: {error}")
         except asyncio.TimeoutError:
             record.write("script", "cannotRun", reason="the script took too long")
+        except Exception as error:  # a fault of the script is no verdict
+            record.write("script", "cannotRun", reason=repr(error))
+            print(f"cannot run: {error!r}")
         finally:
             for gateway in gateways:
                 gateway.end()
