--- a/bench/capacity/AccountCapacity.cpp
+++ b/bench/capacity/AccountCapacity.cpp
@@ -1,6 +1,6 @@
 #include "AllocationCounter.h"
 #include "CapacityBench.h"
-#include "foxtailring/decisions/AdmissionController.h"
+#include "foxtailring/decisions/admission/AdmissionController.h"
 
 #include <cstddef>
 #include <memory>
--- a/bench/capacity/QuarantineCapacity.cpp
+++ b/bench/capacity/QuarantineCapacity.cpp
@@ -1,5 +1,5 @@
 #include "CapacityBench.h"
-#include "foxtailring/decisions/RequestQuarantine.h"
+#include "foxtailring/decisions/quarantine/RequestQuarantine.h"
 #include "foxtailring/protocol/RequestDigest.h"
 
 #include <cstddef>
--- a/bench/capacity/ServerCapacity.cpp
+++ b/bench/capacity/ServerCapacity.cpp
@@ -1,10 +1,10 @@
 #include "AllocationCounter.h"
 #include "CapacityBench.h"
 #include "foxtailring/base/RandomSource.h"
-#include "foxtailring/decisions/PrefixHints.h"
-#include "foxtailring/decisions/Router.h"
-#include "foxtailring/decisions/ServerTable.h"
-#include "foxtailring/decisions/SubsetSelector.h"
+#include "foxtailring/decisions/placement/PrefixHints.h"
+#include "foxtailring/decisions/placement/Router.h"
+#include "foxtailring/decisions/placement/SubsetSelector.h"
+#include "foxtailring/decisions/servers/ServerTable.h"
 
 #include <cstddef>
 #include <cstdint>
--- a/bench/config/ConfigCost.cpp
+++ b/bench/config/ConfigCost.cpp
@@ -1,7 +1,7 @@
 #include "ConfigCost.h"
 
 #include "foxtailring/base/ParseJson.h"
-#include "foxtailring/decisions/RouteTable.h"
+#include "foxtailring/decisions/configuration/RouteTable.h"
 #include "foxtailring/store/Base64.h"
 #include "foxtailring/transport/Endpoint.h"
 #include "foxtailring/transport/Http1Client.h"
--- a/bench/policy/Fleet.h
+++ b/bench/policy/Fleet.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "foxtailring/base/RandomSource.h"
-#include "foxtailring/decisions/PrefixHints.h"
-#include "foxtailring/decisions/Router.h"
-#include "foxtailring/decisions/ServerTable.h"
+#include "foxtailring/decisions/placement/PrefixHints.h"
+#include "foxtailring/decisions/placement/Router.h"
+#include "foxtailring/decisions/servers/ServerTable.h"
 
 #include "EventLoop.h"
 #include "SimServer.h"
--- a/bench/policy/OverloadScenario.cpp
+++ b/bench/policy/OverloadScenario.cpp
@@ -1,5 +1,5 @@
 #include "Fleet.h"
-#include "foxtailring/decisions/AdmissionController.h"
+#include "foxtailring/decisions/admission/AdmissionController.h"
 #include "Quantile.h"
 #include "Report.h"
 #include "Scenarios.h"
--- a/bench/policy/RetryScenario.cpp
+++ b/bench/policy/RetryScenario.cpp
@@ -1,5 +1,5 @@
 #include "Fleet.h"
-#include "foxtailring/decisions/RetryBudget.h"
+#include "foxtailring/decisions/admission/RetryBudget.h"
 #include "Report.h"
 #include "Scenarios.h"
 
--- a/bench/policy/SimServer.h
+++ b/bench/policy/SimServer.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "foxtailring/decisions/ServerInfo.h"
+#include "foxtailring/decisions/servers/ServerInfo.h"
 #include "foxtailring/protocol/LoadReport.h"
 
 #include "EventLoop.h"
--- a/bench/policy/ZoneLossScenario.cpp
+++ b/bench/policy/ZoneLossScenario.cpp
@@ -1,6 +1,6 @@
 #include "Fleet.h"
-#include "foxtailring/decisions/AdmissionController.h"
-#include "foxtailring/decisions/ResumeAdmission.h"
+#include "foxtailring/decisions/admission/AdmissionController.h"
+#include "foxtailring/decisions/admission/ResumeAdmission.h"
 #include "Quantile.h"
 #include "Report.h"
 #include "Scenarios.h"
--- a/cmake/Foxtailring.cmake
+++ b/cmake/Foxtailring.cmake
@@ -19,9 +19,11 @@
                           "${FOXTAILRING_BEFORE_UNITY_SOURCE}")
 endfunction()
 
-# foxtailring_library(NAME DEPENDS...): one package, built from every source in its folder.
+# foxtailring_library(NAME DEPENDS...): one package, built from every source in its folder and in the
+# folders of its groups.
 function(foxtailring_library name)
-    file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/${name}/*.cpp)
+    file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/${name}/*.cpp
+         ${CMAKE_CURRENT_SOURCE_DIR}/${name}/*/*.cpp)
     if(NOT sources)
         add_library(foxtailring_${name} INTERFACE)
         target_link_libraries(foxtailring_${name} INTERFACE foxtailring_options ${ARGN})
--- a/fuzz/FuzzConfig.cpp
+++ b/fuzz/FuzzConfig.cpp
@@ -1,5 +1,5 @@
 #include "ConfigDocument.h"
-#include "foxtailring/decisions/RouteTable.h"
+#include "foxtailring/decisions/configuration/RouteTable.h"
 
 #include "FuzzInput.h"
 
--- a/include/foxtailring/decisions/AdmissionController.h
+++ b/include/foxtailring/decisions/admission/AdmissionController.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "foxtailring/base/Clock.h"
-#include "foxtailring/decisions/AdmissionDecision.h"
-#include "foxtailring/decisions/AdmissionRequest.h"
-#include "foxtailring/decisions/ServerState.h"
+#include "foxtailring/decisions/admission/AdmissionDecision.h"
+#include "foxtailring/decisions/admission/AdmissionRequest.h"
+#include "foxtailring/decisions/servers/ServerState.h"
 
 #include <cstddef>
 #include <cstdint>
--- a/include/foxtailring/decisions/AdmissionRequest.h
+++ b/include/foxtailring/decisions/admission/AdmissionRequest.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "foxtailring/base/Clock.h"
-#include "foxtailring/decisions/AccountLimits.h"
+#include "foxtailring/decisions/admission/AccountLimits.h"
 
 #include <cstdint>
 #include <string>
--- a/include/foxtailring/decisions/DrainAdmission.h
+++ b/include/foxtailring/decisions/admission/DrainAdmission.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "foxtailring/base/Clock.h"
-#include "foxtailring/decisions/CallKind.h"
+#include "foxtailring/decisions/configuration/CallKind.h"
 
 #include <optional>
 
--- a/include/foxtailring/decisions/ClaimAction.h
+++ b/include/foxtailring/decisions/claims/ClaimAction.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "foxtailring/decisions/AnswerCall.h"
-#include "foxtailring/decisions/ReadBucket.h"
-#include "foxtailring/decisions/SendCall.h"
-#include "foxtailring/decisions/SwapBucket.h"
+#include "foxtailring/decisions/claims/AnswerCall.h"
+#include "foxtailring/decisions/claims/ReadBucket.h"
+#include "foxtailring/decisions/claims/SendCall.h"
+#include "foxtailring/decisions/claims/SwapBucket.h"
 
 #include <variant>
 #include <vector>
--- a/include/foxtailring/decisions/ClaimDocument.h
+++ b/include/foxtailring/decisions/claims/ClaimDocument.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "foxtailring/base/Result.h"
-#include "foxtailring/decisions/ClaimRecord.h"
+#include "foxtailring/decisions/claims/ClaimRecord.h"
 
 #include <cstddef>
 #include <cstdint>
--- a/include/foxtailring/decisions/ClaimTable.h
+++ b/include/foxtailring/decisions/claims/ClaimTable.h
@@ -1,10 +1,10 @@
 #pragma once
 
 #include "foxtailring/base/StoreRevision.h"
-#include "foxtailring/decisions/ClaimAction.h"
-#include "foxtailring/decisions/ClaimLimits.h"
-#include "foxtailring/decisions/ClaimRequest.h"
-#include "foxtailring/decisions/ClockReadings.h"
+#include "foxtailring/decisions/claims/ClaimAction.h"
+#include "foxtailring/decisions/claims/ClaimLimits.h"
+#include "foxtailring/decisions/claims/ClaimRequest.h"
+#include "foxtailring/decisions/membership/ClockReadings.h"
 
 #include <cstddef>
 #include <cstdint>
--- a/include/foxtailring/decisions/ConfigState.h
+++ b/include/foxtailring/decisions/configuration/ConfigState.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "foxtailring/base/Result.h"
-#include "foxtailring/decisions/ConfigSnapshot.h"
+#include "foxtailring/decisions/configuration/ConfigSnapshot.h"
 #include "foxtailring/protocol/ConfigUpdate.h"
 
 #include <cstdint>
--- a/include/foxtailring/decisions/HttpRoute.h
+++ b/include/foxtailring/decisions/configuration/HttpRoute.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "foxtailring/decisions/CallKind.h"
-#include "foxtailring/decisions/RouteTarget.h"
+#include "foxtailring/decisions/configuration/CallKind.h"
+#include "foxtailring/decisions/configuration/RouteTarget.h"
 
 #include <chrono>
 #include <cstdint>
--- a/include/foxtailring/decisions/RouteConfig.h
+++ b/include/foxtailring/decisions/configuration/RouteConfig.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "foxtailring/decisions/CallerLimits.h"
-#include "foxtailring/decisions/HttpRoute.h"
-#include "foxtailring/decisions/KeyedAccount.h"
-#include "foxtailring/decisions/RoutedService.h"
+#include "foxtailring/decisions/configuration/CallerLimits.h"
+#include "foxtailring/decisions/configuration/HttpRoute.h"
+#include "foxtailring/decisions/configuration/KeyedAccount.h"
+#include "foxtailring/decisions/configuration/RoutedService.h"
 
 #include <cstdint>
 #include <vector>
--- a/include/foxtailring/decisions/RouteTable.h
+++ b/include/foxtailring/decisions/configuration/RouteTable.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "foxtailring/decisions/RouteConfig.h"
+#include "foxtailring/decisions/configuration/RouteConfig.h"
 
 #include <map>
 #include <string>
--- a/include/foxtailring/decisions/ServiceResource.h
+++ b/include/foxtailring/decisions/configuration/ServiceResource.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "foxtailring/base/Result.h"
-#include "foxtailring/decisions/NonIdempotentRule.h"
+#include "foxtailring/decisions/configuration/NonIdempotentRule.h"
 
 #include <cstdint>
 #include <nlohmann/json_fwd.hpp>
--- a/include/foxtailring/decisions/AnswerAssembler.h
+++ b/include/foxtailring/decisions/generation/AnswerAssembler.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "foxtailring/decisions/AssemblyResult.h"
-#include "foxtailring/decisions/DroppedMessageCounts.h"
+#include "foxtailring/decisions/generation/AssemblyResult.h"
+#include "foxtailring/decisions/generation/DroppedMessageCounts.h"
 #include "foxtailring/protocol/Token.h"
 
 #include <cstdint>
--- a/include/foxtailring/decisions/AssemblyResult.h
+++ b/include/foxtailring/decisions/generation/AssemblyResult.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "foxtailring/decisions/TokensVerdict.h"
+#include "foxtailring/decisions/generation/TokensVerdict.h"
 #include "foxtailring/protocol/Token.h"
 
 #include <span>
--- a/include/foxtailring/decisions/GenerationAction.h
+++ b/include/foxtailring/decisions/generation/GenerationAction.h
@@ -2,7 +2,7 @@
 
 #include "foxtailring/base/Clock.h"
 #include "foxtailring/base/Error.h"
-#include "foxtailring/decisions/ServerRequestReason.h"
+#include "foxtailring/decisions/limits/ServerRequestReason.h"
 #include "foxtailring/protocol/Token.h"
 
 #include <chrono>
--- a/include/foxtailring/decisions/GenerationSession.h
+++ b/include/foxtailring/decisions/generation/GenerationSession.h
@@ -1,12 +1,12 @@
 #pragma once
 
 #include "foxtailring/base/Clock.h"
-#include "foxtailring/decisions/AnswerAssembler.h"
-#include "foxtailring/decisions/GenerationAction.h"
-#include "foxtailring/decisions/GenerationSessionSettings.h"
-#include "foxtailring/decisions/GenerationSpec.h"
-#include "foxtailring/decisions/LivenessMonitor.h"
-#include "foxtailring/decisions/StopScanner.h"
+#include "foxtailring/decisions/generation/AnswerAssembler.h"
+#include "foxtailring/decisions/generation/GenerationAction.h"
+#include "foxtailring/decisions/generation/GenerationSessionSettings.h"
+#include "foxtailring/decisions/generation/GenerationSpec.h"
+#include "foxtailring/decisions/generation/LivenessMonitor.h"
+#include "foxtailring/decisions/generation/StopScanner.h"
 
 #include <chrono>
 #include <cstdint>
--- a/include/foxtailring/decisions/GenerationSessionSettings.h
+++ b/include/foxtailring/decisions/generation/GenerationSessionSettings.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "foxtailring/decisions/LivenessSettings.h"
+#include "foxtailring/decisions/generation/LivenessSettings.h"
 
 #include <chrono>
 #include <cstdint>
--- a/include/foxtailring/decisions/Journal.h
+++ b/include/foxtailring/decisions/generation/Journal.h
@@ -2,9 +2,9 @@
 
 #include "foxtailring/base/Clock.h"
 #include "foxtailring/base/Result.h"
-#include "foxtailring/decisions/AttemptEnd.h"
-#include "foxtailring/decisions/AttemptId.h"
-#include "foxtailring/decisions/JournalSlice.h"
+#include "foxtailring/decisions/generation/AttemptEnd.h"
+#include "foxtailring/decisions/generation/AttemptId.h"
+#include "foxtailring/decisions/generation/JournalSlice.h"
 #include "foxtailring/protocol/Token.h"
 
 #include <cstddef>
--- a/include/foxtailring/decisions/JournalSlice.h
+++ b/include/foxtailring/decisions/generation/JournalSlice.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "foxtailring/decisions/AttemptEnd.h"
+#include "foxtailring/decisions/generation/AttemptEnd.h"
 #include "foxtailring/protocol/Token.h"
 
 #include <cstdint>
--- a/include/foxtailring/decisions/LivenessMonitor.h
+++ b/include/foxtailring/decisions/generation/LivenessMonitor.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "foxtailring/base/Clock.h"
-#include "foxtailring/decisions/Liveness.h"
-#include "foxtailring/decisions/LivenessSettings.h"
+#include "foxtailring/decisions/generation/Liveness.h"
+#include "foxtailring/decisions/generation/LivenessSettings.h"
 
 namespace foxtailring {
 
--- a/include/foxtailring/decisions/ResumeRequest.h
+++ b/include/foxtailring/decisions/generation/ResumeRequest.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "foxtailring/decisions/RouteRequest.h"
+#include "foxtailring/decisions/placement/RouteRequest.h"
 
 #include <cstdint>
 
--- a/include/foxtailring/decisions/IdleConnectionLimit.h
+++ b/include/foxtailring/decisions/limits/IdleConnectionLimit.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "foxtailring/base/Clock.h"
-#include "foxtailring/decisions/DemandEstimator.h"
+#include "foxtailring/decisions/limits/DemandEstimator.h"
 
 #include <cstddef>
 #include <map>
--- a/include/foxtailring/decisions/RateLimitPublication.h
+++ b/include/foxtailring/decisions/limits/RateLimitPublication.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "foxtailring/base/Clock.h"
-#include "foxtailring/decisions/RateLimitReport.h"
+#include "foxtailring/decisions/limits/RateLimitReport.h"
 
 #include <string_view>
 
--- a/include/foxtailring/decisions/RateLimitReportChange.h
+++ b/include/foxtailring/decisions/limits/RateLimitReportChange.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "foxtailring/decisions/RateLimitReport.h"
+#include "foxtailring/decisions/limits/RateLimitReport.h"
 
 #include <optional>
 #include <string>
--- a/include/foxtailring/decisions/RateLimitTable.h
+++ b/include/foxtailring/decisions/limits/RateLimitTable.h
@@ -1,13 +1,13 @@
 #pragma once
 
 #include "foxtailring/base/Clock.h"
-#include "foxtailring/decisions/DemandEstimator.h"
-#include "foxtailring/decisions/RateApportionment.h"
-#include "foxtailring/decisions/RateLimitExplanation.h"
-#include "foxtailring/decisions/RateLimitPublication.h"
-#include "foxtailring/decisions/RateLimitReport.h"
-#include "foxtailring/decisions/RateLimitReportChange.h"
-#include "foxtailring/decisions/RequestWindow.h"
+#include "foxtailring/decisions/limits/DemandEstimator.h"
+#include "foxtailring/decisions/limits/RateApportionment.h"
+#include "foxtailring/decisions/limits/RateLimitExplanation.h"
+#include "foxtailring/decisions/limits/RateLimitPublication.h"
+#include "foxtailring/decisions/limits/RateLimitReport.h"
+#include "foxtailring/decisions/limits/RateLimitReportChange.h"
+#include "foxtailring/decisions/limits/RequestWindow.h"
 
 #include <cstdint>
 #include <functional>
--- a/include/foxtailring/decisions/FleetMembership.h
+++ b/include/foxtailring/decisions/membership/FleetMembership.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "foxtailring/base/Clock.h"
-#include "foxtailring/decisions/IdleConnectionDivision.h"
+#include "foxtailring/decisions/limits/IdleConnectionDivision.h"
 
 #include <cstddef>
 #include <map>
--- a/include/foxtailring/decisions/ReporterClock.h
+++ b/include/foxtailring/decisions/membership/ReporterClock.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "foxtailring/decisions/TimeBounds.h"
+#include "foxtailring/decisions/limits/TimeBounds.h"
 
 #include <chrono>
 #include <cstdint>
--- a/include/foxtailring/decisions/ReporterClocks.h
+++ b/include/foxtailring/decisions/membership/ReporterClocks.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "foxtailring/decisions/ReporterClock.h"
+#include "foxtailring/decisions/membership/ReporterClock.h"
 
 #include <chrono>
 #include <cstdint>
--- a/include/foxtailring/decisions/AdmittedPlacer.h
+++ b/include/foxtailring/decisions/placement/AdmittedPlacer.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "foxtailring/base/Clock.h"
-#include "foxtailring/decisions/BackendState.h"
-#include "foxtailring/decisions/PlacementRequest.h"
+#include "foxtailring/decisions/placement/PlacementRequest.h"
+#include "foxtailring/decisions/servers/BackendState.h"
 
 #include <optional>
 #include <string>
--- a/include/foxtailring/decisions/RouteRequest.h
+++ b/include/foxtailring/decisions/placement/RouteRequest.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "foxtailring/base/Clock.h"
-#include "foxtailring/decisions/CostWeights.h"
+#include "foxtailring/decisions/placement/CostWeights.h"
 
 #include <cstdint>
 #include <optional>
--- a/include/foxtailring/decisions/Router.h
+++ b/include/foxtailring/decisions/placement/Router.h
@@ -2,9 +2,9 @@
 
 #include "foxtailring/base/Clock.h"
 #include "foxtailring/base/Result.h"
-#include "foxtailring/decisions/ResumeRequest.h"
-#include "foxtailring/decisions/RouteChoice.h"
-#include "foxtailring/decisions/RouteRequest.h"
+#include "foxtailring/decisions/generation/ResumeRequest.h"
+#include "foxtailring/decisions/placement/RouteChoice.h"
+#include "foxtailring/decisions/placement/RouteRequest.h"
 
 #include <span>
 #include <vector>
--- a/include/foxtailring/decisions/CrashAttribution.h
+++ b/include/foxtailring/decisions/quarantine/CrashAttribution.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "foxtailring/base/Clock.h"
-#include "foxtailring/decisions/SuspectRecord.h"
+#include "foxtailring/decisions/quarantine/SuspectRecord.h"
 
 #include <cstddef>
 #include <span>
--- a/include/foxtailring/decisions/CrashVerdict.h
+++ b/include/foxtailring/decisions/quarantine/CrashVerdict.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "foxtailring/decisions/BackendInfo.h"
+#include "foxtailring/decisions/servers/BackendInfo.h"
 
 #include <cstddef>
 #include <cstdint>
--- a/include/foxtailring/decisions/RequestQuarantine.h
+++ b/include/foxtailring/decisions/quarantine/RequestQuarantine.h
@@ -1,14 +1,14 @@
 #pragma once
 
 #include "foxtailring/base/Clock.h"
-#include "foxtailring/decisions/CrashAttribution.h"
-#include "foxtailring/decisions/CrashEvidence.h"
-#include "foxtailring/decisions/CrashReport.h"
-#include "foxtailring/decisions/EngineFailures.h"
-#include "foxtailring/decisions/ReporterClocks.h"
-#include "foxtailring/decisions/ReportReception.h"
-#include "foxtailring/decisions/SuspectStarts.h"
-#include "foxtailring/decisions/SuspectTable.h"
+#include "foxtailring/decisions/membership/ReporterClocks.h"
+#include "foxtailring/decisions/membership/ReportReception.h"
+#include "foxtailring/decisions/quarantine/CrashAttribution.h"
+#include "foxtailring/decisions/quarantine/CrashEvidence.h"
+#include "foxtailring/decisions/quarantine/CrashReport.h"
+#include "foxtailring/decisions/quarantine/SuspectStarts.h"
+#include "foxtailring/decisions/quarantine/SuspectTable.h"
+#include "foxtailring/decisions/servers/EngineFailures.h"
 
 #include <algorithm>
 #include <chrono>
--- a/include/foxtailring/decisions/RequestSuspicion.h
+++ b/include/foxtailring/decisions/quarantine/RequestSuspicion.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "foxtailring/base/Clock.h"
-#include "foxtailring/decisions/BackendInfo.h"
+#include "foxtailring/decisions/servers/BackendInfo.h"
 
 #include <string>
 #include <string_view>
--- a/include/foxtailring/decisions/SuspectRecord.h
+++ b/include/foxtailring/decisions/quarantine/SuspectRecord.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "foxtailring/base/Clock.h"
-#include "foxtailring/decisions/CrashEvidence.h"
-#include "foxtailring/decisions/TimeBounds.h"
+#include "foxtailring/decisions/limits/TimeBounds.h"
+#include "foxtailring/decisions/quarantine/CrashEvidence.h"
 
 #include <cstddef>
 #include <cstdint>
--- a/include/foxtailring/decisions/SuspectStarts.h
+++ b/include/foxtailring/decisions/quarantine/SuspectStarts.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "foxtailring/base/Clock.h"
-#include "foxtailring/decisions/RecentStarts.h"
+#include "foxtailring/decisions/quarantine/RecentStarts.h"
 
 #include <optional>
 #include <string>
--- a/include/foxtailring/decisions/SuspectTable.h
+++ b/include/foxtailring/decisions/quarantine/SuspectTable.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "foxtailring/decisions/SuspectRecord.h"
+#include "foxtailring/decisions/quarantine/SuspectRecord.h"
 
 #include <cstddef>
 #include <cstdint>
--- a/include/foxtailring/decisions/SuspectedCrashes.h
+++ b/include/foxtailring/decisions/quarantine/SuspectedCrashes.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "foxtailring/base/Clock.h"
-#include "foxtailring/decisions/BackendInfo.h"
-#include "foxtailring/decisions/BackendState.h"
-#include "foxtailring/decisions/CrashEvidence.h"
+#include "foxtailring/decisions/quarantine/CrashEvidence.h"
+#include "foxtailring/decisions/servers/BackendInfo.h"
+#include "foxtailring/decisions/servers/BackendState.h"
 
 #include <chrono>
 #include <cstddef>
--- a/include/foxtailring/decisions/BackendAnswer.h
+++ b/include/foxtailring/decisions/servers/BackendAnswer.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "foxtailring/base/Clock.h"
-#include "foxtailring/decisions/BackendLoadReport.h"
-#include "foxtailring/decisions/LeavingNotice.h"
+#include "foxtailring/decisions/servers/BackendLoadReport.h"
+#include "foxtailring/decisions/servers/LeavingNotice.h"
 
 #include <optional>
 #include <string>
--- a/include/foxtailring/decisions/BackendTable.h
+++ b/include/foxtailring/decisions/servers/BackendTable.h
@@ -1,11 +1,11 @@
 #pragma once
 
 #include "foxtailring/base/Clock.h"
-#include "foxtailring/decisions/BackendState.h"
-#include "foxtailring/decisions/LeavingNotice.h"
-#include "foxtailring/decisions/LeavingSource.h"
-#include "foxtailring/decisions/ServerIdentities.h"
-#include "foxtailring/decisions/ServerStarts.h"
+#include "foxtailring/decisions/servers/BackendState.h"
+#include "foxtailring/decisions/servers/LeavingNotice.h"
+#include "foxtailring/decisions/servers/LeavingSource.h"
+#include "foxtailring/decisions/servers/ServerIdentities.h"
+#include "foxtailring/decisions/servers/ServerStarts.h"
 
 #include <functional>
 #include <map>
--- a/include/foxtailring/decisions/EngineFailures.h
+++ b/include/foxtailring/decisions/servers/EngineFailures.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "foxtailring/base/Clock.h"
-#include "foxtailring/decisions/TimeBounds.h"
+#include "foxtailring/decisions/limits/TimeBounds.h"
 
 #include <cstddef>
 #include <deque>
--- a/include/foxtailring/decisions/ServerEvidence.h
+++ b/include/foxtailring/decisions/servers/ServerEvidence.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "foxtailring/base/Clock.h"
-#include "foxtailring/decisions/AttemptResult.h"
+#include "foxtailring/decisions/sessions/AttemptResult.h"
 
 #include <cstdint>
 #include <span>
--- a/include/foxtailring/decisions/ServerIdentities.h
+++ b/include/foxtailring/decisions/servers/ServerIdentities.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "foxtailring/base/Clock.h"
-#include "foxtailring/decisions/BackendInfo.h"
-#include "foxtailring/decisions/ReportedStart.h"
+#include "foxtailring/decisions/servers/BackendInfo.h"
+#include "foxtailring/decisions/servers/ReportedStart.h"
 
 #include <cstdint>
 #include <functional>
--- a/include/foxtailring/decisions/ServerProbeResult.h
+++ b/include/foxtailring/decisions/servers/ServerProbeResult.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "foxtailring/decisions/BackendLoadReport.h"
-#include "foxtailring/decisions/LeavingNotice.h"
+#include "foxtailring/decisions/servers/BackendLoadReport.h"
+#include "foxtailring/decisions/servers/LeavingNotice.h"
 
 #include <cstdint>
 #include <optional>
--- a/include/foxtailring/decisions/ServerState.h
+++ b/include/foxtailring/decisions/servers/ServerState.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "foxtailring/base/Clock.h"
-#include "foxtailring/decisions/ServerInfo.h"
-#include "foxtailring/decisions/ServerStatus.h"
+#include "foxtailring/decisions/servers/ServerInfo.h"
+#include "foxtailring/decisions/servers/ServerStatus.h"
 
 #include <cstdint>
 #include <memory>
--- a/include/foxtailring/decisions/ServerTable.h
+++ b/include/foxtailring/decisions/servers/ServerTable.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "foxtailring/base/Clock.h"
-#include "foxtailring/decisions/ListedServer.h"
-#include "foxtailring/decisions/ReportEffect.h"
-#include "foxtailring/decisions/ServerState.h"
+#include "foxtailring/decisions/servers/ListedServer.h"
+#include "foxtailring/decisions/servers/ReportEffect.h"
+#include "foxtailring/decisions/servers/ServerState.h"
 #include "foxtailring/protocol/LoadReport.h"
 
 #include <cstddef>
--- a/include/foxtailring/decisions/AttemptWatch.h
+++ b/include/foxtailring/decisions/sessions/AttemptWatch.h
@@ -1,11 +1,11 @@
 #pragma once
 
 #include "foxtailring/base/Clock.h"
-#include "foxtailring/decisions/BackendState.h"
-#include "foxtailring/decisions/ForwardAction.h"
-#include "foxtailring/decisions/ReportedStart.h"
-#include "foxtailring/decisions/RunProgress.h"
-#include "foxtailring/decisions/ServerProbeResult.h"
+#include "foxtailring/decisions/servers/BackendState.h"
+#include "foxtailring/decisions/servers/ReportedStart.h"
+#include "foxtailring/decisions/servers/ServerProbeResult.h"
+#include "foxtailring/decisions/sessions/ForwardAction.h"
+#include "foxtailring/decisions/sessions/RunProgress.h"
 
 #include <cstdint>
 #include <span>
--- a/include/foxtailring/decisions/CallSession.h
+++ b/include/foxtailring/decisions/sessions/CallSession.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "foxtailring/decisions/ForwardSession.h"
+#include "foxtailring/decisions/sessions/ForwardSession.h"
 
 #include <optional>
 #include <string_view>
--- a/include/foxtailring/decisions/ForwardAction.h
+++ b/include/foxtailring/decisions/sessions/ForwardAction.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "foxtailring/base/Clock.h"
-#include "foxtailring/decisions/BackendState.h"
-#include "foxtailring/decisions/CopyReference.h"
+#include "foxtailring/decisions/servers/BackendState.h"
+#include "foxtailring/decisions/sessions/CopyReference.h"
 
 #include <chrono>
 #include <cstdint>
--- a/include/foxtailring/decisions/ForwardSession.h
+++ b/include/foxtailring/decisions/sessions/ForwardSession.h
@@ -1,16 +1,16 @@
 #pragma once
 
 #include "foxtailring/base/Clock.h"
-#include "foxtailring/decisions/AdmittedPlacer.h"
-#include "foxtailring/decisions/AttemptResult.h"
-#include "foxtailring/decisions/BackendAnswer.h"
-#include "foxtailring/decisions/ForwardAction.h"
-#include "foxtailring/decisions/ForwardContext.h"
-#include "foxtailring/decisions/ForwardRequest.h"
-#include "foxtailring/decisions/HttpRoute.h"
-#include "foxtailring/decisions/RequestSuspicion.h"
-#include "foxtailring/decisions/ServerEvidence.h"
-#include "foxtailring/decisions/ServerProbeResult.h"
+#include "foxtailring/decisions/configuration/HttpRoute.h"
+#include "foxtailring/decisions/placement/AdmittedPlacer.h"
+#include "foxtailring/decisions/quarantine/RequestSuspicion.h"
+#include "foxtailring/decisions/servers/BackendAnswer.h"
+#include "foxtailring/decisions/servers/ServerEvidence.h"
+#include "foxtailring/decisions/servers/ServerProbeResult.h"
+#include "foxtailring/decisions/sessions/AttemptResult.h"
+#include "foxtailring/decisions/sessions/ForwardAction.h"
+#include "foxtailring/decisions/sessions/ForwardContext.h"
+#include "foxtailring/decisions/sessions/ForwardRequest.h"
 
 #include <cstdint>
 #include <optional>
--- a/include/foxtailring/decisions/RunCopier.h
+++ b/include/foxtailring/decisions/sessions/RunCopier.h
@@ -1,10 +1,10 @@
 #pragma once
 
 #include "foxtailring/base/Clock.h"
-#include "foxtailring/decisions/BackendState.h"
-#include "foxtailring/decisions/ForwardAction.h"
-#include "foxtailring/decisions/RunCopy.h"
-#include "foxtailring/decisions/ServerProbeResult.h"
+#include "foxtailring/decisions/servers/BackendState.h"
+#include "foxtailring/decisions/servers/ServerProbeResult.h"
+#include "foxtailring/decisions/sessions/ForwardAction.h"
+#include "foxtailring/decisions/sessions/RunCopy.h"
 
 #include <optional>
 #include <span>
--- a/include/foxtailring/decisions/RunPlacement.h
+++ b/include/foxtailring/decisions/sessions/RunPlacement.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "foxtailring/base/Clock.h"
-#include "foxtailring/decisions/BackendState.h"
-#include "foxtailring/decisions/PlacementRequest.h"
-#include "foxtailring/decisions/ServerProbeResult.h"
+#include "foxtailring/decisions/placement/PlacementRequest.h"
+#include "foxtailring/decisions/servers/BackendState.h"
+#include "foxtailring/decisions/servers/ServerProbeResult.h"
 
 #include <optional>
 #include <span>
--- a/include/foxtailring/decisions/ServerSearch.h
+++ b/include/foxtailring/decisions/sessions/ServerSearch.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "foxtailring/base/Clock.h"
-#include "foxtailring/decisions/ForwardAction.h"
-#include "foxtailring/decisions/ServerProbeResult.h"
+#include "foxtailring/decisions/servers/ServerProbeResult.h"
+#include "foxtailring/decisions/sessions/ForwardAction.h"
 
 #include <cstdint>
 #include <functional>
--- a/include/foxtailring/decisions/StreamSession.h
+++ b/include/foxtailring/decisions/sessions/StreamSession.h
@@ -1,13 +1,13 @@
 #pragma once
 
-#include "foxtailring/decisions/AttemptWatch.h"
-#include "foxtailring/decisions/EventVerdict.h"
-#include "foxtailring/decisions/ForwardSession.h"
-#include "foxtailring/decisions/ResumeWait.h"
-#include "foxtailring/decisions/RunCopier.h"
-#include "foxtailring/decisions/RunPlacement.h"
-#include "foxtailring/decisions/RunProgress.h"
-#include "foxtailring/decisions/ServerSearch.h"
+#include "foxtailring/decisions/sessions/AttemptWatch.h"
+#include "foxtailring/decisions/sessions/EventVerdict.h"
+#include "foxtailring/decisions/sessions/ForwardSession.h"
+#include "foxtailring/decisions/sessions/ResumeWait.h"
+#include "foxtailring/decisions/sessions/RunCopier.h"
+#include "foxtailring/decisions/sessions/RunPlacement.h"
+#include "foxtailring/decisions/sessions/RunProgress.h"
+#include "foxtailring/decisions/sessions/ServerSearch.h"
 
 namespace foxtailring {
 
--- a/include/foxtailring/entry/EntrySettings.h
+++ b/include/foxtailring/entry/EntrySettings.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "foxtailring/base/Result.h"
-#include "foxtailring/decisions/GenerationSessionSettings.h"
+#include "foxtailring/decisions/generation/GenerationSessionSettings.h"
 #include "foxtailring/transport/Endpoint.h"
 
 #include <chrono>
--- a/include/foxtailring/entry/MemberList.h
+++ b/include/foxtailring/entry/MemberList.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "foxtailring/decisions/ListedServer.h"
+#include "foxtailring/decisions/servers/ListedServer.h"
 
 #include <string>
 #include <vector>
--- a/include/foxtailring/gateway/AttemptMetadata.h
+++ b/include/foxtailring/gateway/AttemptMetadata.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "foxtailring/decisions/CopyReference.h"
+#include "foxtailring/decisions/sessions/CopyReference.h"
 
 #include <chrono>
 #include <cstdint>
--- a/include/foxtailring/gateway/BackendCodec.h
+++ b/include/foxtailring/gateway/BackendCodec.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "foxtailring/base/Result.h"
-#include "foxtailring/decisions/BackendAnswer.h"
-#include "foxtailring/decisions/ServerProbeResult.h"
+#include "foxtailring/decisions/servers/BackendAnswer.h"
+#include "foxtailring/decisions/servers/ServerProbeResult.h"
 #include "foxtailring/gateway/AttemptMetadata.h"
 #include "foxtailring/gateway/GatewayRequest.h"
 #include "foxtailring/transport/HttpRequest.h"
--- a/include/foxtailring/gateway/StoreSchema.h
+++ b/include/foxtailring/gateway/StoreSchema.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "foxtailring/base/Result.h"
-#include "foxtailring/decisions/BackendInfo.h"
-#include "foxtailring/decisions/RouteConfig.h"
+#include "foxtailring/decisions/configuration/RouteConfig.h"
+#include "foxtailring/decisions/servers/BackendInfo.h"
 
 #include <functional>
 #include <string>
--- a/include/foxtailring/operator/OperatorClient.h
+++ b/include/foxtailring/operator/OperatorClient.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "foxtailring/base/Result.h"
-#include "foxtailring/decisions/StoredResource.h"
+#include "foxtailring/decisions/configuration/StoredResource.h"
 #include "foxtailring/transport/HttpResponse.h"
 
 #include <chrono>
--- a/include/foxtailring/operator/ResourceFile.h
+++ b/include/foxtailring/operator/ResourceFile.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "foxtailring/base/Result.h"
-#include "foxtailring/decisions/StoredResource.h"
+#include "foxtailring/decisions/configuration/StoredResource.h"
 
 #include <string>
 #include <string_view>
--- a/include/foxtailring/sidecar/Generation.h
+++ b/include/foxtailring/sidecar/Generation.h
@@ -2,7 +2,7 @@
 
 #include "foxtailring/base/Clock.h"
 #include "foxtailring/base/Result.h"
-#include "foxtailring/decisions/AttemptId.h"
+#include "foxtailring/decisions/generation/AttemptId.h"
 #include "foxtailring/protocol/StartAttempt.h"
 #include "foxtailring/sidecar/CompletionReader.h"
 #include "foxtailring/sidecar/SidecarContext.h"
--- a/include/foxtailring/sidecar/GenerationListener.h
+++ b/include/foxtailring/sidecar/GenerationListener.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "foxtailring/base/Clock.h"
-#include "foxtailring/decisions/AttemptId.h"
+#include "foxtailring/decisions/generation/AttemptId.h"
 #include "foxtailring/protocol/Phase.h"
 
 #include <cstdint>
--- a/include/foxtailring/sidecar/GenerationService.h
+++ b/include/foxtailring/sidecar/GenerationService.h
@@ -2,7 +2,7 @@
 
 #include "foxtailring/base/Clock.h"
 #include "foxtailring/base/Result.h"
-#include "foxtailring/decisions/FenceTable.h"
+#include "foxtailring/decisions/generation/FenceTable.h"
 #include "foxtailring/sidecar/SidecarContext.h"
 #include "foxtailring/transport/Timer.h"
 
--- a/include/foxtailring/sidecar/RecordService.h
+++ b/include/foxtailring/sidecar/RecordService.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "foxtailring/decisions/GenerationRecords.h"
+#include "foxtailring/decisions/generation/GenerationRecords.h"
 #include "foxtailring/sidecar/SidecarContext.h"
 
 #include <memory>
--- a/include/foxtailring/sidecar/SidecarSettings.h
+++ b/include/foxtailring/sidecar/SidecarSettings.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "foxtailring/base/Result.h"
-#include "foxtailring/decisions/ServiceResource.h"
+#include "foxtailring/decisions/configuration/ServiceResource.h"
 #include "foxtailring/transport/Endpoint.h"
 
 #include <chrono>
--- a/include/foxtailring/store/ResourceList.h
+++ b/include/foxtailring/store/ResourceList.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "foxtailring/decisions/StoredResource.h"
+#include "foxtailring/decisions/configuration/StoredResource.h"
 
 #include <cstdint>
 #include <vector>
--- a/include/foxtailring/store/ResourceStore.h
+++ b/include/foxtailring/store/ResourceStore.h
@@ -2,7 +2,7 @@
 
 #include "foxtailring/base/Result.h"
 #include "foxtailring/base/StoreRevision.h"
-#include "foxtailring/decisions/StoredResource.h"
+#include "foxtailring/decisions/configuration/StoredResource.h"
 #include "foxtailring/store/ResourceList.h"
 
 #include <cstdint>
--- a/src/decisions/AccountUsage.h
+++ b/src/decisions/admission/AccountUsage.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "foxtailring/decisions/AccountLimits.h"
-#include "TokenBucket.h"
+#include "foxtailring/decisions/admission/AccountLimits.h"
+#include "limits/TokenBucket.h"
 
 #include <cstdint>
 
--- a/src/decisions/AdmissionController.cpp
+++ b/src/decisions/admission/AdmissionController.cpp
@@ -1,4 +1,4 @@
-#include "foxtailring/decisions/AdmissionController.h"
+#include "foxtailring/decisions/admission/AdmissionController.h"
 
 #include "AccountUsage.h"
 #include "ServiceAdmission.h"
--- a/src/decisions/DrainAdmission.cpp
+++ b/src/decisions/admission/DrainAdmission.cpp
@@ -1,4 +1,4 @@
-#include "foxtailring/decisions/DrainAdmission.h"
+#include "foxtailring/decisions/admission/DrainAdmission.h"
 
 #include <algorithm>
 
--- a/src/decisions/FairQueue.h
+++ b/src/decisions/admission/FairQueue.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "foxtailring/base/Clock.h"
-#include "foxtailring/decisions/AdmissionDecision.h"
+#include "foxtailring/decisions/admission/AdmissionDecision.h"
 
 #include <cstddef>
 #include <cstdint>
--- a/src/decisions/MemoryBudget.cpp
+++ b/src/decisions/admission/MemoryBudget.cpp
@@ -1,4 +1,4 @@
-#include "foxtailring/decisions/MemoryBudget.h"
+#include "foxtailring/decisions/admission/MemoryBudget.h"
 
 namespace foxtailring {
 
--- a/src/decisions/RetryBudget.cpp
+++ b/src/decisions/admission/RetryBudget.cpp
@@ -1,4 +1,4 @@
-#include "foxtailring/decisions/RetryBudget.h"
+#include "foxtailring/decisions/admission/RetryBudget.h"
 
 #include <algorithm>
 
--- a/src/decisions/ServiceAdmission.h
+++ b/src/decisions/admission/ServiceAdmission.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "DecayingRate.h"
 #include "FairQueue.h"
+#include "limits/DecayingRate.h"
 
 #include <array>
 #include <cstddef>
--- a/src/decisions/ClaimAnswers.h
+++ b/src/decisions/claims/ClaimAnswers.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "foxtailring/decisions/ClaimAction.h"
-#include "foxtailring/decisions/ClaimRecord.h"
+#include "foxtailring/decisions/claims/ClaimAction.h"
+#include "foxtailring/decisions/claims/ClaimRecord.h"
 #include "PendingClaim.h"
 
 #include <cstdint>
--- a/src/decisions/ClaimBucket.cpp
+++ b/src/decisions/claims/ClaimBucket.cpp
@@ -1,4 +1,4 @@
-#include "foxtailring/decisions/ClaimBucket.h"
+#include "foxtailring/decisions/claims/ClaimBucket.h"
 
 #include "foxtailring/protocol/KeyHash.h"
 
--- a/src/decisions/ClaimBucketState.h
+++ b/src/decisions/claims/ClaimBucketState.h
@@ -1,11 +1,11 @@
 #pragma once
 
 #include "foxtailring/base/StoreRevision.h"
-#include "foxtailring/decisions/ClaimAction.h"
-#include "foxtailring/decisions/ClaimDocument.h"
-#include "foxtailring/decisions/ClaimLimits.h"
-#include "foxtailring/decisions/ClaimRequest.h"
-#include "foxtailring/decisions/ClockReadings.h"
+#include "foxtailring/decisions/claims/ClaimAction.h"
+#include "foxtailring/decisions/claims/ClaimDocument.h"
+#include "foxtailring/decisions/claims/ClaimLimits.h"
+#include "foxtailring/decisions/claims/ClaimRequest.h"
+#include "foxtailring/decisions/membership/ClockReadings.h"
 #include "PendingClaim.h"
 
 #include <cstddef>
--- a/src/decisions/ClaimDocument.cpp
+++ b/src/decisions/claims/ClaimDocument.cpp
@@ -1,4 +1,4 @@
-#include "foxtailring/decisions/ClaimDocument.h"
+#include "foxtailring/decisions/claims/ClaimDocument.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
--- a/src/decisions/ClaimTable.cpp
+++ b/src/decisions/claims/ClaimTable.cpp
@@ -1,4 +1,4 @@
-#include "foxtailring/decisions/ClaimTable.h"
+#include "foxtailring/decisions/claims/ClaimTable.h"
 
 #include "ClaimBucketState.h"
 
--- a/src/decisions/AdapterResource.cpp
+++ b/src/decisions/configuration/AdapterResource.cpp
@@ -1,4 +1,4 @@
-#include "foxtailring/decisions/AdapterResource.h"
+#include "foxtailring/decisions/configuration/AdapterResource.h"
 
 #include "SpecReader.h"
 
--- a/src/decisions/BackendServerResource.cpp
+++ b/src/decisions/configuration/BackendServerResource.cpp
@@ -1,4 +1,4 @@
-#include "foxtailring/decisions/BackendServerResource.h"
+#include "foxtailring/decisions/configuration/BackendServerResource.h"
 
 #include "SpecReader.h"
 
--- a/src/decisions/ClientAccountResource.cpp
+++ b/src/decisions/configuration/ClientAccountResource.cpp
@@ -1,4 +1,4 @@
-#include "foxtailring/decisions/ClientAccountResource.h"
+#include "foxtailring/decisions/configuration/ClientAccountResource.h"
 
 #include "SpecReader.h"
 
--- a/src/decisions/ConfigSnapshot.cpp
+++ b/src/decisions/configuration/ConfigSnapshot.cpp
@@ -1,4 +1,4 @@
-#include "foxtailring/decisions/ConfigSnapshot.h"
+#include "foxtailring/decisions/configuration/ConfigSnapshot.h"
 
 #include <algorithm>
 
--- a/src/decisions/KeyFreshness.cpp
+++ b/src/decisions/configuration/KeyFreshness.cpp
@@ -1,4 +1,4 @@
-#include "foxtailring/decisions/KeyFreshness.h"
+#include "foxtailring/decisions/configuration/KeyFreshness.h"
 
 #include <algorithm>
 
--- a/src/decisions/ModelResource.cpp
+++ b/src/decisions/configuration/ModelResource.cpp
@@ -1,4 +1,4 @@
-#include "foxtailring/decisions/ModelResource.h"
+#include "foxtailring/decisions/configuration/ModelResource.h"
 
 #include "SpecReader.h"
 
--- a/src/decisions/RouteTable.cpp
+++ b/src/decisions/configuration/RouteTable.cpp
@@ -1,4 +1,4 @@
-#include "foxtailring/decisions/RouteTable.h"
+#include "foxtailring/decisions/configuration/RouteTable.h"
 
 #include <algorithm>
 
--- a/src/decisions/ServiceResource.cpp
+++ b/src/decisions/configuration/ServiceResource.cpp
@@ -1,4 +1,4 @@
-#include "foxtailring/decisions/ServiceResource.h"
+#include "foxtailring/decisions/configuration/ServiceResource.h"
 
 #include "SpecReader.h"
 
--- a/src/decisions/StoredResource.cpp
+++ b/src/decisions/configuration/StoredResource.cpp
@@ -1,10 +1,10 @@
-#include "foxtailring/decisions/StoredResource.h"
+#include "foxtailring/decisions/configuration/StoredResource.h"
 
-#include "foxtailring/decisions/AdapterResource.h"
-#include "foxtailring/decisions/BackendServerResource.h"
-#include "foxtailring/decisions/ClientAccountResource.h"
-#include "foxtailring/decisions/ModelResource.h"
-#include "foxtailring/decisions/ServiceResource.h"
+#include "foxtailring/decisions/configuration/AdapterResource.h"
+#include "foxtailring/decisions/configuration/BackendServerResource.h"
+#include "foxtailring/decisions/configuration/ClientAccountResource.h"
+#include "foxtailring/decisions/configuration/ModelResource.h"
+#include "foxtailring/decisions/configuration/ServiceResource.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/decisions/AnswerAssembler.cpp
+++ b/src/decisions/generation/AnswerAssembler.cpp
@@ -1,4 +1,4 @@
-#include "foxtailring/decisions/AnswerAssembler.h"
+#include "foxtailring/decisions/generation/AnswerAssembler.h"
 
 #include "foxtailring/protocol/Tokens.h"
 
--- a/src/decisions/GenerationRecords.cpp
+++ b/src/decisions/generation/GenerationRecords.cpp
@@ -1,4 +1,4 @@
-#include "foxtailring/decisions/GenerationRecords.h"
+#include "foxtailring/decisions/generation/GenerationRecords.h"
 
 namespace foxtailring {
 
--- a/src/decisions/GenerationSessionRecovery.cpp
+++ b/src/decisions/generation/GenerationSessionRecovery.cpp
@@ -1,4 +1,4 @@
-#include "foxtailring/decisions/GenerationSession.h"
+#include "foxtailring/decisions/generation/GenerationSession.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/decisions/Journal.cpp
+++ b/src/decisions/generation/Journal.cpp
@@ -1,4 +1,4 @@
-#include "foxtailring/decisions/Journal.h"
+#include "foxtailring/decisions/generation/Journal.h"
 
 #include <algorithm>
 
--- a/src/decisions/LivenessMonitor.cpp
+++ b/src/decisions/generation/LivenessMonitor.cpp
@@ -1,4 +1,4 @@
-#include "foxtailring/decisions/LivenessMonitor.h"
+#include "foxtailring/decisions/generation/LivenessMonitor.h"
 
 namespace foxtailring {
 
--- a/src/decisions/StopScanner.cpp
+++ b/src/decisions/generation/StopScanner.cpp
@@ -1,4 +1,4 @@
-#include "foxtailring/decisions/StopScanner.h"
+#include "foxtailring/decisions/generation/StopScanner.h"
 
 #include <algorithm>
 
--- a/src/decisions/DemandEstimator.cpp
+++ b/src/decisions/limits/DemandEstimator.cpp
@@ -1,4 +1,4 @@
-#include "foxtailring/decisions/DemandEstimator.h"
+#include "foxtailring/decisions/limits/DemandEstimator.h"
 
 #include <cmath>
 
--- a/src/decisions/IdleConnectionDemand.cpp
+++ b/src/decisions/limits/IdleConnectionDemand.cpp
@@ -1,6 +1,6 @@
-#include "foxtailring/decisions/IdleConnectionDemand.h"
+#include "foxtailring/decisions/limits/IdleConnectionDemand.h"
 
-#include "foxtailring/decisions/IdleConnectionDivision.h"
+#include "foxtailring/decisions/limits/IdleConnectionDivision.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/decisions/IdleConnectionDivision.cpp
+++ b/src/decisions/limits/IdleConnectionDivision.cpp
@@ -1,4 +1,4 @@
-#include "foxtailring/decisions/IdleConnectionDivision.h"
+#include "foxtailring/decisions/limits/IdleConnectionDivision.h"
 
 #include <algorithm>
 #include <array>
--- a/src/decisions/IdleConnectionShare.cpp
+++ b/src/decisions/limits/IdleConnectionShare.cpp
@@ -1,7 +1,7 @@
-#include "foxtailring/decisions/IdleConnectionShare.h"
+#include "foxtailring/decisions/limits/IdleConnectionShare.h"
 
-#include "foxtailring/decisions/FleetMembership.h"
-#include "foxtailring/decisions/IdleConnectionDivision.h"
+#include "foxtailring/decisions/limits/IdleConnectionDivision.h"
+#include "foxtailring/decisions/membership/FleetMembership.h"
 
 #include <algorithm>
 
--- a/src/decisions/RateApportionment.cpp
+++ b/src/decisions/limits/RateApportionment.cpp
@@ -1,6 +1,6 @@
-#include "foxtailring/decisions/RateApportionment.h"
+#include "foxtailring/decisions/limits/RateApportionment.h"
 
-#include "foxtailring/decisions/RendezvousHash.h"
+#include "foxtailring/decisions/placement/RendezvousHash.h"
 #include "foxtailring/protocol/KeyHash.h"
 
 #include <algorithm>
--- a/src/decisions/RateLimitPublication.cpp
+++ b/src/decisions/limits/RateLimitPublication.cpp
@@ -1,4 +1,4 @@
-#include "foxtailring/decisions/RateLimitPublication.h"
+#include "foxtailring/decisions/limits/RateLimitPublication.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/decisions/RateLimitTable.cpp
+++ b/src/decisions/limits/RateLimitTable.cpp
@@ -1,8 +1,8 @@
-#include "foxtailring/decisions/RateLimitTable.h"
+#include "foxtailring/decisions/limits/RateLimitTable.h"
 
-#include "foxtailring/decisions/BackendAnswer.h"
-#include "foxtailring/decisions/RateApportionment.h"
-#include "foxtailring/decisions/RendezvousHash.h"
+#include "foxtailring/decisions/limits/RateApportionment.h"
+#include "foxtailring/decisions/placement/RendezvousHash.h"
+#include "foxtailring/decisions/servers/BackendAnswer.h"
 
 #include <algorithm>
 #include <limits>
--- a/src/decisions/RequestWindow.cpp
+++ b/src/decisions/limits/RequestWindow.cpp
@@ -1,4 +1,4 @@
-#include "foxtailring/decisions/RequestWindow.h"
+#include "foxtailring/decisions/limits/RequestWindow.h"
 
 #include <algorithm>
 
--- a/src/decisions/ServerAdmission.cpp
+++ b/src/decisions/limits/ServerAdmission.cpp
@@ -1,9 +1,9 @@
-#include "foxtailring/decisions/ServerAdmission.h"
+#include "foxtailring/decisions/limits/ServerAdmission.h"
 
-#include "foxtailring/decisions/BackendInfo.h"
-#include "foxtailring/decisions/BackendTable.h"
-#include "foxtailring/decisions/RateLimitTable.h"
-#include "foxtailring/decisions/ServerPauses.h"
+#include "foxtailring/decisions/limits/RateLimitTable.h"
+#include "foxtailring/decisions/limits/ServerPauses.h"
+#include "foxtailring/decisions/servers/BackendInfo.h"
+#include "foxtailring/decisions/servers/BackendTable.h"
 
 #include <algorithm>
 
--- a/src/decisions/ServerPauses.cpp
+++ b/src/decisions/limits/ServerPauses.cpp
@@ -1,8 +1,8 @@
-#include "foxtailring/decisions/ServerPauses.h"
+#include "foxtailring/decisions/limits/ServerPauses.h"
 
 #include "foxtailring/base/RandomSource.h"
-#include "foxtailring/decisions/BackendAnswer.h"
-#include "foxtailring/decisions/BackendTable.h"
+#include "foxtailring/decisions/servers/BackendAnswer.h"
+#include "foxtailring/decisions/servers/BackendTable.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/decisions/DrainState.cpp
+++ b/src/decisions/membership/DrainState.cpp
@@ -1,4 +1,4 @@
-#include "foxtailring/decisions/DrainState.h"
+#include "foxtailring/decisions/membership/DrainState.h"
 
 #include <cassert>
 #include <utility>
--- a/src/decisions/EpochAge.cpp
+++ b/src/decisions/membership/EpochAge.cpp
@@ -1,4 +1,4 @@
-#include "foxtailring/decisions/EpochAge.h"
+#include "foxtailring/decisions/membership/EpochAge.h"
 
 namespace foxtailring {
 
--- a/src/decisions/FleetMembership.cpp
+++ b/src/decisions/membership/FleetMembership.cpp
@@ -1,6 +1,6 @@
-#include "foxtailring/decisions/FleetMembership.h"
+#include "foxtailring/decisions/membership/FleetMembership.h"
 
-#include "foxtailring/decisions/RendezvousHash.h"
+#include "foxtailring/decisions/placement/RendezvousHash.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/decisions/PollPacing.cpp
+++ b/src/decisions/membership/PollPacing.cpp
@@ -1,4 +1,4 @@
-#include "foxtailring/decisions/PollPacing.h"
+#include "foxtailring/decisions/membership/PollPacing.h"
 
 #include <algorithm>
 
--- a/src/decisions/ReporterClock.cpp
+++ b/src/decisions/membership/ReporterClock.cpp
@@ -1,4 +1,4 @@
-#include "foxtailring/decisions/ReporterClock.h"
+#include "foxtailring/decisions/membership/ReporterClock.h"
 
 #include <algorithm>
 
--- a/src/decisions/ReporterClocks.cpp
+++ b/src/decisions/membership/ReporterClocks.cpp
@@ -1,7 +1,7 @@
-#include "foxtailring/decisions/ReporterClocks.h"
+#include "foxtailring/decisions/membership/ReporterClocks.h"
 
-#include "foxtailring/decisions/CrashReport.h"
-#include "foxtailring/decisions/ReportReception.h"
+#include "foxtailring/decisions/membership/ReportReception.h"
+#include "foxtailring/decisions/quarantine/CrashReport.h"
 
 #include <algorithm>
 
--- a/src/decisions/AdmittedPlacer.cpp
+++ b/src/decisions/placement/AdmittedPlacer.cpp
@@ -1,11 +1,11 @@
-#include "foxtailring/decisions/AdmittedPlacer.h"
+#include "foxtailring/decisions/placement/AdmittedPlacer.h"
 
 #include "foxtailring/base/RandomSource.h"
-#include "foxtailring/decisions/BackendPlacer.h"
-#include "foxtailring/decisions/BackendTable.h"
-#include "foxtailring/decisions/ForwardContext.h"
-#include "foxtailring/decisions/RateLimitExplanation.h"
-#include "foxtailring/decisions/ServerAdmission.h"
+#include "foxtailring/decisions/limits/RateLimitExplanation.h"
+#include "foxtailring/decisions/limits/ServerAdmission.h"
+#include "foxtailring/decisions/placement/BackendPlacer.h"
+#include "foxtailring/decisions/servers/BackendTable.h"
+#include "foxtailring/decisions/sessions/ForwardContext.h"
 
 #include <algorithm>
 #include <vector>
--- a/src/decisions/BackendPlacer.cpp
+++ b/src/decisions/placement/BackendPlacer.cpp
@@ -1,8 +1,8 @@
-#include "foxtailring/decisions/BackendPlacer.h"
+#include "foxtailring/decisions/placement/BackendPlacer.h"
 
 #include "foxtailring/base/RandomSource.h"
-#include "foxtailring/decisions/BackendTable.h"
-#include "foxtailring/decisions/RendezvousHash.h"
+#include "foxtailring/decisions/placement/RendezvousHash.h"
+#include "foxtailring/decisions/servers/BackendTable.h"
 
 #include <algorithm>
 
--- a/src/decisions/PrefixHints.cpp
+++ b/src/decisions/placement/PrefixHints.cpp
@@ -1,4 +1,4 @@
-#include "foxtailring/decisions/PrefixHints.h"
+#include "foxtailring/decisions/placement/PrefixHints.h"
 
 #include <algorithm>
 
--- a/src/decisions/RendezvousHash.cpp
+++ b/src/decisions/placement/RendezvousHash.cpp
@@ -1,4 +1,4 @@
-#include "foxtailring/decisions/RendezvousHash.h"
+#include "foxtailring/decisions/placement/RendezvousHash.h"
 
 #include "foxtailring/protocol/KeyHash.h"
 
--- a/src/decisions/RouteCandidate.h
+++ b/src/decisions/placement/RouteCandidate.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "foxtailring/decisions/ServerState.h"
+#include "foxtailring/decisions/servers/ServerState.h"
 
 #include "RouteTier.h"
 
--- a/src/decisions/RouteTier.h
+++ b/src/decisions/placement/RouteTier.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "foxtailring/decisions/RouteRequest.h"
-#include "foxtailring/decisions/ServerInfo.h"
+#include "foxtailring/decisions/placement/RouteRequest.h"
+#include "foxtailring/decisions/servers/ServerInfo.h"
 
 #include <array>
 #include <cstddef>
--- a/src/decisions/SubsetSelector.cpp
+++ b/src/decisions/placement/SubsetSelector.cpp
@@ -1,6 +1,6 @@
-#include "foxtailring/decisions/SubsetSelector.h"
+#include "foxtailring/decisions/placement/SubsetSelector.h"
 
-#include "foxtailring/decisions/RendezvousHash.h"
+#include "foxtailring/decisions/placement/RendezvousHash.h"
 #include "foxtailring/protocol/KeyHash.h"
 
 #include <algorithm>
--- a/src/decisions/CrashAttribution.cpp
+++ b/src/decisions/quarantine/CrashAttribution.cpp
@@ -1,8 +1,8 @@
-#include "foxtailring/decisions/CrashAttribution.h"
+#include "foxtailring/decisions/quarantine/CrashAttribution.h"
 
-#include "foxtailring/decisions/EngineFailures.h"
-#include "foxtailring/decisions/SuspectStarts.h"
-#include "foxtailring/decisions/SuspectTable.h"
+#include "foxtailring/decisions/quarantine/SuspectStarts.h"
+#include "foxtailring/decisions/quarantine/SuspectTable.h"
+#include "foxtailring/decisions/servers/EngineFailures.h"
 #include "foxtailring/protocol/RequestDigest.h"
 
 #include <algorithm>
--- a/src/decisions/CrashChecks.cpp
+++ b/src/decisions/quarantine/CrashChecks.cpp
@@ -1,8 +1,8 @@
-#include "foxtailring/decisions/CrashChecks.h"
+#include "foxtailring/decisions/quarantine/CrashChecks.h"
 
 #include "foxtailring/base/RandomSource.h"
-#include "foxtailring/decisions/BackendTable.h"
-#include "foxtailring/decisions/ServerProbeResult.h"
+#include "foxtailring/decisions/servers/BackendTable.h"
+#include "foxtailring/decisions/servers/ServerProbeResult.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/decisions/CrashReportBuilder.cpp
+++ b/src/decisions/quarantine/CrashReportBuilder.cpp
@@ -1,6 +1,6 @@
 #include "CrashReportBuilder.h"
 
-#include "foxtailring/decisions/SuspectTable.h"
+#include "foxtailring/decisions/quarantine/SuspectTable.h"
 
 #include <algorithm>
 #include <cstddef>
--- a/src/decisions/CrashReportBuilder.h
+++ b/src/decisions/quarantine/CrashReportBuilder.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "foxtailring/base/Clock.h"
-#include "foxtailring/decisions/CrashReport.h"
+#include "foxtailring/decisions/quarantine/CrashReport.h"
 
 #include <cstdint>
 #include <functional>
--- a/src/decisions/RecentStarts.cpp
+++ b/src/decisions/quarantine/RecentStarts.cpp
@@ -1,4 +1,4 @@
-#include "foxtailring/decisions/RecentStarts.h"
+#include "foxtailring/decisions/quarantine/RecentStarts.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/decisions/RequestSuspicion.cpp
+++ b/src/decisions/quarantine/RequestSuspicion.cpp
@@ -1,11 +1,11 @@
-#include "foxtailring/decisions/RequestSuspicion.h"
-
-#include "foxtailring/decisions/BackendAnswer.h"
-#include "foxtailring/decisions/CallerStatus.h"
-#include "foxtailring/decisions/ForwardContext.h"
-#include "foxtailring/decisions/ForwardRequest.h"
-#include "foxtailring/decisions/RequestQuarantine.h"
-#include "foxtailring/decisions/SuspectedCrashes.h"
+#include "foxtailring/decisions/quarantine/RequestSuspicion.h"
+
+#include "foxtailring/decisions/quarantine/RequestQuarantine.h"
+#include "foxtailring/decisions/quarantine/SuspectedCrashes.h"
+#include "foxtailring/decisions/servers/BackendAnswer.h"
+#include "foxtailring/decisions/sessions/CallerStatus.h"
+#include "foxtailring/decisions/sessions/ForwardContext.h"
+#include "foxtailring/decisions/sessions/ForwardRequest.h"
 
 #include <algorithm>
 #include <span>
--- a/src/decisions/SuspectRecord.cpp
+++ b/src/decisions/quarantine/SuspectRecord.cpp
@@ -1,6 +1,6 @@
-#include "foxtailring/decisions/SuspectRecord.h"
+#include "foxtailring/decisions/quarantine/SuspectRecord.h"
 
-#include "foxtailring/decisions/CrashVerdict.h"
+#include "foxtailring/decisions/quarantine/CrashVerdict.h"
 
 #include <algorithm>
 #include <chrono>
--- a/src/decisions/SuspectStarts.cpp
+++ b/src/decisions/quarantine/SuspectStarts.cpp
@@ -1,4 +1,4 @@
-#include "foxtailring/decisions/SuspectStarts.h"
+#include "foxtailring/decisions/quarantine/SuspectStarts.h"
 
 #include "foxtailring/protocol/RequestDigest.h"
 
--- a/src/decisions/SuspectTable.cpp
+++ b/src/decisions/quarantine/SuspectTable.cpp
@@ -1,4 +1,4 @@
-#include "foxtailring/decisions/SuspectTable.h"
+#include "foxtailring/decisions/quarantine/SuspectTable.h"
 
 #include "foxtailring/protocol/RequestDigest.h"
 
--- a/src/decisions/BackendTable.cpp
+++ b/src/decisions/servers/BackendTable.cpp
@@ -1,4 +1,4 @@
-#include "foxtailring/decisions/BackendTable.h"
+#include "foxtailring/decisions/servers/BackendTable.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/decisions/EngineFailures.cpp
+++ b/src/decisions/servers/EngineFailures.cpp
@@ -1,4 +1,4 @@
-#include "foxtailring/decisions/EngineFailures.h"
+#include "foxtailring/decisions/servers/EngineFailures.h"
 
 #include <algorithm>
 
--- a/src/decisions/ReportPacing.cpp
+++ b/src/decisions/servers/ReportPacing.cpp
@@ -1,4 +1,4 @@
-#include "foxtailring/decisions/ReportPacing.h"
+#include "foxtailring/decisions/servers/ReportPacing.h"
 
 #include <algorithm>
 
--- a/src/decisions/ServerEvidence.cpp
+++ b/src/decisions/servers/ServerEvidence.cpp
@@ -1,11 +1,11 @@
-#include "foxtailring/decisions/ServerEvidence.h"
+#include "foxtailring/decisions/servers/ServerEvidence.h"
 
-#include "foxtailring/decisions/BackendAnswer.h"
-#include "foxtailring/decisions/BackendTable.h"
-#include "foxtailring/decisions/ForwardContext.h"
-#include "foxtailring/decisions/ServerAdmission.h"
-#include "foxtailring/decisions/ServerProbeResult.h"
-#include "foxtailring/decisions/SuspectedCrashes.h"
+#include "foxtailring/decisions/limits/ServerAdmission.h"
+#include "foxtailring/decisions/quarantine/SuspectedCrashes.h"
+#include "foxtailring/decisions/servers/BackendAnswer.h"
+#include "foxtailring/decisions/servers/BackendTable.h"
+#include "foxtailring/decisions/servers/ServerProbeResult.h"
+#include "foxtailring/decisions/sessions/ForwardContext.h"
 
 namespace foxtailring {
 
--- a/src/decisions/ServerIdentities.cpp
+++ b/src/decisions/servers/ServerIdentities.cpp
@@ -1,4 +1,4 @@
-#include "foxtailring/decisions/ServerIdentities.h"
+#include "foxtailring/decisions/servers/ServerIdentities.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/decisions/ServerTable.cpp
+++ b/src/decisions/servers/ServerTable.cpp
@@ -1,4 +1,4 @@
-#include "foxtailring/decisions/ServerTable.h"
+#include "foxtailring/decisions/servers/ServerTable.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/decisions/AttemptWatch.cpp
+++ b/src/decisions/sessions/AttemptWatch.cpp
@@ -1,10 +1,10 @@
-#include "foxtailring/decisions/AttemptWatch.h"
+#include "foxtailring/decisions/sessions/AttemptWatch.h"
 
-#include "foxtailring/decisions/AdmittedPlacer.h"
-#include "foxtailring/decisions/BackendTable.h"
-#include "foxtailring/decisions/EngineLatencyEstimator.h"
-#include "foxtailring/decisions/ForwardContext.h"
-#include "foxtailring/decisions/ForwardRequest.h"
+#include "foxtailring/decisions/placement/AdmittedPlacer.h"
+#include "foxtailring/decisions/servers/BackendTable.h"
+#include "foxtailring/decisions/sessions/EngineLatencyEstimator.h"
+#include "foxtailring/decisions/sessions/ForwardContext.h"
+#include "foxtailring/decisions/sessions/ForwardRequest.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/decisions/CallSession.cpp
+++ b/src/decisions/sessions/CallSession.cpp
@@ -1,7 +1,7 @@
-#include "foxtailring/decisions/CallSession.h"
+#include "foxtailring/decisions/sessions/CallSession.h"
 
-#include "foxtailring/decisions/BackendPlacer.h"
-#include "foxtailring/decisions/BackendTable.h"
+#include "foxtailring/decisions/placement/BackendPlacer.h"
+#include "foxtailring/decisions/servers/BackendTable.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/decisions/EngineLatencyEstimator.cpp
+++ b/src/decisions/sessions/EngineLatencyEstimator.cpp
@@ -1,4 +1,4 @@
-#include "foxtailring/decisions/EngineLatencyEstimator.h"
+#include "foxtailring/decisions/sessions/EngineLatencyEstimator.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/decisions/ForwardSession.cpp
+++ b/src/decisions/sessions/ForwardSession.cpp
@@ -1,11 +1,11 @@
-#include "foxtailring/decisions/ForwardSession.h"
+#include "foxtailring/decisions/sessions/ForwardSession.h"
 
 #include "foxtailring/base/RandomSource.h"
-#include "foxtailring/decisions/BackendTable.h"
-#include "foxtailring/decisions/CallerStatus.h"
-#include "foxtailring/decisions/RequestQuarantine.h"
-#include "foxtailring/decisions/RetryBudget.h"
-#include "foxtailring/decisions/SuspectedCrashes.h"
+#include "foxtailring/decisions/admission/RetryBudget.h"
+#include "foxtailring/decisions/quarantine/RequestQuarantine.h"
+#include "foxtailring/decisions/quarantine/SuspectedCrashes.h"
+#include "foxtailring/decisions/servers/BackendTable.h"
+#include "foxtailring/decisions/sessions/CallerStatus.h"
 
 #include <algorithm>
 #include <cstddef>
--- a/src/decisions/ResumeWait.cpp
+++ b/src/decisions/sessions/ResumeWait.cpp
@@ -1,8 +1,8 @@
-#include "foxtailring/decisions/ResumeWait.h"
+#include "foxtailring/decisions/sessions/ResumeWait.h"
 
 #include "foxtailring/base/RandomSource.h"
-#include "foxtailring/decisions/HttpRoute.h"
-#include "foxtailring/decisions/RetryBudget.h"
+#include "foxtailring/decisions/admission/RetryBudget.h"
+#include "foxtailring/decisions/configuration/HttpRoute.h"
 
 #include <algorithm>
 
--- a/src/decisions/RunCopier.cpp
+++ b/src/decisions/sessions/RunCopier.cpp
@@ -1,10 +1,10 @@
-#include "foxtailring/decisions/RunCopier.h"
+#include "foxtailring/decisions/sessions/RunCopier.h"
 
-#include "foxtailring/decisions/AdmittedPlacer.h"
-#include "foxtailring/decisions/BackendTable.h"
-#include "foxtailring/decisions/ForwardContext.h"
-#include "foxtailring/decisions/RunPlacement.h"
-#include "foxtailring/decisions/RunProgress.h"
+#include "foxtailring/decisions/placement/AdmittedPlacer.h"
+#include "foxtailring/decisions/servers/BackendTable.h"
+#include "foxtailring/decisions/sessions/ForwardContext.h"
+#include "foxtailring/decisions/sessions/RunPlacement.h"
+#include "foxtailring/decisions/sessions/RunProgress.h"
 
 #include <utility>
 
--- a/src/decisions/RunCopy.cpp
+++ b/src/decisions/sessions/RunCopy.cpp
@@ -1,7 +1,7 @@
-#include "foxtailring/decisions/RunCopy.h"
+#include "foxtailring/decisions/sessions/RunCopy.h"
 
-#include "foxtailring/decisions/BackendTable.h"
-#include "foxtailring/decisions/ForwardAction.h"
+#include "foxtailring/decisions/servers/BackendTable.h"
+#include "foxtailring/decisions/sessions/ForwardAction.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/decisions/RunPlacement.cpp
+++ b/src/decisions/sessions/RunPlacement.cpp
@@ -1,9 +1,9 @@
-#include "foxtailring/decisions/RunPlacement.h"
+#include "foxtailring/decisions/sessions/RunPlacement.h"
 
-#include "foxtailring/decisions/BackendPlacer.h"
-#include "foxtailring/decisions/BackendTable.h"
-#include "foxtailring/decisions/ForwardContext.h"
-#include "foxtailring/decisions/ServerAdmission.h"
+#include "foxtailring/decisions/limits/ServerAdmission.h"
+#include "foxtailring/decisions/placement/BackendPlacer.h"
+#include "foxtailring/decisions/servers/BackendTable.h"
+#include "foxtailring/decisions/sessions/ForwardContext.h"
 
 #include <algorithm>
 #include <iterator>
--- a/src/decisions/RunProgress.cpp
+++ b/src/decisions/sessions/RunProgress.cpp
@@ -1,7 +1,7 @@
-#include "foxtailring/decisions/RunProgress.h"
+#include "foxtailring/decisions/sessions/RunProgress.h"
 
-#include "foxtailring/decisions/HttpRoute.h"
-#include "foxtailring/decisions/ServerProbeResult.h"
+#include "foxtailring/decisions/configuration/HttpRoute.h"
+#include "foxtailring/decisions/servers/ServerProbeResult.h"
 
 #include <algorithm>
 
--- a/src/decisions/ServerSearch.cpp
+++ b/src/decisions/sessions/ServerSearch.cpp
@@ -1,10 +1,10 @@
-#include "foxtailring/decisions/ServerSearch.h"
+#include "foxtailring/decisions/sessions/ServerSearch.h"
 
-#include "foxtailring/decisions/AdmittedPlacer.h"
-#include "foxtailring/decisions/BackendPlacer.h"
-#include "foxtailring/decisions/ForwardRequest.h"
-#include "foxtailring/decisions/RunCopier.h"
-#include "foxtailring/decisions/RunPlacement.h"
+#include "foxtailring/decisions/placement/AdmittedPlacer.h"
+#include "foxtailring/decisions/placement/BackendPlacer.h"
+#include "foxtailring/decisions/sessions/ForwardRequest.h"
+#include "foxtailring/decisions/sessions/RunCopier.h"
+#include "foxtailring/decisions/sessions/RunPlacement.h"
 
 #include <string>
 #include <utility>
--- a/src/decisions/StreamSession.cpp
+++ b/src/decisions/sessions/StreamSession.cpp
@@ -1,9 +1,9 @@
-#include "foxtailring/decisions/StreamSession.h"
+#include "foxtailring/decisions/sessions/StreamSession.h"
 
-#include "foxtailring/decisions/BackendTable.h"
-#include "foxtailring/decisions/EngineLatencyEstimator.h"
-#include "foxtailring/decisions/RetryBudget.h"
-#include "foxtailring/decisions/SuspectedCrashes.h"
+#include "foxtailring/decisions/admission/RetryBudget.h"
+#include "foxtailring/decisions/quarantine/SuspectedCrashes.h"
+#include "foxtailring/decisions/servers/BackendTable.h"
+#include "foxtailring/decisions/sessions/EngineLatencyEstimator.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/entry/AdmissionGate.h
+++ b/src/entry/AdmissionGate.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "foxtailring/base/Clock.h"
-#include "foxtailring/decisions/AdmissionController.h"
+#include "foxtailring/decisions/admission/AdmissionController.h"
 #include "foxtailring/transport/Timer.h"
 
 #include <functional>
--- a/src/entry/AdmissionPass.h
+++ b/src/entry/AdmissionPass.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "foxtailring/decisions/AdmissionDecision.h"
+#include "foxtailring/decisions/admission/AdmissionDecision.h"
 
 namespace foxtailring {
 
--- a/src/entry/CallerPort.h
+++ b/src/entry/CallerPort.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "foxtailring/base/Result.h"
-#include "foxtailring/decisions/ClientAccountResource.h"
-#include "foxtailring/decisions/ConfigSnapshot.h"
+#include "foxtailring/decisions/configuration/ClientAccountResource.h"
+#include "foxtailring/decisions/configuration/ConfigSnapshot.h"
 
 #include "CallPort.h"
 #include "GenerationPort.h"
--- a/src/entry/CallerRequest.h
+++ b/src/entry/CallerRequest.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "foxtailring/base/TraceContext.h"
-#include "foxtailring/decisions/ClientAccountResource.h"
-#include "foxtailring/decisions/ConfigSnapshot.h"
+#include "foxtailring/decisions/configuration/ClientAccountResource.h"
+#include "foxtailring/decisions/configuration/ConfigSnapshot.h"
 #include "foxtailring/transport/HttpRequest.h"
 
 #include <memory>
--- a/src/entry/GenerationDirectory.cpp
+++ b/src/entry/GenerationDirectory.cpp
@@ -1,6 +1,6 @@
 #include "GenerationDirectory.h"
 
-#include "foxtailring/decisions/RendezvousHash.h"
+#include "foxtailring/decisions/placement/RendezvousHash.h"
 #include "foxtailring/protocol/FindGeneration.h"
 #include "foxtailring/protocol/Frame.h"
 #include "foxtailring/transport/Http2Stream.h"
--- a/src/entry/GenerationFrames.cpp
+++ b/src/entry/GenerationFrames.cpp
@@ -1,6 +1,6 @@
 #include "GenerationFrames.h"
 
-#include "foxtailring/decisions/GenerationSession.h"
+#include "foxtailring/decisions/generation/GenerationSession.h"
 #include "foxtailring/protocol/Accepted.h"
 #include "foxtailring/protocol/Failed.h"
 #include "foxtailring/protocol/Finished.h"
--- a/src/entry/GenerationFrames.h
+++ b/src/entry/GenerationFrames.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "foxtailring/decisions/GenerationAction.h"
+#include "foxtailring/decisions/generation/GenerationAction.h"
 #include "foxtailring/protocol/Ack.h"
 #include "foxtailring/protocol/Attach.h"
 #include "foxtailring/protocol/Cancel.h"
--- a/src/entry/GenerationJob.h
+++ b/src/entry/GenerationJob.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "foxtailring/decisions/CostWeights.h"
-#include "foxtailring/decisions/GenerationSpec.h"
+#include "foxtailring/decisions/generation/GenerationSpec.h"
+#include "foxtailring/decisions/placement/CostWeights.h"
 #include "foxtailring/entry/CompletionRequest.h"
 
 #include <cstdint>
--- a/src/entry/GenerationRunner.h
+++ b/src/entry/GenerationRunner.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "foxtailring/decisions/GenerationSession.h"
-#include "foxtailring/decisions/RouteChoice.h"
+#include "foxtailring/decisions/generation/GenerationSession.h"
+#include "foxtailring/decisions/placement/RouteChoice.h"
 #include "foxtailring/protocol/Ack.h"
 #include "foxtailring/protocol/ResumeToken.h"
 #include "foxtailring/transport/Timer.h"
--- a/src/entry/KeyOwner.cpp
+++ b/src/entry/KeyOwner.cpp
@@ -1,6 +1,6 @@
 #include "KeyOwner.h"
 
-#include "foxtailring/decisions/RendezvousHash.h"
+#include "foxtailring/decisions/placement/RendezvousHash.h"
 
 #include "EntryParts.h"
 
--- a/src/entry/Membership.h
+++ b/src/entry/Membership.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "foxtailring/decisions/SubsetSelector.h"
+#include "foxtailring/decisions/placement/SubsetSelector.h"
 #include "foxtailring/entry/MemberList.h"
 #include "foxtailring/transport/Timer.h"
 
--- a/src/entry/ResumeGate.h
+++ b/src/entry/ResumeGate.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "foxtailring/base/Clock.h"
-#include "foxtailring/decisions/ResumeAdmission.h"
+#include "foxtailring/decisions/admission/ResumeAdmission.h"
 #include "foxtailring/transport/Timer.h"
 
 #include <cstdint>
--- a/src/entry/ServerChoice.h
+++ b/src/entry/ServerChoice.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "foxtailring/base/Result.h"
-#include "foxtailring/decisions/RouteChoice.h"
-#include "foxtailring/decisions/RouteRequest.h"
+#include "foxtailring/decisions/placement/RouteChoice.h"
+#include "foxtailring/decisions/placement/RouteRequest.h"
 
 #include <cstdint>
 #include <set>
--- a/src/entry/SidecarFollower.h
+++ b/src/entry/SidecarFollower.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "foxtailring/base/Error.h"
-#include "foxtailring/decisions/LivenessMonitor.h"
+#include "foxtailring/decisions/generation/LivenessMonitor.h"
 #include "foxtailring/protocol/LoadReport.h"
 #include "foxtailring/transport/Timer.h"
 
--- a/src/entry/SidecarLinks.cpp
+++ b/src/entry/SidecarLinks.cpp
@@ -1,6 +1,6 @@
 #include "SidecarLinks.h"
 
-#include "foxtailring/decisions/ReportPacing.h"
+#include "foxtailring/decisions/servers/ReportPacing.h"
 #include "foxtailring/transport/Endpoint.h"
 
 #include "EntryParts.h"
--- a/src/gateway/AnswerReader.h
+++ b/src/gateway/AnswerReader.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "foxtailring/decisions/AttemptResult.h"
+#include "foxtailring/decisions/sessions/AttemptResult.h"
 #include "foxtailring/transport/HttpResponse.h"
 
 #include "StreamedEvent.h"
--- a/src/gateway/AttemptSender.cpp
+++ b/src/gateway/AttemptSender.cpp
@@ -1,7 +1,7 @@
 #include "AttemptSender.h"
 
-#include "foxtailring/decisions/ForwardAction.h"
-#include "foxtailring/decisions/HttpRoute.h"
+#include "foxtailring/decisions/configuration/HttpRoute.h"
+#include "foxtailring/decisions/sessions/ForwardAction.h"
 #include "foxtailring/gateway/BackendCodec.h"
 #include "foxtailring/gateway/GatewayRequest.h"
 
--- a/src/gateway/BodyTimeLimit.cpp
+++ b/src/gateway/BodyTimeLimit.cpp
@@ -1,6 +1,6 @@
 #include "BodyTimeLimit.h"
 
-#include "foxtailring/decisions/RouteTable.h"
+#include "foxtailring/decisions/configuration/RouteTable.h"
 #include "foxtailring/gateway/BackendCodec.h"
 
 #include <algorithm>
--- a/src/gateway/CallerAnswer.h
+++ b/src/gateway/CallerAnswer.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "foxtailring/base/Clock.h"
-#include "foxtailring/decisions/ForwardAction.h"
+#include "foxtailring/decisions/sessions/ForwardAction.h"
 #include "foxtailring/gateway/BackendCodec.h"
 
 #include <cstddef>
--- a/src/gateway/ConfigDecoder.cpp
+++ b/src/gateway/ConfigDecoder.cpp
@@ -1,6 +1,6 @@
 #include "ConfigDecoder.h"
 
-#include "foxtailring/decisions/RouteTable.h"
+#include "foxtailring/decisions/configuration/RouteTable.h"
 
 #include <algorithm>
 #include <exception>
--- a/src/gateway/ConfigDecoder.h
+++ b/src/gateway/ConfigDecoder.h
@@ -2,7 +2,7 @@
 
 #include "foxtailring/base/Clock.h"
 #include "foxtailring/base/Result.h"
-#include "foxtailring/decisions/RouteConfig.h"
+#include "foxtailring/decisions/configuration/RouteConfig.h"
 #include "foxtailring/store/KeyValue.h"
 #include "foxtailring/transport/SerialQueue.h"
 
--- a/src/gateway/CopyOrderSender.h
+++ b/src/gateway/CopyOrderSender.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "foxtailring/base/Result.h"
-#include "foxtailring/decisions/ForwardAction.h"
+#include "foxtailring/decisions/sessions/ForwardAction.h"
 #include "foxtailring/transport/HttpResponse.h"
 #include "foxtailring/transport/Timer.h"
 
--- a/src/gateway/CrashReportCodec.h
+++ b/src/gateway/CrashReportCodec.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "foxtailring/base/Result.h"
-#include "foxtailring/decisions/CrashReport.h"
+#include "foxtailring/decisions/quarantine/CrashReport.h"
 
 #include <string>
 #include <string_view>
--- a/src/gateway/ForwardSessionFactory.cpp
+++ b/src/gateway/ForwardSessionFactory.cpp
@@ -1,8 +1,8 @@
 #include "ForwardSessionFactory.h"
 
-#include "foxtailring/decisions/CallSession.h"
-#include "foxtailring/decisions/ForwardRequest.h"
-#include "foxtailring/decisions/RouteTable.h"
+#include "foxtailring/decisions/configuration/RouteTable.h"
+#include "foxtailring/decisions/sessions/CallSession.h"
+#include "foxtailring/decisions/sessions/ForwardRequest.h"
 #include "foxtailring/gateway/GatewayRequest.h"
 
 #include <algorithm>
--- a/src/gateway/ForwardSessionFactory.h
+++ b/src/gateway/ForwardSessionFactory.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "foxtailring/base/Clock.h"
-#include "foxtailring/decisions/ForwardContext.h"
-#include "foxtailring/decisions/StreamSession.h"
+#include "foxtailring/decisions/sessions/ForwardContext.h"
+#include "foxtailring/decisions/sessions/StreamSession.h"
 
 #include <memory>
 
--- a/src/gateway/GatewayListingCodec.cpp
+++ b/src/gateway/GatewayListingCodec.cpp
@@ -1,6 +1,6 @@
 #include "GatewayListingCodec.h"
 
-#include "foxtailring/decisions/IdleConnectionDivision.h"
+#include "foxtailring/decisions/limits/IdleConnectionDivision.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/gateway/GatewayParts.cpp
+++ b/src/gateway/GatewayParts.cpp
@@ -1,7 +1,7 @@
 #include "GatewayParts.h"
 
 #include "foxtailring/base/StructuredLog.h"
-#include "foxtailring/decisions/CopyReference.h"
+#include "foxtailring/decisions/sessions/CopyReference.h"
 #include "foxtailring/protocol/KeyHash.h"
 #include "foxtailring/transport/Endpoint.h"
 
--- a/src/gateway/IdleConnectionControl.h
+++ b/src/gateway/IdleConnectionControl.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "foxtailring/base/Clock.h"
-#include "foxtailring/decisions/IdleConnectionDemand.h"
-#include "foxtailring/decisions/IdleConnectionLimit.h"
+#include "foxtailring/decisions/limits/IdleConnectionDemand.h"
+#include "foxtailring/decisions/limits/IdleConnectionLimit.h"
 #include "foxtailring/transport/Timer.h"
 
 #include <cstddef>
--- a/src/gateway/RateLimitReportCodec.h
+++ b/src/gateway/RateLimitReportCodec.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "foxtailring/base/Result.h"
-#include "foxtailring/decisions/RateLimitReport.h"
+#include "foxtailring/decisions/limits/RateLimitReport.h"
 
 #include <string>
 #include <string_view>
--- a/src/gateway/Refusal.h
+++ b/src/gateway/Refusal.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "foxtailring/decisions/ForwardAction.h"
+#include "foxtailring/decisions/sessions/ForwardAction.h"
 #include "foxtailring/transport/HttpResponse.h"
 
 #include <string_view>
--- a/src/gateway/RequestDispatcher.h
+++ b/src/gateway/RequestDispatcher.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "foxtailring/base/Clock.h"
-#include "foxtailring/decisions/DrainAdmission.h"
-#include "foxtailring/decisions/StartupAdmission.h"
+#include "foxtailring/decisions/admission/DrainAdmission.h"
+#include "foxtailring/decisions/admission/StartupAdmission.h"
 #include "foxtailring/gateway/GatewayRequest.h"
 #include "foxtailring/transport/HttpRequest.h"
 #include "foxtailring/transport/Timer.h"
--- a/src/gateway/RequestMemoryFactory.cpp
+++ b/src/gateway/RequestMemoryFactory.cpp
@@ -2,8 +2,8 @@
 
 #include "foxtailring/base/MetricRegistry.h"
 #include "foxtailring/base/StructuredLog.h"
-#include "foxtailring/decisions/ForwardAction.h"
-#include "foxtailring/decisions/MemoryBudget.h"
+#include "foxtailring/decisions/admission/MemoryBudget.h"
+#include "foxtailring/decisions/sessions/ForwardAction.h"
 #include "foxtailring/transport/RequestMemory.h"
 
 #include "Refusal.h"
--- a/src/gateway/RequestRelay.h
+++ b/src/gateway/RequestRelay.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "foxtailring/base/Result.h"
-#include "foxtailring/decisions/ForwardSession.h"
-#include "foxtailring/decisions/RouteTable.h"
-#include "foxtailring/decisions/StreamSession.h"
+#include "foxtailring/decisions/configuration/RouteTable.h"
+#include "foxtailring/decisions/sessions/ForwardSession.h"
+#include "foxtailring/decisions/sessions/StreamSession.h"
 #include "foxtailring/gateway/GatewayRequest.h"
 #include "foxtailring/transport/HttpResponse.h"
 #include "foxtailring/transport/Timer.h"
--- a/src/gateway/RequestReporter.cpp
+++ b/src/gateway/RequestReporter.cpp
@@ -1,8 +1,8 @@
 #include "RequestReporter.h"
 
 #include "foxtailring/base/StructuredLog.h"
-#include "foxtailring/decisions/HttpRoute.h"
-#include "foxtailring/decisions/RouteTable.h"
+#include "foxtailring/decisions/configuration/HttpRoute.h"
+#include "foxtailring/decisions/configuration/RouteTable.h"
 #include "foxtailring/gateway/GatewayRequest.h"
 
 #include "DurationText.h"
--- a/src/gateway/RequestReporter.h
+++ b/src/gateway/RequestReporter.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "foxtailring/base/Clock.h"
-#include "foxtailring/decisions/AttemptResult.h"
-#include "foxtailring/decisions/ForwardAction.h"
-#include "foxtailring/decisions/ServerProbeResult.h"
+#include "foxtailring/decisions/servers/ServerProbeResult.h"
+#include "foxtailring/decisions/sessions/AttemptResult.h"
+#include "foxtailring/decisions/sessions/ForwardAction.h"
 
 #include <cstddef>
 #include <cstdint>
--- a/src/gateway/ServerAttempt.h
+++ b/src/gateway/ServerAttempt.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "foxtailring/decisions/BackendAnswer.h"
+#include "foxtailring/decisions/servers/BackendAnswer.h"
 #include "foxtailring/protocol/EventStreamReader.h"
 #include "foxtailring/transport/Endpoint.h"
 #include "foxtailring/transport/HttpResponse.h"
--- a/src/gateway/ServerProbe.h
+++ b/src/gateway/ServerProbe.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "foxtailring/base/Result.h"
-#include "foxtailring/decisions/ForwardAction.h"
-#include "foxtailring/decisions/ServerProbeResult.h"
+#include "foxtailring/decisions/servers/ServerProbeResult.h"
+#include "foxtailring/decisions/sessions/ForwardAction.h"
 #include "foxtailring/transport/Timer.h"
 
 #include <cstddef>
--- a/src/gateway/StoreWatch.h
+++ b/src/gateway/StoreWatch.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "foxtailring/decisions/RereadPacing.h"
+#include "foxtailring/decisions/membership/RereadPacing.h"
 #include "foxtailring/gateway/StoreSchema.h"
 #include "foxtailring/store/PrefixWatcher.h"
 #include "foxtailring/transport/Timer.h"
--- a/src/operator/OperatorApi.cpp
+++ b/src/operator/OperatorApi.cpp
@@ -1,6 +1,6 @@
 #include "foxtailring/operator/OperatorApi.h"
 
-#include "foxtailring/decisions/ConfigState.h"
+#include "foxtailring/decisions/configuration/ConfigState.h"
 #include "foxtailring/protocol/ConfigUpdate.h"
 #include "foxtailring/store/ResourceStore.h"
 #include "foxtailring/transport/Http1Client.h"
--- a/src/operator/WatchStreams.cpp
+++ b/src/operator/WatchStreams.cpp
@@ -1,6 +1,6 @@
 #include "WatchStreams.h"
 
-#include "foxtailring/decisions/ConfigState.h"
+#include "foxtailring/decisions/configuration/ConfigState.h"
 #include "foxtailring/protocol/ConfigUpdate.h"
 #include "foxtailring/transport/Http1Responder.h"
 
--- a/src/sidecar/AdminServer.cpp
+++ b/src/sidecar/AdminServer.cpp
@@ -1,8 +1,8 @@
 #include "foxtailring/sidecar/AdminServer.h"
 
 #include "foxtailring/base/MetricRegistry.h"
-#include "foxtailring/decisions/ConfigState.h"
-#include "foxtailring/decisions/DrainState.h"
+#include "foxtailring/decisions/configuration/ConfigState.h"
+#include "foxtailring/decisions/membership/DrainState.h"
 #include "foxtailring/sidecar/SidecarSettings.h"
 #include "foxtailring/transport/Http1Responder.h"
 #include "foxtailring/transport/Http1Server.h"
--- a/src/sidecar/CallForwarder.cpp
+++ b/src/sidecar/CallForwarder.cpp
@@ -1,6 +1,6 @@
 #include "foxtailring/sidecar/CallForwarder.h"
 
-#include "foxtailring/decisions/ConfigState.h"
+#include "foxtailring/decisions/configuration/ConfigState.h"
 #include "foxtailring/protocol/Call.h"
 #include "foxtailring/protocol/ConfigUpdate.h"
 #include "foxtailring/sidecar/SidecarSettings.h"
--- a/src/sidecar/ClaimRunner.cpp
+++ b/src/sidecar/ClaimRunner.cpp
@@ -1,7 +1,7 @@
 #include "foxtailring/sidecar/ClaimRunner.h"
 
 #include "foxtailring/base/MetricRegistry.h"
-#include "foxtailring/decisions/ClaimBucket.h"
+#include "foxtailring/decisions/claims/ClaimBucket.h"
 #include "foxtailring/protocol/KeyHash.h"
 #include "foxtailring/sidecar/SidecarSettings.h"
 #include "foxtailring/sidecar/StoredAnswer.h"
--- a/src/sidecar/ConfigService.cpp
+++ b/src/sidecar/ConfigService.cpp
@@ -2,8 +2,8 @@
 
 #include "foxtailring/base/MetricRegistry.h"
 #include "foxtailring/base/StructuredLog.h"
-#include "foxtailring/decisions/ConfigState.h"
-#include "foxtailring/decisions/DrainState.h"
+#include "foxtailring/decisions/configuration/ConfigState.h"
+#include "foxtailring/decisions/membership/DrainState.h"
 #include "foxtailring/protocol/ConfigAck.h"
 #include "foxtailring/protocol/ConfigUpdate.h"
 #include "foxtailring/sidecar/MessageStream.h"
--- a/src/sidecar/Generation.cpp
+++ b/src/sidecar/Generation.cpp
@@ -1,7 +1,7 @@
 #include "foxtailring/sidecar/Generation.h"
 
 #include "foxtailring/base/MetricRegistry.h"
-#include "foxtailring/decisions/Journal.h"
+#include "foxtailring/decisions/generation/Journal.h"
 #include "foxtailring/protocol/Ack.h"
 #include "foxtailring/protocol/Cancel.h"
 #include "foxtailring/protocol/Frame.h"
--- a/src/sidecar/GenerationListener.cpp
+++ b/src/sidecar/GenerationListener.cpp
@@ -1,6 +1,6 @@
 #include "foxtailring/sidecar/GenerationListener.h"
 
-#include "foxtailring/decisions/Journal.h"
+#include "foxtailring/decisions/generation/Journal.h"
 #include "foxtailring/protocol/Failed.h"
 #include "foxtailring/protocol/Finished.h"
 #include "foxtailring/protocol/Progress.h"
--- a/src/sidecar/GenerationService.cpp
+++ b/src/sidecar/GenerationService.cpp
@@ -1,8 +1,8 @@
 #include "foxtailring/sidecar/GenerationService.h"
 
 #include "foxtailring/base/MetricRegistry.h"
-#include "foxtailring/decisions/DrainState.h"
-#include "foxtailring/decisions/Journal.h"
+#include "foxtailring/decisions/generation/Journal.h"
+#include "foxtailring/decisions/membership/DrainState.h"
 #include "foxtailring/protocol/Accepted.h"
 #include "foxtailring/protocol/Attach.h"
 #include "foxtailring/protocol/Refused.h"
--- a/src/sidecar/LoadMonitor.cpp
+++ b/src/sidecar/LoadMonitor.cpp
@@ -1,7 +1,7 @@
 #include "foxtailring/sidecar/LoadMonitor.h"
 
 #include "foxtailring/base/ParseJson.h"
-#include "foxtailring/decisions/DrainState.h"
+#include "foxtailring/decisions/membership/DrainState.h"
 #include "foxtailring/sidecar/SidecarSettings.h"
 #include "foxtailring/transport/Http1Client.h"
 
--- a/src/sidecar/ReportService.cpp
+++ b/src/sidecar/ReportService.cpp
@@ -1,7 +1,7 @@
 #include "foxtailring/sidecar/ReportService.h"
 
-#include "foxtailring/decisions/ConfigState.h"
-#include "foxtailring/decisions/DrainState.h"
+#include "foxtailring/decisions/configuration/ConfigState.h"
+#include "foxtailring/decisions/membership/DrainState.h"
 #include "foxtailring/protocol/LoadReport.h"
 #include "foxtailring/protocol/WatchReports.h"
 #include "foxtailring/sidecar/LoadMonitor.h"
--- a/src/sidecar/WorkGate.cpp
+++ b/src/sidecar/WorkGate.cpp
@@ -1,7 +1,7 @@
 #include "foxtailring/sidecar/WorkGate.h"
 
-#include "foxtailring/decisions/ConfigState.h"
-#include "foxtailring/decisions/DrainState.h"
+#include "foxtailring/decisions/configuration/ConfigState.h"
+#include "foxtailring/decisions/membership/DrainState.h"
 #include "foxtailring/sidecar/LoadMonitor.h"
 #include "foxtailring/sidecar/SidecarSettings.h"
 #include "foxtailring/sidecar/WorkTicket.h"
--- a/tests/decisions/AdmissionControllerTest.cpp
+++ b/tests/decisions/admission/AdmissionControllerTest.cpp
@@ -1,4 +1,4 @@
-#include "foxtailring/decisions/AdmissionController.h"
+#include "foxtailring/decisions/admission/AdmissionController.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <map>
--- a/tests/decisions/DrainAdmissionTest.cpp
+++ b/tests/decisions/admission/DrainAdmissionTest.cpp
@@ -1,5 +1,5 @@
-#include "foxtailring/decisions/DrainAdmission.h"
-#include "foxtailring/decisions/EngineLatencyEstimator.h"
+#include "foxtailring/decisions/admission/DrainAdmission.h"
+#include "foxtailring/decisions/sessions/EngineLatencyEstimator.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
--- a/tests/decisions/MemoryBudgetTest.cpp
+++ b/tests/decisions/admission/MemoryBudgetTest.cpp
@@ -1,4 +1,4 @@
-#include "foxtailring/decisions/MemoryBudget.h"
+#include "foxtailring/decisions/admission/MemoryBudget.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <memory>
--- a/tests/decisions/ResumeAdmissionTest.cpp
+++ b/tests/decisions/admission/ResumeAdmissionTest.cpp
@@ -1,4 +1,4 @@
-#include "foxtailring/decisions/ResumeAdmission.h"
+#include "foxtailring/decisions/admission/ResumeAdmission.h"
 
 #include "foxtailring/base/RandomSource.h"
 
--- a/tests/decisions/StartupAdmissionTest.cpp
+++ b/tests/decisions/admission/StartupAdmissionTest.cpp
@@ -1,4 +1,4 @@
-#include "foxtailring/decisions/StartupAdmission.h"
+#include "foxtailring/decisions/admission/StartupAdmission.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
--- a/tests/decisions/ClaimDriver.h
+++ b/tests/decisions/claims/ClaimDriver.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "foxtailring/decisions/ClaimTable.h"
+#include "foxtailring/decisions/claims/ClaimTable.h"
 
 #include <map>
 #include <string>
--- a/tests/decisions/ClaimSimulationTest.cpp
+++ b/tests/decisions/claims/ClaimSimulationTest.cpp
@@ -1,5 +1,5 @@
 #include "foxtailring/base/RandomSource.h"
-#include "foxtailring/decisions/ClaimTable.h"
+#include "foxtailring/decisions/claims/ClaimTable.h"
 
 #include <algorithm>
 #include <cppunit/extensions/HelperMacros.h>
--- a/tests/decisions/ClaimTableTest.cpp
+++ b/tests/decisions/claims/ClaimTableTest.cpp
@@ -1,7 +1,7 @@
-#include "foxtailring/decisions/ClaimTable.h"
+#include "foxtailring/decisions/claims/ClaimTable.h"
 
 #include "ClaimDriver.h"
-#include "foxtailring/decisions/ClaimDocument.h"
+#include "foxtailring/decisions/claims/ClaimDocument.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
--- a/tests/decisions/ConfigStateTest.cpp
+++ b/tests/decisions/configuration/ConfigStateTest.cpp
@@ -1,4 +1,4 @@
-#include "foxtailring/decisions/ConfigState.h"
+#include "foxtailring/decisions/configuration/ConfigState.h"
 
 #include "foxtailring/protocol/ConfigUpdate.h"
 
--- a/tests/decisions/RouteTableTest.cpp
+++ b/tests/decisions/configuration/RouteTableTest.cpp
@@ -1,6 +1,6 @@
-#include "foxtailring/decisions/RouteTable.h"
-#include "foxtailring/decisions/DrainAdmission.h"
-#include "foxtailring/decisions/KeyFreshness.h"
+#include "foxtailring/decisions/configuration/RouteTable.h"
+#include "foxtailring/decisions/admission/DrainAdmission.h"
+#include "foxtailring/decisions/configuration/KeyFreshness.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
--- a/tests/decisions/AnswerAssemblerTest.cpp
+++ b/tests/decisions/generation/AnswerAssemblerTest.cpp
@@ -1,5 +1,5 @@
-#include "foxtailring/decisions/AnswerAssembler.h"
-#include "foxtailring/decisions/StopScanner.h"
+#include "foxtailring/decisions/generation/AnswerAssembler.h"
+#include "foxtailring/decisions/generation/StopScanner.h"
 #include "foxtailring/protocol/Tokens.h"
 
 #include <cppunit/extensions/HelperMacros.h>
--- a/tests/decisions/FenceTableTest.cpp
+++ b/tests/decisions/generation/FenceTableTest.cpp
@@ -1,4 +1,4 @@
-#include "foxtailring/decisions/FenceTable.h"
+#include "foxtailring/decisions/generation/FenceTable.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
--- a/tests/decisions/GenerationFaultsTest.cpp
+++ b/tests/decisions/generation/GenerationFaultsTest.cpp
@@ -1,5 +1,5 @@
 #include "foxtailring/base/RandomSource.h"
-#include "foxtailring/decisions/GenerationSession.h"
+#include "foxtailring/decisions/generation/GenerationSession.h"
 #include "foxtailring/protocol/Failed.h"
 #include "foxtailring/protocol/Finished.h"
 #include "foxtailring/protocol/Refused.h"
--- a/tests/decisions/GenerationSessionTest.cpp
+++ b/tests/decisions/generation/GenerationSessionTest.cpp
@@ -1,4 +1,4 @@
-#include "foxtailring/decisions/GenerationSession.h"
+#include "foxtailring/decisions/generation/GenerationSession.h"
 
 #include "foxtailring/protocol/Accepted.h"
 #include "foxtailring/protocol/Failed.h"
--- a/tests/decisions/GenerationTestData.h
+++ b/tests/decisions/generation/GenerationTestData.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "foxtailring/decisions/GenerationAction.h"
-#include "foxtailring/decisions/GenerationSpec.h"
+#include "foxtailring/decisions/generation/GenerationAction.h"
+#include "foxtailring/decisions/generation/GenerationSpec.h"
 #include "foxtailring/protocol/Tokens.h"
 
 #include <cstdint>
--- a/tests/decisions/IdleConnectionDemandTest.cpp
+++ b/tests/decisions/limits/IdleConnectionDemandTest.cpp
@@ -1,5 +1,5 @@
-#include "foxtailring/decisions/IdleConnectionDemand.h"
-#include "foxtailring/decisions/IdleConnectionDivision.h"
+#include "foxtailring/decisions/limits/IdleConnectionDemand.h"
+#include "foxtailring/decisions/limits/IdleConnectionDivision.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
--- a/tests/decisions/IdleConnectionDivisionTest.cpp
+++ b/tests/decisions/limits/IdleConnectionDivisionTest.cpp
@@ -1,4 +1,4 @@
-#include "foxtailring/decisions/IdleConnectionDivision.h"
+#include "foxtailring/decisions/limits/IdleConnectionDivision.h"
 #include "foxtailring/base/RandomSource.h"
 
 #include <cppunit/extensions/HelperMacros.h>
--- a/tests/decisions/IdleConnectionFleet.h
+++ b/tests/decisions/limits/IdleConnectionFleet.h
@@ -1,10 +1,10 @@
 #pragma once
 
 #include "foxtailring/base/RandomSource.h"
-#include "foxtailring/decisions/FleetMembership.h"
-#include "foxtailring/decisions/IdleConnectionDemand.h"
-#include "foxtailring/decisions/IdleConnectionLimit.h"
-#include "foxtailring/decisions/IdleConnectionShare.h"
+#include "foxtailring/decisions/limits/IdleConnectionDemand.h"
+#include "foxtailring/decisions/limits/IdleConnectionLimit.h"
+#include "foxtailring/decisions/limits/IdleConnectionShare.h"
+#include "foxtailring/decisions/membership/FleetMembership.h"
 
 #include <algorithm>
 #include <memory>
--- a/tests/decisions/IdleConnectionShareTest.cpp
+++ b/tests/decisions/limits/IdleConnectionShareTest.cpp
@@ -1,5 +1,5 @@
-#include "foxtailring/decisions/IdleConnectionShare.h"
-#include "foxtailring/decisions/FleetMembership.h"
+#include "foxtailring/decisions/limits/IdleConnectionShare.h"
+#include "foxtailring/decisions/membership/FleetMembership.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
--- a/tests/decisions/IdleConnectionSimulationTest.cpp
+++ b/tests/decisions/limits/IdleConnectionSimulationTest.cpp
@@ -1,4 +1,4 @@
-#include "foxtailring/decisions/IdleConnectionLimit.h"
+#include "foxtailring/decisions/limits/IdleConnectionLimit.h"
 
 #include "IdleConnectionFleet.h"
 #include "IdleConnectionSimulation.h"
--- a/tests/decisions/PauseSimulation.h
+++ b/tests/decisions/limits/PauseSimulation.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "foxtailring/decisions/CallSession.h"
+#include "foxtailring/decisions/sessions/CallSession.h"
 
-#include "ForwardFixture.h"
+#include "sessions/ForwardFixture.h"
 
 #include <algorithm>
 #include <deque>
--- a/tests/decisions/RateLimitSimulation.h
+++ b/tests/decisions/limits/RateLimitSimulation.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "foxtailring/base/RandomSource.h"
-#include "foxtailring/decisions/BackendAnswer.h"
-#include "foxtailring/decisions/RateLimitTable.h"
+#include "foxtailring/decisions/limits/RateLimitTable.h"
+#include "foxtailring/decisions/servers/BackendAnswer.h"
 
 #include <algorithm>
 #include <deque>
--- a/tests/decisions/RateLimitTableTest.cpp
+++ b/tests/decisions/limits/RateLimitTableTest.cpp
@@ -1,6 +1,6 @@
-#include "foxtailring/decisions/RateLimitTable.h"
-#include "foxtailring/decisions/BackendAnswer.h"
-#include "foxtailring/decisions/RateApportionment.h"
+#include "foxtailring/decisions/limits/RateLimitTable.h"
+#include "foxtailring/decisions/limits/RateApportionment.h"
+#include "foxtailring/decisions/servers/BackendAnswer.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
--- a/tests/decisions/EpochAgeTest.cpp
+++ b/tests/decisions/membership/EpochAgeTest.cpp
@@ -1,6 +1,6 @@
-#include "foxtailring/decisions/EpochAge.h"
+#include "foxtailring/decisions/membership/EpochAge.h"
 
-#include "foxtailring/decisions/KeyFreshness.h"
+#include "foxtailring/decisions/configuration/KeyFreshness.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
--- a/tests/decisions/FleetMembershipTest.cpp
+++ b/tests/decisions/membership/FleetMembershipTest.cpp
@@ -1,4 +1,4 @@
-#include "foxtailring/decisions/FleetMembership.h"
+#include "foxtailring/decisions/membership/FleetMembership.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
--- a/tests/decisions/RereadPacingTest.cpp
+++ b/tests/decisions/membership/RereadPacingTest.cpp
@@ -1,4 +1,4 @@
-#include "foxtailring/decisions/RereadPacing.h"
+#include "foxtailring/decisions/membership/RereadPacing.h"
 #include "foxtailring/base/RandomSource.h"
 
 #include <cppunit/extensions/HelperMacros.h>
--- a/tests/decisions/BackendPlacerTest.cpp
+++ b/tests/decisions/placement/BackendPlacerTest.cpp
@@ -1,6 +1,6 @@
-#include "foxtailring/decisions/BackendPlacer.h"
+#include "foxtailring/decisions/placement/BackendPlacer.h"
 
-#include "ForwardFixture.h"
+#include "sessions/ForwardFixture.h"
 
 #include <set>
 
--- a/tests/decisions/PromptAffinityTest.cpp
+++ b/tests/decisions/placement/PromptAffinityTest.cpp
@@ -1,7 +1,7 @@
-#include "foxtailring/decisions/PlacementRequest.h"
-#include "foxtailring/decisions/StreamSession.h"
+#include "foxtailring/decisions/placement/PlacementRequest.h"
+#include "foxtailring/decisions/sessions/StreamSession.h"
 
-#include "ForwardFixture.h"
+#include "sessions/ForwardFixture.h"
 
 #include <algorithm>
 
--- a/tests/decisions/RendezvousHashTest.cpp
+++ b/tests/decisions/placement/RendezvousHashTest.cpp
@@ -1,4 +1,4 @@
-#include "foxtailring/decisions/RendezvousHash.h"
+#include "foxtailring/decisions/placement/RendezvousHash.h"
 
 #include <algorithm>
 #include <cppunit/extensions/HelperMacros.h>
--- a/tests/decisions/RouterTest.cpp
+++ b/tests/decisions/placement/RouterTest.cpp
@@ -1,8 +1,8 @@
-#include "foxtailring/decisions/Router.h"
+#include "foxtailring/decisions/placement/Router.h"
 
 #include "foxtailring/base/RandomSource.h"
-#include "foxtailring/decisions/PrefixHints.h"
-#include "foxtailring/decisions/ServerTable.h"
+#include "foxtailring/decisions/placement/PrefixHints.h"
+#include "foxtailring/decisions/servers/ServerTable.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <map>
--- a/tests/decisions/SubsetSelectorTest.cpp
+++ b/tests/decisions/placement/SubsetSelectorTest.cpp
@@ -1,4 +1,4 @@
-#include "foxtailring/decisions/SubsetSelector.h"
+#include "foxtailring/decisions/placement/SubsetSelector.h"
 
 #include <algorithm>
 #include <cppunit/extensions/HelperMacros.h>
--- a/tests/decisions/CallQuarantineFleet.h
+++ b/tests/decisions/quarantine/CallQuarantineFleet.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "foxtailring/base/RandomSource.h"
-#include "foxtailring/decisions/BackendTable.h"
+#include "foxtailring/decisions/servers/BackendTable.h"
 #include "foxtailring/protocol/RequestDigest.h"
 
 #include "CallGateway.h"
--- a/tests/decisions/CrashChecksTest.cpp
+++ b/tests/decisions/quarantine/CrashChecksTest.cpp
@@ -1,7 +1,7 @@
-#include "foxtailring/decisions/CrashChecks.h"
+#include "foxtailring/decisions/quarantine/CrashChecks.h"
 #include "foxtailring/base/RandomSource.h"
-#include "foxtailring/decisions/BackendTable.h"
-#include "foxtailring/decisions/ServerProbeResult.h"
+#include "foxtailring/decisions/servers/BackendTable.h"
+#include "foxtailring/decisions/servers/ServerProbeResult.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
--- a/tests/decisions/QuarantinedCallTest.cpp
+++ b/tests/decisions/quarantine/QuarantinedCallTest.cpp
@@ -1,9 +1,9 @@
-#include "foxtailring/decisions/CallSession.h"
-#include "foxtailring/decisions/ServerProbeResult.h"
-#include "foxtailring/decisions/StreamSession.h"
+#include "foxtailring/decisions/servers/ServerProbeResult.h"
+#include "foxtailring/decisions/sessions/CallSession.h"
+#include "foxtailring/decisions/sessions/StreamSession.h"
 #include "foxtailring/protocol/RequestDigest.h"
 
-#include "ForwardFixture.h"
+#include "sessions/ForwardFixture.h"
 
 #include <array>
 #include <span>
--- a/tests/decisions/RequestQuarantineTest.cpp
+++ b/tests/decisions/quarantine/RequestQuarantineTest.cpp
@@ -1,4 +1,4 @@
-#include "foxtailring/decisions/RequestQuarantine.h"
+#include "foxtailring/decisions/quarantine/RequestQuarantine.h"
 #include "foxtailring/protocol/RequestDigest.h"
 
 #include <cppunit/extensions/HelperMacros.h>
--- a/tests/decisions/RequestSuspicionTest.cpp
+++ b/tests/decisions/quarantine/RequestSuspicionTest.cpp
@@ -1,6 +1,6 @@
-#include "foxtailring/decisions/RequestSuspicion.h"
+#include "foxtailring/decisions/quarantine/RequestSuspicion.h"
 
-#include "ForwardFixture.h"
+#include "sessions/ForwardFixture.h"
 
 using namespace foxtailring;
 
--- a/tests/decisions/SuspectedCrashesTest.cpp
+++ b/tests/decisions/quarantine/SuspectedCrashesTest.cpp
@@ -1,9 +1,9 @@
-#include "foxtailring/decisions/SuspectedCrashes.h"
+#include "foxtailring/decisions/quarantine/SuspectedCrashes.h"
 #include "foxtailring/base/RandomSource.h"
-#include "foxtailring/decisions/BackendTable.h"
-#include "foxtailring/decisions/CrashChecks.h"
-#include "foxtailring/decisions/RequestQuarantine.h"
-#include "foxtailring/decisions/ServerProbeResult.h"
+#include "foxtailring/decisions/quarantine/CrashChecks.h"
+#include "foxtailring/decisions/quarantine/RequestQuarantine.h"
+#include "foxtailring/decisions/servers/BackendTable.h"
+#include "foxtailring/decisions/servers/ServerProbeResult.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
--- a/tests/decisions/BackendTableTest.cpp
+++ b/tests/decisions/servers/BackendTableTest.cpp
@@ -1,8 +1,8 @@
-#include "foxtailring/decisions/BackendTable.h"
+#include "foxtailring/decisions/servers/BackendTable.h"
 
-#include "foxtailring/decisions/ServerStarts.h"
+#include "foxtailring/decisions/servers/ServerStarts.h"
 
-#include "ForwardFixture.h"
+#include "sessions/ForwardFixture.h"
 
 using namespace foxtailring;
 
--- a/tests/decisions/ServerEvidenceTest.cpp
+++ b/tests/decisions/servers/ServerEvidenceTest.cpp
@@ -1,8 +1,8 @@
-#include "foxtailring/decisions/ServerEvidence.h"
+#include "foxtailring/decisions/servers/ServerEvidence.h"
 
-#include "foxtailring/decisions/ServerProbeResult.h"
+#include "foxtailring/decisions/servers/ServerProbeResult.h"
 
-#include "ForwardFixture.h"
+#include "sessions/ForwardFixture.h"
 
 #include <span>
 
--- a/tests/decisions/ServerIdentitySimulationTest.cpp
+++ b/tests/decisions/servers/ServerIdentitySimulationTest.cpp
@@ -1,6 +1,6 @@
-#include "foxtailring/decisions/StreamSession.h"
+#include "foxtailring/decisions/sessions/StreamSession.h"
 
-#include "ForwardFixture.h"
+#include "sessions/ForwardFixture.h"
 
 #include <algorithm>
 #include <array>
--- a/tests/decisions/ServerStartsTest.cpp
+++ b/tests/decisions/servers/ServerStartsTest.cpp
@@ -1,4 +1,4 @@
-#include "foxtailring/decisions/ServerStarts.h"
+#include "foxtailring/decisions/servers/ServerStarts.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <string>
--- a/tests/decisions/ServerTableTest.cpp
+++ b/tests/decisions/servers/ServerTableTest.cpp
@@ -1,4 +1,4 @@
-#include "foxtailring/decisions/ServerTable.h"
+#include "foxtailring/decisions/servers/ServerTable.h"
 
 #include <atomic>
 #include <cppunit/extensions/HelperMacros.h>
--- a/tests/decisions/AnswerTimesTest.cpp
+++ b/tests/decisions/sessions/AnswerTimesTest.cpp
@@ -1,4 +1,4 @@
-#include "foxtailring/decisions/AnswerTimes.h"
+#include "foxtailring/decisions/sessions/AnswerTimes.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
--- a/tests/decisions/AttemptWatchTest.cpp
+++ b/tests/decisions/sessions/AttemptWatchTest.cpp
@@ -1,6 +1,6 @@
-#include "foxtailring/decisions/AttemptWatch.h"
+#include "foxtailring/decisions/sessions/AttemptWatch.h"
 
-#include "foxtailring/decisions/AdmittedPlacer.h"
+#include "foxtailring/decisions/placement/AdmittedPlacer.h"
 
 #include "ForwardFixture.h"
 
--- a/tests/decisions/CallSessionTest.cpp
+++ b/tests/decisions/sessions/CallSessionTest.cpp
@@ -1,4 +1,4 @@
-#include "foxtailring/decisions/CallSession.h"
+#include "foxtailring/decisions/sessions/CallSession.h"
 
 #include "ForwardFixture.h"
 
--- a/tests/decisions/CallerStatusTest.cpp
+++ b/tests/decisions/sessions/CallerStatusTest.cpp
@@ -1,4 +1,4 @@
-#include "foxtailring/decisions/CallerStatus.h"
+#include "foxtailring/decisions/sessions/CallerStatus.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
--- a/tests/decisions/PausedSessionTest.cpp
+++ b/tests/decisions/sessions/PausedSessionTest.cpp
@@ -1,8 +1,8 @@
-#include "foxtailring/decisions/CallSession.h"
-#include "foxtailring/decisions/StreamSession.h"
+#include "foxtailring/decisions/sessions/CallSession.h"
+#include "foxtailring/decisions/sessions/StreamSession.h"
 
 #include "ForwardFixture.h"
-#include "PauseSimulation.h"
+#include "limits/PauseSimulation.h"
 
 #include <set>
 
--- a/tests/decisions/RateLimitedSessionTest.cpp
+++ b/tests/decisions/sessions/RateLimitedSessionTest.cpp
@@ -1,5 +1,5 @@
-#include "foxtailring/decisions/CallSession.h"
-#include "foxtailring/decisions/StreamSession.h"
+#include "foxtailring/decisions/sessions/CallSession.h"
+#include "foxtailring/decisions/sessions/StreamSession.h"
 
 #include "ForwardFixture.h"
 
--- a/tests/decisions/RunCopyTest.cpp
+++ b/tests/decisions/sessions/RunCopyTest.cpp
@@ -1,4 +1,4 @@
-#include "foxtailring/decisions/RunCopy.h"
+#include "foxtailring/decisions/sessions/RunCopy.h"
 
 #include "ForwardFixture.h"
 
--- a/tests/decisions/RunProgressTest.cpp
+++ b/tests/decisions/sessions/RunProgressTest.cpp
@@ -1,6 +1,6 @@
-#include "foxtailring/decisions/RunProgress.h"
+#include "foxtailring/decisions/sessions/RunProgress.h"
 
-#include "foxtailring/decisions/HttpRoute.h"
+#include "foxtailring/decisions/configuration/HttpRoute.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <limits>
--- a/tests/decisions/ServerSearchTest.cpp
+++ b/tests/decisions/sessions/ServerSearchTest.cpp
@@ -1,9 +1,9 @@
-#include "foxtailring/decisions/ServerSearch.h"
+#include "foxtailring/decisions/sessions/ServerSearch.h"
 
-#include "foxtailring/decisions/AdmittedPlacer.h"
-#include "foxtailring/decisions/RunCopier.h"
-#include "foxtailring/decisions/RunPlacement.h"
-#include "foxtailring/decisions/RunProgress.h"
+#include "foxtailring/decisions/placement/AdmittedPlacer.h"
+#include "foxtailring/decisions/sessions/RunCopier.h"
+#include "foxtailring/decisions/sessions/RunPlacement.h"
+#include "foxtailring/decisions/sessions/RunProgress.h"
 
 #include "ForwardFixture.h"
 
--- a/tests/decisions/WaitingStreamTest.cpp
+++ b/tests/decisions/sessions/WaitingStreamTest.cpp
@@ -1,4 +1,4 @@
-#include "foxtailring/decisions/StreamSession.h"
+#include "foxtailring/decisions/sessions/StreamSession.h"
 
 #include "ForwardFixture.h"
 
--- a/tests/entry/EntryFixture.cpp
+++ b/tests/entry/EntryFixture.cpp
@@ -1,6 +1,6 @@
 #include "EntryFixture.h"
 
-#include "foxtailring/decisions/StoredResource.h"
+#include "foxtailring/decisions/configuration/StoredResource.h"
 #include "foxtailring/protocol/ConfigUpdate.h"
 #include "foxtailring/transport/Endpoint.h"
 
--- a/tests/entry/PlatformTest.cpp
+++ b/tests/entry/PlatformTest.cpp
@@ -2,7 +2,7 @@
 #include "TestPlatform.h"
 
 #include "foxtailring/base/MetricRegistry.h"
-#include "foxtailring/decisions/ConfigState.h"
+#include "foxtailring/decisions/configuration/ConfigState.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
--- a/tests/entry/TestPlatform.cpp
+++ b/tests/entry/TestPlatform.cpp
@@ -1,6 +1,6 @@
 #include "TestPlatform.h"
 
-#include "foxtailring/decisions/StoredResource.h"
+#include "foxtailring/decisions/configuration/StoredResource.h"
 #include "foxtailring/transport/Endpoint.h"
 
 #include <chrono>
--- a/tests/gateway/AttemptSenderTest.cpp
+++ b/tests/gateway/AttemptSenderTest.cpp
@@ -1,7 +1,7 @@
 #include "AttemptSender.h"
 #include "GatewayFixture.h"
 
-#include "foxtailring/decisions/SuspectedCrashes.h"
+#include "foxtailring/decisions/quarantine/SuspectedCrashes.h"
 
 using namespace foxtailring;
 
--- a/tests/gateway/BodyTimeLimitTest.cpp
+++ b/tests/gateway/BodyTimeLimitTest.cpp
@@ -1,5 +1,5 @@
 #include "BodyTimeLimit.h"
-#include "foxtailring/decisions/RouteTable.h"
+#include "foxtailring/decisions/configuration/RouteTable.h"
 #include "GatewayFixture.h"
 #include "RawPeer.h"
 
--- a/tests/gateway/OrderConnectionTest.cpp
+++ b/tests/gateway/OrderConnectionTest.cpp
@@ -1,6 +1,6 @@
 #include "RawPeer.h"
 
-#include "foxtailring/decisions/CopyReference.h"
+#include "foxtailring/decisions/sessions/CopyReference.h"
 #include "GatewayParts.h"
 #include "ServerProbe.h"
 
--- a/tests/gateway/SharedRetryBudgetTest.cpp
+++ b/tests/gateway/SharedRetryBudgetTest.cpp
@@ -1,6 +1,6 @@
 #include "foxtailring/base/RandomSource.h"
-#include "foxtailring/decisions/FleetMembership.h"
-#include "foxtailring/decisions/RetryBudget.h"
+#include "foxtailring/decisions/admission/RetryBudget.h"
+#include "foxtailring/decisions/membership/FleetMembership.h"
 #include "GatewayParts.h"
 
 #include <cppunit/extensions/HelperMacros.h>
--- a/tests/process/system/PlatformStore.cpp
+++ b/tests/process/system/PlatformStore.cpp
@@ -1,6 +1,6 @@
 #include "PlatformStore.h"
 
-#include "foxtailring/decisions/StoredResource.h"
+#include "foxtailring/decisions/configuration/StoredResource.h"
 
 #include <array>
 #include <openssl/evp.h>
--- a/tests/sidecar/CallTest.cpp
+++ b/tests/sidecar/CallTest.cpp
@@ -1,5 +1,5 @@
 #include "foxtailring/protocol/Call.h"
-#include "foxtailring/decisions/StoredResource.h"
+#include "foxtailring/decisions/configuration/StoredResource.h"
 #include "foxtailring/protocol/CallResult.h"
 #include "foxtailring/sidecar/StoredAnswer.h"
 #include "SidecarFixture.h"
