operator: check a route configuration before it is sent

Change: foxtailringctl check-routes decodes with the gateways' decoder, finds errors, entries that never match and limits that contradict each other, and names what differs from the configuration in force with its effect. Conclusion: a new subscriber of the store's list is not needed; the check reads the store once.

--- a/apps/foxtailringctl.cpp
+++ b/apps/foxtailringctl.cpp
@@ -2,6 +2,9 @@
 #include "foxtailring/operator/OperatorClient.h"
 #include "foxtailring/transport/Endpoint.h"
 
+#include "RouteConfigFiles.h"
+
+#include <algorithm>
 #include <cstdlib>
 #include <gflags/gflags.h>
 #include <iostream>
@@ -12,6 +15,10 @@
 DEFINE_string(operator, "", "name recorded with each change; default: the USER variable");
 DEFINE_string(output, "table", "table or json");
 DEFINE_string(f, "", "file with resources");
+DEFINE_string(in_force, "", "check-routes: file with the configuration in force");
+DEFINE_string(store, "",
+              "check-routes: IP:PORT of the store, for the configuration in force and the servers");
+DEFINE_int32(memory_mb, 0, "check-routes: memory of the smallest gateway in MB; 0: not checked");
 DEFINE_bool(wait, false, "after a change, wait until it is in force on every node");
 DEFINE_bool(undo, false, "drain: give the server new work again");
 DEFINE_int64(revision, 0, "wait: the revision; 0: the current one");
@@ -43,6 +50,17 @@
     return out;
 }
 
+foxtailring::RouteConfigFiles::Options routeConfigOptions()
+{
+    foxtailring::RouteConfigFiles::Options out;
+    out.filePath = FLAGS_f;
+    out.inForcePath = FLAGS_in_force;
+    out.storeAddress = FLAGS_store;
+    out.memoryMb = static_cast<std::size_t>(std::max(FLAGS_memory_mb, 0));
+    out.printsJson = FLAGS_output == "json";
+    return out;
+}
+
 } // namespace
 
 int main(int argc, char **argv)
@@ -54,8 +72,10 @@
         std::cerr << (entry ? "--output: allowed: table or json" : entry.error().message) << '\n';
         return usageExitCode;
     }
+    const std::vector<std::string> arguments(argv + 1, argv + argc);
+    if (arguments == std::vector<std::string> {"check-routes"} && !FLAGS_f.empty())
+        return foxtailring::RouteConfigFiles::check(routeConfigOptions());
     foxtailring::OperatorClient client(entry.value(), operatorName());
     foxtailring::ControlCommands commands(client, options(), std::cin, std::cout, std::cerr);
-    const std::vector<std::string> arguments(argv + 1, argv + argc);
     return commands.run(arguments);
 }
--- a/include/foxtailring/decisions/admission/MemoryBudget.h
+++ b/include/foxtailring/decisions/admission/MemoryBudget.h
@@ -14,6 +14,11 @@
 class MemoryBudget
 {
 public:
+    /// Requests may hold this part of a VM's memory; connection buffers and lists need the rest.
+    static constexpr std::size_t vmMemoryDivisor = 4;
+    /// \brief Bytes of the largest request that a process takes on a VM with this memory.
+    static std::size_t largestRequest(std::size_t vmMemoryBytes);
+
     explicit MemoryBudget(std::size_t bytes)
         : m_total(bytes)
     {
--- a/src/decisions/admission/MemoryBudget.cpp
+++ b/src/decisions/admission/MemoryBudget.cpp
@@ -13,6 +13,12 @@
 
 } // namespace
 
+std::size_t MemoryBudget::largestRequest(std::size_t vmMemoryBytes)
+{
+    const std::size_t total = vmMemoryBytes / vmMemoryDivisor;
+    return (total - total / runningReserveDivisor) / 2;
+}
+
 std::size_t MemoryBudget::held() const
 {
     const std::lock_guard lock(m_mutex);
--- a/src/gateway/GatewayParts.cpp
+++ b/src/gateway/GatewayParts.cpp
@@ -25,8 +25,6 @@
 // that a pause that the server asks for meanwhile is kept.
 constexpr std::chrono::milliseconds orderConnectTimeout {250};
 constexpr std::size_t maxOrderResponseBytes = 64 * 1024;
-// Requests may hold this fraction of the VM's memory; connection buffers and lists need the rest.
-constexpr std::size_t memoryBudgetDivisor = 4;
 // Idle connections to one server that all gateways together keep, on average. Servers accept 96
 // connections at least; the rest is for those at work. Up to 36 gateways keep one of each kind.
 constexpr double maxIdleRequestConnections = 48;
@@ -58,7 +56,7 @@
     : settings(std::move(gatewaySettings))
     , codec(std::move(backendCodec))
     , clock(bootClock())
-    , memoryBudget(settings.memoryMb * 1024 * 1024 / memoryBudgetDivisor)
+    , memoryBudget(settings.memoryMb * 1024 * 1024 / MemoryBudget::vmMemoryDivisor)
     , requestMemory(memoryBudget, metrics, clock)
     , pool(settings.threads)
     , storePool(storeThreads)
--- a/src/operator/ControlCommands.cpp
+++ b/src/operator/ControlCommands.cpp
@@ -82,6 +82,8 @@
            "  apply -f FILE [--wait]      create or change the resources in FILE\n"
            "  diff -f FILE                show what apply would change\n"
            "  check -f FILE               check the resources in FILE, change nothing\n"
+           "  check-routes -f FILE [--in_force FILE] [--store IP:PORT] [--memory_mb N]\n"
+           "                              check a route configuration, and show what it changes\n"
            "  get KIND NAME               show one resource\n"
            "  list [KIND]                 list resources\n"
            "  delete KIND NAME            delete a resource\n"
--- a/tests/platform/DocumentsTest.cpp
+++ b/tests/platform/DocumentsTest.cpp
@@ -85,6 +85,8 @@
         CPPUNIT_ASSERT(!platform::decodeConfig("{").isOk());
         const auto out = platform::decodeConfig(replaced(config, R"("/q/")", "5"));
         CPPUNIT_ASSERT(out.error().message.find("path_prefix") != std::string::npos);
+        // The place in a large configuration.
+        CPPUNIT_ASSERT_MESSAGE(out.error().message, out.error().message.starts_with("routes[1]"));
     }
 
     // Guards against times that overflow, limits of 2^64 bytes and names that end a header.
