sessions: end the fallback of a preempted run within the overlap that two servers may have

Cause: a run whose engine no longer lists it was sent to another engine, and the first connection was kept without a limit of time. Nothing asks that engine again, and its reports lag by hundreds of milliseconds, so it cannot be known in time whether it works on the run. Change: each fallback ends 250 ms after the next server was sent the run, whether the first server lists the run or not. Conclusion: a run that its engine preempts moves for good after 250 ms.

--- a/include/foxtailring/decisions/sessions/AttemptWatch.h
+++ b/include/foxtailring/decisions/sessions/AttemptWatch.h
@@ -65,8 +65,6 @@
     /// \param lastEventId latest event that arrived, of any attempt; 0: none
     Finding onProbed(const BackendState &server, std::span<const ServerProbeResult> reports,
                      std::int64_t lastEventId, TimePoint now);
-    /// \brief True if the latest report shows that the server does not work on the run.
-    bool isRunUnlisted() const { return m_state.isRunUnlisted; }
 
     /// \brief The attempt goes on although its server is silent. It is checked again a little
     /// later.
@@ -86,7 +84,6 @@
         TimePoint probedAt;
         /// The attempt was the fallback, which is not probed.
         bool isUnwatched = false;
-        bool isRunUnlisted = false;      ///< by the latest report
         bool isStartUnconfirmed = false; ///< by the latest report
         TimePoint keptUntil;             ///< not checked before then; 0: it is not kept
     };
--- a/src/decisions/sessions/AttemptWatch.cpp
+++ b/src/decisions/sessions/AttemptWatch.cpp
@@ -125,10 +125,8 @@
     // Something arrived meanwhile.
     if (m_progress.lastContactAt() > m_state.probedAt)
         return Finding::Open;
-    if (reports.empty()) {
-        m_state.isRunUnlisted = false;
+    if (reports.empty())
         return Finding::Unanswered;
-    }
     if (reports.front().isTurnedAway)
         return recordWorking(now);
     return judge(server, reports.front(), lastEventId, now);
@@ -146,7 +144,6 @@
     if (!std::exchange(m_state.isStartUnconfirmed, start == ReportedStart::Unconfirmed)
         && start == ReportedStart::Unconfirmed)
         return Finding::Open;
-    m_state.isRunUnlisted = m_progress.hasEvents() && report.listsRuns && !report.hasRun;
     if (m_progress.isLostBy(report, lastEventId, m_state.probedAt, now))
         return recordMissing(report, now);
     m_progress.recordPrompts(report.load.prefilling + report.load.waiting);
--- a/src/decisions/sessions/StreamSession.cpp
+++ b/src/decisions/sessions/StreamSession.cpp
@@ -20,8 +20,9 @@
 constexpr milliseconds reserveTime {1000};
 // After a round of rejections, the next server is asked this much later.
 constexpr milliseconds rejectedRetryInterval {200};
-// Two servers may work on one run for 400 ms. A fallback whose server may work on it is ended by
-// then, unless the next server has rejected the run; engines reject at once.
+// Two servers may work on one run for 400 ms. A fallback is ended by then, unless the next server
+// has rejected the run; engines reject at once. That holds for a preempted run as well: its engine
+// goes on with it as soon as it has memory again, and reports that only later.
 constexpr milliseconds maxOverlap {250};
 // A server that sends this many events clears the prompt for all other requests.
 constexpr std::uint32_t outlivedEvents = 3;
@@ -215,7 +216,7 @@
         if (!mayMoveOnBelief(now) || !tryTakeRetry(now))
             return keepSilentAttempt(now);
         keepAsFallback(next, now);
-    } else if (hasFallback() && m_fallbackEndsAt != TimePoint::max()) {
+    } else if (hasFallback()) {
         m_fallbackEndsAt = now + maxOverlap;
     }
     m_search.end();
@@ -237,7 +238,7 @@
         return countPossibleRun();
     next.keepsLatest = true;
     m_fallbackProgress = m_watch.progress();
-    m_fallbackEndsAt = m_watch.isRunUnlisted() ? TimePoint::max() : now + maxOverlap;
+    m_fallbackEndsAt = now + maxOverlap;
 }
 
 ForwardAction StreamSession::onCopied(const CopyRun &copyRun, std::optional<std::string> handle,
