sessions: take a larger step between event ids for a gap only where another attempt goes on

Cause: an id that was not the one after the last counted as a gap, also within one attempt. Change: EventSequence decides. Within an attempt nothing can be missing, since a connection delivers all bytes in order. Where another attempt goes on, an id further from the last one than the step of the stream is a gap; the first id stands for the step until one is seen. If steps vary, or the caller itself resumed the stream and no step is seen, nothing proves a gap: the server was told the last event. A fallback beside its replacement is judged like another attempt, so a doubtful one leaves the replacement. eventsArePassedOnInOrder asked for a gap within an attempt; it asks for it after a lost attempt now. Conclusion: streams with ids that rise by more than one are served. Counts of events in an engine's report are still compared with ids (RunProgress::isLostBy): for such streams a dead connection is found by silence, not by the count.

--- a/include/foxtailring/decisions/sessions/StreamSession.h
+++ b/include/foxtailring/decisions/sessions/StreamSession.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "foxtailring/decisions/sessions/AttemptWatch.h"
+#include "foxtailring/decisions/sessions/EventSequence.h"
 #include "foxtailring/decisions/sessions/EventVerdict.h"
 #include "foxtailring/decisions/sessions/ForwardSession.h"
 #include "foxtailring/decisions/sessions/ResumeWait.h"
@@ -40,8 +41,8 @@
     /// \brief The fallback sent an event. True if it follows the events passed on: the fallback is
     /// the current attempt again, the other one must be ended, and the event goes to onEvent().
     bool onFallbackEvent(std::int64_t id, TimePoint now);
-    /// \brief True if events before the event \a id are missing.
-    bool isBeyondGap(std::int64_t id) const { return m_lastEventId && id > *m_lastEventId + 1; }
+    /// \brief True if events before the event \a id of the fallback are missing.
+    bool isFallbackBeyondGap(std::int64_t id) const;
     /// \brief The fallback's stream ended completely, without an event that the caller lacks. True
     /// if the answer is complete: the fallback is the current attempt again. If not, it must be
     /// ended as lost.
@@ -62,7 +63,7 @@
     void endCopies() { m_copier.end(); }
     /// \brief True if events were passed on, so that the answer can only continue or be aborted.
     bool hasStarted() const { return m_hasStarted; }
-    std::optional<std::int64_t> lastEventId() const { return m_lastEventId; }
+    std::optional<std::int64_t> lastEventId() const { return m_events.lastId(); }
 
 private:
     ForwardAction makeAttempt(std::string_view cause, TimePoint now) override;
@@ -122,7 +123,7 @@
     ResumeWait m_wait;            ///< for the next attempt of a stream that has begun
     bool m_hasRetry = false;      ///< the next attempt's retry is taken, but it has no server yet
     std::string_view m_waitCause; ///< of the end of the stream if no attempt can be made
-    std::optional<std::int64_t> m_lastEventId;
+    EventSequence m_events;       ///< passed on
     bool m_hasStarted = false;
     bool m_hasEmptyEnd = false; ///< an attempt ended in order without an event
     TimePoint m_fallbackEndsAt; ///< at the latest
--- a/src/decisions/sessions/StreamSession.cpp
+++ b/src/decisions/sessions/StreamSession.cpp
@@ -45,16 +45,17 @@
                    return canFinishInTime(promptTokens, now);
                })
     , m_wait(route, service(), context.retryBudget, context.random)
-    , m_lastEventId(request.lastEventId)
+    , m_events(request.lastEventId)
 {
 }
 
 EventVerdict StreamSession::onEvent(std::int64_t id, TimePoint now)
 {
     // A resumed run may repeat events that the caller already has.
-    if (m_lastEventId && id <= *m_lastEventId)
+    if (m_events.isRepeated(id))
         return EventVerdict::Duplicate;
-    if (isBeyondGap(id))
+    const bool isFirst = !m_watch.progress().hasEvents();
+    if (m_events.isBeyondGap(id, isFirst))
         return EventVerdict::Gap;
     if (m_watch.progress().isPrefilling())
         context().latency.recordFirstEvent(service(), request().promptTokens, now - sentAt());
@@ -70,7 +71,7 @@
         m_search.end();
     m_movableSince = {};
     releaseFallback();
-    m_lastEventId = id;
+    m_events.record(id, isFirst);
     return EventVerdict::Next;
 }
 
@@ -83,14 +84,19 @@
 bool StreamSession::onFallbackEvent(std::int64_t id, TimePoint now)
 {
     recordFallbackSignOfLife();
-    if (m_lastEventId && id <= *m_lastEventId)
-        return false;
-    if (isBeyondGap(id))
+    if (m_events.isRepeated(id) || isFallbackBeyondGap(id))
         return false;
     returnToFallback(now);
     return true;
 }
 
+// Judged like the first event of another attempt: its server looks faulty, and if in doubt the
+// replacement goes on.
+bool StreamSession::isFallbackBeyondGap(std::int64_t id) const
+{
+    return m_events.isBeyondGap(id, true);
+}
+
 // An end without an event is only believed as in confirmEnd().
 bool StreamSession::onFallbackFinished(TimePoint now)
 {
@@ -203,7 +209,7 @@
     const auto maxEvents =
         static_cast<double>(request().maxOutputTokens) / std::max(request().tokensPerEvent, 1U);
     const auto minEvents =
-        static_cast<std::int64_t>(minOutputFraction * maxEvents) - m_lastEventId.value_or(0);
+        static_cast<std::int64_t>(minOutputFraction * maxEvents) - lastEventId().value_or(0);
     return timeLeft(now) >= context().latency.minRunDuration(service(), promptTokens, minEvents);
 }
 
@@ -224,7 +230,7 @@
     m_hasRetry = false;
     m_movableSince = {};
     next.cause = m_cause;
-    next.lastEventId = m_lastEventId;
+    next.lastEventId = lastEventId();
     m_watch.start(next.fromCopy.has_value(), now);
     m_copier.start(next, now);
     return send(std::move(next), now);
@@ -345,7 +351,7 @@
     // An event arrived meanwhile, or the attempt has ended.
     if (!m_watch.isProbing() || !hasServer())
         return KeepWaiting {};
-    return onWatched(m_watch.onProbed(server(), reports, m_lastEventId.value_or(0), now), now);
+    return onWatched(m_watch.onProbed(server(), reports, lastEventId().value_or(0), now), now);
 }
 
 ForwardAction StreamSession::onWatched(AttemptWatch::Finding finding, TimePoint now)
--- a/src/gateway/RequestRelay.cpp
+++ b/src/gateway/RequestRelay.cpp
@@ -223,7 +223,7 @@
     const std::uint64_t number = m_attempts.fallback().number;
     for (const StreamedEvent &event : *events) {
         const bool isWaiting = m_attempts.isFallback(number);
-        if (isWaiting && (!event.id || m_stream->isBeyondGap(*event.id)))
+        if (isWaiting && (!event.id || m_stream->isFallbackBeyondGap(*event.id)))
             return endFallback(AttemptResult::Invalid);
         if (isWaiting && m_stream->onFallbackEvent(*event.id, m_parts.clock()))
             resumeFallback("event");
--- a/tests/decisions/sessions/StreamSessionTest.cpp
+++ b/tests/decisions/sessions/StreamSessionTest.cpp
@@ -58,6 +58,7 @@
     CPPUNIT_TEST(unusedSnapshotIsReleased);
     CPPUNIT_TEST(runThatWasNotExecutedHasNoCopy);
     CPPUNIT_TEST(eventsArePassedOnInOrder);
+    CPPUNIT_TEST(idsMayRiseByMoreThanOne);
     CPPUNIT_TEST(startedStreamIsAbortedWhenItCannotResume);
     CPPUNIT_TEST(startedStreamIsAbortedWhenItsRetryIsAnswered);
     CPPUNIT_TEST(serverErrorToARunIsRetried);
@@ -804,8 +805,31 @@
         CPPUNIT_ASSERT(session.onEvent(1, now) == EventVerdict::Next);
         CPPUNIT_ASSERT(session.onEvent(2, now) == EventVerdict::Next);
         CPPUNIT_ASSERT(session.onEvent(2, now) == EventVerdict::Duplicate);
+        sent(placed(session, session.onAttemptEnded(AttemptResult::Lost, now), now));
+        CPPUNIT_ASSERT(session.onEvent(2, now) == EventVerdict::Duplicate);
         CPPUNIT_ASSERT(session.onEvent(4, now) == EventVerdict::Gap);
         CPPUNIT_ASSERT(session.onEvent(3, now) == EventVerdict::Next);
+        CPPUNIT_ASSERT(session.onEvent(3, now) == EventVerdict::Duplicate);
+    }
+
+    // Guards against cutting a sound stream whose ids rise by more than one, where it begins, goes
+    // on at another server and is resumed by its caller.
+    void idsMayRiseByMoreThanOne()
+    {
+        StreamSession session(m_route, request(), context(), {true, true, true});
+        started(session);
+        CPPUNIT_ASSERT(session.onEvent(5, now) == EventVerdict::Next);
+        CPPUNIT_ASSERT(session.onEvent(10, now) == EventVerdict::Next);
+        const ForwardAction next =
+            placed(session, session.onAttemptEnded(AttemptResult::Lost, now), now);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(10), sent(next).lastEventId.value());
+        CPPUNIT_ASSERT(session.onEvent(20, now) == EventVerdict::Gap);
+        CPPUNIT_ASSERT(session.onEvent(15, now) == EventVerdict::Next);
+        ForwardRequest returned = request();
+        returned.lastEventId = 15;
+        StreamSession resumed(m_route, returned, context(), {true, true, true});
+        started(resumed);
+        CPPUNIT_ASSERT(resumed.onEvent(20, now) == EventVerdict::Next);
     }
 
     // Guards against a faulty server that ends a run with nothing, and against a run whose last
