transport: do not take a success without a length for complete while its request is on the way

The end of the output counted as the end of the body although the request was still being written, and the reset that followed went to the write. Change: such a success is complete only once the request is written and acknowledged; else the exchange looks again for up to 100 ms and fails with Closed. Failures without a length are passed on as before, and so is what has a length or chunks. An answer with the status 000 (and 0, 00, 099, 600, 999, abc, none, also behind 1xx) was refused before; tests through the gateway and the store's client show it. The store's client and the probes use the same client.

--- a/src/transport/Http1ClientExchange.cpp
+++ b/src/transport/Http1ClientExchange.cpp
@@ -23,6 +23,8 @@
 
 // Limit on waiting for the write: a server that responds early may never read the whole request.
 constexpr std::chrono::milliseconds lateWriteTimeout {100};
+// Interval of looking whether the request has arrived at a server that has ended its response.
+constexpr std::chrono::milliseconds arrivalCheckInterval {10};
 constexpr std::uint32_t maxHeadBytes = 64 * 1024;
 // Bytes that the parser has not consumed belong to an incomplete head or chunk header.
 constexpr std::size_t maxPendingInputBytes = 2 * maxHeadBytes;
@@ -137,6 +139,24 @@
         onReadError(net::error::eof);
 }
 
+// A server that has not read the whole request may reset the connection after it has ended its
+// output, and only the write learns of it.
+bool Http1ClientExchange::mayBeResetLater()
+{
+    const auto status = m_parser->get().result_int();
+    const bool isSuccess = status >= 200 && status < 300;
+    return isSuccess && m_parser->need_eof() && (!m_writeDone || unacknowledgedBytes(m_socket) > 0);
+}
+
+void Http1ClientExchange::awaitArrival()
+{
+    m_arrivalWait += arrivalCheckInterval;
+    if (m_arrivalWait > lateWriteTimeout || (m_writeEnded && !m_writeDone))
+        return fail(ErrorCode::Closed, "the response ended before the request had arrived");
+    m_stepTimer.start(arrivalCheckInterval,
+                      [self = shared_from_this()] { self->onReadError(net::error::eof); });
+}
+
 void Http1ClientExchange::read()
 {
     m_socket.async_read_some(net::buffer(m_readBuffer),
@@ -164,6 +184,8 @@
 // a reset goes to a pending write, if there is one, and the read ends as after an orderly close.
 void Http1ClientExchange::onReadError(ErrorStatus status)
 {
+    if (m_isComplete)
+        return;
     if (status == net::error::eof && isReset(m_socket))
         status = net::error::connection_reset;
     // The end of the pending write, which follows at once, tells a reset from a timeout.
@@ -175,7 +197,7 @@
     if (status == net::error::eof && m_parser->got_some())
         m_parser->put_eof(parseStatus);
     if (m_headDelivered && !parseStatus && m_parser->is_done())
-        return onResponseComplete();
+        return mayBeResetLater() ? awaitArrival() : onResponseComplete();
     // The peer may be silent and go on, so this does not show the end of the connection there.
     if (m_writeTimedOut || status == net::error::timed_out)
         return fail(ErrorCode::Timeout, "the peer acknowledged nothing for too long");
--- a/src/transport/Http1ClientExchange.h
+++ b/src/transport/Http1ClientExchange.h
@@ -52,6 +52,10 @@
     void read();
     void onRead(ErrorStatus status, std::size_t size);
     void onReadError(ErrorStatus status);
+    /// \brief True if the response ended with the connection, and a reset may still follow.
+    bool mayBeResetLater();
+    /// \brief Looks again a little later whether the request has arrived whole.
+    void awaitArrival();
     void resetParser();
     void parse();
     bool canParse() const;
@@ -70,8 +74,7 @@
     Socket m_socket;
     Options m_options;
     StreamHooks m_hooks;
-    /// Connect timeout, later the limit on a write that ends after the response.
-    StrandTimer m_stepTimer; ///< of connecting, later of a late write
+    StrandTimer m_stepTimer; ///< of connecting, later of a late write or an early end
     StrandTimer m_timer;     ///< timeout of the whole exchange
     std::optional<Parser> m_parser;
     bool m_writeStarted = false;
@@ -79,6 +82,7 @@
     bool m_writeTimedOut = false; ///< the peer acknowledged nothing for too long
     bool m_writeEnded = false;
     bool m_readWaitsForWrite = false;
+    std::chrono::milliseconds m_arrivalWait {0}; ///< since the end of the response
     bool m_responseDone = false;
     bool m_headDelivered = false;
     bool m_isFirstResponse;      ///< no response came on the connection before
--- a/tests/gateway/TruncatedAnswerTest.cpp
+++ b/tests/gateway/TruncatedAnswerTest.cpp
@@ -20,6 +20,8 @@
     CPPUNIT_TEST(unframedStreamThatEndsInsideAnEventResumes);
     CPPUNIT_TEST(unframedStreamMayEndAfterAnEvent);
     CPPUNIT_TEST(resetAfterAnEventIsNoEnd);
+    CPPUNIT_TEST(answerWithoutAStatusIsNotPassedOn);
+    CPPUNIT_TEST(partOfAnEarlyAnswerIsNotPassedOn);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -94,6 +96,49 @@
         resumeAfterEvent1();
     }
 
+    // Guards against an answer whose status says nothing, such as 000, and which its caller takes
+    // for one.
+    void answerWithoutAStatusIsNotPassedOn()
+    {
+        const std::string fields = "id: 1\r\nsigned: 1\r\nContent-Length: 2\r\n\r\nok";
+        for (const std::string line :
+             {"HTTP/1.1 000 OK", "HTTP/1.1 0 OK", "HTTP/1.1 00 OK", "HTTP/1.1 099 OK",
+              "HTTP/1.1 600 OK", "HTTP/1.1 999 OK", "HTTP/1.1 abc OK", "HTTP/1.1 OK", "HTTP/1.1",
+              "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 OK",
+              "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 000 OK"}) {
+            for (const std::string path : {"/once/x", "/read/x"}) {
+                restart();
+                call(path);
+                answerWithPart(line + "\r\n" + fields, false);
+                if (path == "/read/x")
+                    m_received->take().responder->respond(signedAnswer("sound"));
+                const HttpResponse answer = m_answers->take().value();
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(line, path == "/once/x" ? 502 : 200, answer.status);
+                CPPUNIT_ASSERT_MESSAGE(line, answer.body.find("ok") == std::string::npos);
+            }
+        }
+    }
+
+    // Guards against a part of an answer that ends by a reset while the request is still on its
+    // way.
+    void partOfAnEarlyAnswerIsNotPassedOn()
+    {
+        const std::string body(std::size_t {4} * 1024 * 1024, 'x');
+        for (const bool endsOutputFirst : {false, true}) {
+            restart();
+            m_client->request(
+                {"127.0.0.1", m_ports.callers},
+                {"POST", "/once/x", {{"id", "1"}, {"key", "good"}}, body}, testDeadline,
+                [box = m_answers](Result<HttpResponse> answer) { box->put(std::move(answer)); });
+            acceptRequest();
+            m_peer->write(head + "\r\npart");
+            if (endsOutputFirst)
+                m_peer->shutdownOutput();
+            m_peer->reset();
+            CPPUNIT_ASSERT_EQUAL(502, m_answers->take().value().status);
+        }
+    }
+
 private:
     // A failure of a server in one case must not decide where the next case is sent.
     void restart()
--- a/tests/platform/KvClientTest.cpp
+++ b/tests/platform/KvClientTest.cpp
@@ -34,6 +34,7 @@
     CPPUNIT_TEST(unreadableChangesEndTheWatchAsStale);
     CPPUNIT_TEST(pagesThatRepeatEndTheRead);
     CPPUNIT_TEST(pagesWithoutEndAreAbandoned);
+    CPPUNIT_TEST(replyWithoutAStatusIsNoResult);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -346,6 +347,30 @@
         }
     }
 
+    // Guards against a reply whose status says nothing, or which a reset ends, and that counts as
+    // a result or as a refusal that is certain.
+    void replyWithoutAStatusIsNoResult()
+    {
+        const std::string body = R"({"rev":4,"as_of":9,"items":[],"lease":7,"ttl_ms":3000})";
+        for (const std::string line : {"000 OK", "099 OK", "600 OK", "abc OK", "200 OK"}) {
+            for (const auto &[name, begin] : calls()) {
+                RawServer store;
+                m_client.emplace(*m_pool, *m_http, Endpoint {"127.0.0.1", store.port()},
+                                 settings());
+                const auto outcome = std::make_shared<Mailbox<ErrorCode>>();
+                const auto stream = begin(outcome);
+                RawPeer peer = store.accept();
+                peer.readUntil("\r\n\r\n");
+                peer.write("HTTP/1.1 " + line + "\r\nStore-Era: 0\r\n\r\n" + body);
+                peer.reset();
+                const ErrorCode code = outcome->take();
+                const std::string what = std::string(name).append(" ").append(line);
+                CPPUNIT_ASSERT_MESSAGE(what, code != ErrorCode::Unavailable);
+                CPPUNIT_ASSERT_MESSAGE(what, code != ErrorCode::Conflict);
+            }
+        }
+    }
+
 private:
     static constexpr std::size_t largestValueBytes = 1024 * 1024;
     static_assert(largestValueBytes % 3 == 1);
--- a/tests/transport/RawPeer.h
+++ b/tests/transport/RawPeer.h
@@ -112,6 +112,13 @@
 
     void close() { m_socket.close(); }
 
+    /// \brief Ends the output of this end in order; input goes on.
+    void shutdownOutput()
+    {
+        boost::system::error_code ignored;
+        m_socket.shutdown(Tcp::socket::shutdown_send, ignored);
+    }
+
     /// \brief Closes the connection by a reset.
     void reset()
     {
