--- a/src/decisions/sessions/StreamSession.cpp
+++ b/src/decisions/sessions/StreamSession.cpp
@@ -20,8 +20,9 @@
 constexpr milliseconds reserveTime {1000};
 // After a round of rejections, the next server is asked this much later.
 constexpr milliseconds rejectedRetryInterval {200};
-// Two servers may work on one run for 400 ms. A fallback whose server may work on it is ended by
-// then, unless the next server has rejected the run; engines reject at once.
+// Two servers may work on one run for 400 ms. A fallback is ended by then, unless the next server
+// has rejected the run; engines reject at once. That holds for a preempted run as well: its engine
+// goes on with it as soon as it has memory again, and reports that only later.
 constexpr milliseconds maxOverlap {250};
 // A server that sends this many events clears the prompt for all other requests.
 constexpr std::uint32_t outlivedEvents = 3;
@@ -44,16 +45,17 @@
                    return canFinishInTime(promptTokens, now);
                })
     , m_wait(route, service(), context.retryBudget, context.random)
-    , m_lastEventId(request.lastEventId)
+    , m_events(request.lastEventId)
 {
 }
 
 EventVerdict StreamSession::onEvent(std::int64_t id, TimePoint now)
 {
     // A resumed run may repeat events that the caller already has.
-    if (m_lastEventId && id <= *m_lastEventId)
+    if (m_events.isRepeated(id))
         return EventVerdict::Duplicate;
-    if (isBeyondGap(id))
+    const bool isFirst = !m_watch.progress().hasEvents();
+    if (m_events.isBeyondGap(id, isFirst))
         return EventVerdict::Gap;
     if (m_watch.progress().isPrefilling())
         context().latency.recordFirstEvent(service(), request().promptTokens, now - sentAt());
@@ -69,7 +71,7 @@
         m_search.end();
     m_movableSince = {};
     releaseFallback();
-    m_lastEventId = id;
+    m_events.record(id, isFirst);
     return EventVerdict::Next;
 }
 
@@ -82,14 +84,19 @@
 bool StreamSession::onFallbackEvent(std::int64_t id, TimePoint now)
 {
     recordFallbackSignOfLife();
-    if (m_lastEventId && id <= *m_lastEventId)
-        return false;
-    if (isBeyondGap(id))
+    if (m_events.isRepeated(id) || isFallbackBeyondGap(id))
         return false;
     returnToFallback(now);
     return true;
 }
 
+// Judged like the first event of another attempt: its server looks faulty, and if in doubt the
+// replacement goes on.
+bool StreamSession::isFallbackBeyondGap(std::int64_t id) const
+{
+    return m_events.isBeyondGap(id, true);
+}
+
 // An end without an event is only believed as in confirmEnd().
 bool StreamSession::onFallbackFinished(TimePoint now)
 {
@@ -202,7 +209,7 @@
     const auto maxEvents =
         static_cast<double>(request().maxOutputTokens) / std::max(request().tokensPerEvent, 1U);
     const auto minEvents =
-        static_cast<std::int64_t>(minOutputFraction * maxEvents) - m_lastEventId.value_or(0);
+        static_cast<std::int64_t>(minOutputFraction * maxEvents) - lastEventId().value_or(0);
     return timeLeft(now) >= context().latency.minRunDuration(service(), promptTokens, minEvents);
 }
 
@@ -215,7 +222,7 @@
         if (!mayMoveOnBelief(now) || !tryTakeRetry(now))
             return keepSilentAttempt(now);
         keepAsFallback(next, now);
-    } else if (hasFallback() && m_fallbackEndsAt != TimePoint::max()) {
+    } else if (hasFallback()) {
         m_fallbackEndsAt = now + maxOverlap;
     }
     m_search.end();
@@ -223,7 +230,7 @@
     m_hasRetry = false;
     m_movableSince = {};
     next.cause = m_cause;
-    next.lastEventId = m_lastEventId;
+    next.lastEventId = lastEventId();
     m_watch.start(next.fromCopy.has_value(), now);
     m_copier.start(next, now);
     return send(std::move(next), now);
@@ -237,7 +244,7 @@
         return countPossibleRun();
     next.keepsLatest = true;
     m_fallbackProgress = m_watch.progress();
-    m_fallbackEndsAt = m_watch.isRunUnlisted() ? TimePoint::max() : now + maxOverlap;
+    m_fallbackEndsAt = now + maxOverlap;
 }
 
 ForwardAction StreamSession::onCopied(const CopyRun &copyRun, std::optional<std::string> handle,
@@ -344,7 +351,7 @@
     // An event arrived meanwhile, or the attempt has ended.
     if (!m_watch.isProbing() || !hasServer())
         return KeepWaiting {};
-    return onWatched(m_watch.onProbed(server(), reports, m_lastEventId.value_or(0), now), now);
+    return onWatched(m_watch.onProbed(server(), reports, lastEventId().value_or(0), now), now);
 }
 
 ForwardAction StreamSession::onWatched(AttemptWatch::Finding finding, TimePoint now)
