admission: take runs only where engines have room, the urgent ones first

Cause: runs were placed by load alone, beyond what engines hold in memory. The urgency is told to engines where it differs within a service.

--- a/include/foxtailring/decisions/sessions/ForwardAction.h
+++ b/include/foxtailring/decisions/sessions/ForwardAction.h
@@ -33,6 +33,7 @@
     std::optional<CopyReference> fromCopy;
     std::optional<std::int64_t> lastEventId; ///< the stream resumes after this event
     std::string_view cause;                  ///< why this attempt is made, for the log
+    std::optional<std::uint32_t> urgency;    ///< told to the engine, 0 is the highest; none: not
 };
 
 /// \brief The fallback is the latest attempt again and goes on; end the attempt that replaced it.
@@ -44,7 +45,7 @@
 /// attempt is made later.
 struct DelayAttempt
 {
-    std::string_view reason; ///< `noRetry` or `noServer`
+    std::string_view reason; ///< `noRetry`, `noServer` or `noRoom`
 };
 
 /// \brief Query engines without affecting an attempt in progress.
--- a/include/foxtailring/decisions/sessions/ForwardContext.h
+++ b/include/foxtailring/decisions/sessions/ForwardContext.h
@@ -14,10 +14,12 @@
 class RequestQuarantine;
 class RandomSource;
 class RetryBudget;
+class RunAdmission;
 class ServerAdmission;
 class SuspectedCrashes;
 struct CopyReference;
 struct RateLimitExplanation;
+struct RoomExplanation;
 
 /// \brief State shared by all sessions of a process. Used on one queue.
 struct ForwardContext
@@ -40,6 +42,10 @@
     std::function<void(const std::string &service)> onRetryDenied;
     /// The request is refused because of this suspect, which is quarantined; may be empty.
     std::function<void(std::string_view suspect)> onQuarantined;
+    /// Decides which runs may use the room at engines; null: runs are placed without regard to it.
+    RunAdmission *runs = nullptr;
+    /// A run found no room; may be empty.
+    std::function<void(const RoomExplanation &)> onNoRoom {};
 };
 
 } // namespace foxtailring
--- a/include/foxtailring/decisions/sessions/ForwardRequest.h
+++ b/include/foxtailring/decisions/sessions/ForwardRequest.h
@@ -22,6 +22,9 @@
     std::optional<std::int64_t> lastEventId;    ///< the last event that the caller has received
     Duration minAttemptTime {0}; ///< with less time left, it is not sent after a server rejected it
     std::string contentDigest;   ///< RequestDigest; the same for its repeats; empty: not given
+    std::string account {};      ///< client account; empty: public route
+    /// Of a run, 0 is the highest; none: all runs of its service are equal.
+    std::optional<std::uint32_t> urgency {};
 };
 
 } // namespace foxtailring
--- a/include/foxtailring/decisions/sessions/RunPlacement.h
+++ b/include/foxtailring/decisions/sessions/RunPlacement.h
@@ -5,6 +5,7 @@
 #include "foxtailring/decisions/servers/BackendState.h"
 #include "foxtailring/decisions/servers/ServerProbeResult.h"
 
+#include <cstdint>
 #include <optional>
 #include <span>
 #include <string>
@@ -20,8 +21,9 @@
 {
 public:
     /// \param service, \a triedIds may change; they and \a context must outlive the placement
+    /// \param runTokens memory that the run and each copy of it need in the end; 0: unknown
     RunPlacement(const ForwardContext &context, const std::string &service,
-                 const std::vector<std::string> &triedIds);
+                 const std::vector<std::string> &triedIds, std::uint64_t runTokens = 0);
 
     /// \brief Updates the affinity servers of the prompt.
     void updateAffinityServers(const std::string &promptId, TimePoint now);
@@ -41,8 +43,17 @@
     bool isFromServer(const ServerProbeResult &report, TimePoint now) const;
     /// \brief The probe of the candidates is over.
     void recordReports(std::span<const ServerProbeResult> reports, TimePoint now);
+    /// \brief A candidate that answered has no room for the run. It is not chosen until
+    /// dropCandidates().
+    void recordFull(const std::string &serverId);
+    /// \brief True if candidates have no room, and none that answered the latest probe has any.
+    bool hasOnlyFull() const { return !m_full.empty() && m_responsive.empty(); }
     /// \brief Forgets the candidates that were probed.
-    void dropCandidates() { m_candidates.clear(); }
+    void dropCandidates()
+    {
+        m_candidates.clear();
+        m_full.clear();
+    }
 
     /// \brief Ids of the servers tried so far and of the candidates that did not answer.
     std::vector<std::string> unansweredIds() const { return triedAndNotIn(m_answered); }
@@ -58,13 +69,16 @@
     bool tryTakeProbe(const BackendState &server, TimePoint now) const;
 
 private:
+    bool hasRoomForCopy(const BackendState &holder, TimePoint now) const;
     std::vector<std::string> triedAndNotIn(std::span<const std::string> ids) const;
 
     const ForwardContext &m_context;
     const std::string &m_service;
     const std::vector<std::string> &m_triedIds;
+    const std::uint64_t m_runTokens;
     std::vector<std::string> m_affinityServers; ///< ids
     std::vector<std::string> m_candidates;      ///< ids of the probed servers
+    std::vector<std::string> m_full;            ///< ids of those without room
     std::vector<std::string> m_answered;        ///< ids of those with a report
     std::vector<std::string> m_responsive;      ///< ids of those that answered themselves
 };
--- a/include/foxtailring/decisions/sessions/ServerSearch.h
+++ b/include/foxtailring/decisions/sessions/ServerSearch.h
@@ -29,18 +29,21 @@
     enum class Failure : std::uint8_t {
         NoTime,   ///< the run cannot finish before its deadline
         NoServer, ///< no server takes the run
+        NoRoom,   ///< the servers that were asked have no room for it
     };
     /// \brief The probe to carry out next, or the end of the search.
     using Step = std::variant<ProbeServers, SendAttempt, Failure>;
     /// \brief Whether the run can finish in time if it first processes this many tokens of its
     /// prompt.
     using FinishEstimate = std::function<bool(std::uint64_t promptTokens, TimePoint now)>;
+    /// \brief Whether the server that sent the report has room for the run.
+    using RoomCheck = std::function<bool(const ServerProbeResult &report, TimePoint now)>;
 
     /// \param canBeProbed the engines report their load and runs; the parameters before it must
     /// outlive the object
     ServerSearch(const ForwardRequest &request, RunPlacement &placement,
                  AdmittedPlacer &admittedPlacer, RunCopier &copier, bool canBeProbed,
-                 FinishEstimate canFinish);
+                 FinishEstimate canFinish, RoomCheck hasRoom = {});
 
     /// \brief Starts the search.
     /// \param isMove the server of the current attempt may go on with the run, so the copy holder
@@ -66,6 +69,7 @@
     Step onPromptProbed(std::span<const ServerProbeResult> reports, TimePoint now);
     Step probeCandidates(TimePoint now);
     Step choose(std::span<const ServerProbeResult> reports, TimePoint now);
+    void recordFull(std::span<const ServerProbeResult> reports, TimePoint now);
 
     const ForwardRequest &m_request;
     RunPlacement &m_placement;
@@ -73,6 +77,8 @@
     RunCopier &m_copier;
     const bool m_canBeProbed;
     const FinishEstimate m_canFinish;
+    const RoomCheck m_hasRoom;   ///< may be empty
+    int m_roundsLeft = 0;        ///< of probes of candidates
     Probe m_probe = Probe::None; ///< in progress
 };
 
--- a/include/foxtailring/decisions/sessions/StreamSession.h
+++ b/include/foxtailring/decisions/sessions/StreamSession.h
@@ -5,10 +5,13 @@
 #include "foxtailring/decisions/sessions/ForwardSession.h"
 #include "foxtailring/decisions/sessions/ResumeWait.h"
 #include "foxtailring/decisions/sessions/RunCopier.h"
+#include "foxtailring/decisions/sessions/RunEntry.h"
 #include "foxtailring/decisions/sessions/RunPlacement.h"
 #include "foxtailring/decisions/sessions/RunProgress.h"
 #include "foxtailring/decisions/sessions/ServerSearch.h"
 
+#include <algorithm>
+
 namespace foxtailring {
 
 /// \brief A request that is answered by numbered events and resumes at another server if its server
@@ -77,7 +80,8 @@
     ForwardAction lookForAttempt(TimePoint now) override;
     TimePoint nextLook() const override
     {
-        return isChoosingServer() ? TimePoint::max() : m_wait.nextLook();
+        return isChoosingServer() ? TimePoint::max()
+                                  : std::min(m_wait.nextLook(), m_entry.nextLook());
     }
     ForwardAction conclude(ForwardAction action) const override;
     void onAttemptOver() override;
@@ -89,6 +93,10 @@
 
     /// Whether an attempt that is made later can still lead to a whole answer.
     bool mayWaitForAttempt(TimePoint now) const;
+    /// Whether the run needs room of its own. One that has begun, or may have, was let in before.
+    bool needsRoom() const { return !m_hasStarted && !m_lastEventId && possibleRuns() == 0; }
+    /// Waits until an engine may have room, or refuses the run.
+    ForwardAction waitForRoom(TimePoint now);
     ForwardAction delayAttempt(std::string_view reason, Duration needed, TimePoint now);
     /// Whether the run can finish before the deadline if it first processes \a promptTokens.
     bool canFinishInTime(std::uint64_t promptTokens, TimePoint now) const;
@@ -116,6 +124,7 @@
     AttemptWatch m_watch;           ///< of the current attempt
     RunProgress m_fallbackProgress; ///< of the fallback
     RunCopier m_copier;             ///< of the current run
+    RunEntry m_entry;               ///< of a run that has not begun
     ServerSearch m_search;          ///< for the next attempt's server
     /// Servers that were lost after the caller had got an event.
     std::vector<BackendInfo> m_lostServers;
--- a/include/foxtailring/gateway/AttemptMetadata.h
+++ b/include/foxtailring/gateway/AttemptMetadata.h
@@ -19,6 +19,7 @@
     std::optional<std::int64_t> lastEventId; ///< the stream resumes after this event
     std::optional<std::string> copyTo;       ///< IP:PORT of the server that keeps a copy of the run
     std::optional<CopyReference> fromCopy;   ///< the run resumes from it
+    std::optional<std::uint32_t> urgency;    ///< 0 is the highest; none: not told
 };
 
 } // namespace foxtailring
--- a/include/foxtailring/gateway/GatewayRequest.h
+++ b/include/foxtailring/gateway/GatewayRequest.h
@@ -18,6 +18,7 @@
     std::string id;
     std::string host;
     std::string path;                                 ///< of the target, without the query
+    std::string account;                              ///< client account; empty: public route
     std::string apiKey;                               ///< of a client account; empty: none given
     std::optional<std::chrono::milliseconds> timeout; ///< of the caller
     std::optional<std::int64_t> lastEventId;
--- a/src/decisions/configuration/RouteTable.cpp
+++ b/src/decisions/configuration/RouteTable.cpp
@@ -1,6 +1,7 @@
 #include "foxtailring/decisions/configuration/RouteTable.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace foxtailring {
 
@@ -37,6 +38,39 @@
     }
     for (const RoutedService &service : m_config.services)
         m_byService.emplace(service.name, &service);
+    for (const HttpRoute &route : m_config.routes)
+        addRanks(route);
+}
+
+// All that a run on the route may have: accounts that name no priority have that of the route.
+void RouteTable::addRanks(const HttpRoute &route)
+{
+    if (route.kind != CallKind::Stream)
+        return;
+    std::set<Rank> possible;
+    if (!m_config.hasAccounts || route.isPublic)
+        possible.insert({route.priority, route.priority});
+    for (const KeyedAccount &account : m_config.accounts)
+        possible.insert({account.priority.value_or(route.priority), route.priority});
+    for (const RouteTarget &target : route.targets)
+        m_ranks[target.service].insert(possible.begin(), possible.end());
+}
+
+// Among accounts of the same priority, that of the route decides.
+std::optional<std::uint32_t> RouteTable::urgency(const HttpRoute &route, std::string_view key) const
+{
+    const KeyedAccount *holder = route.isPublic ? nullptr : account(key);
+    const std::uint32_t first = holder ? holder->priority.value_or(route.priority) : route.priority;
+    std::optional<std::uint32_t> urgency;
+    for (const RouteTarget &target : route.targets) {
+        const auto ranks = m_ranks.find(target.service);
+        if (ranks == m_ranks.end() || ranks->second.size() < 2)
+            continue;
+        const auto own = ranks->second.lower_bound({first, route.priority});
+        const auto before = std::distance(ranks->second.begin(), own);
+        urgency = std::max(urgency.value_or(0), static_cast<std::uint32_t>(before));
+    }
+    return urgency;
 }
 
 const HttpRoute *RouteTable::route(std::string_view host, std::string_view path) const
--- a/src/decisions/sessions/RunPlacement.cpp
+++ b/src/decisions/sessions/RunPlacement.cpp
@@ -1,5 +1,6 @@
 #include "foxtailring/decisions/sessions/RunPlacement.h"
 
+#include "foxtailring/decisions/admission/RunAdmission.h"
 #include "foxtailring/decisions/limits/ServerAdmission.h"
 #include "foxtailring/decisions/placement/BackendPlacer.h"
 #include "foxtailring/decisions/servers/BackendTable.h"
@@ -19,10 +20,11 @@
 } // namespace
 
 RunPlacement::RunPlacement(const ForwardContext &context, const std::string &service,
-                           const std::vector<std::string> &triedIds)
+                           const std::vector<std::string> &triedIds, std::uint64_t runTokens)
     : m_context(context)
     , m_service(service)
     , m_triedIds(triedIds)
+    , m_runTokens(runTokens)
 {
 }
 
@@ -59,7 +61,7 @@
 {
     std::vector<std::string> exclude = m_triedIds;
     for (const auto &avoided :
-         {m_context.admission.pausedIds(now), m_context.admission.returningIds(now)})
+         {m_full, m_context.admission.pausedIds(now), m_context.admission.returningIds(now)})
         exclude.insert(exclude.end(), avoided.begin(), avoided.end());
     std::vector<BackendState> probed =
         m_context.placer.runCandidates(request(exclude), maxCandidates, now, m_context.random);
@@ -94,9 +96,16 @@
     }
 }
 
+void RunPlacement::recordFull(const std::string &serverId)
+{
+    m_full.push_back(serverId);
+    std::erase(m_responsive, serverId);
+}
+
 std::vector<std::string> RunPlacement::triedAndNotIn(std::span<const std::string> ids) const
 {
     std::vector<std::string> others = m_triedIds;
+    others.insert(others.end(), m_full.begin(), m_full.end());
     std::copy_if(m_candidates.begin(), m_candidates.end(), std::back_inserter(others),
                  [&ids](const std::string &id) {
                      return std::find(ids.begin(), ids.end(), id) == ids.end();
@@ -123,15 +132,27 @@
     copyRequest.avoidZone = runServer.info.availabilityZone;
     copyRequest.affinityServers = {};
     // The run could not resume at a server that has no free request or is in a pause.
+    std::size_t refusals = 0;
     while (true) {
         copyRequest.exclude = exclude;
         auto holder = m_context.placer.chooseForCopy(copyRequest, now, m_context.random);
-        if (!holder || !m_context.admission.isRestricted(holder->info.id, now))
+        if (!holder)
+            return holder;
+        const bool isUsable = !m_context.admission.isRestricted(holder->info.id, now);
+        if (isUsable && hasRoomForCopy(*holder, now))
             return holder;
+        // The servers that are left are no better in a shortage.
+        if (isUsable && ++refusals == maxCandidates)
+            return std::nullopt;
         exclude.push_back(holder->info.id);
     }
 }
 
+bool RunPlacement::hasRoomForCopy(const BackendState &holder, TimePoint now) const
+{
+    return !m_context.runs || m_context.runs->room().mayCopyTo(holder, m_runTokens, now);
+}
+
 bool RunPlacement::tryTakeProbe(const BackendState &server, TimePoint now) const
 {
     return !m_context.admission.isRestricted(server.info.id, now)
--- a/src/decisions/sessions/ServerSearch.cpp
+++ b/src/decisions/sessions/ServerSearch.cpp
@@ -15,23 +15,27 @@
 namespace {
 
 constexpr std::chrono::milliseconds probeTimeout {60};
+// Others are probed if the first candidates have no room.
+constexpr int maxRounds = 2;
 
 } // namespace
 
 ServerSearch::ServerSearch(const ForwardRequest &request, RunPlacement &placement,
                            AdmittedPlacer &admittedPlacer, RunCopier &copier, bool canBeProbed,
-                           FinishEstimate canFinish)
+                           FinishEstimate canFinish, RoomCheck hasRoom)
     : m_request(request)
     , m_placement(placement)
     , m_admittedPlacer(admittedPlacer)
     , m_copier(copier)
     , m_canBeProbed(canBeProbed)
     , m_canFinish(std::move(canFinish))
+    , m_hasRoom(std::move(hasRoom))
 {
 }
 
 ServerSearch::Step ServerSearch::start(bool isMove, TimePoint now)
 {
+    m_roundsLeft = maxRounds;
     // The copy is kept until the run is sent: a run that goes on, or waits for a server, may need
     // it.
     if (isMove && m_canBeProbed && m_copier.hasUsableCopy(now)
@@ -126,6 +130,7 @@
         return Failure::NoTime;
     if (!m_canBeProbed)
         return choose({}, now);
+    --m_roundsLeft;
     ProbeServers probe;
     probe.servers = m_placement.takeCandidateProbes(now);
     if (probe.servers.empty())
@@ -135,12 +140,28 @@
     return probe;
 }
 
+void ServerSearch::recordFull(std::span<const ServerProbeResult> reports, TimePoint now)
+{
+    for (const ServerProbeResult &report : reports) {
+        const bool isUsable = !report.isTurnedAway && m_placement.isFromServer(report, now);
+        if (m_hasRoom && isUsable && !m_hasRoom(report, now))
+            m_placement.recordFull(report.serverId);
+    }
+}
+
 // A server that did not answer the probe is chosen only if there is no other. One whose report
 // named another start may have restarted under its id and work, with an entry that is late, so it
 // comes before those.
 ServerSearch::Step ServerSearch::choose(std::span<const ServerProbeResult> reports, TimePoint now)
 {
     m_placement.recordReports(reports, now);
+    recordFull(reports, now);
+    if (m_placement.hasOnlyFull()) {
+        if (m_roundsLeft > 0)
+            return probeCandidates(now);
+        m_placement.dropCandidates();
+        return Failure::NoRoom;
+    }
     const std::vector<std::string> exclusions[] = {
         m_placement.unresponsiveIds(), m_placement.unansweredIds(), m_placement.triedIds()};
     m_placement.dropCandidates();
--- a/src/decisions/sessions/StreamSession.cpp
+++ b/src/decisions/sessions/StreamSession.cpp
@@ -32,17 +32,23 @@
                              const ForwardContext &context, EngineCapabilities capabilities)
     : ForwardSession(route, request, context)
     , m_capabilities(capabilities)
-    , m_placement(this->context(), service(), triedIds())
+    , m_placement(this->context(), service(), triedIds(),
+                  request.promptTokens + request.maxOutputTokens)
     , m_watch(this->context(), route, this->request(), service(), admittedPlacer(),
               capabilities.canBeProbed)
     , m_fallbackProgress(route)
     , m_copier(
           this->context(), m_watch.progress(), m_placement, admittedPlacer(),
           {capabilities.canCopyContinuously && route.isResumable, capabilities.canCopyOnDemand})
-    , m_search(this->request(), m_placement, admittedPlacer(), m_copier, capabilities.canBeProbed,
-               [this](std::uint64_t promptTokens, TimePoint now) {
-                   return canFinishInTime(promptTokens, now);
-               })
+    , m_entry(this->context(), route, this->request(), service())
+    , m_search(
+          this->request(), m_placement, admittedPlacer(), m_copier, capabilities.canBeProbed,
+          [this](std::uint64_t promptTokens, TimePoint now) {
+              return canFinishInTime(promptTokens, now);
+          },
+          [this](const ServerProbeResult &report, TimePoint now) {
+              return !needsRoom() || m_entry.hasRoom(report, now);
+          })
     , m_wait(route, service(), context.retryBudget, context.random)
     , m_lastEventId(request.lastEventId)
 {
@@ -55,8 +61,10 @@
         return EventVerdict::Duplicate;
     if (isBeyondGap(id))
         return EventVerdict::Gap;
-    if (m_watch.progress().isPrefilling())
+    if (m_watch.progress().isPrefilling()) {
         context().latency.recordFirstEvent(service(), request().promptTokens, now - sentAt());
+        m_entry.recordFirstEvent(now - sentAt());
+    }
     if (hasServer())
         context().servers.recordContact(server().info.id, now);
     recordSignOfLife();
@@ -193,10 +201,21 @@
         return sendRun(std::move(*next), now);
     if (std::get<ServerSearch::Failure>(step) == ServerSearch::Failure::NoTime)
         return refuseOrAbort(refuse(503, "noTimeLeft"), now);
+    if (std::get<ServerSearch::Failure>(step) == ServerSearch::Failure::NoRoom)
+        return waitForRoom(now);
     m_hasRetry = !m_isReplacing;
     return waitForNextAttempt(Missing::Server, refuseUnplaced(now), now);
 }
 
+ForwardAction StreamSession::waitForRoom(TimePoint now)
+{
+    if (m_isReplacing || !m_entry.wait(now))
+        return refuseOrAbort(refuse(503, "noRoom", m_entry.refuse(now)), now);
+    if (!m_entry.isWaitNew())
+        return KeepWaiting {};
+    return DelayAttempt {"noRoom"};
+}
+
 bool StreamSession::canFinishInTime(std::uint64_t promptTokens, TimePoint now) const
 {
     const auto maxEvents =
@@ -226,6 +245,7 @@
     next.lastEventId = m_lastEventId;
     m_watch.start(next.fromCopy.has_value(), now);
     m_copier.start(next, now);
+    m_entry.recordSent(next, m_hasStarted, now);
     return send(std::move(next), now);
 }
 
@@ -296,6 +316,8 @@
 
 ForwardAction StreamSession::lookForAttempt(TimePoint now)
 {
+    if (m_entry.isWaiting())
+        return makeAttempt(m_cause, now);
     if (!mayWaitForAttempt(now))
         return AbortAnswer {m_waitCause};
     if (!m_hasRetry && !context().retryBudget.hasRetry(service(), now))
--- a/src/gateway/AttemptSender.cpp
+++ b/src/gateway/AttemptSender.cpp
@@ -57,6 +57,7 @@
     if (attempt.copyTo)
         metadata.copyTo = attempt.copyTo->info.address;
     metadata.fromCopy = attempt.fromCopy;
+    metadata.urgency = attempt.urgency;
     return metadata;
 }
 
--- a/src/gateway/GatewayParts.cpp
+++ b/src/gateway/GatewayParts.cpp
@@ -1,6 +1,7 @@
 #include "GatewayParts.h"
 
 #include "foxtailring/base/StructuredLog.h"
+#include "foxtailring/decisions/admission/RoomExplanation.h"
 #include "foxtailring/decisions/sessions/CopyReference.h"
 #include "foxtailring/protocol/KeyHash.h"
 #include "foxtailring/transport/Endpoint.h"
@@ -72,6 +73,7 @@
     , queue(pool)
     , placer(servers, settings.availabilityZone, settings.regions, BackendPlacer::Settings {})
     , random(RandomSource::fromEntropy())
+    , runs(random)
     , fleet(settings.nodeId)
     , idleShare({maxIdleRequestConnections, settings.maxServerListDelay})
     , retryBudget(retryBudgetSettings(random))
@@ -115,7 +117,9 @@
             reportPauseReached(requestId, serverId, left);
         },
         [this, requestId](const std::string &service) { reportRetryDenied(requestId, service); },
-        [this, requestId](std::string_view suspect) { reportQuarantined(requestId, suspect); }};
+        [this, requestId](std::string_view suspect) { reportQuarantined(requestId, suspect); },
+        &runs,
+        [this, requestId](const RoomExplanation &reason) { reportNoRoom(requestId, reason); }};
 }
 
 void GatewayParts::updateFleetSize()
@@ -184,6 +188,22 @@
     return "gateway_server_pause_seconds{server=\"" + std::string(serverId) + "\"}";
 }
 
+void GatewayParts::reportNoRoom(const std::string &requestId, const RoomExplanation &reason)
+{
+    const bool isRefused = reason.returnAfter > Duration {0};
+    metrics.add(isRefused ? "gateway_runs_without_room_total{decision=\"refused\"}"
+                          : "gateway_runs_without_room_total{decision=\"waits\"}");
+    StructuredLog::info("noRoom",
+                        {{"request", requestId},
+                         {"urgency", reason.urgency ? std::to_string(*reason.urgency) : "none"},
+                         {"late", reason.isLate ? "true" : "false"},
+                         {"maxMemoryShare", std::to_string(reason.maxMemoryShare)},
+                         {"meanMemoryShare", std::to_string(reason.meanMemoryShare)},
+                         {"withoutMemory", std::to_string(reason.withoutMemory)},
+                         {"withPromptsAhead", std::to_string(reason.withPromptsAhead)},
+                         {"returnAfterMs", msText(reason.returnAfter)}});
+}
+
 void GatewayParts::reportPauseReached(const std::string &requestId, std::string_view serverId,
                                       Duration left)
 {
--- a/src/gateway/GatewayParts.h
+++ b/src/gateway/GatewayParts.h
@@ -5,6 +5,7 @@
 #include "foxtailring/base/RandomSource.h"
 #include "foxtailring/decisions/admission/MemoryBudget.h"
 #include "foxtailring/decisions/admission/RetryBudget.h"
+#include "foxtailring/decisions/admission/RunAdmission.h"
 #include "foxtailring/decisions/configuration/KeyFreshness.h"
 #include "foxtailring/decisions/configuration/RouteTable.h"
 #include "foxtailring/decisions/limits/IdleConnectionShare.h"
@@ -69,6 +70,8 @@
                            const RateLimitExplanation &reason);
     /// \brief Logs and counts that a quarantined prompt part kept a request from all servers.
     void reportQuarantined(const std::string &requestId, std::string_view suspect);
+    /// \brief Logs and counts that a run found no room at engines.
+    void reportNoRoom(const std::string &requestId, const RoomExplanation &reason);
     /// \brief Logs and counts that a server's pause kept a request from it.
     void reportPauseReached(const std::string &requestId, std::string_view serverId, Duration left);
     /// \brief Gives back the idle connections to a server to which a connection failed before an
@@ -104,6 +107,7 @@
     BackendTable servers;
     BackendPlacer placer;
     RandomSource random;
+    RunAdmission runs;
     FleetMembership fleet;
     IdleConnectionShare idleShare; ///< of connections for requests
     RetryBudget retryBudget;
--- a/src/gateway/RequestDispatcher.cpp
+++ b/src/gateway/RequestDispatcher.cpp
@@ -200,6 +200,7 @@
         account = holder->name;
     }
     request.contentDigest = contentDigest(request, account);
+    request.account = account;
     const auto relay = std::make_shared<RequestRelay>(m_parts, std::move(request), table, *route,
                                                       std::move(account), responder, arrivedAt);
     track(relay);
--- a/src/gateway/RequestReporter.cpp
+++ b/src/gateway/RequestReporter.cpp
@@ -35,7 +35,8 @@
     for (const ServerProbeResult &report : results)
         summary += report.serverId + " running " + std::to_string(report.load.running) + " waiting "
             + std::to_string(report.load.waiting) + " reading "
-            + std::to_string(report.load.prefilling) + " events "
+            + std::to_string(report.load.prefilling) + " memory "
+            + std::to_string(report.load.memoryUsedTokens) + " events "
             + (report.hasRun ? std::to_string(report.eventCount) : "none")
             + (report.hasPrompt ? " prompt; " : "; ");
     return summary;
@@ -76,6 +77,7 @@
                          {"inFlight", std::to_string(server.inFlight)},
                          {"loadAgeMs", server.load ? msText(server.loadAge) : "none"},
                          {"fromCopy", next.fromCopy ? "true" : "false"},
+                         {"urgency", next.urgency ? std::to_string(*next.urgency) : "none"},
                          {"copyTo", next.copyTo ? next.copyTo->info.id : ""},
                          {"retriesLeft", retriesLeft(server.info.service)},
                          {"timeLeftMs", std::to_string(next.timeLeft.count())}});
