--- a/include/foxtailring/decisions/sessions/StreamSession.h
+++ b/include/foxtailring/decisions/sessions/StreamSession.h
@@ -95,7 +95,7 @@
     /// Whether an attempt that is made later can still lead to a whole answer.
     bool mayWaitForAttempt(TimePoint now) const;
     /// Whether the run needs room of its own. One that has begun, or may have, was let in before.
-    bool needsRoom() const { return !m_hasStarted && !m_lastEventId && possibleRuns() == 0; }
+    bool needsRoom() const { return !m_hasStarted && !m_events.lastId() && possibleRuns() == 0; }
     /// Waits until an engine may have room, or refuses the run.
     ForwardAction waitForRoom(TimePoint now);
     ForwardAction delayAttempt(std::string_view reason, Duration needed, TimePoint now);
