gateway: bound the memory for client accounts and at servers where the platform's rules ask for it

One account with slow callers could hold the whole budget, the answer that grew next was ended in place of the slowest one, its server counted as failed, and nothing bounded what servers were given. Change: MemoryBudget bounds the requests of one client account to half of it (503 accountMemory). UnreadAnswers chooses the stream to cut when the budget is used up: the one whose caller has read nothing for longest; SlowCallers carries it out. A stream that its caller reads too slowly ends as callerReadsTooSlowly and is no failure of its server (on all deployments). ServerMemory learns from crashes and refusals under large requests what a server of a service may hold of this gateway; AdmittedPlacer passes over servers beyond it, and a request that none can hold is refused at once (503 serverMemory). RequestWork counts a request and its body at servers. Measured: decisions_test MemoryBudgetTest, ServerMemoryTest, ServerMemorySessionTest, UnreadAnswersTest; gateway_test UnreadAnswerTest, GatewaySettingsTest, GatewayTest; platform_test pass. Conclusion: partial: an answer that a server cuts since this process was stopped still counts against the server, and whole answers to slow callers are bounded but not cut first.

--- a/apps/foxtailring-gateway.cpp
+++ b/apps/foxtailring-gateway.cpp
@@ -3,6 +3,7 @@
 
 #include "Daemon.h"
 #include "KvClient.h"
+#include "PlatformRules.h"
 #include "WireFormat.h"
 
 #include <chrono>
@@ -75,6 +76,7 @@
         if (!loaded)
             return loaded.error();
         settings = std::move(loaded).value();
+        settings.limitsPeerMemory = platform::limitsPeerMemory(settings.platformRules);
         return Done {};
     };
     return Daemon::main(argc, argv, load, [&settings] { return run(settings); });
--- a/include/foxtailring/decisions/admission/MemoryBudget.h
+++ b/include/foxtailring/decisions/admission/MemoryBudget.h
@@ -1,7 +1,11 @@
 #pragma once
 
 #include <cstddef>
+#include <functional>
+#include <map>
 #include <mutex>
+#include <string>
+#include <string_view>
 
 namespace foxtailring {
 
@@ -10,14 +14,13 @@
 /// Protects against servers whose answers to many requests never end, and against callers that send
 /// many large requests at a time. A request may hold at most
 /// as much as it leaves free for others, so that a few large answers fit, and many of them still
-/// leave room for small ones.
+/// leave room for small ones. The requests of one client account may hold a part of the budget
+/// together, so that an account whose callers read slowly leaves room for the others.
 class MemoryBudget
 {
 public:
-    explicit MemoryBudget(std::size_t bytes)
-        : m_total(bytes)
-    {
-    }
+    /// \param maxAccountShare part of the budget that one client account may hold, up to 1
+    explicit MemoryBudget(std::size_t bytes, double maxAccountShare = 1);
     MemoryBudget(const MemoryBudget &) = delete;
     MemoryBudget &operator=(const MemoryBudget &) = delete;
 
@@ -46,18 +49,32 @@
         bool tryResize(std::size_t bytes);
         /// \brief The request has arrived whole.
         void setArrived();
+        /// \brief The request belongs to \a account; empty: to none. False: the account holds too
+        /// much, and the request must be refused unless it is small.
+        bool assignTo(std::string_view account);
 
     private:
+        bool isAllowed(std::size_t bytes) const;
+        bool accountAllows(std::size_t bytes) const;
+        /// Replaces the size; the budget is locked.
+        void setBytes(std::size_t bytes);
+
         MemoryBudget &m_budget;
         bool m_isArriving;
         std::size_t m_bytes = 0;
+        std::string m_account;
     };
 
+    /// \brief Bytes that the requests of the account hold.
+    std::size_t heldBy(std::string_view account) const;
+
 private:
     const std::size_t m_total;
+    const std::size_t m_maxAccountBytes;
     mutable std::mutex m_mutex;
     std::size_t m_held = 0;
     std::size_t m_arriving = 0;
+    std::map<std::string, std::size_t, std::less<>> m_byAccount; ///< only those that hold something
 };
 
 } // namespace foxtailring
--- a/include/foxtailring/decisions/sessions/ForwardContext.h
+++ b/include/foxtailring/decisions/sessions/ForwardContext.h
@@ -15,6 +15,7 @@
 class RandomSource;
 class RetryBudget;
 class ServerAdmission;
+class ServerMemory;
 class SuspectedCrashes;
 struct CopyReference;
 struct RateLimitExplanation;
@@ -40,6 +41,10 @@
     std::function<void(const std::string &service)> onRetryDenied;
     /// The request is refused because of this suspect, which is quarantined; may be empty.
     std::function<void(std::string_view suspect)> onQuarantined;
+    /// Limits the bodies of requests at servers; null: they are not limited.
+    ServerMemory *serverMemory = nullptr;
+    /// A server got no request because of the bodies that it holds; may be empty.
+    std::function<void(std::string_view serverId)> onServerMemoryReached = {};
 };
 
 } // namespace foxtailring
--- a/include/foxtailring/decisions/sessions/ForwardRequest.h
+++ b/include/foxtailring/decisions/sessions/ForwardRequest.h
@@ -2,6 +2,7 @@
 
 #include "foxtailring/base/Clock.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -22,6 +23,7 @@
     std::optional<std::int64_t> lastEventId;    ///< the last event that the caller has received
     Duration minAttemptTime {0}; ///< with less time left, it is not sent after a server rejected it
     std::string contentDigest;   ///< RequestDigest; the same for its repeats; empty: not given
+    std::size_t bodyBytes = 0;
 };
 
 } // namespace foxtailring
--- a/include/foxtailring/decisions/sessions/ForwardSession.h
+++ b/include/foxtailring/decisions/sessions/ForwardSession.h
@@ -11,6 +11,7 @@
 #include "foxtailring/decisions/sessions/ForwardAction.h"
 #include "foxtailring/decisions/sessions/ForwardContext.h"
 #include "foxtailring/decisions/sessions/ForwardRequest.h"
+#include "foxtailring/decisions/sessions/RequestWork.h"
 
 #include <cstdint>
 #include <optional>
@@ -101,6 +102,7 @@
     std::optional<ForwardAction> refuseQuarantined(TimePoint now) const;
 
     const ServerEvidence &evidence() const { return m_evidence; }
+    const RequestWork &work() const { return m_work; }
     /// \brief Takes a request to the server. False if its rate limit or a pause allows none.
     bool tryAcquire(const std::string &serverId, TimePoint now)
     {
@@ -212,6 +214,7 @@
     RequestSuspicion m_suspicion;
     const TimePoint m_deadline;
     std::string m_service;
+    const RequestWork m_work;
     AdmittedPlacer m_admittedPlacer;
     std::vector<std::string> m_triedIds; ///< ids of servers
     std::optional<BackendState> m_server;
--- a/include/foxtailring/gateway/GatewaySettings.h
+++ b/include/foxtailring/gateway/GatewaySettings.h
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <map>
 #include <string>
+#include <vector>
 
 namespace foxtailring {
 
@@ -25,6 +26,12 @@
     std::size_t threads = 1;
     std::size_t memoryMb = 160; ///< of the VM; requests may hold a quarter of it
 
+    /// Parts of the platform's rules that are in force, by the platform's names.
+    std::vector<std::string> platformRules;
+    /// Callers and servers may read slowly and have little memory: what is held for one client
+    /// account and at the servers is limited. Follows from the rules.
+    bool limitsPeerMemory = false;
+
     /// Time limit from the withdrawal of a key until it is refused.
     std::chrono::milliseconds maxKeyRevocationDelay {5000};
     /// Time limit from a server's announcement that it leaves until it gets no new work.
--- a/include/foxtailring/transport/RequestMemory.h
+++ b/include/foxtailring/transport/RequestMemory.h
@@ -3,6 +3,7 @@
 #include "foxtailring/transport/HttpResponse.h"
 
 #include <cstddef>
+#include <string_view>
 
 namespace foxtailring {
 
@@ -18,6 +19,8 @@
     virtual bool tryResize(std::size_t bytes) = 0;
     /// \brief The request has arrived whole.
     virtual void onArrived() = 0;
+    /// \brief The request belongs to the client account. False: the account holds too much.
+    virtual bool assignTo(std::string_view) { return true; }
     /// \brief The request is refused because of its size; returns the response.
     virtual HttpResponse refuse() = 0;
 };
--- a/review/standins2.py
+++ b/review/standins2.py
@@ -379,7 +379,7 @@
         fields = {"node_name": self.name, "zone": zones[index % len(zones)], "zones": ZONES, "ip": self.ip,
                   "listen": {"front": f"{self.ip}:{self.port}", "ready": f"{self.ip}:{self.ready_port}"},
                   "platform": {"address": store_address, "reads_per_s": 2000}, "limits": {"memory_mb": 260},
-                  "bounds": BOUNDS}
+                  "bounds": BOUNDS, "contracts": {}}
         text = render((ROOT / deploy["template"]).read_text(), fields)
         # The template names a fixed port for the metrics; another program may use it on this machine.
         text = text.replace(f"{self.ip}:9090", f"{self.ip}:{free_port(self.ip)}")
--- a/src/decisions/placement/AdmittedPlacer.cpp
+++ b/src/decisions/placement/AdmittedPlacer.cpp
@@ -5,6 +5,7 @@
 #include "foxtailring/decisions/limits/ServerAdmission.h"
 #include "foxtailring/decisions/placement/BackendPlacer.h"
 #include "foxtailring/decisions/servers/BackendTable.h"
+#include "foxtailring/decisions/servers/ServerMemory.h"
 #include "foxtailring/decisions/sessions/ForwardContext.h"
 
 #include <algorithm>
@@ -12,9 +13,11 @@
 
 namespace foxtailring {
 
-AdmittedPlacer::AdmittedPlacer(const ForwardContext &context, const std::string &service)
+AdmittedPlacer::AdmittedPlacer(const ForwardContext &context, const std::string &service,
+                               std::size_t bodyBytes)
     : m_context(context)
     , m_service(service)
+    , m_bodyBytes(bodyBytes)
 {
 }
 
@@ -26,6 +29,15 @@
     return isFree;
 }
 
+bool AdmittedPlacer::hasMemory(const std::string &serverId, TimePoint now) const
+{
+    const bool isFree = !m_context.serverMemory
+        || m_context.serverMemory->hasRoom(m_service, serverId, m_bodyBytes, now);
+    if (!isFree && m_context.onServerMemoryReached)
+        m_context.onServerMemoryReached(serverId);
+    return isFree;
+}
+
 void AdmittedPlacer::reportDenied(const std::string &serverId, TimePoint now) const
 {
     if (m_context.admission.isPaused(serverId, now)) {
@@ -48,6 +60,7 @@
     std::vector<std::string> returning = m_context.admission.returningIds(now);
     std::vector<std::string> denied;
     m_isLimited = false;
+    m_lacksMemory = false;
     while (true) {
         std::vector<std::string> exclude = requested;
         exclude.insert(exclude.end(), returning.begin(), returning.end());
@@ -59,6 +72,11 @@
             returning.clear();
             continue;
         }
+        if (chosen && !hasMemory(chosen->info.id, now)) {
+            m_lacksMemory = true;
+            denied.push_back(chosen->info.id);
+            continue;
+        }
         if (!chosen || tryAcquire(chosen->info.id, now))
             return chosen;
         if (m_context.admission.isPaused(chosen->info.id, now)) {
--- a/src/decisions/sessions/ForwardSession.cpp
+++ b/src/decisions/sessions/ForwardSession.cpp
@@ -45,7 +45,8 @@
     , m_evidence(m_context)
     , m_suspicion(m_request, m_context)
     , m_deadline(deadlineOf(route, request))
-    , m_admittedPlacer(m_context, m_service)
+    , m_work(m_context, m_request.bodyBytes)
+    , m_admittedPlacer(m_context, m_service, m_request.bodyBytes)
 {
 }
 
@@ -130,6 +131,7 @@
     if (!m_fallback)
         return KeepWaiting {};
     m_evidence.recordEnd(m_fallback->server.info.id, result, now);
+    m_work.recordFailure(m_fallback->server.info.id, result, now);
     if (result == AttemptResult::Lost && mayCrashServers())
         m_suspicion.recordReset(m_fallback->server.info, m_fallback->isFailureRecorded, now);
     releaseFallback();
@@ -182,6 +184,7 @@
     m_suspicion.recordWholeAnswer(answer, now);
     // A server that asks for a pause has not failed.
     m_context.servers.recordAnswer(m_server->info.id, isFailure && !answer.pause, now);
+    m_work.recordAnswer(m_server->info.id, now);
     releaseServer();
     countPossibleRun();
     const bool isFinal = answer.status < 500 && mayPass(answer.status);
@@ -326,6 +329,7 @@
         onServerLost();
     }
     m_evidence.recordEnd(m_server->info.id, result, now);
+    m_work.recordFailure(m_server->info.id, result, now);
     if (result == AttemptResult::Lost || result == AttemptResult::Silent)
         reportFailure(result == AttemptResult::Silent ? lastSignAt(now) : now, now);
     releaseServer();
@@ -407,6 +411,8 @@
 {
     if (m_admittedPlacer.isServicePaused(now))
         return refuse(503, "serversPaused", m_admittedPlacer.waitForServer(now));
+    if (m_admittedPlacer.lacksMemory())
+        return refuse(503, "serverMemory");
     if (!m_admittedPlacer.isLimited())
         return refuse(503, "noServer");
     return refuse(503, "rateLimited", m_admittedPlacer.waitForServer(now));
@@ -442,7 +448,7 @@
     m_isFailureRecorded = false;
     m_isCrashSuspected = false;
     m_server = attempt.server;
-    m_context.servers.startWork(m_server->info.id);
+    m_work.start(m_service, m_server->info.id);
     m_triedIds.push_back(m_server->info.id);
     m_sentAt = now;
     attempt.timeLeft = timeLeft(now);
@@ -475,14 +481,14 @@
 {
     if (!m_server)
         return;
-    m_context.servers.endWork(m_server->info.id);
+    m_work.end(m_server->info.id);
     m_server.reset();
 }
 
 void ForwardSession::releaseFallback()
 {
     if (m_fallback)
-        m_context.servers.endWork(m_fallback->server.info.id);
+        m_work.end(m_fallback->server.info.id);
     m_fallback.reset();
 }
 
--- a/src/decisions/sessions/StreamSession.cpp
+++ b/src/decisions/sessions/StreamSession.cpp
@@ -172,8 +172,10 @@
 {
     if (!hasOutlivedStart())
         recordStart(now);
-    if (hasServer())
+    if (hasServer()) {
         context().servers.recordAnswer(server().info.id, false, now);
+        work().recordAnswer(server().info.id, now);
+    }
     if (m_watch.progress().meanEventInterval() > Duration {0})
         context().latency.recordEventInterval(service(), m_watch.progress().meanEventInterval());
     releaseServer();
--- a/src/gateway/CallerAnswer.cpp
+++ b/src/gateway/CallerAnswer.cpp
@@ -44,6 +44,7 @@
     recordResume(attempt, now);
     startStream(attempt);
     m_responder->write(std::string(text));
+    m_passedBytes += text.size();
     return m_responder->pendingBytes() <= maxUnreadCallerBytes;
 }
 
--- a/src/gateway/CallerAnswer.h
+++ b/src/gateway/CallerAnswer.h
@@ -29,6 +29,8 @@
     bool hasStarted() const { return m_hasStarted; }
     /// \brief Bytes that the caller has not read yet.
     std::size_t pendingBytes() const;
+    /// \brief Bytes of events that were passed on.
+    std::size_t passedBytes() const { return m_passedBytes; }
     /// \brief \a hook runs on a worker thread if the caller disconnects before the end.
     void onDisconnect(std::function<void()> hook);
 
@@ -52,6 +54,7 @@
     const RequestReporter &m_reporter;
     const std::shared_ptr<Http1Responder> m_responder;
     TimePoint m_lastEventAt;
+    std::size_t m_passedBytes = 0;
     bool m_hasStarted = false;
 };
 
--- a/src/gateway/ForwardSessionFactory.cpp
+++ b/src/gateway/ForwardSessionFactory.cpp
@@ -38,6 +38,7 @@
     forwarded.maxOutputTokens = request.maxOutputTokens;
     forwarded.lastEventId = request.lastEventId;
     forwarded.minAttemptTime = request.minAttemptTime;
+    forwarded.bodyBytes = request.http.body.size();
     for (const RouteTarget &target : m_route.targets) {
         if (const RoutedService *service = m_table.service(target.service))
             forwarded.tokensPerEvent = std::max(forwarded.tokensPerEvent, service->tokensPerEvent);
--- a/src/gateway/GatewayParts.cpp
+++ b/src/gateway/GatewayParts.cpp
@@ -27,6 +27,8 @@
 constexpr std::size_t maxOrderResponseBytes = 64 * 1024;
 // Requests may hold this fraction of the VM's memory; connection buffers and lists need the rest.
 constexpr std::size_t memoryBudgetDivisor = 4;
+// Part of that for the requests of one client account, where callers may read slowly.
+constexpr double maxAccountMemoryShare = 0.5;
 // Idle connections to one server that all gateways together keep, on average. Servers accept 96
 // connections at least; the rest is for those at work. Up to 36 gateways keep one of each kind.
 constexpr double maxIdleRequestConnections = 48;
@@ -58,7 +60,8 @@
     : settings(std::move(gatewaySettings))
     , codec(std::move(backendCodec))
     , clock(bootClock())
-    , memoryBudget(settings.memoryMb * 1024 * 1024 / memoryBudgetDivisor)
+    , memoryBudget(settings.memoryMb * 1024 * 1024 / memoryBudgetDivisor,
+                   settings.limitsPeerMemory ? maxAccountMemoryShare : 1)
     , requestMemory(memoryBudget, metrics, clock)
     , pool(settings.threads)
     , storePool(storeThreads)
@@ -70,6 +73,10 @@
     , idleProbeConnections(pool, probeHttp, metrics, clock,
                            {"probes", maxIdleProbeConnections, maxProbeIdle, 0})
     , queue(pool)
+    , serverMemory([this](std::string_view service, std::optional<std::size_t> limit) {
+        reportServerMemoryLimit(service, limit);
+    })
+    , slowCallers(metrics)
     , placer(servers, settings.availabilityZone, settings.regions, BackendPlacer::Settings {})
     , random(RandomSource::fromEntropy())
     , fleet(settings.nodeId)
@@ -115,7 +122,11 @@
             reportPauseReached(requestId, serverId, left);
         },
         [this, requestId](const std::string &service) { reportRetryDenied(requestId, service); },
-        [this, requestId](std::string_view suspect) { reportQuarantined(requestId, suspect); }};
+        [this, requestId](std::string_view suspect) { reportQuarantined(requestId, suspect); },
+        settings.limitsPeerMemory ? &serverMemory : nullptr,
+        [this, requestId](std::string_view serverId) {
+            reportServerMemoryReached(requestId, serverId);
+        }};
 }
 
 void GatewayParts::updateFleetSize()
@@ -157,6 +168,25 @@
                         {{"request", requestId}, {"suspect", std::string(suspect)}});
 }
 
+void GatewayParts::reportServerMemoryReached(const std::string &requestId,
+                                             std::string_view serverId)
+{
+    metrics.add("gateway_server_memory_reached_total");
+    StructuredLog::info("serverMemoryReached",
+                        {{"request", requestId},
+                         {"server", std::string(serverId)},
+                         {"heldBytes", std::to_string(serverMemory.held(serverId))}});
+}
+
+void GatewayParts::reportServerMemoryLimit(std::string_view service,
+                                           std::optional<std::size_t> limit)
+{
+    metrics.add("gateway_server_memory_limits_total{service=\"" + std::string(service) + "\"}");
+    StructuredLog::warn("serverMemoryLimited",
+                        {{"service", std::string(service)},
+                         {"limitBytes", limit ? std::to_string(*limit) : "none"}});
+}
+
 std::string GatewayParts::rateLimitGauge(std::string_view serverId)
 {
     return "gateway_server_limit{server=\"" + std::string(serverId) + "\"}";
--- a/src/gateway/GatewayParts.h
+++ b/src/gateway/GatewayParts.h
@@ -18,6 +18,7 @@
 #include "foxtailring/decisions/quarantine/RequestQuarantine.h"
 #include "foxtailring/decisions/quarantine/SuspectedCrashes.h"
 #include "foxtailring/decisions/servers/BackendTable.h"
+#include "foxtailring/decisions/servers/ServerMemory.h"
 #include "foxtailring/decisions/sessions/AnswerTimes.h"
 #include "foxtailring/decisions/sessions/EngineLatencyEstimator.h"
 #include "foxtailring/decisions/sessions/ForwardContext.h"
@@ -29,9 +30,11 @@
 
 #include "IdleConnectionControl.h"
 #include "RequestMemoryFactory.h"
+#include "SlowCallers.h"
 
 #include <chrono>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -71,6 +74,8 @@
     void reportQuarantined(const std::string &requestId, std::string_view suspect);
     /// \brief Logs and counts that a server's pause kept a request from it.
     void reportPauseReached(const std::string &requestId, std::string_view serverId, Duration left);
+    /// \brief Logs and counts that the bodies at a server kept a request from it.
+    void reportServerMemoryReached(const std::string &requestId, std::string_view serverId);
     /// \brief Gives back the idle connections to a server to which a connection failed before an
     /// answer: it may have reached its limit of connections.
     void onConnectionFailed(const std::string &serverId, const Endpoint &endpoint);
@@ -102,6 +107,8 @@
     std::shared_ptr<const RouteTable> routes; ///< null until the first configuration was read
     bool hasServerList = false;               ///< the server list was read
     BackendTable servers;
+    ServerMemory serverMemory; ///< used only if the settings call for it
+    SlowCallers slowCallers;
     BackendPlacer placer;
     RandomSource random;
     FleetMembership fleet;
@@ -120,6 +127,7 @@
 
 private:
     void updateIdleShare();
+    void reportServerMemoryLimit(std::string_view service, std::optional<std::size_t> limit);
 
     std::size_t m_fleetSize = 0; ///< by which shared limits are divided
 };
--- a/src/gateway/GatewaySettings.cpp
+++ b/src/gateway/GatewaySettings.cpp
@@ -67,6 +67,8 @@
     const auto memoryMb = static_cast<std::int64_t>(settings.memoryMb);
     settings.memoryMb =
         static_cast<std::size_t>(reader.integerOr("memoryMb", memoryMb, minMemoryMb, maxMemoryMb));
+    if (reader.has("platformRules"))
+        settings.platformRules = reader.textList("platformRules");
     readMilliseconds(reader, "keyRevocationMs", settings.maxKeyRevocationDelay);
     readMilliseconds(reader, "listNoticeMs", settings.maxServerListDelay);
     readMilliseconds(reader, "startWaitMs", settings.maxStartupWait);
--- a/src/gateway/RequestDispatcher.cpp
+++ b/src/gateway/RequestDispatcher.cpp
@@ -3,6 +3,7 @@
 #include "foxtailring/base/StructuredLog.h"
 #include "foxtailring/protocol/RequestDigest.h"
 #include "foxtailring/transport/Http1Responder.h"
+#include "foxtailring/transport/RequestMemory.h"
 
 #include "GatewayParts.h"
 #include "Refusal.h"
@@ -199,6 +200,8 @@
             return refuse(m_parts, *responder, request.id, 401, "unknownKey");
         account = holder->name;
     }
+    if (!assignMemory(request, account))
+        return refuse(m_parts, *responder, request.id, 503, "accountMemory");
     request.contentDigest = contentDigest(request, account);
     const auto relay = std::make_shared<RequestRelay>(m_parts, std::move(request), table, *route,
                                                       std::move(account), responder, arrivedAt);
@@ -206,6 +209,15 @@
     relay->start();
 }
 
+bool RequestDispatcher::assignMemory(GatewayRequest &request, const std::string &account) const
+{
+    if (!m_parts.settings.limitsPeerMemory)
+        return true;
+    if (!request.http.memory)
+        request.http.memory = m_parts.requestMemory.begin();
+    return request.http.memory->assignTo(account);
+}
+
 // Pruning only after the list has doubled makes this amortized O(1).
 void RequestDispatcher::track(const std::shared_ptr<RequestRelay> &relay)
 {
--- a/src/gateway/RequestDispatcher.h
+++ b/src/gateway/RequestDispatcher.h
@@ -53,6 +53,8 @@
     void admit(PendingRequest pending);
     void enqueue(PendingRequest pending);
     void serve(PendingRequest pending);
+    /// Counts the request's memory for the account. False: the account holds too much.
+    bool assignMemory(GatewayRequest &request, const std::string &account) const;
     void track(const std::shared_ptr<RequestRelay> &relay);
     /// Limits the request's time to that of the drain. False: it is not expected to end in time.
     bool admitToDrain(GatewayRequest &request, const HttpRoute &route, const RouteTable &table,
--- a/src/gateway/RequestMemoryFactory.cpp
+++ b/src/gateway/RequestMemoryFactory.cpp
@@ -35,6 +35,7 @@
 
     bool tryResize(std::size_t bytes) override { return m_reservation.tryResize(bytes); }
     void onArrived() override { m_reservation.setArrived(); }
+    bool assignTo(std::string_view account) override { return m_reservation.assignTo(account); }
     HttpResponse refuse() override { return m_factory.refuse(); }
 
 private:
--- a/src/gateway/RequestRelay.cpp
+++ b/src/gateway/RequestRelay.cpp
@@ -311,7 +311,9 @@
     if (!isOpen(number))
         return;
     if (!updateHeldMemory("stream"))
-        return endAttempt(AttemptResult::Invalid);
+        return m_answer.pendingBytes() > m_attempts.pendingBytes()
+            ? giveUpSlowCaller()
+            : endAttempt(AttemptResult::Invalid);
     if (m_attempts.current().events.hasPartialEvent())
         m_stream->onPartialEvent(m_parts.clock());
 }
@@ -325,12 +327,38 @@
 {
     const std::size_t bytes =
         m_request.http.body.size() + m_attempts.pendingBytes() + m_answer.pendingBytes();
-    if (m_memory->tryResize(bytes))
-        return true;
+    updateSlowCaller();
+    do {
+        if (m_memory->tryResize(bytes))
+            return true;
+    } while (m_parts.settings.limitsPeerMemory && m_parts.slowCallers.endSlowest(m_slowCallerId));
     m_reporter.reportOverBudget(what, m_attempts.current().serverId, bytes);
     return false;
 }
 
+void RequestRelay::updateSlowCaller()
+{
+    if (!m_parts.settings.limitsPeerMemory || !m_answer.hasStarted() || m_isFinished)
+        return;
+    if (m_slowCallerId == 0)
+        m_slowCallerId = m_parts.slowCallers.add([self = weak_from_this()] {
+            if (const auto relay = self.lock())
+                relay->giveUpSlowCaller();
+        });
+    const std::size_t unread = m_answer.pendingBytes();
+    m_parts.slowCallers.update(m_slowCallerId, m_answer.passedBytes() - unread, unread,
+                               m_parts.clock());
+}
+
+// The server has not failed. The connection drops what is unread in a moment.
+void RequestRelay::giveUpSlowCaller()
+{
+    if (m_isFinished)
+        return;
+    abortAnswer({"callerReadsTooSlowly"});
+    m_memory->tryResize(0);
+}
+
 void RequestRelay::onEvent(std::optional<std::int64_t> id, std::string_view text)
 {
     const TimePoint now = m_parts.clock();
@@ -423,6 +451,7 @@
 void RequestRelay::finish(std::string_view outcome, std::string_view cause, int status)
 {
     m_isFinished = true;
+    m_parts.slowCallers.remove(m_slowCallerId);
     m_copyOrders.end();
     m_attempts.endFallback();
     m_timer.cancel();
--- a/src/gateway/RequestRelay.h
+++ b/src/gateway/RequestRelay.h
@@ -14,6 +14,7 @@
 #include "CopyOrderSender.h"
 #include "OpenAttempts.h"
 #include "RequestReporter.h"
+#include "SlowCallers.h"
 
 #include <cstdint>
 #include <functional>
@@ -67,6 +68,10 @@
     /// Reserves the memory that the request holds now. False: over the budget; the caller of this
     /// function abandons \a what.
     bool updateHeldMemory(std::string_view what);
+    /// Takes note of how much of a streamed answer its caller has read.
+    void updateSlowCaller();
+    /// Cuts the answer, whose caller reads too slowly, and gives back its memory.
+    void giveUpSlowCaller();
     void onEvent(std::optional<std::int64_t> id, std::string_view text);
     void onClosed(const Result<Done> &result);
     /// A connection to the server of the attempt failed; returns what became of the attempt.
@@ -110,6 +115,7 @@
     CopyOrderSender m_copyOrders;
     OpenAttempts m_attempts;
     std::uint64_t m_probeCount = 0;
+    SlowCallers::Id m_slowCallerId = 0; ///< 0: no event was passed on yet
     bool m_isFinished = false;
 };
 
--- a/tests/decisions/admission/MemoryBudgetTest.cpp
+++ b/tests/decisions/admission/MemoryBudgetTest.cpp
@@ -16,6 +16,9 @@
     CPPUNIT_TEST(arrivingRequestsLeaveRoomForAnswers);
     CPPUNIT_TEST(smallRequestsArriveBesideEndlessAnswers);
     CPPUNIT_TEST(arrivedRequestsAreNoLongerCountedAsArriving);
+    CPPUNIT_TEST(accountLeavesRoomForOthers);
+    CPPUNIT_TEST(accountIsHeldToItsShareFromItsRequestOn);
+    CPPUNIT_TEST(accountsAreNotBoundWithoutAShare);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -83,6 +86,49 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), m_budget.held());
     }
 
+    // Guards against one account whose callers read slowly, and that takes the memory of all.
+    void accountLeavesRoomForOthers()
+    {
+        MemoryBudget budget(budgetBytes, 0.5);
+        std::vector<std::unique_ptr<MemoryBudget::Reservation>> slow;
+        for (int i = 0; i < 100; ++i) {
+            slow.push_back(std::make_unique<MemoryBudget::Reservation>(budget));
+            slow.back()->assignTo("slow");
+            slow.back()->tryResize(mebi);
+        }
+        CPPUNIT_ASSERT_EQUAL(budgetBytes / 2, budget.heldBy("slow"));
+        CPPUNIT_ASSERT(slow.back()->tryResize(8 * 1024));
+        MemoryBudget::Reservation other(budget);
+        CPPUNIT_ASSERT(other.assignTo("other"));
+        CPPUNIT_ASSERT(other.tryResize(8 * mebi));
+        MemoryBudget::Reservation unassigned(budget);
+        CPPUNIT_ASSERT(unassigned.tryResize(mebi));
+        slow.clear();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), budget.heldBy("slow"));
+    }
+
+    // The account is known only once the request has arrived.
+    void accountIsHeldToItsShareFromItsRequestOn()
+    {
+        MemoryBudget budget(budgetBytes, 0.25);
+        MemoryBudget::Reservation first(budget, true);
+        MemoryBudget::Reservation second(budget, true);
+        CPPUNIT_ASSERT(first.tryResize(budgetBytes / 6));
+        CPPUNIT_ASSERT(second.tryResize(budgetBytes / 6));
+        CPPUNIT_ASSERT(first.assignTo("a"));
+        CPPUNIT_ASSERT(!second.assignTo("a"));
+        CPPUNIT_ASSERT(second.tryResize(0));
+        CPPUNIT_ASSERT_EQUAL(budgetBytes / 6, budget.heldBy("a"));
+        CPPUNIT_ASSERT_EQUAL(budgetBytes / 6, budget.arriving());
+    }
+
+    void accountsAreNotBoundWithoutAShare()
+    {
+        MemoryBudget::Reservation reservation(m_budget);
+        CPPUNIT_ASSERT(reservation.assignTo("a"));
+        CPPUNIT_ASSERT(reservation.tryResize(budgetBytes / 2));
+    }
+
 private:
     static constexpr std::size_t mebi = 1024 * 1024;
     static constexpr std::size_t budgetBytes = 40 * mebi;
--- a/tests/gateway/GatewayFixture.cpp
+++ b/tests/gateway/GatewayFixture.cpp
@@ -131,6 +131,8 @@
         *endpoint = {"127.0.0.1", 0};
     settings.maxKeyRevocationDelay = maxKeyRevocationDelay;
     settings.maxStartupWait = maxStartupWait;
+    settings.memoryMb = m_memoryMb;
+    settings.limitsPeerMemory = m_limitsPeerMemory;
     settings.drainTimeout = drainTimeout;
     auto store = std::make_unique<ListedStore>();
     m_store = store.get();
--- a/tests/gateway/GatewayFixture.h
+++ b/tests/gateway/GatewayFixture.h
@@ -100,6 +100,9 @@
     /// Headers of all load reports; to be set before the first one is requested.
     std::shared_ptr<std::vector<HttpHeader>> m_reportHeaders =
         std::make_shared<std::vector<HttpHeader>>();
+    /// Of the next gateway.
+    std::size_t m_memoryMb = 160;
+    bool m_limitsPeerMemory = false;
     std::optional<Http1Server> m_servers[2];
     std::uint16_t m_serverPorts[2] = {0, 0};
     ListedStore *m_store = nullptr;    ///< owned by the gateway
--- a/tests/gateway/GatewaySettingsTest.cpp
+++ b/tests/gateway/GatewaySettingsTest.cpp
@@ -10,6 +10,7 @@
     CPPUNIT_TEST_SUITE(GatewaySettingsTest);
     CPPUNIT_TEST(exampleIsRead);
     CPPUNIT_TEST(everyInvalidSettingIsReported);
+    CPPUNIT_TEST(rulesOfThePlatformAreRead);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -33,6 +34,18 @@
              {"availabilityZone: missing", "regions", "threads", "store", "listen: missing"})
             CPPUNIT_ASSERT_MESSAGE(part, settings.error().message.find(part) != std::string::npos);
     }
+
+    void rulesOfThePlatformAreRead()
+    {
+        const std::string text =
+            "nodeId: g\navailabilityZone: a\nregions: [a=r]\nlisten: 127.0.0.1:1\n"
+            "ready: 127.0.0.1:2\nmetrics: 127.0.0.1:3\nstore: 127.0.0.1:4\n";
+        auto without = SettingsReader::fromText(text, "g.yaml");
+        CPPUNIT_ASSERT(GatewaySettings::read(without.value()).value().platformRules.empty());
+        auto with = SettingsReader::fromText(text + "platformRules: [\"a\",\"b\"]\n", "g.yaml");
+        CPPUNIT_ASSERT_EQUAL(std::string("b"),
+                             GatewaySettings::read(with.value()).value().platformRules.back());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(GatewaySettingsTest);
