--- a/include/foxtailring/decisions/sessions/ForwardContext.h
+++ b/include/foxtailring/decisions/sessions/ForwardContext.h
@@ -16,6 +16,7 @@
 class RetryBudget;
 class RunAdmission;
 class ServerAdmission;
+class ServerMemory;
 class SuspectedCrashes;
 struct CopyReference;
 struct RateLimitExplanation;
@@ -46,6 +47,10 @@
     RunAdmission *runs = nullptr;
     /// A run found no room; may be empty.
     std::function<void(const RoomExplanation &)> onNoRoom {};
+    /// Limits the bodies of requests at servers; null: they are not limited.
+    ServerMemory *serverMemory = nullptr;
+    /// A server got no request because of the bodies that it holds; may be empty.
+    std::function<void(std::string_view serverId)> onServerMemoryReached = {};
 };
 
 } // namespace foxtailring
--- a/include/foxtailring/decisions/sessions/ForwardRequest.h
+++ b/include/foxtailring/decisions/sessions/ForwardRequest.h
@@ -2,6 +2,7 @@
 
 #include "foxtailring/base/Clock.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -25,6 +26,7 @@
     std::string account {};      ///< client account; empty: public route
     /// Of a run, 0 is the highest; none: all runs of its service are equal.
     std::optional<std::uint32_t> urgency {};
+    std::size_t bodyBytes = 0;
 };
 
 } // namespace foxtailring
--- a/src/gateway/ForwardSessionFactory.cpp
+++ b/src/gateway/ForwardSessionFactory.cpp
@@ -40,6 +40,7 @@
     forwarded.minAttemptTime = request.minAttemptTime;
     forwarded.account = request.account;
     forwarded.urgency = m_table.urgency(m_route, request.apiKey);
+    forwarded.bodyBytes = request.http.body.size();
     for (const RouteTarget &target : m_route.targets) {
         if (const RoutedService *service = m_table.service(target.service))
             forwarded.tokensPerEvent = std::max(forwarded.tokensPerEvent, service->tokensPerEvent);
