servers: keep what a server can do now, and send calls by expected time

Cause: a load header with four figures was not read at all, and nothing kept how long work takes at a server. Calls were placed by distance and the few requests of this gateway alone.

Change: each figure of the header is read by itself: one that is malformed, negative, too large or missing is unknown, the others hold, and gateway_load_figures_unreadable_total counts it. ReportedLoad keeps each with its time. ServerPace keeps the usual speed of a server from its own work (by kind of work, with clamped logarithms) and the pace that it tells, which decays to usual within 0.6 s. ExpectedCallTime chooses for calls if servers tell their pace; else the choice is as before. A server of which nothing is known counts as busy as the others.

Interface for run placement: BackendState::pace.relativeDuration, or BackendTable::pace().relativeDuration(id, now); 1 if nothing is known. BackendAnswer::load is LoadFigures now. Answers of a server that tells its pace no longer replace the report of an engine.

--- a/include/foxtailring/decisions/placement/BackendPlacer.h
+++ b/include/foxtailring/decisions/placement/BackendPlacer.h
@@ -4,6 +4,7 @@
 #include "foxtailring/decisions/placement/PlacementRequest.h"
 #include "foxtailring/decisions/servers/BackendState.h"
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <span>
@@ -27,8 +28,9 @@
     struct Settings
     {
         /// Extra cost of a server in another availability zone or region, as a fraction of the
-        /// server's slots. Traffic between regions is billed, so a call leaves its region only when
-        /// the servers there are busy.
+        /// server's slots, or of the usual work of a call if expected times are known. Traffic
+        /// between regions is billed, so a call leaves its region only when the servers there are
+        /// busy.
         double otherZoneCost = 0.1;
         double otherRegionCost = 0.6;
         /// Older load reports are ignored.
@@ -43,6 +45,9 @@
                   std::map<std::string, std::string, std::less<>> regions, Settings settings);
 
     /// \brief Chooses the server for a call; none if there is no candidate that is not excluded.
+    ///
+    /// If servers tell their pace, the one with the least expected time to the answer, else the one
+    /// with the least load.
     std::optional<BackendState> chooseForCall(const PlacementRequest &request, TimePoint now,
                                               RandomSource &random) const;
     /// \brief Up to \a maxCount servers for a run, the best first.
@@ -64,7 +69,7 @@
 private:
     struct CostModel
     {
-        double (BackendPlacer::*cost)(const BackendState &) const;
+        std::function<double(const BackendPlacer &, const BackendState &)> cost;
         double maxTieBreak; ///< upper bound of the random addition, in units of the cost
     };
 
--- a/include/foxtailring/decisions/servers/BackendAnswer.h
+++ b/include/foxtailring/decisions/servers/BackendAnswer.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "foxtailring/base/Clock.h"
-#include "foxtailring/decisions/servers/BackendLoadReport.h"
 #include "foxtailring/decisions/servers/LeavingNotice.h"
+#include "foxtailring/decisions/servers/LoadFigures.h"
 
 #include <optional>
 #include <string>
@@ -18,7 +18,7 @@
     bool isSigned = false;      ///< has a signature, like every answer to an executed request
     std::string requestId;      ///< the request that this answers; empty: not given
     std::string serverId;       ///< empty: not given
-    std::optional<BackendLoadReport> load;
+    LoadFigures load;
     bool namesRateLimit = false;     ///< has a rate limit, readable or not
     std::optional<double> rateLimit; ///< requests per second from all processes together
     LeavingNotice leaving = LeavingNotice::None;
--- a/include/foxtailring/decisions/servers/BackendState.h
+++ b/include/foxtailring/decisions/servers/BackendState.h
@@ -3,6 +3,8 @@
 #include "foxtailring/base/Clock.h"
 #include "foxtailring/decisions/servers/BackendInfo.h"
 #include "foxtailring/decisions/servers/BackendLoadReport.h"
+#include "foxtailring/decisions/servers/PaceReading.h"
+#include "foxtailring/decisions/servers/ReportedLoad.h"
 #include "foxtailring/decisions/servers/ReportedStart.h"
 
 #include <cstdint>
@@ -31,6 +33,8 @@
     double failureRate = 0;         ///< moving average over answers to this process, 0 to 1
     std::optional<BackendLoadReport> load;
     Duration loadAge {0};
+    ReportedLoad reported; ///< figures of its answers and reports
+    PaceReading pace;
 
     /// \brief False: only requests that are already there go on.
     bool acceptsNewWork() const { return !isLeaving && !isReplaced; }
--- a/include/foxtailring/decisions/servers/BackendTable.h
+++ b/include/foxtailring/decisions/servers/BackendTable.h
@@ -5,6 +5,7 @@
 #include "foxtailring/decisions/servers/LeavingNotice.h"
 #include "foxtailring/decisions/servers/LeavingSource.h"
 #include "foxtailring/decisions/servers/ServerIdentities.h"
+#include "foxtailring/decisions/servers/ServerPace.h"
 #include "foxtailring/decisions/servers/ServerStarts.h"
 
 #include <functional>
@@ -102,6 +103,11 @@
     /// \brief Records contact, and whether the request failed.
     void recordAnswer(std::string_view id, bool isFailure, TimePoint now);
     void updateLoad(std::string_view id, const BackendLoadReport &load, TimePoint now);
+    /// \brief An answer gave these figures.
+    void recordFigures(std::string_view id, const LoadFigures &figures, TimePoint now);
+    /// \brief How long work takes at each server.
+    ServerPace &pace() { return m_pace; }
+    const ServerPace &pace() const { return m_pace; }
     /// \brief No connection, a reset, or a timeout.
     void recordFailure(std::string_view id, TimePoint now);
     /// \brief The server itself answered a request.
@@ -157,6 +163,7 @@
         std::uint32_t consecutiveFailures = 0;
         std::optional<BackendLoadReport> load;
         TimePoint loadReceivedAt;
+        ReportedLoad reported;
         TimePoint lastContactAt;
         TimePoint failedAt;
         TimePoint suspectedUntil;
@@ -204,6 +211,7 @@
     /// In m_goneServers, but listed in a restored store; by id.
     std::map<std::string, HeldServer, std::less<>> m_heldServers;
     ServerIdentities m_identities;
+    ServerPace m_pace;
     // Sets of ids, so that a change of one server does not scan all others.
     std::set<std::string, std::less<>> m_unlistedIds;
     /// Failed within the zone failure window; pruned on the next failure.
--- a/include/foxtailring/decisions/sessions/CallSession.h
+++ b/include/foxtailring/decisions/sessions/CallSession.h
@@ -21,6 +21,8 @@
 private:
     ForwardAction makeAttempt(std::string_view cause, TimePoint now) override;
     ForwardAction onLost(AttemptResult result, TimePoint now) override;
+    void recordAnswerTime(const BackendInfo &server, const BackendAnswer &answer, Duration time,
+                          TimePoint now) override;
     ForwardAction onOverdue(TimePoint now) override;
     TimePoint overdueAt() const override;
     TimePoint lastSignAt(TimePoint) const override { return sentAt(); }
--- a/include/foxtailring/decisions/sessions/ForwardSession.h
+++ b/include/foxtailring/decisions/sessions/ForwardSession.h
@@ -164,6 +164,10 @@
     virtual ForwardAction onLost(AttemptResult result, TimePoint now) = 0;
     /// \brief True if a server at the address of another one can be used in its place.
     virtual bool acceptsSuccessor() const { return false; }
+    /// \brief The answer of a server began after this time.
+    virtual void recordAnswerTime(const BackendInfo &, const BackendAnswer &, Duration, TimePoint)
+    {
+    }
     /// \brief The current attempt has ended, or is about to be replaced after its deadline.
     virtual void onAttemptOver() { }
     /// \brief True while the server for the next attempt is being chosen.
--- a/include/foxtailring/decisions/sessions/StreamSession.h
+++ b/include/foxtailring/decisions/sessions/StreamSession.h
@@ -68,6 +68,8 @@
     ForwardAction makeAttempt(std::string_view cause, TimePoint now) override;
     ForwardAction onLost(AttemptResult result, TimePoint now) override;
     void onServerLost() override;
+    /// The first event of the current attempt arrived.
+    void recordPromptTime(TimePoint now);
     void onRejected() override;
     std::uint32_t usedAttempts(TimePoint now) const override;
     bool hasPassedEvents() const override { return m_hasStarted; }
--- a/src/decisions/placement/BackendPlacer.cpp
+++ b/src/decisions/placement/BackendPlacer.cpp
@@ -1,6 +1,7 @@
 #include "foxtailring/decisions/placement/BackendPlacer.h"
 
 #include "foxtailring/base/RandomSource.h"
+#include "foxtailring/decisions/placement/ExpectedCallTime.h"
 #include "foxtailring/decisions/placement/RendezvousHash.h"
 #include "foxtailring/decisions/servers/BackendTable.h"
 
@@ -53,7 +54,14 @@
 std::optional<BackendState> BackendPlacer::chooseForCall(const PlacementRequest &request,
                                                          TimePoint now, RandomSource &random) const
 {
-    return cheapest(request, {&BackendPlacer::callCost, maxCallTieBreak}, now, random);
+    const std::vector<BackendState> servers = m_table.candidates(request.service, now);
+    const ExpectedCallTime expected(servers, now);
+    if (!expected.isKnown())
+        return cheapest(request, {&BackendPlacer::callCost, maxCallTieBreak}, now, random);
+    const auto cost = [&](const BackendPlacer &placer, const BackendState &server) {
+        return expected.at(server) + placer.distanceCost(server) + ExpectedCallTime::spread(random);
+    };
+    return cheapest(request, {cost, 0}, now, random);
 }
 
 std::optional<BackendState> BackendPlacer::chooseForRun(const PlacementRequest &request,
@@ -113,7 +121,7 @@
     for (BackendState &server : candidates) {
         if (contains(request.exclude, server.info.id))
             continue;
-        double cost = (this->*costModel.cost)(server) + healthCost(server)
+        double cost = costModel.cost(*this, server) + healthCost(server)
             + costModel.maxTieBreak * random.generateDouble();
         if (!request.avoidZone.empty() && server.info.availabilityZone == request.avoidZone)
             cost += doubtfulCost;
--- a/src/decisions/servers/BackendTable.cpp
+++ b/src/decisions/servers/BackendTable.cpp
@@ -106,6 +106,7 @@
         record.inFlight = inFlight;
         record.copies = copies;
         record.lastContactAt = now;
+        m_pace.forget(info.id);
     }
     record.info = info;
     // A listed server may have been dropped from m_leavingServers, which is bounded.
@@ -213,14 +214,6 @@
         record->failureRate += latestAnswerWeight * ((isFailure ? 1 : 0) - record->failureRate);
 }
 
-void BackendTable::updateLoad(std::string_view id, const BackendLoadReport &load, TimePoint now)
-{
-    if (Record *record = find(id)) {
-        record->load = load;
-        record->loadReceivedAt = now;
-    }
-}
-
 void BackendTable::recordFailure(std::string_view id, TimePoint now)
 {
     Record *record = find(id);
@@ -409,6 +402,8 @@
     state.failureRate = record.failureRate;
     state.load = record.load;
     state.loadAge = now - record.loadReceivedAt;
+    state.reported = record.reported;
+    state.pace = m_pace.reading(record.info.id, now);
     if (record.suspectedUntil > now)
         state.health = BackendHealth::Suspected;
     else if (isDoubtful(record, failures, now))
@@ -467,6 +462,7 @@
 {
     const std::string name(id);
     const auto found = m_records.find(name);
+    m_pace.forget(name);
     if (found != m_records.end()) {
         const Record &record = found->second;
         if (isLeaving(record) && m_hooks.onLeavingEnded)
--- a/src/decisions/servers/ServerEvidence.cpp
+++ b/src/decisions/servers/ServerEvidence.cpp
@@ -18,8 +18,8 @@
                                 const BackendAnswer &answer, TimePoint now) const
 {
     m_context.servers.recordContact(server.id, now);
-    if (answer.load)
-        m_context.servers.updateLoad(server.id, *answer.load, now);
+    if (!answer.isOtherServer)
+        m_context.servers.recordFigures(server.id, answer.load, now);
     if (!answer.isOtherServer)
         m_context.admission.recordAnswer(server, answer, sentAt, now);
     // Requests name the server that is to execute them, and only one that did signs.
--- a/src/decisions/sessions/CallSession.cpp
+++ b/src/decisions/sessions/CallSession.cpp
@@ -38,6 +38,16 @@
     return next;
 }
 
+// An error may have taken no work, and the time of a call that had to wait for a slot is not only
+// that of its work.
+void CallSession::recordAnswerTime(const BackendInfo &server, const BackendAnswer &answer,
+                                   Duration time, TimePoint now)
+{
+    const bool hasQueue = answer.load.waiting.value_or(0) > 0;
+    if (answer.isSuccess() && answer.isSigned && !hasQueue)
+        context().servers.pace().recordWork(server, route().name, time, now);
+}
+
 ForwardAction CallSession::onLost(AttemptResult result, TimePoint now)
 {
     if (!tryTakeRetry(now))
--- a/src/decisions/sessions/ForwardSession.cpp
+++ b/src/decisions/sessions/ForwardSession.cpp
@@ -90,6 +90,7 @@
     if (!answer.isOtherServer)
         recordSignOfLife();
     m_evidence.recordHead(m_server->info, m_sentAt, answer, now);
+    recordAnswerTime(m_server->info, answer, now - m_sentAt, now);
 }
 
 void ForwardSession::onFallbackHead(const BackendAnswer &answer, TimePoint now)
@@ -99,6 +100,7 @@
     if (!answer.isOtherServer)
         recordFallbackSignOfLife();
     m_evidence.recordHead(m_fallback->server.info, m_fallback->sentAt, answer, now);
+    recordAnswerTime(m_fallback->server.info, answer, now - m_fallback->sentAt, now);
 }
 
 ForwardAction ForwardSession::onFallbackAnswer(const BackendAnswer &answer, TimePoint now)
--- a/src/decisions/sessions/StreamSession.cpp
+++ b/src/decisions/sessions/StreamSession.cpp
@@ -48,6 +48,15 @@
 {
 }
 
+void StreamSession::recordPromptTime(TimePoint now)
+{
+    const Duration time = now - sentAt();
+    context().latency.recordFirstEvent(service(), request().promptTokens, time);
+    if (hasServer() && request().promptTokens > 0)
+        context().servers.pace().recordWork(server().info, ServerPace::promptWork,
+                                            time / request().promptTokens, now);
+}
+
 EventVerdict StreamSession::onEvent(std::int64_t id, TimePoint now)
 {
     // A resumed run may repeat events that the caller already has.
@@ -56,7 +65,7 @@
     if (isBeyondGap(id))
         return EventVerdict::Gap;
     if (m_watch.progress().isPrefilling())
-        context().latency.recordFirstEvent(service(), request().promptTokens, now - sentAt());
+        recordPromptTime(now);
     if (hasServer())
         context().servers.recordContact(server().info.id, now);
     recordSignOfLife();
@@ -167,6 +176,9 @@
         context().servers.recordAnswer(server().info.id, false, now);
     if (m_watch.progress().meanEventInterval() > Duration {0})
         context().latency.recordEventInterval(service(), m_watch.progress().meanEventInterval());
+    if (hasServer())
+        context().servers.pace().recordWork(server().info, ServerPace::eventWork,
+                                            m_watch.progress().meanEventInterval(), now);
     releaseServer();
     m_copier.dropCopy();
     return KeepWaiting {};
--- a/src/gateway/RequestRelay.cpp
+++ b/src/gateway/RequestRelay.cpp
@@ -198,6 +198,8 @@
     m_reader.readHead(attempt, std::move(head));
     if (attempt.answer.namesRateLimit)
         m_reporter.reportRateLimit(attempt);
+    if (attempt.answer.load.unreadableCount > 0)
+        m_reporter.reportUnreadableLoad(attempt);
 }
 
 void RequestRelay::onFallbackHead(HttpResponse head)
--- a/src/gateway/RequestReporter.cpp
+++ b/src/gateway/RequestReporter.cpp
@@ -41,6 +41,18 @@
     return summary;
 }
 
+std::string figureText(const ReportedLoad::Figure &figure)
+{
+    return figure.value ? std::to_string(*figure.value) : "?";
+}
+
+// Running and waiting requests and slots, as the server told them.
+std::string busyText(const BackendState &server)
+{
+    return figureText(server.reported.running) + '+' + figureText(server.reported.waiting) + '/'
+        + figureText(server.reported.slots);
+}
+
 } // namespace
 
 RequestReporter::RequestReporter(GatewayParts &parts, const GatewayRequest &request,
@@ -75,6 +87,10 @@
                          {"trust", std::string(healthNames[static_cast<int>(server.health)])},
                          {"inFlight", std::to_string(server.inFlight)},
                          {"loadAgeMs", server.load ? msText(server.loadAge) : "none"},
+                         {"busy", busyText(server)},
+                         {"busyAgeMs", busyAgeText(server)},
+                         {"pace", std::to_string(server.pace.relativeDuration)},
+                         {"paceAgeMs", server.pace.toldAge ? msText(*server.pace.toldAge) : "none"},
                          {"fromCopy", next.fromCopy ? "true" : "false"},
                          {"copyTo", next.copyTo ? next.copyTo->info.id : ""},
                          {"retriesLeft", retriesLeft(server.info.service)},
@@ -121,6 +137,22 @@
                          {"limitPerSecond", limit ? std::to_string(*limit) : "unreadable"}});
 }
 
+void RequestReporter::reportUnreadableLoad(const ServerAttempt &attempt) const
+{
+    const std::uint32_t count = attempt.answer.load.unreadableCount;
+    m_parts.metrics.add("gateway_load_figures_unreadable_total", count);
+    StructuredLog::info("loadUnreadable",
+                        {{"request", m_request.id},
+                         {"server", attempt.serverId},
+                         {"figures", std::to_string(count)}});
+}
+
+std::string RequestReporter::busyAgeText(const BackendState &server) const
+{
+    const ReportedLoad::Figure &running = server.reported.running;
+    return running.value ? msText(m_parts.clock() - running.at) : "none";
+}
+
 void RequestReporter::reportProbe(std::span<const ServerProbeResult> results,
                                   std::uint64_t attemptNumber, std::int64_t lastEventId) const
 {
--- a/src/gateway/RequestReporter.h
+++ b/src/gateway/RequestReporter.h
@@ -42,6 +42,8 @@
     void reportFailure(const ServerAttempt &attempt, AttemptResult result) const;
     /// \brief The server of \a attempt named a rate limit.
     void reportRateLimit(const ServerAttempt &attempt) const;
+    /// \brief Figures of the load that the server of \a attempt tells cannot be read.
+    void reportUnreadableLoad(const ServerAttempt &attempt) const;
     void reportProbe(std::span<const ServerProbeResult> results, std::uint64_t attemptNumber,
                      std::int64_t lastEventId) const;
     /// \brief The stream goes on after \a pause without an event.
@@ -61,6 +63,7 @@
     /// What is left of the service's retry budget.
     std::string retriesLeft(const std::string &service) const;
     Duration age() const;
+    std::string busyAgeText(const BackendState &server) const;
 
     GatewayParts &m_parts;
     const GatewayRequest &m_request;
