sessions: a second attempt for slow idempotent calls, within a share

Cause: a call whose server is slow waits for twice the latency objective before another server is tried; a few such answers spoil the tail.

Change: SecondAttempts keeps the recent answer times of each route, divided by the pace of their server, and tells when an attempt has taken longer than 0.97 of them; losers count with the time after which they were cancelled. CallSession then sends the call to another healthy server that has told a free slot, as the attempt that keeps the latest one as its fallback; the first whole answer cancels the other and releases its load. Limits: settings section secondAttempts with maxShare (of each service's requests at this gateway, so that the sum over all gateways keeps it), a spare retry of the shared budget, the attempts of the route, nothing that is quarantined. Off without the section. The part of ForwardSession for fallbacks is a source of its own.

--- a/include/foxtailring/decisions/sessions/ForwardContext.h
+++ b/include/foxtailring/decisions/sessions/ForwardContext.h
@@ -14,6 +14,7 @@
 class RequestQuarantine;
 class RandomSource;
 class RetryBudget;
+class SecondAttempts;
 class ServerAdmission;
 class SuspectedCrashes;
 struct CopyReference;
@@ -40,6 +41,9 @@
     std::function<void(const std::string &service)> onRetryDenied;
     /// The request is refused because of this suspect, which is quarantined; may be empty.
     std::function<void(std::string_view suspect)> onQuarantined;
+    SecondAttempts *secondAttempts = nullptr; ///< null: none are made
+    /// A slow call got no second attempt for this reason; may be empty.
+    std::function<void(std::string_view reason)> onSecondAttemptDenied = {};
 };
 
 } // namespace foxtailring
--- a/include/foxtailring/decisions/sessions/ForwardSession.h
+++ b/include/foxtailring/decisions/sessions/ForwardSession.h
@@ -75,6 +75,11 @@
     TimePoint deadline() const { return m_deadline; }
     TimePoint sentAt() const { return m_sentAt; }
     bool hasServer() const { return m_server.has_value(); }
+    /// \brief When the fallback was sent; none: there is no fallback.
+    std::optional<TimePoint> fallbackSentAt() const
+    {
+        return m_fallback ? std::optional(m_fallback->sentAt) : std::nullopt;
+    }
     const BackendState &server() const { return *m_server; }
     const std::vector<std::string> &triedIds() const { return m_triedIds; }
     std::chrono::milliseconds timeLeft(TimePoint now) const;
@@ -84,6 +89,8 @@
     /// \brief The server of the current attempt does not answer a probe. It may have crashed
     /// because of the request, unless a server has begun to answer it.
     void suspectCrash(TimePoint now);
+    /// \brief The same for the server of the fallback.
+    void suspectFallbackCrash(TimePoint now);
     /// \brief The server of the current attempt sent something, so it has not failed.
     void recordSignOfLife();
     /// \brief The same for the server of the fallback.
@@ -165,9 +172,11 @@
     /// \brief True if a server at the address of another one can be used in its place.
     virtual bool acceptsSuccessor() const { return false; }
     /// \brief The answer of a server began after this time.
-    virtual void recordAnswerTime(const BackendInfo &, const BackendAnswer &, Duration, TimePoint)
+    virtual void recordAnswerTime(const BackendState &, const BackendAnswer &, Duration, TimePoint)
     {
     }
+    /// \brief An attempt is cancelled after this time, since another one was answered.
+    virtual void recordCancelled(const BackendState &, Duration, TimePoint) { }
     /// \brief The current attempt has ended, or is about to be replaced after its deadline.
     virtual void onAttemptOver() { }
     /// \brief True while the server for the next attempt is being chosen.
@@ -201,6 +210,8 @@
     ForwardAction retryRejected(AttemptResult result, TimePoint now);
     bool tryConsumeBudget(TimePoint now);
     ForwardAction passHeldAnswer() const;
+    /// \brief An answer is passed on, so attempts that are still in progress end.
+    void cancelAttempts(TimePoint now);
     /// \brief True if a server was sent the request and has not said that it did not run it. The
     /// fallback counts among the possible runs.
     bool hasPossibleRun() const { return m_possibleRuns > 0 || m_server; }
--- a/include/foxtailring/gateway/GatewaySettings.h
+++ b/include/foxtailring/gateway/GatewaySettings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "foxtailring/base/Result.h"
+#include "foxtailring/decisions/sessions/SecondAttempts.h"
 #include "foxtailring/transport/Endpoint.h"
 
 #include <chrono>
@@ -33,6 +34,7 @@
         300};                                      ///< of requests, for the first read of the store
     double storeReadsPerSecond = 2000;             ///< that the store takes from all gateways
     std::chrono::milliseconds drainTimeout {8000}; ///< from SIGTERM to the end of the process
+    SecondAttempts::Settings secondAttempts;       ///< of slow calls; none by default
 
     static Result<GatewaySettings> fromFile(const std::string &path);
     /// \brief On failure the message lists every invalid setting with its location and allowed
--- a/src/decisions/sessions/ForwardSession.cpp
+++ b/src/decisions/sessions/ForwardSession.cpp
@@ -6,6 +6,7 @@
 #include "foxtailring/decisions/quarantine/SuspectedCrashes.h"
 #include "foxtailring/decisions/servers/BackendTable.h"
 #include "foxtailring/decisions/sessions/CallerStatus.h"
+#include "foxtailring/decisions/sessions/SecondAttempts.h"
 
 #include <algorithm>
 #include <cstddef>
@@ -64,6 +65,8 @@
     if (auto refusal = refuseQuarantined(now))
         return std::move(*refusal);
     m_context.retryBudget.deposit(m_service, now);
+    if (m_context.secondAttempts)
+        m_context.secondAttempts->recordRequest(m_service, now);
     return makeAttempt("first", now);
 }
 
@@ -90,7 +93,7 @@
     if (!answer.isOtherServer)
         recordSignOfLife();
     m_evidence.recordHead(m_server->info, m_sentAt, answer, now);
-    recordAnswerTime(m_server->info, answer, now - m_sentAt, now);
+    recordAnswerTime(*m_server, answer, now - m_sentAt, now);
 }
 
 void ForwardSession::onFallbackHead(const BackendAnswer &answer, TimePoint now)
@@ -100,72 +103,7 @@
     if (!answer.isOtherServer)
         recordFallbackSignOfLife();
     m_evidence.recordHead(m_fallback->server.info, m_fallback->sentAt, answer, now);
-    recordAnswerTime(m_fallback->server.info, answer, now - m_fallback->sentAt, now);
-}
-
-ForwardAction ForwardSession::onFallbackAnswer(const BackendAnswer &answer, TimePoint now)
-{
-    if (!m_fallback)
-        return KeepWaiting {};
-    if (answer.isOtherServer && answer.isNotRun)
-        return onFallbackEnded(AttemptResult::OtherServer, now);
-    if (answer.isNotRun)
-        return onFallbackEnded(AttemptResult::NotRun, now);
-    if ((answer.isSuccess() && !answer.isSigned) || hasPassedEvents())
-        return onFallbackEnded(AttemptResult::Invalid, now);
-    const bool isFailure = answer.status >= 500 || answer.isOtherServer;
-    const bool isFinal = answer.status < 500 && mayPass(answer.status);
-    m_suspicion.recordWholeAnswer(answer, now);
-    m_context.servers.recordAnswer(m_fallback->server.info.id, isFailure && !answer.pause, now);
-    releaseFallback();
-    if (isFinal)
-        return PassAnswer {true};
-    if (m_server || isChoosingServer())
-        return KeepWaiting {};
-    if (m_heldStatus)
-        return passHeldAnswer();
-    return mayPass(answer.status) ? PassAnswer {true} : refuse(502, "serverUnavailable");
-}
-
-ForwardAction ForwardSession::onFallbackEnded(AttemptResult result, TimePoint now)
-{
-    if (!m_fallback)
-        return KeepWaiting {};
-    m_evidence.recordEnd(m_fallback->server.info.id, result, now);
-    if (result == AttemptResult::Lost && mayCrashServers())
-        m_suspicion.recordReset(m_fallback->server.info, m_fallback->isFailureRecorded, now);
-    releaseFallback();
-    // It was counted when it became the fallback.
-    if (!mayHaveRun(result))
-        --m_possibleRuns;
-    if (m_server || isChoosingServer())
-        return KeepWaiting {};
-    const int status = mayHaveRun(result) ? 502 : 503;
-    return conclude(refuse(status, attemptResultName(result), m_admittedPlacer.waitForServer(now)));
-}
-
-ForwardAction ForwardSession::waitForFallback(ForwardAction action, TimePoint)
-{
-    if (m_fallback)
-        return KeepWaiting {};
-    return action;
-}
-
-// It was counted as a possible run when it became the fallback; now the attempt in progress is.
-void ForwardSession::resumeFallback()
-{
-    if (m_server) {
-        releaseServer();
-        countPossibleRun();
-    }
-    m_server = std::move(m_fallback->server);
-    m_sentAt = m_fallback->sentAt;
-    m_fallback.reset();
-    --m_possibleRuns;
-    m_heldStatus.reset();
-    // It was replaced because its server looked as if it had failed.
-    m_isFailureRecorded = true;
-    m_isCrashSuspected = false;
+    recordAnswerTime(m_fallback->server, answer, now - m_fallback->sentAt, now);
 }
 
 ForwardAction ForwardSession::onAnswer(const BackendAnswer &answer, TimePoint now)
@@ -189,8 +127,10 @@
     const bool isFinal = answer.status < 500 && mayPass(answer.status);
     if (isFinal && hasPassedEvents())
         return waitForFallback(conclude(PassAnswer {}), now);
-    if (isFinal)
+    if (isFinal) {
+        cancelAttempts(now);
         return conclude(PassAnswer {});
+    }
     m_heldStatus = answer.status;
     if (!tryTakeRetry(now))
         return waitForNextAttempt(Missing::Retry, passHeldAnswer(), now);
@@ -481,11 +421,4 @@
     m_server.reset();
 }
 
-void ForwardSession::releaseFallback()
-{
-    if (m_fallback)
-        m_context.servers.endWork(m_fallback->server.info.id);
-    m_fallback.reset();
-}
-
 } // namespace foxtailring
--- a/src/gateway/GatewayParts.cpp
+++ b/src/gateway/GatewayParts.cpp
@@ -80,6 +80,7 @@
     , suspectedCrashes(quarantine, &crashChecks)
     , pauses(servers, random)
     , admission(servers, rateLimits, pauses)
+    , secondAttempts(settings.secondAttempts)
     , epochAge(restoredRewriteTime)
     , keyFreshness(settings.maxKeyRevocationDelay, keyFreshnessMargin)
 {
@@ -115,7 +116,11 @@
             reportPauseReached(requestId, serverId, left);
         },
         [this, requestId](const std::string &service) { reportRetryDenied(requestId, service); },
-        [this, requestId](std::string_view suspect) { reportQuarantined(requestId, suspect); }};
+        [this, requestId](std::string_view suspect) { reportQuarantined(requestId, suspect); },
+        secondAttempts.isEnabled() ? &secondAttempts : nullptr,
+        [this, requestId](std::string_view reason) {
+            reportSecondAttemptDenied(requestId, reason);
+        }};
 }
 
 void GatewayParts::updateFleetSize()
@@ -157,6 +162,13 @@
                         {{"request", requestId}, {"suspect", std::string(suspect)}});
 }
 
+void GatewayParts::reportSecondAttemptDenied(const std::string &requestId, std::string_view reason)
+{
+    metrics.add("gateway_second_attempts_denied_total{reason=\"" + std::string(reason) + "\"}");
+    StructuredLog::info("secondAttemptDenied",
+                        {{"request", requestId}, {"reason", std::string(reason)}});
+}
+
 std::string GatewayParts::rateLimitGauge(std::string_view serverId)
 {
     return "gateway_server_limit{server=\"" + std::string(serverId) + "\"}";
--- a/src/gateway/GatewayParts.h
+++ b/src/gateway/GatewayParts.h
@@ -21,6 +21,7 @@
 #include "foxtailring/decisions/sessions/AnswerTimes.h"
 #include "foxtailring/decisions/sessions/EngineLatencyEstimator.h"
 #include "foxtailring/decisions/sessions/ForwardContext.h"
+#include "foxtailring/decisions/sessions/SecondAttempts.h"
 #include "foxtailring/gateway/BackendCodec.h"
 #include "foxtailring/gateway/GatewaySettings.h"
 #include "foxtailring/transport/Http1Client.h"
@@ -69,6 +70,8 @@
                            const RateLimitExplanation &reason);
     /// \brief Logs and counts that a quarantined prompt part kept a request from all servers.
     void reportQuarantined(const std::string &requestId, std::string_view suspect);
+    /// \brief Logs and counts that a slow call got no second attempt.
+    void reportSecondAttemptDenied(const std::string &requestId, std::string_view reason);
     /// \brief Logs and counts that a server's pause kept a request from it.
     void reportPauseReached(const std::string &requestId, std::string_view serverId, Duration left);
     /// \brief Gives back the idle connections to a server to which a connection failed before an
@@ -115,6 +118,7 @@
     ServerAdmission admission;
     EngineLatencyEstimator latency;
     AnswerTimes answerTimes;
+    SecondAttempts secondAttempts;
     EpochAge epochAge;
     KeyFreshness keyFreshness;
 
--- a/src/gateway/GatewaySettings.cpp
+++ b/src/gateway/GatewaySettings.cpp
@@ -16,6 +16,8 @@
 constexpr double maxReadsPerSecond = 1e6;
 constexpr double minDrainSeconds = 1;
 constexpr double maxDrainSeconds = 3600;
+constexpr double minSecondAttemptShare = 0.001;
+constexpr double maxSecondAttemptShare = 0.5;
 
 Endpoint readEndpoint(SettingsReader &reader, const std::string &key)
 {
@@ -41,6 +43,20 @@
     }
 }
 
+// Without the section, no second attempts are made. Its unknown keys are reported with the errors
+// of the whole file.
+Result<Done> readSecondAttempts(SettingsReader &reader, GatewaySettings &settings)
+{
+    if (!reader.has("secondAttempts"))
+        return Done {};
+    SettingsReader section = reader.section("secondAttempts");
+    if (!section.has("maxShare"))
+        section.addError("maxShare", "a number from 0.001 to 0.5");
+    settings.secondAttempts.maxShare = section.numberOr(
+        "maxShare", minSecondAttemptShare, minSecondAttemptShare, maxSecondAttemptShare);
+    return section.finish();
+}
+
 } // namespace
 
 Result<GatewaySettings> GatewaySettings::fromFile(const std::string &path)
@@ -74,9 +90,10 @@
         "storeReadsPerSecond", settings.storeReadsPerSecond, minReadsPerSecond, maxReadsPerSecond);
     settings.drainTimeout = std::chrono::round<milliseconds>(std::chrono::duration<double>(
         reader.numberOr("drainLimitSeconds", 8, minDrainSeconds, maxDrainSeconds)));
+    const auto secondAttempts = readSecondAttempts(reader, settings);
     const auto done = reader.finish();
-    if (!done)
-        return done.error();
+    if (!secondAttempts || !done)
+        return (done ? secondAttempts : done).error();
     return settings;
 }
 
--- a/tests/gateway/GatewaySettingsTest.cpp
+++ b/tests/gateway/GatewaySettingsTest.cpp
@@ -10,6 +10,7 @@
     CPPUNIT_TEST_SUITE(GatewaySettingsTest);
     CPPUNIT_TEST(exampleIsRead);
     CPPUNIT_TEST(everyInvalidSettingIsReported);
+    CPPUNIT_TEST(secondAttemptsAreOffWithoutAShare);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -33,6 +34,24 @@
              {"availabilityZone: missing", "regions", "threads", "store", "listen: missing"})
             CPPUNIT_ASSERT_MESSAGE(part, settings.error().message.find(part) != std::string::npos);
     }
+
+    // Guards against extra work on the servers that the operators did not ask for or mistyped.
+    void secondAttemptsAreOffWithoutAShare()
+    {
+        CPPUNIT_ASSERT_EQUAL(0.0, GatewaySettings {}.secondAttempts.maxShare);
+        for (const auto &[text, error] : {std::pair {"{maxShare: 0.9}", "secondAttempts.maxShare"},
+                                          {"{maxShare: 0}", "secondAttempts.maxShare"},
+                                          {"{maxshare: 0.1}", "secondAttempts.maxshare"},
+                                          {"{}", "secondAttempts.maxShare"},
+                                          {"0.1", "secondAttempts"}}) {
+            const std::string file = std::string("secondAttempts: ") + text + "\n";
+            auto reader = SettingsReader::fromText(file, "g.yaml");
+            const auto settings = GatewaySettings::read(reader.value());
+            CPPUNIT_ASSERT_MESSAGE(text, !settings.isOk());
+            CPPUNIT_ASSERT_MESSAGE(settings.error().message,
+                                   settings.error().message.find(error) != std::string::npos);
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(GatewaySettingsTest);
