--- a/include/foxtailring/decisions/sessions/ForwardContext.h
+++ b/include/foxtailring/decisions/sessions/ForwardContext.h
@@ -15,6 +15,7 @@
 class RandomSource;
 class RetryBudget;
 class RunAdmission;
+class SecondAttempts;
 class ServerAdmission;
 class ServerMemory;
 class SuspectedCrashes;
@@ -51,6 +52,9 @@
     ServerMemory *serverMemory = nullptr;
     /// A server got no request because of the bodies that it holds; may be empty.
     std::function<void(std::string_view serverId)> onServerMemoryReached = {};
+    SecondAttempts *secondAttempts = nullptr; ///< null: none are made
+    /// A slow call got no second attempt for this reason; may be empty.
+    std::function<void(std::string_view reason)> onSecondAttemptDenied = {};
 };
 
 } // namespace foxtailring
--- a/include/foxtailring/decisions/sessions/StreamSession.h
+++ b/include/foxtailring/decisions/sessions/StreamSession.h
@@ -37,8 +37,7 @@
     StreamSession(const HttpRoute &route, const ForwardRequest &request,
                   const ForwardContext &context, EngineCapabilities capabilities);
 
-    /// \brief An event arrived. After Gap, the attempt must be ended as lost; after
-    /// OutOfOrder, the answer must be aborted.
+    /// \brief An event arrived. After Gap, the attempt must be ended as lost.
     EventVerdict onEvent(std::int64_t id, TimePoint now);
     /// \brief Bytes of an event arrived that is not complete yet.
     void onPartialEvent(TimePoint now);
@@ -73,6 +72,8 @@
     ForwardAction makeAttempt(std::string_view cause, TimePoint now) override;
     ForwardAction onLost(AttemptResult result, TimePoint now) override;
     void onServerLost() override;
+    /// The first event of the current attempt arrived.
+    void recordPromptTime(TimePoint now);
     void onRejected() override;
     std::uint32_t usedAttempts(TimePoint now) const override;
     bool hasPassedEvents() const override { return m_hasStarted; }
--- a/src/decisions/sessions/StreamSession.cpp
+++ b/src/decisions/sessions/StreamSession.cpp
@@ -55,6 +55,15 @@
 {
 }
 
+void StreamSession::recordPromptTime(TimePoint now)
+{
+    const Duration time = now - sentAt();
+    context().latency.recordFirstEvent(service(), request().promptTokens, time);
+    if (hasServer() && request().promptTokens > 0)
+        context().servers.pace().recordWork(server().info, ServerPace::promptWork,
+                                            time / request().promptTokens, now);
+}
+
 EventVerdict StreamSession::onEvent(std::int64_t id, TimePoint now)
 {
     // A resumed run may repeat events that the caller already has.
@@ -66,7 +75,7 @@
         return EventVerdict::Gap;
     }
     if (m_watch.progress().isPrefilling()) {
-        context().latency.recordFirstEvent(service(), request().promptTokens, now - sentAt());
+        recordPromptTime(now);
         m_entry.recordFirstEvent(now - sentAt());
     }
     if (hasServer())
@@ -184,6 +193,9 @@
     }
     if (m_watch.progress().meanEventInterval() > Duration {0})
         context().latency.recordEventInterval(service(), m_watch.progress().meanEventInterval());
+    if (hasServer())
+        context().servers.pace().recordWork(server().info, ServerPace::eventWork,
+                                            m_watch.progress().meanEventInterval(), now);
     releaseServer();
     m_copier.dropCopy();
     return KeepWaiting {};
--- a/src/gateway/GatewayParts.cpp
+++ b/src/gateway/GatewayParts.cpp
@@ -87,6 +87,7 @@
     , suspectedCrashes(quarantine, &crashChecks)
     , pauses(servers, random)
     , admission(servers, rateLimits, pauses)
+    , secondAttempts(settings.secondAttempts)
     , epochAge(restoredRewriteTime)
     , keyFreshness(settings.maxKeyRevocationDelay, keyFreshnessMargin)
 {
@@ -128,6 +129,10 @@
         settings.limitsPeerMemory ? &serverMemory : nullptr,
         [this, requestId](std::string_view serverId) {
             reportServerMemoryReached(requestId, serverId);
+        },
+        secondAttempts.isEnabled() ? &secondAttempts : nullptr,
+        [this, requestId](std::string_view reason) {
+            reportSecondAttemptDenied(requestId, reason);
         }};
 }
 
@@ -189,6 +194,13 @@
                          {"limitBytes", limit ? std::to_string(*limit) : "none"}});
 }
 
+void GatewayParts::reportSecondAttemptDenied(const std::string &requestId, std::string_view reason)
+{
+    metrics.add("gateway_second_attempts_denied_total{reason=\"" + std::string(reason) + "\"}");
+    StructuredLog::info("secondAttemptDenied",
+                        {{"request", requestId}, {"reason", std::string(reason)}});
+}
+
 std::string GatewayParts::rateLimitGauge(std::string_view serverId)
 {
     return "gateway_server_limit{server=\"" + std::string(serverId) + "\"}";
--- a/src/gateway/GatewayParts.h
+++ b/src/gateway/GatewayParts.h
@@ -23,6 +23,7 @@
 #include "foxtailring/decisions/sessions/AnswerTimes.h"
 #include "foxtailring/decisions/sessions/EngineLatencyEstimator.h"
 #include "foxtailring/decisions/sessions/ForwardContext.h"
+#include "foxtailring/decisions/sessions/SecondAttempts.h"
 #include "foxtailring/gateway/BackendCodec.h"
 #include "foxtailring/gateway/GatewaySettings.h"
 #include "foxtailring/transport/Http1Client.h"
@@ -75,6 +76,8 @@
     void reportQuarantined(const std::string &requestId, std::string_view suspect);
     /// \brief Logs and counts that a run found no room at engines.
     void reportNoRoom(const std::string &requestId, const RoomExplanation &reason);
+    /// \brief Logs and counts that a slow call got no second attempt.
+    void reportSecondAttemptDenied(const std::string &requestId, std::string_view reason);
     /// \brief Logs and counts that a server's pause kept a request from it.
     void reportPauseReached(const std::string &requestId, std::string_view serverId, Duration left);
     /// \brief Logs and counts that the bodies at a server kept a request from it.
@@ -126,6 +129,7 @@
     ServerAdmission admission;
     EngineLatencyEstimator latency;
     AnswerTimes answerTimes;
+    SecondAttempts secondAttempts;
     EpochAge epochAge;
     KeyFreshness keyFreshness;
 
