rollouts: roll out a version of a service, and take a bad one back

Change: the group decisions/rollouts (share, evidence, verdict, steps), the order, status and witnesses in the gateway, documents in platform/, the version of a server's entry, and an optional section of the gateway's settings, without which nothing is read or written. Sessions choose servers by version and tell of each attempt. While a roll-out runs, watches report changes sooner.

--- a/include/foxtailring/decisions/membership/FleetMembership.h
+++ b/include/foxtailring/decisions/membership/FleetMembership.h
@@ -9,6 +9,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace foxtailring {
 
@@ -38,6 +39,11 @@
 
     /// \brief True if this process is the one of the listed processes that \a key falls to.
     bool owns(std::string_view key) const;
+    /// \brief Number of listed processes that \a key would fall to before this one; the largest
+    /// number if the list is not known.
+    std::size_t rank(std::string_view key) const;
+    /// \brief Ids of the other processes that are listed.
+    std::vector<std::string> listedIds() const;
     bool isListed(std::string_view id) const;
     /// \brief True if this process is listed.
     bool isListed() const { return m_isSelfListed; }
--- a/include/foxtailring/decisions/placement/AdmittedPlacer.h
+++ b/include/foxtailring/decisions/placement/AdmittedPlacer.h
@@ -37,6 +37,8 @@
     bool isServicePaused(TimePoint now) const;
 
 private:
+    std::optional<BackendState> chooseAccepted(PlacementRequest placement, Chooser chooser,
+                                               TimePoint now);
     void reportDenied(const std::string &serverId, TimePoint now) const;
 
     const ForwardContext &m_context;
--- a/include/foxtailring/decisions/placement/PlacementRequest.h
+++ b/include/foxtailring/decisions/placement/PlacementRequest.h
@@ -1,11 +1,14 @@
 #pragma once
 
+#include <functional>
 #include <span>
 #include <string>
 #include <string_view>
 
 namespace foxtailring {
 
+struct BackendInfo;
+
 /// \brief Requirements and preferences for choosing a server.
 struct PlacementRequest
 {
@@ -16,6 +19,7 @@
     std::span<const std::string> affinityServers; ///< ids of preferred servers; empty: all
     std::string_view avoidZone;                   ///< availability zone to avoid if possible
     std::uint64_t memoryTokens = 0;               ///< prompt and output of a run; 0: not a run
+    std::function<bool(const BackendInfo &)> accepts {}; ///< servers of choice; empty: all
 };
 
 } // namespace foxtailring
--- a/include/foxtailring/decisions/servers/BackendInfo.h
+++ b/include/foxtailring/decisions/servers/BackendInfo.h
@@ -12,6 +12,7 @@
     std::string service;
     std::string address; ///< IP:PORT
     std::string availabilityZone;
+    std::string version;     ///< of its software; empty: unknown
     std::uint32_t slots = 1; ///< requests that it executes concurrently
     bool isDraining = false;
     std::int64_t startedAtMs = 0; ///< start time, Unix ms; 0: not given
--- a/include/foxtailring/decisions/sessions/ForwardContext.h
+++ b/include/foxtailring/decisions/sessions/ForwardContext.h
@@ -3,6 +3,7 @@
 #include "foxtailring/base/Clock.h"
 
 #include <functional>
+#include <memory>
 #include <string>
 #include <string_view>
 
@@ -12,6 +13,7 @@
 class BackendTable;
 class EngineLatencyEstimator;
 class RequestQuarantine;
+class RequestVersions;
 class RandomSource;
 class RetryBudget;
 class ServerAdmission;
@@ -40,6 +42,8 @@
     std::function<void(const std::string &service)> onRetryDenied;
     /// The request is refused because of this suspect, which is quarantined; may be empty.
     std::function<void(std::string_view suspect)> onQuarantined;
+    /// Versions that servers of this request may have; null: there are no roll-outs.
+    std::shared_ptr<RequestVersions> versions {};
 };
 
 } // namespace foxtailring
--- a/include/foxtailring/decisions/sessions/ForwardSession.h
+++ b/include/foxtailring/decisions/sessions/ForwardSession.h
@@ -4,6 +4,7 @@
 #include "foxtailring/decisions/configuration/HttpRoute.h"
 #include "foxtailring/decisions/placement/AdmittedPlacer.h"
 #include "foxtailring/decisions/quarantine/RequestSuspicion.h"
+#include "foxtailring/decisions/rollouts/AttemptObservation.h"
 #include "foxtailring/decisions/servers/BackendAnswer.h"
 #include "foxtailring/decisions/servers/ServerEvidence.h"
 #include "foxtailring/decisions/servers/ServerProbeResult.h"
@@ -77,7 +78,10 @@
     bool hasServer() const { return m_server.has_value(); }
     const BackendState &server() const { return *m_server; }
     const std::vector<std::string> &triedIds() const { return m_triedIds; }
-    std::chrono::milliseconds timeLeft(TimePoint now) const;
+    std::chrono::milliseconds timeLeft(TimePoint now) const
+    {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(m_deadline - now);
+    }
     bool isPastDeadline(TimePoint now) const { return now >= m_deadline; }
     AdmittedPlacer &admittedPlacer() { return m_admittedPlacer; }
 
@@ -88,6 +92,10 @@
     void recordSignOfLife();
     /// \brief The same for the server of the fallback.
     void recordFallbackSignOfLife();
+    /// \brief Tells the roll-outs of an event of the current attempt.
+    void observeEvent(TimePoint now) { m_observation.recordEvent(now); }
+    /// \brief Tells the roll-outs that the stream of the current attempt is complete.
+    void observeEnd(TimePoint now) { m_observation.recordEnd(now); }
     /// \brief The server of the current attempt failed, or looks as if it had. The quarantine
     /// counts one failure of an attempt.
     /// \param at when it failed, as far as is known
@@ -156,6 +164,7 @@
         BackendState server;
         TimePoint sentAt;
         bool isFailureRecorded = false; ///< of its server
+        AttemptObservation observation;
     };
 
     /// \brief Returns the next attempt, or what must happen before it; Refuse if no server is left.
@@ -215,6 +224,7 @@
     AdmittedPlacer m_admittedPlacer;
     std::vector<std::string> m_triedIds; ///< ids of servers
     std::optional<BackendState> m_server;
+    AttemptObservation m_observation; ///< of the current attempt
     TimePoint m_sentAt;
     std::optional<Fallback> m_fallback;
     /// Status of a server's answer that is passed on, if it may be, unless another attempt is sent;
--- a/include/foxtailring/decisions/sessions/RunPlacement.h
+++ b/include/foxtailring/decisions/sessions/RunPlacement.h
@@ -53,6 +53,8 @@
     /// \brief Server in another zone for a continuous copy of a run at \a runServer.
     std::optional<BackendState> chooseCopyHolder(const BackendState &runServer,
                                                  TimePoint now) const;
+    /// \brief True if a run may go on from its copy at \a holder.
+    bool acceptsResume(const BackendState &holder, TimePoint now) const;
     /// \brief Takes a request for a probe of the server. False: it names a rate limit or asked for
     /// a pause, so that it gets no probe beside the run.
     bool tryTakeProbe(const BackendState &server, TimePoint now) const;
--- a/include/foxtailring/gateway/GatewaySettings.h
+++ b/include/foxtailring/gateway/GatewaySettings.h
@@ -1,11 +1,13 @@
 #pragma once
 
 #include "foxtailring/base/Result.h"
+#include "foxtailring/decisions/rollouts/RolloutSettings.h"
 #include "foxtailring/transport/Endpoint.h"
 
 #include <chrono>
 #include <cstddef>
 #include <map>
+#include <optional>
 #include <string>
 
 namespace foxtailring {
@@ -33,6 +35,7 @@
         300};                                      ///< of requests, for the first read of the store
     double storeReadsPerSecond = 2000;             ///< that the store takes from all gateways
     std::chrono::milliseconds drainTimeout {8000}; ///< from SIGTERM to the end of the process
+    std::optional<RolloutSettings> rollouts;       ///< none: orders of roll-outs are not read
 
     static Result<GatewaySettings> fromFile(const std::string &path);
     /// \brief On failure the message lists every invalid setting with its location and allowed
--- a/include/foxtailring/gateway/StoreSchema.h
+++ b/include/foxtailring/gateway/StoreSchema.h
@@ -3,6 +3,7 @@
 #include "foxtailring/base/Result.h"
 #include "foxtailring/decisions/configuration/RouteConfig.h"
 #include "foxtailring/decisions/servers/BackendInfo.h"
+#include "foxtailring/gateway/RolloutSchema.h"
 
 #include <functional>
 #include <string>
@@ -17,6 +18,7 @@
     std::string serverKeyPrefix; ///< a server's key is this prefix and the server's id
     std::function<Result<RouteConfig>(std::string_view value)> decodeConfig;
     std::function<Result<BackendInfo>(std::string_view id, std::string_view value)> decodeServer;
+    RolloutSchema rollouts {}; ///< without prefixes there are no roll-outs
 };
 
 } // namespace foxtailring
--- a/include/foxtailring/store/KeyValueClient.h
+++ b/include/foxtailring/store/KeyValueClient.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace foxtailring {
@@ -62,6 +63,9 @@
     /// cannot be decoded stays open.
     virtual std::shared_ptr<Http1Stream> watch(const std::string &prefix, StoreRevision from,
                                                WatchHooks hooks) = 0;
+    /// \brief Watches collect changes for at most \a pause before they report further ones; none:
+    /// as long as suits the service. A client may report them at once anyway.
+    virtual void limitBatchPause(std::optional<std::chrono::milliseconds>) { }
 };
 
 } // namespace foxtailring
--- a/src/decisions/membership/FleetMembership.cpp
+++ b/src/decisions/membership/FleetMembership.cpp
@@ -3,6 +3,7 @@
 #include "foxtailring/decisions/placement/RendezvousHash.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace foxtailring {
@@ -81,13 +82,31 @@
     });
 }
 
-bool FleetMembership::owns(std::string_view key) const
+std::vector<std::string> FleetMembership::listedIds() const
 {
-    std::vector<std::string> names {m_ownId};
+    std::vector<std::string> ids;
     for (const auto &[id, other] : m_others) {
         if (!other.delistedAt)
-            names.push_back(id);
+            ids.push_back(id);
     }
+    return ids;
+}
+
+std::size_t FleetMembership::rank(std::string_view key) const
+{
+    if (!isKnown())
+        return std::numeric_limits<std::size_t>::max();
+    std::vector<std::string> names = listedIds();
+    names.push_back(m_ownId);
+    const std::vector<std::string> ranked = RendezvousHash::rank(key, names);
+    const auto own = std::find(ranked.begin(), ranked.end(), m_ownId);
+    return static_cast<std::size_t>(own - ranked.begin());
+}
+
+bool FleetMembership::owns(std::string_view key) const
+{
+    std::vector<std::string> names = listedIds();
+    names.push_back(m_ownId);
     return isKnown() && RendezvousHash::first(key, names) == m_ownId;
 }
 
--- a/src/decisions/placement/AdmittedPlacer.cpp
+++ b/src/decisions/placement/AdmittedPlacer.cpp
@@ -4,10 +4,12 @@
 #include "foxtailring/decisions/limits/RateLimitExplanation.h"
 #include "foxtailring/decisions/limits/ServerAdmission.h"
 #include "foxtailring/decisions/placement/BackendPlacer.h"
+#include "foxtailring/decisions/rollouts/RequestVersions.h"
 #include "foxtailring/decisions/servers/BackendTable.h"
 #include "foxtailring/decisions/sessions/ForwardContext.h"
 
 #include <algorithm>
+#include <utility>
 #include <vector>
 
 namespace foxtailring {
@@ -38,11 +40,25 @@
         m_context.onRateLimited(serverId, *limit);
 }
 
+std::optional<BackendState> AdmittedPlacer::choose(PlacementRequest placement, Chooser chooser,
+                                                   TimePoint now)
+{
+    RequestVersions *versions = m_context.versions.get();
+    if (!versions)
+        return chooseAccepted(std::move(placement), chooser, now);
+    placement.accepts = [versions](const BackendInfo &server) { return versions->accepts(server); };
+    versions->startChoice(now);
+    auto chosen = chooseAccepted(placement, chooser, now);
+    while (!chosen && versions->widenChoice(now))
+        chosen = chooseAccepted(placement, chooser, now);
+    return chosen;
+}
+
 // A server without a free request is passed over like one that does not exist: it is neither tried
 // nor suspected. A server whose pause has just ended is chosen at once only if no other is expected
 // to answer.
-std::optional<BackendState> AdmittedPlacer::choose(PlacementRequest placement, Chooser chooser,
-                                                   TimePoint now)
+std::optional<BackendState> AdmittedPlacer::chooseAccepted(PlacementRequest placement,
+                                                           Chooser chooser, TimePoint now)
 {
     const std::vector<std::string> requested(placement.exclude.begin(), placement.exclude.end());
     std::vector<std::string> returning = m_context.admission.returningIds(now);
--- a/src/decisions/placement/BackendPlacer.cpp
+++ b/src/decisions/placement/BackendPlacer.cpp
@@ -113,6 +113,8 @@
     for (BackendState &server : candidates) {
         if (contains(request.exclude, server.info.id))
             continue;
+        if (request.accepts && !request.accepts(server.info))
+            continue;
         double cost = (this->*costModel.cost)(server) + healthCost(server)
             + costModel.maxTieBreak * random.generateDouble();
         if (!request.avoidZone.empty() && server.info.availabilityZone == request.avoidZone)
--- /dev/null
+++ b/src/decisions/rollouts/Rollout.cpp
@@ -0,0 +1,552 @@
+#include "foxtailring/decisions/rollouts/Rollout.h"
+
+#include "foxtailring/decisions/rollouts/RolloutEnvironment.h"
+#include "foxtailring/decisions/servers/BackendInfo.h"
+
+#include <algorithm>
+#include <cmath>
+#include <iterator>
+#include <utility>
+
+namespace foxtailring {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Gateways that send requests to a version on trial. More would add store calls, not certainty.
+constexpr double maxSamplers = 32;
+// Half of the requests beyond the share are for the trial, the other half for a move that ends.
+constexpr double extraFraction = 0.5;
+/// Of the requests of one gateway, so that it sees both versions.
+constexpr double maxOwnShare = 0.5;
+// While the extra requests are sent, the new version gets up to this share of all.
+constexpr double extraShare = 0.25;
+// Room for uneven load on few servers.
+constexpr double spreadMargin = 1.5;
+// A version that gateways used for so long before the order is not on trial.
+constexpr seconds provenAfter {10};
+constexpr milliseconds listInterval {250};
+// The operator writes an order again that a restored store has lost.
+constexpr seconds orderRewriteTime {5};
+// Further gateways write a status that those before them did not.
+constexpr milliseconds writerDelay {400};
+constexpr std::size_t maxWriterRank = 4;
+constexpr milliseconds writeRetryDelay {500};
+constexpr std::size_t maxRefused = 16;
+
+} // namespace
+
+Rollout::Rollout(std::string service, const RolloutSettings &settings,
+                 const RolloutEnvironment &environment)
+    : m_service(std::move(service))
+    , m_settings(settings)
+    , m_environment(environment)
+    , m_schedule(settings)
+{
+}
+
+void Rollout::setOrder(const RolloutOrder &order, StoreRevision revision, bool isLive,
+                       TimePoint now)
+{
+    m_orderLostAt.reset();
+    const bool isSame = m_order && m_order->version == order.version;
+    const bool isRewritten = isSame && revision.epoch != m_orderRevision.epoch;
+    const bool wasRolledBack =
+        isSame && m_status && m_status->state == RolloutState::RolledBack && !isRewritten;
+    const bool isKnown = revision == m_orderRevision;
+    m_orderRevision = revision;
+    if (isKnown || (isSame && !wasRolledBack)) {
+        m_order = order;
+        return;
+    }
+    const bool wasOpen =
+        m_order && m_isTrial && (!m_status || m_status->state == RolloutState::Serving);
+    const std::string previous = wasOpen ? m_order->version : std::string();
+    const bool isTrial = !isLive || isRefused(order.version) || !isProven(order.version, now);
+    m_order = order;
+    m_isLive = isLive;
+    m_orderedAt = now;
+    std::erase(m_refused, order.version);
+    refuse(previous);
+    begin(isTrial, now);
+}
+
+void Rollout::begin(bool isTrial, TimePoint now)
+{
+    m_isTrial = isTrial;
+    m_isCondemned = false;
+    m_verdict = {};
+    m_status.reset();
+    m_isStatusStored = false;
+    m_dueSince.reset();
+    m_evidence.reset();
+    m_observer.restart(m_order->version, now);
+    m_credit.restart(0, 0, now);
+    m_listedAt = {};
+    if (m_environment.onOrder)
+        m_environment.onOrder(m_service, m_order->version, isTrial);
+    updateSampling();
+    restoreStored(now);
+}
+
+// The status may have been read before the order.
+void Rollout::restoreStored(TimePoint now)
+{
+    if (!m_stored || !answersOrder(*m_stored))
+        return;
+    m_isStatusStored = true;
+    adopt(*m_stored, now);
+}
+
+// Servers of a version that an order has just called into being may be used for moments before this
+// gateway learns of the order.
+bool Rollout::isProven(std::string_view version, TimePoint now) const
+{
+    const auto firstUse = m_observer.firstUse(version);
+    if (!firstUse || now - *firstUse < provenAfter)
+        return false;
+    const std::vector<BackendInfo> servers = m_environment.servers(m_service, now);
+    return std::any_of(servers.begin(), servers.end(),
+                       [version](const BackendInfo &server) { return server.version == version; });
+}
+
+void Rollout::removeOrder(std::int64_t epoch, TimePoint now)
+{
+    if (!m_order)
+        return;
+    if (epoch != m_orderRevision.epoch && !m_orderLostAt) {
+        m_orderLostAt = now;
+        return;
+    }
+    if (m_orderLostAt && now - *m_orderLostAt < orderRewriteTime)
+        return;
+    const bool isOpen = !m_status || m_status->state == RolloutState::Serving;
+    if (isOpen && m_isTrial)
+        refuse(m_order->version);
+    m_isStatusStored = m_isStatusStored && !isOpen;
+    m_order.reset();
+    m_orderLostAt.reset();
+    if (m_environment.onOrder)
+        m_environment.onOrder(m_service, "", false);
+}
+
+void Rollout::refuse(const std::string &version)
+{
+    if (version.empty() || isRefused(version))
+        return;
+    m_refused.push_back(version);
+    if (m_refused.size() > maxRefused)
+        m_refused.erase(m_refused.begin());
+}
+
+bool Rollout::isRefused(std::string_view version) const
+{
+    return std::find(m_refused.begin(), m_refused.end(), version) != m_refused.end();
+}
+
+// An order for a version that was rolled back, written after that, begins anew.
+bool Rollout::answersOrder(const RolloutStatus &status) const
+{
+    if (!m_order || status.version != m_order->version)
+        return false;
+    const bool isOfOlderOrder =
+        status.order.epoch == m_orderRevision.epoch && status.order.number < m_orderRevision.number;
+    return !(isOfOlderOrder && status.state == RolloutState::RolledBack);
+}
+
+void Rollout::setStatus(const RolloutStatus &status, StoreRevision revision, TimePoint now)
+{
+    m_statusRevision = revision;
+    m_stored = status;
+    m_isWriting = false;
+    for (const std::string &version : status.refused) {
+        if (!m_order || version != m_order->version)
+            refuse(version);
+    }
+    if (!answersOrder(status)) {
+        m_isStatusStored = false;
+        const bool isUnproven = status.isTrial && status.state != RolloutState::Completed;
+        if (isUnproven && (!m_order || status.version != m_order->version))
+            refuse(status.version);
+        if (!m_order)
+            keepWithoutOrder(status, now);
+        return;
+    }
+    // A copy of the store may be older than what was decided.
+    const bool isOlder = m_status && m_status->state != RolloutState::Serving
+        && status.state == RolloutState::Serving;
+    m_isStatusStored = !isOlder;
+    if (!isOlder)
+        adopt(status, now);
+}
+
+// The order of a status that serves was deleted, or is missing in a restored store for a while.
+void Rollout::keepWithoutOrder(const RolloutStatus &status, TimePoint now)
+{
+    m_status = status;
+    m_isStatusStored = status.state != RolloutState::Serving;
+    m_writeAfter = now + orderRewriteTime;
+}
+
+void Rollout::adopt(const RolloutStatus &status, TimePoint now)
+{
+    const bool isFirst = !m_status;
+    const bool isStep =
+        isFirst || m_status->state != status.state || m_status->share != status.share;
+    m_status = status;
+    m_isTrial = status.isTrial;
+    m_dueSince.reset();
+    if (!isStep)
+        return;
+    m_shareSince = now;
+    // A gateway that has started since then learns from the status how old the order is.
+    if (isFirst && !m_isLive && status.startedAtMs > 0) {
+        const Duration age = m_environment.unixTime(now) - milliseconds(status.startedAtMs);
+        m_orderedAt =
+            std::min(m_orderedAt, now - std::clamp<Duration>(age, Duration {0}, 2 * m_order->ramp));
+    }
+    if (status.state != RolloutState::Serving)
+        m_isCondemned = status.state == RolloutState::RolledBack;
+    applyShare();
+    if (m_environment.onStep)
+        m_environment.onStep(m_service, status, status.reason);
+}
+
+void Rollout::applyShare()
+{
+    m_listedAt = {};
+    if (!isServing())
+        return m_credit.setShare(0);
+    const RolloutFleet fleet = m_environment.fleet(m_service);
+    // Only some gateways take part in a large fleet, and tell of all that they send.
+    const auto listed = static_cast<double>(fleet.otherIds.size() + 1);
+    m_ownShare = std::min(maxOwnShare, share() * std::max(1.0, listed / maxSamplers));
+    if (share() > m_schedule.trialShare())
+        return m_credit.setShare(0);
+    const auto delay = std::chrono::duration_cast<Duration>(
+        RolloutSchedule::extraTime(m_order->ramp) * m_environment.random());
+    m_credit.restart(m_ownShare, extraRequests(fleet), m_orderedAt + delay);
+    const auto &routes = m_observer.routes();
+    if (routes.size() > 1)
+        m_credit.reserve(
+            *std::next(routes.begin(), static_cast<std::ptrdiff_t>(fleet.rank % routes.size())),
+            m_orderedAt + RolloutSchedule::reservedTime(m_order->ramp));
+}
+
+// A gateway that has started since the order may have used its part before.
+double Rollout::extraRequests(const RolloutFleet &fleet) const
+{
+    if (!m_isLive)
+        return 0;
+    const double all = extraFraction * m_settings.slackRequests;
+    const double samplers = std::clamp(static_cast<double>(fleet.size), 1.0, maxSamplers);
+    if (all >= samplers)
+        return all / samplers;
+    return static_cast<double>(fleet.rank) < std::floor(all) ? 1 : 0;
+}
+
+void Rollout::removeStatus(std::int64_t epoch)
+{
+    m_statusRevision = {epoch, 0};
+    m_stored.reset();
+    m_isStatusStored = false;
+}
+
+void Rollout::setUnreadableStatus(StoreRevision revision)
+{
+    m_statusRevision = revision;
+    m_stored.reset();
+    m_isStatusStored = false;
+}
+
+void Rollout::setWitness(std::string_view gatewayId, VersionWitness witness)
+{
+    m_witnesses.insert_or_assign(std::string(gatewayId), std::move(witness));
+}
+
+void Rollout::removeWitness(std::string_view gatewayId)
+{
+    const auto found = m_witnesses.find(gatewayId);
+    if (found != m_witnesses.end())
+        m_witnesses.erase(found);
+}
+
+bool Rollout::isServing() const
+{
+    return m_order && m_status && m_status->state == RolloutState::Serving;
+}
+
+bool Rollout::isInTouch(TimePoint now) const
+{
+    const auto age = m_environment.storeAge(now);
+    return age && *age < m_settings.maxRollbackTime / 2;
+}
+
+void Rollout::step(TimePoint now)
+{
+    if (m_orderLostAt)
+        removeOrder(m_orderRevision.epoch, now);
+    m_observer.advance(now);
+    if (!isServing())
+        return;
+    updateSampling();
+    updateEvidence(now);
+}
+
+void Rollout::updateSampling()
+{
+    m_isSampler = static_cast<double>(m_environment.fleet(m_service).rank) < maxSamplers;
+}
+
+void Rollout::updateEvidence(TimePoint now)
+{
+    VersionEvidence::Rows merged = m_observer.rows(now);
+    for (const auto &[gatewayId, witness] : m_witnesses) {
+        if (witness.version != m_order->version || witness.order != m_orderRevision)
+            continue;
+        for (const auto &[key, row] : witness.rows) {
+            VersionRow &sum = merged[key];
+            sum.failures += row.failures;
+            sum.times.merge(row.times);
+            sum.open.merge(row.open);
+        }
+    }
+    m_evidence.update(std::move(merged), now);
+    m_verdict = m_evidence.judge();
+    if (!m_isTrial)
+        m_verdict.grade = VersionVerdict::Grade::Good;
+    if (!m_isCondemned && m_verdict.grade == VersionVerdict::Grade::Bad)
+        condemn(m_verdict);
+}
+
+void Rollout::condemn(const VersionVerdict &verdict)
+{
+    m_isCondemned = true;
+    m_dueSince.reset();
+    if (m_environment.onStep)
+        m_environment.onStep(
+            m_service, makeStatus(RolloutState::Serving, 0, "bad: " + verdict.aspect), "condemned");
+}
+
+void Rollout::updateListed(TimePoint now)
+{
+    if (m_listedAt != TimePoint {} && now - m_listedAt < listInterval)
+        return;
+    m_listedAt = now;
+    m_listed.update(m_environment.servers(m_service, now), m_order->version, m_refused);
+    double spread = spreadMargin * share();
+    if (now < m_orderedAt + RolloutSchedule::spreadTime(m_order->ramp))
+        spread = std::max(spread, extraShare);
+    m_listed.spread(share() >= 1 ? 1 : spread, m_service + m_orderRevision.toString());
+}
+
+Rollout::Mode Rollout::mode(TimePoint now) const
+{
+    if (!m_order)
+        return Mode::Free;
+    if (m_isCondemned)
+        return Mode::Barred;
+    if (m_status && m_status->state == RolloutState::Completed)
+        return m_listed.hasNew() ? Mode::Done : Mode::Free;
+    if (!m_listed.hasOld())
+        return Mode::Free;
+    if (!m_status)
+        return m_isTrial ? Mode::Barred : Mode::Free;
+    if (share() > m_schedule.trialShare())
+        return Mode::Moving;
+    return isInTouch(now) ? Mode::Trial : Mode::Barred;
+}
+
+bool Rollout::takeNew(std::string_view route, TimePoint now)
+{
+    if (!m_order)
+        return false;
+    updateListed(now);
+    switch (mode(now)) {
+    case Mode::Trial:
+        return m_isSampler && m_listed.hasNew() && m_credit.tryTake(route, now);
+    case Mode::Moving:
+        return share() >= 1 || (m_isSampler && m_environment.random() < m_ownShare);
+    case Mode::Done:
+        return true;
+    case Mode::Free:
+    case Mode::Barred:
+        break;
+    }
+    return false;
+}
+
+std::vector<VersionSide> Rollout::sides(bool wantsNew, TimePoint now)
+{
+    using Side = VersionSide;
+    if (!m_order)
+        return {Side::Any};
+    updateListed(now);
+    switch (mode(now)) {
+    case Mode::Free:
+        return {Side::Any};
+    case Mode::Barred:
+        return {Side::Old};
+    case Mode::Trial:
+        return wantsNew ? std::vector {Side::New, Side::Old} : std::vector {Side::Old};
+    case Mode::Done:
+        return {Side::New};
+    case Mode::Moving:
+        break;
+    }
+    // The old servers may have been stopped, or the version condemned, without this gateway
+    // learning of it.
+    if (!isInTouch(now))
+        return {Side::Any};
+    const bool prefersNew = wantsNew || share() >= 1;
+    return prefersNew ? std::vector {Side::New, Side::Old} : std::vector {Side::Old, Side::New};
+}
+
+bool Rollout::isAllowed(std::string_view version) const
+{
+    if (isRefused(version))
+        return false;
+    return !(isNew(version) && m_isCondemned);
+}
+
+// On trial, a resumed run would be a further request to the new version.
+bool Rollout::allowsCopies(std::string_view version, TimePoint now) const
+{
+    if (!isAllowed(version))
+        return false;
+    const Mode current = mode(now);
+    if (!isNew(version))
+        return current != Mode::Done;
+    return current == Mode::Done || current == Mode::Moving || current == Mode::Free;
+}
+
+bool Rollout::accepts(const BackendInfo &server, VersionSide side) const
+{
+    if (!isAllowed(server.version))
+        return false;
+    switch (side) {
+    case VersionSide::Any:
+        return true;
+    case VersionSide::New:
+        return isNew(server.version) && m_listed.isInUse(server.id);
+    case VersionSide::Old:
+        return !isNew(server.version);
+    }
+    return false;
+}
+
+bool Rollout::isMoved() const
+{
+    return share() >= 1 && m_observer.openCountBeside(m_order->version) == 0;
+}
+
+bool Rollout::isMovedEverywhere() const
+{
+    const RolloutFleet fleet = m_environment.fleet(m_service);
+    const auto hasMoved = [this](const std::string &id) {
+        const auto witness = m_witnesses.find(id);
+        return witness != m_witnesses.end() && witness->second.version == m_order->version
+            && witness->second.order == m_orderRevision && witness->second.isMoved;
+    };
+    return isMoved() && std::all_of(fleet.otherIds.begin(), fleet.otherIds.end(), hasMoved);
+}
+
+std::optional<VersionWitness> Rollout::witness(TimePoint now) const
+{
+    if (!isServing())
+        return std::nullopt;
+    VersionWitness witness;
+    witness.version = m_order->version;
+    witness.order = m_orderRevision;
+    witness.isMoved = isMoved();
+    if (m_isSampler)
+        witness.rows = m_observer.rows(now);
+    return witness;
+}
+
+RolloutStatus Rollout::makeStatus(RolloutState state, double share, std::string reason) const
+{
+    RolloutStatus status;
+    status.state = state;
+    status.version = m_order ? m_order->version : m_status->version;
+    status.share = share;
+    status.isTrial = m_isTrial;
+    status.order = m_orderRevision;
+    status.startedAtMs = m_status ? m_status->startedAtMs : 0;
+    status.refused = m_refused;
+    if (state == RolloutState::RolledBack && !isRefused(status.version) && m_order)
+        status.refused.push_back(status.version);
+    status.newFigures = m_verdict.newFigures;
+    status.oldFigures = m_verdict.oldFigures;
+    status.reason = std::move(reason);
+    return status;
+}
+
+std::optional<RolloutStatus> Rollout::nextStatus(TimePoint now) const
+{
+    if (!m_order) {
+        if (!m_status || m_status->state != RolloutState::Serving || m_isStatusStored)
+            return std::nullopt;
+        return makeStatus(RolloutState::RolledBack, 0, "order withdrawn");
+    }
+    if (!m_status) {
+        RolloutStatus first =
+            makeStatus(RolloutState::Serving, m_isTrial ? m_schedule.trialShare() : 1, "ordered");
+        first.startedAtMs = (m_environment.unixTime(now)
+                             - std::chrono::duration_cast<milliseconds>(now - m_orderedAt))
+                                .count();
+        return first;
+    }
+    if (!m_isStatusStored)
+        return m_status;
+    if (!isServing())
+        return std::nullopt;
+    if (m_isCondemned)
+        return makeStatus(RolloutState::RolledBack, 0, "bad: " + m_verdict.aspect);
+    RolloutSchedule::Progress progress;
+    progress.elapsed = now - m_orderedAt;
+    progress.ramp = m_order->ramp;
+    progress.shareAge = now - m_shareSince;
+    progress.share = share();
+    progress.isMoved = isMovedEverywhere();
+    const auto listed = static_cast<double>(m_environment.fleet(m_service).otherIds.size() + 1);
+    progress.observedShare = std::min(1.0, maxSamplers / listed);
+    const auto next = m_listed.hasNew() ? m_schedule.next(progress, m_verdict) : std::nullopt;
+    if (!next)
+        return std::nullopt;
+    if (next->isRolledBack)
+        return makeStatus(RolloutState::RolledBack, 0, "suspect: " + m_verdict.aspect);
+    if (next->isFinal)
+        return makeStatus(RolloutState::Completed, 1, progress.isMoved ? "moved" : "deadline");
+    return makeStatus(RolloutState::Serving, next->share, "good so far");
+}
+
+std::optional<RolloutStatus> Rollout::takeDueStatus(TimePoint now)
+{
+    if (m_order)
+        updateListed(now);
+    if (m_isWriting || now < m_writeAfter || !isInTouch(now))
+        return std::nullopt;
+    auto next = nextStatus(now);
+    if (!next) {
+        m_dueSince.reset();
+        return std::nullopt;
+    }
+    if (!m_dueSince)
+        m_dueSince = now;
+    const auto rank = std::min(m_environment.fleet(m_service).rank, maxWriterRank);
+    if (now - *m_dueSince < static_cast<int>(rank) * writerDelay)
+        return std::nullopt;
+    m_isWriting = true;
+    return next;
+}
+
+void Rollout::onStatusNotWritten(TimePoint now)
+{
+    m_isWriting = false;
+    m_writeAfter = now + writeRetryDelay;
+}
+
+} // namespace foxtailring
--- a/src/decisions/sessions/ForwardSession.cpp
+++ b/src/decisions/sessions/ForwardSession.cpp
@@ -4,6 +4,7 @@
 #include "foxtailring/decisions/admission/RetryBudget.h"
 #include "foxtailring/decisions/quarantine/RequestQuarantine.h"
 #include "foxtailring/decisions/quarantine/SuspectedCrashes.h"
+#include "foxtailring/decisions/rollouts/RequestVersions.h"
 #include "foxtailring/decisions/servers/BackendTable.h"
 #include "foxtailring/decisions/sessions/CallerStatus.h"
 
@@ -60,6 +61,8 @@
     chooseService();
     if (timeLeft(now) < minTimeLeft)
         return refuse(503, "noTimeLeft");
+    if (m_context.versions)
+        m_context.versions->begin(m_service, m_route.name, now);
     m_suspicion.admit(now);
     if (auto refusal = refuseQuarantined(now))
         return std::move(*refusal);
@@ -115,6 +118,7 @@
     const bool isFinal = answer.status < 500 && mayPass(answer.status);
     m_suspicion.recordWholeAnswer(answer, now);
     m_context.servers.recordAnswer(m_fallback->server.info.id, isFailure && !answer.pause, now);
+    m_fallback->observation.recordAnswer(answer, now);
     releaseFallback();
     if (isFinal)
         return PassAnswer {true};
@@ -130,6 +134,7 @@
     if (!m_fallback)
         return KeepWaiting {};
     m_evidence.recordEnd(m_fallback->server.info.id, result, now);
+    m_fallback->observation.recordLoss(mayHaveRun(result), now);
     if (result == AttemptResult::Lost && mayCrashServers())
         m_suspicion.recordReset(m_fallback->server.info, m_fallback->isFailureRecorded, now);
     releaseFallback();
@@ -157,6 +162,7 @@
         countPossibleRun();
     }
     m_server = std::move(m_fallback->server);
+    m_observation = std::move(m_fallback->observation);
     m_sentAt = m_fallback->sentAt;
     m_fallback.reset();
     --m_possibleRuns;
@@ -182,6 +188,7 @@
     m_suspicion.recordWholeAnswer(answer, now);
     // A server that asks for a pause has not failed.
     m_context.servers.recordAnswer(m_server->info.id, isFailure && !answer.pause, now);
+    m_observation.recordAnswer(answer, now);
     releaseServer();
     countPossibleRun();
     const bool isFinal = answer.status < 500 && mayPass(answer.status);
@@ -326,6 +333,7 @@
         onServerLost();
     }
     m_evidence.recordEnd(m_server->info.id, result, now);
+    m_observation.recordLoss(mayHaveRun(result), now);
     if (result == AttemptResult::Lost || result == AttemptResult::Silent)
         reportFailure(result == AttemptResult::Silent ? lastSignAt(now) : now, now);
     releaseServer();
@@ -398,11 +406,6 @@
     return conclude(ending);
 }
 
-milliseconds ForwardSession::timeLeft(TimePoint now) const
-{
-    return std::chrono::duration_cast<milliseconds>(m_deadline - now);
-}
-
 ForwardAction ForwardSession::refuseUnplaced(TimePoint now)
 {
     if (m_admittedPlacer.isServicePaused(now))
@@ -433,7 +436,8 @@
     if (auto refusal = refuseQuarantined(now))
         return std::move(*refusal);
     if (attempt.keepsLatest && m_server) {
-        m_fallback = Fallback {std::move(*m_server), m_sentAt, m_isFailureRecorded};
+        m_fallback = Fallback {std::move(*m_server), m_sentAt, m_isFailureRecorded,
+                               std::move(m_observation)};
         m_server.reset();
         countPossibleRun();
     }
@@ -442,6 +446,7 @@
     m_isFailureRecorded = false;
     m_isCrashSuspected = false;
     m_server = attempt.server;
+    m_observation = AttemptObservation(m_context.versions, m_route.name, m_server->info, now);
     m_context.servers.startWork(m_server->info.id);
     m_triedIds.push_back(m_server->info.id);
     m_sentAt = now;
@@ -477,6 +482,7 @@
         return;
     m_context.servers.endWork(m_server->info.id);
     m_server.reset();
+    m_observation = {};
 }
 
 void ForwardSession::releaseFallback()
--- a/src/decisions/sessions/RunPlacement.cpp
+++ b/src/decisions/sessions/RunPlacement.cpp
@@ -2,6 +2,7 @@
 
 #include "foxtailring/decisions/limits/ServerAdmission.h"
 #include "foxtailring/decisions/placement/BackendPlacer.h"
+#include "foxtailring/decisions/rollouts/RequestVersions.h"
 #include "foxtailring/decisions/servers/BackendTable.h"
 #include "foxtailring/decisions/sessions/ForwardContext.h"
 
@@ -52,11 +53,15 @@
     if (holder == reports.end())
         return std::nullopt;
     auto server = m_context.servers.server(holder->serverId, now);
-    return server && server->acceptsNewWork() ? std::move(server) : std::nullopt;
+    const bool isAccepted = server && server->acceptsNewWork()
+        && (!m_context.versions || m_context.versions->accepts(server->info));
+    return isAccepted ? std::move(server) : std::nullopt;
 }
 
 std::vector<BackendState> RunPlacement::takeCandidateProbes(TimePoint now)
 {
+    if (m_context.versions)
+        m_context.versions->startChoice(now);
     std::vector<std::string> exclude = m_triedIds;
     for (const auto &avoided :
          {m_context.admission.pausedIds(now), m_context.admission.returningIds(now)})
@@ -111,6 +116,10 @@
     placementRequest.exclude = exclude;
     placementRequest.responsive = m_responsive;
     placementRequest.affinityServers = m_affinityServers;
+    if (RequestVersions *versions = m_context.versions.get())
+        placementRequest.accepts = [versions](const BackendInfo &server) {
+            return versions->accepts(server);
+        };
     return placementRequest;
 }
 
@@ -122,6 +131,10 @@
     PlacementRequest copyRequest = request(exclude);
     copyRequest.avoidZone = runServer.info.availabilityZone;
     copyRequest.affinityServers = {};
+    if (RequestVersions *versions = m_context.versions.get())
+        copyRequest.accepts = [versions, &runServer, now](const BackendInfo &server) {
+            return versions->acceptsCopy(runServer.info, server, now);
+        };
     // The run could not resume at a server that has no free request or is in a pause.
     while (true) {
         copyRequest.exclude = exclude;
@@ -132,6 +145,11 @@
     }
 }
 
+bool RunPlacement::acceptsResume(const BackendState &holder, TimePoint now) const
+{
+    return !m_context.versions || m_context.versions->acceptsResume(holder.info, now);
+}
+
 bool RunPlacement::tryTakeProbe(const BackendState &server, TimePoint now) const
 {
     return !m_context.admission.isRestricted(server.info.id, now)
--- a/src/decisions/sessions/ServerSearch.cpp
+++ b/src/decisions/sessions/ServerSearch.cpp
@@ -64,7 +64,7 @@
 
 std::optional<SendAttempt> ServerSearch::tryResume(TimePoint now)
 {
-    if (!m_copier.hasUsableCopy(now)
+    if (!m_copier.hasUsableCopy(now) || !m_placement.acceptsResume(*m_copier.holder(), now)
         || !m_admittedPlacer.tryAcquire(m_copier.holder()->info.id, now))
         return std::nullopt;
     return m_copier.takeResumeAttempt(now);
--- a/src/decisions/sessions/StreamSession.cpp
+++ b/src/decisions/sessions/StreamSession.cpp
@@ -60,6 +60,7 @@
     if (hasServer())
         context().servers.recordContact(server().info.id, now);
     recordSignOfLife();
+    observeEvent(now);
     m_watch.recordEvent(now);
     m_wait.recordEvent(now);
     if (m_watch.progress().eventCount() == outlivedEvents)
@@ -163,6 +164,7 @@
 {
     if (!hasOutlivedStart())
         recordStart(now);
+    observeEnd(now);
     if (hasServer())
         context().servers.recordAnswer(server().info.id, false, now);
     if (m_watch.progress().meanEventInterval() > Duration {0})
--- a/src/gateway/GatewayNode.cpp
+++ b/src/gateway/GatewayNode.cpp
@@ -11,6 +11,7 @@
 #include "GatewayParts.h"
 #include "GatewayPublisher.h"
 #include "RequestDispatcher.h"
+#include "RolloutPublisher.h"
 #include "StoreWatch.h"
 
 #include <algorithm>
@@ -252,6 +253,7 @@
                   })
         , storeHttp(parts.storePool)
         , store(factory(parts.storePool, storeHttp))
+        , rolloutPublisher(parts, *store, schema.rollouts)
         , watch(parts, *store, std::move(schema))
         , publisher(parts, *store)
         , drainTimer(parts.pool)
@@ -291,6 +293,7 @@
     Http1Server metrics;
     Http1Client storeHttp;
     const std::unique_ptr<KeyValueClient> store;
+    RolloutPublisher rolloutPublisher;
     StoreWatch watch;
     GatewayPublisher publisher;
     Timer drainTimer;
@@ -398,6 +401,7 @@
     readiness.close();
     metrics.close();
     watch.stop();
+    rolloutPublisher.stop();
     publisher.stop();
     parts.storePool.stop();
     parts.pool.stop();
@@ -437,6 +441,7 @@
     }
     m_state->watch.start();
     m_state->publisher.start();
+    m_state->rolloutPublisher.start();
     return ports;
 }
 
--- a/src/gateway/GatewayParts.cpp
+++ b/src/gateway/GatewayParts.cpp
@@ -1,11 +1,13 @@
 #include "GatewayParts.h"
 
 #include "foxtailring/base/StructuredLog.h"
+#include "foxtailring/decisions/rollouts/RequestVersions.h"
 #include "foxtailring/decisions/sessions/CopyReference.h"
 #include "foxtailring/protocol/KeyHash.h"
 #include "foxtailring/transport/Endpoint.h"
 
 #include "DurationText.h"
+#include "GatewayRollouts.h"
 
 #include <cmath>
 #include <utility>
@@ -83,6 +85,8 @@
     , epochAge(restoredRewriteTime)
     , keyFreshness(settings.maxKeyRevocationDelay, keyFreshnessMargin)
 {
+    if (settings.rollouts)
+        rollouts.emplace(*settings.rollouts, rolloutEnvironment(*this));
     updateFleetSize();
     updateUnixOffset();
 }
@@ -115,7 +119,8 @@
             reportPauseReached(requestId, serverId, left);
         },
         [this, requestId](const std::string &service) { reportRetryDenied(requestId, service); },
-        [this, requestId](std::string_view suspect) { reportQuarantined(requestId, suspect); }};
+        [this, requestId](std::string_view suspect) { reportQuarantined(requestId, suspect); },
+        rollouts ? std::make_shared<RequestVersions>(*rollouts) : nullptr};
 }
 
 void GatewayParts::updateFleetSize()
--- a/src/gateway/GatewayParts.h
+++ b/src/gateway/GatewayParts.h
@@ -17,6 +17,7 @@
 #include "foxtailring/decisions/quarantine/CrashChecks.h"
 #include "foxtailring/decisions/quarantine/RequestQuarantine.h"
 #include "foxtailring/decisions/quarantine/SuspectedCrashes.h"
+#include "foxtailring/decisions/rollouts/Rollouts.h"
 #include "foxtailring/decisions/servers/BackendTable.h"
 #include "foxtailring/decisions/sessions/AnswerTimes.h"
 #include "foxtailring/decisions/sessions/EngineLatencyEstimator.h"
@@ -32,6 +33,7 @@
 
 #include <chrono>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -117,6 +119,7 @@
     AnswerTimes answerTimes;
     EpochAge epochAge;
     KeyFreshness keyFreshness;
+    std::optional<Rollouts> rollouts; ///< none: no roll-outs are carried out
 
 private:
     void updateIdleShare();
--- a/src/gateway/GatewayPublisher.cpp
+++ b/src/gateway/GatewayPublisher.cpp
@@ -7,6 +7,7 @@
 #include "GatewayListingCodec.h"
 #include "GatewayParts.h"
 #include "RateLimitReportCodec.h"
+#include "RolloutWitnessCodec.h"
 
 #include <algorithm>
 #include <utility>
@@ -39,6 +40,7 @@
     , m_listing {GatewayKey::of(parts.settings.nodeId)}
     , m_report {std::string(RateLimitReportCodec::keyPrefix) + parts.settings.nodeId}
     , m_crashReport {std::string(CrashReportCodec::keyPrefix) + parts.settings.nodeId}
+    , m_witnesses {std::string(RolloutWitnessCodec::keyPrefix) + parts.settings.nodeId}
     , m_crashProber(parts)
     , m_timer(parts.pool)
     , m_failurePause(minFailurePause)
@@ -86,6 +88,8 @@
         return publish(*report);
     if (const auto report = m_parts.rateLimits.takeDueReport(now))
         return publish(*report);
+    if (const auto witnesses = takeDueWitnesses(now))
+        return publish(*witnesses);
     if (isListingDue(now))
         return enlist();
     if (now - m_leaseRenewedAt >= leaseRenewalInterval)
@@ -139,7 +143,7 @@
 void GatewayPublisher::forgetKeys()
 {
     m_lease = {};
-    for (LeasedKey *key : {&m_listing, &m_report, &m_crashReport})
+    for (LeasedKey *key : {&m_listing, &m_report, &m_crashReport, &m_witnesses})
         *key = LeasedKey {key->name};
     m_parts.quarantine.onReportNotPublished();
 }
@@ -220,6 +224,30 @@
     m_parts.quarantine.onReportNotPublished();
 }
 
+std::optional<Rollouts::Witnesses> GatewayPublisher::takeDueWitnesses(TimePoint now)
+{
+    if (!m_parts.rollouts)
+        return std::nullopt;
+    if (m_witnesses.lease.id != 0 && m_witnesses.lease != m_lease)
+        m_parts.rollouts->onWitnessesNotWritten();
+    return m_parts.rollouts->takeDueWitnesses(now);
+}
+
+void GatewayPublisher::publish(const Rollouts::Witnesses &witnesses)
+{
+    const std::string value = RolloutWitnessCodec::encode(witnesses);
+    m_parts.metrics.add("gateway_rollout_witness_bytes_total", value.size());
+    write(m_witnesses, value, [this](const auto &result) {
+        const bool isWritten = result && result.value().applied;
+        m_parts.metrics.add(isWritten ? "gateway_rollout_witnesses_total{outcome=\"written\"}"
+                                      : "gateway_rollout_witnesses_total{outcome=\"failed\"}");
+        if (!isWritten)
+            m_parts.rollouts->onWitnessesNotWritten();
+        if (!result)
+            onFailed("writeWitnesses", result.error());
+    });
+}
+
 // A conflict shows the effect of an earlier write whose reply was lost, of an earlier process with
 // the same node id, or the end of a lease.
 void GatewayPublisher::write(LeasedKey &key, const std::string &value,
--- a/src/gateway/GatewayPublisher.h
+++ b/src/gateway/GatewayPublisher.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "foxtailring/base/Clock.h"
+#include "foxtailring/decisions/rollouts/Rollouts.h"
 #include "foxtailring/store/KeyValueClient.h"
 #include "foxtailring/transport/Timer.h"
 
@@ -41,6 +42,7 @@
     bool isListingDue(TimePoint now);
     bool isDemandDue();
     bool isEpochDue(TimePoint now);
+    std::optional<Rollouts::Witnesses> takeDueWitnesses(TimePoint now);
     void forgetEndedLease(TimePoint now);
     void forgetKeys();
     void grantLease();
@@ -48,6 +50,7 @@
     void enlist();
     void publish(const RateLimitReport &report);
     void publish(const CrashReport &report);
+    void publish(const Rollouts::Witnesses &witnesses);
     void write(LeasedKey &key, const std::string &value, const KeyValueClient::WriteHook &hook);
     void recordWritten(LeasedKey &key, StoreLease lease, const WriteResult &result);
     void onReportWritten(const WriteResult &result);
@@ -64,6 +67,7 @@
     TimePoint m_listEpochAt;                   ///< end of that delay
     LeasedKey m_report;
     LeasedKey m_crashReport;
+    LeasedKey m_witnesses; ///< of roll-outs
     CrashProber m_crashProber;
     Timer m_timer;
     bool m_isCalling = false; ///< a call to the store is in progress
--- a/src/gateway/GatewaySettings.cpp
+++ b/src/gateway/GatewaySettings.cpp
@@ -14,6 +14,7 @@
 constexpr std::int64_t maxDurationMs = 3'600'000;
 constexpr double minReadsPerSecond = 1;
 constexpr double maxReadsPerSecond = 1e6;
+constexpr double maxSlackRequests = 1e6;
 constexpr double minDrainSeconds = 1;
 constexpr double maxDrainSeconds = 3600;
 
@@ -28,6 +29,22 @@
     value = milliseconds(reader.integerOr(key, value.count(), 1, maxDurationMs));
 }
 
+void readRollouts(SettingsReader &reader, GatewaySettings &settings)
+{
+    const std::string key = "rollouts";
+    if (!reader.has(key))
+        return;
+    RolloutSettings rollouts;
+    SettingsReader section = reader.section(key);
+    rollouts.maxShare = section.numberOr("maxShare", rollouts.maxShare, 0, 1);
+    rollouts.slackRequests =
+        section.numberOr("slackRequests", rollouts.slackRequests, 0, maxSlackRequests);
+    readMilliseconds(section, "rollbackMs", rollouts.maxRollbackTime);
+    // Its errors are those of the reader.
+    static_cast<void>(section.finish());
+    settings.rollouts = rollouts;
+}
+
 // Each entry has the form `ZONE=REGION`.
 void readRegions(SettingsReader &reader, GatewaySettings &settings)
 {
@@ -74,6 +91,7 @@
         "storeReadsPerSecond", settings.storeReadsPerSecond, minReadsPerSecond, maxReadsPerSecond);
     settings.drainTimeout = std::chrono::round<milliseconds>(std::chrono::duration<double>(
         reader.numberOr("drainLimitSeconds", 8, minDrainSeconds, maxDrainSeconds)));
+    readRollouts(reader, settings);
     const auto done = reader.finish();
     if (!done)
         return done.error();
--- a/src/gateway/StoreWatch.cpp
+++ b/src/gateway/StoreWatch.cpp
@@ -69,6 +69,7 @@
     : m_parts(parts)
     , m_client(client)
     , m_schema(std::move(schema))
+    , m_rolloutWatch(parts, m_schema.rollouts)
     , m_rereadPacing(parts.settings.storeReadsPerSecond)
     , m_decoder(parts.storePool, parts.clock, m_schema.decodeConfig,
                 [this](const std::shared_ptr<const ConfigDecoder::Outcome> &outcome) {
@@ -255,6 +256,7 @@
         m_parts.rateLimits.replaceReports(reports, now);
     }
     m_parts.fleet.replace(gateways, now);
+    m_rolloutWatch.applySnapshot(read);
     for (const KeyValue &pair : read.pairs) {
         if (!GatewayKey::matches(pair.key))
             continue;
@@ -301,6 +303,7 @@
 {
     applyRateLimitReports(events);
     applyGateways(events);
+    m_rolloutWatch.applyEvents(events, m_epoch.value_or(EpochAge::unknownEpoch));
     if (!events.empty())
         reportRevision(events.back().pair.modRevision);
     std::vector<ConfigDecoder::Candidate> configs;
--- a/src/gateway/StoreWatch.h
+++ b/src/gateway/StoreWatch.h
@@ -6,6 +6,7 @@
 #include "foxtailring/transport/Timer.h"
 
 #include "ConfigDecoder.h"
+#include "RolloutWatch.h"
 
 #include <atomic>
 #include <cstdint>
@@ -78,6 +79,7 @@
     GatewayParts &m_parts;
     KeyValueClient &m_client;
     const StoreSchema m_schema;
+    RolloutWatch m_rolloutWatch;
     std::function<void()> m_configAppliedHook;
     TimePoint m_confirmedAt; ///< all changes until then have been applied
     std::function<void()> m_confirmedHook;
--- a/tests/gateway/GatewaySettingsTest.cpp
+++ b/tests/gateway/GatewaySettingsTest.cpp
@@ -10,6 +10,7 @@
     CPPUNIT_TEST_SUITE(GatewaySettingsTest);
     CPPUNIT_TEST(exampleIsRead);
     CPPUNIT_TEST(everyInvalidSettingIsReported);
+    CPPUNIT_TEST(rolloutsAreOptional);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -33,6 +34,29 @@
              {"availabilityZone: missing", "regions", "threads", "store", "listen: missing"})
             CPPUNIT_ASSERT_MESSAGE(part, settings.error().message.find(part) != std::string::npos);
     }
+
+    // Guards against roll-outs, and their calls to the store, where no limits for them are set.
+    void rolloutsAreOptional()
+    {
+        const std::string base =
+            "nodeId: g\navailabilityZone: a\nregions: [a=r]\nlisten: 127.0.0.1:1\n"
+            "ready: 127.0.0.1:2\nmetrics: 127.0.0.1:3\nstore: 127.0.0.1:4\n";
+        auto without = SettingsReader::fromText(base, "g.yaml");
+        CPPUNIT_ASSERT(!GatewaySettings::read(without.value()).value().rollouts);
+        auto with = SettingsReader::fromText(
+            base + "rollouts:\n  maxShare: 0.2\n  slackRequests: 9\n  rollbackMs: 4000\n",
+            "g.yaml");
+        const auto settings = GatewaySettings::read(with.value());
+        CPPUNIT_ASSERT(settings.isOk());
+        CPPUNIT_ASSERT_EQUAL(0.2, settings.value().rollouts->maxShare);
+        CPPUNIT_ASSERT_EQUAL(9.0, settings.value().rollouts->slackRequests);
+        auto invalid =
+            SettingsReader::fromText(base + "rollouts: {maxShare: 2, other: 1}\n", "g.yaml");
+        const auto rejected = GatewaySettings::read(invalid.value());
+        CPPUNIT_ASSERT(!rejected.isOk());
+        for (const char *part : {"maxShare", "other"})
+            CPPUNIT_ASSERT(rejected.error().message.find(part) != std::string::npos);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(GatewaySettingsTest);
