--- a/include/foxtailring/decisions/rollouts/VersionRow.h
+++ b/include/foxtailring/decisions/rollouts/VersionRow.h
@@ -2,10 +2,10 @@
 
 #include "foxtailring/decisions/rollouts/TimeHistogram.h"
 
-#include <compare>
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <tuple>
 
 namespace foxtailring {
 
@@ -19,7 +19,11 @@
     bool isNew = false; ///< answers of the version that the order names
     std::string zone;   ///< availability zone of the server; empty for the old versions
 
-    auto operator<=>(const VersionRowKey &) const = default;
+    bool operator==(const VersionRowKey &) const = default;
+    bool operator<(const VersionRowKey &other) const
+    {
+        return std::tie(aspect, isNew, zone) < std::tie(other.aspect, other.isNew, other.zone);
+    }
 };
 
 /// \brief Counts of the answers of one kind.
--- a/tools/lib/soak/gateway.py
+++ b/tools/lib/soak/gateway.py
@@ -29,6 +29,7 @@
         self.process = None
         self.max_key_revocation_seconds = MAX_KEY_REVOCATION_SECONDS
         self.memory_mb = 160
+        self.rolls_out = False
 
     def prepare(self):
         settings = self.cluster.folder / f"{self.name}.yaml"
@@ -40,7 +41,8 @@
             f"keyRevocationMs: {self.max_key_revocation_seconds * 1000}\n"
             f"listNoticeMs: {MAX_SERVER_LIST_DELAY_SECONDS * 1000}\n"
             f"memoryMb: {self.memory_mb}\n"
-            f"drainLimitSeconds: {self.cluster.drain_timeout_seconds}\n")
+            f"drainLimitSeconds: {self.cluster.drain_timeout_seconds}\n"
+            + ("rollouts:\n  maxShare: 0.1\n  slackRequests: 50\n  rollbackMs: 5000\n" if self.rolls_out else ""))
         self.process = Process(self.cluster.journal, self.name,
                                [BUILD / "apps/foxtailring-gateway", f"--config={settings}"],
                                self.cluster.folder / f"{self.name}.log")
--- a/tools/lib/soak/server.py
+++ b/tools/lib/soak/server.py
@@ -19,6 +19,7 @@
         self.cluster = cluster
         self.index = index
         self.service = service
+        self.version = "v1"
         self.zone = ZONES[index % len(ZONES)]
         self.slots = 16 if service == "engine" else 6
         self.has_changed_slots = False
