--- a/include/foxtailring/decisions/placement/AdmittedPlacer.h
+++ b/include/foxtailring/decisions/placement/AdmittedPlacer.h
@@ -43,6 +43,8 @@
 
 private:
     bool hasMemory(const std::string &serverId, TimePoint now) const;
+    std::optional<BackendState> chooseAccepted(PlacementRequest placement, Chooser chooser,
+                                               TimePoint now);
     void reportDenied(const std::string &serverId, TimePoint now) const;
 
     const ForwardContext &m_context;
--- a/include/foxtailring/decisions/sessions/ForwardContext.h
+++ b/include/foxtailring/decisions/sessions/ForwardContext.h
@@ -3,6 +3,7 @@
 #include "foxtailring/base/Clock.h"
 
 #include <functional>
+#include <memory>
 #include <string>
 #include <string_view>
 
@@ -12,6 +13,7 @@
 class BackendTable;
 class EngineLatencyEstimator;
 class RequestQuarantine;
+class RequestVersions;
 class RandomSource;
 class RetryBudget;
 class RunAdmission;
@@ -55,6 +57,8 @@
     SecondAttempts *secondAttempts = nullptr; ///< null: none are made
     /// A slow call got no second attempt for this reason; may be empty.
     std::function<void(std::string_view reason)> onSecondAttemptDenied = {};
+    /// Versions that servers of this request may have; null: there are no roll-outs.
+    std::shared_ptr<RequestVersions> versions {};
 };
 
 } // namespace foxtailring
--- a/include/foxtailring/gateway/GatewaySettings.h
+++ b/include/foxtailring/gateway/GatewaySettings.h
@@ -1,12 +1,14 @@
 #pragma once
 
 #include "foxtailring/base/Result.h"
+#include "foxtailring/decisions/rollouts/RolloutSettings.h"
 #include "foxtailring/decisions/sessions/SecondAttempts.h"
 #include "foxtailring/transport/Endpoint.h"
 
 #include <chrono>
 #include <cstddef>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -42,6 +44,7 @@
     double storeReadsPerSecond = 2000;             ///< that the store takes from all gateways
     std::chrono::milliseconds drainTimeout {8000}; ///< from SIGTERM to the end of the process
     SecondAttempts::Settings secondAttempts;       ///< of slow calls; none by default
+    std::optional<RolloutSettings> rollouts;       ///< none: orders of roll-outs are not read
 
     static Result<GatewaySettings> fromFile(const std::string &path);
     /// \brief On failure the message lists every invalid setting with its location and allowed
--- a/src/decisions/sessions/ForwardSession.cpp
+++ b/src/decisions/sessions/ForwardSession.cpp
@@ -4,6 +4,7 @@
 #include "foxtailring/decisions/admission/RetryBudget.h"
 #include "foxtailring/decisions/quarantine/RequestQuarantine.h"
 #include "foxtailring/decisions/quarantine/SuspectedCrashes.h"
+#include "foxtailring/decisions/rollouts/RequestVersions.h"
 #include "foxtailring/decisions/servers/BackendTable.h"
 #include "foxtailring/decisions/sessions/CallerStatus.h"
 #include "foxtailring/decisions/sessions/SecondAttempts.h"
@@ -62,6 +63,8 @@
     chooseService();
     if (timeLeft(now) < minTimeLeft)
         return refuse(503, "noTimeLeft");
+    if (m_context.versions)
+        m_context.versions->begin(m_service, m_route.name, now);
     m_suspicion.admit(now);
     if (auto refusal = refuseQuarantined(now))
         return std::move(*refusal);
@@ -124,6 +127,7 @@
     // A server that asks for a pause has not failed.
     m_context.servers.recordAnswer(m_server->info.id, isFailure && !answer.pause, now);
     m_work.recordAnswer(m_server->info.id, now);
+    m_observation.recordAnswer(answer, now);
     releaseServer();
     countPossibleRun();
     const bool isFinal = answer.status < 500 && mayPass(answer.status);
@@ -271,6 +275,7 @@
     }
     m_evidence.recordEnd(m_server->info.id, result, now);
     m_work.recordFailure(m_server->info.id, result, now);
+    m_observation.recordLoss(mayHaveRun(result), now);
     if (result == AttemptResult::Lost || result == AttemptResult::Silent)
         reportFailure(result == AttemptResult::Silent ? lastSignAt(now) : now, now);
     releaseServer();
@@ -343,11 +348,6 @@
     return conclude(ending);
 }
 
-milliseconds ForwardSession::timeLeft(TimePoint now) const
-{
-    return std::chrono::duration_cast<milliseconds>(m_deadline - now);
-}
-
 ForwardAction ForwardSession::refuseUnplaced(TimePoint now)
 {
     if (m_admittedPlacer.isServicePaused(now))
@@ -380,7 +380,8 @@
     if (auto refusal = refuseQuarantined(now))
         return std::move(*refusal);
     if (attempt.keepsLatest && m_server) {
-        m_fallback = Fallback {std::move(*m_server), m_sentAt, m_isFailureRecorded};
+        m_fallback = Fallback {std::move(*m_server), m_sentAt, m_isFailureRecorded,
+                               std::move(m_observation)};
         m_server.reset();
         countPossibleRun();
     }
@@ -390,6 +391,7 @@
     m_isCrashSuspected = false;
     m_server = attempt.server;
     m_work.start(m_service, m_server->info.id);
+    m_observation = AttemptObservation(m_context.versions, m_route.name, m_server->info, now);
     m_triedIds.push_back(m_server->info.id);
     m_sentAt = now;
     attempt.timeLeft = timeLeft(now);
@@ -424,6 +426,7 @@
         return;
     m_work.end(m_server->info.id);
     m_server.reset();
+    m_observation = {};
 }
 
 } // namespace foxtailring
--- a/src/decisions/sessions/ForwardSessionFallback.cpp
+++ b/src/decisions/sessions/ForwardSessionFallback.cpp
@@ -23,6 +23,7 @@
     const bool isFinal = answer.status < 500 && mayPass(answer.status);
     m_suspicion.recordWholeAnswer(answer, now);
     m_context.servers.recordAnswer(m_fallback->server.info.id, isFailure && !answer.pause, now);
+    m_fallback->observation.recordAnswer(answer, now);
     releaseFallback();
     if (isFinal) {
         cancelAttempts(now);
@@ -41,6 +42,7 @@
         return KeepWaiting {};
     m_evidence.recordEnd(m_fallback->server.info.id, result, now);
     m_work.recordFailure(m_fallback->server.info.id, result, now);
+    m_fallback->observation.recordLoss(mayHaveRun(result), now);
     if (result == AttemptResult::Lost && mayCrashServers())
         m_suspicion.recordReset(m_fallback->server.info, m_fallback->isFailureRecorded, now);
     releaseFallback();
@@ -68,6 +70,7 @@
         countPossibleRun();
     }
     m_server = std::move(m_fallback->server);
+    m_observation = std::move(m_fallback->observation);
     m_sentAt = m_fallback->sentAt;
     m_fallback.reset();
     --m_possibleRuns;
--- a/src/decisions/sessions/RunPlacement.cpp
+++ b/src/decisions/sessions/RunPlacement.cpp
@@ -3,6 +3,7 @@
 #include "foxtailring/decisions/admission/RunAdmission.h"
 #include "foxtailring/decisions/limits/ServerAdmission.h"
 #include "foxtailring/decisions/placement/BackendPlacer.h"
+#include "foxtailring/decisions/rollouts/RequestVersions.h"
 #include "foxtailring/decisions/servers/BackendTable.h"
 #include "foxtailring/decisions/sessions/ForwardContext.h"
 
@@ -54,11 +55,15 @@
     if (holder == reports.end())
         return std::nullopt;
     auto server = m_context.servers.server(holder->serverId, now);
-    return server && server->acceptsNewWork() ? std::move(server) : std::nullopt;
+    const bool isAccepted = server && server->acceptsNewWork()
+        && (!m_context.versions || m_context.versions->accepts(server->info));
+    return isAccepted ? std::move(server) : std::nullopt;
 }
 
 std::vector<BackendState> RunPlacement::takeCandidateProbes(TimePoint now)
 {
+    if (m_context.versions)
+        m_context.versions->startChoice(now);
     std::vector<std::string> exclude = m_triedIds;
     for (const auto &avoided :
          {m_full, m_context.admission.pausedIds(now), m_context.admission.returningIds(now)})
@@ -120,6 +125,10 @@
     placementRequest.exclude = exclude;
     placementRequest.responsive = m_responsive;
     placementRequest.affinityServers = m_affinityServers;
+    if (RequestVersions *versions = m_context.versions.get())
+        placementRequest.accepts = [versions](const BackendInfo &server) {
+            return versions->accepts(server);
+        };
     return placementRequest;
 }
 
@@ -131,6 +140,10 @@
     PlacementRequest copyRequest = request(exclude);
     copyRequest.avoidZone = runServer.info.availabilityZone;
     copyRequest.affinityServers = {};
+    if (RequestVersions *versions = m_context.versions.get())
+        copyRequest.accepts = [versions, &runServer, now](const BackendInfo &server) {
+            return versions->acceptsCopy(runServer.info, server, now);
+        };
     // The run could not resume at a server that has no free request or is in a pause.
     std::size_t refusals = 0;
     while (true) {
@@ -153,6 +166,11 @@
     return !m_context.runs || m_context.runs->room().mayCopyTo(holder, m_runTokens, now);
 }
 
+bool RunPlacement::acceptsResume(const BackendState &holder, TimePoint now) const
+{
+    return !m_context.versions || m_context.versions->acceptsResume(holder.info, now);
+}
+
 bool RunPlacement::tryTakeProbe(const BackendState &server, TimePoint now) const
 {
     return !m_context.admission.isRestricted(server.info.id, now)
--- a/src/gateway/GatewayParts.cpp
+++ b/src/gateway/GatewayParts.cpp
@@ -2,11 +2,13 @@
 
 #include "foxtailring/base/StructuredLog.h"
 #include "foxtailring/decisions/admission/RoomExplanation.h"
+#include "foxtailring/decisions/rollouts/RequestVersions.h"
 #include "foxtailring/decisions/sessions/CopyReference.h"
 #include "foxtailring/protocol/KeyHash.h"
 #include "foxtailring/transport/Endpoint.h"
 
 #include "DurationText.h"
+#include "GatewayRollouts.h"
 
 #include <cmath>
 #include <utility>
@@ -91,6 +93,8 @@
     , epochAge(restoredRewriteTime)
     , keyFreshness(settings.maxKeyRevocationDelay, keyFreshnessMargin)
 {
+    if (settings.rollouts)
+        rollouts.emplace(*settings.rollouts, rolloutEnvironment(*this));
     updateFleetSize();
     updateUnixOffset();
 }
@@ -133,7 +137,8 @@
         secondAttempts.isEnabled() ? &secondAttempts : nullptr,
         [this, requestId](std::string_view reason) {
             reportSecondAttemptDenied(requestId, reason);
-        }};
+        },
+        rollouts ? std::make_shared<RequestVersions>(*rollouts) : nullptr};
 }
 
 void GatewayParts::updateFleetSize()
--- a/src/gateway/GatewayParts.h
+++ b/src/gateway/GatewayParts.h
@@ -18,6 +18,7 @@
 #include "foxtailring/decisions/quarantine/CrashChecks.h"
 #include "foxtailring/decisions/quarantine/RequestQuarantine.h"
 #include "foxtailring/decisions/quarantine/SuspectedCrashes.h"
+#include "foxtailring/decisions/rollouts/Rollouts.h"
 #include "foxtailring/decisions/servers/BackendTable.h"
 #include "foxtailring/decisions/servers/ServerMemory.h"
 #include "foxtailring/decisions/sessions/AnswerTimes.h"
@@ -132,6 +133,7 @@
     SecondAttempts secondAttempts;
     EpochAge epochAge;
     KeyFreshness keyFreshness;
+    std::optional<Rollouts> rollouts; ///< none: no roll-outs are carried out
 
 private:
     void updateIdleShare();
