store: prove keys by the newest revision, read the state when behind

A configuration that could not be decoded let the proof of keys go on.

HistoryCost decides when the newest state is read in place of the history. Keys are not proved while the newest configuration is unreadable.

--- a/include/foxtailring/decisions/membership/PollPacing.h
+++ b/include/foxtailring/decisions/membership/PollPacing.h
@@ -30,8 +30,9 @@
     static PollPacing forBounds(std::chrono::milliseconds listNotice,
                                 std::chrono::milliseconds keyRevocation);
 
-    /// \brief Returns the time up to which the answer to \a poll includes every change.
-    TimePoint confirmedUntil(const Poll &poll, bool hasChanges, TimePoint answeredAt) const;
+    /// \brief Returns the time up to which an answer without changes to \a poll shows that there
+    /// were none.
+    TimePoint confirmedUntil(const Poll &poll, TimePoint answeredAt) const;
     /// \brief Returns the delay from an answer to the next poll.
     /// \param confirmedAt time up to which the answer includes every change
     std::chrono::milliseconds delayToNextPoll(bool hasChanges, TimePoint confirmedAt,
--- a/include/foxtailring/store/PrefixWatcher.h
+++ b/include/foxtailring/store/PrefixWatcher.h
@@ -15,7 +15,8 @@
 /// service.
 ///
 /// Reads all keys once, then watches from the next revision. Reads them again when the service no
-/// longer holds the changes from there on. Failures are retried with jittered exponential backoff.
+/// longer holds the changes from there on, or when that is cheaper than to read those changes
+/// (HistoryCost). Failures are retried with jittered exponential backoff.
 class PrefixWatcher
 {
 public:
@@ -26,6 +27,8 @@
         std::chrono::milliseconds idleTimeout {4000};
         std::chrono::milliseconds minBackoff {100};
         std::chrono::milliseconds maxBackoff {2000};
+        /// Between two reads of all keys that take the place of the history.
+        std::chrono::milliseconds stateInterval {1000};
     };
 
     /// \param client must outlive the watcher
--- a/include/foxtailring/store/PrefixWatcherHooks.h
+++ b/include/foxtailring/store/PrefixWatcherHooks.h
@@ -21,9 +21,12 @@
     std::function<bool(std::span<const WatchEvent>)> onChanges;
     /// All changes made up to \a confirmedAt, on bootClock(), have been reported. Optional.
     std::function<void(TimePoint confirmedAt)> onConfirmed;
-    /// The changes since the last one reported are gone from the store; all keys are read again
-    /// after rereadDelay(). Optional.
+    /// The changes since the last one reported are gone from the store, or are too many to be read
+    /// one by one; all keys are read again after rereadDelay(). Optional.
     std::function<void()> onHistoryLost;
+    /// The store has changes beyond those reported. They follow, or all keys are read again.
+    /// Optional.
+    std::function<void()> onBehind;
     /// Optional; no delay by default.
     std::function<std::chrono::milliseconds()> rereadDelay;
     /// The first failure of an outage; runs again only after onAvailable(). Optional.
--- a/include/foxtailring/store/WatchHooks.h
+++ b/include/foxtailring/store/WatchHooks.h
@@ -18,6 +18,9 @@
     /// The service has confirmed that all changes made up to \a confirmedAt, on bootClock(), have
     /// been reported. Optional; not every client reports it.
     std::function<void(TimePoint confirmedAt)> onConfirmed;
+    /// The service has changes beyond those reported, which follow. Optional; not every client
+    /// reports it.
+    std::function<void()> onBehind;
     /// Runs exactly once. Stale: the history from the start revision on is gone, because it was
     /// compacted or belongs to another epoch of the service; read all keys again.
     std::function<void(Error)> onEnded;
--- a/include/foxtailring/transport/ExchangeOptions.h
+++ b/include/foxtailring/transport/ExchangeOptions.h
@@ -15,6 +15,10 @@
     /// The connection is closed when sent bytes stay unacknowledged for this long
     /// (TCP_USER_TIMEOUT). 0: the default of the system.
     std::chrono::milliseconds unacknowledgedTimeout {0};
+    /// The exchange times out if no byte of the response has arrived by then. 0: unlimited.
+    std::chrono::milliseconds firstByteTimeout {0};
+    /// Once bytes have arrived, the exchange times out this long after the last one. 0: unlimited.
+    std::chrono::milliseconds maxSilence {0};
     /// A larger body fails Http1Client::request(); streamed responses are not limited.
     std::size_t maxBodyBytes = std::size_t(64) * 1024 * 1024;
 
--- a/src/decisions/membership/PollPacing.cpp
+++ b/src/decisions/membership/PollPacing.cpp
@@ -10,6 +10,9 @@
 
 // The store answers such a poll almost at once.
 constexpr milliseconds minWait {1};
+// After changes that are not proved yet. Without it, changes in series would be asked for one by
+// one while the newest revision is on its way.
+constexpr milliseconds minPause {50};
 
 } // namespace
 
@@ -28,12 +31,12 @@
             std::min(listNotice / 2, keyRevocation * 30 / 100)};
 }
 
-// An answer without changes was created at the end of the wait or later. An earlier one, or one
-// with changes, may have been created as soon as the poll arrived.
-TimePoint PollPacing::confirmedUntil(const Poll &poll, bool hasChanges, TimePoint answeredAt) const
+// An answer without changes was created at the end of the wait or later. An earlier one may have
+// been created as soon as the poll arrived.
+TimePoint PollPacing::confirmedUntil(const Poll &poll, TimePoint answeredAt) const
 {
     const TimePoint waitEnd = poll.sentAt + poll.wait;
-    return hasChanges || answeredAt < waitEnd ? poll.sentAt : waitEnd;
+    return answeredAt < waitEnd ? poll.sentAt : waitEnd;
 }
 
 milliseconds PollPacing::delayToNextPoll(bool hasChanges, TimePoint confirmedAt,
@@ -41,7 +44,7 @@
 {
     if (!hasChanges)
         return milliseconds(0);
-    return std::clamp(timeLeft(confirmedAt, now), milliseconds(0), m_batchPause);
+    return std::clamp(timeLeft(confirmedAt, now), std::min(minPause, m_batchPause), m_batchPause);
 }
 
 // The answer must arrive before the last confirmation is too old.
--- a/src/gateway/ConfigDecoder.cpp
+++ b/src/gateway/ConfigDecoder.cpp
@@ -66,12 +66,15 @@
     std::stable_sort(offers.begin(), offers.end(), [](const Offer &a, const Offer &b) {
         return a.candidate.pair.modRevision < b.candidate.pair.modRevision;
     });
+    outcome->epoch = offers.back().candidate.epoch;
     const TimePoint startedAt = m_clock();
     for (; !outcome->table && !offers.empty(); offers.pop_back()) {
         const Candidate &newest = offers.back().candidate;
         auto config = decodeOrFail(m_decode, newest.pair.value);
         if (!config) {
             outcome->errors.push_back(config.error());
+            if (!outcome->unreadableRevision)
+                outcome->unreadableRevision = newest.pair.modRevision;
             continue;
         }
         outcome->table = std::make_shared<const RouteTable>(std::move(config).value());
--- a/src/gateway/ConfigDecoder.h
+++ b/src/gateway/ConfigDecoder.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string_view>
 #include <vector>
 
@@ -37,7 +38,10 @@
         std::uint64_t offer = 0;                 ///< the last of them
         std::shared_ptr<const RouteTable> table; ///< null if none was readable
         std::int64_t revision = 0;               ///< of the table
-        TimePoint readAt;                        ///< of the table
+        std::int64_t epoch = 0;                  ///< of all of them
+        /// Of the newest value, if that was unreadable.
+        std::optional<std::int64_t> unreadableRevision;
+        TimePoint readAt; ///< of the table
         Duration decodeTime {};
         std::vector<Error> errors;  ///< of the unreadable ones, the newest first
         std::size_t superseded = 0; ///< that were not decoded
--- a/src/gateway/StoreWatch.cpp
+++ b/src/gateway/StoreWatch.cpp
@@ -52,11 +52,11 @@
 
 // Idle timeout, minimum and maximum backoff. The client itself ends polls that the store does not
 // answer; the idle timeout only matters for a client that does not.
-constexpr PrefixWatcher::Settings watcherSettings {std::chrono::milliseconds(12000),
-                                                   std::chrono::milliseconds(100),
-                                                   std::chrono::milliseconds(800)};
+// An answer may take some seconds to be transferred (KvClient::Settings::maxPollTransfer).
+constexpr PrefixWatcher::Settings watcherSettings {
+    std::chrono::milliseconds(20000), std::chrono::milliseconds(100),
+    std::chrono::milliseconds(800), std::chrono::milliseconds(1000)};
 
-constexpr std::chrono::milliseconds configReadInterval {1000};
 // After the rewrite of the others, gateways list themselves again within this time: the spread of
 // their listings, one step and the calls (GatewayPublisher).
 constexpr std::chrono::milliseconds relistTime {4000};
@@ -117,6 +117,7 @@
         });
     };
     hooks.onHistoryLost = [this] { post([this] { onHistoryLost(); }); };
+    hooks.onBehind = [this] { post([this] { onBehind(); }); };
     hooks.rereadDelay = [this] { return randomRereadDelay(); };
     hooks.onUnavailable = [this](const Error &error) {
         StructuredLog::warn("storeLost", {{"message", error.message}});
@@ -135,44 +136,6 @@
     return hooks;
 }
 
-// A full read may wait for its turn among those of the fleet. Until then the configuration is read
-// alone, and keys are confirmed by that.
-void StoreWatch::onHistoryLost()
-{
-    m_isReadDue = true;
-    readConfig();
-    m_configTimer.every(configReadInterval, [this] {
-        post([this] {
-            if (m_isReadDue)
-                readConfig();
-        });
-    });
-}
-
-void StoreWatch::readConfig()
-{
-    const TimePoint requestedAt = m_parts.clock();
-    m_client.get(m_schema.configKey, [this, requestedAt](const Result<RangeResult> &read) {
-        if (!read) {
-            m_parts.metrics.add("store_failures_total{error=\""
-                                + std::string(errorCodeName(read.error().code)) + "\"}");
-            return;
-        }
-        post([this, requestedAt, result = read.value(), readAt = m_parts.clock()] {
-            applyConfigRead(result, requestedAt, readAt);
-        });
-    });
-}
-
-void StoreWatch::applyConfigRead(const RangeResult &read, TimePoint requestedAt, TimePoint readAt)
-{
-    if (read.pairs.empty())
-        return;
-    recordEpoch(read.epoch);
-    offerConfigs({{read.pairs.front(), read.epoch, readAt}});
-    recordProof(requestedAt, false);
-}
-
 // Revocations of keys may be among the writes that a restored store has lost.
 void StoreWatch::recordEpoch(std::int64_t epoch)
 {
@@ -405,68 +368,6 @@
                         {{"server", server.id}, {"service", server.service}});
 }
 
-void StoreWatch::offerConfigs(std::vector<ConfigDecoder::Candidate> candidates)
-{
-    if (!candidates.empty())
-        m_offeredConfig = m_decoder.offer(std::move(candidates));
-}
-
-void StoreWatch::onConfigDecoded(const ConfigDecoder::Outcome &outcome)
-{
-    for (const Error &error : outcome.errors) {
-        m_parts.metrics.add("config_unreadable_total");
-        StructuredLog::warn("configUnreadable", {{"message", error.message}});
-    }
-    if (outcome.superseded > 0)
-        m_parts.metrics.add("gateway_configs_superseded_total",
-                            static_cast<std::int64_t>(outcome.superseded));
-    if (outcome.table)
-        putInForce(outcome);
-    m_decodedConfig = outcome.offer;
-    recordWaitingProofs();
-}
-
-void StoreWatch::putInForce(const ConfigDecoder::Outcome &outcome)
-{
-    const std::int64_t version = outcome.table->version();
-    // A delayed response must not bring an older configuration back.
-    if (m_parts.routes && version <= m_parts.routes->version())
-        return;
-    std::shared_ptr<const RouteTable> previous = std::exchange(m_parts.routes, outcome.table);
-    ServerIdentities::Names services;
-    for (const RoutedService &service : m_parts.routes->config().services)
-        services.insert(service.name);
-    m_parts.servers.setNamedServices(std::move(services), m_parts.clock());
-    m_parts.metrics.setGauge("gateway_config_version", static_cast<double>(version));
-    StructuredLog::info("configInForce",
-                        {{"version", std::to_string(version)},
-                         {"revision", std::to_string(outcome.revision)},
-                         {"decodeMs", msText(outcome.decodeTime)},
-                         {"lagMs", msText(m_parts.clock() - outcome.readAt)}});
-    if (m_configAppliedHook)
-        m_configAppliedHook();
-    // The end of a table of thousands of routes takes time that requests need.
-    m_parts.storePool.post([last = std::move(previous)] {});
-}
-
-// Keys that were withdrawn by a configuration must not count as proved before it is in force.
-void StoreWatch::recordProof(TimePoint queriedAt, bool isOfAllKeys)
-{
-    m_waitingProofs.push_back({m_offeredConfig, queriedAt, isOfAllKeys});
-    recordWaitingProofs();
-}
-
-void StoreWatch::recordWaitingProofs()
-{
-    while (!m_waitingProofs.empty() && m_waitingProofs.front().offer <= m_decodedConfig) {
-        const WaitingProof proof = m_waitingProofs.front();
-        m_waitingProofs.pop_front();
-        m_parts.keyFreshness.recordConfirmation(proof.queriedAt);
-        if (proof.isOfAllKeys && m_confirmedHook)
-            m_confirmedHook();
-    }
-}
-
 void StoreWatch::reportRevision(std::int64_t revision)
 {
     m_parts.metrics.setGauge("gateway_store_revision", static_cast<double>(revision));
--- a/src/gateway/StoreWatch.h
+++ b/src/gateway/StoreWatch.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "foxtailring/base/StoreRevision.h"
 #include "foxtailring/decisions/membership/RereadPacing.h"
 #include "foxtailring/gateway/StoreSchema.h"
 #include "foxtailring/store/PrefixWatcher.h"
@@ -53,6 +54,7 @@
     bool startEpoch(const RangeResult &read);
     void onHistoryLost();
     void readConfig();
+    void onBehind();
     void applyConfigRead(const RangeResult &read, TimePoint requestedAt, TimePoint readAt);
     void recordEpoch(std::int64_t epoch);
     void applySettledEpoch(const KeyValue &pair);
@@ -64,6 +66,7 @@
     void putInForce(const ConfigDecoder::Outcome &outcome);
     void recordProof(TimePoint queriedAt, bool isOfAllKeys);
     void recordWaitingProofs();
+    void recordUnreadable(const ConfigDecoder::Outcome &outcome);
     void applyServer(const KeyValue &pair);
     /// Logs and counts an entry whose service the configuration does not name.
     void reportUnnamedService(const BackendInfo &server);
@@ -93,6 +96,9 @@
     std::uint64_t m_decodedConfig = 0;  ///< number of the last offer whose outcome is known
     TimePoint m_unnamedServiceReportAt; ///< not before then
     std::deque<WaitingProof> m_waitingProofs;
+    /// Newest configuration in the store, while it cannot be decoded: the keys are not known.
+    std::optional<StoreRevision> m_unreadableConfig;
+    TimePoint m_configReadAt; ///< start of the last read of the configuration alone
     ConfigDecoder m_decoder;
     Timer m_configTimer; ///< reads the configuration alone until all keys were read
     Timer m_holdTimer;   ///< ends the time in which a store that may be restored confirms no keys
--- a/src/store/PrefixWatcher.cpp
+++ b/src/store/PrefixWatcher.cpp
@@ -1,6 +1,8 @@
 #include "foxtailring/store/PrefixWatcher.h"
 
 #include "foxtailring/base/Jitter.h"
+#include "foxtailring/base/StructuredLog.h"
+#include "foxtailring/decisions/membership/HistoryCost.h"
 #include "foxtailring/store/KeyValueClient.h"
 #include "foxtailring/transport/Http1Stream.h"
 #include "foxtailring/transport/SerialQueue.h"
@@ -14,6 +16,26 @@
 
 using std::chrono::milliseconds;
 
+namespace {
+
+std::vector<HistoryCost::Change> changesOf(const std::vector<WatchEvent> &events)
+{
+    std::vector<HistoryCost::Change> changes;
+    for (const WatchEvent &event : events)
+        changes.push_back({event.pair.key, event.pair.value.size()});
+    return changes;
+}
+
+std::size_t bytesOf(const RangeResult &read)
+{
+    std::size_t bytes = 0;
+    for (const KeyValue &pair : read.pairs)
+        bytes += pair.value.size();
+    return bytes;
+}
+
+} // namespace
+
 // All members are used on the queue only. Callbacks of the client may outlive the watcher, so they
 // hold it weakly.
 class PrefixWatcher::State : public std::enable_shared_from_this<PrefixWatcher::State>
@@ -41,8 +63,10 @@
     void watch();
     void onChanges(std::uint64_t watchId, const std::vector<WatchEvent> &events);
     void onConfirmed(std::uint64_t watchId, TimePoint requestedAt);
+    void onBehind(std::uint64_t watchId);
     void onEnded(std::uint64_t watchId, const Error &error);
     void rereadLater();
+    void readState(std::string_view reason);
     std::vector<WatchEvent> takeUnseenEvents(const std::vector<WatchEvent> &events);
     void closeWatch();
     void restartIdleTimer();
@@ -63,6 +87,8 @@
     StoreRevision m_revision; ///< of the last change reported
     milliseconds m_backoff {0};
     milliseconds m_rereadBackoff {0};
+    HistoryCost m_historyCost;
+    TimePoint m_readAt;       ///< when the last read of all keys was answered
     bool m_hasWatched = true; ///< a watch was answered since the last read after lost history
     bool m_isAvailable = false;
     bool m_isOutageReported = false;
@@ -107,6 +133,8 @@
         return retryAfterBackoff({ErrorCode::Malformed, "the keys read could not be used"},
                                  readAgain);
     m_backoff = milliseconds(0);
+    m_readAt = m_clock();
+    m_historyCost.recordState(bytesOf(result.value()), m_readAt);
     if (m_hooks.onConfirmed)
         m_hooks.onConfirmed(requestedAt);
     watch();
@@ -126,6 +154,7 @@
     hooks.onConfirmed = [post, watchId](TimePoint requestedAt) {
         post([watchId, requestedAt](State &self) { self.onConfirmed(watchId, requestedAt); });
     };
+    hooks.onBehind = [post, watchId] { post([watchId](State &self) { self.onBehind(watchId); }); };
     hooks.onEnded = [post, watchId](const Error &error) {
         post([watchId, error](State &self) { self.onEnded(watchId, error); });
     };
@@ -158,12 +187,23 @@
     m_hasWatched = true;
     restartIdleTimer();
     const std::vector<WatchEvent> unseen = takeUnseenEvents(events);
-    if (unseen.empty() || m_hooks.onChanges(unseen)) {
-        m_backoff = milliseconds(0);
-        return;
+    if (!unseen.empty() && !m_hooks.onChanges(unseen)) {
+        closeWatch();
+        return read();
     }
-    closeWatch();
-    read();
+    m_backoff = milliseconds(0);
+    if (m_historyCost.recordChanges(changesOf(unseen), m_clock()))
+        readState("storm");
+}
+
+void PrefixWatcher::State::onBehind(std::uint64_t watchId)
+{
+    if (watchId != m_watchId)
+        return;
+    if (m_historyCost.isStateCheaperWhenBehind())
+        readState("behind");
+    else if (m_hooks.onBehind)
+        m_hooks.onBehind();
 }
 
 void PrefixWatcher::State::onConfirmed(std::uint64_t watchId, TimePoint requestedAt)
@@ -201,6 +241,25 @@
     schedule(spread + jittered(m_rereadBackoff), [](State &self) { self.read(); });
 }
 
+// In a storm the answer that led here had the newest versions, so the next read may wait. A reader
+// that is behind has read old ones only.
+void PrefixWatcher::State::readState(std::string_view reason)
+{
+    closeWatch();
+    const milliseconds spread = m_hooks.rereadDelay ? m_hooks.rereadDelay() : milliseconds(0);
+    const auto sinceRead = std::chrono::duration_cast<milliseconds>(m_clock() - m_readAt);
+    const milliseconds pause =
+        std::clamp(m_settings.stateInterval - sinceRead, milliseconds(0), m_settings.stateInterval);
+    StructuredLog::info("stateInPlaceOfHistory",
+                        {{"reason", std::string(reason)},
+                         {"revision", std::to_string(m_revision.number)},
+                         {"delayMs", std::to_string((spread + pause).count())}});
+    const bool isLate = reason == "behind" || spread > m_settings.stateInterval;
+    if (isLate && m_hooks.onHistoryLost)
+        m_hooks.onHistoryLost();
+    schedule(spread + pause, [](State &self) { self.read(); });
+}
+
 void PrefixWatcher::State::closeWatch()
 {
     ++m_watchId;
--- a/src/transport/Http1ClientExchange.cpp
+++ b/src/transport/Http1ClientExchange.cpp
@@ -55,6 +55,7 @@
     , m_hooks(std::move(hooks))
     , m_stepTimer(m_socket.get_executor())
     , m_timer(m_socket.get_executor())
+    , m_silenceTimer(m_socket.get_executor())
     , m_isFirstResponse(!m_socket.is_open())
 {
     resetParser();
@@ -67,6 +68,9 @@
             return;
         if (self->m_options.timeout)
             self->m_timer.start(*self->m_options.timeout, [self] { self->onTimeout(); });
+        const auto firstByteTimeout = self->m_options.exchange.firstByteTimeout;
+        if (firstByteTimeout.count() > 0)
+            self->m_silenceTimer.start(firstByteTimeout, [self] { self->onTimeout(); });
         if (self->m_socket.is_open())
             self->write();
         else
@@ -151,6 +155,9 @@
         return;
     if (status)
         return onReadError(status);
+    if (m_options.exchange.maxSilence.count() > 0)
+        m_silenceTimer.start(m_options.exchange.maxSilence,
+                             [self = shared_from_this()] { self->onTimeout(); });
     m_input.append(m_readBuffer.data(), size);
     parse();
     if (m_isComplete || m_responseDone)
@@ -350,6 +357,7 @@
     m_socket.close(ignored);
     m_stepTimer.cancel();
     m_timer.cancel();
+    m_silenceTimer.cancel();
     const StreamHooks hooks = std::exchange(m_hooks, {});
     runHook(hooks.onClosed, result);
 }
--- a/src/transport/Http1ClientExchange.h
+++ b/src/transport/Http1ClientExchange.h
@@ -73,6 +73,7 @@
     /// Connect timeout, later the limit on a write that ends after the response.
     StrandTimer m_stepTimer; ///< of connecting, later of a late write
     StrandTimer m_timer;     ///< timeout of the whole exchange
+    StrandTimer m_silenceTimer;
     std::optional<Parser> m_parser;
     bool m_writeStarted = false;
     bool m_writeDone = false;
--- a/tests/gateway/ConfigStormTest.cpp
+++ b/tests/gateway/ConfigStormTest.cpp
@@ -16,6 +16,7 @@
     CPPUNIT_TEST(requestsAreDecidedWhileAnAnswerOfTheStoreIsRead);
     CPPUNIT_TEST(serverIsGoneWhileAConfigurationIsDecoded);
     CPPUNIT_TEST(keysAreProvedAfterTheConfiguration);
+    CPPUNIT_TEST(unreadableConfigurationProvesNoKeys);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -123,6 +124,23 @@
         awaitReadiness(200);
     }
 
+    // Guards against keys that go on to count as proved although a configuration that may have
+    // taken them away cannot be read.
+    void unreadableConfigurationProvesNoKeys()
+    {
+        startGateway(std::chrono::milliseconds(1500));
+        m_store->reads->take()(
+            RangeResult {5, {{"config", "", 1}, {"servers/a", "a", 2}, {"servers/b", "b", 3}}});
+        m_watch = m_store->watches->take();
+        awaitReadiness(200);
+        openGate();
+        change({config("2", 10), config("bad", 11)});
+        awaitVersion(2);
+        awaitReadiness(503);
+        change({config("3", 12)});
+        awaitReadiness(200);
+    }
+
 protected:
     StoreSchema schema() const override
     {
--- a/tests/store/PrefixWatcherTest.cpp
+++ b/tests/store/PrefixWatcherTest.cpp
@@ -70,6 +70,9 @@
     CPPUNIT_TEST(eventsOfClosedWatchAreDropped);
     CPPUNIT_TEST(outageAndRecoveryAreReportedOnce);
     CPPUNIT_TEST(unusableSnapshotIsReadAgainWithGrowingDelays);
+    CPPUNIT_TEST(readerThatIsBehindReadsTheState);
+    CPPUNIT_TEST(replacedVersionsAreNotFollowed);
+    CPPUNIT_TEST(smallAnswersBehindAreFollowed);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -223,7 +226,43 @@
         CPPUNIT_ASSERT_EQUAL(std::int64_t(10), m_store->watches.take().revision);
     }
 
+    // Guards against a reader behind a slow link that gets further behind with each part of the
+    // history of a large value.
+    void readerThatIsBehindReadsTheState()
+    {
+        const OpenedWatch watch = openWatch();
+        watch.hooks.onChanges(std::vector<WatchEvent> {largeEvent(8)}, 8);
+        watch.hooks.onBehind();
+        m_losses.take();
+        m_store->reads.take()(RangeResult {40, {}});
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(41), m_store->watches.take().revision);
+    }
+
+    void replacedVersionsAreNotFollowed()
+    {
+        const OpenedWatch watch = openWatch();
+        watch.hooks.onChanges(std::vector<WatchEvent> {largeEvent(8), largeEvent(9)}, 9);
+        m_store->reads.take()(RangeResult {40, {}});
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(41), m_store->watches.take().revision);
+    }
+
+    void smallAnswersBehindAreFollowed()
+    {
+        const OpenedWatch watch = openWatch();
+        watch.hooks.onChanges(std::vector<WatchEvent> {event("a", 8)}, 8);
+        watch.hooks.onBehind();
+        watch.hooks.onChanges(std::vector<WatchEvent> {event("a", 9)}, 9);
+        CPPUNIT_ASSERT_EQUAL(std::string("a@8 "), m_reports.take());
+        CPPUNIT_ASSERT_EQUAL(std::string("a@9 "), m_reports.take());
+        CPPUNIT_ASSERT(m_store->reads.isEmpty());
+    }
+
 private:
+    static WatchEvent largeEvent(std::int64_t revision)
+    {
+        return {false, {"k", std::string(100'000, 'v'), revision}};
+    }
+
     static WatchEvent event(const std::string &key, std::int64_t revision)
     {
         return {false, {key, "v", revision}};
@@ -235,6 +274,7 @@
         settings.idleTimeout = idleTimeout;
         settings.minBackoff = std::chrono::milliseconds(20);
         settings.maxBackoff = std::chrono::seconds(10);
+        settings.stateInterval = std::chrono::milliseconds(20);
         PrefixWatcherHooks hooks;
         hooks.onSnapshot = [this](const RangeResult &snapshot) {
             const bool isUsable = m_isSnapshotUsable;
