gateway: give what gateways write for each other a budget at each reader

Change: a crash or a start is reported for 5 s, and then only if a quarantine that rejects requests relies on it. A reset of a leaving server accuses no request. FleetBudget (8 KB/s at a reader) holds back reports on lone suspects; what decides (suspects of several crashes that are not answered) goes first. Expired crashes ask for no report any more, since readers leave them out by their date.

--- a/include/foxtailring/decisions/quarantine/RequestQuarantine.h
+++ b/include/foxtailring/decisions/quarantine/RequestQuarantine.h
@@ -66,6 +66,9 @@
         std::function<Duration()> clearingDelay;
         /// Whether this process tries a suspect first when its quarantine ends.
         std::function<bool(std::string_view suspect)> isTrialOwner;
+        /// More time for which a report on suspects of one crash each waits when many servers fail
+        /// at once: all processes see that at the same time.
+        std::function<Duration()> massFailureDelay = nullptr;
     };
 
     using Suspects = CrashAttribution::Suspects;
@@ -126,7 +129,9 @@
     void applyReport(const CrashReport &report, TimePoint now,
                      const ReportReception &reception = {});
     /// \brief Report of this process, if it must be published now. Counts as published.
-    std::optional<CrashReport> takeDueReport(TimePoint now);
+    /// \param mayTellLoneSuspects false: only crashes are told that share a suspect which has not
+    /// been answered lately; the others wait
+    std::optional<CrashReport> takeDueReport(TimePoint now, bool mayTellLoneSuspects = true);
     /// \brief The latest report was not published.
     void onReportNotPublished();
     bool wantsReport(TimePoint now) const { return now >= m_reportAt; }
@@ -144,6 +149,8 @@
     /// \param sighting of the crash; its position is left out
     void addCrash(const std::string &incarnation, Suspects suspects, const Crash &sighting,
                   TimePoint now);
+    /// \brief True if the suspect is at several crashes and has not been answered lately.
+    bool isDeciding(const std::string &suspect, const SuspectRecord &record, TimePoint now) const;
     void requestCrashReport(Suspects suspects, const ProvenCrash &crash, TimePoint now);
     /// \brief False if a start since has cleared the suspect of the crash.
     bool mayBeDueTo(const std::string &suspect, SuspectRecord &record, const Crash &sighting,
@@ -184,7 +191,9 @@
     TimePoint m_reportAt = TimePoint::max(); ///< when the next report is due
     TimePoint m_expiredAt;                   ///< latest walk of expire()
     bool m_isReportUrgent = false;           ///< the next report is not put off
-    bool m_isReportPutOff = false;           ///< it waits for the clearing of its suspects
+    TimePoint m_takenAt;           ///< when the latest report was made, unless it was not published
+    TimePoint m_previousTakenAt;   ///< of the one before
+    bool m_isReportPutOff = false; ///< it waits for the clearing of its suspects
 };
 
 } // namespace foxtailring
--- a/include/foxtailring/decisions/quarantine/SuspectRecord.h
+++ b/include/foxtailring/decisions/quarantine/SuspectRecord.h
@@ -27,6 +27,7 @@
         std::size_t askedPeers = 0;           ///< by this process, in the zone of the server
         std::vector<std::string> failedPeers; ///< incarnations of those that had failed, too
         bool isZoneFailure = false;           ///< by the reports of other processes
+        TimePoint newsAt;                     ///< when this process last learned of it by itself
     };
     using Crashes = std::map<std::string, Crash, std::less<>>; ///< by incarnation
 
@@ -43,6 +44,7 @@
     Crashes crashes; ///< since the last start
     TimePoint startedAt;
     bool isOwnStart = false; ///< seen by this process
+    TimePoint startNewsAt;   ///< when an own start last cleared what another process may hold
     Quarantine quarantine;
 
     TimePoint latestCrash() const;
--- a/include/foxtailring/decisions/quarantine/SuspectedCrashes.h
+++ b/include/foxtailring/decisions/quarantine/SuspectedCrashes.h
@@ -70,9 +70,9 @@
                  TimePoint sentAt = {});
     /// \brief The connection of an attempt ended before its answer began, which proves a crash
     /// unless the checks find the server alive.
-    /// \param isKnownFailure the failure was recorded before without a suspicion; the crash then
-    /// accuses no request
-    void recordReset(const BackendInfo &server, Suspects suspects, bool isKnownFailure,
+    /// \param isNoAccusation the crash accuses no request: the failure was recorded before without
+    /// a suspicion, or the server was leaving, so that its end was planned
+    void recordReset(const BackendInfo &server, Suspects suspects, bool isNoAccusation,
                      TimePoint now);
     /// \brief The server, in the start that \a server names, sent bytes of an answer. A crash of
     /// which only silence was known is forgotten.
--- a/src/decisions/quarantine/CrashReportBuilder.cpp
+++ b/src/decisions/quarantine/CrashReportBuilder.cpp
@@ -17,9 +17,10 @@
 
 } // namespace
 
-CrashReportBuilder::CrashReportBuilder(const SuspectTable &suspects,
+CrashReportBuilder::CrashReportBuilder(const SuspectTable &suspects, TimePoint newsSince,
                                        std::function<std::int64_t(TimePoint)> toReportMs)
     : m_suspects(suspects)
+    , m_newsSince(newsSince)
     , m_toReportMs(std::move(toReportMs))
 {
 }
@@ -42,18 +43,21 @@
 void CrashReportBuilder::addRecord(const std::string &name, const SuspectRecord &record)
 {
     const SuspectRecord::Quarantine &quarantine = record.quarantine;
-    addCrashes(record, quarantine.isInForce && quarantine.hasRejected);
-    if (record.isOwnStart)
+    addCrashes(name, record, quarantine.isInForce && quarantine.hasRejected);
+    if (record.isOwnStart && record.startNewsAt >= m_newsSince)
         m_report.starts.push_back({name, m_toReportMs(record.startedAt)});
     if (quarantine.isInForce && (quarantine.hasRejected || record.hasOwnCrash()))
         m_report.quarantines.push_back(
             {name, m_toReportMs(quarantine.since), m_toReportMs(quarantine.until)});
 }
 
-void CrashReportBuilder::addCrashes(const SuspectRecord &record, bool isReliedOn)
+void CrashReportBuilder::addCrashes(const std::string &name, const SuspectRecord &record,
+                                    bool isReliedOn)
 {
+    const bool tellsNews = !m_isDeciding || m_isDeciding(name, record);
     for (const auto &[incarnation, crash] : record.crashes) {
-        if (!crash.isOwn && !isReliedOn)
+        const bool isNews = tellsNews && crash.isOwn && crash.newsAt >= m_newsSince;
+        if (!isNews && !isReliedOn)
             continue;
         const bool isZoneFailure = record.isZoneFailure(crash);
         const auto [found, isNew] = m_crashes.try_emplace(
--- a/src/decisions/quarantine/RequestQuarantine.cpp
+++ b/src/decisions/quarantine/RequestQuarantine.cpp
@@ -31,6 +31,9 @@
 // The clock of own reports follows the wall clock only when that is set anew, so that two readings
 // of it do not change the order of what they date.
 constexpr milliseconds minClockStep {500};
+// News are repeated for so long in later reports: a reader that takes the newest state of the store
+// in place of its history misses reports that were replaced in between.
+constexpr std::chrono::seconds newsRepeatTime {5};
 
 TimeBounds notAfter(TimeBounds bounds, TimePoint now)
 {
@@ -72,26 +75,35 @@
     sighting.evidence = crash.evidence;
     sighting.askedPeers = crash.askedPeers;
     sighting.failedPeers = crash.failedPeers;
+    sighting.newsAt = now;
     addCrash(incarnation, suspects, sighting, now);
     requestCrashReport(suspects, crash, now);
 }
 
-// What was at a crash before is hardly cleared by its next attempt. A report that has been put off
-// is not put off again, or failures in series would keep it back.
+// What was at a crash before, and has not been answered lately, is hardly cleared by its next
+// attempt. A part that many requests share is at most crashes and is answered all the time. A
+// report that has been put off is not put off again, or failures in series would keep it back.
 void RequestQuarantine::requestCrashReport(Suspects suspects, const ProvenCrash &crash,
                                            TimePoint now)
 {
     const bool isRepeated =
-        std::any_of(suspects.begin(), suspects.end(), [this](const std::string &suspect) {
+        std::any_of(suspects.begin(), suspects.end(), [this, now](const std::string &suspect) {
             const SuspectRecord *record = m_suspects.find(suspect);
-            return record && record->crashes.size() > 1;
+            return record && isDeciding(suspect, *record, now);
         });
     m_isReportUrgent = m_isReportUrgent || isRepeated;
     const bool isMassFailure = m_failures.countAt(crash.at, crash.service) >= massFailureServers;
     if (m_isReportUrgent || !isMassFailure)
         requestReport(now);
     else if (!std::exchange(m_isReportPutOff, true))
-        m_reportAt = now + massFailureReportDelay;
+        m_reportAt = now + massFailureReportDelay
+            + (m_hooks.massFailureDelay ? m_hooks.massFailureDelay() : Duration {0});
+}
+
+bool RequestQuarantine::isDeciding(const std::string &suspect, const SuspectRecord &record,
+                                   TimePoint now) const
+{
+    return record.crashes.size() > 1 && m_attribution.startLevel(suspect, record, now) == 0;
 }
 
 void RequestQuarantine::addCrash(const std::string &incarnation, Suspects suspects,
@@ -130,8 +142,11 @@
     if (record.startedAt < sighting.at.earliest)
         return true;
     // Another process has the suspect: it is told of the start.
-    if (!sighting.isOwn && record.isOwnStart && m_reportAt == TimePoint::max())
-        m_reportAt = now + (m_hooks.clearingDelay ? m_hooks.clearingDelay() : Duration {0});
+    if (!sighting.isOwn && record.isOwnStart) {
+        record.startNewsAt = now;
+        if (m_reportAt == TimePoint::max())
+            m_reportAt = now + (m_hooks.clearingDelay ? m_hooks.clearingDelay() : Duration {0});
+    }
     return false;
 }
 
@@ -155,6 +170,7 @@
         crash.askedPeers = sighting.askedPeers;
         crash.failedPeers = sighting.failedPeers;
     }
+    crash.newsAt = std::max(crash.newsAt, sighting.newsAt);
     crash.isZoneFailure = crash.isZoneFailure && sighting.isZoneFailure;
 }
 
@@ -184,8 +200,11 @@
         SuspectRecord *record = m_suspects.find(suspect);
         if (!record)
             continue;
+        const bool isNews = record->quarantine.isInForce || !record->crashes.empty();
         hasReleased = hasReleased || record->quarantine.isInForce;
-        hasCleared = hasCleared || record->quarantine.isInForce || !record->crashes.empty();
+        hasCleared = hasCleared || isNews;
+        if (isNews)
+            record->startNewsAt = now;
         addIncarnations(*record, affected);
         addStart(suspect, *record, now, true);
     }
@@ -429,19 +448,19 @@
     const auto isOld = [this, now](TimePoint at) {
         return now - at >= m_settings.evidenceLifetime;
     };
-    bool hasChanged = false;
+    bool hasReleased = false;
     m_suspects.forEach([&](const std::string &suspect, SuspectRecord &record) {
         if (record.quarantine.isInForce && !isQuarantined(record, now)) {
             release(suspect, record, "expired");
-            hasChanged = true;
+            hasReleased = true;
         }
         if (!record.quarantine.isInForce)
-            hasChanged |= m_suspects.removeCrashes(suspect, [&](const Crash &crash) {
-                return isOld(crash.at.latest);
-            }) > 0;
+            m_suspects.removeCrashes(suspect,
+                                     [&](const Crash &crash) { return isOld(crash.at.latest); });
     });
-    // Others must not take over what has expired here.
-    if (hasChanged && !m_published.isEmpty())
+    // Others must not take over a quarantine that has expired here. Crashes are dated, and readers
+    // leave old ones out.
+    if (hasReleased && !m_published.isEmpty())
         requestReport(now);
     m_suspects.removeIf([&](const SuspectRecord &record) {
         return !record.quarantine.isInForce && record.crashes.empty() && isOld(record.startedAt)
@@ -457,18 +476,27 @@
                       [](const auto &entry) { return entry.second.quarantine.isInForce; }));
 }
 
-std::optional<CrashReport> RequestQuarantine::takeDueReport(TimePoint now)
+std::optional<CrashReport> RequestQuarantine::takeDueReport(TimePoint now, bool mayTellLoneSuspects)
 {
-    if (!wantsReport(now))
+    if (!wantsReport(now) || (!mayTellLoneSuspects && !m_isReportUrgent))
         return std::nullopt;
-    m_reportAt = TimePoint::max();
+    // The rest of the news stays due.
+    m_reportAt = mayTellLoneSuspects ? TimePoint::max() : now;
     m_isReportUrgent = false;
     m_isReportPutOff = false;
-    CrashReport report =
-        CrashReportBuilder(m_suspects, [this](TimePoint time) { return toReportMs(time); }).build();
+    const TimePoint newsSince = std::min<TimePoint>(now - newsRepeatTime, m_takenAt);
+    CrashReportBuilder builder(m_suspects, newsSince,
+                               [this](TimePoint time) { return toReportMs(time); });
+    if (!mayTellLoneSuspects)
+        builder.tellOnly([this, now](const std::string &suspect, const SuspectRecord &record) {
+            return isDeciding(suspect, record, now);
+        });
+    CrashReport report = builder.build();
     if (report == m_published)
         return std::nullopt;
     m_published = report;
+    if (mayTellLoneSuspects)
+        m_previousTakenAt = std::exchange(m_takenAt, now);
     report.dating = {m_reportOffset.value_or(milliseconds(0)).count(), toReportMs(now)};
     return report;
 }
@@ -477,6 +505,7 @@
 {
     m_published = {};
     m_reportAt = TimePoint {};
+    m_takenAt = m_previousTakenAt;
 }
 
 std::int64_t RequestQuarantine::toReportMs(TimePoint time) const
--- a/src/decisions/quarantine/RequestSuspicion.cpp
+++ b/src/decisions/quarantine/RequestSuspicion.cpp
@@ -3,6 +3,7 @@
 #include "foxtailring/decisions/quarantine/RequestQuarantine.h"
 #include "foxtailring/decisions/quarantine/SuspectedCrashes.h"
 #include "foxtailring/decisions/servers/BackendAnswer.h"
+#include "foxtailring/decisions/servers/BackendTable.h"
 #include "foxtailring/decisions/sessions/CallerStatus.h"
 #include "foxtailring/decisions/sessions/ForwardContext.h"
 #include "foxtailring/decisions/sessions/ForwardRequest.h"
@@ -62,10 +63,13 @@
     m_context.suspectedCrashes.suspect(server, m_suspects, silentSince, now, sentAt);
 }
 
+// A server that leaves ends with the requests that it has not answered.
 void RequestSuspicion::recordReset(const BackendInfo &server, bool isKnownFailure,
                                    TimePoint now) const
 {
-    m_context.suspectedCrashes.recordReset(server, m_suspects, isKnownFailure, now);
+    const auto current = m_context.servers.server(server.id, now);
+    const bool isLeaving = current && current->info.isSameStart(server) && current->isLeaving;
+    m_context.suspectedCrashes.recordReset(server, m_suspects, isKnownFailure || isLeaving, now);
 }
 
 void RequestSuspicion::recordStart(TimePoint now) const
--- a/src/decisions/quarantine/SuspectedCrashes.cpp
+++ b/src/decisions/quarantine/SuspectedCrashes.cpp
@@ -85,7 +85,7 @@
 }
 
 void SuspectedCrashes::recordReset(const BackendInfo &server, Suspects suspects,
-                                   bool isKnownFailure, TimePoint now)
+                                   bool isNoAccusation, TimePoint now)
 {
     const std::string incarnation = incarnationOf(server);
     const auto found = m_suspicions.find(incarnation);
@@ -95,7 +95,7 @@
         return;
     }
     recordCrashed(incarnation, {CrashEvidence::Reset, now, now, now});
-    if (isKnownFailure || suspects.empty())
+    if (isNoAccusation || suspects.empty())
         return;
     accuse({server, {{suspects.begin(), suspects.end()}}, now, CrashEvidence::Reset}, now);
 }
@@ -273,7 +273,7 @@
 SuspectedCrashes::confirm(Suspicions::iterator suspicion, CrashEvidence evidence, TimePoint now)
 {
     // A planned stop ends a server, too.
-    const bool isEnd = evidence == CrashEvidence::Lapsed || evidence == CrashEvidence::Restarted;
+    const bool isEnd = evidence != CrashEvidence::Silent;
     if (isEnd && suspicion->second.isLeaving)
         return clear(suspicion, "leaving");
     const std::string incarnation = suspicion->first;
--- a/src/gateway/GatewayNode.cpp
+++ b/src/gateway/GatewayNode.cpp
@@ -135,6 +135,9 @@
     return hooks;
 }
 
+// On the wire, of a crash report after several servers have failed at once.
+constexpr std::size_t usualReportBytes = 1500;
+
 RequestQuarantine::Hooks makeQuarantineHooks(GatewayParts &parts)
 {
     RequestQuarantine::Hooks hooks;
@@ -155,6 +158,11 @@
     hooks.clearingDelay = [&parts] {
         return milliseconds(parts.random.bounded(maxClearingDelay.count()));
     };
+    hooks.massFailureDelay = [&parts] {
+        const auto spread =
+            std::chrono::duration_cast<milliseconds>(parts.fleetBudget.spread(usualReportBytes));
+        return milliseconds(parts.random.bounded(static_cast<std::uint64_t>(spread.count()) + 1));
+    };
     hooks.isTrialOwner = [&parts](std::string_view suspect) { return parts.fleet.owns(suspect); };
     return hooks;
 }
--- a/src/gateway/GatewayParts.cpp
+++ b/src/gateway/GatewayParts.cpp
@@ -35,6 +35,9 @@
 constexpr std::chrono::milliseconds maxRequestIdle {8000};
 constexpr std::chrono::milliseconds maxProbeIdle {20'000};
 
+// Control traffic that a gateway may take at the target size (docs/CAPACITY.md).
+constexpr double fleetBytesPerSecond = 8000;
+
 // One of them reads the store's answers while the other one decodes a configuration.
 constexpr std::size_t storeThreads = 2;
 
@@ -73,6 +76,7 @@
     , placer(servers, settings.availabilityZone, settings.regions, BackendPlacer::Settings {})
     , random(RandomSource::fromEntropy())
     , fleet(settings.nodeId)
+    , fleetBudget(fleetBytesPerSecond, phaseOf(settings.nodeId))
     , idleShare({maxIdleRequestConnections, settings.maxServerListDelay})
     , retryBudget(retryBudgetSettings(random))
     , rateLimits({settings.nodeId, settings.maxServerListDelay})
@@ -126,6 +130,7 @@
     if (std::exchange(m_fleetSize, size) == size)
         return;
     retryBudget.setProcessCount(size);
+    fleetBudget.setProcessCount(size);
     rateLimits.setProcessCount(size);
     idleProbeConnections.setProcessCount(size);
     metrics.setGauge("gateway_fleet_size", static_cast<double>(size));
--- a/src/gateway/GatewayParts.h
+++ b/src/gateway/GatewayParts.h
@@ -12,6 +12,7 @@
 #include "foxtailring/decisions/limits/ServerAdmission.h"
 #include "foxtailring/decisions/limits/ServerPauses.h"
 #include "foxtailring/decisions/membership/EpochAge.h"
+#include "foxtailring/decisions/membership/FleetBudget.h"
 #include "foxtailring/decisions/membership/FleetMembership.h"
 #include "foxtailring/decisions/placement/BackendPlacer.h"
 #include "foxtailring/decisions/quarantine/CrashChecks.h"
@@ -105,6 +106,7 @@
     BackendPlacer placer;
     RandomSource random;
     FleetMembership fleet;
+    FleetBudget fleetBudget;       ///< of what gateways write for each other
     IdleConnectionShare idleShare; ///< of connections for requests
     RetryBudget retryBudget;
     RateLimitTable rateLimits;
--- a/src/gateway/GatewayPublisher.cpp
+++ b/src/gateway/GatewayPublisher.cpp
@@ -82,8 +82,12 @@
     }
     if (m_crashReport.lease.id != 0 && m_crashReport.lease != m_lease)
         m_parts.quarantine.onReportNotPublished();
-    if (const auto report = m_parts.quarantine.takeDueReport(now))
-        return publish(*report);
+    const FleetBudget &budget = m_parts.fleetBudget;
+    m_parts.metrics.setGauge("gateway_fleet_bytes_per_second", budget.readRate(now));
+    if (budget.mayWriteUrgent(now)) {
+        if (const auto report = m_parts.quarantine.takeDueReport(now, budget.mayWrite(now)))
+            return publish(*report);
+    }
     if (const auto report = m_parts.rateLimits.takeDueReport(now))
         return publish(*report);
     if (isListingDue(now))
@@ -234,6 +238,9 @@
             hook(result);
         });
     };
+    const std::size_t bytes = FleetBudget::wireBytes(value.size());
+    m_parts.fleetBudget.recordWrite(bytes, m_parts.clock());
+    m_parts.metrics.add("gateway_fleet_bytes_written_total", static_cast<std::int64_t>(bytes));
     m_client.compareAndSwap(key.name, value, key.revision, onReply, m_lease);
 }
 
--- a/src/gateway/StoreWatch.cpp
+++ b/src/gateway/StoreWatch.cpp
@@ -262,6 +262,7 @@
 
 void StoreWatch::applyEvents(const std::vector<WatchEvent> &events, TimePoint readAt)
 {
+    recordFleetBytes(events, readAt);
     applyRateLimitReports(events);
     applyGateways(events);
     if (!events.empty())
@@ -285,6 +286,21 @@
     offerConfigs(std::move(configs));
 }
 
+// What gateways write for each other, this one included.
+void StoreWatch::recordFleetBytes(std::span<const WatchEvent> events, TimePoint readAt)
+{
+    std::size_t bytes = 0;
+    for (const WatchEvent &event : events) {
+        const std::string &key = event.pair.key;
+        if (GatewayKey::matches(key) || isRateLimitKey(key) || isCrashReportKey(key))
+            bytes += FleetBudget::wireBytes(event.pair.value.size());
+    }
+    if (bytes == 0)
+        return;
+    m_parts.fleetBudget.recordRead(bytes, readAt);
+    m_parts.metrics.add("gateway_fleet_bytes_read_total", static_cast<std::int64_t>(bytes));
+}
+
 void StoreWatch::applyRateLimitReports(std::span<const WatchEvent> events)
 {
     std::vector<RateLimitReportChange> changes;
--- a/src/gateway/StoreWatch.h
+++ b/src/gateway/StoreWatch.h
@@ -71,6 +71,7 @@
     /// Logs and counts an entry whose service the configuration does not name.
     void reportUnnamedService(const BackendInfo &server);
     void applyCrashReport(const KeyValue &pair, TimePoint writtenAfter);
+    void recordFleetBytes(std::span<const WatchEvent> events, TimePoint readAt);
     void applyRateLimitReports(std::span<const WatchEvent> events);
     void applyGateways(std::span<const WatchEvent> events);
     void reportRevision(std::int64_t revision);
