--- a/src/transport/Http1ClientExchange.h
+++ b/src/transport/Http1ClientExchange.h
@@ -76,6 +76,7 @@
     StreamHooks m_hooks;
     StrandTimer m_stepTimer; ///< of connecting, later of a late write or an early end
     StrandTimer m_timer;     ///< timeout of the whole exchange
+    StrandTimer m_silenceTimer;
     std::optional<Parser> m_parser;
     bool m_writeStarted = false;
     bool m_writeDone = false;
