--- a/include/foxtailring/decisions/sessions/ForwardAction.h
+++ b/include/foxtailring/decisions/sessions/ForwardAction.h
@@ -23,6 +23,9 @@
 /// fallback.
 struct SendAttempt
 {
+    /// Cause of a second attempt because the answer to the first one is slow.
+    static constexpr std::string_view slowCause = "slow";
+
     BackendState server;
     /// The latest attempt goes on as the fallback; there is at most one.
     bool keepsLatest = false;
--- a/src/decisions/sessions/CallSession.cpp
+++ b/src/decisions/sessions/CallSession.cpp
@@ -117,7 +117,7 @@
     std::string_view denial = denialOfSecondAttempt(now);
     std::optional<SendAttempt> next;
     if (denial.empty()) {
-        next = place("slow", busyServers(now), now);
+        next = place(SendAttempt::slowCause, busyServers(now), now);
         denial = next ? "" : "noFreeSlot";
     }
     if (!denial.empty()) {
--- a/src/gateway/RequestRelay.cpp
+++ b/src/gateway/RequestRelay.cpp
@@ -118,6 +118,7 @@
         return perform(m_session->onAttemptEnded(AttemptResult::NotSent, m_parts.clock()));
     ServerAttempt &attempt = m_attempts.begin(next.server.info.id, endpoint.value());
     attempt.isFromCopy = next.fromCopy.has_value();
+    attempt.isSecond = next.cause == SendAttempt::slowCause;
     if (!m_stream && m_attempts.count() == 1)
         m_parts.answerTimes.begin(m_route.name, m_arrivedAt);
     m_reporter.reportAttempt(next, m_attempts.count());
@@ -387,6 +388,8 @@
 
 void RequestRelay::forwardAnswer(const PassAnswer &pass)
 {
+    if (m_attempts.current().isSecond)
+        m_reporter.reportSecondAttempt(pass.isFallback ? "first" : "second");
     if (pass.isFallback)
         m_attempts.resumeFallback();
     m_answer.respond(m_attempts.current());
--- a/src/gateway/RequestReporter.cpp
+++ b/src/gateway/RequestReporter.cpp
@@ -147,6 +147,16 @@
                          {"figures", std::to_string(count)}});
 }
 
+void RequestReporter::reportSecondAttempt(std::string_view answered) const
+{
+    m_parts.metrics.add("gateway_second_attempts_total{answered=\"" + std::string(answered)
+                        + "\"}");
+    StructuredLog::info("secondAttemptEnded",
+                        {{"request", m_request.id},
+                         {"answered", std::string(answered)},
+                         {"tookMs", msText(age())}});
+}
+
 std::string RequestReporter::busyAgeText(const BackendState &server) const
 {
     const ReportedLoad::Figure &running = server.reported.running;
--- a/src/gateway/RequestReporter.h
+++ b/src/gateway/RequestReporter.h
@@ -52,6 +52,9 @@
     /// \brief An attempt that was to be replaced goes on.
     /// \param cause what showed it: an event, its end, or that no other server takes the request
     void reportFallbackResumed(const ServerAttempt &attempt, std::string_view cause) const;
+    /// \brief A call with a second attempt is answered.
+    /// \param answered the attempt whose answer is passed on, `first` or `second`
+    void reportSecondAttempt(std::string_view answered) const;
     /// \brief The memory budget does not allow \a bytes, with \a what that the request now holds.
     void reportOverBudget(std::string_view what, std::string_view serverId,
                           std::size_t bytes) const;
--- a/src/gateway/ServerAttempt.h
+++ b/src/gateway/ServerAttempt.h
@@ -27,6 +27,7 @@
     EventStreamReader events;
     bool isStreaming = false; ///< events are forwarded as they arrive
     bool isFromCopy = false;
+    bool isSecond = false;        ///< beside an earlier one whose answer is slow
     std::uint64_t eventCount = 0; ///< passed on
 };
 
