admission: look for room less often while it is short

Cause: reports lag by some hundred ms. Runs that waited looked every 200 ms at eight engines each, found the same room and were sent there together, so engines had up to five prompts waiting and answers ended at their deadline. Change: a run that waits looks every 250 to 350 ms at four engines, for 500 ms at most; one prompt ahead at an engine at most; runs fill 0.86 of an engine's memory, 0.1 less for each urgency before them.

--- a/include/foxtailring/decisions/sessions/ServerSearch.h
+++ b/include/foxtailring/decisions/sessions/ServerSearch.h
@@ -49,6 +49,8 @@
     /// \param isMove the server of the current attempt may go on with the run, so the copy holder
     /// is asked before the run is moved there
     Step start(bool isMove, TimePoint now);
+    /// \brief Sets how many rounds of candidates later searches probe while none has room.
+    void setRounds(int rounds) { m_rounds = rounds; }
     /// \brief The probe of the latest step is over.
     Step onProbed(std::span<const ServerProbeResult> reports, TimePoint now);
     /// \brief Gives the search up.
@@ -77,7 +79,8 @@
     RunCopier &m_copier;
     const bool m_canBeProbed;
     const FinishEstimate m_canFinish;
-    const RoomCheck m_hasRoom;   ///< may be empty
+    const RoomCheck m_hasRoom; ///< may be empty
+    int m_rounds = 2;
     int m_roundsLeft = 0;        ///< of probes of candidates
     Probe m_probe = Probe::None; ///< in progress
 };
--- a/src/decisions/admission/RunAdmission.cpp
+++ b/src/decisions/admission/RunAdmission.cpp
@@ -17,10 +17,10 @@
 // Fractions of an engine's memory that runs may fill. The outputs of the runs that are there grow
 // into the rest. Between two urgencies there is room for one usual run, down to a fraction at which
 // engines still serve nearly as many runs a second.
-constexpr double maxShare = 0.92;
+constexpr double maxShare = 0.86;
 constexpr double shareStep = 0.1;
-constexpr double minShare = 0.62;
-constexpr double maxShareOfLate = 0.6;
+constexpr double minShare = 0.6;
+constexpr double maxShareOfLate = 0.55;
 // One run in so many does not yield, so that no class of runs starves.
 constexpr std::uint64_t runsPerEqualRun = 8;
 // An urgency with at least this fraction of the recent runs needs the room of a whole step.
@@ -35,7 +35,7 @@
 // Differences of a caller's timeout below this are due to its own delays.
 constexpr milliseconds minTimeUsed {200};
 // More prompts than these are waited for at the gateway, from where a run can go to any engine.
-constexpr std::uint32_t maxPromptsAhead = 2;
+constexpr std::uint32_t maxPromptsAhead = 1;
 
 } // namespace
 
--- a/src/decisions/sessions/RunEntry.cpp
+++ b/src/decisions/sessions/RunEntry.cpp
@@ -20,8 +20,11 @@
 // A run waits at the gateway for this fraction of its objective at most. Its caller still has most
 // of it then, for a return.
 constexpr int waitDivisor = 10;
-// Engines report every few hundred ms. The spread keeps gateways from looking together.
-constexpr milliseconds lookInterval {150};
+// The longest wait for a run that has more time.
+constexpr milliseconds maxWait {500};
+// Reports lag by some hundred ms. With more looks in that time, all runs that wait would find the
+// same room, and the engine that has it would get several of them.
+constexpr milliseconds lookInterval {250};
 constexpr milliseconds lookSpread {100};
 
 } // namespace
@@ -83,7 +86,8 @@
 
 bool RunEntry::wait(TimePoint now)
 {
-    const TimePoint until = m_request.arrivedAt + m_route.latencyObjective / waitDivisor;
+    const Duration longest = std::min<Duration>(m_route.latencyObjective / waitDivisor, maxWait);
+    const TimePoint until = m_request.arrivedAt + longest;
     const auto spread = static_cast<std::uint64_t>(lookSpread.count());
     const TimePoint next = now + lookInterval + milliseconds(m_context.random.bounded(spread));
     if (next >= until) {
--- a/src/decisions/sessions/ServerSearch.cpp
+++ b/src/decisions/sessions/ServerSearch.cpp
@@ -15,8 +15,6 @@
 namespace {
 
 constexpr std::chrono::milliseconds probeTimeout {60};
-// Others are probed if the first candidates have no room.
-constexpr int maxRounds = 2;
 
 } // namespace
 
@@ -35,7 +33,7 @@
 
 ServerSearch::Step ServerSearch::start(bool isMove, TimePoint now)
 {
-    m_roundsLeft = maxRounds;
+    m_roundsLeft = m_rounds;
     // The copy is kept until the run is sent: a run that goes on, or waits for a server, may need
     // it.
     if (isMove && m_canBeProbed && m_copier.hasUsableCopy(now)
--- a/src/decisions/sessions/StreamSession.cpp
+++ b/src/decisions/sessions/StreamSession.cpp
@@ -211,6 +211,7 @@
 {
     if (m_isReplacing || !m_entry.wait(now))
         return refuseOrAbort(refuse(503, "noRoom", m_entry.refuse(now)), now);
+    m_search.setRounds(1);
     if (!m_entry.isWaitNew())
         return KeepWaiting {};
     return DelayAttempt {"noRoom"};
