--- a/src/store/PrefixWatcher.cpp
+++ b/src/store/PrefixWatcher.cpp
@@ -21,6 +21,7 @@
 std::vector<HistoryCost::Change> changesOf(const std::vector<WatchEvent> &events)
 {
     std::vector<HistoryCost::Change> changes;
+    changes.reserve(events.size());
     for (const WatchEvent &event : events)
         changes.push_back({event.pair.key, event.pair.value.size()});
     return changes;
--- a/tests/decisions/quarantine/RequestSuspicionTest.cpp
+++ b/tests/decisions/quarantine/RequestSuspicionTest.cpp
@@ -10,6 +10,7 @@
     CPPUNIT_TEST(onlyAProvenCrashCounts);
     CPPUNIT_TEST(otherStartOfALostServerIsNoCrash);
     CPPUNIT_TEST(requestWithoutSuspectsIsNoTrial);
+    CPPUNIT_TEST(endOfALeavingServerAccusesNobody);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -46,6 +47,21 @@
         CPPUNIT_ASSERT(suspicion.quarantinedSuspect(now).empty());
     }
 
+    // Guards against reports and quarantines in planned restarts, where each server ends with
+    // requests that it has not answered.
+    void endOfALeavingServerAccusesNobody()
+    {
+        for (const bool isDraining : {true, false}) {
+            BackendInfo server = info("a1", "a");
+            server.isDraining = isDraining;
+            servers.put(server, now);
+            ForwardRequest sent = request();
+            sent.sharedPromptParts = {"part"};
+            RequestSuspicion(sent, m_context).recordReset(server, false, now);
+            CPPUNIT_ASSERT_EQUAL(isDraining ? std::size_t(0) : std::size_t(1), quarantine.size());
+        }
+    }
+
 private:
     const ForwardContext m_context = context();
 };
