--- a/include/foxtailring/decisions/servers/ServerProbeResult.h
+++ b/include/foxtailring/decisions/servers/ServerProbeResult.h
@@ -20,7 +20,9 @@
     std::int64_t startedAtMs = 0; ///< Unix time of its start; 0: not given
     LeavingNotice leaving = LeavingNotice::None;
     bool isTurnedAway = false; ///< the server asked for a pause in place of a report
-    bool listsRuns = false;    ///< all runs but those in prompt processing; \a hasRun is known
+    /// How long work takes there at this moment; 1: as long as usual; none: not told.
+    std::optional<double> relativeDuration = std::nullopt;
+    bool listsRuns = false; ///< all runs but those in prompt processing; \a hasRun is known
 };
 
 } // namespace foxtailring
--- a/src/decisions/servers/ServerEvidence.cpp
+++ b/src/decisions/servers/ServerEvidence.cpp
@@ -65,6 +65,8 @@
     if (start != ReportedStart::Accepted)
         return;
     m_context.servers.recordContact(report.serverId, now);
+    if (report.relativeDuration)
+        m_context.servers.pace().recordTold(report.serverId, *report.relativeDuration, now);
     if (load == ReportedLoad::Given && !report.isTurnedAway)
         m_context.servers.updateLoad(report.serverId, report.load, now);
     if (const auto server = m_context.servers.server(report.serverId, now))
--- a/tests/decisions/servers/ServerEvidenceTest.cpp
+++ b/tests/decisions/servers/ServerEvidenceTest.cpp
@@ -14,6 +14,7 @@
     CPPUNIT_TEST(noticeOfAnotherServerDoesNotCount);
     CPPUNIT_TEST(unsignedSuccessIsNoNotice);
     CPPUNIT_TEST(loadIsTakenOnlyFromReportsThatHaveOne);
+    CPPUNIT_TEST(paceIsTakenFromReportsToo);
     CPPUNIT_TEST(rejectionIsNoFailure);
     CPPUNIT_TEST_SUITE_END();
 
@@ -59,6 +60,23 @@
         CPPUNIT_ASSERT_EQUAL(7U, server("a1").load->waiting);
     }
 
+    // Guards against a pace that is known of the servers with answers only, and against that of
+    // another start.
+    void paceIsTakenFromReportsToo()
+    {
+        ServerProbeResult report;
+        report.serverId = "a1";
+        report.startedAtMs = 1;
+        report.relativeDuration = 2.5;
+        const std::span<const ServerProbeResult> reports(&report, 1);
+        evidence().recordReports(reports, ServerEvidence::ReportedLoad::None, now);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(2.5, server("a1").pace.relativeDuration, 0.01);
+        report.serverId = "b1";
+        report.startedAtMs = 7;
+        evidence().recordReports(reports, ServerEvidence::ReportedLoad::None, now);
+        CPPUNIT_ASSERT_EQUAL(1.0, server("b1").pace.relativeDuration);
+    }
+
     // Guards against a busy server that is suspected because it takes no more requests.
     void rejectionIsNoFailure()
     {
