--- a/include/foxtailring/decisions/sessions/EventSequence.h
+++ b/include/foxtailring/decisions/sessions/EventSequence.h
@@ -22,9 +22,6 @@
     /// \brief True if events before the event \a id are missing.
     /// \param isFirst the event is the first one of its attempt that the caller lacks
     bool isBeyondGap(std::int64_t id, bool isFirst) const;
-    /// \brief True if the event is older than the last one of its attempt, whose step was larger
-    /// than those before: one of the two ids is wrong.
-    bool contradictsLast(std::int64_t id, bool isFirst) const;
     /// \brief The event is passed on.
     void record(std::int64_t id, bool isFirst);
 
@@ -34,7 +31,6 @@
     std::optional<std::uint64_t> m_step;
     bool m_isStepSeen = false; ///< false: m_step is the distance of the first id from 0
     bool m_isRegular = true;   ///< all steps seen were equal
-    bool m_hasJumped = false;  ///< the last step was larger than those before
 };
 
 } // namespace foxtailring
--- a/include/foxtailring/decisions/sessions/StreamSession.h
+++ b/include/foxtailring/decisions/sessions/StreamSession.h
@@ -34,8 +34,7 @@
     StreamSession(const HttpRoute &route, const ForwardRequest &request,
                   const ForwardContext &context, EngineCapabilities capabilities);
 
-    /// \brief An event arrived. After Gap, the attempt must be ended as lost; after
-    /// OutOfOrder, the answer must be aborted.
+    /// \brief An event arrived. After Gap, the attempt must be ended as lost.
     EventVerdict onEvent(std::int64_t id, TimePoint now);
     /// \brief Bytes of an event arrived that is not complete yet.
     void onPartialEvent(TimePoint now);
--- a/src/decisions/sessions/EventSequence.cpp
+++ b/src/decisions/sessions/EventSequence.cpp
@@ -28,20 +28,13 @@
     return isFirst && m_lastId && m_step && m_isRegular && distance(*m_lastId, id) > *m_step;
 }
 
-bool EventSequence::contradictsLast(std::int64_t id, bool isFirst) const
-{
-    return !isFirst && m_hasJumped && id < *m_lastId;
-}
-
 // Numbers from 1 on are the usual case, so the first event stands for a step until one is seen.
 void EventSequence::record(std::int64_t id, bool isFirst)
 {
-    m_hasJumped = false;
     if (!m_lastId) {
         m_step = distance(0, std::max<std::int64_t>(id, 1));
     } else if (!isFirst) {
         const std::uint64_t step = distance(*m_lastId, id);
-        m_hasJumped = m_step && step > *m_step;
         m_isRegular = !m_isStepSeen || (m_isRegular && step == *m_step);
         m_step = step;
         m_isStepSeen = true;
--- a/src/decisions/sessions/StreamSession.cpp
+++ b/src/decisions/sessions/StreamSession.cpp
@@ -52,11 +52,9 @@
 EventVerdict StreamSession::onEvent(std::int64_t id, TimePoint now)
 {
     // A resumed run may repeat events that the caller already has.
-    const bool isFirst = !m_watch.progress().hasEvents();
-    if (m_events.contradictsLast(id, isFirst))
-        return EventVerdict::OutOfOrder;
     if (m_events.isRepeated(id))
         return EventVerdict::Duplicate;
+    const bool isFirst = !m_watch.progress().hasEvents();
     if (m_events.isBeyondGap(id, isFirst))
         return EventVerdict::Gap;
     if (m_watch.progress().isPrefilling())
--- a/src/gateway/RequestRelay.cpp
+++ b/src/gateway/RequestRelay.cpp
@@ -300,13 +300,9 @@
     const auto events = AnswerReader::readEvents(m_attempts.current(), bytes);
     if (!events)
         return endAttempt(AttemptResult::Invalid);
-    for (std::size_t i = 0; i < events->size() && isOpen(number); ++i) {
-        const StreamedEvent &event = (*events)[i];
-        // Before it is passed on: the ids of an attempt increase.
-        const auto nextId = i + 1 < events->size() ? (*events)[i + 1].id : std::nullopt;
-        if (nextId && event.id && *nextId < *event.id)
-            return endAttempt(AttemptResult::Invalid);
-        onEvent(event.id, event.text);
+    for (const StreamedEvent &event : *events) {
+        if (isOpen(number))
+            onEvent(event.id, event.text);
     }
     if (!isOpen(number))
         return;
@@ -367,8 +363,6 @@
     const EventVerdict verdict = m_stream->onEvent(*id, now);
     if (verdict == EventVerdict::Gap)
         return endAttempt(AttemptResult::Invalid);
-    if (verdict == EventVerdict::OutOfOrder)
-        return abortAnswer({"eventsOutOfOrder"});
     if (verdict == EventVerdict::Duplicate)
         return;
     updateFallback();
