sessions: doubt a larger step between event ids until a second server names it

Change: a step larger than all before counts as a gap, within an attempt too, until another attempt names the same event as the next one. Streams whose ids rise by more than one are served at the cost of one retry, none if their first id shows the step. Measured: EndedAttemptTest, BrokenStreamTest (15), EventSequenceTest, StreamSessionTest and ReplacedRunTest pass.

--- a/src/decisions/sessions/EventSequence.cpp
+++ b/src/decisions/sessions/EventSequence.cpp
@@ -19,27 +19,30 @@
 {
 }
 
-// A connection delivers all that was sent, in order, so nothing is missing within an attempt. Where
-// another attempt goes on, a step larger than all before proves that events are missing. If steps
-// vary, or none is known since the caller itself resumed the stream, nothing proves it: the server
-// was told the last event and says that this one is the next.
-bool EventSequence::isBeyondGap(std::int64_t id, bool isFirst) const
+// A faulty server may leave events out or send them out of order, so a step larger than all before
+// is doubted, within an attempt too. Where a second server names the same event as the next one,
+// the ids rise so. If steps vary, or none is known since the caller itself resumed the stream,
+// nothing proves a gap.
+bool EventSequence::isBeyondGap(std::int64_t id) const
 {
-    return isFirst && m_lastId && m_step && m_isRegular && distance(*m_lastId, id) > *m_step;
+    const bool isLarger = m_lastId && m_step && m_isRegular && distance(*m_lastId, id) > *m_step;
+    return isLarger && m_doubtedId != id;
 }
 
 // Numbers from 1 on are the usual case, so the first event stands for a step until one is seen.
 void EventSequence::record(std::int64_t id, bool isFirst)
 {
+    const bool isConfirmed = m_doubtedId == id;
     if (!m_lastId) {
         m_step = distance(0, std::max<std::int64_t>(id, 1));
-    } else if (!isFirst) {
+    } else if (!isFirst || isConfirmed) {
         const std::uint64_t step = distance(*m_lastId, id);
         m_isRegular = !m_isStepSeen || (m_isRegular && step == *m_step);
         m_step = step;
         m_isStepSeen = true;
     }
     m_lastId = id;
+    m_doubtedId.reset();
 }
 
 } // namespace foxtailring
--- a/src/decisions/sessions/StreamSession.cpp
+++ b/src/decisions/sessions/StreamSession.cpp
@@ -55,8 +55,10 @@
     if (m_events.isRepeated(id))
         return EventVerdict::Duplicate;
     const bool isFirst = !m_watch.progress().hasEvents();
-    if (m_events.isBeyondGap(id, isFirst))
+    if (m_events.isBeyondGap(id)) {
+        m_events.recordGap(id);
         return EventVerdict::Gap;
+    }
     if (m_watch.progress().isPrefilling())
         context().latency.recordFirstEvent(service(), request().promptTokens, now - sentAt());
     if (hasServer())
@@ -90,11 +92,9 @@
     return true;
 }
 
-// Judged like the first event of another attempt: its server looks faulty, and if in doubt the
-// replacement goes on.
 bool StreamSession::isFallbackBeyondGap(std::int64_t id) const
 {
-    return m_events.isBeyondGap(id, true);
+    return m_events.isBeyondGap(id);
 }
 
 // An end without an event is only believed as in confirmEnd().
