--- a/review/standins2.py
+++ b/review/standins2.py
@@ -347,7 +347,11 @@
 def render(template, fields):
     """The part of the templates of DEPLOY.md that deploy/gateway.yaml uses."""
     def section(match):
-        table = fields[match[1]]
+        table = fields
+        for part in match[1].split("."):
+            table = table.get(part, {})
+        if not isinstance(table, dict):
+            return match[2]
         items = list(table.items())
         texts = []
         for index, (name, value) in enumerate(items):
@@ -361,7 +365,7 @@
             value = value[part]
         return str(value)
 
-    text = re.sub(r"\{\{#(\w+)\}\}(.*?)\{\{/\1\}\}", section, template, flags=re.S)
+    text = re.sub(r"\{\{#([\w.]+)\}\}(.*?)\{\{/\1\}\}", section, template, flags=re.S)
     return re.sub(r"\{\{([\w.]+)\}\}", value_of, text)
 
 
