rollouts: name two conversions of numbers

Cause: the linter reported narrowing conversions in GatewayPublisher.cpp and a test. Change: explicit casts. Measured: `decisions_test RolloutSimulationTest RolloutSessionTest` after it; the linter was not run again.

--- a/src/gateway/GatewayPublisher.cpp
+++ b/src/gateway/GatewayPublisher.cpp
@@ -236,7 +236,8 @@
 void GatewayPublisher::publish(const Rollouts::Witnesses &witnesses)
 {
     const std::string value = RolloutWitnessCodec::encode(witnesses);
-    m_parts.metrics.add("gateway_rollout_witness_bytes_total", value.size());
+    m_parts.metrics.add("gateway_rollout_witness_bytes_total",
+                        static_cast<std::int64_t>(value.size()));
     write(m_witnesses, value, [this](const auto &result) {
         const bool isWritten = result && result.value().applied;
         m_parts.metrics.add(isWritten ? "gateway_rollout_witnesses_total{outcome=\"written\"}"
--- a/tests/decisions/rollouts/RolloutSimulationTest.cpp
+++ b/tests/decisions/rollouts/RolloutSimulationTest.cpp
@@ -42,7 +42,10 @@
     static Ms watchDelay(std::size_t gateways) { return Ms(gateways > 100 ? 1500 : 500); }
 
     /// As many requests as gateways of a large fleet have.
-    static double load(std::size_t gateways) { return gateways > 100 ? gateways / 28.0 : 1; }
+    static double load(std::size_t gateways)
+    {
+        return gateways > 100 ? static_cast<double>(gateways) / 28 : 1;
+    }
 
     /// A service of short calls, a seventh of which fail on one route with every version.
     static Settings calls(std::size_t gateways = 28)
