store: go back to the history if the state cannot be read

Change: after such a read fails, the watch goes on where it was, and the state is not read in place of the history until the reader is up to date.

--- a/src/store/PrefixWatcher.cpp
+++ b/src/store/PrefixWatcher.cpp
@@ -89,8 +89,10 @@
     milliseconds m_backoff {0};
     milliseconds m_rereadBackoff {0};
     HistoryCost m_historyCost;
-    TimePoint m_readAt;       ///< when the last read of all keys was answered
-    bool m_hasWatched = true; ///< a watch was answered since the last read after lost history
+    bool m_readsInPlaceOfHistory = false;
+    bool m_mayReadState = true; ///< the last such read did not fail since the reader was up to date
+    TimePoint m_readAt;         ///< when the last read of all keys was answered
+    bool m_hasWatched = true;   ///< a watch was answered since the last read after lost history
     bool m_isAvailable = false;
     bool m_isOutageReported = false;
     bool m_isStopped = false;
@@ -126,6 +128,12 @@
 void PrefixWatcher::State::onRead(const Result<RangeResult> &result, TimePoint requestedAt)
 {
     const Task readAgain = [](State &self) { self.read(); };
+    const bool hasHistory = std::exchange(m_readsInPlaceOfHistory, false);
+    // The state may be too large to be read, while the history is still there.
+    if (!result && hasHistory) {
+        m_mayReadState = false;
+        return retryAfterBackoff(result.error(), [](State &self) { self.watch(); });
+    }
     if (!result)
         return retryAfterBackoff(result.error(), readAgain);
     markAvailable();
@@ -193,7 +201,7 @@
         return read();
     }
     m_backoff = milliseconds(0);
-    if (m_historyCost.recordChanges(changesOf(unseen), m_clock()))
+    if (m_historyCost.recordChanges(changesOf(unseen), m_clock()) && m_mayReadState)
         readState("storm");
 }
 
@@ -201,7 +209,7 @@
 {
     if (watchId != m_watchId)
         return;
-    if (m_historyCost.isStateCheaperWhenBehind())
+    if (m_mayReadState && m_historyCost.isStateCheaperWhenBehind())
         readState("behind");
     else if (m_hooks.onBehind)
         m_hooks.onBehind();
@@ -213,6 +221,7 @@
         return;
     markAvailable();
     m_hasWatched = true;
+    m_mayReadState = true;
     m_backoff = milliseconds(0);
     restartIdleTimer();
     if (m_hooks.onConfirmed)
@@ -247,6 +256,7 @@
 void PrefixWatcher::State::readState(std::string_view reason)
 {
     closeWatch();
+    m_readsInPlaceOfHistory = true;
     const milliseconds spread = m_hooks.rereadDelay ? m_hooks.rereadDelay() : milliseconds(0);
     const auto sinceRead = std::chrono::duration_cast<milliseconds>(m_clock() - m_readAt);
     const milliseconds pause =
--- a/tests/store/PrefixWatcherTest.cpp
+++ b/tests/store/PrefixWatcherTest.cpp
@@ -72,6 +72,7 @@
     CPPUNIT_TEST(unusableSnapshotIsReadAgainWithGrowingDelays);
     CPPUNIT_TEST(readerThatIsBehindReadsTheState);
     CPPUNIT_TEST(replacedVersionsAreNotFollowed);
+    CPPUNIT_TEST(historyIsFollowedIfTheStateCannotBeRead);
     CPPUNIT_TEST(smallAnswersBehindAreFollowed);
     CPPUNIT_TEST_SUITE_END();
 
@@ -238,6 +239,16 @@
         CPPUNIT_ASSERT_EQUAL(std::int64_t(41), m_store->watches.take().revision);
     }
 
+    // Guards against a reader that is stuck because all keys together are too large.
+    void historyIsFollowedIfTheStateCannotBeRead()
+    {
+        const OpenedWatch watch = openWatch();
+        watch.hooks.onChanges(std::vector<WatchEvent> {largeEvent(8)}, 8);
+        watch.hooks.onBehind();
+        m_store->reads.take()(Error {ErrorCode::Malformed, "too many pages"});
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(9), m_store->watches.take().revision);
+    }
+
     void replacedVersionsAreNotFollowed()
     {
         const OpenedWatch watch = openWatch();
