--- a/src/decisions/admission/RunRoom.cpp
+++ b/src/decisions/admission/RunRoom.cpp
@@ -31,8 +31,8 @@
 constexpr double unreadPromptFraction = 0.5;
 // Copies take no more than this fraction of an engine's memory together with its runs. A copy saves
 // a prompt at a loss of the engine, but in a shortage the memory serves another run.
-constexpr double maxCopyMemoryShare = 0.6;
-constexpr double maxMeanMemoryShareForCopies = 0.5;
+constexpr double maxCopyMemoryShare = 0.65;
+constexpr double maxMeanMemoryShareForCopies = 0.58;
 
 double shareOf(double tokens, std::uint64_t total)
 {
--- a/tests/decisions/configuration/RouteTableTest.cpp
+++ b/tests/decisions/configuration/RouteTableTest.cpp
@@ -12,6 +12,8 @@
     CPPUNIT_TEST(longestPrefixWins);
     CPPUNIT_TEST(hostIsComparedWithoutCaseAndPort);
     CPPUNIT_TEST(keysIdentifyTheirAccount);
+    CPPUNIT_TEST(urgencyIsThatOfTheAccountAndThenOfTheRoute);
+    CPPUNIT_TEST(equalRunsHaveNoUrgency);
     CPPUNIT_TEST(keysExpireWithoutConfirmation);
     CPPUNIT_TEST(restoredStoreConfirmsNoKeysUntilRevocationsAreBack);
     CPPUNIT_TEST(oldConfirmationDoesNotReplaceANewOne);
@@ -43,6 +45,27 @@
         CPPUNIT_ASSERT(!table.account(""));
     }
 
+    // Guards against one kind of runs that is served worse than a less urgent one.
+    void urgencyIsThatOfTheAccountAndThenOfTheRoute()
+    {
+        const RouteTable table(runConfig(0, 2, {0, 1, std::nullopt}));
+        const HttpRoute &first = table.config().routes[0];
+        const HttpRoute &second = table.config().routes[1];
+        CPPUNIT_ASSERT_EQUAL(0U, table.urgency(first, "k0").value());
+        CPPUNIT_ASSERT_EQUAL(1U, table.urgency(second, "k0").value());
+        CPPUNIT_ASSERT_EQUAL(2U, table.urgency(first, "k1").value());
+        CPPUNIT_ASSERT_EQUAL(3U, table.urgency(second, "k1").value());
+        CPPUNIT_ASSERT_EQUAL(0U, table.urgency(first, "k2").value());
+        CPPUNIT_ASSERT_EQUAL(4U, table.urgency(second, "k2").value());
+    }
+
+    void equalRunsHaveNoUrgency()
+    {
+        const RouteTable table(runConfig(1, 1, {std::nullopt, 1}));
+        CPPUNIT_ASSERT(!table.urgency(table.config().routes[0], "k0"));
+        CPPUNIT_ASSERT(!table.urgency(table.config().routes[1], "k1"));
+    }
+
     // Guards against accepting a revoked key while the store is unreachable.
     void keysExpireWithoutConfirmation()
     {
@@ -108,6 +131,26 @@
     }
 
 private:
+    /// \brief Two routes of runs of one service, and accounts with these priorities.
+    static RouteConfig runConfig(std::uint32_t first, std::uint32_t second,
+                                 const std::vector<std::optional<std::uint32_t>> &accounts)
+    {
+        RouteConfig out;
+        for (const std::uint32_t priority : {first, second}) {
+            HttpRoute one;
+            one.kind = CallKind::Stream;
+            one.priority = priority;
+            one.targets = {{"engine", 1}};
+            out.routes.push_back(one);
+        }
+        out.hasAccounts = true;
+        for (const auto &priority : accounts) {
+            const std::string number = std::to_string(out.accounts.size());
+            out.accounts.push_back({"a" + number, priority, {"k" + number}});
+        }
+        return out;
+    }
+
     static RouteConfig config()
     {
         RouteConfig out;
--- a/tests/platform/WireFormatTest.cpp
+++ b/tests/platform/WireFormatTest.cpp
@@ -17,6 +17,7 @@
     CPPUNIT_TEST(systemHeadersOfCallersAreDropped);
     CPPUNIT_TEST(connectionHeaderCannotDropProtectedHeaders);
     CPPUNIT_TEST(attemptNamesWhereTheRunResumes);
+    CPPUNIT_TEST(attemptNamesItsUrgency);
     CPPUNIT_TEST(copyOnDemandIsNamedByItsHandle);
     CPPUNIT_TEST(requestIdThatIsNoTextIsEncoded);
     CPPUNIT_TEST(handlesThatAreNoHeaderValueAreRefused);
@@ -155,6 +156,19 @@
         CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.1:80/9c41"), std::string(sent.header("Kv-From")));
     }
 
+    // Guards against a rank that engines do not know.
+    void attemptNamesItsUrgency()
+    {
+        AttemptMetadata next = metadata();
+        CPPUNIT_ASSERT(encode(http(), next).header("Request-Priority").empty());
+        next.urgency = 2;
+        CPPUNIT_ASSERT_EQUAL(std::string("2"),
+                             std::string(encode(http(), next).header("Request-Priority")));
+        next.urgency = 30;
+        CPPUNIT_ASSERT_EQUAL(std::string("9"),
+                             std::string(encode(http(), next).header("Request-Priority")));
+    }
+
     void copyOnDemandIsNamedByItsHandle()
     {
         AttemptMetadata next = metadata();
