--- a/include/foxtailring/decisions/rollouts/Rollout.h
+++ b/include/foxtailring/decisions/rollouts/Rollout.h
@@ -107,6 +107,8 @@
     void condemn(const VersionVerdict &verdict);
     void restoreStored(TimePoint now);
     void updateSampling();
+    /// Part of the gateways that take part in a trial.
+    double observedShare() const;
     double extraRequests(const RolloutFleet &fleet) const;
     Mode mode(TimePoint now) const;
     bool isInTouch(TimePoint now) const;
--- a/src/decisions/sessions/StreamSession.cpp
+++ b/src/decisions/sessions/StreamSession.cpp
@@ -18,8 +18,6 @@
 constexpr double minOutputFraction = 0.4;
 // Sound servers are silent for 1.5 s, and a move is wanted 0.3 s to 0.6 s after the last contact.
 constexpr milliseconds reserveTime {1000};
-// After a round of rejections, the next server is asked this much later.
-constexpr milliseconds rejectedRetryInterval {200};
 // Two servers may work on one run for 400 ms. A fallback is ended by then, unless the next server
 // has rejected the run; engines reject at once. That holds for a preempted run as well: its engine
 // goes on with it as soon as it has memory again, and reports that only later.
@@ -230,16 +228,6 @@
     return waitForNextAttempt(Missing::Server, refuseUnplaced(now), now);
 }
 
-ForwardAction StreamSession::waitForRoom(TimePoint now)
-{
-    if (m_isReplacing || !m_entry.wait(now))
-        return refuseOrAbort(refuse(503, "noRoom", m_entry.refuse(now)), now);
-    m_search.setRounds(1);
-    if (!m_entry.isWaitNew())
-        return KeepWaiting {};
-    return DelayAttempt {"noRoom"};
-}
-
 bool StreamSession::canFinishInTime(std::uint64_t promptTokens, TimePoint now) const
 {
     const auto maxEvents =
@@ -309,52 +297,6 @@
     return makeAttempt(attemptResultName(result), now);
 }
 
-// The caller of a stream that has begun cannot be told to return, but waits for the next event for
-// seconds. The budget fills and servers become free sooner.
-ForwardAction StreamSession::waitForNextAttempt(Missing missing, ForwardAction ending,
-                                                TimePoint now)
-{
-    if (m_isReplacing || hasFallback() || !mayWaitForAttempt(now))
-        return refuseOrAbort(std::move(ending), now);
-    m_waitCause = std::get<AbortAnswer>(conclude(std::move(ending))).cause;
-    if (missing == Missing::Retry)
-        return delayAttempt("noRetry", Duration {0}, now);
-    forgetRejections(now);
-    return delayAttempt("noServer", std::max<Duration>(waitForServer(now), rejectedRetryInterval),
-                        now);
-}
-
-bool StreamSession::mayWaitForAttempt(TimePoint now) const
-{
-    return m_hasStarted && route().allowsRetry() && usedAttempts(now) < route().maxAttempts
-        && m_wait.isOfUse(now)
-        && canFinishInTime(m_copier.hasUsableCopy(now) ? 0 : request().promptTokens, now);
-}
-
-ForwardAction StreamSession::delayAttempt(std::string_view reason, Duration needed, TimePoint now)
-{
-    if (!m_wait.start(reason, needed, now))
-        return KeepWaiting {};
-    return DelayAttempt {reason};
-}
-
-ForwardAction StreamSession::lookForAttempt(TimePoint now)
-{
-    if (m_entry.isWaiting())
-        return makeAttempt(m_cause, now);
-    if (!mayWaitForAttempt(now))
-        return AbortAnswer {m_waitCause};
-    if (!m_hasRetry && !context().retryBudget.hasRetry(service(), now))
-        return delayAttempt("noRetry", Duration {0}, now);
-    const Duration needed = waitForServer(now);
-    if (needed > Duration {0})
-        return delayAttempt("noServer", needed, now);
-    m_hasRetry = m_hasRetry || tryTakeRetry(now);
-    if (!m_hasRetry)
-        return delayAttempt("noRetry", Duration {0}, now);
-    return makeAttempt("delayed", now);
-}
-
 // A run that was not executed has no copy.
 void StreamSession::onRejected()
 {
