store: a small answer of a current reader counts as all changes; names that unity builds join

Change: HistoryProof::recordFewChanges() counts a small answer as whole if the reader was current within 4 s, and verifies each fifth. A reader that started, was away or is known to be behind proves nothing by it, as before. KvClientTest (26), HistoryProofTest (6) pass.

--- a/include/foxtailring/decisions/membership/HistoryProof.h
+++ b/include/foxtailring/decisions/membership/HistoryProof.h
@@ -19,6 +19,10 @@
     void recordNoChanges(std::int64_t revision, TimePoint answeredUntil);
     /// \brief Changes up to \a revision were read, and there may be more.
     void recordChanges(std::int64_t revision);
+    /// \brief The same for an answer to a question of \a askedAt that is far smaller than the
+    /// store's limit. It counts as all changes if the reader was not behind a short time before;
+    /// now and then only the newest revision proves it.
+    void recordFewChanges(std::int64_t revision, TimePoint askedAt);
     /// \brief \a revision was the store's newest one at \a askedAt or later.
     void recordNewest(std::int64_t revision, TimePoint askedAt);
 
@@ -42,6 +46,7 @@
     std::int64_t m_revision = 0;  ///< read up to
     TimePoint m_provedAt;
     bool m_needsNewest = false;
+    int m_unverifiedAnswers = 0; ///< in a row, that counted as all changes
 };
 
 } // namespace foxtailring
--- a/src/decisions/admission/ResumeAdmission.cpp
+++ b/src/decisions/admission/ResumeAdmission.cpp
@@ -9,12 +9,12 @@
 
 namespace {
 
-double secondsOf(Duration duration)
+double toSeconds(Duration duration)
 {
     return std::chrono::duration<double>(duration).count();
 }
 
-Duration durationOf(double seconds)
+Duration fromSeconds(double seconds)
 {
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
 }
@@ -54,7 +54,7 @@
     // resumes, which find enough tokens, are not delayed.
     const bool inBurst = static_cast<double>(queue.waiting.size()) + 1 <= queue.tokens;
     const Duration delay =
-        inBurst ? Duration {} : durationOf(fraction * secondsOf(m_settings.maxJitter));
+        inBurst ? Duration {} : fromSeconds(fraction * toSeconds(m_settings.maxJitter));
     const auto at = std::upper_bound(
         queue.waiting.begin(), queue.waiting.end(), priority,
         [](std::uint32_t value, const Waiting &other) { return value < other.priority; });
@@ -116,7 +116,7 @@
     if (!queue.emptiedAt)
         return 1;
     const double recoveredFraction =
-        secondsOf(now - *queue.emptiedAt) / std::max(1e-9, secondsOf(m_settings.recoveryTime));
+        toSeconds(now - *queue.emptiedAt) / std::max(1e-9, toSeconds(m_settings.recoveryTime));
     return std::min(1.0,
                     m_settings.newWorkShare + recoveredFraction * (1 - m_settings.newWorkShare));
 }
@@ -147,7 +147,7 @@
     if (!queue.refilledAt)
         queue.tokens = tokenLimit;
     else if (now > *queue.refilledAt)
-        queue.tokens += secondsOf(now - *queue.refilledAt) * rate(queue);
+        queue.tokens += toSeconds(now - *queue.refilledAt) * rate(queue);
     queue.tokens = std::min(tokenLimit, queue.tokens);
     queue.refilledAt = std::max(now, queue.refilledAt.value_or(now));
 }
@@ -176,7 +176,7 @@
         earliest = std::min(earliest, waiting.earliestStart);
     const double missingTokens = 1 - queue.tokens;
     if (missingTokens > 0) {
-        const Duration refillTime = durationOf(missingTokens / rate(queue));
+        const Duration refillTime = fromSeconds(missingTokens / rate(queue));
         // Rounded up, so that a whole token is available at the time returned.
         earliest = std::max(earliest, queue.refilledAt.value_or(now) + refillTime + Duration(1));
     }
--- a/src/decisions/configuration/ConfigCheck.cpp
+++ b/src/decisions/configuration/ConfigCheck.cpp
@@ -17,12 +17,12 @@
 
 using Severity = ConfigFinding::Severity;
 
-std::string quoted(std::string_view text)
+std::string inQuotes(std::string_view text)
 {
     return '"' + std::string(text) + '"';
 }
 
-std::string milliseconds(std::chrono::milliseconds time)
+std::string inMs(std::chrono::milliseconds time)
 {
     return std::to_string(time.count()) + " ms";
 }
@@ -59,7 +59,7 @@
     static std::string placeOf(const HttpRoute &route)
     {
         return route.name.empty() ? "route " + route.host + route.pathPrefix
-                                  : "route " + quoted(route.name);
+                                  : "route " + inQuotes(route.name);
     }
 
     void checkServices()
@@ -71,7 +71,7 @@
         }
         std::set<std::string_view> defined;
         for (const RoutedService &service : m_config.services) {
-            const std::string place = "service " + quoted(service.name);
+            const std::string place = "service " + inQuotes(service.name);
             if (!defined.insert(service.name).second)
                 add(Severity::Error, place,
                     "is defined twice; the second definition has no effect");
@@ -95,7 +95,7 @@
         const bool isPrefix = route.pathPrefix.starts_with('/') && route.pathPrefix.ends_with('/');
         if (!isPrefix)
             add(Severity::Error, place,
-                "path prefix " + quoted(route.pathPrefix) + " must begin and end with a slash");
+                "path prefix " + inQuotes(route.pathPrefix) + " must begin and end with a slash");
         const HttpRoute *winner = m_table.route(route.host, route.pathPrefix);
         if (isPrefix && winner && winner != &indexed)
             add(Severity::Error, place,
@@ -107,7 +107,7 @@
         std::uint64_t totalWeight = 0;
         for (const RouteTarget &target : route.targets) {
             totalWeight += target.weight;
-            const std::string service = "service " + quoted(target.service);
+            const std::string service = "service " + inQuotes(target.service);
             if (!m_table.service(target.service))
                 add(Severity::Error, place, service + " is not defined");
             else if (target.weight == 0)
@@ -130,13 +130,13 @@
             add(Severity::Error, place, "the timeout is 0 ms, so that each request fails");
         else if (route.timeout < route.latencyObjective)
             add(Severity::Error, place,
-                "the timeout of " + milliseconds(route.timeout) + " ends requests before the "
-                    + milliseconds(route.latencyObjective) + " that they may take");
+                "the timeout of " + inMs(route.timeout) + " ends requests before the "
+                    + inMs(route.latencyObjective) + " that they may take");
         if (route.kind == CallKind::Stream && route.maxEventGap >= route.timeout
             && route.timeout.count() > 0)
             add(Severity::Warning, place,
-                "the allowed pause between events of " + milliseconds(route.maxEventGap)
-                    + " is not under the timeout of " + milliseconds(route.timeout));
+                "the allowed pause between events of " + inMs(route.maxEventGap)
+                    + " is not under the timeout of " + inMs(route.timeout));
         if (route.kind != CallKind::Stream && route.maxEventGap.count() > 0)
             add(Severity::Warning, place, "only streams have an allowed pause between events");
     }
@@ -178,7 +178,7 @@
         std::map<std::string_view, std::string_view> holders;
         std::set<std::string_view> names;
         for (const KeyedAccount &account : m_config.accounts) {
-            const std::string place = "account " + quoted(account.name);
+            const std::string place = "account " + inQuotes(account.name);
             if (!names.insert(account.name).second)
                 add(Severity::Warning, place, "is listed twice");
             if (account.keys.empty())
@@ -202,7 +202,7 @@
         if (holder->second == account.name)
             return add(Severity::Warning, place, "holds a key twice");
         add(Severity::Error, place,
-            "a key never matches it: account " + quoted(holder->second) + " holds the same key");
+            "a key never matches it: account " + inQuotes(holder->second) + " holds the same key");
     }
 
     bool hasProtectedRoute() const
--- a/src/decisions/rollouts/RolloutSchedule.cpp
+++ b/src/decisions/rollouts/RolloutSchedule.cpp
@@ -25,7 +25,7 @@
 constexpr double lastStepFraction = 0.58;
 constexpr double endFraction = 0.92;
 // Of any ramp.
-constexpr double extraFraction = 0.1;
+constexpr double extraTimeFraction = 0.1;
 constexpr double spreadFraction = 0.25;
 constexpr double reservedFraction = 0.5;
 constexpr double knownFraction = 0.08; ///< until all gateways know the last step
@@ -39,7 +39,7 @@
 constexpr double trialAnswers = 8;
 constexpr double moveAnswers = 20;
 constexpr double minAnswerFraction = 0.1; ///< of the answers of both versions
-constexpr std::uint64_t minRouteAnswers = 2;
+constexpr std::uint64_t minMoveAnswersOfRoute = 2;
 
 Duration partOf(Duration ramp, double fraction)
 {
@@ -70,7 +70,7 @@
 
 Duration RolloutSchedule::extraTime(Duration ramp)
 {
-    return partOf(ramp, extraFraction);
+    return partOf(ramp, extraTimeFraction);
 }
 
 Duration RolloutSchedule::reservedTime(Duration ramp)
@@ -131,7 +131,8 @@
     if (progress.elapsed < lastAt)
         return false;
     const bool isCertain = verdict.grade == VersionVerdict::Grade::Good
-        && hasAnswers(progress, verdict, moveAnswers) && verdict.fewestAnswers >= minRouteAnswers;
+        && hasAnswers(progress, verdict, moveAnswers)
+        && verdict.fewestAnswers >= minMoveAnswersOfRoute;
     const bool isLate = progress.elapsed >= partOf(ramp, latestStepFraction)
         && hasAnswers(progress, verdict, moveAnswers);
     return isLate || (isCertain && progress.shareAge >= stepTime);
--- a/src/decisions/sessions/RunCopier.cpp
+++ b/src/decisions/sessions/RunCopier.cpp
@@ -15,7 +15,7 @@
 namespace {
 
 // Two round trips between regions: one to connect, one for the answer.
-constexpr milliseconds probeTimeout {120};
+constexpr milliseconds holderProbeTimeout {120};
 // Interval of checking the copy and its holder, and delay before a failed snapshot is retried.
 constexpr milliseconds checkInterval {400};
 constexpr milliseconds retryDelay {1000};
@@ -106,7 +106,7 @@
 {
     ProbeServers probe;
     probe.servers = {holder};
-    probe.timeout = probeTimeout;
+    probe.timeout = holderProbeTimeout;
     probe.useNewConnections = true;
     m_isProbing = true;
     return probe;
--- a/src/decisions/sessions/RunEntry.cpp
+++ b/src/decisions/sessions/RunEntry.cpp
@@ -24,8 +24,8 @@
 constexpr milliseconds maxWait {500};
 // Reports lag by some hundred ms. With more looks in that time, all runs that wait would find the
 // same room, and the engine that has it would get several of them.
-constexpr milliseconds lookInterval {250};
-constexpr milliseconds lookSpread {100};
+constexpr milliseconds roomLookInterval {250};
+constexpr milliseconds roomLookSpread {100};
 
 } // namespace
 
@@ -88,8 +88,8 @@
 {
     const Duration longest = std::min<Duration>(m_route.latencyObjective / waitDivisor, maxWait);
     const TimePoint until = m_request.arrivedAt + longest;
-    const auto spread = static_cast<std::uint64_t>(lookSpread.count());
-    const TimePoint next = now + lookInterval + milliseconds(m_context.random.bounded(spread));
+    const auto spread = static_cast<std::uint64_t>(roomLookSpread.count());
+    const TimePoint next = now + roomLookInterval + milliseconds(m_context.random.bounded(spread));
     if (next >= until) {
         endWait();
         return false;
--- a/src/decisions/sessions/SecondAttempts.cpp
+++ b/src/decisions/sessions/SecondAttempts.cpp
@@ -12,8 +12,8 @@
 
 constexpr double slowQuantile = 0.97;
 // The quantile of fewer times is that of one or two calls.
-constexpr std::uint32_t minCount = 50;
-constexpr std::chrono::seconds windowLength {30};
+constexpr std::uint32_t minAnswers = 50;
+constexpr std::chrono::seconds answerWindow {30};
 constexpr double firstBound = 0.0001; // seconds
 constexpr double boundRatio = 1.1;
 // Routes come and go with the configuration; beyond this number the oldest times are dropped.
@@ -42,8 +42,8 @@
         m_routes.clear();
     Times &times = m_routes.try_emplace(std::string(route), Times {now, {}, {}}).first->second;
     const Duration age = now - times.startedAt;
-    if (age >= windowLength) {
-        times.previous = age < 2 * windowLength ? times.current : Window {};
+    if (age >= answerWindow) {
+        times.previous = age < 2 * answerWindow ? times.current : Window {};
         times.current = {};
         times.startedAt = now;
     }
@@ -59,7 +59,7 @@
         return std::nullopt;
     const Times &times = found->second;
     const std::uint32_t total = times.current.total + times.previous.total;
-    if (total < minCount || now - times.startedAt >= 2 * windowLength)
+    if (total < minAnswers || now - times.startedAt >= 2 * answerWindow)
         return std::nullopt;
     const auto wanted = static_cast<std::uint32_t>(std::ceil(slowQuantile * total));
     std::uint32_t count = 0;
--- a/src/decisions/sessions/ServerSearch.cpp
+++ b/src/decisions/sessions/ServerSearch.cpp
@@ -14,7 +14,7 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds probeTimeout {60};
+constexpr std::chrono::milliseconds searchProbeTimeout {60};
 
 } // namespace
 
@@ -77,7 +77,7 @@
 {
     ProbeServers probe;
     probe.servers = {*m_copier.holder()};
-    probe.timeout = probeTimeout;
+    probe.timeout = searchProbeTimeout;
     probe.useNewConnections = true;
     m_probe = Probe::CopyHolder;
     return probe;
@@ -98,7 +98,7 @@
 {
     ProbeServers probe;
     probe.subject = ProbeServers::Subject::Prompt;
-    probe.timeout = probeTimeout;
+    probe.timeout = searchProbeTimeout;
     probe.servers = m_placement.takePromptProbes(now);
     if (probe.servers.empty())
         return probeCandidates(now);
@@ -133,7 +133,7 @@
     probe.servers = m_placement.takeCandidateProbes(now);
     if (probe.servers.empty())
         return choose({}, now);
-    probe.timeout = probeTimeout;
+    probe.timeout = searchProbeTimeout;
     m_probe = Probe::Candidates;
     return probe;
 }
--- a/tests/decisions/admission/RunAdmissionTest.cpp
+++ b/tests/decisions/admission/RunAdmissionTest.cpp
@@ -53,10 +53,10 @@
         learnRunSize();
         for (int run = 0; run < 2; ++run) {
             CPPUNIT_ASSERT(takes(report(55'000), claim()));
-            admission.room().recordPlaced("e", 9'000, now);
+            m_admission.room().recordPlaced("e", 9'000, m_now);
         }
         CPPUNIT_ASSERT(!takes(report(55'000), claim()));
-        now += 500ms;
+        m_now += 500ms;
         CPPUNIT_ASSERT(takes(report(55'000), claim()));
     }
 
@@ -64,8 +64,8 @@
     void lastRoomIsLeftToUrgentRuns()
     {
         learnRunSize();
-        admission.recordArrival(claim(0), now);
-        admission.recordArrival(claim(1), now);
+        m_admission.recordArrival(claim(0), m_now);
+        m_admission.recordArrival(claim(1), m_now);
         CPPUNIT_ASSERT(!takes(report(65'000), claim(1)));
         CPPUNIT_ASSERT(takes(report(65'000), claim(0)));
     }
@@ -75,9 +75,9 @@
     {
         learnRunSize();
         for (int run = 0; run < 20; ++run)
-            admission.recordArrival(claim(1), now);
+            m_admission.recordArrival(claim(1), m_now);
         CPPUNIT_ASSERT(takes(report(64'000), claim(1)));
-        admission.recordArrival(claim(0), now);
+        m_admission.recordArrival(claim(0), m_now);
         CPPUNIT_ASSERT(takes(report(60'000), claim(1)));
     }
 
@@ -86,13 +86,13 @@
     {
         int unyielding = 0;
         for (int run = 0; run < 800; ++run)
-            unyielding += admission.drawYields() ? 0 : 1;
+            unyielding += m_admission.drawYields() ? 0 : 1;
         CPPUNIT_ASSERT(unyielding > 60 && unyielding < 140);
-        admission.recordArrival(claim(0), now);
+        m_admission.recordArrival(claim(0), m_now);
         RunClaim lucky = claim(1);
         lucky.yields = false;
-        CPPUNIT_ASSERT_EQUAL(admission.maxMemoryShare(claim(0), now),
-                             admission.maxMemoryShare(lucky, now));
+        CPPUNIT_ASSERT_EQUAL(m_admission.maxMemoryShare(claim(0), m_now),
+                             m_admission.maxMemoryShare(lucky, m_now));
     }
 
     // Guards against large runs being the first that are refused.
@@ -111,7 +111,7 @@
     {
         learnRunSize();
         RunClaim late = claim();
-        late.objectiveEnd = now;
+        late.objectiveEnd = m_now;
         CPPUNIT_ASSERT(!takes(report(55'000), late));
         CPPUNIT_ASSERT(takes(report(55'000), claim()));
         CPPUNIT_ASSERT(takes(report(20'000), late));
@@ -139,14 +139,14 @@
     {
         learnRunSize();
         for (int run = 0; run < 20; ++run)
-            admission.room().recordFirstEvent("s", 8'000, 0, 1'200ms);
+            m_admission.room().recordFirstEvent("s", 8'000, 0, 1'200ms);
         BackendLoadReport busy = report(10'000);
         busy.prefilling = 1;
         CPPUNIT_ASSERT(takes(busy, claim()));
         busy.waiting = 2;
         CPPUNIT_ASSERT(!takes(busy, claim()));
         RunClaim soon = claim();
-        soon.objectiveEnd = now + 2s;
+        soon.objectiveEnd = m_now + 2s;
         busy.waiting = 0;
         CPPUNIT_ASSERT(!takes(busy, soon));
     }
@@ -155,12 +155,12 @@
     void refusedCallersReturnAtThePaceOfService()
     {
         for (int run = 0; run < 40; ++run) {
-            admission.recordTaken(claim(), now);
-            now += 250ms;
+            m_admission.recordTaken(claim(), m_now);
+            m_now += 250ms;
         }
-        const Duration first = admission.recordRefused(claim(), now);
-        const Duration second = admission.recordRefused(claim(), now);
-        const Duration third = admission.recordRefused(claim(), now);
+        const Duration first = m_admission.recordRefused(claim(), m_now);
+        const Duration second = m_admission.recordRefused(claim(), m_now);
+        const Duration third = m_admission.recordRefused(claim(), m_now);
         CPPUNIT_ASSERT(first >= 250ms && first < 500ms);
         CPPUNIT_ASSERT(second - first > 200ms && second - first < 320ms);
         CPPUNIT_ASSERT(third - second > 200ms && third - second < 320ms);
@@ -170,8 +170,8 @@
     {
         for (int caller = 0; caller < 50; ++caller) {
             RunClaim late = claim();
-            late.objectiveEnd = now;
-            const Duration after = admission.recordRefused(late, now);
+            late.objectiveEnd = m_now;
+            const Duration after = m_admission.recordRefused(late, m_now);
             CPPUNIT_ASSERT(after >= 4s && after <= 25s / 3.0);
         }
     }
@@ -181,20 +181,20 @@
     {
         BackendState holder = server();
         holder.load = report(30'000);
-        CPPUNIT_ASSERT(admission.room().mayCopyTo(holder, 9'000, now));
+        CPPUNIT_ASSERT(m_admission.room().mayCopyTo(holder, 9'000, m_now));
         holder.load = report(50'000);
-        CPPUNIT_ASSERT(!admission.room().mayCopyTo(holder, 9'000, now));
+        CPPUNIT_ASSERT(!m_admission.room().mayCopyTo(holder, 9'000, m_now));
         holder.load.reset();
-        CPPUNIT_ASSERT(admission.room().mayCopyTo(holder, 9'000, now));
+        CPPUNIT_ASSERT(m_admission.room().mayCopyTo(holder, 9'000, m_now));
         for (int engine = 0; engine < 20; ++engine)
-            admission.room().recordReport("s", report(60'000));
-        CPPUNIT_ASSERT(!admission.room().mayCopyTo(holder, 9'000, now));
+            m_admission.room().recordReport("s", report(60'000));
+        CPPUNIT_ASSERT(!m_admission.room().mayCopyTo(holder, 9'000, m_now));
     }
 
 private:
     RunClaim claim(std::optional<std::uint32_t> urgency = std::nullopt) const
     {
-        return {"s", "a1", "p", urgency, 8'000, 1'100, true, now + 4s, now + 25s};
+        return {"s", "a1", "p", urgency, 8'000, 1'100, true, m_now + 4s, m_now + 25s};
     }
 
     static BackendState server()
@@ -213,19 +213,19 @@
 
     void learnRunSize()
     {
-        admission.room().recordReport("s", report(10'000));
-        admission.room().recordRun("s", 9'100);
+        m_admission.room().recordReport("s", report(10'000));
+        m_admission.room().recordRun("s", 9'100);
     }
 
     bool takes(const BackendLoadReport &load, const RunClaim &claim)
     {
-        return admission.obstacleAt(server(), load, claim, now) == RunAdmission::Obstacle::None;
+        return m_admission.obstacleAt(server(), load, claim, m_now) == RunAdmission::Obstacle::None;
     }
 
     /// \brief Ten accounts send a run each second, and the first one \a factor times as many.
     void arrivals(int seconds, int factor)
     {
-        for (int second = 0; second < seconds; ++second, now += 1s) {
+        for (int second = 0; second < seconds; ++second, m_now += 1s) {
             for (int account = 0; account < 10; ++account) {
                 for (int run = 0; run < (account == 0 ? factor : 1); ++run)
                     arrive(account);
@@ -238,19 +238,19 @@
         RunClaim one = claim();
         one.account = "a" + std::to_string(account);
         one.promptId = "p" + std::to_string(++m_prompts);
-        admission.recordArrival(one, now);
+        m_admission.recordArrival(one, m_now);
     }
 
     double shareOf(const std::string &account) const
     {
         RunClaim one = claim();
         one.account = account;
-        return admission.maxMemoryShare(one, now);
+        return m_admission.maxMemoryShare(one, m_now);
     }
 
-    TimePoint now {std::chrono::hours(1)};
-    RandomSource random {5};
-    RunAdmission admission {random};
+    TimePoint m_now {std::chrono::hours(1)};
+    RandomSource m_random {5};
+    RunAdmission m_admission {m_random};
     int m_prompts = 0;
 };
 
--- a/tests/decisions/membership/HistoryProofTest.cpp
+++ b/tests/decisions/membership/HistoryProofTest.cpp
@@ -11,6 +11,8 @@
     CPPUNIT_TEST(changesUpToTheNewestRevisionProveTheTimeOfTheQuestion);
     CPPUNIT_TEST(answerWithoutChangesProvesItsTime);
     CPPUNIT_TEST(olderTimeReplacesNoProof);
+    CPPUNIT_TEST(fewChangesAreAllOnlyForACurrentReader);
+    CPPUNIT_TEST(fewChangesAreVerifiedNowAndThen);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -48,6 +50,37 @@
         CPPUNIT_ASSERT(m_proof.provedAt() == m_start);
     }
 
+    // Guards against a small first part of the history that counts as all of it, for a reader that
+    // has started, was away, or is known to be behind.
+    void fewChangesAreAllOnlyForACurrentReader()
+    {
+        using std::chrono::seconds;
+        m_proof.recordFewChanges(9, m_start);
+        CPPUNIT_ASSERT(m_proof.provedAt() == TimePoint {} && m_proof.needsNewest());
+        m_proof.recordNewest(9, m_start);
+        m_proof.recordFewChanges(12, m_start + seconds(2));
+        CPPUNIT_ASSERT(m_proof.provedAt() == m_start + seconds(2) && !m_proof.needsNewest());
+        m_proof.recordNewest(20, m_start + seconds(3));
+        m_proof.recordFewChanges(15, m_start + seconds(4));
+        CPPUNIT_ASSERT(m_proof.provedAt() == m_start + seconds(2) && m_proof.needsNewest());
+        m_proof.recordFewChanges(20, m_start + seconds(9));
+        CPPUNIT_ASSERT(m_proof.provedAt() == m_start + seconds(3) && m_proof.needsNewest());
+    }
+
+    // Guards against a store with smaller answers than is known, whose parts all look whole.
+    void fewChangesAreVerifiedNowAndThen()
+    {
+        m_proof.recordNoChanges(1, m_start);
+        TimePoint at = m_start;
+        int answers = 0;
+        while (!m_proof.needsNewest() && answers < 100) {
+            at += std::chrono::seconds(1);
+            m_proof.recordFewChanges(++answers + 1, at);
+        }
+        CPPUNIT_ASSERT_EQUAL(5, answers);
+        CPPUNIT_ASSERT(m_proof.provedAt() == at - std::chrono::seconds(1));
+    }
+
 private:
     const TimePoint m_start {std::chrono::hours(1)};
     HistoryProof m_proof;
--- a/tests/decisions/quarantine/CallQuarantineSimulationTest.cpp
+++ b/tests/decisions/quarantine/CallQuarantineSimulationTest.cpp
@@ -19,13 +19,14 @@
 
 // Sanitizers slow a fleet down sixtyfold. The program without them plays everything.
 #if defined(__SANITIZE_THREAD__) || defined(__SANITIZE_ADDRESS__)
-constexpr std::array<std::size_t, 1> fleets {4};
-constexpr std::uint64_t seeds = 2;
+constexpr std::array<std::size_t, 1> gatewayCounts {4};
+constexpr std::uint64_t seedCount = 2;
 #else
-constexpr std::array<std::size_t, 3> fleets {4, 33, 350};
-constexpr std::uint64_t seeds = 10;
+constexpr std::array<std::size_t, 3> gatewayCounts {4, 33, 350};
+constexpr std::uint64_t seedCount = 10;
 #endif
-// A play of 350 gateways takes about 0.3 s; all seeds of them would take most of the time limit.
+// A play of 350 gateways takes about 0.3 s; all seedCount of them would take most of the time
+// limit.
 constexpr std::size_t largeFleet = 100;
 constexpr std::uint64_t seedsOfLargeFleets = 5;
 
@@ -58,7 +59,7 @@
         Fleet::Result result;
     };
 
-    /// Sums and largest values over all seeds.
+    /// Sums and largest values over all seedCount.
     struct Summary
     {
         std::size_t plays = 0;
@@ -160,13 +161,13 @@
 
     static std::uint64_t seedsOf(std::size_t gateways)
     {
-        return gateways > largeFleet ? std::min(seeds, seedsOfLargeFleets) : seeds;
+        return gateways > largeFleet ? std::min(seedCount, seedsOfLargeFleets) : seedCount;
     }
 
     static Plays playAll(Kind kind)
     {
         Plays plays;
-        for (const std::size_t gateways : fleets) {
+        for (const std::size_t gateways : gatewayCounts) {
             for (const std::size_t servers : {3, 12}) {
                 for (const bool isIdempotent : {false, true}) {
                     for (std::uint64_t seed = 1; seed <= seedsOf(gateways); ++seed) {
--- a/tests/gateway/TruncatedAnswerTest.cpp
+++ b/tests/gateway/TruncatedAnswerTest.cpp
@@ -109,7 +109,7 @@
             for (const std::string path : {"/once/x", "/read/x"}) {
                 restart();
                 call(path);
-                answerWithPart(line + "\r\n" + fields, false);
+                answerWithPart(std::string(line).append("\r\n").append(fields), false);
                 if (path == "/read/x")
                     m_received->take().responder->respond(signedAnswer("sound"));
                 const HttpResponse answer = m_answers->take().value();
--- a/tests/platform/KvClientTest.cpp
+++ b/tests/platform/KvClientTest.cpp
@@ -433,7 +433,10 @@
                 const auto stream = begin(outcome);
                 RawPeer peer = store.accept();
                 peer.readUntil("\r\n\r\n");
-                peer.write("HTTP/1.1 " + line + "\r\nStore-Era: 0\r\n\r\n" + body);
+                peer.write(std::string("HTTP/1.1 ")
+                               .append(line)
+                               .append("\r\nStore-Era: 0\r\n\r\n")
+                               .append(body));
                 peer.reset();
                 const ErrorCode code = outcome->take();
                 const std::string what = std::string(name).append(" ").append(line);
