admission: share out room only where a configuration or its servers call for it

Change: room for runs is in force where the routes of runs of one service differ in priority, or servers tell their pace. RouteTable.h loses control characters in a comment.

--- a/include/foxtailring/decisions/configuration/RouteTable.h
+++ b/include/foxtailring/decisions/configuration/RouteTable.h
@@ -30,11 +30,13 @@
     const HttpRoute *route(std::string_view host, std::string_view path) const;
     /// \brief Returns the account with this API key; null if there is none.
     const KeyedAccount *account(std::string_view key) const;
-    /// rief Place of a run on  route in the order in which those of its service go, 0 first.
+    /// \brief Place of a run on \a route in the order in which those of its service go, 0 first.
     ///
     /// The priority of the account with this key decides, or that of the route if it has none;
     /// among equal ones, that of the route. None if all runs of the service are equal.
     std::optional<std::uint32_t> urgency(const HttpRoute &route, std::string_view key) const;
+    /// \brief True if the routes of runs to a service of \a route differ in priority.
+    bool hasRankedRoutes(const HttpRoute &route) const;
     /// \brief Returns null if the service is not in the configuration.
     const RoutedService *service(std::string_view name) const;
     /// \brief Number of services whose servers are engines.
--- a/include/foxtailring/decisions/servers/ServerPace.h
+++ b/include/foxtailring/decisions/servers/ServerPace.h
@@ -30,6 +30,8 @@
                     TimePoint now);
     /// \brief The server told how long work takes there now; 1: as long as usual.
     void recordTold(std::string_view serverId, double relativeDuration, TimePoint now);
+    /// \brief True once a server has told how long work takes there: servers share their machines.
+    bool isTold() const { return m_isTold; }
     /// \brief The server has restarted or is gone.
     void forget(std::string_view serverId);
 
@@ -64,6 +66,7 @@
     Average &averageOf(std::string_view service, std::string_view kind);
     static double toldNow(const Server &server, TimePoint now);
 
+    bool m_isTold = false;
     std::map<std::string, Server, std::less<>> m_servers;
     std::map<std::string, Averages, std::less<>> m_services;
 };
--- a/src/decisions/configuration/RouteTable.cpp
+++ b/src/decisions/configuration/RouteTable.cpp
@@ -91,6 +91,19 @@
     return found == m_byKey.end() ? nullptr : found->second;
 }
 
+bool RouteTable::hasRankedRoutes(const HttpRoute &route) const
+{
+    const auto isRanked = [this](const RouteTarget &target) {
+        const auto ranks = m_ranks.find(target.service);
+        if (ranks == m_ranks.end() || ranks->second.empty())
+            return false;
+        const std::uint32_t first = ranks->second.begin()->second;
+        return std::any_of(ranks->second.begin(), ranks->second.end(),
+                           [first](const Rank &rank) { return rank.second != first; });
+    };
+    return std::any_of(route.targets.begin(), route.targets.end(), isRanked);
+}
+
 const RoutedService *RouteTable::service(std::string_view name) const
 {
     const auto found = m_byService.find(name);
--- a/src/decisions/servers/ServerPace.cpp
+++ b/src/decisions/servers/ServerPace.cpp
@@ -64,6 +64,7 @@
     Server &server = serverOf(serverId);
     server.told = std::clamp(relativeDuration, 1 / maxTold, maxTold);
     server.toldAt = now;
+    m_isTold = true;
 }
 
 void ServerPace::forget(std::string_view serverId)
--- a/src/gateway/GatewayParts.cpp
+++ b/src/gateway/GatewayParts.cpp
@@ -112,7 +112,12 @@
         - std::chrono::duration_cast<milliseconds>(clock().time_since_epoch()));
 }
 
-ForwardContext GatewayParts::forwardContext(const std::string &requestId)
+bool GatewayParts::admitsRuns(const RouteTable &table, const HttpRoute &route) const
+{
+    return table.hasRankedRoutes(route) || servers.pace().isTold();
+}
+
+ForwardContext GatewayParts::forwardContext(const std::string &requestId, bool admitsRuns)
 {
     return {
         servers,
@@ -132,7 +137,7 @@
         },
         [this, requestId](const std::string &service) { reportRetryDenied(requestId, service); },
         [this, requestId](std::string_view suspect) { reportQuarantined(requestId, suspect); },
-        &runs,
+        admitsRuns ? &runs : nullptr,
         [this, requestId](const RoomExplanation &reason) { reportNoRoom(requestId, reason); },
         settings.limitsPeerMemory ? &serverMemory : nullptr,
         [this, requestId](std::string_view serverId) {
--- a/src/gateway/GatewayParts.h
+++ b/src/gateway/GatewayParts.h
@@ -56,7 +56,11 @@
     GatewayParts(const GatewayParts &) = delete;
     GatewayParts &operator=(const GatewayParts &) = delete;
 
-    ForwardContext forwardContext(const std::string &requestId);
+    /// \param admitsRuns see admitsRuns()
+    ForwardContext forwardContext(const std::string &requestId, bool admitsRuns);
+    /// \brief True if room at engines is shared out among the runs on \a route: where runs of one
+    /// service differ in priority by their routes, or servers share their machines.
+    bool admitsRuns(const RouteTable &table, const HttpRoute &route) const;
     /// \brief Asks the engine that made the copy to delete it. A failure is logged and counted; the
     /// copy then expires by itself.
     void releaseCopy(const std::string &requestId, const CopyReference &copy);
--- a/src/gateway/RequestRelay.cpp
+++ b/src/gateway/RequestRelay.cpp
@@ -36,7 +36,8 @@
     , m_reporter(parts, m_request, *m_table, route, arrivedAt)
     , m_answer(parts.codec, m_request, m_reporter, std::move(responder))
     , m_session(ForwardSessionFactory(*m_table, route)
-                    .make(m_request, arrivedAt, parts.forwardContext(m_request.id)))
+                    .make(m_request, arrivedAt,
+                          parts.forwardContext(m_request.id, parts.admitsRuns(*m_table, route))))
     , m_stream(dynamic_cast<StreamSession *>(m_session.get()))
     , m_sender(parts.http, parts.codec, m_request, route, std::move(account))
     , m_reader(parts.codec, m_request.http.method, m_stream != nullptr)
--- a/tests/decisions/configuration/RouteTableTest.cpp
+++ b/tests/decisions/configuration/RouteTableTest.cpp
@@ -13,6 +13,7 @@
     CPPUNIT_TEST(hostIsComparedWithoutCaseAndPort);
     CPPUNIT_TEST(keysIdentifyTheirAccount);
     CPPUNIT_TEST(urgencyIsThatOfTheAccountAndThenOfTheRoute);
+    CPPUNIT_TEST(accountsAloneDoNotRankRoutes);
     CPPUNIT_TEST(equalRunsHaveNoUrgency);
     CPPUNIT_TEST(keysExpireWithoutConfirmation);
     CPPUNIT_TEST(restoredStoreConfirmsNoKeysUntilRevocationsAreBack);
@@ -59,6 +60,16 @@
         CPPUNIT_ASSERT_EQUAL(4U, table.urgency(second, "k2").value());
     }
 
+    // Guards against runs that wait for room where no configuration ranks them: a deployment whose
+    // accounts alone have priorities is served as before.
+    void accountsAloneDoNotRankRoutes()
+    {
+        const RouteTable ranked(runConfig(0, 2, {0, 1}));
+        CPPUNIT_ASSERT(ranked.hasRankedRoutes(ranked.config().routes[1]));
+        const RouteTable equal(runConfig(1, 1, {0, 1, std::nullopt}));
+        CPPUNIT_ASSERT(!equal.hasRankedRoutes(equal.config().routes[0]));
+    }
+
     void equalRunsHaveNoUrgency()
     {
         const RouteTable table(runConfig(1, 1, {std::nullopt, 1}));
--- a/tests/decisions/servers/ServerPaceTest.cpp
+++ b/tests/decisions/servers/ServerPaceTest.cpp
@@ -51,7 +51,9 @@
     // Guards against a pace of several hundred milliseconds ago that is taken for the present one.
     void toldPaceAges()
     {
+        CPPUNIT_ASSERT(!servers.pace().isTold());
         servers.pace().recordTold("a1", 2.5, now);
+        CPPUNIT_ASSERT(servers.pace().isTold());
         CPPUNIT_ASSERT_DOUBLES_EQUAL(2.5, relative("a1"), 0.01);
         now += Ms(300);
         CPPUNIT_ASSERT_DOUBLES_EQUAL(1.75, relative("a1"), 0.01);
