admission: few runs of all gateways use the same free engine

Cause: reports lag, so in a burst all gateways place runs at the one engine that has room: up to 12 prompts waited there. Change: PlacementContention estimates from a gateway's own looks how many runs choose one engine before a report shows them. Beyond 1.5, a look uses room only with the fitting probability; a run competes with those that are as urgent or more.

--- a/include/foxtailring/decisions/admission/RoomExplanation.h
+++ b/include/foxtailring/decisions/admission/RoomExplanation.h
@@ -16,6 +16,7 @@
     double meanMemoryShare = 0;           ///< in use at engines that reported lately
     std::uint32_t withoutMemory = 0;      ///< engines that had too little memory left
     std::uint32_t withPromptsAhead = 0;   ///< engines that would begin with the run too late
+    std::uint32_t leftToOthers = 0;       ///< engines that had room, which is left to other runs
     Duration returnAfter {0};             ///< told to the caller; 0: the run waits at the gateway
 };
 
--- a/include/foxtailring/decisions/admission/RunAdmission.h
+++ b/include/foxtailring/decisions/admission/RunAdmission.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "foxtailring/base/Clock.h"
+#include "foxtailring/decisions/admission/PlacementContention.h"
 #include "foxtailring/decisions/admission/RecentShares.h"
 #include "foxtailring/decisions/admission/RunRoom.h"
 #include "foxtailring/decisions/limits/DemandEstimator.h"
@@ -37,6 +38,9 @@
 
     /// \brief Whether a new run yields to those that go first; most do.
     bool drawYields();
+    /// \brief Whether a run that finds room uses it now. While few engines have room, some runs
+    /// leave it to those of other processes, which see the same reports.
+    bool drawUsesRoom(const RunClaim &claim, TimePoint now);
     /// \brief A run arrived.
     void recordArrival(const RunClaim &claim, TimePoint now);
     /// \brief How long the caller had waited when its request arrived, as far as its timeout shows
@@ -55,6 +59,7 @@
     /// refused before have been served. A caller that cannot be in time then gets a longer one.
     Duration recordRefused(const RunClaim &claim, TimePoint now);
 
+    PlacementContention &contention() { return m_contention; }
     RunRoom &room() { return m_room; }
     const RunRoom &room() const { return m_room; }
 
@@ -74,11 +79,14 @@
 
     /// Higher urgencies that need room of their own. One with few runs counts as a part of one.
     double urgenciesBefore(const RunClaim &claim, TimePoint now) const;
+    /// Fraction of the recent runs of the service that are as urgent as this one, or more.
+    double fractionAsUrgent(const RunClaim &claim, TimePoint now) const;
     std::uint32_t promptsAheadOf(const RunClaim &claim, const RunRoom::Finding &finding,
                                  const BackendLoadReport &load, TimePoint now) const;
 
     RandomSource &m_random;
     RunRoom m_room;
+    PlacementContention m_contention;
     RecentShares m_accounts; ///< by service and name
     RecentShares m_prompts;
     std::map<std::string, Service, std::less<>> m_services;
--- a/include/foxtailring/decisions/sessions/RunEntry.h
+++ b/include/foxtailring/decisions/sessions/RunEntry.h
@@ -46,6 +46,8 @@
 
 private:
     void arrive(TimePoint now);
+    /// A look for room begins.
+    void startLook(TimePoint now);
     void report(Duration returnAfter, TimePoint now);
 
     const ForwardContext &m_context;
@@ -57,6 +59,9 @@
     std::uint32_t m_looks = 0;         ///< that found no room
     std::uint32_t m_withoutMemory = 0; ///< engines since the latest report()
     std::uint32_t m_withPromptsAhead = 0;
+    std::uint32_t m_leftToOthers = 0;
+    bool m_usesRoom = true;           ///< in this look
+    bool m_hasFound = false;          ///< room, in this look
     std::uint32_t m_promptsAhead = 0; ///< at the engine that the run was sent to
 };
 
--- a/src/decisions/admission/RunAdmission.cpp
+++ b/src/decisions/admission/RunAdmission.cpp
@@ -49,6 +49,30 @@
     return m_random.bounded(runsPerEqualRun) != 0;
 }
 
+bool RunAdmission::drawUsesRoom(const RunClaim &claim, TimePoint now)
+{
+    const double fraction =
+        m_contention.usableFraction(claim.service, fractionAsUrgent(claim, now), now);
+    return fraction >= 1 || m_random.generateDouble() < fraction;
+}
+
+// Engines process the prompts of more urgent runs first, so that these compete with one another
+// only.
+double RunAdmission::fractionAsUrgent(const RunClaim &claim, TimePoint now) const
+{
+    const auto service = m_services.find(claim.service);
+    if (!claim.urgency || service == m_services.end())
+        return 1;
+    double total = 0;
+    double asUrgent = 0;
+    for (const auto &[urgency, arrivals] : service->second.arrivals) {
+        const double perSecond = arrivals.perSecond(now);
+        total += perSecond;
+        asUrgent += urgency <= *claim.urgency ? perSecond : 0;
+    }
+    return total > 0 ? asUrgent / total : 1;
+}
+
 void RunAdmission::recordArrival(const RunClaim &claim, TimePoint now)
 {
     if (claim.urgency)
--- a/src/decisions/sessions/RunEntry.cpp
+++ b/src/decisions/sessions/RunEntry.cpp
@@ -54,6 +54,17 @@
     claim.deadline = m_request.arrivedAt + std::min<Duration>(timeout, m_route.timeout);
     m_context.runs->recordArrival(claim, now);
     m_claim = std::move(claim);
+    startLook(now);
+}
+
+void RunEntry::startLook(TimePoint now)
+{
+    PlacementContention &contention = m_context.runs->contention();
+    if (contention.needsEngineCount(m_service, now))
+        contention.setEngineCount(m_service, m_context.servers.candidates(m_service, now).size(),
+                                  now);
+    m_usesRoom = m_context.runs->drawUsesRoom(*m_claim, now);
+    m_hasFound = false;
 }
 
 bool RunEntry::hasRoom(const ServerProbeResult &report, TimePoint now)
@@ -67,7 +78,12 @@
     const auto obstacle = m_context.runs->obstacleAt(*server, report.load, *m_claim, now);
     m_withoutMemory += obstacle == RunAdmission::Obstacle::Memory ? 1 : 0;
     m_withPromptsAhead += obstacle == RunAdmission::Obstacle::Prompts ? 1 : 0;
-    return obstacle == RunAdmission::Obstacle::None;
+    const bool isFree = obstacle == RunAdmission::Obstacle::None;
+    m_context.runs->contention().recordAsked(m_service, isFree);
+    if (isFree && !std::exchange(m_hasFound, true))
+        m_context.runs->contention().recordFound(m_service, now);
+    m_leftToOthers += isFree && !m_usesRoom ? 1 : 0;
+    return isFree && m_usesRoom;
 }
 
 void RunEntry::report(Duration returnAfter, TimePoint now)
@@ -79,6 +95,7 @@
     explanation.meanMemoryShare = m_context.runs->room().meanMemoryShare(m_service);
     explanation.withoutMemory = std::exchange(m_withoutMemory, 0);
     explanation.withPromptsAhead = std::exchange(m_withPromptsAhead, 0);
+    explanation.leftToOthers = std::exchange(m_leftToOthers, 0);
     explanation.returnAfter = returnAfter;
     if (m_context.onNoRoom)
         m_context.onNoRoom(explanation);
@@ -97,6 +114,8 @@
     if (++m_looks == 1 && m_claim)
         report(Duration {0}, now);
     m_lookAt = next;
+    if (m_claim)
+        startLook(now);
     return true;
 }
 
--- a/tests/decisions/admission/RunRoomSimulationTest.cpp
+++ b/tests/decisions/admission/RunRoomSimulationTest.cpp
@@ -97,6 +97,8 @@
         std::vector<std::unique_ptr<RunAdmission>> admissions;
         for (std::size_t i = 0; i < gateways; ++i)
             admissions.push_back(std::make_unique<RunAdmission>(random));
+        for (const auto &admission : admissions)
+            admission->contention().setProcessCount(gateways);
         m_refused = m_refusedBefore = m_refusedAfter = 0;
         double due = 0;
         const TimePoint start {1h};
@@ -128,16 +130,21 @@
     {
         const RunClaim claim {"s",      "", "", std::nullopt, 8'000, 1'000, true, now + objective,
                               now + 25s};
+        admission.contention().setEngineCount("s", engineCount, now);
+        const bool usesRoom = admission.drawUsesRoom(claim, now);
         Engine *best = nullptr;
         for (int look = 0; look < 8; ++look) {
             Engine &engine = engines[random.bounded(engineCount)];
             admission.room().recordReport("s", engine.report());
             const auto obstacle = admission.obstacleAt(engine.state, engine.report(), claim, now);
-            if (obstacle == RunAdmission::Obstacle::None
-                && (!best || engine.report().waiting < best->report().waiting))
+            const bool hasRoom = obstacle == RunAdmission::Obstacle::None;
+            admission.contention().recordAsked("s", hasRoom);
+            if (hasRoom && (!best || engine.report().waiting < best->report().waiting))
                 best = &engine;
         }
-        if (!best)
+        if (best)
+            admission.contention().recordFound("s", now);
+        if (!best || !usesRoom)
             return false;
         best->add();
         admission.room().recordPlaced(best->state.info.id, runTokens, now);
