sessions: a run that an engine keeps waiting goes on at an idle one

Cause: runs waited for seconds behind the prompts of other gateways' runs while other engines were idle. Change: engine reports tell the prompt size of the first run that waits, by which EngineQueuePlace knows whether a run waits or is processed. RunMove decides when it moves, with a spare retry, twice at most, and about one run of an engine a look. A search for a better engine that finds no room no longer counts as a refusal. Expected and real times to the first event are logged and counted.

--- a/include/foxtailring/decisions/admission/RunRoom.h
+++ b/include/foxtailring/decisions/admission/RunRoom.h
@@ -53,6 +53,8 @@
     bool mayCopyTo(const BackendState &holder, std::uint64_t tokens, TimePoint now) const;
     /// \brief Expected time that an engine of the service takes for the prompt.
     Duration promptTime(std::string_view service, std::uint64_t promptTokens) const;
+    /// \brief Expected time that an engine of the service takes for a prompt of usual size.
+    Duration usualPromptTime(std::string_view service) const;
     /// \brief Mean memory in use at the engines of the service that reported lately, 0 to 1.
     double meanMemoryShare(std::string_view service) const;
     /// \brief Fraction of an engine's memory that a run of usual size takes in the end.
@@ -69,6 +71,7 @@
         double memoryShare = 0;         ///< in use, moving average over reports
         std::uint64_t memoryTokens = 0; ///< of an engine
         double runTokens = 0;           ///< moving average
+        double promptTokens = 0;        ///< moving average
         double secondsPerToken = 0;     ///< of a prompt, moving average; 0: unknown
     };
     struct Unreported
--- a/include/foxtailring/decisions/servers/ServerProbeResult.h
+++ b/include/foxtailring/decisions/servers/ServerProbeResult.h
@@ -22,6 +22,8 @@
     bool isTurnedAway = false; ///< the server asked for a pause in place of a report
     /// How long work takes there at this moment; 1: as long as usual; none: not told.
     std::optional<double> relativeDuration = std::nullopt;
+    /// Tokens of the first run that waits there; none: not told.
+    std::optional<std::uint64_t> firstWaitingTokens = std::nullopt;
     bool listsRuns = false; ///< all runs but those in prompt processing; \a hasRun is known
 };
 
--- a/include/foxtailring/decisions/sessions/ForwardContext.h
+++ b/include/foxtailring/decisions/sessions/ForwardContext.h
@@ -22,8 +22,10 @@
 class ServerMemory;
 class SuspectedCrashes;
 struct CopyReference;
+struct FirstEventTimes;
 struct RateLimitExplanation;
 struct RoomExplanation;
+struct RunMoveExplanation;
 
 /// \brief State shared by all sessions of a process. Used on one queue.
 struct ForwardContext
@@ -59,6 +61,10 @@
     std::function<void(std::string_view reason)> onSecondAttemptDenied = {};
     /// Versions that servers of this request may have; null: there are no roll-outs.
     std::shared_ptr<RequestVersions> versions {};
+    /// A run that waits at its engine is to be moved, was moved, or stays; may be empty.
+    std::function<void(const RunMoveExplanation &)> onRunMove {};
+    /// A run whose service has \a runs got its first event; may be empty.
+    std::function<void(const FirstEventTimes &)> onFirstEvent {};
 };
 
 } // namespace foxtailring
--- a/include/foxtailring/decisions/sessions/StreamSession.h
+++ b/include/foxtailring/decisions/sessions/StreamSession.h
@@ -7,6 +7,7 @@
 #include "foxtailring/decisions/sessions/ResumeWait.h"
 #include "foxtailring/decisions/sessions/RunCopier.h"
 #include "foxtailring/decisions/sessions/RunEntry.h"
+#include "foxtailring/decisions/sessions/RunMove.h"
 #include "foxtailring/decisions/sessions/RunPlacement.h"
 #include "foxtailring/decisions/sessions/RunProgress.h"
 #include "foxtailring/decisions/sessions/ServerSearch.h"
@@ -110,6 +111,10 @@
     ForwardAction onSilent(TimePoint now);
     /// Looks for a server that can take the place of the current attempt, which goes on meanwhile.
     ForwardAction replaceAttempt(std::string_view cause, TimePoint now);
+    /// Whether the report of the run's engine leads to a search for another one.
+    bool startsMove(std::span<const ServerProbeResult> reports, TimePoint now);
+    /// Whether the engine that sent the report has room for the run.
+    bool hasRoom(const ServerProbeResult &report, TimePoint now);
     /// Whether the budget allows a move away from a server that may go on with the run.
     bool mayMoveOnBelief(TimePoint now) const;
     /// Whether the attempt at a silent server may still lead to a whole answer.
@@ -128,6 +133,7 @@
     RunProgress m_fallbackProgress; ///< of the fallback
     RunCopier m_copier;             ///< of the current run
     RunEntry m_entry;               ///< of a run that has not begun
+    RunMove m_move;                 ///< of a run that waits at its engine
     ServerSearch m_search;          ///< for the next attempt's server
     /// Servers that were lost after the caller had got an event.
     std::vector<BackendInfo> m_lostServers;
--- a/src/decisions/admission/RunRoom.cpp
+++ b/src/decisions/admission/RunRoom.cpp
@@ -24,6 +24,8 @@
 constexpr double latestRunWeight = 0.1;
 // Of an engine that is slower than most; used until the first run was observed.
 constexpr double assumedSecondsPerToken = 0.0002;
+// Used until the first run was observed.
+constexpr double assumedPromptTokens = 8000;
 // An estimate beyond these is due to something other than the prompt.
 constexpr double minSecondsPerToken = 1e-6;
 constexpr double maxSecondsPerToken = 0.002;
@@ -68,7 +70,11 @@
     const double perToken =
         std::clamp(Seconds(delay).count() / prompts / static_cast<double>(promptTokens),
                    minSecondsPerToken, maxSecondsPerToken);
-    double &known = m_services[std::string(service)].secondsPerToken;
+    Service &observed = m_services[std::string(service)];
+    const auto size = static_cast<double>(promptTokens);
+    double &usualSize = observed.promptTokens;
+    usualSize = usualSize == 0 ? size : usualSize + latestRunWeight * (size - usualSize);
+    double &known = observed.secondsPerToken;
     const double weight = perToken < known ? latestPromptWeight : latestSlowPromptWeight;
     known = known == 0 ? perToken : known + weight * (perToken - known);
 }
@@ -125,6 +131,14 @@
         Seconds(perToken * static_cast<double>(promptTokens)));
 }
 
+Duration RunRoom::usualPromptTime(std::string_view service) const
+{
+    const auto found = m_services.find(service);
+    const bool isKnown = found != m_services.end() && found->second.promptTokens > 0;
+    const double tokens = isKnown ? found->second.promptTokens : assumedPromptTokens;
+    return promptTime(service, static_cast<std::uint64_t>(tokens));
+}
+
 double RunRoom::meanMemoryShare(std::string_view service) const
 {
     const auto found = m_services.find(service);
--- a/src/decisions/sessions/StreamSession.cpp
+++ b/src/decisions/sessions/StreamSession.cpp
@@ -22,6 +22,9 @@
 // has rejected the run; engines reject at once. That holds for a preempted run as well: its engine
 // goes on with it as soon as it has memory again, and reports that only later.
 constexpr milliseconds maxOverlap {250};
+// A run that waits at its engine is kept there only until the next engine may have rejected it, so
+// that the first one hardly begins with its prompt.
+constexpr milliseconds maxQueueOverlap {100};
 // A server that sends this many events clears the prompt for all other requests.
 constexpr std::uint32_t outlivedEvents = 3;
 
@@ -40,14 +43,13 @@
           this->context(), m_watch.progress(), m_placement, admittedPlacer(),
           {capabilities.canCopyContinuously && route.isResumable, capabilities.canCopyOnDemand})
     , m_entry(this->context(), route, this->request(), service())
+    , m_move(this->context(), this->request(), service())
     , m_search(
           this->request(), m_placement, admittedPlacer(), m_copier, capabilities.canBeProbed,
           [this](std::uint64_t promptTokens, TimePoint now) {
               return canFinishInTime(promptTokens, now);
           },
-          [this](const ServerProbeResult &report, TimePoint now) {
-              return !needsRoom() || m_entry.hasRoom(report, now);
-          })
+          [this](const ServerProbeResult &report, TimePoint now) { return hasRoom(report, now); })
     , m_wait(route, service(), context.retryBudget, context.random)
     , m_events(request.lastEventId)
 {
@@ -75,6 +77,7 @@
     if (m_watch.progress().isPrefilling()) {
         recordPromptTime(now);
         m_entry.recordFirstEvent(now - sentAt());
+        m_move.recordFirstEvent(now);
     }
     if (hasServer())
         context().servers.recordContact(server().info.id, now);
@@ -129,6 +132,7 @@
     m_movableSince = {};
     m_copier.restart(now);
     m_watch.resume(m_fallbackProgress);
+    m_move.returnToPrevious();
     resumeFallback();
 }
 
@@ -166,6 +170,7 @@
 {
     if (std::exchange(m_isReplacing, false))
         m_search.end();
+    m_move.drop();
     m_watch.endKeeping();
 }
 
@@ -243,7 +248,7 @@
     if (auto action = applyQuarantine(now))
         return std::move(*action);
     if (std::exchange(m_isReplacing, false)) {
-        if (!mayMoveOnBelief(now) || !tryTakeRetry(now))
+        if (!m_move.allows(next.server.info.id) || !mayMoveOnBelief(now) || !tryTakeRetry(now))
             return keepSilentAttempt(now);
         keepAsFallback(next, now);
     } else if (hasFallback()) {
@@ -257,6 +262,7 @@
     next.lastEventId = lastEventId();
     m_watch.start(next.fromCopy.has_value(), now);
     m_copier.start(next, now);
+    m_move.start(next.server, now);
     m_entry.recordSent(next, m_hasStarted, now);
     return send(std::move(next), now);
 }
@@ -269,7 +275,7 @@
         return countPossibleRun();
     next.keepsLatest = true;
     m_fallbackProgress = m_watch.progress();
-    m_fallbackEndsAt = now + maxOverlap;
+    m_fallbackEndsAt = now + (m_move.isSearching() ? maxQueueOverlap : maxOverlap);
 }
 
 ForwardAction StreamSession::onCopied(const CopyRun &copyRun, std::optional<std::string> handle,
@@ -332,7 +338,13 @@
     // An event arrived meanwhile, or the attempt has ended.
     if (!m_watch.isProbing() || !hasServer())
         return KeepWaiting {};
-    return onWatched(m_watch.onProbed(server(), reports, lastEventId().value_or(0), now), now);
+    const AttemptWatch::Finding finding =
+        m_watch.onProbed(server(), reports, lastEventId().value_or(0), now);
+    if (finding == AttemptWatch::Finding::Working && startsMove(reports, now)) {
+        onWatched(finding, now);
+        return replaceAttempt("engineQueue", now);
+    }
+    return onWatched(finding, now);
 }
 
 ForwardAction StreamSession::onWatched(AttemptWatch::Finding finding, TimePoint now)
@@ -417,7 +429,8 @@
 ForwardAction StreamSession::keepSilentAttempt(TimePoint now)
 {
     m_search.end();
-    m_watch.keepSilent(now);
+    if (!m_move.keep(now))
+        m_watch.keepSilent(now);
     return KeepWaiting {};
 }
 
--- a/src/decisions/sessions/StreamSessionWait.cpp
+++ b/src/decisions/sessions/StreamSessionWait.cpp
@@ -17,7 +17,9 @@
 
 ForwardAction StreamSession::waitForRoom(TimePoint now)
 {
-    if (m_isReplacing || !m_entry.wait(now))
+    if (std::exchange(m_isReplacing, false))
+        return keepSilentAttempt(now);
+    if (!m_entry.wait(now))
         return refuseOrAbort(refuse(503, "noRoom", m_entry.refuse(now)), now);
     m_search.setRounds(1);
     if (!m_entry.isWaitNew())
@@ -25,6 +27,21 @@
     return DelayAttempt {"noRoom"};
 }
 
+// Only a run that has not begun and is the only attempt may wait in vain: an attempt that is about
+// to end shows nothing about the prompt.
+bool StreamSession::startsMove(std::span<const ServerProbeResult> reports, TimePoint now)
+{
+    const bool mayMove = !hasFallback() && m_watch.progress().isPrefilling() && !m_hasStarted;
+    return mayMove && reports.size() == 1 && m_move.startSearch(reports.front(), now);
+}
+
+bool StreamSession::hasRoom(const ServerProbeResult &report, TimePoint now)
+{
+    if (m_move.isSearching() && !m_move.accepts(report, now))
+        return false;
+    return !needsRoom() || m_entry.hasRoom(report, now);
+}
+
 // The caller of a stream that has begun cannot be told to return, but waits for the next event for
 // seconds. The budget fills and servers become free sooner.
 ForwardAction StreamSession::waitForNextAttempt(Missing missing, ForwardAction ending,
--- a/src/gateway/GatewayParts.cpp
+++ b/src/gateway/GatewayParts.cpp
@@ -4,6 +4,8 @@
 #include "foxtailring/decisions/admission/RoomExplanation.h"
 #include "foxtailring/decisions/rollouts/RequestVersions.h"
 #include "foxtailring/decisions/sessions/CopyReference.h"
+#include "foxtailring/decisions/sessions/FirstEventTimes.h"
+#include "foxtailring/decisions/sessions/RunMoveExplanation.h"
 #include "foxtailring/protocol/KeyHash.h"
 #include "foxtailring/transport/Endpoint.h"
 
@@ -147,7 +149,9 @@
         [this, requestId](std::string_view reason) {
             reportSecondAttemptDenied(requestId, reason);
         },
-        rollouts ? std::make_shared<RequestVersions>(*rollouts) : nullptr};
+        rollouts ? std::make_shared<RequestVersions>(*rollouts) : nullptr,
+        [this, requestId](const RunMoveExplanation &reason) { reportRunMove(requestId, reason); },
+        [this, requestId](const FirstEventTimes &times) { reportFirstEvent(requestId, times); }};
 }
 
 void GatewayParts::updateFleetSize()
@@ -160,6 +164,7 @@
     retryBudget.setProcessCount(size);
     fleetBudget.setProcessCount(size);
     rateLimits.setProcessCount(size);
+    runs.contention().setProcessCount(size);
     idleProbeConnections.setProcessCount(size);
     metrics.setGauge("gateway_fleet_size", static_cast<double>(size));
     StructuredLog::info("fleetSizeChanged", {{"gateways", std::to_string(size)}});
@@ -256,9 +261,46 @@
                          {"meanMemoryShare", std::to_string(reason.meanMemoryShare)},
                          {"withoutMemory", std::to_string(reason.withoutMemory)},
                          {"withPromptsAhead", std::to_string(reason.withPromptsAhead)},
+                         {"leftToOthers", std::to_string(reason.leftToOthers)},
                          {"returnAfterMs", msText(reason.returnAfter)}});
 }
 
+void GatewayParts::reportRunMove(const std::string &requestId, const RunMoveExplanation &reason)
+{
+    constexpr std::string_view decisionNames[] = {"searching", "moved", "kept"};
+    const std::string decision(decisionNames[static_cast<int>(reason.decision)]);
+    metrics.add("gateway_run_moves_total{service=\"" + reason.service + "\",decision=\"" + decision
+                + "\"}");
+    StructuredLog::info("runMove",
+                        {{"request", requestId},
+                         {"decision", decision},
+                         {"server", reason.serverId},
+                         {"promptsAhead", std::to_string(reason.promptsAhead)},
+                         {"relativeDuration", std::to_string(reason.relativeDuration)},
+                         {"waitedMs", msText(reason.waited)},
+                         {"expectedHereMs", msText(reason.expectedHere)},
+                         {"expectedElsewhereMs", msText(reason.expectedElsewhere)}});
+}
+
+void GatewayParts::reportFirstEvent(const std::string &requestId, const FirstEventTimes &times)
+{
+    const auto observe = [this, &times](const char *series, Duration duration) {
+        metrics.observeSeconds(std::string(series) + "{service=\"" + times.service + "\"}",
+                               std::chrono::duration<double>(duration).count());
+    };
+    observe("gateway_run_first_event_expected_seconds", times.expected);
+    observe("gateway_run_first_event_seconds", times.real);
+    if (times.engineWait > Duration {0})
+        observe("gateway_run_engine_wait_seconds", times.engineWait);
+    StructuredLog::info("firstEvent",
+                        {{"request", requestId},
+                         {"server", times.serverId},
+                         {"expectedMs", msText(times.expected)},
+                         {"tookMs", msText(times.real)},
+                         {"engineWaitMs", msText(times.engineWait)},
+                         {"moves", std::to_string(times.moves)}});
+}
+
 void GatewayParts::reportPauseReached(const std::string &requestId, std::string_view serverId,
                                       Duration left)
 {
--- a/src/gateway/GatewayParts.h
+++ b/src/gateway/GatewayParts.h
@@ -81,6 +81,8 @@
     /// \brief Logs and counts that a quarantined prompt part kept a request from all servers.
     void reportQuarantined(const std::string &requestId, std::string_view suspect);
     /// \brief Logs and counts that a run found no room at engines.
+    void reportRunMove(const std::string &requestId, const RunMoveExplanation &reason);
+    void reportFirstEvent(const std::string &requestId, const FirstEventTimes &times);
     void reportNoRoom(const std::string &requestId, const RoomExplanation &reason);
     /// \brief Logs and counts that a slow call got no second attempt.
     void reportSecondAttemptDenied(const std::string &requestId, std::string_view reason);
--- a/src/gateway/RequestReporter.cpp
+++ b/src/gateway/RequestReporter.cpp
@@ -36,8 +36,10 @@
         summary += report.serverId + " running " + std::to_string(report.load.running) + " waiting "
             + std::to_string(report.load.waiting) + " reading "
             + std::to_string(report.load.prefilling) + " memory "
-            + std::to_string(report.load.memoryUsedTokens) + " events "
-            + (report.hasRun ? std::to_string(report.eventCount) : "none")
+            + std::to_string(report.load.memoryUsedTokens)
+            + (report.firstWaitingTokens ? " next " + std::to_string(*report.firstWaitingTokens)
+                                         : "")
+            + " events " + (report.hasRun ? std::to_string(report.eventCount) : "none")
             + (report.hasPrompt ? " prompt; " : "; ");
     return summary;
 }
@@ -93,6 +95,8 @@
                          {"pace", std::to_string(server.pace.relativeDuration)},
                          {"paceAgeMs", server.pace.toldAge ? msText(*server.pace.toldAge) : "none"},
                          {"fromCopy", next.fromCopy ? "true" : "false"},
+                         {"promptTokens", std::to_string(m_request.promptTokens)},
+                         {"outputTokens", std::to_string(m_request.maxOutputTokens)},
                          {"urgency", next.urgency ? std::to_string(*next.urgency) : "none"},
                          {"copyTo", next.copyTo ? next.copyTo->info.id : ""},
                          {"retriesLeft", retriesLeft(server.info.service)},
--- a/tests/platform/DocumentsTest.cpp
+++ b/tests/platform/DocumentsTest.cpp
@@ -49,6 +49,7 @@
     CPPUNIT_TEST(serverIsDecoded);
     CPPUNIT_TEST(invalidEntriesAreRefused);
     CPPUNIT_TEST(engineReportIsDecoded);
+    CPPUNIT_TEST(firstWaitingRunMayBeUnreadable);
     CPPUNIT_TEST(engineReportMayListNoRuns);
     CPPUNIT_TEST(oddReportsOfEnginesAreRefused);
     CPPUNIT_TEST(oddRunsOfEnginesAreNotFound);
@@ -180,6 +181,22 @@
         CPPUNIT_ASSERT(!platform::decodeLoadReport(answer, "r3").value().hasRun);
     }
 
+    // Guards against a report that is lost, or a run that is moved, because of an odd size.
+    void firstWaitingRunMayBeUnreadable()
+    {
+        const std::string report =
+            R"({"num_waiting":1,"num_running":3,"kv_used":41,"kv_total":90,"next":8200,"runs":[]})";
+        const auto decoded = [&report](const char *next) {
+            const HttpResponse answer {200, {}, replaced(report, "8200", next)};
+            const auto result = platform::decodeLoadReport(answer, "r");
+            CPPUNIT_ASSERT_MESSAGE(next, result.isOk());
+            return result.value().firstWaitingTokens;
+        };
+        CPPUNIT_ASSERT(decoded("8200") == std::uint64_t(8200));
+        for (const char *odd : {"0", "-1", "8.5", "\"8200\"", "null", "[]"})
+            CPPUNIT_ASSERT_MESSAGE(odd, !decoded(odd));
+    }
+
     // Guards against a run that is taken for lost because its engine lists no runs.
     void engineReportMayListNoRuns()
     {
