sessions: a refusal for want of room comes within a tenth of the objective

Cause: the last look of a run that waits began within a tenth of its objective and ended up to 60 ms later. Change: RunEntry::wait leaves the time of a look.

--- a/src/decisions/sessions/RunEntry.cpp
+++ b/src/decisions/sessions/RunEntry.cpp
@@ -26,6 +26,8 @@
 // same room, and the engine that has it would get several of them.
 constexpr milliseconds roomLookInterval {250};
 constexpr milliseconds roomLookSpread {100};
+// A look lasts until the engines have answered, and belongs to the wait.
+constexpr milliseconds maxLookTime {60};
 
 } // namespace
 
@@ -106,8 +108,10 @@
     const Duration longest = std::min<Duration>(m_route.latencyObjective / waitDivisor, maxWait);
     const TimePoint until = m_request.arrivedAt + longest;
     const auto spread = static_cast<std::uint64_t>(roomLookSpread.count());
-    const TimePoint next = now + roomLookInterval + milliseconds(m_context.random.bounded(spread));
-    if (next >= until) {
+    const TimePoint earliest = now + roomLookInterval;
+    const TimePoint next = std::min<TimePoint>(
+        earliest + milliseconds(m_context.random.bounded(spread)), until - maxLookTime);
+    if (next < earliest) {
         endWait();
         return false;
     }
