placement: runs go where they are expected to end first

Cause: runs take 3.5, 6 or 10 s on VMs of different speed, and placement looked at load alone. Change: the median time between the first events of an attempt tells the speed of its engine; where runs are admitted by room, candidates are ranked by their own time and the delay at the engine, times its relative run time. Copies go where load is least, as before.

--- a/include/foxtailring/decisions/placement/BackendPlacer.h
+++ b/include/foxtailring/decisions/placement/BackendPlacer.h
@@ -73,6 +73,7 @@
         double maxTieBreak; ///< upper bound of the random addition, in units of the cost
     };
 
+    static CostModel runCostModel(const PlacementRequest &request);
     std::vector<BackendState> ranked(const PlacementRequest &request, const CostModel &costModel,
                                      TimePoint now, RandomSource &random) const;
     std::optional<BackendState> cheapest(const PlacementRequest &request,
--- a/include/foxtailring/decisions/placement/PlacementRequest.h
+++ b/include/foxtailring/decisions/placement/PlacementRequest.h
@@ -20,6 +20,8 @@
     std::string_view avoidZone;                   ///< availability zone to avoid if possible
     std::uint64_t memoryTokens = 0;               ///< prompt and output of a run; 0: not a run
     std::function<bool(const BackendInfo &)> accepts {}; ///< servers of choice; empty: all
+    bool usesSpeed =
+        false; ///< runs go where they are expected to end first, not where load is least
 };
 
 } // namespace foxtailring
--- a/include/foxtailring/decisions/servers/BackendState.h
+++ b/include/foxtailring/decisions/servers/BackendState.h
@@ -35,6 +35,8 @@
     Duration loadAge {0};
     ReportedLoad reported; ///< figures of its answers and reports
     PaceReading pace;
+    /// How long runs take there, as a multiple of what is usual for its service.
+    double relativeRunTime = 1;
 
     /// \brief False: only requests that are already there go on.
     bool acceptsNewWork() const { return !isLeaving && !isReplaced; }
--- a/include/foxtailring/decisions/servers/ServerPace.h
+++ b/include/foxtailring/decisions/servers/ServerPace.h
@@ -21,11 +21,7 @@
 class ServerPace
 {
 public:
-    /// Kinds of work of engines; a call is of the kind that its route names.
-    static constexpr std::string_view eventWork = "event";
-    static constexpr std::string_view promptWork = "prompt";
-
-    /// \brief The server has done a unit of work of this kind.
+    /// \brief The server has done a unit of work of this kind: a call of the route that it names.
     void recordWork(const BackendInfo &server, std::string_view kind, Duration duration,
                     TimePoint now);
     /// \brief The server told how long work takes there now; 1: as long as usual.
--- a/include/foxtailring/decisions/sessions/RunProgress.h
+++ b/include/foxtailring/decisions/sessions/RunProgress.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "foxtailring/base/Clock.h"
+#include "foxtailring/decisions/sessions/TypicalInterval.h"
 
 #include <cstdint>
+#include <optional>
 
 namespace foxtailring {
 
@@ -39,6 +41,9 @@
     TimePoint lastContactAt() const { return m_lastContactAt; }
     /// \brief Moving average over all attempts of the run; 0: unknown.
     Duration meanEventInterval() const { return m_meanEventInterval; }
+    /// \brief Typical time between events of the attempt; given once, by the event that completes
+    /// what is needed to know it.
+    std::optional<Duration> newTypicalInterval() const;
 
     /// \brief Time without contact after which the server is probed.
     Duration silenceThreshold() const;
@@ -69,6 +74,7 @@
     TimePoint m_waitingAt; ///< latest report that the run may wait
     std::uint32_t m_maxPromptsAhead = 0;
     Duration m_meanEventInterval {0};
+    TypicalInterval m_typicalInterval; ///< of the attempt
 };
 
 } // namespace foxtailring
--- a/include/foxtailring/decisions/sessions/StreamSession.h
+++ b/include/foxtailring/decisions/sessions/StreamSession.h
@@ -74,6 +74,8 @@
     void onServerLost() override;
     /// The first event of the current attempt arrived.
     void recordPromptTime(TimePoint now);
+    /// Tells how fast the engine is, once per attempt.
+    void recordSpeed();
     void onRejected() override;
     std::uint32_t usedAttempts(TimePoint now) const override;
     bool hasPassedEvents() const override { return m_hasStarted; }
--- a/src/decisions/placement/BackendPlacer.cpp
+++ b/src/decisions/placement/BackendPlacer.cpp
@@ -2,6 +2,7 @@
 
 #include "foxtailring/base/RandomSource.h"
 #include "foxtailring/decisions/placement/ExpectedCallTime.h"
+#include "foxtailring/decisions/placement/ExpectedRunTime.h"
 #include "foxtailring/decisions/placement/RendezvousHash.h"
 #include "foxtailring/decisions/servers/BackendTable.h"
 
@@ -67,9 +68,10 @@
 std::optional<BackendState> BackendPlacer::chooseForRun(const PlacementRequest &request,
                                                         TimePoint now, RandomSource &random) const
 {
-    return cheapest(request, {&BackendPlacer::runCost, maxRunTieBreak}, now, random);
+    return cheapest(request, runCostModel(request), now, random);
 }
 
+// A copy takes memory and a slot only, so it goes where the load is least.
 std::optional<BackendState> BackendPlacer::chooseForCopy(const PlacementRequest &request,
                                                          TimePoint now, RandomSource &random) const
 {
@@ -86,8 +88,7 @@
     const std::size_t maxPerZone = std::max<std::size_t>(maxCount / 2, 1);
     std::map<std::string, std::size_t> inZone;
     std::vector<BackendState> servers;
-    for (BackendState &server :
-         ranked(request, {&BackendPlacer::runCost, maxRunTieBreak}, now, random)) {
+    for (BackendState &server : ranked(request, runCostModel(request), now, random)) {
         if (servers.size() < maxCount && inZone[server.info.availabilityZone]++ < maxPerZone)
             servers.push_back(std::move(server));
     }
@@ -142,6 +143,16 @@
     return servers;
 }
 
+BackendPlacer::CostModel BackendPlacer::runCostModel(const PlacementRequest &request)
+{
+    if (!request.usesSpeed)
+        return {&BackendPlacer::runCost, maxRunTieBreak};
+    const auto cost = [](const BackendPlacer &placer, const BackendState &server) {
+        return ExpectedRunTime::of(placer.runCost(server), server.relativeRunTime);
+    };
+    return {cost, ExpectedRunTime::maxTieBreak};
+}
+
 // As a fraction of the server's slots.
 double BackendPlacer::callCost(const BackendState &server) const
 {
--- a/src/decisions/servers/BackendTable.cpp
+++ b/src/decisions/servers/BackendTable.cpp
@@ -404,6 +404,7 @@
     state.loadAge = now - record.loadReceivedAt;
     state.reported = record.reported;
     state.pace = m_pace.reading(record.info.id, now);
+    state.relativeRunTime = m_speeds.relativeDuration(record.info);
     if (record.suspectedUntil > now)
         state.health = BackendHealth::Suspected;
     else if (isDoubtful(record, failures, now))
--- a/src/decisions/sessions/RunPlacement.cpp
+++ b/src/decisions/sessions/RunPlacement.cpp
@@ -125,6 +125,7 @@
     placementRequest.exclude = exclude;
     placementRequest.responsive = m_responsive;
     placementRequest.affinityServers = m_affinityServers;
+    placementRequest.usesSpeed = m_context.runs != nullptr;
     if (RequestVersions *versions = m_context.versions.get())
         placementRequest.accepts = [versions](const BackendInfo &server) {
             return versions->accepts(server);
--- a/src/decisions/sessions/RunProgress.cpp
+++ b/src/decisions/sessions/RunProgress.cpp
@@ -45,6 +45,7 @@
     m_partialEventAt = {};
     m_waitingAt = {};
     m_maxPromptsAhead = 0;
+    m_typicalInterval = {};
     m_startedAt = now;
     m_lastContactAt = now;
 }
@@ -53,6 +54,7 @@
 {
     if (hasEvents()) {
         const Duration interval = now - m_lastEventAt;
+        m_typicalInterval.add(interval);
         const bool isFirst = m_meanEventInterval == Duration {0};
         m_meanEventInterval = isFirst
             ? interval
@@ -66,6 +68,13 @@
     m_lastContactAt = now;
 }
 
+std::optional<Duration> RunProgress::newTypicalInterval() const
+{
+    if (m_eventCount != TypicalInterval::count + 1)
+        return std::nullopt;
+    return m_typicalInterval.median();
+}
+
 // The prompt of the run itself is among them.
 void RunProgress::recordPrompts(std::uint32_t prompts)
 {
--- a/src/decisions/sessions/StreamSession.cpp
+++ b/src/decisions/sessions/StreamSession.cpp
@@ -57,9 +57,13 @@
 {
     const Duration time = now - sentAt();
     context().latency.recordFirstEvent(service(), request().promptTokens, time);
-    if (hasServer() && request().promptTokens > 0)
-        context().servers.pace().recordWork(server().info, ServerPace::promptWork,
-                                            time / request().promptTokens, now);
+}
+
+void StreamSession::recordSpeed()
+{
+    const auto interval = m_watch.progress().newTypicalInterval();
+    if (interval && hasServer())
+        context().servers.speeds().recordRun(server().info, *interval);
 }
 
 EventVerdict StreamSession::onEvent(std::int64_t id, TimePoint now)
@@ -81,6 +85,7 @@
     recordSignOfLife();
     observeEvent(now);
     m_watch.recordEvent(now);
+    recordSpeed();
     m_wait.recordEvent(now);
     if (m_watch.progress().eventCount() == outlivedEvents)
         recordStart(now);
@@ -193,9 +198,6 @@
     }
     if (m_watch.progress().meanEventInterval() > Duration {0})
         context().latency.recordEventInterval(service(), m_watch.progress().meanEventInterval());
-    if (hasServer())
-        context().servers.pace().recordWork(server().info, ServerPace::eventWork,
-                                            m_watch.progress().meanEventInterval(), now);
     releaseServer();
     m_copier.dropCopy();
     return KeepWaiting {};
--- a/src/gateway/RequestReporter.cpp
+++ b/src/gateway/RequestReporter.cpp
@@ -91,6 +91,7 @@
                          {"busy", busyText(server)},
                          {"busyAgeMs", busyAgeText(server)},
                          {"pace", std::to_string(server.pace.relativeDuration)},
+                         {"relativeRunTime", std::to_string(server.relativeRunTime)},
                          {"paceAgeMs", server.pace.toldAge ? msText(*server.pace.toldAge) : "none"},
                          {"fromCopy", next.fromCopy ? "true" : "false"},
                          {"urgency", next.urgency ? std::to_string(*next.urgency) : "none"},
