gateways: they tell each other through the store how long runs take at each engine

Change: SpeedPublication decides when a gateway writes its readings and which, SpeedReportCodec is their JSON form, GatewayPublisher keeps the key engine-speeds/NODE under its lease, SpeedReportWatch applies the reports of the others. BackendTable has EngineSpeeds.

--- a/include/foxtailring/decisions/configuration/RouteTable.h
+++ b/include/foxtailring/decisions/configuration/RouteTable.h
@@ -37,6 +37,8 @@
     std::optional<std::uint32_t> urgency(const HttpRoute &route, std::string_view key) const;
     /// \brief True if the routes of runs to a service of \a route differ in priority.
     bool hasRankedRoutes(const HttpRoute &route) const;
+    /// \brief True if that is so for any route.
+    bool hasRankedRoutes() const { return m_hasRankedRoutes; }
     /// \brief Returns null if the service is not in the configuration.
     const RoutedService *service(std::string_view name) const;
     /// \brief Number of services whose servers are engines.
@@ -53,6 +55,7 @@
     std::unordered_map<std::string_view, const KeyedAccount *> m_byKey;
     std::unordered_map<std::string_view, const RoutedService *> m_byService;
     std::map<std::string_view, std::set<Rank>> m_ranks; ///< of runs, by service
+    bool m_hasRankedRoutes = false;
 };
 
 } // namespace foxtailring
--- a/include/foxtailring/decisions/membership/FleetBudget.h
+++ b/include/foxtailring/decisions/membership/FleetBudget.h
@@ -20,6 +20,7 @@
     explicit FleetBudget(double bytesPerSecond, double phase = 0);
 
     void setProcessCount(std::size_t processes) { m_processes = processes; }
+    std::size_t processCount() const { return m_processes; }
 
     /// \brief Bytes on the wire of a value in the store.
     static std::size_t wireBytes(std::size_t valueBytes);
--- a/include/foxtailring/decisions/servers/BackendTable.h
+++ b/include/foxtailring/decisions/servers/BackendTable.h
@@ -2,6 +2,7 @@
 
 #include "foxtailring/base/Clock.h"
 #include "foxtailring/decisions/servers/BackendState.h"
+#include "foxtailring/decisions/servers/EngineSpeeds.h"
 #include "foxtailring/decisions/servers/LeavingNotice.h"
 #include "foxtailring/decisions/servers/LeavingSource.h"
 #include "foxtailring/decisions/servers/ServerIdentities.h"
@@ -108,6 +109,9 @@
     /// \brief How long work takes at each server.
     ServerPace &pace() { return m_pace; }
     const ServerPace &pace() const { return m_pace; }
+    /// \brief How long runs take at each engine.
+    EngineSpeeds &speeds() { return m_speeds; }
+    const EngineSpeeds &speeds() const { return m_speeds; }
     /// \brief No connection, a reset, or a timeout.
     void recordFailure(std::string_view id, TimePoint now);
     /// \brief The server itself answered a request.
@@ -212,6 +216,7 @@
     std::map<std::string, HeldServer, std::less<>> m_heldServers;
     ServerIdentities m_identities;
     ServerPace m_pace;
+    EngineSpeeds m_speeds;
     // Sets of ids, so that a change of one server does not scan all others.
     std::set<std::string, std::less<>> m_unlistedIds;
     /// Failed within the zone failure window; pruned on the next failure.
--- a/include/foxtailring/decisions/servers/EngineSpeeds.h
+++ b/include/foxtailring/decisions/servers/EngineSpeeds.h
@@ -32,6 +32,14 @@
 
     /// \brief What this process itself observed, sorted by service and address.
     std::vector<SpeedReading> ownReadings() const;
+    /// \brief Number of engines that this process itself observed.
+    std::size_t ownCount() const;
+    /// \brief Number of engines of which any process observed a run.
+    std::size_t engineCount() const;
+    /// \brief What the other processes observed of the engine of \a own, a reading of this one.
+    SpeedReading others(const SpeedReading &own) const;
+    /// \brief Processes whose reports are known.
+    std::vector<std::string> reporters() const;
     /// \brief What all processes observed of the engine, this one included; no runs: nothing.
     SpeedReading merged(std::string_view service, std::string_view address) const;
     /// \brief How long a run takes at the engine, as a multiple of what is usual for its service;
--- a/src/decisions/configuration/RouteTable.cpp
+++ b/src/decisions/configuration/RouteTable.cpp
@@ -40,6 +40,8 @@
         m_byService.emplace(service.name, &service);
     for (const HttpRoute &route : m_config.routes)
         addRanks(route);
+    m_hasRankedRoutes = std::any_of(m_config.routes.begin(), m_config.routes.end(),
+                                    [this](const auto &route) { return hasRankedRoutes(route); });
 }
 
 // All that a run on the route may have: accounts that name no priority have that of the route.
--- a/src/decisions/servers/EngineSpeeds.cpp
+++ b/src/decisions/servers/EngineSpeeds.cpp
@@ -85,6 +85,43 @@
     return readings;
 }
 
+std::size_t EngineSpeeds::ownCount() const
+{
+    std::size_t count = 0;
+    for (const auto &[service, engines] : m_own)
+        count += engines.size();
+    return count;
+}
+
+std::size_t EngineSpeeds::engineCount() const
+{
+    std::size_t count = 0;
+    for (const auto &[name, service] : m_services)
+        count += service.engines.size();
+    return count;
+}
+
+SpeedReading EngineSpeeds::others(const SpeedReading &own) const
+{
+    SpeedReading reading = merged(own.service, own.address);
+    const std::uint32_t runs = reading.runs - std::min(reading.runs, own.runs);
+    if (runs > 0) {
+        const double log =
+            reading.runs * logOf(reading.eventInterval) - own.runs * logOf(own.eventInterval);
+        reading.eventInterval = durationOf(log / runs);
+    }
+    reading.runs = runs;
+    return reading;
+}
+
+std::vector<std::string> EngineSpeeds::reporters() const
+{
+    std::vector<std::string> reporters;
+    for (const auto &[reporter, readings] : m_reports)
+        reporters.push_back(reporter);
+    return reporters;
+}
+
 SpeedReading EngineSpeeds::merged(std::string_view service, std::string_view address) const
 {
     SpeedReading reading {std::string(service), std::string(address)};
--- a/src/gateway/GatewayParts.cpp
+++ b/src/gateway/GatewayParts.cpp
@@ -86,6 +86,7 @@
     , runs(random)
     , fleet(settings.nodeId)
     , fleetBudget(fleetBytesPerSecond, phaseOf(settings.nodeId))
+    , speedPublication(random)
     , idleShare({maxIdleRequestConnections, settings.maxServerListDelay})
     , retryBudget(retryBudgetSettings(random))
     , rateLimits({settings.nodeId, settings.maxServerListDelay})
@@ -117,6 +118,11 @@
     return table.hasRankedRoutes(route) || servers.pace().isTold();
 }
 
+bool GatewayParts::placesBySpeed() const
+{
+    return servers.pace().isTold() || (routes && routes->hasRankedRoutes());
+}
+
 ForwardContext GatewayParts::forwardContext(const std::string &requestId, bool admitsRuns)
 {
     return {
--- a/src/gateway/GatewayParts.h
+++ b/src/gateway/GatewayParts.h
@@ -22,6 +22,7 @@
 #include "foxtailring/decisions/rollouts/Rollouts.h"
 #include "foxtailring/decisions/servers/BackendTable.h"
 #include "foxtailring/decisions/servers/ServerMemory.h"
+#include "foxtailring/decisions/servers/SpeedPublication.h"
 #include "foxtailring/decisions/sessions/AnswerTimes.h"
 #include "foxtailring/decisions/sessions/EngineLatencyEstimator.h"
 #include "foxtailring/decisions/sessions/ForwardContext.h"
@@ -61,6 +62,8 @@
     /// \brief True if room at engines is shared out among the runs on \a route: where runs of one
     /// service differ in priority by their routes, or servers share their machines.
     bool admitsRuns(const RouteTable &table, const HttpRoute &route) const;
+    /// \brief True if the speed of engines decides where runs go, on any route.
+    bool placesBySpeed() const;
     /// \brief Asks the engine that made the copy to delete it. A failure is logged and counted; the
     /// copy then expires by itself.
     void releaseCopy(const std::string &requestId, const CopyReference &copy);
@@ -125,7 +128,8 @@
     RandomSource random;
     RunAdmission runs;
     FleetMembership fleet;
-    FleetBudget fleetBudget;       ///< of what gateways write for each other
+    FleetBudget fleetBudget; ///< of what gateways write for each other
+    SpeedPublication speedPublication;
     IdleConnectionShare idleShare; ///< of connections for requests
     RetryBudget retryBudget;
     RateLimitTable rateLimits;
--- a/src/gateway/GatewayPublisher.cpp
+++ b/src/gateway/GatewayPublisher.cpp
@@ -8,6 +8,7 @@
 #include "GatewayParts.h"
 #include "RateLimitReportCodec.h"
 #include "RolloutWitnessCodec.h"
+#include "SpeedReportCodec.h"
 
 #include <algorithm>
 #include <utility>
@@ -41,6 +42,7 @@
     , m_report {std::string(RateLimitReportCodec::keyPrefix) + parts.settings.nodeId}
     , m_crashReport {std::string(CrashReportCodec::keyPrefix) + parts.settings.nodeId}
     , m_witnesses {std::string(RolloutWitnessCodec::keyPrefix) + parts.settings.nodeId}
+    , m_speeds {std::string(SpeedReportCodec::keyPrefix) + parts.settings.nodeId}
     , m_crashProber(parts)
     , m_timer(parts.pool)
     , m_failurePause(minFailurePause)
@@ -97,7 +99,9 @@
     if (isListingDue(now))
         return enlist();
     if (now - m_leaseRenewedAt >= leaseRenewalInterval)
-        renewLease();
+        return renewLease();
+    if (const auto report = takeDueSpeeds(now))
+        publish(*report);
 }
 
 bool GatewayPublisher::isListingDue(TimePoint now)
@@ -147,9 +151,10 @@
 void GatewayPublisher::forgetKeys()
 {
     m_lease = {};
-    for (LeasedKey *key : {&m_listing, &m_report, &m_crashReport, &m_witnesses})
+    for (LeasedKey *key : {&m_listing, &m_report, &m_crashReport, &m_witnesses, &m_speeds})
         *key = LeasedKey {key->name};
     m_parts.quarantine.onReportNotPublished();
+    m_parts.speedPublication.onNotPublished();
 }
 
 void GatewayPublisher::grantLease()
@@ -253,6 +258,36 @@
     });
 }
 
+std::optional<SpeedReport> GatewayPublisher::takeDueSpeeds(TimePoint now)
+{
+    const EngineSpeeds &speeds = m_parts.servers.speeds();
+    m_parts.metrics.setGauge("gateway_engines_timed", static_cast<double>(speeds.engineCount()));
+    if (!m_parts.placesBySpeed())
+        return std::nullopt;
+    if (m_speeds.lease.id != 0 && m_speeds.lease != m_lease)
+        m_parts.speedPublication.onNotPublished();
+    return m_parts.speedPublication.takeDueReport(speeds, m_parts.fleetBudget, now);
+}
+
+void GatewayPublisher::publish(const SpeedReport &report)
+{
+    const auto countOutcome = [this](std::string_view outcome) {
+        m_parts.metrics.add("gateway_speed_reports_total{outcome=\"" + std::string(outcome)
+                            + "\"}");
+    };
+    m_parts.metrics.setGauge("gateway_engine_speeds_reported",
+                             static_cast<double>(report.readings.size()));
+    write(m_speeds, SpeedReportCodec::encode(report), [this, countOutcome](const auto &result) {
+        if (result && result.value().applied)
+            return countOutcome("written");
+        m_parts.speedPublication.onNotPublished();
+        if (result)
+            return countOutcome("conflict");
+        countOutcome("failed");
+        onFailed("writeSpeeds", result.error());
+    });
+}
+
 // A conflict shows the effect of an earlier write whose reply was lost, of an earlier process with
 // the same node id, or the end of a lease.
 void GatewayPublisher::write(LeasedKey &key, const std::string &value,
--- a/src/gateway/GatewayPublisher.h
+++ b/src/gateway/GatewayPublisher.h
@@ -19,9 +19,10 @@
 struct GatewayParts;
 struct CrashReport;
 struct RateLimitReport;
+struct SpeedReport;
 
 /// \brief Keeps this gateway's keys in the store, under one lease: the one by which the others
-/// count it, and its reports of rate limits and of crashes.
+/// count it, and its reports of rate limits, of crashes and of the speed of engines.
 ///
 /// Writes no report before there is something to tell. One call at a time; runs on the gateway's
 /// queue.
@@ -51,6 +52,8 @@
     void publish(const RateLimitReport &report);
     void publish(const CrashReport &report);
     void publish(const Rollouts::Witnesses &witnesses);
+    std::optional<SpeedReport> takeDueSpeeds(TimePoint now);
+    void publish(const SpeedReport &report);
     void write(LeasedKey &key, const std::string &value, const KeyValueClient::WriteHook &hook);
     void recordWritten(LeasedKey &key, StoreLease lease, const WriteResult &result);
     void onReportWritten(const WriteResult &result);
@@ -68,6 +71,7 @@
     LeasedKey m_report;
     LeasedKey m_crashReport;
     LeasedKey m_witnesses; ///< of roll-outs
+    LeasedKey m_speeds;    ///< of engines
     CrashProber m_crashProber;
     Timer m_timer;
     bool m_isCalling = false; ///< a call to the store is in progress
--- a/src/gateway/StoreWatch.cpp
+++ b/src/gateway/StoreWatch.cpp
@@ -70,6 +70,7 @@
     , m_client(client)
     , m_schema(std::move(schema))
     , m_rolloutWatch(parts, m_schema.rollouts)
+    , m_speedReportWatch(parts)
     , m_rereadPacing(parts.settings.storeReadsPerSecond)
     , m_decoder(parts.storePool, parts.clock, m_schema.decodeConfig,
                 [this](const std::shared_ptr<const ConfigDecoder::Outcome> &outcome) {
@@ -220,6 +221,7 @@
     }
     m_parts.fleet.replace(gateways, now);
     m_rolloutWatch.applySnapshot(read);
+    m_speedReportWatch.applySnapshot(read.pairs);
     for (const KeyValue &pair : read.pairs) {
         if (!GatewayKey::matches(pair.key))
             continue;
@@ -266,6 +268,7 @@
 {
     recordFleetBytes(events, readAt);
     applyRateLimitReports(events);
+    m_speedReportWatch.applyEvents(events);
     applyGateways(events);
     m_rolloutWatch.applyEvents(events, m_epoch.value_or(EpochAge::unknownEpoch));
     if (!events.empty())
@@ -295,7 +298,8 @@
     std::size_t bytes = 0;
     for (const WatchEvent &event : events) {
         const std::string &key = event.pair.key;
-        if (GatewayKey::matches(key) || isRateLimitKey(key) || isCrashReportKey(key))
+        if (GatewayKey::matches(key) || isRateLimitKey(key) || isCrashReportKey(key)
+            || SpeedReportWatch::isKey(key))
             bytes += FleetBudget::wireBytes(event.pair.value.size());
     }
     if (bytes == 0)
--- a/src/gateway/StoreWatch.h
+++ b/src/gateway/StoreWatch.h
@@ -8,6 +8,7 @@
 
 #include "ConfigDecoder.h"
 #include "RolloutWatch.h"
+#include "SpeedReportWatch.h"
 
 #include <atomic>
 #include <cstdint>
@@ -84,6 +85,7 @@
     KeyValueClient &m_client;
     const StoreSchema m_schema;
     RolloutWatch m_rolloutWatch;
+    SpeedReportWatch m_speedReportWatch;
     std::function<void()> m_configAppliedHook;
     TimePoint m_confirmedAt; ///< all changes until then have been applied
     std::function<void()> m_confirmedHook;
