placement: count what a run costs the runs at its engine, and stay with the prompt's sample of engines

Change: leaving the affinity servers costs more than any speed is worth, and a run at the engine counts as the delay by a prompt.

--- a/include/foxtailring/decisions/placement/BackendPlacer.h
+++ b/include/foxtailring/decisions/placement/BackendPlacer.h
@@ -73,6 +73,7 @@
         double maxTieBreak; ///< upper bound of the random addition, in units of the cost
     };
 
+    static CostModel leastLoad();
     static CostModel runCostModel(const PlacementRequest &request);
     std::vector<BackendState> ranked(const PlacementRequest &request, const CostModel &costModel,
                                      TimePoint now, RandomSource &random) const;
@@ -80,7 +81,7 @@
                                          const CostModel &costModel, TimePoint now,
                                          RandomSource &random) const;
     double callCost(const BackendState &server) const;
-    double runCost(const BackendState &server) const;
+    double runCost(const BackendState &server, double runWeight) const;
     double distanceCost(const BackendState &server) const;
     double healthCost(const BackendState &server) const;
     double occupancy(const BackendState &server) const;
--- a/include/foxtailring/decisions/placement/ExpectedRunTime.h
+++ b/include/foxtailring/decisions/placement/ExpectedRunTime.h
@@ -2,14 +2,20 @@
 
 namespace foxtailring {
 
-/// \brief Expected time until a run that is placed at an engine ends, in units of the delay that
-/// one other run causes at an engine of usual speed.
+/// \brief Time that all runs at an engine of usual speed lose when one more is placed there, and
+/// that this one takes: a third of the time of a prompt is the unit.
 class ExpectedRunTime
 {
 public:
     /// Upper bound of a random addition. Processes share what they know of speeds, and estimates of
     /// engines of one kind of VM differ by less than this.
     static constexpr double maxTieBreak = 2;
+    /// A prompt stops all runs at its engine for nearly as long as it is processed.
+    static constexpr double delayPerRun = 2.7;
+    /// Cost of leaving the affinity servers of a prompt: no speed is worth it. They are a random
+    /// sample of the engines, without which all processes would send their runs to the few engines
+    /// that look fastest.
+    static constexpr double noAffinityCost = 30;
 
     /// \param delay caused by what is at the engine already
     /// \param relativeRunTime how long runs take there, as a multiple of what is usual
--- a/src/decisions/placement/BackendPlacer.cpp
+++ b/src/decisions/placement/BackendPlacer.cpp
@@ -75,7 +75,7 @@
 std::optional<BackendState> BackendPlacer::chooseForCopy(const PlacementRequest &request,
                                                          TimePoint now, RandomSource &random) const
 {
-    auto chosen = cheapest(request, {&BackendPlacer::runCost, maxRunTieBreak}, now, random);
+    auto chosen = cheapest(request, leastLoad(), now, random);
     const bool isUseful = chosen && chosen->health == BackendHealth::Healthy
         && chosen->info.availabilityZone != request.avoidZone;
     return isUseful ? chosen : std::nullopt;
@@ -129,7 +129,7 @@
         if (!request.avoidZone.empty() && server.info.availabilityZone == request.avoidZone)
             cost += doubtfulCost;
         if (!request.affinityServers.empty() && !contains(request.affinityServers, server.info.id))
-            cost += noAffinityCost;
+            cost += request.usesSpeed ? ExpectedRunTime::noAffinityCost : noAffinityCost;
         if (!request.responsive.empty() && !contains(request.responsive, server.info.id))
             cost += unresponsiveCost;
         withCosts.emplace_back(cost, std::move(server));
@@ -143,12 +143,21 @@
     return servers;
 }
 
+BackendPlacer::CostModel BackendPlacer::leastLoad()
+{
+    const auto cost = [](const BackendPlacer &placer, const BackendState &server) {
+        return placer.runCost(server, 1);
+    };
+    return {cost, maxRunTieBreak};
+}
+
 BackendPlacer::CostModel BackendPlacer::runCostModel(const PlacementRequest &request)
 {
     if (!request.usesSpeed)
-        return {&BackendPlacer::runCost, maxRunTieBreak};
+        return leastLoad();
     const auto cost = [](const BackendPlacer &placer, const BackendState &server) {
-        return ExpectedRunTime::of(placer.runCost(server), server.relativeRunTime);
+        return ExpectedRunTime::of(placer.runCost(server, ExpectedRunTime::delayPerRun),
+                                   server.relativeRunTime);
     };
     return {cost, ExpectedRunTime::maxTieBreak};
 }
@@ -161,9 +170,9 @@
 }
 
 // In units of one run: runs slow each other down, and prompts in processing do so the most.
-double BackendPlacer::runCost(const BackendState &server) const
+double BackendPlacer::runCost(const BackendState &server, double runWeight) const
 {
-    double cost = occupancy(server) + copyWeight * server.copies;
+    double cost = runWeight * occupancy(server) + copyWeight * server.copies;
     if (hasFreshLoad(server)) {
         cost += prefillWeight * (server.load->prefilling + server.load->waiting);
         const auto total = static_cast<double>(server.load->memoryTotalTokens);
--- a/src/decisions/placement/ExpectedRunTime.cpp
+++ b/src/decisions/placement/ExpectedRunTime.cpp
@@ -4,7 +4,7 @@
 
 namespace {
 
-// A prompt delays the runs at its engine by three units, and takes about a fifth of its own run.
+// A prompt takes three units, about a fifth of its run.
 constexpr double ownTime = 15;
 
 } // namespace
--- a/src/decisions/servers/EngineSpeeds.cpp
+++ b/src/decisions/servers/EngineSpeeds.cpp
@@ -15,7 +15,7 @@
 // A run counts as at most so many times slower or faster than usual.
 constexpr double maxRatio = 4;
 // So many runs at an engine of usual speed are assumed beside those that were observed.
-constexpr double assumedRuns = 0.5;
+constexpr double assumedRuns = 1;
 // Later runs then replace earlier ones in the mean: a VM may become slower.
 constexpr std::uint32_t maxRuns = 12;
 // The mean of fewer engines says little about a service.
