servers: a run that differs clearly from the earlier ones at an engine starts its mean anew

Cause: simulated 28 gateways, 102 engines, 27 runs a second: an engine that goes from 35 to 100 ms between events is known as 52 to 58 ms after 2 min and 72 to 82 ms after 10 min, since its earlier runs stay in every gateway's own mean. Change: a run whose logarithm differs by more than 0.4 from the process's own mean replaces it. Conclusion: kept; runs at one speed that differ by more than half would keep the mean young.

--- a/src/decisions/servers/EngineSpeeds.cpp
+++ b/src/decisions/servers/EngineSpeeds.cpp
@@ -18,6 +18,8 @@
 constexpr double assumedRuns = 0.5;
 // Later runs then replace earlier ones in the mean: a VM may become slower.
 constexpr std::uint32_t maxRuns = 12;
+// A run that differs more from the earlier ones, as a logarithm, shows that the VM has changed.
+constexpr double maxDeviation = 0.4;
 // The mean of fewer engines says little about a service.
 constexpr std::size_t minEngines = 6;
 // Bounds what a process holds, for the target size of 12,000 servers and addresses that change.
@@ -51,6 +53,8 @@
     apply(own, Change::Remove);
     own.service = server.service;
     own.address = server.address;
+    if (own.runs > 0 && std::abs(logOf(eventInterval) - logOf(own.eventInterval)) > maxDeviation)
+        own.runs = 0;
     const double log = own.runs == 0 ? 0 : logOf(own.eventInterval);
     own.runs = std::min(own.runs + 1, maxRuns);
     own.eventInterval = durationOf(log + (logOf(eventInterval) - log) / own.runs);
