--- a/src/decisions/servers/SpeedPublication.cpp
+++ b/src/decisions/servers/SpeedPublication.cpp
@@ -26,7 +26,7 @@
 constexpr std::size_t readingsPerLookInterval = 500;
 // A report holds several times the process's part of all engines, so that each engine is in the
 // reports of several processes, and the bytes of a write stay bounded.
-constexpr std::size_t reportersPerEngine = 4;
+constexpr std::size_t reportersPerEngine = 3;
 constexpr std::size_t minReportEntries = 64;
 constexpr std::size_t maxReportEntries = 1500;
 // Of a reading in the store.
