quarantine: one model of guilt for parts and whole requests

Cause: after two crashes by one request, the part that it shares with others was refused, since a request explained its parts from its third crash on, which the quarantine of the part prevented. A request explained parts that it does not have, requests excused each other only where one was at all crashes of the other, and the excuse of a zone that was lost within 20 ms held at readers after a crash elsewhere. Parts that were always lost beside each other excused each other for good. A request explains its own parts only. After two crashes by one request, its part is refused to that request alone; when the part is answered, the quarantine is left to the request. Of two requests, most crashes suffice for an excuse. Parts of different requests excuse each other up to three moments. Reports mark the excuse of one zone loss (field "oneLoss").

--- a/include/foxtailring/decisions/quarantine/CrashAttribution.h
+++ b/include/foxtailring/decisions/quarantine/CrashAttribution.h
@@ -24,8 +24,15 @@
     using Suspects = std::span<const std::string>; ///< of a request, from the least specific one
 
     /// \brief All must outlive the object.
+    /// \param minPartCrashes crashes that make a quarantine of a prompt part
     CrashAttribution(const SuspectTable &suspects, const EngineFailures &failures,
-                     const SuspectStarts &starts);
+                     const SuspectStarts &starts, std::size_t minPartCrashes);
+
+    /// \brief Crashes without which the suspect is not quarantined.
+    std::size_t minCrashes(const std::string &name) const;
+    /// \brief Crashes that quarantine the suspect, by its recent answers.
+    std::size_t crashThreshold(const std::string &name, const SuspectRecord &record,
+                               TimePoint now) const;
 
     /// \brief Number of crashes that may be due to the suspect; those of a prompt part at different
     /// moments.
@@ -45,11 +52,18 @@
     template <typename Visit>
     bool anyWithSameCrashes(const std::string &name, const SuspectRecord &record,
                             Visit visit) const;
+    /// \brief True if the request crashes servers whatever its parts are, and has the part.
+    static bool explainsPart(const SuspectRecord &request, const std::string &part);
+    bool isExplainedByRequest(const std::string &name, const SuspectRecord &record, int level,
+                              TimePoint now) const;
+    bool areOfOneRequest(const std::string &one, const std::string &other,
+                         const SuspectRecord &record) const;
     bool isAtMostFailures(const SuspectRecord &record, const SuspectRecord::Crash &crash) const;
 
     const SuspectTable &m_suspects;
     const EngineFailures &m_failures;
     const SuspectStarts &m_starts;
+    const std::size_t m_minPartCrashes;
 };
 
 } // namespace foxtailring
--- a/include/foxtailring/decisions/quarantine/CrashReport.h
+++ b/include/foxtailring/decisions/quarantine/CrashReport.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -13,6 +14,8 @@
 /// time, which versions before Dating rely on.
 struct CrashReport
 {
+    using Indexes = std::vector<std::size_t>; ///< of suspects of a crash, in ascending order
+
     /// A server failed before it had begun to answer a request.
     struct Crash
     {
@@ -21,6 +24,10 @@
         std::vector<std::string> suspects; ///< the most specific ones last
         bool isZoneFailure = false;        ///< most of its zone failed with it
         std::string service;               ///< of the server; empty: of a version before it
+        /// The suspects of each request that has others beside it; empty: any may be of one.
+        std::vector<Indexes> requests;
+        /// Suspects of a zone failure for which it is one only until they are at another crash.
+        Indexes oneLossSuspects;
         bool operator==(const Crash &) const = default;
     };
 
--- a/include/foxtailring/decisions/quarantine/RequestQuarantine.h
+++ b/include/foxtailring/decisions/quarantine/RequestQuarantine.h
@@ -15,6 +15,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <optional>
 #include <set>
 #include <span>
@@ -144,29 +145,34 @@
 
 private:
     using Crash = SuspectRecord::Crash;
+    using Crashes = SuspectRecord::Crashes;
     using Incarnations = std::set<std::string, std::less<>>; ///< starts of servers
 
     /// \param sighting of the crash; its position is left out
     void addCrash(const std::string &incarnation, Suspects suspects, const Crash &sighting,
                   TimePoint now);
+    void addReportedCrash(const CrashReport::Crash &crash, const ReporterClock &clock,
+                          TimePoint now);
+    /// \brief Remembers which suspects came in one request.
+    void addRequest(std::span<const std::string> suspects);
+    void updateQuarantines(Suspects suspects, TimePoint now);
     /// \brief True if the suspect is at several crashes and has not been answered lately.
     bool isDeciding(const std::string &suspect, const SuspectRecord &record, TimePoint now) const;
     void requestCrashReport(Suspects suspects, const ProvenCrash &crash, TimePoint now);
     /// \brief False if a start since has cleared the suspect of the crash.
     bool mayBeDueTo(const std::string &suspect, SuspectRecord &record, const Crash &sighting,
                     TimePoint now);
-    static void addSighting(Crash &crash, const Crash &sighting);
     void addStart(const std::string &suspect, SuspectRecord &record, TimePoint at, bool isOwn);
+    /// \brief A start clears a quarantined part: what it was quarantined for is left to the
+    /// requests that were at all its crashes.
+    void bequeath(const std::string &part, const SuspectRecord &record);
+    void inheritQuarantines(TimePoint now);
     void adoptQuarantine(const CrashReport::Quarantine &reported, const ReporterClock &clock,
                          TimePoint now);
     /// \brief Adds the servers that crashed under the suspect.
     static void addIncarnations(const SuspectRecord &record, Incarnations &incarnations);
     /// \brief Updates the quarantine of each suspect of these crashes.
     void updateSuspectsOf(const Incarnations &incarnations, TimePoint now);
-    /// \brief Crashes without which the suspect is not quarantined.
-    std::size_t minCrashes(const std::string &suspect) const;
-    std::size_t crashThreshold(const std::string &suspect, const SuspectRecord &record,
-                               TimePoint now) const;
     void updateQuarantine(const std::string &suspect, SuspectRecord &record, TimePoint now);
     bool mayTry(const std::string &suspect, const SuspectRecord::Quarantine &quarantine,
                 TimePoint now) const;
@@ -174,6 +180,9 @@
                      TimePoint now) const;
     bool isQuarantined(const SuspectRecord &record, TimePoint now) const;
     void quarantine(const std::string &suspect, SuspectRecord &record, TimePoint now);
+    /// \brief Tells the hook, and the other processes if this one saw a crash.
+    void announce(const std::string &suspect, const SuspectRecord &record, Duration time,
+                  TimePoint now);
     void release(const std::string &suspect, SuspectRecord &record, std::string_view cause);
     void requestReport(TimePoint at) { m_reportAt = std::min(m_reportAt, at); }
     std::int64_t toReportMs(TimePoint time) const;
@@ -184,6 +193,7 @@
     SuspectTable m_suspects;
     SuspectStarts m_starts;
     const CrashAttribution m_attribution;
+    std::map<std::string, SuspectRecord::Quarantine, std::less<>> m_inherited; ///< by request
     ReporterClocks m_reporterClocks;
     std::chrono::milliseconds m_unixOffset {0};
     std::optional<std::chrono::milliseconds> m_reportOffset; ///< of the clock of own reports
--- a/include/foxtailring/decisions/quarantine/SuspectRecord.h
+++ b/include/foxtailring/decisions/quarantine/SuspectRecord.h
@@ -8,7 +8,9 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace foxtailring {
@@ -27,7 +29,12 @@
         std::size_t askedPeers = 0;           ///< by this process, in the zone of the server
         std::vector<std::string> failedPeers; ///< incarnations of those that had failed, too
         bool isZoneFailure = false;           ///< by the reports of other processes
-        TimePoint newsAt;                     ///< when this process last learned of it by itself
+        /// By these reports, it is excused only as long as all crashes are of one loss of a zone.
+        bool isOneLoss = false;
+        TimePoint newsAt; ///< when this process last learned of it by itself
+
+        /// \brief Adds what another sighting of the same crash shows.
+        void add(const Crash &sighting);
     };
     using Crashes = std::map<std::string, Crash, std::less<>>; ///< by incarnation
 
@@ -39,9 +46,14 @@
         TimePoint until;
         TimePoint trialUntil; ///< a request that tries the suspect is in progress
         std::uint32_t count = 0;
+
+        /// \brief Lasts for \a shortest, and twice as long each time that it begins again.
+        void begin(Duration shortest, Duration longest, TimePoint now);
     };
 
     Crashes crashes; ///< since the last start
+    /// The others of the requests in which this is the last suspect.
+    std::set<std::string, std::less<>> parts;
     TimePoint startedAt;
     bool isOwnStart = false; ///< seen by this process
     TimePoint startNewsAt;   ///< when an own start last cleared what another process may hold
@@ -52,12 +64,19 @@
     /// \brief True if the engines of its zone failed with this one, for another reason than the
     /// suspect.
     bool isZoneFailure(const Crash &crash) const;
+    /// \brief True if that holds only because all its crashes are of one loss of a zone.
+    bool isExcusedByOneLoss(const Crash &crash) const;
+    bool hasAllCrashesOf(const SuspectRecord &other) const;
     /// \brief Names of the kinds of evidence of its crashes, for logs.
     std::string evidenceText() const;
 
 private:
     /// \brief True if all crashes surely came within the time in which a zone is lost.
     bool areAllOfOneLoss() const;
+    /// \brief True if most of the zone failed, even without the servers that the suspect was at.
+    bool hasOtherFailures(const Crash &crash) const;
+    /// \brief True if a crash is none of a zone.
+    bool hasCrashAlone() const;
 };
 
 } // namespace foxtailring
--- a/include/foxtailring/decisions/quarantine/SuspectTable.h
+++ b/include/foxtailring/decisions/quarantine/SuspectTable.h
@@ -48,6 +48,10 @@
     bool removeCrash(const std::string &name, std::string_view incarnation);
     /// \brief The suspects that have the crash of this start of a server in their records.
     const Names &suspectsOf(std::string_view incarnation) const;
+    /// \brief Those that have any of these crashes.
+    Names suspectsOf(const Names &incarnations) const;
+    /// \brief The requests with a part that were at all its crashes.
+    Names requestsAtAllCrashes(std::string_view part) const;
 
 private:
     /// Those of one kind: whole requests, or parts.
--- a/src/decisions/quarantine/CrashReportBuilder.cpp
+++ b/src/decisions/quarantine/CrashReportBuilder.cpp
@@ -35,8 +35,11 @@
               [](const auto &a, const auto &b) { return a.atMs > b.atMs; });
     if (m_report.crashes.size() > maxReportedCrashes)
         m_report.crashes.resize(maxReportedCrashes);
-    for (CrashReport::Crash &crash : m_report.crashes)
+    for (CrashReport::Crash &crash : m_report.crashes) {
         addSuspects(crash);
+        addRequests(crash);
+        addOneLossSuspects(crash);
+    }
     return std::move(m_report);
 }
 
@@ -61,7 +64,8 @@
             continue;
         const bool isZoneFailure = record.isZoneFailure(crash);
         const auto [found, isNew] = m_crashes.try_emplace(
-            incarnation, CrashReport::Crash {incarnation, 0, {}, isZoneFailure, crash.service});
+            incarnation,
+            CrashReport::Crash {incarnation, 0, {}, isZoneFailure, crash.service, {}, {}});
         CrashReport::Crash &reported = found->second;
         reported.atMs = m_toReportMs(crash.at.latest);
         reported.isZoneFailure = reported.isZoneFailure && isZoneFailure;
@@ -97,4 +101,34 @@
         crash.suspects.push_back(*suspect.name);
 }
 
+// Most crashes end one request, whose parts are all the suspects. The list is left out then.
+void CrashReportBuilder::addRequests(CrashReport::Crash &crash) const
+{
+    const std::vector<std::string> &names = crash.suspects;
+    std::vector<CrashReport::Indexes> requests;
+    for (std::size_t last = 0; last < names.size(); ++last) {
+        const auto &parts = m_suspects.find(names[last])->parts;
+        if (parts.empty())
+            continue;
+        CrashReport::Indexes request;
+        for (std::size_t i = 0; i < names.size(); ++i) {
+            if (i == last || parts.contains(names[i]))
+                request.push_back(i);
+        }
+        requests.push_back(std::move(request));
+    }
+    const bool isOneRequest = requests.size() == 1 && requests.front().size() == names.size();
+    if (!isOneRequest)
+        crash.requests = std::move(requests);
+}
+
+void CrashReportBuilder::addOneLossSuspects(CrashReport::Crash &crash) const
+{
+    for (std::size_t i = 0; crash.isZoneFailure && i < crash.suspects.size(); ++i) {
+        const SuspectRecord &record = *m_suspects.find(crash.suspects[i]);
+        if (record.isExcusedByOneLoss(record.crashes.at(crash.incarnation)))
+            crash.oneLossSuspects.push_back(i);
+    }
+}
+
 } // namespace foxtailring
--- a/src/decisions/quarantine/CrashReportBuilder.h
+++ b/src/decisions/quarantine/CrashReportBuilder.h
@@ -35,6 +35,8 @@
     void addRecord(const std::string &name, const SuspectRecord &record);
     void addCrashes(const std::string &name, const SuspectRecord &record, bool isReliedOn);
     void addSuspects(CrashReport::Crash &crash) const;
+    void addRequests(CrashReport::Crash &crash) const;
+    void addOneLossSuspects(CrashReport::Crash &crash) const;
 
     const SuspectTable &m_suspects;
     const TimePoint m_newsSince;
--- a/src/decisions/quarantine/RequestQuarantine.cpp
+++ b/src/decisions/quarantine/RequestQuarantine.cpp
@@ -2,8 +2,6 @@
 
 #include "foxtailring/protocol/RequestDigest.h"
 
-#include "CrashReportBuilder.h"
-
 #include <algorithm>
 #include <utility>
 
@@ -15,30 +13,11 @@
 
 // A request that tries a suspect has begun or failed by then.
 constexpr std::chrono::seconds maxTrialDuration {10};
-// When so many servers of a service fail at once, most suspects are cleared by their next attempt.
-// Their reports wait for that, since the store would get one from each process.
-constexpr std::size_t massFailureServers = 3;
-constexpr std::chrono::seconds massFailureReportDelay {3};
 // Suspects of one request: the prompt parts at the beginning and those at the end, with the request
 // itself. A caller could otherwise fill the table with one request.
 constexpr std::size_t maxSuspectsPerEnd = 16;
-// More crashes that a whole request needs for each order of magnitude of its recent answers.
-constexpr std::size_t crashesPerStartLevel = 2;
-// Starts long before do not protect a request that crashes one server after the other.
-constexpr std::size_t maxRequestCrashes = 9;
 // Walks through all suspects, so not at each call.
 constexpr milliseconds expiryInterval {500};
-// The clock of own reports follows the wall clock only when that is set anew, so that two readings
-// of it do not change the order of what they date.
-constexpr milliseconds minClockStep {500};
-// News are repeated for so long in later reports: a reader that takes the newest state of the store
-// in place of its history misses reports that were replaced in between.
-constexpr std::chrono::seconds newsRepeatTime {5};
-
-TimeBounds notAfter(TimeBounds bounds, TimePoint now)
-{
-    return {std::min(bounds.earliest, now), std::min(bounds.latest, now)};
-}
 
 } // namespace
 
@@ -51,15 +30,8 @@
     : m_settings(settings)
     , m_failures(settings.minCrashInterval, settings.evidenceLifetime)
     , m_suspects(settings.maxSuspects)
-    , m_attribution(m_suspects, m_failures, m_starts)
-{
-}
-
-void RequestQuarantine::setUnixOffset(milliseconds offset)
+    , m_attribution(m_suspects, m_failures, m_starts, settings.crashThreshold)
 {
-    m_unixOffset = offset;
-    if (!m_reportOffset || std::chrono::abs(offset - *m_reportOffset) >= minClockStep)
-        m_reportOffset = offset;
 }
 
 void RequestQuarantine::recordCrash(const std::string &incarnation, Suspects suspects,
@@ -77,29 +49,11 @@
     sighting.failedPeers = crash.failedPeers;
     sighting.newsAt = now;
     addCrash(incarnation, suspects, sighting, now);
+    addRequest(suspects);
+    updateQuarantines(suspects, now);
     requestCrashReport(suspects, crash, now);
 }
 
-// What was at a crash before, and has not been answered lately, is hardly cleared by its next
-// attempt. A part that many requests share is at most crashes and is answered all the time. A
-// report that has been put off is not put off again, or failures in series would keep it back.
-void RequestQuarantine::requestCrashReport(Suspects suspects, const ProvenCrash &crash,
-                                           TimePoint now)
-{
-    const bool isRepeated =
-        std::any_of(suspects.begin(), suspects.end(), [this, now](const std::string &suspect) {
-            const SuspectRecord *record = m_suspects.find(suspect);
-            return record && isDeciding(suspect, *record, now);
-        });
-    m_isReportUrgent = m_isReportUrgent || isRepeated;
-    const bool isMassFailure = m_failures.countAt(crash.at, crash.service) >= massFailureServers;
-    if (m_isReportUrgent || !isMassFailure)
-        requestReport(now);
-    else if (!std::exchange(m_isReportPutOff, true))
-        m_reportAt = now + massFailureReportDelay
-            + (m_hooks.massFailureDelay ? m_hooks.massFailureDelay() : Duration {0});
-}
-
 bool RequestQuarantine::isDeciding(const std::string &suspect, const SuspectRecord &record,
                                    TimePoint now) const
 {
@@ -121,10 +75,24 @@
         Crash *crash = m_suspects.findOrAddCrash(suspect, incarnation, sighting);
         if (!crash)
             continue;
-        addSighting(*crash, sighting);
+        crash->add(sighting);
         crash->position = std::max(crash->position, position);
     }
-    // Only now are all suspects known that may explain each other.
+}
+
+// The last suspect stands for its request.
+void RequestQuarantine::addRequest(std::span<const std::string> suspects)
+{
+    SuspectRecord *record = m_suspects.find(suspects.back());
+    for (const std::string &part : suspects.first(suspects.size() - 1)) {
+        if (record && m_suspects.find(part) && record->parts.size() < 2 * maxSuspectsPerEnd)
+            record->parts.insert(part);
+    }
+}
+
+// All suspects that may explain each other must be known.
+void RequestQuarantine::updateQuarantines(Suspects suspects, TimePoint now)
+{
     for (const std::string &suspect : suspects) {
         if (SuspectRecord *record = m_suspects.find(suspect))
             updateQuarantine(suspect, *record, now);
@@ -150,30 +118,6 @@
     return false;
 }
 
-// Several processes see the end of one server, some of them late: the first sighting counts. What
-// this process saw itself is exact, and reports do not blur it.
-void RequestQuarantine::addSighting(Crash &crash, const Crash &sighting)
-{
-    const TimeBounds at = sighting.at;
-    const bool isOwn = sighting.isOwn;
-    const bool isSurelyEarlier = at.latest < crash.at.earliest;
-    const bool isSurelyLater = at.earliest > crash.at.latest;
-    const bool isMoreExact = isOwn && !crash.isOwn && !isSurelyLater;
-    if (isSurelyEarlier || isMoreExact)
-        crash.at = at;
-    else if (!crash.isOwn && !isOwn)
-        crash.at = {std::min(crash.at.earliest, at.earliest), std::min(crash.at.latest, at.latest)};
-    if (crash.service.empty())
-        crash.service = sighting.service;
-    if (isOwn && !std::exchange(crash.isOwn, true)) {
-        crash.evidence = sighting.evidence;
-        crash.askedPeers = sighting.askedPeers;
-        crash.failedPeers = sighting.failedPeers;
-    }
-    crash.newsAt = std::max(crash.newsAt, sighting.newsAt);
-    crash.isZoneFailure = crash.isZoneFailure && sighting.isZoneFailure;
-}
-
 void RequestQuarantine::withdrawCrash(std::string_view incarnation)
 {
     m_failures.withdraw(std::string(incarnation));
@@ -183,7 +127,8 @@
         if (!record.crashes.find(incarnation)->second.isOwn)
             continue;
         m_suspects.removeCrash(suspect, incarnation);
-        const bool isRefuted = m_attribution.crashCount(suspect, record) < minCrashes(suspect);
+        const bool isRefuted =
+            m_attribution.crashCount(suspect, record) < m_attribution.minCrashes(suspect);
         if (record.quarantine.isInForce && isRefuted)
             release(suspect, record, "refuted");
         m_reportAt = TimePoint {};
@@ -208,6 +153,7 @@
         addIncarnations(*record, affected);
         addStart(suspect, *record, now, true);
     }
+    inheritQuarantines(now);
     if (!hasCleared)
         return;
     if (hasReleased || m_reportAt == TimePoint::max())
@@ -222,6 +168,8 @@
         return;
     record.startedAt = at;
     record.isOwnStart = isOwn;
+    if (record.quarantine.isInForce)
+        bequeath(suspect, record);
     const std::size_t cleared = m_suspects.removeCrashes(
         suspect, [at](const Crash &crash) { return crash.at.earliest <= at; });
     // A quarantine begins later than its crashes, so a start before it may have disproved them all.
@@ -235,6 +183,27 @@
     }
 }
 
+void RequestQuarantine::bequeath(const std::string &part, const SuspectRecord &record)
+{
+    if (record.crashes.size() < m_settings.crashThreshold)
+        return;
+    for (const std::string &request : m_suspects.requestsAtAllCrashes(part))
+        m_inherited[request] = record.quarantine;
+}
+
+// The request may have been answered itself, which cleared the part with it.
+void RequestQuarantine::inheritQuarantines(TimePoint now)
+{
+    for (const auto &[name, inherited] : std::exchange(m_inherited, {})) {
+        SuspectRecord *record = m_suspects.find(name);
+        if (!record || record->crashes.empty() || record->quarantine.isInForce
+            || now >= inherited.until)
+            continue;
+        record->quarantine = inherited;
+        announce(name, *record, inherited.until - now, now);
+    }
+}
+
 // The trials are taken last: a request that another suspect rejects tries none.
 RequestQuarantine::Admission RequestQuarantine::admit(Suspects suspects, TimePoint now)
 {
@@ -286,90 +255,16 @@
     return record.quarantine.isInForce && now < record.quarantine.until + m_settings.trialTime;
 }
 
-// A process that restarts gets its own report back.
-void RequestQuarantine::applyReport(const CrashReport &report, TimePoint now,
-                                    const ReportReception &reception)
-{
-    const ReporterClock clock = m_reporterClocks.read(report, reception, m_unixOffset, now);
-    for (const auto &crash : report.crashes) {
-        Crash sighting;
-        sighting.at = notAfter(clock.boundsOf(crash.atMs), now);
-        sighting.service = crash.service;
-        sighting.isZoneFailure = crash.isZoneFailure;
-        addCrash(crash.incarnation, crash.suspects, sighting, now);
-    }
-    Incarnations affected;
-    for (const auto &start : report.starts) {
-        SuspectRecord *record = m_suspects.find(start.suspect);
-        if (!record)
-            continue;
-        addIncarnations(*record, affected);
-        addStart(start.suspect, *record, notAfter(clock.boundsOf(start.atMs), now).latest, false);
-    }
-    for (const auto &reported : report.quarantines)
-        adoptQuarantine(reported, clock, now);
-    updateSuspectsOf(affected, now);
-}
-
-void RequestQuarantine::adoptQuarantine(const CrashReport::Quarantine &reported,
-                                        const ReporterClock &clock, TimePoint now)
-{
-    const TimeBounds end = clock.boundsOf(reported.untilMs);
-    const Duration left = end.latest - now;
-    const milliseconds whole(reported.untilMs - reported.sinceMs);
-    // The reporter's clock may be known by wall clocks alone.
-    const Duration longest = whole + ReporterClocks::maxWallClockDifference;
-    const bool isCredible = whole <= m_settings.maxQuarantine && left <= longest
-        && quarantineCount() < m_settings.maxQuarantines;
-    if (!isCredible)
-        return;
-    // It has begun by now, whatever the bounds are.
-    const auto time = std::min<Duration>(left, whole);
-    const TimePoint since = notAfter(clock.boundsOf(reported.sinceMs), now).latest;
-    const auto started = m_starts.lastStart(reported.suspect);
-    if (time <= Duration {0} || (started && *started > since))
-        return;
-    SuspectRecord *record = m_suspects.findOrAdd(reported.suspect);
-    if (!record || record->startedAt > since)
-        return;
-    SuspectRecord::Quarantine &quarantine = record->quarantine;
-    const bool isNew = !quarantine.isInForce;
-    // One that is in force here may be the same, so a report that wall clocks alone date prolongs
-    // it only if its end is surely later.
-    const bool isExact = end.latest - end.earliest < ReporterClocks::maxWallClockDifference;
-    const TimePoint until = isNew || isExact ? now + time : std::min(now + time, end.earliest);
-    const bool isNews = isNew || quarantine.until < until;
-    // Starts here have cleared the suspect of the crashes behind the quarantine.
-    const bool isCleared =
-        record->crashes.empty() && m_attribution.startLevel(reported.suspect, *record, now) > 0;
-    if (!isNews || isCleared)
-        return;
-    quarantine.isInForce = true;
-    quarantine.since = isNew ? since : std::min(quarantine.since, since);
-    quarantine.until = until;
-    quarantine.count = std::max(quarantine.count, 1U);
-    if (isNew && m_hooks.onQuarantined)
-        m_hooks.onQuarantined(reported.suspect, m_attribution.crashCount(reported.suspect, *record),
-                              record->evidenceText(), time);
-}
-
 void RequestQuarantine::addIncarnations(const SuspectRecord &record, Incarnations &incarnations)
 {
     for (const auto &[incarnation, crash] : record.crashes)
         incarnations.insert(incarnation);
 }
 
-// A start may clear the suspect that explained others with the same crashes. Names are gathered
-// once for all starts of a report: 512 starts that share 16 crashes with 1,024 suspects would
-// otherwise add 8 million.
+// A start may clear the suspect that explained others with the same crashes.
 void RequestQuarantine::updateSuspectsOf(const Incarnations &incarnations, TimePoint now)
 {
-    SuspectTable::Names suspects;
-    for (const std::string &incarnation : incarnations) {
-        const SuspectTable::Names &sharing = m_suspects.suspectsOf(incarnation);
-        suspects.insert(sharing.begin(), sharing.end());
-    }
-    for (const std::string &suspect : suspects) {
+    for (const std::string &suspect : m_suspects.suspectsOf(incarnations)) {
         if (SuspectRecord *record = m_suspects.find(suspect))
             updateQuarantine(suspect, *record, now);
     }
@@ -389,39 +284,21 @@
                             });
     const bool isDue = record.crashes.size() >= m_settings.crashThreshold
         && record.latestCrash() > std::max(quarantined.since, quarantined.until)
-        && m_attribution.crashCount(suspect, record) >= crashThreshold(suspect, record, now);
+        && m_attribution.crashCount(suspect, record)
+            >= m_attribution.crashThreshold(suspect, record, now);
     if (isRepeated || (isDue && !m_attribution.isExplained(suspect, record, now)))
         quarantine(suspect, record, now);
 }
 
-std::size_t RequestQuarantine::minCrashes(const std::string &suspect) const
-{
-    return RequestDigest::isDigest(suspect) ? CrashAttribution::minRequestCrashes
-                                            : m_settings.crashThreshold;
-}
-
-// Many callers may send the same request, so that it is at most servers whatever ends them.
-std::size_t RequestQuarantine::crashThreshold(const std::string &suspect,
-                                              const SuspectRecord &record, TimePoint now) const
+void RequestQuarantine::quarantine(const std::string &suspect, SuspectRecord &record, TimePoint now)
 {
-    if (!RequestDigest::isDigest(suspect))
-        return minCrashes(suspect);
-    const int level = m_attribution.startLevel(suspect, record, now);
-    return std::min(minCrashes(suspect) + crashesPerStartLevel * static_cast<std::size_t>(level),
-                    maxRequestCrashes);
+    record.quarantine.begin(m_settings.minQuarantine, m_settings.maxQuarantine, now);
+    announce(suspect, record, record.quarantine.until - now, now);
 }
 
-void RequestQuarantine::quarantine(const std::string &suspect, SuspectRecord &record, TimePoint now)
+void RequestQuarantine::announce(const std::string &suspect, const SuspectRecord &record,
+                                 Duration time, TimePoint now)
 {
-    SuspectRecord::Quarantine &quarantined = record.quarantine;
-    const auto doublings = std::min<std::uint32_t>(quarantined.count, 8);
-    const auto time =
-        std::min<Duration>(m_settings.minQuarantine * (1U << doublings), m_settings.maxQuarantine);
-    ++quarantined.count;
-    quarantined.isInForce = true;
-    quarantined.since = now;
-    quarantined.until = now + time;
-    quarantined.trialUntil = {};
     if (m_hooks.onQuarantined)
         m_hooks.onQuarantined(suspect, m_attribution.crashCount(suspect, record),
                               record.evidenceText(), time);
@@ -476,42 +353,4 @@
                       [](const auto &entry) { return entry.second.quarantine.isInForce; }));
 }
 
-std::optional<CrashReport> RequestQuarantine::takeDueReport(TimePoint now, bool mayTellLoneSuspects)
-{
-    if (!wantsReport(now) || (!mayTellLoneSuspects && !m_isReportUrgent))
-        return std::nullopt;
-    // The rest of the news stays due.
-    m_reportAt = mayTellLoneSuspects ? TimePoint::max() : now;
-    m_isReportUrgent = false;
-    m_isReportPutOff = false;
-    const TimePoint newsSince = std::min<TimePoint>(now - newsRepeatTime, m_takenAt);
-    CrashReportBuilder builder(m_suspects, newsSince,
-                               [this](TimePoint time) { return toReportMs(time); });
-    if (!mayTellLoneSuspects)
-        builder.tellOnly([this, now](const std::string &suspect, const SuspectRecord &record) {
-            return isDeciding(suspect, record, now);
-        });
-    CrashReport report = builder.build();
-    if (report == m_published)
-        return std::nullopt;
-    m_published = report;
-    if (mayTellLoneSuspects)
-        m_previousTakenAt = std::exchange(m_takenAt, now);
-    report.dating = {m_reportOffset.value_or(milliseconds(0)).count(), toReportMs(now)};
-    return report;
-}
-
-void RequestQuarantine::onReportNotPublished()
-{
-    m_published = {};
-    m_reportAt = TimePoint {};
-    m_takenAt = m_previousTakenAt;
-}
-
-std::int64_t RequestQuarantine::toReportMs(TimePoint time) const
-{
-    return std::chrono::duration_cast<milliseconds>(time.time_since_epoch()).count()
-        + m_reportOffset.value_or(milliseconds(0)).count();
-}
-
 } // namespace foxtailring
--- a/src/decisions/quarantine/SuspectTable.cpp
+++ b/src/decisions/quarantine/SuspectTable.cpp
@@ -161,4 +161,30 @@
     return found == m_namesByCrash.end() ? none : found->second;
 }
 
+// Names are gathered once for all crashes: 512 starts in a report that share 16 crashes with 1,024
+// suspects would otherwise add 8 million.
+SuspectTable::Names SuspectTable::suspectsOf(const Names &incarnations) const
+{
+    Names names;
+    for (const std::string &incarnation : incarnations) {
+        const Names &sharing = suspectsOf(incarnation);
+        names.insert(sharing.begin(), sharing.end());
+    }
+    return names;
+}
+
+SuspectTable::Names SuspectTable::requestsAtAllCrashes(std::string_view part) const
+{
+    const SuspectRecord *record = find(part);
+    Names requests;
+    if (!record || record->crashes.empty())
+        return requests;
+    for (const std::string &name : suspectsOf(record->crashes.begin()->first)) {
+        const SuspectRecord &request = *find(name);
+        if (request.parts.contains(part) && request.hasAllCrashesOf(*record))
+            requests.insert(name);
+    }
+    return requests;
+}
+
 } // namespace foxtailring
--- a/src/gateway/CrashReportCodec.cpp
+++ b/src/gateway/CrashReportCodec.cpp
@@ -63,29 +63,54 @@
     return value.is_array() && value.size() == 2 && isName(value[0]) && isName(value[1]);
 }
 
+bool isIndexes(const json &value)
+{
+    const auto isIndex = [](const json &index) {
+        return index.is_number_unsigned() && index.get<std::uint64_t>() < maxSuspects;
+    };
+    return value.is_array() && value.size() <= maxSuspects
+        && std::all_of(value.begin(), value.end(), isIndex);
+}
+
+bool isOneLoss(const json &value)
+{
+    return value.is_array() && value.size() == 2 && isName(value[0]) && isIndexes(value[1]);
+}
+
+bool areRequestsOfCrash(const json &value)
+{
+    return value.is_array() && value.size() == 2 && isName(value[0]) && value[1].is_array()
+        && value[1].size() <= maxSuspects
+        && std::all_of(value[1].begin(), value[1].end(), isIndexes);
+}
+
 bool isReport(const json &document)
 {
     const auto all = [&](const char *name, bool (*isEntry)(const json &)) {
         return std::all_of(document[name].begin(), document[name].end(), isEntry);
     };
+    const auto isListOfCrashes = [&](const char *name, bool (*isEntry)(const json &)) {
+        return !document.contains(name)
+            || (isList(document, name, maxCrashes) && all(name, isEntry));
+    };
     return document.is_object() && isList(document, "crashes", maxCrashes)
         && isList(document, "starts", maxNames) && isList(document, "quarantines", maxNames)
         && all("crashes", isCrash) && all("starts", isStart) && all("quarantines", isQuarantine)
         && (!document.contains("dating") || isDating(document["dating"]))
-        && (!document.contains("zoneCrashes")
-            || (isList(document, "zoneCrashes", maxCrashes) && all("zoneCrashes", isName)))
-        && (!document.contains("services")
-            || (isList(document, "services", maxCrashes) && all("services", isServiceOfCrash)));
+        && isListOfCrashes("zoneCrashes", isName) && isListOfCrashes("services", isServiceOfCrash)
+        && isListOfCrashes("requests", areRequestsOfCrash) && isListOfCrashes("oneLoss", isOneLoss);
 }
 
-std::string serviceOf(const json &document, const json &incarnation)
+// The value that a list gives for a crash, or an empty one.
+template <typename Value>
+Value valueOf(const json &document, const char *list, const json &incarnation)
 {
-    const auto services = document.find("services");
-    if (services == document.end())
+    const auto entries = document.find(list);
+    if (entries == document.end())
         return {};
-    for (const json &entry : *services) {
+    for (const json &entry : *entries) {
         if (entry[0] == incarnation)
-            return entry[1].get<std::string>();
+            return entry[1].get<Value>();
     }
     return {};
 }
@@ -97,6 +122,19 @@
         && std::find(found->begin(), found->end(), incarnation) != found->end();
 }
 
+CrashReport::Crash decodeCrash(const json &document, const json &value)
+{
+    CrashReport::Crash crash;
+    crash.incarnation = value[0].get<std::string>();
+    crash.atMs = value[1].get<std::int64_t>();
+    crash.suspects = value[2].get<std::vector<std::string>>();
+    crash.isZoneFailure = isZoneCrash(document, value[0]);
+    crash.service = valueOf<std::string>(document, "services", value[0]);
+    crash.requests = valueOf<std::vector<CrashReport::Indexes>>(document, "requests", value[0]);
+    crash.oneLossSuspects = valueOf<CrashReport::Indexes>(document, "oneLoss", value[0]);
+    return crash;
+}
+
 } // namespace
 
 std::string CrashReportCodec::encode(const CrashReport &report)
@@ -111,6 +149,10 @@
             document["zoneCrashes"].push_back(crash.incarnation);
         if (!crash.service.empty())
             document["services"].push_back({crash.incarnation, crash.service});
+        if (!crash.requests.empty())
+            document["requests"].push_back({crash.incarnation, crash.requests});
+        if (!crash.oneLossSuspects.empty())
+            document["oneLoss"].push_back({crash.incarnation, crash.oneLossSuspects});
     }
     for (const auto &start : report.starts)
         document["starts"].push_back({start.suspect, start.atMs});
@@ -129,9 +171,7 @@
         return Error {ErrorCode::Malformed, "not a report of crashes"};
     CrashReport report;
     for (const json &crash : document["crashes"])
-        report.crashes.push_back({crash[0].get<std::string>(), crash[1].get<std::int64_t>(),
-                                  crash[2].get<std::vector<std::string>>(),
-                                  isZoneCrash(document, crash[0]), serviceOf(document, crash[0])});
+        report.crashes.push_back(decodeCrash(document, crash));
     for (const json &start : document["starts"])
         report.starts.push_back({start[0].get<std::string>(), start[1].get<std::int64_t>()});
     for (const json &quarantine : document["quarantines"])
--- a/tests/gateway/CrashReportCodecTest.cpp
+++ b/tests/gateway/CrashReportCodecTest.cpp
@@ -16,11 +16,12 @@
 public:
     void reportSurvivesTheStore()
     {
-        const CrashReport sent {{{"e@1", 1780000000000, {"a", "b"}, false, "engine"},
-                                 {"e@2", 1780000000001, {"a"}, true, {}}},
-                                {{"a", 5}},
-                                {{"b", 6, 7}},
-                                {{8, 9}}};
+        const CrashReport sent {
+            {{"e@1", 1780000000000, {"a", "b"}, false, "engine", {{0, 1}, {1}}, {}},
+             {"e@2", 1780000000001, {"a"}, true, {}, {}, {0}}},
+            {{"a", 5}},
+            {{"b", 6, 7}},
+            {{8, 9}}};
         const auto received = CrashReportCodec::decode(CrashReportCodec::encode(sent));
         CPPUNIT_ASSERT(received.value() == sent);
         const auto empty = CrashReportCodec::decode(CrashReportCodec::encode({}));
@@ -60,6 +61,12 @@
                                         frame + R"([],"services":[1]})",
                                         frame + R"([],"services":[["e@1"]]})",
                                         frame + R"([],"services":[["e@1",2]]})",
+                                        frame + R"([],"requests":[["e@1"]]})",
+                                        frame + R"([],"requests":[["e@1",[0]]]})",
+                                        frame + R"([],"requests":[["e@1",[[-1]]]]})",
+                                        frame + R"([],"requests":[["e@1",[[64]]]]})",
+                                        frame + R"([],"oneLoss":[["e@1",0]]})",
+                                        frame + R"([],"oneLoss":[["e@1",["0"]]]})",
                                         frame + R"([[")" + std::string(300, 'e') + R"(",1,[]]]})"})
             CPPUNIT_ASSERT_MESSAGE(text, !CrashReportCodec::decode(text));
     }
@@ -67,7 +74,7 @@
     // Guards against an exception for ids that callers send.
     void bytesThatAreNoTextAreEncoded()
     {
-        const CrashReport report {{{"e@1", 1, {"\xff\xfe"}, false, "\xff"}}, {}, {}, {}};
+        const CrashReport report {{{"e@1", 1, {"\xff\xfe"}, false, "\xff", {}, {}}}, {}, {}, {}};
         CPPUNIT_ASSERT(CrashReportCodec::decode(CrashReportCodec::encode(report)));
     }
 };
