rollouts: keep to one order, to the acknowledged move and to the latest status

Change: orders are counted and a request keeps to its own; statuses behind the known revision or share are not adopted; a serving status of an earlier order does not answer a later one; sides() prefers the old version without the store and only the new one after the acknowledgement; Progress::hasOld; a completed roll-out forgets the use of other versions; the status holds elapsed_ms by a steady clock, and the wall clock counts only between that and the ramp.

--- a/include/foxtailring/decisions/rollouts/RequestVersions.h
+++ b/include/foxtailring/decisions/rollouts/RequestVersions.h
@@ -4,6 +4,7 @@
 #include "foxtailring/decisions/rollouts/VersionSide.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <string_view>
 
 namespace foxtailring {
@@ -41,11 +42,14 @@
     Rollout *rollout() const { return m_rollout; }
 
 private:
+    bool isOfSameOrder() const;
+
     Rollouts &m_rollouts;
     Rollout *m_rollout = nullptr; ///< null before begin()
     bool m_hasCredit = false;
     bool m_wantsNew = false;
-    std::size_t m_choice = 0; ///< position among the sides
+    std::uint64_t m_orderCount = 0; ///< of the roll-out at begin()
+    std::size_t m_choice = 0;       ///< position among the sides
     VersionSide m_side = VersionSide::Any;
 };
 
--- a/include/foxtailring/decisions/rollouts/Rollout.h
+++ b/include/foxtailring/decisions/rollouts/Rollout.h
@@ -11,6 +11,7 @@
 #include "foxtailring/decisions/rollouts/VersionObserver.h"
 #include "foxtailring/decisions/rollouts/VersionSide.h"
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
@@ -73,6 +74,8 @@
     bool isNew(std::string_view version) const { return m_order && version == m_order->version; }
     VersionObserver &observer() { return m_observer; }
     bool hasOrder() const { return m_order.has_value(); }
+    /// \brief Number of orders that have begun or ended here.
+    std::uint64_t orderCount() const { return m_orderCount; }
     /// \brief True from the order to the end of the roll-out.
     bool isOpen() const
     {
@@ -94,17 +97,21 @@
     };
 
     void begin(bool isTrial, TimePoint now);
+    void adoptRevision(StoreRevision revision);
     std::string unprovenVersion() const;
     void refuse(const std::string &version);
     bool isRefused(std::string_view version) const;
     bool isProven(std::string_view version, TimePoint now) const;
     bool answersOrder(const RolloutStatus &status) const;
+    /// True if the roll-out was further already.
+    bool isBehind(const RolloutStatus &status) const;
+    Duration orderAge(const RolloutStatus &status, TimePoint now) const;
     void adopt(const RolloutStatus &status, TimePoint now);
     void keepWithoutOrder(const RolloutStatus &status, TimePoint now);
     void applyShare();
     void updateListed(TimePoint now);
     void updateEvidence(TimePoint now);
-    void condemn(const VersionVerdict &verdict);
+    void condemn(const VersionVerdict &verdict, TimePoint now);
     void restoreStored(TimePoint now);
     void updateSampling();
     /// Part of the gateways that take part in a trial.
@@ -115,9 +122,10 @@
     double share() const { return m_status ? m_status->share : 0; }
     bool isServing() const;
     bool isMovedEverywhere() const;
-    bool isMoved() const;
+    void updateMoved();
     std::optional<RolloutStatus> nextStatus(TimePoint now) const;
-    RolloutStatus makeStatus(RolloutState state, double share, std::string reason) const;
+    RolloutStatus makeStatus(RolloutState state, double share, std::string reason,
+                             TimePoint now) const;
 
     const std::string m_service;
     const RolloutSettings &m_settings;
@@ -127,6 +135,7 @@
     std::optional<RolloutOrder> m_order;
     StoreRevision m_orderRevision;
     TimePoint m_orderedAt;
+    std::uint64_t m_orderCount = 0;
     std::optional<TimePoint> m_orderLostAt; ///< missing in a restored store
     bool m_isTrial = true;                  ///< the version has not served before the order
     std::vector<std::string> m_refused;
@@ -143,6 +152,7 @@
     bool m_isWriting = false;
 
     bool m_isCondemned = false;
+    bool m_hasMoved = false; ///< nothing of this gateway is at an old server, and nothing will be
     VersionVerdict m_verdict;
     std::map<std::string, VersionWitness, std::less<>> m_witnesses; ///< by gateway
     VersionEvidence m_evidence;
--- a/include/foxtailring/decisions/rollouts/RolloutSchedule.h
+++ b/include/foxtailring/decisions/rollouts/RolloutSchedule.h
@@ -20,6 +20,7 @@
         double share = 0;
         double observedShare = 1; ///< of the requests, of which the gateways tell
         bool isMoved = false;     ///< acknowledged by all gateways
+        bool hasOld = true;       ///< servers of another version are listed
     };
     struct Step
     {
--- a/include/foxtailring/decisions/rollouts/RolloutStatus.h
+++ b/include/foxtailring/decisions/rollouts/RolloutStatus.h
@@ -17,7 +17,8 @@
     std::string version;              ///< that the order names
     bool isTrial = true;              ///< the version has not served before the order
     double share = 0;                 ///< of the requests, for the new version
-    std::int64_t startedAtMs = 0;     ///< Unix ms
+    std::int64_t startedAtMs = 0;     ///< Unix ms, by the clock of the first writer
+    std::int64_t elapsedMs = 0;       ///< from the order to this step, by a steady clock
     StoreRevision order;              ///< that this answers
     std::vector<std::string> refused; ///< versions that must not serve
     VersionFigures newFigures;
--- a/include/foxtailring/decisions/rollouts/VersionObserver.h
+++ b/include/foxtailring/decisions/rollouts/VersionObserver.h
@@ -51,6 +51,8 @@
     std::size_t openCountBeside(std::string_view version) const;
     /// \brief When the first attempt at a server of \a version was sent; none: there was none.
     std::optional<TimePoint> firstUse(std::string_view version) const;
+    /// \brief Forgets the first attempts at servers of other versions.
+    void forgetUseBeside(std::string_view version);
     /// \brief Routes of the service so far, sorted.
     const std::set<std::string, std::less<>> &routes() const { return m_routes; }
 
--- a/include/foxtailring/decisions/rollouts/VersionRow.h
+++ b/include/foxtailring/decisions/rollouts/VersionRow.h
@@ -34,6 +34,13 @@
     TimeHistogram open;  ///< ages of requests without an answer so far
 
     bool operator==(const VersionRow &) const = default;
+    VersionRow &operator+=(const VersionRow &other)
+    {
+        failures += other.failures;
+        times.merge(other.times);
+        open.merge(other.open);
+        return *this;
+    }
 };
 
 } // namespace foxtailring
--- a/src/decisions/rollouts/RequestVersions.cpp
+++ b/src/decisions/rollouts/RequestVersions.cpp
@@ -15,7 +15,7 @@
 
 RequestVersions::~RequestVersions()
 {
-    if (m_hasCredit)
+    if (m_hasCredit && isOfSameOrder())
         m_rollout->giveBackNew();
 }
 
@@ -24,21 +24,28 @@
     m_rollout = &m_rollouts.of(service);
     m_wantsNew = m_rollout->takeNew(route, now);
     m_hasCredit = m_wantsNew;
+    m_orderCount = m_rollout->orderCount();
     startChoice(now);
 }
 
+// What was taken for the version of one order is not for that of the next.
+bool RequestVersions::isOfSameOrder() const
+{
+    return m_orderCount == m_rollout->orderCount();
+}
+
 void RequestVersions::startChoice(TimePoint now)
 {
     m_choice = 0;
     if (m_rollout)
-        m_side = m_rollout->sides(m_wantsNew, now).front();
+        m_side = m_rollout->sides(m_wantsNew && isOfSameOrder(), now).front();
 }
 
 bool RequestVersions::widenChoice(TimePoint now)
 {
     if (!m_rollout)
         return false;
-    const std::vector<VersionSide> sides = m_rollout->sides(m_wantsNew, now);
+    const std::vector<VersionSide> sides = m_rollout->sides(m_wantsNew && isOfSameOrder(), now);
     if (m_choice + 1 >= sides.size())
         return false;
     m_side = sides[++m_choice];
--- a/src/decisions/rollouts/Rollout.cpp
+++ b/src/decisions/rollouts/Rollout.cpp
@@ -55,7 +55,7 @@
     m_orderRevision = revision;
     if (isKnown || (isSame && !wasRolledBack)) {
         m_order = order;
-        return;
+        return adoptRevision(revision);
     }
     const std::string previous = unprovenVersion();
     const bool isTrial = !isLive || isRefused(order.version) || !isProven(order.version, now);
@@ -67,8 +67,19 @@
     begin(isTrial, now);
 }
 
+// Gateways that start take a status for the order that it names.
+void Rollout::adoptRevision(StoreRevision revision)
+{
+    if (!isServing() || m_status->order == revision)
+        return;
+    m_status->order = revision;
+    m_isStatusStored = false;
+}
+
 void Rollout::begin(bool isTrial, TimePoint now)
 {
+    ++m_orderCount;
+    m_hasMoved = false;
     m_isTrial = isTrial;
     m_isCondemned = false;
     m_verdict = {};
@@ -118,6 +129,7 @@
         return;
     const bool isOpen = !m_status || m_status->state == RolloutState::Serving;
     refuse(unprovenVersion());
+    ++m_orderCount;
     m_isStatusStored = m_isStatusStored && !isOpen;
     m_order.reset();
     m_orderLostAt.reset();
@@ -146,21 +158,33 @@
     return std::find(m_refused.begin(), m_refused.end(), version) != m_refused.end();
 }
 
-// An order for a version that was rolled back, written after that, begins anew.
+// An order for a version that was rolled back, or whose order was deleted, begins anew: there is no
+// evidence for the share that it had.
 bool Rollout::answersOrder(const RolloutStatus &status) const
 {
     if (!m_order || status.version != m_order->version)
         return false;
     const bool isOfOlderOrder =
         status.order.epoch == m_orderRevision.epoch && status.order.number < m_orderRevision.number;
-    return !(isOfOlderOrder && status.state == RolloutState::RolledBack);
+    return !isOfOlderOrder || status.state == RolloutState::Completed;
+}
+
+// A copy of the store may be older than what was decided. Shares only rise.
+bool Rollout::isBehind(const RolloutStatus &status) const
+{
+    if (!m_status || status.state != RolloutState::Serving)
+        return false;
+    return m_status->state != RolloutState::Serving || status.share < m_status->share;
 }
 
 void Rollout::setStatus(const RolloutStatus &status, StoreRevision revision, TimePoint now)
 {
+    m_isWriting = false;
+    // The reply of a write may come behind a change that followed it.
+    if (revision.epoch == m_statusRevision.epoch && revision.number < m_statusRevision.number)
+        return;
     m_statusRevision = revision;
     m_stored = status;
-    m_isWriting = false;
     for (const std::string &version : status.refused) {
         if (!m_order || version != m_order->version)
             refuse(version);
@@ -174,11 +198,8 @@
             keepWithoutOrder(status, now);
         return;
     }
-    // A copy of the store may be older than what was decided.
-    const bool isOlder = m_status && m_status->state != RolloutState::Serving
-        && status.state == RolloutState::Serving;
-    m_isStatusStored = !isOlder;
-    if (!isOlder)
+    m_isStatusStored = !isBehind(status);
+    if (m_isStatusStored)
         adopt(status, now);
 }
 
@@ -192,9 +213,8 @@
 
 void Rollout::adopt(const RolloutStatus &status, TimePoint now)
 {
-    const bool isFirst = !m_status;
     const bool isStep =
-        isFirst || m_status->state != status.state || m_status->share != status.share;
+        !m_status || m_status->state != status.state || m_status->share != status.share;
     m_status = status;
     m_isTrial = status.isTrial;
     m_dueSince.reset();
@@ -202,11 +222,10 @@
         return;
     m_shareSince = now;
     // A gateway that has started since then learns from the status how old the order is.
-    if (isFirst && !m_isLive && status.startedAtMs > 0) {
-        const Duration age = m_environment.unixTime(now) - milliseconds(status.startedAtMs);
-        m_orderedAt =
-            std::min(m_orderedAt, now - std::clamp<Duration>(age, Duration {0}, 2 * m_order->ramp));
-    }
+    if (!m_isLive)
+        m_orderedAt = std::min(m_orderedAt, now - orderAge(status, now));
+    if (status.state == RolloutState::Completed)
+        m_observer.forgetUseBeside(status.version);
     if (status.state != RolloutState::Serving)
         m_isCondemned = status.state == RolloutState::RolledBack;
     applyShare();
@@ -214,6 +233,16 @@
         m_environment.onStep(m_service, status, status.reason);
 }
 
+// The clocks of the writer and of this VM may have jumped. An age that is too low delays the next
+// step; one that is too high takes it without evidence.
+Duration Rollout::orderAge(const RolloutStatus &status, TimePoint now) const
+{
+    const auto ramp = std::chrono::duration_cast<milliseconds>(m_order->ramp);
+    const auto known = std::clamp(milliseconds(status.elapsedMs), milliseconds {0}, 2 * ramp);
+    const milliseconds byClock = m_environment.unixTime(now) - milliseconds(status.startedAtMs);
+    return status.startedAtMs > 0 && byClock >= known && byClock <= ramp ? byClock : known;
+}
+
 void Rollout::applyShare()
 {
     m_listedAt = {};
@@ -295,6 +324,7 @@
     if (m_orderLostAt)
         removeOrder(m_orderRevision.epoch, now);
     m_observer.advance(now);
+    updateMoved();
     if (!isServing())
         return;
     updateSampling();
@@ -312,28 +342,25 @@
     for (const auto &[gatewayId, witness] : m_witnesses) {
         if (witness.version != m_order->version || witness.order != m_orderRevision)
             continue;
-        for (const auto &[key, row] : witness.rows) {
-            VersionRow &sum = merged[key];
-            sum.failures += row.failures;
-            sum.times.merge(row.times);
-            sum.open.merge(row.open);
-        }
+        for (const auto &[key, row] : witness.rows)
+            merged[key] += row;
     }
     m_evidence.update(std::move(merged), now);
     m_verdict = m_evidence.judge();
     if (!m_isTrial)
         m_verdict.grade = VersionVerdict::Grade::Good;
     if (!m_isCondemned && m_verdict.grade == VersionVerdict::Grade::Bad)
-        condemn(m_verdict);
+        condemn(m_verdict, now);
 }
 
-void Rollout::condemn(const VersionVerdict &verdict)
+void Rollout::condemn(const VersionVerdict &verdict, TimePoint now)
 {
     m_isCondemned = true;
     m_dueSince.reset();
     if (m_environment.onStep)
-        m_environment.onStep(
-            m_service, makeStatus(RolloutState::Serving, 0, "bad: " + verdict.aspect), "condemned");
+        m_environment.onStep(m_service,
+                             makeStatus(RolloutState::Serving, 0, "bad: " + verdict.aspect, now),
+                             "condemned");
 }
 
 void Rollout::updateListed(TimePoint now)
@@ -402,11 +429,12 @@
     case Mode::Moving:
         break;
     }
-    // The old servers may have been stopped, or the version condemned, without this gateway
+    // Others may have stopped the old servers on the word of this gateway.
+    if (m_hasMoved && m_listed.hasNew())
+        return isInTouch(now) ? std::vector {Side::New} : std::vector {Side::New, Side::Old};
+    // The version may have been condemned, or the old servers stopped, without this gateway
     // learning of it.
-    if (!isInTouch(now))
-        return {Side::Any};
-    const bool prefersNew = wantsNew || share() >= 1;
+    const bool prefersNew = isInTouch(now) && (wantsNew || share() >= 1);
     return prefersNew ? std::vector {Side::New, Side::Old} : std::vector {Side::Old, Side::New};
 }
 
--- a/src/decisions/rollouts/RolloutDecision.cpp
+++ b/src/decisions/rollouts/RolloutDecision.cpp
@@ -20,9 +20,10 @@
 
 } // namespace
 
-bool Rollout::isMoved() const
+void Rollout::updateMoved()
 {
-    return share() >= 1 && m_observer.openCountBeside(m_order->version) == 0;
+    m_hasMoved = isServing() && share() >= 1 && m_listed.hasNew()
+        && m_observer.openCountBeside(m_order->version) == 0;
 }
 
 bool Rollout::isMovedEverywhere() const
@@ -33,7 +34,7 @@
         return witness != m_witnesses.end() && witness->second.version == m_order->version
             && witness->second.order == m_orderRevision && witness->second.isMoved;
     };
-    return isMoved() && std::all_of(fleet.otherIds.begin(), fleet.otherIds.end(), hasMoved);
+    return m_hasMoved && std::all_of(fleet.otherIds.begin(), fleet.otherIds.end(), hasMoved);
 }
 
 std::optional<VersionWitness> Rollout::witness(TimePoint now) const
@@ -43,13 +44,14 @@
     VersionWitness witness;
     witness.version = m_order->version;
     witness.order = m_orderRevision;
-    witness.isMoved = isMoved();
+    witness.isMoved = m_hasMoved;
     if (m_isSampler)
         witness.rows = m_observer.rows(now);
     return witness;
 }
 
-RolloutStatus Rollout::makeStatus(RolloutState state, double share, std::string reason) const
+RolloutStatus Rollout::makeStatus(RolloutState state, double share, std::string reason,
+                                  TimePoint now) const
 {
     RolloutStatus status;
     status.state = state;
@@ -58,6 +60,7 @@
     status.isTrial = m_isTrial;
     status.order = m_orderRevision;
     status.startedAtMs = m_status ? m_status->startedAtMs : 0;
+    status.elapsedMs = std::chrono::duration_cast<milliseconds>(now - m_orderedAt).count();
     status.refused = m_refused;
     if (state == RolloutState::RolledBack && !isRefused(status.version) && m_order)
         status.refused.push_back(status.version);
@@ -72,14 +75,12 @@
     if (!m_order) {
         if (!m_status || m_status->state != RolloutState::Serving || m_isStatusStored)
             return std::nullopt;
-        return makeStatus(RolloutState::RolledBack, 0, "order withdrawn");
+        return makeStatus(RolloutState::RolledBack, 0, "order withdrawn", now);
     }
     if (!m_status) {
-        RolloutStatus first =
-            makeStatus(RolloutState::Serving, m_isTrial ? m_schedule.trialShare() : 1, "ordered");
-        first.startedAtMs = (m_environment.unixTime(now)
-                             - std::chrono::duration_cast<milliseconds>(now - m_orderedAt))
-                                .count();
+        RolloutStatus first = makeStatus(RolloutState::Serving,
+                                         m_isTrial ? m_schedule.trialShare() : 1, "ordered", now);
+        first.startedAtMs = m_environment.unixTime(now).count() - first.elapsedMs;
         return first;
     }
     if (!m_isStatusStored)
@@ -87,7 +88,7 @@
     if (!isServing())
         return std::nullopt;
     if (m_isCondemned)
-        return makeStatus(RolloutState::RolledBack, 0, "bad: " + m_verdict.aspect);
+        return makeStatus(RolloutState::RolledBack, 0, "bad: " + m_verdict.aspect, now);
     RolloutSchedule::Progress progress;
     progress.elapsed = now - m_orderedAt;
     progress.ramp = m_order->ramp;
@@ -95,14 +96,15 @@
     progress.share = share();
     progress.isMoved = isMovedEverywhere();
     progress.observedShare = observedShare();
+    progress.hasOld = m_listed.hasOld();
     const auto next = m_listed.hasNew() ? m_schedule.next(progress, m_verdict) : std::nullopt;
     if (!next)
         return std::nullopt;
     if (next->isRolledBack)
-        return makeStatus(RolloutState::RolledBack, 0, "suspect: " + m_verdict.aspect);
+        return makeStatus(RolloutState::RolledBack, 0, "suspect: " + m_verdict.aspect, now);
     if (next->isFinal)
-        return makeStatus(RolloutState::Completed, 1, progress.isMoved ? "moved" : "deadline");
-    return makeStatus(RolloutState::Serving, next->share, "good so far");
+        return makeStatus(RolloutState::Completed, 1, progress.isMoved ? "moved" : "deadline", now);
+    return makeStatus(RolloutState::Serving, next->share, "good so far", now);
 }
 
 std::optional<RolloutStatus> Rollout::takeDueStatus(TimePoint now)
--- a/src/decisions/rollouts/RolloutSchedule.cpp
+++ b/src/decisions/rollouts/RolloutSchedule.cpp
@@ -46,14 +46,16 @@
     return std::chrono::duration_cast<Duration>(ramp * fraction);
 }
 
-/// True if there are so many answers of each version, or the service has only few requests.
+/// True if there are so many answers of each version that runs, or the service has only few
+/// requests.
 bool hasAnswers(const RolloutSchedule::Progress &progress, const VersionVerdict &verdict,
                 double wanted)
 {
     const auto fresh = static_cast<double>(verdict.newFigures.answers);
     const auto old = static_cast<double>(verdict.oldFigures.answers);
     const double all = (fresh + old) / progress.observedShare;
-    return std::min(fresh, old) >= std::min(wanted, std::ceil(minAnswerFraction * all));
+    const double fewest = progress.hasOld ? std::min(fresh, old) : fresh;
+    return fewest >= std::min(wanted, std::ceil(minAnswerFraction * all));
 }
 
 } // namespace
--- a/src/decisions/rollouts/VersionObserver.cpp
+++ b/src/decisions/rollouts/VersionObserver.cpp
@@ -41,6 +41,11 @@
     return found == m_firstUse.end() ? std::nullopt : std::optional(found->second);
 }
 
+void VersionObserver::forgetUseBeside(std::string_view version)
+{
+    std::erase_if(m_firstUse, [version](const auto &one) { return one.first != version; });
+}
+
 void VersionObserver::recordEvent(std::uint64_t id, TimePoint now)
 {
     const auto found = m_open.find(id);
--- a/tests/platform/RolloutDocumentsTest.cpp
+++ b/tests/platform/RolloutDocumentsTest.cpp
@@ -43,6 +43,7 @@
         status.isTrial = false;
         status.share = 0.05;
         status.startedAtMs = 1'700'000'000'000;
+        status.elapsedMs = 4'500;
         status.order = {2, 17};
         status.refused = {"v0", "v2"};
         status.newFigures = {30, 9, 1};
