foxtailringctl: show and follow the roll-out of a version

Cause: operators saw a roll-out only as raw documents in the store. Exit codes: 0 completed, 1 rolled back, 2 usage or no roll-out, 4 not ended in time. The witness codec's header is public, since the command reads what gateways write.

--- a/apps/foxtailringctl.cpp
+++ b/apps/foxtailringctl.cpp
@@ -1,7 +1,9 @@
 #include "foxtailring/operator/ControlCommands.h"
 #include "foxtailring/operator/OperatorClient.h"
+#include "foxtailring/operator/RolloutCommand.h"
 #include "foxtailring/transport/Endpoint.h"
 
+#include "RolloutStore.h"
 #include "RouteConfigFiles.h"
 
 #include <algorithm>
@@ -9,6 +11,7 @@
 #include <gflags/gflags.h>
 #include <iostream>
 #include <string>
+#include <thread>
 #include <vector>
 
 DEFINE_string(server, "127.0.0.1:7002", "IP:PORT of any entry's admin port");
@@ -16,14 +19,14 @@
 DEFINE_string(output, "table", "table or json");
 DEFINE_string(f, "", "file with resources");
 DEFINE_string(in_force, "", "check-routes: file with the configuration in force");
-DEFINE_string(store, "",
-              "check-routes: IP:PORT of the store, for the configuration in force and the servers");
+DEFINE_string(store, "", "check-routes, rollout: IP:PORT of the store that the gateways use");
 DEFINE_int32(memory_mb, 0, "check-routes: memory of the smallest gateway in MB; 0: not checked");
 DEFINE_bool(wait, false, "after a change, wait until it is in force on every node");
 DEFINE_bool(undo, false, "drain: give the server new work again");
 DEFINE_int64(revision, 0, "wait: the revision; 0: the current one");
 DEFINE_int64(from, 0, "watch: show changes after this revision");
-DEFINE_int32(timeout, 60, "wait: maximum time in seconds");
+DEFINE_int32(timeout, 60, "wait, rollout --follow: maximum time in seconds");
+DEFINE_bool(follow, false, "rollout: show each change until the roll-out has ended");
 
 namespace {
 
@@ -61,6 +64,25 @@
     return out;
 }
 
+int showRollout(const std::string &service)
+{
+    const auto address = foxtailring::Endpoint::parse(FLAGS_store);
+    if (!address) {
+        std::cerr << "--store: " << address.error().message << '\n';
+        return usageExitCode;
+    }
+    foxtailring::RolloutStore store(address.value(), service);
+    foxtailring::RolloutCommand::Options options;
+    options.follows = FLAGS_follow;
+    options.printsJson = FLAGS_output == "json";
+    options.timeout = std::chrono::seconds(FLAGS_timeout);
+    foxtailring::RolloutCommand::Hooks hooks;
+    hooks.read = [&store] { return store.read(); };
+    hooks.clock = [] { return foxtailring::TimePoint::clock::now(); };
+    hooks.sleep = [](foxtailring::Duration time) { std::this_thread::sleep_for(time); };
+    return foxtailring::RolloutCommand(options, hooks, std::cout, std::cerr).run();
+}
+
 } // namespace
 
 int main(int argc, char **argv)
@@ -75,6 +97,8 @@
     const std::vector<std::string> arguments(argv + 1, argv + argc);
     if (arguments == std::vector<std::string> {"check-routes"} && !FLAGS_f.empty())
         return foxtailring::RouteConfigFiles::check(routeConfigOptions());
+    if (arguments.size() == 2 && arguments[0] == "rollout")
+        return showRollout(arguments[1]);
     foxtailring::OperatorClient client(entry.value(), operatorName());
     foxtailring::ControlCommands commands(client, options(), std::cin, std::cout, std::cerr);
     return commands.run(arguments);
--- a/src/gateway/GatewayPublisher.cpp
+++ b/src/gateway/GatewayPublisher.cpp
@@ -1,13 +1,13 @@
 #include "GatewayPublisher.h"
 
 #include "foxtailring/base/StructuredLog.h"
+#include "foxtailring/gateway/RolloutWitnessCodec.h"
 
 #include "CrashReportCodec.h"
 #include "GatewayKey.h"
 #include "GatewayListingCodec.h"
 #include "GatewayParts.h"
 #include "RateLimitReportCodec.h"
-#include "RolloutWitnessCodec.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/gateway/RolloutWatch.cpp
+++ b/src/gateway/RolloutWatch.cpp
@@ -1,11 +1,11 @@
 #include "RolloutWatch.h"
 
 #include "foxtailring/base/StructuredLog.h"
+#include "foxtailring/gateway/RolloutWitnessCodec.h"
 #include "foxtailring/store/RangeResult.h"
 #include "foxtailring/store/WatchEvent.h"
 
 #include "GatewayParts.h"
-#include "RolloutWitnessCodec.h"
 
 #include <utility>
 
--- a/src/gateway/RolloutWitnessCodec.cpp
+++ b/src/gateway/RolloutWitnessCodec.cpp
@@ -1,4 +1,4 @@
-#include "RolloutWitnessCodec.h"
+#include "foxtailring/gateway/RolloutWitnessCodec.h"
 
 #include <nlohmann/json.hpp>
 
