rollouts: evidence that survives a restart, and no step on old or one-sided evidence

Cause: process tests with kills and a store that is away raised the share of a version that failed 40 in 100 requests. A gateway that was killed and started again replaced its own witness by an empty one, so that all lost what it had seen. Within 0.1 s of the store's return a gateway took the step before the others could write. 12 bad answers of 28, 8 of them in one zone, counted as good for a step, since the zone with most bad answers is left out.

--- a/include/foxtailring/decisions/rollouts/Rollout.h
+++ b/include/foxtailring/decisions/rollouts/Rollout.h
@@ -45,6 +45,9 @@
     /// \brief The store holds a status that cannot be read.
     void setUnreadableStatus(StoreRevision revision);
     void setWitness(std::string_view gatewayId, VersionWitness witness);
+    /// \brief What an earlier process of this gateway had seen. To be called once at the start,
+    /// after the order.
+    void restoreWitness(const VersionWitness &witness);
     void removeWitness(std::string_view gatewayId);
 
     /// \brief Merges the evidence and looks for the next step. To be called regularly.
@@ -103,6 +106,7 @@
     bool isRefused(std::string_view version) const;
     bool isProven(std::string_view version, TimePoint now) const;
     bool answersOrder(const RolloutStatus &status) const;
+    bool isOfOrder(const VersionWitness &witness) const;
     /// True if the roll-out was further already.
     bool isBehind(const RolloutStatus &status) const;
     Duration orderAge(const RolloutStatus &status, TimePoint now) const;
@@ -147,8 +151,9 @@
     StoreRevision m_statusRevision;        ///< of the status in the store; number 0: none
     bool m_isStatusStored = false;         ///< the store holds m_status
     TimePoint m_shareSince;
-    std::optional<TimePoint> m_dueSince; ///< of the status that is to be written
-    TimePoint m_writeAfter;              ///< after a failed write
+    std::optional<TimePoint> m_lostTouchAt; ///< the latest time without the store
+    std::optional<TimePoint> m_dueSince;    ///< of the status that is to be written
+    TimePoint m_writeAfter;                 ///< after a failed write
     bool m_isWriting = false;
 
     bool m_isCondemned = false;
--- a/include/foxtailring/decisions/rollouts/Rollouts.h
+++ b/include/foxtailring/decisions/rollouts/Rollouts.h
@@ -28,6 +28,9 @@
     /// \brief Replaces what another gateway has seen; services that are missing are forgotten.
     void setWitnesses(std::string_view gatewayId, const Witnesses &witnesses);
     void removeWitnesses(std::string_view gatewayId);
+    /// \brief What an earlier process of this gateway had seen. To be called once at the start,
+    /// after the orders: its own witnesses would hide them from the other gateways.
+    void restoreWitnesses(const Witnesses &witnesses);
     /// \brief What this gateway has to tell now, if that changed and is due.
     std::optional<Witnesses> takeDueWitnesses(TimePoint now);
     /// \brief The latest ones did not reach the store.
--- a/include/foxtailring/decisions/rollouts/VersionObserver.h
+++ b/include/foxtailring/decisions/rollouts/VersionObserver.h
@@ -37,6 +37,9 @@
     /// counts none.
     void restart(std::string version, TimePoint now);
 
+    /// \brief Adds what an earlier process of this gateway had counted since restart().
+    void restore(const std::map<VersionRowKey, VersionRow> &rows);
+
     std::uint64_t begin(Attempt attempt);
     /// \brief An event of a stream arrived.
     void recordEvent(std::uint64_t id, TimePoint now);
--- a/include/foxtailring/decisions/rollouts/VersionVerdict.h
+++ b/include/foxtailring/decisions/rollouts/VersionVerdict.h
@@ -14,7 +14,7 @@
 {
     enum class Grade : std::uint8_t {
         Good,      ///< nothing speaks against it
-        Uncertain, ///< some answers are rather slow, which may be chance
+        Uncertain, ///< rather slow answers, which may be chance, or bad ones of one zone
         Suspect,   ///< too bad for chance, but not beyond doubt
         Bad,
     };
--- a/src/decisions/rollouts/RolloutDecision.cpp
+++ b/src/decisions/rollouts/RolloutDecision.cpp
@@ -17,6 +17,8 @@
 constexpr milliseconds writerDelay {400};
 constexpr std::size_t maxWriterRank = 4;
 constexpr milliseconds writeRetryDelay {500};
+// After the store was away, until the other gateways have told what they saw meanwhile.
+constexpr milliseconds evidenceDelay {1500};
 
 } // namespace
 
@@ -31,8 +33,8 @@
     const RolloutFleet fleet = m_environment.fleet(m_service);
     const auto hasMoved = [this](const std::string &id) {
         const auto witness = m_witnesses.find(id);
-        return witness != m_witnesses.end() && witness->second.version == m_order->version
-            && witness->second.order == m_orderRevision && witness->second.isMoved;
+        return witness != m_witnesses.end() && isOfOrder(witness->second)
+            && witness->second.isMoved;
     };
     return m_hasMoved && std::all_of(fleet.otherIds.begin(), fleet.otherIds.end(), hasMoved);
 }
@@ -104,6 +106,8 @@
         return makeStatus(RolloutState::RolledBack, 0, "suspect: " + m_verdict.aspect, now);
     if (next->isFinal)
         return makeStatus(RolloutState::Completed, 1, progress.isMoved ? "moved" : "deadline", now);
+    if (m_lostTouchAt && now - *m_lostTouchAt < evidenceDelay)
+        return std::nullopt;
     return makeStatus(RolloutState::Serving, next->share, "good so far", now);
 }
 
--- a/src/decisions/rollouts/Rollouts.cpp
+++ b/src/decisions/rollouts/Rollouts.cpp
@@ -62,6 +62,12 @@
         rollout->removeWitness(gatewayId);
 }
 
+void Rollouts::restoreWitnesses(const Witnesses &witnesses)
+{
+    for (const auto &[service, witness] : witnesses)
+        of(service).restoreWitness(witness);
+}
+
 std::optional<Rollouts::Witnesses> Rollouts::takeDueWitnesses(TimePoint now)
 {
     Witnesses current;
--- a/src/decisions/rollouts/VersionEvidence.cpp
+++ b/src/decisions/rollouts/VersionEvidence.cpp
@@ -151,9 +151,10 @@
     if (all.bad() >= minBadAnswers && probability < badProbability
         && restProbability < badRestProbability)
         return Grade::Bad;
-    const bool isSuspect =
-        probability < suspectProbability && restProbability < suspectRestProbability;
-    return isSuspect ? Grade::Suspect : Grade::Good;
+    if (probability >= suspectProbability)
+        return Grade::Good;
+    // Too many bad answers, which may all be due to one server or zone.
+    return restProbability < suspectRestProbability ? Grade::Suspect : Grade::Uncertain;
 }
 
 const VersionRow *oldRow(const VersionEvidence::Rows &rows, const std::string &aspect)
--- a/src/decisions/rollouts/VersionObserver.cpp
+++ b/src/decisions/rollouts/VersionObserver.cpp
@@ -22,6 +22,13 @@
     m_rows.clear();
 }
 
+// Its requests without an answer have ended with it.
+void VersionObserver::restore(const std::map<VersionRowKey, VersionRow> &rows)
+{
+    for (const auto &[key, row] : rows)
+        m_rows[key] += {row.failures, row.times, {}};
+}
+
 std::uint64_t VersionObserver::begin(Attempt attempt)
 {
     if (m_routes.size() < maxRoutes)
--- a/src/gateway/RolloutPublisher.cpp
+++ b/src/gateway/RolloutPublisher.cpp
@@ -69,7 +69,7 @@
     const auto onReply = [this, service, status, &rollout](const Result<WriteResult> &result) {
         m_parts.queue.post([this, service, status, &rollout, result] {
             if (result)
-                return onWritten(rollout, status, result.value());
+                return onWritten(service, rollout, status, result.value());
             m_parts.metrics.add("gateway_rollout_statuses_total{outcome=\"failed\"}");
             StructuredLog::warn("rolloutStatusNotWritten",
                                 {{"service", service}, {"message", result.error().message}});
@@ -80,14 +80,20 @@
                             rollout.statusRevision(), onReply);
 }
 
-void RolloutPublisher::onWritten(Rollout &rollout, const RolloutStatus &status,
-                                 const WriteResult &result)
+void RolloutPublisher::onWritten(const std::string &service, Rollout &rollout,
+                                 const RolloutStatus &status, const WriteResult &result)
 {
     const TimePoint now = m_parts.clock();
     const std::string outcome = result.applied ? "written" : "conflict";
     m_parts.metrics.add("gateway_rollout_statuses_total{outcome=\"" + outcome + "\"}");
-    if (result.applied)
+    if (result.applied) {
+        StructuredLog::info("rolloutStatusWritten",
+                            {{"service", service},
+                             {"version", status.version},
+                             {"share", std::to_string(status.share)},
+                             {"reason", status.reason}});
         return rollout.setStatus(status, {result.epoch, result.revision}, now);
+    }
     if (result.current.modRevision == 0) {
         rollout.removeStatus(result.epoch);
         return rollout.onStatusNotWritten(now);
--- a/src/gateway/RolloutPublisher.h
+++ b/src/gateway/RolloutPublisher.h
@@ -28,7 +28,8 @@
     void step();
     void updatePace(bool isServing);
     void writeStatus(const std::string &service, Rollout &rollout, const RolloutStatus &status);
-    void onWritten(Rollout &rollout, const RolloutStatus &status, const WriteResult &result);
+    void onWritten(const std::string &service, Rollout &rollout, const RolloutStatus &status,
+                   const WriteResult &result);
     void updateMetrics(const std::string &service, const Rollout &rollout);
 
     GatewayParts &m_parts;
--- a/src/gateway/RolloutWatch.cpp
+++ b/src/gateway/RolloutWatch.cpp
@@ -67,6 +67,7 @@
         if (!ordered.contains(service))
             rollout.removeOrder(read.epoch, now);
     });
+    m_isFirstSnapshot = false;
 }
 
 void RolloutWatch::applyEvents(std::span<const WatchEvent> events, std::int64_t epoch)
@@ -126,9 +127,12 @@
 void RolloutWatch::applyWitness(const KeyValue &pair)
 {
     const std::string gatewayId = nameOf(pair.key, Kind::Witness);
-    if (gatewayId == m_parts.settings.nodeId)
+    const bool isOwn = gatewayId == m_parts.settings.nodeId;
+    if (isOwn && !m_isFirstSnapshot)
         return;
     const auto witnesses = RolloutWitnessCodec::decode(pair.value);
+    if (witnesses && isOwn)
+        return m_parts.rollouts->restoreWitnesses(witnesses.value());
     if (witnesses)
         return m_parts.rollouts->setWitnesses(gatewayId, witnesses.value());
     m_parts.metrics.add("gateway_rollout_unreadable_total{kind=\"witness\"}");
--- a/src/gateway/RolloutWatch.h
+++ b/src/gateway/RolloutWatch.h
@@ -41,6 +41,7 @@
 
     GatewayParts &m_parts;
     const RolloutSchema m_schema;
+    bool m_isFirstSnapshot = true;
 };
 
 } // namespace foxtailring
--- a/tests/decisions/rollouts/RolloutTest.cpp
+++ b/tests/decisions/rollouts/RolloutTest.cpp
@@ -29,6 +29,9 @@
     CPPUNIT_TEST(replacedVersionIsOnTrialWhenItIsOrderedAgain);
     CPPUNIT_TEST(wrongClockOfAStartedGatewayHastensNoStep);
     CPPUNIT_TEST(orderAgeIsReadFromASoundClock);
+    CPPUNIT_TEST(returnOfTheStoreTakesNoStepWithoutEvidence);
+    CPPUNIT_TEST(restartedGatewayKeepsItsEvidence);
+    CPPUNIT_TEST(evidenceOfAnotherOrderIsNotRestored);
     CPPUNIT_TEST_SUITE_END();
 
     using Ms = std::chrono::milliseconds;
@@ -125,6 +128,20 @@
         return count;
     }
 
+    static VersionWitness failingWitness(std::int64_t order)
+    {
+        VersionWitness out;
+        out.version = "v2";
+        out.order = {1, order};
+        VersionRow good;
+        for (int i = 0; i < 100; ++i)
+            good.times.record(20ms);
+        out.rows[{"route", false, ""}] = good;
+        for (const std::string zone : {"a", "b"})
+            out.rows[{"route", true, zone}] = {10, {}, {}};
+        return out;
+    }
+
     static bool contains(const std::vector<VersionSide> &sides, VersionSide side)
     {
         return std::find(sides.begin(), sides.end(), side) != sides.end();
@@ -317,6 +334,46 @@
         run(1500ms);
         CPPUNIT_ASSERT(rollout().status()->share > 0.05);
     }
+
+    // Guards against a step in the moment in which the store is back, before the other gateways
+    // have told what they saw meanwhile.
+    void returnOfTheStoreTakesNoStepWithoutEvidence()
+    {
+        order("v2", 10);
+        run(250ms);
+        for (int i = 0; i < 40; ++i) {
+            answer("v1");
+            answer("v2");
+        }
+        m_storeAge = 3s;
+        run(6s);
+        m_storeAge = 0s;
+        run(1s);
+        CPPUNIT_ASSERT_EQUAL(0.05, rollout().status()->share);
+        run(1s);
+        CPPUNIT_ASSERT_EQUAL(0.3, rollout().status()->share);
+    }
+
+    // Guards against a process that is killed and takes the bad answers that it saw with it: the
+    // first writes of its successor replace them for all gateways.
+    void restartedGatewayKeepsItsEvidence()
+    {
+        order("v2", 10, false);
+        rollout().setStatus(statusOf("v2", 0.05, 10), {1, 11}, m_now);
+        m_rollouts->restoreWitnesses({{"engine", failingWitness(10)}});
+        rollout().step(m_now);
+        CPPUNIT_ASSERT(rollout().isCondemned());
+        CPPUNIT_ASSERT(rollout().witness(m_now)->rows == failingWitness(10).rows);
+    }
+
+    void evidenceOfAnotherOrderIsNotRestored()
+    {
+        order("v2", 20, false);
+        rollout().setStatus(statusOf("v2", 0.05, 20), {1, 21}, m_now);
+        m_rollouts->restoreWitnesses({{"engine", failingWitness(10)}});
+        rollout().step(m_now);
+        CPPUNIT_ASSERT(!rollout().isCondemned());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RolloutTest);
