--- a/apps/foxtailringctl.cpp
+++ b/apps/foxtailringctl.cpp
@@ -10,6 +10,8 @@
 #include <cstdlib>
 #include <gflags/gflags.h>
 #include <iostream>
+#include <log4cplus/initializer.h>
+#include <log4cplus/logger.h>
 #include <string>
 #include <thread>
 #include <vector>
@@ -87,6 +89,9 @@
 
 int main(int argc, char **argv)
 {
+    // The log lines of the libraries are for programs that run on.
+    const log4cplus::Initializer logging;
+    log4cplus::Logger::getRoot().setLogLevel(log4cplus::OFF_LOG_LEVEL);
     gflags::SetUsageMessage(foxtailring::ControlCommands::usage());
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     const auto entry = foxtailring::Endpoint::parse(FLAGS_server);
--- a/tools/lib/soak/backend.py
+++ b/tools/lib/soak/backend.py
@@ -8,7 +8,8 @@
 with the query `pad=N` gets an answer with N more bytes, one with `dribble=SHAPE` an answer in small pieces (dribble.py),
 one with `take=SECONDS` an answer that needs so long, a stream with its events spread over that time.
 A call whose target or body contains CRASH_MARKER ends the process when it begins to run, without an answer. Fault
-dribbledReport: reports that never end, a byte now and then; slowCopies: orders for copies take a second. POST /standin/limit sets the rate limit that answers name; null: none.
+dribbledReport: reports that never end, a byte now and then; slowCopies: orders for copies take a second; late: an answer that
+takes SLOWDOWN times as long. POST /standin/limit sets the rate limit that answers name; null: none.
 POST /standin/leaving sets the value by which each answer says that the server leaves; null: none does.
 POST /standin/slots sets how many requests the server runs at a time.
 POST /standin/pause has the server turn every request away and ask for a pause of so many seconds; null: no more.
@@ -38,6 +39,7 @@
 PREFILL_SECONDS = 0.15
 CALL_SECONDS = 0.03
 SILENCE_SECONDS = 1
+SLOWDOWN = 5
 COPY_INTERVAL_SECONDS = 0.1
 COPY_SECONDS = 0.05
 SLOW_COPY_SECONDS = 1
@@ -218,12 +220,22 @@
         return {wire.REQUEST_ID: request, wire.SIGNATURE: f"{self.name}.{self.answers}",
                 wire.LOAD: load, wire.SERVER_ID: self.name, **self.state_headers()}
 
+    def slowdown(self, request):
+        if not self.has_fault("late"):
+            return 1
+        self.log("bad", request=request)
+        return SLOWDOWN
+
+    def fail(self, handler, request, headers):
+        self.log("bad", request=request)
+        return handler.answer(500, b"failed", headers)
+
     def call(self, handler, request, body):
         self.log_run(handler, request, body)
         if CRASH_MARKER in handler.path or CRASH_MARKER.encode() in body:
             self.crash(handler, request)
         usual_seconds = SILENCE_SECONDS if self.has_fault("silent") else CALL_SECONDS * random.uniform(0.5, 2)
-        time.sleep(float(query_value(handler, "take") or usual_seconds))
+        time.sleep(float(query_value(handler, "take") or usual_seconds) * self.slowdown(request))
         headers = self.answer_headers(request)
         fields = {"request": request, "body": hashlib.sha1(body).hexdigest()}
         pad = query_value(handler, "pad")
@@ -240,7 +252,7 @@
             handler.close_connection = True
             return
         if self.has_fault("error"):
-            return handler.answer(500, b"failed", headers)
+            return self.fail(handler, request, headers)
         if self.has_fault("unframed"):
             handler.close_connection = True
             handler.wfile.write(handler.unframed_head(200, headers) + answer)
@@ -259,6 +271,7 @@
 
     def stream(self, handler, request, body):
         last_event = int(handler.headers.get(wire.LAST_EVENT, 0))
+        slowdown = self.slowdown(request)
         copy_from = handler.headers.get(wire.COPY_FROM)
         if copy_from:
             events, copied_at = self.copies.pop(copy_from.rsplit("/", 1)[1], (None, 0))
@@ -267,10 +280,12 @@
                                                  **self.state_headers()})
             time.sleep(max(0, last_event - events) * EVENT_INTERVAL_SECONDS / 4)
         else:
-            time.sleep(PREFILL_SECONDS * random.uniform(0.8, 2))
+            time.sleep(PREFILL_SECONDS * random.uniform(0.8, 2) * slowdown)
         self.log_run(handler, request, body, last=last_event, fromCopy=bool(copy_from),
                      copyTo=handler.headers.get(wire.COPY_TO))
         headers = self.answer_headers(request)
+        if self.has_fault("error"):
+            return self.fail(handler, request, headers)
         shape = next(filter(self.has_fault, endless.SHAPES), None)
         if shape:
             return endless.send_endless_answer(handler, shape,
@@ -287,7 +302,7 @@
         copy_to = handler.headers.get(wire.COPY_TO)
         copier = Copier(copy_to, request) if copy_to else None
         take = query_value(handler, "take")
-        interval = float(take) / EVENTS_PER_RUN if take else EVENT_INTERVAL_SECONDS
+        interval = float(take) / EVENTS_PER_RUN if take else EVENT_INTERVAL_SECONDS * slowdown
         for number in range(last_event + 1, EVENTS_PER_RUN + 1):
             time.sleep(interval)
             handler.chunk(self.produce(request, number))
