rollouts: no requests beyond the share while a version gets a part of them

Cause: at share 0.3 a request that found no room at the old servers went to the new ones, and a run there had a copy at another new server, so that an overload or failing runs exposed a version that was not proven yet beyond its share. Change: below share 1, and with the store, a request without a credit is for old servers only, and runs of the new version have no copy. Conclusion: while old servers are full, requests wait or are refused as without a roll-out.

--- a/src/decisions/rollouts/RolloutChoice.cpp
+++ b/src/decisions/rollouts/RolloutChoice.cpp
@@ -90,8 +90,9 @@
         return isInTouch(now) ? std::vector {Side::New} : std::vector {Side::New, Side::Old};
     // The version may have been condemned, or the old servers stopped, without this gateway
     // learning of it.
-    const bool prefersNew = isInTouch(now) && (wantsNew || share() >= 1);
-    return prefersNew ? std::vector {Side::New, Side::Old} : std::vector {Side::Old, Side::New};
+    if (!isInTouch(now))
+        return {Side::Old, Side::New};
+    return wantsNew || share() >= 1 ? std::vector {Side::New, Side::Old} : std::vector {Side::Old};
 }
 
 bool Rollout::isAllowed(std::string_view version) const
@@ -101,7 +102,7 @@
     return !(isNew(version) && m_isCondemned);
 }
 
-// On trial, a resumed run would be a further request to the new version.
+// Before the last step, a resumed run would be a further request to the new version.
 bool Rollout::allowsCopies(std::string_view version, TimePoint now) const
 {
     if (!isAllowed(version))
@@ -109,7 +110,8 @@
     const Mode current = mode(now);
     if (!isNew(version))
         return current != Mode::Done;
-    return current == Mode::Done || current == Mode::Moving || current == Mode::Free;
+    const bool isLastStep = current == Mode::Moving && share() >= 1;
+    return isLastStep || current == Mode::Done || current == Mode::Free;
 }
 
 bool Rollout::accepts(const BackendInfo &server, VersionSide side) const
--- a/tests/decisions/rollouts/RolloutSessionTest.cpp
+++ b/tests/decisions/rollouts/RolloutSessionTest.cpp
@@ -17,6 +17,7 @@
     CPPUNIT_TEST(rejectedRequestIsNotTriedAtTheNewVersionAgain);
     CPPUNIT_TEST(runOfTheOldVersionIsCopiedWithinIt);
     CPPUNIT_TEST(runOnTrialHasNoCopy);
+    CPPUNIT_TEST(runOfAMoveHasNoCopy);
     CPPUNIT_TEST(copyAtACondemnedVersionIsNotUsed);
     CPPUNIT_TEST(withoutOrderAllVersionsServe);
     CPPUNIT_TEST_SUITE_END();
@@ -127,7 +128,16 @@
     }
 
     // Guards against a resumed run that is one more request to the new version.
-    void runOnTrialHasNoCopy()
+    void runOnTrialHasNoCopy() { requireResumesAtTheOldVersion(); }
+
+    // The same while the version gets a part of the requests: each failed run would count twice.
+    void runOfAMoveHasNoCopy()
+    {
+        setShare(0.3);
+        requireResumesAtTheOldVersion();
+    }
+
+    void requireResumesAtTheOldVersion()
     {
         const HttpRoute stream = route(CallKind::Stream);
         int newCount = 0;
--- a/tests/decisions/rollouts/RolloutTest.cpp
+++ b/tests/decisions/rollouts/RolloutTest.cpp
@@ -23,6 +23,7 @@
     CPPUNIT_TEST(orderAfterAWithdrawnOneIsATrial);
     CPPUNIT_TEST(orderWrittenAgainKeepsItsShare);
     CPPUNIT_TEST(oldVersionComesFirstWithoutTheStore);
+    CPPUNIT_TEST(busyOldServersAddNothingToTheShare);
     CPPUNIT_TEST(acknowledgedMoveIsKept);
     CPPUNIT_TEST(acknowledgementEndsWithTheNewServers);
     CPPUNIT_TEST(versionWithoutAlternativeIsCompleted);
@@ -251,6 +252,15 @@
         }
     }
 
+    // Guards against an overload that sends most requests to a version that is not proven.
+    void busyOldServersAddNothingToTheShare()
+    {
+        order("v2", 10);
+        rollout().setStatus(statusOf("v2", 0.3, 10), {1, 11}, m_now);
+        CPPUNIT_ASSERT(!contains(rollout().sides(false, m_now), VersionSide::New));
+        CPPUNIT_ASSERT(rollout().sides(true, m_now).front() == VersionSide::New);
+    }
+
     // Guards against a request at an old server that is stopped because all gateways had moved.
     void acknowledgedMoveIsKept()
     {
