--- a/tools/lib/soak/cluster.py
+++ b/tools/lib/soak/cluster.py
@@ -21,7 +21,7 @@
     """All processes of a soak. start() waits until every gateway is ready; close() ends them."""
 
     def __init__(self, folder, seed, gateways, engines, registers,
-                 drain_timeout_seconds=DRAIN_TIMEOUT_SECONDS):
+                 drain_timeout_seconds=DRAIN_TIMEOUT_SECONDS, rolls_out=False):
         self.folder = pathlib.Path(folder)
         self.seed = seed
         self.random = random.Random(seed)
@@ -33,6 +33,11 @@
         self.gateways = [Gateway(self, index) for index in range(gateways)]
         services = ["engine"] * engines + ["register"] * registers
         self.servers = [Server(self, index, service) for index, service in enumerate(services)]
+        # Not started; the places of servers of another version.
+        self.spares = [Server(self, len(services) + index, service)
+                       for index, service in enumerate(services if rolls_out else [])]
+        for gateway in self.gateways:
+            gateway.rolls_out = rolls_out
         self.config_versions = itertools.count(10, 7)
         self.config_lock = threading.Lock()
         self.accounts = {f"account-{index}": {f"key-{index}"} for index in range(4)}
@@ -63,7 +68,7 @@
 
     def _start_proxy(self):
         routes = []
-        for server in self.servers:
+        for server in self.servers + self.spares:
             port = self.ports.allocate()
             server.address = f"127.0.0.1:{port}"
             routes.append(f"--route={server.route}@{server.address}=127.0.0.1:{server.port}")
@@ -130,7 +135,7 @@
     def close(self):
         self.is_ending = True
         processes = [gateway.process for gateway in self.gateways]
-        processes += [server.process for server in self.servers] + [self.proxy]
+        processes += [server.process for server in self.servers + self.spares] + [self.proxy]
         for process in processes:
             if process is not None and process.is_running():
                 process.kill()
--- a/tools/lib/soak/server.py
+++ b/tools/lib/soak/server.py
@@ -23,6 +23,7 @@
         self.zone = ZONES[index % len(ZONES)]
         self.slots = 16 if service == "engine" else 6
         self.has_changed_slots = False
+        self.is_retired = False  # stopped for good, until its place is taken by another version
         self.route = f"server-{index}"
         self.port = cluster.ports.allocate()
         self.extra_ports = []
@@ -37,6 +38,8 @@
 
     def start(self):
         """Starts the process under a new id, as a restarted server has."""
+        if self.is_retired:
+            return
         self.starts += 1
         self.name = f"i-{self.index}-{self.starts}"
         self.born_ms = int(time.time() * 1000)
@@ -53,6 +56,8 @@
         self.publish()
 
     def publish(self):
+        if self.is_retired:
+            return
         self.sequence += 1
         self.cluster.store.put(wire.SERVER_PREFIX + self.name, wire.server_entry(self))
         self.cluster.journal.record("listed", server=self.name, state=self.state)
@@ -92,6 +97,19 @@
         finally:
             self.transition_lock.release()
 
+    def stop(self):
+        """Ends at once and for good."""
+        self.is_retired = True
+        self.process.kill()
+        self.withdraw()
+
+    def retire(self):
+        """Drains and ends for good."""
+        self.state = wire.DRAINING
+        self.publish()
+        time.sleep(MAX_SERVER_LIST_DELAY_SECONDS + 2)
+        self.stop()
+
     def leave_by_answer(self):
         """Planned stop that only the answers announce: the entry says ready until the server is gone."""
         if not self.transition_lock.acquire(blocking=False):
