--- a/tests/decisions/rollouts/RolloutTest.cpp
+++ b/tests/decisions/rollouts/RolloutTest.cpp
@@ -179,6 +179,7 @@
         order("v2", 10);
         rollout().setStatus(statusOf("v2", 1, 10, RolloutState::Completed), {1, 11}, m_now);
         std::vector<std::unique_ptr<RequestVersions>> waiting;
+        waiting.reserve(100);
         for (int i = 0; i < 100; ++i)
             waiting.push_back(beginRequest());
         list("v3");
