--- a/include/foxtailring/decisions/rollouts/VersionObserver.h
+++ b/include/foxtailring/decisions/rollouts/VersionObserver.h
@@ -37,6 +37,9 @@
     /// counts none.
     void restart(std::string version, TimePoint now);
 
+    /// \brief Adds what an earlier process of this gateway had counted since restart().
+    void restore(const std::map<VersionRowKey, VersionRow> &rows);
+
     std::uint64_t begin(Attempt attempt);
     /// \brief An event of a stream arrived.
     void recordEvent(std::uint64_t id, TimePoint now);
@@ -51,6 +54,8 @@
     std::size_t openCountBeside(std::string_view version) const;
     /// \brief When the first attempt at a server of \a version was sent; none: there was none.
     std::optional<TimePoint> firstUse(std::string_view version) const;
+    /// \brief Forgets the first attempts at servers of other versions.
+    void forgetUseBeside(std::string_view version);
     /// \brief Routes of the service so far, sorted.
     const std::set<std::string, std::less<>> &routes() const { return m_routes; }
 
--- a/src/decisions/rollouts/Rollout.cpp
+++ b/src/decisions/rollouts/Rollout.cpp
@@ -21,13 +21,8 @@
 constexpr double extraFraction = 0.5;
 /// Of the requests of one gateway, so that it sees both versions.
 constexpr double maxOwnShare = 0.5;
-// While the extra requests are sent, the new version gets up to this share of all.
-constexpr double extraShare = 0.25;
-// Room for uneven load on few servers.
-constexpr double spreadMargin = 1.5;
 // A version that gateways used for so long before the order is not on trial.
 constexpr seconds provenAfter {10};
-constexpr milliseconds listInterval {250};
 // The operator writes an order again that a restored store has lost.
 constexpr seconds orderRewriteTime {5};
 constexpr std::size_t maxRefused = 16;
@@ -55,7 +50,7 @@
     m_orderRevision = revision;
     if (isKnown || (isSame && !wasRolledBack)) {
         m_order = order;
-        return;
+        return adoptRevision(revision);
     }
     const std::string previous = unprovenVersion();
     const bool isTrial = !isLive || isRefused(order.version) || !isProven(order.version, now);
@@ -67,8 +62,19 @@
     begin(isTrial, now);
 }
 
+// Gateways that start take a status for the order that it names.
+void Rollout::adoptRevision(StoreRevision revision)
+{
+    if (!isServing() || m_status->order == revision)
+        return;
+    m_status->order = revision;
+    m_isStatusStored = false;
+}
+
 void Rollout::begin(bool isTrial, TimePoint now)
 {
+    ++m_orderCount;
+    m_hasMoved = false;
     m_isTrial = isTrial;
     m_isCondemned = false;
     m_verdict = {};
@@ -118,6 +124,7 @@
         return;
     const bool isOpen = !m_status || m_status->state == RolloutState::Serving;
     refuse(unprovenVersion());
+    ++m_orderCount;
     m_isStatusStored = m_isStatusStored && !isOpen;
     m_order.reset();
     m_orderLostAt.reset();
@@ -146,21 +153,33 @@
     return std::find(m_refused.begin(), m_refused.end(), version) != m_refused.end();
 }
 
-// An order for a version that was rolled back, written after that, begins anew.
+// An order for a version that was rolled back, or whose order was deleted, begins anew: there is no
+// evidence for the share that it had.
 bool Rollout::answersOrder(const RolloutStatus &status) const
 {
     if (!m_order || status.version != m_order->version)
         return false;
     const bool isOfOlderOrder =
         status.order.epoch == m_orderRevision.epoch && status.order.number < m_orderRevision.number;
-    return !(isOfOlderOrder && status.state == RolloutState::RolledBack);
+    return !isOfOlderOrder || status.state == RolloutState::Completed;
+}
+
+// A copy of the store may be older than what was decided. Shares only rise.
+bool Rollout::isBehind(const RolloutStatus &status) const
+{
+    if (!m_status || status.state != RolloutState::Serving)
+        return false;
+    return m_status->state != RolloutState::Serving || status.share < m_status->share;
 }
 
 void Rollout::setStatus(const RolloutStatus &status, StoreRevision revision, TimePoint now)
 {
+    m_isWriting = false;
+    // The reply of a write may come behind a change that followed it.
+    if (revision.epoch == m_statusRevision.epoch && revision.number < m_statusRevision.number)
+        return;
     m_statusRevision = revision;
     m_stored = status;
-    m_isWriting = false;
     for (const std::string &version : status.refused) {
         if (!m_order || version != m_order->version)
             refuse(version);
@@ -174,11 +193,8 @@
             keepWithoutOrder(status, now);
         return;
     }
-    // A copy of the store may be older than what was decided.
-    const bool isOlder = m_status && m_status->state != RolloutState::Serving
-        && status.state == RolloutState::Serving;
-    m_isStatusStored = !isOlder;
-    if (!isOlder)
+    m_isStatusStored = !isBehind(status);
+    if (m_isStatusStored)
         adopt(status, now);
 }
 
@@ -192,9 +208,8 @@
 
 void Rollout::adopt(const RolloutStatus &status, TimePoint now)
 {
-    const bool isFirst = !m_status;
     const bool isStep =
-        isFirst || m_status->state != status.state || m_status->share != status.share;
+        !m_status || m_status->state != status.state || m_status->share != status.share;
     m_status = status;
     m_isTrial = status.isTrial;
     m_dueSince.reset();
@@ -202,11 +217,10 @@
         return;
     m_shareSince = now;
     // A gateway that has started since then learns from the status how old the order is.
-    if (isFirst && !m_isLive && status.startedAtMs > 0) {
-        const Duration age = m_environment.unixTime(now) - milliseconds(status.startedAtMs);
-        m_orderedAt =
-            std::min(m_orderedAt, now - std::clamp<Duration>(age, Duration {0}, 2 * m_order->ramp));
-    }
+    if (!m_isLive)
+        m_orderedAt = std::min(m_orderedAt, now - orderAge(status, now));
+    if (status.state == RolloutState::Completed)
+        m_observer.forgetUseBeside(status.version);
     if (status.state != RolloutState::Serving)
         m_isCondemned = status.state == RolloutState::RolledBack;
     applyShare();
@@ -214,6 +228,16 @@
         m_environment.onStep(m_service, status, status.reason);
 }
 
+// The clocks of the writer and of this VM may have jumped. An age that is too low delays the next
+// step; one that is too high takes it without evidence.
+Duration Rollout::orderAge(const RolloutStatus &status, TimePoint now) const
+{
+    const auto ramp = std::chrono::duration_cast<milliseconds>(m_order->ramp);
+    const auto known = std::clamp(milliseconds(status.elapsedMs), milliseconds {0}, 2 * ramp);
+    const milliseconds byClock = m_environment.unixTime(now) - milliseconds(status.startedAtMs);
+    return status.startedAtMs > 0 && byClock >= known && byClock <= ramp ? byClock : known;
+}
+
 void Rollout::applyShare()
 {
     m_listedAt = {};
@@ -272,6 +296,17 @@
     m_witnesses.insert_or_assign(std::string(gatewayId), std::move(witness));
 }
 
+bool Rollout::isOfOrder(const VersionWitness &witness) const
+{
+    return m_order && witness.version == m_order->version && witness.order == m_orderRevision;
+}
+
+void Rollout::restoreWitness(const VersionWitness &witness)
+{
+    if (isOfOrder(witness))
+        m_observer.restore(witness.rows);
+}
+
 void Rollout::removeWitness(std::string_view gatewayId)
 {
     const auto found = m_witnesses.find(gatewayId);
@@ -295,6 +330,9 @@
     if (m_orderLostAt)
         removeOrder(m_orderRevision.epoch, now);
     m_observer.advance(now);
+    updateMoved();
+    if (!isInTouch(now))
+        m_lostTouchAt = now;
     if (!isServing())
         return;
     updateSampling();
@@ -310,137 +348,27 @@
 {
     VersionEvidence::Rows merged = m_observer.rows(now);
     for (const auto &[gatewayId, witness] : m_witnesses) {
-        if (witness.version != m_order->version || witness.order != m_orderRevision)
+        if (!isOfOrder(witness))
             continue;
-        for (const auto &[key, row] : witness.rows) {
-            VersionRow &sum = merged[key];
-            sum.failures += row.failures;
-            sum.times.merge(row.times);
-            sum.open.merge(row.open);
-        }
+        for (const auto &[key, row] : witness.rows)
+            merged[key] += row;
     }
     m_evidence.update(std::move(merged), now);
     m_verdict = m_evidence.judge();
     if (!m_isTrial)
         m_verdict.grade = VersionVerdict::Grade::Good;
     if (!m_isCondemned && m_verdict.grade == VersionVerdict::Grade::Bad)
-        condemn(m_verdict);
+        condemn(m_verdict, now);
 }
 
-void Rollout::condemn(const VersionVerdict &verdict)
+void Rollout::condemn(const VersionVerdict &verdict, TimePoint now)
 {
     m_isCondemned = true;
     m_dueSince.reset();
     if (m_environment.onStep)
-        m_environment.onStep(
-            m_service, makeStatus(RolloutState::Serving, 0, "bad: " + verdict.aspect), "condemned");
-}
-
-void Rollout::updateListed(TimePoint now)
-{
-    if (m_listedAt != TimePoint {} && now - m_listedAt < listInterval)
-        return;
-    m_listedAt = now;
-    m_listed.update(m_environment.servers(m_service, now), m_order->version, m_refused);
-    double spread = spreadMargin * share();
-    if (now < m_orderedAt + RolloutSchedule::spreadTime(m_order->ramp))
-        spread = std::max(spread, extraShare);
-    m_listed.spread(share() >= 1 ? 1 : spread, m_service + m_orderRevision.toString());
-}
-
-Rollout::Mode Rollout::mode(TimePoint now) const
-{
-    if (!m_order)
-        return Mode::Free;
-    if (m_isCondemned)
-        return Mode::Barred;
-    if (m_status && m_status->state == RolloutState::Completed)
-        return m_listed.hasNew() ? Mode::Done : Mode::Free;
-    if (!m_listed.hasOld())
-        return Mode::Free;
-    if (!m_status)
-        return m_isTrial ? Mode::Barred : Mode::Free;
-    if (share() > m_schedule.trialShare())
-        return Mode::Moving;
-    return isInTouch(now) ? Mode::Trial : Mode::Barred;
-}
-
-bool Rollout::takeNew(std::string_view route, TimePoint now)
-{
-    if (!m_order)
-        return false;
-    updateListed(now);
-    switch (mode(now)) {
-    case Mode::Trial:
-        return m_isSampler && m_listed.hasNew() && m_credit.tryTake(route, now);
-    case Mode::Moving:
-        return share() >= 1 || (m_isSampler && m_environment.random() < m_ownShare);
-    case Mode::Done:
-        return true;
-    case Mode::Free:
-    case Mode::Barred:
-        break;
-    }
-    return false;
-}
-
-std::vector<VersionSide> Rollout::sides(bool wantsNew, TimePoint now)
-{
-    using Side = VersionSide;
-    if (!m_order)
-        return {Side::Any};
-    updateListed(now);
-    switch (mode(now)) {
-    case Mode::Free:
-        return {Side::Any};
-    case Mode::Barred:
-        return {Side::Old};
-    case Mode::Trial:
-        return wantsNew ? std::vector {Side::New, Side::Old} : std::vector {Side::Old};
-    case Mode::Done:
-        return {Side::New};
-    case Mode::Moving:
-        break;
-    }
-    // The old servers may have been stopped, or the version condemned, without this gateway
-    // learning of it.
-    if (!isInTouch(now))
-        return {Side::Any};
-    const bool prefersNew = wantsNew || share() >= 1;
-    return prefersNew ? std::vector {Side::New, Side::Old} : std::vector {Side::Old, Side::New};
-}
-
-bool Rollout::isAllowed(std::string_view version) const
-{
-    if (isRefused(version))
-        return false;
-    return !(isNew(version) && m_isCondemned);
-}
-
-// On trial, a resumed run would be a further request to the new version.
-bool Rollout::allowsCopies(std::string_view version, TimePoint now) const
-{
-    if (!isAllowed(version))
-        return false;
-    const Mode current = mode(now);
-    if (!isNew(version))
-        return current != Mode::Done;
-    return current == Mode::Done || current == Mode::Moving || current == Mode::Free;
-}
-
-bool Rollout::accepts(const BackendInfo &server, VersionSide side) const
-{
-    if (!isAllowed(server.version))
-        return false;
-    switch (side) {
-    case VersionSide::Any:
-        return true;
-    case VersionSide::New:
-        return isNew(server.version) && m_listed.isInUse(server.id);
-    case VersionSide::Old:
-        return !isNew(server.version);
-    }
-    return false;
+        m_environment.onStep(m_service,
+                             makeStatus(RolloutState::Serving, 0, "bad: " + verdict.aspect, now),
+                             "condemned");
 }
 
 } // namespace foxtailring
