--- a/src/operator/RolloutReport.cpp
+++ b/src/operator/RolloutReport.cpp
@@ -189,8 +189,12 @@
 
 void RolloutReport::printLine(std::ostream &out) const
 {
+    if (m_state == State::None) {
+        out << m_input.service << ": no roll-out\n";
+        return;
+    }
     out << version() << ' ' << stateName(m_state);
-    if (m_state != State::Ordered && m_state != State::None)
+    if (m_state != State::Ordered)
         out << ", share " << percentText(m_input.status->share) << " (" << m_input.status->reason
             << ")";
     out << "; " << version() << ": " << figuresText(m_verdict.newFigures)
--- a/tests/operator/RolloutCommandTest.cpp
+++ b/tests/operator/RolloutCommandTest.cpp
@@ -110,6 +110,7 @@
                                   in(RolloutState::Serving), in(RolloutState::Completed, 1)},
                                  following()));
         CPPUNIT_ASSERT_EQUAL(std::size_t(4), m_readCount);
+        CPPUNIT_ASSERT(printed("engine: no roll-out\n"));
         CPPUNIT_ASSERT(printed("v2 serving, share 5 %"));
         CPPUNIT_ASSERT(printed("v2 completed, share 100 %"));
     }
