gateway: do not decode a configuration that is known, nor read it before a full read

Cause: reads of all keys offered the unchanged configuration to the decoder again, and lost history read it alone just before all keys. Change: the value offered last is not offered again; a full read due within 0.1 s is not preceded by a read of the configuration. Conclusion: gateway_test and store_test pass.

--- a/include/foxtailring/store/PrefixWatcherHooks.h
+++ b/include/foxtailring/store/PrefixWatcherHooks.h
@@ -23,7 +23,7 @@
     std::function<void(TimePoint confirmedAt)> onConfirmed;
     /// The changes since the last one reported are gone from the store, or are too many to be read
     /// one by one; all keys are read again after rereadDelay(). Optional.
-    std::function<void()> onHistoryLost;
+    std::function<void(std::chrono::milliseconds untilRead)> onHistoryLost;
     /// The store has changes beyond those reported. They follow, or all keys are read again.
     /// Optional.
     std::function<void()> onBehind;
--- a/src/gateway/StoreWatch.cpp
+++ b/src/gateway/StoreWatch.cpp
@@ -117,7 +117,9 @@
             recordProof(confirmedAt, true);
         });
     };
-    hooks.onHistoryLost = [this] { post([this] { onHistoryLost(); }); };
+    hooks.onHistoryLost = [this](std::chrono::milliseconds untilRead) {
+        post([this, untilRead] { onHistoryLost(untilRead); });
+    };
     hooks.onBehind = [this] { post([this] { onBehind(); }); };
     hooks.rereadDelay = [this] { return randomRereadDelay(); };
     hooks.onUnavailable = [this](const Error &error) {
--- a/src/gateway/StoreWatch.h
+++ b/src/gateway/StoreWatch.h
@@ -48,12 +48,21 @@
         bool isOfAllKeys = false; ///< not of the configuration alone
     };
 
+    /// A value of the configuration's key that was given to the decoder.
+    struct OfferedConfig
+    {
+        StoreRevision revision;
+        std::size_t valueHash = 0; ///< a store without epochs may repeat a revision
+
+        bool operator==(const OfferedConfig &) const = default;
+    };
+
     PrefixWatcherHooks makeHooks();
     void post(std::function<void()> work);
     void applySnapshot(const RangeResult &read, TimePoint readAt);
     void recordInterruptedRead();
     bool startEpoch(const RangeResult &read);
-    void onHistoryLost();
+    void onHistoryLost(std::chrono::milliseconds untilRead);
     void readConfig();
     void onBehind();
     void applyConfigRead(const RangeResult &read, TimePoint requestedAt, TimePoint readAt);
@@ -95,9 +104,10 @@
     const RereadPacing m_rereadPacing;
     /// Used by the watcher's threads too.
     std::atomic<std::chrono::milliseconds::rep> m_rereadSpreadMs = 0;
-    std::uint64_t m_offeredConfig = 0;  ///< number of the last offer to the decoder
-    std::uint64_t m_decodedConfig = 0;  ///< number of the last offer whose outcome is known
-    TimePoint m_unnamedServiceReportAt; ///< not before then
+    std::optional<OfferedConfig> m_newestOffer; ///< the latest value offered
+    std::uint64_t m_offeredConfig = 0;          ///< number of the last offer to the decoder
+    std::uint64_t m_decodedConfig = 0;          ///< number of the last offer whose outcome is known
+    TimePoint m_unnamedServiceReportAt;         ///< not before then
     std::deque<WaitingProof> m_waitingProofs;
     /// Newest configuration in the store, while it cannot be decoded: the keys are not known.
     std::optional<StoreRevision> m_unreadableConfig;
--- a/src/gateway/StoreWatchConfig.cpp
+++ b/src/gateway/StoreWatchConfig.cpp
@@ -14,15 +14,18 @@
 namespace {
 
 constexpr std::chrono::milliseconds configReadInterval {1000};
+// A full read that starts so soon has the configuration early enough.
+constexpr std::chrono::milliseconds maxReadDelay {100};
 
 } // namespace
 
 // A full read may wait for its turn among those of the fleet. Until then the configuration is read
 // alone, and keys are confirmed by that.
-void StoreWatch::onHistoryLost()
+void StoreWatch::onHistoryLost(std::chrono::milliseconds untilRead)
 {
     m_isReadDue = true;
-    readConfig();
+    if (untilRead > maxReadDelay)
+        readConfig();
     m_configTimer.every(configReadInterval, [this] {
         post([this] {
             if (m_isReadDue)
@@ -64,9 +67,16 @@
     recordProof(requestedAt, false);
 }
 
+// Reads of all keys return the configuration that is known in most cases. To decode a large one
+// takes a small gateway longer than all else that it does for the store.
 void StoreWatch::offerConfigs(std::vector<ConfigDecoder::Candidate> candidates)
 {
-    if (!candidates.empty())
+    if (candidates.empty())
+        return;
+    const ConfigDecoder::Candidate &newest = candidates.back();
+    const OfferedConfig offered {{newest.epoch, newest.pair.modRevision},
+                                 std::hash<std::string> {}(newest.pair.value)};
+    if (std::exchange(m_newestOffer, offered) != offered)
         m_offeredConfig = m_decoder.offer(std::move(candidates));
 }
 
--- a/src/store/PrefixWatcher.cpp
+++ b/src/store/PrefixWatcher.cpp
@@ -241,14 +241,15 @@
 
 void PrefixWatcher::State::rereadLater()
 {
-    if (m_hooks.onHistoryLost)
-        m_hooks.onHistoryLost();
     // A service whose answers alternate between two epochs would otherwise be read without pause.
     m_rereadBackoff = std::exchange(m_hasWatched, false)
         ? milliseconds(0)
         : std::clamp(m_rereadBackoff * 2, m_settings.minBackoff, m_settings.maxBackoff);
     const milliseconds spread = m_hooks.rereadDelay ? m_hooks.rereadDelay() : milliseconds(0);
-    schedule(spread + jittered(m_rereadBackoff), [](State &self) { self.read(); });
+    const milliseconds delay = spread + jittered(m_rereadBackoff);
+    if (m_hooks.onHistoryLost)
+        m_hooks.onHistoryLost(delay);
+    schedule(delay, [](State &self) { self.read(); });
 }
 
 // In a storm the answer that led here had the newest versions, so the next read may wait. A reader
@@ -267,7 +268,7 @@
                          {"delayMs", std::to_string((spread + pause).count())}});
     const bool isLate = reason == "behind" || spread > m_settings.stateInterval;
     if (isLate && m_hooks.onHistoryLost)
-        m_hooks.onHistoryLost();
+        m_hooks.onHistoryLost(spread + pause);
     schedule(spread + pause, [](State &self) { self.read(); });
 }
 
--- a/tests/store/PrefixWatcherTest.cpp
+++ b/tests/store/PrefixWatcherTest.cpp
@@ -301,7 +301,7 @@
             m_reports.put(text);
             return true;
         };
-        hooks.onHistoryLost = [this] { m_losses.put(1); };
+        hooks.onHistoryLost = [this](std::chrono::milliseconds) { m_losses.put(1); };
         hooks.rereadDelay = [this] { return m_rereadDelay.load(); };
         hooks.onConfirmed = [this](TimePoint confirmedAt) { m_confirmations.put(confirmedAt); };
         hooks.onUnavailable = [this](const Error &) { m_states.put("lost"); };
