--- a/include/foxtailring/decisions/placement/BackendPlacer.h
+++ b/include/foxtailring/decisions/placement/BackendPlacer.h
@@ -73,13 +73,16 @@
         double maxTieBreak; ///< upper bound of the random addition, in units of the cost
     };
 
+    static CostModel leastLoad();
+    /// \param spread upper bound of a random addition to expected times
+    static CostModel runCostModel(const PlacementRequest &request, double spread);
     std::vector<BackendState> ranked(const PlacementRequest &request, const CostModel &costModel,
                                      TimePoint now, RandomSource &random) const;
     std::optional<BackendState> cheapest(const PlacementRequest &request,
                                          const CostModel &costModel, TimePoint now,
                                          RandomSource &random) const;
     double callCost(const BackendState &server) const;
-    double runCost(const BackendState &server) const;
+    double runCost(const BackendState &server, double runWeight) const;
     double distanceCost(const BackendState &server) const;
     double healthCost(const BackendState &server) const;
     double occupancy(const BackendState &server) const;
--- a/src/decisions/placement/BackendPlacer.cpp
+++ b/src/decisions/placement/BackendPlacer.cpp
@@ -2,6 +2,7 @@
 
 #include "foxtailring/base/RandomSource.h"
 #include "foxtailring/decisions/placement/ExpectedCallTime.h"
+#include "foxtailring/decisions/placement/ExpectedRunTime.h"
 #include "foxtailring/decisions/placement/RendezvousHash.h"
 #include "foxtailring/decisions/servers/BackendTable.h"
 
@@ -67,13 +68,14 @@
 std::optional<BackendState> BackendPlacer::chooseForRun(const PlacementRequest &request,
                                                         TimePoint now, RandomSource &random) const
 {
-    return cheapest(request, {&BackendPlacer::runCost, maxRunTieBreak}, now, random);
+    return cheapest(request, runCostModel(request, ExpectedRunTime::choiceSpread), now, random);
 }
 
+// A copy takes memory and a slot only, so it goes where the load is least.
 std::optional<BackendState> BackendPlacer::chooseForCopy(const PlacementRequest &request,
                                                          TimePoint now, RandomSource &random) const
 {
-    auto chosen = cheapest(request, {&BackendPlacer::runCost, maxRunTieBreak}, now, random);
+    auto chosen = cheapest(request, leastLoad(), now, random);
     const bool isUseful = chosen && chosen->health == BackendHealth::Healthy
         && chosen->info.availabilityZone != request.avoidZone;
     return isUseful ? chosen : std::nullopt;
@@ -87,7 +89,7 @@
     std::map<std::string, std::size_t> inZone;
     std::vector<BackendState> servers;
     for (BackendState &server :
-         ranked(request, {&BackendPlacer::runCost, maxRunTieBreak}, now, random)) {
+         ranked(request, runCostModel(request, ExpectedRunTime::candidateSpread), now, random)) {
         if (servers.size() < maxCount && inZone[server.info.availabilityZone]++ < maxPerZone)
             servers.push_back(std::move(server));
     }
@@ -128,7 +130,7 @@
         if (!request.avoidZone.empty() && server.info.availabilityZone == request.avoidZone)
             cost += doubtfulCost;
         if (!request.affinityServers.empty() && !contains(request.affinityServers, server.info.id))
-            cost += noAffinityCost;
+            cost += request.usesSpeed ? ExpectedRunTime::noAffinityCost : noAffinityCost;
         if (!request.responsive.empty() && !contains(request.responsive, server.info.id))
             cost += unresponsiveCost;
         withCosts.emplace_back(cost, std::move(server));
@@ -142,6 +144,25 @@
     return servers;
 }
 
+BackendPlacer::CostModel BackendPlacer::leastLoad()
+{
+    const auto cost = [](const BackendPlacer &placer, const BackendState &server) {
+        return placer.runCost(server, 1);
+    };
+    return {cost, maxRunTieBreak};
+}
+
+BackendPlacer::CostModel BackendPlacer::runCostModel(const PlacementRequest &request, double spread)
+{
+    if (!request.usesSpeed)
+        return leastLoad();
+    const auto cost = [](const BackendPlacer &placer, const BackendState &server) {
+        return ExpectedRunTime::of(placer.runCost(server, ExpectedRunTime::delayPerRun),
+                                   server.relativeRunTime);
+    };
+    return {cost, spread};
+}
+
 // As a fraction of the server's slots.
 double BackendPlacer::callCost(const BackendState &server) const
 {
@@ -150,9 +171,9 @@
 }
 
 // In units of one run: runs slow each other down, and prompts in processing do so the most.
-double BackendPlacer::runCost(const BackendState &server) const
+double BackendPlacer::runCost(const BackendState &server, double runWeight) const
 {
-    double cost = occupancy(server) + copyWeight * server.copies;
+    double cost = runWeight * occupancy(server) + copyWeight * server.copies;
     if (hasFreshLoad(server)) {
         cost += prefillWeight * (server.load->prefilling + server.load->waiting);
         const auto total = static_cast<double>(server.load->memoryTotalTokens);
--- a/src/decisions/rollouts/VersionObserver.cpp
+++ b/src/decisions/rollouts/VersionObserver.cpp
@@ -22,6 +22,13 @@
     m_rows.clear();
 }
 
+// Its requests without an answer have ended with it.
+void VersionObserver::restore(const std::map<VersionRowKey, VersionRow> &rows)
+{
+    for (const auto &[key, row] : rows)
+        m_rows[key] += {row.failures, row.times, {}};
+}
+
 std::uint64_t VersionObserver::begin(Attempt attempt)
 {
     if (m_routes.size() < maxRoutes)
@@ -41,6 +48,11 @@
     return found == m_firstUse.end() ? std::nullopt : std::optional(found->second);
 }
 
+void VersionObserver::forgetUseBeside(std::string_view version)
+{
+    std::erase_if(m_firstUse, [version](const auto &one) { return one.first != version; });
+}
+
 void VersionObserver::recordEvent(std::uint64_t id, TimePoint now)
 {
     const auto found = m_open.find(id);
--- a/src/decisions/servers/EngineSpeeds.cpp
+++ b/src/decisions/servers/EngineSpeeds.cpp
@@ -15,9 +15,11 @@
 // A run counts as at most so many times slower or faster than usual.
 constexpr double maxRatio = 4;
 // So many runs at an engine of usual speed are assumed beside those that were observed.
-constexpr double assumedRuns = 0.5;
+constexpr double assumedRuns = 1;
 // Later runs then replace earlier ones in the mean: a VM may become slower.
 constexpr std::uint32_t maxRuns = 12;
+// A run that differs more from the earlier ones, as a logarithm, shows that the VM has changed.
+constexpr double maxDeviation = 0.4;
 // The mean of fewer engines says little about a service.
 constexpr std::size_t minEngines = 6;
 // Bounds what a process holds, for the target size of 12,000 servers and addresses that change.
@@ -51,6 +53,8 @@
     apply(own, Change::Remove);
     own.service = server.service;
     own.address = server.address;
+    if (own.runs > 0 && std::abs(logOf(eventInterval) - logOf(own.eventInterval)) > maxDeviation)
+        own.runs = 0;
     const double log = own.runs == 0 ? 0 : logOf(own.eventInterval);
     own.runs = std::min(own.runs + 1, maxRuns);
     own.eventInterval = durationOf(log + (logOf(eventInterval) - log) / own.runs);
@@ -85,6 +89,43 @@
     return readings;
 }
 
+std::size_t EngineSpeeds::ownCount() const
+{
+    std::size_t count = 0;
+    for (const auto &[service, engines] : m_own)
+        count += engines.size();
+    return count;
+}
+
+std::size_t EngineSpeeds::engineCount() const
+{
+    std::size_t count = 0;
+    for (const auto &[name, service] : m_services)
+        count += service.engines.size();
+    return count;
+}
+
+SpeedReading EngineSpeeds::others(const SpeedReading &own) const
+{
+    SpeedReading reading = merged(own.service, own.address);
+    const std::uint32_t runs = reading.runs - std::min(reading.runs, own.runs);
+    if (runs > 0) {
+        const double log =
+            reading.runs * logOf(reading.eventInterval) - own.runs * logOf(own.eventInterval);
+        reading.eventInterval = durationOf(log / runs);
+    }
+    reading.runs = runs;
+    return reading;
+}
+
+std::vector<std::string> EngineSpeeds::reporters() const
+{
+    std::vector<std::string> reporters;
+    for (const auto &[reporter, readings] : m_reports)
+        reporters.push_back(reporter);
+    return reporters;
+}
+
 SpeedReading EngineSpeeds::merged(std::string_view service, std::string_view address) const
 {
     SpeedReading reading {std::string(service), std::string(address)};
