--- a/src/decisions/servers/EngineSpeeds.cpp
+++ b/src/decisions/servers/EngineSpeeds.cpp
@@ -2,6 +2,8 @@
 
 #include "foxtailring/decisions/servers/BackendInfo.h"
 
+#include "IntervalLog.h"
+
 #include <algorithm>
 #include <chrono>
 #include <cmath>
@@ -13,7 +15,7 @@
 using Seconds = std::chrono::duration<double>;
 
 // A run counts as at most so many times slower or faster than usual.
-constexpr double maxRatio = 4;
+constexpr double maxSpeedRatio = 4;
 // So many runs at an engine of usual speed are assumed beside those that were observed.
 constexpr double assumedRuns = 1;
 // Later runs then replace earlier ones in the mean: a VM may become slower.
@@ -25,11 +27,6 @@
 // Bounds what a process holds, for the target size of 12,000 servers and addresses that change.
 constexpr std::size_t maxAddresses = 40'000;
 
-double logOf(Duration interval)
-{
-    return std::log(Seconds(interval).count());
-}
-
 Duration durationOf(double log)
 {
     return std::chrono::duration_cast<Duration>(Seconds(std::exp(log)));
@@ -53,11 +50,12 @@
     apply(own, Change::Remove);
     own.service = server.service;
     own.address = server.address;
-    if (own.runs > 0 && std::abs(logOf(eventInterval) - logOf(own.eventInterval)) > maxDeviation)
+    if (own.runs > 0
+        && std::abs(intervalLog(eventInterval) - intervalLog(own.eventInterval)) > maxDeviation)
         own.runs = 0;
-    const double log = own.runs == 0 ? 0 : logOf(own.eventInterval);
+    const double log = own.runs == 0 ? 0 : intervalLog(own.eventInterval);
     own.runs = std::min(own.runs + 1, maxRuns);
-    own.eventInterval = durationOf(log + (logOf(eventInterval) - log) / own.runs);
+    own.eventInterval = durationOf(log + (intervalLog(eventInterval) - log) / own.runs);
     apply(own, Change::Add);
 }
 
@@ -110,8 +108,8 @@
     SpeedReading reading = merged(own.service, own.address);
     const std::uint32_t runs = reading.runs - std::min(reading.runs, own.runs);
     if (runs > 0) {
-        const double log =
-            reading.runs * logOf(reading.eventInterval) - own.runs * logOf(own.eventInterval);
+        const double log = reading.runs * intervalLog(reading.eventInterval)
+            - own.runs * intervalLog(own.eventInterval);
         reading.eventInterval = durationOf(log / runs);
     }
     reading.runs = runs;
@@ -150,7 +148,7 @@
     if (engine == service.engines.end())
         return 1;
     const double usual = service.sumOfMeans / static_cast<double>(service.engines.size());
-    const double limit = std::log(maxRatio);
+    const double limit = std::log(maxSpeedRatio);
     const double ratio = std::clamp(engine->second.meanLog() - usual, -limit, limit);
     const double runs = engine->second.runs;
     return std::exp(ratio * runs / (runs + assumedRuns));
@@ -166,7 +164,7 @@
     Engine &engine = service.engines[reading.address];
     service.sumOfMeans -= engine.meanLog();
     const std::uint32_t runs = std::min(reading.runs, maxRuns);
-    const double weightedLog = runs * logOf(reading.eventInterval);
+    const double weightedLog = runs * intervalLog(reading.eventInterval);
     if (change == Change::Add) {
         engine.runs += runs;
         engine.weightedLog += weightedLog;
--- a/src/decisions/servers/SpeedPublication.cpp
+++ b/src/decisions/servers/SpeedPublication.cpp
@@ -4,6 +4,8 @@
 #include "foxtailring/decisions/membership/FleetBudget.h"
 #include "foxtailring/decisions/servers/EngineSpeeds.h"
 
+#include "IntervalLog.h"
+
 #include <algorithm>
 #include <cmath>
 #include <tuple>
@@ -12,8 +14,6 @@
 
 namespace {
 
-using Seconds = std::chrono::duration<double>;
-
 // Runs differ in length at one speed. Two runs that others saw tell the speed classes apart.
 constexpr std::uint32_t enoughRuns = 2;
 // Change of the duration that the others would know, as a logarithm.
@@ -32,11 +32,6 @@
 // Of a reading in the store.
 constexpr std::size_t entryBytes = 35;
 
-double logOf(Duration interval)
-{
-    return std::log(Seconds(interval).count());
-}
-
 bool isBefore(const SpeedReading &a, const SpeedReading &b)
 {
     return std::tie(a.service, a.address) < std::tie(b.service, b.address);
@@ -44,7 +39,7 @@
 
 double weightedLog(const SpeedReading &reading)
 {
-    return reading.runs == 0 ? 0 : reading.runs * logOf(reading.eventInterval);
+    return reading.runs == 0 ? 0 : reading.runs * intervalLog(reading.eventInterval);
 }
 
 // Mean of the logarithms of what others know and what this process tells them.
--- a/src/gateway/SpeedReportCodec.cpp
+++ b/src/gateway/SpeedReportCodec.cpp
@@ -14,10 +14,10 @@
 using std::chrono::microseconds;
 
 // Twice what a gateway writes: bounds what another writer can make this process hold.
-constexpr std::size_t maxEntries = 3000;
-constexpr std::size_t maxNameLength = 200;            ///< bytes
+constexpr std::size_t maxReportedEngines = 3000;
+constexpr std::size_t maxEngineNameLength = 200;      ///< bytes
 constexpr std::int64_t maxIntervalUs = 3'600'000'000; ///< an hour
-constexpr std::int64_t maxRuns = 1000;
+constexpr std::int64_t maxReportedRuns = 1000;
 
 bool isCount(const json &value, std::int64_t max)
 {
@@ -28,7 +28,7 @@
 bool isReading(const json &value)
 {
     return value.is_array() && value.size() == 2 && isCount(value[0], maxIntervalUs)
-        && isCount(value[1], maxRuns);
+        && isCount(value[1], maxReportedRuns);
 }
 
 // Shorter than the clock's resolution is taken as the shortest that a report can tell.
@@ -41,7 +41,7 @@
 Result<SpeedReading> decodeReading(std::string_view service, const std::string &address,
                                    const json &value)
 {
-    if (address.size() > maxNameLength)
+    if (address.size() > maxEngineNameLength)
         return Error {ErrorCode::Malformed, "speed report: an address is too long"};
     if (!isReading(value))
         return Error {ErrorCode::Malformed, "speed report: entry of " + address};
@@ -67,13 +67,13 @@
         return Error {ErrorCode::Malformed, "speed report: not an object"};
     SpeedReport report;
     for (const auto &[service, engines] : document.items()) {
-        if (service.size() > maxNameLength || !engines.is_object())
+        if (service.size() > maxEngineNameLength || !engines.is_object())
             return Error {ErrorCode::Malformed, "speed report: not a service with its engines"};
         for (const auto &[address, value] : engines.items()) {
             auto reading = decodeReading(service, address, value);
             if (!reading)
                 return reading.error();
-            if (report.readings.size() == maxEntries)
+            if (report.readings.size() == maxReportedEngines)
                 return Error {ErrorCode::Malformed, "speed report: too many entries"};
             report.readings.push_back(std::move(reading).value());
         }
--- a/src/gateway/SpeedReportWatch.cpp
+++ b/src/gateway/SpeedReportWatch.cpp
@@ -14,7 +14,7 @@
 
 namespace {
 
-std::string_view gatewayIdOf(std::string_view key)
+std::string_view reporterOf(std::string_view key)
 {
     return key.substr(SpeedReportCodec::keyPrefix.size());
 }
@@ -39,7 +39,7 @@
     for (const KeyValue &pair : pairs) {
         if (!isKey(pair.key))
             continue;
-        listed.insert(gatewayIdOf(pair.key));
+        listed.insert(reporterOf(pair.key));
         apply(pair);
     }
     EngineSpeeds &speeds = m_parts.servers.speeds();
@@ -55,7 +55,7 @@
         if (!isKey(event.pair.key))
             continue;
         if (event.deleted)
-            m_parts.servers.speeds().forgetReporter(gatewayIdOf(event.pair.key));
+            m_parts.servers.speeds().forgetReporter(reporterOf(event.pair.key));
         else
             apply(event.pair);
     }
@@ -66,7 +66,7 @@
 {
     if (isOwn(pair))
         return;
-    const std::string gatewayId(gatewayIdOf(pair.key));
+    const std::string gatewayId(reporterOf(pair.key));
     EngineSpeeds &speeds = m_parts.servers.speeds();
     const auto report = SpeedReportCodec::decode(pair.value);
     if (report)
@@ -79,7 +79,7 @@
 
 bool SpeedReportWatch::isOwn(const KeyValue &pair) const
 {
-    return gatewayIdOf(pair.key) == m_parts.settings.nodeId;
+    return reporterOf(pair.key) == m_parts.settings.nodeId;
 }
 
 } // namespace foxtailring
