sessions: a run that waits weighs the speed of both engines

Cause: RunMove read the pace that engines tell; what runs observed of their speed is in EngineSpeeds since. Change: the relative duration is the told pace times the relative run time.

--- a/src/decisions/sessions/RunMove.cpp
+++ b/src/decisions/sessions/RunMove.cpp
@@ -78,7 +78,8 @@
 
 double RunMove::relativeDuration(const std::string &serverId, TimePoint now) const
 {
-    return m_context.servers.pace().relativeDuration(serverId, now);
+    const auto server = m_context.servers.server(serverId, now);
+    return server ? server->pace.relativeDuration * server->relativeRunTime : 1;
 }
 
 // An engine at which nothing advances for longer than a prompt takes is slower than was known.
