--- a/src/decisions/admission/PlacementContention.cpp
+++ b/src/decisions/admission/PlacementContention.cpp
@@ -14,7 +14,7 @@
 // More runs than these would wait for one another's prompts.
 constexpr double maxRunsPerEngine = 1.5;
 constexpr double averagingSeconds = 3;
-constexpr double latestReportWeight = 0.03;
+constexpr double latestLookWeight = 0.03;
 constexpr std::chrono::seconds engineCountInterval {1};
 
 double decay(Duration elapsed)
@@ -45,7 +45,7 @@
 void PlacementContention::recordAsked(std::string_view service, bool hasRoom)
 {
     double &withRoom = m_services[std::string(service)].withRoom;
-    withRoom += latestReportWeight * ((hasRoom ? 1 : 0) - withRoom);
+    withRoom += latestLookWeight * ((hasRoom ? 1 : 0) - withRoom);
 }
 
 void PlacementContention::recordFound(std::string_view service, TimePoint now)
--- a/src/decisions/sessions/RunMove.cpp
+++ b/src/decisions/sessions/RunMove.cpp
@@ -22,8 +22,8 @@
 constexpr std::uint32_t maxMoves = 2;
 // Covers the questions to other engines and the errors of the estimates. The next run of an engine
 // may have been begun since its report, so it leaves slow engines only.
-constexpr milliseconds minGain {300};
-constexpr double minGainFraction = 0.75;
+constexpr milliseconds minMoveGain {300};
+constexpr double minMoveGainFraction = 0.75;
 // Engines that were asked in vain are as busy a few reports later.
 constexpr milliseconds searchInterval {1000};
 
@@ -34,7 +34,7 @@
 
 bool isClearlySooner(Duration elsewhere, Duration here)
 {
-    const Duration gain = std::max<Duration>(minGain, scaled(elsewhere, minGainFraction));
+    const Duration gain = std::max<Duration>(minMoveGain, scaled(elsewhere, minMoveGainFraction));
     return elsewhere + gain <= here;
 }
 
