tests: wait for a renewed lease in place of 2.5 s

Cause: the test that nothing is written elsewhere slept for a fixed time. Change: it waits until the gateway has renewed its lease, by when a report would have been due.

--- a/tests/gateway/SpeedReportTest.cpp
+++ b/tests/gateway/SpeedReportTest.cpp
@@ -8,7 +8,7 @@
 #include "SpeedReportWatch.h"
 
 #include <atomic>
-#include <thread>
+#include <utility>
 
 using namespace foxtailring;
 using std::chrono::milliseconds;
@@ -32,7 +32,14 @@
         hook(Error {ErrorCode::Timeout, "answer lost"});
     }
 
+    void keepAlive(StoreLease lease, RenewalHook hook) override
+    {
+        ++renewals;
+        SharedStoreClient::keepAlive(lease, std::move(hook));
+    }
+
     std::atomic<int> lostAnswers = 0;
+    std::atomic<int> renewals = 0;
 };
 
 } // namespace
@@ -68,8 +75,8 @@
     void nothingIsWrittenElsewhere()
     {
         startPublishing(false);
-        waitUntil([this] { return !m_shared.read("gateways/").pairs.empty(); });
-        std::this_thread::sleep_for(milliseconds(2500));
+        // The lease is renewed after some seconds, in which a report would have been due.
+        waitUntil([this] { return m_client.renewals > 0; });
         CPPUNIT_ASSERT_EQUAL(std::string(), stored());
     }
 
